--- /dev/null
+++ b/include/filbertvane/core/Digest.h
@@ -0,0 +1,26 @@
+#ifndef FILBERTVANE_CORE_DIGEST_H
+#define FILBERTVANE_CORE_DIGEST_H
+
+#include "filbertvane/core/StrongId.h"
+#include <cstdint>
+#include <string_view>
+
+namespace filbertvane::core {
+
+using Digest = StrongId<struct DigestTag, std::uint64_t>;
+
+/// @brief 64-bit xxHash (XXH3) of a byte string.
+/// @param Bytes input
+/// @param Seed separates uses of the hash from each other
+/// Complexity: linear in the length.
+Digest digestOf(std::string_view Bytes, std::uint64_t Seed = 0);
+
+/// @brief Score of a candidate for a key in rendezvous hashing.
+///
+/// The candidate with the highest score holds the key, so that the loss of one
+/// candidate moves only its own keys.
+std::uint64_t rendezvousScore(std::string_view Key, std::string_view Candidate);
+
+} // namespace filbertvane::core
+
+#endif // FILBERTVANE_CORE_DIGEST_H
--- /dev/null
+++ b/include/filbertvane/core/Ids.h
@@ -0,0 +1,47 @@
+#ifndef FILBERTVANE_CORE_IDS_H
+#define FILBERTVANE_CORE_IDS_H
+
+#include "filbertvane/core/StrongId.h"
+#include <cstdint>
+
+namespace filbertvane::core {
+
+/// @name Places and processes
+/// @{
+using NodeId = StrongId<struct NodeIdTag, std::string>;
+using DataCentreId = StrongId<struct DataCentreIdTag, std::string>;
+using RegionId = StrongId<struct RegionIdTag, std::string>;
+/// Start number of a node process; a replaced host has a higher one.
+using Incarnation = StrongId<struct IncarnationTag, std::uint64_t>;
+/// @}
+
+/// @name Configuration
+/// @{
+using ServiceName = StrongId<struct ServiceNameTag, std::string>;
+using RouteName = StrongId<struct RouteNameTag, std::string>;
+/// Label of a target's software version, for example "1.4.0".
+using TargetVersion = StrongId<struct TargetVersionTag, std::string>;
+/// Count of accepted changes of configuration; only rises.
+using ConfigVersion = StrongId<struct ConfigVersionTag, std::uint64_t>;
+/// @}
+
+/// @name Log
+/// @{
+using LogOffset = StrongId<struct LogOffsetTag, std::uint64_t>;
+/// Number of a coordinator lease; only rises.
+using Epoch = StrongId<struct EpochTag, std::uint64_t>;
+using WriterId = StrongId<struct WriterIdTag, std::string>;
+/// @}
+
+/// @name Requests
+/// @{
+using CallId = StrongId<struct CallIdTag, std::uint64_t>;
+using AttemptId = StrongId<struct AttemptIdTag, std::uint64_t>;
+using IdempotencyKey = StrongId<struct IdempotencyKeyTag, std::string>;
+/// Id of one announced target process: node, port and start of announcement.
+using TargetId = StrongId<struct TargetIdTag, std::string>;
+/// @}
+
+} // namespace filbertvane::core
+
+#endif // FILBERTVANE_CORE_IDS_H
--- /dev/null
+++ b/include/filbertvane/decision/request/Events.h
@@ -0,0 +1,200 @@
+#ifndef FILBERTVANE_DECISION_REQUEST_EVENTS_H
+#define FILBERTVANE_DECISION_REQUEST_EVENTS_H
+
+#include "filbertvane/config/FleetState.h"
+#include "filbertvane/core/Digest.h"
+#include "filbertvane/observe/LogEvent.h"
+#include <memory>
+
+namespace filbertvane::decision::request {
+
+/// @name Values
+/// @{
+
+/// @brief How a request ends for its caller when no answer is passed on.
+enum class Outcome {
+  /// The request truly did not run; 503 to the caller.
+  NotRun,
+  /// The request may have run; 504 to the caller.
+  Unknown,
+};
+
+/// @brief Where a request is sent for one attempt.
+struct Destination {
+  core::NodeId Node;
+  /// True when the target stands on this host.
+  bool Local = false;
+  /// `ip:port` of the node's peer port, or of the target when local.
+  std::string Address;
+  core::TargetId Target;
+  core::TargetVersion Version;
+
+  friend auto operator<=>(const Destination &, const Destination &) = default;
+};
+
+/// @brief A target known to this node, its own or one of its data centre, or
+///        an entry node that stands for a service in another data centre.
+struct Endpoint {
+  core::TargetId Target;
+  core::ServiceName Service;
+  core::TargetVersion Version;
+  core::NodeId Node;
+  core::DataCentreId DataCentre;
+  core::RegionId Region;
+  std::string Address;
+  /// Concurrent requests that the target can run.
+  std::uint32_t Slots = 0;
+  /// Time at which the target was first announced, for warm-up.
+  core::TimePoint Since;
+
+  friend auto operator<=>(const Endpoint &, const Endpoint &) = default;
+};
+
+/// @brief How one attempt ended, as the side that sent it saw it.
+enum class AttemptEnd {
+  /// The whole answer was passed on.
+  Answered,
+  /// Refused with a truthful "not run" marker, or never handed over.
+  NotRun,
+  /// No answer after hand-over; it may have run.
+  NoAnswer,
+  /// The answer broke off after its first byte was passed on.
+  BrokenOff,
+};
+/// @}
+
+/// @name Events
+/// @{
+
+/// @brief A request came in from a caller or from another node.
+struct CallArrived {
+  core::CallId Id;
+  /// True when it came from a node: this node is the host node of the target.
+  bool FromNode = false;
+  std::string Path;
+  std::string Method;
+  std::optional<core::IdempotencyKey> Key;
+  /// Identifies the request for the crash rule: method, path, key and body
+  /// prefix, independent of the order of headers.
+  core::Digest RequestDigest;
+  std::optional<core::WallTime> Deadline;
+  /// Service and version chosen by the entry node, when it came from a node.
+  std::optional<core::ServiceName> Service;
+  std::optional<core::TargetVersion> Version;
+  std::uint64_t ContentLength = 0;
+};
+/// @brief The first byte of an answer arrived.
+struct AnswerStarted {
+  core::CallId Id;
+  core::AttemptId Attempt;
+  int Status = 0;
+};
+/// @brief An attempt is over.
+struct AttemptEnded {
+  core::CallId Id;
+  core::AttemptId Attempt;
+  AttemptEnd End = AttemptEnd::NoAnswer;
+  int Status = 0;
+  /// The refusal was already retried by the node next to the failure.
+  bool RetriedDownstream = false;
+  /// The target's process went away while the request ran.
+  bool TargetCrashed = false;
+};
+/// @brief The caller closed its connection.
+struct CallerGone {
+  core::CallId Id;
+};
+/// @brief A claim was decided by the log.
+struct ClaimDecided {
+  core::CallId Id;
+  /// Node whose claim is first; this node may run the request iff it is its
+  /// own.
+  core::NodeId Owner;
+  std::optional<core::Error> Undecided;
+};
+/// @brief A configuration or an overlay of local rollbacks took effect.
+struct ConfigurationChanged {
+  std::shared_ptr<const config::FleetState> State;
+  /// Moves whose new version this node or its data centre rolled back.
+  std::vector<config::MoveId> LocalRollbacks;
+};
+/// @brief Membership or target announcements changed.
+struct EndpointsChanged {
+  std::vector<Endpoint> Endpoints;
+};
+/// @brief The own target announced that it leaves, or its process went away.
+struct TargetLeaving {
+  core::TargetId Target;
+};
+/// @brief The node began its graceful shutdown.
+struct DrainStarted {};
+/// @brief Periodic event for deadlines, ejection and budgets.
+struct Tick {};
+
+using Event = std::variant<CallArrived, AnswerStarted, AttemptEnded, CallerGone,
+                           ClaimDecided, ConfigurationChanged, EndpointsChanged,
+                           TargetLeaving, DrainStarted, Tick>;
+/// @}
+
+/// @name Effects
+/// @{
+
+/// @brief Send the request to a destination.
+struct StartAttempt {
+  core::CallId Id;
+  core::AttemptId Attempt;
+  Destination To;
+  core::TimePoint Deadline;
+  core::ServiceName Service;
+  core::RouteName Route;
+  /// Use only a connection that was just proved live, or a new one.
+  bool NeedsProvenConnection = false;
+};
+/// @brief Stop an attempt: close or cancel it at the destination.
+struct CancelAttempt {
+  core::CallId Id;
+  core::AttemptId Attempt;
+};
+/// @brief End a request without a target's answer.
+struct Refuse {
+  core::CallId Id;
+  Outcome Result = Outcome::NotRun;
+  core::Error Reason;
+  bool Retried = false;
+};
+/// @brief Ask the claim keeper for the ownership of a key.
+struct RequestClaim {
+  core::CallId Id;
+  core::IdempotencyKey Key;
+  core::Digest RequestDigest;
+  core::TimePoint Deadline;
+};
+/// @brief Answer a repeat from the kept result of the owner.
+struct AnswerFromOwner {
+  core::CallId Id;
+  core::NodeId Owner;
+  core::IdempotencyKey Key;
+};
+/// @brief One answer as evidence for a move.
+struct Observed {
+  core::ServiceName Service;
+  core::RouteName Route;
+  core::TargetVersion Version;
+  bool Fault = false;
+  core::Microseconds Latency{0};
+};
+/// @brief A request is suspected of crashing targets; told to the data centre.
+struct SuspectReported {
+  core::Digest RequestDigest;
+  std::uint32_t Crashes = 0;
+};
+
+using Effect =
+    std::variant<StartAttempt, CancelAttempt, Refuse, RequestClaim,
+                 AnswerFromOwner, Observed, SuspectReported, observe::LogEvent>;
+using Effects = std::vector<Effect>;
+/// @}
+
+} // namespace filbertvane::decision::request
+
+#endif // FILBERTVANE_DECISION_REQUEST_EVENTS_H
--- /dev/null
+++ b/include/filbertvane/io/HttpClient.h
@@ -0,0 +1,86 @@
+#ifndef FILBERTVANE_IO_HTTPCLIENT_H
+#define FILBERTVANE_IO_HTTPCLIENT_H
+
+#include "filbertvane/io/HttpServer.h"
+
+namespace filbertvane::io {
+
+/// @brief Why a client request ended.
+enum class ClientEnd {
+  /// The whole answer arrived.
+  Complete,
+  /// No connection could be made: nothing was sent.
+  NotSent,
+  /// The connection failed after the request was handed over.
+  Failed,
+  /// The deadline passed after the request was handed over.
+  TimedOut,
+};
+
+/// @brief Receives the answer of one client request.
+class ClientHandler {
+public:
+  virtual ~ClientHandler() = default;
+  virtual void onHead(const ResponseHead &Head) = 0;
+  /// A part of the answer's body came.
+  virtual void onBody(std::string_view Part) = 0;
+  /// The request takes more body bytes (after `writeBody` filled its buffer).
+  virtual void onSendable() = 0;
+  /// The request is over; no further call follows.
+  virtual void onEnd(ClientEnd End) = 0;
+};
+
+/// @brief One request under way; destroying it cancels the request and closes
+///        its connection.
+class ClientRequest {
+public:
+  virtual ~ClientRequest() = default;
+  /// @brief Queues a part of the request's body.
+  /// @return bytes queued and not yet sent
+  virtual std::size_t writeBody(std::string_view Part) = 0;
+  virtual void finishBody() = 0;
+  /// @brief Holds the answer's body back, or lets it come.
+  virtual void pauseAnswer(bool Paused) = 0;
+};
+
+/// @brief HTTP client on the process's loop (libcurl multi).
+class HttpClient {
+public:
+  struct Request {
+    std::string Method = "GET";
+    /// `http://ip:port/path`
+    std::string Url;
+    Headers Fields;
+    /// Length of a body that follows by `writeBody`; none means chunked.
+    std::optional<std::uint64_t> ContentLength = 0;
+    core::TimePoint Deadline;
+    /// Do not reuse an open connection.
+    bool FreshConnection = false;
+  };
+
+  struct Options {
+    /// Connections kept open to one address.
+    std::uint32_t ConnectionsPerHost = 64;
+    core::Milliseconds ConnectTimeout{500};
+  };
+
+  static std::unique_ptr<HttpClient> create(EventLoop &Loop,
+                                            const Options &Settings);
+  virtual ~HttpClient() = default;
+
+  /// @brief Starts a request.
+  /// @param Handler must outlive the returned request
+  virtual std::unique_ptr<ClientRequest> send(Request What,
+                                              ClientHandler &Handler) = 0;
+
+  /// @brief Sends a small body and collects a small answer.
+  ///
+  /// `OnDone` receives the status, 0 when no answer came, and the body.
+  virtual void fetch(
+      Request What, std::string Body,
+      std::function<void(ClientEnd, int Status, std::string Body)> OnDone) = 0;
+};
+
+} // namespace filbertvane::io
+
+#endif // FILBERTVANE_IO_HTTPCLIENT_H
--- /dev/null
+++ b/include/filbertvane/io/HttpServer.h
@@ -0,0 +1,121 @@
+#ifndef FILBERTVANE_IO_HTTPSERVER_H
+#define FILBERTVANE_IO_HTTPSERVER_H
+
+#include "filbertvane/core/Result.h"
+#include "filbertvane/io/EventLoop.h"
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace filbertvane::io {
+
+/// @brief Orders header names without regard to case.
+struct HeaderNameLess {
+  bool operator()(const std::string &A, const std::string &B) const;
+};
+using Headers = std::multimap<std::string, std::string, HeaderNameLess>;
+
+/// @brief First value of a header.
+std::optional<std::string> headerOf(const Headers &All,
+                                    const std::string &Name);
+
+/// @brief Method, path with query, and headers of a request.
+struct RequestHead {
+  std::string Method;
+  std::string Path;
+  Headers Fields;
+  /// Address of the peer, `ip:port`.
+  std::string Remote;
+};
+
+/// @brief Status and headers of an answer.
+struct ResponseHead {
+  int Status = 200;
+  Headers Fields;
+};
+
+/// @brief One request on a server, owned by the server until its end.
+///
+/// Bodies stream both ways with bounded buffers. All calls happen on the loop.
+class ServerExchange {
+public:
+  virtual ~ServerExchange() = default;
+
+  /// @brief The request's head.
+  virtual const RequestHead &request() const = 0;
+
+  /// @brief Lets the next part of the request body come, or holds it back.
+  virtual void pauseBody(bool Paused) = 0;
+
+  /// @brief Starts the answer; the body follows by `write` and `finish`.
+  /// @param ContentLength length, or none for a chunked answer
+  virtual void start(const ResponseHead &Head,
+                     std::optional<std::uint64_t> ContentLength) = 0;
+
+  /// @brief Queues a part of the answer's body.
+  /// @return bytes queued and not yet sent; the caller holds its source back
+  ///         above its own bound
+  virtual std::size_t write(std::string_view Part) = 0;
+
+  /// @brief Ends the answer as whole.
+  virtual void finish() = 0;
+
+  /// @brief Breaks the answer off: the connection closes without the final
+  ///        chunk, so that the caller cannot take a part for the whole.
+  virtual void abort() = 0;
+
+  /// @brief Sends a whole answer at once.
+  void respond(int Status, std::string_view Body, Headers Fields = {});
+};
+
+/// @brief What a server tells its owner about one exchange.
+class ExchangeHandler {
+public:
+  virtual ~ExchangeHandler() = default;
+  /// A part of the request's body came.
+  virtual void onBody(std::string_view Part) = 0;
+  /// The request's body is whole.
+  virtual void onBodyEnd() = 0;
+  /// Queued answer bytes fell below the low mark; more may be written.
+  virtual void onWritable() = 0;
+  /// The caller went away, or the answer was sent; the exchange is invalid
+  /// after this call. `Whole` tells whether the answer was sent completely.
+  virtual void onClosed(bool Whole) = 0;
+};
+
+/// @brief HTTP server on the process's loop (libmicrohttpd, external epoll).
+class HttpServer {
+public:
+  /// Called when the head of a request is complete. The returned handler
+  /// receives the rest; the server destroys it after `onClosed`.
+  using Acceptor =
+      std::function<std::unique_ptr<ExchangeHandler>(ServerExchange &)>;
+
+  struct Options {
+    /// `ip:port` to listen on; port 0 takes a free one.
+    std::string Address;
+    std::uint32_t MaxConnections = 4096;
+    /// Bytes of a request's head.
+    std::size_t MaxHeadBytes = 16 * 1024;
+  };
+
+  /// @brief Binds and starts to accept.
+  /// @return the server, or `ProcessListen` with the address
+  static core::Result<std::unique_ptr<HttpServer>>
+  listen(EventLoop &Loop, const Options &Settings, Acceptor OnRequest);
+
+  virtual ~HttpServer() = default;
+
+  /// @brief Stops accepting connections; requests in progress go on.
+  virtual void quiesce() = 0;
+  /// @brief Requests in progress.
+  virtual std::size_t active() const = 0;
+  /// @brief Port in use.
+  virtual std::uint16_t port() const = 0;
+};
+
+} // namespace filbertvane::io
+
+#endif // FILBERTVANE_IO_HTTPSERVER_H
