--- /dev/null
+++ b/include/filbertvane/decision/Step.h
@@ -0,0 +1,14 @@
+#ifndef FILBERTVANE_DECISION_STEP_H
+#define FILBERTVANE_DECISION_STEP_H
+
+namespace filbertvane::decision {
+
+/// @brief What a reducer returns: the next state, and effects as data.
+template <typename State, typename Effects> struct Step {
+  State Next;
+  Effects Out;
+};
+
+} // namespace filbertvane::decision
+
+#endif // FILBERTVANE_DECISION_STEP_H
