Add the request decisions: routing, selection, admission, retries

Cause: nodes need one pure reducer that decides about each request.

Change: reduce() over the events of decision/request/Events.h, composed of RouteTable, VersionSelector, TargetTable, TargetPicker, SpillGauge, WarmUp, Ejection, RetryBudget, Admission, Suspects, KeptResults and the key check.

--- /dev/null
+++ b/include/filbertvane/decision/request/Admission.h
@@ -0,0 +1,126 @@
+#ifndef FILBERTVANE_DECISION_REQUEST_ADMISSION_H
+#define FILBERTVANE_DECISION_REQUEST_ADMISSION_H
+
+#include "filbertvane/config/Sheet.h"
+#include "filbertvane/core/Error.h"
+#include "filbertvane/core/Ids.h"
+#include <array>
+#include <set>
+
+namespace filbertvane::decision::request {
+
+/// @brief A request that asks for a slot of the own target.
+struct Applicant {
+  core::CallId Id;
+  config::TrafficKind Kind = config::TrafficKind::Interactive;
+  core::TimePoint Deadline;
+  std::uint64_t Bytes = 0;
+  /// A suspect: it runs while no other request runs.
+  bool Alone = false;
+};
+
+/// @brief Whether a request starts, waits or is refused; the last with reason.
+struct Admitted {
+  enum class Kind { Start, Wait, Refuse } What = Kind::Refuse;
+  core::ErrorCode Why = core::ErrorCode::RequestQueueFull;
+};
+
+/// @brief Slots and queue of one own target.
+///
+/// Slots are counted exactly: a request holds one from its start to its end.
+/// Waiting requests are ordered by kind and deadline. A refusal always
+/// concerns a request that was not handed to the target.
+class Admission {
+public:
+  struct Bounds {
+    std::size_t Entries = 512;
+    std::uint64_t BulkBytes = 64ULL << 20;
+    /// Refuse interactive requests that cannot finish in time.
+    bool ShedByDeadline = true;
+  };
+
+  Admission(std::uint32_t Slots, const Bounds &Limits)
+      : Slots(Slots), Limits(Limits) {}
+
+  /// @name Requests
+  /// @{
+  /// @brief Decides about a new request.
+  Admitted arrive(const Applicant &Who, core::TimePoint Now);
+  /// @brief A request that was started ended.
+  /// @param Took time at the target when it answered
+  void finished(const Applicant &Who, std::optional<core::Microseconds> Took);
+  /// @brief Withdraws a waiting request.
+  void withdraw(const Applicant &Who);
+  /// @brief Adds the announced bytes of an answer to a started bulk request.
+  void addBytes(Applicant &Who, std::uint64_t More);
+
+  /// @brief Next waiting request to start or to refuse, if any now.
+  struct Turn {
+    core::CallId Id;
+    Admitted Verdict;
+  };
+  std::optional<Turn> next(core::TimePoint Now);
+  /// @}
+
+  /// @name Target
+  /// @{
+  /// @brief Accepts no further request; returns the waiting ones, which must
+  ///        be refused.
+  std::vector<core::CallId> close();
+  /// @brief Accepts requests again, or changes the number of slots.
+  void open(std::uint32_t NewSlots) {
+    Slots = NewSlots;
+    Closed = false;
+  }
+  /// @}
+
+  /// @name Observation
+  /// @{
+  std::uint32_t slots() const { return Slots; }
+  std::uint32_t inUse() const { return InUse; }
+  std::size_t waiting() const;
+  bool closed() const { return Closed; }
+  std::uint64_t bulkBytes() const { return BulkBytes; }
+  core::Microseconds expectedTime(config::TrafficKind Kind) const;
+  /// @}
+
+private:
+  using Key = std::pair<core::TimePoint, core::CallId>;
+  struct Waiting {
+    Key Order;
+    std::uint64_t Bytes = 0;
+    friend auto operator<=>(const Waiting &, const Waiting &) = default;
+  };
+  struct ServiceTime {
+    double MeanUs = 0;
+    double DeviationUs = 0;
+    void note(core::Microseconds Took);
+  };
+
+  bool fits(config::TrafficKind Kind, std::uint64_t Bytes) const;
+  bool tooLate(const Applicant &Who, core::TimePoint Now) const;
+  bool overdue(config::TrafficKind Kind, core::TimePoint Deadline,
+               core::TimePoint Now) const;
+  void start(config::TrafficKind Kind, std::uint64_t Bytes, bool Alone);
+  std::optional<Turn> nextSuspect(core::TimePoint Now);
+  std::optional<Turn> nextOf(config::TrafficKind Kind, core::TimePoint Now);
+  std::set<Waiting> &queue(config::TrafficKind Kind);
+  const std::set<Waiting> &queue(config::TrafficKind Kind) const;
+
+  std::uint32_t Slots;
+  Bounds Limits;
+  std::uint32_t InUse = 0;
+  std::uint64_t BulkBytes = 0;
+  std::uint32_t BulkInUse = 0;
+  bool Closed = false;
+  bool AloneRuns = false;
+  /// Starts since a patient or bulk request last had its turn.
+  std::uint32_t SinceOthers = 0;
+  std::array<std::set<Waiting>, 3> Queues;
+  std::set<Waiting> Suspects;
+  std::array<ServiceTime, 3> Observed;
+};
+
+} // namespace filbertvane::decision::request
+
+#endif // FILBERTVANE_DECISION_REQUEST_ADMISSION_H
--- a/include/filbertvane/decision/request/Events.h
+++ b/include/filbertvane/decision/request/Events.h
@@ -8,6 +8,9 @@
 
 namespace filbertvane::decision::request {
 
+/// Largest answer that is kept for repeats, in bytes (docs/design.md, 9).
+inline constexpr std::size_t KeptAnswerLimit = 64 * 1024;
+
 /// @name Values
 /// @{
 
@@ -19,6 +22,30 @@
   Unknown,
 };
 
+/// @brief Identity under which a node claims a key.
+///
+/// It names one call of one process, so that a node that restarted, or that
+/// evicted its memory of a key, never takes an earlier claim for its own.
+struct ClaimOwner {
+  core::NodeId Node;
+  core::Incarnation Start;
+  core::CallId Call;
+
+  friend auto operator<=>(const ClaimOwner &, const ClaimOwner &) = default;
+};
+
+/// @brief An answer that the owner of a key keeps for repeats.
+struct KeptAnswer {
+  int Status = 0;
+  /// Encoded headers and body; opaque to decisions.
+  std::string Bytes;
+
+  friend auto operator<=>(const KeptAnswer &, const KeptAnswer &) = default;
+};
+
+/// @brief What the owner of a key says about its request.
+enum class KeptState { Running, Answered, NotRun, Unknown };
+
 /// @brief Where a request is sent for one attempt.
 struct Destination {
   core::NodeId Node;
@@ -26,6 +53,8 @@
   bool Local = false;
   /// `ip:port` of the node's peer port, or of the target when local.
   std::string Address;
+  /// Empty when the node stands for a service in another data centre: it then
+  /// selects a target of its own data centre.
   core::TargetId Target;
   core::TargetVersion Version;
 
@@ -81,13 +110,20 @@
   /// Service and version chosen by the entry node, when it came from a node.
   std::optional<core::ServiceName> Service;
   std::optional<core::TargetVersion> Version;
+  /// Target chosen by the sending node; none when this node must choose one
+  /// in its data centre.
+  std::optional<core::TargetId> Target;
   std::uint64_t ContentLength = 0;
+  /// Crashes already ascribed to the request by the sending node.
+  std::uint32_t Crashes = 0;
 };
 /// @brief The first byte of an answer arrived.
 struct AnswerStarted {
   core::CallId Id;
   core::AttemptId Attempt;
   int Status = 0;
+  /// Announced length of the answer, 0 when unknown.
+  std::uint64_t ContentLength = 0;
 };
 /// @brief An attempt is over.
 struct AttemptEnded {
@@ -99,6 +135,11 @@
   bool RetriedDownstream = false;
   /// The target's process went away while the request ran.
   bool TargetCrashed = false;
+  /// No connection could be made; meaningful with `NotRun`.
+  bool Unreachable = false;
+  /// The whole answer, when `StartAttempt::KeepAnswer` was set and it fits
+  /// `KeptAnswerLimit`.
+  std::shared_ptr<const KeptAnswer> Kept;
 };
 /// @brief The caller closed its connection.
 struct CallerGone {
@@ -107,11 +148,32 @@
 /// @brief A claim was decided by the log.
 struct ClaimDecided {
   core::CallId Id;
-  /// Node whose claim is first; this node may run the request iff it is its
-  /// own.
-  core::NodeId Owner;
+  /// Claim that is first in log order; this node may run the request iff it is
+  /// its own.
+  ClaimOwner Owner;
   std::optional<core::Error> Undecided;
 };
+/// @brief The owner of a key replied to `AnswerFromOwner`, or is gone.
+struct OwnerReplied {
+  core::CallId Id;
+  /// `Answered`: the answer was passed on. `Unknown` also when the owner
+  /// cannot be reached.
+  KeptState State = KeptState::Unknown;
+};
+/// @brief Another node asks this one, the owner of a key, for its result.
+struct KeptResultRequested {
+  /// Identifies the exchange; replies use it as the call's id.
+  core::CallId Id;
+  ClaimOwner Owner;
+  core::IdempotencyKey Key;
+  core::Digest RequestDigest;
+  core::WallTime Deadline;
+};
+/// @brief A member of the data centre reported a suspect request.
+struct SuspectLearned {
+  core::Digest RequestDigest;
+  std::uint32_t Crashes = 0;
+};
 /// @brief A configuration or an overlay of local rollbacks took effect.
 struct ConfigurationChanged {
   std::shared_ptr<const config::FleetState> State;
@@ -132,8 +194,9 @@
 struct Tick {};
 
 using Event = std::variant<CallArrived, AnswerStarted, AttemptEnded, CallerGone,
-                           ClaimDecided, ConfigurationChanged, EndpointsChanged,
-                           TargetLeaving, DrainStarted, Tick>;
+                           ClaimDecided, OwnerReplied, KeptResultRequested,
+                           SuspectLearned, ConfigurationChanged,
+                           EndpointsChanged, TargetLeaving, DrainStarted, Tick>;
 /// @}
 
 /// @name Effects
@@ -149,6 +212,10 @@
   core::RouteName Route;
   /// Use only a connection that was just proved live, or a new one.
   bool NeedsProvenConnection = false;
+  /// Hand the whole answer back with `AttemptEnded::Kept`.
+  bool KeepAnswer = false;
+  /// Crashes ascribed to the request so far; sent along to a node.
+  std::uint32_t Crashes = 0;
 };
 /// @brief Stop an attempt: close or cancel it at the destination.
 struct CancelAttempt {
@@ -160,20 +227,33 @@
   core::CallId Id;
   Outcome Result = Outcome::NotRun;
   core::Error Reason;
+  /// The node retried, or the request was retried downstream.
   bool Retried = false;
+  /// The target crashed while it ran the request.
+  bool TargetCrashed = false;
 };
 /// @brief Ask the claim keeper for the ownership of a key.
 struct RequestClaim {
   core::CallId Id;
   core::IdempotencyKey Key;
   core::Digest RequestDigest;
+  /// Identity to claim under; a repeated request of the same claim keeps it.
+  ClaimOwner Owner;
   core::TimePoint Deadline;
 };
-/// @brief Answer a repeat from the kept result of the owner.
+/// @brief Answer a repeat from the kept result of the owner on another node;
+///        the end comes back as `OwnerReplied`.
 struct AnswerFromOwner {
   core::CallId Id;
-  core::NodeId Owner;
+  ClaimOwner Owner;
   core::IdempotencyKey Key;
+  core::Digest RequestDigest;
+  core::TimePoint Deadline;
+};
+/// @brief Answer a repeat from the result that this node kept.
+struct SendKeptAnswer {
+  core::CallId Id;
+  std::shared_ptr<const KeptAnswer> Answer;
 };
 /// @brief One answer as evidence for a move.
 struct Observed {
@@ -189,9 +269,9 @@
   std::uint32_t Crashes = 0;
 };
 
-using Effect =
-    std::variant<StartAttempt, CancelAttempt, Refuse, RequestClaim,
-                 AnswerFromOwner, Observed, SuspectReported, observe::LogEvent>;
+using Effect = std::variant<StartAttempt, CancelAttempt, Refuse, RequestClaim,
+                            AnswerFromOwner, SendKeptAnswer, Observed,
+                            SuspectReported, observe::LogEvent>;
 using Effects = std::vector<Effect>;
 /// @}
 
--- /dev/null
+++ b/include/filbertvane/decision/request/State.h
@@ -0,0 +1,75 @@
+#ifndef FILBERTVANE_DECISION_REQUEST_STATE_H
+#define FILBERTVANE_DECISION_REQUEST_STATE_H
+
+#include "filbertvane/decision/request/Admission.h"
+#include "filbertvane/decision/request/Call.h"
+#include "filbertvane/decision/request/RetryBudget.h"
+#include "filbertvane/decision/request/Settings.h"
+#include "filbertvane/decision/request/SpillGauge.h"
+#include "filbertvane/decision/request/Suspects.h"
+#include "filbertvane/decision/request/VersionSelector.h"
+#include "filbertvane/decision/request/claims/KeptResults.h"
+#include <map>
+
+namespace filbertvane::decision::request {
+
+/// @brief Targets of one version of a service, by locality.
+struct VersionPool {
+  core::TargetVersion Version;
+  std::array<std::vector<TargetIndex>, LocalityCount> Members;
+  /// Members that are not ejected.
+  std::array<std::vector<TargetIndex>, LocalityCount> Active;
+};
+
+/// @brief What this node keeps about one service.
+struct ServiceState {
+  core::ServiceName Name;
+  config::Traffic Versions;
+  bool HasIdempotentRoute = false;
+  VersionSelector Selector;
+  RetryBudget Retries;
+  SpillGauge Spill;
+  std::vector<VersionPool> Pools;
+
+  VersionPool *poolOf(const core::TargetVersion &Version);
+};
+
+/// @brief Deadline of a call, for the queue of deadlines.
+struct Expiry {
+  core::TimePoint At;
+  core::CallId Id;
+  friend auto operator<=>(const Expiry &, const Expiry &) = default;
+};
+
+/// @brief State of the request decisions of one node.
+struct State {
+  explicit State(Settings Own);
+
+  Settings Own;
+  core::Random Source;
+  bool Draining = false;
+
+  /// @name Configuration and targets
+  /// @{
+  std::shared_ptr<const config::FleetState> Fleet;
+  RouteTable Routes;
+  std::unordered_map<core::ServiceName, ServiceState> Services;
+  TargetTable Targets;
+  /// Slots and queues of the own targets.
+  std::map<TargetIndex, Admission> OwnTargets;
+  /// @}
+
+  /// @name Calls
+  /// @{
+  std::unordered_map<core::CallId, Call> Calls;
+  /// Min-heap; entries of ended calls are skipped.
+  std::vector<Expiry> Expiries;
+  std::uint64_t LastAttempt = 0;
+  claims::KeptResults Results;
+  Suspects Crashed;
+  /// @}
+};
+
+} // namespace filbertvane::decision::request
+
+#endif // FILBERTVANE_DECISION_REQUEST_STATE_H
--- /dev/null
+++ b/include/filbertvane/decision/request/WarmUp.h
@@ -0,0 +1,18 @@
+#ifndef FILBERTVANE_DECISION_REQUEST_WARMUP_H
+#define FILBERTVANE_DECISION_REQUEST_WARMUP_H
+
+#include "filbertvane/core/Time.h"
+
+namespace filbertvane::decision::request {
+
+/// Time in which a new target reaches its full share.
+inline constexpr core::Seconds WarmUpTime{10};
+/// Share of a target that was just announced.
+inline constexpr double ColdShare = 0.1;
+
+/// @brief Part of its full share that a target takes, from `ColdShare` to 1.
+double warmth(core::TimePoint Since, core::TimePoint Now);
+
+} // namespace filbertvane::decision::request
+
+#endif // FILBERTVANE_DECISION_REQUEST_WARMUP_H
--- /dev/null
+++ b/lib/decision/request/ReduceFailures.cpp
@@ -0,0 +1,97 @@
+#include "Reduction.h"
+#include "filbertvane/decision/request/Ejection.h"
+
+namespace filbertvane::decision::request {
+
+using core::ErrorCode;
+
+void Reduction::passedOn(Call &Which, const AttemptEnded &What, bool Fault) {
+  const bool Answered = What.End == AttemptEnd::Answered;
+  if (Answered && Which.Slot.Alone)
+    Next.Crashed.clear(Which.RequestDigest);
+  if (ServiceState *Service = serviceOf(Which); Service && !Which.Hosted) {
+    if (!Fault)
+      Service->Retries.succeeded();
+    if (Next.Targets[Which.At].Near == Locality::DataCentre)
+      Service->Spill.taken();
+  }
+  settle(Which,
+         Answered ? claims::ResultState::Answered
+                  : claims::ResultState::Unknown,
+         What.Kept);
+  erase(What.Id);
+}
+
+void Reduction::notRun(Call &Which, const AttemptEnded &What, ErrorCode Why,
+                       bool WasSent) {
+  if (Which.Hosted)
+    return refuse(Which, Why, What.RetriedDownstream);
+  if (WasSent)
+    noteRefusal(Next.Targets[Which.At].Seen);
+  const bool Near = Next.Targets[Which.At].Near == Locality::DataCentre;
+  if (ServiceState *Service = serviceOf(Which);
+      Service && Near && !What.Unreachable)
+    Service->Spill.refused();
+  if (!retry(Which, What, WasSent))
+    refuse(Which, Why, true);
+}
+
+void Reduction::refuseQueued(Call &Which, ErrorCode Why) {
+  release(Which, std::nullopt);
+  notRun(Which, {}, Why, false);
+}
+
+void Reduction::noAnswer(Call &Which, const AttemptEnded &What) {
+  Which.MayHaveRun = true;
+  if (Which.Hosted || !retry(Which, What, true))
+    refuse(Which, ErrorCode::RequestNoAnswer, !Which.Hosted,
+           What.TargetCrashed);
+}
+
+bool Reduction::mayRetry(const Call &Which, const AttemptEnded &What) const {
+  const bool Safe = Which.idempotent() || !Which.MayHaveRun;
+  return Safe && !What.RetriedDownstream && Which.Crashes < CrashesToRefuse &&
+         Now.Mono < Which.Deadline &&
+         Which.Tried.size() < Next.Own.Bounds.Attempts;
+}
+
+/// A refusal by the own target's admission sent nothing, so trying another
+/// target costs no budget.
+bool Reduction::retry(Call &Which, const AttemptEnded &What, bool WasSent) {
+  if (!mayRetry(Which, What))
+    return false;
+  ServiceState *Service = serviceOf(Which);
+  const std::optional<TargetIndex> At = select(Which);
+  if (!Service || !At)
+    return false;
+  if (WasSent && !Service->Retries.take()) {
+    log(observe::EventId::RequestRetryBudgetEmpty, Service->Name.value());
+    return false;
+  }
+  begin(Which, *At);
+  return true;
+}
+
+/// Only the entry node observes: the host node sees the same answers.
+void Reduction::observe(const Call &Which, bool Fault) {
+  if (Which.FromNode)
+    return;
+  const core::Microseconds Latency =
+      Which.FirstByte.value_or(Now.Mono - Which.SentAt);
+  Out.emplace_back(Observed{Which.Route->Service, Which.Route->Name,
+                            Next.Targets[Which.At].Place.Version, Fault,
+                            Latency});
+}
+
+/// Requests that ran together get one crash each, and one with the same digest
+/// as another gets no second one.
+void Reduction::noteCrash(Call &Which) {
+  ++Which.Crashes;
+  if (Next.Crashed.note(Which.RequestDigest, Which.Crashes, Now.Mono))
+    log(observe::EventId::RequestSuspectLimit, "");
+  log(observe::EventId::RequestSuspectAdded,
+      std::to_string(Which.RequestDigest.value()));
+  Out.emplace_back(SuspectReported{Which.RequestDigest, Which.Crashes});
+}
+
+} // namespace filbertvane::decision::request
--- /dev/null
+++ b/lib/decision/request/WarmUp.cpp
@@ -0,0 +1,12 @@
+#include "filbertvane/decision/request/WarmUp.h"
+#include <algorithm>
+
+namespace filbertvane::decision::request {
+
+double warmth(core::TimePoint Since, core::TimePoint Now) {
+  const auto Age = static_cast<double>((Now - Since).count());
+  const auto Full = static_cast<double>(core::Microseconds(WarmUpTime).count());
+  return std::clamp(Age / Full, ColdShare, 1.0);
+}
+
+} // namespace filbertvane::decision::request
