--- a/gen/filbertvane_types.cpp
+++ b/gen/filbertvane_types.cpp
@@ -4298,6 +4298,10 @@
 void Position::__set_version(const int64_t val) {
   this->version = val;
 }
+
+void Position::__set_ready(const bool val) {
+  this->ready = val;
+}
 std::ostream& operator<<(std::ostream& out, const Position& obj)
 {
   obj.printTo(out);
@@ -4350,6 +4354,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->ready);
+          this->__isset.ready = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4379,6 +4391,10 @@
   xfer += oprot->writeI64(this->version);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("ready", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->ready);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4389,6 +4405,7 @@
   swap(a.nextOffset, b.nextOffset);
   swap(a.digest, b.digest);
   swap(a.version, b.version);
+  swap(a.ready, b.ready);
   swap(a.__isset, b.__isset);
 }
 
@@ -4396,12 +4413,14 @@
   nextOffset = other127.nextOffset;
   digest = other127.digest;
   version = other127.version;
+  ready = other127.ready;
   __isset = other127.__isset;
 }
 Position& Position::operator=(const Position& other128) noexcept {
   nextOffset = other128.nextOffset;
   digest = other128.digest;
   version = other128.version;
+  ready = other128.ready;
   __isset = other128.__isset;
   return *this;
 }
@@ -4411,6 +4430,7 @@
   out << "nextOffset=" << to_string(nextOffset);
   out << ", " << "digest=" << to_string(digest);
   out << ", " << "version=" << to_string(version);
+  out << ", " << "ready=" << to_string(ready);
   out << ")";
 }
 
@@ -5530,6 +5550,10 @@
 void RecordsRequest::__set_first(const int64_t val) {
   this->first = val;
 }
+
+void RecordsRequest::__set_wantsSnapshot(const bool val) {
+  this->wantsSnapshot = val;
+}
 std::ostream& operator<<(std::ostream& out, const RecordsRequest& obj)
 {
   obj.printTo(out);
@@ -5566,6 +5590,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->wantsSnapshot);
+          this->__isset.wantsSnapshot = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5587,6 +5619,10 @@
   xfer += oprot->writeI64(this->first);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("wantsSnapshot", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->wantsSnapshot);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5595,15 +5631,18 @@
 void swap(RecordsRequest &a, RecordsRequest &b) {
   using ::std::swap;
   swap(a.first, b.first);
+  swap(a.wantsSnapshot, b.wantsSnapshot);
   swap(a.__isset, b.__isset);
 }
 
 RecordsRequest::RecordsRequest(const RecordsRequest& other171) noexcept {
   first = other171.first;
+  wantsSnapshot = other171.wantsSnapshot;
   __isset = other171.__isset;
 }
 RecordsRequest& RecordsRequest::operator=(const RecordsRequest& other172) noexcept {
   first = other172.first;
+  wantsSnapshot = other172.wantsSnapshot;
   __isset = other172.__isset;
   return *this;
 }
@@ -5611,6 +5650,7 @@
   using ::apache::thrift::to_string;
   out << "RecordsRequest(";
   out << "first=" << to_string(first);
+  out << ", " << "wantsSnapshot=" << to_string(wantsSnapshot);
   out << ")";
 }
 
@@ -5970,6 +6010,10 @@
 void DataCentreSummary::__set_lowestNext(const int64_t val) {
   this->lowestNext = val;
 }
+
+void DataCentreSummary::__set_leadNode(const std::string& val) {
+  this->leadNode = val;
+}
 std::ostream& operator<<(std::ostream& out, const DataCentreSummary& obj)
 {
   obj.printTo(out);
@@ -6078,6 +6122,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->leadNode);
+          this->__isset.leadNode = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6139,6 +6191,10 @@
   xfer += oprot->writeI64(this->lowestNext);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("leadNode", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeString(this->leadNode);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6153,6 +6209,7 @@
   swap(a.lowestVersion, b.lowestVersion);
   swap(a.leadAddresses, b.leadAddresses);
   swap(a.lowestNext, b.lowestNext);
+  swap(a.leadNode, b.leadNode);
   swap(a.__isset, b.__isset);
 }
 
@@ -6164,6 +6221,7 @@
   lowestVersion = other195.lowestVersion;
   leadAddresses = other195.leadAddresses;
   lowestNext = other195.lowestNext;
+  leadNode = other195.leadNode;
   __isset = other195.__isset;
 }
 DataCentreSummary& DataCentreSummary::operator=(const DataCentreSummary& other196) {
@@ -6174,6 +6232,7 @@
   lowestVersion = other196.lowestVersion;
   leadAddresses = other196.leadAddresses;
   lowestNext = other196.lowestNext;
+  leadNode = other196.leadNode;
   __isset = other196.__isset;
   return *this;
 }
@@ -6187,6 +6246,7 @@
   out << ", " << "lowestVersion=" << to_string(lowestVersion);
   out << ", " << "leadAddresses=" << to_string(leadAddresses);
   out << ", " << "lowestNext=" << to_string(lowestNext);
+  out << ", " << "leadNode=" << to_string(leadNode);
   out << ")";
 }
 
@@ -7410,6 +7470,10 @@
 void Hello::__set_proof(const std::string& val) {
   this->proof = val;
 }
+
+void Hello::__set_controlAddress(const std::string& val) {
+  this->controlAddress = val;
+}
 std::ostream& operator<<(std::ostream& out, const Hello& obj)
 {
   obj.printTo(out);
@@ -7478,6 +7542,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->controlAddress);
+          this->__isset.controlAddress = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7515,6 +7587,10 @@
   xfer += oprot->writeBinary(this->proof);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("controlAddress", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->controlAddress);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7527,6 +7603,7 @@
   swap(a.region, b.region);
   swap(a.incarnation, b.incarnation);
   swap(a.proof, b.proof);
+  swap(a.controlAddress, b.controlAddress);
   swap(a.__isset, b.__isset);
 }
 
@@ -7536,6 +7613,7 @@
   region = other243.region;
   incarnation = other243.incarnation;
   proof = other243.proof;
+  controlAddress = other243.controlAddress;
   __isset = other243.__isset;
 }
 Hello& Hello::operator=(const Hello& other244) {
@@ -7544,6 +7622,7 @@
   region = other244.region;
   incarnation = other244.incarnation;
   proof = other244.proof;
+  controlAddress = other244.controlAddress;
   __isset = other244.__isset;
   return *this;
 }
@@ -7555,6 +7634,7 @@
   out << ", " << "region=" << to_string(region);
   out << ", " << "incarnation=" << to_string(incarnation);
   out << ", " << "proof=" << to_string(proof);
+  out << ", " << "controlAddress=" << to_string(controlAddress);
   out << ")";
 }
 
--- a/gen/filbertvane_types.h
+++ b/gen/filbertvane_types.h
@@ -1790,10 +1790,11 @@
 std::ostream& operator<<(std::ostream& out, const Member& obj);
 
 typedef struct _Position__isset {
-  _Position__isset() : nextOffset(false), digest(false), version(false) {}
+  _Position__isset() : nextOffset(false), digest(false), version(false), ready(false) {}
   bool nextOffset :1;
   bool digest :1;
   bool version :1;
+  bool ready :1;
 } _Position__isset;
 
 class Position : public virtual ::apache::thrift::TBase {
@@ -1804,13 +1805,15 @@
   Position() noexcept
            : nextOffset(0),
              digest(0),
-             version(0) {
+             version(0),
+             ready(0) {
   }
 
   virtual ~Position() noexcept;
   int64_t nextOffset;
   int64_t digest;
   int64_t version;
+  bool ready;
 
   _Position__isset __isset;
 
@@ -1820,6 +1823,8 @@
 
   void __set_version(const int64_t val);
 
+  void __set_ready(const bool val);
+
   bool operator == (const Position & rhs) const
   {
     if (!(nextOffset == rhs.nextOffset))
@@ -1828,6 +1833,8 @@
       return false;
     if (!(version == rhs.version))
       return false;
+    if (!(ready == rhs.ready))
+      return false;
     return true;
   }
   bool operator != (const Position &rhs) const {
@@ -2294,8 +2301,9 @@
 std::ostream& operator<<(std::ostream& out, const Records& obj);
 
 typedef struct _RecordsRequest__isset {
-  _RecordsRequest__isset() : first(false) {}
+  _RecordsRequest__isset() : first(false), wantsSnapshot(false) {}
   bool first :1;
+  bool wantsSnapshot :1;
 } _RecordsRequest__isset;
 
 class RecordsRequest : public virtual ::apache::thrift::TBase {
@@ -2304,20 +2312,26 @@
   RecordsRequest(const RecordsRequest&) noexcept;
   RecordsRequest& operator=(const RecordsRequest&) noexcept;
   RecordsRequest() noexcept
-                 : first(0) {
+                 : first(0),
+                   wantsSnapshot(0) {
   }
 
   virtual ~RecordsRequest() noexcept;
   int64_t first;
+  bool wantsSnapshot;
 
   _RecordsRequest__isset __isset;
 
   void __set_first(const int64_t val);
 
+  void __set_wantsSnapshot(const bool val);
+
   bool operator == (const RecordsRequest & rhs) const
   {
     if (!(first == rhs.first))
       return false;
+    if (!(wantsSnapshot == rhs.wantsSnapshot))
+      return false;
     return true;
   }
   bool operator != (const RecordsRequest &rhs) const {
@@ -2463,7 +2477,7 @@
 std::ostream& operator<<(std::ostream& out, const ServiceSummary& obj);
 
 typedef struct _DataCentreSummary__isset {
-  _DataCentreSummary__isset() : dataCentre(false), region(false), revision(false), services(false), lowestVersion(false), leadAddresses(false), lowestNext(false) {}
+  _DataCentreSummary__isset() : dataCentre(false), region(false), revision(false), services(false), lowestVersion(false), leadAddresses(false), lowestNext(false), leadNode(false) {}
   bool dataCentre :1;
   bool region :1;
   bool revision :1;
@@ -2471,6 +2485,7 @@
   bool lowestVersion :1;
   bool leadAddresses :1;
   bool lowestNext :1;
+  bool leadNode :1;
 } _DataCentreSummary__isset;
 
 class DataCentreSummary : public virtual ::apache::thrift::TBase {
@@ -2483,7 +2498,8 @@
                       region(),
                       revision(0),
                       lowestVersion(0),
-                      lowestNext(0) {
+                      lowestNext(0),
+                      leadNode() {
   }
 
   virtual ~DataCentreSummary() noexcept;
@@ -2494,6 +2510,7 @@
   int64_t lowestVersion;
   std::vector<std::string>  leadAddresses;
   int64_t lowestNext;
+  std::string leadNode;
 
   _DataCentreSummary__isset __isset;
 
@@ -2511,6 +2528,8 @@
 
   void __set_lowestNext(const int64_t val);
 
+  void __set_leadNode(const std::string& val);
+
   bool operator == (const DataCentreSummary & rhs) const
   {
     if (!(dataCentre == rhs.dataCentre))
@@ -2527,6 +2546,8 @@
       return false;
     if (!(lowestNext == rhs.lowestNext))
       return false;
+    if (!(leadNode == rhs.leadNode))
+      return false;
     return true;
   }
   bool operator != (const DataCentreSummary &rhs) const {
@@ -3007,12 +3028,13 @@
 std::ostream& operator<<(std::ostream& out, const ClaimReply& obj);
 
 typedef struct _Hello__isset {
-  _Hello__isset() : node(false), dataCentre(false), region(false), incarnation(false), proof(false) {}
+  _Hello__isset() : node(false), dataCentre(false), region(false), incarnation(false), proof(false), controlAddress(false) {}
   bool node :1;
   bool dataCentre :1;
   bool region :1;
   bool incarnation :1;
   bool proof :1;
+  bool controlAddress :1;
 } _Hello__isset;
 
 class Hello : public virtual ::apache::thrift::TBase {
@@ -3025,7 +3047,8 @@
           dataCentre(),
           region(),
           incarnation(0),
-          proof() {
+          proof(),
+          controlAddress() {
   }
 
   virtual ~Hello() noexcept;
@@ -3034,6 +3057,7 @@
   std::string region;
   int64_t incarnation;
   std::string proof;
+  std::string controlAddress;
 
   _Hello__isset __isset;
 
@@ -3047,6 +3071,8 @@
 
   void __set_proof(const std::string& val);
 
+  void __set_controlAddress(const std::string& val);
+
   bool operator == (const Hello & rhs) const
   {
     if (!(node == rhs.node))
@@ -3059,6 +3085,8 @@
       return false;
     if (!(proof == rhs.proof))
       return false;
+    if (!(controlAddress == rhs.controlAddress))
+      return false;
     return true;
   }
   bool operator != (const Hello &rhs) const {
--- /dev/null
+++ b/lib/decision/membership/Member.cpp
@@ -0,0 +1,31 @@
+#include "filbertvane/decision/membership/Member.h"
+#include <tuple>
+
+namespace filbertvane::decision::membership {
+
+bool isLive(const Member &Which) {
+  return Which.Status == MemberStatus::Alive ||
+         Which.Status == MemberStatus::Suspect;
+}
+
+bool supersedes(const Member &News, const Member &Known) {
+  return std::tie(News.Number, News.Revision, News.Status) >
+         std::tie(Known.Number, Known.Revision, Known.Status);
+}
+
+core::Incarnation firstIncarnation(core::WallTime Started) {
+  const auto Millis = Started.time_since_epoch().count();
+  const auto Process = static_cast<std::uint64_t>(Millis > 0 ? Millis : 1);
+  return core::Incarnation(Process << RefutationBits);
+}
+
+core::Incarnation incarnationAfter(core::Incarnation Former) {
+  const std::uint64_t Process = Former.value() >> RefutationBits;
+  return core::Incarnation((Process + 1) << RefutationBits);
+}
+
+bool sameProcess(core::Incarnation A, core::Incarnation B) {
+  return A.value() >> RefutationBits == B.value() >> RefutationBits;
+}
+
+} // namespace filbertvane::decision::membership
--- a/thrift/filbertvane.thrift
+++ b/thrift/filbertvane.thrift
@@ -68,7 +68,7 @@
   5: string peerAddress, 6: optional Target target, 7: i64 revision, 8: bool ready
 }
 // Position of a node in the `config` stream; the digest shows a divergence.
-struct Position { 1: i64 nextOffset, 2: i64 digest, 3: i64 version }
+struct Position { 1: i64 nextOffset, 2: i64 digest, 3: i64 version, 4: bool ready }
 struct Probe { 1: i64 sequence, 2: Position position, 3: list<Member> updates }
 struct ProbeAck { 1: i64 sequence, 2: Position position, 3: list<Member> updates }
 struct IndirectProbe { 1: i64 sequence, 2: string target }
@@ -80,7 +80,7 @@
 // records which only log readers need are not sent.
 struct StoredRecord { 1: i64 offset, 2: binary record }
 struct Records { 1: i64 first, 2: list<StoredRecord> records, 3: Position after }
-struct RecordsRequest { 1: i64 first }
+struct RecordsRequest { 1: i64 first, 2: bool wantsSnapshot }
 struct Snapshot { 1: Position position, 2: binary state }
 struct ServiceSummary {
   1: string serviceName, 2: string version, 3: i32 targets, 4: i32 slots, 5: i32 freeSlots,
@@ -88,7 +88,8 @@
 }
 struct DataCentreSummary {
   1: string dataCentre, 2: string region, 3: i64 revision, 4: list<ServiceSummary> services,
-  5: i64 lowestVersion, 6: list<string> leadAddresses, 7: i64 lowestNext
+  5: i64 lowestVersion, 6: list<string> leadAddresses, 7: i64 lowestNext,
+  8: string leadNode
 }
 struct Summaries { 1: list<DataCentreSummary> dataCentres }
 struct RouteEvidence {
@@ -102,7 +103,10 @@
 struct Suspect { 1: i64 requestDigest, 2: i32 crashes }
 struct ClaimRequest { 1: i64 id, 2: Claim claim, 3: i64 deadlineMs }
 struct ClaimReply { 1: i64 id, 2: string owner, 3: i32 errorCode }
-struct Hello { 1: string node, 2: string dataCentre, 3: string region, 4: i64 incarnation, 5: binary proof }
+struct Hello {
+  1: string node, 2: string dataCentre, 3: string region, 4: i64 incarnation, 5: binary proof,
+  6: string controlAddress
+}
 
 union ControlMessage {
   1: Hello hello, 2: Probe probe, 3: ProbeAck probeAck, 4: IndirectProbe indirectProbe,
