--- a/gen/filbertvane_types.cpp
+++ b/gen/filbertvane_types.cpp
@@ -6938,6 +6938,14 @@
 void LocalRollback::__set_atMs(const int64_t val) {
   this->atMs = val;
 }
+
+void LocalRollback::__set_share(const int16_t val) {
+  this->share = val;
+}
+
+void LocalRollback::__set_proven(const bool val) {
+  this->proven = val;
+}
 std::ostream& operator<<(std::ostream& out, const LocalRollback& obj)
 {
   obj.printTo(out);
@@ -6998,6 +7006,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I16) {
+          xfer += iprot->readI16(this->share);
+          this->__isset.share = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->proven);
+          this->__isset.proven = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7031,6 +7055,14 @@
   xfer += oprot->writeI64(this->atMs);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("share", ::apache::thrift::protocol::T_I16, 5);
+  xfer += oprot->writeI16(this->share);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("proven", ::apache::thrift::protocol::T_BOOL, 6);
+  xfer += oprot->writeBool(this->proven);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7042,6 +7074,8 @@
   swap(a.dataCentre, b.dataCentre);
   swap(a.decided, b.decided);
   swap(a.atMs, b.atMs);
+  swap(a.share, b.share);
+  swap(a.proven, b.proven);
   swap(a.__isset, b.__isset);
 }
 
@@ -7050,6 +7084,8 @@
   dataCentre = other235.dataCentre;
   decided = other235.decided;
   atMs = other235.atMs;
+  share = other235.share;
+  proven = other235.proven;
   __isset = other235.__isset;
 }
 LocalRollback& LocalRollback::operator=(const LocalRollback& other236) {
@@ -7057,6 +7093,8 @@
   dataCentre = other236.dataCentre;
   decided = other236.decided;
   atMs = other236.atMs;
+  share = other236.share;
+  proven = other236.proven;
   __isset = other236.__isset;
   return *this;
 }
@@ -7067,6 +7105,8 @@
   out << ", " << "dataCentre=" << to_string(dataCentre);
   out << ", " << "decided=" << to_string(decided);
   out << ", " << "atMs=" << to_string(atMs);
+  out << ", " << "share=" << to_string(share);
+  out << ", " << "proven=" << to_string(proven);
   out << ")";
 }
 
--- a/gen/filbertvane_types.h
+++ b/gen/filbertvane_types.h
@@ -2803,11 +2803,13 @@
 std::ostream& operator<<(std::ostream& out, const Evidence& obj);
 
 typedef struct _LocalRollback__isset {
-  _LocalRollback__isset() : move(false), dataCentre(false), decided(false), atMs(false) {}
+  _LocalRollback__isset() : move(false), dataCentre(false), decided(false), atMs(false), share(false), proven(false) {}
   bool move :1;
   bool dataCentre :1;
   bool decided :1;
   bool atMs :1;
+  bool share :1;
+  bool proven :1;
 } _LocalRollback__isset;
 
 class LocalRollback : public virtual ::apache::thrift::TBase {
@@ -2817,7 +2819,9 @@
   LocalRollback& operator=(const LocalRollback&);
   LocalRollback() noexcept
                 : dataCentre(),
-                  atMs(0) {
+                  atMs(0),
+                  share(0),
+                  proven(0) {
   }
 
   virtual ~LocalRollback() noexcept;
@@ -2825,6 +2829,8 @@
   std::string dataCentre;
   Verdict decided;
   int64_t atMs;
+  int16_t share;
+  bool proven;
 
   _LocalRollback__isset __isset;
 
@@ -2836,6 +2842,10 @@
 
   void __set_atMs(const int64_t val);
 
+  void __set_share(const int16_t val);
+
+  void __set_proven(const bool val);
+
   bool operator == (const LocalRollback & rhs) const
   {
     if (!(move == rhs.move))
@@ -2846,6 +2856,10 @@
       return false;
     if (!(atMs == rhs.atMs))
       return false;
+    if (!(share == rhs.share))
+      return false;
+    if (!(proven == rhs.proven))
+      return false;
     return true;
   }
   bool operator != (const LocalRollback &rhs) const {
--- /dev/null
+++ b/include/filbertvane/decision/Node.h
@@ -0,0 +1,119 @@
+#ifndef FILBERTVANE_DECISION_NODE_H
+#define FILBERTVANE_DECISION_NODE_H
+
+#include "filbertvane/decision/directory/Directory.h"
+#include "filbertvane/decision/distribution/Distribution.h"
+#include "filbertvane/decision/lease/Lease.h"
+#include "filbertvane/decision/membership/Membership.h"
+#include "filbertvane/decision/request/Reducer.h"
+#include "filbertvane/decision/rollout/Controller.h"
+
+namespace filbertvane::decision {
+
+/// @brief What a node process knows when it starts.
+struct NodeSettings {
+  core::NodeId Node;
+  core::DataCentreId DataCentre;
+  core::RegionId Region;
+  core::Incarnation Number;
+  std::string ControlAddress;
+  std::string ExternalControl;
+  std::string PeerAddress;
+  /// Control addresses of seeds in the own data centre and in others.
+  std::vector<std::string> InsideSeeds;
+  std::vector<std::string> OutsideSeeds;
+  /// Time for which the log keeps a record.
+  core::Seconds LogRetention{};
+  std::uint64_t RandomSeed = 0;
+  distribution::Fold Folding;
+};
+
+/// @brief Identity under which a process appends to the log.
+core::WriterId writerOf(const NodeSettings &Own);
+
+/// @name Events from outside
+/// Events of the parts enter as they are; messages of other nodes enter as
+/// `ControlReceived` and are passed to the part that they concern.
+/// @{
+struct ControlReceived {
+  Peer From;
+  core::DataCentreId DataCentre;
+  wire::ControlMessage What;
+};
+struct Started {};
+/// @brief Expected every 50 ms.
+struct Tick {};
+struct DrainStarted {};
+
+using NodeEvent = std::variant<Started, Tick, DrainStarted, ControlReceived,
+                               membership::Event, distribution::Event,
+                               lease::Event, directory::Event, request::Event,
+                               rollout::GuardEvent, rollout::ControllerEvent>;
+/// @}
+
+/// @name Effects to be carried out
+/// @{
+struct SendControl {
+  std::string To;
+  wire::ControlMessage What;
+};
+/// @brief Append a record to the `config` stream.
+struct AppendConfig {
+  config::LogRecord Record;
+};
+struct ClaimReceived {
+  Peer From;
+  wire::ClaimRequest What;
+};
+struct ClaimReplied {
+  wire::ClaimReply What;
+};
+
+using NodeEffect =
+    std::variant<SendControl, AppendConfig, ClaimReceived, ClaimReplied,
+                 distribution::ReadLog, distribution::StateAdopted,
+                 distribution::ReadyChanged, lease::AppendRenewal,
+                 request::StartAttempt, request::CancelAttempt, request::Refuse,
+                 request::RequestClaim, request::AnswerFromOwner,
+                 request::SendKeptAnswer, observe::LogEvent>;
+using NodeEffects = std::vector<NodeEffect>;
+/// @}
+
+/// @brief State of all decisions of one node.
+struct NodeState {
+  explicit NodeState(NodeSettings Settings);
+
+  NodeSettings Own;
+  membership::State Members;
+  distribution::State Records;
+  directory::State Directory;
+  lease::State Lease;
+  request::State Requests;
+  rollout::GuardState Guard;
+  rollout::ControllerState Moves;
+
+  std::shared_ptr<const config::FleetState> Fleet;
+  std::vector<config::MoveId> LocalRollbacks;
+  /// Slots last told to the coordinator's part.
+  std::map<std::pair<core::ServiceName, core::TargetVersion>, std::uint32_t>
+      Slots;
+  /// Sequence of the last record appended by this process.
+  std::uint64_t LastSequence = 0;
+  /// Next snapshot of the fleet state, while this node is the coordinator.
+  core::TimePoint NextSnapshot;
+  core::LogOffset LastSnapshot;
+};
+
+/// @brief Applies one event to all parts that it concerns.
+///
+/// Effects of one part that are events of another are handled before the
+/// function returns; only effects for the outside remain.
+Step<NodeState, NodeEffects> reduce(NodeState Before, NodeEvent What,
+                                    core::Instant Now);
+
+/// @brief Member of the data centre that keeps the claims of a partition.
+std::optional<Peer> claimKeeper(const NodeState &Of, std::uint32_t Partition);
+
+} // namespace filbertvane::decision
+
+#endif // FILBERTVANE_DECISION_NODE_H
--- a/include/filbertvane/wire/ControlMessage.h
+++ b/include/filbertvane/wire/ControlMessage.h
@@ -2,6 +2,7 @@
 #define FILBERTVANE_WIRE_CONTROLMESSAGE_H
 
 #include "filbertvane/config/LogRecord.h"
+#include "filbertvane/core/Error.h"
 #include "filbertvane/decision/distribution/Batch.h"
 #include "filbertvane/decision/membership/Messages.h"
 #include <optional>
@@ -91,6 +92,10 @@
   core::DataCentreId DataCentre;
   config::Verdict Decided;
   core::WallTime At;
+  /// Share of the move in the configuration that it was made on.
+  config::Permille Share = 0;
+  /// False when a fault shared by both versions is not yet ruled out.
+  bool Proven = false;
 
   friend auto operator<=>(const LocalRollback &,
                           const LocalRollback &) = default;
--- /dev/null
+++ b/lib/decision/EvidenceMessages.h
@@ -0,0 +1,19 @@
+#ifndef FILBERTVANE_LIB_DECISION_EVIDENCEMESSAGES_H
+#define FILBERTVANE_LIB_DECISION_EVIDENCEMESSAGES_H
+
+#include "filbertvane/decision/rollout/LocalGuard.h"
+#include "filbertvane/wire/ControlMessage.h"
+
+namespace filbertvane::decision {
+
+/// @name Conversions between the values of moves and their messages
+/// @{
+wire::Evidence toMessage(const rollout::Evidence &Report);
+rollout::Evidence fromMessage(const wire::Evidence &Message);
+wire::LocalRollback toMessage(const rollout::Overlay &Value);
+rollout::Overlay fromMessage(const wire::LocalRollback &Message);
+/// @}
+
+} // namespace filbertvane::decision
+
+#endif // FILBERTVANE_LIB_DECISION_EVIDENCEMESSAGES_H
--- a/lib/wire/ControlDecode.cpp
+++ b/lib/wire/ControlDecode.cpp
@@ -223,10 +223,13 @@
   if (From.__isset.evidence)
     return fromGen(From.evidence);
   if (From.__isset.localRollback)
-    return LocalRollback{fromGen(From.localRollback.move),
-                         core::DataCentreId(From.localRollback.dataCentre),
-                         fromGen(From.localRollback.decided),
-                         wall(From.localRollback.atMs)};
+    return LocalRollback{
+        fromGen(From.localRollback.move),
+        core::DataCentreId(From.localRollback.dataCentre),
+        fromGen(From.localRollback.decided),
+        wall(From.localRollback.atMs),
+        static_cast<config::Permille>(count(From.localRollback.share)),
+        From.localRollback.proven};
   if (From.__isset.suspect)
     return Suspect{core::Digest(number(From.suspect.requestDigest)),
                    count(From.suspect.crashes)};
--- a/lib/wire/ControlEncode.cpp
+++ b/lib/wire/ControlEncode.cpp
@@ -241,6 +241,8 @@
   Out.dataCentre = From.DataCentre.value();
   Out.decided = toGen(From.Decided);
   Out.atMs = millis(From.At);
+  Out.share = static_cast<std::int16_t>(From.Share);
+  Out.proven = From.Proven;
   To.__set_localRollback(Out);
 }
 
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -58,7 +58,6 @@
         self.data_centre, self.region = data_centre, region
         self.callers, self.peers, self.control, self.admin = (fleet.ports.take() for _ in range(4))
         self.external_control = self.control
-        self.external_peers = self.peers
         self.log_port = fleet.log_port
         self.process = None
         self.targets = []
@@ -73,8 +72,7 @@
             f"  admin: {HOST}:{self.admin}",
         ]
         if self.external_control != self.control:
-            lines += ["advertise:", f"  control: {HOST}:{self.external_control}",
-                      f"  peers: {HOST}:{self.external_peers}"]
+            lines.append(f"advertise: {{control: '{HOST}:{self.external_control}'}}")
         lines += [f"log: {{url: 'http://{HOST}:{self.log_port}', retention_s: 600}}", "seeds:"]
         for seed in seeds:
             port = seed.control if seed.region == self.region else seed.external_control
--- a/scripts/topology.py
+++ b/scripts/topology.py
@@ -31,7 +31,6 @@
                     node.log_port = port
     for node in fleet.nodes:
         node.external_control = add_link(fleet, f"control-{node.name}", node.control, delay_ms)
-        node.external_peers = add_link(fleet, f"peers-{node.name}", node.peers, delay_ms)
     return fleet.nodes
 
 
--- a/thrift/filbertvane.thrift
+++ b/thrift/filbertvane.thrift
@@ -99,7 +99,8 @@
 struct MoveEvidence { 1: MoveId move, 2: list<RouteEvidence> routes }
 // Sums since the sender's start; a receiver keeps the newest of each sender.
 struct Evidence { 1: string sender, 2: i64 incarnation, 3: i64 revision, 4: list<MoveEvidence> moves }
-struct LocalRollback { 1: MoveId move, 2: string dataCentre, 3: Verdict decided, 4: i64 atMs }
+struct LocalRollback { 1: MoveId move, 2: string dataCentre, 3: Verdict decided, 4: i64 atMs,
+  5: i16 share, 6: bool proven }
 struct Suspect { 1: i64 requestDigest, 2: i32 crashes }
 struct ClaimRequest { 1: i64 id, 2: Claim claim, 3: i64 deadlineMs }
 struct ClaimReply { 1: i64 id, 2: string owner, 3: i32 errorCode }
