Add the fleet state fold, record codec, sheet and settings parsers

Cause: every reader of the config stream must compute one state. Change: config/SheetDelta, FleetState (apply, digestOf), Replay, SheetValidation, SheetParser, Settings and wire/RecordCodec. YAML::LoadAll of yaml-cpp 0.7 does not return for a single comma, so one document is loaded and the text is checked for a second one.

--- /dev/null
+++ b/include/filbertvane/config/Settings.h
@@ -0,0 +1,85 @@
+#ifndef FILBERTVANE_CONFIG_SETTINGS_H
+#define FILBERTVANE_CONFIG_SETTINGS_H
+
+#include "filbertvane/config/Checked.h"
+#include "filbertvane/core/Ids.h"
+#include "filbertvane/core/Time.h"
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace filbertvane::config {
+
+/// @brief Place of a node.
+struct NodePlace {
+  core::NodeId Id;
+  core::DataCentreId DataCentre;
+  core::RegionId Region;
+
+  friend auto operator<=>(const NodePlace &, const NodePlace &) = default;
+};
+
+/// @brief Addresses of a node, each `ip:port`.
+struct ListenAddresses {
+  std::string Callers;
+  std::string Peers;
+  std::string Control;
+  std::string Admin;
+
+  friend auto operator<=>(const ListenAddresses &,
+                          const ListenAddresses &) = default;
+};
+
+/// @brief A node that may be asked for the members of its data centre.
+struct Seed {
+  core::DataCentreId DataCentre;
+  core::RegionId Region;
+  /// Control address, `ip:port`.
+  std::string Control;
+
+  friend auto operator<=>(const Seed &, const Seed &) = default;
+};
+
+/// Time that requests in progress have to end before a planned stop.
+inline constexpr core::Milliseconds DefaultDrainDeadline{30000};
+
+/// @brief Settings of a node or of the command line (docs/settings.md).
+struct Settings {
+  NodePlace Node;
+  ListenAddresses Listen;
+  /// `http://ip:port` of the platform log.
+  std::string LogUrl;
+  /// Time for which the log keeps a record.
+  core::Seconds LogRetention{};
+  std::vector<Seed> Seeds;
+  std::string SharedKey;
+  /// OTLP endpoint for trace spans; none sends no spans.
+  std::optional<std::string> TracesUrl;
+  core::Milliseconds DrainDeadline = DefaultDrainDeadline;
+
+  friend auto operator<=>(const Settings &, const Settings &) = default;
+};
+
+/// @brief Who reads the settings. The command line needs only `log` and, for
+///        `status`, `listen.admin`; other keys are checked when present.
+enum class SettingsReader { Node, CommandLine };
+
+/// @brief Reads settings and checks them as a whole.
+/// @param Text content of the file
+/// @param File name for the faults
+/// @return the settings, or all faults
+Checked<Settings> parseSettings(const std::string &Text,
+                                const std::string &File, SettingsReader Reader);
+
+/// @brief Reads a settings file.
+/// @return as `parseSettings`, or `SettingsUnreadable`
+Checked<Settings> loadSettings(const std::string &File, SettingsReader Reader);
+
+/// @brief Region of each data centre that the settings name.
+std::map<core::DataCentreId, core::RegionId>
+regionsOf(const Settings &Configured);
+
+} // namespace filbertvane::config
+
+#endif // FILBERTVANE_CONFIG_SETTINGS_H
--- /dev/null
+++ b/include/filbertvane/config/TextFile.h
@@ -0,0 +1,19 @@
+#ifndef FILBERTVANE_CONFIG_TEXTFILE_H
+#define FILBERTVANE_CONFIG_TEXTFILE_H
+
+#include "filbertvane/core/Result.h"
+#include <string>
+
+namespace filbertvane::config {
+
+/// Largest settings or sheet file that is read.
+inline constexpr std::size_t MaxFileBytes = 1024 * 1024;
+
+/// @brief Reads a whole file.
+/// @param OnFailure code of the error when it is absent or too large
+core::Result<std::string> readTextFile(const std::string &File,
+                                       core::ErrorCode OnFailure);
+
+} // namespace filbertvane::config
+
+#endif // FILBERTVANE_CONFIG_TEXTFILE_H
--- /dev/null
+++ b/lib/config/MoveRecords.h
@@ -0,0 +1,33 @@
+#ifndef FILBERTVANE_LIB_CONFIG_MOVERECORDS_H
+#define FILBERTVANE_LIB_CONFIG_MOVERECORDS_H
+
+#include "filbertvane/config/FleetState.h"
+
+namespace filbertvane::config {
+
+/// Final moves kept for reports; the oldest is dropped first.
+inline constexpr std::size_t MaxEndedMoves = 100;
+/// Bytes of a verdict's sentence that are kept.
+inline constexpr std::size_t MaxReasonBytes = 160;
+
+/// @name Effect of the coordinator's records, whose epoch is the current one
+/// @{
+RecordOutcome applyStep(FleetState &State, const MoveStepped &Step);
+RecordOutcome applyRollback(FleetState &State, const MoveRolledBack &Rollback);
+RecordOutcome applyCompletion(FleetState &State,
+                              const MoveCompleted &Completion);
+/// @}
+
+/// @brief Ends the move of a service because its spec changed or was removed.
+void supersedeMove(FleetState &State, const core::ServiceName &Service,
+                   core::WallTime At);
+
+/// @brief Raises the configuration version by one.
+Accepted nextVersion(FleetState &State);
+
+/// @brief `epoch 3, current epoch 4`.
+std::string epochDetail(core::Epoch Carried, core::Epoch Current);
+
+} // namespace filbertvane::config
+
+#endif // FILBERTVANE_LIB_CONFIG_MOVERECORDS_H
--- /dev/null
+++ b/lib/config/Replay.cpp
@@ -0,0 +1,58 @@
+#include "filbertvane/config/Replay.h"
+#include "filbertvane/wire/RecordCodec.h"
+
+namespace filbertvane::config {
+
+namespace {
+
+/// State of a snapshot record, when it is one and the records after its
+/// position are present from `First` on.
+std::optional<FleetState> snapshotIn(const StoredRecord &Stored,
+                                     core::LogOffset First) {
+  const auto Record = wire::decodeRecord(Stored.Bytes);
+  if (!core::ok(Record))
+    return std::nullopt;
+  const auto *Snapshot = std::get_if<SnapshotTaken>(&core::value(Record).Body);
+  if (!Snapshot || Snapshot->UpTo >= Stored.Offset)
+    return std::nullopt;
+  auto State = wire::decodeSnapshot(*Snapshot);
+  if (!core::ok(State) || core::value(State).Next < First)
+    return std::nullopt;
+  return core::take(std::move(State));
+}
+
+std::optional<FleetState>
+newestSnapshot(const std::vector<StoredRecord> &Records) {
+  for (auto Each = Records.rbegin(); Each != Records.rend(); ++Each)
+    if (auto State = snapshotIn(*Each, Records.front().Offset))
+      return State;
+  return std::nullopt;
+}
+
+} // namespace
+
+Applied applyEncoded(FleetState State, core::LogOffset Offset,
+                     std::string_view Bytes) {
+  const auto Record = wire::decodeRecord(Bytes);
+  if (core::ok(Record))
+    return apply(std::move(State), Offset, core::value(Record));
+  if (Offset < State.Next)
+    return {std::move(State), Duplicate{}};
+  State.Next = core::LogOffset(Offset.value() + 1);
+  return {std::move(State), Refused{core::failure(Record)}};
+}
+
+core::Result<FleetState> replay(const std::vector<StoredRecord> &Records) {
+  FleetState State;
+  if (Records.empty())
+    return State;
+  if (auto Found = newestSnapshot(Records))
+    State = std::move(*Found);
+  else if (Records.front().Offset != core::LogOffset(0))
+    return core::Error{core::ErrorCode::LogTrimmed, "no usable snapshot"};
+  for (const StoredRecord &Each : Records)
+    State = applyEncoded(std::move(State), Each.Offset, Each.Bytes).State;
+  return State;
+}
+
+} // namespace filbertvane::config
--- /dev/null
+++ b/lib/config/Settings.cpp
@@ -0,0 +1,184 @@
+#include "filbertvane/config/Settings.h"
+#include "Address.h"
+#include "YamlReader.h"
+#include "filbertvane/config/TextFile.h"
+#include <fmt/format.h>
+
+namespace filbertvane::config {
+
+namespace {
+
+using core::ErrorCode;
+using Need = YamlReader::Need;
+
+constexpr YamlReader::Codes SettingsCodes{ErrorCode::SettingsSyntax,
+                                          ErrorCode::SettingsField,
+                                          ErrorCode::SettingsUnknownKey};
+/// A shorter retention leaves no time for a snapshot before half of it.
+constexpr YamlReader::Range RetentionSeconds{10, 31536000};
+constexpr YamlReader::Range DrainMillis{1000, 3600000};
+/// A shorter key could be guessed by trying.
+constexpr std::size_t MinSharedKeyBytes = 16;
+
+/// Reads the settings' sections; `Node` tells which fields a node needs.
+class SettingsSections {
+public:
+  SettingsSections(YamlReader &Reader, const YamlMap &Root, Need Node)
+      : Reader(Reader), Root(Root), Node(Node) {}
+
+  Settings read() {
+    readNode();
+    readListen();
+    readLog();
+    readSeeds();
+    readSharedKey();
+    readTraces();
+    const auto Drain =
+        Reader.number(Root, "drain_deadline_ms", DrainMillis, Need::Optional);
+    if (Drain)
+      Out.DrainDeadline = core::Milliseconds(*Drain);
+    checkRegions();
+    return std::move(Out);
+  }
+
+private:
+  using Form = bool (*)(const std::string &);
+
+  void readNode() {
+    const auto Map =
+        Reader.map(Root, "node", {"id", "data_centre", "region"}, Node);
+    if (!Map)
+      return;
+    Out.Node.Id = core::NodeId(name(*Map, "id"));
+    Out.Node.DataCentre = core::DataCentreId(name(*Map, "data_centre"));
+    Out.Node.Region = core::RegionId(name(*Map, "region"));
+  }
+
+  void readListen() {
+    const auto Map = Reader.map(Root, "listen",
+                                {"callers", "peers", "control", "admin"}, Node);
+    if (!Map)
+      return;
+    constexpr const char *Reachable =
+        "must be ip:port that other nodes can reach";
+    Out.Listen.Callers =
+        address(*Map, "callers", Node, isAddress, "must be ip:port");
+    Out.Listen.Peers = address(*Map, "peers", Node, isReachable, Reachable);
+    Out.Listen.Control = address(*Map, "control", Node, isReachable, Reachable);
+    Out.Listen.Admin = address(*Map, "admin", Node, isLoopback,
+                               "must be ip:port on the loopback interface");
+  }
+
+  void readLog() {
+    const auto Map =
+        Reader.map(Root, "log", {"url", "retention_s"}, Need::Required);
+    if (!Map)
+      return;
+    Out.LogUrl = Reader.text(*Map, "url", Need::Required).value_or("");
+    if (!Out.LogUrl.empty() && !isHttpUrl(Out.LogUrl, false))
+      Reader.fieldFault("log.url", "must be http://ip:port");
+    const auto Retention =
+        Reader.number(*Map, "retention_s", RetentionSeconds, Need::Required);
+    Out.LogRetention = core::Seconds(Retention.value_or(0));
+  }
+
+  void readSeeds() {
+    const auto List =
+        Reader.list(Root, "seeds", {"data_centre", "region", "control"}, Node);
+    for (const YamlMap &Map : List) {
+      Seed Each;
+      Each.DataCentre = core::DataCentreId(name(Map, "data_centre"));
+      Each.Region = core::RegionId(name(Map, "region"));
+      Each.Control = address(Map, "control", Need::Required, isReachable,
+                             "must be ip:port of a node's control address");
+      Out.Seeds.push_back(std::move(Each));
+    }
+  }
+
+  void readSharedKey() {
+    Out.SharedKey = Reader.text(Root, "shared_key", Node).value_or("");
+    if (!Out.SharedKey.empty() && Out.SharedKey.size() < MinSharedKeyBytes)
+      Reader.fieldFault("shared_key", fmt::format("must have at least {} bytes",
+                                                  MinSharedKeyBytes));
+  }
+
+  void readTraces() {
+    const auto Map = Reader.map(Root, "traces", {"url"}, Need::Optional);
+    if (!Map)
+      return;
+    Out.TracesUrl = Reader.text(*Map, "url", Need::Required);
+    if (Out.TracesUrl && !isHttpUrl(*Out.TracesUrl, true))
+      Reader.fieldFault("traces.url", "must be http://ip:port/path");
+  }
+
+  /// A data centre belongs to one region.
+  void checkRegions() {
+    std::map<core::DataCentreId, core::RegionId> Known;
+    if (!Out.Node.DataCentre.value().empty())
+      Known.emplace(Out.Node.DataCentre, Out.Node.Region);
+    for (std::size_t I = 0; I < Out.Seeds.size(); ++I) {
+      const Seed &Each = Out.Seeds[I];
+      const auto [Entry, IsNew] = Known.emplace(Each.DataCentre, Each.Region);
+      const std::string Path = fmt::format("seeds[{}].region", I);
+      if (!IsNew && Entry->second != Each.Region && !Reader.isFaulty(Path))
+        Reader.fieldFault(Path, fmt::format("data centre {} is also in "
+                                            "region {}",
+                                            Each.DataCentre.value(),
+                                            Entry->second.value()));
+    }
+  }
+
+  std::string name(const YamlMap &Map, std::string_view Key) {
+    return Reader.text(Map, Key, Need::Required).value_or("");
+  }
+
+  std::string address(const YamlMap &Map, std::string_view Key, Need Presence,
+                      Form HasForm, const char *Rule) {
+    const auto Text = Reader.text(Map, Key, Presence);
+    if (Text && !HasForm(*Text))
+      Reader.fieldFault(Map.pathOf(Key), Rule);
+    return Text.value_or("");
+  }
+
+  YamlReader &Reader;
+  const YamlMap &Root;
+  Need Node;
+  Settings Out;
+};
+
+} // namespace
+
+Checked<Settings> parseSettings(const std::string &Text,
+                                const std::string &File,
+                                SettingsReader Reader) {
+  YamlReader Yaml(File, SettingsCodes);
+  const auto Root =
+      Yaml.document(Text, {"node", "listen", "log", "seeds", "shared_key",
+                           "traces", "drain_deadline_ms"});
+  if (!Root)
+    return Yaml.faults();
+  const Need Node =
+      Reader == SettingsReader::Node ? Need::Required : Need::Optional;
+  Settings Configured = SettingsSections(Yaml, *Root, Node).read();
+  if (Yaml.hasFaults())
+    return Yaml.faults();
+  return Configured;
+}
+
+Checked<Settings> loadSettings(const std::string &File, SettingsReader Reader) {
+  const auto Text = readTextFile(File, ErrorCode::SettingsUnreadable);
+  if (!core::ok(Text))
+    return Faults{core::failure(Text)};
+  return parseSettings(core::value(Text), File, Reader);
+}
+
+std::map<core::DataCentreId, core::RegionId>
+regionsOf(const Settings &Configured) {
+  std::map<core::DataCentreId, core::RegionId> Regions;
+  Regions.emplace(Configured.Node.DataCentre, Configured.Node.Region);
+  for (const Seed &Each : Configured.Seeds)
+    Regions.emplace(Each.DataCentre, Each.Region);
+  return Regions;
+}
+
+} // namespace filbertvane::config
--- /dev/null
+++ b/lib/config/SheetAcceptance.cpp
@@ -0,0 +1,116 @@
+#include "SheetAcceptance.h"
+#include "MoveRecords.h"
+#include "filbertvane/config/SheetValidation.h"
+#include <fmt/format.h>
+#include <set>
+
+namespace filbertvane::config {
+
+namespace {
+
+using core::ErrorCode;
+
+/// First name that a list pair holds twice; a delta must be unambiguous.
+template <typename Spec, typename Name>
+std::optional<Name> repeatedName(const std::vector<Spec> &Changed,
+                                 const std::vector<Name> &Removed) {
+  std::set<Name> Seen;
+  for (const Spec &Each : Changed)
+    if (!Seen.insert(Each.Name).second)
+      return Each.Name;
+  for (const Name &Each : Removed)
+    if (!Seen.insert(Each).second)
+      return Each;
+  return std::nullopt;
+}
+
+std::optional<core::Error> faultOfDelta(const SheetDelta &Delta) {
+  if (const auto Name =
+          repeatedName(Delta.ChangedServices, Delta.RemovedServices))
+    return core::Error{ErrorCode::SheetDuplicateName,
+                       fmt::format("service {}", Name->value())};
+  if (const auto Name = repeatedName(Delta.ChangedRoutes, Delta.RemovedRoutes))
+    return core::Error{ErrorCode::SheetDuplicateName,
+                       fmt::format("route {}", Name->value())};
+  return std::nullopt;
+}
+
+std::optional<core::Error> firstFault(const FleetState &State,
+                                      const SheetPublished &Published,
+                                      const Sheet &Next) {
+  if (Published.Base != State.SheetVersion)
+    return core::Error{ErrorCode::SheetStaleBase,
+                       fmt::format("base {}, version in force {}",
+                                   Published.Base.value(),
+                                   State.SheetVersion.value())};
+  if (auto Fault = faultOfDelta(Published.Delta))
+    return Fault;
+  const auto Own = faultsOf(Next);
+  if (!Own.empty())
+    return toError(Own.front(), Next);
+  const auto Against = faultsAgainst(State, Next, Published.PublishedAt);
+  if (!Against.empty())
+    return toError(Against.front(), Next);
+  return std::nullopt;
+}
+
+RecordOutcome refuse(FleetState &State, core::LogOffset Offset,
+                     const SheetPublished &Published, core::Error Reason) {
+  RefusedSheet Entry{Offset, Published.Operator, Reason};
+  if (Entry.Operator.size() > MaxOperatorBytes)
+    Entry.Operator.resize(MaxOperatorBytes);
+  if (Entry.Reason.Detail.size() > MaxDetailBytes)
+    Entry.Reason.Detail.resize(MaxDetailBytes);
+  if (State.Refused.size() >= MaxRefusedSheets)
+    State.Refused.erase(State.Refused.begin());
+  State.Refused.push_back(std::move(Entry));
+  return Refused{std::move(Reason)};
+}
+
+void startMove(FleetState &State, const ServiceSpec &Spec, Traffic &Split,
+               core::WallTime At) {
+  Split.Candidate = Spec.Move->To;
+  const MoveId Id{Spec.Name, State.Version};
+  State.Moves.push_back({Id, Split.Stable, *Spec.Move, At,
+                         MoveStage::InProgress, 0, std::nullopt, std::nullopt});
+}
+
+void changeService(FleetState &State, const ServiceSpec &Spec,
+                   core::WallTime At) {
+  supersedeMove(State, Spec.Name, At);
+  const auto [Entry, IsNew] =
+      State.TrafficOf.try_emplace(Spec.Name, Traffic{Spec.Version, {}, 0});
+  Traffic &Split = Entry->second;
+  Split.Candidate.reset();
+  Split.CandidateShare = 0;
+  if (Spec.Move)
+    startMove(State, Spec, Split, At);
+}
+
+void removeService(FleetState &State, const core::ServiceName &Name,
+                   core::WallTime At) {
+  supersedeMove(State, Name, At);
+  State.TrafficOf.erase(Name);
+}
+
+} // namespace
+
+RecordOutcome acceptSheet(FleetState &State, core::LogOffset Offset,
+                          const SheetPublished &Published) {
+  Sheet Next = applied(State.Current, Published.Delta);
+  Next.Base = Published.Base;
+  if (auto Reason = firstFault(State, Published, Next))
+    return refuse(State, Offset, Published, std::move(*Reason));
+  const Accepted Outcome = nextVersion(State);
+  State.SheetVersion = State.Version;
+  // A delta may repeat an unchanged spec; only the effective difference counts.
+  const SheetDelta Effective = difference(State.Current, Next);
+  for (const core::ServiceName &Name : Effective.RemovedServices)
+    removeService(State, Name, Published.PublishedAt);
+  for (const ServiceSpec &Spec : Effective.ChangedServices)
+    changeService(State, Spec, Published.PublishedAt);
+  State.Current = std::move(Next);
+  return Outcome;
+}
+
+} // namespace filbertvane::config
--- /dev/null
+++ b/lib/config/SheetParser.cpp
@@ -0,0 +1,148 @@
+#include "filbertvane/config/SheetParser.h"
+#include "YamlReader.h"
+#include <algorithm>
+#include <fmt/format.h>
+#include <limits>
+
+namespace filbertvane::config {
+
+namespace {
+
+using core::ErrorCode;
+using Need = YamlReader::Need;
+
+constexpr YamlReader::Codes SheetCodes{
+    ErrorCode::SheetSyntax, ErrorCode::SheetField, ErrorCode::SheetUnknownKey};
+constexpr YamlReader::Range AnyVersion{
+    0, std::numeric_limits<std::int64_t>::max()};
+constexpr YamlReader::Range AnyTimeout{MinTimeout.count(), MaxTimeout.count()};
+
+std::optional<MoveOrder> readMove(YamlReader &Reader, const YamlMap &Service) {
+  const auto Map = Reader.map(Service, "move", {"to", "by"}, Need::Optional);
+  if (!Map)
+    return std::nullopt;
+  const auto To = Reader.text(*Map, "to", Need::Required);
+  const auto By = Reader.time(*Map, "by", Need::Required);
+  return MoveOrder{core::TargetVersion(To.value_or("")),
+                   By.value_or(core::WallTime{})};
+}
+
+ServiceSpec readService(YamlReader &Reader, const YamlMap &Map) {
+  ServiceSpec Spec;
+  Spec.Name =
+      core::ServiceName(Reader.text(Map, "name", Need::Required).value_or(""));
+  Spec.Version = core::TargetVersion(
+      Reader.text(Map, "version", Need::Required).value_or(""));
+  Spec.Move = readMove(Reader, Map);
+  return Spec;
+}
+
+TrafficKind readKind(YamlReader &Reader, const YamlMap &Map) {
+  const auto Text = Reader.text(Map, "kind", Need::Optional);
+  if (!Text || *Text == "interactive")
+    return TrafficKind::Interactive;
+  if (*Text == "bulk")
+    return TrafficKind::Bulk;
+  if (*Text != "patient")
+    Reader.fieldFault(Map.pathOf("kind"),
+                      "must be interactive, bulk or patient");
+  return TrafficKind::Patient;
+}
+
+RouteSpec readRoute(YamlReader &Reader, const YamlMap &Map) {
+  RouteSpec Spec;
+  Spec.Name =
+      core::RouteName(Reader.text(Map, "name", Need::Required).value_or(""));
+  Spec.Prefix = Reader.text(Map, "prefix", Need::Required).value_or("");
+  Spec.Service = core::ServiceName(
+      Reader.text(Map, "service", Need::Required).value_or(""));
+  // Required: a wrong default would run a request twice or cost every read a
+  // claim.
+  Spec.Idempotent =
+      Reader.flag(Map, "idempotent", Need::Required).value_or(false);
+  Spec.Kind = readKind(Reader, Map);
+  const auto Timeout =
+      Reader.number(Map, "timeout_ms", AnyTimeout, Need::Optional);
+  if (Timeout)
+    Spec.Timeout = core::Milliseconds(*Timeout);
+  return Spec;
+}
+
+Sheet readSheet(YamlReader &Reader, const YamlMap &Root) {
+  Sheet Content;
+  const auto Base = Reader.number(Root, "base", AnyVersion, Need::Required);
+  Content.Base =
+      core::ConfigVersion(static_cast<std::uint64_t>(Base.value_or(0)));
+  for (const YamlMap &Map : Reader.list(
+           Root, "services", {"name", "version", "move"}, Need::Required))
+    Content.Services.push_back(readService(Reader, Map));
+  const YamlReader::Keys RouteKeys = {"name",       "prefix", "service",
+                                      "idempotent", "kind",   "timeout_ms"};
+  for (const YamlMap &Map :
+       Reader.list(Root, "routes", RouteKeys, Need::Required))
+    Content.Routes.push_back(readRoute(Reader, Map));
+  return Content;
+}
+
+std::string pathOf(const SheetFault &Fault) {
+  switch (Fault.Part) {
+  case SheetPart::Whole:
+    break;
+  case SheetPart::Service:
+    return fmt::format("services[{}].{}", Fault.Index, Fault.Key);
+  case SheetPart::Route:
+    return fmt::format("routes[{}].{}", Fault.Index, Fault.Key);
+  }
+  return "";
+}
+
+/// Whether a field and the item around it could be read.
+bool isRead(const YamlReader &Reader, const std::string &Path) {
+  const std::string Item = Path.substr(0, Path.find('.'));
+  return !Reader.isFaulty(Path) && !Reader.isFaulty(Item);
+}
+
+/// Adds faults of the content, but for fields that could not be read.
+void addFaults(YamlReader &Reader, const std::vector<SheetFault> &Found) {
+  std::vector<std::pair<std::string, const SheetFault *>> New;
+  for (const SheetFault &Fault : Found)
+    if (const std::string Path = pathOf(Fault); isRead(Reader, Path))
+      New.emplace_back(Path, &Fault);
+  for (const auto &[Path, Fault] : New)
+    Reader.fault(Fault->Code, Path, Fault->Text);
+}
+
+template <typename Spec> void sortByName(std::vector<Spec> &Specs) {
+  std::sort(Specs.begin(), Specs.end(),
+            [](const Spec &A, const Spec &B) { return A.Name < B.Name; });
+}
+
+Checked<Sheet> parse(const std::string &Text, const std::string &File,
+                     const FleetState *State, core::WallTime Now) {
+  YamlReader Reader(File, SheetCodes);
+  const auto Root = Reader.document(Text, {"base", "services", "routes"});
+  if (!Root)
+    return Reader.faults();
+  Sheet Content = readSheet(Reader, *Root);
+  addFaults(Reader, faultsOf(Content));
+  if (State)
+    addFaults(Reader, faultsAgainst(*State, Content, Now));
+  if (Reader.hasFaults())
+    return Reader.faults();
+  sortByName(Content.Services);
+  sortByName(Content.Routes);
+  return Content;
+}
+
+} // namespace
+
+Checked<Sheet> parseSheet(const std::string &Text, const std::string &File) {
+  return parse(Text, File, nullptr, core::WallTime{});
+}
+
+Checked<Sheet> parseSheet(const std::string &Text, const std::string &File,
+                          const FleetState &State, core::WallTime Now) {
+  return parse(Text, File, &State, Now);
+}
+
+} // namespace filbertvane::config
--- /dev/null
+++ b/lib/config/SheetValidation.cpp
@@ -0,0 +1,177 @@
+#include "filbertvane/config/SheetValidation.h"
+#include "filbertvane/config/Rfc3339.h"
+#include "filbertvane/wire/RecordCodec.h"
+#include <algorithm>
+#include <fmt/format.h>
+#include <map>
+#include <set>
+
+namespace filbertvane::config {
+
+namespace {
+
+using core::ErrorCode;
+
+/// Collects the faults of one service or route.
+class Item {
+public:
+  Item(std::vector<SheetFault> &Faults, SheetPart Part, std::size_t Index)
+      : Faults(Faults), Part(Part), Index(Index) {}
+
+  void add(ErrorCode Code, const char *Key, std::string Text) {
+    Faults.push_back({Code, Part, Index, Key, std::move(Text)});
+  }
+
+  void checkName(const char *Key, const std::string &Name) {
+    if (Name.empty())
+      add(ErrorCode::SheetField, Key, "must not be empty");
+    else if (Name.size() > MaxNameBytes)
+      add(ErrorCode::SheetField, Key,
+          fmt::format("longer than {} bytes", MaxNameBytes));
+    else if (std::any_of(Name.begin(), Name.end(), isForbidden))
+      add(ErrorCode::SheetField, Key,
+          "may hold printable ASCII characters without space only");
+  }
+
+private:
+  // Names appear in log lines, metrics and headers without quotes.
+  static bool isForbidden(char Character) {
+    return Character <= ' ' || Character > '~' || Character == '"';
+  }
+
+  std::vector<SheetFault> &Faults;
+  SheetPart Part;
+  std::size_t Index;
+};
+
+void checkPrefix(Item &Out, const std::string &Prefix) {
+  if (Prefix.empty() || Prefix.front() != '/')
+    Out.add(ErrorCode::SheetField, "prefix", "must begin with /");
+  else if (Prefix.size() > MaxPrefixBytes)
+    Out.add(ErrorCode::SheetField, "prefix",
+            fmt::format("longer than {} bytes", MaxPrefixBytes));
+}
+
+void checkTimeout(Item &Out, core::Milliseconds Timeout) {
+  if (Timeout < MinTimeout || Timeout > MaxTimeout)
+    Out.add(ErrorCode::SheetField, "timeout_ms",
+            fmt::format("must be between {} and {}", MinTimeout.count(),
+                        MaxTimeout.count()));
+}
+
+void checkServices(const Sheet &Content, std::vector<SheetFault> &Faults) {
+  std::set<core::ServiceName> Names;
+  for (std::size_t I = 0; I < Content.Services.size(); ++I) {
+    const ServiceSpec &Spec = Content.Services[I];
+    Item Out(Faults, SheetPart::Service, I);
+    Out.checkName("name", Spec.Name.value());
+    Out.checkName("version", Spec.Version.value());
+    if (Spec.Move)
+      Out.checkName("move.to", Spec.Move->To.value());
+    if (!Names.insert(Spec.Name).second)
+      Out.add(ErrorCode::SheetDuplicateName, "name", Spec.Name.value());
+  }
+}
+
+void checkRoutes(const Sheet &Content, std::vector<SheetFault> &Faults) {
+  std::set<core::ServiceName> Services;
+  for (const ServiceSpec &Spec : Content.Services)
+    Services.insert(Spec.Name);
+  std::set<core::RouteName> Names;
+  std::map<std::string, core::RouteName> Prefixes;
+  for (std::size_t I = 0; I < Content.Routes.size(); ++I) {
+    const RouteSpec &Spec = Content.Routes[I];
+    Item Out(Faults, SheetPart::Route, I);
+    Out.checkName("name", Spec.Name.value());
+    checkPrefix(Out, Spec.Prefix);
+    checkTimeout(Out, Spec.Timeout);
+    if (!Names.insert(Spec.Name).second)
+      Out.add(ErrorCode::SheetDuplicateName, "name", Spec.Name.value());
+    const auto [Other, IsNew] = Prefixes.emplace(Spec.Prefix, Spec.Name);
+    if (!IsNew)
+      Out.add(ErrorCode::SheetField, "prefix",
+              fmt::format("{} is also the prefix of route {}", Spec.Prefix,
+                          Other->second.value()));
+    if (!Services.contains(Spec.Service))
+      Out.add(ErrorCode::SheetUnknownService, "service", Spec.Service.value());
+  }
+}
+
+void checkMove(Item &Out, const ServiceSpec &Spec,
+               const core::TargetVersion &Stable, core::WallTime Now) {
+  if (Spec.Move->To == Stable)
+    Out.add(ErrorCode::SheetField, "move.to",
+            fmt::format("{} is already the stable version", Stable.value()));
+  if (Spec.Move->By <= Now)
+    Out.add(ErrorCode::SheetTimePassed, "move.by",
+            fmt::format("{} is not later than {}", formatRfc3339(Spec.Move->By),
+                        formatRfc3339(Now)));
+}
+
+const ServiceSpec *findService(const Sheet &Content,
+                               const core::ServiceName &Name) {
+  const auto Found =
+      std::lower_bound(Content.Services.begin(), Content.Services.end(), Name,
+                       [](const ServiceSpec &A, const core::ServiceName &B) {
+                         return A.Name < B;
+                       });
+  if (Found == Content.Services.end() || Found->Name != Name)
+    return nullptr;
+  return &*Found;
+}
+
+} // namespace
+
+std::vector<SheetFault> faultsOf(const Sheet &Content) {
+  std::vector<SheetFault> Faults;
+  checkServices(Content, Faults);
+  checkRoutes(Content, Faults);
+  const std::size_t Size = wire::encode(Content).size();
+  if (Size > MaxSheetBytes)
+    Faults.push_back(
+        {ErrorCode::SheetTooLarge, SheetPart::Whole, 0, "",
+         fmt::format("{} bytes encoded, at most {}", Size, MaxSheetBytes)});
+  return Faults;
+}
+
+std::vector<SheetFault> faultsAgainst(const FleetState &State,
+                                      const Sheet &Content,
+                                      core::WallTime Now) {
+  std::vector<SheetFault> Faults;
+  for (std::size_t I = 0; I < Content.Services.size(); ++I) {
+    const ServiceSpec &Spec = Content.Services[I];
+    const ServiceSpec *Old = findService(State.Current, Spec.Name);
+    if (Old && *Old == Spec)
+      continue;
+    Item Out(Faults, SheetPart::Service, I);
+    const auto Known = State.TrafficOf.find(Spec.Name);
+    const core::TargetVersion &Stable =
+        Known == State.TrafficOf.end() ? Spec.Version : Known->second.Stable;
+    if (Spec.Move)
+      checkMove(Out, Spec, Stable, Now);
+    else if (Spec.Version != Stable)
+      Out.add(ErrorCode::SheetField, "version",
+              fmt::format("{} differs from the stable version {}: order a "
+                          "move",
+                          Spec.Version.value(), Stable.value()));
+  }
+  return Faults;
+}
+
+core::Error toError(const SheetFault &Fault, const Sheet &Content) {
+  switch (Fault.Part) {
+  case SheetPart::Whole:
+    break;
+  case SheetPart::Service:
+    return {Fault.Code, fmt::format("service {}: {}: {}",
+                                    Content.Services[Fault.Index].Name.value(),
+                                    Fault.Key, Fault.Text)};
+  case SheetPart::Route:
+    return {Fault.Code, fmt::format("route {}: {}: {}",
+                                    Content.Routes[Fault.Index].Name.value(),
+                                    Fault.Key, Fault.Text)};
+  }
+  return {Fault.Code, Fault.Text};
+}
+
+} // namespace filbertvane::config
--- /dev/null
+++ b/lib/config/YamlDocuments.h
@@ -0,0 +1,17 @@
+#ifndef FILBERTVANE_LIB_CONFIG_YAMLDOCUMENTS_H
+#define FILBERTVANE_LIB_CONFIG_YAMLDOCUMENTS_H
+
+#include <string>
+
+namespace filbertvane::config {
+
+/// @brief Whether a text holds something after its first YAML document.
+///
+/// `YAML::Load` ignores it, and `YAML::LoadAll` of yaml-cpp 0.7 does not return
+/// for some texts, for example a single comma. Throws `YAML::Exception` for a
+/// text that is not valid YAML.
+bool hasSecondDocument(const std::string &Text);
+
+} // namespace filbertvane::config
+
+#endif // FILBERTVANE_LIB_CONFIG_YAMLDOCUMENTS_H
--- /dev/null
+++ b/tests/config/FleetStateTest.cpp
@@ -0,0 +1,276 @@
+#include "filbertvane/config/FleetState.h"
+#include "config/RandomLog.h"
+#include <criterion/criterion.h>
+
+using namespace filbertvane;
+using namespace filbertvane::config;
+using core::ErrorCode;
+using tests::LaterTime;
+using tests::PublishTime;
+
+namespace {
+
+/// A reader of a log to which the test appends records.
+class Reader {
+public:
+  RecordOutcome append(RecordBody Body) {
+    Applied After =
+        apply(State, State.Next, {core::WriterId("w"), ++Sequence, Body});
+    State = std::move(After.State);
+    return After.Outcome;
+  }
+
+  RecordOutcome publish(Sheet Wanted) {
+    return publishOn(State.SheetVersion, std::move(Wanted));
+  }
+
+  RecordOutcome publishOn(core::ConfigVersion Base, Sheet Wanted) {
+    return append(SheetPublished{Base, difference(State.Current, Wanted), "ann",
+                                 PublishTime});
+  }
+
+  FleetState State;
+
+private:
+  std::uint64_t Sequence = 0;
+};
+
+ServiceSpec service(const char *Name, const char *Version) {
+  return {core::ServiceName(Name), core::TargetVersion(Version), std::nullopt};
+}
+
+ServiceSpec moving(const char *Name, const char *Version, const char *To,
+                   core::WallTime By = LaterTime) {
+  return {core::ServiceName(Name), core::TargetVersion(Version),
+          MoveOrder{core::TargetVersion(To), By}};
+}
+
+RouteSpec route(const char *Name, const char *Prefix, const char *Service) {
+  RouteSpec Spec;
+  Spec.Name = core::RouteName(Name);
+  Spec.Prefix = Prefix;
+  Spec.Service = core::ServiceName(Service);
+  return Spec;
+}
+
+Sheet sheet(std::vector<ServiceSpec> Services,
+            std::vector<RouteSpec> Routes = {}) {
+  return {core::ConfigVersion(0), std::move(Services), std::move(Routes)};
+}
+
+/// The error of a refused record; a code that no test expects otherwise.
+core::Error errorOf(const RecordOutcome &Outcome) {
+  const auto *Refusal = std::get_if<Refused>(&Outcome);
+  return Refusal ? Refusal->Reason
+                 : core::Error{ErrorCode::ProcessListen, "not refused"};
+}
+
+void assertRefused(const RecordOutcome &Outcome, ErrorCode Code,
+                   const std::string &Detail) {
+  const core::Error Reason = errorOf(Outcome);
+  const std::string Text = core::toString(Reason);
+  cr_assert(Reason.Code == Code, "%s", Text.c_str());
+  cr_assert_str_eq(Reason.Detail.c_str(), Detail.c_str());
+}
+
+bool accepted(const RecordOutcome &Outcome, std::uint64_t Version) {
+  return Outcome == RecordOutcome(Accepted{core::ConfigVersion(Version)});
+}
+
+/// A fleet with the service `a` on 1.0 and its move to 2.0, under epoch 1.
+Reader movingFleet() {
+  Reader Fleet;
+  Fleet.append(LeaseClaimed{core::NodeId("n1"), core::Epoch(1)});
+  Fleet.publish(sheet({moving("a", "1.0", "2.0")}));
+  return Fleet;
+}
+
+const MoveId MoveOfA{core::ServiceName("a"), core::ConfigVersion(1)};
+const core::Epoch First(1);
+const Verdict Figures{core::RouteName("r"), "9 of 41 failed", 41, 9, 780, 0};
+
+} // namespace
+
+Test(fleet_state, a_sheet_on_the_current_base_is_accepted) {
+  Reader Fleet;
+  cr_assert(accepted(Fleet.publish(sheet({service("a", "1.0")})), 1));
+  cr_assert(Fleet.State.SheetVersion == core::ConfigVersion(1));
+  cr_assert(Fleet.State.TrafficOf.at(core::ServiceName("a")) ==
+            (Traffic{core::TargetVersion("1.0"), std::nullopt, 0}));
+}
+
+// Guards against two operators who overwrite each other's sheets.
+Test(fleet_state, the_second_sheet_on_one_base_is_refused) {
+  Reader Fleet;
+  Fleet.publish(sheet({service("a", "1.0")}));
+  const FleetState Before = Fleet.State;
+  assertRefused(
+      Fleet.publishOn(core::ConfigVersion(0), sheet({service("b", "1.0")})),
+      ErrorCode::SheetStaleBase, "base 0, version in force 1");
+  cr_assert(Fleet.State.Current == Before.Current);
+  cr_assert(Fleet.State.Refused.size() == 1);
+  cr_assert(Fleet.State.Refused[0].Offset == Before.Next);
+  cr_assert(Fleet.State.Refused[0].Reason.Code == ErrorCode::SheetStaleBase);
+}
+
+// Guards against requests to a service that the proxy does not know (I2).
+Test(fleet_state, a_route_to_an_unknown_service_is_refused) {
+  Reader Fleet;
+  assertRefused(
+      Fleet.publish(sheet({service("a", "1.0")}, {route("r", "/", "b")})),
+      ErrorCode::SheetUnknownService, "route r: service: b");
+}
+
+// Guards against a service that is removed below a route that remains.
+Test(fleet_state, removing_a_service_under_a_route_is_refused) {
+  Reader Fleet;
+  Fleet.publish(sheet({service("a", "1.0")}, {route("r", "/", "a")}));
+  assertRefused(Fleet.publish(sheet({}, {route("r", "/", "a")})),
+                ErrorCode::SheetUnknownService, "route r: service: a");
+}
+
+Test(fleet_state, a_delta_that_names_a_service_twice_is_refused) {
+  Reader Fleet;
+  SheetDelta Delta;
+  Delta.ChangedServices = {service("a", "1.0"), service("a", "2.0")};
+  assertRefused(Fleet.append(SheetPublished{{}, Delta, "ann", PublishTime}),
+                ErrorCode::SheetDuplicateName, "service a");
+}
+
+Test(fleet_state, a_move_to_the_stable_version_is_refused) {
+  Reader Fleet;
+  Fleet.publish(sheet({service("a", "1.0")}));
+  assertRefused(Fleet.publish(sheet({moving("a", "1.0", "1.0")})),
+                ErrorCode::SheetField,
+                "service a: move.to: 1.0 is already the stable version");
+}
+
+Test(fleet_state, a_move_with_a_passed_deadline_is_refused) {
+  Reader Fleet;
+  assertRefused(Fleet.publish(sheet({moving("a", "1.0", "2.0", PublishTime)})),
+                ErrorCode::SheetTimePassed,
+                "service a: move.by: 2026-12-04T10:00:00Z is not later than "
+                "2026-12-04T10:00:00Z");
+}
+
+// Guards against a change of all traffic at once, without evidence.
+Test(fleet_state, another_version_without_a_move_is_refused) {
+  Reader Fleet;
+  Fleet.publish(sheet({service("a", "1.0")}));
+  assertRefused(Fleet.publish(sheet({service("a", "2.0")})),
+                ErrorCode::SheetField,
+                "service a: version: 2.0 differs from the stable version 1.0: "
+                "order a move");
+}
+
+Test(fleet_state, two_routes_with_one_prefix_are_refused) {
+  Reader Fleet;
+  assertRefused(
+      Fleet.publish(sheet({service("a", "1.0")},
+                          {route("r", "/x", "a"), route("s", "/x", "a")})),
+      ErrorCode::SheetField,
+      "route s: prefix: /x is also the prefix of route r");
+}
+
+Test(fleet_state, a_move_is_stepped_and_completed) {
+  Reader Fleet = movingFleet();
+  cr_assert(accepted(Fleet.append(MoveStepped{First, MoveOfA, 50}), 2));
+  const core::ServiceName Service("a");
+  cr_assert(Fleet.State.TrafficOf.at(Service).CandidateShare == 50);
+  cr_assert(accepted(
+      Fleet.append(MoveCompleted{First, MoveOfA, LaterTime, Figures}), 3));
+  cr_assert(Fleet.State.TrafficOf.at(Service) ==
+            (Traffic{core::TargetVersion("2.0"), std::nullopt, 0}));
+  cr_assert(Fleet.State.Moves[0].Stage == MoveStage::Completed);
+  cr_assert(Fleet.State.Moves[0].Decided == Figures);
+}
+
+// Guards against a bad version that gets traffic again by a step or by a sheet
+// that changes something else.
+Test(fleet_state, a_rolled_back_move_stays_rolled_back) {
+  Reader Fleet = movingFleet();
+  Fleet.append(MoveStepped{First, MoveOfA, 50});
+  cr_assert(accepted(
+      Fleet.append(MoveRolledBack{First, MoveOfA, LaterTime, Figures}), 3));
+  const Traffic Old{core::TargetVersion("1.0"), std::nullopt, 0};
+  assertRefused(Fleet.append(MoveStepped{First, MoveOfA, 100}),
+                ErrorCode::MoveUnknown, "service a, ordered in version 1");
+  cr_assert(accepted(
+      Fleet.publish(sheet({moving("a", "1.0", "2.0"), service("b", "1.0")})),
+      4));
+  cr_assert(Fleet.State.TrafficOf.at(core::ServiceName("a")) == Old);
+  cr_assert(Fleet.State.Moves.size() == 1);
+}
+
+// Guards against a completed move that blocks every later sheet.
+Test(fleet_state, an_unchanged_order_is_not_checked_again) {
+  Reader Fleet = movingFleet();
+  Fleet.append(MoveCompleted{First, MoveOfA, LaterTime, Figures});
+  cr_assert(accepted(
+      Fleet.publish(sheet({moving("a", "1.0", "2.0"), service("b", "1.0")})),
+      3));
+}
+
+Test(fleet_state, a_changed_order_supersedes_the_move_in_progress) {
+  Reader Fleet = movingFleet();
+  Fleet.append(MoveStepped{First, MoveOfA, 50});
+  cr_assert(accepted(Fleet.publish(sheet({moving("a", "1.0", "3.0")})), 3));
+  cr_assert(Fleet.State.Moves[0].Stage == MoveStage::Superseded);
+  cr_assert(Fleet.State.Moves[1].Id.OrderedIn == core::ConfigVersion(3));
+  cr_assert(
+      Fleet.State.TrafficOf.at(core::ServiceName("a")) ==
+      (Traffic{core::TargetVersion("1.0"), core::TargetVersion("3.0"), 0}));
+}
+
+Test(fleet_state, a_share_may_only_rise) {
+  Reader Fleet = movingFleet();
+  Fleet.append(MoveStepped{First, MoveOfA, 50});
+  assertRefused(Fleet.append(MoveStepped{First, MoveOfA, 50}),
+                ErrorCode::MoveBackwards,
+                "service a, share 50, current share 50");
+}
+
+// Guards against a coordinator that was paused while another one took over.
+Test(fleet_state, records_of_an_old_epoch_are_refused) {
+  Reader Fleet = movingFleet();
+  Fleet.append(LeaseClaimed{core::NodeId("n2"), core::Epoch(2)});
+  const char *Detail = "epoch 1, current epoch 2";
+  const std::vector<RecordBody> Stale = {
+      MoveStepped{First, MoveOfA, 50},
+      MoveRolledBack{First, MoveOfA, LaterTime, Figures},
+      MoveCompleted{First, MoveOfA, LaterTime, Figures},
+      InForceReported{First, core::ConfigVersion(1), LaterTime, {}},
+      SnapshotTaken{First, core::LogOffset(0), core::Digest(0), ""}};
+  for (const RecordBody &Body : Stale)
+    assertRefused(Fleet.append(Body), ErrorCode::MoveStaleEpoch, Detail);
+  cr_assert(!Fleet.State.InForce);
+}
+
+Test(fleet_state, the_first_claim_of_an_epoch_holds_the_lease) {
+  Reader Fleet;
+  const LeaseClaimed Claim{core::NodeId("n1"), core::Epoch(1)};
+  cr_assert(Fleet.append(Claim) == RecordOutcome(Noted{}));
+  assertRefused(Fleet.append(LeaseClaimed{core::NodeId("n2"), core::Epoch(1)}),
+                ErrorCode::MoveEpochTaken, "epoch 1, current epoch 1");
+  cr_assert(Fleet.State.LeaseHolder == core::NodeId("n1"));
+}
+
+// Guards against a state that outgrows one log record, so that no snapshot can
+// be appended.
+Test(fleet_state, lists_of_the_state_are_bounded) {
+  Reader Fleet = movingFleet();
+  for (int I = 0; I < 700; ++I) {
+    const std::string To = "v" + std::to_string(I);
+    Fleet.publish(sheet({moving("a", "1.0", To.c_str())}));
+    Fleet.publishOn(core::ConfigVersion(0), sheet({}));
+    Fleet.State = apply(Fleet.State, Fleet.State.Next,
+                        {core::WriterId(To), 1,
+                         LeaseClaimed{core::NodeId("n"), core::Epoch(0)}})
+                      .State;
+  }
+  cr_assert(Fleet.State.Moves.size() == 101);
+  cr_assert(Fleet.State.Moves.back().Stage == MoveStage::InProgress);
+  cr_assert(Fleet.State.Refused.size() == 32);
+  cr_assert(Fleet.State.LastSequence.size() == 512);
+  cr_assert(Fleet.State.LastSequence.contains(core::WriterId("w")));
+}
