--- a/include/filbertvane/config/Settings.h
+++ b/include/filbertvane/config/Settings.h
@@ -31,6 +31,15 @@
                           const ListenAddresses &) = default;
 };
 
+/// @brief Addresses that other nodes use, each `ip:port`.
+struct AdvertisedAddresses {
+  std::string Peers;
+  std::string Control;
+
+  friend auto operator<=>(const AdvertisedAddresses &,
+                          const AdvertisedAddresses &) = default;
+};
+
 /// @brief A node that may be asked for the members of its data centre.
 struct Seed {
   core::DataCentreId DataCentre;
@@ -48,6 +57,8 @@
 struct Settings {
   NodePlace Node;
   ListenAddresses Listen;
+  /// Equal to the listening addresses when the file does not state others.
+  AdvertisedAddresses Advertise;
   /// `http://ip:port` of the platform log.
   std::string LogUrl;
   /// Time for which the log keeps a record.
--- a/lib/config/Settings.cpp
+++ b/lib/config/Settings.cpp
@@ -29,6 +29,7 @@
   Settings read() {
     readNode();
     readListen();
+    readAdvertise();
     readLog();
     readSeeds();
     readSharedKey();
@@ -59,16 +60,38 @@
                                 {"callers", "peers", "control", "admin"}, Node);
     if (!Map)
       return;
-    constexpr const char *Reachable =
-        "must be ip:port that other nodes can reach";
     Out.Listen.Callers =
         address(*Map, "callers", Node, isAddress, "must be ip:port");
-    Out.Listen.Peers = address(*Map, "peers", Node, isReachable, Reachable);
-    Out.Listen.Control = address(*Map, "control", Node, isReachable, Reachable);
+    Out.Listen.Peers =
+        address(*Map, "peers", Node, isAddress, "must be ip:port");
+    Out.Listen.Control =
+        address(*Map, "control", Node, isAddress, "must be ip:port");
     Out.Listen.Admin = address(*Map, "admin", Node, isLoopback,
                                "must be ip:port on the loopback interface");
   }
 
+  void readAdvertise() {
+    const auto Map =
+        Reader.map(Root, "advertise", {"peers", "control"}, Need::Optional);
+    const YamlMap Absent{YAML::Node(YAML::NodeType::Map), "advertise"};
+    Out.Advertise.Peers =
+        advertised(Map.value_or(Absent), "peers", Out.Listen.Peers);
+    Out.Advertise.Control =
+        advertised(Map.value_or(Absent), "control", Out.Listen.Control);
+  }
+
+  /// Address for other nodes, by default the one that is listened on.
+  std::string advertised(const YamlMap &Map, const std::string &Key,
+                         const std::string &Listen) {
+    constexpr const char *Rule = "must be ip:port that other nodes can reach";
+    const std::string Stated =
+        address(Map, Key, Need::Optional, isReachable, Rule);
+    if (Stated.empty() && isAddress(Listen) && !isReachable(Listen))
+      Reader.fieldFault("listen." + Key,
+                        fmt::format("{}, or state advertise.{}", Rule, Key));
+    return Stated.empty() ? Listen : Stated;
+  }
+
   void readLog() {
     const auto Map =
         Reader.map(Root, "log", {"url", "retention_s"}, Need::Required);
@@ -153,8 +176,8 @@
                                 SettingsReader Reader) {
   YamlReader Yaml(File, SettingsCodes);
   const auto Root =
-      Yaml.document(Text, {"node", "listen", "log", "seeds", "shared_key",
-                           "traces", "drain_deadline_ms"});
+      Yaml.document(Text, {"node", "listen", "advertise", "log", "seeds",
+                           "shared_key", "traces", "drain_deadline_ms"});
   if (!Root)
     return Yaml.faults();
   const Need Node =
--- a/lib/config/SheetParser.cpp
+++ b/lib/config/SheetParser.cpp
@@ -56,10 +56,10 @@
   Spec.Prefix = Reader.text(Map, "prefix", Need::Required).value_or("");
   Spec.Service = core::ServiceName(
       Reader.text(Map, "service", Need::Required).value_or(""));
-  // Required: a wrong default would run a request twice or cost every read a
-  // claim.
+  // The safe default: a route that is wrongly taken as idempotent could run a
+  // request twice.
   Spec.Idempotent =
-      Reader.flag(Map, "idempotent", Need::Required).value_or(false);
+      Reader.flag(Map, "idempotent", Need::Optional).value_or(false);
   Spec.Kind = readKind(Reader, Map);
   const auto Timeout =
       Reader.number(Map, "timeout_ms", AnyTimeout, Need::Optional);
