--- /dev/null
+++ b/tests/scenario/World.h
@@ -0,0 +1,141 @@
+#ifndef FILBERTVANE_TESTS_SCENARIO_WORLD_H
+#define FILBERTVANE_TESTS_SCENARIO_WORLD_H
+
+#include "filbertvane/decision/distribution/Distribution.h"
+#include "filbertvane/decision/lease/Lease.h"
+#include "filbertvane/decision/membership/Membership.h"
+#include "filbertvane/wire/ControlMessage.h"
+#include <functional>
+#include <queue>
+#include <set>
+
+namespace filbertvane::scenario {
+
+using core::Milliseconds;
+using core::TimePoint;
+
+/// @brief A node of the fake network: the three reducers wired together.
+struct SimNode {
+  std::string Name;
+  std::string DataCentre;
+  std::string Region;
+  bool Up = false;
+  bool Paused = false;
+  std::uint64_t Process = 0;
+  decision::membership::State Members;
+  decision::distribution::State Config;
+  decision::lease::State Lease;
+  std::size_t LeaseRead = 0;
+  std::uint64_t Claims = 0;
+  std::vector<std::pair<std::string, wire::ControlMessage>> Held;
+  /// Highest version that any process of the node had in force.
+  core::ConfigVersion InForce;
+};
+
+/// @brief Several data centres and the log on a fake clock.
+class World {
+public:
+  /// @name Set-up
+  /// @{
+  std::uint64_t Seed = 1;
+  double Loss = 0;
+  double Duplicates = 0;
+  void build(std::size_t DataCentres, std::size_t NodesEach);
+  /// @}
+
+  /// @name Faults
+  /// @{
+  void start(const std::string &Name);
+  void kill(const std::string &Name);
+  void pause(const std::string &Name);
+  void resume(const std::string &Name);
+  /// Cuts one data centre off from another one, or from `log`.
+  void cut(const std::string &A, const std::string &B);
+  void heal() { Cuts.clear(); }
+  void logUp(bool Up) { LogIsUp = Up; }
+  void trimLog();
+  /// @}
+
+  /// @name Work
+  /// @{
+  void publish(std::optional<std::uint64_t> Base);
+  void appendStep(std::uint64_t Epoch);
+  void appendSnapshot();
+  void announce(const std::string &Name);
+  void leave(const std::string &Name);
+  void drain(const std::string &Name);
+  /// @}
+
+  /// @name Observation
+  /// @{
+  std::string leadOf(const std::string &DataCentre) const;
+  std::string coordinator() const;
+  bool inForce(const std::string &Except) const;
+  bool ready(const std::string &DataCentre, bool Ready) const;
+  bool sees(const std::string &DataCentre, std::size_t Live) const;
+  bool targetGone(const std::string &Name) const;
+  std::uint64_t bytes() const { return Bytes; }
+  core::ConfigVersion logVersion() const;
+  std::vector<std::string> nodesOf(const std::string &DataCentre) const;
+  /// @}
+
+  void at(TimePoint When, std::function<void()> What);
+  void runUntil(TimePoint End);
+  TimePoint now() const { return Clock; }
+  std::vector<std::string> Violations;
+  std::set<observe::EventId> Events;
+
+private:
+  struct Due {
+    TimePoint When;
+    std::uint64_t Order;
+    std::function<void()> What;
+    bool operator<(const Due &Other) const {
+      return std::tie(When, Order) > std::tie(Other.When, Other.Order);
+    }
+  };
+
+  core::Instant instant() const;
+  void tick(const std::string &Name, std::uint64_t Process);
+  void send(SimNode &From, const std::string &To, wire::ControlMessage What);
+  void deliver(const std::string &To, const std::string &From,
+               const wire::ControlMessage &What);
+  void handle(SimNode &To, const std::string &From,
+              const wire::ControlMessage &What);
+  bool connected(const SimNode &A, const SimNode &B) const;
+  bool logReachable(const SimNode &From) const;
+  core::Microseconds delay(const SimNode &A, const SimNode &B);
+
+  void step(SimNode &N, const decision::membership::Event &What);
+  void step(SimNode &N, const decision::distribution::Event &What);
+  void step(SimNode &N, const decision::lease::Event &What);
+  void run(SimNode &N, const decision::membership::Effect &What);
+  void run(SimNode &N, const decision::distribution::Effect &What);
+  void run(SimNode &N, const decision::lease::Effect &What);
+  void adopted(SimNode &N, const decision::distribution::StateAdopted &What);
+  void readLog(SimNode &N, core::LogOffset From, bool LongPoll);
+  void readLease(SimNode &N);
+  void tellLeads(SimNode &N);
+  void append(SimNode &N, std::function<void()> Effect);
+  void check(SimNode &N);
+
+  TimePoint Clock{};
+  std::uint64_t Order = 0;
+  std::priority_queue<Due> Queue;
+  core::Random Chance;
+  std::map<std::string, SimNode> Nodes;
+  std::set<std::pair<std::string, std::string>> Cuts;
+  std::uint64_t Bytes = 0;
+
+  bool LogIsUp = true;
+  std::uint64_t LogHead = 0;
+  std::vector<std::string> Log;
+  std::vector<decision::lease::Renewal> LeaseLog;
+  std::uint64_t Sequence = 0;
+  /// Digest at each offset: all readers must agree with it.
+  std::map<core::LogOffset, core::Digest> Digests;
+};
+
+} // namespace filbertvane::scenario
+
+#endif // FILBERTVANE_TESTS_SCENARIO_WORLD_H
