--- a/tests/rollout/ControllerTest.cpp
+++ b/tests/rollout/ControllerTest.cpp
@@ -137,6 +137,7 @@
   while (C.move().Share <= ControlShare)
     C.pass(1000ms);
   C.addAnswers(answers(100, 0, 20, 0));
+  C.pass(EvidencePeriod);
   C.addAnswers(answers(5, 5, 0, 0));
   cr_assert(C.Published.size() == 1 && !C.Published.front().Proven);
   C.addAnswers(answers(0, 0, 100, 50));
--- /dev/null
+++ b/tests/rollout/EvidenceTest.cpp
@@ -0,0 +1,124 @@
+#include "RolloutFixture.h"
+#include <criterion/criterion.h>
+
+using namespace filbertvane;
+using namespace filbertvane::decision;
+using namespace filbertvane::decision::rollout;
+using namespace std::chrono_literals;
+using fake::answers;
+
+namespace {
+
+const core::RouteName Read("read");
+
+Evidence report(const char *Sender, std::uint64_t Incarnation,
+                std::uint64_t Revision, const config::MoveId &Move,
+                const RouteCounts &Counts) {
+  Evidence Report;
+  Report.Sender = core::NodeId(Sender);
+  Report.SenderIncarnation = core::Incarnation(Incarnation);
+  Report.Revision = Revision;
+  Report.Moves[Move][Read] = Counts;
+  return Report;
+}
+
+const config::MoveId Move{core::ServiceName("booking"), core::ConfigVersion(1)};
+
+request::Observed observed(const char *Version) {
+  request::Observed Answer;
+  Answer.Service = core::ServiceName("booking");
+  Answer.Route = Read;
+  Answer.Version = core::TargetVersion(Version);
+  Answer.Latency = 5ms;
+  return Answer;
+}
+
+} // namespace
+
+// Guards against counts that are added twice when reports are lost, repeated
+// or overtaken.
+Test(rollout_2_evidence, a_newer_report_replaces_the_older_one) {
+  EvidenceTable Table;
+  Table.merge(report("n1", 1, 2, Move, answers(5, 1, 50, 0)), {});
+  const auto Late =
+      Table.merge(report("n1", 1, 1, Move, answers(3, 0, 30, 0)), {});
+  cr_assert(Late.Added.empty());
+  const auto Newer =
+      Table.merge(report("n1", 1, 3, Move, answers(9, 2, 70, 0)), {});
+  cr_assert(Newer.Added.at(Move).at(Read) == answers(4, 1, 20, 0));
+  cr_assert(Table.total(Move).at(Read) == answers(9, 2, 70, 0));
+}
+
+// Guards against the loss of a restarted sender's earlier counts.
+Test(rollout_2_evidence, a_restarted_sender_adds) {
+  EvidenceTable Table;
+  Table.merge(report("n1", 1, 9, Move, answers(5, 1, 50, 0)), {});
+  const auto Again =
+      Table.merge(report("n1", 2, 1, Move, answers(2, 0, 20, 0)), {Move});
+  cr_assert(Again.Added.at(Move).at(Read) == answers(2, 0, 20, 0));
+  cr_assert(Table.total(Move).at(Read) == answers(7, 1, 70, 0));
+}
+
+// Guards against old counts of an unknown sender that pass for new faults.
+Test(rollout_2_evidence, an_unknown_sender_of_an_old_move_is_a_baseline) {
+  EvidenceTable Table;
+  const auto First =
+      Table.merge(report("n1", 1, 9, Move, answers(5, 5, 50, 0)), {Move});
+  cr_assert(First.Added.empty());
+  cr_assert(Table.total(Move).at(Read) == answers(5, 5, 50, 0));
+}
+
+// Guards against a table that grows without bound.
+Test(rollout_2_evidence, drops_senders_beyond_the_limit) {
+  EvidenceTable Table;
+  for (std::size_t I = 0; I <= EvidenceTable::MaxSenders; ++I) {
+    const std::string Name = std::to_string(I);
+    const auto Merged =
+        Table.merge(report(Name.c_str(), 1, 1, Move, answers(1, 0, 1, 0)), {});
+    cr_assert(Merged.Kept == (I < EvidenceTable::MaxSenders));
+  }
+}
+
+// Guards against blame for the latency and breaks of a link between centres.
+Test(rollout_2_evidence, leaves_out_answers_from_other_data_centres) {
+  NodeCounter Counter;
+  const auto Fleet = fake::orderedFleet(600s);
+  auto Answer = observed("2");
+  Answer.Remote = true;
+  cr_assert(!Counter.record(Answer, Fleet, fake::at(0ms)));
+  Answer.Remote = false;
+  cr_assert(Counter.record(Answer, Fleet, fake::at(0ms)));
+}
+
+// Guards against blame for one request that crashes any target and is resent.
+Test(rollout_2_evidence, counts_a_crash_of_one_request_once) {
+  NodeCounter Counter;
+  const auto Fleet = fake::orderedFleet(600s);
+  auto Answer = observed("2");
+  Answer.Fault = Answer.TargetCrashed = true;
+  Answer.RequestDigest = core::Digest(7);
+  cr_assert(Counter.record(Answer, Fleet, fake::at(0ms)));
+  cr_assert(!Counter.record(Answer, Fleet, fake::at(1ms)));
+  Answer.RequestDigest = core::Digest(8);
+  cr_assert(Counter.record(Answer, Fleet, fake::at(2ms)));
+}
+
+// Guards against blame for the slow first answers of a cold target.
+Test(rollout_2_evidence, leaves_out_latencies_during_the_warm_up) {
+  NodeCounter Counter;
+  const auto Fleet = fake::orderedFleet(600s);
+  const auto Cold = Counter.record(observed("2"), Fleet, fake::at(0ms));
+  cr_assert(Cold->Added.New.Answers == 1);
+  cr_assert(Cold->Added.New.Latency.total() == 0);
+  const auto Warm = Counter.record(observed("2"), Fleet, fake::at(WarmUp));
+  cr_assert(Warm->Added.New.Latency.total() == 1);
+}
+
+// Guards against answers of a third version that count for either side.
+Test(rollout_2_evidence, counts_only_versions_of_the_move) {
+  NodeCounter Counter;
+  const auto Fleet = fake::orderedFleet(600s);
+  cr_assert(!Counter.record(observed("3"), Fleet, fake::at(0ms)));
+  const auto Old = Counter.record(observed("1"), Fleet, fake::at(0ms));
+  cr_assert(Old->Added.Old.Answers == 1 && Old->Added.New.Answers == 0);
+}
