--- a/include/filbertvane/decision/request/claims/Key.h
+++ b/include/filbertvane/decision/request/claims/Key.h
@@ -10,7 +10,7 @@
 /// Difference between host clocks that key checks allow for.
 inline constexpr core::Seconds ClockMargin{60};
 
-/// @brief Time embedded in a UUIDv7 key (text form, 36 characters).
+/// @brief Time embedded in a UUIDv7 key (lower-case text, 36 characters).
 /// @return the time, or `ClaimKeyInvalid`
 core::Result<core::WallTime> keyTime(const core::IdempotencyKey &Key);
 
--- a/lib/decision/request/claims/Key.cpp
+++ b/lib/decision/request/claims/Key.cpp
@@ -11,13 +11,13 @@
 constexpr std::size_t VersionAt = 14;
 constexpr std::size_t VariantAt = 19;
 
+/// Upper case is refused: two texts of one key would be two keys.
 int digitOf(char C) {
   if (C >= '0' && C <= '9')
     return C - '0';
   if (C >= 'a' && C <= 'f')
     return C - 'a' + 10;
-  if (C >= 'A' && C <= 'F')
-    return C - 'A' + 10;
+
   return -1;
 }
 
@@ -44,7 +44,7 @@
 core::Result<core::WallTime> keyTime(const core::IdempotencyKey &Key) {
   const std::string &Text = Key.value();
   if (!wellFormed(Text))
-    return invalid(Key, "not the text form of a UUIDv7");
+    return invalid(Key, "not the lower-case text of a UUIDv7");
   std::int64_t Millis = 0;
   std::size_t Digits = 0;
   for (std::size_t At = 0; Digits < TimeDigits; ++At) {
--- /dev/null
+++ b/tests/request/ClaimKeeperTest.cpp
@@ -0,0 +1,236 @@
+#include "KeeperBench.h"
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+using namespace bench;
+
+namespace {
+
+const std::int64_t Start = 0x018c00000000;
+
+KeeperBench keeperOf(const Stream &Log, const char *Writer = "w1") {
+  KeeperBench Made(Writer);
+  Made.handle(BecameKeeper{});
+  Made.readFrom(Log);
+  return Made;
+}
+
+} // namespace
+
+// Guards against an answer from an acknowledgement instead of the log's order.
+Test(claim_keeper, a_claim_is_decided_only_by_its_own_record_or_an_earlier) {
+  Stream Log;
+  KeeperBench Keeper = keeperOf(Log);
+  const auto Request = Keeper.request(claimOf(keyAt(Start), "n1"));
+  Keeper.handle(BatchDue{});
+  const ClaimBatch Batch = Keeper.takeAppend();
+  // Another data centre's claim of the same key came first.
+  Log.append({core::WriterId("w2"), 5, {claimOf(keyAt(Start), "n2")}});
+  Log.append(Batch);
+  Keeper.handle(AppendAcknowledged{Batch.Sequence});
+  cr_assert(Keeper.Replies.empty(), "answered before reading back");
+  Keeper.readFrom(Log);
+  cr_assert(Keeper.ownerIn(Request) == core::NodeId("n2"), "not the first");
+  const auto Repeat = Keeper.request(claimOf(keyAt(Start), "n1", 2));
+  cr_assert(Keeper.ownerIn(Repeat) == core::NodeId("n2"), "forgotten");
+  cr_assert(Keeper.Appends.empty(), "a known key was appended");
+}
+
+// Guards against a second append while the first may have taken effect.
+Test(claim_keeper, a_lost_acknowledgement_is_settled_by_reading) {
+  Stream Log;
+  KeeperBench Keeper = keeperOf(Log);
+  const auto Request = Keeper.request(claimOf(keyAt(Start), "n1"));
+  Keeper.handle(BatchDue{});
+  const ClaimBatch Batch = Keeper.takeAppend();
+  Keeper.handle(AppendUnknown{Batch.Sequence});
+  Keeper.handle(BatchDue{});
+  cr_assert(Keeper.Appends.empty(), "appended without reading");
+  // The read that was in progress started before the append.
+  Keeper.readFrom(Stream{});
+  cr_assert(Keeper.Appends.empty(), "an older read settled the append");
+  Log.append(Batch);
+  Keeper.readFrom(Log);
+  cr_assert(Keeper.Appends.empty(), "appended though it is in the log");
+  cr_assert(Keeper.ownerIn(Request) == core::NodeId("n1"), "not decided");
+}
+
+// Guards against a claim that is lost with its append.
+Test(claim_keeper, a_batch_that_is_not_in_the_log_is_appended_again) {
+  Stream Log;
+  KeeperBench Keeper = keeperOf(Log);
+  Keeper.request(claimOf(keyAt(Start), "n1"));
+  Keeper.handle(BatchDue{});
+  const ClaimBatch Batch = Keeper.takeAppend();
+  Keeper.handle(AppendUnknown{Batch.Sequence});
+  Keeper.readFrom(Log);
+  Keeper.readFrom(Log);
+  cr_assert(Keeper.Appends.size() == 1, "not appended again");
+  cr_assert(Keeper.Appends.front() == Batch, "another sequence");
+}
+
+// Guards against a false date at the head of a trimmed stream.
+Test(claim_keeper, an_old_batch_gets_a_new_sequence) {
+  Stream Log;
+  KeeperBench Keeper = keeperOf(Log);
+  Keeper.request(claimOf(keyAt(Start), "n1"), 60000);
+  Keeper.handle(BatchDue{});
+  const ClaimBatch Batch = Keeper.takeAppend();
+  Keeper.handle(AppendUnknown{Batch.Sequence});
+  Keeper.Millis += 31000;
+  Keeper.readFrom(Log);
+  Keeper.readFrom(Log);
+  Keeper.handle(BatchDue{});
+  cr_assert(Keeper.takeAppend().Sequence > Batch.Sequence, "old date");
+}
+
+// Guards against an owner decided without records that were trimmed.
+Test(claim_keeper, a_keeper_after_a_trim_decides_only_later_keys) {
+  Stream Log;
+  const auto Old = static_cast<std::uint64_t>(Start - 600000);
+  Log.append({core::WriterId("w2"), Old - 1, {claimOf(keyAt(Start), "n2")}});
+  Log.append({core::WriterId("w2"), Old, {claimOf(keyAt(1), "n2")}});
+  Log.trim(1);
+  KeeperBench Keeper = keeperOf(Log);
+  const std::int64_t Margin = 60000;
+  const auto Before = Keeper.request(claimOf(keyAt(Start - 600000), "n1"));
+  cr_assert(Keeper.errorIn(Before) == core::ErrorCode::ClaimHistoryIncomplete,
+            "decided from an incomplete history");
+  const auto After =
+      Keeper.request(claimOf(keyAt(Start - 600000 + Margin), "n1"));
+  cr_assert(!Keeper.errorIn(After), "a later key was refused");
+}
+
+// Guards against decisions while earlier records were not read yet.
+Test(claim_keeper, a_keeper_that_still_reads_waits) {
+  Stream Log;
+  Log.append({core::WriterId("w2"), 1, {claimOf(keyAt(Start), "n2")}});
+  Log.append({core::WriterId("w2"), 2, {claimOf(keyAt(Start, 1), "n3")}});
+  KeeperBench Keeper("w1");
+  Keeper.handle(BecameKeeper{});
+  Keeper.readFrom(Log, 1);
+  const auto Known = Keeper.request(claimOf(keyAt(Start, 1), "n1"), 100);
+  Keeper.handle(BatchDue{});
+  cr_assert(Keeper.Replies.empty() && Keeper.Appends.empty(), "too early");
+  Keeper.readFrom(Log, 1);
+  cr_assert(Keeper.ownerIn(Known) == core::NodeId("n3"), "not decided");
+}
+
+// Guards against a claim that waits for ever, and against one that is decided
+// by a node that lost its part.
+Test(claim_keeper, a_claim_without_decision_is_undecided) {
+  Stream Log;
+  KeeperBench Keeper = keeperOf(Log);
+  const auto Late = Keeper.request(claimOf(keyAt(Start), "n1"), 100);
+  const auto Waits = Keeper.request(claimOf(keyAt(Start, 1), "n1"));
+  Keeper.Millis += 100;
+  Keeper.handle(BatchDue{});
+  cr_assert(Keeper.errorIn(Late) == core::ErrorCode::ClaimUndecided, "late");
+  Keeper.handle(CeasedToBeKeeper{});
+  cr_assert(Keeper.errorIn(Waits) == core::ErrorCode::ClaimKeeperChanged, "");
+  const auto Other = Keeper.request(claimOf(keyAt(Start, 2), "n1"));
+  cr_assert(Keeper.errorIn(Other) == core::ErrorCode::ClaimKeeperChanged, "");
+}
+
+// Guards against one answer for two different requests.
+Test(claim_keeper, a_key_of_another_request_is_refused) {
+  Stream Log;
+  Log.append({core::WriterId("w2"), 1, {claimOf(keyAt(Start), "n2")}});
+  KeeperBench Keeper = keeperOf(Log);
+  Claim Other = claimOf(keyAt(Start), "n1");
+  Other.RequestDigest = core::Digest(8);
+  const auto Request = Keeper.request(Other);
+  cr_assert(Keeper.errorIn(Request) == core::ErrorCode::ClaimKeyReused, "");
+}
+
+// Guards against unbounded memory, and against decisions without the keys
+// that the bound dropped.
+Test(claim_keeper, the_oldest_keys_are_dropped_and_not_decided) {
+  Stream Log;
+  KeeperBench Keeper("w1", 2);
+  for (std::int64_t Age = 0; Age < 3; ++Age)
+    Log.append({core::WriterId("w2"),
+                static_cast<std::uint64_t>(Age + 1),
+                {claimOf(keyAt(Start - Age), "n2")}});
+  Keeper.handle(BecameKeeper{});
+  Keeper.readFrom(Log);
+  cr_assert(Keeper.Now.Table.size() == 2, "bound");
+  const auto Oldest = Keeper.request(claimOf(keyAt(Start - 2), "n1"));
+  cr_assert(Keeper.errorIn(Oldest) == core::ErrorCode::ClaimHistoryIncomplete,
+            "a dropped key was decided");
+  Keeper.Millis += 3700000;
+  Keeper.handle(BatchDue{});
+  cr_assert(Keeper.Now.Table.size() == 0, "kept after the retention");
+}
+
+// Guards against two owners of one key: keepers that read the same stream, in
+// other portions, before or after trims, never name different owners.
+Test(claim_keeper, keepers_of_one_stream_agree) {
+  const bool Held = rc::check([] {
+    Stream Log;
+    std::vector<KeeperBench> Keepers;
+    for (const char *Writer : {"w1", "w2", "w3"})
+      Keepers.emplace_back(Writer);
+    std::map<std::uint64_t, core::IdempotencyKey> KeyOf[3];
+    std::map<core::IdempotencyKey, ClaimOwner> Owners;
+    std::vector<ClaimBatch> Delayed;
+    for (int Step = 0; Step < 80; ++Step) {
+      const auto At = *rc::gen::inRange<std::size_t>(0, 3);
+      KeeperBench &Keeper = Keepers[At];
+      Keeper.Millis = Start + Step * 1000;
+      const auto Key = keyAt(Start + *rc::gen::inRange(0, 4) * 20000);
+      switch (*rc::gen::inRange(0, 8)) {
+      case 0:
+      case 1: {
+        const std::string Node = "n" + std::to_string(At);
+        const auto Request =
+            Keeper.request(claimOf(Key, Node.c_str(), Keeper.LastRequest));
+        KeyOf[At][Request] = Key;
+        break;
+      }
+      case 2:
+        Keeper.handle(BatchDue{});
+        break;
+      case 3:
+      case 4:
+        if (!Keeper.Appends.empty()) {
+          const ClaimBatch Batch = Keeper.takeAppend();
+          const int Kind = *rc::gen::inRange(0, 4);
+          if (Kind < 2)
+            Log.append(Batch);
+          if (Kind == 2)
+            Delayed.push_back(Batch);
+          if (Kind == 0)
+            Keeper.handle(AppendAcknowledged{Batch.Sequence});
+          else
+            Keeper.handle(AppendUnknown{Batch.Sequence});
+        }
+        break;
+      case 5:
+        if (!Delayed.empty()) {
+          Log.append(Delayed.back());
+          Delayed.pop_back();
+        } else if (Log.Records.size() > 2 && *rc::gen::inRange(0, 4) == 0) {
+          Log.trim(1);
+        }
+        break;
+      case 6:
+        if (*rc::gen::inRange(0, 5) == 0)
+          Keeper.handle(CeasedToBeKeeper{});
+        Keeper.handle(BecameKeeper{});
+        break;
+      default:
+        Keeper.readFrom(Log, *rc::gen::inRange<std::size_t>(1, 4));
+      }
+      for (const auto &[Request, Reply] : Keeper.Replies) {
+        if (Reply.Undecided)
+          continue;
+        const auto [Place, New] =
+            Owners.try_emplace(KeyOf[At].at(Request), Reply.Owner);
+        RC_ASSERT(Place->second == Reply.Owner);
+      }
+    }
+    RC_CLASSIFY(!Owners.empty());
+  });
+  cr_assert(Held, "two owners of one key");
+}
--- /dev/null
+++ b/tests/request/KeeperBench.h
@@ -0,0 +1,126 @@
+#ifndef FILBERTVANE_TESTS_REQUEST_KEEPERBENCH_H
+#define FILBERTVANE_TESTS_REQUEST_KEEPERBENCH_H
+
+#include "Bench.h"
+#include "filbertvane/decision/request/claims/ClaimKeeper.h"
+#include <cstdio>
+
+namespace bench {
+
+using namespace filbertvane::decision::request::claims;
+
+/// Key made at a time in milliseconds.
+inline core::IdempotencyKey keyAt(std::int64_t Millis, unsigned Tail = 0) {
+  char Text[40];
+  std::snprintf(Text, sizeof Text, "%08llx-%04llx-7000-8000-%012x",
+                static_cast<unsigned long long>(Millis >> 16),
+                static_cast<unsigned long long>(Millis & 0xffff), Tail);
+  return core::IdempotencyKey(Text);
+}
+
+inline Claim claimOf(const core::IdempotencyKey &Key, const char *Node,
+                     std::uint64_t Call = 1) {
+  return {Key,
+          {core::NodeId(Node), core::Incarnation(1), core::CallId(Call)},
+          core::Digest(7)};
+}
+
+/// Stream of one partition, shared by keepers.
+struct Stream {
+  std::uint64_t Head = 0;
+  std::vector<StoredBatch> Records;
+
+  void append(const ClaimBatch &Batch) {
+    Records.push_back({core::LogOffset(Head + Records.size()), Batch});
+  }
+  void trim(std::size_t Count) {
+    Records.erase(Records.begin(),
+                  Records.begin() + static_cast<std::ptrdiff_t>(Count));
+    Head += Count;
+  }
+  RecordsRead read(const ReadStream &From, std::size_t Most = 100) const {
+    RecordsRead Found;
+    Found.Number = From.Number;
+    Found.First = core::LogOffset(Head);
+    Found.End = core::LogOffset(Head + Records.size());
+    Found.Next = std::max(From.From, Found.First);
+    for (const StoredBatch &Stored : Records) {
+      if (Stored.Offset < Found.Next || Found.Batches.size() >= Most)
+        continue;
+      Found.Batches.push_back(Stored);
+      Found.Next = core::LogOffset(Stored.Offset.value() + 1);
+    }
+    return Found;
+  }
+};
+
+/// One keeper with the reads, appends and replies that it asked for.
+struct KeeperBench {
+  KeeperState Now;
+  std::int64_t Millis = 0x018c00000000;
+  std::optional<ReadStream> Read;
+  std::vector<ClaimBatch> Appends;
+  std::map<std::uint64_t, ClaimReply> Replies;
+  std::uint64_t LastRequest = 0;
+
+  explicit KeeperBench(const char *Writer, std::size_t Keys = 1000)
+      : Now(settings(Writer, Keys)) {}
+
+  static KeeperSettings settings(const char *Writer, std::size_t Keys) {
+    KeeperSettings Own;
+    Own.Writer = core::WriterId(Writer);
+    Own.Retention = core::Seconds(3600);
+    Own.Keys = Keys;
+    return Own;
+  }
+
+  void handle(const KeeperEvent &What) {
+    auto Step = reduce(std::move(Now), What, instant(Millis));
+    Now = std::move(Step.Next);
+    for (const KeeperEffect &One : Step.Out)
+      std::visit(core::Overloaded{
+                     [&](const ReadStream &E) { Read = E; },
+                     [&](const AppendBatch &E) { Appends.push_back(E.Batch); },
+                     [&](const ClaimReply &E) { Replies[E.Request] = E; },
+                     [](const observe::LogEvent &) {}},
+                 One);
+  }
+
+  std::uint64_t request(const Claim &What, std::int64_t Within = 5000) {
+    handle(ClaimRequested{++LastRequest, What, instant(Millis + Within).Mono});
+    return LastRequest;
+  }
+
+  /// Serves the read in progress, if any.
+  void readFrom(const Stream &Log, std::size_t Most = 100) {
+    if (!Read)
+      return;
+    const ReadStream From = *Read;
+    Read.reset();
+    handle(Log.read(From, Most));
+  }
+
+  ClaimBatch takeAppend() {
+    const ClaimBatch Batch = Appends.front();
+    Appends.erase(Appends.begin());
+    return Batch;
+  }
+
+  std::optional<core::NodeId> ownerIn(std::uint64_t Request) const {
+    const auto Found = Replies.find(Request);
+    if (Found == Replies.end() || Found->second.Undecided)
+      return std::nullopt;
+    return Found->second.Owner.Node;
+  }
+
+  std::optional<core::ErrorCode> errorIn(std::uint64_t Request) const {
+    const auto Found = Replies.find(Request);
+    if (Found == Replies.end() || !Found->second.Undecided)
+      return std::nullopt;
+    return Found->second.Undecided->Code;
+  }
+};
+
+} // namespace bench
+
+#endif // FILBERTVANE_TESTS_REQUEST_KEEPERBENCH_H
--- /dev/null
+++ b/tests/request/ReducerPropertyTest.cpp
@@ -0,0 +1,241 @@
+#include "CallModel.h"
+#include <criterion/criterion.h>
+#include <numeric>
+#include <rapidcheck.h>
+
+using namespace bench;
+
+namespace {
+
+constexpr std::uint32_t Slots = 4;
+
+const char *const Keys[] = {"00000000-0000-7000-8000-000000000001",
+                            "00000000-0000-7000-8000-000000000002"};
+
+std::vector<Endpoint> places() {
+  return {endpoint("n0", "1", "dc1", Slots), endpoint("n1"), endpoint("n2"),
+          endpoint("n3", "2"), endpoint("n4", "1", "dc2")};
+}
+
+class Driver {
+public:
+  Driver() : Model(shopFleet(100), places()) {}
+
+  void step() {
+    Model.Node.Millis += *rc::gen::inRange(0, 40);
+    switch (*rc::gen::inRange(0, 12)) {
+    case 0:
+    case 1:
+    case 2:
+      return arrive();
+    case 3:
+      return callerGone();
+    case 4:
+      return decideClaim();
+    case 5:
+      return ownerReplies();
+    case 6:
+      return Model.apply(Tick{}, Slots);
+    case 7:
+      return started();
+    default:
+      return endOne();
+    }
+  }
+
+  /// Ends what is open; then each call must have ended.
+  void finish() {
+    Model.apply(DrainStarted{}, Slots);
+    Model.Node.Millis += 3600000;
+    Model.apply(Tick{}, Slots);
+    for (auto &[Id, Seen] : Model.Calls)
+      if (Seen.Open)
+        Model.end(Id, AttemptEnd::BrokenOff, false, 0);
+    for (const auto &[Id, Seen] : Model.Calls)
+      if (!Seen.Ended)
+        Model.violated("a call did not end");
+    if (!Model.Node.Now.Calls.empty())
+      Model.violated("an ended call is kept");
+  }
+
+  CallModel Model;
+
+private:
+  std::uint64_t LastId = 0;
+
+  void arrive() {
+    CallArrived What;
+    What.Id = core::CallId(++LastId);
+    What.FromNode = *rc::gen::inRange(0, 4) == 0;
+    What.Path = *rc::gen::arbitrary<bool>() ? "/list" : "/book";
+    What.RequestDigest = core::Digest(*rc::gen::inRange<std::uint64_t>(0, 9));
+    What.Deadline = instant(Model.Node.Millis + *rc::gen::inRange(0, 900)).Wall;
+    if (What.FromNode) {
+      What.Service = core::ServiceName("shop");
+      What.Target = core::TargetId("t-n0");
+    }
+    const int Key = *rc::gen::inRange(0, 4);
+    if (Key < 2) {
+      What.Key = core::IdempotencyKey(Keys[Key]);
+      What.RequestDigest = core::Digest(static_cast<std::uint64_t>(Key));
+    }
+    Model.Calls[LastId].Idempotent = What.Path == "/list";
+    Model.apply(What, Slots);
+  }
+
+  std::optional<std::uint64_t> anyOpen() {
+    std::vector<std::uint64_t> Open;
+    for (const auto &[Id, Seen] : Model.Calls)
+      if (Seen.Open)
+        Open.push_back(Id);
+    if (Open.empty())
+      return std::nullopt;
+    return *rc::gen::elementOf(Open);
+  }
+
+  void endOne() {
+    const auto Id = anyOpen();
+    if (!Id)
+      return;
+    auto How = static_cast<AttemptEnd>(*rc::gen::inRange(0, 4));
+    if (Model.Calls[*Id].Started && How == AttemptEnd::NotRun)
+      How = AttemptEnd::NoAnswer;
+    const bool Crashed =
+        How == AttemptEnd::NoAnswer && *rc::gen::arbitrary<bool>();
+    Model.end(*Id, How, Crashed, *rc::gen::element(200, 500));
+  }
+
+  void started() {
+    if (const auto Id = anyOpen()) {
+      Model.Calls[*Id].Started = true;
+      Model.apply(
+          AnswerStarted{core::CallId(*Id), *Model.Calls[*Id].Open, 200, 10},
+          Slots);
+    }
+  }
+
+  void callerGone() {
+    if (LastId == 0)
+      return;
+    const auto Id = *rc::gen::inRange<std::uint64_t>(1, LastId + 1);
+    CallModel::Seen &Seen = Model.Calls[Id];
+    if (Seen.Ended)
+      return;
+    Model.ended(Seen);
+    Model.Detached.insert(Id);
+    Model.apply(CallerGone{core::CallId(Id)}, Slots);
+  }
+
+  void decideClaim() {
+    if (Model.Claiming.empty())
+      return;
+    const std::uint64_t Id = *Model.Claiming.begin();
+    Model.Claiming.erase(Model.Claiming.begin());
+    const auto Found = Model.Node.Now.Calls.find(core::CallId(Id));
+    if (Found == Model.Node.Now.Calls.end() || !Found->second.Key)
+      return;
+    const auto *Entry = Model.Node.Now.Results.find(*Found->second.Key);
+    ClaimDecided What{
+        core::CallId(Id), Entry ? Entry->Owner : ClaimOwner{}, {}};
+    const int Kind = *rc::gen::inRange(0, 4);
+    if (Kind == 0)
+      What.Undecided = core::Error{core::ErrorCode::ClaimUndecided, ""};
+    if (Kind == 1)
+      What.Owner.Node = core::NodeId("n9");
+    Model.apply(What, Slots);
+  }
+
+  void ownerReplies() {
+    if (Model.AskingOwner.empty())
+      return;
+    const std::uint64_t Id = *Model.AskingOwner.begin();
+    Model.AskingOwner.erase(Model.AskingOwner.begin());
+    const auto Found = Model.Node.Now.Calls.find(core::CallId(Id));
+    if (Found == Model.Node.Now.Calls.end() ||
+        Found->second.Phase != CallPhase::AwaitingOwner)
+      return;
+    const auto State = static_cast<KeptState>(*rc::gen::inRange(1, 4));
+    if (State == KeptState::Answered)
+      Model.ended(Model.Calls[Id]);
+    Model.apply(OwnerReplied{core::CallId(Id), State}, Slots);
+  }
+};
+
+} // namespace
+
+// Guards against duplicate execution, false outcomes, calls without or with
+// two ends, slots above the limit and groups without a target, in any order
+// of events.
+Test(request_properties, outcomes_hold_in_any_order_of_events) {
+  const bool Held = rc::check([] {
+    Driver Run;
+    const int Steps = *rc::gen::inRange(1, 120);
+    for (int Step = 0; Step < Steps; ++Step)
+      Run.step();
+    Run.finish();
+    if (!Run.Model.Violation.empty())
+      RC_FAIL(Run.Model.Violation);
+  });
+  cr_assert(Held, "a property does not hold");
+}
+
+// Guards against a candidate that gets more than its share in some window.
+Test(request_properties, each_window_holds_the_share_exactly) {
+  const bool Held = rc::check([] {
+    const auto Share = *rc::gen::element<config::Permille>(10, 50, 100, 250);
+    const int Window = config::FullShare / Share;
+    VersionSelector Selector(
+        *rc::gen::inRange<config::Permille>(0, config::FullShare));
+    std::vector<int> Chosen;
+    for (int Request = 0; Request < Window * 8; ++Request)
+      Chosen.push_back(Selector.next(Share) ? 1 : 0);
+    for (int From = 0; From + Window <= Window * 8; ++From) {
+      const auto First = Chosen.begin() + From;
+      RC_ASSERT(std::accumulate(First, First + Window, 0) == 1);
+    }
+  });
+  cr_assert(Held, "a window differs from the share");
+}
+
+namespace {
+
+/// Sends through a chain of hops whose last target refuses everything.
+std::uint64_t sendThrough(std::vector<Bench> &Hops, std::size_t Hop,
+                          std::uint64_t &LastId, std::uint64_t &Sent,
+                          bool &Retried) {
+  Bench &Node = Hops[Hop];
+  const std::uint64_t Id = ++LastId;
+  Node.arrive(Id);
+  while (Node.first<StartAttempt>()) {
+    AttemptEnded What;
+    What.Id = core::CallId(Id);
+    What.Attempt = Node.first<StartAttempt>()->Attempt;
+    What.End = AttemptEnd::NotRun;
+    if (Hop + 1 < Hops.size())
+      sendThrough(Hops, Hop + 1, LastId, Sent, What.RetriedDownstream);
+    else
+      ++Sent;
+    Node.handle(What);
+  }
+  Retried = Node.first<Refuse>()->Retried;
+  return Sent;
+}
+
+} // namespace
+
+// Guards against retries at each of 20 hops, which multiply to 3^20 requests.
+Test(request_properties, a_chain_of_20_hops_stays_within_the_budget) {
+  std::vector<Bench> Hops;
+  for (std::uint64_t Hop = 0; Hop < 20; ++Hop)
+    Hops.emplace_back(shopFleet(), std::vector{endpoint("n1"), endpoint("n2")},
+                      Hop);
+  std::uint64_t LastId = 0;
+  std::uint64_t Sent = 0;
+  bool Retried = false;
+  const std::uint64_t Requests = 500;
+  for (std::uint64_t Request = 0; Request < Requests; ++Request)
+    sendThrough(Hops, 0, LastId, Sent, Retried);
+  cr_assert(Sent > Requests, "nothing was retried");
+  cr_assert(Sent <= Requests + RetryBudget::MostSaved, "%lu sent",
+            static_cast<unsigned long>(Sent));
+}
