Add the HTTP server and client

Cause: the node needs streaming HTTP on its one loop, with bounded buffers and with outcomes that separate "not sent" from "may have run". Connections that went silent are not reused.

--- a/include/filbertvane/io/HttpClient.h
+++ b/include/filbertvane/io/HttpClient.h
@@ -9,9 +9,10 @@
 enum class ClientEnd {
   /// The whole answer arrived.
   Complete,
-  /// No connection could be made: nothing was sent.
+  /// No byte of the request was handed over to a connection.
   NotSent,
-  /// The connection failed after the request was handed over.
+  /// The connection failed after the request was handed over, or the answer
+  /// is not whole.
   Failed,
   /// The deadline passed after the request was handed over.
   TimedOut,
@@ -44,6 +45,9 @@
 };
 
 /// @brief HTTP client on the process's loop (libcurl multi).
+///
+/// A request is handed over to at most one connection; it is never sent a
+/// second time without a call of `send`.
 class HttpClient {
 public:
   struct Request {
@@ -56,11 +60,13 @@
     core::TimePoint Deadline;
     /// Do not reuse an open connection.
     bool FreshConnection = false;
+    /// Reuse only a connection that was in use within the last second.
+    bool ProvenConnection = false;
   };
 
   struct Options {
-    /// Connections kept open to one address.
-    std::uint32_t ConnectionsPerHost = 64;
+    /// Idle connections kept open, over all addresses.
+    std::uint32_t IdleConnections = 512;
     core::Milliseconds ConnectTimeout{500};
   };
 
@@ -68,8 +74,10 @@
                                             const Options &Settings);
   virtual ~HttpClient() = default;
 
-  /// @brief Starts a request.
-  /// @param Handler must outlive the returned request
+  /// @brief Starts a request; the handler is called from the loop only, never
+  ///        from inside `send`.
+  /// @param Handler must outlive the returned request; it may destroy the
+  ///        request in any of its calls
   virtual std::unique_ptr<ClientRequest> send(Request What,
                                               ClientHandler &Handler) = 0;
 
--- /dev/null
+++ b/lib/io/CurlTransfer.cpp
@@ -0,0 +1,260 @@
+#include "CurlTransfer.h"
+#include <charconv>
+
+namespace filbertvane::io {
+
+namespace {
+
+/// Body bytes below which the handler is asked for more.
+constexpr std::size_t SendLowMark = 64 * 1024;
+constexpr long ReceiveBufferBytes = 64 * 1024;
+/// Shorter than the idle timeout of servers, so that a connection is not
+/// reused in the moment in which its server closes it.
+constexpr long IdleSeconds = 30;
+constexpr std::size_t MaxHeaderLines = 256;
+
+/// Whether a text can stand in a request line or header without changing the
+/// framing.
+bool isPlain(std::string_view Text, bool SpaceAllowed) {
+  for (const unsigned char Byte : Text) {
+    const bool Blank = Byte == ' ' || Byte == '\t';
+    if (Byte < 0x20 && !(Blank && SpaceAllowed))
+      return false;
+    if (Byte == 0x7f || (Blank && !SpaceAllowed))
+      return false;
+  }
+  return true;
+}
+
+std::string_view trim(std::string_view Text) {
+  constexpr std::string_view Blanks = " \t\r\n";
+  const std::size_t First = Text.find_first_not_of(Blanks);
+  if (First == std::string_view::npos)
+    return {};
+  return Text.substr(First, Text.find_last_not_of(Blanks) - First + 1);
+}
+
+/// Length of `http://ip:port`.
+std::size_t originLength(const std::string &Url) {
+  const std::size_t Scheme = Url.find("://");
+  const std::size_t Start = Scheme == std::string::npos ? 0 : Scheme + 3;
+  return std::min(Url.find('/', Start), Url.size());
+}
+
+bool isFraming(const std::string &Name) {
+  const HeaderNameLess Less;
+  for (const char *Framing : {"Content-Length", "Transfer-Encoding", "Expect"})
+    if (!Less(Name, Framing) && !Less(Framing, Name))
+      return true;
+  return false;
+}
+
+} // namespace
+
+CurlTransfer::CurlTransfer(CURL *Easy, HttpClient::Request What,
+                           ClientHandler &Receiver)
+    : Easy(Easy), What(std::move(What)), Handler(&Receiver) {}
+
+CurlTransfer::~CurlTransfer() { curl_slist_free_all(Lines); }
+
+std::string CurlTransfer::address() const {
+  const std::size_t Scheme = What.Url.find("://");
+  const std::size_t Start = Scheme == std::string::npos ? 0 : Scheme + 3;
+  return What.Url.substr(Start, originLength(What.Url) - Start);
+}
+
+bool CurlTransfer::buildHeaders() {
+  for (const auto &[Name, Value] : What.Fields) {
+    if (isFraming(Name))
+      continue;
+    if (Name.empty() || !isPlain(Name, false) || !isPlain(Value, true))
+      return false;
+    // libcurl's notation for a header with an empty value.
+    const std::string Line = Value.empty() ? Name + ";" : Name + ": " + Value;
+    Lines = curl_slist_append(Lines, Line.c_str());
+  }
+  // Headers that libcurl would add by itself.
+  Lines = curl_slist_append(Lines, "Expect:");
+  if (What.Fields.count("Accept") == 0)
+    Lines = curl_slist_append(Lines, "Accept:");
+  if (What.Fields.count("Content-Type") == 0)
+    Lines = curl_slist_append(Lines, "Content-Type:");
+  return true;
+}
+
+void CurlTransfer::setMethod() {
+  const bool HasBody = What.ContentLength != std::uint64_t{0};
+  const bool EmptyBodyStated =
+      What.Method == "POST" || What.Method == "PUT" || What.Method == "PATCH";
+  if (HasBody) {
+    const auto Size = static_cast<curl_off_t>(What.ContentLength.value_or(0));
+    curl_easy_setopt(Easy, CURLOPT_UPLOAD, 1L);
+    curl_easy_setopt(Easy, CURLOPT_INFILESIZE_LARGE,
+                     What.ContentLength ? Size : curl_off_t{-1});
+  } else if (What.Method == "HEAD") {
+    curl_easy_setopt(Easy, CURLOPT_NOBODY, 1L);
+  } else if (EmptyBodyStated) {
+    curl_easy_setopt(Easy, CURLOPT_POSTFIELDSIZE_LARGE, curl_off_t{0});
+    curl_easy_setopt(Easy, CURLOPT_POSTFIELDS, "");
+  }
+  curl_easy_setopt(Easy, CURLOPT_CUSTOMREQUEST, What.Method.c_str());
+}
+
+bool CurlTransfer::prepare(const HttpClient::Options &Settings,
+                           core::TimePoint Now,
+                           std::optional<core::Seconds> MaxAge) {
+  const std::size_t Origin = originLength(What.Url);
+  const std::string Target =
+      Origin < What.Url.size() ? What.Url.substr(Origin) : "/";
+  if (!isPlain(Target, false) || !isPlain(What.Method, false) ||
+      What.Method.empty() || !buildHeaders())
+    return false;
+  const auto Left =
+      std::chrono::ceil<core::Milliseconds>(What.Deadline - Now).count();
+  if (Left <= 0)
+    return false;
+  const std::string Base = What.Url.substr(0, Origin) + "/";
+  curl_easy_setopt(Easy, CURLOPT_URL, Base.c_str());
+  curl_easy_setopt(Easy, CURLOPT_REQUEST_TARGET, Target.c_str());
+  curl_easy_setopt(Easy, CURLOPT_HTTPHEADER, Lines);
+  setMethod();
+  curl_easy_setopt(Easy, CURLOPT_PROTOCOLS_STR, "http");
+  curl_easy_setopt(Easy, CURLOPT_HTTP_VERSION, long{CURL_HTTP_VERSION_1_1});
+  curl_easy_setopt(Easy, CURLOPT_PROXY, "");
+  curl_easy_setopt(Easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(Easy, CURLOPT_TCP_NODELAY, 1L);
+  curl_easy_setopt(Easy, CURLOPT_BUFFERSIZE, ReceiveBufferBytes);
+  curl_easy_setopt(Easy, CURLOPT_TIMEOUT_MS, static_cast<long>(Left));
+  curl_easy_setopt(Easy, CURLOPT_CONNECTTIMEOUT_MS,
+                   static_cast<long>(Settings.ConnectTimeout.count()));
+  // A limit of 0 s lets connections that were used within the last second.
+  curl_easy_setopt(Easy, CURLOPT_MAXAGE_CONN,
+                   What.ProvenConnection ? 0L : IdleSeconds);
+  if (MaxAge && MaxAge->count() > 0)
+    curl_easy_setopt(Easy, CURLOPT_MAXLIFETIME_CONN,
+                     static_cast<long>(MaxAge->count()));
+  const bool Fresh = What.FreshConnection || (MaxAge && MaxAge->count() <= 0);
+  curl_easy_setopt(Easy, CURLOPT_FRESH_CONNECT, Fresh ? 1L : 0L);
+  curl_easy_setopt(Easy, CURLOPT_HEADERFUNCTION, onHeader);
+  curl_easy_setopt(Easy, CURLOPT_HEADERDATA, this);
+  curl_easy_setopt(Easy, CURLOPT_WRITEFUNCTION, onBody);
+  curl_easy_setopt(Easy, CURLOPT_WRITEDATA, this);
+  curl_easy_setopt(Easy, CURLOPT_READFUNCTION, onRead);
+  curl_easy_setopt(Easy, CURLOPT_READDATA, this);
+  curl_easy_setopt(Easy, CURLOPT_PREREQFUNCTION, onHandOver);
+  curl_easy_setopt(Easy, CURLOPT_PREREQDATA, this);
+  curl_easy_setopt(Easy, CURLOPT_PRIVATE, this);
+  return true;
+}
+
+int CurlTransfer::onHandOver(void *Self, char *, char *, int, int) {
+  auto &Transfer = *static_cast<CurlTransfer *>(Self);
+  // libcurl sends a request again on another connection when a reused one
+  // closes before an answer; the request may already have run then.
+  if (++Transfer.HandOvers > 1)
+    return CURL_PREREQFUNC_ABORT;
+  return CURL_PREREQFUNC_OK;
+}
+
+bool CurlTransfer::takeHeaderLine(std::string_view Line) {
+  if (HeadDone)
+    return true; // trailer of a chunked answer
+  if (Line.substr(0, 5) == "HTTP/") {
+    Head = {};
+    const std::size_t Space = Line.find(' ');
+    const std::string_view Code =
+        Space == std::string_view::npos ? "" : Line.substr(Space + 1, 3);
+    std::from_chars(Code.data(), Code.data() + Code.size(), Head.Status);
+    return Head.Status >= 100;
+  }
+  const std::string_view Text = trim(Line);
+  if (Text.empty()) {
+    if (Head.Status < 200)
+      return true; // interim response
+    HeadDone = true;
+    Handler->onHead(Head);
+    return Handler != nullptr;
+  }
+  const std::size_t Colon = Text.find(':');
+  if (Colon == std::string_view::npos || Head.Fields.size() > MaxHeaderLines)
+    return false;
+  Head.Fields.emplace(std::string(trim(Text.substr(0, Colon))),
+                      std::string(trim(Text.substr(Colon + 1))));
+  return true;
+}
+
+std::size_t CurlTransfer::onHeader(char *Data, std::size_t Size,
+                                   std::size_t Count, void *Self) {
+  auto &Transfer = *static_cast<CurlTransfer *>(Self);
+  const std::size_t Bytes = Size * Count;
+  if (Transfer.Handler == nullptr)
+    return 0;
+  Transfer.AnswerSeen = true;
+  return Transfer.takeHeaderLine({Data, Bytes}) ? Bytes : 0;
+}
+
+std::size_t CurlTransfer::onBody(char *Data, std::size_t Size,
+                                 std::size_t Count, void *Self) {
+  auto &Transfer = *static_cast<CurlTransfer *>(Self);
+  const std::size_t Bytes = Size * Count;
+  if (Transfer.Handler == nullptr)
+    return 0;
+  if (Transfer.AnswerHeld) {
+    Transfer.ReceiveIdle = true;
+    return CURL_WRITEFUNC_PAUSE;
+  }
+  Transfer.Handler->onBody({Data, Bytes});
+  return Transfer.Handler == nullptr ? 0 : Bytes;
+}
+
+std::size_t CurlTransfer::onRead(char *Data, std::size_t Size,
+                                 std::size_t Count, void *Self) {
+  auto &Transfer = *static_cast<CurlTransfer *>(Self);
+  if (Transfer.Handler == nullptr)
+    return CURL_READFUNC_ABORT;
+  const std::size_t Taken = Transfer.Out.take(Data, Size * Count);
+  if (!Transfer.BodyFinished && Transfer.Out.size() < SendLowMark) {
+    Transfer.Handler->onSendable();
+    if (Transfer.Handler == nullptr)
+      return CURL_READFUNC_ABORT;
+  }
+  if (Taken > 0 || Transfer.BodyFinished)
+    return Taken > 0 ? Taken : Transfer.Out.take(Data, Size * Count);
+  Transfer.SendIdle = true;
+  return CURL_READFUNC_PAUSE;
+}
+
+void CurlTransfer::applyPauses() {
+  const bool SendReady = SendIdle && (!Out.empty() || BodyFinished);
+  const bool ReceiveReady = ReceiveIdle && !AnswerHeld;
+  if (!SendReady && !ReceiveReady)
+    return;
+  if (SendReady)
+    SendIdle = false;
+  if (ReceiveReady)
+    ReceiveIdle = false;
+  const int Send = SendIdle ? CURLPAUSE_SEND : 0;
+  const int Receive = ReceiveIdle ? CURLPAUSE_RECV : 0;
+  curl_easy_pause(Easy, Send | Receive);
+}
+
+bool CurlTransfer::wholeLengthKnown() const {
+  // An answer that ends with its connection cannot be told from a broken one.
+  const bool NoBody =
+      What.Method == "HEAD" || Head.Status == 204 || Head.Status == 304;
+  return HeadDone && (NoBody || Head.Fields.count("Content-Length") > 0 ||
+                      Head.Fields.count("Transfer-Encoding") > 0);
+}
+
+ClientEnd CurlTransfer::endOf(CURLcode Code) const {
+  if (Code == CURLE_OK)
+    return wholeLengthKnown() ? ClientEnd::Complete : ClientEnd::Failed;
+  long SentBytes = 0;
+  curl_easy_getinfo(Easy, CURLINFO_REQUEST_SIZE, &SentBytes);
+  if (HandOvers == 0 || (HandOvers == 1 && SentBytes == 0 && !AnswerSeen))
+    return ClientEnd::NotSent;
+  return Code == CURLE_OPERATION_TIMEDOUT ? ClientEnd::TimedOut
+                                          : ClientEnd::Failed;
+}
+
+} // namespace filbertvane::io
--- /dev/null
+++ b/lib/io/CurlTransfer.h
@@ -0,0 +1,76 @@
+#ifndef FILBERTVANE_LIB_IO_CURLTRANSFER_H
+#define FILBERTVANE_LIB_IO_CURLTRANSFER_H
+
+#include "ByteQueue.h"
+#include "filbertvane/io/HttpClient.h"
+#include <curl/curl.h>
+
+namespace filbertvane::io {
+
+/// @brief One client request and its libcurl handle.
+class CurlTransfer {
+public:
+  CurlTransfer(CURL *Easy, HttpClient::Request What, ClientHandler &Receiver);
+  ~CurlTransfer();
+  CurlTransfer(const CurlTransfer &) = delete;
+  CurlTransfer &operator=(const CurlTransfer &) = delete;
+
+  /// @brief Sets all options of the handle.
+  /// @param MaxAge connections older than this are not reused; none for any
+  /// @return false when the request cannot be expressed in HTTP
+  bool prepare(const HttpClient::Options &Settings, core::TimePoint Now,
+               std::optional<core::Seconds> MaxAge);
+
+  /// @brief Translates libcurl's result.
+  ClientEnd endOf(CURLcode Code) const;
+
+  /// @brief Continues what is neither held back nor out of data.
+  void applyPauses();
+
+  /// @name State shared with the client
+  /// @{
+  CURL *Easy;
+  HttpClient::Request What;
+  /// Null once the request is cancelled or over.
+  ClientHandler *Handler;
+  ByteQueue Out;
+  bool BodyFinished = false;
+  bool AnswerHeld = false;
+  bool Added = false;
+  /// Time at which the request was handed over to a connection.
+  core::TimePoint HandedOverAt{};
+  /// Whether any byte of the answer arrived.
+  bool AnswerSeen = false;
+  /// @}
+
+  /// @brief `ip:port` part of the URL.
+  std::string address() const;
+
+private:
+  /// @name Calls of libcurl
+  /// @{
+  static std::size_t onHeader(char *Data, std::size_t Size, std::size_t Count,
+                              void *Self);
+  static std::size_t onBody(char *Data, std::size_t Size, std::size_t Count,
+                            void *Self);
+  static std::size_t onRead(char *Data, std::size_t Size, std::size_t Count,
+                            void *Self);
+  static int onHandOver(void *Self, char *, char *, int, int);
+  /// @}
+
+  bool takeHeaderLine(std::string_view Line);
+  bool buildHeaders();
+  void setMethod();
+  bool wholeLengthKnown() const;
+
+  curl_slist *Lines = nullptr;
+  ResponseHead Head;
+  bool HeadDone = false;
+  bool SendIdle = false;
+  bool ReceiveIdle = false;
+  unsigned HandOvers = 0;
+};
+
+} // namespace filbertvane::io
+
+#endif // FILBERTVANE_LIB_IO_CURLTRANSFER_H
--- /dev/null
+++ b/tests/io/HttpFailureTest.cpp
@@ -0,0 +1,192 @@
+#include "HttpFixture.h"
+#include "RawPeer.h"
+
+using namespace filbertvane;
+using namespace filbertvane::test;
+
+namespace {
+
+io::ClientEnd endOfBrokenAnswer(std::optional<std::uint64_t> Length,
+                                io::Headers Fields) {
+  BoundedLoop Bounded;
+  const auto Server = listenOn(Bounded.Loop, [&](io::ServerExchange &Exchange) {
+    auto Handler = std::make_unique<ServerHandler>();
+    Handler->BodyEnd = [&Exchange, Length] {
+      Exchange.start({200, {}}, Length);
+      Exchange.write(patternOf(100000));
+    };
+    Handler->Writable = [&Exchange] { Exchange.abort(); };
+    return Handler;
+  });
+  const auto Client = io::HttpClient::create(Bounded.Loop, {});
+  ClientRecorder Recorder;
+  Recorder.OnOver = [&] { Bounded.stop(); };
+  auto What = requestTo(Bounded.Loop, urlOf(Server->port()));
+  What.Fields = std::move(Fields);
+  const auto Request = Client->send(std::move(What), Recorder);
+  Bounded.run();
+  cr_assert(Recorder.Head.Status == 200, "the answer did not begin");
+  return *Recorder.End;
+}
+
+/// Sends a text and returns all that a server answers until it closes.
+std::string answerTo(const std::string &Text) {
+  BoundedLoop Bounded;
+  bool Accepted = false;
+  const auto Server = listenOn(Bounded.Loop, [&](io::ServerExchange &Exchange) {
+    Accepted = true;
+    auto Handler = std::make_unique<ServerHandler>();
+    Handler->BodyEnd = [&Exchange] { Exchange.respond(200, "ran"); };
+    return Handler;
+  });
+  auto Caller = RawConnection::connect(
+      Bounded.Loop, Server->port(), [&](RawConnection &Connection) {
+        if (Connection.Ended ||
+            Connection.Received.find("\r\n\r\n") != std::string::npos)
+          Bounded.stop();
+      });
+  Caller->send(Text);
+  Bounded.run();
+  cr_assert(!Accepted, "the request was accepted: %s", Text.c_str());
+  return Caller->Received.substr(0, 12);
+}
+
+} // namespace
+
+// Guards against a part of an answer that its receiver takes for the whole.
+Test(http_failure, a_broken_answer_is_seen_as_broken) {
+  cr_assert(endOfBrokenAnswer(std::nullopt, {}) == io::ClientEnd::Failed);
+  cr_assert(endOfBrokenAnswer(200000, {}) == io::ClientEnd::Failed);
+  cr_assert(endOfBrokenAnswer(std::nullopt, {{"Connection", "close"}}) ==
+            io::ClientEnd::Failed);
+}
+
+// Guards against an answer without a length, whose end cannot be verified.
+Test(http_failure, an_answer_that_ends_with_its_connection_is_not_whole) {
+  BoundedLoop Bounded;
+  RawServer Server(Bounded.Loop, [](RawConnection &Connection) {
+    Connection.send("HTTP/1.1 200 OK\r\n\r\npart");
+    Connection.close();
+  });
+  const auto Client = io::HttpClient::create(Bounded.Loop, {});
+  ClientRecorder Recorder;
+  Recorder.OnOver = [&] { Bounded.stop(); };
+  const auto Request =
+      Client->send(requestTo(Bounded.Loop, urlOf(Server.Port)), Recorder);
+  Bounded.run();
+  cr_assert(Recorder.End == io::ClientEnd::Failed);
+}
+
+// Guards against work that goes on for a caller that is gone.
+Test(http_failure, a_cancelled_request_closes_the_exchange) {
+  BoundedLoop Bounded;
+  std::unique_ptr<io::ClientRequest> Request;
+  std::optional<bool> Whole;
+  const auto Server = listenOn(Bounded.Loop, [&](io::ServerExchange &) {
+    auto Handler = std::make_unique<ServerHandler>();
+    Handler->BodyEnd = [&] { Request.reset(); };
+    Handler->Closed = [&](bool How) {
+      Whole = How;
+      Bounded.stop();
+    };
+    return Handler;
+  });
+  const auto Client = io::HttpClient::create(Bounded.Loop, {});
+  ClientRecorder Recorder;
+  Request =
+      Client->send(requestTo(Bounded.Loop, urlOf(Server->port())), Recorder);
+  Bounded.run();
+  cr_assert(Whole == false);
+  cr_assert(!Recorder.End, "a cancelled request got an end");
+}
+
+// Guards against malformed heads that reach the decision code.
+Test(http_failure, malformed_heads_are_refused) {
+  const std::string Post = "POST / HTTP/1.1\r\nHost: a\r\n";
+  const auto Bad = [](const std::string &Text) {
+    return answerTo(Text) == "HTTP/1.1 400";
+  };
+  cr_assert(Bad(Post + "Content-Length: 1x\r\n\r\na"));
+  cr_assert(Bad(Post + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nab"));
+  cr_assert(Bad(Post + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n"
+                       "0\r\n\r\n"));
+  cr_assert(Bad(Post + "Transfer-Encoding: gzip\r\n\r\n"));
+  cr_assert(Bad("GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n"));
+  cr_assert(Bad("GET / HTTP/1.1\r\nHost: a\r\nX: a\x01z\r\n\r\n"));
+  const std::string Old = answerTo("GET / HTTP/1.0\r\nHost: a\r\n\r\n");
+  cr_assert(Old.substr(9) == "505", "%s", Old.c_str());
+}
+
+// Guards against heads that exceed the limit of the design (16 KiB).
+Test(http_failure, oversized_heads_are_refused) {
+  const std::string Start = "GET / HTTP/1.1\r\nHost: a\r\nX-Fill: ";
+  for (const std::size_t Bytes : {17 * 1024, 100 * 1024}) {
+    const std::string Got =
+        answerTo(Start + std::string(Bytes, 'x') + "\r\n\r\n");
+    cr_assert(Got == "HTTP/1.1 431", "%zu bytes: %s", Bytes, Got.c_str());
+  }
+}
+
+// Guards against a request that libcurl repeats by itself after a reused
+// connection closed without an answer: the first one may have run.
+Test(http_failure, a_request_is_never_sent_twice) {
+  BoundedLoop Bounded;
+  int Requests = 0;
+  bool Reused = false;
+  RawServer Server(Bounded.Loop, [&](RawConnection &Connection) {
+    if (Connection.Received.find("\r\n\r\n") == std::string::npos)
+      return;
+    Connection.Received.clear();
+    Reused = Requests == 1 && &Connection == &Server.Connections.front();
+    if (++Requests == 1)
+      Connection.send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    else
+      Connection.close();
+  });
+  const auto Client = io::HttpClient::create(Bounded.Loop, {});
+  ClientRecorder First;
+  First.OnOver = [&] { Bounded.stop(); };
+  auto What = requestTo(Bounded.Loop, urlOf(Server.Port));
+  What.Method = "POST";
+  const auto Opening = Client->send(What, First);
+  Bounded.run();
+  cr_assert(First.End == io::ClientEnd::Complete);
+  ClientRecorder Second;
+  Second.OnOver = [&] { Bounded.stop(); };
+  const auto Repeated = Client->send(What, Second);
+  Bounded.run();
+  cr_assert(Second.End == io::ClientEnd::Failed);
+  cr_assert(Requests == 2, "%d requests arrived", Requests);
+  cr_assert(Reused, "the second request used a new connection");
+}
+
+// Guards against "not run" for a request that may have run, and against
+// "unknown" for one that was never sent.
+Test(http_failure, a_refused_connection_is_reported_as_not_sent) {
+  BoundedLoop Bounded;
+  std::uint16_t Port = 0;
+  {
+    const RawServer Gone(Bounded.Loop, [](RawConnection &) {});
+    Port = Gone.Port;
+  }
+  const auto Client = io::HttpClient::create(Bounded.Loop, {});
+  ClientRecorder Recorder;
+  Recorder.OnOver = [&] { Bounded.stop(); };
+  const auto Request =
+      Client->send(requestTo(Bounded.Loop, urlOf(Port)), Recorder);
+  Bounded.run();
+  cr_assert(Recorder.End == io::ClientEnd::NotSent);
+}
+
+Test(http_failure, a_passed_deadline_after_hand_over_is_a_time_out) {
+  BoundedLoop Bounded;
+  RawServer Server(Bounded.Loop, [](RawConnection &) {});
+  const auto Client = io::HttpClient::create(Bounded.Loop, {});
+  ClientRecorder Recorder;
+  Recorder.OnOver = [&] { Bounded.stop(); };
+  auto What = requestTo(Bounded.Loop, urlOf(Server.Port));
+  What.Deadline = Bounded.Loop.now().Mono + core::Milliseconds(100);
+  const auto Request = Client->send(What, Recorder);
+  Bounded.run();
+  cr_assert(Recorder.End == io::ClientEnd::TimedOut);
+}
