Fill in the origin of observed answers

Cause: evidence must leave out remote answers and repeated crashes of one request, but the request decisions did not tell them. Change: Observed carries Remote, TargetCrashed and the request digest.

--- a/lib/decision/request/ReduceFailures.cpp
+++ b/lib/decision/request/ReduceFailures.cpp
@@ -73,14 +73,20 @@
 }
 
 /// Only the entry node observes: the host node sees the same answers.
-void Reduction::observe(const Call &Which, bool Fault) {
+void Reduction::observe(const Call &Which, bool Fault, bool TargetCrashed) {
   if (Which.FromNode)
     return;
-  const core::Microseconds Latency =
-      Which.FirstByte.value_or(Now.Mono - Which.SentAt);
-  Out.emplace_back(Observed{Which.Route->Service, Which.Route->Name,
-                            Next.Targets[Which.At].Place.Version, Fault,
-                            Latency});
+  const Endpoint &Place = Next.Targets[Which.At].Place;
+  Observed Seen;
+  Seen.Service = Which.Route->Service;
+  Seen.Route = Which.Route->Name;
+  Seen.Version = Place.Version;
+  Seen.Fault = Fault;
+  Seen.Latency = Which.FirstByte.value_or(Now.Mono - Which.SentAt);
+  Seen.Remote = Place.DataCentre != Next.Own.DataCentre;
+  Seen.TargetCrashed = TargetCrashed;
+  Seen.RequestDigest = Which.RequestDigest;
+  Out.emplace_back(std::move(Seen));
 }
 
 /// Requests that ran together get one crash each, and one with the same digest
--- a/lib/decision/request/Reduction.h
+++ b/lib/decision/request/Reduction.h
@@ -71,7 +71,7 @@
   void passedOn(Call &Which, const AttemptEnded &What, bool Fault);
   bool retry(Call &Which, const AttemptEnded &What, bool WasSent);
   bool mayRetry(const Call &Which, const AttemptEnded &What) const;
-  void observe(const Call &Which, bool Fault);
+  void observe(const Call &Which, bool Fault, bool TargetCrashed = false);
   void noteCrash(Call &Which);
   /// @}
 
