Count crashes of targets as evidence

Cause: a version that crashes on any request would never be rolled back, because crashes were not observed at all. Change: a crash is observed and marked, so that the counter of evidence leaves out repeats of the same request.

--- a/lib/decision/request/ReduceAttempts.cpp
+++ b/lib/decision/request/ReduceAttempts.cpp
@@ -119,8 +119,9 @@
   const bool Fault = !Answered || Status >= 500;
   if (What.TargetCrashed)
     noteCrash(*Which);
-  else
-    observe(*Which, Fault);
+  // A version that crashes on any request must be found, so crashes are
+  // evidence too; the counter leaves out repeats of the same request.
+  observe(*Which, Fault, What.TargetCrashed);
   noteHealth(At, Fault, Which->FirstByte.value_or(Took));
   release(*Which, Answered ? std::optional(Took) : std::nullopt);
   if (Answered || Which->FirstByte || What.End == AttemptEnd::BrokenOff)
