Add the proxy engine

Cause: requests have to pass from the callers and peers ports to targets and other nodes as the decision code says. Change: ProxyEngine turns HTTP input into request events and executes the effects; control headers are stripped at the callers port, answers with another identity are dropped, bodies up to 64 KiB can be sent again. Conclusion: bodies of 0 B to 8 MiB pass two nodes unchanged on loopback; broken answers stay broken and a caller that leaves closes the connection to the target.

--- /dev/null
+++ b/lib/io/proxy/ProxyAttempt.cpp
@@ -0,0 +1,167 @@
+#include "ProxyEngineImpl.h"
+#include <arpa/inet.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace filbertvane::io::proxy {
+
+namespace {
+
+/// The own host refuses a connection within microseconds; the loop must not
+/// wait longer for a target whose accept queue is full.
+constexpr int RefusalWaitMs = 5;
+
+} // namespace
+
+Attempt::Attempt(Engine &Owner, Call &Of, const request::StartAttempt &What)
+    : Owner(Owner), Of(Of), What(What) {}
+
+void Attempt::begin(HttpClient &Client, HttpClient::Request Sent) {
+  Request = Client.send(std::move(Sent), *this);
+}
+
+void Attempt::writeBody(std::string_view Part) {
+  const std::size_t Queued = Request->writeBody(Part);
+  if (Queued > QueueBoundBytes && Of.Exchange != nullptr)
+    Of.Exchange->pauseBody(true);
+}
+
+void Attempt::onSendable() {
+  if (Of.Exchange != nullptr)
+    Of.Exchange->pauseBody(false);
+}
+
+bool Attempt::identityMatches(const ResponseHead &Head) const {
+  const auto Identity = headerOf(Head.Fields, RequestField);
+  // A node always returns the identity; a target may not know it.
+  if (!Identity)
+    return What.To.Local;
+  return *Identity == attemptIdentity(Of, What.Attempt);
+}
+
+void Attempt::onHead(const ResponseHead &Head) {
+  Status = Head.Status;
+  if (!identityMatches(Head)) {
+    end(request::AttemptEnd::NoAnswer);
+    return;
+  }
+  Retried = Head.Fields.count(RetriedField) > 0;
+  const auto Outcome = headerOf(Head.Fields, OutcomeField);
+  if (Outcome == "not-run")
+    Marked = request::AttemptEnd::NotRun;
+  else if (Outcome == "unknown")
+    Marked = request::AttemptEnd::NoAnswer;
+  if (!Marked)
+    passHead(Head);
+}
+
+void Attempt::passHead(const ResponseHead &Head) {
+  Passed = true;
+  Of.AnswerStarted = true;
+  ResponseHead Out{Status, endToEnd(Head.Fields)};
+  if (Of.Key)
+    Of.Answer = {Status, Out.Fields, {}};
+  Out.Fields.emplace(RequestField, Of.RequestId);
+  std::optional<std::uint64_t> Length;
+  if (const auto Stated = headerOf(Head.Fields, "Content-Length"))
+    Length = parseNumber(*Stated);
+  if (Head.Fields.count("Transfer-Encoding") > 0)
+    Length.reset();
+  if (Of.Exchange != nullptr)
+    Of.Exchange->start(Out, Length);
+  // Last, because the effects may end this attempt.
+  Owner.handle(request::AnswerStarted{Of.Id, What.Attempt, Status});
+}
+
+void Attempt::onBody(std::string_view Part) {
+  if (Marked || Of.Exchange == nullptr)
+    return;
+  if (Of.Key && Of.Answer.Body.size() <= StoredAnswerBytes)
+    Of.Answer.Body.append(Part);
+  const std::size_t Queued = Of.Exchange->write(Part);
+  if (Queued > QueueBoundBytes)
+    Request->pauseAnswer(true);
+}
+
+request::AttemptEnd Attempt::classify(ClientEnd End) const {
+  if (End == ClientEnd::NotSent)
+    return request::AttemptEnd::NotRun;
+  if (Passed)
+    return End == ClientEnd::Complete ? request::AttemptEnd::Answered
+                                      : request::AttemptEnd::BrokenOff;
+  // A refusal counts only when it arrived whole.
+  if (End == ClientEnd::Complete && Marked)
+    return *Marked;
+  return request::AttemptEnd::NoAnswer;
+}
+
+void Attempt::onEnd(ClientEnd End) {
+  const request::AttemptEnd How = classify(End);
+  if (How != request::AttemptEnd::Answered && What.To.Local &&
+      End != ClientEnd::Complete)
+    Crashed = refusesConnections(What.To.Address);
+  end(How);
+}
+
+void Attempt::end(request::AttemptEnd How) {
+  // Kept until the end of this function: the effects may start another attempt.
+  const std::unique_ptr<Attempt> Self = std::move(Of.Current);
+  const core::CallId Id = Of.Id;
+  if (How == request::AttemptEnd::Answered)
+    Owner.answered(Of, Status);
+  if (How == request::AttemptEnd::BrokenOff)
+    Owner.brokenOff(Of, Status);
+  Owner.handle(
+      request::AttemptEnded{Id, What.Attempt, How, Status, Retried, Crashed});
+  Owner.releaseIfOver(Id);
+}
+
+std::string attemptIdentity(const Call &Of, core::AttemptId Id) {
+  return Of.RequestId + "/" + std::to_string(Id.value());
+}
+
+Headers attemptFields(const Call &Of, const request::StartAttempt &What,
+                      const std::string &PeerKey, core::Instant Now) {
+  Headers Fields = endToEnd(Of.Head.Fields);
+  const core::WallTime Deadline = core::toWall(What.Deadline, Now);
+  Fields.emplace(RequestField, attemptIdentity(Of, What.Attempt));
+  Fields.emplace(DeadlineField,
+                 std::to_string(Deadline.time_since_epoch().count()));
+  Fields.erase("traceparent");
+  Fields.emplace("traceparent", observe::toTraceParent(Of.Hop.Context));
+  if (What.To.Local)
+    return Fields;
+  Fields.emplace(PeerKeyField, PeerKey);
+  Fields.emplace(ServiceField, What.Service.value());
+  Fields.emplace(VersionField, What.To.Version.value());
+  if (Of.Key)
+    Fields.emplace(KeyField, Of.Key->value());
+  return Fields;
+}
+
+bool refusesConnections(const std::string &Address) {
+  const std::size_t Colon = Address.rfind(':');
+  if (Colon == std::string::npos)
+    return false;
+  sockaddr_in To{};
+  To.sin_family = AF_INET;
+  const auto Port = parseNumber(Address.substr(Colon + 1));
+  To.sin_port = htons(static_cast<std::uint16_t>(Port.value_or(0)));
+  if (inet_pton(AF_INET, Address.substr(0, Colon).c_str(), &To.sin_addr) != 1)
+    return false;
+  const int Fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  const int Result =
+      connect(Fd, reinterpret_cast<const sockaddr *>(&To), sizeof To);
+  const bool AtOnce = Result != 0 && errno == ECONNREFUSED;
+  pollfd Wait{Fd, POLLOUT, 0};
+  poll(&Wait, 1, RefusalWaitMs);
+  int Fault = 0;
+  socklen_t Size = sizeof Fault;
+  getsockopt(Fd, SOL_SOCKET, SO_ERROR, &Fault, &Size);
+  const bool Refused = AtOnce || Fault == ECONNREFUSED;
+  close(Fd);
+  return Refused;
+}
+
+} // namespace filbertvane::io::proxy
--- /dev/null
+++ b/lib/io/proxy/ProxyCall.h
@@ -0,0 +1,98 @@
+#ifndef FILBERTVANE_LIB_IO_PROXY_PROXYCALL_H
+#define FILBERTVANE_LIB_IO_PROXY_PROXYCALL_H
+
+#include "ProxyHeaders.h"
+#include "filbertvane/io/ProxyEngine.h"
+
+namespace filbertvane::io::proxy {
+
+namespace request = decision::request;
+
+/// Body bytes that are read before the request is decided on.
+inline constexpr std::size_t DigestBodyBytes = 16 * 1024;
+/// Body bytes that are kept, so that an attempt that was not run can be
+/// repeated; larger bodies are streamed once.
+inline constexpr std::size_t KeptBodyBytes = 64 * 1024;
+/// Largest answer handed on as stored result.
+inline constexpr std::size_t StoredAnswerBytes = 64 * 1024;
+/// Queued bytes above which the source of a body is held back.
+inline constexpr std::size_t QueueBoundBytes = 256 * 1024;
+
+class Engine;
+class Attempt;
+
+/// @brief One request in progress, from its head to the end of its answer.
+struct Call {
+  Call(core::CallId Id, ServerExchange &Exchange, bool FromNode);
+  ~Call();
+
+  core::CallId Id;
+  /// Null after the caller's side is closed.
+  ServerExchange *Exchange;
+  bool FromNode;
+  RequestHead Head;
+  std::string RequestId;
+  std::optional<core::IdempotencyKey> Key;
+  std::optional<std::uint64_t> DeclaredLength;
+
+  std::string Kept;
+  bool BodyWhole = false;
+  bool Arrived = false;
+  /// More than the kept part was sent; no further attempt can be made.
+  bool Streamed = false;
+
+  std::unique_ptr<Attempt> Current;
+  bool AnswerStarted = false;
+  bool Over = false;
+  StoredAnswer Answer;
+  HopRecord Hop;
+};
+
+/// @brief One sending of a request to a target or to another node.
+class Attempt final : public ClientHandler {
+public:
+  Attempt(Engine &Owner, Call &Of, const request::StartAttempt &What);
+
+  void begin(HttpClient &Client, HttpClient::Request Sent);
+  void writeBody(std::string_view Part);
+  void finishBody() { Request->finishBody(); }
+  void pauseAnswer(bool Paused) { Request->pauseAnswer(Paused); }
+  core::AttemptId id() const { return What.Attempt; }
+
+  /// @name ClientHandler
+  /// @{
+  void onHead(const ResponseHead &Head) override;
+  void onBody(std::string_view Part) override;
+  void onSendable() override;
+  void onEnd(ClientEnd End) override;
+  /// @}
+
+private:
+  bool identityMatches(const ResponseHead &Head) const;
+  void passHead(const ResponseHead &Head);
+  void end(request::AttemptEnd How);
+  request::AttemptEnd classify(ClientEnd End) const;
+
+  Engine &Owner;
+  Call &Of;
+  request::StartAttempt What;
+  std::unique_ptr<ClientRequest> Request;
+  int Status = 0;
+  bool Passed = false;
+  /// Outcome marked by the next hop; its answer is not passed on.
+  std::optional<request::AttemptEnd> Marked;
+  bool Retried = false;
+  bool Crashed = false;
+};
+
+/// @brief Headers of an attempt's request.
+Headers attemptFields(const Call &Of, const request::StartAttempt &What,
+                      const std::string &PeerKey, core::Instant Now);
+/// @brief Identity of an attempt in `Filbertvane-Request`.
+std::string attemptIdentity(const Call &Of, core::AttemptId Id);
+/// @brief Whether nothing listens at a local address any more.
+bool refusesConnections(const std::string &Address);
+
+} // namespace filbertvane::io::proxy
+
+#endif // FILBERTVANE_LIB_IO_PROXY_PROXYCALL_H
--- /dev/null
+++ b/lib/io/proxy/ProxyEngineImpl.h
@@ -0,0 +1,69 @@
+#ifndef FILBERTVANE_LIB_IO_PROXY_PROXYENGINEIMPL_H
+#define FILBERTVANE_LIB_IO_PROXY_PROXYENGINEIMPL_H
+
+#include "ProxyCall.h"
+#include <unordered_map>
+
+namespace filbertvane::io::proxy {
+
+/// @brief The engine: calls by id, and the execution of effects.
+class Engine final : public ProxyEngine {
+public:
+  Engine(EventLoop &Loop, HttpClient &Client, Options Settings, Decide OnEvent,
+         Callbacks Others);
+  ~Engine() override;
+  core::Status open();
+
+  void handle(const request::Event &Happened) override;
+  void answer(core::CallId Id, const StoredAnswer &Kept) override;
+  void quiesce() override;
+  std::size_t active() const override { return Calls.size(); }
+  std::uint16_t callersPort() const override { return Callers->port(); }
+  std::uint16_t peersPort() const override { return Peers->port(); }
+
+  /// @name Calls of exchanges and attempts
+  /// @{
+  void takeBody(core::CallId Id, std::string_view Part);
+  void takeBodyEnd(core::CallId Id);
+  void takeWritable(core::CallId Id);
+  void takeClosed(core::CallId Id, bool Whole);
+  /// @brief Keeps the answer of a request with a key, and ends the call.
+  void answered(Call &Done, int Status);
+  /// @brief Breaks the caller's answer off.
+  void brokenOff(Call &Done, int Status);
+  void releaseIfOver(core::CallId Id);
+  /// @}
+
+private:
+  std::unique_ptr<ExchangeHandler> accept(ServerExchange &Exchange,
+                                          bool FromNode);
+  std::optional<core::Error> readControlFields(Call &New);
+  std::unique_ptr<ExchangeHandler>
+  refuseHead(ServerExchange &Exchange, int Status, const core::Error &Reason);
+  void arrive(Call &New);
+  Call *find(core::CallId Id);
+
+  void execute(const request::Effect &Do);
+  void startAttempt(const request::StartAttempt &What);
+  void sendBody(Call &Of);
+  void cancelAttempt(const request::CancelAttempt &What);
+  void refuse(const request::Refuse &What);
+  void refuse(Call &Of, request::Outcome Result, const core::Error &Reason,
+              bool Retried);
+  void endHop(Call &Done, int Status);
+
+  EventLoop &Loop;
+  HttpClient &Client;
+  Options Settings;
+  Decide OnEvent;
+  Callbacks Others;
+  core::Random Ids;
+  std::uint64_t NextCall = 0;
+  std::unordered_map<core::CallId, std::unique_ptr<Call>> Calls;
+  std::unique_ptr<HttpServer> Callers;
+  std::unique_ptr<HttpServer> Peers;
+};
+
+} // namespace filbertvane::io::proxy
+
+#endif // FILBERTVANE_LIB_IO_PROXY_PROXYENGINEIMPL_H
--- /dev/null
+++ b/tests/io/ProxyEngineTest.cpp
@@ -0,0 +1,253 @@
+#include "filbertvane/io/ProxyEngine.h"
+#include "HttpFixture.h"
+#include <vector>
+
+using namespace filbertvane;
+using namespace filbertvane::test;
+namespace request = filbertvane::decision::request;
+
+namespace {
+
+/// @brief An engine whose decisions are a list of destinations, tried in turn
+///        while attempts end as not run.
+struct Node {
+  BoundedLoop &Bounded;
+  io::HttpClient &Client;
+  std::vector<request::Destination> Destinations;
+  std::size_t Next = 0;
+  std::vector<request::AttemptEnded> Ends;
+  std::vector<request::CallArrived> Arrivals;
+  bool Gone = false;
+  std::unique_ptr<io::ProxyEngine> Engine;
+
+  Node(BoundedLoop &Bounded, io::HttpClient &Client)
+      : Bounded(Bounded), Client(Client) {
+    io::ProxyEngine::Options Settings;
+    Settings.Callers = Settings.Peers = "127.0.0.1:0";
+    Settings.PeerKey = "secret";
+    Settings.Self = core::NodeId("n1");
+    auto Made = io::ProxyEngine::create(
+        Bounded.Loop, Client, Settings,
+        [this](const request::Event &Event) { return decide(Event); }, {});
+    cr_assert(core::ok(Made));
+    Engine = core::take(std::move(Made));
+  }
+
+  request::Effects attempt(core::CallId Id) {
+    request::StartAttempt Start;
+    Start.Id = Id;
+    Start.Attempt = core::AttemptId(Next);
+    Start.To = Destinations[Next++];
+    Start.Deadline = Bounded.Loop.now().Mono + core::Seconds(5);
+    Start.Service = core::ServiceName("booking");
+    return {Start};
+  }
+
+  request::Effects decide(const request::Event &Event) {
+    if (const auto *Arrived = std::get_if<request::CallArrived>(&Event)) {
+      Arrivals.push_back(*Arrived);
+      return attempt(Arrived->Id);
+    }
+    if (std::holds_alternative<request::CallerGone>(Event))
+      Gone = true;
+    const auto *Ended = std::get_if<request::AttemptEnded>(&Event);
+    if (Ended == nullptr)
+      return {};
+    Ends.push_back(*Ended);
+    if (Ended->End == request::AttemptEnd::NotRun && Next < Destinations.size())
+      return attempt(Ended->Id);
+    if (Ended->End == request::AttemptEnd::NotRun)
+      return {request::Refuse{Ended->Id,
+                              request::Outcome::NotRun,
+                              {core::ErrorCode::RequestNoTarget, "booking"},
+                              false}};
+    if (Ended->End == request::AttemptEnd::NoAnswer)
+      return {request::Refuse{Ended->Id,
+                              request::Outcome::Unknown,
+                              {core::ErrorCode::RequestDeadlinePassed, ""},
+                              false}};
+    return {};
+  }
+};
+
+request::Destination destination(std::uint16_t Port, bool Local) {
+  request::Destination To;
+  To.Local = Local;
+  To.Address = "127.0.0.1:" + std::to_string(Port);
+  To.Version = core::TargetVersion("1");
+  return To;
+}
+
+/// @brief A target, two nodes in a chain, and a caller.
+struct Chain {
+  BoundedLoop Bounded;
+  std::unique_ptr<io::HttpClient> Client =
+      io::HttpClient::create(Bounded.Loop, {});
+  io::RequestHead Seen;
+  std::string SeenBody;
+  io::Headers TargetFields;
+  bool TargetClosed = false;
+  std::function<void(io::ServerExchange &)> Run =
+      [this](io::ServerExchange &E) { E.respond(200, SeenBody, TargetFields); };
+  std::unique_ptr<io::HttpServer> Target =
+      listenOn(Bounded.Loop, [this](io::ServerExchange &E) {
+        Seen = E.request();
+        SeenBody.clear();
+        auto Handler = std::make_unique<ServerHandler>();
+        Handler->Body = [this](std::string_view Part) { SeenBody += Part; };
+        Handler->BodyEnd = [this, &E] { Run(E); };
+        Handler->Closed = [this](bool Whole) {
+          TargetClosed = true;
+          if (!Whole && !Request)
+            Bounded.stop();
+        };
+        return Handler;
+      });
+  Node Host{Bounded, *Client};
+  Node Entry{Bounded, *Client};
+  ClientRecorder Caller;
+  std::unique_ptr<io::ClientRequest> Request;
+
+  Chain() {
+    Host.Destinations = {destination(Target->port(), true)};
+    Entry.Destinations = {destination(Host.Engine->peersPort(), false)};
+    Caller.OnOver = [this] { Bounded.stop(); };
+  }
+
+  void call(const std::string &Body, io::Headers Fields = {}) {
+    auto What = requestTo(Bounded.Loop,
+                          urlOf(Entry.Engine->callersPort(), "/book?x=1#y"));
+    What.Method = "POST";
+    What.Fields = std::move(Fields);
+    What.ContentLength = Body.size();
+    Request = Client->send(std::move(What), Caller);
+    Request->writeBody(Body);
+    Request->finishBody();
+    Bounded.run();
+  }
+  std::string seen(const std::string &Name) const {
+    return io::headerOf(Seen.Fields, Name).value_or("");
+  }
+};
+
+} // namespace
+
+// Guards against requests and answers that change on their way over two nodes.
+Test(proxy, a_request_passes_two_nodes_unchanged) {
+  for (const std::size_t Bytes :
+       {0, 1, 16 * 1024, 64 * 1024, 8 * 1024 * 1024}) {
+    Chain Path;
+    const std::string Body = patternOf(Bytes);
+    Path.call(Body, {{"Idempotency-Key", "k1"}, {"X-Kept", ""}});
+    cr_assert(Path.Caller.End == io::ClientEnd::Complete, "%zu", Bytes);
+    cr_assert(Path.Caller.Head.Status == 200, "%d", Path.Caller.Head.Status);
+    cr_assert(Path.Caller.Body == Body, "body of %zu bytes differs", Bytes);
+    cr_assert(Path.Seen.Path == "/book?x=1#y", "%s", Path.Seen.Path.c_str());
+    cr_assert(Path.Seen.Fields.count("X-Kept") == 1);
+    cr_assert(Path.Host.Arrivals.at(0).Key == core::IdempotencyKey("k1"));
+    cr_assert(Path.Host.Arrivals.at(0).RequestDigest ==
+              Path.Entry.Arrivals.at(0).RequestDigest);
+    cr_assert(Path.Host.Arrivals.at(0).Service == core::ServiceName("booking"));
+  }
+}
+
+// Guards against callers that set control headers, and against hop-by-hop
+// headers that reach the next hop.
+Test(proxy, control_and_hop_by_hop_headers_are_stripped) {
+  Chain Path;
+  Path.TargetFields = {{"Keep-Alive", "9"}, {"Filbertvane-Debug", "1"}};
+  Path.call("b", {{"Filbertvane-Request", "forged"},
+                  {"filbertvane-service", "forged"},
+                  {"Connection", "X-Hop"},
+                  {"X-Hop", "1"},
+                  {"TE", "trailers"},
+                  {"X-Kept", "1"}});
+  cr_assert(Path.seen("Filbertvane-Request").substr(0, 3) == "n1-");
+  cr_assert(Path.seen("Filbertvane-Service").empty());
+  cr_assert(Path.seen("Filbertvane-Peer-Key").empty());
+  cr_assert(Path.seen("X-Hop").empty() && Path.seen("TE").empty());
+  cr_assert(Path.seen("X-Kept") == "1");
+  cr_assert(Path.Caller.Head.Fields.count("Keep-Alive") == 0);
+  cr_assert(Path.Caller.Head.Fields.count("Filbertvane-Debug") == 0);
+}
+
+// Guards against peers that do not belong to the mesh.
+Test(proxy, a_peer_without_the_shared_key_is_refused) {
+  Chain Path;
+  for (const char *Key : {"", "secreT", "secret1"}) {
+    auto What =
+        requestTo(Path.Bounded.Loop, urlOf(Path.Host.Engine->peersPort()));
+    What.Fields = {{"Filbertvane-Peer-Key", Key}, {"Filbertvane-Request", "r"}};
+    Path.Request = Path.Client->send(What, Path.Caller);
+    Path.Bounded.run();
+    cr_assert(Path.Caller.Head.Status == 403);
+    cr_assert(Path.Host.Arrivals.empty());
+  }
+}
+
+// Guards against an answer that belongs to another request (I5).
+Test(proxy, an_answer_with_another_identity_is_dropped) {
+  Chain Path;
+  Path.TargetFields = {{"Filbertvane-Request", "n1-other/0"}};
+  Path.call("b");
+  cr_assert(Path.Caller.Head.Status == 504, "%d", Path.Caller.Head.Status);
+  cr_assert(Path.Caller.Body.find("[FV503]") == 0);
+  cr_assert(Path.Host.Ends.at(0).End == request::AttemptEnd::NoAnswer);
+  cr_assert(io::headerOf(Path.Caller.Head.Fields, "Filbertvane-Outcome") ==
+            "unknown");
+}
+
+// Guards against a refusal that reaches the caller although another target can
+// run the request, and against a body that is lost in the second attempt.
+Test(proxy, a_not_run_attempt_is_repeated_with_its_body) {
+  Chain Path;
+  Node Full{Path.Bounded, *Path.Client};
+  const auto Busy = listenOn(Path.Bounded.Loop, [](io::ServerExchange &E) {
+    auto Handler = std::make_unique<ServerHandler>();
+    Handler->BodyEnd = [&E] {
+      E.respond(503, "full", {{"Filbertvane-Outcome", "not-run"}});
+    };
+    return Handler;
+  });
+  Full.Destinations = {destination(Busy->port(), true)};
+  Path.Entry.Destinations.insert(Path.Entry.Destinations.begin(),
+                                 destination(Full.Engine->peersPort(), false));
+  const std::string Body = patternOf(60 * 1024);
+  Path.call(Body);
+  cr_assert(Path.Caller.Head.Status == 200, "%d", Path.Caller.Head.Status);
+  cr_assert(Path.Caller.Body == Body);
+  cr_assert(Path.Entry.Ends.at(0).End == request::AttemptEnd::NotRun);
+}
+
+// Guards against a broken answer that a node passes on as whole.
+Test(proxy, a_broken_answer_stays_broken_over_two_nodes) {
+  Chain Path;
+  Path.Run = [](io::ServerExchange &E) {
+    E.start({200, {}}, std::nullopt);
+    E.write(patternOf(300 * 1024));
+  };
+  Path.Caller.OnPart = [&](std::string_view) { Path.Target.reset(); };
+  Path.call("b");
+  cr_assert(Path.Caller.End == io::ClientEnd::Failed);
+  cr_assert(Path.Entry.Ends.at(0).End == request::AttemptEnd::BrokenOff);
+}
+
+// Guards against work for a caller that is gone.
+Test(proxy, a_caller_that_goes_away_closes_the_connection_to_the_target) {
+  Chain Path;
+  Path.Run = [&](io::ServerExchange &) { Path.Request.reset(); };
+  Path.call("b");
+  cr_assert(Path.TargetClosed && Path.Entry.Gone && Path.Host.Gone);
+}
+
+// Guards against a crash that is taken for a slow target.
+Test(proxy, a_target_that_stops_listening_counts_as_crashed) {
+  Chain Path;
+  io::Timer Crash(Path.Bounded.Loop, [&] { Path.Target.reset(); });
+  Path.Run = [&](io::ServerExchange &) {
+    Crash.arm(Path.Bounded.Loop.now().Mono);
+  };
+  Path.call("b");
+  cr_assert(Path.Caller.Head.Status == 504, "%d", Path.Caller.Head.Status);
+  cr_assert(Path.Host.Ends.at(0).TargetCrashed);
+}
