--- a/include/filbertvane/config/Settings.h
+++ b/include/filbertvane/config/Settings.h
@@ -35,6 +35,8 @@
 struct AdvertisedAddresses {
   std::string Peers;
   std::string Control;
+  /// Control address for nodes of other regions.
+  std::string OtherRegions;
 
   friend auto operator<=>(const AdvertisedAddresses &,
                           const AdvertisedAddresses &) = default;
--- a/include/filbertvane/decision/Node.h
+++ b/include/filbertvane/decision/Node.h
@@ -44,11 +44,23 @@
 /// @brief Expected every 50 ms.
 struct Tick {};
 struct DrainStarted {};
+/// @brief The target of this host announced itself.
+struct TargetAnnounced {
+  membership::TargetAnnouncement What;
+  /// `ip:port` at which it serves.
+  std::string Address;
+};
+/// @brief The target of this host left, or sent no announcement any more.
+struct TargetGone {
+  core::TargetId Id;
+  bool Expired = false;
+};
 
-using NodeEvent = std::variant<Started, Tick, DrainStarted, ControlReceived,
-                               membership::Event, distribution::Event,
-                               lease::Event, directory::Event, request::Event,
-                               rollout::GuardEvent, rollout::ControllerEvent>;
+using NodeEvent =
+    std::variant<Started, Tick, DrainStarted, ControlReceived, TargetAnnounced,
+                 TargetGone, membership::Event, distribution::Event,
+                 lease::Event, directory::Event, request::Event,
+                 rollout::GuardEvent, rollout::ControllerEvent>;
 /// @}
 
 /// @name Effects to be carried out
@@ -94,6 +106,8 @@
 
   std::shared_ptr<const config::FleetState> Fleet;
   std::vector<config::MoveId> LocalRollbacks;
+  /// Address of the own target.
+  std::string TargetAddress;
   /// Slots last told to the coordinator's part.
   std::map<std::pair<core::ServiceName, core::TargetVersion>, std::uint32_t>
       Slots;
--- a/include/filbertvane/io/ProxyEngine.h
+++ b/include/filbertvane/io/ProxyEngine.h
@@ -58,9 +58,6 @@
     std::function<void(const decision::request::Observed &)> OnObserved;
     std::function<void(const decision::request::SuspectReported &)> OnSuspect;
     std::function<void(const observe::LogEvent &)> OnLog;
-    /// A whole answer of at most 64 KiB to a request with a key.
-    std::function<void(const core::IdempotencyKey &, const StoredAnswer &)>
-        OnAnswer;
     std::function<void(const HopRecord &)> OnHop;
   };
 
@@ -76,9 +73,18 @@
   ///        and executes the effects.
   virtual void handle(const decision::request::Event &Happened) = 0;
 
+  /// @brief Executes effects that another event of the node caused.
+  virtual void execute(const decision::request::Effects &All) = 0;
+
   /// @brief Answers a request with a stored answer.
   virtual void answer(core::CallId Id, const StoredAnswer &Kept) = 0;
 
+  /// @brief Asks the owner of a key for its result and answers the request
+  ///        with it; ends with `OwnerReplied`.
+  /// @param PeerAddress `ip:port` of the owner's peer port
+  virtual void askOwner(const decision::request::AnswerFromOwner &What,
+                        const std::string &PeerAddress) = 0;
+
   /// @brief Closes the listening sockets; requests in progress go on.
   virtual void quiesce() = 0;
   /// @brief Requests in progress.
--- a/lib/config/Settings.cpp
+++ b/lib/config/Settings.cpp
@@ -72,12 +72,15 @@
 
   void readAdvertise() {
     const auto Map =
-        Reader.map(Root, "advertise", {"peers", "control"}, Need::Optional);
+        Reader.map(Root, "advertise", {"peers", "control", "other_regions"},
+                   Need::Optional);
     const YamlMap Absent{YAML::Node(YAML::NodeType::Map), "advertise"};
     Out.Advertise.Peers =
         advertised(Map.value_or(Absent), "peers", Out.Listen.Peers);
     Out.Advertise.Control =
         advertised(Map.value_or(Absent), "control", Out.Listen.Control);
+    Out.Advertise.OtherRegions = advertised(
+        Map.value_or(Absent), "other_regions", Out.Advertise.Control);
   }
 
   /// Address for other nodes, by default the one that is listened on.
--- a/lib/decision/Dispatch.cpp
+++ b/lib/decision/Dispatch.cpp
@@ -58,6 +58,19 @@
   follow(request::Event(request::DrainStarted{}));
 }
 
+void Dispatch::operator()(const TargetAnnounced &What) {
+  S.TargetAddress = What.Address;
+  follow(membership::Event(membership::OwnTargetChanged{What.What}));
+}
+
+void Dispatch::operator()(const TargetGone &What) {
+  follow(request::Event(request::TargetLeaving{What.Id}));
+  if (What.Expired)
+    follow(membership::Event(membership::OwnTargetChanged{std::nullopt}));
+  else
+    follow(membership::Event(membership::OwnTargetLeaving{}));
+}
+
 void Dispatch::operator()(const membership::Event &What) {
   auto Effects = applyTo(S.Members, What, Now);
   routeAll(Effects);
@@ -252,6 +265,10 @@
         rollout::SlotsChanged{Key.first, Key.second, Count, 0}));
   }
   S.Slots = std::move(Slots);
+  // The own target is reached without the hop over the peers port.
+  for (request::Endpoint &Each : What.Endpoints)
+    if (Each.Node == S.Own.Node)
+      Each.Address = S.TargetAddress;
   follow(request::Event(request::EndpointsChanged{std::move(What.Endpoints)}));
 }
 
--- a/lib/decision/Dispatch.h
+++ b/lib/decision/Dispatch.h
@@ -23,6 +23,8 @@
   void operator()(const Tick &);
   void operator()(const DrainStarted &);
   void operator()(const ControlReceived &What);
+  void operator()(const TargetAnnounced &What);
+  void operator()(const TargetGone &What);
   void operator()(const membership::Event &What);
   void operator()(const distribution::Event &What);
   void operator()(const lease::Event &What);
--- a/lib/io/proxy/ProxyAttempt.cpp
+++ b/lib/io/proxy/ProxyAttempt.cpp
@@ -1,3 +1,4 @@
+#include "KeptAnswerCodec.h"
 #include "ProxyEngineImpl.h"
 #include <arpa/inet.h>
 #include <poll.h>
@@ -47,6 +48,7 @@
     return;
   }
   Retried = Head.Fields.count(RetriedField) > 0;
+  Crashed = Head.Fields.count(CrashedField) > 0;
   const auto Outcome = headerOf(Head.Fields, OutcomeField);
   if (Outcome == "not-run")
     Marked = request::AttemptEnd::NotRun;
@@ -60,8 +62,8 @@
   Passed = true;
   Of.AnswerStarted = true;
   ResponseHead Out{Status, endToEnd(Head.Fields)};
-  if (Of.Key)
-    Of.Answer = {Status, Out.Fields, {}};
+  if (What.KeepAnswer)
+    Answer = {Status, Out.Fields, {}};
   Out.Fields.emplace(RequestField, Of.RequestId);
   std::optional<std::uint64_t> Length;
   if (const auto Stated = headerOf(Head.Fields, "Content-Length"))
@@ -71,14 +73,17 @@
   if (Of.Exchange != nullptr)
     Of.Exchange->start(Out, Length);
   // Last, because the effects may end this attempt.
-  Owner.handle(request::AnswerStarted{Of.Id, What.Attempt, Status});
+  Owner.handle(
+      request::AnswerStarted{Of.Id, What.Attempt, Status, Length.value_or(0)});
 }
 
 void Attempt::onBody(std::string_view Part) {
-  if (Marked || Of.Exchange == nullptr)
+  if (Marked)
+    return;
+  if (What.KeepAnswer && Answer.Body.size() <= StoredAnswerBytes)
+    Answer.Body.append(Part);
+  if (Of.Exchange == nullptr)
     return;
-  if (Of.Key && Of.Answer.Body.size() <= StoredAnswerBytes)
-    Of.Answer.Body.append(Part);
   const std::size_t Queued = Of.Exchange->write(Part);
   if (Queued > QueueBoundBytes)
     Request->pauseAnswer(true);
@@ -98,6 +103,7 @@
 
 void Attempt::onEnd(ClientEnd End) {
   const request::AttemptEnd How = classify(End);
+  Unreachable = End == ClientEnd::NotSent;
   if (How != request::AttemptEnd::Answered && What.To.Local &&
       End != ClientEnd::Complete)
     Crashed = refusesConnections(What.To.Address);
@@ -112,11 +118,18 @@
     Owner.answered(Of, Status);
   if (How == request::AttemptEnd::BrokenOff)
     Owner.brokenOff(Of, Status);
-  Owner.handle(
-      request::AttemptEnded{Id, What.Attempt, How, Status, Retried, Crashed});
+  Owner.handle(request::AttemptEnded{Id, What.Attempt, How, Status, Retried,
+                                     Crashed, Unreachable, keptAnswer()});
   Owner.releaseIfOver(Id);
 }
 
+std::shared_ptr<const request::KeptAnswer> Attempt::keptAnswer() const {
+  if (!What.KeepAnswer || !Passed || Answer.Body.size() > StoredAnswerBytes)
+    return nullptr;
+  return std::make_shared<const request::KeptAnswer>(
+      request::KeptAnswer{Status, encodeAnswer(Answer)});
+}
+
 std::string attemptIdentity(const Call &Of, core::AttemptId Id) {
   return Of.RequestId + "/" + std::to_string(Id.value());
 }
@@ -135,6 +148,10 @@
   Fields.emplace(PeerKeyField, PeerKey);
   Fields.emplace(ServiceField, What.Service.value());
   Fields.emplace(VersionField, What.To.Version.value());
+  if (!What.To.Target.value().empty())
+    Fields.emplace(TargetField, What.To.Target.value());
+  if (What.Crashes > 0)
+    Fields.emplace(CrashesField, std::to_string(What.Crashes));
   if (Of.Key)
     Fields.emplace(KeyField, Of.Key->value());
   return Fields;
--- a/lib/io/proxy/ProxyCall.h
+++ b/lib/io/proxy/ProxyCall.h
@@ -34,6 +34,8 @@
   std::string RequestId;
   std::optional<core::IdempotencyKey> Key;
   std::optional<std::uint64_t> DeclaredLength;
+  /// Set when a node asks for the kept result of this claim.
+  std::optional<request::ClaimOwner> KeptOwner;
 
   std::string Kept;
   bool BodyWhole = false;
@@ -44,7 +46,6 @@
   std::unique_ptr<Attempt> Current;
   bool AnswerStarted = false;
   bool Over = false;
-  StoredAnswer Answer;
   HopRecord Hop;
 };
 
@@ -72,6 +73,7 @@
   void passHead(const ResponseHead &Head);
   void end(request::AttemptEnd How);
   request::AttemptEnd classify(ClientEnd End) const;
+  std::shared_ptr<const request::KeptAnswer> keptAnswer() const;
 
   Engine &Owner;
   Call &Of;
@@ -79,10 +81,14 @@
   std::unique_ptr<ClientRequest> Request;
   int Status = 0;
   bool Passed = false;
+  /// Collected while `KeepAnswer` is set and the limit is not reached.
+  StoredAnswer Answer;
   /// Outcome marked by the next hop; its answer is not passed on.
   std::optional<request::AttemptEnd> Marked;
   bool Retried = false;
   bool Crashed = false;
+  /// Nothing was sent.
+  bool Unreachable = false;
 };
 
 /// @brief Headers of an attempt's request.
--- a/lib/io/proxy/ProxyEngine.cpp
+++ b/lib/io/proxy/ProxyEngine.cpp
@@ -1,3 +1,4 @@
+#include "KeptAnswerCodec.h"
 #include "ProxyEngineImpl.h"
 #include <fmt/format.h>
 
@@ -35,6 +36,19 @@
     To(What);
 }
 
+std::uint64_t numberOf(const Headers &Fields, const char *Name) {
+  const auto Text = headerOf(Fields, Name);
+  return Text ? parseNumber(*Text).value_or(0) : 0;
+}
+
+core::WallTime wallTimeOf(std::uint64_t Millis) {
+  return core::WallTime(core::Milliseconds(static_cast<std::int64_t>(Millis)));
+}
+
+StoredAnswer decodeStored(const request::KeptAnswer &Kept) {
+  return decodeAnswer(Kept.Bytes).value_or(StoredAnswer{Kept.Status, {}, {}});
+}
+
 std::string refusalText(const core::Error &Reason) {
   return core::toString(Reason) + "\n";
 }
@@ -127,6 +141,11 @@
     return std::nullopt;
   }
   New.RequestId = headerOf(Fields, RequestField).value_or("");
+  if (const auto Owner = headerOf(Fields, KeptOwnerField)) {
+    New.KeptOwner = parseOwner(*Owner);
+    if (!New.KeptOwner)
+      return core::Error{core::ErrorCode::RequestMalformed, KeptOwnerField};
+  }
   const auto Deadline = headerOf(Fields, DeadlineField);
   if (New.RequestId.empty() || (Deadline && !parseNumber(*Deadline)))
     return core::Error{core::ErrorCode::RequestMalformed, "control headers"};
@@ -172,8 +191,21 @@
     arrive(*Of);
 }
 
+void Engine::arriveForResult(const Call &New) {
+  const Headers &Fields = New.Head.Fields;
+  request::KeptResultRequested Event;
+  Event.Id = New.Id;
+  Event.Owner = *New.KeptOwner;
+  Event.Key = New.Key.value_or(core::IdempotencyKey());
+  Event.RequestDigest = core::Digest(numberOf(Fields, KeptDigestField));
+  Event.Deadline = wallTimeOf(numberOf(Fields, DeadlineField));
+  handle(Event);
+}
+
 void Engine::arrive(Call &New) {
   New.Arrived = true;
+  if (New.KeptOwner)
+    return arriveForResult(New);
   const Headers &Fields = New.Head.Fields;
   request::CallArrived Event;
   Event.Id = New.Id;
@@ -187,9 +219,11 @@
                   std::string_view(New.Kept).substr(0, DigestBodyBytes)));
   Event.ContentLength = New.DeclaredLength.value_or(New.Kept.size());
   if (New.FromNode) {
-    if (const auto Limit = headerOf(Fields, DeadlineField))
-      Event.Deadline = core::WallTime(core::Milliseconds(
-          static_cast<std::int64_t>(parseNumber(*Limit).value_or(0))));
+    if (headerOf(Fields, DeadlineField))
+      Event.Deadline = wallTimeOf(numberOf(Fields, DeadlineField));
+    if (const auto Target = headerOf(Fields, TargetField))
+      Event.Target = core::TargetId(*Target);
+    Event.Crashes = static_cast<std::uint32_t>(numberOf(Fields, CrashesField));
     if (const auto Service = headerOf(Fields, ServiceField))
       Event.Service = core::ServiceName(*Service);
     if (const auto Version = headerOf(Fields, VersionField))
@@ -240,9 +274,6 @@
   if (Done.Exchange != nullptr)
     Done.Exchange->finish();
   endHop(Done, Status);
-  if (Done.Key && Others.OnAnswer &&
-      Done.Answer.Body.size() <= StoredAnswerBytes)
-    Others.OnAnswer(*Done.Key, Done.Answer);
 }
 
 void Engine::endHop(Call &Done, int Status) {
@@ -255,7 +286,11 @@
 }
 
 void Engine::handle(const request::Event &Happened) {
-  for (const request::Effect &Do : OnEvent(Happened))
+  execute(OnEvent(Happened));
+}
+
+void Engine::execute(const request::Effects &All) {
+  for (const request::Effect &Do : All)
     execute(Do);
 }
 
@@ -271,6 +306,9 @@
           [this](const request::AnswerFromOwner &E) {
             forward(Others.OnAnswerFromOwner, E);
           },
+          [this](const request::SendKeptAnswer &E) {
+            answer(E.Id, decodeStored(*E.Answer));
+          },
           [this](const request::Observed &E) { forward(Others.OnObserved, E); },
           [this](const request::SuspectReported &E) {
             forward(Others.OnSuspect, E);
@@ -284,9 +322,11 @@
   if (Of == nullptr || Of->Over || Of->Exchange == nullptr)
     return;
   if (Of->Streamed) {
-    const core::Error Reason{core::ErrorCode::RequestTooLarge,
-                             "body cannot be sent a second time"};
-    refuse(*Of, request::Outcome::NotRun, Reason, true);
+    refuse(*Of, {What.Id,
+                 request::Outcome::NotRun,
+                 {core::ErrorCode::RequestTooLarge,
+                  "body cannot be sent a second time"},
+                 true});
     handle(request::CallerGone{What.Id});
     return;
   }
@@ -328,11 +368,10 @@
 void Engine::refuse(const request::Refuse &What) {
   Call *Of = find(What.Id);
   if (Of != nullptr)
-    refuse(*Of, What.Result, What.Reason, What.Retried);
+    refuse(*Of, What);
 }
 
-void Engine::refuse(Call &Of, request::Outcome Result,
-                    const core::Error &Reason, bool Retried) {
+void Engine::refuse(Call &Of, const request::Refuse &What) {
   if (Of.Over || Of.Exchange == nullptr)
     return;
   Of.Over = true;
@@ -341,15 +380,49 @@
     Of.Exchange->abort();
     return;
   }
-  const bool NotRun = Result == request::Outcome::NotRun;
+  const bool NotRun = What.Result == request::Outcome::NotRun;
   Headers Fields = {{OutcomeField, NotRun ? "not-run" : "unknown"},
                     {RequestField, Of.RequestId},
                     {"Content-Type", "text/plain"}};
-  if (Retried)
+  if (What.Retried)
     Fields.emplace(RetriedField, "1");
+  if (What.TargetCrashed)
+    Fields.emplace(CrashedField, "1");
   const int Status = NotRun ? 503 : 504;
   endHop(Of, Status);
-  Of.Exchange->respond(Status, refusalText(Reason), std::move(Fields));
+  Of.Exchange->respond(Status, refusalText(What.Reason), std::move(Fields));
+}
+
+void Engine::askOwner(const request::AnswerFromOwner &What,
+                      const std::string &PeerAddress) {
+  const core::WallTime Deadline = core::toWall(What.Deadline, Loop.now());
+  HttpClient::Request Ask;
+  Ask.Url = "http://" + PeerAddress + "/";
+  Ask.Deadline = What.Deadline;
+  Ask.Fields = {
+      {PeerKeyField, Settings.PeerKey},
+      {RequestField, "kept-" + std::to_string(What.Id.value())},
+      {KeyField, What.Key.value()},
+      {KeptOwnerField, formatOwner(What.Owner)},
+      {KeptDigestField, std::to_string(What.RequestDigest.value())},
+      {DeadlineField, std::to_string(Deadline.time_since_epoch().count())}};
+  Client.fetch(
+      std::move(Ask), "",
+      [this, Id = What.Id](ClientEnd End, int Status, const std::string &Body) {
+        ownerReplied(Id, End, Status, Body);
+      });
+}
+
+/// The owner sends the encoded answer as the body of a 200; anything else
+/// leaves the outcome unknown, since the owner may have run the request.
+void Engine::ownerReplied(core::CallId Id, ClientEnd End, int Status,
+                          const std::string &Body) {
+  const bool Whole = End == ClientEnd::Complete && Status == 200;
+  const auto Stored = Whole ? decodeAnswer(Body) : std::nullopt;
+  if (Stored)
+    answer(Id, *Stored);
+  handle(request::OwnerReplied{Id, Stored ? request::KeptState::Answered
+                                          : request::KeptState::Unknown});
 }
 
 void Engine::answer(core::CallId Id, const StoredAnswer &Kept) {
@@ -357,6 +430,11 @@
   if (Of == nullptr || Of->Over || Of->Exchange == nullptr)
     return;
   Of->Over = true;
+  if (Of->KeptOwner) {
+    Of->Exchange->respond(200, encodeAnswer(Kept),
+                          {{RequestField, Of->RequestId}});
+    return;
+  }
   Headers Fields = endToEnd(Kept.Fields);
   Fields.emplace(RequestField, Of->RequestId);
   endHop(*Of, Kept.Status);
--- a/lib/io/proxy/ProxyEngineImpl.h
+++ b/lib/io/proxy/ProxyEngineImpl.h
@@ -15,7 +15,10 @@
   core::Status open();
 
   void handle(const request::Event &Happened) override;
+  void execute(const request::Effects &All) override;
   void answer(core::CallId Id, const StoredAnswer &Kept) override;
+  void askOwner(const request::AnswerFromOwner &What,
+                const std::string &PeerAddress) override;
   void quiesce() override;
   std::size_t active() const override { return Calls.size(); }
   std::uint16_t callersPort() const override { return Callers->port(); }
@@ -27,7 +30,7 @@
   void takeBodyEnd(core::CallId Id);
   void takeWritable(core::CallId Id);
   void takeClosed(core::CallId Id, bool Whole);
-  /// @brief Keeps the answer of a request with a key, and ends the call.
+  /// @brief Ends the call after its whole answer.
   void answered(Call &Done, int Status);
   /// @brief Breaks the caller's answer off.
   void brokenOff(Call &Done, int Status);
@@ -41,6 +44,7 @@
   std::unique_ptr<ExchangeHandler>
   refuseHead(ServerExchange &Exchange, int Status, const core::Error &Reason);
   void arrive(Call &New);
+  void arriveForResult(const Call &New);
   Call *find(core::CallId Id);
 
   void execute(const request::Effect &Do);
@@ -48,8 +52,9 @@
   void sendBody(Call &Of);
   void cancelAttempt(const request::CancelAttempt &What);
   void refuse(const request::Refuse &What);
-  void refuse(Call &Of, request::Outcome Result, const core::Error &Reason,
-              bool Retried);
+  void refuse(Call &Of, const request::Refuse &What);
+  void ownerReplied(core::CallId Id, ClientEnd End, int Status,
+                    const std::string &Body);
   void endHop(Call &Done, int Status);
 
   EventLoop &Loop;
--- a/lib/io/proxy/ProxyHeaders.h
+++ b/lib/io/proxy/ProxyHeaders.h
@@ -10,6 +10,15 @@
 inline constexpr const char *ServiceField = "Filbertvane-Service";
 inline constexpr const char *VersionField = "Filbertvane-Version";
 inline constexpr const char *KeyField = "Filbertvane-Key";
+/// Target chosen by the entry node.
+inline constexpr const char *TargetField = "Filbertvane-Target";
+/// Crashes of targets ascribed to the request so far.
+inline constexpr const char *CrashesField = "Filbertvane-Crashes";
+/// The target crashed while it ran the request.
+inline constexpr const char *CrashedField = "Filbertvane-Crashed";
+/// Claim whose kept result is asked for, and the digest of its request.
+inline constexpr const char *KeptOwnerField = "Filbertvane-Kept-Owner";
+inline constexpr const char *KeptDigestField = "Filbertvane-Kept-Digest";
 inline constexpr const char *PeerKeyField = "Filbertvane-Peer-Key";
 inline constexpr const char *OutcomeField = "Filbertvane-Outcome";
 inline constexpr const char *RetriedField = "Filbertvane-Retried";
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -72,7 +72,7 @@
             f"  admin: {HOST}:{self.admin}",
         ]
         if self.external_control != self.control:
-            lines.append(f"advertise: {{control: '{HOST}:{self.external_control}'}}")
+            lines.append(f"advertise: {{other_regions: '{HOST}:{self.external_control}'}}")
         lines += [f"log: {{url: 'http://{HOST}:{self.log_port}', retention_s: 600}}", "seeds:"]
         for seed in seeds:
             port = seed.control if seed.region == self.region else seed.external_control
