--- a/programs/filbertvane/Commands.h
+++ b/programs/filbertvane-cli/Commands.h
@@ -1,5 +1,5 @@
-#ifndef FILBERTVANE_PROGRAMS_FILBERTVANE_COMMANDS_H
-#define FILBERTVANE_PROGRAMS_FILBERTVANE_COMMANDS_H
+#ifndef FILBERTVANE_PROGRAMS_FILBERTVANE_CLI_COMMANDS_H
+#define FILBERTVANE_PROGRAMS_FILBERTVANE_CLI_COMMANDS_H
 
 #include "Arguments.h"
 #include "filbertvane/config/Settings.h"
@@ -16,4 +16,4 @@
 
 } // namespace filbertvane::program
 
-#endif // FILBERTVANE_PROGRAMS_FILBERTVANE_COMMANDS_H
+#endif // FILBERTVANE_PROGRAMS_FILBERTVANE_CLI_COMMANDS_H
