--- /dev/null
+++ b/tests/decision/DistributionTest.cpp
@@ -0,0 +1,230 @@
+#include "filbertvane/decision/distribution/Distribution.h"
+#include "scenario/FakeFold.h"
+#include <algorithm>
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+using namespace filbertvane;
+using namespace filbertvane::decision;
+using namespace filbertvane::decision::distribution;
+using scenario::FakeFold;
+
+namespace {
+
+core::Instant at(std::int64_t Millis) {
+  return {core::TimePoint(core::Milliseconds(Millis)), {}};
+}
+
+const Peer Feeder{core::NodeId("a"), "a"};
+
+/// The log of a run, with the position after each of its records.
+struct Truth {
+  std::vector<StoredRecord> Records;
+  std::vector<config::FleetState> States{config::FleetState()};
+
+  explicit Truth(std::size_t Count) {
+    for (std::size_t I = 0; I < Count; ++I) {
+      Records.push_back({core::LogOffset(I), scenario::sheetRecord(I + 1, I)});
+      States.push_back(FakeFold::apply(States.back(), core::LogOffset(I),
+                                       Records.back().Bytes)
+                           .State);
+    }
+  }
+  Position position(std::size_t Next, bool Ready = true) const {
+    return {core::LogOffset(Next), FakeFold::digestOf(States[Next]),
+            States[Next].Version, Ready};
+  }
+  RecordBatch batch(std::size_t First, std::size_t End) const {
+    return {core::LogOffset(First),
+            {Records.begin() + static_cast<std::ptrdiff_t>(First),
+             Records.begin() + static_cast<std::ptrdiff_t>(End)},
+            position(End)};
+  }
+  Snapshot snapshot(std::size_t Next) const {
+    return {position(Next), FakeFold::encode(States[Next])};
+  }
+};
+
+struct Bench {
+  State S = initial({{core::NodeId("self"), "self"},
+                     core::DataCentreId("d"),
+                     core::RegionId("r"),
+                     {"outside"},
+                     foldOf<FakeFold>()},
+                    1);
+  Effects Out;
+
+  Bench() { step(Started{}, 0); }
+  void step(const Event &What, std::int64_t Millis) {
+    auto Next = reduce(std::move(S), What, at(Millis));
+    S = std::move(Next.Next);
+    Out = std::move(Next.Out);
+  }
+  void receive(const RecordBatch &Batch, std::int64_t Millis) {
+    step(RecordsReceived{Feeder, Batch}, Millis);
+  }
+  template <typename E> std::vector<E> effects() const {
+    std::vector<E> Found;
+    for (const Effect &One : Out)
+      if (const auto *Of = std::get_if<E>(&One))
+        Found.push_back(*Of);
+    return Found;
+  }
+  bool logged(observe::EventId Id) const {
+    const auto All = effects<observe::LogEvent>();
+    return std::any_of(All.begin(), All.end(),
+                       [Id](const auto &One) { return One.Id == Id; });
+  }
+  std::uint64_t next() const { return S.At.Next.value(); }
+};
+
+} // namespace
+
+// Guards against a state that follows from damaged records.
+Test(distribution, a_digest_mismatch_adopts_nothing_and_asks_for_a_snapshot) {
+  const Truth T(4);
+  Bench B;
+  RecordBatch Damaged = T.batch(0, 3);
+  Damaged.Records[1].Bytes = scenario::sheetRecord(2, 7);
+  B.receive(Damaged, 1);
+  cr_assert(B.next() == 0);
+  cr_assert(B.logged(observe::EventId::DistributionDigestMismatch));
+  B.step(Tick{}, 50);
+  const auto Asked = B.effects<RequestRecords>();
+  cr_assert(Asked.size() == 1 && Asked[0].What.WantsSnapshot);
+  B.step(SnapshotReceived{Feeder, T.snapshot(3)}, 60);
+  cr_assert(B.next() == 3);
+}
+
+// Guards against a lower or damaged snapshot that replaces a state.
+Test(distribution, a_lower_or_damaged_snapshot_is_refused) {
+  const Truth T(5);
+  Bench B;
+  B.receive(T.batch(0, 4), 1);
+  B.step(SnapshotReceived{Feeder, T.snapshot(3)}, 2);
+  cr_assert(B.next() == 4);
+  cr_assert(B.logged(observe::EventId::DistributionLowerRefused));
+  Snapshot Lower = T.snapshot(5);
+  config::FleetState State = T.States[5];
+  State.Version = core::ConfigVersion(1);
+  Lower.State = FakeFold::encode(State);
+  Lower.At.StateDigest = FakeFold::digestOf(State);
+  B.step(SnapshotReceived{Feeder, Lower}, 3);
+  cr_assert(B.S.At == T.position(4, false), "a lower version was adopted");
+  Snapshot Damaged = T.snapshot(5);
+  Damaged.State += " x 1";
+  B.step(SnapshotReceived{Feeder, Damaged}, 4);
+  cr_assert(B.logged(observe::EventId::DistributionSnapshotInvalid));
+  cr_assert(B.next() == 4);
+}
+
+// Guards against a gap that is never filled and a buffer that grows.
+Test(distribution, a_gap_is_requested_and_buffered_records_are_bounded) {
+  const Truth T(200);
+  Bench B;
+  for (std::size_t I = 199; I > 0; --I)
+    B.receive(T.batch(I, I + 1), 1);
+  cr_assert(B.next() == 0 && B.S.Buffered.size() == MaxBuffered);
+  B.step(Tick{}, 50);
+  const auto Asked = B.effects<RequestRecords>();
+  cr_assert(Asked.size() == 1 && Asked[0].What.First == core::LogOffset(0));
+  B.receive(T.batch(0, 136), 60);
+  cr_assert(B.next() == 200);
+  cr_assert(B.S.Buffered.empty() && B.S.BufferedBytes == 0);
+}
+
+// Guards against transfers that fill a host's link after a mass restart.
+Test(distribution, snapshot_transfers_are_bounded) {
+  const Truth T(3);
+  Bench B;
+  B.step(SnapshotReceived{Feeder, T.snapshot(3)}, 1);
+  std::size_t Sent = 0;
+  for (int I = 0; I < 20; ++I) {
+    B.step(RecordsRequested{Feeder, {core::LogOffset(0), false}}, 2);
+    Sent += B.effects<SendSnapshot>().size();
+  }
+  cr_assert(Sent == MaxTransfers, "%zu at a time", Sent);
+  B.step(Tick{}, 200);
+  B.step(RecordsRequested{Feeder, {core::LogOffset(0), false}}, 200);
+  cr_assert(B.effects<SendSnapshot>().size() == 1);
+}
+
+// Guards against a process that serves a lower version after a restart because
+// the one holder was lost before its state arrived.
+Test(distribution, a_lost_holder_proves_nothing) {
+  const Truth T(5);
+  Bench B;
+  B.step(PositionHeard{Feeder, T.position(5)}, 10);
+  for (std::int64_t Millis = 50; Millis < 20000; Millis += 50)
+    B.step(Tick{}, Millis);
+  cr_assert(!B.S.Ready, "ready without a holder and without the log");
+  B.receive(T.batch(0, 5), 20000);
+  B.step(Tick{}, 20400);
+  cr_assert(!B.S.Ready, "ready before the peers had time to report");
+  B.step(Tick{}, 20600);
+  cr_assert(B.S.Ready);
+}
+
+// Guards against readiness on the word of nodes that are not ready themselves.
+Test(distribution, peers_that_are_not_ready_prove_nothing) {
+  const Truth T(5);
+  Bench B;
+  RecordBatch Batch = T.batch(0, 5);
+  Batch.After.Ready = false;
+  B.receive(Batch, 1);
+  for (std::int64_t Millis = 50; Millis < 3000; Millis += 50)
+    B.step(Tick{}, Millis);
+  cr_assert(B.next() == 5 && !B.S.Ready);
+}
+
+// Guards against the whole configuration in each snapshot record on each link,
+// and against a shorter record with another effect.
+Test(distribution, a_snapshot_record_travels_without_its_state) {
+  const Truth T(2);
+  const std::string Whole = scenario::snapshotRecord(1, T.States[2]);
+  const auto After = FakeFold::apply(T.States[2], core::LogOffset(2), Whole);
+  Bench B;
+  B.receive(T.batch(0, 2), 1);
+  B.receive({core::LogOffset(2),
+             {{core::LogOffset(2), Whole}},
+             {core::LogOffset(3), FakeFold::digestOf(After.State),
+              After.State.Version, true}},
+            2);
+  B.step(RecordsRequested{Feeder, {core::LogOffset(2), false}}, 3);
+  const auto Sent = B.effects<SendRecords>();
+  cr_assert(Sent.size() == 1 && Sent[0].Batch.Records.size() == 1);
+  cr_assert(Sent[0].Batch.Records[0].Bytes.size() < 30 && Whole.size() > 2000);
+  Bench Other;
+  Other.receive(T.batch(0, 2), 1);
+  Other.receive(Sent[0].Batch, 2);
+  cr_assert(Other.S.At == B.S.At);
+}
+
+// Guards against an order of arrival in which a version falls, a part of a
+// batch is applied, or two readers differ.
+Test(distribution, any_arrival_order_gives_the_same_rising_states) {
+  const Truth T(30);
+  const bool Held = rc::check([&T] {
+    Bench B;
+    const auto Cuts = *rc::gen::container<std::vector<std::pair<int, int>>>(
+        rc::gen::pair(rc::gen::inRange(0, 31), rc::gen::inRange(0, 31)));
+    core::ConfigVersion Highest;
+    for (const auto &[A, C] : Cuts) {
+      const auto [First, End] = std::minmax(A, C);
+      const int Kind = *rc::gen::inRange(0, 8);
+      if (Kind == 0)
+        B.step(SnapshotReceived{Feeder, T.snapshot(End)}, 1);
+      else if (Kind == 1)
+        B.step(PositionHeard{Feeder, T.position(End)}, 1);
+      else
+        B.receive(T.batch(First, End), 1);
+      RC_ASSERT(B.S.At.Version >= Highest);
+      Highest = B.S.At.Version;
+      RC_ASSERT(B.S.At == T.position(B.next(), false));
+      RC_ASSERT(*B.S.Held == T.States[B.next()]);
+    }
+    B.receive(T.batch(B.next(), 30), 2);
+    RC_ASSERT(B.next() == 30U);
+  });
+  cr_assert(Held);
+}
--- /dev/null
+++ b/tests/decision/MembershipTest.cpp
@@ -0,0 +1,171 @@
+#include "filbertvane/decision/membership/Membership.h"
+#include "filbertvane/decision/membership/Ranking.h"
+#include <algorithm>
+#include <criterion/criterion.h>
+#include <fmt/format.h>
+#include <map>
+
+using namespace filbertvane;
+using namespace filbertvane::decision;
+using namespace filbertvane::decision::membership;
+
+namespace {
+
+core::Instant at(std::int64_t Millis) {
+  return {core::TimePoint(core::Milliseconds(Millis)), {}};
+}
+
+Member member(const std::string &Name, std::uint64_t Number = 1024) {
+  Member M;
+  M.Node = core::NodeId(Name);
+  M.Number = core::Incarnation(Number);
+  M.ControlAddress = Name + ":c";
+  M.Ready = true;
+  return M;
+}
+
+struct Bench {
+  State S = initial(
+      {core::NodeId("self"), core::DataCentreId("d"), "self:c", "self:p", {}},
+      core::Incarnation(1024), 1);
+  Effects Out;
+
+  Bench() { step(Started{}, 0); }
+  void step(const Event &What, std::int64_t Millis) {
+    auto Next = reduce(std::move(S), What, at(Millis));
+    S = std::move(Next.Next);
+    Out = std::move(Next.Out);
+  }
+  void hear(Message What, std::int64_t Millis, const char *From = "a") {
+    step(MessageReceived{{core::NodeId(From), std::string(From) + ":c"},
+                         std::move(What)},
+         Millis);
+  }
+  template <typename E> std::size_t count() const {
+    return std::count_if(Out.begin(), Out.end(), [](const Effect &One) {
+      return std::holds_alternative<E>(One);
+    });
+  }
+  const Member &known(const char *Name) {
+    return S.Others.at(core::NodeId(Name)).Known;
+  }
+};
+
+} // namespace
+
+// Guards against old news that replace newer ones.
+Test(membership, the_newest_incarnation_revision_and_status_wins) {
+  Bench B;
+  Member A = member("a", 2048);
+  A.Revision = 5;
+  B.hear(Leave{A}, 1);
+  Member Old = A;
+  Old.Revision = 4;
+  Old.Status = MemberStatus::Failed;
+  B.hear(Leave{Old}, 2);
+  Member Former = A;
+  Former.Number = core::Incarnation(1024);
+  Former.Revision = 9;
+  Former.Status = MemberStatus::Left;
+  B.hear(Leave{Former}, 3);
+  cr_assert(B.known("a") == A);
+  Member Suspected = A;
+  Suspected.Status = MemberStatus::Suspect;
+  B.hear(Leave{Suspected}, 4);
+  B.hear(Leave{A}, 5);
+  cr_assert(B.known("a").Status == MemberStatus::Suspect);
+}
+
+// Guards against a live node that accepts to be failed.
+Test(membership, an_own_failure_is_refuted_by_a_higher_incarnation) {
+  Bench B;
+  Member Self = B.S.Self;
+  Self.Status = MemberStatus::Failed;
+  B.hear(Probe{1, {}, {Self}}, 1);
+  cr_assert(B.S.Self.Number == core::Incarnation(1025));
+  cr_assert(sameProcess(B.S.Self.Number, Self.Number));
+  const auto *Ack = std::get_if<SendMessage>(&B.Out[2]);
+  cr_assert(Ack && std::get<ProbeAck>(Ack->What).Updates.front() == B.S.Self);
+}
+
+// Guards against a host whose clock went back and whose news are ignored.
+Test(membership, a_replaced_host_rises_above_its_former_process) {
+  Bench B;
+  Member Former = B.S.Self;
+  Former.Number = core::Incarnation(5000 << RefutationBits);
+  B.hear(Probe{1, {}, {Former}}, 1);
+  cr_assert(B.S.Self.Number > Former.Number);
+  cr_assert(!sameProcess(B.S.Self.Number, Former.Number));
+}
+
+// Guards against requests that wait for a process that is gone.
+Test(membership, a_new_process_or_node_at_an_address_ends_the_former) {
+  Bench B;
+  B.hear(Leave{member("a", 1 << RefutationBits)}, 1);
+  B.hear(Leave{member("a", 2 << RefutationBits)}, 2);
+  cr_assert(B.count<MemberFailed>() == 1);
+  Member Other = member("b", 3 << RefutationBits);
+  Other.ControlAddress = "a:c";
+  B.hear(Leave{Other}, 3);
+  cr_assert(B.count<MemberFailed>() == 1);
+  cr_assert(B.known("a").Status == MemberStatus::Failed);
+}
+
+// Guards against messages and member lists that grow without a bound.
+Test(membership, updates_and_members_are_bounded) {
+  Bench B;
+  std::map<core::NodeId, std::size_t> Sent;
+  for (int I = 0; I < 1500; ++I)
+    B.hear(Leave{member(fmt::format("m{}", I))}, 1);
+  cr_assert(B.S.Others.size() + 1 == MaxMembers);
+  cr_assert(B.S.FullReported);
+  std::size_t Empty = 0;
+  for (int I = 0; I < 8000 && Empty == 0; ++I) {
+    B.hear(Probe{1, {}, {}}, 2);
+    const auto &Ack =
+        std::get<ProbeAck>(std::get<SendMessage>(B.Out.back()).What);
+    cr_assert(Ack.Updates.size() <= UpdatesPerMessage);
+    Empty += Ack.Updates.empty();
+    for (const Member &One : Ack.Updates)
+      ++Sent[One.Node];
+  }
+  cr_assert(Empty == 1, "updates never end");
+  for (const auto &[Node, Times] : Sent)
+    cr_assert(Times <= UpdateRepeats * 11, "%zu", Times);
+}
+
+// Guards against members that look failed because this process was paused.
+Test(membership, a_pause_accuses_nobody) {
+  Bench B;
+  B.hear(Leave{member("a")}, 1);
+  for (std::int64_t Millis = 50; Millis <= 1000; Millis += 50)
+    B.step(Tick{}, Millis);
+  cr_assert(B.S.Probing.has_value());
+  B.step(Tick{}, 9000);
+  cr_assert(B.known("a").Status == MemberStatus::Alive);
+  cr_assert(!B.S.Probing.has_value());
+}
+
+// Guards against a relay or claim keeper that moves without a cause, and
+// against a tree that misses a node.
+Test(ranking, a_loss_moves_only_its_own_keys_and_the_tree_reaches_all) {
+  std::vector<core::NodeId> Nodes;
+  for (int I = 0; I < 100; ++I)
+    Nodes.emplace_back(fmt::format("n{}", I));
+  std::vector<core::NodeId> Fewer(Nodes.begin() + 1, Nodes.end());
+  std::size_t Moved = 0;
+  for (std::uint32_t P = 0; P < 256; ++P) {
+    const auto Before = winner(claimPartitionKey(P), Nodes);
+    const auto After = winner(claimPartitionKey(P), Fewer);
+    cr_assert(Before == After || *Before == Nodes[0]);
+    cr_assert(Before == ranked(claimPartitionKey(P), Nodes).front());
+    Moved += Before != After;
+  }
+  cr_assert(Moved < 20, "%zu of 256 partitions at one of 100 nodes", Moved);
+  std::vector<std::size_t> Fed(100, 0);
+  for (std::size_t Rank = 0; Rank < 100; ++Rank)
+    for (const std::size_t Child : childRanks(Rank, 100))
+      ++Fed[Child];
+  cr_assert(Fed[0] == 0);
+  cr_assert(std::count(Fed.begin(), Fed.end(), 1U) == 99);
+}
