Count crashes of one request once in the fleet; warm up at a small share

A request that crashes any target and is sent again through several nodes was counted at each of them. Reports now list crashes by request digest, so that leads and the coordinator drop repetitions. A new version gets 0.5% during its warm-up, and the warm-up begins with the share instead of the first answer at each node.

--- a/include/filbertvane/decision/rollout/Evidence.h
+++ b/include/filbertvane/decision/rollout/Evidence.h
@@ -14,8 +14,8 @@
 /// Period after which a node or lead sends its evidence while a move is active.
 inline constexpr core::Milliseconds EvidencePeriod{250};
 
-/// Latencies of a version do not count for this long after a node first saw an
-/// answer of it: caches and connection pools of a cold target are still empty.
+/// Latencies of a new version do not count for this long after it got its first
+/// share: caches and connection pools of cold targets are still empty.
 inline constexpr core::Seconds WarmUp{10};
 
 /// Time after completion during which a move is still watched.
@@ -28,6 +28,21 @@
 /// Counts of one move per route.
 using MoveCounts = std::map<core::RouteName, RouteCounts>;
 
+/// @brief A request whose target crashed, on one route.
+///
+/// Such requests are listed instead of counted, so that a request that crashes
+/// any target and is sent again through other nodes counts once.
+struct Crash {
+  core::Digest Request;
+  /// The target had the new version.
+  bool OfNew = false;
+
+  friend auto operator<=>(const Crash &, const Crash &) = default;
+};
+
+/// Newest crashes per route, newest last.
+using MoveCrashes = std::map<core::RouteName, std::vector<Crash>>;
+
 /// @brief Cumulative counts of one sender since it started.
 struct Evidence {
   core::NodeId Sender;
@@ -35,10 +50,32 @@
   /// Rises with each report of an incarnation.
   std::uint64_t Revision = 0;
   std::map<config::MoveId, MoveCounts> Moves;
+  /// At most MaxCrashes per route.
+  std::map<config::MoveId, MoveCrashes> Crashes;
 
   friend auto operator<=>(const Evidence &, const Evidence &) = default;
 };
 
+/// Crashes per route that a report lists.
+inline constexpr std::size_t MaxCrashes = 32;
+
+/// @brief Recently seen crashing requests, bounded.
+class CrashMemory {
+public:
+  /// @brief Whether a request was not seen before; remembers it.
+  bool isNew(core::Digest Request);
+
+  friend auto operator<=>(const CrashMemory &, const CrashMemory &) = default;
+
+private:
+  static constexpr std::size_t Limit = 256;
+  std::deque<core::Digest> Seen;
+};
+
+/// @brief Lists a crash in a report.
+void list(Evidence &Report, const config::MoveId &Move,
+          const core::RouteName &Route, const Crash &Added);
+
 /// @brief Whether answers still count for a move.
 bool watched(const config::MoveStatus &Move, core::WallTime Now);
 
@@ -50,8 +87,13 @@
     config::MoveId Move;
     core::RouteName Route;
     RouteCounts Added;
+    /// Set when the target crashed; it is part of `Added` too.
+    std::optional<Crash> Crashed;
   };
 
+  /// @brief Notes which moves have a share now, for the warm-up.
+  void noteShares(const config::FleetState &Fleet, core::TimePoint Now);
+
   /// @brief Counts an answer.
   ///
   /// Answers from another data centre are left out, and so are repeated crashes
@@ -64,11 +106,7 @@
   friend auto operator<=>(const NodeCounter &, const NodeCounter &) = default;
 
 private:
-  bool isRepeatedCrash(const request::Observed &Answer);
-
-  static constexpr std::size_t MaxCrashes = 64;
-  /// Requests whose target crashed, newest last.
-  std::deque<core::Digest> Crashes;
+  CrashMemory Crashes;
   /// Time from which the latencies of a move's new version count.
   std::map<config::MoveId, core::TimePoint> WarmFrom;
 };
@@ -85,8 +123,10 @@
 
   /// @brief What a report added.
   struct Merged {
-    /// Counts since the last report of the same incarnation.
+    /// Counts since the last report of the same incarnation, and crashes of
+    /// requests that no sender has reported yet.
     std::map<config::MoveId, MoveCounts> Added;
+    std::map<config::MoveId, MoveCrashes> Crashes;
     /// False when the report was dropped at the limit.
     bool Kept = true;
   };
@@ -113,6 +153,9 @@
     friend auto operator<=>(const Known &, const Known &) = default;
   };
   bool knowsSender(const core::NodeId &Sender) const;
+  void mergeCrashes(const Evidence &Report, Merged &Result);
+
+  CrashMemory Crashes;
 
   std::map<std::pair<core::NodeId, core::Incarnation>, Known> Of;
 };
--- a/include/filbertvane/decision/rollout/Schedule.h
+++ b/include/filbertvane/decision/rollout/Schedule.h
@@ -9,13 +9,17 @@
 /// @name Constants of the schedule
 /// @{
 
+/// Share during the warm-up. Latency is not judged then, so that a slow version
+/// must not reach many callers; 5 of 1000 requests still warm the targets.
+inline constexpr config::Permille WarmUpShare = 5;
+
 /// Share until the evidence is in. Below the 5% that a bad version may get, so
 /// that requests in flight at the end of a short move do not exceed it.
 inline constexpr config::Permille CanaryShare = 40;
 
-/// Shares after the canary.
-inline constexpr std::array<config::Permille, 6> Ladder{CanaryShare, 100, 250,
-                                                        500,         750, 950};
+/// Shares on the way to the full one.
+inline constexpr std::array<config::Permille, 7> Ladder{
+    WarmUpShare, CanaryShare, 100, 250, 500, 750, 950};
 
 /// Highest share that plain evidence alone allows. Above it the old version
 /// answers too little to tell a shared fault from a fault of the new version,
--- a/lib/decision/rollout/Evidence.cpp
+++ b/lib/decision/rollout/Evidence.cpp
@@ -31,43 +31,59 @@
 
 } // namespace
 
-bool NodeCounter::isRepeatedCrash(const request::Observed &Answer) {
-  if (!Answer.TargetCrashed || Answer.RequestDigest == core::Digest())
+bool CrashMemory::isNew(core::Digest Request) {
+  if (std::find(Seen.begin(), Seen.end(), Request) != Seen.end())
     return false;
-  if (std::find(Crashes.begin(), Crashes.end(), Answer.RequestDigest) !=
-      Crashes.end())
-    return true;
-  Crashes.push_back(Answer.RequestDigest);
+  Seen.push_back(Request);
+  if (Seen.size() > Limit)
+    Seen.pop_front();
+  return true;
+}
+
+void list(Evidence &Report, const config::MoveId &Move,
+          const core::RouteName &Route, const Crash &Added) {
+  std::vector<Crash> &Crashes = Report.Crashes[Move][Route];
+  Crashes.push_back(Added);
   if (Crashes.size() > MaxCrashes)
-    Crashes.pop_front();
-  return false;
+    Crashes.erase(Crashes.begin());
+}
+
+void NodeCounter::noteShares(const config::FleetState &Fleet,
+                             core::TimePoint Now) {
+  std::erase_if(WarmFrom, [&](const auto &Entry) {
+    return std::none_of(Fleet.Moves.begin(), Fleet.Moves.end(),
+                        [&](const auto &M) { return M.Id == Entry.first; });
+  });
+  for (const config::MoveStatus &Move : Fleet.Moves)
+    if (Move.Share > 0)
+      WarmFrom.try_emplace(Move.Id, Now + WarmUp);
 }
 
 std::optional<NodeCounter::Counted>
 NodeCounter::record(const request::Observed &Answer,
                     const config::FleetState &Fleet, core::Instant Now) {
   const config::MoveStatus *Move = moveOf(Answer, Fleet, Now.Wall);
-  if (Move == nullptr || Answer.Remote || isRepeatedCrash(Answer))
+  if (Move == nullptr || Answer.Remote)
     return std::nullopt;
-  VersionCounts One;
-  One.Answers = 1;
-  One.Faults = Answer.Fault ? 1 : 0;
   const bool IsNew = Answer.Version == Move->Order.To;
-  const std::size_t Bucket = LatencyHistogram::bucketOf(Answer.Latency);
-  if (!IsNew) {
-    One.Latency.Count[Bucket] = Answer.Fault ? 0 : 1;
-    return Counted{Move->Id, Answer.Route, {{}, One}};
-  }
-  std::erase_if(WarmFrom, [&](const auto &Entry) {
-    return std::none_of(Fleet.Moves.begin(), Fleet.Moves.end(),
-                        [&](const auto &M) { return M.Id == Entry.first; });
-  });
-  const auto Warm = WarmFrom.try_emplace(Move->Id, Now.Mono + WarmUp).first;
+  const bool IsCrash =
+      Answer.TargetCrashed && Answer.RequestDigest != core::Digest();
+  if (IsCrash && !Crashes.isNew(Answer.RequestDigest))
+    return std::nullopt;
+  Counted Result{Move->Id, Answer.Route, {}, std::nullopt};
+  if (IsCrash)
+    Result.Crashed = Crash{Answer.RequestDigest, IsNew};
+  VersionCounts &Side = IsNew ? Result.Added.New : Result.Added.Old;
+  Side.Answers = 1;
+  Side.Faults = Answer.Fault ? 1 : 0;
+  const auto Warm = WarmFrom.find(Move->Id);
+  const bool IsWarm =
+      !IsNew || (Warm != WarmFrom.end() && Now.Mono >= Warm->second);
   // A fault says nothing about latency: a refused request ends at once, a
   // timed-out one is counted as a fault already.
-  if (!Answer.Fault && Now.Mono >= Warm->second)
-    One.Latency.Count[Bucket] = 1;
-  return Counted{Move->Id, Answer.Route, {One, {}}};
+  if (!Answer.Fault && IsWarm)
+    Side.Latency.Count[LatencyHistogram::bucketOf(Answer.Latency)] = 1;
+  return Result;
 }
 
 bool EvidenceTable::knowsSender(const core::NodeId &Sender) const {
@@ -85,22 +101,38 @@
   if (Found != Of.end() && Report.Revision <= Found->second.Revision)
     return Result;
   if (Found == Of.end() && Of.size() >= MaxSenders)
-    return {{}, false};
+    return Merged{{}, {}, false};
   if (Found == Of.end())
     Found = Of.emplace(Key, Known()).first;
   Found->second.Revision = Report.Revision;
+  if (!Unknown)
+    mergeCrashes(Report, Result);
   for (const auto &[Move, Routes] : Report.Moves) {
     MoveCounts &Before = Found->second.Moves[Move];
     for (const auto &[Route, Counts] : Routes) {
       const RouteCounts Added = since(Before[Route], Counts);
       Before[Route] += Added;
       if (Added != RouteCounts() && !(Unknown && Inherited.contains(Move)))
-        Result.Added[Move][Route] = Added;
+        Result.Added[Move][Route] += Added;
     }
   }
   return Result;
 }
 
+void EvidenceTable::mergeCrashes(const Evidence &Report, Merged &Result) {
+  for (const auto &[Move, Routes] : Report.Crashes)
+    for (const auto &[Route, Listed] : Routes)
+      for (const Crash &Each : Listed) {
+        if (!Crashes.isNew(Each.Request))
+          continue;
+        RouteCounts &Added = Result.Added[Move][Route];
+        VersionCounts &Side = Each.OfNew ? Added.New : Added.Old;
+        ++Side.Answers;
+        ++Side.Faults;
+        Result.Crashes[Move][Route].push_back(Each);
+      }
+}
+
 MoveCounts EvidenceTable::total(const config::MoveId &Move) const {
   MoveCounts Sum;
   for (const auto &[Sender, Known] : Of)
--- a/lib/decision/rollout/LocalGuard.cpp
+++ b/lib/decision/rollout/LocalGuard.cpp
@@ -29,6 +29,9 @@
   void spread(const Overlay &Value);
   void startStages(const config::FleetState &Next);
   void forgetUnwatched();
+  void pool(const config::MoveId &Move, const core::RouteName &Route,
+            const RouteCounts &Counts,
+            const std::map<config::MoveId, MoveCrashes> &Crashes);
   void reportEvidence();
   void repeatOverlays();
 
@@ -40,6 +43,7 @@
 void Guard::on(const FleetChanged &Event) {
   startStages(*Event.State);
   S.Fleet = Event.State;
+  S.Counter.noteShares(*S.Fleet, Now.Mono);
   for (const Overlay &Ended : S.Overlays.prune(*S.Fleet)) {
     Out.push_back(
         observe::LogEvent{EventId::MoveOverlayEnded, toString(Ended.Move)});
@@ -75,6 +79,8 @@
   };
   std::erase_if(S.Own.Moves, Forget);
   std::erase_if(S.Pooled.Moves, Forget);
+  std::erase_if(S.Own.Crashes, Forget);
+  std::erase_if(S.Pooled.Crashes, Forget);
   S.Members.retain(Watched);
   for (MoveWindows *Windows : {&S.OwnWindows, &S.PooledWindows})
     for (const config::MoveId &Move : Windows->moves())
@@ -134,7 +140,10 @@
         observe::LogEvent{EventId::MoveEvidenceLimit, Counted->Route.value()});
     return;
   }
-  S.Own.Moves[Counted->Move][Counted->Route] += Counted->Added;
+  if (Counted->Crashed)
+    list(S.Own, Counted->Move, Counted->Route, *Counted->Crashed);
+  else
+    S.Own.Moves[Counted->Move][Counted->Route] += Counted->Added;
   S.OwnChanged = true;
   if (Counted->Added.New.Answers > 0)
     decide(Counted->Move, Counted->Route,
@@ -149,18 +158,31 @@
   if (!Merged.Kept)
     Out.push_back(observe::LogEvent{EventId::MoveEvidenceLimit,
                                     Event.Report.Sender.value()});
-  const auto Watched = watchedMoves(*S.Fleet, Now.Wall);
-  for (const auto &[Move, Routes] : Merged.Added) {
-    if (!Watched.contains(Move))
-      continue;
-    for (const auto &[Route, Counts] : Routes) {
-      if (!S.PooledWindows.add(Move, Route, Counts))
-        continue;
-      S.Pooled.Moves[Move][Route] += Counts;
-      S.PooledChanged = true;
-      decide(Move, Route, S.PooledWindows.evaluate(Move, Route));
-    }
-  }
+  for (const auto &[Move, Routes] : Merged.Added)
+    for (const auto &[Route, Counts] : Routes)
+      pool(Move, Route, Counts, Merged.Crashes);
+}
+
+void Guard::pool(const config::MoveId &Move, const core::RouteName &Route,
+                 const RouteCounts &Counts,
+                 const std::map<config::MoveId, MoveCrashes> &Crashes) {
+  const config::MoveStatus *Status = findMove(*S.Fleet, Move);
+  if (Status == nullptr || !watched(*Status, Now.Wall) ||
+      !S.PooledWindows.add(Move, Route, Counts))
+    return;
+  RouteCounts Summed = Counts;
+  if (const auto Of = Crashes.find(Move); Of != Crashes.end())
+    if (const auto On = Of->second.find(Route); On != Of->second.end())
+      for (const Crash &Each : On->second) {
+        // Listed, not summed, so that the coordinator drops repetitions too.
+        VersionCounts &Side = Each.OfNew ? Summed.New : Summed.Old;
+        --Side.Answers;
+        --Side.Faults;
+        list(S.Pooled, Move, Route, Each);
+      }
+  S.Pooled.Moves[Move][Route] += Summed;
+  S.PooledChanged = true;
+  decide(Move, Route, S.PooledWindows.evaluate(Move, Route));
 }
 
 void Guard::on(const OverlayReceived &Event) {
--- a/lib/decision/rollout/MoveDriver.cpp
+++ b/lib/decision/rollout/MoveDriver.cpp
@@ -56,7 +56,8 @@
     S.Windows.startStage(Move.Id);
   Watch.Share = Move.Share;
   Watch.AtStep = S.Table.total(Move.Id);
-  Watch.EarliestStep = Now.Wall + MinStepTime;
+  Watch.EarliestStep =
+      Now.Wall + (Move.Share == WarmUpShare ? WarmUp : MinStepTime);
   if (!Watch.RetrialAt)
     return;
   Watch.RetrialAt.reset();
--- a/tools/fv-moves/Run.cpp
+++ b/tools/fv-moves/Run.cpp
@@ -37,7 +37,9 @@
   bool add(const request::Observed &Answer, config::Permille Share,
            core::Milliseconds Now) {
     setShare(Share);
-    VersionOf(Answer.Version.value() == "2", Answer, Now);
+    if (Share > 0 && !FirstShare)
+      FirstShare = Now;
+    count(Answer.Version.value() == "2", Answer, Now);
     const auto Found = Windows.evaluate();
     config::MoveStatus Status;
     Status.Share = Share;
@@ -52,15 +54,14 @@
       Windows.startStage();
     Stage = Share;
   }
-  void VersionOf(bool IsNew, const request::Observed &Answer,
-                 core::Milliseconds Now) {
+  void count(bool IsNew, const request::Observed &Answer,
+             core::Milliseconds Now) {
     rollout::RouteCounts Added;
     auto &Side = IsNew ? Added.New : Added.Old;
-    if (IsNew && !FirstNew)
-      FirstNew = Now;
     Side.Answers = 1;
     Side.Faults = Answer.Fault ? 1 : 0;
-    const bool IsWarm = !IsNew || Now >= *FirstNew + rollout::WarmUp;
+    const bool IsWarm =
+        !IsNew || (FirstShare && Now >= *FirstShare + rollout::WarmUp);
     if (!Answer.Fault && IsWarm)
       Side.Latency.Count[rollout::LatencyHistogram::bucketOf(Answer.Latency)] =
           1;
@@ -69,7 +70,7 @@
 
   rollout::RouteWindows Windows;
   config::Permille Stage = 0;
-  std::optional<core::Milliseconds> FirstNew;
+  std::optional<core::Milliseconds> FirstShare;
 };
 
 class Engine {
--- a/tools/fv-moves/Scenario.cpp
+++ b/tools/fv-moves/Scenario.cpp
@@ -15,7 +15,7 @@
     Kind::IsSlow};
 
 /// Requests of a move; decides its length together with the rate.
-constexpr double RequestsPerMove = 50000;
+constexpr double RequestsPerMove = 40000;
 
 core::Milliseconds part(const Scenario &S, double Part) {
   const core::Milliseconds Whole = S.Length;
