--- a/tests/request/Bench.h
+++ b/tests/request/Bench.h
@@ -2,6 +2,7 @@
 #define FILBERTVANE_TESTS_REQUEST_BENCH_H
 
 #include "filbertvane/decision/request/Reducer.h"
+#include <rapidcheck.h>
 
 namespace bench {
 
@@ -57,6 +58,19 @@
   return Made;
 }
 
+/// Choices of one run of a property. RapidCheck's own ranges grow with the run,
+/// so that the first runs would choose only the first kinds of events.
+class Choices {
+public:
+  Choices() : Source(*rc::gen::arbitrary<std::uint64_t>()) {}
+  std::uint64_t operator()(std::uint64_t From, std::uint64_t To) {
+    return From + Source.below(To - From);
+  }
+
+private:
+  core::Random Source;
+};
+
 /// One node `n0` with its state and the effects of its last event.
 struct Bench {
   State Now;
--- a/tests/request/ClaimKeeperTest.cpp
+++ b/tests/request/ClaimKeeperTest.cpp
@@ -167,19 +167,20 @@
 // other portions, before or after trims, never name different owners.
 Test(claim_keeper, keepers_of_one_stream_agree) {
   const bool Held = rc::check([] {
+    Choices Pick;
     Stream Log;
     std::vector<KeeperBench> Keepers;
     for (const char *Writer : {"w1", "w2", "w3"})
-      Keepers.emplace_back(Writer);
+      Keepers.emplace_back(Writer).handle(BecameKeeper{});
     std::map<std::uint64_t, core::IdempotencyKey> KeyOf[3];
     std::map<core::IdempotencyKey, ClaimOwner> Owners;
     std::vector<ClaimBatch> Delayed;
-    for (int Step = 0; Step < 80; ++Step) {
-      const auto At = *rc::gen::inRange<std::size_t>(0, 3);
+    for (int Step = 0; Step < 200; ++Step) {
+      const auto At = Pick(0, 3);
       KeeperBench &Keeper = Keepers[At];
-      Keeper.Millis = Start + Step * 1000;
-      const auto Key = keyAt(Start + *rc::gen::inRange(0, 4) * 20000);
-      switch (*rc::gen::inRange(0, 8)) {
+      Keeper.Millis = Start + Step * 400;
+      const auto Key = keyAt(Start + Pick(0, 4) * 20000);
+      switch (Pick(0, 8)) {
       case 0:
       case 1: {
         const std::string Node = "n" + std::to_string(At);
@@ -195,7 +196,7 @@
       case 4:
         if (!Keeper.Appends.empty()) {
           const ClaimBatch Batch = Keeper.takeAppend();
-          const int Kind = *rc::gen::inRange(0, 4);
+          const int Kind = Pick(0, 4);
           if (Kind < 2)
             Log.append(Batch);
           if (Kind == 2)
@@ -210,17 +211,17 @@
         if (!Delayed.empty()) {
           Log.append(Delayed.back());
           Delayed.pop_back();
-        } else if (Log.Records.size() > 2 && *rc::gen::inRange(0, 4) == 0) {
+        } else if (Log.Records.size() > 2 && Pick(0, 4) == 0) {
           Log.trim(1);
         }
         break;
       case 6:
-        if (*rc::gen::inRange(0, 5) == 0)
+        if (Pick(0, 5) == 0)
           Keeper.handle(CeasedToBeKeeper{});
         Keeper.handle(BecameKeeper{});
         break;
       default:
-        Keeper.readFrom(Log, *rc::gen::inRange<std::size_t>(1, 4));
+        Keeper.readFrom(Log, Pick(1, 4));
       }
       for (const auto &[Request, Reply] : Keeper.Replies) {
         if (Reply.Undecided)
--- a/tests/request/ReducerPropertyTest.cpp
+++ b/tests/request/ReducerPropertyTest.cpp
@@ -22,8 +22,8 @@
   Driver() : Model(shopFleet(100), places()) {}
 
   void step() {
-    Model.Node.Millis += *rc::gen::inRange(0, 40);
-    switch (*rc::gen::inRange(0, 12)) {
+    Model.Node.Millis += Pick(0, 40);
+    switch (Pick(0, 12)) {
     case 0:
     case 1:
     case 2:
@@ -61,20 +61,21 @@
   CallModel Model;
 
 private:
+  Choices Pick;
   std::uint64_t LastId = 0;
 
   void arrive() {
     CallArrived What;
     What.Id = core::CallId(++LastId);
-    What.FromNode = *rc::gen::inRange(0, 4) == 0;
-    What.Path = *rc::gen::arbitrary<bool>() ? "/list" : "/book";
-    What.RequestDigest = core::Digest(*rc::gen::inRange<std::uint64_t>(0, 9));
-    What.Deadline = instant(Model.Node.Millis + *rc::gen::inRange(0, 900)).Wall;
+    What.FromNode = Pick(0, 4) == 0;
+    What.Path = (Pick(0, 2) == 1) ? "/list" : "/book";
+    What.RequestDigest = core::Digest(Pick(0, 9));
+    What.Deadline = instant(Model.Node.Millis + Pick(0, 900)).Wall;
     if (What.FromNode) {
       What.Service = core::ServiceName("shop");
       What.Target = core::TargetId("t-n0");
     }
-    const int Key = *rc::gen::inRange(0, 4);
+    const int Key = Pick(0, 4);
     if (Key < 2) {
       What.Key = core::IdempotencyKey(Keys[Key]);
       What.RequestDigest = core::Digest(static_cast<std::uint64_t>(Key));
@@ -90,19 +91,18 @@
         Open.push_back(Id);
     if (Open.empty())
       return std::nullopt;
-    return *rc::gen::elementOf(Open);
+    return Open[Pick(0, Open.size())];
   }
 
   void endOne() {
     const auto Id = anyOpen();
     if (!Id)
       return;
-    auto How = static_cast<AttemptEnd>(*rc::gen::inRange(0, 4));
+    auto How = static_cast<AttemptEnd>(Pick(0, 4));
     if (Model.Calls[*Id].Started && How == AttemptEnd::NotRun)
       How = AttemptEnd::NoAnswer;
-    const bool Crashed =
-        How == AttemptEnd::NoAnswer && *rc::gen::arbitrary<bool>();
-    Model.end(*Id, How, Crashed, *rc::gen::element(200, 500));
+    const bool Crashed = How == AttemptEnd::NoAnswer && (Pick(0, 2) == 1);
+    Model.end(*Id, How, Crashed, Pick(0, 2) == 0 ? 200 : 500);
   }
 
   void started() {
@@ -117,7 +117,7 @@
   void callerGone() {
     if (LastId == 0)
       return;
-    const auto Id = *rc::gen::inRange<std::uint64_t>(1, LastId + 1);
+    const auto Id = Pick(1, LastId + 1);
     CallModel::Seen &Seen = Model.Calls[Id];
     if (Seen.Ended)
       return;
@@ -137,7 +137,7 @@
     const auto *Entry = Model.Node.Now.Results.find(*Found->second.Key);
     ClaimDecided What{
         core::CallId(Id), Entry ? Entry->Owner : ClaimOwner{}, {}};
-    const int Kind = *rc::gen::inRange(0, 4);
+    const int Kind = Pick(0, 4);
     if (Kind == 0)
       What.Undecided = core::Error{core::ErrorCode::ClaimUndecided, ""};
     if (Kind == 1)
@@ -154,7 +154,7 @@
     if (Found == Model.Node.Now.Calls.end() ||
         Found->second.Phase != CallPhase::AwaitingOwner)
       return;
-    const auto State = static_cast<KeptState>(*rc::gen::inRange(1, 4));
+    const auto State = static_cast<KeptState>(Pick(1, 4));
     if (State == KeptState::Answered)
       Model.ended(Model.Calls[Id]);
     Model.apply(OwnerReplied{core::CallId(Id), State}, Slots);
@@ -169,8 +169,7 @@
 Test(request_properties, outcomes_hold_in_any_order_of_events) {
   const bool Held = rc::check([] {
     Driver Run;
-    const int Steps = *rc::gen::inRange(1, 120);
-    for (int Step = 0; Step < Steps; ++Step)
+    for (int Step = 0; Step < 150; ++Step)
       Run.step();
     Run.finish();
     if (!Run.Model.Violation.empty())
--- /dev/null
+++ b/tests/request/TargetPickerTest.cpp
@@ -0,0 +1,89 @@
+#include "Bench.h"
+#include "filbertvane/decision/request/WarmUp.h"
+#include <criterion/criterion.h>
+
+using namespace bench;
+
+namespace {
+
+struct Group {
+  std::vector<Target> Targets = std::vector<Target>(4);
+  std::vector<TargetIndex> Members{0, 1, 2, 3};
+  std::vector<TargetIndex> Tried;
+  core::TimePoint Now{core::Seconds(100)};
+  core::Random Source{7};
+
+  /// How often each target is picked in 1000 picks.
+  template <typename P> std::array<int, 4> picks(P Picker) {
+    std::array<int, 4> Count{};
+    for (int Pick = 0; Pick < 1000; ++Pick)
+      ++Count[*Picker.pick({Members, Targets, Tried, {}, Now}, Source)];
+    return Count;
+  }
+};
+
+} // namespace
+
+// Guards against load on a target that is slow or already loaded.
+Test(target_picker, power_of_two_avoids_load_and_latency) {
+  Group Even;
+  Even.Targets[1].Outstanding = 20;
+  Even.Targets[2].Seen.LatencyUs = 90000;
+  const auto Count = Even.picks(PowerOfTwoChoices{});
+  // The worst target wins against no other, the second worst only against it.
+  cr_assert(Count[2] == 0, "slow target picked");
+  cr_assert(Count[1] < Count[0] / 2, "loaded target picked");
+}
+
+// Guards against full load on a target that was just announced.
+Test(target_picker, a_new_target_warms_up) {
+  const core::TimePoint Start{core::Seconds(100)};
+  cr_assert(warmth(Start, Start) == ColdShare, "start");
+  cr_assert(warmth(Start, Start + WarmUpTime / 2) == 0.5, "half");
+  cr_assert(warmth(Start, Start + WarmUpTime * 9) == 1, "end");
+  Group Cold;
+  Cold.Targets[3].WarmSince = Cold.Now;
+  const auto Count = Cold.picks(PowerOfTwoChoices{});
+  cr_assert(Count[3] < Count[0] / 2, "cold target picked");
+}
+
+// Guards against a target that refuses at once and thereby attracts requests.
+Test(target_picker, a_target_that_refuses_is_avoided) {
+  Group Refusing;
+  Refusing.Targets[2].Seen.RefusalRate = 0.9;
+  const auto Count = Refusing.picks(PowerOfTwoChoices{});
+  cr_assert(Count[2] == 0, "refusing target picked");
+}
+
+// Guards against bulk requests balanced by number only.
+Test(target_picker, bulk_load_is_compared_by_bytes) {
+  Target Small;
+  Target Large;
+  Large.BytesInFlight = 8 << 20;
+  const core::TimePoint Now{core::Seconds(100)};
+  using enum config::TrafficKind;
+  cr_assert(costOf(Small, Bulk, Now) < costOf(Large, Bulk, Now), "bulk");
+  cr_assert(costOf(Small, Interactive, Now) == costOf(Large, Interactive, Now),
+            "interactive");
+}
+
+// Guards against a retry at the target that just refused.
+Test(target_picker, tried_targets_are_not_picked) {
+  Group Retried;
+  Retried.Tried = {0, 1, 3};
+  cr_assert(Retried.picks(PowerOfTwoChoices{})[2] == 1000, "power of two");
+  cr_assert(Retried.picks(RoundRobin{})[2] == 1000, "round robin");
+  cr_assert(Retried.picks(CreditScheme{})[2] == 1000, "credits");
+  Retried.Tried = {0, 1, 2, 3};
+  const PickContext All{
+      Retried.Members, Retried.Targets, Retried.Tried, {}, Retried.Now};
+  cr_assert(!PowerOfTwoChoices{}.pick(All, Retried.Source), "no target left");
+}
+
+// Guards against picks above the credits while others have some left.
+Test(target_picker, the_credit_scheme_skips_full_targets) {
+  Group Full;
+  Full.Targets[0].Outstanding = 4;
+  const auto Count = Full.picks(CreditScheme{4});
+  cr_assert(Count[0] == 0 && Count[1] > 0, "full target picked");
+}
