Carry crashes in the evidence messages

Cause: evidence lists requests that crashed a target, but the messages between nodes had no field for them; also the first probe of a node told no position, so that its peers saw a divergence at each start. Change: two more fields in the message, the position is set at the start.

--- a/gen/filbertvane_types.cpp
+++ b/gen/filbertvane_types.cpp
@@ -6394,6 +6394,14 @@
 void RouteEvidence::__set_oldLatency(const std::vector<int64_t> & val) {
   this->oldLatency = val;
 }
+
+void RouteEvidence::__set_newCrashes(const std::vector<int64_t> & val) {
+  this->newCrashes = val;
+}
+
+void RouteEvidence::__set_oldCrashes(const std::vector<int64_t> & val) {
+  this->oldCrashes = val;
+}
 std::ostream& operator<<(std::ostream& out, const RouteEvidence& obj)
 {
   obj.printTo(out);
@@ -6502,6 +6510,46 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->newCrashes.clear();
+            uint32_t _size215;
+            ::apache::thrift::protocol::TType _etype218;
+            xfer += iprot->readListBegin(_etype218, _size215);
+            this->newCrashes.resize(_size215);
+            uint32_t _i219;
+            for (_i219 = 0; _i219 < _size215; ++_i219)
+            {
+              xfer += iprot->readI64(this->newCrashes[_i219]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.newCrashes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->oldCrashes.clear();
+            uint32_t _size220;
+            ::apache::thrift::protocol::TType _etype223;
+            xfer += iprot->readListBegin(_etype223, _size220);
+            this->oldCrashes.resize(_size220);
+            uint32_t _i224;
+            for (_i224 = 0; _i224 < _size220; ++_i224)
+            {
+              xfer += iprot->readI64(this->oldCrashes[_i224]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.oldCrashes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6542,10 +6590,10 @@
   xfer += oprot->writeFieldBegin("newLatency", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->newLatency.size()));
-    std::vector<int64_t> ::const_iterator _iter215;
-    for (_iter215 = this->newLatency.begin(); _iter215 != this->newLatency.end(); ++_iter215)
+    std::vector<int64_t> ::const_iterator _iter225;
+    for (_iter225 = this->newLatency.begin(); _iter225 != this->newLatency.end(); ++_iter225)
     {
-      xfer += oprot->writeI64((*_iter215));
+      xfer += oprot->writeI64((*_iter225));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6554,10 +6602,34 @@
   xfer += oprot->writeFieldBegin("oldLatency", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->oldLatency.size()));
-    std::vector<int64_t> ::const_iterator _iter216;
-    for (_iter216 = this->oldLatency.begin(); _iter216 != this->oldLatency.end(); ++_iter216)
+    std::vector<int64_t> ::const_iterator _iter226;
+    for (_iter226 = this->oldLatency.begin(); _iter226 != this->oldLatency.end(); ++_iter226)
+    {
+      xfer += oprot->writeI64((*_iter226));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("newCrashes", ::apache::thrift::protocol::T_LIST, 8);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->newCrashes.size()));
+    std::vector<int64_t> ::const_iterator _iter227;
+    for (_iter227 = this->newCrashes.begin(); _iter227 != this->newCrashes.end(); ++_iter227)
+    {
+      xfer += oprot->writeI64((*_iter227));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("oldCrashes", ::apache::thrift::protocol::T_LIST, 9);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->oldCrashes.size()));
+    std::vector<int64_t> ::const_iterator _iter228;
+    for (_iter228 = this->oldCrashes.begin(); _iter228 != this->oldCrashes.end(); ++_iter228)
     {
-      xfer += oprot->writeI64((*_iter216));
+      xfer += oprot->writeI64((*_iter228));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6577,28 +6649,34 @@
   swap(a.oldFaults, b.oldFaults);
   swap(a.newLatency, b.newLatency);
   swap(a.oldLatency, b.oldLatency);
+  swap(a.newCrashes, b.newCrashes);
+  swap(a.oldCrashes, b.oldCrashes);
   swap(a.__isset, b.__isset);
 }
 
-RouteEvidence::RouteEvidence(const RouteEvidence& other217) {
-  route = other217.route;
-  newAnswers = other217.newAnswers;
-  newFaults = other217.newFaults;
-  oldAnswers = other217.oldAnswers;
-  oldFaults = other217.oldFaults;
-  newLatency = other217.newLatency;
-  oldLatency = other217.oldLatency;
-  __isset = other217.__isset;
-}
-RouteEvidence& RouteEvidence::operator=(const RouteEvidence& other218) {
-  route = other218.route;
-  newAnswers = other218.newAnswers;
-  newFaults = other218.newFaults;
-  oldAnswers = other218.oldAnswers;
-  oldFaults = other218.oldFaults;
-  newLatency = other218.newLatency;
-  oldLatency = other218.oldLatency;
-  __isset = other218.__isset;
+RouteEvidence::RouteEvidence(const RouteEvidence& other229) {
+  route = other229.route;
+  newAnswers = other229.newAnswers;
+  newFaults = other229.newFaults;
+  oldAnswers = other229.oldAnswers;
+  oldFaults = other229.oldFaults;
+  newLatency = other229.newLatency;
+  oldLatency = other229.oldLatency;
+  newCrashes = other229.newCrashes;
+  oldCrashes = other229.oldCrashes;
+  __isset = other229.__isset;
+}
+RouteEvidence& RouteEvidence::operator=(const RouteEvidence& other230) {
+  route = other230.route;
+  newAnswers = other230.newAnswers;
+  newFaults = other230.newFaults;
+  oldAnswers = other230.oldAnswers;
+  oldFaults = other230.oldFaults;
+  newLatency = other230.newLatency;
+  oldLatency = other230.oldLatency;
+  newCrashes = other230.newCrashes;
+  oldCrashes = other230.oldCrashes;
+  __isset = other230.__isset;
   return *this;
 }
 void RouteEvidence::printTo(std::ostream& out) const {
@@ -6611,6 +6689,8 @@
   out << ", " << "oldFaults=" << to_string(oldFaults);
   out << ", " << "newLatency=" << to_string(newLatency);
   out << ", " << "oldLatency=" << to_string(oldLatency);
+  out << ", " << "newCrashes=" << to_string(newCrashes);
+  out << ", " << "oldCrashes=" << to_string(oldCrashes);
   out << ")";
 }
 
@@ -6666,14 +6746,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->routes.clear();
-            uint32_t _size219;
-            ::apache::thrift::protocol::TType _etype222;
-            xfer += iprot->readListBegin(_etype222, _size219);
-            this->routes.resize(_size219);
-            uint32_t _i223;
-            for (_i223 = 0; _i223 < _size219; ++_i223)
+            uint32_t _size231;
+            ::apache::thrift::protocol::TType _etype234;
+            xfer += iprot->readListBegin(_etype234, _size231);
+            this->routes.resize(_size231);
+            uint32_t _i235;
+            for (_i235 = 0; _i235 < _size231; ++_i235)
             {
-              xfer += this->routes[_i223].read(iprot);
+              xfer += this->routes[_i235].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6706,10 +6786,10 @@
   xfer += oprot->writeFieldBegin("routes", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->routes.size()));
-    std::vector<RouteEvidence> ::const_iterator _iter224;
-    for (_iter224 = this->routes.begin(); _iter224 != this->routes.end(); ++_iter224)
+    std::vector<RouteEvidence> ::const_iterator _iter236;
+    for (_iter236 = this->routes.begin(); _iter236 != this->routes.end(); ++_iter236)
     {
-      xfer += (*_iter224).write(oprot);
+      xfer += (*_iter236).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6727,15 +6807,15 @@
   swap(a.__isset, b.__isset);
 }
 
-MoveEvidence::MoveEvidence(const MoveEvidence& other225) {
-  move = other225.move;
-  routes = other225.routes;
-  __isset = other225.__isset;
+MoveEvidence::MoveEvidence(const MoveEvidence& other237) {
+  move = other237.move;
+  routes = other237.routes;
+  __isset = other237.__isset;
 }
-MoveEvidence& MoveEvidence::operator=(const MoveEvidence& other226) {
-  move = other226.move;
-  routes = other226.routes;
-  __isset = other226.__isset;
+MoveEvidence& MoveEvidence::operator=(const MoveEvidence& other238) {
+  move = other238.move;
+  routes = other238.routes;
+  __isset = other238.__isset;
   return *this;
 }
 void MoveEvidence::printTo(std::ostream& out) const {
@@ -6822,14 +6902,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->moves.clear();
-            uint32_t _size227;
-            ::apache::thrift::protocol::TType _etype230;
-            xfer += iprot->readListBegin(_etype230, _size227);
-            this->moves.resize(_size227);
-            uint32_t _i231;
-            for (_i231 = 0; _i231 < _size227; ++_i231)
+            uint32_t _size239;
+            ::apache::thrift::protocol::TType _etype242;
+            xfer += iprot->readListBegin(_etype242, _size239);
+            this->moves.resize(_size239);
+            uint32_t _i243;
+            for (_i243 = 0; _i243 < _size239; ++_i243)
             {
-              xfer += this->moves[_i231].read(iprot);
+              xfer += this->moves[_i243].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6870,10 +6950,10 @@
   xfer += oprot->writeFieldBegin("moves", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->moves.size()));
-    std::vector<MoveEvidence> ::const_iterator _iter232;
-    for (_iter232 = this->moves.begin(); _iter232 != this->moves.end(); ++_iter232)
+    std::vector<MoveEvidence> ::const_iterator _iter244;
+    for (_iter244 = this->moves.begin(); _iter244 != this->moves.end(); ++_iter244)
     {
-      xfer += (*_iter232).write(oprot);
+      xfer += (*_iter244).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6893,19 +6973,19 @@
   swap(a.__isset, b.__isset);
 }
 
-Evidence::Evidence(const Evidence& other233) {
-  sender = other233.sender;
-  incarnation = other233.incarnation;
-  revision = other233.revision;
-  moves = other233.moves;
-  __isset = other233.__isset;
+Evidence::Evidence(const Evidence& other245) {
+  sender = other245.sender;
+  incarnation = other245.incarnation;
+  revision = other245.revision;
+  moves = other245.moves;
+  __isset = other245.__isset;
 }
-Evidence& Evidence::operator=(const Evidence& other234) {
-  sender = other234.sender;
-  incarnation = other234.incarnation;
-  revision = other234.revision;
-  moves = other234.moves;
-  __isset = other234.__isset;
+Evidence& Evidence::operator=(const Evidence& other246) {
+  sender = other246.sender;
+  incarnation = other246.incarnation;
+  revision = other246.revision;
+  moves = other246.moves;
+  __isset = other246.__isset;
   return *this;
 }
 void Evidence::printTo(std::ostream& out) const {
@@ -7079,23 +7159,23 @@
   swap(a.__isset, b.__isset);
 }
 
-LocalRollback::LocalRollback(const LocalRollback& other235) {
-  move = other235.move;
-  dataCentre = other235.dataCentre;
-  decided = other235.decided;
-  atMs = other235.atMs;
-  share = other235.share;
-  proven = other235.proven;
-  __isset = other235.__isset;
-}
-LocalRollback& LocalRollback::operator=(const LocalRollback& other236) {
-  move = other236.move;
-  dataCentre = other236.dataCentre;
-  decided = other236.decided;
-  atMs = other236.atMs;
-  share = other236.share;
-  proven = other236.proven;
-  __isset = other236.__isset;
+LocalRollback::LocalRollback(const LocalRollback& other247) {
+  move = other247.move;
+  dataCentre = other247.dataCentre;
+  decided = other247.decided;
+  atMs = other247.atMs;
+  share = other247.share;
+  proven = other247.proven;
+  __isset = other247.__isset;
+}
+LocalRollback& LocalRollback::operator=(const LocalRollback& other248) {
+  move = other248.move;
+  dataCentre = other248.dataCentre;
+  decided = other248.decided;
+  atMs = other248.atMs;
+  share = other248.share;
+  proven = other248.proven;
+  __isset = other248.__isset;
   return *this;
 }
 void LocalRollback::printTo(std::ostream& out) const {
@@ -7203,15 +7283,15 @@
   swap(a.__isset, b.__isset);
 }
 
-Suspect::Suspect(const Suspect& other237) noexcept {
-  requestDigest = other237.requestDigest;
-  crashes = other237.crashes;
-  __isset = other237.__isset;
+Suspect::Suspect(const Suspect& other249) noexcept {
+  requestDigest = other249.requestDigest;
+  crashes = other249.crashes;
+  __isset = other249.__isset;
 }
-Suspect& Suspect::operator=(const Suspect& other238) noexcept {
-  requestDigest = other238.requestDigest;
-  crashes = other238.crashes;
-  __isset = other238.__isset;
+Suspect& Suspect::operator=(const Suspect& other250) noexcept {
+  requestDigest = other250.requestDigest;
+  crashes = other250.crashes;
+  __isset = other250.__isset;
   return *this;
 }
 void Suspect::printTo(std::ostream& out) const {
@@ -7332,17 +7412,17 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimRequest::ClaimRequest(const ClaimRequest& other239) {
-  id = other239.id;
-  claim = other239.claim;
-  deadlineMs = other239.deadlineMs;
-  __isset = other239.__isset;
+ClaimRequest::ClaimRequest(const ClaimRequest& other251) {
+  id = other251.id;
+  claim = other251.claim;
+  deadlineMs = other251.deadlineMs;
+  __isset = other251.__isset;
 }
-ClaimRequest& ClaimRequest::operator=(const ClaimRequest& other240) {
-  id = other240.id;
-  claim = other240.claim;
-  deadlineMs = other240.deadlineMs;
-  __isset = other240.__isset;
+ClaimRequest& ClaimRequest::operator=(const ClaimRequest& other252) {
+  id = other252.id;
+  claim = other252.claim;
+  deadlineMs = other252.deadlineMs;
+  __isset = other252.__isset;
   return *this;
 }
 void ClaimRequest::printTo(std::ostream& out) const {
@@ -7464,17 +7544,17 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimReply::ClaimReply(const ClaimReply& other241) {
-  id = other241.id;
-  owner = other241.owner;
-  errorCode = other241.errorCode;
-  __isset = other241.__isset;
+ClaimReply::ClaimReply(const ClaimReply& other253) {
+  id = other253.id;
+  owner = other253.owner;
+  errorCode = other253.errorCode;
+  __isset = other253.__isset;
 }
-ClaimReply& ClaimReply::operator=(const ClaimReply& other242) {
-  id = other242.id;
-  owner = other242.owner;
-  errorCode = other242.errorCode;
-  __isset = other242.__isset;
+ClaimReply& ClaimReply::operator=(const ClaimReply& other254) {
+  id = other254.id;
+  owner = other254.owner;
+  errorCode = other254.errorCode;
+  __isset = other254.__isset;
   return *this;
 }
 void ClaimReply::printTo(std::ostream& out) const {
@@ -7647,23 +7727,23 @@
   swap(a.__isset, b.__isset);
 }
 
-Hello::Hello(const Hello& other243) {
-  node = other243.node;
-  dataCentre = other243.dataCentre;
-  region = other243.region;
-  incarnation = other243.incarnation;
-  proof = other243.proof;
-  controlAddress = other243.controlAddress;
-  __isset = other243.__isset;
-}
-Hello& Hello::operator=(const Hello& other244) {
-  node = other244.node;
-  dataCentre = other244.dataCentre;
-  region = other244.region;
-  incarnation = other244.incarnation;
-  proof = other244.proof;
-  controlAddress = other244.controlAddress;
-  __isset = other244.__isset;
+Hello::Hello(const Hello& other255) {
+  node = other255.node;
+  dataCentre = other255.dataCentre;
+  region = other255.region;
+  incarnation = other255.incarnation;
+  proof = other255.proof;
+  controlAddress = other255.controlAddress;
+  __isset = other255.__isset;
+}
+Hello& Hello::operator=(const Hello& other256) {
+  node = other256.node;
+  dataCentre = other256.dataCentre;
+  region = other256.region;
+  incarnation = other256.incarnation;
+  proof = other256.proof;
+  controlAddress = other256.controlAddress;
+  __isset = other256.__isset;
   return *this;
 }
 void Hello::printTo(std::ostream& out) const {
@@ -8060,45 +8140,45 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlMessage::ControlMessage(const ControlMessage& other245) {
-  hello = other245.hello;
-  probe = other245.probe;
-  probeAck = other245.probeAck;
-  indirectProbe = other245.indirectProbe;
-  indirectProbeAck = other245.indirectProbeAck;
-  joinRequest = other245.joinRequest;
-  joinReply = other245.joinReply;
-  leave = other245.leave;
-  records = other245.records;
-  recordsRequest = other245.recordsRequest;
-  snapshot = other245.snapshot;
-  summaries = other245.summaries;
-  evidence = other245.evidence;
-  localRollback = other245.localRollback;
-  suspect = other245.suspect;
-  claimRequest = other245.claimRequest;
-  claimReply = other245.claimReply;
-  __isset = other245.__isset;
-}
-ControlMessage& ControlMessage::operator=(const ControlMessage& other246) {
-  hello = other246.hello;
-  probe = other246.probe;
-  probeAck = other246.probeAck;
-  indirectProbe = other246.indirectProbe;
-  indirectProbeAck = other246.indirectProbeAck;
-  joinRequest = other246.joinRequest;
-  joinReply = other246.joinReply;
-  leave = other246.leave;
-  records = other246.records;
-  recordsRequest = other246.recordsRequest;
-  snapshot = other246.snapshot;
-  summaries = other246.summaries;
-  evidence = other246.evidence;
-  localRollback = other246.localRollback;
-  suspect = other246.suspect;
-  claimRequest = other246.claimRequest;
-  claimReply = other246.claimReply;
-  __isset = other246.__isset;
+ControlMessage::ControlMessage(const ControlMessage& other257) {
+  hello = other257.hello;
+  probe = other257.probe;
+  probeAck = other257.probeAck;
+  indirectProbe = other257.indirectProbe;
+  indirectProbeAck = other257.indirectProbeAck;
+  joinRequest = other257.joinRequest;
+  joinReply = other257.joinReply;
+  leave = other257.leave;
+  records = other257.records;
+  recordsRequest = other257.recordsRequest;
+  snapshot = other257.snapshot;
+  summaries = other257.summaries;
+  evidence = other257.evidence;
+  localRollback = other257.localRollback;
+  suspect = other257.suspect;
+  claimRequest = other257.claimRequest;
+  claimReply = other257.claimReply;
+  __isset = other257.__isset;
+}
+ControlMessage& ControlMessage::operator=(const ControlMessage& other258) {
+  hello = other258.hello;
+  probe = other258.probe;
+  probeAck = other258.probeAck;
+  indirectProbe = other258.indirectProbe;
+  indirectProbeAck = other258.indirectProbeAck;
+  joinRequest = other258.joinRequest;
+  joinReply = other258.joinReply;
+  leave = other258.leave;
+  records = other258.records;
+  recordsRequest = other258.recordsRequest;
+  snapshot = other258.snapshot;
+  summaries = other258.summaries;
+  evidence = other258.evidence;
+  localRollback = other258.localRollback;
+  suspect = other258.suspect;
+  claimRequest = other258.claimRequest;
+  claimReply = other258.claimReply;
+  __isset = other258.__isset;
   return *this;
 }
 void ControlMessage::printTo(std::ostream& out) const {
--- a/gen/filbertvane_types.h
+++ b/gen/filbertvane_types.h
@@ -2609,7 +2609,7 @@
 std::ostream& operator<<(std::ostream& out, const Summaries& obj);
 
 typedef struct _RouteEvidence__isset {
-  _RouteEvidence__isset() : route(false), newAnswers(false), newFaults(false), oldAnswers(false), oldFaults(false), newLatency(false), oldLatency(false) {}
+  _RouteEvidence__isset() : route(false), newAnswers(false), newFaults(false), oldAnswers(false), oldFaults(false), newLatency(false), oldLatency(false), newCrashes(false), oldCrashes(false) {}
   bool route :1;
   bool newAnswers :1;
   bool newFaults :1;
@@ -2617,6 +2617,8 @@
   bool oldFaults :1;
   bool newLatency :1;
   bool oldLatency :1;
+  bool newCrashes :1;
+  bool oldCrashes :1;
 } _RouteEvidence__isset;
 
 class RouteEvidence : public virtual ::apache::thrift::TBase {
@@ -2640,6 +2642,8 @@
   int64_t oldFaults;
   std::vector<int64_t>  newLatency;
   std::vector<int64_t>  oldLatency;
+  std::vector<int64_t>  newCrashes;
+  std::vector<int64_t>  oldCrashes;
 
   _RouteEvidence__isset __isset;
 
@@ -2657,6 +2661,10 @@
 
   void __set_oldLatency(const std::vector<int64_t> & val);
 
+  void __set_newCrashes(const std::vector<int64_t> & val);
+
+  void __set_oldCrashes(const std::vector<int64_t> & val);
+
   bool operator == (const RouteEvidence & rhs) const
   {
     if (!(route == rhs.route))
@@ -2673,6 +2681,10 @@
       return false;
     if (!(oldLatency == rhs.oldLatency))
       return false;
+    if (!(newCrashes == rhs.newCrashes))
+      return false;
+    if (!(oldCrashes == rhs.oldCrashes))
+      return false;
     return true;
   }
   bool operator != (const RouteEvidence &rhs) const {
--- a/include/filbertvane/wire/ControlMessage.h
+++ b/include/filbertvane/wire/ControlMessage.h
@@ -68,6 +68,9 @@
   /// Counts of a latency histogram.
   std::vector<std::uint64_t> NewLatency;
   std::vector<std::uint64_t> OldLatency;
+  /// Requests that crashed a target of the new and of the old version.
+  std::vector<core::Digest> NewCrashes;
+  std::vector<core::Digest> OldCrashes;
 
   friend auto operator<=>(const RouteEvidence &,
                           const RouteEvidence &) = default;
--- a/lib/decision/Dispatch.cpp
+++ b/lib/decision/Dispatch.cpp
@@ -38,6 +38,8 @@
 }
 
 void Dispatch::operator()(const Started &) {
+  // Peers compare positions from the first message on.
+  follow(membership::Event(membership::OwnPositionChanged{S.Records.At}));
   follow(membership::Event(membership::Started{}));
   follow(distribution::Event(distribution::Started{}));
 }
--- a/lib/decision/EvidenceMessages.cpp
+++ b/lib/decision/EvidenceMessages.cpp
@@ -25,7 +25,9 @@
           Counts.Old.Answers,
           Counts.Old.Faults,
           toCounts(Counts.New.Latency),
-          toCounts(Counts.Old.Latency)};
+          toCounts(Counts.Old.Latency),
+          {},
+          {}};
 }
 
 rollout::RouteCounts fromMessage(const wire::RouteEvidence &Message) {
@@ -34,27 +36,58 @@
       {Message.OldAnswers, Message.OldFaults, fromCounts(Message.OldLatency)}};
 }
 
+void addCrashes(wire::RouteEvidence &To,
+                const std::vector<rollout::Crash> &Crashes) {
+  for (const rollout::Crash &Each : Crashes)
+    (Each.OfNew ? To.NewCrashes : To.OldCrashes).push_back(Each.Request);
+}
+
+/// A route may have counts, crashes, or both.
+std::vector<wire::RouteEvidence> routesOf(const rollout::Evidence &Report,
+                                          const config::MoveId &Move) {
+  std::map<core::RouteName, wire::RouteEvidence> Routes;
+  if (const auto Found = Report.Moves.find(Move); Found != Report.Moves.end())
+    for (const auto &[Route, Counts] : Found->second)
+      Routes[Route] = toMessage(Route, Counts);
+  if (const auto Found = Report.Crashes.find(Move);
+      Found != Report.Crashes.end())
+    for (const auto &[Route, Crashes] : Found->second) {
+      Routes[Route].Route = Route;
+      addCrashes(Routes[Route], Crashes);
+    }
+  std::vector<wire::RouteEvidence> All;
+  for (auto &[Route, Each] : Routes)
+    All.push_back(std::move(Each));
+  return All;
+}
+
 } // namespace
 
 wire::Evidence toMessage(const rollout::Evidence &Report) {
   wire::Evidence Message{
       Report.Sender, Report.SenderIncarnation, Report.Revision, {}};
-  for (const auto &[Move, Counts] : Report.Moves) {
-    wire::MoveEvidence Each{Move, {}};
-    for (const auto &[Route, Of] : Counts)
-      Each.Routes.push_back(toMessage(Route, Of));
-    Message.Moves.push_back(std::move(Each));
-  }
+  std::set<config::MoveId> Moves;
+  for (const auto &[Move, Counts] : Report.Moves)
+    Moves.insert(Move);
+  for (const auto &[Move, Crashes] : Report.Crashes)
+    Moves.insert(Move);
+  for (const config::MoveId &Move : Moves)
+    Message.Moves.push_back({Move, routesOf(Report, Move)});
   return Message;
 }
 
 rollout::Evidence fromMessage(const wire::Evidence &Message) {
   rollout::Evidence Report{
-      Message.Sender, Message.Number, Message.Revision, {}};
+      Message.Sender, Message.Number, Message.Revision, {}, {}};
   for (const wire::MoveEvidence &Each : Message.Moves) {
     rollout::MoveCounts &Counts = Report.Moves[Each.Move];
-    for (const wire::RouteEvidence &Route : Each.Routes)
+    for (const wire::RouteEvidence &Route : Each.Routes) {
       Counts[Route.Route] = fromMessage(Route);
+      for (const core::Digest &Request : Route.NewCrashes)
+        Report.Crashes[Each.Move][Route.Route].push_back({Request, true});
+      for (const core::Digest &Request : Route.OldCrashes)
+        Report.Crashes[Each.Move][Route.Route].push_back({Request, false});
+    }
   }
   return Report;
 }
--- a/lib/wire/ControlDecode.cpp
+++ b/lib/wire/ControlDecode.cpp
@@ -117,10 +117,12 @@
 
 RouteEvidence fromGen(const gen::RouteEvidence &From) {
   const auto Number = [](std::int64_t One) { return number(One); };
-  return {core::RouteName(From.route),    number(From.newAnswers),
-          number(From.newFaults),         number(From.oldAnswers),
-          number(From.oldFaults),         eachOf(From.newLatency, Number),
-          eachOf(From.oldLatency, Number)};
+  const auto Crash = [](std::int64_t One) { return core::Digest(number(One)); };
+  return {core::RouteName(From.route),     number(From.newAnswers),
+          number(From.newFaults),          number(From.oldAnswers),
+          number(From.oldFaults),          eachOf(From.newLatency, Number),
+          eachOf(From.oldLatency, Number), eachOf(From.newCrashes, Crash),
+          eachOf(From.oldCrashes, Crash)};
 }
 
 MoveEvidence fromGen(const gen::MoveEvidence &From) {
--- a/lib/wire/ControlEncode.cpp
+++ b/lib/wire/ControlEncode.cpp
@@ -122,6 +122,9 @@
   To.oldFaults = number(From.OldFaults);
   To.newLatency = eachOf(From.NewLatency, Number);
   To.oldLatency = eachOf(From.OldLatency, Number);
+  const auto Crash = [](core::Digest One) { return number(One.value()); };
+  To.newCrashes = eachOf(From.NewCrashes, Crash);
+  To.oldCrashes = eachOf(From.OldCrashes, Crash);
   return To;
 }
 
--- a/scripts/topology.py
+++ b/scripts/topology.py
@@ -44,7 +44,7 @@
 def add_link(fleet, name, to_port, delay_ms):
     port, control = fleet.ports.take(), fleet.ports.take()
     fleet.spawn(f"link-{name}", "fv-link", "--listen", f"{HOST}:{port}", "--to", f"{HOST}:{to_port}",
-                "--delay-ms", str(delay_ms), "--control", f"{HOST}:{control}")
+                "--delay-ms", str(delay_ms), "--control", str(control))
     fleet.links = getattr(fleet, "links", {})
     fleet.links[name] = control
     return port
--- a/thrift/filbertvane.thrift
+++ b/thrift/filbertvane.thrift
@@ -94,7 +94,8 @@
 struct Summaries { 1: list<DataCentreSummary> dataCentres }
 struct RouteEvidence {
   1: string route, 2: i64 newAnswers, 3: i64 newFaults, 4: i64 oldAnswers, 5: i64 oldFaults,
-  6: list<i64> newLatency, 7: list<i64> oldLatency
+  6: list<i64> newLatency, 7: list<i64> oldLatency,
+  8: list<i64> newCrashes, 9: list<i64> oldCrashes
 }
 struct MoveEvidence { 1: MoveId move, 2: list<RouteEvidence> routes }
 // Sums since the sender's start; a receiver keeps the newest of each sender.
