--- a/lib/config/ReportText.cpp
+++ b/lib/config/ReportText.cpp
@@ -12,7 +12,9 @@
     return fmt::format("{} s", Seconds);
   if (Seconds < 3600)
     return fmt::format("{} min {} s", Seconds / 60, Seconds % 60);
-  return fmt::format("{} h {} min", Seconds / 3600, Seconds / 60 % 60);
+  if (Seconds < 172800)
+    return fmt::format("{} h {} min", Seconds / 3600, Seconds / 60 % 60);
+  return fmt::format("{} days", Seconds / 86400);
 }
 
 std::string deadlineText(const MoveStatus &Move, core::WallTime Now) {
