--- a/tests/decision/MembershipTest.cpp
+++ b/tests/decision/MembershipTest.cpp
@@ -146,6 +146,25 @@
   cr_assert(!B.S.Probing.has_value());
 }
 
+// Guards against new work for a leaving target while the news travel from
+// member to member, and against the loss of the one direct message.
+Test(membership, a_leaving_target_is_told_to_each_member_directly) {
+  Bench B;
+  for (const char *Name : {"a", "b", "c"})
+    B.hear(Leave{member(Name)}, 1);
+  B.step(OwnTargetChanged{TargetAnnouncement{}}, 2);
+  B.step(OwnTargetLeaving{}, 3);
+  std::map<std::string, std::size_t> Told;
+  for (std::int64_t Millis = 3; Millis <= 2000; Millis += 50) {
+    for (const Effect &One : B.Out)
+      if (const auto *Sent = std::get_if<SendMessage>(&One))
+        if (const auto *News = std::get_if<Leave>(&Sent->What))
+          Told[Sent->To] += News->Self.Target->Leaving;
+    B.step(Tick{}, Millis);
+  }
+  cr_assert(Told.size() == 3 && Told["b:c"] == LeaveSends);
+}
+
 // Guards against a dead member that looks alive because another process
 // answers at its address.
 Test(membership, only_the_probed_node_proves_that_it_lives) {
