--- a/include/filbertvane/decision/rollout/Controller.h
+++ b/include/filbertvane/decision/rollout/Controller.h
@@ -10,6 +10,9 @@
 /// again; the fold makes the repetition harmless.
 inline constexpr core::Seconds ReadBackTime{2};
 
+/// Time after a takeover in which the first reports of the leads arrive.
+inline constexpr core::Seconds TakeoverReports{2};
+
 /// Time for which a suspected version gets no requests before it is tried
 /// again.
 inline constexpr core::Seconds RetrialTime{5};
@@ -127,6 +130,7 @@
   };
   std::map<core::DataCentreId, DataCentreView> DataCentres;
   core::TimePoint InForceRetryAt;
+  core::TimePoint TakeoverUntil;
   core::TimePoint NextPeriod;
   core::TimePoint NextOverlays;
 };
--- a/include/filbertvane/decision/rollout/Judgement.h
+++ b/include/filbertvane/decision/rollout/Judgement.h
@@ -16,8 +16,12 @@
 bool withdraws(const config::MoveStatus &Move, const RouteFinding &Found);
 
 /// @brief Moves that an unknown sender's counts are a baseline for.
+/// @param IsTakeover the reader has just become the coordinator: counts of a
+///        move at the canary form one window then, since its share hardly
+///        changed; a new lead would count what another one counted already
 std::set<config::MoveId> inheritedMoves(const config::FleetState &Fleet,
-                                        core::WallTime Now);
+                                        core::WallTime Now,
+                                        bool IsTakeover = false);
 
 /// @brief Moves whose answers still count.
 std::set<config::MoveId> watchedMoves(const config::FleetState &Fleet,
--- a/include/filbertvane/decision/rollout/LocalGuard.h
+++ b/include/filbertvane/decision/rollout/LocalGuard.h
@@ -82,7 +82,7 @@
   NodeCounter Counter;
   /// Sent to the lead.
   Evidence Own;
-  MoveWindows OwnWindows;
+  MoveWindows OwnWindows{LocalSharedFaultChance};
   /// @}
 
   /// @name Data centre, when leading
@@ -92,7 +92,7 @@
   /// Sum of what the members added while this node led; sent to the
   /// coordinator.
   Evidence Pooled;
-  MoveWindows PooledWindows;
+  MoveWindows PooledWindows{LocalSharedFaultChance};
   /// @}
 
   OverlaySet Overlays;
--- a/include/filbertvane/decision/rollout/Schedule.h
+++ b/include/filbertvane/decision/rollout/Schedule.h
@@ -35,7 +35,7 @@
 inline constexpr std::uint64_t StepAnswers = 400;
 
 /// Shortest time at one share, so that all nodes act on it.
-inline constexpr core::Seconds MinStepTime{5};
+inline constexpr core::Seconds MinStepTime{2};
 
 /// Shortest time from acceptance to the deadline: a takeover of the lease
 /// (about 8 s), the steps, and the reserve before the deadline.
--- a/include/filbertvane/decision/rollout/SequentialTest.h
+++ b/include/filbertvane/decision/rollout/SequentialTest.h
@@ -30,6 +30,10 @@
 /// often as observed. 0.002 needs 9 faults at a share of one half and 3 at a
 /// tenth; at canary shares the likelihood ratio alone is the stricter rule.
 inline constexpr double SharedFaultChance = 0.002;
+
+/// The same at nodes and leads. There are many of them, and each has its own
+/// chance to take a shared fault for one of the new version.
+inline constexpr double LocalSharedFaultChance = 1e-4;
 /// @}
 
 /// @brief Bad answers out of all answers of a version.
@@ -72,7 +76,9 @@
 /// @param New bad answers of the new version
 /// @param Old bad answers of the old version in the same window
 /// @param Control rate that a good version may have, from `controlRate`
-Finding judge(Sample New, Sample Old, double Control);
+/// @param SharedChance highest accepted probability of a shared fault
+Finding judge(Sample New, Sample Old, double Control,
+              double SharedChance = SharedFaultChance);
 
 /// @brief Expected number of bad answers until a version with this rate of bad
 ///        answers is found, with the old version at the control rate.
--- a/include/filbertvane/decision/rollout/Windows.h
+++ b/include/filbertvane/decision/rollout/Windows.h
@@ -26,6 +26,10 @@
 /// a late fault is not diluted by the good answers before it.
 class RouteWindows {
 public:
+  /// @param SharedChance highest accepted probability of a shared fault
+  RouteWindows(double SharedChance = SharedFaultChance)
+      : SharedChance(SharedChance) {}
+
   /// @brief Adds counts to the current period.
   void add(const RouteCounts &Added);
 
@@ -71,13 +75,21 @@
   /// Sum since the share last changed.
   RouteCounts Stage;
   RouteCounts Total;
+  double SharedChance;
   RouteFinding Last;
   bool HasNewBad = false;
 };
 
 /// @brief Windows of all routes of all moves that are watched.
+///
+/// The sum over a move's routes is judged too, under the empty name: a fault of
+/// the whole version shows in it after fewer answers than on any one route.
 class MoveWindows {
 public:
+  /// @param SharedChance highest accepted probability of a shared fault
+  MoveWindows(double SharedChance = SharedFaultChance)
+      : SharedChance(SharedChance) {}
+
   /// Routes over all moves that are kept; counts of further ones are dropped.
   static constexpr std::size_t MaxRoutes = 1024;
 
@@ -93,17 +105,9 @@
   void startStage(const config::MoveId &Move);
 
   /// @brief Gravest finding of a move.
-  /// @return the route and its finding
+  /// @return the route, empty for the whole service, and its finding
   std::pair<core::RouteName, RouteFinding> evaluate(const config::MoveId &Move);
 
-  /// @brief Finding on one route.
-  RouteFinding evaluate(const config::MoveId &Move,
-                        const core::RouteName &Route);
-
-  /// @brief Counts of a move per route since its windows began.
-  std::map<core::RouteName, RouteCounts>
-  totals(const config::MoveId &Move) const;
-
   /// @brief Forgets a move's counts, to judge it afresh.
   void reset(const config::MoveId &Move);
 
@@ -113,6 +117,7 @@
   friend auto operator<=>(const MoveWindows &, const MoveWindows &) = default;
 
 private:
+  double SharedChance;
   std::map<config::MoveId, std::map<core::RouteName, RouteWindows>> Of;
 };
 
--- a/lib/decision/rollout/Controller.cpp
+++ b/lib/decision/rollout/Controller.cpp
@@ -59,7 +59,8 @@
   if (!S.Fleet)
     return;
   const auto Merged =
-      S.Table.merge(Event.Report, inheritedMoves(*S.Fleet, Now.Wall));
+      S.Table.merge(Event.Report, inheritedMoves(*S.Fleet, Now.Wall,
+                                                 Now.Mono < S.TakeoverUntil));
   if (!Merged.Kept)
     Out.push_back(observe::LogEvent{observe::EventId::MoveEvidenceLimit,
                                     Event.Report.Sender.value()});
@@ -94,6 +95,7 @@
 
 void Control::on(const LeaseGained &Event) {
   S.Lease = Event.Epoch;
+  S.TakeoverUntil = Now.Mono + TakeoverReports;
   // Records of an older epoch that were not read back have no effect any more.
   S.Watches.clear();
 }
--- a/lib/decision/rollout/Judgement.cpp
+++ b/lib/decision/rollout/Judgement.cpp
@@ -11,10 +11,11 @@
 }
 
 std::set<config::MoveId> inheritedMoves(const config::FleetState &Fleet,
-                                        core::WallTime Now) {
+                                        core::WallTime Now, bool IsTakeover) {
   std::set<config::MoveId> Moves;
   for (const config::MoveStatus &Move : Fleet.Moves)
-    if (Now > Move.AcceptedAt + FreshMove)
+    if (Now > Move.AcceptedAt + FreshMove &&
+        !(IsTakeover && Move.Share <= CanaryShare))
       Moves.insert(Move.Id);
   return Moves;
 }
--- a/lib/decision/rollout/LocalGuard.cpp
+++ b/lib/decision/rollout/LocalGuard.cpp
@@ -23,8 +23,7 @@
   Step<GuardState, GuardEffects> finish();
 
 private:
-  void decide(const config::MoveId &Id, const core::RouteName &Route,
-              const RouteFinding &Found);
+  void decide(const config::MoveId &Id, MoveWindows &Windows);
   void decideAll();
   void spread(const Overlay &Value);
   void startStages(const config::FleetState &Next);
@@ -90,14 +89,12 @@
 
 void Guard::decideAll() {
   for (MoveWindows *Windows : {&S.OwnWindows, &S.PooledWindows})
-    for (const config::MoveId &Move : Windows->moves()) {
-      const auto [Route, Found] = Windows->evaluate(Move);
-      decide(Move, Route, Found);
-    }
+    for (const config::MoveId &Move : Windows->moves())
+      decide(Move, *Windows);
 }
 
-void Guard::decide(const config::MoveId &Id, const core::RouteName &Route,
-                   const RouteFinding &Found) {
+void Guard::decide(const config::MoveId &Id, MoveWindows &Windows) {
+  const auto [Route, Found] = Windows.evaluate(Id);
   const config::MoveStatus *Move = findMove(*S.Fleet, Id);
   if (Move == nullptr || !withdraws(*Move, Found))
     return;
@@ -146,8 +143,7 @@
     S.Own.Moves[Counted->Move][Counted->Route] += Counted->Added;
   S.OwnChanged = true;
   if (Counted->Added.New.Answers > 0)
-    decide(Counted->Move, Counted->Route,
-           S.OwnWindows.evaluate(Counted->Move, Counted->Route));
+    decide(Counted->Move, S.OwnWindows);
 }
 
 void Guard::on(const EvidenceReceived &Event) {
@@ -182,7 +178,7 @@
       }
   S.Pooled.Moves[Move][Route] += Summed;
   S.PooledChanged = true;
-  decide(Move, Route, S.PooledWindows.evaluate(Move, Route));
+  decide(Move, S.PooledWindows);
 }
 
 void Guard::on(const OverlayReceived &Event) {
@@ -201,7 +197,7 @@
     // Another lead counts from now on; what members report to it must not be
     // added again when this node leads once more.
     S.Members = {};
-    S.PooledWindows = {};
+    S.PooledWindows = MoveWindows(LocalSharedFaultChance);
   }
   S.IsLead = Event.IsLead;
 }
--- a/lib/decision/rollout/SequentialTest.cpp
+++ b/lib/decision/rollout/SequentialTest.cpp
@@ -68,10 +68,10 @@
   return std::min(Chance, 1.0);
 }
 
-Finding judge(Sample New, Sample Old, double Control) {
+Finding judge(Sample New, Sample Old, double Control, double SharedChance) {
   if (New.Bad < 2 || logLikelihoodRatio(New, Control) < threshold())
     return Finding::None;
-  if (sharedFaultChance(New, Old) > SharedFaultChance)
+  if (sharedFaultChance(New, Old) > SharedChance)
     return Finding::Suspected;
   return Finding::Proven;
 }
--- a/lib/decision/rollout/Windows.cpp
+++ b/lib/decision/rollout/Windows.cpp
@@ -21,15 +21,16 @@
 class Scan {
 public:
   /// @param AllOld answers of the old version since acceptance
-  Scan(double Floor, bool Slow, Sample AllOld)
-      : Control(controlRate(AllOld, Floor)), Floor(Floor), Slow(Slow) {}
+  Scan(double Floor, bool Slow, Sample AllOld, double SharedChance)
+      : Control(controlRate(AllOld, Floor)), Floor(Floor), Slow(Slow),
+        SharedChance(SharedChance) {}
 
   void window(Sample New, Sample Old) {
     // Chance makes some short window inside a long shared fault look like a
     // fault of the new version alone; the rate of the longer windows around it
     // tells them apart.
     Control = std::max(Control, controlRate(Old, Floor));
-    const Finding Level = judge(New, Old, Control);
+    const Finding Level = judge(New, Old, Control, SharedChance);
     if (Level > Gravest.Level)
       Gravest = {Level, Slow, New, Old};
   }
@@ -40,6 +41,7 @@
   double Control;
   double Floor;
   bool Slow;
+  double SharedChance;
   RouteFinding Gravest;
 };
 
@@ -103,9 +105,10 @@
 
 RouteFinding RouteWindows::judgeWindows() const {
   const auto Boundary = slowBoundary(Total.Old.Latency);
-  Scan Faults(ControlErrorRate, false, faultsOf(Total.Old));
+  Scan Faults(ControlErrorRate, false, faultsOf(Total.Old), SharedChance);
   Scan Latency(ControlSlowRate, true,
-               Boundary ? slowOf(Total.Old, *Boundary) : Sample());
+               Boundary ? slowOf(Total.Old, *Boundary) : Sample(),
+               SharedChance);
   RouteCounts Window = Stage;
   const auto Judge = [&] {
     Faults.window(faultsOf(Window.New), faultsOf(Window.Old));
@@ -134,7 +137,9 @@
     if (Kept >= MaxRoutes)
       return false;
   }
-  Routes[Route].add(Added);
+  Routes.try_emplace(Route, SharedChance).first->second.add(Added);
+  const core::RouteName WholeService;
+  Routes.try_emplace(WholeService, SharedChance).first->second.add(Added);
   return true;
 }
 
@@ -158,25 +163,6 @@
   return Gravest;
 }
 
-RouteFinding MoveWindows::evaluate(const config::MoveId &Move,
-                                   const core::RouteName &Route) {
-  const auto Found = Of.find(Move);
-  if (Found == Of.end())
-    return {};
-  const auto Windows = Found->second.find(Route);
-  return Windows == Found->second.end() ? RouteFinding()
-                                        : Windows->second.evaluate();
-}
-
-std::map<core::RouteName, RouteCounts>
-MoveWindows::totals(const config::MoveId &Move) const {
-  std::map<core::RouteName, RouteCounts> Sums;
-  if (const auto Found = Of.find(Move); Found != Of.end())
-    for (const auto &[Route, Windows] : Found->second)
-      Sums[Route] = Windows.total();
-  return Sums;
-}
-
 void MoveWindows::startStage(const config::MoveId &Move) {
   if (const auto Found = Of.find(Move); Found != Of.end())
     for (auto &[Route, Windows] : Found->second)
--- a/tests/rollout/ControllerTest.cpp
+++ b/tests/rollout/ControllerTest.cpp
@@ -94,6 +94,8 @@
 // Guards against evidence from before a takeover that is counted as new.
 Test(rollout_4_controller, a_takeover_takes_old_counts_as_a_baseline) {
   Coordinator C(600s);
+  while (C.move().Share <= CanaryShare)
+    C.pass(1000ms);
   for (int I = 0; I < 30; ++I) {
     C.addAnswers(answers(0, 0, 96, 0));
     C.pass(1000ms);
--- a/tools/fv-moves/Run.cpp
+++ b/tools/fv-moves/Run.cpp
@@ -101,7 +101,8 @@
   std::array<int, Nodes> Credit{};
   std::array<config::Permille, Nodes> Last{};
   std::priority_queue<Answered, std::vector<Answered>, std::greater<>> Waiting;
-  std::array<Oracle, 3> Oracles;
+  /// One for each route and one for the whole service.
+  std::array<Oracle, 4> Oracles;
   std::array<Route, 3> Routes{{{core::RouteName("read"), 0.60},
                                {core::RouteName("list"), 0.38},
                                {core::RouteName("rare"), 0.02}}};
@@ -208,8 +209,9 @@
     const std::size_t Index = Done.Answer.Route.value() == "read"   ? 0
                               : Done.Answer.Route.value() == "list" ? 1
                                                                     : 2;
-    const bool Crossed =
-        Oracles.at(Index).add(Done.Answer, Share, Now) && IsNew;
+    const bool OnRoute = Oracles.at(Index).add(Done.Answer, Share, Now);
+    const bool OnService = Oracles.back().add(Done.Answer, Share, Now);
+    const bool Crossed = IsNew && (OnRoute || OnService);
     Result.FaultsToDecide += Done.IsBad && !Result.EvidentAt ? 1 : 0;
     if (Crossed && !Result.EvidentAt)
       Result.EvidentAt = Now;
