Report faults at the canary at once

Three faults among a few answers decide at the canary; waiting for the end of a period added good answers that hid them, and the rollback came seconds later. build/fv-moves 4 and 5 (tuning seeds), before and after: bad_ms_after_evident 2340 and 1715, 5385 and 1835.

--- a/include/filbertvane/decision/rollout/Evidence.h
+++ b/include/filbertvane/decision/rollout/Evidence.h
@@ -13,6 +13,11 @@
 /// Period after which a node or lead sends its evidence while a move is active.
 inline constexpr core::Milliseconds EvidencePeriod{250};
 
+/// Least time between two reports of a sender. A fault at the canary is
+/// reported at once: so few answers decide there that those of one more period
+/// can hide it. Faults of both versions are, so that the comparison stays fair.
+inline constexpr core::Milliseconds PromptEvidencePeriod{50};
+
 /// Latencies of a new version do not count for this long after it got its first
 /// share: caches and connection pools of cold targets are still empty.
 inline constexpr core::Seconds WarmUp{10};
--- a/include/filbertvane/decision/rollout/LocalGuard.h
+++ b/include/filbertvane/decision/rollout/LocalGuard.h
@@ -101,6 +101,7 @@
   bool OwnChanged = false;
   bool PooledChanged = false;
   core::TimePoint NextReport;
+  core::TimePoint NextPromptReport;
   core::TimePoint NextOverlays;
 };
 
--- a/lib/decision/rollout/LocalGuard.cpp
+++ b/lib/decision/rollout/LocalGuard.cpp
@@ -32,6 +32,7 @@
             const RouteCounts &Counts,
             const std::map<config::MoveId, MoveCrashes> &Crashes);
   void reportEvidence();
+  void reportPromptly(const config::MoveId &Id, const RouteCounts &Added);
   void repeatOverlays();
 
   GuardState S;
@@ -142,6 +143,7 @@
   else
     S.Own.Moves[Counted->Move][Counted->Route] += Counted->Added;
   S.OwnChanged = true;
+  reportPromptly(Counted->Move, Counted->Added);
   if (Counted->Added.New.Answers > 0)
     decide(Counted->Move, S.OwnWindows);
 }
@@ -178,6 +180,7 @@
       }
   S.Pooled.Moves[Move][Route] += Summed;
   S.PooledChanged = true;
+  reportPromptly(Move, Counts);
   decide(Move, S.PooledWindows);
 }
 
@@ -206,7 +209,7 @@
   if (!S.Fleet)
     return;
   if (Now.Mono >= S.NextReport) {
-    S.NextReport = Now.Mono + EvidencePeriod;
+    forgetUnwatched();
     reportEvidence();
   }
   if (Now.Mono >= S.NextOverlays) {
@@ -215,8 +218,21 @@
   }
 }
 
+void Guard::reportPromptly(const config::MoveId &Id, const RouteCounts &Added) {
+  const config::MoveStatus *Move = findMove(*S.Fleet, Id);
+  const bool IsCanary = Move != nullptr && Move->Share <= CanaryShare &&
+                        Move->Stage == config::MoveStage::InProgress;
+  if (!IsCanary || Added.New.Faults + Added.Old.Faults == 0)
+    return;
+  if (Now.Mono >= S.NextPromptReport)
+    reportEvidence();
+  else
+    S.NextReport = std::min(S.NextReport, S.NextPromptReport);
+}
+
 void Guard::reportEvidence() {
-  forgetUnwatched();
+  S.NextReport = Now.Mono + EvidencePeriod;
+  S.NextPromptReport = Now.Mono + PromptEvidencePeriod;
   S.OwnWindows.closePeriod();
   S.PooledWindows.closePeriod();
   if (S.OwnChanged) {
--- a/tests/rollout/LocalGuardTest.cpp
+++ b/tests/rollout/LocalGuardTest.cpp
@@ -157,6 +157,17 @@
   cr_assert(Pooled.begin()->second.Old.Answers == 15);
 }
 
+// Guards against a fault at the canary that waits for the end of a period.
+Test(rollout_5_guard, reports_a_fault_at_the_canary_at_once) {
+  Node N;
+  N.feed(Tick{});
+  N.Now += PromptEvidencePeriod;
+  N.answer("1", false, 1);
+  cr_assert(N.Reports.empty());
+  N.answer("1", true, 2);
+  cr_assert(N.Reports.size() == 1, "at most one in PromptEvidencePeriod");
+}
+
 // Guards against evidence sent at each tick although nothing was added.
 Test(rollout_5_guard, reports_once_per_period_and_only_changes) {
   Node N;
