--- a/include/filbertvane/decision/rollout/Evidence.h
+++ b/include/filbertvane/decision/rollout/Evidence.h
@@ -4,7 +4,6 @@
 #include "filbertvane/config/FleetState.h"
 #include "filbertvane/decision/request/Events.h"
 #include "filbertvane/decision/rollout/Counts.h"
-#include <deque>
 #include <map>
 #include <set>
 #include <vector>
@@ -14,6 +13,11 @@
 /// Period after which a node or lead sends its evidence while a move is active.
 inline constexpr core::Milliseconds EvidencePeriod{250};
 
+/// Least time between two reports of a sender. A fault at the canary is
+/// reported at once: so few answers decide there that those of one more period
+/// can hide it. Faults of both versions are, so that the comparison stays fair.
+inline constexpr core::Milliseconds PromptEvidencePeriod{50};
+
 /// Latencies of a new version do not count for this long after it got its first
 /// share: caches and connection pools of cold targets are still empty.
 inline constexpr core::Seconds WarmUp{10};
@@ -69,7 +73,7 @@
 
 private:
   static constexpr std::size_t Limit = 256;
-  std::deque<core::Digest> Seen;
+  std::vector<core::Digest> Seen;
 };
 
 /// @brief Lists a crash in a report.
