--- a/include/filbertvane/decision/request/Settings.h
+++ b/include/filbertvane/decision/request/Settings.h
@@ -21,8 +21,9 @@
   std::uint32_t Attempts = 3;
   /// Latest deadline of a call after its arrival.
   core::Seconds LongestCall{600};
-  /// Retention of the log: keys older than this are refused.
-  core::Seconds ClaimRetention{24 * 3600};
+  /// Keys older than this are refused; at most the retention of the log
+  /// (docs/claims.md gives the memory that an hour takes).
+  core::Seconds ClaimRetention{3600};
 };
 
 /// @brief What a node knows about itself when it starts.
--- a/include/filbertvane/decision/request/claims/ClaimKeeper.h
+++ b/include/filbertvane/decision/request/claims/ClaimKeeper.h
@@ -10,10 +10,11 @@
 struct KeeperSettings {
   /// Different for each process and partition.
   core::WriterId Writer;
-  /// Retention of the log.
-  core::Seconds Retention{24 * 3600};
+  /// Age up to which keys are claimed; at most the retention of the log, and
+  /// the same on each node.
+  core::Seconds Retention{3600};
   /// Claimed keys that are remembered.
-  std::size_t Keys = 500000;
+  std::size_t Keys = 150000;
   /// Claims that wait for a decision.
   std::size_t Waiting = 10000;
   /// Claims in one batch; a log record holds 256 KiB.
