Bound the deadlines of ended calls and review targets every 250 ms

Cause: deadlines of ended calls stayed until they passed, which a caller with long deadlines could use to grow memory; each tick computed all medians.

Change: the heap drops ended calls when they outnumber the others, and the review of targets has its own deadline.

--- a/include/filbertvane/decision/request/Events.h
+++ b/include/filbertvane/decision/request/Events.h
@@ -9,7 +9,7 @@
 namespace filbertvane::decision::request {
 
 /// Largest answer that is kept for repeats, in bytes (docs/design.md, 9).
-inline constexpr std::size_t KeptAnswerLimit = 64 * 1024;
+inline constexpr std::size_t KeptAnswerLimit = std::size_t{64} * 1024;
 
 /// @name Values
 /// @{
--- a/include/filbertvane/decision/request/State.h
+++ b/include/filbertvane/decision/request/State.h
@@ -62,8 +62,11 @@
   /// @name Calls
   /// @{
   std::unordered_map<core::CallId, Call> Calls;
-  /// Min-heap; entries of ended calls are skipped.
+  /// Min-heap; entries of ended calls are skipped, and removed when they
+  /// outnumber the others.
   std::vector<Expiry> Expiries;
+  /// Next search for targets to eject or to re-admit.
+  core::TimePoint NextReview;
   std::uint64_t LastAttempt = 0;
   claims::KeptResults Results;
   Suspects Crashed;
--- a/lib/decision/request/ReduceArrival.cpp
+++ b/lib/decision/request/ReduceArrival.cpp
@@ -69,8 +69,7 @@
   Call &Made = Place->second;
   if (Now.Mono >= Made.Deadline)
     return refuse(Made, ErrorCode::RequestDeadlinePassed, false);
-  Next.Expiries.push_back({Made.Deadline, Made.Id});
-  std::push_heap(Next.Expiries.begin(), Next.Expiries.end(), std::greater<>());
+  addExpiry(Made);
   if (Made.Crashes >= CrashesToRefuse) {
     log(observe::EventId::RequestSuspectRefused, What.Path);
     return refuse(Made, ErrorCode::RequestSuspect, true);
--- a/lib/decision/request/ReduceClaims.cpp
+++ b/lib/decision/request/ReduceClaims.cpp
@@ -153,8 +153,7 @@
   Question.Key = What.Key;
   Question.Deadline = core::toMonotonic(What.Deadline, Now);
   Question.Route = std::make_shared<const config::RouteSpec>();
-  Next.Expiries.push_back({Question.Deadline, Question.Id});
-  std::push_heap(Next.Expiries.begin(), Next.Expiries.end(), std::greater<>());
+  addExpiry(Question);
   answerRepeat(What.Id, *Entry);
 }
 
--- a/lib/decision/request/ReduceEjection.cpp
+++ b/lib/decision/request/ReduceEjection.cpp
@@ -3,6 +3,13 @@
 
 namespace filbertvane::decision::request {
 
+namespace {
+
+/// Ticks come more often, for deadlines; medians need not be that fresh.
+constexpr core::Milliseconds ReviewPeriod{250};
+
+} // namespace
+
 void Reduction::refreshActive(VersionPool &Pool) {
   for (std::size_t Near = 0; Near < LocalityCount; ++Near) {
     Pool.Active[Near].clear();
@@ -33,6 +40,15 @@
   refreshActive(Pool);
 }
 
+void Reduction::reviewTargets() {
+  if (Now.Mono < Next.NextReview)
+    return;
+  Next.NextReview = Now.Mono + ReviewPeriod;
+  for (auto &[Name, Service] : Next.Services)
+    for (VersionPool &Pool : Service.Pools)
+      reviewPool(Pool);
+}
+
 void Reduction::reviewPool(VersionPool &Pool) {
   for (const auto &Members : Pool.Members) {
     const auto Readmitted = readmit(Next.Targets, Members, Now.Mono);
--- a/lib/decision/request/ReduceEnds.cpp
+++ b/lib/decision/request/ReduceEnds.cpp
@@ -6,6 +6,13 @@
 using claims::ResultState;
 using core::ErrorCode;
 
+namespace {
+
+/// Deadlines of ended calls that are kept before they are removed.
+constexpr std::size_t SpareExpiries = 1024;
+
+} // namespace
+
 void Reduction::refuse(core::CallId Id, Outcome Result, core::Error Why) {
   Out.emplace_back(Refuse{Id, Result, std::move(Why)});
   erase(Id);
@@ -65,6 +72,18 @@
     serveQueue(At);
 }
 
+void Reduction::addExpiry(const Call &Which) {
+  auto &Heap = Next.Expiries;
+  if (Heap.size() > 2 * Next.Calls.size() + SpareExpiries) {
+    std::erase_if(Heap, [this](const Expiry &Entry) {
+      return !Next.Calls.contains(Entry.Id);
+    });
+    std::make_heap(Heap.begin(), Heap.end(), std::greater<>());
+  }
+  Heap.push_back({Which.Deadline, Which.Id});
+  std::push_heap(Heap.begin(), Heap.end(), std::greater<>());
+}
+
 /// An answer that started goes on: its length is unknown, and its connection
 /// is watched by the sender.
 void Reduction::expire(Call &Which) {
@@ -107,9 +126,7 @@
     if (Call *Which = find(Id))
       expire(*Which);
   }
-  for (auto &[Name, Service] : Next.Services)
-    for (VersionPool &Pool : Service.Pools)
-      reviewPool(Pool);
+  reviewTargets();
   for (auto &[At, Own] : Next.OwnTargets)
     serveQueue(At);
   Next.Crashed.expire(Now.Mono);
--- a/lib/decision/request/Reduction.h
+++ b/lib/decision/request/Reduction.h
@@ -1,4 +1,4 @@
-#ifndef FILBERTVANE_LIB_DECISION_REQUEST_REDUCTION_H
+#ifndef FILBERTVANE_LIB_DECISION_REQUEST_REDUCTION_H // NOLINT(llvm-header-guard)
 #define FILBERTVANE_LIB_DECISION_REQUEST_REDUCTION_H
 
 #include "filbertvane/decision/request/Reducer.h"
@@ -79,6 +79,7 @@
   /// @{
   void noteHealth(TargetIndex At, bool Fault, core::Microseconds Latency);
   void ejectFrom(VersionPool &Pool, TargetIndex At);
+  void reviewTargets();
   void reviewPool(VersionPool &Pool);
   void refreshActive(VersionPool &Pool);
   /// @}
@@ -91,6 +92,7 @@
   void settle(Call &Which, claims::ResultState Result,
               std::shared_ptr<const KeptAnswer> Answer);
   void erase(core::CallId Id) { Next.Calls.erase(Id); }
+  void addExpiry(const Call &Which);
   void expire(Call &Which);
   /// @}
 
--- a/lib/decision/request/claims/Key.cpp
+++ b/lib/decision/request/claims/Key.cpp
@@ -59,7 +59,7 @@
 core::Result<core::WallTime> checkKey(const core::IdempotencyKey &Key,
                                       core::WallTime Now,
                                       core::Seconds Retention) {
-  const core::Result<core::WallTime> Parsed = keyTime(Key);
+  core::Result<core::WallTime> Parsed = keyTime(Key);
   if (!core::ok(Parsed))
     return Parsed;
   const core::WallTime Made = core::value(Parsed);
--- a/tests/request/Bench.h
+++ b/tests/request/Bench.h
@@ -1,4 +1,4 @@
-#ifndef FILBERTVANE_TESTS_REQUEST_BENCH_H
+#ifndef FILBERTVANE_TESTS_REQUEST_BENCH_H // NOLINT(llvm-header-guard)
 #define FILBERTVANE_TESTS_REQUEST_BENCH_H
 
 #include "filbertvane/decision/request/Reducer.h"
@@ -44,7 +44,8 @@
 }
 
 inline Endpoint endpoint(const std::string &Node, std::string Version = "1",
-                         std::string Centre = "dc1", std::uint32_t Slots = 4) {
+                         const std::string &Centre = "dc1",
+                         std::uint32_t Slots = 4) {
   Endpoint Made;
   Made.Target = core::TargetId("t-" + Node);
   Made.Service = core::ServiceName("shop");
--- a/tests/request/ClaimKeeperTest.cpp
+++ b/tests/request/ClaimKeeperTest.cpp
@@ -178,7 +178,7 @@
     for (int Step = 0; Step < 200; ++Step) {
       const auto At = Pick(0, 3);
       KeeperBench &Keeper = Keepers[At];
-      Keeper.Millis = Start + Step * 400;
+      Keeper.Millis = Start + Step * std::int64_t{400};
       const auto Key = keyAt(Start + Pick(0, 4) * 20000);
       switch (Pick(0, 8)) {
       case 0:
--- a/tests/request/KeeperBench.h
+++ b/tests/request/KeeperBench.h
@@ -1,4 +1,4 @@
-#ifndef FILBERTVANE_TESTS_REQUEST_KEEPERBENCH_H
+#ifndef FILBERTVANE_TESTS_REQUEST_KEEPERBENCH_H // NOLINT(llvm-header-guard)
 #define FILBERTVANE_TESTS_REQUEST_KEEPERBENCH_H
 
 #include "Bench.h"
@@ -101,7 +101,7 @@
   }
 
   ClaimBatch takeAppend() {
-    const ClaimBatch Batch = Appends.front();
+    ClaimBatch Batch = Appends.front();
     Appends.erase(Appends.begin());
     return Batch;
   }
--- a/tests/request/ReducerPropertyTest.cpp
+++ b/tests/request/ReducerPropertyTest.cpp
@@ -225,6 +225,7 @@
 // Guards against retries at each of 20 hops, which multiply to 3^20 requests.
 Test(request_properties, a_chain_of_20_hops_stays_within_the_budget) {
   std::vector<Bench> Hops;
+  Hops.reserve(20);
   for (std::uint64_t Hop = 0; Hop < 20; ++Hop)
     Hops.emplace_back(shopFleet(), std::vector{endpoint("n1"), endpoint("n2")},
                       Hop);
--- a/tests/request/ReducerTest.cpp
+++ b/tests/request/ReducerTest.cpp
@@ -124,3 +124,18 @@
   Node.handle(Late);
   cr_assert(Node.Last.empty() && Node.Now->Calls.size() == 1, "ended");
 }
+
+// Guards against deadlines of ended calls that use memory without bound.
+Test(request_reducer, deadlines_of_ended_calls_are_removed) {
+  Bench Node(shopFleet(), {endpoint("n1")});
+  for (std::uint64_t Id = 1; Id <= 5000; ++Id) {
+    Node.arrive(Id);
+    Node.end(Id, AttemptEnd::Answered);
+  }
+  cr_assert(Node.Now->Expiries.size() < 1100, "%zu kept",
+            Node.Now->Expiries.size());
+  Node.arrive(6000, "/list", 10);
+  Node.Millis += 10;
+  Node.handle(Tick{});
+  cr_assert(Node.first<Refuse>()->Id == core::CallId(6000), "not expired");
+}
