Test two guards whose removal no test had noticed

Cause: without the check of the claim in an owner's question, and without the drop of repeated batches, all tests passed.

--- a/tests/request/ClaimKeeperTest.cpp
+++ b/tests/request/ClaimKeeperTest.cpp
@@ -163,6 +163,20 @@
   cr_assert(Keeper.Now.Table.size() == 0, "kept after the retention");
 }
 
+// Guards against a late append of a lost batch that brings forgotten keys
+// back, and against a new batch that is taken for a repeat.
+Test(claim_keeper, a_repeated_batch_has_no_effect) {
+  ClaimTable Table(100);
+  const ClaimBatch Batch{core::WriterId("w2"), 5, {claimOf(keyAt(1), "n2")}};
+  Table.apply(Batch);
+  Table.forgetBefore(core::WallTime(core::Milliseconds(2)));
+  Table.apply(Batch);
+  cr_assert(Table.size() == 0, "a repeat was applied");
+  Table.apply({core::WriterId("w2"), 6, {claimOf(keyAt(3), "n2")}});
+  Table.apply({core::WriterId("w3"), 5, {claimOf(keyAt(4), "n3")}});
+  cr_assert(Table.size() == 2, "a new batch was dropped");
+}
+
 // Guards against two owners of one key: keepers that read the same stream, in
 // other portions, before or after trims, never name different owners.
 Test(claim_keeper, keepers_of_one_stream_agree) {
--- a/tests/request/KeptResultsTest.cpp
+++ b/tests/request/KeptResultsTest.cpp
@@ -91,6 +91,18 @@
   cr_assert(Node.first<Refuse>()->Result == Outcome::Unknown, "evicted");
 }
 
+// Guards against the answer of another claim of the same key.
+Test(kept_results, a_question_about_another_claim_is_unknown) {
+  Owner Node;
+  Node.book(1);
+  Node.decide(1, Node.self(1));
+  Node.answer(1);
+  Node.question(50, Node.self(77));
+  cr_assert(Node.first<Refuse>()->Result == Outcome::Unknown, "answered");
+  Node.question(51, Node.self(1));
+  cr_assert(Node.first<SendKeptAnswer>(), "not answered");
+}
+
 // Guards against a late send after the caller was given up.
 Test(kept_results, a_paused_owner_refuses_what_it_did_not_send) {
   Owner Node;
