--- a/include/filbertvane/io/HttpServer.h
+++ b/include/filbertvane/io/HttpServer.h
@@ -98,7 +98,7 @@
     std::string Address;
     std::uint32_t MaxConnections = 4096;
     /// Bytes of a request's head.
-    std::size_t MaxHeadBytes = 16 * 1024;
+    std::size_t MaxHeadBytes = std::size_t{16} * 1024;
   };
 
   /// @brief Binds and starts to accept.
--- a/lib/io/CurlTransfer.cpp
+++ b/lib/io/CurlTransfer.cpp
@@ -6,8 +6,8 @@
 namespace {
 
 /// Body bytes below which the handler is asked for more.
-constexpr std::size_t SendLowMark = 64 * 1024;
-constexpr long ReceiveBufferBytes = 64 * 1024;
+constexpr std::size_t SendLowMark = std::size_t{64} * 1024;
+constexpr long ReceiveBufferBytes = 64L * 1024;
 /// Shorter than the idle timeout of servers, so that a connection is not
 /// reused in the moment in which its server closes it.
 constexpr long IdleSeconds = 30;
@@ -70,7 +70,9 @@
     if (Name.empty() || !isPlain(Name, false) || !isPlain(Value, true))
       return false;
     // libcurl's notation for a header with an empty value.
-    const std::string Line = Value.empty() ? Name + ";" : Name + ": " + Value;
+    std::string Line = Name;
+    Line += Value.empty() ? ";" : ": ";
+    Line += Value;
     Lines = curl_slist_append(Lines, Line.c_str());
   }
   // Headers that libcurl would add by itself.
--- a/lib/io/HttpClient.cpp
+++ b/lib/io/HttpClient.cpp
@@ -84,12 +84,12 @@
       : Client(Client), Transfer(std::move(Transfer)),
         ClientAlive(std::move(ClientAlive)) {}
   ~CurlRequest() override {
-    if (under_way())
+    if (underWay())
       Client.cancel(*Transfer);
   }
 
   std::size_t writeBody(std::string_view Part) override {
-    if (!under_way())
+    if (!underWay())
       return 0;
     Transfer->Out.append(Part);
     Client.wake(*Transfer);
@@ -97,17 +97,17 @@
   }
   void finishBody() override {
     Transfer->BodyFinished = true;
-    if (under_way())
+    if (underWay())
       Client.wake(*Transfer);
   }
   void pauseAnswer(bool Paused) override {
     Transfer->AnswerHeld = Paused;
-    if (under_way() && !Paused)
+    if (underWay() && !Paused)
       Client.wake(*Transfer);
   }
 
 private:
-  bool under_way() const {
+  bool underWay() const {
     return !ClientAlive.expired() && Transfer->Handler != nullptr;
   }
 
@@ -145,7 +145,7 @@
 
 private:
   /// Answers of the platform log are the largest: records of one read.
-  static constexpr std::size_t MaxAnswerBytes = 16 * 1024 * 1024;
+  static constexpr std::size_t MaxAnswerBytes = std::size_t{16} * 1024 * 1024;
 
   CurlClient &Client;
   Done OnDone;
--- a/lib/io/HttpServer.cpp
+++ b/lib/io/HttpServer.cpp
@@ -13,7 +13,7 @@
 
 /// Memory of libmicrohttpd per connection; heads up to `MaxHeadBytes` and its
 /// own buffers have to fit.
-constexpr std::size_t ConnectionMemoryBytes = 64 * 1024;
+constexpr std::size_t ConnectionMemoryBytes = std::size_t{64} * 1024;
 /// Longer than a client keeps an idle connection (`IdleSeconds` of the client),
 /// so that a connection is not closed while a request is under way to it.
 constexpr unsigned IdleTimeoutSeconds = 75;
--- a/lib/io/MhdExchange.cpp
+++ b/lib/io/MhdExchange.cpp
@@ -8,12 +8,12 @@
 namespace {
 
 /// Answer bytes below which the handler is asked for more.
-constexpr std::size_t WriteLowMark = 64 * 1024;
+constexpr std::size_t WriteLowMark = std::size_t{64} * 1024;
 /// Largest block that libmicrohttpd asks for at once.
-constexpr std::size_t ReadBlockBytes = 32 * 1024;
+constexpr std::size_t ReadBlockBytes = std::size_t{32} * 1024;
 /// Request body that is read and dropped after the answer is finished, so that
 /// the caller reads the answer instead of a connection reset.
-constexpr std::size_t DrainLimitBytes = 1024 * 1024;
+constexpr std::size_t DrainLimitBytes = std::size_t{1024} * 1024;
 
 std::string addressText(const sockaddr *Address) {
   if (Address == nullptr)
--- a/lib/io/proxy/ProxyCall.h
+++ b/lib/io/proxy/ProxyCall.h
@@ -9,14 +9,14 @@
 namespace request = decision::request;
 
 /// Body bytes that are read before the request is decided on.
-inline constexpr std::size_t DigestBodyBytes = 16 * 1024;
+inline constexpr std::size_t DigestBodyBytes = std::size_t{16} * 1024;
 /// Body bytes that are kept, so that an attempt that was not run can be
 /// repeated; larger bodies are streamed once.
-inline constexpr std::size_t KeptBodyBytes = 64 * 1024;
+inline constexpr std::size_t KeptBodyBytes = std::size_t{64} * 1024;
 /// Largest answer handed on as stored result.
-inline constexpr std::size_t StoredAnswerBytes = 64 * 1024;
+inline constexpr std::size_t StoredAnswerBytes = std::size_t{64} * 1024;
 /// Queued bytes above which the source of a body is held back.
-inline constexpr std::size_t QueueBoundBytes = 256 * 1024;
+inline constexpr std::size_t QueueBoundBytes = std::size_t{256} * 1024;
 
 class Engine;
 class Attempt;
--- a/lib/observe/Tracer.cpp
+++ b/lib/observe/Tracer.cpp
@@ -115,12 +115,12 @@
   What.Fields = {{"Content-Type", "application/json"}};
   What.Deadline = Loop.now().Mono + ExportDeadline;
   const std::weak_ptr<bool> Living = Alive;
-  Client.fetch(std::move(What),
-               toOtlpJson(Settings.Service, Settings.Instance, Batch),
-               [this, Living, Count](io::ClientEnd, int Status, std::string) {
-                 if (!Living.expired())
-                   done(Count, Status);
-               });
+  Client.fetch(
+      std::move(What), toOtlpJson(Settings.Service, Settings.Instance, Batch),
+      [this, Living, Count](io::ClientEnd, int Status, const std::string &) {
+        if (!Living.expired())
+          done(Count, Status);
+      });
 }
 
 void Tracer::Exporter::done(std::size_t Count, int Status) {
--- a/tests/io/HttpBodyTest.cpp
+++ b/tests/io/HttpBodyTest.cpp
@@ -43,8 +43,8 @@
 
 /// Server that writes `Total` bytes and never queues more than the bound.
 struct BoundedSource {
-  static constexpr std::size_t Bound = 256 * 1024;
-  static constexpr std::size_t Block = 64 * 1024;
+  static constexpr std::size_t Bound = std::size_t{256} * 1024;
+  static constexpr std::size_t Block = std::size_t{64} * 1024;
   std::size_t Total = 0;
   std::size_t Produced = 0;
   std::size_t MaxQueued = 0;
@@ -67,14 +67,14 @@
 // which buffers are empty, partly filled and refilled.
 Test(http_body, arrives_unchanged_both_ways) {
   for (const std::size_t Bytes :
-       {std::size_t{0}, std::size_t{1}, std::size_t{64 * 1024},
-        std::size_t{8 * 1024 * 1024}})
+       {std::size_t{0}, std::size_t{1}, std::size_t{std::size_t{64} * 1024},
+        std::size_t{std::size_t{8} * 1024 * 1024}})
     expectEcho(Bytes, false);
 }
 
 Test(http_body, arrives_unchanged_without_a_stated_length) {
-  for (const std::size_t Bytes :
-       {std::size_t{0}, std::size_t{1}, std::size_t{8 * 1024 * 1024}})
+  for (const std::size_t Bytes : {std::size_t{0}, std::size_t{1},
+                                  std::size_t{std::size_t{8} * 1024 * 1024}})
     expectEcho(Bytes, true);
 }
 
@@ -82,7 +82,7 @@
 Test(http_body, a_paused_reader_holds_the_source_back) {
   BoundedLoop Bounded;
   BoundedSource Source;
-  Source.Total = 64 * 1024 * 1024;
+  Source.Total = std::size_t{64} * 1024 * 1024;
   const auto Server = listenOn(Bounded.Loop, [&](io::ServerExchange &Exchange) {
     auto Handler = std::make_unique<ServerHandler>();
     Handler->BodyEnd = [&] {
@@ -105,8 +105,8 @@
       Client->send(requestTo(Bounded.Loop, urlOf(Server->port())), Recorder);
   Bounded.runFor(core::Milliseconds(300));
   cr_assert(Held, "no part arrived");
-  cr_assert(Source.Produced < 16 * 1024 * 1024, "%zu bytes were produced",
-            Source.Produced);
+  cr_assert(Source.Produced < std::size_t{16} * 1024 * 1024,
+            "%zu bytes were produced", Source.Produced);
   cr_assert(Source.MaxQueued <= BoundedSource::Bound + BoundedSource::Block,
             "%zu bytes were queued", Source.MaxQueued);
   Request->pauseAnswer(false);
@@ -117,7 +117,7 @@
 
 // Guards against an upload that is read although its receiver is held back.
 Test(http_body, a_paused_server_holds_the_upload_back) {
-  constexpr std::size_t Total = 64 * 1024 * 1024;
+  constexpr std::size_t Total = std::size_t{64} * 1024 * 1024;
   BoundedLoop Bounded;
   std::size_t Received = 0;
   io::ServerExchange *Paused = nullptr;
@@ -154,8 +154,9 @@
   Pour();
   Bounded.runFor(core::Milliseconds(300));
   cr_assert(Paused != nullptr, "no part arrived");
-  cr_assert(Received <= 64 * 1024, "%zu bytes arrived", Received);
-  cr_assert(Written < 16 * 1024 * 1024, "%zu bytes were taken", Written);
+  cr_assert(Received <= std::size_t{64} * 1024, "%zu bytes arrived", Received);
+  cr_assert(Written < std::size_t{16} * 1024 * 1024, "%zu bytes were taken",
+            Written);
   Paused->pauseBody(false);
   Bounded.run();
   cr_assert(Recorder.End == io::ClientEnd::Complete);
--- a/tests/io/HttpConnectionTest.cpp
+++ b/tests/io/HttpConnectionTest.cpp
@@ -34,7 +34,8 @@
 
 /// Sends requests at the same time and returns their ends.
 std::vector<io::ClientEnd> sendAll(BoundedLoop &Bounded, io::HttpClient &Client,
-                                   io::HttpClient::Request What, int Count) {
+                                   const io::HttpClient::Request &What,
+                                   int Count) {
   std::vector<io::ClientEnd> Ends;
   std::vector<ClientRecorder> Recorders(Count);
   std::vector<std::unique_ptr<io::ClientRequest>> Requests;
--- a/tests/io/HttpFailureTest.cpp
+++ b/tests/io/HttpFailureTest.cpp
@@ -120,7 +120,7 @@
 // Guards against heads that exceed the limit of the design (16 KiB).
 Test(http_failure, oversized_heads_are_refused) {
   const std::string Start = "GET / HTTP/1.1\r\nHost: a\r\nX-Fill: ";
-  for (const std::size_t Bytes : {17 * 1024, 100 * 1024}) {
+  for (const std::size_t Bytes : {17000, 100000}) {
     const std::string Got =
         answerTo(Start + std::string(Bytes, 'x') + "\r\n\r\n");
     cr_assert(Got == "HTTP/1.1 431", "%zu bytes: %s", Bytes, Got.c_str());
--- a/tests/io/ProxyEngineTest.cpp
+++ b/tests/io/ProxyEngineTest.cpp
@@ -134,8 +134,7 @@
 
 // Guards against requests and answers that change on their way over two nodes.
 Test(proxy, a_request_passes_two_nodes_unchanged) {
-  for (const std::size_t Bytes :
-       {0, 1, 16 * 1024, 64 * 1024, 8 * 1024 * 1024}) {
+  for (const std::size_t Bytes : {0, 1, 16384, 65536, 8388608}) {
     Chain Path;
     const std::string Body = patternOf(Bytes);
     Path.call(Body, {{"Idempotency-Key", "k1"}, {"X-Kept", ""}});
@@ -212,7 +211,7 @@
   Full.Destinations = {destination(Busy->port(), true)};
   Path.Entry.Destinations.insert(Path.Entry.Destinations.begin(),
                                  destination(Full.Engine->peersPort(), false));
-  const std::string Body = patternOf(60 * 1024);
+  const std::string Body = patternOf(60000);
   Path.call(Body);
   cr_assert(Path.Caller.Head.Status == 200, "%d", Path.Caller.Head.Status);
   cr_assert(Path.Caller.Body == Body);
@@ -224,7 +223,7 @@
   Chain Path;
   Path.Run = [](io::ServerExchange &E) {
     E.start({200, {}}, std::nullopt);
-    E.write(patternOf(300 * 1024));
+    E.write(patternOf(300000));
   };
   Path.Caller.OnPart = [&](std::string_view) { Path.Target.reset(); };
   Path.call("b");
--- a/tests/io/RawPeer.h
+++ b/tests/io/RawPeer.h
@@ -9,6 +9,7 @@
 #include <netinet/in.h>
 #include <string>
 #include <sys/socket.h>
+#include <tuple>
 #include <unistd.h>
 
 namespace filbertvane::test {
@@ -42,7 +43,8 @@
           std::function<void(RawConnection &)> OnData) {
     const int Fd = socket(AF_INET, SOCK_STREAM, 0);
     const sockaddr_in To = loopback(Port);
-    ::connect(Fd, reinterpret_cast<const sockaddr *>(&To), sizeof To);
+    std::ignore =
+        ::connect(Fd, reinterpret_cast<const sockaddr *>(&To), sizeof To);
     return std::make_unique<RawConnection>(Loop, Fd, std::move(OnData));
   }
 
@@ -87,7 +89,7 @@
         Fd(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0)) {
     sockaddr_in Address = loopback(0);
     socklen_t Size = sizeof Address;
-    bind(Fd, reinterpret_cast<sockaddr *>(&Address), Size);
+    std::ignore = bind(Fd, reinterpret_cast<sockaddr *>(&Address), Size);
     listen(Fd, 16);
     getsockname(Fd, reinterpret_cast<sockaddr *>(&Address), &Size);
     Port = ntohs(Address.sin_port);
--- a/tools/fv-link/Link.cpp
+++ b/tools/fv-link/Link.cpp
@@ -4,6 +4,7 @@
 #include <netinet/tcp.h>
 #include <optional>
 #include <sys/socket.h>
+#include <tuple>
 #include <unistd.h>
 
 namespace filbertvane::tools {
@@ -132,7 +133,8 @@
   const int Far = newSocket();
   const sockaddr_in To = *parseAddress(Target);
   // A refusal shows as an error of the first write or read.
-  connect(Far, reinterpret_cast<const sockaddr *>(&To), sizeof To);
+  std::ignore =
+      connect(Far, reinterpret_cast<const sockaddr *>(&To), sizeof To);
   const std::uint64_t Id = ++NextPair;
   // The call comes from inside the pair, which therefore goes later.
   const auto Over = [this, Id] {
--- a/tools/fv-link/Stream.cpp
+++ b/tools/fv-link/Stream.cpp
@@ -7,8 +7,8 @@
 namespace {
 
 /// Bytes on the way in one direction: 20 ms at 4 Gbit/s and some slack.
-constexpr std::size_t MaxWaiting = 16 * 1024 * 1024;
-constexpr std::size_t ReadBlock = 64 * 1024;
+constexpr std::size_t MaxWaiting = std::size_t{16} * 1024 * 1024;
+constexpr std::size_t ReadBlock = std::size_t{64} * 1024;
 
 } // namespace
 
--- a/tools/fv-load/Probe.cpp
+++ b/tools/fv-load/Probe.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-constexpr std::size_t WriteBlock = 64 * 1024;
-constexpr std::size_t QueueBound = 256 * 1024;
+constexpr std::size_t WriteBlock = std::size_t{64} * 1024;
+constexpr std::size_t QueueBound = std::size_t{256} * 1024;
 
 } // namespace
 
--- a/tools/fv-target/Job.cpp
+++ b/tools/fv-target/Job.cpp
@@ -7,9 +7,9 @@
 
 namespace {
 
-constexpr std::size_t MaxEchoBytes = 64 * 1024 * 1024;
-constexpr std::size_t WriteBlock = 64 * 1024;
-constexpr std::size_t QueueBound = 256 * 1024;
+constexpr std::size_t MaxEchoBytes = std::size_t{64} * 1024 * 1024;
+constexpr std::size_t WriteBlock = std::size_t{64} * 1024;
+constexpr std::size_t QueueBound = std::size_t{256} * 1024;
 constexpr int CrashStatus = 70;
 
 std::optional<std::size_t> bytesParameter(const std::string &Path) {
