--- a/tests/observe/TraceTest.cpp
+++ b/tests/observe/TraceTest.cpp
@@ -41,7 +41,8 @@
 Test(trace, malformed_headers_are_ignored) {
   const std::string Zeros(32, '0');
   for (const std::string &Bad :
-       {std::string(), Valid.substr(1), Valid + "-x", "ff" + Valid.substr(2),
+       {std::string(), Valid.substr(0, 53), Valid.substr(0, 54),
+        Valid.substr(1), Valid + "-x", "ff" + Valid.substr(2),
         "00-" + Zeros + Valid.substr(35),
         Valid.substr(0, 36) + Zeros.substr(16) + "-01",
         "00-4BF92F3577B34DA6A3CE929D0E0E4736" + Valid.substr(35)})
