--- a/scripts/measures/control_bytes.py
+++ b/scripts/measures/control_bytes.py
@@ -16,7 +16,7 @@
     for node in nodes:
         status = node.status()
         sums["control"] += status["control_bytes_in"] + status["control_bytes_out"]
-        sums["cross"] += status["cross_region_bytes_out"] + status["log_bytes_in"] * (node.log_port != node.fleet.log_port)
+        sums["cross"] += status["cross_region_bytes"] + status["log_bytes_in"] * (node.log_port != node.fleet.log_port)
     return sums
 
 
