Keep half of a group when its other targets leave

Cause: after an ejection the other targets of a group could leave, and the group had no target. The property over random event orders found it once endpoints and configurations changed at random too.

Change: a change of endpoints ends the earliest ejections until at most half of each group is ejected.

--- a/include/filbertvane/decision/request/Ejection.h
+++ b/include/filbertvane/decision/request/Ejection.h
@@ -31,6 +31,11 @@
 bool eject(TargetTable &Targets, std::span<const TargetIndex> Members,
            TargetIndex At, core::TimePoint Now);
 
+/// @brief Ends ejections, the earliest first, until at most half of a group is
+///        ejected: other members may have left since.
+void keepHalf(TargetTable &Targets, std::span<const TargetIndex> Members,
+              core::TimePoint Now);
+
 /// @brief Re-admits members whose ejection is over; they warm up again.
 /// @return the members re-admitted
 std::vector<TargetIndex> readmit(TargetTable &Targets,
--- a/lib/decision/request/Ejection.cpp
+++ b/lib/decision/request/Ejection.cpp
@@ -73,12 +73,36 @@
   return Found;
 }
 
+namespace {
+
+std::vector<TargetIndex> ejectedOf(const TargetTable &Targets,
+                                   std::span<const TargetIndex> Members) {
+  std::vector<TargetIndex> Found;
+  for (TargetIndex At : Members)
+    if (Targets[At].Seen.EjectedUntil)
+      Found.push_back(At);
+  return Found;
+}
+
+} // namespace
+
+void keepHalf(TargetTable &Targets, std::span<const TargetIndex> Members,
+              core::TimePoint Now) {
+  std::vector<TargetIndex> Ejected = ejectedOf(Targets, Members);
+  std::sort(
+      Ejected.begin(), Ejected.end(), [&Targets](TargetIndex A, TargetIndex B) {
+        return Targets[A].Seen.EjectedUntil > Targets[B].Seen.EjectedUntil;
+      });
+  while (Ejected.size() * 2 > Members.size()) {
+    Targets[Ejected.back()].Seen.EjectedUntil = Now;
+    readmit(Targets, std::span(&Ejected.back(), 1), Now);
+    Ejected.pop_back();
+  }
+}
+
 bool eject(TargetTable &Targets, std::span<const TargetIndex> Members,
            TargetIndex At, core::TimePoint Now) {
-  const auto Ejected = static_cast<std::size_t>(std::count_if(
-      Members.begin(), Members.end(), [&Targets](TargetIndex Member) {
-        return Targets[Member].Seen.EjectedUntil.has_value();
-      }));
+  const std::size_t Ejected = ejectedOf(Targets, Members).size();
   Health &Seen = Targets[At].Seen;
   if (Seen.EjectedUntil || (Ejected + 1) * 2 > Members.size())
     return false;
--- a/lib/decision/request/ReduceFleet.cpp
+++ b/lib/decision/request/ReduceFleet.cpp
@@ -1,4 +1,5 @@
 #include "Reduction.h"
+#include "filbertvane/decision/request/Ejection.h"
 #include <algorithm>
 
 namespace filbertvane::decision::request {
@@ -71,8 +72,11 @@
       addMember(Service->second, All[At], At);
   }
   for (auto &[Name, Service] : Next.Services)
-    for (VersionPool &Pool : Service.Pools)
+    for (VersionPool &Pool : Service.Pools) {
+      for (const auto &Members : Pool.Members)
+        keepHalf(Next.Targets, Members, Now.Mono);
       refreshActive(Pool);
+    }
 }
 
 void Reduction::operator()(const EndpointsChanged &What) {
--- a/tests/request/EjectionTest.cpp
+++ b/tests/request/EjectionTest.cpp
@@ -83,6 +83,17 @@
   cr_assert(Held, "too many ejected");
 }
 
+// Guards against a group that is empty because its other targets left.
+Test(ejection, the_last_targets_are_not_left_ejected) {
+  Group Targets(4);
+  eject(Targets.Table, Targets.Members, 0, Targets.Now);
+  eject(Targets.Table, Targets.Members, 1, Targets.Now + core::Microseconds(1));
+  const std::vector<TargetIndex> Left{0, 1};
+  keepHalf(Targets.Table, Left, Targets.Now);
+  cr_assert(!Targets.Table[0].Seen.EjectedUntil, "the earliest stays out");
+  cr_assert(Targets.Table[1].Seen.EjectedUntil, "both came back");
+}
+
 // Guards against an ejection that selection does not notice.
 Test(ejection, five_faults_in_a_row_stop_new_requests) {
   Bench Node(shopFleet(), {endpoint("n1"), endpoint("n2")});
--- a/tests/request/ReducerPropertyTest.cpp
+++ b/tests/request/ReducerPropertyTest.cpp
@@ -23,7 +23,7 @@
 
   void step() {
     Model.Node.Millis += Pick(0, 40);
-    switch (Pick(0, 12)) {
+    switch (Pick(0, 14)) {
     case 0:
     case 1:
     case 2:
@@ -38,6 +38,10 @@
       return Model.apply(Tick{}, Slots);
     case 7:
       return started();
+    case 8:
+      return announce();
+    case 9:
+      return configure();
     default:
       return endOne();
     }
@@ -145,6 +149,23 @@
     Model.apply(What, Slots);
   }
 
+  /// Any part of the targets, the own one included, goes or comes back.
+  void announce() {
+    std::vector<Endpoint> Listed;
+    for (const Endpoint &Place : places())
+      if (Pick(0, 4) > 0)
+        Listed.push_back(Place);
+    Model.apply(EndpointsChanged{Listed}, Slots);
+  }
+
+  void configure() {
+    const auto Share = static_cast<config::Permille>(Pick(0, 3) * 50);
+    Model.apply(
+        ConfigurationChanged{
+            std::make_shared<const config::FleetState>(shopFleet(Share)), {}},
+        Slots);
+  }
+
   void ownerReplies() {
     if (Model.AskingOwner.empty())
       return;
--- a/tools/fv-policy/Main.cpp
+++ b/tools/fv-policy/Main.cpp
@@ -13,7 +13,7 @@
 constexpr std::size_t TargetCount = 12;
 constexpr double PickerLoad = 3600;
 
-void printPickers(const char *Name, std::vector<TargetModel> Targets,
+void printPickers(const char *Name, const std::vector<TargetModel> &Targets,
                   std::uint64_t Seed) {
   const std::pair<const char *, request::AnyPicker> Pickers[] = {
       {"power_of_two", request::PowerOfTwoChoices{}},
