Do not retry a refused request whose caller left

Cause: a claimed request goes on without its caller; after a refusal it was sent again although nobody waited.

Change: it ends as not run, and a repeat may run it.

--- a/lib/decision/request/ReduceFailures.cpp
+++ b/lib/decision/request/ReduceFailures.cpp
@@ -48,10 +48,11 @@
            What.TargetCrashed);
 }
 
+/// A request whose caller left and that did not run is left to its repeats.
 bool Reduction::mayRetry(const Call &Which, const AttemptEnded &What) const {
   const bool Safe = Which.idempotent() || !Which.MayHaveRun;
-  return Safe && !What.RetriedDownstream && Which.Crashes < CrashesToRefuse &&
-         Now.Mono < Which.Deadline &&
+  return Safe && !Which.Detached && !What.RetriedDownstream &&
+         Which.Crashes < CrashesToRefuse && Now.Mono < Which.Deadline &&
          Which.Tried.size() < Next.Own.Bounds.Attempts;
 }
 
