--- a/tests/request/ReducerPropertyTest.cpp
+++ b/tests/request/ReducerPropertyTest.cpp
@@ -207,6 +207,7 @@
     VersionSelector Selector(
         *rc::gen::inRange<config::Permille>(0, config::FullShare));
     std::vector<int> Chosen;
+    Chosen.reserve(static_cast<std::size_t>(Window) * 8);
     for (int Request = 0; Request < Window * 8; ++Request)
       Chosen.push_back(Selector.next(Share) ? 1 : 0);
     for (int From = 0; From + Window <= Window * 8; ++From) {
