--- a/tests/request/KeptResultsTest.cpp
+++ b/tests/request/KeptResultsTest.cpp
@@ -152,3 +152,15 @@
                    KeptAnswer{200, std::string(KeptAnswerLimit + 1, 'x')}));
   cr_assert(!Large.find(keyAt(1))->Answer, "one answer above its limit");
 }
+
+// Guards against a request that is sent again though nobody waits for it.
+Test(kept_results, a_refused_request_without_caller_is_not_sent_again) {
+  Owner Node;
+  Node.book(1);
+  Node.decide(1, Node.self(1));
+  Node.handle(CallerGone{core::CallId(1)});
+  Node.end(1, AttemptEnd::NotRun);
+  cr_assert(Node.Last.empty(), "sent again, or refused to nobody");
+  Node.book(2);
+  cr_assert(Node.first<RequestClaim>(), "a repeat cannot run it");
+}
