--- a/include/filbertvane/config/SheetValidation.h
+++ b/include/filbertvane/config/SheetValidation.h
@@ -15,7 +15,7 @@
 /// @{
 inline constexpr std::size_t MaxNameBytes = 64;
 inline constexpr std::size_t MaxPrefixBytes = 256;
-inline constexpr std::size_t MaxSheetBytes = 64 * 1024;
+inline constexpr std::size_t MaxSheetBytes = std::size_t{48} * 1024;
 inline constexpr core::Milliseconds MinTimeout{1};
 inline constexpr core::Milliseconds MaxTimeout{3600000};
 /// @}
--- a/include/filbertvane/config/TextFile.h
+++ b/include/filbertvane/config/TextFile.h
@@ -7,7 +7,7 @@
 namespace filbertvane::config {
 
 /// Largest settings or sheet file that is read.
-inline constexpr std::size_t MaxFileBytes = 1024 * 1024;
+inline constexpr std::size_t MaxFileBytes = std::size_t{1024} * 1024;
 
 /// @brief Reads a whole file.
 /// @param OnFailure code of the error when it is absent or too large
--- a/include/filbertvane/wire/RecordCodec.h
+++ b/include/filbertvane/wire/RecordCodec.h
@@ -9,9 +9,9 @@
 namespace filbertvane::wire {
 
 /// Largest record that the platform log accepts.
-inline constexpr std::size_t MaxRecordBytes = 256 * 1024;
+inline constexpr std::size_t MaxRecordBytes = std::size_t{256} * 1024;
 /// Largest encoded fleet state that is decoded (size of a control frame).
-inline constexpr std::size_t MaxStateBytes = 1024 * 1024;
+inline constexpr std::size_t MaxStateBytes = std::size_t{1024} * 1024;
 
 /// @name Encoding (Thrift compact)
 /// The encoding is canonical: equal values have equal bytes.
--- a/lib/config/Settings.cpp
+++ b/lib/config/Settings.cpp
@@ -19,6 +19,11 @@
 constexpr YamlReader::Range DrainMillis{1000, 3600000};
 /// A shorter key could be guessed by trying.
 constexpr std::size_t MinSharedKeyBytes = 16;
+constexpr const char *ReachableRule =
+    "must be ip:port that other nodes can reach";
+/// Records carry names of at most 64 bytes, in which a node's id is followed by
+/// the number of its start.
+constexpr std::size_t MaxIdBytes = 40;
 
 /// Reads the settings' sections; `Node` tells which fields a node needs.
 class SettingsSections {
@@ -79,19 +84,22 @@
         advertised(Map.value_or(Absent), "peers", Out.Listen.Peers);
     Out.Advertise.Control =
         advertised(Map.value_or(Absent), "control", Out.Listen.Control);
-    Out.Advertise.OtherRegions = advertised(
-        Map.value_or(Absent), "other_regions", Out.Advertise.Control);
+    const std::string Stated =
+        address(Map.value_or(Absent), "other_regions", Need::Optional,
+                isReachable, ReachableRule);
+    Out.Advertise.OtherRegions =
+        Stated.empty() ? Out.Advertise.Control : Stated;
   }
 
   /// Address for other nodes, by default the one that is listened on.
   std::string advertised(const YamlMap &Map, const std::string &Key,
                          const std::string &Listen) {
-    constexpr const char *Rule = "must be ip:port that other nodes can reach";
     const std::string Stated =
-        address(Map, Key, Need::Optional, isReachable, Rule);
+        address(Map, Key, Need::Optional, isReachable, ReachableRule);
     if (Stated.empty() && isAddress(Listen) && !isReachable(Listen))
-      Reader.fieldFault("listen." + Key,
-                        fmt::format("{}, or state advertise.{}", Rule, Key));
+      Reader.fieldFault(
+          "listen." + Key,
+          fmt::format("{}, or state advertise.{}", ReachableRule, Key));
     return Stated.empty() ? Listen : Stated;
   }
 
@@ -155,7 +163,11 @@
   }
 
   std::string name(const YamlMap &Map, std::string_view Key) {
-    return Reader.text(Map, Key, Need::Required).value_or("");
+    const std::string Name = Reader.text(Map, Key, Need::Required).value_or("");
+    if (Name.size() > MaxIdBytes)
+      Reader.fieldFault(Map.pathOf(Key),
+                        fmt::format("longer than {} bytes", MaxIdBytes));
+    return Name;
   }
 
   std::string address(const YamlMap &Map, std::string_view Key, Need Presence,
--- a/lib/config/WriterSequences.h
+++ b/lib/config/WriterSequences.h
@@ -9,7 +9,7 @@
 /// Writers whose last sequence is kept. Beyond it the writer with the lowest
 /// sequence is forgotten. A repeat of a forgotten record still has no effect:
 /// its base, its epoch or its share is an old one by then.
-inline constexpr std::size_t MaxWriters = 512;
+inline constexpr std::size_t MaxWriters = 256;
 
 /// @brief Notes the sequence of a record.
 /// @return false when this writer's record was seen before
--- a/lib/io/BlockingLog.cpp
+++ b/lib/io/BlockingLog.cpp
@@ -10,9 +10,9 @@
 constexpr core::Milliseconds AppendTimeout{3000};
 constexpr core::Milliseconds ReadAllowance{3000};
 constexpr core::Milliseconds PauseAfterFailure{500};
-constexpr std::size_t MaxBytesPerRead = 1024 * 1024;
+constexpr std::size_t MaxBytesPerRead = std::size_t{1024} * 1024;
 /// Above the largest answer to a read: one batch and one more record.
-constexpr std::size_t MaxAnswerBytes = 8 * 1024 * 1024;
+constexpr std::size_t MaxAnswerBytes = std::size_t{8} * 1024 * 1024;
 
 using Handle = std::unique_ptr<CURL, decltype(&curl_easy_cleanup)>;
 
--- a/lib/wire/RangeCheck.cpp
+++ b/lib/wire/RangeCheck.cpp
@@ -6,7 +6,7 @@
 
 constexpr std::int64_t YearEndOf9999 = 253402300799999;
 constexpr std::int64_t MillisPerDay = 86400000;
-constexpr std::size_t MaxNameBytes = 128;
+constexpr std::size_t MaxNameBytes = 64;
 
 } // namespace
 
--- /dev/null
+++ b/tests/config/ExamplesTest.cpp
@@ -0,0 +1,37 @@
+#include "filbertvane/config/Settings.h"
+#include "filbertvane/config/SheetParser.h"
+#include "filbertvane/config/TextFile.h"
+#include <criterion/criterion.h>
+
+using namespace filbertvane;
+using namespace filbertvane::config;
+
+namespace {
+
+const std::string Folder =
+    std::string(FILBERTVANE_SCENARIOS) + "/../../examples/";
+
+std::string firstOf(const Faults &Found) {
+  return Found.empty() ? "" : core::toString(Found.front());
+}
+
+} // namespace
+
+// Guards against examples that a reader copies and the program refuses.
+Test(examples, the_example_sheet_is_valid) {
+  const std::string File = Folder + "sheet.yaml";
+  const auto Text = readTextFile(File, core::ErrorCode::SheetUnreadable);
+  cr_assert(core::ok(Text));
+  const auto Parsed = parseSheet(core::value(Text), File);
+  const auto *Found = std::get_if<Faults>(&Parsed);
+  const std::string Problem = Found ? firstOf(*Found) : "";
+  cr_assert(!Found, "%s", Problem.c_str());
+}
+
+Test(examples, the_example_settings_are_valid) {
+  const auto Read =
+      loadSettings(Folder + "settings.yaml", SettingsReader::Node);
+  const auto *Found = std::get_if<Faults>(&Read);
+  const std::string Problem = Found ? firstOf(*Found) : "";
+  cr_assert(!Found, "%s", Problem.c_str());
+}
--- a/tests/config/SettingsTest.cpp
+++ b/tests/config/SettingsTest.cpp
@@ -93,6 +93,17 @@
             (AdvertisedAddresses{"10.0.0.1:8081", "10.9.9.9:1", "10.9.9.9:1"}));
 }
 
+// Guards against one wrong address that is reported as two faults.
+Test(settings, a_listening_wildcard_needs_an_advertised_address) {
+  std::string Text = Valid;
+  const std::string Address = "[fd00::1]:8082";
+  Text.replace(Text.find(Address), Address.size(), "0.0.0.0:8082");
+  const std::string Found = faultsIn(Text, SettingsReader::Node);
+  cr_assert_str_eq(Found.c_str(),
+                   "103 n.yaml:5: listen.control: must be ip:port that other "
+                   "nodes can reach, or state advertise.control\n");
+}
+
 Test(settings, the_command_line_needs_only_the_log) {
   const std::string LogOnly =
       "log: {url: \"http://127.0.0.1:9000\", retention_s: 60}\n";
--- a/tools/fv-log/LogService.cpp
+++ b/tools/fv-log/LogService.cpp
@@ -12,8 +12,8 @@
 constexpr std::string_view StreamsPath = "/streams/";
 constexpr std::size_t MaxNameBytes = 64;
 constexpr std::uint64_t MaxWaitMs = 60000;
-constexpr std::uint64_t DefaultMaxBytes = 1024 * 1024;
-constexpr std::uint64_t LargestAnswer = 4 * 1024 * 1024;
+constexpr std::uint64_t DefaultMaxBytes = std::uint64_t{1024} * 1024;
+constexpr std::uint64_t LargestAnswer = std::uint64_t{4} * 1024 * 1024;
 
 Answer jsonAnswer(int Status, const json &Body) {
   return {Status, "application/json", Body.dump() + "\n", {}};
--- a/tools/fv-log/LogService.h
+++ b/tools/fv-log/LogService.h
@@ -10,7 +10,7 @@
 namespace filbertvane::tools {
 
 /// Largest record that is accepted.
-inline constexpr std::size_t MaxRecordBytes = 256 * 1024;
+inline constexpr std::size_t MaxRecordBytes = std::size_t{256} * 1024;
 
 /// @brief A whole request, independent of the HTTP library.
 struct Request {
