--- a/lib/decision/rollout/LocalGuard.cpp
+++ b/lib/decision/rollout/LocalGuard.cpp
@@ -23,8 +23,7 @@
   Step<GuardState, GuardEffects> finish();
 
 private:
-  void decide(const config::MoveId &Id, const core::RouteName &Route,
-              const RouteFinding &Found);
+  void decide(const config::MoveId &Id, MoveWindows &Windows);
   void decideAll();
   void spread(const Overlay &Value);
   void startStages(const config::FleetState &Next);
@@ -33,6 +32,7 @@
             const RouteCounts &Counts,
             const std::map<config::MoveId, MoveCrashes> &Crashes);
   void reportEvidence();
+  void reportPromptly(const config::MoveId &Id, const RouteCounts &Added);
   void repeatOverlays();
 
   GuardState S;
@@ -90,14 +90,12 @@
 
 void Guard::decideAll() {
   for (MoveWindows *Windows : {&S.OwnWindows, &S.PooledWindows})
-    for (const config::MoveId &Move : Windows->moves()) {
-      const auto [Route, Found] = Windows->evaluate(Move);
-      decide(Move, Route, Found);
-    }
+    for (const config::MoveId &Move : Windows->moves())
+      decide(Move, *Windows);
 }
 
-void Guard::decide(const config::MoveId &Id, const core::RouteName &Route,
-                   const RouteFinding &Found) {
+void Guard::decide(const config::MoveId &Id, MoveWindows &Windows) {
+  const auto [Route, Found] = Windows.evaluate(Id);
   const config::MoveStatus *Move = findMove(*S.Fleet, Id);
   if (Move == nullptr || !withdraws(*Move, Found))
     return;
@@ -145,9 +143,9 @@
   else
     S.Own.Moves[Counted->Move][Counted->Route] += Counted->Added;
   S.OwnChanged = true;
+  reportPromptly(Counted->Move, Counted->Added);
   if (Counted->Added.New.Answers > 0)
-    decide(Counted->Move, Counted->Route,
-           S.OwnWindows.evaluate(Counted->Move, Counted->Route));
+    decide(Counted->Move, S.OwnWindows);
 }
 
 void Guard::on(const EvidenceReceived &Event) {
@@ -182,7 +180,8 @@
       }
   S.Pooled.Moves[Move][Route] += Summed;
   S.PooledChanged = true;
-  decide(Move, Route, S.PooledWindows.evaluate(Move, Route));
+  reportPromptly(Move, Counts);
+  decide(Move, S.PooledWindows);
 }
 
 void Guard::on(const OverlayReceived &Event) {
@@ -201,7 +200,7 @@
     // Another lead counts from now on; what members report to it must not be
     // added again when this node leads once more.
     S.Members = {};
-    S.PooledWindows = {};
+    S.PooledWindows = MoveWindows(LocalSharedFaultChance);
   }
   S.IsLead = Event.IsLead;
 }
@@ -210,7 +209,7 @@
   if (!S.Fleet)
     return;
   if (Now.Mono >= S.NextReport) {
-    S.NextReport = Now.Mono + EvidencePeriod;
+    forgetUnwatched();
     reportEvidence();
   }
   if (Now.Mono >= S.NextOverlays) {
@@ -219,8 +218,21 @@
   }
 }
 
+void Guard::reportPromptly(const config::MoveId &Id, const RouteCounts &Added) {
+  const config::MoveStatus *Move = findMove(*S.Fleet, Id);
+  const bool IsCanary = Move != nullptr && Move->Share <= CanaryShare &&
+                        Move->Stage == config::MoveStage::InProgress;
+  if (!IsCanary || Added.New.Faults + Added.Old.Faults == 0)
+    return;
+  if (Now.Mono >= S.NextPromptReport)
+    reportEvidence();
+  else
+    S.NextReport = std::min(S.NextReport, S.NextPromptReport);
+}
+
 void Guard::reportEvidence() {
-  forgetUnwatched();
+  S.NextReport = Now.Mono + EvidencePeriod;
+  S.NextPromptReport = Now.Mono + PromptEvidencePeriod;
   S.OwnWindows.closePeriod();
   S.PooledWindows.closePeriod();
   if (S.OwnChanged) {
