--- a/include/filbertvane/decision/rollout/Controller.h
+++ b/include/filbertvane/decision/rollout/Controller.h
@@ -17,6 +17,9 @@
 /// again.
 inline constexpr core::Seconds RetrialTime{5};
 
+/// Time after which the old version is looked at again when it failed too.
+inline constexpr core::Seconds RecheckTime{2};
+
 /// Suspicions after which a move is rolled back: a fault that came with the new
 /// version, went with it and came again with it is not a coincidence.
 inline constexpr int MaxSuspicions = 2;
--- a/lib/decision/rollout/MoveDriver.cpp
+++ b/lib/decision/rollout/MoveDriver.cpp
@@ -163,7 +163,7 @@
   const MoveCounts Total = S.Table.total(Move.Id);
   if (!oldIsHealthy(Total)) {
     // The fault is shared; wait until the old version has recovered.
-    Watch.RetrialAt = Now.Mono + RetrialTime;
+    Watch.RetrialAt = Now.Mono + RecheckTime;
     Watch.AtSuspicion = Total;
     return;
   }
--- a/tests/rollout/LocalGuardTest.cpp
+++ b/tests/rollout/LocalGuardTest.cpp
@@ -116,6 +116,9 @@
   N.answer("2", true, 4);
   cr_assert(N.Withdrawn.size() == 1);
   cr_assert(!N.Overlays.front().Value.Proven);
+  // Answers after the withdrawal are no proof of what happened before it.
+  N.answer("1", false, 500);
+  N.answer("2", true, 1);
   N.step(951);
   cr_assert(N.Withdrawn.empty());
   N.answer("2", false, 1);
--- a/tests/rollout/SequentialTestTest.cpp
+++ b/tests/rollout/SequentialTestTest.cpp
@@ -91,6 +91,19 @@
   cr_assert(Proven <= 2, "%d evaluations blamed the new version", Proven);
 }
 
+// Guards against an unlucky short window inside a long shared fault.
+Test(rollout_1_test, compares_a_window_with_the_longer_ones_around_it) {
+  RouteWindows Windows;
+  Windows.add(answers(0, 0, 100000, 0));
+  Windows.startStage();
+  for (int I = 0; I < 40; ++I) {
+    Windows.add(answers(5, 3, 5, 3));
+    Windows.closePeriod();
+  }
+  Windows.add(answers(12, 12, 12, 0));
+  cr_assert(Windows.evaluate().Level != Finding::Proven);
+}
+
 // Guards against a late fault that is diluted by many good answers before it.
 Test(rollout_1_test, finds_a_late_fault_in_the_newest_windows) {
   RouteWindows Windows;
--- a/tools/fv-moves/Fleet.cpp
+++ b/tools/fv-moves/Fleet.cpp
@@ -147,7 +147,7 @@
   // A step after a decision dispelled it; the next one counts afresh.
   const config::MoveStatus &Status = State->Moves.back();
   if (Status.Stage == config::MoveStage::InProgress && Decided &&
-      Now > *Decided + rollout::RetrialTime)
+      Now > *Decided + rollout::RetrialTime / 2)
     Decided.reset();
   for (int Centre = 0; Centre < DataCentres; ++Centre) {
     if (Move.isCutOff(Centre, Now))
