--- a/include/filbertvane/decision/rollout/Counts.h
+++ b/include/filbertvane/decision/rollout/Counts.h
@@ -24,8 +24,8 @@
   /// @brief Number of latencies in the buckets above one.
   std::uint64_t above(std::size_t Bucket) const;
 
-  friend auto operator<=>(const LatencyHistogram &,
-                          const LatencyHistogram &) = default;
+  friend bool operator==(const LatencyHistogram &,
+                         const LatencyHistogram &) = default;
 };
 
 /// @brief Answers of one target version on one route.
@@ -34,8 +34,8 @@
   std::uint64_t Faults = 0;
   LatencyHistogram Latency;
 
-  friend auto operator<=>(const VersionCounts &,
-                          const VersionCounts &) = default;
+  friend bool operator==(const VersionCounts &,
+                         const VersionCounts &) = default;
 };
 
 /// @brief Answers of both versions of a move on one route, same window.
@@ -43,7 +43,7 @@
   VersionCounts New;
   VersionCounts Old;
 
-  friend auto operator<=>(const RouteCounts &, const RouteCounts &) = default;
+  friend bool operator==(const RouteCounts &, const RouteCounts &) = default;
 };
 
 /// @name Arithmetic
--- a/include/filbertvane/decision/rollout/Evidence.h
+++ b/include/filbertvane/decision/rollout/Evidence.h
@@ -41,7 +41,7 @@
   /// The target had the new version.
   bool OfNew = false;
 
-  friend auto operator<=>(const Crash &, const Crash &) = default;
+  friend bool operator==(const Crash &, const Crash &) = default;
 };
 
 /// Newest crashes per route, newest last.
@@ -57,7 +57,7 @@
   /// At most MaxCrashes per route.
   std::map<config::MoveId, MoveCrashes> Crashes;
 
-  friend auto operator<=>(const Evidence &, const Evidence &) = default;
+  friend bool operator==(const Evidence &, const Evidence &) = default;
 };
 
 /// Crashes per route that a report lists.
@@ -69,7 +69,7 @@
   /// @brief Whether a request was not seen before; remembers it.
   bool isNew(core::Digest Request);
 
-  friend auto operator<=>(const CrashMemory &, const CrashMemory &) = default;
+  friend bool operator==(const CrashMemory &, const CrashMemory &) = default;
 
 private:
   static constexpr std::size_t Limit = 256;
@@ -107,7 +107,7 @@
                                 const config::FleetState &Fleet,
                                 core::Instant Now);
 
-  friend auto operator<=>(const NodeCounter &, const NodeCounter &) = default;
+  friend bool operator==(const NodeCounter &, const NodeCounter &) = default;
 
 private:
   CrashMemory Crashes;
@@ -147,14 +147,14 @@
   /// @brief Drops the counts of all moves but these.
   void retain(const std::set<config::MoveId> &Moves);
 
-  friend auto operator<=>(const EvidenceTable &,
-                          const EvidenceTable &) = default;
+  friend bool operator==(const EvidenceTable &,
+                         const EvidenceTable &) = default;
 
 private:
   struct Known {
     std::uint64_t Revision = 0;
     std::map<config::MoveId, MoveCounts> Moves;
-    friend auto operator<=>(const Known &, const Known &) = default;
+    friend bool operator==(const Known &, const Known &) = default;
   };
   bool knowsSender(const core::NodeId &Sender) const;
   void mergeCrashes(const Evidence &Report, Merged &Result);
--- a/include/filbertvane/decision/rollout/Overlay.h
+++ b/include/filbertvane/decision/rollout/Overlay.h
@@ -23,7 +23,7 @@
   bool Proven = false;
   config::Verdict Decided;
 
-  friend auto operator<=>(const Overlay &, const Overlay &) = default;
+  friend bool operator==(const Overlay &, const Overlay &) = default;
 };
 
 /// @brief Overlays of a node, merged from its own decisions and those of
@@ -51,7 +51,7 @@
   /// @brief Moves that have an overlay in force in a data centre.
   std::vector<config::MoveId> inForce(const core::DataCentreId &Here) const;
 
-  friend auto operator<=>(const OverlaySet &, const OverlaySet &) = default;
+  friend bool operator==(const OverlaySet &, const OverlaySet &) = default;
 
 private:
   using Key = std::pair<config::MoveId, core::DataCentreId>;
--- a/include/filbertvane/decision/rollout/Schedule.h
+++ b/include/filbertvane/decision/rollout/Schedule.h
@@ -53,7 +53,7 @@
   /// Slots of both versions that run a request now.
   std::uint32_t InUse = 0;
 
-  friend auto operator<=>(const ReadySlots &, const ReadySlots &) = default;
+  friend bool operator==(const ReadySlots &, const ReadySlots &) = default;
 };
 
 /// @brief Progress of the evidence of a move.
--- a/include/filbertvane/decision/rollout/SequentialTest.h
+++ b/include/filbertvane/decision/rollout/SequentialTest.h
@@ -42,7 +42,7 @@
   std::uint64_t Answers = 0;
   std::uint64_t Bad = 0;
 
-  friend auto operator<=>(const Sample &, const Sample &) = default;
+  friend bool operator==(const Sample &, const Sample &) = default;
 };
 
 /// @brief How much the evidence says against the new version.
--- a/include/filbertvane/decision/rollout/Windows.h
+++ b/include/filbertvane/decision/rollout/Windows.h
@@ -16,7 +16,7 @@
   Sample New;
   Sample Old;
 
-  friend auto operator<=>(const RouteFinding &, const RouteFinding &) = default;
+  friend bool operator==(const RouteFinding &, const RouteFinding &) = default;
 };
 
 /// @brief Recent counts of one route of one move.
@@ -57,13 +57,13 @@
 
   static constexpr std::size_t MaxPeriods = 48;
 
-  friend auto operator<=>(const RouteWindows &, const RouteWindows &) = default;
+  friend bool operator==(const RouteWindows &, const RouteWindows &) = default;
 
 private:
   struct Period {
     RouteCounts Counts;
     std::uint32_t Length = 1;
-    friend auto operator<=>(const Period &, const Period &) = default;
+    friend bool operator==(const Period &, const Period &) = default;
   };
 
   void mergeOldest();
@@ -114,7 +114,7 @@
   /// @brief Moves that have counts.
   std::vector<config::MoveId> moves() const;
 
-  friend auto operator<=>(const MoveWindows &, const MoveWindows &) = default;
+  friend bool operator==(const MoveWindows &, const MoveWindows &) = default;
 
 private:
   double SharedChance;
--- a/tests/rollout/ControllerTest.cpp
+++ b/tests/rollout/ControllerTest.cpp
@@ -109,6 +109,17 @@
   cr_assert(C.move().Stage == MoveStage::RolledBack);
 }
 
+// Guards against faults that are lost when the coordinator dies at the canary.
+Test(rollout_4_controller, a_takeover_at_the_canary_counts_the_first_reports) {
+  Coordinator C(600s);
+  C.pass(20000ms);
+  C.Report.Moves[C.move().Id][core::RouteName("read")] += answers(4, 4, 96, 0);
+  C.replaceCoordinator(2);
+  C.addAnswers(answers(0, 0, 1, 0));
+  C.readBack();
+  cr_assert(C.move().Stage == MoveStage::RolledBack);
+}
+
 // Guards against a rolled-back version that gets requests without a new order.
 Test(rollout_4_controller, a_rolled_back_version_waits_for_a_new_order) {
   Coordinator C(600s);
--- a/tests/rollout/ScheduleTest.cpp
+++ b/tests/rollout/ScheduleTest.cpp
@@ -47,6 +47,14 @@
   cr_assert(Share == CanaryShare);
 }
 
+// Guards against a second early step on the evidence of the first.
+Test(rollout_3_schedule, collects_evidence_afresh_at_each_step) {
+  Progress Seen;
+  Seen.Total[Read] = answers(GateAnswers, 0, 9000, 0);
+  Seen.AtStep = Seen.Total;
+  cr_assert(nextShare(moveAt(100, 1000s), Seen, Ample, wall(60s)) == 100);
+}
+
 // Guards against a route with few requests that holds up the move.
 Test(rollout_3_schedule, does_not_wait_for_a_quiet_route) {
   Progress Seen;
--- a/tools/fv-moves/Main.cpp
+++ b/tools/fv-moves/Main.cpp
@@ -49,6 +49,8 @@
   double Faults = 0;
   double FaultsInAll = 0;
   std::vector<core::Milliseconds> After;
+  int CutOff = 0;
+  core::Milliseconds CutOffWorst{0};
 
   void add(const MoveResult &Result) {
     if (!Result.Move.isBad()) {
@@ -63,6 +65,9 @@
     Faults += static_cast<double>(Result.FaultsToDecide);
     FaultsInAll += static_cast<double>(Result.FaultsInAll);
     After.push_back(Result.msAfterEvident());
+    const auto Longer = Result.msAfterEvidentCutOff();
+    CutOff += Longer.count() > 0 ? 1 : 0;
+    CutOffWorst = std::max(CutOffWorst, Longer);
   }
   core::Milliseconds afterP99() const {
     auto Sorted = After;
@@ -119,6 +124,8 @@
 
 } // namespace
 
+/// Arguments: [SEED [detail|all]]; `detail` prints each move of the kept
+/// policy, `all` adds the test without local rollback.
 int main(int Count, char *Arguments[]) {
   const std::uint64_t Seed =
       Count > 1 ? std::strtoull(Arguments[1], nullptr, 10) : MeasureSeed;
@@ -126,10 +133,13 @@
   fmt::print("{:<24}{:>8}{:>8}{:>8}{:>9}{:>9}{:>7}{:>9}\n", "policy", "on time",
              "rolled", "share", "faults", "after ms", "false", "all");
   Summary Kept;
-  const bool IsTrial = Count > 2;
+  const std::string_view Mode = Count > 2 ? Arguments[2] : "";
+  const bool IsTrial = Mode == "detail";
   for (const PolicyKind Kind : Policies) {
     if (IsTrial && Kind != PolicyKind::Sequential)
       continue;
+    if (Kind == PolicyKind::Central && Mode != "all")
+      continue;
     const auto Results = runAll(Kind, Seed);
     Kept = std::accumulate(Results.begin(), Results.end(), Summary(),
                            [](Summary Sum, const MoveResult &Result) {
@@ -141,6 +151,9 @@
     if (IsTrial)
       printDetails(Results);
   }
+  fmt::print("cut-off data centres that went on after the rest had decided: "
+             "{} of {} bad moves, at most {} ms\n",
+             Kept.CutOff, Kept.Bad, Kept.CutOffWorst.count());
   fmt::print("{}\n",
              Kept.line("moves: good_on_time={:.4f} bad_taken_back={:.4f} "
                        "bad_share_max={:.4f} faults_to_decide={:.2f} "
--- a/tools/fv-moves/Run.cpp
+++ b/tools/fv-moves/Run.cpp
@@ -284,6 +284,12 @@
   return std::max(core::Milliseconds(0), LastSent - *EvidentAt);
 }
 
+core::Milliseconds MoveResult::msAfterEvidentCutOff() const {
+  if (!EvidentAt)
+    return core::Milliseconds(0);
+  return std::max(core::Milliseconds(0), LastSentCutOff - *EvidentAt);
+}
+
 MoveResult run(const Scenario &Move, Policy &Decides) {
   return Engine(Move, Decides).run();
 }
--- a/tools/fv-moves/Run.h
+++ b/tools/fv-moves/Run.h
@@ -27,6 +27,8 @@
   bool rolledBack() const { return Final && Final->RolledBack; }
   double badShare() const;
   core::Milliseconds msAfterEvident() const;
+  /// The same in a data centre that was cut off; it has only its own evidence.
+  core::Milliseconds msAfterEvidentCutOff() const;
 };
 
 /// Runs one move under a policy.
