--- a/lib/config/Settings.cpp
+++ b/lib/config/Settings.cpp
@@ -163,7 +163,7 @@
   }
 
   std::string name(const YamlMap &Map, std::string_view Key) {
-    const std::string Name = Reader.text(Map, Key, Need::Required).value_or("");
+    std::string Name = Reader.text(Map, Key, Need::Required).value_or("");
     if (Name.size() > MaxIdBytes)
       Reader.fieldFault(Map.pathOf(Key),
                         fmt::format("longer than {} bytes", MaxIdBytes));
--- a/lib/decision/Dispatch.cpp
+++ b/lib/decision/Dispatch.cpp
@@ -121,39 +121,38 @@
     return;
   }
   std::visit(
-      Overloaded{[&](const distribution::RecordBatch &Batch) {
-                   follow(distribution::Event(
-                       distribution::RecordsReceived{What.From, Batch}));
-                 },
-                 [&](const distribution::RecordsRequest &Request) {
-                   follow(distribution::Event(
-                       distribution::RecordsRequested{What.From, Request}));
-                 },
-                 [&](const distribution::Snapshot &Snapshot) {
-                   follow(distribution::Event(
-                       distribution::SnapshotReceived{What.From, Snapshot}));
-                 },
-                 [&](const wire::Summaries &Summaries) {
-                   follow(directory::Event(directory::SummariesReceived{
-                       What.From, Summaries.DataCentres}));
-                 },
-                 [&](const wire::Evidence &Evidence) {
-                   receive(What.From, What.DataCentre, Evidence);
-                 },
-                 [&](const wire::LocalRollback &Rollback) {
-                   receive(What.From, Rollback);
-                 },
-                 [&](const wire::Suspect &Suspect) {
-                   follow(request::Event(request::SuspectLearned{
-                       Suspect.RequestDigest, Suspect.Crashes}));
-                 },
-                 [&](const wire::ClaimRequest &Request) {
-                   Out.emplace_back(ClaimReceived{What.From, Request});
-                 },
-                 [&](const wire::ClaimReply &Reply) {
-                   Out.emplace_back(ClaimReplied{Reply});
-                 },
-                 [](const auto &) {}},
+      Overloaded{
+          [&](const distribution::RecordBatch &Batch) {
+            follow(distribution::Event(
+                distribution::RecordsReceived{What.From, Batch}));
+          },
+          [&](const distribution::RecordsRequest &Request) {
+            follow(distribution::Event(
+                distribution::RecordsRequested{What.From, Request}));
+          },
+          [&](const distribution::Snapshot &Snapshot) {
+            follow(distribution::Event(
+                distribution::SnapshotReceived{What.From, Snapshot}));
+          },
+          [&](const wire::Summaries &Summaries) {
+            follow(directory::Event(directory::SummariesReceived{
+                What.From, Summaries.DataCentres}));
+          },
+          [&](const wire::Evidence &Evidence) {
+            receive(What.DataCentre, Evidence);
+          },
+          [&](const wire::LocalRollback &Rollback) { receive(Rollback); },
+          [&](const wire::Suspect &Suspect) {
+            follow(request::Event(request::SuspectLearned{Suspect.RequestDigest,
+                                                          Suspect.Crashes}));
+          },
+          [&](const wire::ClaimRequest &Request) {
+            Out.emplace_back(ClaimReceived{What.From, Request});
+          },
+          [&](const wire::ClaimReply &Reply) {
+            Out.emplace_back(ClaimReplied{Reply});
+          },
+          [](const auto &) {}},
       What.What);
 }
 
--- a/lib/decision/Dispatch.h
+++ b/lib/decision/Dispatch.h
@@ -95,9 +95,9 @@
 
   /// @name Messages of other nodes
   /// @{
-  void receive(const Peer &From, const core::DataCentreId &DataCentre,
+  void receive(const core::DataCentreId &DataCentre,
                const wire::Evidence &What);
-  void receive(const Peer &From, const wire::LocalRollback &What);
+  void receive(const wire::LocalRollback &What);
   /// @}
 
   template <typename Event> void follow(Event What) {
--- a/lib/decision/DispatchMoves.cpp
+++ b/lib/decision/DispatchMoves.cpp
@@ -3,26 +3,24 @@
 
 namespace filbertvane::decision {
 
-void Dispatch::receive(const Peer &, const core::DataCentreId &DataCentre,
+void Dispatch::receive(const core::DataCentreId &DataCentre,
                        const wire::Evidence &What) {
   // Members report to their lead; leads of other data centres report to the
   // coordinator.
-  if (DataCentre == S.Own.DataCentre && !S.Directory.IsLead && isCoordinator())
-    follow(
-        rollout::ControllerEvent(rollout::EvidenceReceived{fromMessage(What)}));
-  else if (DataCentre == S.Own.DataCentre)
+  const bool FromMember = DataCentre == S.Own.DataCentre;
+  const bool CoordinatorOnly = isCoordinator() && !S.Directory.IsLead;
+  if (FromMember && !CoordinatorOnly)
     follow(rollout::GuardEvent(rollout::EvidenceReceived{fromMessage(What)}));
   else
     follow(
         rollout::ControllerEvent(rollout::EvidenceReceived{fromMessage(What)}));
 }
 
-void Dispatch::receive(const Peer &From, const wire::LocalRollback &What) {
+void Dispatch::receive(const wire::LocalRollback &What) {
   const rollout::Overlay Value = fromMessage(What);
   follow(rollout::GuardEvent(rollout::OverlayReceived{Value}));
   if (isCoordinator())
     follow(rollout::ControllerEvent(rollout::OverlayReceived{Value}));
-  (void)From;
 }
 
 void Dispatch::route(rollout::SendEvidence &What) {
--- a/lib/decision/EvidenceMessages.cpp
+++ b/lib/decision/EvidenceMessages.cpp
@@ -56,6 +56,7 @@
       addCrashes(Routes[Route], Crashes);
     }
   std::vector<wire::RouteEvidence> All;
+  All.reserve(Routes.size());
   for (auto &[Route, Each] : Routes)
     All.push_back(std::move(Each));
   return All;
--- a/lib/decision/Node.cpp
+++ b/lib/decision/Node.cpp
@@ -64,6 +64,7 @@
 std::optional<Peer> claimKeeper(const NodeState &Of, std::uint32_t Partition) {
   std::vector<core::NodeId> Nodes;
   std::vector<membership::Member> Live = membership::liveMembers(Of.Members);
+  Nodes.reserve(Live.size());
   for (const membership::Member &Each : Live)
     Nodes.push_back(Each.Node);
   const auto Keeper =
--- a/lib/io/control/Incoming.cpp
+++ b/lib/io/control/Incoming.cpp
@@ -7,7 +7,7 @@
 namespace filbertvane::io::control {
 
 namespace {
-constexpr std::size_t ReadChunk = 64 * 1024;
+constexpr std::size_t ReadChunk = std::size_t{64} * 1024;
 } // namespace
 
 Incoming::Incoming(Shared &Common, Socket In)
--- a/lib/io/node/ClaimStreams.cpp
+++ b/lib/io/node/ClaimStreams.cpp
@@ -11,43 +11,75 @@
 
 constexpr core::Milliseconds AppendTimeout{2000};
 constexpr core::Milliseconds ReadWait{2000};
-constexpr std::size_t ReadBytes = 512 * 1024;
+constexpr std::size_t ReadBytes = std::size_t{512} * 1024;
 
 std::string streamOf(std::uint32_t Number) {
   return fmt::format("claims.{}", Number);
 }
 
-std::string encodeBatch(const claims::ClaimBatch &Batch) {
+constexpr char AddressMark = '@';
+/// A fleet has some thousand nodes; replaced ones are forgotten at the limit.
+constexpr std::size_t MaxAddresses = 8192;
+
+} // namespace
+
+std::string
+ClaimStreams::textOf(const decision::request::ClaimOwner &Owner) const {
+  return formatOwner(Owner) + AddressMark + addressOf(Owner.Node);
+}
+
+std::optional<decision::request::ClaimOwner>
+ClaimStreams::ownerOf(std::string_view Text) {
+  const std::size_t Mark = Text.rfind(AddressMark);
+  if (Mark == std::string_view::npos)
+    return std::nullopt;
+  const auto Owner = parseOwner(Text.substr(0, Mark));
+  if (!Owner || Mark + 1 == Text.size())
+    return Owner;
+  if (Addresses.size() >= MaxAddresses)
+    Addresses.clear();
+  Addresses[Owner->Node] = Text.substr(Mark + 1);
+  return Owner;
+}
+
+std::string ClaimStreams::addressOf(const core::NodeId &Owner) const {
+  if (Owner == Self)
+    return PeerAddress;
+  const auto Found = Addresses.find(Owner);
+  return Found == Addresses.end() ? std::string() : Found->second;
+}
+
+std::string ClaimStreams::encodeBatch(const claims::ClaimBatch &Batch) const {
   wire::ClaimBatch Message{Batch.Writer, Batch.Sequence, {}};
   for (const claims::Claim &Each : Batch.Claims)
     Message.Claims.push_back(
-        {Each.Key, core::NodeId(formatOwner(Each.Owner)), Each.RequestDigest});
+        {Each.Key, core::NodeId(textOf(Each.Owner)), Each.RequestDigest});
   return wire::encode(Message);
 }
 
 /// A record that cannot be decoded claims nothing, for every reader alike.
-claims::ClaimBatch decodeBatch(const std::string &Bytes) {
+claims::ClaimBatch ClaimStreams::decodeBatch(const std::string &Bytes) {
   const auto Decoded = wire::decodeClaims(Bytes);
   if (!core::ok(Decoded))
     return {};
   const wire::ClaimBatch &Message = core::value(Decoded);
   claims::ClaimBatch Batch{Message.Writer, Message.Sequence, {}};
   for (const wire::Claim &Each : Message.Claims)
-    if (const auto Owner = parseOwner(Each.Owner.value()))
+    if (const auto Owner = ownerOf(Each.Owner.value()))
       Batch.Claims.push_back({Each.Key, *Owner, Each.RequestDigest});
   return Batch;
 }
 
-} // namespace
-
 std::uint32_t claimPartition(const core::IdempotencyKey &Key) {
   return static_cast<std::uint32_t>(core::digestOf(Key.value()).value() %
                                     ClaimPartitions);
 }
 
 ClaimStreams::ClaimStreams(Surroundings Around, core::NodeId Self,
-                           core::WriterId Writer, core::Seconds Retention)
+                           std::string PeerAddress, core::WriterId Writer,
+                           core::Seconds Retention)
     : Around(std::move(Around)), Self(std::move(Self)),
+      PeerAddress(std::move(PeerAddress)),
       BatchTimer(this->Around.Loop, [this] {
         for (std::uint32_t Number = 0; Number < ClaimPartitions; ++Number)
           if (Partitions[Number].State.Active)
@@ -75,14 +107,14 @@
   const core::Instant Now = Around.Loop.now();
   Around.Control.send(Keeper->Address,
                       wire::ClaimRequest{What.Id.value(), What.Key,
-                                         core::NodeId(formatOwner(What.Owner)),
+                                         core::NodeId(textOf(What.Owner)),
                                          What.RequestDigest,
                                          core::toWall(What.Deadline, Now)});
 }
 
 void ClaimStreams::requested(const decision::Peer &From,
                              const wire::ClaimRequest &What) {
-  const auto Owner = parseOwner(What.Owner.value());
+  const auto Owner = ownerOf(What.Owner.value());
   if (!Owner)
     return;
   claim(claimPartition(What.Key), {From.Address, What.Id},
@@ -103,7 +135,7 @@
   Decided.Id = core::CallId(What.Id);
   if (What.Undecided)
     Decided.Undecided = core::Error{*What.Undecided, ""};
-  else if (const auto Owner = parseOwner(What.Owner.value()))
+  else if (const auto Owner = ownerOf(What.Owner.value()))
     Decided.Owner = *Owner;
   else
     return;
@@ -120,7 +152,7 @@
     Around.OnDecided({core::CallId(By.Id), What.Owner, What.Undecided});
     return;
   }
-  wire::ClaimReply Message{By.Id, core::NodeId(formatOwner(What.Owner)), {}};
+  wire::ClaimReply Message{By.Id, core::NodeId(textOf(What.Owner)), {}};
   if (What.Undecided)
     Message.Undecided = What.Undecided->Code;
   Around.Control.send(By.Address, Message);
--- a/lib/io/node/ClaimStreams.h
+++ b/lib/io/node/ClaimStreams.h
@@ -6,6 +6,7 @@
 #include "filbertvane/io/ControlServer.h"
 #include "filbertvane/io/LogClient.h"
 #include <map>
+#include <unordered_map>
 
 namespace filbertvane::io {
 
@@ -26,8 +27,9 @@
     /// Receives the decisions on this node's own claims.
     std::function<void(const decision::request::ClaimDecided &)> OnDecided;
   };
-  ClaimStreams(Surroundings Around, core::NodeId Self, core::WriterId Writer,
-               core::Seconds Retention);
+  /// @param PeerAddress address at which other nodes ask for kept results
+  ClaimStreams(Surroundings Around, core::NodeId Self, std::string PeerAddress,
+               core::WriterId Writer, core::Seconds Retention);
 
   /// @brief Asks the keeper of a key.
   void request(const decision::request::RequestClaim &What);
@@ -35,6 +37,9 @@
   void requested(const decision::Peer &From, const wire::ClaimRequest &What);
   /// @brief A keeper replied.
   void replied(const wire::ClaimReply &What);
+  /// @brief Peer address of an owner, as its claims stated it; empty when no
+  ///        claim of it was seen.
+  std::string addressOf(const core::NodeId &Owner) const;
   /// @brief Takes over or gives up partitions, and repeats failed reads.
   void tick(bool Ready);
 
@@ -60,9 +65,18 @@
   void read(std::uint32_t Number,
             const decision::request::claims::ReadStream &What);
   void reply(const decision::request::claims::ClaimReply &What);
+  /// @brief Claim identity with the owner's address, as claims carry it.
+  std::string textOf(const decision::request::ClaimOwner &Owner) const;
+  std::optional<decision::request::ClaimOwner> ownerOf(std::string_view Text);
+  decision::request::claims::ClaimBatch decodeBatch(const std::string &Bytes);
+  std::string
+  encodeBatch(const decision::request::claims::ClaimBatch &Batch) const;
 
   Surroundings Around;
   core::NodeId Self;
+  std::string PeerAddress;
+  /// Owners can be in other data centres, whose members are not known here.
+  std::unordered_map<core::NodeId, std::string> Addresses;
   std::vector<Partition> Partitions;
   std::map<std::uint64_t, Requester> Requesters;
   std::uint64_t LastRequest = 0;
--- a/lib/io/node/Process.cpp
+++ b/lib/io/node/Process.cpp
@@ -14,7 +14,7 @@
 constexpr core::Milliseconds AppendTimeout{2000};
 constexpr core::Milliseconds LogWait{1000};
 constexpr core::Milliseconds LeaseRetry{500};
-constexpr std::size_t LogReadBytes = 512 * 1024;
+constexpr std::size_t LogReadBytes = std::size_t{512} * 1024;
 /// Leave messages are repeated for 1 s; members act on them within it.
 constexpr core::Milliseconds DrainAnnounceTime{2000};
 constexpr std::size_t AdoptionsKept = 64;
@@ -72,7 +72,8 @@
           [this](const decision::request::ClaimDecided &What) {
             Engine->handle(What);
           }},
-      Settings.Node.Id, decision::writerOf(State.Own), Settings.LogRetention);
+      Settings.Node.Id, Settings.Advertise.Peers, decision::writerOf(State.Own),
+      Settings.LogRetention);
   Spans = std::make_unique<observe::Tracer>(
       Loop, *Http,
       observe::Tracer::Options{Settings.TracesUrl.value_or(""), "filbertvane",
@@ -140,12 +141,12 @@
 }
 
 void Process::askOwner(const decision::request::AnswerFromOwner &What) {
-  for (const auto &Each : State.Directory.Live)
-    if (Each.Node == What.Owner.Node) {
-      Engine->askOwner(What, Each.PeerAddress);
-      return;
-    }
-  // An owner that is gone, or in another data centre, may have run it.
+  const std::string Address = Claims->addressOf(What.Owner.Node);
+  if (!Address.empty()) {
+    Engine->askOwner(What, Address);
+    return;
+  }
+  // An owner that cannot be asked may have run the request.
   Engine->handle(decision::request::OwnerReplied{
       What.Id, decision::request::KeptState::Unknown});
 }
