--- a/tests/rollout/RolloutPropertyTest.cpp
+++ b/tests/rollout/RolloutPropertyTest.cpp
@@ -151,6 +151,7 @@
     auto Fleet = fake::orderedFleet(600s);
     Fleet.Moves.back().Share = 2;
     std::vector<Overlay> Values;
+    Values.reserve(6);
     for (int I = 0; I < 6; ++I)
       Values.push_back(randomOverlay(Fleet.Moves.back().Id));
     const auto Merge = [&](bool IsPrunedFirst) {
--- a/tools/fv-moves/Main.cpp
+++ b/tools/fv-moves/Main.cpp
@@ -89,6 +89,7 @@
 std::vector<MoveResult> runAll(PolicyKind Kind, std::uint64_t Seed) {
   constexpr int Workers = 4;
   std::vector<std::future<std::vector<MoveResult>>> Parts;
+  Parts.reserve(Workers);
   for (int Worker = 0; Worker < Workers; ++Worker)
     Parts.push_back(std::async(std::launch::async, [=] {
       std::vector<MoveResult> Results;
@@ -98,8 +99,8 @@
     }));
   std::vector<MoveResult> All;
   for (auto &Part : Parts)
-    for (MoveResult &Result : Part.get())
-      All.push_back(std::move(Result));
+    for (const MoveResult &Result : Part.get())
+      All.push_back(Result);
   return All;
 }
 
