--- a/include/filbertvane/decision/distribution/Distribution.h
+++ b/include/filbertvane/decision/distribution/Distribution.h
@@ -33,13 +33,13 @@
 /// Snapshot transfers at a time, and the time that one occupies its place.
 inline constexpr std::size_t MaxTransfers = 4;
 inline constexpr core::Milliseconds TransferTime{100};
-inline constexpr std::size_t MaxBatchBytes = 512 * 1024;
+inline constexpr std::size_t MaxBatchBytes = std::size_t{512} * 1024;
 /// Records kept to serve requests.
 inline constexpr std::size_t MaxRecent = 1024;
-inline constexpr std::size_t MaxRecentBytes = 2 * 1024 * 1024;
+inline constexpr std::size_t MaxRecentBytes = std::size_t{2} * 1024 * 1024;
 /// Batches that wait for earlier records.
 inline constexpr std::size_t MaxBuffered = 64;
-inline constexpr std::size_t MaxBufferedBytes = 1024 * 1024;
+inline constexpr std::size_t MaxBufferedBytes = std::size_t{1024} * 1024;
 inline constexpr std::size_t MaxReports = 256;
 /// A record above this is replaced by its reduced form, if that has the same
 /// effect.
--- a/include/filbertvane/io/ControlServer.h
+++ b/include/filbertvane/io/ControlServer.h
@@ -51,7 +51,7 @@
     std::size_t MaxIncoming = 2048;
     std::size_t MaxOutgoing = 1024;
     /// Bytes queued for one peer; two of the largest frames.
-    std::size_t MaxQueuedBytes = 2 * 1024 * 1024 + 64;
+    std::size_t MaxQueuedBytes = std::size_t{2} * 1024 * 1024 + 64;
     /// Connections opened in a second, after a burst of `ConnectBurst`.
     std::uint32_t ConnectsPerSecond = 100;
     std::uint32_t ConnectBurst = 16;
--- a/include/filbertvane/wire/ControlCodec.h
+++ b/include/filbertvane/wire/ControlCodec.h
@@ -7,7 +7,7 @@
 namespace filbertvane::wire {
 
 /// Bytes of a control message, without the length in front of it.
-inline constexpr std::size_t MaxFrameBytes = 1024 * 1024;
+inline constexpr std::size_t MaxFrameBytes = std::size_t{1024} * 1024;
 
 /// @brief Encodes a message (Thrift compact protocol).
 /// @return the bytes, or `WireTooLarge`
