--- a/include/filbertvane/io/ControlServer.h
+++ b/include/filbertvane/io/ControlServer.h
@@ -76,7 +76,8 @@
   /// @brief Binds and starts to accept.
   /// @return the server, or `ProcessListen` with the address
   static core::Result<std::unique_ptr<ControlServer>>
-  listen(EventLoop &Loop, Options Settings, Receiver OnMessage, Logger OnLog);
+  listen(EventLoop &Loop, const Options &Settings, Receiver OnMessage,
+         Logger OnLog);
 
   virtual ~ControlServer() = default;
 
--- a/lib/io/ControlServer.cpp
+++ b/lib/io/ControlServer.cpp
@@ -175,8 +175,8 @@
 } // namespace
 
 core::Result<std::unique_ptr<ControlServer>>
-ControlServer::listen(EventLoop &Loop, Options Settings, Receiver OnMessage,
-                      Logger OnLog) {
+ControlServer::listen(EventLoop &Loop, const Options &Settings,
+                      Receiver OnMessage, Logger OnLog) {
   const std::optional<sockaddr_in> Where =
       control::parseAddress(Settings.Address);
   Socket Bound;
@@ -185,7 +185,7 @@
   if (!Bound.open())
     return core::Error{core::ErrorCode::ProcessListen, Settings.Address};
   return std::unique_ptr<ControlServer>(
-      std::make_unique<Server>(Loop, std::move(Settings), std::move(OnMessage),
+      std::make_unique<Server>(Loop, Settings, std::move(OnMessage),
                                std::move(OnLog), std::move(Bound)));
 }
 
--- a/tests/config/FleetStateTest.cpp
+++ b/tests/config/FleetStateTest.cpp
@@ -21,8 +21,8 @@
     return After.Outcome;
   }
 
-  RecordOutcome publish(Sheet Wanted) {
-    return publishOn(State.SheetVersion, std::move(Wanted));
+  RecordOutcome publish(const Sheet &Wanted) {
+    return publishOn(State.SheetVersion, Wanted);
   }
 
   RecordOutcome publishOn(core::ConfigVersion Base, const Sheet &Wanted) {
