--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -87,8 +87,8 @@
     def kill(self, sig=signal.SIGKILL):
         self.fleet.stop(self.process, sig)
 
-    def status(self):
-        code, body = http_call(self.admin, "GET", "/status")
+    def status(self, timeout=2.0):
+        code, body = http_call(self.admin, "GET", "/status", timeout=timeout)
         return json.loads(body) if code == 200 else {}
 
 
