Share the conversion of moves and verdicts between the two codecs

Cause: the duplicates listing showed the same conversions in the codec of control messages and in the one of log records. Change: the control codec calls the functions of RecordThrift.

--- a/lib/io/node/Process.cpp
+++ b/lib/io/node/Process.cpp
@@ -258,12 +258,10 @@
   const core::Milliseconds Wait =
       What.LongPoll ? LogWait : core::Milliseconds(0);
   Log.read("config", What.From, Wait, LogReadBytes, Loop.now().Mono,
-           [this, From = What.From](const core::Result<LogRead> &Done) {
-             logRead(Done, From);
-           });
+           [this](const core::Result<LogRead> &Done) { logRead(Done); });
 }
 
-void Process::logRead(const core::Result<LogRead> &Done, core::LogOffset) {
+void Process::logRead(const core::Result<LogRead> &Done) {
   namespace distribution = decision::distribution;
   noteLogAvailability(core::ok(Done));
   if (!core::ok(Done)) {
--- a/lib/io/node/Process.h
+++ b/lib/io/node/Process.h
@@ -44,7 +44,7 @@
 
   /// @name Log
   /// @{
-  void logRead(const core::Result<LogRead> &Done, core::LogOffset From);
+  void logRead(const core::Result<LogRead> &Done);
   void noteLogAvailability(bool Up);
   void readLeaseStream();
   void leaseRead(const core::Result<LogRead> &Done, core::TimePoint SentAt);
--- a/lib/wire/ControlDecode.cpp
+++ b/lib/wire/ControlDecode.cpp
@@ -1,3 +1,4 @@
+#include "RecordThrift.h"
 #include "filbertvane/wire/ControlCodec.h"
 #include "filbertvane_types.h"
 #include <charconv>
@@ -81,17 +82,6 @@
           core::ConfigVersion(number(From.version)), From.ready};
 }
 
-config::MoveId fromGen(const gen::MoveId &From) {
-  return {core::ServiceName(From.serviceName),
-          core::ConfigVersion(number(From.orderedIn))};
-}
-
-config::Verdict fromGen(const gen::Verdict &From) {
-  return {core::RouteName(From.route), From.reason,
-          number(From.newAnswers),     number(From.newFaults),
-          number(From.oldAnswers),     number(From.oldFaults)};
-}
-
 ServiceSummary fromGen(const gen::ServiceSummary &From) {
   return {core::ServiceName(From.serviceName),
           core::TargetVersion(From.version),
@@ -128,7 +118,7 @@
 }
 
 MoveEvidence fromGen(const gen::MoveEvidence &From) {
-  return {fromGen(From.move),
+  return {fromThrift(From.move),
           eachOf(From.routes, [](const auto &One) { return fromGen(One); })};
 }
 
@@ -228,9 +218,9 @@
     return fromGen(From.evidence);
   if (From.__isset.localRollback)
     return LocalRollback{
-        fromGen(From.localRollback.move),
+        fromThrift(From.localRollback.move),
         core::DataCentreId(From.localRollback.dataCentre),
-        fromGen(From.localRollback.decided),
+        fromThrift(From.localRollback.decided),
         wall(From.localRollback.atMs),
         static_cast<config::Permille>(count(From.localRollback.share)),
         From.localRollback.proven};
--- a/lib/wire/ControlEncode.cpp
+++ b/lib/wire/ControlEncode.cpp
@@ -1,3 +1,4 @@
+#include "RecordThrift.h"
 #include "filbertvane/core/Digest.h"
 #include "filbertvane/wire/ControlCodec.h"
 #include "filbertvane_types.h"
@@ -69,24 +70,6 @@
   return To;
 }
 
-gen::MoveId toGen(const config::MoveId &From) {
-  gen::MoveId To;
-  To.serviceName = From.Service.value();
-  To.orderedIn = number(From.OrderedIn.value());
-  return To;
-}
-
-gen::Verdict toGen(const config::Verdict &From) {
-  gen::Verdict To;
-  To.route = From.Route.value();
-  To.reason = From.Reason;
-  To.newAnswers = number(From.NewAnswers);
-  To.newFaults = number(From.NewFaults);
-  To.oldAnswers = number(From.OldAnswers);
-  To.oldFaults = number(From.OldFaults);
-  return To;
-}
-
 gen::ServiceSummary toGen(const ServiceSummary &From) {
   gen::ServiceSummary To;
   To.serviceName = From.Service.value();
@@ -132,7 +115,7 @@
 
 gen::MoveEvidence toGen(const MoveEvidence &From) {
   gen::MoveEvidence To;
-  To.move = toGen(From.Move);
+  To.move = toThrift(From.Move);
   To.routes = eachOf(From.Routes, [](const auto &One) { return toGen(One); });
   return To;
 }
@@ -242,9 +225,9 @@
 
 void fill(gen::ControlMessage &To, const LocalRollback &From) {
   gen::LocalRollback Out;
-  Out.move = toGen(From.Move);
+  Out.move = toThrift(From.Move);
   Out.dataCentre = From.DataCentre.value();
-  Out.decided = toGen(From.Decided);
+  Out.decided = toThrift(From.Decided);
   Out.atMs = millis(From.At);
   Out.share = static_cast<std::int16_t>(From.Share);
   Out.proven = From.Proven;
