--- a/lib/decision/Dispatch.cpp
+++ b/lib/decision/Dispatch.cpp
@@ -206,6 +206,8 @@
 
 void Dispatch::route(distribution::ReadyChanged &What) {
   follow(membership::Event(membership::OwnReadinessChanged{What.Ready}));
+  // Peers that restart take the position of a ready node as a proof.
+  follow(membership::Event(membership::OwnPositionChanged{S.Records.At}));
   tellCandidacy();
   Out.emplace_back(What);
 }
