--- a/gen/filbertvane_types.cpp
+++ b/gen/filbertvane_types.cpp
@@ -8244,4 +8244,1178 @@
   out << ")";
 }
 
+
+RouteTally::~RouteTally() noexcept {
+}
+
+
+void RouteTally::__set_route(const std::string& val) {
+  this->route = val;
+}
+
+void RouteTally::__set_answers(const int64_t val) {
+  this->answers = val;
+}
+
+void RouteTally::__set_faults(const int64_t val) {
+  this->faults = val;
+}
+
+void RouteTally::__set_timeMs(const int64_t val) {
+  this->timeMs = val;
+}
+std::ostream& operator<<(std::ostream& out, const RouteTally& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RouteTally::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->route);
+          this->__isset.route = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->answers);
+          this->__isset.answers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->faults);
+          this->__isset.faults = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->timeMs);
+          this->__isset.timeMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RouteTally::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RouteTally");
+
+  xfer += oprot->writeFieldBegin("route", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->route);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answers", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->answers);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("faults", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->faults);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("timeMs", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->timeMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RouteTally &a, RouteTally &b) {
+  using ::std::swap;
+  swap(a.route, b.route);
+  swap(a.answers, b.answers);
+  swap(a.faults, b.faults);
+  swap(a.timeMs, b.timeMs);
+  swap(a.__isset, b.__isset);
+}
+
+RouteTally::RouteTally(const RouteTally& other259) {
+  route = other259.route;
+  answers = other259.answers;
+  faults = other259.faults;
+  timeMs = other259.timeMs;
+  __isset = other259.__isset;
+}
+RouteTally& RouteTally::operator=(const RouteTally& other260) {
+  route = other260.route;
+  answers = other260.answers;
+  faults = other260.faults;
+  timeMs = other260.timeMs;
+  __isset = other260.__isset;
+  return *this;
+}
+void RouteTally::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RouteTally(";
+  out << "route=" << to_string(route);
+  out << ", " << "answers=" << to_string(answers);
+  out << ", " << "faults=" << to_string(faults);
+  out << ", " << "timeMs=" << to_string(timeMs);
+  out << ")";
+}
+
+
+TargetReport::~TargetReport() noexcept {
+}
+
+
+void TargetReport::__set_target(const std::string& val) {
+  this->target = val;
+}
+
+void TargetReport::__set_serviceName(const std::string& val) {
+  this->serviceName = val;
+}
+
+void TargetReport::__set_version(const std::string& val) {
+  this->version = val;
+}
+
+void TargetReport::__set_state(const int8_t val) {
+  this->state = val;
+}
+
+void TargetReport::__set_running(const int32_t val) {
+  this->running = val;
+}
+
+void TargetReport::__set_waiting(const int32_t val) {
+  this->waiting = val;
+}
+
+void TargetReport::__set_slots(const int32_t val) {
+  this->slots = val;
+}
+
+void TargetReport::__set_meanMs(const int32_t val) {
+  this->meanMs = val;
+}
+
+void TargetReport::__set_faultPermille(const int32_t val) {
+  this->faultPermille = val;
+}
+
+void TargetReport::__set_tallies(const std::vector<RouteTally> & val) {
+  this->tallies = val;
+}
+std::ostream& operator<<(std::ostream& out, const TargetReport& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t TargetReport::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->target);
+          this->__isset.target = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->serviceName);
+          this->__isset.serviceName = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BYTE) {
+          xfer += iprot->readByte(this->state);
+          this->__isset.state = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->running);
+          this->__isset.running = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->waiting);
+          this->__isset.waiting = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->slots);
+          this->__isset.slots = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->meanMs);
+          this->__isset.meanMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->faultPermille);
+          this->__isset.faultPermille = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->tallies.clear();
+            uint32_t _size261;
+            ::apache::thrift::protocol::TType _etype264;
+            xfer += iprot->readListBegin(_etype264, _size261);
+            this->tallies.resize(_size261);
+            uint32_t _i265;
+            for (_i265 = 0; _i265 < _size261; ++_i265)
+            {
+              xfer += this->tallies[_i265].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.tallies = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t TargetReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("TargetReport");
+
+  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->target);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("serviceName", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->serviceName);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_BYTE, 4);
+  xfer += oprot->writeByte(this->state);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->running);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("waiting", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->waiting);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("slots", ::apache::thrift::protocol::T_I32, 7);
+  xfer += oprot->writeI32(this->slots);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("meanMs", ::apache::thrift::protocol::T_I32, 8);
+  xfer += oprot->writeI32(this->meanMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("faultPermille", ::apache::thrift::protocol::T_I32, 9);
+  xfer += oprot->writeI32(this->faultPermille);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("tallies", ::apache::thrift::protocol::T_LIST, 10);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->tallies.size()));
+    std::vector<RouteTally> ::const_iterator _iter266;
+    for (_iter266 = this->tallies.begin(); _iter266 != this->tallies.end(); ++_iter266)
+    {
+      xfer += (*_iter266).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(TargetReport &a, TargetReport &b) {
+  using ::std::swap;
+  swap(a.target, b.target);
+  swap(a.serviceName, b.serviceName);
+  swap(a.version, b.version);
+  swap(a.state, b.state);
+  swap(a.running, b.running);
+  swap(a.waiting, b.waiting);
+  swap(a.slots, b.slots);
+  swap(a.meanMs, b.meanMs);
+  swap(a.faultPermille, b.faultPermille);
+  swap(a.tallies, b.tallies);
+  swap(a.__isset, b.__isset);
+}
+
+TargetReport::TargetReport(const TargetReport& other267) {
+  target = other267.target;
+  serviceName = other267.serviceName;
+  version = other267.version;
+  state = other267.state;
+  running = other267.running;
+  waiting = other267.waiting;
+  slots = other267.slots;
+  meanMs = other267.meanMs;
+  faultPermille = other267.faultPermille;
+  tallies = other267.tallies;
+  __isset = other267.__isset;
+}
+TargetReport& TargetReport::operator=(const TargetReport& other268) {
+  target = other268.target;
+  serviceName = other268.serviceName;
+  version = other268.version;
+  state = other268.state;
+  running = other268.running;
+  waiting = other268.waiting;
+  slots = other268.slots;
+  meanMs = other268.meanMs;
+  faultPermille = other268.faultPermille;
+  tallies = other268.tallies;
+  __isset = other268.__isset;
+  return *this;
+}
+void TargetReport::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "TargetReport(";
+  out << "target=" << to_string(target);
+  out << ", " << "serviceName=" << to_string(serviceName);
+  out << ", " << "version=" << to_string(version);
+  out << ", " << "state=" << to_string(state);
+  out << ", " << "running=" << to_string(running);
+  out << ", " << "waiting=" << to_string(waiting);
+  out << ", " << "slots=" << to_string(slots);
+  out << ", " << "meanMs=" << to_string(meanMs);
+  out << ", " << "faultPermille=" << to_string(faultPermille);
+  out << ", " << "tallies=" << to_string(tallies);
+  out << ")";
+}
+
+
+MoveReport::~MoveReport() noexcept {
+}
+
+
+void MoveReport::__set_serviceName(const std::string& val) {
+  this->serviceName = val;
+}
+
+void MoveReport::__set_toVersion(const std::string& val) {
+  this->toVersion = val;
+}
+
+void MoveReport::__set_order(const int64_t val) {
+  this->order = val;
+}
+
+void MoveReport::__set_phase(const int8_t val) {
+  this->phase = val;
+}
+
+void MoveReport::__set_elapsedMs(const int64_t val) {
+  this->elapsedMs = val;
+}
+std::ostream& operator<<(std::ostream& out, const MoveReport& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t MoveReport::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->serviceName);
+          this->__isset.serviceName = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->toVersion);
+          this->__isset.toVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->order);
+          this->__isset.order = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BYTE) {
+          xfer += iprot->readByte(this->phase);
+          this->__isset.phase = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->elapsedMs);
+          this->__isset.elapsedMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t MoveReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("MoveReport");
+
+  xfer += oprot->writeFieldBegin("serviceName", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->serviceName);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("toVersion", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->toVersion);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("order", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->order);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("phase", ::apache::thrift::protocol::T_BYTE, 4);
+  xfer += oprot->writeByte(this->phase);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("elapsedMs", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->elapsedMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(MoveReport &a, MoveReport &b) {
+  using ::std::swap;
+  swap(a.serviceName, b.serviceName);
+  swap(a.toVersion, b.toVersion);
+  swap(a.order, b.order);
+  swap(a.phase, b.phase);
+  swap(a.elapsedMs, b.elapsedMs);
+  swap(a.__isset, b.__isset);
+}
+
+MoveReport::MoveReport(const MoveReport& other269) {
+  serviceName = other269.serviceName;
+  toVersion = other269.toVersion;
+  order = other269.order;
+  phase = other269.phase;
+  elapsedMs = other269.elapsedMs;
+  __isset = other269.__isset;
+}
+MoveReport& MoveReport::operator=(const MoveReport& other270) {
+  serviceName = other270.serviceName;
+  toVersion = other270.toVersion;
+  order = other270.order;
+  phase = other270.phase;
+  elapsedMs = other270.elapsedMs;
+  __isset = other270.__isset;
+  return *this;
+}
+void MoveReport::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "MoveReport(";
+  out << "serviceName=" << to_string(serviceName);
+  out << ", " << "toVersion=" << to_string(toVersion);
+  out << ", " << "order=" << to_string(order);
+  out << ", " << "phase=" << to_string(phase);
+  out << ", " << "elapsedMs=" << to_string(elapsedMs);
+  out << ")";
+}
+
+
+HostReport::~HostReport() noexcept {
+}
+
+
+void HostReport::__set_node(const std::string& val) {
+  this->node = val;
+}
+
+void HostReport::__set_start(const int64_t val) {
+  this->start = val;
+}
+
+void HostReport::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void HostReport::__set_address(const std::string& val) {
+  this->address = val;
+}
+
+void HostReport::__set_dataCentre(const std::string& val) {
+  this->dataCentre = val;
+}
+
+void HostReport::__set_region(const std::string& val) {
+  this->region = val;
+}
+
+void HostReport::__set_leaving(const bool val) {
+  this->leaving = val;
+}
+
+void HostReport::__set_target(const TargetReport& val) {
+  this->target = val;
+__isset.target = true;
+}
+
+void HostReport::__set_position(const int64_t val) {
+  this->position = val;
+}
+
+void HostReport::__set_moves(const std::vector<MoveReport> & val) {
+  this->moves = val;
+}
+std::ostream& operator<<(std::ostream& out, const HostReport& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t HostReport::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->node);
+          this->__isset.node = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->start);
+          this->__isset.start = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->address);
+          this->__isset.address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->dataCentre);
+          this->__isset.dataCentre = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->region);
+          this->__isset.region = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->leaving);
+          this->__isset.leaving = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->target.read(iprot);
+          this->__isset.target = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->position);
+          this->__isset.position = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->moves.clear();
+            uint32_t _size271;
+            ::apache::thrift::protocol::TType _etype274;
+            xfer += iprot->readListBegin(_etype274, _size271);
+            this->moves.resize(_size271);
+            uint32_t _i275;
+            for (_i275 = 0; _i275 < _size271; ++_i275)
+            {
+              xfer += this->moves[_i275].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.moves = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t HostReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("HostReport");
+
+  xfer += oprot->writeFieldBegin("node", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->node);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("start", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->start);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("dataCentre", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->dataCentre);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("region", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->region);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_BOOL, 7);
+  xfer += oprot->writeBool(this->leaving);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.target) {
+    xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_STRUCT, 8);
+    xfer += this->target.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("position", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->position);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("moves", ::apache::thrift::protocol::T_LIST, 10);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->moves.size()));
+    std::vector<MoveReport> ::const_iterator _iter276;
+    for (_iter276 = this->moves.begin(); _iter276 != this->moves.end(); ++_iter276)
+    {
+      xfer += (*_iter276).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(HostReport &a, HostReport &b) {
+  using ::std::swap;
+  swap(a.node, b.node);
+  swap(a.start, b.start);
+  swap(a.sequence, b.sequence);
+  swap(a.address, b.address);
+  swap(a.dataCentre, b.dataCentre);
+  swap(a.region, b.region);
+  swap(a.leaving, b.leaving);
+  swap(a.target, b.target);
+  swap(a.position, b.position);
+  swap(a.moves, b.moves);
+  swap(a.__isset, b.__isset);
+}
+
+HostReport::HostReport(const HostReport& other277) {
+  node = other277.node;
+  start = other277.start;
+  sequence = other277.sequence;
+  address = other277.address;
+  dataCentre = other277.dataCentre;
+  region = other277.region;
+  leaving = other277.leaving;
+  target = other277.target;
+  position = other277.position;
+  moves = other277.moves;
+  __isset = other277.__isset;
+}
+HostReport& HostReport::operator=(const HostReport& other278) {
+  node = other278.node;
+  start = other278.start;
+  sequence = other278.sequence;
+  address = other278.address;
+  dataCentre = other278.dataCentre;
+  region = other278.region;
+  leaving = other278.leaving;
+  target = other278.target;
+  position = other278.position;
+  moves = other278.moves;
+  __isset = other278.__isset;
+  return *this;
+}
+void HostReport::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "HostReport(";
+  out << "node=" << to_string(node);
+  out << ", " << "start=" << to_string(start);
+  out << ", " << "sequence=" << to_string(sequence);
+  out << ", " << "address=" << to_string(address);
+  out << ", " << "dataCentre=" << to_string(dataCentre);
+  out << ", " << "region=" << to_string(region);
+  out << ", " << "leaving=" << to_string(leaving);
+  out << ", " << "target="; (__isset.target ? (out << to_string(target)) : (out << "<null>"));
+  out << ", " << "position=" << to_string(position);
+  out << ", " << "moves=" << to_string(moves);
+  out << ")";
+}
+
+
+OperatorRecord::~OperatorRecord() noexcept {
+}
+
+
+void OperatorRecord::__set_key(const std::string& val) {
+  this->key = val;
+}
+
+void OperatorRecord::__set_offset(const int64_t val) {
+  this->offset = val;
+}
+
+void OperatorRecord::__set_value(const std::string& val) {
+  this->value = val;
+}
+std::ostream& operator<<(std::ostream& out, const OperatorRecord& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t OperatorRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->key);
+          this->__isset.key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->offset);
+          this->__isset.offset = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->value);
+          this->__isset.value = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t OperatorRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("OperatorRecord");
+
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->key);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("offset", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->offset);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("value", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeBinary(this->value);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(OperatorRecord &a, OperatorRecord &b) {
+  using ::std::swap;
+  swap(a.key, b.key);
+  swap(a.offset, b.offset);
+  swap(a.value, b.value);
+  swap(a.__isset, b.__isset);
+}
+
+OperatorRecord::OperatorRecord(const OperatorRecord& other279) {
+  key = other279.key;
+  offset = other279.offset;
+  value = other279.value;
+  __isset = other279.__isset;
+}
+OperatorRecord& OperatorRecord::operator=(const OperatorRecord& other280) {
+  key = other280.key;
+  offset = other280.offset;
+  value = other280.value;
+  __isset = other280.__isset;
+  return *this;
+}
+void OperatorRecord::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "OperatorRecord(";
+  out << "key=" << to_string(key);
+  out << ", " << "offset=" << to_string(offset);
+  out << ", " << "value=" << to_string(value);
+  out << ")";
+}
+
+
+OperatorRecords::~OperatorRecords() noexcept {
+}
+
+
+void OperatorRecords::__set_position(const int64_t val) {
+  this->position = val;
+}
+
+void OperatorRecords::__set_records(const std::vector<OperatorRecord> & val) {
+  this->records = val;
+}
+std::ostream& operator<<(std::ostream& out, const OperatorRecords& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t OperatorRecords::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->position);
+          this->__isset.position = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->records.clear();
+            uint32_t _size281;
+            ::apache::thrift::protocol::TType _etype284;
+            xfer += iprot->readListBegin(_etype284, _size281);
+            this->records.resize(_size281);
+            uint32_t _i285;
+            for (_i285 = 0; _i285 < _size281; ++_i285)
+            {
+              xfer += this->records[_i285].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.records = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t OperatorRecords::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("OperatorRecords");
+
+  xfer += oprot->writeFieldBegin("position", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->position);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
+    std::vector<OperatorRecord> ::const_iterator _iter286;
+    for (_iter286 = this->records.begin(); _iter286 != this->records.end(); ++_iter286)
+    {
+      xfer += (*_iter286).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(OperatorRecords &a, OperatorRecords &b) {
+  using ::std::swap;
+  swap(a.position, b.position);
+  swap(a.records, b.records);
+  swap(a.__isset, b.__isset);
+}
+
+OperatorRecords::OperatorRecords(const OperatorRecords& other287) {
+  position = other287.position;
+  records = other287.records;
+  __isset = other287.__isset;
+}
+OperatorRecords& OperatorRecords::operator=(const OperatorRecords& other288) {
+  position = other288.position;
+  records = other288.records;
+  __isset = other288.__isset;
+  return *this;
+}
+void OperatorRecords::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "OperatorRecords(";
+  out << "position=" << to_string(position);
+  out << ", " << "records=" << to_string(records);
+  out << ")";
+}
+
 }}} // namespace
--- a/gen/filbertvane_types.h
+++ b/gen/filbertvane_types.h
@@ -134,6 +134,18 @@
 
 class ControlMessage;
 
+class RouteTally;
+
+class TargetReport;
+
+class MoveReport;
+
+class HostReport;
+
+class OperatorRecord;
+
+class OperatorRecords;
+
 typedef struct _MoveOrder__isset {
   _MoveOrder__isset() : toVersion(false), byMs(false) {}
   bool toVersion :1;
@@ -3317,6 +3329,458 @@
 
 std::ostream& operator<<(std::ostream& out, const ControlMessage& obj);
 
+typedef struct _RouteTally__isset {
+  _RouteTally__isset() : route(false), answers(false), faults(false), timeMs(false) {}
+  bool route :1;
+  bool answers :1;
+  bool faults :1;
+  bool timeMs :1;
+} _RouteTally__isset;
+
+class RouteTally : public virtual ::apache::thrift::TBase {
+ public:
+
+  RouteTally(const RouteTally&);
+  RouteTally& operator=(const RouteTally&);
+  RouteTally() noexcept
+             : route(),
+               answers(0),
+               faults(0),
+               timeMs(0) {
+  }
+
+  virtual ~RouteTally() noexcept;
+  std::string route;
+  int64_t answers;
+  int64_t faults;
+  int64_t timeMs;
+
+  _RouteTally__isset __isset;
+
+  void __set_route(const std::string& val);
+
+  void __set_answers(const int64_t val);
+
+  void __set_faults(const int64_t val);
+
+  void __set_timeMs(const int64_t val);
+
+  bool operator == (const RouteTally & rhs) const
+  {
+    if (!(route == rhs.route))
+      return false;
+    if (!(answers == rhs.answers))
+      return false;
+    if (!(faults == rhs.faults))
+      return false;
+    if (!(timeMs == rhs.timeMs))
+      return false;
+    return true;
+  }
+  bool operator != (const RouteTally &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RouteTally & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RouteTally &a, RouteTally &b);
+
+std::ostream& operator<<(std::ostream& out, const RouteTally& obj);
+
+typedef struct _TargetReport__isset {
+  _TargetReport__isset() : target(false), serviceName(false), version(false), state(false), running(false), waiting(false), slots(false), meanMs(false), faultPermille(false), tallies(false) {}
+  bool target :1;
+  bool serviceName :1;
+  bool version :1;
+  bool state :1;
+  bool running :1;
+  bool waiting :1;
+  bool slots :1;
+  bool meanMs :1;
+  bool faultPermille :1;
+  bool tallies :1;
+} _TargetReport__isset;
+
+class TargetReport : public virtual ::apache::thrift::TBase {
+ public:
+
+  TargetReport(const TargetReport&);
+  TargetReport& operator=(const TargetReport&);
+  TargetReport() noexcept
+               : target(),
+                 serviceName(),
+                 version(),
+                 state(0),
+                 running(0),
+                 waiting(0),
+                 slots(0),
+                 meanMs(0),
+                 faultPermille(0) {
+  }
+
+  virtual ~TargetReport() noexcept;
+  std::string target;
+  std::string serviceName;
+  std::string version;
+  int8_t state;
+  int32_t running;
+  int32_t waiting;
+  int32_t slots;
+  int32_t meanMs;
+  int32_t faultPermille;
+  std::vector<RouteTally>  tallies;
+
+  _TargetReport__isset __isset;
+
+  void __set_target(const std::string& val);
+
+  void __set_serviceName(const std::string& val);
+
+  void __set_version(const std::string& val);
+
+  void __set_state(const int8_t val);
+
+  void __set_running(const int32_t val);
+
+  void __set_waiting(const int32_t val);
+
+  void __set_slots(const int32_t val);
+
+  void __set_meanMs(const int32_t val);
+
+  void __set_faultPermille(const int32_t val);
+
+  void __set_tallies(const std::vector<RouteTally> & val);
+
+  bool operator == (const TargetReport & rhs) const
+  {
+    if (!(target == rhs.target))
+      return false;
+    if (!(serviceName == rhs.serviceName))
+      return false;
+    if (!(version == rhs.version))
+      return false;
+    if (!(state == rhs.state))
+      return false;
+    if (!(running == rhs.running))
+      return false;
+    if (!(waiting == rhs.waiting))
+      return false;
+    if (!(slots == rhs.slots))
+      return false;
+    if (!(meanMs == rhs.meanMs))
+      return false;
+    if (!(faultPermille == rhs.faultPermille))
+      return false;
+    if (!(tallies == rhs.tallies))
+      return false;
+    return true;
+  }
+  bool operator != (const TargetReport &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const TargetReport & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(TargetReport &a, TargetReport &b);
+
+std::ostream& operator<<(std::ostream& out, const TargetReport& obj);
+
+typedef struct _MoveReport__isset {
+  _MoveReport__isset() : serviceName(false), toVersion(false), order(false), phase(false), elapsedMs(false) {}
+  bool serviceName :1;
+  bool toVersion :1;
+  bool order :1;
+  bool phase :1;
+  bool elapsedMs :1;
+} _MoveReport__isset;
+
+class MoveReport : public virtual ::apache::thrift::TBase {
+ public:
+
+  MoveReport(const MoveReport&);
+  MoveReport& operator=(const MoveReport&);
+  MoveReport() noexcept
+             : serviceName(),
+               toVersion(),
+               order(0),
+               phase(0),
+               elapsedMs(0) {
+  }
+
+  virtual ~MoveReport() noexcept;
+  std::string serviceName;
+  std::string toVersion;
+  int64_t order;
+  int8_t phase;
+  int64_t elapsedMs;
+
+  _MoveReport__isset __isset;
+
+  void __set_serviceName(const std::string& val);
+
+  void __set_toVersion(const std::string& val);
+
+  void __set_order(const int64_t val);
+
+  void __set_phase(const int8_t val);
+
+  void __set_elapsedMs(const int64_t val);
+
+  bool operator == (const MoveReport & rhs) const
+  {
+    if (!(serviceName == rhs.serviceName))
+      return false;
+    if (!(toVersion == rhs.toVersion))
+      return false;
+    if (!(order == rhs.order))
+      return false;
+    if (!(phase == rhs.phase))
+      return false;
+    if (!(elapsedMs == rhs.elapsedMs))
+      return false;
+    return true;
+  }
+  bool operator != (const MoveReport &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const MoveReport & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(MoveReport &a, MoveReport &b);
+
+std::ostream& operator<<(std::ostream& out, const MoveReport& obj);
+
+typedef struct _HostReport__isset {
+  _HostReport__isset() : node(false), start(false), sequence(false), address(false), dataCentre(false), region(false), leaving(false), target(false), position(false), moves(false) {}
+  bool node :1;
+  bool start :1;
+  bool sequence :1;
+  bool address :1;
+  bool dataCentre :1;
+  bool region :1;
+  bool leaving :1;
+  bool target :1;
+  bool position :1;
+  bool moves :1;
+} _HostReport__isset;
+
+class HostReport : public virtual ::apache::thrift::TBase {
+ public:
+
+  HostReport(const HostReport&);
+  HostReport& operator=(const HostReport&);
+  HostReport() noexcept
+             : node(),
+               start(0),
+               sequence(0),
+               address(),
+               dataCentre(),
+               region(),
+               leaving(0),
+               position(0) {
+  }
+
+  virtual ~HostReport() noexcept;
+  std::string node;
+  int64_t start;
+  int64_t sequence;
+  std::string address;
+  std::string dataCentre;
+  std::string region;
+  bool leaving;
+  TargetReport target;
+  int64_t position;
+  std::vector<MoveReport>  moves;
+
+  _HostReport__isset __isset;
+
+  void __set_node(const std::string& val);
+
+  void __set_start(const int64_t val);
+
+  void __set_sequence(const int64_t val);
+
+  void __set_address(const std::string& val);
+
+  void __set_dataCentre(const std::string& val);
+
+  void __set_region(const std::string& val);
+
+  void __set_leaving(const bool val);
+
+  void __set_target(const TargetReport& val);
+
+  void __set_position(const int64_t val);
+
+  void __set_moves(const std::vector<MoveReport> & val);
+
+  bool operator == (const HostReport & rhs) const
+  {
+    if (!(node == rhs.node))
+      return false;
+    if (!(start == rhs.start))
+      return false;
+    if (!(sequence == rhs.sequence))
+      return false;
+    if (!(address == rhs.address))
+      return false;
+    if (!(dataCentre == rhs.dataCentre))
+      return false;
+    if (!(region == rhs.region))
+      return false;
+    if (!(leaving == rhs.leaving))
+      return false;
+    if (__isset.target != rhs.__isset.target)
+      return false;
+    else if (__isset.target && !(target == rhs.target))
+      return false;
+    if (!(position == rhs.position))
+      return false;
+    if (!(moves == rhs.moves))
+      return false;
+    return true;
+  }
+  bool operator != (const HostReport &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const HostReport & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(HostReport &a, HostReport &b);
+
+std::ostream& operator<<(std::ostream& out, const HostReport& obj);
+
+typedef struct _OperatorRecord__isset {
+  _OperatorRecord__isset() : key(false), offset(false), value(false) {}
+  bool key :1;
+  bool offset :1;
+  bool value :1;
+} _OperatorRecord__isset;
+
+class OperatorRecord : public virtual ::apache::thrift::TBase {
+ public:
+
+  OperatorRecord(const OperatorRecord&);
+  OperatorRecord& operator=(const OperatorRecord&);
+  OperatorRecord() noexcept
+                 : key(),
+                   offset(0),
+                   value() {
+  }
+
+  virtual ~OperatorRecord() noexcept;
+  std::string key;
+  int64_t offset;
+  std::string value;
+
+  _OperatorRecord__isset __isset;
+
+  void __set_key(const std::string& val);
+
+  void __set_offset(const int64_t val);
+
+  void __set_value(const std::string& val);
+
+  bool operator == (const OperatorRecord & rhs) const
+  {
+    if (!(key == rhs.key))
+      return false;
+    if (!(offset == rhs.offset))
+      return false;
+    if (!(value == rhs.value))
+      return false;
+    return true;
+  }
+  bool operator != (const OperatorRecord &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const OperatorRecord & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(OperatorRecord &a, OperatorRecord &b);
+
+std::ostream& operator<<(std::ostream& out, const OperatorRecord& obj);
+
+typedef struct _OperatorRecords__isset {
+  _OperatorRecords__isset() : position(false), records(false) {}
+  bool position :1;
+  bool records :1;
+} _OperatorRecords__isset;
+
+class OperatorRecords : public virtual ::apache::thrift::TBase {
+ public:
+
+  OperatorRecords(const OperatorRecords&);
+  OperatorRecords& operator=(const OperatorRecords&);
+  OperatorRecords() noexcept
+                  : position(0) {
+  }
+
+  virtual ~OperatorRecords() noexcept;
+  int64_t position;
+  std::vector<OperatorRecord>  records;
+
+  _OperatorRecords__isset __isset;
+
+  void __set_position(const int64_t val);
+
+  void __set_records(const std::vector<OperatorRecord> & val);
+
+  bool operator == (const OperatorRecords & rhs) const
+  {
+    if (!(position == rhs.position))
+      return false;
+    if (!(records == rhs.records))
+      return false;
+    return true;
+  }
+  bool operator != (const OperatorRecords &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const OperatorRecords & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(OperatorRecords &a, OperatorRecords &b);
+
+std::ostream& operator<<(std::ostream& out, const OperatorRecords& obj);
+
 }}} // namespace
 
 #endif
--- a/include/filbertvane/decision/Node.h
+++ b/include/filbertvane/decision/Node.h
@@ -85,9 +85,10 @@
     std::variant<SendControl, AppendConfig, ClaimReceived, ClaimReplied,
                  distribution::ReadLog, distribution::StateAdopted,
                  distribution::ReadyChanged, lease::AppendRenewal,
-                 request::StartAttempt, request::CancelAttempt, request::Refuse,
-                 request::RequestClaim, request::AnswerFromOwner,
-                 request::SendKeptAnswer, observe::LogEvent>;
+                 request::StartAttempt, request::DeliverAnswer,
+                 request::CancelAttempt, request::Refuse, request::RequestClaim,
+                 request::AnswerFromOwner, request::SendKeptAnswer,
+                 observe::LogEvent>;
 using NodeEffects = std::vector<NodeEffect>;
 /// @}
 
--- /dev/null
+++ b/include/filbertvane/decision/TargetLoad.h
@@ -0,0 +1,23 @@
+#ifndef FILBERTVANE_DECISION_TARGETLOAD_H
+#define FILBERTVANE_DECISION_TARGETLOAD_H
+
+#include "filbertvane/core/Time.h"
+#include <compare>
+#include <cstdint>
+
+namespace filbertvane::decision {
+
+/// @brief Requests at a target and the time that its answers take.
+struct TargetLoad {
+  std::uint32_t Running = 0;
+  std::uint32_t Waiting = 0;
+  std::uint32_t Slots = 0;
+  /// Mean time of recent answers.
+  core::Milliseconds MeanTime{0};
+
+  friend auto operator<=>(const TargetLoad &, const TargetLoad &) = default;
+};
+
+} // namespace filbertvane::decision
+
+#endif // FILBERTVANE_DECISION_TARGETLOAD_H
--- /dev/null
+++ b/include/filbertvane/decision/mesh/Limits.h
@@ -0,0 +1,57 @@
+#ifndef FILBERTVANE_DECISION_MESH_LIMITS_H
+#define FILBERTVANE_DECISION_MESH_LIMITS_H
+
+#include "filbertvane/core/Time.h"
+#include <cstddef>
+#include <cstdint>
+
+namespace filbertvane::decision::mesh {
+
+/// @name Reports between nodes
+/// @{
+/// Half of the time after which a change of load makes a placement stale: a
+/// target of 18 slots and 160 ms answers turns over four times in it.
+inline constexpr core::Milliseconds ReportPeriod{500};
+/// Reports to other regions are rarer, since links between regions are paid by
+/// volume.
+inline constexpr core::Milliseconds FarReportPeriod{1000};
+/// Up to this number each node reports to all others; above it, to as many
+/// others drawn at random in each period.
+inline constexpr std::size_t MostReportsPerPeriod = 100;
+/// Reports missing in a row after which a host is placed last.
+inline constexpr int MissedReports = 3;
+/// A host that was not heard for this time is forgotten.
+inline constexpr core::Seconds ForgetAfter{30};
+/// Most hosts that a node remembers.
+inline constexpr std::size_t MostHosts = 4096;
+/// @}
+
+/// @name Own target
+/// @{
+/// Announcements come about every 1.5 s and may be late by seconds; a target
+/// that neither announced nor answered for this time counts as gone.
+inline constexpr core::Milliseconds SilentTargetAfter{6000};
+/// Waiting requests per slot; more would wait for longer than any latency
+/// objective allows.
+inline constexpr std::uint32_t WaitingPerSlot = 4;
+/// @}
+
+/// @name Requests
+/// @{
+/// Hosts that may refuse a request before its caller is told.
+inline constexpr std::uint32_t MostPlacements = 4;
+/// Hosts that may refuse a request for lateness before one is asked to accept
+/// it late.
+inline constexpr std::uint32_t PlacementsOnTime = 2;
+/// Calls in progress at one node; more than the descriptors of a small host.
+inline constexpr std::size_t MostCalls = 1500;
+/// A peer without reports for this time has lost the requests sent to it.
+inline constexpr core::Milliseconds LostPeerAfter{2500};
+/// Smallest and largest time after which a refused caller is asked to return.
+inline constexpr core::Milliseconds ShortestReturn{50};
+inline constexpr core::Milliseconds LongestReturn{1000};
+/// @}
+
+} // namespace filbertvane::decision::mesh
+
+#endif // FILBERTVANE_DECISION_MESH_LIMITS_H
--- /dev/null
+++ b/include/filbertvane/decision/mesh/SlotQueue.h
@@ -0,0 +1,93 @@
+#ifndef FILBERTVANE_DECISION_MESH_SLOTQUEUE_H
+#define FILBERTVANE_DECISION_MESH_SLOTQUEUE_H
+
+#include "filbertvane/core/Error.h"
+#include "filbertvane/core/Ids.h"
+#include "filbertvane/core/Time.h"
+#include "filbertvane/decision/mesh/HostReport.h"
+#include <map>
+#include <optional>
+#include <set>
+
+namespace filbertvane::decision::mesh {
+
+/// @brief A request that asks for a slot of the own target.
+struct SlotRequest {
+  core::CallId Id;
+  core::RouteName Route;
+  /// 0 is the most urgent.
+  std::uint32_t Rank = 0;
+  /// Until then an answer has its full value.
+  core::TimePoint Objective;
+  core::TimePoint Deadline;
+  /// Take the request also when its answer will be late.
+  bool AcceptLate = false;
+};
+
+/// @brief Whether a request starts, waits or is refused; the last with reason.
+struct SlotVerdict {
+  enum class Kind { Start, Wait, Refuse } What = Kind::Refuse;
+  core::ErrorCode Why = core::ErrorCode::RequestQueueFull;
+};
+
+/// @brief Slots of the own target and the requests that wait for one.
+///
+/// Answers the load of a day on which a service gets more requests than it has
+/// slots: requests that can still be in time go first, by rank and then by
+/// arrival; those that are late already use the slots that are left over; a
+/// request whose deadline cannot be met is refused when that is known.
+class SlotQueue {
+public:
+  /// @name Requests
+  /// @{
+  SlotVerdict arrive(const SlotRequest &Who, core::TimePoint Now);
+  /// @brief A started request ended.
+  /// @param Took time at the target when it answered
+  void finished(const core::RouteName &Route,
+                std::optional<core::Microseconds> Took);
+  /// @brief Withdraws a waiting request.
+  void withdraw(core::CallId Id);
+
+  struct Turn {
+    core::CallId Id;
+    SlotVerdict Verdict;
+  };
+  /// @brief Next waiting request to start or to refuse, if any now.
+  std::optional<Turn> next(core::TimePoint Now);
+  /// @}
+
+  /// @name Target
+  /// @{
+  void resize(std::uint32_t NewSlots) { Slots = NewSlots; }
+  /// @brief Another process took the target's place: nothing runs there.
+  void restarted() { Running = 0; }
+  TargetLoad load() const;
+  /// @brief Time after which a request that comes now would get a slot.
+  core::Microseconds expectedWait(std::uint32_t Rank) const;
+  /// @}
+
+private:
+  struct Waiting {
+    SlotRequest Who;
+    core::TimePoint Since;
+  };
+  using Order = std::tuple<std::uint32_t, core::TimePoint, core::CallId>;
+
+  core::Microseconds expectedTime(const core::RouteName &Route) const;
+  std::optional<Turn> take(std::set<Order> &From, core::TimePoint Now);
+  void demoteLate(core::TimePoint Now);
+
+  std::uint32_t Slots = 0;
+  std::uint32_t Running = 0;
+  std::map<core::CallId, Waiting> Entries;
+  /// Requests that can be in time, by rank and arrival.
+  std::set<Order> InTime;
+  /// Requests that are late, by rank and arrival.
+  std::set<Order> Late;
+  std::map<core::RouteName, double> MeanUs;
+  double OverallUs = 0;
+};
+
+} // namespace filbertvane::decision::mesh
+
+#endif // FILBERTVANE_DECISION_MESH_SLOTQUEUE_H
--- a/include/filbertvane/decision/request/Events.h
+++ b/include/filbertvane/decision/request/Events.h
@@ -3,6 +3,7 @@
 
 #include "filbertvane/config/FleetState.h"
 #include "filbertvane/core/Digest.h"
+#include "filbertvane/decision/TargetLoad.h"
 #include "filbertvane/observe/LogEvent.h"
 #include <memory>
 
@@ -79,10 +80,27 @@
   friend auto operator<=>(const Endpoint &, const Endpoint &) = default;
 };
 
+/// @brief What the entry node tells the host node of a request, where the
+///        host node does not read the routes itself.
+struct HopTerms {
+  core::RouteName Route;
+  /// Time left until the latency objective; negative when it has passed.
+  core::Milliseconds ObjectiveLeft{0};
+  /// Rank of the request; 0 is the most urgent.
+  std::uint32_t Rank = 0;
+  bool Idempotent = false;
+  /// Take the request also when its answer will be late.
+  bool AcceptLate = false;
+
+  friend auto operator<=>(const HopTerms &, const HopTerms &) = default;
+};
+
 /// @brief How one attempt ended, as the side that sent it saw it.
 enum class AttemptEnd {
   /// The whole answer was passed on.
   Answered,
+  /// The whole answer arrived and is held until `DeliverAnswer`.
+  Held,
   /// Refused with a truthful "not run" marker, or never handed over.
   NotRun,
   /// No answer after hand-over; it may have run.
@@ -116,6 +134,15 @@
   std::uint64_t ContentLength = 0;
   /// Crashes already ascribed to the request by the sending node.
   std::uint32_t Crashes = 0;
+  /// Id under which the caller knows the request; for logs.
+  std::string CallerId = {};
+  /// Value of the `Host` header.
+  std::string VirtualHost = {};
+  /// Time left as the sender stated it, counted from the arrival.
+  std::optional<core::Milliseconds> TimeLeft = std::nullopt;
+  /// Service on whose host the request began, when it came from a node.
+  std::optional<core::ServiceName> Caller = std::nullopt;
+  std::optional<HopTerms> Terms = std::nullopt;
 };
 /// @brief The first byte of an answer arrived.
 struct AnswerStarted {
@@ -140,6 +167,13 @@
   /// The whole answer, when `StartAttempt::KeepAnswer` was set and it fits
   /// `KeptAnswerLimit`.
   std::shared_ptr<const KeptAnswer> Kept;
+  /// The target itself saw the request, also when it refused it.
+  bool Reached = false;
+  /// Another target than the expected one stands at the address.
+  bool Misdirected = false;
+  std::optional<TargetLoad> Load = std::nullopt;
+  /// Bytes of the answer's body.
+  std::uint64_t AnswerBytes = 0;
 };
 /// @brief The caller closed its connection.
 struct CallerGone {
@@ -216,6 +250,19 @@
   bool KeepAnswer = false;
   /// Crashes ascribed to the request so far; sent along to a node.
   std::uint32_t Crashes = 0;
+  /// Hold the answer until `DeliverAnswer`; a large one is passed on at once.
+  bool HoldAnswer = false;
+  /// Open a new connection.
+  bool FreshConnection = false;
+  /// Service on whose host the request began.
+  core::ServiceName Caller = {};
+  std::optional<HopTerms> Terms = std::nullopt;
+};
+/// @brief Pass on the answer that is held.
+struct DeliverAnswer {
+  core::CallId Id;
+  /// Load of the target, for the node that sent the request.
+  std::optional<TargetLoad> Load = std::nullopt;
 };
 /// @brief Stop an attempt: close or cancel it at the destination.
 struct CancelAttempt {
@@ -231,6 +278,14 @@
   bool Retried = false;
   /// The target crashed while it ran the request.
   bool TargetCrashed = false;
+  /// Status for the caller; 0 for the usual one of the outcome.
+  int Status = 0;
+  /// Time after which the caller should ask again.
+  std::optional<core::Milliseconds> RetryAfter = std::nullopt;
+  /// The target itself saw the request.
+  bool Reached = false;
+  /// Load of the target, for the node that sent the request.
+  std::optional<TargetLoad> Load = std::nullopt;
 };
 /// @brief Ask the claim keeper for the ownership of a key.
 struct RequestClaim {
@@ -276,9 +331,9 @@
   std::uint32_t Crashes = 0;
 };
 
-using Effect = std::variant<StartAttempt, CancelAttempt, Refuse, RequestClaim,
-                            AnswerFromOwner, SendKeptAnswer, Observed,
-                            SuspectReported, observe::LogEvent>;
+using Effect = std::variant<StartAttempt, DeliverAnswer, CancelAttempt, Refuse,
+                            RequestClaim, AnswerFromOwner, SendKeptAnswer,
+                            Observed, SuspectReported, observe::LogEvent>;
 using Effects = std::vector<Effect>;
 /// @}
 
--- a/include/filbertvane/io/EventLoop.h
+++ b/include/filbertvane/io/EventLoop.h
@@ -33,6 +33,9 @@
   /// @brief Calls a function on SIGTERM or SIGINT, from inside the loop.
   void onTerminate(std::function<void()> Handler);
 
+  /// @brief Calls a function on SIGHUP, from inside the loop.
+  void onHangUp(std::function<void()> Handler);
+
   /// @brief The underlying loop, for watchers.
   struct ev_loop *raw() const {
     return Loop;
@@ -40,9 +43,11 @@
 
 private:
   struct Signals;
+  struct HangUp;
 
   struct ev_loop *Loop;
   std::unique_ptr<Signals> Terminate;
+  std::unique_ptr<HangUp> Reload;
 };
 
 /// @brief Calls a function at a deadline; destroying it cancels the call.
--- a/include/filbertvane/io/HttpClient.h
+++ b/include/filbertvane/io/HttpClient.h
@@ -62,6 +62,13 @@
     bool FreshConnection = false;
     /// Reuse only a connection that was in use within the last second.
     bool ProvenConnection = false;
+    /// Do not reuse a connection that was idle for longer.
+    core::Seconds MaxIdle{30};
+    /// Close the connection when sent bytes are not acknowledged in time, or
+    /// when an idle connection does not answer probes.
+    bool DetectSilence = false;
+    /// An answer without a length is whole when its connection ends in order.
+    bool AcceptUnframed = false;
   };
 
   struct Options {
--- a/include/filbertvane/io/HttpServer.h
+++ b/include/filbertvane/io/HttpServer.h
@@ -108,6 +108,9 @@
 
   virtual ~HttpServer() = default;
 
+  /// @brief Closes each connection after its next answer; new connections are
+  ///        still accepted.
+  virtual void closeAfterAnswers() = 0;
   /// @brief Stops accepting connections; requests in progress go on.
   virtual void quiesce() = 0;
   /// @brief Requests in progress.
--- a/include/filbertvane/io/ProxyEngine.h
+++ b/include/filbertvane/io/ProxyEngine.h
@@ -3,6 +3,7 @@
 
 #include "filbertvane/decision/request/Events.h"
 #include "filbertvane/io/HttpClient.h"
+#include "filbertvane/io/RequestDialect.h"
 #include "filbertvane/observe/TraceContext.h"
 
 namespace filbertvane::io {
@@ -44,6 +45,8 @@
     core::NodeId Self;
     std::uint32_t MaxConnections = 4096;
     std::uint64_t Seed = 0;
+    /// Language of callers and targets; null for the product's own interface.
+    std::shared_ptr<const RequestDialect> Dialect;
   };
 
   using Decide = std::function<decision::request::Effects(
@@ -85,6 +88,8 @@
   virtual void askOwner(const decision::request::AnswerFromOwner &What,
                         const std::string &PeerAddress) = 0;
 
+  /// @brief Closes callers' connections after their next answers.
+  virtual void closeAfterAnswers() = 0;
   /// @brief Closes the listening sockets; requests in progress go on.
   virtual void quiesce() = 0;
   /// @brief Requests in progress.
--- /dev/null
+++ b/include/filbertvane/io/mesh/Environment.h
@@ -0,0 +1,119 @@
+#ifndef FILBERTVANE_IO_MESH_ENVIRONMENT_H
+#define FILBERTVANE_IO_MESH_ENVIRONMENT_H
+
+#include "filbertvane/decision/mesh/Events.h"
+#include "filbertvane/decision/mesh/RepeatBudget.h"
+#include "filbertvane/io/RequestDialect.h"
+#include "filbertvane/io/mesh/OperatorRecords.h"
+#include <functional>
+
+namespace filbertvane::io::mesh {
+
+/// @brief The durable store that all nodes share.
+///
+/// Each callback is called once, from the loop. A call without an answer may
+/// still take effect later.
+class SharedStore {
+public:
+  using RecordsRead = std::function<void(core::Result<OperatorRecords>)>;
+  using HostsRead = std::function<void(core::Result<std::vector<std::string>>)>;
+  using MovesRead = std::function<void(
+      core::Result<std::vector<decision::mesh::MoveEndKnown>>)>;
+  using Done = std::function<void(core::Status)>;
+
+  virtual ~SharedStore() = default;
+
+  /// @name Operators' records
+  /// @{
+  /// @brief Reads the newest record of each key.
+  virtual void readNewest(RecordsRead OnDone) = 0;
+  /// @brief Reads records from an offset on; the store holds the answer back
+  ///        for up to `Wait` when there is none. `StoreTrimmed` when the offset
+  ///        is before the first retained record.
+  virtual void readFrom(core::LogOffset From, core::Milliseconds Wait,
+                        RecordsRead OnDone) = 0;
+  /// @brief Gives up a read that is under way; its callback is not called.
+  virtual void abandonRead() = 0;
+  /// @}
+
+  /// @name Hosts
+  /// @{
+  virtual void publishHost(const core::NodeId &Node, std::string Report,
+                           Done OnDone) = 0;
+  virtual void readHosts(HostsRead OnDone) = 0;
+  /// @}
+
+  /// @name Moves
+  /// @{
+  /// @brief Reads the states of moves that were written.
+  virtual void readMoves(MovesRead OnDone) = 0;
+  /// @brief Writes the state of a move, unless the end of the same move stands
+  ///        in the store.
+  /// @return the state that stands in the store then
+  virtual void writeMove(
+      const decision::mesh::WriteMove &What,
+      std::function<void(core::Result<decision::mesh::MovePhase>)> OnDone) = 0;
+  /// @}
+};
+
+/// @brief A record of an operator, decoded.
+using OperatorOrder =
+    std::variant<config::Routing, decision::mesh::MoveOrdered>;
+
+/// @brief What the target of a host said.
+using Announcement = std::variant<decision::mesh::TargetAnnounced,
+                                  decision::mesh::TargetDeregistered>;
+
+/// @brief How the surroundings of a node speak.
+class Environment {
+public:
+  virtual ~Environment() = default;
+
+  /// @brief Decodes an operator's record.
+  /// @return the order; none for a key of another purpose; an error as of
+  ///         core/errors/Routing.def
+  virtual core::Result<std::optional<OperatorOrder>>
+  decode(const OperatorRecord &Record) const = 0;
+
+  /// @brief Decodes what a target said at the control address.
+  /// @return the announcement, or `AnnouncementMalformed` or
+  ///         `AnnouncementForeign`
+  virtual core::Result<Announcement>
+  decodeAnnouncement(const RequestHead &Head, const std::string &Body,
+                     const std::string &TargetAddress) const = 0;
+
+  /// @brief Path at which the readiness of the node is asked for.
+  virtual std::string readinessPath() const = 0;
+  virtual std::shared_ptr<const RequestDialect> dialect() const = 0;
+};
+
+/// @brief Addresses and identity of a node, from its settings.
+struct MeshPlace {
+  core::NodeId Node;
+  core::DataCentreId DataCentre;
+  core::RegionId Region;
+  std::string Address;
+  /// `ip:port` at which callers and the target of the host send requests.
+  std::string Callers;
+  /// `ip:port` at which other nodes send requests.
+  std::string Peers;
+  std::string Readiness;
+  /// `ip:port` at which the target announces itself.
+  std::string Control;
+  /// Port of reports (UDP) and of records (TCP) between nodes.
+  std::uint16_t InternalPort = 0;
+  /// `ip:port` of metrics; empty for none.
+  std::string Metrics;
+  std::string TargetAddress;
+  core::ServiceName Service;
+  decision::mesh::BudgetTerms Budget;
+  /// Time that a stopped process has for its requests in progress.
+  core::Milliseconds StopTime{0};
+  std::uint32_t MaxConnections = 0;
+
+  friend auto operator<=>(const MeshPlace &, const MeshPlace &) = default;
+};
+
+} // namespace filbertvane::io::mesh
+
+#endif // FILBERTVANE_IO_MESH_ENVIRONMENT_H
--- /dev/null
+++ b/lib/decision/mesh/HostDirectory.cpp
@@ -0,0 +1,105 @@
+#include "filbertvane/decision/mesh/HostDirectory.h"
+#include "filbertvane/decision/mesh/Limits.h"
+
+namespace filbertvane::decision::mesh {
+
+namespace {
+
+/// Datagrams of a former process can arrive for about this time after its
+/// successor was heard.
+constexpr core::Milliseconds ReorderTime{2000};
+
+/// Two processes of a host are ordered by their start; the time of day may have
+/// jumped back between them, so that an older start counts once the newer one
+/// is silent.
+bool outdated(const KnownHost &Known, const HostReport &What,
+              core::TimePoint Now) {
+  if (What.Start == Known.Report.Start)
+    return What.Sequence <= Known.Report.Sequence && !Known.Hearsay;
+  return What.Start < Known.Report.Start && Now - Known.HeardAt < ReorderTime;
+}
+
+} // namespace
+
+HostDirectory::HostDirectory(core::NodeId Self, core::DataCentreId DataCentre,
+                             core::RegionId Region)
+    : Self(std::move(Self)), DataCentre(std::move(DataCentre)),
+      Region(std::move(Region)) {}
+
+Distance HostDirectory::distanceOf(const HostReport &Of) const {
+  if (Of.Node == Self)
+    return Distance::Own;
+  if (Of.DataCentre == DataCentre)
+    return Distance::DataCentre;
+  return Of.Region == Region ? Distance::Region : Distance::Far;
+}
+
+std::optional<Heard> HostDirectory::hear(const HostReport &What,
+                                         core::TimePoint Now) {
+  if (What.Node == Self)
+    return std::nullopt;
+  const auto Found = Hosts.find(What.Node);
+  if (Found == Hosts.end()) {
+    if (Hosts.size() >= MostHosts)
+      return std::nullopt;
+    KnownHost Host;
+    Host.Report = What;
+    Host.Away = distanceOf(What);
+    Host.HeardAt = Now;
+    Hosts.emplace(What.Node, std::move(Host));
+    return Heard{true, false};
+  }
+  KnownHost &Known = Found->second;
+  if (outdated(Known, What, Now))
+    return std::nullopt;
+  const Heard Change{Known.Hearsay, What.Start != Known.Report.Start};
+  Known.Report = What;
+  Known.HeardAt = Now;
+  Known.SentSince = 0;
+  Known.Unreachable = false;
+  Known.Hearsay = false;
+  return Change;
+}
+
+bool HostDirectory::learn(const HostReport &What, core::TimePoint Now) {
+  if (What.Node == Self || Hosts.contains(What.Node) ||
+      Hosts.size() >= MostHosts)
+    return false;
+  KnownHost Host;
+  Host.Report = What;
+  Host.Away = distanceOf(What);
+  Host.HeardAt = Now;
+  Host.Hearsay = true;
+  Hosts.emplace(What.Node, std::move(Host));
+  return true;
+}
+
+void HostDirectory::noteLoad(const core::NodeId &Node, const TargetLoad &Load) {
+  KnownHost *Known = find(Node);
+  if (Known == nullptr || !Known->Report.Target)
+    return;
+  Known->Report.Target->Load = Load;
+  Known->SentSince = 0;
+}
+
+void HostDirectory::forgetSilent(core::TimePoint Now) {
+  std::erase_if(Hosts, [Now](const auto &Entry) {
+    return Now - Entry.second.HeardAt > ForgetAfter;
+  });
+}
+
+KnownHost *HostDirectory::find(const core::NodeId &Node) {
+  const auto Found = Hosts.find(Node);
+  return Found == Hosts.end() ? nullptr : &Found->second;
+}
+
+bool HostDirectory::doubtful(const KnownHost &Host, core::TimePoint Now) const {
+  const core::Milliseconds Period =
+      Host.Away == Distance::Far ? FarReportPeriod : ReportPeriod;
+  // With random receivers a host hears another one only now and then.
+  const auto Rounds = static_cast<int>(Hosts.size() / MostReportsPerPeriod) + 1;
+  return Host.Unreachable || Host.Hearsay ||
+         Now - Host.HeardAt > Period * (MissedReports * Rounds);
+}
+
+} // namespace filbertvane::decision::mesh
--- /dev/null
+++ b/lib/decision/mesh/ReduceAttempts.cpp
@@ -0,0 +1,272 @@
+#include "Reduction.h"
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace filbertvane::decision::mesh {
+
+using core::ErrorCode;
+using request::AttemptEnd;
+
+namespace {
+
+constexpr int FirstServerError = 500;
+/// Weight of one answer in the recent part of faults: a target that fails half
+/// of its requests shows within some ten answers.
+constexpr double FaultWeight = 0.06;
+/// Weight of one answer in the mean size of a route's answers.
+constexpr double SizeWeight = 0.05;
+constexpr int StatusBadGateway = 502;
+
+std::int64_t millis(core::Microseconds Time) {
+  return std::chrono::duration_cast<core::Milliseconds>(Time).count();
+}
+
+} // namespace
+
+void Reduction::operator()(const request::AnswerStarted &What) {
+  MeshCall *Call = find(What.Id);
+  if (Call != nullptr && Call->Attempt == What.Attempt)
+    Call->AnswerStarted = true;
+}
+
+void Reduction::operator()(const request::AttemptEnded &What) {
+  MeshCall *Call = find(What.Id);
+  if (Call == nullptr || Call->Phase == CallPhase::Queued ||
+      Call->Attempt != What.Attempt)
+    return;
+  if (Call->Phase == CallPhase::AtTarget)
+    endedAtTarget(*Call, What);
+  else
+    endedAtPeer(*Call, What);
+}
+
+void Reduction::noteAtTarget(const MeshCall &Call,
+                             const request::AttemptEnded &What, bool Fault) {
+  if (!State.Target || State.Target->Life != Call.TargetLife)
+    return;
+  OwnTarget &Target = *State.Target;
+  const core::Microseconds Took = Now - Call.SentAt;
+  const bool Answered =
+      What.End == AttemptEnd::Held || What.End == AttemptEnd::Answered;
+  State.Slots.finished(Call.Terms.Route,
+                       Answered && !Fault ? std::optional(Took) : std::nullopt);
+  Target.FaultPart += FaultWeight * ((Fault ? 1.0 : 0.0) - Target.FaultPart);
+  if (Answered)
+    Target.AnsweredAt = Now;
+  // A refused request says nothing about the version, and a cold target is slow
+  // in each version.
+  if (What.End == AttemptEnd::NotRun || Now < Target.WarmAt)
+    return;
+  RouteTally &Tally = Target.Tallies[Call.Terms.Route];
+  Tally.Route = Call.Terms.Route;
+  ++Tally.Answers;
+  if (Fault)
+    ++Tally.Faults;
+  else
+    Tally.Time += std::chrono::duration_cast<core::Milliseconds>(Took);
+}
+
+void Reduction::endedAtTarget(MeshCall &Call,
+                              const request::AttemptEnded &What) {
+  const bool Broken = What.End == AttemptEnd::NoAnswer ||
+                      What.End == AttemptEnd::BrokenOff ||
+                      What.End == AttemptEnd::NotRun;
+  noteAtTarget(Call, What, Broken || What.Status >= FirstServerError);
+  const bool SameLife = State.Target && State.Target->Life == Call.TargetLife;
+  if (SameLife && (What.Unreachable || What.Misdirected || What.TargetCrashed))
+    setTargetState(TargetState::Down,
+                   What.Misdirected ? "misdirected" : "no connection");
+  if (Call.Hosted)
+    concludeHosted(Call, What);
+  else
+    conclude(Call, What);
+  serveQueue();
+}
+
+void Reduction::concludeHosted(MeshCall &Call,
+                               const request::AttemptEnded &What) {
+  switch (What.End) {
+  case AttemptEnd::Held:
+    Out.emplace_back(request::DeliverAnswer{Call.Id, State.Slots.load()});
+    return erase(Call.Id);
+  case AttemptEnd::Answered:
+  case AttemptEnd::BrokenOff:
+    return erase(Call.Id);
+  case AttemptEnd::NotRun:
+    return refuse(Call, ErrorCode::RequestRefusedByTarget, What.Reached);
+  case AttemptEnd::NoAnswer:
+    return endUnknown(Call, ErrorCode::RequestNoAnswer);
+  }
+}
+
+void Reduction::endedAtPeer(MeshCall &Call, const request::AttemptEnded &What) {
+  if (KnownHost *Host = State.Hosts.find(Call.At)) {
+    Host->InFlight -= std::min(Host->InFlight, 1U);
+    Host->Unreachable = Host->Unreachable || What.Unreachable;
+    if (What.Load)
+      State.Hosts.noteLoad(Call.At, *What.Load);
+  }
+  conclude(Call, What);
+}
+
+bool Reduction::mayRepeat(MeshCall &Call) {
+  if (Call.Reached >= Call.Route->MaxTargets ||
+      Now + ShortestReturn >= Call.Deadline)
+    return false;
+  return memoryOf(Call.Service)
+      .Budget.take(State.Hosts.hosts().size() + 1, Now);
+}
+
+void Reduction::conclude(MeshCall &Call, const request::AttemptEnded &What) {
+  switch (What.End) {
+  case AttemptEnd::Held:
+    return concludeAnswer(Call, What);
+  case AttemptEnd::Answered:
+  case AttemptEnd::BrokenOff:
+    log(What.End == AttemptEnd::Answered ? observe::EventId::MeshServed
+                                         : observe::EventId::MeshUnknown,
+        fmt::format("{} status={} streamed=1", describe(Call), What.Status));
+    return erase(Call.Id);
+  case AttemptEnd::NotRun:
+    if (!What.Reached) {
+      (What.Unreachable ? Call.Tried : Call.Late).push_back(Call.At);
+      return place(Call);
+    }
+    ++Call.Reached;
+    Call.Tried.push_back(Call.At);
+    if (!mayRepeat(Call))
+      return refuse(Call, ErrorCode::RequestRefusedByTarget);
+    log(observe::EventId::MeshRepeated,
+        fmt::format("{} after=refused", describe(Call)));
+    return place(Call);
+  case AttemptEnd::NoAnswer:
+    ++Call.Reached;
+    Call.Tried.push_back(Call.At);
+    if (!Call.Terms.Idempotent || !mayRepeat(Call))
+      return endUnknown(Call, ErrorCode::RequestNoAnswer);
+    log(observe::EventId::MeshRepeated,
+        fmt::format("{} after=no_answer", describe(Call)));
+    return place(Call);
+  }
+}
+
+void Reduction::concludeAnswer(MeshCall &Call,
+                               const request::AttemptEnded &What) {
+  ++Call.Reached;
+  const bool Failed = What.Status >= FirstServerError;
+  if (Failed && Call.Terms.Idempotent && mayRepeat(Call)) {
+    Call.Tried.push_back(Call.At);
+    log(observe::EventId::MeshRepeated,
+        fmt::format("{} after=status_{}", describe(Call), What.Status));
+    return place(Call);
+  }
+  double &Bytes = memoryOf(Call.Terms.Route).AnswerBytes;
+  const auto Sample = static_cast<double>(What.AnswerBytes);
+  Bytes = Bytes == 0 ? Sample : Bytes + SizeWeight * (Sample - Bytes);
+  log(observe::EventId::MeshServed,
+      fmt::format("{} status={}", describe(Call), What.Status));
+  Out.emplace_back(request::DeliverAnswer{Call.Id, std::nullopt});
+  erase(Call.Id);
+}
+
+void Reduction::operator()(const request::CallerGone &What) {
+  MeshCall *Call = find(What.Id);
+  if (Call == nullptr)
+    return;
+  if (!Call->Hosted)
+    log(observe::EventId::MeshLost, describe(*Call));
+  leave(*Call);
+  erase(What.Id);
+  serveQueue();
+}
+
+/// Takes the call out of the queue, or cancels it where it was sent.
+void Reduction::leave(MeshCall &Call) {
+  switch (Call.Phase) {
+  case CallPhase::Queued:
+    State.Slots.withdraw(Call.Id);
+    return;
+  case CallPhase::AtTarget:
+    if (State.Target && State.Target->Life == Call.TargetLife)
+      State.Slots.finished(Call.Terms.Route, std::nullopt);
+    break;
+  case CallPhase::AtPeer:
+    if (KnownHost *Host = State.Hosts.find(Call.At))
+      Host->InFlight -= std::min(Host->InFlight, 1U);
+    break;
+  }
+  Out.emplace_back(request::CancelAttempt{Call.Id, Call.Attempt});
+}
+
+void Reduction::expire(MeshCall &Call) {
+  const bool Queued = Call.Phase == CallPhase::Queued;
+  // A large answer that has started is cut by the sender's own deadline.
+  if (Call.AnswerStarted)
+    return;
+  if (Call.Phase == CallPhase::AtTarget) {
+    request::AttemptEnded Late;
+    Late.End = AttemptEnd::NoAnswer;
+    noteAtTarget(Call, Late, true);
+    Call.TargetLife = 0;
+  }
+  leave(Call);
+  if (Queued)
+    return refuse(Call, ErrorCode::RequestDeadlinePassed);
+  endUnknown(Call, ErrorCode::RequestDeadlinePassed);
+}
+
+void Reduction::refuse(MeshCall &Call, ErrorCode Why, bool Reached) {
+  request::Refuse Refusal;
+  Refusal.Id = Call.Id;
+  Refusal.Result = request::Outcome::NotRun;
+  Refusal.Reason = {Why, Call.Terms.Route.value()};
+  Refusal.Reached = Reached;
+  if (Call.Hosted)
+    Refusal.Load = State.Slots.load();
+  else
+    Refusal.RetryAfter = returnTime(Call);
+  log(observe::EventId::MeshRefused,
+      fmt::format("{} reason=FV{} reached={}", describe(Call),
+                  static_cast<int>(Why), Reached));
+  Out.emplace_back(std::move(Refusal));
+  erase(Call.Id);
+}
+
+void Reduction::endUnknown(MeshCall &Call, ErrorCode Why) {
+  request::Refuse Refusal;
+  Refusal.Id = Call.Id;
+  Refusal.Result = request::Outcome::Unknown;
+  Refusal.Reason = {Why, Call.Terms.Route.value()};
+  if (!Call.Hosted && Why != ErrorCode::RequestDeadlinePassed)
+    Refusal.Status = StatusBadGateway;
+  log(observe::EventId::MeshUnknown,
+      fmt::format("{} reason=FV{}", describe(Call), static_cast<int>(Why)));
+  Out.emplace_back(std::move(Refusal));
+  erase(Call.Id);
+}
+
+std::string Reduction::describe(const MeshCall &Call) const {
+  std::string Text = fmt::format(
+      "request={} role={} route={} service={} at={} age_ms={} sent_ms={} "
+      "placements={} reached={} late_ok={}",
+      Call.CallerId, Call.Hosted ? "host" : "entry", Call.Terms.Route.value(),
+      Call.Service.value(), Call.At.value(), millis(Now - Call.Arrived),
+      Call.Phase == CallPhase::Queued ? -1 : millis(Now - Call.SentAt),
+      Call.Placements, Call.Reached, Call.Terms.AcceptLate);
+  if (State.Routing)
+    Text += fmt::format(" config={}", State.Routing->routing().Version.value());
+  const auto Host = State.Hosts.hosts().find(Call.At);
+  if (Host != State.Hosts.hosts().end() && Host->second.Report.Target) {
+    const TargetLoad &Load = Host->second.Report.Target->Load;
+    Text +=
+        fmt::format(" load={}+{}/{} load_age_ms={}", Load.Running, Load.Waiting,
+                    Load.Slots, millis(Now - Host->second.HeardAt));
+  } else if (Call.At == State.Own.Node) {
+    const TargetLoad Load = State.Slots.load();
+    Text +=
+        fmt::format(" load={}+{}/{}", Load.Running, Load.Waiting, Load.Slots);
+  }
+  return Text;
+}
+
+} // namespace filbertvane::decision::mesh
--- /dev/null
+++ b/lib/decision/mesh/ReduceHosts.cpp
@@ -0,0 +1,164 @@
+#include "Reduction.h"
+#include "filbertvane/core/Digest.h"
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace filbertvane::decision::mesh {
+
+namespace {
+
+/// Time that the own connection to the store has for records that another node
+/// already holds; the store's answers to both leave it together.
+constexpr core::Milliseconds FetchAfter{300};
+
+} // namespace
+
+void Reduction::operator()(const ReportHeard &What) {
+  const HostReport &Report = What.What;
+  const auto Change = State.Hosts.hear(Report, Now);
+  if (!Change)
+    return;
+  for (const MoveReport &Move : Report.Moves)
+    State.Moves.hear(Move, Now);
+  if (Change->New || Change->Restarted) {
+    log(observe::EventId::MeshHostHeard,
+        fmt::format("host={} start={} address={} restarted={}",
+                    Report.Node.value(), Report.Start.value(), Report.Address,
+                    Change->Restarted));
+    // The other one may not know this node yet.
+    reportTo({Report.Address});
+  }
+}
+
+void Reduction::operator()(const ReportsLearned &What) {
+  std::vector<std::string> Fresh;
+  for (const HostReport &Report : What.All)
+    if (State.Hosts.learn(Report, Now))
+      Fresh.push_back(Report.Address);
+  if (!Fresh.empty())
+    reportTo(std::move(Fresh));
+}
+
+void Reduction::operator()(const RoutingLearned &What) {
+  const core::ConfigVersion Version = What.Table->routing().Version;
+  if (State.Routing && State.Routing->routing().Version >= Version)
+    return;
+  State.Routing = What.Table;
+  std::erase_if(State.Routes, [&](const auto &Entry) {
+    return std::ranges::none_of(
+        What.Table->routing().Routes,
+        [&](const auto &Route) { return Route.Name == Entry.first; });
+  });
+  log(observe::EventId::MeshRoutingInForce,
+      fmt::format("config={} routes={}", Version.value(),
+                  What.Table->routing().Routes.size()));
+  checkReady();
+}
+
+void Reduction::operator()(const PositionReached &What) {
+  if (What.Position <= State.Position)
+    return;
+  State.Position = What.Position;
+  checkPosition();
+}
+
+void Reduction::operator()(const StoreChanged &What) {
+  if (State.StoreReachable == What.Reachable)
+    return;
+  State.StoreReachable = What.Reachable;
+  log(What.Reachable ? observe::EventId::MeshStoreRegained
+                     : observe::EventId::MeshStoreLost,
+      fmt::format("position={}", State.Position.value()));
+  if (What.Reachable)
+    Out.emplace_back(PublishReport{ownReport(State, Now)});
+}
+
+void Reduction::operator()(const ServiceAssigned &What) {
+  State.Own.Service = What.Service;
+}
+
+void Reduction::operator()(const request::DrainStarted &) {
+  if (State.Draining)
+    return;
+  State.Draining = true;
+  checkReady();
+  reportToAll();
+}
+
+void Reduction::checkReady() {
+  const bool Ready = State.Routing && !State.Draining;
+  if (Ready == State.Ready)
+    return;
+  State.Ready = Ready;
+  Out.emplace_back(ReadinessChanged{Ready});
+}
+
+void Reduction::reportTo(std::vector<std::string> Addresses) {
+  if (!Addresses.empty())
+    Out.emplace_back(SendReport{ownReport(State, Now), std::move(Addresses)});
+}
+
+void Reduction::reportToAll() {
+  std::vector<std::string> All;
+  for (const auto &[Node, Host] : State.Hosts.hosts())
+    All.push_back(Host.Report.Address);
+  reportTo(std::move(All));
+}
+
+/// Near hosts hear in each period, far ones in each of their own, longer ones.
+void Reduction::reportInTurn() {
+  if (Now < State.NextReport)
+    return;
+  // The spread keeps nodes that started together from reporting together.
+  const auto Spread = core::Milliseconds(State.Source.below(50));
+  State.NextReport = Now + ReportPeriod + Spread;
+  const bool FarToo = Now >= State.NextFarReport;
+  if (FarToo)
+    State.NextFarReport = Now + FarReportPeriod - ReportPeriod / 2;
+  std::vector<std::string> Chosen;
+  const std::size_t Known = State.Hosts.hosts().size();
+  for (const auto &[Node, Host] : State.Hosts.hosts()) {
+    if (Host.Away == Distance::Far && !FarToo)
+      continue;
+    if (Known > MostReportsPerPeriod &&
+        State.Source.below(Known) >= MostReportsPerPeriod)
+      continue;
+    Chosen.push_back(Host.Report.Address);
+  }
+  reportTo(std::move(Chosen));
+}
+
+/// The own connection to the store usually brings records first. Where it does
+/// not, for a cut or a silent connection, another node has them.
+void Reduction::checkPosition() {
+  const KnownHost *Ahead = nullptr;
+  for (const auto &[Node, Host] : State.Hosts.hosts()) {
+    if (Host.Report.Position <= State.Position ||
+        State.Hosts.doubtful(Host, Now))
+      continue;
+    if (Ahead == nullptr || Host.Away < Ahead->Away)
+      Ahead = &Host;
+  }
+  if (Ahead == nullptr) {
+    State.BehindSince.reset();
+    return;
+  }
+  if (!State.BehindSince)
+    State.BehindSince = Now;
+  if (Now - *State.BehindSince < FetchAfter)
+    return;
+  State.BehindSince = Now;
+  Out.emplace_back(FetchRecords{Ahead->Report.Address});
+}
+
+std::size_t Reduction::rankFor(const std::string &Duty) const {
+  const std::uint64_t Own = core::rendezvousScore(Duty, State.Own.Node.value());
+  std::size_t Rank = 0;
+  for (const auto &[Node, Host] : State.Hosts.hosts())
+    if (!Host.Report.Leaving && !State.Hosts.doubtful(Host, Now) &&
+        core::rendezvousScore(Duty, Node.value()) > Own)
+      ++Rank;
+  return Rank;
+}
+
+} // namespace filbertvane::decision::mesh
--- a/lib/io/CurlTransfer.cpp
+++ b/lib/io/CurlTransfer.cpp
@@ -1,5 +1,8 @@
 #include "CurlTransfer.h"
 #include <charconv>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 
 namespace filbertvane::io {
 
@@ -8,9 +11,14 @@
 /// Body bytes below which the handler is asked for more.
 constexpr std::size_t SendLowMark = std::size_t{64} * 1024;
 constexpr long ReceiveBufferBytes = 64L * 1024;
-/// Shorter than the idle timeout of servers, so that a connection is not
-/// reused in the moment in which its server closes it.
-constexpr long IdleSeconds = 30;
+/// Time for which sent bytes may stay unacknowledged; several retransmissions
+/// fit into it on the longest path.
+constexpr int UnacknowledgedMs = 1500;
+/// Idle time before the first probe, time between probes, and number of
+/// unanswered probes after which a connection is closed.
+constexpr int ProbeAfterSeconds = 1;
+constexpr int ProbePeriodSeconds = 1;
+constexpr int MostProbes = 2;
 constexpr std::size_t MaxHeaderLines = 256;
 
 /// Whether a text can stand in a request line or header without changing the
@@ -49,6 +57,20 @@
   return false;
 }
 
+/// libcurl has no option for the number of probes and for unacknowledged bytes.
+int detectSilence(void *, curl_socket_t Socket, curlsocktype) {
+  const int On = 1;
+  setsockopt(Socket, SOL_SOCKET, SO_KEEPALIVE, &On, sizeof On);
+  setsockopt(Socket, IPPROTO_TCP, TCP_KEEPIDLE, &ProbeAfterSeconds,
+             sizeof ProbeAfterSeconds);
+  setsockopt(Socket, IPPROTO_TCP, TCP_KEEPINTVL, &ProbePeriodSeconds,
+             sizeof ProbePeriodSeconds);
+  setsockopt(Socket, IPPROTO_TCP, TCP_KEEPCNT, &MostProbes, sizeof MostProbes);
+  setsockopt(Socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &UnacknowledgedMs,
+             sizeof UnacknowledgedMs);
+  return CURL_SOCKOPT_OK;
+}
+
 } // namespace
 
 CurlTransfer::CurlTransfer(CURL *Easy, HttpClient::Request What,
@@ -130,13 +152,19 @@
   curl_easy_setopt(Easy, CURLOPT_CONNECTTIMEOUT_MS,
                    static_cast<long>(Settings.ConnectTimeout.count()));
   // A limit of 0 s lets connections that were used within the last second.
-  curl_easy_setopt(Easy, CURLOPT_MAXAGE_CONN,
-                   What.ProvenConnection ? 0L : IdleSeconds);
+  curl_easy_setopt(
+      Easy, CURLOPT_MAXAGE_CONN,
+      What.ProvenConnection ? 0L : static_cast<long>(What.MaxIdle.count()));
+  if (What.DetectSilence)
+    curl_easy_setopt(Easy, CURLOPT_SOCKOPTFUNCTION, detectSilence);
   if (MaxAge && MaxAge->count() > 0)
     curl_easy_setopt(Easy, CURLOPT_MAXLIFETIME_CONN,
                      static_cast<long>(MaxAge->count()));
   const bool Fresh = What.FreshConnection || (MaxAge && MaxAge->count() <= 0);
   curl_easy_setopt(Easy, CURLOPT_FRESH_CONNECT, Fresh ? 1L : 0L);
+  // A connection that was opened for one request would only add to those that
+  // the server has to keep.
+  curl_easy_setopt(Easy, CURLOPT_FORBID_REUSE, What.FreshConnection ? 1L : 0L);
   curl_easy_setopt(Easy, CURLOPT_HEADERFUNCTION, onHeader);
   curl_easy_setopt(Easy, CURLOPT_HEADERDATA, this);
   curl_easy_setopt(Easy, CURLOPT_WRITEFUNCTION, onBody);
@@ -244,7 +272,8 @@
   // An answer that ends with its connection cannot be told from a broken one.
   const bool NoBody =
       What.Method == "HEAD" || Head.Status == 204 || Head.Status == 304;
-  return HeadDone && (NoBody || Head.Fields.count("Content-Length") > 0 ||
+  return HeadDone && (NoBody || What.AcceptUnframed ||
+                      Head.Fields.count("Content-Length") > 0 ||
                       Head.Fields.count("Transfer-Encoding") > 0);
 }
 
--- a/lib/io/EventLoop.cpp
+++ b/lib/io/EventLoop.cpp
@@ -7,9 +7,11 @@
 
 namespace {
 
+/// The boot-time clock also counts the time for which the host was suspended,
+/// so that deadlines that passed meanwhile are seen on waking up.
 std::int64_t monotonicMicros() {
   timespec Now{};
-  clock_gettime(CLOCK_MONOTONIC, &Now);
+  clock_gettime(CLOCK_BOOTTIME, &Now);
   return static_cast<std::int64_t>(Now.tv_sec) * 1000000 + Now.tv_nsec / 1000;
 }
 
@@ -21,6 +23,11 @@
   std::function<void()> Handler;
 };
 
+struct EventLoop::HangUp {
+  ev_signal Ev{};
+  std::function<void()> Handler;
+};
+
 EventLoop::EventLoop() : Loop(ev_loop_new(EVFLAG_AUTO)) {
   // A peer that closes early must end one write, not the process.
   std::signal(SIGPIPE, SIG_IGN);
@@ -31,6 +38,8 @@
     ev_signal_stop(Loop, &Terminate->Term);
     ev_signal_stop(Loop, &Terminate->Interrupt);
   }
+  if (Reload)
+    ev_signal_stop(Loop, &Reload->Ev);
   ev_loop_destroy(Loop);
 }
 
@@ -59,6 +68,17 @@
   ev_signal_start(Loop, &Terminate->Interrupt);
 }
 
+void EventLoop::onHangUp(std::function<void()> Handler) {
+  Reload = std::make_unique<HangUp>();
+  Reload->Handler = std::move(Handler);
+  const auto Call = [](struct ev_loop *, ev_signal *Watcher, int) {
+    static_cast<HangUp *>(Watcher->data)->Handler();
+  };
+  ev_signal_init(&Reload->Ev, Call, SIGHUP);
+  Reload->Ev.data = Reload.get();
+  ev_signal_start(Loop, &Reload->Ev);
+}
+
 struct Timer::Watcher {
   ev_timer Ev{};
   std::function<void()> Handler;
--- a/lib/io/HttpServer.cpp
+++ b/lib/io/HttpServer.cpp
@@ -14,7 +14,7 @@
 /// Memory of libmicrohttpd per connection; heads up to `MaxHeadBytes` and its
 /// own buffers have to fit.
 constexpr std::size_t ConnectionMemoryBytes = std::size_t{64} * 1024;
-/// Longer than a client keeps an idle connection (`IdleSeconds` of the client),
+/// Longer than a client keeps an idle connection (`Request::MaxIdle`),
 /// so that a connection is not closed while a request is under way to it.
 constexpr unsigned IdleTimeoutSeconds = 75;
 constexpr int ListenBacklog = 1024;
@@ -76,6 +76,7 @@
   ~MhdServer() override;
 
   bool open(const Options &Settings);
+  void closeAfterAnswers() override;
   void quiesce() override;
   std::size_t active() const override { return Exchanges.size(); }
   std::uint16_t port() const override { return Port; }
@@ -114,6 +115,7 @@
   std::unique_ptr<Descriptor> Hangups;
   std::uint16_t Port = 0;
   bool Quiescing = false;
+  bool LastAnswers = false;
   bool Pumping = false;
   bool RunAgain = false;
   bool Stopping = false;
@@ -166,15 +168,20 @@
   return true;
 }
 
+void MhdServer::closeAfterAnswers() {
+  LastAnswers = true;
+  for (auto &[Key, Exchange] : Exchanges)
+    Exchange->closeAfterAnswer();
+}
+
 void MhdServer::quiesce() {
   if (Quiescing)
     return;
   Quiescing = true;
+  closeAfterAnswers();
   const int Listener = MHD_quiesce_daemon(Daemon);
   if (Listener >= 0)
     ::close(Listener);
-  for (auto &[Key, Exchange] : Exchanges)
-    Exchange->closeAfterAnswer();
 }
 
 void MhdServer::pump() {
@@ -239,7 +246,7 @@
   if (Socket->Closing)
     return MHD_NO;
   Socket->Current = &Exchange;
-  if (Quiescing)
+  if (LastAnswers)
     Exchange.closeAfterAnswer();
   return Exchange.takeHead(Connection, Method, Version, MaxHeadBytes,
                            OnRequest);
--- /dev/null
+++ b/lib/io/mesh/MeshProcess.cpp
@@ -0,0 +1,422 @@
+#include "MeshProcessImpl.h"
+#include "filbertvane/core/Digest.h"
+#include "filbertvane/wire/HostReportCodec.h"
+#include <fmt/format.h>
+#include <unistd.h>
+
+namespace filbertvane::io::mesh {
+
+using decision::request::Effects;
+
+namespace {
+
+/// Deadlines of requests are checked at this period.
+constexpr core::Milliseconds TickPeriod{50};
+/// A longer gap between two ticks is told: the process did not run.
+constexpr core::Milliseconds PauseTold{1000};
+/// Callers learn within two questions, one a second, that a node stops.
+constexpr core::Milliseconds StopAnnounceTime{2300};
+/// Left over from the time to stop, for the end of the process itself.
+constexpr core::Milliseconds StopReserve{400};
+/// The list of hosts in the store is read again after this time; hosts that
+/// start later report to this node themselves.
+constexpr core::Seconds HostsReadPeriod{60};
+/// While no other host is known, the list is read more often.
+constexpr core::Seconds LonelyReadPeriod{2};
+/// Time for the records of another node; they are at most some 100 KB.
+constexpr core::Milliseconds FetchTime{1000};
+
+/// Differs between two processes of a host, also when the time of day jumps.
+core::Incarnation startNumber(const core::Instant &Now) {
+  return core::Incarnation(
+      static_cast<std::uint64_t>(Now.Wall.time_since_epoch().count()) * 1024 +
+      static_cast<std::uint64_t>(getpid()) % 1024);
+}
+
+decide::MeshSettings settingsOf(const MeshPlace &Place,
+                                const core::Instant &Now) {
+  decide::MeshSettings Own;
+  Own.Node = Place.Node;
+  Own.DataCentre = Place.DataCentre;
+  Own.Region = Place.Region;
+  Own.Start = startNumber(Now);
+  Own.Address = Place.Address;
+  const std::size_t Colon = Place.Peers.rfind(':');
+  Own.PeerPort =
+      static_cast<std::uint16_t>(std::stoul(Place.Peers.substr(Colon + 1)));
+  Own.TargetAddress = Place.TargetAddress;
+  Own.Service = Place.Service;
+  Own.Budget = Place.Budget;
+  Own.RandomSeed =
+      core::digestOf(Place.Node.value()).value() ^ Own.Start.value();
+  return Own;
+}
+
+template <typename T>
+constexpr bool IsRequestEffect =
+    std::is_constructible_v<decision::request::Effect, T> &&
+    !std::is_same_v<T, observe::LogEvent>;
+
+} // namespace
+
+Process::Process(EventLoop &Loop, HttpClient &Http, MeshPlace Where,
+                 std::shared_ptr<const Environment> Surroundings,
+                 SharedStore &Store)
+    : Loop(Loop), Http(Http), Place(std::move(Where)),
+      Surroundings(std::move(Surroundings)), Store(Store),
+      State(settingsOf(Place, Loop.now())),
+      Log(STDOUT_FILENO, Place.Node.value()), Ticker(Loop, [this] { tick(); }) {
+}
+
+core::Status Process::open() {
+  for (const auto Open : {&Process::openEngine, &Process::openReports,
+                          &Process::openSmallPorts}) {
+    core::Status Opened = (this->*Open)();
+    if (!core::ok(Opened))
+      return Opened;
+  }
+  carryOut(observe::LogEvent{
+      observe::EventId::ProcessStarted,
+      fmt::format("address={} data_centre={} service={}", Place.Address,
+                  Place.DataCentre.value(), Place.Service.value())});
+  startStore();
+  LastTick = Loop.now().Mono;
+  Ticker.arm(LastTick + TickPeriod);
+  return std::monostate();
+}
+
+core::Status Process::openEngine() {
+  ProxyEngine::Options Options;
+  Options.Callers = Place.Callers;
+  Options.Peers = Place.Peers;
+  Options.Self = Place.Node;
+  Options.MaxConnections = Place.MaxConnections;
+  Options.Seed = State.Own.RandomSeed;
+  Options.Dialect = Surroundings->dialect();
+  ProxyEngine::Callbacks Calls;
+  Calls.OnLog = [this](const observe::LogEvent &Event) { carryOut(Event); };
+  Calls.OnHop = [this](const HopRecord &Hop) { noteHop(Hop); };
+  auto Opened = ProxyEngine::create(
+      Loop, Http, Options,
+      [this](const decision::request::Event &E) { return decideRequest(E); },
+      Calls);
+  if (!core::ok(Opened))
+    return core::failure(Opened);
+  Engine = core::take(std::move(Opened));
+  return std::monostate();
+}
+
+core::Status Process::openReports() {
+  auto Opened = ReportSocket::open(
+      Loop, Place.Address, Place.InternalPort,
+      [this](std::string_view Datagram) { takeReport(Datagram); });
+  if (!core::ok(Opened))
+    return core::failure(Opened);
+  Reports = core::take(std::move(Opened));
+  return std::monostate();
+}
+
+core::Status Process::openSmallPorts() {
+  struct Port {
+    std::unique_ptr<HttpServer> &Server;
+    std::string Address;
+    SmallHandler Handle;
+  };
+  const Port Ports[] = {
+      {Readiness, Place.Readiness,
+       [this](const RequestHead &, const std::string &) {
+         return SmallAnswer{Ready ? 200 : 503, "", "text/plain"};
+       }},
+      {Control, Place.Control,
+       [this](const RequestHead &Head, const std::string &Body) {
+         return announced(Head, Body);
+       }},
+      {Records, fmt::format("{}:{}", Place.Address, Place.InternalPort),
+       [this](const RequestHead &, const std::string &) {
+         return SmallAnswer{200, wire::encode(Follower->known()),
+                            "application/octet-stream"};
+       }},
+      {MetricsPort, Place.Metrics,
+       [this](const RequestHead &, const std::string &) {
+         return SmallAnswer{200, metrics(), "text/plain; version=0.0.4"};
+       }},
+  };
+  for (const Port &Each : Ports) {
+    if (Each.Address.empty())
+      continue;
+    auto Opened = listenSmall(Loop, Each.Address, Each.Handle);
+    if (!core::ok(Opened))
+      return core::failure(Opened);
+    Each.Server = core::take(std::move(Opened));
+  }
+  return std::monostate();
+}
+
+void Process::startStore() {
+  StoreFollower::Callbacks Calls;
+  Calls.OnRecord = [this](const OperatorRecord &Record, bool History) {
+    takeRecord(Record, History);
+  };
+  Calls.OnPosition = [this](core::LogOffset Position) {
+    handle(decide::PositionReached{Position});
+  };
+  Calls.OnReachable = [this](bool Reachable) {
+    handle(decide::StoreChanged{Reachable});
+    if (Reachable)
+      readMoves();
+  };
+  Calls.OnFault = [this](const core::Error &Why) {
+    Figures.count("filbertvane_store_failures_total",
+                  {{"code", std::to_string(static_cast<int>(Why.Code))}});
+  };
+  Follower = std::make_unique<StoreFollower>(Loop, Store, State.Own.RandomSeed,
+                                             std::move(Calls));
+  Follower->start();
+}
+
+Effects Process::dispatch(const decide::Event &What) {
+  Effects Requests;
+  for (const decide::Effect &Each :
+       decide::reduce(State, What, Loop.now().Mono))
+    std::visit(
+        [&](const auto &Do) {
+          using T = std::decay_t<decltype(Do)>;
+          if constexpr (IsRequestEffect<T>)
+            Requests.emplace_back(Do);
+          else
+            carryOut(Do);
+        },
+        Each);
+  return Requests;
+}
+
+void Process::handle(const decide::Event &What) {
+  const Effects Requests = dispatch(What);
+  if (Engine)
+    Engine->execute(Requests);
+}
+
+Effects Process::decideRequest(const decision::request::Event &Happened) {
+  return std::visit(
+      [this](const auto &E) -> Effects {
+        if constexpr (std::is_constructible_v<decide::Event, decltype(E)>)
+          return dispatch(E);
+        else
+          return {};
+      },
+      Happened);
+}
+
+void Process::carryOut(const decide::SendReport &What) {
+  const std::string Bytes = wire::encode(What.What);
+  const std::size_t Dropped = Reports->send(Bytes, What.To);
+  Figures.count("filbertvane_reports_sent_total", {}, What.To.size());
+  if (Dropped > 0)
+    Figures.count("filbertvane_reports_dropped_total", {}, Dropped);
+}
+
+void Process::carryOut(const decide::PublishReport &What) {
+  Store.publishHost(Place.Node, wire::encode(What.What),
+                    [this](const core::Status &Done) {
+                      HostPublished = core::ok(Done);
+                      readHosts();
+                    });
+}
+
+void Process::carryOut(const decide::WriteMove &What) {
+  Store.writeMove(What, [this,
+                         What](const core::Result<decide::MovePhase> &Done) {
+    if (!core::ok(Done)) {
+      Figures.count("filbertvane_store_failures_total",
+                    {{"code", std::to_string(static_cast<int>(
+                                  core::failure(Done).Code))}});
+      return;
+    }
+    if (core::value(Done) >= decide::MovePhase::Completed)
+      handle(decide::MoveEndKnown{What.Service, What.To, core::value(Done)});
+  });
+}
+
+void Process::carryOut(const decide::FetchRecords &What) {
+  if (FetchUnderWay)
+    return;
+  FetchUnderWay = true;
+  HttpClient::Request Ask;
+  Ask.Url = fmt::format("http://{}:{}/records", What.From, Place.InternalPort);
+  Ask.Deadline = Loop.now().Mono + FetchTime;
+  Http.fetch(std::move(Ask), "",
+             [this](ClientEnd End, int Status, const std::string &Body) {
+               FetchUnderWay = false;
+               if (End != ClientEnd::Complete || Status != 200)
+                 return;
+               const auto Read = wire::decodeOperatorRecords(Body);
+               if (core::ok(Read))
+                 Follower->adopt(core::value(Read));
+               else
+                 carryOut(
+                     observe::LogEvent{observe::EventId::MeshRecordMalformed,
+                                       core::toString(core::failure(Read))});
+             });
+}
+
+void Process::carryOut(const decide::ReadinessChanged &What) {
+  Ready = What.Ready;
+}
+
+void Process::carryOut(const observe::LogEvent &What) {
+  Log.write(What, Loop.now());
+  Figures.count("filbertvane_events_total",
+                {{"event", std::to_string(static_cast<int>(What.Id))}});
+}
+
+SmallAnswer Process::announced(const RequestHead &Head,
+                               const std::string &Body) {
+  const auto Read =
+      Surroundings->decodeAnnouncement(Head, Body, Place.TargetAddress);
+  if (!core::ok(Read)) {
+    carryOut(observe::LogEvent{observe::EventId::MeshAnnouncementRefused,
+                               core::toString(core::failure(Read))});
+    return {400, "", "text/plain"};
+  }
+  std::visit([this](const auto &What) { handle(What); }, core::value(Read));
+  return {200, "{}", "application/json"};
+}
+
+void Process::takeReport(std::string_view Datagram) {
+  const auto Read = wire::decodeHostReport(Datagram);
+  if (!core::ok(Read)) {
+    carryOut(observe::LogEvent{observe::EventId::MeshReportMalformed,
+                               core::toString(core::failure(Read))});
+    return;
+  }
+  handle(decide::ReportHeard{core::value(Read)});
+}
+
+void Process::takeRecord(const OperatorRecord &Record, bool History) {
+  const auto Read = Surroundings->decode(Record);
+  if (!core::ok(Read)) {
+    carryOut(observe::LogEvent{
+        observe::EventId::MeshRoutingRefused,
+        fmt::format("key={} offset={} {}", Record.Key, Record.Offset.value(),
+                    core::toString(core::failure(Read)))});
+    return;
+  }
+  const std::optional<OperatorOrder> &Order = core::value(Read);
+  if (!Order)
+    return;
+  if (const auto *Routing = std::get_if<config::Routing>(&*Order)) {
+    handle(decide::RoutingLearned{
+        std::make_shared<const config::RoutingTable>(*Routing)});
+    return;
+  }
+  auto Move = std::get<decide::MoveOrdered>(*Order);
+  Move.Old = History;
+  handle(Move);
+}
+
+void Process::readHosts() {
+  HostsReadAt = Loop.now().Mono;
+  Store.readHosts([this](const auto &Read) { hostsRead(Read); });
+}
+
+void Process::hostsRead(const core::Result<std::vector<std::string>> &Read) {
+  if (!core::ok(Read))
+    return;
+  decide::ReportsLearned Learned;
+  for (const std::string &Bytes : core::value(Read)) {
+    const auto Report = wire::decodeHostReport(Bytes);
+    if (core::ok(Report))
+      Learned.All.push_back(core::value(Report));
+    else
+      carryOut(observe::LogEvent{observe::EventId::MeshRecordMalformed,
+                                 core::toString(core::failure(Report))});
+  }
+  handle(Learned);
+}
+
+void Process::readMoves() {
+  Store.readMoves([this](const auto &Read) {
+    if (!core::ok(Read))
+      return;
+    for (const decide::MoveEndKnown &End : core::value(Read))
+      handle(End);
+  });
+}
+
+void Process::noteHop(const HopRecord &Hop) {
+  Figures.observe("filbertvane_request_seconds",
+                  {{"role", Hop.FromNode ? "host" : "entry"},
+                   {"status", std::to_string(Hop.Status)}},
+                  Hop.End.Mono - Hop.Begin.Mono);
+}
+
+void Process::tick() {
+  const core::Instant Now = Loop.now();
+  if (Now.Mono - LastTick > PauseTold)
+    carryOut(observe::LogEvent{
+        observe::EventId::MeshLoopPaused,
+        fmt::format("ms={}", std::chrono::duration_cast<core::Milliseconds>(
+                                 Now.Mono - LastTick)
+                                 .count())});
+  LastTick = Now.Mono;
+  handle(decision::request::Tick{});
+  const bool Lonely = State.Hosts.hosts().empty() || !HostPublished;
+  const core::Seconds Period = Lonely ? LonelyReadPeriod : HostsReadPeriod;
+  if (State.StoreReachable && Now.Mono - HostsReadAt > Period) {
+    HostsReadAt = Now.Mono;
+    carryOut(decide::PublishReport{decide::ownReport(State, Now.Mono)});
+  }
+  finishDrainWhenIdle();
+  Log.flush(Now);
+  Ticker.arm(Now.Mono + TickPeriod);
+}
+
+void Process::drain() {
+  if (StopEarliest)
+    return;
+  const core::TimePoint Now = Loop.now().Mono;
+  StopEarliest = Now + StopAnnounceTime;
+  StopLatest = Now + Place.StopTime - StopReserve;
+  carryOut(observe::LogEvent{observe::EventId::ProcessDraining, ""});
+  handle(decision::request::DrainStarted{});
+  Engine->closeAfterAnswers();
+}
+
+void Process::finishDrainWhenIdle() {
+  const core::TimePoint Now = Loop.now().Mono;
+  if (!StopEarliest || Now < *StopEarliest)
+    return;
+  if (Engine->active() > 0 && Now < StopLatest)
+    return;
+  carryOut(observe::LogEvent{observe::EventId::ProcessStopped,
+                             fmt::format("active={}", Engine->active())});
+  Log.flush(Loop.now());
+  Loop.stop();
+}
+
+void Process::reload(const MeshPlace &Fresh) {
+  if (Fresh == Place)
+    return;
+  carryOut(observe::LogEvent{observe::EventId::MeshSettingsReloaded,
+                             fmt::format("service={}", Fresh.Service.value())});
+  Place.Service = Fresh.Service;
+  Place.TargetAddress = Fresh.TargetAddress;
+  State.Own.TargetAddress = Fresh.TargetAddress;
+  handle(decide::ServiceAssigned{Fresh.Service});
+}
+
+std::string Process::metrics() const { return Figures.render(); }
+
+core::Result<std::unique_ptr<MeshProcess>>
+MeshProcess::create(EventLoop &Loop, HttpClient &Http, MeshPlace Place,
+                    std::shared_ptr<const Environment> Surroundings,
+                    SharedStore &Store) {
+  auto Made = std::make_unique<Process>(Loop, Http, std::move(Place),
+                                        std::move(Surroundings), Store);
+  const core::Status Opened = Made->open();
+  if (!core::ok(Opened))
+    return core::failure(Opened);
+  return std::unique_ptr<MeshProcess>(std::move(Made));
+}
+
+} // namespace filbertvane::io::mesh
--- /dev/null
+++ b/lib/io/mesh/MeshProcessImpl.h
@@ -0,0 +1,92 @@
+#ifndef FILBERTVANE_LIB_IO_MESH_MESHPROCESSIMPL_H
+#define FILBERTVANE_LIB_IO_MESH_MESHPROCESSIMPL_H
+
+#include "ReportSocket.h"
+#include "SmallRequests.h"
+#include "StoreFollower.h"
+#include "filbertvane/decision/mesh/Reducer.h"
+#include "filbertvane/io/ProxyEngine.h"
+#include "filbertvane/io/mesh/MeshProcess.h"
+#include "filbertvane/observe/LogWriter.h"
+#include "filbertvane/observe/Metrics.h"
+
+namespace filbertvane::io::mesh {
+
+namespace decide = decision::mesh;
+
+/// @brief The process: ports, store and loop around the reducer.
+class Process final : public MeshProcess {
+public:
+  Process(EventLoop &Loop, HttpClient &Http, MeshPlace Place,
+          std::shared_ptr<const Environment> Surroundings, SharedStore &Store);
+
+  core::Status open();
+  void drain() override;
+  void reload(const MeshPlace &Place) override;
+  std::string metrics() const override;
+
+private:
+  /// @name Opening
+  /// @{
+  core::Status openEngine();
+  core::Status openReports();
+  core::Status openSmallPorts();
+  void startStore();
+  /// @}
+
+  /// @name Events and effects
+  /// @{
+  void handle(const decide::Event &What);
+  /// @brief Reduces an event, carries out the effects for the outside and
+  ///        returns those on requests.
+  decision::request::Effects dispatch(const decide::Event &What);
+  decision::request::Effects decideRequest(const decision::request::Event &E);
+  void carryOut(const decide::SendReport &What);
+  void carryOut(const decide::PublishReport &What);
+  void carryOut(const decide::WriteMove &What);
+  void carryOut(const decide::FetchRecords &What);
+  void carryOut(const decide::ReadinessChanged &What);
+  void carryOut(const observe::LogEvent &What);
+  /// @}
+
+  /// @name Inputs
+  /// @{
+  SmallAnswer announced(const RequestHead &Head, const std::string &Body);
+  void takeReport(std::string_view Datagram);
+  void takeRecord(const OperatorRecord &Record, bool History);
+  void readHosts();
+  void hostsRead(const core::Result<std::vector<std::string>> &Read);
+  void readMoves();
+  void noteHop(const HopRecord &Hop);
+  void tick();
+  void finishDrainWhenIdle();
+  /// @}
+
+  EventLoop &Loop;
+  HttpClient &Http;
+  MeshPlace Place;
+  std::shared_ptr<const Environment> Surroundings;
+  SharedStore &Store;
+  decide::MeshState State;
+  observe::LogWriter Log;
+  observe::Metrics Figures;
+  std::unique_ptr<ProxyEngine> Engine;
+  std::unique_ptr<ReportSocket> Reports;
+  std::unique_ptr<HttpServer> Readiness;
+  std::unique_ptr<HttpServer> Control;
+  std::unique_ptr<HttpServer> Records;
+  std::unique_ptr<HttpServer> MetricsPort;
+  std::unique_ptr<StoreFollower> Follower;
+  Timer Ticker;
+  core::TimePoint LastTick;
+  core::TimePoint HostsReadAt;
+  bool Ready = false;
+  bool HostPublished = false;
+  bool FetchUnderWay = false;
+  std::optional<core::TimePoint> StopEarliest;
+  core::TimePoint StopLatest;
+};
+
+} // namespace filbertvane::io::mesh
+
+#endif // FILBERTVANE_LIB_IO_MESH_MESHPROCESSIMPL_H
--- /dev/null
+++ b/lib/io/mesh/SmallRequests.cpp
@@ -0,0 +1,51 @@
+#include "SmallRequests.h"
+
+namespace filbertvane::io::mesh {
+
+namespace {
+
+/// Larger bodies are refused; an announcement has some 300 bytes.
+constexpr std::size_t MaxBodyBytes = std::size_t{64} * 1024;
+constexpr int StatusTooLarge = 413;
+constexpr std::uint32_t MaxConnections = 128;
+
+class Collector final : public ExchangeHandler {
+public:
+  Collector(ServerExchange &Exchange, const SmallHandler &Handle)
+      : Exchange(Exchange), Handle(Handle) {}
+
+  void onBody(std::string_view Part) override {
+    Body.append(Part.substr(0, MaxBodyBytes + 1));
+  }
+  void onBodyEnd() override {
+    SmallAnswer Answer{StatusTooLarge, "", "text/plain"};
+    if (Body.size() <= MaxBodyBytes)
+      Answer = Handle(Exchange.request(), Body);
+    Exchange.respond(Answer.Status, Answer.Body,
+                     {{"Content-Type", Answer.ContentType}});
+  }
+  void onWritable() override {}
+  void onClosed(bool) override {}
+
+private:
+  ServerExchange &Exchange;
+  SmallHandler Handle;
+  std::string Body;
+};
+
+} // namespace
+
+core::Result<std::unique_ptr<HttpServer>>
+listenSmall(EventLoop &Loop, const std::string &Address, SmallHandler Handle) {
+  HttpServer::Options Options;
+  Options.Address = Address;
+  Options.MaxConnections = MaxConnections;
+  return HttpServer::listen(
+      Loop, Options,
+      [Handle = std::move(Handle)](
+          ServerExchange &Exchange) -> std::unique_ptr<ExchangeHandler> {
+        return std::make_unique<Collector>(Exchange, Handle);
+      });
+}
+
+} // namespace filbertvane::io::mesh
--- /dev/null
+++ b/lib/io/mesh/StoreFollower.h
@@ -0,0 +1,59 @@
+#ifndef FILBERTVANE_LIB_IO_MESH_STOREFOLLOWER_H
+#define FILBERTVANE_LIB_IO_MESH_STOREFOLLOWER_H
+
+#include "filbertvane/core/Random.h"
+#include "filbertvane/io/EventLoop.h"
+#include "filbertvane/io/mesh/Environment.h"
+#include <map>
+
+namespace filbertvane::io::mesh {
+
+/// @brief Keeps the operators' records of the store current.
+///
+/// The newest record of each key counts; records may come from the store and
+/// from other nodes in any order.
+class StoreFollower {
+public:
+  struct Callbacks {
+    /// A record that is newer than the known one of its key. `History` is set
+    /// for records that were in the store before this process began to read.
+    std::function<void(const OperatorRecord &, bool History)> OnRecord;
+    std::function<void(core::LogOffset)> OnPosition;
+    std::function<void(bool Reachable)> OnReachable;
+    std::function<void(const core::Error &)> OnFault;
+  };
+
+  StoreFollower(EventLoop &Loop, SharedStore &Store, std::uint64_t Seed,
+                Callbacks Calls);
+
+  void start();
+  /// @brief Takes records that another node read.
+  void adopt(const OperatorRecords &What);
+  /// @brief All records known, for another node.
+  OperatorRecords known() const;
+
+private:
+  void readNewest();
+  void readNext();
+  void take(const core::Result<OperatorRecords> &Read, bool Newest);
+  void takeFault(const core::Error &Why);
+  void apply(const OperatorRecords &What, bool History);
+  void later(core::Microseconds After);
+  void setReachable(bool Now);
+
+  EventLoop &Loop;
+  SharedStore &Store;
+  Callbacks Calls;
+  core::Random Source;
+  Timer Next;
+  bool HasBase = false;
+  bool Reading = false;
+  std::optional<bool> Reachable;
+  int Failures = 0;
+  core::LogOffset Position;
+  std::map<std::string, OperatorRecord> Records;
+};
+
+} // namespace filbertvane::io::mesh
+
+#endif // FILBERTVANE_LIB_IO_MESH_STOREFOLLOWER_H
--- a/lib/io/proxy/ProxyAttempt.cpp
+++ b/lib/io/proxy/ProxyAttempt.cpp
@@ -15,8 +15,9 @@
 
 } // namespace
 
-Attempt::Attempt(Engine &Owner, Call &Of, const request::StartAttempt &What)
-    : Owner(Owner), Of(Of), What(What) {}
+Attempt::Attempt(Engine &Owner, Call &Of, const request::StartAttempt &What,
+                 const RequestDialect *Dialect)
+    : Owner(Owner), Of(Of), What(What), Dialect(Dialect) {}
 
 void Attempt::begin(HttpClient &Client, HttpClient::Request Sent) {
   Request = Client.send(std::move(Sent), *this);
@@ -47,6 +48,14 @@
     end(request::AttemptEnd::NoAnswer);
     return;
   }
+  if (Dialect != nullptr && What.To.Local && !takeTargetHead(Head)) {
+    end(request::AttemptEnd::NoAnswer);
+    return;
+  }
+  if (!What.To.Local) {
+    Reached = Head.Fields.count(ReachedField) > 0;
+    Load = parseLoad(headerOf(Head.Fields, LoadField).value_or(""));
+  }
   Retried = Head.Fields.count(RetriedField) > 0;
   Crashed = Head.Fields.count(CrashedField) > 0;
   const auto Outcome = headerOf(Head.Fields, OutcomeField);
@@ -54,17 +63,46 @@
     Marked = request::AttemptEnd::NotRun;
   else if (Outcome == "unknown")
     Marked = request::AttemptEnd::NoAnswer;
-  if (!Marked)
+  if (Marked)
+    return;
+  if (What.HoldAnswer)
+    HeldHead = Head;
+  else
     passHead(Head);
 }
 
+bool Attempt::takeTargetHead(const ResponseHead &Head) {
+  const TargetAnswer Answer = Dialect->readAnswer(Head, Of.CallerId);
+  using Kind = TargetAnswer::Kind;
+  Reached = true;
+  Load = Answer.Load;
+  Misdirected = Answer.What == Kind::Misdirected;
+  if (Misdirected || Answer.What == Kind::NotRun)
+    Marked = request::AttemptEnd::NotRun;
+  return Answer.What != Kind::Foreign;
+}
+
+/// An answer that outgrows the bound is passed on from its first byte.
+void Attempt::hold(std::string_view Part) {
+  HeldBody.append(Part);
+  if (HeldBody.size() <= HeldAnswerBytes)
+    return;
+  const ResponseHead Head = std::move(*HeldHead);
+  HeldHead.reset();
+  const std::string Body = std::move(HeldBody);
+  passHead(Head);
+  if (Of.Exchange != nullptr && Request)
+    Of.Exchange->write(Body);
+}
+
 void Attempt::passHead(const ResponseHead &Head) {
   Passed = true;
   Of.AnswerStarted = true;
   ResponseHead Out{Status, endToEnd(Head.Fields)};
   if (What.KeepAnswer)
     Answer = {Status, Out.Fields, {}};
-  Out.Fields.emplace(RequestField, Of.RequestId);
+  if (Dialect == nullptr || Of.FromNode)
+    Out.Fields.emplace(RequestField, Of.RequestId);
   std::optional<std::uint64_t> Length;
   if (const auto Stated = headerOf(Head.Fields, "Content-Length"))
     Length = parseNumber(*Stated);
@@ -80,6 +118,9 @@
 void Attempt::onBody(std::string_view Part) {
   if (Marked)
     return;
+  BodyBytes += Part.size();
+  if (HeldHead)
+    return hold(Part);
   if (What.KeepAnswer && Answer.Body.size() <= StoredAnswerBytes)
     Answer.Body.append(Part);
   if (Of.Exchange == nullptr)
@@ -95,6 +136,8 @@
   if (Passed)
     return End == ClientEnd::Complete ? request::AttemptEnd::Answered
                                       : request::AttemptEnd::BrokenOff;
+  if (End == ClientEnd::Complete && HeldHead)
+    return request::AttemptEnd::Held;
   // A refusal counts only when it arrived whole.
   if (End == ClientEnd::Complete && Marked)
     return *Marked;
@@ -114,12 +157,16 @@
   // Kept until the end of this function: the effects may start another attempt.
   const std::unique_ptr<Attempt> Self = std::move(Of.Current);
   const core::CallId Id = Of.Id;
+  if (How == request::AttemptEnd::Held)
+    Of.Held =
+        StoredAnswer{Status, std::move(HeldHead->Fields), std::move(HeldBody)};
   if (How == request::AttemptEnd::Answered)
     Owner.answered(Of, Status);
   if (How == request::AttemptEnd::BrokenOff)
     Owner.brokenOff(Of, Status);
   Owner.handle(request::AttemptEnded{Id, What.Attempt, How, Status, Retried,
-                                     Crashed, Unreachable, keptAnswer()});
+                                     Crashed, Unreachable, keptAnswer(),
+                                     Reached, Misdirected, Load, BodyBytes});
   Owner.releaseIfOver(Id);
 }
 
@@ -134,9 +181,40 @@
   return Of.RequestId + "/" + std::to_string(Id.value());
 }
 
+namespace {
+
+/// Times between nodes of a mesh are durations, because the time of day of a
+/// host may jump.
+Headers dialectFields(Headers Fields, const Call &Of,
+                      const request::StartAttempt &What,
+                      const std::string &PeerKey, core::Instant Now,
+                      const RequestDialect &Dialect) {
+  const auto TimeLeft = std::max(
+      std::chrono::duration_cast<core::Milliseconds>(What.Deadline - Now.Mono),
+      core::Milliseconds(1));
+  if (What.To.Local) {
+    Dialect.setTargetFields(Fields, {What.To.Target, TimeLeft, What.Caller});
+    return Fields;
+  }
+  Fields.emplace(RequestField, attemptIdentity(Of, What.Attempt));
+  if (!PeerKey.empty())
+    Fields.emplace(PeerKeyField, PeerKey);
+  Fields.emplace(TargetField, What.To.Target.value());
+  Fields.emplace(CallerField, What.Caller.value());
+  Fields.emplace(
+      TermsField,
+      formatTerms({TimeLeft, What.Terms.value_or(request::HopTerms{})}));
+  return Fields;
+}
+
+} // namespace
+
 Headers attemptFields(const Call &Of, const request::StartAttempt &What,
-                      const std::string &PeerKey, core::Instant Now) {
+                      const std::string &PeerKey, core::Instant Now,
+                      const RequestDialect *Dialect) {
   Headers Fields = endToEnd(Of.Head.Fields);
+  if (Dialect != nullptr)
+    return dialectFields(std::move(Fields), Of, What, PeerKey, Now, *Dialect);
   const core::WallTime Deadline = core::toWall(What.Deadline, Now);
   Fields.emplace(RequestField, attemptIdentity(Of, What.Attempt));
   Fields.emplace(DeadlineField,
--- a/lib/io/proxy/ProxyCall.h
+++ b/lib/io/proxy/ProxyCall.h
@@ -15,6 +15,9 @@
 inline constexpr std::size_t KeptBodyBytes = std::size_t{64} * 1024;
 /// Largest answer handed on as stored result.
 inline constexpr std::size_t StoredAnswerBytes = std::size_t{64} * 1024;
+/// Largest answer that is held for `DeliverAnswer`; larger ones are passed on
+/// as they arrive.
+inline constexpr std::size_t HeldAnswerBytes = std::size_t{256} * 1024;
 /// Queued bytes above which the source of a body is held back.
 inline constexpr std::size_t QueueBoundBytes = std::size_t{256} * 1024;
 
@@ -36,6 +39,13 @@
   std::optional<std::uint64_t> DeclaredLength;
   /// Set when a node asks for the kept result of this claim.
   std::optional<request::ClaimOwner> KeptOwner;
+  /// Id under which the caller knows the request.
+  std::string CallerId;
+  /// Time left as stated by a caller or a node with a dialect.
+  std::optional<core::Milliseconds> TimeLeft;
+  std::optional<request::HopTerms> Terms;
+  /// Whole answer that waits for `DeliverAnswer`.
+  std::optional<StoredAnswer> Held;
 
   std::string Kept;
   bool BodyWhole = false;
@@ -52,7 +62,8 @@
 /// @brief One sending of a request to a target or to another node.
 class Attempt final : public ClientHandler {
 public:
-  Attempt(Engine &Owner, Call &Of, const request::StartAttempt &What);
+  Attempt(Engine &Owner, Call &Of, const request::StartAttempt &What,
+          const RequestDialect *Dialect);
 
   void begin(HttpClient &Client, HttpClient::Request Sent);
   void writeBody(std::string_view Part);
@@ -70,7 +81,11 @@
 
 private:
   bool identityMatches(const ResponseHead &Head) const;
+  /// @brief Takes the head of a target's answer in the dialect.
+  /// @return false when the answer is not one to this request
+  bool takeTargetHead(const ResponseHead &Head);
   void passHead(const ResponseHead &Head);
+  void hold(std::string_view Part);
   void end(request::AttemptEnd How);
   request::AttemptEnd classify(ClientEnd End) const;
   std::shared_ptr<const request::KeptAnswer> keptAnswer() const;
@@ -78,6 +93,7 @@
   Engine &Owner;
   Call &Of;
   request::StartAttempt What;
+  const RequestDialect *Dialect;
   std::unique_ptr<ClientRequest> Request;
   int Status = 0;
   bool Passed = false;
@@ -89,11 +105,20 @@
   bool Crashed = false;
   /// Nothing was sent.
   bool Unreachable = false;
+  /// Head of an answer whose body is held.
+  std::optional<ResponseHead> HeldHead;
+  std::string HeldBody;
+  bool Reached = false;
+  bool Misdirected = false;
+  std::optional<decision::TargetLoad> Load;
+  std::uint64_t BodyBytes = 0;
 };
 
 /// @brief Headers of an attempt's request.
+/// @param Dialect language of targets, null for the product's own interface
 Headers attemptFields(const Call &Of, const request::StartAttempt &What,
-                      const std::string &PeerKey, core::Instant Now);
+                      const std::string &PeerKey, core::Instant Now,
+                      const RequestDialect *Dialect);
 /// @brief Identity of an attempt in `Filbertvane-Request`.
 std::string attemptIdentity(const Call &Of, core::AttemptId Id);
 /// @brief Whether nothing listens at a local address any more.
--- a/lib/io/proxy/ProxyEngine.cpp
+++ b/lib/io/proxy/ProxyEngine.cpp
@@ -45,6 +45,10 @@
   return core::WallTime(core::Milliseconds(static_cast<std::int64_t>(Millis)));
 }
 
+/// Shorter than the shortest time after which a target closes an idle
+/// connection.
+constexpr core::Seconds TargetIdleTime{4};
+
 StoredAnswer decodeStored(const request::KeptAnswer &Kept) {
   return decodeAnswer(Kept.Bytes).value_or(StoredAnswer{Kept.Status, {}, {}});
 }
@@ -112,6 +116,8 @@
   New->Hop.ParentSpan = Parent ? Parent->SpanId : "";
   if (const auto Fault = readControlFields(*New))
     return refuseHead(Exchange, 400, *Fault);
+  if (const auto Fault = readDialectFields(*New))
+    return refuseHead(Exchange, 400, *Fault);
   Calls.emplace(Id, std::move(New));
   return std::make_unique<CallExchange>(*this, Id);
 }
@@ -152,6 +158,25 @@
   return std::nullopt;
 }
 
+std::optional<core::Error> Engine::readDialectFields(Call &New) {
+  if (!Settings.Dialect)
+    return std::nullopt;
+  const auto Read = Settings.Dialect->readCaller(New.Head);
+  if (!core::ok(Read))
+    return core::failure(Read);
+  New.CallerId = core::value(Read).RequestId;
+  New.TimeLeft = core::value(Read).TimeLeft;
+  if (!New.FromNode)
+    return std::nullopt;
+  const auto Terms =
+      parseTerms(headerOf(New.Head.Fields, TermsField).value_or(""));
+  if (!Terms)
+    return core::Error{core::ErrorCode::RequestMalformed, TermsField};
+  New.TimeLeft = Terms->TimeLeft;
+  New.Terms = Terms->Terms;
+  return std::nullopt;
+}
+
 Call *Engine::find(core::CallId Id) {
   const auto Found = Calls.find(Id);
   return Found == Calls.end() ? nullptr : Found->second.get();
@@ -218,12 +243,18 @@
       fmt::format("{}\n{}\n{}\n{}", Event.Method, Event.Path, Key,
                   std::string_view(New.Kept).substr(0, DigestBodyBytes)));
   Event.ContentLength = New.DeclaredLength.value_or(New.Kept.size());
+  Event.CallerId = New.CallerId;
+  Event.VirtualHost = headerOf(Fields, "Host").value_or("");
+  Event.TimeLeft = New.TimeLeft;
+  Event.Terms = New.Terms;
   if (New.FromNode) {
     if (headerOf(Fields, DeadlineField))
       Event.Deadline = wallTimeOf(numberOf(Fields, DeadlineField));
     if (const auto Target = headerOf(Fields, TargetField))
       Event.Target = core::TargetId(*Target);
     Event.Crashes = static_cast<std::uint32_t>(numberOf(Fields, CrashesField));
+    if (const auto Caller = headerOf(Fields, CallerField))
+      Event.Caller = core::ServiceName(*Caller);
     if (const auto Service = headerOf(Fields, ServiceField))
       Event.Service = core::ServiceName(*Service);
     if (const auto Version = headerOf(Fields, VersionField))
@@ -298,6 +329,7 @@
   std::visit(
       core::Overloaded{
           [this](const request::StartAttempt &E) { startAttempt(E); },
+          [this](const request::DeliverAnswer &E) { deliver(E); },
           [this](const request::CancelAttempt &E) { cancelAttempt(E); },
           [this](const request::Refuse &E) { refuse(E); },
           [this](const request::RequestClaim &E) {
@@ -333,13 +365,20 @@
   HttpClient::Request Sent;
   Sent.Method = Of->Head.Method;
   Sent.Url = "http://" + What.To.Address + Of->Head.Path;
-  Sent.Fields = attemptFields(*Of, What, Settings.PeerKey, Loop.now());
+  Sent.Fields = attemptFields(*Of, What, Settings.PeerKey, Loop.now(),
+                              Settings.Dialect.get());
   Sent.Deadline = What.Deadline;
+  Sent.FreshConnection = What.FreshConnection;
+  Sent.AcceptUnframed = What.HoldAnswer && What.To.Local;
+  Sent.DetectSilence = !What.To.Local;
+  if (Settings.Dialect && What.To.Local)
+    Sent.MaxIdle = TargetIdleTime;
   Sent.ProvenConnection = What.NeedsProvenConnection;
   Sent.ContentLength = Of->DeclaredLength;
   if (Of->BodyWhole)
     Sent.ContentLength = Of->Kept.size();
-  Of->Current = std::make_unique<Attempt>(*this, *Of, What);
+  Of->Current =
+      std::make_unique<Attempt>(*this, *Of, What, Settings.Dialect.get());
   Of->Current->begin(Client, std::move(Sent));
   sendBody(*Of);
 }
@@ -381,6 +420,18 @@
     return;
   }
   const bool NotRun = What.Result == request::Outcome::NotRun;
+  const int Usual = NotRun ? 503 : 504;
+  const int Status = What.Status != 0 ? What.Status : Usual;
+  endHop(Of, Status);
+  Of.Exchange->respond(Status, refusalText(What.Reason),
+                       refusalFields(Of, What));
+}
+
+Headers Engine::refusalFields(const Call &Of,
+                              const request::Refuse &What) const {
+  if (Settings.Dialect && !Of.FromNode)
+    return Settings.Dialect->refusalFields(What.RetryAfter);
+  const bool NotRun = What.Result == request::Outcome::NotRun;
   Headers Fields = {{OutcomeField, NotRun ? "not-run" : "unknown"},
                     {RequestField, Of.RequestId},
                     {"Content-Type", "text/plain"}};
@@ -388,9 +439,26 @@
     Fields.emplace(RetriedField, "1");
   if (What.TargetCrashed)
     Fields.emplace(CrashedField, "1");
-  const int Status = NotRun ? 503 : 504;
-  endHop(Of, Status);
-  Of.Exchange->respond(Status, refusalText(What.Reason), std::move(Fields));
+  if (What.Reached)
+    Fields.emplace(ReachedField, "1");
+  if (What.Load)
+    Fields.emplace(LoadField, formatLoad(*What.Load));
+  return Fields;
+}
+
+void Engine::deliver(const request::DeliverAnswer &What) {
+  Call *Of = find(What.Id);
+  if (Of == nullptr || Of->Over || Of->Exchange == nullptr || !Of->Held)
+    return;
+  Of->Over = true;
+  const StoredAnswer Answer = std::move(*Of->Held);
+  Headers Fields = endToEnd(Answer.Fields);
+  if (Of->FromNode)
+    Fields.emplace(RequestField, Of->RequestId);
+  if (Of->FromNode && What.Load)
+    Fields.emplace(LoadField, formatLoad(*What.Load));
+  endHop(*Of, Answer.Status);
+  Of->Exchange->respond(Answer.Status, Answer.Body, std::move(Fields));
 }
 
 void Engine::askOwner(const request::AnswerFromOwner &What,
--- a/lib/io/proxy/ProxyEngineImpl.h
+++ b/lib/io/proxy/ProxyEngineImpl.h
@@ -19,6 +19,7 @@
   void answer(core::CallId Id, const StoredAnswer &Kept) override;
   void askOwner(const request::AnswerFromOwner &What,
                 const std::string &PeerAddress) override;
+  void closeAfterAnswers() override { Callers->closeAfterAnswers(); }
   void quiesce() override;
   std::size_t active() const override { return Calls.size(); }
   std::uint16_t callersPort() const override { return Callers->port(); }
@@ -41,6 +42,8 @@
   std::unique_ptr<ExchangeHandler> accept(ServerExchange &Exchange,
                                           bool FromNode);
   std::optional<core::Error> readControlFields(Call &New);
+  std::optional<core::Error> readDialectFields(Call &New);
+  Headers refusalFields(const Call &Of, const request::Refuse &What) const;
   std::unique_ptr<ExchangeHandler>
   refuseHead(ServerExchange &Exchange, int Status, const core::Error &Reason);
   void arrive(Call &New);
@@ -50,6 +53,7 @@
   void execute(const request::Effect &Do);
   void startAttempt(const request::StartAttempt &What);
   void sendBody(Call &Of);
+  void deliver(const request::DeliverAnswer &What);
   void cancelAttempt(const request::CancelAttempt &What);
   void refuse(const request::Refuse &What);
   void refuse(Call &Of, const request::Refuse &What);
--- a/lib/io/proxy/ProxyHeaders.cpp
+++ b/lib/io/proxy/ProxyHeaders.cpp
@@ -1,5 +1,6 @@
 #include "ProxyHeaders.h"
 #include <charconv>
+#include <fmt/format.h>
 #include <set>
 #include <strings.h>
 
@@ -21,6 +22,21 @@
   return Text.substr(First, Text.find_last_not_of(" \t") - First + 1);
 }
 
+/// Takes the next word of a text of words that are separated by one space.
+std::string_view nextWord(std::string_view &Text) {
+  const std::size_t End = std::min(Text.find(' '), Text.size());
+  const std::string_view Word = Text.substr(0, End);
+  Text.remove_prefix(std::min(End + 1, Text.size()));
+  return Word;
+}
+
+template <typename T> bool readNumber(std::string_view &Text, T &Number) {
+  const std::string_view Word = nextWord(Text);
+  const char *End = Word.data() + Word.size();
+  const auto [Stop, Fault] = std::from_chars(Word.data(), End, Number);
+  return !Word.empty() && Fault == std::errc() && Stop == End;
+}
+
 } // namespace
 
 Headers endToEnd(const Headers &All) {
@@ -70,4 +86,45 @@
   return Number;
 }
 
+std::string formatTerms(const TermsValue &Value) {
+  const decision::request::HopTerms &Terms = Value.Terms;
+  return fmt::format("{} {} {} {}{} {}", Value.TimeLeft.count(),
+                     Terms.ObjectiveLeft.count(), Terms.Rank,
+                     Terms.Idempotent ? 'i' : 'o', Terms.AcceptLate ? 'l' : 't',
+                     Terms.Route.value());
+}
+
+std::optional<TermsValue> parseTerms(std::string_view Text) {
+  std::int64_t Left = 0;
+  std::int64_t Objective = 0;
+  TermsValue Value;
+  if (!readNumber(Text, Left) || !readNumber(Text, Objective) ||
+      !readNumber(Text, Value.Terms.Rank))
+    return std::nullopt;
+  const std::string_view Flags = nextWord(Text);
+  if (Flags.size() != 2 || Text.empty())
+    return std::nullopt;
+  Value.TimeLeft = core::Milliseconds(Left);
+  Value.Terms.ObjectiveLeft = core::Milliseconds(Objective);
+  Value.Terms.Idempotent = Flags[0] == 'i';
+  Value.Terms.AcceptLate = Flags[1] == 'l';
+  Value.Terms.Route = core::RouteName(std::string(Text));
+  return Value;
+}
+
+std::string formatLoad(const decision::TargetLoad &Load) {
+  return fmt::format("{} {} {} {}", Load.Running, Load.Waiting, Load.Slots,
+                     Load.MeanTime.count());
+}
+
+std::optional<decision::TargetLoad> parseLoad(std::string_view Text) {
+  decision::TargetLoad Load;
+  std::int64_t Mean = 0;
+  if (!readNumber(Text, Load.Running) || !readNumber(Text, Load.Waiting) ||
+      !readNumber(Text, Load.Slots) || !readNumber(Text, Mean))
+    return std::nullopt;
+  Load.MeanTime = core::Milliseconds(Mean);
+  return Load;
+}
+
 } // namespace filbertvane::io::proxy
--- a/lib/io/proxy/ProxyHeaders.h
+++ b/lib/io/proxy/ProxyHeaders.h
@@ -1,6 +1,7 @@
 #ifndef FILBERTVANE_LIB_IO_PROXY_PROXYHEADERS_H
 #define FILBERTVANE_LIB_IO_PROXY_PROXYHEADERS_H
 
+#include "filbertvane/decision/request/Events.h"
 #include "filbertvane/io/HttpServer.h"
 
 namespace filbertvane::io::proxy {
@@ -22,6 +23,14 @@
 inline constexpr const char *PeerKeyField = "Filbertvane-Peer-Key";
 inline constexpr const char *OutcomeField = "Filbertvane-Outcome";
 inline constexpr const char *RetriedField = "Filbertvane-Retried";
+/// Time left in ms, and the terms of the request, between nodes of a mesh.
+inline constexpr const char *TermsField = "Filbertvane-Terms";
+/// Service on whose host the request began.
+inline constexpr const char *CallerField = "Filbertvane-Caller";
+/// Load of the target that answered.
+inline constexpr const char *LoadField = "Filbertvane-Load";
+/// The target itself refused the request.
+inline constexpr const char *ReachedField = "Filbertvane-Reached";
 
 /// @brief Headers that pass a hop: without hop-by-hop headers, without those
 ///        named by `Connection`, and without `Filbertvane-*`.
@@ -33,6 +42,22 @@
 /// @brief Whole decimal number; none when the text is anything else.
 std::optional<std::uint64_t> parseNumber(std::string_view Text);
 
+/// @name Values of headers between nodes
+/// @{
+/// @brief Time left and terms: `left objective rank flags route`.
+struct TermsValue {
+  core::Milliseconds TimeLeft{0};
+  decision::request::HopTerms Terms;
+};
+std::string formatTerms(const TermsValue &Value);
+/// @return none when the text has another form
+std::optional<TermsValue> parseTerms(std::string_view Text);
+/// @brief `running waiting slots mean-ms`.
+std::string formatLoad(const decision::TargetLoad &Load);
+/// @return none when the text has another form
+std::optional<decision::TargetLoad> parseLoad(std::string_view Text);
+/// @}
+
 } // namespace filbertvane::io::proxy
 
 #endif // FILBERTVANE_LIB_IO_PROXY_PROXYHEADERS_H
--- /dev/null
+++ b/lib/wire/HostReportCodec.cpp
@@ -0,0 +1,156 @@
+#include "filbertvane/wire/HostReportCodec.h"
+#include "CompactBuffer.h"
+#include "filbertvane_types.h"
+
+namespace filbertvane::wire {
+
+namespace mesh = decision::mesh;
+
+namespace {
+
+gen::RouteTally toThrift(const mesh::RouteTally &Tally) {
+  gen::RouteTally Out;
+  Out.route = Tally.Route.value();
+  Out.answers = static_cast<std::int64_t>(Tally.Answers);
+  Out.faults = static_cast<std::int64_t>(Tally.Faults);
+  Out.timeMs = Tally.Time.count();
+  return Out;
+}
+
+gen::TargetReport toThrift(const mesh::TargetReport &Target) {
+  gen::TargetReport Out;
+  Out.target = Target.Id.value();
+  Out.serviceName = Target.Service.value();
+  Out.version = Target.Version.value();
+  Out.state = static_cast<std::int8_t>(Target.State);
+  Out.running = static_cast<std::int32_t>(Target.Load.Running);
+  Out.waiting = static_cast<std::int32_t>(Target.Load.Waiting);
+  Out.slots = static_cast<std::int32_t>(Target.Load.Slots);
+  Out.meanMs = static_cast<std::int32_t>(Target.Load.MeanTime.count());
+  Out.faultPermille = static_cast<std::int32_t>(Target.FaultPermille);
+  for (const mesh::RouteTally &Tally : Target.Tallies)
+    Out.tallies.push_back(toThrift(Tally));
+  return Out;
+}
+
+gen::MoveReport toThrift(const mesh::MoveReport &Move) {
+  gen::MoveReport Out;
+  Out.serviceName = Move.Service.value();
+  Out.toVersion = Move.To.value();
+  Out.order = static_cast<std::int64_t>(Move.Order.value());
+  Out.phase = static_cast<std::int8_t>(Move.Phase);
+  Out.elapsedMs = Move.Elapsed.count();
+  return Out;
+}
+
+std::uint64_t count(std::int64_t Number) {
+  return static_cast<std::uint64_t>(std::max<std::int64_t>(Number, 0));
+}
+
+std::uint32_t count(std::int32_t Number) {
+  return static_cast<std::uint32_t>(std::max(Number, 0));
+}
+
+mesh::TargetReport fromThrift(const gen::TargetReport &In) {
+  mesh::TargetReport Target;
+  Target.Id = core::TargetId(In.target);
+  Target.Service = core::ServiceName(In.serviceName);
+  Target.Version = core::TargetVersion(In.version);
+  Target.State = static_cast<mesh::TargetState>(In.state);
+  Target.Load = {count(In.running), count(In.waiting), count(In.slots),
+                 core::Milliseconds(In.meanMs)};
+  Target.FaultPermille = count(In.faultPermille);
+  for (const gen::RouteTally &Tally : In.tallies)
+    Target.Tallies.push_back({core::RouteName(Tally.route),
+                              count(Tally.answers), count(Tally.faults),
+                              core::Milliseconds(Tally.timeMs)});
+  return Target;
+}
+
+/// Values of enumerations that this program does not know.
+std::optional<core::Error> unknownValue(const gen::HostReport &In) {
+  const auto Known = [](std::int8_t Value, auto Last) {
+    return Value >= 0 && Value <= static_cast<std::int8_t>(Last);
+  };
+  if (In.__isset.target && !Known(In.target.state, mesh::TargetState::Down))
+    return core::Error{core::ErrorCode::WireMalformed, "state of a target"};
+  for (const gen::MoveReport &Move : In.moves)
+    if (!Known(Move.phase, mesh::MovePhase::RolledBack))
+      return core::Error{core::ErrorCode::WireMalformed, "phase of a move"};
+  return std::nullopt;
+}
+
+} // namespace
+
+std::string encode(const mesh::HostReport &Report) {
+  gen::HostReport Out;
+  Out.node = Report.Node.value();
+  Out.start = static_cast<std::int64_t>(Report.Start.value());
+  Out.sequence = static_cast<std::int64_t>(Report.Sequence);
+  Out.address = Report.Address;
+  Out.dataCentre = Report.DataCentre.value();
+  Out.region = Report.Region.value();
+  Out.leaving = Report.Leaving;
+  if (Report.Target)
+    Out.__set_target(toThrift(*Report.Target));
+  Out.position = static_cast<std::int64_t>(Report.Position.value());
+  for (const mesh::MoveReport &Move : Report.Moves)
+    Out.moves.push_back(toThrift(Move));
+  return toCompact(Out);
+}
+
+core::Result<mesh::HostReport> decodeHostReport(std::string_view Bytes) {
+  const auto Decoded = fromCompact<gen::HostReport>(Bytes, MaxReportBytes);
+  if (!core::ok(Decoded))
+    return core::failure(Decoded);
+  const gen::HostReport &In = core::value(Decoded);
+  if (auto Fault = unknownValue(In))
+    return *Fault;
+  mesh::HostReport Report;
+  Report.Node = core::NodeId(In.node);
+  Report.Start = core::Incarnation(count(In.start));
+  Report.Sequence = count(In.sequence);
+  Report.Address = In.address;
+  Report.DataCentre = core::DataCentreId(In.dataCentre);
+  Report.Region = core::RegionId(In.region);
+  Report.Leaving = In.leaving;
+  if (In.__isset.target)
+    Report.Target = fromThrift(In.target);
+  Report.Position = core::LogOffset(count(In.position));
+  for (const gen::MoveReport &Move : In.moves)
+    Report.Moves.push_back({core::ServiceName(Move.serviceName),
+                            core::TargetVersion(Move.toVersion),
+                            core::LogOffset(count(Move.order)),
+                            static_cast<mesh::MovePhase>(Move.phase),
+                            core::Milliseconds(Move.elapsedMs)});
+  return Report;
+}
+
+std::string encode(const io::mesh::OperatorRecords &Records) {
+  gen::OperatorRecords Out;
+  Out.position = static_cast<std::int64_t>(Records.Position.value());
+  for (const io::mesh::OperatorRecord &Each : Records.Records) {
+    gen::OperatorRecord Record;
+    Record.key = Each.Key;
+    Record.offset = static_cast<std::int64_t>(Each.Offset.value());
+    Record.value = Each.Value;
+    Out.records.push_back(std::move(Record));
+  }
+  return toCompact(Out);
+}
+
+core::Result<io::mesh::OperatorRecords>
+decodeOperatorRecords(std::string_view Bytes) {
+  const auto Decoded =
+      fromCompact<gen::OperatorRecords>(Bytes, MaxRecordsBytes);
+  if (!core::ok(Decoded))
+    return core::failure(Decoded);
+  io::mesh::OperatorRecords Out;
+  Out.Position = core::LogOffset(count(core::value(Decoded).position));
+  for (const gen::OperatorRecord &Each : core::value(Decoded).records)
+    Out.Records.push_back(
+        {Each.key, core::LogOffset(count(Each.offset)), Each.value});
+  return Out;
+}
+
+} // namespace filbertvane::wire
--- a/thrift/filbertvane.thrift
+++ b/thrift/filbertvane.thrift
@@ -117,3 +117,23 @@
   12: Summaries summaries, 13: Evidence evidence, 14: LocalRollback localRollback,
   15: Suspect suspect, 16: ClaimRequest claimRequest, 17: ClaimReply claimReply
 }
+
+// --- reports between the nodes of a mesh ---
+
+struct RouteTally { 1: string route, 2: i64 answers, 3: i64 faults, 4: i64 timeMs }
+struct TargetReport {
+  1: string target, 2: string serviceName, 3: string version, 4: i8 state,
+  5: i32 running, 6: i32 waiting, 7: i32 slots, 8: i32 meanMs, 9: i32 faultPermille,
+  10: list<RouteTally> tallies
+}
+struct MoveReport {
+  1: string serviceName, 2: string toVersion, 3: i64 order, 4: i8 phase, 5: i64 elapsedMs
+}
+struct HostReport {
+  1: string node, 2: i64 start, 3: i64 sequence, 4: string address, 5: string dataCentre,
+  6: string region, 7: bool leaving, 8: optional TargetReport target, 9: i64 position,
+  10: list<MoveReport> moves
+}
+// Operators' records as one node hands them to another.
+struct OperatorRecord { 1: string key, 2: i64 offset, 3: binary value }
+struct OperatorRecords { 1: i64 position, 2: list<OperatorRecord> records }
