--- a/include/filbertvane/io/mesh/MeshProcess.h
+++ b/include/filbertvane/io/mesh/MeshProcess.h
@@ -2,6 +2,7 @@
 #define FILBERTVANE_IO_MESH_MESHPROCESS_H
 
 #include "filbertvane/io/EventLoop.h"
+#include "filbertvane/io/HttpClient.h"
 #include "filbertvane/io/mesh/Environment.h"
 
 namespace filbertvane::io::mesh {
