--- a/lib/io/mesh/MeshProcess.cpp
+++ b/lib/io/mesh/MeshProcess.cpp
@@ -386,6 +386,9 @@
   const core::TimePoint Now = Loop.now().Mono;
   if (!StopEarliest || Now < *StopEarliest)
     return;
+  // A caller that still comes would be cut at the end; without a listener it
+  // learns at once that its request was not taken.
+  Engine->quiesce();
   if (Engine->active() > 0 && Now < StopLatest)
     return;
   carryOut(observe::LogEvent{observe::EventId::ProcessStopped,
