--- a/include/filbertvane/decision/mesh/SlotQueue.h
+++ b/include/filbertvane/decision/mesh/SlotQueue.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <vector>
 
 namespace filbertvane::decision::mesh {
 
@@ -35,7 +36,8 @@
 /// Answers the load of a day on which a service gets more requests than it has
 /// slots: requests that can still be in time go first, by rank and then by
 /// arrival; those that are late already use the slots that are left over; a
-/// request whose deadline cannot be met is refused when that is known.
+/// request whose deadline cannot be met is refused when that is known, and a
+/// more urgent one displaces a less urgent one from a full queue.
 class SlotQueue {
 public:
   /// @name Requests
@@ -62,8 +64,12 @@
   /// @brief Another process took the target's place: nothing runs there.
   void restarted() { Running = 0; }
   TargetLoad load() const;
-  /// @brief Time after which a request that comes now would get a slot.
-  core::Microseconds expectedWait(std::uint32_t Rank) const;
+  /// @brief Time after which a request that comes now would get a slot, with
+  ///        the more urgent requests that will come meanwhile.
+  core::Microseconds expectedWait(std::uint32_t Rank,
+                                  core::TimePoint Now) const;
+  /// @brief Time within which most answers on a route come.
+  core::Microseconds neededTime(const core::RouteName &Route) const;
   /// @}
 
 private:
@@ -73,7 +79,31 @@
   };
   using Order = std::tuple<std::uint32_t, core::TimePoint, core::CallId>;
 
-  core::Microseconds expectedTime(const core::RouteName &Route) const;
+  /// @brief Times of the answers on one route.
+  struct AnswerTime {
+    double MeanUs = 0;
+    /// Mean distance from the mean.
+    double SpreadUs = 0;
+    void note(double SampleUs);
+  };
+
+  /// @brief Requests a second, over about the last second.
+  struct ArrivalRate {
+    double PerSecond = 0;
+    core::TimePoint At;
+    double at(core::TimePoint Now) const;
+    void note(core::TimePoint Now);
+  };
+
+  const AnswerTime &timeOf(const core::RouteName &Route) const;
+  core::Microseconds meanTime(const core::RouteName &Route) const;
+  /// @brief Least time with which a request is still worth a start.
+  core::Microseconds leastTime(const core::RouteName &Route) const;
+  core::Microseconds turnTime(std::size_t Ahead) const;
+  SlotVerdict enqueue(const SlotRequest &Who, core::TimePoint Now,
+                      std::set<Order> &To);
+  bool makeRoom(std::uint32_t Rank);
+  void displace(const Order &Least, std::set<Order> &From);
   std::optional<Turn> take(std::set<Order> &From, core::TimePoint Now);
   void demoteLate(core::TimePoint Now);
 
@@ -84,8 +114,12 @@
   std::set<Order> InTime;
   /// Requests that are late, by rank and arrival.
   std::set<Order> Late;
-  std::map<core::RouteName, double> MeanUs;
-  double OverallUs = 0;
+  /// Accepted requests by rank.
+  std::map<std::uint32_t, ArrivalRate> Arrivals;
+  /// Requests that lost their place to a more urgent one.
+  std::vector<core::CallId> Displaced;
+  std::map<core::RouteName, AnswerTime> Times;
+  AnswerTime Overall;
 };
 
 } // namespace filbertvane::decision::mesh
--- a/lib/decision/mesh/MoveTracker.cpp
+++ b/lib/decision/mesh/MoveTracker.cpp
@@ -28,6 +28,9 @@
 /// A version whose answers take this many times as long as the others' is bad.
 /// Hosts of one service differ by up to 2.3 times in speed.
 constexpr double SlowFactor = 2.5;
+/// A new version whose rate of faults is below this many times that of the old
+/// one is not blamed: load and lost answers vary between hosts of one version.
+constexpr double LeastRateFactor = 3;
 /// Answers with a fault at one host that say something about it.
 constexpr std::uint64_t LeastFaultsPerHost = 2;
 /// Answers from which on a host takes part in a verdict.
@@ -82,12 +85,20 @@
   return All;
 }
 
+double faultRate(const rollout::Sample &Of) {
+  return Of.Answers == 0
+             ? 0.0
+             : static_cast<double>(Of.Bad) / static_cast<double>(Of.Answers);
+}
+
 bool faultsProven(const RouteEvidence &Route) {
   const std::size_t Needed = Route.HostsHeard >= 2 ? 2 : 1;
   if (Route.HostsFaulty < Needed)
     return false;
   const rollout::Sample New{Route.New.Answers, Route.New.Faults};
   const rollout::Sample Old{Route.Old.Answers, Route.Old.Faults};
+  if (faultRate(New) < LeastRateFactor * faultRate(Old))
+    return false;
   const double Control = rollout::controlRate(Old, rollout::ControlErrorRate);
   return rollout::judge(New, Old, Control) == rollout::Finding::Proven;
 }
--- a/lib/decision/mesh/Placement.cpp
+++ b/lib/decision/mesh/Placement.cpp
@@ -10,10 +10,11 @@
 /// regions 20 ms (docs/design.md, 1.3).
 constexpr double RegionRoundTripMs = 2;
 constexpr double FarRoundTripMs = 41;
-/// Price of a byte that leaves its data centre or its region, in parts of the
-/// value of a request. Operators pay links by volume; the figures are theirs.
-constexpr double RegionBytePrice = 0.000012;
-constexpr double FarBytePrice = 0.000043;
+/// Price of a byte that leaves its data centre, and of one that also leaves its
+/// region, in parts of the value of a request. The users pay 12 to 68 and 43
+/// requests for a megabyte.
+constexpr double RegionBytePrice = 0.00003;
+constexpr double FarBytePrice = 0.00007;
 /// Value that a late answer has lost.
 constexpr double LateLoss = 0.7;
 /// Expected part of the objective below which hardly an answer is late, and
--- a/lib/decision/mesh/ReduceArrival.cpp
+++ b/lib/decision/mesh/ReduceArrival.cpp
@@ -130,7 +130,8 @@
   case SlotVerdict::Kind::Start:
     return sendToTarget(Call);
   case SlotVerdict::Kind::Wait:
-    return;
+    // It may have displaced another one, which is told at once.
+    return serveQueue();
   case SlotVerdict::Kind::Refuse:
     if (Call.Hosted)
       return refuse(Call, Verdict.Why);
@@ -149,10 +150,15 @@
         State.Slots.finished({}, std::nullopt);
       continue;
     }
-    if (Turn->Verdict.What == SlotVerdict::Kind::Start)
+    const bool Displaced = Turn->Verdict.Why == ErrorCode::RequestQueueFull;
+    if (Turn->Verdict.What == SlotVerdict::Kind::Start) {
       sendToTarget(*Call);
-    else
+    } else if (Displaced && !Call->Hosted) {
+      Call->Late.push_back(State.Own.Node);
+      place(*Call);
+    } else {
       refuse(*Call, Turn->Verdict.Why);
+    }
   }
 }
 
--- a/lib/decision/mesh/ReduceAttempts.cpp
+++ b/lib/decision/mesh/ReduceAttempts.cpp
@@ -16,6 +16,10 @@
 /// Weight of one answer in the mean size of a route's answers.
 constexpr double SizeWeight = 0.05;
 constexpr int StatusBadGateway = 502;
+constexpr int StatusGatewayTimeout = 504;
+/// A target that had this many times the usual time is to blame when the
+/// deadline passes.
+constexpr int AmpleTimeFactor = 2;
 
 std::int64_t millis(core::Microseconds Time) {
   return std::chrono::duration_cast<core::Milliseconds>(Time).count();
@@ -47,7 +51,8 @@
   OwnTarget &Target = *State.Target;
   const core::Microseconds Took = Now - Call.SentAt;
   const bool Answered =
-      What.End == AttemptEnd::Held || What.End == AttemptEnd::Answered;
+      (What.End == AttemptEnd::Held || What.End == AttemptEnd::Answered) &&
+      What.Status < FirstServerError;
   State.Slots.finished(Call.Terms.Route,
                        Answered && !Fault ? std::optional(Took) : std::nullopt);
   Target.FaultPart += FaultWeight * ((Fault ? 1.0 : 0.0) - Target.FaultPart);
@@ -55,7 +60,8 @@
     Target.AnsweredAt = Now;
   // A refused request says nothing about the version, and a cold target is slow
   // in each version.
-  if (What.End == AttemptEnd::NotRun || Now < Target.WarmAt)
+  if (What.End == AttemptEnd::NotRun || Now < Target.WarmAt ||
+      (!Answered && !Fault))
     return;
   RouteTally &Tally = Target.Tallies[Call.Terms.Route];
   Tally.Route = Call.Terms.Route;
@@ -71,7 +77,12 @@
   const bool Broken = What.End == AttemptEnd::NoAnswer ||
                       What.End == AttemptEnd::BrokenOff ||
                       What.End == AttemptEnd::NotRun;
-  noteAtTarget(Call, What, Broken || What.Status >= FirstServerError);
+  const bool OutOfTime =
+      (What.Status == StatusGatewayTimeout ||
+       (What.End == AttemptEnd::NoAnswer && Now >= Call.Deadline)) &&
+      !hadTime(Call);
+  noteAtTarget(Call, What,
+               (Broken || What.Status >= FirstServerError) && !OutOfTime);
   const bool SameLife = State.Target && State.Target->Life == Call.TargetLife;
   if (SameLife && (What.Unreachable || What.Misdirected || What.TargetCrashed))
     setTargetState(TargetState::Down,
@@ -109,6 +120,12 @@
   conclude(Call, What);
 }
 
+/// A request that came with little time left says nothing about its target.
+bool Reduction::hadTime(const MeshCall &Call) const {
+  return Now - Call.SentAt >
+         State.Slots.neededTime(Call.Terms.Route) * AmpleTimeFactor;
+}
+
 bool Reduction::mayRepeat(MeshCall &Call) {
   if (Call.Reached >= Call.Route->MaxTargets ||
       Now + ShortestReturn >= Call.Deadline)
@@ -206,7 +223,7 @@
   if (Call.Phase == CallPhase::AtTarget) {
     request::AttemptEnded Late;
     Late.End = AttemptEnd::NoAnswer;
-    noteAtTarget(Call, Late, true);
+    noteAtTarget(Call, Late, hadTime(Call));
     Call.TargetLife = 0;
   }
   leave(Call);
--- a/lib/decision/mesh/ReduceMoves.cpp
+++ b/lib/decision/mesh/ReduceMoves.cpp
@@ -32,6 +32,10 @@
   if (!State.Moves.order(What, Now))
     return;
   State.Duties.erase(What.Service);
+  // The versions are compared over the same time: what the old one did before
+  // says nothing about a fault that both meet now.
+  if (State.Target && State.Target->Last.Service == What.Service)
+    State.Target->Tallies.clear();
   log(observe::EventId::MeshMoveOrdered,
       fmt::format("service={} to={} duration_ms={} order={} old={}",
                   What.Service.value(), What.To.value(), What.Duration.count(),
--- a/lib/decision/mesh/Reduction.h
+++ b/lib/decision/mesh/Reduction.h
@@ -64,6 +64,7 @@
   void concludeAnswer(MeshCall &Call, const request::AttemptEnded &What);
   void noteAtTarget(const MeshCall &Call, const request::AttemptEnded &What,
                     bool Fault);
+  bool hadTime(const MeshCall &Call) const;
   bool mayRepeat(MeshCall &Call);
   void expire(MeshCall &Call);
   void leave(MeshCall &Call);
--- a/lib/decision/mesh/SlotQueue.cpp
+++ b/lib/decision/mesh/SlotQueue.cpp
@@ -1,6 +1,7 @@
 #include "filbertvane/decision/mesh/SlotQueue.h"
 #include "filbertvane/decision/mesh/Limits.h"
 #include <algorithm>
+#include <cmath>
 
 namespace filbertvane::decision::mesh {
 
@@ -8,15 +9,25 @@
 
 using core::ErrorCode;
 
-/// Weight of one answer in the mean time of a route: the mean follows a target
-/// that turns slow within some 20 answers.
+/// Weight of one answer in the times of a route: they follow a target that
+/// turns slow within some 20 answers.
 constexpr double AnswerWeight = 0.05;
-/// Part of the usual time that has to be left before the deadline of a request
-/// that starts. Half of the answers take less than 0.8 of the mean.
-constexpr double NeededTimeShare = 0.5;
-
-void blend(double &Mean, double Sample) {
-  Mean = Mean == 0 ? Sample : Mean + AnswerWeight * (Sample - Mean);
+/// Part of the mean time that has to be left before the deadline of a request
+/// that starts; about half of the answers take less than 0.8 of the mean.
+constexpr double LeastTimePart = 0.5;
+/// Late requests that may wait, as a part of the slots. They are served only
+/// while none waits that can be in time, so that few of them have a chance.
+constexpr double LatePartOfSlots = 0.5;
+
+/// Time over which arrivals are averaged: long enough for some ten requests at
+/// one target, short enough to follow a burst.
+constexpr double ArrivalMemorySeconds = 1.0;
+/// Part of the slots that a rank is assumed to get at least; below it the wait
+/// is longer than any objective.
+constexpr double LeastPartLeft = 0.02;
+
+double seconds(core::Microseconds Time) {
+  return static_cast<double>(Time.count()) * 1e-6;
 }
 
 core::Microseconds micros(double Count) {
@@ -25,53 +36,127 @@
 
 } // namespace
 
-core::Microseconds SlotQueue::expectedTime(const core::RouteName &Route) const {
-  const auto Found = MeanUs.find(Route);
-  return micros(Found == MeanUs.end() ? OverallUs : Found->second);
+void SlotQueue::AnswerTime::note(double SampleUs) {
+  if (MeanUs == 0) {
+    MeanUs = SampleUs;
+    SpreadUs = SampleUs / 2;
+    return;
+  }
+  SpreadUs += AnswerWeight * (std::abs(SampleUs - MeanUs) - SpreadUs);
+  MeanUs += AnswerWeight * (SampleUs - MeanUs);
+}
+
+double SlotQueue::ArrivalRate::at(core::TimePoint Now) const {
+  return PerSecond * std::exp(-seconds(Now - At) / ArrivalMemorySeconds);
+}
+
+void SlotQueue::ArrivalRate::note(core::TimePoint Now) {
+  PerSecond = at(Now) + 1 / ArrivalMemorySeconds;
+  At = Now;
+}
+
+const SlotQueue::AnswerTime &
+SlotQueue::timeOf(const core::RouteName &Route) const {
+  const auto Found = Times.find(Route);
+  return Found == Times.end() ? Overall : Found->second;
+}
+
+core::Microseconds SlotQueue::neededTime(const core::RouteName &Route) const {
+  const AnswerTime &Time = timeOf(Route);
+  return micros(Time.MeanUs + Time.SpreadUs);
+}
+
+core::Microseconds SlotQueue::meanTime(const core::RouteName &Route) const {
+  return micros(timeOf(Route).MeanUs);
+}
+
+core::Microseconds SlotQueue::leastTime(const core::RouteName &Route) const {
+  return micros(timeOf(Route).MeanUs * LeastTimePart);
+}
+
+/// Slots fall free one after the other, spread over the time of an answer.
+core::Microseconds SlotQueue::turnTime(std::size_t Ahead) const {
+  const double Parts = std::max<std::uint32_t>(Slots, 1);
+  return micros(Overall.MeanUs * static_cast<double>(Ahead + 1) / Parts);
 }
 
 TargetLoad SlotQueue::load() const {
-  return {Running, static_cast<std::uint32_t>(Entries.size()), Slots,
-          std::chrono::duration_cast<core::Milliseconds>(micros(OverallUs))};
+  return {
+      Running, static_cast<std::uint32_t>(Entries.size()), Slots,
+      std::chrono::duration_cast<core::Milliseconds>(micros(Overall.MeanUs))};
 }
 
-core::Microseconds SlotQueue::expectedWait(std::uint32_t Rank) const {
+core::Microseconds SlotQueue::expectedWait(std::uint32_t Rank,
+                                           core::TimePoint Now) const {
   if (Running < Slots && Entries.empty())
     return core::Microseconds(0);
-  if (Slots == 0)
-    return micros(OverallUs);
   std::size_t Ahead = 0;
   for (const Order &Each : InTime) {
     if (std::get<0>(Each) > Rank)
       break;
     ++Ahead;
   }
-  return micros(OverallUs * static_cast<double>(Ahead + 1) / Slots);
+  double MoreUrgent = 0;
+  for (const auto &[Other, Rate] : Arrivals)
+    MoreUrgent += Other < Rank ? Rate.at(Now) : 0;
+  const double Taken =
+      MoreUrgent * Overall.MeanUs * 1e-6 / std::max<std::uint32_t>(Slots, 1);
+  const double Left = std::max(LeastPartLeft, 1 - Taken);
+  return micros(static_cast<double>(turnTime(Ahead).count()) / Left);
 }
 
 SlotVerdict SlotQueue::arrive(const SlotRequest &Who, core::TimePoint Now) {
   if (Slots == 0)
     return {SlotVerdict::Kind::Refuse, ErrorCode::RequestQueueFull};
-  const core::Microseconds Wait = expectedWait(Who.Rank);
-  const core::Microseconds Time = expectedTime(Who.Route);
-  const core::TimePoint Needed =
-      Now + Wait + micros(static_cast<double>(Time.count()) * NeededTimeShare);
-  if (Needed >= Who.Deadline)
+  const core::Microseconds Wait = expectedWait(Who.Rank, Now);
+  if (Now + Wait + leastTime(Who.Route) >= Who.Deadline)
     return {SlotVerdict::Kind::Refuse, ErrorCode::RequestDeadlinePassed};
   if (Running < Slots && Entries.empty()) {
     ++Running;
+    Arrivals[Who.Rank].note(Now);
     return {SlotVerdict::Kind::Start, {}};
   }
-  const bool InTimeStill = Now + Wait + Time <= Who.Objective;
-  if (!InTimeStill && !Who.AcceptLate)
-    return {SlotVerdict::Kind::Refuse, ErrorCode::RequestWouldBeLate};
-  if (Entries.size() >= std::size_t{Slots} * WaitingPerSlot)
+  if (Now + Wait + neededTime(Who.Route) <= Who.Objective)
+    return enqueue(Who, Now, InTime);
+  const core::Microseconds LateWait = turnTime(Entries.size());
+  const bool Chance =
+      static_cast<double>(Late.size()) < LatePartOfSlots * Slots &&
+      Now + LateWait + neededTime(Who.Route) < Who.Deadline;
+  if (Who.AcceptLate && Chance)
+    return enqueue(Who, Now, Late);
+  return {SlotVerdict::Kind::Refuse, ErrorCode::RequestWouldBeLate};
+}
+
+SlotVerdict SlotQueue::enqueue(const SlotRequest &Who, core::TimePoint Now,
+                               std::set<Order> &To) {
+  const bool Full = Entries.size() >= std::size_t{Slots} * WaitingPerSlot;
+  if (Full && (&To == &Late || !makeRoom(Who.Rank)))
     return {SlotVerdict::Kind::Refuse, ErrorCode::RequestQueueFull};
+  Arrivals[Who.Rank].note(Now);
   Entries.emplace(Who.Id, Waiting{Who, Now});
-  (InTimeStill ? InTime : Late).emplace(Who.Rank, Now, Who.Id);
+  To.emplace(Who.Rank, Now, Who.Id);
   return {SlotVerdict::Kind::Wait, {}};
 }
 
+/// Gives up a late request, or else the last one of the least urgent rank.
+bool SlotQueue::makeRoom(std::uint32_t Rank) {
+  if (!Late.empty()) {
+    displace(*Late.rbegin(), Late);
+    return true;
+  }
+  if (InTime.empty() || std::get<0>(*InTime.rbegin()) <= Rank)
+    return false;
+  displace(*InTime.rbegin(), InTime);
+  return true;
+}
+
+void SlotQueue::displace(const Order &Least, std::set<Order> &From) {
+  const core::CallId Id = std::get<2>(Least);
+  From.erase(Least);
+  Entries.erase(Id);
+  Displaced.push_back(Id);
+}
+
 void SlotQueue::finished(const core::RouteName &Route,
                          std::optional<core::Microseconds> Took) {
   if (Running > 0)
@@ -79,8 +164,8 @@
   if (!Took)
     return;
   const auto Sample = static_cast<double>(Took->count());
-  blend(MeanUs[Route], Sample);
-  blend(OverallUs, Sample);
+  Times[Route].note(Sample);
+  Overall.note(Sample);
 }
 
 void SlotQueue::withdraw(core::CallId Id) {
@@ -95,16 +180,19 @@
 }
 
 /// A request that can no longer be in time must not hold back one that can.
+/// Late ones beyond those that have a chance are given up.
 void SlotQueue::demoteLate(core::TimePoint Now) {
   for (auto It = InTime.begin(); It != InTime.end();) {
     const SlotRequest &Who = Entries.at(std::get<2>(*It)).Who;
-    if (Now + expectedTime(Who.Route) <= Who.Objective) {
+    if (Now + meanTime(Who.Route) <= Who.Objective) {
       ++It;
       continue;
     }
     Late.insert(*It);
     It = InTime.erase(It);
   }
+  while (static_cast<double>(Late.size()) > 2 * LatePartOfSlots * Slots)
+    displace(*Late.rbegin(), Late);
 }
 
 std::optional<SlotQueue::Turn> SlotQueue::take(std::set<Order> &From,
@@ -113,10 +201,7 @@
     return std::nullopt;
   const core::CallId Id = std::get<2>(*From.begin());
   const SlotRequest &Who = Entries.at(Id).Who;
-  const core::Microseconds Time = expectedTime(Who.Route);
-  const core::TimePoint Needed =
-      Now + micros(static_cast<double>(Time.count()) * NeededTimeShare);
-  const bool Lost = Needed >= Who.Deadline;
+  const bool Lost = Now + leastTime(Who.Route) >= Who.Deadline;
   if (!Lost && Running >= Slots)
     return std::nullopt;
   withdraw(Id);
@@ -129,6 +214,11 @@
 
 std::optional<SlotQueue::Turn> SlotQueue::next(core::TimePoint Now) {
   demoteLate(Now);
+  if (!Displaced.empty()) {
+    const core::CallId Id = Displaced.back();
+    Displaced.pop_back();
+    return Turn{Id, {SlotVerdict::Kind::Refuse, ErrorCode::RequestQueueFull}};
+  }
   if (auto Found = take(InTime, Now))
     return Found;
   return take(Late, Now);
--- a/lib/io/mesh/MeshProcess.cpp
+++ b/lib/io/mesh/MeshProcess.cpp
@@ -14,10 +14,6 @@
 constexpr core::Milliseconds TickPeriod{50};
 /// A longer gap between two ticks is told: the process did not run.
 constexpr core::Milliseconds PauseTold{1000};
-/// Callers learn within two questions, one a second, that a node stops.
-constexpr core::Milliseconds StopAnnounceTime{2300};
-/// Left over from the time to stop, for the end of the process itself.
-constexpr core::Milliseconds StopReserve{400};
 /// The list of hosts in the store is read again after this time; hosts that
 /// start later report to this node themselves.
 constexpr core::Seconds HostsReadPeriod{60};
@@ -366,30 +362,30 @@
     HostsReadAt = Now.Mono;
     carryOut(decide::PublishReport{decide::ownReport(State, Now.Mono)});
   }
-  finishDrainWhenIdle();
+  advanceStop();
   Log.flush(Now);
   Ticker.arm(Now.Mono + TickPeriod);
 }
 
 void Process::drain() {
-  if (StopEarliest)
+  if (Stop)
     return;
-  const core::TimePoint Now = Loop.now().Mono;
-  StopEarliest = Now + StopAnnounceTime;
-  StopLatest = Now + Place.StopTime - StopReserve;
+  Stop = decide::StopSchedule(Loop.now().Mono, Place.StopTime);
   carryOut(observe::LogEvent{observe::EventId::ProcessDraining, ""});
   handle(decision::request::DrainStarted{});
   Engine->closeAfterAnswers();
 }
 
-void Process::finishDrainWhenIdle() {
-  const core::TimePoint Now = Loop.now().Mono;
-  if (!StopEarliest || Now < *StopEarliest)
+void Process::advanceStop() {
+  if (!Stop)
+    return;
+  const decide::StopStep Step = Stop->at(Loop.now().Mono, Engine->active());
+  if (Step == decide::StopStep::Serve)
     return;
   // A caller that still comes would be cut at the end; without a listener it
   // learns at once that its request was not taken.
   Engine->quiesce();
-  if (Engine->active() > 0 && Now < StopLatest)
+  if (Step == decide::StopStep::Finish)
     return;
   carryOut(observe::LogEvent{observe::EventId::ProcessStopped,
                              fmt::format("active={}", Engine->active())});
--- a/lib/io/mesh/MeshProcessImpl.h
+++ b/lib/io/mesh/MeshProcessImpl.h
@@ -5,6 +5,7 @@
 #include "SmallRequests.h"
 #include "StoreFollower.h"
 #include "filbertvane/decision/mesh/Reducer.h"
+#include "filbertvane/decision/mesh/StopSchedule.h"
 #include "filbertvane/io/ProxyEngine.h"
 #include "filbertvane/io/mesh/MeshProcess.h"
 #include "filbertvane/observe/LogWriter.h"
@@ -59,7 +60,7 @@
   void readMoves();
   void noteHop(const HopRecord &Hop);
   void tick();
-  void finishDrainWhenIdle();
+  void advanceStop();
   /// @}
 
   EventLoop &Loop;
@@ -83,8 +84,7 @@
   bool Ready = false;
   bool HostPublished = false;
   bool FetchUnderWay = false;
-  std::optional<core::TimePoint> StopEarliest;
-  core::TimePoint StopLatest;
+  std::optional<decide::StopSchedule> Stop;
 };
 
 } // namespace filbertvane::io::mesh
--- /dev/null
+++ b/tests/mesh/HostDirectoryTest.cpp
@@ -0,0 +1,58 @@
+#include "MeshBench.h"
+
+using namespace meshbench;
+
+namespace {
+
+HostDirectory directory() {
+  return {core::NodeId("n0"), core::DataCentreId("dc1"), core::RegionId("r1")};
+}
+
+} // namespace
+
+// Guards against reports that overtake each other on the way.
+Test(host_directory, an_older_report_changes_nothing) {
+  HostDirectory Hosts = directory();
+  HostReport Newer = report("n1", 5);
+  Newer.Target->State = TargetState::Draining;
+  cr_assert(Hosts.hear(Newer, at(0))->New);
+  cr_assert(!Hosts.hear(report("n1", 4), at(10)).has_value());
+  cr_assert(Hosts.find(core::NodeId("n1"))->Report.Target->State ==
+            TargetState::Draining);
+}
+
+// Guards against a restarted host that is taken for its former process, also
+// when the time of day jumped back between the two.
+Test(host_directory, a_restarted_host_replaces_its_former_process) {
+  HostDirectory Hosts = directory();
+  HostReport First = report("n1", 900);
+  First.Start = core::Incarnation(50);
+  Hosts.hear(First, at(0));
+  HostReport Second = report("n1", 1);
+  Second.Start = core::Incarnation(40);
+  cr_assert(!Hosts.hear(Second, at(100)).has_value(), "reordered datagram");
+  cr_assert(Hosts.hear(Second, at(2500))->Restarted);
+}
+
+// Guards against hosts that are trusted though nothing is heard of them.
+Test(host_directory, a_silent_host_is_doubtful_and_then_forgotten) {
+  HostDirectory Hosts = directory();
+  Hosts.hear(report("n1"), at(0));
+  const KnownHost &Host = *Hosts.find(core::NodeId("n1"));
+  cr_assert(!Hosts.doubtful(Host, at(1400)));
+  cr_assert(Hosts.doubtful(Host, at(1600)));
+  Hosts.forgetSilent(at(29000));
+  cr_assert(Hosts.hosts().size() == 1);
+  Hosts.forgetSilent(at(31000));
+  cr_assert(Hosts.hosts().empty());
+}
+
+// Guards against a list in the store that overrides what a host says itself.
+Test(host_directory, what_a_host_says_counts_more_than_the_store) {
+  HostDirectory Hosts = directory();
+  cr_assert(Hosts.learn(report("n1", 7), at(0)));
+  cr_assert(Hosts.doubtful(*Hosts.find(core::NodeId("n1")), at(0)));
+  cr_assert(Hosts.hear(report("n1", 3), at(5))->New);
+  cr_assert(!Hosts.learn(report("n1", 7), at(10)));
+  cr_assert(!Hosts.doubtful(*Hosts.find(core::NodeId("n1")), at(10)));
+}
--- /dev/null
+++ b/tests/mesh/OwnTargetTest.cpp
@@ -0,0 +1,128 @@
+#include "MeshBench.h"
+
+using namespace meshbench;
+using request::AttemptEnd;
+using request::Outcome;
+using request::Refuse;
+using request::StartAttempt;
+
+// Guards against requests that reach a target after it said that it leaves.
+Test(mesh_target, a_leaving_target_gets_no_new_request) {
+  Bench Node;
+  Node.configure();
+  Node.announce();
+  Node.send(ReportHeard{report("n1")});
+  Node.announce(2, true);
+  cr_assert(Node.first<SendReport>()->What.Target->State ==
+                TargetState::Draining,
+            "others are not told at once");
+  Node.arriveHosted(1);
+  cr_assert(Node.first<Refuse>()->Result == Outcome::NotRun);
+  // An announcement that was delayed does not bring it back.
+  {
+    Node.announce(1, false);
+    Node.arriveHosted(2);
+    cr_assert(Node.first<Refuse>().has_value());
+  }
+  // The next life of the target does.
+  {
+    Node.announce(1, false, 2000);
+    Node.arriveHosted(3);
+    cr_assert(Node.first<StartAttempt>().has_value());
+  }
+}
+
+// Guards against an announcement of a former life that was held up by a cut.
+Test(mesh_target, lives_are_ordered_by_their_start) {
+  Bench Node;
+  Node.configure();
+  Node.announce(1, false, 2000, "new");
+  Node.announce(9, false, 1000, "old");
+  cr_assert(Node.State.Target->Last.Id == core::TargetId("new"));
+}
+
+// Guards against a request for another target at a reused address.
+Test(mesh_target, a_request_names_the_target_that_it_is_for) {
+  Bench Node;
+  Node.configure();
+  Node.announce(1, false, 1000, "someone-else");
+  Node.arriveHosted(1);
+  cr_assert(Node.first<Refuse>()->Result == Outcome::NotRun);
+}
+
+// Guards against a queue that waits for a target which is gone.
+Test(mesh_target, a_target_without_listener_is_down_until_it_announces) {
+  Bench Node;
+  Node.configure();
+  Node.announce();
+  Node.arriveHosted(1);
+  const auto First = Node.first<StartAttempt>();
+  Node.arriveHosted(2);
+  Node.arriveHosted(3);
+  Node.end(*First, AttemptEnd::NotRun, 0, false, true);
+  cr_assert(Node.count<Refuse>() == 2, "the waiting one stays");
+  Node.arriveHosted(4);
+  cr_assert(Node.first<Refuse>().has_value());
+  Node.announce(2);
+  Node.arriveHosted(5);
+  cr_assert(Node.first<StartAttempt>().has_value());
+}
+
+// Guards against a target that ended in silence and still gets requests.
+Test(mesh_target, a_silent_target_is_down_after_a_while) {
+  Bench Node;
+  Node.configure();
+  Node.announce();
+  Node.Now += milliseconds(5900);
+  Node.send(request::Tick{});
+  cr_assert(Node.State.Target->State == TargetState::Ready);
+  Node.Now += milliseconds(200);
+  Node.send(request::Tick{});
+  cr_assert(Node.State.Target->State == TargetState::Down);
+}
+
+// Guards against slots of a former life that are never given back, or given
+// back twice.
+Test(mesh_target, slots_belong_to_one_life) {
+  Bench Node;
+  Node.configure();
+  Node.announce();
+  Node.arriveHosted(1);
+  const auto Old = Node.first<StartAttempt>();
+  Node.announce(1, false, 2000);
+  cr_assert(Node.State.Slots.load().Running == 0);
+  Node.arriveHosted(2);
+  Node.end(*Old, AttemptEnd::NoAnswer);
+  cr_assert(Node.State.Slots.load().Running == 1);
+}
+
+// Guards against a refusal that promises "not run" for a request that ran.
+Test(mesh_target, a_lost_answer_is_not_a_refusal) {
+  Bench Node;
+  Node.configure();
+  Node.announce();
+  Node.arriveHosted(1);
+  Node.end(*Node.first<StartAttempt>(), AttemptEnd::NoAnswer);
+  cr_assert(Node.first<Refuse>()->Result == Outcome::Unknown);
+  // One that the target itself refused is marked as having reached it.
+  Node.arriveHosted(2);
+  Node.end(*Node.first<StartAttempt>(), AttemptEnd::NotRun, 503, true);
+  cr_assert(Node.first<Refuse>()->Result == Outcome::NotRun);
+  cr_assert(Node.first<Refuse>()->Reached);
+}
+
+// Guards against a node that stops and still takes requests of others.
+Test(mesh_target, a_stopping_node_takes_no_request_of_others) {
+  Bench Node;
+  Node.configure();
+  Node.announce();
+  Node.send(ReportHeard{report("n1")});
+  Node.send(request::DrainStarted{});
+  cr_assert(!Node.first<ReadinessChanged>()->Ready);
+  cr_assert(Node.first<SendReport>()->What.Leaving);
+  Node.arriveHosted(1);
+  cr_assert(Node.first<Refuse>()->Result == Outcome::NotRun);
+  // Its own callers are served until they know.
+  Node.arrive(2);
+  cr_assert(Node.first<StartAttempt>().has_value());
+}
--- /dev/null
+++ b/tests/mesh/RequestFlowTest.cpp
@@ -0,0 +1,160 @@
+#include "MeshBench.h"
+
+using namespace meshbench;
+using request::AttemptEnd;
+using request::Outcome;
+using request::Refuse;
+using request::StartAttempt;
+
+// Guards against a caller that is told "not found" by a node that merely has
+// no configuration yet.
+Test(mesh_requests, a_node_without_configuration_is_not_ready) {
+  Bench Node;
+  Node.arrive(1);
+  cr_assert(Node.first<Refuse>()->Status == 0, "not the usual 503");
+  cr_assert(Node.first<Refuse>()->Result == Outcome::NotRun);
+  cr_assert(Node.first<Refuse>()->RetryAfter.has_value());
+  Node.configure();
+  cr_assert(Node.first<ReadinessChanged>()->Ready);
+  Node.arrive(2, "/nowhere/");
+  cr_assert(Node.first<Refuse>()->Status == 404);
+}
+
+// Guards against a version that falls back within one process.
+Test(mesh_requests, a_lower_configuration_has_no_effect) {
+  Bench Node;
+  Node.configure(shopRouting(7));
+  config::Routing Older = shopRouting(5);
+  Older.Routes.clear();
+  Node.configure(Older);
+  Node.announce();
+  Node.arrive(1);
+  cr_assert(Node.first<StartAttempt>().has_value());
+}
+
+// Guards against a request that waits for nothing when its service is gone.
+Test(mesh_requests, without_a_target_a_request_is_refused_at_once) {
+  Bench Node;
+  Node.configure();
+  Node.arrive(1);
+  cr_assert(Node.first<Refuse>()->Result == Outcome::NotRun);
+}
+
+// Guards against a booking that runs twice.
+Test(mesh_requests, a_non_idempotent_request_is_never_repeated_blindly) {
+  Bench Node;
+  Node.configure();
+  Node.send(ReportHeard{report("n1")});
+  Node.send(ReportHeard{report("n2")});
+  // When a target gave no answer, the outcome is unknown.
+  {
+    Node.arrive(1, "/book/1");
+    const auto Sent = Node.first<StartAttempt>();
+    cr_assert(Sent->NeedsProvenConnection,
+              "an unproven connection was allowed");
+    Node.end(*Sent, AttemptEnd::NoAnswer);
+    cr_assert(!Node.first<StartAttempt>(), "sent again");
+    cr_assert(Node.first<Refuse>()->Result == Outcome::Unknown);
+    cr_assert(Node.first<Refuse>()->Status == 502);
+  }
+  // When the deadline passes after the send, the outcome is unknown too.
+  {
+    Node.arrive(2, "/book/2");
+    Node.Now += milliseconds(1001);
+    Node.send(request::Tick{});
+    cr_assert(Node.first<request::CancelAttempt>().has_value());
+    cr_assert(Node.first<Refuse>()->Result == Outcome::Unknown);
+  }
+  // A host that truly did not run it lets another one do so.
+  {
+    Node.arrive(3, "/book/3");
+    const auto Sent = Node.first<StartAttempt>();
+    Node.end(*Sent, AttemptEnd::NotRun);
+    const auto Again = Node.first<StartAttempt>();
+    cr_assert(Again.has_value());
+    cr_assert(Again->To.Node != Sent->To.Node, "the same host again");
+  }
+}
+
+// Guards against repeats beyond the targets that a route allows, and against
+// repeats without budget.
+Test(mesh_requests, an_idempotent_request_is_repeated_within_limits) {
+  Bench Node;
+  Node.configure();
+  for (const char *Name : {"n1", "n2", "n3"})
+    Node.send(ReportHeard{report(Name)});
+  Node.arrive(1);
+  const auto First = Node.first<StartAttempt>();
+  Node.end(*First, AttemptEnd::NoAnswer);
+  const auto Second = Node.first<StartAttempt>();
+  cr_assert(Second.has_value());
+  cr_assert(Second->To.Node != First->To.Node);
+  Node.end(*Second, AttemptEnd::NoAnswer);
+  cr_assert(!Node.first<StartAttempt>(), "a third target");
+  cr_assert(Node.first<Refuse>()->Result == Outcome::Unknown);
+}
+
+// Guards against a failure of the target that the caller never sees.
+Test(mesh_requests, a_server_error_is_passed_on_after_the_last_attempt) {
+  Bench Node;
+  Node.configure();
+  Node.send(ReportHeard{report("n1")});
+  Node.send(ReportHeard{report("n2")});
+  Node.arrive(1);
+  Node.end(*Node.first<StartAttempt>(), AttemptEnd::Held, 500);
+  Node.end(*Node.first<StartAttempt>(), AttemptEnd::Held, 500);
+  cr_assert(Node.first<request::DeliverAnswer>().has_value());
+  // A booking's failure is the caller's to judge.
+  Node.arrive(2, "/book/1");
+  Node.end(*Node.first<StartAttempt>(), AttemptEnd::Held, 500);
+  cr_assert(Node.first<request::DeliverAnswer>().has_value());
+}
+
+// Guards against lost work: a host that cannot be reached is tried once.
+Test(mesh_requests, an_unreachable_host_is_placed_last) {
+  Bench Node;
+  Node.configure();
+  Node.send(ReportHeard{report("n1")});
+  Node.arrive(1);
+  Node.end(*Node.first<StartAttempt>(), AttemptEnd::NotRun, 0, false, true);
+  cr_assert(Node.first<Refuse>()->Result == Outcome::NotRun);
+  Node.send(ReportHeard{report("n2", 1, "dc9", "r9")});
+  Node.arrive(2);
+  cr_assert(Node.first<StartAttempt>()->To.Node == core::NodeId("n2"));
+  // Its next report brings it back.
+  Node.send(ReportHeard{report("n1", 2)});
+  Node.arrive(3);
+  cr_assert(Node.first<StartAttempt>()->To.Node == core::NodeId("n1"));
+}
+
+// Guards against a caller that is kept waiting beyond the route's time-out, and
+// against a deadline beyond the caller's own.
+Test(mesh_requests, the_shorter_of_both_deadlines_counts) {
+  Bench Node;
+  Node.configure();
+  Node.announce();
+  request::CallArrived Call;
+  Call.Id = core::CallId(1);
+  Call.Path = "/list/1";
+  Call.VirtualHost = "shop.example";
+  Call.TimeLeft = milliseconds(300);
+  Node.send(Call);
+  cr_assert(Node.first<StartAttempt>()->Deadline ==
+            Node.Now + milliseconds(300));
+  Call.Id = core::CallId(2);
+  Call.TimeLeft = milliseconds(30000);
+  Node.send(Call);
+  cr_assert(Node.first<StartAttempt>()->Deadline ==
+            Node.Now + milliseconds(1000));
+}
+
+// Guards against work for a caller that left.
+Test(mesh_requests, a_request_whose_caller_left_is_cancelled) {
+  Bench Node;
+  Node.configure();
+  Node.announce();
+  Node.arrive(1);
+  Node.send(request::CallerGone{core::CallId(1)});
+  cr_assert(Node.first<request::CancelAttempt>().has_value());
+  cr_assert(Node.State.Slots.load().Running == 0, "the slot stays taken");
+}
--- /dev/null
+++ b/tests/mesh/SharesTest.cpp
@@ -0,0 +1,66 @@
+#include "MeshBench.h"
+#include "filbertvane/decision/mesh/StopSchedule.h"
+
+using namespace meshbench;
+
+// Guards against repeats that exceed the shared budget when each node sees
+// only its own requests.
+Test(repeat_budget, all_nodes_together_stay_within_it) {
+  const BudgetTerms Terms{0.2, 64, milliseconds(10000)};
+  constexpr std::size_t Nodes = 18;
+  std::vector<RepeatBudget> Each(Nodes, RepeatBudget(Terms));
+  std::size_t Requests = 0;
+  std::size_t Repeats = 0;
+  for (int Ms = 0; Ms < 10000; Ms += 10)
+    for (std::size_t Node = 0; Node < Nodes; ++Node) {
+      if (Ms % 40 == 0) {
+        Each[Node].noteRequest(at(Ms));
+        ++Requests;
+      }
+      // Every node wants to repeat all the time.
+      Repeats += Each[Node].take(Nodes, at(Ms)) ? 1 : 0;
+    }
+  const double Budget = 0.2 * static_cast<double>(Requests) + 64;
+  cr_assert(static_cast<double>(Repeats) <= Budget, "%zu", Repeats);
+  cr_assert(static_cast<double>(Repeats) >= 0.4 * Budget, "%zu", Repeats);
+}
+
+// Guards against a budget that is never filled again, or at once.
+Test(repeat_budget, it_is_that_of_the_last_window) {
+  RepeatBudget Budget({0.2, 10, milliseconds(10000)});
+  std::size_t Taken = 0;
+  while (Budget.take(1, at(0)))
+    ++Taken;
+  cr_assert(Taken == 6, "%zu", Taken);
+  cr_assert(!Budget.take(1, at(9000)));
+  cr_assert(Budget.take(1, at(10000)));
+}
+
+// Guards against a part of a split that gets more or less than its weight.
+Test(split, each_part_gets_its_weight_in_each_window) {
+  const std::vector<config::WeightedService> Parts = {
+      {core::ServiceName("a"), 90},
+      {core::ServiceName("b"), 10},
+      {core::ServiceName("none"), 0}};
+  for (const double Phase : {0.0, 0.3, 0.99}) {
+    SplitSelector Split(Phase);
+    for (int Window = 0; Window < 20; ++Window) {
+      std::size_t OfB = 0;
+      for (int I = 0; I < 100; ++I) {
+        const std::string Name = Split.next(Parts).value();
+        cr_assert(Name != "none");
+        OfB += Name == "b" ? 1 : 0;
+      }
+      cr_assert(OfB >= 9 && OfB <= 11, "%zu", OfB);
+    }
+  }
+}
+
+// Guards against a shutdown that never ends under load and cuts requests.
+Test(stop_schedule, a_loaded_node_stops_taking_before_it_ends) {
+  const StopSchedule Stop(at(0), milliseconds(6000));
+  cr_assert(Stop.at(at(2000), 0) == StopStep::Serve);
+  cr_assert(Stop.at(at(2400), 3) == StopStep::Finish);
+  cr_assert(Stop.at(at(2400), 0) == StopStep::End);
+  cr_assert(Stop.at(at(5700), 3) == StopStep::End);
+}
--- /dev/null
+++ b/tests/mesh/SlotQueueTest.cpp
@@ -0,0 +1,156 @@
+#include "MeshBench.h"
+#include <algorithm>
+
+using namespace meshbench;
+using Kind = SlotVerdict::Kind;
+
+namespace {
+
+SlotRequest who(std::uint64_t Id, std::uint32_t Rank, core::TimePoint Now,
+                std::int64_t ObjectiveMs = 400, std::int64_t LeftMs = 1000,
+                bool AcceptLate = false) {
+  return {core::CallId(Id),
+          core::RouteName("list"),
+          Rank,
+          Now + milliseconds(ObjectiveMs),
+          Now + milliseconds(LeftMs),
+          AcceptLate};
+}
+
+/// Queue of two slots whose answers take 100 ms.
+SlotQueue warmQueue(std::uint32_t Slots = 2) {
+  SlotQueue Queue;
+  Queue.resize(Slots);
+  Queue.arrive(who(1000, 0, at(0)), at(0));
+  Queue.finished(core::RouteName("list"), milliseconds(100));
+  return Queue;
+}
+
+/// What the callers of a played load got.
+struct Played {
+  std::size_t InTime[3] = {0, 0, 0};
+  std::size_t Late = 0;
+  std::size_t Refused = 0;
+  /// Refused after more than an eighth of the objective.
+  std::size_t RefusedLate = 0;
+};
+
+/// Plays twice the requests that two slots can serve for ten seconds; each
+/// third request has the rank 0, 1 and 2.
+Played playOverload(bool AcceptLate) {
+  struct Running {
+    core::TimePoint Ends;
+    std::uint64_t Id;
+  };
+  SlotQueue Queue = warmQueue();
+  std::vector<Running> Slots;
+  std::map<std::uint64_t, core::TimePoint> Arrived;
+  Played Result;
+  const auto Start = [&](std::uint64_t Id, core::TimePoint Now) {
+    Slots.push_back({Now + milliseconds(100), Id});
+    const auto Took = Now + milliseconds(100) - Arrived[Id];
+    if (Took <= milliseconds(400))
+      ++Result.InTime[Id % 3];
+    else
+      ++Result.Late;
+  };
+  std::uint64_t Id = 0;
+  for (int Ms = 0; Ms < 10000; ++Ms) {
+    const core::TimePoint Now = at(Ms);
+    std::erase_if(Slots, [&](const Running &Each) {
+      if (Each.Ends > Now)
+        return false;
+      Queue.finished(core::RouteName("list"), milliseconds(100));
+      return true;
+    });
+    while (const auto Turn = Queue.next(Now)) {
+      const std::uint64_t Next = Turn->Id.value();
+      if (Turn->Verdict.What == Kind::Start) {
+        Start(Next, Now);
+        continue;
+      }
+      ++Result.Refused;
+      Result.RefusedLate += Now - Arrived[Next] > milliseconds(50) ? 1 : 0;
+    }
+    if (Ms % 25 != 0)
+      continue;
+    Arrived[++Id] = Now;
+    const auto Verdict = Queue.arrive(
+        who(Id, static_cast<std::uint32_t>(Id % 3), Now, 400, 1000, AcceptLate),
+        Now);
+    if (Verdict.What == Kind::Start)
+      Start(Id, Now);
+    else if (Verdict.What == Kind::Refuse)
+      ++Result.Refused;
+  }
+  return Result;
+}
+
+} // namespace
+
+// Guards against more requests at a target than it has slots.
+Test(slot_queue, slots_are_counted_exactly) {
+  SlotQueue Queue = warmQueue();
+  cr_assert(Queue.arrive(who(1, 0, at(0)), at(0)).What == Kind::Start);
+  cr_assert(Queue.arrive(who(2, 0, at(0)), at(0)).What == Kind::Start);
+  cr_assert(Queue.arrive(who(3, 0, at(0)), at(0)).What == Kind::Wait);
+  cr_assert(!Queue.next(at(0)).has_value());
+  Queue.finished(core::RouteName("list"), milliseconds(100));
+  cr_assert(Queue.next(at(10))->Id == core::CallId(3));
+}
+
+// Guards against a target that has announced no slots yet.
+Test(slot_queue, without_slots_a_request_is_refused) {
+  SlotQueue Queue;
+  cr_assert(Queue.arrive(who(1, 0, at(0)), at(0)).What == Kind::Refuse);
+}
+
+// Guards against a request that waits for a deadline which it cannot meet.
+Test(slot_queue, a_lost_request_is_refused_when_that_is_known) {
+  SlotQueue Queue = warmQueue();
+  // On arrival: not even half of the usual time is left.
+  cr_assert(Queue.arrive(who(1, 0, at(0), 400, 40), at(0)).What ==
+            Kind::Refuse);
+  // While it waits: the slots stay taken for longer than expected.
+  Queue.arrive(who(2, 0, at(0)), at(0));
+  Queue.arrive(who(3, 0, at(0)), at(0));
+  cr_assert(Queue.arrive(who(4, 0, at(0), 400, 400), at(0)).What == Kind::Wait);
+  const auto Turn = Queue.next(at(360));
+  cr_assert(Turn->Id == core::CallId(4));
+  cr_assert(Turn->Verdict.What == Kind::Refuse);
+}
+
+// Guards against urgent requests behind less urgent ones, and against late ones
+// that take the slots of those that can be in time.
+Test(slot_queue, requests_in_time_go_first_by_rank) {
+  SlotQueue Queue = warmQueue(1);
+  Queue.arrive(who(1, 0, at(0)), at(0));
+  Queue.arrive(who(2, 2, at(1)), at(1));
+  Queue.arrive(who(3, 1, at(2)), at(2));
+  Queue.arrive(who(4, 0, at(3), 50, 1000, true), at(3));
+  std::vector<std::uint64_t> Order;
+  for (int Ms = 10; Ms < 40; Ms += 10) {
+    Queue.finished(core::RouteName("list"), milliseconds(100));
+    Order.push_back(Queue.next(at(Ms))->Id.value());
+  }
+  cr_assert(Order == (std::vector<std::uint64_t>{3, 2, 4}));
+}
+
+// Guards against a queue that is full of requests which have missed their
+// objective: under twice the load of two slots, callers of each rank that are
+// taken get their answers in time, and the others learn at once.
+Test(slot_queue, overload_serves_in_time_what_it_takes) {
+  const Played Result = playOverload(false);
+  const std::size_t InTime =
+      Result.InTime[0] + Result.InTime[1] + Result.InTime[2];
+  // Two slots of 100 ms serve 200 requests in ten seconds.
+  cr_assert(InTime >= 190, "%zu in time", InTime);
+  cr_assert(Result.Late <= 4, "%zu late", Result.Late);
+  cr_assert(Result.InTime[0] >= 125, "rank 0: %zu of 134", Result.InTime[0]);
+  cr_assert(Result.RefusedLate <= 4, "%zu refused late", Result.RefusedLate);
+  // Taking each request regardless of its objective serves fewer in time.
+  const Played Patient = playOverload(true);
+  const std::size_t PatientInTime =
+      Patient.InTime[0] + Patient.InTime[1] + Patient.InTime[2];
+  cr_assert(InTime >= PatientInTime, "%zu against %zu", InTime, PatientInTime);
+}
--- /dev/null
+++ b/tests/platform/RequestsTest.cpp
@@ -0,0 +1,83 @@
+#include "platform/Requests.h"
+#include <criterion/criterion.h>
+
+using namespace filbertvane;
+using Kind = io::TargetAnswer::Kind;
+
+namespace {
+
+io::ResponseHead answer(int Status, io::Headers Fields) {
+  return {Status, std::move(Fields)};
+}
+
+const io::Headers Signed = {{"X-Attempt-Id", "a1"},
+                            {"X-Response-Signature", "s"}};
+
+} // namespace
+
+// Guards against an answer that belongs to another request, or that is not the
+// whole work of the target.
+Test(platform_requests, an_answer_has_to_be_the_targets_own) {
+  const platform::Requests Speak;
+  cr_assert(Speak.readAnswer(answer(200, Signed), "a1").What == Kind::Sound);
+  cr_assert(Speak.readAnswer(answer(200, Signed), "a2").What == Kind::Foreign);
+  // A success without signature, or in an encoding nobody asked for.
+  cr_assert(
+      Speak.readAnswer(answer(200, {{"X-Attempt-Id", "a1"}}), "a1").What ==
+      Kind::Foreign);
+  io::Headers Encoded = Signed;
+  Encoded.emplace("Content-Encoding", "gzip");
+  cr_assert(Speak.readAnswer(answer(200, Encoded), "a1").What == Kind::Foreign);
+  // A failure needs no signature.
+  cr_assert(
+      Speak.readAnswer(answer(500, {{"X-Attempt-Id", "a1"}}), "a1").What ==
+      Kind::Sound);
+}
+
+// Guards against a refusal that is taken for a run, and the reverse.
+Test(platform_requests, only_marked_answers_mean_not_run) {
+  const platform::Requests Speak;
+  io::Headers Refused = {{"X-Attempt-Id", "a1"}, {"X-Not-Executed", "1"}};
+  cr_assert(Speak.readAnswer(answer(503, Refused), "a1").What == Kind::NotRun);
+  cr_assert(
+      Speak.readAnswer(answer(503, {{"X-Attempt-Id", "a1"}}), "a1").What ==
+      Kind::Sound);
+  cr_assert(Speak.readAnswer(answer(421, {}), "a1").What == Kind::Misdirected);
+}
+
+// Guards against a caller that names its own service, or a deadline that stays
+// as the caller sent it.
+Test(platform_requests, the_targets_fields_are_replaced) {
+  const platform::Requests Speak;
+  io::Headers Fields = {{"x-caller-service", "forged"},
+                        {"X-Deadline-Ms", "2500"},
+                        {"X-Attempt-Id", "a1"}};
+  Speak.setTargetFields(Fields, {core::TargetId("i-1"), core::Milliseconds(700),
+                                 core::ServiceName("home")});
+  cr_assert(Fields.count("X-Caller-Service") == 1);
+  cr_assert(*io::headerOf(Fields, "X-Caller-Service") == "home");
+  cr_assert(*io::headerOf(Fields, "X-Deadline-Ms") == "700");
+  cr_assert(*io::headerOf(Fields, "X-Expected-Instance") == "i-1");
+  cr_assert(*io::headerOf(Fields, "X-Attempt-Id") == "a1");
+}
+
+// Guards against a malformed deadline that counts as none.
+Test(platform_requests, the_callers_terms_are_read) {
+  const platform::Requests Speak;
+  io::RequestHead Head;
+  Head.Fields = {{"X-Attempt-Id", "a1"}, {"X-Deadline-Ms", "800"}};
+  const auto Terms = Speak.readCaller(Head);
+  cr_assert(core::value(Terms).RequestId == "a1");
+  cr_assert(core::value(Terms).TimeLeft == core::Milliseconds(800));
+  Head.Fields.erase("X-Deadline-Ms");
+  Head.Fields.emplace("X-Deadline-Ms", "soon");
+  cr_assert(!core::ok(Speak.readCaller(Head)));
+}
+
+// Guards against callers that cannot read when to return.
+Test(platform_requests, the_time_to_return_is_in_seconds) {
+  const platform::Requests Speak;
+  const auto Fields = Speak.refusalFields(core::Milliseconds(250));
+  cr_assert(*io::headerOf(Fields, "Retry-After") == "0.250");
+  cr_assert(Speak.refusalFields({}).count("Retry-After") == 0);
+}
--- /dev/null
+++ b/tests/platform/StoreFormatTest.cpp
@@ -0,0 +1,76 @@
+#include "platform/StoreFormat.h"
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+using namespace filbertvane;
+using core::ErrorCode;
+
+namespace {
+
+std::string offsets(std::uint64_t End) {
+  std::string Bytes(16, '\0');
+  Bytes[7] = static_cast<char>(End);
+  return Bytes;
+}
+
+} // namespace
+
+// Guards against records that are taken for others, or lost.
+Test(platform_store, a_read_yields_keys_values_and_offsets) {
+  const std::string Body = offsets(9) + platform::formatKeyed("config", "abc") +
+                           platform::formatKeyed("rollout/s", "");
+  const auto Read = platform::parseRead(Body, core::LogOffset(7));
+  cr_assert(core::ok(Read));
+  const auto &Records = core::value(Read).Records;
+  cr_assert(Records.size() == 2);
+  cr_assert(Records[0].Key == "config" && Records[0].Value == "abc");
+  cr_assert(Records[0].Offset == core::LogOffset(7));
+  cr_assert(Records[1].Offset == core::LogOffset(8));
+  cr_assert(core::value(Read).Position == core::LogOffset(9));
+}
+
+// Guards against a position that moves past records which were not read.
+Test(platform_store, a_cut_answer_is_refused) {
+  const std::string Body = offsets(9) + platform::formatKeyed("config", "abc");
+  for (std::size_t Size = 0; Size < Body.size(); ++Size)
+    if (Size != 16)
+      cr_assert(!core::ok(platform::parseRead(Body.substr(0, Size),
+                                              core::LogOffset(7))),
+                "%zu bytes", Size);
+}
+
+// Guards against pages that are cut off, and against values in base64 that are
+// off by a byte.
+Test(platform_store, pages_of_newest_records_are_read) {
+  const auto Read = platform::parseNewest(
+      R"({"items":[{"key":"a","value":"YQ==","offset":4},
+                   {"key":"b","value":"YWJj","offset":6}],
+          "more":true,"end":9})");
+  cr_assert(core::ok(Read));
+  cr_assert(core::value(Read).Items[0].Value == "a");
+  cr_assert(core::value(Read).Items[1].Value == "abc");
+  cr_assert(core::value(Read).Next == "b");
+  cr_assert(core::value(Read).End == core::LogOffset(9));
+  cr_assert(!core::ok(platform::parseNewest(R"({"items":[]})")));
+  cr_assert(!core::ok(platform::parseNewest(
+      R"({"items":[{"key":"a","value":"!","offset":1}],"end":2})")));
+}
+
+// Guards against answers of the store that are handled as others.
+Test(platform_store, statuses_are_told_apart) {
+  cr_assert(platform::storeError(0, "").Code == ErrorCode::StoreUnreachable);
+  cr_assert(platform::storeError(410, "").Code == ErrorCode::StoreTrimmed);
+  cr_assert(platform::storeError(412, "").Code == ErrorCode::StoreConflict);
+  cr_assert(platform::storeError(429, "").Code == ErrorCode::StoreBusy);
+  cr_assert(platform::storeError(503, "").Code == ErrorCode::StoreBusy);
+  cr_assert(platform::storeError(403, "").Code == ErrorCode::StoreRejected);
+}
+
+// Guards against a process that ends on bytes of another writer.
+Test(platform_store, any_bytes_are_decoded_or_refused) {
+  cr_assert(rc::check([](const std::string &Bytes) {
+    platform::parseNewest(Bytes);
+    platform::parseRead(Bytes, core::LogOffset(0));
+    platform::parseRead(offsets(1) + Bytes, core::LogOffset(0));
+  }));
+}
--- /dev/null
+++ b/tests/wire/HostReportCodecTest.cpp
@@ -0,0 +1,47 @@
+#include "filbertvane/wire/HostReportCodec.h"
+#include "../mesh/MeshBench.h"
+#include <rapidcheck.h>
+
+using namespace meshbench;
+
+// Guards against fields that are lost between nodes.
+Test(host_report_codec, a_report_survives_the_way) {
+  HostReport Report = report("n1", 9);
+  Report.Leaving = true;
+  Report.Position = core::LogOffset(77);
+  Report.Target->FaultPermille = 12;
+  Report.Target->Tallies = {
+      {core::RouteName("list"), 10, 2, milliseconds(900)}};
+  Report.Moves = {{core::ServiceName("shop"), core::TargetVersion("v2"),
+                   core::LogOffset(5), MovePhase::Condemned,
+                   milliseconds(1200)}};
+  const auto Read = wire::decodeHostReport(wire::encode(Report));
+  cr_assert(core::ok(Read));
+  cr_assert(core::value(Read) == Report);
+  Report.Target.reset();
+  cr_assert(core::value(wire::decodeHostReport(wire::encode(Report))) ==
+            Report);
+}
+
+// Guards against operators' records that differ between nodes.
+Test(host_report_codec, records_survive_the_way) {
+  const io::mesh::OperatorRecords Records{
+      core::LogOffset(9),
+      {{"config", core::LogOffset(4), std::string("\0x", 2)}}};
+  cr_assert(core::value(wire::decodeOperatorRecords(wire::encode(Records))) ==
+            Records);
+}
+
+// Guards against a process that ends on a datagram of another writer.
+Test(host_report_codec, any_bytes_are_decoded_or_refused) {
+  cr_assert(rc::check([](const std::string &Bytes) {
+    wire::decodeHostReport(Bytes);
+    wire::decodeOperatorRecords(Bytes);
+  }));
+  cr_assert(rc::check([] {
+    std::string Bytes = wire::encode(report("n1"));
+    Bytes[*rc::gen::inRange<std::size_t>(0, Bytes.size())] =
+        *rc::gen::arbitrary<char>();
+    wire::decodeHostReport(Bytes);
+  }));
+}
