Let two nodes of a data centre follow the store, and hand records on compressed

Ruled out: one reader (a cut or a store that turns machines away would break the time within which a configuration is in force); a full tree (at 18 hosts nearly all read anyway).

Change: the two first nodes of a data centre by rank follow the store; new records are told at once to the data centre and to two hosts of each other one, and fetched, compressed, from a random nearest host that has them. Closes are looked at before a request is taken.

--- a/gen/filbertvane_types.cpp
+++ b/gen/filbertvane_types.cpp
@@ -8905,6 +8905,10 @@
 void HostReport::__set_moves(const std::vector<MoveReport> & val) {
   this->moves = val;
 }
+
+void HostReport::__set_storeReachable(const bool val) {
+  this->storeReachable = val;
+}
 std::ostream& operator<<(std::ostream& out, const HostReport& obj)
 {
   obj.printTo(out);
@@ -9025,6 +9029,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->storeReachable);
+          this->__isset.storeReachable = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -9091,6 +9103,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("storeReachable", ::apache::thrift::protocol::T_BOOL, 11);
+  xfer += oprot->writeBool(this->storeReachable);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -9108,6 +9124,7 @@
   swap(a.target, b.target);
   swap(a.position, b.position);
   swap(a.moves, b.moves);
+  swap(a.storeReachable, b.storeReachable);
   swap(a.__isset, b.__isset);
 }
 
@@ -9122,6 +9139,7 @@
   target = other277.target;
   position = other277.position;
   moves = other277.moves;
+  storeReachable = other277.storeReachable;
   __isset = other277.__isset;
 }
 HostReport& HostReport::operator=(const HostReport& other278) {
@@ -9135,6 +9153,7 @@
   target = other278.target;
   position = other278.position;
   moves = other278.moves;
+  storeReachable = other278.storeReachable;
   __isset = other278.__isset;
   return *this;
 }
@@ -9151,6 +9170,7 @@
   out << ", " << "target="; (__isset.target ? (out << to_string(target)) : (out << "<null>"));
   out << ", " << "position=" << to_string(position);
   out << ", " << "moves=" << to_string(moves);
+  out << ", " << "storeReachable=" << to_string(storeReachable);
   out << ")";
 }
 
--- a/gen/filbertvane_types.h
+++ b/gen/filbertvane_types.h
@@ -3570,7 +3570,7 @@
 std::ostream& operator<<(std::ostream& out, const MoveReport& obj);
 
 typedef struct _HostReport__isset {
-  _HostReport__isset() : node(false), start(false), sequence(false), address(false), dataCentre(false), region(false), leaving(false), target(false), position(false), moves(false) {}
+  _HostReport__isset() : node(false), start(false), sequence(false), address(false), dataCentre(false), region(false), leaving(false), target(false), position(false), moves(false), storeReachable(false) {}
   bool node :1;
   bool start :1;
   bool sequence :1;
@@ -3581,6 +3581,7 @@
   bool target :1;
   bool position :1;
   bool moves :1;
+  bool storeReachable :1;
 } _HostReport__isset;
 
 class HostReport : public virtual ::apache::thrift::TBase {
@@ -3596,7 +3597,8 @@
                dataCentre(),
                region(),
                leaving(0),
-               position(0) {
+               position(0),
+               storeReachable(0) {
   }
 
   virtual ~HostReport() noexcept;
@@ -3610,6 +3612,7 @@
   TargetReport target;
   int64_t position;
   std::vector<MoveReport>  moves;
+  bool storeReachable;
 
   _HostReport__isset __isset;
 
@@ -3633,6 +3636,8 @@
 
   void __set_moves(const std::vector<MoveReport> & val);
 
+  void __set_storeReachable(const bool val);
+
   bool operator == (const HostReport & rhs) const
   {
     if (!(node == rhs.node))
@@ -3657,6 +3662,8 @@
       return false;
     if (!(moves == rhs.moves))
       return false;
+    if (!(storeReachable == rhs.storeReachable))
+      return false;
     return true;
   }
   bool operator != (const HostReport &rhs) const {
--- a/include/filbertvane/decision/mesh/Events.h
+++ b/include/filbertvane/decision/mesh/Events.h
@@ -98,6 +98,11 @@
   /// IP address.
   std::string From;
 };
+/// @brief Follow the operators' records in the store, or leave that to other
+///        nodes of the data centre.
+struct FollowStore {
+  bool Follow = true;
+};
 /// @brief The node can, or can no longer, take requests of callers.
 struct ReadinessChanged {
   bool Ready = false;
@@ -105,7 +110,7 @@
 
 using Effect = std::variant<request::StartAttempt, request::DeliverAnswer,
                             request::CancelAttempt, request::Refuse, SendReport,
-                            PublishReport, WriteMove, FetchRecords,
+                            PublishReport, WriteMove, FetchRecords, FollowStore,
                             ReadinessChanged, observe::LogEvent>;
 using Effects = std::vector<Effect>;
 /// @}
--- a/include/filbertvane/decision/mesh/HostReport.h
+++ b/include/filbertvane/decision/mesh/HostReport.h
@@ -81,6 +81,8 @@
   std::optional<TargetReport> Target;
   /// Operators' records that the node has read.
   core::LogOffset Position;
+  /// The store answers the node.
+  bool StoreReachable = false;
   std::vector<MoveReport> Moves;
 
   friend auto operator<=>(const HostReport &, const HostReport &) = default;
--- a/include/filbertvane/decision/mesh/State.h
+++ b/include/filbertvane/decision/mesh/State.h
@@ -114,6 +114,8 @@
   core::TimePoint TakesAllUntil;
   bool Ready = false;
   bool StoreReachable = false;
+  /// The node follows the store itself.
+  bool Follows = true;
 
   std::shared_ptr<const config::RoutingTable> Routing;
   core::LogOffset Position;
--- a/include/filbertvane/wire/HostReportCodec.h
+++ b/include/filbertvane/wire/HostReportCodec.h
@@ -20,7 +20,7 @@
 decodeHostReport(std::string_view Bytes);
 /// @}
 
-/// @name Operators' records between nodes (Thrift compact protocol)
+/// @name Operators' records between nodes (Thrift compact protocol, zlib)
 /// @{
 std::string encode(const io::mesh::OperatorRecords &Records);
 /// @return the records, `WireMalformed` or `WireTooLarge`
--- a/lib/decision/mesh/ReduceHosts.cpp
+++ b/lib/decision/mesh/ReduceHosts.cpp
@@ -10,6 +10,10 @@
 /// Time that the own connection to the store has for records that another node
 /// already holds; the store's answers to both leave it together.
 constexpr core::Milliseconds FetchAfter{300};
+/// The same where a node of the data centre holds the records and this one does
+/// not follow the store; it gathers changes in quick succession.
+constexpr core::Milliseconds NearFetchAfter{20};
+constexpr const char *FollowDuty = "follow-store";
 /// Time for which a stopping node takes requests of any deadline. Callers know
 /// by then; one that still comes is taken only if it ends before the process.
 constexpr core::Milliseconds TakeAllAfterStop{2500};
@@ -63,6 +67,7 @@
     return;
   State.Position = What.Position;
   checkPosition();
+  tellPosition();
 }
 
 void Reduction::operator()(const StoreChanged &What) {
@@ -74,6 +79,9 @@
       fmt::format("position={}", State.Position.value()));
   if (What.Reachable)
     Out.emplace_back(PublishReport{ownReport(State, Now)});
+  // Where the store turns this node away, another one has to follow it.
+  if (!What.Reachable)
+    reportToAll();
 }
 
 void Reduction::operator()(const ServiceAssigned &What) {
@@ -131,26 +139,73 @@
 /// The own connection to the store usually brings records first. Where it does
 /// not, for a cut or a silent connection, another node has them.
 void Reduction::checkPosition() {
-  const KnownHost *Ahead = nullptr;
+  std::vector<const KnownHost *> Nearest;
   for (const auto &[Node, Host] : State.Hosts.hosts()) {
     if (Host.Report.Position <= State.Position ||
         State.Hosts.doubtful(Host, Now))
       continue;
-    if (Ahead == nullptr || Host.Away < Ahead->Away)
-      Ahead = &Host;
+    if (!Nearest.empty() && Host.Away < Nearest.front()->Away)
+      Nearest.clear();
+    if (Nearest.empty() || Host.Away == Nearest.front()->Away)
+      Nearest.push_back(&Host);
   }
-  if (Ahead == nullptr) {
+  if (Nearest.empty()) {
     State.BehindSince.reset();
     return;
   }
   if (!State.BehindSince)
     State.BehindSince = Now;
-  if (Now - *State.BehindSince < FetchAfter)
+  // Each host that has the records hands them on, so that no link carries them
+  // for the whole data centre.
+  const KnownHost *Ahead = Nearest[State.Source.below(Nearest.size())];
+  const bool Near = Ahead->Away == Distance::DataCentre && !State.Follows;
+  if (Now - *State.BehindSince < (Near ? NearFetchAfter : FetchAfter))
     return;
   State.BehindSince = Now;
   Out.emplace_back(FetchRecords{Ahead->Report.Address});
 }
 
+/// New records are told at once to the own data centre and to some hosts of
+/// each other one.
+void Reduction::tellPosition() {
+  std::vector<std::string> Told;
+  std::map<core::DataCentreId, std::vector<std::string>> Others;
+  for (const auto &[Node, Host] : State.Hosts.hosts()) {
+    if (Host.Report.Position >= State.Position)
+      continue;
+    if (Host.Away == Distance::DataCentre)
+      Told.push_back(Host.Report.Address);
+    else if (State.Follows)
+      Others[Host.Report.DataCentre].push_back(Host.Report.Address);
+  }
+  for (const auto &[Centre, Addresses] : Others) {
+    const std::size_t First = State.Source.below(Addresses.size());
+    const std::size_t Count = std::min(ToldPerDataCentre, Addresses.size());
+    for (std::size_t I = 0; I < Count; ++I)
+      Told.push_back(Addresses[(First + I) % Addresses.size()]);
+  }
+  reportTo(std::move(Told));
+}
+
+/// The first nodes of the data centre by rank follow the store. A node that the
+/// store does not answer keeps trying, but does not count as a follower.
+void Reduction::checkReading() {
+  const std::uint64_t Own =
+      core::rendezvousScore(FollowDuty, State.Own.Node.value());
+  std::size_t Before = 0;
+  for (const auto &[Node, Host] : State.Hosts.hosts())
+    if (Host.Away == Distance::DataCentre && Host.Report.StoreReachable &&
+        !Host.Report.Leaving && !State.Hosts.doubtful(Host, Now) &&
+        core::rendezvousScore(FollowDuty, Node.value()) > Own)
+      ++Before;
+  const bool Follow = Before < FollowersPerDataCentre || !State.Routing ||
+                      !State.StoreReachable;
+  if (Follow == State.Follows)
+    return;
+  State.Follows = Follow;
+  Out.emplace_back(FollowStore{Follow});
+}
+
 std::size_t Reduction::rankFor(const std::string &Duty) const {
   const std::uint64_t Own = core::rendezvousScore(Duty, State.Own.Node.value());
   std::size_t Rank = 0;
--- a/lib/decision/mesh/Reducer.cpp
+++ b/lib/decision/mesh/Reducer.cpp
@@ -47,6 +47,7 @@
   Report.Leaving = State.Draining;
   Report.Target = ownTargetReport(State);
   Report.Position = State.Position;
+  Report.StoreReachable = State.StoreReachable;
   Report.Moves = State.Moves.reports(Now);
   return Report;
 }
@@ -70,6 +71,7 @@
   State.Hosts.forgetSilent(Now);
   reviewMoves();
   checkPosition();
+  checkReading();
   reportInTurn();
 }
 
--- a/lib/decision/mesh/Reduction.h
+++ b/lib/decision/mesh/Reduction.h
@@ -94,6 +94,8 @@
   void reportToAll();
   void reportInTurn();
   void checkPosition();
+  void checkReading();
+  void tellPosition();
   void checkReady();
   void reviewMoves();
   void reviewMove(const TrackedMove &Move);
--- a/lib/io/HttpServer.cpp
+++ b/lib/io/HttpServer.cpp
@@ -244,6 +244,9 @@
   const MHD_ConnectionInfo *Info =
       MHD_get_connection_info(Connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
   auto *Socket = static_cast<CallerSocket *>(Info->socket_context);
+  // After a pause of the process, a request and the close that followed it can
+  // be waiting together.
+  takeHangups();
   if (Socket->Closing)
     return MHD_NO;
   Socket->Current = &Exchange;
--- a/lib/io/mesh/MeshProcess.cpp
+++ b/lib/io/mesh/MeshProcess.cpp
@@ -135,8 +135,7 @@
        }},
       {Records, fmt::format("{}:{}", Place.Address, Place.InternalPort),
        [this](const RequestHead &, const std::string &) {
-         return SmallAnswer{200, wire::encode(Follower->known()),
-                            "application/octet-stream"};
+         return SmallAnswer{200, encodedRecords(), "application/octet-stream"};
        }},
       {MetricsPort, Place.Metrics,
        [this](const RequestHead &, const std::string &) {
@@ -164,7 +163,7 @@
   };
   Calls.OnReachable = [this](bool Reachable) {
     handle(decide::StoreChanged{Reachable});
-    if (Reachable)
+    if (Reachable && !MovesRead)
       readMoves();
   };
   Calls.OnFault = [this](const core::Error &Why) {
@@ -261,6 +260,10 @@
              });
 }
 
+void Process::carryOut(const decide::FollowStore &What) {
+  Follower->follow(What.Follow);
+}
+
 void Process::carryOut(const decide::ReadinessChanged &What) {
   Ready = What.Ready;
 }
@@ -319,6 +322,15 @@
   handle(Move);
 }
 
+const std::string &Process::encodedRecords() {
+  const OperatorRecords Known = Follower->known();
+  if (EncodedRecords.empty() || EncodedPosition != Known.Position) {
+    EncodedRecords = wire::encode(Known);
+    EncodedPosition = Known.Position;
+  }
+  return EncodedRecords;
+}
+
 void Process::readHosts() {
   HostsReadAt = Loop.now().Mono;
   Store.readHosts([this](const auto &Read) { hostsRead(Read); });
@@ -343,6 +355,7 @@
   Store.readMoves([this](const auto &Read) {
     if (!core::ok(Read))
       return;
+    MovesRead = true;
     for (const decide::MoveEndKnown &End : core::value(Read))
       handle(End);
   });
--- a/lib/io/mesh/MeshProcessImpl.h
+++ b/lib/io/mesh/MeshProcessImpl.h
@@ -46,6 +46,7 @@
   void carryOut(const decide::PublishReport &What);
   void carryOut(const decide::WriteMove &What);
   void carryOut(const decide::FetchRecords &What);
+  void carryOut(const decide::FollowStore &What);
   void carryOut(const decide::ReadinessChanged &What);
   void carryOut(const observe::LogEvent &What);
   /// @}
@@ -55,6 +56,7 @@
   SmallAnswer announced(const RequestHead &Head, const std::string &Body);
   void takeReport(std::string_view Datagram);
   void takeRecord(const OperatorRecord &Record, bool History);
+  const std::string &encodedRecords();
   void readHosts();
   void hostsRead(const core::Result<std::vector<std::string>> &Read);
   void readMoves();
@@ -84,6 +86,10 @@
   bool Ready = false;
   bool HostPublished = false;
   bool FetchUnderWay = false;
+  /// Records as other nodes get them, encoded once for each position.
+  std::string EncodedRecords;
+  core::LogOffset EncodedPosition;
+  bool MovesRead = false;
   std::optional<decide::StopSchedule> Stop;
 };
 
--- a/lib/io/mesh/StoreFollower.cpp
+++ b/lib/io/mesh/StoreFollower.cpp
@@ -30,7 +30,23 @@
   later(core::Milliseconds(Source.below(StartSpreadMs)));
 }
 
+void StoreFollower::follow(bool Now) {
+  if (Following == Now)
+    return;
+  Following = Now;
+  if (Now) {
+    later(core::Microseconds(0));
+    return;
+  }
+  Next.cancel();
+  if (Reading)
+    Store.abandonRead();
+  Reading = false;
+}
+
 void StoreFollower::later(core::Microseconds After) {
+  if (!Following)
+    return;
   Next.arm(Loop.now().Mono + After);
 }
 
--- a/lib/io/mesh/StoreFollower.h
+++ b/lib/io/mesh/StoreFollower.h
@@ -27,6 +27,8 @@
                 Callbacks Calls);
 
   void start();
+  /// @brief Follows the store, or leaves that to other nodes.
+  void follow(bool Now);
   /// @brief Takes records that another node read.
   void adopt(const OperatorRecords &What);
   /// @brief All records known, for another node.
@@ -48,6 +50,7 @@
   Timer Next;
   bool HasBase = false;
   bool Reading = false;
+  bool Following = true;
   std::optional<bool> Reachable;
   int Failures = 0;
   core::LogOffset Position;
--- a/lib/wire/HostReportCodec.cpp
+++ b/lib/wire/HostReportCodec.cpp
@@ -1,6 +1,7 @@
 #include "filbertvane/wire/HostReportCodec.h"
 #include "CompactBuffer.h"
 #include "filbertvane_types.h"
+#include <zlib.h>
 
 namespace filbertvane::wire {
 
@@ -43,6 +44,43 @@
   return Out;
 }
 
+/// Bytes of the length before compressed bytes.
+constexpr std::size_t SizeBytes = 4;
+
+/// A configuration of some hundred routes shrinks to about a sixth; it goes to
+/// all hosts of a data centre over links of 10 Mbit/s.
+std::string compressed(const std::string &Plain) {
+  uLongf Size = compressBound(Plain.size());
+  std::string Out(SizeBytes + Size, '\0');
+  for (std::size_t I = 0; I < SizeBytes; ++I)
+    Out[I] = static_cast<char>((Plain.size() >> (8 * I)) & 0xff);
+  compress2(reinterpret_cast<Bytef *>(Out.data() + SizeBytes), &Size,
+            reinterpret_cast<const Bytef *>(Plain.data()), Plain.size(),
+            Z_BEST_SPEED);
+  Out.resize(SizeBytes + Size);
+  return Out;
+}
+
+core::Result<std::string> uncompressed(std::string_view Bytes) {
+  if (Bytes.size() < SizeBytes)
+    return core::Error{core::ErrorCode::WireMalformed, "no length"};
+  std::size_t Stated = 0;
+  for (std::size_t I = 0; I < SizeBytes; ++I)
+    Stated |= static_cast<std::size_t>(static_cast<unsigned char>(Bytes[I]))
+              << (8 * I);
+  if (Stated > MaxRecordsBytes)
+    return core::Error{core::ErrorCode::WireTooLarge, "records"};
+  std::string Out(Stated, '\0');
+  uLongf Size = Stated;
+  const int Done =
+      ::uncompress(reinterpret_cast<Bytef *>(Out.data()), &Size,
+                   reinterpret_cast<const Bytef *>(Bytes.data() + SizeBytes),
+                   Bytes.size() - SizeBytes);
+  if (Done != Z_OK || Size != Stated)
+    return core::Error{core::ErrorCode::WireMalformed, "compressed bytes"};
+  return Out;
+}
+
 std::uint64_t count(std::int64_t Number) {
   return static_cast<std::uint64_t>(std::max<std::int64_t>(Number, 0));
 }
@@ -94,6 +132,7 @@
   if (Report.Target)
     Out.__set_target(toThrift(*Report.Target));
   Out.position = static_cast<std::int64_t>(Report.Position.value());
+  Out.storeReachable = Report.StoreReachable;
   for (const mesh::MoveReport &Move : Report.Moves)
     Out.moves.push_back(toThrift(Move));
   return toCompact(Out);
@@ -117,6 +156,7 @@
   if (In.__isset.target)
     Report.Target = fromThrift(In.target);
   Report.Position = core::LogOffset(count(In.position));
+  Report.StoreReachable = In.storeReachable;
   for (const gen::MoveReport &Move : In.moves)
     Report.Moves.push_back({core::ServiceName(Move.serviceName),
                             core::TargetVersion(Move.toVersion),
@@ -136,13 +176,16 @@
     Record.value = Each.Value;
     Out.records.push_back(std::move(Record));
   }
-  return toCompact(Out);
+  return compressed(toCompact(Out));
 }
 
 core::Result<io::mesh::OperatorRecords>
 decodeOperatorRecords(std::string_view Bytes) {
+  const auto Plain = uncompressed(Bytes);
+  if (!core::ok(Plain))
+    return core::failure(Plain);
   const auto Decoded =
-      fromCompact<gen::OperatorRecords>(Bytes, MaxRecordsBytes);
+      fromCompact<gen::OperatorRecords>(core::value(Plain), MaxRecordsBytes);
   if (!core::ok(Decoded))
     return core::failure(Decoded);
   io::mesh::OperatorRecords Out;
--- /dev/null
+++ b/tests/mesh/RecordsTest.cpp
@@ -0,0 +1,97 @@
+#include "MeshBench.h"
+#include "filbertvane/core/Digest.h"
+#include <algorithm>
+
+using namespace meshbench;
+
+namespace {
+
+HostReport follower(const std::string &Node, std::uint64_t Sequence = 1,
+                    bool Reachable = true) {
+  HostReport Made = report(Node, Sequence);
+  Made.StoreReachable = Reachable;
+  return Made;
+}
+
+/// Hosts of the own data centre that rank before the node of the bench.
+std::vector<std::string> rankedBefore(std::size_t Count) {
+  const auto Own = core::rendezvousScore("follow-store", "n0");
+  std::vector<std::string> Found;
+  for (int I = 100; Found.size() < Count; ++I) {
+    const std::string Name = "n" + std::to_string(I);
+    if (core::rendezvousScore("follow-store", Name) > Own)
+      Found.push_back(Name);
+  }
+  return Found;
+}
+
+} // namespace
+
+// Guards against a store that each node of a large data centre reads, and
+// against a data centre that nobody reads for.
+Test(mesh_records, two_nodes_of_a_data_centre_follow_the_store) {
+  Bench Node;
+  Node.configure();
+  Node.send(StoreChanged{true});
+  const auto Before = rankedBefore(2);
+  Node.send(ReportHeard{follower(Before[0])});
+  Node.send(request::Tick{});
+  cr_assert(!Node.first<FollowStore>(), "one other follower is not enough");
+  Node.send(ReportHeard{follower(Before[1])});
+  Node.send(request::Tick{});
+  cr_assert(Node.first<FollowStore>() && !Node.first<FollowStore>()->Follow);
+  // When the store turns one of them away, this node follows again.
+  {
+    Node.send(ReportHeard{follower(Before[1], 2, false)});
+    Node.send(request::Tick{});
+    cr_assert(Node.first<FollowStore>()->Follow);
+  }
+  // When one of them falls silent, too.
+  {
+    Node.send(ReportHeard{follower(Before[1], 3)});
+    Node.send(request::Tick{});
+    cr_assert(!Node.first<FollowStore>()->Follow);
+    Node.Now += milliseconds(1400);
+    Node.send(ReportHeard{follower(Before[0], 2)});
+    Node.Now += milliseconds(200);
+    Node.send(request::Tick{});
+    cr_assert(Node.first<FollowStore>()->Follow);
+  }
+}
+
+// Guards against a node that misses a configuration because it does not read
+// the store itself, or because its connection to the store is silent.
+Test(mesh_records, a_node_behind_asks_the_nearest_host_that_is_ahead) {
+  Bench Node;
+  Node.configure();
+  Node.send(StoreChanged{true});
+  for (const std::string &Name : rankedBefore(2))
+    Node.send(ReportHeard{follower(Name)});
+  Node.send(request::Tick{});
+  HostReport Ahead = follower(rankedBefore(1)[0], 2);
+  Ahead.Position = core::LogOffset(9);
+  Ahead.Address = "10.0.0.77";
+  Node.send(ReportHeard{Ahead});
+  Node.send(request::Tick{});
+  Node.Now += milliseconds(30);
+  Node.send(request::Tick{});
+  cr_assert(Node.first<FetchRecords>()->From == "10.0.0.77");
+  // Once it has them, it tells those that have not.
+  Node.send(PositionReached{core::LogOffset(9)});
+  cr_assert(Node.first<SendReport>()->What.Position == core::LogOffset(9));
+  Node.Now += milliseconds(1000);
+  Node.send(request::Tick{});
+  cr_assert(!Node.first<FetchRecords>());
+}
+
+// Guards against a data centre whose followers the store turned away and that
+// hears of new records only with the next far report.
+Test(mesh_records, other_data_centres_are_told_of_new_records_at_once) {
+  Bench Node;
+  Node.configure();
+  Node.send(StoreChanged{true});
+  for (int I = 1; I <= 4; ++I)
+    Node.send(ReportHeard{report("f" + std::to_string(I), 1, "dc2", "r2")});
+  Node.send(PositionReached{core::LogOffset(3)});
+  cr_assert(Node.first<SendReport>()->To.size() == 2);
+}
--- a/tests/wire/HostReportCodecTest.cpp
+++ b/tests/wire/HostReportCodecTest.cpp
@@ -8,6 +8,7 @@
 Test(host_report_codec, a_report_survives_the_way) {
   HostReport Report = report("n1", 9);
   Report.Leaving = true;
+  Report.StoreReachable = true;
   Report.Position = core::LogOffset(77);
   Report.Target->FaultPermille = 12;
   Report.Target->Tallies = {
