--- a/Makefile
+++ b/Makefile
@@ -13,6 +13,7 @@
 	@RC_PARAMS="$(RC_PARAMS)" scripts/run-tests $(BUILD)
 
 demo: build
+	@scripts/platform-demo $(BUILD)
 	@scripts/demo $(BUILD)
 
 measure: build
