--- a/scripts/platform_hosts.py
+++ b/scripts/platform_hosts.py
@@ -14,12 +14,12 @@
 
 def settings(number, store):
     ip = f"127.0.{1 + number // 200}.{1 + number % 200}"
-    zone = list(ZONES)[number % len(ZONES)]
+    zone = list(ZONES)[number // len(SERVICES) % len(ZONES)]
     return "\n".join([
         f"node_id=side-{zone}-{number}", f"zone={zone}", f"region={ZONES[zone]}", f"ip={ip}",
         f"listen.outbound={ip}:8304", f"listen.inbound={ip}:8300", f"listen.ready={ip}:8302",
         f"listen.control={ip}:8306", "internal_ports=7620,7635", f"app_addr={ip}:8301",
-        f"service={SERVICES[number // len(ZONES) % len(SERVICES)]}",
+        f"service={SERVICES[number % len(SERVICES)]}",
         "bounds.retry_budget_ratio=0.2", "bounds.budget_slack=64", "bounds.budget_window=10s",
         "bounds.grace=6s", "limits.max_fds=4100", f"platform.address={store}", ""])
 
--- /dev/null
+++ b/tests/platform/EndToEndTest.cpp
@@ -0,0 +1,76 @@
+#include "PlatformFleet.h"
+
+using namespace platformfleet;
+
+// Guards against a path that works in parts only: a request of a caller on one
+// host is run by the target on another one and answered.
+Test(platform_path, a_request_finds_its_target_on_another_host) {
+  Fleet All({"home", "shop"});
+  All.publish(1);
+  All.untilServed(1, "/list/a");
+  const Got Answer = All.ask(1, "/book/b", "q1");
+  cr_assert(Answer.Status == 200 && Answer.Body == "ok");
+  cr_assert(All.instance(2).runs("q1") == 1);
+  // The target learns on whose host the request began, whatever was sent.
+  cr_assert(All.instance(2).lastCaller() == "home");
+  // A path that no route has is not found, and reaches nobody.
+  cr_assert(All.ask(1, "/nothing/", "q2").Status == 404);
+  cr_assert(All.instance(2).runs("q2") == 0);
+}
+
+// Guards against a booking that runs twice after its answer was lost, and
+// against a refusal that says it did not run.
+Test(platform_path, a_lost_answer_is_never_repeated_for_a_booking) {
+  Fleet All({"home", "shop", "shop"});
+  All.publish(1);
+  All.untilServed(1, "/list/a");
+  All.instance(2).loseAnswers(true);
+  All.instance(3).loseAnswers(true);
+  const Got Answer = All.ask(1, "/book/b", "q1");
+  cr_assert(Answer.Status == 502, "%d", Answer.Status);
+  cr_assert(All.instance(2).runs("q1") + All.instance(3).runs("q1") == 1);
+  // A read is run by the other target.
+  All.instance(3).loseAnswers(false);
+  for (int I = 0; I < 8; ++I)
+    cr_assert(All.ask(1, "/list/a", fmt::format("r{}", I)).Status == 200);
+}
+
+// Guards against work for a target after its leaving was acknowledged.
+Test(platform_path, a_leaving_target_gets_nothing_more) {
+  Fleet All({"home", "shop", "shop"});
+  All.publish(1);
+  All.untilServed(1, "/list/a");
+  All.instance(2).deregister();
+  All.until("the acknowledgement",
+            [&] { return All.instance(2).acknowledged(); });
+  All.untilServed(1, "/list/a");
+  const std::size_t Before = All.instance(2).runsInAll();
+  for (int I = 0; I < 10; ++I)
+    cr_assert(All.ask(1, "/list/a", fmt::format("q{}", I)).Status == 200);
+  cr_assert(All.instance(2).runsInAll() == Before);
+}
+
+// Guards against service that depends on the store, and against a
+// configuration that is missed while it was away or forgot its history.
+Test(platform_path, service_goes_on_while_the_store_is_away) {
+  Fleet All({"home", "shop"});
+  All.publish(1);
+  All.untilServed(1, "/list/a");
+  All.Store.setMode(tools::StoreMode::Busy);
+  for (int I = 0; I < 5; ++I)
+    cr_assert(All.ask(1, "/list/a", fmt::format("q{}", I)).Status == 200);
+  // The operator moves the routes to another service meanwhile.
+  All.publish(2, "home");
+  All.Store.forgetHistory();
+  All.Store.setMode(tools::StoreMode::Sound);
+  int Try = 0;
+  while (All.instance(1).runsInAll() == 0) {
+    All.ask(1, "/list/a", fmt::format("s{}", Try));
+    cr_assert(++Try < 500, "the new configuration is not in force");
+  }
+  // The former one does not come back.
+  const std::size_t Before = All.instance(2).runsInAll();
+  for (int I = 0; I < 10; ++I)
+    All.ask(1, "/list/a", fmt::format("t{}", I));
+  cr_assert(All.instance(2).runsInAll() == Before);
+}
--- a/tools/fv-platform/InstanceStandIn.cpp
+++ b/tools/fv-platform/InstanceStandIn.cpp
@@ -1,4 +1,6 @@
 #include "InstanceStandIn.h"
+#include <cstdio>
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 namespace filbertvane::tools {
@@ -51,7 +53,8 @@
   Beat.arm(Loop.now().Mono);
 }
 
-InstanceStandIn::~InstanceStandIn() = default;
+// Ending exchanges still use the other members.
+InstanceStandIn::~InstanceStandIn() { Server.reset(); }
 
 std::size_t InstanceStandIn::runs(const std::string &RequestId) const {
   const auto Found = Runs.find(RequestId);
@@ -71,6 +74,10 @@
   ++InAll;
   if (Runs.size() < MostRuns)
     ++Runs[Who.field("X-Attempt-Id")];
+  if (Terms.PrintsRuns) {
+    fmt::print("run {}\n", Who.field("X-Attempt-Id"));
+    std::fflush(stdout);
+  }
   Who.Runs = true;
   Who.Done.arm(Loop.now().Mono + Terms.Work);
 }
--- a/tools/fv-platform/InstanceStandIn.h
+++ b/tools/fv-platform/InstanceStandIn.h
@@ -21,6 +21,8 @@
   core::Milliseconds Work{20};
   core::Milliseconds BeatPeriod{1500};
   std::uint64_t Born = 1;
+  /// Print a line `run ID` for each request that is run.
+  bool PrintsRuns = false;
 };
 
 /// @brief Stand-in of an application instance of the platform.
--- a/tools/fv-platform/Main.cpp
+++ b/tools/fv-platform/Main.cpp
@@ -21,6 +21,7 @@
   std::string Version;
   unsigned Slots = 4;
   int WorkMs = 20;
+  bool PrintsRuns = false;
 };
 
 Words parse(int Count, char *Values[]) {
@@ -45,10 +46,12 @@
                            Line);
   ValueArg<int> WorkMs("", "work-ms", "time of a request", false, 20, "MS",
                        Line);
+  TCLAP::SwitchArg Runs("", "print-runs", "print the id of each request run",
+                        Line);
   Line.parse(Count, Values);
-  return {Role.getValue(),  Store.getValue(), Settings.getValue(),
-          Key.getValue(),   File.getValue(),  Version.getValue(),
-          Slots.getValue(), WorkMs.getValue()};
+  return {Role.getValue(),  Store.getValue(),  Settings.getValue(),
+          Key.getValue(),   File.getValue(),   Version.getValue(),
+          Slots.getValue(), WorkMs.getValue(), Runs.getValue()};
 }
 
 int runStore(io::EventLoop &Loop, const Words &Given) {
@@ -80,6 +83,7 @@
   Terms.Control = Place.Control;
   Terms.Slots = Given.Slots;
   Terms.Work = core::Milliseconds(Given.WorkMs);
+  Terms.PrintsRuns = Given.PrintsRuns;
   Terms.Born =
       static_cast<std::uint64_t>(Loop.now().Wall.time_since_epoch().count());
   const tools::InstanceStandIn Instance(Loop, *Http, Terms);
--- a/tools/fv-platform/StoreStandIn.cpp
+++ b/tools/fv-platform/StoreStandIn.cpp
@@ -99,7 +99,8 @@
   Tick.arm(Loop.now().Mono + TickPeriod);
 }
 
-StoreStandIn::~StoreStandIn() = default;
+// Ending exchanges still use the other members.
+StoreStandIn::~StoreStandIn() { Server.reset(); }
 
 void StoreStandIn::setMode(StoreMode Next) { Mode = Next; }
 
