--- a/tools/fv-platform/Main.cpp
+++ b/tools/fv-platform/Main.cpp
@@ -2,6 +2,7 @@
 #include "StoreStandIn.h"
 #include "filbertvane/config/TextFile.h"
 #include "platform/SettingsFile.h"
+#include "platform/StoreFormat.h"
 #include <fmt/format.h>
 #include <tclap/CmdLine.h>
 
@@ -93,16 +94,6 @@
   return 0;
 }
 
-/// Body of an append of one record to a keyed topic.
-std::string keyedRecord(const std::string &Key, const std::string &Value) {
-  const std::size_t Size = 1 + Key.size() + Value.size();
-  std::string Out;
-  for (int Shift = 24; Shift >= 0; Shift -= 8)
-    Out.push_back(static_cast<char>((Size >> Shift) & 0xff));
-  Out.push_back(static_cast<char>(Key.size()));
-  return Out + Key + Value;
-}
-
 int put(io::EventLoop &Loop, const Words &Given) {
   const auto Text =
       config::readTextFile(Given.File, core::ErrorCode::SettingsUnreadable);
@@ -114,7 +105,8 @@
   What.Url = "http://" + Given.Store + "/v1/log-append?topic=keyed.op&part=0";
   What.Deadline = Loop.now().Mono + core::Seconds(5);
   int Result = Refused;
-  Http->fetch(std::move(What), keyedRecord(Given.Key, core::value(Text)),
+  Http->fetch(std::move(What),
+              platform::formatKeyed(Given.Key, core::value(Text)),
               [&](io::ClientEnd, int Status, const std::string &Answer) {
                 fmt::print("{} {}\n", Status, Answer);
                 Result = Status == 200 ? 0 : Refused;
