Keep a leaving target out after a restart of its node, and tell failed store calls

Cause: an acknowledged leaving was state of one process. Failed reads of hosts and moves, and failed fetches from a node, were dropped without a line.

Ruled out: a flag of the target alone does not outlive the process; a topic of its own costs a second read at each start.

Change: the report of a host names the life of its target that left; it is published when the target leaves and read before the first report replaces it.

Before: both new tests fail with the check of the former life removed.

--- a/gen/filbertvane_types.cpp
+++ b/gen/filbertvane_types.cpp
@@ -8861,6 +8861,118 @@
 }
 
 
+LeftTarget::~LeftTarget() noexcept {
+}
+
+
+void LeftTarget::__set_target(const std::string& val) {
+  this->target = val;
+}
+
+void LeftTarget::__set_born(const int64_t val) {
+  this->born = val;
+}
+std::ostream& operator<<(std::ostream& out, const LeftTarget& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LeftTarget::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->target);
+          this->__isset.target = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->born);
+          this->__isset.born = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LeftTarget::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LeftTarget");
+
+  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->target);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("born", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->born);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LeftTarget &a, LeftTarget &b) {
+  using ::std::swap;
+  swap(a.target, b.target);
+  swap(a.born, b.born);
+  swap(a.__isset, b.__isset);
+}
+
+LeftTarget::LeftTarget(const LeftTarget& other271) {
+  target = other271.target;
+  born = other271.born;
+  __isset = other271.__isset;
+}
+LeftTarget& LeftTarget::operator=(const LeftTarget& other272) {
+  target = other272.target;
+  born = other272.born;
+  __isset = other272.__isset;
+  return *this;
+}
+void LeftTarget::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LeftTarget(";
+  out << "target=" << to_string(target);
+  out << ", " << "born=" << to_string(born);
+  out << ")";
+}
+
+
 HostReport::~HostReport() noexcept {
 }
 
@@ -8909,6 +9021,11 @@
 void HostReport::__set_storeReachable(const bool val) {
   this->storeReachable = val;
 }
+
+void HostReport::__set_left(const LeftTarget& val) {
+  this->left = val;
+__isset.left = true;
+}
 std::ostream& operator<<(std::ostream& out, const HostReport& obj)
 {
   obj.printTo(out);
@@ -9013,14 +9130,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->moves.clear();
-            uint32_t _size271;
-            ::apache::thrift::protocol::TType _etype274;
-            xfer += iprot->readListBegin(_etype274, _size271);
-            this->moves.resize(_size271);
-            uint32_t _i275;
-            for (_i275 = 0; _i275 < _size271; ++_i275)
+            uint32_t _size273;
+            ::apache::thrift::protocol::TType _etype276;
+            xfer += iprot->readListBegin(_etype276, _size273);
+            this->moves.resize(_size273);
+            uint32_t _i277;
+            for (_i277 = 0; _i277 < _size273; ++_i277)
             {
-              xfer += this->moves[_i275].read(iprot);
+              xfer += this->moves[_i277].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9037,6 +9154,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->left.read(iprot);
+          this->__isset.left = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -9094,10 +9219,10 @@
   xfer += oprot->writeFieldBegin("moves", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->moves.size()));
-    std::vector<MoveReport> ::const_iterator _iter276;
-    for (_iter276 = this->moves.begin(); _iter276 != this->moves.end(); ++_iter276)
+    std::vector<MoveReport> ::const_iterator _iter278;
+    for (_iter278 = this->moves.begin(); _iter278 != this->moves.end(); ++_iter278)
     {
-      xfer += (*_iter276).write(oprot);
+      xfer += (*_iter278).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9107,6 +9232,11 @@
   xfer += oprot->writeBool(this->storeReachable);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.left) {
+    xfer += oprot->writeFieldBegin("left", ::apache::thrift::protocol::T_STRUCT, 12);
+    xfer += this->left.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -9125,36 +9255,39 @@
   swap(a.position, b.position);
   swap(a.moves, b.moves);
   swap(a.storeReachable, b.storeReachable);
+  swap(a.left, b.left);
   swap(a.__isset, b.__isset);
 }
 
-HostReport::HostReport(const HostReport& other277) {
-  node = other277.node;
-  start = other277.start;
-  sequence = other277.sequence;
-  address = other277.address;
-  dataCentre = other277.dataCentre;
-  region = other277.region;
-  leaving = other277.leaving;
-  target = other277.target;
-  position = other277.position;
-  moves = other277.moves;
-  storeReachable = other277.storeReachable;
-  __isset = other277.__isset;
-}
-HostReport& HostReport::operator=(const HostReport& other278) {
-  node = other278.node;
-  start = other278.start;
-  sequence = other278.sequence;
-  address = other278.address;
-  dataCentre = other278.dataCentre;
-  region = other278.region;
-  leaving = other278.leaving;
-  target = other278.target;
-  position = other278.position;
-  moves = other278.moves;
-  storeReachable = other278.storeReachable;
-  __isset = other278.__isset;
+HostReport::HostReport(const HostReport& other279) {
+  node = other279.node;
+  start = other279.start;
+  sequence = other279.sequence;
+  address = other279.address;
+  dataCentre = other279.dataCentre;
+  region = other279.region;
+  leaving = other279.leaving;
+  target = other279.target;
+  position = other279.position;
+  moves = other279.moves;
+  storeReachable = other279.storeReachable;
+  left = other279.left;
+  __isset = other279.__isset;
+}
+HostReport& HostReport::operator=(const HostReport& other280) {
+  node = other280.node;
+  start = other280.start;
+  sequence = other280.sequence;
+  address = other280.address;
+  dataCentre = other280.dataCentre;
+  region = other280.region;
+  leaving = other280.leaving;
+  target = other280.target;
+  position = other280.position;
+  moves = other280.moves;
+  storeReachable = other280.storeReachable;
+  left = other280.left;
+  __isset = other280.__isset;
   return *this;
 }
 void HostReport::printTo(std::ostream& out) const {
@@ -9171,6 +9304,7 @@
   out << ", " << "position=" << to_string(position);
   out << ", " << "moves=" << to_string(moves);
   out << ", " << "storeReachable=" << to_string(storeReachable);
+  out << ", " << "left="; (__isset.left ? (out << to_string(left)) : (out << "<null>"));
   out << ")";
 }
 
@@ -9284,17 +9418,17 @@
   swap(a.__isset, b.__isset);
 }
 
-OperatorRecord::OperatorRecord(const OperatorRecord& other279) {
-  key = other279.key;
-  offset = other279.offset;
-  value = other279.value;
-  __isset = other279.__isset;
+OperatorRecord::OperatorRecord(const OperatorRecord& other281) {
+  key = other281.key;
+  offset = other281.offset;
+  value = other281.value;
+  __isset = other281.__isset;
 }
-OperatorRecord& OperatorRecord::operator=(const OperatorRecord& other280) {
-  key = other280.key;
-  offset = other280.offset;
-  value = other280.value;
-  __isset = other280.__isset;
+OperatorRecord& OperatorRecord::operator=(const OperatorRecord& other282) {
+  key = other282.key;
+  offset = other282.offset;
+  value = other282.value;
+  __isset = other282.__isset;
   return *this;
 }
 void OperatorRecord::printTo(std::ostream& out) const {
@@ -9358,14 +9492,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size281;
-            ::apache::thrift::protocol::TType _etype284;
-            xfer += iprot->readListBegin(_etype284, _size281);
-            this->records.resize(_size281);
-            uint32_t _i285;
-            for (_i285 = 0; _i285 < _size281; ++_i285)
+            uint32_t _size283;
+            ::apache::thrift::protocol::TType _etype286;
+            xfer += iprot->readListBegin(_etype286, _size283);
+            this->records.resize(_size283);
+            uint32_t _i287;
+            for (_i287 = 0; _i287 < _size283; ++_i287)
             {
-              xfer += this->records[_i285].read(iprot);
+              xfer += this->records[_i287].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9398,10 +9532,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<OperatorRecord> ::const_iterator _iter286;
-    for (_iter286 = this->records.begin(); _iter286 != this->records.end(); ++_iter286)
+    std::vector<OperatorRecord> ::const_iterator _iter288;
+    for (_iter288 = this->records.begin(); _iter288 != this->records.end(); ++_iter288)
     {
-      xfer += (*_iter286).write(oprot);
+      xfer += (*_iter288).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9419,15 +9553,15 @@
   swap(a.__isset, b.__isset);
 }
 
-OperatorRecords::OperatorRecords(const OperatorRecords& other287) {
-  position = other287.position;
-  records = other287.records;
-  __isset = other287.__isset;
+OperatorRecords::OperatorRecords(const OperatorRecords& other289) {
+  position = other289.position;
+  records = other289.records;
+  __isset = other289.__isset;
 }
-OperatorRecords& OperatorRecords::operator=(const OperatorRecords& other288) {
-  position = other288.position;
-  records = other288.records;
-  __isset = other288.__isset;
+OperatorRecords& OperatorRecords::operator=(const OperatorRecords& other290) {
+  position = other290.position;
+  records = other290.records;
+  __isset = other290.__isset;
   return *this;
 }
 void OperatorRecords::printTo(std::ostream& out) const {
--- a/gen/filbertvane_types.h
+++ b/gen/filbertvane_types.h
@@ -140,6 +140,8 @@
 
 class MoveReport;
 
+class LeftTarget;
+
 class HostReport;
 
 class OperatorRecord;
@@ -3569,8 +3571,58 @@
 
 std::ostream& operator<<(std::ostream& out, const MoveReport& obj);
 
+typedef struct _LeftTarget__isset {
+  _LeftTarget__isset() : target(false), born(false) {}
+  bool target :1;
+  bool born :1;
+} _LeftTarget__isset;
+
+class LeftTarget : public virtual ::apache::thrift::TBase {
+ public:
+
+  LeftTarget(const LeftTarget&);
+  LeftTarget& operator=(const LeftTarget&);
+  LeftTarget() noexcept
+             : target(),
+               born(0) {
+  }
+
+  virtual ~LeftTarget() noexcept;
+  std::string target;
+  int64_t born;
+
+  _LeftTarget__isset __isset;
+
+  void __set_target(const std::string& val);
+
+  void __set_born(const int64_t val);
+
+  bool operator == (const LeftTarget & rhs) const
+  {
+    if (!(target == rhs.target))
+      return false;
+    if (!(born == rhs.born))
+      return false;
+    return true;
+  }
+  bool operator != (const LeftTarget &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LeftTarget & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LeftTarget &a, LeftTarget &b);
+
+std::ostream& operator<<(std::ostream& out, const LeftTarget& obj);
+
 typedef struct _HostReport__isset {
-  _HostReport__isset() : node(false), start(false), sequence(false), address(false), dataCentre(false), region(false), leaving(false), target(false), position(false), moves(false), storeReachable(false) {}
+  _HostReport__isset() : node(false), start(false), sequence(false), address(false), dataCentre(false), region(false), leaving(false), target(false), position(false), moves(false), storeReachable(false), left(false) {}
   bool node :1;
   bool start :1;
   bool sequence :1;
@@ -3582,6 +3634,7 @@
   bool position :1;
   bool moves :1;
   bool storeReachable :1;
+  bool left :1;
 } _HostReport__isset;
 
 class HostReport : public virtual ::apache::thrift::TBase {
@@ -3613,6 +3666,7 @@
   int64_t position;
   std::vector<MoveReport>  moves;
   bool storeReachable;
+  LeftTarget left;
 
   _HostReport__isset __isset;
 
@@ -3638,6 +3692,8 @@
 
   void __set_storeReachable(const bool val);
 
+  void __set_left(const LeftTarget& val);
+
   bool operator == (const HostReport & rhs) const
   {
     if (!(node == rhs.node))
@@ -3664,6 +3720,10 @@
       return false;
     if (!(storeReachable == rhs.storeReachable))
       return false;
+    if (__isset.left != rhs.__isset.left)
+      return false;
+    else if (__isset.left && !(left == rhs.left))
+      return false;
     return true;
   }
   bool operator != (const HostReport &rhs) const {
--- a/include/filbertvane/decision/mesh/HostReport.h
+++ b/include/filbertvane/decision/mesh/HostReport.h
@@ -43,6 +43,15 @@
   friend auto operator<=>(const TargetReport &, const TargetReport &) = default;
 };
 
+/// @brief One life of a target that said that it leaves.
+struct LeftTarget {
+  core::TargetId Id;
+  /// Start of the target's process; 0 when it is not known.
+  std::uint64_t Born = 0;
+
+  friend auto operator<=>(const LeftTarget &, const LeftTarget &) = default;
+};
+
 /// @brief How far a move has come; a higher phase replaces a lower one.
 enum class MovePhase : std::uint8_t {
   Running,
@@ -79,6 +88,9 @@
   /// The process stops; it takes no further requests.
   bool Leaving = false;
   std::optional<TargetReport> Target;
+  /// Last target of the host that said that it leaves; the next process of the
+  /// host learns it from the store.
+  std::optional<LeftTarget> Left;
   /// Operators' records that the node has read.
   core::LogOffset Position;
   /// The store answers the node.
--- a/include/filbertvane/decision/mesh/State.h
+++ b/include/filbertvane/decision/mesh/State.h
@@ -125,6 +125,8 @@
   std::optional<OwnTarget> Target;
   SlotQueue Slots;
   std::uint64_t Lives = 0;
+  std::optional<LeftTarget> Left;
+  core::TimePoint LeftAt;
 
   std::unordered_map<core::CallId, MeshCall> Calls;
   std::unordered_map<core::ServiceName, ServiceMemory> Services;
--- a/lib/decision/mesh/ReduceHosts.cpp
+++ b/lib/decision/mesh/ReduceHosts.cpp
@@ -39,13 +39,26 @@
 
 void Reduction::operator()(const ReportsLearned &What) {
   std::vector<std::string> Fresh;
-  for (const HostReport &Report : What.All)
-    if (State.Hosts.learn(Report, Now))
+  for (const HostReport &Report : What.All) {
+    if (Report.Node == State.Own.Node)
+      learnOwn(Report);
+    else if (State.Hosts.learn(Report, Now))
       Fresh.push_back(Report.Address);
+  }
   if (!Fresh.empty())
     reportTo(std::move(Fresh));
 }
 
+/// A former process of this node may have acknowledged that the target leaves.
+void Reduction::learnOwn(const HostReport &Former) {
+  if (!Former.Left || State.Left)
+    return;
+  State.Left = Former.Left;
+  State.LeftAt = Now;
+  if (State.Target && leaves(State.Target->Last))
+    setTargetState(TargetState::Draining, "known_to_leave");
+}
+
 void Reduction::operator()(const RoutingLearned &What) {
   const core::ConfigVersion Version = What.Table->routing().Version;
   if (State.Routing && State.Routing->routing().Version >= Version)
--- a/lib/decision/mesh/ReduceTarget.cpp
+++ b/lib/decision/mesh/ReduceTarget.cpp
@@ -42,8 +42,9 @@
   Target.HeardAt = Now;
   Target.WarmAt = Now + What.ColdLeft;
   State.Slots.resize(What.Slots);
-  if (What.Draining) {
-    setTargetState(TargetState::Draining, "announced");
+  if (What.Draining || leaves(What)) {
+    setTargetState(TargetState::Draining,
+                   What.Draining ? "announced" : "known_to_leave");
     return;
   }
   if (Other)
@@ -56,17 +57,39 @@
 }
 
 void Reduction::operator()(const TargetDeregistered &What) {
-  if (!State.Target || State.Target->Last.Id != What.Id)
+  if (State.Target && State.Target->Last.Id == What.Id)
+    return setTargetState(TargetState::Draining, "deregistered");
+  // The process started after the last announcement of this target.
+  if (!State.Target)
+    noteLeaving({What.Id, 0});
+}
+
+/// Also true when the target was acknowledged by a former process of the node,
+/// which the acknowledgement binds as well.
+bool Reduction::leaves(const TargetAnnounced &What) const {
+  if (!State.Left || State.Left->Id != What.Id)
+    return false;
+  if (State.Left->Born == 0)
+    return Now - State.LeftAt < LateAnnouncements;
+  return State.Left->Born == What.Born;
+}
+
+void Reduction::noteLeaving(LeftTarget Which) {
+  if (State.Left == Which)
     return;
-  setTargetState(TargetState::Draining, "deregistered");
+  State.Left = std::move(Which);
+  State.LeftAt = Now;
+  if (State.StoreReachable)
+    Out.emplace_back(PublishReport{ownReport(State, Now)});
 }
 
 void Reduction::setTargetState(TargetState To, std::string_view Why) {
   OwnTarget &Target = *State.Target;
-  if (Target.State == To ||
-      (Target.State == TargetState::Draining && To == TargetState::Ready))
+  if (Target.State == To || (To == TargetState::Ready && leaves(Target.Last)))
     return;
   Target.State = To;
+  if (To == TargetState::Draining)
+    noteLeaving({Target.Last.Id, Target.Last.Born});
   using observe::EventId;
   const EventId Id = To == TargetState::Ready      ? EventId::MeshTargetUp
                      : To == TargetState::Draining ? EventId::MeshTargetDraining
--- a/lib/decision/mesh/Reducer.cpp
+++ b/lib/decision/mesh/Reducer.cpp
@@ -46,6 +46,7 @@
   Report.Region = State.Own.Region;
   Report.Leaving = State.Draining;
   Report.Target = ownTargetReport(State);
+  Report.Left = State.Left;
   Report.Position = State.Position;
   Report.StoreReachable = State.StoreReachable;
   Report.Moves = State.Moves.reports(Now);
--- a/lib/decision/mesh/Reduction.h
+++ b/lib/decision/mesh/Reduction.h
@@ -82,6 +82,8 @@
   /// @name Target
   /// @{
   bool outdated(const TargetAnnounced &What) const;
+  bool leaves(const TargetAnnounced &What) const;
+  void noteLeaving(LeftTarget Which);
   void targetReplaced(const TargetAnnounced &What);
   void setTargetState(TargetState To, std::string_view Why);
   void refuseQueue(core::ErrorCode Why);
@@ -90,6 +92,7 @@
 
   /// @name Reports and moves
   /// @{
+  void learnOwn(const HostReport &Former);
   void reportTo(std::vector<std::string> Addresses);
   void reportToAll();
   void reportInTurn();
--- a/lib/io/mesh/MeshProcess.cpp
+++ b/lib/io/mesh/MeshProcess.cpp
@@ -166,10 +166,7 @@
     if (Reachable && !MovesRead)
       readMoves();
   };
-  Calls.OnFault = [this](const core::Error &Why) {
-    Figures.count("filbertvane_store_failures_total",
-                  {{"code", std::to_string(static_cast<int>(Why.Code))}});
-  };
+  Calls.OnFault = [this](const core::Error &Why) { storeFault(Why); };
   Follower = std::make_unique<StoreFollower>(Loop, Store, State.Own.RandomSeed,
                                              std::move(Calls));
   Follower->start();
@@ -216,23 +213,32 @@
     Figures.count("filbertvane_reports_dropped_total", {}, Dropped);
 }
 
+/// The first report replaces the one of the former process, which may tell that
+/// the target leaves; so that one is read before.
 void Process::carryOut(const decide::PublishReport &What) {
+  if (!HostsRead)
+    return readHosts();
   Store.publishHost(Place.Node, wire::encode(What.What),
                     [this](const core::Status &Done) {
+                      if (!core::ok(Done))
+                        storeFault(core::failure(Done));
                       HostPublished = core::ok(Done);
                       readHosts();
                     });
 }
 
+void Process::storeFault(const core::Error &Why) {
+  Figures.count("filbertvane_store_failures_total",
+                {{"code", std::to_string(static_cast<int>(Why.Code))}});
+  carryOut(observe::LogEvent{observe::EventId::MeshStoreCallFailed,
+                             core::toString(Why)});
+}
+
 void Process::carryOut(const decide::WriteMove &What) {
   Store.writeMove(What, [this,
                          What](const core::Result<decide::MovePhase> &Done) {
-    if (!core::ok(Done)) {
-      Figures.count("filbertvane_store_failures_total",
-                    {{"code", std::to_string(static_cast<int>(
-                                  core::failure(Done).Code))}});
-      return;
-    }
+    if (!core::ok(Done))
+      return storeFault(core::failure(Done));
     if (core::value(Done) >= decide::MovePhase::Completed)
       handle(decide::MoveEndKnown{What.Service, What.To, core::value(Done)});
   });
@@ -246,10 +252,13 @@
   Ask.Url = fmt::format("http://{}:{}/records", What.From, Place.InternalPort);
   Ask.Deadline = Loop.now().Mono + FetchTime;
   Http.fetch(std::move(Ask), "",
-             [this](ClientEnd End, int Status, const std::string &Body) {
+             [this, From = What.From](ClientEnd End, int Status,
+                                      const std::string &Body) {
                FetchUnderWay = false;
                if (End != ClientEnd::Complete || Status != 200)
-                 return;
+                 return carryOut(observe::LogEvent{
+                     observe::EventId::MeshFetchFailed,
+                     fmt::format("from={} status={}", From, Status)});
                const auto Read = wire::decodeOperatorRecords(Body);
                if (core::ok(Read))
                  Follower->adopt(core::value(Read));
@@ -338,7 +347,9 @@
 
 void Process::hostsRead(const core::Result<std::vector<std::string>> &Read) {
   if (!core::ok(Read))
-    return;
+    return storeFault(core::failure(Read));
+  const bool First = !HostsRead;
+  HostsRead = true;
   decide::ReportsLearned Learned;
   for (const std::string &Bytes : core::value(Read)) {
     const auto Report = wire::decodeHostReport(Bytes);
@@ -349,12 +360,14 @@
                                  core::toString(core::failure(Report))});
   }
   handle(Learned);
+  if (First)
+    carryOut(decide::PublishReport{decide::ownReport(State, Loop.now().Mono)});
 }
 
 void Process::readMoves() {
   Store.readMoves([this](const auto &Read) {
     if (!core::ok(Read))
-      return;
+      return storeFault(core::failure(Read));
     MovesRead = true;
     for (const decide::MoveEndKnown &End : core::value(Read))
       handle(End);
--- a/lib/io/mesh/MeshProcessImpl.h
+++ b/lib/io/mesh/MeshProcessImpl.h
@@ -60,6 +60,7 @@
   void readHosts();
   void hostsRead(const core::Result<std::vector<std::string>> &Read);
   void readMoves();
+  void storeFault(const core::Error &Why);
   void noteHop(const HopRecord &Hop);
   void tick();
   void advanceStop();
@@ -85,6 +86,8 @@
   core::TimePoint HostsReadAt;
   bool Ready = false;
   bool HostPublished = false;
+  /// The hosts in the store were read at least once.
+  bool HostsRead = false;
   bool FetchUnderWay = false;
   /// Records as other nodes get them, encoded once for each position.
   std::string EncodedRecords;
--- a/lib/wire/HostReportCodec.cpp
+++ b/lib/wire/HostReportCodec.cpp
@@ -131,6 +131,12 @@
   Out.leaving = Report.Leaving;
   if (Report.Target)
     Out.__set_target(toThrift(*Report.Target));
+  if (Report.Left) {
+    gen::LeftTarget Left;
+    Left.target = Report.Left->Id.value();
+    Left.born = static_cast<std::int64_t>(Report.Left->Born);
+    Out.__set_left(Left);
+  }
   Out.position = static_cast<std::int64_t>(Report.Position.value());
   Out.storeReachable = Report.StoreReachable;
   for (const mesh::MoveReport &Move : Report.Moves)
@@ -155,6 +161,9 @@
   Report.Leaving = In.leaving;
   if (In.__isset.target)
     Report.Target = fromThrift(In.target);
+  if (In.__isset.left)
+    Report.Left =
+        mesh::LeftTarget{core::TargetId(In.left.target), count(In.left.born)};
   Report.Position = core::LogOffset(count(In.position));
   Report.StoreReachable = In.storeReachable;
   for (const gen::MoveReport &Move : In.moves)
--- a/tests/mesh/OwnTargetTest.cpp
+++ b/tests/mesh/OwnTargetTest.cpp
@@ -142,3 +142,56 @@
   cr_assert(Node.first<Refuse>()->Result == Outcome::NotRun);
   cr_assert(Node.first<Refuse>()->RetryAfter.has_value());
 }
+
+// Guards against a target that said that it leaves, refused a connection, and
+// gets requests again with an announcement that was held up on the way.
+Test(mesh_target, a_leaving_target_stays_so_after_it_was_down) {
+  Bench Node;
+  Node.configure();
+  Node.announce();
+  Node.arriveHosted(1);
+  const auto Running = Node.first<StartAttempt>();
+  Node.send(TargetDeregistered{core::TargetId("own")});
+  Node.end(*Running, AttemptEnd::NotRun, 0, false, true);
+  Node.announce(2);
+  Node.arriveHosted(2);
+  cr_assert(Node.first<Refuse>()->Result == Outcome::NotRun);
+}
+
+// Guards against a process that starts after its predecessor acknowledged the
+// target's leaving, and does not know of it (DRAIN on aclu-lecturas-grown).
+Test(mesh_target, a_restarted_node_knows_that_its_target_leaves) {
+  Bench Before;
+  Before.configure();
+  Before.send(StoreChanged{true});
+  Before.announce();
+  Before.send(TargetDeregistered{core::TargetId("own")});
+  const auto Published = Before.first<PublishReport>();
+  cr_assert(Published.has_value(), "the store does not learn of it");
+  cr_assert(Published->What.Target->State == TargetState::Draining);
+
+  Bench After;
+  After.configure();
+  // The store answers before the target announces itself.
+  {
+    After.send(ReportsLearned{{Published->What}});
+    After.announce(7);
+    After.arriveHosted(1);
+    cr_assert(After.first<Refuse>()->Result == Outcome::NotRun);
+  }
+  // The store answers after it.
+  {
+    Bench Late;
+    Late.configure();
+    Late.announce(7);
+    Late.send(ReportsLearned{{Published->What}});
+    Late.arriveHosted(1);
+    cr_assert(Late.first<Refuse>()->Result == Outcome::NotRun);
+  }
+  // Another life of the target serves, also under its former id.
+  {
+    After.announce(1, false, 2000);
+    After.arriveHosted(2);
+    cr_assert(After.first<StartAttempt>().has_value());
+  }
+}
