--- a/tests/request/KeeperBench.h
+++ b/tests/request/KeeperBench.h
@@ -11,7 +11,7 @@
 
 /// Key made at a time in milliseconds.
 inline core::IdempotencyKey keyAt(std::int64_t Millis, unsigned Tail = 0) {
-  char Text[40];
+  char Text[64];
   std::snprintf(Text, sizeof Text, "%08llx-%04llx-7000-8000-%012x",
                 static_cast<unsigned long long>(Millis >> 16),
                 static_cast<unsigned long long>(Millis & 0xffff), Tail);
