Refuse late requests that the load leaves no turn, and plan for the spread of answers

Requests in time were planned with the mean time and one mean distance, so that one in six queued ones ended late.

Ruled out: no waiting of late requests at all; at a target with room they are served within a turn.

Change: a late request waits only while the rate of requests in time leaves it a turn before its deadline; a queued one is planned with two mean distances.

--- a/include/filbertvane/decision/mesh/SlotQueue.h
+++ b/include/filbertvane/decision/mesh/SlotQueue.h
@@ -35,9 +35,10 @@
 ///
 /// Answers the load of a day on which a service gets more requests than it has
 /// slots: requests that can still be in time go first, by rank and then by
-/// arrival; those that are late already use the slots that are left over; a
-/// request whose deadline cannot be met is refused when that is known, and a
-/// more urgent one displaces a less urgent one from a full queue.
+/// arrival; those that are late already use the slots that are left over, and
+/// are refused once the rate of the others leaves them no turn before their
+/// deadline; a more urgent request displaces a less urgent one from a full
+/// queue.
 class SlotQueue {
 public:
   /// @name Requests
@@ -96,10 +97,15 @@
   };
 
   const AnswerTime &timeOf(const core::RouteName &Route) const;
+  /// @brief Time that a waiting request is planned with.
+  core::Microseconds plannedTime(const core::RouteName &Route) const;
   core::Microseconds meanTime(const core::RouteName &Route) const;
   /// @brief Least time with which a request is still worth a start.
   core::Microseconds leastTime(const core::RouteName &Route) const;
   core::Microseconds turnTime(std::size_t Ahead) const;
+  /// @brief Part of the slots that is left beside a rate of requests.
+  double partLeftBy(double PerSecond) const;
+  core::Microseconds lateWait(std::size_t Ahead, core::TimePoint Now) const;
   SlotVerdict enqueue(const SlotRequest &Who, core::TimePoint Now,
                       std::set<Order> &To);
   bool makeRoom(std::uint32_t Rank);
--- a/lib/decision/mesh/SlotQueue.cpp
+++ b/lib/decision/mesh/SlotQueue.cpp
@@ -12,11 +12,14 @@
 /// Weight of one answer in the times of a route: they follow a target that
 /// turns slow within some 20 answers.
 constexpr double AnswerWeight = 0.05;
+/// Mean distances from the mean that are planned for beside the mean: about one
+/// in twelve answers takes longer. With one distance, one in six queued
+/// requests of an overloaded target ends late.
+constexpr double PlannedSpreads = 2.0;
 /// Part of the mean time that has to be left before the deadline of a request
 /// that starts; about half of the answers take less than 0.8 of the mean.
 constexpr double LeastTimePart = 0.5;
-/// Late requests that may wait, as a part of the slots. They are served only
-/// while none waits that can be in time, so that few of them have a chance.
+/// Late requests that may wait, as a part of the slots.
 constexpr double LatePartOfSlots = 0.5;
 
 /// Time over which arrivals are averaged: long enough for some ten requests at
@@ -66,6 +69,11 @@
   return micros(Time.MeanUs + Time.SpreadUs);
 }
 
+core::Microseconds SlotQueue::plannedTime(const core::RouteName &Route) const {
+  const AnswerTime &Time = timeOf(Route);
+  return micros(Time.MeanUs + PlannedSpreads * Time.SpreadUs);
+}
+
 core::Microseconds SlotQueue::meanTime(const core::RouteName &Route) const {
   return micros(timeOf(Route).MeanUs);
 }
@@ -99,10 +107,25 @@
   double MoreUrgent = 0;
   for (const auto &[Other, Rate] : Arrivals)
     MoreUrgent += Other < Rank ? Rate.at(Now) : 0;
+  return micros(static_cast<double>(turnTime(Ahead).count()) /
+                partLeftBy(MoreUrgent));
+}
+
+double SlotQueue::partLeftBy(double PerSecond) const {
   const double Taken =
-      MoreUrgent * Overall.MeanUs * 1e-6 / std::max<std::uint32_t>(Slots, 1);
-  const double Left = std::max(LeastPartLeft, 1 - Taken);
-  return micros(static_cast<double>(turnTime(Ahead).count()) / Left);
+      PerSecond * Overall.MeanUs * 1e-6 / std::max<std::uint32_t>(Slots, 1);
+  return std::max(LeastPartLeft, 1 - Taken);
+}
+
+/// Late requests get the turns that those in time leave over, now and for as
+/// long as requests keep coming at the present rate.
+core::Microseconds SlotQueue::lateWait(std::size_t Ahead,
+                                       core::TimePoint Now) const {
+  double InTimeRate = 0;
+  for (const auto &[Rank, Rate] : Arrivals)
+    InTimeRate += Rate.at(Now);
+  return micros(static_cast<double>(turnTime(InTime.size() + Ahead).count()) /
+                partLeftBy(InTimeRate));
 }
 
 SlotVerdict SlotQueue::arrive(const SlotRequest &Who, core::TimePoint Now) {
@@ -116,12 +139,11 @@
     Arrivals[Who.Rank].note(Now);
     return {SlotVerdict::Kind::Start, {}};
   }
-  if (Now + Wait + neededTime(Who.Route) <= Who.Objective)
+  if (Now + Wait + plannedTime(Who.Route) <= Who.Objective)
     return enqueue(Who, Now, InTime);
-  const core::Microseconds LateWait = turnTime(Entries.size());
   const bool Chance =
       static_cast<double>(Late.size()) < LatePartOfSlots * Slots &&
-      Now + LateWait + neededTime(Who.Route) < Who.Deadline;
+      Now + lateWait(Late.size(), Now) + neededTime(Who.Route) < Who.Deadline;
   if (Who.AcceptLate && Chance)
     return enqueue(Who, Now, Late);
   return {SlotVerdict::Kind::Refuse, ErrorCode::RequestWouldBeLate};
@@ -132,7 +154,8 @@
   const bool Full = Entries.size() >= std::size_t{Slots} * WaitingPerSlot;
   if (Full && (&To == &Late || !makeRoom(Who.Rank)))
     return {SlotVerdict::Kind::Refuse, ErrorCode::RequestQueueFull};
-  Arrivals[Who.Rank].note(Now);
+  if (&To == &InTime)
+    Arrivals[Who.Rank].note(Now);
   Entries.emplace(Who.Id, Waiting{Who, Now});
   To.emplace(Who.Rank, Now, Who.Id);
   return {SlotVerdict::Kind::Wait, {}};
@@ -180,7 +203,7 @@
 }
 
 /// A request that can no longer be in time must not hold back one that can.
-/// Late ones beyond those that have a chance are given up.
+/// Late ones without a chance of a turn before their deadline are given up.
 void SlotQueue::demoteLate(core::TimePoint Now) {
   for (auto It = InTime.begin(); It != InTime.end();) {
     const SlotRequest &Who = Entries.at(std::get<2>(*It)).Who;
@@ -191,8 +214,19 @@
     Late.insert(*It);
     It = InTime.erase(It);
   }
-  while (static_cast<double>(Late.size()) > 2 * LatePartOfSlots * Slots)
+  while (static_cast<double>(Late.size()) > LatePartOfSlots * Slots)
     displace(*Late.rbegin(), Late);
+  std::vector<Order> Lost;
+  std::size_t Ahead = 0;
+  for (const Order &Each : Late) {
+    const SlotRequest &Who = Entries.at(std::get<2>(Each)).Who;
+    if (Now + lateWait(Ahead, Now) + meanTime(Who.Route) < Who.Deadline)
+      ++Ahead;
+    else
+      Lost.push_back(Each);
+  }
+  for (const Order &Each : Lost)
+    displace(Each, Late);
 }
 
 std::optional<SlotQueue::Turn> SlotQueue::take(std::set<Order> &From,
