Deliver a target's failed answer rather than refuse a request that ran

Cause: an idempotent request whose first answer was a server error was placed again; when no target took it, its caller got 503, which promises that it has not run.

Ruled out: no repeat without a sure target: the load that a node knows is older than the answer.

Change: a request that may have run is never refused. The held failed answer is delivered; without one the outcome is unknown.

The new test fails on the former code (refused) and passes.

--- a/include/filbertvane/decision/mesh/State.h
+++ b/include/filbertvane/decision/mesh/State.h
@@ -79,6 +79,10 @@
   std::uint64_t TargetLife = 0;
   core::TimePoint SentAt;
   bool AnswerStarted = false;
+  /// A target may have run the request: it must not be refused as not run.
+  bool MayHaveRun = false;
+  /// An answer with a server error is held; a repeat may bring a better one.
+  bool FailureHeld = false;
 };
 
 /// @brief What a node remembers of a service that it sends requests to.
--- a/lib/decision/mesh/ReduceAttempts.cpp
+++ b/lib/decision/mesh/ReduceAttempts.cpp
@@ -172,6 +172,7 @@
     return place(Call);
   case AttemptEnd::NoAnswer:
     ++Call.Reached;
+    Call.MayHaveRun = true;
     Call.Tried.push_back(Call.At);
     if (!Call.Terms.Idempotent || !mayRepeat(Call))
       return endUnknown(Call, ErrorCode::RequestNoAnswer);
@@ -184,9 +185,11 @@
 void Reduction::concludeAnswer(MeshCall &Call,
                                const request::AttemptEnded &What) {
   ++Call.Reached;
+  Call.MayHaveRun = true;
   const bool Failed = What.Status >= FirstServerError;
   if (Failed && Call.Terms.Idempotent && mayRepeat(Call)) {
     Call.Tried.push_back(Call.At);
+    Call.FailureHeld = true;
     log(observe::EventId::MeshRepeated,
         fmt::format("{} after=status_{}", describe(Call), What.Status));
     return place(Call);
@@ -259,7 +262,19 @@
   endUnknown(Call, ErrorCode::RequestDeadlinePassed);
 }
 
+/// The answer that a target gave says more than an own one in its place.
+void Reduction::deliverFailure(MeshCall &Call, ErrorCode Why) {
+  noteCallFailure(Call);
+  log(observe::EventId::MeshServed,
+      fmt::format("{} failed=1 repeat=FV{}", describe(Call),
+                  static_cast<int>(Why)));
+  Out.emplace_back(request::DeliverAnswer{Call.Id, std::nullopt});
+  erase(Call.Id);
+}
+
 void Reduction::refuse(MeshCall &Call, ErrorCode Why, bool Reached) {
+  if (Call.MayHaveRun)
+    return endUnknown(Call, Why);
   noteCallFailure(Call);
   request::Refuse Refusal;
   Refusal.Id = Call.Id;
@@ -278,6 +293,8 @@
 }
 
 void Reduction::endUnknown(MeshCall &Call, ErrorCode Why) {
+  if (Call.FailureHeld)
+    return deliverFailure(Call, Why);
   noteCallFailure(Call);
   request::Refuse Refusal;
   Refusal.Id = Call.Id;
--- a/lib/decision/mesh/Reduction.h
+++ b/lib/decision/mesh/Reduction.h
@@ -72,6 +72,7 @@
   void expire(MeshCall &Call);
   void leave(MeshCall &Call);
   void refuse(MeshCall &Call, core::ErrorCode Why, bool Reached = false);
+  void deliverFailure(MeshCall &Call, core::ErrorCode Why);
   void endUnknown(MeshCall &Call, core::ErrorCode Why);
   void erase(core::CallId Id) { State.Calls.erase(Id); }
   MeshCall *find(core::CallId Id);
--- a/tests/mesh/RequestFlowTest.cpp
+++ b/tests/mesh/RequestFlowTest.cpp
@@ -158,3 +158,39 @@
   cr_assert(Node.first<request::CancelAttempt>().has_value());
   cr_assert(Node.State.Slots.load().Running == 0, "the slot stays taken");
 }
+
+// Guards against a refusal as "not run" of a request that a target ran: after a
+// failed answer the repeat found no target (scale-1 of aclu-lecturas-grown,
+// 1,707 refusals, many of them of requests that had run).
+Test(mesh_requests, a_request_that_ran_is_not_refused_as_not_run) {
+  Bench Node;
+  Node.configure();
+  Node.send(ReportHeard{report("n1")});
+  // The failed answer of the target is delivered when no repeat is possible.
+  {
+    Node.arrive(1);
+    Node.end(*Node.first<StartAttempt>(), AttemptEnd::Held, 500);
+    cr_assert(!Node.first<Refuse>());
+    cr_assert(Node.first<request::DeliverAnswer>().has_value());
+  }
+  // So it is when the repeat is refused by the last target.
+  {
+    Node.send(ReportHeard{report("n2")});
+    Node.arrive(2);
+    Node.end(*Node.first<StartAttempt>(), AttemptEnd::Held, 500);
+    const auto Repeat = Node.first<StartAttempt>();
+    cr_assert(Repeat.has_value());
+    Node.end(*Repeat, AttemptEnd::NotRun, 0, false, true);
+    cr_assert(Node.first<request::DeliverAnswer>().has_value());
+  }
+  // Without any answer the outcome is unknown.
+  {
+    Bench Lone;
+    Lone.configure();
+    Lone.send(ReportHeard{report("n1")});
+    Lone.arrive(3);
+    Lone.end(*Lone.first<StartAttempt>(), AttemptEnd::NoAnswer);
+    cr_assert(Lone.first<Refuse>()->Result == Outcome::Unknown);
+    cr_assert(Lone.first<Refuse>()->Status == 502);
+  }
+}
