Let a stopping node serve other nodes for the first part of its stop

Ruled out: serving others until the end; requests that arrive in the last part would be cut at the end or refused by a closed listener (LOST).

Change: others are told after 1.5 s and refused 0.5 s later.

--- a/include/filbertvane/decision/mesh/State.h
+++ b/include/filbertvane/decision/mesh/State.h
@@ -116,6 +116,9 @@
   /// Set while the process stops.
   std::optional<core::TimePoint> StopsAt;
   core::TimePoint TakesAllUntil;
+  /// Others learn then that the host takes no more of their requests.
+  core::TimePoint LeavesAt;
+  bool LeavingTold = false;
   bool Ready = false;
   bool StoreReachable = false;
   /// The node follows the store itself.
--- a/lib/decision/mesh/ReduceArrival.cpp
+++ b/lib/decision/mesh/ReduceArrival.cpp
@@ -19,6 +19,8 @@
 constexpr core::Milliseconds UnseenWay{20};
 /// The same for objectives that are shorter than ten times that.
 constexpr int ShortObjectiveParts = 10;
+/// Time after which other nodes know that this one stops.
+constexpr core::Milliseconds StopReportTime{500};
 /// Deadline of a request that states none on either side.
 constexpr core::Milliseconds UsualTimeLeft{5000};
 
@@ -50,8 +52,10 @@
 
 void Reduction::arriveHosted(const request::CallArrived &What) {
   const bool Here = State.Target && State.Target->State == TargetState::Ready &&
-                    What.Target == State.Target->Last.Id && !State.Draining;
-  if (!Here || !What.Terms) {
+                    What.Target == State.Target->Last.Id;
+  // Reports of the stop may still be under way.
+  const bool Stopped = State.Draining && Now >= State.LeavesAt + StopReportTime;
+  if (!Here || Stopped || !What.Terms) {
     request::Refuse Gone =
         refusal(What.Id, ErrorCode::RequestDraining, "target is not here");
     log(observe::EventId::MeshRefused,
--- a/lib/decision/mesh/ReduceHosts.cpp
+++ b/lib/decision/mesh/ReduceHosts.cpp
@@ -14,6 +14,10 @@
 /// not follow the store; it gathers changes in quick succession.
 constexpr core::Milliseconds NearFetchAfter{20};
 constexpr const char *FollowDuty = "follow-store";
+/// Time for which a stopping node serves other nodes like before. Its target
+/// goes on while callers of the host learn of the stop, so that only the rest
+/// of the stop and the start of the next process leave the target without work.
+constexpr core::Milliseconds ServeOthersAfterStop{1500};
 /// Time for which a stopping node takes requests of any deadline. Callers know
 /// by then; one that still comes is taken only if it ends before the process.
 constexpr core::Milliseconds TakeAllAfterStop{2500};
@@ -107,7 +111,14 @@
   State.Draining = true;
   State.StopsAt = What.Latest;
   State.TakesAllUntil = Now + TakeAllAfterStop;
+  State.LeavesAt = Now + ServeOthersAfterStop;
   checkReady();
+}
+
+void Reduction::checkLeaving() {
+  if (!State.Draining || State.LeavingTold || Now < State.LeavesAt)
+    return;
+  State.LeavingTold = true;
   reportToAll();
 }
 
--- a/lib/decision/mesh/Reducer.cpp
+++ b/lib/decision/mesh/Reducer.cpp
@@ -44,7 +44,7 @@
   Report.Address = State.Own.Address;
   Report.DataCentre = State.Own.DataCentre;
   Report.Region = State.Own.Region;
-  Report.Leaving = State.Draining;
+  Report.Leaving = State.Draining && Now >= State.LeavesAt;
   Report.Target = ownTargetReport(State);
   Report.Left = State.Left;
   Report.Position = State.Position;
@@ -68,6 +68,7 @@
     if (MeshCall *Call = find(Id))
       expire(*Call);
   checkTarget();
+  checkLeaving();
   serveQueue();
   State.Hosts.forgetSilent(Now);
   reviewMoves();
--- a/lib/decision/mesh/Reduction.h
+++ b/lib/decision/mesh/Reduction.h
@@ -97,6 +97,7 @@
   void reportTo(std::vector<std::string> Addresses);
   void reportToAll();
   void reportInTurn();
+  void checkLeaving();
   void checkPosition();
   void checkReading();
   void tellPosition();
