Keep as many late requests waiting as before

Change: the former bound; the rate of requests in time drops those without a turn.

Tests: 378 of 378.

--- a/lib/decision/mesh/SlotQueue.cpp
+++ b/lib/decision/mesh/SlotQueue.cpp
@@ -214,7 +214,7 @@
     Late.insert(*It);
     It = InTime.erase(It);
   }
-  while (static_cast<double>(Late.size()) > LatePartOfSlots * Slots)
+  while (static_cast<double>(Late.size()) > 2 * LatePartOfSlots * Slots)
     displace(*Late.rbegin(), Late);
   std::vector<Order> Lost;
   std::size_t Ahead = 0;
