--- a/lib/io/mesh/MeshProcess.cpp
+++ b/lib/io/mesh/MeshProcess.cpp
@@ -66,8 +66,8 @@
     : Loop(Loop), Http(Http), Place(std::move(Where)),
       Surroundings(std::move(Surroundings)), Store(Store),
       State(settingsOf(Place, Loop.now())),
-      Log(STDOUT_FILENO, Place.Node.value()), Ticker(Loop, [this] { tick(); }) {
-}
+      Log(STDOUT_FILENO, Place.Node.value()), Ticker(Loop, [this] { tick(); }),
+      HostsRead(Place.FirstStart) {}
 
 core::Status Process::open() {
   for (const auto Open : {&Process::openEngine, &Process::openReports,
@@ -163,7 +163,7 @@
   };
   Calls.OnReachable = [this](bool Reachable) {
     handle(decide::StoreChanged{Reachable});
-    if (Reachable && !MovesRead)
+    if (Reachable && MovesWanted)
       readMoves();
   };
   Calls.OnFault = [this](const core::Error &Why) { storeFault(Why); };
@@ -220,10 +220,14 @@
     return readHosts();
   Store.publishHost(Place.Node, wire::encode(What.What),
                     [this](const core::Status &Done) {
+                      const bool Before = HostPublished;
+                      HostPublished = core::ok(Done);
                       if (!core::ok(Done))
                         storeFault(core::failure(Done));
-                      HostPublished = core::ok(Done);
-                      readHosts();
+                      // Of two nodes that publish at the same time, one at
+                      // least reads the other's report then.
+                      if (!Before)
+                        readHosts();
                     });
 }
 
@@ -329,6 +333,11 @@
   auto Move = std::get<decide::MoveOrdered>(*Order);
   Move.Old = History;
   handle(Move);
+  // An order of unknown age may have ended long ago.
+  if (History && !MovesWanted) {
+    MovesWanted = true;
+    readMoves();
+  }
 }
 
 const std::string &Process::encodedRecords() {
@@ -350,25 +359,36 @@
     return storeFault(core::failure(Read));
   const bool First = !HostsRead;
   HostsRead = true;
+  bool Listed = false;
   decide::ReportsLearned Learned;
   for (const std::string &Bytes : core::value(Read)) {
     const auto Report = wire::decodeHostReport(Bytes);
-    if (core::ok(Report))
+    if (core::ok(Report)) {
+      Listed = Listed || tellsOfThis(core::value(Report));
       Learned.All.push_back(core::value(Report));
-    else
+    } else {
       carryOut(observe::LogEvent{observe::EventId::MeshRecordMalformed,
                                  core::toString(core::failure(Report))});
+    }
   }
   handle(Learned);
-  if (First)
+  HostPublished = HostPublished || Listed;
+  if (First && !Listed)
     carryOut(decide::PublishReport{decide::ownReport(State, Loop.now().Mono)});
 }
 
+/// Others find this node by what its former process published.
+bool Process::tellsOfThis(const decide::HostReport &Published) const {
+  return Published.Node == Place.Node && Published.Address == Place.Address &&
+         Published.DataCentre == Place.DataCentre;
+}
+
 void Process::readMoves() {
+  MovesReadAt = Loop.now().Mono;
   Store.readMoves([this](const auto &Read) {
     if (!core::ok(Read))
       return storeFault(core::failure(Read));
-    MovesRead = true;
+    MovesWanted = false;
     for (const decide::MoveEndKnown &End : core::value(Read))
       handle(End);
   });
@@ -391,17 +411,28 @@
                                  .count())});
   LastTick = Now.Mono;
   handle(decision::request::Tick{});
-  const bool Lonely = State.Hosts.hosts().empty() || !HostPublished;
-  const core::Seconds Period = Lonely ? LonelyReadPeriod : HostsReadPeriod;
-  if (State.StoreReachable && Now.Mono - HostsReadAt > Period) {
-    HostsReadAt = Now.Mono;
-    carryOut(decide::PublishReport{decide::ownReport(State, Now.Mono)});
-  }
+  readStoreInTurn(Now.Mono);
   advanceStop();
   Log.flush(Now);
   Ticker.arm(Now.Mono + TickPeriod);
 }
 
+void Process::readStoreInTurn(core::TimePoint Now) {
+  if (!State.StoreReachable)
+    return;
+  const bool Lonely = State.Hosts.hosts().empty() || !HostPublished;
+  const core::Seconds Period = Lonely ? LonelyReadPeriod : HostsReadPeriod;
+  if (Now - HostsReadAt > Period) {
+    HostsReadAt = Now;
+    if (Lonely)
+      carryOut(decide::PublishReport{decide::ownReport(State, Now)});
+    else
+      readHosts();
+  }
+  if (MovesWanted && Now - MovesReadAt > LonelyReadPeriod)
+    readMoves();
+}
+
 void Process::drain() {
   if (Stop)
     return;
--- a/lib/io/mesh/MeshProcessImpl.h
+++ b/lib/io/mesh/MeshProcessImpl.h
@@ -59,7 +59,9 @@
   const std::string &encodedRecords();
   void readHosts();
   void hostsRead(const core::Result<std::vector<std::string>> &Read);
+  bool tellsOfThis(const decide::HostReport &Published) const;
   void readMoves();
+  void readStoreInTurn(core::TimePoint Now);
   void storeFault(const core::Error &Why);
   void noteHop(const HopRecord &Hop);
   void tick();
@@ -92,7 +94,9 @@
   /// Records as other nodes get them, encoded once for each position.
   std::string EncodedRecords;
   core::LogOffset EncodedPosition;
-  bool MovesRead = false;
+  /// A move of unknown age is known; the store may hold its end.
+  bool MovesWanted = false;
+  core::TimePoint MovesReadAt;
   std::optional<decide::StopSchedule> Stop;
 };
 
