Do not ask full hosts for each request that an overloaded service gets

Ruled out: a belief about the queue from reported loads; it is older than a turn of the queue at most hosts.

Change: a host that refused a request as late is left out for a quarter of the route's objective, for requests that have to be in time and for late ones apart. When no other host is left, the caller is refused at once.

--- a/include/filbertvane/decision/mesh/HostDirectory.h
+++ b/include/filbertvane/decision/mesh/HostDirectory.h
@@ -9,6 +9,15 @@
 /// @brief Where a host stands as seen from this one.
 enum class Distance : std::uint8_t { Own, DataCentre, Region, Far };
 
+/// @brief Kind of requests that a host has or lacks room for.
+struct RoomFor {
+  core::RouteName Route;
+  /// Answers may be late, so that leftover turns are enough.
+  bool Late = false;
+
+  friend auto operator<=>(const RoomFor &, const RoomFor &) = default;
+};
+
 /// @brief A host that this node knows.
 struct KnownHost {
   HostReport Report;
@@ -20,6 +29,9 @@
   std::uint32_t SentSince = 0;
   /// Mean times of the target's answers by route, as its host told them.
   std::map<core::RouteName, core::Milliseconds> RouteTimes;
+  /// Requests that the host had no room for, with the time until which it is
+  /// not asked for such ones again.
+  std::map<RoomFor, core::TimePoint> FullUntil;
   /// A connection failed after the last report.
   bool Unreachable = false;
   /// Known from the store only; it has not been heard yet.
@@ -47,6 +59,9 @@
   /// @brief Updates the load of a host from an answer.
   void noteLoad(const core::NodeId &Node, const TargetLoad &Load,
                 const core::RouteName &Route);
+  /// @brief Notes that a host has no room for requests of a kind.
+  void noteFull(const core::NodeId &Node, const RoomFor &What,
+                core::TimePoint Until);
   /// @brief Drops hosts that were silent for `ForgetAfter`.
   void forgetSilent(core::TimePoint Now);
 
@@ -56,6 +71,10 @@
   Distance distanceOf(const HostReport &Of) const;
   /// @brief Time between two reports of hosts in different data centres.
   core::Milliseconds farPeriod() const;
+  /// @brief Whether the host lately refused requests of a kind for lack of
+  /// room.
+  static bool full(const KnownHost &Host, const RoomFor &What,
+                   core::TimePoint Now);
   /// @brief Whether the host missed several reports or refused a connection.
   bool doubtful(const KnownHost &Host, core::TimePoint Now) const;
 
--- a/include/filbertvane/decision/mesh/Limits.h
+++ b/include/filbertvane/decision/mesh/Limits.h
@@ -54,6 +54,12 @@
 /// Hosts that may refuse a request for lateness before one is asked to accept
 /// it late.
 inline constexpr std::uint32_t PlacementsOnTime = 2;
+/// A host that refused a request as late is not asked on that route for the
+/// objective divided by this. A full queue holds work for less than an
+/// objective, so that hardly a free slot is missed; asking more often costs a
+/// message to each host for each request that an overloaded service cannot
+/// take.
+inline constexpr int FullObjectiveParts = 4;
 /// Calls in progress at one node; more than the descriptors of a small host.
 inline constexpr std::size_t MostCalls = 1500;
 /// A peer without reports for this time has lost the requests sent to it.
--- a/include/filbertvane/decision/mesh/State.h
+++ b/include/filbertvane/decision/mesh/State.h
@@ -68,6 +68,8 @@
   /// Hosts that refused because the answer would be late.
   std::vector<core::NodeId> Late;
   std::uint32_t Placements = 0;
+  /// A host was left out since it lately refused requests of the route as late.
+  bool FullSeen = false;
   /// Targets that the request reached.
   std::uint32_t Reached = 0;
   /// Chosen at the first placement while a move is under way.
--- a/lib/decision/mesh/HostDirectory.cpp
+++ b/lib/decision/mesh/HostDirectory.cpp
@@ -62,8 +62,10 @@
   if (outdated(Known, What, Now))
     return std::nullopt;
   const Heard Change{Known.Hearsay, What.Start != Known.Report.Start};
-  if (otherTarget(Known.Report, What))
+  if (otherTarget(Known.Report, What)) {
     Known.RouteTimes.clear();
+    Known.FullUntil.clear();
+  }
   Known.Report = What;
   Known.HeardAt = Now;
   Known.SentSince = 0;
@@ -99,6 +101,22 @@
   Known->RouteTimes[Route] = Load.RouteTime;
 }
 
+void HostDirectory::noteFull(const core::NodeId &Node, const RoomFor &What,
+                             core::TimePoint Until) {
+  KnownHost *Known = find(Node);
+  if (Known == nullptr)
+    return;
+  if (Known->FullUntil.size() >= MostRouteTimes)
+    Known->FullUntil.clear();
+  Known->FullUntil[What] = Until;
+}
+
+bool HostDirectory::full(const KnownHost &Host, const RoomFor &What,
+                         core::TimePoint Now) {
+  const auto Found = Host.FullUntil.find(What);
+  return Found != Host.FullUntil.end() && Now < Found->second;
+}
+
 void HostDirectory::forgetSilent(core::TimePoint Now) {
   std::erase_if(Hosts, [Now](const auto &Entry) {
     return Now - Entry.second.HeardAt > ForgetAfter;
--- a/lib/decision/mesh/ReduceAttempts.cpp
+++ b/lib/decision/mesh/ReduceAttempts.cpp
@@ -170,6 +170,9 @@
   case AttemptEnd::NotRun:
     if (!What.Reached) {
       (What.Unreachable ? Call.Tried : Call.Late).push_back(Call.At);
+      if (!What.Unreachable && What.Load)
+        State.Hosts.noteFull(Call.At, {Call.Terms.Route, Call.Terms.AcceptLate},
+                             Now + Call.Route->Objective / FullObjectiveParts);
       return place(Call);
     }
     ++Call.Reached;
--- a/lib/decision/mesh/ReducePlacement.cpp
+++ b/lib/decision/mesh/ReducePlacement.cpp
@@ -80,6 +80,11 @@
     if (!takes(Host.Report, Call.Service) || Skipped(Node) ||
         !versionTakes(Call, Shares, Host.Report.Target->Version))
       continue;
+    if (HostDirectory::full(Host, {Call.Terms.Route, Call.Terms.AcceptLate},
+                            Now)) {
+      Call.FullSeen = true;
+      continue;
+    }
     const TargetReport &Target = *Host.Report.Target;
     const std::uint32_t Reported =
         Target.Load.Running + Target.Load.Waiting + Host.SentSince;
@@ -109,7 +114,8 @@
                                  memoryOf(Call.Terms.Route).AnswerBytes};
   const auto Best = choose(Among, Query, State.Source);
   if (!Best)
-    return refuse(Call, ErrorCode::RequestNoTarget);
+    return refuse(Call, Call.FullSeen ? ErrorCode::RequestWouldBeLate
+                                      : ErrorCode::RequestNoTarget);
   const Candidate &Chosen = Among[*Best];
   if (Chosen.Away == Distance::Own)
     return enterQueue(Call);
--- a/tests/mesh/PlacementTest.cpp
+++ b/tests/mesh/PlacementTest.cpp
@@ -169,3 +169,42 @@
   }
   cr_assert(ToFar <= 2, "%zu of 100 left the region", ToFar);
 }
+
+// Guards against an overloaded service whose hosts are each asked for each
+// request that none of them can take: on scale-2 of aclu-lecturas, 250 requests
+// a second were refused by four hosts each.
+Test(mesh_placement, full_hosts_are_not_asked_for_each_request) {
+  Bench Node;
+  Node.configure();
+  for (const char *Name : {"n1", "n2", "n3", "n4"})
+    Node.send(ReportHeard{report(Name)});
+  std::size_t Asked = 0;
+  std::size_t Refused = 0;
+  std::uint64_t Id = 0;
+  // Plays a request of the route and the answers of full hosts.
+  const auto Play = [&] {
+    Node.Now += milliseconds(10);
+    Node.arrive(++Id);
+    while (const auto Sent = Node.first<request::StartAttempt>()) {
+      ++Asked;
+      request::AttemptEnded Ended;
+      Ended.Id = Sent->Id;
+      Ended.Attempt = Sent->Attempt;
+      Ended.End = request::AttemptEnd::NotRun;
+      Ended.Load = TargetLoad{4, 8, 4, milliseconds(100), milliseconds(100)};
+      Node.send(Ended);
+    }
+    const auto Refusal = Node.first<request::Refuse>();
+    Refused += Refusal ? 1 : 0;
+    cr_assert(Refusal->Result == request::Outcome::NotRun);
+    cr_assert(Refusal->RetryAfter.has_value());
+  };
+  for (int I = 0; I < 100; ++I)
+    Play();
+  cr_assert(Refused == 100);
+  cr_assert(Asked <= 100, "%zu messages for 100 requests", Asked);
+  // A quarter of the objective later the hosts are asked again.
+  Node.Now += milliseconds(101);
+  Node.arrive(++Id);
+  cr_assert(Node.first<request::StartAttempt>().has_value());
+}
