Try a version that is suspected before its first step

Ruled out: the log outages of the shrunk case; the same order without them fails.

Change: a suspicion at share 0 starts a retrial like any other, which ends with a step or, at the second suspicion, with a rollback.

The new test fails on the former code.

--- a/lib/decision/rollout/MoveDriver.cpp
+++ b/lib/decision/rollout/MoveDriver.cpp
@@ -81,8 +81,12 @@
   }
   core::RouteName Route;
   std::tie(Route, Found) = S.Windows.evaluate(Move.Id);
-  if (!withdraws(Move, Found))
+  if (!withdraws(Move, Found)) {
+    // At share 0 no answer comes that could clear the suspicion.
+    if (Move.Share == 0 && Found.Level != Finding::None)
+      suspect(verdictOf(Route, Found));
     return;
+  }
   const config::Verdict Why = verdictOf(Route, Found);
   if (Found.Level == Finding::Proven)
     Watch.Guilty = Why;
--- a/tests/rollout/ControllerTest.cpp
+++ b/tests/rollout/ControllerTest.cpp
@@ -190,3 +190,20 @@
   C.readBack();
   cr_assert(C.Fleet.InForce && C.Fleet.InForce->Missing.size() == 1);
 }
+
+// Guards against a move that never ends: faults that are known before the first
+// step leave a suspicion which no later answer can clear, since the version gets
+// no request (rollout_6_property, seeds 14, 17, 24 and 42).
+Test(rollout_4_controller, a_version_suspected_before_its_first_step_is_tried) {
+  Coordinator C(120s);
+  // The first step is appended and lost.
+  for (int I = 0; I < 60; ++I) {
+    const bool Answered = I == 11 || I == 24 || I == 52 || I == 53;
+    C.addAnswers(Answered ? answers(4, 1, 8, 0) : answers(0, 0, 0, 0));
+    C.Now += 100ms;
+    C.feed(Tick{});
+  }
+  C.Unread.clear();
+  C.pass(1000000ms);
+  cr_assert(C.move().Stage != MoveStage::InProgress);
+}
