Wait for the own region's followers before records cross regions

A node fetched records from another region 300 ms after it heard of them; the followers of its own region read within 700 ms.

Ruled out: more followers; their reads cross regions as well.

Change: 800 ms. The longest way, with both followers of a region turned away, is 0.7 s + 0.8 s + the fetch, below the shortest bound of 2.5 s.

--- a/lib/decision/mesh/ReduceHosts.cpp
+++ b/lib/decision/mesh/ReduceHosts.cpp
@@ -7,9 +7,11 @@
 
 namespace {
 
-/// Time that the own connection to the store has for records that another node
-/// already holds; the store's answers to both leave it together.
-constexpr core::Milliseconds FetchAfter{300};
+/// Time that the store has to bring records which a node of another region
+/// already holds: followers read at most every 0.7 s, so that those of the own
+/// region have them within it. Records are some 20 KB, and 300 ms made half as
+/// much traffic again between regions.
+constexpr core::Milliseconds FetchAfter{800};
 /// The same where a node of the region holds the records and this one does not
 /// follow the store; it gathers changes in quick succession.
 constexpr core::Milliseconds NearFetchAfter{20};
