Let a restarted node serve its target before the next announcement

Cause: a new process knew its target only from the next announcement, up to 1.5 s after its start.

Ruled out: asking the target's health path; probes are paid for and do not tell its id, version or slots.

Change: a node publishes its report when its target is known, and its successor takes the target over from it unless the target left, the host has another address, or the settings name another service. Each request names the target that it is for, so that another one there refuses it. A first start publishes once, with the target.

The new test fails without the change (nothing is published).

--- a/include/filbertvane/decision/mesh/State.h
+++ b/include/filbertvane/decision/mesh/State.h
@@ -36,6 +36,9 @@
 struct OwnTarget {
   TargetAnnounced Last;
   TargetState State = TargetState::Ready;
+  /// Known from the former process of this node; it has not announced itself to
+  /// this one yet.
+  bool Inherited = false;
   /// Counts lives, so that the end of a request is ascribed to the right one.
   std::uint64_t Life = 0;
   core::TimePoint HeardAt;
--- a/lib/decision/mesh/ReduceHosts.cpp
+++ b/lib/decision/mesh/ReduceHosts.cpp
@@ -57,12 +57,36 @@
 
 /// A former process of this node may have acknowledged that the target leaves.
 void Reduction::learnOwn(const HostReport &Former) {
-  if (!Former.Left || State.Left)
+  if (Former.Left && !State.Left) {
+    State.Left = Former.Left;
+    State.LeftAt = Now;
+    if (State.Target && leaves(State.Target->Last))
+      setTargetState(TargetState::Draining, "known_to_leave");
+  }
+  if (!State.Target && Former.Target && Former.Address == State.Own.Address)
+    inheritTarget(*Former.Target);
+}
+
+/// The target goes on while its node is restarted, and announces itself seconds
+/// later. A request names the target that it is for, so that another one at the
+/// same address runs nothing.
+void Reduction::inheritTarget(const TargetReport &Former) {
+  const bool Left = State.Left && State.Left->Id == Former.Id;
+  if (Left || Former.State != TargetState::Ready || Former.Load.Slots == 0 ||
+      Former.Service != State.Own.Service)
     return;
-  State.Left = Former.Left;
-  State.LeftAt = Now;
-  if (State.Target && leaves(State.Target->Last))
-    setTargetState(TargetState::Draining, "known_to_leave");
+  TargetAnnounced Known;
+  Known.Id = Former.Id;
+  Known.Service = Former.Service;
+  Known.Version = Former.Version;
+  Known.Slots = Former.Load.Slots;
+  targetReplaced(Known);
+  State.Target->Inherited = true;
+  State.Target->Last = Known;
+  State.Target->HeardAt = Now;
+  State.Target->WarmAt = Now;
+  State.Slots.resize(Known.Slots);
+  reportToAll();
 }
 
 void Reduction::operator()(const RoutingLearned &What) {
@@ -96,6 +120,8 @@
   log(What.Reachable ? observe::EventId::MeshStoreRegained
                      : observe::EventId::MeshStoreLost,
       fmt::format("position={}", State.Position.value()));
+  // A new node publishes once its target is known, so that one write tells
+  // both; `MeshProcess` does so later where no target announces itself.
   if (What.Reachable)
     Out.emplace_back(PublishReport{ownReport(State, Now)});
   // Where the store turns this node away, another one has to follow it.
--- a/lib/decision/mesh/ReduceTarget.cpp
+++ b/lib/decision/mesh/ReduceTarget.cpp
@@ -33,11 +33,14 @@
                     What.Id.value(), What.Born, What.Sequence));
     return;
   }
-  const bool Other = !State.Target || State.Target->Last.Id != What.Id ||
-                     State.Target->Last.Born != What.Born;
+  const bool Known =
+      State.Target && State.Target->Last.Id == What.Id &&
+      (State.Target->Inherited || State.Target->Last.Born == What.Born);
+  const bool Other = !Known;
   if (Other)
     targetReplaced(What);
   OwnTarget &Target = *State.Target;
+  Target.Inherited = false;
   Target.Last = What;
   Target.HeardAt = Now;
   Target.WarmAt = Now + What.ColdLeft;
@@ -47,8 +50,11 @@
                    What.Draining ? "announced" : "known_to_leave");
     return;
   }
-  if (Other)
+  if (Other) {
+    if (State.StoreReachable)
+      Out.emplace_back(PublishReport{ownReport(State, Now)});
     return reportToAll();
+  }
   // A target that reported that it leaves stays so for its life.
   if (Target.State == TargetState::Down) {
     setTargetState(TargetState::Ready, "announced");
--- a/lib/decision/mesh/Reduction.h
+++ b/lib/decision/mesh/Reduction.h
@@ -96,6 +96,7 @@
   /// @name Reports and moves
   /// @{
   void learnOwn(const HostReport &Former);
+  void inheritTarget(const TargetReport &Former);
   void reportTo(std::vector<std::string> Addresses);
   void reportToAll();
   void reportInTurn();
--- a/lib/io/mesh/MeshProcess.cpp
+++ b/lib/io/mesh/MeshProcess.cpp
@@ -82,6 +82,7 @@
                   Place.DataCentre.value(), Place.Service.value())});
   startStore();
   LastTick = Loop.now().Mono;
+  HostsReadAt = LastTick;
   Ticker.arm(LastTick + TickPeriod);
   return std::monostate();
 }
@@ -218,6 +219,9 @@
 void Process::carryOut(const decide::PublishReport &What) {
   if (!HostsRead)
     return readHosts();
+  const bool Early = Loop.now().Mono - HostsReadAt < LonelyReadPeriod;
+  if (!HostPublished && !What.What.Target && Early)
+    return;
   Store.publishHost(Place.Node, wire::encode(What.What),
                     [this](const core::Status &Done) {
                       const bool Before = HostPublished;
--- a/tests/mesh/OwnTargetTest.cpp
+++ b/tests/mesh/OwnTargetTest.cpp
@@ -222,3 +222,52 @@
     cr_assert(After.first<StartAttempt>().has_value());
   }
 }
+
+// Guards against a target that has no work until its next announcement after a
+// restart of its node: 1.5 s of each restart in turn and after each mass kill.
+Test(mesh_target, a_restarted_node_knows_its_target) {
+  Bench Before;
+  Before.configure();
+  Before.send(StoreChanged{true});
+  Before.announce();
+  const auto Published = Before.first<PublishReport>();
+  cr_assert(Published.has_value(), "the store does not learn of the target");
+
+  const auto Restarted = [&Published] {
+    Bench Node;
+    Node.State.Own.Service = core::ServiceName("shop");
+    Node.configure();
+    Node.send(ReportsLearned{{Published->What}});
+    return Node;
+  };
+  // It takes requests at once, and the announcement starts no new life.
+  {
+    Bench After = Restarted();
+    After.arriveHosted(1);
+    cr_assert(After.first<StartAttempt>().has_value());
+    After.announce(9);
+    cr_assert(After.State.Slots.load().Running == 1);
+  }
+  // A target that said that it leaves is not taken over.
+  {
+    HostReport Gone = Published->What;
+    Gone.Left = LeftTarget{core::TargetId("own"), 1000};
+    Bench After;
+    After.State.Own.Service = core::ServiceName("shop");
+    After.configure();
+    After.send(ReportsLearned{{Gone}});
+    After.arriveHosted(1);
+    cr_assert(After.first<Refuse>()->Result == Outcome::NotRun);
+  }
+  // Neither is the one of a host that had another address.
+  {
+    HostReport Moved = Published->What;
+    Moved.Address = "10.0.0.99";
+    Bench After;
+    After.State.Own.Service = core::ServiceName("shop");
+    After.configure();
+    After.send(ReportsLearned{{Moved}});
+    After.arriveHosted(1);
+    cr_assert(After.first<Refuse>()->Result == Outcome::NotRun);
+  }
+}
