--- a/include/filbertvane/decision/mesh/RepeatBudget.h
+++ b/include/filbertvane/decision/mesh/RepeatBudget.h
@@ -35,6 +35,9 @@
   /// @param Nodes nodes that share the budget
   bool take(std::size_t Nodes, core::TimePoint Now);
 
+  /// @brief Repeats that are left of the part of this node.
+  double left(std::size_t Nodes, core::TimePoint Now) const;
+
 private:
   static constexpr std::size_t Slices = 10;
   struct Slice {
--- a/include/filbertvane/io/mesh/MeshProcess.h
+++ b/include/filbertvane/io/mesh/MeshProcess.h
@@ -25,7 +25,7 @@
   ///        target may change while the process runs.
   virtual void reload(const MeshPlace &Place) = 0;
   /// @brief Prometheus text.
-  virtual std::string metrics() const = 0;
+  virtual std::string metrics() = 0;
 };
 
 } // namespace filbertvane::io::mesh
--- /dev/null
+++ b/lib/decision/mesh/Gauges.cpp
@@ -0,0 +1,68 @@
+#include "filbertvane/decision/mesh/Gauges.h"
+
+namespace filbertvane::decision::mesh {
+
+namespace {
+
+const char *nameOf(const MeshState &State, const KnownHost &Host,
+                   core::TimePoint Now) {
+  if (Host.Hearsay)
+    return "not_heard_yet";
+  if (State.Hosts.doubtful(Host, Now))
+    return "doubtful";
+  if (Host.Report.Leaving)
+    return "leaving";
+  if (!Host.Report.Target)
+    return "without_target";
+  switch (Host.Report.Target->State) {
+  case TargetState::Ready:
+    return "ready";
+  case TargetState::Draining:
+    return "target_draining";
+  case TargetState::Down:
+    return "target_down";
+  }
+  return "ready";
+}
+
+} // namespace
+
+void writeGauges(const MeshState &State, core::TimePoint Now,
+                 observe::Metrics &Into) {
+  const auto Set = [&Into](const char *Name, double Value) {
+    Into.set(Name, {}, Value);
+  };
+  const TargetLoad Load = State.Slots.load();
+  Set("filbertvane_calls", static_cast<double>(State.Calls.size()));
+  Set("filbertvane_target_slots", Load.Slots);
+  Set("filbertvane_target_running", Load.Running);
+  Set("filbertvane_target_waiting", Load.Waiting);
+  Set("filbertvane_target_answer_seconds",
+      static_cast<double>(Load.MeanTime.count()) / 1000);
+  Set("filbertvane_target_fault_ratio",
+      State.Target ? State.Target->FaultPart : 0);
+  Set("filbertvane_ready", State.Ready ? 1 : 0);
+  Set("filbertvane_store_reachable", State.StoreReachable ? 1 : 0);
+  Set("filbertvane_follows_store", State.Follows ? 1 : 0);
+  Set("filbertvane_position", static_cast<double>(State.Position.value()));
+  if (State.Routing)
+    Set("filbertvane_config_version",
+        static_cast<double>(State.Routing->routing().Version.value()));
+
+  // States without a host are written too, so that a former value goes away.
+  std::map<std::string, std::size_t> Hosts = {
+      {"ready", 0},       {"doubtful", 0},       {"not_heard_yet", 0},
+      {"leaving", 0},     {"without_target", 0}, {"target_draining", 0},
+      {"target_down", 0},
+  };
+  for (const auto &[Node, Host] : State.Hosts.hosts())
+    ++Hosts[nameOf(State, Host, Now)];
+  for (const auto &[Name, Count] : Hosts)
+    Into.set("filbertvane_hosts", {{"state", Name}},
+             static_cast<double>(Count));
+  for (const auto &[Service, Memory] : State.Services)
+    Into.set("filbertvane_repeats_left", {{"service", Service.value()}},
+             Memory.Budget.left(State.Hosts.hosts().size() + 1, Now));
+}
+
+} // namespace filbertvane::decision::mesh
--- a/lib/decision/mesh/RepeatBudget.cpp
+++ b/lib/decision/mesh/RepeatBudget.cpp
@@ -30,7 +30,7 @@
 
 void RepeatBudget::noteRepeat(core::TimePoint Now) { ++at(Now).Repeats; }
 
-bool RepeatBudget::take(std::size_t Nodes, core::TimePoint Now) {
+double RepeatBudget::left(std::size_t Nodes, core::TimePoint Now) const {
   const std::int64_t Oldest =
       numberOf(Now) - static_cast<std::int64_t>(Slices) + 1;
   double Requests = 0;
@@ -43,7 +43,11 @@
   }
   const double Part =
       Terms.Slack / static_cast<double>(std::max<std::size_t>(Nodes, 1));
-  if (Repeats + 1 > PlannedPart * (Terms.Ratio * Requests + Part))
+  return PlannedPart * (Terms.Ratio * Requests + Part) - Repeats;
+}
+
+bool RepeatBudget::take(std::size_t Nodes, core::TimePoint Now) {
+  if (left(Nodes, Now) < 1)
     return false;
   ++at(Now).Repeats;
   return true;
--- a/lib/io/mesh/MeshProcess.cpp
+++ b/lib/io/mesh/MeshProcess.cpp
@@ -1,5 +1,6 @@
 #include "MeshProcessImpl.h"
 #include "filbertvane/core/Digest.h"
+#include "filbertvane/decision/mesh/Gauges.h"
 #include "filbertvane/wire/HostReportCodec.h"
 #include <fmt/format.h>
 #include <unistd.h>
@@ -475,7 +476,10 @@
   handle(decide::ServiceAssigned{Fresh.Service});
 }
 
-std::string Process::metrics() const { return Figures.render(); }
+std::string Process::metrics() {
+  decide::writeGauges(State, Loop.now().Mono, Figures);
+  return Figures.render();
+}
 
 core::Result<std::unique_ptr<MeshProcess>>
 MeshProcess::create(EventLoop &Loop, HttpClient &Http, MeshPlace Place,
--- a/lib/io/mesh/MeshProcessImpl.h
+++ b/lib/io/mesh/MeshProcessImpl.h
@@ -24,7 +24,7 @@
   core::Status open();
   void drain() override;
   void reload(const MeshPlace &Place) override;
-  std::string metrics() const override;
+  std::string metrics() override;
 
 private:
   /// @name Opening
