--- a/lib/io/proxy/BulkSender.cpp
+++ b/lib/io/proxy/BulkSender.cpp
@@ -7,7 +7,8 @@
 
 /// Time after which an answer goes before smaller ones. It is late by then, but
 /// comes before its deadline (3 s and more on routes with large answers). With
-/// 0.6 s a loaded link sends in order of arrival, and three times as many are late.
+/// 0.6 s a loaded link sends in order of arrival, and three times as many are
+/// late.
 constexpr core::Milliseconds LongestWait{2000};
 
 } // namespace
