--- a/scripts/platform_hosts.py
+++ b/scripts/platform_hosts.py
@@ -2,7 +2,8 @@
 """Writes settings files of nodes on the platform's stand-in, one host an
 address of 127.0.0.0/8, and a configuration for them.
 
-usage: platform_hosts.py FOLDER HOSTS STORE
+usage: platform_hosts.py FOLDER HOSTS STORE[,STORE...]
+Hosts take the addresses of the store in turn.
 """
 import json
 import pathlib
@@ -42,10 +43,10 @@
 
 
 def main():
-    folder, hosts, store = pathlib.Path(sys.argv[1]), int(sys.argv[2]), sys.argv[3]
+    folder, hosts, stores = pathlib.Path(sys.argv[1]), int(sys.argv[2]), sys.argv[3].split(",")
     folder.mkdir(parents=True, exist_ok=True)
     for number in range(hosts):
-        (folder / f"host-{number}.conf").write_text(settings(number, store))
+        (folder / f"host-{number}.conf").write_text(settings(number, stores[number % len(stores)]))
     (folder / "config.json").write_text(json.dumps(configuration()))
 
 
