Shorten only the deadline by the wait for the link

Change: the wait shortens the deadline only, so that hopeless requests are refused.

387 of 387 tests.

--- a/lib/decision/mesh/ReduceArrival.cpp
+++ b/lib/decision/mesh/ReduceArrival.cpp
@@ -146,8 +146,10 @@
   Who.Id = Call.Id;
   Who.Route = Call.Terms.Route;
   Who.Rank = Call.Terms.Rank;
-  // The answer has to cross the link in time as well.
-  Who.Objective = Call.Objective - Call.LinkWait;
+  Who.Objective = Call.Objective;
+  // The answer has to cross the link before the deadline as well. Most wait for
+  // less than all queued bytes, since smaller answers go first, so that the
+  // objective is not shortened by them.
   Who.Deadline = Call.Deadline - Call.LinkWait;
   Who.AcceptLate = Call.Terms.AcceptLate;
   const SlotVerdict Verdict = State.Slots.arrive(Who, Now);
