Give up an inherited target that announces nothing

Cause (found in reading the change again): a target that deregistered while the store was away is still ready in the report that the former process published, and announces nothing more, so that a restarted node would serve it for 6 s.

Change: an inherited target counts as down after 3 s without an announcement. The new case of mesh_target/a_restarted_node_knows_its_target fails without it.

--- a/include/filbertvane/decision/mesh/Limits.h
+++ b/include/filbertvane/decision/mesh/Limits.h
@@ -39,6 +39,9 @@
 /// Announcements come about every 1.5 s and may be late by seconds; a target
 /// that neither announced nor answered for this time counts as gone.
 inline constexpr core::Milliseconds SilentTargetAfter{6000};
+/// A target that is known from the former process of the node only counts as
+/// gone after this time: two announcements are missing then.
+inline constexpr core::Milliseconds UnconfirmedTargetFor{3000};
 /// Announcements come up to some seconds late; one in this time after a target
 /// left whose start is not known belongs to the life that ended.
 inline constexpr core::Milliseconds LateAnnouncements{6000};
--- a/lib/decision/mesh/ReduceTarget.cpp
+++ b/lib/decision/mesh/ReduceTarget.cpp
@@ -130,6 +130,10 @@
   if (!State.Target || State.Target->State != TargetState::Ready)
     return;
   const OwnTarget &Target = *State.Target;
+  // It may have told the former process that it leaves while the store was
+  // away.
+  if (Target.Inherited && Now - Target.HeardAt > UnconfirmedTargetFor)
+    return setTargetState(TargetState::Down, "not_announced");
   if (Now - Target.HeardAt > SilentTargetAfter &&
       Now - Target.AnsweredAt > SilentTargetAfter)
     setTargetState(TargetState::Down, "silent");
--- a/tests/mesh/OwnTargetTest.cpp
+++ b/tests/mesh/OwnTargetTest.cpp
@@ -248,6 +248,18 @@
     After.announce(9);
     cr_assert(After.State.Slots.load().Running == 1);
   }
+  // It counts as gone when it announces nothing: it may have told the former
+  // process that it leaves while the store was away.
+  {
+    Bench After = Restarted();
+    After.Now += milliseconds(3100);
+    After.send(request::Tick{});
+    After.arriveHosted(1);
+    cr_assert(After.first<Refuse>()->Result == Outcome::NotRun);
+    After.announce(9);
+    After.arriveHosted(2);
+    cr_assert(After.first<StartAttempt>().has_value());
+  }
   // A target that said that it leaves is not taken over.
   {
     HostReport Gone = Published->What;
