--- a/include/filbertvane/decision/mesh/Limits.h
+++ b/include/filbertvane/decision/mesh/Limits.h
@@ -45,6 +45,11 @@
 /// Announcements come up to some seconds late; one in this time after a target
 /// left whose start is not known belongs to the life that ended.
 inline constexpr core::Milliseconds LateAnnouncements{6000};
+/// A host whose link is busy for longer refuses requests with large answers.
+/// They would be late, and a node that took one may stop before it is there:
+/// with up to 5 s, answers that waited for 3.5 s were cut with their entry
+/// node.
+inline constexpr core::Milliseconds LongestLinkWait{1500};
 /// Waiting requests per slot; more would wait for longer than any latency
 /// objective allows.
 inline constexpr std::uint32_t WaitingPerSlot = 4;
--- a/lib/decision/mesh/ReduceArrival.cpp
+++ b/lib/decision/mesh/ReduceArrival.cpp
@@ -77,7 +77,11 @@
   Call.Deadline = Now + What.TimeLeft.value_or(UsualTimeLeft);
   if (memoryOf(Call.Terms.Route).AnswerBytes > LinkPacer::BulkBytes)
     Call.LinkWait = What.LinkWait;
-  enterQueue(State.Calls.emplace(What.Id, std::move(Call)).first->second);
+  const bool LinkBusy = Call.LinkWait > LongestLinkWait;
+  MeshCall &Taken = State.Calls.emplace(What.Id, std::move(Call)).first->second;
+  if (LinkBusy)
+    return refuse(Taken, ErrorCode::RequestWouldBeLate);
+  enterQueue(Taken);
 }
 
 void Reduction::arriveFromCaller(const request::CallArrived &What) {
--- a/tests/mesh/RequestFlowTest.cpp
+++ b/tests/mesh/RequestFlowTest.cpp
@@ -230,8 +230,12 @@
   End(500);
   Arrive(2, 5000, false);
   End(900000);
-  // Large ones are refused as soon as they would come after the deadline.
-  Arrive(3, 2000, true);
+  // Large ones are refused before they would come after the deadline, and where
+  // the link is busy for so long that a stop can come before the answer.
+  Arrive(3, 980, true);
+  cr_assert(Node.first<Refuse>()->Result == Outcome::NotRun);
+  Node.Now += milliseconds(10);
+  Arrive(5, 1600, true);
   cr_assert(Node.first<Refuse>()->Result == Outcome::NotRun);
   Arrive(4, 100, false);
   cr_assert(Node.first<StartAttempt>().has_value());
