Follow the store from two nodes a data centre again

Two followers of the region were being restarted; the nodes that took over sat on connections to the store that had gone silent, and as followers they asked other nodes only after 0.8 s, each time a host that had just ended (event 2053).

Ruled out: a shorter wait alone; the region still has nobody who reads while the new followers' connections are silent.

--- a/include/filbertvane/decision/mesh/Limits.h
+++ b/include/filbertvane/decision/mesh/Limits.h
@@ -25,10 +25,11 @@
 inline constexpr core::Seconds ForgetAfter{30};
 /// Most hosts that a node remembers.
 inline constexpr std::size_t MostHosts = 4096;
-/// Nodes of a region that follow the store; the others have the records from
-/// them. Two, so that one may be lost or cut off at any moment; followers of
-/// other regions tell each data centre as well.
-inline constexpr std::size_t FollowersPerRegion = 2;
+/// Nodes of a data centre that follow the store; the others have the records
+/// from them. Two, so that one may be lost or cut off at any moment. With two a
+/// region, a data centre missed a change for 2.5 s while nodes were restarted
+/// in turn during a series of changes.
+inline constexpr std::size_t FollowersPerDataCentre = 2;
 /// Hosts of each other data centre that are told of new records at once, so
 /// that a data centre whose followers the store turned away learns of them.
 inline constexpr std::size_t ToldPerDataCentre = 2;
--- a/lib/decision/mesh/ReduceHosts.cpp
+++ b/lib/decision/mesh/ReduceHosts.cpp
@@ -7,13 +7,11 @@
 
 namespace {
 
-/// Time that the store has to bring records which a node of another region
-/// already holds: followers read at most every 0.7 s, so that those of the own
-/// region have them within it. Records are some 20 KB, and 300 ms made half as
-/// much traffic again between regions.
-constexpr core::Milliseconds FetchAfter{800};
-/// The same where a node of the region holds the records and this one does not
-/// follow the store; it gathers changes in quick succession.
+/// Time that the own connection to the store has for records that another node
+/// already holds; the store's answers to both leave it together.
+constexpr core::Milliseconds FetchAfter{300};
+/// The same where a node of the data centre holds the records and this one does
+/// not follow the store; it gathers changes in quick succession.
 constexpr core::Milliseconds NearFetchAfter{20};
 constexpr const char *FollowDuty = "follow-store";
 /// Time for which a stopping node serves other nodes like before. Its target
@@ -210,7 +208,7 @@
   // Each host that has the records hands them on, so that no link carries them
   // for the whole data centre.
   const KnownHost *Ahead = Nearest[State.Source.below(Nearest.size())];
-  const bool Near = Ahead->Away != Distance::Far && !State.Follows;
+  const bool Near = Ahead->Away == Distance::DataCentre && !State.Follows;
   if (Now - *State.BehindSince < (Near ? NearFetchAfter : FetchAfter))
     return;
   State.BehindSince = Now;
@@ -239,19 +237,19 @@
   reportTo(std::move(Told));
 }
 
-/// The first nodes of the region by rank follow the store. A node that the
+/// The first nodes of the data centre by rank follow the store. A node that the
 /// store does not answer keeps trying, but does not count as a follower.
 void Reduction::checkReading() {
   const std::uint64_t Own =
       core::rendezvousScore(FollowDuty, State.Own.Node.value());
   std::size_t Before = 0;
   for (const auto &[Node, Host] : State.Hosts.hosts())
-    if (Host.Away != Distance::Far && Host.Report.StoreReachable &&
+    if (Host.Away == Distance::DataCentre && Host.Report.StoreReachable &&
         !Host.Report.Leaving && !State.Hosts.doubtful(Host, Now) &&
         core::rendezvousScore(FollowDuty, Node.value()) > Own)
       ++Before;
-  const bool Follow =
-      Before < FollowersPerRegion || !State.Routing || !State.StoreReachable;
+  const bool Follow = Before < FollowersPerDataCentre || !State.Routing ||
+                      !State.StoreReachable;
   if (Follow == State.Follows)
     return;
   State.Follows = Follow;
