--- a/gen/filbertvane_types.cpp
+++ b/gen/filbertvane_types.cpp
@@ -46,6 +46,39 @@
   }
 }
 
+int _kLogEndValues[] = {
+  LogEnd::NOT_ASKED,
+  LogEnd::REACHED,
+  LogEnd::FURTHER,
+  LogEnd::UNREAD
+};
+const char* _kLogEndNames[] = {
+  "NOT_ASKED",
+  "REACHED",
+  "FURTHER",
+  "UNREAD"
+};
+const std::map<int, const char*> _LogEnd_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(4, _kLogEndValues, _kLogEndNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+
+std::ostream& operator<<(std::ostream& out, const LogEnd::type& val) {
+  std::map<int, const char*>::const_iterator it = _LogEnd_VALUES_TO_NAMES.find(val);
+  if (it != _LogEnd_VALUES_TO_NAMES.end()) {
+    out << it->second;
+  } else {
+    out << static_cast<int>(val);
+  }
+  return out;
+}
+
+std::string to_string(const LogEnd::type& val) {
+  std::map<int, const char*>::const_iterator it = _LogEnd_VALUES_TO_NAMES.find(val);
+  if (it != _LogEnd_VALUES_TO_NAMES.end()) {
+    return std::string(it->second);
+  } else {
+    return std::to_string(static_cast<int>(val));
+  }
+}
+
 
 MoveOrder::~MoveOrder() noexcept {
 }
@@ -5406,6 +5439,10 @@
 void Records::__set_after(const Position& val) {
   this->after = val;
 }
+
+void Records::__set_logEnd(const LogEnd::type val) {
+  this->logEnd = val;
+}
 std::ostream& operator<<(std::ostream& out, const Records& obj)
 {
   obj.printTo(out);
@@ -5470,6 +5507,16 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast168;
+          xfer += iprot->readI32(ecast168);
+          this->logEnd = static_cast<LogEnd::type>(ecast168);
+          this->__isset.logEnd = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5494,10 +5541,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<StoredRecord> ::const_iterator _iter168;
-    for (_iter168 = this->records.begin(); _iter168 != this->records.end(); ++_iter168)
+    std::vector<StoredRecord> ::const_iterator _iter169;
+    for (_iter169 = this->records.begin(); _iter169 != this->records.end(); ++_iter169)
     {
-      xfer += (*_iter168).write(oprot);
+      xfer += (*_iter169).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5507,6 +5554,10 @@
   xfer += this->after.write(oprot);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("logEnd", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->logEnd));
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5517,20 +5568,23 @@
   swap(a.first, b.first);
   swap(a.records, b.records);
   swap(a.after, b.after);
+  swap(a.logEnd, b.logEnd);
   swap(a.__isset, b.__isset);
 }
 
-Records::Records(const Records& other169) {
-  first = other169.first;
-  records = other169.records;
-  after = other169.after;
-  __isset = other169.__isset;
-}
-Records& Records::operator=(const Records& other170) {
+Records::Records(const Records& other170) {
   first = other170.first;
   records = other170.records;
   after = other170.after;
+  logEnd = other170.logEnd;
   __isset = other170.__isset;
+}
+Records& Records::operator=(const Records& other171) {
+  first = other171.first;
+  records = other171.records;
+  after = other171.after;
+  logEnd = other171.logEnd;
+  __isset = other171.__isset;
   return *this;
 }
 void Records::printTo(std::ostream& out) const {
@@ -5539,6 +5593,7 @@
   out << "first=" << to_string(first);
   out << ", " << "records=" << to_string(records);
   out << ", " << "after=" << to_string(after);
+  out << ", " << "logEnd=" << to_string(logEnd);
   out << ")";
 }
 
@@ -5554,6 +5609,10 @@
 void RecordsRequest::__set_wantsSnapshot(const bool val) {
   this->wantsSnapshot = val;
 }
+
+void RecordsRequest::__set_wantsEnd(const bool val) {
+  this->wantsEnd = val;
+}
 std::ostream& operator<<(std::ostream& out, const RecordsRequest& obj)
 {
   obj.printTo(out);
@@ -5598,6 +5657,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->wantsEnd);
+          this->__isset.wantsEnd = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5623,6 +5690,10 @@
   xfer += oprot->writeBool(this->wantsSnapshot);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("wantsEnd", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->wantsEnd);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5632,18 +5703,21 @@
   using ::std::swap;
   swap(a.first, b.first);
   swap(a.wantsSnapshot, b.wantsSnapshot);
+  swap(a.wantsEnd, b.wantsEnd);
   swap(a.__isset, b.__isset);
 }
 
-RecordsRequest::RecordsRequest(const RecordsRequest& other171) noexcept {
-  first = other171.first;
-  wantsSnapshot = other171.wantsSnapshot;
-  __isset = other171.__isset;
-}
-RecordsRequest& RecordsRequest::operator=(const RecordsRequest& other172) noexcept {
+RecordsRequest::RecordsRequest(const RecordsRequest& other172) noexcept {
   first = other172.first;
   wantsSnapshot = other172.wantsSnapshot;
+  wantsEnd = other172.wantsEnd;
   __isset = other172.__isset;
+}
+RecordsRequest& RecordsRequest::operator=(const RecordsRequest& other173) noexcept {
+  first = other173.first;
+  wantsSnapshot = other173.wantsSnapshot;
+  wantsEnd = other173.wantsEnd;
+  __isset = other173.__isset;
   return *this;
 }
 void RecordsRequest::printTo(std::ostream& out) const {
@@ -5651,6 +5725,7 @@
   out << "RecordsRequest(";
   out << "first=" << to_string(first);
   out << ", " << "wantsSnapshot=" << to_string(wantsSnapshot);
+  out << ", " << "wantsEnd=" << to_string(wantsEnd);
   out << ")";
 }
 
@@ -5747,15 +5822,15 @@
   swap(a.__isset, b.__isset);
 }
 
-Snapshot::Snapshot(const Snapshot& other173) {
-  position = other173.position;
-  state = other173.state;
-  __isset = other173.__isset;
-}
-Snapshot& Snapshot::operator=(const Snapshot& other174) {
+Snapshot::Snapshot(const Snapshot& other174) {
   position = other174.position;
   state = other174.state;
   __isset = other174.__isset;
+}
+Snapshot& Snapshot::operator=(const Snapshot& other175) {
+  position = other175.position;
+  state = other175.state;
+  __isset = other175.__isset;
   return *this;
 }
 void Snapshot::printTo(std::ostream& out) const {
@@ -5866,14 +5941,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entryAddresses.clear();
-            uint32_t _size175;
-            ::apache::thrift::protocol::TType _etype178;
-            xfer += iprot->readListBegin(_etype178, _size175);
-            this->entryAddresses.resize(_size175);
-            uint32_t _i179;
-            for (_i179 = 0; _i179 < _size175; ++_i179)
+            uint32_t _size176;
+            ::apache::thrift::protocol::TType _etype179;
+            xfer += iprot->readListBegin(_etype179, _size176);
+            this->entryAddresses.resize(_size176);
+            uint32_t _i180;
+            for (_i180 = 0; _i180 < _size176; ++_i180)
             {
-              xfer += iprot->readString(this->entryAddresses[_i179]);
+              xfer += iprot->readString(this->entryAddresses[_i180]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5922,10 +5997,10 @@
   xfer += oprot->writeFieldBegin("entryAddresses", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->entryAddresses.size()));
-    std::vector<std::string> ::const_iterator _iter180;
-    for (_iter180 = this->entryAddresses.begin(); _iter180 != this->entryAddresses.end(); ++_iter180)
+    std::vector<std::string> ::const_iterator _iter181;
+    for (_iter181 = this->entryAddresses.begin(); _iter181 != this->entryAddresses.end(); ++_iter181)
     {
-      xfer += oprot->writeString((*_iter180));
+      xfer += oprot->writeString((*_iter181));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5947,16 +6022,7 @@
   swap(a.__isset, b.__isset);
 }
 
-ServiceSummary::ServiceSummary(const ServiceSummary& other181) {
-  serviceName = other181.serviceName;
-  version = other181.version;
-  targets = other181.targets;
-  slots = other181.slots;
-  freeSlots = other181.freeSlots;
-  entryAddresses = other181.entryAddresses;
-  __isset = other181.__isset;
-}
-ServiceSummary& ServiceSummary::operator=(const ServiceSummary& other182) {
+ServiceSummary::ServiceSummary(const ServiceSummary& other182) {
   serviceName = other182.serviceName;
   version = other182.version;
   targets = other182.targets;
@@ -5964,6 +6030,15 @@
   freeSlots = other182.freeSlots;
   entryAddresses = other182.entryAddresses;
   __isset = other182.__isset;
+}
+ServiceSummary& ServiceSummary::operator=(const ServiceSummary& other183) {
+  serviceName = other183.serviceName;
+  version = other183.version;
+  targets = other183.targets;
+  slots = other183.slots;
+  freeSlots = other183.freeSlots;
+  entryAddresses = other183.entryAddresses;
+  __isset = other183.__isset;
   return *this;
 }
 void ServiceSummary::printTo(std::ostream& out) const {
@@ -6078,14 +6153,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->services.clear();
-            uint32_t _size183;
-            ::apache::thrift::protocol::TType _etype186;
-            xfer += iprot->readListBegin(_etype186, _size183);
-            this->services.resize(_size183);
-            uint32_t _i187;
-            for (_i187 = 0; _i187 < _size183; ++_i187)
+            uint32_t _size184;
+            ::apache::thrift::protocol::TType _etype187;
+            xfer += iprot->readListBegin(_etype187, _size184);
+            this->services.resize(_size184);
+            uint32_t _i188;
+            for (_i188 = 0; _i188 < _size184; ++_i188)
             {
-              xfer += this->services[_i187].read(iprot);
+              xfer += this->services[_i188].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6106,14 +6181,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leadAddresses.clear();
-            uint32_t _size188;
-            ::apache::thrift::protocol::TType _etype191;
-            xfer += iprot->readListBegin(_etype191, _size188);
-            this->leadAddresses.resize(_size188);
-            uint32_t _i192;
-            for (_i192 = 0; _i192 < _size188; ++_i192)
+            uint32_t _size189;
+            ::apache::thrift::protocol::TType _etype192;
+            xfer += iprot->readListBegin(_etype192, _size189);
+            this->leadAddresses.resize(_size189);
+            uint32_t _i193;
+            for (_i193 = 0; _i193 < _size189; ++_i193)
             {
-              xfer += iprot->readString(this->leadAddresses[_i192]);
+              xfer += iprot->readString(this->leadAddresses[_i193]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6186,10 +6261,10 @@
   xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->services.size()));
-    std::vector<ServiceSummary> ::const_iterator _iter193;
-    for (_iter193 = this->services.begin(); _iter193 != this->services.end(); ++_iter193)
+    std::vector<ServiceSummary> ::const_iterator _iter194;
+    for (_iter194 = this->services.begin(); _iter194 != this->services.end(); ++_iter194)
     {
-      xfer += (*_iter193).write(oprot);
+      xfer += (*_iter194).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6202,10 +6277,10 @@
   xfer += oprot->writeFieldBegin("leadAddresses", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->leadAddresses.size()));
-    std::vector<std::string> ::const_iterator _iter194;
-    for (_iter194 = this->leadAddresses.begin(); _iter194 != this->leadAddresses.end(); ++_iter194)
+    std::vector<std::string> ::const_iterator _iter195;
+    for (_iter195 = this->leadAddresses.begin(); _iter195 != this->leadAddresses.end(); ++_iter195)
     {
-      xfer += oprot->writeString((*_iter194));
+      xfer += oprot->writeString((*_iter195));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6247,20 +6322,7 @@
   swap(a.__isset, b.__isset);
 }
 
-DataCentreSummary::DataCentreSummary(const DataCentreSummary& other195) {
-  dataCentre = other195.dataCentre;
-  region = other195.region;
-  revision = other195.revision;
-  services = other195.services;
-  lowestVersion = other195.lowestVersion;
-  leadAddresses = other195.leadAddresses;
-  lowestNext = other195.lowestNext;
-  leadNode = other195.leadNode;
-  servicesSince = other195.servicesSince;
-  partial = other195.partial;
-  __isset = other195.__isset;
-}
-DataCentreSummary& DataCentreSummary::operator=(const DataCentreSummary& other196) {
+DataCentreSummary::DataCentreSummary(const DataCentreSummary& other196) {
   dataCentre = other196.dataCentre;
   region = other196.region;
   revision = other196.revision;
@@ -6272,6 +6334,19 @@
   servicesSince = other196.servicesSince;
   partial = other196.partial;
   __isset = other196.__isset;
+}
+DataCentreSummary& DataCentreSummary::operator=(const DataCentreSummary& other197) {
+  dataCentre = other197.dataCentre;
+  region = other197.region;
+  revision = other197.revision;
+  services = other197.services;
+  lowestVersion = other197.lowestVersion;
+  leadAddresses = other197.leadAddresses;
+  lowestNext = other197.lowestNext;
+  leadNode = other197.leadNode;
+  servicesSince = other197.servicesSince;
+  partial = other197.partial;
+  __isset = other197.__isset;
   return *this;
 }
 void DataCentreSummary::printTo(std::ostream& out) const {
@@ -6330,14 +6405,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->dataCentres.clear();
-            uint32_t _size197;
-            ::apache::thrift::protocol::TType _etype200;
-            xfer += iprot->readListBegin(_etype200, _size197);
-            this->dataCentres.resize(_size197);
-            uint32_t _i201;
-            for (_i201 = 0; _i201 < _size197; ++_i201)
+            uint32_t _size198;
+            ::apache::thrift::protocol::TType _etype201;
+            xfer += iprot->readListBegin(_etype201, _size198);
+            this->dataCentres.resize(_size198);
+            uint32_t _i202;
+            for (_i202 = 0; _i202 < _size198; ++_i202)
             {
-              xfer += this->dataCentres[_i201].read(iprot);
+              xfer += this->dataCentres[_i202].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6366,10 +6441,10 @@
   xfer += oprot->writeFieldBegin("dataCentres", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->dataCentres.size()));
-    std::vector<DataCentreSummary> ::const_iterator _iter202;
-    for (_iter202 = this->dataCentres.begin(); _iter202 != this->dataCentres.end(); ++_iter202)
+    std::vector<DataCentreSummary> ::const_iterator _iter203;
+    for (_iter203 = this->dataCentres.begin(); _iter203 != this->dataCentres.end(); ++_iter203)
     {
-      xfer += (*_iter202).write(oprot);
+      xfer += (*_iter203).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6386,13 +6461,13 @@
   swap(a.__isset, b.__isset);
 }
 
-Summaries::Summaries(const Summaries& other203) {
-  dataCentres = other203.dataCentres;
-  __isset = other203.__isset;
-}
-Summaries& Summaries::operator=(const Summaries& other204) {
+Summaries::Summaries(const Summaries& other204) {
   dataCentres = other204.dataCentres;
   __isset = other204.__isset;
+}
+Summaries& Summaries::operator=(const Summaries& other205) {
+  dataCentres = other205.dataCentres;
+  __isset = other205.__isset;
   return *this;
 }
 void Summaries::printTo(std::ostream& out) const {
@@ -6514,14 +6589,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->newLatency.clear();
-            uint32_t _size205;
-            ::apache::thrift::protocol::TType _etype208;
-            xfer += iprot->readListBegin(_etype208, _size205);
-            this->newLatency.resize(_size205);
-            uint32_t _i209;
-            for (_i209 = 0; _i209 < _size205; ++_i209)
+            uint32_t _size206;
+            ::apache::thrift::protocol::TType _etype209;
+            xfer += iprot->readListBegin(_etype209, _size206);
+            this->newLatency.resize(_size206);
+            uint32_t _i210;
+            for (_i210 = 0; _i210 < _size206; ++_i210)
             {
-              xfer += iprot->readI64(this->newLatency[_i209]);
+              xfer += iprot->readI64(this->newLatency[_i210]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6534,14 +6609,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->oldLatency.clear();
-            uint32_t _size210;
-            ::apache::thrift::protocol::TType _etype213;
-            xfer += iprot->readListBegin(_etype213, _size210);
-            this->oldLatency.resize(_size210);
-            uint32_t _i214;
-            for (_i214 = 0; _i214 < _size210; ++_i214)
+            uint32_t _size211;
+            ::apache::thrift::protocol::TType _etype214;
+            xfer += iprot->readListBegin(_etype214, _size211);
+            this->oldLatency.resize(_size211);
+            uint32_t _i215;
+            for (_i215 = 0; _i215 < _size211; ++_i215)
             {
-              xfer += iprot->readI64(this->oldLatency[_i214]);
+              xfer += iprot->readI64(this->oldLatency[_i215]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6554,14 +6629,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->newCrashes.clear();
-            uint32_t _size215;
-            ::apache::thrift::protocol::TType _etype218;
-            xfer += iprot->readListBegin(_etype218, _size215);
-            this->newCrashes.resize(_size215);
-            uint32_t _i219;
-            for (_i219 = 0; _i219 < _size215; ++_i219)
+            uint32_t _size216;
+            ::apache::thrift::protocol::TType _etype219;
+            xfer += iprot->readListBegin(_etype219, _size216);
+            this->newCrashes.resize(_size216);
+            uint32_t _i220;
+            for (_i220 = 0; _i220 < _size216; ++_i220)
             {
-              xfer += iprot->readI64(this->newCrashes[_i219]);
+              xfer += iprot->readI64(this->newCrashes[_i220]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6574,14 +6649,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->oldCrashes.clear();
-            uint32_t _size220;
-            ::apache::thrift::protocol::TType _etype223;
-            xfer += iprot->readListBegin(_etype223, _size220);
-            this->oldCrashes.resize(_size220);
-            uint32_t _i224;
-            for (_i224 = 0; _i224 < _size220; ++_i224)
+            uint32_t _size221;
+            ::apache::thrift::protocol::TType _etype224;
+            xfer += iprot->readListBegin(_etype224, _size221);
+            this->oldCrashes.resize(_size221);
+            uint32_t _i225;
+            for (_i225 = 0; _i225 < _size221; ++_i225)
             {
-              xfer += iprot->readI64(this->oldCrashes[_i224]);
+              xfer += iprot->readI64(this->oldCrashes[_i225]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6630,10 +6705,10 @@
   xfer += oprot->writeFieldBegin("newLatency", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->newLatency.size()));
-    std::vector<int64_t> ::const_iterator _iter225;
-    for (_iter225 = this->newLatency.begin(); _iter225 != this->newLatency.end(); ++_iter225)
+    std::vector<int64_t> ::const_iterator _iter226;
+    for (_iter226 = this->newLatency.begin(); _iter226 != this->newLatency.end(); ++_iter226)
     {
-      xfer += oprot->writeI64((*_iter225));
+      xfer += oprot->writeI64((*_iter226));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6642,10 +6717,10 @@
   xfer += oprot->writeFieldBegin("oldLatency", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->oldLatency.size()));
-    std::vector<int64_t> ::const_iterator _iter226;
-    for (_iter226 = this->oldLatency.begin(); _iter226 != this->oldLatency.end(); ++_iter226)
+    std::vector<int64_t> ::const_iterator _iter227;
+    for (_iter227 = this->oldLatency.begin(); _iter227 != this->oldLatency.end(); ++_iter227)
     {
-      xfer += oprot->writeI64((*_iter226));
+      xfer += oprot->writeI64((*_iter227));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6654,10 +6729,10 @@
   xfer += oprot->writeFieldBegin("newCrashes", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->newCrashes.size()));
-    std::vector<int64_t> ::const_iterator _iter227;
-    for (_iter227 = this->newCrashes.begin(); _iter227 != this->newCrashes.end(); ++_iter227)
+    std::vector<int64_t> ::const_iterator _iter228;
+    for (_iter228 = this->newCrashes.begin(); _iter228 != this->newCrashes.end(); ++_iter228)
     {
-      xfer += oprot->writeI64((*_iter227));
+      xfer += oprot->writeI64((*_iter228));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6666,10 +6741,10 @@
   xfer += oprot->writeFieldBegin("oldCrashes", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->oldCrashes.size()));
-    std::vector<int64_t> ::const_iterator _iter228;
-    for (_iter228 = this->oldCrashes.begin(); _iter228 != this->oldCrashes.end(); ++_iter228)
+    std::vector<int64_t> ::const_iterator _iter229;
+    for (_iter229 = this->oldCrashes.begin(); _iter229 != this->oldCrashes.end(); ++_iter229)
     {
-      xfer += oprot->writeI64((*_iter228));
+      xfer += oprot->writeI64((*_iter229));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6694,19 +6769,7 @@
   swap(a.__isset, b.__isset);
 }
 
-RouteEvidence::RouteEvidence(const RouteEvidence& other229) {
-  route = other229.route;
-  newAnswers = other229.newAnswers;
-  newFaults = other229.newFaults;
-  oldAnswers = other229.oldAnswers;
-  oldFaults = other229.oldFaults;
-  newLatency = other229.newLatency;
-  oldLatency = other229.oldLatency;
-  newCrashes = other229.newCrashes;
-  oldCrashes = other229.oldCrashes;
-  __isset = other229.__isset;
-}
-RouteEvidence& RouteEvidence::operator=(const RouteEvidence& other230) {
+RouteEvidence::RouteEvidence(const RouteEvidence& other230) {
   route = other230.route;
   newAnswers = other230.newAnswers;
   newFaults = other230.newFaults;
@@ -6717,6 +6780,18 @@
   newCrashes = other230.newCrashes;
   oldCrashes = other230.oldCrashes;
   __isset = other230.__isset;
+}
+RouteEvidence& RouteEvidence::operator=(const RouteEvidence& other231) {
+  route = other231.route;
+  newAnswers = other231.newAnswers;
+  newFaults = other231.newFaults;
+  oldAnswers = other231.oldAnswers;
+  oldFaults = other231.oldFaults;
+  newLatency = other231.newLatency;
+  oldLatency = other231.oldLatency;
+  newCrashes = other231.newCrashes;
+  oldCrashes = other231.oldCrashes;
+  __isset = other231.__isset;
   return *this;
 }
 void RouteEvidence::printTo(std::ostream& out) const {
@@ -6786,14 +6861,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->routes.clear();
-            uint32_t _size231;
-            ::apache::thrift::protocol::TType _etype234;
-            xfer += iprot->readListBegin(_etype234, _size231);
-            this->routes.resize(_size231);
-            uint32_t _i235;
-            for (_i235 = 0; _i235 < _size231; ++_i235)
+            uint32_t _size232;
+            ::apache::thrift::protocol::TType _etype235;
+            xfer += iprot->readListBegin(_etype235, _size232);
+            this->routes.resize(_size232);
+            uint32_t _i236;
+            for (_i236 = 0; _i236 < _size232; ++_i236)
             {
-              xfer += this->routes[_i235].read(iprot);
+              xfer += this->routes[_i236].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6826,10 +6901,10 @@
   xfer += oprot->writeFieldBegin("routes", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->routes.size()));
-    std::vector<RouteEvidence> ::const_iterator _iter236;
-    for (_iter236 = this->routes.begin(); _iter236 != this->routes.end(); ++_iter236)
+    std::vector<RouteEvidence> ::const_iterator _iter237;
+    for (_iter237 = this->routes.begin(); _iter237 != this->routes.end(); ++_iter237)
     {
-      xfer += (*_iter236).write(oprot);
+      xfer += (*_iter237).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6847,15 +6922,15 @@
   swap(a.__isset, b.__isset);
 }
 
-MoveEvidence::MoveEvidence(const MoveEvidence& other237) {
-  move = other237.move;
-  routes = other237.routes;
-  __isset = other237.__isset;
-}
-MoveEvidence& MoveEvidence::operator=(const MoveEvidence& other238) {
+MoveEvidence::MoveEvidence(const MoveEvidence& other238) {
   move = other238.move;
   routes = other238.routes;
   __isset = other238.__isset;
+}
+MoveEvidence& MoveEvidence::operator=(const MoveEvidence& other239) {
+  move = other239.move;
+  routes = other239.routes;
+  __isset = other239.__isset;
   return *this;
 }
 void MoveEvidence::printTo(std::ostream& out) const {
@@ -6942,14 +7017,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->moves.clear();
-            uint32_t _size239;
-            ::apache::thrift::protocol::TType _etype242;
-            xfer += iprot->readListBegin(_etype242, _size239);
-            this->moves.resize(_size239);
-            uint32_t _i243;
-            for (_i243 = 0; _i243 < _size239; ++_i243)
+            uint32_t _size240;
+            ::apache::thrift::protocol::TType _etype243;
+            xfer += iprot->readListBegin(_etype243, _size240);
+            this->moves.resize(_size240);
+            uint32_t _i244;
+            for (_i244 = 0; _i244 < _size240; ++_i244)
             {
-              xfer += this->moves[_i243].read(iprot);
+              xfer += this->moves[_i244].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6990,10 +7065,10 @@
   xfer += oprot->writeFieldBegin("moves", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->moves.size()));
-    std::vector<MoveEvidence> ::const_iterator _iter244;
-    for (_iter244 = this->moves.begin(); _iter244 != this->moves.end(); ++_iter244)
+    std::vector<MoveEvidence> ::const_iterator _iter245;
+    for (_iter245 = this->moves.begin(); _iter245 != this->moves.end(); ++_iter245)
     {
-      xfer += (*_iter244).write(oprot);
+      xfer += (*_iter245).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7013,19 +7088,19 @@
   swap(a.__isset, b.__isset);
 }
 
-Evidence::Evidence(const Evidence& other245) {
-  sender = other245.sender;
-  incarnation = other245.incarnation;
-  revision = other245.revision;
-  moves = other245.moves;
-  __isset = other245.__isset;
-}
-Evidence& Evidence::operator=(const Evidence& other246) {
+Evidence::Evidence(const Evidence& other246) {
   sender = other246.sender;
   incarnation = other246.incarnation;
   revision = other246.revision;
   moves = other246.moves;
   __isset = other246.__isset;
+}
+Evidence& Evidence::operator=(const Evidence& other247) {
+  sender = other247.sender;
+  incarnation = other247.incarnation;
+  revision = other247.revision;
+  moves = other247.moves;
+  __isset = other247.__isset;
   return *this;
 }
 void Evidence::printTo(std::ostream& out) const {
@@ -7199,16 +7274,7 @@
   swap(a.__isset, b.__isset);
 }
 
-LocalRollback::LocalRollback(const LocalRollback& other247) {
-  move = other247.move;
-  dataCentre = other247.dataCentre;
-  decided = other247.decided;
-  atMs = other247.atMs;
-  share = other247.share;
-  proven = other247.proven;
-  __isset = other247.__isset;
-}
-LocalRollback& LocalRollback::operator=(const LocalRollback& other248) {
+LocalRollback::LocalRollback(const LocalRollback& other248) {
   move = other248.move;
   dataCentre = other248.dataCentre;
   decided = other248.decided;
@@ -7216,6 +7282,15 @@
   share = other248.share;
   proven = other248.proven;
   __isset = other248.__isset;
+}
+LocalRollback& LocalRollback::operator=(const LocalRollback& other249) {
+  move = other249.move;
+  dataCentre = other249.dataCentre;
+  decided = other249.decided;
+  atMs = other249.atMs;
+  share = other249.share;
+  proven = other249.proven;
+  __isset = other249.__isset;
   return *this;
 }
 void LocalRollback::printTo(std::ostream& out) const {
@@ -7323,15 +7398,15 @@
   swap(a.__isset, b.__isset);
 }
 
-Suspect::Suspect(const Suspect& other249) noexcept {
-  requestDigest = other249.requestDigest;
-  crashes = other249.crashes;
-  __isset = other249.__isset;
-}
-Suspect& Suspect::operator=(const Suspect& other250) noexcept {
+Suspect::Suspect(const Suspect& other250) noexcept {
   requestDigest = other250.requestDigest;
   crashes = other250.crashes;
   __isset = other250.__isset;
+}
+Suspect& Suspect::operator=(const Suspect& other251) noexcept {
+  requestDigest = other251.requestDigest;
+  crashes = other251.crashes;
+  __isset = other251.__isset;
   return *this;
 }
 void Suspect::printTo(std::ostream& out) const {
@@ -7452,17 +7527,17 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimRequest::ClaimRequest(const ClaimRequest& other251) {
-  id = other251.id;
-  claim = other251.claim;
-  deadlineMs = other251.deadlineMs;
-  __isset = other251.__isset;
-}
-ClaimRequest& ClaimRequest::operator=(const ClaimRequest& other252) {
+ClaimRequest::ClaimRequest(const ClaimRequest& other252) {
   id = other252.id;
   claim = other252.claim;
   deadlineMs = other252.deadlineMs;
   __isset = other252.__isset;
+}
+ClaimRequest& ClaimRequest::operator=(const ClaimRequest& other253) {
+  id = other253.id;
+  claim = other253.claim;
+  deadlineMs = other253.deadlineMs;
+  __isset = other253.__isset;
   return *this;
 }
 void ClaimRequest::printTo(std::ostream& out) const {
@@ -7584,17 +7659,17 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimReply::ClaimReply(const ClaimReply& other253) {
-  id = other253.id;
-  owner = other253.owner;
-  errorCode = other253.errorCode;
-  __isset = other253.__isset;
-}
-ClaimReply& ClaimReply::operator=(const ClaimReply& other254) {
+ClaimReply::ClaimReply(const ClaimReply& other254) {
   id = other254.id;
   owner = other254.owner;
   errorCode = other254.errorCode;
   __isset = other254.__isset;
+}
+ClaimReply& ClaimReply::operator=(const ClaimReply& other255) {
+  id = other255.id;
+  owner = other255.owner;
+  errorCode = other255.errorCode;
+  __isset = other255.__isset;
   return *this;
 }
 void ClaimReply::printTo(std::ostream& out) const {
@@ -7767,16 +7842,7 @@
   swap(a.__isset, b.__isset);
 }
 
-Hello::Hello(const Hello& other255) {
-  node = other255.node;
-  dataCentre = other255.dataCentre;
-  region = other255.region;
-  incarnation = other255.incarnation;
-  proof = other255.proof;
-  controlAddress = other255.controlAddress;
-  __isset = other255.__isset;
-}
-Hello& Hello::operator=(const Hello& other256) {
+Hello::Hello(const Hello& other256) {
   node = other256.node;
   dataCentre = other256.dataCentre;
   region = other256.region;
@@ -7784,6 +7850,15 @@
   proof = other256.proof;
   controlAddress = other256.controlAddress;
   __isset = other256.__isset;
+}
+Hello& Hello::operator=(const Hello& other257) {
+  node = other257.node;
+  dataCentre = other257.dataCentre;
+  region = other257.region;
+  incarnation = other257.incarnation;
+  proof = other257.proof;
+  controlAddress = other257.controlAddress;
+  __isset = other257.__isset;
   return *this;
 }
 void Hello::printTo(std::ostream& out) const {
@@ -8180,27 +8255,7 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlMessage::ControlMessage(const ControlMessage& other257) {
-  hello = other257.hello;
-  probe = other257.probe;
-  probeAck = other257.probeAck;
-  indirectProbe = other257.indirectProbe;
-  indirectProbeAck = other257.indirectProbeAck;
-  joinRequest = other257.joinRequest;
-  joinReply = other257.joinReply;
-  leave = other257.leave;
-  records = other257.records;
-  recordsRequest = other257.recordsRequest;
-  snapshot = other257.snapshot;
-  summaries = other257.summaries;
-  evidence = other257.evidence;
-  localRollback = other257.localRollback;
-  suspect = other257.suspect;
-  claimRequest = other257.claimRequest;
-  claimReply = other257.claimReply;
-  __isset = other257.__isset;
-}
-ControlMessage& ControlMessage::operator=(const ControlMessage& other258) {
+ControlMessage::ControlMessage(const ControlMessage& other258) {
   hello = other258.hello;
   probe = other258.probe;
   probeAck = other258.probeAck;
@@ -8219,6 +8274,26 @@
   claimRequest = other258.claimRequest;
   claimReply = other258.claimReply;
   __isset = other258.__isset;
+}
+ControlMessage& ControlMessage::operator=(const ControlMessage& other259) {
+  hello = other259.hello;
+  probe = other259.probe;
+  probeAck = other259.probeAck;
+  indirectProbe = other259.indirectProbe;
+  indirectProbeAck = other259.indirectProbeAck;
+  joinRequest = other259.joinRequest;
+  joinReply = other259.joinReply;
+  leave = other259.leave;
+  records = other259.records;
+  recordsRequest = other259.recordsRequest;
+  snapshot = other259.snapshot;
+  summaries = other259.summaries;
+  evidence = other259.evidence;
+  localRollback = other259.localRollback;
+  suspect = other259.suspect;
+  claimRequest = other259.claimRequest;
+  claimReply = other259.claimReply;
+  __isset = other259.__isset;
   return *this;
 }
 void ControlMessage::printTo(std::ostream& out) const {
@@ -8371,19 +8446,19 @@
   swap(a.__isset, b.__isset);
 }
 
-RouteTally::RouteTally(const RouteTally& other259) {
-  route = other259.route;
-  answers = other259.answers;
-  faults = other259.faults;
-  timeMs = other259.timeMs;
-  __isset = other259.__isset;
-}
-RouteTally& RouteTally::operator=(const RouteTally& other260) {
+RouteTally::RouteTally(const RouteTally& other260) {
   route = other260.route;
   answers = other260.answers;
   faults = other260.faults;
   timeMs = other260.timeMs;
   __isset = other260.__isset;
+}
+RouteTally& RouteTally::operator=(const RouteTally& other261) {
+  route = other261.route;
+  answers = other261.answers;
+  faults = other261.faults;
+  timeMs = other261.timeMs;
+  __isset = other261.__isset;
   return *this;
 }
 void RouteTally::printTo(std::ostream& out) const {
@@ -8544,14 +8619,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tallies.clear();
-            uint32_t _size261;
-            ::apache::thrift::protocol::TType _etype264;
-            xfer += iprot->readListBegin(_etype264, _size261);
-            this->tallies.resize(_size261);
-            uint32_t _i265;
-            for (_i265 = 0; _i265 < _size261; ++_i265)
+            uint32_t _size262;
+            ::apache::thrift::protocol::TType _etype265;
+            xfer += iprot->readListBegin(_etype265, _size262);
+            this->tallies.resize(_size262);
+            uint32_t _i266;
+            for (_i266 = 0; _i266 < _size262; ++_i266)
             {
-              xfer += this->tallies[_i265].read(iprot);
+              xfer += this->tallies[_i266].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8616,10 +8691,10 @@
   xfer += oprot->writeFieldBegin("tallies", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->tallies.size()));
-    std::vector<RouteTally> ::const_iterator _iter266;
-    for (_iter266 = this->tallies.begin(); _iter266 != this->tallies.end(); ++_iter266)
+    std::vector<RouteTally> ::const_iterator _iter267;
+    for (_iter267 = this->tallies.begin(); _iter267 != this->tallies.end(); ++_iter267)
     {
-      xfer += (*_iter266).write(oprot);
+      xfer += (*_iter267).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8645,20 +8720,7 @@
   swap(a.__isset, b.__isset);
 }
 
-TargetReport::TargetReport(const TargetReport& other267) {
-  target = other267.target;
-  serviceName = other267.serviceName;
-  version = other267.version;
-  state = other267.state;
-  running = other267.running;
-  waiting = other267.waiting;
-  slots = other267.slots;
-  meanMs = other267.meanMs;
-  faultPermille = other267.faultPermille;
-  tallies = other267.tallies;
-  __isset = other267.__isset;
-}
-TargetReport& TargetReport::operator=(const TargetReport& other268) {
+TargetReport::TargetReport(const TargetReport& other268) {
   target = other268.target;
   serviceName = other268.serviceName;
   version = other268.version;
@@ -8670,6 +8732,19 @@
   faultPermille = other268.faultPermille;
   tallies = other268.tallies;
   __isset = other268.__isset;
+}
+TargetReport& TargetReport::operator=(const TargetReport& other269) {
+  target = other269.target;
+  serviceName = other269.serviceName;
+  version = other269.version;
+  state = other269.state;
+  running = other269.running;
+  waiting = other269.waiting;
+  slots = other269.slots;
+  meanMs = other269.meanMs;
+  faultPermille = other269.faultPermille;
+  tallies = other269.tallies;
+  __isset = other269.__isset;
   return *this;
 }
 void TargetReport::printTo(std::ostream& out) const {
@@ -8832,21 +8907,21 @@
   swap(a.__isset, b.__isset);
 }
 
-MoveReport::MoveReport(const MoveReport& other269) {
-  serviceName = other269.serviceName;
-  toVersion = other269.toVersion;
-  order = other269.order;
-  phase = other269.phase;
-  elapsedMs = other269.elapsedMs;
-  __isset = other269.__isset;
-}
-MoveReport& MoveReport::operator=(const MoveReport& other270) {
+MoveReport::MoveReport(const MoveReport& other270) {
   serviceName = other270.serviceName;
   toVersion = other270.toVersion;
   order = other270.order;
   phase = other270.phase;
   elapsedMs = other270.elapsedMs;
   __isset = other270.__isset;
+}
+MoveReport& MoveReport::operator=(const MoveReport& other271) {
+  serviceName = other271.serviceName;
+  toVersion = other271.toVersion;
+  order = other271.order;
+  phase = other271.phase;
+  elapsedMs = other271.elapsedMs;
+  __isset = other271.__isset;
   return *this;
 }
 void MoveReport::printTo(std::ostream& out) const {
@@ -8953,15 +9028,15 @@
   swap(a.__isset, b.__isset);
 }
 
-LeftTarget::LeftTarget(const LeftTarget& other271) {
-  target = other271.target;
-  born = other271.born;
-  __isset = other271.__isset;
-}
-LeftTarget& LeftTarget::operator=(const LeftTarget& other272) {
+LeftTarget::LeftTarget(const LeftTarget& other272) {
   target = other272.target;
   born = other272.born;
   __isset = other272.__isset;
+}
+LeftTarget& LeftTarget::operator=(const LeftTarget& other273) {
+  target = other273.target;
+  born = other273.born;
+  __isset = other273.__isset;
   return *this;
 }
 void LeftTarget::printTo(std::ostream& out) const {
@@ -9130,14 +9205,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->moves.clear();
-            uint32_t _size273;
-            ::apache::thrift::protocol::TType _etype276;
-            xfer += iprot->readListBegin(_etype276, _size273);
-            this->moves.resize(_size273);
-            uint32_t _i277;
-            for (_i277 = 0; _i277 < _size273; ++_i277)
+            uint32_t _size274;
+            ::apache::thrift::protocol::TType _etype277;
+            xfer += iprot->readListBegin(_etype277, _size274);
+            this->moves.resize(_size274);
+            uint32_t _i278;
+            for (_i278 = 0; _i278 < _size274; ++_i278)
             {
-              xfer += this->moves[_i277].read(iprot);
+              xfer += this->moves[_i278].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9219,10 +9294,10 @@
   xfer += oprot->writeFieldBegin("moves", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->moves.size()));
-    std::vector<MoveReport> ::const_iterator _iter278;
-    for (_iter278 = this->moves.begin(); _iter278 != this->moves.end(); ++_iter278)
+    std::vector<MoveReport> ::const_iterator _iter279;
+    for (_iter279 = this->moves.begin(); _iter279 != this->moves.end(); ++_iter279)
     {
-      xfer += (*_iter278).write(oprot);
+      xfer += (*_iter279).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9259,22 +9334,7 @@
   swap(a.__isset, b.__isset);
 }
 
-HostReport::HostReport(const HostReport& other279) {
-  node = other279.node;
-  start = other279.start;
-  sequence = other279.sequence;
-  address = other279.address;
-  dataCentre = other279.dataCentre;
-  region = other279.region;
-  leaving = other279.leaving;
-  target = other279.target;
-  position = other279.position;
-  moves = other279.moves;
-  storeReachable = other279.storeReachable;
-  left = other279.left;
-  __isset = other279.__isset;
-}
-HostReport& HostReport::operator=(const HostReport& other280) {
+HostReport::HostReport(const HostReport& other280) {
   node = other280.node;
   start = other280.start;
   sequence = other280.sequence;
@@ -9288,6 +9348,21 @@
   storeReachable = other280.storeReachable;
   left = other280.left;
   __isset = other280.__isset;
+}
+HostReport& HostReport::operator=(const HostReport& other281) {
+  node = other281.node;
+  start = other281.start;
+  sequence = other281.sequence;
+  address = other281.address;
+  dataCentre = other281.dataCentre;
+  region = other281.region;
+  leaving = other281.leaving;
+  target = other281.target;
+  position = other281.position;
+  moves = other281.moves;
+  storeReachable = other281.storeReachable;
+  left = other281.left;
+  __isset = other281.__isset;
   return *this;
 }
 void HostReport::printTo(std::ostream& out) const {
@@ -9418,17 +9493,17 @@
   swap(a.__isset, b.__isset);
 }
 
-OperatorRecord::OperatorRecord(const OperatorRecord& other281) {
-  key = other281.key;
-  offset = other281.offset;
-  value = other281.value;
-  __isset = other281.__isset;
-}
-OperatorRecord& OperatorRecord::operator=(const OperatorRecord& other282) {
+OperatorRecord::OperatorRecord(const OperatorRecord& other282) {
   key = other282.key;
   offset = other282.offset;
   value = other282.value;
   __isset = other282.__isset;
+}
+OperatorRecord& OperatorRecord::operator=(const OperatorRecord& other283) {
+  key = other283.key;
+  offset = other283.offset;
+  value = other283.value;
+  __isset = other283.__isset;
   return *this;
 }
 void OperatorRecord::printTo(std::ostream& out) const {
@@ -9492,14 +9567,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size283;
-            ::apache::thrift::protocol::TType _etype286;
-            xfer += iprot->readListBegin(_etype286, _size283);
-            this->records.resize(_size283);
-            uint32_t _i287;
-            for (_i287 = 0; _i287 < _size283; ++_i287)
+            uint32_t _size284;
+            ::apache::thrift::protocol::TType _etype287;
+            xfer += iprot->readListBegin(_etype287, _size284);
+            this->records.resize(_size284);
+            uint32_t _i288;
+            for (_i288 = 0; _i288 < _size284; ++_i288)
             {
-              xfer += this->records[_i287].read(iprot);
+              xfer += this->records[_i288].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9532,10 +9607,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<OperatorRecord> ::const_iterator _iter288;
-    for (_iter288 = this->records.begin(); _iter288 != this->records.end(); ++_iter288)
+    std::vector<OperatorRecord> ::const_iterator _iter289;
+    for (_iter289 = this->records.begin(); _iter289 != this->records.end(); ++_iter289)
     {
-      xfer += (*_iter288).write(oprot);
+      xfer += (*_iter289).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9553,15 +9628,15 @@
   swap(a.__isset, b.__isset);
 }
 
-OperatorRecords::OperatorRecords(const OperatorRecords& other289) {
-  position = other289.position;
-  records = other289.records;
-  __isset = other289.__isset;
-}
-OperatorRecords& OperatorRecords::operator=(const OperatorRecords& other290) {
+OperatorRecords::OperatorRecords(const OperatorRecords& other290) {
   position = other290.position;
   records = other290.records;
   __isset = other290.__isset;
+}
+OperatorRecords& OperatorRecords::operator=(const OperatorRecords& other291) {
+  position = other291.position;
+  records = other291.records;
+  __isset = other291.__isset;
   return *this;
 }
 void OperatorRecords::printTo(std::ostream& out) const {
--- a/gen/filbertvane_types.h
+++ b/gen/filbertvane_types.h
@@ -36,6 +36,21 @@
 
 std::string to_string(const MemberStatus::type& val);
 
+struct LogEnd {
+  enum type {
+    NOT_ASKED = 0,
+    REACHED = 1,
+    FURTHER = 2,
+    UNREAD = 3
+  };
+};
+
+extern const std::map<int, const char*> _LogEnd_VALUES_TO_NAMES;
+
+std::ostream& operator<<(std::ostream& out, const LogEnd::type& val);
+
+std::string to_string(const LogEnd::type& val);
+
 class MoveOrder;
 
 class ServiceSpec;
@@ -2260,10 +2275,11 @@
 std::ostream& operator<<(std::ostream& out, const StoredRecord& obj);
 
 typedef struct _Records__isset {
-  _Records__isset() : first(false), records(false), after(false) {}
+  _Records__isset() : first(false), records(false), after(false), logEnd(true) {}
   bool first :1;
   bool records :1;
   bool after :1;
+  bool logEnd :1;
 } _Records__isset;
 
 class Records : public virtual ::apache::thrift::TBase {
@@ -2272,13 +2288,19 @@
   Records(const Records&);
   Records& operator=(const Records&);
   Records() noexcept
-          : first(0) {
+          : first(0),
+            logEnd(static_cast<LogEnd::type>(0)) {
   }
 
   virtual ~Records() noexcept;
   int64_t first;
   std::vector<StoredRecord>  records;
   Position after;
+  /**
+   * 
+   * @see LogEnd
+   */
+  LogEnd::type logEnd;
 
   _Records__isset __isset;
 
@@ -2288,6 +2310,8 @@
 
   void __set_after(const Position& val);
 
+  void __set_logEnd(const LogEnd::type val);
+
   bool operator == (const Records & rhs) const
   {
     if (!(first == rhs.first))
@@ -2296,6 +2320,8 @@
       return false;
     if (!(after == rhs.after))
       return false;
+    if (!(logEnd == rhs.logEnd))
+      return false;
     return true;
   }
   bool operator != (const Records &rhs) const {
@@ -2315,9 +2341,10 @@
 std::ostream& operator<<(std::ostream& out, const Records& obj);
 
 typedef struct _RecordsRequest__isset {
-  _RecordsRequest__isset() : first(false), wantsSnapshot(false) {}
+  _RecordsRequest__isset() : first(false), wantsSnapshot(false), wantsEnd(false) {}
   bool first :1;
   bool wantsSnapshot :1;
+  bool wantsEnd :1;
 } _RecordsRequest__isset;
 
 class RecordsRequest : public virtual ::apache::thrift::TBase {
@@ -2327,12 +2354,14 @@
   RecordsRequest& operator=(const RecordsRequest&) noexcept;
   RecordsRequest() noexcept
                  : first(0),
-                   wantsSnapshot(0) {
+                   wantsSnapshot(0),
+                   wantsEnd(0) {
   }
 
   virtual ~RecordsRequest() noexcept;
   int64_t first;
   bool wantsSnapshot;
+  bool wantsEnd;
 
   _RecordsRequest__isset __isset;
 
@@ -2340,12 +2369,16 @@
 
   void __set_wantsSnapshot(const bool val);
 
+  void __set_wantsEnd(const bool val);
+
   bool operator == (const RecordsRequest & rhs) const
   {
     if (!(first == rhs.first))
       return false;
     if (!(wantsSnapshot == rhs.wantsSnapshot))
       return false;
+    if (!(wantsEnd == rhs.wantsEnd))
+      return false;
     return true;
   }
   bool operator != (const RecordsRequest &rhs) const {
--- a/include/filbertvane/decision/Node.h
+++ b/include/filbertvane/decision/Node.h
@@ -81,14 +81,13 @@
   wire::ClaimReply What;
 };
 
-using NodeEffect =
-    std::variant<SendControl, AppendConfig, ClaimReceived, ClaimReplied,
-                 distribution::ReadLog, distribution::StateAdopted,
-                 distribution::ReadyChanged, lease::AppendRenewal,
-                 request::StartAttempt, request::DeliverAnswer,
-                 request::CancelAttempt, request::Refuse, request::RequestClaim,
-                 request::AnswerFromOwner, request::SendKeptAnswer,
-                 observe::LogEvent>;
+using NodeEffect = std::variant<
+    SendControl, AppendConfig, ClaimReceived, ClaimReplied,
+    distribution::ReadLog, distribution::CheckEnd, distribution::StateAdopted,
+    distribution::ReadyChanged, lease::AppendRenewal, request::StartAttempt,
+    request::DeliverAnswer, request::CancelAttempt, request::Refuse,
+    request::RequestClaim, request::AnswerFromOwner, request::SendKeptAnswer,
+    observe::LogEvent>;
 using NodeEffects = std::vector<NodeEffect>;
 /// @}
 
--- a/include/filbertvane/decision/distribution/Batch.h
+++ b/include/filbertvane/decision/distribution/Batch.h
@@ -14,6 +14,18 @@
   friend auto operator<=>(const StoredRecord &, const StoredRecord &) = default;
 };
 
+/// @brief What a read of the log that began after a question for its end found
+///        at the own position.
+enum class LogEnd : std::uint8_t {
+  NotAsked,
+  /// No record follows: the position is the end of the log.
+  Reached,
+  /// Records follow.
+  Further,
+  /// The log could not be read.
+  Unread,
+};
+
 /// @brief Consecutive records; without records it only tells a position.
 struct RecordBatch {
   /// Offset of the first record, or the sender's next one.
@@ -21,6 +33,8 @@
   std::vector<StoredRecord> Records;
   /// Position of the sender's state after the last record.
   Position After;
+  /// Where `After` stands in the log, for a receiver that asked for its end.
+  LogEnd End = LogEnd::NotAsked;
 
   friend auto operator<=>(const RecordBatch &, const RecordBatch &) = default;
 };
@@ -38,6 +52,9 @@
   core::LogOffset First;
   /// The sender's state diverged: records do not help.
   bool WantsSnapshot = false;
+  /// The sender restarted: the receiver reads the log and answers once more
+  /// when it holds the log's end.
+  bool WantsEnd = false;
 
   friend auto operator<=>(const RecordsRequest &,
                           const RecordsRequest &) = default;
--- a/include/filbertvane/decision/distribution/Distribution.h
+++ b/include/filbertvane/decision/distribution/Distribution.h
@@ -26,6 +26,15 @@
 inline constexpr core::Milliseconds BackoffBase{200};
 inline constexpr core::Milliseconds RequestBackoffMax{5000};
 inline constexpr core::Milliseconds LogBackoffMax{2000};
+/// Period in which a starting node asks for the end of the log; ten requests,
+/// of which each may be lost, fit into `EndWait`.
+inline constexpr core::Milliseconds EndRequestPeriod{200};
+/// Time after its start in which a node trusts only the end of the log. After
+/// it, the word of a ready peer that cannot read the log either suffices.
+inline constexpr core::Milliseconds EndWait{2000};
+/// Starting nodes that wait at one peer for the end of the log; the size of a
+/// data centre that restarts at once.
+inline constexpr std::size_t MaxEndWaiters = 128;
 /// Time in which a starting node collects the positions of its peers.
 inline constexpr core::Milliseconds SettleTime{500};
 /// A report that was not repeated for this long is of a peer out of reach.
@@ -124,12 +133,23 @@
   std::uint32_t Seeks = 0;
 };
 
+/// @brief Starting peers that asked for the end of the log.
+struct EndChecks {
+  /// Addresses to which the end is confirmed.
+  std::vector<std::string> Waiting;
+  /// A read is under way; those who ask during it wait for the next one.
+  bool Pending = false;
+  std::vector<std::string> Served;
+};
+
 /// @brief Position that a peer reported, for the restart rule.
 struct Report {
   core::LogOffset Next;
   core::TimePoint HeardAt;
   /// First time the peer said that it is ready.
   std::optional<core::TimePoint> ReadySince;
+  /// The peer tried to read the log for this node, and could not.
+  bool WithoutLog = false;
 };
 
 struct State {
@@ -164,6 +184,11 @@
   /// @name Restart rule
   /// @{
   std::map<core::NodeId, Report> Reports;
+  core::TimePoint StartedAt;
+  core::TimePoint NextEndRequest;
+  /// End of the log that a peer read after this process had started.
+  std::optional<core::LogOffset> ConfirmedEnd;
+  EndChecks Ends;
   bool Ready = false;
   /// @}
 };
@@ -188,6 +213,11 @@
   core::LogOffset Head;
 };
 struct LogUnavailable {};
+/// @brief A check of the log's end is over.
+struct EndChecked {
+  LogEnd Found = LogEnd::Unread;
+  core::LogOffset From;
+};
 struct RecordsReceived {
   Peer From;
   RecordBatch Batch;
@@ -212,9 +242,10 @@
   std::vector<OtherLead> Leads;
 };
 
-using Event = std::variant<Started, Tick, LogRead, LogTrimmed, LogUnavailable,
-                           RecordsReceived, RecordsRequested, SnapshotReceived,
-                           PositionHeard, MembersChanged, OtherLeadsChanged>;
+using Event =
+    std::variant<Started, Tick, LogRead, LogTrimmed, LogUnavailable, EndChecked,
+                 RecordsReceived, RecordsRequested, SnapshotReceived,
+                 PositionHeard, MembersChanged, OtherLeadsChanged>;
 /// @}
 
 /// @name Effects
@@ -226,6 +257,11 @@
   /// Wait for new records when there are none.
   bool LongPoll = false;
 };
+/// @brief Read the log once, beside `ReadLog`, to learn whether it ends at an
+///        offset; `EndChecked` answers it.
+struct CheckEnd {
+  core::LogOffset From;
+};
 struct SendRecords {
   std::string To;
   RecordBatch Batch;
@@ -234,6 +270,11 @@
   std::string To;
   RecordsRequest What;
 };
+/// @brief Ask a peer for the end of the log.
+struct RequestEnd {
+  std::string To;
+  RecordsRequest What;
+};
 struct SendSnapshot {
   std::string To;
   Snapshot What;
@@ -249,8 +290,9 @@
   bool Ready = false;
 };
 
-using Effect = std::variant<ReadLog, SendRecords, RequestRecords, SendSnapshot,
-                            StateAdopted, ReadyChanged, observe::LogEvent>;
+using Effect =
+    std::variant<ReadLog, CheckEnd, SendRecords, RequestRecords, RequestEnd,
+                 SendSnapshot, StateAdopted, ReadyChanged, observe::LogEvent>;
 using Effects = std::vector<Effect>;
 /// @}
 
--- a/lib/decision/Dispatch.cpp
+++ b/lib/decision/Dispatch.cpp
@@ -189,6 +189,10 @@
   send(What.To, What.What);
 }
 
+void Dispatch::route(distribution::RequestEnd &What) {
+  send(What.To, What.What);
+}
+
 void Dispatch::route(distribution::SendSnapshot &What) {
   send(What.To, std::move(What.What));
 }
--- a/lib/decision/Dispatch.h
+++ b/lib/decision/Dispatch.h
@@ -47,6 +47,7 @@
   /// @{
   void route(distribution::SendRecords &What);
   void route(distribution::RequestRecords &What);
+  void route(distribution::RequestEnd &What);
   void route(distribution::SendSnapshot &What);
   void route(distribution::StateAdopted &What);
   void route(distribution::ReadyChanged &What);
--- a/lib/decision/distribution/Adoption.cpp
+++ b/lib/decision/distribution/Adoption.cpp
@@ -130,6 +130,7 @@
 void Reducer::on(const RecordsReceived &What) {
   noteHeard(What.From);
   noteReport(What.From, What.Batch.After);
+  noteEnd(What.From, What.Batch);
   answered(What.From);
   receiveBatch(What.From, What.Batch);
   drainBuffer();
--- a/lib/decision/distribution/Distribution.cpp
+++ b/lib/decision/distribution/Distribution.cpp
@@ -50,6 +50,7 @@
 }
 
 void Reducer::on(const Started &) {
+  S.StartedAt = Now.Mono;
   S.LeadHeardAt = Now.Mono;
   S.ReaderHeardAt = Now.Mono;
   S.Fix.NextSeek = Now.Mono + backoff(0, RequestBackoffMax);
@@ -61,6 +62,7 @@
   tickLog();
   tickRepair();
   tickHeartbeat();
+  tickEnds();
 }
 
 void Reducer::on(const PositionHeard &What) {
--- a/lib/decision/distribution/Reducer.h
+++ b/lib/decision/distribution/Reducer.h
@@ -18,6 +18,7 @@
   void on(const LogRead &What);
   void on(const LogTrimmed &What);
   void on(const LogUnavailable &What);
+  void on(const EndChecked &What);
   void on(const RecordsReceived &What);
   void on(const RecordsRequested &What);
   void on(const SnapshotReceived &What);
@@ -91,6 +92,11 @@
   /// @name Restart rule (Readiness.cpp)
   /// @{
   void noteReport(const Peer &From, const Position &At);
+  void noteEnd(const Peer &From, const RecordBatch &Batch);
+  void tickEnds();
+  void requestEnd();
+  void addEndWaiter(const std::string &Address);
+  bool proven() const;
   void checkReady();
   /// @}
 
--- a/lib/decision/distribution/Repair.cpp
+++ b/lib/decision/distribution/Repair.cpp
@@ -56,7 +56,7 @@
   S.Fix.Asked = To;
   S.Fix.Timeout = Now.Mono + RequestTimeout;
   const bool WantsSnapshot = S.Fix.Diverged.has_value();
-  Out.push_back(RequestRecords{To.Address, {S.At.Next, WantsSnapshot}});
+  Out.push_back(RequestRecords{To.Address, {S.At.Next, WantsSnapshot, false}});
 }
 
 /// A node that is not ready asks any peer, since one of them may hold a
@@ -95,7 +95,7 @@
   if (Choices.empty())
     return;
   const Peer &To = Choices[S.Chance.below(Choices.size())];
-  Out.push_back(RequestRecords{To.Address, {S.At.Next, false}});
+  Out.push_back(RequestRecords{To.Address, {S.At.Next, false, false}});
 }
 
 } // namespace filbertvane::decision::distribution
--- a/lib/decision/distribution/Serving.cpp
+++ b/lib/decision/distribution/Serving.cpp
@@ -77,6 +77,8 @@
 }
 
 void Reducer::on(const RecordsRequested &What) {
+  if (What.What.WantsEnd)
+    addEndWaiter(What.From.Address);
   if (What.What.First > S.At.Next)
     noteAhead(What.From, What.What.First, false);
   if (What.What.WantsSnapshot || !holdsFrom(What.What.First)) {
--- a/lib/io/node/Process.cpp
+++ b/lib/io/node/Process.cpp
@@ -261,6 +261,21 @@
            [this](const core::Result<LogRead> &Done) { logRead(Done); });
 }
 
+void Process::carryOut(const decision::distribution::CheckEnd &What) {
+  Log.read(
+      "config", What.From, core::Milliseconds(0), LogReadBytes, Loop.now().Mono,
+      [this, What](const core::Result<LogRead> &Done) {
+        using enum decision::distribution::LogEnd;
+        // `logRead` tells of an outage; here it is an answer.
+        const bool Read = core::ok(Done) && !core::value(Done).Trimmed;
+        handle(decision::distribution::Event(decision::distribution::EndChecked{
+            !Read                               ? Unread
+            : core::value(Done).Records.empty() ? Reached
+                                                : Further,
+            What.From}));
+      });
+}
+
 void Process::logRead(const core::Result<LogRead> &Done) {
   namespace distribution = decision::distribution;
   noteLogAvailability(core::ok(Done));
--- a/lib/wire/ControlDecode.cpp
+++ b/lib/wire/ControlDecode.cpp
@@ -146,6 +146,10 @@
                                       One.record};
   });
   To.After = fromGen(From.after);
+  const auto End = static_cast<std::int32_t>(From.logEnd);
+  if (End < 0 || End > static_cast<std::int32_t>(distribution::LogEnd::Unread))
+    malformed("log end");
+  To.End = static_cast<distribution::LogEnd>(End);
   return To;
 }
 
@@ -208,7 +212,7 @@
   if (From.__isset.recordsRequest)
     return distribution::RecordsRequest{
         core::LogOffset(number(From.recordsRequest.first)),
-        From.recordsRequest.wantsSnapshot};
+        From.recordsRequest.wantsSnapshot, From.recordsRequest.wantsEnd};
   if (From.__isset.snapshot)
     return distribution::Snapshot{fromGen(From.snapshot.position),
                                   From.snapshot.state};
--- a/lib/wire/ControlEncode.cpp
+++ b/lib/wire/ControlEncode.cpp
@@ -190,6 +190,7 @@
     return Record;
   });
   Out.after = toGen(From.After);
+  Out.logEnd = static_cast<gen::LogEnd::type>(From.End);
   To.__set_records(Out);
 }
 
@@ -197,6 +198,7 @@
   gen::RecordsRequest Out;
   Out.first = number(From.First.value());
   Out.wantsSnapshot = From.WantsSnapshot;
+  Out.wantsEnd = From.WantsEnd;
   To.__set_recordsRequest(Out);
 }
 
--- a/tests/decision/DistributionTest.cpp
+++ b/tests/decision/DistributionTest.cpp
@@ -158,7 +158,9 @@
   for (std::int64_t Millis = 50; Millis < 20000; Millis += 50)
     B.step(Tick{}, Millis);
   cr_assert(!B.S.Ready, "ready without a holder and without the log");
-  B.receive(T.batch(0, 5), 20000);
+  RecordBatch Answer = T.batch(0, 5);
+  Answer.End = LogEnd::Unread;
+  B.receive(Answer, 20000);
   B.step(Tick{}, 20400);
   cr_assert(!B.S.Ready, "ready before the peers had time to report");
   B.step(Tick{}, 20600);
@@ -177,6 +179,63 @@
   cr_assert(B.next() == 5 && !B.S.Ready);
 }
 
+// Guards against a lower version after a restart: members that missed the
+// newest version are ready with an older one, while a peer that reads the log
+// knows better.
+Test(distribution, a_starting_node_waits_for_the_end_of_the_log) {
+  const Truth T(5);
+  Bench B;
+  B.step(Tick{}, 50);
+  const auto Asked = B.effects<RequestEnd>();
+  cr_assert(Asked.size() == 1 && Asked[0].To == "outside");
+  cr_assert(Asked[0].What.WantsEnd);
+  for (std::int64_t Millis = 100; Millis < 1900; Millis += 50)
+    B.receive(T.batch(0, 3), Millis);
+  cr_assert(!B.S.Ready, "ready on the word of members that may be behind");
+  RecordBatch End = T.batch(3, 5);
+  End.End = LogEnd::Reached;
+  B.receive(End, 1950);
+  cr_assert(B.S.Ready && B.next() == 5);
+}
+
+// Guards against a node that is never ready while nobody reads the log.
+Test(distribution, a_ready_peer_without_log_suffices) {
+  const Truth T(3);
+  Bench B;
+  for (std::int64_t Millis = 50; Millis <= 4000; Millis += 50)
+    B.receive(T.batch(0, 3), Millis);
+  cr_assert(!B.S.Ready, "ready without any word about the log");
+  RecordBatch Answer = T.batch(0, 3);
+  Answer.End = LogEnd::Further;
+  B.receive(Answer, 4050);
+  Answer.End = LogEnd::Unread;
+  B.receive(Answer, 4100);
+  cr_assert(B.S.Ready);
+}
+
+// Guards against a confirmed end that is older than the question: a read under
+// way may have been answered before the newest record was accepted.
+Test(distribution, the_end_is_confirmed_by_a_read_after_the_request) {
+  const Truth T(3);
+  Bench B;
+  B.receive(T.batch(0, 3), 10);
+  const RecordsRequest Question{core::LogOffset(0), false, true};
+  B.step(RecordsRequested{{core::NodeId("b"), "b"}, Question}, 20);
+  B.step(Tick{}, 50);
+  cr_assert(B.effects<CheckEnd>().size() == 1);
+  B.step(RecordsRequested{{core::NodeId("c"), "c"}, Question}, 60);
+  B.step(EndChecked{LogEnd::Reached, core::LogOffset(3)}, 70);
+  const auto Confirmed = B.effects<SendRecords>();
+  cr_assert(Confirmed.size() == 1 && Confirmed[0].To == "b");
+  cr_assert(Confirmed[0].Batch.End == LogEnd::Reached &&
+            Confirmed[0].Batch.After.Next == core::LogOffset(3));
+  B.step(Tick{}, 100);
+  cr_assert(B.effects<CheckEnd>().size() == 1, "c is never answered");
+  B.step(EndChecked{LogEnd::Unread, core::LogOffset(3)}, 110);
+  const auto Unread = B.effects<SendRecords>();
+  cr_assert(Unread.size() == 1 && Unread[0].Batch.End == LogEnd::Unread);
+}
+
 // Guards against the whole configuration in each snapshot record on each link,
 // and against a shorter record with another effect.
 Test(distribution, a_snapshot_record_travels_without_its_state) {
--- a/tests/scenario/Wiring.cpp
+++ b/tests/scenario/Wiring.cpp
@@ -156,6 +156,10 @@
           [&](const distribution::ReadLog &One) {
             readLog(N, One.From, One.LongPoll);
           },
+          [&](const distribution::CheckEnd &One) { checkEnd(N, One.From); },
+          [&](const distribution::RequestEnd &One) {
+            send(N, One.To, One.What);
+          },
           [&](const distribution::SendRecords &One) {
             send(N, One.To, One.Batch);
           },
@@ -244,6 +248,20 @@
   });
 }
 
+void World::checkEnd(SimNode &N, core::LogOffset From) {
+  const std::uint64_t Process = N.Process;
+  at(Clock + LogDelay, [this, &N, From, Process] {
+    if (N.Process != Process)
+      return;
+    using enum distribution::LogEnd;
+    const bool Read = logReachable(N) && !N.Paused && From.value() >= LogHead;
+    const distribution::LogEnd Found = !Read                        ? Unread
+                                       : From.value() >= Log.size() ? Reached
+                                                                    : Further;
+    step(N, distribution::Event(distribution::EndChecked{Found, From}));
+  });
+}
+
 void World::readLease(SimNode &N) {
   const TimePoint Sent = Clock;
   const std::uint64_t Process = N.Process;
--- a/tests/scenario/World.h
+++ b/tests/scenario/World.h
@@ -115,6 +115,7 @@
   void run(SimNode &N, const decision::lease::Effect &What);
   void adopted(SimNode &N, const decision::distribution::StateAdopted &What);
   void readLog(SimNode &N, core::LogOffset From, bool LongPoll);
+  void checkEnd(SimNode &N, core::LogOffset From);
   void readLease(SimNode &N);
   void tellLeads(SimNode &N);
   void append(SimNode &N, std::function<void()> Effect);
--- a/tests/wire/ControlCodecTest.cpp
+++ b/tests/wire/ControlCodecTest.cpp
@@ -49,8 +49,9 @@
           distribution::RecordBatch{
               core::LogOffset(8),
               {{core::LogOffset(8), std::string("\0bytes", 6)}},
-              At},
-          distribution::RecordsRequest{core::LogOffset(5), true},
+              At,
+              distribution::LogEnd::Further},
+          distribution::RecordsRequest{core::LogOffset(5), true, true},
           distribution::Snapshot{At, "state"},
           Summaries{{{core::DataCentreId("d"),
                       core::RegionId("r"),
--- a/thrift/filbertvane.thrift
+++ b/thrift/filbertvane.thrift
@@ -79,8 +79,11 @@
 // Records in log order, starting at `first`; skipped offsets are listed so that
 // records which only log readers need are not sent.
 struct StoredRecord { 1: i64 offset, 2: binary record }
-struct Records { 1: i64 first, 2: list<StoredRecord> records, 3: Position after }
-struct RecordsRequest { 1: i64 first, 2: bool wantsSnapshot }
+enum LogEnd { NOT_ASKED = 0, REACHED = 1, FURTHER = 2, UNREAD = 3 }
+struct Records {
+  1: i64 first, 2: list<StoredRecord> records, 3: Position after, 4: LogEnd logEnd = LogEnd.NOT_ASKED
+}
+struct RecordsRequest { 1: i64 first, 2: bool wantsSnapshot, 3: bool wantsEnd }
 struct Snapshot { 1: Position position, 2: binary state }
 struct ServiceSummary {
   1: string serviceName, 2: string version, 3: i32 targets, 4: i32 slots, 5: i32 freeSlots,
