Place large answers by the wait for the link of each host

The quicker target gets most downloads by its slots, while its link of 11 Mbit/s has seconds of answers queued and the other host's is idle.

Change: a host tells in its reports and with each answer how long the queued large answers take on its link; the entry adds that to the expected time of routes with large answers.

--- a/gen/filbertvane_types.cpp
+++ b/gen/filbertvane_types.cpp
@@ -8515,6 +8515,11 @@
 void TargetReport::__set_tallies(const std::vector<RouteTally> & val) {
   this->tallies = val;
 }
+
+void TargetReport::__set_linkMs(const int32_t val) {
+  this->linkMs = val;
+__isset.linkMs = true;
+}
 std::ostream& operator<<(std::ostream& out, const TargetReport& obj)
 {
   obj.printTo(out);
@@ -8635,6 +8640,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->linkMs);
+          this->__isset.linkMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -8700,6 +8713,11 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.linkMs) {
+    xfer += oprot->writeFieldBegin("linkMs", ::apache::thrift::protocol::T_I32, 11);
+    xfer += oprot->writeI32(this->linkMs);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -8717,6 +8735,7 @@
   swap(a.meanMs, b.meanMs);
   swap(a.faultPermille, b.faultPermille);
   swap(a.tallies, b.tallies);
+  swap(a.linkMs, b.linkMs);
   swap(a.__isset, b.__isset);
 }
 
@@ -8731,6 +8750,7 @@
   meanMs = other268.meanMs;
   faultPermille = other268.faultPermille;
   tallies = other268.tallies;
+  linkMs = other268.linkMs;
   __isset = other268.__isset;
 }
 TargetReport& TargetReport::operator=(const TargetReport& other269) {
@@ -8744,6 +8764,7 @@
   meanMs = other269.meanMs;
   faultPermille = other269.faultPermille;
   tallies = other269.tallies;
+  linkMs = other269.linkMs;
   __isset = other269.__isset;
   return *this;
 }
@@ -8760,6 +8781,7 @@
   out << ", " << "meanMs=" << to_string(meanMs);
   out << ", " << "faultPermille=" << to_string(faultPermille);
   out << ", " << "tallies=" << to_string(tallies);
+  out << ", " << "linkMs="; (__isset.linkMs ? (out << to_string(linkMs)) : (out << "<null>"));
   out << ")";
 }
 
--- a/gen/filbertvane_types.h
+++ b/gen/filbertvane_types.h
@@ -3429,7 +3429,7 @@
 std::ostream& operator<<(std::ostream& out, const RouteTally& obj);
 
 typedef struct _TargetReport__isset {
-  _TargetReport__isset() : target(false), serviceName(false), version(false), state(false), running(false), waiting(false), slots(false), meanMs(false), faultPermille(false), tallies(false) {}
+  _TargetReport__isset() : target(false), serviceName(false), version(false), state(false), running(false), waiting(false), slots(false), meanMs(false), faultPermille(false), tallies(false), linkMs(false) {}
   bool target :1;
   bool serviceName :1;
   bool version :1;
@@ -3440,6 +3440,7 @@
   bool meanMs :1;
   bool faultPermille :1;
   bool tallies :1;
+  bool linkMs :1;
 } _TargetReport__isset;
 
 class TargetReport : public virtual ::apache::thrift::TBase {
@@ -3456,7 +3457,8 @@
                  waiting(0),
                  slots(0),
                  meanMs(0),
-                 faultPermille(0) {
+                 faultPermille(0),
+                 linkMs(0) {
   }
 
   virtual ~TargetReport() noexcept;
@@ -3470,6 +3472,7 @@
   int32_t meanMs;
   int32_t faultPermille;
   std::vector<RouteTally>  tallies;
+  int32_t linkMs;
 
   _TargetReport__isset __isset;
 
@@ -3493,6 +3496,8 @@
 
   void __set_tallies(const std::vector<RouteTally> & val);
 
+  void __set_linkMs(const int32_t val);
+
   bool operator == (const TargetReport & rhs) const
   {
     if (!(target == rhs.target))
@@ -3515,6 +3520,10 @@
       return false;
     if (!(tallies == rhs.tallies))
       return false;
+    if (__isset.linkMs != rhs.__isset.linkMs)
+      return false;
+    else if (__isset.linkMs && !(linkMs == rhs.linkMs))
+      return false;
     return true;
   }
   bool operator != (const TargetReport &rhs) const {
--- a/include/filbertvane/decision/TargetLoad.h
+++ b/include/filbertvane/decision/TargetLoad.h
@@ -17,6 +17,8 @@
   /// The same on the route of the request that the load is told with; 0 in
   /// reports, which concern no request.
   core::Milliseconds RouteTime{0};
+  /// Time that the large answers now queued take on the host's link.
+  core::Milliseconds LinkWait{0};
 
   friend auto operator<=>(const TargetLoad &, const TargetLoad &) = default;
 };
--- a/include/filbertvane/decision/mesh/Placement.h
+++ b/include/filbertvane/decision/mesh/Placement.h
@@ -19,6 +19,9 @@
   bool Doubtful = false;
   /// Mean time on the route of the request; 0 when it is not known.
   core::Milliseconds RouteTime{0};
+  /// Time that a large answer waits for the link of the target's host; 0 when
+  /// the answer is small.
+  core::Milliseconds LinkWait{0};
 
   friend auto operator<=>(const Candidate &, const Candidate &) = default;
 };
--- a/include/filbertvane/decision/mesh/State.h
+++ b/include/filbertvane/decision/mesh/State.h
@@ -148,6 +148,9 @@
   std::unordered_map<core::ServiceName, ServiceMemory> Services;
   std::unordered_map<core::RouteName, RouteMemory> Routes;
   std::uint64_t LastAttempt = 0;
+  /// When the large answers that were queued on the link at the last arrival of
+  /// a request are sent.
+  core::TimePoint LinkFreeAt;
   /// Last failure of a request to another service that began on this host.
   core::TimePoint CallFailedAt;
 
--- a/include/filbertvane/decision/request/Events.h
+++ b/include/filbertvane/decision/request/Events.h
@@ -143,7 +143,7 @@
   /// Service on whose host the request began, when it came from a node.
   std::optional<core::ServiceName> Caller = std::nullopt;
   std::optional<HopTerms> Terms = std::nullopt;
-  /// Time that a large answer to another node would wait for the host's link.
+  /// Time that the large answers now queued take on the host's link.
   core::Microseconds LinkWait{0};
 };
 /// @brief The first byte of an answer arrived.
--- a/lib/decision/mesh/Placement.cpp
+++ b/lib/decision/mesh/Placement.cpp
@@ -63,7 +63,7 @@
                              : Mean;
   const double Finish =
       static_cast<double>(roundTrip(Target.Away).count()) / 1000 + OnRoute +
-      Excess * Mean / Slots;
+      Excess * Mean / Slots + static_cast<double>(Target.LinkWait.count());
   const double Part =
       Finish / std::max(1.0, static_cast<double>(Request.Objective.count()));
   double Loss = LateAnswerLoss * lateChance(Part) + SlownessLoss * Part;
--- a/lib/decision/mesh/ReduceArrival.cpp
+++ b/lib/decision/mesh/ReduceArrival.cpp
@@ -36,6 +36,7 @@
 } // namespace
 
 void Reduction::operator()(const request::CallArrived &What) {
+  State.LinkFreeAt = Now + What.LinkWait;
   if (State.Calls.size() >= MostCalls) {
     log(observe::EventId::MeshRefused,
         fmt::format("request={} reason=calls calls={}", What.CallerId,
--- a/lib/decision/mesh/ReduceAttempts.cpp
+++ b/lib/decision/mesh/ReduceAttempts.cpp
@@ -129,6 +129,7 @@
   TargetLoad Load = State.Slots.load();
   Load.RouteTime = std::chrono::duration_cast<core::Milliseconds>(
       State.Slots.meanTime(Call.Terms.Route));
+  Load.LinkWait = linkWait(State, Now);
   return Load;
 }
 
--- a/lib/decision/mesh/ReducePlacement.cpp
+++ b/lib/decision/mesh/ReducePlacement.cpp
@@ -1,4 +1,5 @@
 #include "Reduction.h"
+#include "filbertvane/decision/mesh/LinkPacer.h"
 #include <algorithm>
 #include <fmt/format.h>
 
@@ -64,6 +65,8 @@
 std::vector<Candidate> Reduction::candidates(MeshCall &Call) {
   const VersionShares Shares = State.Moves.shares(Call.Service, Now);
   chooseVersion(Call, Shares);
+  const bool Large =
+      memoryOf(Call.Terms.Route).AnswerBytes > LinkPacer::BulkBytes;
   std::vector<Candidate> Found;
   const auto Skipped = [&](const core::NodeId &Node) {
     return contains(Call.Tried, Node) || contains(Call.Late, Node);
@@ -97,7 +100,8 @@
                      Target.FaultPermille, State.Hosts.doubtful(Host, Now),
                      OnRoute != Host.RouteTimes.end()
                          ? OnRoute->second
-                         : memoryOf(Call.Terms.Route).Time});
+                         : memoryOf(Call.Terms.Route).Time,
+                     Large ? Target.Load.LinkWait : core::Milliseconds(0)});
   }
   return Found;
 }
--- a/lib/decision/mesh/Reducer.cpp
+++ b/lib/decision/mesh/Reducer.cpp
@@ -1,5 +1,6 @@
 #include "filbertvane/decision/mesh/Reducer.h"
 #include "Reduction.h"
+#include <algorithm>
 
 namespace filbertvane::decision::mesh {
 
@@ -36,6 +37,11 @@
   return Report;
 }
 
+core::Milliseconds linkWait(const MeshState &State, core::TimePoint Now) {
+  return std::chrono::duration_cast<core::Milliseconds>(
+      std::max(State.LinkFreeAt, Now) - Now);
+}
+
 HostReport ownReport(MeshState &State, core::TimePoint Now) {
   HostReport Report;
   Report.Node = State.Own.Node;
@@ -46,6 +52,8 @@
   Report.Region = State.Own.Region;
   Report.Leaving = State.Draining && Now >= State.LeavesAt;
   Report.Target = ownTargetReport(State);
+  if (Report.Target)
+    Report.Target->Load.LinkWait = linkWait(State, Now);
   Report.Left = State.Left;
   Report.Position = State.Position;
   Report.StoreReachable = State.StoreReachable;
--- a/lib/decision/mesh/Reduction.h
+++ b/lib/decision/mesh/Reduction.h
@@ -128,6 +128,8 @@
 
 /// @brief What the node says of its own target.
 std::optional<TargetReport> ownTargetReport(const MeshState &State);
+/// @brief Time that the large answers queued on the own link take.
+core::Milliseconds linkWait(const MeshState &State, core::TimePoint Now);
 
 } // namespace filbertvane::decision::mesh
 
--- a/lib/io/proxy/ProxyEngine.cpp
+++ b/lib/io/proxy/ProxyEngine.cpp
@@ -254,8 +254,8 @@
   Event.VirtualHost = headerOf(Fields, "Host").value_or("");
   Event.TimeLeft = New.TimeLeft;
   Event.Terms = New.Terms;
+  Event.LinkWait = Bulk.wait();
   if (New.FromNode) {
-    Event.LinkWait = Bulk.wait();
     if (headerOf(Fields, DeadlineField))
       Event.Deadline = wallTimeOf(numberOf(Fields, DeadlineField));
     if (const auto Target = headerOf(Fields, TargetField))
--- a/lib/io/proxy/ProxyHeaders.cpp
+++ b/lib/io/proxy/ProxyHeaders.cpp
@@ -113,18 +113,21 @@
 }
 
 std::string formatLoad(const decision::TargetLoad &Load) {
-  return fmt::format("{} {} {} {} {}", Load.Running, Load.Waiting, Load.Slots,
-                     Load.MeanTime.count(), Load.RouteTime.count());
+  return fmt::format("{} {} {} {} {} {}", Load.Running, Load.Waiting,
+                     Load.Slots, Load.MeanTime.count(), Load.RouteTime.count(),
+                     Load.LinkWait.count());
 }
 
 std::optional<decision::TargetLoad> parseLoad(std::string_view Text) {
   decision::TargetLoad Load;
   std::int64_t Mean = 0;
   std::int64_t OnRoute = 0;
+  std::int64_t Link = 0;
   if (!readNumber(Text, Load.Running) || !readNumber(Text, Load.Waiting) ||
       !readNumber(Text, Load.Slots) || !readNumber(Text, Mean) ||
-      !readNumber(Text, OnRoute))
+      !readNumber(Text, OnRoute) || !readNumber(Text, Link))
     return std::nullopt;
+  Load.LinkWait = core::Milliseconds(Link);
   Load.MeanTime = core::Milliseconds(Mean);
   Load.RouteTime = core::Milliseconds(OnRoute);
   return Load;
--- a/lib/wire/HostReportCodec.cpp
+++ b/lib/wire/HostReportCodec.cpp
@@ -28,6 +28,9 @@
   Out.waiting = static_cast<std::int32_t>(Target.Load.Waiting);
   Out.slots = static_cast<std::int32_t>(Target.Load.Slots);
   Out.meanMs = static_cast<std::int32_t>(Target.Load.MeanTime.count());
+  // Most links are idle; their reports save the field.
+  if (Target.Load.LinkWait.count() > 0)
+    Out.__set_linkMs(static_cast<std::int32_t>(Target.Load.LinkWait.count()));
   Out.faultPermille = static_cast<std::int32_t>(Target.FaultPermille);
   for (const mesh::RouteTally &Tally : Target.Tallies)
     Out.tallies.push_back(toThrift(Tally));
@@ -97,6 +100,8 @@
   Target.State = static_cast<mesh::TargetState>(In.state);
   Target.Load = {count(In.running), count(In.waiting), count(In.slots),
                  core::Milliseconds(In.meanMs)};
+  if (In.__isset.linkMs)
+    Target.Load.LinkWait = core::Milliseconds(count(In.linkMs));
   Target.FaultPermille = count(In.faultPermille);
   for (const gen::RouteTally &Tally : In.tallies)
     Target.Tallies.push_back({core::RouteName(Tally.route),
