--- a/include/filbertvane/decision/mesh/Events.h
+++ b/include/filbertvane/decision/mesh/Events.h
@@ -9,101 +9,102 @@
 namespace filbertvane::decision::mesh {
 
 /// @name Events
-/// Requests come in as the events of decision/request/Events.h.
+/// Request events are those of decision/request/Events.h.
 /// @{
 
-/// @brief The target of this host announced itself.
+/// @brief The target on this host announced itself.
 struct TargetAnnounced {
   core::TargetId Id;
   core::ServiceName Service;
   core::TargetVersion Version;
   std::uint32_t Slots = 0;
   bool Draining = false;
-  /// How much longer the target is slow after its start.
-  core::Milliseconds ColdLeft{0};
-  /// Start of the target's process; tells two lives under one id apart.
-  std::uint64_t Born = 0;
-  /// Rises with each announcement of one life.
+  /// Time for which the target remains slow after its start.
+  core::Milliseconds RemainingWarmup{0};
+  /// Start of the target's process; distinguishes processes that share an id.
+  /// 0 when the target does not state it.
+  std::uint64_t ProcessStart = 0;
+  /// Increases with each announcement of one process.
   std::uint64_t Sequence = 0;
 };
-/// @brief The target of this host said that it leaves for good.
+/// @brief The target on this host is leaving permanently.
 struct TargetDeregistered {
   core::TargetId Id;
 };
-/// @brief A report came from another node.
-struct ReportHeard {
-  HostReport What;
+/// @brief A report from another node arrived.
+struct ReportReceived {
+  HostReport Report;
 };
-/// @brief Reports of hosts were read in the store.
-struct ReportsLearned {
-  std::vector<HostReport> All;
+/// @brief Host reports were read from the store.
+struct StoredReportsRead {
+  std::vector<HostReport> Reports;
 };
-/// @brief A configuration was read; a lower version has no effect.
-struct RoutingLearned {
+/// @brief A configuration was loaded; a lower version is ignored.
+struct RoutingLoaded {
   std::shared_ptr<const config::RoutingTable> Table;
 };
-/// @brief All operators' records up to an offset have been read.
+/// @brief All operator records up to an offset have been read.
 struct PositionReached {
   core::LogOffset Position;
 };
-/// @brief The store holds the end of a move.
-struct MoveEndKnown {
+/// @brief The state of a move was read from the store.
+struct MoveStateRead {
   core::ServiceName Service;
-  core::TargetVersion To;
+  core::TargetVersion NewVersion;
   MovePhase Phase = MovePhase::Completed;
 };
-/// @brief The store began or ceased to answer.
-struct StoreChanged {
+/// @brief The store became reachable or unreachable.
+struct StoreReachabilityChanged {
   bool Reachable = false;
 };
-/// @brief The process was told to stop.
-struct StopAnnounced {
-  /// Time at which it ends whatever is in progress.
-  core::TimePoint Latest;
+/// @brief The process was told to shut down.
+struct ShutdownRequested {
+  /// Time at which the process exits even if requests are in progress.
+  core::TimePoint Deadline;
 };
-/// @brief The settings name the service of this host.
+/// @brief The settings assign a service to this host.
 struct ServiceAssigned {
   core::ServiceName Service;
 };
 
-using Event =
-    std::variant<request::CallArrived, request::AnswerStarted,
-                 request::AttemptEnded, request::CallerGone, TargetAnnounced,
-                 TargetDeregistered, ReportHeard, ReportsLearned,
-                 RoutingLearned, PositionReached, MoveOrdered, MoveEndKnown,
-                 StoreChanged, ServiceAssigned, StopAnnounced, request::Tick>;
+using Event = std::variant<request::CallArrived, request::AnswerStarted,
+                           request::AttemptEnded, request::CallerGone,
+                           TargetAnnounced, TargetDeregistered, ReportReceived,
+                           StoredReportsRead, RoutingLoaded, PositionReached,
+                           MoveOrdered, MoveStateRead, StoreReachabilityChanged,
+                           ServiceAssigned, ShutdownRequested, request::Tick>;
 /// @}
 
 /// @name Effects
 /// @{
 
-/// @brief Send the own report to hosts.
+/// @brief Send this node's report to hosts.
 struct SendReport {
-  HostReport What;
+  HostReport Report;
   /// IP addresses.
-  std::vector<std::string> To;
+  std::vector<std::string> Addresses;
 };
-/// @brief Put the own report into the store, where new hosts find it.
+/// @brief Write this node's report to the store, where new hosts find it.
 struct PublishReport {
-  HostReport What;
+  HostReport Report;
 };
-/// @brief Write the state of a move into the store.
+/// @brief Write the state of a move to the store.
 struct WriteMove {
   core::ServiceName Service;
-  core::TargetVersion To;
+  core::TargetVersion NewVersion;
   MovePhase Phase = MovePhase::Running;
 };
-/// @brief Ask another node for the operators' records.
+/// @brief Request the operator records from another node.
 struct FetchRecords {
   /// IP address.
-  std::string From;
+  std::string PeerAddress;
 };
-/// @brief Follow the operators' records in the store, or leave that to other
-///        nodes of the data centre.
+/// @brief Start or stop following the operator records in the store; while
+///        stopped, other nodes of the data centre follow it.
 struct FollowStore {
   bool Follow = true;
 };
-/// @brief The node can, or can no longer, take requests of callers.
+/// @brief The node became ready, or is no longer ready, for caller requests.
 struct ReadinessChanged {
   bool Ready = false;
 };
--- a/include/filbertvane/decision/mesh/Gauges.h
+++ b/include/filbertvane/decision/mesh/Gauges.h
@@ -6,10 +6,10 @@
 
 namespace filbertvane::decision::mesh {
 
-/// @brief Writes what a node believes now into its metrics: calls, queue and
-///        slots, hosts by state, configuration, store and repeats left.
+/// @brief Writes the gauges of a node: calls, queue and slots, hosts by state,
+///        configuration, store and remaining retries.
 void writeGauges(const MeshState &State, core::TimePoint Now,
-                 observe::Metrics &Into);
+                 observe::Metrics &Output);
 
 } // namespace filbertvane::decision::mesh
 
--- a/include/filbertvane/decision/mesh/HostDirectory.h
+++ b/include/filbertvane/decision/mesh/HostDirectory.h
@@ -6,77 +6,87 @@
 
 namespace filbertvane::decision::mesh {
 
-/// @brief Where a host stands as seen from this one.
-enum class Distance : std::uint8_t { Own, DataCentre, Region, Far };
+/// @brief Network distance of a host from this one.
+enum class Distance : std::uint8_t {
+  Local,
+  SameDataCentre,
+  SameRegion,
+  OtherRegion
+};
 
-/// @brief Kind of requests that a host has or lacks room for.
-struct RoomFor {
+/// @brief Class of requests for which the capacity of a host is tracked.
+struct RequestClass {
   core::RouteName Route;
-  /// Answers may be late, so that leftover turns are enough.
-  bool Late = false;
+  /// The answers may be late, so that leftover slots suffice.
+  bool AcceptLate = false;
 
-  friend auto operator<=>(const RoomFor &, const RoomFor &) = default;
+  friend auto operator<=>(const RequestClass &, const RequestClass &) = default;
 };
 
-/// @brief A host that this node knows.
+/// @brief A host known to this node.
 struct KnownHost {
   HostReport Report;
-  Distance Away = Distance::Far;
-  core::TimePoint HeardAt;
-  /// Own requests in progress at the host.
+  Distance HostDistance = Distance::OtherRegion;
+  core::TimePoint LastReportAt;
+  /// Requests of this node in progress at the host.
   std::uint32_t InFlight = 0;
-  /// Own requests sent since the load in the report was taken.
-  std::uint32_t SentSince = 0;
-  /// Mean times of the target's answers by route, as its host told them.
+  /// Requests sent by this node since the load in the report was updated.
+  std::uint32_t SentSinceLoadUpdate = 0;
+  /// Mean answer times of the target by route, as stated by its host.
   std::map<core::RouteName, core::Milliseconds> RouteTimes;
-  /// Requests that the host had no room for, with the time until which it is
-  /// not asked for such ones again.
-  std::map<RoomFor, core::TimePoint> FullUntil;
+  /// Request classes refused for lack of capacity, with the time until which
+  /// the host is not asked for them again.
+  std::map<RequestClass, core::TimePoint> AtCapacityUntil;
   /// A connection failed after the last report.
   bool Unreachable = false;
-  /// Known from the store only; it has not been heard yet.
-  bool Hearsay = false;
+  /// Read from the store; no report has arrived from the host itself.
+  bool FromStoreOnly = false;
 };
 
-/// @brief What a report changed.
-struct Heard {
+/// @brief Change of a host that a report brought.
+struct HostChange {
   bool New = false;
   bool Restarted = false;
 };
 
-/// @brief The hosts of the mesh, from their own reports.
+/// @brief Directory of the other hosts of the mesh, built from their reports.
 class HostDirectory {
 public:
   HostDirectory(core::NodeId Self, core::DataCentreId DataCentre,
                 core::RegionId Region);
 
-  /// @brief Takes a report that came from the host itself.
-  /// @return what changed; none when the report is older than the known one
-  std::optional<Heard> hear(const HostReport &What, core::TimePoint Now);
-  /// @brief Takes a report that was read in the store.
-  /// @return whether the host was unknown
-  bool learn(const HostReport &What, core::TimePoint Now);
+  /// @brief Applies a report received from the host itself.
+  /// @return the change; none when the report is outdated, is one of this node,
+  ///         or the directory is full
+  std::optional<HostChange> applyReport(const HostReport &Report,
+                                        core::TimePoint Now);
+  /// @brief Adds a host from a report read from the store; a known host stays
+  ///        as it is.
+  /// @return whether the host was added
+  bool addFromStore(const HostReport &Report, core::TimePoint Now);
   /// @brief Updates the load of a host from an answer.
-  void noteLoad(const core::NodeId &Node, const TargetLoad &Load,
-                const core::RouteName &Route);
-  /// @brief Notes that a host has no room for requests of a kind.
-  void noteFull(const core::NodeId &Node, const RoomFor &What,
-                core::TimePoint Until);
-  /// @brief Drops hosts that were silent for `ForgetAfter`.
-  void forgetSilent(core::TimePoint Now);
+  void updateLoad(const core::NodeId &Node, const TargetLoad &Load,
+                  const core::RouteName &Route);
+  /// @brief Records that a host has no capacity for a class of requests.
+  void markAtCapacity(const core::NodeId &Node, const RequestClass &Class,
+                      core::TimePoint Until);
+  /// @brief Removes hosts without a report for `HostEvictionTimeout`.
+  void evictSilent(core::TimePoint Now);
 
   KnownHost *find(const core::NodeId &Node);
   const std::map<core::NodeId, KnownHost> &hosts() const { return Hosts; }
   std::map<core::NodeId, KnownHost> &hosts() { return Hosts; }
-  Distance distanceOf(const HostReport &Of) const;
-  /// @brief Time between two reports of hosts in different data centres.
-  core::Milliseconds farPeriod() const;
-  /// @brief Whether the host lately refused requests of a kind for lack of
-  /// room.
-  static bool full(const KnownHost &Host, const RoomFor &What,
-                   core::TimePoint Now);
-  /// @brief Whether the host missed several reports or refused a connection.
-  bool doubtful(const KnownHost &Host, core::TimePoint Now) const;
+  Distance distanceTo(const HostReport &Host) const;
+  /// @brief Interval of reports between hosts in different data centres; grows
+  ///        with the number of hosts.
+  core::Milliseconds remoteReportPeriod() const;
+  /// @brief Whether the host recently refused requests of a class for lack of
+  ///        capacity.
+  static bool isAtCapacity(const KnownHost &Host, const RequestClass &Class,
+                           core::TimePoint Now);
+  /// @brief Whether the host missed several reports, refused a connection, or
+  ///        is known from the store only.
+  bool isSuspect(const KnownHost &Host, core::TimePoint Now) const;
 
 private:
   core::NodeId Self;
--- a/include/filbertvane/decision/mesh/HostReport.h
+++ b/include/filbertvane/decision/mesh/HostReport.h
@@ -8,92 +8,93 @@
 
 namespace filbertvane::decision::mesh {
 
-/// @brief Whether a target takes requests.
+/// @brief Whether a target accepts requests.
 enum class TargetState : std::uint8_t {
   Ready,
-  /// Announced that it leaves.
+  /// Announced that it is leaving.
   Draining,
-  /// Refuses connections, or announced nothing for too long.
+  /// Refuses connections, or has not announced itself for too long.
   Down,
 };
 
-/// @brief Answers of a target on one route since its start.
+/// @brief Counters of a target's answers on one route.
 struct RouteTally {
   core::RouteName Route;
   std::uint64_t Answers = 0;
   /// Answers with a server error, and answers that were lost.
   std::uint64_t Faults = 0;
   /// Sum of the times of the answers without fault.
-  core::Milliseconds Time{0};
+  core::Milliseconds TotalTime{0};
 
   friend auto operator<=>(const RouteTally &, const RouteTally &) = default;
 };
 
-/// @brief What a node says of the target on its host.
+/// @brief Report on the target of a host.
 struct TargetReport {
   core::TargetId Id;
   core::ServiceName Service;
   core::TargetVersion Version;
   TargetState State = TargetState::Ready;
   TargetLoad Load;
-  /// Recent answers with a fault, in thousandths.
+  /// Share of recent answers with a fault, in thousandths.
   std::uint32_t FaultPermille = 0;
   std::vector<RouteTally> Tallies;
 
   friend auto operator<=>(const TargetReport &, const TargetReport &) = default;
 };
 
-/// @brief One life of a target that said that it leaves.
-struct LeftTarget {
+/// @brief One process of a target that announced its departure.
+struct DepartedTarget {
   core::TargetId Id;
-  /// Start of the target's process; 0 when it is not known.
-  std::uint64_t Born = 0;
+  /// Start of the target's process; 0 when unknown.
+  std::uint64_t ProcessStart = 0;
 
-  friend auto operator<=>(const LeftTarget &, const LeftTarget &) = default;
+  friend auto operator<=>(const DepartedTarget &,
+                          const DepartedTarget &) = default;
 };
 
-/// @brief How far a move has come; a higher phase replaces a lower one.
+/// @brief Phase of a move; a higher phase replaces a lower one.
 enum class MovePhase : std::uint8_t {
   Running,
-  /// The new version was found bad; the report is not yet written.
-  Condemned,
+  /// The new version was rejected; the rollback is not yet in the store.
+  Rejected,
   Completed,
   RolledBack,
 };
 
-/// @brief What a node knows of a move.
+/// @brief State of a move as known to one node.
 struct MoveReport {
   core::ServiceName Service;
-  core::TargetVersion To;
-  /// Offset of the order in the operators' records.
-  core::LogOffset Order;
+  core::TargetVersion NewVersion;
+  /// Offset of the order in the operator records.
+  core::LogOffset OrderOffset;
   MovePhase Phase = MovePhase::Running;
-  /// Time since the order, as the node knows it.
+  /// Time since the order, as known to the node.
   core::Milliseconds Elapsed{0};
 
   friend auto operator<=>(const MoveReport &, const MoveReport &) = default;
 };
 
-/// @brief What a node tells the others of itself.
+/// @brief Report of a node about itself.
 struct HostReport {
   core::NodeId Node;
   /// Differs between two processes of a host.
-  core::Incarnation Start;
-  /// Rises with each report of a process.
+  core::Incarnation Incarnation;
+  /// Increases with each report of a process.
   std::uint64_t Sequence = 0;
   /// IP address; ports are the same on all hosts.
   std::string Address;
   core::DataCentreId DataCentre;
   core::RegionId Region;
-  /// The process stops; it takes no further requests.
+  /// The process is shutting down and takes no further requests.
   bool Leaving = false;
   std::optional<TargetReport> Target;
-  /// Last target of the host that said that it leaves; the next process of the
-  /// host learns it from the store.
-  std::optional<LeftTarget> Left;
-  /// Operators' records that the node has read.
+  /// Target of the host that last announced its departure; the next process of
+  /// the node reads it from the store.
+  std::optional<DepartedTarget> Departed;
+  /// Offset up to which the node has read the operator records.
   core::LogOffset Position;
-  /// The store answers the node.
+  /// The node can reach the store.
   bool StoreReachable = false;
   std::vector<MoveReport> Moves;
 
--- a/include/filbertvane/decision/mesh/MoveTracker.h
+++ b/include/filbertvane/decision/mesh/MoveTracker.h
@@ -10,82 +10,83 @@
 /// @brief An operator's order to move a service to another version.
 struct MoveOrdered {
   core::ServiceName Service;
-  core::TargetVersion To;
+  core::TargetVersion NewVersion;
   core::Milliseconds Duration{0};
-  /// Offset of the order in the operators' records.
-  core::LogOffset Order;
-  /// The order was read from history: its age is not known.
-  bool Old = false;
+  /// Offset of the order in the operator records.
+  core::LogOffset OrderOffset;
+  /// The order was read from history, so that its age is unknown.
+  bool FromHistory = false;
 
   friend auto operator<=>(const MoveOrdered &, const MoveOrdered &) = default;
 };
 
-/// @brief A move as this node follows it.
+/// @brief A move as tracked by this node.
 struct TrackedMove {
-  MoveOrdered What;
-  core::TimePoint Began;
+  MoveOrdered Order;
+  core::TimePoint StartedAt;
   core::TimePoint Deadline;
   MovePhase Phase = MovePhase::Running;
-  /// Why the new version was found bad.
+  /// Why the new version was rejected.
   std::string Reason;
 
-  bool over() const {
+  bool ended() const {
     return Phase == MovePhase::Completed || Phase == MovePhase::RolledBack;
   }
 };
 
-/// @brief Which versions of a service take requests.
+/// @brief Distribution of requests over the versions of a service.
 struct VersionShares {
-  /// Version that is being moved to; none when no move is under way.
+  /// New version of the move in progress; none without one.
   std::optional<core::TargetVersion> Candidate;
-  /// Part of the requests that goes to the candidate, in thousandths.
+  /// Share of the requests for the candidate, in thousandths.
   std::uint32_t CandidatePermille = 0;
-  /// Versions that take none.
-  std::set<core::TargetVersion> Banned;
-  /// All requests go to this version while it has a ready target.
-  std::optional<core::TargetVersion> Only;
+  /// Versions that get no requests.
+  std::set<core::TargetVersion> Excluded;
+  /// Gets all requests while it has a ready target.
+  std::optional<core::TargetVersion> Exclusive;
 };
 
 /// @brief Answers of one version on one route, summed over hosts.
 struct VersionSample {
   std::uint64_t Answers = 0;
   std::uint64_t Faults = 0;
-  double TimeMs = 0;
+  double TotalTimeMs = 0;
 };
 
-/// @brief Verdict of the evidence about a new version.
+/// @brief Result of comparing a new version with the others.
 struct MoveVerdict {
-  bool Bad = false;
+  bool Rejected = false;
   std::string Reason;
 };
 
-/// @brief Compares the new version with the others of its service.
+/// @brief Compares the new version of a move with the others of its service.
 ///
-/// A fault of one host says nothing about a version, so at least two hosts of
-/// the new version have to show it when two have answered.
-MoveVerdict judgeMove(const TrackedMove &Move,
-                      const std::vector<const TargetReport *> &Targets);
+/// A fault at a single host is not evidence against a version: when two hosts
+/// of the new version have answered, at least two must show the fault.
+MoveVerdict evaluateMove(const TrackedMove &Move,
+                         const std::vector<const TargetReport *> &Targets);
 
-/// @brief Moves of all services, from the operators' orders to their ends.
+/// @brief Tracks the moves of all services from order to completion or
+///        rollback.
 ///
-/// The share of the new version follows from the time since the order, so that
-/// all nodes agree on it without messages.
+/// The share of the new version depends only on the time since the order, so
+/// that all nodes agree on it without messages.
 class MoveTracker {
 public:
-  /// @brief Takes an order; an older one than the known one is ignored.
-  /// @return whether it is new
-  bool order(const MoveOrdered &What, core::TimePoint Now);
-  /// @brief Takes what another node knows of a move.
-  void hear(const MoveReport &What, core::TimePoint Now);
-  /// @brief Records a phase; a lower one changes nothing.
-  /// @return whether the phase rose
-  bool advance(const core::ServiceName &Service, MovePhase To,
+  /// @brief Starts tracking an order unless the same or a newer one is known.
+  /// @return whether the order is new
+  bool applyOrder(const MoveOrdered &Order, core::TimePoint Now);
+  /// @brief Merges the state of a move reported by another node.
+  void applyReport(const MoveReport &Report, core::TimePoint Now);
+  /// @brief Advances a move to a higher phase.
+  /// @return whether the phase changed
+  bool advance(const core::ServiceName &Service, MovePhase Phase,
                std::string Reason);
 
   VersionShares shares(const core::ServiceName &Service,
                        core::TimePoint Now) const;
-  /// @brief Whether all traffic has moved, so that the move may be completed.
-  bool settled(const TrackedMove &Move, core::TimePoint Now) const;
+  /// @brief Whether the move has run long enough to be completed.
+  bool readyToComplete(const TrackedMove &Move, core::TimePoint Now) const;
   std::vector<MoveReport> reports(core::TimePoint Now) const;
   const std::map<core::ServiceName, TrackedMove> &moves() const {
     return Moves;
@@ -93,8 +94,9 @@
 
 private:
   std::map<core::ServiceName, TrackedMove> Moves;
-  /// Versions of earlier orders that did not complete.
-  std::map<core::ServiceName, std::set<core::TargetVersion>> Unproven;
+  /// New versions of earlier orders that did not complete.
+  std::map<core::ServiceName, std::set<core::TargetVersion>>
+      UncompletedVersions;
 };
 
 } // namespace filbertvane::decision::mesh
--- a/include/filbertvane/decision/mesh/Reducer.h
+++ b/include/filbertvane/decision/mesh/Reducer.h
@@ -5,18 +5,18 @@
 
 namespace filbertvane::decision::mesh {
 
-/// @brief Decides about one event.
+/// @brief Applies one event to the state.
 ///
-/// Total: each event is accepted in each state; events about calls that ended
-/// are ignored.
+/// Total: accepts every event in every state; events about ended calls are
+/// ignored.
 /// @param Now monotonic clock at the event
-/// @return the effects, in the order to execute them
+/// @return the effects, in the order of execution
 /// Complexity: linear in the hosts of a service for a placement, in all hosts
 /// for `Tick`.
-Effects reduce(MeshState &State, const Event &What, core::TimePoint Now);
+Effects reduce(MeshState &State, const Event &NewEvent, core::TimePoint Now);
 
-/// @brief What the node says of itself now.
-HostReport ownReport(MeshState &State, core::TimePoint Now);
+/// @brief Creates the next report of this node.
+HostReport makeHostReport(MeshState &State, core::TimePoint Now);
 
 } // namespace filbertvane::decision::mesh
 
--- /dev/null
+++ b/include/filbertvane/decision/mesh/SharedRetryBudget.h
@@ -0,0 +1,61 @@
+#ifndef FILBERTVANE_DECISION_MESH_SHAREDRETRYBUDGET_H
+#define FILBERTVANE_DECISION_MESH_SHAREDRETRYBUDGET_H
+
+#include "filbertvane/core/Time.h"
+#include <array>
+#include <cstdint>
+
+namespace filbertvane::decision::mesh {
+
+/// @brief Retry budget shared by all nodes.
+struct SharedRetryBudgetSettings {
+  /// Retries allowed per request of a window.
+  double Ratio = 0;
+  /// Additional retries per window, for all nodes together.
+  double Slack = 0;
+  core::Milliseconds Window{0};
+
+  friend auto operator<=>(const SharedRetryBudgetSettings &,
+                          const SharedRetryBudgetSettings &) = default;
+};
+
+/// @brief One node's share of the retry budget of a service.
+///
+/// Nodes exchange no messages about it: each spends the ratio of its own
+/// requests and an equal share of the slack, so that the sum over all nodes
+/// stays within the budget regardless of how requests are distributed.
+class SharedRetryBudget {
+public:
+  explicit SharedRetryBudget(const SharedRetryBudgetSettings &InitialSettings)
+      : Settings(InitialSettings) {}
+
+  /// @brief Counts a request of the service.
+  void recordRequest(core::TimePoint Now);
+  /// @brief Counts a retry that was not taken with `tryTake`.
+  void recordRetry(core::TimePoint Now);
+  /// @brief Takes one retry from the share of this node.
+  /// @param Nodes number of nodes that share the budget
+  /// @return false when the share is used up
+  bool tryTake(std::size_t Nodes, core::TimePoint Now);
+
+  /// @brief Retries left in the share of this node.
+  double remaining(std::size_t Nodes, core::TimePoint Now) const;
+
+private:
+  static constexpr std::size_t SliceCount = 10;
+  struct Slice {
+    std::int64_t Number = -1;
+    std::uint32_t Requests = 0;
+    std::uint32_t Retries = 0;
+  };
+
+  Slice &sliceAt(core::TimePoint Now);
+  std::int64_t sliceNumber(core::TimePoint Now) const;
+
+  SharedRetryBudgetSettings Settings;
+  std::array<Slice, SliceCount> Ring;
+};
+
+} // namespace filbertvane::decision::mesh
+
+#endif // FILBERTVANE_DECISION_MESH_SHAREDRETRYBUDGET_H
--- a/include/filbertvane/decision/mesh/SlotQueue.h
+++ b/include/filbertvane/decision/mesh/SlotQueue.h
@@ -12,121 +12,123 @@
 
 namespace filbertvane::decision::mesh {
 
-/// @brief A request that asks for a slot of the own target.
+/// @brief A request for a slot of the local target.
 struct SlotRequest {
   core::CallId Id;
   core::RouteName Route;
   /// 0 is the most urgent.
   std::uint32_t Rank = 0;
-  /// Until then an answer has its full value.
+  /// Answers after this time are late.
   core::TimePoint Objective;
   core::TimePoint Deadline;
-  /// Take the request also when its answer will be late.
+  /// Accept the request even if its answer will be late.
   bool AcceptLate = false;
 };
 
-/// @brief Whether a request starts, waits or is refused; the last with reason.
+/// @brief Whether a request starts, waits or is refused.
 struct SlotVerdict {
-  enum class Kind { Start, Wait, Refuse } What = Kind::Refuse;
-  core::ErrorCode Why = core::ErrorCode::RequestQueueFull;
+  enum class ActionKind { Start, Wait, Refuse } Action = ActionKind::Refuse;
+  /// Meaningful with `Refuse`.
+  core::ErrorCode Reason = core::ErrorCode::RequestQueueFull;
 };
 
-/// @brief Slots of the own target and the requests that wait for one.
+/// @brief Slots of the local target and the queue of requests for them.
 ///
-/// Answers the load of a day on which a service gets more requests than it has
-/// slots: requests that can still be in time go first, by rank and then by
-/// arrival; those that are late already use the slots that are left over, and
-/// are refused once the rate of the others leaves them no turn before their
-/// deadline; a more urgent request displaces a less urgent one from a full
-/// queue.
+/// Handles overload: requests that can still be answered on time go first, by
+/// rank and then by arrival. Late requests use the slots that are left over,
+/// and are refused once the arrival rate of the others leaves them no slot
+/// before their deadline. A more urgent request evicts a less urgent one from a
+/// full queue.
 class SlotQueue {
 public:
   /// @name Requests
   /// @{
-  SlotVerdict arrive(const SlotRequest &Who, core::TimePoint Now);
-  /// @brief A started request ended.
-  /// @param Took time at the target when it answered
-  void finished(const core::RouteName &Route,
-                std::optional<core::Microseconds> Took);
-  /// @brief Withdraws a waiting request.
+  SlotVerdict submit(const SlotRequest &Request, core::TimePoint Now);
+  /// @brief Releases the slot of a started request.
+  /// @param AnswerTime time at the target; none when it did not answer
+  void release(const core::RouteName &Route,
+               std::optional<core::Microseconds> AnswerTime);
+  /// @brief Removes a waiting request.
   void withdraw(core::CallId Id);
 
-  struct Turn {
+  struct Dequeued {
     core::CallId Id;
     SlotVerdict Verdict;
   };
-  /// @brief Next waiting request to start or to refuse, if any now.
-  std::optional<Turn> next(core::TimePoint Now);
+  /// @brief Dequeues the next request to start or to refuse.
+  /// @return none when all waiting requests must keep waiting
+  std::optional<Dequeued> next(core::TimePoint Now);
   /// @}
 
   /// @name Target
   /// @{
   void resize(std::uint32_t NewSlots) { Slots = NewSlots; }
-  /// @brief Another process took the target's place: nothing runs there.
-  void restarted() { Running = 0; }
+  /// @brief A new process replaced the target; no request runs there.
+  void targetRestarted() { Running = 0; }
   TargetLoad load() const;
-  /// @brief Time after which a request that comes now would get a slot, with
-  ///        the more urgent requests that will come meanwhile.
+  /// @brief Estimated wait of a request that arrives now, including more urgent
+  ///        requests that arrive while it waits.
   core::Microseconds expectedWait(std::uint32_t Rank,
                                   core::TimePoint Now) const;
-  /// @brief Time within which most answers on a route come.
-  core::Microseconds neededTime(const core::RouteName &Route) const;
+  /// @brief Time within which most answers on a route arrive.
+  core::Microseconds typicalTime(const core::RouteName &Route) const;
   /// @brief Mean time of the answers on a route.
   core::Microseconds meanTime(const core::RouteName &Route) const;
   /// @}
 
 private:
-  struct Waiting {
-    SlotRequest Who;
-    core::TimePoint Since;
+  struct WaitingRequest {
+    SlotRequest Request;
+    core::TimePoint QueuedAt;
   };
-  using Order = std::tuple<std::uint32_t, core::TimePoint, core::CallId>;
+  using QueueKey = std::tuple<std::uint32_t, core::TimePoint, core::CallId>;
 
-  /// @brief Times of the answers on one route.
-  struct AnswerTime {
+  /// @brief Moving average of answer times.
+  struct AnswerTimeEstimate {
     double MeanUs = 0;
-    /// Mean distance from the mean.
-    double SpreadUs = 0;
-    void note(double SampleUs);
+    /// Mean absolute deviation.
+    double DeviationUs = 0;
+    void addSample(double SampleUs);
   };
 
-  /// @brief Requests a second, over about the last second.
+  /// @brief Arrival rate with exponential decay.
   struct ArrivalRate {
     double PerSecond = 0;
-    core::TimePoint At;
+    core::TimePoint UpdatedAt;
     double at(core::TimePoint Now) const;
-    void note(core::TimePoint Now);
+    void addArrival(core::TimePoint Now);
   };
 
-  const AnswerTime &timeOf(const core::RouteName &Route) const;
-  /// @brief Time that a waiting request is planned with.
-  core::Microseconds plannedTime(const core::RouteName &Route) const;
-  /// @brief Least time with which a request is still worth a start.
-  core::Microseconds leastTime(const core::RouteName &Route) const;
-  core::Microseconds turnTime(std::size_t Ahead) const;
-  /// @brief Part of the slots that is left beside a rate of requests.
-  double partLeftBy(double PerSecond) const;
+  const AnswerTimeEstimate &estimateFor(const core::RouteName &Route) const;
+  /// @brief Answer time assumed when a request is queued as on time.
+  core::Microseconds conservativeTime(const core::RouteName &Route) const;
+  /// @brief Minimum time before the deadline at which a request is started.
+  core::Microseconds minimumTime(const core::RouteName &Route) const;
+  core::Microseconds slotWait(std::size_t Ahead) const;
+  /// @brief Share of the slots not used by requests arriving at a rate.
+  double remainingSlotShare(double PerSecond) const;
   core::Microseconds lateWait(std::size_t Ahead, core::TimePoint Now) const;
-  SlotVerdict enqueue(const SlotRequest &Who, core::TimePoint Now,
-                      std::set<Order> &To);
+  SlotVerdict enqueue(const SlotRequest &Request, core::TimePoint Now,
+                      std::set<QueueKey> &Queue);
   bool makeRoom(std::uint32_t Rank);
-  void displace(const Order &Least, std::set<Order> &From);
-  std::optional<Turn> take(std::set<Order> &From, core::TimePoint Now);
+  void evict(const QueueKey &Key, std::set<QueueKey> &Queue);
+  std::optional<Dequeued> dequeue(std::set<QueueKey> &Queue,
+                                  core::TimePoint Now);
   void demoteLate(core::TimePoint Now);
 
   std::uint32_t Slots = 0;
   std::uint32_t Running = 0;
-  std::map<core::CallId, Waiting> Entries;
-  /// Requests that can be in time, by rank and arrival.
-  std::set<Order> InTime;
-  /// Requests that are late, by rank and arrival.
-  std::set<Order> Late;
-  /// Accepted requests by rank.
-  std::map<std::uint32_t, ArrivalRate> Arrivals;
-  /// Requests that lost their place to a more urgent one.
-  std::vector<core::CallId> Displaced;
-  std::map<core::RouteName, AnswerTime> Times;
-  AnswerTime Overall;
+  std::map<core::CallId, WaitingRequest> Entries;
+  /// Requests that can be answered on time, by rank and arrival.
+  std::set<QueueKey> OnTime;
+  /// Requests whose answers will be late, by rank and arrival.
+  std::set<QueueKey> Late;
+  /// Arrivals of accepted requests by rank.
+  std::map<std::uint32_t, ArrivalRate> ArrivalRates;
+  /// Evicted requests that are yet to be refused.
+  std::vector<core::CallId> Evicted;
+  std::map<core::RouteName, AnswerTimeEstimate> RouteEstimates;
+  AnswerTimeEstimate OverallEstimate;
 };
 
 } // namespace filbertvane::decision::mesh
--- a/include/filbertvane/decision/mesh/SplitSelector.h
+++ b/include/filbertvane/decision/mesh/SplitSelector.h
@@ -7,20 +7,21 @@
 
 /// @brief Smooth weighted selection among the services of a route.
 ///
-/// In each window of requests the number of a part differs from its weight's
-/// share by less than one, also when few requests come.
+/// In every window of requests, the count of each service differs from its
+/// weighted share by less than one, even at low request rates.
 class SplitSelector {
 public:
   /// @param Phase start of the sequence in [0, 1), different on each node
   explicit SplitSelector(double Phase = 0) : Phase(Phase) {}
 
-  /// @brief Service of the next request; the parts must not be empty.
+  /// @brief Selects the service of the next request.
+  /// @param Services must not be empty
   const core::ServiceName &
-  next(const std::vector<config::WeightedService> &Parts);
+  next(const std::vector<config::WeightedService> &Services);
 
 private:
   double Phase;
-  std::vector<double> Credit;
+  std::vector<double> Credits;
 };
 
 } // namespace filbertvane::decision::mesh
--- a/include/filbertvane/decision/mesh/State.h
+++ b/include/filbertvane/decision/mesh/State.h
@@ -5,47 +5,47 @@
 #include "filbertvane/decision/mesh/HostDirectory.h"
 #include "filbertvane/decision/mesh/MoveTracker.h"
 #include "filbertvane/decision/mesh/Placement.h"
-#include "filbertvane/decision/mesh/RepeatBudget.h"
+#include "filbertvane/decision/mesh/SharedRetryBudget.h"
 #include "filbertvane/decision/mesh/SlotQueue.h"
 #include "filbertvane/decision/mesh/SplitSelector.h"
 #include <unordered_map>
 
 namespace filbertvane::decision::mesh {
 
-/// @brief What a node process knows when it starts.
+/// @brief Settings of a node process at its start.
 struct MeshSettings {
   core::NodeId Node;
   core::DataCentreId DataCentre;
   core::RegionId Region;
-  /// Tells the processes of a host apart.
-  core::Incarnation Start;
+  /// Distinguishes the processes of a host.
+  core::Incarnation Incarnation;
   /// IP address of the host.
   std::string Address;
-  /// Port at which nodes take requests of each other.
+  /// Port for requests from other nodes.
   std::uint16_t PeerPort = 0;
   /// `ip:port` of the target on this host.
   std::string TargetAddress;
   /// Service whose target runs on this host.
   core::ServiceName Service;
-  /// Budget of repeated sends, shared by all nodes.
-  BudgetTerms Budget;
+  SharedRetryBudgetSettings Budget;
   std::uint64_t RandomSeed = 0;
 };
 
 /// @brief The target on this host.
-struct OwnTarget {
-  TargetAnnounced Last;
+struct LocalTarget {
+  TargetAnnounced Announcement;
   TargetState State = TargetState::Ready;
-  /// Known from the former process of this node; it has not announced itself to
-  /// this one yet.
+  /// Known from the previous process of this node; has not announced itself to
+  /// this process yet.
   bool Inherited = false;
-  /// Counts lives, so that the end of a request is ascribed to the right one.
-  std::uint64_t Life = 0;
-  core::TimePoint HeardAt;
-  core::TimePoint AnsweredAt;
+  /// Number of the target process, to attribute the end of a request to the
+  /// right one.
+  std::uint64_t Generation = 0;
+  core::TimePoint LastAnnouncedAt;
+  core::TimePoint LastAnswerAt;
   core::TimePoint WarmAt;
-  /// Recent part of faults, 0 to 1.
-  double FaultPart = 0;
+  /// Moving average of the share of faults, 0 to 1.
+  double FaultRatio = 0;
   std::map<core::RouteName, RouteTally> Tallies;
 };
 
@@ -54,110 +54,116 @@
 /// @brief A request in progress.
 struct MeshCall {
   core::CallId Id;
-  /// It came from a node: this node is the host node of the target.
-  bool Hosted = false;
+  /// The request came from another node: this node is its host node.
+  bool FromPeer = false;
   std::string CallerId;
   core::ServiceName Caller;
-  /// Route by the configuration at the arrival; null when hosted.
+  /// Route in the configuration at arrival; null when the request came from
+  /// another node.
   std::shared_ptr<const config::HostRoute> Route;
   core::ServiceName Service;
   request::HopTerms Terms;
-  core::TimePoint Arrived;
+  core::TimePoint ArrivedAt;
   core::TimePoint Objective;
   core::TimePoint Deadline;
-  /// Time that the answer would wait for the link; 0 for short ones.
+  /// Time that a large answer would wait for the link; 0 for small answers.
   core::Microseconds LinkWait{0};
 
   /// Hosts that are not asked again.
-  std::vector<core::NodeId> Tried;
+  std::vector<core::NodeId> TriedHosts;
   /// Hosts that refused because the answer would be late.
-  std::vector<core::NodeId> Late;
+  std::vector<core::NodeId> LateHosts;
   std::uint32_t Placements = 0;
-  /// A host was left out since it lately refused requests of the route as late.
-  bool FullSeen = false;
-  /// Targets that the request reached.
-  std::uint32_t Reached = 0;
-  /// Chosen at the first placement while a move is under way.
+  /// A host was skipped since it recently refused requests of the route as
+  /// late.
+  bool SkippedAtCapacity = false;
+  /// Number of targets that the request reached.
+  std::uint32_t ReachedTargets = 0;
+  /// Set at the first placement during a move.
   std::optional<bool> ToCandidate;
 
   CallPhase Phase = CallPhase::Queued;
   core::AttemptId Attempt;
-  core::NodeId At;
-  std::uint64_t TargetLife = 0;
+  core::NodeId CurrentHost;
+  std::uint64_t TargetGeneration = 0;
   core::TimePoint SentAt;
   bool AnswerStarted = false;
   /// A target may have run the request: it must not be refused as not run.
   bool MayHaveRun = false;
-  /// An answer with a server error is held; a repeat may bring a better one.
-  bool FailureHeld = false;
+  /// An answer with a server error is held while a retry may bring a better
+  /// one.
+  bool HoldsFailedAnswer = false;
 };
 
-/// @brief What a node remembers of a service that it sends requests to.
-struct ServiceMemory {
-  explicit ServiceMemory(const BudgetTerms &Terms) : Budget(Terms) {}
-  RepeatBudget Budget;
-  /// Selects the requests that go to the new version of a move.
-  SplitSelector Candidates;
+/// @brief State per service to which this node sends requests.
+struct MeshServiceState {
+  explicit MeshServiceState(const SharedRetryBudgetSettings &BudgetSettings)
+      : Budget(BudgetSettings) {}
+  SharedRetryBudget Budget;
+  /// Splits requests between the old and the new version of a move.
+  SplitSelector CandidateSplit;
 };
 
-/// @brief What a node remembers of a route.
-struct RouteMemory {
-  SplitSelector Split;
-  /// Mean bytes of an answer.
-  double AnswerBytes = 0;
-  /// Mean time at the host that answered last; assumed of the others.
-  core::Milliseconds Time{0};
+/// @brief State per route.
+struct MeshRouteState {
+  SplitSelector ServiceSplit;
+  /// Moving average of the size of answers, in bytes.
+  double MeanAnswerBytes = 0;
+  /// Mean answer time at the host that answered last; assumed for hosts that
+  /// have not answered yet.
+  core::Milliseconds LastMeanTime{0};
 };
 
-/// @brief Times of a move's next write into the store.
-struct MoveDuty {
-  std::optional<MovePhase> Wanted;
+/// @brief State of a move that is to be written to the store.
+struct PendingMoveWrite {
+  std::optional<MovePhase> Phase;
   core::TimePoint WriteAt;
 };
 
-/// @brief State of all decisions of one node of a mesh.
+/// @brief Complete decision state of one mesh node.
 struct MeshState {
-  explicit MeshState(MeshSettings Settings);
+  explicit MeshState(MeshSettings InitialSettings);
 
-  MeshSettings Own;
-  core::Random Source;
+  MeshSettings Settings;
+  core::Random RandomSource;
   bool Draining = false;
-  /// Set while the process stops.
-  std::optional<core::TimePoint> StopsAt;
-  core::TimePoint TakesAllUntil;
-  /// Others learn then that the host takes no more of their requests.
-  core::TimePoint LeavesAt;
-  bool LeavingTold = false;
+  /// Set during a shutdown.
+  std::optional<core::TimePoint> ShutdownDeadline;
+  /// Requests that could outlast the shutdown are accepted until then.
+  core::TimePoint AcceptsAllUntil;
+  /// Time at which other nodes are told to send no more requests.
+  core::TimePoint ReportLeavingAt;
+  bool LeavingReported = false;
   bool Ready = false;
   bool StoreReachable = false;
-  /// The node follows the store itself.
-  bool Follows = true;
+  /// This node follows the store itself.
+  bool FollowsStore = true;
 
   std::shared_ptr<const config::RoutingTable> Routing;
   core::LogOffset Position;
   HostDirectory Hosts;
   MoveTracker Moves;
-  std::map<core::ServiceName, MoveDuty> Duties;
-  std::optional<OwnTarget> Target;
+  std::map<core::ServiceName, PendingMoveWrite> PendingMoveWrites;
+  std::optional<LocalTarget> Target;
   SlotQueue Slots;
-  std::uint64_t Lives = 0;
-  std::optional<LeftTarget> Left;
-  core::TimePoint LeftAt;
+  std::uint64_t LastTargetGeneration = 0;
+  std::optional<DepartedTarget> Departed;
+  core::TimePoint DepartedAt;
 
   std::unordered_map<core::CallId, MeshCall> Calls;
-  std::unordered_map<core::ServiceName, ServiceMemory> Services;
-  std::unordered_map<core::RouteName, RouteMemory> Routes;
+  std::unordered_map<core::ServiceName, MeshServiceState> Services;
+  std::unordered_map<core::RouteName, MeshRouteState> Routes;
   std::uint64_t LastAttempt = 0;
-  /// When the large answers that were queued on the link at the last arrival of
-  /// a request are sent.
+  /// Time at which the link has sent the large answers that were queued at the
+  /// last arrival of a request.
   core::TimePoint LinkFreeAt;
-  /// Last failure of a request to another service that began on this host.
-  core::TimePoint CallFailedAt;
+  /// Last failure of a request that the local target sent to another service.
+  core::TimePoint LastCallFailureAt;
 
   std::uint64_t ReportSequence = 0;
-  core::TimePoint NextReport;
-  core::TimePoint NextFarReport;
-  /// Since when another node knows more records than this one.
+  core::TimePoint NextReportAt;
+  core::TimePoint NextRemoteReportAt;
+  /// Set while another node has read more records than this one.
   std::optional<core::TimePoint> BehindSince;
 };
 
--- a/include/filbertvane/io/mesh/Environment.h
+++ b/include/filbertvane/io/mesh/Environment.h
@@ -2,7 +2,7 @@
 #define FILBERTVANE_IO_MESH_ENVIRONMENT_H
 
 #include "filbertvane/decision/mesh/Events.h"
-#include "filbertvane/decision/mesh/RepeatBudget.h"
+#include "filbertvane/decision/mesh/SharedRetryBudget.h"
 #include "filbertvane/io/RequestDialect.h"
 #include "filbertvane/io/mesh/OperatorRecords.h"
 #include <functional>
@@ -18,7 +18,7 @@
   using RecordsRead = std::function<void(core::Result<OperatorRecords>)>;
   using HostsRead = std::function<void(core::Result<std::vector<std::string>>)>;
   using MovesRead = std::function<void(
-      core::Result<std::vector<decision::mesh::MoveEndKnown>>)>;
+      core::Result<std::vector<decision::mesh::MoveStateRead>>)>;
   using Done = std::function<void(core::Status)>;
 
   virtual ~SharedStore() = default;
@@ -106,7 +106,7 @@
   std::string Metrics;
   std::string TargetAddress;
   core::ServiceName Service;
-  decision::mesh::BudgetTerms Budget;
+  decision::mesh::SharedRetryBudgetSettings Budget;
   /// Time that a stopped process has for its requests in progress.
   core::Milliseconds StopTime{0};
   std::uint32_t MaxConnections = 0;
--- a/lib/decision/mesh/Gauges.cpp
+++ b/lib/decision/mesh/Gauges.cpp
@@ -6,10 +6,10 @@
 
 const char *nameOf(const MeshState &State, const KnownHost &Host,
                    core::TimePoint Now) {
-  if (Host.Hearsay)
+  if (Host.FromStoreOnly)
     return "not_heard_yet";
-  if (State.Hosts.doubtful(Host, Now))
-    return "doubtful";
+  if (State.Hosts.isSuspect(Host, Now))
+    return "isSuspect";
   if (Host.Report.Leaving)
     return "leaving";
   if (!Host.Report.Target)
@@ -40,10 +40,10 @@
   Set("filbertvane_target_answer_seconds",
       static_cast<double>(Load.MeanTime.count()) / 1000);
   Set("filbertvane_target_fault_ratio",
-      State.Target ? State.Target->FaultPart : 0);
+      State.Target ? State.Target->FaultRatio : 0);
   Set("filbertvane_ready", State.Ready ? 1 : 0);
   Set("filbertvane_store_reachable", State.StoreReachable ? 1 : 0);
-  Set("filbertvane_follows_store", State.Follows ? 1 : 0);
+  Set("filbertvane_follows_store", State.FollowsStore ? 1 : 0);
   Set("filbertvane_position", static_cast<double>(State.Position.value()));
   if (State.Routing)
     Set("filbertvane_config_version",
@@ -51,7 +51,7 @@
 
   // States without a host are written too, so that a former value goes away.
   std::map<std::string, std::size_t> Hosts = {
-      {"ready", 0},       {"doubtful", 0},       {"not_heard_yet", 0},
+      {"ready", 0},       {"isSuspect", 0},      {"not_heard_yet", 0},
       {"leaving", 0},     {"without_target", 0}, {"target_draining", 0},
       {"target_down", 0},
   };
@@ -62,7 +62,7 @@
              static_cast<double>(Count));
   for (const auto &[Service, Memory] : State.Services)
     Into.set("filbertvane_repeats_left", {{"service", Service.value()}},
-             Memory.Budget.left(State.Hosts.hosts().size() + 1, Now));
+             Memory.Budget.remaining(State.Hosts.hosts().size() + 1, Now));
 }
 
 } // namespace filbertvane::decision::mesh
--- a/lib/decision/mesh/HostDirectory.cpp
+++ b/lib/decision/mesh/HostDirectory.cpp
@@ -23,9 +23,10 @@
 /// is silent.
 bool outdated(const KnownHost &Known, const HostReport &What,
               core::TimePoint Now) {
-  if (What.Start == Known.Report.Start)
-    return What.Sequence <= Known.Report.Sequence && !Known.Hearsay;
-  return What.Start < Known.Report.Start && Now - Known.HeardAt < ReorderTime;
+  if (What.Incarnation == Known.Report.Incarnation)
+    return What.Sequence <= Known.Report.Sequence && !Known.FromStoreOnly;
+  return What.Incarnation < Known.Report.Incarnation &&
+         Now - Known.LastReportAt < ReorderTime;
 }
 
 } // namespace
@@ -35,65 +36,66 @@
     : Self(std::move(Self)), DataCentre(std::move(DataCentre)),
       Region(std::move(Region)) {}
 
-Distance HostDirectory::distanceOf(const HostReport &Of) const {
+Distance HostDirectory::distanceTo(const HostReport &Of) const {
   if (Of.Node == Self)
-    return Distance::Own;
+    return Distance::Local;
   if (Of.DataCentre == DataCentre)
-    return Distance::DataCentre;
-  return Of.Region == Region ? Distance::Region : Distance::Far;
+    return Distance::SameDataCentre;
+  return Of.Region == Region ? Distance::SameRegion : Distance::OtherRegion;
 }
 
-std::optional<Heard> HostDirectory::hear(const HostReport &What,
-                                         core::TimePoint Now) {
+std::optional<HostChange> HostDirectory::applyReport(const HostReport &What,
+                                                     core::TimePoint Now) {
   if (What.Node == Self)
     return std::nullopt;
   const auto Found = Hosts.find(What.Node);
   if (Found == Hosts.end()) {
-    if (Hosts.size() >= MostHosts)
+    if (Hosts.size() >= MaximumHosts)
       return std::nullopt;
     KnownHost Host;
     Host.Report = What;
-    Host.Away = distanceOf(What);
-    Host.HeardAt = Now;
+    Host.HostDistance = distanceTo(What);
+    Host.LastReportAt = Now;
     Hosts.emplace(What.Node, std::move(Host));
-    return Heard{true, false};
+    return HostChange{true, false};
   }
   KnownHost &Known = Found->second;
   if (outdated(Known, What, Now))
     return std::nullopt;
-  const Heard Change{Known.Hearsay, What.Start != Known.Report.Start};
+  const HostChange Change{Known.FromStoreOnly,
+                          What.Incarnation != Known.Report.Incarnation};
   if (otherTarget(Known.Report, What)) {
     Known.RouteTimes.clear();
-    Known.FullUntil.clear();
+    Known.AtCapacityUntil.clear();
   }
   Known.Report = What;
-  Known.HeardAt = Now;
-  Known.SentSince = 0;
+  Known.LastReportAt = Now;
+  Known.SentSinceLoadUpdate = 0;
   Known.Unreachable = false;
-  Known.Hearsay = false;
+  Known.FromStoreOnly = false;
   return Change;
 }
 
-bool HostDirectory::learn(const HostReport &What, core::TimePoint Now) {
+bool HostDirectory::addFromStore(const HostReport &What, core::TimePoint Now) {
   if (What.Node == Self || Hosts.contains(What.Node) ||
-      Hosts.size() >= MostHosts)
+      Hosts.size() >= MaximumHosts)
     return false;
   KnownHost Host;
   Host.Report = What;
-  Host.Away = distanceOf(What);
-  Host.HeardAt = Now;
-  Host.Hearsay = true;
+  Host.HostDistance = distanceTo(What);
+  Host.LastReportAt = Now;
+  Host.FromStoreOnly = true;
   Hosts.emplace(What.Node, std::move(Host));
   return true;
 }
 
-void HostDirectory::noteLoad(const core::NodeId &Node, const TargetLoad &Load,
-                             const core::RouteName &Route) {
+void HostDirectory::updateLoad(const core::NodeId &Node, const TargetLoad &Load,
+                               const core::RouteName &Route) {
   KnownHost *Known = find(Node);
   if (Known == nullptr || !Known->Report.Target)
     return;
   Known->Report.Target->Load = Load;
-  Known->SentSince = 0;
+  Known->SentSinceLoadUpdate = 0;
   if (Load.RouteTime.count() <= 0)
     return;
   if (Known->RouteTimes.size() >= MostRouteTimes)
@@ -101,25 +103,27 @@
   Known->RouteTimes[Route] = Load.RouteTime;
 }
 
-void HostDirectory::noteFull(const core::NodeId &Node, const RoomFor &What,
-                             core::TimePoint Until) {
+void HostDirectory::markAtCapacity(const core::NodeId &Node,
+                                   const RequestClass &What,
+                                   core::TimePoint Until) {
   KnownHost *Known = find(Node);
   if (Known == nullptr)
     return;
-  if (Known->FullUntil.size() >= MostRouteTimes)
-    Known->FullUntil.clear();
-  Known->FullUntil[What] = Until;
+  if (Known->AtCapacityUntil.size() >= MostRouteTimes)
+    Known->AtCapacityUntil.clear();
+  Known->AtCapacityUntil[What] = Until;
 }
 
-bool HostDirectory::full(const KnownHost &Host, const RoomFor &What,
-                         core::TimePoint Now) {
-  const auto Found = Host.FullUntil.find(What);
-  return Found != Host.FullUntil.end() && Now < Found->second;
+bool HostDirectory::isAtCapacity(const KnownHost &Host,
+                                 const RequestClass &What,
+                                 core::TimePoint Now) {
+  const auto Found = Host.AtCapacityUntil.find(What);
+  return Found != Host.AtCapacityUntil.end() && Now < Found->second;
 }
 
-void HostDirectory::forgetSilent(core::TimePoint Now) {
+void HostDirectory::evictSilent(core::TimePoint Now) {
   std::erase_if(Hosts, [Now](const auto &Entry) {
-    return Now - Entry.second.HeardAt > ForgetAfter;
+    return Now - Entry.second.LastReportAt > HostEvictionTimeout;
   });
 }
 
@@ -128,16 +132,18 @@
   return Found == Hosts.end() ? nullptr : &Found->second;
 }
 
-core::Milliseconds HostDirectory::farPeriod() const {
-  const std::size_t Rounds = Hosts.size() / FarReportsPerPeriod + 1;
-  return FarReportPeriod * static_cast<int>(Rounds);
+core::Milliseconds HostDirectory::remoteReportPeriod() const {
+  const std::size_t Rounds = Hosts.size() / RemoteReportsPerPeriod + 1;
+  return RemoteReportPeriod * static_cast<int>(Rounds);
 }
 
-bool HostDirectory::doubtful(const KnownHost &Host, core::TimePoint Now) const {
+bool HostDirectory::isSuspect(const KnownHost &Host,
+                              core::TimePoint Now) const {
   const core::Milliseconds Period =
-      Host.Away == Distance::DataCentre ? ReportPeriod : farPeriod();
-  return Host.Unreachable || Host.Hearsay ||
-         Now - Host.HeardAt > Period * MissedReports;
+      Host.HostDistance == Distance::SameDataCentre ? ReportPeriod
+                                                    : remoteReportPeriod();
+  return Host.Unreachable || Host.FromStoreOnly ||
+         Now - Host.LastReportAt > Period * SuspectAfterMissedReports;
 }
 
 } // namespace filbertvane::decision::mesh
--- a/lib/decision/mesh/LinkPacer.cpp
+++ b/lib/decision/mesh/LinkPacer.cpp
@@ -20,34 +20,34 @@
 LinkPacer::LinkPacer(double LinkBytesPerSecond)
     : BytesPerSecond(BulkPart * LinkBytesPerSecond), Credit(PieceBytes) {}
 
-bool LinkPacer::holdsBack(std::size_t Bytes) const {
+bool LinkPacer::isPaced(std::size_t Bytes) const {
   return BytesPerSecond > 0 && BytesPerSecond < FastBytesPerSecond &&
-         Bytes > BulkBytes;
+         Bytes > LargeAnswerBytes;
 }
 
 double LinkPacer::credit(core::TimePoint Now) const {
   const double Passed =
-      static_cast<double>(core::Microseconds(Now - At).count()) * 1e-6;
+      static_cast<double>(core::Microseconds(Now - UpdatedAt).count()) * 1e-6;
   return std::min(PieceBytes, Credit + Passed * BytesPerSecond);
 }
 
-std::size_t LinkPacer::take(core::TimePoint Now) {
+std::size_t LinkPacer::takeChunk(core::TimePoint Now) {
   Credit = credit(Now);
-  At = Now;
+  UpdatedAt = Now;
   if (Credit < PieceBytes)
     return 0;
   Credit = 0;
   return static_cast<std::size_t>(PieceBytes);
 }
 
-core::Microseconds LinkPacer::timeFor(std::size_t Bytes) const {
+core::Microseconds LinkPacer::transmissionTime(std::size_t Bytes) const {
   if (BytesPerSecond <= 0)
     return core::Microseconds(0);
   return core::Microseconds(static_cast<std::int64_t>(
       static_cast<double>(Bytes) / BytesPerSecond * 1e6));
 }
 
-core::TimePoint LinkPacer::nextPiece(core::TimePoint Now) const {
+core::TimePoint LinkPacer::nextChunkAt(core::TimePoint Now) const {
   const double Missing = std::max(0.0, PieceBytes - credit(Now));
   return Now +
          core::Microseconds(
--- a/lib/decision/mesh/MoveTracker.cpp
+++ b/lib/decision/mesh/MoveTracker.cpp
@@ -37,26 +37,28 @@
 constexpr std::uint64_t LeastAnswersPerHost = 4;
 
 double partOfTime(const TrackedMove &Move, core::TimePoint Now) {
-  const auto Whole = static_cast<double>((Move.Deadline - Move.Began).count());
-  const auto Passed = static_cast<double>((Now - Move.Began).count());
+  const auto Whole =
+      static_cast<double>((Move.Deadline - Move.StartedAt).count());
+  const auto Passed = static_cast<double>((Now - Move.StartedAt).count());
   return Whole <= 0 ? 1.0 : Passed / Whole;
 }
 
 VersionSample sampleOf(const RouteTally &Tally) {
-  return {Tally.Answers, Tally.Faults, static_cast<double>(Tally.Time.count())};
+  return {Tally.Answers, Tally.Faults,
+          static_cast<double>(Tally.TotalTime.count())};
 }
 
 void add(VersionSample &To, const VersionSample &More) {
   To.Answers += More.Answers;
   To.Faults += More.Faults;
-  To.TimeMs += More.TimeMs;
+  To.TotalTimeMs += More.TotalTimeMs;
 }
 
 std::optional<double> meanTime(const VersionSample &Of) {
   const std::uint64_t Good = Of.Answers - std::min(Of.Answers, Of.Faults);
   if (Good < LeastTimedAnswers)
     return std::nullopt;
-  return Of.TimeMs / static_cast<double>(Good);
+  return Of.TotalTimeMs / static_cast<double>(Good);
 }
 
 /// @brief Evidence on one route.
@@ -111,9 +113,9 @@
 
 } // namespace
 
-MoveVerdict judgeMove(const TrackedMove &Move,
-                      const std::vector<const TargetReport *> &Targets) {
-  for (const auto &[Name, Route] : gather(Move.What.To, Targets)) {
+MoveVerdict evaluateMove(const TrackedMove &Move,
+                         const std::vector<const TargetReport *> &Targets) {
+  for (const auto &[Name, Route] : gather(Move.Order.NewVersion, Targets)) {
     if (faultsProven(Route))
       return {true,
               fmt::format("route {}: {} of {} answers failed", Name.value(),
@@ -126,40 +128,43 @@
   return {};
 }
 
-bool MoveTracker::order(const MoveOrdered &What, core::TimePoint Now) {
+bool MoveTracker::applyOrder(const MoveOrdered &What, core::TimePoint Now) {
   const auto Found = Moves.find(What.Service);
-  if (Found != Moves.end() && Found->second.What.Order >= What.Order)
+  if (Found != Moves.end() &&
+      Found->second.Order.OrderOffset >= What.OrderOffset)
     return false;
-  auto &Doubted = Unproven[What.Service];
+  auto &Doubted = UncompletedVersions[What.Service];
   if (Found != Moves.end() && Found->second.Phase != MovePhase::Completed)
-    Doubted.insert(Found->second.What.To);
-  Doubted.erase(What.To);
+    Doubted.insert(Found->second.Order.NewVersion);
+  Doubted.erase(What.NewVersion);
   TrackedMove Move;
-  Move.What = What;
-  Move.Began = Now;
+  Move.Order = What;
+  Move.StartedAt = Now;
   Move.Deadline = Now + What.Duration;
   Moves.insert_or_assign(What.Service, std::move(Move));
   return true;
 }
 
-void MoveTracker::hear(const MoveReport &What, core::TimePoint Now) {
+void MoveTracker::applyReport(const MoveReport &What, core::TimePoint Now) {
   const auto Found = Moves.find(What.Service);
-  if (Found == Moves.end() || Found->second.What.Order != What.Order)
+  if (Found == Moves.end() ||
+      Found->second.Order.OrderOffset != What.OrderOffset)
     return;
   TrackedMove &Move = Found->second;
   const core::TimePoint Began = Now - What.Elapsed;
-  if (Began < Move.Began) {
-    Move.Deadline -= Move.Began - Began;
-    Move.Began = Began;
+  if (Began < Move.StartedAt) {
+    Move.Deadline -= Move.StartedAt - Began;
+    Move.StartedAt = Began;
   }
-  if (What.Phase > Move.Phase && !Move.over())
+  if (What.Phase > Move.Phase && !Move.ended())
     Move.Phase = What.Phase;
 }
 
 bool MoveTracker::advance(const core::ServiceName &Service, MovePhase To,
                           std::string Reason) {
   const auto Found = Moves.find(Service);
-  if (Found == Moves.end() || Found->second.Phase >= To || Found->second.over())
+  if (Found == Moves.end() || Found->second.Phase >= To ||
+      Found->second.ended())
     return false;
   Found->second.Phase = To;
   if (!Reason.empty())
@@ -170,24 +175,25 @@
 VersionShares MoveTracker::shares(const core::ServiceName &Service,
                                   core::TimePoint Now) const {
   VersionShares Result;
-  if (const auto Doubted = Unproven.find(Service); Doubted != Unproven.end())
-    Result.Banned = Doubted->second;
+  if (const auto Doubted = UncompletedVersions.find(Service);
+      Doubted != UncompletedVersions.end())
+    Result.Excluded = Doubted->second;
   const auto Found = Moves.find(Service);
   if (Found == Moves.end())
     return Result;
   const TrackedMove &Move = Found->second;
   switch (Move.Phase) {
   case MovePhase::Completed:
-    Result.Only = Move.What.To;
+    Result.Exclusive = Move.Order.NewVersion;
     return Result;
-  case MovePhase::Condemned:
+  case MovePhase::Rejected:
   case MovePhase::RolledBack:
-    Result.Banned.insert(Move.What.To);
+    Result.Excluded.insert(Move.Order.NewVersion);
     return Result;
   case MovePhase::Running:
     break;
   }
-  Result.Candidate = Move.What.To;
+  Result.Candidate = Move.Order.NewVersion;
   const double Part = partOfTime(Move, Now);
   for (const Step &Each : Schedule)
     if (Part >= Each.After)
@@ -195,7 +201,8 @@
   return Result;
 }
 
-bool MoveTracker::settled(const TrackedMove &Move, core::TimePoint Now) const {
+bool MoveTracker::readyToComplete(const TrackedMove &Move,
+                                  core::TimePoint Now) const {
   return Move.Phase == MovePhase::Running &&
          partOfTime(Move, Now) >= CompleteAfter;
 }
@@ -204,8 +211,8 @@
   std::vector<MoveReport> All;
   for (const auto &[Service, Move] : Moves)
     All.push_back(
-        {Service, Move.What.To, Move.What.Order, Move.Phase,
-         std::chrono::duration_cast<core::Milliseconds>(Now - Move.Began)});
+        {Service, Move.Order.NewVersion, Move.Order.OrderOffset, Move.Phase,
+         std::chrono::duration_cast<core::Milliseconds>(Now - Move.StartedAt)});
   return All;
 }
 
--- a/lib/decision/mesh/Placement.cpp
+++ b/lib/decision/mesh/Placement.cpp
@@ -35,18 +35,19 @@
   return std::pow(Clamped, 1.5);
 }
 
-double bytePrice(Distance Away) {
-  if (Away == Distance::Far)
+double bytePrice(Distance HostDistance) {
+  if (HostDistance == Distance::OtherRegion)
     return FarBytePrice;
-  return Away == Distance::Region ? RegionBytePrice : 0;
+  return HostDistance == Distance::SameRegion ? RegionBytePrice : 0;
 }
 
 } // namespace
 
-core::Microseconds roundTrip(Distance Away) {
-  if (Away == Distance::Far)
+core::Microseconds roundTripTime(Distance HostDistance) {
+  if (HostDistance == Distance::OtherRegion)
     return FarRoundTrip;
-  return Away == Distance::Region ? RegionRoundTrip : core::Microseconds(0);
+  return HostDistance == Distance::SameRegion ? RegionRoundTrip
+                                              : core::Microseconds(0);
 }
 
 double expectedLoss(const Candidate &Target, const PlacementQuery &Request) {
@@ -62,19 +63,20 @@
                              ? static_cast<double>(Target.RouteTime.count())
                              : Mean;
   const double Finish =
-      static_cast<double>(roundTrip(Target.Away).count()) / 1000 + OnRoute +
-      Excess * Mean / Slots + static_cast<double>(Target.LinkWait.count());
+      static_cast<double>(roundTripTime(Target.HostDistance).count()) / 1000 +
+      OnRoute + Excess * Mean / Slots +
+      static_cast<double>(Target.LinkWait.count());
   const double Part =
       Finish / std::max(1.0, static_cast<double>(Request.Objective.count()));
   double Loss = LateAnswerLoss * lateChance(Part) + SlownessLoss * Part;
-  Loss += Request.Bytes * bytePrice(Target.Away);
+  Loss += Request.Bytes * bytePrice(Target.HostDistance);
   Loss += static_cast<double>(Target.FaultPermille) / 1000;
-  return Target.Doubtful ? Loss + DoubtLoss : Loss;
+  return Target.Suspect ? Loss + DoubtLoss : Loss;
 }
 
-std::optional<std::size_t> choose(const std::vector<Candidate> &Among,
-                                  const PlacementQuery &Request,
-                                  core::Random &Source) {
+std::optional<std::size_t> chooseTarget(const std::vector<Candidate> &Among,
+                                        const PlacementQuery &Request,
+                                        core::Random &Source) {
   std::vector<double> Losses;
   Losses.reserve(Among.size());
   for (const Candidate &Each : Among)
--- a/lib/decision/mesh/ReduceArrival.cpp
+++ b/lib/decision/mesh/ReduceArrival.cpp
@@ -37,61 +37,62 @@
 
 void Reduction::operator()(const request::CallArrived &What) {
   State.LinkFreeAt = Now + What.LinkWait;
-  if (State.Calls.size() >= MostCalls) {
-    log(observe::EventId::MeshRefused,
+  if (State.Calls.size() >= MaximumCalls) {
+    log(observe::EventId::MeshRequestRefused,
         fmt::format("request={} reason=calls calls={}", What.CallerId,
                     State.Calls.size()));
     request::Refuse Full = refusal(What.Id, ErrorCode::RequestTooManyCalls, "");
-    Full.RetryAfter = LongestReturn;
-    Out.emplace_back(std::move(Full));
+    Full.RetryAfter = MaximumRetryAfter;
+    Produced.emplace_back(std::move(Full));
     return;
   }
   if (What.FromNode)
-    arriveHosted(What);
+    acceptFromPeer(What);
   else
-    arriveFromCaller(What);
+    acceptFromCaller(What);
 }
 
-void Reduction::arriveHosted(const request::CallArrived &What) {
+void Reduction::acceptFromPeer(const request::CallArrived &What) {
   const bool Here = State.Target && State.Target->State == TargetState::Ready &&
-                    What.Target == State.Target->Last.Id;
+                    What.Target == State.Target->Announcement.Id;
   // Reports of the stop may still be under way.
-  const bool Stopped = State.Draining && Now >= State.LeavesAt + StopReportTime;
+  const bool Stopped =
+      State.Draining && Now >= State.ReportLeavingAt + StopReportTime;
   if (!Here || Stopped || !What.Terms) {
     request::Refuse Gone =
         refusal(What.Id, ErrorCode::RequestDraining, "target is not here");
-    log(observe::EventId::MeshRefused,
+    log(observe::EventId::MeshRequestRefused,
         fmt::format("request={} reason=target_gone expected={}", What.CallerId,
                     What.Target.value_or(core::TargetId()).value()));
-    Out.emplace_back(std::move(Gone));
+    Produced.emplace_back(std::move(Gone));
     return;
   }
   MeshCall Call;
   Call.Id = What.Id;
-  Call.Hosted = true;
+  Call.FromPeer = true;
   Call.CallerId = What.CallerId;
   Call.Caller = What.Caller.value_or(core::ServiceName());
-  Call.Service = State.Target->Last.Service;
+  Call.Service = State.Target->Announcement.Service;
   Call.Terms = *What.Terms;
-  Call.Arrived = Now;
+  Call.ArrivedAt = Now;
   Call.Objective = Now + What.Terms->ObjectiveLeft;
   Call.Deadline = Now + What.TimeLeft.value_or(UsualTimeLeft);
-  if (memoryOf(Call.Terms.Route).AnswerBytes > LinkPacer::BulkBytes)
+  if (stateOf(Call.Terms.Route).MeanAnswerBytes > LinkPacer::LargeAnswerBytes)
     Call.LinkWait = What.LinkWait;
-  const bool LinkBusy = Call.LinkWait > LongestLinkWait;
+  const bool LinkBusy = Call.LinkWait > MaximumLinkWait;
   MeshCall &Taken = State.Calls.emplace(What.Id, std::move(Call)).first->second;
   if (LinkBusy)
     return refuse(Taken, ErrorCode::RequestWouldBeLate);
-  enterQueue(Taken);
+  enqueue(Taken);
 }
 
-void Reduction::arriveFromCaller(const request::CallArrived &What) {
+void Reduction::acceptFromCaller(const request::CallArrived &What) {
   if (!State.Routing) {
     request::Refuse NotReady = refusal(What.Id, ErrorCode::RequestNotReady, "");
     NotReady.RetryAfter = StartupReturn;
-    log(observe::EventId::MeshRefused,
+    log(observe::EventId::MeshRequestRefused,
         fmt::format("request={} reason=no_configuration", What.CallerId));
-    Out.emplace_back(std::move(NotReady));
+    Produced.emplace_back(std::move(NotReady));
     return;
   }
   auto Route = State.Routing->match(What.VirtualHost, What.Path);
@@ -99,10 +100,10 @@
   if (!Route) {
     request::Refuse Unknown = refusal(What.Id, ErrorCode::RequestNoRoute, "");
     Unknown.Status = StatusNotFound;
-    log(observe::EventId::MeshRefused,
+    log(observe::EventId::MeshRequestRefused,
         fmt::format("request={} reason=no_route config={}", What.CallerId,
                     Routing.Version.value()));
-    Out.emplace_back(std::move(Unknown));
+    Produced.emplace_back(std::move(Unknown));
     return;
   }
   if (Routing.Limits.BodyBytes > 0 &&
@@ -110,43 +111,43 @@
     request::Refuse TooLarge =
         refusal(What.Id, ErrorCode::RequestTooLarge, "body");
     TooLarge.Status = StatusTooLarge;
-    log(observe::EventId::MeshRefused,
+    log(observe::EventId::MeshRequestRefused,
         fmt::format("request={} reason=body bytes={}", What.CallerId,
                     What.ContentLength));
-    Out.emplace_back(std::move(TooLarge));
+    Produced.emplace_back(std::move(TooLarge));
     return;
   }
   MeshCall Call;
   Call.Id = What.Id;
   Call.CallerId = What.CallerId;
-  Call.Caller = State.Own.Service;
+  Call.Caller = State.Settings.Service;
   Call.Route = Route;
-  Call.Service = memoryOf(Route->Name).Split.next(Route->Services);
-  Call.Arrived = Now;
+  Call.Service = stateOf(Route->Name).ServiceSplit.next(Route->Services);
+  Call.ArrivedAt = Now;
   const core::Milliseconds Unseen =
       std::min(UnseenWay, Route->Objective / ShortObjectiveParts);
   Call.Objective = Now + Route->Objective - Unseen;
   Call.Deadline =
       Now + std::min(What.TimeLeft.value_or(Route->Timeout), Route->Timeout);
-  if (State.StopsAt && Now > State.TakesAllUntil &&
-      Call.Deadline > *State.StopsAt) {
+  if (State.ShutdownDeadline && Now > State.AcceptsAllUntil &&
+      Call.Deadline > *State.ShutdownDeadline) {
     request::Refuse Stopping = refusal(What.Id, ErrorCode::RequestDraining, "");
-    Stopping.RetryAfter = ShortestReturn;
-    log(observe::EventId::MeshRefused,
+    Stopping.RetryAfter = MinimumRetryAfter;
+    log(observe::EventId::MeshRequestRefused,
         fmt::format("request={} reason=stopping", What.CallerId));
-    Out.emplace_back(std::move(Stopping));
+    Produced.emplace_back(std::move(Stopping));
     return;
   }
   Call.Terms.Route = Route->Name;
   Call.Terms.Rank = Route->Rank;
   Call.Terms.Idempotent = Route->Idempotent;
-  memoryOf(Call.Service).Budget.noteRequest(Now);
+  stateOf(Call.Service).Budget.recordRequest(Now);
   place(State.Calls.emplace(What.Id, std::move(Call)).first->second);
 }
 
-void Reduction::enterQueue(MeshCall &Call) {
+void Reduction::enqueue(MeshCall &Call) {
   Call.Phase = CallPhase::Queued;
-  Call.At = State.Own.Node;
+  Call.CurrentHost = State.Settings.Node;
   SlotRequest Who;
   Who.Id = Call.Id;
   Who.Route = Call.Terms.Route;
@@ -157,39 +158,39 @@
   // objective is not shortened by them.
   Who.Deadline = Call.Deadline - Call.LinkWait;
   Who.AcceptLate = Call.Terms.AcceptLate;
-  const SlotVerdict Verdict = State.Slots.arrive(Who, Now);
-  switch (Verdict.What) {
-  case SlotVerdict::Kind::Start:
+  const SlotVerdict Verdict = State.Slots.submit(Who, Now);
+  switch (Verdict.Action) {
+  case SlotVerdict::ActionKind::Start:
     return sendToTarget(Call);
-  case SlotVerdict::Kind::Wait:
+  case SlotVerdict::ActionKind::Wait:
     // It may have displaced another one, which is told at once.
-    return serveQueue();
-  case SlotVerdict::Kind::Refuse:
-    if (Call.Hosted)
-      return refuse(Call, Verdict.Why);
-    Call.Late.push_back(State.Own.Node);
+    return dispatchQueue();
+  case SlotVerdict::ActionKind::Refuse:
+    if (Call.FromPeer)
+      return refuse(Call, Verdict.Reason);
+    Call.LateHosts.push_back(State.Settings.Node);
     return place(Call);
   }
 }
 
-void Reduction::serveQueue() {
+void Reduction::dispatchQueue() {
   if (!State.Target || State.Target->State == TargetState::Down)
     return;
   while (const auto Turn = State.Slots.next(Now)) {
     MeshCall *Call = find(Turn->Id);
     if (Call == nullptr) {
-      if (Turn->Verdict.What == SlotVerdict::Kind::Start)
-        State.Slots.finished({}, std::nullopt);
+      if (Turn->Verdict.Action == SlotVerdict::ActionKind::Start)
+        State.Slots.release({}, std::nullopt);
       continue;
     }
-    const bool Displaced = Turn->Verdict.Why == ErrorCode::RequestQueueFull;
-    if (Turn->Verdict.What == SlotVerdict::Kind::Start) {
+    const bool Displaced = Turn->Verdict.Reason == ErrorCode::RequestQueueFull;
+    if (Turn->Verdict.Action == SlotVerdict::ActionKind::Start) {
       sendToTarget(*Call);
-    } else if (Displaced && !Call->Hosted) {
-      Call->Late.push_back(State.Own.Node);
+    } else if (Displaced && !Call->FromPeer) {
+      Call->LateHosts.push_back(State.Settings.Node);
       place(*Call);
     } else {
-      refuse(*Call, Turn->Verdict.Why);
+      refuse(*Call, Turn->Verdict.Reason);
     }
   }
 }
@@ -198,14 +199,14 @@
   Call.Phase = CallPhase::AtTarget;
   Call.Attempt = core::AttemptId(++State.LastAttempt);
   Call.SentAt = Now;
-  Call.TargetLife = State.Target->Life;
+  Call.TargetGeneration = State.Target->Generation;
   request::StartAttempt Start;
   Start.Id = Call.Id;
   Start.Attempt = Call.Attempt;
-  Start.To.Node = State.Own.Node;
+  Start.To.Node = State.Settings.Node;
   Start.To.Local = true;
-  Start.To.Address = State.Own.TargetAddress;
-  Start.To.Target = State.Target->Last.Id;
+  Start.To.Address = State.Settings.TargetAddress;
+  Start.To.Target = State.Target->Announcement.Id;
   Start.Deadline = Call.Deadline;
   Start.Service = Call.Service;
   Start.Caller = Call.Caller;
@@ -213,7 +214,7 @@
   // A kept connection can carry a late answer to an earlier request, or close
   // as the request arrives; neither can be repaired by a repeat here.
   Start.FreshConnection = !Call.Terms.Idempotent;
-  Out.emplace_back(std::move(Start));
+  Produced.emplace_back(std::move(Start));
 }
 
 } // namespace filbertvane::decision::mesh
--- a/lib/decision/mesh/ReduceAttempts.cpp
+++ b/lib/decision/mesh/ReduceAttempts.cpp
@@ -41,25 +41,26 @@
       Call->Attempt != What.Attempt)
     return;
   if (Call->Phase == CallPhase::AtTarget)
-    endedAtTarget(*Call, What);
+    finishTargetAttempt(*Call, What);
   else
-    endedAtPeer(*Call, What);
+    finishPeerAttempt(*Call, What);
 }
 
-void Reduction::noteAtTarget(const MeshCall &Call,
-                             const request::AttemptEnded &What, bool Fault) {
-  if (!State.Target || State.Target->Life != Call.TargetLife)
+void Reduction::recordTargetAttempt(const MeshCall &Call,
+                                    const request::AttemptEnded &What,
+                                    bool Fault) {
+  if (!State.Target || State.Target->Generation != Call.TargetGeneration)
     return;
-  OwnTarget &Target = *State.Target;
+  LocalTarget &Target = *State.Target;
   const core::Microseconds Took = Now - Call.SentAt;
   const bool Answered =
       (What.End == AttemptEnd::Held || What.End == AttemptEnd::Answered) &&
       What.Status < FirstServerError;
-  State.Slots.finished(Call.Terms.Route,
-                       Answered && !Fault ? std::optional(Took) : std::nullopt);
-  Target.FaultPart += FaultWeight * ((Fault ? 1.0 : 0.0) - Target.FaultPart);
+  State.Slots.release(Call.Terms.Route,
+                      Answered && !Fault ? std::optional(Took) : std::nullopt);
+  Target.FaultRatio += FaultWeight * ((Fault ? 1.0 : 0.0) - Target.FaultRatio);
   if (Answered)
-    Target.AnsweredAt = Now;
+    Target.LastAnswerAt = Now;
   // A refused request says nothing about the version, and a cold target is slow
   // in each version.
   if (What.End == AttemptEnd::NotRun || Now < Target.WarmAt ||
@@ -71,37 +72,39 @@
   if (Fault)
     ++Tally.Faults;
   else
-    Tally.Time += std::chrono::duration_cast<core::Milliseconds>(Took);
+    Tally.TotalTime += std::chrono::duration_cast<core::Milliseconds>(Took);
 }
 
-void Reduction::endedAtTarget(MeshCall &Call,
-                              const request::AttemptEnded &What) {
+void Reduction::finishTargetAttempt(MeshCall &Call,
+                                    const request::AttemptEnded &What) {
   const bool Broken = What.End == AttemptEnd::NoAnswer ||
                       What.End == AttemptEnd::BrokenOff ||
                       What.End == AttemptEnd::NotRun;
   const bool OutOfTime =
       (What.Status == StatusGatewayTimeout ||
        (What.End == AttemptEnd::NoAnswer && Now >= Call.Deadline)) &&
-      !hadTime(Call);
-  const bool Failed = What.Status >= FirstServerError && !callFailedSince(Call);
-  noteAtTarget(Call, What, (Broken || Failed) && !OutOfTime);
-  const bool SameLife = State.Target && State.Target->Life == Call.TargetLife;
+      !hadAmpleTime(Call);
+  const bool Failed =
+      What.Status >= FirstServerError && !downstreamCallFailed(Call);
+  recordTargetAttempt(Call, What, (Broken || Failed) && !OutOfTime);
+  const bool SameLife =
+      State.Target && State.Target->Generation == Call.TargetGeneration;
   if (SameLife && (What.Unreachable || What.Misdirected || What.TargetCrashed))
     setTargetState(TargetState::Down,
                    What.Misdirected ? "misdirected" : "no connection");
-  if (Call.Hosted)
-    concludeHosted(Call, What);
+  if (Call.FromPeer)
+    concludePeerCall(Call, What);
   else
     conclude(Call, What);
-  serveQueue();
+  dispatchQueue();
 }
 
-void Reduction::concludeHosted(MeshCall &Call,
-                               const request::AttemptEnded &What) {
+void Reduction::concludePeerCall(MeshCall &Call,
+                                 const request::AttemptEnded &What) {
   switch (What.End) {
   case AttemptEnd::Held:
-    noteAnswerSize(Call, What.AnswerBytes);
-    Out.emplace_back(request::DeliverAnswer{Call.Id, loadFor(Call)});
+    recordAnswerSize(Call, What.AnswerBytes);
+    Produced.emplace_back(request::DeliverAnswer{Call.Id, loadFor(Call)});
     return erase(Call.Id);
   case AttemptEnd::Answered:
   case AttemptEnd::BrokenOff:
@@ -109,18 +112,19 @@
   case AttemptEnd::NotRun:
     return refuse(Call, ErrorCode::RequestRefusedByTarget, What.Reached);
   case AttemptEnd::NoAnswer:
-    return endUnknown(Call, ErrorCode::RequestNoAnswer);
+    return endWithUnknownOutcome(Call, ErrorCode::RequestNoAnswer);
   }
 }
 
-void Reduction::endedAtPeer(MeshCall &Call, const request::AttemptEnded &What) {
-  if (KnownHost *Host = State.Hosts.find(Call.At)) {
+void Reduction::finishPeerAttempt(MeshCall &Call,
+                                  const request::AttemptEnded &What) {
+  if (KnownHost *Host = State.Hosts.find(Call.CurrentHost)) {
     Host->InFlight -= std::min(Host->InFlight, 1U);
     Host->Unreachable = Host->Unreachable || What.Unreachable;
     if (What.Load && What.Load->RouteTime.count() > 0)
-      memoryOf(Call.Terms.Route).Time = What.Load->RouteTime;
+      stateOf(Call.Terms.Route).LastMeanTime = What.Load->RouteTime;
     if (What.Load)
-      State.Hosts.noteLoad(Call.At, *What.Load, Call.Terms.Route);
+      State.Hosts.updateLoad(Call.CurrentHost, *What.Load, Call.Terms.Route);
   }
   conclude(Call, What);
 }
@@ -135,28 +139,28 @@
 
 /// A target that could not make a call of its own answers with a failure too;
 /// the service that it called is to blame.
-bool Reduction::callFailedSince(const MeshCall &Call) const {
-  return State.CallFailedAt >= Call.SentAt;
+bool Reduction::downstreamCallFailed(const MeshCall &Call) const {
+  return State.LastCallFailureAt >= Call.SentAt;
 }
 
-void Reduction::noteCallFailure(const MeshCall &Call) {
-  if (!Call.Hosted && State.Target &&
-      State.Target->Last.Service != Call.Service)
-    State.CallFailedAt = Now;
+void Reduction::recordCallFailure(const MeshCall &Call) {
+  if (!Call.FromPeer && State.Target &&
+      State.Target->Announcement.Service != Call.Service)
+    State.LastCallFailureAt = Now;
 }
 
 /// A request that came with little time left says nothing about its target.
-bool Reduction::hadTime(const MeshCall &Call) const {
+bool Reduction::hadAmpleTime(const MeshCall &Call) const {
   return Now - Call.SentAt >
-         State.Slots.neededTime(Call.Terms.Route) * AmpleTimeFactor;
+         State.Slots.typicalTime(Call.Terms.Route) * AmpleTimeFactor;
 }
 
-bool Reduction::mayRepeat(MeshCall &Call) {
-  if (Call.Reached >= Call.Route->MaxTargets ||
-      Now + ShortestReturn >= Call.Deadline)
+bool Reduction::tryTakeRetry(MeshCall &Call) {
+  if (Call.ReachedTargets >= Call.Route->MaxTargets ||
+      Now + MinimumRetryAfter >= Call.Deadline)
     return false;
-  return memoryOf(Call.Service)
-      .Budget.take(State.Hosts.hosts().size() + 1, Now);
+  return stateOf(Call.Service)
+      .Budget.tryTake(State.Hosts.hosts().size() + 1, Now);
 }
 
 void Reduction::conclude(MeshCall &Call, const request::AttemptEnded &What) {
@@ -165,60 +169,62 @@
     return concludeAnswer(Call, What);
   case AttemptEnd::Answered:
   case AttemptEnd::BrokenOff:
-    log(What.End == AttemptEnd::Answered ? observe::EventId::MeshServed
-                                         : observe::EventId::MeshUnknown,
+    log(What.End == AttemptEnd::Answered ? observe::EventId::MeshRequestAnswered
+                                         : observe::EventId::MeshOutcomeUnknown,
         fmt::format("{} status={} streamed=1", describe(Call), What.Status));
     return erase(Call.Id);
   case AttemptEnd::NotRun:
     if (!What.Reached) {
-      (What.Unreachable ? Call.Tried : Call.Late).push_back(Call.At);
+      (What.Unreachable ? Call.TriedHosts : Call.LateHosts)
+          .push_back(Call.CurrentHost);
       if (!What.Unreachable && What.Load)
-        State.Hosts.noteFull(Call.At, {Call.Terms.Route, Call.Terms.AcceptLate},
-                             Now + Call.Route->Objective / FullObjectiveParts);
+        State.Hosts.markAtCapacity(
+            Call.CurrentHost, {Call.Terms.Route, Call.Terms.AcceptLate},
+            Now + Call.Route->Objective / AtCapacityObjectiveDivisor);
       return place(Call);
     }
-    ++Call.Reached;
-    Call.Tried.push_back(Call.At);
-    if (!mayRepeat(Call))
+    ++Call.ReachedTargets;
+    Call.TriedHosts.push_back(Call.CurrentHost);
+    if (!tryTakeRetry(Call))
       return refuse(Call, ErrorCode::RequestRefusedByTarget);
-    log(observe::EventId::MeshRepeated,
+    log(observe::EventId::MeshRequestRetried,
         fmt::format("{} after=refused", describe(Call)));
     return place(Call);
   case AttemptEnd::NoAnswer:
-    ++Call.Reached;
+    ++Call.ReachedTargets;
     Call.MayHaveRun = true;
-    Call.Tried.push_back(Call.At);
-    if (!Call.Terms.Idempotent || !mayRepeat(Call))
-      return endUnknown(Call, ErrorCode::RequestNoAnswer);
-    log(observe::EventId::MeshRepeated,
+    Call.TriedHosts.push_back(Call.CurrentHost);
+    if (!Call.Terms.Idempotent || !tryTakeRetry(Call))
+      return endWithUnknownOutcome(Call, ErrorCode::RequestNoAnswer);
+    log(observe::EventId::MeshRequestRetried,
         fmt::format("{} after=no_answer", describe(Call)));
     return place(Call);
   }
 }
 
-void Reduction::noteAnswerSize(const MeshCall &Call, std::uint64_t Size) {
-  double &Bytes = memoryOf(Call.Terms.Route).AnswerBytes;
+void Reduction::recordAnswerSize(const MeshCall &Call, std::uint64_t Size) {
+  double &Bytes = stateOf(Call.Terms.Route).MeanAnswerBytes;
   const auto Sample = static_cast<double>(Size);
   Bytes = Bytes == 0 ? Sample : Bytes + SizeWeight * (Sample - Bytes);
 }
 
 void Reduction::concludeAnswer(MeshCall &Call,
                                const request::AttemptEnded &What) {
-  ++Call.Reached;
+  ++Call.ReachedTargets;
   Call.MayHaveRun = true;
   const bool Failed = What.Status >= FirstServerError;
-  if (Failed && Call.Terms.Idempotent && mayRepeat(Call)) {
-    Call.Tried.push_back(Call.At);
-    Call.FailureHeld = true;
-    log(observe::EventId::MeshRepeated,
+  if (Failed && Call.Terms.Idempotent && tryTakeRetry(Call)) {
+    Call.TriedHosts.push_back(Call.CurrentHost);
+    Call.HoldsFailedAnswer = true;
+    log(observe::EventId::MeshRequestRetried,
         fmt::format("{} after=status_{}", describe(Call), What.Status));
     return place(Call);
   }
-  noteAnswerSize(Call, What.AnswerBytes);
+  recordAnswerSize(Call, What.AnswerBytes);
   if (Failed)
-    noteCallFailure(Call);
+    recordCallFailure(Call);
   logServed(Call, What.Status);
-  Out.emplace_back(request::DeliverAnswer{Call.Id, std::nullopt});
+  Produced.emplace_back(request::DeliverAnswer{Call.Id, std::nullopt});
   erase(Call.Id);
 }
 
@@ -229,7 +235,7 @@
                      Status < FirstServerError;
   if (Plain && Call.Id.value() % ServedSample != 0)
     return;
-  log(observe::EventId::MeshServed,
+  log(observe::EventId::MeshRequestAnswered,
       fmt::format("{} status={} late={}", describe(Call), Status,
                   Now > Call.Objective));
 }
@@ -238,29 +244,29 @@
   MeshCall *Call = find(What.Id);
   if (Call == nullptr)
     return;
-  if (!Call->Hosted)
-    log(observe::EventId::MeshLost, describe(*Call));
-  leave(*Call);
+  if (!Call->FromPeer)
+    log(observe::EventId::MeshCallerGone, describe(*Call));
+  abandon(*Call);
   erase(What.Id);
-  serveQueue();
+  dispatchQueue();
 }
 
 /// Takes the call out of the queue, or cancels it where it was sent.
-void Reduction::leave(MeshCall &Call) {
+void Reduction::abandon(MeshCall &Call) {
   switch (Call.Phase) {
   case CallPhase::Queued:
     State.Slots.withdraw(Call.Id);
     return;
   case CallPhase::AtTarget:
-    if (State.Target && State.Target->Life == Call.TargetLife)
-      State.Slots.finished(Call.Terms.Route, std::nullopt);
+    if (State.Target && State.Target->Generation == Call.TargetGeneration)
+      State.Slots.release(Call.Terms.Route, std::nullopt);
     break;
   case CallPhase::AtPeer:
-    if (KnownHost *Host = State.Hosts.find(Call.At))
+    if (KnownHost *Host = State.Hosts.find(Call.CurrentHost))
       Host->InFlight -= std::min(Host->InFlight, 1U);
     break;
   }
-  Out.emplace_back(request::CancelAttempt{Call.Id, Call.Attempt});
+  Produced.emplace_back(request::CancelAttempt{Call.Id, Call.Attempt});
 }
 
 void Reduction::expire(MeshCall &Call) {
@@ -271,58 +277,58 @@
   if (Call.Phase == CallPhase::AtTarget) {
     request::AttemptEnded Late;
     Late.End = AttemptEnd::NoAnswer;
-    noteAtTarget(Call, Late, hadTime(Call));
-    Call.TargetLife = 0;
+    recordTargetAttempt(Call, Late, hadAmpleTime(Call));
+    Call.TargetGeneration = 0;
   }
-  leave(Call);
+  abandon(Call);
   if (Queued)
     return refuse(Call, ErrorCode::RequestDeadlinePassed);
-  endUnknown(Call, ErrorCode::RequestDeadlinePassed);
+  endWithUnknownOutcome(Call, ErrorCode::RequestDeadlinePassed);
 }
 
 /// The answer that a target gave says more than an own one in its place.
-void Reduction::deliverFailure(MeshCall &Call, ErrorCode Why) {
-  noteCallFailure(Call);
-  log(observe::EventId::MeshServed,
+void Reduction::deliverHeldFailure(MeshCall &Call, ErrorCode Why) {
+  recordCallFailure(Call);
+  log(observe::EventId::MeshRequestAnswered,
       fmt::format("{} failed=1 repeat=FV{}", describe(Call),
                   static_cast<int>(Why)));
-  Out.emplace_back(request::DeliverAnswer{Call.Id, std::nullopt});
+  Produced.emplace_back(request::DeliverAnswer{Call.Id, std::nullopt});
   erase(Call.Id);
 }
 
 void Reduction::refuse(MeshCall &Call, ErrorCode Why, bool Reached) {
   if (Call.MayHaveRun)
-    return endUnknown(Call, Why);
-  noteCallFailure(Call);
+    return endWithUnknownOutcome(Call, Why);
+  recordCallFailure(Call);
   request::Refuse Refusal;
   Refusal.Id = Call.Id;
   Refusal.Result = request::Outcome::NotRun;
   Refusal.Reason = {Why, Call.Terms.Route.value()};
   Refusal.Reached = Reached;
-  if (Call.Hosted)
+  if (Call.FromPeer)
     Refusal.Load = loadFor(Call);
   else
-    Refusal.RetryAfter = returnTime(Call);
-  log(observe::EventId::MeshRefused,
+    Refusal.RetryAfter = retryAfter(Call);
+  log(observe::EventId::MeshRequestRefused,
       fmt::format("{} reason=FV{} reached={}", describe(Call),
                   static_cast<int>(Why), Reached));
-  Out.emplace_back(std::move(Refusal));
+  Produced.emplace_back(std::move(Refusal));
   erase(Call.Id);
 }
 
-void Reduction::endUnknown(MeshCall &Call, ErrorCode Why) {
-  if (Call.FailureHeld)
-    return deliverFailure(Call, Why);
-  noteCallFailure(Call);
+void Reduction::endWithUnknownOutcome(MeshCall &Call, ErrorCode Why) {
+  if (Call.HoldsFailedAnswer)
+    return deliverHeldFailure(Call, Why);
+  recordCallFailure(Call);
   request::Refuse Refusal;
   Refusal.Id = Call.Id;
   Refusal.Result = request::Outcome::Unknown;
   Refusal.Reason = {Why, Call.Terms.Route.value()};
-  if (!Call.Hosted && Why != ErrorCode::RequestDeadlinePassed)
+  if (!Call.FromPeer && Why != ErrorCode::RequestDeadlinePassed)
     Refusal.Status = StatusBadGateway;
-  log(observe::EventId::MeshUnknown,
+  log(observe::EventId::MeshOutcomeUnknown,
       fmt::format("{} reason=FV{}", describe(Call), static_cast<int>(Why)));
-  Out.emplace_back(std::move(Refusal));
+  Produced.emplace_back(std::move(Refusal));
   erase(Call.Id);
 }
 
@@ -330,19 +336,20 @@
   std::string Text = fmt::format(
       "request={} role={} route={} service={} at={} age_ms={} sent_ms={} "
       "placements={} reached={} late_ok={}",
-      Call.CallerId, Call.Hosted ? "host" : "entry", Call.Terms.Route.value(),
-      Call.Service.value(), Call.At.value(), millis(Now - Call.Arrived),
+      Call.CallerId, Call.FromPeer ? "host" : "entry", Call.Terms.Route.value(),
+      Call.Service.value(), Call.CurrentHost.value(),
+      millis(Now - Call.ArrivedAt),
       Call.Phase == CallPhase::Queued ? -1 : millis(Now - Call.SentAt),
-      Call.Placements, Call.Reached, Call.Terms.AcceptLate);
+      Call.Placements, Call.ReachedTargets, Call.Terms.AcceptLate);
   if (State.Routing)
     Text += fmt::format(" config={}", State.Routing->routing().Version.value());
-  const auto Host = State.Hosts.hosts().find(Call.At);
+  const auto Host = State.Hosts.hosts().find(Call.CurrentHost);
   if (Host != State.Hosts.hosts().end() && Host->second.Report.Target) {
     const TargetLoad &Load = Host->second.Report.Target->Load;
     Text +=
         fmt::format(" load={}+{}/{} load_age_ms={}", Load.Running, Load.Waiting,
-                    Load.Slots, millis(Now - Host->second.HeardAt));
-  } else if (Call.At == State.Own.Node) {
+                    Load.Slots, millis(Now - Host->second.LastReportAt));
+  } else if (Call.CurrentHost == State.Settings.Node) {
     const TargetLoad Load = State.Slots.load();
     Text +=
         fmt::format(" load={}+{}/{}", Load.Running, Load.Waiting, Load.Slots);
--- a/lib/decision/mesh/ReduceHosts.cpp
+++ b/lib/decision/mesh/ReduceHosts.cpp
@@ -24,29 +24,29 @@
 
 } // namespace
 
-void Reduction::operator()(const ReportHeard &What) {
-  const HostReport &Report = What.What;
-  const auto Change = State.Hosts.hear(Report, Now);
+void Reduction::operator()(const ReportReceived &What) {
+  const HostReport &Report = What.Report;
+  const auto Change = State.Hosts.applyReport(Report, Now);
   if (!Change)
     return;
   for (const MoveReport &Move : Report.Moves)
-    State.Moves.hear(Move, Now);
+    State.Moves.applyReport(Move, Now);
   if (Change->New || Change->Restarted) {
-    log(observe::EventId::MeshHostHeard,
+    log(observe::EventId::MeshHostJoined,
         fmt::format("host={} start={} address={} restarted={}",
-                    Report.Node.value(), Report.Start.value(), Report.Address,
-                    Change->Restarted));
+                    Report.Node.value(), Report.Incarnation.value(),
+                    Report.Address, Change->Restarted));
     // The other one may not know this node yet.
     reportTo({Report.Address});
   }
 }
 
-void Reduction::operator()(const ReportsLearned &What) {
+void Reduction::operator()(const StoredReportsRead &What) {
   std::vector<std::string> Fresh;
-  for (const HostReport &Report : What.All) {
-    if (Report.Node == State.Own.Node)
-      learnOwn(Report);
-    else if (State.Hosts.learn(Report, Now))
+  for (const HostReport &Report : What.Reports) {
+    if (Report.Node == State.Settings.Node)
+      applyFormerReport(Report);
+    else if (State.Hosts.addFromStore(Report, Now))
       Fresh.push_back(Report.Address);
   }
   if (!Fresh.empty())
@@ -54,14 +54,15 @@
 }
 
 /// A former process of this node may have acknowledged that the target leaves.
-void Reduction::learnOwn(const HostReport &Former) {
-  if (Former.Left && !State.Left) {
-    State.Left = Former.Left;
-    State.LeftAt = Now;
-    if (State.Target && leaves(State.Target->Last))
+void Reduction::applyFormerReport(const HostReport &Former) {
+  if (Former.Departed && !State.Departed) {
+    State.Departed = Former.Departed;
+    State.DepartedAt = Now;
+    if (State.Target && hasDeparted(State.Target->Announcement))
       setTargetState(TargetState::Draining, "known_to_leave");
   }
-  if (!State.Target && Former.Target && Former.Address == State.Own.Address)
+  if (!State.Target && Former.Target &&
+      Former.Address == State.Settings.Address)
     inheritTarget(*Former.Target);
 }
 
@@ -69,25 +70,25 @@
 /// later. A request names the target that it is for, so that another one at the
 /// same address runs nothing.
 void Reduction::inheritTarget(const TargetReport &Former) {
-  const bool Left = State.Left && State.Left->Id == Former.Id;
+  const bool Left = State.Departed && State.Departed->Id == Former.Id;
   if (Left || Former.State != TargetState::Ready || Former.Load.Slots == 0 ||
-      Former.Service != State.Own.Service)
+      Former.Service != State.Settings.Service)
     return;
   TargetAnnounced Known;
   Known.Id = Former.Id;
   Known.Service = Former.Service;
   Known.Version = Former.Version;
   Known.Slots = Former.Load.Slots;
-  targetReplaced(Known);
+  replaceTarget(Known);
   State.Target->Inherited = true;
-  State.Target->Last = Known;
-  State.Target->HeardAt = Now;
+  State.Target->Announcement = Known;
+  State.Target->LastAnnouncedAt = Now;
   State.Target->WarmAt = Now;
   State.Slots.resize(Known.Slots);
   reportToAll();
 }
 
-void Reduction::operator()(const RoutingLearned &What) {
+void Reduction::operator()(const RoutingLoaded &What) {
   const core::ConfigVersion Version = What.Table->routing().Version;
   if (State.Routing && State.Routing->routing().Version >= Version)
     return;
@@ -97,68 +98,69 @@
         What.Table->routing().Routes,
         [&](const auto &Route) { return Route.Name == Entry.first; });
   });
-  log(observe::EventId::MeshRoutingInForce,
+  log(observe::EventId::MeshRoutingApplied,
       fmt::format("config={} routes={}", Version.value(),
                   What.Table->routing().Routes.size()));
-  checkReady();
+  updateReadiness();
 }
 
 void Reduction::operator()(const PositionReached &What) {
   if (What.Position <= State.Position)
     return;
   State.Position = What.Position;
-  checkPosition();
-  tellPosition();
+  fetchMissingRecords();
+  reportPosition();
 }
 
-void Reduction::operator()(const StoreChanged &What) {
+void Reduction::operator()(const StoreReachabilityChanged &What) {
   if (State.StoreReachable == What.Reachable)
     return;
   State.StoreReachable = What.Reachable;
-  log(What.Reachable ? observe::EventId::MeshStoreRegained
-                     : observe::EventId::MeshStoreLost,
+  log(What.Reachable ? observe::EventId::MeshStoreReachable
+                     : observe::EventId::MeshStoreUnreachable,
       fmt::format("position={}", State.Position.value()));
   // A new node publishes once its target is known, so that one write tells
   // both; `MeshProcess` does so later where no target announces itself.
   if (What.Reachable)
-    Out.emplace_back(PublishReport{ownReport(State, Now)});
+    Produced.emplace_back(PublishReport{makeHostReport(State, Now)});
   // Where the store turns this node away, another one has to follow it.
   if (!What.Reachable)
     reportToAll();
 }
 
 void Reduction::operator()(const ServiceAssigned &What) {
-  State.Own.Service = What.Service;
+  State.Settings.Service = What.Service;
 }
 
-void Reduction::operator()(const StopAnnounced &What) {
+void Reduction::operator()(const ShutdownRequested &What) {
   if (State.Draining)
     return;
   State.Draining = true;
-  State.StopsAt = What.Latest;
-  State.TakesAllUntil = Now + TakeAllAfterStop;
-  State.LeavesAt = Now + ServeOthersAfterStop;
-  checkReady();
+  State.ShutdownDeadline = What.Deadline;
+  State.AcceptsAllUntil = Now + TakeAllAfterStop;
+  State.ReportLeavingAt = Now + ServeOthersAfterStop;
+  updateReadiness();
 }
 
-void Reduction::checkLeaving() {
-  if (!State.Draining || State.LeavingTold || Now < State.LeavesAt)
+void Reduction::reportLeavingIfDue() {
+  if (!State.Draining || State.LeavingReported || Now < State.ReportLeavingAt)
     return;
-  State.LeavingTold = true;
+  State.LeavingReported = true;
   reportToAll();
 }
 
-void Reduction::checkReady() {
+void Reduction::updateReadiness() {
   const bool Ready = State.Routing && !State.Draining;
   if (Ready == State.Ready)
     return;
   State.Ready = Ready;
-  Out.emplace_back(ReadinessChanged{Ready});
+  Produced.emplace_back(ReadinessChanged{Ready});
 }
 
 void Reduction::reportTo(std::vector<std::string> Addresses) {
   if (!Addresses.empty())
-    Out.emplace_back(SendReport{ownReport(State, Now), std::move(Addresses)});
+    Produced.emplace_back(
+        SendReport{makeHostReport(State, Now), std::move(Addresses)});
 }
 
 void Reduction::reportToAll() {
@@ -170,33 +172,34 @@
 
 /// Hosts of the own data centre hear in each period, others in each of their
 /// own, longer ones.
-void Reduction::reportInTurn() {
-  if (Now < State.NextReport)
+void Reduction::sendPeriodicReports() {
+  if (Now < State.NextReportAt)
     return;
   // The spread keeps nodes that started together from reporting together.
-  const auto Spread = core::Milliseconds(State.Source.below(50));
-  State.NextReport = Now + ReportPeriod + Spread;
-  const bool FarToo = Now >= State.NextFarReport;
+  const auto Spread = core::Milliseconds(State.RandomSource.below(50));
+  State.NextReportAt = Now + ReportPeriod + Spread;
+  const bool FarToo = Now >= State.NextRemoteReportAt;
   if (FarToo)
-    State.NextFarReport = Now + State.Hosts.farPeriod() - ReportPeriod / 2;
+    State.NextRemoteReportAt =
+        Now + State.Hosts.remoteReportPeriod() - ReportPeriod / 2;
   std::vector<std::string> Chosen;
   for (const auto &[Node, Host] : State.Hosts.hosts())
-    if (Host.Away == Distance::DataCentre || FarToo)
+    if (Host.HostDistance == Distance::SameDataCentre || FarToo)
       Chosen.push_back(Host.Report.Address);
   reportTo(std::move(Chosen));
 }
 
 /// The own connection to the store usually brings records first. Where it does
 /// not, for a cut or a silent connection, another node has them.
-void Reduction::checkPosition() {
+void Reduction::fetchMissingRecords() {
   std::vector<const KnownHost *> Nearest;
   for (const auto &[Node, Host] : State.Hosts.hosts()) {
     if (Host.Report.Position <= State.Position ||
-        State.Hosts.doubtful(Host, Now))
+        State.Hosts.isSuspect(Host, Now))
       continue;
-    if (!Nearest.empty() && Host.Away < Nearest.front()->Away)
+    if (!Nearest.empty() && Host.HostDistance < Nearest.front()->HostDistance)
       Nearest.clear();
-    if (Nearest.empty() || Host.Away == Nearest.front()->Away)
+    if (Nearest.empty() || Host.HostDistance == Nearest.front()->HostDistance)
       Nearest.push_back(&Host);
   }
   if (Nearest.empty()) {
@@ -207,30 +210,32 @@
     State.BehindSince = Now;
   // Each host that has the records hands them on, so that no link carries them
   // for the whole data centre.
-  const KnownHost *Ahead = Nearest[State.Source.below(Nearest.size())];
-  const bool Near = Ahead->Away == Distance::DataCentre && !State.Follows;
+  const KnownHost *Ahead = Nearest[State.RandomSource.below(Nearest.size())];
+  const bool Near =
+      Ahead->HostDistance == Distance::SameDataCentre && !State.FollowsStore;
   if (Now - *State.BehindSince < (Near ? NearFetchAfter : FetchAfter))
     return;
   State.BehindSince = Now;
-  Out.emplace_back(FetchRecords{Ahead->Report.Address});
+  Produced.emplace_back(FetchRecords{Ahead->Report.Address});
 }
 
 /// New records are told at once to the own data centre and to some hosts of
 /// each other one.
-void Reduction::tellPosition() {
+void Reduction::reportPosition() {
   std::vector<std::string> Told;
   std::map<core::DataCentreId, std::vector<std::string>> Others;
   for (const auto &[Node, Host] : State.Hosts.hosts()) {
     if (Host.Report.Position >= State.Position)
       continue;
-    if (Host.Away == Distance::DataCentre)
+    if (Host.HostDistance == Distance::SameDataCentre)
       Told.push_back(Host.Report.Address);
-    else if (State.Follows)
+    else if (State.FollowsStore)
       Others[Host.Report.DataCentre].push_back(Host.Report.Address);
   }
   for (const auto &[Centre, Addresses] : Others) {
-    const std::size_t First = State.Source.below(Addresses.size());
-    const std::size_t Count = std::min(ToldPerDataCentre, Addresses.size());
+    const std::size_t First = State.RandomSource.below(Addresses.size());
+    const std::size_t Count =
+        std::min(NotifiedHostsPerDataCentre, Addresses.size());
     for (std::size_t I = 0; I < Count; ++I)
       Told.push_back(Addresses[(First + I) % Addresses.size()]);
   }
@@ -239,28 +244,30 @@
 
 /// The first nodes of the data centre by rank follow the store. A node that the
 /// store does not answer keeps trying, but does not count as a follower.
-void Reduction::checkReading() {
+void Reduction::updateStoreFollowing() {
   const std::uint64_t Own =
-      core::rendezvousScore(FollowDuty, State.Own.Node.value());
+      core::rendezvousScore(FollowDuty, State.Settings.Node.value());
   std::size_t Before = 0;
   for (const auto &[Node, Host] : State.Hosts.hosts())
-    if (Host.Away == Distance::DataCentre && Host.Report.StoreReachable &&
-        !Host.Report.Leaving && !State.Hosts.doubtful(Host, Now) &&
+    if (Host.HostDistance == Distance::SameDataCentre &&
+        Host.Report.StoreReachable && !Host.Report.Leaving &&
+        !State.Hosts.isSuspect(Host, Now) &&
         core::rendezvousScore(FollowDuty, Node.value()) > Own)
       ++Before;
-  const bool Follow = Before < FollowersPerDataCentre || !State.Routing ||
+  const bool Follow = Before < StoreFollowersPerDataCentre || !State.Routing ||
                       !State.StoreReachable;
-  if (Follow == State.Follows)
+  if (Follow == State.FollowsStore)
     return;
-  State.Follows = Follow;
-  Out.emplace_back(FollowStore{Follow});
+  State.FollowsStore = Follow;
+  Produced.emplace_back(FollowStore{Follow});
 }
 
 std::size_t Reduction::rankFor(const std::string &Duty) const {
-  const std::uint64_t Own = core::rendezvousScore(Duty, State.Own.Node.value());
+  const std::uint64_t Own =
+      core::rendezvousScore(Duty, State.Settings.Node.value());
   std::size_t Rank = 0;
   for (const auto &[Node, Host] : State.Hosts.hosts())
-    if (!Host.Report.Leaving && !State.Hosts.doubtful(Host, Now) &&
+    if (!Host.Report.Leaving && !State.Hosts.isSuspect(Host, Now) &&
         core::rendezvousScore(Duty, Node.value()) > Own)
       ++Rank;
   return Rank;
--- a/lib/decision/mesh/ReduceMoves.cpp
+++ b/lib/decision/mesh/ReduceMoves.cpp
@@ -19,9 +19,9 @@
 std::vector<const TargetReport *>
 Reduction::targetsOf(const core::ServiceName &Service) const {
   std::vector<const TargetReport *> Found;
-  OwnReported = ownTargetReport(State);
-  if (OwnReported && OwnReported->Service == Service)
-    Found.push_back(&*OwnReported);
+  LocalReport = localTargetReport(State);
+  if (LocalReport && LocalReport->Service == Service)
+    Found.push_back(&*LocalReport);
   for (const auto &[Node, Host] : State.Hosts.hosts())
     if (Host.Report.Target && Host.Report.Target->Service == Service)
       Found.push_back(&*Host.Report.Target);
@@ -29,81 +29,86 @@
 }
 
 void Reduction::operator()(const MoveOrdered &What) {
-  if (!State.Moves.order(What, Now))
+  if (!State.Moves.applyOrder(What, Now))
     return;
-  State.Duties.erase(What.Service);
+  State.PendingMoveWrites.erase(What.Service);
   // The versions are compared over the same time: what the old one did before
   // says nothing about a fault that both meet now.
-  if (State.Target && State.Target->Last.Service == What.Service)
+  if (State.Target && State.Target->Announcement.Service == What.Service)
     State.Target->Tallies.clear();
   log(observe::EventId::MeshMoveOrdered,
       fmt::format("service={} to={} duration_ms={} order={} old={}",
-                  What.Service.value(), What.To.value(), What.Duration.count(),
-                  What.Order.value(), What.Old));
+                  What.Service.value(), What.NewVersion.value(),
+                  What.Duration.count(), What.OrderOffset.value(),
+                  What.FromHistory));
   // The first state says no more than the order, so one writer is enough.
-  if (!What.Old && rankFor(What.Service.value()) == 0)
-    wantWrite(What.Service, MovePhase::Running);
+  if (!What.FromHistory && rankFor(What.Service.value()) == 0)
+    scheduleMoveWrite(What.Service, MovePhase::Running);
 }
 
-void Reduction::operator()(const MoveEndKnown &What) {
+void Reduction::operator()(const MoveStateRead &What) {
   const auto Found = State.Moves.moves().find(What.Service);
-  if (Found == State.Moves.moves().end() || Found->second.What.To != What.To)
+  if (Found == State.Moves.moves().end() ||
+      Found->second.Order.NewVersion != What.NewVersion)
     return;
-  const auto Duty = State.Duties.find(What.Service);
-  if (Duty != State.Duties.end() && Duty->second.Wanted &&
-      *Duty->second.Wanted <= What.Phase)
-    Duty->second.Wanted.reset();
+  const auto Duty = State.PendingMoveWrites.find(What.Service);
+  if (Duty != State.PendingMoveWrites.end() && Duty->second.Phase &&
+      *Duty->second.Phase <= What.Phase)
+    Duty->second.Phase.reset();
   if (!State.Moves.advance(What.Service, What.Phase, ""))
     return;
   log(observe::EventId::MeshMoveEnded,
-      fmt::format(
-          "service={} to={} phase={}", What.Service.value(), What.To.value(),
-          What.Phase == MovePhase::Completed ? "completed" : "rolled_back"));
+      fmt::format("service={} to={} phase={}", What.Service.value(),
+                  What.NewVersion.value(),
+                  What.Phase == MovePhase::Completed ? "completed"
+                                                     : "rolled_back"));
   reportToAll();
 }
 
-void Reduction::wantWrite(const core::ServiceName &Service, MovePhase Phase) {
-  MoveDuty &Duty = State.Duties[Service];
-  if (Duty.Wanted && *Duty.Wanted >= Phase)
+void Reduction::scheduleMoveWrite(const core::ServiceName &Service,
+                                  MovePhase Phase) {
+  PendingMoveWrite &Duty = State.PendingMoveWrites[Service];
+  if (Duty.Phase && *Duty.Phase >= Phase)
     return;
-  Duty.Wanted = Phase;
+  Duty.Phase = Phase;
   const std::size_t Rank = std::min(rankFor(Service.value()), MostLeads);
   Duty.WriteAt = Now + WriteLead * static_cast<int>(Rank);
 }
 
-void Reduction::writeDue(const TrackedMove &Move) {
-  const auto Found = State.Duties.find(Move.What.Service);
-  if (Found == State.Duties.end() || !Found->second.Wanted ||
+void Reduction::writeMoveIfDue(const TrackedMove &Move) {
+  const auto Found = State.PendingMoveWrites.find(Move.Order.Service);
+  if (Found == State.PendingMoveWrites.end() || !Found->second.Phase ||
       Now < Found->second.WriteAt)
     return;
-  MoveDuty &Duty = Found->second;
+  PendingMoveWrite &Duty = Found->second;
   Duty.WriteAt = Now + RewriteAfter;
-  const MovePhase Phase = *Duty.Wanted;
+  const MovePhase Phase = *Duty.Phase;
   if (Phase == MovePhase::Running)
-    Duty.Wanted.reset();
-  Out.emplace_back(WriteMove{Move.What.Service, Move.What.To, Phase});
+    Duty.Phase.reset();
+  Produced.emplace_back(
+      WriteMove{Move.Order.Service, Move.Order.NewVersion, Phase});
 }
 
 void Reduction::reviewMove(const TrackedMove &Move) {
-  const core::ServiceName Service = Move.What.Service;
+  const core::ServiceName Service = Move.Order.Service;
   if (Move.Phase == MovePhase::Running) {
     const auto Targets = targetsOf(Service);
-    const MoveVerdict Verdict = judgeMove(Move, Targets);
-    if (Verdict.Bad) {
-      log(observe::EventId::MeshMoveCondemned,
+    const MoveVerdict Verdict = evaluateMove(Move, Targets);
+    if (Verdict.Rejected) {
+      log(observe::EventId::MeshVersionRejected,
           fmt::format("service={} to={} evidence=\"{}\"", Service.value(),
-                      Move.What.To.value(), Verdict.Reason));
-      State.Moves.advance(Service, MovePhase::Condemned, Verdict.Reason);
+                      Move.Order.NewVersion.value(), Verdict.Reason));
+      State.Moves.advance(Service, MovePhase::Rejected, Verdict.Reason);
       reportToAll();
-    } else if (State.Moves.settled(Move, Now) &&
-               hasReady(Service, Move.What.To)) {
-      wantWrite(Service, MovePhase::Completed);
+    } else if (State.Moves.readyToComplete(Move, Now) &&
+               hasReadyTarget(Service, Move.Order.NewVersion)) {
+      scheduleMoveWrite(Service, MovePhase::Completed);
     }
   }
-  if (Move.Phase == MovePhase::Condemned)
-    wantWrite(Service, MovePhase::RolledBack);
-  if (!Move.over())
-    writeDue(Move);
+  if (Move.Phase == MovePhase::Rejected)
+    scheduleMoveWrite(Service, MovePhase::RolledBack);
+  if (!Move.ended())
+    writeMoveIfDue(Move);
 }
 
 void Reduction::reviewMoves() {
--- a/lib/decision/mesh/ReducePlacement.cpp
+++ b/lib/decision/mesh/ReducePlacement.cpp
@@ -24,11 +24,11 @@
 
 } // namespace
 
-bool Reduction::hasReady(const core::ServiceName &Service,
-                         const core::TargetVersion &Version) const {
+bool Reduction::hasReadyTarget(const core::ServiceName &Service,
+                               const core::TargetVersion &Version) const {
   if (State.Target && State.Target->State == TargetState::Ready &&
-      State.Target->Last.Service == Service &&
-      State.Target->Last.Version == Version)
+      State.Target->Announcement.Service == Service &&
+      State.Target->Announcement.Version == Version)
     return true;
   return std::ranges::any_of(State.Hosts.hosts(), [&](const auto &Entry) {
     const HostReport &Host = Entry.second.Report;
@@ -40,7 +40,7 @@
   if (Call.ToCandidate || !Shares.Candidate)
     return;
   const std::uint32_t Permille = Shares.CandidatePermille;
-  if (!hasReady(Call.Service, *Shares.Candidate)) {
+  if (!hasReadyTarget(Call.Service, *Shares.Candidate)) {
     Call.ToCandidate = false;
     return;
   }
@@ -48,17 +48,18 @@
       {core::ServiceName("old"), 1000 - Permille},
       {core::ServiceName("new"), Permille}};
   Call.ToCandidate =
-      memoryOf(Call.Service).Candidates.next(Parts).value() == "new";
+      stateOf(Call.Service).CandidateSplit.next(Parts).value() == "new";
 }
 
-bool Reduction::versionTakes(const MeshCall &Call, const VersionShares &Shares,
-                             const core::TargetVersion &Version) const {
-  if (Shares.Banned.contains(Version))
+bool Reduction::acceptsVersion(const MeshCall &Call,
+                               const VersionShares &Shares,
+                               const core::TargetVersion &Version) const {
+  if (Shares.Excluded.contains(Version))
     return false;
   if (Shares.Candidate)
     return (Version == *Shares.Candidate) == Call.ToCandidate.value_or(false);
-  if (Shares.Only && hasReady(Call.Service, *Shares.Only))
-    return Version == *Shares.Only;
+  if (Shares.Exclusive && hasReadyTarget(Call.Service, *Shares.Exclusive))
+    return Version == *Shares.Exclusive;
   return true;
 }
 
@@ -66,78 +67,79 @@
   const VersionShares Shares = State.Moves.shares(Call.Service, Now);
   chooseVersion(Call, Shares);
   const bool Large =
-      memoryOf(Call.Terms.Route).AnswerBytes > LinkPacer::BulkBytes;
+      stateOf(Call.Terms.Route).MeanAnswerBytes > LinkPacer::LargeAnswerBytes;
   std::vector<Candidate> Found;
   const auto Skipped = [&](const core::NodeId &Node) {
-    return contains(Call.Tried, Node) || contains(Call.Late, Node);
+    return contains(Call.TriedHosts, Node) || contains(Call.LateHosts, Node);
   };
-  const auto Own = ownTargetReport(State);
+  const auto Own = localTargetReport(State);
   if (Own && Own->Service == Call.Service && Own->State == TargetState::Ready &&
-      !Skipped(State.Own.Node) && versionTakes(Call, Shares, Own->Version)) {
+      !Skipped(State.Settings.Node) &&
+      acceptsVersion(Call, Shares, Own->Version)) {
     const TargetLoad &Load = Own->Load;
-    Found.push_back({State.Own.Node, Distance::Own, Load.Running + Load.Waiting,
-                     Load.Slots, Load.MeanTime, Own->FaultPermille, false,
-                     loadFor(Call).RouteTime});
+    Found.push_back({State.Settings.Node, Distance::Local,
+                     Load.Running + Load.Waiting, Load.Slots, Load.MeanTime,
+                     Own->FaultPermille, false, loadFor(Call).RouteTime});
   }
   for (const auto &[Node, Host] : State.Hosts.hosts()) {
     if (!takes(Host.Report, Call.Service) || Skipped(Node) ||
-        !versionTakes(Call, Shares, Host.Report.Target->Version))
+        !acceptsVersion(Call, Shares, Host.Report.Target->Version))
       continue;
     // Asking a host of the own data centre again costs no paid bytes, and its
     // answer is worth more.
-    if (Host.Away != Distance::DataCentre &&
-        HostDirectory::full(Host, {Call.Terms.Route, Call.Terms.AcceptLate},
-                            Now)) {
-      Call.FullSeen = true;
+    if (Host.HostDistance != Distance::SameDataCentre &&
+        HostDirectory::isAtCapacity(
+            Host, {Call.Terms.Route, Call.Terms.AcceptLate}, Now)) {
+      Call.SkippedAtCapacity = true;
       continue;
     }
     const TargetReport &Target = *Host.Report.Target;
     const std::uint32_t Reported =
-        Target.Load.Running + Target.Load.Waiting + Host.SentSince;
+        Target.Load.Running + Target.Load.Waiting + Host.SentSinceLoadUpdate;
     const auto OnRoute = Host.RouteTimes.find(Call.Terms.Route);
-    Found.push_back({Node, Host.Away, std::max(Reported, Host.InFlight),
+    Found.push_back({Node, Host.HostDistance, std::max(Reported, Host.InFlight),
                      Target.Load.Slots, Target.Load.MeanTime,
-                     Target.FaultPermille, State.Hosts.doubtful(Host, Now),
+                     Target.FaultPermille, State.Hosts.isSuspect(Host, Now),
                      OnRoute != Host.RouteTimes.end()
                          ? OnRoute->second
-                         : memoryOf(Call.Terms.Route).Time,
+                         : stateOf(Call.Terms.Route).LastMeanTime,
                      Large ? Target.Load.LinkWait : core::Milliseconds(0)});
   }
   return Found;
 }
 
 void Reduction::place(MeshCall &Call) {
-  if (++Call.Placements > MostPlacements)
+  if (++Call.Placements > MaximumPlacements)
     return refuse(Call, ErrorCode::RequestRefusedByTarget);
   std::vector<Candidate> Among = candidates(Call);
   const PlacementQuery Query{Call.Route->Objective,
                              HeadBytes +
-                                 memoryOf(Call.Terms.Route).AnswerBytes};
-  auto Best = choose(Among, Query, State.Source);
+                                 stateOf(Call.Terms.Route).MeanAnswerBytes};
+  auto Best = chooseTarget(Among, Query, State.RandomSource);
   // A large answer from far costs more than one that comes late from near by.
-  const bool MustAccept = !Best || Call.Late.size() >= PlacementsOnTime ||
+  const bool MustAccept = !Best || Call.LateHosts.size() >= OnTimePlacements ||
                           expectedLoss(Among[*Best], Query) > LateAnswerLoss;
   if (MustAccept && !Call.Terms.AcceptLate) {
     Call.Terms.AcceptLate = true;
-    Call.Late.clear();
+    Call.LateHosts.clear();
     Among = candidates(Call);
-    Best = choose(Among, Query, State.Source);
+    Best = chooseTarget(Among, Query, State.RandomSource);
   }
   if (!Best)
-    return refuse(Call, Call.FullSeen ? ErrorCode::RequestWouldBeLate
-                                      : ErrorCode::RequestNoTarget);
+    return refuse(Call, Call.SkippedAtCapacity ? ErrorCode::RequestWouldBeLate
+                                               : ErrorCode::RequestNoTarget);
   const Candidate &Chosen = Among[*Best];
-  if (Chosen.Away == Distance::Own)
-    return enterQueue(Call);
+  if (Chosen.HostDistance == Distance::Local)
+    return enqueue(Call);
   sendToPeer(Call, Chosen.Node);
 }
 
 void Reduction::sendToPeer(MeshCall &Call, const core::NodeId &To) {
   KnownHost &Host = *State.Hosts.find(To);
   ++Host.InFlight;
-  ++Host.SentSince;
+  ++Host.SentSinceLoadUpdate;
   Call.Phase = CallPhase::AtPeer;
-  Call.At = To;
+  Call.CurrentHost = To;
   Call.Attempt = core::AttemptId(++State.LastAttempt);
   Call.SentAt = Now;
   request::StartAttempt Start;
@@ -145,7 +147,7 @@
   Start.Attempt = Call.Attempt;
   Start.To.Node = To;
   Start.To.Address =
-      fmt::format("{}:{}", Host.Report.Address, State.Own.PeerPort);
+      fmt::format("{}:{}", Host.Report.Address, State.Settings.PeerPort);
   Start.To.Target = Host.Report.Target->Id;
   Start.To.Version = Host.Report.Target->Version;
   Start.Deadline = Call.Deadline;
@@ -157,15 +159,15 @@
   Start.Terms = Call.Terms;
   // The host sees neither the way of the request nor that of the answer.
   Start.Terms->ObjectiveLeft = std::chrono::duration_cast<core::Milliseconds>(
-      Call.Objective - Now - roundTrip(Host.Away));
-  Out.emplace_back(std::move(Start));
+      Call.Objective - Now - roundTripTime(Host.HostDistance));
+  Produced.emplace_back(std::move(Start));
 }
 
 /// A caller that comes back should find room: the time until the least loaded
 /// target has worked off what exceeds its slots. It is spread, so that callers
 /// who were refused together do not return together.
-core::Milliseconds Reduction::returnTime(const MeshCall &Call) {
-  double LeastMs = static_cast<double>(LongestReturn.count());
+core::Milliseconds Reduction::retryAfter(const MeshCall &Call) {
+  double LeastMs = static_cast<double>(MaximumRetryAfter.count());
   const auto Consider = [&LeastMs](const TargetLoad &Load) {
     const double Total = Load.Running + Load.Waiting + 1.0;
     const double Slots = std::max<std::uint32_t>(Load.Slots, 1);
@@ -176,9 +178,9 @@
   for (const TargetReport *Target : targetsOf(Call.Service))
     if (Target->State == TargetState::Ready)
       Consider(Target->Load);
-  const double Spread = 0.75 + 0.5 * State.Source.unit();
+  const double Spread = 0.75 + 0.5 * State.RandomSource.unit();
   const core::Milliseconds Time(static_cast<std::int64_t>(LeastMs * Spread));
-  return std::clamp(Time, ShortestReturn, LongestReturn);
+  return std::clamp(Time, MinimumRetryAfter, MaximumRetryAfter);
 }
 
 } // namespace filbertvane::decision::mesh
--- a/lib/decision/mesh/ReduceTarget.cpp
+++ b/lib/decision/mesh/ReduceTarget.cpp
@@ -5,108 +5,111 @@
 
 using core::ErrorCode;
 
-bool Reduction::outdated(const TargetAnnounced &What) const {
+bool Reduction::isOutdated(const TargetAnnounced &What) const {
   if (!State.Target)
     return false;
-  const TargetAnnounced &Last = State.Target->Last;
-  if (What.Born != Last.Born)
-    return What.Born < Last.Born;
+  const TargetAnnounced &Last = State.Target->Announcement;
+  if (What.ProcessStart != Last.ProcessStart)
+    return What.ProcessStart < Last.ProcessStart;
   return What.Id == Last.Id && What.Sequence <= Last.Sequence;
 }
 
-void Reduction::targetReplaced(const TargetAnnounced &What) {
-  OwnTarget Fresh;
-  Fresh.Life = ++State.Lives;
+void Reduction::replaceTarget(const TargetAnnounced &What) {
+  LocalTarget Fresh;
+  Fresh.Generation = ++State.LastTargetGeneration;
   State.Target = Fresh;
-  State.Slots.restarted();
+  State.Slots.targetRestarted();
   log(observe::EventId::MeshTargetAnnounced,
       fmt::format("target={} service={} version={} slots={} born={} "
                   "cold_ms={}",
                   What.Id.value(), What.Service.value(), What.Version.value(),
-                  What.Slots, What.Born, What.ColdLeft.count()));
+                  What.Slots, What.ProcessStart, What.RemainingWarmup.count()));
 }
 
 void Reduction::operator()(const TargetAnnounced &What) {
-  if (outdated(What)) {
-    log(observe::EventId::MeshAnnouncementRefused,
-        fmt::format("target={} born={} sequence={} reason=outdated",
-                    What.Id.value(), What.Born, What.Sequence));
+  if (isOutdated(What)) {
+    log(observe::EventId::MeshAnnouncementRejected,
+        fmt::format("target={} born={} sequence={} reason=isOutdated",
+                    What.Id.value(), What.ProcessStart, What.Sequence));
     return;
   }
   const bool Known =
-      State.Target && State.Target->Last.Id == What.Id &&
-      (State.Target->Inherited || State.Target->Last.Born == What.Born);
+      State.Target && State.Target->Announcement.Id == What.Id &&
+      (State.Target->Inherited ||
+       State.Target->Announcement.ProcessStart == What.ProcessStart);
   const bool Other = !Known;
   if (Other)
-    targetReplaced(What);
-  OwnTarget &Target = *State.Target;
+    replaceTarget(What);
+  LocalTarget &Target = *State.Target;
   Target.Inherited = false;
-  Target.Last = What;
-  Target.HeardAt = Now;
-  Target.WarmAt = Now + What.ColdLeft;
+  Target.Announcement = What;
+  Target.LastAnnouncedAt = Now;
+  Target.WarmAt = Now + What.RemainingWarmup;
   State.Slots.resize(What.Slots);
-  if (What.Draining || leaves(What)) {
+  if (What.Draining || hasDeparted(What)) {
     setTargetState(TargetState::Draining,
                    What.Draining ? "announced" : "known_to_leave");
     return;
   }
   if (Other) {
     if (State.StoreReachable)
-      Out.emplace_back(PublishReport{ownReport(State, Now)});
+      Produced.emplace_back(PublishReport{makeHostReport(State, Now)});
     return reportToAll();
   }
   // A target that reported that it leaves stays so for its life.
   if (Target.State == TargetState::Down) {
     setTargetState(TargetState::Ready, "announced");
-    serveQueue();
+    dispatchQueue();
   }
 }
 
 void Reduction::operator()(const TargetDeregistered &What) {
-  if (State.Target && State.Target->Last.Id == What.Id)
+  if (State.Target && State.Target->Announcement.Id == What.Id)
     return setTargetState(TargetState::Draining, "deregistered");
   // The process started after the last announcement of this target.
   if (!State.Target)
-    noteLeaving({What.Id, 0});
+    recordDeparture({What.Id, 0});
 }
 
 /// Also true when the target was acknowledged by a former process of the node,
 /// which the acknowledgement binds as well.
-bool Reduction::leaves(const TargetAnnounced &What) const {
-  if (!State.Left || State.Left->Id != What.Id)
+bool Reduction::hasDeparted(const TargetAnnounced &What) const {
+  if (!State.Departed || State.Departed->Id != What.Id)
     return false;
-  if (State.Left->Born == 0)
-    return Now - State.LeftAt < LateAnnouncements;
-  return State.Left->Born == What.Born;
+  if (State.Departed->ProcessStart == 0)
+    return Now - State.DepartedAt < MaximumAnnouncementDelay;
+  return State.Departed->ProcessStart == What.ProcessStart;
 }
 
-void Reduction::noteLeaving(LeftTarget Which) {
-  if (State.Left == Which)
+void Reduction::recordDeparture(DepartedTarget Which) {
+  if (State.Departed == Which)
     return;
-  State.Left = std::move(Which);
-  State.LeftAt = Now;
+  State.Departed = std::move(Which);
+  State.DepartedAt = Now;
   if (State.StoreReachable)
-    Out.emplace_back(PublishReport{ownReport(State, Now)});
+    Produced.emplace_back(PublishReport{makeHostReport(State, Now)});
 }
 
 void Reduction::setTargetState(TargetState To, std::string_view Why) {
-  OwnTarget &Target = *State.Target;
-  if (Target.State == To || (To == TargetState::Ready && leaves(Target.Last)))
+  LocalTarget &Target = *State.Target;
+  if (Target.State == To ||
+      (To == TargetState::Ready && hasDeparted(Target.Announcement)))
     return;
   Target.State = To;
   if (To == TargetState::Draining)
-    noteLeaving({Target.Last.Id, Target.Last.Born});
+    recordDeparture({Target.Announcement.Id, Target.Announcement.ProcessStart});
   using observe::EventId;
   const EventId Id = To == TargetState::Ready      ? EventId::MeshTargetUp
                      : To == TargetState::Draining ? EventId::MeshTargetDraining
                                                    : EventId::MeshTargetDown;
-  log(Id, fmt::format("target={} reason={}", Target.Last.Id.value(), Why));
+  log(Id,
+      fmt::format("target={} reason={}", Target.Announcement.Id.value(), Why));
   if (To == TargetState::Down)
-    refuseQueue(ErrorCode::RequestNoTarget);
+    refuseQueued(ErrorCode::RequestNoTarget);
   reportToAll();
 }
 
-void Reduction::refuseQueue(ErrorCode Why) {
+void Reduction::refuseQueued(ErrorCode Why) {
   std::vector<core::CallId> Queued;
   for (const auto &[Id, Call] : State.Calls)
     if (Call.Phase == CallPhase::Queued)
@@ -116,26 +119,26 @@
     if (Call == nullptr)
       continue;
     State.Slots.withdraw(Id);
-    if (Call->Hosted) {
+    if (Call->FromPeer) {
       refuse(*Call, Why);
       continue;
     }
-    Call->Tried.push_back(State.Own.Node);
+    Call->TriedHosts.push_back(State.Settings.Node);
     place(*Call);
   }
 }
 
 /// A target that ended without a word announces nothing and answers nothing.
-void Reduction::checkTarget() {
+void Reduction::checkTargetSilence() {
   if (!State.Target || State.Target->State != TargetState::Ready)
     return;
-  const OwnTarget &Target = *State.Target;
+  const LocalTarget &Target = *State.Target;
   // It may have told the former process that it leaves while the store was
   // away.
-  if (Target.Inherited && Now - Target.HeardAt > UnconfirmedTargetFor)
+  if (Target.Inherited && Now - Target.LastAnnouncedAt > InheritedTargetTimeout)
     return setTargetState(TargetState::Down, "not_announced");
-  if (Now - Target.HeardAt > SilentTargetAfter &&
-      Now - Target.AnsweredAt > SilentTargetAfter)
+  if (Now - Target.LastAnnouncedAt > TargetSilenceTimeout &&
+      Now - Target.LastAnswerAt > TargetSilenceTimeout)
     setTargetState(TargetState::Down, "silent");
 }
 
--- a/lib/decision/mesh/Reducer.cpp
+++ b/lib/decision/mesh/Reducer.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-std::vector<RouteTally> talliesOf(const OwnTarget &Target) {
+std::vector<RouteTally> talliesOf(const LocalTarget &Target) {
   std::vector<RouteTally> All;
   for (const auto &[Name, Tally] : Target.Tallies)
     All.push_back(Tally);
@@ -15,24 +15,24 @@
 
 } // namespace
 
-MeshState::MeshState(MeshSettings Settings)
-    : Own(std::move(Settings)), Source(Own.RandomSeed),
-      Hosts(Own.Node, Own.DataCentre, Own.Region) {}
+MeshState::MeshState(MeshSettings InitialSettings)
+    : Settings(std::move(InitialSettings)), RandomSource(Settings.RandomSeed),
+      Hosts(Settings.Node, Settings.DataCentre, Settings.Region) {}
 
-std::optional<TargetReport> ownTargetReport(const MeshState &State) {
+std::optional<TargetReport> localTargetReport(const MeshState &State) {
   if (!State.Target)
     return std::nullopt;
-  const OwnTarget &Target = *State.Target;
+  const LocalTarget &Target = *State.Target;
   TargetReport Report;
-  Report.Id = Target.Last.Id;
-  Report.Service = Target.Last.Service;
-  Report.Version = Target.Last.Version;
+  Report.Id = Target.Announcement.Id;
+  Report.Service = Target.Announcement.Service;
+  Report.Version = Target.Announcement.Version;
   Report.State = Target.State;
   Report.Load = State.Slots.load();
-  Report.FaultPermille = static_cast<std::uint32_t>(Target.FaultPart * 1000);
+  Report.FaultPermille = static_cast<std::uint32_t>(Target.FaultRatio * 1000);
   // Tallies are evidence about a move and cost bytes at other times.
   const auto Move = State.Moves.moves().find(Report.Service);
-  if (Move != State.Moves.moves().end() && !Move->second.over())
+  if (Move != State.Moves.moves().end() && !Move->second.ended())
     Report.Tallies = talliesOf(Target);
   return Report;
 }
@@ -42,19 +42,19 @@
       std::max(State.LinkFreeAt, Now) - Now);
 }
 
-HostReport ownReport(MeshState &State, core::TimePoint Now) {
+HostReport makeHostReport(MeshState &State, core::TimePoint Now) {
   HostReport Report;
-  Report.Node = State.Own.Node;
-  Report.Start = State.Own.Start;
+  Report.Node = State.Settings.Node;
+  Report.Incarnation = State.Settings.Incarnation;
   Report.Sequence = ++State.ReportSequence;
-  Report.Address = State.Own.Address;
-  Report.DataCentre = State.Own.DataCentre;
-  Report.Region = State.Own.Region;
-  Report.Leaving = State.Draining && Now >= State.LeavesAt;
-  Report.Target = ownTargetReport(State);
+  Report.Address = State.Settings.Address;
+  Report.DataCentre = State.Settings.DataCentre;
+  Report.Region = State.Settings.Region;
+  Report.Leaving = State.Draining && Now >= State.ReportLeavingAt;
+  Report.Target = localTargetReport(State);
   if (Report.Target)
     Report.Target->Load.LinkWait = linkWait(State, Now);
-  Report.Left = State.Left;
+  Report.Departed = State.Departed;
   Report.Position = State.Position;
   Report.StoreReachable = State.StoreReachable;
   Report.Moves = State.Moves.reports(Now);
@@ -64,7 +64,7 @@
 Effects reduce(MeshState &State, const Event &What, core::TimePoint Now) {
   Reduction Step(State, Now);
   std::visit(Step, What);
-  return Step.take();
+  return Step.takeEffects();
 }
 
 void Reduction::operator()(const request::Tick &) {
@@ -75,14 +75,14 @@
   for (const core::CallId Id : Expired)
     if (MeshCall *Call = find(Id))
       expire(*Call);
-  checkTarget();
-  checkLeaving();
-  serveQueue();
-  State.Hosts.forgetSilent(Now);
+  checkTargetSilence();
+  reportLeavingIfDue();
+  dispatchQueue();
+  State.Hosts.evictSilent(Now);
   reviewMoves();
-  checkPosition();
-  checkReading();
-  reportInTurn();
+  fetchMissingRecords();
+  updateStoreFollowing();
+  sendPeriodicReports();
 }
 
 MeshCall *Reduction::find(core::CallId Id) {
@@ -90,26 +90,26 @@
   return Found == State.Calls.end() ? nullptr : &Found->second;
 }
 
-ServiceMemory &Reduction::memoryOf(const core::ServiceName &Service) {
+MeshServiceState &Reduction::stateOf(const core::ServiceName &Service) {
   const auto Found = State.Services.find(Service);
   if (Found != State.Services.end())
     return Found->second;
-  ServiceMemory Fresh(State.Own.Budget);
-  Fresh.Candidates = SplitSelector(State.Source.unit());
+  MeshServiceState Fresh(State.Settings.Budget);
+  Fresh.CandidateSplit = SplitSelector(State.RandomSource.unit());
   return State.Services.emplace(Service, std::move(Fresh)).first->second;
 }
 
-RouteMemory &Reduction::memoryOf(const core::RouteName &Route) {
+MeshRouteState &Reduction::stateOf(const core::RouteName &Route) {
   const auto Found = State.Routes.find(Route);
   if (Found != State.Routes.end())
     return Found->second;
-  RouteMemory Fresh;
-  Fresh.Split = SplitSelector(State.Source.unit());
+  MeshRouteState Fresh;
+  Fresh.ServiceSplit = SplitSelector(State.RandomSource.unit());
   return State.Routes.emplace(Route, std::move(Fresh)).first->second;
 }
 
 void Reduction::log(observe::EventId Id, std::string Detail) {
-  Out.emplace_back(observe::LogEvent{Id, std::move(Detail)});
+  Produced.emplace_back(observe::LogEvent{Id, std::move(Detail)});
 }
 
 } // namespace filbertvane::decision::mesh
--- a/lib/decision/mesh/Reduction.h
+++ b/lib/decision/mesh/Reduction.h
@@ -6,129 +6,130 @@
 
 namespace filbertvane::decision::mesh {
 
-/// @brief One event being reduced: the state, the time, and the effects.
+/// @brief Applies one event: collects its effects and updates the state.
 class Reduction {
 public:
   Reduction(MeshState &State, core::TimePoint Now) : State(State), Now(Now) {}
 
   /// @name Requests
   /// @{
-  void operator()(const request::CallArrived &What);
-  void operator()(const request::AnswerStarted &What);
-  void operator()(const request::AttemptEnded &What);
-  void operator()(const request::CallerGone &What);
+  void operator()(const request::CallArrived &Arrival);
+  void operator()(const request::AnswerStarted &Started);
+  void operator()(const request::AttemptEnded &Ended);
+  void operator()(const request::CallerGone &Gone);
   /// @}
 
   /// @name Target, hosts and store
   /// @{
-  void operator()(const TargetAnnounced &What);
-  void operator()(const TargetDeregistered &What);
-  void operator()(const ReportHeard &What);
-  void operator()(const ReportsLearned &What);
-  void operator()(const RoutingLearned &What);
-  void operator()(const PositionReached &What);
-  void operator()(const MoveOrdered &What);
-  void operator()(const MoveEndKnown &What);
-  void operator()(const StoreChanged &What);
-  void operator()(const ServiceAssigned &What);
-  void operator()(const StopAnnounced &What);
-  void operator()(const request::Tick &What);
+  void operator()(const TargetAnnounced &Announcement);
+  void operator()(const TargetDeregistered &Deregistered);
+  void operator()(const ReportReceived &Received);
+  void operator()(const StoredReportsRead &Stored);
+  void operator()(const RoutingLoaded &Loaded);
+  void operator()(const PositionReached &Reached);
+  void operator()(const MoveOrdered &Order);
+  void operator()(const MoveStateRead &Stored);
+  void operator()(const StoreReachabilityChanged &Change);
+  void operator()(const ServiceAssigned &Assigned);
+  void operator()(const ShutdownRequested &Shutdown);
+  void operator()(const request::Tick &);
   /// @}
 
-  Effects take() { return std::move(Out); }
+  Effects takeEffects() { return std::move(Produced); }
 
 private:
   /// @name Arrival and placement
   /// @{
-  void arriveHosted(const request::CallArrived &What);
-  void arriveFromCaller(const request::CallArrived &What);
+  void acceptFromPeer(const request::CallArrived &Arrival);
+  void acceptFromCaller(const request::CallArrived &Arrival);
   void place(MeshCall &Call);
   std::vector<Candidate> candidates(MeshCall &Call);
   void chooseVersion(MeshCall &Call, const VersionShares &Shares);
-  bool versionTakes(const MeshCall &Call, const VersionShares &Shares,
-                    const core::TargetVersion &Version) const;
-  bool hasReady(const core::ServiceName &Service,
-                const core::TargetVersion &Version) const;
-  void sendToPeer(MeshCall &Call, const core::NodeId &To);
-  void enterQueue(MeshCall &Call);
+  bool acceptsVersion(const MeshCall &Call, const VersionShares &Shares,
+                      const core::TargetVersion &Version) const;
+  bool hasReadyTarget(const core::ServiceName &Service,
+                      const core::TargetVersion &Version) const;
+  void sendToPeer(MeshCall &Call, const core::NodeId &Peer);
+  void enqueue(MeshCall &Call);
   void sendToTarget(MeshCall &Call);
-  void serveQueue();
+  void dispatchQueue();
   /// @}
 
-  /// @name Ends
+  /// @name Completion
   /// @{
-  void endedAtTarget(MeshCall &Call, const request::AttemptEnded &What);
-  void endedAtPeer(MeshCall &Call, const request::AttemptEnded &What);
-  void concludeHosted(MeshCall &Call, const request::AttemptEnded &What);
-  void conclude(MeshCall &Call, const request::AttemptEnded &What);
-  void concludeAnswer(MeshCall &Call, const request::AttemptEnded &What);
-  void noteAtTarget(const MeshCall &Call, const request::AttemptEnded &What,
-                    bool Fault);
-  /// @brief Load of the own target as told to the entry node of a request.
+  void finishTargetAttempt(MeshCall &Call, const request::AttemptEnded &Ended);
+  void finishPeerAttempt(MeshCall &Call, const request::AttemptEnded &Ended);
+  void concludePeerCall(MeshCall &Call, const request::AttemptEnded &Ended);
+  void conclude(MeshCall &Call, const request::AttemptEnded &Ended);
+  void concludeAnswer(MeshCall &Call, const request::AttemptEnded &Ended);
+  void recordTargetAttempt(const MeshCall &Call,
+                           const request::AttemptEnded &Ended, bool Fault);
+  /// @brief Load of the local target, for the entry node of a request.
   TargetLoad loadFor(const MeshCall &Call) const;
-  void noteAnswerSize(const MeshCall &Call, std::uint64_t Size);
-  bool hadTime(const MeshCall &Call) const;
-  bool callFailedSince(const MeshCall &Call) const;
-  void noteCallFailure(const MeshCall &Call);
+  void recordAnswerSize(const MeshCall &Call, std::uint64_t Bytes);
+  bool hadAmpleTime(const MeshCall &Call) const;
+  bool downstreamCallFailed(const MeshCall &Call) const;
+  void recordCallFailure(const MeshCall &Call);
   void logServed(const MeshCall &Call, int Status);
-  bool mayRepeat(MeshCall &Call);
+  bool tryTakeRetry(MeshCall &Call);
   void expire(MeshCall &Call);
-  void leave(MeshCall &Call);
-  void refuse(MeshCall &Call, core::ErrorCode Why, bool Reached = false);
-  void deliverFailure(MeshCall &Call, core::ErrorCode Why);
-  void endUnknown(MeshCall &Call, core::ErrorCode Why);
+  void abandon(MeshCall &Call);
+  void refuse(MeshCall &Call, core::ErrorCode Reason, bool Reached = false);
+  void deliverHeldFailure(MeshCall &Call, core::ErrorCode Reason);
+  void endWithUnknownOutcome(MeshCall &Call, core::ErrorCode Reason);
   void erase(core::CallId Id) { State.Calls.erase(Id); }
   MeshCall *find(core::CallId Id);
-  core::Milliseconds returnTime(const MeshCall &Call);
+  core::Milliseconds retryAfter(const MeshCall &Call);
   std::string describe(const MeshCall &Call) const;
   /// @}
 
   /// @name Target
   /// @{
-  bool outdated(const TargetAnnounced &What) const;
-  bool leaves(const TargetAnnounced &What) const;
-  void noteLeaving(LeftTarget Which);
-  void targetReplaced(const TargetAnnounced &What);
-  void setTargetState(TargetState To, std::string_view Why);
-  void refuseQueue(core::ErrorCode Why);
-  void checkTarget();
+  bool isOutdated(const TargetAnnounced &Announcement) const;
+  bool hasDeparted(const TargetAnnounced &Announcement) const;
+  void recordDeparture(DepartedTarget Target);
+  void replaceTarget(const TargetAnnounced &Announcement);
+  void setTargetState(TargetState NewState, std::string_view Reason);
+  void refuseQueued(core::ErrorCode Reason);
+  void checkTargetSilence();
   /// @}
 
   /// @name Reports and moves
   /// @{
-  void learnOwn(const HostReport &Former);
+  void applyFormerReport(const HostReport &Former);
   void inheritTarget(const TargetReport &Former);
   void reportTo(std::vector<std::string> Addresses);
   void reportToAll();
-  void reportInTurn();
-  void checkLeaving();
-  void checkPosition();
-  void checkReading();
-  void tellPosition();
-  void checkReady();
+  void sendPeriodicReports();
+  void reportLeavingIfDue();
+  void fetchMissingRecords();
+  void updateStoreFollowing();
+  void reportPosition();
+  void updateReadiness();
   void reviewMoves();
   void reviewMove(const TrackedMove &Move);
-  void wantWrite(const core::ServiceName &Service, MovePhase Phase);
-  void writeDue(const TrackedMove &Move);
+  void scheduleMoveWrite(const core::ServiceName &Service, MovePhase Phase);
+  void writeMoveIfDue(const TrackedMove &Move);
   std::vector<const TargetReport *>
   targetsOf(const core::ServiceName &Service) const;
-  std::size_t rankFor(const std::string &Duty) const;
+  std::size_t rankFor(const std::string &Task) const;
   /// @}
 
-  ServiceMemory &memoryOf(const core::ServiceName &Service);
-  RouteMemory &memoryOf(const core::RouteName &Route);
+  MeshServiceState &stateOf(const core::ServiceName &Service);
+  MeshRouteState &stateOf(const core::RouteName &Route);
   void log(observe::EventId Id, std::string Detail);
 
   MeshState &State;
   core::TimePoint Now;
-  Effects Out;
-  /// Own target as reported, for comparisons with other hosts.
-  mutable std::optional<TargetReport> OwnReported;
+  Effects Produced;
+  /// Keeps the report alive to which the result of `targetsOf` points.
+  mutable std::optional<TargetReport> LocalReport;
 };
 
-/// @brief What the node says of its own target.
-std::optional<TargetReport> ownTargetReport(const MeshState &State);
-/// @brief Time that the large answers queued on the own link take.
+/// @brief Report on the local target; none when it is unknown.
+std::optional<TargetReport> localTargetReport(const MeshState &State);
+/// @brief Remaining transmission time of the large answers queued on the link
+///        of this host.
 core::Milliseconds linkWait(const MeshState &State, core::TimePoint Now);
 
 } // namespace filbertvane::decision::mesh
--- a/lib/decision/mesh/SlotQueue.cpp
+++ b/lib/decision/mesh/SlotQueue.cpp
@@ -39,59 +39,61 @@
 
 } // namespace
 
-void SlotQueue::AnswerTime::note(double SampleUs) {
+void SlotQueue::AnswerTimeEstimate::addSample(double SampleUs) {
   if (MeanUs == 0) {
     MeanUs = SampleUs;
-    SpreadUs = SampleUs / 2;
+    DeviationUs = SampleUs / 2;
     return;
   }
-  SpreadUs += AnswerWeight * (std::abs(SampleUs - MeanUs) - SpreadUs);
+  DeviationUs += AnswerWeight * (std::abs(SampleUs - MeanUs) - DeviationUs);
   MeanUs += AnswerWeight * (SampleUs - MeanUs);
 }
 
 double SlotQueue::ArrivalRate::at(core::TimePoint Now) const {
-  return PerSecond * std::exp(-seconds(Now - At) / ArrivalMemorySeconds);
+  return PerSecond * std::exp(-seconds(Now - UpdatedAt) / ArrivalMemorySeconds);
 }
 
-void SlotQueue::ArrivalRate::note(core::TimePoint Now) {
+void SlotQueue::ArrivalRate::addArrival(core::TimePoint Now) {
   PerSecond = at(Now) + 1 / ArrivalMemorySeconds;
-  At = Now;
+  UpdatedAt = Now;
 }
 
-const SlotQueue::AnswerTime &
-SlotQueue::timeOf(const core::RouteName &Route) const {
-  const auto Found = Times.find(Route);
-  return Found == Times.end() ? Overall : Found->second;
+const SlotQueue::AnswerTimeEstimate &
+SlotQueue::estimateFor(const core::RouteName &Route) const {
+  const auto Found = RouteEstimates.find(Route);
+  return Found == RouteEstimates.end() ? OverallEstimate : Found->second;
 }
 
-core::Microseconds SlotQueue::neededTime(const core::RouteName &Route) const {
-  const AnswerTime &Time = timeOf(Route);
-  return micros(Time.MeanUs + Time.SpreadUs);
+core::Microseconds SlotQueue::typicalTime(const core::RouteName &Route) const {
+  const AnswerTimeEstimate &Time = estimateFor(Route);
+  return micros(Time.MeanUs + Time.DeviationUs);
 }
 
-core::Microseconds SlotQueue::plannedTime(const core::RouteName &Route) const {
-  const AnswerTime &Time = timeOf(Route);
-  return micros(Time.MeanUs + PlannedSpreads * Time.SpreadUs);
+core::Microseconds
+SlotQueue::conservativeTime(const core::RouteName &Route) const {
+  const AnswerTimeEstimate &Time = estimateFor(Route);
+  return micros(Time.MeanUs + PlannedSpreads * Time.DeviationUs);
 }
 
 core::Microseconds SlotQueue::meanTime(const core::RouteName &Route) const {
-  return micros(timeOf(Route).MeanUs);
+  return micros(estimateFor(Route).MeanUs);
 }
 
-core::Microseconds SlotQueue::leastTime(const core::RouteName &Route) const {
-  return micros(timeOf(Route).MeanUs * LeastTimePart);
+core::Microseconds SlotQueue::minimumTime(const core::RouteName &Route) const {
+  return micros(estimateFor(Route).MeanUs * LeastTimePart);
 }
 
 /// Slots fall free one after the other, spread over the time of an answer.
-core::Microseconds SlotQueue::turnTime(std::size_t Ahead) const {
+core::Microseconds SlotQueue::slotWait(std::size_t Ahead) const {
   const double Parts = std::max<std::uint32_t>(Slots, 1);
-  return micros(Overall.MeanUs * static_cast<double>(Ahead + 1) / Parts);
+  return micros(OverallEstimate.MeanUs * static_cast<double>(Ahead + 1) /
+                Parts);
 }
 
 TargetLoad SlotQueue::load() const {
-  return {
-      Running, static_cast<std::uint32_t>(Entries.size()), Slots,
-      std::chrono::duration_cast<core::Milliseconds>(micros(Overall.MeanUs))};
+  return {Running, static_cast<std::uint32_t>(Entries.size()), Slots,
+          std::chrono::duration_cast<core::Milliseconds>(
+              micros(OverallEstimate.MeanUs))};
 }
 
 core::Microseconds SlotQueue::expectedWait(std::uint32_t Rank,
@@ -99,21 +101,21 @@
   if (Running < Slots && Entries.empty())
     return core::Microseconds(0);
   std::size_t Ahead = 0;
-  for (const Order &Each : InTime) {
+  for (const QueueKey &Each : OnTime) {
     if (std::get<0>(Each) > Rank)
       break;
     ++Ahead;
   }
   double MoreUrgent = 0;
-  for (const auto &[Other, Rate] : Arrivals)
+  for (const auto &[Other, Rate] : ArrivalRates)
     MoreUrgent += Other < Rank ? Rate.at(Now) : 0;
-  return micros(static_cast<double>(turnTime(Ahead).count()) /
-                partLeftBy(MoreUrgent));
+  return micros(static_cast<double>(slotWait(Ahead).count()) /
+                remainingSlotShare(MoreUrgent));
 }
 
-double SlotQueue::partLeftBy(double PerSecond) const {
-  const double Taken =
-      PerSecond * Overall.MeanUs * 1e-6 / std::max<std::uint32_t>(Slots, 1);
+double SlotQueue::remainingSlotShare(double PerSecond) const {
+  const double Taken = PerSecond * OverallEstimate.MeanUs * 1e-6 /
+                       std::max<std::uint32_t>(Slots, 1);
   return std::max(LeastPartLeft, 1 - Taken);
 }
 
@@ -122,82 +124,83 @@
 core::Microseconds SlotQueue::lateWait(std::size_t Ahead,
                                        core::TimePoint Now) const {
   double InTimeRate = 0;
-  for (const auto &[Rank, Rate] : Arrivals)
+  for (const auto &[Rank, Rate] : ArrivalRates)
     InTimeRate += Rate.at(Now);
-  return micros(static_cast<double>(turnTime(InTime.size() + Ahead).count()) /
-                partLeftBy(InTimeRate));
+  return micros(static_cast<double>(slotWait(OnTime.size() + Ahead).count()) /
+                remainingSlotShare(InTimeRate));
 }
 
-SlotVerdict SlotQueue::arrive(const SlotRequest &Who, core::TimePoint Now) {
+SlotVerdict SlotQueue::submit(const SlotRequest &Who, core::TimePoint Now) {
   if (Slots == 0)
-    return {SlotVerdict::Kind::Refuse, ErrorCode::RequestQueueFull};
+    return {SlotVerdict::ActionKind::Refuse, ErrorCode::RequestQueueFull};
   const core::Microseconds Wait = expectedWait(Who.Rank, Now);
-  if (Now + Wait + leastTime(Who.Route) >= Who.Deadline)
-    return {SlotVerdict::Kind::Refuse, ErrorCode::RequestDeadlinePassed};
+  if (Now + Wait + minimumTime(Who.Route) >= Who.Deadline)
+    return {SlotVerdict::ActionKind::Refuse, ErrorCode::RequestDeadlinePassed};
   if (Running < Slots && Entries.empty()) {
     ++Running;
-    Arrivals[Who.Rank].note(Now);
-    return {SlotVerdict::Kind::Start, {}};
+    ArrivalRates[Who.Rank].addArrival(Now);
+    return {SlotVerdict::ActionKind::Start, {}};
   }
-  if (Now + Wait + plannedTime(Who.Route) <= Who.Objective)
-    return enqueue(Who, Now, InTime);
+  if (Now + Wait + conservativeTime(Who.Route) <= Who.Objective)
+    return enqueue(Who, Now, OnTime);
   const bool Chance =
       static_cast<double>(Late.size()) < LatePartOfSlots * Slots &&
-      Now + lateWait(Late.size(), Now) + neededTime(Who.Route) < Who.Deadline;
+      Now + lateWait(Late.size(), Now) + typicalTime(Who.Route) < Who.Deadline;
   if (Who.AcceptLate && Chance)
     return enqueue(Who, Now, Late);
-  return {SlotVerdict::Kind::Refuse, ErrorCode::RequestWouldBeLate};
+  return {SlotVerdict::ActionKind::Refuse, ErrorCode::RequestWouldBeLate};
 }
 
 SlotVerdict SlotQueue::enqueue(const SlotRequest &Who, core::TimePoint Now,
-                               std::set<Order> &To) {
-  const bool Full = Entries.size() >= std::size_t{Slots} * WaitingPerSlot;
+                               std::set<QueueKey> &To) {
+  const bool Full =
+      Entries.size() >= std::size_t{Slots} * MaximumWaitingPerSlot;
   if (Full && (&To == &Late || !makeRoom(Who.Rank)))
-    return {SlotVerdict::Kind::Refuse, ErrorCode::RequestQueueFull};
-  if (&To == &InTime)
-    Arrivals[Who.Rank].note(Now);
-  Entries.emplace(Who.Id, Waiting{Who, Now});
+    return {SlotVerdict::ActionKind::Refuse, ErrorCode::RequestQueueFull};
+  if (&To == &OnTime)
+    ArrivalRates[Who.Rank].addArrival(Now);
+  Entries.emplace(Who.Id, WaitingRequest{Who, Now});
   To.emplace(Who.Rank, Now, Who.Id);
-  return {SlotVerdict::Kind::Wait, {}};
+  return {SlotVerdict::ActionKind::Wait, {}};
 }
 
 /// Gives up a late request, or else the last one of the least urgent rank.
 bool SlotQueue::makeRoom(std::uint32_t Rank) {
   if (!Late.empty()) {
-    displace(*Late.rbegin(), Late);
+    evict(*Late.rbegin(), Late);
     return true;
   }
-  if (InTime.empty() || std::get<0>(*InTime.rbegin()) <= Rank)
+  if (OnTime.empty() || std::get<0>(*OnTime.rbegin()) <= Rank)
     return false;
-  displace(*InTime.rbegin(), InTime);
+  evict(*OnTime.rbegin(), OnTime);
   return true;
 }
 
-void SlotQueue::displace(const Order &Least, std::set<Order> &From) {
+void SlotQueue::evict(const QueueKey &Least, std::set<QueueKey> &From) {
   const core::CallId Id = std::get<2>(Least);
   From.erase(Least);
   Entries.erase(Id);
-  Displaced.push_back(Id);
+  Evicted.push_back(Id);
 }
 
-void SlotQueue::finished(const core::RouteName &Route,
-                         std::optional<core::Microseconds> Took) {
+void SlotQueue::release(const core::RouteName &Route,
+                        std::optional<core::Microseconds> Took) {
   if (Running > 0)
     --Running;
   if (!Took)
     return;
   const auto Sample = static_cast<double>(Took->count());
-  Times[Route].note(Sample);
-  Overall.note(Sample);
+  RouteEstimates[Route].addSample(Sample);
+  OverallEstimate.addSample(Sample);
 }
 
 void SlotQueue::withdraw(core::CallId Id) {
   const auto Found = Entries.find(Id);
   if (Found == Entries.end())
     return;
-  const Waiting &Left = Found->second;
-  const Order Key{Left.Who.Rank, Left.Since, Id};
-  InTime.erase(Key);
+  const WaitingRequest &Left = Found->second;
+  const QueueKey Key{Left.Request.Rank, Left.QueuedAt, Id};
+  OnTime.erase(Key);
   Late.erase(Key);
   Entries.erase(Found);
 }
@@ -205,57 +208,59 @@
 /// A request that can no longer be in time must not hold back one that can.
 /// Late ones without a chance of a turn before their deadline are given up.
 void SlotQueue::demoteLate(core::TimePoint Now) {
-  for (auto It = InTime.begin(); It != InTime.end();) {
-    const SlotRequest &Who = Entries.at(std::get<2>(*It)).Who;
+  for (auto It = OnTime.begin(); It != OnTime.end();) {
+    const SlotRequest &Who = Entries.at(std::get<2>(*It)).Request;
     if (Now + meanTime(Who.Route) <= Who.Objective) {
       ++It;
       continue;
     }
     Late.insert(*It);
-    It = InTime.erase(It);
+    It = OnTime.erase(It);
   }
   while (static_cast<double>(Late.size()) > 2 * LatePartOfSlots * Slots)
-    displace(*Late.rbegin(), Late);
-  std::vector<Order> Lost;
+    evict(*Late.rbegin(), Late);
+  std::vector<QueueKey> Lost;
   std::size_t Ahead = 0;
-  for (const Order &Each : Late) {
-    const SlotRequest &Who = Entries.at(std::get<2>(Each)).Who;
+  for (const QueueKey &Each : Late) {
+    const SlotRequest &Who = Entries.at(std::get<2>(Each)).Request;
     if (Now + lateWait(Ahead, Now) + meanTime(Who.Route) < Who.Deadline)
       ++Ahead;
     else
       Lost.push_back(Each);
   }
-  for (const Order &Each : Lost)
-    displace(Each, Late);
+  for (const QueueKey &Each : Lost)
+    evict(Each, Late);
 }
 
-std::optional<SlotQueue::Turn> SlotQueue::take(std::set<Order> &From,
-                                               core::TimePoint Now) {
+std::optional<SlotQueue::Dequeued> SlotQueue::dequeue(std::set<QueueKey> &From,
+                                                      core::TimePoint Now) {
   if (From.empty())
     return std::nullopt;
   const core::CallId Id = std::get<2>(*From.begin());
-  const SlotRequest &Who = Entries.at(Id).Who;
-  const bool Lost = Now + leastTime(Who.Route) >= Who.Deadline;
+  const SlotRequest &Who = Entries.at(Id).Request;
+  const bool Lost = Now + minimumTime(Who.Route) >= Who.Deadline;
   if (!Lost && Running >= Slots)
     return std::nullopt;
   withdraw(Id);
   if (Lost)
-    return Turn{Id,
-                {SlotVerdict::Kind::Refuse, ErrorCode::RequestDeadlinePassed}};
+    return Dequeued{
+        Id,
+        {SlotVerdict::ActionKind::Refuse, ErrorCode::RequestDeadlinePassed}};
   ++Running;
-  return Turn{Id, {SlotVerdict::Kind::Start, {}}};
+  return Dequeued{Id, {SlotVerdict::ActionKind::Start, {}}};
 }
 
-std::optional<SlotQueue::Turn> SlotQueue::next(core::TimePoint Now) {
+std::optional<SlotQueue::Dequeued> SlotQueue::next(core::TimePoint Now) {
   demoteLate(Now);
-  if (!Displaced.empty()) {
-    const core::CallId Id = Displaced.back();
-    Displaced.pop_back();
-    return Turn{Id, {SlotVerdict::Kind::Refuse, ErrorCode::RequestQueueFull}};
+  if (!Evicted.empty()) {
+    const core::CallId Id = Evicted.back();
+    Evicted.pop_back();
+    return Dequeued{
+        Id, {SlotVerdict::ActionKind::Refuse, ErrorCode::RequestQueueFull}};
   }
-  if (auto Found = take(InTime, Now))
+  if (auto Found = dequeue(OnTime, Now))
     return Found;
-  return take(Late, Now);
+  return dequeue(Late, Now);
 }
 
 } // namespace filbertvane::decision::mesh
--- a/lib/io/mesh/MeshProcess.cpp
+++ b/lib/io/mesh/MeshProcess.cpp
@@ -41,7 +41,7 @@
   Own.Node = Place.Node;
   Own.DataCentre = Place.DataCentre;
   Own.Region = Place.Region;
-  Own.Start = startNumber(Now);
+  Own.Incarnation = startNumber(Now);
   Own.Address = Place.Address;
   const std::size_t Colon = Place.Peers.rfind(':');
   Own.PeerPort =
@@ -50,7 +50,7 @@
   Own.Service = Place.Service;
   Own.Budget = Place.Budget;
   Own.RandomSeed =
-      core::digestOf(Place.Node.value()).value() ^ Own.Start.value();
+      core::digestOf(Place.Node.value()).value() ^ Own.Incarnation.value();
   return Own;
 }
 
@@ -94,7 +94,7 @@
   Options.Peers = Place.Peers;
   Options.Self = Place.Node;
   Options.MaxConnections = Place.MaxConnections;
-  Options.Seed = State.Own.RandomSeed;
+  Options.Seed = State.Settings.RandomSeed;
   Options.PeerIdleTimeout = PeerIdleTimeout;
   Options.LinkBytesPerSecond = Place.LinkBytesPerSecond;
   Options.Dialect = Surroundings->dialect();
@@ -165,13 +165,13 @@
     handle(decide::PositionReached{Position});
   };
   Calls.OnReachable = [this](bool Reachable) {
-    handle(decide::StoreChanged{Reachable});
+    handle(decide::StoreReachabilityChanged{Reachable});
     if (Reachable && MovesWanted)
       readMoves();
   };
   Calls.OnFault = [this](const core::Error &Why) { storeFault(Why); };
-  Follower = std::make_unique<StoreFollower>(Loop, Store, State.Own.RandomSeed,
-                                             std::move(Calls));
+  Follower = std::make_unique<StoreFollower>(
+      Loop, Store, State.Settings.RandomSeed, std::move(Calls));
   Follower->start();
 }
 
@@ -209,9 +209,9 @@
 }
 
 void Process::carryOut(const decide::SendReport &What) {
-  const std::string Bytes = wire::encode(What.What);
-  const std::size_t Dropped = Reports->send(Bytes, What.To);
-  Figures.count("filbertvane_reports_sent_total", {}, What.To.size());
+  const std::string Bytes = wire::encode(What.Report);
+  const std::size_t Dropped = Reports->send(Bytes, What.Addresses);
+  Figures.count("filbertvane_reports_sent_total", {}, What.Addresses.size());
   if (Dropped > 0)
     Figures.count("filbertvane_reports_dropped_total", {}, Dropped);
 }
@@ -222,9 +222,9 @@
   if (!HostsRead)
     return readHosts();
   const bool Early = Loop.now().Mono - HostsReadAt < LonelyReadPeriod;
-  if (!HostPublished && !What.What.Target && Early)
+  if (!HostPublished && !What.Report.Target && Early)
     return;
-  Store.publishHost(Place.Node, wire::encode(What.What),
+  Store.publishHost(Place.Node, wire::encode(What.Report),
                     [this](const core::Status &Done) {
                       const bool Before = HostPublished;
                       HostPublished = core::ok(Done);
@@ -240,18 +240,19 @@
 void Process::storeFault(const core::Error &Why) {
   Figures.count("filbertvane_store_failures_total",
                 {{"code", std::to_string(static_cast<int>(Why.Code))}});
-  carryOut(observe::LogEvent{observe::EventId::MeshStoreCallFailed,
+  carryOut(observe::LogEvent{observe::EventId::MeshStoreRequestFailed,
                              core::toString(Why)});
 }
 
 void Process::carryOut(const decide::WriteMove &What) {
-  Store.writeMove(What, [this,
-                         What](const core::Result<decide::MovePhase> &Done) {
-    if (!core::ok(Done))
-      return storeFault(core::failure(Done));
-    if (core::value(Done) >= decide::MovePhase::Completed)
-      handle(decide::MoveEndKnown{What.Service, What.To, core::value(Done)});
-  });
+  Store.writeMove(What,
+                  [this, What](const core::Result<decide::MovePhase> &Done) {
+                    if (!core::ok(Done))
+                      return storeFault(core::failure(Done));
+                    if (core::value(Done) >= decide::MovePhase::Completed)
+                      handle(decide::MoveStateRead{
+                          What.Service, What.NewVersion, core::value(Done)});
+                  });
 }
 
 void Process::carryOut(const decide::FetchRecords &What) {
@@ -259,11 +260,12 @@
     return;
   FetchUnderWay = true;
   HttpClient::Request Ask;
-  Ask.Url = fmt::format("http://{}:{}/records", What.From, Place.InternalPort);
+  Ask.Url =
+      fmt::format("http://{}:{}/records", What.PeerAddress, Place.InternalPort);
   Ask.Deadline = Loop.now().Mono + FetchTime;
   Http.fetch(std::move(Ask), "",
-             [this, From = What.From](ClientEnd End, int Status,
-                                      const std::string &Body) {
+             [this, From = What.PeerAddress](ClientEnd End, int Status,
+                                             const std::string &Body) {
                FetchUnderWay = false;
                if (End != ClientEnd::Complete || Status != 200)
                  return carryOut(observe::LogEvent{
@@ -298,7 +300,7 @@
   const auto Read =
       Surroundings->decodeAnnouncement(Head, Body, Place.TargetAddress);
   if (!core::ok(Read)) {
-    carryOut(observe::LogEvent{observe::EventId::MeshAnnouncementRefused,
+    carryOut(observe::LogEvent{observe::EventId::MeshAnnouncementRejected,
                                core::toString(core::failure(Read))});
     return {400, "", "text/plain"};
   }
@@ -313,14 +315,14 @@
                                core::toString(core::failure(Read))});
     return;
   }
-  handle(decide::ReportHeard{core::value(Read)});
+  handle(decide::ReportReceived{core::value(Read)});
 }
 
 void Process::takeRecord(const OperatorRecord &Record, bool History) {
   const auto Read = Surroundings->decode(Record);
   if (!core::ok(Read)) {
     carryOut(observe::LogEvent{
-        observe::EventId::MeshRoutingRefused,
+        observe::EventId::MeshRoutingRejected,
         fmt::format("key={} offset={} {}", Record.Key, Record.Offset.value(),
                     core::toString(core::failure(Read)))});
     return;
@@ -332,12 +334,12 @@
     Engine->setCallerIdleTimeout(
         std::chrono::ceil<core::Seconds>(Routing->Limits.IdleTime) +
         IdleReserve);
-    handle(decide::RoutingLearned{
+    handle(decide::RoutingLoaded{
         std::make_shared<const config::RoutingTable>(*Routing)});
     return;
   }
   auto Move = std::get<decide::MoveOrdered>(*Order);
-  Move.Old = History;
+  Move.FromHistory = History;
   handle(Move);
   // An order of unknown age may have ended long ago.
   if (History && !MovesWanted) {
@@ -366,12 +368,12 @@
   const bool First = !HostsRead;
   HostsRead = true;
   bool Listed = false;
-  decide::ReportsLearned Learned;
+  decide::StoredReportsRead Learned;
   for (const std::string &Bytes : core::value(Read)) {
     const auto Report = wire::decodeHostReport(Bytes);
     if (core::ok(Report)) {
       Listed = Listed || tellsOfThis(core::value(Report));
-      Learned.All.push_back(core::value(Report));
+      Learned.Reports.push_back(core::value(Report));
     } else {
       carryOut(observe::LogEvent{observe::EventId::MeshRecordMalformed,
                                  core::toString(core::failure(Report))});
@@ -380,7 +382,8 @@
   handle(Learned);
   HostPublished = HostPublished || Listed;
   if (First && !Listed)
-    carryOut(decide::PublishReport{decide::ownReport(State, Loop.now().Mono)});
+    carryOut(
+        decide::PublishReport{decide::makeHostReport(State, Loop.now().Mono)});
 }
 
 /// Others find this node by what its former process published.
@@ -395,7 +398,7 @@
     if (!core::ok(Read))
       return storeFault(core::failure(Read));
     MovesWanted = false;
-    for (const decide::MoveEndKnown &End : core::value(Read))
+    for (const decide::MoveStateRead &End : core::value(Read))
       handle(End);
   });
 }
@@ -411,7 +414,7 @@
   const core::Instant Now = Loop.now();
   if (Now.Mono - LastTick > PauseTold)
     carryOut(observe::LogEvent{
-        observe::EventId::MeshLoopPaused,
+        observe::EventId::MeshLoopStalled,
         fmt::format("ms={}", std::chrono::duration_cast<core::Milliseconds>(
                                  Now.Mono - LastTick)
                                  .count())});
@@ -431,7 +434,7 @@
   if (Now - HostsReadAt > Period) {
     HostsReadAt = Now;
     if (Lonely)
-      carryOut(decide::PublishReport{decide::ownReport(State, Now)});
+      carryOut(decide::PublishReport{decide::makeHostReport(State, Now)});
     else
       readHosts();
   }
@@ -442,22 +445,23 @@
 void Process::drain() {
   if (Stop)
     return;
-  Stop = decide::StopSchedule(Loop.now().Mono, Place.StopTime);
+  Stop = decide::ShutdownSchedule(Loop.now().Mono, Place.StopTime);
   carryOut(observe::LogEvent{observe::EventId::ProcessDraining, ""});
-  handle(decide::StopAnnounced{Stop->latest()});
+  handle(decide::ShutdownRequested{Stop->deadline()});
   Engine->closeAfterAnswers();
 }
 
 void Process::advanceStop() {
   if (!Stop)
     return;
-  const decide::StopStep Step = Stop->at(Loop.now().Mono, Engine->active());
-  if (Step == decide::StopStep::Serve)
+  const decide::ShutdownStep Step =
+      Stop->stepAt(Loop.now().Mono, Engine->active());
+  if (Step == decide::ShutdownStep::Accept)
     return;
   // A caller that still comes would be cut at the end; without a listener it
   // learns at once that its request was not taken.
   Engine->quiesce();
-  if (Step == decide::StopStep::Finish)
+  if (Step == decide::ShutdownStep::Drain)
     return;
   carryOut(observe::LogEvent{observe::EventId::ProcessStopped,
                              fmt::format("active={}", Engine->active())});
@@ -472,7 +476,7 @@
                              fmt::format("service={}", Fresh.Service.value())});
   Place.Service = Fresh.Service;
   Place.TargetAddress = Fresh.TargetAddress;
-  State.Own.TargetAddress = Fresh.TargetAddress;
+  State.Settings.TargetAddress = Fresh.TargetAddress;
   handle(decide::ServiceAssigned{Fresh.Service});
 }
 
--- a/lib/io/mesh/MeshProcessImpl.h
+++ b/lib/io/mesh/MeshProcessImpl.h
@@ -5,7 +5,7 @@
 #include "SmallRequests.h"
 #include "StoreFollower.h"
 #include "filbertvane/decision/mesh/Reducer.h"
-#include "filbertvane/decision/mesh/StopSchedule.h"
+#include "filbertvane/decision/mesh/ShutdownSchedule.h"
 #include "filbertvane/io/ProxyEngine.h"
 #include "filbertvane/io/mesh/MeshProcess.h"
 #include "filbertvane/observe/LogWriter.h"
@@ -97,7 +97,7 @@
   /// A move of unknown age is known; the store may hold its end.
   bool MovesWanted = false;
   core::TimePoint MovesReadAt;
-  std::optional<decide::StopSchedule> Stop;
+  std::optional<decide::ShutdownSchedule> Stop;
 };
 
 } // namespace filbertvane::io::mesh
--- a/lib/io/proxy/BulkSender.cpp
+++ b/lib/io/proxy/BulkSender.cpp
@@ -35,7 +35,7 @@
   std::size_t Left = 0;
   for (const Waiting &Each : Queue)
     Left += Each.left();
-  return Pacer.timeFor(Left);
+  return Pacer.transmissionTime(Left);
 }
 
 /// The answer with the least left goes first, so that most are whole early
@@ -54,7 +54,7 @@
   dropAbandoned();
   if (Queue.empty())
     return;
-  std::size_t Room = Pacer.take(Now);
+  std::size_t Room = Pacer.takeChunk(Now);
   while (Room > 0 && !Queue.empty()) {
     const auto First = first(Now);
     ServerExchange *Exchange = FindExchange(First->Id);
@@ -68,7 +68,7 @@
     Exchange->finish();
   }
   if (!Queue.empty())
-    Next.arm(Pacer.nextPiece(Now));
+    Next.arm(Pacer.nextChunkAt(Now));
 }
 
 } // namespace filbertvane::io::proxy
--- a/lib/io/proxy/BulkSender.h
+++ b/lib/io/proxy/BulkSender.h
@@ -18,7 +18,7 @@
 
   BulkSender(EventLoop &Loop, double LinkBytesPerSecond, Find FindExchange);
 
-  bool takes(std::size_t Bytes) const { return Pacer.holdsBack(Bytes); }
+  bool takes(std::size_t Bytes) const { return Pacer.isPaced(Bytes); }
   /// @brief Time that the queued answers take on the link.
   core::Microseconds wait() const;
   /// @brief Queues the body of an answer whose head was started.
--- a/lib/wire/HostReportCodec.cpp
+++ b/lib/wire/HostReportCodec.cpp
@@ -14,7 +14,7 @@
   Out.route = Tally.Route.value();
   Out.answers = static_cast<std::int64_t>(Tally.Answers);
   Out.faults = static_cast<std::int64_t>(Tally.Faults);
-  Out.timeMs = Tally.Time.count();
+  Out.timeMs = Tally.TotalTime.count();
   return Out;
 }
 
@@ -40,8 +40,8 @@
 gen::MoveReport toThrift(const mesh::MoveReport &Move) {
   gen::MoveReport Out;
   Out.serviceName = Move.Service.value();
-  Out.toVersion = Move.To.value();
-  Out.order = static_cast<std::int64_t>(Move.Order.value());
+  Out.toVersion = Move.NewVersion.value();
+  Out.order = static_cast<std::int64_t>(Move.OrderOffset.value());
   Out.phase = static_cast<std::int8_t>(Move.Phase);
   Out.elapsedMs = Move.Elapsed.count();
   return Out;
@@ -128,7 +128,7 @@
 std::string encode(const mesh::HostReport &Report) {
   gen::HostReport Out;
   Out.node = Report.Node.value();
-  Out.start = static_cast<std::int64_t>(Report.Start.value());
+  Out.start = static_cast<std::int64_t>(Report.Incarnation.value());
   Out.sequence = static_cast<std::int64_t>(Report.Sequence);
   Out.address = Report.Address;
   Out.dataCentre = Report.DataCentre.value();
@@ -136,10 +136,10 @@
   Out.leaving = Report.Leaving;
   if (Report.Target)
     Out.__set_target(toThrift(*Report.Target));
-  if (Report.Left) {
+  if (Report.Departed) {
     gen::LeftTarget Left;
-    Left.target = Report.Left->Id.value();
-    Left.born = static_cast<std::int64_t>(Report.Left->Born);
+    Left.target = Report.Departed->Id.value();
+    Left.born = static_cast<std::int64_t>(Report.Departed->ProcessStart);
     Out.__set_left(Left);
   }
   Out.position = static_cast<std::int64_t>(Report.Position.value());
@@ -158,7 +158,7 @@
     return *Fault;
   mesh::HostReport Report;
   Report.Node = core::NodeId(In.node);
-  Report.Start = core::Incarnation(count(In.start));
+  Report.Incarnation = core::Incarnation(count(In.start));
   Report.Sequence = count(In.sequence);
   Report.Address = In.address;
   Report.DataCentre = core::DataCentreId(In.dataCentre);
@@ -167,8 +167,8 @@
   if (In.__isset.target)
     Report.Target = fromThrift(In.target);
   if (In.__isset.left)
-    Report.Left =
-        mesh::LeftTarget{core::TargetId(In.left.target), count(In.left.born)};
+    Report.Departed = mesh::DepartedTarget{core::TargetId(In.left.target),
+                                           count(In.left.born)};
   Report.Position = core::LogOffset(count(In.position));
   Report.StoreReachable = In.storeReachable;
   for (const gen::MoveReport &Move : In.moves)
--- a/tests/mesh/GaugesTest.cpp
+++ b/tests/mesh/GaugesTest.cpp
@@ -20,10 +20,10 @@
   cr_assert(tells(Node, "filbertvane_ready 0\n"));
   Node.configure(shopRouting(7));
   Node.announce();
-  Node.send(ReportHeard{report("n1")});
-  Node.send(ReportHeard{report("n2", 1, "dc5", "r3")});
+  Node.send(ReportReceived{report("n1")});
+  Node.send(ReportReceived{report("n2", 1, "dc5", "r3")});
   for (std::uint64_t Id = 1; Id <= 3; ++Id)
-    Node.arriveHosted(Id);
+    Node.arriveFromPeer(Id);
   cr_assert(tells(Node, "filbertvane_ready 1\n"));
   cr_assert(tells(Node, "filbertvane_config_version 7\n"));
   cr_assert(tells(Node, "filbertvane_target_running 2\n"));
@@ -33,7 +33,7 @@
   {
     Node.Now += milliseconds(2000);
     cr_assert(tells(Node, "filbertvane_hosts{state=\"ready\"} 1\n"));
-    cr_assert(tells(Node, "filbertvane_hosts{state=\"doubtful\"} 1\n"));
+    cr_assert(tells(Node, "filbertvane_hosts{state=\"isSuspect\"} 1\n"));
   }
   // Requests earn repeats: 0.6 of a fifth of a request and of 1000 / 3.
   {
--- a/tests/mesh/HostDirectoryTest.cpp
+++ b/tests/mesh/HostDirectoryTest.cpp
@@ -15,8 +15,8 @@
   HostDirectory Hosts = directory();
   HostReport Newer = report("n1", 5);
   Newer.Target->State = TargetState::Draining;
-  cr_assert(Hosts.hear(Newer, at(0))->New);
-  cr_assert(!Hosts.hear(report("n1", 4), at(10)).has_value());
+  cr_assert(Hosts.applyReport(Newer, at(0))->New);
+  cr_assert(!Hosts.applyReport(report("n1", 4), at(10)).has_value());
   cr_assert(Hosts.find(core::NodeId("n1"))->Report.Target->State ==
             TargetState::Draining);
 }
@@ -26,24 +26,25 @@
 Test(host_directory, a_restarted_host_replaces_its_former_process) {
   HostDirectory Hosts = directory();
   HostReport First = report("n1", 900);
-  First.Start = core::Incarnation(50);
-  Hosts.hear(First, at(0));
+  First.Incarnation = core::Incarnation(50);
+  Hosts.applyReport(First, at(0));
   HostReport Second = report("n1", 1);
-  Second.Start = core::Incarnation(40);
-  cr_assert(!Hosts.hear(Second, at(100)).has_value(), "reordered datagram");
-  cr_assert(Hosts.hear(Second, at(2500))->Restarted);
+  Second.Incarnation = core::Incarnation(40);
+  cr_assert(!Hosts.applyReport(Second, at(100)).has_value(),
+            "reordered datagram");
+  cr_assert(Hosts.applyReport(Second, at(2500))->Restarted);
 }
 
 // Guards against hosts that are trusted though nothing is heard of them.
 Test(host_directory, a_silent_host_is_doubtful_and_then_forgotten) {
   HostDirectory Hosts = directory();
-  Hosts.hear(report("n1"), at(0));
+  Hosts.applyReport(report("n1"), at(0));
   const KnownHost &Host = *Hosts.find(core::NodeId("n1"));
-  cr_assert(!Hosts.doubtful(Host, at(1400)));
-  cr_assert(Hosts.doubtful(Host, at(1600)));
-  Hosts.forgetSilent(at(29000));
+  cr_assert(!Hosts.isSuspect(Host, at(1400)));
+  cr_assert(Hosts.isSuspect(Host, at(1600)));
+  Hosts.evictSilent(at(29000));
   cr_assert(Hosts.hosts().size() == 1);
-  Hosts.forgetSilent(at(31000));
+  Hosts.evictSilent(at(31000));
   cr_assert(Hosts.hosts().empty());
 }
 
@@ -52,23 +53,23 @@
 // worth).
 Test(host_directory, far_reports_are_rarer_with_more_hosts) {
   HostDirectory Hosts = directory();
-  cr_assert(Hosts.farPeriod() == milliseconds(1000));
+  cr_assert(Hosts.remoteReportPeriod() == milliseconds(1000));
   for (int I = 0; I < 64; ++I)
-    Hosts.hear(report("n" + std::to_string(100 + I), 1, "dc2"), at(0));
-  cr_assert(Hosts.farPeriod() == milliseconds(5000));
+    Hosts.applyReport(report("n" + std::to_string(100 + I), 1, "dc2"), at(0));
+  cr_assert(Hosts.remoteReportPeriod() == milliseconds(5000));
   // A host that reports in this period is not doubted before it has missed
   // three.
   const KnownHost &Host = *Hosts.find(core::NodeId("n100"));
-  cr_assert(!Hosts.doubtful(Host, at(14900)));
-  cr_assert(Hosts.doubtful(Host, at(15100)));
+  cr_assert(!Hosts.isSuspect(Host, at(14900)));
+  cr_assert(Hosts.isSuspect(Host, at(15100)));
 }
 
 // Guards against a list in the store that overrides what a host says itself.
 Test(host_directory, what_a_host_says_counts_more_than_the_store) {
   HostDirectory Hosts = directory();
-  cr_assert(Hosts.learn(report("n1", 7), at(0)));
-  cr_assert(Hosts.doubtful(*Hosts.find(core::NodeId("n1")), at(0)));
-  cr_assert(Hosts.hear(report("n1", 3), at(5))->New);
-  cr_assert(!Hosts.learn(report("n1", 7), at(10)));
-  cr_assert(!Hosts.doubtful(*Hosts.find(core::NodeId("n1")), at(10)));
+  cr_assert(Hosts.addFromStore(report("n1", 7), at(0)));
+  cr_assert(Hosts.isSuspect(*Hosts.find(core::NodeId("n1")), at(0)));
+  cr_assert(Hosts.applyReport(report("n1", 3), at(5))->New);
+  cr_assert(!Hosts.addFromStore(report("n1", 7), at(10)));
+  cr_assert(!Hosts.isSuspect(*Hosts.find(core::NodeId("n1")), at(10)));
 }
--- a/tests/mesh/LinkPacerTest.cpp
+++ b/tests/mesh/LinkPacerTest.cpp
@@ -26,13 +26,13 @@
     const core::TimePoint Now{milliseconds(Ms + 1)};
     // Large answers come in groups of three.
     if (Ms % 272 == 0) {
-      if (Pacer.holdsBack(LargeBytes))
+      if (Pacer.isPaced(LargeBytes))
         Held += 3 * LargeBytes;
       else
         LinkBacklog += 3.0 * LargeBytes;
     }
     if (Held > 0) {
-      const std::size_t Piece = std::min(Held, Pacer.take(Now));
+      const std::size_t Piece = std::min(Held, Pacer.takeChunk(Now));
       Held -= Piece;
       LinkBacklog += static_cast<double>(Piece);
     }
@@ -66,8 +66,8 @@
   core::TimePoint Now{milliseconds(1)};
   const core::TimePoint End = Now + core::Seconds(1);
   while (Now < End) {
-    Sent += Pacer.take(Now);
-    const core::TimePoint Next = Pacer.nextPiece(Now);
+    Sent += Pacer.takeChunk(Now);
+    const core::TimePoint Next = Pacer.nextChunkAt(Now);
     cr_assert(Next > Now);
     Now = Next;
   }
@@ -76,8 +76,8 @@
 
 // Guards against a delay of short answers, and on links that need no limit.
 Test(link_pacer, only_large_answers_on_thin_links_are_held_back) {
-  cr_assert(!LinkPacer(1250000).holdsBack(4000));
-  cr_assert(LinkPacer(1250000).holdsBack(90000));
-  cr_assert(!LinkPacer(125000000).holdsBack(90000));
-  cr_assert(!LinkPacer(0).holdsBack(90000));
+  cr_assert(!LinkPacer(1250000).isPaced(4000));
+  cr_assert(LinkPacer(1250000).isPaced(90000));
+  cr_assert(!LinkPacer(125000000).isPaced(90000));
+  cr_assert(!LinkPacer(0).isPaced(90000));
 }
--- a/tests/mesh/LinkPlacementTest.cpp
+++ b/tests/mesh/LinkPlacementTest.cpp
@@ -30,7 +30,7 @@
     });
   }
   Candidate seen(const std::string &Node, int Ms, bool ByLink) const {
-    Candidate Out{core::NodeId(Node), Distance::DataCentre,
+    Candidate Out{core::NodeId(Node), Distance::SameDataCentre,
                   static_cast<std::uint32_t>(Ready.size()), 18};
     Out.MeanTime = Out.RouteTime = milliseconds(AnswerMs);
     const double Wait = std::max(0.0, LinkFreeAt - Ms);
@@ -57,7 +57,7 @@
               Hosts[1].seen("slow", Ms, ByLink)};
     if (Ms * 19 / 1000 == (Ms + 1) * 19 / 1000)
       continue;
-    const auto At = choose(
+    const auto At = chooseTarget(
         Told, {milliseconds(ObjectiveMs), static_cast<double>(LargeBytes)},
         Source);
     ++Told[*At].Load;
@@ -98,12 +98,12 @@
   };
   Arrive(1, 700);
   Node.Now += milliseconds(100);
-  HostReport Own = ownReport(Node.State, Node.Now);
+  HostReport Own = makeHostReport(Node.State, Node.Now);
   cr_assert(Own.Target->Load.LinkWait == milliseconds(600));
   const auto Read = wire::decodeHostReport(wire::encode(Own));
   cr_assert(core::ok(Read) && core::value(Read) == Own);
   Node.Now += milliseconds(2000);
-  cr_assert(ownReport(Node.State, Node.Now).Target->Load.LinkWait ==
+  cr_assert(makeHostReport(Node.State, Node.Now).Target->Load.LinkWait ==
             milliseconds(0));
 }
 
@@ -115,10 +115,10 @@
   HostReport Busy = report("n1");
   Busy.Target->Load = {1, 0, 9, milliseconds(80)};
   Busy.Target->Load.LinkWait = milliseconds(2000);
-  Node.send(ReportHeard{Busy});
+  Node.send(ReportReceived{Busy});
   HostReport Idle = report("n2");
   Idle.Target->Load = {4, 0, 9, milliseconds(250)};
-  Node.send(ReportHeard{Idle});
+  Node.send(ReportReceived{Idle});
 
   const auto Place = [&Node](std::uint64_t Id) {
     Node.arrive(Id);
--- a/tests/mesh/MeshBench.h
+++ b/tests/mesh/MeshBench.h
@@ -45,7 +45,7 @@
                          const std::string &Region = "r1") {
   HostReport Made;
   Made.Node = core::NodeId(Node);
-  Made.Start = core::Incarnation(1);
+  Made.Incarnation = core::Incarnation(1);
   Made.Sequence = Sequence;
   Made.Address = "10.0.0." + std::to_string(Node.back());
   Made.DataCentre = core::DataCentreId(Centre);
@@ -69,7 +69,7 @@
     Own.Node = core::NodeId(Node);
     Own.DataCentre = core::DataCentreId("dc1");
     Own.Region = core::RegionId("r1");
-    Own.Start = core::Incarnation(1);
+    Own.Incarnation = core::Incarnation(1);
     Own.Address = "10.0.0.1";
     Own.PeerPort = 8300;
     Own.TargetAddress = "10.0.0.1:8301";
@@ -83,15 +83,15 @@
     return Last;
   }
   void configure(config::Routing Routing = shopRouting()) {
-    send(RoutingLearned{
+    send(RoutingLoaded{
         std::make_shared<const config::RoutingTable>(std::move(Routing))});
   }
   void announce(std::uint64_t Sequence = 1, bool Draining = false,
-                std::uint64_t Born = 1000, const std::string &Id = "own",
-                std::uint32_t Slots = 2) {
+                std::uint64_t ProcessStart = 1000,
+                const std::string &Id = "own", std::uint32_t Slots = 2) {
     send(TargetAnnounced{core::TargetId(Id), core::ServiceName("shop"),
                          core::TargetVersion("v1"), Slots, Draining,
-                         milliseconds(0), Born, Sequence});
+                         milliseconds(0), ProcessStart, Sequence});
   }
   void arrive(std::uint64_t Id, const std::string &Path = "/list/1") {
     request::CallArrived Call;
@@ -101,9 +101,9 @@
     Call.CallerId = "c" + std::to_string(Id);
     send(Call);
   }
-  void arriveHosted(std::uint64_t Id, std::int64_t LeftMs = 1000,
-                    std::int64_t ObjectiveMs = 400, std::uint32_t Rank = 1,
-                    bool AcceptLate = false) {
+  void arriveFromPeer(std::uint64_t Id, std::int64_t LeftMs = 1000,
+                      std::int64_t ObjectiveMs = 400, std::uint32_t Rank = 1,
+                      bool AcceptLate = false) {
     request::CallArrived Call;
     Call.Id = core::CallId(Id);
     Call.FromNode = true;
--- a/tests/mesh/MoveTrackerTest.cpp
+++ b/tests/mesh/MoveTrackerTest.cpp
@@ -23,12 +23,12 @@
 
 MoveVerdict judged(const std::vector<TargetReport> &Targets) {
   MoveTracker Moves;
-  Moves.order(order(), at(0));
+  Moves.applyOrder(order(), at(0));
   std::vector<const TargetReport *> All;
   All.reserve(Targets.size());
   for (const TargetReport &Each : Targets)
     All.push_back(&Each);
-  return judgeMove(Moves.moves().at(Shop), All);
+  return evaluateMove(Moves.moves().at(Shop), All);
 }
 
 } // namespace
@@ -37,48 +37,48 @@
 // proven, and against a move that is not done in time.
 Test(move_tracker, the_share_follows_the_time_since_the_order) {
   MoveTracker Moves;
-  Moves.order(order(), at(0));
+  Moves.applyOrder(order(), at(0));
   cr_assert(Moves.shares(Shop, at(100)).CandidatePermille == 50);
   cr_assert(Moves.shares(Shop, at(7900)).CandidatePermille == 50);
   cr_assert(Moves.shares(Shop, at(8100)).CandidatePermille == 200);
   cr_assert(Moves.shares(Shop, at(11000)).CandidatePermille == 1000);
-  cr_assert(!Moves.settled(Moves.moves().at(Shop), at(12000)));
-  cr_assert(Moves.settled(Moves.moves().at(Shop), at(12900)));
+  cr_assert(!Moves.readyToComplete(Moves.moves().at(Shop), at(12000)));
+  cr_assert(Moves.readyToComplete(Moves.moves().at(Shop), at(12900)));
 }
 
 // Guards against requests for a version that was taken back or superseded.
 Test(move_tracker, a_condemned_version_gets_nothing) {
   MoveTracker Moves;
-  Moves.order(order(5, "v2"), at(0));
-  cr_assert(Moves.advance(Shop, MovePhase::Condemned, "bad"));
+  Moves.applyOrder(order(5, "v2"), at(0));
+  cr_assert(Moves.advance(Shop, MovePhase::Rejected, "bad"));
   cr_assert(
-      Moves.shares(Shop, at(1)).Banned.contains(core::TargetVersion("v2")));
+      Moves.shares(Shop, at(1)).Excluded.contains(core::TargetVersion("v2")));
   // The next order does not bring it back.
-  Moves.order(order(6, "v3"), at(10));
+  Moves.applyOrder(order(6, "v3"), at(10));
   const VersionShares Shares = Moves.shares(Shop, at(11));
-  cr_assert(Shares.Banned.contains(core::TargetVersion("v2")));
+  cr_assert(Shares.Excluded.contains(core::TargetVersion("v2")));
   cr_assert(Shares.Candidate == core::TargetVersion("v3"));
   // An order that was read twice changes nothing.
-  cr_assert(!Moves.order(order(5, "v2"), at(20)));
+  cr_assert(!Moves.applyOrder(order(5, "v2"), at(20)));
 }
 
 // Guards against a move that has two ends.
 Test(move_tracker, the_first_end_stays) {
   MoveTracker Moves;
-  Moves.order(order(), at(0));
+  Moves.applyOrder(order(), at(0));
   cr_assert(Moves.advance(Shop, MovePhase::Completed, ""));
   cr_assert(!Moves.advance(Shop, MovePhase::RolledBack, ""));
-  cr_assert(Moves.shares(Shop, at(1)).Only == core::TargetVersion("v2"));
+  cr_assert(Moves.shares(Shop, at(1)).Exclusive == core::TargetVersion("v2"));
 }
 
 // Guards against a node that restarts in the middle of a move and begins it
 // anew.
 Test(move_tracker, the_earliest_known_begin_counts) {
   MoveTracker Moves;
-  Moves.order(order(), at(10000));
-  Moves.hear({Shop, core::TargetVersion("v2"), core::LogOffset(5),
-              MovePhase::Running, milliseconds(9000)},
-             at(10100));
+  Moves.applyOrder(order(), at(10000));
+  Moves.applyReport({Shop, core::TargetVersion("v2"), core::LogOffset(5),
+                     MovePhase::Running, milliseconds(9000)},
+                    at(10100));
   cr_assert(Moves.shares(Shop, at(10200)).CandidatePermille == 200);
 }
 
@@ -87,18 +87,21 @@
   // Half of the answers fail.
   cr_assert(judged({target("v1", 500, 2, 100), target("v2", 12, 6, 100),
                     target("v2", 12, 6, 100)})
-                .Bad);
+                .Rejected);
   // Answers take several times as long.
-  cr_assert(judged({target("v1", 500, 2, 100), target("v2", 20, 0, 450)}).Bad);
+  cr_assert(
+      judged({target("v1", 500, 2, 100), target("v2", 20, 0, 450)}).Rejected);
   // A host that is slower than the others by its make is no proof.
-  cr_assert(!judged({target("v1", 500, 2, 100), target("v2", 20, 0, 200)}).Bad);
-  // Both versions fail alike: the fault is elsewhere.
   cr_assert(
-      !judged({target("v1", 500, 150, 100), target("v2", 24, 8, 100)}).Bad);
+      !judged({target("v1", 500, 2, 100), target("v2", 20, 0, 200)}).Rejected);
+  // Both versions fail alike: the fault is elsewhere.
+  cr_assert(!judged({target("v1", 500, 150, 100), target("v2", 24, 8, 100)})
+                 .Rejected);
   // One host of several fails: the host, not the version.
   cr_assert(!judged({target("v1", 500, 2, 100), target("v2", 30, 15, 100),
                      target("v2", 30, 0, 100)})
-                 .Bad);
+                 .Rejected);
   // Too few answers say nothing.
-  cr_assert(!judged({target("v1", 500, 2, 100), target("v2", 3, 1, 100)}).Bad);
+  cr_assert(
+      !judged({target("v1", 500, 2, 100), target("v2", 3, 1, 100)}).Rejected);
 }
--- a/tests/mesh/OwnTargetTest.cpp
+++ b/tests/mesh/OwnTargetTest.cpp
@@ -11,23 +11,23 @@
   Bench Node;
   Node.configure();
   Node.announce();
-  Node.send(ReportHeard{report("n1")});
+  Node.send(ReportReceived{report("n1")});
   Node.announce(2, true);
-  cr_assert(Node.first<SendReport>()->What.Target->State ==
+  cr_assert(Node.first<SendReport>()->Report.Target->State ==
                 TargetState::Draining,
             "others are not told at once");
-  Node.arriveHosted(1);
+  Node.arriveFromPeer(1);
   cr_assert(Node.first<Refuse>()->Result == Outcome::NotRun);
   // An announcement that was delayed does not bring it back.
   {
     Node.announce(1, false);
-    Node.arriveHosted(2);
+    Node.arriveFromPeer(2);
     cr_assert(Node.first<Refuse>().has_value());
   }
   // The next life of the target does.
   {
     Node.announce(1, false, 2000);
-    Node.arriveHosted(3);
+    Node.arriveFromPeer(3);
     cr_assert(Node.first<StartAttempt>().has_value());
   }
 }
@@ -38,7 +38,7 @@
   Node.configure();
   Node.announce(1, false, 2000, "new");
   Node.announce(9, false, 1000, "old");
-  cr_assert(Node.State.Target->Last.Id == core::TargetId("new"));
+  cr_assert(Node.State.Target->Announcement.Id == core::TargetId("new"));
 }
 
 // Guards against a request for another target at a reused address.
@@ -46,7 +46,7 @@
   Bench Node;
   Node.configure();
   Node.announce(1, false, 1000, "someone-else");
-  Node.arriveHosted(1);
+  Node.arriveFromPeer(1);
   cr_assert(Node.first<Refuse>()->Result == Outcome::NotRun);
 }
 
@@ -55,16 +55,16 @@
   Bench Node;
   Node.configure();
   Node.announce();
-  Node.arriveHosted(1);
+  Node.arriveFromPeer(1);
   const auto First = Node.first<StartAttempt>();
-  Node.arriveHosted(2);
-  Node.arriveHosted(3);
+  Node.arriveFromPeer(2);
+  Node.arriveFromPeer(3);
   Node.end(*First, AttemptEnd::NotRun, 0, false, true);
   cr_assert(Node.count<Refuse>() == 2, "the waiting one stays");
-  Node.arriveHosted(4);
+  Node.arriveFromPeer(4);
   cr_assert(Node.first<Refuse>().has_value());
   Node.announce(2);
-  Node.arriveHosted(5);
+  Node.arriveFromPeer(5);
   cr_assert(Node.first<StartAttempt>().has_value());
 }
 
@@ -87,11 +87,11 @@
   Bench Node;
   Node.configure();
   Node.announce();
-  Node.arriveHosted(1);
+  Node.arriveFromPeer(1);
   const auto Old = Node.first<StartAttempt>();
   Node.announce(1, false, 2000);
   cr_assert(Node.State.Slots.load().Running == 0);
-  Node.arriveHosted(2);
+  Node.arriveFromPeer(2);
   Node.end(*Old, AttemptEnd::NoAnswer);
   cr_assert(Node.State.Slots.load().Running == 1);
 }
@@ -101,11 +101,11 @@
   Bench Node;
   Node.configure();
   Node.announce();
-  Node.arriveHosted(1);
+  Node.arriveFromPeer(1);
   Node.end(*Node.first<StartAttempt>(), AttemptEnd::NoAnswer);
   cr_assert(Node.first<Refuse>()->Result == Outcome::Unknown);
   // One that the target itself refused is marked as having reached it.
-  Node.arriveHosted(2);
+  Node.arriveFromPeer(2);
   Node.end(*Node.first<StartAttempt>(), AttemptEnd::NotRun, 503, true);
   cr_assert(Node.first<Refuse>()->Result == Outcome::NotRun);
   cr_assert(Node.first<Refuse>()->Reached);
@@ -118,33 +118,33 @@
   Bench Node;
   Node.configure();
   Node.announce();
-  Node.send(ReportHeard{report("n1")});
-  Node.send(StopAnnounced{Node.Now + milliseconds(5600)});
+  Node.send(ReportReceived{report("n1")});
+  Node.send(ShutdownRequested{Node.Now + milliseconds(5600)});
   cr_assert(!Node.first<ReadinessChanged>()->Ready);
   // The target goes on, so that others are not told yet and are served.
   {
     Node.Now += milliseconds(1400);
-    Node.arriveHosted(1);
+    Node.arriveFromPeer(1);
     cr_assert(Node.first<StartAttempt>().has_value());
   }
   // Then they are told, once.
   {
     Node.Now += milliseconds(100);
     Node.send(request::Tick{});
-    cr_assert(Node.first<SendReport>()->What.Leaving);
+    cr_assert(Node.first<SendReport>()->Report.Leaving);
     Node.Now += milliseconds(50);
     Node.send(request::Tick{});
     cr_assert(!Node.first<SendReport>());
   }
   // A request that was sent before the report arrived is taken.
   {
-    Node.arriveHosted(2);
+    Node.arriveFromPeer(2);
     cr_assert(Node.first<StartAttempt>().has_value());
   }
   // Later ones are refused.
   {
     Node.Now += milliseconds(500);
-    Node.arriveHosted(3);
+    Node.arriveFromPeer(3);
     cr_assert(Node.first<Refuse>()->Result == Outcome::NotRun);
   }
   // Its own callers are served until they know.
@@ -160,7 +160,7 @@
   Bench Node;
   Node.configure();
   Node.announce();
-  Node.send(StopAnnounced{Node.Now + milliseconds(3000)});
+  Node.send(ShutdownRequested{Node.Now + milliseconds(3000)});
   Node.Now += milliseconds(2400);
   Node.arrive(1);
   cr_assert(Node.first<StartAttempt>().has_value());
@@ -176,12 +176,12 @@
   Bench Node;
   Node.configure();
   Node.announce();
-  Node.arriveHosted(1);
+  Node.arriveFromPeer(1);
   const auto Running = Node.first<StartAttempt>();
   Node.send(TargetDeregistered{core::TargetId("own")});
   Node.end(*Running, AttemptEnd::NotRun, 0, false, true);
   Node.announce(2);
-  Node.arriveHosted(2);
+  Node.arriveFromPeer(2);
   cr_assert(Node.first<Refuse>()->Result == Outcome::NotRun);
 }
 
@@ -190,20 +190,20 @@
 Test(mesh_target, a_restarted_node_knows_that_its_target_leaves) {
   Bench Before;
   Before.configure();
-  Before.send(StoreChanged{true});
+  Before.send(StoreReachabilityChanged{true});
   Before.announce();
   Before.send(TargetDeregistered{core::TargetId("own")});
   const auto Published = Before.first<PublishReport>();
-  cr_assert(Published.has_value(), "the store does not learn of it");
-  cr_assert(Published->What.Target->State == TargetState::Draining);
+  cr_assert(Published.has_value(), "the store does not addFromStore of it");
+  cr_assert(Published->Report.Target->State == TargetState::Draining);
 
   Bench After;
   After.configure();
   // The store answers before the target announces itself.
   {
-    After.send(ReportsLearned{{Published->What}});
+    After.send(StoredReportsRead{{Published->Report}});
     After.announce(7);
-    After.arriveHosted(1);
+    After.arriveFromPeer(1);
     cr_assert(After.first<Refuse>()->Result == Outcome::NotRun);
   }
   // The store answers after it.
@@ -211,14 +211,14 @@
     Bench Late;
     Late.configure();
     Late.announce(7);
-    Late.send(ReportsLearned{{Published->What}});
-    Late.arriveHosted(1);
+    Late.send(StoredReportsRead{{Published->Report}});
+    Late.arriveFromPeer(1);
     cr_assert(Late.first<Refuse>()->Result == Outcome::NotRun);
   }
   // Another life of the target serves, also under its former id.
   {
     After.announce(1, false, 2000);
-    After.arriveHosted(2);
+    After.arriveFromPeer(2);
     cr_assert(After.first<StartAttempt>().has_value());
   }
 }
@@ -228,22 +228,23 @@
 Test(mesh_target, a_restarted_node_knows_its_target) {
   Bench Before;
   Before.configure();
-  Before.send(StoreChanged{true});
+  Before.send(StoreReachabilityChanged{true});
   Before.announce();
   const auto Published = Before.first<PublishReport>();
-  cr_assert(Published.has_value(), "the store does not learn of the target");
+  cr_assert(Published.has_value(),
+            "the store does not addFromStore of the target");
 
   const auto Restarted = [&Published] {
     Bench Node;
-    Node.State.Own.Service = core::ServiceName("shop");
+    Node.State.Settings.Service = core::ServiceName("shop");
     Node.configure();
-    Node.send(ReportsLearned{{Published->What}});
+    Node.send(StoredReportsRead{{Published->Report}});
     return Node;
   };
   // It takes requests at once, and the announcement starts no new life.
   {
     Bench After = Restarted();
-    After.arriveHosted(1);
+    After.arriveFromPeer(1);
     cr_assert(After.first<StartAttempt>().has_value());
     After.announce(9);
     cr_assert(After.State.Slots.load().Running == 1);
@@ -254,32 +255,32 @@
     Bench After = Restarted();
     After.Now += milliseconds(3100);
     After.send(request::Tick{});
-    After.arriveHosted(1);
+    After.arriveFromPeer(1);
     cr_assert(After.first<Refuse>()->Result == Outcome::NotRun);
     After.announce(9);
-    After.arriveHosted(2);
+    After.arriveFromPeer(2);
     cr_assert(After.first<StartAttempt>().has_value());
   }
   // A target that said that it leaves is not taken over.
   {
-    HostReport Gone = Published->What;
-    Gone.Left = LeftTarget{core::TargetId("own"), 1000};
+    HostReport Gone = Published->Report;
+    Gone.Departed = DepartedTarget{core::TargetId("own"), 1000};
     Bench After;
-    After.State.Own.Service = core::ServiceName("shop");
+    After.State.Settings.Service = core::ServiceName("shop");
     After.configure();
-    After.send(ReportsLearned{{Gone}});
-    After.arriveHosted(1);
+    After.send(StoredReportsRead{{Gone}});
+    After.arriveFromPeer(1);
     cr_assert(After.first<Refuse>()->Result == Outcome::NotRun);
   }
   // Neither is the one of a host that had another address.
   {
-    HostReport Moved = Published->What;
+    HostReport Moved = Published->Report;
     Moved.Address = "10.0.0.99";
     Bench After;
-    After.State.Own.Service = core::ServiceName("shop");
+    After.State.Settings.Service = core::ServiceName("shop");
     After.configure();
-    After.send(ReportsLearned{{Moved}});
-    After.arriveHosted(1);
+    After.send(StoredReportsRead{{Moved}});
+    After.arriveFromPeer(1);
     cr_assert(After.first<Refuse>()->Result == Outcome::NotRun);
   }
 }
