--- a/tests/mesh/PlacementTest.cpp
+++ b/tests/mesh/PlacementTest.cpp
@@ -5,9 +5,15 @@
 
 namespace {
 
-Candidate candidate(const std::string &Node, Distance Away, std::uint32_t Load,
-                    std::int64_t MeanMs = 100) {
-  return {core::NodeId(Node), Away, Load, 10, milliseconds(MeanMs), 0, false};
+Candidate candidate(const std::string &Node, Distance HostDistance,
+                    std::uint32_t Load, std::int64_t MeanMs = 100) {
+  return {core::NodeId(Node),
+          HostDistance,
+          Load,
+          10,
+          milliseconds(MeanMs),
+          0,
+          false};
 }
 
 const PlacementQuery Small{milliseconds(400), 2000};
@@ -16,7 +22,7 @@
 std::string chosen(const std::vector<Candidate> &Among,
                    const PlacementQuery &Query) {
   core::Random Source(7);
-  const auto Best = choose(Among, Query, Source);
+  const auto Best = chooseTarget(Among, Query, Source);
   return Best ? Among[*Best].Node.value() : "";
 }
 
@@ -29,9 +35,9 @@
 /// Plays two seconds of requests at two near targets and one far one. Each has
 /// ten slots and a queue; an answer takes 100 ms, and 41 ms more from far.
 template <typename Policy> Spread playSeconds(int PerSecond, Policy Pick) {
-  std::vector<Candidate> Targets = {candidate("a", Distance::Own, 0),
-                                    candidate("b", Distance::Region, 0),
-                                    candidate("c", Distance::Far, 0)};
+  std::vector<Candidate> Targets = {candidate("a", Distance::Local, 0),
+                                    candidate("b", Distance::SameRegion, 0),
+                                    candidate("c", Distance::OtherRegion, 0)};
   // Times at which the requests at each target end.
   std::vector<std::vector<int>> Ends(Targets.size());
   Spread Result;
@@ -48,7 +54,7 @@
     const std::size_t Slots = Targets[At].Slots;
     const int Start = Busy.size() < Slots ? Ms : Busy[Busy.size() - Slots];
     Busy.push_back(Start + 100);
-    const bool IsFar = Targets[At].Away == Distance::Far;
+    const bool IsFar = Targets[At].HostDistance == Distance::OtherRegion;
     Result.Far += IsFar ? 1 : 0;
     Result.Late += Start + 100 + (IsFar ? 41 : 0) - Ms > 400 ? 1 : 0;
   }
@@ -59,55 +65,56 @@
 
 // Guards against traffic between regions that a near target could have taken.
 Test(placement, a_near_target_with_room_is_preferred) {
-  cr_assert(chosen({candidate("far", Distance::Far, 0),
-                    candidate("near", Distance::Region, 0),
-                    candidate("here", Distance::Own, 5)},
+  cr_assert(chosen({candidate("far", Distance::OtherRegion, 0),
+                    candidate("near", Distance::SameRegion, 0),
+                    candidate("here", Distance::Local, 5)},
                    Small) == "here");
 }
 
 // Guards against callers that wait at a full target while others are free.
 Test(placement, a_full_target_spills_to_the_next_ring) {
   // A short wait is cheaper than the way to another region.
-  cr_assert(chosen({candidate("far", Distance::Far, 0),
-                    candidate("here", Distance::Own, 11)},
+  cr_assert(chosen({candidate("far", Distance::OtherRegion, 0),
+                    candidate("here", Distance::Local, 11)},
                    Small) == "here");
   // A wait that endangers the objective is not.
-  cr_assert(chosen({candidate("far", Distance::Far, 0),
-                    candidate("here", Distance::Own, 30)},
+  cr_assert(chosen({candidate("far", Distance::OtherRegion, 0),
+                    candidate("here", Distance::Local, 30)},
                    Small) == "far");
 }
 
 // Guards against large answers on paid links for the sake of a short wait.
 Test(placement, large_answers_stay_near_for_longer) {
-  const std::vector<Candidate> Among = {candidate("far", Distance::Far, 0),
-                                        candidate("here", Distance::Own, 30)};
+  const std::vector<Candidate> Among = {
+      candidate("far", Distance::OtherRegion, 0),
+      candidate("here", Distance::Local, 30)};
   cr_assert(chosen(Among, Small) == "far");
   cr_assert(chosen(Among, Large) == "here");
 }
 
 // Guards against a target that answers fast because it fails.
 Test(placement, a_failing_target_is_avoided) {
-  Candidate Failing = candidate("failing", Distance::Own, 0, 10);
+  Candidate Failing = candidate("failing", Distance::Local, 0, 10);
   Failing.FaultPermille = 400;
-  cr_assert(chosen({Failing, candidate("sound", Distance::Region, 0)}, Small) ==
-            "sound");
+  cr_assert(chosen({Failing, candidate("sound", Distance::SameRegion, 0)},
+                   Small) == "sound");
 }
 
 // Guards against requests to a host that was not heard, unless none else is
 // left.
 Test(placement, a_doubtful_target_is_the_last_choice) {
-  Candidate Doubtful = candidate("doubtful", Distance::Own, 0);
-  Doubtful.Doubtful = true;
-  cr_assert(chosen({Doubtful, candidate("far", Distance::Far, 30)}, Small) ==
-            "far");
-  cr_assert(chosen({Doubtful}, Small) == "doubtful");
+  Candidate Doubtful = candidate("isSuspect", Distance::Local, 0);
+  Doubtful.Suspect = true;
+  cr_assert(chosen({Doubtful, candidate("far", Distance::OtherRegion, 30)},
+                   Small) == "far");
+  cr_assert(chosen({Doubtful}, Small) == "isSuspect");
   cr_assert(chosen({}, Small).empty());
 }
 
 // Guards against a slow host that gets as much as a quick one.
 Test(placement, a_slow_target_gets_less) {
-  cr_assert(chosen({candidate("slow", Distance::Region, 2, 500),
-                    candidate("quick", Distance::Region, 2, 100)},
+  cr_assert(chosen({candidate("slow", Distance::SameRegion, 2, 500),
+                    candidate("quick", Distance::SameRegion, 2, 100)},
                    Small) == "quick");
 }
 
@@ -117,7 +124,7 @@
 Test(placement, spill_serves_a_busy_data_centre_in_time) {
   core::Random Source(3);
   const auto ByLoss = playSeconds(240, [&](const std::vector<Candidate> &All) {
-    return *choose(All, Small, Source);
+    return *chooseTarget(All, Small, Source);
   });
   const auto Nearest = playSeconds(240, [](const auto &) { return 0; });
   const auto Random = playSeconds(240, [&](const std::vector<Candidate> &All) {
@@ -129,7 +136,7 @@
   cr_assert(ByLoss.Far < Random.Far, "%zu against %zu", ByLoss.Far, Random.Far);
   // With room near, nothing leaves the region.
   const auto Calm = playSeconds(60, [&](const std::vector<Candidate> &All) {
-    return *choose(All, Small, Source);
+    return *chooseTarget(All, Small, Source);
   });
   cr_assert(Calm.Far == 0 && Calm.Late == 0);
 }
@@ -145,10 +152,10 @@
   Node.configure(Quick);
   HostReport Near = report("n1");
   Near.Target->Load = {1, 0, 9, milliseconds(80)};
-  Node.send(ReportHeard{Near});
+  Node.send(ReportReceived{Near});
   HostReport Far = report("n2", 1, "dc5", "r3");
   Far.Target->Load = {1, 0, 9, milliseconds(20)};
-  Node.send(ReportHeard{Far});
+  Node.send(ReportReceived{Far});
 
   // The slow mix of the near target makes the far one look better at first.
   std::size_t ToFar = 0;
@@ -177,7 +184,7 @@
   Bench Node;
   Node.configure();
   for (const char *Name : {"n1", "n2", "n3", "n4"})
-    Node.send(ReportHeard{report(Name, 1, "dc2")});
+    Node.send(ReportReceived{report(Name, 1, "dc2")});
   std::size_t Asked = 0;
   std::size_t Refused = 0;
   std::uint64_t Id = 0;
@@ -215,7 +222,7 @@
 Test(mesh_placement, a_large_answer_may_be_late_rather_than_from_far) {
   Bench Node;
   Node.configure();
-  Node.send(ReportHeard{report("n1")});
+  Node.send(ReportReceived{report("n1")});
   const auto End = [&Node](const request::StartAttempt &Sent,
                            request::AttemptEnd How, std::uint64_t Bytes) {
     request::AttemptEnded Ended;
@@ -229,7 +236,7 @@
   };
   Node.arrive(1);
   End(*Node.first<request::StartAttempt>(), request::AttemptEnd::Held, 90000);
-  Node.send(ReportHeard{report("n2", 1, "dc5", "r3")});
+  Node.send(ReportReceived{report("n2", 1, "dc5", "r3")});
   // The near target is asked again for a late answer, the far one comes last.
   Node.arrive(2);
   auto Sent = Node.first<request::StartAttempt>();
--- a/tests/mesh/RecordsTest.cpp
+++ b/tests/mesh/RecordsTest.cpp
@@ -32,27 +32,27 @@
 Test(mesh_records, two_nodes_of_a_data_centre_follow_the_store) {
   Bench Node;
   Node.configure();
-  Node.send(StoreChanged{true});
+  Node.send(StoreReachabilityChanged{true});
   const auto Before = rankedBefore(2);
-  Node.send(ReportHeard{follower(Before[0])});
+  Node.send(ReportReceived{follower(Before[0])});
   Node.send(request::Tick{});
   cr_assert(!Node.first<FollowStore>(), "one other follower is not enough");
-  Node.send(ReportHeard{follower(Before[1])});
+  Node.send(ReportReceived{follower(Before[1])});
   Node.send(request::Tick{});
   cr_assert(Node.first<FollowStore>() && !Node.first<FollowStore>()->Follow);
   // When the store turns one of them away, this node follows again.
   {
-    Node.send(ReportHeard{follower(Before[1], 2, false)});
+    Node.send(ReportReceived{follower(Before[1], 2, false)});
     Node.send(request::Tick{});
     cr_assert(Node.first<FollowStore>()->Follow);
   }
   // When one of them falls silent, too.
   {
-    Node.send(ReportHeard{follower(Before[1], 3)});
+    Node.send(ReportReceived{follower(Before[1], 3)});
     Node.send(request::Tick{});
     cr_assert(!Node.first<FollowStore>()->Follow);
     Node.Now += milliseconds(1400);
-    Node.send(ReportHeard{follower(Before[0], 2)});
+    Node.send(ReportReceived{follower(Before[0], 2)});
     Node.Now += milliseconds(200);
     Node.send(request::Tick{});
     cr_assert(Node.first<FollowStore>()->Follow);
@@ -64,21 +64,21 @@
 Test(mesh_records, a_node_behind_asks_the_nearest_host_that_is_ahead) {
   Bench Node;
   Node.configure();
-  Node.send(StoreChanged{true});
+  Node.send(StoreReachabilityChanged{true});
   for (const std::string &Name : rankedBefore(2))
-    Node.send(ReportHeard{follower(Name)});
+    Node.send(ReportReceived{follower(Name)});
   Node.send(request::Tick{});
   HostReport Ahead = follower(rankedBefore(1)[0], 2);
   Ahead.Position = core::LogOffset(9);
   Ahead.Address = "10.0.0.77";
-  Node.send(ReportHeard{Ahead});
+  Node.send(ReportReceived{Ahead});
   Node.send(request::Tick{});
   Node.Now += milliseconds(30);
   Node.send(request::Tick{});
-  cr_assert(Node.first<FetchRecords>()->From == "10.0.0.77");
+  cr_assert(Node.first<FetchRecords>()->PeerAddress == "10.0.0.77");
   // Once it has them, it tells those that have not.
   Node.send(PositionReached{core::LogOffset(9)});
-  cr_assert(Node.first<SendReport>()->What.Position == core::LogOffset(9));
+  cr_assert(Node.first<SendReport>()->Report.Position == core::LogOffset(9));
   Node.Now += milliseconds(1000);
   Node.send(request::Tick{});
   cr_assert(!Node.first<FetchRecords>());
@@ -89,9 +89,9 @@
 Test(mesh_records, other_data_centres_are_told_of_new_records_at_once) {
   Bench Node;
   Node.configure();
-  Node.send(StoreChanged{true});
+  Node.send(StoreReachabilityChanged{true});
   for (int I = 1; I <= 4; ++I)
-    Node.send(ReportHeard{report("f" + std::to_string(I), 1, "dc2", "r2")});
+    Node.send(ReportReceived{report("f" + std::to_string(I), 1, "dc2", "r2")});
   Node.send(PositionReached{core::LogOffset(3)});
-  cr_assert(Node.first<SendReport>()->To.size() == 2);
+  cr_assert(Node.first<SendReport>()->Addresses.size() == 2);
 }
--- a/tests/mesh/RequestFlowTest.cpp
+++ b/tests/mesh/RequestFlowTest.cpp
@@ -44,8 +44,8 @@
 Test(mesh_requests, a_non_idempotent_request_is_never_repeated_blindly) {
   Bench Node;
   Node.configure();
-  Node.send(ReportHeard{report("n1")});
-  Node.send(ReportHeard{report("n2")});
+  Node.send(ReportReceived{report("n1")});
+  Node.send(ReportReceived{report("n2")});
   // When a target gave no answer, the outcome is unknown.
   {
     Node.arrive(1, "/book/1");
@@ -82,7 +82,7 @@
   Bench Node;
   Node.configure();
   for (const char *Name : {"n1", "n2", "n3"})
-    Node.send(ReportHeard{report(Name)});
+    Node.send(ReportReceived{report(Name)});
   Node.arrive(1);
   const auto First = Node.first<StartAttempt>();
   Node.end(*First, AttemptEnd::NoAnswer);
@@ -98,8 +98,8 @@
 Test(mesh_requests, a_server_error_is_passed_on_after_the_last_attempt) {
   Bench Node;
   Node.configure();
-  Node.send(ReportHeard{report("n1")});
-  Node.send(ReportHeard{report("n2")});
+  Node.send(ReportReceived{report("n1")});
+  Node.send(ReportReceived{report("n2")});
   Node.arrive(1);
   Node.end(*Node.first<StartAttempt>(), AttemptEnd::Held, 500);
   Node.end(*Node.first<StartAttempt>(), AttemptEnd::Held, 500);
@@ -114,15 +114,15 @@
 Test(mesh_requests, an_unreachable_host_is_placed_last) {
   Bench Node;
   Node.configure();
-  Node.send(ReportHeard{report("n1")});
+  Node.send(ReportReceived{report("n1")});
   Node.arrive(1);
   Node.end(*Node.first<StartAttempt>(), AttemptEnd::NotRun, 0, false, true);
   cr_assert(Node.first<Refuse>()->Result == Outcome::NotRun);
-  Node.send(ReportHeard{report("n2", 1, "dc9", "r9")});
+  Node.send(ReportReceived{report("n2", 1, "dc9", "r9")});
   Node.arrive(2);
   cr_assert(Node.first<StartAttempt>()->To.Node == core::NodeId("n2"));
   // Its next report brings it back.
-  Node.send(ReportHeard{report("n1", 2)});
+  Node.send(ReportReceived{report("n1", 2)});
   Node.arrive(3);
   cr_assert(Node.first<StartAttempt>()->To.Node == core::NodeId("n1"));
 }
@@ -165,7 +165,7 @@
 Test(mesh_requests, a_request_that_ran_is_not_refused_as_not_run) {
   Bench Node;
   Node.configure();
-  Node.send(ReportHeard{report("n1")});
+  Node.send(ReportReceived{report("n1")});
   // The failed answer of the target is delivered when no repeat is possible.
   {
     Node.arrive(1);
@@ -175,7 +175,7 @@
   }
   // So it is when the repeat is refused by the last target.
   {
-    Node.send(ReportHeard{report("n2")});
+    Node.send(ReportReceived{report("n2")});
     Node.arrive(2);
     Node.end(*Node.first<StartAttempt>(), AttemptEnd::Held, 500);
     const auto Repeat = Node.first<StartAttempt>();
@@ -187,7 +187,7 @@
   {
     Bench Lone;
     Lone.configure();
-    Lone.send(ReportHeard{report("n1")});
+    Lone.send(ReportReceived{report("n1")});
     Lone.arrive(3);
     Lone.end(*Lone.first<StartAttempt>(), AttemptEnd::NoAnswer);
     cr_assert(Lone.first<Refuse>()->Result == Outcome::Unknown);
--- a/tests/mesh/SharesTest.cpp
+++ b/tests/mesh/SharesTest.cpp
@@ -1,24 +1,24 @@
 #include "MeshBench.h"
-#include "filbertvane/decision/mesh/StopSchedule.h"
+#include "filbertvane/decision/mesh/ShutdownSchedule.h"
 
 using namespace meshbench;
 
 // Guards against repeats that exceed the shared budget when each node sees
 // only its own requests.
 Test(repeat_budget, all_nodes_together_stay_within_it) {
-  const BudgetTerms Terms{0.2, 64, milliseconds(10000)};
+  const SharedRetryBudgetSettings Terms{0.2, 64, milliseconds(10000)};
   constexpr std::size_t Nodes = 18;
-  std::vector<RepeatBudget> Each(Nodes, RepeatBudget(Terms));
+  std::vector<SharedRetryBudget> Each(Nodes, SharedRetryBudget(Terms));
   std::size_t Requests = 0;
   std::size_t Repeats = 0;
   for (int Ms = 0; Ms < 10000; Ms += 10)
     for (std::size_t Node = 0; Node < Nodes; ++Node) {
       if (Ms % 40 == 0) {
-        Each[Node].noteRequest(at(Ms));
+        Each[Node].recordRequest(at(Ms));
         ++Requests;
       }
       // Every node wants to repeat all the time.
-      Repeats += Each[Node].take(Nodes, at(Ms)) ? 1 : 0;
+      Repeats += Each[Node].tryTake(Nodes, at(Ms)) ? 1 : 0;
     }
   const double Budget = 0.2 * static_cast<double>(Requests) + 64;
   cr_assert(static_cast<double>(Repeats) <= Budget, "%zu", Repeats);
@@ -27,13 +27,13 @@
 
 // Guards against a budget that is never filled again, or at once.
 Test(repeat_budget, it_is_that_of_the_last_window) {
-  RepeatBudget Budget({0.2, 10, milliseconds(10000)});
+  SharedRetryBudget Budget({0.2, 10, milliseconds(10000)});
   std::size_t Taken = 0;
-  while (Budget.take(1, at(0)))
+  while (Budget.tryTake(1, at(0)))
     ++Taken;
   cr_assert(Taken == 6, "%zu", Taken);
-  cr_assert(!Budget.take(1, at(9000)));
-  cr_assert(Budget.take(1, at(10000)));
+  cr_assert(!Budget.tryTake(1, at(9000)));
+  cr_assert(Budget.tryTake(1, at(10000)));
 }
 
 // Guards against a part of a split that gets more or less than its weight.
@@ -58,9 +58,9 @@
 
 // Guards against a shutdown that never ends under load and cuts requests.
 Test(stop_schedule, a_loaded_node_stops_taking_before_it_ends) {
-  const StopSchedule Stop(at(0), milliseconds(6000));
-  cr_assert(Stop.at(at(2000), 0) == StopStep::Serve);
-  cr_assert(Stop.at(at(2400), 3) == StopStep::Finish);
-  cr_assert(Stop.at(at(2400), 0) == StopStep::End);
-  cr_assert(Stop.at(at(5700), 3) == StopStep::End);
+  const ShutdownSchedule Stop(at(0), milliseconds(6000));
+  cr_assert(Stop.stepAt(at(2000), 0) == ShutdownStep::Accept);
+  cr_assert(Stop.stepAt(at(2400), 3) == ShutdownStep::Drain);
+  cr_assert(Stop.stepAt(at(2400), 0) == ShutdownStep::Exit);
+  cr_assert(Stop.stepAt(at(5700), 3) == ShutdownStep::Exit);
 }
--- a/tests/mesh/SlotQueueLoadTest.cpp
+++ b/tests/mesh/SlotQueueLoadTest.cpp
@@ -85,17 +85,17 @@
     Who.AcceptLate = true;
     ++Result.Asked;
     Since.emplace(Who.Id, Now);
-    const SlotVerdict Verdict = Queue.arrive(Who, Now);
-    if (Verdict.What == SlotVerdict::Kind::Start)
+    const SlotVerdict Verdict = Queue.submit(Who, Now);
+    if (Verdict.Action == SlotVerdict::ActionKind::Start)
       start(Who.Id);
-    if (Verdict.What == SlotVerdict::Kind::Refuse)
+    if (Verdict.Action == SlotVerdict::ActionKind::Refuse)
       refuse(Who.Id);
     return spread(Terms.MeanMs / (Terms.Slots * Terms.Demand));
   }
 
   void serve() {
     while (const auto Turn = Queue.next(Now)) {
-      if (Turn->Verdict.What == SlotVerdict::Kind::Start)
+      if (Turn->Verdict.Action == SlotVerdict::ActionKind::Start)
         start(Turn->Id);
       else
         refuse(Turn->Id);
@@ -113,7 +113,7 @@
     const Run Ended = Running.top();
     Running.pop();
     const core::Microseconds Took = Ended.At - Since.at(Ended.Id);
-    Queue.finished(core::RouteName("list"), Ended.At - Ended.Started);
+    Queue.release(core::RouteName("list"), Ended.At - Ended.Started);
     if (Took <= Terms.Objective)
       ++Result.InTime;
     else if (Took <= Terms.TimeLeft)
--- a/tests/mesh/SlotQueueTest.cpp
+++ b/tests/mesh/SlotQueueTest.cpp
@@ -2,7 +2,7 @@
 #include <algorithm>
 
 using namespace meshbench;
-using Kind = SlotVerdict::Kind;
+using Kind = SlotVerdict::ActionKind;
 
 namespace {
 
@@ -21,8 +21,8 @@
 SlotQueue warmQueue(std::uint32_t Slots = 2) {
   SlotQueue Queue;
   Queue.resize(Slots);
-  Queue.arrive(who(1000, 0, at(0)), at(0));
-  Queue.finished(core::RouteName("list"), milliseconds(100));
+  Queue.submit(who(1000, 0, at(0)), at(0));
+  Queue.release(core::RouteName("list"), milliseconds(100));
   return Queue;
 }
 
@@ -60,12 +60,12 @@
     std::erase_if(Slots, [&](const Running &Each) {
       if (Each.Ends > Now)
         return false;
-      Queue.finished(core::RouteName("list"), milliseconds(100));
+      Queue.release(core::RouteName("list"), milliseconds(100));
       return true;
     });
     while (const auto Turn = Queue.next(Now)) {
       const std::uint64_t Next = Turn->Id.value();
-      if (Turn->Verdict.What == Kind::Start) {
+      if (Turn->Verdict.Action == Kind::Start) {
         Start(Next, Now);
         continue;
       }
@@ -75,12 +75,12 @@
     if (Ms % 25 != 0)
       continue;
     Arrived[++Id] = Now;
-    const auto Verdict = Queue.arrive(
+    const auto Verdict = Queue.submit(
         who(Id, static_cast<std::uint32_t>(Id % 3), Now, 400, 1000, AcceptLate),
         Now);
-    if (Verdict.What == Kind::Start)
+    if (Verdict.Action == Kind::Start)
       Start(Id, Now);
-    else if (Verdict.What == Kind::Refuse)
+    else if (Verdict.Action == Kind::Refuse)
       ++Result.Refused;
   }
   return Result;
@@ -91,46 +91,47 @@
 // Guards against more requests at a target than it has slots.
 Test(slot_queue, slots_are_counted_exactly) {
   SlotQueue Queue = warmQueue();
-  cr_assert(Queue.arrive(who(1, 0, at(0)), at(0)).What == Kind::Start);
-  cr_assert(Queue.arrive(who(2, 0, at(0)), at(0)).What == Kind::Start);
-  cr_assert(Queue.arrive(who(3, 0, at(0)), at(0)).What == Kind::Wait);
+  cr_assert(Queue.submit(who(1, 0, at(0)), at(0)).Action == Kind::Start);
+  cr_assert(Queue.submit(who(2, 0, at(0)), at(0)).Action == Kind::Start);
+  cr_assert(Queue.submit(who(3, 0, at(0)), at(0)).Action == Kind::Wait);
   cr_assert(!Queue.next(at(0)).has_value());
-  Queue.finished(core::RouteName("list"), milliseconds(100));
+  Queue.release(core::RouteName("list"), milliseconds(100));
   cr_assert(Queue.next(at(10))->Id == core::CallId(3));
 }
 
 // Guards against a target that has announced no slots yet.
 Test(slot_queue, without_slots_a_request_is_refused) {
   SlotQueue Queue;
-  cr_assert(Queue.arrive(who(1, 0, at(0)), at(0)).What == Kind::Refuse);
+  cr_assert(Queue.submit(who(1, 0, at(0)), at(0)).Action == Kind::Refuse);
 }
 
 // Guards against a request that waits for a deadline which it cannot meet.
 Test(slot_queue, a_lost_request_is_refused_when_that_is_known) {
   SlotQueue Queue = warmQueue();
   // On arrival: not even half of the usual time is left.
-  cr_assert(Queue.arrive(who(1, 0, at(0), 400, 40), at(0)).What ==
+  cr_assert(Queue.submit(who(1, 0, at(0), 400, 40), at(0)).Action ==
             Kind::Refuse);
   // While it waits: the slots stay taken for longer than expected.
-  Queue.arrive(who(2, 0, at(0)), at(0));
-  Queue.arrive(who(3, 0, at(0)), at(0));
-  cr_assert(Queue.arrive(who(4, 0, at(0), 400, 400), at(0)).What == Kind::Wait);
+  Queue.submit(who(2, 0, at(0)), at(0));
+  Queue.submit(who(3, 0, at(0)), at(0));
+  cr_assert(Queue.submit(who(4, 0, at(0), 400, 400), at(0)).Action ==
+            Kind::Wait);
   const auto Turn = Queue.next(at(360));
   cr_assert(Turn->Id == core::CallId(4));
-  cr_assert(Turn->Verdict.What == Kind::Refuse);
+  cr_assert(Turn->Verdict.Action == Kind::Refuse);
 }
 
 // Guards against urgent requests behind less urgent ones, and against late ones
 // that take the slots of those that can be in time.
 Test(slot_queue, requests_in_time_go_first_by_rank) {
   SlotQueue Queue = warmQueue(1);
-  Queue.arrive(who(1, 0, at(0)), at(0));
-  Queue.arrive(who(2, 2, at(1)), at(1));
-  Queue.arrive(who(3, 1, at(2)), at(2));
-  Queue.arrive(who(4, 0, at(3), 50, 1000, true), at(3));
+  Queue.submit(who(1, 0, at(0)), at(0));
+  Queue.submit(who(2, 2, at(1)), at(1));
+  Queue.submit(who(3, 1, at(2)), at(2));
+  Queue.submit(who(4, 0, at(3), 50, 1000, true), at(3));
   std::vector<std::uint64_t> Order;
   for (int Ms = 10; Ms < 40; Ms += 10) {
-    Queue.finished(core::RouteName("list"), milliseconds(100));
+    Queue.release(core::RouteName("list"), milliseconds(100));
     Order.push_back(Queue.next(at(Ms))->Id.value());
   }
   cr_assert(Order == (std::vector<std::uint64_t>{3, 2, 4}));
--- a/tests/observe/RequestStoryTest.cpp
+++ b/tests/observe/RequestStoryTest.cpp
@@ -81,14 +81,14 @@
   Pipe To;
   LogWriter Log(To.Ends[1], "n1");
   for (int I = 0; I < 1000; ++I)
-    Log.write({EventId::MeshRefused, "request=q"}, at(5000));
-  Log.write({EventId::MeshUnknown, "request=other"}, at(5000));
+    Log.write({EventId::MeshRequestRefused, "request=q"}, at(5000));
+  Log.write({EventId::MeshOutcomeUnknown, "request=other"}, at(5000));
   Log.flush(at(5000));
   const std::string First = To.read();
   cr_assert(std::ranges::count(First, '\n') == LogWriter::LinesPerSecond + 2);
   cr_assert(First.find("of=2002 lines=960") != std::string::npos);
   // The next second has a budget of its own.
-  Log.write({EventId::MeshRefused, "request=q"}, at(6000));
+  Log.write({EventId::MeshRequestRefused, "request=q"}, at(6000));
   Log.flush(at(6000));
   cr_assert(To.read().find("event=2002") != std::string::npos);
 }
@@ -100,7 +100,7 @@
   const std::string Long(2000, 'x');
   for (std::int64_t Second = 0; Second < 100; ++Second) {
     for (int I = 0; I < 40; ++I)
-      Log.write({EventId::MeshRefused, Long}, at(Second * 1000));
+      Log.write({EventId::MeshRequestRefused, Long}, at(Second * 1000));
     Log.flush(at(Second * 1000));
   }
   cr_assert(Log.dropped() > 3000, "%lu", Log.dropped());
--- a/tests/platform/RecordsTest.cpp
+++ b/tests/platform/RecordsTest.cpp
@@ -86,8 +86,8 @@
   cr_assert(core::ok(Read));
   const mesh::TargetAnnounced &Said = core::value(Read);
   cr_assert(Said.Slots == 9 && Said.Sequence == 4);
-  cr_assert(Said.Born == 1782793101000 && !Said.Draining);
-  cr_assert(Said.ColdLeft == milliseconds(500));
+  cr_assert(Said.ProcessStart == 1782793101000 && !Said.Draining);
+  cr_assert(Said.RemainingWarmup == milliseconds(500));
   cr_assert(
       core::failure(platform::decodeAnnouncement("i-1", Beat, "10.0.0.2:80"))
           .Code == core::ErrorCode::AnnouncementForeign);
@@ -126,7 +126,8 @@
                                   core::TargetVersion("v2"), Phase};
     const auto Read = platform::decodeMoveState(
         "rollout/s1", platform::encodeMoveState(Written));
-    cr_assert(Read->Service == Written.Service && Read->To == Written.To);
+    cr_assert(Read->Service == Written.Service &&
+              Read->NewVersion == Written.NewVersion);
     cr_assert(Read->Phase == Phase);
   }
   cr_assert(!platform::decodeMoveState("other/s1", "{}"));
--- a/tests/wire/HostReportCodecTest.cpp
+++ b/tests/wire/HostReportCodecTest.cpp
@@ -14,7 +14,7 @@
   Report.Target->Tallies = {
       {core::RouteName("list"), 10, 2, milliseconds(900)}};
   Report.Moves = {{core::ServiceName("shop"), core::TargetVersion("v2"),
-                   core::LogOffset(5), MovePhase::Condemned,
+                   core::LogOffset(5), MovePhase::Rejected,
                    milliseconds(1200)}};
   const auto Read = wire::decodeHostReport(wire::encode(Report));
   cr_assert(core::ok(Read));
