Restore texts that the renames changed

The renames of the mesh decisions also replaced words within string literals: the metric label value state="doubtful", the log value reason=outdated, and texts of three tests. They are as before again.

Found by comparing the string literals of all changed files with those before the renames; the comparison shows no other difference.

--- a/lib/decision/mesh/Gauges.cpp
+++ b/lib/decision/mesh/Gauges.cpp
@@ -9,7 +9,7 @@
   if (Host.FromStoreOnly)
     return "not_heard_yet";
   if (State.Hosts.isSuspect(Host, Now))
-    return "isSuspect";
+    return "doubtful";
   if (Host.Report.Leaving)
     return "leaving";
   if (!Host.Report.Target)
@@ -51,7 +51,7 @@
 
   // States without a host are written too, so that a former value goes away.
   std::map<std::string, std::size_t> Hosts = {
-      {"ready", 0},       {"isSuspect", 0},      {"not_heard_yet", 0},
+      {"ready", 0},       {"doubtful", 0},      {"not_heard_yet", 0},
       {"leaving", 0},     {"without_target", 0}, {"target_draining", 0},
       {"target_down", 0},
   };
--- a/lib/decision/mesh/ReduceTarget.cpp
+++ b/lib/decision/mesh/ReduceTarget.cpp
@@ -29,7 +29,7 @@
 void Reduction::operator()(const TargetAnnounced &What) {
   if (isOutdated(What)) {
     log(observe::EventId::MeshAnnouncementRejected,
-        fmt::format("target={} born={} sequence={} reason=isOutdated",
+        fmt::format("target={} born={} sequence={} reason=outdated",
                     What.Id.value(), What.ProcessStart, What.Sequence));
     return;
   }
--- a/tests/mesh/GaugesTest.cpp
+++ b/tests/mesh/GaugesTest.cpp
@@ -33,7 +33,7 @@
   {
     Node.Now += milliseconds(2000);
     cr_assert(tells(Node, "filbertvane_hosts{state=\"ready\"} 1\n"));
-    cr_assert(tells(Node, "filbertvane_hosts{state=\"isSuspect\"} 1\n"));
+    cr_assert(tells(Node, "filbertvane_hosts{state=\"doubtful\"} 1\n"));
   }
   // Requests earn repeats: 0.6 of a fifth of a request and of 1000 / 3.
   {
--- a/tests/mesh/OwnTargetTest.cpp
+++ b/tests/mesh/OwnTargetTest.cpp
@@ -194,7 +194,7 @@
   Before.announce();
   Before.send(TargetDeregistered{core::TargetId("own")});
   const auto Published = Before.first<PublishReport>();
-  cr_assert(Published.has_value(), "the store does not addFromStore of it");
+  cr_assert(Published.has_value(), "the store does not learn of it");
   cr_assert(Published->Report.Target->State == TargetState::Draining);
 
   Bench After;
@@ -232,7 +232,7 @@
   Before.announce();
   const auto Published = Before.first<PublishReport>();
   cr_assert(Published.has_value(),
-            "the store does not addFromStore of the target");
+            "the store does not learn of the target");
 
   const auto Restarted = [&Published] {
     Bench Node;
--- a/tests/mesh/PlacementTest.cpp
+++ b/tests/mesh/PlacementTest.cpp
@@ -103,11 +103,11 @@
 // Guards against requests to a host that was not heard, unless none else is
 // left.
 Test(placement, a_doubtful_target_is_the_last_choice) {
-  Candidate Doubtful = candidate("isSuspect", Distance::Local, 0);
+  Candidate Doubtful = candidate("doubtful", Distance::Local, 0);
   Doubtful.Suspect = true;
   cr_assert(chosen({Doubtful, candidate("far", Distance::OtherRegion, 30)},
                    Small) == "far");
-  cr_assert(chosen({Doubtful}, Small) == "isSuspect");
+  cr_assert(chosen({Doubtful}, Small) == "doubtful");
   cr_assert(chosen({}, Small).empty());
 }
 
