--- a/lib/decision/mesh/Gauges.cpp
+++ b/lib/decision/mesh/Gauges.cpp
@@ -4,8 +4,8 @@
 
 namespace {
 
-const char *nameOf(const MeshState &State, const KnownHost &Host,
-                   core::TimePoint Now) {
+const char *stateLabel(const MeshState &State, const KnownHost &Host,
+                       core::TimePoint Now) {
   if (Host.FromStoreOnly)
     return "not_heard_yet";
   if (State.Hosts.isSuspect(Host, Now))
@@ -28,9 +28,9 @@
 } // namespace
 
 void writeGauges(const MeshState &State, core::TimePoint Now,
-                 observe::Metrics &Into) {
-  const auto Set = [&Into](const char *Name, double Value) {
-    Into.set(Name, {}, Value);
+                 observe::Metrics &Output) {
+  const auto Set = [&Output](const char *Name, double Value) {
+    Output.set(Name, {}, Value);
   };
   const TargetLoad Load = State.Slots.load();
   Set("filbertvane_calls", static_cast<double>(State.Calls.size()));
@@ -49,20 +49,21 @@
     Set("filbertvane_config_version",
         static_cast<double>(State.Routing->routing().Version.value()));
 
-  // States without a host are written too, so that a former value goes away.
+  // States without hosts are written as well, to overwrite earlier values.
   std::map<std::string, std::size_t> Hosts = {
-      {"ready", 0},       {"doubtful", 0},      {"not_heard_yet", 0},
+      {"ready", 0},       {"doubtful", 0},       {"not_heard_yet", 0},
       {"leaving", 0},     {"without_target", 0}, {"target_draining", 0},
       {"target_down", 0},
   };
   for (const auto &[Node, Host] : State.Hosts.hosts())
-    ++Hosts[nameOf(State, Host, Now)];
+    ++Hosts[stateLabel(State, Host, Now)];
   for (const auto &[Name, Count] : Hosts)
-    Into.set("filbertvane_hosts", {{"state", Name}},
-             static_cast<double>(Count));
-  for (const auto &[Service, Memory] : State.Services)
-    Into.set("filbertvane_repeats_left", {{"service", Service.value()}},
-             Memory.Budget.remaining(State.Hosts.hosts().size() + 1, Now));
+    Output.set("filbertvane_hosts", {{"state", Name}},
+               static_cast<double>(Count));
+  for (const auto &[Service, ServiceEntry] : State.Services)
+    Output.set(
+        "filbertvane_repeats_left", {{"service", Service.value()}},
+        ServiceEntry.Budget.remaining(State.Hosts.hosts().size() + 1, Now));
 }
 
 } // namespace filbertvane::decision::mesh
--- a/lib/decision/mesh/HostDirectory.cpp
+++ b/lib/decision/mesh/HostDirectory.cpp
@@ -5,28 +5,28 @@
 
 namespace {
 
-/// Datagrams of a former process can arrive for about this time after its
-/// successor was heard.
-constexpr core::Milliseconds ReorderTime{2000};
+/// Datagrams of a previous process may arrive for about this time after the
+/// first one of its successor.
+constexpr core::Milliseconds DatagramReorderTime{2000};
 
-/// Routes that a host's times are kept of; the routes of one service that are
-/// in use are few, and removed ones must not pile up.
-constexpr std::size_t MostRouteTimes = 64;
+/// Maximum number of routes per host whose answer times are kept. Few routes of
+/// one service are in use at a time, and removed ones must not accumulate.
+constexpr std::size_t MaximumRouteTimes = 64;
 
-/// Another target took the place of the one that the times were noted of.
-bool otherTarget(const HostReport &Before, const HostReport &After) {
+/// Whether another target replaced the one whose answer times were recorded.
+bool targetReplaced(const HostReport &Before, const HostReport &After) {
   return Before.Target && After.Target && Before.Target->Id != After.Target->Id;
 }
 
-/// Two processes of a host are ordered by their start; the time of day may have
-/// jumped back between them, so that an older start counts once the newer one
-/// is silent.
-bool outdated(const KnownHost &Known, const HostReport &What,
-              core::TimePoint Now) {
-  if (What.Incarnation == Known.Report.Incarnation)
-    return What.Sequence <= Known.Report.Sequence && !Known.FromStoreOnly;
-  return What.Incarnation < Known.Report.Incarnation &&
-         Now - Known.LastReportAt < ReorderTime;
+/// Processes of a host are ordered by their start. The system clock may have
+/// been set back between them, so that an older start is accepted once the
+/// newer process has been silent for `DatagramReorderTime`.
+bool isOutdated(const KnownHost &Known, const HostReport &Report,
+                core::TimePoint Now) {
+  if (Report.Incarnation == Known.Report.Incarnation)
+    return Report.Sequence <= Known.Report.Sequence && !Known.FromStoreOnly;
+  return Report.Incarnation < Known.Report.Incarnation &&
+         Now - Known.LastReportAt < DatagramReorderTime;
 }
 
 } // namespace
@@ -36,39 +36,39 @@
     : Self(std::move(Self)), DataCentre(std::move(DataCentre)),
       Region(std::move(Region)) {}
 
-Distance HostDirectory::distanceTo(const HostReport &Of) const {
-  if (Of.Node == Self)
+Distance HostDirectory::distanceTo(const HostReport &Host) const {
+  if (Host.Node == Self)
     return Distance::Local;
-  if (Of.DataCentre == DataCentre)
+  if (Host.DataCentre == DataCentre)
     return Distance::SameDataCentre;
-  return Of.Region == Region ? Distance::SameRegion : Distance::OtherRegion;
+  return Host.Region == Region ? Distance::SameRegion : Distance::OtherRegion;
 }
 
-std::optional<HostChange> HostDirectory::applyReport(const HostReport &What,
+std::optional<HostChange> HostDirectory::applyReport(const HostReport &Report,
                                                      core::TimePoint Now) {
-  if (What.Node == Self)
+  if (Report.Node == Self)
     return std::nullopt;
-  const auto Found = Hosts.find(What.Node);
+  const auto Found = Hosts.find(Report.Node);
   if (Found == Hosts.end()) {
     if (Hosts.size() >= MaximumHosts)
       return std::nullopt;
     KnownHost Host;
-    Host.Report = What;
-    Host.HostDistance = distanceTo(What);
+    Host.Report = Report;
+    Host.HostDistance = distanceTo(Report);
     Host.LastReportAt = Now;
-    Hosts.emplace(What.Node, std::move(Host));
+    Hosts.emplace(Report.Node, std::move(Host));
     return HostChange{true, false};
   }
   KnownHost &Known = Found->second;
-  if (outdated(Known, What, Now))
+  if (isOutdated(Known, Report, Now))
     return std::nullopt;
   const HostChange Change{Known.FromStoreOnly,
-                          What.Incarnation != Known.Report.Incarnation};
-  if (otherTarget(Known.Report, What)) {
+                          Report.Incarnation != Known.Report.Incarnation};
+  if (targetReplaced(Known.Report, Report)) {
     Known.RouteTimes.clear();
     Known.AtCapacityUntil.clear();
   }
-  Known.Report = What;
+  Known.Report = Report;
   Known.LastReportAt = Now;
   Known.SentSinceLoadUpdate = 0;
   Known.Unreachable = false;
@@ -76,16 +76,17 @@
   return Change;
 }
 
-bool HostDirectory::addFromStore(const HostReport &What, core::TimePoint Now) {
-  if (What.Node == Self || Hosts.contains(What.Node) ||
+bool HostDirectory::addFromStore(const HostReport &Report,
+                                 core::TimePoint Now) {
+  if (Report.Node == Self || Hosts.contains(Report.Node) ||
       Hosts.size() >= MaximumHosts)
     return false;
   KnownHost Host;
-  Host.Report = What;
-  Host.HostDistance = distanceTo(What);
+  Host.Report = Report;
+  Host.HostDistance = distanceTo(Report);
   Host.LastReportAt = Now;
   Host.FromStoreOnly = true;
-  Hosts.emplace(What.Node, std::move(Host));
+  Hosts.emplace(Report.Node, std::move(Host));
   return true;
 }
 
@@ -98,26 +99,26 @@
   Known->SentSinceLoadUpdate = 0;
   if (Load.RouteTime.count() <= 0)
     return;
-  if (Known->RouteTimes.size() >= MostRouteTimes)
+  if (Known->RouteTimes.size() >= MaximumRouteTimes)
     Known->RouteTimes.clear();
   Known->RouteTimes[Route] = Load.RouteTime;
 }
 
 void HostDirectory::markAtCapacity(const core::NodeId &Node,
-                                   const RequestClass &What,
+                                   const RequestClass &Class,
                                    core::TimePoint Until) {
   KnownHost *Known = find(Node);
   if (Known == nullptr)
     return;
-  if (Known->AtCapacityUntil.size() >= MostRouteTimes)
+  if (Known->AtCapacityUntil.size() >= MaximumRouteTimes)
     Known->AtCapacityUntil.clear();
-  Known->AtCapacityUntil[What] = Until;
+  Known->AtCapacityUntil[Class] = Until;
 }
 
 bool HostDirectory::isAtCapacity(const KnownHost &Host,
-                                 const RequestClass &What,
+                                 const RequestClass &Class,
                                  core::TimePoint Now) {
-  const auto Found = Host.AtCapacityUntil.find(What);
+  const auto Found = Host.AtCapacityUntil.find(Class);
   return Found != Host.AtCapacityUntil.end() && Now < Found->second;
 }
 
--- a/lib/decision/mesh/LinkPacer.cpp
+++ b/lib/decision/mesh/LinkPacer.cpp
@@ -5,39 +5,39 @@
 
 namespace {
 
-/// Part of the link for the bytes of large answers. Packets add 3% to them, and
-/// short answers and messages between nodes take 4% of the thinnest links.
-constexpr double BulkPart = 0.92;
-/// Bytes that are sent at once: a short answer waits for 7 ms behind them at
-/// 10 Mbit/s.
-constexpr double PieceBytes = 8.0 * 1024;
-/// Links at which the largest answers (540 KB) take less than 50 ms need no
-/// limit.
-constexpr double FastBytesPerSecond = 12.5e6;
+/// Share of the link for the payload of large answers. Packet headers add 3%,
+/// and short answers and messages between nodes take 4% of the slowest links.
+constexpr double LargeAnswerShare = 0.92;
+/// Bytes sent at once: at 10 Mbit/s a short answer waits 7 ms behind them.
+constexpr double ChunkBytes = 8.0 * 1024;
+/// Rate from which a link needs no limit: the largest answers (540 KB) take
+/// less than 50 ms.
+constexpr double UnpacedBytesPerSecond = 12.5e6;
 
 } // namespace
 
 LinkPacer::LinkPacer(double LinkBytesPerSecond)
-    : BytesPerSecond(BulkPart * LinkBytesPerSecond), Credit(PieceBytes) {}
+    : BytesPerSecond(LargeAnswerShare * LinkBytesPerSecond),
+      Credit(ChunkBytes) {}
 
 bool LinkPacer::isPaced(std::size_t Bytes) const {
-  return BytesPerSecond > 0 && BytesPerSecond < FastBytesPerSecond &&
+  return BytesPerSecond > 0 && BytesPerSecond < UnpacedBytesPerSecond &&
          Bytes > LargeAnswerBytes;
 }
 
 double LinkPacer::credit(core::TimePoint Now) const {
-  const double Passed =
+  const double ElapsedSeconds =
       static_cast<double>(core::Microseconds(Now - UpdatedAt).count()) * 1e-6;
-  return std::min(PieceBytes, Credit + Passed * BytesPerSecond);
+  return std::min(ChunkBytes, Credit + ElapsedSeconds * BytesPerSecond);
 }
 
 std::size_t LinkPacer::takeChunk(core::TimePoint Now) {
   Credit = credit(Now);
   UpdatedAt = Now;
-  if (Credit < PieceBytes)
+  if (Credit < ChunkBytes)
     return 0;
   Credit = 0;
-  return static_cast<std::size_t>(PieceBytes);
+  return static_cast<std::size_t>(ChunkBytes);
 }
 
 core::Microseconds LinkPacer::transmissionTime(std::size_t Bytes) const {
@@ -48,10 +48,10 @@
 }
 
 core::TimePoint LinkPacer::nextChunkAt(core::TimePoint Now) const {
-  const double Missing = std::max(0.0, PieceBytes - credit(Now));
-  return Now +
-         core::Microseconds(
-             static_cast<std::int64_t>(Missing / BytesPerSecond * 1e6) + 1);
+  const double MissingBytes = std::max(0.0, ChunkBytes - credit(Now));
+  return Now + core::Microseconds(static_cast<std::int64_t>(
+                                      MissingBytes / BytesPerSecond * 1e6) +
+                                  1);
 }
 
 } // namespace filbertvane::decision::mesh
--- a/lib/decision/mesh/ReduceArrival.cpp
+++ b/lib/decision/mesh/ReduceArrival.cpp
@@ -9,132 +9,139 @@
 
 namespace {
 
-/// Return time of a caller when no configuration is known yet: a new node
+/// Retry delay stated to callers while no configuration is loaded: a new node
 /// reads it within about this time.
-constexpr core::Milliseconds StartupReturn{300};
+constexpr core::Milliseconds StartupRetryAfter{300};
 constexpr int StatusNotFound = 404;
 constexpr int StatusTooLarge = 413;
-/// Part of the latency objective that is not planned with: the way between the
-/// caller and this node, which it does not see (2 to 16 ms there and back), and
-/// the turns of its own loop.
-constexpr core::Milliseconds UnseenWay{20};
-/// The same for objectives that are shorter than ten times that.
-constexpr int ShortObjectiveParts = 10;
-/// Time after which other nodes know that this one stops.
-constexpr core::Milliseconds StopReportTime{500};
-/// Deadline of a request that states none on either side.
-constexpr core::Milliseconds UsualTimeLeft{5000};
+/// Part of the latency objective reserved for what this node does not observe:
+/// the round trip between the caller and this node (2 to 16 ms) and the delays
+/// of its own event loop.
+constexpr core::Milliseconds ObjectiveReserve{20};
+/// For short objectives the reserve is the objective divided by this.
+constexpr int ShortObjectiveDivisor = 10;
+/// Time within which other nodes learn that this one is leaving.
+constexpr core::Milliseconds LeavingReportDelay{500};
+/// Time left for a request when its sender states no deadline.
+constexpr core::Milliseconds DefaultTimeLeft{5000};
 
-request::Refuse refusal(core::CallId Id, ErrorCode Why, std::string Detail) {
-  request::Refuse Out;
-  Out.Id = Id;
-  Out.Result = request::Outcome::NotRun;
-  Out.Reason = {Why, std::move(Detail)};
-  return Out;
+request::Refuse refusal(core::CallId Id, ErrorCode Reason, std::string Detail) {
+  request::Refuse Refusal;
+  Refusal.Id = Id;
+  Refusal.Result = request::Outcome::NotRun;
+  Refusal.Reason = {Reason, std::move(Detail)};
+  return Refusal;
 }
 
 } // namespace
 
-void Reduction::operator()(const request::CallArrived &What) {
-  State.LinkFreeAt = Now + What.LinkWait;
+void Reduction::operator()(const request::CallArrived &Arrival) {
+  State.LinkFreeAt = Now + Arrival.LinkWait;
   if (State.Calls.size() >= MaximumCalls) {
     log(observe::EventId::MeshRequestRefused,
-        fmt::format("request={} reason=calls calls={}", What.CallerId,
+        fmt::format("request={} reason=calls calls={}", Arrival.CallerId,
                     State.Calls.size()));
-    request::Refuse Full = refusal(What.Id, ErrorCode::RequestTooManyCalls, "");
-    Full.RetryAfter = MaximumRetryAfter;
-    Produced.emplace_back(std::move(Full));
+    request::Refuse TooManyCalls =
+        refusal(Arrival.Id, ErrorCode::RequestTooManyCalls, "");
+    TooManyCalls.RetryAfter = MaximumRetryAfter;
+    Produced.emplace_back(std::move(TooManyCalls));
     return;
   }
-  if (What.FromNode)
-    acceptFromPeer(What);
+  if (Arrival.FromNode)
+    acceptFromPeer(Arrival);
   else
-    acceptFromCaller(What);
+    acceptFromCaller(Arrival);
 }
 
-void Reduction::acceptFromPeer(const request::CallArrived &What) {
-  const bool Here = State.Target && State.Target->State == TargetState::Ready &&
-                    What.Target == State.Target->Announcement.Id;
-  // Reports of the stop may still be under way.
-  const bool Stopped =
-      State.Draining && Now >= State.ReportLeavingAt + StopReportTime;
-  if (!Here || Stopped || !What.Terms) {
-    request::Refuse Gone =
-        refusal(What.Id, ErrorCode::RequestDraining, "target is not here");
+void Reduction::acceptFromPeer(const request::CallArrived &Arrival) {
+  const bool IsServed = State.Target &&
+                        State.Target->State == TargetState::Ready &&
+                        Arrival.Target == State.Target->Announcement.Id;
+  // Reports that this node is leaving may still be in transit.
+  const bool HasLeft =
+      State.Draining && Now >= State.ReportLeavingAt + LeavingReportDelay;
+  if (!IsServed || HasLeft || !Arrival.Terms) {
+    request::Refuse NoTarget = refusal(Arrival.Id, ErrorCode::RequestDraining,
+                                       "target is not on this host");
     log(observe::EventId::MeshRequestRefused,
-        fmt::format("request={} reason=target_gone expected={}", What.CallerId,
-                    What.Target.value_or(core::TargetId()).value()));
-    Produced.emplace_back(std::move(Gone));
+        fmt::format("request={} reason=target_gone expected={}",
+                    Arrival.CallerId,
+                    Arrival.Target.value_or(core::TargetId()).value()));
+    Produced.emplace_back(std::move(NoTarget));
     return;
   }
   MeshCall Call;
-  Call.Id = What.Id;
+  Call.Id = Arrival.Id;
   Call.FromPeer = true;
-  Call.CallerId = What.CallerId;
-  Call.Caller = What.Caller.value_or(core::ServiceName());
+  Call.CallerId = Arrival.CallerId;
+  Call.Caller = Arrival.Caller.value_or(core::ServiceName());
   Call.Service = State.Target->Announcement.Service;
-  Call.Terms = *What.Terms;
+  Call.Terms = *Arrival.Terms;
   Call.ArrivedAt = Now;
-  Call.Objective = Now + What.Terms->ObjectiveLeft;
-  Call.Deadline = Now + What.TimeLeft.value_or(UsualTimeLeft);
+  Call.Objective = Now + Arrival.Terms->ObjectiveLeft;
+  Call.Deadline = Now + Arrival.TimeLeft.value_or(DefaultTimeLeft);
   if (stateOf(Call.Terms.Route).MeanAnswerBytes > LinkPacer::LargeAnswerBytes)
-    Call.LinkWait = What.LinkWait;
+    Call.LinkWait = Arrival.LinkWait;
   const bool LinkBusy = Call.LinkWait > MaximumLinkWait;
-  MeshCall &Taken = State.Calls.emplace(What.Id, std::move(Call)).first->second;
+  MeshCall &Accepted =
+      State.Calls.emplace(Arrival.Id, std::move(Call)).first->second;
   if (LinkBusy)
-    return refuse(Taken, ErrorCode::RequestWouldBeLate);
-  enqueue(Taken);
+    return refuse(Accepted, ErrorCode::RequestWouldBeLate);
+  enqueue(Accepted);
 }
 
-void Reduction::acceptFromCaller(const request::CallArrived &What) {
+void Reduction::acceptFromCaller(const request::CallArrived &Arrival) {
   if (!State.Routing) {
-    request::Refuse NotReady = refusal(What.Id, ErrorCode::RequestNotReady, "");
-    NotReady.RetryAfter = StartupReturn;
+    request::Refuse NotReady =
+        refusal(Arrival.Id, ErrorCode::RequestNotReady, "");
+    NotReady.RetryAfter = StartupRetryAfter;
     log(observe::EventId::MeshRequestRefused,
-        fmt::format("request={} reason=no_configuration", What.CallerId));
+        fmt::format("request={} reason=no_configuration", Arrival.CallerId));
     Produced.emplace_back(std::move(NotReady));
     return;
   }
-  auto Route = State.Routing->match(What.VirtualHost, What.Path);
+  auto Route = State.Routing->match(Arrival.VirtualHost, Arrival.Path);
   const config::Routing &Routing = State.Routing->routing();
   if (!Route) {
-    request::Refuse Unknown = refusal(What.Id, ErrorCode::RequestNoRoute, "");
-    Unknown.Status = StatusNotFound;
+    request::Refuse NoRoute =
+        refusal(Arrival.Id, ErrorCode::RequestNoRoute, "");
+    NoRoute.Status = StatusNotFound;
     log(observe::EventId::MeshRequestRefused,
-        fmt::format("request={} reason=no_route config={}", What.CallerId,
+        fmt::format("request={} reason=no_route config={}", Arrival.CallerId,
                     Routing.Version.value()));
-    Produced.emplace_back(std::move(Unknown));
+    Produced.emplace_back(std::move(NoRoute));
     return;
   }
   if (Routing.Limits.BodyBytes > 0 &&
-      What.ContentLength > Routing.Limits.BodyBytes) {
+      Arrival.ContentLength > Routing.Limits.BodyBytes) {
     request::Refuse TooLarge =
-        refusal(What.Id, ErrorCode::RequestTooLarge, "body");
+        refusal(Arrival.Id, ErrorCode::RequestTooLarge, "body");
     TooLarge.Status = StatusTooLarge;
     log(observe::EventId::MeshRequestRefused,
-        fmt::format("request={} reason=body bytes={}", What.CallerId,
-                    What.ContentLength));
+        fmt::format("request={} reason=body bytes={}", Arrival.CallerId,
+                    Arrival.ContentLength));
     Produced.emplace_back(std::move(TooLarge));
     return;
   }
   MeshCall Call;
-  Call.Id = What.Id;
-  Call.CallerId = What.CallerId;
+  Call.Id = Arrival.Id;
+  Call.CallerId = Arrival.CallerId;
   Call.Caller = State.Settings.Service;
   Call.Route = Route;
   Call.Service = stateOf(Route->Name).ServiceSplit.next(Route->Services);
   Call.ArrivedAt = Now;
-  const core::Milliseconds Unseen =
-      std::min(UnseenWay, Route->Objective / ShortObjectiveParts);
-  Call.Objective = Now + Route->Objective - Unseen;
+  const core::Milliseconds Reserve =
+      std::min(ObjectiveReserve, Route->Objective / ShortObjectiveDivisor);
+  Call.Objective = Now + Route->Objective - Reserve;
   Call.Deadline =
-      Now + std::min(What.TimeLeft.value_or(Route->Timeout), Route->Timeout);
+      Now + std::min(Arrival.TimeLeft.value_or(Route->Timeout), Route->Timeout);
   if (State.ShutdownDeadline && Now > State.AcceptsAllUntil &&
       Call.Deadline > *State.ShutdownDeadline) {
-    request::Refuse Stopping = refusal(What.Id, ErrorCode::RequestDraining, "");
+    request::Refuse Stopping =
+        refusal(Arrival.Id, ErrorCode::RequestDraining, "");
     Stopping.RetryAfter = MinimumRetryAfter;
     log(observe::EventId::MeshRequestRefused,
-        fmt::format("request={} reason=stopping", What.CallerId));
+        fmt::format("request={} reason=stopping", Arrival.CallerId));
     Produced.emplace_back(std::move(Stopping));
     return;
   }
@@ -142,28 +149,28 @@
   Call.Terms.Rank = Route->Rank;
   Call.Terms.Idempotent = Route->Idempotent;
   stateOf(Call.Service).Budget.recordRequest(Now);
-  place(State.Calls.emplace(What.Id, std::move(Call)).first->second);
+  place(State.Calls.emplace(Arrival.Id, std::move(Call)).first->second);
 }
 
 void Reduction::enqueue(MeshCall &Call) {
   Call.Phase = CallPhase::Queued;
   Call.CurrentHost = State.Settings.Node;
-  SlotRequest Who;
-  Who.Id = Call.Id;
-  Who.Route = Call.Terms.Route;
-  Who.Rank = Call.Terms.Rank;
-  Who.Objective = Call.Objective;
-  // The answer has to cross the link before the deadline as well. Most wait for
-  // less than all queued bytes, since smaller answers go first, so that the
-  // objective is not shortened by them.
-  Who.Deadline = Call.Deadline - Call.LinkWait;
-  Who.AcceptLate = Call.Terms.AcceptLate;
-  const SlotVerdict Verdict = State.Slots.submit(Who, Now);
+  SlotRequest Request;
+  Request.Id = Call.Id;
+  Request.Route = Call.Terms.Route;
+  Request.Rank = Call.Terms.Rank;
+  Request.Objective = Call.Objective;
+  // The answer must cross the link before the deadline as well. The objective
+  // is not shortened: most answers wait for less than all queued bytes, since
+  // smaller answers go first.
+  Request.Deadline = Call.Deadline - Call.LinkWait;
+  Request.AcceptLate = Call.Terms.AcceptLate;
+  const SlotVerdict Verdict = State.Slots.submit(Request, Now);
   switch (Verdict.Action) {
   case SlotVerdict::ActionKind::Start:
     return sendToTarget(Call);
   case SlotVerdict::ActionKind::Wait:
-    // It may have displaced another one, which is told at once.
+    // The request may have evicted another one, which is refused at once.
     return dispatchQueue();
   case SlotVerdict::ActionKind::Refuse:
     if (Call.FromPeer)
@@ -176,21 +183,21 @@
 void Reduction::dispatchQueue() {
   if (!State.Target || State.Target->State == TargetState::Down)
     return;
-  while (const auto Turn = State.Slots.next(Now)) {
-    MeshCall *Call = find(Turn->Id);
+  while (const auto Next = State.Slots.next(Now)) {
+    MeshCall *Call = find(Next->Id);
     if (Call == nullptr) {
-      if (Turn->Verdict.Action == SlotVerdict::ActionKind::Start)
+      if (Next->Verdict.Action == SlotVerdict::ActionKind::Start)
         State.Slots.release({}, std::nullopt);
       continue;
     }
-    const bool Displaced = Turn->Verdict.Reason == ErrorCode::RequestQueueFull;
-    if (Turn->Verdict.Action == SlotVerdict::ActionKind::Start) {
+    const bool WasEvicted = Next->Verdict.Reason == ErrorCode::RequestQueueFull;
+    if (Next->Verdict.Action == SlotVerdict::ActionKind::Start) {
       sendToTarget(*Call);
-    } else if (Displaced && !Call->FromPeer) {
+    } else if (WasEvicted && !Call->FromPeer) {
       Call->LateHosts.push_back(State.Settings.Node);
       place(*Call);
     } else {
-      refuse(*Call, Turn->Verdict.Reason);
+      refuse(*Call, Next->Verdict.Reason);
     }
   }
 }
@@ -211,8 +218,9 @@
   Start.Service = Call.Service;
   Start.Caller = Call.Caller;
   Start.HoldAnswer = true;
-  // A kept connection can carry a late answer to an earlier request, or close
-  // as the request arrives; neither can be repaired by a repeat here.
+  // A kept-alive connection may carry a late answer to an earlier request, or
+  // close as the request arrives; a request that is not idempotent cannot be
+  // retried after either.
   Start.FreshConnection = !Call.Terms.Idempotent;
   Produced.emplace_back(std::move(Start));
 }
--- a/lib/decision/mesh/ReduceAttempts.cpp
+++ b/lib/decision/mesh/ReduceAttempts.cpp
@@ -10,17 +10,17 @@
 namespace {
 
 constexpr int FirstServerError = 500;
-/// Weight of one answer in the recent part of faults: a target that fails half
-/// of its requests shows within some ten answers.
+/// Weight of one answer in the moving average of faults: a target that fails
+/// half of its requests stands out within about ten answers.
 constexpr double FaultWeight = 0.06;
-/// Weight of one answer in the mean size of a route's answers.
+/// Weight of one answer in the moving average of answer sizes.
 constexpr double SizeWeight = 0.05;
 constexpr int StatusBadGateway = 502;
-/// One in so many answers that went as they should gets a log line.
-constexpr std::uint64_t ServedSample = 32;
+/// One of this many routine answers is logged.
+constexpr std::uint64_t ServedLogInterval = 32;
 constexpr int StatusGatewayTimeout = 504;
-/// A target that had this many times the usual time is to blame when the
-/// deadline passes.
+/// Multiple of the typical answer time after which a passed deadline is a fault
+/// of the target.
 constexpr int AmpleTimeFactor = 2;
 
 std::int64_t millis(core::Microseconds Time) {
@@ -29,41 +29,42 @@
 
 } // namespace
 
-void Reduction::operator()(const request::AnswerStarted &What) {
-  MeshCall *Call = find(What.Id);
-  if (Call != nullptr && Call->Attempt == What.Attempt)
+void Reduction::operator()(const request::AnswerStarted &Started) {
+  MeshCall *Call = find(Started.Id);
+  if (Call != nullptr && Call->Attempt == Started.Attempt)
     Call->AnswerStarted = true;
 }
 
-void Reduction::operator()(const request::AttemptEnded &What) {
-  MeshCall *Call = find(What.Id);
+void Reduction::operator()(const request::AttemptEnded &Ended) {
+  MeshCall *Call = find(Ended.Id);
   if (Call == nullptr || Call->Phase == CallPhase::Queued ||
-      Call->Attempt != What.Attempt)
+      Call->Attempt != Ended.Attempt)
     return;
   if (Call->Phase == CallPhase::AtTarget)
-    finishTargetAttempt(*Call, What);
+    finishTargetAttempt(*Call, Ended);
   else
-    finishPeerAttempt(*Call, What);
+    finishPeerAttempt(*Call, Ended);
 }
 
 void Reduction::recordTargetAttempt(const MeshCall &Call,
-                                    const request::AttemptEnded &What,
+                                    const request::AttemptEnded &Ended,
                                     bool Fault) {
   if (!State.Target || State.Target->Generation != Call.TargetGeneration)
     return;
   LocalTarget &Target = *State.Target;
-  const core::Microseconds Took = Now - Call.SentAt;
+  const core::Microseconds AnswerTime = Now - Call.SentAt;
   const bool Answered =
-      (What.End == AttemptEnd::Held || What.End == AttemptEnd::Answered) &&
-      What.Status < FirstServerError;
-  State.Slots.release(Call.Terms.Route,
-                      Answered && !Fault ? std::optional(Took) : std::nullopt);
+      (Ended.End == AttemptEnd::Held || Ended.End == AttemptEnd::Answered) &&
+      Ended.Status < FirstServerError;
+  State.Slots.release(Call.Terms.Route, Answered && !Fault
+                                            ? std::optional(AnswerTime)
+                                            : std::nullopt);
   Target.FaultRatio += FaultWeight * ((Fault ? 1.0 : 0.0) - Target.FaultRatio);
   if (Answered)
     Target.LastAnswerAt = Now;
-  // A refused request says nothing about the version, and a cold target is slow
-  // in each version.
-  if (What.End == AttemptEnd::NotRun || Now < Target.WarmAt ||
+  // A refused request is no evidence about the version, and a target that is
+  // still warming up is slow in any version.
+  if (Ended.End == AttemptEnd::NotRun || Now < Target.WarmAt ||
       (!Answered && !Fault))
     return;
   RouteTally &Tally = Target.Tallies[Call.Terms.Route];
@@ -72,61 +73,63 @@
   if (Fault)
     ++Tally.Faults;
   else
-    Tally.TotalTime += std::chrono::duration_cast<core::Milliseconds>(Took);
+    Tally.TotalTime +=
+        std::chrono::duration_cast<core::Milliseconds>(AnswerTime);
 }
 
 void Reduction::finishTargetAttempt(MeshCall &Call,
-                                    const request::AttemptEnded &What) {
-  const bool Broken = What.End == AttemptEnd::NoAnswer ||
-                      What.End == AttemptEnd::BrokenOff ||
-                      What.End == AttemptEnd::NotRun;
+                                    const request::AttemptEnded &Ended) {
+  const bool Broken = Ended.End == AttemptEnd::NoAnswer ||
+                      Ended.End == AttemptEnd::BrokenOff ||
+                      Ended.End == AttemptEnd::NotRun;
   const bool OutOfTime =
-      (What.Status == StatusGatewayTimeout ||
-       (What.End == AttemptEnd::NoAnswer && Now >= Call.Deadline)) &&
+      (Ended.Status == StatusGatewayTimeout ||
+       (Ended.End == AttemptEnd::NoAnswer && Now >= Call.Deadline)) &&
       !hadAmpleTime(Call);
   const bool Failed =
-      What.Status >= FirstServerError && !downstreamCallFailed(Call);
-  recordTargetAttempt(Call, What, (Broken || Failed) && !OutOfTime);
-  const bool SameLife =
+      Ended.Status >= FirstServerError && !downstreamCallFailed(Call);
+  recordTargetAttempt(Call, Ended, (Broken || Failed) && !OutOfTime);
+  const bool SameProcess =
       State.Target && State.Target->Generation == Call.TargetGeneration;
-  if (SameLife && (What.Unreachable || What.Misdirected || What.TargetCrashed))
+  if (SameProcess &&
+      (Ended.Unreachable || Ended.Misdirected || Ended.TargetCrashed))
     setTargetState(TargetState::Down,
-                   What.Misdirected ? "misdirected" : "no connection");
+                   Ended.Misdirected ? "misdirected" : "no connection");
   if (Call.FromPeer)
-    concludePeerCall(Call, What);
+    concludePeerCall(Call, Ended);
   else
-    conclude(Call, What);
+    conclude(Call, Ended);
   dispatchQueue();
 }
 
 void Reduction::concludePeerCall(MeshCall &Call,
-                                 const request::AttemptEnded &What) {
-  switch (What.End) {
+                                 const request::AttemptEnded &Ended) {
+  switch (Ended.End) {
   case AttemptEnd::Held:
-    recordAnswerSize(Call, What.AnswerBytes);
+    recordAnswerSize(Call, Ended.AnswerBytes);
     Produced.emplace_back(request::DeliverAnswer{Call.Id, loadFor(Call)});
     return erase(Call.Id);
   case AttemptEnd::Answered:
   case AttemptEnd::BrokenOff:
     return erase(Call.Id);
   case AttemptEnd::NotRun:
-    return refuse(Call, ErrorCode::RequestRefusedByTarget, What.Reached);
+    return refuse(Call, ErrorCode::RequestRefusedByTarget, Ended.Reached);
   case AttemptEnd::NoAnswer:
     return endWithUnknownOutcome(Call, ErrorCode::RequestNoAnswer);
   }
 }
 
 void Reduction::finishPeerAttempt(MeshCall &Call,
-                                  const request::AttemptEnded &What) {
+                                  const request::AttemptEnded &Ended) {
   if (KnownHost *Host = State.Hosts.find(Call.CurrentHost)) {
     Host->InFlight -= std::min(Host->InFlight, 1U);
-    Host->Unreachable = Host->Unreachable || What.Unreachable;
-    if (What.Load && What.Load->RouteTime.count() > 0)
-      stateOf(Call.Terms.Route).LastMeanTime = What.Load->RouteTime;
-    if (What.Load)
-      State.Hosts.updateLoad(Call.CurrentHost, *What.Load, Call.Terms.Route);
+    Host->Unreachable = Host->Unreachable || Ended.Unreachable;
+    if (Ended.Load && Ended.Load->RouteTime.count() > 0)
+      stateOf(Call.Terms.Route).LastMeanTime = Ended.Load->RouteTime;
+    if (Ended.Load)
+      State.Hosts.updateLoad(Call.CurrentHost, *Ended.Load, Call.Terms.Route);
   }
-  conclude(Call, What);
+  conclude(Call, Ended);
 }
 
 TargetLoad Reduction::loadFor(const MeshCall &Call) const {
@@ -137,8 +140,8 @@
   return Load;
 }
 
-/// A target that could not make a call of its own answers with a failure too;
-/// the service that it called is to blame.
+/// A target whose own call failed answers with a failure as well; the fault is
+/// that of the service it called.
 bool Reduction::downstreamCallFailed(const MeshCall &Call) const {
   return State.LastCallFailureAt >= Call.SentAt;
 }
@@ -149,7 +152,8 @@
     State.LastCallFailureAt = Now;
 }
 
-/// A request that came with little time left says nothing about its target.
+/// A passed deadline is no fault of the target if the request arrived with
+/// little time left.
 bool Reduction::hadAmpleTime(const MeshCall &Call) const {
   return Now - Call.SentAt >
          State.Slots.typicalTime(Call.Terms.Route) * AmpleTimeFactor;
@@ -163,21 +167,22 @@
       .Budget.tryTake(State.Hosts.hosts().size() + 1, Now);
 }
 
-void Reduction::conclude(MeshCall &Call, const request::AttemptEnded &What) {
-  switch (What.End) {
+void Reduction::conclude(MeshCall &Call, const request::AttemptEnded &Ended) {
+  switch (Ended.End) {
   case AttemptEnd::Held:
-    return concludeAnswer(Call, What);
+    return concludeAnswer(Call, Ended);
   case AttemptEnd::Answered:
   case AttemptEnd::BrokenOff:
-    log(What.End == AttemptEnd::Answered ? observe::EventId::MeshRequestAnswered
-                                         : observe::EventId::MeshOutcomeUnknown,
-        fmt::format("{} status={} streamed=1", describe(Call), What.Status));
+    log(Ended.End == AttemptEnd::Answered
+            ? observe::EventId::MeshRequestAnswered
+            : observe::EventId::MeshOutcomeUnknown,
+        fmt::format("{} status={} streamed=1", describe(Call), Ended.Status));
     return erase(Call.Id);
   case AttemptEnd::NotRun:
-    if (!What.Reached) {
-      (What.Unreachable ? Call.TriedHosts : Call.LateHosts)
+    if (!Ended.Reached) {
+      (Ended.Unreachable ? Call.TriedHosts : Call.LateHosts)
           .push_back(Call.CurrentHost);
-      if (!What.Unreachable && What.Load)
+      if (!Ended.Unreachable && Ended.Load)
         State.Hosts.markAtCapacity(
             Call.CurrentHost, {Call.Terms.Route, Call.Terms.AcceptLate},
             Now + Call.Route->Objective / AtCapacityObjectiveDivisor);
@@ -202,56 +207,57 @@
   }
 }
 
-void Reduction::recordAnswerSize(const MeshCall &Call, std::uint64_t Size) {
-  double &Bytes = stateOf(Call.Terms.Route).MeanAnswerBytes;
-  const auto Sample = static_cast<double>(Size);
-  Bytes = Bytes == 0 ? Sample : Bytes + SizeWeight * (Sample - Bytes);
+void Reduction::recordAnswerSize(const MeshCall &Call, std::uint64_t Bytes) {
+  double &MeanBytes = stateOf(Call.Terms.Route).MeanAnswerBytes;
+  const auto Sample = static_cast<double>(Bytes);
+  MeanBytes =
+      MeanBytes == 0 ? Sample : MeanBytes + SizeWeight * (Sample - MeanBytes);
 }
 
 void Reduction::concludeAnswer(MeshCall &Call,
-                               const request::AttemptEnded &What) {
+                               const request::AttemptEnded &Ended) {
   ++Call.ReachedTargets;
   Call.MayHaveRun = true;
-  const bool Failed = What.Status >= FirstServerError;
+  const bool Failed = Ended.Status >= FirstServerError;
   if (Failed && Call.Terms.Idempotent && tryTakeRetry(Call)) {
     Call.TriedHosts.push_back(Call.CurrentHost);
     Call.HoldsFailedAnswer = true;
     log(observe::EventId::MeshRequestRetried,
-        fmt::format("{} after=status_{}", describe(Call), What.Status));
+        fmt::format("{} after=status_{}", describe(Call), Ended.Status));
     return place(Call);
   }
-  recordAnswerSize(Call, What.AnswerBytes);
+  recordAnswerSize(Call, Ended.AnswerBytes);
   if (Failed)
     recordCallFailure(Call);
-  logServed(Call, What.Status);
+  logServed(Call, Ended.Status);
   Produced.emplace_back(request::DeliverAnswer{Call.Id, std::nullopt});
   erase(Call.Id);
 }
 
-/// Answers that went as they should are told of one in `ServedSample`; the
-/// budget of lines is for those that somebody may ask about.
+/// Only one of `ServedLogInterval` routine answers is logged: the budget of log
+/// lines is for requests that may need an explanation.
 void Reduction::logServed(const MeshCall &Call, int Status) {
-  const bool Plain = Now <= Call.Objective && Call.Placements <= 1 &&
-                     Status < FirstServerError;
-  if (Plain && Call.Id.value() % ServedSample != 0)
+  const bool Routine = Now <= Call.Objective && Call.Placements <= 1 &&
+                       Status < FirstServerError;
+  if (Routine && Call.Id.value() % ServedLogInterval != 0)
     return;
   log(observe::EventId::MeshRequestAnswered,
       fmt::format("{} status={} late={}", describe(Call), Status,
                   Now > Call.Objective));
 }
 
-void Reduction::operator()(const request::CallerGone &What) {
-  MeshCall *Call = find(What.Id);
+void Reduction::operator()(const request::CallerGone &Gone) {
+  MeshCall *Call = find(Gone.Id);
   if (Call == nullptr)
     return;
   if (!Call->FromPeer)
     log(observe::EventId::MeshCallerGone, describe(*Call));
   abandon(*Call);
-  erase(What.Id);
+  erase(Gone.Id);
   dispatchQueue();
 }
 
-/// Takes the call out of the queue, or cancels it where it was sent.
+/// Removes the call from the queue, or cancels its attempt.
 void Reduction::abandon(MeshCall &Call) {
   switch (Call.Phase) {
   case CallPhase::Queued:
@@ -271,13 +277,13 @@
 
 void Reduction::expire(MeshCall &Call) {
   const bool Queued = Call.Phase == CallPhase::Queued;
-  // A large answer that has started is cut by the sender's own deadline.
+  // The sender cuts off a started large answer at its own deadline.
   if (Call.AnswerStarted)
     return;
   if (Call.Phase == CallPhase::AtTarget) {
-    request::AttemptEnded Late;
-    Late.End = AttemptEnd::NoAnswer;
-    recordTargetAttempt(Call, Late, hadAmpleTime(Call));
+    request::AttemptEnded Ended;
+    Ended.End = AttemptEnd::NoAnswer;
+    recordTargetAttempt(Call, Ended, hadAmpleTime(Call));
     Call.TargetGeneration = 0;
   }
   abandon(Call);
@@ -286,24 +292,25 @@
   endWithUnknownOutcome(Call, ErrorCode::RequestDeadlinePassed);
 }
 
-/// The answer that a target gave says more than an own one in its place.
-void Reduction::deliverHeldFailure(MeshCall &Call, ErrorCode Why) {
+/// The failed answer of the target is more informative than an error of this
+/// node.
+void Reduction::deliverHeldFailure(MeshCall &Call, ErrorCode Reason) {
   recordCallFailure(Call);
   log(observe::EventId::MeshRequestAnswered,
       fmt::format("{} failed=1 repeat=FV{}", describe(Call),
-                  static_cast<int>(Why)));
+                  static_cast<int>(Reason)));
   Produced.emplace_back(request::DeliverAnswer{Call.Id, std::nullopt});
   erase(Call.Id);
 }
 
-void Reduction::refuse(MeshCall &Call, ErrorCode Why, bool Reached) {
+void Reduction::refuse(MeshCall &Call, ErrorCode Reason, bool Reached) {
   if (Call.MayHaveRun)
-    return endWithUnknownOutcome(Call, Why);
+    return endWithUnknownOutcome(Call, Reason);
   recordCallFailure(Call);
   request::Refuse Refusal;
   Refusal.Id = Call.Id;
   Refusal.Result = request::Outcome::NotRun;
-  Refusal.Reason = {Why, Call.Terms.Route.value()};
+  Refusal.Reason = {Reason, Call.Terms.Route.value()};
   Refusal.Reached = Reached;
   if (Call.FromPeer)
     Refusal.Load = loadFor(Call);
@@ -311,29 +318,29 @@
     Refusal.RetryAfter = retryAfter(Call);
   log(observe::EventId::MeshRequestRefused,
       fmt::format("{} reason=FV{} reached={}", describe(Call),
-                  static_cast<int>(Why), Reached));
+                  static_cast<int>(Reason), Reached));
   Produced.emplace_back(std::move(Refusal));
   erase(Call.Id);
 }
 
-void Reduction::endWithUnknownOutcome(MeshCall &Call, ErrorCode Why) {
+void Reduction::endWithUnknownOutcome(MeshCall &Call, ErrorCode Reason) {
   if (Call.HoldsFailedAnswer)
-    return deliverHeldFailure(Call, Why);
+    return deliverHeldFailure(Call, Reason);
   recordCallFailure(Call);
   request::Refuse Refusal;
   Refusal.Id = Call.Id;
   Refusal.Result = request::Outcome::Unknown;
-  Refusal.Reason = {Why, Call.Terms.Route.value()};
-  if (!Call.FromPeer && Why != ErrorCode::RequestDeadlinePassed)
+  Refusal.Reason = {Reason, Call.Terms.Route.value()};
+  if (!Call.FromPeer && Reason != ErrorCode::RequestDeadlinePassed)
     Refusal.Status = StatusBadGateway;
   log(observe::EventId::MeshOutcomeUnknown,
-      fmt::format("{} reason=FV{}", describe(Call), static_cast<int>(Why)));
+      fmt::format("{} reason=FV{}", describe(Call), static_cast<int>(Reason)));
   Produced.emplace_back(std::move(Refusal));
   erase(Call.Id);
 }
 
 std::string Reduction::describe(const MeshCall &Call) const {
-  std::string Text = fmt::format(
+  std::string Description = fmt::format(
       "request={} role={} route={} service={} at={} age_ms={} sent_ms={} "
       "placements={} reached={} late_ok={}",
       Call.CallerId, Call.FromPeer ? "host" : "entry", Call.Terms.Route.value(),
@@ -342,19 +349,20 @@
       Call.Phase == CallPhase::Queued ? -1 : millis(Now - Call.SentAt),
       Call.Placements, Call.ReachedTargets, Call.Terms.AcceptLate);
   if (State.Routing)
-    Text += fmt::format(" config={}", State.Routing->routing().Version.value());
+    Description +=
+        fmt::format(" config={}", State.Routing->routing().Version.value());
   const auto Host = State.Hosts.hosts().find(Call.CurrentHost);
   if (Host != State.Hosts.hosts().end() && Host->second.Report.Target) {
     const TargetLoad &Load = Host->second.Report.Target->Load;
-    Text +=
+    Description +=
         fmt::format(" load={}+{}/{} load_age_ms={}", Load.Running, Load.Waiting,
                     Load.Slots, millis(Now - Host->second.LastReportAt));
   } else if (Call.CurrentHost == State.Settings.Node) {
     const TargetLoad Load = State.Slots.load();
-    Text +=
+    Description +=
         fmt::format(" load={}+{}/{}", Load.Running, Load.Waiting, Load.Slots);
   }
-  return Text;
+  return Description;
 }
 
 } // namespace filbertvane::decision::mesh
--- a/lib/decision/mesh/ReduceHosts.cpp
+++ b/lib/decision/mesh/ReduceHosts.cpp
@@ -7,25 +7,27 @@
 
 namespace {
 
-/// Time that the own connection to the store has for records that another node
-/// already holds; the store's answers to both leave it together.
-constexpr core::Milliseconds FetchAfter{300};
-/// The same where a node of the data centre holds the records and this one does
-/// not follow the store; it gathers changes in quick succession.
-constexpr core::Milliseconds NearFetchAfter{20};
-constexpr const char *FollowDuty = "follow-store";
-/// Time for which a stopping node serves other nodes like before. Its target
-/// goes on while callers of the host learn of the stop, so that only the rest
-/// of the stop and the start of the next process leave the target without work.
-constexpr core::Milliseconds ServeOthersAfterStop{1500};
-/// Time for which a stopping node takes requests of any deadline. Callers know
-/// by then; one that still comes is taken only if it ends before the process.
-constexpr core::Milliseconds TakeAllAfterStop{2500};
+/// Time that this node waits for its own store connection to deliver records
+/// that another node already holds; the store sends its answers to both at the
+/// same time.
+constexpr core::Milliseconds RemoteFetchDelay{300};
+/// The same when a node of the data centre holds the records and this node does
+/// not follow the store; combines changes in quick succession.
+constexpr core::Milliseconds LocalFetchDelay{20};
+constexpr const char *FollowTask = "follow-store";
+/// Time for which a node that shuts down keeps serving other nodes. Its target
+/// goes on running, so that only the rest of the shutdown and the start of the
+/// next process leave the target without requests.
+constexpr core::Milliseconds PeerServiceAfterShutdown{1500};
+/// Time for which a node that shuts down accepts requests with any deadline.
+/// Callers have noticed the shutdown by then; a later request is accepted only
+/// if its deadline is before the exit of the process.
+constexpr core::Milliseconds FullServiceAfterShutdown{2500};
 
 } // namespace
 
-void Reduction::operator()(const ReportReceived &What) {
-  const HostReport &Report = What.Report;
+void Reduction::operator()(const ReportReceived &Received) {
+  const HostReport &Report = Received.Report;
   const auto Change = State.Hosts.applyReport(Report, Now);
   if (!Change)
     return;
@@ -36,24 +38,25 @@
         fmt::format("host={} start={} address={} restarted={}",
                     Report.Node.value(), Report.Incarnation.value(),
                     Report.Address, Change->Restarted));
-    // The other one may not know this node yet.
+    // The sender may not know this node yet.
     reportTo({Report.Address});
   }
 }
 
-void Reduction::operator()(const StoredReportsRead &What) {
-  std::vector<std::string> Fresh;
-  for (const HostReport &Report : What.Reports) {
+void Reduction::operator()(const StoredReportsRead &Stored) {
+  std::vector<std::string> NewAddresses;
+  for (const HostReport &Report : Stored.Reports) {
     if (Report.Node == State.Settings.Node)
       applyFormerReport(Report);
     else if (State.Hosts.addFromStore(Report, Now))
-      Fresh.push_back(Report.Address);
+      NewAddresses.push_back(Report.Address);
   }
-  if (!Fresh.empty())
-    reportTo(std::move(Fresh));
+  if (!NewAddresses.empty())
+    reportTo(std::move(NewAddresses));
 }
 
-/// A former process of this node may have acknowledged that the target leaves.
+/// A previous process of this node may have acknowledged the departure of the
+/// target.
 void Reduction::applyFormerReport(const HostReport &Former) {
   if (Former.Departed && !State.Departed) {
     State.Departed = Former.Departed;
@@ -66,79 +69,79 @@
     inheritTarget(*Former.Target);
 }
 
-/// The target goes on while its node is restarted, and announces itself seconds
-/// later. A request names the target that it is for, so that another one at the
-/// same address runs nothing.
+/// The target keeps running while its node restarts, and announces itself
+/// seconds later. Every request names its target, so that another target at the
+/// same address does not run it.
 void Reduction::inheritTarget(const TargetReport &Former) {
-  const bool Left = State.Departed && State.Departed->Id == Former.Id;
-  if (Left || Former.State != TargetState::Ready || Former.Load.Slots == 0 ||
+  const bool HasLeft = State.Departed && State.Departed->Id == Former.Id;
+  if (HasLeft || Former.State != TargetState::Ready || Former.Load.Slots == 0 ||
       Former.Service != State.Settings.Service)
     return;
-  TargetAnnounced Known;
-  Known.Id = Former.Id;
-  Known.Service = Former.Service;
-  Known.Version = Former.Version;
-  Known.Slots = Former.Load.Slots;
-  replaceTarget(Known);
+  TargetAnnounced Inherited;
+  Inherited.Id = Former.Id;
+  Inherited.Service = Former.Service;
+  Inherited.Version = Former.Version;
+  Inherited.Slots = Former.Load.Slots;
+  replaceTarget(Inherited);
   State.Target->Inherited = true;
-  State.Target->Announcement = Known;
+  State.Target->Announcement = Inherited;
   State.Target->LastAnnouncedAt = Now;
   State.Target->WarmAt = Now;
-  State.Slots.resize(Known.Slots);
+  State.Slots.resize(Inherited.Slots);
   reportToAll();
 }
 
-void Reduction::operator()(const RoutingLoaded &What) {
-  const core::ConfigVersion Version = What.Table->routing().Version;
+void Reduction::operator()(const RoutingLoaded &Loaded) {
+  const core::ConfigVersion Version = Loaded.Table->routing().Version;
   if (State.Routing && State.Routing->routing().Version >= Version)
     return;
-  State.Routing = What.Table;
+  State.Routing = Loaded.Table;
   std::erase_if(State.Routes, [&](const auto &Entry) {
     return std::ranges::none_of(
-        What.Table->routing().Routes,
+        Loaded.Table->routing().Routes,
         [&](const auto &Route) { return Route.Name == Entry.first; });
   });
   log(observe::EventId::MeshRoutingApplied,
       fmt::format("config={} routes={}", Version.value(),
-                  What.Table->routing().Routes.size()));
+                  Loaded.Table->routing().Routes.size()));
   updateReadiness();
 }
 
-void Reduction::operator()(const PositionReached &What) {
-  if (What.Position <= State.Position)
+void Reduction::operator()(const PositionReached &Reached) {
+  if (Reached.Position <= State.Position)
     return;
-  State.Position = What.Position;
+  State.Position = Reached.Position;
   fetchMissingRecords();
   reportPosition();
 }
 
-void Reduction::operator()(const StoreReachabilityChanged &What) {
-  if (State.StoreReachable == What.Reachable)
+void Reduction::operator()(const StoreReachabilityChanged &Change) {
+  if (State.StoreReachable == Change.Reachable)
     return;
-  State.StoreReachable = What.Reachable;
-  log(What.Reachable ? observe::EventId::MeshStoreReachable
-                     : observe::EventId::MeshStoreUnreachable,
+  State.StoreReachable = Change.Reachable;
+  log(Change.Reachable ? observe::EventId::MeshStoreReachable
+                       : observe::EventId::MeshStoreUnreachable,
       fmt::format("position={}", State.Position.value()));
-  // A new node publishes once its target is known, so that one write tells
-  // both; `MeshProcess` does so later where no target announces itself.
-  if (What.Reachable)
+  // A new node publishes once its target is known, so that one write covers
+  // both; `MeshProcess` publishes later if no target announces itself.
+  if (Change.Reachable)
     Produced.emplace_back(PublishReport{makeHostReport(State, Now)});
-  // Where the store turns this node away, another one has to follow it.
-  if (!What.Reachable)
+  // When this node loses the store, another one has to follow it.
+  if (!Change.Reachable)
     reportToAll();
 }
 
-void Reduction::operator()(const ServiceAssigned &What) {
-  State.Settings.Service = What.Service;
+void Reduction::operator()(const ServiceAssigned &Assigned) {
+  State.Settings.Service = Assigned.Service;
 }
 
-void Reduction::operator()(const ShutdownRequested &What) {
+void Reduction::operator()(const ShutdownRequested &Shutdown) {
   if (State.Draining)
     return;
   State.Draining = true;
-  State.ShutdownDeadline = What.Deadline;
-  State.AcceptsAllUntil = Now + TakeAllAfterStop;
-  State.ReportLeavingAt = Now + ServeOthersAfterStop;
+  State.ShutdownDeadline = Shutdown.Deadline;
+  State.AcceptsAllUntil = Now + FullServiceAfterShutdown;
+  State.ReportLeavingAt = Now + PeerServiceAfterShutdown;
   updateReadiness();
 }
 
@@ -164,33 +167,33 @@
 }
 
 void Reduction::reportToAll() {
-  std::vector<std::string> All;
+  std::vector<std::string> Addresses;
   for (const auto &[Node, Host] : State.Hosts.hosts())
-    All.push_back(Host.Report.Address);
-  reportTo(std::move(All));
+    Addresses.push_back(Host.Report.Address);
+  reportTo(std::move(Addresses));
 }
 
-/// Hosts of the own data centre hear in each period, others in each of their
-/// own, longer ones.
+/// Sends reports to the same data centre once per report period, and to other
+/// data centres once per remote report period.
 void Reduction::sendPeriodicReports() {
   if (Now < State.NextReportAt)
     return;
-  // The spread keeps nodes that started together from reporting together.
-  const auto Spread = core::Milliseconds(State.RandomSource.below(50));
-  State.NextReportAt = Now + ReportPeriod + Spread;
-  const bool FarToo = Now >= State.NextRemoteReportAt;
-  if (FarToo)
+  // The jitter keeps nodes that started together from reporting simultaneously.
+  const auto Jitter = core::Milliseconds(State.RandomSource.below(50));
+  State.NextReportAt = Now + ReportPeriod + Jitter;
+  const bool RemoteDue = Now >= State.NextRemoteReportAt;
+  if (RemoteDue)
     State.NextRemoteReportAt =
         Now + State.Hosts.remoteReportPeriod() - ReportPeriod / 2;
-  std::vector<std::string> Chosen;
+  std::vector<std::string> Addresses;
   for (const auto &[Node, Host] : State.Hosts.hosts())
-    if (Host.HostDistance == Distance::SameDataCentre || FarToo)
-      Chosen.push_back(Host.Report.Address);
-  reportTo(std::move(Chosen));
+    if (Host.HostDistance == Distance::SameDataCentre || RemoteDue)
+      Addresses.push_back(Host.Report.Address);
+  reportTo(std::move(Addresses));
 }
 
-/// The own connection to the store usually brings records first. Where it does
-/// not, for a cut or a silent connection, another node has them.
+/// Records usually arrive over the node's own store connection first. When it
+/// is cut or silent, they are fetched from another node.
 void Reduction::fetchMissingRecords() {
   std::vector<const KnownHost *> Nearest;
   for (const auto &[Node, Host] : State.Hosts.hosts()) {
@@ -208,67 +211,69 @@
   }
   if (!State.BehindSince)
     State.BehindSince = Now;
-  // Each host that has the records hands them on, so that no link carries them
-  // for the whole data centre.
+  // A random host among the nearest is asked, so that no single link carries
+  // the records for the whole data centre.
   const KnownHost *Ahead = Nearest[State.RandomSource.below(Nearest.size())];
-  const bool Near =
+  const bool WithinDataCentre =
       Ahead->HostDistance == Distance::SameDataCentre && !State.FollowsStore;
-  if (Now - *State.BehindSince < (Near ? NearFetchAfter : FetchAfter))
+  if (Now - *State.BehindSince <
+      (WithinDataCentre ? LocalFetchDelay : RemoteFetchDelay))
     return;
   State.BehindSince = Now;
   Produced.emplace_back(FetchRecords{Ahead->Report.Address});
 }
 
-/// New records are told at once to the own data centre and to some hosts of
-/// each other one.
+/// Notifies the own data centre and some hosts of each other data centre of new
+/// records at once.
 void Reduction::reportPosition() {
-  std::vector<std::string> Told;
-  std::map<core::DataCentreId, std::vector<std::string>> Others;
+  std::vector<std::string> Recipients;
+  std::map<core::DataCentreId, std::vector<std::string>> RemoteAddresses;
   for (const auto &[Node, Host] : State.Hosts.hosts()) {
     if (Host.Report.Position >= State.Position)
       continue;
     if (Host.HostDistance == Distance::SameDataCentre)
-      Told.push_back(Host.Report.Address);
+      Recipients.push_back(Host.Report.Address);
     else if (State.FollowsStore)
-      Others[Host.Report.DataCentre].push_back(Host.Report.Address);
+      RemoteAddresses[Host.Report.DataCentre].push_back(Host.Report.Address);
   }
-  for (const auto &[Centre, Addresses] : Others) {
+  for (const auto &[Centre, Addresses] : RemoteAddresses) {
     const std::size_t First = State.RandomSource.below(Addresses.size());
     const std::size_t Count =
         std::min(NotifiedHostsPerDataCentre, Addresses.size());
     for (std::size_t I = 0; I < Count; ++I)
-      Told.push_back(Addresses[(First + I) % Addresses.size()]);
+      Recipients.push_back(Addresses[(First + I) % Addresses.size()]);
   }
-  reportTo(std::move(Told));
+  reportTo(std::move(Recipients));
 }
 
-/// The first nodes of the data centre by rank follow the store. A node that the
-/// store does not answer keeps trying, but does not count as a follower.
+/// The nodes of the data centre with the highest rendezvous scores follow the
+/// store. A node that cannot reach the store keeps trying, but does not count
+/// as a follower.
 void Reduction::updateStoreFollowing() {
-  const std::uint64_t Own =
-      core::rendezvousScore(FollowDuty, State.Settings.Node.value());
-  std::size_t Before = 0;
+  const std::uint64_t LocalScore =
+      core::rendezvousScore(FollowTask, State.Settings.Node.value());
+  std::size_t RankedHigher = 0;
   for (const auto &[Node, Host] : State.Hosts.hosts())
     if (Host.HostDistance == Distance::SameDataCentre &&
         Host.Report.StoreReachable && !Host.Report.Leaving &&
         !State.Hosts.isSuspect(Host, Now) &&
-        core::rendezvousScore(FollowDuty, Node.value()) > Own)
-      ++Before;
-  const bool Follow = Before < StoreFollowersPerDataCentre || !State.Routing ||
-                      !State.StoreReachable;
+        core::rendezvousScore(FollowTask, Node.value()) > LocalScore)
+      ++RankedHigher;
+  const bool Follow = RankedHigher < StoreFollowersPerDataCentre ||
+                      !State.Routing || !State.StoreReachable;
   if (Follow == State.FollowsStore)
     return;
   State.FollowsStore = Follow;
   Produced.emplace_back(FollowStore{Follow});
 }
 
-std::size_t Reduction::rankFor(const std::string &Duty) const {
-  const std::uint64_t Own =
-      core::rendezvousScore(Duty, State.Settings.Node.value());
+std::size_t Reduction::rankFor(const std::string &Task) const {
+  const std::uint64_t LocalScore =
+      core::rendezvousScore(Task, State.Settings.Node.value());
   std::size_t Rank = 0;
   for (const auto &[Node, Host] : State.Hosts.hosts())
     if (!Host.Report.Leaving && !State.Hosts.isSuspect(Host, Now) &&
-        core::rendezvousScore(Duty, Node.value()) > Own)
+        core::rendezvousScore(Task, Node.value()) > LocalScore)
       ++Rank;
   return Rank;
 }
--- a/lib/decision/mesh/ReduceMoves.cpp
+++ b/lib/decision/mesh/ReduceMoves.cpp
@@ -6,13 +6,13 @@
 
 namespace {
 
-/// Lead of each node over the next one for a write: longer than a write and a
-/// report of its outcome take.
-constexpr core::Milliseconds WriteLead{700};
-/// Nodes further down wait no longer than this together.
-constexpr std::size_t MostLeads = 4;
-/// Time after which a write that had no effect is tried again.
-constexpr core::Milliseconds RewriteAfter{1500};
+/// Delay between the writes of nodes that are next to each other in rank:
+/// longer than a write and the report of its outcome take.
+constexpr core::Milliseconds WriteStagger{700};
+/// Rank above which the delay no longer grows.
+constexpr std::size_t MaximumStaggerRank = 4;
+/// Time after which a write without effect is retried.
+constexpr core::Milliseconds WriteRetryInterval{1500};
 
 } // namespace
 
@@ -28,51 +28,52 @@
   return Found;
 }
 
-void Reduction::operator()(const MoveOrdered &What) {
-  if (!State.Moves.applyOrder(What, Now))
+void Reduction::operator()(const MoveOrdered &Order) {
+  if (!State.Moves.applyOrder(Order, Now))
     return;
-  State.PendingMoveWrites.erase(What.Service);
-  // The versions are compared over the same time: what the old one did before
-  // says nothing about a fault that both meet now.
-  if (State.Target && State.Target->Announcement.Service == What.Service)
+  State.PendingMoveWrites.erase(Order.Service);
+  // The versions are compared over the same period: earlier answers of the old
+  // version would hide a fault that now affects both.
+  if (State.Target && State.Target->Announcement.Service == Order.Service)
     State.Target->Tallies.clear();
   log(observe::EventId::MeshMoveOrdered,
       fmt::format("service={} to={} duration_ms={} order={} old={}",
-                  What.Service.value(), What.NewVersion.value(),
-                  What.Duration.count(), What.OrderOffset.value(),
-                  What.FromHistory));
-  // The first state says no more than the order, so one writer is enough.
-  if (!What.FromHistory && rankFor(What.Service.value()) == 0)
-    scheduleMoveWrite(What.Service, MovePhase::Running);
+                  Order.Service.value(), Order.NewVersion.value(),
+                  Order.Duration.count(), Order.OrderOffset.value(),
+                  Order.FromHistory));
+  // The first state adds nothing to the order, so that one writer suffices.
+  if (!Order.FromHistory && rankFor(Order.Service.value()) == 0)
+    scheduleMoveWrite(Order.Service, MovePhase::Running);
 }
 
-void Reduction::operator()(const MoveStateRead &What) {
-  const auto Found = State.Moves.moves().find(What.Service);
+void Reduction::operator()(const MoveStateRead &Stored) {
+  const auto Found = State.Moves.moves().find(Stored.Service);
   if (Found == State.Moves.moves().end() ||
-      Found->second.Order.NewVersion != What.NewVersion)
+      Found->second.Order.NewVersion != Stored.NewVersion)
     return;
-  const auto Duty = State.PendingMoveWrites.find(What.Service);
-  if (Duty != State.PendingMoveWrites.end() && Duty->second.Phase &&
-      *Duty->second.Phase <= What.Phase)
-    Duty->second.Phase.reset();
-  if (!State.Moves.advance(What.Service, What.Phase, ""))
+  const auto Pending = State.PendingMoveWrites.find(Stored.Service);
+  if (Pending != State.PendingMoveWrites.end() && Pending->second.Phase &&
+      *Pending->second.Phase <= Stored.Phase)
+    Pending->second.Phase.reset();
+  if (!State.Moves.advance(Stored.Service, Stored.Phase, ""))
     return;
   log(observe::EventId::MeshMoveEnded,
-      fmt::format("service={} to={} phase={}", What.Service.value(),
-                  What.NewVersion.value(),
-                  What.Phase == MovePhase::Completed ? "completed"
-                                                     : "rolled_back"));
+      fmt::format("service={} to={} phase={}", Stored.Service.value(),
+                  Stored.NewVersion.value(),
+                  Stored.Phase == MovePhase::Completed ? "completed"
+                                                       : "rolled_back"));
   reportToAll();
 }
 
 void Reduction::scheduleMoveWrite(const core::ServiceName &Service,
                                   MovePhase Phase) {
-  PendingMoveWrite &Duty = State.PendingMoveWrites[Service];
-  if (Duty.Phase && *Duty.Phase >= Phase)
+  PendingMoveWrite &Pending = State.PendingMoveWrites[Service];
+  if (Pending.Phase && *Pending.Phase >= Phase)
     return;
-  Duty.Phase = Phase;
-  const std::size_t Rank = std::min(rankFor(Service.value()), MostLeads);
-  Duty.WriteAt = Now + WriteLead * static_cast<int>(Rank);
+  Pending.Phase = Phase;
+  const std::size_t Rank =
+      std::min(rankFor(Service.value()), MaximumStaggerRank);
+  Pending.WriteAt = Now + WriteStagger * static_cast<int>(Rank);
 }
 
 void Reduction::writeMoveIfDue(const TrackedMove &Move) {
@@ -80,11 +81,11 @@
   if (Found == State.PendingMoveWrites.end() || !Found->second.Phase ||
       Now < Found->second.WriteAt)
     return;
-  PendingMoveWrite &Duty = Found->second;
-  Duty.WriteAt = Now + RewriteAfter;
-  const MovePhase Phase = *Duty.Phase;
+  PendingMoveWrite &Pending = Found->second;
+  Pending.WriteAt = Now + WriteRetryInterval;
+  const MovePhase Phase = *Pending.Phase;
   if (Phase == MovePhase::Running)
-    Duty.Phase.reset();
+    Pending.Phase.reset();
   Produced.emplace_back(
       WriteMove{Move.Order.Service, Move.Order.NewVersion, Phase});
 }
--- a/lib/decision/mesh/ReducePlacement.cpp
+++ b/lib/decision/mesh/ReducePlacement.cpp
@@ -9,15 +9,15 @@
 
 namespace {
 
-/// Bytes of the heads of a request and its answer on the way between nodes.
-constexpr double HeadBytes = 900;
+/// Size of the headers of a request and its answer between nodes, in bytes.
+constexpr double HeaderBytes = 900;
 
 bool contains(const std::vector<core::NodeId> &Nodes,
               const core::NodeId &Node) {
   return std::ranges::find(Nodes, Node) != Nodes.end();
 }
 
-bool takes(const HostReport &Host, const core::ServiceName &Service) {
+bool isReadyFor(const HostReport &Host, const core::ServiceName &Service) {
   return !Host.Leaving && Host.Target && Host.Target->Service == Service &&
          Host.Target->State == TargetState::Ready;
 }
@@ -32,7 +32,7 @@
     return true;
   return std::ranges::any_of(State.Hosts.hosts(), [&](const auto &Entry) {
     const HostReport &Host = Entry.second.Report;
-    return takes(Host, Service) && Host.Target->Version == Version;
+    return isReadyFor(Host, Service) && Host.Target->Version == Version;
   });
 }
 
@@ -44,11 +44,11 @@
     Call.ToCandidate = false;
     return;
   }
-  const std::vector<config::WeightedService> Parts = {
+  const std::vector<config::WeightedService> Split = {
       {core::ServiceName("old"), 1000 - Permille},
       {core::ServiceName("new"), Permille}};
   Call.ToCandidate =
-      stateOf(Call.Service).CandidateSplit.next(Parts).value() == "new";
+      stateOf(Call.Service).CandidateSplit.next(Split).value() == "new";
 }
 
 bool Reduction::acceptsVersion(const MeshCall &Call,
@@ -66,27 +66,27 @@
 std::vector<Candidate> Reduction::candidates(MeshCall &Call) {
   const VersionShares Shares = State.Moves.shares(Call.Service, Now);
   chooseVersion(Call, Shares);
-  const bool Large =
+  const bool IsLarge =
       stateOf(Call.Terms.Route).MeanAnswerBytes > LinkPacer::LargeAnswerBytes;
   std::vector<Candidate> Found;
-  const auto Skipped = [&](const core::NodeId &Node) {
+  const auto IsSkipped = [&](const core::NodeId &Node) {
     return contains(Call.TriedHosts, Node) || contains(Call.LateHosts, Node);
   };
-  const auto Own = localTargetReport(State);
-  if (Own && Own->Service == Call.Service && Own->State == TargetState::Ready &&
-      !Skipped(State.Settings.Node) &&
-      acceptsVersion(Call, Shares, Own->Version)) {
-    const TargetLoad &Load = Own->Load;
+  const auto Local = localTargetReport(State);
+  if (Local && Local->Service == Call.Service &&
+      Local->State == TargetState::Ready && !IsSkipped(State.Settings.Node) &&
+      acceptsVersion(Call, Shares, Local->Version)) {
+    const TargetLoad &Load = Local->Load;
     Found.push_back({State.Settings.Node, Distance::Local,
                      Load.Running + Load.Waiting, Load.Slots, Load.MeanTime,
-                     Own->FaultPermille, false, loadFor(Call).RouteTime});
+                     Local->FaultPermille, false, loadFor(Call).RouteTime});
   }
   for (const auto &[Node, Host] : State.Hosts.hosts()) {
-    if (!takes(Host.Report, Call.Service) || Skipped(Node) ||
+    if (!isReadyFor(Host.Report, Call.Service) || IsSkipped(Node) ||
         !acceptsVersion(Call, Shares, Host.Report.Target->Version))
       continue;
-    // Asking a host of the own data centre again costs no paid bytes, and its
-    // answer is worth more.
+    // Hosts of the same data centre are asked again: this costs no billed
+    // bytes, and their answers are worth more.
     if (Host.HostDistance != Distance::SameDataCentre &&
         HostDirectory::isAtCapacity(
             Host, {Call.Terms.Route, Call.Terms.AcceptLate}, Now)) {
@@ -94,16 +94,17 @@
       continue;
     }
     const TargetReport &Target = *Host.Report.Target;
-    const std::uint32_t Reported =
+    const std::uint32_t ReportedLoad =
         Target.Load.Running + Target.Load.Waiting + Host.SentSinceLoadUpdate;
-    const auto OnRoute = Host.RouteTimes.find(Call.Terms.Route);
-    Found.push_back({Node, Host.HostDistance, std::max(Reported, Host.InFlight),
-                     Target.Load.Slots, Target.Load.MeanTime,
-                     Target.FaultPermille, State.Hosts.isSuspect(Host, Now),
-                     OnRoute != Host.RouteTimes.end()
-                         ? OnRoute->second
+    const auto RouteTime = Host.RouteTimes.find(Call.Terms.Route);
+    Found.push_back({Node, Host.HostDistance,
+                     std::max(ReportedLoad, Host.InFlight), Target.Load.Slots,
+                     Target.Load.MeanTime, Target.FaultPermille,
+                     State.Hosts.isSuspect(Host, Now),
+                     RouteTime != Host.RouteTimes.end()
+                         ? RouteTime->second
                          : stateOf(Call.Terms.Route).LastMeanTime,
-                     Large ? Target.Load.LinkWait : core::Milliseconds(0)});
+                     IsLarge ? Target.Load.LinkWait : core::Milliseconds(0)});
   }
   return Found;
 }
@@ -111,41 +112,43 @@
 void Reduction::place(MeshCall &Call) {
   if (++Call.Placements > MaximumPlacements)
     return refuse(Call, ErrorCode::RequestRefusedByTarget);
-  std::vector<Candidate> Among = candidates(Call);
+  std::vector<Candidate> Candidates = candidates(Call);
   const PlacementQuery Query{Call.Route->Objective,
-                             HeadBytes +
+                             HeaderBytes +
                                  stateOf(Call.Terms.Route).MeanAnswerBytes};
-  auto Best = chooseTarget(Among, Query, State.RandomSource);
-  // A large answer from far costs more than one that comes late from near by.
-  const bool MustAccept = !Best || Call.LateHosts.size() >= OnTimePlacements ||
-                          expectedLoss(Among[*Best], Query) > LateAnswerLoss;
-  if (MustAccept && !Call.Terms.AcceptLate) {
+  auto Best = chooseTarget(Candidates, Query, State.RandomSource);
+  // A large answer from another region costs more than a late one from a nearby
+  // host.
+  const bool MustAcceptLate =
+      !Best || Call.LateHosts.size() >= OnTimePlacements ||
+      expectedLoss(Candidates[*Best], Query) > LateAnswerLoss;
+  if (MustAcceptLate && !Call.Terms.AcceptLate) {
     Call.Terms.AcceptLate = true;
     Call.LateHosts.clear();
-    Among = candidates(Call);
-    Best = chooseTarget(Among, Query, State.RandomSource);
+    Candidates = candidates(Call);
+    Best = chooseTarget(Candidates, Query, State.RandomSource);
   }
   if (!Best)
     return refuse(Call, Call.SkippedAtCapacity ? ErrorCode::RequestWouldBeLate
                                                : ErrorCode::RequestNoTarget);
-  const Candidate &Chosen = Among[*Best];
+  const Candidate &Chosen = Candidates[*Best];
   if (Chosen.HostDistance == Distance::Local)
     return enqueue(Call);
   sendToPeer(Call, Chosen.Node);
 }
 
-void Reduction::sendToPeer(MeshCall &Call, const core::NodeId &To) {
-  KnownHost &Host = *State.Hosts.find(To);
+void Reduction::sendToPeer(MeshCall &Call, const core::NodeId &Peer) {
+  KnownHost &Host = *State.Hosts.find(Peer);
   ++Host.InFlight;
   ++Host.SentSinceLoadUpdate;
   Call.Phase = CallPhase::AtPeer;
-  Call.CurrentHost = To;
+  Call.CurrentHost = Peer;
   Call.Attempt = core::AttemptId(++State.LastAttempt);
   Call.SentAt = Now;
   request::StartAttempt Start;
   Start.Id = Call.Id;
   Start.Attempt = Call.Attempt;
-  Start.To.Node = To;
+  Start.To.Node = Peer;
   Start.To.Address =
       fmt::format("{}:{}", Host.Report.Address, State.Settings.PeerPort);
   Start.To.Target = Host.Report.Target->Id;
@@ -157,30 +160,31 @@
   Start.HoldAnswer = true;
   Start.NeedsProvenConnection = !Call.Terms.Idempotent;
   Start.Terms = Call.Terms;
-  // The host sees neither the way of the request nor that of the answer.
+  // The host observes neither the transfer of the request nor that of the
+  // answer.
   Start.Terms->ObjectiveLeft = std::chrono::duration_cast<core::Milliseconds>(
       Call.Objective - Now - roundTripTime(Host.HostDistance));
   Produced.emplace_back(std::move(Start));
 }
 
-/// A caller that comes back should find room: the time until the least loaded
-/// target has worked off what exceeds its slots. It is spread, so that callers
-/// who were refused together do not return together.
+/// Estimates when a retry finds capacity: the time until the least loaded
+/// target has processed the requests that exceed its slots. Jitter keeps
+/// callers that were refused together from retrying together.
 core::Milliseconds Reduction::retryAfter(const MeshCall &Call) {
-  double LeastMs = static_cast<double>(MaximumRetryAfter.count());
-  const auto Consider = [&LeastMs](const TargetLoad &Load) {
+  double MinimumMs = static_cast<double>(MaximumRetryAfter.count());
+  const auto Consider = [&MinimumMs](const TargetLoad &Load) {
     const double Total = Load.Running + Load.Waiting + 1.0;
     const double Slots = std::max<std::uint32_t>(Load.Slots, 1);
     const double Excess = std::max(0.0, Total - Slots);
-    LeastMs = std::min(LeastMs, Excess / Slots *
-                                    static_cast<double>(Load.MeanTime.count()));
+    MinimumMs = std::min(
+        MinimumMs, Excess / Slots * static_cast<double>(Load.MeanTime.count()));
   };
   for (const TargetReport *Target : targetsOf(Call.Service))
     if (Target->State == TargetState::Ready)
       Consider(Target->Load);
-  const double Spread = 0.75 + 0.5 * State.RandomSource.unit();
-  const core::Milliseconds Time(static_cast<std::int64_t>(LeastMs * Spread));
-  return std::clamp(Time, MinimumRetryAfter, MaximumRetryAfter);
+  const double Jitter = 0.75 + 0.5 * State.RandomSource.unit();
+  const core::Milliseconds Delay(static_cast<std::int64_t>(MinimumMs * Jitter));
+  return std::clamp(Delay, MinimumRetryAfter, MaximumRetryAfter);
 }
 
 } // namespace filbertvane::decision::mesh
--- a/lib/decision/mesh/ReduceTarget.cpp
+++ b/lib/decision/mesh/ReduceTarget.cpp
@@ -5,111 +5,116 @@
 
 using core::ErrorCode;
 
-bool Reduction::isOutdated(const TargetAnnounced &What) const {
+bool Reduction::isOutdated(const TargetAnnounced &Announcement) const {
   if (!State.Target)
     return false;
   const TargetAnnounced &Last = State.Target->Announcement;
-  if (What.ProcessStart != Last.ProcessStart)
-    return What.ProcessStart < Last.ProcessStart;
-  return What.Id == Last.Id && What.Sequence <= Last.Sequence;
+  if (Announcement.ProcessStart != Last.ProcessStart)
+    return Announcement.ProcessStart < Last.ProcessStart;
+  return Announcement.Id == Last.Id && Announcement.Sequence <= Last.Sequence;
 }
 
-void Reduction::replaceTarget(const TargetAnnounced &What) {
-  LocalTarget Fresh;
-  Fresh.Generation = ++State.LastTargetGeneration;
-  State.Target = Fresh;
+void Reduction::replaceTarget(const TargetAnnounced &Announcement) {
+  LocalTarget NewTarget;
+  NewTarget.Generation = ++State.LastTargetGeneration;
+  State.Target = NewTarget;
   State.Slots.targetRestarted();
   log(observe::EventId::MeshTargetAnnounced,
       fmt::format("target={} service={} version={} slots={} born={} "
                   "cold_ms={}",
-                  What.Id.value(), What.Service.value(), What.Version.value(),
-                  What.Slots, What.ProcessStart, What.RemainingWarmup.count()));
+                  Announcement.Id.value(), Announcement.Service.value(),
+                  Announcement.Version.value(), Announcement.Slots,
+                  Announcement.ProcessStart,
+                  Announcement.RemainingWarmup.count()));
 }
 
-void Reduction::operator()(const TargetAnnounced &What) {
-  if (isOutdated(What)) {
+void Reduction::operator()(const TargetAnnounced &Announcement) {
+  if (isOutdated(Announcement)) {
     log(observe::EventId::MeshAnnouncementRejected,
         fmt::format("target={} born={} sequence={} reason=outdated",
-                    What.Id.value(), What.ProcessStart, What.Sequence));
+                    Announcement.Id.value(), Announcement.ProcessStart,
+                    Announcement.Sequence));
     return;
   }
-  const bool Known =
-      State.Target && State.Target->Announcement.Id == What.Id &&
+  const bool SameProcess =
+      State.Target && State.Target->Announcement.Id == Announcement.Id &&
       (State.Target->Inherited ||
-       State.Target->Announcement.ProcessStart == What.ProcessStart);
-  const bool Other = !Known;
-  if (Other)
-    replaceTarget(What);
+       State.Target->Announcement.ProcessStart == Announcement.ProcessStart);
+  const bool Replaced = !SameProcess;
+  if (Replaced)
+    replaceTarget(Announcement);
   LocalTarget &Target = *State.Target;
   Target.Inherited = false;
-  Target.Announcement = What;
+  Target.Announcement = Announcement;
   Target.LastAnnouncedAt = Now;
-  Target.WarmAt = Now + What.RemainingWarmup;
-  State.Slots.resize(What.Slots);
-  if (What.Draining || hasDeparted(What)) {
+  Target.WarmAt = Now + Announcement.RemainingWarmup;
+  State.Slots.resize(Announcement.Slots);
+  if (Announcement.Draining || hasDeparted(Announcement)) {
     setTargetState(TargetState::Draining,
-                   What.Draining ? "announced" : "known_to_leave");
+                   Announcement.Draining ? "announced" : "known_to_leave");
     return;
   }
-  if (Other) {
+  if (Replaced) {
     if (State.StoreReachable)
       Produced.emplace_back(PublishReport{makeHostReport(State, Now)});
     return reportToAll();
   }
-  // A target that reported that it leaves stays so for its life.
+  // A target that announced its departure stays draining until its process
+  // ends.
   if (Target.State == TargetState::Down) {
     setTargetState(TargetState::Ready, "announced");
     dispatchQueue();
   }
 }
 
-void Reduction::operator()(const TargetDeregistered &What) {
-  if (State.Target && State.Target->Announcement.Id == What.Id)
+void Reduction::operator()(const TargetDeregistered &Deregistered) {
+  if (State.Target && State.Target->Announcement.Id == Deregistered.Id)
     return setTargetState(TargetState::Draining, "deregistered");
-  // The process started after the last announcement of this target.
+  // This node's process started after the last announcement of the target.
   if (!State.Target)
-    recordDeparture({What.Id, 0});
+    recordDeparture({Deregistered.Id, 0});
 }
 
-/// Also true when the target was acknowledged by a former process of the node,
-/// which the acknowledgement binds as well.
-bool Reduction::hasDeparted(const TargetAnnounced &What) const {
-  if (!State.Departed || State.Departed->Id != What.Id)
+/// Also true when a previous process of the node acknowledged the departure:
+/// the acknowledgement binds this process as well.
+bool Reduction::hasDeparted(const TargetAnnounced &Announcement) const {
+  if (!State.Departed || State.Departed->Id != Announcement.Id)
     return false;
   if (State.Departed->ProcessStart == 0)
     return Now - State.DepartedAt < MaximumAnnouncementDelay;
-  return State.Departed->ProcessStart == What.ProcessStart;
+  return State.Departed->ProcessStart == Announcement.ProcessStart;
 }
 
-void Reduction::recordDeparture(DepartedTarget Which) {
-  if (State.Departed == Which)
+void Reduction::recordDeparture(DepartedTarget Target) {
+  if (State.Departed == Target)
     return;
-  State.Departed = std::move(Which);
+  State.Departed = std::move(Target);
   State.DepartedAt = Now;
   if (State.StoreReachable)
     Produced.emplace_back(PublishReport{makeHostReport(State, Now)});
 }
 
-void Reduction::setTargetState(TargetState To, std::string_view Why) {
+void Reduction::setTargetState(TargetState NewState, std::string_view Reason) {
   LocalTarget &Target = *State.Target;
-  if (Target.State == To ||
-      (To == TargetState::Ready && hasDeparted(Target.Announcement)))
+  if (Target.State == NewState ||
+      (NewState == TargetState::Ready && hasDeparted(Target.Announcement)))
     return;
-  Target.State = To;
-  if (To == TargetState::Draining)
+  Target.State = NewState;
+  if (NewState == TargetState::Draining)
     recordDeparture({Target.Announcement.Id, Target.Announcement.ProcessStart});
   using observe::EventId;
-  const EventId Id = To == TargetState::Ready      ? EventId::MeshTargetUp
-                     : To == TargetState::Draining ? EventId::MeshTargetDraining
-                                                   : EventId::MeshTargetDown;
-  log(Id,
-      fmt::format("target={} reason={}", Target.Announcement.Id.value(), Why));
-  if (To == TargetState::Down)
+  const EventId Id = NewState == TargetState::Ready ? EventId::MeshTargetUp
+                     : NewState == TargetState::Draining
+                         ? EventId::MeshTargetDraining
+                         : EventId::MeshTargetDown;
+  log(Id, fmt::format("target={} reason={}", Target.Announcement.Id.value(),
+                      Reason));
+  if (NewState == TargetState::Down)
     refuseQueued(ErrorCode::RequestNoTarget);
   reportToAll();
 }
 
-void Reduction::refuseQueued(ErrorCode Why) {
+void Reduction::refuseQueued(ErrorCode Reason) {
   std::vector<core::CallId> Queued;
   for (const auto &[Id, Call] : State.Calls)
     if (Call.Phase == CallPhase::Queued)
@@ -120,7 +125,7 @@
       continue;
     State.Slots.withdraw(Id);
     if (Call->FromPeer) {
-      refuse(*Call, Why);
+      refuse(*Call, Reason);
       continue;
     }
     Call->TriedHosts.push_back(State.Settings.Node);
@@ -128,13 +133,13 @@
   }
 }
 
-/// A target that ended without a word announces nothing and answers nothing.
+/// A target that crashed sends neither announcements nor answers.
 void Reduction::checkTargetSilence() {
   if (!State.Target || State.Target->State != TargetState::Ready)
     return;
   const LocalTarget &Target = *State.Target;
-  // It may have told the former process that it leaves while the store was
-  // away.
+  // It may have announced its departure to the previous process while the store
+  // was unreachable.
   if (Target.Inherited && Now - Target.LastAnnouncedAt > InheritedTargetTimeout)
     return setTargetState(TargetState::Down, "not_announced");
   if (Now - Target.LastAnnouncedAt > TargetSilenceTimeout &&
--- a/lib/decision/mesh/Reducer.cpp
+++ b/lib/decision/mesh/Reducer.cpp
@@ -7,10 +7,10 @@
 namespace {
 
 std::vector<RouteTally> talliesOf(const LocalTarget &Target) {
-  std::vector<RouteTally> All;
+  std::vector<RouteTally> Tallies;
   for (const auto &[Name, Tally] : Target.Tallies)
-    All.push_back(Tally);
-  return All;
+    Tallies.push_back(Tally);
+  return Tallies;
 }
 
 } // namespace
@@ -30,7 +30,8 @@
   Report.State = Target.State;
   Report.Load = State.Slots.load();
   Report.FaultPermille = static_cast<std::uint32_t>(Target.FaultRatio * 1000);
-  // Tallies are evidence about a move and cost bytes at other times.
+  // Tallies are needed as evidence during a move only, and cost bytes in each
+  // report.
   const auto Move = State.Moves.moves().find(Report.Service);
   if (Move != State.Moves.moves().end() && !Move->second.ended())
     Report.Tallies = talliesOf(Target);
@@ -61,10 +62,10 @@
   return Report;
 }
 
-Effects reduce(MeshState &State, const Event &What, core::TimePoint Now) {
-  Reduction Step(State, Now);
-  std::visit(Step, What);
-  return Step.takeEffects();
+Effects reduce(MeshState &State, const Event &NewEvent, core::TimePoint Now) {
+  Reduction Current(State, Now);
+  std::visit(Current, NewEvent);
+  return Current.takeEffects();
 }
 
 void Reduction::operator()(const request::Tick &) {
@@ -94,18 +95,18 @@
   const auto Found = State.Services.find(Service);
   if (Found != State.Services.end())
     return Found->second;
-  MeshServiceState Fresh(State.Settings.Budget);
-  Fresh.CandidateSplit = SplitSelector(State.RandomSource.unit());
-  return State.Services.emplace(Service, std::move(Fresh)).first->second;
+  MeshServiceState NewState(State.Settings.Budget);
+  NewState.CandidateSplit = SplitSelector(State.RandomSource.unit());
+  return State.Services.emplace(Service, std::move(NewState)).first->second;
 }
 
 MeshRouteState &Reduction::stateOf(const core::RouteName &Route) {
   const auto Found = State.Routes.find(Route);
   if (Found != State.Routes.end())
     return Found->second;
-  MeshRouteState Fresh;
-  Fresh.ServiceSplit = SplitSelector(State.RandomSource.unit());
-  return State.Routes.emplace(Route, std::move(Fresh)).first->second;
+  MeshRouteState NewState;
+  NewState.ServiceSplit = SplitSelector(State.RandomSource.unit());
+  return State.Routes.emplace(Route, std::move(NewState)).first->second;
 }
 
 void Reduction::log(observe::EventId Id, std::string Detail) {
--- a/lib/decision/mesh/Reduction.h
+++ b/lib/decision/mesh/Reduction.h
@@ -32,7 +32,7 @@
   void operator()(const StoreReachabilityChanged &Change);
   void operator()(const ServiceAssigned &Assigned);
   void operator()(const ShutdownRequested &Shutdown);
-  void operator()(const request::Tick &);
+  void operator()(const request::Tick &Tick);
   /// @}
 
   Effects takeEffects() { return std::move(Produced); }
--- a/lib/decision/mesh/SharedRetryBudget.cpp
+++ b/lib/decision/mesh/SharedRetryBudget.cpp
@@ -5,17 +5,17 @@
 
 namespace {
 
-/// Part of the budget that is planned with. The rest covers calls that a
-/// repeated run makes again, which other nodes see as first requests, and
-/// nodes that do not know of each other yet.
-constexpr double PlannedPart = 0.6;
+/// Share of the budget that is spent. The rest covers calls that a retried run
+/// makes again, which other nodes count as first requests, and nodes that do
+/// not know each other yet.
+constexpr double SpendableShare = 0.6;
 
 } // namespace
 
 std::int64_t SharedRetryBudget::sliceNumber(core::TimePoint Now) const {
-  const core::Microseconds Length = std::max<core::Microseconds>(
+  const core::Microseconds SliceLength = std::max<core::Microseconds>(
       Settings.Window / SliceCount, core::Milliseconds(1));
-  return Now.time_since_epoch() / Length;
+  return Now.time_since_epoch() / SliceLength;
 }
 
 SharedRetryBudget::Slice &SharedRetryBudget::sliceAt(core::TimePoint Now) {
@@ -39,16 +39,16 @@
   const std::int64_t Oldest =
       sliceNumber(Now) - static_cast<std::int64_t>(SliceCount) + 1;
   double Requests = 0;
-  double Repeats = 0;
-  for (const Slice &Each : Ring) {
-    if (Each.Number < Oldest)
+  double Retries = 0;
+  for (const Slice &Entry : Ring) {
+    if (Entry.Number < Oldest)
       continue;
-    Requests += Each.Requests;
-    Repeats += Each.Retries;
+    Requests += Entry.Requests;
+    Retries += Entry.Retries;
   }
-  const double Part =
+  const double SlackShare =
       Settings.Slack / static_cast<double>(std::max<std::size_t>(Nodes, 1));
-  return PlannedPart * (Settings.Ratio * Requests + Part) - Repeats;
+  return SpendableShare * (Settings.Ratio * Requests + SlackShare) - Retries;
 }
 
 bool SharedRetryBudget::tryTake(std::size_t Nodes, core::TimePoint Now) {
--- a/lib/decision/mesh/ShutdownSchedule.cpp
+++ b/lib/decision/mesh/ShutdownSchedule.cpp
@@ -5,17 +5,18 @@
 
 namespace {
 
-/// Callers learn within two questions, one a second, that a node stops.
-constexpr core::Milliseconds AnnounceTime{2300};
-/// Left over from the given time, for the end of the process itself.
-constexpr core::Milliseconds Reserve{400};
+/// Callers check the readiness of a node every second and notice its shutdown
+/// within two checks.
+constexpr core::Milliseconds ShutdownNoticeTime{2300};
+/// Part of the given time that is reserved for the exit of the process.
+constexpr core::Milliseconds ExitReserve{400};
 
 } // namespace
 
 ShutdownSchedule::ShutdownSchedule(core::TimePoint Now,
                                    core::Milliseconds GivenTime)
-    : DrainAt(Now + std::min(AnnounceTime, GivenTime / 2)),
-      Deadline(Now + std::max(GivenTime - Reserve, GivenTime / 2)) {}
+    : DrainAt(Now + std::min(ShutdownNoticeTime, GivenTime / 2)),
+      Deadline(Now + std::max(GivenTime - ExitReserve, GivenTime / 2)) {}
 
 ShutdownStep ShutdownSchedule::stepAt(core::TimePoint Now,
                                       std::size_t Active) const {
--- a/lib/decision/mesh/SlotQueue.cpp
+++ b/lib/decision/mesh/SlotQueue.cpp
@@ -9,32 +9,32 @@
 
 using core::ErrorCode;
 
-/// Weight of one answer in the times of a route: they follow a target that
-/// turns slow within some 20 answers.
+/// Weight of one answer in the moving averages of a route: they follow a target
+/// that becomes slow within about 20 answers.
 constexpr double AnswerWeight = 0.05;
-/// Mean distances from the mean that are planned for beside the mean: about one
-/// in twelve answers takes longer. With one distance, one in six queued
-/// requests of an overloaded target ends late.
-constexpr double PlannedSpreads = 2.0;
-/// Part of the mean time that has to be left before the deadline of a request
+/// Mean deviations that are added to the mean for planning: about one in twelve
+/// answers takes longer. With one deviation, one in six queued requests of an
+/// overloaded target ends late.
+constexpr double PlannedDeviations = 2.0;
+/// Fraction of the mean time that must be left before the deadline of a request
 /// that starts; about half of the answers take less than 0.8 of the mean.
-constexpr double LeastTimePart = 0.5;
-/// Late requests that may wait, as a part of the slots.
-constexpr double LatePartOfSlots = 0.5;
+constexpr double MinimumTimeFraction = 0.5;
+/// Late requests that may wait, as a fraction of the slots.
+constexpr double LateSlotFraction = 0.5;
 
-/// Time over which arrivals are averaged: long enough for some ten requests at
+/// Time over which arrivals are averaged: long enough for about ten requests at
 /// one target, short enough to follow a burst.
-constexpr double ArrivalMemorySeconds = 1.0;
-/// Part of the slots that a rank is assumed to get at least; below it the wait
-/// is longer than any objective.
-constexpr double LeastPartLeft = 0.02;
+constexpr double ArrivalAveragingSeconds = 1.0;
+/// Share of the slots that a rank is assumed to get at least; below it the wait
+/// exceeds any objective.
+constexpr double MinimumSlotShare = 0.02;
 
-double seconds(core::Microseconds Time) {
+double toSeconds(core::Microseconds Time) {
   return static_cast<double>(Time.count()) * 1e-6;
 }
 
-core::Microseconds micros(double Count) {
-  return core::Microseconds(static_cast<std::int64_t>(Count));
+core::Microseconds toMicroseconds(double Value) {
+  return core::Microseconds(static_cast<std::int64_t>(Value));
 }
 
 } // namespace
@@ -50,11 +50,12 @@
 }
 
 double SlotQueue::ArrivalRate::at(core::TimePoint Now) const {
-  return PerSecond * std::exp(-seconds(Now - UpdatedAt) / ArrivalMemorySeconds);
+  return PerSecond *
+         std::exp(-toSeconds(Now - UpdatedAt) / ArrivalAveragingSeconds);
 }
 
 void SlotQueue::ArrivalRate::addArrival(core::TimePoint Now) {
-  PerSecond = at(Now) + 1 / ArrivalMemorySeconds;
+  PerSecond = at(Now) + 1 / ArrivalAveragingSeconds;
   UpdatedAt = Now;
 }
 
@@ -66,34 +67,35 @@
 
 core::Microseconds SlotQueue::typicalTime(const core::RouteName &Route) const {
   const AnswerTimeEstimate &Time = estimateFor(Route);
-  return micros(Time.MeanUs + Time.DeviationUs);
+  return toMicroseconds(Time.MeanUs + Time.DeviationUs);
 }
 
 core::Microseconds
 SlotQueue::conservativeTime(const core::RouteName &Route) const {
   const AnswerTimeEstimate &Time = estimateFor(Route);
-  return micros(Time.MeanUs + PlannedSpreads * Time.DeviationUs);
+  return toMicroseconds(Time.MeanUs + PlannedDeviations * Time.DeviationUs);
 }
 
 core::Microseconds SlotQueue::meanTime(const core::RouteName &Route) const {
-  return micros(estimateFor(Route).MeanUs);
+  return toMicroseconds(estimateFor(Route).MeanUs);
 }
 
 core::Microseconds SlotQueue::minimumTime(const core::RouteName &Route) const {
-  return micros(estimateFor(Route).MeanUs * LeastTimePart);
+  return toMicroseconds(estimateFor(Route).MeanUs * MinimumTimeFraction);
 }
 
-/// Slots fall free one after the other, spread over the time of an answer.
+/// Slots become free one after the other, evenly spread over the time of an
+/// answer.
 core::Microseconds SlotQueue::slotWait(std::size_t Ahead) const {
-  const double Parts = std::max<std::uint32_t>(Slots, 1);
-  return micros(OverallEstimate.MeanUs * static_cast<double>(Ahead + 1) /
-                Parts);
+  const double SlotCount = std::max<std::uint32_t>(Slots, 1);
+  return toMicroseconds(OverallEstimate.MeanUs *
+                        static_cast<double>(Ahead + 1) / SlotCount);
 }
 
 TargetLoad SlotQueue::load() const {
   return {Running, static_cast<std::uint32_t>(Entries.size()), Slots,
           std::chrono::duration_cast<core::Milliseconds>(
-              micros(OverallEstimate.MeanUs))};
+              toMicroseconds(OverallEstimate.MeanUs))};
 }
 
 core::Microseconds SlotQueue::expectedWait(std::uint32_t Rank,
@@ -101,70 +103,72 @@
   if (Running < Slots && Entries.empty())
     return core::Microseconds(0);
   std::size_t Ahead = 0;
-  for (const QueueKey &Each : OnTime) {
-    if (std::get<0>(Each) > Rank)
+  for (const QueueKey &Key : OnTime) {
+    if (std::get<0>(Key) > Rank)
       break;
     ++Ahead;
   }
-  double MoreUrgent = 0;
-  for (const auto &[Other, Rate] : ArrivalRates)
-    MoreUrgent += Other < Rank ? Rate.at(Now) : 0;
-  return micros(static_cast<double>(slotWait(Ahead).count()) /
-                remainingSlotShare(MoreUrgent));
+  double MoreUrgentRate = 0;
+  for (const auto &[OtherRank, Rate] : ArrivalRates)
+    MoreUrgentRate += OtherRank < Rank ? Rate.at(Now) : 0;
+  return toMicroseconds(static_cast<double>(slotWait(Ahead).count()) /
+                        remainingSlotShare(MoreUrgentRate));
 }
 
 double SlotQueue::remainingSlotShare(double PerSecond) const {
-  const double Taken = PerSecond * OverallEstimate.MeanUs * 1e-6 /
-                       std::max<std::uint32_t>(Slots, 1);
-  return std::max(LeastPartLeft, 1 - Taken);
+  const double UsedShare = PerSecond * OverallEstimate.MeanUs * 1e-6 /
+                           std::max<std::uint32_t>(Slots, 1);
+  return std::max(MinimumSlotShare, 1 - UsedShare);
 }
 
-/// Late requests get the turns that those in time leave over, now and for as
-/// long as requests keep coming at the present rate.
+/// Late requests get the slots that on-time requests leave over, assuming that
+/// requests keep arriving at the current rate.
 core::Microseconds SlotQueue::lateWait(std::size_t Ahead,
                                        core::TimePoint Now) const {
-  double InTimeRate = 0;
+  double OnTimeRate = 0;
   for (const auto &[Rank, Rate] : ArrivalRates)
-    InTimeRate += Rate.at(Now);
-  return micros(static_cast<double>(slotWait(OnTime.size() + Ahead).count()) /
-                remainingSlotShare(InTimeRate));
+    OnTimeRate += Rate.at(Now);
+  return toMicroseconds(
+      static_cast<double>(slotWait(OnTime.size() + Ahead).count()) /
+      remainingSlotShare(OnTimeRate));
 }
 
-SlotVerdict SlotQueue::submit(const SlotRequest &Who, core::TimePoint Now) {
+SlotVerdict SlotQueue::submit(const SlotRequest &Request, core::TimePoint Now) {
   if (Slots == 0)
     return {SlotVerdict::ActionKind::Refuse, ErrorCode::RequestQueueFull};
-  const core::Microseconds Wait = expectedWait(Who.Rank, Now);
-  if (Now + Wait + minimumTime(Who.Route) >= Who.Deadline)
+  const core::Microseconds Wait = expectedWait(Request.Rank, Now);
+  if (Now + Wait + minimumTime(Request.Route) >= Request.Deadline)
     return {SlotVerdict::ActionKind::Refuse, ErrorCode::RequestDeadlinePassed};
   if (Running < Slots && Entries.empty()) {
     ++Running;
-    ArrivalRates[Who.Rank].addArrival(Now);
+    ArrivalRates[Request.Rank].addArrival(Now);
     return {SlotVerdict::ActionKind::Start, {}};
   }
-  if (Now + Wait + conservativeTime(Who.Route) <= Who.Objective)
-    return enqueue(Who, Now, OnTime);
-  const bool Chance =
-      static_cast<double>(Late.size()) < LatePartOfSlots * Slots &&
-      Now + lateWait(Late.size(), Now) + typicalTime(Who.Route) < Who.Deadline;
-  if (Who.AcceptLate && Chance)
-    return enqueue(Who, Now, Late);
+  if (Now + Wait + conservativeTime(Request.Route) <= Request.Objective)
+    return enqueue(Request, Now, OnTime);
+  const bool FitsLate =
+      static_cast<double>(Late.size()) < LateSlotFraction * Slots &&
+      Now + lateWait(Late.size(), Now) + typicalTime(Request.Route) <
+          Request.Deadline;
+  if (Request.AcceptLate && FitsLate)
+    return enqueue(Request, Now, Late);
   return {SlotVerdict::ActionKind::Refuse, ErrorCode::RequestWouldBeLate};
 }
 
-SlotVerdict SlotQueue::enqueue(const SlotRequest &Who, core::TimePoint Now,
-                               std::set<QueueKey> &To) {
+SlotVerdict SlotQueue::enqueue(const SlotRequest &Request, core::TimePoint Now,
+                               std::set<QueueKey> &Queue) {
   const bool Full =
       Entries.size() >= std::size_t{Slots} * MaximumWaitingPerSlot;
-  if (Full && (&To == &Late || !makeRoom(Who.Rank)))
+  if (Full && (&Queue == &Late || !makeRoom(Request.Rank)))
     return {SlotVerdict::ActionKind::Refuse, ErrorCode::RequestQueueFull};
-  if (&To == &OnTime)
-    ArrivalRates[Who.Rank].addArrival(Now);
-  Entries.emplace(Who.Id, WaitingRequest{Who, Now});
-  To.emplace(Who.Rank, Now, Who.Id);
+  if (&Queue == &OnTime)
+    ArrivalRates[Request.Rank].addArrival(Now);
+  Entries.emplace(Request.Id, WaitingRequest{Request, Now});
+  Queue.emplace(Request.Rank, Now, Request.Id);
   return {SlotVerdict::ActionKind::Wait, {}};
 }
 
-/// Gives up a late request, or else the last one of the least urgent rank.
+/// Evicts a late request, or else the last one of the least urgent rank.
 bool SlotQueue::makeRoom(std::uint32_t Rank) {
   if (!Late.empty()) {
     evict(*Late.rbegin(), Late);
@@ -176,20 +180,20 @@
   return true;
 }
 
-void SlotQueue::evict(const QueueKey &Least, std::set<QueueKey> &From) {
-  const core::CallId Id = std::get<2>(Least);
-  From.erase(Least);
+void SlotQueue::evict(const QueueKey &Key, std::set<QueueKey> &Queue) {
+  const core::CallId Id = std::get<2>(Key);
+  Queue.erase(Key);
   Entries.erase(Id);
   Evicted.push_back(Id);
 }
 
 void SlotQueue::release(const core::RouteName &Route,
-                        std::optional<core::Microseconds> Took) {
+                        std::optional<core::Microseconds> AnswerTime) {
   if (Running > 0)
     --Running;
-  if (!Took)
+  if (!AnswerTime)
     return;
-  const auto Sample = static_cast<double>(Took->count());
+  const auto Sample = static_cast<double>(AnswerTime->count());
   RouteEstimates[Route].addSample(Sample);
   OverallEstimate.addSample(Sample);
 }
@@ -198,51 +202,51 @@
   const auto Found = Entries.find(Id);
   if (Found == Entries.end())
     return;
-  const WaitingRequest &Left = Found->second;
-  const QueueKey Key{Left.Request.Rank, Left.QueuedAt, Id};
+  const WaitingRequest &Entry = Found->second;
+  const QueueKey Key{Entry.Request.Rank, Entry.QueuedAt, Id};
   OnTime.erase(Key);
   Late.erase(Key);
   Entries.erase(Found);
 }
 
-/// A request that can no longer be in time must not hold back one that can.
-/// Late ones without a chance of a turn before their deadline are given up.
+/// Moves requests that can no longer be answered on time behind those that can,
+/// and evicts late requests that will get no slot before their deadline.
 void SlotQueue::demoteLate(core::TimePoint Now) {
   for (auto It = OnTime.begin(); It != OnTime.end();) {
-    const SlotRequest &Who = Entries.at(std::get<2>(*It)).Request;
-    if (Now + meanTime(Who.Route) <= Who.Objective) {
+    const SlotRequest &Request = Entries.at(std::get<2>(*It)).Request;
+    if (Now + meanTime(Request.Route) <= Request.Objective) {
       ++It;
       continue;
     }
     Late.insert(*It);
     It = OnTime.erase(It);
   }
-  while (static_cast<double>(Late.size()) > 2 * LatePartOfSlots * Slots)
+  while (static_cast<double>(Late.size()) > 2 * LateSlotFraction * Slots)
     evict(*Late.rbegin(), Late);
-  std::vector<QueueKey> Lost;
+  std::vector<QueueKey> Unservable;
   std::size_t Ahead = 0;
-  for (const QueueKey &Each : Late) {
-    const SlotRequest &Who = Entries.at(std::get<2>(Each)).Request;
-    if (Now + lateWait(Ahead, Now) + meanTime(Who.Route) < Who.Deadline)
+  for (const QueueKey &Key : Late) {
+    const SlotRequest &Request = Entries.at(std::get<2>(Key)).Request;
+    if (Now + lateWait(Ahead, Now) + meanTime(Request.Route) < Request.Deadline)
       ++Ahead;
     else
-      Lost.push_back(Each);
+      Unservable.push_back(Key);
   }
-  for (const QueueKey &Each : Lost)
-    evict(Each, Late);
+  for (const QueueKey &Key : Unservable)
+    evict(Key, Late);
 }
 
-std::optional<SlotQueue::Dequeued> SlotQueue::dequeue(std::set<QueueKey> &From,
+std::optional<SlotQueue::Dequeued> SlotQueue::dequeue(std::set<QueueKey> &Queue,
                                                       core::TimePoint Now) {
-  if (From.empty())
+  if (Queue.empty())
     return std::nullopt;
-  const core::CallId Id = std::get<2>(*From.begin());
-  const SlotRequest &Who = Entries.at(Id).Request;
-  const bool Lost = Now + minimumTime(Who.Route) >= Who.Deadline;
-  if (!Lost && Running >= Slots)
+  const core::CallId Id = std::get<2>(*Queue.begin());
+  const SlotRequest &Request = Entries.at(Id).Request;
+  const bool Expired = Now + minimumTime(Request.Route) >= Request.Deadline;
+  if (!Expired && Running >= Slots)
     return std::nullopt;
   withdraw(Id);
-  if (Lost)
+  if (Expired)
     return Dequeued{
         Id,
         {SlotVerdict::ActionKind::Refuse, ErrorCode::RequestDeadlinePassed}};
--- a/lib/decision/mesh/SplitSelector.cpp
+++ b/lib/decision/mesh/SplitSelector.cpp
@@ -3,26 +3,26 @@
 namespace filbertvane::decision::mesh {
 
 const core::ServiceName &
-SplitSelector::next(const std::vector<config::WeightedService> &Parts) {
-  double Sum = 0;
-  for (const config::WeightedService &Part : Parts)
-    Sum += Part.Weight;
-  if (Credits.size() != Parts.size()) {
-    // The credits sum to zero, so that one of them is positive at each choice.
-    Credits.assign(Parts.size(), 0);
-    Credits.front() += Phase * Sum;
-    Credits.back() -= Phase * Sum;
+SplitSelector::next(const std::vector<config::WeightedService> &Services) {
+  double TotalWeight = 0;
+  for (const config::WeightedService &Service : Services)
+    TotalWeight += Service.Weight;
+  if (Credits.size() != Services.size()) {
+    // The credits sum to zero, so that at each choice one of them is positive.
+    Credits.assign(Services.size(), 0);
+    Credits.front() += Phase * TotalWeight;
+    Credits.back() -= Phase * TotalWeight;
   }
   std::optional<std::size_t> Best;
-  for (std::size_t I = 0; I < Parts.size(); ++I) {
-    Credits[I] += Parts[I].Weight;
-    if (Parts[I].Weight > 0 && (!Best || Credits[I] > Credits[*Best]))
+  for (std::size_t I = 0; I < Services.size(); ++I) {
+    Credits[I] += Services[I].Weight;
+    if (Services[I].Weight > 0 && (!Best || Credits[I] > Credits[*Best]))
       Best = I;
   }
   if (!Best)
-    return Parts.front().Service;
-  Credits[*Best] -= Sum;
-  return Parts[*Best].Service;
+    return Services.front().Service;
+  Credits[*Best] -= TotalWeight;
+  return Services[*Best].Service;
 }
 
 } // namespace filbertvane::decision::mesh
