Reword the texts of the mesh log events

Several texts described an event figuratively (host forgotten, lines left out, process did not run for a while) or by the wrong subject. They name the fault and its consequence in usual terms now. Numbers and levels stay.

--- a/tests/observe/RequestStoryTest.cpp
+++ b/tests/observe/RequestStoryTest.cpp
@@ -33,7 +33,7 @@
 };
 
 const std::string Entry =
-    "ts=1000 node=n1 level=info event=2004 request sent to another target: "
+    "ts=1000 node=n1 level=info event=2004 request retried on another target: "
     "request=q1 role=entry route=list at=n2 age_ms=30 after=no_answer\n"
     "ts=1100 node=n1 level=warning event=2002 request refused before it ran: "
     "request=q1 role=entry reason=FV513\n";
@@ -41,7 +41,7 @@
     "ts=1020 node=n2 level=warning event=2003 request ended without an answer; "
     "it may have run: request=q1 role=host reason=FV512\n"
     "cut li\n"
-    "ts=1050 node=n2 level=warning event=2060 log lines left out: of=2001 "
+    "ts=1050 node=n2 level=warning event=2060 log lines dropped: of=2001 "
     "lines=7\n";
 
 } // namespace
