Merge the wording of the mesh decisions

Cause: names and comments of lib/decision/mesh were figurative (Hearsay, Condemned, Told) or empty (What, Who).

--- a/lib/decision/mesh/Gauges.cpp
+++ b/lib/decision/mesh/Gauges.cpp
@@ -4,11 +4,11 @@
 
 namespace {
 
-const char *nameOf(const MeshState &State, const KnownHost &Host,
-                   core::TimePoint Now) {
-  if (Host.Hearsay)
+const char *stateLabel(const MeshState &State, const KnownHost &Host,
+                       core::TimePoint Now) {
+  if (Host.FromStoreOnly)
     return "not_heard_yet";
-  if (State.Hosts.doubtful(Host, Now))
+  if (State.Hosts.isSuspect(Host, Now))
     return "doubtful";
   if (Host.Report.Leaving)
     return "leaving";
@@ -28,9 +28,9 @@
 } // namespace
 
 void writeGauges(const MeshState &State, core::TimePoint Now,
-                 observe::Metrics &Into) {
-  const auto Set = [&Into](const char *Name, double Value) {
-    Into.set(Name, {}, Value);
+                 observe::Metrics &Output) {
+  const auto Set = [&Output](const char *Name, double Value) {
+    Output.set(Name, {}, Value);
   };
   const TargetLoad Load = State.Slots.load();
   Set("filbertvane_calls", static_cast<double>(State.Calls.size()));
@@ -40,29 +40,30 @@
   Set("filbertvane_target_answer_seconds",
       static_cast<double>(Load.MeanTime.count()) / 1000);
   Set("filbertvane_target_fault_ratio",
-      State.Target ? State.Target->FaultPart : 0);
+      State.Target ? State.Target->FaultRatio : 0);
   Set("filbertvane_ready", State.Ready ? 1 : 0);
   Set("filbertvane_store_reachable", State.StoreReachable ? 1 : 0);
-  Set("filbertvane_follows_store", State.Follows ? 1 : 0);
+  Set("filbertvane_follows_store", State.FollowsStore ? 1 : 0);
   Set("filbertvane_position", static_cast<double>(State.Position.value()));
   if (State.Routing)
     Set("filbertvane_config_version",
         static_cast<double>(State.Routing->routing().Version.value()));
 
-  // States without a host are written too, so that a former value goes away.
+  // States without hosts are written as well, to overwrite earlier values.
   std::map<std::string, std::size_t> Hosts = {
       {"ready", 0},       {"doubtful", 0},       {"not_heard_yet", 0},
       {"leaving", 0},     {"without_target", 0}, {"target_draining", 0},
       {"target_down", 0},
   };
   for (const auto &[Node, Host] : State.Hosts.hosts())
-    ++Hosts[nameOf(State, Host, Now)];
+    ++Hosts[stateLabel(State, Host, Now)];
   for (const auto &[Name, Count] : Hosts)
-    Into.set("filbertvane_hosts", {{"state", Name}},
-             static_cast<double>(Count));
-  for (const auto &[Service, Memory] : State.Services)
-    Into.set("filbertvane_repeats_left", {{"service", Service.value()}},
-             Memory.Budget.left(State.Hosts.hosts().size() + 1, Now));
+    Output.set("filbertvane_hosts", {{"state", Name}},
+               static_cast<double>(Count));
+  for (const auto &[Service, ServiceEntry] : State.Services)
+    Output.set(
+        "filbertvane_repeats_left", {{"service", Service.value()}},
+        ServiceEntry.Budget.remaining(State.Hosts.hosts().size() + 1, Now));
 }
 
 } // namespace filbertvane::decision::mesh
