--- a/include/filbertvane/decision/Node.h
+++ b/include/filbertvane/decision/Node.h
@@ -60,7 +60,7 @@
     std::variant<Started, Tick, DrainStarted, ControlReceived, TargetAnnounced,
                  TargetGone, membership::Event, distribution::Event,
                  lease::Event, directory::Event, request::Event,
-                 rollout::GuardEvent, rollout::ControllerEvent>;
+                 rollout::MonitorEvent, rollout::ControllerEvent>;
 /// @}
 
 /// @name Effects to be carried out
@@ -101,7 +101,7 @@
   directory::State Directory;
   lease::State Lease;
   request::State Requests;
-  rollout::GuardState Guard;
+  rollout::MonitorState Guard;
   rollout::ControllerState Moves;
 
   std::shared_ptr<const config::FleetState> Fleet;
--- a/include/filbertvane/decision/rollout/Counts.h
+++ b/include/filbertvane/decision/rollout/Counts.h
@@ -12,8 +12,8 @@
 /// @brief Counts of latencies in buckets whose upper bounds are 1, 2, 4, ...
 ///        1024 ms; the last bucket has no bound.
 struct LatencyHistogram {
-  static constexpr std::size_t Buckets = 12;
-  std::array<std::uint64_t, Buckets> Count{};
+  static constexpr std::size_t BucketCount = 12;
+  std::array<std::uint64_t, BucketCount> Counts{};
 
   /// @brief Bucket that a latency falls into.
   static std::size_t bucketOf(core::Microseconds Latency);
@@ -22,7 +22,7 @@
   std::uint64_t total() const;
 
   /// @brief Number of latencies in the buckets above one.
-  std::uint64_t above(std::size_t Bucket) const;
+  std::uint64_t countAbove(std::size_t Bucket) const;
 
   friend bool operator==(const LatencyHistogram &,
                          const LatencyHistogram &) = default;
@@ -53,7 +53,7 @@
 
 /// @brief Counts added since an earlier report; 0 where a count fell, because a
 ///        count of one incarnation never falls.
-RouteCounts since(const RouteCounts &Earlier, const RouteCounts &Later);
+RouteCounts increaseSince(const RouteCounts &Earlier, const RouteCounts &Later);
 /// @}
 
 } // namespace filbertvane::decision::rollout
--- a/include/filbertvane/decision/rollout/LocalGuard.h
+++ b/include/filbertvane/decision/rollout/NodeMonitor.h
@@ -1,9 +1,9 @@
-#ifndef FILBERTVANE_DECISION_ROLLOUT_LOCALGUARD_H
-#define FILBERTVANE_DECISION_ROLLOUT_LOCALGUARD_H
+#ifndef FILBERTVANE_DECISION_ROLLOUT_NODEMONITOR_H
+#define FILBERTVANE_DECISION_ROLLOUT_NODEMONITOR_H
 
 #include "filbertvane/decision/Step.h"
 #include "filbertvane/decision/rollout/Evidence.h"
-#include "filbertvane/decision/rollout/Overlay.h"
+#include "filbertvane/decision/rollout/LocalRollback.h"
 #include "filbertvane/decision/rollout/Windows.h"
 #include "filbertvane/observe/LogEvent.h"
 #include <memory>
@@ -12,7 +12,7 @@
 
 /// Period after which standing overlays are sent again, for receivers that
 /// missed them and for a new lead or coordinator.
-inline constexpr core::Seconds OverlayPeriod{1};
+inline constexpr core::Seconds LocalRollbackSendPeriod{1};
 
 /// @name Events
 /// @{
@@ -26,8 +26,8 @@
   Evidence Report;
 };
 /// @brief An overlay of another node arrived.
-struct OverlayReceived {
-  Overlay Value;
+struct LocalRollbackReceived {
+  LocalRollback Rollback;
 };
 /// @brief This node became or ceased to be the lead of its data centre.
 struct LeadershipChanged {
@@ -36,39 +36,39 @@
 /// @brief Periodic event.
 struct Tick {};
 
-using GuardEvent =
+using MonitorEvent =
     std::variant<FleetChanged, request::Observed, EvidenceReceived,
-                 OverlayReceived, LeadershipChanged, Tick>;
+                 LocalRollbackReceived, LeadershipChanged, Tick>;
 /// @}
 
 /// @name Effects
 /// @{
 
-/// @brief Receiver of a message of the guard.
-enum class Receiver { Lead, Members, Coordinator };
+/// @brief Recipient of a message of the guard.
+enum class Recipient { Lead, Members, Coordinator };
 
 /// @brief Send the cumulative counts.
 struct SendEvidence {
-  Receiver To = Receiver::Lead;
+  Recipient To = Recipient::Lead;
   Evidence Report;
 };
 /// @brief Send an overlay.
-struct SendOverlay {
-  Receiver To = Receiver::Lead;
-  Overlay Value;
+struct SendLocalRollback {
+  Recipient To = Recipient::Lead;
+  LocalRollback Rollback;
 };
 /// @brief Moves whose new version gets no request on this node from now on.
 struct LocalRollbacksChanged {
   std::vector<config::MoveId> Moves;
 };
 
-using GuardEffect = std::variant<SendEvidence, SendOverlay,
-                                 LocalRollbacksChanged, observe::LogEvent>;
-using GuardEffects = std::vector<GuardEffect>;
+using MonitorEffect = std::variant<SendEvidence, SendLocalRollback,
+                                   LocalRollbacksChanged, observe::LogEvent>;
+using MonitorEffects = std::vector<MonitorEffect>;
 /// @}
 
 /// @brief State of the guard of a node, and of its data centre when it leads.
-struct GuardState {
+struct MonitorState {
   /// @name Identity
   /// @{
   core::NodeId Self;
@@ -81,42 +81,43 @@
   std::shared_ptr<const config::FleetState> Fleet;
   NodeCounter Counter;
   /// Sent to the lead.
-  Evidence Own;
-  MoveWindows OwnWindows{LocalSharedFaultChance};
+  Evidence OwnEvidence;
+  MoveWindows OwnWindows{LocalSharedFaultSignificance};
   /// @}
 
   /// @name Data centre, when leading
   /// @{
   bool IsLead = false;
-  EvidenceTable Members;
+  EvidenceTable MemberEvidence;
   /// Sum of what the members added while this node led; sent to the
   /// coordinator.
-  Evidence Pooled;
-  MoveWindows PooledWindows{LocalSharedFaultChance};
+  Evidence PooledEvidence;
+  MoveWindows PooledWindows{LocalSharedFaultSignificance};
   /// @}
 
-  OverlaySet Overlays;
+  LocalRollbackSet LocalRollbacks;
   /// Moves last given out in LocalRollbacksChanged.
-  std::vector<config::MoveId> InForce;
+  std::vector<config::MoveId> ActiveRollbacks;
   bool OwnChanged = false;
   bool PooledChanged = false;
-  core::TimePoint NextReport;
-  core::TimePoint NextPromptReport;
-  core::TimePoint NextOverlays;
+  core::TimePoint NextReportAt;
+  core::TimePoint NextPromptReportAt;
+  core::TimePoint NextRollbackSendAt;
 };
 
 /// @brief Guard of a node that has just started.
-GuardState guardOf(core::NodeId Self, core::Incarnation SelfIncarnation,
-                   core::DataCentreId DataCentre);
+MonitorState makeMonitorState(core::NodeId Self,
+                              core::Incarnation SelfIncarnation,
+                              core::DataCentreId DataCentre);
 
 /// @brief Handles one event at a node.
 ///
 /// A node judges its own answers, a lead those of its data centre. A proven
 /// finding, or a suspicion at a share where the old version is too quiet to
 /// prove it, withdraws the new version at once.
-Step<GuardState, GuardEffects> reduce(GuardState State, const GuardEvent &Event,
-                                      core::Instant Now);
+Step<MonitorState, MonitorEffects>
+reduce(MonitorState State, const MonitorEvent &Event, core::Instant Now);
 
 } // namespace filbertvane::decision::rollout
 
-#endif // FILBERTVANE_DECISION_ROLLOUT_LOCALGUARD_H
+#endif // FILBERTVANE_DECISION_ROLLOUT_NODEMONITOR_H
--- a/include/filbertvane/decision/rollout/SequentialTest.h
+++ b/include/filbertvane/decision/rollout/SequentialTest.h
@@ -11,7 +11,7 @@
 
 /// Probability that one evaluation blames a version whose fault rate is not
 /// above the control rate.
-inline constexpr double FalseAlarm = 1e-6;
+inline constexpr double FalsePositiveProbability = 1e-6;
 
 /// Fault rate that a good version may have.
 inline constexpr double ControlErrorRate = 0.001;
@@ -30,11 +30,11 @@
 /// often as observed. 0.0005 needs 11 faults at a share of one half and 4 at a
 /// tenth; 0.002 took one of 24 simulated shared faults for one of the new
 /// version. At canary shares the likelihood ratio alone is the stricter rule.
-inline constexpr double SharedFaultChance = 5e-4;
+inline constexpr double SharedFaultSignificance = 5e-4;
 
 /// The same at nodes and leads. There are many of them, and each has its own
 /// chance to take a shared fault for one of the new version.
-inline constexpr double LocalSharedFaultChance = 1e-4;
+inline constexpr double LocalSharedFaultSignificance = 1e-4;
 /// @}
 
 /// @brief Bad answers out of all answers of a version.
@@ -71,21 +71,22 @@
 
 /// @brief Probability that at least `New.Bad` of all bad answers fall on the
 ///        new version when both versions have the same rate.
-double sharedFaultChance(Sample New, Sample Old);
+double sharedFaultPValue(Sample New, Sample Old);
 
 /// @brief Judges one window.
 /// @param New bad answers of the new version
 /// @param Old bad answers of the old version in the same window
 /// @param Control rate that a good version may have, from `controlRate`
 /// @param SharedChance highest accepted probability of a shared fault
-Finding judge(Sample New, Sample Old, double Control,
-              double SharedChance = SharedFaultChance);
+Finding compareVersions(Sample New, Sample Old, double Control,
+                        double SharedChance = SharedFaultSignificance);
 
 /// @brief Expected number of bad answers until a version with this rate of bad
 ///        answers is found, with the old version at the control rate.
 /// @param Rate rate of bad answers, above `Control`
 /// @param Control rate that a good version may have
-double expectedBadToDecide(double Rate, double Control = ControlErrorRate);
+double expectedBadUntilDetection(double Rate,
+                                 double Control = ControlErrorRate);
 
 /// @brief Highest bucket that does not count as slow, from the latencies of the
 ///        old version; none when they are too few.
--- a/include/filbertvane/decision/rollout/Windows.h
+++ b/include/filbertvane/decision/rollout/Windows.h
@@ -27,8 +27,8 @@
 class RouteWindows {
 public:
   /// @param SharedChance highest accepted probability of a shared fault
-  RouteWindows(double SharedChance = SharedFaultChance)
-      : SharedChance(SharedChance) {}
+  RouteWindows(double SharedChance = SharedFaultSignificance)
+      : Significance(SharedChance) {}
 
   /// @brief Adds counts to the current period.
   void add(const RouteCounts &Added);
@@ -40,7 +40,7 @@
   ///
   /// A window over two shares would take a shared fault at the higher share for
   /// a fault of the new version. What is proven stays proven.
-  void startStage();
+  void startStep();
 
   /// @brief Judges all windows and returns the gravest finding.
   ///
@@ -53,7 +53,7 @@
   const RouteCounts &total() const { return Total; }
 
   /// @brief Number of closed periods that are kept.
-  std::size_t periods() const { return Closed.size(); }
+  std::size_t periodCount() const { return ClosedPeriods.size(); }
 
   static constexpr std::size_t MaxPeriods = 48;
 
@@ -66,18 +66,18 @@
     friend bool operator==(const Period &, const Period &) = default;
   };
 
-  void mergeOldest();
-  RouteFinding judgeWindows() const;
+  void mergePeriods();
+  RouteFinding evaluateWindows() const;
 
   /// Oldest first.
-  std::vector<Period> Closed;
-  RouteCounts Open;
+  std::vector<Period> ClosedPeriods;
+  RouteCounts OpenPeriod;
   /// Sum since the share last changed.
-  RouteCounts Stage;
+  RouteCounts StepTotal;
   RouteCounts Total;
-  double SharedChance;
-  RouteFinding Last;
-  bool HasNewBad = false;
+  double Significance;
+  RouteFinding LastFinding;
+  bool HasNewBadAnswers = false;
 };
 
 /// @brief Windows of all routes of all moves that are watched.
@@ -87,8 +87,8 @@
 class MoveWindows {
 public:
   /// @param SharedChance highest accepted probability of a shared fault
-  MoveWindows(double SharedChance = SharedFaultChance)
-      : SharedChance(SharedChance) {}
+  MoveWindows(double SharedChance = SharedFaultSignificance)
+      : Significance(SharedChance) {}
 
   /// Routes over all moves that are kept; counts of further ones are dropped.
   static constexpr std::size_t MaxRoutes = 1024;
@@ -102,7 +102,7 @@
   void closePeriod();
 
   /// @brief Starts the windows of a move afresh after its share changed.
-  void startStage(const config::MoveId &Move);
+  void startStep(const config::MoveId &Move);
 
   /// @brief Gravest finding of a move.
   /// @return the route, empty for the whole service, and its finding
@@ -117,13 +117,14 @@
   friend bool operator==(const MoveWindows &, const MoveWindows &) = default;
 
 private:
-  double SharedChance;
-  std::map<config::MoveId, std::map<core::RouteName, RouteWindows>> Of;
+  double Significance;
+  std::map<config::MoveId, std::map<core::RouteName, RouteWindows>>
+      RoutesByMove;
 };
 
 /// @brief Turns a finding into the figures of a report.
-config::Verdict verdictOf(const core::RouteName &Route,
-                          const RouteFinding &Found);
+config::Verdict makeVerdict(const core::RouteName &Route,
+                            const RouteFinding &Found);
 
 } // namespace filbertvane::decision::rollout
 
--- a/lib/decision/Dispatch.cpp
+++ b/lib/decision/Dispatch.cpp
@@ -50,7 +50,7 @@
   follow(directory::Event(directory::Tick{}));
   follow(lease::Event(lease::Tick{}));
   follow(request::Event(request::Tick{}));
-  follow(rollout::GuardEvent(rollout::Tick{}));
+  follow(rollout::MonitorEvent(rollout::Tick{}));
   follow(rollout::ControllerEvent(rollout::Tick{}));
   takeSnapshotWhenDue();
 }
@@ -98,7 +98,7 @@
   routeAll(Effects);
 }
 
-void Dispatch::operator()(const rollout::GuardEvent &What) {
+void Dispatch::operator()(const rollout::MonitorEvent &What) {
   auto Effects = applyTo(S.Guard, What, Now);
   routeAll(Effects);
 }
@@ -201,7 +201,7 @@
   S.Fleet = What.State;
   follow(membership::Event(membership::OwnPositionChanged{What.At}));
   follow(directory::Event(directory::PositionKnown{S.Own.Node, What.At}));
-  follow(rollout::GuardEvent(rollout::FleetChanged{What.State}));
+  follow(rollout::MonitorEvent(rollout::FleetChanged{What.State}));
   follow(rollout::ControllerEvent(rollout::FleetChanged{What.State}));
   tellRequestsConfiguration();
   tellLeaseOfRecords(What);
@@ -285,7 +285,7 @@
 }
 
 void Dispatch::route(directory::LeadershipChanged &What) {
-  follow(rollout::GuardEvent(rollout::LeadershipChanged{What.IsLead}));
+  follow(rollout::MonitorEvent(rollout::LeadershipChanged{What.IsLead}));
   tellCandidacy();
 }
 
@@ -332,7 +332,7 @@
 // --- requests ---
 
 void Dispatch::route(request::Observed &What) {
-  follow(rollout::GuardEvent(std::move(What)));
+  follow(rollout::MonitorEvent(std::move(What)));
 }
 
 void Dispatch::route(request::SuspectReported &What) {
--- a/lib/decision/Dispatch.h
+++ b/lib/decision/Dispatch.h
@@ -30,7 +30,7 @@
   void operator()(const lease::Event &What);
   void operator()(const directory::Event &What);
   void operator()(const request::Event &What);
-  void operator()(const rollout::GuardEvent &What);
+  void operator()(const rollout::MonitorEvent &What);
   void operator()(const rollout::ControllerEvent &What);
   /// @}
 
@@ -79,10 +79,10 @@
   /// @name Effects of moves
   /// @{
   void route(rollout::SendEvidence &What);
-  void route(rollout::SendOverlay &What);
+  void route(rollout::SendLocalRollback &What);
   void route(rollout::LocalRollbacksChanged &What);
-  void route(rollout::Append &What);
-  void route(rollout::PublishOverlay &What);
+  void route(rollout::AppendRecord &What);
+  void route(rollout::PublishLocalRollback &What);
   /// @}
 
   /// Effects that go outside as they are.
--- a/lib/decision/DispatchMoves.cpp
+++ b/lib/decision/DispatchMoves.cpp
@@ -10,24 +10,24 @@
   const bool FromMember = DataCentre == S.Own.DataCentre;
   const bool CoordinatorOnly = isCoordinator() && !S.Directory.IsLead;
   if (FromMember && !CoordinatorOnly)
-    follow(rollout::GuardEvent(rollout::EvidenceReceived{fromMessage(What)}));
+    follow(rollout::MonitorEvent(rollout::EvidenceReceived{fromMessage(What)}));
   else
     follow(
         rollout::ControllerEvent(rollout::EvidenceReceived{fromMessage(What)}));
 }
 
 void Dispatch::receive(const wire::LocalRollback &What) {
-  const rollout::Overlay Value = fromMessage(What);
-  follow(rollout::GuardEvent(rollout::OverlayReceived{Value}));
+  const rollout::LocalRollback Value = fromMessage(What);
+  follow(rollout::MonitorEvent(rollout::LocalRollbackReceived{Value}));
   if (isCoordinator())
-    follow(rollout::ControllerEvent(rollout::OverlayReceived{Value}));
+    follow(rollout::ControllerEvent(rollout::LocalRollbackReceived{Value}));
 }
 
 void Dispatch::route(rollout::SendEvidence &What) {
-  const bool ToLead = What.To == rollout::Receiver::Lead;
+  const bool ToLead = What.To == rollout::Recipient::Lead;
   if (ToLead && S.Directory.IsLead) {
-    follow(
-        rollout::GuardEvent(rollout::EvidenceReceived{std::move(What.Report)}));
+    follow(rollout::MonitorEvent(
+        rollout::EvidenceReceived{std::move(What.Report)}));
     return;
   }
   if (!ToLead && isCoordinator()) {
@@ -40,21 +40,22 @@
     send(*To, toMessage(What.Report));
 }
 
-void Dispatch::route(rollout::SendOverlay &What) {
+void Dispatch::route(rollout::SendLocalRollback &What) {
   switch (What.To) {
-  case rollout::Receiver::Lead:
+  case rollout::Recipient::Lead:
     if (const auto To = leadAddress(); To && !S.Directory.IsLead)
-      send(*To, toMessage(What.Value));
+      send(*To, toMessage(What.Rollback));
     return;
-  case rollout::Receiver::Members:
+  case rollout::Recipient::Members:
     for (const std::string &To : memberAddresses())
-      send(To, toMessage(What.Value));
+      send(To, toMessage(What.Rollback));
     return;
-  case rollout::Receiver::Coordinator:
+  case rollout::Recipient::Coordinator:
     if (isCoordinator())
-      follow(rollout::ControllerEvent(rollout::OverlayReceived{What.Value}));
+      follow(rollout::ControllerEvent(
+          rollout::LocalRollbackReceived{What.Rollback}));
     else if (const auto To = coordinatorAddress())
-      send(*To, toMessage(What.Value));
+      send(*To, toMessage(What.Rollback));
     return;
   }
 }
@@ -64,16 +65,16 @@
   tellRequestsConfiguration();
 }
 
-void Dispatch::route(rollout::Append &What) {
+void Dispatch::route(rollout::AppendRecord &What) {
   // The process may have been paused since the lease was last checked.
   if (lease::mayAct(S.Lease, Now.Mono))
     append(std::move(What.Body));
 }
 
-void Dispatch::route(rollout::PublishOverlay &What) {
-  follow(rollout::GuardEvent(rollout::OverlayReceived{What.Value}));
+void Dispatch::route(rollout::PublishLocalRollback &What) {
+  follow(rollout::MonitorEvent(rollout::LocalRollbackReceived{What.Rollback}));
   for (const distribution::OtherLead &Each : S.Records.Leads)
-    send(Each.At.Address, toMessage(What.Value));
+    send(Each.At.Address, toMessage(What.Rollback));
 }
 
 } // namespace filbertvane::decision
--- a/lib/decision/EvidenceMessages.cpp
+++ b/lib/decision/EvidenceMessages.cpp
@@ -6,14 +6,14 @@
 namespace {
 
 std::vector<std::uint64_t> toCounts(const rollout::LatencyHistogram &Of) {
-  return {Of.Count.begin(), Of.Count.end()};
+  return {Of.Counts.begin(), Of.Counts.end()};
 }
 
 /// Counts beyond the buckets of this process are dropped.
 rollout::LatencyHistogram fromCounts(const std::vector<std::uint64_t> &Counts) {
   rollout::LatencyHistogram Histogram;
-  const std::size_t Shared = std::min(Counts.size(), Histogram.Count.size());
-  std::copy_n(Counts.begin(), Shared, Histogram.Count.begin());
+  const std::size_t Shared = std::min(Counts.size(), Histogram.Counts.size());
+  std::copy_n(Counts.begin(), Shared, Histogram.Counts.begin());
   return Histogram;
 }
 
@@ -39,7 +39,8 @@
 void addCrashes(wire::RouteEvidence &To,
                 const std::vector<rollout::Crash> &Crashes) {
   for (const rollout::Crash &Each : Crashes)
-    (Each.OfNew ? To.NewCrashes : To.OldCrashes).push_back(Each.Request);
+    (Each.OnNewVersion ? To.NewCrashes : To.OldCrashes)
+        .push_back(Each.RequestDigest);
 }
 
 /// A route may have counts, crashes, or both.
@@ -93,12 +94,12 @@
   return Report;
 }
 
-wire::LocalRollback toMessage(const rollout::Overlay &Value) {
-  return {Value.Move, Value.DataCentre, Value.Decided,
-          Value.At,   Value.Share,      Value.Proven};
+wire::LocalRollback toMessage(const rollout::LocalRollback &Value) {
+  return {Value.Move,      Value.DataCentre, Value.Verdict,
+          Value.CreatedAt, Value.Share,      Value.Proven};
 }
 
-rollout::Overlay fromMessage(const wire::LocalRollback &Message) {
+rollout::LocalRollback fromMessage(const wire::LocalRollback &Message) {
   return {Message.Move, Message.DataCentre, Message.Share,
           Message.At,   Message.Proven,     Message.Decided};
 }
--- a/lib/decision/EvidenceMessages.h
+++ b/lib/decision/EvidenceMessages.h
@@ -1,7 +1,7 @@
 #ifndef FILBERTVANE_LIB_DECISION_EVIDENCEMESSAGES_H
 #define FILBERTVANE_LIB_DECISION_EVIDENCEMESSAGES_H
 
-#include "filbertvane/decision/rollout/LocalGuard.h"
+#include "filbertvane/decision/rollout/NodeMonitor.h"
 #include "filbertvane/wire/ControlMessage.h"
 
 namespace filbertvane::decision {
@@ -10,8 +10,8 @@
 /// @{
 wire::Evidence toMessage(const rollout::Evidence &Report);
 rollout::Evidence fromMessage(const wire::Evidence &Message);
-wire::LocalRollback toMessage(const rollout::Overlay &Value);
-rollout::Overlay fromMessage(const wire::LocalRollback &Message);
+wire::LocalRollback toMessage(const rollout::LocalRollback &Value);
+rollout::LocalRollback fromMessage(const wire::LocalRollback &Message);
 /// @}
 
 } // namespace filbertvane::decision
--- a/lib/decision/Node.cpp
+++ b/lib/decision/Node.cpp
@@ -52,7 +52,7 @@
       Directory(directory::initial(directorySettings(Own))),
       Lease(lease::initial({Own.Node, writerOf(Own)}, Own.RandomSeed + 2)),
       Requests(requestSettings(Own)),
-      Guard(rollout::guardOf(Own.Node, Own.Number, Own.DataCentre)) {}
+      Guard(rollout::makeMonitorState(Own.Node, Own.Number, Own.DataCentre)) {}
 
 Step<NodeState, NodeEffects> reduce(NodeState Before, NodeEvent What,
                                     core::Instant Now) {
--- a/lib/decision/mesh/MoveTracker.cpp
+++ b/lib/decision/mesh/MoveTracker.cpp
@@ -100,7 +100,8 @@
   if (faultRate(New) < LeastRateFactor * faultRate(Old))
     return false;
   const double Control = rollout::controlRate(Old, rollout::ControlErrorRate);
-  return rollout::judge(New, Old, Control) == rollout::Finding::Proven;
+  return rollout::compareVersions(New, Old, Control) ==
+         rollout::Finding::Proven;
 }
 
 bool slownessProven(const RouteEvidence &Route) {
--- a/lib/decision/rollout/Controller.cpp
+++ b/lib/decision/rollout/Controller.cpp
@@ -1,6 +1,6 @@
 #include "filbertvane/decision/rollout/Controller.h"
 #include "MoveDriver.h"
-#include "filbertvane/decision/rollout/Judgement.h"
+#include "filbertvane/decision/rollout/RolloutPolicy.h"
 
 namespace filbertvane::decision::rollout {
 
@@ -14,13 +14,15 @@
 
   void on(const FleetChanged &Event);
   void on(const EvidenceReceived &Event);
-  void on(const OverlayReceived &Event);
+  void on(const LocalRollbackReceived &Event);
   void on(const SlotsChanged &Event);
   void on(const DataCentreReported &Event);
   void on(const DataCentreLost &Event);
   void on(const LeaseGained &Event);
   void on(const LeaseLost &);
-  void on(const LogAvailability &Event) { S.LogUp = Event.Up; }
+  void on(const LogAvailabilityChanged &Event) {
+    S.LogAvailable = Event.Available;
+  }
   void on(const Tick &);
 
   void drive();
@@ -40,14 +42,14 @@
 
 void Control::on(const FleetChanged &Event) {
   S.Fleet = Event.State;
-  S.Overlays.prune(*S.Fleet);
+  S.LocalRollbacks.prune(*S.Fleet);
   forgetUnwatched();
 }
 
 void Control::forgetUnwatched() {
-  const auto Watched = watchedMoves(*S.Fleet, Now.Wall);
-  S.Table.retain(Watched);
-  std::erase_if(S.Watches, [&](const auto &Entry) {
+  const auto Watched = monitoredMoves(*S.Fleet, Now.Wall);
+  S.EvidenceBySender.retain(Watched);
+  std::erase_if(S.MoveContexts, [&](const auto &Entry) {
     return !Watched.contains(Entry.first);
   });
   for (const config::MoveId &Move : S.Windows.moves())
@@ -58,75 +60,75 @@
 void Control::on(const EvidenceReceived &Event) {
   if (!S.Fleet)
     return;
-  const auto Merged =
-      S.Table.merge(Event.Report, inheritedMoves(*S.Fleet, Now.Wall,
-                                                 Now.Mono < S.TakeoverUntil));
-  if (!Merged.Kept)
-    Out.push_back(observe::LogEvent{observe::EventId::MoveEvidenceLimit,
+  const auto Merged = S.EvidenceBySender.merge(
+      Event.Report,
+      baselineMoves(*S.Fleet, Now.Wall, Now.Mono < S.TakeoverUntil));
+  if (!Merged.Accepted)
+    Out.push_back(observe::LogEvent{observe::EventId::MoveEvidenceDropped,
                                     Event.Report.Sender.value()});
-  const auto Watched = watchedMoves(*S.Fleet, Now.Wall);
+  const auto Watched = monitoredMoves(*S.Fleet, Now.Wall);
   for (const auto &[Move, Routes] : Merged.Added)
     for (const auto &[Route, Counts] : Routes)
       if (Watched.contains(Move))
         S.Windows.add(Move, Route, Counts);
 }
 
-void Control::on(const OverlayReceived &Event) {
-  S.Overlays.add(Event.Value);
+void Control::on(const LocalRollbackReceived &Event) {
+  S.LocalRollbacks.add(Event.Rollback);
   if (S.Fleet)
-    S.Overlays.prune(*S.Fleet);
+    S.LocalRollbacks.prune(*S.Fleet);
 }
 
 void Control::on(const SlotsChanged &Event) {
   const std::pair Key(Event.Service, Event.Version);
   if (Event.Slots == 0)
-    S.Slots.erase(Key);
+    S.SlotsByVersion.erase(Key);
   else
-    S.Slots[Key] = {Event.Slots, Event.InUse};
+    S.SlotsByVersion[Key] = {Event.Slots, Event.InUse};
 }
 
 void Control::on(const DataCentreReported &Event) {
-  S.DataCentres[Event.DataCentre] = {Event.Lowest, std::nullopt};
+  S.DataCentres[Event.DataCentre] = {Event.LowestVersion, std::nullopt};
 }
 
 void Control::on(const DataCentreLost &Event) {
-  S.DataCentres[Event.DataCentre].MissingSince = Event.Since;
+  S.DataCentres[Event.DataCentre].UnreachableSince = Event.UnreachableSince;
 }
 
 void Control::on(const LeaseGained &Event) {
-  S.Lease = Event.Epoch;
-  S.TakeoverUntil = Now.Mono + TakeoverReports;
+  S.LeaseEpoch = Event.Epoch;
+  S.TakeoverUntil = Now.Mono + TakeoverReportWindow;
   // Records of an older epoch that were not read back have no effect any more.
-  S.Watches.clear();
+  S.MoveContexts.clear();
 }
 
 void Control::on(const LeaseLost &) {
-  S.Lease.reset();
-  S.Watches.clear();
+  S.LeaseEpoch.reset();
+  S.MoveContexts.clear();
 }
 
 void Control::on(const Tick &) {
-  if (Now.Mono < S.NextPeriod)
+  if (Now.Mono < S.NextPeriodAt)
     return;
-  S.NextPeriod = Now.Mono + EvidencePeriod;
+  S.NextPeriodAt = Now.Mono + EvidencePeriod;
   S.Windows.closePeriod();
   if (S.Fleet)
     forgetUnwatched();
-  if (Now.Mono < S.NextOverlays || !S.Lease)
+  if (Now.Mono < S.NextRollbackPublishAt || !S.LeaseEpoch)
     return;
-  S.NextOverlays = Now.Mono + OverlayPeriod;
-  for (const Overlay &Value : S.Overlays.inDataCentre({}))
-    Out.push_back(PublishOverlay{Value});
+  S.NextRollbackPublishAt = Now.Mono + LocalRollbackSendPeriod;
+  for (const LocalRollback &Value : S.LocalRollbacks.forDataCentre({}))
+    Out.push_back(PublishLocalRollback{Value});
 }
 
 void Control::drive() {
   // A lease whose claim was superseded in the log is not held, whatever the
   // lease part says so far.
-  if (!S.Fleet || !S.Lease || S.Fleet->CurrentEpoch != *S.Lease)
+  if (!S.Fleet || !S.LeaseEpoch || S.Fleet->CurrentEpoch != *S.LeaseEpoch)
     return;
   const auto Fleet = S.Fleet;
   for (const config::MoveStatus &Move : Fleet->Moves)
-    if (watched(Move, Now.Wall))
+    if (isMonitored(Move, Now.Wall))
       MoveDriver(S, Move, Now, Out).drive();
   reportInForce();
 }
@@ -138,21 +140,22 @@
 }
 
 void Control::reportInForce() {
-  config::InForceReported Report{*S.Lease, S.Fleet->SheetVersion, Now.Wall, {}};
+  config::InForceReported Report{
+      *S.LeaseEpoch, S.Fleet->SheetVersion, Now.Wall, {}};
   bool Reachable = false;
   for (const auto &[Id, View] : S.DataCentres) {
-    if (View.MissingSince)
-      Report.Missing.emplace_back(Id, *View.MissingSince);
-    else if (View.Lowest < S.Fleet->SheetVersion)
+    if (View.UnreachableSince)
+      Report.Missing.emplace_back(Id, *View.UnreachableSince);
+    else if (View.LowestVersion < S.Fleet->SheetVersion)
       return;
     else
       Reachable = true;
   }
-  if (!Reachable || !S.LogUp || isReported(Report) ||
+  if (!Reachable || !S.LogAvailable || isReported(Report) ||
       Now.Mono < S.InForceRetryAt)
     return;
-  S.InForceRetryAt = Now.Mono + ReadBackTime;
-  Out.push_back(Append{Report});
+  S.InForceRetryAt = Now.Mono + ReadBackTimeout;
+  Out.push_back(AppendRecord{Report});
 }
 
 } // namespace
--- a/lib/decision/rollout/Counts.cpp
+++ b/lib/decision/rollout/Counts.cpp
@@ -10,25 +10,25 @@
     return 0;
   const auto Micros = static_cast<std::uint64_t>(Latency.count());
   const std::uint64_t Millis = (Micros + 999) / 1000;
-  return std::min<std::size_t>(std::bit_width(Millis - 1), Buckets - 1);
+  return std::min<std::size_t>(std::bit_width(Millis - 1), BucketCount - 1);
 }
 
 std::uint64_t LatencyHistogram::total() const {
-  return std::accumulate(Count.begin(), Count.end(), std::uint64_t{0});
+  return std::accumulate(Counts.begin(), Counts.end(), std::uint64_t{0});
 }
 
-std::uint64_t LatencyHistogram::above(std::size_t Bucket) const {
+std::uint64_t LatencyHistogram::countAbove(std::size_t Bucket) const {
   std::uint64_t Sum = 0;
-  for (std::size_t I = Bucket + 1; I < Buckets; ++I)
-    Sum += Count[I];
+  for (std::size_t I = Bucket + 1; I < BucketCount; ++I)
+    Sum += Counts[I];
   return Sum;
 }
 
 VersionCounts &operator+=(VersionCounts &Left, const VersionCounts &Right) {
   Left.Answers += Right.Answers;
   Left.Faults += Right.Faults;
-  for (std::size_t I = 0; I < LatencyHistogram::Buckets; ++I)
-    Left.Latency.Count[I] += Right.Latency.Count[I];
+  for (std::size_t I = 0; I < LatencyHistogram::BucketCount; ++I)
+    Left.Latency.Counts[I] += Right.Latency.Counts[I];
   return Left;
 }
 
@@ -48,15 +48,16 @@
   VersionCounts Added;
   Added.Answers = risen(Earlier.Answers, Later.Answers);
   Added.Faults = risen(Earlier.Faults, Later.Faults);
-  for (std::size_t I = 0; I < LatencyHistogram::Buckets; ++I)
-    Added.Latency.Count[I] =
-        risen(Earlier.Latency.Count[I], Later.Latency.Count[I]);
+  for (std::size_t I = 0; I < LatencyHistogram::BucketCount; ++I)
+    Added.Latency.Counts[I] =
+        risen(Earlier.Latency.Counts[I], Later.Latency.Counts[I]);
   return Added;
 }
 
 } // namespace
 
-RouteCounts since(const RouteCounts &Earlier, const RouteCounts &Later) {
+RouteCounts increaseSince(const RouteCounts &Earlier,
+                          const RouteCounts &Later) {
   return {since(Earlier.New, Later.New), since(Earlier.Old, Later.Old)};
 }
 
--- a/lib/decision/rollout/Evidence.cpp
+++ b/lib/decision/rollout/Evidence.cpp
@@ -3,11 +3,11 @@
 
 namespace filbertvane::decision::rollout {
 
-bool watched(const config::MoveStatus &Move, core::WallTime Now) {
+bool isMonitored(const config::MoveStatus &Move, core::WallTime Now) {
   if (Move.Stage == config::MoveStage::InProgress)
     return true;
   return Move.Stage == config::MoveStage::Completed && Move.EndedAt &&
-         Now < *Move.EndedAt + WatchAfterCompletion;
+         Now < *Move.EndedAt + PostCompletionMonitoring;
 }
 
 namespace {
@@ -22,7 +22,7 @@
                      return Move.Id.Service == Answer.Service &&
                             Move.Stage != config::MoveStage::Superseded;
                    });
-  if (Found == Fleet.Moves.rend() || !watched(*Found, Now))
+  if (Found == Fleet.Moves.rend() || !isMonitored(*Found, Now))
     return nullptr;
   const bool Concerned =
       Answer.Version == Found->From || Answer.Version == Found->Order.To;
@@ -31,35 +31,35 @@
 
 } // namespace
 
-bool CrashMemory::isNew(core::Digest Request) {
-  if (std::find(Seen.begin(), Seen.end(), Request) != Seen.end())
+bool RecentCrashes::insert(core::Digest Request) {
+  if (std::find(Digests.begin(), Digests.end(), Request) != Digests.end())
     return false;
-  Seen.push_back(Request);
-  if (Seen.size() > Limit)
-    Seen.erase(Seen.begin());
+  Digests.push_back(Request);
+  if (Digests.size() > Capacity)
+    Digests.erase(Digests.begin());
   return true;
 }
 
-void list(Evidence &Report, const config::MoveId &Move,
-          const core::RouteName &Route, const Crash &Added) {
+void addCrash(Evidence &Report, const config::MoveId &Move,
+              const core::RouteName &Route, const Crash &Added) {
   std::vector<Crash> &Crashes = Report.Crashes[Move][Route];
   Crashes.push_back(Added);
-  if (Crashes.size() > MaxCrashes)
+  if (Crashes.size() > MaxCrashesPerRoute)
     Crashes.erase(Crashes.begin());
 }
 
-void NodeCounter::noteShares(const config::FleetState &Fleet,
-                             core::TimePoint Now) {
-  std::erase_if(WarmFrom, [&](const auto &Entry) {
+void NodeCounter::startWarmUps(const config::FleetState &Fleet,
+                               core::TimePoint Now) {
+  std::erase_if(WarmUpEnds, [&](const auto &Entry) {
     return std::none_of(Fleet.Moves.begin(), Fleet.Moves.end(),
                         [&](const auto &M) { return M.Id == Entry.first; });
   });
   for (const config::MoveStatus &Move : Fleet.Moves)
     if (Move.Share > 0)
-      WarmFrom.try_emplace(Move.Id, Now + WarmUp);
+      WarmUpEnds.try_emplace(Move.Id, Now + WarmUpDuration);
 }
 
-std::optional<NodeCounter::Counted>
+std::optional<NodeCounter::CountedAnswer>
 NodeCounter::record(const request::Observed &Answer,
                     const config::FleetState &Fleet, core::Instant Now) {
   const config::MoveStatus *Move = moveOf(Answer, Fleet, Now.Wall);
@@ -68,49 +68,49 @@
   const bool IsNew = Answer.Version == Move->Order.To;
   const bool IsCrash =
       Answer.TargetCrashed && Answer.RequestDigest != core::Digest();
-  if (IsCrash && !Crashes.isNew(Answer.RequestDigest))
+  if (IsCrash && !Crashes.insert(Answer.RequestDigest))
     return std::nullopt;
-  Counted Result{Move->Id, Answer.Route, {}, std::nullopt};
+  CountedAnswer Result{Move->Id, Answer.Route, {}, std::nullopt};
   if (IsCrash)
     Result.Crashed = Crash{Answer.RequestDigest, IsNew};
-  VersionCounts &Side = IsNew ? Result.Added.New : Result.Added.Old;
+  VersionCounts &Side = IsNew ? Result.Counts.New : Result.Counts.Old;
   Side.Answers = 1;
   Side.Faults = Answer.Fault ? 1 : 0;
-  const auto Warm = WarmFrom.find(Move->Id);
+  const auto Warm = WarmUpEnds.find(Move->Id);
   const bool IsWarm =
-      !IsNew || (Warm != WarmFrom.end() && Now.Mono >= Warm->second);
+      !IsNew || (Warm != WarmUpEnds.end() && Now.Mono >= Warm->second);
   // A fault says nothing about latency: a refused request ends at once, a
   // timed-out one is counted as a fault already.
   if (!Answer.Fault && IsWarm)
-    Side.Latency.Count[LatencyHistogram::bucketOf(Answer.Latency)] = 1;
+    Side.Latency.Counts[LatencyHistogram::bucketOf(Answer.Latency)] = 1;
   return Result;
 }
 
 bool EvidenceTable::knowsSender(const core::NodeId &Sender) const {
-  const auto First = Of.lower_bound({Sender, core::Incarnation()});
-  return First != Of.end() && First->first.first == Sender;
+  const auto First = BySender.lower_bound({Sender, core::Incarnation()});
+  return First != BySender.end() && First->first.first == Sender;
 }
 
-EvidenceTable::Merged
+EvidenceTable::MergeResult
 EvidenceTable::merge(const Evidence &Report,
                      const std::set<config::MoveId> &Inherited) {
-  Merged Result;
+  MergeResult Result;
   const std::pair Key(Report.Sender, Report.SenderIncarnation);
-  auto Found = Of.find(Key);
-  const bool Unknown = Found == Of.end() && !knowsSender(Report.Sender);
-  if (Found != Of.end() && Report.Revision <= Found->second.Revision)
+  auto Found = BySender.find(Key);
+  const bool Unknown = Found == BySender.end() && !knowsSender(Report.Sender);
+  if (Found != BySender.end() && Report.Revision <= Found->second.Revision)
     return Result;
-  if (Found == Of.end() && Of.size() >= MaxSenders)
-    return Merged{{}, {}, false};
-  if (Found == Of.end())
-    Found = Of.emplace(Key, Known()).first;
+  if (Found == BySender.end() && BySender.size() >= MaxSenders)
+    return MergeResult{{}, {}, false};
+  if (Found == BySender.end())
+    Found = BySender.emplace(Key, SenderCounts()).first;
   Found->second.Revision = Report.Revision;
   if (!Unknown)
     mergeCrashes(Report, Result);
   for (const auto &[Move, Routes] : Report.Moves) {
     MoveCounts &Before = Found->second.Moves[Move];
     for (const auto &[Route, Counts] : Routes) {
-      const RouteCounts Added = since(Before[Route], Counts);
+      const RouteCounts Added = increaseSince(Before[Route], Counts);
       Before[Route] += Added;
       if (Added != RouteCounts() && !(Unknown && Inherited.contains(Move)))
         Result.Added[Move][Route] += Added;
@@ -119,14 +119,14 @@
   return Result;
 }
 
-void EvidenceTable::mergeCrashes(const Evidence &Report, Merged &Result) {
+void EvidenceTable::mergeCrashes(const Evidence &Report, MergeResult &Result) {
   for (const auto &[Move, Routes] : Report.Crashes)
     for (const auto &[Route, Listed] : Routes)
       for (const Crash &Each : Listed) {
-        if (!Crashes.isNew(Each.Request))
+        if (!Crashes.insert(Each.RequestDigest))
           continue;
         RouteCounts &Added = Result.Added[Move][Route];
-        VersionCounts &Side = Each.OfNew ? Added.New : Added.Old;
+        VersionCounts &Side = Each.OnNewVersion ? Added.New : Added.Old;
         ++Side.Answers;
         ++Side.Faults;
         Result.Crashes[Move][Route].push_back(Each);
@@ -135,7 +135,7 @@
 
 MoveCounts EvidenceTable::total(const config::MoveId &Move) const {
   MoveCounts Sum;
-  for (const auto &[Sender, Known] : Of)
+  for (const auto &[Sender, Known] : BySender)
     if (const auto Found = Known.Moves.find(Move); Found != Known.Moves.end())
       for (const auto &[Route, Counts] : Found->second)
         Sum[Route] += Counts;
@@ -143,13 +143,13 @@
 }
 
 void EvidenceTable::retain(const std::set<config::MoveId> &Moves) {
-  for (auto &[Sender, Known] : Of)
+  for (auto &[Sender, Known] : BySender)
     std::erase_if(Known.Moves, [&](const auto &Entry) {
       return !Moves.contains(Entry.first);
     });
   // Without counts a sender is forgotten; moves younger than FreshMove still
   // take its next report in full.
-  std::erase_if(Of,
+  std::erase_if(BySender,
                 [](const auto &Entry) { return Entry.second.Moves.empty(); });
 }
 
--- a/lib/decision/rollout/Overlay.cpp
+++ b/lib/decision/rollout/LocalRollback.cpp
@@ -1,4 +1,4 @@
-#include "filbertvane/decision/rollout/Overlay.h"
+#include "filbertvane/decision/rollout/LocalRollback.h"
 #include <algorithm>
 #include <tuple>
 
@@ -9,12 +9,12 @@
 /// Total order of the overlays of one move and data centre; the greater one is
 /// kept. A higher share means that it was made later; a proven one outranks a
 /// suspicion; of two like ones the earlier decided.
-auto rank(const Overlay &Value) {
-  return std::tuple(Value.Share, Value.Proven, -Value.At.time_since_epoch(),
-                    Value.Decided);
+auto rank(const LocalRollback &Value) {
+  return std::tuple(Value.Share, Value.Proven,
+                    -Value.CreatedAt.time_since_epoch(), Value.Verdict);
 }
 
-bool isObsolete(const Overlay &Value, const config::FleetState &Fleet) {
+bool isObsolete(const LocalRollback &Value, const config::FleetState &Fleet) {
   const config::MoveStatus *Move = findMove(Fleet, Value.Move);
   // A move ordered beyond the own version is not known here yet.
   if (Move == nullptr)
@@ -33,52 +33,54 @@
   return Found == Fleet.Moves.end() ? nullptr : &*Found;
 }
 
-bool OverlaySet::add(const Overlay &Added) {
+bool LocalRollbackSet::add(const LocalRollback &Added) {
   const Key Place(Added.Move, Added.DataCentre);
-  const auto Found = Of.find(Place);
-  if (Found != Of.end()) {
+  const auto Found = Rollbacks.find(Place);
+  if (Found != Rollbacks.end()) {
     if (rank(Added) <= rank(Found->second))
       return false;
     Found->second = Added;
     return true;
   }
-  if (Of.size() >= MaxOverlays)
+  if (Rollbacks.size() >= MaxRollbacks)
     return false;
-  Of.emplace(Place, Added);
+  Rollbacks.emplace(Place, Added);
   return true;
 }
 
-std::vector<Overlay> OverlaySet::prune(const config::FleetState &Fleet) {
-  std::vector<Overlay> Dropped;
-  for (const auto &[Place, Value] : Of)
+std::vector<LocalRollback>
+LocalRollbackSet::prune(const config::FleetState &Fleet) {
+  std::vector<LocalRollback> Dropped;
+  for (const auto &[Place, Value] : Rollbacks)
     if (isObsolete(Value, Fleet))
       Dropped.push_back(Value);
-  for (const Overlay &Value : Dropped)
-    Of.erase({Value.Move, Value.DataCentre});
+  for (const LocalRollback &Value : Dropped)
+    Rollbacks.erase({Value.Move, Value.DataCentre});
   return Dropped;
 }
 
-std::vector<Overlay> OverlaySet::of(const config::MoveId &Move) const {
-  std::vector<Overlay> Result;
-  for (const auto &[Place, Value] : Of)
+std::vector<LocalRollback>
+LocalRollbackSet::forMove(const config::MoveId &Move) const {
+  std::vector<LocalRollback> Result;
+  for (const auto &[Place, Value] : Rollbacks)
     if (Place.first == Move)
       Result.push_back(Value);
   return Result;
 }
 
-std::vector<Overlay>
-OverlaySet::inDataCentre(const core::DataCentreId &Id) const {
-  std::vector<Overlay> Result;
-  for (const auto &[Place, Value] : Of)
+std::vector<LocalRollback>
+LocalRollbackSet::forDataCentre(const core::DataCentreId &Id) const {
+  std::vector<LocalRollback> Result;
+  for (const auto &[Place, Value] : Rollbacks)
     if (Place.second == Id)
       Result.push_back(Value);
   return Result;
 }
 
 std::vector<config::MoveId>
-OverlaySet::inForce(const core::DataCentreId &Here) const {
+LocalRollbackSet::activeMoves(const core::DataCentreId &Here) const {
   std::vector<config::MoveId> Moves;
-  for (const auto &[Place, Value] : Of)
+  for (const auto &[Place, Value] : Rollbacks)
     if (Place.second == Here || Place.second == core::DataCentreId())
       Moves.push_back(Place.first);
   Moves.erase(std::unique(Moves.begin(), Moves.end()), Moves.end());
--- a/lib/decision/rollout/MoveDriver.cpp
+++ b/lib/decision/rollout/MoveDriver.cpp
@@ -1,5 +1,5 @@
 #include "MoveDriver.h"
-#include "filbertvane/decision/rollout/Judgement.h"
+#include "filbertvane/decision/rollout/RolloutPolicy.h"
 #include <fmt/format.h>
 
 namespace filbertvane::decision::rollout {
@@ -31,103 +31,105 @@
 config::Verdict summary(const MoveCounts &Counts) {
   const VersionCounts New = sumOf(Counts, &RouteCounts::New);
   const VersionCounts Old = sumOf(Counts, &RouteCounts::Old);
-  return verdictOf({}, {Finding::None,
-                        false,
-                        {New.Answers, New.Faults},
-                        {Old.Answers, Old.Faults}});
+  return makeVerdict({}, {Finding::None,
+                          false,
+                          {New.Answers, New.Faults},
+                          {Old.Answers, Old.Faults}});
 }
 
 } // namespace
 
 void MoveDriver::drive() {
   if (Move.Stage == MoveStage::Completed)
-    return watchCompleted();
-  readBack();
-  judge();
-  act();
+    return monitorCompleted();
+  syncWithFleet();
+  evaluate();
+  advance();
 }
 
-void MoveDriver::readBack() {
-  if (Watch.Pending && isReadBack(*Watch.Pending, Move))
-    Watch.Pending.reset();
-  if (Watch.Share == Move.Share)
+void MoveDriver::syncWithFleet() {
+  if (Context.PendingRecord && isReadBack(*Context.PendingRecord, Move))
+    Context.PendingRecord.reset();
+  if (Context.Share == Move.Share)
     return;
   // The first sight of a move after a takeover counts as a step: evidence for
   // the next early step is collected afresh.
-  if (Watch.Share)
-    S.Windows.startStage(Move.Id);
-  Watch.Share = Move.Share;
-  Watch.AtStep = S.Table.total(Move.Id);
-  Watch.EarliestStep =
-      Now.Wall + (Move.Share == WarmUpShare ? WarmUp : MinStepTime);
-  if (!Watch.RetrialAt)
+  if (Context.Share)
+    S.Windows.startStep(Move.Id);
+  Context.Share = Move.Share;
+  Context.CountsAtStep = S.EvidenceBySender.total(Move.Id);
+  Context.EarliestStepAt =
+      Now.Wall + (Move.Share == WarmUpShare ? WarmUpDuration : MinStepDuration);
+  if (!Context.SuspicionRetryAt)
     return;
-  Watch.RetrialAt.reset();
+  Context.SuspicionRetryAt.reset();
   S.Windows.reset(Move.Id);
 }
 
-void MoveDriver::judge() {
-  const auto Overlays = S.Overlays.of(Move.Id);
-  const Overlay *Proven = provenOne(Overlays);
-  if (!Watch.Guilty && Proven != nullptr)
-    Watch.Guilty = Proven->Decided;
-  if (Watch.Guilty)
+void MoveDriver::evaluate() {
+  const auto Overlays = S.LocalRollbacks.forMove(Move.Id);
+  const LocalRollback *Proven = findProven(Overlays);
+  if (!Context.RollbackVerdict && Proven != nullptr)
+    Context.RollbackVerdict = Proven->Verdict;
+  if (Context.RollbackVerdict)
     return;
   if (!Overlays.empty()) {
     // All data centres withdraw it, so that the next trial begins everywhere
     // at the same time.
-    suspect(Overlays.front().Decided);
-    return withdraw(Overlays.front().Decided, false);
+    raiseSuspicion(Overlays.front().Verdict);
+    return withdraw(Overlays.front().Verdict, false);
   }
   core::RouteName Route;
-  std::tie(Route, Found) = S.Windows.evaluate(Move.Id);
-  if (!withdraws(Move, Found)) {
+  std::tie(Route, LatestFinding) = S.Windows.evaluate(Move.Id);
+  if (!shouldWithdraw(Move, LatestFinding)) {
     // At share 0 no answer comes that could clear the suspicion.
-    if (Move.Share == 0 && Found.Level != Finding::None)
-      suspect(verdictOf(Route, Found));
+    if (Move.Share == 0 && LatestFinding.Level != Finding::None)
+      raiseSuspicion(makeVerdict(Route, LatestFinding));
     return;
   }
-  const config::Verdict Why = verdictOf(Route, Found);
-  if (Found.Level == Finding::Proven)
-    Watch.Guilty = Why;
+  const config::Verdict Why = makeVerdict(Route, LatestFinding);
+  if (LatestFinding.Level == Finding::Proven)
+    Context.RollbackVerdict = Why;
   else
-    suspect(Why);
-  withdraw(Why, Found.Level == Finding::Proven);
+    raiseSuspicion(Why);
+  withdraw(Why, LatestFinding.Level == Finding::Proven);
 }
 
 void MoveDriver::withdraw(const config::Verdict &Why, bool Proven) {
   // Takes effect before the record is read back, and while the log is down.
-  const Overlay Made{Move.Id, {}, Move.Share, Now.Wall, Proven, Why};
-  if (S.Overlays.add(Made))
-    Out.push_back(PublishOverlay{Made});
+  const LocalRollback Made{Move.Id, {}, Move.Share, Now.Wall, Proven, Why};
+  if (S.LocalRollbacks.add(Made))
+    Out.push_back(PublishLocalRollback{Made});
 }
 
-void MoveDriver::suspect(const config::Verdict &Why) {
-  if (Watch.RetrialAt)
+void MoveDriver::raiseSuspicion(const config::Verdict &Why) {
+  if (Context.SuspicionRetryAt)
     return;
-  Watch.RetrialAt = Now.Mono + RetrialTime;
-  Watch.AtSuspicion = S.Table.total(Move.Id);
-  ++Watch.Suspicions;
+  Context.SuspicionRetryAt = Now.Mono + SuspicionRetryDelay;
+  Context.CountsAtSuspicion = S.EvidenceBySender.total(Move.Id);
+  ++Context.SuspicionCount;
   Out.push_back(observe::LogEvent{EventId::MoveSuspended,
                                   toString(Move.Id) + ": " + Why.Reason});
-  if (Watch.Suspicions >= MaxSuspicions || Move.Share >= config::FullShare)
-    Watch.Guilty = Why;
+  if (Context.SuspicionCount >= MaxSuspicions ||
+      Move.Share >= config::FullShare)
+    Context.RollbackVerdict = Why;
 }
 
 bool MoveDriver::mayAppend() const {
-  return S.LogUp && (!Watch.Pending || Now.Mono >= Watch.RetryAt);
+  return S.LogAvailable &&
+         (!Context.PendingRecord || Now.Mono >= Context.AppendRetryAt);
 }
 
-void MoveDriver::act() {
-  if (Watch.Guilty)
+void MoveDriver::advance() {
+  if (Context.RollbackVerdict)
     return rollBack();
   if (Now.Wall > Move.Order.By)
     logOnce(EventId::MoveDeadlineMissed, toString(Move.Id));
   if (!mayAppend())
     return;
-  if (Watch.RetrialAt)
-    return settleSuspicion();
-  if (Found.Level != Finding::None)
+  if (Context.SuspicionRetryAt)
+    return resolveSuspicion();
+  if (LatestFinding.Level != Finding::None)
     return;
   if (Move.Share >= config::FullShare)
     return complete();
@@ -135,60 +137,61 @@
 }
 
 void MoveDriver::rollBack() {
-  if (!S.LogUp)
-    return logOnce(EventId::MoveRollbackWaits, toString(Move.Id));
+  if (!S.LogAvailable)
+    return logOnce(EventId::MoveRollbackDelayed, toString(Move.Id));
   // A pending step does not delay a rollback, only a pending rollback does.
   const bool IsPending =
-      Watch.Pending &&
-      std::holds_alternative<config::MoveRolledBack>(*Watch.Pending);
-  if (IsPending && Now.Mono < Watch.RetryAt)
+      Context.PendingRecord &&
+      std::holds_alternative<config::MoveRolledBack>(*Context.PendingRecord);
+  if (IsPending && Now.Mono < Context.AppendRetryAt)
     return;
-  append(config::MoveRolledBack{*S.Lease, Move.Id, Now.Wall, *Watch.Guilty},
-         EventId::MoveRollbackAppended, Watch.Guilty->Reason);
+  append(config::MoveRolledBack{*S.LeaseEpoch, Move.Id, Now.Wall,
+                                *Context.RollbackVerdict},
+         EventId::MoveRollbackAppended, Context.RollbackVerdict->Reason);
 }
 
-bool MoveDriver::oldIsHealthy(const MoveCounts &Total) const {
+bool MoveDriver::isOldVersionHealthy(const MoveCounts &Total) const {
   std::uint64_t Answers = 0;
   std::uint64_t Faults = 0;
   for (const auto &[Route, Counts] : Total) {
-    const auto Before = Watch.AtSuspicion.find(Route);
-    const RouteCounts Added = Before == Watch.AtSuspicion.end()
+    const auto Before = Context.CountsAtSuspicion.find(Route);
+    const RouteCounts Added = Before == Context.CountsAtSuspicion.end()
                                   ? Counts
-                                  : since(Before->second, Counts);
+                                  : increaseSince(Before->second, Counts);
     Answers += Added.Old.Answers;
     Faults += Added.Old.Faults;
   }
   return Faults <= 1 + Answers / HealthyDivisor;
 }
 
-void MoveDriver::settleSuspicion() {
-  if (Now.Mono < *Watch.RetrialAt)
+void MoveDriver::resolveSuspicion() {
+  if (Now.Mono < *Context.SuspicionRetryAt)
     return;
-  const MoveCounts Total = S.Table.total(Move.Id);
-  if (!oldIsHealthy(Total)) {
+  const MoveCounts Total = S.EvidenceBySender.total(Move.Id);
+  if (!isOldVersionHealthy(Total)) {
     // The fault is shared; wait until the old version has recovered.
-    Watch.RetrialAt = Now.Mono + RecheckTime;
-    Watch.AtSuspicion = Total;
+    Context.SuspicionRetryAt = Now.Mono + SuspicionRecheckDelay;
+    Context.CountsAtSuspicion = Total;
     return;
   }
   // A step is the newer configuration that ends the overlays; the least rise
   // that the fold accepts.
   const auto Share = static_cast<config::Permille>(Move.Share + 1);
-  append(config::MoveStepped{*S.Lease, Move.Id, Share}, EventId::MoveRetried,
-         fmt::format("share {}", Share));
+  append(config::MoveStepped{*S.LeaseEpoch, Move.Id, Share},
+         EventId::MoveResumed, fmt::format("share {}", Share));
 }
 
 void MoveDriver::complete() {
-  append(config::MoveCompleted{*S.Lease, Move.Id, Now.Wall,
-                               summary(S.Table.total(Move.Id))},
+  append(config::MoveCompleted{*S.LeaseEpoch, Move.Id, Now.Wall,
+                               summary(S.EvidenceBySender.total(Move.Id))},
          EventId::MoveCompletionAppended, "");
 }
 
 ReadySlots MoveDriver::slots() const {
   ReadySlots Result;
   const auto Count = [&](const core::TargetVersion &Version) -> std::uint32_t {
-    const auto Seen = S.Slots.find({Move.Id.Service, Version});
-    if (Seen == S.Slots.end())
+    const auto Seen = S.SlotsByVersion.find({Move.Id.Service, Version});
+    if (Seen == S.SlotsByVersion.end())
       return 0;
     Result.InUse += Seen->second.InUse;
     return Seen->second.Slots;
@@ -204,37 +207,38 @@
         !ok(Checked))
       logOnce(EventId::MoveDeadlineInfeasible,
               core::toString(failure(Checked)));
-  const Progress Seen{S.Table.total(Move.Id), Watch.AtStep, Watch.EarliestStep};
+  const MoveProgress Seen{S.EvidenceBySender.total(Move.Id),
+                          Context.CountsAtStep, Context.EarliestStepAt};
   const ReadySlots Ready = slots();
   const config::Permille Share = nextShare(Move, Seen, Ready, Now.Wall);
   if (Share > Move.Share)
-    return append(config::MoveStepped{*S.Lease, Move.Id, Share},
+    return append(config::MoveStepped{*S.LeaseEpoch, Move.Id, Share},
                   EventId::MoveStepAppended, fmt::format("share {}", Share));
   if (Ready.New == 0)
-    logOnce(EventId::MoveHeld, toString(Move.Id));
+    logOnce(EventId::MoveAwaitsSlots, toString(Move.Id));
 }
 
-void MoveDriver::watchCompleted() {
+void MoveDriver::monitorCompleted() {
   const auto [Route, Seen] = S.Windows.evaluate(Move.Id);
   if (Seen.Level == Finding::None || slots().Old == 0)
     return;
   logOnce(EventId::MoveFaultAfterCompletion,
           fmt::format("{} route {}: {}", toString(Move.Id), Route.value(),
-                      verdictOf(Route, Seen).Reason));
+                      makeVerdict(Route, Seen).Reason));
 }
 
 void MoveDriver::append(const config::RecordBody &Body, EventId Event,
                         const std::string &Detail) {
-  Watch.Pending = Body;
-  Watch.RetryAt = Now.Mono + ReadBackTime;
-  Out.push_back(Append{Body});
+  Context.PendingRecord = Body;
+  Context.AppendRetryAt = Now.Mono + ReadBackTimeout;
+  Out.push_back(AppendRecord{Body});
   Out.push_back(observe::LogEvent{Event, Detail.empty() ? toString(Move.Id)
                                                         : toString(Move.Id) +
                                                               ": " + Detail});
 }
 
 void MoveDriver::logOnce(EventId Event, const std::string &Detail) {
-  if (Watch.Logged.insert(Event).second)
+  if (Context.LoggedEvents.insert(Event).second)
     Out.push_back(observe::LogEvent{Event, Detail});
 }
 
--- a/lib/decision/rollout/MoveDriver.h
+++ b/lib/decision/rollout/MoveDriver.h
@@ -10,25 +10,25 @@
 public:
   MoveDriver(ControllerState &State, const config::MoveStatus &Move,
              core::Instant Now, ControllerEffects &Out)
-      : S(State), Move(Move), Watch(State.Watches[Move.Id]), Now(Now),
+      : S(State), Move(Move), Context(State.MoveContexts[Move.Id]), Now(Now),
         Out(Out) {}
 
   /// @brief Takes over the fleet state, judges, and appends what is due.
   void drive();
 
 private:
-  void readBack();
-  void judge();
-  void suspect(const config::Verdict &Why);
+  void syncWithFleet();
+  void evaluate();
+  void raiseSuspicion(const config::Verdict &Why);
   void withdraw(const config::Verdict &Why, bool Proven);
-  void act();
+  void advance();
   void rollBack();
-  void settleSuspicion();
+  void resolveSuspicion();
   void complete();
   void step();
-  void watchCompleted();
+  void monitorCompleted();
   bool mayAppend() const;
-  bool oldIsHealthy(const MoveCounts &Total) const;
+  bool isOldVersionHealthy(const MoveCounts &Total) const;
   void append(const config::RecordBody &Body, observe::EventId Event,
               const std::string &Detail);
   void logOnce(observe::EventId Event, const std::string &Detail);
@@ -36,10 +36,10 @@
 
   ControllerState &S;
   const config::MoveStatus &Move;
-  MoveWatch &Watch;
+  MoveContext &Context;
   core::Instant Now;
   ControllerEffects &Out;
-  RouteFinding Found;
+  RouteFinding LatestFinding;
 };
 
 } // namespace filbertvane::decision::rollout
--- a/lib/decision/rollout/LocalGuard.cpp
+++ b/lib/decision/rollout/NodeMonitor.cpp
@@ -1,5 +1,5 @@
-#include "filbertvane/decision/rollout/LocalGuard.h"
-#include "filbertvane/decision/rollout/Judgement.h"
+#include "filbertvane/decision/rollout/NodeMonitor.h"
+#include "filbertvane/decision/rollout/RolloutPolicy.h"
 #include <algorithm>
 
 namespace filbertvane::decision::rollout {
@@ -11,21 +11,22 @@
 /// Handles the events of one call of `reduce`.
 class Guard {
 public:
-  Guard(GuardState State, core::Instant Now) : S(std::move(State)), Now(Now) {}
+  Guard(MonitorState State, core::Instant Now)
+      : S(std::move(State)), Now(Now) {}
 
   void on(const FleetChanged &Event);
   void on(const request::Observed &Answer);
   void on(const EvidenceReceived &Event);
-  void on(const OverlayReceived &Event);
+  void on(const LocalRollbackReceived &Event);
   void on(const LeadershipChanged &Event);
   void on(const Tick &);
 
-  Step<GuardState, GuardEffects> finish();
+  Step<MonitorState, MonitorEffects> finish();
 
 private:
   void decide(const config::MoveId &Id, MoveWindows &Windows);
   void decideAll();
-  void spread(const Overlay &Value);
+  void spread(const LocalRollback &Value);
   void startStages(const config::FleetState &Next);
   void forgetUnwatched();
   void pool(const config::MoveId &Move, const core::RouteName &Route,
@@ -35,18 +36,18 @@
   void reportPromptly(const config::MoveId &Id, const RouteCounts &Added);
   void repeatOverlays();
 
-  GuardState S;
+  MonitorState S;
   core::Instant Now;
-  GuardEffects Out;
+  MonitorEffects Out;
 };
 
 void Guard::on(const FleetChanged &Event) {
   startStages(*Event.State);
   S.Fleet = Event.State;
-  S.Counter.noteShares(*S.Fleet, Now.Mono);
-  for (const Overlay &Ended : S.Overlays.prune(*S.Fleet)) {
-    Out.push_back(
-        observe::LogEvent{EventId::MoveOverlayEnded, toString(Ended.Move)});
+  S.Counter.startWarmUps(*S.Fleet, Now.Mono);
+  for (const LocalRollback &Ended : S.LocalRollbacks.prune(*S.Fleet)) {
+    Out.push_back(observe::LogEvent{EventId::MoveLocalRollbackEnded,
+                                    toString(Ended.Move)});
     if (Ended.Proven)
       continue;
     // The coordinator dispelled the suspicion: the answers behind it must not
@@ -67,21 +68,21 @@
     const config::MoveStatus *Move = findMove(Next, Before.Id);
     if (Move == nullptr || Move->Share == Before.Share)
       continue;
-    S.OwnWindows.startStage(Move->Id);
-    S.PooledWindows.startStage(Move->Id);
+    S.OwnWindows.startStep(Move->Id);
+    S.PooledWindows.startStep(Move->Id);
   }
 }
 
 void Guard::forgetUnwatched() {
-  const auto Watched = watchedMoves(*S.Fleet, Now.Wall);
+  const auto Watched = monitoredMoves(*S.Fleet, Now.Wall);
   const auto Forget = [&](const auto &Entry) {
     return !Watched.contains(Entry.first);
   };
-  std::erase_if(S.Own.Moves, Forget);
-  std::erase_if(S.Pooled.Moves, Forget);
-  std::erase_if(S.Own.Crashes, Forget);
-  std::erase_if(S.Pooled.Crashes, Forget);
-  S.Members.retain(Watched);
+  std::erase_if(S.OwnEvidence.Moves, Forget);
+  std::erase_if(S.PooledEvidence.Moves, Forget);
+  std::erase_if(S.OwnEvidence.Crashes, Forget);
+  std::erase_if(S.PooledEvidence.Crashes, Forget);
+  S.MemberEvidence.retain(Watched);
   for (MoveWindows *Windows : {&S.OwnWindows, &S.PooledWindows})
     for (const config::MoveId &Move : Windows->moves())
       if (!Watched.contains(Move))
@@ -97,34 +98,34 @@
 void Guard::decide(const config::MoveId &Id, MoveWindows &Windows) {
   const auto [Route, Found] = Windows.evaluate(Id);
   const config::MoveStatus *Move = findMove(*S.Fleet, Id);
-  if (Move == nullptr || !withdraws(*Move, Found))
+  if (Move == nullptr || !shouldWithdraw(*Move, Found))
     return;
   // A suspicion is settled by the coordinator alone: answers of the old version
   // after the withdrawal say nothing about the time of the faults.
-  if (!S.Overlays.of(Id).empty())
+  if (!S.LocalRollbacks.forMove(Id).empty())
     return;
-  const Overlay Made{Id,
-                     S.DataCentre,
-                     Move->Share,
-                     Now.Wall,
-                     Found.Level == Finding::Proven,
-                     verdictOf(Route, Found)};
-  if (!S.Overlays.add(Made))
+  const LocalRollback Made{Id,
+                           S.DataCentre,
+                           Move->Share,
+                           Now.Wall,
+                           Found.Level == Finding::Proven,
+                           makeVerdict(Route, Found)};
+  if (!S.LocalRollbacks.add(Made))
     return;
-  Out.push_back(observe::LogEvent{EventId::MoveOverlayMade,
-                                  toString(Id) + ": " + Made.Decided.Reason});
+  Out.push_back(observe::LogEvent{EventId::MoveLocalRollbackStarted,
+                                  toString(Id) + ": " + Made.Verdict.Reason});
   spread(Made);
 }
 
-void Guard::spread(const Overlay &Value) {
+void Guard::spread(const LocalRollback &Value) {
   if (!S.IsLead) {
     if (Value.DataCentre == S.DataCentre)
-      Out.push_back(SendOverlay{Receiver::Lead, Value});
+      Out.push_back(SendLocalRollback{Recipient::Lead, Value});
     return;
   }
-  Out.push_back(SendOverlay{Receiver::Members, Value});
+  Out.push_back(SendLocalRollback{Recipient::Members, Value});
   if (Value.DataCentre == S.DataCentre)
-    Out.push_back(SendOverlay{Receiver::Coordinator, Value});
+    Out.push_back(SendLocalRollback{Recipient::Coordinator, Value});
 }
 
 void Guard::on(const request::Observed &Answer) {
@@ -133,18 +134,18 @@
   const auto Counted = S.Counter.record(Answer, *S.Fleet, Now);
   if (!Counted)
     return;
-  if (!S.OwnWindows.add(Counted->Move, Counted->Route, Counted->Added)) {
-    Out.push_back(
-        observe::LogEvent{EventId::MoveEvidenceLimit, Counted->Route.value()});
+  if (!S.OwnWindows.add(Counted->Move, Counted->Route, Counted->Counts)) {
+    Out.push_back(observe::LogEvent{EventId::MoveEvidenceDropped,
+                                    Counted->Route.value()});
     return;
   }
   if (Counted->Crashed)
-    list(S.Own, Counted->Move, Counted->Route, *Counted->Crashed);
+    addCrash(S.OwnEvidence, Counted->Move, Counted->Route, *Counted->Crashed);
   else
-    S.Own.Moves[Counted->Move][Counted->Route] += Counted->Added;
+    S.OwnEvidence.Moves[Counted->Move][Counted->Route] += Counted->Counts;
   S.OwnChanged = true;
-  reportPromptly(Counted->Move, Counted->Added);
-  if (Counted->Added.New.Answers > 0)
+  reportPromptly(Counted->Move, Counted->Counts);
+  if (Counted->Counts.New.Answers > 0)
     decide(Counted->Move, S.OwnWindows);
 }
 
@@ -152,9 +153,9 @@
   if (!S.Fleet || !S.IsLead)
     return;
   const auto Merged =
-      S.Members.merge(Event.Report, inheritedMoves(*S.Fleet, Now.Wall));
-  if (!Merged.Kept)
-    Out.push_back(observe::LogEvent{EventId::MoveEvidenceLimit,
+      S.MemberEvidence.merge(Event.Report, baselineMoves(*S.Fleet, Now.Wall));
+  if (!Merged.Accepted)
+    Out.push_back(observe::LogEvent{EventId::MoveEvidenceDropped,
                                     Event.Report.Sender.value()});
   for (const auto &[Move, Routes] : Merged.Added)
     for (const auto &[Route, Counts] : Routes)
@@ -165,7 +166,7 @@
                  const RouteCounts &Counts,
                  const std::map<config::MoveId, MoveCrashes> &Crashes) {
   const config::MoveStatus *Status = findMove(*S.Fleet, Move);
-  if (Status == nullptr || !watched(*Status, Now.Wall) ||
+  if (Status == nullptr || !isMonitored(*Status, Now.Wall) ||
       !S.PooledWindows.add(Move, Route, Counts))
     return;
   RouteCounts Summed = Counts;
@@ -173,34 +174,34 @@
     if (const auto On = Of->second.find(Route); On != Of->second.end())
       for (const Crash &Each : On->second) {
         // Listed, not summed, so that the coordinator drops repetitions too.
-        VersionCounts &Side = Each.OfNew ? Summed.New : Summed.Old;
+        VersionCounts &Side = Each.OnNewVersion ? Summed.New : Summed.Old;
         --Side.Answers;
         --Side.Faults;
-        list(S.Pooled, Move, Route, Each);
+        addCrash(S.PooledEvidence, Move, Route, Each);
       }
-  S.Pooled.Moves[Move][Route] += Summed;
+  S.PooledEvidence.Moves[Move][Route] += Summed;
   S.PooledChanged = true;
   reportPromptly(Move, Counts);
   decide(Move, S.PooledWindows);
 }
 
-void Guard::on(const OverlayReceived &Event) {
-  const bool IsForHere = Event.Value.DataCentre == S.DataCentre ||
-                         Event.Value.DataCentre == core::DataCentreId();
-  if (!IsForHere || !S.Overlays.add(Event.Value))
+void Guard::on(const LocalRollbackReceived &Event) {
+  const bool IsForHere = Event.Rollback.DataCentre == S.DataCentre ||
+                         Event.Rollback.DataCentre == core::DataCentreId();
+  if (!IsForHere || !S.LocalRollbacks.add(Event.Rollback))
     return;
   if (S.Fleet)
-    S.Overlays.prune(*S.Fleet);
+    S.LocalRollbacks.prune(*S.Fleet);
   if (S.IsLead)
-    spread(Event.Value);
+    spread(Event.Rollback);
 }
 
 void Guard::on(const LeadershipChanged &Event) {
   if (S.IsLead && !Event.IsLead) {
     // Another lead counts from now on; what members report to it must not be
     // added again when this node leads once more.
-    S.Members = {};
-    S.PooledWindows = MoveWindows(LocalSharedFaultChance);
+    S.MemberEvidence = {};
+    S.PooledWindows = MoveWindows(LocalSharedFaultSignificance);
   }
   S.IsLead = Event.IsLead;
 }
@@ -208,12 +209,12 @@
 void Guard::on(const Tick &) {
   if (!S.Fleet)
     return;
-  if (Now.Mono >= S.NextReport) {
+  if (Now.Mono >= S.NextReportAt) {
     forgetUnwatched();
     reportEvidence();
   }
-  if (Now.Mono >= S.NextOverlays) {
-    S.NextOverlays = Now.Mono + OverlayPeriod;
+  if (Now.Mono >= S.NextRollbackSendAt) {
+    S.NextRollbackSendAt = Now.Mono + LocalRollbackSendPeriod;
     repeatOverlays();
   }
 }
@@ -224,24 +225,24 @@
                         Move->Stage == config::MoveStage::InProgress;
   if (!IsCanary || Added.New.Faults + Added.Old.Faults == 0)
     return;
-  if (Now.Mono >= S.NextPromptReport)
+  if (Now.Mono >= S.NextPromptReportAt)
     reportEvidence();
   else
-    S.NextReport = std::min(S.NextReport, S.NextPromptReport);
+    S.NextReportAt = std::min(S.NextReportAt, S.NextPromptReportAt);
 }
 
 void Guard::reportEvidence() {
-  S.NextReport = Now.Mono + EvidencePeriod;
-  S.NextPromptReport = Now.Mono + PromptEvidencePeriod;
+  S.NextReportAt = Now.Mono + EvidencePeriod;
+  S.NextPromptReportAt = Now.Mono + MinEvidenceInterval;
   S.OwnWindows.closePeriod();
   S.PooledWindows.closePeriod();
   if (S.OwnChanged) {
-    ++S.Own.Revision;
-    Out.push_back(SendEvidence{Receiver::Lead, S.Own});
+    ++S.OwnEvidence.Revision;
+    Out.push_back(SendEvidence{Recipient::Lead, S.OwnEvidence});
   }
   if (S.PooledChanged && S.IsLead) {
-    ++S.Pooled.Revision;
-    Out.push_back(SendEvidence{Receiver::Coordinator, S.Pooled});
+    ++S.PooledEvidence.Revision;
+    Out.push_back(SendEvidence{Recipient::Coordinator, S.PooledEvidence});
   }
   S.OwnChanged = false;
   S.PooledChanged = false;
@@ -249,14 +250,14 @@
 
 void Guard::repeatOverlays() {
   for (const config::MoveStatus &Move : S.Fleet->Moves)
-    for (const Overlay &Value : S.Overlays.of(Move.Id))
+    for (const LocalRollback &Value : S.LocalRollbacks.forMove(Move.Id))
       spread(Value);
 }
 
-Step<GuardState, GuardEffects> Guard::finish() {
-  auto Moves = S.Overlays.inForce(S.DataCentre);
-  if (Moves != S.InForce) {
-    S.InForce = Moves;
+Step<MonitorState, MonitorEffects> Guard::finish() {
+  auto Moves = S.LocalRollbacks.activeMoves(S.DataCentre);
+  if (Moves != S.ActiveRollbacks) {
+    S.ActiveRollbacks = Moves;
     Out.push_back(LocalRollbacksChanged{std::move(Moves)});
   }
   return {std::move(S), std::move(Out)};
@@ -264,21 +265,22 @@
 
 } // namespace
 
-GuardState guardOf(core::NodeId Self, core::Incarnation SelfIncarnation,
-                   core::DataCentreId DataCentre) {
-  GuardState State;
-  State.Own.Sender = Self;
-  State.Own.SenderIncarnation = SelfIncarnation;
-  State.Pooled.Sender = Self;
-  State.Pooled.SenderIncarnation = SelfIncarnation;
+MonitorState makeMonitorState(core::NodeId Self,
+                              core::Incarnation SelfIncarnation,
+                              core::DataCentreId DataCentre) {
+  MonitorState State;
+  State.OwnEvidence.Sender = Self;
+  State.OwnEvidence.SenderIncarnation = SelfIncarnation;
+  State.PooledEvidence.Sender = Self;
+  State.PooledEvidence.SenderIncarnation = SelfIncarnation;
   State.Self = std::move(Self);
   State.SelfIncarnation = SelfIncarnation;
   State.DataCentre = std::move(DataCentre);
   return State;
 }
 
-Step<GuardState, GuardEffects> reduce(GuardState State, const GuardEvent &Event,
-                                      core::Instant Now) {
+Step<MonitorState, MonitorEffects>
+reduce(MonitorState State, const MonitorEvent &Event, core::Instant Now) {
   Guard Handler(std::move(State), Now);
   std::visit([&](const auto &Concrete) { Handler.on(Concrete); }, Event);
   return Handler.finish();
--- a/lib/decision/rollout/Judgement.cpp
+++ b/lib/decision/rollout/RolloutPolicy.cpp
@@ -1,36 +1,36 @@
-#include "filbertvane/decision/rollout/Judgement.h"
+#include "filbertvane/decision/rollout/RolloutPolicy.h"
 #include <fmt/format.h>
 
 namespace filbertvane::decision::rollout {
 
-bool withdraws(const config::MoveStatus &Move, const RouteFinding &Found) {
+bool shouldWithdraw(const config::MoveStatus &Move, const RouteFinding &Found) {
   if (Move.Stage != config::MoveStage::InProgress)
     return false;
   return Found.Level == Finding::Proven ||
-         (Found.Level == Finding::Suspected && Move.Share > ControlShare);
+         (Found.Level == Finding::Suspected && Move.Share > MaxComparableShare);
 }
 
-std::set<config::MoveId> inheritedMoves(const config::FleetState &Fleet,
-                                        core::WallTime Now, bool IsTakeover) {
+std::set<config::MoveId> baselineMoves(const config::FleetState &Fleet,
+                                       core::WallTime Now, bool IsTakeover) {
   std::set<config::MoveId> Moves;
   for (const config::MoveStatus &Move : Fleet.Moves)
-    if (Now > Move.AcceptedAt + FreshMove &&
+    if (Now > Move.AcceptedAt + FirstReportWindow &&
         !(IsTakeover && Move.Share <= CanaryShare))
       Moves.insert(Move.Id);
   return Moves;
 }
 
-std::set<config::MoveId> watchedMoves(const config::FleetState &Fleet,
-                                      core::WallTime Now) {
+std::set<config::MoveId> monitoredMoves(const config::FleetState &Fleet,
+                                        core::WallTime Now) {
   std::set<config::MoveId> Moves;
   for (const config::MoveStatus &Move : Fleet.Moves)
-    if (watched(Move, Now))
+    if (isMonitored(Move, Now))
       Moves.insert(Move.Id);
   return Moves;
 }
 
-const Overlay *provenOne(const std::vector<Overlay> &Overlays) {
-  for (const Overlay &Value : Overlays)
+const LocalRollback *findProven(const std::vector<LocalRollback> &Overlays) {
+  for (const LocalRollback &Value : Overlays)
     if (Value.Proven)
       return &Value;
   return nullptr;
--- a/lib/decision/rollout/Schedule.cpp
+++ b/lib/decision/rollout/Schedule.cpp
@@ -29,7 +29,7 @@
 core::WallTime plannedEnd(const config::MoveStatus &Move) {
   const core::Milliseconds Whole = Move.Order.By - Move.AcceptedAt;
   const core::Milliseconds Reserve =
-      std::max<core::Milliseconds>(MinReserve, Whole / ReserveDivisor);
+      std::max<core::Milliseconds>(MinDeadlineReserve, Whole / ReserveDivisor);
   return std::max(Move.Order.By - Reserve, Move.AcceptedAt);
 }
 
@@ -41,22 +41,23 @@
 }
 
 /// Whether each busy route has had StepAnswers since the last step.
-bool stepEvidenceIn(const Progress &Seen) {
-  for (const auto &[Route, Counts] : Seen.Total) {
-    if (Counts.New.Answers < GateAnswers)
+bool stepEvidenceIn(const MoveProgress &Seen) {
+  for (const auto &[Route, Counts] : Seen.TotalCounts) {
+    if (Counts.New.Answers < MinCanaryAnswers)
       continue;
-    const auto Before = Seen.AtStep.find(Route);
+    const auto Before = Seen.CountsAtStep.find(Route);
     const std::uint64_t AtStep =
-        Before == Seen.AtStep.end() ? 0 : Before->second.New.Answers;
-    if (Counts.New.Answers < AtStep + StepAnswers)
+        Before == Seen.CountsAtStep.end() ? 0 : Before->second.New.Answers;
+    if (Counts.New.Answers < AtStep + MinStepAnswers)
       return false;
   }
   return true;
 }
 
 config::Permille stepAfter(config::Permille Share) {
-  const auto Next = std::upper_bound(Ladder.begin(), Ladder.end(), Share);
-  return Next == Ladder.end() ? config::FullShare : *Next;
+  const auto Next =
+      std::upper_bound(ShareSteps.begin(), ShareSteps.end(), Share);
+  return Next == ShareSteps.end() ? config::FullShare : *Next;
 }
 
 /// Share that the timetable alone asks for.
@@ -69,11 +70,12 @@
 }
 
 config::Permille earlyShare(const config::MoveStatus &Move,
-                            const Progress &Seen, core::WallTime Now) {
+                            const MoveProgress &Seen, core::WallTime Now) {
   const config::Permille Next = stepAfter(Move.Share);
-  if (Next > ControlShare || Now < Seen.EarliestStep)
+  if (Next > MaxComparableShare || Now < Seen.EarliestStepAt)
     return Move.Share;
-  const bool Plain = evidenceIn(Move, Seen.Total, Now) && stepEvidenceIn(Seen);
+  const bool Plain =
+      hasEnoughEvidence(Move, Seen.TotalCounts, Now) && stepEvidenceIn(Seen);
   return Plain ? Next : Move.Share;
 }
 
@@ -90,24 +92,24 @@
   return Move.AcceptedAt + core::Milliseconds(Offset);
 }
 
-bool evidenceIn(const config::MoveStatus &Move, const MoveCounts &Counts,
-                core::WallTime Now) {
+bool hasEnoughEvidence(const config::MoveStatus &Move, const MoveCounts &Counts,
+                       core::WallTime Now) {
   const double Elapsed = elapsedPart(Move, Now);
   bool Any = false;
   for (const auto &[Route, Seen] : Counts) {
-    const bool Enough = Seen.New.Answers >= GateAnswers;
+    const bool Enough = Seen.New.Answers >= MinCanaryAnswers;
     const double Expected = static_cast<double>(Seen.New.Answers) / Elapsed;
-    if (!Enough && Expected >= static_cast<double>(GateAnswers))
+    if (!Enough && Expected >= static_cast<double>(MinCanaryAnswers))
       return false;
     Any = Any || Enough;
   }
   return Any;
 }
 
-bool gateOpen(const config::MoveStatus &Move, const Progress &Seen,
-              core::WallTime Now) {
+bool canaryMayEnd(const config::MoveStatus &Move, const MoveProgress &Seen,
+                  core::WallTime Now) {
   return Now >= dueAt(Move, stepAfter(CanaryShare)) ||
-         evidenceIn(Move, Seen.Total, Now);
+         hasEnoughEvidence(Move, Seen.TotalCounts, Now);
 }
 
 config::Permille capacityShare(const ReadySlots &Slots) {
@@ -119,15 +121,16 @@
   return static_cast<config::Permille>(config::FullShare * Slots.New / Needed);
 }
 
-config::Permille nextShare(const config::MoveStatus &Move, const Progress &Seen,
-                           const ReadySlots &Slots, core::WallTime Now) {
+config::Permille nextShare(const config::MoveStatus &Move,
+                           const MoveProgress &Seen, const ReadySlots &Slots,
+                           core::WallTime Now) {
   config::Permille Share =
       std::max(dueShare(Move, Now), earlyShare(Move, Seen, Now));
   // One step of the ladder at a time, also after a long outage of the log.
   Share = std::min(Share, stepAfter(Move.Share));
-  if (Move.Share > 0 && Now < Seen.EarliestStep)
+  if (Move.Share > 0 && Now < Seen.EarliestStepAt)
     return Move.Share;
-  if (!gateOpen(Move, Seen, Now))
+  if (!canaryMayEnd(Move, Seen, Now))
     Share = std::min(Share, CanaryShare);
   return std::max(Move.Share, std::min(Share, capacityShare(Slots)));
 }
@@ -139,11 +142,11 @@
     return core::Error{
         core::ErrorCode::SheetTimePassed,
         fmt::format("move to {}: {} s ago", Order.To.value(), -Left)};
-  if (Order.By - Now < MinMoveTime)
+  if (Order.By - Now < MinMoveDuration)
     return core::Error{
         core::ErrorCode::SheetTimeTooShort,
         fmt::format("move to {}: {} s are left, a move takes at least {} s",
-                    Order.To.value(), Left, MinMoveTime.count())};
+                    Order.To.value(), Left, MinMoveDuration.count())};
   return std::monostate();
 }
 
--- a/lib/decision/rollout/SequentialTest.cpp
+++ b/lib/decision/rollout/SequentialTest.cpp
@@ -13,7 +13,7 @@
 constexpr double FloorAnswers = 100;
 
 double threshold() {
-  static const double Value = -std::log(FalseAlarm);
+  static const double Value = -std::log(FalsePositiveProbability);
   return Value;
 }
 
@@ -52,7 +52,7 @@
   return std::max(Floor, Rate);
 }
 
-double sharedFaultChance(Sample New, Sample Old) {
+double sharedFaultPValue(Sample New, Sample Old) {
   if (New.Bad == 0 || Old.Answers == 0)
     return 1;
   const double Share = asReal(New.Answers) / asReal(New.Answers + Old.Answers);
@@ -68,15 +68,16 @@
   return std::min(Chance, 1.0);
 }
 
-Finding judge(Sample New, Sample Old, double Control, double SharedChance) {
+Finding compareVersions(Sample New, Sample Old, double Control,
+                        double SharedChance) {
   if (New.Bad < 2 || logLikelihoodRatio(New, Control) < threshold())
     return Finding::None;
-  if (sharedFaultChance(New, Old) > SharedChance)
+  if (sharedFaultPValue(New, Old) > SharedChance)
     return Finding::Suspected;
   return Finding::Proven;
 }
 
-double expectedBadToDecide(double Rate, double Control) {
+double expectedBadUntilDetection(double Rate, double Control) {
   const double Odds = (1 - Rate) / Rate;
   double Low = 0;
   double High = 1e6;
@@ -94,7 +95,7 @@
   if (Total < MinOldLatencies)
     return std::nullopt;
   std::size_t Bucket = 0;
-  while (asReal(Old.above(Bucket)) > SlowQuantileTail * asReal(Total))
+  while (asReal(Old.countAbove(Bucket)) > SlowQuantileTail * asReal(Total))
     ++Bucket;
   // One bucket of margin: a version that is slower by less than a factor of
   // two would otherwise be blamed when the quantile is next to a bound.
--- a/lib/decision/rollout/Windows.cpp
+++ b/lib/decision/rollout/Windows.cpp
@@ -14,7 +14,7 @@
 }
 
 Sample slowOf(const VersionCounts &Counts, std::size_t Boundary) {
-  return {Counts.Latency.total(), Counts.Latency.above(Boundary)};
+  return {Counts.Latency.total(), Counts.Latency.countAbove(Boundary)};
 }
 
 /// Judges windows from the longest to the shortest.
@@ -30,7 +30,7 @@
     // fault of the new version alone; the rate of the longer windows around it
     // tells them apart.
     Control = std::max(Control, controlRate(Old, Floor));
-    const Finding Level = judge(New, Old, Control, SharedChance);
+    const Finding Level = compareVersions(New, Old, Control, SharedChance);
     if (Level > Gravest.Level)
       Gravest = {Level, Slow, New, Old};
   }
@@ -48,68 +48,69 @@
 } // namespace
 
 void RouteWindows::add(const RouteCounts &Added) {
-  Open += Added;
-  Stage += Added;
+  OpenPeriod += Added;
+  StepTotal += Added;
   Total += Added;
   const auto Boundary = slowBoundary(Total.Old.Latency);
-  HasNewBad = HasNewBad || Added.New.Faults > 0 ||
-              (Boundary && Added.New.Latency.above(*Boundary) > 0);
+  HasNewBadAnswers = HasNewBadAnswers || Added.New.Faults > 0 ||
+                     (Boundary && Added.New.Latency.countAbove(*Boundary) > 0);
 }
 
-void RouteWindows::startStage() {
-  if (Last.Level == Finding::Proven)
+void RouteWindows::startStep() {
+  if (LastFinding.Level == Finding::Proven)
     return;
-  Closed.clear();
-  Open = {};
-  Stage = {};
-  Last = {};
-  HasNewBad = false;
+  ClosedPeriods.clear();
+  OpenPeriod = {};
+  StepTotal = {};
+  LastFinding = {};
+  HasNewBadAnswers = false;
 }
 
 RouteFinding RouteWindows::evaluate() {
-  if (HasNewBad || Last.Level != Finding::None)
-    Last = judgeWindows();
-  HasNewBad = false;
-  return Last;
+  if (HasNewBadAnswers || LastFinding.Level != Finding::None)
+    LastFinding = evaluateWindows();
+  HasNewBadAnswers = false;
+  return LastFinding;
 }
 
 void RouteWindows::closePeriod() {
-  if (Open == RouteCounts())
+  if (OpenPeriod == RouteCounts())
     return;
-  Closed.push_back({Open, 1});
-  Open = {};
-  mergeOldest();
+  ClosedPeriods.push_back({OpenPeriod, 1});
+  OpenPeriod = {};
+  mergePeriods();
 }
 
-void RouteWindows::mergeOldest() {
+void RouteWindows::mergePeriods() {
   // Walks from the newest period; two of the same length are merged when more
   // than PeriodsPerLength have it, which may cascade to the next length.
-  std::size_t End = Closed.size();
+  std::size_t End = ClosedPeriods.size();
   while (End > 0) {
-    const std::uint32_t Length = Closed[End - 1].Length;
+    const std::uint32_t Length = ClosedPeriods[End - 1].Length;
     std::size_t First = End;
-    while (First > 0 && Closed[First - 1].Length == Length)
+    while (First > 0 && ClosedPeriods[First - 1].Length == Length)
       --First;
     if (End - First <= PeriodsPerLength)
       break;
-    Closed[First].Counts += Closed[First + 1].Counts;
-    Closed[First].Length += Closed[First + 1].Length;
-    Closed.erase(Closed.begin() + static_cast<std::ptrdiff_t>(First) + 1);
+    ClosedPeriods[First].Counts += ClosedPeriods[First + 1].Counts;
+    ClosedPeriods[First].Length += ClosedPeriods[First + 1].Length;
+    ClosedPeriods.erase(ClosedPeriods.begin() +
+                        static_cast<std::ptrdiff_t>(First) + 1);
     End = First + 1;
   }
-  if (Closed.size() <= MaxPeriods)
+  if (ClosedPeriods.size() <= MaxPeriods)
     return;
-  Closed[1].Counts += Closed[0].Counts;
-  Closed.erase(Closed.begin());
+  ClosedPeriods[1].Counts += ClosedPeriods[0].Counts;
+  ClosedPeriods.erase(ClosedPeriods.begin());
 }
 
-RouteFinding RouteWindows::judgeWindows() const {
+RouteFinding RouteWindows::evaluateWindows() const {
   const auto Boundary = slowBoundary(Total.Old.Latency);
-  Scan Faults(ControlErrorRate, false, faultsOf(Total.Old), SharedChance);
+  Scan Faults(ControlErrorRate, false, faultsOf(Total.Old), Significance);
   Scan Latency(ControlSlowRate, true,
                Boundary ? slowOf(Total.Old, *Boundary) : Sample(),
-               SharedChance);
-  RouteCounts Window = Stage;
+               Significance);
+  RouteCounts Window = StepTotal;
   const auto Judge = [&] {
     Faults.window(faultsOf(Window.New), faultsOf(Window.Old));
     if (Boundary)
@@ -117,8 +118,8 @@
                      slowOf(Window.Old, *Boundary));
   };
   Judge();
-  for (const Period &Oldest : Closed) {
-    Window = since(Oldest.Counts, Window);
+  for (const Period &Oldest : ClosedPeriods) {
+    Window = increaseSince(Oldest.Counts, Window);
     Judge();
   }
   return std::max(Faults.gravest(), Latency.gravest(),
@@ -129,22 +130,22 @@
 
 bool MoveWindows::add(const config::MoveId &Move, const core::RouteName &Route,
                       const RouteCounts &Added) {
-  auto &Routes = Of[Move];
+  auto &Routes = RoutesByMove[Move];
   if (!Routes.contains(Route)) {
     std::size_t Kept = 0;
-    for (const auto &[Id, Others] : Of)
+    for (const auto &[Id, Others] : RoutesByMove)
       Kept += Others.size();
     if (Kept >= MaxRoutes)
       return false;
   }
-  Routes.try_emplace(Route, SharedChance).first->second.add(Added);
+  Routes.try_emplace(Route, Significance).first->second.add(Added);
   const core::RouteName WholeService;
-  Routes.try_emplace(WholeService, SharedChance).first->second.add(Added);
+  Routes.try_emplace(WholeService, Significance).first->second.add(Added);
   return true;
 }
 
 void MoveWindows::closePeriod() {
-  for (auto &[Move, Routes] : Of)
+  for (auto &[Move, Routes] : RoutesByMove)
     for (auto &[Route, Windows] : Routes)
       Windows.closePeriod();
 }
@@ -152,8 +153,8 @@
 std::pair<core::RouteName, RouteFinding>
 MoveWindows::evaluate(const config::MoveId &Move) {
   std::pair<core::RouteName, RouteFinding> Gravest;
-  const auto Found = Of.find(Move);
-  if (Found == Of.end())
+  const auto Found = RoutesByMove.find(Move);
+  if (Found == RoutesByMove.end())
     return Gravest;
   for (auto &[Route, Windows] : Found->second) {
     const RouteFinding Here = Windows.evaluate();
@@ -163,23 +164,25 @@
   return Gravest;
 }
 
-void MoveWindows::startStage(const config::MoveId &Move) {
-  if (const auto Found = Of.find(Move); Found != Of.end())
+void MoveWindows::startStep(const config::MoveId &Move) {
+  if (const auto Found = RoutesByMove.find(Move); Found != RoutesByMove.end())
     for (auto &[Route, Windows] : Found->second)
-      Windows.startStage();
+      Windows.startStep();
 }
 
-void MoveWindows::reset(const config::MoveId &Move) { Of.erase(Move); }
+void MoveWindows::reset(const config::MoveId &Move) {
+  RoutesByMove.erase(Move);
+}
 
 std::vector<config::MoveId> MoveWindows::moves() const {
   std::vector<config::MoveId> Ids;
-  for (const auto &[Move, Routes] : Of)
+  for (const auto &[Move, Routes] : RoutesByMove)
     Ids.push_back(Move);
   return Ids;
 }
 
-config::Verdict verdictOf(const core::RouteName &Route,
-                          const RouteFinding &Found) {
+config::Verdict makeVerdict(const core::RouteName &Route,
+                            const RouteFinding &Found) {
   config::Verdict Result;
   Result.Route = Route;
   Result.Reason = fmt::format(
--- a/lib/io/node/Process.cpp
+++ b/lib/io/node/Process.cpp
@@ -306,7 +306,7 @@
     return;
   LogUp = Up;
   handle(decision::rollout::ControllerEvent(
-      decision::rollout::LogAvailability{Up}));
+      decision::rollout::LogAvailabilityChanged{Up}));
 }
 
 void Process::readLeaseStream() {
--- a/tests/rollout/ControllerTest.cpp
+++ b/tests/rollout/ControllerTest.cpp
@@ -37,12 +37,12 @@
   Coordinator C(600s);
   C.pass(1000ms);
   const auto Share = C.move().Share;
-  C.feed(LogAvailability{false});
+  C.feed(LogAvailabilityChanged{false});
   C.pass(400000ms);
   C.addAnswers(answers(4, 4, 96, 0));
   cr_assert(C.Unread.empty());
   cr_assert(C.move().Share == Share, "a step was made without the log");
-  C.feed(LogAvailability{true});
+  C.feed(LogAvailabilityChanged{true});
   C.readBack();
   cr_assert(C.move().Stage == MoveStage::RolledBack);
 }
@@ -62,7 +62,8 @@
 Test(rollout_4_controller, appends_nothing_after_a_newer_claim) {
   Coordinator C(600s);
   C.pass(1000ms);
-  fake::fold(C.Fleet, config::LeaseClaimed{core::NodeId("b"), core::Epoch(2)});
+  fake::applyRecord(C.Fleet,
+                    config::LeaseClaimed{core::NodeId("b"), core::Epoch(2)});
   C.readBack();
   C.addAnswers(answers(4, 4, 96, 0));
   cr_assert(C.Unread.empty());
@@ -77,7 +78,7 @@
     C.feed(Tick{});
   }
   cr_assert(C.Unread.size() == 1);
-  C.Now += ReadBackTime;
+  C.Now += ReadBackTimeout;
   C.feed(Tick{});
   cr_assert(C.Unread.size() == 2);
   C.readBack();
@@ -127,7 +128,7 @@
   C.addAnswers(answers(4, 4, 96, 0));
   C.pass(700000ms);
   cr_assert(!C.Fleet.TrafficOf[core::ServiceName("booking")].Candidate);
-  fake::fold(C.Fleet, fake::moveSheet(fake::at(C.Now).Wall, 600s));
+  fake::applyRecord(C.Fleet, fake::moveSheet(fake::at(C.Now).Wall, 600s));
   C.readBack();
   C.pass(1000ms);
   cr_assert(C.move().Share == WarmUpShare);
@@ -147,7 +148,7 @@
 // version answers too little: it is withdrawn, tried again, and completes.
 Test(rollout_4_controller, tries_a_suspected_version_again) {
   Coordinator C(600s);
-  while (C.move().Share <= ControlShare)
+  while (C.move().Share <= MaxComparableShare)
     C.pass(1000ms);
   C.addAnswers(answers(100, 0, 20, 0));
   C.pass(EvidencePeriod);
@@ -167,7 +168,7 @@
 // Guards against a fault that comes back with the version at each trial.
 Test(rollout_4_controller, rolls_back_at_the_second_suspicion) {
   Coordinator C(600s);
-  while (C.move().Share <= ControlShare)
+  while (C.move().Share <= MaxComparableShare)
     C.pass(1000ms);
   for (int Trial = 0; Trial < 2; ++Trial) {
     C.addAnswers(answers(5, 5, 0, 0));
--- a/tests/rollout/EvidenceTest.cpp
+++ b/tests/rollout/EvidenceTest.cpp
@@ -75,7 +75,7 @@
     const std::string Name = std::to_string(I);
     const auto Merged =
         Table.merge(report(Name.c_str(), 1, 1, Move, answers(1, 0, 1, 0)), {});
-    cr_assert(Merged.Kept == (I < EvidenceTable::MaxSenders));
+    cr_assert(Merged.Accepted == (I < EvidenceTable::MaxSenders));
   }
 }
 
@@ -110,7 +110,7 @@
   for (const char *Sender : {"n1", "n2", "n3"}) {
     Table.merge(report(Sender, 1, 1, Move, answers(1, 0, 1, 0)), {});
     auto Report = report(Sender, 1, 2, Move, answers(1, 0, 1, 0));
-    list(Report, Move, Read, {core::Digest(7), true});
+    addCrash(Report, Move, Read, {core::Digest(7), true});
     auto Merged = Table.merge(Report, {});
     Faults += Merged.Added[Move][Read].New.Faults;
   }
@@ -122,12 +122,13 @@
   NodeCounter Counter;
   auto Fleet = fake::orderedFleet(600s);
   Fleet.Moves.back().Share = WarmUpShare;
-  Counter.noteShares(Fleet, fake::at(0ms).Mono);
+  Counter.startWarmUps(Fleet, fake::at(0ms).Mono);
   const auto Cold = Counter.record(observed("2"), Fleet, fake::at(0ms));
-  cr_assert(Cold->Added.New.Answers == 1);
-  cr_assert(Cold->Added.New.Latency.total() == 0);
-  const auto Warm = Counter.record(observed("2"), Fleet, fake::at(WarmUp));
-  cr_assert(Warm->Added.New.Latency.total() == 1);
+  cr_assert(Cold->Counts.New.Answers == 1);
+  cr_assert(Cold->Counts.New.Latency.total() == 0);
+  const auto Warm =
+      Counter.record(observed("2"), Fleet, fake::at(WarmUpDuration));
+  cr_assert(Warm->Counts.New.Latency.total() == 1);
 }
 
 // Guards against answers of a third version that count for either side.
@@ -136,5 +137,5 @@
   const auto Fleet = fake::orderedFleet(600s);
   cr_assert(!Counter.record(observed("3"), Fleet, fake::at(0ms)));
   const auto Old = Counter.record(observed("1"), Fleet, fake::at(0ms));
-  cr_assert(Old->Added.Old.Answers == 1 && Old->Added.New.Answers == 0);
+  cr_assert(Old->Counts.Old.Answers == 1 && Old->Counts.New.Answers == 0);
 }
--- a/tests/rollout/LocalGuardTest.cpp
+++ b/tests/rollout/NodeMonitorTest.cpp
@@ -12,24 +12,24 @@
 struct Node {
   explicit Node(const char *Name = "n1")
       : Fleet(fake::orderedFleet(600s)),
-        State(guardOf(core::NodeId(Name), core::Incarnation(1),
-                      core::DataCentreId("a"))) {
+        State(makeMonitorState(core::NodeId(Name), core::Incarnation(1),
+                               core::DataCentreId("a"))) {
     step(CanaryShare);
   }
-  void feed(const GuardEvent &Event) {
+  void feed(const MonitorEvent &Event) {
     auto Step = reduce(std::move(State), Event, fake::at(Now));
     State = std::move(Step.Next);
-    for (const GuardEffect &Effect : Step.Out) {
+    for (const MonitorEffect &Effect : Step.Out) {
       if (const auto *Changed = std::get_if<LocalRollbacksChanged>(&Effect))
         Withdrawn = Changed->Moves;
-      if (const auto *Sent = std::get_if<SendOverlay>(&Effect))
+      if (const auto *Sent = std::get_if<SendLocalRollback>(&Effect))
         Overlays.push_back(*Sent);
       if (const auto *Sent = std::get_if<SendEvidence>(&Effect))
         Reports.push_back(*Sent);
     }
   }
   void step(config::Permille Share) {
-    fake::fold(Fleet, config::MoveStepped{core::Epoch(1), id(), Share});
+    fake::applyRecord(Fleet, config::MoveStepped{core::Epoch(1), id(), Share});
     takeOver();
   }
   void takeOver() {
@@ -52,9 +52,9 @@
 
   core::Milliseconds Now{0};
   config::FleetState Fleet;
-  GuardState State;
+  MonitorState State;
   std::vector<config::MoveId> Withdrawn;
-  std::vector<SendOverlay> Overlays;
+  std::vector<SendLocalRollback> Overlays;
   std::vector<SendEvidence> Reports;
 };
 
@@ -65,7 +65,7 @@
   Node N;
   N.fail();
   cr_assert(N.Withdrawn.size() == 1);
-  cr_assert(N.Overlays.front().To == Receiver::Lead);
+  cr_assert(N.Overlays.front().To == Recipient::Lead);
 }
 
 // Guards against a lead that waits until one node alone has the evidence.
@@ -80,8 +80,8 @@
     Lead.feed(EvidenceReceived{Report});
   }
   cr_assert(Lead.Withdrawn.size() == 1);
-  cr_assert(Lead.Overlays.front().To == Receiver::Members);
-  cr_assert(Lead.Overlays.back().To == Receiver::Coordinator);
+  cr_assert(Lead.Overlays.front().To == Recipient::Members);
+  cr_assert(Lead.Overlays.back().To == Recipient::Coordinator);
 }
 
 // Guards against a version that stays withdrawn after the move's end, or by
@@ -89,15 +89,16 @@
 Test(rollout_5_guard, drops_overlays_of_ended_moves) {
   Node N;
   N.fail();
-  const Overlay Made = N.Overlays.front().Value;
-  fake::fold(N.Fleet, config::MoveRolledBack{core::Epoch(1), N.id(), {}, {}});
+  const LocalRollback Made = N.Overlays.front().Rollback;
+  fake::applyRecord(N.Fleet,
+                    config::MoveRolledBack{core::Epoch(1), N.id(), {}, {}});
   N.takeOver();
   cr_assert(N.Withdrawn.empty());
-  N.feed(OverlayReceived{Made});
+  N.feed(LocalRollbackReceived{Made});
   cr_assert(N.Withdrawn.empty());
-  fake::fold(N.Fleet, fake::moveSheet(fake::at(1s).Wall, 600s));
+  fake::applyRecord(N.Fleet, fake::moveSheet(fake::at(1s).Wall, 600s));
   N.takeOver();
-  N.feed(OverlayReceived{Made});
+  N.feed(LocalRollbackReceived{Made});
   cr_assert(N.Withdrawn.empty());
 }
 
@@ -115,7 +116,7 @@
   N.step(950);
   N.answer("2", true, 4);
   cr_assert(N.Withdrawn.size() == 1);
-  cr_assert(!N.Overlays.front().Value.Proven);
+  cr_assert(!N.Overlays.front().Rollback.Proven);
   // Answers after the withdrawal are no proof of what happened before it.
   N.answer("1", false, 500);
   N.answer("2", true, 1);
@@ -128,11 +129,12 @@
 // Guards against an overlay of one data centre that acts in another.
 Test(rollout_5_guard, ignores_overlays_of_other_data_centres) {
   Node N;
-  Overlay Other{N.id(), core::DataCentreId("b"), CanaryShare, {}, true, {}};
-  N.feed(OverlayReceived{Other});
+  LocalRollback Other{N.id(), core::DataCentreId("b"), CanaryShare, {}, true,
+                      {}};
+  N.feed(LocalRollbackReceived{Other});
   cr_assert(N.Withdrawn.empty());
   Other.DataCentre = {};
-  N.feed(OverlayReceived{Other});
+  N.feed(LocalRollbackReceived{Other});
   cr_assert(N.Withdrawn.size() == 1);
 }
 
@@ -164,7 +166,7 @@
 Test(rollout_5_guard, reports_a_fault_at_the_canary_at_once) {
   Node N;
   N.feed(Tick{});
-  N.Now += PromptEvidencePeriod;
+  N.Now += MinEvidenceInterval;
   N.answer("1", false, 1);
   cr_assert(N.Reports.empty());
   N.answer("1", true, 2);
--- a/tests/rollout/FakeFold.h
+++ b/tests/rollout/RecordApplier.h
@@ -1,5 +1,5 @@
-#ifndef FILBERTVANE_TESTS_ROLLOUT_FAKEFOLD_H
-#define FILBERTVANE_TESTS_ROLLOUT_FAKEFOLD_H
+#ifndef FILBERTVANE_TESTS_ROLLOUT_RECORDAPPLIER_H
+#define FILBERTVANE_TESTS_ROLLOUT_RECORDAPPLIER_H
 
 #include "filbertvane/config/FleetState.h"
 #include <algorithm>
@@ -8,9 +8,9 @@
 
 /// Stands for config::apply until that is merged: the rules for lease and move
 /// records that docs/design.md section 4 states.
-class Fold {
+class RecordApplier {
 public:
-  explicit Fold(config::FleetState &State) : State(State) {}
+  explicit RecordApplier(config::FleetState &State) : State(State) {}
 
   bool operator()(const config::LeaseClaimed &Record) {
     if (Record.NewEpoch.value() != State.CurrentEpoch.value() + 1)
@@ -98,9 +98,10 @@
 
 /// Applies one record.
 /// @return whether it had an effect
-inline bool fold(config::FleetState &State, const config::RecordBody &Body) {
+inline bool applyRecord(config::FleetState &State,
+                        const config::RecordBody &Body) {
   State.Next = core::LogOffset(State.Next.value() + 1);
-  return std::visit(Fold(State), Body);
+  return std::visit(RecordApplier(State), Body);
 }
 
 /// Sheet that orders one service to move.
@@ -118,4 +119,4 @@
 
 } // namespace filbertvane::fake
 
-#endif // FILBERTVANE_TESTS_ROLLOUT_FAKEFOLD_H
+#endif // FILBERTVANE_TESTS_ROLLOUT_RECORDAPPLIER_H
--- a/tests/rollout/RolloutFixture.h
+++ b/tests/rollout/RolloutFixture.h
@@ -1,7 +1,7 @@
 #ifndef FILBERTVANE_TESTS_ROLLOUT_ROLLOUTFIXTURE_H
 #define FILBERTVANE_TESTS_ROLLOUT_ROLLOUTFIXTURE_H
 
-#include "FakeFold.h"
+#include "RecordApplier.h"
 #include "filbertvane/decision/rollout/Controller.h"
 
 namespace filbertvane::fake {
@@ -26,8 +26,9 @@
 /// A fleet with one move, ordered at time 0 with the lease held in epoch 1.
 inline config::FleetState orderedFleet(core::Seconds Time) {
   config::FleetState Fleet;
-  fake::fold(Fleet, config::LeaseClaimed{core::NodeId("lead"), core::Epoch(1)});
-  fake::fold(Fleet, moveSheet(at(core::Milliseconds(0)).Wall, Time));
+  fake::applyRecord(Fleet,
+                    config::LeaseClaimed{core::NodeId("lead"), core::Epoch(1)});
+  fake::applyRecord(Fleet, moveSheet(at(core::Milliseconds(0)).Wall, Time));
   return Fleet;
 }
 
@@ -49,10 +50,11 @@
     auto Step = reduce(std::move(State), Event, at(Now));
     State = std::move(Step.Next);
     for (const rollout::ControllerEffect &Effect : Step.Out) {
-      if (const auto *Append = std::get_if<rollout::Append>(&Effect))
+      if (const auto *Append = std::get_if<rollout::AppendRecord>(&Effect))
         Unread.push_back(Append->Body);
-      if (const auto *Publish = std::get_if<rollout::PublishOverlay>(&Effect))
-        Published.push_back(Publish->Value);
+      if (const auto *Publish =
+              std::get_if<rollout::PublishLocalRollback>(&Effect))
+        Published.push_back(Publish->Rollback);
       if (const auto *Line = std::get_if<observe::LogEvent>(&Effect))
         Logged.insert(Line->Id);
     }
@@ -62,7 +64,7 @@
     std::vector<config::RecordBody> Records;
     Records.swap(Unread);
     for (const config::RecordBody &Body : Records)
-      Effective += fake::fold(Fleet, Body) ? 1 : 0;
+      Effective += fake::applyRecord(Fleet, Body) ? 1 : 0;
     feed(rollout::FleetChanged{
         std::make_shared<const config::FleetState>(Fleet)});
   }
@@ -83,8 +85,8 @@
   void replaceCoordinator(std::uint64_t Epoch) {
     State = {};
     Unread.clear();
-    fake::fold(Fleet,
-               config::LeaseClaimed{core::NodeId("b"), core::Epoch(Epoch)});
+    fake::applyRecord(
+        Fleet, config::LeaseClaimed{core::NodeId("b"), core::Epoch(Epoch)});
     feed(rollout::SlotsChanged{core::ServiceName("booking"),
                                core::TargetVersion("2"), 60, 0});
     readBack();
@@ -97,7 +99,7 @@
   rollout::ControllerState State;
   rollout::Evidence Report;
   std::vector<config::RecordBody> Unread;
-  std::vector<rollout::Overlay> Published;
+  std::vector<rollout::LocalRollback> Published;
   std::set<observe::EventId> Logged;
   int Effective = 0;
 };
--- a/tests/rollout/RolloutPropertyTest.cpp
+++ b/tests/rollout/RolloutPropertyTest.cpp
@@ -19,7 +19,7 @@
   void act() {
     const auto What = *rc::gen::inRange(0, 12);
     if (What == 0)
-      C.feed(LogAvailability{IsLogUp = !IsLogUp});
+      C.feed(LogAvailabilityChanged{IsLogUp = !IsLogUp});
     if (What == 1)
       C.Unread.clear();
     if (What == 2)
@@ -38,15 +38,15 @@
   std::uint64_t Epoch = 1;
 };
 
-Overlay randomOverlay(const config::MoveId &Move) {
-  Overlay Value;
+LocalRollback randomOverlay(const config::MoveId &Move) {
+  LocalRollback Value;
   Value.Move = Move;
   Value.DataCentre =
       core::DataCentreId(*rc::gen::element<std::string>("", "a", "b"));
   Value.Share = static_cast<config::Permille>(*rc::gen::inRange(1, 4));
   Value.Proven = *rc::gen::arbitrary<bool>();
-  Value.At = fake::at(core::Milliseconds(*rc::gen::inRange(0, 3))).Wall;
-  Value.Decided.NewFaults = static_cast<std::uint64_t>(*rc::gen::inRange(0, 3));
+  Value.CreatedAt = fake::at(core::Milliseconds(*rc::gen::inRange(0, 3))).Wall;
+  Value.Verdict.NewFaults = static_cast<std::uint64_t>(*rc::gen::inRange(0, 3));
   return Value;
 }
 
@@ -62,8 +62,9 @@
       RC_ASSERT(L.C.move().Share >= Share);
       Share = L.C.move().Share;
       const core::WallTime Now = fake::at(L.C.Now).Wall;
-      const Progress Seen{L.C.State.Table.total(L.C.move().Id), {}, {}};
-      if (!gateOpen(L.C.move(), Seen, Now))
+      const MoveProgress Seen{
+          L.C.State.EvidenceBySender.total(L.C.move().Id), {}, {}};
+      if (!canaryMayEnd(L.C.move(), Seen, Now))
         RC_ASSERT(Share <= 50);
     }
   }));
@@ -78,7 +79,7 @@
       L.act();
     L.C.Unread.clear();
     L.C.feed(LeaseLost{});
-    L.C.feed(LogAvailability{true});
+    L.C.feed(LogAvailabilityChanged{true});
     for (int I = 0; I < 30; ++I) {
       L.C.addAnswers(answers(20, 10, 40, 0));
       L.C.Now += 5000ms;
@@ -101,7 +102,7 @@
       if (Stage != MoveStage::InProgress)
         Final = Stage;
     }
-    L.C.feed(LogAvailability{true});
+    L.C.feed(LogAvailabilityChanged{true});
     L.C.pass(1000000ms);
     RC_ASSERT(L.C.move().Stage != MoveStage::InProgress);
     // The macro evaluates both sides of a bare `||`.
@@ -151,12 +152,12 @@
   cr_assert(rc::check("overlays", [] {
     auto Fleet = fake::orderedFleet(600s);
     Fleet.Moves.back().Share = 2;
-    std::vector<Overlay> Values;
+    std::vector<LocalRollback> Values;
     Values.reserve(6);
     for (int I = 0; I < 6; ++I)
       Values.push_back(randomOverlay(Fleet.Moves.back().Id));
     const auto Merge = [&](bool IsPrunedFirst) {
-      OverlaySet Set;
+      LocalRollbackSet Set;
       for (std::size_t I = 0; I < Values.size(); ++I) {
         Set.add(Values[I]);
         if (IsPrunedFirst && I == 2)
@@ -165,7 +166,7 @@
       Set.prune(Fleet);
       return Set;
     };
-    const OverlaySet Set = Merge(false);
+    const LocalRollbackSet Set = Merge(false);
     for (int I = 0; I < 6; ++I) {
       const auto At = *rc::gen::inRange(0, 6);
       std::rotate(Values.begin(), Values.begin() + At, Values.end());
--- a/tests/rollout/ScheduleTest.cpp
+++ b/tests/rollout/ScheduleTest.cpp
@@ -24,42 +24,42 @@
 
 // Guards against a share above the canary without evidence.
 Test(rollout_3_schedule, stays_at_the_canary_without_evidence) {
-  Progress Seen;
-  Seen.Total[Read] = answers(GateAnswers - 1, 0, 9000, 0);
+  MoveProgress Seen;
+  Seen.TotalCounts[Read] = answers(MinCanaryAnswers - 1, 0, 9000, 0);
   const auto Share = nextShare(moveAt(40, 1000s), Seen, Ample, wall(300s));
   cr_assert(Share == CanaryShare);
 }
 
 // Guards against waiting for the timetable when the evidence is plain.
 Test(rollout_3_schedule, steps_early_on_plain_evidence) {
-  Progress Seen;
-  Seen.Total[Read] = answers(GateAnswers, 0, 9000, 0);
+  MoveProgress Seen;
+  Seen.TotalCounts[Read] = answers(MinCanaryAnswers, 0, 9000, 0);
   const auto Share = nextShare(moveAt(40, 1000s), Seen, Ample, wall(60s));
   cr_assert(Share == 100);
 }
 
 // Guards against an early step while a busy route is not yet proven.
 Test(rollout_3_schedule, waits_for_each_busy_route) {
-  Progress Seen;
-  Seen.Total[Read] = answers(GateAnswers, 0, 9000, 0);
-  Seen.Total[Rare] = answers(GateAnswers / 2, 0, 4500, 0);
+  MoveProgress Seen;
+  Seen.TotalCounts[Read] = answers(MinCanaryAnswers, 0, 9000, 0);
+  Seen.TotalCounts[Rare] = answers(MinCanaryAnswers / 2, 0, 4500, 0);
   const auto Share = nextShare(moveAt(40, 1000s), Seen, Ample, wall(60s));
   cr_assert(Share == CanaryShare);
 }
 
 // Guards against a second early step on the evidence of the first.
 Test(rollout_3_schedule, collects_evidence_afresh_at_each_step) {
-  Progress Seen;
-  Seen.Total[Read] = answers(GateAnswers, 0, 9000, 0);
-  Seen.AtStep = Seen.Total;
+  MoveProgress Seen;
+  Seen.TotalCounts[Read] = answers(MinCanaryAnswers, 0, 9000, 0);
+  Seen.CountsAtStep = Seen.TotalCounts;
   cr_assert(nextShare(moveAt(100, 1000s), Seen, Ample, wall(60s)) == 100);
 }
 
 // Guards against a route with few requests that holds up the move.
 Test(rollout_3_schedule, does_not_wait_for_a_quiet_route) {
-  Progress Seen;
-  Seen.Total[Read] = answers(GateAnswers, 0, 9000, 0);
-  Seen.Total[Rare] = answers(2, 0, 40, 0);
+  MoveProgress Seen;
+  Seen.TotalCounts[Read] = answers(MinCanaryAnswers, 0, 9000, 0);
+  Seen.TotalCounts[Rare] = answers(2, 0, 40, 0);
   const auto Share = nextShare(moveAt(40, 1000s), Seen, Ample, wall(60s));
   cr_assert(Share == 100);
 }
@@ -67,16 +67,17 @@
 // Guards against a missed deadline for lack of requests.
 Test(rollout_3_schedule, reaches_the_full_share_in_time_without_requests) {
   config::MoveStatus Move = moveAt(0, 600s);
-  Progress Seen;
+  MoveProgress Seen;
   core::Seconds Time{0};
   while (Move.Share < config::FullShare && Time < 700s) {
     const auto Share = nextShare(Move, Seen, Ample, wall(Time));
     if (Share != Move.Share)
-      Seen.EarliestStep = wall(Time + MinStepTime);
+      Seen.EarliestStepAt = wall(Time + MinStepDuration);
     Move.Share = Share;
     Time += 1s;
   }
-  cr_assert(Time <= 600s - MinReserve, "full at %lds", (long)Time.count());
+  cr_assert(Time <= 600s - MinDeadlineReserve, "full at %lds",
+            (long)Time.count());
 }
 
 // Guards against two steps at once after a long outage of the log.
@@ -103,6 +104,7 @@
   const config::MoveOrder Past{core::TargetVersion("2"), Now - 1s};
   cr_assert(failure(checkDeadline(Past, Now)).Code ==
             core::ErrorCode::SheetTimePassed);
-  const config::MoveOrder Enough{core::TargetVersion("2"), Now + MinMoveTime};
+  const config::MoveOrder Enough{core::TargetVersion("2"),
+                                 Now + MinMoveDuration};
   cr_assert(ok(checkDeadline(Enough, Now)));
 }
--- a/tests/rollout/SequentialTestTest.cpp
+++ b/tests/rollout/SequentialTestTest.cpp
@@ -25,7 +25,7 @@
   for (int Run = 0; Run < Runs; ++Run) {
     Sample New;
     Sample Old;
-    while (judge(New, Old, controlRate(Old, ControlErrorRate)) !=
+    while (compareVersions(New, Old, controlRate(Old, ControlErrorRate)) !=
            Finding::Proven) {
       Old.Answers += 24;
       ++New.Answers;
@@ -41,7 +41,7 @@
 // Guards against a test that needs more faults than the bound allows.
 Test(rollout_1_test, finds_every_bad_rate_within_the_expected_faults) {
   for (const double Rate : {0.05, 0.1, 0.2, 0.35, 0.5, 0.75, 1.0}) {
-    const double Expected = expectedBadToDecide(Rate);
+    const double Expected = expectedBadUntilDetection(Rate);
     const double Seen = meanFaults(Rate, 400);
     cr_assert(Expected <= 6, "rate %.2f expects %.2f", Rate, Expected);
     cr_assert(std::abs(Seen - Expected) <= 0.2 * Expected,
@@ -67,7 +67,7 @@
     Windows.closePeriod();
   }
   cr_assert(static_cast<double>(Alarms) <=
-                FalseAlarm * static_cast<double>(Evaluations),
+                FalsePositiveProbability * static_cast<double>(Evaluations),
             "%lu alarms", Alarms);
 }
 
@@ -78,7 +78,7 @@
     core::Random Draw(Seed);
     RouteWindows Windows;
     Windows.add(answers(2000, 2, 40000, 40));
-    Windows.startStage();
+    Windows.startStep();
     for (int I = 0; I < 400; ++I) {
       const bool IsNew = Draw.unit() < 0.25;
       const std::uint64_t Fault = Draw.unit() < 0.5 ? 1 : 0;
@@ -95,7 +95,7 @@
 Test(rollout_1_test, compares_a_window_with_the_longer_ones_around_it) {
   RouteWindows Windows;
   Windows.add(answers(0, 0, 100000, 0));
-  Windows.startStage();
+  Windows.startStep();
   for (int I = 0; I < 40; ++I) {
     Windows.add(answers(5, 3, 5, 3));
     Windows.closePeriod();
@@ -131,7 +131,7 @@
     Windows.add(answers(1, 0, 1, 0));
     Windows.closePeriod();
   }
-  cr_assert(Windows.periods() <= RouteWindows::MaxPeriods);
+  cr_assert(Windows.periodCount() <= RouteWindows::MaxPeriods);
   cr_assert(Windows.total() == answers(100000, 0, 100000, 0));
 }
 
@@ -143,8 +143,8 @@
   const auto Bucket = [](int Millis) {
     return LatencyHistogram::bucketOf(core::Milliseconds(Millis));
   };
-  Counts.New.Latency.Count[Bucket(NewMillis)] = New;
-  Counts.Old.Latency.Count[Bucket(OldMillis)] = Old;
+  Counts.New.Latency.Counts[Bucket(NewMillis)] = New;
+  Counts.Old.Latency.Counts[Bucket(OldMillis)] = Old;
   return Counts;
 }
 
--- a/tools/fv-moves/Fleet.cpp
+++ b/tools/fv-moves/Fleet.cpp
@@ -1,5 +1,5 @@
 #include "Fleet.h"
-#include "../../tests/rollout/FakeFold.h"
+#include "../../tests/rollout/RecordApplier.h"
 #include <algorithm>
 
 namespace filbertvane::moves {
@@ -29,13 +29,13 @@
     : Move(Move), IsLocal(IsLocal), Views(Nodes), IsWithdrawn(Nodes, false) {
   for (int Node = 0; Node < Nodes; ++Node) {
     const int Centre = dataCentreOf(Node);
-    Guards.push_back(rollout::guardOf(
+    Guards.push_back(rollout::makeMonitorState(
         core::NodeId("n" + std::to_string(Node)), core::Incarnation(1),
         core::DataCentreId("dc" + std::to_string(Centre))));
     if (Node == leadOf(Centre))
       feedGuard(Node, rollout::LeadershipChanged{true});
   }
-  fake::fold(Log, fake::moveSheet(instant().Wall, Move.Length));
+  fake::applyRecord(Log, fake::moveSheet(instant().Wall, Move.Length));
   distribute();
   startCoordinator(0);
 }
@@ -65,15 +65,15 @@
   feedGuard(Node, Answer);
 }
 
-void Fleet::feedGuard(int Node, const rollout::GuardEvent &Event) {
+void Fleet::feedGuard(int Node, const rollout::MonitorEvent &Event) {
   auto &Guard = Guards.at(static_cast<std::size_t>(Node));
   auto Step = rollout::reduce(std::move(Guard), Event, instant());
   Guard = std::move(Step.Next);
-  for (const rollout::GuardEffect &Effect : Step.Out)
+  for (const rollout::MonitorEffect &Effect : Step.Out)
     handle(Node, Effect);
 }
 
-void Fleet::handle(int Node, const rollout::GuardEffect &Effect) {
+void Fleet::handle(int Node, const rollout::MonitorEffect &Effect) {
   const int Centre = dataCentreOf(Node);
   if (const auto *Changed =
           std::get_if<rollout::LocalRollbacksChanged>(&Effect)) {
@@ -88,40 +88,41 @@
         feedController(Event);
     });
   };
-  const auto ToNode = [&](int To, const rollout::GuardEvent &Event) {
+  const auto ToNode = [&](int To, const rollout::MonitorEvent &Event) {
     send(Centre, Centre, [this, To, Event] { feedGuard(To, Event); });
   };
   if (const auto *Sends = std::get_if<rollout::SendEvidence>(&Effect)) {
-    if (Sends->To == rollout::Receiver::Lead)
+    if (Sends->To == rollout::Recipient::Lead)
       ToNode(leadOf(Centre), rollout::EvidenceReceived{Sends->Report});
     else
       ToController(rollout::EvidenceReceived{Sends->Report});
   }
-  const auto *Sends = std::get_if<rollout::SendOverlay>(&Effect);
+  const auto *Sends = std::get_if<rollout::SendLocalRollback>(&Effect);
   if (Sends == nullptr || !IsLocal)
     return;
-  if (Sends->To == rollout::Receiver::Lead)
-    ToNode(leadOf(Centre), rollout::OverlayReceived{Sends->Value});
-  else if (Sends->To == rollout::Receiver::Coordinator)
-    ToController(rollout::OverlayReceived{Sends->Value});
+  if (Sends->To == rollout::Recipient::Lead)
+    ToNode(leadOf(Centre), rollout::LocalRollbackReceived{Sends->Rollback});
+  else if (Sends->To == rollout::Recipient::Coordinator)
+    ToController(rollout::LocalRollbackReceived{Sends->Rollback});
   else
     for (int I = 1; I < NodesPerDataCentre; ++I)
-      ToNode(leadOf(Centre) + I, rollout::OverlayReceived{Sends->Value});
+      ToNode(leadOf(Centre) + I,
+             rollout::LocalRollbackReceived{Sends->Rollback});
 }
 
 void Fleet::feedController(const rollout::ControllerEvent &Event) {
   auto Step = rollout::reduce(std::move(Control), Event, instant());
   Control = std::move(Step.Next);
   for (const rollout::ControllerEffect &Effect : Step.Out) {
-    if (const auto *Record = std::get_if<rollout::Append>(&Effect))
+    if (const auto *Record = std::get_if<rollout::AppendRecord>(&Effect))
       append(Record->Body);
-    const auto *Publish = std::get_if<rollout::PublishOverlay>(&Effect);
+    const auto *Publish = std::get_if<rollout::PublishLocalRollback>(&Effect);
     if (Publish == nullptr || !IsLocal)
       continue;
     noteDecision();
     for (int Centre = 0; Centre < DataCentres; ++Centre)
-      send(CoordinatorAt, Centre, [this, Centre, Value = Publish->Value] {
-        feedGuard(leadOf(Centre), rollout::OverlayReceived{Value});
+      send(CoordinatorAt, Centre, [this, Centre, Value = Publish->Rollback] {
+        feedGuard(leadOf(Centre), rollout::LocalRollbackReceived{Value});
       });
   }
 }
@@ -132,7 +133,7 @@
   if (Move.isCutOff(CoordinatorAt, Now) || Move.isLogDown(Now))
     return;
   Queue.emplace(Now + delayFromLog(CoordinatorAt), [this, Body] {
-    if (!Move.isLogDown(Now) && fake::fold(Log, Body))
+    if (!Move.isLogDown(Now) && fake::applyRecord(Log, Body))
       distribute();
   });
 }
@@ -147,7 +148,7 @@
   // A step after a decision dispelled it; the next one counts afresh.
   const config::MoveStatus &Status = State->Moves.back();
   if (Status.Stage == config::MoveStage::InProgress && Decided &&
-      Now > *Decided + rollout::RetrialTime / 2)
+      Now > *Decided + rollout::SuspicionRetryDelay / 2)
     Decided.reset();
   for (int Centre = 0; Centre < DataCentres; ++Centre) {
     if (Move.isCutOff(Centre, Now))
@@ -177,11 +178,11 @@
   Control = {};
   IsCoordinatorUp = true;
   const core::Epoch Next(Log.CurrentEpoch.value() + 1);
-  fake::fold(Log, config::LeaseClaimed{core::NodeId("n"), Next});
+  fake::applyRecord(Log, config::LeaseClaimed{core::NodeId("n"), Next});
   for (const char *Version : {"1", "2"})
     feedController(rollout::SlotsChanged{
         core::ServiceName("booking"), core::TargetVersion(Version), 108, 20});
-  feedController(rollout::LogAvailability{!Move.isLogDown(Now)});
+  feedController(rollout::LogAvailabilityChanged{!Move.isLogDown(Now)});
   distribute();
   Queue.emplace(Now + 2 * RegionDelay,
                 [this, Next] { feedController(rollout::LeaseGained{Next}); });
@@ -209,7 +210,7 @@
   superviseLease();
   const bool IsDown = Move.isLogDown(Now);
   if (IsDown != WasLogDown && IsCoordinatorUp)
-    feedController(rollout::LogAvailability{!IsDown});
+    feedController(rollout::LogAvailabilityChanged{!IsDown});
   WasLogDown = IsDown;
   // Views that missed records in a cut are repaired by probes within a second.
   const bool IsStale = std::any_of(Views.begin(), Views.end(), [&](auto &View) {
--- a/tools/fv-moves/Fleet.h
+++ b/tools/fv-moves/Fleet.h
@@ -30,8 +30,8 @@
 private:
   core::Instant instant() const;
   void send(int From, int To, std::function<void()> Deliver);
-  void feedGuard(int Node, const rollout::GuardEvent &Event);
-  void handle(int Node, const rollout::GuardEffect &Effect);
+  void feedGuard(int Node, const rollout::MonitorEvent &Event);
+  void handle(int Node, const rollout::MonitorEffect &Effect);
   void feedController(const rollout::ControllerEvent &Event);
   void append(const config::RecordBody &Body);
   void distribute();
@@ -48,7 +48,7 @@
 
   /// Durable log and the state folded from all of it.
   config::FleetState Log;
-  std::vector<rollout::GuardState> Guards;
+  std::vector<rollout::MonitorState> Guards;
   std::vector<std::shared_ptr<const config::FleetState>> Views;
   std::vector<bool> IsWithdrawn;
 
--- a/tools/fv-moves/Run.cpp
+++ b/tools/fv-moves/Run.cpp
@@ -1,5 +1,5 @@
 #include "Run.h"
-#include "filbertvane/decision/rollout/Judgement.h"
+#include "filbertvane/decision/rollout/RolloutPolicy.h"
 #include <algorithm>
 #include <array>
 #include <cmath>
@@ -43,7 +43,7 @@
     const auto Found = Windows.evaluate();
     config::MoveStatus Status;
     Status.Share = Share;
-    return rollout::withdraws(Status, Found);
+    return rollout::shouldWithdraw(Status, Found);
   }
   void closePeriod() { Windows.closePeriod(); }
   void restart() { Windows = {}; }
@@ -51,7 +51,7 @@
 private:
   void setShare(config::Permille Share) {
     if (Share != Stage)
-      Windows.startStage();
+      Windows.startStep();
     Stage = Share;
   }
   void count(bool IsNew, const request::Observed &Answer,
@@ -61,9 +61,9 @@
     Side.Answers = 1;
     Side.Faults = Answer.Fault ? 1 : 0;
     const bool IsWarm =
-        !IsNew || (FirstShare && Now >= *FirstShare + rollout::WarmUp);
+        !IsNew || (FirstShare && Now >= *FirstShare + rollout::WarmUpDuration);
     if (!Answer.Fault && IsWarm)
-      Side.Latency.Count[rollout::LatencyHistogram::bucketOf(Answer.Latency)] =
+      Side.Latency.Counts[rollout::LatencyHistogram::bucketOf(Answer.Latency)] =
           1;
     Windows.add(Added);
   }
