--- a/lib/decision/mesh/MoveTracker.cpp
+++ b/lib/decision/mesh/MoveTracker.cpp
@@ -106,7 +106,8 @@
   if (faultRate(New) < MinimumFaultRateRatio * faultRate(Old))
     return false;
   const double Control = rollout::controlRate(Old, rollout::ControlErrorRate);
-  return rollout::judge(New, Old, Control) == rollout::Finding::Proven;
+  return rollout::compareVersions(New, Old, Control) ==
+         rollout::Finding::Proven;
 }
 
 bool isTooSlow(const RouteEvidence &Route) {
