--- a/include/filbertvane/decision/Node.h
+++ b/include/filbertvane/decision/Node.h
@@ -15,13 +15,13 @@
   core::NodeId Node;
   core::DataCentreId DataCentre;
   core::RegionId Region;
-  core::Incarnation Number;
+  core::Incarnation Incarnation;
   std::string ControlAddress;
-  std::string ExternalControl;
+  std::string ExternalControlAddress;
   std::string PeerAddress;
   /// Control addresses of seeds in the own data centre and in others.
-  std::vector<std::string> InsideSeeds;
-  std::vector<std::string> OutsideSeeds;
+  std::vector<std::string> LocalSeeds;
+  std::vector<std::string> RemoteSeeds;
   /// Time for which the log keeps a record.
   core::Seconds LogRetention{};
   std::uint64_t RandomSeed = 0;
@@ -38,7 +38,7 @@
 struct ControlReceived {
   Peer From;
   core::DataCentreId DataCentre;
-  wire::ControlMessage What;
+  wire::ControlMessage Payload;
 };
 struct Started {};
 /// @brief Expected every 50 ms.
@@ -46,7 +46,7 @@
 struct DrainStarted {};
 /// @brief The target of this host announced itself.
 struct TargetAnnounced {
-  membership::TargetAnnouncement What;
+  membership::TargetAnnouncement Announcement;
   /// `ip:port` at which it serves.
   std::string Address;
 };
@@ -67,7 +67,7 @@
 /// @{
 struct SendControl {
   std::string To;
-  wire::ControlMessage What;
+  wire::ControlMessage Payload;
 };
 /// @brief Append a record to the `config` stream.
 struct AppendConfig {
@@ -75,19 +75,19 @@
 };
 struct ClaimReceived {
   Peer From;
-  wire::ClaimRequest What;
+  wire::ClaimRequest Request;
 };
 struct ClaimReplied {
-  wire::ClaimReply What;
+  wire::ClaimReply Reply;
 };
 
 using NodeEffect = std::variant<
     SendControl, AppendConfig, ClaimReceived, ClaimReplied,
-    distribution::ReadLog, distribution::CheckEnd, distribution::StateAdopted,
-    distribution::ReadyChanged, lease::AppendRenewal, request::StartAttempt,
-    request::DeliverAnswer, request::CancelAttempt, request::Refuse,
-    request::RequestClaim, request::AnswerFromOwner, request::SendKeptAnswer,
-    observe::LogEvent>;
+    distribution::ReadLog, distribution::CheckLogEnd,
+    distribution::StateAdopted, distribution::ReadyChanged,
+    lease::AppendRenewal, request::StartAttempt, request::DeliverAnswer,
+    request::CancelAttempt, request::Refuse, request::RequestClaim,
+    request::AnswerFromOwner, request::SendKeptAnswer, observe::LogEvent>;
 using NodeEffects = std::vector<NodeEffect>;
 /// @}
 
@@ -95,14 +95,14 @@
 struct NodeState {
   explicit NodeState(NodeSettings Settings);
 
-  NodeSettings Own;
-  membership::State Members;
-  distribution::State Records;
+  NodeSettings Local;
+  membership::State Membership;
+  distribution::State Distribution;
   directory::State Directory;
   lease::State Lease;
   request::State Requests;
   rollout::GuardState Guard;
-  rollout::ControllerState Moves;
+  rollout::ControllerState Controller;
 
   std::shared_ptr<const config::FleetState> Fleet;
   std::vector<config::MoveId> LocalRollbacks;
@@ -110,12 +110,12 @@
   std::string TargetAddress;
   /// Slots last told to the coordinator's part.
   std::map<std::pair<core::ServiceName, core::TargetVersion>, std::uint32_t>
-      Slots;
+      ReportedSlots;
   /// Sequence of the last record appended by this process.
   std::uint64_t LastSequence = 0;
   /// Next snapshot of the fleet state, while this node is the coordinator.
   core::TimePoint NextSnapshot;
-  core::LogOffset LastSnapshot;
+  core::LogOffset LastSnapshotOffset;
 };
 
 /// @brief Applies one event to all parts that it concerns.
--- a/include/filbertvane/decision/Step.h
+++ b/include/filbertvane/decision/Step.h
@@ -5,8 +5,8 @@
 
 /// @brief What a reducer returns: the next state, and effects as data.
 template <typename State, typename Effects> struct Step {
-  State Next;
-  Effects Out;
+  State NextState;
+  Effects EmittedEffects;
 };
 
 } // namespace filbertvane::decision
--- a/include/filbertvane/decision/TargetLoad.h
+++ b/include/filbertvane/decision/TargetLoad.h
@@ -13,12 +13,12 @@
   std::uint32_t Waiting = 0;
   std::uint32_t Slots = 0;
   /// Mean time of recent answers.
-  core::Milliseconds MeanTime{0};
+  core::Milliseconds MeanResponseTime{0};
   /// The same on the route of the request that the load is told with; 0 in
   /// reports, which concern no request.
-  core::Milliseconds RouteTime{0};
+  core::Milliseconds RouteResponseTime{0};
   /// Time that the large answers now queued take on the host's link.
-  core::Milliseconds LinkWait{0};
+  core::Milliseconds LinkQueueTime{0};
 
   friend auto operator<=>(const TargetLoad &, const TargetLoad &) = default;
 };
--- a/include/filbertvane/decision/directory/Directory.h
+++ b/include/filbertvane/decision/directory/Directory.h
@@ -14,16 +14,16 @@
 /// @name Figures
 /// @{
 /// Shortest time between two summaries of one data centre.
-inline constexpr core::Milliseconds SummaryPeriod{1000};
+inline constexpr core::Milliseconds MinSummaryInterval{1000};
 /// Summaries are repeated, without their services, at this period although
 /// nothing changed. At 5 s the repeats of 19 data centres would cost an inner
 /// node of the tree two thirds of its 3,000 B/s.
-inline constexpr core::Milliseconds RepeatPeriod{15000};
+inline constexpr core::Milliseconds SummaryRefreshPeriod{15000};
 /// Silence of a data centre after which it counts as cut off; two repeated
 /// summaries may be lost before.
-inline constexpr core::Milliseconds SilenceLimit{40000};
+inline constexpr core::Milliseconds SilenceTimeout{40000};
 /// Nodes named as entry nodes of one target version.
-inline constexpr std::size_t EntryNodes = 3;
+inline constexpr std::size_t MaxEntryNodes = 3;
 /// Data centres kept; summaries of further ones are dropped.
 inline constexpr std::size_t MaxDataCentres = 64;
 /// @}
@@ -35,13 +35,13 @@
   core::RegionId Region;
   std::string ControlAddress;
   /// Control address that nodes of other regions use.
-  std::string ExternalControl;
+  std::string ExternalControlAddress;
   /// Control addresses of nodes of other data centres.
-  std::vector<std::string> Outside;
+  std::vector<std::string> RemoteSeeds;
 };
 
 /// @brief A data centre, as last summarised.
-struct Known {
+struct KnownDataCentre {
   DataCentreSummary Summary;
   core::TimePoint HeardAt;
   core::TimePoint ForwardedAt;
@@ -51,20 +51,20 @@
 
 /// @brief State of the directory of one node.
 struct State {
-  Settings Own;
-  std::vector<membership::Member> Live;
+  Settings Local;
+  std::vector<membership::Member> LiveMembers;
   bool IsLead = false;
   core::ConfigVersion LowestVersion;
-  core::LogOffset LowestNext;
+  core::LogOffset LowestNextOffset;
   /// Positions of the members, for the lowest version in force.
   std::map<core::NodeId, Position> Positions;
-  DataCentreSummary Mine;
-  std::map<core::DataCentreId, Known> Others;
+  DataCentreSummary LocalSummary;
+  std::map<core::DataCentreId, KnownDataCentre> RemoteDataCentres;
   /// Ranks below this node in the tree of its data centre.
-  std::vector<std::string> Children;
-  core::TimePoint NextSend;
-  core::TimePoint NextRepeat;
-  bool MineChanged = false;
+  std::vector<std::string> ChildAddresses;
+  core::TimePoint NextSummary;
+  core::TimePoint NextRefresh;
+  bool LocalSummaryChanged = false;
   bool ServicesChanged = false;
 };
 
@@ -73,33 +73,33 @@
 /// @name Events
 /// @{
 struct MembersChanged {
-  std::vector<membership::Member> Live;
+  std::vector<membership::Member> LiveMembers;
 };
-struct PositionKnown {
+struct PositionReported {
   core::NodeId Node;
-  Position At;
+  Position ConfigPosition;
 };
 struct SummariesReceived {
   Peer From;
-  std::vector<DataCentreSummary> DataCentres;
+  std::vector<DataCentreSummary> Summaries;
 };
 struct Tick {};
 using Event =
-    std::variant<MembersChanged, PositionKnown, SummariesReceived, Tick>;
+    std::variant<MembersChanged, PositionReported, SummariesReceived, Tick>;
 /// @}
 
 /// @name Effects
 /// @{
 struct SendSummaries {
   std::string To;
-  std::vector<DataCentreSummary> DataCentres;
+  std::vector<DataCentreSummary> Summaries;
 };
 /// @brief Targets of the own data centre and entry nodes of the others.
-struct EndpointsKnown {
+struct EndpointsUpdated {
   std::vector<request::Endpoint> Endpoints;
 };
-struct LeadsKnown {
-  std::vector<distribution::OtherLead> Leads;
+struct RemoteLeadsUpdated {
+  std::vector<distribution::RemoteLead> RemoteLeads;
 };
 struct LeadershipChanged {
   bool IsLead = false;
@@ -108,15 +108,15 @@
 ///        hold.
 struct DataCentreHeard {
   core::DataCentreId DataCentre;
-  core::ConfigVersion Lowest;
+  core::ConfigVersion LowestVersion;
 };
-struct DataCentreCutOff {
+struct DataCentreSilent {
   core::DataCentreId DataCentre;
-  core::WallTime Since;
+  core::WallTime SilentSince;
 };
-using Effect = std::variant<SendSummaries, DataCentreHeard, DataCentreCutOff,
-                            EndpointsKnown, LeadsKnown, LeadershipChanged,
-                            observe::LogEvent>;
+using Effect = std::variant<SendSummaries, DataCentreHeard, DataCentreSilent,
+                            EndpointsUpdated, RemoteLeadsUpdated,
+                            LeadershipChanged, observe::LogEvent>;
 using Effects = std::vector<Effect>;
 /// @}
 
--- a/include/filbertvane/decision/distribution/Batch.h
+++ b/include/filbertvane/decision/distribution/Batch.h
@@ -16,32 +16,32 @@
 
 /// @brief What a read of the log that began after a question for its end found
 ///        at the own position.
-enum class LogEnd : std::uint8_t {
-  NotAsked,
+enum class LogEndStatus : std::uint8_t {
+  NotRequested,
   /// No record follows: the position is the end of the log.
   Reached,
   /// Records follow.
-  Further,
+  NotReached,
   /// The log could not be read.
-  Unread,
+  Unavailable,
 };
 
 /// @brief Consecutive records; without records it only tells a position.
 struct RecordBatch {
   /// Offset of the first record, or the sender's next one.
-  core::LogOffset First;
+  core::LogOffset FirstOffset;
   std::vector<StoredRecord> Records;
   /// Position of the sender's state after the last record.
-  Position After;
+  Position PositionAfter;
   /// Where `After` stands in the log, for a receiver that asked for its end.
-  LogEnd End = LogEnd::NotAsked;
+  LogEndStatus EndStatus = LogEndStatus::NotRequested;
 
   friend auto operator<=>(const RecordBatch &, const RecordBatch &) = default;
 };
 
 /// @brief Whole state at a position.
 struct Snapshot {
-  Position At;
+  Position ConfigPosition;
   std::string State;
 
   friend auto operator<=>(const Snapshot &, const Snapshot &) = default;
@@ -49,12 +49,12 @@
 
 /// @brief Asks for the records from an offset on.
 struct RecordsRequest {
-  core::LogOffset First;
+  core::LogOffset FirstOffset;
   /// The sender's state diverged: records do not help.
   bool WantsSnapshot = false;
   /// The sender restarted: the receiver reads the log and answers once more
   /// when it holds the log's end.
-  bool WantsEnd = false;
+  bool WantsLogEnd = false;
 
   friend auto operator<=>(const RecordsRequest &,
                           const RecordsRequest &) = default;
--- a/include/filbertvane/decision/distribution/Distribution.h
+++ b/include/filbertvane/decision/distribution/Distribution.h
@@ -16,60 +16,60 @@
 /// @{
 /// Silence of the region reader, or of the lead, after which a lead, or the
 /// standby, reads the log itself.
-inline constexpr core::Milliseconds ReaderSilence{1000};
-/// Period of empty batches; three fit into `ReaderSilence`.
+inline constexpr core::Milliseconds ReaderTimeout{1000};
+/// Period of empty batches; three fit into `ReaderTimeout`.
 inline constexpr core::Milliseconds HeartbeatPeriod{300};
 /// Wait before records that a peer reports are requested, since they usually
 /// are on their way down the tree.
-inline constexpr core::Milliseconds RepairGrace{100};
+inline constexpr core::Milliseconds RepairDelay{100};
 inline constexpr core::Milliseconds RequestTimeout{500};
 inline constexpr core::Milliseconds BackoffBase{200};
 inline constexpr core::Milliseconds RequestBackoffMax{5000};
 inline constexpr core::Milliseconds LogBackoffMax{2000};
 /// Period in which a starting node asks for the end of the log; ten requests,
-/// of which each may be lost, fit into `EndWait`.
-inline constexpr core::Milliseconds EndRequestPeriod{200};
+/// of which each may be lost, fit into `LogEndTimeout`.
+inline constexpr core::Milliseconds LogEndRequestPeriod{200};
 /// Time after its start in which a node trusts only the end of the log. After
 /// it, the word of a ready peer that cannot read the log either suffices.
-inline constexpr core::Milliseconds EndWait{2000};
+inline constexpr core::Milliseconds LogEndTimeout{2000};
 /// Starting nodes that wait at one peer for the end of the log; the size of a
 /// data centre that restarts at once.
-inline constexpr std::size_t MaxEndWaiters = 128;
+inline constexpr std::size_t MaxLogEndWaiters = 128;
 /// Time in which a starting node collects the positions of its peers.
-inline constexpr core::Milliseconds SettleTime{500};
+inline constexpr core::Milliseconds PeerReportWindow{500};
 /// A report that was not repeated for this long is of a peer out of reach.
-inline constexpr core::Milliseconds ReportLifetime{5000};
+inline constexpr core::Milliseconds PeerReportLifetime{5000};
 /// Snapshot transfers at a time, and the time that one occupies its place.
-inline constexpr std::size_t MaxTransfers = 4;
-inline constexpr core::Milliseconds TransferTime{100};
+inline constexpr std::size_t MaxSnapshotTransfers = 4;
+inline constexpr core::Milliseconds SnapshotTransferTime{100};
 inline constexpr std::size_t MaxBatchBytes = std::size_t{512} * 1024;
 /// Records kept to serve requests.
-inline constexpr std::size_t MaxRecent = 1024;
+inline constexpr std::size_t MaxRecentRecords = 1024;
 inline constexpr std::size_t MaxRecentBytes = std::size_t{2} * 1024 * 1024;
 /// Batches that wait for earlier records.
-inline constexpr std::size_t MaxBuffered = 64;
+inline constexpr std::size_t MaxBufferedBatches = 64;
 inline constexpr std::size_t MaxBufferedBytes = std::size_t{1024} * 1024;
-inline constexpr std::size_t MaxReports = 256;
+inline constexpr std::size_t MaxPeerReports = 256;
 /// A record above this is replaced by its reduced form, if that has the same
 /// effect.
-inline constexpr std::size_t ReduceAbove = 1024;
+inline constexpr std::size_t ReductionThresholdBytes = 1024;
 /// @}
 
 /// @name Values
 /// @{
 struct Settings {
-  Peer Own;
+  Peer Self;
   core::DataCentreId DataCentre;
   core::RegionId Region;
   /// Control addresses of nodes of other data centres, for a start without
   /// any holder in the own one.
-  std::vector<std::string> Outside;
+  std::vector<std::string> RemoteSeeds;
   Fold Folding;
 };
 
 /// @brief A live member of the data centre.
 struct TreeMember {
-  Peer At;
+  Peer Contact;
   /// Its children are fed past it as well.
   bool Suspect = false;
 
@@ -77,12 +77,12 @@
 };
 
 /// @brief The lead of another data centre.
-struct OtherLead {
-  Peer At;
+struct RemoteLead {
+  Peer Contact;
   core::DataCentreId DataCentre;
   core::RegionId Region;
 
-  friend auto operator<=>(const OtherLead &, const OtherLead &) = default;
+  friend auto operator<=>(const RemoteLead &, const RemoteLead &) = default;
 };
 
 /// @brief A record of the log with what it did.
@@ -97,19 +97,19 @@
 /// @{
 
 /// @brief A record kept to serve requests.
-struct KeptRecord {
+struct RecentRecord {
   StoredRecord Record;
-  Position After;
+  Position PositionAfter;
 };
 
 /// @brief Reading of the log.
-struct LogReading {
-  bool Wanted = false;
-  bool Pending = false;
-  bool Available = true;
+struct LogReaderState {
+  bool Active = false;
+  bool ReadPending = false;
+  bool LogAvailable = true;
   /// Looking for a snapshot behind the trimmed head.
-  bool Searching = false;
-  core::LogOffset From;
+  bool SearchingSnapshot = false;
+  core::LogOffset ReadOffset;
   /// The end of the log was reached once.
   bool ReachedEnd = false;
   std::uint32_t Failures = 0;
@@ -117,78 +117,78 @@
 };
 
 /// @brief The one request for records under way, and its backoff.
-struct Repair {
-  std::optional<Peer> Asked;
-  core::TimePoint Timeout;
+struct RepairState {
+  std::optional<Peer> PendingPeer;
+  core::TimePoint Deadline;
   /// The peer known to be ahead.
   std::optional<Peer> AheadPeer;
-  core::LogOffset AheadNext;
+  core::LogOffset AheadOffset;
   /// The own state differs from this peer's at the same offset.
-  std::optional<Peer> Diverged;
-  core::TimePoint NotBefore;
+  std::optional<Peer> DivergedFrom;
+  core::TimePoint NextRequest;
   /// Requests since the last progress.
-  std::uint32_t Failures = 0;
+  std::uint32_t RequestsWithoutProgress = 0;
   /// The same for a node that is not ready and asks any peer.
-  core::TimePoint NextSeek;
-  std::uint32_t Seeks = 0;
+  core::TimePoint NextCatchUp;
+  std::uint32_t CatchUpRequests = 0;
 };
 
 /// @brief Starting peers that asked for the end of the log.
-struct EndChecks {
+struct LogEndChecks {
   /// Addresses to which the end is confirmed.
   std::vector<std::string> Waiting;
   /// A read is under way; those who ask during it wait for the next one.
-  bool Pending = false;
-  std::vector<std::string> Served;
+  bool ReadPending = false;
+  std::vector<std::string> InProgress;
 };
 
 /// @brief Position that a peer reported, for the restart rule.
-struct Report {
-  core::LogOffset Next;
+struct PeerReport {
+  core::LogOffset NextOffset;
   core::TimePoint HeardAt;
   /// First time the peer said that it is ready.
   std::optional<core::TimePoint> ReadySince;
   /// The peer tried to read the log for this node, and could not.
-  bool WithoutLog = false;
+  bool LogUnavailable = false;
 };
 
 struct State {
-  Settings Own;
-  core::Random Chance;
+  Settings Local;
+  core::Random Rng;
 
   /// @name Configuration
   /// @{
-  std::shared_ptr<const config::FleetState> Held;
-  Position At;
-  std::deque<KeptRecord> Recent;
+  std::shared_ptr<const config::FleetState> Fleet;
+  Position ConfigPosition;
+  std::deque<RecentRecord> RecentRecords;
   std::size_t RecentBytes = 0;
-  std::map<core::LogOffset, std::pair<Peer, RecordBatch>> Buffered;
+  std::map<core::LogOffset, std::pair<Peer, RecordBatch>> BufferedBatches;
   std::size_t BufferedBytes = 0;
   /// @}
 
   /// @name Roles
   /// @{
   /// Live members in rendezvous order of the data centre.
-  std::vector<TreeMember> Order;
-  std::vector<OtherLead> Leads;
+  std::vector<TreeMember> RankedMembers;
+  std::vector<RemoteLead> RemoteLeads;
   core::TimePoint LeadHeardAt;
   core::TimePoint ReaderHeardAt;
   core::TimePoint NextHeartbeat;
   /// @}
 
-  LogReading Log;
-  Repair Fix;
+  LogReaderState LogReader;
+  RepairState Repair;
   /// Ends of the snapshot transfers under way.
-  std::vector<core::TimePoint> Transfers;
+  std::vector<core::TimePoint> TransferEnds;
 
   /// @name Restart rule
   /// @{
-  std::map<core::NodeId, Report> Reports;
+  std::map<core::NodeId, PeerReport> PeerReports;
   core::TimePoint StartedAt;
-  core::TimePoint NextEndRequest;
+  core::TimePoint NextLogEndRequest;
   /// End of the log that a peer read after this process had started.
-  std::optional<core::LogOffset> ConfirmedEnd;
-  EndChecks Ends;
+  std::optional<core::LogOffset> ConfirmedLogEnd;
+  LogEndChecks EndChecks;
   bool Ready = false;
   /// @}
 };
@@ -206,17 +206,17 @@
   /// Consecutive records; empty when there was nothing new.
   std::vector<StoredRecord> Records;
   /// Offset after the newest record of the log.
-  core::LogOffset End;
+  core::LogOffset EndOffset;
 };
 /// @brief The requested offset is before the head of the log.
 struct LogTrimmed {
-  core::LogOffset Head;
+  core::LogOffset HeadOffset;
 };
 struct LogUnavailable {};
 /// @brief A check of the log's end is over.
-struct EndChecked {
-  LogEnd Found = LogEnd::Unread;
-  core::LogOffset From;
+struct LogEndChecked {
+  LogEndStatus Status = LogEndStatus::Unavailable;
+  core::LogOffset Offset;
 };
 struct RecordsReceived {
   Peer From;
@@ -224,28 +224,28 @@
 };
 struct RecordsRequested {
   Peer From;
-  RecordsRequest What;
+  RecordsRequest Request;
 };
 struct SnapshotReceived {
   Peer From;
-  Snapshot What;
+  Snapshot Payload;
 };
-struct PositionHeard {
+struct PeerPositionReported {
   Peer From;
-  Position At;
+  Position ConfigPosition;
 };
 /// @brief Live members of the data centre, with this node.
 struct MembersChanged {
-  std::vector<TreeMember> Live;
+  std::vector<TreeMember> LiveMembers;
 };
-struct OtherLeadsChanged {
-  std::vector<OtherLead> Leads;
+struct RemoteLeadsChanged {
+  std::vector<RemoteLead> RemoteLeads;
 };
 
-using Event =
-    std::variant<Started, Tick, LogRead, LogTrimmed, LogUnavailable, EndChecked,
-                 RecordsReceived, RecordsRequested, SnapshotReceived,
-                 PositionHeard, MembersChanged, OtherLeadsChanged>;
+using Event = std::variant<Started, Tick, LogRead, LogTrimmed, LogUnavailable,
+                           LogEndChecked, RecordsReceived, RecordsRequested,
+                           SnapshotReceived, PeerPositionReported,
+                           MembersChanged, RemoteLeadsChanged>;
 /// @}
 
 /// @name Effects
@@ -253,14 +253,14 @@
 /// @brief Read the log; exactly one read is under way until `LogRead`,
 ///        `LogTrimmed` or `LogUnavailable` answers it.
 struct ReadLog {
-  core::LogOffset From;
+  core::LogOffset Offset;
   /// Wait for new records when there are none.
   bool LongPoll = false;
 };
 /// @brief Read the log once, beside `ReadLog`, to learn whether it ends at an
-///        offset; `EndChecked` answers it.
-struct CheckEnd {
-  core::LogOffset From;
+///        offset; `LogEndChecked` answers it.
+struct CheckLogEnd {
+  core::LogOffset Offset;
 };
 struct SendRecords {
   std::string To;
@@ -268,21 +268,21 @@
 };
 struct RequestRecords {
   std::string To;
-  RecordsRequest What;
+  RecordsRequest Request;
 };
 /// @brief Ask a peer for the end of the log.
-struct RequestEnd {
+struct RequestLogEnd {
   std::string To;
-  RecordsRequest What;
+  RecordsRequest Request;
 };
 struct SendSnapshot {
   std::string To;
-  Snapshot What;
+  Snapshot Payload;
 };
 /// @brief A newer state holds.
 struct StateAdopted {
   std::shared_ptr<const config::FleetState> State;
-  Position At;
+  Position ConfigPosition;
   /// Records that led to it; empty when a snapshot did.
   std::vector<AppliedRecord> Records;
 };
@@ -290,9 +290,9 @@
   bool Ready = false;
 };
 
-using Effect =
-    std::variant<ReadLog, CheckEnd, SendRecords, RequestRecords, RequestEnd,
-                 SendSnapshot, StateAdopted, ReadyChanged, observe::LogEvent>;
+using Effect = std::variant<ReadLog, CheckLogEnd, SendRecords, RequestRecords,
+                            RequestLogEnd, SendSnapshot, StateAdopted,
+                            ReadyChanged, observe::LogEvent>;
 using Effects = std::vector<Effect>;
 /// @}
 
--- a/include/filbertvane/decision/distribution/Position.h
+++ b/include/filbertvane/decision/distribution/Position.h
@@ -9,7 +9,7 @@
 /// @brief Position of a node in the `config` stream.
 struct Position {
   /// Offset of the next record to apply.
-  core::LogOffset Next;
+  core::LogOffset NextOffset;
   /// Digest of the state before that record; shows a divergence.
   core::Digest StateDigest;
   core::ConfigVersion Version;
--- a/include/filbertvane/decision/lease/Lease.h
+++ b/include/filbertvane/decision/lease/Lease.h
@@ -14,18 +14,18 @@
 
 /// @name Figures
 /// @{
-inline constexpr core::Milliseconds RenewPeriod{2000};
+inline constexpr core::Milliseconds RenewalPeriod{2000};
 /// Time for which a renewal holds, counted from its append.
-inline constexpr core::Milliseconds LeaseTime{6000};
+inline constexpr core::Milliseconds LeaseDuration{6000};
 /// Shortest wait before a claim; it also covers clocks that run at slightly
-/// different speeds (3% over `LeaseTime`).
-inline constexpr core::Milliseconds ClaimWaitMin{200};
-inline constexpr core::Milliseconds ClaimWaitMax{1000};
+/// different speeds (3% over `LeaseDuration`).
+inline constexpr core::Milliseconds MinClaimDelay{200};
+inline constexpr core::Milliseconds MaxClaimDelay{1000};
 /// A claim that was not read back after this time is repeated.
 inline constexpr core::Milliseconds ClaimTimeout{3000};
 /// Age of the last complete read of the lease stream up to which a candidate
 /// claims; a long poll of 1 s and a slow answer fit into it.
-inline constexpr core::Milliseconds KnowledgeAge{2500};
+inline constexpr core::Milliseconds MaxReadAge{2500};
 /// Renewals that were appended and not read back.
 inline constexpr std::size_t MaxPendingRenewals = 8;
 /// @}
@@ -59,9 +59,9 @@
 };
 
 struct State {
-  Settings Own;
-  core::Random Chance;
-  bool Lead = false;
+  Settings Local;
+  core::Random Rng;
+  bool IsLead = false;
 
   /// @name Known from the log
   /// @{
@@ -74,17 +74,17 @@
   /// Latest sign of a holder: a renewal or a claim that was read.
   core::TimePoint HeardAt;
   /// The lease stream is known completely up to this time.
-  std::optional<core::TimePoint> KnownUpTo;
+  std::optional<core::TimePoint> ReadUpTo;
   /// Random wait of the claim that is next.
-  core::Microseconds Wait{0};
+  core::Microseconds ClaimDelay{0};
   std::optional<PendingClaim> Claim;
   /// @}
 
   /// @name Holder
   /// @{
   /// Set while this node may act: the end of its lease by its own clock.
-  std::optional<core::TimePoint> ActsUntil;
-  std::vector<PendingRenewal> Renewals;
+  std::optional<core::TimePoint> HeldUntil;
+  std::vector<PendingRenewal> PendingRenewals;
   std::uint64_t NextSequence = 1;
   core::TimePoint NextRenewal;
   /// @}
@@ -97,7 +97,7 @@
 struct Tick {};
 /// @brief The node became, or is no longer, the ready lead of a data centre.
 struct LeadChanged {
-  bool Lead = false;
+  bool IsLead = false;
 };
 /// @brief A read of the lease stream that reached its end.
 struct LeaseRead {
@@ -118,7 +118,7 @@
 ///        one by one.
 struct EpochAdopted {
   core::NodeId Holder;
-  core::Epoch Current;
+  core::Epoch CurrentEpoch;
 };
 
 using Event = std::variant<Tick, LeadChanged, LeaseRead, ClaimFolded,
@@ -128,17 +128,17 @@
 /// @name Effects
 /// @{
 struct AppendRenewal {
-  Renewal What;
+  Renewal Record;
 };
 struct AppendClaim {
   core::Epoch NewEpoch;
 };
 struct BecameHolder {
-  core::Epoch Held;
+  core::Epoch HeldEpoch;
 };
 /// @brief The node must not act any more.
 struct LostLease {
-  core::Epoch Held;
+  core::Epoch LostEpoch;
 };
 
 using Effect = std::variant<AppendRenewal, AppendClaim, BecameHolder, LostLease,
@@ -153,7 +153,7 @@
 ///
 /// To be asked before each action, because a process may have been paused
 /// since its last event.
-bool mayAct(const State &Of, core::TimePoint Now);
+bool holdsLease(const State &Of, core::TimePoint Now);
 
 } // namespace filbertvane::decision::lease
 
--- a/include/filbertvane/decision/membership/Member.h
+++ b/include/filbertvane/decision/membership/Member.h
@@ -29,7 +29,7 @@
 /// @brief What is known of a node of the data centre.
 struct Member {
   core::NodeId Node;
-  core::Incarnation Number;
+  core::Incarnation Incarnation;
   MemberStatus Status = MemberStatus::Alive;
   std::string ControlAddress;
   std::string PeerAddress;
--- a/include/filbertvane/decision/membership/Membership.h
+++ b/include/filbertvane/decision/membership/Membership.h
@@ -15,23 +15,23 @@
 inline constexpr core::Milliseconds TickPeriod{50};
 inline constexpr core::Milliseconds ProbePeriod{1000};
 /// Wait for a direct answer before other members are asked to probe.
-inline constexpr core::Milliseconds IndirectAfter{400};
-inline constexpr std::size_t IndirectProbes = 3;
-inline constexpr core::Milliseconds SuspicionTime{3000};
+inline constexpr core::Milliseconds IndirectProbeDelay{400};
+inline constexpr std::size_t IndirectProbeCount = 3;
+inline constexpr core::Milliseconds SuspicionTimeout{3000};
 /// Updates on one message; keeps a probe within one TCP segment.
-inline constexpr std::size_t UpdatesPerMessage = 6;
+inline constexpr std::size_t MaxUpdatesPerMessage = 6;
 /// An update is sent this many times log2 of the number of members.
-inline constexpr std::size_t UpdateRepeats = 3;
+inline constexpr std::size_t RetransmitMultiplier = 3;
 /// Period at which a seed or a failed member is asked to join again.
 inline constexpr core::Milliseconds RejoinPeriod{5000};
 /// The same while no other member is known.
-inline constexpr core::Milliseconds FirstJoinPeriod{500};
+inline constexpr core::Milliseconds InitialJoinPeriod{500};
 /// Direct leave messages are repeated, because one may be lost with its
 /// connection.
-inline constexpr std::size_t LeaveSends = 3;
-inline constexpr core::Milliseconds LeaveRepeat{500};
+inline constexpr std::size_t LeaveTransmissions = 3;
+inline constexpr core::Milliseconds LeaveRetransmitPeriod{500};
 /// Failed and left members are remembered this long.
-inline constexpr core::Seconds TombstoneTime{600};
+inline constexpr core::Seconds TombstoneLifetime{600};
 inline constexpr std::size_t MaxMembers = 1024;
 /// Probes that run on behalf of other members.
 inline constexpr std::size_t MaxRelayedProbes = 64;
@@ -50,12 +50,12 @@
 };
 
 /// @brief A member and the local bookkeeping for it.
-struct Entry {
-  Member Known;
+struct MemberEntry {
+  Member LastKnown;
   /// Suspicion ends, or the entry is forgotten, at this time.
   std::optional<core::TimePoint> Deadline;
   /// Messages that still carry the news of this member.
-  std::size_t SendsLeft = 0;
+  std::size_t TransmissionsLeft = 0;
 };
 
 /// @brief The one direct probe under way.
@@ -71,23 +71,23 @@
   std::uint64_t RequesterSequence = 0;
   std::string RequesterAddress;
   core::NodeId Target;
-  core::TimePoint Expires;
+  core::TimePoint ExpiresAt;
 };
 
 /// @brief State of the membership of one node.
 struct State {
-  Settings Own;
+  Settings Local;
   Member Self;
-  Position At;
-  core::Random Chance;
-  std::map<core::NodeId, Entry> Others;
+  Position ConfigPosition;
+  core::Random Rng;
+  std::map<core::NodeId, MemberEntry> OtherMembers;
 
   /// @name Probing
   /// @{
   std::vector<core::NodeId> ProbeOrder;
   std::uint64_t NextSequence = 1;
-  std::optional<OutstandingProbe> Probing;
-  std::map<std::uint64_t, RelayedProbe> Relayed;
+  std::optional<OutstandingProbe> PendingProbe;
+  std::map<std::uint64_t, RelayedProbe> RelayedProbes;
   core::TimePoint NextProbe;
   core::TimePoint NextJoin;
   core::TimePoint LastTick;
@@ -95,11 +95,11 @@
 
   /// @name Own announcement
   /// @{
-  std::size_t SelfSendsLeft = 0;
-  std::size_t LeavesLeft = 0;
+  std::size_t SelfTransmissionsLeft = 0;
+  std::size_t LeaveTransmissionsLeft = 0;
   core::TimePoint NextLeave;
   bool Started = false;
-  bool FullReported = false;
+  bool LimitReported = false;
   /// @}
 };
 
@@ -114,7 +114,7 @@
 struct Tick {};
 struct MessageReceived {
   Peer From;
-  Message What;
+  Message Payload;
 };
 /// @brief The own target was announced, announced anew, or went away.
 struct OwnTargetChanged {
@@ -125,7 +125,7 @@
   bool Ready = false;
 };
 struct OwnPositionChanged {
-  Position At;
+  Position ConfigPosition;
 };
 struct DrainStarted {};
 
@@ -138,22 +138,22 @@
 /// @{
 struct SendMessage {
   std::string To;
-  Message What;
+  Message Payload;
 };
 /// @brief The live members, their targets or their readiness changed.
 ///
 /// Lists all live members with this node itself, in order of their ids.
 struct EndpointsChanged {
-  std::vector<Member> Live;
+  std::vector<Member> LiveMembers;
 };
 /// @brief A process is gone: its member failed, left or was replaced.
 struct MemberFailed {
-  Member Gone;
+  Member LastKnown;
 };
 /// @brief A member reported its position in the `config` stream.
 struct PositionReported {
   Peer From;
-  Position At;
+  Position ConfigPosition;
 };
 
 using Effect = std::variant<SendMessage, EndpointsChanged, MemberFailed,
--- a/include/filbertvane/decision/membership/Messages.h
+++ b/include/filbertvane/decision/membership/Messages.h
@@ -11,14 +11,14 @@
 /// @brief Asks a member for a sign of life.
 struct Probe {
   std::uint64_t Sequence = 0;
-  Position At;
+  Position ConfigPosition;
   std::vector<Member> Updates;
   friend auto operator<=>(const Probe &, const Probe &) = default;
 };
 /// @brief Answers a probe.
 struct ProbeAck {
   std::uint64_t Sequence = 0;
-  Position At;
+  Position ConfigPosition;
   std::vector<Member> Updates;
   friend auto operator<=>(const ProbeAck &, const ProbeAck &) = default;
 };
@@ -44,7 +44,7 @@
 /// @brief All members that the answering node knows.
 struct JoinReply {
   std::vector<Member> Members;
-  Position At;
+  Position ConfigPosition;
   friend auto operator<=>(const JoinReply &, const JoinReply &) = default;
 };
 /// @brief The sender, or its target, leaves; sent to all members directly.
--- a/lib/decision/Dispatch.h
+++ b/lib/decision/Dispatch.h
@@ -37,61 +37,61 @@
 private:
   /// @name Effects of membership
   /// @{
-  void route(membership::SendMessage &What);
-  void route(membership::EndpointsChanged &What);
-  void route(membership::MemberFailed &What);
-  void route(membership::PositionReported &What);
+  void handleEffect(membership::SendMessage &What);
+  void handleEffect(membership::EndpointsChanged &What);
+  void handleEffect(membership::MemberFailed &What);
+  void handleEffect(membership::PositionReported &What);
   /// @}
 
   /// @name Effects of distribution
   /// @{
-  void route(distribution::SendRecords &What);
-  void route(distribution::RequestRecords &What);
-  void route(distribution::RequestEnd &What);
-  void route(distribution::SendSnapshot &What);
-  void route(distribution::StateAdopted &What);
-  void route(distribution::ReadyChanged &What);
+  void handleEffect(distribution::SendRecords &What);
+  void handleEffect(distribution::RequestRecords &What);
+  void handleEffect(distribution::RequestLogEnd &What);
+  void handleEffect(distribution::SendSnapshot &What);
+  void handleEffect(distribution::StateAdopted &What);
+  void handleEffect(distribution::ReadyChanged &What);
   /// @}
 
   /// @name Effects of the directory
   /// @{
-  void route(directory::SendSummaries &What);
-  void route(directory::DataCentreHeard &What);
-  void route(directory::DataCentreCutOff &What);
-  void route(directory::EndpointsKnown &What);
-  void route(directory::LeadsKnown &What);
-  void route(directory::LeadershipChanged &What);
+  void handleEffect(directory::SendSummaries &What);
+  void handleEffect(directory::DataCentreHeard &What);
+  void handleEffect(directory::DataCentreSilent &What);
+  void handleEffect(directory::EndpointsUpdated &What);
+  void handleEffect(directory::RemoteLeadsUpdated &What);
+  void handleEffect(directory::LeadershipChanged &What);
   /// @}
 
   /// @name Effects of the lease
   /// @{
-  void route(lease::AppendClaim &What);
-  void route(lease::BecameHolder &What);
-  void route(lease::LostLease &What);
+  void handleEffect(lease::AppendClaim &What);
+  void handleEffect(lease::BecameHolder &What);
+  void handleEffect(lease::LostLease &What);
   /// @}
 
   /// @name Effects of requests
   /// @{
-  void route(request::Observed &What);
-  void route(request::SuspectReported &What);
+  void handleEffect(request::Observed &What);
+  void handleEffect(request::SuspectReported &What);
   /// @}
 
   /// @name Effects of moves
   /// @{
-  void route(rollout::SendEvidence &What);
-  void route(rollout::SendOverlay &What);
-  void route(rollout::LocalRollbacksChanged &What);
-  void route(rollout::Append &What);
-  void route(rollout::PublishOverlay &What);
+  void handleEffect(rollout::SendEvidence &What);
+  void handleEffect(rollout::SendOverlay &What);
+  void handleEffect(rollout::LocalRollbacksChanged &What);
+  void handleEffect(rollout::Append &What);
+  void handleEffect(rollout::PublishOverlay &What);
   /// @}
 
   /// Effects that go outside as they are.
-  template <typename T> void route(T &What) {
+  template <typename T> void handleEffect(T &What) {
     Out.emplace_back(std::move(What));
   }
-  template <typename Effects> void routeAll(Effects &All) {
+  template <typename Effects> void handleEffects(Effects &All) {
     for (auto &Each : All)
-      std::visit([this](auto &What) { route(What); }, Each);
+      std::visit([this](auto &What) { handleEffect(What); }, Each);
   }
 
   /// @name Messages of other nodes
@@ -101,14 +101,14 @@
   void receive(const wire::LocalRollback &What);
   /// @}
 
-  template <typename Event> void follow(Event What) {
+  template <typename Event> void enqueue(Event What) {
     Pending.emplace_back(std::move(What));
   }
   void send(const std::string &To, wire::ControlMessage What);
   void append(config::RecordBody Body);
-  void tellRequestsConfiguration();
-  void tellLeaseOfRecords(const distribution::StateAdopted &What);
-  void tellCandidacy();
+  void updateRequestConfiguration();
+  void forwardRecordsToLease(const distribution::StateAdopted &What);
+  void updateLeaseCandidacy();
   void takeSnapshotWhenDue();
   /// Control addresses of the members, without this node.
   std::vector<std::string> memberAddresses() const;
--- a/lib/decision/DispatchMoves.cpp
+++ b/lib/decision/DispatchMoves.cpp
@@ -7,31 +7,31 @@
                        const wire::Evidence &What) {
   // Members report to their lead; leads of other data centres report to the
   // coordinator.
-  const bool FromMember = DataCentre == S.Own.DataCentre;
+  const bool FromMember = DataCentre == S.Local.DataCentre;
   const bool CoordinatorOnly = isCoordinator() && !S.Directory.IsLead;
   if (FromMember && !CoordinatorOnly)
-    follow(rollout::GuardEvent(rollout::EvidenceReceived{fromMessage(What)}));
+    enqueue(rollout::GuardEvent(rollout::EvidenceReceived{fromMessage(What)}));
   else
-    follow(
+    enqueue(
         rollout::ControllerEvent(rollout::EvidenceReceived{fromMessage(What)}));
 }
 
 void Dispatch::receive(const wire::LocalRollback &What) {
   const rollout::Overlay Value = fromMessage(What);
-  follow(rollout::GuardEvent(rollout::OverlayReceived{Value}));
+  enqueue(rollout::GuardEvent(rollout::OverlayReceived{Value}));
   if (isCoordinator())
-    follow(rollout::ControllerEvent(rollout::OverlayReceived{Value}));
+    enqueue(rollout::ControllerEvent(rollout::OverlayReceived{Value}));
 }
 
-void Dispatch::route(rollout::SendEvidence &What) {
+void Dispatch::handleEffect(rollout::SendEvidence &What) {
   const bool ToLead = What.To == rollout::Receiver::Lead;
   if (ToLead && S.Directory.IsLead) {
-    follow(
+    enqueue(
         rollout::GuardEvent(rollout::EvidenceReceived{std::move(What.Report)}));
     return;
   }
   if (!ToLead && isCoordinator()) {
-    follow(rollout::ControllerEvent(
+    enqueue(rollout::ControllerEvent(
         rollout::EvidenceReceived{std::move(What.Report)}));
     return;
   }
@@ -40,7 +40,7 @@
     send(*To, toMessage(What.Report));
 }
 
-void Dispatch::route(rollout::SendOverlay &What) {
+void Dispatch::handleEffect(rollout::SendOverlay &What) {
   switch (What.To) {
   case rollout::Receiver::Lead:
     if (const auto To = leadAddress(); To && !S.Directory.IsLead)
@@ -52,28 +52,28 @@
     return;
   case rollout::Receiver::Coordinator:
     if (isCoordinator())
-      follow(rollout::ControllerEvent(rollout::OverlayReceived{What.Value}));
+      enqueue(rollout::ControllerEvent(rollout::OverlayReceived{What.Value}));
     else if (const auto To = coordinatorAddress())
       send(*To, toMessage(What.Value));
     return;
   }
 }
 
-void Dispatch::route(rollout::LocalRollbacksChanged &What) {
+void Dispatch::handleEffect(rollout::LocalRollbacksChanged &What) {
   S.LocalRollbacks = std::move(What.Moves);
-  tellRequestsConfiguration();
+  updateRequestConfiguration();
 }
 
-void Dispatch::route(rollout::Append &What) {
+void Dispatch::handleEffect(rollout::Append &What) {
   // The process may have been paused since the lease was last checked.
-  if (lease::mayAct(S.Lease, Now.Mono))
+  if (lease::holdsLease(S.Lease, Now.Mono))
     append(std::move(What.Body));
 }
 
-void Dispatch::route(rollout::PublishOverlay &What) {
-  follow(rollout::GuardEvent(rollout::OverlayReceived{What.Value}));
-  for (const distribution::OtherLead &Each : S.Records.Leads)
-    send(Each.At.Address, toMessage(What.Value));
+void Dispatch::handleEffect(rollout::PublishOverlay &What) {
+  enqueue(rollout::GuardEvent(rollout::OverlayReceived{What.Value}));
+  for (const distribution::RemoteLead &Each : S.Distribution.RemoteLeads)
+    send(Each.Contact.Address, toMessage(What.Value));
 }
 
 } // namespace filbertvane::decision
--- a/lib/decision/Node.cpp
+++ b/lib/decision/Node.cpp
@@ -9,26 +9,30 @@
 
 membership::Settings membershipSettings(const NodeSettings &Own) {
   return {Own.Node, Own.DataCentre, Own.ControlAddress, Own.PeerAddress,
-          Own.InsideSeeds};
+          Own.LocalSeeds};
 }
 
 distribution::Settings distributionSettings(const NodeSettings &Own) {
   return {{Own.Node, Own.ControlAddress},
           Own.DataCentre,
           Own.Region,
-          Own.OutsideSeeds,
+          Own.RemoteSeeds,
           Own.Folding};
 }
 
 directory::Settings directorySettings(const NodeSettings &Own) {
-  return {Own.Node,           Own.DataCentre,      Own.Region,
-          Own.ControlAddress, Own.ExternalControl, Own.OutsideSeeds};
+  return {Own.Node,
+          Own.DataCentre,
+          Own.Region,
+          Own.ControlAddress,
+          Own.ExternalControlAddress,
+          Own.RemoteSeeds};
 }
 
 request::Settings requestSettings(const NodeSettings &Own) {
   request::Settings Requests;
   Requests.Self = Own.Node;
-  Requests.Start = Own.Number;
+  Requests.Start = Own.Incarnation;
   Requests.DataCentre = Own.DataCentre;
   Requests.Region = Own.Region;
   Requests.Seed = Own.RandomSeed;
@@ -40,19 +44,21 @@
 
 core::WriterId writerOf(const NodeSettings &Own) {
   return core::WriterId(
-      fmt::format("{}/{}", Own.Node.value(), Own.Number.value()));
+      fmt::format("{}/{}", Own.Node.value(), Own.Incarnation.value()));
 }
 
 NodeState::NodeState(NodeSettings Settings)
-    : Own(std::move(Settings)),
-      Members(membership::initial(membershipSettings(Own), Own.Number,
-                                  Own.RandomSeed)),
-      Records(
-          distribution::initial(distributionSettings(Own), Own.RandomSeed + 1)),
-      Directory(directory::initial(directorySettings(Own))),
-      Lease(lease::initial({Own.Node, writerOf(Own)}, Own.RandomSeed + 2)),
-      Requests(requestSettings(Own)),
-      Guard(rollout::guardOf(Own.Node, Own.Number, Own.DataCentre)) {}
+    : Local(std::move(Settings)),
+      Membership(membership::initial(membershipSettings(Local),
+                                     Local.Incarnation, Local.RandomSeed)),
+      Distribution(distribution::initial(distributionSettings(Local),
+                                         Local.RandomSeed + 1)),
+      Directory(directory::initial(directorySettings(Local))),
+      Lease(
+          lease::initial({Local.Node, writerOf(Local)}, Local.RandomSeed + 2)),
+      Requests(requestSettings(Local)),
+      Guard(rollout::guardOf(Local.Node, Local.Incarnation, Local.DataCentre)) {
+}
 
 Step<NodeState, NodeEffects> reduce(NodeState Before, NodeEvent What,
                                     core::Instant Now) {
@@ -63,12 +69,12 @@
 
 std::optional<Peer> claimKeeper(const NodeState &Of, std::uint32_t Partition) {
   std::vector<core::NodeId> Nodes;
-  std::vector<membership::Member> Live = membership::liveMembers(Of.Members);
+  std::vector<membership::Member> Live = membership::liveMembers(Of.Membership);
   Nodes.reserve(Live.size());
   for (const membership::Member &Each : Live)
     Nodes.push_back(Each.Node);
-  const auto Keeper =
-      membership::winner(membership::claimPartitionKey(Partition), Nodes);
+  const auto Keeper = membership::rendezvousWinner(
+      membership::claimPartitionKey(Partition), Nodes);
   if (!Keeper)
     return std::nullopt;
   for (const membership::Member &Each : Live)
--- a/lib/decision/directory/Directory.cpp
+++ b/lib/decision/directory/Directory.cpp
@@ -24,7 +24,7 @@
     Sum.Version = Target.Version;
     Sum.Targets += 1;
     Sum.Slots += Target.Slots;
-    if (Sum.EntryAddresses.size() < EntryNodes)
+    if (Sum.EntryAddresses.size() < MaxEntryNodes)
       Sum.EntryAddresses.push_back(Each.PeerAddress);
   }
   std::vector<ServiceSummary> Sums;
@@ -37,10 +37,15 @@
 request::Endpoint localEndpoint(const State &S, const membership::Member &Each,
                                 core::Instant Now) {
   const membership::TargetAnnouncement &Target = *Each.Target;
-  return {
-      Target.Id,        Target.Service,   Target.Version,
-      Each.Node,        S.Own.DataCentre, S.Own.Region,
-      Each.PeerAddress, Target.Slots,     core::toMonotonic(Target.Since, Now)};
+  return {Target.Id,
+          Target.Service,
+          Target.Version,
+          Each.Node,
+          S.Local.DataCentre,
+          S.Local.Region,
+          Each.PeerAddress,
+          Target.Slots,
+          core::toMonotonic(Target.Since, Now)};
 }
 
 /// An entry node takes its part of the capacity of the version.
@@ -64,7 +69,7 @@
 
 /// The first address serves the lead's own region, the last one all others.
 const std::string &leadAddress(const State &S, const DataCentreSummary &Of) {
-  const bool SameRegion = Of.Region == S.Own.Region;
+  const bool SameRegion = Of.Region == S.Local.Region;
   return SameRegion ? Of.LeadAddresses.front() : Of.LeadAddresses.back();
 }
 
@@ -75,38 +80,38 @@
 }
 
 /// One reduction of one event.
-class Reduction {
+class Reducer {
 public:
-  Reduction(State Before, core::Instant Now) : S(std::move(Before)), Now(Now) {}
+  Reducer(State Before, core::Instant Now) : S(std::move(Before)), Now(Now) {}
 
   Step<State, Effects> finish() { return {std::move(S), std::move(Out)}; }
 
   void operator()(const MembersChanged &What) {
-    S.Live = What.Live;
+    S.LiveMembers = What.LiveMembers;
     updateTree();
     updateOwnSummary();
     reportEndpoints();
   }
 
-  void operator()(const PositionKnown &What) {
-    S.Positions[What.Node] = What.At;
-    updateLowest();
+  void operator()(const PositionReported &What) {
+    S.Positions[What.Node] = What.ConfigPosition;
+    updateLowestPosition();
   }
 
   void operator()(const SummariesReceived &What) {
-    if (What.DataCentres.empty())
-      return sendAll(What.From.Address);
+    if (What.Summaries.empty())
+      return sendAllSummaries(What.From.Address);
     bool Changed = false;
     std::vector<DataCentreSummary> Forwarded;
-    for (const DataCentreSummary &Each : What.DataCentres) {
+    for (const DataCentreSummary &Each : What.Summaries) {
       const Adoption Result = adopt(What.From, Each);
       Changed = Changed || Result == Adoption::Changed;
-      if (Result != Adoption::None && forwards(Each, Result))
+      if (Result != Adoption::None && shouldForward(Each, Result))
         Forwarded.push_back(Each);
     }
     // Only what is new goes on, so that a cycle of leads cannot arise.
     if (!Forwarded.empty())
-      for (const std::string &Child : S.Children)
+      for (const std::string &Child : S.ChildAddresses)
         send(Child, Forwarded);
     if (!Changed)
       return;
@@ -115,11 +120,11 @@
   }
 
   void operator()(const Tick &) {
-    noteSilence();
+    detectSilence();
     if (!S.IsLead)
       return;
-    const bool Repeat = Now.Mono >= S.NextRepeat;
-    const bool Due = S.MineChanged && Now.Mono >= S.NextSend;
+    const bool Repeat = Now.Mono >= S.NextRefresh;
+    const bool Due = S.LocalSummaryChanged && Now.Mono >= S.NextSummary;
     if (!Repeat && !Due)
       return;
     sendOwnSummary();
@@ -131,17 +136,18 @@
   void updateTree() {
     std::vector<core::NodeId> Nodes;
     std::map<core::NodeId, std::string> AddressOf;
-    for (const membership::Member &Each : S.Live) {
+    for (const membership::Member &Each : S.LiveMembers) {
       Nodes.push_back(Each.Node);
       AddressOf[Each.Node] = Each.ControlAddress;
     }
-    const auto Order = membership::ranked(S.Own.DataCentre.value(), Nodes);
-    const auto Rank = membership::rankOf(Order, S.Own.Node);
-    S.Children.clear();
+    const auto Order =
+        membership::rendezvousOrder(S.Local.DataCentre.value(), Nodes);
+    const auto Rank = membership::rankOf(Order, S.Local.Node);
+    S.ChildAddresses.clear();
     if (Rank)
       for (const std::size_t Child :
            membership::childRanks(*Rank, Order.size()))
-        S.Children.push_back(AddressOf[Order[Child]]);
+        S.ChildAddresses.push_back(AddressOf[Order[Child]]);
     setLead(Rank && *Rank == 0);
   }
 
@@ -149,41 +155,43 @@
     if (IsLead == S.IsLead)
       return;
     S.IsLead = IsLead;
-    S.NextRepeat = Now.Mono;
+    S.NextRefresh = Now.Mono;
     Out.emplace_back(LeadershipChanged{IsLead});
   }
 
   void updateOwnSummary() {
-    DataCentreSummary Next = S.Mine;
-    Next.DataCentre = S.Own.DataCentre;
-    Next.Region = S.Own.Region;
-    Next.Services = summarise(S.Live);
-    Next.LeadNode = S.Own.Node;
-    Next.LeadAddresses = {S.Own.ControlAddress, S.Own.ExternalControl};
+    DataCentreSummary Next = S.LocalSummary;
+    Next.DataCentre = S.Local.DataCentre;
+    Next.Region = S.Local.Region;
+    Next.Services = summarise(S.LiveMembers);
+    Next.LeadNode = S.Local.Node;
+    Next.LeadAddresses = {S.Local.ControlAddress,
+                          S.Local.ExternalControlAddress};
     Next.LowestVersion = S.LowestVersion;
-    Next.LowestNext = S.LowestNext;
-    if (Next == S.Mine)
+    Next.LowestNext = S.LowestNextOffset;
+    if (Next == S.LocalSummary)
       return;
-    S.ServicesChanged = S.ServicesChanged || Next.Services != S.Mine.Services;
-    S.Mine = std::move(Next);
-    S.MineChanged = true;
+    S.ServicesChanged =
+        S.ServicesChanged || Next.Services != S.LocalSummary.Services;
+    S.LocalSummary = std::move(Next);
+    S.LocalSummaryChanged = true;
   }
 
-  void updateLowest() {
+  void updateLowestPosition() {
     core::ConfigVersion Version{~std::uint64_t{0}};
     core::LogOffset Next{~std::uint64_t{0}};
-    for (const membership::Member &Each : S.Live) {
+    for (const membership::Member &Each : S.LiveMembers) {
       const auto Found = S.Positions.find(Each.Node);
       if (Found == S.Positions.end())
         return;
       Version = std::min(Version, Found->second.Version);
-      Next = std::min(Next, Found->second.Next);
+      Next = std::min(Next, Found->second.NextOffset);
     }
-    if (S.Live.empty() || Version == S.LowestVersion)
+    if (S.LiveMembers.empty() || Version == S.LowestVersion)
       return;
     S.LowestVersion = Version;
-    S.LowestNext = Next;
-    Out.emplace_back(DataCentreHeard{S.Own.DataCentre, Version});
+    S.LowestNextOffset = Next;
+    Out.emplace_back(DataCentreHeard{S.Local.DataCentre, Version});
     updateOwnSummary();
   }
 
@@ -192,30 +200,32 @@
   void sendOwnSummary() {
     const auto Stamp =
         static_cast<std::uint64_t>(Now.Wall.time_since_epoch().count());
-    S.Mine.Revision = std::max(S.Mine.Revision + 1, Stamp);
-    if (S.ServicesChanged || S.Mine.ServicesSince == 0)
-      S.Mine.ServicesSince = S.Mine.Revision;
-    const bool Full = S.Mine.ServicesSince == S.Mine.Revision;
-    S.MineChanged = false;
+    S.LocalSummary.Revision = std::max(S.LocalSummary.Revision + 1, Stamp);
+    if (S.ServicesChanged || S.LocalSummary.ServicesSince == 0)
+      S.LocalSummary.ServicesSince = S.LocalSummary.Revision;
+    const bool Full = S.LocalSummary.ServicesSince == S.LocalSummary.Revision;
+    S.LocalSummaryChanged = false;
     S.ServicesChanged = false;
-    S.NextSend = Now.Mono + SummaryPeriod;
-    S.NextRepeat = Now.Mono + RepeatPeriod;
-    std::set<std::string> Receivers(S.Own.Outside.begin(), S.Own.Outside.end());
+    S.NextSummary = Now.Mono + MinSummaryInterval;
+    S.NextRefresh = Now.Mono + SummaryRefreshPeriod;
+    std::set<std::string> Receivers(S.Local.RemoteSeeds.begin(),
+                                    S.Local.RemoteSeeds.end());
     // Seeds stay among the receivers, because a restarted data centre knows
     // no lead and is known by its seeds only.
-    for (const auto &[Id, Other] : S.Others)
+    for (const auto &[Id, Other] : S.RemoteDataCentres)
       if (!Other.Summary.LeadAddresses.empty())
         Receivers.insert(leadAddress(S, Other.Summary));
-    const DataCentreSummary Sent = Full ? S.Mine : withoutServices(S.Mine);
+    const DataCentreSummary Sent =
+        Full ? S.LocalSummary : withoutServices(S.LocalSummary);
     for (const std::string &To : Receivers)
       send(To, {Sent});
   }
 
-  void sendAll(const std::string &To) {
+  void sendAllSummaries(const std::string &To) {
     std::vector<DataCentreSummary> All;
-    if (S.Mine.Revision > 0)
-      All.push_back(S.Mine);
-    for (const auto &[Id, Other] : S.Others)
+    if (S.LocalSummary.Revision > 0)
+      All.push_back(S.LocalSummary);
+    for (const auto &[Id, Other] : S.RemoteDataCentres)
       All.push_back(Other.Summary);
     if (!All.empty())
       send(To, std::move(All));
@@ -223,10 +233,10 @@
 
   /// Members need what changes their routing at once, and the rest only often
   /// enough to know that the data centre is heard.
-  bool forwards(const DataCentreSummary &News, Adoption Result) {
-    Known &Entry = S.Others[News.DataCentre];
+  bool shouldForward(const DataCentreSummary &News, Adoption Result) {
+    KnownDataCentre &Entry = S.RemoteDataCentres[News.DataCentre];
     if (Result == Adoption::Refreshed &&
-        Now.Mono < Entry.ForwardedAt + RepeatPeriod / 2)
+        Now.Mono < Entry.ForwardedAt + SummaryRefreshPeriod / 2)
       return false;
     Entry.ForwardedAt = Now.Mono;
     return true;
@@ -237,15 +247,16 @@
   }
 
   Adoption adopt(const Peer &From, const DataCentreSummary &News) {
-    if (News.DataCentre == S.Own.DataCentre)
+    if (News.DataCentre == S.Local.DataCentre)
       return Adoption::None;
-    const auto Found = S.Others.find(News.DataCentre);
-    if (Found == S.Others.end() && S.Others.size() >= MaxDataCentres) {
+    const auto Found = S.RemoteDataCentres.find(News.DataCentre);
+    if (Found == S.RemoteDataCentres.end() &&
+        S.RemoteDataCentres.size() >= MaxDataCentres) {
       Out.emplace_back(observe::LogEvent{EventId::DataCentreLimitReached,
                                          News.DataCentre.value()});
       return Adoption::None;
     }
-    const bool IsKnown = Found != S.Others.end();
+    const bool IsKnown = Found != S.RemoteDataCentres.end();
     if (IsKnown && News.Revision <= Found->second.Summary.Revision)
       return Adoption::None;
     const bool SameServices =
@@ -254,7 +265,7 @@
       send(From.Address, {});
       return Adoption::None;
     }
-    Known &Entry = S.Others[News.DataCentre];
+    KnownDataCentre &Entry = S.RemoteDataCentres[News.DataCentre];
     DataCentreSummary Next = News;
     Next.Partial = false;
     if (News.Partial)
@@ -269,14 +280,14 @@
     return Changed ? Adoption::Changed : Adoption::Refreshed;
   }
 
-  void noteSilence() {
+  void detectSilence() {
     bool Changed = false;
-    for (auto &[Id, Other] : S.Others) {
-      if (Other.SilentSince || Now.Mono < Other.HeardAt + SilenceLimit)
+    for (auto &[Id, Other] : S.RemoteDataCentres) {
+      if (Other.SilentSince || Now.Mono < Other.HeardAt + SilenceTimeout)
         continue;
       Other.SilentSince = core::toWall(Other.HeardAt, Now);
       Changed = true;
-      Out.emplace_back(DataCentreCutOff{Id, *Other.SilentSince});
+      Out.emplace_back(DataCentreSilent{Id, *Other.SilentSince});
       Out.emplace_back(
           observe::LogEvent{EventId::DataCentreSilent, Id.value()});
     }
@@ -288,28 +299,28 @@
 
   void reportEndpoints() {
     std::vector<request::Endpoint> All;
-    for (const membership::Member &Each : S.Live)
+    for (const membership::Member &Each : S.LiveMembers)
       if (Each.Ready && Each.Target && !Each.Target->Leaving)
         All.push_back(localEndpoint(S, Each, Now));
-    for (const auto &[Id, Other] : S.Others) {
+    for (const auto &[Id, Other] : S.RemoteDataCentres) {
       if (Other.SilentSince)
         continue;
       for (const ServiceSummary &Sum : Other.Summary.Services)
         for (const std::string &Address : Sum.EntryAddresses)
           All.push_back(remoteEndpoint(Other.Summary, Sum, Address));
     }
-    Out.emplace_back(EndpointsKnown{std::move(All)});
+    Out.emplace_back(EndpointsUpdated{std::move(All)});
   }
 
   void reportLeads() {
-    std::vector<distribution::OtherLead> Leads;
-    for (const auto &[Id, Other] : S.Others)
+    std::vector<distribution::RemoteLead> Leads;
+    for (const auto &[Id, Other] : S.RemoteDataCentres)
       if (!Other.SilentSince && !Other.Summary.LeadAddresses.empty())
         Leads.push_back(
             {{Other.Summary.LeadNode, leadAddress(S, Other.Summary)},
              Id,
              Other.Summary.Region});
-    Out.emplace_back(LeadsKnown{std::move(Leads)});
+    Out.emplace_back(RemoteLeadsUpdated{std::move(Leads)});
   }
 
   State S;
@@ -321,13 +332,13 @@
 
 State initial(Settings Own) {
   State S;
-  S.Own = std::move(Own);
+  S.Local = std::move(Own);
   return S;
 }
 
 Step<State, Effects> reduce(State Before, const Event &What,
                             core::Instant Now) {
-  Reduction R(std::move(Before), Now);
+  Reducer R(std::move(Before), Now);
   std::visit(R, What);
   return R.finish();
 }
--- a/lib/decision/distribution/Distribution.cpp
+++ b/lib/decision/distribution/Distribution.cpp
@@ -8,26 +8,27 @@
 
 std::optional<core::NodeId> regionReader(const State &Of) {
   std::vector<core::NodeId> Leads;
-  for (const OtherLead &Lead : Of.Leads)
-    if (Lead.Region == Of.Own.Region)
-      Leads.push_back(Lead.At.Node);
-  if (!Of.Order.empty())
-    Leads.push_back(Of.Order.front().At.Node);
-  return membership::winner(Of.Own.Region.value(), Leads);
+  for (const RemoteLead &Lead : Of.RemoteLeads)
+    if (Lead.Region == Of.Local.Region)
+      Leads.push_back(Lead.Contact.Node);
+  if (!Of.RankedMembers.empty())
+    Leads.push_back(Of.RankedMembers.front().Contact.Node);
+  return membership::rendezvousWinner(Of.Local.Region.value(), Leads);
 }
 
 bool isRank(const State &Of, std::size_t Rank) {
-  return Of.Order.size() > Rank && Of.Order[Rank].At.Node == Of.Own.Own.Node;
+  return Of.RankedMembers.size() > Rank &&
+         Of.RankedMembers[Rank].Contact.Node == Of.Local.Self.Node;
 }
 
 } // namespace
 
 State initial(Settings Own, std::uint64_t Seed) {
   State S;
-  S.Own = std::move(Own);
-  S.Chance = core::Random(Seed);
-  S.Held = std::make_shared<const config::FleetState>();
-  S.At.StateDigest = S.Own.Folding.DigestOf(*S.Held);
+  S.Local = std::move(Own);
+  S.Rng = core::Random(Seed);
+  S.Fleet = std::make_shared<const config::FleetState>();
+  S.ConfigPosition.StateDigest = S.Local.Folding.DigestOf(*S.Fleet);
   return S;
 }
 
@@ -42,66 +43,71 @@
 bool isLead(const State &Of) { return isRank(Of, 0); }
 
 bool actsAsLead(const State &Of, core::TimePoint Now) {
-  return isLead(Of) || (isRank(Of, 1) && Now - Of.LeadHeardAt > ReaderSilence);
+  return isLead(Of) || (isRank(Of, 1) && Now - Of.LeadHeardAt > ReaderTimeout);
 }
 
 bool isRegionReader(const State &Of) {
-  return isLead(Of) && regionReader(Of) == Of.Own.Own.Node;
+  return isLead(Of) && regionReader(Of) == Of.Local.Self.Node;
 }
 
 void Reducer::on(const Started &) {
   S.StartedAt = Now.Mono;
   S.LeadHeardAt = Now.Mono;
   S.ReaderHeardAt = Now.Mono;
-  S.Fix.NextSeek = Now.Mono + backoff(0, RequestBackoffMax);
+  S.Repair.NextCatchUp = Now.Mono + backoff(0, RequestBackoffMax);
 }
 
 void Reducer::on(const Tick &) {
-  std::erase_if(S.Transfers,
+  std::erase_if(S.TransferEnds,
                 [this](core::TimePoint End) { return Now.Mono >= End; });
   tickLog();
   tickRepair();
   tickHeartbeat();
-  tickEnds();
+  tickLogEndChecks();
 }
 
-void Reducer::on(const PositionHeard &What) {
-  noteReport(What.From, What.At);
-  if (What.At.Next > S.At.Next)
-    noteAhead(What.From, What.At.Next, false);
-  else if (What.At.Next == S.At.Next && What.At.StateDigest != S.At.StateDigest)
-    diverged(What.From);
+void Reducer::on(const PeerPositionReported &What) {
+  recordReport(What.From, What.ConfigPosition);
+  if (What.ConfigPosition.NextOffset > S.ConfigPosition.NextOffset)
+    recordPeerAhead(What.From, What.ConfigPosition.NextOffset, false);
+  else if (What.ConfigPosition.NextOffset == S.ConfigPosition.NextOffset &&
+           What.ConfigPosition.StateDigest != S.ConfigPosition.StateDigest)
+    recordDivergence(What.From);
 }
 
 void Reducer::on(const MembersChanged &What) {
   std::vector<core::NodeId> Nodes;
   std::map<core::NodeId, TreeMember> ById;
-  for (const TreeMember &Member : What.Live) {
-    Nodes.push_back(Member.At.Node);
-    ById[Member.At.Node] = Member;
+  for (const TreeMember &Member : What.LiveMembers) {
+    Nodes.push_back(Member.Contact.Node);
+    ById[Member.Contact.Node] = Member;
   }
   const std::optional<core::NodeId> Former =
-      S.Order.empty() ? std::nullopt : std::optional(S.Order.front().At.Node);
-  S.Order.clear();
-  for (const core::NodeId &Node :
-       membership::ranked(S.Own.DataCentre.value(), std::move(Nodes)))
-    S.Order.push_back(ById[Node]);
+      S.RankedMembers.empty()
+          ? std::nullopt
+          : std::optional(S.RankedMembers.front().Contact.Node);
+  S.RankedMembers.clear();
+  for (const core::NodeId &Node : membership::rendezvousOrder(
+           S.Local.DataCentre.value(), std::move(Nodes)))
+    S.RankedMembers.push_back(ById[Node]);
   // A new lead gets the full time before it counts as silent.
-  if (S.Order.empty() || Former != S.Order.front().At.Node) {
+  if (S.RankedMembers.empty() ||
+      Former != S.RankedMembers.front().Contact.Node) {
     S.LeadHeardAt = Now.Mono;
     S.ReaderHeardAt = Now.Mono;
   }
 }
 
-void Reducer::on(const OtherLeadsChanged &What) {
+void Reducer::on(const RemoteLeadsChanged &What) {
   const std::optional<core::NodeId> Former = regionReader(S);
-  S.Leads = What.Leads;
+  S.RemoteLeads = What.RemoteLeads;
   if (regionReader(S) != Former)
     S.ReaderHeardAt = Now.Mono;
 }
 
-void Reducer::noteHeard(const Peer &From) {
-  if (!S.Order.empty() && S.Order.front().At.Node == From.Node)
+void Reducer::recordContact(const Peer &From) {
+  if (!S.RankedMembers.empty() &&
+      S.RankedMembers.front().Contact.Node == From.Node)
     S.LeadHeardAt = Now.Mono;
   if (regionReader(S) == From.Node)
     S.ReaderHeardAt = Now.Mono;
@@ -115,7 +121,7 @@
   const core::Microseconds Full = std::min<core::Microseconds>(
       core::Microseconds(BackoffBase) * (1U << Doublings), Max);
   const std::uint64_t Half = Full.count() / 2;
-  return core::Microseconds(Half + S.Chance.below(Half + 1));
+  return core::Microseconds(Half + S.Rng.below(Half + 1));
 }
 
 Effects Reducer::finish() {
--- a/lib/decision/distribution/LogReading.cpp
+++ b/lib/decision/distribution/LogReading.cpp
@@ -7,46 +7,49 @@
   if (isRegionReader(S))
     return true;
   if (isLead(S))
-    return Now.Mono - S.ReaderHeardAt > ReaderSilence;
+    return Now.Mono - S.ReaderHeardAt > ReaderTimeout;
   return actsAsLead(S, Now.Mono);
 }
 
 void Reducer::tickLog() {
   const bool Wanted = wantsLog();
-  if (Wanted != S.Log.Wanted) {
-    S.Log.Wanted = Wanted;
-    log(Wanted ? observe::EventId::DistributionReadsLog
-               : observe::EventId::DistributionStopsLog,
-        fmt::format("offset {}", S.At.Next.value()));
+  if (Wanted != S.LogReader.Active) {
+    S.LogReader.Active = Wanted;
+    log(Wanted ? observe::EventId::DistributionLogReadingStarted
+               : observe::EventId::DistributionLogReadingStopped,
+        fmt::format("offset {}", S.ConfigPosition.NextOffset.value()));
   }
   readLog();
 }
 
 void Reducer::readLog() {
-  if (!S.Log.Wanted || S.Log.Pending || Now.Mono < S.Log.RetryAt)
+  if (!S.LogReader.Active || S.LogReader.ReadPending ||
+      Now.Mono < S.LogReader.RetryAt)
     return;
   // Records or a snapshot may have come from a peer since the last read.
-  if (S.At.Next >= S.Log.From)
-    S.Log.Searching = false;
-  if (!S.Log.Searching)
-    S.Log.From = S.At.Next;
-  S.Log.Pending = true;
-  const bool LongPoll = S.Log.ReachedEnd && !S.Log.Searching;
-  Out.push_back(ReadLog{S.Log.From, LongPoll});
+  if (S.ConfigPosition.NextOffset >= S.LogReader.ReadOffset)
+    S.LogReader.SearchingSnapshot = false;
+  if (!S.LogReader.SearchingSnapshot)
+    S.LogReader.ReadOffset = S.ConfigPosition.NextOffset;
+  S.LogReader.ReadPending = true;
+  const bool LongPoll =
+      S.LogReader.ReachedEnd && !S.LogReader.SearchingSnapshot;
+  Out.push_back(ReadLog{S.LogReader.ReadOffset, LongPoll});
 }
 
 void Reducer::on(const LogRead &What) {
-  S.Log.Pending = false;
-  S.Log.Failures = 0;
-  if (!S.Log.Available)
+  S.LogReader.ReadPending = false;
+  S.LogReader.Failures = 0;
+  if (!S.LogReader.LogAvailable)
     log(observe::EventId::DistributionLogAvailable, "");
-  S.Log.Available = true;
-  if (S.Log.Searching)
+  S.LogReader.LogAvailable = true;
+  if (S.LogReader.SearchingSnapshot)
     searchSnapshot(What.Records);
   else
     applyRead(What.Records);
-  if (!S.Log.Searching && S.At.Next >= What.End)
-    S.Log.ReachedEnd = true;
+  if (!S.LogReader.SearchingSnapshot &&
+      S.ConfigPosition.NextOffset >= What.EndOffset)
+    S.LogReader.ReachedEnd = true;
   else if (What.Records.empty())
     logFailed();
   readLog();
@@ -60,21 +63,22 @@
     return;
   }
   log(observe::EventId::DistributionLogTrimmed,
-      fmt::format("own offset {} read offset {}", S.At.Next.value(),
+      fmt::format("own offset {} read offset {}",
+                  S.ConfigPosition.NextOffset.value(),
                   Records.front().Offset.value()));
-  S.Log.Searching = true;
-  S.Log.From = Records.front().Offset;
+  S.LogReader.SearchingSnapshot = true;
+  S.LogReader.ReadOffset = Records.front().Offset;
 }
 
 void Reducer::on(const LogTrimmed &What) {
-  S.Log.Pending = false;
+  S.LogReader.ReadPending = false;
   log(observe::EventId::DistributionLogTrimmed,
-      fmt::format("own offset {} head {}", S.At.Next.value(),
-                  What.Head.value()));
-  S.Log.Searching = What.Head > S.At.Next;
-  S.Log.From = What.Head;
+      fmt::format("own offset {} head {}", S.ConfigPosition.NextOffset.value(),
+                  What.HeadOffset.value()));
+  S.LogReader.SearchingSnapshot = What.HeadOffset > S.ConfigPosition.NextOffset;
+  S.LogReader.ReadOffset = What.HeadOffset;
   logFailed();
-  askOtherLead();
+  requestFromRemoteLead();
 }
 
 /// Looks through the records behind the head for a snapshot, then reads on
@@ -82,12 +86,13 @@
 void Reducer::searchSnapshot(const std::vector<StoredRecord> &Records) {
   if (Records.empty()) {
     // No snapshot yet: the coordinator appends one before the head moves on.
-    S.Log.From = S.At.Next;
+    S.LogReader.ReadOffset = S.ConfigPosition.NextOffset;
     return;
   }
   for (const StoredRecord &One : Records) {
-    S.Log.From = core::LogOffset(One.Offset.value() + 1);
-    const FoldedRecord Folded = S.Own.Folding.Apply({}, One.Offset, One.Bytes);
+    S.LogReader.ReadOffset = core::LogOffset(One.Offset.value() + 1);
+    const FoldedRecord Folded =
+        S.Local.Folding.Apply({}, One.Offset, One.Bytes);
     if (!Folded.Record)
       continue;
     const auto *Taken =
@@ -95,32 +100,32 @@
     if (!Taken)
       continue;
     const core::Result<config::FleetState> Decoded =
-        S.Own.Folding.Decode(Taken->State);
+        S.Local.Folding.Decode(Taken->State);
     if (!core::ok(Decoded))
       continue;
     const Position At{core::value(Decoded).Next, Taken->StateDigest,
                       core::value(Decoded).Version, false};
     if (!adoptSnapshot({core::NodeId("log"), ""}, {At, Taken->State}))
       continue;
-    S.Log.Searching = false;
+    S.LogReader.SearchingSnapshot = false;
     return;
   }
 }
 
 void Reducer::on(const LogUnavailable &) {
-  S.Log.Pending = false;
-  if (S.Log.Available)
+  S.LogReader.ReadPending = false;
+  if (S.LogReader.LogAvailable)
     log(observe::EventId::DistributionLogUnavailable,
-        fmt::format("offset {}", S.At.Next.value()));
-  S.Log.Available = false;
+        fmt::format("offset {}", S.ConfigPosition.NextOffset.value()));
+  S.LogReader.LogAvailable = false;
   logFailed();
-  if (S.Log.Wanted)
-    askOtherLead();
+  if (S.LogReader.Active)
+    requestFromRemoteLead();
 }
 
 void Reducer::logFailed() {
-  S.Log.RetryAt = Now.Mono + backoff(S.Log.Failures, LogBackoffMax);
-  ++S.Log.Failures;
+  S.LogReader.RetryAt = Now.Mono + backoff(S.LogReader.Failures, LogBackoffMax);
+  ++S.LogReader.Failures;
 }
 
 } // namespace filbertvane::decision::distribution
--- a/lib/decision/distribution/Readiness.cpp
+++ b/lib/decision/distribution/Readiness.cpp
@@ -4,13 +4,14 @@
 
 namespace filbertvane::decision::distribution {
 
-void Reducer::noteReport(const Peer &From, const Position &At) {
+void Reducer::recordReport(const Peer &From, const Position &At) {
   if (S.Ready)
     return;
-  if (S.Reports.size() >= MaxReports && !S.Reports.contains(From.Node))
+  if (S.PeerReports.size() >= MaxPeerReports &&
+      !S.PeerReports.contains(From.Node))
     return;
-  Report &One = S.Reports[From.Node];
-  One.Next = At.Next;
+  PeerReport &One = S.PeerReports[From.Node];
+  One.NextOffset = At.NextOffset;
   One.HeardAt = Now.Mono;
   if (!At.Ready)
     One.ReadySince.reset();
@@ -18,72 +19,75 @@
     One.ReadySince = Now.Mono;
 }
 
-void Reducer::noteEnd(const Peer &From, const RecordBatch &Batch) {
-  const auto Known = S.Reports.find(From.Node);
-  if (S.Ready || Known == S.Reports.end())
+void Reducer::recordLogEnd(const Peer &From, const RecordBatch &Batch) {
+  const auto Known = S.PeerReports.find(From.Node);
+  if (S.Ready || Known == S.PeerReports.end())
     return;
-  switch (Batch.End) {
-  case LogEnd::NotAsked:
+  switch (Batch.EndStatus) {
+  case LogEndStatus::NotRequested:
     return;
-  case LogEnd::Reached:
-    S.ConfirmedEnd =
-        std::max(S.ConfirmedEnd.value_or(Batch.After.Next), Batch.After.Next);
+  case LogEndStatus::Reached:
+    S.ConfirmedLogEnd =
+        std::max(S.ConfirmedLogEnd.value_or(Batch.PositionAfter.NextOffset),
+                 Batch.PositionAfter.NextOffset);
     return;
-  case LogEnd::Further:
+  case LogEndStatus::NotReached:
     // The peer is behind as well: its position does not suffice.
-    Known->second.Next = core::LogOffset(Batch.After.Next.value() + 1);
+    Known->second.NextOffset =
+        core::LogOffset(Batch.PositionAfter.NextOffset.value() + 1);
     return;
-  case LogEnd::Unread:
-    Known->second.WithoutLog = true;
+  case LogEndStatus::Unavailable:
+    Known->second.LogUnavailable = true;
     return;
   }
 }
 
 /// Asks the lead of the data centre, and a node outside it, since the log may
 /// be out of reach for the whole data centre.
-void Reducer::requestEnd() {
-  S.NextEndRequest = Now.Mono + EndRequestPeriod;
-  const RecordsRequest What{S.At.Next, false, true};
-  if (!S.Order.empty() && !isLead(S))
-    Out.push_back(RequestEnd{S.Order.front().At.Address, What});
-  if (S.Own.Outside.empty())
+void Reducer::requestLogEnd() {
+  S.NextLogEndRequest = Now.Mono + LogEndRequestPeriod;
+  const RecordsRequest What{S.ConfigPosition.NextOffset, false, true};
+  if (!S.RankedMembers.empty() && !isLead(S))
+    Out.push_back(RequestLogEnd{S.RankedMembers.front().Contact.Address, What});
+  if (S.Local.RemoteSeeds.empty())
     return;
-  const std::size_t Chosen = S.Chance.below(S.Own.Outside.size());
-  Out.push_back(RequestEnd{S.Own.Outside[Chosen], What});
+  const std::size_t Chosen = S.Rng.below(S.Local.RemoteSeeds.size());
+  Out.push_back(RequestLogEnd{S.Local.RemoteSeeds[Chosen], What});
 }
 
-void Reducer::addEndWaiter(const std::string &Address) {
-  std::vector<std::string> &Waiting = S.Ends.Waiting;
+void Reducer::addLogEndWaiter(const std::string &Address) {
+  std::vector<std::string> &Waiting = S.EndChecks.Waiting;
   const bool Known =
       std::find(Waiting.begin(), Waiting.end(), Address) != Waiting.end();
-  if (!Known && Waiting.size() < MaxEndWaiters)
+  if (!Known && Waiting.size() < MaxLogEndWaiters)
     Waiting.push_back(Address);
 }
 
 /// Only a read that began after the request proves the end: one under way may
 /// have been answered before the newest record was accepted.
-void Reducer::tickEnds() {
-  if (!S.Ready && !S.ConfirmedEnd && !S.Log.ReachedEnd &&
-      Now.Mono >= S.NextEndRequest)
-    requestEnd();
-  if (S.Ends.Pending || S.Ends.Waiting.empty())
+void Reducer::tickLogEndChecks() {
+  if (!S.Ready && !S.ConfirmedLogEnd && !S.LogReader.ReachedEnd &&
+      Now.Mono >= S.NextLogEndRequest)
+    requestLogEnd();
+  if (S.EndChecks.ReadPending || S.EndChecks.Waiting.empty())
     return;
-  S.Ends.Pending = true;
-  S.Ends.Served = std::move(S.Ends.Waiting);
-  S.Ends.Waiting.clear();
-  Out.push_back(CheckEnd{S.At.Next});
+  S.EndChecks.ReadPending = true;
+  S.EndChecks.InProgress = std::move(S.EndChecks.Waiting);
+  S.EndChecks.Waiting.clear();
+  Out.push_back(CheckLogEnd{S.ConfigPosition.NextOffset});
 }
 
-void Reducer::on(const EndChecked &What) {
-  S.Ends.Pending = false;
-  const std::vector<std::string> Served = std::move(S.Ends.Served);
-  S.Ends.Served.clear();
+void Reducer::on(const LogEndChecked &What) {
+  S.EndChecks.ReadPending = false;
+  const std::vector<std::string> Served = std::move(S.EndChecks.InProgress);
+  S.EndChecks.InProgress.clear();
   for (const std::string &To : Served) {
-    RecordBatch Batch = batchFrom(S.At.Next);
-    Batch.End = What.Found;
+    RecordBatch Batch = batchFrom(S.ConfigPosition.NextOffset);
+    Batch.EndStatus = What.Status;
     // Records that were adopted during the read may be the ones that followed.
-    if (What.Found == LogEnd::Further && S.At.Next > What.From)
-      Batch.End = LogEnd::NotAsked;
+    if (What.Status == LogEndStatus::NotReached &&
+        S.ConfigPosition.NextOffset > What.Offset)
+      Batch.EndStatus = LogEndStatus::NotRequested;
     Out.push_back(SendRecords{To, std::move(Batch)});
   }
 }
@@ -92,15 +96,18 @@
 /// proves it only when it cannot read the log either; the proof of a peer ends
 /// with its report, so that one that is lost before its state arrived proves
 /// nothing.
-bool Reducer::proven() const {
-  if (S.Log.ReachedEnd || (S.ConfirmedEnd && *S.ConfirmedEnd <= S.At.Next))
+bool Reducer::isProvenCurrent() const {
+  if (S.LogReader.ReachedEnd ||
+      (S.ConfirmedLogEnd && *S.ConfirmedLogEnd <= S.ConfigPosition.NextOffset))
     return true;
-  if (Now.Mono - S.StartedAt < EndWait)
+  if (Now.Mono - S.StartedAt < LogEndTimeout)
     return false;
-  return std::any_of(S.Reports.begin(), S.Reports.end(), [this](const auto &R) {
-    const std::optional<core::TimePoint> Since = R.second.ReadySince;
-    return R.second.WithoutLog && Since && Now.Mono - *Since >= SettleTime;
-  });
+  return std::any_of(
+      S.PeerReports.begin(), S.PeerReports.end(), [this](const auto &R) {
+        const std::optional<core::TimePoint> Since = R.second.ReadySince;
+        return R.second.LogUnavailable && Since &&
+               Now.Mono - *Since >= PeerReportWindow;
+      });
 }
 
 /// A new process serves nothing before it holds what its peers hold and knows
@@ -108,21 +115,21 @@
 void Reducer::checkReady() {
   if (S.Ready)
     return;
-  std::erase_if(S.Reports, [this](const auto &One) {
-    return Now.Mono - One.second.HeardAt > ReportLifetime;
+  std::erase_if(S.PeerReports, [this](const auto &One) {
+    return Now.Mono - One.second.HeardAt > PeerReportLifetime;
   });
-  const bool Behind =
-      std::any_of(S.Reports.begin(), S.Reports.end(), [this](const auto &One) {
-        return One.second.Next > S.At.Next;
+  const bool Behind = std::any_of(
+      S.PeerReports.begin(), S.PeerReports.end(), [this](const auto &One) {
+        return One.second.NextOffset > S.ConfigPosition.NextOffset;
       });
-  if (Behind || !proven())
+  if (Behind || !isProvenCurrent())
     return;
   S.Ready = true;
-  S.At.Ready = true;
-  S.Reports.clear();
+  S.ConfigPosition.Ready = true;
+  S.PeerReports.clear();
   log(observe::EventId::DistributionReady,
-      fmt::format("offset {} version {}", S.At.Next.value(),
-                  S.At.Version.value()));
+      fmt::format("offset {} version {}", S.ConfigPosition.NextOffset.value(),
+                  S.ConfigPosition.Version.value()));
   Out.push_back(ReadyChanged{true});
 }
 
--- a/lib/decision/distribution/Reducer.h
+++ b/lib/decision/distribution/Reducer.h
@@ -18,13 +18,13 @@
   void on(const LogRead &What);
   void on(const LogTrimmed &What);
   void on(const LogUnavailable &What);
-  void on(const EndChecked &What);
+  void on(const LogEndChecked &What);
   void on(const RecordsReceived &What);
   void on(const RecordsRequested &What);
   void on(const SnapshotReceived &What);
-  void on(const PositionHeard &What);
+  void on(const PeerPositionReported &What);
   void on(const MembersChanged &What);
-  void on(const OtherLeadsChanged &What);
+  void on(const RemoteLeadsChanged &What);
   /// @}
 
   /// @brief Checks the restart rule and returns the effects.
@@ -34,33 +34,34 @@
   /// What folding a batch yields before it is adopted.
   struct Candidate {
     config::FleetState State;
-    Position At;
-    std::vector<KeptRecord> Kept;
+    Position ConfigPosition;
+    std::vector<RecentRecord> RecentRecords;
     std::vector<AppliedRecord> Applied;
   };
 
   /// @name Adoption (Adoption.cpp)
   /// @{
   std::optional<Candidate> fold(const std::vector<StoredRecord> &Records);
-  KeptRecord keepable(std::optional<config::FleetState> Before,
-                      const StoredRecord &Record, const Position &After);
+  RecentRecord toRecentRecord(std::optional<config::FleetState> Before,
+                              const StoredRecord &Record,
+                              const Position &After);
   bool mayAdopt(const Position &To, bool Repairs);
   void adopt(Candidate New);
   bool adoptSnapshot(const Peer &From, const Snapshot &What);
-  void keep(KeptRecord One);
+  void addRecent(RecentRecord One);
   void receiveBatch(const Peer &From, const RecordBatch &Batch);
-  void buffer(const Peer &From, const RecordBatch &Batch);
+  void bufferBatch(const Peer &From, const RecordBatch &Batch);
   void drainBuffer();
-  void diverged(const Peer &From);
+  void recordDivergence(const Peer &From);
   /// @}
 
   /// @name Sending (Serving.cpp)
   /// @{
   RecordBatch batchFrom(core::LogOffset First) const;
-  bool holdsFrom(core::LogOffset First) const;
+  bool hasRecordsFrom(core::LogOffset First) const;
   void forward(core::LogOffset First);
-  void feed(const std::string &To, core::LogOffset First);
-  std::vector<std::string> fedAddresses() const;
+  void sendRecordsFrom(const std::string &To, core::LogOffset First);
+  std::vector<std::string> downstreamAddresses() const;
   void addChildren(std::size_t Rank, std::vector<std::string> &To) const;
   void serveSnapshot(const Peer &To);
   void tickHeartbeat();
@@ -68,15 +69,15 @@
 
   /// @name Repair (Repair.cpp)
   /// @{
-  void noteAhead(const Peer &From, core::LogOffset Next, bool AtOnce);
-  void answered(const Peer &From);
-  void progressed();
-  void seek();
-  void request(const Peer &To);
+  void recordPeerAhead(const Peer &From, core::LogOffset Next, bool AtOnce);
+  void completeRequest(const Peer &From);
+  void resetRetries();
+  void requestFromAnyPeer();
+  void sendRequest(const Peer &To);
   void tickRepair();
-  std::vector<Peer> possiblePeers() const;
-  void askOtherLead();
-  bool behind() const;
+  std::vector<Peer> candidatePeers() const;
+  void requestFromRemoteLead();
+  bool isBehind() const;
   /// @}
 
   /// @name Reading the log (LogReading.cpp)
@@ -91,17 +92,17 @@
 
   /// @name Restart rule (Readiness.cpp)
   /// @{
-  void noteReport(const Peer &From, const Position &At);
-  void noteEnd(const Peer &From, const RecordBatch &Batch);
-  void tickEnds();
-  void requestEnd();
-  void addEndWaiter(const std::string &Address);
-  bool proven() const;
+  void recordReport(const Peer &From, const Position &At);
+  void recordLogEnd(const Peer &From, const RecordBatch &Batch);
+  void tickLogEndChecks();
+  void requestLogEnd();
+  void addLogEndWaiter(const std::string &Address);
+  bool isProvenCurrent() const;
   void checkReady();
   /// @}
 
   core::Microseconds backoff(std::uint32_t Failures, core::Milliseconds Max);
-  void noteHeard(const Peer &From);
+  void recordContact(const Peer &From);
   void log(observe::EventId Id, std::string Detail);
 
   State &S;
--- a/lib/decision/lease/Lease.cpp
+++ b/lib/decision/lease/Lease.cpp
@@ -22,11 +22,11 @@
   Effects Out;
 
 private:
-  void heard();
+  void recordHolderActivity();
   void appendRenewal();
-  void maybeClaim();
-  void lose(observe::EventId Why);
-  void newEpoch(core::NodeId Holder, core::Epoch Current);
+  void claimIfExpired();
+  void endLease(observe::EventId Why);
+  void enterEpoch(core::NodeId Holder, core::Epoch Current);
   void log(observe::EventId Id);
 
   State &S;
@@ -41,18 +41,18 @@
 
 /// Each candidate waits a different time, so that usually one claim is
 /// appended.
-void Reducer::heard() {
+void Reducer::recordHolderActivity() {
   S.HeardAt = Now;
-  const core::Microseconds Range = ClaimWaitMax - ClaimWaitMin;
-  S.Wait = core::Microseconds(ClaimWaitMin) +
-           core::Microseconds(S.Chance.below(Range.count()));
+  const core::Microseconds Range = MaxClaimDelay - MinClaimDelay;
+  S.ClaimDelay = core::Microseconds(MinClaimDelay) +
+                 core::Microseconds(S.Rng.below(Range.count()));
 }
 
-void Reducer::lose(observe::EventId Why) {
-  if (!S.ActsUntil)
+void Reducer::endLease(observe::EventId Why) {
+  if (!S.HeldUntil)
     return;
-  S.ActsUntil.reset();
-  S.Renewals.clear();
+  S.HeldUntil.reset();
+  S.PendingRenewals.clear();
   log(Why);
   Out.emplace_back(LostLease{S.CurrentEpoch});
 }
@@ -60,74 +60,75 @@
 /// An expired lease is never taken up again, even if a renewal is read back
 /// later: a successor may have counted the same silence.
 void Reducer::checkExpiry() {
-  if (S.ActsUntil && Now >= *S.ActsUntil)
-    lose(observe::EventId::LeaseExpired);
+  if (S.HeldUntil && Now >= *S.HeldUntil)
+    endLease(observe::EventId::LeaseExpired);
 }
 
 void Reducer::on(const Tick &) {
-  if (!S.Lead)
+  if (!S.IsLead)
     return;
-  if (S.ActsUntil) {
+  if (S.HeldUntil) {
     if (Now >= S.NextRenewal)
       appendRenewal();
     return;
   }
-  maybeClaim();
+  claimIfExpired();
 }
 
 void Reducer::on(const LeadChanged &What) {
-  if (What.Lead == S.Lead)
+  if (What.IsLead == S.IsLead)
     return;
-  S.Lead = What.Lead;
-  S.KnownUpTo.reset();
+  S.IsLead = What.IsLead;
+  S.ReadUpTo.reset();
   S.Claim.reset();
-  heard();
-  if (!S.Lead)
-    lose(observe::EventId::LeaseReleased);
+  recordHolderActivity();
+  if (!S.IsLead)
+    endLease(observe::EventId::LeaseReleased);
 }
 
 void Reducer::on(const LeaseRead &What) {
-  S.KnownUpTo = What.SentAt;
+  S.ReadUpTo = What.SentAt;
   for (const Renewal &One : What.Records) {
     if (One.LeaseEpoch < S.CurrentEpoch)
       continue;
-    heard();
-    if (!S.ActsUntil || One.LeaseEpoch != S.CurrentEpoch ||
-        One.Holder != S.Own.Node)
+    recordHolderActivity();
+    if (!S.HeldUntil || One.LeaseEpoch != S.CurrentEpoch ||
+        One.Holder != S.Local.Node)
       continue;
-    const auto Own = std::find_if(S.Renewals.begin(), S.Renewals.end(),
-                                  [&One](const auto &Pending) {
-                                    return Pending.Sequence == One.Sequence;
-                                  });
-    if (Own == S.Renewals.end())
+    const auto Own =
+        std::find_if(S.PendingRenewals.begin(), S.PendingRenewals.end(),
+                     [&One](const auto &Pending) {
+                       return Pending.Sequence == One.Sequence;
+                     });
+    if (Own == S.PendingRenewals.end())
       continue;
-    S.ActsUntil = std::max(*S.ActsUntil, Own->AppendedAt + LeaseTime);
-    S.Renewals.erase(S.Renewals.begin(), Own + 1);
+    S.HeldUntil = std::max(*S.HeldUntil, Own->AppendedAt + LeaseDuration);
+    S.PendingRenewals.erase(S.PendingRenewals.begin(), Own + 1);
   }
 }
 
-void Reducer::newEpoch(core::NodeId Holder, core::Epoch Current) {
-  lose(observe::EventId::LeaseTaken);
+void Reducer::enterEpoch(core::NodeId Holder, core::Epoch Current) {
+  endLease(observe::EventId::LeaseSuperseded);
   S.CurrentEpoch = Current;
   S.Holder = std::move(Holder);
-  heard();
+  recordHolderActivity();
 }
 
 void Reducer::on(const ClaimFolded &What) {
   if (What.NewEpoch <= S.CurrentEpoch)
     return;
-  newEpoch(What.Holder, What.NewEpoch);
+  enterEpoch(What.Holder, What.NewEpoch);
   const std::optional<PendingClaim> Claim = std::exchange(S.Claim, {});
   if (!Claim)
     return;
-  const core::TimePoint Until = Claim->AppendedAt + LeaseTime;
+  const core::TimePoint Until = Claim->AppendedAt + LeaseDuration;
   const bool Own =
-      What.Writer == S.Own.Writer && Claim->NewEpoch == What.NewEpoch;
-  if (!Own || !S.Lead || Now >= Until) {
+      What.Writer == S.Local.Writer && Claim->NewEpoch == What.NewEpoch;
+  if (!Own || !S.IsLead || Now >= Until) {
     log(observe::EventId::LeaseClaimLost);
     return;
   }
-  S.ActsUntil = Until;
+  S.HeldUntil = Until;
   S.NextRenewal = Now;
   log(observe::EventId::LeaseAcquired);
   Out.emplace_back(BecameHolder{S.CurrentEpoch});
@@ -137,34 +138,35 @@
 void Reducer::on(const ClaimNotAppended &) { S.Claim.reset(); }
 
 void Reducer::on(const EpochAdopted &What) {
-  if (What.Current <= S.CurrentEpoch)
+  if (What.CurrentEpoch <= S.CurrentEpoch)
     return;
-  newEpoch(What.Holder, What.Current);
+  enterEpoch(What.Holder, What.CurrentEpoch);
   S.Claim.reset();
 }
 
 void Reducer::appendRenewal() {
   const std::uint64_t Sequence = S.NextSequence++;
-  if (S.Renewals.size() >= MaxPendingRenewals)
-    S.Renewals.erase(S.Renewals.begin());
+  if (S.PendingRenewals.size() >= MaxPendingRenewals)
+    S.PendingRenewals.erase(S.PendingRenewals.begin());
   // The lease counts from here, not from the read-back: a candidate may read
   // the record long before its writer does.
-  S.Renewals.push_back({Sequence, Now});
-  S.NextRenewal = Now + RenewPeriod;
-  Out.emplace_back(AppendRenewal{{S.Own.Node, S.CurrentEpoch, Sequence}});
+  S.PendingRenewals.push_back({Sequence, Now});
+  S.NextRenewal = Now + RenewalPeriod;
+  Out.emplace_back(AppendRenewal{{S.Local.Node, S.CurrentEpoch, Sequence}});
 }
 
 /// Silence is counted up to the time at which the last complete read was sent:
 /// a candidate whose reads are slow knows nothing of the time since.
-void Reducer::maybeClaim() {
+void Reducer::claimIfExpired() {
   if (S.Claim && Now < S.Claim->RetryAt)
     return;
-  if (!S.KnownUpTo || Now - *S.KnownUpTo > KnowledgeAge)
+  if (!S.ReadUpTo || Now - *S.ReadUpTo > MaxReadAge)
     return;
   const bool NeverHeld = S.CurrentEpoch == core::Epoch();
   const core::Microseconds Silence =
-      NeverHeld ? core::Microseconds(0) : LeaseTime;
-  if (*S.KnownUpTo < S.HeardAt + Silence || Now < S.HeardAt + Silence + S.Wait)
+      NeverHeld ? core::Microseconds(0) : LeaseDuration;
+  if (*S.ReadUpTo < S.HeardAt + Silence ||
+      Now < S.HeardAt + Silence + S.ClaimDelay)
     return;
   // The lease of a repeated claim counts from the first append, because that
   // one may be the record that is valid.
@@ -179,8 +181,8 @@
 
 State initial(Settings Own, std::uint64_t Seed) {
   State S;
-  S.Own = std::move(Own);
-  S.Chance = core::Random(Seed);
+  S.Local = std::move(Own);
+  S.Rng = core::Random(Seed);
   return S;
 }
 
@@ -193,8 +195,8 @@
   return {std::move(Before), std::move(R.Out)};
 }
 
-bool mayAct(const State &Of, core::TimePoint Now) {
-  return Of.ActsUntil && Now < *Of.ActsUntil;
+bool holdsLease(const State &Of, core::TimePoint Now) {
+  return Of.HeldUntil && Now < *Of.HeldUntil;
 }
 
 } // namespace filbertvane::decision::lease
--- a/lib/decision/membership/Member.cpp
+++ b/lib/decision/membership/Member.cpp
@@ -9,8 +9,8 @@
 }
 
 bool supersedes(const Member &News, const Member &Known) {
-  return std::tie(News.Number, News.Revision, News.Status) >
-         std::tie(Known.Number, Known.Revision, Known.Status);
+  return std::tie(News.Incarnation, News.Revision, News.Status) >
+         std::tie(Known.Incarnation, Known.Revision, Known.Status);
 }
 
 core::Incarnation firstIncarnation(core::WallTime Started) {
--- a/lib/decision/membership/Membership.cpp
+++ b/lib/decision/membership/Membership.cpp
@@ -7,19 +7,19 @@
 State initial(Settings Own, core::Incarnation Number, std::uint64_t Seed) {
   State S;
   S.Self.Node = Own.Node;
-  S.Self.Number = Number;
+  S.Self.Incarnation = Number;
   S.Self.ControlAddress = Own.ControlAddress;
   S.Self.PeerAddress = Own.PeerAddress;
-  S.Own = std::move(Own);
-  S.Chance = core::Random(Seed);
+  S.Local = std::move(Own);
+  S.Rng = core::Random(Seed);
   return S;
 }
 
 std::vector<Member> liveMembers(const State &Of) {
   std::vector<Member> Live;
-  for (const auto &[Node, One] : Of.Others)
-    if (isLive(One.Known))
-      Live.push_back(One.Known);
+  for (const auto &[Node, One] : Of.OtherMembers)
+    if (isLive(One.LastKnown))
+      Live.push_back(One.LastKnown);
   if (isLive(Of.Self))
     Live.push_back(Of.Self);
   std::sort(Live.begin(), Live.end(),
@@ -39,11 +39,11 @@
   S.Started = true;
   S.LastTick = Now.Mono;
   // A random phase keeps the nodes of a mass restart from probing in step.
-  const auto Phase = S.Chance.below(core::Microseconds(ProbePeriod).count());
+  const auto Phase = S.Rng.below(core::Microseconds(ProbePeriod).count());
   S.NextProbe = Now.Mono + core::Microseconds(Phase);
-  S.NextJoin = Now.Mono + FirstJoinPeriod;
-  for (const std::string &Seed : S.Own.Seeds)
-    if (Seed != S.Own.ControlAddress)
+  S.NextJoin = Now.Mono + InitialJoinPeriod;
+  for (const std::string &Seed : S.Local.Seeds)
+    if (Seed != S.Local.ControlAddress)
       send(Seed, JoinRequest{S.Self});
   Changed = true;
 }
@@ -54,10 +54,10 @@
   const core::Microseconds Gap = Now.Mono - S.LastTick;
   S.LastTick = Now.Mono;
   if (Gap > PauseThreshold)
-    restartAfterPause(Gap);
+    resetAfterPause(Gap);
   tickDeadlines();
   tickProbe();
-  expireRelayed();
+  expireRelayedProbes();
   tickJoin();
   tickLeaves();
 }
@@ -65,7 +65,7 @@
 void Reducer::on(const MessageReceived &What) {
   if (!S.Started)
     return;
-  std::visit([&](const auto &One) { receive(What.From, One); }, What.What);
+  std::visit([&](const auto &One) { receive(What.From, One); }, What.Payload);
 }
 
 void Reducer::on(const OwnTargetChanged &What) {
@@ -80,7 +80,7 @@
     return;
   S.Self.Target->Leaving = true;
   announceSelf();
-  S.LeavesLeft = LeaveSends;
+  S.LeaveTransmissionsLeft = LeaveTransmissions;
   sendLeaves();
 }
 
@@ -91,7 +91,9 @@
   announceSelf();
 }
 
-void Reducer::on(const OwnPositionChanged &What) { S.At = What.At; }
+void Reducer::on(const OwnPositionChanged &What) {
+  S.ConfigPosition = What.ConfigPosition;
+}
 
 void Reducer::on(const DrainStarted &) {
   if (S.Self.Status == MemberStatus::Left)
@@ -101,26 +103,26 @@
   if (S.Self.Target)
     S.Self.Target->Leaving = true;
   announceSelf();
-  S.LeavesLeft = LeaveSends;
+  S.LeaveTransmissionsLeft = LeaveTransmissions;
   sendLeaves();
 }
 
 void Reducer::announceSelf() {
   ++S.Self.Revision;
-  S.SelfSendsLeft = repeats();
+  S.SelfTransmissionsLeft = transmissionLimit();
   Changed = true;
 }
 
 void Reducer::sendLeaves() {
-  for (const auto &[Node, One] : S.Others)
-    if (isLive(One.Known))
-      send(One.Known.ControlAddress, Leave{S.Self});
-  --S.LeavesLeft;
-  S.NextLeave = Now.Mono + LeaveRepeat;
+  for (const auto &[Node, One] : S.OtherMembers)
+    if (isLive(One.LastKnown))
+      send(One.LastKnown.ControlAddress, Leave{S.Self});
+  --S.LeaveTransmissionsLeft;
+  S.NextLeave = Now.Mono + LeaveRetransmitPeriod;
 }
 
 void Reducer::tickLeaves() {
-  if (S.LeavesLeft > 0 && Now.Mono >= S.NextLeave)
+  if (S.LeaveTransmissionsLeft > 0 && Now.Mono >= S.NextLeave)
     sendLeaves();
 }
 
--- a/lib/decision/membership/Ranking.cpp
+++ b/lib/decision/membership/Ranking.cpp
@@ -16,8 +16,8 @@
 
 } // namespace
 
-std::vector<core::NodeId> ranked(std::string_view Key,
-                                 std::vector<core::NodeId> Nodes) {
+std::vector<core::NodeId> rendezvousOrder(std::string_view Key,
+                                          std::vector<core::NodeId> Nodes) {
   std::vector<Scored> All;
   All.reserve(Nodes.size());
   for (const core::NodeId &Node : Nodes)
@@ -28,8 +28,8 @@
   return Nodes;
 }
 
-std::optional<core::NodeId> winner(std::string_view Key,
-                                   const std::vector<core::NodeId> &Nodes) {
+std::optional<core::NodeId>
+rendezvousWinner(std::string_view Key, const std::vector<core::NodeId> &Nodes) {
   std::optional<Scored> Best;
   for (const core::NodeId &Node : Nodes) {
     Scored One = scored(Key, Node);
@@ -55,8 +55,8 @@
 
 std::vector<std::size_t> childRanks(std::size_t Rank, std::size_t Count) {
   std::vector<std::size_t> Children;
-  const std::size_t First = Rank * FanOut + 1;
-  for (std::size_t Child = First; Child < First + FanOut && Child < Count;
+  const std::size_t First = Rank * TreeFanOut + 1;
+  for (std::size_t Child = First; Child < First + TreeFanOut && Child < Count;
        ++Child)
     Children.push_back(Child);
   return Children;
--- a/lib/decision/membership/Reducer.h
+++ b/lib/decision/membership/Reducer.h
@@ -40,28 +40,28 @@
 
   /// @name Probing (Probing.cpp)
   /// @{
-  void restartAfterPause(core::Microseconds Gap);
+  void resetAfterPause(core::Microseconds Gap);
   void tickProbe();
   void startProbe();
   void sendIndirectProbes();
   void endProbe();
-  std::optional<core::NodeId> nextProbed();
-  void expireRelayed();
+  std::optional<core::NodeId> nextProbeTarget();
+  void expireRelayedProbes();
   void tickJoin();
   std::string joinAddress();
   /// @}
 
   /// @name Knowledge of members (Updates.cpp)
   /// @{
-  void learn(const Member &News);
-  void learnSelf(const Member &News);
-  bool makeRoom();
-  void adopt(Entry &Place, const Member &News);
-  void failOthersAt(const Member &News);
-  void setDeadline(Entry &Place);
+  void applyUpdate(const Member &News);
+  void applyOwnUpdate(const Member &News);
+  bool ensureCapacity();
+  void replaceMember(MemberEntry &Place, const Member &News);
+  void failOthersAtAddress(const Member &News);
+  void setDeadline(MemberEntry &Place);
   void tickDeadlines();
-  std::vector<Member> takeUpdates();
-  std::size_t repeats() const;
+  std::vector<Member> selectUpdates();
+  std::size_t transmissionLimit() const;
   /// @}
 
   /// @name Own announcement
--- a/lib/decision/membership/Updates.cpp
+++ b/lib/decision/membership/Updates.cpp
@@ -9,7 +9,7 @@
 
 std::string describeMember(const Member &Which) {
   return fmt::format("{} at {} incarnation {}", Which.Node.value(),
-                     Which.ControlAddress, Which.Number.value());
+                     Which.ControlAddress, Which.Incarnation.value());
 }
 
 observe::EventId eventOf(MemberStatus Status) {
@@ -27,81 +27,81 @@
 }
 
 /// Whether a difference matters to those who use the member.
-bool sameForOthers(const Member &A, const Member &B) {
+bool sameEndpoint(const Member &A, const Member &B) {
   return A.Status == B.Status && A.ControlAddress == B.ControlAddress &&
          A.PeerAddress == B.PeerAddress && A.Target == B.Target &&
-         A.Ready == B.Ready && sameProcess(A.Number, B.Number);
+         A.Ready == B.Ready && sameProcess(A.Incarnation, B.Incarnation);
 }
 
 } // namespace
 
-void Reducer::learn(const Member &News) {
+void Reducer::applyUpdate(const Member &News) {
   if (News.Node == S.Self.Node) {
-    learnSelf(News);
+    applyOwnUpdate(News);
     return;
   }
-  const auto Found = S.Others.find(News.Node);
-  if (Found != S.Others.end()) {
-    if (supersedes(News, Found->second.Known))
-      adopt(Found->second, News);
+  const auto Found = S.OtherMembers.find(News.Node);
+  if (Found != S.OtherMembers.end()) {
+    if (supersedes(News, Found->second.LastKnown))
+      replaceMember(Found->second, News);
     return;
   }
   // A member that is already gone needs no place.
-  if (!isLive(News) || !makeRoom())
+  if (!isLive(News) || !ensureCapacity())
     return;
-  Entry &Place = S.Others[News.Node];
-  Place.Known = News;
-  Place.SendsLeft = repeats();
+  MemberEntry &Place = S.OtherMembers[News.Node];
+  Place.LastKnown = News;
+  Place.TransmissionsLeft = transmissionLimit();
   setDeadline(Place);
-  failOthersAt(News);
+  failOthersAtAddress(News);
   log(observe::EventId::MemberJoined, describeMember(News));
   Changed = true;
 }
 
-void Reducer::learnSelf(const Member &News) {
-  const bool FormerProcess = !sameProcess(News.Number, S.Self.Number);
-  if (News.Number < S.Self.Number)
+void Reducer::applyOwnUpdate(const Member &News) {
+  const bool FormerProcess = !sameProcess(News.Incarnation, S.Self.Incarnation);
+  if (News.Incarnation < S.Self.Incarnation)
     return;
   if (FormerProcess)
-    S.Self.Number = incarnationAfter(News.Number);
+    S.Self.Incarnation = incarnationAfter(News.Incarnation);
   else if (News.Status != MemberStatus::Alive &&
            S.Self.Status != MemberStatus::Left)
-    S.Self.Number = core::Incarnation(News.Number.value() + 1);
+    S.Self.Incarnation = core::Incarnation(News.Incarnation.value() + 1);
   else
     return;
   log(observe::EventId::MemberRefuted, describeMember(S.Self));
   announceSelf();
 }
 
-bool Reducer::makeRoom() {
-  if (S.Others.size() + 1 < MaxMembers)
+bool Reducer::ensureCapacity() {
+  if (S.OtherMembers.size() + 1 < MaxMembers)
     return true;
   // The place of the member that has been gone for longest is reused.
-  auto Oldest = S.Others.end();
-  for (auto One = S.Others.begin(); One != S.Others.end(); ++One)
-    if (!isLive(One->second.Known) &&
-        (Oldest == S.Others.end() ||
+  auto Oldest = S.OtherMembers.end();
+  for (auto One = S.OtherMembers.begin(); One != S.OtherMembers.end(); ++One)
+    if (!isLive(One->second.LastKnown) &&
+        (Oldest == S.OtherMembers.end() ||
          One->second.Deadline < Oldest->second.Deadline))
       Oldest = One;
-  if (Oldest != S.Others.end()) {
-    S.Others.erase(Oldest);
+  if (Oldest != S.OtherMembers.end()) {
+    S.OtherMembers.erase(Oldest);
     return true;
   }
-  if (!S.FullReported)
-    log(observe::EventId::MembersFull, fmt::format("{}", MaxMembers));
-  S.FullReported = true;
+  if (!S.LimitReported)
+    log(observe::EventId::MemberLimitReached, fmt::format("{}", MaxMembers));
+  S.LimitReported = true;
   return false;
 }
 
-void Reducer::adopt(Entry &Place, const Member &News) {
-  const Member Known = Place.Known;
-  Place.Known = News;
-  Place.SendsLeft = repeats();
-  if (Known.Status != News.Status || Known.Number != News.Number)
+void Reducer::replaceMember(MemberEntry &Place, const Member &News) {
+  const Member Known = Place.LastKnown;
+  Place.LastKnown = News;
+  Place.TransmissionsLeft = transmissionLimit();
+  if (Known.Status != News.Status || Known.Incarnation != News.Incarnation)
     setDeadline(Place);
-  if (!sameForOthers(Known, News))
+  if (!sameEndpoint(Known, News))
     Changed = true;
-  const bool NewProcess = !sameProcess(Known.Number, News.Number);
+  const bool NewProcess = !sameProcess(Known.Incarnation, News.Incarnation);
   if (isLive(Known) && (NewProcess || !isLive(News)))
     Out.push_back(MemberFailed{Known});
   if (NewProcess)
@@ -109,76 +109,76 @@
   else if (Known.Status != News.Status)
     log(eventOf(News.Status), describeMember(News));
   if (NewProcess && isLive(News))
-    failOthersAt(News);
+    failOthersAtAddress(News);
 }
 
 /// A new process at the address of another node proves that node gone.
-void Reducer::failOthersAt(const Member &News) {
+void Reducer::failOthersAtAddress(const Member &News) {
   std::vector<Member> Gone;
-  for (const auto &[Node, One] : S.Others)
-    if (Node != News.Node && isLive(One.Known) &&
-        One.Known.ControlAddress == News.ControlAddress &&
-        One.Known.Number < News.Number)
-      Gone.push_back(One.Known);
+  for (const auto &[Node, One] : S.OtherMembers)
+    if (Node != News.Node && isLive(One.LastKnown) &&
+        One.LastKnown.ControlAddress == News.ControlAddress &&
+        One.LastKnown.Incarnation < News.Incarnation)
+      Gone.push_back(One.LastKnown);
   for (Member &One : Gone) {
     One.Status = MemberStatus::Failed;
-    learn(One);
+    applyUpdate(One);
   }
 }
 
-void Reducer::setDeadline(Entry &Place) {
-  if (Place.Known.Status == MemberStatus::Alive)
+void Reducer::setDeadline(MemberEntry &Place) {
+  if (Place.LastKnown.Status == MemberStatus::Alive)
     Place.Deadline.reset();
-  else if (Place.Known.Status == MemberStatus::Suspect)
-    Place.Deadline = Now.Mono + SuspicionTime;
+  else if (Place.LastKnown.Status == MemberStatus::Suspect)
+    Place.Deadline = Now.Mono + SuspicionTimeout;
   else
-    Place.Deadline = Now.Mono + TombstoneTime;
+    Place.Deadline = Now.Mono + TombstoneLifetime;
 }
 
 void Reducer::tickDeadlines() {
   std::vector<Member> Failed;
   std::vector<core::NodeId> Forgotten;
-  for (const auto &[Node, One] : S.Others) {
+  for (const auto &[Node, One] : S.OtherMembers) {
     if (!One.Deadline || Now.Mono < *One.Deadline)
       continue;
-    if (One.Known.Status == MemberStatus::Suspect)
-      Failed.push_back(One.Known);
+    if (One.LastKnown.Status == MemberStatus::Suspect)
+      Failed.push_back(One.LastKnown);
     else
       Forgotten.push_back(Node);
   }
   for (Member &One : Failed) {
     One.Status = MemberStatus::Failed;
-    learn(One);
+    applyUpdate(One);
   }
   for (const core::NodeId &Node : Forgotten)
-    S.Others.erase(Node);
+    S.OtherMembers.erase(Node);
 }
 
-std::size_t Reducer::repeats() const {
-  return UpdateRepeats * std::bit_width(S.Others.size() + 1);
+std::size_t Reducer::transmissionLimit() const {
+  return RetransmitMultiplier * std::bit_width(S.OtherMembers.size() + 1);
 }
 
 /// The own announcement first, then the updates that were sent least.
-std::vector<Member> Reducer::takeUpdates() {
+std::vector<Member> Reducer::selectUpdates() {
   std::vector<Member> Taken;
-  if (S.SelfSendsLeft > 0) {
-    --S.SelfSendsLeft;
+  if (S.SelfTransmissionsLeft > 0) {
+    --S.SelfTransmissionsLeft;
     Taken.push_back(S.Self);
   }
-  std::vector<Entry *> Pending;
-  for (auto &[Node, One] : S.Others)
-    if (One.SendsLeft > 0)
+  std::vector<MemberEntry *> Pending;
+  for (auto &[Node, One] : S.OtherMembers)
+    if (One.TransmissionsLeft > 0)
       Pending.push_back(&One);
-  const std::size_t Room = UpdatesPerMessage - Taken.size();
+  const std::size_t Room = MaxUpdatesPerMessage - Taken.size();
   const std::size_t Count = std::min(Room, Pending.size());
-  std::partial_sort(Pending.begin(),
-                    Pending.begin() + static_cast<std::ptrdiff_t>(Count),
-                    Pending.end(), [](const Entry *A, const Entry *B) {
-                      return A->SendsLeft > B->SendsLeft;
-                    });
+  std::partial_sort(
+      Pending.begin(), Pending.begin() + static_cast<std::ptrdiff_t>(Count),
+      Pending.end(), [](const MemberEntry *A, const MemberEntry *B) {
+        return A->TransmissionsLeft > B->TransmissionsLeft;
+      });
   for (std::size_t I = 0; I < Count; ++I) {
-    --Pending[I]->SendsLeft;
-    Taken.push_back(Pending[I]->Known);
+    --Pending[I]->TransmissionsLeft;
+    Taken.push_back(Pending[I]->LastKnown);
   }
   return Taken;
 }
--- a/lib/decision/mesh/Gauges.cpp
+++ b/lib/decision/mesh/Gauges.cpp
@@ -38,7 +38,7 @@
   Set("filbertvane_target_running", Load.Running);
   Set("filbertvane_target_waiting", Load.Waiting);
   Set("filbertvane_target_answer_seconds",
-      static_cast<double>(Load.MeanTime.count()) / 1000);
+      static_cast<double>(Load.MeanResponseTime.count()) / 1000);
   Set("filbertvane_target_fault_ratio",
       State.Target ? State.Target->FaultPart : 0);
   Set("filbertvane_ready", State.Ready ? 1 : 0);
--- a/lib/decision/mesh/HostDirectory.cpp
+++ b/lib/decision/mesh/HostDirectory.cpp
@@ -94,11 +94,11 @@
     return;
   Known->Report.Target->Load = Load;
   Known->SentSince = 0;
-  if (Load.RouteTime.count() <= 0)
+  if (Load.RouteResponseTime.count() <= 0)
     return;
   if (Known->RouteTimes.size() >= MostRouteTimes)
     Known->RouteTimes.clear();
-  Known->RouteTimes[Route] = Load.RouteTime;
+  Known->RouteTimes[Route] = Load.RouteResponseTime;
 }
 
 void HostDirectory::noteFull(const core::NodeId &Node, const RoomFor &What,
--- a/lib/decision/mesh/ReduceAttempts.cpp
+++ b/lib/decision/mesh/ReduceAttempts.cpp
@@ -117,8 +117,8 @@
   if (KnownHost *Host = State.Hosts.find(Call.At)) {
     Host->InFlight -= std::min(Host->InFlight, 1U);
     Host->Unreachable = Host->Unreachable || What.Unreachable;
-    if (What.Load && What.Load->RouteTime.count() > 0)
-      memoryOf(Call.Terms.Route).Time = What.Load->RouteTime;
+    if (What.Load && What.Load->RouteResponseTime.count() > 0)
+      memoryOf(Call.Terms.Route).Time = What.Load->RouteResponseTime;
     if (What.Load)
       State.Hosts.noteLoad(Call.At, *What.Load, Call.Terms.Route);
   }
@@ -127,9 +127,9 @@
 
 TargetLoad Reduction::loadFor(const MeshCall &Call) const {
   TargetLoad Load = State.Slots.load();
-  Load.RouteTime = std::chrono::duration_cast<core::Milliseconds>(
+  Load.RouteResponseTime = std::chrono::duration_cast<core::Milliseconds>(
       State.Slots.meanTime(Call.Terms.Route));
-  Load.LinkWait = linkWait(State, Now);
+  Load.LinkQueueTime = linkWait(State, Now);
   return Load;
 }
 
--- a/lib/decision/mesh/ReducePlacement.cpp
+++ b/lib/decision/mesh/ReducePlacement.cpp
@@ -76,8 +76,8 @@
       !Skipped(State.Own.Node) && versionTakes(Call, Shares, Own->Version)) {
     const TargetLoad &Load = Own->Load;
     Found.push_back({State.Own.Node, Distance::Own, Load.Running + Load.Waiting,
-                     Load.Slots, Load.MeanTime, Own->FaultPermille, false,
-                     loadFor(Call).RouteTime});
+                     Load.Slots, Load.MeanResponseTime, Own->FaultPermille,
+                     false, loadFor(Call).RouteResponseTime});
   }
   for (const auto &[Node, Host] : State.Hosts.hosts()) {
     if (!takes(Host.Report, Call.Service) || Skipped(Node) ||
@@ -95,13 +95,13 @@
     const std::uint32_t Reported =
         Target.Load.Running + Target.Load.Waiting + Host.SentSince;
     const auto OnRoute = Host.RouteTimes.find(Call.Terms.Route);
-    Found.push_back({Node, Host.Away, std::max(Reported, Host.InFlight),
-                     Target.Load.Slots, Target.Load.MeanTime,
-                     Target.FaultPermille, State.Hosts.doubtful(Host, Now),
-                     OnRoute != Host.RouteTimes.end()
-                         ? OnRoute->second
-                         : memoryOf(Call.Terms.Route).Time,
-                     Large ? Target.Load.LinkWait : core::Milliseconds(0)});
+    Found.push_back(
+        {Node, Host.Away, std::max(Reported, Host.InFlight), Target.Load.Slots,
+         Target.Load.MeanResponseTime, Target.FaultPermille,
+         State.Hosts.doubtful(Host, Now),
+         OnRoute != Host.RouteTimes.end() ? OnRoute->second
+                                          : memoryOf(Call.Terms.Route).Time,
+         Large ? Target.Load.LinkQueueTime : core::Milliseconds(0)});
   }
   return Found;
 }
@@ -170,8 +170,9 @@
     const double Total = Load.Running + Load.Waiting + 1.0;
     const double Slots = std::max<std::uint32_t>(Load.Slots, 1);
     const double Excess = std::max(0.0, Total - Slots);
-    LeastMs = std::min(LeastMs, Excess / Slots *
-                                    static_cast<double>(Load.MeanTime.count()));
+    LeastMs = std::min(LeastMs,
+                       Excess / Slots *
+                           static_cast<double>(Load.MeanResponseTime.count()));
   };
   for (const TargetReport *Target : targetsOf(Call.Service))
     if (Target->State == TargetState::Ready)
--- a/lib/decision/mesh/Reducer.cpp
+++ b/lib/decision/mesh/Reducer.cpp
@@ -53,7 +53,7 @@
   Report.Leaving = State.Draining && Now >= State.LeavesAt;
   Report.Target = ownTargetReport(State);
   if (Report.Target)
-    Report.Target->Load.LinkWait = linkWait(State, Now);
+    Report.Target->Load.LinkQueueTime = linkWait(State, Now);
   Report.Left = State.Left;
   Report.Position = State.Position;
   Report.StoreReachable = State.StoreReachable;
--- a/lib/io/node/ClaimStreams.cpp
+++ b/lib/io/node/ClaimStreams.cpp
@@ -176,8 +176,8 @@
 void ClaimStreams::handle(std::uint32_t Number, const KeeperEvent &What) {
   claims::KeeperState &State = Partitions[Number].State;
   auto Next = claims::reduce(std::move(State), What, Around.Loop.now());
-  State = std::move(Next.Next);
-  for (const claims::KeeperEffect &Each : Next.Out)
+  State = std::move(Next.NextState);
+  for (const claims::KeeperEffect &Each : Next.EmittedEffects)
     std::visit(
         core::Overloaded{
             [&](const claims::AppendBatch &Do) { append(Number, Do); },
--- a/lib/io/node/Process.cpp
+++ b/lib/io/node/Process.cpp
@@ -25,13 +25,13 @@
   Own.Node = From.Node.Id;
   Own.DataCentre = From.Node.DataCentre;
   Own.Region = From.Node.Region;
-  Own.Number = Number;
+  Own.Incarnation = Number;
   Own.ControlAddress = From.Advertise.Control;
-  Own.ExternalControl = From.Advertise.OtherRegions;
+  Own.ExternalControlAddress = From.Advertise.OtherRegions;
   Own.PeerAddress = From.Advertise.Peers;
   for (const config::Seed &Each : From.Seeds) {
     const bool Inside = Each.DataCentre == From.Node.DataCentre;
-    auto &Seeds = Inside ? Own.InsideSeeds : Own.OutsideSeeds;
+    auto &Seeds = Inside ? Own.LocalSeeds : Own.RemoteSeeds;
     if (Each.Control != From.Advertise.Control)
       Seeds.push_back(Each.Control);
   }
@@ -72,8 +72,8 @@
           [this](const decision::request::ClaimDecided &What) {
             Engine->handle(What);
           }},
-      Settings.Node.Id, Settings.Advertise.Peers, decision::writerOf(State.Own),
-      Settings.LogRetention);
+      Settings.Node.Id, Settings.Advertise.Peers,
+      decision::writerOf(State.Local), Settings.LogRetention);
   Spans = std::make_unique<observe::Tracer>(
       Loop, *Http,
       observe::Tracer::Options{Settings.TracesUrl.value_or(""), "filbertvane",
@@ -94,7 +94,7 @@
   Options.Own.Number = Number;
   Options.Own.ControlAddress = Settings.Advertise.Control;
   Options.SharedKey = Settings.SharedKey;
-  Options.Seed = State.Own.RandomSeed;
+  Options.Seed = State.Local.RandomSeed;
   auto Opened = ControlServer::listen(
       Loop, Options,
       [this](const wire::Hello &From, wire::ControlMessage What) {
@@ -115,7 +115,7 @@
   Options.Peers = Settings.Listen.Peers;
   Options.PeerKey = Settings.SharedKey;
   Options.Self = Settings.Node.Id;
-  Options.Seed = State.Own.RandomSeed;
+  Options.Seed = State.Local.RandomSeed;
   auto Opened = ProxyEngine::create(
       Loop, *Http, Options,
       [this](const decision::request::Event &What) { return dispatch(What); },
@@ -154,7 +154,7 @@
 core::Status Process::openAdmin() {
   AdminServer::Callbacks Calls;
   Calls.Metrics = [this] { return metrics(); };
-  Calls.Healthy = [this] { return State.Records.Ready && !DrainEarliest; };
+  Calls.Healthy = [this] { return State.Distribution.Ready && !DrainEarliest; };
   Calls.Status = [this] { return status(); };
   Calls.OnTarget = [this](const TargetAnnouncement &What) {
     handle(decision::TargetAnnounced{{What.Id, What.Service, What.Version,
@@ -173,9 +173,9 @@
 
 decision::request::Effects Process::dispatch(NodeEvent What) {
   auto Next = decision::reduce(std::move(State), std::move(What), Loop.now());
-  State = std::move(Next.Next);
+  State = std::move(Next.NextState);
   decision::request::Effects Requests;
-  for (const decision::NodeEffect &Each : Next.Out)
+  for (const decision::NodeEffect &Each : Next.EmittedEffects)
     std::visit(
         [&](const auto &Do) {
           using T = std::decay_t<decltype(Do)>;
@@ -196,7 +196,7 @@
 
 void Process::tick() {
   handle(decision::Tick{});
-  Claims->tick(State.Records.Ready && !DrainEarliest);
+  Claims->tick(State.Distribution.Ready && !DrainEarliest);
   if (State.Directory.IsLead && !LeaseReading &&
       Loop.now().Mono >= LeaseRetryAt)
     readLeaseStream();
@@ -225,7 +225,7 @@
 }
 
 void Process::carryOut(const decision::SendControl &What) {
-  const core::Status Sent = Control->send(What.To, What.What);
+  const core::Status Sent = Control->send(What.To, What.Payload);
   if (!core::ok(Sent))
     Figures.count("filbertvane_control_dropped_total");
 }
@@ -247,33 +247,33 @@
 }
 
 void Process::carryOut(const decision::ClaimReceived &What) {
-  Claims->requested(What.From, What.What);
+  Claims->requested(What.From, What.Request);
 }
 
 void Process::carryOut(const decision::ClaimReplied &What) {
-  Claims->replied(What.What);
+  Claims->replied(What.Reply);
 }
 
 void Process::carryOut(const decision::distribution::ReadLog &What) {
   const core::Milliseconds Wait =
       What.LongPoll ? LogWait : core::Milliseconds(0);
-  Log.read("config", What.From, Wait, LogReadBytes, Loop.now().Mono,
+  Log.read("config", What.Offset, Wait, LogReadBytes, Loop.now().Mono,
            [this](const core::Result<LogRead> &Done) { logRead(Done); });
 }
 
-void Process::carryOut(const decision::distribution::CheckEnd &What) {
-  Log.read(
-      "config", What.From, core::Milliseconds(0), LogReadBytes, Loop.now().Mono,
-      [this, What](const core::Result<LogRead> &Done) {
-        using enum decision::distribution::LogEnd;
-        // `logRead` tells of an outage; here it is an answer.
-        const bool Read = core::ok(Done) && !core::value(Done).Trimmed;
-        handle(decision::distribution::Event(decision::distribution::EndChecked{
-            !Read                               ? Unread
-            : core::value(Done).Records.empty() ? Reached
-                                                : Further,
-            What.From}));
-      });
+void Process::carryOut(const decision::distribution::CheckLogEnd &What) {
+  Log.read("config", What.Offset, core::Milliseconds(0), LogReadBytes,
+           Loop.now().Mono, [this, What](const core::Result<LogRead> &Done) {
+             using enum decision::distribution::LogEndStatus;
+             // `logRead` tells of an outage; here it is an answer.
+             const bool Read = core::ok(Done) && !core::value(Done).Trimmed;
+             handle(decision::distribution::Event(
+                 decision::distribution::LogEndChecked{
+                     !Read                               ? Unavailable
+                     : core::value(Done).Records.empty() ? Reached
+                                                         : NotReached,
+                     What.Offset}));
+           });
 }
 
 void Process::logRead(const core::Result<LogRead> &Done) {
@@ -297,7 +297,7 @@
   // An answer that holds records may have been cut at the size limit, so only
   // an empty one proves that the end was reached.
   const std::uint64_t More = Read.Records.empty() ? 0 : 1;
-  Event.End = core::LogOffset(Read.Next.value() + More);
+  Event.EndOffset = core::LogOffset(Read.Next.value() + More);
   handle(distribution::Event(std::move(Event)));
 }
 
@@ -344,7 +344,7 @@
 
 void Process::carryOut(const decision::lease::AppendRenewal &What) {
   std::string Bytes = wire::encode(wire::LeaseRenewed{
-      What.What.Holder, What.What.LeaseEpoch, What.What.Sequence});
+      What.Record.Holder, What.Record.LeaseEpoch, What.Record.Sequence});
   LogBytesOut += Bytes.size();
   // A renewal counts when it is read back; the acknowledgement adds nothing.
   Log.append("lease", std::move(Bytes), Loop.now().Mono + AppendTimeout,
--- a/lib/io/node/Process.h
+++ b/lib/io/node/Process.h
@@ -36,7 +36,7 @@
   void carryOut(const decision::ClaimReceived &What);
   void carryOut(const decision::ClaimReplied &What);
   void carryOut(const decision::distribution::ReadLog &What);
-  void carryOut(const decision::distribution::CheckEnd &What);
+  void carryOut(const decision::distribution::CheckLogEnd &What);
   void carryOut(const decision::distribution::StateAdopted &What);
   void carryOut(const decision::distribution::ReadyChanged &What);
   void carryOut(const decision::lease::AppendRenewal &What);
--- a/lib/io/node/ProcessStatus.cpp
+++ b/lib/io/node/ProcessStatus.cpp
@@ -37,27 +37,28 @@
   for (const Adoption &Each : Adopted)
     Versions.push_back({Each.Version, Each.AdoptedMs, Each.PublishedMs});
   json Centres = json::object();
-  for (const auto &[Id, Known] : State.Directory.Others)
+  for (const auto &[Id, Known] : State.Directory.RemoteDataCentres)
     Centres[Id.value()] =
         Known.SilentSince ? json(Known.SilentSince->time_since_epoch().count())
                           : json(nullptr);
   std::size_t Endpoints = 0;
-  for (const auto &Each : State.Directory.Live)
+  for (const auto &Each : State.Directory.LiveMembers)
     if (Each.Ready && Each.Target && !Each.Target->Leaving)
       ++Endpoints;
   const json Whole = {
       {"node", Settings.Node.Id.value()},
       {"data_centre", Settings.Node.DataCentre.value()},
       {"region", Settings.Node.Region.value()},
-      {"ready", State.Records.Ready},
+      {"ready", State.Distribution.Ready},
       {"draining", DrainEarliest.has_value()},
-      {"version", State.Records.At.Version.value()},
-      {"offset", State.Records.At.Next.value()},
-      {"digest", State.Records.At.StateDigest.value()},
+      {"version", State.Distribution.ConfigPosition.Version.value()},
+      {"offset", State.Distribution.ConfigPosition.NextOffset.value()},
+      {"digest", State.Distribution.ConfigPosition.StateDigest.value()},
       {"lead", State.Directory.IsLead},
-      {"coordinator", decision::lease::mayAct(State.Lease, Loop.now().Mono)},
+      {"coordinator",
+       decision::lease::holdsLease(State.Lease, Loop.now().Mono)},
       {"log_available", LogUp},
-      {"members", State.Directory.Live.size()},
+      {"members", State.Directory.LiveMembers.size()},
       {"endpoints", Endpoints},
       {"data_centres", Centres},
       {"local_rollbacks", State.LocalRollbacks.size()},
@@ -83,11 +84,12 @@
               static_cast<double>(In));
   Figures.set("filbertvane_control_bytes", {{"direction", "out"}},
               static_cast<double>(Out));
-  Figures.set("filbertvane_config_version", {},
-              static_cast<double>(State.Records.At.Version.value()));
-  Figures.set("filbertvane_ready", {}, State.Records.Ready ? 1 : 0);
+  Figures.set(
+      "filbertvane_config_version", {},
+      static_cast<double>(State.Distribution.ConfigPosition.Version.value()));
+  Figures.set("filbertvane_ready", {}, State.Distribution.Ready ? 1 : 0);
   Figures.set("filbertvane_members", {},
-              static_cast<double>(State.Directory.Live.size()));
+              static_cast<double>(State.Directory.LiveMembers.size()));
   Figures.set("filbertvane_active_requests", {},
               static_cast<double>(Engine->active()));
   return Figures.render();
--- a/lib/io/proxy/ProxyHeaders.cpp
+++ b/lib/io/proxy/ProxyHeaders.cpp
@@ -114,8 +114,9 @@
 
 std::string formatLoad(const decision::TargetLoad &Load) {
   return fmt::format("{} {} {} {} {} {}", Load.Running, Load.Waiting,
-                     Load.Slots, Load.MeanTime.count(), Load.RouteTime.count(),
-                     Load.LinkWait.count());
+                     Load.Slots, Load.MeanResponseTime.count(),
+                     Load.RouteResponseTime.count(),
+                     Load.LinkQueueTime.count());
 }
 
 std::optional<decision::TargetLoad> parseLoad(std::string_view Text) {
@@ -127,9 +128,9 @@
       !readNumber(Text, Load.Slots) || !readNumber(Text, Mean) ||
       !readNumber(Text, OnRoute) || !readNumber(Text, Link))
     return std::nullopt;
-  Load.LinkWait = core::Milliseconds(Link);
-  Load.MeanTime = core::Milliseconds(Mean);
-  Load.RouteTime = core::Milliseconds(OnRoute);
+  Load.LinkQueueTime = core::Milliseconds(Link);
+  Load.MeanResponseTime = core::Milliseconds(Mean);
+  Load.RouteResponseTime = core::Milliseconds(OnRoute);
   return Load;
 }
 
--- a/lib/wire/ControlDecode.cpp
+++ b/lib/wire/ControlDecode.cpp
@@ -61,7 +61,7 @@
   if (From.node.empty())
     malformed("member without id");
   To.Node = core::NodeId(From.node);
-  To.Number = core::Incarnation(number(From.incarnation));
+  To.Incarnation = core::Incarnation(number(From.incarnation));
   To.Status = static_cast<membership::MemberStatus>(Status - 1);
   To.ControlAddress = From.controlAddress;
   To.PeerAddress = From.peerAddress;
@@ -140,16 +140,17 @@
 
 distribution::RecordBatch fromGen(const gen::Records &From) {
   distribution::RecordBatch To;
-  To.First = core::LogOffset(number(From.first));
+  To.FirstOffset = core::LogOffset(number(From.first));
   To.Records = eachOf(From.records, [](const gen::StoredRecord &One) {
     return distribution::StoredRecord{core::LogOffset(number(One.offset)),
                                       One.record};
   });
-  To.After = fromGen(From.after);
+  To.PositionAfter = fromGen(From.after);
   const auto End = static_cast<std::int32_t>(From.logEnd);
-  if (End < 0 || End > static_cast<std::int32_t>(distribution::LogEnd::Unread))
+  if (End < 0 ||
+      End > static_cast<std::int32_t>(distribution::LogEndStatus::Unavailable))
     malformed("log end");
-  To.End = static_cast<distribution::LogEnd>(End);
+  To.EndStatus = static_cast<distribution::LogEndStatus>(End);
   return To;
 }
 
--- a/lib/wire/ControlEncode.cpp
+++ b/lib/wire/ControlEncode.cpp
@@ -45,7 +45,7 @@
 gen::Member toGen(const membership::Member &From) {
   gen::Member To;
   To.node = From.Node.value();
-  To.incarnation = number(From.Number.value());
+  To.incarnation = number(From.Incarnation.value());
   To.status =
       static_cast<gen::MemberStatus::type>(static_cast<int>(From.Status) + 1);
   To.controlAddress = From.ControlAddress;
@@ -63,7 +63,7 @@
 
 gen::Position toGen(const decision::Position &From) {
   gen::Position To;
-  To.nextOffset = number(From.Next.value());
+  To.nextOffset = number(From.NextOffset.value());
   To.digest = number(From.StateDigest.value());
   To.version = number(From.Version.value());
   To.ready = From.Ready;
@@ -134,7 +134,7 @@
 void fill(gen::ControlMessage &To, const membership::Probe &From) {
   gen::Probe Out;
   Out.sequence = number(From.Sequence);
-  Out.position = toGen(From.At);
+  Out.position = toGen(From.ConfigPosition);
   Out.updates = toGen(From.Updates);
   To.__set_probe(Out);
 }
@@ -142,7 +142,7 @@
 void fill(gen::ControlMessage &To, const membership::ProbeAck &From) {
   gen::ProbeAck Out;
   Out.sequence = number(From.Sequence);
-  Out.position = toGen(From.At);
+  Out.position = toGen(From.ConfigPosition);
   Out.updates = toGen(From.Updates);
   To.__set_probeAck(Out);
 }
@@ -170,7 +170,7 @@
 void fill(gen::ControlMessage &To, const membership::JoinReply &From) {
   gen::JoinReply Out;
   Out.members = toGen(From.Members);
-  Out.position = toGen(From.At);
+  Out.position = toGen(From.ConfigPosition);
   To.__set_joinReply(Out);
 }
 
@@ -182,29 +182,29 @@
 
 void fill(gen::ControlMessage &To, const distribution::RecordBatch &From) {
   gen::Records Out;
-  Out.first = number(From.First.value());
+  Out.first = number(From.FirstOffset.value());
   Out.records = eachOf(From.Records, [](const auto &One) {
     gen::StoredRecord Record;
     Record.offset = number(One.Offset.value());
     Record.record = One.Bytes;
     return Record;
   });
-  Out.after = toGen(From.After);
-  Out.logEnd = static_cast<gen::LogEnd::type>(From.End);
+  Out.after = toGen(From.PositionAfter);
+  Out.logEnd = static_cast<gen::LogEnd::type>(From.EndStatus);
   To.__set_records(Out);
 }
 
 void fill(gen::ControlMessage &To, const distribution::RecordsRequest &From) {
   gen::RecordsRequest Out;
-  Out.first = number(From.First.value());
+  Out.first = number(From.FirstOffset.value());
   Out.wantsSnapshot = From.WantsSnapshot;
-  Out.wantsEnd = From.WantsEnd;
+  Out.wantsEnd = From.WantsLogEnd;
   To.__set_recordsRequest(Out);
 }
 
 void fill(gen::ControlMessage &To, const distribution::Snapshot &From) {
   gen::Snapshot Out;
-  Out.position = toGen(From.At);
+  Out.position = toGen(From.ConfigPosition);
   Out.state = From.State;
   To.__set_snapshot(Out);
 }
--- a/lib/wire/HostReportCodec.cpp
+++ b/lib/wire/HostReportCodec.cpp
@@ -27,10 +27,11 @@
   Out.running = static_cast<std::int32_t>(Target.Load.Running);
   Out.waiting = static_cast<std::int32_t>(Target.Load.Waiting);
   Out.slots = static_cast<std::int32_t>(Target.Load.Slots);
-  Out.meanMs = static_cast<std::int32_t>(Target.Load.MeanTime.count());
+  Out.meanMs = static_cast<std::int32_t>(Target.Load.MeanResponseTime.count());
   // Most links are idle; their reports save the field.
-  if (Target.Load.LinkWait.count() > 0)
-    Out.__set_linkMs(static_cast<std::int32_t>(Target.Load.LinkWait.count()));
+  if (Target.Load.LinkQueueTime.count() > 0)
+    Out.__set_linkMs(
+        static_cast<std::int32_t>(Target.Load.LinkQueueTime.count()));
   Out.faultPermille = static_cast<std::int32_t>(Target.FaultPermille);
   for (const mesh::RouteTally &Tally : Target.Tallies)
     Out.tallies.push_back(toThrift(Tally));
@@ -101,7 +102,7 @@
   Target.Load = {count(In.running), count(In.waiting), count(In.slots),
                  core::Milliseconds(In.meanMs)};
   if (In.__isset.linkMs)
-    Target.Load.LinkWait = core::Milliseconds(count(In.linkMs));
+    Target.Load.LinkQueueTime = core::Milliseconds(count(In.linkMs));
   Target.FaultPermille = count(In.faultPermille);
   for (const gen::RouteTally &Tally : In.tallies)
     Target.Tallies.push_back({core::RouteName(Tally.route),
--- a/tests/decision/DirectoryTest.cpp
+++ b/tests/decision/DirectoryTest.cpp
@@ -17,8 +17,8 @@
 
   Effects handle(State &Of, const Event &What) {
     auto Next = reduce(std::move(Of), What, Now);
-    Of = std::move(Next.Next);
-    return std::move(Next.Out);
+    Of = std::move(Next.NextState);
+    return std::move(Next.EmittedEffects);
   }
 
   /// Messages of one tick of a lead.
@@ -76,14 +76,15 @@
 Test(directory, repeats_leave_unchanged_services_out) {
   Exchange Both;
   const auto First = Both.tick(Both.There);
-  cr_assert(First.size() == 1 && First[0].DataCentres[0].Services.size() == 1);
-  Both.handle(Both.Here, SummariesReceived{FromB, First[0].DataCentres});
-  Both.advance(RepeatPeriod);
+  cr_assert(First.size() == 1 && First[0].Summaries[0].Services.size() == 1);
+  Both.handle(Both.Here, SummariesReceived{FromB, First[0].Summaries});
+  Both.advance(SummaryRefreshPeriod);
   const auto Second = Both.tick(Both.There);
-  cr_assert(Second.size() == 1 && Second[0].DataCentres[0].Partial);
-  cr_assert(Second[0].DataCentres[0].Services.empty());
-  Both.handle(Both.Here, SummariesReceived{FromB, Second[0].DataCentres});
-  const Known &B = Both.Here.Others.at(core::DataCentreId("b"));
+  cr_assert(Second.size() == 1 && Second[0].Summaries[0].Partial);
+  cr_assert(Second[0].Summaries[0].Services.empty());
+  Both.handle(Both.Here, SummariesReceived{FromB, Second[0].Summaries});
+  const KnownDataCentre &B =
+      Both.Here.RemoteDataCentres.at(core::DataCentreId("b"));
   cr_assert(B.Summary.Services.size() == 1, "a repeat removed the services");
 }
 
@@ -92,18 +93,18 @@
 Test(directory, a_repeat_of_unknown_services_is_answered_by_a_question) {
   Exchange Both;
   Both.tick(Both.There);
-  Both.advance(RepeatPeriod);
+  Both.advance(SummaryRefreshPeriod);
   const auto Repeat = Both.tick(Both.There);
   const Effects Asked =
-      Both.handle(Both.Here, SummariesReceived{FromB, Repeat[0].DataCentres});
-  cr_assert(Both.Here.Others.empty(), "adopted without services");
+      Both.handle(Both.Here, SummariesReceived{FromB, Repeat[0].Summaries});
+  cr_assert(Both.Here.RemoteDataCentres.empty(), "adopted without services");
   const auto *Question = std::get_if<SendSummaries>(&Asked.at(0));
   cr_assert(Question && Question->To == "b1:1");
-  cr_assert(Question->DataCentres.empty());
+  cr_assert(Question->Summaries.empty());
   const Effects Reply = Both.handle(
       Both.There, SummariesReceived{{core::NodeId("a1"), "a1:1"}, {}});
   const auto *Whole = std::get_if<SendSummaries>(&Reply.at(0));
-  cr_assert(Whole && Whole->DataCentres[0].Services.size() == 1);
+  cr_assert(Whole && Whole->Summaries[0].Services.size() == 1);
 }
 
 // Guards against requests sent to a data centre that is cut off, and against
@@ -111,15 +112,16 @@
 Test(directory, a_silent_data_centre_is_cut_off_until_it_is_heard) {
   Exchange Both;
   const auto First = Both.tick(Both.There);
-  Both.handle(Both.Here, SummariesReceived{FromB, First[0].DataCentres});
-  Both.advance(SilenceLimit);
+  Both.handle(Both.Here, SummariesReceived{FromB, First[0].Summaries});
+  Both.advance(SilenceTimeout);
   const Effects Silent = Both.handle(Both.Here, Tick{});
-  const auto *Cut = std::get_if<DataCentreCutOff>(&Silent.at(0));
+  const auto *Cut = std::get_if<DataCentreSilent>(&Silent.at(0));
   cr_assert(Cut && Cut->DataCentre == core::DataCentreId("b"));
-  cr_assert(Cut->Since == Both.Now.Wall - SilenceLimit);
+  cr_assert(Cut->SilentSince == Both.Now.Wall - SilenceTimeout);
   const auto Again = Both.tick(Both.There);
-  Both.handle(Both.Here, SummariesReceived{FromB, Again[0].DataCentres});
-  const Known &B = Both.Here.Others.at(core::DataCentreId("b"));
+  Both.handle(Both.Here, SummariesReceived{FromB, Again[0].Summaries});
+  const KnownDataCentre &B =
+      Both.Here.RemoteDataCentres.at(core::DataCentreId("b"));
   cr_assert(!B.SilentSince, "still cut off");
 }
 
@@ -128,10 +130,11 @@
   Exchange Both;
   const auto First = Both.tick(Both.There);
   Both.handle(Both.There, MembersChanged{{Exchange::member("b1", "v2")}});
-  Both.advance(SummaryPeriod);
+  Both.advance(MinSummaryInterval);
   const auto Second = Both.tick(Both.There);
-  Both.handle(Both.Here, SummariesReceived{FromB, Second[0].DataCentres});
-  Both.handle(Both.Here, SummariesReceived{FromB, First[0].DataCentres});
-  const Known &B = Both.Here.Others.at(core::DataCentreId("b"));
+  Both.handle(Both.Here, SummariesReceived{FromB, Second[0].Summaries});
+  Both.handle(Both.Here, SummariesReceived{FromB, First[0].Summaries});
+  const KnownDataCentre &B =
+      Both.Here.RemoteDataCentres.at(core::DataCentreId("b"));
   cr_assert(B.Summary.Services[0].Version == core::TargetVersion("v2"));
 }
--- a/tests/decision/LeaseTest.cpp
+++ b/tests/decision/LeaseTest.cpp
@@ -11,14 +11,14 @@
 }
 
 /// A node with the effects of its last event.
-struct Bench {
+struct Fixture {
   State S = initial({core::NodeId("n"), core::WriterId("n/1")}, 1);
   Effects Out;
 
   void step(const Event &What, std::int64_t Millis) {
     auto Next = reduce(std::move(S), What, at(Millis));
-    S = std::move(Next.Next);
-    Out = std::move(Next.Out);
+    S = std::move(Next.NextState);
+    Out = std::move(Next.EmittedEffects);
   }
   template <typename E> const E *effect() const {
     for (const Effect &One : Out)
@@ -35,11 +35,11 @@
     step(readAt(900), 950);
     step(Tick{}, 1000);
     cr_assert(effect<AppendClaim>());
-    step(ClaimFolded{S.Own.Writer, S.Own.Node, core::Epoch(1)}, 1050);
+    step(ClaimFolded{S.Local.Writer, S.Local.Node, core::Epoch(1)}, 1050);
     cr_assert(effect<BecameHolder>());
   }
   Renewal renewal(std::uint64_t Sequence) {
-    return {S.Own.Node, core::Epoch(1), Sequence};
+    return {S.Local.Node, core::Epoch(1), Sequence};
   }
 };
 
@@ -47,10 +47,10 @@
 
 // Guards against a holder that acts after a pause of its process.
 Test(lease, a_paused_holder_stops_by_its_own_clock) {
-  Bench B;
+  Fixture B;
   B.hold();
-  cr_assert(mayAct(B.S, at(6999).Mono));
-  cr_assert(!mayAct(B.S, at(7000).Mono));
+  cr_assert(holdsLease(B.S, at(6999).Mono));
+  cr_assert(!holdsLease(B.S, at(7000).Mono));
   B.step(Tick{}, 7500);
   cr_assert(B.effect<LostLease>());
   cr_assert(!B.effect<AppendRenewal>());
@@ -59,28 +59,28 @@
 // Guards against a lease that counts from the read-back: a candidate may have
 // read the renewal long before and claims 6 s after that.
 Test(lease, a_renewal_counts_from_its_append) {
-  Bench B;
+  Fixture B;
   B.hold();
   B.step(B.readAt(4900, {B.renewal(1)}), 5000);
-  cr_assert(mayAct(B.S, at(7049).Mono));
-  cr_assert(!mayAct(B.S, at(7050).Mono), "lease counts from the read-back");
+  cr_assert(holdsLease(B.S, at(7049).Mono));
+  cr_assert(!holdsLease(B.S, at(7050).Mono), "lease counts from the read-back");
 }
 
 // Guards against a lease that is taken up again after its end, when a
 // successor may already have counted the silence.
 Test(lease, an_expired_lease_is_not_revived_by_a_late_read) {
-  Bench B;
+  Fixture B;
   B.hold();
   B.step(Tick{}, 3100);
   cr_assert(B.effect<AppendRenewal>());
   B.step(B.readAt(7900, {B.renewal(2)}), 8000);
-  cr_assert(!mayAct(B.S, at(8001).Mono));
+  cr_assert(!holdsLease(B.S, at(8001).Mono));
 }
 
 // Guards against a claim by a candidate whose reads are slow: it has read no
 // renewal, but not because there is none.
 Test(lease, silence_counts_up_to_the_last_read_that_was_sent) {
-  Bench B;
+  Fixture B;
   B.step(LeadChanged{true}, 0);
   B.step(ClaimFolded{core::WriterId("m/1"), core::NodeId("m"), core::Epoch(1)},
          100);
@@ -94,7 +94,7 @@
 
 // Guards against claims by a candidate that cannot read the log any more.
 Test(lease, a_candidate_without_recent_reads_does_not_claim) {
-  Bench B;
+  Fixture B;
   B.step(LeadChanged{true}, 0);
   B.step(ClaimFolded{core::WriterId("m/1"), core::NodeId("m"), core::Epoch(1)},
          100);
@@ -106,23 +106,24 @@
 // Guards against a restarted node that takes the lease of its former process
 // for its own, and against an old claim that is folded after its end.
 Test(lease, only_the_own_recent_claim_makes_a_holder) {
-  Bench B;
+  Fixture B;
   B.step(LeadChanged{true}, 0);
-  B.step(ClaimFolded{core::WriterId("n/0"), B.S.Own.Node, core::Epoch(1)}, 10);
-  cr_assert(!mayAct(B.S, at(11).Mono));
+  B.step(ClaimFolded{core::WriterId("n/0"), B.S.Local.Node, core::Epoch(1)},
+         10);
+  cr_assert(!holdsLease(B.S, at(11).Mono));
   B.step(B.readAt(7000), 7100);
   B.step(Tick{}, 7200);
   cr_assert(B.effect<AppendClaim>());
-  B.step(ClaimFolded{B.S.Own.Writer, B.S.Own.Node, core::Epoch(2)}, 13300);
-  cr_assert(!mayAct(B.S, at(13301).Mono));
+  B.step(ClaimFolded{B.S.Local.Writer, B.S.Local.Node, core::Epoch(2)}, 13300);
+  cr_assert(!holdsLease(B.S, at(13301).Mono));
 }
 
 // Guards against a holder that goes on after another claim was folded.
 Test(lease, a_folded_claim_of_another_node_ends_the_lease) {
-  Bench B;
+  Fixture B;
   B.hold();
   B.step(ClaimFolded{core::WriterId("m/1"), core::NodeId("m"), core::Epoch(2)},
          2000);
   cr_assert(B.effect<LostLease>());
-  cr_assert(!mayAct(B.S, at(2001).Mono));
+  cr_assert(!holdsLease(B.S, at(2001).Mono));
 }
--- a/tests/decision/MembershipTest.cpp
+++ b/tests/decision/MembershipTest.cpp
@@ -18,23 +18,23 @@
 Member member(const std::string &Name, std::uint64_t Number = 1024) {
   Member M;
   M.Node = core::NodeId(Name);
-  M.Number = core::Incarnation(Number);
+  M.Incarnation = core::Incarnation(Number);
   M.ControlAddress = Name + ":c";
   M.Ready = true;
   return M;
 }
 
-struct Bench {
+struct Fixture {
   State S = initial(
       {core::NodeId("self"), core::DataCentreId("d"), "self:c", "self:p", {}},
       core::Incarnation(1024), 1);
   Effects Out;
 
-  Bench() { step(Started{}, 0); }
+  Fixture() { step(Started{}, 0); }
   void step(const Event &What, std::int64_t Millis) {
     auto Next = reduce(std::move(S), What, at(Millis));
-    S = std::move(Next.Next);
-    Out = std::move(Next.Out);
+    S = std::move(Next.NextState);
+    Out = std::move(Next.EmittedEffects);
   }
   void hear(Message What, std::int64_t Millis, const char *From = "a") {
     step(MessageReceived{{core::NodeId(From), std::string(From) + ":c"},
@@ -47,7 +47,7 @@
     });
   }
   const Member &known(const char *Name) {
-    return S.Others.at(core::NodeId(Name)).Known;
+    return S.OtherMembers.at(core::NodeId(Name)).LastKnown;
   }
 };
 
@@ -55,7 +55,7 @@
 
 // Guards against old news that replace newer ones.
 Test(membership, the_newest_incarnation_revision_and_status_wins) {
-  Bench B;
+  Fixture B;
   Member A = member("a", 2048);
   A.Revision = 5;
   B.hear(Leave{A}, 1);
@@ -64,7 +64,7 @@
   Old.Status = MemberStatus::Failed;
   B.hear(Leave{Old}, 2);
   Member Former = A;
-  Former.Number = core::Incarnation(1024);
+  Former.Incarnation = core::Incarnation(1024);
   Former.Revision = 9;
   Former.Status = MemberStatus::Left;
   B.hear(Leave{Former}, 3);
@@ -78,29 +78,30 @@
 
 // Guards against a live node that accepts to be failed.
 Test(membership, an_own_failure_is_refuted_by_a_higher_incarnation) {
-  Bench B;
+  Fixture B;
   Member Self = B.S.Self;
   Self.Status = MemberStatus::Failed;
   B.hear(Probe{1, {}, {Self}}, 1);
-  cr_assert(B.S.Self.Number == core::Incarnation(1025));
-  cr_assert(sameProcess(B.S.Self.Number, Self.Number));
+  cr_assert(B.S.Self.Incarnation == core::Incarnation(1025));
+  cr_assert(sameProcess(B.S.Self.Incarnation, Self.Incarnation));
   const auto *Ack = std::get_if<SendMessage>(&B.Out[2]);
-  cr_assert(Ack && std::get<ProbeAck>(Ack->What).Updates.front() == B.S.Self);
+  cr_assert(Ack &&
+            std::get<ProbeAck>(Ack->Payload).Updates.front() == B.S.Self);
 }
 
 // Guards against a host whose clock went back and whose news are ignored.
 Test(membership, a_replaced_host_rises_above_its_former_process) {
-  Bench B;
+  Fixture B;
   Member Former = B.S.Self;
-  Former.Number = core::Incarnation(5000 << RefutationBits);
+  Former.Incarnation = core::Incarnation(5000 << RefutationBits);
   B.hear(Probe{1, {}, {Former}}, 1);
-  cr_assert(B.S.Self.Number > Former.Number);
-  cr_assert(!sameProcess(B.S.Self.Number, Former.Number));
+  cr_assert(B.S.Self.Incarnation > Former.Incarnation);
+  cr_assert(!sameProcess(B.S.Self.Incarnation, Former.Incarnation));
 }
 
 // Guards against requests that wait for a process that is gone.
 Test(membership, a_new_process_or_node_at_an_address_ends_the_former) {
-  Bench B;
+  Fixture B;
   B.hear(Leave{member("a", 1 << RefutationBits)}, 1);
   B.hear(Leave{member("a", 2 << RefutationBits)}, 2);
   cr_assert(B.count<MemberFailed>() == 1);
@@ -113,43 +114,43 @@
 
 // Guards against messages and member lists that grow without a bound.
 Test(membership, updates_and_members_are_bounded) {
-  Bench B;
+  Fixture B;
   std::map<core::NodeId, std::size_t> Sent;
   for (int I = 0; I < 1500; ++I)
     B.hear(Leave{member(fmt::format("m{}", I))}, 1);
-  cr_assert(B.S.Others.size() + 1 == MaxMembers);
-  cr_assert(B.S.FullReported);
+  cr_assert(B.S.OtherMembers.size() + 1 == MaxMembers);
+  cr_assert(B.S.LimitReported);
   std::size_t Empty = 0;
   for (int I = 0; I < 8000 && Empty == 0; ++I) {
     B.hear(Probe{1, {}, {}}, 2);
     const auto &Ack =
-        std::get<ProbeAck>(std::get<SendMessage>(B.Out.back()).What);
-    cr_assert(Ack.Updates.size() <= UpdatesPerMessage);
+        std::get<ProbeAck>(std::get<SendMessage>(B.Out.back()).Payload);
+    cr_assert(Ack.Updates.size() <= MaxUpdatesPerMessage);
     Empty += Ack.Updates.empty();
     for (const Member &One : Ack.Updates)
       ++Sent[One.Node];
   }
   cr_assert(Empty == 1, "updates never end");
   for (const auto &[Node, Times] : Sent)
-    cr_assert(Times <= UpdateRepeats * 11, "%zu", Times);
+    cr_assert(Times <= RetransmitMultiplier * 11, "%zu", Times);
 }
 
 // Guards against members that look failed because this process was paused.
 Test(membership, a_pause_accuses_nobody) {
-  Bench B;
+  Fixture B;
   B.hear(Leave{member("a")}, 1);
   for (std::int64_t Millis = 50; Millis <= 1000; Millis += 50)
     B.step(Tick{}, Millis);
-  cr_assert(B.S.Probing.has_value());
+  cr_assert(B.S.PendingProbe.has_value());
   B.step(Tick{}, 9000);
   cr_assert(B.known("a").Status == MemberStatus::Alive);
-  cr_assert(!B.S.Probing.has_value());
+  cr_assert(!B.S.PendingProbe.has_value());
 }
 
 // Guards against new work for a leaving target while the news travel from
 // member to member, and against the loss of the one direct message.
 Test(membership, a_leaving_target_is_told_to_each_member_directly) {
-  Bench B;
+  Fixture B;
   for (const char *Name : {"a", "b", "c"})
     B.hear(Leave{member(Name)}, 1);
   B.step(OwnTargetChanged{TargetAnnouncement{}}, 2);
@@ -158,32 +159,33 @@
   for (std::int64_t Millis = 3; Millis <= 2000; Millis += 50) {
     for (const Effect &One : B.Out)
       if (const auto *Sent = std::get_if<SendMessage>(&One))
-        if (const auto *News = std::get_if<Leave>(&Sent->What))
+        if (const auto *News = std::get_if<Leave>(&Sent->Payload))
           Told[Sent->To] += News->Self.Target->Leaving;
     B.step(Tick{}, Millis);
   }
-  cr_assert(Told.size() == 3 && Told["b:c"] == LeaveSends);
+  cr_assert(Told.size() == 3 && Told["b:c"] == LeaveTransmissions);
 }
 
 // Guards against a dead member that looks alive because another process
 // answers at its address.
 Test(membership, only_the_probed_node_proves_that_it_lives) {
-  Bench B;
+  Fixture B;
   B.hear(Leave{member("a")}, 1);
-  for (std::int64_t Millis = 50; !B.S.Probing && Millis <= 2000; Millis += 50)
+  for (std::int64_t Millis = 50; !B.S.PendingProbe && Millis <= 2000;
+       Millis += 50)
     B.step(Tick{}, Millis);
-  cr_assert(B.S.Probing.has_value());
-  const std::uint64_t Sequence = B.S.Probing->Sequence;
+  cr_assert(B.S.PendingProbe.has_value());
+  const std::uint64_t Sequence = B.S.PendingProbe->Sequence;
   B.hear(ProbeAck{Sequence, {}, {}}, 2000, "b");
-  cr_assert(B.S.Probing.has_value());
+  cr_assert(B.S.PendingProbe.has_value());
   B.hear(ProbeAck{Sequence, {}, {}}, 2001, "a");
-  cr_assert(!B.S.Probing.has_value());
+  cr_assert(!B.S.PendingProbe.has_value());
 }
 
 // Guards against two halves of a data centre that never meet again when no
 // seed is left.
 Test(membership, a_failed_member_is_asked_to_join_again) {
-  Bench B;
+  Fixture B;
   B.hear(Leave{member("a")}, 1);
   Member Failed = member("a");
   Failed.Status = MemberStatus::Failed;
@@ -194,7 +196,7 @@
     for (const Effect &One : B.Out)
       if (const auto *Sent = std::get_if<SendMessage>(&One))
         Joins += Sent->To == "a:c" &&
-                 std::holds_alternative<JoinRequest>(Sent->What);
+                 std::holds_alternative<JoinRequest>(Sent->Payload);
   }
   cr_assert(Joins > 0);
 }
@@ -209,10 +211,10 @@
   std::vector<core::NodeId> Fewer(Nodes.begin() + 1, Nodes.end());
   std::size_t Moved = 0;
   for (std::uint32_t P = 0; P < 256; ++P) {
-    const auto Before = winner(claimPartitionKey(P), Nodes);
-    const auto After = winner(claimPartitionKey(P), Fewer);
+    const auto Before = rendezvousWinner(claimPartitionKey(P), Nodes);
+    const auto After = rendezvousWinner(claimPartitionKey(P), Fewer);
     cr_assert(Before == After || *Before == Nodes[0]);
-    cr_assert(Before == ranked(claimPartitionKey(P), Nodes).front());
+    cr_assert(Before == rendezvousOrder(claimPartitionKey(P), Nodes).front());
     Moved += Before != After;
   }
   cr_assert(Moved < 20, "%zu of 256 partitions at one of 100 nodes", Moved);
--- a/tests/decision/NodeTest.cpp
+++ b/tests/decision/NodeTest.cpp
@@ -44,17 +44,20 @@
 Test(node, a_ready_node_tells_its_readiness_with_its_position) {
   core::Instant Now{core::TimePoint(core::Seconds(10)), core::WallTime()};
   auto Next = reduce(loneNode(), Started{}, Now);
-  for (int I = 0; I < 100 && !Next.Next.Records.Ready; ++I) {
+  for (int I = 0; I < 100 && !Next.NextState.Distribution.Ready; ++I) {
     Now.Mono += core::Milliseconds(50);
-    Next = reduce(std::move(Next.Next), Tick{}, Now);
-    const bool Reads =
-        std::any_of(Next.Out.begin(), Next.Out.end(), [](const auto &Each) {
+    Next = reduce(std::move(Next.NextState), Tick{}, Now);
+    const bool Reads = std::any_of(
+        Next.EmittedEffects.begin(), Next.EmittedEffects.end(),
+        [](const auto &Each) {
           return std::holds_alternative<distribution::ReadLog>(Each);
         });
     if (Reads)
-      Next = reduce(std::move(Next.Next),
+      Next = reduce(std::move(Next.NextState),
                     distribution::Event(distribution::LogRead{}), Now);
   }
-  cr_assert(Next.Next.Records.Ready, "a lone node with an empty log is ready");
-  cr_assert(Next.Next.Members.At.Ready, "its probes say that it is not");
+  cr_assert(Next.NextState.Distribution.Ready,
+            "a lone node with an empty log is ready");
+  cr_assert(Next.NextState.Membership.ConfigPosition.Ready,
+            "its probes say that it is not");
 }
--- a/tests/mesh/LinkPlacementTest.cpp
+++ b/tests/mesh/LinkPlacementTest.cpp
@@ -99,11 +99,11 @@
   Arrive(1, 700);
   Node.Now += milliseconds(100);
   HostReport Own = ownReport(Node.State, Node.Now);
-  cr_assert(Own.Target->Load.LinkWait == milliseconds(600));
+  cr_assert(Own.Target->Load.LinkQueueTime == milliseconds(600));
   const auto Read = wire::decodeHostReport(wire::encode(Own));
   cr_assert(core::ok(Read) && core::value(Read) == Own);
   Node.Now += milliseconds(2000);
-  cr_assert(ownReport(Node.State, Node.Now).Target->Load.LinkWait ==
+  cr_assert(ownReport(Node.State, Node.Now).Target->Load.LinkQueueTime ==
             milliseconds(0));
 }
 
@@ -114,7 +114,7 @@
   Node.configure();
   HostReport Busy = report("n1");
   Busy.Target->Load = {1, 0, 9, milliseconds(80)};
-  Busy.Target->Load.LinkWait = milliseconds(2000);
+  Busy.Target->Load.LinkQueueTime = milliseconds(2000);
   Node.send(ReportHeard{Busy});
   HostReport Idle = report("n2");
   Idle.Target->Load = {4, 0, 9, milliseconds(250)};
--- a/tests/request/Bench.h
+++ b/tests/request/Bench.h
@@ -100,8 +100,8 @@
 
   const Effects &handle(const Event &What) {
     auto Next = reduce(std::move(Now), What, instant(Millis));
-    Now = std::move(Next.Next);
-    Last = std::move(Next.Out);
+    Now = std::move(Next.NextState);
+    Last = std::move(Next.EmittedEffects);
     return Last;
   }
 
--- a/tests/request/KeeperBench.h
+++ b/tests/request/KeeperBench.h
@@ -76,8 +76,8 @@
 
   void handle(const KeeperEvent &What) {
     auto Step = reduce(std::move(Now), What, instant(Millis));
-    Now = std::move(Step.Next);
-    for (const KeeperEffect &One : Step.Out)
+    Now = std::move(Step.NextState);
+    for (const KeeperEffect &One : Step.EmittedEffects)
       std::visit(core::Overloaded{
                      [&](const ReadStream &E) { Read = E; },
                      [&](const AppendBatch &E) { Appends.push_back(E.Batch); },
--- a/tests/rollout/LocalGuardTest.cpp
+++ b/tests/rollout/LocalGuardTest.cpp
@@ -18,8 +18,8 @@
   }
   void feed(const GuardEvent &Event) {
     auto Step = reduce(std::move(State), Event, fake::at(Now));
-    State = std::move(Step.Next);
-    for (const GuardEffect &Effect : Step.Out) {
+    State = std::move(Step.NextState);
+    for (const GuardEffect &Effect : Step.EmittedEffects) {
       if (const auto *Changed = std::get_if<LocalRollbacksChanged>(&Effect))
         Withdrawn = Changed->Moves;
       if (const auto *Sent = std::get_if<SendOverlay>(&Effect))
--- a/tests/rollout/RolloutFixture.h
+++ b/tests/rollout/RolloutFixture.h
@@ -47,8 +47,8 @@
 
   void feed(const rollout::ControllerEvent &Event) {
     auto Step = reduce(std::move(State), Event, at(Now));
-    State = std::move(Step.Next);
-    for (const rollout::ControllerEffect &Effect : Step.Out) {
+    State = std::move(Step.NextState);
+    for (const rollout::ControllerEffect &Effect : Step.EmittedEffects) {
       if (const auto *Append = std::get_if<rollout::Append>(&Effect))
         Unread.push_back(Append->Body);
       if (const auto *Publish = std::get_if<rollout::PublishOverlay>(&Effect))
--- a/tests/scenario/RandomFaultsTest.cpp
+++ b/tests/scenario/RandomFaultsTest.cpp
@@ -1,4 +1,4 @@
-#include "World.h"
+#include "Simulation.h"
 #include <criterion/criterion.h>
 #include <rapidcheck.h>
 
@@ -7,7 +7,7 @@
 namespace {
 
 /// One fault or piece of work, chosen by three random numbers.
-void applyFault(World &Sim, unsigned Kind, std::size_t A, std::size_t B) {
+void applyFault(Simulation &Sim, unsigned Kind, std::size_t A, std::size_t B) {
   const std::vector<std::string> All = Sim.nodesOf("all");
   const std::string &Name = All[A % All.size()];
   const std::string Centre = "d" + std::to_string(A % 3 + 1);
@@ -51,7 +51,7 @@
 // fleet that does not recover afterwards.
 Test(random_faults, invariants_hold_and_the_fleet_recovers, .timeout = 100) {
   const bool Held = rc::check([] {
-    World Sim;
+    Simulation Sim;
     Sim.Seed = *rc::gen::arbitrary<std::uint64_t>();
     Sim.Loss = 0.1;
     Sim.Duplicates = 0.1;
--- a/tests/scenario/ScenarioTest.cpp
+++ b/tests/scenario/ScenarioTest.cpp
@@ -1,4 +1,4 @@
-#include "World.h"
+#include "Simulation.h"
 #include <algorithm>
 #include <criterion/criterion.h>
 #include <filesystem>
@@ -107,16 +107,16 @@
   }
 
   bool actOnNodes(const std::string &What, const std::string &Which) {
-    using Action = void (World::*)(const std::string &);
+    using Action = void (Simulation::*)(const std::string &);
     static const std::map<std::string, std::vector<Action>> Actions{
-        {"kill", {&World::kill}},
-        {"start", {&World::start}},
-        {"restart", {&World::kill, &World::start}},
-        {"pause", {&World::pause}},
-        {"resume", {&World::resume}},
-        {"announce", {&World::announce}},
-        {"leave", {&World::leave}},
-        {"drain", {&World::drain}}};
+        {"kill", {&Simulation::kill}},
+        {"start", {&Simulation::start}},
+        {"restart", {&Simulation::kill, &Simulation::start}},
+        {"pause", {&Simulation::pause}},
+        {"resume", {&Simulation::resume}},
+        {"announce", {&Simulation::announce}},
+        {"leave", {&Simulation::leave}},
+        {"drain", {&Simulation::drain}}};
     const auto Found = Actions.find(What);
     if (Found == Actions.end())
       return false;
@@ -173,7 +173,7 @@
   }
 
   std::filesystem::path File;
-  World Sim;
+  Simulation Sim;
   TimePoint End = timeOf("30s");
   std::string Paused;
   std::size_t Expectations = 0;
--- a/tests/scenario/World.cpp
+++ b/tests/scenario/Simulation.cpp
@@ -1,4 +1,4 @@
-#include "World.h"
+#include "Simulation.h"
 #include "FakeFold.h"
 #include "filbertvane/wire/ControlCodec.h"
 #include <algorithm>
@@ -22,28 +22,28 @@
 
 } // namespace
 
-void World::at(TimePoint When, std::function<void()> What) {
+void Simulation::at(TimePoint When, std::function<void()> What) {
   Queue.push({When, Order++, std::move(What)});
 }
 
-void World::runUntil(TimePoint End) {
-  while (!Queue.empty() && Queue.top().When <= End) {
-    const Due Next = Queue.top();
+void Simulation::runUntil(TimePoint End) {
+  while (!Queue.empty() && Queue.top().Time <= End) {
+    const ScheduledAction Next = Queue.top();
     Queue.pop();
-    Clock = Next.When;
-    Next.What();
+    Clock = Next.Time;
+    Next.Action();
   }
   Clock = End;
 }
 
-core::Instant World::instant() const {
+core::Instant Simulation::instant() const {
   const auto Wall = std::chrono::duration_cast<Milliseconds>(
       Clock.time_since_epoch() + core::Seconds(1000));
   return {Clock, core::WallTime(Wall)};
 }
 
-void World::build(std::size_t DataCentres, std::size_t NodesEach) {
-  Chance = core::Random(Seed);
+void Simulation::build(std::size_t DataCentres, std::size_t NodesEach) {
+  Rng = core::Random(Seed);
   std::size_t Number = 1;
   for (std::size_t D = 1; D <= DataCentres; ++D)
     for (std::size_t I = 0; I < NodesEach; ++I, ++Number) {
@@ -56,7 +56,8 @@
     }
 }
 
-std::vector<std::string> World::nodesOf(const std::string &DataCentre) const {
+std::vector<std::string>
+Simulation::nodesOf(const std::string &DataCentre) const {
   std::vector<std::string> Names;
   for (const auto &[Name, N] : Nodes)
     if (DataCentre == "all" || N.DataCentre == DataCentre)
@@ -64,7 +65,7 @@
   return Names;
 }
 
-void World::start(const std::string &Name) {
+void Simulation::start(const std::string &Name) {
   SimNode &N = Nodes.at(Name);
   N.Up = true;
   N.Paused = false;
@@ -74,53 +75,55 @@
   for (const auto &[Other, M] : Nodes) {
     if (M.DataCentre != N.DataCentre)
       Outside.push_back(Other);
-    else if (Other != Name && (SeedNode.empty() || Chance.below(3) == 0))
+    else if (Other != Name && (SeedNode.empty() || Rng.below(3) == 0))
       SeedNode = Other;
   }
   const core::Instant Now = instant();
-  N.Members = membership::initial(memberSettings(N, SeedNode),
-                                  membership::firstIncarnation(Now.Wall),
-                                  Chance.next());
-  N.Config = distribution::initial({{core::NodeId(Name), Name},
-                                    core::DataCentreId(N.DataCentre),
-                                    core::RegionId(N.Region),
-                                    Outside,
-                                    distribution::foldOf<FakeFold>()},
-                                   Chance.next());
+  N.Membership =
+      membership::initial(memberSettings(N, SeedNode),
+                          membership::firstIncarnation(Now.Wall), Rng.next());
+  N.Distribution = distribution::initial({{core::NodeId(Name), Name},
+                                          core::DataCentreId(N.DataCentre),
+                                          core::RegionId(N.Region),
+                                          Outside,
+                                          distribution::foldOf<FakeFold>()},
+                                         Rng.next());
   const std::string Writer = fmt::format("{}/{}", Name, N.Process);
-  N.Lease = lease::initial({core::NodeId(Name), core::WriterId(Writer)},
-                           Chance.next());
-  N.LeaseRead = 0;
+  N.Lease =
+      lease::initial({core::NodeId(Name), core::WriterId(Writer)}, Rng.next());
+  N.LeaseRecordsRead = 0;
   N.Claims = 0;
   step(N, distribution::Event(distribution::Started{}));
   step(N, membership::Event(membership::Started{}));
   tick(Name, N.Process);
 }
 
-void World::kill(const std::string &Name) {
+void Simulation::kill(const std::string &Name) {
   Nodes.at(Name).Up = false;
   ++Nodes.at(Name).Process;
 }
 
-void World::pause(const std::string &Name) { Nodes.at(Name).Paused = true; }
+void Simulation::pause(const std::string &Name) {
+  Nodes.at(Name).Paused = true;
+}
 
-void World::resume(const std::string &Name) {
+void Simulation::resume(const std::string &Name) {
   SimNode &N = Nodes.at(Name);
   N.Paused = false;
   check(N);
-  auto Held = std::move(N.Held);
-  N.Held.clear();
+  auto Held = std::move(N.DeferredMessages);
+  N.DeferredMessages.clear();
   for (const auto &[From, What] : Held)
     handle(N, From, What);
 }
 
-void World::cut(const std::string &A, const std::string &B) {
+void Simulation::cut(const std::string &A, const std::string &B) {
   Cuts.insert(std::minmax(A, B));
 }
 
-void World::trimLog() { LogHead = Log.size() > 2 ? Log.size() - 2 : 0; }
+void Simulation::trimLog() { LogHead = Log.size() > 2 ? Log.size() - 2 : 0; }
 
-void World::publish(std::optional<std::uint64_t> Base) {
+void Simulation::publish(std::optional<std::uint64_t> Base) {
   config::FleetState State;
   for (std::size_t I = 0; I < Log.size(); ++I)
     State = FakeFold::apply(State, core::LogOffset(I), Log[I]).State;
@@ -128,25 +131,25 @@
       sheetRecord(++Sequence, Base.value_or(State.SheetVersion.value())));
 }
 
-void World::appendStep(std::uint64_t Epoch) {
+void Simulation::appendStep(std::uint64_t Epoch) {
   Log.push_back(stepRecord(++Sequence, Epoch));
 }
 
-void World::appendSnapshot() {
+void Simulation::appendSnapshot() {
   config::FleetState State;
   for (std::size_t I = 0; I < Log.size(); ++I)
     State = FakeFold::apply(State, core::LogOffset(I), Log[I]).State;
   Log.push_back(snapshotRecord(++Sequence, State));
 }
 
-core::ConfigVersion World::logVersion() const {
+core::ConfigVersion Simulation::logVersion() const {
   config::FleetState State;
   for (std::size_t I = 0; I < Log.size(); ++I)
     State = FakeFold::apply(State, core::LogOffset(I), Log[I]).State;
   return State.Version;
 }
 
-void World::announce(const std::string &Name) {
+void Simulation::announce(const std::string &Name) {
   SimNode &N = Nodes.at(Name);
   membership::TargetAnnouncement Target;
   Target.Id = core::TargetId(Name + "/target");
@@ -154,15 +157,15 @@
   step(N, membership::Event(membership::OwnTargetChanged{Target}));
 }
 
-void World::leave(const std::string &Name) {
+void Simulation::leave(const std::string &Name) {
   step(Nodes.at(Name), membership::Event(membership::OwnTargetLeaving{}));
 }
 
-void World::drain(const std::string &Name) {
+void Simulation::drain(const std::string &Name) {
   step(Nodes.at(Name), membership::Event(membership::DrainStarted{}));
 }
 
-void World::tick(const std::string &Name, std::uint64_t Process) {
+void Simulation::tick(const std::string &Name, std::uint64_t Process) {
   SimNode &N = Nodes.at(Name);
   if (N.Process != Process)
     return;
@@ -173,74 +176,78 @@
   check(N);
   step(N, membership::Event(membership::Tick{}));
   step(N, distribution::Event(distribution::Tick{}));
-  const bool Lead = distribution::isLead(N.Config) && N.Config.Ready;
+  const bool Lead =
+      distribution::isLead(N.Distribution) && N.Distribution.Ready;
   step(N, lease::Event(lease::LeadChanged{Lead}));
   step(N, lease::Event(lease::Tick{}));
   // Stands for the exchange of summaries and the long poll of the lease stream.
-  if (Chance.below(20) == 0)
-    tellLeads(N);
-  if (Lead && Chance.below(10) == 0)
+  if (Rng.below(20) == 0)
+    notifyRemoteLeads(N);
+  if (Lead && Rng.below(10) == 0)
     readLease(N);
 }
 
-void World::tellLeads(SimNode &N) {
-  std::vector<distribution::OtherLead> Leads;
+void Simulation::notifyRemoteLeads(SimNode &N) {
+  std::vector<distribution::RemoteLead> Leads;
   for (const auto &[Name, M] : Nodes)
     if (M.Up && M.DataCentre != N.DataCentre &&
-        distribution::isLead(M.Config) && connected(N, M))
+        distribution::isLead(M.Distribution) && connected(N, M))
       Leads.push_back({{core::NodeId(Name), Name},
                        core::DataCentreId(M.DataCentre),
                        core::RegionId(M.Region)});
-  step(N, distribution::Event(distribution::OtherLeadsChanged{Leads}));
+  step(N, distribution::Event(distribution::RemoteLeadsChanged{Leads}));
 }
 
 /// Checks at each step that at most one node may act as the coordinator.
-void World::check(SimNode &N) {
-  if (!N.Up || N.Paused || !lease::mayAct(N.Lease, Clock))
+void Simulation::check(SimNode &N) {
+  if (!N.Up || N.Paused || !lease::holdsLease(N.Lease, Clock))
     return;
   for (const auto &[Name, M] : Nodes)
-    if (Name != N.Name && M.Up && !M.Paused && lease::mayAct(M.Lease, Clock))
+    if (Name != N.Name && M.Up && !M.Paused &&
+        lease::holdsLease(M.Lease, Clock))
       Violations.push_back(
           fmt::format("two coordinators: {} and {}", N.Name, Name));
 }
 
-std::string World::leadOf(const std::string &DataCentre) const {
+std::string Simulation::leadOf(const std::string &DataCentre) const {
   for (const auto &[Name, N] : Nodes)
-    if (N.Up && N.DataCentre == DataCentre && distribution::isLead(N.Config))
+    if (N.Up && N.DataCentre == DataCentre &&
+        distribution::isLead(N.Distribution))
       return Name;
   return {};
 }
 
-std::string World::coordinator() const {
+std::string Simulation::coordinator() const {
   for (const auto &[Name, N] : Nodes)
-    if (N.Up && !N.Paused && lease::mayAct(N.Lease, Clock))
+    if (N.Up && !N.Paused && lease::holdsLease(N.Lease, Clock))
       return Name;
   return {};
 }
 
-bool World::inForce(const std::string &Except) const {
+bool Simulation::inForce(const std::string &Except) const {
   const core::ConfigVersion Newest = logVersion();
   return std::all_of(Nodes.begin(), Nodes.end(), [&](const auto &One) {
     const SimNode &N = One.second;
     return !N.Up || N.DataCentre == Except ||
-           (N.Config.Ready && N.Config.At.Version == Newest);
+           (N.Distribution.Ready &&
+            N.Distribution.ConfigPosition.Version == Newest);
   });
 }
 
-bool World::ready(const std::string &DataCentre, bool Ready) const {
+bool Simulation::ready(const std::string &DataCentre, bool Ready) const {
   return std::all_of(Nodes.begin(), Nodes.end(), [&](const auto &One) {
     const SimNode &N = One.second;
     return !N.Up || (DataCentre != "all" && N.DataCentre != DataCentre) ||
-           N.Config.Ready == Ready;
+           N.Distribution.Ready == Ready;
   });
 }
 
-bool World::sees(const std::string &DataCentre, std::size_t Live) const {
+bool Simulation::sees(const std::string &DataCentre, std::size_t Live) const {
   return std::all_of(Nodes.begin(), Nodes.end(), [&](const auto &One) {
     const SimNode &N = One.second;
     if (!N.Up || N.DataCentre != DataCentre)
       return true;
-    const auto Known = membership::liveMembers(N.Members);
+    const auto Known = membership::liveMembers(N.Membership);
     return Known.size() == Live &&
            std::none_of(Known.begin(), Known.end(), [](const auto &M) {
              return M.Status == membership::MemberStatus::Suspect;
@@ -248,11 +255,11 @@
   });
 }
 
-bool World::targetGone(const std::string &Name) const {
+bool Simulation::targetGone(const std::string &Name) const {
   for (const auto &[Other, N] : Nodes) {
     if (!N.Up || N.DataCentre != Nodes.at(Name).DataCentre)
       continue;
-    for (const membership::Member &M : membership::liveMembers(N.Members))
+    for (const membership::Member &M : membership::liveMembers(N.Membership))
       if (M.Node.value() == Name && M.Target && !M.Target->Leaving)
         return false;
   }
--- a/tests/scenario/World.h
+++ b/tests/scenario/Simulation.h
@@ -1,5 +1,5 @@
-#ifndef FILBERTVANE_TESTS_SCENARIO_WORLD_H
-#define FILBERTVANE_TESTS_SCENARIO_WORLD_H
+#ifndef FILBERTVANE_TESTS_SCENARIO_SIMULATION_H
+#define FILBERTVANE_TESTS_SCENARIO_SIMULATION_H
 
 #include "filbertvane/decision/distribution/Distribution.h"
 #include "filbertvane/decision/lease/Lease.h"
@@ -22,18 +22,18 @@
   bool Up = false;
   bool Paused = false;
   std::uint64_t Process = 0;
-  decision::membership::State Members;
-  decision::distribution::State Config;
+  decision::membership::State Membership;
+  decision::distribution::State Distribution;
   decision::lease::State Lease;
-  std::size_t LeaseRead = 0;
+  std::size_t LeaseRecordsRead = 0;
   std::uint64_t Claims = 0;
-  std::vector<std::pair<std::string, wire::ControlMessage>> Held;
+  std::vector<std::pair<std::string, wire::ControlMessage>> DeferredMessages;
   /// Highest version that any process of the node had in force.
-  core::ConfigVersion InForce;
+  core::ConfigVersion VersionInForce;
 };
 
 /// @brief Several data centres and the log on a fake clock.
-class World {
+class Simulation {
 public:
   /// @name Set-up
   /// @{
@@ -86,12 +86,12 @@
   std::set<observe::EventId> Events;
 
 private:
-  struct Due {
-    TimePoint When;
+  struct ScheduledAction {
+    TimePoint Time;
     std::uint64_t Order;
-    std::function<void()> What;
-    bool operator<(const Due &Other) const {
-      return std::tie(When, Order) > std::tie(Other.When, Other.Order);
+    std::function<void()> Action;
+    bool operator<(const ScheduledAction &Other) const {
+      return std::tie(Time, Order) > std::tie(Other.Time, Other.Order);
     }
   };
 
@@ -110,21 +110,22 @@
   void step(SimNode &N, const decision::membership::Event &What);
   void step(SimNode &N, const decision::distribution::Event &What);
   void step(SimNode &N, const decision::lease::Event &What);
-  void run(SimNode &N, const decision::membership::Effect &What);
-  void run(SimNode &N, const decision::distribution::Effect &What);
-  void run(SimNode &N, const decision::lease::Effect &What);
-  void adopted(SimNode &N, const decision::distribution::StateAdopted &What);
+  void runEffect(SimNode &N, const decision::membership::Effect &What);
+  void runEffect(SimNode &N, const decision::distribution::Effect &What);
+  void runEffect(SimNode &N, const decision::lease::Effect &What);
+  void onStateAdopted(SimNode &N,
+                      const decision::distribution::StateAdopted &What);
   void readLog(SimNode &N, core::LogOffset From, bool LongPoll);
   void checkEnd(SimNode &N, core::LogOffset From);
   void readLease(SimNode &N);
-  void tellLeads(SimNode &N);
+  void notifyRemoteLeads(SimNode &N);
   void append(SimNode &N, std::function<void()> Effect);
   void check(SimNode &N);
 
   TimePoint Clock{};
   std::uint64_t Order = 0;
-  std::priority_queue<Due> Queue;
-  core::Random Chance;
+  std::priority_queue<ScheduledAction> Queue;
+  core::Random Rng;
   std::map<std::string, SimNode> Nodes;
   std::set<std::pair<std::string, std::string>> Cuts;
   std::uint64_t Bytes = 0;
@@ -140,4 +141,4 @@
 
 } // namespace filbertvane::scenario
 
-#endif // FILBERTVANE_TESTS_SCENARIO_WORLD_H
+#endif // FILBERTVANE_TESTS_SCENARIO_SIMULATION_H
--- a/tests/scenario/TrafficTest.cpp
+++ b/tests/scenario/TrafficTest.cpp
@@ -1,4 +1,4 @@
-#include "World.h"
+#include "Simulation.h"
 #include <criterion/criterion.h>
 #include <fmt/format.h>
 
@@ -9,7 +9,7 @@
 constexpr std::size_t Members = 105;
 constexpr double Seconds = 20;
 
-double bytesPerNode(World &Sim, double From) {
+double bytesPerNode(Simulation &Sim, double From) {
   const auto TimeAt = [](double Time) {
     return TimePoint(Milliseconds(static_cast<long>(Time * 1000)));
   };
@@ -26,7 +26,7 @@
 // nodes in 19 data centres) and 10 changes in 20 s, 20 times the rate of
 // 2,100 changes a day.
 Test(traffic, a_large_data_centre_stays_below_the_bound, .timeout = 60) {
-  World Sim;
+  Simulation Sim;
   Sim.Seed = 23;
   Sim.build(1, Members);
   const double Quiet = 2 * bytesPerNode(Sim, 40);
--- a/tests/wire/ControlCodecTest.cpp
+++ b/tests/wire/ControlCodecTest.cpp
@@ -13,7 +13,7 @@
 membership::Member sampleMember() {
   membership::Member M;
   M.Node = core::NodeId("n1");
-  M.Number = core::Incarnation(7);
+  M.Incarnation = core::Incarnation(7);
   M.Status = membership::MemberStatus::Suspect;
   M.ControlAddress = "127.0.0.1:1";
   M.PeerAddress = "127.0.0.1:2";
@@ -50,7 +50,7 @@
               core::LogOffset(8),
               {{core::LogOffset(8), std::string("\0bytes", 6)}},
               At,
-              distribution::LogEnd::Further},
+              distribution::LogEndStatus::NotReached},
           distribution::RecordsRequest{core::LogOffset(5), true, true},
           distribution::Snapshot{At, "state"},
           Summaries{{{core::DataCentreId("d"),
--- a/tools/fv-moves/Fleet.cpp
+++ b/tools/fv-moves/Fleet.cpp
@@ -68,8 +68,8 @@
 void Fleet::feedGuard(int Node, const rollout::GuardEvent &Event) {
   auto &Guard = Guards.at(static_cast<std::size_t>(Node));
   auto Step = rollout::reduce(std::move(Guard), Event, instant());
-  Guard = std::move(Step.Next);
-  for (const rollout::GuardEffect &Effect : Step.Out)
+  Guard = std::move(Step.NextState);
+  for (const rollout::GuardEffect &Effect : Step.EmittedEffects)
     handle(Node, Effect);
 }
 
@@ -111,8 +111,8 @@
 
 void Fleet::feedController(const rollout::ControllerEvent &Event) {
   auto Step = rollout::reduce(std::move(Control), Event, instant());
-  Control = std::move(Step.Next);
-  for (const rollout::ControllerEffect &Effect : Step.Out) {
+  Control = std::move(Step.NextState);
+  for (const rollout::ControllerEffect &Effect : Step.EmittedEffects) {
     if (const auto *Record = std::get_if<rollout::Append>(&Effect))
       append(Record->Body);
     const auto *Publish = std::get_if<rollout::PublishOverlay>(&Effect);
--- a/tools/fv-policy/Cost.cpp
+++ b/tools/fv-policy/Cost.cpp
@@ -46,7 +46,8 @@
   const auto Shared =
       std::make_shared<const config::FleetState>(std::move(Fleet));
   auto Next = reduce(State(Own), ConfigurationChanged{Shared, {}}, Now);
-  return reduce(std::move(Next.Next), EndpointsChanged{Places}, Now).Next;
+  return reduce(std::move(Next.NextState), EndpointsChanged{Places}, Now)
+      .NextState;
 }
 
 /// Nanoseconds per event over all calls of one round.
@@ -57,10 +58,10 @@
   const auto Timed = [&](const Event &What) {
     const auto Before = std::chrono::steady_clock::now();
     auto Next = reduce(std::move(Node), What, Now);
-    Node = std::move(Next.Next);
+    Node = std::move(Next.NextState);
     Spent += std::chrono::steady_clock::now() - Before;
     ++Events;
-    return std::move(Next.Out);
+    return std::move(Next.EmittedEffects);
   };
   std::vector<std::pair<core::CallId, core::AttemptId>> Started;
   for (std::size_t Call = 0; Call < Calls; ++Call) {
@@ -94,7 +95,7 @@
   const auto Before = std::chrono::steady_clock::now();
   for (std::size_t Call = 0; Call < Calls; ++Call) {
     auto Next = reduce(std::move(Node), What, Now);
-    Node = std::move(Next.Next);
+    Node = std::move(Next.NextState);
   }
   const std::chrono::nanoseconds Spent =
       std::chrono::steady_clock::now() - Before;
--- a/tools/fv-policy/Simulation.cpp
+++ b/tools/fv-policy/Simulation.cpp
@@ -137,9 +137,9 @@
 
 void Simulation::handle(State &Node, const Event &Event, std::size_t Place) {
   auto Next = reduce(std::move(Node), Event, now());
-  Node = std::move(Next.Next);
+  Node = std::move(Next.NextState);
   const bool IsHost = Node->OwnTargets.size() == 1;
-  for (const Effect &One : Next.Out) {
+  for (const Effect &One : Next.EmittedEffects) {
     if (const auto *To = std::get_if<StartAttempt>(&One))
       IsHost ? serve(Place, *To) : send(*To);
     const auto *No = std::get_if<Refuse>(&One);
