--- a/lib/decision/DispatchMoves.cpp
+++ b/lib/decision/DispatchMoves.cpp
@@ -7,31 +7,32 @@
                        const wire::Evidence &What) {
   // Members report to their lead; leads of other data centres report to the
   // coordinator.
-  const bool FromMember = DataCentre == S.Own.DataCentre;
+  const bool FromMember = DataCentre == S.Local.DataCentre;
   const bool CoordinatorOnly = isCoordinator() && !S.Directory.IsLead;
   if (FromMember && !CoordinatorOnly)
-    follow(rollout::MonitorEvent(rollout::EvidenceReceived{fromMessage(What)}));
+    enqueue(
+        rollout::MonitorEvent(rollout::EvidenceReceived{fromMessage(What)}));
   else
-    follow(
+    enqueue(
         rollout::ControllerEvent(rollout::EvidenceReceived{fromMessage(What)}));
 }
 
 void Dispatch::receive(const wire::LocalRollback &What) {
   const rollout::LocalRollback Value = fromMessage(What);
-  follow(rollout::MonitorEvent(rollout::LocalRollbackReceived{Value}));
+  enqueue(rollout::MonitorEvent(rollout::LocalRollbackReceived{Value}));
   if (isCoordinator())
-    follow(rollout::ControllerEvent(rollout::LocalRollbackReceived{Value}));
+    enqueue(rollout::ControllerEvent(rollout::LocalRollbackReceived{Value}));
 }
 
-void Dispatch::route(rollout::SendEvidence &What) {
+void Dispatch::handleEffect(rollout::SendEvidence &What) {
   const bool ToLead = What.To == rollout::Recipient::Lead;
   if (ToLead && S.Directory.IsLead) {
-    follow(rollout::MonitorEvent(
+    enqueue(rollout::MonitorEvent(
         rollout::EvidenceReceived{std::move(What.Report)}));
     return;
   }
   if (!ToLead && isCoordinator()) {
-    follow(rollout::ControllerEvent(
+    enqueue(rollout::ControllerEvent(
         rollout::EvidenceReceived{std::move(What.Report)}));
     return;
   }
@@ -40,7 +41,7 @@
     send(*To, toMessage(What.Report));
 }
 
-void Dispatch::route(rollout::SendLocalRollback &What) {
+void Dispatch::handleEffect(rollout::SendLocalRollback &What) {
   switch (What.To) {
   case rollout::Recipient::Lead:
     if (const auto To = leadAddress(); To && !S.Directory.IsLead)
@@ -52,7 +53,7 @@
     return;
   case rollout::Recipient::Coordinator:
     if (isCoordinator())
-      follow(rollout::ControllerEvent(
+      enqueue(rollout::ControllerEvent(
           rollout::LocalRollbackReceived{What.Rollback}));
     else if (const auto To = coordinatorAddress())
       send(*To, toMessage(What.Rollback));
@@ -60,21 +61,21 @@
   }
 }
 
-void Dispatch::route(rollout::LocalRollbacksChanged &What) {
+void Dispatch::handleEffect(rollout::LocalRollbacksChanged &What) {
   S.LocalRollbacks = std::move(What.Moves);
-  tellRequestsConfiguration();
+  updateRequestConfiguration();
 }
 
-void Dispatch::route(rollout::AppendRecord &What) {
+void Dispatch::handleEffect(rollout::AppendRecord &What) {
   // The process may have been paused since the lease was last checked.
-  if (lease::mayAct(S.Lease, Now.Mono))
+  if (lease::holdsLease(S.Lease, Now.Mono))
     append(std::move(What.Body));
 }
 
-void Dispatch::route(rollout::PublishLocalRollback &What) {
-  follow(rollout::MonitorEvent(rollout::LocalRollbackReceived{What.Rollback}));
-  for (const distribution::OtherLead &Each : S.Records.Leads)
-    send(Each.At.Address, toMessage(What.Rollback));
+void Dispatch::handleEffect(rollout::PublishLocalRollback &What) {
+  enqueue(rollout::MonitorEvent(rollout::LocalRollbackReceived{What.Rollback}));
+  for (const distribution::RemoteLead &Each : S.Distribution.RemoteLeads)
+    send(Each.Contact.Address, toMessage(What.Rollback));
 }
 
 } // namespace filbertvane::decision
--- a/lib/decision/mesh/HostDirectory.cpp
+++ b/lib/decision/mesh/HostDirectory.cpp
@@ -97,11 +97,11 @@
     return;
   Known->Report.Target->Load = Load;
   Known->SentSinceLoadUpdate = 0;
-  if (Load.RouteTime.count() <= 0)
+  if (Load.RouteResponseTime.count() <= 0)
     return;
   if (Known->RouteTimes.size() >= MaximumRouteTimes)
     Known->RouteTimes.clear();
-  Known->RouteTimes[Route] = Load.RouteTime;
+  Known->RouteTimes[Route] = Load.RouteResponseTime;
 }
 
 void HostDirectory::markAtCapacity(const core::NodeId &Node,
--- a/lib/decision/mesh/ReduceAttempts.cpp
+++ b/lib/decision/mesh/ReduceAttempts.cpp
@@ -124,8 +124,8 @@
   if (KnownHost *Host = State.Hosts.find(Call.CurrentHost)) {
     Host->InFlight -= std::min(Host->InFlight, 1U);
     Host->Unreachable = Host->Unreachable || Ended.Unreachable;
-    if (Ended.Load && Ended.Load->RouteTime.count() > 0)
-      stateOf(Call.Terms.Route).LastMeanTime = Ended.Load->RouteTime;
+    if (Ended.Load && Ended.Load->RouteResponseTime.count() > 0)
+      stateOf(Call.Terms.Route).LastMeanTime = Ended.Load->RouteResponseTime;
     if (Ended.Load)
       State.Hosts.updateLoad(Call.CurrentHost, *Ended.Load, Call.Terms.Route);
   }
@@ -134,9 +134,9 @@
 
 TargetLoad Reduction::loadFor(const MeshCall &Call) const {
   TargetLoad Load = State.Slots.load();
-  Load.RouteTime = std::chrono::duration_cast<core::Milliseconds>(
+  Load.RouteResponseTime = std::chrono::duration_cast<core::Milliseconds>(
       State.Slots.meanTime(Call.Terms.Route));
-  Load.LinkWait = linkWait(State, Now);
+  Load.LinkQueueTime = linkWait(State, Now);
   return Load;
 }
 
--- a/lib/decision/mesh/ReducePlacement.cpp
+++ b/lib/decision/mesh/ReducePlacement.cpp
@@ -78,8 +78,9 @@
       acceptsVersion(Call, Shares, Local->Version)) {
     const TargetLoad &Load = Local->Load;
     Found.push_back({State.Settings.Node, Distance::Local,
-                     Load.Running + Load.Waiting, Load.Slots, Load.MeanTime,
-                     Local->FaultPermille, false, loadFor(Call).RouteTime});
+                     Load.Running + Load.Waiting, Load.Slots,
+                     Load.MeanResponseTime, Local->FaultPermille, false,
+                     loadFor(Call).RouteResponseTime});
   }
   for (const auto &[Node, Host] : State.Hosts.hosts()) {
     if (!isReadyFor(Host.Report, Call.Service) || IsSkipped(Node) ||
@@ -97,14 +98,14 @@
     const std::uint32_t ReportedLoad =
         Target.Load.Running + Target.Load.Waiting + Host.SentSinceLoadUpdate;
     const auto RouteTime = Host.RouteTimes.find(Call.Terms.Route);
-    Found.push_back({Node, Host.HostDistance,
-                     std::max(ReportedLoad, Host.InFlight), Target.Load.Slots,
-                     Target.Load.MeanTime, Target.FaultPermille,
-                     State.Hosts.isSuspect(Host, Now),
-                     RouteTime != Host.RouteTimes.end()
-                         ? RouteTime->second
-                         : stateOf(Call.Terms.Route).LastMeanTime,
-                     IsLarge ? Target.Load.LinkWait : core::Milliseconds(0)});
+    Found.push_back(
+        {Node, Host.HostDistance, std::max(ReportedLoad, Host.InFlight),
+         Target.Load.Slots, Target.Load.MeanResponseTime, Target.FaultPermille,
+         State.Hosts.isSuspect(Host, Now),
+         RouteTime != Host.RouteTimes.end()
+             ? RouteTime->second
+             : stateOf(Call.Terms.Route).LastMeanTime,
+         IsLarge ? Target.Load.LinkQueueTime : core::Milliseconds(0)});
   }
   return Found;
 }
@@ -177,7 +178,8 @@
     const double Slots = std::max<std::uint32_t>(Load.Slots, 1);
     const double Excess = std::max(0.0, Total - Slots);
     MinimumMs = std::min(
-        MinimumMs, Excess / Slots * static_cast<double>(Load.MeanTime.count()));
+        MinimumMs,
+        Excess / Slots * static_cast<double>(Load.MeanResponseTime.count()));
   };
   for (const TargetReport *Target : targetsOf(Call.Service))
     if (Target->State == TargetState::Ready)
--- a/lib/decision/mesh/Reducer.cpp
+++ b/lib/decision/mesh/Reducer.cpp
@@ -54,7 +54,7 @@
   Report.Leaving = State.Draining && Now >= State.ReportLeavingAt;
   Report.Target = localTargetReport(State);
   if (Report.Target)
-    Report.Target->Load.LinkWait = linkWait(State, Now);
+    Report.Target->Load.LinkQueueTime = linkWait(State, Now);
   Report.Departed = State.Departed;
   Report.Position = State.Position;
   Report.StoreReachable = State.StoreReachable;
--- a/tests/mesh/LinkPlacementTest.cpp
+++ b/tests/mesh/LinkPlacementTest.cpp
@@ -99,11 +99,11 @@
   Arrive(1, 700);
   Node.Now += milliseconds(100);
   HostReport Report = makeHostReport(Node.State, Node.Now);
-  cr_assert(Report.Target->Load.LinkWait == milliseconds(600));
+  cr_assert(Report.Target->Load.LinkQueueTime == milliseconds(600));
   const auto Read = wire::decodeHostReport(wire::encode(Report));
   cr_assert(core::ok(Read) && core::value(Read) == Report);
   Node.Now += milliseconds(2000);
-  cr_assert(makeHostReport(Node.State, Node.Now).Target->Load.LinkWait ==
+  cr_assert(makeHostReport(Node.State, Node.Now).Target->Load.LinkQueueTime ==
             milliseconds(0));
 }
 
@@ -114,7 +114,7 @@
   Node.configure();
   HostReport Busy = report("n1");
   Busy.Target->Load = {1, 0, 9, milliseconds(80)};
-  Busy.Target->Load.LinkWait = milliseconds(2000);
+  Busy.Target->Load.LinkQueueTime = milliseconds(2000);
   Node.send(ReportReceived{Busy});
   HostReport Idle = report("n2");
   Idle.Target->Load = {4, 0, 9, milliseconds(250)};
--- a/tests/rollout/NodeMonitorTest.cpp
+++ b/tests/rollout/NodeMonitorTest.cpp
@@ -18,8 +18,8 @@
   }
   void feed(const MonitorEvent &Event) {
     auto Step = reduce(std::move(State), Event, fake::at(Now));
-    State = std::move(Step.Next);
-    for (const MonitorEffect &Effect : Step.Out) {
+    State = std::move(Step.NextState);
+    for (const MonitorEffect &Effect : Step.EmittedEffects) {
       if (const auto *Changed = std::get_if<LocalRollbacksChanged>(&Effect))
         Withdrawn = Changed->Moves;
       if (const auto *Sent = std::get_if<SendLocalRollback>(&Effect))
--- a/tests/rollout/RolloutFixture.h
+++ b/tests/rollout/RolloutFixture.h
@@ -48,8 +48,8 @@
 
   void feed(const rollout::ControllerEvent &Event) {
     auto Step = reduce(std::move(State), Event, at(Now));
-    State = std::move(Step.Next);
-    for (const rollout::ControllerEffect &Effect : Step.Out) {
+    State = std::move(Step.NextState);
+    for (const rollout::ControllerEffect &Effect : Step.EmittedEffects) {
       if (const auto *Append = std::get_if<rollout::AppendRecord>(&Effect))
         Unread.push_back(Append->Body);
       if (const auto *Publish =
