--- a/include/filbertvane/config/FleetState.h
+++ b/include/filbertvane/config/FleetState.h
@@ -20,19 +20,19 @@
   Permille Share = 0;
   /// Set once the stage is final.
   std::optional<core::WallTime> EndedAt;
-  std::optional<Verdict> Decided;
+  std::optional<MoveDecision> Decision;
 
   friend auto operator<=>(const MoveStatus &, const MoveStatus &) = default;
 };
 
 /// @brief Versions of a service and the share of the newer one.
-struct Traffic {
+struct TrafficSplit {
   core::TargetVersion Stable;
   /// Version being moved to; none when no move is in progress.
   std::optional<core::TargetVersion> Candidate;
   Permille CandidateShare = 0;
 
-  friend auto operator<=>(const Traffic &, const Traffic &) = default;
+  friend auto operator<=>(const TrafficSplit &, const TrafficSplit &) = default;
 };
 
 /// @brief A sheet that was refused, for its operator's report.
@@ -52,7 +52,7 @@
   /// @name Position
   /// @{
   /// Offset of the next record to apply.
-  core::LogOffset Next;
+  core::LogOffset NextOffset;
   core::ConfigVersion Version;
   /// Version at which the current sheet was accepted.
   core::ConfigVersion SheetVersion;
@@ -60,15 +60,15 @@
 
   /// @name Configuration
   /// @{
-  Sheet Current;
-  std::map<core::ServiceName, Traffic> TrafficOf;
+  Sheet CurrentSheet;
+  std::map<core::ServiceName, TrafficSplit> TrafficByService;
   /// @}
 
   /// @name Moves and reports
   /// @{
   /// Moves in order of acceptance; final ones are kept up to a limit.
   std::vector<MoveStatus> Moves;
-  std::vector<RefusedSheet> Refused;
+  std::vector<RefusedSheet> RefusedSheets;
   std::optional<InForceReported> InForce;
   /// @}
 
@@ -89,8 +89,8 @@
   friend auto operator<=>(const Accepted &, const Accepted &) = default;
 };
 /// @brief The record is valid and leaves the configuration as it is.
-struct Noted {
-  friend auto operator<=>(const Noted &, const Noted &) = default;
+struct Recorded {
+  friend auto operator<=>(const Recorded &, const Recorded &) = default;
 };
 /// @brief The record was seen before (same writer and sequence, or old offset).
 struct Duplicate {
@@ -102,20 +102,21 @@
   friend auto operator<=>(const Refused &, const Refused &) = default;
 };
 
-using RecordOutcome = std::variant<Accepted, Noted, Duplicate, Refused>;
+using RecordOutcome = std::variant<Accepted, Recorded, Duplicate, Refused>;
 
 /// @brief New state and what the record meant.
-struct Applied {
+struct ApplyResult {
   FleetState State;
   RecordOutcome Outcome;
 };
 
 /// @brief Applies one record of the log.
 /// @param State state before the record
-/// @param Offset offset of the record; one below `State.Next` is a duplicate
+/// @param Offset offset of the record; one below `State.NextOffset` is a
+/// duplicate
 /// @param Record the record
-Applied apply(FleetState State, core::LogOffset Offset,
-              const LogRecord &Record);
+ApplyResult apply(FleetState State, core::LogOffset Offset,
+                  const LogRecord &Record);
 
 /// @brief Digest of the canonical encoding; equal for equal states.
 core::Digest digestOf(const FleetState &State);
--- a/include/filbertvane/config/LogRecord.h
+++ b/include/filbertvane/config/LogRecord.h
@@ -53,7 +53,7 @@
 };
 
 /// @brief Figures that decided a move, for its report.
-struct Verdict {
+struct MoveDecision {
   /// Route on which the difference showed; empty for the whole service.
   core::RouteName Route;
   /// Sentence for a planner, for example "9 of 41 answers failed, 0 of 780
@@ -64,7 +64,7 @@
   std::uint64_t OldAnswers = 0;
   std::uint64_t OldFaults = 0;
 
-  friend auto operator<=>(const Verdict &, const Verdict &) = default;
+  friend auto operator<=>(const MoveDecision &, const MoveDecision &) = default;
 };
 
 /// @brief The coordinator rolled a move back to the old version.
@@ -72,7 +72,7 @@
   core::Epoch LeaseEpoch;
   MoveId Move;
   core::WallTime At;
-  Verdict Decided;
+  MoveDecision Decision;
 
   friend auto operator<=>(const MoveRolledBack &,
                           const MoveRolledBack &) = default;
@@ -83,7 +83,7 @@
   core::Epoch LeaseEpoch;
   MoveId Move;
   core::WallTime At;
-  Verdict Decided;
+  MoveDecision Decision;
 
   friend auto operator<=>(const MoveCompleted &,
                           const MoveCompleted &) = default;
--- a/include/filbertvane/config/Publication.h
+++ b/include/filbertvane/config/Publication.h
@@ -84,7 +84,8 @@
   /// @return the outcome, an error, or none when the record is not there
   Ending readBack(bool IsAppended) {
     while (Failures < MaxFailures) {
-      const core::Result<io::LogRead> Read = Log.read(State.Next, ReadBackWait);
+      const core::Result<io::LogRead> Read =
+          Log.read(State.NextOffset, ReadBackWait);
       if (!core::ok(Read)) {
         ++Failures;
         Log.pause();
@@ -108,7 +109,7 @@
     std::optional<RecordOutcome> Decided;
     core::LogOffset Offset = Found.First;
     for (const std::string &Each : Found.Records) {
-      Applied After = applyEncoded(std::move(State), Offset, Each);
+      ApplyResult After = applyEncoded(std::move(State), Offset, Each);
       State = std::move(After.State);
       Offset = core::LogOffset(Offset.value() + 1);
       if (!Decided && Each == Bytes)
--- a/include/filbertvane/config/Replay.h
+++ b/include/filbertvane/config/Replay.h
@@ -20,8 +20,8 @@
 ///
 /// Bytes that cannot be decoded are refused and passed over, by every reader
 /// alike, so that one malformed record does not stop the fleet.
-Applied applyEncoded(FleetState State, core::LogOffset Offset,
-                     std::string_view Bytes);
+ApplyResult applyEncoded(FleetState State, core::LogOffset Offset,
+                         std::string_view Bytes);
 
 /// @brief State after a run of records that reaches to the end of the log.
 /// @param Records all records that the log still holds, in order
--- a/include/filbertvane/config/Report.h
+++ b/include/filbertvane/config/Report.h
@@ -15,7 +15,7 @@
 std::string reportJson(const FleetState &State, core::WallTime Now);
 
 /// @brief Sentence on one move.
-std::string sentenceOf(const MoveStatus &Move, core::WallTime Now);
+std::string describeMove(const MoveStatus &Move, core::WallTime Now);
 
 /// @brief Name of a move's stage in reports: `accepted`, `in_progress`,
 ///        `done`, `reversed` or `superseded`.
--- a/include/filbertvane/config/Routing.h
+++ b/include/filbertvane/config/Routing.h
@@ -35,7 +35,7 @@
   /// Longest time for which a caller is kept waiting.
   core::Milliseconds Timeout{0};
   /// Time within which an answer has its full value.
-  core::Milliseconds Objective{0};
+  core::Milliseconds LatencyObjective{0};
   /// Rank of the route's requests; 0 is the most urgent.
   std::uint32_t Rank = 0;
   /// Most targets that one request may reach.
@@ -46,10 +46,10 @@
 
 /// @brief What callers may send, and how long they may take.
 struct CallerLimits {
-  std::uint64_t HeadBytes = 0;
-  std::uint64_t BodyBytes = 0;
-  core::Milliseconds HeadTime{0};
-  core::Milliseconds IdleTime{0};
+  std::uint64_t MaxHeaderBytes = 0;
+  std::uint64_t MaxBodyBytes = 0;
+  core::Milliseconds HeaderTimeout{0};
+  core::Milliseconds IdleTimeout{0};
 
   friend auto operator<=>(const CallerLimits &, const CallerLimits &) = default;
 };
@@ -66,7 +66,7 @@
 
 /// @brief Checks a configuration as a whole.
 /// @return success, or `RoutingInvalid` with the first fault found
-core::Status checkRouting(const Routing &Candidate);
+core::Status validateRouting(const Routing &Candidate);
 
 /// @brief Finds the route of a request in one configuration.
 class RoutingTable {
@@ -81,7 +81,7 @@
   std::shared_ptr<const HostRoute> match(std::string_view Host,
                                          std::string_view Path) const;
   /// @brief Whether the configuration names a service.
-  bool knows(const core::ServiceName &Service) const;
+  bool hasService(const core::ServiceName &Service) const;
   const Routing &routing() const { return From; }
 
 private:
--- a/include/filbertvane/config/Settings.h
+++ b/include/filbertvane/config/Settings.h
@@ -1,7 +1,7 @@
 #ifndef FILBERTVANE_CONFIG_SETTINGS_H
 #define FILBERTVANE_CONFIG_SETTINGS_H
 
-#include "filbertvane/config/Checked.h"
+#include "filbertvane/config/ValidationResult.h"
 #include "filbertvane/core/Ids.h"
 #include "filbertvane/core/Time.h"
 #include <map>
@@ -12,12 +12,12 @@
 namespace filbertvane::config {
 
 /// @brief Place of a node.
-struct NodePlace {
+struct NodeIdentity {
   core::NodeId Id;
   core::DataCentreId DataCentre;
   core::RegionId Region;
 
-  friend auto operator<=>(const NodePlace &, const NodePlace &) = default;
+  friend auto operator<=>(const NodeIdentity &, const NodeIdentity &) = default;
 };
 
 /// @brief Addresses of a node, each `ip:port`.
@@ -57,7 +57,7 @@
 
 /// @brief Settings of a node or of the command line (docs/settings.md).
 struct Settings {
-  NodePlace Node;
+  NodeIdentity Node;
   ListenAddresses Listen;
   /// Equal to the listening addresses when the file does not state others.
   AdvertisedAddresses Advertise;
@@ -76,18 +76,20 @@
 
 /// @brief Who reads the settings. The command line needs only `log` and, for
 ///        `status`, `listen.admin`; other keys are checked when present.
-enum class SettingsReader { Node, CommandLine };
+enum class SettingsConsumer { Node, CommandLine };
 
 /// @brief Reads settings and checks them as a whole.
 /// @param Text content of the file
 /// @param File name for the faults
 /// @return the settings, or all faults
-Checked<Settings> parseSettings(const std::string &Text,
-                                const std::string &File, SettingsReader Reader);
+ValidationResult<Settings> parseSettings(const std::string &Text,
+                                         const std::string &File,
+                                         SettingsConsumer Reader);
 
 /// @brief Reads a settings file.
 /// @return as `parseSettings`, or `SettingsUnreadable`
-Checked<Settings> loadSettings(const std::string &File, SettingsReader Reader);
+ValidationResult<Settings> loadSettings(const std::string &File,
+                                        SettingsConsumer Reader);
 
 /// @brief Region of each data centre that the settings name.
 std::map<core::DataCentreId, core::RegionId>
--- a/include/filbertvane/config/Sheet.h
+++ b/include/filbertvane/config/Sheet.h
@@ -14,7 +14,7 @@
 struct MoveOrder {
   core::TargetVersion To;
   /// Time by which all traffic must have moved.
-  core::WallTime By;
+  core::WallTime Deadline;
 
   friend auto operator<=>(const MoveOrder &, const MoveOrder &) = default;
 };
--- a/include/filbertvane/config/SheetDelta.h
+++ b/include/filbertvane/config/SheetDelta.h
@@ -20,11 +20,11 @@
 
 /// @brief Computes the delta that turns one sheet into another.
 /// Complexity: linear in services and routes; both sheets are sorted by name.
-SheetDelta difference(const Sheet &From, const Sheet &To);
+SheetDelta computeDelta(const Sheet &From, const Sheet &To);
 
 /// @brief Applies a delta.
 /// @return the new sheet, sorted by name, with the base of `From`
-Sheet applied(const Sheet &From, const SheetDelta &Delta);
+Sheet applyDelta(const Sheet &From, const SheetDelta &Delta);
 
 } // namespace filbertvane::config
 
--- a/include/filbertvane/config/SheetParser.h
+++ b/include/filbertvane/config/SheetParser.h
@@ -1,8 +1,8 @@
 #ifndef FILBERTVANE_CONFIG_SHEETPARSER_H
 #define FILBERTVANE_CONFIG_SHEETPARSER_H
 
-#include "filbertvane/config/Checked.h"
 #include "filbertvane/config/SheetValidation.h"
+#include "filbertvane/config/ValidationResult.h"
 #include <string>
 
 namespace filbertvane::config {
@@ -11,12 +11,14 @@
 /// @param Text content of the file
 /// @param File name for the faults
 /// @return the sheet sorted by name, or all faults
-Checked<Sheet> parseSheet(const std::string &Text, const std::string &File);
+ValidationResult<Sheet> parseSheet(const std::string &Text,
+                                   const std::string &File);
 
 /// @brief Reads a sheet and checks it against the state that it would change.
 /// @param Now time of publication
-Checked<Sheet> parseSheet(const std::string &Text, const std::string &File,
-                          const FleetState &State, core::WallTime Now);
+ValidationResult<Sheet> parseSheet(const std::string &Text,
+                                   const std::string &File,
+                                   const FleetState &State, core::WallTime Now);
 
 } // namespace filbertvane::config
 
--- a/include/filbertvane/config/SheetValidation.h
+++ b/include/filbertvane/config/SheetValidation.h
@@ -24,7 +24,7 @@
 enum class SheetPart { Whole, Service, Route };
 
 /// @brief One fault of a sheet.
-struct SheetFault {
+struct SheetError {
   core::ErrorCode Code;
   SheetPart Part = SheetPart::Whole;
   /// Position in `Services` or `Routes`.
@@ -33,14 +33,14 @@
   std::string Key;
   std::string Text;
 
-  friend auto operator<=>(const SheetFault &, const SheetFault &) = default;
+  friend auto operator<=>(const SheetError &, const SheetError &) = default;
 };
 
 /// @brief Faults that the sheet shows by itself: names, prefixes, time-outs,
 ///        routes to unknown services, moves to the same version, size.
 /// @param Content sheet in any order
 /// Complexity: n log n in services and routes.
-std::vector<SheetFault> faultsOf(const Sheet &Content);
+std::vector<SheetError> validateSheet(const Sheet &Content);
 
 /// @brief Faults of a sheet against the state that it would change.
 ///
@@ -48,11 +48,12 @@
 /// order of an unchanged spec was accepted earlier; its deadline may have
 /// passed and its target may be the stable version by now.
 /// @param Now time of publication
-std::vector<SheetFault> faultsAgainst(const FleetState &State,
-                                      const Sheet &Content, core::WallTime Now);
+std::vector<SheetError> validateAgainst(const FleetState &State,
+                                        const Sheet &Content,
+                                        core::WallTime Now);
 
 /// @brief Error of a fault that names the service or route.
-core::Error toError(const SheetFault &Fault, const Sheet &Content);
+core::Error toError(const SheetError &Fault, const Sheet &Content);
 
 } // namespace filbertvane::config
 
--- a/include/filbertvane/decision/distribution/Fold.h
+++ b/include/filbertvane/decision/distribution/Fold.h
@@ -20,7 +20,7 @@
 concept RecordFold = requires(config::FleetState State, core::LogOffset Offset,
                               const std::string &Bytes,
                               const config::SnapshotTaken &Snapshot) {
-  /// Applies one record and sets `State.Next` to `Offset` plus 1, also
+  /// Applies one record and sets `State.NextOffset` to `Offset` plus 1, also
   /// for bytes that cannot be decoded.
   { F::apply(State, Offset, Bytes) } -> std::same_as<FoldedRecord>;
   { F::digestOf(State) } -> std::same_as<core::Digest>;
--- a/include/filbertvane/decision/request/State.h
+++ b/include/filbertvane/decision/request/State.h
@@ -24,7 +24,7 @@
 /// @brief What this node keeps about one service.
 struct ServiceState {
   core::ServiceName Name;
-  config::Traffic Versions;
+  config::TrafficSplit Versions;
   bool HasIdempotentRoute = false;
   VersionSelector Selector;
   RetryBudget Retries;
--- a/include/filbertvane/decision/rollout/Controller.h
+++ b/include/filbertvane/decision/rollout/Controller.h
@@ -94,7 +94,7 @@
   MoveCounts AtStep;
   core::WallTime EarliestStep;
   /// Figures that roll the move back, once decided.
-  std::optional<config::Verdict> Guilty;
+  std::optional<config::MoveDecision> Guilty;
   /// @}
 
   /// @name Suspicion
--- a/include/filbertvane/decision/rollout/Overlay.h
+++ b/include/filbertvane/decision/rollout/Overlay.h
@@ -21,7 +21,7 @@
   core::WallTime At;
   /// False when a fault shared by both versions is not yet ruled out.
   bool Proven = false;
-  config::Verdict Decided;
+  config::MoveDecision Decided;
 
   friend bool operator==(const Overlay &, const Overlay &) = default;
 };
--- a/include/filbertvane/decision/rollout/Windows.h
+++ b/include/filbertvane/decision/rollout/Windows.h
@@ -122,8 +122,8 @@
 };
 
 /// @brief Turns a finding into the figures of a report.
-config::Verdict verdictOf(const core::RouteName &Route,
-                          const RouteFinding &Found);
+config::MoveDecision verdictOf(const core::RouteName &Route,
+                               const RouteFinding &Found);
 
 } // namespace filbertvane::decision::rollout
 
--- a/include/filbertvane/io/AdminServer.h
+++ b/include/filbertvane/io/AdminServer.h
@@ -42,8 +42,8 @@
   };
 
   /// @brief Listens on a loopback address.
-  /// @return the server, or `ProcessListen` when the address is not a loopback
-  ///         address or cannot be bound
+  /// @return the server, or `ProcessListenFailed` when the address is not a
+  ///         loopback address or cannot be bound
   static core::Result<std::unique_ptr<AdminServer>>
   listen(EventLoop &Loop, const std::string &Address, Callbacks Calls);
 
--- a/include/filbertvane/io/ControlServer.h
+++ b/include/filbertvane/io/ControlServer.h
@@ -74,7 +74,7 @@
   using Logger = std::function<void(const observe::LogEvent &)>;
 
   /// @brief Binds and starts to accept.
-  /// @return the server, or `ProcessListen` with the address
+  /// @return the server, or `ProcessListenFailed` with the address
   static core::Result<std::unique_ptr<ControlServer>>
   listen(EventLoop &Loop, const Options &Settings, Receiver OnMessage,
          Logger OnLog);
--- a/include/filbertvane/io/HttpServer.h
+++ b/include/filbertvane/io/HttpServer.h
@@ -105,7 +105,7 @@
   };
 
   /// @brief Binds and starts to accept.
-  /// @return the server, or `ProcessListen` with the address
+  /// @return the server, or `ProcessListenFailed` with the address
   static core::Result<std::unique_ptr<HttpServer>>
   listen(EventLoop &Loop, const Options &Settings, Acceptor OnRequest);
 
--- a/include/filbertvane/io/NodeProcess.h
+++ b/include/filbertvane/io/NodeProcess.h
@@ -18,7 +18,7 @@
 class NodeProcess {
 public:
   /// @brief Opens all ports and starts.
-  /// @return the node, or `ProcessListen` with the address
+  /// @return the node, or `ProcessListenFailed` with the address
   static core::Result<std::unique_ptr<NodeProcess>>
   create(EventLoop &Loop, const config::Settings &Settings);
 
--- a/include/filbertvane/io/ProxyEngine.h
+++ b/include/filbertvane/io/ProxyEngine.h
@@ -70,7 +70,7 @@
   };
 
   /// @brief Opens both ports.
-  /// @return the engine, or `ProcessListen` with the address
+  /// @return the engine, or `ProcessListenFailed` with the address
   static core::Result<std::unique_ptr<ProxyEngine>>
   create(EventLoop &Loop, HttpClient &Client, Options Settings, Decide OnEvent,
          Callbacks Others);
--- a/include/filbertvane/io/mesh/Environment.h
+++ b/include/filbertvane/io/mesh/Environment.h
@@ -77,7 +77,7 @@
 
   /// @brief Decodes what a target said at the control address.
   /// @return the announcement, or `AnnouncementMalformed` or
-  ///         `AnnouncementForeign`
+  ///         `AnnouncementWrongHost`
   virtual core::Result<Announcement>
   decodeAnnouncement(const RequestHead &Head, const std::string &Body,
                      const std::string &TargetAddress) const = 0;
--- a/include/filbertvane/io/mesh/MeshProcess.h
+++ b/include/filbertvane/io/mesh/MeshProcess.h
@@ -12,7 +12,7 @@
 public:
   /// @brief Opens all ports and begins to read the store.
   /// @param Store must outlive the process
-  /// @return the process, or `ProcessListen` with the address
+  /// @return the process, or `ProcessListenFailed` with the address
   static core::Result<std::unique_ptr<MeshProcess>>
   create(EventLoop &Loop, HttpClient &Http, MeshPlace Place,
          std::shared_ptr<const Environment> Surroundings, SharedStore &Store);
--- a/include/filbertvane/wire/ControlMessage.h
+++ b/include/filbertvane/wire/ControlMessage.h
@@ -98,7 +98,7 @@
 struct LocalRollback {
   config::MoveId Move;
   core::DataCentreId DataCentre;
-  config::Verdict Decided;
+  config::MoveDecision Decided;
   core::WallTime At;
   /// Share of the move in the configuration that it was made on.
   config::Permille Share = 0;
--- a/lib/config/FleetState.cpp
+++ b/lib/config/FleetState.cpp
@@ -24,11 +24,11 @@
 RecordOutcome applyBody(FleetState &State, core::LogOffset,
                         const LeaseClaimed &Body) {
   if (Body.NewEpoch.value() != State.CurrentEpoch.value() + 1)
-    return Refused{{ErrorCode::MoveEpochTaken,
+    return Refused{{ErrorCode::MoveEpochClaimed,
                     epochDetail(Body.NewEpoch, State.CurrentEpoch)}};
   State.CurrentEpoch = Body.NewEpoch;
   State.LeaseHolder = Body.Holder;
-  return Noted{};
+  return Recorded{};
 }
 
 RecordOutcome applyBody(FleetState &State, core::LogOffset,
@@ -51,11 +51,11 @@
   State.InForce = Body;
   if (Body.Missing.size() > MaxMissing)
     State.InForce->Missing.resize(MaxMissing);
-  return Noted{};
+  return Recorded{};
 }
 
 RecordOutcome applyBody(FleetState &, core::LogOffset, const SnapshotTaken &) {
-  return Noted{};
+  return Recorded{};
 }
 
 /// Epoch that a record of the coordinator carries; none for other records.
@@ -72,12 +72,12 @@
 
 } // namespace
 
-Applied apply(FleetState State, core::LogOffset Offset,
-              const LogRecord &Record) {
+ApplyResult apply(FleetState State, core::LogOffset Offset,
+                  const LogRecord &Record) {
   // `Next` could not rise above the last offset that can be represented.
-  if (Offset < State.Next || Offset == LastOffset)
+  if (Offset < State.NextOffset || Offset == LastOffset)
     return {std::move(State), Duplicate{}};
-  State.Next = core::LogOffset(Offset.value() + 1);
+  State.NextOffset = core::LogOffset(Offset.value() + 1);
   if (!noteSequence(State.LastSequence, Record.Writer, Record.Sequence))
     return {std::move(State), Duplicate{}};
   const auto LeaseEpoch = epochOf(Record.Body);
--- a/lib/config/MoveRecords.cpp
+++ b/lib/config/MoveRecords.cpp
@@ -33,7 +33,7 @@
     Moves.erase(std::find_if(Moves.begin(), Moves.end(), isFinal));
 }
 
-Verdict shortened(Verdict Decided) {
+MoveDecision shortened(MoveDecision Decided) {
   if (Decided.Reason.size() > MaxReasonBytes)
     Decided.Reason.resize(MaxReasonBytes);
   if (Decided.Route.value().size() > MaxNameBytes)
@@ -43,12 +43,12 @@
 }
 
 void endMove(FleetState &State, MoveStatus &Move, MoveStage Stage,
-             core::WallTime At, std::optional<Verdict> Decided) {
+             core::WallTime At, std::optional<MoveDecision> Decided) {
   Move.Stage = Stage;
   Move.EndedAt = At;
-  Move.Decided = std::move(Decided);
-  if (Move.Decided)
-    Move.Decided = shortened(std::move(*Move.Decided));
+  Move.Decision = std::move(Decided);
+  if (Move.Decision)
+    Move.Decision = shortened(std::move(*Move.Decision));
   dropOldestEnded(State.Moves);
 }
 
@@ -60,11 +60,11 @@
     return unknownMove(Step.Move);
   if (Step.Share <= Move->Share || Step.Share > FullShare)
     return Refused{
-        {ErrorCode::MoveBackwards,
+        {ErrorCode::MoveShareNotRaised,
          fmt::format("service {}, share {}, current share {}",
                      Step.Move.Service.value(), Step.Share, Move->Share)}};
   Move->Share = Step.Share;
-  State.TrafficOf[Step.Move.Service].CandidateShare = Step.Share;
+  State.TrafficByService[Step.Move.Service].CandidateShare = Step.Share;
   return nextVersion(State);
 }
 
@@ -72,11 +72,11 @@
   MoveStatus *Move = findInProgress(State, Rollback.Move);
   if (!Move)
     return unknownMove(Rollback.Move);
-  Traffic &Split = State.TrafficOf[Rollback.Move.Service];
+  TrafficSplit &Split = State.TrafficByService[Rollback.Move.Service];
   Split.Candidate.reset();
   Split.CandidateShare = 0;
   Move->Share = 0;
-  endMove(State, *Move, MoveStage::RolledBack, Rollback.At, Rollback.Decided);
+  endMove(State, *Move, MoveStage::RolledBack, Rollback.At, Rollback.Decision);
   return nextVersion(State);
 }
 
@@ -85,11 +85,11 @@
   MoveStatus *Move = findInProgress(State, Completion.Move);
   if (!Move)
     return unknownMove(Completion.Move);
-  Traffic &Split = State.TrafficOf[Completion.Move.Service];
-  Split = Traffic{Move->Order.To, std::nullopt, 0};
+  TrafficSplit &Split = State.TrafficByService[Completion.Move.Service];
+  Split = TrafficSplit{Move->Order.To, std::nullopt, 0};
   Move->Share = FullShare;
   endMove(State, *Move, MoveStage::Completed, Completion.At,
-          Completion.Decided);
+          Completion.Decision);
   return nextVersion(State);
 }
 
--- a/lib/config/Replay.cpp
+++ b/lib/config/Replay.cpp
@@ -16,7 +16,7 @@
   if (!Snapshot || Snapshot->UpTo >= Stored.Offset)
     return std::nullopt;
   auto State = wire::decodeSnapshot(*Snapshot);
-  if (!core::ok(State) || core::value(State).Next < First)
+  if (!core::ok(State) || core::value(State).NextOffset < First)
     return std::nullopt;
   return core::take(std::move(State));
 }
@@ -31,14 +31,14 @@
 
 } // namespace
 
-Applied applyEncoded(FleetState State, core::LogOffset Offset,
-                     std::string_view Bytes) {
+ApplyResult applyEncoded(FleetState State, core::LogOffset Offset,
+                         std::string_view Bytes) {
   const auto Record = wire::decodeRecord(Bytes);
   if (core::ok(Record))
     return apply(std::move(State), Offset, core::value(Record));
-  if (Offset < State.Next)
+  if (Offset < State.NextOffset)
     return {std::move(State), Duplicate{}};
-  State.Next = core::LogOffset(Offset.value() + 1);
+  State.NextOffset = core::LogOffset(Offset.value() + 1);
   return {std::move(State), Refused{core::failure(Record)}};
 }
 
--- a/lib/config/ReportJson.cpp
+++ b/lib/config/ReportJson.cpp
@@ -8,7 +8,7 @@
 
 using nlohmann::json;
 
-json verdictJson(const Verdict &Why) {
+json verdictJson(const MoveDecision &Why) {
   return {{"route", Why.Route.value()},    {"reason", Why.Reason},
           {"new_answers", Why.NewAnswers}, {"new_faults", Why.NewFaults},
           {"old_answers", Why.OldAnswers}, {"old_faults", Why.OldFaults}};
@@ -19,17 +19,17 @@
               {"ordered_in", Move.Id.OrderedIn.value()},
               {"from", Move.From.value()},
               {"to", Move.Order.To.value()},
-              {"by", formatRfc3339(Move.Order.By)},
+              {"by", formatRfc3339(Move.Order.Deadline)},
               {"accepted_at", formatRfc3339(Move.AcceptedAt)},
               {"stage", stageName(Move)},
               {"share_permille", Move.Share},
-              {"sentence", sentenceOf(Move, Now)}};
+              {"sentence", describeMove(Move, Now)}};
   if (Move.Stage == MoveStage::InProgress)
-    Out["left_ms"] = (Move.Order.By - Now).count();
+    Out["left_ms"] = (Move.Order.Deadline - Now).count();
   if (Move.EndedAt)
     Out["ended_at"] = formatRfc3339(*Move.EndedAt);
-  if (Move.Decided)
-    Out["decided"] = verdictJson(*Move.Decided);
+  if (Move.Decision)
+    Out["decided"] = verdictJson(*Move.Decision);
   return Out;
 }
 
@@ -50,7 +50,7 @@
           {"missing", std::move(Missing)}};
 }
 
-json trafficJson(const Traffic &Split) {
+json trafficJson(const TrafficSplit &Split) {
   json Out = {{"stable", Split.Stable.value()},
               {"candidate_share_permille", Split.CandidateShare}};
   if (Split.Candidate)
@@ -63,17 +63,17 @@
 std::string reportJson(const FleetState &State, core::WallTime Now) {
   json Out = {{"version", State.Version.value()},
               {"sheet_version", State.SheetVersion.value()},
-              {"next_offset", State.Next.value()},
+              {"next_offset", State.NextOffset.value()},
               {"epoch", State.CurrentEpoch.value()},
               {"lease_holder", State.LeaseHolder.value()},
               {"services", json::object()},
               {"moves", json::array()},
               {"refused_sheets", json::array()}};
-  for (const auto &[Service, Split] : State.TrafficOf)
+  for (const auto &[Service, Split] : State.TrafficByService)
     Out["services"][Service.value()] = trafficJson(Split);
   for (const MoveStatus &Move : State.Moves)
     Out["moves"].push_back(moveJson(Move, Now));
-  for (const RefusedSheet &Sheet : State.Refused)
+  for (const RefusedSheet &Sheet : State.RefusedSheets)
     Out["refused_sheets"].push_back(refusedJson(Sheet));
   if (State.InForce)
     Out["in_force"] = inForceJson(*State.InForce);
--- a/lib/config/ReportText.cpp
+++ b/lib/config/ReportText.cpp
@@ -18,16 +18,16 @@
 }
 
 std::string deadlineText(const MoveStatus &Move, core::WallTime Now) {
-  const std::string By = formatRfc3339(Move.Order.By);
-  if (Move.Order.By >= Now)
+  const std::string By = formatRfc3339(Move.Order.Deadline);
+  if (Move.Order.Deadline >= Now)
     return fmt::format("to be complete by {}, {} left", By,
-                       durationText(Move.Order.By - Now));
+                       durationText(Move.Order.Deadline - Now));
   return fmt::format("was to be complete by {}, {} ago", By,
-                     durationText(Now - Move.Order.By));
+                     durationText(Now - Move.Order.Deadline));
 }
 
 std::string figuresText(const MoveStatus &Move) {
-  const Verdict &Why = *Move.Decided;
+  const MoveDecision &Why = *Move.Decision;
   const std::string Route =
       Why.Route.value().empty()
           ? ""
@@ -40,10 +40,10 @@
 std::string endText(const MoveStatus &Move, const char *What) {
   const std::string At = Move.EndedAt ? formatRfc3339(*Move.EndedAt) : "?";
   std::string Text = fmt::format("{} at {}", What, At);
-  if (!Move.Decided)
+  if (!Move.Decision)
     return Text + ".";
-  if (!Move.Decided->Reason.empty())
-    Text += fmt::format(" because {}", Move.Decided->Reason);
+  if (!Move.Decision->Reason.empty())
+    Text += fmt::format(" because {}", Move.Decision->Reason);
   return fmt::format("{}. {}", Text, figuresText(Move));
 }
 
@@ -94,7 +94,7 @@
   return "unknown";
 }
 
-std::string sentenceOf(const MoveStatus &Move, core::WallTime Now) {
+std::string describeMove(const MoveStatus &Move, core::WallTime Now) {
   return fmt::format("Move of {} from {} to {}: {}", Move.Id.Service.value(),
                      Move.From.value(), Move.Order.To.value(),
                      stageText(Move, Now));
@@ -107,8 +107,8 @@
   if (State.InForce)
     Text += inForceText(*State.InForce);
   for (const MoveStatus &Move : State.Moves)
-    Text += sentenceOf(Move, Now) + "\n";
-  for (const RefusedSheet &Sheet : State.Refused)
+    Text += describeMove(Move, Now) + "\n";
+  for (const RefusedSheet &Sheet : State.RefusedSheets)
     Text +=
         fmt::format("Sheet of {} at offset {} refused: {}\n", Sheet.Operator,
                     Sheet.Offset.value(), core::toString(Sheet.Reason));
--- a/lib/config/Routing.cpp
+++ b/lib/config/Routing.cpp
@@ -25,7 +25,7 @@
     return invalid(Route, "no time-out");
   // An objective beyond the time-out is valid: operators shorten a time-out
   // without touching the objective.
-  if (Route.Objective.count() <= 0)
+  if (Route.LatencyObjective.count() <= 0)
     return invalid(Route, "no latency objective");
   if (Route.MaxTargets == 0)
     return invalid(Route, "no target may be reached");
@@ -42,7 +42,7 @@
 
 } // namespace
 
-core::Status checkRouting(const Routing &Candidate) {
+core::Status validateRouting(const Routing &Candidate) {
   for (const HostRoute &Route : Candidate.Routes) {
     core::Status Checked = checkRoute(Candidate, Route);
     if (!core::ok(Checked))
@@ -73,7 +73,7 @@
   return nullptr;
 }
 
-bool RoutingTable::knows(const core::ServiceName &Service) const {
+bool RoutingTable::hasService(const core::ServiceName &Service) const {
   return named(From, Service);
 }
 
--- a/lib/config/Settings.cpp
+++ b/lib/config/Settings.cpp
@@ -12,7 +12,7 @@
 using Need = YamlReader::Need;
 
 constexpr YamlReader::Codes SettingsCodes{ErrorCode::SettingsSyntax,
-                                          ErrorCode::SettingsField,
+                                          ErrorCode::SettingsFieldInvalid,
                                           ErrorCode::SettingsUnknownKey};
 /// A shorter retention leaves no time for a snapshot before half of it.
 constexpr YamlReader::Range RetentionSeconds{10, 31536000};
@@ -186,9 +186,9 @@
 
 } // namespace
 
-Checked<Settings> parseSettings(const std::string &Text,
-                                const std::string &File,
-                                SettingsReader Reader) {
+ValidationResult<Settings> parseSettings(const std::string &Text,
+                                         const std::string &File,
+                                         SettingsConsumer Reader) {
   YamlReader Yaml(File, SettingsCodes);
   const auto Root =
       Yaml.document(Text, {"node", "listen", "advertise", "log", "seeds",
@@ -196,17 +196,18 @@
   if (!Root)
     return Yaml.faults();
   const Need Node =
-      Reader == SettingsReader::Node ? Need::Required : Need::Optional;
+      Reader == SettingsConsumer::Node ? Need::Required : Need::Optional;
   Settings Configured = SettingsSections(Yaml, *Root, Node).read();
   if (Yaml.hasFaults())
     return Yaml.faults();
   return Configured;
 }
 
-Checked<Settings> loadSettings(const std::string &File, SettingsReader Reader) {
+ValidationResult<Settings> loadSettings(const std::string &File,
+                                        SettingsConsumer Reader) {
   const auto Text = readTextFile(File, ErrorCode::SettingsUnreadable);
   if (!core::ok(Text))
-    return Faults{core::failure(Text)};
+    return ErrorList{core::failure(Text)};
   return parseSettings(core::value(Text), File, Reader);
 }
 
--- a/lib/config/SheetAcceptance.cpp
+++ b/lib/config/SheetAcceptance.cpp
@@ -45,10 +45,10 @@
                                    State.SheetVersion.value())};
   if (auto Fault = faultOfDelta(Published.Delta))
     return Fault;
-  const auto Own = faultsOf(Next);
+  const auto Own = validateSheet(Next);
   if (!Own.empty())
     return toError(Own.front(), Next);
-  const auto Against = faultsAgainst(State, Next, Published.PublishedAt);
+  const auto Against = validateAgainst(State, Next, Published.PublishedAt);
   if (!Against.empty())
     return toError(Against.front(), Next);
   return std::nullopt;
@@ -61,13 +61,13 @@
     Entry.Operator.resize(MaxOperatorBytes);
   if (Entry.Reason.Detail.size() > MaxDetailBytes)
     Entry.Reason.Detail.resize(MaxDetailBytes);
-  if (State.Refused.size() >= MaxRefusedSheets)
-    State.Refused.erase(State.Refused.begin());
-  State.Refused.push_back(std::move(Entry));
+  if (State.RefusedSheets.size() >= MaxRefusedSheets)
+    State.RefusedSheets.erase(State.RefusedSheets.begin());
+  State.RefusedSheets.push_back(std::move(Entry));
   return Refused{std::move(Reason)};
 }
 
-void startMove(FleetState &State, const ServiceSpec &Spec, Traffic &Split,
+void startMove(FleetState &State, const ServiceSpec &Spec, TrafficSplit &Split,
                core::WallTime At) {
   Split.Candidate = Spec.Move->To;
   const MoveId Id{Spec.Name, State.Version};
@@ -78,9 +78,9 @@
 void changeService(FleetState &State, const ServiceSpec &Spec,
                    core::WallTime At) {
   supersedeMove(State, Spec.Name, At);
-  const auto [Entry, IsNew] =
-      State.TrafficOf.try_emplace(Spec.Name, Traffic{Spec.Version, {}, 0});
-  Traffic &Split = Entry->second;
+  const auto [Entry, IsNew] = State.TrafficByService.try_emplace(
+      Spec.Name, TrafficSplit{Spec.Version, {}, 0});
+  TrafficSplit &Split = Entry->second;
   Split.Candidate.reset();
   Split.CandidateShare = 0;
   if (Spec.Move)
@@ -90,26 +90,26 @@
 void removeService(FleetState &State, const core::ServiceName &Name,
                    core::WallTime At) {
   supersedeMove(State, Name, At);
-  State.TrafficOf.erase(Name);
+  State.TrafficByService.erase(Name);
 }
 
 } // namespace
 
 RecordOutcome acceptSheet(FleetState &State, core::LogOffset Offset,
                           const SheetPublished &Published) {
-  Sheet Next = applied(State.Current, Published.Delta);
+  Sheet Next = applyDelta(State.CurrentSheet, Published.Delta);
   Next.Base = Published.Base;
   if (auto Reason = firstFault(State, Published, Next))
     return refuse(State, Offset, Published, std::move(*Reason));
   const Accepted Outcome = nextVersion(State);
   State.SheetVersion = State.Version;
   // A delta may repeat an unchanged spec; only the effective difference counts.
-  const SheetDelta Effective = difference(State.Current, Next);
+  const SheetDelta Effective = computeDelta(State.CurrentSheet, Next);
   for (const core::ServiceName &Name : Effective.RemovedServices)
     removeService(State, Name, Published.PublishedAt);
   for (const ServiceSpec &Spec : Effective.ChangedServices)
     changeService(State, Spec, Published.PublishedAt);
-  State.Current = std::move(Next);
+  State.CurrentSheet = std::move(Next);
   return Outcome;
 }
 
--- a/lib/config/SheetDelta.cpp
+++ b/lib/config/SheetDelta.cpp
@@ -43,7 +43,7 @@
 
 } // namespace
 
-SheetDelta difference(const Sheet &From, const Sheet &To) {
+SheetDelta computeDelta(const Sheet &From, const Sheet &To) {
   SheetDelta Delta;
   compare(From.Services, To.Services, Delta.ChangedServices,
           Delta.RemovedServices);
@@ -51,7 +51,7 @@
   return Delta;
 }
 
-Sheet applied(const Sheet &From, const SheetDelta &Delta) {
+Sheet applyDelta(const Sheet &From, const SheetDelta &Delta) {
   Sheet To;
   To.Base = From.Base;
   To.Services =
--- a/lib/config/SheetParser.cpp
+++ b/lib/config/SheetParser.cpp
@@ -11,8 +11,9 @@
 using core::ErrorCode;
 using Need = YamlReader::Need;
 
-constexpr YamlReader::Codes SheetCodes{
-    ErrorCode::SheetSyntax, ErrorCode::SheetField, ErrorCode::SheetUnknownKey};
+constexpr YamlReader::Codes SheetCodes{ErrorCode::SheetSyntax,
+                                       ErrorCode::SheetFieldInvalid,
+                                       ErrorCode::SheetUnknownKey};
 constexpr YamlReader::Range AnyVersion{
     0, std::numeric_limits<std::int64_t>::max()};
 constexpr YamlReader::Range AnyTimeout{MinTimeout.count(), MaxTimeout.count()};
@@ -84,7 +85,7 @@
   return Content;
 }
 
-std::string pathOf(const SheetFault &Fault) {
+std::string pathOf(const SheetError &Fault) {
   switch (Fault.Part) {
   case SheetPart::Whole:
     break;
@@ -103,9 +104,9 @@
 }
 
 /// Adds faults of the content, but for fields that could not be read.
-void addFaults(YamlReader &Reader, const std::vector<SheetFault> &Found) {
-  std::vector<std::pair<std::string, const SheetFault *>> New;
-  for (const SheetFault &Fault : Found)
+void addFaults(YamlReader &Reader, const std::vector<SheetError> &Found) {
+  std::vector<std::pair<std::string, const SheetError *>> New;
+  for (const SheetError &Fault : Found)
     if (const std::string Path = pathOf(Fault); isRead(Reader, Path))
       New.emplace_back(Path, &Fault);
   for (const auto &[Path, Fault] : New)
@@ -117,16 +118,16 @@
             [](const Spec &A, const Spec &B) { return A.Name < B.Name; });
 }
 
-Checked<Sheet> parse(const std::string &Text, const std::string &File,
-                     const FleetState *State, core::WallTime Now) {
+ValidationResult<Sheet> parse(const std::string &Text, const std::string &File,
+                              const FleetState *State, core::WallTime Now) {
   YamlReader Reader(File, SheetCodes);
   const auto Root = Reader.document(Text, {"base", "services", "routes"});
   if (!Root)
     return Reader.faults();
   Sheet Content = readSheet(Reader, *Root);
-  addFaults(Reader, faultsOf(Content));
+  addFaults(Reader, validateSheet(Content));
   if (State)
-    addFaults(Reader, faultsAgainst(*State, Content, Now));
+    addFaults(Reader, validateAgainst(*State, Content, Now));
   if (Reader.hasFaults())
     return Reader.faults();
   sortByName(Content.Services);
@@ -136,12 +137,15 @@
 
 } // namespace
 
-Checked<Sheet> parseSheet(const std::string &Text, const std::string &File) {
+ValidationResult<Sheet> parseSheet(const std::string &Text,
+                                   const std::string &File) {
   return parse(Text, File, nullptr, core::WallTime{});
 }
 
-Checked<Sheet> parseSheet(const std::string &Text, const std::string &File,
-                          const FleetState &State, core::WallTime Now) {
+ValidationResult<Sheet> parseSheet(const std::string &Text,
+                                   const std::string &File,
+                                   const FleetState &State,
+                                   core::WallTime Now) {
   return parse(Text, File, &State, Now);
 }
 
--- a/lib/config/SheetValidation.cpp
+++ b/lib/config/SheetValidation.cpp
@@ -15,7 +15,7 @@
 /// Collects the faults of one service or route.
 class Item {
 public:
-  Item(std::vector<SheetFault> &Faults, SheetPart Part, std::size_t Index)
+  Item(std::vector<SheetError> &Faults, SheetPart Part, std::size_t Index)
       : Faults(Faults), Part(Part), Index(Index) {}
 
   void add(ErrorCode Code, const char *Key, std::string Text) {
@@ -24,12 +24,12 @@
 
   void checkName(const char *Key, const std::string &Name) {
     if (Name.empty())
-      add(ErrorCode::SheetField, Key, "must not be empty");
+      add(ErrorCode::SheetFieldInvalid, Key, "must not be empty");
     else if (Name.size() > MaxNameBytes)
-      add(ErrorCode::SheetField, Key,
+      add(ErrorCode::SheetFieldInvalid, Key,
           fmt::format("longer than {} bytes", MaxNameBytes));
     else if (std::any_of(Name.begin(), Name.end(), isForbidden))
-      add(ErrorCode::SheetField, Key,
+      add(ErrorCode::SheetFieldInvalid, Key,
           "may hold printable ASCII characters without space only");
   }
 
@@ -39,27 +39,27 @@
     return Character <= ' ' || Character > '~' || Character == '"';
   }
 
-  std::vector<SheetFault> &Faults;
+  std::vector<SheetError> &Faults;
   SheetPart Part;
   std::size_t Index;
 };
 
 void checkPrefix(Item &Out, const std::string &Prefix) {
   if (Prefix.empty() || Prefix.front() != '/')
-    Out.add(ErrorCode::SheetField, "prefix", "must begin with /");
+    Out.add(ErrorCode::SheetFieldInvalid, "prefix", "must begin with /");
   else if (Prefix.size() > MaxPrefixBytes)
-    Out.add(ErrorCode::SheetField, "prefix",
+    Out.add(ErrorCode::SheetFieldInvalid, "prefix",
             fmt::format("longer than {} bytes", MaxPrefixBytes));
 }
 
 void checkTimeout(Item &Out, core::Milliseconds Timeout) {
   if (Timeout < MinTimeout || Timeout > MaxTimeout)
-    Out.add(ErrorCode::SheetField, "timeout_ms",
+    Out.add(ErrorCode::SheetFieldInvalid, "timeout_ms",
             fmt::format("must be between {} and {}", MinTimeout.count(),
                         MaxTimeout.count()));
 }
 
-void checkServices(const Sheet &Content, std::vector<SheetFault> &Faults) {
+void checkServices(const Sheet &Content, std::vector<SheetError> &Faults) {
   std::set<core::ServiceName> Names;
   for (std::size_t I = 0; I < Content.Services.size(); ++I) {
     const ServiceSpec &Spec = Content.Services[I];
@@ -73,7 +73,7 @@
   }
 }
 
-void checkRoutes(const Sheet &Content, std::vector<SheetFault> &Faults) {
+void checkRoutes(const Sheet &Content, std::vector<SheetError> &Faults) {
   std::set<core::ServiceName> Services;
   for (const ServiceSpec &Spec : Content.Services)
     Services.insert(Spec.Name);
@@ -89,7 +89,7 @@
       Out.add(ErrorCode::SheetDuplicateName, "name", Spec.Name.value());
     const auto [Other, IsNew] = Prefixes.emplace(Spec.Prefix, Spec.Name);
     if (!IsNew)
-      Out.add(ErrorCode::SheetField, "prefix",
+      Out.add(ErrorCode::SheetFieldInvalid, "prefix",
               fmt::format("{} is also the prefix of route {}", Spec.Prefix,
                           Other->second.value()));
     if (!Services.contains(Spec.Service))
@@ -100,11 +100,12 @@
 void checkMove(Item &Out, const ServiceSpec &Spec,
                const core::TargetVersion &Stable, core::WallTime Now) {
   if (Spec.Move->To == Stable)
-    Out.add(ErrorCode::SheetField, "move.to",
+    Out.add(ErrorCode::SheetFieldInvalid, "move.to",
             fmt::format("{} is already the stable version", Stable.value()));
-  if (Spec.Move->By <= Now)
+  if (Spec.Move->Deadline <= Now)
     Out.add(ErrorCode::SheetTimePassed, "move.by",
-            fmt::format("{} is not later than {}", formatRfc3339(Spec.Move->By),
+            fmt::format("{} is not later than {}",
+                        formatRfc3339(Spec.Move->Deadline),
                         formatRfc3339(Now)));
 }
 
@@ -122,8 +123,8 @@
 
 } // namespace
 
-std::vector<SheetFault> faultsOf(const Sheet &Content) {
-  std::vector<SheetFault> Faults;
+std::vector<SheetError> validateSheet(const Sheet &Content) {
+  std::vector<SheetError> Faults;
   checkServices(Content, Faults);
   checkRoutes(Content, Faults);
   const std::size_t Size = wire::encode(Content).size();
@@ -134,23 +135,24 @@
   return Faults;
 }
 
-std::vector<SheetFault> faultsAgainst(const FleetState &State,
-                                      const Sheet &Content,
-                                      core::WallTime Now) {
-  std::vector<SheetFault> Faults;
+std::vector<SheetError> validateAgainst(const FleetState &State,
+                                        const Sheet &Content,
+                                        core::WallTime Now) {
+  std::vector<SheetError> Faults;
   for (std::size_t I = 0; I < Content.Services.size(); ++I) {
     const ServiceSpec &Spec = Content.Services[I];
-    const ServiceSpec *Old = findService(State.Current, Spec.Name);
+    const ServiceSpec *Old = findService(State.CurrentSheet, Spec.Name);
     if (Old && *Old == Spec)
       continue;
     Item Out(Faults, SheetPart::Service, I);
-    const auto Known = State.TrafficOf.find(Spec.Name);
-    const core::TargetVersion &Stable =
-        Known == State.TrafficOf.end() ? Spec.Version : Known->second.Stable;
+    const auto Known = State.TrafficByService.find(Spec.Name);
+    const core::TargetVersion &Stable = Known == State.TrafficByService.end()
+                                            ? Spec.Version
+                                            : Known->second.Stable;
     if (Spec.Move)
       checkMove(Out, Spec, Stable, Now);
     else if (Spec.Version != Stable)
-      Out.add(ErrorCode::SheetField, "version",
+      Out.add(ErrorCode::SheetFieldInvalid, "version",
               fmt::format("{} differs from the stable version {}: order a "
                           "move",
                           Spec.Version.value(), Stable.value()));
@@ -158,7 +160,7 @@
   return Faults;
 }
 
-core::Error toError(const SheetFault &Fault, const Sheet &Content) {
+core::Error toError(const SheetError &Fault, const Sheet &Content) {
   switch (Fault.Part) {
   case SheetPart::Whole:
     break;
--- a/lib/config/YamlReader.cpp
+++ b/lib/config/YamlReader.cpp
@@ -132,12 +132,12 @@
                      [&](const Entry &Each) { return Each.Path == Path; });
 }
 
-Faults YamlReader::faults() const {
+ErrorList YamlReader::faults() const {
   std::vector<Entry> Sorted = Noted;
   std::stable_sort(
       Sorted.begin(), Sorted.end(),
       [](const Entry &A, const Entry &B) { return A.Line < B.Line; });
-  Faults Out;
+  ErrorList Out;
   for (Entry &Each : Sorted)
     Out.push_back(std::move(Each.Reason));
   return Out;
--- a/lib/config/YamlReader.h
+++ b/lib/config/YamlReader.h
@@ -1,7 +1,7 @@
 #ifndef FILBERTVANE_LIB_CONFIG_YAMLREADER_H
 #define FILBERTVANE_LIB_CONFIG_YAMLREADER_H
 
-#include "filbertvane/config/Checked.h"
+#include "filbertvane/config/ValidationResult.h"
 #include "filbertvane/core/Time.h"
 #include <cstdint>
 #include <initializer_list>
@@ -80,7 +80,7 @@
   bool isFaulty(const std::string &Path) const;
   bool hasFaults() const { return !Noted.empty(); }
   /// @brief All faults in the order of their lines.
-  Faults faults() const;
+  ErrorList faults() const;
   /// @}
 
 private:
--- a/lib/decision/Dispatch.cpp
+++ b/lib/decision/Dispatch.cpp
@@ -321,10 +321,10 @@
   if (!S.Fleet || Now.Mono < S.NextSnapshot ||
       !lease::mayAct(S.Lease, Now.Mono))
     return;
-  if (S.Fleet->Next <= core::LogOffset(S.LastSnapshot.value() + 1))
+  if (S.Fleet->NextOffset <= core::LogOffset(S.LastSnapshot.value() + 1))
     return;
   S.NextSnapshot = Now.Mono + S.Own.LogRetention / 12;
-  append(config::SnapshotTaken{S.Fleet->CurrentEpoch, S.Fleet->Next,
+  append(config::SnapshotTaken{S.Fleet->CurrentEpoch, S.Fleet->NextOffset,
                                S.Own.Folding.DigestOf(*S.Fleet),
                                S.Own.Folding.Encode(*S.Fleet)});
 }
--- a/lib/decision/distribution/Adoption.cpp
+++ b/lib/decision/distribution/Adoption.cpp
@@ -30,7 +30,7 @@
     FoldedRecord Folded =
         S.Own.Folding.Apply(std::move(New.State), One.Offset, One.Bytes);
     New.State = std::move(Folded.State);
-    New.At = {New.State.Next, S.Own.Folding.DigestOf(New.State),
+    New.At = {New.State.NextOffset, S.Own.Folding.DigestOf(New.State),
               New.State.Version, S.Ready};
     New.Kept.push_back(keepable(std::move(Before), One, New.At));
     if (!Folded.Record)
@@ -102,7 +102,7 @@
     return false;
   }
   const config::FleetState &New = core::value(Decoded);
-  const Position To{New.Next, S.Own.Folding.DigestOf(New), New.Version,
+  const Position To{New.NextOffset, S.Own.Folding.DigestOf(New), New.Version,
                     S.Ready};
   if (To.StateDigest != What.At.StateDigest || To.Next != What.At.Next) {
     log(observe::EventId::DistributionSnapshotInvalid,
--- a/lib/decision/distribution/LogReading.cpp
+++ b/lib/decision/distribution/LogReading.cpp
@@ -98,7 +98,7 @@
         S.Own.Folding.Decode(Taken->State);
     if (!core::ok(Decoded))
       continue;
-    const Position At{core::value(Decoded).Next, Taken->StateDigest,
+    const Position At{core::value(Decoded).NextOffset, Taken->StateDigest,
                       core::value(Decoded).Version, false};
     if (!adoptSnapshot({core::NodeId("log"), ""}, {At, Taken->State}))
       continue;
--- a/lib/decision/mesh/ReduceArrival.cpp
+++ b/lib/decision/mesh/ReduceArrival.cpp
@@ -81,7 +81,7 @@
   const bool LinkBusy = Call.LinkWait > LongestLinkWait;
   MeshCall &Taken = State.Calls.emplace(What.Id, std::move(Call)).first->second;
   if (LinkBusy)
-    return refuse(Taken, ErrorCode::RequestWouldBeLate);
+    return refuse(Taken, ErrorCode::RequestWouldMissObjective);
   enterQueue(Taken);
 }
 
@@ -105,8 +105,8 @@
     Out.emplace_back(std::move(Unknown));
     return;
   }
-  if (Routing.Limits.BodyBytes > 0 &&
-      What.ContentLength > Routing.Limits.BodyBytes) {
+  if (Routing.Limits.MaxBodyBytes > 0 &&
+      What.ContentLength > Routing.Limits.MaxBodyBytes) {
     request::Refuse TooLarge =
         refusal(What.Id, ErrorCode::RequestTooLarge, "body");
     TooLarge.Status = StatusTooLarge;
@@ -124,8 +124,8 @@
   Call.Service = memoryOf(Route->Name).Split.next(Route->Services);
   Call.Arrived = Now;
   const core::Milliseconds Unseen =
-      std::min(UnseenWay, Route->Objective / ShortObjectiveParts);
-  Call.Objective = Now + Route->Objective - Unseen;
+      std::min(UnseenWay, Route->LatencyObjective / ShortObjectiveParts);
+  Call.Objective = Now + Route->LatencyObjective - Unseen;
   Call.Deadline =
       Now + std::min(What.TimeLeft.value_or(Route->Timeout), Route->Timeout);
   if (State.StopsAt && Now > State.TakesAllUntil &&
--- a/lib/decision/mesh/ReduceAttempts.cpp
+++ b/lib/decision/mesh/ReduceAttempts.cpp
@@ -174,7 +174,8 @@
       (What.Unreachable ? Call.Tried : Call.Late).push_back(Call.At);
       if (!What.Unreachable && What.Load)
         State.Hosts.noteFull(Call.At, {Call.Terms.Route, Call.Terms.AcceptLate},
-                             Now + Call.Route->Objective / FullObjectiveParts);
+                             Now + Call.Route->LatencyObjective /
+                                       FullObjectiveParts);
       return place(Call);
     }
     ++Call.Reached;
--- a/lib/decision/mesh/ReducePlacement.cpp
+++ b/lib/decision/mesh/ReducePlacement.cpp
@@ -110,7 +110,7 @@
   if (++Call.Placements > MostPlacements)
     return refuse(Call, ErrorCode::RequestRefusedByTarget);
   std::vector<Candidate> Among = candidates(Call);
-  const PlacementQuery Query{Call.Route->Objective,
+  const PlacementQuery Query{Call.Route->LatencyObjective,
                              HeadBytes +
                                  memoryOf(Call.Terms.Route).AnswerBytes};
   auto Best = choose(Among, Query, State.Source);
@@ -124,7 +124,7 @@
     Best = choose(Among, Query, State.Source);
   }
   if (!Best)
-    return refuse(Call, Call.FullSeen ? ErrorCode::RequestWouldBeLate
+    return refuse(Call, Call.FullSeen ? ErrorCode::RequestWouldMissObjective
                                       : ErrorCode::RequestNoTarget);
   const Candidate &Chosen = Among[*Best];
   if (Chosen.Away == Distance::Own)
--- a/lib/decision/mesh/SlotQueue.cpp
+++ b/lib/decision/mesh/SlotQueue.cpp
@@ -146,7 +146,7 @@
       Now + lateWait(Late.size(), Now) + neededTime(Who.Route) < Who.Deadline;
   if (Who.AcceptLate && Chance)
     return enqueue(Who, Now, Late);
-  return {SlotVerdict::Kind::Refuse, ErrorCode::RequestWouldBeLate};
+  return {SlotVerdict::Kind::Refuse, ErrorCode::RequestWouldMissObjective};
 }
 
 SlotVerdict SlotQueue::enqueue(const SlotRequest &Who, core::TimePoint Now,
--- a/lib/decision/request/ReduceFleet.cpp
+++ b/lib/decision/request/ReduceFleet.cpp
@@ -7,9 +7,9 @@
 namespace {
 
 /// Shares in force on this node: a local rollback sets the candidate's to 0.
-config::Traffic withoutRolledBack(config::Traffic Versions,
-                                  const core::ServiceName &Service,
-                                  const ConfigurationChanged &What) {
+config::TrafficSplit withoutRolledBack(config::TrafficSplit Versions,
+                                       const core::ServiceName &Service,
+                                       const ConfigurationChanged &What) {
   const auto Rolled = [&](const config::MoveId &Move) {
     if (Move.Service != Service)
       return false;
@@ -39,9 +39,9 @@
 
 void Reduction::operator()(const ConfigurationChanged &What) {
   Next.Fleet = What.State;
-  Next.Routes = RouteTable(What.State->Current.Routes);
+  Next.Routes = RouteTable(What.State->CurrentSheet.Routes);
   std::unordered_map<core::ServiceName, ServiceState> Services;
-  for (const auto &[Name, Versions] : What.State->TrafficOf) {
+  for (const auto &[Name, Versions] : What.State->TrafficByService) {
     const auto Known = Next.Services.find(Name);
     ServiceState Service;
     if (Known != Next.Services.end())
@@ -54,7 +54,7 @@
     Service.HasIdempotentRoute = false;
     Services.emplace(Name, std::move(Service));
   }
-  for (const config::RouteSpec &Route : What.State->Current.Routes)
+  for (const config::RouteSpec &Route : What.State->CurrentSheet.Routes)
     if (const auto Found = Services.find(Route.Service);
         Found != Services.end() && Route.Idempotent)
       Found->second.HasIdempotentRoute = true;
--- a/lib/decision/rollout/MoveDriver.cpp
+++ b/lib/decision/rollout/MoveDriver.cpp
@@ -28,7 +28,7 @@
   return Sum;
 }
 
-config::Verdict summary(const MoveCounts &Counts) {
+config::MoveDecision summary(const MoveCounts &Counts) {
   const VersionCounts New = sumOf(Counts, &RouteCounts::New);
   const VersionCounts Old = sumOf(Counts, &RouteCounts::Old);
   return verdictOf({}, {Finding::None,
@@ -87,7 +87,7 @@
       suspect(verdictOf(Route, Found));
     return;
   }
-  const config::Verdict Why = verdictOf(Route, Found);
+  const config::MoveDecision Why = verdictOf(Route, Found);
   if (Found.Level == Finding::Proven)
     Watch.Guilty = Why;
   else
@@ -95,14 +95,14 @@
   withdraw(Why, Found.Level == Finding::Proven);
 }
 
-void MoveDriver::withdraw(const config::Verdict &Why, bool Proven) {
+void MoveDriver::withdraw(const config::MoveDecision &Why, bool Proven) {
   // Takes effect before the record is read back, and while the log is down.
   const Overlay Made{Move.Id, {}, Move.Share, Now.Wall, Proven, Why};
   if (S.Overlays.add(Made))
     Out.push_back(PublishOverlay{Made});
 }
 
-void MoveDriver::suspect(const config::Verdict &Why) {
+void MoveDriver::suspect(const config::MoveDecision &Why) {
   if (Watch.RetrialAt)
     return;
   Watch.RetrialAt = Now.Mono + RetrialTime;
@@ -121,7 +121,7 @@
 void MoveDriver::act() {
   if (Watch.Guilty)
     return rollBack();
-  if (Now.Wall > Move.Order.By)
+  if (Now.Wall > Move.Order.Deadline)
     logOnce(EventId::MoveDeadlineMissed, toString(Move.Id));
   if (!mayAppend())
     return;
--- a/lib/decision/rollout/MoveDriver.h
+++ b/lib/decision/rollout/MoveDriver.h
@@ -19,8 +19,8 @@
 private:
   void readBack();
   void judge();
-  void suspect(const config::Verdict &Why);
-  void withdraw(const config::Verdict &Why, bool Proven);
+  void suspect(const config::MoveDecision &Why);
+  void withdraw(const config::MoveDecision &Why, bool Proven);
   void act();
   void rollBack();
   void settleSuspicion();
--- a/lib/decision/rollout/Schedule.cpp
+++ b/lib/decision/rollout/Schedule.cpp
@@ -27,10 +27,10 @@
 constexpr double Headroom = 1.25;
 
 core::WallTime plannedEnd(const config::MoveStatus &Move) {
-  const core::Milliseconds Whole = Move.Order.By - Move.AcceptedAt;
+  const core::Milliseconds Whole = Move.Order.Deadline - Move.AcceptedAt;
   const core::Milliseconds Reserve =
       std::max<core::Milliseconds>(MinReserve, Whole / ReserveDivisor);
-  return std::max(Move.Order.By - Reserve, Move.AcceptedAt);
+  return std::max(Move.Order.Deadline - Reserve, Move.AcceptedAt);
 }
 
 double elapsedPart(const config::MoveStatus &Move, core::WallTime Now) {
@@ -134,12 +134,12 @@
 
 core::Status checkDeadline(const config::MoveOrder &Order, core::WallTime Now) {
   const auto Left =
-      std::chrono::duration_cast<core::Seconds>(Order.By - Now).count();
-  if (Order.By <= Now)
+      std::chrono::duration_cast<core::Seconds>(Order.Deadline - Now).count();
+  if (Order.Deadline <= Now)
     return core::Error{
         core::ErrorCode::SheetTimePassed,
         fmt::format("move to {}: {} s ago", Order.To.value(), -Left)};
-  if (Order.By - Now < MinMoveTime)
+  if (Order.Deadline - Now < MinMoveTime)
     return core::Error{
         core::ErrorCode::SheetTimeTooShort,
         fmt::format("move to {}: {} s are left, a move takes at least {} s",
--- a/lib/decision/rollout/Windows.cpp
+++ b/lib/decision/rollout/Windows.cpp
@@ -178,9 +178,9 @@
   return Ids;
 }
 
-config::Verdict verdictOf(const core::RouteName &Route,
-                          const RouteFinding &Found) {
-  config::Verdict Result;
+config::MoveDecision verdictOf(const core::RouteName &Route,
+                               const RouteFinding &Found) {
+  config::MoveDecision Result;
   Result.Route = Route;
   Result.Reason = fmt::format(
       "{} of {} answers {}, {} of {} on the old version", Found.New.Bad,
--- a/lib/io/AdminServer.cpp
+++ b/lib/io/AdminServer.cpp
@@ -69,7 +69,7 @@
 
 core::Status Admin::open(const std::string &Address) {
   if (!isLoopback(Address))
-    return core::Error{core::ErrorCode::ProcessListen,
+    return core::Error{core::ErrorCode::ProcessListenFailed,
                        Address + " is not a loopback address"};
   HttpServer::Options Settings;
   Settings.Address = Address;
--- a/lib/io/ControlServer.cpp
+++ b/lib/io/ControlServer.cpp
@@ -183,7 +183,7 @@
   if (Where)
     Bound = control::listenOn(*Where);
   if (!Bound.open())
-    return core::Error{core::ErrorCode::ProcessListen, Settings.Address};
+    return core::Error{core::ErrorCode::ProcessListenFailed, Settings.Address};
   return std::unique_ptr<ControlServer>(
       std::make_unique<Server>(Loop, Settings, std::move(OnMessage),
                                std::move(OnLog), std::move(Bound)));
--- a/lib/io/HttpServer.cpp
+++ b/lib/io/HttpServer.cpp
@@ -309,7 +309,7 @@
   auto Server =
       std::make_unique<MhdServer>(Loop, Settings, std::move(OnRequest));
   if (!Server->open(Settings))
-    return core::Error{core::ErrorCode::ProcessListen, Settings.Address};
+    return core::Error{core::ErrorCode::ProcessListenFailed, Settings.Address};
   return std::unique_ptr<HttpServer>(std::move(Server));
 }
 
--- a/lib/io/mesh/MeshProcess.cpp
+++ b/lib/io/mesh/MeshProcess.cpp
@@ -330,7 +330,7 @@
     return;
   if (const auto *Routing = std::get_if<config::Routing>(&*Order)) {
     Engine->setCallerIdleTimeout(
-        std::chrono::ceil<core::Seconds>(Routing->Limits.IdleTime) +
+        std::chrono::ceil<core::Seconds>(Routing->Limits.IdleTimeout) +
         IdleReserve);
     handle(decide::RoutingLearned{
         std::make_shared<const config::RoutingTable>(*Routing)});
--- a/lib/io/mesh/ReportSocket.cpp
+++ b/lib/io/mesh/ReportSocket.cpp
@@ -30,7 +30,7 @@
       bind(Fd, reinterpret_cast<const sockaddr *>(&Own), sizeof Own) != 0) {
     if (Fd >= 0)
       close(Fd);
-    return core::Error{core::ErrorCode::ProcessListen,
+    return core::Error{core::ErrorCode::ProcessListenFailed,
                        Address + ":" + std::to_string(Port)};
   }
   return std::make_unique<ReportSocket>(Loop, Fd, Port, std::move(OnDatagram));
--- a/lib/io/mesh/ReportSocket.h
+++ b/lib/io/mesh/ReportSocket.h
@@ -14,7 +14,7 @@
 public:
   using Receiver = std::function<void(std::string_view)>;
 
-  /// @return the socket, or `ProcessListen` with the address
+  /// @return the socket, or `ProcessListenFailed` with the address
   static core::Result<std::unique_ptr<ReportSocket>>
   open(EventLoop &Loop, const std::string &Address, std::uint16_t Port,
        Receiver OnDatagram);
--- a/lib/io/mesh/SmallRequests.h
+++ b/lib/io/mesh/SmallRequests.h
@@ -17,7 +17,7 @@
 
 /// @brief Opens a server whose requests are collected whole and answered by a
 ///        function.
-/// @return the server, or `ProcessListen` with the address
+/// @return the server, or `ProcessListenFailed` with the address
 core::Result<std::unique_ptr<HttpServer>>
 listenSmall(EventLoop &Loop, const std::string &Address, SmallHandler Handle);
 
--- a/lib/io/node/LogFold.cpp
+++ b/lib/io/node/LogFold.cpp
@@ -7,7 +7,8 @@
 decision::distribution::FoldedRecord LogFold::apply(config::FleetState State,
                                                     core::LogOffset Offset,
                                                     const std::string &Bytes) {
-  config::Applied After = config::applyEncoded(std::move(State), Offset, Bytes);
+  config::ApplyResult After =
+      config::applyEncoded(std::move(State), Offset, Bytes);
   auto Decoded = wire::decodeRecord(Bytes);
   std::optional<config::LogRecord> Record;
   if (core::ok(Decoded))
--- a/lib/wire/RecordCodec.cpp
+++ b/lib/wire/RecordCodec.cpp
@@ -103,7 +103,7 @@
   if (!core::ok(State))
     return State;
   const config::FleetState &Held = core::value(State);
-  if (Held.Next.value() != Snapshot.UpTo.value() + 1)
+  if (Held.NextOffset.value() != Snapshot.UpTo.value() + 1)
     return core::Error{core::ErrorCode::WireDigestMismatch, "position"};
   if (config::digestOf(Held) != Snapshot.StateDigest)
     return core::Error{core::ErrorCode::WireDigestMismatch, "digest"};
--- a/lib/wire/RecordThrift.cpp
+++ b/lib/wire/RecordThrift.cpp
@@ -9,7 +9,7 @@
   To.epoch = toSigned(From.LeaseEpoch.value());
   To.move = toThrift(From.Move);
   To.atMs = toMillis(From.At);
-  To.decided = toThrift(From.Decided);
+  To.decided = toThrift(From.Decision);
   return To;
 }
 
@@ -145,7 +145,7 @@
           core::ConfigVersion(toUnsigned(From.orderedIn))};
 }
 
-gen::Verdict toThrift(const config::Verdict &From) {
+gen::Verdict toThrift(const config::MoveDecision &From) {
   gen::Verdict To;
   To.route = From.Route.value();
   To.reason = From.Reason;
@@ -156,7 +156,7 @@
   return To;
 }
 
-config::Verdict fromThrift(const gen::Verdict &From) {
+config::MoveDecision fromThrift(const gen::Verdict &From) {
   return {core::RouteName(From.route), From.reason,
           toUnsigned(From.newAnswers), toUnsigned(From.newFaults),
           toUnsigned(From.oldAnswers), toUnsigned(From.oldFaults)};
--- a/lib/wire/SheetThrift.cpp
+++ b/lib/wire/SheetThrift.cpp
@@ -83,7 +83,7 @@
 gen::MoveOrder toThrift(const config::MoveOrder &From) {
   gen::MoveOrder To;
   To.toVersion = From.To.value();
-  To.byMs = toMillis(From.By);
+  To.byMs = toMillis(From.Deadline);
   return To;
 }
 
--- a/lib/wire/StateThrift.cpp
+++ b/lib/wire/StateThrift.cpp
@@ -14,8 +14,8 @@
   To.share = static_cast<std::int16_t>(From.Share);
   if (From.EndedAt)
     To.__set_endedAtMs(toMillis(*From.EndedAt));
-  if (From.Decided)
-    To.__set_decided(toThrift(*From.Decided));
+  if (From.Decision)
+    To.__set_decided(toThrift(*From.Decision));
   return To;
 }
 
@@ -31,11 +31,11 @@
   if (From.__isset.endedAtMs)
     To.EndedAt = Check.time(From.endedAtMs);
   if (From.__isset.decided)
-    To.Decided = fromThrift(From.decided);
+    To.Decision = fromThrift(From.decided);
   return To;
 }
 
-gen::Traffic trafficToThrift(const config::Traffic &From) {
+gen::Traffic trafficToThrift(const config::TrafficSplit &From) {
   gen::Traffic To;
   To.stable = From.Stable.value();
   if (From.Candidate)
@@ -44,8 +44,9 @@
   return To;
 }
 
-config::Traffic trafficFromThrift(const gen::Traffic &From, RangeCheck &Check) {
-  config::Traffic To;
+config::TrafficSplit trafficFromThrift(const gen::Traffic &From,
+                                       RangeCheck &Check) {
+  config::TrafficSplit To;
   To.Stable = core::TargetVersion(From.stable);
   if (From.__isset.candidate)
     To.Candidate = core::TargetVersion(From.candidate);
@@ -70,7 +71,7 @@
 }
 
 void positionToThrift(const config::FleetState &From, gen::FleetState &To) {
-  To.nextOffset = toSigned(From.Next.value());
+  To.nextOffset = toSigned(From.NextOffset.value());
   To.version = toSigned(From.Version.value());
   To.sheetVersion = toSigned(From.SheetVersion.value());
   To.epoch = toSigned(From.CurrentEpoch.value());
@@ -78,7 +79,7 @@
 }
 
 void positionFromThrift(const gen::FleetState &From, config::FleetState &To) {
-  To.Next = core::LogOffset(toUnsigned(From.nextOffset));
+  To.NextOffset = core::LogOffset(toUnsigned(From.nextOffset));
   To.Version = core::ConfigVersion(toUnsigned(From.version));
   To.SheetVersion = core::ConfigVersion(toUnsigned(From.sheetVersion));
   To.CurrentEpoch = core::Epoch(toUnsigned(From.epoch));
@@ -90,12 +91,12 @@
 gen::FleetState toThrift(const config::FleetState &From) {
   gen::FleetState To;
   positionToThrift(From, To);
-  To.current = toThrift(From.Current);
-  for (const auto &[Service, Split] : From.TrafficOf)
+  To.current = toThrift(From.CurrentSheet);
+  for (const auto &[Service, Split] : From.TrafficByService)
     To.trafficOf.emplace(Service.value(), trafficToThrift(Split));
   for (const config::MoveStatus &Move : From.Moves)
     To.moves.push_back(statusToThrift(Move));
-  for (const config::RefusedSheet &Sheet : From.Refused)
+  for (const config::RefusedSheet &Sheet : From.RefusedSheets)
     To.refused.push_back(refusedToThrift(Sheet));
   if (From.InForce)
     To.__set_inForce(toThrift(*From.InForce));
@@ -107,14 +108,14 @@
 config::FleetState fromThrift(const gen::FleetState &From, RangeCheck &Check) {
   config::FleetState To;
   positionFromThrift(From, To);
-  To.Current = fromThrift(From.current, Check);
+  To.CurrentSheet = fromThrift(From.current, Check);
   for (const auto &[Service, Split] : From.trafficOf)
-    To.TrafficOf.emplace(core::ServiceName(Service),
-                         trafficFromThrift(Split, Check));
+    To.TrafficByService.emplace(core::ServiceName(Service),
+                                trafficFromThrift(Split, Check));
   for (const gen::MoveStatus &Move : From.moves)
     To.Moves.push_back(statusFromThrift(Move, Check));
   for (const gen::RefusedSheet &Sheet : From.refused)
-    To.Refused.push_back(refusedFromThrift(Sheet));
+    To.RefusedSheets.push_back(refusedFromThrift(Sheet));
   if (From.__isset.inForce)
     To.InForce = fromThrift(From.inForce, Check);
   for (const auto &[Writer, Sequence] : From.lastSequence)
--- a/programs/filbertvane/Publish.cpp
+++ b/programs/filbertvane/Publish.cpp
@@ -19,8 +19,9 @@
 config::LogRecord recordOf(const config::Sheet &Wanted,
                            const config::FleetState &State,
                            const std::string &Operator, core::WallTime Now) {
-  config::SheetPublished Body{
-      Wanted.Base, config::difference(State.Current, Wanted), Operator, Now};
+  config::SheetPublished Body{Wanted.Base,
+                              config::computeDelta(State.CurrentSheet, Wanted),
+                              Operator, Now};
   return {uniqueWriter(), 1, std::move(Body)};
 }
 
--- a/programs/filbertvane/SheetCheck.cpp
+++ b/programs/filbertvane/SheetCheck.cpp
@@ -7,18 +7,18 @@
 
 namespace {
 
-void printFaults(const config::Faults &Found) {
+void printFaults(const config::ErrorList &Found) {
   for (const core::Error &Each : Found)
     fmt::print(stderr, "{}\n", core::toString(Each));
 }
 
-config::Checked<config::Sheet> parse(const std::string &File,
-                                     const config::FleetState *State,
-                                     core::WallTime Now) {
+config::ValidationResult<config::Sheet> parse(const std::string &File,
+                                              const config::FleetState *State,
+                                              core::WallTime Now) {
   const auto Text =
       config::readTextFile(File, core::ErrorCode::SheetUnreadable);
   if (!core::ok(Text))
-    return config::Faults{core::failure(Text)};
+    return config::ErrorList{core::failure(Text)};
   return State ? config::parseSheet(core::value(Text), File, *State, Now)
                : config::parseSheet(core::value(Text), File);
 }
@@ -41,7 +41,7 @@
                                        const config::FleetState *State,
                                        core::WallTime Now) {
   auto Parsed = parse(File, State, Now);
-  if (const auto *Found = std::get_if<config::Faults>(&Parsed)) {
+  if (const auto *Found = std::get_if<config::ErrorList>(&Parsed)) {
     printFaults(*Found);
     return std::nullopt;
   }
@@ -53,7 +53,8 @@
 
 void printShortDeadlines(const config::Sheet &Wanted,
                          const config::FleetState &State, core::WallTime Now) {
-  const config::SheetDelta Delta = config::difference(State.Current, Wanted);
+  const config::SheetDelta Delta =
+      config::computeDelta(State.CurrentSheet, Wanted);
   for (const config::ServiceSpec &Spec : Delta.ChangedServices) {
     if (!Spec.Move)
       continue;
--- a/programs/filbertvane/main.cpp
+++ b/programs/filbertvane/main.cpp
@@ -30,9 +30,9 @@
   const auto Asked = readArguments(Count, Values, Code);
   if (!Asked)
     return Code;
-  const auto Loaded = config::loadSettings(Asked->SettingsFile,
-                                           config::SettingsReader::CommandLine);
-  if (const auto *Found = std::get_if<config::Faults>(&Loaded)) {
+  const auto Loaded = config::loadSettings(
+      Asked->SettingsFile, config::SettingsConsumer::CommandLine);
+  if (const auto *Found = std::get_if<config::ErrorList>(&Loaded)) {
     for (const core::Error &Each : *Found)
       fmt::print(stderr, "{}\n", core::toString(Each));
     return RefusedWithReason;
--- a/programs/filbertvaned/main.cpp
+++ b/programs/filbertvaned/main.cpp
@@ -32,8 +32,9 @@
   const auto File = settingsFile(Count, Values);
   if (!File)
     return Usage;
-  const auto Loaded = config::loadSettings(*File, config::SettingsReader::Node);
-  if (const auto *Found = std::get_if<config::Faults>(&Loaded)) {
+  const auto Loaded =
+      config::loadSettings(*File, config::SettingsConsumer::Node);
+  if (const auto *Found = std::get_if<config::ErrorList>(&Loaded)) {
     for (const core::Error &Each : *Found)
       fmt::print(stderr, "{}\n", core::toString(Each));
     return Refused;
--- a/tests/config/ExamplesTest.cpp
+++ b/tests/config/ExamplesTest.cpp
@@ -11,7 +11,7 @@
 const std::string Folder =
     std::string(FILBERTVANE_SCENARIOS) + "/../../examples/";
 
-std::string firstOf(const Faults &Found) {
+std::string firstOf(const ErrorList &Found) {
   return Found.empty() ? "" : core::toString(Found.front());
 }
 
@@ -23,15 +23,15 @@
   const auto Text = readTextFile(File, core::ErrorCode::SheetUnreadable);
   cr_assert(core::ok(Text));
   const auto Parsed = parseSheet(core::value(Text), File);
-  const auto *Found = std::get_if<Faults>(&Parsed);
+  const auto *Found = std::get_if<ErrorList>(&Parsed);
   const std::string Problem = Found ? firstOf(*Found) : "";
   cr_assert(!Found, "%s", Problem.c_str());
 }
 
 Test(examples, the_example_settings_are_valid) {
   const auto Read =
-      loadSettings(Folder + "settings.yaml", SettingsReader::Node);
-  const auto *Found = std::get_if<Faults>(&Read);
+      loadSettings(Folder + "settings.yaml", SettingsConsumer::Node);
+  const auto *Found = std::get_if<ErrorList>(&Read);
   const std::string Problem = Found ? firstOf(*Found) : "";
   cr_assert(!Found, "%s", Problem.c_str());
 }
--- a/tests/config/FleetStatePropertyTest.cpp
+++ b/tests/config/FleetStatePropertyTest.cpp
@@ -38,8 +38,8 @@
 
 /// The parts of a state that only an accepted record may change.
 auto configurationOf(const FleetState &State) {
-  return std::tie(State.Version, State.SheetVersion, State.Current,
-                  State.TrafficOf, State.Moves);
+  return std::tie(State.Version, State.SheetVersion, State.CurrentSheet,
+                  State.TrafficByService, State.Moves);
 }
 
 } // namespace
@@ -85,7 +85,7 @@
   cr_assert(rc::check("versions", [&](std::uint64_t Seed) {
     FleetState State;
     for (const StoredRecord &Each : randomLog(Seed)) {
-      const Applied After = applyEncoded(State, Each.Offset, Each.Bytes);
+      const ApplyResult After = applyEncoded(State, Each.Offset, Each.Bytes);
       const auto *Accept = std::get_if<Accepted>(&After.Outcome);
       Accepts += Accept ? 1 : 0;
       Refusals += std::holds_alternative<Refused>(After.Outcome);
@@ -94,7 +94,7 @@
         RC_ASSERT(After.State.Version.value() == State.Version.value() + 1);
       else
         RC_ASSERT(configurationOf(After.State) == configurationOf(State));
-      RC_ASSERT(After.State.Next > State.Next);
+      RC_ASSERT(After.State.NextOffset > State.NextOffset);
       State = After.State;
     }
   }));
@@ -109,7 +109,7 @@
     const auto Log = randomLog(Seed);
     const FleetState State = foldOf(Log);
     for (const StoredRecord &Each : Log) {
-      const Applied After = applyEncoded(State, Each.Offset, Each.Bytes);
+      const ApplyResult After = applyEncoded(State, Each.Offset, Each.Bytes);
       RC_ASSERT(std::holds_alternative<Duplicate>(After.Outcome));
       RC_ASSERT(After.State == State);
     }
@@ -125,10 +125,11 @@
       State = applyEncoded(State, Each.Offset, Each.Bytes).State;
       if (!core::ok(wire::decodeRecord(Each.Bytes)))
         continue;
-      const Applied Again = applyEncoded(State, State.Next, Each.Bytes);
+      const ApplyResult Again =
+          applyEncoded(State, State.NextOffset, Each.Bytes);
       RC_ASSERT(std::holds_alternative<Duplicate>(Again.Outcome));
       FleetState Expected = State;
-      Expected.Next = core::LogOffset(State.Next.value() + 1);
+      Expected.NextOffset = core::LogOffset(State.NextOffset.value() + 1);
       RC_ASSERT(Again.State == Expected);
     }
   }));
@@ -140,7 +141,7 @@
   cr_assert(rc::check("traffic", [](std::uint64_t Seed) {
     const FleetState State = foldOf(randomLog(Seed));
     std::size_t Candidates = 0;
-    for (const auto &[Service, Split] : State.TrafficOf)
+    for (const auto &[Service, Split] : State.TrafficByService)
       Candidates += Split.Candidate ? 1 : 0;
     std::size_t InProgress = 0;
     for (const MoveStatus &Move : State.Moves) {
@@ -149,8 +150,8 @@
       if (Move.Stage != MoveStage::InProgress)
         continue;
       ++InProgress;
-      const Traffic &Split = State.TrafficOf.at(Move.Id.Service);
-      RC_ASSERT(Split == (Traffic{Move.From, Move.Order.To, Move.Share}));
+      const TrafficSplit &Split = State.TrafficByService.at(Move.Id.Service);
+      RC_ASSERT(Split == (TrafficSplit{Move.From, Move.Order.To, Move.Share}));
     }
     RC_ASSERT(InProgress == Candidates);
   }));
@@ -163,7 +164,7 @@
     const Sheet From = Source.sheet({});
     Sheet To = Source.sheet({});
     To.Base = From.Base;
-    RC_ASSERT(applied(From, difference(From, To)) == To);
-    RC_ASSERT(difference(From, From) == SheetDelta{});
+    RC_ASSERT(applyDelta(From, computeDelta(From, To)) == To);
+    RC_ASSERT(computeDelta(From, From) == SheetDelta{});
   }));
 }
--- a/tests/config/FleetStateTest.cpp
+++ b/tests/config/FleetStateTest.cpp
@@ -15,8 +15,9 @@
 class Reader {
 public:
   RecordOutcome append(RecordBody Body) {
-    Applied After = apply(State, State.Next,
-                          {core::WriterId("w"), ++Sequence, std::move(Body)});
+    ApplyResult After =
+        apply(State, State.NextOffset,
+              {core::WriterId("w"), ++Sequence, std::move(Body)});
     State = std::move(After.State);
     return After.Outcome;
   }
@@ -26,8 +27,8 @@
   }
 
   RecordOutcome publishOn(core::ConfigVersion Base, const Sheet &Wanted) {
-    return append(SheetPublished{Base, difference(State.Current, Wanted), "ann",
-                                 PublishTime});
+    return append(SheetPublished{Base, computeDelta(State.CurrentSheet, Wanted),
+                                 "ann", PublishTime});
   }
 
   FleetState State;
@@ -63,7 +64,7 @@
 core::Error errorOf(const RecordOutcome &Outcome) {
   const auto *Refusal = std::get_if<Refused>(&Outcome);
   return Refusal ? Refusal->Reason
-                 : core::Error{ErrorCode::ProcessListen, "not refused"};
+                 : core::Error{ErrorCode::ProcessListenFailed, "not refused"};
 }
 
 void assertRefused(const RecordOutcome &Outcome, ErrorCode Code,
@@ -88,7 +89,8 @@
 
 const MoveId MoveOfA{core::ServiceName("a"), core::ConfigVersion(1)};
 const core::Epoch First(1);
-const Verdict Figures{core::RouteName("r"), "9 of 41 failed", 41, 9, 780, 0};
+const MoveDecision Figures{
+    core::RouteName("r"), "9 of 41 failed", 41, 9, 780, 0};
 
 } // namespace
 
@@ -96,8 +98,8 @@
   Reader Fleet;
   cr_assert(accepted(Fleet.publish(sheet({service("a", "1.0")})), 1));
   cr_assert(Fleet.State.SheetVersion == core::ConfigVersion(1));
-  cr_assert(Fleet.State.TrafficOf.at(core::ServiceName("a")) ==
-            (Traffic{core::TargetVersion("1.0"), std::nullopt, 0}));
+  cr_assert(Fleet.State.TrafficByService.at(core::ServiceName("a")) ==
+            (TrafficSplit{core::TargetVersion("1.0"), std::nullopt, 0}));
 }
 
 // Guards against two operators who overwrite each other's sheets.
@@ -108,10 +110,11 @@
   assertRefused(
       Fleet.publishOn(core::ConfigVersion(0), sheet({service("b", "1.0")})),
       ErrorCode::SheetStaleBase, "base 0, version in force 1");
-  cr_assert(Fleet.State.Current == Before.Current);
-  cr_assert(Fleet.State.Refused.size() == 1);
-  cr_assert(Fleet.State.Refused[0].Offset == Before.Next);
-  cr_assert(Fleet.State.Refused[0].Reason.Code == ErrorCode::SheetStaleBase);
+  cr_assert(Fleet.State.CurrentSheet == Before.CurrentSheet);
+  cr_assert(Fleet.State.RefusedSheets.size() == 1);
+  cr_assert(Fleet.State.RefusedSheets[0].Offset == Before.NextOffset);
+  cr_assert(Fleet.State.RefusedSheets[0].Reason.Code ==
+            ErrorCode::SheetStaleBase);
 }
 
 // Guards against requests to a service that the proxy does not know (I2).
@@ -142,7 +145,7 @@
   Reader Fleet;
   Fleet.publish(sheet({service("a", "1.0")}));
   assertRefused(Fleet.publish(sheet({moving("a", "1.0", "1.0")})),
-                ErrorCode::SheetField,
+                ErrorCode::SheetFieldInvalid,
                 "service a: move.to: 1.0 is already the stable version");
 }
 
@@ -159,7 +162,7 @@
   Reader Fleet;
   Fleet.publish(sheet({service("a", "1.0")}));
   assertRefused(Fleet.publish(sheet({service("a", "2.0")})),
-                ErrorCode::SheetField,
+                ErrorCode::SheetFieldInvalid,
                 "service a: version: 2.0 differs from the stable version 1.0: "
                 "order a move");
 }
@@ -169,7 +172,7 @@
   assertRefused(
       Fleet.publish(sheet({service("a", "1.0")},
                           {route("r", "/x", "a"), route("s", "/x", "a")})),
-      ErrorCode::SheetField,
+      ErrorCode::SheetFieldInvalid,
       "route s: prefix: /x is also the prefix of route r");
 }
 
@@ -177,13 +180,13 @@
   Reader Fleet = movingFleet();
   cr_assert(accepted(Fleet.append(MoveStepped{First, MoveOfA, 50}), 2));
   const core::ServiceName Service("a");
-  cr_assert(Fleet.State.TrafficOf.at(Service).CandidateShare == 50);
+  cr_assert(Fleet.State.TrafficByService.at(Service).CandidateShare == 50);
   cr_assert(accepted(
       Fleet.append(MoveCompleted{First, MoveOfA, LaterTime, Figures}), 3));
-  cr_assert(Fleet.State.TrafficOf.at(Service) ==
-            (Traffic{core::TargetVersion("2.0"), std::nullopt, 0}));
+  cr_assert(Fleet.State.TrafficByService.at(Service) ==
+            (TrafficSplit{core::TargetVersion("2.0"), std::nullopt, 0}));
   cr_assert(Fleet.State.Moves[0].Stage == MoveStage::Completed);
-  cr_assert(Fleet.State.Moves[0].Decided == Figures);
+  cr_assert(Fleet.State.Moves[0].Decision == Figures);
 }
 
 // Guards against a bad version that gets traffic again by a step or by a sheet
@@ -193,13 +196,13 @@
   Fleet.append(MoveStepped{First, MoveOfA, 50});
   cr_assert(accepted(
       Fleet.append(MoveRolledBack{First, MoveOfA, LaterTime, Figures}), 3));
-  const Traffic Old{core::TargetVersion("1.0"), std::nullopt, 0};
+  const TrafficSplit Old{core::TargetVersion("1.0"), std::nullopt, 0};
   assertRefused(Fleet.append(MoveStepped{First, MoveOfA, 100}),
                 ErrorCode::MoveUnknown, "service a, ordered in version 1");
   cr_assert(accepted(
       Fleet.publish(sheet({moving("a", "1.0", "2.0"), service("b", "1.0")})),
       4));
-  cr_assert(Fleet.State.TrafficOf.at(core::ServiceName("a")) == Old);
+  cr_assert(Fleet.State.TrafficByService.at(core::ServiceName("a")) == Old);
   cr_assert(Fleet.State.Moves.size() == 1);
 }
 
@@ -218,16 +221,16 @@
   cr_assert(accepted(Fleet.publish(sheet({moving("a", "1.0", "3.0")})), 3));
   cr_assert(Fleet.State.Moves[0].Stage == MoveStage::Superseded);
   cr_assert(Fleet.State.Moves[1].Id.OrderedIn == core::ConfigVersion(3));
-  cr_assert(
-      Fleet.State.TrafficOf.at(core::ServiceName("a")) ==
-      (Traffic{core::TargetVersion("1.0"), core::TargetVersion("3.0"), 0}));
+  cr_assert(Fleet.State.TrafficByService.at(core::ServiceName("a")) ==
+            (TrafficSplit{core::TargetVersion("1.0"),
+                          core::TargetVersion("3.0"), 0}));
 }
 
 Test(fleet_state, a_share_may_only_rise) {
   Reader Fleet = movingFleet();
   Fleet.append(MoveStepped{First, MoveOfA, 50});
   assertRefused(Fleet.append(MoveStepped{First, MoveOfA, 50}),
-                ErrorCode::MoveBackwards,
+                ErrorCode::MoveShareNotRaised,
                 "service a, share 50, current share 50");
 }
 
@@ -250,9 +253,9 @@
 Test(fleet_state, the_first_claim_of_an_epoch_holds_the_lease) {
   Reader Fleet;
   const LeaseClaimed Claim{core::NodeId("n1"), core::Epoch(1)};
-  cr_assert(Fleet.append(Claim) == RecordOutcome(Noted{}));
+  cr_assert(Fleet.append(Claim) == RecordOutcome(Recorded{}));
   assertRefused(Fleet.append(LeaseClaimed{core::NodeId("n2"), core::Epoch(1)}),
-                ErrorCode::MoveEpochTaken, "epoch 1, current epoch 1");
+                ErrorCode::MoveEpochClaimed, "epoch 1, current epoch 1");
   cr_assert(Fleet.State.LeaseHolder == core::NodeId("n1"));
 }
 
@@ -264,14 +267,14 @@
     const std::string To = "v" + std::to_string(I);
     Fleet.publish(sheet({moving("a", "1.0", To.c_str())}));
     Fleet.publishOn(core::ConfigVersion(0), sheet({}));
-    Fleet.State = apply(Fleet.State, Fleet.State.Next,
+    Fleet.State = apply(Fleet.State, Fleet.State.NextOffset,
                         {core::WriterId(To), 1,
                          LeaseClaimed{core::NodeId("n"), core::Epoch(0)}})
                       .State;
   }
   cr_assert(Fleet.State.Moves.size() == 101);
   cr_assert(Fleet.State.Moves.back().Stage == MoveStage::InProgress);
-  cr_assert(Fleet.State.Refused.size() == 32);
+  cr_assert(Fleet.State.RefusedSheets.size() == 32);
   cr_assert(Fleet.State.LastSequence.size() == 256);
   cr_assert(Fleet.State.LastSequence.contains(core::WriterId("w")));
 }
--- a/tests/config/RandomLog.cpp
+++ b/tests/config/RandomLog.cpp
@@ -17,7 +17,7 @@
   return oneIn(5) ? core::Epoch(Dice.below(4)) : State.CurrentEpoch;
 }
 
-Verdict RandomLog::verdict() {
+MoveDecision RandomLog::verdict() {
   return {core::RouteName(oneIn(2) ? "r1" : ""),
           "reason",
           Dice.next(),
@@ -36,8 +36,8 @@
                                const std::string &Name) {
   ServiceSpec Spec;
   Spec.Name = core::ServiceName(Name);
-  const auto Known = State.TrafficOf.find(Spec.Name);
-  Spec.Version = Known == State.TrafficOf.end() || oneIn(10)
+  const auto Known = State.TrafficByService.find(Spec.Name);
+  Spec.Version = Known == State.TrafficByService.end() || oneIn(10)
                      ? core::TargetVersion("v0")
                      : Known->second.Stable;
   if (oneIn(2))
@@ -83,18 +83,20 @@
                            PublishTime,
                            {{core::DataCentreId("d1"), PublishTime}}};
   case 7:
-    return SnapshotTaken{epoch(State), core::LogOffset(State.Next.value() - 1),
+    return SnapshotTaken{epoch(State),
+                         core::LogOffset(State.NextOffset.value() - 1),
                          digestOf(State), wire::encode(State)};
   default:
     const Sheet Wanted = sheet(State);
-    return SheetPublished{Wanted.Base, difference(State.Current, Wanted),
+    return SheetPublished{Wanted.Base, computeDelta(State.CurrentSheet, Wanted),
                           "operator", PublishTime};
   }
 }
 
 LogRecord RandomLog::record(const FleetState &State) {
   return {core::WriterId(fmt::format("w{}", Dice.below(3))),
-          oneIn(10) ? Dice.below(20) : State.Next.value() + 1, body(State)};
+          oneIn(10) ? Dice.below(20) : State.NextOffset.value() + 1,
+          body(State)};
 }
 
 } // namespace filbertvane::tests
--- a/tests/config/RandomLog.h
+++ b/tests/config/RandomLog.h
@@ -26,7 +26,7 @@
   config::ServiceSpec service(const config::FleetState &State,
                               const std::string &Name);
   config::MoveId move(const config::FleetState &State);
-  config::Verdict verdict();
+  config::MoveDecision verdict();
   core::Epoch epoch(const config::FleetState &State);
 
   core::Random Dice;
--- a/tests/config/ReportTest.cpp
+++ b/tests/config/ReportTest.cpp
@@ -23,17 +23,17 @@
     return Move;
   Move.EndedAt = PublishTime + std::chrono::minutes(5);
   if (Stage != MoveStage::Superseded)
-    Move.Decided = Verdict{core::RouteName("lists"),
-                           "the new version fails more often",
-                           41,
-                           9,
-                           780,
-                           0};
+    Move.Decision = MoveDecision{core::RouteName("lists"),
+                                 "the new version fails more often",
+                                 41,
+                                 9,
+                                 780,
+                                 0};
   return Move;
 }
 
 void assertSentence(const MoveStatus &Move, const std::string &Expected) {
-  const std::string Sentence = sentenceOf(Move, PublishTime);
+  const std::string Sentence = describeMove(Move, PublishTime);
   cr_assert_str_eq(Sentence.c_str(), Expected.c_str());
 }
 
@@ -60,8 +60,8 @@
 }
 
 Test(report, a_missed_deadline_is_stated) {
-  const std::string Sentence = sentenceOf(move(MoveStage::InProgress, 125),
-                                          LaterTime + std::chrono::seconds(90));
+  const std::string Sentence = describeMove(
+      move(MoveStage::InProgress, 125), LaterTime + std::chrono::seconds(90));
   cr_assert(Sentence.ends_with("was to be complete by 2026-12-04T11:00:00Z, 1 "
                                "min 30 s ago."),
             "%s", Sentence.c_str());
@@ -82,8 +82,8 @@
     tests::RandomLog Source(Seed);
     FleetState State;
     for (int I = 0; I < 30; ++I)
-      State = apply(State, State.Next, Source.record(State)).State;
-    State.Refused.push_back({{}, Source.bytes(50), {}});
+      State = apply(State, State.NextOffset, Source.record(State)).State;
+    State.RefusedSheets.push_back({{}, Source.bytes(50), {}});
     State.LeaseHolder = core::NodeId(Source.bytes(50));
     const auto Read = nlohmann::json::parse(reportJson(State, PublishTime));
     RC_ASSERT(Read["moves"].size() == State.Moves.size());
--- a/tests/config/SettingsTest.cpp
+++ b/tests/config/SettingsTest.cpp
@@ -19,10 +19,10 @@
 shared_key: 0123456789abcdef
 )";
 
-std::string faultsIn(const std::string &Text, SettingsReader Reader) {
+std::string faultsIn(const std::string &Text, SettingsConsumer Reader) {
   const auto Parsed = parseSettings(Text, "n.yaml", Reader);
   std::string Out;
-  if (const auto *Found = std::get_if<Faults>(&Parsed))
+  if (const auto *Found = std::get_if<ErrorList>(&Parsed))
     for (const core::Error &Each : *Found)
       Out += std::to_string(static_cast<int>(Each.Code)) + " " + Each.Detail +
              "\n";
@@ -32,13 +32,13 @@
 } // namespace
 
 Test(settings, valid_settings_are_read_with_defaults) {
-  const auto Parsed = parseSettings(Valid, "n.yaml", SettingsReader::Node);
+  const auto Parsed = parseSettings(Valid, "n.yaml", SettingsConsumer::Node);
   const auto *Read = std::get_if<Settings>(&Parsed);
-  const std::string Problems = faultsIn(Valid, SettingsReader::Node);
+  const std::string Problems = faultsIn(Valid, SettingsConsumer::Node);
   cr_assert(Read, "%s", Problems.c_str());
   cr_assert(Read->Node ==
-            (NodePlace{core::NodeId("n1"), core::DataCentreId("d1"),
-                       core::RegionId("west")}));
+            (NodeIdentity{core::NodeId("n1"), core::DataCentreId("d1"),
+                          core::RegionId("west")}));
   cr_assert(Read->Listen.Control == "[fd00::1]:8082");
   cr_assert(Read->LogRetention == core::Seconds(3600));
   cr_assert(Read->DrainDeadline == core::Milliseconds(30000));
@@ -64,7 +64,7 @@
 shared_key: short
 drain_deadline: 5
 )",
-                                     SettingsReader::Node);
+                                     SettingsConsumer::Node);
   const std::string Expected =
       "103 n.yaml:1: node.region: is missing\n"
       "103 n.yaml:3: listen.callers: must be ip:port\n"
@@ -86,7 +86,7 @@
 Test(settings, advertised_addresses_replace_the_listening_ones) {
   const auto Parsed =
       parseSettings(Valid + "advertise: {control: 10.9.9.9:1}\n", "n.yaml",
-                    SettingsReader::Node);
+                    SettingsConsumer::Node);
   const auto *Read = std::get_if<Settings>(&Parsed);
   cr_assert(Read);
   cr_assert(Read->Advertise ==
@@ -98,7 +98,7 @@
   std::string Text = Valid;
   const std::string Address = "[fd00::1]:8082";
   Text.replace(Text.find(Address), Address.size(), "0.0.0.0:8082");
-  const std::string Found = faultsIn(Text, SettingsReader::Node);
+  const std::string Found = faultsIn(Text, SettingsConsumer::Node);
   cr_assert_str_eq(Found.c_str(),
                    "103 n.yaml:5: listen.control: must be ip:port that other "
                    "nodes can reach, or state advertise.control\n");
@@ -107,9 +107,9 @@
 Test(settings, the_command_line_needs_only_the_log) {
   const std::string LogOnly =
       "log: {url: \"http://127.0.0.1:9000\", retention_s: 60}\n";
-  const std::string None = faultsIn(LogOnly, SettingsReader::CommandLine);
+  const std::string None = faultsIn(LogOnly, SettingsConsumer::CommandLine);
   cr_assert(None.empty(), "%s", None.c_str());
-  const std::string Node = faultsIn(LogOnly, SettingsReader::Node);
+  const std::string Node = faultsIn(LogOnly, SettingsConsumer::Node);
   cr_assert_str_eq(Node.c_str(), "103 n.yaml:1: node: is missing\n"
                                  "103 n.yaml:1: listen: is missing\n"
                                  "103 n.yaml:1: seeds: is missing\n"
@@ -117,8 +117,8 @@
 }
 
 Test(settings, a_missing_file_is_reported) {
-  const auto Read = loadSettings("/nonexistent/n.yaml", SettingsReader::Node);
-  const auto *Found = std::get_if<Faults>(&Read);
+  const auto Read = loadSettings("/nonexistent/n.yaml", SettingsConsumer::Node);
+  const auto *Found = std::get_if<ErrorList>(&Read);
   cr_assert(Found && Found->size() == 1);
   cr_assert(Found->front().Code == core::ErrorCode::SettingsUnreadable);
 }
--- a/tests/config/SheetParserTest.cpp
+++ b/tests/config/SheetParserTest.cpp
@@ -28,7 +28,7 @@
 std::string faultsIn(const std::string &Text) {
   const auto Parsed = parseSheet(Text, "s.yaml");
   std::string Out;
-  if (const auto *Found = std::get_if<Faults>(&Parsed))
+  if (const auto *Found = std::get_if<ErrorList>(&Parsed))
     for (const core::Error &Each : *Found)
       Out += core::toString(Each) + "\n";
   return Out;
@@ -44,7 +44,7 @@
   cr_assert(Read->Base == core::ConfigVersion(3));
   cr_assert(Read->Services[0].Name == core::ServiceName("booking"));
   cr_assert(Read->Services[1].Version == core::TargetVersion("1.40"));
-  cr_assert(Read->Services[1].Move->By ==
+  cr_assert(Read->Services[1].Move->Deadline ==
             core::WallTime(core::Milliseconds(1796387400000)));
   const RouteSpec Slots{core::RouteName("slots"),     "/slots",
                         core::ServiceName("booking"), false,
@@ -120,11 +120,11 @@
 // Guards against an order that only the log readers would refuse.
 Test(sheet_parser, a_sheet_is_checked_against_the_current_state) {
   FleetState State;
-  State.TrafficOf[core::ServiceName("booking")] =
-      Traffic{core::TargetVersion("a0"), std::nullopt, 0};
+  State.TrafficByService[core::ServiceName("booking")] =
+      TrafficSplit{core::TargetVersion("a0"), std::nullopt, 0};
   const auto Parsed = parseSheet(Valid, "s.yaml", State,
                                  core::WallTime(std::chrono::days(36500)));
-  const auto *Found = std::get_if<Faults>(&Parsed);
+  const auto *Found = std::get_if<ErrorList>(&Parsed);
   cr_assert(Found && Found->size() == 2);
   cr_assert((*Found)[0].Code == core::ErrorCode::SheetTimePassed);
   const std::string Detail = (*Found)[1].Detail;
@@ -161,9 +161,9 @@
     for (RouteSpec &Each : Content.Routes)
       if (Source.oneIn(3))
         Each.Prefix = Source.bytes(300);
-    const auto Own = faultsOf(Content);
-    const SheetPublished Body{{}, difference({}, Content), "o", {}};
-    const Applied After =
+    const auto Own = validateSheet(Content);
+    const SheetPublished Body{{}, computeDelta({}, Content), "o", {}};
+    const ApplyResult After =
         apply({}, {}, {core::WriterId("w"), 1, RecordBody(Body)});
     if (!Own.empty())
       RC_ASSERT(std::holds_alternative<Refused>(After.Outcome));
--- a/tests/decision/NodeTest.cpp
+++ b/tests/decision/NodeTest.cpp
@@ -11,7 +11,7 @@
 struct EmptyFold {
   static distribution::FoldedRecord
   apply(config::FleetState State, core::LogOffset, const std::string &) {
-    return {std::move(State), std::nullopt, config::Noted{}};
+    return {std::move(State), std::nullopt, config::Recorded{}};
   }
   static core::Digest digestOf(const config::FleetState &) {
     return core::Digest(7);
--- a/tests/mesh/MeshBench.h
+++ b/tests/mesh/MeshBench.h
@@ -26,7 +26,7 @@
   Route.Services = {{core::ServiceName("shop"), 1}};
   Route.Idempotent = Idempotent;
   Route.Timeout = milliseconds(1000);
-  Route.Objective = milliseconds(400);
+  Route.LatencyObjective = milliseconds(400);
   Route.Rank = Rank;
   Route.MaxTargets = 2;
   return Route;
--- a/tests/mesh/PlacementTest.cpp
+++ b/tests/mesh/PlacementTest.cpp
@@ -140,7 +140,7 @@
 // caller's target for the way there and back.
 Test(mesh_placement, a_quick_route_is_placed_by_its_own_time) {
   config::Routing Quick = shopRouting();
-  Quick.Routes[0].Objective = milliseconds(60);
+  Quick.Routes[0].LatencyObjective = milliseconds(60);
   Bench Node;
   Node.configure(Quick);
   HostReport Near = report("n1");
--- a/tests/platform/RecordsTest.cpp
+++ b/tests/platform/RecordsTest.cpp
@@ -90,7 +90,7 @@
   cr_assert(Said.ColdLeft == milliseconds(500));
   cr_assert(
       core::failure(platform::decodeAnnouncement("i-1", Beat, "10.0.0.2:80"))
-          .Code == core::ErrorCode::AnnouncementForeign);
+          .Code == core::ErrorCode::AnnouncementWrongHost);
   for (const auto &[From, To] : {std::pair{"\"ready\"", "\"resting\""},
                                  {"\"slots\":9,", ""},
                                  {"1782793101000", "1.5"},
--- a/tests/request/Bench.h
+++ b/tests/request/Bench.h
@@ -28,9 +28,9 @@
 inline config::FleetState shopFleet(config::Permille Share = 0) {
   config::FleetState Made;
   Made.Version = core::ConfigVersion(1);
-  Made.Current.Routes = {route("book", "/book", false),
-                         route("list", "/list", true)};
-  config::Traffic Versions{core::TargetVersion("1"), {}, 0};
+  Made.CurrentSheet.Routes = {route("book", "/book", false),
+                              route("list", "/list", true)};
+  config::TrafficSplit Versions{core::TargetVersion("1"), {}, 0};
   if (Share > 0) {
     Versions.Candidate = core::TargetVersion("2");
     Versions.CandidateShare = Share;
@@ -39,7 +39,7 @@
     Move.Order.To = *Versions.Candidate;
     Made.Moves.push_back(Move);
   }
-  Made.TrafficOf[core::ServiceName("shop")] = Versions;
+  Made.TrafficByService[core::ServiceName("shop")] = Versions;
   return Made;
 }
 
--- a/tests/request/ReducerTest.cpp
+++ b/tests/request/ReducerTest.cpp
@@ -30,7 +30,7 @@
 // Guards against requests to services that the proxy does not know (I2).
 Test(request_reducer, an_unknown_service_is_refused) {
   config::FleetState Fleet = shopFleet();
-  Fleet.Current.Routes.push_back(route("x", "/x", false, "absent"));
+  Fleet.CurrentSheet.Routes.push_back(route("x", "/x", false, "absent"));
   Bench Node(Fleet, {endpoint("n1")});
   Node.arrive(1, "/x");
   cr_assert(!Node.first<StartAttempt>(), "sent to an unknown service");
--- a/tests/request/VersionSelectorTest.cpp
+++ b/tests/request/VersionSelectorTest.cpp
@@ -40,7 +40,7 @@
 // Guards against a service without idempotent routes that can never move.
 Test(version_selector, a_service_without_idempotent_route_still_moves) {
   config::FleetState Fleet = shopFleet(50);
-  Fleet.Current.Routes.pop_back();
+  Fleet.CurrentSheet.Routes.pop_back();
   Bench Node(Fleet, {endpoint("n1"), endpoint("n2", "2")});
   cr_assert(candidates(Node, "/book") == 5, "never moves");
 }
--- a/tests/rollout/ControllerTest.cpp
+++ b/tests/rollout/ControllerTest.cpp
@@ -16,8 +16,9 @@
     C.pass(1000ms);
   }
   cr_assert(C.move().Stage == MoveStage::Completed);
-  cr_assert(*C.move().EndedAt <= C.move().Order.By);
-  cr_assert(*C.move().EndedAt > C.move().Order.By - 60s, "watched too short");
+  cr_assert(*C.move().EndedAt <= C.move().Order.Deadline);
+  cr_assert(*C.move().EndedAt > C.move().Order.Deadline - 60s,
+            "watched too short");
 }
 
 // Guards against a bad version that keeps its share.
@@ -28,7 +29,7 @@
   cr_assert(C.Published.size() == 1, "the withdrawal takes effect at once");
   C.readBack();
   cr_assert(C.move().Stage == MoveStage::RolledBack);
-  cr_assert(C.move().Decided->NewFaults == 4);
+  cr_assert(C.move().Decision->NewFaults == 4);
 }
 
 // Guards against records that are appended while the log is down, and against
@@ -126,7 +127,7 @@
   C.pass(1000ms);
   C.addAnswers(answers(4, 4, 96, 0));
   C.pass(700000ms);
-  cr_assert(!C.Fleet.TrafficOf[core::ServiceName("booking")].Candidate);
+  cr_assert(!C.Fleet.TrafficByService[core::ServiceName("booking")].Candidate);
   fake::fold(C.Fleet, fake::moveSheet(fake::at(C.Now).Wall, 600s));
   C.readBack();
   C.pass(1000ms);
--- a/tests/rollout/FakeFold.h
+++ b/tests/rollout/FakeFold.h
@@ -25,8 +25,8 @@
         Record.Share > config::FullShare)
       return false;
     Move->Share = Record.Share;
-    State.TrafficOf[Move->Id.Service] = {Move->From, Move->Order.To,
-                                         Record.Share};
+    State.TrafficByService[Move->Id.Service] = {Move->From, Move->Order.To,
+                                                Record.Share};
     return rise();
   }
   bool operator()(const config::MoveRolledBack &Record) {
@@ -70,10 +70,10 @@
       return false;
     Move->Stage = Stage;
     Move->EndedAt = Ended.At;
-    Move->Decided = Ended.Decided;
+    Move->Decision = Ended.Decision;
     const bool Done = Stage == config::MoveStage::Completed;
-    State.TrafficOf[Move->Id.Service] = {Done ? Move->Order.To : Move->From,
-                                         std::nullopt, 0};
+    State.TrafficByService[Move->Id.Service] = {
+        Done ? Move->Order.To : Move->From, std::nullopt, 0};
     return rise();
   }
   void order(const config::ServiceSpec &Service, core::WallTime At) {
@@ -82,7 +82,7 @@
       if (Move.Id.Service == Service.Name &&
           Move.Stage == config::MoveStage::InProgress)
         Move.Stage = config::MoveStage::Superseded;
-    State.TrafficOf[Service.Name] = {Service.Version, std::nullopt, 0};
+    State.TrafficByService[Service.Name] = {Service.Version, std::nullopt, 0};
     if (!Service.Move)
       return;
     config::MoveStatus Move;
@@ -99,7 +99,7 @@
 /// Applies one record.
 /// @return whether it had an effect
 inline bool fold(config::FleetState &State, const config::RecordBody &Body) {
-  State.Next = core::LogOffset(State.Next.value() + 1);
+  State.NextOffset = core::LogOffset(State.NextOffset.value() + 1);
   return std::visit(Fold(State), Body);
 }
 
--- a/tests/rollout/RolloutPropertyTest.cpp
+++ b/tests/rollout/RolloutPropertyTest.cpp
@@ -140,7 +140,7 @@
     for (int I = 0; I < 40; ++I) {
       L.act();
       const auto &Traffic =
-          L.C.Fleet.TrafficOf.at(core::ServiceName("booking"));
+          L.C.Fleet.TrafficByService.at(core::ServiceName("booking"));
       RC_ASSERT(!Traffic.Candidate && Traffic.Stable.value() == "1");
     }
   }));
--- a/tests/scenario/FakeFold.cpp
+++ b/tests/scenario/FakeFold.cpp
@@ -58,17 +58,17 @@
   }
   if (const auto *Claim = std::get_if<config::LeaseClaimed>(&Body)) {
     if (Claim->NewEpoch.value() != State.CurrentEpoch.value() + 1)
-      return refuse(core::ErrorCode::MoveEpochTaken);
+      return refuse(core::ErrorCode::MoveEpochClaimed);
     State.CurrentEpoch = Claim->NewEpoch;
     State.LeaseHolder = Claim->Holder;
-    return config::Noted{};
+    return config::Recorded{};
   }
   if (const auto *Step = std::get_if<config::MoveStepped>(&Body)) {
     if (Step->LeaseEpoch != State.CurrentEpoch)
       return refuse(core::ErrorCode::MoveStaleEpoch);
     return accept(State);
   }
-  return config::Noted{};
+  return config::Recorded{};
 }
 
 } // namespace
@@ -76,7 +76,7 @@
 decision::distribution::FoldedRecord FakeFold::apply(config::FleetState State,
                                                      core::LogOffset Offset,
                                                      const std::string &Bytes) {
-  State.Next = core::LogOffset(Offset.value() + 1);
+  State.NextOffset = core::LogOffset(Offset.value() + 1);
   std::optional<config::LogRecord> Record = parse(Bytes);
   if (!Record)
     return {State, {}, refuse(core::ErrorCode::WireMalformed)};
@@ -94,7 +94,7 @@
 
 std::string FakeFold::encode(const config::FleetState &State) {
   std::string Text =
-      fmt::format(" {} {} {} {} [{}]", State.Next.value(),
+      fmt::format(" {} {} {} {} [{}]", State.NextOffset.value(),
                   State.Version.value(), State.SheetVersion.value(),
                   State.CurrentEpoch.value(), State.LeaseHolder.value());
   for (const auto &[Writer, Sequence] : State.LastSequence)
@@ -112,7 +112,7 @@
   if (!(In >> Next >> Version >> Sheet >> Epoch >> Holder))
     return core::Error{core::ErrorCode::WireMalformed, "state"};
   config::FleetState State;
-  State.Next = core::LogOffset(Next);
+  State.NextOffset = core::LogOffset(Next);
   State.Version = core::ConfigVersion(Version);
   State.SheetVersion = core::ConfigVersion(Sheet);
   State.CurrentEpoch = core::Epoch(Epoch);
--- a/tests/scenario/Wiring.cpp
+++ b/tests/scenario/Wiring.cpp
@@ -206,7 +206,7 @@
     step(N, lease::Event(lease::EpochAdopted{What.State->LeaseHolder,
                                              What.State->CurrentEpoch}));
   for (const distribution::AppliedRecord &One : What.Records) {
-    if (!One.Record || !std::holds_alternative<config::Noted>(One.Outcome))
+    if (!One.Record || !std::holds_alternative<config::Recorded>(One.Outcome))
       continue;
     if (const auto *Claim =
             std::get_if<config::LeaseClaimed>(&One.Record->Body))
--- a/tests/wire/ControlCodecTest.cpp
+++ b/tests/wire/ControlCodecTest.cpp
@@ -32,7 +32,7 @@
   const decision::Position At{core::LogOffset(9), core::Digest(~0ULL),
                               core::ConfigVersion(4), true};
   const config::MoveId Move{core::ServiceName("s"), core::ConfigVersion(2)};
-  const config::Verdict Decided{core::RouteName("r"), "why", 1, 2, 3, 4};
+  const config::MoveDecision Decided{core::RouteName("r"), "why", 1, 2, 3, 4};
   const Hello Greeting{core::NodeId("n"),   core::DataCentreId("d"),
                        core::RegionId("r"), core::Incarnation(1),
                        "127.0.0.1:1",       core::Digest(0xabc)};
--- a/tests/wire/RecordCodecTest.cpp
+++ b/tests/wire/RecordCodecTest.cpp
@@ -12,7 +12,7 @@
 FleetState randomState(RandomLog &Source) {
   FleetState State;
   for (int I = 0; I < 30; ++I)
-    State = apply(State, State.Next, Source.record(State)).State;
+    State = apply(State, State.NextOffset, Source.record(State)).State;
   return State;
 }
 
@@ -104,15 +104,15 @@
   RandomLog Source(7);
   const FleetState State = randomState(Source);
   SnapshotTaken Snapshot{State.CurrentEpoch,
-                         core::LogOffset(State.Next.value() - 1),
+                         core::LogOffset(State.NextOffset.value() - 1),
                          digestOf(State), wire::encode(State)};
   cr_assert(core::ok(wire::decodeSnapshot(Snapshot)));
-  Snapshot.UpTo = State.Next;
+  Snapshot.UpTo = State.NextOffset;
   const auto Position = wire::decodeSnapshot(Snapshot);
   cr_assert(!core::ok(Position));
   cr_assert(core::failure(Position).Code ==
             core::ErrorCode::WireDigestMismatch);
-  Snapshot.UpTo = core::LogOffset(State.Next.value() - 1);
+  Snapshot.UpTo = core::LogOffset(State.NextOffset.value() - 1);
   Snapshot.StateDigest = core::Digest(1);
   const auto Digest = wire::decodeSnapshot(Snapshot);
   cr_assert(!core::ok(Digest));
--- a/tools/fv-moves/Fleet.cpp
+++ b/tools/fv-moves/Fleet.cpp
@@ -158,7 +158,7 @@
       Queue.emplace(At + (I > 0 ? LocalDelay : core::Milliseconds(0)),
                     [this, Node, State] {
                       auto &View = Views.at(static_cast<std::size_t>(Node));
-                      if (View && View->Next >= State->Next)
+                      if (View && View->NextOffset >= State->NextOffset)
                         return;
                       View = State;
                       feedGuard(Node, rollout::FleetChanged{State});
@@ -213,7 +213,7 @@
   WasLogDown = IsDown;
   // Views that missed records in a cut are repaired by probes within a second.
   const bool IsStale = std::any_of(Views.begin(), Views.end(), [&](auto &View) {
-    return !View || View->Next != Log.Next;
+    return !View || View->NextOffset != Log.NextOffset;
   });
   if (Now % core::Milliseconds(1000) == core::Milliseconds(0) && IsStale)
     distribute();
--- a/tools/fv-policy/Cost.cpp
+++ b/tools/fv-policy/Cost.cpp
@@ -31,8 +31,8 @@
     Route.Name = core::RouteName(Name + "-list");
     Route.Prefix = "/" + Name;
     Route.Service = core::ServiceName(Name);
-    Fleet.Current.Routes.push_back(Route);
-    Fleet.TrafficOf[Route.Service] = {core::TargetVersion("1"), {}, 0};
+    Fleet.CurrentSheet.Routes.push_back(Route);
+    Fleet.TrafficByService[Route.Service] = {core::TargetVersion("1"), {}, 0};
   }
   for (std::size_t At = 1; At <= Nodes; ++At) {
     const std::string Name = "n" + std::to_string(At);
--- a/tools/fv-policy/Simulation.cpp
+++ b/tools/fv-policy/Simulation.cpp
@@ -29,8 +29,8 @@
   Route.Name = core::RouteName("list");
   Route.Prefix = "/list";
   Route.Service = core::ServiceName("shop");
-  Made.Current.Routes.push_back(Route);
-  Made.TrafficOf[Route.Service] = {core::TargetVersion("1"), {}, 0};
+  Made.CurrentSheet.Routes.push_back(Route);
+  Made.TrafficByService[Route.Service] = {core::TargetVersion("1"), {}, 0};
   return std::make_shared<const config::FleetState>(std::move(Made));
 }
 
