--- a/include/filbertvane/decision/rollout/Controller.h
+++ b/include/filbertvane/decision/rollout/Controller.h
@@ -94,7 +94,7 @@
   MoveCounts CountsAtStep;
   core::WallTime EarliestStepAt;
   /// Figures that roll the move back, once decided.
-  std::optional<config::Verdict> RollbackVerdict;
+  std::optional<config::MoveDecision> RollbackVerdict;
   /// @}
 
   /// @name Suspicion
--- a/include/filbertvane/decision/rollout/LocalRollback.h
+++ b/include/filbertvane/decision/rollout/LocalRollback.h
@@ -21,7 +21,7 @@
   core::WallTime CreatedAt;
   /// False when a fault shared by both versions is not yet ruled out.
   bool Proven = false;
-  config::Verdict Verdict;
+  config::MoveDecision Verdict;
 
   friend bool operator==(const LocalRollback &,
                          const LocalRollback &) = default;
--- a/include/filbertvane/decision/rollout/Windows.h
+++ b/include/filbertvane/decision/rollout/Windows.h
@@ -123,8 +123,8 @@
 };
 
 /// @brief Turns a finding into the figures of a report.
-config::Verdict makeVerdict(const core::RouteName &Route,
-                            const RouteFinding &Found);
+config::MoveDecision makeVerdict(const core::RouteName &Route,
+                                 const RouteFinding &Found);
 
 } // namespace filbertvane::decision::rollout
 
--- a/lib/decision/Dispatch.cpp
+++ b/lib/decision/Dispatch.cpp
@@ -329,10 +329,10 @@
   if (!S.Fleet || Now.Mono < S.NextSnapshot ||
       !lease::holdsLease(S.Lease, Now.Mono))
     return;
-  if (S.Fleet->Next <= core::LogOffset(S.LastSnapshotOffset.value() + 1))
+  if (S.Fleet->NextOffset <= core::LogOffset(S.LastSnapshotOffset.value() + 1))
     return;
   S.NextSnapshot = Now.Mono + S.Local.LogRetention / 12;
-  append(config::SnapshotTaken{S.Fleet->CurrentEpoch, S.Fleet->Next,
+  append(config::SnapshotTaken{S.Fleet->CurrentEpoch, S.Fleet->NextOffset,
                                S.Local.Folding.DigestOf(*S.Fleet),
                                S.Local.Folding.Encode(*S.Fleet)});
 }
--- a/lib/decision/distribution/Adoption.cpp
+++ b/lib/decision/distribution/Adoption.cpp
@@ -30,7 +30,8 @@
     FoldedRecord Folded =
         S.Local.Folding.Apply(std::move(New.State), One.Offset, One.Bytes);
     New.State = std::move(Folded.State);
-    New.ConfigPosition = {New.State.Next, S.Local.Folding.DigestOf(New.State),
+    New.ConfigPosition = {New.State.NextOffset,
+                          S.Local.Folding.DigestOf(New.State),
                           New.State.Version, S.Ready};
     New.RecentRecords.push_back(
         toRecentRecord(std::move(Before), One, New.ConfigPosition));
@@ -107,7 +108,7 @@
     return false;
   }
   const config::FleetState &New = core::value(Decoded);
-  const Position To{New.Next, S.Local.Folding.DigestOf(New), New.Version,
+  const Position To{New.NextOffset, S.Local.Folding.DigestOf(New), New.Version,
                     S.Ready};
   if (To.StateDigest != What.ConfigPosition.StateDigest ||
       To.NextOffset != What.ConfigPosition.NextOffset) {
--- a/lib/decision/mesh/ReduceArrival.cpp
+++ b/lib/decision/mesh/ReduceArrival.cpp
@@ -86,7 +86,7 @@
   MeshCall &Accepted =
       State.Calls.emplace(Arrival.Id, std::move(Call)).first->second;
   if (LinkBusy)
-    return refuse(Accepted, ErrorCode::RequestWouldBeLate);
+    return refuse(Accepted, ErrorCode::RequestWouldMissObjective);
   enqueue(Accepted);
 }
 
@@ -112,8 +112,8 @@
     Produced.emplace_back(std::move(NoRoute));
     return;
   }
-  if (Routing.Limits.BodyBytes > 0 &&
-      Arrival.ContentLength > Routing.Limits.BodyBytes) {
+  if (Routing.Limits.MaxBodyBytes > 0 &&
+      Arrival.ContentLength > Routing.Limits.MaxBodyBytes) {
     request::Refuse TooLarge =
         refusal(Arrival.Id, ErrorCode::RequestTooLarge, "body");
     TooLarge.Status = StatusTooLarge;
@@ -130,9 +130,9 @@
   Call.Route = Route;
   Call.Service = stateOf(Route->Name).ServiceSplit.next(Route->Services);
   Call.ArrivedAt = Now;
-  const core::Milliseconds Reserve =
-      std::min(ObjectiveReserve, Route->Objective / ShortObjectiveDivisor);
-  Call.Objective = Now + Route->Objective - Reserve;
+  const core::Milliseconds Reserve = std::min(
+      ObjectiveReserve, Route->LatencyObjective / ShortObjectiveDivisor);
+  Call.Objective = Now + Route->LatencyObjective - Reserve;
   Call.Deadline =
       Now + std::min(Arrival.TimeLeft.value_or(Route->Timeout), Route->Timeout);
   if (State.ShutdownDeadline && Now > State.AcceptsAllUntil &&
--- a/lib/decision/mesh/ReduceAttempts.cpp
+++ b/lib/decision/mesh/ReduceAttempts.cpp
@@ -185,7 +185,7 @@
       if (!Ended.Unreachable && Ended.Load)
         State.Hosts.markAtCapacity(
             Call.CurrentHost, {Call.Terms.Route, Call.Terms.AcceptLate},
-            Now + Call.Route->Objective / AtCapacityObjectiveDivisor);
+            Now + Call.Route->LatencyObjective / AtCapacityObjectiveDivisor);
       return place(Call);
     }
     ++Call.ReachedTargets;
--- a/lib/decision/mesh/ReducePlacement.cpp
+++ b/lib/decision/mesh/ReducePlacement.cpp
@@ -114,7 +114,7 @@
   if (++Call.Placements > MaximumPlacements)
     return refuse(Call, ErrorCode::RequestRefusedByTarget);
   std::vector<Candidate> Candidates = candidates(Call);
-  const PlacementQuery Query{Call.Route->Objective,
+  const PlacementQuery Query{Call.Route->LatencyObjective,
                              HeaderBytes +
                                  stateOf(Call.Terms.Route).MeanAnswerBytes};
   auto Best = chooseTarget(Candidates, Query, State.RandomSource);
@@ -130,8 +130,9 @@
     Best = chooseTarget(Candidates, Query, State.RandomSource);
   }
   if (!Best)
-    return refuse(Call, Call.SkippedAtCapacity ? ErrorCode::RequestWouldBeLate
-                                               : ErrorCode::RequestNoTarget);
+    return refuse(Call, Call.SkippedAtCapacity
+                            ? ErrorCode::RequestWouldMissObjective
+                            : ErrorCode::RequestNoTarget);
   const Candidate &Chosen = Candidates[*Best];
   if (Chosen.HostDistance == Distance::Local)
     return enqueue(Call);
--- a/lib/decision/mesh/SlotQueue.cpp
+++ b/lib/decision/mesh/SlotQueue.cpp
@@ -152,7 +152,8 @@
           Request.Deadline;
   if (Request.AcceptLate && FitsLate)
     return enqueue(Request, Now, Late);
-  return {SlotVerdict::ActionKind::Refuse, ErrorCode::RequestWouldBeLate};
+  return {SlotVerdict::ActionKind::Refuse,
+          ErrorCode::RequestWouldMissObjective};
 }
 
 SlotVerdict SlotQueue::enqueue(const SlotRequest &Request, core::TimePoint Now,
--- a/lib/decision/rollout/MoveDriver.cpp
+++ b/lib/decision/rollout/MoveDriver.cpp
@@ -28,7 +28,7 @@
   return Sum;
 }
 
-config::Verdict summary(const MoveCounts &Counts) {
+config::MoveDecision summary(const MoveCounts &Counts) {
   const VersionCounts New = sumOf(Counts, &RouteCounts::New);
   const VersionCounts Old = sumOf(Counts, &RouteCounts::Old);
   return makeVerdict({}, {Finding::None,
@@ -87,7 +87,7 @@
       raiseSuspicion(makeVerdict(Route, LatestFinding));
     return;
   }
-  const config::Verdict Why = makeVerdict(Route, LatestFinding);
+  const config::MoveDecision Why = makeVerdict(Route, LatestFinding);
   if (LatestFinding.Level == Finding::Proven)
     Context.RollbackVerdict = Why;
   else
@@ -95,14 +95,14 @@
   withdraw(Why, LatestFinding.Level == Finding::Proven);
 }
 
-void MoveDriver::withdraw(const config::Verdict &Why, bool Proven) {
+void MoveDriver::withdraw(const config::MoveDecision &Why, bool Proven) {
   // Takes effect before the record is read back, and while the log is down.
   const LocalRollback Made{Move.Id, {}, Move.Share, Now.Wall, Proven, Why};
   if (S.LocalRollbacks.add(Made))
     Out.push_back(PublishLocalRollback{Made});
 }
 
-void MoveDriver::raiseSuspicion(const config::Verdict &Why) {
+void MoveDriver::raiseSuspicion(const config::MoveDecision &Why) {
   if (Context.SuspicionRetryAt)
     return;
   Context.SuspicionRetryAt = Now.Mono + SuspicionRetryDelay;
@@ -123,7 +123,7 @@
 void MoveDriver::advance() {
   if (Context.RollbackVerdict)
     return rollBack();
-  if (Now.Wall > Move.Order.By)
+  if (Now.Wall > Move.Order.Deadline)
     logOnce(EventId::MoveDeadlineMissed, toString(Move.Id));
   if (!mayAppend())
     return;
--- a/lib/decision/rollout/MoveDriver.h
+++ b/lib/decision/rollout/MoveDriver.h
@@ -19,8 +19,8 @@
 private:
   void syncWithFleet();
   void evaluate();
-  void raiseSuspicion(const config::Verdict &Why);
-  void withdraw(const config::Verdict &Why, bool Proven);
+  void raiseSuspicion(const config::MoveDecision &Why);
+  void withdraw(const config::MoveDecision &Why, bool Proven);
   void advance();
   void rollBack();
   void resolveSuspicion();
--- a/lib/decision/rollout/Windows.cpp
+++ b/lib/decision/rollout/Windows.cpp
@@ -181,9 +181,9 @@
   return Ids;
 }
 
-config::Verdict makeVerdict(const core::RouteName &Route,
-                            const RouteFinding &Found) {
-  config::Verdict Result;
+config::MoveDecision makeVerdict(const core::RouteName &Route,
+                                 const RouteFinding &Found) {
+  config::MoveDecision Result;
   Result.Route = Route;
   Result.Reason = fmt::format(
       "{} of {} answers {}, {} of {} on the old version", Found.New.Bad,
--- a/tests/mesh/PlacementTest.cpp
+++ b/tests/mesh/PlacementTest.cpp
@@ -152,7 +152,7 @@
 // of the caller's target for the round trip.
 Test(mesh_placement, a_fast_route_is_placed_by_its_own_time) {
   config::Routing Quick = shopRouting();
-  Quick.Routes[0].Objective = milliseconds(60);
+  Quick.Routes[0].LatencyObjective = milliseconds(60);
   Bench Node;
   Node.configure(Quick);
   HostReport Near = report("n1");
