Correct two comments of the mesh decisions

The objective of a placement is the one of the route and not the time left of it, and a failed call may come from any caller on this host.

--- a/include/filbertvane/decision/mesh/Placement.h
+++ b/include/filbertvane/decision/mesh/Placement.h
@@ -28,7 +28,7 @@
 
 /// @brief Properties of a request that determine its placement.
 struct PlacementQuery {
-  /// Time left until the latency objective.
+  /// Latency objective of the route.
   core::Milliseconds Objective{0};
   /// Expected size of request and answer together.
   double Bytes = 0;
--- a/include/filbertvane/decision/mesh/State.h
+++ b/include/filbertvane/decision/mesh/State.h
@@ -157,7 +157,7 @@
   /// Time at which the link has sent the large answers that were queued at the
   /// last arrival of a request.
   core::TimePoint LinkFreeAt;
-  /// Last failure of a request that the local target sent to another service.
+  /// Last failure of a request from this host to another service.
   core::TimePoint LastCallFailureAt;
 
   std::uint64_t ReportSequence = 0;
