--- a/include/filbertvane/decision/rollout/Controller.h
+++ b/include/filbertvane/decision/rollout/Controller.h
@@ -6,35 +6,39 @@
 
 namespace filbertvane::decision::rollout {
 
-/// Time after which a record that was appended and not read back is appended
-/// again; the fold makes the repetition harmless.
+/// Time after which an appended record that has not been read back from the log
+/// is appended again. Applying a record twice has no effect.
 inline constexpr core::Seconds ReadBackTimeout{2};
 
-/// Time after a takeover in which the first reports of the leads arrive.
+/// Time after a takeover of the lease in which the first evidence reports of
+/// the data centre leads arrive.
 inline constexpr core::Seconds TakeoverReportWindow{2};
 
-/// Time for which a suspected version gets no requests before it is tried
+/// Time for which a suspected version gets no requests before it gets a share
 /// again.
 inline constexpr core::Seconds SuspicionRetryDelay{5};
 
-/// Time after which the old version is looked at again when it failed too.
+/// Delay before the old version is checked again after it was found to fail
+/// too.
 inline constexpr core::Seconds SuspicionRecheckDelay{2};
 
-/// Suspicions after which a move is rolled back: a fault that came with the new
-/// version, went with it and came again with it is not a coincidence.
+/// Suspicions after which a move is rolled back. A fault that stops when the
+/// new version is withdrawn and returns with it is attributed to the new
+/// version.
 inline constexpr int MaxSuspicions = 2;
 
 /// @name Events
 /// @{
 
-/// @brief Ready slots of all targets of one version of a service changed.
+/// @brief The ready slots of all targets of one version of a service changed.
 struct SlotsChanged {
   core::ServiceName Service;
   core::TargetVersion Version;
   std::uint32_t Slots = 0;
   std::uint32_t InUse = 0;
 };
-/// @brief A data centre reported the lowest version that its nodes hold.
+/// @brief A data centre reported the lowest configuration version that its
+///        nodes hold.
 struct DataCentreReported {
   core::DataCentreId DataCentre;
   core::ConfigVersion LowestVersion;
@@ -50,7 +54,7 @@
 };
 /// @brief This node no longer holds the coordinator lease.
 struct LeaseLost {};
-/// @brief The platform log can or cannot be reached.
+/// @brief The platform log became reachable or unreachable.
 struct LogAvailabilityChanged {
   bool Available = true;
 };
@@ -68,7 +72,7 @@
 struct AppendRecord {
   config::RecordBody Body;
 };
-/// @brief Send an overlay for the whole fleet to all data centre leads.
+/// @brief Send a rollback for the whole fleet to the leads of all data centres.
 struct PublishLocalRollback {
   LocalRollback Rollback;
 };
@@ -78,11 +82,11 @@
 using ControllerEffects = std::vector<ControllerEffect>;
 /// @}
 
-/// @brief What the coordinator remembers of a move beside the fleet state.
+/// @brief Volatile data of the coordinator about one move.
 ///
-/// It may be lost at any time: a new coordinator starts without it.
+/// It is not part of the fleet state: a new coordinator starts without it.
 struct MoveContext {
-  /// @name Record that was appended and not read back
+  /// @name Appended record that has not been read back
   /// @{
   std::optional<config::RecordBody> PendingRecord;
   core::TimePoint AppendRetryAt;
@@ -93,7 +97,7 @@
   std::optional<config::Permille> Share;
   MoveCounts CountsAtStep;
   core::WallTime EarliestStepAt;
-  /// Figures that roll the move back, once decided.
+  /// Set once a rollback is decided.
   std::optional<config::Verdict> RollbackVerdict;
   /// @}
 
@@ -104,11 +108,11 @@
   MoveCounts CountsAtSuspicion;
   /// @}
 
-  /// Events that were logged for the move, so that each is logged once.
+  /// Events already logged for the move; each is logged once.
   std::set<observe::EventId> LoggedEvents;
 };
 
-/// @brief State of the coordinator's part of all moves.
+/// @brief State of the coordinator for all moves.
 struct ControllerState {
   std::shared_ptr<const config::FleetState> Fleet;
   /// Epoch of the held lease; none without a lease.
@@ -141,7 +145,7 @@
 /// @brief Handles one event at the coordinator, or at a candidate for it.
 ///
 /// Appends only while the lease is held and the log can be reached. Evidence
-/// and overlays are kept also without the lease.
+/// and local rollbacks are recorded without the lease too.
 Step<ControllerState, ControllerEffects>
 reduce(ControllerState State, const ControllerEvent &Event, core::Instant Now);
 
--- a/include/filbertvane/decision/rollout/Counts.h
+++ b/include/filbertvane/decision/rollout/Counts.h
@@ -9,8 +9,8 @@
 
 namespace filbertvane::decision::rollout {
 
-/// @brief Counts of latencies in buckets whose upper bounds are 1, 2, 4, ...
-///        1024 ms; the last bucket has no bound.
+/// @brief Latency histogram whose buckets have the upper bounds 1, 2, 4, ...
+///        1024 ms; the last bucket is unbounded.
 struct LatencyHistogram {
   static constexpr std::size_t BucketCount = 12;
   std::array<std::uint64_t, BucketCount> Counts{};
@@ -38,7 +38,8 @@
                          const VersionCounts &) = default;
 };
 
-/// @brief Answers of both versions of a move on one route, same window.
+/// @brief Answers of both versions of a move on one route in the same time
+///        window.
 struct RouteCounts {
   VersionCounts New;
   VersionCounts Old;
@@ -51,8 +52,8 @@
 VersionCounts &operator+=(VersionCounts &Left, const VersionCounts &Right);
 RouteCounts &operator+=(RouteCounts &Left, const RouteCounts &Right);
 
-/// @brief Counts added since an earlier report; 0 where a count fell, because a
-///        count of one incarnation never falls.
+/// @brief Increase of the counts since an earlier report of the same
+///        incarnation; 0 where a count fell, since counts are monotonic.
 RouteCounts increaseSince(const RouteCounts &Earlier, const RouteCounts &Later);
 /// @}
 
--- a/include/filbertvane/decision/rollout/Evidence.h
+++ b/include/filbertvane/decision/rollout/Evidence.h
@@ -10,63 +10,65 @@
 
 namespace filbertvane::decision::rollout {
 
-/// Period after which a node or lead sends its evidence while a move is active.
+/// Period of the evidence reports of nodes and leads while counts change.
 inline constexpr core::Milliseconds EvidencePeriod{250};
 
-/// Least time between two reports of a sender. A fault at the canary is
-/// reported at once: so few answers decide there that those of one more period
-/// can hide it. Faults of both versions are, so that the comparison stays fair.
+/// Minimum time between two reports of a sender. Faults during the canary are
+/// reported without waiting for the period, because the few answers that decide
+/// there can be masked by those of one more period. This applies to faults of
+/// both versions, so that the comparison stays unbiased.
 inline constexpr core::Milliseconds MinEvidenceInterval{50};
 
-/// Latencies of a new version do not count for this long after it got its first
-/// share: caches and connection pools of cold targets are still empty.
+/// Time after its first share during which latencies of a new version are not
+/// counted, since caches and connection pools of cold targets are still empty.
 inline constexpr core::Seconds WarmUpDuration{10};
 
-/// Time after completion during which a move is still watched.
+/// Time after completion during which a move is still monitored.
 inline constexpr core::Seconds PostCompletionMonitoring{600};
 
-/// A reader that first hears of a sender this long after a move's acceptance
-/// cannot know when the sender's counts arose, and takes them as a baseline.
+/// Age of a move beyond which the counts in the first report of an unknown
+/// sender are taken as a baseline, since it is unknown when they arose.
 inline constexpr core::Seconds FirstReportWindow{10};
 
 /// Counts of one move per route.
 using MoveCounts = std::map<core::RouteName, RouteCounts>;
 
-/// @brief A request whose target crashed, on one route.
+/// @brief A request during which the target crashed.
 ///
-/// Such requests are listed instead of counted, so that a request that crashes
-/// any target and is sent again through other nodes counts once.
+/// Reports list these requests instead of counting them, so that a request that
+/// crashes any target and is retried through other nodes is counted once.
 struct Crash {
   core::Digest RequestDigest;
-  /// The target had the new version.
+  /// Whether the target ran the new version.
   bool OnNewVersion = false;
 
   friend bool operator==(const Crash &, const Crash &) = default;
 };
 
-/// Newest crashes per route, newest last.
+/// Most recent crashes per route, oldest first.
 using MoveCrashes = std::map<core::RouteName, std::vector<Crash>>;
 
-/// @brief Cumulative counts of one sender since it started.
+/// @brief Report of the cumulative counts of one sender since it started.
 struct Evidence {
   core::NodeId Sender;
   core::Incarnation SenderIncarnation;
-  /// Rises with each report of an incarnation.
+  /// Increases with each report of an incarnation.
   std::uint64_t Revision = 0;
   std::map<config::MoveId, MoveCounts> Moves;
-  /// At most MaxCrashes per route.
+  /// At most MaxCrashesPerRoute on each route.
   std::map<config::MoveId, MoveCrashes> Crashes;
 
   friend bool operator==(const Evidence &, const Evidence &) = default;
 };
 
-/// Crashes per route that a report lists.
+/// Maximum number of crashes per route in a report.
 inline constexpr std::size_t MaxCrashesPerRoute = 32;
 
-/// @brief Recently seen crashing requests, bounded.
+/// @brief Bounded set of the most recent requests that crashed a target.
 class RecentCrashes {
 public:
-  /// @brief Whether a request was not seen before; remembers it.
+  /// @brief Adds a request; evicts the oldest one beyond the capacity.
+  /// @return false when the request was already present
   bool insert(core::Digest Request);
 
   friend bool operator==(const RecentCrashes &,
@@ -77,33 +79,35 @@
   std::vector<core::Digest> Digests;
 };
 
-/// @brief Lists a crash in a report.
+/// @brief Adds a crash to a report and drops the oldest one beyond
+///        MaxCrashesPerRoute.
 void addCrash(Evidence &Report, const config::MoveId &Move,
               const core::RouteName &Route, const Crash &Added);
 
-/// @brief Whether answers still count for a move.
+/// @brief Whether answers are counted for a move: while it is in progress, and
+///        for PostCompletionMonitoring after its completion.
 bool isMonitored(const config::MoveStatus &Move, core::WallTime Now);
 
-/// @brief Counts answers at a node.
+/// @brief Attributes the answers seen by a node to moves.
 class NodeCounter {
 public:
-  /// @brief One answer as it counts for a move.
+  /// @brief Contribution of one answer to a move.
   struct CountedAnswer {
     config::MoveId Move;
     core::RouteName Route;
     RouteCounts Counts;
-    /// Set when the target crashed; it is part of `Added` too.
+    /// Set when the target crashed; included in `Counts`.
     std::optional<Crash> Crashed;
   };
 
-  /// @brief Notes which moves have a share now, for the warm-up.
+  /// @brief Starts the warm-up of moves whose new version got its first share.
   void startWarmUps(const config::FleetState &Fleet, core::TimePoint Now);
 
   /// @brief Counts an answer.
   ///
-  /// Answers from another data centre are left out, and so are repeated crashes
-  /// by one request, which crashes any target.
-  /// @return what was counted; none when the answer concerns no watched move
+  /// Answers from another data centre are ignored, and so are further crashes
+  /// by the same request, which would crash any target.
+  /// @return the contribution; none when the answer is not counted for any move
   std::optional<CountedAnswer> record(const request::Observed &Answer,
                                       const config::FleetState &Fleet,
                                       core::Instant Now);
@@ -112,40 +116,41 @@
 
 private:
   RecentCrashes Crashes;
-  /// Time from which the latencies of a move's new version count.
+  /// Time from which latencies of the new version are counted.
   std::map<config::MoveId, core::TimePoint> WarmUpEnds;
 };
 
-/// @brief Newest report of each sender, and their sum.
+/// @brief Latest counts of each sender, and their sum.
 ///
 /// The sum does not depend on the order in which reports arrive, nor on
-/// repeated or lost ones.
+/// duplicated or lost reports.
 class EvidenceTable {
 public:
-  /// Incarnations of senders that are kept; reports of further ones are
+  /// Maximum number of sender incarnations; reports of further ones are
   /// dropped.
   static constexpr std::size_t MaxSenders = 4096;
 
-  /// @brief What a report added.
+  /// @brief Difference that a report made.
   struct MergeResult {
-    /// Counts since the last report of the same incarnation, and crashes of
-    /// requests that no sender has reported yet.
+    /// Increase since the last report of the same incarnation, including the
+    /// crashes below.
     std::map<config::MoveId, MoveCounts> Added;
+    /// Crashes by requests that no sender has reported yet.
     std::map<config::MoveId, MoveCrashes> Crashes;
     /// False when the report was dropped at the limit.
     bool Accepted = true;
   };
 
-  /// @brief Takes over a report.
-  /// @param Report counts of a sender; older than the known one: no effect
-  /// @param Inherited moves for which an unknown sender's counts are a baseline
+  /// @brief Merges a report; one with an old revision has no effect.
+  /// @param BaselineMoves moves for which the counts of an unknown sender are a
+  ///        baseline, not new answers
   MergeResult merge(const Evidence &Report,
-                    const std::set<config::MoveId> &Inherited);
+                    const std::set<config::MoveId> &BaselineMoves);
 
-  /// @brief Sum over all senders for a move.
+  /// @brief Counts of a move, summed over all senders.
   MoveCounts total(const config::MoveId &Move) const;
 
-  /// @brief Drops the counts of all moves but these.
+  /// @brief Drops the counts of all other moves.
   void retain(const std::set<config::MoveId> &Moves);
 
   friend bool operator==(const EvidenceTable &,
--- a/include/filbertvane/decision/rollout/LocalRollback.h
+++ b/include/filbertvane/decision/rollout/LocalRollback.h
@@ -7,19 +7,19 @@
 
 namespace filbertvane::decision::rollout {
 
-/// @brief A local rollback: the new version of a move gets share 0 although the
-///        configuration in force says otherwise.
+/// @brief Override that gives the new version of a move the share 0, whatever
+///        the configuration in force says.
 ///
-/// It holds until the move ends or the coordinator steps it beyond the share
-/// at which the overlay was made.
+/// It is valid until the move ends or the coordinator raises its share above
+/// the one at which the rollback was created.
 struct LocalRollback {
   config::MoveId Move;
-  /// Data centre for which it holds; empty for the whole fleet.
+  /// Data centre in which it applies; empty for the whole fleet.
   core::DataCentreId DataCentre;
-  /// Share of the move in the configuration that it was made on.
+  /// Share of the move when the rollback was created.
   config::Permille Share = 0;
   core::WallTime CreatedAt;
-  /// False when a fault shared by both versions is not yet ruled out.
+  /// False while a fault shared by both versions is not ruled out.
   bool Proven = false;
   config::Verdict Verdict;
 
@@ -27,30 +27,33 @@
                          const LocalRollback &) = default;
 };
 
-/// @brief Overlays of a node, merged from its own decisions and those of
-///        others; the result does not depend on their order.
+/// @brief Local rollbacks known to a node, its own and those of other nodes.
+///
+/// The set does not depend on the order in which they were added.
 class LocalRollbackSet {
 public:
-  /// Overlays that are kept; further ones are dropped.
+  /// Maximum number of rollbacks; further ones are dropped.
   static constexpr std::size_t MaxRollbacks = 256;
 
-  /// @brief Adds an overlay.
+  /// @brief Adds a rollback.
   /// @return true when the set changed
-  bool add(const LocalRollback &Added);
+  bool add(const LocalRollback &Rollback);
 
-  /// @brief Drops overlays whose move has ended, is unknown after this
-  ///        configuration version, or was stepped further.
-  /// @return the dropped ones
+  /// @brief Drops the rollbacks of moves that have ended, are no longer in the
+  ///        configuration, or got a higher share.
+  /// @return the dropped rollbacks
   std::vector<LocalRollback> prune(const config::FleetState &Fleet);
 
-  /// @brief Overlays of a move.
+  /// @brief Rollbacks of a move.
   std::vector<LocalRollback> forMove(const config::MoveId &Move) const;
 
-  /// @brief Overlays made for one data centre; for the fleet when it is empty.
+  /// @brief Rollbacks for one data centre; for the whole fleet when `Id` is
+  ///        empty.
   std::vector<LocalRollback> forDataCentre(const core::DataCentreId &Id) const;
 
-  /// @brief Moves that have an overlay in force in a data centre.
-  std::vector<config::MoveId> activeMoves(const core::DataCentreId &Here) const;
+  /// @brief Moves that are rolled back in a data centre.
+  std::vector<config::MoveId>
+  activeMoves(const core::DataCentreId &DataCentre) const;
 
   friend bool operator==(const LocalRollbackSet &,
                          const LocalRollbackSet &) = default;
@@ -60,7 +63,7 @@
   std::map<Key, LocalRollback> Rollbacks;
 };
 
-/// @brief The move with this id in the fleet state; null when there is none.
+/// @brief Finds a move by its id; null when the fleet state has none.
 const config::MoveStatus *findMove(const config::FleetState &Fleet,
                                    const config::MoveId &Id);
 
--- a/include/filbertvane/decision/rollout/NodeMonitor.h
+++ b/include/filbertvane/decision/rollout/NodeMonitor.h
@@ -10,8 +10,8 @@
 
 namespace filbertvane::decision::rollout {
 
-/// Period after which standing overlays are sent again, for receivers that
-/// missed them and for a new lead or coordinator.
+/// Period after which active local rollbacks are sent again, for recipients
+/// that missed them and for a new lead or coordinator.
 inline constexpr core::Seconds LocalRollbackSendPeriod{1};
 
 /// @name Events
@@ -21,15 +21,15 @@
 struct FleetChanged {
   std::shared_ptr<const config::FleetState> State;
 };
-/// @brief Counts of another node arrived.
+/// @brief An evidence report of a node arrived.
 struct EvidenceReceived {
   Evidence Report;
 };
-/// @brief An overlay of another node arrived.
+/// @brief A local rollback of another node arrived.
 struct LocalRollbackReceived {
   LocalRollback Rollback;
 };
-/// @brief This node became or ceased to be the lead of its data centre.
+/// @brief This node became the lead of its data centre, or ceased to be it.
 struct LeadershipChanged {
   bool IsLead = false;
 };
@@ -44,20 +44,21 @@
 /// @name Effects
 /// @{
 
-/// @brief Recipient of a message of the guard.
+/// @brief Recipient of a message of the monitor.
 enum class Recipient { Lead, Members, Coordinator };
 
-/// @brief Send the cumulative counts.
+/// @brief Send an evidence report.
 struct SendEvidence {
   Recipient To = Recipient::Lead;
   Evidence Report;
 };
-/// @brief Send an overlay.
+/// @brief Send a local rollback.
 struct SendLocalRollback {
   Recipient To = Recipient::Lead;
   LocalRollback Rollback;
 };
-/// @brief Moves whose new version gets no request on this node from now on.
+/// @brief The set of moves whose new version gets no requests on this node
+///        changed.
 struct LocalRollbacksChanged {
   std::vector<config::MoveId> Moves;
 };
@@ -67,7 +68,8 @@
 using MonitorEffects = std::vector<MonitorEffect>;
 /// @}
 
-/// @brief State of the guard of a node, and of its data centre when it leads.
+/// @brief State of the rollout monitor of a node, and of its data centre while
+///        the node is the lead.
 struct MonitorState {
   /// @name Identity
   /// @{
@@ -76,7 +78,7 @@
   core::DataCentreId DataCentre;
   /// @}
 
-  /// @name Own answers
+  /// @name Answers seen by this node
   /// @{
   std::shared_ptr<const config::FleetState> Fleet;
   NodeCounter Counter;
@@ -85,18 +87,18 @@
   MoveWindows OwnWindows{LocalSharedFaultSignificance};
   /// @}
 
-  /// @name Data centre, when leading
+  /// @name Data centre, while this node is the lead
   /// @{
   bool IsLead = false;
   EvidenceTable MemberEvidence;
-  /// Sum of what the members added while this node led; sent to the
-  /// coordinator.
+  /// Sum of the counts added by the members while this node was the lead; sent
+  /// to the coordinator.
   Evidence PooledEvidence;
   MoveWindows PooledWindows{LocalSharedFaultSignificance};
   /// @}
 
   LocalRollbackSet LocalRollbacks;
-  /// Moves last given out in LocalRollbacksChanged.
+  /// Moves in the last LocalRollbacksChanged.
   std::vector<config::MoveId> ActiveRollbacks;
   bool OwnChanged = false;
   bool PooledChanged = false;
@@ -105,16 +107,16 @@
   core::TimePoint NextRollbackSendAt;
 };
 
-/// @brief Guard of a node that has just started.
+/// @brief Initial state of the monitor of a node.
 MonitorState makeMonitorState(core::NodeId Self,
                               core::Incarnation SelfIncarnation,
                               core::DataCentreId DataCentre);
 
 /// @brief Handles one event at a node.
 ///
-/// A node judges its own answers, a lead those of its data centre. A proven
-/// finding, or a suspicion at a share where the old version is too quiet to
-/// prove it, withdraws the new version at once.
+/// A node evaluates its own answers, a lead those of its data centre. The new
+/// version is withdrawn at once on a proven finding, and on a suspicion at a
+/// share at which the old version gets too few requests to confirm it.
 Step<MonitorState, MonitorEffects>
 reduce(MonitorState State, const MonitorEvent &Event, core::Instant Now);
 
--- a/include/filbertvane/decision/rollout/RolloutPolicy.h
+++ b/include/filbertvane/decision/rollout/RolloutPolicy.h
@@ -7,30 +7,31 @@
 
 namespace filbertvane::decision::rollout {
 
-/// @brief Whether a finding withdraws the new version of a move at once.
+/// @brief Whether the new version of a move has to be withdrawn at once.
 ///
-/// A suspicion does so only above ControlShare. Below it the old version
-/// answers enough to prove or dispel the suspicion within a few answers; above
-/// it the proof would cost more faults than the withdrawal, after which the old
-/// version shows whether it fails too.
+/// A suspicion is enough only above MaxComparableShare. Up to that share the
+/// old version answers enough requests to confirm or refute it within a few
+/// answers. Above it, waiting would cost more faults than a withdrawal, after
+/// which the old version shows whether it fails too.
 bool shouldWithdraw(const config::MoveStatus &Move, const RouteFinding &Found);
 
-/// @brief Moves that an unknown sender's counts are a baseline for.
-/// @param IsTakeover the reader has just become the coordinator: counts of a
-///        move at the canary form one window then, since its share hardly
-///        changed; a new lead would count what another one counted already
+/// @brief Moves for which the counts of an unknown sender are a baseline.
+/// @param IsTakeover true at a new coordinator, which counts the first reports
+///        for moves at the canary: their share has hardly changed, so that the
+///        counts form one window. A new lead must not do so, since the previous
+///        lead has already counted them.
 std::set<config::MoveId> baselineMoves(const config::FleetState &Fleet,
                                        core::WallTime Now,
                                        bool IsTakeover = false);
 
-/// @brief Moves whose answers still count.
+/// @brief Moves for which answers are counted.
 std::set<config::MoveId> monitoredMoves(const config::FleetState &Fleet,
                                         core::WallTime Now);
 
-/// @brief Whether one of the overlays is proven.
-const LocalRollback *findProven(const std::vector<LocalRollback> &Overlays);
+/// @brief First proven rollback; null when there is none.
+const LocalRollback *findProven(const std::vector<LocalRollback> &Rollbacks);
 
-/// @brief `service@version` for log lines.
+/// @brief Formats a move as `service@version` for log lines.
 std::string toString(const config::MoveId &Move);
 
 } // namespace filbertvane::decision::rollout
--- a/include/filbertvane/decision/rollout/Windows.h
+++ b/include/filbertvane/decision/rollout/Windows.h
@@ -8,7 +8,7 @@
 
 namespace filbertvane::decision::rollout {
 
-/// @brief What the test found on a route, with its figures.
+/// @brief Result of the test on a route, with the samples it is based on.
 struct RouteFinding {
   Finding Level = Finding::None;
   /// True when answers were slow, false when they failed.
@@ -21,14 +21,15 @@
 
 /// @brief Recent counts of one route of one move.
 ///
-/// Counts are kept per evidence period, older periods merged into ever longer
-/// ones. Each span from one of them until now is a window of the test, so that
-/// a late fault is not diluted by the good answers before it.
+/// Counts are stored per evidence period; older periods are merged into
+/// progressively longer ones. The test is applied to each window from the start
+/// of a period until now, so that earlier good answers do not hide a late
+/// fault.
 class RouteWindows {
 public:
-  /// @param SharedChance highest accepted probability of a shared fault
-  RouteWindows(double SharedChance = SharedFaultSignificance)
-      : Significance(SharedChance) {}
+  /// @param Significance level at which a shared fault is ruled out
+  RouteWindows(double Significance = SharedFaultSignificance)
+      : Significance(Significance) {}
 
   /// @brief Adds counts to the current period.
   void add(const RouteCounts &Added);
@@ -36,23 +37,24 @@
   /// @brief Ends the current period.
   void closePeriod();
 
-  /// @brief Starts windows afresh after the share changed.
+  /// @brief Drops the windows after the share changed, unless a fault is
+  ///        proven.
   ///
-  /// A window over two shares would take a shared fault at the higher share for
-  /// a fault of the new version. What is proven stays proven.
+  /// In a window across two shares, a shared fault at the higher share would
+  /// look like a fault of the new version.
   void startStep();
 
-  /// @brief Judges all windows and returns the gravest finding.
+  /// @brief Tests all windows and returns the most severe finding.
   ///
-  /// Without new bad answers since the last call, and nothing found then, the
-  /// result cannot have become graver and is not computed again.
-  /// Complexity: linear in the number of periods kept, at most MaxPeriods.
+  /// The cached result is returned when the last call found nothing and there
+  /// were no bad answers of the new version since.
+  /// Complexity: linear in the number of stored periods, at most MaxPeriods.
   RouteFinding evaluate();
 
   /// @brief Counts of all periods.
   const RouteCounts &total() const { return Total; }
 
-  /// @brief Number of closed periods that are kept.
+  /// @brief Number of stored periods, not including the current one.
   std::size_t periodCount() const { return ClosedPeriods.size(); }
 
   static constexpr std::size_t MaxPeriods = 48;
@@ -62,6 +64,7 @@
 private:
   struct Period {
     RouteCounts Counts;
+    /// In evidence periods.
     std::uint32_t Length = 1;
     friend bool operator==(const Period &, const Period &) = default;
   };
@@ -72,7 +75,7 @@
   /// Oldest first.
   std::vector<Period> ClosedPeriods;
   RouteCounts OpenPeriod;
-  /// Sum since the share last changed.
+  /// Sum since the last change of the share.
   RouteCounts StepTotal;
   RouteCounts Total;
   double Significance;
@@ -80,35 +83,37 @@
   bool HasNewBadAnswers = false;
 };
 
-/// @brief Windows of all routes of all moves that are watched.
+/// @brief Windows of all routes of all monitored moves.
 ///
-/// The sum over a move's routes is judged too, under the empty name: a fault of
-/// the whole version shows in it after fewer answers than on any one route.
+/// The sum over the routes of a move is tested too, under the empty route name:
+/// a fault on all routes is detected there after fewer answers than on any
+/// single route.
 class MoveWindows {
 public:
-  /// @param SharedChance highest accepted probability of a shared fault
-  MoveWindows(double SharedChance = SharedFaultSignificance)
-      : Significance(SharedChance) {}
+  /// @param Significance level at which a shared fault is ruled out
+  MoveWindows(double Significance = SharedFaultSignificance)
+      : Significance(Significance) {}
 
-  /// Routes over all moves that are kept; counts of further ones are dropped.
+  /// Maximum number of routes of all moves; counts of further ones are dropped.
   static constexpr std::size_t MaxRoutes = 1024;
 
   /// @brief Adds counts of one route.
-  /// @return false when the limit of routes is reached
+  /// @return false when the counts were dropped at MaxRoutes
   bool add(const config::MoveId &Move, const core::RouteName &Route,
            const RouteCounts &Added);
 
   /// @brief Ends the current period of all routes.
   void closePeriod();
 
-  /// @brief Starts the windows of a move afresh after its share changed.
+  /// @brief Drops the windows of a move after its share changed, as
+  ///        RouteWindows::startStep does.
   void startStep(const config::MoveId &Move);
 
-  /// @brief Gravest finding of a move.
+  /// @brief Most severe finding of a move.
   /// @return the route, empty for the whole service, and its finding
   std::pair<core::RouteName, RouteFinding> evaluate(const config::MoveId &Move);
 
-  /// @brief Forgets a move's counts, to judge it afresh.
+  /// @brief Drops all counts of a move.
   void reset(const config::MoveId &Move);
 
   /// @brief Moves that have counts.
@@ -122,7 +127,7 @@
       RoutesByMove;
 };
 
-/// @brief Turns a finding into the figures of a report.
+/// @brief Converts a finding to the verdict that is stored with a rollback.
 config::Verdict makeVerdict(const core::RouteName &Route,
                             const RouteFinding &Found);
 
--- a/lib/decision/rollout/Controller.cpp
+++ b/lib/decision/rollout/Controller.cpp
@@ -7,10 +7,10 @@
 namespace {
 
 /// Handles the events of one call of `reduce`.
-class Control {
+class ControllerHandler {
 public:
-  Control(ControllerState State, core::Instant Now)
-      : S(std::move(State)), Now(Now) {}
+  ControllerHandler(ControllerState Initial, core::Instant Now)
+      : State(std::move(Initial)), Now(Now) {}
 
   void on(const FleetChanged &Event);
   void on(const EvidenceReceived &Event);
@@ -21,150 +21,152 @@
   void on(const LeaseGained &Event);
   void on(const LeaseLost &);
   void on(const LogAvailabilityChanged &Event) {
-    S.LogAvailable = Event.Available;
+    State.LogAvailable = Event.Available;
   }
   void on(const Tick &);
 
-  void drive();
+  void driveMoves();
   Step<ControllerState, ControllerEffects> finish() {
-    return {std::move(S), std::move(Out)};
+    return {std::move(State), std::move(Effects)};
   }
 
 private:
-  void forgetUnwatched();
+  void eraseUnmonitored();
   void reportInForce();
   bool isReported(const config::InForceReported &Report) const;
 
-  ControllerState S;
+  ControllerState State;
   core::Instant Now;
-  ControllerEffects Out;
+  ControllerEffects Effects;
 };
 
-void Control::on(const FleetChanged &Event) {
-  S.Fleet = Event.State;
-  S.LocalRollbacks.prune(*S.Fleet);
-  forgetUnwatched();
+void ControllerHandler::on(const FleetChanged &Event) {
+  State.Fleet = Event.State;
+  State.LocalRollbacks.prune(*State.Fleet);
+  eraseUnmonitored();
 }
 
-void Control::forgetUnwatched() {
-  const auto Watched = monitoredMoves(*S.Fleet, Now.Wall);
-  S.EvidenceBySender.retain(Watched);
-  std::erase_if(S.MoveContexts, [&](const auto &Entry) {
-    return !Watched.contains(Entry.first);
+void ControllerHandler::eraseUnmonitored() {
+  const auto Monitored = monitoredMoves(*State.Fleet, Now.Wall);
+  State.EvidenceBySender.retain(Monitored);
+  std::erase_if(State.MoveContexts, [&](const auto &Entry) {
+    return !Monitored.contains(Entry.first);
   });
-  for (const config::MoveId &Move : S.Windows.moves())
-    if (!Watched.contains(Move))
-      S.Windows.reset(Move);
+  for (const config::MoveId &Move : State.Windows.moves())
+    if (!Monitored.contains(Move))
+      State.Windows.reset(Move);
 }
 
-void Control::on(const EvidenceReceived &Event) {
-  if (!S.Fleet)
+void ControllerHandler::on(const EvidenceReceived &Event) {
+  if (!State.Fleet)
     return;
-  const auto Merged = S.EvidenceBySender.merge(
+  const auto Merged = State.EvidenceBySender.merge(
       Event.Report,
-      baselineMoves(*S.Fleet, Now.Wall, Now.Mono < S.TakeoverUntil));
+      baselineMoves(*State.Fleet, Now.Wall, Now.Mono < State.TakeoverUntil));
   if (!Merged.Accepted)
-    Out.push_back(observe::LogEvent{observe::EventId::MoveEvidenceDropped,
-                                    Event.Report.Sender.value()});
-  const auto Watched = monitoredMoves(*S.Fleet, Now.Wall);
+    Effects.push_back(observe::LogEvent{observe::EventId::MoveEvidenceDropped,
+                                        Event.Report.Sender.value()});
+  const auto Monitored = monitoredMoves(*State.Fleet, Now.Wall);
   for (const auto &[Move, Routes] : Merged.Added)
     for (const auto &[Route, Counts] : Routes)
-      if (Watched.contains(Move))
-        S.Windows.add(Move, Route, Counts);
+      if (Monitored.contains(Move))
+        State.Windows.add(Move, Route, Counts);
 }
 
-void Control::on(const LocalRollbackReceived &Event) {
-  S.LocalRollbacks.add(Event.Rollback);
-  if (S.Fleet)
-    S.LocalRollbacks.prune(*S.Fleet);
+void ControllerHandler::on(const LocalRollbackReceived &Event) {
+  State.LocalRollbacks.add(Event.Rollback);
+  if (State.Fleet)
+    State.LocalRollbacks.prune(*State.Fleet);
 }
 
-void Control::on(const SlotsChanged &Event) {
+void ControllerHandler::on(const SlotsChanged &Event) {
   const std::pair Key(Event.Service, Event.Version);
   if (Event.Slots == 0)
-    S.SlotsByVersion.erase(Key);
+    State.SlotsByVersion.erase(Key);
   else
-    S.SlotsByVersion[Key] = {Event.Slots, Event.InUse};
+    State.SlotsByVersion[Key] = {Event.Slots, Event.InUse};
 }
 
-void Control::on(const DataCentreReported &Event) {
-  S.DataCentres[Event.DataCentre] = {Event.LowestVersion, std::nullopt};
+void ControllerHandler::on(const DataCentreReported &Event) {
+  State.DataCentres[Event.DataCentre] = {Event.LowestVersion, std::nullopt};
 }
 
-void Control::on(const DataCentreLost &Event) {
-  S.DataCentres[Event.DataCentre].UnreachableSince = Event.UnreachableSince;
+void ControllerHandler::on(const DataCentreLost &Event) {
+  State.DataCentres[Event.DataCentre].UnreachableSince = Event.UnreachableSince;
 }
 
-void Control::on(const LeaseGained &Event) {
-  S.LeaseEpoch = Event.Epoch;
-  S.TakeoverUntil = Now.Mono + TakeoverReportWindow;
-  // Records of an older epoch that were not read back have no effect any more.
-  S.MoveContexts.clear();
+void ControllerHandler::on(const LeaseGained &Event) {
+  State.LeaseEpoch = Event.Epoch;
+  State.TakeoverUntil = Now.Mono + TakeoverReportWindow;
+  // Records of an older epoch that have not been read back have no effect.
+  State.MoveContexts.clear();
 }
 
-void Control::on(const LeaseLost &) {
-  S.LeaseEpoch.reset();
-  S.MoveContexts.clear();
+void ControllerHandler::on(const LeaseLost &) {
+  State.LeaseEpoch.reset();
+  State.MoveContexts.clear();
 }
 
-void Control::on(const Tick &) {
-  if (Now.Mono < S.NextPeriodAt)
+void ControllerHandler::on(const Tick &) {
+  if (Now.Mono < State.NextPeriodAt)
     return;
-  S.NextPeriodAt = Now.Mono + EvidencePeriod;
-  S.Windows.closePeriod();
-  if (S.Fleet)
-    forgetUnwatched();
-  if (Now.Mono < S.NextRollbackPublishAt || !S.LeaseEpoch)
+  State.NextPeriodAt = Now.Mono + EvidencePeriod;
+  State.Windows.closePeriod();
+  if (State.Fleet)
+    eraseUnmonitored();
+  if (Now.Mono < State.NextRollbackPublishAt || !State.LeaseEpoch)
     return;
-  S.NextRollbackPublishAt = Now.Mono + LocalRollbackSendPeriod;
-  for (const LocalRollback &Value : S.LocalRollbacks.forDataCentre({}))
-    Out.push_back(PublishLocalRollback{Value});
+  State.NextRollbackPublishAt = Now.Mono + LocalRollbackSendPeriod;
+  for (const LocalRollback &Rollback : State.LocalRollbacks.forDataCentre({}))
+    Effects.push_back(PublishLocalRollback{Rollback});
 }
 
-void Control::drive() {
-  // A lease whose claim was superseded in the log is not held, whatever the
-  // lease part says so far.
-  if (!S.Fleet || !S.LeaseEpoch || S.Fleet->CurrentEpoch != *S.LeaseEpoch)
+void ControllerHandler::driveMoves() {
+  // A lease is lost once a newer claim is in the log, even if this node has not
+  // been notified yet.
+  if (!State.Fleet || !State.LeaseEpoch ||
+      State.Fleet->CurrentEpoch != *State.LeaseEpoch)
     return;
-  const auto Fleet = S.Fleet;
+  const auto Fleet = State.Fleet;
   for (const config::MoveStatus &Move : Fleet->Moves)
     if (isMonitored(Move, Now.Wall))
-      MoveDriver(S, Move, Now, Out).drive();
+      MoveDriver(State, Move, Now, Effects).drive();
   reportInForce();
 }
 
-bool Control::isReported(const config::InForceReported &Report) const {
-  const auto &Last = S.Fleet->InForce;
-  return Last && Last->Version == Report.Version &&
-         Last->Missing == Report.Missing;
+bool ControllerHandler::isReported(
+    const config::InForceReported &Report) const {
+  const auto &LastReport = State.Fleet->InForce;
+  return LastReport && LastReport->Version == Report.Version &&
+         LastReport->Missing == Report.Missing;
 }
 
-void Control::reportInForce() {
+void ControllerHandler::reportInForce() {
   config::InForceReported Report{
-      *S.LeaseEpoch, S.Fleet->SheetVersion, Now.Wall, {}};
+      *State.LeaseEpoch, State.Fleet->SheetVersion, Now.Wall, {}};
   bool Reachable = false;
-  for (const auto &[Id, View] : S.DataCentres) {
-    if (View.UnreachableSince)
-      Report.Missing.emplace_back(Id, *View.UnreachableSince);
-    else if (View.LowestVersion < S.Fleet->SheetVersion)
+  for (const auto &[Id, Status] : State.DataCentres) {
+    if (Status.UnreachableSince)
+      Report.Missing.emplace_back(Id, *Status.UnreachableSince);
+    else if (Status.LowestVersion < State.Fleet->SheetVersion)
       return;
     else
       Reachable = true;
   }
-  if (!Reachable || !S.LogAvailable || isReported(Report) ||
-      Now.Mono < S.InForceRetryAt)
+  if (!Reachable || !State.LogAvailable || isReported(Report) ||
+      Now.Mono < State.InForceRetryAt)
     return;
-  S.InForceRetryAt = Now.Mono + ReadBackTimeout;
-  Out.push_back(AppendRecord{Report});
+  State.InForceRetryAt = Now.Mono + ReadBackTimeout;
+  Effects.push_back(AppendRecord{Report});
 }
 
 } // namespace
 
 Step<ControllerState, ControllerEffects>
 reduce(ControllerState State, const ControllerEvent &Event, core::Instant Now) {
-  Control Handler(std::move(State), Now);
-  std::visit([&](const auto &Concrete) { Handler.on(Concrete); }, Event);
-  Handler.drive();
+  ControllerHandler Handler(std::move(State), Now);
+  std::visit([&](const auto &Alternative) { Handler.on(Alternative); }, Event);
+  Handler.driveMoves();
   return Handler.finish();
 }
 
--- a/lib/decision/rollout/Counts.cpp
+++ b/lib/decision/rollout/Counts.cpp
@@ -40,17 +40,18 @@
 
 namespace {
 
-std::uint64_t risen(std::uint64_t Earlier, std::uint64_t Later) {
+std::uint64_t counterIncrease(std::uint64_t Earlier, std::uint64_t Later) {
   return Later > Earlier ? Later - Earlier : 0;
 }
 
-VersionCounts since(const VersionCounts &Earlier, const VersionCounts &Later) {
+VersionCounts increaseSince(const VersionCounts &Earlier,
+                            const VersionCounts &Later) {
   VersionCounts Added;
-  Added.Answers = risen(Earlier.Answers, Later.Answers);
-  Added.Faults = risen(Earlier.Faults, Later.Faults);
+  Added.Answers = counterIncrease(Earlier.Answers, Later.Answers);
+  Added.Faults = counterIncrease(Earlier.Faults, Later.Faults);
   for (std::size_t I = 0; I < LatencyHistogram::BucketCount; ++I)
     Added.Latency.Counts[I] =
-        risen(Earlier.Latency.Counts[I], Later.Latency.Counts[I]);
+        counterIncrease(Earlier.Latency.Counts[I], Later.Latency.Counts[I]);
   return Added;
 }
 
@@ -58,7 +59,8 @@
 
 RouteCounts increaseSince(const RouteCounts &Earlier,
                           const RouteCounts &Later) {
-  return {since(Earlier.New, Later.New), since(Earlier.Old, Later.Old)};
+  return {increaseSince(Earlier.New, Later.New),
+          increaseSince(Earlier.Old, Later.Old)};
 }
 
 } // namespace filbertvane::decision::rollout
--- a/lib/decision/rollout/Evidence.cpp
+++ b/lib/decision/rollout/Evidence.cpp
@@ -12,10 +12,11 @@
 
 namespace {
 
-/// Newest watched move that an answer's version belongs to.
-const config::MoveStatus *moveOf(const request::Observed &Answer,
-                                 const config::FleetState &Fleet,
-                                 core::WallTime Now) {
+/// Latest move of the service, if it is monitored and the answer comes from one
+/// of its versions.
+const config::MoveStatus *findMonitoredMove(const request::Observed &Answer,
+                                            const config::FleetState &Fleet,
+                                            core::WallTime Now) {
   const auto Found =
       std::find_if(Fleet.Moves.rbegin(), Fleet.Moves.rend(),
                    [&](const config::MoveStatus &Move) {
@@ -24,9 +25,9 @@
                    });
   if (Found == Fleet.Moves.rend() || !isMonitored(*Found, Now))
     return nullptr;
-  const bool Concerned =
+  const bool IsMoveVersion =
       Answer.Version == Found->From || Answer.Version == Found->Order.To;
-  return Concerned ? &*Found : nullptr;
+  return IsMoveVersion ? &*Found : nullptr;
 }
 
 } // namespace
@@ -62,7 +63,7 @@
 std::optional<NodeCounter::CountedAnswer>
 NodeCounter::record(const request::Observed &Answer,
                     const config::FleetState &Fleet, core::Instant Now) {
-  const config::MoveStatus *Move = moveOf(Answer, Fleet, Now.Wall);
+  const config::MoveStatus *Move = findMonitoredMove(Answer, Fleet, Now.Wall);
   if (Move == nullptr || Answer.Remote)
     return std::nullopt;
   const bool IsNew = Answer.Version == Move->Order.To;
@@ -76,11 +77,11 @@
   VersionCounts &Side = IsNew ? Result.Counts.New : Result.Counts.Old;
   Side.Answers = 1;
   Side.Faults = Answer.Fault ? 1 : 0;
-  const auto Warm = WarmUpEnds.find(Move->Id);
-  const bool IsWarm =
-      !IsNew || (Warm != WarmUpEnds.end() && Now.Mono >= Warm->second);
-  // A fault says nothing about latency: a refused request ends at once, a
-  // timed-out one is counted as a fault already.
+  const auto WarmUpEnd = WarmUpEnds.find(Move->Id);
+  const bool IsWarm = !IsNew || (WarmUpEnd != WarmUpEnds.end() &&
+                                 Now.Mono >= WarmUpEnd->second);
+  // Latencies of faults are not counted: a refused request ends at once, and a
+  // timed-out one already counts as a fault.
   if (!Answer.Fault && IsWarm)
     Side.Latency.Counts[LatencyHistogram::bucketOf(Answer.Latency)] = 1;
   return Result;
@@ -93,11 +94,12 @@
 
 EvidenceTable::MergeResult
 EvidenceTable::merge(const Evidence &Report,
-                     const std::set<config::MoveId> &Inherited) {
+                     const std::set<config::MoveId> &BaselineMoves) {
   MergeResult Result;
   const std::pair Key(Report.Sender, Report.SenderIncarnation);
   auto Found = BySender.find(Key);
-  const bool Unknown = Found == BySender.end() && !knowsSender(Report.Sender);
+  const bool IsUnknownSender =
+      Found == BySender.end() && !knowsSender(Report.Sender);
   if (Found != BySender.end() && Report.Revision <= Found->second.Revision)
     return Result;
   if (Found == BySender.end() && BySender.size() >= MaxSenders)
@@ -105,14 +107,15 @@
   if (Found == BySender.end())
     Found = BySender.emplace(Key, SenderCounts()).first;
   Found->second.Revision = Report.Revision;
-  if (!Unknown)
+  if (!IsUnknownSender)
     mergeCrashes(Report, Result);
   for (const auto &[Move, Routes] : Report.Moves) {
     MoveCounts &Before = Found->second.Moves[Move];
     for (const auto &[Route, Counts] : Routes) {
       const RouteCounts Added = increaseSince(Before[Route], Counts);
       Before[Route] += Added;
-      if (Added != RouteCounts() && !(Unknown && Inherited.contains(Move)))
+      if (Added != RouteCounts() &&
+          !(IsUnknownSender && BaselineMoves.contains(Move)))
         Result.Added[Move][Route] += Added;
     }
   }
@@ -147,8 +150,8 @@
     std::erase_if(Known.Moves, [&](const auto &Entry) {
       return !Moves.contains(Entry.first);
     });
-  // Without counts a sender is forgotten; moves younger than FreshMove still
-  // take its next report in full.
+  // Senders without counts are erased; moves younger than FirstReportWindow
+  // still count the next report of an erased sender in full.
   std::erase_if(BySender,
                 [](const auto &Entry) { return Entry.second.Moves.empty(); });
 }
--- a/lib/decision/rollout/LocalRollback.cpp
+++ b/lib/decision/rollout/LocalRollback.cpp
@@ -6,21 +6,23 @@
 
 namespace {
 
-/// Total order of the overlays of one move and data centre; the greater one is
-/// kept. A higher share means that it was made later; a proven one outranks a
-/// suspicion; of two like ones the earlier decided.
-auto rank(const LocalRollback &Value) {
-  return std::tuple(Value.Share, Value.Proven,
-                    -Value.CreatedAt.time_since_epoch(), Value.Verdict);
+/// Total order of the rollbacks of one move and data centre; the greatest one
+/// is stored. A higher share means that the rollback is newer. At the same
+/// share a proven fault precedes a suspicion, then the earlier decision
+/// precedes.
+auto precedence(const LocalRollback &Rollback) {
+  return std::tuple(Rollback.Share, Rollback.Proven,
+                    -Rollback.CreatedAt.time_since_epoch(), Rollback.Verdict);
 }
 
-bool isObsolete(const LocalRollback &Value, const config::FleetState &Fleet) {
-  const config::MoveStatus *Move = findMove(Fleet, Value.Move);
-  // A move ordered beyond the own version is not known here yet.
+bool isObsolete(const LocalRollback &Rollback,
+                const config::FleetState &Fleet) {
+  const config::MoveStatus *Move = findMove(Fleet, Rollback.Move);
+  // A move ordered in a later configuration version is not known here yet.
   if (Move == nullptr)
-    return Value.Move.OrderedIn <= Fleet.Version;
+    return Rollback.Move.OrderedIn <= Fleet.Version;
   return Move->Stage != config::MoveStage::InProgress ||
-         Move->Share > Value.Share;
+         Move->Share > Rollback.Share;
 }
 
 } // namespace
@@ -33,56 +35,57 @@
   return Found == Fleet.Moves.end() ? nullptr : &*Found;
 }
 
-bool LocalRollbackSet::add(const LocalRollback &Added) {
-  const Key Place(Added.Move, Added.DataCentre);
-  const auto Found = Rollbacks.find(Place);
+bool LocalRollbackSet::add(const LocalRollback &Rollback) {
+  const Key EntryKey(Rollback.Move, Rollback.DataCentre);
+  const auto Found = Rollbacks.find(EntryKey);
   if (Found != Rollbacks.end()) {
-    if (rank(Added) <= rank(Found->second))
+    if (precedence(Rollback) <= precedence(Found->second))
       return false;
-    Found->second = Added;
+    Found->second = Rollback;
     return true;
   }
   if (Rollbacks.size() >= MaxRollbacks)
     return false;
-  Rollbacks.emplace(Place, Added);
+  Rollbacks.emplace(EntryKey, Rollback);
   return true;
 }
 
 std::vector<LocalRollback>
 LocalRollbackSet::prune(const config::FleetState &Fleet) {
   std::vector<LocalRollback> Dropped;
-  for (const auto &[Place, Value] : Rollbacks)
-    if (isObsolete(Value, Fleet))
-      Dropped.push_back(Value);
-  for (const LocalRollback &Value : Dropped)
-    Rollbacks.erase({Value.Move, Value.DataCentre});
+  for (const auto &[EntryKey, Rollback] : Rollbacks)
+    if (isObsolete(Rollback, Fleet))
+      Dropped.push_back(Rollback);
+  for (const LocalRollback &Rollback : Dropped)
+    Rollbacks.erase({Rollback.Move, Rollback.DataCentre});
   return Dropped;
 }
 
 std::vector<LocalRollback>
 LocalRollbackSet::forMove(const config::MoveId &Move) const {
   std::vector<LocalRollback> Result;
-  for (const auto &[Place, Value] : Rollbacks)
-    if (Place.first == Move)
-      Result.push_back(Value);
+  for (const auto &[EntryKey, Rollback] : Rollbacks)
+    if (EntryKey.first == Move)
+      Result.push_back(Rollback);
   return Result;
 }
 
 std::vector<LocalRollback>
 LocalRollbackSet::forDataCentre(const core::DataCentreId &Id) const {
   std::vector<LocalRollback> Result;
-  for (const auto &[Place, Value] : Rollbacks)
-    if (Place.second == Id)
-      Result.push_back(Value);
+  for (const auto &[EntryKey, Rollback] : Rollbacks)
+    if (EntryKey.second == Id)
+      Result.push_back(Rollback);
   return Result;
 }
 
 std::vector<config::MoveId>
-LocalRollbackSet::activeMoves(const core::DataCentreId &Here) const {
+LocalRollbackSet::activeMoves(const core::DataCentreId &DataCentre) const {
   std::vector<config::MoveId> Moves;
-  for (const auto &[Place, Value] : Rollbacks)
-    if (Place.second == Here || Place.second == core::DataCentreId())
-      Moves.push_back(Place.first);
+  for (const auto &[EntryKey, Rollback] : Rollbacks)
+    if (EntryKey.second == DataCentre ||
+        EntryKey.second == core::DataCentreId())
+      Moves.push_back(EntryKey.first);
   Moves.erase(std::unique(Moves.begin(), Moves.end()), Moves.end());
   return Moves;
 }
--- a/lib/decision/rollout/MoveDriver.cpp
+++ b/lib/decision/rollout/MoveDriver.cpp
@@ -9,10 +9,10 @@
 using config::MoveStage;
 using observe::EventId;
 
-/// Highest fault rate at which the old version counts as healthy, as a divisor;
-/// one fault more is chance. A divisor of 20 ended a suspicion in the middle of
-/// a shared fault that failed 5% of the requests.
-constexpr std::uint64_t HealthyDivisor = 100;
+/// The old version is healthy up to one fault per this number of answers, plus
+/// one fault by chance. A divisor of 20 ended a suspicion during a shared fault
+/// that failed 5% of the requests.
+constexpr std::uint64_t AnswersPerToleratedFault = 100;
 
 bool isReadBack(const config::RecordBody &Pending,
                 const config::MoveStatus &Move) {
@@ -21,14 +21,14 @@
 }
 
 VersionCounts sumOf(const MoveCounts &Counts,
-                    VersionCounts RouteCounts::*Side) {
+                    VersionCounts RouteCounts::*Version) {
   VersionCounts Sum;
-  for (const auto &[Route, Seen] : Counts)
-    Sum += Seen.*Side;
+  for (const auto &[Route, Added] : Counts)
+    Sum += Added.*Version;
   return Sum;
 }
 
-config::Verdict summary(const MoveCounts &Counts) {
+config::Verdict makeSummary(const MoveCounts &Counts) {
   const VersionCounts New = sumOf(Counts, &RouteCounts::New);
   const VersionCounts Old = sumOf(Counts, &RouteCounts::Old);
   return makeVerdict({}, {Finding::None,
@@ -52,71 +52,72 @@
     Context.PendingRecord.reset();
   if (Context.Share == Move.Share)
     return;
-  // The first sight of a move after a takeover counts as a step: evidence for
-  // the next early step is collected afresh.
+  // After a takeover, a move that was not known yet is handled as if it had
+  // just been stepped: the next early step needs new evidence.
   if (Context.Share)
-    S.Windows.startStep(Move.Id);
+    State.Windows.startStep(Move.Id);
   Context.Share = Move.Share;
-  Context.CountsAtStep = S.EvidenceBySender.total(Move.Id);
+  Context.CountsAtStep = State.EvidenceBySender.total(Move.Id);
   Context.EarliestStepAt =
       Now.Wall + (Move.Share == WarmUpShare ? WarmUpDuration : MinStepDuration);
   if (!Context.SuspicionRetryAt)
     return;
   Context.SuspicionRetryAt.reset();
-  S.Windows.reset(Move.Id);
+  State.Windows.reset(Move.Id);
 }
 
 void MoveDriver::evaluate() {
-  const auto Overlays = S.LocalRollbacks.forMove(Move.Id);
-  const LocalRollback *Proven = findProven(Overlays);
+  const auto Rollbacks = State.LocalRollbacks.forMove(Move.Id);
+  const LocalRollback *Proven = findProven(Rollbacks);
   if (!Context.RollbackVerdict && Proven != nullptr)
     Context.RollbackVerdict = Proven->Verdict;
   if (Context.RollbackVerdict)
     return;
-  if (!Overlays.empty()) {
-    // All data centres withdraw it, so that the next trial begins everywhere
-    // at the same time.
-    raiseSuspicion(Overlays.front().Verdict);
-    return withdraw(Overlays.front().Verdict, false);
+  if (!Rollbacks.empty()) {
+    // The version is withdrawn in all data centres, so that the next attempt
+    // starts everywhere at the same time.
+    raiseSuspicion(Rollbacks.front().Verdict);
+    return withdraw(Rollbacks.front().Verdict, false);
   }
   core::RouteName Route;
-  std::tie(Route, LatestFinding) = S.Windows.evaluate(Move.Id);
+  std::tie(Route, LatestFinding) = State.Windows.evaluate(Move.Id);
   if (!shouldWithdraw(Move, LatestFinding)) {
-    // At share 0 no answer comes that could clear the suspicion.
+    // At share 0 there are no answers that could refute the suspicion.
     if (Move.Share == 0 && LatestFinding.Level != Finding::None)
       raiseSuspicion(makeVerdict(Route, LatestFinding));
     return;
   }
-  const config::Verdict Why = makeVerdict(Route, LatestFinding);
+  const config::Verdict Verdict = makeVerdict(Route, LatestFinding);
   if (LatestFinding.Level == Finding::Proven)
-    Context.RollbackVerdict = Why;
+    Context.RollbackVerdict = Verdict;
   else
-    raiseSuspicion(Why);
-  withdraw(Why, LatestFinding.Level == Finding::Proven);
+    raiseSuspicion(Verdict);
+  withdraw(Verdict, LatestFinding.Level == Finding::Proven);
 }
 
-void MoveDriver::withdraw(const config::Verdict &Why, bool Proven) {
-  // Takes effect before the record is read back, and while the log is down.
-  const LocalRollback Made{Move.Id, {}, Move.Share, Now.Wall, Proven, Why};
-  if (S.LocalRollbacks.add(Made))
-    Out.push_back(PublishLocalRollback{Made});
+void MoveDriver::withdraw(const config::Verdict &Verdict, bool Proven) {
+  // Takes effect before the record is read back, even while the log is down.
+  const LocalRollback Rollback{Move.Id,  {},     Move.Share,
+                               Now.Wall, Proven, Verdict};
+  if (State.LocalRollbacks.add(Rollback))
+    Effects.push_back(PublishLocalRollback{Rollback});
 }
 
-void MoveDriver::raiseSuspicion(const config::Verdict &Why) {
+void MoveDriver::raiseSuspicion(const config::Verdict &Verdict) {
   if (Context.SuspicionRetryAt)
     return;
   Context.SuspicionRetryAt = Now.Mono + SuspicionRetryDelay;
-  Context.CountsAtSuspicion = S.EvidenceBySender.total(Move.Id);
+  Context.CountsAtSuspicion = State.EvidenceBySender.total(Move.Id);
   ++Context.SuspicionCount;
-  Out.push_back(observe::LogEvent{EventId::MoveSuspended,
-                                  toString(Move.Id) + ": " + Why.Reason});
+  Effects.push_back(observe::LogEvent{
+      EventId::MoveSuspended, toString(Move.Id) + ": " + Verdict.Reason});
   if (Context.SuspicionCount >= MaxSuspicions ||
       Move.Share >= config::FullShare)
-    Context.RollbackVerdict = Why;
+    Context.RollbackVerdict = Verdict;
 }
 
 bool MoveDriver::mayAppend() const {
-  return S.LogAvailable &&
+  return State.LogAvailable &&
          (!Context.PendingRecord || Now.Mono >= Context.AppendRetryAt);
 }
 
@@ -137,15 +138,15 @@
 }
 
 void MoveDriver::rollBack() {
-  if (!S.LogAvailable)
+  if (!State.LogAvailable)
     return logOnce(EventId::MoveRollbackDelayed, toString(Move.Id));
-  // A pending step does not delay a rollback, only a pending rollback does.
+  // A pending step does not delay a rollback; a pending rollback does.
   const bool IsPending =
       Context.PendingRecord &&
       std::holds_alternative<config::MoveRolledBack>(*Context.PendingRecord);
   if (IsPending && Now.Mono < Context.AppendRetryAt)
     return;
-  append(config::MoveRolledBack{*S.LeaseEpoch, Move.Id, Now.Wall,
+  append(config::MoveRolledBack{*State.LeaseEpoch, Move.Id, Now.Wall,
                                 *Context.RollbackVerdict},
          EventId::MoveRollbackAppended, Context.RollbackVerdict->Reason);
 }
@@ -161,40 +162,41 @@
     Answers += Added.Old.Answers;
     Faults += Added.Old.Faults;
   }
-  return Faults <= 1 + Answers / HealthyDivisor;
+  return Faults <= 1 + Answers / AnswersPerToleratedFault;
 }
 
 void MoveDriver::resolveSuspicion() {
   if (Now.Mono < *Context.SuspicionRetryAt)
     return;
-  const MoveCounts Total = S.EvidenceBySender.total(Move.Id);
+  const MoveCounts Total = State.EvidenceBySender.total(Move.Id);
   if (!isOldVersionHealthy(Total)) {
-    // The fault is shared; wait until the old version has recovered.
+    // The fault is shared: wait until the old version has recovered.
     Context.SuspicionRetryAt = Now.Mono + SuspicionRecheckDelay;
     Context.CountsAtSuspicion = Total;
     return;
   }
-  // A step is the newer configuration that ends the overlays; the least rise
-  // that the fold accepts.
+  // The local rollbacks end with a configuration that raises the share. One
+  // permille is the smallest step that is accepted.
   const auto Share = static_cast<config::Permille>(Move.Share + 1);
-  append(config::MoveStepped{*S.LeaseEpoch, Move.Id, Share},
+  append(config::MoveStepped{*State.LeaseEpoch, Move.Id, Share},
          EventId::MoveResumed, fmt::format("share {}", Share));
 }
 
 void MoveDriver::complete() {
-  append(config::MoveCompleted{*S.LeaseEpoch, Move.Id, Now.Wall,
-                               summary(S.EvidenceBySender.total(Move.Id))},
-         EventId::MoveCompletionAppended, "");
+  append(
+      config::MoveCompleted{*State.LeaseEpoch, Move.Id, Now.Wall,
+                            makeSummary(State.EvidenceBySender.total(Move.Id))},
+      EventId::MoveCompletionAppended, "");
 }
 
-ReadySlots MoveDriver::slots() const {
+ReadySlots MoveDriver::readySlots() const {
   ReadySlots Result;
   const auto Count = [&](const core::TargetVersion &Version) -> std::uint32_t {
-    const auto Seen = S.SlotsByVersion.find({Move.Id.Service, Version});
-    if (Seen == S.SlotsByVersion.end())
+    const auto Slots = State.SlotsByVersion.find({Move.Id.Service, Version});
+    if (Slots == State.SlotsByVersion.end())
       return 0;
-    Result.InUse += Seen->second.InUse;
-    return Seen->second.Slots;
+    Result.InUse += Slots->second.InUse;
+    return Slots->second.Slots;
   };
   Result.New = Count(Move.Order.To);
   Result.Old = Count(Move.From);
@@ -203,43 +205,43 @@
 
 void MoveDriver::step() {
   if (Move.Share == 0)
-    if (const auto Checked = checkDeadline(Move.Order, Move.AcceptedAt);
-        !ok(Checked))
+    if (const auto DeadlineStatus = checkDeadline(Move.Order, Move.AcceptedAt);
+        !ok(DeadlineStatus))
       logOnce(EventId::MoveDeadlineInfeasible,
-              core::toString(failure(Checked)));
-  const MoveProgress Seen{S.EvidenceBySender.total(Move.Id),
-                          Context.CountsAtStep, Context.EarliestStepAt};
-  const ReadySlots Ready = slots();
-  const config::Permille Share = nextShare(Move, Seen, Ready, Now.Wall);
+              core::toString(failure(DeadlineStatus)));
+  const MoveProgress Progress{State.EvidenceBySender.total(Move.Id),
+                              Context.CountsAtStep, Context.EarliestStepAt};
+  const ReadySlots Ready = readySlots();
+  const config::Permille Share = nextShare(Move, Progress, Ready, Now.Wall);
   if (Share > Move.Share)
-    return append(config::MoveStepped{*S.LeaseEpoch, Move.Id, Share},
+    return append(config::MoveStepped{*State.LeaseEpoch, Move.Id, Share},
                   EventId::MoveStepAppended, fmt::format("share {}", Share));
   if (Ready.New == 0)
     logOnce(EventId::MoveAwaitsSlots, toString(Move.Id));
 }
 
 void MoveDriver::monitorCompleted() {
-  const auto [Route, Seen] = S.Windows.evaluate(Move.Id);
-  if (Seen.Level == Finding::None || slots().Old == 0)
+  const auto [Route, Latest] = State.Windows.evaluate(Move.Id);
+  if (Latest.Level == Finding::None || readySlots().Old == 0)
     return;
   logOnce(EventId::MoveFaultAfterCompletion,
           fmt::format("{} route {}: {}", toString(Move.Id), Route.value(),
-                      makeVerdict(Route, Seen).Reason));
+                      makeVerdict(Route, Latest).Reason));
 }
 
-void MoveDriver::append(const config::RecordBody &Body, EventId Event,
+void MoveDriver::append(const config::RecordBody &Record, EventId Event,
                         const std::string &Detail) {
-  Context.PendingRecord = Body;
+  Context.PendingRecord = Record;
   Context.AppendRetryAt = Now.Mono + ReadBackTimeout;
-  Out.push_back(AppendRecord{Body});
-  Out.push_back(observe::LogEvent{Event, Detail.empty() ? toString(Move.Id)
-                                                        : toString(Move.Id) +
-                                                              ": " + Detail});
+  Effects.push_back(AppendRecord{Record});
+  Effects.push_back(observe::LogEvent{
+      Event,
+      Detail.empty() ? toString(Move.Id) : toString(Move.Id) + ": " + Detail});
 }
 
 void MoveDriver::logOnce(EventId Event, const std::string &Detail) {
   if (Context.LoggedEvents.insert(Event).second)
-    Out.push_back(observe::LogEvent{Event, Detail});
+    Effects.push_back(observe::LogEvent{Event, Detail});
 }
 
 } // namespace filbertvane::decision::rollout
--- a/lib/decision/rollout/MoveDriver.h
+++ b/lib/decision/rollout/MoveDriver.h
@@ -5,22 +5,22 @@
 
 namespace filbertvane::decision::rollout {
 
-/// @brief Drives one move under the lease.
+/// @brief Advances or rolls back one move at the holder of the lease.
 class MoveDriver {
 public:
-  MoveDriver(ControllerState &State, const config::MoveStatus &Move,
-             core::Instant Now, ControllerEffects &Out)
-      : S(State), Move(Move), Context(State.MoveContexts[Move.Id]), Now(Now),
-        Out(Out) {}
+  MoveDriver(ControllerState &Controller, const config::MoveStatus &Move,
+             core::Instant Now, ControllerEffects &Effects)
+      : State(Controller), Move(Move),
+        Context(Controller.MoveContexts[Move.Id]), Now(Now), Effects(Effects) {}
 
-  /// @brief Takes over the fleet state, judges, and appends what is due.
+  /// @brief Evaluates the evidence and appends the record that is due.
   void drive();
 
 private:
   void syncWithFleet();
   void evaluate();
-  void raiseSuspicion(const config::Verdict &Why);
-  void withdraw(const config::Verdict &Why, bool Proven);
+  void raiseSuspicion(const config::Verdict &Verdict);
+  void withdraw(const config::Verdict &Verdict, bool Proven);
   void advance();
   void rollBack();
   void resolveSuspicion();
@@ -29,16 +29,16 @@
   void monitorCompleted();
   bool mayAppend() const;
   bool isOldVersionHealthy(const MoveCounts &Total) const;
-  void append(const config::RecordBody &Body, observe::EventId Event,
+  void append(const config::RecordBody &Record, observe::EventId Event,
               const std::string &Detail);
   void logOnce(observe::EventId Event, const std::string &Detail);
-  ReadySlots slots() const;
+  ReadySlots readySlots() const;
 
-  ControllerState &S;
+  ControllerState &State;
   const config::MoveStatus &Move;
   MoveContext &Context;
   core::Instant Now;
-  ControllerEffects &Out;
+  ControllerEffects &Effects;
   RouteFinding LatestFinding;
 };
 
--- a/lib/decision/rollout/NodeMonitor.cpp
+++ b/lib/decision/rollout/NodeMonitor.cpp
@@ -9,10 +9,10 @@
 using observe::EventId;
 
 /// Handles the events of one call of `reduce`.
-class Guard {
+class MonitorHandler {
 public:
-  Guard(MonitorState State, core::Instant Now)
-      : S(std::move(State)), Now(Now) {}
+  MonitorHandler(MonitorState Initial, core::Instant Now)
+      : State(std::move(Initial)), Now(Now) {}
 
   void on(const FleetChanged &Event);
   void on(const request::Observed &Answer);
@@ -24,243 +24,250 @@
   Step<MonitorState, MonitorEffects> finish();
 
 private:
-  void decide(const config::MoveId &Id, MoveWindows &Windows);
-  void decideAll();
-  void spread(const LocalRollback &Value);
-  void startStages(const config::FleetState &Next);
-  void forgetUnwatched();
+  void evaluate(const config::MoveId &Id, MoveWindows &Windows);
+  void evaluateAll();
+  void sendRollback(const LocalRollback &Rollback);
+  void startSteps(const config::FleetState &NewFleet);
+  void eraseUnmonitored();
   void pool(const config::MoveId &Move, const core::RouteName &Route,
             const RouteCounts &Counts,
             const std::map<config::MoveId, MoveCrashes> &Crashes);
   void reportEvidence();
   void reportPromptly(const config::MoveId &Id, const RouteCounts &Added);
-  void repeatOverlays();
+  void resendRollbacks();
 
-  MonitorState S;
+  MonitorState State;
   core::Instant Now;
-  MonitorEffects Out;
+  MonitorEffects Effects;
 };
 
-void Guard::on(const FleetChanged &Event) {
-  startStages(*Event.State);
-  S.Fleet = Event.State;
-  S.Counter.startWarmUps(*S.Fleet, Now.Mono);
-  for (const LocalRollback &Ended : S.LocalRollbacks.prune(*S.Fleet)) {
-    Out.push_back(observe::LogEvent{EventId::MoveLocalRollbackEnded,
-                                    toString(Ended.Move)});
+void MonitorHandler::on(const FleetChanged &Event) {
+  startSteps(*Event.State);
+  State.Fleet = Event.State;
+  State.Counter.startWarmUps(*State.Fleet, Now.Mono);
+  for (const LocalRollback &Ended : State.LocalRollbacks.prune(*State.Fleet)) {
+    Effects.push_back(observe::LogEvent{EventId::MoveLocalRollbackEnded,
+                                        toString(Ended.Move)});
     if (Ended.Proven)
       continue;
-    // The coordinator dispelled the suspicion: the answers behind it must not
-    // raise it again.
-    S.OwnWindows.reset(Ended.Move);
-    S.PooledWindows.reset(Ended.Move);
+    // The coordinator has refuted the suspicion; the answers that led to it
+    // must not raise it again.
+    State.OwnWindows.reset(Ended.Move);
+    State.PooledWindows.reset(Ended.Move);
   }
-  forgetUnwatched();
-  // A step that was appended before its writer knew of a proven overlay must
-  // not bring the version back.
-  decideAll();
+  eraseUnmonitored();
+  // A step may have been appended before the coordinator received a proven
+  // rollback. It must not give the version requests again.
+  evaluateAll();
 }
 
-void Guard::startStages(const config::FleetState &Next) {
-  if (!S.Fleet)
+void MonitorHandler::startSteps(const config::FleetState &NewFleet) {
+  if (!State.Fleet)
     return;
-  for (const config::MoveStatus &Before : S.Fleet->Moves) {
-    const config::MoveStatus *Move = findMove(Next, Before.Id);
+  for (const config::MoveStatus &Before : State.Fleet->Moves) {
+    const config::MoveStatus *Move = findMove(NewFleet, Before.Id);
     if (Move == nullptr || Move->Share == Before.Share)
       continue;
-    S.OwnWindows.startStep(Move->Id);
-    S.PooledWindows.startStep(Move->Id);
+    State.OwnWindows.startStep(Move->Id);
+    State.PooledWindows.startStep(Move->Id);
   }
 }
 
-void Guard::forgetUnwatched() {
-  const auto Watched = monitoredMoves(*S.Fleet, Now.Wall);
-  const auto Forget = [&](const auto &Entry) {
-    return !Watched.contains(Entry.first);
+void MonitorHandler::eraseUnmonitored() {
+  const auto Monitored = monitoredMoves(*State.Fleet, Now.Wall);
+  const auto IsUnmonitored = [&](const auto &Entry) {
+    return !Monitored.contains(Entry.first);
   };
-  std::erase_if(S.OwnEvidence.Moves, Forget);
-  std::erase_if(S.PooledEvidence.Moves, Forget);
-  std::erase_if(S.OwnEvidence.Crashes, Forget);
-  std::erase_if(S.PooledEvidence.Crashes, Forget);
-  S.MemberEvidence.retain(Watched);
-  for (MoveWindows *Windows : {&S.OwnWindows, &S.PooledWindows})
+  std::erase_if(State.OwnEvidence.Moves, IsUnmonitored);
+  std::erase_if(State.PooledEvidence.Moves, IsUnmonitored);
+  std::erase_if(State.OwnEvidence.Crashes, IsUnmonitored);
+  std::erase_if(State.PooledEvidence.Crashes, IsUnmonitored);
+  State.MemberEvidence.retain(Monitored);
+  for (MoveWindows *Windows : {&State.OwnWindows, &State.PooledWindows})
     for (const config::MoveId &Move : Windows->moves())
-      if (!Watched.contains(Move))
+      if (!Monitored.contains(Move))
         Windows->reset(Move);
 }
 
-void Guard::decideAll() {
-  for (MoveWindows *Windows : {&S.OwnWindows, &S.PooledWindows})
+void MonitorHandler::evaluateAll() {
+  for (MoveWindows *Windows : {&State.OwnWindows, &State.PooledWindows})
     for (const config::MoveId &Move : Windows->moves())
-      decide(Move, *Windows);
+      evaluate(Move, *Windows);
 }
 
-void Guard::decide(const config::MoveId &Id, MoveWindows &Windows) {
+void MonitorHandler::evaluate(const config::MoveId &Id, MoveWindows &Windows) {
   const auto [Route, Found] = Windows.evaluate(Id);
-  const config::MoveStatus *Move = findMove(*S.Fleet, Id);
+  const config::MoveStatus *Move = findMove(*State.Fleet, Id);
   if (Move == nullptr || !shouldWithdraw(*Move, Found))
     return;
-  // A suspicion is settled by the coordinator alone: answers of the old version
-  // after the withdrawal say nothing about the time of the faults.
-  if (!S.LocalRollbacks.forMove(Id).empty())
+  // Only the coordinator resolves a suspicion: answers of the old version after
+  // the withdrawal do not tell whether it failed at the time of the faults.
+  if (!State.LocalRollbacks.forMove(Id).empty())
     return;
-  const LocalRollback Made{Id,
-                           S.DataCentre,
-                           Move->Share,
-                           Now.Wall,
-                           Found.Level == Finding::Proven,
-                           makeVerdict(Route, Found)};
-  if (!S.LocalRollbacks.add(Made))
+  const LocalRollback Rollback{Id,
+                               State.DataCentre,
+                               Move->Share,
+                               Now.Wall,
+                               Found.Level == Finding::Proven,
+                               makeVerdict(Route, Found)};
+  if (!State.LocalRollbacks.add(Rollback))
     return;
-  Out.push_back(observe::LogEvent{EventId::MoveLocalRollbackStarted,
-                                  toString(Id) + ": " + Made.Verdict.Reason});
-  spread(Made);
+  Effects.push_back(
+      observe::LogEvent{EventId::MoveLocalRollbackStarted,
+                        toString(Id) + ": " + Rollback.Verdict.Reason});
+  sendRollback(Rollback);
 }
 
-void Guard::spread(const LocalRollback &Value) {
-  if (!S.IsLead) {
-    if (Value.DataCentre == S.DataCentre)
-      Out.push_back(SendLocalRollback{Recipient::Lead, Value});
+void MonitorHandler::sendRollback(const LocalRollback &Rollback) {
+  if (!State.IsLead) {
+    if (Rollback.DataCentre == State.DataCentre)
+      Effects.push_back(SendLocalRollback{Recipient::Lead, Rollback});
     return;
   }
-  Out.push_back(SendLocalRollback{Recipient::Members, Value});
-  if (Value.DataCentre == S.DataCentre)
-    Out.push_back(SendLocalRollback{Recipient::Coordinator, Value});
+  Effects.push_back(SendLocalRollback{Recipient::Members, Rollback});
+  if (Rollback.DataCentre == State.DataCentre)
+    Effects.push_back(SendLocalRollback{Recipient::Coordinator, Rollback});
 }
 
-void Guard::on(const request::Observed &Answer) {
-  if (!S.Fleet)
+void MonitorHandler::on(const request::Observed &Answer) {
+  if (!State.Fleet)
     return;
-  const auto Counted = S.Counter.record(Answer, *S.Fleet, Now);
+  const auto Counted = State.Counter.record(Answer, *State.Fleet, Now);
   if (!Counted)
     return;
-  if (!S.OwnWindows.add(Counted->Move, Counted->Route, Counted->Counts)) {
-    Out.push_back(observe::LogEvent{EventId::MoveEvidenceDropped,
-                                    Counted->Route.value()});
+  if (!State.OwnWindows.add(Counted->Move, Counted->Route, Counted->Counts)) {
+    Effects.push_back(observe::LogEvent{EventId::MoveEvidenceDropped,
+                                        Counted->Route.value()});
     return;
   }
   if (Counted->Crashed)
-    addCrash(S.OwnEvidence, Counted->Move, Counted->Route, *Counted->Crashed);
+    addCrash(State.OwnEvidence, Counted->Move, Counted->Route,
+             *Counted->Crashed);
   else
-    S.OwnEvidence.Moves[Counted->Move][Counted->Route] += Counted->Counts;
-  S.OwnChanged = true;
+    State.OwnEvidence.Moves[Counted->Move][Counted->Route] += Counted->Counts;
+  State.OwnChanged = true;
   reportPromptly(Counted->Move, Counted->Counts);
   if (Counted->Counts.New.Answers > 0)
-    decide(Counted->Move, S.OwnWindows);
+    evaluate(Counted->Move, State.OwnWindows);
 }
 
-void Guard::on(const EvidenceReceived &Event) {
-  if (!S.Fleet || !S.IsLead)
+void MonitorHandler::on(const EvidenceReceived &Event) {
+  if (!State.Fleet || !State.IsLead)
     return;
-  const auto Merged =
-      S.MemberEvidence.merge(Event.Report, baselineMoves(*S.Fleet, Now.Wall));
+  const auto Merged = State.MemberEvidence.merge(
+      Event.Report, baselineMoves(*State.Fleet, Now.Wall));
   if (!Merged.Accepted)
-    Out.push_back(observe::LogEvent{EventId::MoveEvidenceDropped,
-                                    Event.Report.Sender.value()});
+    Effects.push_back(observe::LogEvent{EventId::MoveEvidenceDropped,
+                                        Event.Report.Sender.value()});
   for (const auto &[Move, Routes] : Merged.Added)
     for (const auto &[Route, Counts] : Routes)
       pool(Move, Route, Counts, Merged.Crashes);
 }
 
-void Guard::pool(const config::MoveId &Move, const core::RouteName &Route,
-                 const RouteCounts &Counts,
-                 const std::map<config::MoveId, MoveCrashes> &Crashes) {
-  const config::MoveStatus *Status = findMove(*S.Fleet, Move);
+void MonitorHandler::pool(
+    const config::MoveId &Move, const core::RouteName &Route,
+    const RouteCounts &Counts,
+    const std::map<config::MoveId, MoveCrashes> &Crashes) {
+  const config::MoveStatus *Status = findMove(*State.Fleet, Move);
   if (Status == nullptr || !isMonitored(*Status, Now.Wall) ||
-      !S.PooledWindows.add(Move, Route, Counts))
+      !State.PooledWindows.add(Move, Route, Counts))
     return;
-  RouteCounts Summed = Counts;
-  if (const auto Of = Crashes.find(Move); Of != Crashes.end())
-    if (const auto On = Of->second.find(Route); On != Of->second.end())
-      for (const Crash &Each : On->second) {
-        // Listed, not summed, so that the coordinator drops repetitions too.
-        VersionCounts &Side = Each.OnNewVersion ? Summed.New : Summed.Old;
+  RouteCounts Remaining = Counts;
+  if (const auto MoveEntry = Crashes.find(Move); MoveEntry != Crashes.end())
+    if (const auto RouteEntry = MoveEntry->second.find(Route);
+        RouteEntry != MoveEntry->second.end())
+      for (const Crash &Each : RouteEntry->second) {
+        // Listed instead of summed, so that the coordinator can also drop
+        // crashes that were reported already.
+        VersionCounts &Side = Each.OnNewVersion ? Remaining.New : Remaining.Old;
         --Side.Answers;
         --Side.Faults;
-        addCrash(S.PooledEvidence, Move, Route, Each);
+        addCrash(State.PooledEvidence, Move, Route, Each);
       }
-  S.PooledEvidence.Moves[Move][Route] += Summed;
-  S.PooledChanged = true;
+  State.PooledEvidence.Moves[Move][Route] += Remaining;
+  State.PooledChanged = true;
   reportPromptly(Move, Counts);
-  decide(Move, S.PooledWindows);
+  evaluate(Move, State.PooledWindows);
 }
 
-void Guard::on(const LocalRollbackReceived &Event) {
-  const bool IsForHere = Event.Rollback.DataCentre == S.DataCentre ||
-                         Event.Rollback.DataCentre == core::DataCentreId();
-  if (!IsForHere || !S.LocalRollbacks.add(Event.Rollback))
+void MonitorHandler::on(const LocalRollbackReceived &Event) {
+  const bool AppliesHere = Event.Rollback.DataCentre == State.DataCentre ||
+                           Event.Rollback.DataCentre == core::DataCentreId();
+  if (!AppliesHere || !State.LocalRollbacks.add(Event.Rollback))
     return;
-  if (S.Fleet)
-    S.LocalRollbacks.prune(*S.Fleet);
-  if (S.IsLead)
-    spread(Event.Rollback);
+  if (State.Fleet)
+    State.LocalRollbacks.prune(*State.Fleet);
+  if (State.IsLead)
+    sendRollback(Event.Rollback);
 }
 
-void Guard::on(const LeadershipChanged &Event) {
-  if (S.IsLead && !Event.IsLead) {
-    // Another lead counts from now on; what members report to it must not be
-    // added again when this node leads once more.
-    S.MemberEvidence = {};
-    S.PooledWindows = MoveWindows(LocalSharedFaultSignificance);
+void MonitorHandler::on(const LeadershipChanged &Event) {
+  if (State.IsLead && !Event.IsLead) {
+    // From now on the members report to another lead. Those counts must not be
+    // added again if this node becomes the lead later.
+    State.MemberEvidence = {};
+    State.PooledWindows = MoveWindows(LocalSharedFaultSignificance);
   }
-  S.IsLead = Event.IsLead;
+  State.IsLead = Event.IsLead;
 }
 
-void Guard::on(const Tick &) {
-  if (!S.Fleet)
+void MonitorHandler::on(const Tick &) {
+  if (!State.Fleet)
     return;
-  if (Now.Mono >= S.NextReportAt) {
-    forgetUnwatched();
+  if (Now.Mono >= State.NextReportAt) {
+    eraseUnmonitored();
     reportEvidence();
   }
-  if (Now.Mono >= S.NextRollbackSendAt) {
-    S.NextRollbackSendAt = Now.Mono + LocalRollbackSendPeriod;
-    repeatOverlays();
+  if (Now.Mono >= State.NextRollbackSendAt) {
+    State.NextRollbackSendAt = Now.Mono + LocalRollbackSendPeriod;
+    resendRollbacks();
   }
 }
 
-void Guard::reportPromptly(const config::MoveId &Id, const RouteCounts &Added) {
-  const config::MoveStatus *Move = findMove(*S.Fleet, Id);
+void MonitorHandler::reportPromptly(const config::MoveId &Id,
+                                    const RouteCounts &Added) {
+  const config::MoveStatus *Move = findMove(*State.Fleet, Id);
   const bool IsCanary = Move != nullptr && Move->Share <= CanaryShare &&
                         Move->Stage == config::MoveStage::InProgress;
   if (!IsCanary || Added.New.Faults + Added.Old.Faults == 0)
     return;
-  if (Now.Mono >= S.NextPromptReportAt)
+  if (Now.Mono >= State.NextPromptReportAt)
     reportEvidence();
   else
-    S.NextReportAt = std::min(S.NextReportAt, S.NextPromptReportAt);
+    State.NextReportAt = std::min(State.NextReportAt, State.NextPromptReportAt);
 }
 
-void Guard::reportEvidence() {
-  S.NextReportAt = Now.Mono + EvidencePeriod;
-  S.NextPromptReportAt = Now.Mono + MinEvidenceInterval;
-  S.OwnWindows.closePeriod();
-  S.PooledWindows.closePeriod();
-  if (S.OwnChanged) {
-    ++S.OwnEvidence.Revision;
-    Out.push_back(SendEvidence{Recipient::Lead, S.OwnEvidence});
+void MonitorHandler::reportEvidence() {
+  State.NextReportAt = Now.Mono + EvidencePeriod;
+  State.NextPromptReportAt = Now.Mono + MinEvidenceInterval;
+  State.OwnWindows.closePeriod();
+  State.PooledWindows.closePeriod();
+  if (State.OwnChanged) {
+    ++State.OwnEvidence.Revision;
+    Effects.push_back(SendEvidence{Recipient::Lead, State.OwnEvidence});
   }
-  if (S.PooledChanged && S.IsLead) {
-    ++S.PooledEvidence.Revision;
-    Out.push_back(SendEvidence{Recipient::Coordinator, S.PooledEvidence});
+  if (State.PooledChanged && State.IsLead) {
+    ++State.PooledEvidence.Revision;
+    Effects.push_back(
+        SendEvidence{Recipient::Coordinator, State.PooledEvidence});
   }
-  S.OwnChanged = false;
-  S.PooledChanged = false;
+  State.OwnChanged = false;
+  State.PooledChanged = false;
 }
 
-void Guard::repeatOverlays() {
-  for (const config::MoveStatus &Move : S.Fleet->Moves)
-    for (const LocalRollback &Value : S.LocalRollbacks.forMove(Move.Id))
-      spread(Value);
+void MonitorHandler::resendRollbacks() {
+  for (const config::MoveStatus &Move : State.Fleet->Moves)
+    for (const LocalRollback &Rollback : State.LocalRollbacks.forMove(Move.Id))
+      sendRollback(Rollback);
 }
 
-Step<MonitorState, MonitorEffects> Guard::finish() {
-  auto Moves = S.LocalRollbacks.activeMoves(S.DataCentre);
-  if (Moves != S.ActiveRollbacks) {
-    S.ActiveRollbacks = Moves;
-    Out.push_back(LocalRollbacksChanged{std::move(Moves)});
+Step<MonitorState, MonitorEffects> MonitorHandler::finish() {
+  auto Moves = State.LocalRollbacks.activeMoves(State.DataCentre);
+  if (Moves != State.ActiveRollbacks) {
+    State.ActiveRollbacks = Moves;
+    Effects.push_back(LocalRollbacksChanged{std::move(Moves)});
   }
-  return {std::move(S), std::move(Out)};
+  return {std::move(State), std::move(Effects)};
 }
 
 } // namespace
@@ -281,8 +288,8 @@
 
 Step<MonitorState, MonitorEffects>
 reduce(MonitorState State, const MonitorEvent &Event, core::Instant Now) {
-  Guard Handler(std::move(State), Now);
-  std::visit([&](const auto &Concrete) { Handler.on(Concrete); }, Event);
+  MonitorHandler Handler(std::move(State), Now);
+  std::visit([&](const auto &Alternative) { Handler.on(Alternative); }, Event);
   return Handler.finish();
 }
 
--- a/lib/decision/rollout/RolloutPolicy.cpp
+++ b/lib/decision/rollout/RolloutPolicy.cpp
@@ -29,10 +29,10 @@
   return Moves;
 }
 
-const LocalRollback *findProven(const std::vector<LocalRollback> &Overlays) {
-  for (const LocalRollback &Value : Overlays)
-    if (Value.Proven)
-      return &Value;
+const LocalRollback *findProven(const std::vector<LocalRollback> &Rollbacks) {
+  for (const LocalRollback &Rollback : Rollbacks)
+    if (Rollback.Proven)
+      return &Rollback;
   return nullptr;
 }
 
--- a/lib/decision/rollout/Windows.cpp
+++ b/lib/decision/rollout/Windows.cpp
@@ -6,43 +6,43 @@
 
 namespace {
 
-/// Periods of one length that are kept before two of them are merged.
+/// Number of periods of one length above which the oldest two are merged.
 constexpr std::size_t PeriodsPerLength = 3;
 
-Sample faultsOf(const VersionCounts &Counts) {
+Sample faultSample(const VersionCounts &Counts) {
   return {Counts.Answers, Counts.Faults};
 }
 
-Sample slowOf(const VersionCounts &Counts, std::size_t Boundary) {
+Sample slowSample(const VersionCounts &Counts, std::size_t Boundary) {
   return {Counts.Latency.total(), Counts.Latency.countAbove(Boundary)};
 }
 
-/// Judges windows from the longest to the shortest.
-class Scan {
+/// Tests windows in order, from the longest to the shortest.
+class WindowEvaluator {
 public:
-  /// @param AllOld answers of the old version since acceptance
-  Scan(double Floor, bool Slow, Sample AllOld, double SharedChance)
-      : Control(controlRate(AllOld, Floor)), Floor(Floor), Slow(Slow),
-        SharedChance(SharedChance) {}
-
-  void window(Sample New, Sample Old) {
-    // Chance makes some short window inside a long shared fault look like a
-    // fault of the new version alone; the rate of the longer windows around it
-    // tells them apart.
+  /// @param OldTotal all answers of the old version since acceptance
+  WindowEvaluator(double Floor, bool Slow, Sample OldTotal, double Significance)
+      : Control(controlRate(OldTotal, Floor)), Floor(Floor), Slow(Slow),
+        Significance(Significance) {}
+
+  void evaluate(Sample New, Sample Old) {
+    // Inside a long shared fault, some short window looks by chance like a
+    // fault of the new version alone. The control rate of the longer windows
+    // that contain it prevents a false positive.
     Control = std::max(Control, controlRate(Old, Floor));
-    const Finding Level = compareVersions(New, Old, Control, SharedChance);
-    if (Level > Gravest.Level)
-      Gravest = {Level, Slow, New, Old};
+    const Finding Level = compareVersions(New, Old, Control, Significance);
+    if (Level > MostSevere.Level)
+      MostSevere = {Level, Slow, New, Old};
   }
 
-  const RouteFinding &gravest() const { return Gravest; }
+  const RouteFinding &mostSevere() const { return MostSevere; }
 
 private:
   double Control;
   double Floor;
   bool Slow;
-  double SharedChance;
-  RouteFinding Gravest;
+  double Significance;
+  RouteFinding MostSevere;
 };
 
 } // namespace
@@ -82,8 +82,8 @@
 }
 
 void RouteWindows::mergePeriods() {
-  // Walks from the newest period; two of the same length are merged when more
-  // than PeriodsPerLength have it, which may cascade to the next length.
+  // Starts with the newest periods. Merging two periods may put more than
+  // PeriodsPerLength periods into the next length.
   std::size_t End = ClosedPeriods.size();
   while (End > 0) {
     const std::uint32_t Length = ClosedPeriods[End - 1].Length;
@@ -106,23 +106,24 @@
 
 RouteFinding RouteWindows::evaluateWindows() const {
   const auto Boundary = slowBoundary(Total.Old.Latency);
-  Scan Faults(ControlErrorRate, false, faultsOf(Total.Old), Significance);
-  Scan Latency(ControlSlowRate, true,
-               Boundary ? slowOf(Total.Old, *Boundary) : Sample(),
-               Significance);
+  WindowEvaluator Faults(ControlErrorRate, false, faultSample(Total.Old),
+                         Significance);
+  WindowEvaluator Latency(
+      ControlSlowRate, true,
+      Boundary ? slowSample(Total.Old, *Boundary) : Sample(), Significance);
   RouteCounts Window = StepTotal;
-  const auto Judge = [&] {
-    Faults.window(faultsOf(Window.New), faultsOf(Window.Old));
+  const auto Evaluate = [&] {
+    Faults.evaluate(faultSample(Window.New), faultSample(Window.Old));
     if (Boundary)
-      Latency.window(slowOf(Window.New, *Boundary),
-                     slowOf(Window.Old, *Boundary));
+      Latency.evaluate(slowSample(Window.New, *Boundary),
+                       slowSample(Window.Old, *Boundary));
   };
-  Judge();
+  Evaluate();
   for (const Period &Oldest : ClosedPeriods) {
     Window = increaseSince(Oldest.Counts, Window);
-    Judge();
+    Evaluate();
   }
-  return std::max(Faults.gravest(), Latency.gravest(),
+  return std::max(Faults.mostSevere(), Latency.mostSevere(),
                   [](const RouteFinding &Left, const RouteFinding &Right) {
                     return Left.Level < Right.Level;
                   });
@@ -132,10 +133,10 @@
                       const RouteCounts &Added) {
   auto &Routes = RoutesByMove[Move];
   if (!Routes.contains(Route)) {
-    std::size_t Kept = 0;
-    for (const auto &[Id, Others] : RoutesByMove)
-      Kept += Others.size();
-    if (Kept >= MaxRoutes)
+    std::size_t RouteCount = 0;
+    for (const auto &[Id, OtherRoutes] : RoutesByMove)
+      RouteCount += OtherRoutes.size();
+    if (RouteCount >= MaxRoutes)
       return false;
   }
   Routes.try_emplace(Route, Significance).first->second.add(Added);
@@ -152,16 +153,16 @@
 
 std::pair<core::RouteName, RouteFinding>
 MoveWindows::evaluate(const config::MoveId &Move) {
-  std::pair<core::RouteName, RouteFinding> Gravest;
+  std::pair<core::RouteName, RouteFinding> MostSevere;
   const auto Found = RoutesByMove.find(Move);
   if (Found == RoutesByMove.end())
-    return Gravest;
+    return MostSevere;
   for (auto &[Route, Windows] : Found->second) {
-    const RouteFinding Here = Windows.evaluate();
-    if (Here.Level > Gravest.second.Level)
-      Gravest = {Route, Here};
+    const RouteFinding Result = Windows.evaluate();
+    if (Result.Level > MostSevere.second.Level)
+      MostSevere = {Route, Result};
   }
-  return Gravest;
+  return MostSevere;
 }
 
 void MoveWindows::startStep(const config::MoveId &Move) {
