--- a/include/filbertvane/decision/Node.h
+++ b/include/filbertvane/decision/Node.h
@@ -10,7 +10,7 @@
 
 namespace filbertvane::decision {
 
-/// @brief What a node process knows when it starts.
+/// @brief Identity and settings of a node process.
 struct NodeSettings {
   core::NodeId Node;
   core::DataCentreId DataCentre;
@@ -19,7 +19,7 @@
   std::string ControlAddress;
   std::string ExternalControlAddress;
   std::string PeerAddress;
-  /// Control addresses of seeds in the own data centre and in others.
+  /// Control addresses of seeds in this data centre and in others.
   std::vector<std::string> LocalSeeds;
   std::vector<std::string> RemoteSeeds;
   /// Time for which the log keeps a record.
@@ -28,12 +28,12 @@
   distribution::Fold Folding;
 };
 
-/// @brief Identity under which a process appends to the log.
-core::WriterId writerOf(const NodeSettings &Own);
+/// @brief Writer id under which a process appends to the log.
+core::WriterId writerOf(const NodeSettings &Settings);
 
-/// @name Events from outside
-/// Events of the parts enter as they are; messages of other nodes enter as
-/// `ControlReceived` and are passed to the part that they concern.
+/// @name External events
+/// Events of the components are passed on unchanged; messages of other nodes
+/// enter as `ControlReceived` and are dispatched to the component concerned.
 /// @{
 struct ControlReceived {
   Peer From;
@@ -41,16 +41,16 @@
   wire::ControlMessage Payload;
 };
 struct Started {};
-/// @brief Expected every 50 ms.
+/// @brief Sent by the caller every 50 ms.
 struct Tick {};
 struct DrainStarted {};
 /// @brief The target of this host announced itself.
 struct TargetAnnounced {
   membership::TargetAnnouncement Announcement;
-  /// `ip:port` at which it serves.
+  /// `ip:port` at which the target serves.
   std::string Address;
 };
-/// @brief The target of this host left, or sent no announcement any more.
+/// @brief The target of this host left or its announcement expired.
 struct TargetGone {
   core::TargetId Id;
   bool Expired = false;
@@ -63,13 +63,13 @@
                  rollout::GuardEvent, rollout::ControllerEvent>;
 /// @}
 
-/// @name Effects to be carried out
+/// @name Effects that the caller carries out
 /// @{
 struct SendControl {
   std::string To;
   wire::ControlMessage Payload;
 };
-/// @brief Append a record to the `config` stream.
+/// @brief Appends a record to the `config` stream.
 struct AppendConfig {
   config::LogRecord Record;
 };
@@ -91,7 +91,7 @@
 using NodeEffects = std::vector<NodeEffect>;
 /// @}
 
-/// @brief State of all decisions of one node.
+/// @brief State of all decision components of one node.
 struct NodeState {
   explicit NodeState(NodeSettings Settings);
 
@@ -106,27 +106,30 @@
 
   std::shared_ptr<const config::FleetState> Fleet;
   std::vector<config::MoveId> LocalRollbacks;
-  /// Address of the own target.
+  /// `ip:port` of the target of this host.
   std::string TargetAddress;
-  /// Slots last told to the coordinator's part.
+  /// Slots last reported to the rollout controller.
   std::map<std::pair<core::ServiceName, core::TargetVersion>, std::uint32_t>
       ReportedSlots;
-  /// Sequence of the last record appended by this process.
+  /// Sequence number of the last record appended by this process.
   std::uint64_t LastSequence = 0;
-  /// Next snapshot of the fleet state, while this node is the coordinator.
+  /// Time of the next snapshot of the fleet state while this node is the
+  /// coordinator.
   core::TimePoint NextSnapshot;
   core::LogOffset LastSnapshotOffset;
 };
 
-/// @brief Applies one event to all parts that it concerns.
+/// @brief Applies one event to all components that it concerns.
 ///
-/// Effects of one part that are events of another are handled before the
-/// function returns; only effects for the outside remain.
-Step<NodeState, NodeEffects> reduce(NodeState Before, NodeEvent What,
+/// Effects of one component that are events of another are handled before the
+/// function returns; only effects for the caller remain.
+Step<NodeState, NodeEffects> reduce(NodeState Before, NodeEvent Event,
                                     core::Instant Now);
 
-/// @brief Member of the data centre that keeps the claims of a partition.
-std::optional<Peer> claimKeeper(const NodeState &Of, std::uint32_t Partition);
+/// @brief Member of the data centre that keeps the claims of a partition; none
+///        without live members.
+std::optional<Peer> claimKeeper(const NodeState &State,
+                                std::uint32_t Partition);
 
 } // namespace filbertvane::decision
 
--- a/include/filbertvane/decision/Step.h
+++ b/include/filbertvane/decision/Step.h
@@ -3,7 +3,7 @@
 
 namespace filbertvane::decision {
 
-/// @brief What a reducer returns: the next state, and effects as data.
+/// @brief Result of a reducer: the next state and the effects to carry out.
 template <typename State, typename Effects> struct Step {
   State NextState;
   Effects EmittedEffects;
--- a/include/filbertvane/decision/TargetLoad.h
+++ b/include/filbertvane/decision/TargetLoad.h
@@ -7,17 +7,17 @@
 
 namespace filbertvane::decision {
 
-/// @brief Requests at a target and the time that its answers take.
+/// @brief Load and response times of a target.
 struct TargetLoad {
   std::uint32_t Running = 0;
   std::uint32_t Waiting = 0;
   std::uint32_t Slots = 0;
-  /// Mean time of recent answers.
+  /// Mean response time of recent requests.
   core::Milliseconds MeanResponseTime{0};
-  /// The same on the route of the request that the load is told with; 0 in
-  /// reports, which concern no request.
+  /// Mean response time on the route of the request whose answer carries the
+  /// load; 0 in reports, which belong to no request.
   core::Milliseconds RouteResponseTime{0};
-  /// Time that the large answers now queued take on the host's link.
+  /// Time to send the large answers that are queued on the link of the host.
   core::Milliseconds LinkQueueTime{0};
 
   friend auto operator<=>(const TargetLoad &, const TargetLoad &) = default;
--- a/include/filbertvane/decision/directory/Directory.h
+++ b/include/filbertvane/decision/directory/Directory.h
@@ -11,56 +11,56 @@
 
 namespace filbertvane::decision::directory {
 
-/// @name Figures
+/// @name Timeouts and limits
 /// @{
-/// Shortest time between two summaries of one data centre.
+/// Minimum interval between two summaries of one data centre.
 inline constexpr core::Milliseconds MinSummaryInterval{1000};
-/// Summaries are repeated, without their services, at this period although
-/// nothing changed. At 5 s the repeats of 19 data centres would cost an inner
-/// node of the tree two thirds of its 3,000 B/s.
+/// Period at which unchanged summaries are repeated without their services. At
+/// 5 s the repeats of 19 data centres would take two thirds of the 3,000 B/s
+/// allowed for an inner node of the tree.
 inline constexpr core::Milliseconds SummaryRefreshPeriod{15000};
-/// Silence of a data centre after which it counts as cut off; two repeated
-/// summaries may be lost before.
+/// Time without a summary after which a data centre counts as silent; two
+/// repeated summaries may be lost before.
 inline constexpr core::Milliseconds SilenceTimeout{40000};
-/// Nodes named as entry nodes of one target version.
+/// Entry nodes listed for each target version.
 inline constexpr std::size_t MaxEntryNodes = 3;
-/// Data centres kept; summaries of further ones are dropped.
+/// Summaries of further data centres are dropped.
 inline constexpr std::size_t MaxDataCentres = 64;
 /// @}
 
-/// @brief Place of a node and the seeds in other data centres.
+/// @brief Identity and location of this node, and seeds in other data centres.
 struct Settings {
   core::NodeId Node;
   core::DataCentreId DataCentre;
   core::RegionId Region;
   std::string ControlAddress;
-  /// Control address that nodes of other regions use.
+  /// Control address for nodes of other regions.
   std::string ExternalControlAddress;
   /// Control addresses of nodes of other data centres.
   std::vector<std::string> RemoteSeeds;
 };
 
-/// @brief A data centre, as last summarised.
+/// @brief Last summary of another data centre.
 struct KnownDataCentre {
   DataCentreSummary Summary;
   core::TimePoint HeardAt;
   core::TimePoint ForwardedAt;
-  /// Time since when it is cut off; none while it is heard.
+  /// Start of the silence; none while summaries arrive.
   std::optional<core::WallTime> SilentSince;
 };
 
-/// @brief State of the directory of one node.
+/// @brief Directory state of one node.
 struct State {
   Settings Local;
   std::vector<membership::Member> LiveMembers;
   bool IsLead = false;
   core::ConfigVersion LowestVersion;
   core::LogOffset LowestNextOffset;
-  /// Positions of the members, for the lowest version in force.
+  /// Positions of the members, from which the lowest version is computed.
   std::map<core::NodeId, Position> Positions;
   DataCentreSummary LocalSummary;
   std::map<core::DataCentreId, KnownDataCentre> RemoteDataCentres;
-  /// Ranks below this node in the tree of its data centre.
+  /// Control addresses of the children in the tree of the data centre.
   std::vector<std::string> ChildAddresses;
   core::TimePoint NextSummary;
   core::TimePoint NextRefresh;
@@ -68,7 +68,7 @@
   bool ServicesChanged = false;
 };
 
-State initial(Settings Own);
+State initial(Settings Local);
 
 /// @name Events
 /// @{
@@ -94,7 +94,7 @@
   std::string To;
   std::vector<DataCentreSummary> Summaries;
 };
-/// @brief Targets of the own data centre and entry nodes of the others.
+/// @brief Targets of this data centre and entry nodes of the others.
 struct EndpointsUpdated {
   std::vector<request::Endpoint> Endpoints;
 };
@@ -104,12 +104,13 @@
 struct LeadershipChanged {
   bool IsLead = false;
 };
-/// @brief A data centre is heard and reports the version that all its nodes
-///        hold.
+/// @brief A summary of a data centre arrived, with the lowest version that its
+///        nodes hold.
 struct DataCentreHeard {
   core::DataCentreId DataCentre;
   core::ConfigVersion LowestVersion;
 };
+/// @brief No summary of a data centre arrived within `SilenceTimeout`.
 struct DataCentreSilent {
   core::DataCentreId DataCentre;
   core::WallTime SilentSince;
@@ -120,8 +121,8 @@
 using Effects = std::vector<Effect>;
 /// @}
 
-/// @brief Applies one event; `Tick` is expected every 50 ms.
-Step<State, Effects> reduce(State Before, const Event &What, core::Instant Now);
+/// @brief Applies one event; the caller sends `Tick` every 50 ms.
+Step<State, Effects> reduce(State Before, const Event &E, core::Instant Now);
 
 } // namespace filbertvane::decision::directory
 
--- a/include/filbertvane/decision/distribution/Batch.h
+++ b/include/filbertvane/decision/distribution/Batch.h
@@ -14,32 +14,35 @@
   friend auto operator<=>(const StoredRecord &, const StoredRecord &) = default;
 };
 
-/// @brief What a read of the log that began after a question for its end found
-///        at the own position.
+/// @brief Result of checking whether the sender's position is the end of the
+///        log, by a read that began after the request.
 enum class LogEndStatus : std::uint8_t {
+  /// The receiver did not request a check.
   NotRequested,
-  /// No record follows: the position is the end of the log.
+  /// No record follows the position.
   Reached,
-  /// Records follow.
+  /// Further records follow the position.
   NotReached,
   /// The log could not be read.
   Unavailable,
 };
 
-/// @brief Consecutive records; without records it only tells a position.
+/// @brief Consecutive records and the position after them; a batch without
+///        records is a heartbeat.
 struct RecordBatch {
-  /// Offset of the first record, or the sender's next one.
+  /// Offset of the first record; the sender's next offset without records.
   core::LogOffset FirstOffset;
   std::vector<StoredRecord> Records;
-  /// Position of the sender's state after the last record.
+  /// Position of the sender after it applied the last record.
   Position PositionAfter;
-  /// Where `After` stands in the log, for a receiver that asked for its end.
+  /// Whether `PositionAfter` is the end of the log; set in replies to requests
+  /// with `WantsLogEnd`.
   LogEndStatus EndStatus = LogEndStatus::NotRequested;
 
   friend auto operator<=>(const RecordBatch &, const RecordBatch &) = default;
 };
 
-/// @brief Whole state at a position.
+/// @brief Encoded configuration state at a position.
 struct Snapshot {
   Position ConfigPosition;
   std::string State;
@@ -47,13 +50,13 @@
   friend auto operator<=>(const Snapshot &, const Snapshot &) = default;
 };
 
-/// @brief Asks for the records from an offset on.
+/// @brief Requests the records from an offset on.
 struct RecordsRequest {
   core::LogOffset FirstOffset;
-  /// The sender's state diverged: records do not help.
+  /// The sender's state diverged, so that only a snapshot can repair it.
   bool WantsSnapshot = false;
-  /// The sender restarted: the receiver reads the log and answers once more
-  /// when it holds the log's end.
+  /// The sender is starting: the receiver checks the end of the log and replies
+  /// a second time with the result.
   bool WantsLogEnd = false;
 
   friend auto operator<=>(const RecordsRequest &,
--- a/include/filbertvane/decision/distribution/Distribution.h
+++ b/include/filbertvane/decision/distribution/Distribution.h
@@ -12,46 +12,46 @@
 
 namespace filbertvane::decision::distribution {
 
-/// @name Figures
+/// @name Timeouts and limits
 /// @{
-/// Silence of the region reader, or of the lead, after which a lead, or the
-/// standby, reads the log itself.
+/// Time without a message of the region reader after which a lead reads the log
+/// itself; the same for a standby and its lead.
 inline constexpr core::Milliseconds ReaderTimeout{1000};
-/// Period of empty batches; three fit into `ReaderTimeout`.
+/// Three heartbeats fit into `ReaderTimeout`.
 inline constexpr core::Milliseconds HeartbeatPeriod{300};
-/// Wait before records that a peer reports are requested, since they usually
-/// are on their way down the tree.
+/// Delay before requesting records that a peer reports, since they usually
+/// arrive through the tree meanwhile.
 inline constexpr core::Milliseconds RepairDelay{100};
 inline constexpr core::Milliseconds RequestTimeout{500};
 inline constexpr core::Milliseconds BackoffBase{200};
-inline constexpr core::Milliseconds RequestBackoffMax{5000};
-inline constexpr core::Milliseconds LogBackoffMax{2000};
-/// Period in which a starting node asks for the end of the log; ten requests,
-/// of which each may be lost, fit into `LogEndTimeout`.
+inline constexpr core::Milliseconds MaxRequestBackoff{5000};
+inline constexpr core::Milliseconds MaxLogBackoff{2000};
+/// Period at which a starting node requests a check of the end of the log. Ten
+/// requests fit into `LogEndTimeout`, since each may be lost.
 inline constexpr core::Milliseconds LogEndRequestPeriod{200};
-/// Time after its start in which a node trusts only the end of the log. After
-/// it, the word of a ready peer that cannot read the log either suffices.
+/// Time after the start of a node in which only the end of the log proves that
+/// its state is current. Later, a ready peer that cannot read the log suffices.
 inline constexpr core::Milliseconds LogEndTimeout{2000};
-/// Starting nodes that wait at one peer for the end of the log; the size of a
-/// data centre that restarts at once.
+/// Nodes that wait at one peer for a check of the end of the log; covers a data
+/// centre that restarts at once.
 inline constexpr std::size_t MaxLogEndWaiters = 128;
-/// Time in which a starting node collects the positions of its peers.
+/// Time for which a peer must have reported that it is ready before its report
+/// proves a position; other peers report theirs meanwhile.
 inline constexpr core::Milliseconds PeerReportWindow{500};
-/// A report that was not repeated for this long is of a peer out of reach.
+/// A peer whose report is older counts as unreachable.
 inline constexpr core::Milliseconds PeerReportLifetime{5000};
-/// Snapshot transfers at a time, and the time that one occupies its place.
+/// Concurrent snapshot transfers, and the time for which each is counted.
 inline constexpr std::size_t MaxSnapshotTransfers = 4;
 inline constexpr core::Milliseconds SnapshotTransferTime{100};
 inline constexpr std::size_t MaxBatchBytes = std::size_t{512} * 1024;
-/// Records kept to serve requests.
+/// Records cached to serve requests.
 inline constexpr std::size_t MaxRecentRecords = 1024;
 inline constexpr std::size_t MaxRecentBytes = std::size_t{2} * 1024 * 1024;
-/// Batches that wait for earlier records.
+/// Batches buffered until earlier records arrive.
 inline constexpr std::size_t MaxBufferedBatches = 64;
 inline constexpr std::size_t MaxBufferedBytes = std::size_t{1024} * 1024;
 inline constexpr std::size_t MaxPeerReports = 256;
-/// A record above this is replaced by its reduced form, if that has the same
-/// effect.
+/// A larger record is replaced by its reduced form if the effect is the same.
 inline constexpr std::size_t ReductionThresholdBytes = 1024;
 /// @}
 
@@ -61,22 +61,22 @@
   Peer Self;
   core::DataCentreId DataCentre;
   core::RegionId Region;
-  /// Control addresses of nodes of other data centres, for a start without
-  /// any holder in the own one.
+  /// Control addresses of nodes of other data centres, used when no node of the
+  /// local one holds the configuration.
   std::vector<std::string> RemoteSeeds;
   Fold Folding;
 };
 
-/// @brief A live member of the data centre.
+/// @brief Live member of the data centre, a node of the distribution tree.
 struct TreeMember {
   Peer Contact;
-  /// Its children are fed past it as well.
+  /// Its parent also sends records to its children directly.
   bool Suspect = false;
 
   friend auto operator<=>(const TreeMember &, const TreeMember &) = default;
 };
 
-/// @brief The lead of another data centre.
+/// @brief Lead of another data centre.
 struct RemoteLead {
   Peer Contact;
   core::DataCentreId DataCentre;
@@ -85,7 +85,7 @@
   friend auto operator<=>(const RemoteLead &, const RemoteLead &) = default;
 };
 
-/// @brief A record of the log with what it did.
+/// @brief Record of the log and the outcome of applying it.
 struct AppliedRecord {
   core::LogOffset Offset;
   std::optional<config::LogRecord> Record;
@@ -96,60 +96,64 @@
 /// @name Parts of the state
 /// @{
 
-/// @brief A record kept to serve requests.
+/// @brief Record cached to serve requests.
 struct RecentRecord {
   StoredRecord Record;
   Position PositionAfter;
 };
 
-/// @brief Reading of the log.
+/// @brief State of reading the log.
 struct LogReaderState {
+  /// The role of this node requires it to read the log.
   bool Active = false;
   bool ReadPending = false;
   bool LogAvailable = true;
-  /// Looking for a snapshot behind the trimmed head.
+  /// Searching for a snapshot after the head of a trimmed log.
   bool SearchingSnapshot = false;
   core::LogOffset ReadOffset;
-  /// The end of the log was reached once.
+  /// The end of the log was reached at least once.
   bool ReachedEnd = false;
   std::uint32_t Failures = 0;
   core::TimePoint RetryAt;
 };
 
-/// @brief The one request for records under way, and its backoff.
+/// @brief Outstanding request for records and its backoff; there is at most
+///        one.
 struct RepairState {
   std::optional<Peer> PendingPeer;
   core::TimePoint Deadline;
-  /// The peer known to be ahead.
+  /// Peer with the highest reported position.
   std::optional<Peer> AheadPeer;
   core::LogOffset AheadOffset;
-  /// The own state differs from this peer's at the same offset.
+  /// Peer whose state differs from the local one at the same offset.
   std::optional<Peer> DivergedFrom;
   core::TimePoint NextRequest;
   /// Requests since the last progress.
   std::uint32_t RequestsWithoutProgress = 0;
-  /// The same for a node that is not ready and asks any peer.
+  /// Next request to any peer, and requests sent so far, while this node is not
+  /// ready.
   core::TimePoint NextCatchUp;
   std::uint32_t CatchUpRequests = 0;
 };
 
-/// @brief Starting peers that asked for the end of the log.
+/// @brief Requests of starting peers to check the end of the log.
 struct LogEndChecks {
-  /// Addresses to which the end is confirmed.
+  /// Addresses that the next check answers.
   std::vector<std::string> Waiting;
-  /// A read is under way; those who ask during it wait for the next one.
+  /// A check is under way; it does not answer requests that arrive during it.
   bool ReadPending = false;
+  /// Addresses that the check under way answers.
   std::vector<std::string> InProgress;
 };
 
-/// @brief Position that a peer reported, for the restart rule.
+/// @brief Position that a peer reported to this starting node.
 struct PeerReport {
   core::LogOffset NextOffset;
   core::TimePoint HeardAt;
-  /// First time the peer said that it is ready.
+  /// Time of the first report since which the peer has been ready.
   std::optional<core::TimePoint> ReadySince;
-  /// The peer tried to read the log for this node, and could not.
-  bool LogUnavailable = false;
+  /// The peer could not read the log when it checked its end.
+  bool LogUnreadable = false;
 };
 
 struct State {
@@ -178,15 +182,15 @@
 
   LogReaderState LogReader;
   RepairState Repair;
-  /// Ends of the snapshot transfers under way.
+  /// Times at which the current snapshot transfers end.
   std::vector<core::TimePoint> TransferEnds;
 
-  /// @name Restart rule
+  /// @name Readiness after a restart
   /// @{
   std::map<core::NodeId, PeerReport> PeerReports;
   core::TimePoint StartedAt;
   core::TimePoint NextLogEndRequest;
-  /// End of the log that a peer read after this process had started.
+  /// End of the log as confirmed by a peer after this process started.
   std::optional<core::LogOffset> ConfirmedLogEnd;
   LogEndChecks EndChecks;
   bool Ready = false;
@@ -194,26 +198,26 @@
 };
 /// @}
 
-/// @brief State of a process that starts; it holds the empty configuration.
-State initial(Settings Own, std::uint64_t Seed);
+/// @brief Creates the state of a starting process, with an empty configuration.
+State initial(Settings Local, std::uint64_t Seed);
 
 /// @name Events
 /// @{
 struct Started {};
 struct Tick {};
-/// @brief A read of the log ended.
+/// @brief A read of the log succeeded.
 struct LogRead {
-  /// Consecutive records; empty when there was nothing new.
+  /// Consecutive records; empty without new ones.
   std::vector<StoredRecord> Records;
   /// Offset after the newest record of the log.
   core::LogOffset EndOffset;
 };
-/// @brief The requested offset is before the head of the log.
+/// @brief The requested offset precedes the head of the log.
 struct LogTrimmed {
   core::LogOffset HeadOffset;
 };
 struct LogUnavailable {};
-/// @brief A check of the log's end is over.
+/// @brief Completes a `CheckLogEnd`.
 struct LogEndChecked {
   LogEndStatus Status = LogEndStatus::Unavailable;
   core::LogOffset Offset;
@@ -234,7 +238,7 @@
   Peer From;
   Position ConfigPosition;
 };
-/// @brief Live members of the data centre, with this node.
+/// @brief The live members of the data centre, including this node, changed.
 struct MembersChanged {
   std::vector<TreeMember> LiveMembers;
 };
@@ -250,15 +254,15 @@
 
 /// @name Effects
 /// @{
-/// @brief Read the log; exactly one read is under way until `LogRead`,
-///        `LogTrimmed` or `LogUnavailable` answers it.
+/// @brief Reads the log; completed by `LogRead`, `LogTrimmed` or
+///        `LogUnavailable`. At most one is under way.
 struct ReadLog {
   core::LogOffset Offset;
-  /// Wait for new records when there are none.
+  /// Waits for new records if there are none.
   bool LongPoll = false;
 };
-/// @brief Read the log once, beside `ReadLog`, to learn whether it ends at an
-///        offset; `LogEndChecked` answers it.
+/// @brief Checks whether the log ends at an offset, by a read independent of
+///        `ReadLog`; completed by `LogEndChecked`.
 struct CheckLogEnd {
   core::LogOffset Offset;
 };
@@ -270,7 +274,7 @@
   std::string To;
   RecordsRequest Request;
 };
-/// @brief Ask a peer for the end of the log.
+/// @brief Requests a check of the end of the log from a peer.
 struct RequestLogEnd {
   std::string To;
   RecordsRequest Request;
@@ -279,11 +283,11 @@
   std::string To;
   Snapshot Payload;
 };
-/// @brief A newer state holds.
+/// @brief A newer state was adopted.
 struct StateAdopted {
   std::shared_ptr<const config::FleetState> State;
   Position ConfigPosition;
-  /// Records that led to it; empty when a snapshot did.
+  /// Records that were applied; empty for a snapshot.
   std::vector<AppliedRecord> Records;
 };
 struct ReadyChanged {
@@ -296,17 +300,19 @@
 using Effects = std::vector<Effect>;
 /// @}
 
-/// @brief Applies one event; `Tick` is expected every 50 ms.
-Step<State, Effects> reduce(State Before, const Event &What, core::Instant Now);
+/// @brief Applies one event; the caller sends `Tick` every 50 ms.
+Step<State, Effects> reduce(State Before, const Event &E, core::Instant Now);
 
 /// @name Roles
 /// @{
-/// @brief Whether the node is the lead of its data centre (rank 0).
-bool isLead(const State &Of);
-/// @brief Whether it is the lead, or the standby of a silent lead.
-bool actsAsLead(const State &Of, core::TimePoint Now);
-/// @brief Whether it reads the log and feeds the leads of its region.
-bool isRegionReader(const State &Of);
+/// @brief Whether this node is the lead of its data centre (rank 0).
+bool isLead(const State &S);
+/// @brief Whether this node is the lead, or the standby (rank 1) of a lead that
+///        exceeded `ReaderTimeout`.
+bool actsAsLead(const State &S, core::TimePoint Now);
+/// @brief Whether this node reads the log and sends the records to the leads of
+///        its region.
+bool isRegionReader(const State &S);
 /// @}
 
 } // namespace filbertvane::decision::distribution
--- a/include/filbertvane/decision/distribution/Fold.h
+++ b/include/filbertvane/decision/distribution/Fold.h
@@ -6,7 +6,7 @@
 
 namespace filbertvane::decision::distribution {
 
-/// @brief What one encoded record of the log did to the state.
+/// @brief Result of applying one encoded record to a state.
 struct FoldedRecord {
   config::FleetState State;
   /// None when the bytes could not be decoded; such a record has no effect.
@@ -14,8 +14,8 @@
   config::RecordOutcome Outcome;
 };
 
-/// @brief How encoded records become state. Distribution itself does not know
-///        what a record says.
+/// @brief Type that applies encoded records to a state, so that distribution
+///        does not depend on the content of records.
 template <typename F>
 concept RecordFold = requires(config::FleetState State, core::LogOffset Offset,
                               const std::string &Bytes,
@@ -26,12 +26,12 @@
   { F::digestOf(State) } -> std::same_as<core::Digest>;
   { F::encode(State) } -> std::same_as<std::string>;
   { F::decode(Bytes) } -> std::same_as<core::Result<config::FleetState>>;
-  /// A smaller record that may have the same effect, for example a
-  /// snapshot without its state.
+  /// Returns a smaller record that may have the same effect, for example a
+  /// snapshot without its state; the caller compares the digests.
   { F::reduced(Bytes) } -> std::same_as<std::optional<std::string>>;
 };
 
-/// @brief The functions of a `RecordFold` as a value.
+/// @brief Function table of a type that models `RecordFold`.
 struct Fold {
   FoldedRecord (*Apply)(config::FleetState State, core::LogOffset Offset,
                         const std::string &Bytes) = nullptr;
@@ -42,7 +42,7 @@
   std::optional<std::string> (*Reduced)(const std::string &Bytes) = nullptr;
 };
 
-/// @brief The functions of a type that models `RecordFold`.
+/// @brief Returns the function table of `F`.
 template <RecordFold F> constexpr Fold foldOf() {
   return {&F::apply, &F::digestOf, &F::encode, &F::decode, &F::reduced};
 }
--- a/include/filbertvane/decision/distribution/Position.h
+++ b/include/filbertvane/decision/distribution/Position.h
@@ -10,16 +10,17 @@
 struct Position {
   /// Offset of the next record to apply.
   core::LogOffset NextOffset;
-  /// Digest of the state before that record; shows a divergence.
+  /// Digest of the state before that record; used to detect divergence.
   core::Digest StateDigest;
   core::ConfigVersion Version;
-  /// The node is ready: its version is in force and proves itself current.
+  /// The node is ready, which means that its version is in force and is known
+  /// to be current.
   bool Ready = false;
 
   friend auto operator<=>(const Position &, const Position &) = default;
 };
 
-/// @brief Another node and the control address at which it listens.
+/// @brief Id and control address of a node.
 struct Peer {
   core::NodeId Node;
   std::string Address;
--- a/include/filbertvane/decision/lease/Lease.h
+++ b/include/filbertvane/decision/lease/Lease.h
@@ -12,21 +12,21 @@
 
 namespace filbertvane::decision::lease {
 
-/// @name Figures
+/// @name Timeouts and limits
 /// @{
 inline constexpr core::Milliseconds RenewalPeriod{2000};
-/// Time for which a renewal holds, counted from its append.
+/// Validity of a renewal, counted from its append.
 inline constexpr core::Milliseconds LeaseDuration{6000};
-/// Shortest wait before a claim; it also covers clocks that run at slightly
-/// different speeds (3% over `LeaseDuration`).
+/// Minimum delay of a claim after the lease expired; covers a clock drift of 3%
+/// over `LeaseDuration`.
 inline constexpr core::Milliseconds MinClaimDelay{200};
 inline constexpr core::Milliseconds MaxClaimDelay{1000};
-/// A claim that was not read back after this time is repeated.
+/// Time after which a claim that was not read back is repeated.
 inline constexpr core::Milliseconds ClaimTimeout{3000};
-/// Age of the last complete read of the lease stream up to which a candidate
-/// claims; a long poll of 1 s and a slow answer fit into it.
+/// Maximum age of the last complete read of the lease stream for a claim;
+/// covers a long poll of 1 s and a slow answer.
 inline constexpr core::Milliseconds MaxReadAge{2500};
-/// Renewals that were appended and not read back.
+/// Renewals that were appended but not yet read back.
 inline constexpr std::size_t MaxPendingRenewals = 8;
 /// @}
 
@@ -41,8 +41,8 @@
 
 struct Settings {
   core::NodeId Node;
-  /// Writer of this process's records; differs between processes of one node,
-  /// so that a restarted node does not take its former lease for its own.
+  /// Writer of the records of this process. It differs between processes of one
+  /// node, so that a restarted node does not resume its former lease.
   core::WriterId Writer;
 };
 
@@ -53,7 +53,7 @@
 
 struct PendingClaim {
   core::Epoch NewEpoch;
-  /// First append; the lease counts from here.
+  /// Time of the first append, from which the lease counts.
   core::TimePoint AppendedAt;
   core::TimePoint RetryAt;
 };
@@ -61,6 +61,7 @@
 struct State {
   Settings Local;
   core::Random Rng;
+  /// This node is the ready lead of its data centre, hence a candidate.
   bool IsLead = false;
 
   /// @name Known from the log
@@ -71,18 +72,18 @@
 
   /// @name Candidate
   /// @{
-  /// Latest sign of a holder: a renewal or a claim that was read.
+  /// Time at which the latest renewal or claim of a holder was read.
   core::TimePoint HeardAt;
-  /// The lease stream is known completely up to this time.
+  /// All records appended before this time have been read.
   std::optional<core::TimePoint> ReadUpTo;
-  /// Random wait of the claim that is next.
+  /// Random delay of the next claim after the lease expires.
   core::Microseconds ClaimDelay{0};
   std::optional<PendingClaim> Claim;
   /// @}
 
   /// @name Holder
   /// @{
-  /// Set while this node may act: the end of its lease by its own clock.
+  /// End of the lease by the local clock; set while this node holds it.
   std::optional<core::TimePoint> HeldUntil;
   std::vector<PendingRenewal> PendingRenewals;
   std::uint64_t NextSequence = 1;
@@ -90,18 +91,18 @@
   /// @}
 };
 
-State initial(Settings Own, std::uint64_t Seed);
+State initial(Settings Local, std::uint64_t Seed);
 
 /// @name Events
 /// @{
 struct Tick {};
-/// @brief The node became, or is no longer, the ready lead of a data centre.
+/// @brief This node became, or is no longer, the ready lead of its data centre.
 struct LeadChanged {
   bool IsLead = false;
 };
-/// @brief A read of the lease stream that reached its end.
+/// @brief A read of the lease stream reached its end.
 struct LeaseRead {
-  /// Time at which the read was sent: all records appended before it are known.
+  /// Time at which the read was sent; it covers all records appended before.
   core::TimePoint SentAt;
   std::vector<Renewal> Records;
 };
@@ -111,11 +112,10 @@
   core::NodeId Holder;
   core::Epoch NewEpoch;
 };
-/// @brief The pending claim is not in the log and will not get there, so that
-///        the next one need not count from its append.
+/// @brief The pending claim was not and will not be appended, so that the next
+///        one counts from its append.
 struct ClaimNotAppended {};
-/// @brief The state was taken from a snapshot: the claims in it are not known
-///        one by one.
+/// @brief The state was adopted from a snapshot, without its individual claims.
 struct EpochAdopted {
   core::NodeId Holder;
   core::Epoch CurrentEpoch;
@@ -136,7 +136,7 @@
 struct BecameHolder {
   core::Epoch HeldEpoch;
 };
-/// @brief The node must not act any more.
+/// @brief This node must stop acting as the coordinator.
 struct LostLease {
   core::Epoch LostEpoch;
 };
@@ -147,13 +147,13 @@
 /// @}
 
 /// @brief Applies one event.
-Step<State, Effects> reduce(State Before, const Event &What, core::Instant Now);
+Step<State, Effects> reduce(State Before, const Event &E, core::Instant Now);
 
 /// @brief Whether this node may act as the coordinator now.
 ///
-/// To be asked before each action, because a process may have been paused
+/// Check this before each action, because the process may have been paused
 /// since its last event.
-bool holdsLease(const State &Of, core::TimePoint Now);
+bool holdsLease(const State &S, core::TimePoint Now);
 
 } // namespace filbertvane::decision::lease
 
--- a/include/filbertvane/decision/membership/Member.h
+++ b/include/filbertvane/decision/membership/Member.h
@@ -8,25 +8,25 @@
 
 namespace filbertvane::decision::membership {
 
-/// @brief Status of a member; a later one overrides an earlier one of the
-///        same incarnation and revision.
+/// @brief Status of a member, in ascending precedence within one incarnation
+///        and revision.
 enum class MemberStatus { Alive, Suspect, Failed, Left };
 
-/// @brief A target that a node's host runs.
+/// @brief Target that runs on the host of a node.
 struct TargetAnnouncement {
   core::TargetId Id;
   core::ServiceName Service;
   core::TargetVersion Version;
   std::uint32_t Slots = 0;
   core::WallTime Since;
-  /// The target takes no new work.
+  /// The target accepts no new requests.
   bool Leaving = false;
 
   friend auto operator<=>(const TargetAnnouncement &,
                           const TargetAnnouncement &) = default;
 };
 
-/// @brief What is known of a node of the data centre.
+/// @brief State of a node of the data centre, as gossiped between members.
 struct Member {
   core::NodeId Node;
   core::Incarnation Incarnation;
@@ -34,32 +34,34 @@
   std::string ControlAddress;
   std::string PeerAddress;
   std::optional<TargetAnnouncement> Target;
-  /// Rises with each change that the node announces of itself.
+  /// Incremented with each change that the node announces about itself.
   std::uint64_t Revision = 0;
   bool Ready = false;
 
   friend auto operator<=>(const Member &, const Member &) = default;
 };
 
-/// @brief Whether a node takes part: it is alive, or only suspected.
-bool isLive(const Member &Which);
+/// @brief Whether a member is alive or suspected.
+bool isLive(const Member &M);
 
-/// @brief Whether news of a node override what is known: the higher
+/// @brief Whether an update overrides the known state of a member; the higher
 ///        (incarnation, revision, status) wins.
-bool supersedes(const Member &News, const Member &Known);
+bool supersedes(const Member &Update, const Member &Known);
 
 /// @name Incarnations
 ///
-/// The upper bits number the process, the lower `RefutationBits` count its
-/// refutations, so that a refutation is not taken for a new process.
+/// The upper bits identify the process, the lower `RefutationBits` count its
+/// refutations, so that a refutation is not mistaken for a new process.
 /// @{
 inline constexpr unsigned RefutationBits = 10;
 
-/// @brief First incarnation of a process. A host whose clock went back takes
-///        a higher one when it hears of its former process.
+/// @brief First incarnation of a process that started at the given time.
+///
+/// A host whose clock went back takes a higher incarnation when it learns that
+/// of its former process.
 core::Incarnation firstIncarnation(core::WallTime Started);
 
-/// @brief First incarnation that is higher than all of a process.
+/// @brief Lowest incarnation above all incarnations of the given process.
 core::Incarnation incarnationAfter(core::Incarnation Former);
 
 /// @brief Whether two incarnations belong to one process.
--- a/include/filbertvane/decision/membership/Membership.h
+++ b/include/filbertvane/decision/membership/Membership.h
@@ -9,37 +9,38 @@
 
 namespace filbertvane::decision::membership {
 
-/// @name Figures
+/// @name Timeouts and limits
 /// @{
-/// Longest distance between two `Tick` events.
+/// Maximum interval between two `Tick` events.
 inline constexpr core::Milliseconds TickPeriod{50};
 inline constexpr core::Milliseconds ProbePeriod{1000};
-/// Wait for a direct answer before other members are asked to probe.
+/// Time without an acknowledgement after which other members are asked to
+/// probe.
 inline constexpr core::Milliseconds IndirectProbeDelay{400};
 inline constexpr std::size_t IndirectProbeCount = 3;
 inline constexpr core::Milliseconds SuspicionTimeout{3000};
-/// Updates on one message; keeps a probe within one TCP segment.
+/// Updates piggybacked on one message; keeps a probe within one TCP segment.
 inline constexpr std::size_t MaxUpdatesPerMessage = 6;
-/// An update is sent this many times log2 of the number of members.
+/// An update is sent this factor times log2 of the number of members.
 inline constexpr std::size_t RetransmitMultiplier = 3;
-/// Period at which a seed or a failed member is asked to join again.
+/// Period of join requests to a seed or a failed member.
 inline constexpr core::Milliseconds RejoinPeriod{5000};
 /// The same while no other member is known.
 inline constexpr core::Milliseconds InitialJoinPeriod{500};
-/// Direct leave messages are repeated, because one may be lost with its
+/// Leave messages are sent repeatedly, because one may be lost with its
 /// connection.
 inline constexpr std::size_t LeaveTransmissions = 3;
 inline constexpr core::Milliseconds LeaveRetransmitPeriod{500};
-/// Failed and left members are remembered this long.
+/// Time for which failed and left members are kept.
 inline constexpr core::Seconds TombstoneLifetime{600};
 inline constexpr std::size_t MaxMembers = 1024;
-/// Probes that run on behalf of other members.
+/// Concurrent probes on behalf of other members.
 inline constexpr std::size_t MaxRelayedProbes = 64;
-/// A distance between ticks above this means that the process was paused.
+/// A longer interval between ticks means that the process was paused.
 inline constexpr core::Milliseconds PauseThreshold{800};
 /// @}
 
-/// @brief What a node knows of itself at its start.
+/// @brief Identity of this node and its seeds.
 struct Settings {
   core::NodeId Node;
   core::DataCentreId DataCentre;
@@ -49,16 +50,16 @@
   std::vector<std::string> Seeds;
 };
 
-/// @brief A member and the local bookkeeping for it.
+/// @brief Known state of a member and its timers.
 struct MemberEntry {
   Member LastKnown;
-  /// Suspicion ends, or the entry is forgotten, at this time.
+  /// Time at which a suspect member fails, or a failed or left one is removed.
   std::optional<core::TimePoint> Deadline;
-  /// Messages that still carry the news of this member.
+  /// Number of further messages that carry the update of this member.
   std::size_t TransmissionsLeft = 0;
 };
 
-/// @brief The one direct probe under way.
+/// @brief Outstanding direct probe; there is at most one.
 struct OutstandingProbe {
   std::uint64_t Sequence = 0;
   core::NodeId Target;
@@ -66,7 +67,7 @@
   bool IndirectSent = false;
 };
 
-/// @brief A probe on behalf of another member.
+/// @brief Probe on behalf of another member.
 struct RelayedProbe {
   std::uint64_t RequesterSequence = 0;
   std::string RequesterAddress;
@@ -74,7 +75,7 @@
   core::TimePoint ExpiresAt;
 };
 
-/// @brief State of the membership of one node.
+/// @brief Membership state of one node.
 struct State {
   Settings Local;
   Member Self;
@@ -93,20 +94,21 @@
   core::TimePoint LastTick;
   /// @}
 
-  /// @name Own announcement
+  /// @name Announcements of this node
   /// @{
   std::size_t SelfTransmissionsLeft = 0;
   std::size_t LeaveTransmissionsLeft = 0;
   core::TimePoint NextLeave;
   bool Started = false;
+  /// `MemberLimitReached` was logged.
   bool LimitReported = false;
   /// @}
 };
 
-/// @brief Creates the state of a process that has not started.
+/// @brief Creates the initial state of a process.
 /// @param Number first incarnation, see `firstIncarnation`
 /// @param Seed seed of the random choices
-State initial(Settings Own, core::Incarnation Number, std::uint64_t Seed);
+State initial(Settings Local, core::Incarnation Number, std::uint64_t Seed);
 
 /// @name Events
 /// @{
@@ -116,7 +118,7 @@
   Peer From;
   Message Payload;
 };
-/// @brief The own target was announced, announced anew, or went away.
+/// @brief The target of this host was announced, changed or removed.
 struct OwnTargetChanged {
   std::optional<TargetAnnouncement> Target;
 };
@@ -142,11 +144,11 @@
 };
 /// @brief The live members, their targets or their readiness changed.
 ///
-/// Lists all live members with this node itself, in order of their ids.
+/// Lists all live members including this node, ordered by id.
 struct EndpointsChanged {
   std::vector<Member> LiveMembers;
 };
-/// @brief A process is gone: its member failed, left or was replaced.
+/// @brief A member failed, left or was replaced by a new process.
 struct MemberFailed {
   Member LastKnown;
 };
@@ -162,11 +164,11 @@
 /// @}
 
 /// @brief Applies one event.
-/// Complexity: O(n log n) in the members at most.
-Step<State, Effects> reduce(State Before, const Event &What, core::Instant Now);
+/// Complexity: at most O(n log n) in the number of members.
+Step<State, Effects> reduce(State Before, const Event &E, core::Instant Now);
 
-/// @brief Live members with this node itself, in order of their ids.
-std::vector<Member> liveMembers(const State &Of);
+/// @brief Live members including this node, ordered by id.
+std::vector<Member> liveMembers(const State &S);
 
 } // namespace filbertvane::decision::membership
 
--- a/include/filbertvane/decision/membership/Messages.h
+++ b/include/filbertvane/decision/membership/Messages.h
@@ -8,46 +8,46 @@
 
 namespace filbertvane::decision::membership {
 
-/// @brief Asks a member for a sign of life.
+/// @brief Asks a member to acknowledge that it is alive.
 struct Probe {
   std::uint64_t Sequence = 0;
   Position ConfigPosition;
   std::vector<Member> Updates;
   friend auto operator<=>(const Probe &, const Probe &) = default;
 };
-/// @brief Answers a probe.
+/// @brief Acknowledges a probe.
 struct ProbeAck {
   std::uint64_t Sequence = 0;
   Position ConfigPosition;
   std::vector<Member> Updates;
   friend auto operator<=>(const ProbeAck &, const ProbeAck &) = default;
 };
-/// @brief Asks a member to probe another one on the sender's behalf.
+/// @brief Asks a member to probe another member on behalf of the sender.
 struct IndirectProbe {
   std::uint64_t Sequence = 0;
   core::NodeId Target;
   friend auto operator<=>(const IndirectProbe &,
                           const IndirectProbe &) = default;
 };
-/// @brief The probe on the receiver's behalf was answered.
+/// @brief The probe on behalf of the receiver was acknowledged.
 struct IndirectProbeAck {
   std::uint64_t Sequence = 0;
   core::NodeId Target;
   friend auto operator<=>(const IndirectProbeAck &,
                           const IndirectProbeAck &) = default;
 };
-/// @brief Announces a node to a seed, or to a member declared failed.
+/// @brief Announces the sender to a seed or to a failed member.
 struct JoinRequest {
   Member Self;
   friend auto operator<=>(const JoinRequest &, const JoinRequest &) = default;
 };
-/// @brief All members that the answering node knows.
+/// @brief All members known to the sender, in reply to a `JoinRequest`.
 struct JoinReply {
   std::vector<Member> Members;
   Position ConfigPosition;
   friend auto operator<=>(const JoinReply &, const JoinReply &) = default;
 };
-/// @brief The sender, or its target, leaves; sent to all members directly.
+/// @brief The sender or its target leaves; sent to all members directly.
 struct Leave {
   Member Self;
   friend auto operator<=>(const Leave &, const Leave &) = default;
--- a/lib/decision/Dispatch.cpp
+++ b/lib/decision/Dispatch.cpp
@@ -8,22 +8,22 @@
 
 namespace {
 
-/// Passes an event to one part and keeps its next state.
+/// Applies an event to one component and returns the effects.
 template <typename State, typename Event>
-auto applyTo(State &Part, const Event &What, core::Instant Now) {
-  auto Next = reduce(std::move(Part), What, Now);
+auto applyTo(State &Part, const Event &NewEvent, core::Instant Now) {
+  auto Next = reduce(std::move(Part), NewEvent, Now);
   Part = std::move(Next.NextState);
   return std::move(Next.EmittedEffects);
 }
 
-bool isMembershipMessage(const wire::ControlMessage &What) {
-  return std::holds_alternative<membership::Probe>(What) ||
-         std::holds_alternative<membership::ProbeAck>(What) ||
-         std::holds_alternative<membership::IndirectProbe>(What) ||
-         std::holds_alternative<membership::IndirectProbeAck>(What) ||
-         std::holds_alternative<membership::JoinRequest>(What) ||
-         std::holds_alternative<membership::JoinReply>(What) ||
-         std::holds_alternative<membership::Leave>(What);
+bool isMembershipMessage(const wire::ControlMessage &Message) {
+  return std::holds_alternative<membership::Probe>(Message) ||
+         std::holds_alternative<membership::ProbeAck>(Message) ||
+         std::holds_alternative<membership::IndirectProbe>(Message) ||
+         std::holds_alternative<membership::IndirectProbeAck>(Message) ||
+         std::holds_alternative<membership::JoinRequest>(Message) ||
+         std::holds_alternative<membership::JoinReply>(Message) ||
+         std::holds_alternative<membership::Leave>(Message);
 }
 
 } // namespace
@@ -31,14 +31,14 @@
 void Dispatch::run(NodeEvent First) {
   Pending.push_back(std::move(First));
   while (!Pending.empty()) {
-    const NodeEvent What = std::move(Pending.front());
+    const NodeEvent Event = std::move(Pending.front());
     Pending.pop_front();
-    std::visit(*this, What);
+    std::visit(*this, Event);
   }
 }
 
 void Dispatch::operator()(const Started &) {
-  // Peers compare positions from the first message on.
+  // Peers compare positions starting with the first message.
   enqueue(membership::Event(
       membership::OwnPositionChanged{S.Distribution.ConfigPosition}));
   enqueue(membership::Event(membership::Started{}));
@@ -61,86 +61,86 @@
   enqueue(request::Event(request::DrainStarted{}));
 }
 
-void Dispatch::operator()(const TargetAnnounced &What) {
-  S.TargetAddress = What.Address;
-  enqueue(membership::Event(membership::OwnTargetChanged{What.Announcement}));
+void Dispatch::operator()(const TargetAnnounced &Event) {
+  S.TargetAddress = Event.Address;
+  enqueue(membership::Event(membership::OwnTargetChanged{Event.Announcement}));
 }
 
-void Dispatch::operator()(const TargetGone &What) {
-  enqueue(request::Event(request::TargetLeaving{What.Id}));
-  if (What.Expired)
+void Dispatch::operator()(const TargetGone &Event) {
+  enqueue(request::Event(request::TargetLeaving{Event.Id}));
+  if (Event.Expired)
     enqueue(membership::Event(membership::OwnTargetChanged{std::nullopt}));
   else
     enqueue(membership::Event(membership::OwnTargetLeaving{}));
 }
 
-void Dispatch::operator()(const membership::Event &What) {
-  auto Effects = applyTo(S.Membership, What, Now);
+void Dispatch::operator()(const membership::Event &Event) {
+  auto Effects = applyTo(S.Membership, Event, Now);
   handleEffects(Effects);
 }
 
-void Dispatch::operator()(const distribution::Event &What) {
-  auto Effects = applyTo(S.Distribution, What, Now);
+void Dispatch::operator()(const distribution::Event &Event) {
+  auto Effects = applyTo(S.Distribution, Event, Now);
   handleEffects(Effects);
 }
 
-void Dispatch::operator()(const lease::Event &What) {
-  auto Effects = applyTo(S.Lease, What, Now);
+void Dispatch::operator()(const lease::Event &Event) {
+  auto Effects = applyTo(S.Lease, Event, Now);
   handleEffects(Effects);
 }
 
-void Dispatch::operator()(const directory::Event &What) {
-  auto Effects = applyTo(S.Directory, What, Now);
+void Dispatch::operator()(const directory::Event &Event) {
+  auto Effects = applyTo(S.Directory, Event, Now);
   handleEffects(Effects);
 }
 
-void Dispatch::operator()(const request::Event &What) {
-  auto Effects = applyTo(S.Requests, What, Now);
+void Dispatch::operator()(const request::Event &Event) {
+  auto Effects = applyTo(S.Requests, Event, Now);
   handleEffects(Effects);
 }
 
-void Dispatch::operator()(const rollout::GuardEvent &What) {
-  auto Effects = applyTo(S.Guard, What, Now);
+void Dispatch::operator()(const rollout::GuardEvent &Event) {
+  auto Effects = applyTo(S.Guard, Event, Now);
   handleEffects(Effects);
 }
 
-void Dispatch::operator()(const rollout::ControllerEvent &What) {
-  auto Effects = applyTo(S.Controller, What, Now);
+void Dispatch::operator()(const rollout::ControllerEvent &Event) {
+  auto Effects = applyTo(S.Controller, Event, Now);
   handleEffects(Effects);
 }
 
-void Dispatch::operator()(const ControlReceived &What) {
-  if (isMembershipMessage(What.Payload)) {
+void Dispatch::operator()(const ControlReceived &Event) {
+  if (isMembershipMessage(Event.Payload)) {
     std::visit(
         [&](const auto &Message) {
           using T = std::decay_t<decltype(Message)>;
           if constexpr (std::is_constructible_v<membership::Message, T>)
             enqueue(membership::Event(membership::MessageReceived{
-                What.From, membership::Message(Message)}));
+                Event.From, membership::Message(Message)}));
         },
-        What.Payload);
+        Event.Payload);
     return;
   }
   std::visit(
       Overloaded{
           [&](const distribution::RecordBatch &Batch) {
             enqueue(distribution::Event(
-                distribution::RecordsReceived{What.From, Batch}));
+                distribution::RecordsReceived{Event.From, Batch}));
           },
           [&](const distribution::RecordsRequest &Request) {
             enqueue(distribution::Event(
-                distribution::RecordsRequested{What.From, Request}));
+                distribution::RecordsRequested{Event.From, Request}));
           },
           [&](const distribution::Snapshot &Snapshot) {
             enqueue(distribution::Event(
-                distribution::SnapshotReceived{What.From, Snapshot}));
+                distribution::SnapshotReceived{Event.From, Snapshot}));
           },
           [&](const wire::Summaries &Summaries) {
             enqueue(directory::Event(directory::SummariesReceived{
-                What.From, Summaries.DataCentres}));
+                Event.From, Summaries.DataCentres}));
           },
           [&](const wire::Evidence &Evidence) {
-            receive(What.DataCentre, Evidence);
+            receive(Event.DataCentre, Evidence);
           },
           [&](const wire::LocalRollback &Rollback) { receive(Rollback); },
           [&](const wire::Suspect &Suspect) {
@@ -148,80 +148,80 @@
                 Suspect.RequestDigest, Suspect.Crashes}));
           },
           [&](const wire::ClaimRequest &Request) {
-            Out.emplace_back(ClaimReceived{What.From, Request});
+            Out.emplace_back(ClaimReceived{Event.From, Request});
           },
           [&](const wire::ClaimReply &Reply) {
             Out.emplace_back(ClaimReplied{Reply});
           },
           [](const auto &) {}},
-      What.Payload);
+      Event.Payload);
 }
 
 // --- membership ---
 
-void Dispatch::handleEffect(membership::SendMessage &What) {
-  std::visit([&](auto &Message) { send(What.To, std::move(Message)); },
-             What.Payload);
+void Dispatch::handleEffect(membership::SendMessage &Effect) {
+  std::visit([&](auto &Message) { send(Effect.To, std::move(Message)); },
+             Effect.Payload);
 }
 
-void Dispatch::handleEffect(membership::EndpointsChanged &What) {
+void Dispatch::handleEffect(membership::EndpointsChanged &Effect) {
   distribution::MembersChanged Tree;
-  for (const membership::Member &Each : What.LiveMembers)
+  for (const membership::Member &Each : Effect.LiveMembers)
     Tree.LiveMembers.push_back(
         {{Each.Node, Each.ControlAddress},
          Each.Status == membership::MemberStatus::Suspect});
   enqueue(distribution::Event(std::move(Tree)));
-  enqueue(
-      directory::Event(directory::MembersChanged{std::move(What.LiveMembers)}));
+  enqueue(directory::Event(
+      directory::MembersChanged{std::move(Effect.LiveMembers)}));
 }
 
 void Dispatch::handleEffect(membership::MemberFailed &) {}
 
-void Dispatch::handleEffect(membership::PositionReported &What) {
+void Dispatch::handleEffect(membership::PositionReported &Effect) {
   enqueue(directory::Event(
-      directory::PositionReported{What.From.Node, What.ConfigPosition}));
+      directory::PositionReported{Effect.From.Node, Effect.ConfigPosition}));
   enqueue(distribution::Event(
-      distribution::PeerPositionReported{What.From, What.ConfigPosition}));
+      distribution::PeerPositionReported{Effect.From, Effect.ConfigPosition}));
 }
 
 // --- distribution ---
 
-void Dispatch::handleEffect(distribution::SendRecords &What) {
-  send(What.To, std::move(What.Batch));
+void Dispatch::handleEffect(distribution::SendRecords &Effect) {
+  send(Effect.To, std::move(Effect.Batch));
 }
 
-void Dispatch::handleEffect(distribution::RequestRecords &What) {
-  send(What.To, What.Request);
+void Dispatch::handleEffect(distribution::RequestRecords &Effect) {
+  send(Effect.To, Effect.Request);
 }
 
-void Dispatch::handleEffect(distribution::RequestLogEnd &What) {
-  send(What.To, What.Request);
+void Dispatch::handleEffect(distribution::RequestLogEnd &Effect) {
+  send(Effect.To, Effect.Request);
 }
 
-void Dispatch::handleEffect(distribution::SendSnapshot &What) {
-  send(What.To, std::move(What.Payload));
+void Dispatch::handleEffect(distribution::SendSnapshot &Effect) {
+  send(Effect.To, std::move(Effect.Payload));
 }
 
-void Dispatch::handleEffect(distribution::StateAdopted &What) {
-  S.Fleet = What.State;
+void Dispatch::handleEffect(distribution::StateAdopted &Effect) {
+  S.Fleet = Effect.State;
   enqueue(
-      membership::Event(membership::OwnPositionChanged{What.ConfigPosition}));
+      membership::Event(membership::OwnPositionChanged{Effect.ConfigPosition}));
   enqueue(directory::Event(
-      directory::PositionReported{S.Local.Node, What.ConfigPosition}));
-  enqueue(rollout::GuardEvent(rollout::FleetChanged{What.State}));
-  enqueue(rollout::ControllerEvent(rollout::FleetChanged{What.State}));
+      directory::PositionReported{S.Local.Node, Effect.ConfigPosition}));
+  enqueue(rollout::GuardEvent(rollout::FleetChanged{Effect.State}));
+  enqueue(rollout::ControllerEvent(rollout::FleetChanged{Effect.State}));
   updateRequestConfiguration();
-  forwardRecordsToLease(What);
-  Out.emplace_back(std::move(What));
+  forwardRecordsToLease(Effect);
+  Out.emplace_back(std::move(Effect));
 }
 
-void Dispatch::handleEffect(distribution::ReadyChanged &What) {
-  enqueue(membership::Event(membership::OwnReadinessChanged{What.Ready}));
-  // Peers that restart take the position of a ready node as a proof.
+void Dispatch::handleEffect(distribution::ReadyChanged &Effect) {
+  enqueue(membership::Event(membership::OwnReadinessChanged{Effect.Ready}));
+  // For restarting peers, the position of a ready node is a proof.
   enqueue(membership::Event(
       membership::OwnPositionChanged{S.Distribution.ConfigPosition}));
   updateLeaseCandidacy();
-  Out.emplace_back(What);
+  Out.emplace_back(Effect);
 }
 
 void Dispatch::updateRequestConfiguration() {
@@ -230,11 +230,12 @@
         request::ConfigurationChanged{S.Fleet, S.LocalRollbacks}));
 }
 
-void Dispatch::forwardRecordsToLease(const distribution::StateAdopted &What) {
-  if (What.Records.empty())
-    enqueue(lease::Event(lease::EpochAdopted{What.State->LeaseHolder,
-                                             What.State->CurrentEpoch}));
-  for (const distribution::AppliedRecord &Each : What.Records) {
+void Dispatch::forwardRecordsToLease(
+    const distribution::StateAdopted &Adopted) {
+  if (Adopted.Records.empty())
+    enqueue(lease::Event(lease::EpochAdopted{Adopted.State->LeaseHolder,
+                                             Adopted.State->CurrentEpoch}));
+  for (const distribution::AppliedRecord &Each : Adopted.Records) {
     if (!Each.Record || std::holds_alternative<config::Refused>(Each.Outcome) ||
         std::holds_alternative<config::Duplicate>(Each.Outcome))
       continue;
@@ -251,26 +252,26 @@
 
 // --- directory ---
 
-void Dispatch::handleEffect(directory::SendSummaries &What) {
-  send(What.To, wire::Summaries{std::move(What.Summaries)});
+void Dispatch::handleEffect(directory::SendSummaries &Effect) {
+  send(Effect.To, wire::Summaries{std::move(Effect.Summaries)});
 }
 
-void Dispatch::handleEffect(directory::DataCentreHeard &What) {
+void Dispatch::handleEffect(directory::DataCentreHeard &Effect) {
   enqueue(rollout::ControllerEvent(
-      rollout::DataCentreReported{What.DataCentre, What.LowestVersion}));
+      rollout::DataCentreReported{Effect.DataCentre, Effect.LowestVersion}));
 }
 
-void Dispatch::handleEffect(directory::DataCentreSilent &What) {
+void Dispatch::handleEffect(directory::DataCentreSilent &Effect) {
   enqueue(rollout::ControllerEvent(
-      rollout::DataCentreLost{What.DataCentre, What.SilentSince}));
+      rollout::DataCentreLost{Effect.DataCentre, Effect.SilentSince}));
 }
 
-void Dispatch::handleEffect(directory::EndpointsUpdated &What) {
+void Dispatch::handleEffect(directory::EndpointsUpdated &Effect) {
   std::map<std::pair<core::ServiceName, core::TargetVersion>, std::uint32_t>
       Slots;
   for (const auto &[Key, Count] : S.ReportedSlots)
     Slots[Key] = 0;
-  for (const request::Endpoint &Each : What.Endpoints)
+  for (const request::Endpoint &Each : Effect.Endpoints)
     Slots[{Each.Service, Each.Version}] += Each.Slots;
   for (const auto &[Key, Count] : Slots) {
     const auto Known = S.ReportedSlots.find(Key);
@@ -280,20 +281,21 @@
         rollout::SlotsChanged{Key.first, Key.second, Count, 0}));
   }
   S.ReportedSlots = std::move(Slots);
-  // The own target is reached without the hop over the peers port.
-  for (request::Endpoint &Each : What.Endpoints)
+  // Requests to the target of this host do not pass through the peer port.
+  for (request::Endpoint &Each : Effect.Endpoints)
     if (Each.Node == S.Local.Node)
       Each.Address = S.TargetAddress;
-  enqueue(request::Event(request::EndpointsChanged{std::move(What.Endpoints)}));
+  enqueue(
+      request::Event(request::EndpointsChanged{std::move(Effect.Endpoints)}));
 }
 
-void Dispatch::handleEffect(directory::RemoteLeadsUpdated &What) {
+void Dispatch::handleEffect(directory::RemoteLeadsUpdated &Effect) {
   enqueue(distribution::Event(
-      distribution::RemoteLeadsChanged{std::move(What.RemoteLeads)}));
+      distribution::RemoteLeadsChanged{std::move(Effect.RemoteLeads)}));
 }
 
-void Dispatch::handleEffect(directory::LeadershipChanged &What) {
-  enqueue(rollout::GuardEvent(rollout::LeadershipChanged{What.IsLead}));
+void Dispatch::handleEffect(directory::LeadershipChanged &Effect) {
+  enqueue(rollout::GuardEvent(rollout::LeadershipChanged{Effect.IsLead}));
   updateLeaseCandidacy();
 }
 
@@ -304,13 +306,13 @@
 
 // --- lease ---
 
-void Dispatch::handleEffect(lease::AppendClaim &What) {
-  append(config::LeaseClaimed{S.Local.Node, What.NewEpoch});
+void Dispatch::handleEffect(lease::AppendClaim &Effect) {
+  append(config::LeaseClaimed{S.Local.Node, Effect.NewEpoch});
 }
 
-void Dispatch::handleEffect(lease::BecameHolder &What) {
+void Dispatch::handleEffect(lease::BecameHolder &Effect) {
   S.NextSnapshot = Now.Mono + S.Local.LogRetention / 3;
-  enqueue(rollout::ControllerEvent(rollout::LeaseGained{What.HeldEpoch}));
+  enqueue(rollout::ControllerEvent(rollout::LeaseGained{Effect.HeldEpoch}));
 }
 
 void Dispatch::handleEffect(lease::LostLease &) {
@@ -323,7 +325,7 @@
       AppendConfig{{writerOf(S.Local), S.LastSequence, std::move(Body)}});
 }
 
-/// A snapshot each third of the retention leaves two more tries before the
+/// A snapshot per third of the retention leaves two more attempts before the
 /// records that it replaces expire.
 void Dispatch::takeSnapshotWhenDue() {
   if (!S.Fleet || Now.Mono < S.NextSnapshot ||
@@ -337,21 +339,21 @@
                                S.Local.Folding.Encode(*S.Fleet)});
 }
 
-// --- requests ---
+// --- request routing ---
 
-void Dispatch::handleEffect(request::Observed &What) {
-  enqueue(rollout::GuardEvent(std::move(What)));
+void Dispatch::handleEffect(request::Observed &Effect) {
+  enqueue(rollout::GuardEvent(std::move(Effect)));
 }
 
-void Dispatch::handleEffect(request::SuspectReported &What) {
+void Dispatch::handleEffect(request::SuspectReported &Effect) {
   for (const std::string &To : memberAddresses())
-    send(To, wire::Suspect{What.RequestDigest, What.Crashes});
+    send(To, wire::Suspect{Effect.RequestDigest, Effect.Crashes});
 }
 
 // --- addresses ---
 
-void Dispatch::send(const std::string &To, wire::ControlMessage What) {
-  Out.emplace_back(SendControl{To, std::move(What)});
+void Dispatch::send(const std::string &To, wire::ControlMessage Payload) {
+  Out.emplace_back(SendControl{To, std::move(Payload)});
 }
 
 std::vector<std::string> Dispatch::memberAddresses() const {
--- a/lib/decision/Dispatch.h
+++ b/lib/decision/Dispatch.h
@@ -6,7 +6,7 @@
 
 namespace filbertvane::decision {
 
-/// @brief Handles one event and the events that follow from it.
+/// @brief Handles one event and the internal events that it causes.
 class Dispatch {
 public:
   Dispatch(NodeState Before, core::Instant Now)
@@ -22,92 +22,92 @@
   void operator()(const Started &);
   void operator()(const Tick &);
   void operator()(const DrainStarted &);
-  void operator()(const ControlReceived &What);
-  void operator()(const TargetAnnounced &What);
-  void operator()(const TargetGone &What);
-  void operator()(const membership::Event &What);
-  void operator()(const distribution::Event &What);
-  void operator()(const lease::Event &What);
-  void operator()(const directory::Event &What);
-  void operator()(const request::Event &What);
-  void operator()(const rollout::GuardEvent &What);
-  void operator()(const rollout::ControllerEvent &What);
+  void operator()(const ControlReceived &Event);
+  void operator()(const TargetAnnounced &Event);
+  void operator()(const TargetGone &Event);
+  void operator()(const membership::Event &Event);
+  void operator()(const distribution::Event &Event);
+  void operator()(const lease::Event &Event);
+  void operator()(const directory::Event &Event);
+  void operator()(const request::Event &Event);
+  void operator()(const rollout::GuardEvent &Event);
+  void operator()(const rollout::ControllerEvent &Event);
   /// @}
 
 private:
   /// @name Effects of membership
   /// @{
-  void handleEffect(membership::SendMessage &What);
-  void handleEffect(membership::EndpointsChanged &What);
-  void handleEffect(membership::MemberFailed &What);
-  void handleEffect(membership::PositionReported &What);
+  void handleEffect(membership::SendMessage &Effect);
+  void handleEffect(membership::EndpointsChanged &Effect);
+  void handleEffect(membership::MemberFailed &Effect);
+  void handleEffect(membership::PositionReported &Effect);
   /// @}
 
   /// @name Effects of distribution
   /// @{
-  void handleEffect(distribution::SendRecords &What);
-  void handleEffect(distribution::RequestRecords &What);
-  void handleEffect(distribution::RequestLogEnd &What);
-  void handleEffect(distribution::SendSnapshot &What);
-  void handleEffect(distribution::StateAdopted &What);
-  void handleEffect(distribution::ReadyChanged &What);
+  void handleEffect(distribution::SendRecords &Effect);
+  void handleEffect(distribution::RequestRecords &Effect);
+  void handleEffect(distribution::RequestLogEnd &Effect);
+  void handleEffect(distribution::SendSnapshot &Effect);
+  void handleEffect(distribution::StateAdopted &Effect);
+  void handleEffect(distribution::ReadyChanged &Effect);
   /// @}
 
   /// @name Effects of the directory
   /// @{
-  void handleEffect(directory::SendSummaries &What);
-  void handleEffect(directory::DataCentreHeard &What);
-  void handleEffect(directory::DataCentreSilent &What);
-  void handleEffect(directory::EndpointsUpdated &What);
-  void handleEffect(directory::RemoteLeadsUpdated &What);
-  void handleEffect(directory::LeadershipChanged &What);
+  void handleEffect(directory::SendSummaries &Effect);
+  void handleEffect(directory::DataCentreHeard &Effect);
+  void handleEffect(directory::DataCentreSilent &Effect);
+  void handleEffect(directory::EndpointsUpdated &Effect);
+  void handleEffect(directory::RemoteLeadsUpdated &Effect);
+  void handleEffect(directory::LeadershipChanged &Effect);
   /// @}
 
   /// @name Effects of the lease
   /// @{
-  void handleEffect(lease::AppendClaim &What);
-  void handleEffect(lease::BecameHolder &What);
-  void handleEffect(lease::LostLease &What);
+  void handleEffect(lease::AppendClaim &Effect);
+  void handleEffect(lease::BecameHolder &Effect);
+  void handleEffect(lease::LostLease &Effect);
   /// @}
 
-  /// @name Effects of requests
+  /// @name Effects of request routing
   /// @{
-  void handleEffect(request::Observed &What);
-  void handleEffect(request::SuspectReported &What);
+  void handleEffect(request::Observed &Effect);
+  void handleEffect(request::SuspectReported &Effect);
   /// @}
 
-  /// @name Effects of moves
+  /// @name Effects of rollouts
   /// @{
-  void handleEffect(rollout::SendEvidence &What);
-  void handleEffect(rollout::SendOverlay &What);
-  void handleEffect(rollout::LocalRollbacksChanged &What);
-  void handleEffect(rollout::Append &What);
-  void handleEffect(rollout::PublishOverlay &What);
+  void handleEffect(rollout::SendEvidence &Effect);
+  void handleEffect(rollout::SendOverlay &Effect);
+  void handleEffect(rollout::LocalRollbacksChanged &Effect);
+  void handleEffect(rollout::Append &Effect);
+  void handleEffect(rollout::PublishOverlay &Effect);
   /// @}
 
-  /// Effects that go outside as they are.
-  template <typename T> void handleEffect(T &What) {
-    Out.emplace_back(std::move(What));
+  /// Passes effects for the caller on unchanged.
+  template <typename T> void handleEffect(T &Effect) {
+    Out.emplace_back(std::move(Effect));
   }
   template <typename Effects> void handleEffects(Effects &All) {
     for (auto &Each : All)
-      std::visit([this](auto &What) { handleEffect(What); }, Each);
+      std::visit([this](auto &Effect) { handleEffect(Effect); }, Each);
   }
 
   /// @name Messages of other nodes
   /// @{
   void receive(const core::DataCentreId &DataCentre,
-               const wire::Evidence &What);
-  void receive(const wire::LocalRollback &What);
+               const wire::Evidence &Message);
+  void receive(const wire::LocalRollback &Message);
   /// @}
 
-  template <typename Event> void enqueue(Event What) {
-    Pending.emplace_back(std::move(What));
+  template <typename Event> void enqueue(Event NewEvent) {
+    Pending.emplace_back(std::move(NewEvent));
   }
-  void send(const std::string &To, wire::ControlMessage What);
+  void send(const std::string &To, wire::ControlMessage Payload);
   void append(config::RecordBody Body);
   void updateRequestConfiguration();
-  void forwardRecordsToLease(const distribution::StateAdopted &What);
+  void forwardRecordsToLease(const distribution::StateAdopted &Adopted);
   void updateLeaseCandidacy();
   void takeSnapshotWhenDue();
   /// Control addresses of the members, without this node.
--- a/lib/decision/EvidenceMessages.cpp
+++ b/lib/decision/EvidenceMessages.cpp
@@ -9,7 +9,7 @@
   return {Of.Count.begin(), Of.Count.end()};
 }
 
-/// Counts beyond the buckets of this process are dropped.
+/// Ignores counts beyond the buckets that this process knows.
 rollout::LatencyHistogram fromCounts(const std::vector<std::uint64_t> &Counts) {
   rollout::LatencyHistogram Histogram;
   const std::size_t Shared = std::min(Counts.size(), Histogram.Count.size());
@@ -42,7 +42,7 @@
     (Each.OfNew ? To.NewCrashes : To.OldCrashes).push_back(Each.Request);
 }
 
-/// A route may have counts, crashes, or both.
+/// Merges counts and crashes of each route; a route may have only one of them.
 std::vector<wire::RouteEvidence> routesOf(const rollout::Evidence &Report,
                                           const config::MoveId &Move) {
   std::map<core::RouteName, wire::RouteEvidence> Routes;
--- a/lib/decision/EvidenceMessages.h
+++ b/lib/decision/EvidenceMessages.h
@@ -6,7 +6,7 @@
 
 namespace filbertvane::decision {
 
-/// @name Conversions between the values of moves and their messages
+/// @name Conversions between rollout values and their wire messages
 /// @{
 wire::Evidence toMessage(const rollout::Evidence &Report);
 rollout::Evidence fromMessage(const wire::Evidence &Message);
--- a/lib/decision/Node.cpp
+++ b/lib/decision/Node.cpp
@@ -7,44 +7,44 @@
 
 namespace {
 
-membership::Settings membershipSettings(const NodeSettings &Own) {
-  return {Own.Node, Own.DataCentre, Own.ControlAddress, Own.PeerAddress,
-          Own.LocalSeeds};
+membership::Settings membershipSettings(const NodeSettings &Settings) {
+  return {Settings.Node, Settings.DataCentre, Settings.ControlAddress,
+          Settings.PeerAddress, Settings.LocalSeeds};
 }
 
-distribution::Settings distributionSettings(const NodeSettings &Own) {
-  return {{Own.Node, Own.ControlAddress},
-          Own.DataCentre,
-          Own.Region,
-          Own.RemoteSeeds,
-          Own.Folding};
+distribution::Settings distributionSettings(const NodeSettings &Settings) {
+  return {{Settings.Node, Settings.ControlAddress},
+          Settings.DataCentre,
+          Settings.Region,
+          Settings.RemoteSeeds,
+          Settings.Folding};
 }
 
-directory::Settings directorySettings(const NodeSettings &Own) {
-  return {Own.Node,
-          Own.DataCentre,
-          Own.Region,
-          Own.ControlAddress,
-          Own.ExternalControlAddress,
-          Own.RemoteSeeds};
+directory::Settings directorySettings(const NodeSettings &Settings) {
+  return {Settings.Node,
+          Settings.DataCentre,
+          Settings.Region,
+          Settings.ControlAddress,
+          Settings.ExternalControlAddress,
+          Settings.RemoteSeeds};
 }
 
-request::Settings requestSettings(const NodeSettings &Own) {
+request::Settings requestSettings(const NodeSettings &Settings) {
   request::Settings Requests;
-  Requests.Self = Own.Node;
-  Requests.Start = Own.Incarnation;
-  Requests.DataCentre = Own.DataCentre;
-  Requests.Region = Own.Region;
-  Requests.Seed = Own.RandomSeed;
-  Requests.Bounds.ClaimRetention = Own.LogRetention;
+  Requests.Self = Settings.Node;
+  Requests.Start = Settings.Incarnation;
+  Requests.DataCentre = Settings.DataCentre;
+  Requests.Region = Settings.Region;
+  Requests.Seed = Settings.RandomSeed;
+  Requests.Bounds.ClaimRetention = Settings.LogRetention;
   return Requests;
 }
 
 } // namespace
 
-core::WriterId writerOf(const NodeSettings &Own) {
-  return core::WriterId(
-      fmt::format("{}/{}", Own.Node.value(), Own.Incarnation.value()));
+core::WriterId writerOf(const NodeSettings &Settings) {
+  return core::WriterId(fmt::format("{}/{}", Settings.Node.value(),
+                                    Settings.Incarnation.value()));
 }
 
 NodeState::NodeState(NodeSettings Settings)
@@ -60,16 +60,18 @@
       Guard(rollout::guardOf(Local.Node, Local.Incarnation, Local.DataCentre)) {
 }
 
-Step<NodeState, NodeEffects> reduce(NodeState Before, NodeEvent What,
+Step<NodeState, NodeEffects> reduce(NodeState Before, NodeEvent Event,
                                     core::Instant Now) {
-  Dispatch All(std::move(Before), Now);
-  All.run(std::move(What));
-  return All.finish();
+  Dispatch Dispatcher(std::move(Before), Now);
+  Dispatcher.run(std::move(Event));
+  return Dispatcher.finish();
 }
 
-std::optional<Peer> claimKeeper(const NodeState &Of, std::uint32_t Partition) {
+std::optional<Peer> claimKeeper(const NodeState &State,
+                                std::uint32_t Partition) {
   std::vector<core::NodeId> Nodes;
-  std::vector<membership::Member> Live = membership::liveMembers(Of.Membership);
+  std::vector<membership::Member> Live =
+      membership::liveMembers(State.Membership);
   Nodes.reserve(Live.size());
   for (const membership::Member &Each : Live)
     Nodes.push_back(Each.Node);
--- a/lib/decision/directory/Directory.cpp
+++ b/lib/decision/directory/Directory.cpp
@@ -11,105 +11,111 @@
 
 using ServiceVersion = std::pair<core::ServiceName, core::TargetVersion>;
 
-/// Counts the targets of each version and names the first nodes that have one.
+/// Counts the targets of each version and lists its entry nodes.
 std::vector<ServiceSummary>
 summarise(const std::vector<membership::Member> &Live) {
-  std::map<ServiceVersion, ServiceSummary> Of;
-  for (const membership::Member &Each : Live) {
-    if (!Each.Ready || !Each.Target || Each.Target->Leaving)
+  std::map<ServiceVersion, ServiceSummary> ByVersion;
+  for (const membership::Member &Member : Live) {
+    if (!Member.Ready || !Member.Target || Member.Target->Leaving)
       continue;
-    const membership::TargetAnnouncement &Target = *Each.Target;
-    ServiceSummary &Sum = Of[{Target.Service, Target.Version}];
-    Sum.Service = Target.Service;
-    Sum.Version = Target.Version;
-    Sum.Targets += 1;
-    Sum.Slots += Target.Slots;
-    if (Sum.EntryAddresses.size() < MaxEntryNodes)
-      Sum.EntryAddresses.push_back(Each.PeerAddress);
+    const membership::TargetAnnouncement &Target = *Member.Target;
+    ServiceSummary &Service = ByVersion[{Target.Service, Target.Version}];
+    Service.Service = Target.Service;
+    Service.Version = Target.Version;
+    Service.Targets += 1;
+    Service.Slots += Target.Slots;
+    if (Service.EntryAddresses.size() < MaxEntryNodes)
+      Service.EntryAddresses.push_back(Member.PeerAddress);
   }
-  std::vector<ServiceSummary> Sums;
-  Sums.reserve(Of.size());
-  for (const auto &[Key, Sum] : Of)
-    Sums.push_back(Sum);
-  return Sums;
+  std::vector<ServiceSummary> Summaries;
+  Summaries.reserve(ByVersion.size());
+  for (const auto &[Key, Service] : ByVersion)
+    Summaries.push_back(Service);
+  return Summaries;
 }
 
-request::Endpoint localEndpoint(const State &S, const membership::Member &Each,
+request::Endpoint localEndpoint(const State &S,
+                                const membership::Member &Member,
                                 core::Instant Now) {
-  const membership::TargetAnnouncement &Target = *Each.Target;
+  const membership::TargetAnnouncement &Target = *Member.Target;
   return {Target.Id,
           Target.Service,
           Target.Version,
-          Each.Node,
+          Member.Node,
           S.Local.DataCentre,
           S.Local.Region,
-          Each.PeerAddress,
+          Member.PeerAddress,
           Target.Slots,
           core::toMonotonic(Target.Since, Now)};
 }
 
-/// An entry node takes its part of the capacity of the version.
-request::Endpoint remoteEndpoint(const DataCentreSummary &There,
-                                 const ServiceSummary &Sum,
+/// Divides the slots of the version equally among its entry nodes.
+request::Endpoint remoteEndpoint(const DataCentreSummary &Remote,
+                                 const ServiceSummary &Service,
                                  const std::string &Address) {
-  const auto Parts = static_cast<std::uint32_t>(Sum.EntryAddresses.size());
+  const auto EntryNodes =
+      static_cast<std::uint32_t>(Service.EntryAddresses.size());
   request::Endpoint Entry;
   Entry.Target = core::TargetId(
-      fmt::format("{}/{}/{}/{}", There.DataCentre.value(), Sum.Service.value(),
-                  Sum.Version.value(), Address));
-  Entry.Service = Sum.Service;
-  Entry.Version = Sum.Version;
+      fmt::format("{}/{}/{}/{}", Remote.DataCentre.value(),
+                  Service.Service.value(), Service.Version.value(), Address));
+  Entry.Service = Service.Service;
+  Entry.Version = Service.Version;
   Entry.Node = core::NodeId(Address);
-  Entry.DataCentre = There.DataCentre;
-  Entry.Region = There.Region;
+  Entry.DataCentre = Remote.DataCentre;
+  Entry.Region = Remote.Region;
   Entry.Address = Address;
-  Entry.Slots = std::max(1U, Sum.Slots / Parts);
+  Entry.Slots = std::max(1U, Service.Slots / EntryNodes);
   return Entry;
 }
 
-/// The first address serves the lead's own region, the last one all others.
-const std::string &leadAddress(const State &S, const DataCentreSummary &Of) {
-  const bool SameRegion = Of.Region == S.Local.Region;
-  return SameRegion ? Of.LeadAddresses.front() : Of.LeadAddresses.back();
+/// Returns the first address for nodes in the region of the lead, the last one
+/// for others.
+const std::string &leadAddress(const State &S,
+                               const DataCentreSummary &Remote) {
+  const bool SameRegion = Remote.Region == S.Local.Region;
+  return SameRegion ? Remote.LeadAddresses.front()
+                    : Remote.LeadAddresses.back();
 }
 
-DataCentreSummary withoutServices(DataCentreSummary Of) {
-  Of.Services.clear();
-  Of.Partial = true;
-  return Of;
+DataCentreSummary withoutServices(DataCentreSummary Summary) {
+  Summary.Services.clear();
+  Summary.Partial = true;
+  return Summary;
 }
 
-/// One reduction of one event.
+/// Applies one event to a state and collects the effects.
 class Reducer {
 public:
   Reducer(State Before, core::Instant Now) : S(std::move(Before)), Now(Now) {}
 
   Step<State, Effects> finish() { return {std::move(S), std::move(Out)}; }
 
-  void operator()(const MembersChanged &What) {
-    S.LiveMembers = What.LiveMembers;
+  void operator()(const MembersChanged &E) {
+    S.LiveMembers = E.LiveMembers;
     updateTree();
-    updateOwnSummary();
+    updateLocalSummary();
     reportEndpoints();
   }
 
-  void operator()(const PositionReported &What) {
-    S.Positions[What.Node] = What.ConfigPosition;
+  void operator()(const PositionReported &E) {
+    S.Positions[E.Node] = E.ConfigPosition;
     updateLowestPosition();
   }
 
-  void operator()(const SummariesReceived &What) {
-    if (What.Summaries.empty())
-      return sendAllSummaries(What.From.Address);
+  void operator()(const SummariesReceived &E) {
+    if (E.Summaries.empty())
+      return sendAllSummaries(E.From.Address);
     bool Changed = false;
     std::vector<DataCentreSummary> Forwarded;
-    for (const DataCentreSummary &Each : What.Summaries) {
-      const Adoption Result = adopt(What.From, Each);
+    for (const DataCentreSummary &Update : E.Summaries) {
+      const Adoption Result = adopt(E.From, Update);
       Changed = Changed || Result == Adoption::Changed;
-      if (Result != Adoption::None && shouldForward(Each, Result))
-        Forwarded.push_back(Each);
+      if (Result != Adoption::None && shouldForward(Update, Result))
+        Forwarded.push_back(Update);
     }
-    // Only what is new goes on, so that a cycle of leads cannot arise.
+    // Only new summaries are forwarded, so that they cannot circulate between
+    // leads.
     if (!Forwarded.empty())
       for (const std::string &Child : S.ChildAddresses)
         send(Child, Forwarded);
@@ -127,7 +133,7 @@
     const bool Due = S.LocalSummaryChanged && Now.Mono >= S.NextSummary;
     if (!Repeat && !Due)
       return;
-    sendOwnSummary();
+    sendLocalSummary();
   }
 
 private:
@@ -135,10 +141,10 @@
 
   void updateTree() {
     std::vector<core::NodeId> Nodes;
-    std::map<core::NodeId, std::string> AddressOf;
-    for (const membership::Member &Each : S.LiveMembers) {
-      Nodes.push_back(Each.Node);
-      AddressOf[Each.Node] = Each.ControlAddress;
+    std::map<core::NodeId, std::string> Addresses;
+    for (const membership::Member &Member : S.LiveMembers) {
+      Nodes.push_back(Member.Node);
+      Addresses[Member.Node] = Member.ControlAddress;
     }
     const auto Order =
         membership::rendezvousOrder(S.Local.DataCentre.value(), Nodes);
@@ -147,7 +153,7 @@
     if (Rank)
       for (const std::size_t Child :
            membership::childRanks(*Rank, Order.size()))
-        S.ChildAddresses.push_back(AddressOf[Order[Child]]);
+        S.ChildAddresses.push_back(Addresses[Order[Child]]);
     setLead(Rank && *Rank == 0);
   }
 
@@ -159,7 +165,7 @@
     Out.emplace_back(LeadershipChanged{IsLead});
   }
 
-  void updateOwnSummary() {
+  void updateLocalSummary() {
     DataCentreSummary Next = S.LocalSummary;
     Next.DataCentre = S.Local.DataCentre;
     Next.Region = S.Local.Region;
@@ -180,8 +186,8 @@
   void updateLowestPosition() {
     core::ConfigVersion Version{~std::uint64_t{0}};
     core::LogOffset Next{~std::uint64_t{0}};
-    for (const membership::Member &Each : S.LiveMembers) {
-      const auto Found = S.Positions.find(Each.Node);
+    for (const membership::Member &Member : S.LiveMembers) {
+      const auto Found = S.Positions.find(Member.Node);
       if (Found == S.Positions.end())
         return;
       Version = std::min(Version, Found->second.Version);
@@ -192,12 +198,12 @@
     S.LowestVersion = Version;
     S.LowestNextOffset = Next;
     Out.emplace_back(DataCentreHeard{S.Local.DataCentre, Version});
-    updateOwnSummary();
+    updateLocalSummary();
   }
 
-  /// Revisions are wall times, so that a new lead's summaries supersede those
+  /// Revisions are wall times, so that summaries of a new lead supersede those
   /// of the former one.
-  void sendOwnSummary() {
+  void sendLocalSummary() {
     const auto Stamp =
         static_cast<std::uint64_t>(Now.Wall.time_since_epoch().count());
     S.LocalSummary.Revision = std::max(S.LocalSummary.Revision + 1, Stamp);
@@ -210,8 +216,8 @@
     S.NextRefresh = Now.Mono + SummaryRefreshPeriod;
     std::set<std::string> Receivers(S.Local.RemoteSeeds.begin(),
                                     S.Local.RemoteSeeds.end());
-    // Seeds stay among the receivers, because a restarted data centre knows
-    // no lead and is known by its seeds only.
+    // Summaries also go to the seeds: a restarted data centre knows no leads
+    // and is known by its seeds only.
     for (const auto &[Id, Other] : S.RemoteDataCentres)
       if (!Other.Summary.LeadAddresses.empty())
         Receivers.insert(leadAddress(S, Other.Summary));
@@ -231,10 +237,10 @@
       send(To, std::move(All));
   }
 
-  /// Members need what changes their routing at once, and the rest only often
-  /// enough to know that the data centre is heard.
-  bool shouldForward(const DataCentreSummary &News, Adoption Result) {
-    KnownDataCentre &Entry = S.RemoteDataCentres[News.DataCentre];
+  /// Changes that affect routing are forwarded at once, others only often
+  /// enough to show that the data centre is not silent.
+  bool shouldForward(const DataCentreSummary &Update, Adoption Result) {
+    KnownDataCentre &Entry = S.RemoteDataCentres[Update.DataCentre];
     if (Result == Adoption::Refreshed &&
         Now.Mono < Entry.ForwardedAt + SummaryRefreshPeriod / 2)
       return false;
@@ -242,41 +248,41 @@
     return true;
   }
 
-  void send(const std::string &To, std::vector<DataCentreSummary> What) {
-    Out.emplace_back(SendSummaries{To, std::move(What)});
+  void send(const std::string &To, std::vector<DataCentreSummary> Summaries) {
+    Out.emplace_back(SendSummaries{To, std::move(Summaries)});
   }
 
-  Adoption adopt(const Peer &From, const DataCentreSummary &News) {
-    if (News.DataCentre == S.Local.DataCentre)
+  Adoption adopt(const Peer &From, const DataCentreSummary &Update) {
+    if (Update.DataCentre == S.Local.DataCentre)
       return Adoption::None;
-    const auto Found = S.RemoteDataCentres.find(News.DataCentre);
+    const auto Found = S.RemoteDataCentres.find(Update.DataCentre);
     if (Found == S.RemoteDataCentres.end() &&
         S.RemoteDataCentres.size() >= MaxDataCentres) {
       Out.emplace_back(observe::LogEvent{EventId::DataCentreLimitReached,
-                                         News.DataCentre.value()});
+                                         Update.DataCentre.value()});
       return Adoption::None;
     }
     const bool IsKnown = Found != S.RemoteDataCentres.end();
-    if (IsKnown && News.Revision <= Found->second.Summary.Revision)
+    if (IsKnown && Update.Revision <= Found->second.Summary.Revision)
       return Adoption::None;
     const bool SameServices =
-        IsKnown && News.ServicesSince == Found->second.Summary.ServicesSince;
-    if (News.Partial && !SameServices) {
+        IsKnown && Update.ServicesSince == Found->second.Summary.ServicesSince;
+    if (Update.Partial && !SameServices) {
       send(From.Address, {});
       return Adoption::None;
     }
-    KnownDataCentre &Entry = S.RemoteDataCentres[News.DataCentre];
-    DataCentreSummary Next = News;
+    KnownDataCentre &Entry = S.RemoteDataCentres[Update.DataCentre];
+    DataCentreSummary Next = Update;
     Next.Partial = false;
-    if (News.Partial)
+    if (Update.Partial)
       Next.Services = Entry.Summary.Services;
     const bool Changed = !SameServices || Entry.SilentSince ||
                          Next.LeadNode != Entry.Summary.LeadNode;
     if (Entry.SilentSince)
-      Out.emplace_back(
-          observe::LogEvent{EventId::DataCentreHeard, News.DataCentre.value()});
+      Out.emplace_back(observe::LogEvent{EventId::DataCentreHeard,
+                                         Update.DataCentre.value()});
     Entry = {std::move(Next), Now.Mono, Entry.ForwardedAt, std::nullopt};
-    Out.emplace_back(DataCentreHeard{News.DataCentre, News.LowestVersion});
+    Out.emplace_back(DataCentreHeard{Update.DataCentre, Update.LowestVersion});
     return Changed ? Adoption::Changed : Adoption::Refreshed;
   }
 
@@ -299,15 +305,15 @@
 
   void reportEndpoints() {
     std::vector<request::Endpoint> All;
-    for (const membership::Member &Each : S.LiveMembers)
-      if (Each.Ready && Each.Target && !Each.Target->Leaving)
-        All.push_back(localEndpoint(S, Each, Now));
+    for (const membership::Member &Member : S.LiveMembers)
+      if (Member.Ready && Member.Target && !Member.Target->Leaving)
+        All.push_back(localEndpoint(S, Member, Now));
     for (const auto &[Id, Other] : S.RemoteDataCentres) {
       if (Other.SilentSince)
         continue;
-      for (const ServiceSummary &Sum : Other.Summary.Services)
-        for (const std::string &Address : Sum.EntryAddresses)
-          All.push_back(remoteEndpoint(Other.Summary, Sum, Address));
+      for (const ServiceSummary &Service : Other.Summary.Services)
+        for (const std::string &Address : Service.EntryAddresses)
+          All.push_back(remoteEndpoint(Other.Summary, Service, Address));
     }
     Out.emplace_back(EndpointsUpdated{std::move(All)});
   }
@@ -330,16 +336,15 @@
 
 } // namespace
 
-State initial(Settings Own) {
+State initial(Settings Local) {
   State S;
-  S.Local = std::move(Own);
+  S.Local = std::move(Local);
   return S;
 }
 
-Step<State, Effects> reduce(State Before, const Event &What,
-                            core::Instant Now) {
+Step<State, Effects> reduce(State Before, const Event &E, core::Instant Now) {
   Reducer R(std::move(Before), Now);
-  std::visit(R, What);
+  std::visit(R, E);
   return R.finish();
 }
 
--- a/lib/decision/distribution/Adoption.cpp
+++ b/lib/decision/distribution/Adoption.cpp
@@ -7,45 +7,46 @@
 
 std::size_t bytesOf(const RecordBatch &Batch) {
   std::size_t Bytes = 0;
-  for (const StoredRecord &One : Batch.Records)
-    Bytes += One.Bytes.size();
+  for (const StoredRecord &Record : Batch.Records)
+    Bytes += Record.Bytes.size();
   return Bytes;
 }
 
 } // namespace
 
-/// Folds the records that are new; none when they do not follow the own state
-/// without a gap. Nothing is adopted here: a batch holds whole or not at all.
+/// Folds the records that are not yet applied; none if they leave a gap. The
+/// caller adopts the result, so that a batch is applied completely or not at
+/// all.
 std::optional<Reducer::Candidate>
 Reducer::fold(const std::vector<StoredRecord> &Records) {
   Candidate New{*S.Fleet, S.ConfigPosition, {}, {}};
-  for (const StoredRecord &One : Records) {
-    if (One.Offset < New.ConfigPosition.NextOffset)
+  for (const StoredRecord &Record : Records) {
+    if (Record.Offset < New.ConfigPosition.NextOffset)
       continue;
-    if (One.Offset > New.ConfigPosition.NextOffset)
+    if (Record.Offset > New.ConfigPosition.NextOffset)
       return std::nullopt;
     std::optional<config::FleetState> Before;
-    if (One.Bytes.size() > ReductionThresholdBytes)
+    if (Record.Bytes.size() > ReductionThresholdBytes)
       Before = New.State;
-    FoldedRecord Folded =
-        S.Local.Folding.Apply(std::move(New.State), One.Offset, One.Bytes);
+    FoldedRecord Folded = S.Local.Folding.Apply(std::move(New.State),
+                                                Record.Offset, Record.Bytes);
     New.State = std::move(Folded.State);
     New.ConfigPosition = {New.State.Next, S.Local.Folding.DigestOf(New.State),
                           New.State.Version, S.Ready};
     New.RecentRecords.push_back(
-        toRecentRecord(std::move(Before), One, New.ConfigPosition));
+        toRecentRecord(std::move(Before), Record, New.ConfigPosition));
     if (!Folded.Record)
       log(observe::EventId::DistributionRecordMalformed,
-          fmt::format("offset {}", One.Offset.value()));
+          fmt::format("offset {}", Record.Offset.value()));
     New.Applied.push_back(
-        {One.Offset, std::move(Folded.Record), std::move(Folded.Outcome)});
+        {Record.Offset, std::move(Folded.Record), std::move(Folded.Outcome)});
   }
   return New;
 }
 
-/// A snapshot record is as large as the whole configuration and readers of the
-/// tree do not need its content. The digest proves that the reduced form has
-/// the same effect.
+/// Replaces a large record by its reduced form. A snapshot record is as large
+/// as the whole configuration, and receivers do not need its content. Equal
+/// digests prove that the reduced form has the same effect.
 RecentRecord Reducer::toRecentRecord(std::optional<config::FleetState> Before,
                                      const StoredRecord &Record,
                                      const Position &After) {
@@ -67,7 +68,7 @@
   if (NotReached && To.Version >= S.ConfigPosition.Version)
     return true;
   log(observe::EventId::DistributionOlderStateRefused,
-      fmt::format("offset {} version {}, own offset {} version {}",
+      fmt::format("offset {} version {}, local offset {} version {}",
                   To.NextOffset.value(), To.Version.value(),
                   S.ConfigPosition.NextOffset.value(),
                   S.ConfigPosition.Version.value()));
@@ -80,17 +81,17 @@
   const core::LogOffset First = S.ConfigPosition.NextOffset;
   S.ConfigPosition = New.ConfigPosition;
   S.Fleet = std::make_shared<const config::FleetState>(std::move(New.State));
-  for (RecentRecord &One : New.RecentRecords)
-    addRecent(std::move(One));
+  for (RecentRecord &Recent : New.RecentRecords)
+    addRecent(std::move(Recent));
   resetRetries();
   Out.push_back(
       StateAdopted{S.Fleet, S.ConfigPosition, std::move(New.Applied)});
   forward(First);
 }
 
-void Reducer::addRecent(RecentRecord One) {
-  S.RecentBytes += One.Record.Bytes.size();
-  S.RecentRecords.push_back(std::move(One));
+void Reducer::addRecent(RecentRecord Recent) {
+  S.RecentBytes += Recent.Record.Bytes.size();
+  S.RecentRecords.push_back(std::move(Recent));
   while (S.RecentRecords.size() > MaxRecentRecords ||
          S.RecentBytes > MaxRecentBytes) {
     S.RecentBytes -= S.RecentRecords.front().Record.Bytes.size();
@@ -98,9 +99,9 @@
   }
 }
 
-bool Reducer::adoptSnapshot(const Peer &From, const Snapshot &What) {
+bool Reducer::adoptSnapshot(const Peer &From, const Snapshot &Received) {
   const core::Result<config::FleetState> Decoded =
-      S.Local.Folding.Decode(What.State);
+      S.Local.Folding.Decode(Received.State);
   if (!core::ok(Decoded)) {
     log(observe::EventId::DistributionSnapshotInvalid,
         core::toString(core::failure(Decoded)));
@@ -109,10 +110,12 @@
   const config::FleetState &New = core::value(Decoded);
   const Position To{New.Next, S.Local.Folding.DigestOf(New), New.Version,
                     S.Ready};
-  if (To.StateDigest != What.ConfigPosition.StateDigest ||
-      To.NextOffset != What.ConfigPosition.NextOffset) {
+  if (To.StateDigest != Received.ConfigPosition.StateDigest ||
+      To.NextOffset != Received.ConfigPosition.NextOffset) {
     log(observe::EventId::DistributionSnapshotInvalid,
-        fmt::format("from {}: digest or offset differs", From.Node.value()));
+        fmt::format(
+            "from {}: state does not match the announced digest or offset",
+            From.Node.value()));
     return false;
   }
   const bool Repairs =
@@ -121,7 +124,7 @@
     return false;
   S.ConfigPosition = To;
   S.Fleet = std::make_shared<const config::FleetState>(New);
-  // The records before the snapshot may belong to a diverged state.
+  // Earlier records may belong to a diverged state.
   S.RecentRecords.clear();
   S.RecentBytes = 0;
   S.Repair.DivergedFrom.reset();
@@ -134,19 +137,19 @@
   return true;
 }
 
-void Reducer::on(const RecordsReceived &What) {
-  recordContact(What.From);
-  recordReport(What.From, What.Batch.PositionAfter);
-  recordLogEnd(What.From, What.Batch);
-  completeRequest(What.From);
-  receiveBatch(What.From, What.Batch);
+void Reducer::on(const RecordsReceived &E) {
+  updateLastHeard(E.From);
+  updateReport(E.From, E.Batch.PositionAfter);
+  updateLogEnd(E.From, E.Batch);
+  completeRequest(E.From);
+  receiveBatch(E.From, E.Batch);
   drainBuffer();
 }
 
-void Reducer::on(const SnapshotReceived &What) {
-  recordReport(What.From, What.Payload.ConfigPosition);
-  completeRequest(What.From);
-  adoptSnapshot(What.From, What.Payload);
+void Reducer::on(const SnapshotReceived &E) {
+  updateReport(E.From, E.Payload.ConfigPosition);
+  completeRequest(E.From);
+  adoptSnapshot(E.From, E.Payload);
   drainBuffer();
 }
 
@@ -156,24 +159,26 @@
     return;
   if (After.NextOffset == S.ConfigPosition.NextOffset) {
     if (After.StateDigest != S.ConfigPosition.StateDigest)
-      recordDivergence(From);
+      markDiverged(From);
     return;
   }
   if (Batch.Records.empty() ||
       Batch.Records.front().Offset > S.ConfigPosition.NextOffset) {
     bufferBatch(From, Batch);
-    recordPeerAhead(From, After.NextOffset, true);
+    updateAheadPeer(From, After.NextOffset, true);
     return;
   }
   std::optional<Candidate> New = fold(Batch.Records);
   if (!New || New->ConfigPosition.NextOffset != After.NextOffset) {
     log(observe::EventId::DistributionGap,
-        fmt::format("batch of {} is not consecutive", From.Node.value()));
-    recordPeerAhead(From, After.NextOffset, false);
+        fmt::format(
+            "batch from {} has a gap or does not reach its announced offset",
+            From.Node.value()));
+    updateAheadPeer(From, After.NextOffset, false);
     return;
   }
   if (New->ConfigPosition.StateDigest != After.StateDigest) {
-    recordDivergence(From);
+    markDiverged(From);
     return;
   }
   adopt(std::move(*New));
@@ -206,9 +211,9 @@
   }
 }
 
-/// Only a state nearer to the log corrects another one; otherwise two nodes
-/// could exchange their states for ever.
-void Reducer::recordDivergence(const Peer &From) {
+/// Accepts a correction only from a node closer to the log; otherwise two nodes
+/// could exchange their states forever.
+void Reducer::markDiverged(const Peer &From) {
   if (S.LogReader.Active)
     return;
   const auto Rank = [this](const core::NodeId &Node) {
@@ -218,12 +223,12 @@
       ++At;
     return At;
   };
-  const bool Known = Rank(From.Node) < S.RankedMembers.size();
-  if (Known && Rank(From.Node) > Rank(S.Local.Self.Node))
+  const bool IsMember = Rank(From.Node) < S.RankedMembers.size();
+  if (IsMember && Rank(From.Node) > Rank(S.Local.Self.Node))
     return;
   if (!S.Repair.DivergedFrom)
     log(observe::EventId::DistributionDigestMismatch,
-        fmt::format("peer {} own offset {}", From.Node.value(),
+        fmt::format("peer {} local offset {}", From.Node.value(),
                     S.ConfigPosition.NextOffset.value()));
   S.Repair.DivergedFrom = From;
 }
--- a/lib/decision/distribution/Distribution.cpp
+++ b/lib/decision/distribution/Distribution.cpp
@@ -6,55 +6,54 @@
 
 namespace {
 
-std::optional<core::NodeId> regionReader(const State &Of) {
+std::optional<core::NodeId> regionReader(const State &S) {
   std::vector<core::NodeId> Leads;
-  for (const RemoteLead &Lead : Of.RemoteLeads)
-    if (Lead.Region == Of.Local.Region)
+  for (const RemoteLead &Lead : S.RemoteLeads)
+    if (Lead.Region == S.Local.Region)
       Leads.push_back(Lead.Contact.Node);
-  if (!Of.RankedMembers.empty())
-    Leads.push_back(Of.RankedMembers.front().Contact.Node);
-  return membership::rendezvousWinner(Of.Local.Region.value(), Leads);
+  if (!S.RankedMembers.empty())
+    Leads.push_back(S.RankedMembers.front().Contact.Node);
+  return membership::rendezvousWinner(S.Local.Region.value(), Leads);
 }
 
-bool isRank(const State &Of, std::size_t Rank) {
-  return Of.RankedMembers.size() > Rank &&
-         Of.RankedMembers[Rank].Contact.Node == Of.Local.Self.Node;
+bool isRank(const State &S, std::size_t Rank) {
+  return S.RankedMembers.size() > Rank &&
+         S.RankedMembers[Rank].Contact.Node == S.Local.Self.Node;
 }
 
 } // namespace
 
-State initial(Settings Own, std::uint64_t Seed) {
+State initial(Settings Local, std::uint64_t Seed) {
   State S;
-  S.Local = std::move(Own);
+  S.Local = std::move(Local);
   S.Rng = core::Random(Seed);
   S.Fleet = std::make_shared<const config::FleetState>();
   S.ConfigPosition.StateDigest = S.Local.Folding.DigestOf(*S.Fleet);
   return S;
 }
 
-Step<State, Effects> reduce(State Before, const Event &What,
-                            core::Instant Now) {
+Step<State, Effects> reduce(State Before, const Event &E, core::Instant Now) {
   Reducer R(Before, Now);
-  std::visit([&R](const auto &One) { R.on(One); }, What);
+  std::visit([&R](const auto &Alternative) { R.on(Alternative); }, E);
   Effects Out = R.finish();
   return {std::move(Before), std::move(Out)};
 }
 
-bool isLead(const State &Of) { return isRank(Of, 0); }
+bool isLead(const State &S) { return isRank(S, 0); }
 
-bool actsAsLead(const State &Of, core::TimePoint Now) {
-  return isLead(Of) || (isRank(Of, 1) && Now - Of.LeadHeardAt > ReaderTimeout);
+bool actsAsLead(const State &S, core::TimePoint Now) {
+  return isLead(S) || (isRank(S, 1) && Now - S.LeadHeardAt > ReaderTimeout);
 }
 
-bool isRegionReader(const State &Of) {
-  return isLead(Of) && regionReader(Of) == Of.Local.Self.Node;
+bool isRegionReader(const State &S) {
+  return isLead(S) && regionReader(S) == S.Local.Self.Node;
 }
 
 void Reducer::on(const Started &) {
   S.StartedAt = Now.Mono;
   S.LeadHeardAt = Now.Mono;
   S.ReaderHeardAt = Now.Mono;
-  S.Repair.NextCatchUp = Now.Mono + backoff(0, RequestBackoffMax);
+  S.Repair.NextCatchUp = Now.Mono + backoff(0, MaxRequestBackoff);
 }
 
 void Reducer::on(const Tick &) {
@@ -66,23 +65,23 @@
   tickLogEndChecks();
 }
 
-void Reducer::on(const PeerPositionReported &What) {
-  recordReport(What.From, What.ConfigPosition);
-  if (What.ConfigPosition.NextOffset > S.ConfigPosition.NextOffset)
-    recordPeerAhead(What.From, What.ConfigPosition.NextOffset, false);
-  else if (What.ConfigPosition.NextOffset == S.ConfigPosition.NextOffset &&
-           What.ConfigPosition.StateDigest != S.ConfigPosition.StateDigest)
-    recordDivergence(What.From);
+void Reducer::on(const PeerPositionReported &E) {
+  updateReport(E.From, E.ConfigPosition);
+  if (E.ConfigPosition.NextOffset > S.ConfigPosition.NextOffset)
+    updateAheadPeer(E.From, E.ConfigPosition.NextOffset, false);
+  else if (E.ConfigPosition.NextOffset == S.ConfigPosition.NextOffset &&
+           E.ConfigPosition.StateDigest != S.ConfigPosition.StateDigest)
+    markDiverged(E.From);
 }
 
-void Reducer::on(const MembersChanged &What) {
+void Reducer::on(const MembersChanged &E) {
   std::vector<core::NodeId> Nodes;
   std::map<core::NodeId, TreeMember> ById;
-  for (const TreeMember &Member : What.LiveMembers) {
+  for (const TreeMember &Member : E.LiveMembers) {
     Nodes.push_back(Member.Contact.Node);
     ById[Member.Contact.Node] = Member;
   }
-  const std::optional<core::NodeId> Former =
+  const std::optional<core::NodeId> Previous =
       S.RankedMembers.empty()
           ? std::nullopt
           : std::optional(S.RankedMembers.front().Contact.Node);
@@ -90,22 +89,22 @@
   for (const core::NodeId &Node : membership::rendezvousOrder(
            S.Local.DataCentre.value(), std::move(Nodes)))
     S.RankedMembers.push_back(ById[Node]);
-  // A new lead gets the full time before it counts as silent.
+  // A new lead gets the full timeout.
   if (S.RankedMembers.empty() ||
-      Former != S.RankedMembers.front().Contact.Node) {
+      Previous != S.RankedMembers.front().Contact.Node) {
     S.LeadHeardAt = Now.Mono;
     S.ReaderHeardAt = Now.Mono;
   }
 }
 
-void Reducer::on(const RemoteLeadsChanged &What) {
-  const std::optional<core::NodeId> Former = regionReader(S);
-  S.RemoteLeads = What.RemoteLeads;
-  if (regionReader(S) != Former)
+void Reducer::on(const RemoteLeadsChanged &E) {
+  const std::optional<core::NodeId> Previous = regionReader(S);
+  S.RemoteLeads = E.RemoteLeads;
+  if (regionReader(S) != Previous)
     S.ReaderHeardAt = Now.Mono;
 }
 
-void Reducer::recordContact(const Peer &From) {
+void Reducer::updateLastHeard(const Peer &From) {
   if (!S.RankedMembers.empty() &&
       S.RankedMembers.front().Contact.Node == From.Node)
     S.LeadHeardAt = Now.Mono;
@@ -113,8 +112,8 @@
     S.ReaderHeardAt = Now.Mono;
 }
 
-/// Half of the wait is random, so that peers that failed together do not try
-/// again together.
+/// Exponential backoff with a random half, so that peers that failed together
+/// do not retry together.
 core::Microseconds Reducer::backoff(std::uint32_t Failures,
                                     core::Milliseconds Max) {
   const std::uint32_t Doublings = std::min(Failures, 10U);
--- a/lib/decision/distribution/LogReading.cpp
+++ b/lib/decision/distribution/LogReading.cpp
@@ -3,7 +3,7 @@
 
 namespace filbertvane::decision::distribution {
 
-bool Reducer::wantsLog() const {
+bool Reducer::shouldReadLog() const {
   if (isRegionReader(S))
     return true;
   if (isLead(S))
@@ -12,7 +12,7 @@
 }
 
 void Reducer::tickLog() {
-  const bool Wanted = wantsLog();
+  const bool Wanted = shouldReadLog();
   if (Wanted != S.LogReader.Active) {
     S.LogReader.Active = Wanted;
     log(Wanted ? observe::EventId::DistributionLogReadingStarted
@@ -26,7 +26,7 @@
   if (!S.LogReader.Active || S.LogReader.ReadPending ||
       Now.Mono < S.LogReader.RetryAt)
     return;
-  // Records or a snapshot may have come from a peer since the last read.
+  // A peer may have sent records or a snapshot since the last read.
   if (S.ConfigPosition.NextOffset >= S.LogReader.ReadOffset)
     S.LogReader.SearchingSnapshot = false;
   if (!S.LogReader.SearchingSnapshot)
@@ -37,21 +37,21 @@
   Out.push_back(ReadLog{S.LogReader.ReadOffset, LongPoll});
 }
 
-void Reducer::on(const LogRead &What) {
+void Reducer::on(const LogRead &E) {
   S.LogReader.ReadPending = false;
   S.LogReader.Failures = 0;
   if (!S.LogReader.LogAvailable)
     log(observe::EventId::DistributionLogAvailable, "");
   S.LogReader.LogAvailable = true;
   if (S.LogReader.SearchingSnapshot)
-    searchSnapshot(What.Records);
+    searchSnapshot(E.Records);
   else
-    applyRead(What.Records);
+    applyRead(E.Records);
   if (!S.LogReader.SearchingSnapshot &&
-      S.ConfigPosition.NextOffset >= What.EndOffset)
+      S.ConfigPosition.NextOffset >= E.EndOffset)
     S.LogReader.ReachedEnd = true;
-  else if (What.Records.empty())
-    logFailed();
+  else if (E.Records.empty())
+    scheduleLogRetry();
   readLog();
 }
 
@@ -63,36 +63,36 @@
     return;
   }
   log(observe::EventId::DistributionLogTrimmed,
-      fmt::format("own offset {} read offset {}",
+      fmt::format("local offset {} read offset {}",
                   S.ConfigPosition.NextOffset.value(),
                   Records.front().Offset.value()));
   S.LogReader.SearchingSnapshot = true;
   S.LogReader.ReadOffset = Records.front().Offset;
 }
 
-void Reducer::on(const LogTrimmed &What) {
+void Reducer::on(const LogTrimmed &E) {
   S.LogReader.ReadPending = false;
   log(observe::EventId::DistributionLogTrimmed,
-      fmt::format("own offset {} head {}", S.ConfigPosition.NextOffset.value(),
-                  What.HeadOffset.value()));
-  S.LogReader.SearchingSnapshot = What.HeadOffset > S.ConfigPosition.NextOffset;
-  S.LogReader.ReadOffset = What.HeadOffset;
-  logFailed();
+      fmt::format("local offset {} head offset {}",
+                  S.ConfigPosition.NextOffset.value(), E.HeadOffset.value()));
+  S.LogReader.SearchingSnapshot = E.HeadOffset > S.ConfigPosition.NextOffset;
+  S.LogReader.ReadOffset = E.HeadOffset;
+  scheduleLogRetry();
   requestFromRemoteLead();
 }
 
-/// Looks through the records behind the head for a snapshot, then reads on
-/// from the offset at which that snapshot was taken.
+/// Searches the records after the head for a snapshot; reading continues at the
+/// offset at which the snapshot was taken.
 void Reducer::searchSnapshot(const std::vector<StoredRecord> &Records) {
   if (Records.empty()) {
-    // No snapshot yet: the coordinator appends one before the head moves on.
+    // The coordinator appends a snapshot before the log is trimmed further.
     S.LogReader.ReadOffset = S.ConfigPosition.NextOffset;
     return;
   }
-  for (const StoredRecord &One : Records) {
-    S.LogReader.ReadOffset = core::LogOffset(One.Offset.value() + 1);
+  for (const StoredRecord &Record : Records) {
+    S.LogReader.ReadOffset = core::LogOffset(Record.Offset.value() + 1);
     const FoldedRecord Folded =
-        S.Local.Folding.Apply({}, One.Offset, One.Bytes);
+        S.Local.Folding.Apply({}, Record.Offset, Record.Bytes);
     if (!Folded.Record)
       continue;
     const auto *Taken =
@@ -118,13 +118,13 @@
     log(observe::EventId::DistributionLogUnavailable,
         fmt::format("offset {}", S.ConfigPosition.NextOffset.value()));
   S.LogReader.LogAvailable = false;
-  logFailed();
+  scheduleLogRetry();
   if (S.LogReader.Active)
     requestFromRemoteLead();
 }
 
-void Reducer::logFailed() {
-  S.LogReader.RetryAt = Now.Mono + backoff(S.LogReader.Failures, LogBackoffMax);
+void Reducer::scheduleLogRetry() {
+  S.LogReader.RetryAt = Now.Mono + backoff(S.LogReader.Failures, MaxLogBackoff);
   ++S.LogReader.Failures;
 }
 
--- a/lib/decision/distribution/Readiness.cpp
+++ b/lib/decision/distribution/Readiness.cpp
@@ -4,24 +4,24 @@
 
 namespace filbertvane::decision::distribution {
 
-void Reducer::recordReport(const Peer &From, const Position &At) {
+void Reducer::updateReport(const Peer &From, const Position &At) {
   if (S.Ready)
     return;
   if (S.PeerReports.size() >= MaxPeerReports &&
       !S.PeerReports.contains(From.Node))
     return;
-  PeerReport &One = S.PeerReports[From.Node];
-  One.NextOffset = At.NextOffset;
-  One.HeardAt = Now.Mono;
+  PeerReport &Report = S.PeerReports[From.Node];
+  Report.NextOffset = At.NextOffset;
+  Report.HeardAt = Now.Mono;
   if (!At.Ready)
-    One.ReadySince.reset();
-  else if (!One.ReadySince)
-    One.ReadySince = Now.Mono;
+    Report.ReadySince.reset();
+  else if (!Report.ReadySince)
+    Report.ReadySince = Now.Mono;
 }
 
-void Reducer::recordLogEnd(const Peer &From, const RecordBatch &Batch) {
-  const auto Known = S.PeerReports.find(From.Node);
-  if (S.Ready || Known == S.PeerReports.end())
+void Reducer::updateLogEnd(const Peer &From, const RecordBatch &Batch) {
+  const auto Report = S.PeerReports.find(From.Node);
+  if (S.Ready || Report == S.PeerReports.end())
     return;
   switch (Batch.EndStatus) {
   case LogEndStatus::NotRequested:
@@ -32,39 +32,41 @@
                  Batch.PositionAfter.NextOffset);
     return;
   case LogEndStatus::NotReached:
-    // The peer is behind as well: its position does not suffice.
-    Known->second.NextOffset =
+    // The peer lacks records as well, so at least one more offset is needed.
+    Report->second.NextOffset =
         core::LogOffset(Batch.PositionAfter.NextOffset.value() + 1);
     return;
   case LogEndStatus::Unavailable:
-    Known->second.LogUnavailable = true;
+    Report->second.LogUnreadable = true;
     return;
   }
 }
 
-/// Asks the lead of the data centre, and a node outside it, since the log may
-/// be out of reach for the whole data centre.
+/// Sends requests to the lead of the data centre and to a random node of
+/// another one, since the whole data centre may have lost the log.
 void Reducer::requestLogEnd() {
   S.NextLogEndRequest = Now.Mono + LogEndRequestPeriod;
-  const RecordsRequest What{S.ConfigPosition.NextOffset, false, true};
+  const RecordsRequest Request{S.ConfigPosition.NextOffset, false, true};
   if (!S.RankedMembers.empty() && !isLead(S))
-    Out.push_back(RequestLogEnd{S.RankedMembers.front().Contact.Address, What});
+    Out.push_back(
+        RequestLogEnd{S.RankedMembers.front().Contact.Address, Request});
   if (S.Local.RemoteSeeds.empty())
     return;
-  const std::size_t Chosen = S.Rng.below(S.Local.RemoteSeeds.size());
-  Out.push_back(RequestLogEnd{S.Local.RemoteSeeds[Chosen], What});
+  const std::size_t Index = S.Rng.below(S.Local.RemoteSeeds.size());
+  Out.push_back(RequestLogEnd{S.Local.RemoteSeeds[Index], Request});
 }
 
 void Reducer::addLogEndWaiter(const std::string &Address) {
   std::vector<std::string> &Waiting = S.EndChecks.Waiting;
-  const bool Known =
+  const bool IsWaiting =
       std::find(Waiting.begin(), Waiting.end(), Address) != Waiting.end();
-  if (!Known && Waiting.size() < MaxLogEndWaiters)
+  if (!IsWaiting && Waiting.size() < MaxLogEndWaiters)
     Waiting.push_back(Address);
 }
 
-/// Only a read that began after the request proves the end: one under way may
-/// have been answered before the newest record was accepted.
+/// Starts a new read for pending requests. A read that began earlier does not
+/// prove the end, because it may have been answered before the newest record
+/// was accepted.
 void Reducer::tickLogEndChecks() {
   if (!S.Ready && !S.ConfirmedLogEnd && !S.LogReader.ReachedEnd &&
       Now.Mono >= S.NextLogEndRequest)
@@ -77,25 +79,25 @@
   Out.push_back(CheckLogEnd{S.ConfigPosition.NextOffset});
 }
 
-void Reducer::on(const LogEndChecked &What) {
+void Reducer::on(const LogEndChecked &E) {
   S.EndChecks.ReadPending = false;
   const std::vector<std::string> Served = std::move(S.EndChecks.InProgress);
   S.EndChecks.InProgress.clear();
   for (const std::string &To : Served) {
     RecordBatch Batch = batchFrom(S.ConfigPosition.NextOffset);
-    Batch.EndStatus = What.Status;
-    // Records that were adopted during the read may be the ones that followed.
-    if (What.Status == LogEndStatus::NotReached &&
-        S.ConfigPosition.NextOffset > What.Offset)
+    Batch.EndStatus = E.Status;
+    // The records that followed may have been adopted during the read.
+    if (E.Status == LogEndStatus::NotReached &&
+        S.ConfigPosition.NextOffset > E.Offset)
       Batch.EndStatus = LogEndStatus::NotRequested;
     Out.push_back(SendRecords{To, std::move(Batch)});
   }
 }
 
-/// The end of the log proves that nothing newer was in force. A ready peer
-/// proves it only when it cannot read the log either; the proof of a peer ends
-/// with its report, so that one that is lost before its state arrived proves
-/// nothing.
+/// Whether no newer version can have been in force: the end of the log is
+/// reached, or a ready peer cannot read the log either. The proof of a peer
+/// expires with its report, so that a peer that is lost before its state
+/// arrived proves nothing.
 bool Reducer::isProvenCurrent() const {
   if (S.LogReader.ReachedEnd ||
       (S.ConfirmedLogEnd && *S.ConfirmedLogEnd <= S.ConfigPosition.NextOffset))
@@ -103,24 +105,24 @@
   if (Now.Mono - S.StartedAt < LogEndTimeout)
     return false;
   return std::any_of(
-      S.PeerReports.begin(), S.PeerReports.end(), [this](const auto &R) {
-        const std::optional<core::TimePoint> Since = R.second.ReadySince;
-        return R.second.LogUnavailable && Since &&
+      S.PeerReports.begin(), S.PeerReports.end(), [this](const auto &Entry) {
+        const std::optional<core::TimePoint> Since = Entry.second.ReadySince;
+        return Entry.second.LogUnreadable && Since &&
                Now.Mono - *Since >= PeerReportWindow;
       });
 }
 
-/// A new process serves nothing before it holds what its peers hold and knows
-/// that nothing newer was in force.
+/// A new process becomes ready when it holds the newest state of its peers and
+/// no newer version can have been in force.
 void Reducer::checkReady() {
   if (S.Ready)
     return;
-  std::erase_if(S.PeerReports, [this](const auto &One) {
-    return Now.Mono - One.second.HeardAt > PeerReportLifetime;
+  std::erase_if(S.PeerReports, [this](const auto &Entry) {
+    return Now.Mono - Entry.second.HeardAt > PeerReportLifetime;
   });
   const bool Behind = std::any_of(
-      S.PeerReports.begin(), S.PeerReports.end(), [this](const auto &One) {
-        return One.second.NextOffset > S.ConfigPosition.NextOffset;
+      S.PeerReports.begin(), S.PeerReports.end(), [this](const auto &Entry) {
+        return Entry.second.NextOffset > S.ConfigPosition.NextOffset;
       });
   if (Behind || !isProvenCurrent())
     return;
--- a/lib/decision/distribution/Reducer.h
+++ b/lib/decision/distribution/Reducer.h
@@ -5,33 +5,32 @@
 
 namespace filbertvane::decision::distribution {
 
-/// @brief One application of an event: the state being changed and the effects
-///        collected so far.
+/// @brief Applies one event to a state and collects the effects.
 class Reducer {
 public:
   Reducer(State &S, core::Instant Now) : S(S), Now(Now) {}
 
   /// @name Events
   /// @{
-  void on(const Started &What);
-  void on(const Tick &What);
-  void on(const LogRead &What);
-  void on(const LogTrimmed &What);
-  void on(const LogUnavailable &What);
-  void on(const LogEndChecked &What);
-  void on(const RecordsReceived &What);
-  void on(const RecordsRequested &What);
-  void on(const SnapshotReceived &What);
-  void on(const PeerPositionReported &What);
-  void on(const MembersChanged &What);
-  void on(const RemoteLeadsChanged &What);
+  void on(const Started &E);
+  void on(const Tick &E);
+  void on(const LogRead &E);
+  void on(const LogTrimmed &E);
+  void on(const LogUnavailable &E);
+  void on(const LogEndChecked &E);
+  void on(const RecordsReceived &E);
+  void on(const RecordsRequested &E);
+  void on(const SnapshotReceived &E);
+  void on(const PeerPositionReported &E);
+  void on(const MembersChanged &E);
+  void on(const RemoteLeadsChanged &E);
   /// @}
 
-  /// @brief Checks the restart rule and returns the effects.
+  /// @brief Updates the readiness and returns the effects.
   Effects finish();
 
 private:
-  /// What folding a batch yields before it is adopted.
+  /// Result of folding a batch that is not yet adopted.
   struct Candidate {
     config::FleetState State;
     Position ConfigPosition;
@@ -47,12 +46,12 @@
                               const Position &After);
   bool mayAdopt(const Position &To, bool Repairs);
   void adopt(Candidate New);
-  bool adoptSnapshot(const Peer &From, const Snapshot &What);
-  void addRecent(RecentRecord One);
+  bool adoptSnapshot(const Peer &From, const Snapshot &Received);
+  void addRecent(RecentRecord Recent);
   void receiveBatch(const Peer &From, const RecordBatch &Batch);
   void bufferBatch(const Peer &From, const RecordBatch &Batch);
   void drainBuffer();
-  void recordDivergence(const Peer &From);
+  void markDiverged(const Peer &From);
   /// @}
 
   /// @name Sending (Serving.cpp)
@@ -62,14 +61,15 @@
   void forward(core::LogOffset First);
   void sendRecordsFrom(const std::string &To, core::LogOffset First);
   std::vector<std::string> downstreamAddresses() const;
-  void addChildren(std::size_t Rank, std::vector<std::string> &To) const;
+  void addChildren(std::size_t Rank, std::vector<std::string> &Addresses) const;
   void serveSnapshot(const Peer &To);
   void tickHeartbeat();
   /// @}
 
   /// @name Repair (Repair.cpp)
   /// @{
-  void recordPeerAhead(const Peer &From, core::LogOffset Next, bool AtOnce);
+  void updateAheadPeer(const Peer &From, core::LogOffset Next,
+                       bool Immediately);
   void completeRequest(const Peer &From);
   void resetRetries();
   void requestFromAnyPeer();
@@ -86,14 +86,14 @@
   void readLog();
   void applyRead(const std::vector<StoredRecord> &Records);
   void searchSnapshot(const std::vector<StoredRecord> &Records);
-  void logFailed();
-  bool wantsLog() const;
+  void scheduleLogRetry();
+  bool shouldReadLog() const;
   /// @}
 
-  /// @name Restart rule (Readiness.cpp)
+  /// @name Readiness after a restart (Readiness.cpp)
   /// @{
-  void recordReport(const Peer &From, const Position &At);
-  void recordLogEnd(const Peer &From, const RecordBatch &Batch);
+  void updateReport(const Peer &From, const Position &At);
+  void updateLogEnd(const Peer &From, const RecordBatch &Batch);
   void tickLogEndChecks();
   void requestLogEnd();
   void addLogEndWaiter(const std::string &Address);
@@ -102,7 +102,7 @@
   /// @}
 
   core::Microseconds backoff(std::uint32_t Failures, core::Milliseconds Max);
-  void recordContact(const Peer &From);
+  void updateLastHeard(const Peer &From);
   void log(observe::EventId Id, std::string Detail);
 
   State &S;
--- a/lib/decision/distribution/Repair.cpp
+++ b/lib/decision/distribution/Repair.cpp
@@ -7,21 +7,21 @@
          S.Repair.AheadOffset > S.ConfigPosition.NextOffset;
 }
 
-void Reducer::recordPeerAhead(const Peer &From, core::LogOffset Next,
-                              bool AtOnce) {
+void Reducer::updateAheadPeer(const Peer &From, core::LogOffset Next,
+                              bool Immediately) {
   if (Next <= S.ConfigPosition.NextOffset)
     return;
-  const bool Known = isBehind();
-  if (!Known || Next >= S.Repair.AheadOffset) {
+  const bool WasBehind = isBehind();
+  if (!WasBehind || Next >= S.Repair.AheadOffset) {
     S.Repair.AheadPeer = From;
     S.Repair.AheadOffset = Next;
   }
   if (S.Repair.PendingPeer || S.Repair.RequestsWithoutProgress > 0)
     return;
   const auto Jitter = S.Rng.below(core::Microseconds(RepairDelay).count());
-  if (AtOnce)
+  if (Immediately)
     S.Repair.NextRequest = Now.Mono;
-  else if (!Known)
+  else if (!WasBehind)
     S.Repair.NextRequest = Now.Mono + RepairDelay + core::Microseconds(Jitter);
 }
 
@@ -40,7 +40,7 @@
     return;
   if (S.Repair.PendingPeer) {
     S.Repair.PendingPeer.reset();
-    // The peer may be gone; the next one that reports is asked.
+    // The peer may have failed; the next one to report a position is used.
     S.Repair.AheadPeer.reset();
     S.Repair.DivergedFrom.reset();
   }
@@ -50,7 +50,7 @@
                                       : *S.Repair.AheadPeer);
     ++S.Repair.RequestsWithoutProgress;
     S.Repair.NextRequest =
-        Now.Mono + backoff(S.Repair.RequestsWithoutProgress, RequestBackoffMax);
+        Now.Mono + backoff(S.Repair.RequestsWithoutProgress, MaxRequestBackoff);
     return;
   }
   if (!S.Ready && Now.Mono >= S.Repair.NextCatchUp)
@@ -65,44 +65,43 @@
       To.Address, {S.ConfigPosition.NextOffset, WantsSnapshot, false}});
 }
 
-/// A node that is not ready asks any peer, since one of them may hold a
-/// configuration.
+/// Used while this node is not ready, since any peer may hold a configuration.
 void Reducer::requestFromAnyPeer() {
   S.Repair.NextCatchUp =
-      Now.Mono + backoff(S.Repair.CatchUpRequests, RequestBackoffMax);
+      Now.Mono + backoff(S.Repair.CatchUpRequests, MaxRequestBackoff);
   ++S.Repair.CatchUpRequests;
-  const std::vector<Peer> Choices = candidatePeers();
-  if (!Choices.empty())
-    sendRequest(Choices[S.Rng.below(Choices.size())]);
+  const std::vector<Peer> Candidates = candidatePeers();
+  if (!Candidates.empty())
+    sendRequest(Candidates[S.Rng.below(Candidates.size())]);
 }
 
 std::vector<Peer> Reducer::candidatePeers() const {
-  std::vector<Peer> Choices;
-  // Only relays ask other data centres, so that a restart does not send every
-  // node across the link; every second time, because the members of their own
-  // data centre may all have restarted.
-  const bool Abroad =
+  std::vector<Peer> Candidates;
+  // Only the acting lead requests from other data centres, so that a restart
+  // does not load the links between them. It does so every second time, because
+  // all members of its own data centre may have restarted.
+  const bool Remote =
       actsAsLead(S, Now.Mono) && S.Repair.CatchUpRequests % 2 == 0;
   for (const TreeMember &Member : S.RankedMembers)
-    if (Member.Contact.Node != S.Local.Self.Node && !Abroad)
-      Choices.push_back(Member.Contact);
-  if (!Abroad)
-    return Choices;
+    if (Member.Contact.Node != S.Local.Self.Node && !Remote)
+      Candidates.push_back(Member.Contact);
+  if (!Remote)
+    return Candidates;
   for (const RemoteLead &Lead : S.RemoteLeads)
-    Choices.push_back(Lead.Contact);
+    Candidates.push_back(Lead.Contact);
   for (const std::string &Address : S.Local.RemoteSeeds)
-    Choices.push_back({core::NodeId(), Address});
-  return Choices;
+    Candidates.push_back({core::NodeId(), Address});
+  return Candidates;
 }
 
-/// The log may be out of reach for this region only.
+/// The log may be unreachable for this region only.
 void Reducer::requestFromRemoteLead() {
-  std::vector<Peer> Choices;
+  std::vector<Peer> Candidates;
   for (const RemoteLead &Lead : S.RemoteLeads)
-    Choices.push_back(Lead.Contact);
-  if (Choices.empty())
+    Candidates.push_back(Lead.Contact);
+  if (Candidates.empty())
     return;
-  const Peer &To = Choices[S.Rng.below(Choices.size())];
+  const Peer &To = Candidates[S.Rng.below(Candidates.size())];
   Out.push_back(
       RequestRecords{To.Address, {S.ConfigPosition.NextOffset, false, false}});
 }
--- a/lib/decision/distribution/Serving.cpp
+++ b/lib/decision/distribution/Serving.cpp
@@ -11,7 +11,7 @@
          S.RecentRecords.front().Record.Offset <= First;
 }
 
-/// Kept records from an offset on, as many as fit into one frame.
+/// Returns the cached records from an offset on, as many as fit into one frame.
 RecordBatch Reducer::batchFrom(core::LogOffset First) const {
   RecordBatch Batch{First, {}, S.ConfigPosition};
   if (First >= S.ConfigPosition.NextOffset)
@@ -20,12 +20,12 @@
       First.value() - S.RecentRecords.front().Record.Offset.value();
   std::size_t Bytes = 0;
   for (std::size_t I = Skip; I < S.RecentRecords.size(); ++I) {
-    const RecentRecord &One = S.RecentRecords[I];
-    Bytes += One.Record.Bytes.size();
+    const RecentRecord &Recent = S.RecentRecords[I];
+    Bytes += Recent.Record.Bytes.size();
     if (Bytes > MaxBatchBytes && !Batch.Records.empty())
       break;
-    Batch.Records.push_back(One.Record);
-    Batch.PositionAfter = One.PositionAfter;
+    Batch.Records.push_back(Recent.Record);
+    Batch.PositionAfter = Recent.PositionAfter;
   }
   Batch.PositionAfter.Ready = S.Ready;
   return Batch;
@@ -37,8 +37,8 @@
   S.NextHeartbeat = Now.Mono + HeartbeatPeriod;
 }
 
-/// Sends all records from an offset on; the position alone when they are no
-/// longer kept, so that the receiver asks for a snapshot.
+/// Sends all records from an offset on. If they are no longer cached, sends
+/// only the position, so that the receiver requests a snapshot.
 void Reducer::sendRecordsFrom(const std::string &To, core::LogOffset First) {
   if (!hasRecordsFrom(First))
     First = S.ConfigPosition.NextOffset;
@@ -49,50 +49,51 @@
   } while (First < S.ConfigPosition.NextOffset);
 }
 
-/// Children in the tree, and for the region reader the leads of its region.
+/// Returns the children in the tree; for the region reader, also the leads of
+/// its region.
 std::vector<std::string> Reducer::downstreamAddresses() const {
-  std::vector<std::string> To;
+  std::vector<std::string> Addresses;
   std::size_t Rank = 0;
   while (Rank < S.RankedMembers.size() &&
          S.RankedMembers[Rank].Contact.Node != S.Local.Self.Node)
     ++Rank;
   if (Rank < S.RankedMembers.size())
-    addChildren(Rank, To);
-  // The standby of a silent lead feeds the lead's children as well.
+    addChildren(Rank, Addresses);
+  // The standby of a silent lead also sends to the children of the lead.
   if (Rank == 1 && actsAsLead(S, Now.Mono))
-    addChildren(0, To);
+    addChildren(0, Addresses);
   if (isRegionReader(S))
     for (const RemoteLead &Lead : S.RemoteLeads)
       if (Lead.Region == S.Local.Region)
-        To.push_back(Lead.Contact.Address);
-  std::erase(To, S.Local.Self.Address);
-  return To;
+        Addresses.push_back(Lead.Contact.Address);
+  std::erase(Addresses, S.Local.Self.Address);
+  return Addresses;
 }
 
 void Reducer::addChildren(std::size_t Rank,
-                          std::vector<std::string> &To) const {
+                          std::vector<std::string> &Addresses) const {
   for (const std::size_t Child :
        membership::childRanks(Rank, S.RankedMembers.size())) {
-    To.push_back(S.RankedMembers[Child].Contact.Address);
+    Addresses.push_back(S.RankedMembers[Child].Contact.Address);
     if (S.RankedMembers[Child].Suspect)
-      addChildren(Child, To);
+      addChildren(Child, Addresses);
   }
 }
 
-void Reducer::on(const RecordsRequested &What) {
-  if (What.Request.WantsLogEnd)
-    addLogEndWaiter(What.From.Address);
-  if (What.Request.FirstOffset > S.ConfigPosition.NextOffset)
-    recordPeerAhead(What.From, What.Request.FirstOffset, false);
-  if (What.Request.WantsSnapshot || !hasRecordsFrom(What.Request.FirstOffset)) {
-    if (What.Request.FirstOffset <= S.ConfigPosition.NextOffset) {
-      serveSnapshot(What.From);
+void Reducer::on(const RecordsRequested &E) {
+  if (E.Request.WantsLogEnd)
+    addLogEndWaiter(E.From.Address);
+  if (E.Request.FirstOffset > S.ConfigPosition.NextOffset)
+    updateAheadPeer(E.From, E.Request.FirstOffset, false);
+  if (E.Request.WantsSnapshot || !hasRecordsFrom(E.Request.FirstOffset)) {
+    if (E.Request.FirstOffset <= S.ConfigPosition.NextOffset) {
+      serveSnapshot(E.From);
       return;
     }
   }
   const core::LogOffset First =
-      std::min(What.Request.FirstOffset, S.ConfigPosition.NextOffset);
-  Out.push_back(SendRecords{What.From.Address, batchFrom(First)});
+      std::min(E.Request.FirstOffset, S.ConfigPosition.NextOffset);
+  Out.push_back(SendRecords{E.From.Address, batchFrom(First)});
 }
 
 void Reducer::serveSnapshot(const Peer &To) {
@@ -105,21 +106,21 @@
       To.Address, {S.ConfigPosition, S.Local.Folding.Encode(*S.Fleet)}});
 }
 
-/// The lead tells its standby, and the region reader the leads of its region,
-/// that it is there. A reader without the log stays silent, so that the other
-/// leads try the log themselves.
+/// Sends heartbeats from the lead to its standby and from the region reader to
+/// the leads of its region. A region reader that cannot read the log sends none
+/// to the leads, so that they try to read the log themselves.
 void Reducer::tickHeartbeat() {
   if (Now.Mono < S.NextHeartbeat || !isLead(S))
     return;
   S.NextHeartbeat = Now.Mono + HeartbeatPeriod;
-  const RecordBatch Beat = batchFrom(S.ConfigPosition.NextOffset);
+  const RecordBatch Heartbeat = batchFrom(S.ConfigPosition.NextOffset);
   if (S.RankedMembers.size() > 1)
-    Out.push_back(SendRecords{S.RankedMembers[1].Contact.Address, Beat});
+    Out.push_back(SendRecords{S.RankedMembers[1].Contact.Address, Heartbeat});
   if (!isRegionReader(S) || !S.LogReader.LogAvailable)
     return;
   for (const RemoteLead &Lead : S.RemoteLeads)
     if (Lead.Region == S.Local.Region && Lead.Contact.Node != S.Local.Self.Node)
-      Out.push_back(SendRecords{Lead.Contact.Address, Beat});
+      Out.push_back(SendRecords{Lead.Contact.Address, Heartbeat});
 }
 
 } // namespace filbertvane::decision::distribution
--- a/lib/decision/lease/Lease.cpp
+++ b/lib/decision/lease/Lease.cpp
@@ -10,22 +10,22 @@
 public:
   Reducer(State &S, core::Instant Now) : S(S), Now(Now.Mono) {}
 
-  void on(const Tick &What);
-  void on(const LeadChanged &What);
-  void on(const LeaseRead &What);
-  void on(const ClaimFolded &What);
-  void on(const ClaimNotAppended &What);
-  void on(const EpochAdopted &What);
+  void on(const Tick &E);
+  void on(const LeadChanged &E);
+  void on(const LeaseRead &E);
+  void on(const ClaimFolded &E);
+  void on(const ClaimNotAppended &E);
+  void on(const EpochAdopted &E);
 
   void checkExpiry();
 
   Effects Out;
 
 private:
-  void recordHolderActivity();
+  void updateHolderActivity();
   void appendRenewal();
   void claimIfExpired();
-  void endLease(observe::EventId Why);
+  void endLease(observe::EventId Reason);
   void enterEpoch(core::NodeId Holder, core::Epoch Current);
   void log(observe::EventId Id);
 
@@ -39,26 +39,26 @@
                                                      S.Holder.value())});
 }
 
-/// Each candidate waits a different time, so that usually one claim is
+/// Each candidate chooses a random delay, so that usually only one claim is
 /// appended.
-void Reducer::recordHolderActivity() {
+void Reducer::updateHolderActivity() {
   S.HeardAt = Now;
   const core::Microseconds Range = MaxClaimDelay - MinClaimDelay;
   S.ClaimDelay = core::Microseconds(MinClaimDelay) +
                  core::Microseconds(S.Rng.below(Range.count()));
 }
 
-void Reducer::endLease(observe::EventId Why) {
+void Reducer::endLease(observe::EventId Reason) {
   if (!S.HeldUntil)
     return;
   S.HeldUntil.reset();
   S.PendingRenewals.clear();
-  log(Why);
+  log(Reason);
   Out.emplace_back(LostLease{S.CurrentEpoch});
 }
 
-/// An expired lease is never taken up again, even if a renewal is read back
-/// later: a successor may have counted the same silence.
+/// An expired lease is not resumed even if a renewal is read back later,
+/// because a successor may already have waited for the same expiry.
 void Reducer::checkExpiry() {
   if (S.HeldUntil && Now >= *S.HeldUntil)
     endLease(observe::EventId::LeaseExpired);
@@ -75,35 +75,35 @@
   claimIfExpired();
 }
 
-void Reducer::on(const LeadChanged &What) {
-  if (What.IsLead == S.IsLead)
+void Reducer::on(const LeadChanged &E) {
+  if (E.IsLead == S.IsLead)
     return;
-  S.IsLead = What.IsLead;
+  S.IsLead = E.IsLead;
   S.ReadUpTo.reset();
   S.Claim.reset();
-  recordHolderActivity();
+  updateHolderActivity();
   if (!S.IsLead)
     endLease(observe::EventId::LeaseReleased);
 }
 
-void Reducer::on(const LeaseRead &What) {
-  S.ReadUpTo = What.SentAt;
-  for (const Renewal &One : What.Records) {
-    if (One.LeaseEpoch < S.CurrentEpoch)
+void Reducer::on(const LeaseRead &E) {
+  S.ReadUpTo = E.SentAt;
+  for (const Renewal &Record : E.Records) {
+    if (Record.LeaseEpoch < S.CurrentEpoch)
       continue;
-    recordHolderActivity();
-    if (!S.HeldUntil || One.LeaseEpoch != S.CurrentEpoch ||
-        One.Holder != S.Local.Node)
+    updateHolderActivity();
+    if (!S.HeldUntil || Record.LeaseEpoch != S.CurrentEpoch ||
+        Record.Holder != S.Local.Node)
       continue;
-    const auto Own =
+    const auto Appended =
         std::find_if(S.PendingRenewals.begin(), S.PendingRenewals.end(),
-                     [&One](const auto &Pending) {
-                       return Pending.Sequence == One.Sequence;
+                     [&Record](const auto &Pending) {
+                       return Pending.Sequence == Record.Sequence;
                      });
-    if (Own == S.PendingRenewals.end())
+    if (Appended == S.PendingRenewals.end())
       continue;
-    S.HeldUntil = std::max(*S.HeldUntil, Own->AppendedAt + LeaseDuration);
-    S.PendingRenewals.erase(S.PendingRenewals.begin(), Own + 1);
+    S.HeldUntil = std::max(*S.HeldUntil, Appended->AppendedAt + LeaseDuration);
+    S.PendingRenewals.erase(S.PendingRenewals.begin(), Appended + 1);
   }
 }
 
@@ -111,20 +111,20 @@
   endLease(observe::EventId::LeaseSuperseded);
   S.CurrentEpoch = Current;
   S.Holder = std::move(Holder);
-  recordHolderActivity();
+  updateHolderActivity();
 }
 
-void Reducer::on(const ClaimFolded &What) {
-  if (What.NewEpoch <= S.CurrentEpoch)
+void Reducer::on(const ClaimFolded &E) {
+  if (E.NewEpoch <= S.CurrentEpoch)
     return;
-  enterEpoch(What.Holder, What.NewEpoch);
+  enterEpoch(E.Holder, E.NewEpoch);
   const std::optional<PendingClaim> Claim = std::exchange(S.Claim, {});
   if (!Claim)
     return;
   const core::TimePoint Until = Claim->AppendedAt + LeaseDuration;
-  const bool Own =
-      What.Writer == S.Local.Writer && Claim->NewEpoch == What.NewEpoch;
-  if (!Own || !S.IsLead || Now >= Until) {
+  const bool IsLocal =
+      E.Writer == S.Local.Writer && Claim->NewEpoch == E.NewEpoch;
+  if (!IsLocal || !S.IsLead || Now >= Until) {
     log(observe::EventId::LeaseClaimLost);
     return;
   }
@@ -137,10 +137,10 @@
 
 void Reducer::on(const ClaimNotAppended &) { S.Claim.reset(); }
 
-void Reducer::on(const EpochAdopted &What) {
-  if (What.CurrentEpoch <= S.CurrentEpoch)
+void Reducer::on(const EpochAdopted &E) {
+  if (E.CurrentEpoch <= S.CurrentEpoch)
     return;
-  enterEpoch(What.Holder, What.CurrentEpoch);
+  enterEpoch(E.Holder, E.CurrentEpoch);
   S.Claim.reset();
 }
 
@@ -148,28 +148,28 @@
   const std::uint64_t Sequence = S.NextSequence++;
   if (S.PendingRenewals.size() >= MaxPendingRenewals)
     S.PendingRenewals.erase(S.PendingRenewals.begin());
-  // The lease counts from here, not from the read-back: a candidate may read
-  // the record long before its writer does.
+  // The lease counts from the append, not from the read-back: a candidate may
+  // read the record long before its writer does.
   S.PendingRenewals.push_back({Sequence, Now});
   S.NextRenewal = Now + RenewalPeriod;
   Out.emplace_back(AppendRenewal{{S.Local.Node, S.CurrentEpoch, Sequence}});
 }
 
-/// Silence is counted up to the time at which the last complete read was sent:
-/// a candidate whose reads are slow knows nothing of the time since.
+/// Only the time until the last complete read was sent counts towards expiry: a
+/// candidate with slow reads cannot rule out later renewals.
 void Reducer::claimIfExpired() {
   if (S.Claim && Now < S.Claim->RetryAt)
     return;
   if (!S.ReadUpTo || Now - *S.ReadUpTo > MaxReadAge)
     return;
   const bool NeverHeld = S.CurrentEpoch == core::Epoch();
-  const core::Microseconds Silence =
+  const core::Microseconds Expiry =
       NeverHeld ? core::Microseconds(0) : LeaseDuration;
-  if (*S.ReadUpTo < S.HeardAt + Silence ||
-      Now < S.HeardAt + Silence + S.ClaimDelay)
+  if (*S.ReadUpTo < S.HeardAt + Expiry ||
+      Now < S.HeardAt + Expiry + S.ClaimDelay)
     return;
-  // The lease of a repeated claim counts from the first append, because that
-  // one may be the record that is valid.
+  // The lease of a repeated claim counts from the first append, whose record
+  // may be the valid one.
   if (!S.Claim)
     S.Claim = {core::Epoch(S.CurrentEpoch.value() + 1), Now, Now};
   S.Claim->RetryAt = Now + ClaimTimeout;
@@ -179,24 +179,24 @@
 
 } // namespace
 
-State initial(Settings Own, std::uint64_t Seed) {
+State initial(Settings Local, std::uint64_t Seed) {
   State S;
-  S.Local = std::move(Own);
+  S.Local = std::move(Local);
   S.Rng = core::Random(Seed);
   return S;
 }
 
-Step<State, Effects> reduce(State Before, const Event &What,
-                            core::Instant Now) {
+Step<State, Effects> reduce(State Before, const Event &E, core::Instant Now) {
   Reducer R(Before, Now);
-  // Time passes before the event counts: a paused holder stops first.
+  // Expiry comes before the event, so that a holder that was paused stops
+  // first.
   R.checkExpiry();
-  std::visit([&R](const auto &One) { R.on(One); }, What);
+  std::visit([&R](const auto &Alternative) { R.on(Alternative); }, E);
   return {std::move(Before), std::move(R.Out)};
 }
 
-bool holdsLease(const State &Of, core::TimePoint Now) {
-  return Of.HeldUntil && Now < *Of.HeldUntil;
+bool holdsLease(const State &S, core::TimePoint Now) {
+  return S.HeldUntil && Now < *S.HeldUntil;
 }
 
 } // namespace filbertvane::decision::lease
--- a/lib/decision/membership/Member.cpp
+++ b/lib/decision/membership/Member.cpp
@@ -3,13 +3,12 @@
 
 namespace filbertvane::decision::membership {
 
-bool isLive(const Member &Which) {
-  return Which.Status == MemberStatus::Alive ||
-         Which.Status == MemberStatus::Suspect;
+bool isLive(const Member &M) {
+  return M.Status == MemberStatus::Alive || M.Status == MemberStatus::Suspect;
 }
 
-bool supersedes(const Member &News, const Member &Known) {
-  return std::tie(News.Incarnation, News.Revision, News.Status) >
+bool supersedes(const Member &Update, const Member &Known) {
+  return std::tie(Update.Incarnation, Update.Revision, Update.Status) >
          std::tie(Known.Incarnation, Known.Revision, Known.Status);
 }
 
--- a/lib/decision/membership/Membership.cpp
+++ b/lib/decision/membership/Membership.cpp
@@ -4,33 +4,32 @@
 
 namespace filbertvane::decision::membership {
 
-State initial(Settings Own, core::Incarnation Number, std::uint64_t Seed) {
+State initial(Settings Local, core::Incarnation Number, std::uint64_t Seed) {
   State S;
-  S.Self.Node = Own.Node;
+  S.Self.Node = Local.Node;
   S.Self.Incarnation = Number;
-  S.Self.ControlAddress = Own.ControlAddress;
-  S.Self.PeerAddress = Own.PeerAddress;
-  S.Local = std::move(Own);
+  S.Self.ControlAddress = Local.ControlAddress;
+  S.Self.PeerAddress = Local.PeerAddress;
+  S.Local = std::move(Local);
   S.Rng = core::Random(Seed);
   return S;
 }
 
-std::vector<Member> liveMembers(const State &Of) {
+std::vector<Member> liveMembers(const State &S) {
   std::vector<Member> Live;
-  for (const auto &[Node, One] : Of.OtherMembers)
-    if (isLive(One.LastKnown))
-      Live.push_back(One.LastKnown);
-  if (isLive(Of.Self))
-    Live.push_back(Of.Self);
+  for (const auto &[Node, Entry] : S.OtherMembers)
+    if (isLive(Entry.LastKnown))
+      Live.push_back(Entry.LastKnown);
+  if (isLive(S.Self))
+    Live.push_back(S.Self);
   std::sort(Live.begin(), Live.end(),
             [](const Member &A, const Member &B) { return A.Node < B.Node; });
   return Live;
 }
 
-Step<State, Effects> reduce(State Before, const Event &What,
-                            core::Instant Now) {
+Step<State, Effects> reduce(State Before, const Event &E, core::Instant Now) {
   Reducer R(Before, Now);
-  std::visit([&R](const auto &One) { R.on(One); }, What);
+  std::visit([&R](const auto &Alternative) { R.on(Alternative); }, E);
   Effects Out = R.finish();
   return {std::move(Before), std::move(Out)};
 }
@@ -38,7 +37,7 @@
 void Reducer::on(const Started &) {
   S.Started = true;
   S.LastTick = Now.Mono;
-  // A random phase keeps the nodes of a mass restart from probing in step.
+  // A random phase prevents synchronous probes after a mass restart.
   const auto Phase = S.Rng.below(core::Microseconds(ProbePeriod).count());
   S.NextProbe = Now.Mono + core::Microseconds(Phase);
   S.NextJoin = Now.Mono + InitialJoinPeriod;
@@ -62,16 +61,17 @@
   tickLeaves();
 }
 
-void Reducer::on(const MessageReceived &What) {
+void Reducer::on(const MessageReceived &E) {
   if (!S.Started)
     return;
-  std::visit([&](const auto &One) { receive(What.From, One); }, What.Payload);
+  std::visit([&](const auto &Alternative) { receive(E.From, Alternative); },
+             E.Payload);
 }
 
-void Reducer::on(const OwnTargetChanged &What) {
-  if (S.Self.Target == What.Target)
+void Reducer::on(const OwnTargetChanged &E) {
+  if (S.Self.Target == E.Target)
     return;
-  S.Self.Target = What.Target;
+  S.Self.Target = E.Target;
   announceSelf();
 }
 
@@ -84,15 +84,15 @@
   sendLeaves();
 }
 
-void Reducer::on(const OwnReadinessChanged &What) {
-  if (S.Self.Ready == What.Ready)
+void Reducer::on(const OwnReadinessChanged &E) {
+  if (S.Self.Ready == E.Ready)
     return;
-  S.Self.Ready = What.Ready;
+  S.Self.Ready = E.Ready;
   announceSelf();
 }
 
-void Reducer::on(const OwnPositionChanged &What) {
-  S.ConfigPosition = What.ConfigPosition;
+void Reducer::on(const OwnPositionChanged &E) {
+  S.ConfigPosition = E.ConfigPosition;
 }
 
 void Reducer::on(const DrainStarted &) {
@@ -114,9 +114,9 @@
 }
 
 void Reducer::sendLeaves() {
-  for (const auto &[Node, One] : S.OtherMembers)
-    if (isLive(One.LastKnown))
-      send(One.LastKnown.ControlAddress, Leave{S.Self});
+  for (const auto &[Node, Entry] : S.OtherMembers)
+    if (isLive(Entry.LastKnown))
+      send(Entry.LastKnown.ControlAddress, Leave{S.Self});
   --S.LeaveTransmissionsLeft;
   S.NextLeave = Now.Mono + LeaveRetransmitPeriod;
 }
@@ -132,8 +132,8 @@
   return std::move(Out);
 }
 
-void Reducer::send(const std::string &To, Message What) {
-  Out.push_back(SendMessage{To, std::move(What)});
+void Reducer::send(const std::string &To, Message Payload) {
+  Out.push_back(SendMessage{To, std::move(Payload)});
 }
 
 void Reducer::log(observe::EventId Id, std::string Detail) {
--- a/lib/decision/membership/Messages.cpp
+++ b/lib/decision/membership/Messages.cpp
@@ -3,33 +3,33 @@
 
 namespace filbertvane::decision::membership {
 
-void Reducer::receive(const Peer &From, const Probe &What) {
-  for (const Member &News : What.Updates)
-    applyUpdate(News);
-  Out.push_back(PositionReported{From, What.ConfigPosition});
+void Reducer::receive(const Peer &From, const Probe &Received) {
+  for (const Member &Update : Received.Updates)
+    applyUpdate(Update);
+  Out.push_back(PositionReported{From, Received.ConfigPosition});
   send(From.Address,
-       ProbeAck{What.Sequence, S.ConfigPosition, selectUpdates()});
+       ProbeAck{Received.Sequence, S.ConfigPosition, selectUpdates()});
 }
 
-void Reducer::receive(const Peer &From, const ProbeAck &What) {
-  for (const Member &News : What.Updates)
-    applyUpdate(News);
-  Out.push_back(PositionReported{From, What.ConfigPosition});
-  // Another process may have taken the address over: only the probed node
-  // itself can prove that it lives.
-  if (S.PendingProbe && S.PendingProbe->Sequence == What.Sequence &&
+void Reducer::receive(const Peer &From, const ProbeAck &Received) {
+  for (const Member &Update : Received.Updates)
+    applyUpdate(Update);
+  Out.push_back(PositionReported{From, Received.ConfigPosition});
+  // Another process may have taken over the address: only an acknowledgement
+  // of the probed node proves that it is alive.
+  if (S.PendingProbe && S.PendingProbe->Sequence == Received.Sequence &&
       S.PendingProbe->Target == From.Node)
     S.PendingProbe.reset();
-  const auto Relay = S.RelayedProbes.find(What.Sequence);
-  if (Relay == S.RelayedProbes.end() || Relay->second.Target != From.Node)
+  const auto Relayed = S.RelayedProbes.find(Received.Sequence);
+  if (Relayed == S.RelayedProbes.end() || Relayed->second.Target != From.Node)
     return;
-  send(Relay->second.RequesterAddress,
-       IndirectProbeAck{Relay->second.RequesterSequence, From.Node});
-  S.RelayedProbes.erase(Relay);
+  send(Relayed->second.RequesterAddress,
+       IndirectProbeAck{Relayed->second.RequesterSequence, From.Node});
+  S.RelayedProbes.erase(Relayed);
 }
 
-void Reducer::receive(const Peer &From, const IndirectProbe &What) {
-  const auto Found = S.OtherMembers.find(What.Target);
+void Reducer::receive(const Peer &From, const IndirectProbe &Received) {
+  const auto Found = S.OtherMembers.find(Received.Target);
   if (Found == S.OtherMembers.end())
     return;
   if (S.RelayedProbes.size() >= MaxRelayedProbes) {
@@ -37,38 +37,38 @@
     return;
   }
   const std::uint64_t Sequence = S.NextSequence++;
-  S.RelayedProbes[Sequence] = {What.Sequence, From.Address, What.Target,
+  S.RelayedProbes[Sequence] = {Received.Sequence, From.Address, Received.Target,
                                Now.Mono + ProbePeriod};
   send(Found->second.LastKnown.ControlAddress,
        Probe{Sequence, S.ConfigPosition, selectUpdates()});
 }
 
-void Reducer::receive(const Peer &, const IndirectProbeAck &What) {
-  if (S.PendingProbe && S.PendingProbe->Sequence == What.Sequence &&
-      S.PendingProbe->Target == What.Target)
+void Reducer::receive(const Peer &, const IndirectProbeAck &Received) {
+  if (S.PendingProbe && S.PendingProbe->Sequence == Received.Sequence &&
+      S.PendingProbe->Target == Received.Target)
     S.PendingProbe.reset();
 }
 
-void Reducer::receive(const Peer &From, const JoinRequest &What) {
-  // A node that is known here as failed, or under its former process, is told
-  // so by the reply and answers with a higher incarnation.
-  applyUpdate(What.Self);
+void Reducer::receive(const Peer &From, const JoinRequest &Received) {
+  // The reply tells a node that is known here as failed, or as its former
+  // process; the node then announces a higher incarnation.
+  applyUpdate(Received.Self);
   JoinReply Reply;
   Reply.ConfigPosition = S.ConfigPosition;
   Reply.Members.push_back(S.Self);
-  for (const auto &[Node, One] : S.OtherMembers)
-    Reply.Members.push_back(One.LastKnown);
+  for (const auto &[Node, Entry] : S.OtherMembers)
+    Reply.Members.push_back(Entry.LastKnown);
   send(From.Address, std::move(Reply));
 }
 
-void Reducer::receive(const Peer &From, const JoinReply &What) {
-  for (const Member &News : What.Members)
-    applyUpdate(News);
-  Out.push_back(PositionReported{From, What.ConfigPosition});
+void Reducer::receive(const Peer &From, const JoinReply &Received) {
+  for (const Member &Update : Received.Members)
+    applyUpdate(Update);
+  Out.push_back(PositionReported{From, Received.ConfigPosition});
 }
 
-void Reducer::receive(const Peer &, const Leave &What) {
-  applyUpdate(What.Self);
+void Reducer::receive(const Peer &, const Leave &Received) {
+  applyUpdate(Received.Self);
 }
 
 } // namespace filbertvane::decision::membership
--- a/lib/decision/membership/Probing.cpp
+++ b/lib/decision/membership/Probing.cpp
@@ -4,15 +4,15 @@
 
 namespace filbertvane::decision::membership {
 
-/// Answers that came during a pause wait behind this tick, so a probe that
-/// looks late proves nothing against its member.
+/// Acknowledgements that arrived during a pause are handled after this tick, so
+/// a pending probe says nothing about its member.
 void Reducer::resetAfterPause(core::Microseconds Gap) {
   S.PendingProbe.reset();
   S.RelayedProbes.clear();
   S.NextProbe = Now.Mono + IndirectProbeDelay;
-  for (auto &[Node, One] : S.OtherMembers)
-    if (One.Deadline)
-      *One.Deadline += Gap;
+  for (auto &[Node, Entry] : S.OtherMembers)
+    if (Entry.Deadline)
+      *Entry.Deadline += Gap;
   log(observe::EventId::MemberPaused, fmt::format("{} us", Gap.count()));
 }
 
@@ -42,16 +42,16 @@
 void Reducer::sendIndirectProbes() {
   S.PendingProbe->IndirectSent = true;
   std::vector<std::string> Helpers;
-  for (const auto &[Node, One] : S.OtherMembers)
-    if (One.LastKnown.Status == MemberStatus::Alive &&
+  for (const auto &[Node, Entry] : S.OtherMembers)
+    if (Entry.LastKnown.Status == MemberStatus::Alive &&
         Node != S.PendingProbe->Target)
-      Helpers.push_back(One.LastKnown.ControlAddress);
+      Helpers.push_back(Entry.LastKnown.ControlAddress);
   for (std::size_t Sent = 0; Sent < IndirectProbeCount && !Helpers.empty();
        ++Sent) {
-    const std::size_t Pick = S.Rng.below(Helpers.size());
-    send(Helpers[Pick],
+    const std::size_t Index = S.Rng.below(Helpers.size());
+    send(Helpers[Index],
          IndirectProbe{S.PendingProbe->Sequence, S.PendingProbe->Target});
-    Helpers.erase(Helpers.begin() + static_cast<std::ptrdiff_t>(Pick));
+    Helpers.erase(Helpers.begin() + static_cast<std::ptrdiff_t>(Index));
   }
 }
 
@@ -64,13 +64,13 @@
   if (Found == S.OtherMembers.end() ||
       Found->second.LastKnown.Status != MemberStatus::Alive)
     return;
-  Member News = Found->second.LastKnown;
-  News.Status = MemberStatus::Suspect;
-  applyUpdate(News);
+  Member Update = Found->second.LastKnown;
+  Update.Status = MemberStatus::Suspect;
+  applyUpdate(Update);
 }
 
-/// Round robin over a shuffled order: each member is probed once per round, so
-/// the time until a failure shows is bounded.
+/// Round robin over a shuffled order: each member is probed once per round,
+/// which bounds the time to detect a failure.
 std::optional<core::NodeId> Reducer::nextProbeTarget() {
   for (int Round = 0; Round < 2; ++Round) {
     while (!S.ProbeOrder.empty()) {
@@ -80,8 +80,8 @@
       if (Found != S.OtherMembers.end() && isLive(Found->second.LastKnown))
         return Next;
     }
-    for (const auto &[Node, One] : S.OtherMembers)
-      if (isLive(One.LastKnown))
+    for (const auto &[Node, Entry] : S.OtherMembers)
+      if (isLive(Entry.LastKnown))
         S.ProbeOrder.push_back(Node);
     for (std::size_t Left = S.ProbeOrder.size(); Left > 1; --Left)
       std::swap(S.ProbeOrder[Left - 1], S.ProbeOrder[S.Rng.below(Left)]);
@@ -90,8 +90,8 @@
 }
 
 void Reducer::expireRelayedProbes() {
-  std::erase_if(S.RelayedProbes, [this](const auto &One) {
-    return Now.Mono >= One.second.ExpiresAt;
+  std::erase_if(S.RelayedProbes, [this](const auto &Entry) {
+    return Now.Mono >= Entry.second.ExpiresAt;
   });
 }
 
@@ -100,7 +100,7 @@
     return;
   const bool Alone = std::none_of(
       S.OtherMembers.begin(), S.OtherMembers.end(),
-      [](const auto &One) { return isLive(One.second.LastKnown); });
+      [](const auto &Entry) { return isLive(Entry.second.LastKnown); });
   const core::Microseconds Period = Alone ? InitialJoinPeriod : RejoinPeriod;
   const auto Jitter = S.Rng.below(Period.count() / 2);
   S.NextJoin = Now.Mono + Period + core::Microseconds(Jitter);
@@ -109,25 +109,25 @@
     send(Address, JoinRequest{S.Self});
 }
 
-/// A seed that is no live member, or a failed member: after a partition the
-/// two sides find each other again through these.
+/// Returns the address of a random failed member, or of a seed that is not a
+/// live member, so that the two sides of a partition merge afterwards.
 std::string Reducer::joinAddress() {
-  std::vector<std::string> Choices;
+  std::vector<std::string> Candidates;
   std::vector<std::string> Live{S.Local.ControlAddress};
-  for (const auto &[Node, One] : S.OtherMembers) {
-    if (isLive(One.LastKnown))
-      Live.push_back(One.LastKnown.ControlAddress);
-    else if (One.LastKnown.Status == MemberStatus::Failed)
-      Choices.push_back(One.LastKnown.ControlAddress);
+  for (const auto &[Node, Entry] : S.OtherMembers) {
+    if (isLive(Entry.LastKnown))
+      Live.push_back(Entry.LastKnown.ControlAddress);
+    else if (Entry.LastKnown.Status == MemberStatus::Failed)
+      Candidates.push_back(Entry.LastKnown.ControlAddress);
   }
   for (const std::string &Seed : S.Local.Seeds)
-    Choices.push_back(Seed);
-  std::erase_if(Choices, [&Live](const std::string &One) {
-    return std::find(Live.begin(), Live.end(), One) != Live.end();
+    Candidates.push_back(Seed);
+  std::erase_if(Candidates, [&Live](const std::string &Address) {
+    return std::find(Live.begin(), Live.end(), Address) != Live.end();
   });
-  if (Choices.empty())
+  if (Candidates.empty())
     return {};
-  return Choices[S.Rng.below(Choices.size())];
+  return Candidates[S.Rng.below(Candidates.size())];
 }
 
 } // namespace filbertvane::decision::membership
--- a/lib/decision/membership/Ranking.cpp
+++ b/lib/decision/membership/Ranking.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-/// Score first; the id decides between equal scores, so that all nodes agree.
+/// Score and id; the id breaks ties, so that all nodes agree on the order.
 using Scored = std::pair<std::uint64_t, core::NodeId>;
 
 Scored scored(std::string_view Key, const core::NodeId &Node) {
@@ -24,7 +24,7 @@
     All.push_back(scored(Key, Node));
   std::sort(All.begin(), All.end(), std::greater<>());
   std::transform(All.begin(), All.end(), Nodes.begin(),
-                 [](const Scored &One) { return One.second; });
+                 [](const Scored &Each) { return Each.second; });
   return Nodes;
 }
 
@@ -32,9 +32,9 @@
 rendezvousWinner(std::string_view Key, const std::vector<core::NodeId> &Nodes) {
   std::optional<Scored> Best;
   for (const core::NodeId &Node : Nodes) {
-    Scored One = scored(Key, Node);
-    if (!Best || One > *Best)
-      Best = std::move(One);
+    Scored Candidate = scored(Key, Node);
+    if (!Best || Candidate > *Best)
+      Best = std::move(Candidate);
   }
   if (!Best)
     return std::nullopt;
--- a/lib/decision/membership/Reducer.h
+++ b/lib/decision/membership/Reducer.h
@@ -5,37 +5,36 @@
 
 namespace filbertvane::decision::membership {
 
-/// @brief One application of an event: the state being changed and the effects
-///        collected so far.
+/// @brief Applies one event to a state and collects the effects.
 class Reducer {
 public:
   Reducer(State &S, core::Instant Now) : S(S), Now(Now) {}
 
   /// @name Events (Membership.cpp)
   /// @{
-  void on(const Started &What);
-  void on(const Tick &What);
-  void on(const MessageReceived &What);
-  void on(const OwnTargetChanged &What);
-  void on(const OwnTargetLeaving &What);
-  void on(const OwnReadinessChanged &What);
-  void on(const OwnPositionChanged &What);
-  void on(const DrainStarted &What);
+  void on(const Started &E);
+  void on(const Tick &E);
+  void on(const MessageReceived &E);
+  void on(const OwnTargetChanged &E);
+  void on(const OwnTargetLeaving &E);
+  void on(const OwnReadinessChanged &E);
+  void on(const OwnPositionChanged &E);
+  void on(const DrainStarted &E);
   /// @}
 
-  /// @brief Effects, with the change of endpoints last.
+  /// @brief Returns the effects, with `EndpointsChanged` last.
   Effects finish();
 
 private:
   /// @name Messages (Messages.cpp)
   /// @{
-  void receive(const Peer &From, const Probe &What);
-  void receive(const Peer &From, const ProbeAck &What);
-  void receive(const Peer &From, const IndirectProbe &What);
-  void receive(const Peer &From, const IndirectProbeAck &What);
-  void receive(const Peer &From, const JoinRequest &What);
-  void receive(const Peer &From, const JoinReply &What);
-  void receive(const Peer &From, const Leave &What);
+  void receive(const Peer &From, const Probe &Received);
+  void receive(const Peer &From, const ProbeAck &Received);
+  void receive(const Peer &From, const IndirectProbe &Received);
+  void receive(const Peer &From, const IndirectProbeAck &Received);
+  void receive(const Peer &From, const JoinRequest &Received);
+  void receive(const Peer &From, const JoinReply &Received);
+  void receive(const Peer &From, const Leave &Received);
   /// @}
 
   /// @name Probing (Probing.cpp)
@@ -51,27 +50,27 @@
   std::string joinAddress();
   /// @}
 
-  /// @name Knowledge of members (Updates.cpp)
+  /// @name State of members (Updates.cpp)
   /// @{
-  void applyUpdate(const Member &News);
-  void applyOwnUpdate(const Member &News);
+  void applyUpdate(const Member &Update);
+  void applySelfUpdate(const Member &Update);
   bool ensureCapacity();
-  void replaceMember(MemberEntry &Place, const Member &News);
-  void failOthersAtAddress(const Member &News);
-  void setDeadline(MemberEntry &Place);
+  void replaceMember(MemberEntry &Entry, const Member &Update);
+  void failOthersAtAddress(const Member &Update);
+  void setDeadline(MemberEntry &Entry);
   void tickDeadlines();
   std::vector<Member> selectUpdates();
   std::size_t transmissionLimit() const;
   /// @}
 
-  /// @name Own announcement
+  /// @name Announcements of this node
   /// @{
   void announceSelf();
   void sendLeaves();
   void tickLeaves();
   /// @}
 
-  void send(const std::string &To, Message What);
+  void send(const std::string &To, Message Payload);
   void log(observe::EventId Id, std::string Detail);
 
   State &S;
--- a/lib/decision/membership/Updates.cpp
+++ b/lib/decision/membership/Updates.cpp
@@ -7,9 +7,9 @@
 
 namespace {
 
-std::string describeMember(const Member &Which) {
-  return fmt::format("{} at {} incarnation {}", Which.Node.value(),
-                     Which.ControlAddress, Which.Incarnation.value());
+std::string describeMember(const Member &M) {
+  return fmt::format("{} at {} incarnation {}", M.Node.value(),
+                     M.ControlAddress, M.Incarnation.value());
 }
 
 observe::EventId eventOf(MemberStatus Status) {
@@ -26,7 +26,8 @@
   return observe::EventId::MemberFailed;
 }
 
-/// Whether a difference matters to those who use the member.
+/// Whether two states of a member are the same for receivers of
+/// `EndpointsChanged`.
 bool sameEndpoint(const Member &A, const Member &B) {
   return A.Status == B.Status && A.ControlAddress == B.ControlAddress &&
          A.PeerAddress == B.PeerAddress && A.Target == B.Target &&
@@ -35,38 +36,39 @@
 
 } // namespace
 
-void Reducer::applyUpdate(const Member &News) {
-  if (News.Node == S.Self.Node) {
-    applyOwnUpdate(News);
+void Reducer::applyUpdate(const Member &Update) {
+  if (Update.Node == S.Self.Node) {
+    applySelfUpdate(Update);
     return;
   }
-  const auto Found = S.OtherMembers.find(News.Node);
+  const auto Found = S.OtherMembers.find(Update.Node);
   if (Found != S.OtherMembers.end()) {
-    if (supersedes(News, Found->second.LastKnown))
-      replaceMember(Found->second, News);
+    if (supersedes(Update, Found->second.LastKnown))
+      replaceMember(Found->second, Update);
     return;
   }
-  // A member that is already gone needs no place.
-  if (!isLive(News) || !ensureCapacity())
+  // An unknown member is not added if it has already failed or left.
+  if (!isLive(Update) || !ensureCapacity())
     return;
-  MemberEntry &Place = S.OtherMembers[News.Node];
-  Place.LastKnown = News;
-  Place.TransmissionsLeft = transmissionLimit();
-  setDeadline(Place);
-  failOthersAtAddress(News);
-  log(observe::EventId::MemberJoined, describeMember(News));
+  MemberEntry &Entry = S.OtherMembers[Update.Node];
+  Entry.LastKnown = Update;
+  Entry.TransmissionsLeft = transmissionLimit();
+  setDeadline(Entry);
+  failOthersAtAddress(Update);
+  log(observe::EventId::MemberJoined, describeMember(Update));
   Changed = true;
 }
 
-void Reducer::applyOwnUpdate(const Member &News) {
-  const bool FormerProcess = !sameProcess(News.Incarnation, S.Self.Incarnation);
-  if (News.Incarnation < S.Self.Incarnation)
+void Reducer::applySelfUpdate(const Member &Update) {
+  const bool FormerProcess =
+      !sameProcess(Update.Incarnation, S.Self.Incarnation);
+  if (Update.Incarnation < S.Self.Incarnation)
     return;
   if (FormerProcess)
-    S.Self.Incarnation = incarnationAfter(News.Incarnation);
-  else if (News.Status != MemberStatus::Alive &&
+    S.Self.Incarnation = incarnationAfter(Update.Incarnation);
+  else if (Update.Status != MemberStatus::Alive &&
            S.Self.Status != MemberStatus::Left)
-    S.Self.Incarnation = core::Incarnation(News.Incarnation.value() + 1);
+    S.Self.Incarnation = core::Incarnation(Update.Incarnation.value() + 1);
   else
     return;
   log(observe::EventId::MemberRefuted, describeMember(S.Self));
@@ -76,13 +78,13 @@
 bool Reducer::ensureCapacity() {
   if (S.OtherMembers.size() + 1 < MaxMembers)
     return true;
-  // The place of the member that has been gone for longest is reused.
+  // Evict the member that failed or left the longest time ago.
   auto Oldest = S.OtherMembers.end();
-  for (auto One = S.OtherMembers.begin(); One != S.OtherMembers.end(); ++One)
-    if (!isLive(One->second.LastKnown) &&
+  for (auto It = S.OtherMembers.begin(); It != S.OtherMembers.end(); ++It)
+    if (!isLive(It->second.LastKnown) &&
         (Oldest == S.OtherMembers.end() ||
-         One->second.Deadline < Oldest->second.Deadline))
-      Oldest = One;
+         It->second.Deadline < Oldest->second.Deadline))
+      Oldest = It;
   if (Oldest != S.OtherMembers.end()) {
     S.OtherMembers.erase(Oldest);
     return true;
@@ -93,64 +95,67 @@
   return false;
 }
 
-void Reducer::replaceMember(MemberEntry &Place, const Member &News) {
-  const Member Known = Place.LastKnown;
-  Place.LastKnown = News;
-  Place.TransmissionsLeft = transmissionLimit();
-  if (Known.Status != News.Status || Known.Incarnation != News.Incarnation)
-    setDeadline(Place);
-  if (!sameEndpoint(Known, News))
+void Reducer::replaceMember(MemberEntry &Entry, const Member &Update) {
+  const Member Previous = Entry.LastKnown;
+  Entry.LastKnown = Update;
+  Entry.TransmissionsLeft = transmissionLimit();
+  if (Previous.Status != Update.Status ||
+      Previous.Incarnation != Update.Incarnation)
+    setDeadline(Entry);
+  if (!sameEndpoint(Previous, Update))
     Changed = true;
-  const bool NewProcess = !sameProcess(Known.Incarnation, News.Incarnation);
-  if (isLive(Known) && (NewProcess || !isLive(News)))
-    Out.push_back(MemberFailed{Known});
+  const bool NewProcess =
+      !sameProcess(Previous.Incarnation, Update.Incarnation);
+  if (isLive(Previous) && (NewProcess || !isLive(Update)))
+    Out.push_back(MemberFailed{Previous});
   if (NewProcess)
-    log(observe::EventId::MemberReplaced, describeMember(News));
-  else if (Known.Status != News.Status)
-    log(eventOf(News.Status), describeMember(News));
-  if (NewProcess && isLive(News))
-    failOthersAtAddress(News);
+    log(observe::EventId::MemberReplaced, describeMember(Update));
+  else if (Previous.Status != Update.Status)
+    log(eventOf(Update.Status), describeMember(Update));
+  if (NewProcess && isLive(Update))
+    failOthersAtAddress(Update);
 }
 
-/// A new process at the address of another node proves that node gone.
-void Reducer::failOthersAtAddress(const Member &News) {
-  std::vector<Member> Gone;
-  for (const auto &[Node, One] : S.OtherMembers)
-    if (Node != News.Node && isLive(One.LastKnown) &&
-        One.LastKnown.ControlAddress == News.ControlAddress &&
-        One.LastKnown.Incarnation < News.Incarnation)
-      Gone.push_back(One.LastKnown);
-  for (Member &One : Gone) {
-    One.Status = MemberStatus::Failed;
-    applyUpdate(One);
+/// A newer process at the address of another node proves that the other one has
+/// ended.
+void Reducer::failOthersAtAddress(const Member &Update) {
+  std::vector<Member> Replaced;
+  for (const auto &[Node, Entry] : S.OtherMembers)
+    if (Node != Update.Node && isLive(Entry.LastKnown) &&
+        Entry.LastKnown.ControlAddress == Update.ControlAddress &&
+        Entry.LastKnown.Incarnation < Update.Incarnation)
+      Replaced.push_back(Entry.LastKnown);
+  for (Member &M : Replaced) {
+    M.Status = MemberStatus::Failed;
+    applyUpdate(M);
   }
 }
 
-void Reducer::setDeadline(MemberEntry &Place) {
-  if (Place.LastKnown.Status == MemberStatus::Alive)
-    Place.Deadline.reset();
-  else if (Place.LastKnown.Status == MemberStatus::Suspect)
-    Place.Deadline = Now.Mono + SuspicionTimeout;
+void Reducer::setDeadline(MemberEntry &Entry) {
+  if (Entry.LastKnown.Status == MemberStatus::Alive)
+    Entry.Deadline.reset();
+  else if (Entry.LastKnown.Status == MemberStatus::Suspect)
+    Entry.Deadline = Now.Mono + SuspicionTimeout;
   else
-    Place.Deadline = Now.Mono + TombstoneLifetime;
+    Entry.Deadline = Now.Mono + TombstoneLifetime;
 }
 
 void Reducer::tickDeadlines() {
   std::vector<Member> Failed;
-  std::vector<core::NodeId> Forgotten;
-  for (const auto &[Node, One] : S.OtherMembers) {
-    if (!One.Deadline || Now.Mono < *One.Deadline)
+  std::vector<core::NodeId> Expired;
+  for (const auto &[Node, Entry] : S.OtherMembers) {
+    if (!Entry.Deadline || Now.Mono < *Entry.Deadline)
       continue;
-    if (One.LastKnown.Status == MemberStatus::Suspect)
-      Failed.push_back(One.LastKnown);
+    if (Entry.LastKnown.Status == MemberStatus::Suspect)
+      Failed.push_back(Entry.LastKnown);
     else
-      Forgotten.push_back(Node);
+      Expired.push_back(Node);
   }
-  for (Member &One : Failed) {
-    One.Status = MemberStatus::Failed;
-    applyUpdate(One);
+  for (Member &M : Failed) {
+    M.Status = MemberStatus::Failed;
+    applyUpdate(M);
   }
-  for (const core::NodeId &Node : Forgotten)
+  for (const core::NodeId &Node : Expired)
     S.OtherMembers.erase(Node);
 }
 
@@ -158,18 +163,19 @@
   return RetransmitMultiplier * std::bit_width(S.OtherMembers.size() + 1);
 }
 
-/// The own announcement first, then the updates that were sent least.
+/// Selects the state of this node first, then the updates that were sent least
+/// often.
 std::vector<Member> Reducer::selectUpdates() {
-  std::vector<Member> Taken;
+  std::vector<Member> Selected;
   if (S.SelfTransmissionsLeft > 0) {
     --S.SelfTransmissionsLeft;
-    Taken.push_back(S.Self);
+    Selected.push_back(S.Self);
   }
   std::vector<MemberEntry *> Pending;
-  for (auto &[Node, One] : S.OtherMembers)
-    if (One.TransmissionsLeft > 0)
-      Pending.push_back(&One);
-  const std::size_t Room = MaxUpdatesPerMessage - Taken.size();
+  for (auto &[Node, Entry] : S.OtherMembers)
+    if (Entry.TransmissionsLeft > 0)
+      Pending.push_back(&Entry);
+  const std::size_t Room = MaxUpdatesPerMessage - Selected.size();
   const std::size_t Count = std::min(Room, Pending.size());
   std::partial_sort(
       Pending.begin(), Pending.begin() + static_cast<std::ptrdiff_t>(Count),
@@ -178,9 +184,9 @@
       });
   for (std::size_t I = 0; I < Count; ++I) {
     --Pending[I]->TransmissionsLeft;
-    Taken.push_back(Pending[I]->LastKnown);
+    Selected.push_back(Pending[I]->LastKnown);
   }
-  return Taken;
+  return Selected;
 }
 
 } // namespace filbertvane::decision::membership
--- a/tests/decision/LeaseTest.cpp
+++ b/tests/decision/LeaseTest.cpp
@@ -10,19 +10,19 @@
   return {core::TimePoint(core::Milliseconds(Millis)), {}};
 }
 
-/// A node with the effects of its last event.
+/// Lease state of one node and the effects of its last event.
 struct Fixture {
   State S = initial({core::NodeId("n"), core::WriterId("n/1")}, 1);
   Effects Out;
 
-  void step(const Event &What, std::int64_t Millis) {
-    auto Next = reduce(std::move(S), What, at(Millis));
+  void step(const Event &Input, std::int64_t Millis) {
+    auto Next = reduce(std::move(S), Input, at(Millis));
     S = std::move(Next.NextState);
     Out = std::move(Next.EmittedEffects);
   }
   template <typename E> const E *effect() const {
-    for (const Effect &One : Out)
-      if (const auto *Found = std::get_if<E>(&One))
+    for (const Effect &Each : Out)
+      if (const auto *Found = std::get_if<E>(&Each))
         return Found;
     return nullptr;
   }
@@ -45,7 +45,7 @@
 
 } // namespace
 
-// Guards against a holder that acts after a pause of its process.
+// Guards against a holder that keeps acting after a pause of its process.
 Test(lease, a_paused_holder_stops_by_its_own_clock) {
   Fixture B;
   B.hold();
@@ -57,7 +57,7 @@
 }
 
 // Guards against a lease that counts from the read-back: a candidate may have
-// read the renewal long before and claims 6 s after that.
+// read the renewal much earlier and claims 6 s after that.
 Test(lease, a_renewal_counts_from_its_append) {
   Fixture B;
   B.hold();
@@ -66,8 +66,8 @@
   cr_assert(!holdsLease(B.S, at(7050).Mono), "lease counts from the read-back");
 }
 
-// Guards against a lease that is taken up again after its end, when a
-// successor may already have counted the silence.
+// Guards against a lease that resumes after it expired, when a successor may
+// already have waited for the same expiry.
 Test(lease, an_expired_lease_is_not_revived_by_a_late_read) {
   Fixture B;
   B.hold();
@@ -77,8 +77,8 @@
   cr_assert(!holdsLease(B.S, at(8001).Mono));
 }
 
-// Guards against a claim by a candidate whose reads are slow: it has read no
-// renewal, but not because there is none.
+// Guards against a claim by a candidate with slow reads, which has not yet read
+// an existing renewal.
 Test(lease, silence_counts_up_to_the_last_read_that_was_sent) {
   Fixture B;
   B.step(LeadChanged{true}, 0);
@@ -92,7 +92,7 @@
   cr_assert(B.effect<AppendClaim>());
 }
 
-// Guards against claims by a candidate that cannot read the log any more.
+// Guards against claims by a candidate that can no longer read the log.
 Test(lease, a_candidate_without_recent_reads_does_not_claim) {
   Fixture B;
   B.step(LeadChanged{true}, 0);
@@ -103,8 +103,8 @@
   cr_assert(!B.effect<AppendClaim>());
 }
 
-// Guards against a restarted node that takes the lease of its former process
-// for its own, and against an old claim that is folded after its end.
+// Guards against a restarted node that resumes the lease of its former process,
+// and against a claim that is folded after its lease expired.
 Test(lease, only_the_own_recent_claim_makes_a_holder) {
   Fixture B;
   B.step(LeadChanged{true}, 0);
@@ -118,7 +118,7 @@
   cr_assert(!holdsLease(B.S, at(13301).Mono));
 }
 
-// Guards against a holder that goes on after another claim was folded.
+// Guards against a holder that keeps acting after a newer claim was folded.
 Test(lease, a_folded_claim_of_another_node_ends_the_lease) {
   Fixture B;
   B.hold();
--- a/tests/decision/MembershipTest.cpp
+++ b/tests/decision/MembershipTest.cpp
@@ -31,19 +31,19 @@
   Effects Out;
 
   Fixture() { step(Started{}, 0); }
-  void step(const Event &What, std::int64_t Millis) {
-    auto Next = reduce(std::move(S), What, at(Millis));
+  void step(const Event &Input, std::int64_t Millis) {
+    auto Next = reduce(std::move(S), Input, at(Millis));
     S = std::move(Next.NextState);
     Out = std::move(Next.EmittedEffects);
   }
-  void hear(Message What, std::int64_t Millis, const char *From = "a") {
+  void receive(Message Payload, std::int64_t Millis, const char *From = "a") {
     step(MessageReceived{{core::NodeId(From), std::string(From) + ":c"},
-                         std::move(What)},
+                         std::move(Payload)},
          Millis);
   }
   template <typename E> std::size_t count() const {
-    return std::count_if(Out.begin(), Out.end(), [](const Effect &One) {
-      return std::holds_alternative<E>(One);
+    return std::count_if(Out.begin(), Out.end(), [](const Effect &Each) {
+      return std::holds_alternative<E>(Each);
     });
   }
   const Member &known(const char *Name) {
@@ -53,35 +53,35 @@
 
 } // namespace
 
-// Guards against old news that replace newer ones.
+// Guards against old updates that replace newer ones.
 Test(membership, the_newest_incarnation_revision_and_status_wins) {
   Fixture B;
   Member A = member("a", 2048);
   A.Revision = 5;
-  B.hear(Leave{A}, 1);
+  B.receive(Leave{A}, 1);
   Member Old = A;
   Old.Revision = 4;
   Old.Status = MemberStatus::Failed;
-  B.hear(Leave{Old}, 2);
+  B.receive(Leave{Old}, 2);
   Member Former = A;
   Former.Incarnation = core::Incarnation(1024);
   Former.Revision = 9;
   Former.Status = MemberStatus::Left;
-  B.hear(Leave{Former}, 3);
+  B.receive(Leave{Former}, 3);
   cr_assert(B.known("a") == A);
   Member Suspected = A;
   Suspected.Status = MemberStatus::Suspect;
-  B.hear(Leave{Suspected}, 4);
-  B.hear(Leave{A}, 5);
+  B.receive(Leave{Suspected}, 4);
+  B.receive(Leave{A}, 5);
   cr_assert(B.known("a").Status == MemberStatus::Suspect);
 }
 
-// Guards against a live node that accepts to be failed.
+// Guards against a live node that does not refute its own failure.
 Test(membership, an_own_failure_is_refuted_by_a_higher_incarnation) {
   Fixture B;
   Member Self = B.S.Self;
   Self.Status = MemberStatus::Failed;
-  B.hear(Probe{1, {}, {Self}}, 1);
+  B.receive(Probe{1, {}, {Self}}, 1);
   cr_assert(B.S.Self.Incarnation == core::Incarnation(1025));
   cr_assert(sameProcess(B.S.Self.Incarnation, Self.Incarnation));
   const auto *Ack = std::get_if<SendMessage>(&B.Out[2]);
@@ -89,56 +89,57 @@
             std::get<ProbeAck>(Ack->Payload).Updates.front() == B.S.Self);
 }
 
-// Guards against a host whose clock went back and whose news are ignored.
-Test(membership, a_replaced_host_rises_above_its_former_process) {
+// Guards against a host whose clock went back and whose updates are therefore
+// ignored.
+Test(membership, a_replaced_host_takes_a_higher_incarnation) {
   Fixture B;
   Member Former = B.S.Self;
   Former.Incarnation = core::Incarnation(5000 << RefutationBits);
-  B.hear(Probe{1, {}, {Former}}, 1);
+  B.receive(Probe{1, {}, {Former}}, 1);
   cr_assert(B.S.Self.Incarnation > Former.Incarnation);
   cr_assert(!sameProcess(B.S.Self.Incarnation, Former.Incarnation));
 }
 
-// Guards against requests that wait for a process that is gone.
+// Guards against requests that wait for a process that has ended.
 Test(membership, a_new_process_or_node_at_an_address_ends_the_former) {
   Fixture B;
-  B.hear(Leave{member("a", 1 << RefutationBits)}, 1);
-  B.hear(Leave{member("a", 2 << RefutationBits)}, 2);
+  B.receive(Leave{member("a", 1 << RefutationBits)}, 1);
+  B.receive(Leave{member("a", 2 << RefutationBits)}, 2);
   cr_assert(B.count<MemberFailed>() == 1);
   Member Other = member("b", 3 << RefutationBits);
   Other.ControlAddress = "a:c";
-  B.hear(Leave{Other}, 3);
+  B.receive(Leave{Other}, 3);
   cr_assert(B.count<MemberFailed>() == 1);
   cr_assert(B.known("a").Status == MemberStatus::Failed);
 }
 
-// Guards against messages and member lists that grow without a bound.
+// Guards against messages and member lists without a limit.
 Test(membership, updates_and_members_are_bounded) {
   Fixture B;
   std::map<core::NodeId, std::size_t> Sent;
   for (int I = 0; I < 1500; ++I)
-    B.hear(Leave{member(fmt::format("m{}", I))}, 1);
+    B.receive(Leave{member(fmt::format("m{}", I))}, 1);
   cr_assert(B.S.OtherMembers.size() + 1 == MaxMembers);
   cr_assert(B.S.LimitReported);
   std::size_t Empty = 0;
   for (int I = 0; I < 8000 && Empty == 0; ++I) {
-    B.hear(Probe{1, {}, {}}, 2);
+    B.receive(Probe{1, {}, {}}, 2);
     const auto &Ack =
         std::get<ProbeAck>(std::get<SendMessage>(B.Out.back()).Payload);
     cr_assert(Ack.Updates.size() <= MaxUpdatesPerMessage);
     Empty += Ack.Updates.empty();
-    for (const Member &One : Ack.Updates)
-      ++Sent[One.Node];
+    for (const Member &Updated : Ack.Updates)
+      ++Sent[Updated.Node];
   }
-  cr_assert(Empty == 1, "updates never end");
+  cr_assert(Empty == 1, "updates are sent without end");
   for (const auto &[Node, Times] : Sent)
-    cr_assert(Times <= RetransmitMultiplier * 11, "%zu", Times);
+    cr_assert(Times <= RetransmitMultiplier * 11, "%zu transmissions", Times);
 }
 
-// Guards against members that look failed because this process was paused.
-Test(membership, a_pause_accuses_nobody) {
+// Guards against suspicion of live members after this process was paused.
+Test(membership, a_pause_suspects_no_member) {
   Fixture B;
-  B.hear(Leave{member("a")}, 1);
+  B.receive(Leave{member("a")}, 1);
   for (std::int64_t Millis = 50; Millis <= 1000; Millis += 50)
     B.step(Tick{}, Millis);
   cr_assert(B.S.PendingProbe.has_value());
@@ -147,62 +148,62 @@
   cr_assert(!B.S.PendingProbe.has_value());
 }
 
-// Guards against new work for a leaving target while the news travel from
-// member to member, and against the loss of the one direct message.
-Test(membership, a_leaving_target_is_told_to_each_member_directly) {
+// Guards against new requests for a leaving target while gossip spreads the
+// update, and against the loss of a single direct message.
+Test(membership, a_leaving_target_is_announced_to_each_member_directly) {
   Fixture B;
   for (const char *Name : {"a", "b", "c"})
-    B.hear(Leave{member(Name)}, 1);
+    B.receive(Leave{member(Name)}, 1);
   B.step(OwnTargetChanged{TargetAnnouncement{}}, 2);
   B.step(OwnTargetLeaving{}, 3);
-  std::map<std::string, std::size_t> Told;
+  std::map<std::string, std::size_t> Announced;
   for (std::int64_t Millis = 3; Millis <= 2000; Millis += 50) {
-    for (const Effect &One : B.Out)
-      if (const auto *Sent = std::get_if<SendMessage>(&One))
-        if (const auto *News = std::get_if<Leave>(&Sent->Payload))
-          Told[Sent->To] += News->Self.Target->Leaving;
+    for (const Effect &Each : B.Out)
+      if (const auto *Sent = std::get_if<SendMessage>(&Each))
+        if (const auto *Update = std::get_if<Leave>(&Sent->Payload))
+          Announced[Sent->To] += Update->Self.Target->Leaving;
     B.step(Tick{}, Millis);
   }
-  cr_assert(Told.size() == 3 && Told["b:c"] == LeaveTransmissions);
+  cr_assert(Announced.size() == 3 && Announced["b:c"] == LeaveTransmissions);
 }
 
-// Guards against a dead member that looks alive because another process
+// Guards against a failed member that counts as alive because another process
 // answers at its address.
 Test(membership, only_the_probed_node_proves_that_it_lives) {
   Fixture B;
-  B.hear(Leave{member("a")}, 1);
+  B.receive(Leave{member("a")}, 1);
   for (std::int64_t Millis = 50; !B.S.PendingProbe && Millis <= 2000;
        Millis += 50)
     B.step(Tick{}, Millis);
   cr_assert(B.S.PendingProbe.has_value());
   const std::uint64_t Sequence = B.S.PendingProbe->Sequence;
-  B.hear(ProbeAck{Sequence, {}, {}}, 2000, "b");
+  B.receive(ProbeAck{Sequence, {}, {}}, 2000, "b");
   cr_assert(B.S.PendingProbe.has_value());
-  B.hear(ProbeAck{Sequence, {}, {}}, 2001, "a");
+  B.receive(ProbeAck{Sequence, {}, {}}, 2001, "a");
   cr_assert(!B.S.PendingProbe.has_value());
 }
 
-// Guards against two halves of a data centre that never meet again when no
-// seed is left.
+// Guards against two halves of a partitioned data centre that never merge when
+// no seed is left.
 Test(membership, a_failed_member_is_asked_to_join_again) {
   Fixture B;
-  B.hear(Leave{member("a")}, 1);
+  B.receive(Leave{member("a")}, 1);
   Member Failed = member("a");
   Failed.Status = MemberStatus::Failed;
-  B.hear(Leave{Failed}, 2);
+  B.receive(Leave{Failed}, 2);
   std::size_t Joins = 0;
   for (std::int64_t Millis = 50; Millis <= 3000; Millis += 50) {
     B.step(Tick{}, Millis);
-    for (const Effect &One : B.Out)
-      if (const auto *Sent = std::get_if<SendMessage>(&One))
+    for (const Effect &Each : B.Out)
+      if (const auto *Sent = std::get_if<SendMessage>(&Each))
         Joins += Sent->To == "a:c" &&
                  std::holds_alternative<JoinRequest>(Sent->Payload);
   }
   cr_assert(Joins > 0);
 }
 
-// Guards against a relay or claim keeper that moves without a cause, and
-// against a tree that misses a node.
+// Guards against a lead or claim keeper that changes although its node is still
+// alive, and against a tree that does not reach each node.
 Test(ranking, a_loss_moves_only_its_own_keys_and_the_tree_reaches_all) {
   std::vector<core::NodeId> Nodes;
   Nodes.reserve(100);
--- a/tests/decision/NodeTest.cpp
+++ b/tests/decision/NodeTest.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-/// A fold for a log without records.
+/// Fold for a log without records.
 struct EmptyFold {
   static distribution::FoldedRecord
   apply(config::FleetState State, core::LogOffset, const std::string &) {
@@ -25,25 +25,25 @@
   }
 };
 
-NodeState loneNode() {
-  NodeSettings Own;
-  Own.Node = core::NodeId("n1");
-  Own.DataCentre = core::DataCentreId("d1");
-  Own.Region = core::RegionId("r1");
-  Own.ControlAddress = "n1:1";
-  Own.PeerAddress = "n1:2";
-  Own.LogRetention = core::Seconds(600);
-  Own.Folding = distribution::foldOf<EmptyFold>();
-  return NodeState(std::move(Own));
+NodeState singleNode() {
+  NodeSettings Settings;
+  Settings.Node = core::NodeId("n1");
+  Settings.DataCentre = core::DataCentreId("d1");
+  Settings.Region = core::RegionId("r1");
+  Settings.ControlAddress = "n1:1";
+  Settings.PeerAddress = "n1:2";
+  Settings.LogRetention = core::Seconds(600);
+  Settings.Folding = distribution::foldOf<EmptyFold>();
+  return NodeState(std::move(Settings));
 }
 
 } // namespace
 
-// Guards against a ready node whose probes say that it is not: its restarting
-// peers waited up to 8 s for another proof.
-Test(node, a_ready_node_tells_its_readiness_with_its_position) {
+// Guards against a ready node whose probes report that it is not ready: its
+// restarting peers waited up to 8 s for another proof.
+Test(node, a_ready_node_reports_its_readiness_with_its_position) {
   core::Instant Now{core::TimePoint(core::Seconds(10)), core::WallTime()};
-  auto Next = reduce(loneNode(), Started{}, Now);
+  auto Next = reduce(singleNode(), Started{}, Now);
   for (int I = 0; I < 100 && !Next.NextState.Distribution.Ready; ++I) {
     Now.Mono += core::Milliseconds(50);
     Next = reduce(std::move(Next.NextState), Tick{}, Now);
@@ -57,7 +57,7 @@
                     distribution::Event(distribution::LogRead{}), Now);
   }
   cr_assert(Next.NextState.Distribution.Ready,
-            "a lone node with an empty log is ready");
+            "a single node with an empty log did not become ready");
   cr_assert(Next.NextState.Membership.ConfigPosition.Ready,
-            "its probes say that it is not");
+            "its probes report that it is not ready");
 }
--- a/tests/scenario/FakeFold.cpp
+++ b/tests/scenario/FakeFold.cpp
@@ -6,8 +6,7 @@
 
 namespace {
 
-/// Makes a snapshot record larger than the bound above which records are sent
-/// in their reduced form.
+/// Makes a snapshot record larger than `ReductionThresholdBytes`.
 const std::string Padding(2000, '.');
 
 std::optional<config::LogRecord> parse(const std::string &Bytes) {
@@ -43,8 +42,8 @@
   return config::Accepted{State.Version};
 }
 
-config::RecordOutcome refuse(core::ErrorCode Why) {
-  return config::Refused{{Why, ""}};
+config::RecordOutcome refuse(core::ErrorCode Code) {
+  return config::Refused{{Code, ""}};
 }
 
 config::RecordOutcome outcome(config::FleetState &State,
--- a/tests/scenario/FakeFold.h
+++ b/tests/scenario/FakeFold.h
@@ -5,7 +5,7 @@
 
 namespace filbertvane::scenario {
 
-/// @brief Small stand-in for the records and the fold of the configuration.
+/// @brief Simplified records and fold of the configuration for tests.
 ///
 /// A record is text: `<writer> <sequence> <kind> <argument> ...`.
 struct FakeFold {
--- a/tests/scenario/RandomFaultsTest.cpp
+++ b/tests/scenario/RandomFaultsTest.cpp
@@ -6,11 +6,11 @@
 
 namespace {
 
-/// One fault or piece of work, chosen by three random numbers.
+/// Applies a fault or an operation chosen by three random numbers.
 void applyFault(Simulation &Sim, unsigned Kind, std::size_t A, std::size_t B) {
   const std::vector<std::string> All = Sim.nodesOf("all");
   const std::string &Name = All[A % All.size()];
-  const std::string Centre = "d" + std::to_string(A % 3 + 1);
+  const std::string DataCentre = "d" + std::to_string(A % 3 + 1);
   const std::string Other =
       B % 4 == 0 ? "log" : "d" + std::to_string(B % 3 + 1);
   switch (Kind % 10) {
@@ -23,7 +23,7 @@
     Sim.kill(Name);
     return Sim.start(Name);
   case 4:
-    return Sim.cut(Centre, Other);
+    return Sim.cut(DataCentre, Other);
   case 5:
     return Sim.heal();
   case 6:
@@ -33,21 +33,21 @@
     return Sim.pause(Holder.empty() || B % 2 ? Name : Holder);
   }
   case 8:
-    for (const std::string &One : All)
-      Sim.resume(One);
+    for (const std::string &Node : All)
+      Sim.resume(Node);
     return;
   default:
-    for (const std::string &One : Sim.nodesOf(Centre)) {
-      Sim.kill(One);
-      Sim.start(One);
+    for (const std::string &Node : Sim.nodesOf(DataCentre)) {
+      Sim.kill(Node);
+      Sim.start(Node);
     }
   }
 }
 
 } // namespace
 
-// Guards against any order of faults that lowers a version, applies a part of
-// a change, lets readers disagree or leaves two coordinators; and against a
+// Guards against an order of faults that lowers a version, applies a change
+// partially, makes two nodes differ or leaves two coordinators, and against a
 // fleet that does not recover afterwards.
 Test(random_faults, invariants_hold_and_the_fleet_recovers, .timeout = 100) {
   const bool Held = rc::check([] {
@@ -73,12 +73,12 @@
     Sim.runUntil(At);
     Sim.heal();
     Sim.logUp(true);
-    for (const std::string &One : Sim.nodesOf("all"))
-      Sim.resume(One);
+    for (const std::string &Node : Sim.nodesOf("all"))
+      Sim.resume(Node);
     Sim.publish(std::nullopt);
     Sim.runUntil(At + std::chrono::seconds(20));
-    for (const std::string &One : Sim.Violations)
-      RC_FAIL(One);
+    for (const std::string &Violation : Sim.Violations)
+      RC_FAIL(Violation);
     RC_ASSERT(Sim.inForce(""));
     RC_CLASSIFY(Sim.coordinator().empty(), "no coordinator after 20 s");
   });
--- a/tests/scenario/ScenarioTest.cpp
+++ b/tests/scenario/ScenarioTest.cpp
@@ -20,7 +20,7 @@
       core::Microseconds(static_cast<long>(Number * (Millis ? 1e3 : 1e6))));
 }
 
-/// Runs one scenario file; a line that is not understood is a failure.
+/// Runs one scenario file; an unknown line is a failure.
 class Scenario {
 public:
   explicit Scenario(const std::filesystem::path &File) : File(File) {}
@@ -30,83 +30,83 @@
     std::string Line;
     while (std::getline(In, Line)) {
       std::istringstream Split(Line.substr(0, Line.find('#')));
-      Words All;
+      Words Parsed;
       for (std::string Word; Split >> Word;)
-        All.push_back(Word);
-      if (!All.empty())
-        execute(All);
+        Parsed.push_back(Word);
+      if (!Parsed.empty())
+        execute(Parsed);
     }
     Sim.runUntil(End);
-    for (const std::string &One : Sim.Violations)
-      Failures.push_back(One);
+    for (const std::string &Violation : Sim.Violations)
+      Failures.push_back(Violation);
     if (Expectations == 0)
-      Failures.push_back("scenario expects nothing");
+      Failures.push_back("scenario has no expectation");
     return Failures;
   }
 
 private:
-  void execute(Words All) {
-    if (All[0] == "seed")
-      Sim.Seed = std::stoull(All.at(1));
-    else if (All[0] == "loss")
-      Sim.Loss = std::stod(All.at(1));
-    else if (All[0] == "duplicate")
-      Sim.Duplicates = std::stod(All.at(1));
-    else if (All[0] == "data-centres")
-      Sim.build(std::stoul(All.at(1)), std::stoul(All.at(3)));
-    else if (All[0] == "at")
-      schedule(timeOf(All.at(1)), Words(All.begin() + 2, All.end()));
-    else if (All[0] == "run")
-      End = timeOf(All.at(1));
+  void execute(Words Line) {
+    if (Line[0] == "seed")
+      Sim.Seed = std::stoull(Line.at(1));
+    else if (Line[0] == "loss")
+      Sim.Loss = std::stod(Line.at(1));
+    else if (Line[0] == "duplicate")
+      Sim.Duplicates = std::stod(Line.at(1));
+    else if (Line[0] == "data-centres")
+      Sim.build(std::stoul(Line.at(1)), std::stoul(Line.at(3)));
+    else if (Line[0] == "at")
+      schedule(timeOf(Line.at(1)), Words(Line.begin() + 2, Line.end()));
+    else if (Line[0] == "run")
+      End = timeOf(Line.at(1));
     else
-      Failures.push_back("unknown line: " + All[0]);
+      Failures.push_back("unknown line: " + Line[0]);
   }
 
-  void schedule(TimePoint When, const Words &What) {
-    Expectations += What[0] == "expect";
-    Sim.at(When, [this, When, What] {
-      if (What[0] == "expect")
-        expect(When, Words(What.begin() + 1, What.end()));
-      else if (!act(What))
-        Failures.push_back("unknown action: " + What[0]);
+  void schedule(TimePoint Time, const Words &Command) {
+    Expectations += Command[0] == "expect";
+    Sim.at(Time, [this, Time, Command] {
+      if (Command[0] == "expect")
+        expect(Time, Words(Command.begin() + 1, Command.end()));
+      else if (!act(Command))
+        Failures.push_back("unknown action: " + Command[0]);
     });
   }
 
-  std::vector<std::string> names(const std::string &Which) {
-    if (Which == "coordinator")
+  std::vector<std::string> names(const std::string &Selector) {
+    if (Selector == "coordinator")
       return {Paused = Sim.coordinator()};
-    if (Which == "paused")
+    if (Selector == "paused")
       return {Paused};
-    if (Which.starts_with("lead-"))
-      return {Sim.leadOf(Which.substr(5))};
-    if (Which == "all" || Which.starts_with("d"))
-      return Sim.nodesOf(Which);
-    return {Which};
+    if (Selector.starts_with("lead-"))
+      return {Sim.leadOf(Selector.substr(5))};
+    if (Selector == "all" || Selector.starts_with("d"))
+      return Sim.nodesOf(Selector);
+    return {Selector};
   }
 
-  bool act(const Words &What) {
-    const std::string Argument = What.size() > 1 ? What[1] : "";
-    if (What[0] == "publish")
+  bool act(const Words &Command) {
+    const std::string Argument = Command.size() > 1 ? Command[1] : "";
+    if (Command[0] == "publish")
       Sim.publish(Argument.empty() ? std::nullopt
                                    : std::optional(std::stoull(Argument)));
-    else if (What[0] == "step")
+    else if (Command[0] == "step")
       Sim.appendStep(std::stoull(Argument));
-    else if (What[0] == "cut")
-      Sim.cut(Argument, What.at(2));
-    else if (What[0] == "heal")
+    else if (Command[0] == "cut")
+      Sim.cut(Argument, Command.at(2));
+    else if (Command[0] == "heal")
       Sim.heal();
-    else if (What[0] == "log" && Argument == "trim")
+    else if (Command[0] == "log" && Argument == "trim")
       Sim.trimLog();
-    else if (What[0] == "log" && Argument == "snapshot")
+    else if (Command[0] == "log" && Argument == "snapshot")
       Sim.appendSnapshot();
-    else if (What[0] == "log")
+    else if (Command[0] == "log")
       Sim.logUp(Argument == "back");
     else
-      return actOnNodes(What[0], Argument);
+      return actOnNodes(Command[0], Argument);
     return true;
   }
 
-  bool actOnNodes(const std::string &What, const std::string &Which) {
+  bool actOnNodes(const std::string &Command, const std::string &Selector) {
     using Action = void (Simulation::*)(const std::string &);
     static const std::map<std::string, std::vector<Action>> Actions{
         {"kill", {&Simulation::kill}},
@@ -117,59 +117,63 @@
         {"announce", {&Simulation::announce}},
         {"leave", {&Simulation::leave}},
         {"drain", {&Simulation::drain}}};
-    const auto Found = Actions.find(What);
+    const auto Found = Actions.find(Command);
     if (Found == Actions.end())
       return false;
-    const std::vector<std::string> Names = names(Which);
-    for (const Action One : Found->second)
+    const std::vector<std::string> Names = names(Selector);
+    for (const Action Each : Found->second)
       for (const std::string &Name : Names)
-        (Sim.*One)(Name);
+        (Sim.*Each)(Name);
     return true;
   }
 
-  bool holds(const Words &What) {
-    const std::string Argument = What.size() > 1 ? What[1] : "";
-    if (What[0] == "in-force")
-      return Sim.inForce(Argument == "except" ? What.at(2) : "");
-    if (What[0] == "version")
+  bool holds(const Words &Expectation) {
+    const std::string Argument = Expectation.size() > 1 ? Expectation[1] : "";
+    if (Expectation[0] == "in-force")
+      return Sim.inForce(Argument == "except" ? Expectation.at(2) : "");
+    if (Expectation[0] == "version")
       return Sim.logVersion().value() == std::stoull(Argument);
-    if (What[0] == "ready" || What[0] == "not-ready")
-      return Sim.ready(Argument, What[0] == "ready");
-    if (What[0] == "members")
-      return Sim.sees(Argument, std::stoul(What.at(2)));
-    if (What[0] == "target-gone")
+    if (Expectation[0] == "ready" || Expectation[0] == "not-ready")
+      return Sim.ready(Argument, Expectation[0] == "ready");
+    if (Expectation[0] == "members")
+      return Sim.seesMembers(Argument, std::stoul(Expectation.at(2)));
+    if (Expectation[0] == "target-gone")
       return Sim.targetGone(Argument);
-    if (What[0] == "coordinator")
+    if (Expectation[0] == "coordinator")
       return !Sim.coordinator().empty();
-    if (What[0] == "other-coordinator")
+    if (Expectation[0] == "other-coordinator")
       return !Sim.coordinator().empty() && Sim.coordinator() != Paused;
-    if (What[0] == "no-coordinator")
+    if (Expectation[0] == "no-coordinator")
       return Sim.coordinator().empty();
-    // Checked at each step of the world; reported at its end.
-    if (What[0] == "one-coordinator" || What[0] == "no-lower-version")
+    // Checked at each step of the simulation; violations are also reported at
+    // its end.
+    if (Expectation[0] == "one-coordinator" ||
+        Expectation[0] == "no-lower-version")
       return Sim.Violations.empty();
-    Failures.push_back("unknown expectation: " + What[0]);
+    Failures.push_back("unknown expectation: " + Expectation[0]);
     return true;
   }
 
-  /// Holds now, or by the time after `within`.
-  void expect(TimePoint Since, const Words &What) {
-    if (holds(What))
+  /// Requires that the expectation holds now, or within the time after
+  /// `within`.
+  void expect(TimePoint Since, const Words &Expectation) {
+    if (holds(Expectation))
       return;
-    const auto Within = std::find(What.begin(), What.end(), "within");
-    const TimePoint Until = Within == What.end()
+    const auto Within =
+        std::find(Expectation.begin(), Expectation.end(), "within");
+    const TimePoint Until = Within == Expectation.end()
                                 ? Since
                                 : Since + (timeOf(*(Within + 1)) - TimePoint());
     if (Sim.now() >= Until) {
       std::string Text;
-      for (const std::string &Word : What)
+      for (const std::string &Word : Expectation)
         Text += Word + " ";
-      Failures.push_back(
-          fmt::format("at {} us: {}", Since.time_since_epoch().count(), Text));
+      Failures.push_back(fmt::format("expectation not met at {} us: {}",
+                                     Since.time_since_epoch().count(), Text));
       return;
     }
     Sim.at(Sim.now() + Milliseconds(10),
-           [this, Since, What] { expect(Since, What); });
+           [this, Since, Expectation] { expect(Since, Expectation); });
   }
 
   std::filesystem::path File;
@@ -190,7 +194,7 @@
 
 } // namespace
 
-// Each scenario names in its first lines the failure it guards against.
+// The first lines of each scenario file state the failure it guards against.
 #define SCENARIO(Name)                                                         \
   Test(scenario, Name) { check(#Name); }
 SCENARIO(member_failure)
