--- a/tests/scenario/Simulation.cpp
+++ b/tests/scenario/Simulation.cpp
@@ -22,8 +22,8 @@
 
 } // namespace
 
-void Simulation::at(TimePoint When, std::function<void()> What) {
-  Queue.push({When, Order++, std::move(What)});
+void Simulation::at(TimePoint Time, std::function<void()> Action) {
+  Queue.push({Time, Order++, std::move(Action)});
 }
 
 void Simulation::runUntil(TimePoint End) {
@@ -111,10 +111,10 @@
   SimNode &N = Nodes.at(Name);
   N.Paused = false;
   check(N);
-  auto Held = std::move(N.DeferredMessages);
+  auto Deferred = std::move(N.DeferredMessages);
   N.DeferredMessages.clear();
-  for (const auto &[From, What] : Held)
-    handle(N, From, What);
+  for (const auto &[From, Message] : Deferred)
+    handle(N, From, Message);
 }
 
 void Simulation::cut(const std::string &A, const std::string &B) {
@@ -180,14 +180,14 @@
       distribution::isLead(N.Distribution) && N.Distribution.Ready;
   step(N, lease::Event(lease::LeadChanged{Lead}));
   step(N, lease::Event(lease::Tick{}));
-  // Stands for the exchange of summaries and the long poll of the lease stream.
+  // Simulates the exchange of summaries and the long poll of the lease stream.
   if (Rng.below(20) == 0)
-    notifyRemoteLeads(N);
+    updateRemoteLeads(N);
   if (Lead && Rng.below(10) == 0)
     readLease(N);
 }
 
-void Simulation::notifyRemoteLeads(SimNode &N) {
+void Simulation::updateRemoteLeads(SimNode &N) {
   std::vector<distribution::RemoteLead> Leads;
   for (const auto &[Name, M] : Nodes)
     if (M.Up && M.DataCentre != N.DataCentre &&
@@ -198,7 +198,7 @@
   step(N, distribution::Event(distribution::RemoteLeadsChanged{Leads}));
 }
 
-/// Checks at each step that at most one node may act as the coordinator.
+/// Checks that at most one node may act as the coordinator.
 void Simulation::check(SimNode &N) {
   if (!N.Up || N.Paused || !lease::holdsLease(N.Lease, Clock))
     return;
@@ -226,8 +226,8 @@
 
 bool Simulation::inForce(const std::string &Except) const {
   const core::ConfigVersion Newest = logVersion();
-  return std::all_of(Nodes.begin(), Nodes.end(), [&](const auto &One) {
-    const SimNode &N = One.second;
+  return std::all_of(Nodes.begin(), Nodes.end(), [&](const auto &Entry) {
+    const SimNode &N = Entry.second;
     return !N.Up || N.DataCentre == Except ||
            (N.Distribution.Ready &&
             N.Distribution.ConfigPosition.Version == Newest);
@@ -235,16 +235,17 @@
 }
 
 bool Simulation::ready(const std::string &DataCentre, bool Ready) const {
-  return std::all_of(Nodes.begin(), Nodes.end(), [&](const auto &One) {
-    const SimNode &N = One.second;
+  return std::all_of(Nodes.begin(), Nodes.end(), [&](const auto &Entry) {
+    const SimNode &N = Entry.second;
     return !N.Up || (DataCentre != "all" && N.DataCentre != DataCentre) ||
            N.Distribution.Ready == Ready;
   });
 }
 
-bool Simulation::sees(const std::string &DataCentre, std::size_t Live) const {
-  return std::all_of(Nodes.begin(), Nodes.end(), [&](const auto &One) {
-    const SimNode &N = One.second;
+bool Simulation::seesMembers(const std::string &DataCentre,
+                             std::size_t Live) const {
+  return std::all_of(Nodes.begin(), Nodes.end(), [&](const auto &Entry) {
+    const SimNode &N = Entry.second;
     if (!N.Up || N.DataCentre != DataCentre)
       return true;
     const auto Known = membership::liveMembers(N.Membership);
--- a/tests/scenario/Simulation.h
+++ b/tests/scenario/Simulation.h
@@ -14,7 +14,7 @@
 using core::Milliseconds;
 using core::TimePoint;
 
-/// @brief A node of the fake network: the three reducers wired together.
+/// @brief Node of the simulated network, with its three reducers.
 struct SimNode {
   std::string Name;
   std::string DataCentre;
@@ -32,7 +32,7 @@
   core::ConfigVersion VersionInForce;
 };
 
-/// @brief Several data centres and the log on a fake clock.
+/// @brief Simulates several data centres and the log on a fake clock.
 class Simulation {
 public:
   /// @name Set-up
@@ -49,14 +49,15 @@
   void kill(const std::string &Name);
   void pause(const std::string &Name);
   void resume(const std::string &Name);
-  /// Cuts one data centre off from another one, or from `log`.
+  /// Blocks messages between two data centres or nodes, or between a data
+  /// centre and `log`.
   void cut(const std::string &A, const std::string &B);
   void heal() { Cuts.clear(); }
   void logUp(bool Up) { LogIsUp = Up; }
   void trimLog();
   /// @}
 
-  /// @name Work
+  /// @name Operations
   /// @{
   void publish(std::optional<std::uint64_t> Base);
   void appendStep(std::uint64_t Epoch);
@@ -72,14 +73,14 @@
   std::string coordinator() const;
   bool inForce(const std::string &Except) const;
   bool ready(const std::string &DataCentre, bool Ready) const;
-  bool sees(const std::string &DataCentre, std::size_t Live) const;
+  bool seesMembers(const std::string &DataCentre, std::size_t Live) const;
   bool targetGone(const std::string &Name) const;
   std::uint64_t bytes() const { return Bytes; }
   core::ConfigVersion logVersion() const;
   std::vector<std::string> nodesOf(const std::string &DataCentre) const;
   /// @}
 
-  void at(TimePoint When, std::function<void()> What);
+  void at(TimePoint Time, std::function<void()> Action);
   void runUntil(TimePoint End);
   TimePoint now() const { return Clock; }
   std::vector<std::string> Violations;
@@ -98,27 +99,27 @@
   core::Instant instant() const;
   void tick(const std::string &Name, std::uint64_t Process);
   void send(SimNode &From, const std::string &To,
-            const wire::ControlMessage &What);
+            const wire::ControlMessage &Message);
   void deliver(const std::string &To, const std::string &From,
-               const wire::ControlMessage &What);
-  void handle(SimNode &To, const std::string &From,
-              const wire::ControlMessage &What);
+               const wire::ControlMessage &Message);
+  void handle(SimNode &N, const std::string &From,
+              const wire::ControlMessage &Payload);
   bool connected(const SimNode &A, const SimNode &B) const;
   bool logReachable(const SimNode &From) const;
   core::Microseconds delay(const SimNode &A, const SimNode &B);
 
-  void step(SimNode &N, const decision::membership::Event &What);
-  void step(SimNode &N, const decision::distribution::Event &What);
-  void step(SimNode &N, const decision::lease::Event &What);
-  void runEffect(SimNode &N, const decision::membership::Effect &What);
-  void runEffect(SimNode &N, const decision::distribution::Effect &What);
-  void runEffect(SimNode &N, const decision::lease::Effect &What);
+  void step(SimNode &N, const decision::membership::Event &Event);
+  void step(SimNode &N, const decision::distribution::Event &Event);
+  void step(SimNode &N, const decision::lease::Event &Event);
+  void runEffect(SimNode &N, const decision::membership::Effect &Effect);
+  void runEffect(SimNode &N, const decision::distribution::Effect &Effect);
+  void runEffect(SimNode &N, const decision::lease::Effect &Effect);
   void onStateAdopted(SimNode &N,
-                      const decision::distribution::StateAdopted &What);
+                      const decision::distribution::StateAdopted &Adopted);
   void readLog(SimNode &N, core::LogOffset From, bool LongPoll);
-  void checkEnd(SimNode &N, core::LogOffset From);
+  void checkLogEnd(SimNode &N, core::LogOffset From);
   void readLease(SimNode &N);
-  void notifyRemoteLeads(SimNode &N);
+  void updateRemoteLeads(SimNode &N);
   void append(SimNode &N, std::function<void()> Effect);
   void check(SimNode &N);
 
@@ -135,7 +136,7 @@
   std::vector<std::string> Log;
   std::vector<decision::lease::Renewal> LeaseLog;
   std::uint64_t Sequence = 0;
-  /// Digest at each offset: all readers must agree with it.
+  /// State digest at each offset, equal on all nodes.
   std::map<core::LogOffset, core::Digest> Digests;
 };
 
--- a/tests/scenario/SimulationEffects.cpp
+++ b/tests/scenario/SimulationEffects.cpp
@@ -18,7 +18,8 @@
 constexpr std::size_t LogPage = 64;
 
 template <typename To, typename From> To widened(const From &Narrow) {
-  return std::visit([](const auto &One) { return To(One); }, Narrow);
+  return std::visit([](const auto &Alternative) { return To(Alternative); },
+                    Narrow);
 }
 
 } // namespace
@@ -33,7 +34,7 @@
   return LogIsUp && !Cuts.contains(std::minmax(From.DataCentre, Other));
 }
 
-/// Random delays also cross messages with each other.
+/// Random delays also reorder messages.
 core::Microseconds Simulation::delay(const SimNode &A, const SimNode &B) {
   const core::Microseconds Base =
       A.Region == B.Region ? LocalDelay : RegionDelay;
@@ -41,69 +42,70 @@
 }
 
 void Simulation::send(SimNode &From, const std::string &To,
-                      const wire::ControlMessage &What) {
+                      const wire::ControlMessage &Message) {
   const auto Found = Nodes.find(To);
   if (Found == Nodes.end() || !connected(From, Found->second))
     return;
-  // The real codec takes part in each scenario.
-  const core::Result<std::string> Encoded = wire::encode(What);
+  // Each message passes through the codec, so that scenarios test it as well.
+  const core::Result<std::string> Encoded = wire::encode(Message);
   const core::Result<wire::ControlMessage> Decoded =
       wire::decode(core::value(Encoded));
-  if (!core::ok(Decoded) || core::value(Decoded) != What)
-    Violations.push_back(fmt::format("codec: {}", What.index()));
+  if (!core::ok(Decoded) || core::value(Decoded) != Message)
+    Violations.push_back(
+        fmt::format("codec changed a message of kind {}", Message.index()));
   const int Copies = Rng.unit() < Loss ? 0 : Rng.unit() < Duplicates ? 2 : 1;
   Bytes += core::value(Encoded).size() + 4;
   for (int I = 0; I < Copies; ++I)
     at(Clock + delay(From, Found->second),
-       [this, To, Name = From.Name, What] { deliver(To, Name, What); });
+       [this, To, Name = From.Name, Message] { deliver(To, Name, Message); });
 }
 
 void Simulation::deliver(const std::string &To, const std::string &From,
-                         const wire::ControlMessage &What) {
+                         const wire::ControlMessage &Message) {
   SimNode &N = Nodes.at(To);
   if (!N.Up || !connected(N, Nodes.at(From)))
     return;
   if (N.Paused)
-    N.DeferredMessages.emplace_back(From, What);
+    N.DeferredMessages.emplace_back(From, Message);
   else
-    handle(N, From, What);
+    handle(N, From, Message);
 }
 
 void Simulation::handle(SimNode &N, const std::string &From,
-                        const wire::ControlMessage &What) {
+                        const wire::ControlMessage &Payload) {
   const decision::Peer Sender{core::NodeId(From), From};
   std::visit(core::Overloaded{
-                 [&](const distribution::RecordBatch &One) {
+                 [&](const distribution::RecordBatch &Message) {
                    step(N, distribution::Event(
-                               distribution::RecordsReceived{Sender, One}));
+                               distribution::RecordsReceived{Sender, Message}));
                  },
-                 [&](const distribution::RecordsRequest &One) {
-                   step(N, distribution::Event(
-                               distribution::RecordsRequested{Sender, One}));
+                 [&](const distribution::RecordsRequest &Message) {
+                   step(N, distribution::Event(distribution::RecordsRequested{
+                               Sender, Message}));
                  },
-                 [&](const distribution::Snapshot &One) {
-                   step(N, distribution::Event(
-                               distribution::SnapshotReceived{Sender, One}));
+                 [&](const distribution::Snapshot &Message) {
+                   step(N, distribution::Event(distribution::SnapshotReceived{
+                               Sender, Message}));
                  },
-                 [&](const auto &One) {
+                 [&](const auto &Message) {
                    if constexpr (std::is_constructible_v<membership::Message,
-                                                         decltype(One)>)
+                                                         decltype(Message)>)
                      step(N, membership::Event(
-                                 membership::MessageReceived{Sender, One}));
+                                 membership::MessageReceived{Sender, Message}));
                  }},
-             What);
+             Payload);
 }
 
-void Simulation::step(SimNode &N, const membership::Event &What) {
-  auto Next = membership::reduce(std::move(N.Membership), What, instant());
+void Simulation::step(SimNode &N, const membership::Event &Event) {
+  auto Next = membership::reduce(std::move(N.Membership), Event, instant());
   N.Membership = std::move(Next.NextState);
-  for (const membership::Effect &One : Next.EmittedEffects)
-    runEffect(N, One);
+  for (const membership::Effect &Effect : Next.EmittedEffects)
+    runEffect(N, Effect);
 }
 
-void Simulation::step(SimNode &N, const distribution::Event &What) {
+void Simulation::step(SimNode &N, const distribution::Event &Event) {
   const decision::Position Before = N.Distribution.ConfigPosition;
-  auto Next = distribution::reduce(std::move(N.Distribution), What, instant());
+  auto Next = distribution::reduce(std::move(N.Distribution), Event, instant());
   N.Distribution = std::move(Next.NextState);
   const decision::Position &After = N.Distribution.ConfigPosition;
   if (After.Version < Before.Version || After.NextOffset < Before.NextOffset)
@@ -113,109 +115,106 @@
       Violations.push_back(fmt::format("lower version in force at {}", N.Name));
     N.VersionInForce = std::max(N.VersionInForce, After.Version);
   }
-  for (const distribution::Effect &One : Next.EmittedEffects)
-    runEffect(N, One);
+  for (const distribution::Effect &Effect : Next.EmittedEffects)
+    runEffect(N, Effect);
   if (After != Before)
     step(N, membership::Event(
                 membership::OwnPositionChanged{N.Distribution.ConfigPosition}));
 }
 
-void Simulation::step(SimNode &N, const lease::Event &What) {
-  auto Next = lease::reduce(std::move(N.Lease), What, instant());
+void Simulation::step(SimNode &N, const lease::Event &Event) {
+  auto Next = lease::reduce(std::move(N.Lease), Event, instant());
   N.Lease = std::move(Next.NextState);
-  for (const lease::Effect &One : Next.EmittedEffects)
-    runEffect(N, One);
+  for (const lease::Effect &Effect : Next.EmittedEffects)
+    runEffect(N, Effect);
 }
 
-void Simulation::runEffect(SimNode &N, const membership::Effect &What) {
+void Simulation::runEffect(SimNode &N, const membership::Effect &Effect) {
   std::visit(
       core::Overloaded{
-          [&](const membership::SendMessage &One) {
-            send(N, One.To, widened<wire::ControlMessage>(One.Payload));
+          [&](const membership::SendMessage &E) {
+            send(N, E.To, widened<wire::ControlMessage>(E.Payload));
           },
-          [&](const membership::EndpointsChanged &One) {
+          [&](const membership::EndpointsChanged &E) {
             std::vector<distribution::TreeMember> Live;
-            for (const membership::Member &M : One.LiveMembers)
+            for (const membership::Member &M : E.LiveMembers)
               Live.push_back({{M.Node, M.ControlAddress},
                               M.Status == membership::MemberStatus::Suspect});
             step(N, distribution::Event(distribution::MembersChanged{Live}));
           },
-          [&](const membership::PositionReported &One) {
+          [&](const membership::PositionReported &E) {
             step(N, distribution::Event(distribution::PeerPositionReported{
-                        One.From, One.ConfigPosition}));
+                        E.From, E.ConfigPosition}));
           },
-          [&](const observe::LogEvent &One) { Events.insert(One.Id); },
+          [&](const observe::LogEvent &E) { Events.insert(E.Id); },
           [](const membership::MemberFailed &) {}},
-      What);
+      Effect);
 }
 
-void Simulation::runEffect(SimNode &N, const distribution::Effect &What) {
-  std::visit(core::Overloaded{
-                 [&](const distribution::ReadLog &One) {
-                   readLog(N, One.Offset, One.LongPoll);
-                 },
-                 [&](const distribution::CheckLogEnd &One) {
-                   checkEnd(N, One.Offset);
-                 },
-                 [&](const distribution::RequestLogEnd &One) {
-                   send(N, One.To, One.Request);
-                 },
-                 [&](const distribution::SendRecords &One) {
-                   send(N, One.To, One.Batch);
-                 },
-                 [&](const distribution::RequestRecords &One) {
-                   send(N, One.To, One.Request);
-                 },
-                 [&](const distribution::SendSnapshot &One) {
-                   send(N, One.To, One.Payload);
-                 },
-                 [&](const distribution::StateAdopted &One) {
-                   onStateAdopted(N, One);
-                 },
-                 [&](const distribution::ReadyChanged &One) {
-                   step(N, membership::Event(
-                               membership::OwnReadinessChanged{One.Ready}));
-                 },
-                 [&](const observe::LogEvent &One) { Events.insert(One.Id); }},
-             What);
+void Simulation::runEffect(SimNode &N, const distribution::Effect &Effect) {
+  std::visit(
+      core::Overloaded{
+          [&](const distribution::ReadLog &E) {
+            readLog(N, E.Offset, E.LongPoll);
+          },
+          [&](const distribution::CheckLogEnd &E) { checkLogEnd(N, E.Offset); },
+          [&](const distribution::RequestLogEnd &E) {
+            send(N, E.To, E.Request);
+          },
+          [&](const distribution::SendRecords &E) { send(N, E.To, E.Batch); },
+          [&](const distribution::RequestRecords &E) {
+            send(N, E.To, E.Request);
+          },
+          [&](const distribution::SendSnapshot &E) {
+            send(N, E.To, E.Payload);
+          },
+          [&](const distribution::StateAdopted &E) { onStateAdopted(N, E); },
+          [&](const distribution::ReadyChanged &E) {
+            step(N,
+                 membership::Event(membership::OwnReadinessChanged{E.Ready}));
+          },
+          [&](const observe::LogEvent &E) { Events.insert(E.Id); }},
+      Effect);
 }
 
-void Simulation::runEffect(SimNode &N, const lease::Effect &What) {
-  std::visit(core::Overloaded{
-                 [&](const lease::AppendRenewal &One) {
-                   append(N, [this, One] { LeaseLog.push_back(One.Record); });
-                 },
-                 [&](const lease::AppendClaim &One) {
-                   append(N,
-                          [this, &N, One, Writer = N.Lease.Local.Writer.value(),
-                           Number = ++N.Claims] {
-                            Log.push_back(claimRecord(Writer, Number, N.Name,
-                                                      One.NewEpoch.value()));
-                          });
-                 },
-                 [&](const observe::LogEvent &One) { Events.insert(One.Id); },
-                 [](const auto &) {}},
-             What);
+void Simulation::runEffect(SimNode &N, const lease::Effect &Effect) {
+  std::visit(
+      core::Overloaded{[&](const lease::AppendRenewal &E) {
+                         append(N, [this, E] { LeaseLog.push_back(E.Record); });
+                       },
+                       [&](const lease::AppendClaim &E) {
+                         append(N, [this, &N, E,
+                                    Writer = N.Lease.Local.Writer.value(),
+                                    Number = ++N.Claims] {
+                           Log.push_back(claimRecord(Writer, Number, N.Name,
+                                                     E.NewEpoch.value()));
+                         });
+                       },
+                       [&](const observe::LogEvent &E) { Events.insert(E.Id); },
+                       [](const auto &) {}},
+      Effect);
 }
 
-/// All readers of one offset must have the same digest: a partial or different
-/// state shows here.
+/// Checks that all nodes have the same digest at the same offset, which detects
+/// partial or different states.
 void Simulation::onStateAdopted(SimNode &N,
-                                const distribution::StateAdopted &What) {
-  const auto [Known, New] = Digests.emplace(What.ConfigPosition.NextOffset,
-                                            What.ConfigPosition.StateDigest);
-  if (Known->second != What.ConfigPosition.StateDigest)
-    Violations.push_back(fmt::format("readers disagree at {}", N.Name));
-  if (What.Records.empty())
-    step(N, lease::Event(lease::EpochAdopted{What.State->LeaseHolder,
-                                             What.State->CurrentEpoch}));
-  for (const distribution::AppliedRecord &One : What.Records) {
-    if (!One.Record || !std::holds_alternative<config::Noted>(One.Outcome))
+                                const distribution::StateAdopted &Adopted) {
+  const auto [Known, New] = Digests.emplace(Adopted.ConfigPosition.NextOffset,
+                                            Adopted.ConfigPosition.StateDigest);
+  if (Known->second != Adopted.ConfigPosition.StateDigest)
+    Violations.push_back(fmt::format(
+        "state digest at {} differs from the one of another node", N.Name));
+  if (Adopted.Records.empty())
+    step(N, lease::Event(lease::EpochAdopted{Adopted.State->LeaseHolder,
+                                             Adopted.State->CurrentEpoch}));
+  for (const distribution::AppliedRecord &Applied : Adopted.Records) {
+    if (!Applied.Record ||
+        !std::holds_alternative<config::Noted>(Applied.Outcome))
       continue;
     if (const auto *Claim =
-            std::get_if<config::LeaseClaimed>(&One.Record->Body))
-      step(N, lease::Event(lease::ClaimFolded{One.Record->Writer, Claim->Holder,
-                                              Claim->NewEpoch}));
+            std::get_if<config::LeaseClaimed>(&Applied.Record->Body))
+      step(N, lease::Event(lease::ClaimFolded{Applied.Record->Writer,
+                                              Claim->Holder, Claim->NewEpoch}));
   }
 }
 
@@ -252,7 +251,7 @@
   });
 }
 
-void Simulation::checkEnd(SimNode &N, core::LogOffset From) {
+void Simulation::checkLogEnd(SimNode &N, core::LogOffset From) {
   const std::uint64_t Process = N.Process;
   at(Clock + LogDelay, [this, &N, From, Process] {
     if (N.Process != Process)
