--- a/lib/decision/EvidenceMessages.cpp
+++ b/lib/decision/EvidenceMessages.cpp
@@ -9,7 +9,7 @@
   return {Of.Counts.begin(), Of.Counts.end()};
 }
 
-/// Counts beyond the buckets of this process are dropped.
+/// Ignores counts beyond the buckets that this process knows.
 rollout::LatencyHistogram fromCounts(const std::vector<std::uint64_t> &Counts) {
   rollout::LatencyHistogram Histogram;
   const std::size_t Shared = std::min(Counts.size(), Histogram.Counts.size());
@@ -43,7 +43,7 @@
         .push_back(Each.RequestDigest);
 }
 
-/// A route may have counts, crashes, or both.
+/// Merges counts and crashes of each route; a route may have only one of them.
 std::vector<wire::RouteEvidence> routesOf(const rollout::Evidence &Report,
                                           const config::MoveId &Move) {
   std::map<core::RouteName, wire::RouteEvidence> Routes;
