--- a/include/filbertvane/decision/mesh/Events.h
+++ b/include/filbertvane/decision/mesh/Events.h
@@ -66,12 +66,11 @@
   core::ServiceName Service;
 };
 
-using Event =
-    std::variant<request::CallArrived, request::AnswerStarted,
-                 request::AttemptEnded, request::CallerGone, TargetAnnounced,
-                 TargetDeregistered, ReportHeard, ReportsLearned,
-                 RoutingLearned, PositionReached, MoveOrdered, MoveEndKnown,
-                 StoreChanged, ServiceAssigned, StopAnnounced, request::Tick>;
+using Event = std::variant<
+    request::CallArrived, request::AnswerStarted, request::AttemptEnded,
+    request::CallerDisconnected, TargetAnnounced, TargetDeregistered,
+    ReportHeard, ReportsLearned, RoutingLearned, PositionReached, MoveOrdered,
+    MoveEndKnown, StoreChanged, ServiceAssigned, StopAnnounced, request::Tick>;
 /// @}
 
 /// @name Effects
--- a/include/filbertvane/decision/request/Admission.h
+++ b/include/filbertvane/decision/request/Admission.h
@@ -10,19 +10,19 @@
 namespace filbertvane::decision::request {
 
 /// @brief A request that asks for a slot of the own target.
-struct Applicant {
+struct SlotRequest {
   core::CallId Id;
   config::TrafficKind Kind = config::TrafficKind::Interactive;
   core::TimePoint Deadline;
   std::uint64_t Bytes = 0;
   /// A suspect: it runs while no other request runs.
-  bool Alone = false;
+  bool Exclusive = false;
 };
 
 /// @brief Whether a request starts, waits or is refused; the last with reason.
-struct Admitted {
-  enum class Kind { Start, Wait, Refuse } What = Kind::Refuse;
-  core::ErrorCode Why = core::ErrorCode::RequestQueueFull;
+struct AdmissionDecision {
+  enum class Kind { Start, Wait, Refuse } Action = Kind::Refuse;
+  core::ErrorCode Reason = core::ErrorCode::RequestQueueFull;
 };
 
 /// @brief Slots and queue of one own target.
@@ -33,8 +33,8 @@
 class Admission {
 public:
   struct Bounds {
-    std::size_t Entries = 512;
-    std::uint64_t BulkBytes = 64ULL << 20;
+    std::size_t MaxQueueEntries = 512;
+    std::uint64_t MaxBulkBytes = 64ULL << 20;
     /// Refuse interactive requests that cannot finish in time.
     bool ShedByDeadline = true;
   };
@@ -45,21 +45,21 @@
   /// @name Requests
   /// @{
   /// @brief Decides about a new request.
-  Admitted arrive(const Applicant &Who, core::TimePoint Now);
+  AdmissionDecision admit(const SlotRequest &Who, core::TimePoint Now);
   /// @brief A request that was started ended.
   /// @param Took time at the target when it answered
-  void finished(const Applicant &Who, std::optional<core::Microseconds> Took);
+  void finish(const SlotRequest &Who, std::optional<core::Microseconds> Took);
   /// @brief Withdraws a waiting request.
-  void withdraw(const Applicant &Who);
+  void withdraw(const SlotRequest &Who);
   /// @brief Adds the announced bytes of an answer to a started bulk request.
-  void addBytes(Applicant &Who, std::uint64_t More);
+  void addBytes(SlotRequest &Who, std::uint64_t More);
 
   /// @brief Next waiting request to start or to refuse, if any now.
-  struct Turn {
+  struct Dequeued {
     core::CallId Id;
-    Admitted Verdict;
+    AdmissionDecision Decision;
   };
-  std::optional<Turn> next(core::TimePoint Now);
+  std::optional<Dequeued> dequeue(core::TimePoint Now);
   /// @}
 
   /// @name Target
@@ -77,48 +77,49 @@
   /// @name Observation
   /// @{
   std::uint32_t slots() const { return Slots; }
-  std::uint32_t inUse() const { return InUse; }
-  std::size_t waiting() const;
+  std::uint32_t slotsInUse() const { return SlotsInUse; }
+  std::size_t queueLength() const;
   bool closed() const { return Closed; }
   std::uint64_t bulkBytes() const { return BulkBytes; }
-  core::Microseconds expectedTime(config::TrafficKind Kind) const;
+  core::Microseconds expectedServiceTime(config::TrafficKind Kind) const;
   /// @}
 
 private:
   using Key = std::pair<core::TimePoint, core::CallId>;
-  struct Waiting {
-    Key Order;
+  struct QueueEntry {
+    Key SortKey;
     std::uint64_t Bytes = 0;
-    friend auto operator<=>(const Waiting &, const Waiting &) = default;
+    friend auto operator<=>(const QueueEntry &, const QueueEntry &) = default;
   };
-  struct ServiceTime {
+  struct ServiceTimeStats {
     double MeanUs = 0;
     double DeviationUs = 0;
-    void note(core::Microseconds Took);
+    void add(core::Microseconds Took);
   };
 
   bool fits(config::TrafficKind Kind, std::uint64_t Bytes) const;
-  bool tooLate(const Applicant &Who, core::TimePoint Now) const;
-  bool overdue(config::TrafficKind Kind, core::TimePoint Deadline,
-               core::TimePoint Now) const;
+  bool missesDeadlineInQueue(const SlotRequest &Who, core::TimePoint Now) const;
+  bool missesDeadline(config::TrafficKind Kind, core::TimePoint Deadline,
+                      core::TimePoint Now) const;
   void start(config::TrafficKind Kind, std::uint64_t Bytes, bool Alone);
-  std::optional<Turn> nextSuspect(core::TimePoint Now);
-  std::optional<Turn> nextOf(config::TrafficKind Kind, core::TimePoint Now);
-  std::set<Waiting> &queue(config::TrafficKind Kind);
-  const std::set<Waiting> &queue(config::TrafficKind Kind) const;
+  std::optional<Dequeued> dequeueSuspect(core::TimePoint Now);
+  std::optional<Dequeued> dequeueKind(config::TrafficKind Kind,
+                                      core::TimePoint Now);
+  std::set<QueueEntry> &queue(config::TrafficKind Kind);
+  const std::set<QueueEntry> &queue(config::TrafficKind Kind) const;
 
   std::uint32_t Slots;
   Bounds Limits;
-  std::uint32_t InUse = 0;
+  std::uint32_t SlotsInUse = 0;
   std::uint64_t BulkBytes = 0;
   std::uint32_t BulkInUse = 0;
   bool Closed = false;
-  bool AloneRuns = false;
+  bool ExclusiveRunning = false;
   /// Starts since a patient or bulk request last had its turn.
-  std::uint32_t SinceOthers = 0;
-  std::array<std::set<Waiting>, 3> Queues;
-  std::set<Waiting> Suspects;
-  std::array<ServiceTime, 3> Observed;
+  std::uint32_t InteractiveStarts = 0;
+  std::array<std::set<QueueEntry>, 3> Queues;
+  std::set<QueueEntry> SuspectQueue;
+  std::array<ServiceTimeStats, 3> ServiceTimes;
 };
 
 } // namespace filbertvane::decision::request
--- a/include/filbertvane/decision/request/Call.h
+++ b/include/filbertvane/decision/request/Call.h
@@ -42,19 +42,19 @@
   /// @name Progress
   /// @{
   CallPhase Phase = CallPhase::Sent;
-  core::AttemptId Current;
-  TargetIndex At = NoTarget;
+  core::AttemptId CurrentAttempt;
+  TargetIndex CurrentTarget = NoTarget;
   core::TimePoint SentAt;
-  std::optional<core::Microseconds> FirstByte;
+  std::optional<core::Microseconds> TimeToFirstByte;
   int Status = 0;
   /// Slot or queue entry of an own target.
-  Applicant Slot;
+  SlotRequest Slot;
   std::uint64_t BytesInFlight = 0;
   std::vector<TargetIndex> Tried;
   /// An earlier attempt had no answer.
   bool MayHaveRun = false;
   /// It runs under its key, so its result is kept.
-  bool Runner = false;
+  bool ClaimsKey = false;
   /// The caller went away; the request goes on for its repeats.
   bool Detached = false;
   /// @}
--- a/include/filbertvane/decision/request/Events.h
+++ b/include/filbertvane/decision/request/Events.h
@@ -10,7 +10,7 @@
 namespace filbertvane::decision::request {
 
 /// Largest answer that is kept for repeats, in bytes (docs/design.md, 9).
-inline constexpr std::size_t KeptAnswerLimit = std::size_t{64} * 1024;
+inline constexpr std::size_t MaxKeptAnswerBytes = std::size_t{64} * 1024;
 
 /// @name Values
 /// @{
@@ -29,7 +29,7 @@
 /// evicted its memory of a key, never takes an earlier claim for its own.
 struct ClaimOwner {
   core::NodeId Node;
-  core::Incarnation Start;
+  core::Incarnation Incarnation;
   core::CallId Call;
 
   friend auto operator<=>(const ClaimOwner &, const ClaimOwner &) = default;
@@ -45,7 +45,7 @@
 };
 
 /// @brief What the owner of a key says about its request.
-enum class KeptState { Running, Answered, NotRun, Unknown };
+enum class KeptResultState { Running, Answered, NotRun, Unknown };
 
 /// @brief Where a request is sent for one attempt.
 struct Destination {
@@ -75,7 +75,7 @@
   /// Concurrent requests that the target can run.
   std::uint32_t Slots = 0;
   /// Time at which the target was first announced, for warm-up.
-  core::TimePoint Since;
+  core::TimePoint AnnouncedAt;
 
   friend auto operator<=>(const Endpoint &, const Endpoint &) = default;
 };
@@ -106,7 +106,7 @@
   /// No answer after hand-over; it may have run.
   NoAnswer,
   /// The answer broke off after its first byte was passed on.
-  BrokenOff,
+  Truncated,
 };
 /// @}
 
@@ -167,10 +167,10 @@
   /// No connection could be made; meaningful with `NotRun`.
   bool Unreachable = false;
   /// The whole answer, when `StartAttempt::KeepAnswer` was set and it fits
-  /// `KeptAnswerLimit`.
-  std::shared_ptr<const KeptAnswer> Kept;
+  /// `MaxKeptAnswerBytes`.
+  std::shared_ptr<const KeptAnswer> FullAnswer;
   /// The target itself saw the request, also when it refused it.
-  bool Reached = false;
+  bool ReachedTarget = false;
   /// Another target than the expected one stands at the address.
   bool Misdirected = false;
   std::optional<TargetLoad> Load = std::nullopt;
@@ -178,7 +178,7 @@
   std::uint64_t AnswerBytes = 0;
 };
 /// @brief The caller closed its connection.
-struct CallerGone {
+struct CallerDisconnected {
   core::CallId Id;
 };
 /// @brief A claim was decided by the log.
@@ -187,14 +187,14 @@
   /// Claim that is first in log order; this node may run the request iff it is
   /// its own.
   ClaimOwner Owner;
-  std::optional<core::Error> Undecided;
+  std::optional<core::Error> Failure;
 };
 /// @brief The owner of a key replied to `AnswerFromOwner`, or is gone.
 struct OwnerReplied {
   core::CallId Id;
   /// `Answered`: the answer was passed on. `Unknown` also when the owner
   /// cannot be reached.
-  KeptState State = KeptState::Unknown;
+  KeptResultState State = KeptResultState::Unknown;
 };
 /// @brief Another node asks this one, the owner of a key, for its result.
 struct KeptResultRequested {
@@ -229,10 +229,11 @@
 /// @brief Periodic event for deadlines, ejection and budgets.
 struct Tick {};
 
-using Event = std::variant<CallArrived, AnswerStarted, AttemptEnded, CallerGone,
-                           ClaimDecided, OwnerReplied, KeptResultRequested,
-                           SuspectLearned, ConfigurationChanged,
-                           EndpointsChanged, TargetLeaving, DrainStarted, Tick>;
+using Event =
+    std::variant<CallArrived, AnswerStarted, AttemptEnded, CallerDisconnected,
+                 ClaimDecided, OwnerReplied, KeptResultRequested,
+                 SuspectLearned, ConfigurationChanged, EndpointsChanged,
+                 TargetLeaving, DrainStarted, Tick>;
 /// @}
 
 /// @name Effects
@@ -247,7 +248,7 @@
   core::ServiceName Service;
   core::RouteName Route;
   /// Use only a connection that was just proved live, or a new one.
-  bool NeedsProvenConnection = false;
+  bool NeedsVerifiedConnection = false;
   /// Hand the whole answer back with `AttemptEnded::Kept`.
   bool KeepAnswer = false;
   /// Crashes ascribed to the request so far; sent along to a node.
@@ -285,7 +286,7 @@
   /// Time after which the caller should ask again.
   std::optional<core::Milliseconds> RetryAfter = std::nullopt;
   /// The target itself saw the request.
-  bool Reached = false;
+  bool ReachedTarget = false;
   /// Load of the target, for the node that sent the request.
   std::optional<TargetLoad> Load = std::nullopt;
 };
@@ -313,7 +314,7 @@
   std::shared_ptr<const KeptAnswer> Answer;
 };
 /// @brief One answer as evidence for a move.
-struct Observed {
+struct ObservedAnswer {
   core::ServiceName Service;
   core::RouteName Route;
   core::TargetVersion Version;
@@ -335,7 +336,7 @@
 
 using Effect = std::variant<StartAttempt, DeliverAnswer, CancelAttempt, Refuse,
                             RequestClaim, AnswerFromOwner, SendKeptAnswer,
-                            Observed, SuspectReported, observe::LogEvent>;
+                            ObservedAnswer, SuspectReported, observe::LogEvent>;
 using Effects = std::vector<Effect>;
 /// @}
 
--- a/include/filbertvane/decision/request/RetryBudget.h
+++ b/include/filbertvane/decision/request/RetryBudget.h
@@ -12,17 +12,17 @@
 class RetryBudget {
 public:
   /// Thousandths of a retry that one success earns.
-  static constexpr std::uint32_t EarnedPerSuccess = 100;
+  static constexpr std::uint32_t ThousandthsPerSuccess = 100;
   /// Most retries that can be saved.
-  static constexpr std::uint32_t MostSaved = 10;
+  static constexpr std::uint32_t MaxRetries = 10;
 
-  void succeeded();
+  void recordSuccess();
   /// @brief Takes one retry; false when the budget is used up.
-  bool take();
-  std::uint32_t saved() const { return Thousandths / 1000; }
+  bool tryConsume();
+  std::uint32_t available() const { return Thousandths / 1000; }
 
 private:
-  std::uint32_t Thousandths = MostSaved * 1000;
+  std::uint32_t Thousandths = MaxRetries * 1000;
 };
 
 } // namespace filbertvane::decision::request
--- a/include/filbertvane/decision/request/SpillGauge.h
+++ b/include/filbertvane/decision/request/SpilloverEstimator.h
@@ -1,5 +1,5 @@
-#ifndef FILBERTVANE_DECISION_REQUEST_SPILLGAUGE_H
-#define FILBERTVANE_DECISION_REQUEST_SPILLGAUGE_H
+#ifndef FILBERTVANE_DECISION_REQUEST_SPILLOVERESTIMATOR_H
+#define FILBERTVANE_DECISION_REQUEST_SPILLOVERESTIMATOR_H
 
 namespace filbertvane::decision::request {
 
@@ -9,12 +9,12 @@
 /// Load refusals of near targets raise the spilled share and answers lower it.
 /// It settles where one in 20 requests sent to near targets is refused: that
 /// keeps the near targets full, and the refused part fits the retry budget.
-class SpillGauge {
+class SpilloverEstimator {
 public:
   /// @brief A near target refused for load.
-  void refused();
+  void recordRefused();
   /// @brief A near target took a request.
-  void taken();
+  void recordAccepted();
   /// @brief Whether the next request skips the near targets.
   bool spillNext();
   /// @brief Spilled share, 0 to 1.
@@ -27,4 +27,4 @@
 
 } // namespace filbertvane::decision::request
 
-#endif // FILBERTVANE_DECISION_REQUEST_SPILLGAUGE_H
+#endif // FILBERTVANE_DECISION_REQUEST_SPILLOVERESTIMATOR_H
--- a/include/filbertvane/decision/request/State.h
+++ b/include/filbertvane/decision/request/State.h
@@ -5,7 +5,7 @@
 #include "filbertvane/decision/request/Call.h"
 #include "filbertvane/decision/request/RetryBudget.h"
 #include "filbertvane/decision/request/Settings.h"
-#include "filbertvane/decision/request/SpillGauge.h"
+#include "filbertvane/decision/request/SpilloverEstimator.h"
 #include "filbertvane/decision/request/Suspects.h"
 #include "filbertvane/decision/request/VersionSelector.h"
 #include "filbertvane/decision/request/claims/KeptResults.h"
@@ -28,7 +28,7 @@
   bool HasIdempotentRoute = false;
   VersionSelector Selector;
   RetryBudget Retries;
-  SpillGauge Spill;
+  SpilloverEstimator Spillover;
   std::vector<VersionPool> Pools;
 
   VersionPool *poolOf(const core::TargetVersion &Version);
@@ -36,7 +36,7 @@
 
 /// @brief Deadline of a call, for the queue of deadlines.
 struct Expiry {
-  core::TimePoint At;
+  core::TimePoint Deadline;
   core::CallId Id;
   friend auto operator<=>(const Expiry &, const Expiry &) = default;
 };
@@ -45,8 +45,8 @@
 struct StateFields {
   explicit StateFields(Settings Own);
 
-  Settings Own;
-  core::Random Source;
+  Settings Config;
+  core::Random Rng;
   bool Draining = false;
 
   /// @name Configuration and targets
@@ -56,7 +56,7 @@
   std::unordered_map<core::ServiceName, ServiceState> Services;
   TargetTable Targets;
   /// Slots and queues of the own targets.
-  std::map<TargetIndex, Admission> OwnTargets;
+  std::map<TargetIndex, Admission> LocalTargets;
   /// @}
 
   /// @name Calls
@@ -67,9 +67,9 @@
   std::vector<Expiry> Expiries;
   /// Next search for targets to eject or to re-admit.
   core::TimePoint NextReview;
-  std::uint64_t LastAttempt = 0;
+  std::uint64_t LastAttemptId = 0;
   claims::KeptResults Results;
-  Suspects Crashed;
+  Suspects KnownSuspects;
   /// @}
 };
 
--- a/include/filbertvane/decision/request/Suspects.h
+++ b/include/filbertvane/decision/request/Suspects.h
@@ -12,31 +12,31 @@
 /// one alone.
 inline constexpr std::uint32_t CrashesToRefuse = 2;
 /// Time after which a suspect is forgotten.
-inline constexpr core::Seconds SuspectTime{600};
+inline constexpr core::Seconds SuspectRetention{600};
 
 /// @brief Requests that ran when their target crashed.
 class Suspects {
 public:
-  explicit Suspects(std::size_t Most = 1024) : Most(Most) {}
+  explicit Suspects(std::size_t Most = 1024) : MaxEntries(Most) {}
 
   /// @brief Crashes ascribed to a request.
   std::uint32_t crashes(core::Digest Request, core::TimePoint Now) const;
   /// @brief Records a number of crashes; a lower one changes nothing.
   /// @return true when another suspect had to be dropped
-  bool note(core::Digest Request, std::uint32_t Crashes, core::TimePoint Now);
+  bool record(core::Digest Request, std::uint32_t Crashes, core::TimePoint Now);
   /// @brief The request ran alone and its target survived.
-  void clear(core::Digest Request) { Known.erase(Request); }
+  void clear(core::Digest Request) { Records.erase(Request); }
   /// @brief Forgets suspects whose time is over.
   void expire(core::TimePoint Now);
-  std::size_t size() const { return Known.size(); }
+  std::size_t size() const { return Records.size(); }
 
 private:
   struct Record {
     std::uint32_t Crashes = 0;
     core::TimePoint Until;
   };
-  std::size_t Most;
-  std::unordered_map<core::Digest, Record> Known;
+  std::size_t MaxEntries;
+  std::unordered_map<core::Digest, Record> Records;
 };
 
 } // namespace filbertvane::decision::request
--- a/include/filbertvane/decision/request/TargetPicker.h
+++ b/include/filbertvane/decision/request/TargetPicker.h
@@ -58,8 +58,8 @@
 using AnyPicker = std::variant<PowerOfTwoChoices, RoundRobin, CreditScheme>;
 
 /// @brief Expected cost of one more request at a target; lower is better.
-double costOf(const Target &Candidate, config::TrafficKind Kind,
-              core::TimePoint Now);
+double expectedCost(const Target &Candidate, config::TrafficKind Kind,
+                    core::TimePoint Now);
 
 } // namespace filbertvane::decision::request
 
--- a/include/filbertvane/decision/request/TargetTable.h
+++ b/include/filbertvane/decision/request/TargetTable.h
@@ -9,11 +9,11 @@
 namespace filbertvane::decision::request {
 
 /// @brief Distance between this node and a target.
-enum class Locality : std::uint8_t { DataCentre, Region, Elsewhere };
+enum class Locality : std::uint8_t { DataCentre, Region, OtherRegion };
 inline constexpr std::size_t LocalityCount = 3;
 
 /// @brief What this node observed of a target's answers.
-struct Health {
+struct TargetHealth {
   std::uint32_t ConsecutiveFaults = 0;
   std::uint32_t Samples = 0;
   /// Moving average of faults, 0 to 1.
@@ -29,14 +29,14 @@
 
 /// @brief A target as this node sees it.
 struct Target {
-  Endpoint Place;
-  Locality Near = Locality::Elsewhere;
+  Endpoint Announcement;
+  Locality Distance = Locality::OtherRegion;
   /// On this host.
-  bool Own = false;
+  bool Local = false;
   /// Not announced any more, or leaving; kept until its requests ended.
-  bool Gone = false;
+  bool Removed = false;
   /// Announced in the newest list.
-  bool Listed = false;
+  bool Announced = false;
   /// It said that it leaves; it stays gone while old lists still name it.
   bool Leaving = false;
   /// Requests that this node sent and that did not end.
@@ -44,8 +44,8 @@
   /// Bytes of those requests and answers.
   std::uint64_t BytesInFlight = 0;
   /// Start of the warm-up: announcement or re-admission.
-  core::TimePoint WarmSince;
-  Health Seen;
+  core::TimePoint WarmUpStart;
+  TargetHealth Health;
 };
 
 /// Position of a target in the table; stable while the target has requests.
@@ -64,17 +64,17 @@
 
   /// @brief Marks a target as leaving; it is not selected any more.
   /// @return its position, or `NoTarget`
-  TargetIndex markGone(const core::TargetId &Id);
+  TargetIndex markLeaving(const core::TargetId &Id);
 
   TargetIndex find(const core::TargetId &Id) const;
-  Target &operator[](TargetIndex At) { return Slots[At]; }
-  const Target &operator[](TargetIndex At) const { return Slots[At]; }
-  std::span<const Target> all() const { return Slots; }
+  Target &operator[](TargetIndex At) { return Entries[At]; }
+  const Target &operator[](TargetIndex At) const { return Entries[At]; }
+  std::span<const Target> all() const { return Entries; }
 
 private:
-  TargetIndex freeSlot();
+  TargetIndex allocateEntry();
 
-  std::vector<Target> Slots;
+  std::vector<Target> Entries;
   std::unordered_map<core::TargetId, TargetIndex> IndexOf;
 };
 
--- a/include/filbertvane/decision/request/VersionSelector.h
+++ b/include/filbertvane/decision/request/VersionSelector.h
@@ -20,7 +20,7 @@
   explicit VersionSelector(config::Permille Phase = 0) : Accumulated(Phase) {}
 
   /// @brief Whether the next request goes to the candidate.
-  bool next(config::Permille CandidateShare);
+  bool selectCandidate(config::Permille CandidateShare);
 
 private:
   std::uint32_t Accumulated;
--- a/include/filbertvane/decision/request/WarmUp.h
+++ b/include/filbertvane/decision/request/WarmUp.h
@@ -8,10 +8,10 @@
 /// Time in which a new target reaches its full share.
 inline constexpr core::Seconds WarmUpTime{10};
 /// Share of a target that was just announced.
-inline constexpr double ColdShare = 0.1;
+inline constexpr double InitialShare = 0.1;
 
-/// @brief Part of its full share that a target takes, from `ColdShare` to 1.
-double warmth(core::TimePoint Since, core::TimePoint Now);
+/// @brief Part of its full share that a target takes, from `InitialShare` to 1.
+double warmUpShare(core::TimePoint Since, core::TimePoint Now);
 
 } // namespace filbertvane::decision::request
 
--- a/include/filbertvane/decision/request/claims/ClaimKeeper.h
+++ b/include/filbertvane/decision/request/claims/ClaimKeeper.h
@@ -14,51 +14,55 @@
   /// the same on each node.
   core::Seconds Retention{3600};
   /// Claimed keys that are remembered.
-  std::size_t Keys = 150000;
+  std::size_t MaxKeys = 150000;
   /// Claims that wait for a decision.
-  std::size_t Waiting = 10000;
+  std::size_t MaxPendingClaims = 10000;
   /// Claims in one batch; a log record holds 256 KiB.
-  std::size_t BatchClaims = 2000;
+  std::size_t MaxBatchClaims = 2000;
 };
 
 /// @brief State of the keeper of one partition.
 struct KeeperState {
   explicit KeeperState(KeeperSettings Own)
-      : Own(std::move(Own)), Table(this->Own.Keys) {}
+      : Config(std::move(Own)), Table(this->Config.MaxKeys) {}
 
   /// @brief A claim without a decision.
-  struct Pending {
-    std::uint64_t Request = 0;
-    Claim What;
+  struct PendingClaim {
+    std::uint64_t RequestId = 0;
+    Claim KeyClaim;
     core::TimePoint Deadline;
     /// Part of the open batch.
-    bool Batched = false;
+    bool InBatch = false;
   };
   /// @brief The batch whose record was not read back yet.
   struct OpenBatch {
     ClaimBatch Batch;
-    enum class Stage { Sent, Acknowledged, Unsettled } At = Stage::Sent;
+    enum class Stage {
+      Sent,
+      Acknowledged,
+      Unconfirmed
+    } CurrentStage = Stage::Sent;
     /// First read that was started after the append's end.
-    std::uint64_t SettledBy = 0;
+    std::uint64_t ConfirmingRead = 0;
   };
 
-  KeeperSettings Own;
+  KeeperSettings Config;
   bool Active = false;
 
   /// @name Reading
   /// @{
   ClaimTable Table;
-  core::LogOffset Next;
+  core::LogOffset NextOffset;
   /// The newest read reached the end of the stream.
   bool CaughtUp = false;
-  bool Reading = false;
-  std::uint64_t LastRead = 0;
+  bool ReadInProgress = false;
+  std::uint64_t LastReadNumber = 0;
   /// @}
 
   /// @name Writing
   /// @{
-  std::vector<Pending> Waiting;
-  std::optional<OpenBatch> Open;
+  std::vector<PendingClaim> PendingClaims;
+  std::optional<OpenBatch> CurrentBatch;
   std::uint64_t LastSequence = 0;
   /// @}
 };
--- a/include/filbertvane/decision/request/claims/ClaimTable.h
+++ b/include/filbertvane/decision/request/claims/ClaimTable.h
@@ -12,37 +12,37 @@
 /// A key whose earlier records may be missing has no known owner.
 class ClaimTable {
 public:
-  explicit ClaimTable(std::size_t MostKeys) : MostKeys(MostKeys) {}
+  explicit ClaimTable(std::size_t MostKeys) : MaxKeys(MostKeys) {}
 
   /// @brief Applies one batch; a repeated (writer, sequence) has no effect.
   /// @return true when keys were dropped for the bound
   bool apply(const ClaimBatch &Batch);
   /// @brief Records before a time are missing: keys made before it are not
   ///        decided.
-  void missBefore(core::WallTime Time);
+  void markIncompleteBefore(core::WallTime Time);
   /// @brief Forgets keys made before a time.
-  void forgetBefore(core::WallTime Time);
+  void eraseBefore(core::WallTime Time);
 
   /// @brief Whether all records of a key made at this time were read.
   bool covers(core::WallTime Made) const;
   /// @brief Owner of a covered key, or the error that stands in its place:
   ///        `ClaimHistoryIncomplete` or `ClaimKeyReused`.
   /// @return none when the key was never claimed
-  std::optional<core::Result<ClaimOwner>> decide(const Claim &What) const;
+  std::optional<core::Result<ClaimOwner>> findOwner(const Claim &What) const;
 
-  std::size_t size() const { return First.size(); }
+  std::size_t size() const { return FirstClaims.size(); }
 
 private:
-  struct Holder {
+  struct FirstClaim {
     ClaimOwner Owner;
     core::Digest RequestDigest;
   };
-  bool isRepeat(const ClaimBatch &Batch);
-  bool dropOldest();
+  bool checkDuplicate(const ClaimBatch &Batch);
+  bool evictOldest();
 
-  std::size_t MostKeys;
+  std::size_t MaxKeys;
   /// Ordered by key, and thereby by the time that the key carries.
-  std::map<core::IdempotencyKey, Holder> First;
+  std::map<core::IdempotencyKey, FirstClaim> FirstClaims;
   std::map<core::WriterId, std::uint64_t> LastSequence;
   std::optional<core::WallTime> CompleteFrom;
 };
--- a/include/filbertvane/decision/request/claims/Events.h
+++ b/include/filbertvane/decision/request/claims/Events.h
@@ -46,8 +46,8 @@
 /// @brief An entry node of the data centre asks for a key.
 struct ClaimRequested {
   /// Identifies the reply.
-  std::uint64_t Request = 0;
-  Claim What;
+  std::uint64_t RequestId = 0;
+  Claim KeyClaim;
   core::TimePoint Deadline;
 };
 /// @brief The period of a batch is over.
@@ -66,18 +66,18 @@
 };
 /// @brief Result of a `ReadStream`.
 struct RecordsRead {
-  std::uint64_t Number = 0;
+  std::uint64_t ReadNumber = 0;
   /// First offset that the log still holds.
-  core::LogOffset First;
+  core::LogOffset FirstOffset;
   /// Offset after the last record read.
-  core::LogOffset Next;
+  core::LogOffset NextOffset;
   /// Offset after the last record of the stream, at the time of the read.
-  core::LogOffset End;
+  core::LogOffset EndOffset;
   std::vector<StoredBatch> Batches;
 };
 /// @brief A `ReadStream` failed; it is repeated at the next `BatchDue`.
 struct ReadFailed {
-  std::uint64_t Number = 0;
+  std::uint64_t ReadNumber = 0;
 };
 
 using KeeperEvent = std::variant<BecameKeeper, CeasedToBeKeeper, ClaimRequested,
@@ -93,17 +93,17 @@
 };
 /// @brief Read the stream; at most one read is in progress.
 struct ReadStream {
-  std::uint64_t Number = 0;
-  core::LogOffset From;
+  std::uint64_t ReadNumber = 0;
+  core::LogOffset FromOffset;
   /// Wait at the log for new records; otherwise reply at once.
-  bool Wait = true;
+  bool WaitForRecords = true;
 };
 /// @brief The decision about a key, or why there is none.
 struct ClaimReply {
-  std::uint64_t Request = 0;
+  std::uint64_t RequestId = 0;
   /// Claim that is first in log order.
   ClaimOwner Owner;
-  std::optional<core::Error> Undecided;
+  std::optional<core::Error> Failure;
 };
 
 using KeeperEffect =
--- a/include/filbertvane/decision/request/claims/KeptResults.h
+++ b/include/filbertvane/decision/request/claims/KeptResults.h
@@ -34,14 +34,14 @@
     ResultState State = ResultState::Claiming;
     std::shared_ptr<const KeptAnswer> Answer;
     /// Calls that wait for the result.
-    std::vector<core::CallId> Waiting;
+    std::vector<core::CallId> WaitingCalls;
     /// Insertion number, to recognise entries of the drop order.
-    std::uint64_t Number = 0;
+    std::uint64_t ResultNumber = 0;
   };
 
   explicit KeptResults(std::size_t MostEntries = 65536,
                        std::size_t MostBytes = 16ULL << 20)
-      : MostEntries(MostEntries), MostBytes(MostBytes) {}
+      : MaxEntries(MostEntries), MaxBytes(MostBytes) {}
 
   Entry *find(const core::IdempotencyKey &Key);
   Entry &insert(const core::IdempotencyKey &Key, const ClaimOwner &Owner,
@@ -49,29 +49,29 @@
   void erase(const core::IdempotencyKey &Key);
 
   /// @brief Records the result of a key and takes its waiting calls out.
-  /// @param Answer kept when it is not larger than `KeptAnswerLimit`
-  std::vector<core::CallId> settle(const core::IdempotencyKey &Key,
-                                   ResultState Result,
-                                   std::shared_ptr<const KeptAnswer> Answer);
+  /// @param Answer kept when it is not larger than `MaxKeptAnswerBytes`
+  std::vector<core::CallId>
+  recordResult(const core::IdempotencyKey &Key, ResultState Result,
+               std::shared_ptr<const KeptAnswer> Answer);
 
   /// @brief Whether results were dropped since the last call.
-  bool tookLimit();
+  bool takeLimitReached();
 
-  std::size_t size() const { return Known.size(); }
+  std::size_t size() const { return Entries.size(); }
   std::size_t bytes() const { return Bytes; }
 
 private:
-  void dropAnswer(Entry &Which);
-  void dropOldest();
+  void eraseAnswer(Entry &Which);
+  void evictOldest();
 
-  std::size_t MostEntries;
-  std::size_t MostBytes;
+  std::size_t MaxEntries;
+  std::size_t MaxBytes;
   std::size_t Bytes = 0;
-  std::uint64_t LastNumber = 0;
-  bool Dropped = false;
-  std::unordered_map<core::IdempotencyKey, Entry> Known;
+  std::uint64_t LastResultNumber = 0;
+  bool LimitReached = false;
+  std::unordered_map<core::IdempotencyKey, Entry> Entries;
   /// Settled keys in the order of their settlement.
-  std::deque<std::pair<core::IdempotencyKey, std::uint64_t>> Order;
+  std::deque<std::pair<core::IdempotencyKey, std::uint64_t>> EvictionOrder;
 };
 
 } // namespace filbertvane::decision::request::claims
--- a/include/filbertvane/decision/request/claims/Key.h
+++ b/include/filbertvane/decision/request/claims/Key.h
@@ -8,11 +8,11 @@
 namespace filbertvane::decision::request::claims {
 
 /// Difference between host clocks that key checks allow for.
-inline constexpr core::Seconds ClockMargin{60};
+inline constexpr core::Seconds MaxClockSkew{60};
 
 /// @brief Time embedded in a UUIDv7 key (lower-case text, 36 characters).
 /// @return the time, or `ClaimKeyInvalid`
-core::Result<core::WallTime> keyTime(const core::IdempotencyKey &Key);
+core::Result<core::WallTime> parseKeyTime(const core::IdempotencyKey &Key);
 
 /// @brief Checks that a record of the key, if there is one, is still in the
 ///        log.
--- a/include/filbertvane/decision/rollout/Evidence.h
+++ b/include/filbertvane/decision/rollout/Evidence.h
@@ -103,7 +103,7 @@
   /// Answers from another data centre are left out, and so are repeated crashes
   /// by one request, which crashes any target.
   /// @return what was counted; none when the answer concerns no watched move
-  std::optional<Counted> record(const request::Observed &Answer,
+  std::optional<Counted> record(const request::ObservedAnswer &Answer,
                                 const config::FleetState &Fleet,
                                 core::Instant Now);
 
--- a/include/filbertvane/decision/rollout/LocalGuard.h
+++ b/include/filbertvane/decision/rollout/LocalGuard.h
@@ -37,7 +37,7 @@
 struct Tick {};
 
 using GuardEvent =
-    std::variant<FleetChanged, request::Observed, EvidenceReceived,
+    std::variant<FleetChanged, request::ObservedAnswer, EvidenceReceived,
                  OverlayReceived, LeadershipChanged, Tick>;
 /// @}
 
--- a/include/filbertvane/io/ProxyEngine.h
+++ b/include/filbertvane/io/ProxyEngine.h
@@ -63,7 +63,7 @@
     std::function<void(const decision::request::RequestClaim &)> OnClaim;
     std::function<void(const decision::request::AnswerFromOwner &)>
         OnAnswerFromOwner;
-    std::function<void(const decision::request::Observed &)> OnObserved;
+    std::function<void(const decision::request::ObservedAnswer &)> OnObserved;
     std::function<void(const decision::request::SuspectReported &)> OnSuspect;
     std::function<void(const observe::LogEvent &)> OnLog;
     std::function<void(const HopRecord &)> OnHop;
--- a/lib/decision/Dispatch.cpp
+++ b/lib/decision/Dispatch.cpp
@@ -331,7 +331,7 @@
 
 // --- requests ---
 
-void Dispatch::route(request::Observed &What) {
+void Dispatch::route(request::ObservedAnswer &What) {
   follow(rollout::GuardEvent(std::move(What)));
 }
 
--- a/lib/decision/Dispatch.h
+++ b/lib/decision/Dispatch.h
@@ -72,7 +72,7 @@
 
   /// @name Effects of requests
   /// @{
-  void route(request::Observed &What);
+  void route(request::ObservedAnswer &What);
   void route(request::SuspectReported &What);
   /// @}
 
--- a/lib/decision/Node.cpp
+++ b/lib/decision/Node.cpp
@@ -28,7 +28,7 @@
 request::Settings requestSettings(const NodeSettings &Own) {
   request::Settings Requests;
   Requests.Self = Own.Node;
-  Requests.Start = Own.Number;
+  Requests.Incarnation = Own.Number;
   Requests.DataCentre = Own.DataCentre;
   Requests.Region = Own.Region;
   Requests.Seed = Own.RandomSeed;
--- a/lib/decision/mesh/ReduceAttempts.cpp
+++ b/lib/decision/mesh/ReduceAttempts.cpp
@@ -77,7 +77,7 @@
 void Reduction::endedAtTarget(MeshCall &Call,
                               const request::AttemptEnded &What) {
   const bool Broken = What.End == AttemptEnd::NoAnswer ||
-                      What.End == AttemptEnd::BrokenOff ||
+                      What.End == AttemptEnd::Truncated ||
                       What.End == AttemptEnd::NotRun;
   const bool OutOfTime =
       (What.Status == StatusGatewayTimeout ||
@@ -104,10 +104,10 @@
     Out.emplace_back(request::DeliverAnswer{Call.Id, loadFor(Call)});
     return erase(Call.Id);
   case AttemptEnd::Answered:
-  case AttemptEnd::BrokenOff:
+  case AttemptEnd::Truncated:
     return erase(Call.Id);
   case AttemptEnd::NotRun:
-    return refuse(Call, ErrorCode::RequestRefusedByTarget, What.Reached);
+    return refuse(Call, ErrorCode::RequestRefusedByTarget, What.ReachedTarget);
   case AttemptEnd::NoAnswer:
     return endUnknown(Call, ErrorCode::RequestNoAnswer);
   }
@@ -164,13 +164,13 @@
   case AttemptEnd::Held:
     return concludeAnswer(Call, What);
   case AttemptEnd::Answered:
-  case AttemptEnd::BrokenOff:
+  case AttemptEnd::Truncated:
     log(What.End == AttemptEnd::Answered ? observe::EventId::MeshServed
                                          : observe::EventId::MeshUnknown,
         fmt::format("{} status={} streamed=1", describe(Call), What.Status));
     return erase(Call.Id);
   case AttemptEnd::NotRun:
-    if (!What.Reached) {
+    if (!What.ReachedTarget) {
       (What.Unreachable ? Call.Tried : Call.Late).push_back(Call.At);
       if (!What.Unreachable && What.Load)
         State.Hosts.noteFull(Call.At, {Call.Terms.Route, Call.Terms.AcceptLate},
@@ -234,7 +234,7 @@
                   Now > Call.Objective));
 }
 
-void Reduction::operator()(const request::CallerGone &What) {
+void Reduction::operator()(const request::CallerDisconnected &What) {
   MeshCall *Call = find(What.Id);
   if (Call == nullptr)
     return;
@@ -298,7 +298,7 @@
   Refusal.Id = Call.Id;
   Refusal.Result = request::Outcome::NotRun;
   Refusal.Reason = {Why, Call.Terms.Route.value()};
-  Refusal.Reached = Reached;
+  Refusal.ReachedTarget = Reached;
   if (Call.Hosted)
     Refusal.Load = loadFor(Call);
   else
--- a/lib/decision/mesh/ReducePlacement.cpp
+++ b/lib/decision/mesh/ReducePlacement.cpp
@@ -153,7 +153,7 @@
   Start.Route = Call.Terms.Route;
   Start.Caller = Call.Caller;
   Start.HoldAnswer = true;
-  Start.NeedsProvenConnection = !Call.Terms.Idempotent;
+  Start.NeedsVerifiedConnection = !Call.Terms.Idempotent;
   Start.Terms = Call.Terms;
   // The host sees neither the way of the request nor that of the answer.
   Start.Terms->ObjectiveLeft = std::chrono::duration_cast<core::Milliseconds>(
--- a/lib/decision/mesh/Reduction.h
+++ b/lib/decision/mesh/Reduction.h
@@ -16,7 +16,7 @@
   void operator()(const request::CallArrived &What);
   void operator()(const request::AnswerStarted &What);
   void operator()(const request::AttemptEnded &What);
-  void operator()(const request::CallerGone &What);
+  void operator()(const request::CallerDisconnected &What);
   /// @}
 
   /// @name Target, hosts and store
--- a/lib/decision/request/Ejection.cpp
+++ b/lib/decision/request/Ejection.cpp
@@ -18,7 +18,7 @@
 constexpr std::size_t MembersForMedian = 3;
 
 bool judged(const Target &Member) {
-  return !Member.Seen.EjectedUntil && Member.Seen.Samples >= EnoughSamples;
+  return !Member.Health.EjectedUntil && Member.Health.Samples >= EnoughSamples;
 }
 
 std::optional<double> medianLatency(std::span<const TargetIndex> Members,
@@ -26,7 +26,7 @@
   std::vector<double> Latencies;
   for (TargetIndex At : Members)
     if (judged(Targets[At]))
-      Latencies.push_back(Targets[At].Seen.LatencyUs);
+      Latencies.push_back(Targets[At].Health.LatencyUs);
   if (Latencies.size() < MembersForMedian)
     return std::nullopt;
   const auto Middle =
@@ -39,12 +39,12 @@
   if (!Median)
     return false;
   const double Limit = std::max(*Median * SlowFactor, *Median + SlowMarginUs);
-  return Member.Seen.LatencyUs > Limit;
+  return Member.Health.LatencyUs > Limit;
 }
 
 } // namespace
 
-bool noteAttempt(Health &Seen, bool Fault, core::Microseconds Latency) {
+bool recordAttempt(TargetHealth &Seen, bool Fault, core::Microseconds Latency) {
   const auto LatencyUs = static_cast<double>(Latency.count());
   const bool First = Seen.Samples == 0;
   Seen.Samples = std::min(Seen.Samples + 1, EnoughSamples);
@@ -52,21 +52,22 @@
   Seen.RefusalRate -= Seen.RefusalRate * Weight;
   Seen.FaultRate += ((Fault ? 1.0 : 0.0) - Seen.FaultRate) * Weight;
   Seen.ConsecutiveFaults = Fault ? Seen.ConsecutiveFaults + 1 : 0;
-  return Seen.ConsecutiveFaults >= EjectAfterFaults;
+  return Seen.ConsecutiveFaults >= ConsecutiveFaultLimit;
 }
 
-void noteRefusal(Health &Seen) {
+void recordRefusal(TargetHealth &Seen) {
   Seen.RefusalRate += (1 - Seen.RefusalRate) * Weight;
 }
 
-std::vector<TargetIndex> outliers(std::span<const TargetIndex> Members,
-                                  std::span<const Target> Targets) {
+std::vector<TargetIndex> findOutliers(std::span<const TargetIndex> Members,
+                                      std::span<const Target> Targets) {
   const std::optional<double> Median = medianLatency(Members, Targets);
   std::vector<TargetIndex> Found;
   for (TargetIndex At : Members) {
     const Target &Member = Targets[At];
-    const bool Faulty = Member.Seen.FaultRate > FaultRateLimit ||
-                        Member.Seen.ConsecutiveFaults >= EjectAfterFaults;
+    const bool Faulty =
+        Member.Health.FaultRate > FaultRateLimit ||
+        Member.Health.ConsecutiveFaults >= ConsecutiveFaultLimit;
     if (judged(Member) && (Faulty || isSlow(Member, Median)))
       Found.push_back(At);
   }
@@ -79,22 +80,22 @@
                                    std::span<const TargetIndex> Members) {
   std::vector<TargetIndex> Found;
   for (TargetIndex At : Members)
-    if (Targets[At].Seen.EjectedUntil)
+    if (Targets[At].Health.EjectedUntil)
       Found.push_back(At);
   return Found;
 }
 
 } // namespace
 
-void keepHalf(TargetTable &Targets, std::span<const TargetIndex> Members,
-              core::TimePoint Now) {
+void limitEjections(TargetTable &Targets, std::span<const TargetIndex> Members,
+                    core::TimePoint Now) {
   std::vector<TargetIndex> Ejected = ejectedOf(Targets, Members);
   std::sort(
       Ejected.begin(), Ejected.end(), [&Targets](TargetIndex A, TargetIndex B) {
-        return Targets[A].Seen.EjectedUntil > Targets[B].Seen.EjectedUntil;
+        return Targets[A].Health.EjectedUntil > Targets[B].Health.EjectedUntil;
       });
   while (Ejected.size() * 2 > Members.size()) {
-    Targets[Ejected.back()].Seen.EjectedUntil = Now;
+    Targets[Ejected.back()].Health.EjectedUntil = Now;
     readmit(Targets, std::span(&Ejected.back(), 1), Now);
     Ejected.pop_back();
   }
@@ -103,12 +104,12 @@
 bool eject(TargetTable &Targets, std::span<const TargetIndex> Members,
            TargetIndex At, core::TimePoint Now) {
   const std::size_t Ejected = ejectedOf(Targets, Members).size();
-  Health &Seen = Targets[At].Seen;
+  TargetHealth &Seen = Targets[At].Health;
   if (Seen.EjectedUntil || (Ejected + 1) * 2 > Members.size())
     return false;
   const std::uint32_t Doublings = std::min(Seen.Ejections, 4U);
   const core::Seconds Time =
-      std::min(FirstEjection * (1U << Doublings), LongestEjection);
+      std::min(BaseEjectionTime * (1U << Doublings), MaxEjectionTime);
   Seen.EjectedUntil = Now + Time;
   ++Seen.Ejections;
   return true;
@@ -120,12 +121,12 @@
   std::vector<TargetIndex> Readmitted;
   for (TargetIndex At : Members) {
     Target &Member = Targets[At];
-    if (!Member.Seen.EjectedUntil || *Member.Seen.EjectedUntil > Now)
+    if (!Member.Health.EjectedUntil || *Member.Health.EjectedUntil > Now)
       continue;
-    const std::uint32_t Ejections = Member.Seen.Ejections;
-    Member.Seen = Health{};
-    Member.Seen.Ejections = Ejections;
-    Member.WarmSince = Now;
+    const std::uint32_t Ejections = Member.Health.Ejections;
+    Member.Health = TargetHealth{};
+    Member.Health.Ejections = Ejections;
+    Member.WarmUpStart = Now;
     Readmitted.push_back(At);
   }
   return Readmitted;
--- a/lib/decision/request/ReduceArrival.cpp
+++ b/lib/decision/request/ReduceArrival.cpp
@@ -7,20 +7,20 @@
 using core::Error;
 using core::ErrorCode;
 
-std::optional<Error> Reduction::refusalOfNewCalls() const {
-  if (Next.Draining)
+std::optional<Error> Reduction::newCallError() const {
+  if (Fields.Draining)
     return Error{ErrorCode::RequestDraining, ""};
-  if (!Next.Fleet)
+  if (!Fields.Fleet)
     return Error{ErrorCode::RequestNotReady, ""};
-  if (Next.Calls.size() >= Next.Own.Bounds.Calls)
+  if (Fields.Calls.size() >= Fields.Config.Bounds.MaxCalls)
     return Error{ErrorCode::RequestTooManyCalls, ""};
   return std::nullopt;
 }
 
 /// A host node whose configuration differs from the entry node's may have no
 /// route for the path; it then treats the request as non-idempotent.
-RoutePtr Reduction::routeOf(const CallArrived &What) const {
-  RoutePtr Matched = Next.Routes.match(What.Path);
+RoutePtr Reduction::findRoute(const CallArrived &What) const {
+  RoutePtr Matched = Fields.Routes.match(What.Path);
   if (!What.FromNode || !What.Service)
     return Matched;
   if (Matched && Matched->Service == *What.Service)
@@ -37,7 +37,8 @@
   Made.RequestDigest = What.RequestDigest;
   if (!Route->Idempotent && !What.FromNode)
     Made.Key = What.Key;
-  const core::TimePoint Latest = Now.Mono + Next.Own.Bounds.LongestCall;
+  const core::TimePoint Latest =
+      Now.Mono + Fields.Config.Bounds.MaxCallDuration;
   const core::TimePoint Own = Now.Mono + Route->Timeout;
   Made.Deadline = std::min(
       Latest, What.Deadline ? core::toMonotonic(*What.Deadline, Now) : Own);
@@ -45,25 +46,25 @@
   Made.FromNode = What.FromNode;
   Made.FixedVersion = What.Version;
   Made.Hosted = What.FromNode && What.Target.has_value();
-  Made.Crashes = std::max(What.Crashes,
-                          Next.Crashed.crashes(What.RequestDigest, Now.Mono));
+  Made.Crashes = std::max(
+      What.Crashes, Fields.KnownSuspects.crashes(What.RequestDigest, Now.Mono));
   Made.Route = std::move(Route);
   return Made;
 }
 
 void Reduction::operator()(const CallArrived &What) {
-  if (auto Why = refusalOfNewCalls()) {
+  if (auto Why = newCallError()) {
     if (Why->Code == ErrorCode::RequestTooManyCalls)
       log(observe::EventId::RequestCallLimit, "");
     Out.emplace_back(Refuse{What.Id, Outcome::NotRun, std::move(*Why)});
     return;
   }
-  RoutePtr Route = routeOf(What);
+  RoutePtr Route = findRoute(What);
   if (!Route)
     return refuse(What.Id, Outcome::NotRun,
                   {ErrorCode::RequestNoRoute, What.Path});
   const auto [Place, Added] =
-      Next.Calls.try_emplace(What.Id, makeCall(What, std::move(Route)));
+      Fields.Calls.try_emplace(What.Id, makeCall(What, std::move(Route)));
   if (!Added)
     return;
   Call &Made = Place->second;
@@ -77,31 +78,31 @@
   if (Made.Key)
     return claimOrRepeat(Made);
   if (Made.Hosted)
-    return hostCall(Made, *What.Target);
+    return startHostedCall(Made, *What.Target);
   routeCall(Made);
 }
 
 void Reduction::routeCall(Call &Which) {
-  if (const std::optional<TargetIndex> At = select(Which))
-    return begin(Which, *At);
+  if (const std::optional<TargetIndex> At = selectTarget(Which))
+    return startAttempt(Which, *At);
   refuse(Which, ErrorCode::RequestNoTarget, false);
 }
 
 /// Only the own target named by the sending node may run the request: the
 /// sender counts it there, and a replaced target may run another version.
-void Reduction::hostCall(Call &Which, const core::TargetId &Target) {
-  const TargetIndex At = Next.Targets.find(Target);
-  if (At == NoTarget || !Next.Targets[At].Own)
+void Reduction::startHostedCall(Call &Which, const core::TargetId &Target) {
+  const TargetIndex At = Fields.Targets.find(Target);
+  if (At == NoTarget || !Fields.Targets[At].Local)
     return refuse(Which, ErrorCode::RequestNoTarget, false);
-  const request::Target &Host = Next.Targets[At];
+  const request::Target &Host = Fields.Targets[At];
   const bool Matches =
-      Host.Place.Service == Which.Route->Service &&
-      (!Which.FixedVersion || Host.Place.Version == *Which.FixedVersion);
-  if (Host.Gone)
+      Host.Announcement.Service == Which.Route->Service &&
+      (!Which.FixedVersion || Host.Announcement.Version == *Which.FixedVersion);
+  if (Host.Removed)
     return refuse(Which, ErrorCode::RequestDraining, false);
   if (!Matches)
     return refuse(Which, ErrorCode::RequestNoTarget, false);
-  begin(Which, At);
+  startAttempt(Which, At);
 }
 
 } // namespace filbertvane::decision::request
--- a/lib/decision/request/ReduceAttempts.cpp
+++ b/lib/decision/request/ReduceAttempts.cpp
@@ -4,130 +4,131 @@
 
 using core::ErrorCode;
 
-void Reduction::begin(Call &Which, TargetIndex At) {
-  Target &To = Next.Targets[At];
-  Which.At = At;
+void Reduction::startAttempt(Call &Which, TargetIndex At) {
+  Target &To = Fields.Targets[At];
+  Which.CurrentTarget = At;
   Which.Tried.push_back(At);
   Which.BytesInFlight = Which.ContentLength;
   To.BytesInFlight += Which.BytesInFlight;
   ++To.Outstanding;
-  const auto Own = Next.OwnTargets.find(At);
-  if (Own == Next.OwnTargets.end())
-    return send(Which);
+  const auto Own = Fields.LocalTargets.find(At);
+  if (Own == Fields.LocalTargets.end())
+    return sendAttempt(Which);
   Which.Slot = {Which.Id, Which.Route->Kind, Which.Deadline,
                 Which.ContentLength, Which.Crashes > 0};
-  const Admitted Verdict = Own->second.arrive(Which.Slot, Now.Mono);
-  switch (Verdict.What) {
-  case Admitted::Kind::Start:
-    return send(Which);
-  case Admitted::Kind::Wait:
+  const AdmissionDecision Verdict = Own->second.admit(Which.Slot, Now.Mono);
+  switch (Verdict.Action) {
+  case AdmissionDecision::Kind::Start:
+    return sendAttempt(Which);
+  case AdmissionDecision::Kind::Wait:
     Which.Phase = CallPhase::Queued;
-    if (Which.Slot.Alone)
+    if (Which.Slot.Exclusive)
       serveQueue(At);
     return;
-  case Admitted::Kind::Refuse:
-    if (Verdict.Why == ErrorCode::RequestQueueFull)
-      log(observe::EventId::RequestQueueLimit, To.Place.Target.value());
+  case AdmissionDecision::Kind::Refuse:
+    if (Verdict.Reason == ErrorCode::RequestQueueFull)
+      log(observe::EventId::RequestQueueLimit, To.Announcement.Target.value());
     Which.Phase = CallPhase::Queued;
-    release(Which, std::nullopt);
-    return notRun(Which, {}, Verdict.Why, false);
+    releaseTarget(Which, std::nullopt);
+    return handleNotRun(Which, {}, Verdict.Reason, false);
   }
 }
 
-void Reduction::send(Call &Which) {
-  const Target &To = Next.Targets[Which.At];
+void Reduction::sendAttempt(Call &Which) {
+  const Target &To = Fields.Targets[Which.CurrentTarget];
   Which.Phase = CallPhase::Sent;
-  Which.Current = core::AttemptId(++Next.LastAttempt);
+  Which.CurrentAttempt = core::AttemptId(++Fields.LastAttemptId);
   Which.SentAt = Now.Mono;
-  Which.FirstByte.reset();
+  Which.TimeToFirstByte.reset();
   StartAttempt Start;
   Start.Id = Which.Id;
-  Start.Attempt = Which.Current;
-  Start.To = {To.Place.Node, To.Own, To.Place.Address, To.Place.Target,
-              To.Place.Version};
+  Start.Attempt = Which.CurrentAttempt;
+  Start.To = {To.Announcement.Node, To.Local, To.Announcement.Address,
+              To.Announcement.Target, To.Announcement.Version};
   // An entry node of another data centre selects the target itself.
-  if (To.Near != Locality::DataCentre)
+  if (To.Distance != Locality::DataCentre)
     Start.To.Target = core::TargetId();
   Start.Deadline = Which.Deadline;
   Start.Service = Which.Route->Service;
   Start.Route = Which.Route->Name;
-  Start.NeedsProvenConnection = !Which.idempotent();
-  Start.KeepAnswer = Which.Runner;
+  Start.NeedsVerifiedConnection = !Which.idempotent();
+  Start.KeepAnswer = Which.ClaimsKey;
   Start.Crashes = Which.Crashes;
   Out.emplace_back(std::move(Start));
 }
 
-void Reduction::release(Call &Which, std::optional<core::Microseconds> Took) {
-  Target &At = Next.Targets[Which.At];
+void Reduction::releaseTarget(Call &Which,
+                              std::optional<core::Microseconds> Took) {
+  Target &At = Fields.Targets[Which.CurrentTarget];
   --At.Outstanding;
   At.BytesInFlight -= Which.BytesInFlight;
   Which.BytesInFlight = 0;
-  const auto Own = Next.OwnTargets.find(Which.At);
-  if (Own == Next.OwnTargets.end())
+  const auto Own = Fields.LocalTargets.find(Which.CurrentTarget);
+  if (Own == Fields.LocalTargets.end())
     return;
   if (Which.Phase == CallPhase::Sent)
-    Own->second.finished(Which.Slot, Took);
+    Own->second.finish(Which.Slot, Took);
   else
     Own->second.withdraw(Which.Slot);
 }
 
 void Reduction::serveQueue(TargetIndex At) {
-  const auto Own = Next.OwnTargets.find(At);
-  if (Own == Next.OwnTargets.end())
+  const auto Own = Fields.LocalTargets.find(At);
+  if (Own == Fields.LocalTargets.end())
     return;
-  while (const auto Turn = Own->second.next(Now.Mono)) {
+  while (const auto Turn = Own->second.dequeue(Now.Mono)) {
     Call *Which = find(Turn->Id);
     if (!Which)
       continue;
-    if (Turn->Verdict.What == Admitted::Kind::Start)
-      send(*Which);
+    if (Turn->Decision.Action == AdmissionDecision::Kind::Start)
+      sendAttempt(*Which);
     else
-      refuseQueued(*Which, Turn->Verdict.Why);
+      refuseQueued(*Which, Turn->Decision.Reason);
   }
 }
 
 void Reduction::operator()(const AnswerStarted &What) {
   Call *Which = find(What.Id);
   if (!Which || Which->Phase != CallPhase::Sent ||
-      Which->Current != What.Attempt || Which->FirstByte)
+      Which->CurrentAttempt != What.Attempt || Which->TimeToFirstByte)
     return;
-  Which->FirstByte = Now.Mono - Which->SentAt;
+  Which->TimeToFirstByte = Now.Mono - Which->SentAt;
   Which->Status = What.Status;
   Which->BytesInFlight += What.ContentLength;
-  Next.Targets[Which->At].BytesInFlight += What.ContentLength;
-  const auto Own = Next.OwnTargets.find(Which->At);
-  if (Own != Next.OwnTargets.end())
+  Fields.Targets[Which->CurrentTarget].BytesInFlight += What.ContentLength;
+  const auto Own = Fields.LocalTargets.find(Which->CurrentTarget);
+  if (Own != Fields.LocalTargets.end())
     Own->second.addBytes(Which->Slot, What.ContentLength);
 }
 
 void Reduction::operator()(const AttemptEnded &What) {
   Call *Which = find(What.Id);
   if (!Which || Which->Phase != CallPhase::Sent ||
-      Which->Current != What.Attempt)
+      Which->CurrentAttempt != What.Attempt)
     return;
-  const TargetIndex At = Which->At;
+  const TargetIndex At = Which->CurrentTarget;
   const core::Microseconds Took = Now.Mono - Which->SentAt;
   const bool Answered = What.End == AttemptEnd::Answered;
-  if (What.End == AttemptEnd::NotRun && !Which->FirstByte) {
+  if (What.End == AttemptEnd::NotRun && !Which->TimeToFirstByte) {
     if (What.Unreachable)
-      noteHealth(At, true, Took);
-    release(*Which, std::nullopt);
-    notRun(*Which, What, ErrorCode::RequestRefusedByTarget, true);
+      recordHealth(At, true, Took);
+    releaseTarget(*Which, std::nullopt);
+    handleNotRun(*Which, What, ErrorCode::RequestRefusedByTarget, true);
     return serveQueue(At);
   }
   const int Status = Answered ? What.Status : Which->Status;
   const bool Fault = !Answered || Status >= 500;
   if (What.TargetCrashed)
-    noteCrash(*Which);
+    recordCrash(*Which);
   // A version that crashes on any request must be found, so crashes are
   // evidence too; the counter leaves out repeats of the same request.
-  observe(*Which, Fault, What.TargetCrashed);
-  noteHealth(At, Fault, Which->FirstByte.value_or(Took));
-  release(*Which, Answered ? std::optional(Took) : std::nullopt);
-  if (Answered || Which->FirstByte || What.End == AttemptEnd::BrokenOff)
-    passedOn(*Which, What, Fault);
+  reportObservation(*Which, Fault, What.TargetCrashed);
+  recordHealth(At, Fault, Which->TimeToFirstByte.value_or(Took));
+  releaseTarget(*Which, Answered ? std::optional(Took) : std::nullopt);
+  if (Answered || Which->TimeToFirstByte || What.End == AttemptEnd::Truncated)
+    handleForwarded(*Which, What, Fault);
   else
-    noAnswer(*Which, What);
+    handleNoAnswer(*Which, What);
   serveQueue(At);
 }
 
--- a/lib/decision/request/ReduceClaims.cpp
+++ b/lib/decision/request/ReduceClaims.cpp
@@ -17,15 +17,16 @@
 } // namespace
 
 void Reduction::claimOrRepeat(Call &Which) {
-  const auto Checked =
-      claims::checkKey(*Which.Key, Now.Wall, Next.Own.Bounds.ClaimRetention);
+  const auto Checked = claims::checkKey(*Which.Key, Now.Wall,
+                                        Fields.Config.Bounds.ClaimRetention);
   if (!core::ok(Checked))
     return refuse(Which.Id, Outcome::NotRun, core::failure(Checked));
-  KeptResults::Entry *Entry = Next.Results.find(*Which.Key);
+  KeptResults::Entry *Entry = Fields.Results.find(*Which.Key);
   if (!Entry) {
-    const ClaimOwner Owner{Next.Own.Self, Next.Own.Start, Which.Id};
+    const ClaimOwner Owner{Fields.Config.Self, Fields.Config.Incarnation,
+                           Which.Id};
     return claim(Which,
-                 Next.Results.insert(*Which.Key, Owner, Which.RequestDigest));
+                 Fields.Results.insert(*Which.Key, Owner, Which.RequestDigest));
   }
   if (Entry->RequestDigest != Which.RequestDigest)
     return refuse(Which.Id, Outcome::NotRun, reused(*Which.Key));
@@ -39,7 +40,7 @@
 void Reduction::claim(Call &Which, KeptResults::Entry &Entry) {
   Entry.State = ResultState::Claiming;
   Which.Phase = CallPhase::Claiming;
-  Which.Runner = true;
+  Which.ClaimsKey = true;
   Out.emplace_back(RequestClaim{Which.Id, *Which.Key, Which.RequestDigest,
                                 Entry.Owner, Which.Deadline});
 }
@@ -52,7 +53,7 @@
   case ResultState::Claiming:
   case ResultState::Running:
     Which->Phase = CallPhase::AwaitingResult;
-    Next.Results.find(*Which->Key)->Waiting.push_back(Id);
+    Fields.Results.find(*Which->Key)->WaitingCalls.push_back(Id);
     return;
   case ResultState::Answered:
     if (!Entry.Answer)
@@ -67,14 +68,14 @@
 }
 
 void Reduction::askOwner(Call &Which, const ClaimOwner &Owner) {
-  const bool OwnProcess =
-      Owner.Node == Next.Own.Self && Owner.Start == Next.Own.Start;
+  const bool OwnProcess = Owner.Node == Fields.Config.Self &&
+                          Owner.Incarnation == Fields.Config.Incarnation;
   // The own claim was dropped from memory: its result is not known.
   if (OwnProcess)
     return refuse(Which.Id, Outcome::Unknown,
                   {ErrorCode::ClaimResultNotKept, ""});
   Which.Phase = CallPhase::AwaitingOwner;
-  Which.Runner = false;
+  Which.ClaimsKey = false;
   Out.emplace_back(AnswerFromOwner{Which.Id, Owner, *Which.Key,
                                    Which.RequestDigest, Which.Deadline});
 }
@@ -83,15 +84,15 @@
   Call *Which = find(What.Id);
   if (!Which || Which->Phase != CallPhase::Claiming)
     return;
-  KeptResults::Entry *Entry = Next.Results.find(*Which->Key);
-  if (What.Undecided) {
-    const core::Error Why = *What.Undecided;
-    settle(*Which, ResultState::NotRun, nullptr);
+  KeptResults::Entry *Entry = Fields.Results.find(*Which->Key);
+  if (What.Failure) {
+    const core::Error Why = *What.Failure;
+    recordResult(*Which, ResultState::NotRun, nullptr);
     return refuse(What.Id, Outcome::NotRun, Why);
   }
   if (What.Owner != Entry->Owner) {
-    const std::vector<core::CallId> Waiting = std::move(Entry->Waiting);
-    Next.Results.erase(*Which->Key);
+    const std::vector<core::CallId> Waiting = std::move(Entry->WaitingCalls);
+    Fields.Results.erase(*Which->Key);
     askOwner(*Which, What.Owner);
     for (core::CallId Id : Waiting)
       if (Call *Repeat = find(Id))
@@ -101,18 +102,18 @@
   // A node that was paused, or that leaves, has not sent the request yet.
   if (Now.Mono >= Which->Deadline)
     return refuse(*Which, ErrorCode::RequestDeadlinePassed, false);
-  if (Next.Draining)
+  if (Fields.Draining)
     return refuse(*Which, ErrorCode::RequestDraining, false);
   Entry->State = ResultState::Running;
   routeCall(*Which);
 }
 
 void Reduction::abandonClaim(Call &Which) {
-  KeptResults::Entry *Entry = Next.Results.find(*Which.Key);
+  KeptResults::Entry *Entry = Fields.Results.find(*Which.Key);
   Entry->State = ResultState::NotRun;
-  while (!Entry->Waiting.empty()) {
-    const core::CallId Id = Entry->Waiting.front();
-    Entry->Waiting.erase(Entry->Waiting.begin());
+  while (!Entry->WaitingCalls.empty()) {
+    const core::CallId Id = Entry->WaitingCalls.front();
+    Entry->WaitingCalls.erase(Entry->WaitingCalls.begin());
     Call *Repeat = find(Id);
     // A question of another node cannot run the request.
     if (Repeat && !Repeat->FromNode)
@@ -120,7 +121,7 @@
     if (Repeat)
       answerRepeat(Id, *Entry);
   }
-  Next.Results.settle(*Which.Key, ResultState::NotRun, nullptr);
+  Fields.Results.recordResult(*Which.Key, ResultState::NotRun, nullptr);
 }
 
 void Reduction::operator()(const OwnerReplied &What) {
@@ -128,23 +129,23 @@
   if (!Which || Which->Phase != CallPhase::AwaitingOwner)
     return;
   switch (What.State) {
-  case KeptState::Answered:
+  case KeptResultState::Answered:
     return erase(What.Id);
-  case KeptState::NotRun:
+  case KeptResultState::NotRun:
     return refuse(What.Id, Outcome::NotRun, {ErrorCode::ClaimUndecided, ""});
-  case KeptState::Running:
-  case KeptState::Unknown:
+  case KeptResultState::Running:
+  case KeptResultState::Unknown:
     return refuse(What.Id, Outcome::Unknown, {ErrorCode::ClaimOwnerLost, ""});
   }
 }
 
 void Reduction::operator()(const KeptResultRequested &What) {
-  const KeptResults::Entry *Entry = Next.Results.find(What.Key);
+  const KeptResults::Entry *Entry = Fields.Results.find(What.Key);
   if (!Entry || Entry->Owner != What.Owner)
     return refuse(What.Id, Outcome::Unknown, {ErrorCode::ClaimOwnerLost, ""});
   if (Entry->RequestDigest != What.RequestDigest)
     return refuse(What.Id, Outcome::NotRun, reused(What.Key));
-  const auto [Place, Added] = Next.Calls.try_emplace(What.Id);
+  const auto [Place, Added] = Fields.Calls.try_emplace(What.Id);
   if (!Added)
     return;
   Call &Question = Place->second;
--- a/lib/decision/request/ReduceEjection.cpp
+++ b/lib/decision/request/ReduceEjection.cpp
@@ -14,50 +14,52 @@
   for (std::size_t Near = 0; Near < LocalityCount; ++Near) {
     Pool.Active[Near].clear();
     for (TargetIndex At : Pool.Members[Near])
-      if (!Next.Targets[At].Gone && !Next.Targets[At].Seen.EjectedUntil)
+      if (!Fields.Targets[At].Removed &&
+          !Fields.Targets[At].Health.EjectedUntil)
         Pool.Active[Near].push_back(At);
   }
 }
 
-void Reduction::noteHealth(TargetIndex At, bool Fault,
-                           core::Microseconds Latency) {
-  Target &Which = Next.Targets[At];
-  if (!noteAttempt(Which.Seen, Fault, Latency))
+void Reduction::recordHealth(TargetIndex At, bool Fault,
+                             core::Microseconds Latency) {
+  Target &Which = Fields.Targets[At];
+  if (!recordAttempt(Which.Health, Fault, Latency))
     return;
-  const auto Service = Next.Services.find(Which.Place.Service);
-  if (Service == Next.Services.end())
+  const auto Service = Fields.Services.find(Which.Announcement.Service);
+  if (Service == Fields.Services.end())
     return;
-  if (VersionPool *Pool = Service->second.poolOf(Which.Place.Version))
+  if (VersionPool *Pool = Service->second.poolOf(Which.Announcement.Version))
     ejectFrom(*Pool, At);
 }
 
 void Reduction::ejectFrom(VersionPool &Pool, TargetIndex At) {
-  const Target &Which = Next.Targets[At];
-  const auto &Members = Pool.Members[static_cast<std::size_t>(Which.Near)];
-  if (!eject(Next.Targets, Members, At, Now.Mono))
+  const Target &Which = Fields.Targets[At];
+  const auto &Members = Pool.Members[static_cast<std::size_t>(Which.Distance)];
+  if (!eject(Fields.Targets, Members, At, Now.Mono))
     return;
-  log(observe::EventId::RequestTargetEjected, Which.Place.Target.value());
+  log(observe::EventId::RequestTargetEjected,
+      Which.Announcement.Target.value());
   refreshActive(Pool);
 }
 
 void Reduction::reviewTargets() {
-  if (Now.Mono < Next.NextReview)
+  if (Now.Mono < Fields.NextReview)
     return;
-  Next.NextReview = Now.Mono + ReviewPeriod;
-  for (auto &[Name, Service] : Next.Services)
+  Fields.NextReview = Now.Mono + ReviewPeriod;
+  for (auto &[Name, Service] : Fields.Services)
     for (VersionPool &Pool : Service.Pools)
       reviewPool(Pool);
 }
 
 void Reduction::reviewPool(VersionPool &Pool) {
   for (const auto &Members : Pool.Members) {
-    const auto Readmitted = readmit(Next.Targets, Members, Now.Mono);
+    const auto Readmitted = readmit(Fields.Targets, Members, Now.Mono);
     for (TargetIndex At : Readmitted)
       log(observe::EventId::RequestTargetReadmitted,
-          Next.Targets[At].Place.Target.value());
+          Fields.Targets[At].Announcement.Target.value());
     if (!Readmitted.empty())
       refreshActive(Pool);
-    for (TargetIndex At : outliers(Members, Next.Targets.all()))
+    for (TargetIndex At : findOutliers(Members, Fields.Targets.all()))
       ejectFrom(Pool, At);
   }
 }
--- a/lib/decision/request/ReduceEnds.cpp
+++ b/lib/decision/request/ReduceEnds.cpp
@@ -22,23 +22,25 @@
                        bool TargetCrashed) {
   const core::CallId Id = Which.Id;
   const Outcome Result = Which.MayHaveRun ? Outcome::Unknown : Outcome::NotRun;
-  settle(Which, Which.MayHaveRun ? ResultState::Unknown : ResultState::NotRun,
-         nullptr);
+  recordResult(Which,
+               Which.MayHaveRun ? ResultState::Unknown : ResultState::NotRun,
+               nullptr);
   if (!Which.Detached)
     Out.emplace_back(Refuse{
         Id, Result, {Why, Which.Route->Name.value()}, Retried, TargetCrashed});
   erase(Id);
 }
 
-void Reduction::settle(Call &Which, ResultState Result,
-                       std::shared_ptr<const KeptAnswer> Answer) {
-  if (!Which.Runner)
+void Reduction::recordResult(Call &Which, ResultState Result,
+                             std::shared_ptr<const KeptAnswer> Answer) {
+  if (!Which.ClaimsKey)
     return;
   const core::IdempotencyKey Key = *Which.Key;
-  const auto Waiting = Next.Results.settle(Key, Result, std::move(Answer));
-  if (Next.Results.tookLimit())
+  const auto Waiting =
+      Fields.Results.recordResult(Key, Result, std::move(Answer));
+  if (Fields.Results.takeLimitReached())
     log(observe::EventId::ClaimResultLimit, "");
-  const claims::KeptResults::Entry *Entry = Next.Results.find(Key);
+  const claims::KeptResults::Entry *Entry = Fields.Results.find(Key);
   for (core::CallId Id : Waiting)
     if (Entry)
       answerRepeat(Id, *Entry);
@@ -46,37 +48,37 @@
       refuse(Id, Outcome::Unknown, {ErrorCode::ClaimResultNotKept, ""});
 }
 
-void Reduction::operator()(const CallerGone &What) {
+void Reduction::operator()(const CallerDisconnected &What) {
   Call *Which = find(What.Id);
   if (!Which)
     return;
   if (Which->Phase == CallPhase::Sent) {
     // The answer of a claimed request is kept for a repeat.
-    if (Which->Runner) {
+    if (Which->ClaimsKey) {
       Which->Detached = true;
       return;
     }
-    Out.emplace_back(CancelAttempt{What.Id, Which->Current});
+    Out.emplace_back(CancelAttempt{What.Id, Which->CurrentAttempt});
   }
-  const TargetIndex At = Which->At;
+  const TargetIndex At = Which->CurrentTarget;
   const bool HasTarget =
       Which->Phase == CallPhase::Sent || Which->Phase == CallPhase::Queued;
   if (HasTarget)
-    release(*Which, std::nullopt);
+    releaseTarget(*Which, std::nullopt);
   if (Which->Phase == CallPhase::Claiming)
     abandonClaim(*Which);
   else
-    settle(*Which, ResultState::NotRun, nullptr);
+    recordResult(*Which, ResultState::NotRun, nullptr);
   erase(What.Id);
   if (HasTarget)
     serveQueue(At);
 }
 
 void Reduction::addExpiry(const Call &Which) {
-  auto &Heap = Next.Expiries;
-  if (Heap.size() > 2 * Next.Calls.size() + SpareExpiries) {
+  auto &Heap = Fields.Expiries;
+  if (Heap.size() > 2 * Fields.Calls.size() + SpareExpiries) {
     std::erase_if(Heap, [this](const Expiry &Entry) {
-      return !Next.Calls.contains(Entry.Id);
+      return !Fields.Calls.contains(Entry.Id);
     });
     std::make_heap(Heap.begin(), Heap.end(), std::greater<>());
   }
@@ -98,38 +100,40 @@
     return refuse(Which.Id, Outcome::Unknown,
                   {ErrorCode::RequestDeadlinePassed, "waiting for the owner"});
   case CallPhase::Queued: {
-    const TargetIndex At = Which.At;
-    release(Which, std::nullopt);
+    const TargetIndex At = Which.CurrentTarget;
+    releaseTarget(Which, std::nullopt);
     refuse(Which, ErrorCode::RequestDeadlinePassed, !Which.Hosted);
     return serveQueue(At);
   }
   case CallPhase::Sent:
     break;
   }
-  if (Which.FirstByte)
+  if (Which.TimeToFirstByte)
     return;
-  const TargetIndex At = Which.At;
-  Out.emplace_back(CancelAttempt{Which.Id, Which.Current});
-  observe(Which, true);
-  noteHealth(At, true, Now.Mono - Which.SentAt);
-  release(Which, std::nullopt);
+  const TargetIndex At = Which.CurrentTarget;
+  Out.emplace_back(CancelAttempt{Which.Id, Which.CurrentAttempt});
+  reportObservation(Which, true);
+  recordHealth(At, true, Now.Mono - Which.SentAt);
+  releaseTarget(Which, std::nullopt);
   Which.MayHaveRun = true;
   refuse(Which, ErrorCode::RequestDeadlinePassed, !Which.Hosted);
   serveQueue(At);
 }
 
 void Reduction::operator()(const Tick &) {
-  while (!Next.Expiries.empty() && Next.Expiries.front().At <= Now.Mono) {
-    const core::CallId Id = Next.Expiries.front().Id;
-    std::pop_heap(Next.Expiries.begin(), Next.Expiries.end(), std::greater<>());
-    Next.Expiries.pop_back();
+  while (!Fields.Expiries.empty() &&
+         Fields.Expiries.front().Deadline <= Now.Mono) {
+    const core::CallId Id = Fields.Expiries.front().Id;
+    std::pop_heap(Fields.Expiries.begin(), Fields.Expiries.end(),
+                  std::greater<>());
+    Fields.Expiries.pop_back();
     if (Call *Which = find(Id))
       expire(*Which);
   }
   reviewTargets();
-  for (auto &[At, Own] : Next.OwnTargets)
+  for (auto &[At, Own] : Fields.LocalTargets)
     serveQueue(At);
-  Next.Crashed.expire(Now.Mono);
+  Fields.KnownSuspects.expire(Now.Mono);
 }
 
 } // namespace filbertvane::decision::request
--- a/lib/decision/request/ReduceFailures.cpp
+++ b/lib/decision/request/ReduceFailures.cpp
@@ -5,43 +5,45 @@
 
 using core::ErrorCode;
 
-void Reduction::passedOn(Call &Which, const AttemptEnded &What, bool Fault) {
+void Reduction::handleForwarded(Call &Which, const AttemptEnded &What,
+                                bool Fault) {
   const bool Answered = What.End == AttemptEnd::Answered;
-  if (Answered && Which.Slot.Alone)
-    Next.Crashed.clear(Which.RequestDigest);
+  if (Answered && Which.Slot.Exclusive)
+    Fields.KnownSuspects.clear(Which.RequestDigest);
   if (ServiceState *Service = serviceOf(Which); Service && !Which.Hosted) {
     if (!Fault)
-      Service->Retries.succeeded();
-    if (Next.Targets[Which.At].Near == Locality::DataCentre)
-      Service->Spill.taken();
+      Service->Retries.recordSuccess();
+    if (Fields.Targets[Which.CurrentTarget].Distance == Locality::DataCentre)
+      Service->Spillover.recordAccepted();
   }
-  settle(Which,
-         Answered ? claims::ResultState::Answered
-                  : claims::ResultState::Unknown,
-         What.Kept);
+  recordResult(Which,
+               Answered ? claims::ResultState::Answered
+                        : claims::ResultState::Unknown,
+               What.FullAnswer);
   erase(What.Id);
 }
 
-void Reduction::notRun(Call &Which, const AttemptEnded &What, ErrorCode Why,
-                       bool WasSent) {
+void Reduction::handleNotRun(Call &Which, const AttemptEnded &What,
+                             ErrorCode Why, bool WasSent) {
   if (Which.Hosted)
     return refuse(Which, Why, What.RetriedDownstream);
   if (WasSent)
-    noteRefusal(Next.Targets[Which.At].Seen);
-  const bool Near = Next.Targets[Which.At].Near == Locality::DataCentre;
+    recordRefusal(Fields.Targets[Which.CurrentTarget].Health);
+  const bool Near =
+      Fields.Targets[Which.CurrentTarget].Distance == Locality::DataCentre;
   if (ServiceState *Service = serviceOf(Which);
       Service && Near && !What.Unreachable)
-    Service->Spill.refused();
+    Service->Spillover.recordRefused();
   if (!retry(Which, What, WasSent))
     refuse(Which, Why, true);
 }
 
 void Reduction::refuseQueued(Call &Which, ErrorCode Why) {
-  release(Which, std::nullopt);
-  notRun(Which, {}, Why, false);
+  releaseTarget(Which, std::nullopt);
+  handleNotRun(Which, {}, Why, false);
 }
 
-void Reduction::noAnswer(Call &Which, const AttemptEnded &What) {
+void Reduction::handleNoAnswer(Call &Which, const AttemptEnded &What) {
   Which.MayHaveRun = true;
   if (Which.Hosted || !retry(Which, What, true))
     refuse(Which, ErrorCode::RequestNoAnswer, !Which.Hosted,
@@ -53,7 +55,7 @@
   const bool Safe = Which.idempotent() || !Which.MayHaveRun;
   return Safe && !Which.Detached && !What.RetriedDownstream &&
          Which.Crashes < CrashesToRefuse && Now.Mono < Which.Deadline &&
-         Which.Tried.size() < Next.Own.Bounds.Attempts;
+         Which.Tried.size() < Fields.Config.Bounds.MaxAttempts;
 }
 
 /// A refusal by the own target's admission sent nothing, so trying another
@@ -62,29 +64,30 @@
   if (!mayRetry(Which, What))
     return false;
   ServiceState *Service = serviceOf(Which);
-  const std::optional<TargetIndex> At = select(Which);
+  const std::optional<TargetIndex> At = selectTarget(Which);
   if (!Service || !At)
     return false;
-  if (WasSent && !Service->Retries.take()) {
+  if (WasSent && !Service->Retries.tryConsume()) {
     log(observe::EventId::RequestRetryBudgetEmpty, Service->Name.value());
     return false;
   }
-  begin(Which, *At);
+  startAttempt(Which, *At);
   return true;
 }
 
 /// Only the entry node observes: the host node sees the same answers.
-void Reduction::observe(const Call &Which, bool Fault, bool TargetCrashed) {
+void Reduction::reportObservation(const Call &Which, bool Fault,
+                                  bool TargetCrashed) {
   if (Which.FromNode)
     return;
-  const Endpoint &Place = Next.Targets[Which.At].Place;
-  Observed Seen;
+  const Endpoint &Place = Fields.Targets[Which.CurrentTarget].Announcement;
+  ObservedAnswer Seen;
   Seen.Service = Which.Route->Service;
   Seen.Route = Which.Route->Name;
   Seen.Version = Place.Version;
   Seen.Fault = Fault;
-  Seen.Latency = Which.FirstByte.value_or(Now.Mono - Which.SentAt);
-  Seen.Remote = Place.DataCentre != Next.Own.DataCentre;
+  Seen.Latency = Which.TimeToFirstByte.value_or(Now.Mono - Which.SentAt);
+  Seen.Remote = Place.DataCentre != Fields.Config.DataCentre;
   Seen.TargetCrashed = TargetCrashed;
   Seen.RequestDigest = Which.RequestDigest;
   Out.emplace_back(std::move(Seen));
@@ -92,9 +95,9 @@
 
 /// Requests that ran together get one crash each, and one with the same digest
 /// as another gets no second one.
-void Reduction::noteCrash(Call &Which) {
+void Reduction::recordCrash(Call &Which) {
   ++Which.Crashes;
-  if (Next.Crashed.note(Which.RequestDigest, Which.Crashes, Now.Mono))
+  if (Fields.KnownSuspects.record(Which.RequestDigest, Which.Crashes, Now.Mono))
     log(observe::EventId::RequestSuspectLimit, "");
   log(observe::EventId::RequestSuspectAdded,
       std::to_string(Which.RequestDigest.value()));
--- a/lib/decision/request/ReduceFleet.cpp
+++ b/lib/decision/request/ReduceFleet.cpp
@@ -27,28 +27,28 @@
 }
 
 void addMember(ServiceState &Service, const Target &Member, TargetIndex At) {
-  VersionPool *Pool = Service.poolOf(Member.Place.Version);
+  VersionPool *Pool = Service.poolOf(Member.Announcement.Version);
   if (!Pool) {
-    Service.Pools.emplace_back().Version = Member.Place.Version;
+    Service.Pools.emplace_back().Version = Member.Announcement.Version;
     Pool = &Service.Pools.back();
   }
-  Pool->Members[static_cast<std::size_t>(Member.Near)].push_back(At);
+  Pool->Members[static_cast<std::size_t>(Member.Distance)].push_back(At);
 }
 
 } // namespace
 
 void Reduction::operator()(const ConfigurationChanged &What) {
-  Next.Fleet = What.State;
-  Next.Routes = RouteTable(What.State->Current.Routes);
+  Fields.Fleet = What.State;
+  Fields.Routes = RouteTable(What.State->Current.Routes);
   std::unordered_map<core::ServiceName, ServiceState> Services;
   for (const auto &[Name, Versions] : What.State->TrafficOf) {
-    const auto Known = Next.Services.find(Name);
+    const auto Known = Fields.Services.find(Name);
     ServiceState Service;
-    if (Known != Next.Services.end())
+    if (Known != Fields.Services.end())
       Service = std::move(Known->second);
     else
       Service.Selector = VersionSelector(
-          static_cast<config::Permille>(Next.Source.below(config::FullShare)));
+          static_cast<config::Permille>(Fields.Rng.below(config::FullShare)));
     Service.Name = Name;
     Service.Versions = withoutRolledBack(Versions, Name, What);
     Service.HasIdempotentRoute = false;
@@ -58,74 +58,74 @@
     if (const auto Found = Services.find(Route.Service);
         Found != Services.end() && Route.Idempotent)
       Found->second.HasIdempotentRoute = true;
-  Next.Services = std::move(Services);
+  Fields.Services = std::move(Services);
   rebuildPools();
 }
 
 void Reduction::rebuildPools() {
-  for (auto &[Name, Service] : Next.Services)
+  for (auto &[Name, Service] : Fields.Services)
     Service.Pools.clear();
-  const std::span<const Target> All = Next.Targets.all();
+  const std::span<const Target> All = Fields.Targets.all();
   for (TargetIndex At = 0; At < All.size(); ++At) {
-    const auto Service = Next.Services.find(All[At].Place.Service);
-    if (!All[At].Gone && Service != Next.Services.end())
+    const auto Service = Fields.Services.find(All[At].Announcement.Service);
+    if (!All[At].Removed && Service != Fields.Services.end())
       addMember(Service->second, All[At], At);
   }
-  for (auto &[Name, Service] : Next.Services)
+  for (auto &[Name, Service] : Fields.Services)
     for (VersionPool &Pool : Service.Pools) {
       for (const auto &Members : Pool.Members)
-        keepHalf(Next.Targets, Members, Now.Mono);
+        limitEjections(Fields.Targets, Members, Now.Mono);
       refreshActive(Pool);
     }
 }
 
 void Reduction::operator()(const EndpointsChanged &What) {
-  Next.Targets.update(What.Endpoints, Next.Own.Self, Next.Own.DataCentre,
-                      Next.Own.Region);
-  const std::span<const Target> All = Next.Targets.all();
+  Fields.Targets.update(What.Endpoints, Fields.Config.Self,
+                        Fields.Config.DataCentre, Fields.Config.Region);
+  const std::span<const Target> All = Fields.Targets.all();
   for (TargetIndex At = 0; At < All.size(); ++At) {
     const Target &Which = All[At];
-    const auto Known = Next.OwnTargets.find(At);
-    if (!Which.Own) {
+    const auto Known = Fields.LocalTargets.find(At);
+    if (!Which.Local) {
       // The place was taken over by another target.
-      if (Known != Next.OwnTargets.end())
-        Next.OwnTargets.erase(Known);
+      if (Known != Fields.LocalTargets.end())
+        Fields.LocalTargets.erase(Known);
       continue;
     }
-    if (!Which.Gone && !Next.Draining)
+    if (!Which.Removed && !Fields.Draining)
       openTarget(At);
   }
   rebuildPools();
-  for (auto &[At, Own] : Next.OwnTargets)
-    if (Next.Targets[At].Gone)
+  for (auto &[At, Own] : Fields.LocalTargets)
+    if (Fields.Targets[At].Removed)
       closeTarget(At);
     else
       serveQueue(At);
 }
 
 void Reduction::openTarget(TargetIndex At) {
-  const Limits &Bounds = Next.Own.Bounds;
-  const std::uint32_t Slots = Next.Targets[At].Place.Slots;
-  const Admission::Bounds Own{Bounds.QueueEntries, Bounds.BulkBytes,
+  const Limits &Bounds = Fields.Config.Bounds;
+  const std::uint32_t Slots = Fields.Targets[At].Announcement.Slots;
+  const Admission::Bounds Own{Bounds.MaxQueueEntries, Bounds.MaxBulkBytes,
                               Bounds.ShedByDeadline};
-  Next.OwnTargets.try_emplace(At, Slots, Own).first->second.open(Slots);
+  Fields.LocalTargets.try_emplace(At, Slots, Own).first->second.open(Slots);
 }
 
 /// Waiting requests are refused as not run, so that the entry node can send
 /// them to another target; those in progress go on.
 void Reduction::closeTarget(TargetIndex At) {
-  const auto Own = Next.OwnTargets.find(At);
-  if (Own == Next.OwnTargets.end() || Own->second.closed())
+  const auto Own = Fields.LocalTargets.find(At);
+  if (Own == Fields.LocalTargets.end() || Own->second.closed())
     return;
   log(observe::EventId::RequestTargetLeaving,
-      Next.Targets[At].Place.Target.value());
+      Fields.Targets[At].Announcement.Target.value());
   for (core::CallId Id : Own->second.close())
     if (Call *Which = find(Id))
       refuseQueued(*Which, core::ErrorCode::RequestDraining);
 }
 
 void Reduction::operator()(const TargetLeaving &What) {
-  const TargetIndex At = Next.Targets.markGone(What.Target);
+  const TargetIndex At = Fields.Targets.markLeaving(What.Target);
   if (At == NoTarget)
     return;
   rebuildPools();
@@ -133,16 +133,16 @@
 }
 
 void Reduction::operator()(const DrainStarted &) {
-  Next.Draining = true;
-  for (const auto &[At, Own] : Next.OwnTargets)
-    Next.Targets[At].Gone = Next.Targets[At].Leaving = true;
+  Fields.Draining = true;
+  for (const auto &[At, Own] : Fields.LocalTargets)
+    Fields.Targets[At].Removed = Fields.Targets[At].Leaving = true;
   rebuildPools();
-  for (const auto &[At, Own] : Next.OwnTargets)
+  for (const auto &[At, Own] : Fields.LocalTargets)
     closeTarget(At);
 }
 
 void Reduction::operator()(const SuspectLearned &What) {
-  if (Next.Crashed.note(What.RequestDigest, What.Crashes, Now.Mono))
+  if (Fields.KnownSuspects.record(What.RequestDigest, What.Crashes, Now.Mono))
     log(observe::EventId::RequestSuspectLimit, "");
 }
 
--- a/lib/decision/request/ReduceSelection.cpp
+++ b/lib/decision/request/ReduceSelection.cpp
@@ -2,14 +2,14 @@
 
 namespace filbertvane::decision::request {
 
-std::optional<TargetIndex> Reduction::select(Call &Which) {
+std::optional<TargetIndex> Reduction::selectTarget(Call &Which) {
   ServiceState *Service = serviceOf(Which);
   if (!Service)
     return std::nullopt;
   VersionPool *Pool = selectPool(Which, *Service);
   if (!Pool)
     return std::nullopt;
-  return selectIn(Which, *Service, *Pool);
+  return selectFromPool(Which, *Service, *Pool);
 }
 
 namespace {
@@ -37,7 +37,7 @@
                     Service.HasIdempotentRoute);
   if (Service.Versions.Candidate && Share > 0)
     Candidate = Service.poolOf(*Service.Versions.Candidate);
-  const bool Selected = Share > 0 && Service.Selector.next(Share);
+  const bool Selected = Share > 0 && Service.Selector.selectCandidate(Share);
   // An unproven candidate never stands in for the stable version.
   const bool Proven = Share > CanaryShare;
   VersionPool *Pool =
@@ -49,9 +49,9 @@
   return Pool;
 }
 
-std::optional<TargetIndex> Reduction::selectIn(const Call &Which,
-                                               ServiceState &Service,
-                                               const VersionPool &Pool) {
+std::optional<TargetIndex> Reduction::selectFromPool(const Call &Which,
+                                                     ServiceState &Service,
+                                                     const VersionPool &Pool) {
   // A request of another data centre's entry node stays in this one.
   const std::size_t Reach = Which.FromNode ? 1 : LocalityCount;
   std::size_t Nearest = 0;
@@ -60,15 +60,15 @@
   std::size_t First = Nearest;
   // After two refusals the near targets count as full for this call.
   if (Which.Tried.size() > 1 ||
-      (Which.Tried.empty() && Reach > 1 && Service.Spill.spillNext()))
+      (Which.Tried.empty() && Reach > 1 && Service.Spillover.spillNext()))
     ++First;
   std::optional<TargetIndex> Fallback;
   for (std::size_t Near = First; Near < Reach; ++Near) {
     const auto Found = pick(Which, Pool.Active[Near]);
     if (!Found)
       continue;
-    const Target &Chosen = Next.Targets[*Found];
-    if (Chosen.Outstanding < Chosen.Place.Slots)
+    const Target &Chosen = Fields.Targets[*Found];
+    if (Chosen.Outstanding < Chosen.Announcement.Slots)
       return Found;
     if (!Fallback)
       Fallback = Found;
@@ -80,11 +80,11 @@
 
 std::optional<TargetIndex>
 Reduction::pick(const Call &Which, std::span<const TargetIndex> Members) {
-  const PickContext Context{Members, Next.Targets.all(), Which.Tried,
+  const PickContext Context{Members, Fields.Targets.all(), Which.Tried,
                             Which.Route->Kind, Now.Mono};
   return std::visit(
-      [&](auto &Picker) { return Picker.pick(Context, Next.Source); },
-      Next.Own.Picker);
+      [&](auto &Picker) { return Picker.pick(Context, Fields.Rng); },
+      Fields.Config.Picker);
 }
 
 } // namespace filbertvane::decision::request
--- a/lib/decision/request/Reducer.cpp
+++ b/lib/decision/request/Reducer.cpp
@@ -4,7 +4,7 @@
 namespace filbertvane::decision::request {
 
 StateFields::StateFields(Settings Own)
-    : Own(std::move(Own)), Source(this->Own.Seed) {}
+    : Config(std::move(Own)), Rng(this->Config.Seed) {}
 
 VersionPool *ServiceState::poolOf(const core::TargetVersion &Version) {
   for (VersionPool &Pool : Pools)
@@ -14,13 +14,13 @@
 }
 
 Call *Reduction::find(core::CallId Id) {
-  const auto Found = Next.Calls.find(Id);
-  return Found == Next.Calls.end() ? nullptr : &Found->second;
+  const auto Found = Fields.Calls.find(Id);
+  return Found == Fields.Calls.end() ? nullptr : &Found->second;
 }
 
 ServiceState *Reduction::serviceOf(const Call &Which) {
-  const auto Found = Next.Services.find(Which.Route->Service);
-  return Found == Next.Services.end() ? nullptr : &Found->second;
+  const auto Found = Fields.Services.find(Which.Route->Service);
+  return Found == Fields.Services.end() ? nullptr : &Found->second;
 }
 
 void Reduction::log(observe::EventId Id, std::string Detail) {
--- a/lib/decision/request/Reduction.h
+++ b/lib/decision/request/Reduction.h
@@ -9,14 +9,14 @@
 class Reduction {
 public:
   Reduction(StateFields &Next, Effects &Out, core::Instant Now)
-      : Next(Next), Out(Out), Now(Now) {}
+      : Fields(Next), Out(Out), Now(Now) {}
 
   /// @name Events
   /// @{
   void operator()(const CallArrived &What);
   void operator()(const AnswerStarted &What);
   void operator()(const AttemptEnded &What);
-  void operator()(const CallerGone &What);
+  void operator()(const CallerDisconnected &What);
   void operator()(const ClaimDecided &What);
   void operator()(const OwnerReplied &What);
   void operator()(const KeptResultRequested &What);
@@ -32,29 +32,30 @@
   /// @name Arrival (ReduceArrival.cpp)
   /// @{
   /// Error that refuses any new call, or none.
-  std::optional<core::Error> refusalOfNewCalls() const;
-  RoutePtr routeOf(const CallArrived &What) const;
+  std::optional<core::Error> newCallError() const;
+  RoutePtr findRoute(const CallArrived &What) const;
   Call makeCall(const CallArrived &What, RoutePtr Route) const;
   void routeCall(Call &Which);
-  void hostCall(Call &Which, const core::TargetId &Target);
+  void startHostedCall(Call &Which, const core::TargetId &Target);
   /// @}
 
   /// @name Selection (ReduceSelection.cpp)
   /// @{
-  std::optional<TargetIndex> select(Call &Which);
+  std::optional<TargetIndex> selectTarget(Call &Which);
   VersionPool *selectPool(Call &Which, ServiceState &Service);
-  std::optional<TargetIndex> selectIn(const Call &Which, ServiceState &Service,
-                                      const VersionPool &Pool);
+  std::optional<TargetIndex> selectFromPool(const Call &Which,
+                                            ServiceState &Service,
+                                            const VersionPool &Pool);
   std::optional<TargetIndex> pick(const Call &Which,
                                   std::span<const TargetIndex> Members);
   /// @}
 
   /// @name Attempts (ReduceAttempts.cpp)
   /// @{
-  void begin(Call &Which, TargetIndex At);
-  void send(Call &Which);
+  void startAttempt(Call &Which, TargetIndex At);
+  void sendAttempt(Call &Which);
   /// Frees the target's count and the slot of a sent attempt.
-  void release(Call &Which, std::optional<core::Microseconds> Took);
+  void releaseTarget(Call &Which, std::optional<core::Microseconds> Took);
   /// Starts or refuses the waiting requests of an own target.
   void serveQueue(TargetIndex At);
   /// @}
@@ -63,21 +64,22 @@
   /// @{
   /// An attempt is over that did not run.
   /// @param WasSent false when the own target's admission refused
-  void notRun(Call &Which, const AttemptEnded &What, core::ErrorCode Why,
-              bool WasSent);
+  void handleNotRun(Call &Which, const AttemptEnded &What, core::ErrorCode Why,
+                    bool WasSent);
   void refuseQueued(Call &Which, core::ErrorCode Why);
-  void noAnswer(Call &Which, const AttemptEnded &What);
+  void handleNoAnswer(Call &Which, const AttemptEnded &What);
   /// The answer was passed on, in whole or in part.
-  void passedOn(Call &Which, const AttemptEnded &What, bool Fault);
+  void handleForwarded(Call &Which, const AttemptEnded &What, bool Fault);
   bool retry(Call &Which, const AttemptEnded &What, bool WasSent);
   bool mayRetry(const Call &Which, const AttemptEnded &What) const;
-  void observe(const Call &Which, bool Fault, bool TargetCrashed = false);
-  void noteCrash(Call &Which);
+  void reportObservation(const Call &Which, bool Fault,
+                         bool TargetCrashed = false);
+  void recordCrash(Call &Which);
   /// @}
 
   /// @name Ejection (ReduceEjection.cpp)
   /// @{
-  void noteHealth(TargetIndex At, bool Fault, core::Microseconds Latency);
+  void recordHealth(TargetIndex At, bool Fault, core::Microseconds Latency);
   void ejectFrom(VersionPool &Pool, TargetIndex At);
   void reviewTargets();
   void reviewPool(VersionPool &Pool);
@@ -89,9 +91,9 @@
   void refuse(Call &Which, core::ErrorCode Why, bool Retried,
               bool TargetCrashed = false);
   void refuse(core::CallId Id, Outcome Result, core::Error Why);
-  void settle(Call &Which, claims::ResultState Result,
-              std::shared_ptr<const KeptAnswer> Answer);
-  void erase(core::CallId Id) { Next.Calls.erase(Id); }
+  void recordResult(Call &Which, claims::ResultState Result,
+                    std::shared_ptr<const KeptAnswer> Answer);
+  void erase(core::CallId Id) { Fields.Calls.erase(Id); }
   void addExpiry(const Call &Which);
   void expire(Call &Which);
   /// @}
@@ -118,7 +120,7 @@
   Call *find(core::CallId Id);
   ServiceState *serviceOf(const Call &Which);
 
-  StateFields &Next;
+  StateFields &Fields;
   Effects &Out;
   core::Instant Now;
 };
--- a/lib/decision/request/RetryBudget.cpp
+++ b/lib/decision/request/RetryBudget.cpp
@@ -3,11 +3,12 @@
 
 namespace filbertvane::decision::request {
 
-void RetryBudget::succeeded() {
-  Thousandths = std::min(Thousandths + EarnedPerSuccess, MostSaved * 1000);
+void RetryBudget::recordSuccess() {
+  Thousandths =
+      std::min(Thousandths + ThousandthsPerSuccess, MaxRetries * 1000);
 }
 
-bool RetryBudget::take() {
+bool RetryBudget::tryConsume() {
   if (Thousandths < 1000)
     return false;
   Thousandths -= 1000;
--- a/lib/decision/request/SpillGauge.cpp
+++ b/lib/decision/request/SpilloverEstimator.cpp
@@ -1,4 +1,4 @@
-#include "filbertvane/decision/request/SpillGauge.h"
+#include "filbertvane/decision/request/SpilloverEstimator.h"
 #include <algorithm>
 
 namespace filbertvane::decision::request {
@@ -14,15 +14,15 @@
 
 } // namespace
 
-void SpillGauge::refused() {
+void SpilloverEstimator::recordRefused() {
   Share = std::min(LargestShare, Share + (1 - Share) * Gain);
 }
 
-void SpillGauge::taken() {
+void SpilloverEstimator::recordAccepted() {
   Share = std::max(0.0, Share - (1 - Share) * Gain * RefusalsToHold);
 }
 
-bool SpillGauge::spillNext() {
+bool SpilloverEstimator::spillNext() {
   Accumulated += Share;
   if (Accumulated < 1)
     return false;
--- a/lib/decision/request/TargetPicker.cpp
+++ b/lib/decision/request/TargetPicker.cpp
@@ -32,15 +32,16 @@
   return std::find(Tried.begin(), Tried.end(), At) != Tried.end();
 }
 
-double costOf(const Target &Candidate, config::TrafficKind Kind,
-              core::TimePoint Now) {
-  const double Latency = Candidate.Seen.LatencyUs > 0 ? Candidate.Seen.LatencyUs
-                                                      : UnknownLatencyUs;
+double expectedCost(const Target &Candidate, config::TrafficKind Kind,
+                    core::TimePoint Now) {
+  const double Latency = Candidate.Health.LatencyUs > 0
+                             ? Candidate.Health.LatencyUs
+                             : UnknownLatencyUs;
   double Load = Candidate.Outstanding + 1.0;
   if (Kind == config::TrafficKind::Bulk)
     Load += static_cast<double>(Candidate.BytesInFlight) / BytesPerUnit;
-  const double Taken = LeastTaken + 1 - Candidate.Seen.RefusalRate;
-  return Load * Latency / (Taken * warmth(Candidate.WarmSince, Now));
+  const double Taken = LeastTaken + 1 - Candidate.Health.RefusalRate;
+  return Load * Latency / (Taken * warmUpShare(Candidate.WarmUpStart, Now));
 }
 
 std::optional<TargetIndex> PowerOfTwoChoices::pick(const PickContext &Context,
@@ -54,8 +55,10 @@
     return A;
   const std::size_t Other = (Start + 1 + Source.below(Count - 1)) % Count;
   const std::optional<TargetIndex> B = untriedFrom(Context, Other);
-  const double CostA = costOf(Context.Targets[*A], Context.Kind, Context.Now);
-  const double CostB = costOf(Context.Targets[*B], Context.Kind, Context.Now);
+  const double CostA =
+      expectedCost(Context.Targets[*A], Context.Kind, Context.Now);
+  const double CostB =
+      expectedCost(Context.Targets[*B], Context.Kind, Context.Now);
   return CostB < CostA ? B : A;
 }
 
--- a/lib/decision/request/TargetTable.cpp
+++ b/lib/decision/request/TargetTable.cpp
@@ -9,32 +9,32 @@
                     const core::RegionId &Region) {
   if (Place.DataCentre == DataCentre)
     return Locality::DataCentre;
-  return Place.Region == Region ? Locality::Region : Locality::Elsewhere;
+  return Place.Region == Region ? Locality::Region : Locality::OtherRegion;
 }
 
 } // namespace
 
-TargetIndex TargetTable::freeSlot() {
+TargetIndex TargetTable::allocateEntry() {
   const auto Free =
-      std::find_if(Slots.begin(), Slots.end(), [](const Target &Slot) {
-        return Slot.Gone && !Slot.Listed && Slot.Outstanding == 0;
+      std::find_if(Entries.begin(), Entries.end(), [](const Target &Slot) {
+        return Slot.Removed && !Slot.Announced && Slot.Outstanding == 0;
       });
-  if (Free == Slots.end()) {
-    Slots.emplace_back();
-    return static_cast<TargetIndex>(Slots.size() - 1);
+  if (Free == Entries.end()) {
+    Entries.emplace_back();
+    return static_cast<TargetIndex>(Entries.size() - 1);
   }
-  IndexOf.erase(Free->Place.Target);
+  IndexOf.erase(Free->Announcement.Target);
   *Free = Target{};
-  return static_cast<TargetIndex>(Free - Slots.begin());
+  return static_cast<TargetIndex>(Free - Entries.begin());
 }
 
 void TargetTable::update(const std::vector<Endpoint> &Endpoints,
                          const core::NodeId &Self,
                          const core::DataCentreId &DataCentre,
                          const core::RegionId &Region) {
-  for (Target &Slot : Slots) {
-    Slot.Gone = true;
-    Slot.Listed = false;
+  for (Target &Slot : Entries) {
+    Slot.Removed = true;
+    Slot.Announced = false;
   }
   std::vector<const Endpoint *> Added;
   for (const Endpoint &Place : Endpoints) {
@@ -43,26 +43,26 @@
       Added.push_back(&Place);
       continue;
     }
-    Slots[At].Place = Place;
-    Slots[At].Gone = Slots[At].Leaving;
-    Slots[At].Listed = true;
+    Entries[At].Announcement = Place;
+    Entries[At].Removed = Entries[At].Leaving;
+    Entries[At].Announced = true;
   }
   for (const Endpoint *Place : Added) {
-    const TargetIndex At = freeSlot();
-    Target &Slot = Slots[At];
-    Slot.Place = *Place;
-    Slot.Listed = true;
-    Slot.Near = localityOf(*Place, DataCentre, Region);
-    Slot.Own = Place->Node == Self;
-    Slot.WarmSince = Place->Since;
+    const TargetIndex At = allocateEntry();
+    Target &Slot = Entries[At];
+    Slot.Announcement = *Place;
+    Slot.Announced = true;
+    Slot.Distance = localityOf(*Place, DataCentre, Region);
+    Slot.Local = Place->Node == Self;
+    Slot.WarmUpStart = Place->AnnouncedAt;
     IndexOf[Place->Target] = At;
   }
 }
 
-TargetIndex TargetTable::markGone(const core::TargetId &Id) {
+TargetIndex TargetTable::markLeaving(const core::TargetId &Id) {
   const TargetIndex At = find(Id);
   if (At != NoTarget)
-    Slots[At].Gone = Slots[At].Leaving = true;
+    Entries[At].Removed = Entries[At].Leaving = true;
   return At;
 }
 
--- a/lib/decision/request/VersionSelector.cpp
+++ b/lib/decision/request/VersionSelector.cpp
@@ -2,7 +2,7 @@
 
 namespace filbertvane::decision::request {
 
-bool VersionSelector::next(config::Permille CandidateShare) {
+bool VersionSelector::selectCandidate(config::Permille CandidateShare) {
   Accumulated += CandidateShare;
   if (Accumulated < config::FullShare)
     return false;
--- a/lib/decision/request/WarmUp.cpp
+++ b/lib/decision/request/WarmUp.cpp
@@ -3,10 +3,10 @@
 
 namespace filbertvane::decision::request {
 
-double warmth(core::TimePoint Since, core::TimePoint Now) {
+double warmUpShare(core::TimePoint Since, core::TimePoint Now) {
   const auto Age = static_cast<double>((Now - Since).count());
   const auto Full = static_cast<double>(core::Microseconds(WarmUpTime).count());
-  return std::clamp(Age / Full, ColdShare, 1.0);
+  return std::clamp(Age / Full, InitialShare, 1.0);
 }
 
 } // namespace filbertvane::decision::request
--- a/lib/decision/request/claims/ClaimTable.cpp
+++ b/lib/decision/request/claims/ClaimTable.cpp
@@ -11,7 +11,7 @@
 
 } // namespace
 
-bool ClaimTable::isRepeat(const ClaimBatch &Batch) {
+bool ClaimTable::checkDuplicate(const ClaimBatch &Batch) {
   const auto [Place, Added] =
       LastSequence.try_emplace(Batch.Writer, Batch.Sequence);
   if (!Added && Place->second >= Batch.Sequence)
@@ -25,33 +25,35 @@
 }
 
 bool ClaimTable::apply(const ClaimBatch &Batch) {
-  if (isRepeat(Batch))
+  if (checkDuplicate(Batch))
     return false;
   for (const Claim &One : Batch.Claims)
-    if (core::ok(keyTime(One.Key)))
-      First.try_emplace(One.Key, Holder{One.Owner, One.RequestDigest});
-  return dropOldest();
+    if (core::ok(parseKeyTime(One.Key)))
+      FirstClaims.try_emplace(One.Key,
+                              FirstClaim{One.Owner, One.RequestDigest});
+  return evictOldest();
 }
 
 /// A key made at the same millisecond as a dropped one is not covered either.
-bool ClaimTable::dropOldest() {
+bool ClaimTable::evictOldest() {
   bool Dropped = false;
-  while (First.size() > MostKeys) {
-    const auto Made = keyTime(First.begin()->first);
-    missBefore(core::value(Made) + core::Milliseconds(1));
-    First.erase(First.begin());
+  while (FirstClaims.size() > MaxKeys) {
+    const auto Made = parseKeyTime(FirstClaims.begin()->first);
+    markIncompleteBefore(core::value(Made) + core::Milliseconds(1));
+    FirstClaims.erase(FirstClaims.begin());
     Dropped = true;
   }
   return Dropped;
 }
 
-void ClaimTable::missBefore(core::WallTime Time) {
+void ClaimTable::markIncompleteBefore(core::WallTime Time) {
   CompleteFrom = std::max(CompleteFrom.value_or(Time), Time);
 }
 
-void ClaimTable::forgetBefore(core::WallTime Time) {
-  while (!First.empty() && core::value(keyTime(First.begin()->first)) < Time)
-    First.erase(First.begin());
+void ClaimTable::eraseBefore(core::WallTime Time) {
+  while (!FirstClaims.empty() &&
+         core::value(parseKeyTime(FirstClaims.begin()->first)) < Time)
+    FirstClaims.erase(FirstClaims.begin());
 }
 
 bool ClaimTable::covers(core::WallTime Made) const {
@@ -59,15 +61,15 @@
 }
 
 std::optional<core::Result<ClaimOwner>>
-ClaimTable::decide(const Claim &What) const {
-  const auto Made = keyTime(What.Key);
+ClaimTable::findOwner(const Claim &What) const {
+  const auto Made = parseKeyTime(What.Key);
   if (!core::ok(Made))
     return core::failure(Made);
   if (!covers(core::value(Made)))
     return core::Error{core::ErrorCode::ClaimHistoryIncomplete,
                        What.Key.value()};
-  const auto Found = First.find(What.Key);
-  if (Found == First.end())
+  const auto Found = FirstClaims.find(What.Key);
+  if (Found == FirstClaims.end())
     return std::nullopt;
   if (Found->second.RequestDigest != What.RequestDigest)
     return core::Error{core::ErrorCode::ClaimKeyReused, What.Key.value()};
--- a/lib/decision/request/claims/KeptResults.cpp
+++ b/lib/decision/request/claims/KeptResults.cpp
@@ -3,14 +3,14 @@
 namespace filbertvane::decision::request::claims {
 
 KeptResults::Entry *KeptResults::find(const core::IdempotencyKey &Key) {
-  const auto Found = Known.find(Key);
-  return Found == Known.end() ? nullptr : &Found->second;
+  const auto Found = Entries.find(Key);
+  return Found == Entries.end() ? nullptr : &Found->second;
 }
 
 KeptResults::Entry &KeptResults::insert(const core::IdempotencyKey &Key,
                                         const ClaimOwner &Owner,
                                         core::Digest RequestDigest) {
-  Entry &Added = Known[Key];
+  Entry &Added = Entries[Key];
   Added.Owner = Owner;
   Added.RequestDigest = RequestDigest;
   Added.State = ResultState::Claiming;
@@ -19,52 +19,54 @@
 
 void KeptResults::erase(const core::IdempotencyKey &Key) {
   if (Entry *Found = find(Key)) {
-    dropAnswer(*Found);
-    Known.erase(Key);
+    eraseAnswer(*Found);
+    Entries.erase(Key);
   }
 }
 
-void KeptResults::dropAnswer(Entry &Which) {
+void KeptResults::eraseAnswer(Entry &Which) {
   if (Which.Answer)
     Bytes -= Which.Answer->Bytes.size();
   Which.Answer = nullptr;
 }
 
 std::vector<core::CallId>
-KeptResults::settle(const core::IdempotencyKey &Key, ResultState Result,
-                    std::shared_ptr<const KeptAnswer> Answer) {
+KeptResults::recordResult(const core::IdempotencyKey &Key, ResultState Result,
+                          std::shared_ptr<const KeptAnswer> Answer) {
   Entry *Found = find(Key);
   if (!Found)
     return {};
   Found->State = Result;
-  dropAnswer(*Found);
-  if (Answer && Answer->Bytes.size() <= KeptAnswerLimit) {
+  eraseAnswer(*Found);
+  if (Answer && Answer->Bytes.size() <= MaxKeptAnswerBytes) {
     Bytes += Answer->Bytes.size();
     Found->Answer = std::move(Answer);
   }
-  Found->Number = ++LastNumber;
-  Order.emplace_back(Key, Found->Number);
-  std::vector<core::CallId> Waiting = std::move(Found->Waiting);
-  Found->Waiting.clear();
-  while (Bytes > MostBytes || Order.size() > MostEntries)
-    dropOldest();
+  Found->ResultNumber = ++LastResultNumber;
+  EvictionOrder.emplace_back(Key, Found->ResultNumber);
+  std::vector<core::CallId> Waiting = std::move(Found->WaitingCalls);
+  Found->WaitingCalls.clear();
+  while (Bytes > MaxBytes || EvictionOrder.size() > MaxEntries)
+    evictOldest();
   return Waiting;
 }
 
-void KeptResults::dropOldest() {
-  const auto [Key, Number] = std::move(Order.front());
-  Order.pop_front();
+void KeptResults::evictOldest() {
+  const auto [Key, Number] = std::move(EvictionOrder.front());
+  EvictionOrder.pop_front();
   Entry *Found = find(Key);
   // A key that was settled again has a newer place in the order; one that
   // runs again must not be dropped.
-  if (!Found || Found->Number != Number ||
+  if (!Found || Found->ResultNumber != Number ||
       Found->State == ResultState::Claiming ||
       Found->State == ResultState::Running)
     return;
-  Dropped = true;
+  LimitReached = true;
   erase(Key);
 }
 
-bool KeptResults::tookLimit() { return std::exchange(Dropped, false); }
+bool KeptResults::takeLimitReached() {
+  return std::exchange(LimitReached, false);
+}
 
 } // namespace filbertvane::decision::request::claims
--- a/lib/decision/request/claims/Key.cpp
+++ b/lib/decision/request/claims/Key.cpp
@@ -41,7 +41,7 @@
 
 } // namespace
 
-core::Result<core::WallTime> keyTime(const core::IdempotencyKey &Key) {
+core::Result<core::WallTime> parseKeyTime(const core::IdempotencyKey &Key) {
   const std::string &Text = Key.value();
   if (!wellFormed(Text))
     return invalid(Key, "not the lower-case text of a UUIDv7");
@@ -59,13 +59,13 @@
 core::Result<core::WallTime> checkKey(const core::IdempotencyKey &Key,
                                       core::WallTime Now,
                                       core::Seconds Retention) {
-  core::Result<core::WallTime> Parsed = keyTime(Key);
+  core::Result<core::WallTime> Parsed = parseKeyTime(Key);
   if (!core::ok(Parsed))
     return Parsed;
   const core::WallTime Made = core::value(Parsed);
-  if (Made > Now + ClockMargin)
+  if (Made > Now + MaxClockSkew)
     return invalid(Key, "its time lies in the future");
-  if (Made < Now - (Retention - ClockMargin))
+  if (Made < Now - (Retention - MaxClockSkew))
     return core::Error{core::ErrorCode::ClaimKeyExpired, Key.value()};
   return Parsed;
 }
--- a/lib/decision/rollout/Evidence.cpp
+++ b/lib/decision/rollout/Evidence.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 /// Newest watched move that an answer's version belongs to.
-const config::MoveStatus *moveOf(const request::Observed &Answer,
+const config::MoveStatus *moveOf(const request::ObservedAnswer &Answer,
                                  const config::FleetState &Fleet,
                                  core::WallTime Now) {
   const auto Found =
@@ -60,7 +60,7 @@
 }
 
 std::optional<NodeCounter::Counted>
-NodeCounter::record(const request::Observed &Answer,
+NodeCounter::record(const request::ObservedAnswer &Answer,
                     const config::FleetState &Fleet, core::Instant Now) {
   const config::MoveStatus *Move = moveOf(Answer, Fleet, Now.Wall);
   if (Move == nullptr || Answer.Remote)
--- a/lib/decision/rollout/LocalGuard.cpp
+++ b/lib/decision/rollout/LocalGuard.cpp
@@ -14,7 +14,7 @@
   Guard(GuardState State, core::Instant Now) : S(std::move(State)), Now(Now) {}
 
   void on(const FleetChanged &Event);
-  void on(const request::Observed &Answer);
+  void on(const request::ObservedAnswer &Answer);
   void on(const EvidenceReceived &Event);
   void on(const OverlayReceived &Event);
   void on(const LeadershipChanged &Event);
@@ -127,7 +127,7 @@
     Out.push_back(SendOverlay{Receiver::Coordinator, Value});
 }
 
-void Guard::on(const request::Observed &Answer) {
+void Guard::on(const request::ObservedAnswer &Answer) {
   if (!S.Fleet)
     return;
   const auto Counted = S.Counter.record(Answer, *S.Fleet, Now);
--- a/lib/io/node/ClaimStreams.cpp
+++ b/lib/io/node/ClaimStreams.cpp
@@ -135,7 +135,7 @@
   decision::request::ClaimDecided Decided;
   Decided.Id = core::CallId(What.Id);
   if (What.Undecided)
-    Decided.Undecided = core::Error{*What.Undecided, ""};
+    Decided.Failure = core::Error{*What.Undecided, ""};
   else if (const auto Owner = ownerOf(What.Owner.value()))
     Decided.Owner = *Owner;
   else
@@ -144,18 +144,18 @@
 }
 
 void ClaimStreams::reply(const claims::ClaimReply &What) {
-  const auto Found = Requesters.find(What.Request);
+  const auto Found = Requesters.find(What.RequestId);
   if (Found == Requesters.end())
     return;
   const Requester By = std::move(Found->second);
   Requesters.erase(Found);
   if (By.Address.empty()) {
-    Around.OnDecided({core::CallId(By.Id), What.Owner, What.Undecided});
+    Around.OnDecided({core::CallId(By.Id), What.Owner, What.Failure});
     return;
   }
   wire::ClaimReply Message{By.Id, core::NodeId(textOf(What.Owner)), {}};
-  if (What.Undecided)
-    Message.Undecided = What.Undecided->Code;
+  if (What.Failure)
+    Message.Undecided = What.Failure->Code;
   Around.Control.send(By.Address, Message);
 }
 
@@ -204,27 +204,30 @@
 }
 
 void ClaimStreams::read(std::uint32_t Number, const claims::ReadStream &What) {
-  const core::Milliseconds Wait = What.Wait ? ReadWait : core::Milliseconds(0);
+  const core::Milliseconds Wait =
+      What.WaitForRecords ? ReadWait : core::Milliseconds(0);
   Around.Log.read(
-      streamOf(Number), What.From, Wait, ReadBytes, Around.Loop.now().Mono,
+      streamOf(Number), What.FromOffset, Wait, ReadBytes,
+      Around.Loop.now().Mono,
       [this, Number, What](const core::Result<LogRead> &Done) {
         if (!core::ok(Done)) {
-          handle(Number, claims::ReadFailed{What.Number});
+          handle(Number, claims::ReadFailed{What.ReadNumber});
           return;
         }
         const LogRead &Read = core::value(Done);
         if (Read.Trimmed) {
           // The oldest record left tells how far the history reaches back.
-          read(Number, {What.Number, Read.First, false});
+          read(Number, {What.ReadNumber, Read.First, false});
           return;
         }
         claims::RecordsRead Event;
-        Event.Number = What.Number;
-        Event.First = Read.First;
-        Event.Next = Read.Next;
+        Event.ReadNumber = What.ReadNumber;
+        Event.FirstOffset = Read.First;
+        Event.NextOffset = Read.Next;
         // More records may follow an answer that holds some.
         const bool More = !Read.Records.empty();
-        Event.End = core::LogOffset(Event.Next.value() + (More ? 1 : 0));
+        Event.EndOffset =
+            core::LogOffset(Event.NextOffset.value() + (More ? 1 : 0));
         for (std::size_t I = 0; I < Read.Records.size(); ++I)
           Event.Batches.push_back({core::LogOffset(Read.First.value() + I),
                                    decodeBatch(Read.Records[I])});
--- a/lib/io/node/Process.cpp
+++ b/lib/io/node/Process.cpp
@@ -148,7 +148,7 @@
   }
   // An owner that cannot be asked may have run the request.
   Engine->handle(decision::request::OwnerReplied{
-      What.Id, decision::request::KeptState::Unknown});
+      What.Id, decision::request::KeptResultState::Unknown});
 }
 
 core::Status Process::openAdmin() {
--- a/lib/io/proxy/KeptAnswerCodec.cpp
+++ b/lib/io/proxy/KeptAnswerCodec.cpp
@@ -42,7 +42,7 @@
 }
 
 std::string formatOwner(const decision::request::ClaimOwner &Owner) {
-  return fmt::format("{}/{}/{}", Owner.Node.value(), Owner.Start.value(),
+  return fmt::format("{}/{}/{}", Owner.Node.value(), Owner.Incarnation.value(),
                      Owner.Call.value());
 }
 
--- a/lib/io/proxy/ProxyAttempt.cpp
+++ b/lib/io/proxy/ProxyAttempt.cpp
@@ -135,7 +135,7 @@
     return request::AttemptEnd::NotRun;
   if (Passed)
     return End == ClientEnd::Complete ? request::AttemptEnd::Answered
-                                      : request::AttemptEnd::BrokenOff;
+                                      : request::AttemptEnd::Truncated;
   if (End == ClientEnd::Complete && HeldHead)
     return request::AttemptEnd::Held;
   // A refusal counts only when it arrived whole.
@@ -162,7 +162,7 @@
         StoredAnswer{Status, std::move(HeldHead->Fields), std::move(HeldBody)};
   if (How == request::AttemptEnd::Answered)
     Owner.answered(Of, Status);
-  if (How == request::AttemptEnd::BrokenOff)
+  if (How == request::AttemptEnd::Truncated)
     Owner.brokenOff(Of, Status);
   Owner.handle(request::AttemptEnded{Id, What.Attempt, How, Status, Retried,
                                      Crashed, Unreachable, keptAnswer(),
--- a/lib/io/proxy/ProxyEngine.cpp
+++ b/lib/io/proxy/ProxyEngine.cpp
@@ -290,7 +290,7 @@
     Of->Over = true;
     endHop(*Of, 0);
     if (Of->Arrived)
-      handle(request::CallerGone{Id});
+      handle(request::CallerDisconnected{Id});
   }
   Calls.erase(Id);
 }
@@ -349,7 +349,9 @@
           [this](const request::SendKeptAnswer &E) {
             answer(E.Id, decodeStored(*E.Answer));
           },
-          [this](const request::Observed &E) { forward(Others.OnObserved, E); },
+          [this](const request::ObservedAnswer &E) {
+            forward(Others.OnObserved, E);
+          },
           [this](const request::SuspectReported &E) {
             forward(Others.OnSuspect, E);
           },
@@ -367,7 +369,7 @@
                  {core::ErrorCode::RequestTooLarge,
                   "body cannot be sent a second time"},
                  true});
-    handle(request::CallerGone{What.Id});
+    handle(request::CallerDisconnected{What.Id});
     return;
   }
   HttpClient::Request Sent;
@@ -382,7 +384,7 @@
   if (Settings.Dialect)
     Sent.MaxIdle =
         What.To.Local ? TargetIdleTime : Settings.PeerIdleTimeout / 2;
-  Sent.ProvenConnection = What.NeedsProvenConnection;
+  Sent.ProvenConnection = What.NeedsVerifiedConnection;
   Sent.ContentLength = Of->DeclaredLength;
   if (Of->BodyWhole)
     Sent.ContentLength = Of->Kept.size();
@@ -448,7 +450,7 @@
     Fields.emplace(RetriedField, "1");
   if (What.TargetCrashed)
     Fields.emplace(CrashedField, "1");
-  if (What.Reached)
+  if (What.ReachedTarget)
     Fields.emplace(ReachedField, "1");
   if (What.Load)
     Fields.emplace(LoadField, formatLoad(*What.Load));
@@ -504,8 +506,8 @@
   const auto Stored = Whole ? decodeAnswer(Body) : std::nullopt;
   if (Stored)
     answer(Id, *Stored);
-  handle(request::OwnerReplied{Id, Stored ? request::KeptState::Answered
-                                          : request::KeptState::Unknown});
+  handle(request::OwnerReplied{Id, Stored ? request::KeptResultState::Answered
+                                          : request::KeptResultState::Unknown});
 }
 
 void Engine::answer(core::CallId Id, const StoredAnswer &Kept) {
--- a/tests/io/ProxyEngineTest.cpp
+++ b/tests/io/ProxyEngineTest.cpp
@@ -99,7 +99,7 @@
   Path.Caller.OnPart = [&](std::string_view) { Path.Target.reset(); };
   Path.call("b");
   cr_assert(Path.Caller.End == io::ClientEnd::Failed);
-  cr_assert(Path.Entry.Ends.at(0).End == request::AttemptEnd::BrokenOff);
+  cr_assert(Path.Entry.Ends.at(0).End == request::AttemptEnd::Truncated);
 }
 
 // Guards against work for a caller that is gone.
--- a/tests/io/ProxyFixture.h
+++ b/tests/io/ProxyFixture.h
@@ -49,7 +49,7 @@
       Arrivals.push_back(*Arrived);
       return attempt(Arrived->Id);
     }
-    if (std::holds_alternative<request::CallerGone>(Event))
+    if (std::holds_alternative<request::CallerDisconnected>(Event))
       Gone = true;
     const auto *Ended = std::get_if<request::AttemptEnded>(&Event);
     if (Ended == nullptr)
--- a/tests/mesh/MeshBench.h
+++ b/tests/mesh/MeshBench.h
@@ -123,7 +123,7 @@
     Ended.Attempt = Of.Attempt;
     Ended.End = How;
     Ended.Status = Status;
-    Ended.Reached = Reached;
+    Ended.ReachedTarget = Reached;
     Ended.Unreachable = Unreachable;
     send(Ended);
   }
--- a/tests/mesh/OwnTargetTest.cpp
+++ b/tests/mesh/OwnTargetTest.cpp
@@ -108,7 +108,7 @@
   Node.arriveHosted(2);
   Node.end(*Node.first<StartAttempt>(), AttemptEnd::NotRun, 503, true);
   cr_assert(Node.first<Refuse>()->Result == Outcome::NotRun);
-  cr_assert(Node.first<Refuse>()->Reached);
+  cr_assert(Node.first<Refuse>()->ReachedTarget);
 }
 
 // Guards against a target that stands idle while its node is restarted
--- a/tests/mesh/RequestFlowTest.cpp
+++ b/tests/mesh/RequestFlowTest.cpp
@@ -50,7 +50,7 @@
   {
     Node.arrive(1, "/book/1");
     const auto Sent = Node.first<StartAttempt>();
-    cr_assert(Sent->NeedsProvenConnection,
+    cr_assert(Sent->NeedsVerifiedConnection,
               "an unproven connection was allowed");
     Node.end(*Sent, AttemptEnd::NoAnswer);
     cr_assert(!Node.first<StartAttempt>(), "sent again");
@@ -154,7 +154,7 @@
   Node.configure();
   Node.announce();
   Node.arrive(1);
-  Node.send(request::CallerGone{core::CallId(1)});
+  Node.send(request::CallerDisconnected{core::CallId(1)});
   cr_assert(Node.first<request::CancelAttempt>().has_value());
   cr_assert(Node.State.Slots.load().Running == 0, "the slot stays taken");
 }
--- a/tests/request/Bench.h
+++ b/tests/request/Bench.h
@@ -55,7 +55,7 @@
   Made.Region = core::RegionId(Centre == "dc3" ? "r2" : "r1");
   Made.Address = Node;
   Made.Slots = Slots;
-  Made.Since = core::TimePoint(core::Seconds(-3600));
+  Made.AnnouncedAt = core::TimePoint(core::Seconds(-3600));
   return Made;
 }
 
@@ -81,7 +81,7 @@
   static Settings settings(std::uint64_t Seed) {
     Settings Own;
     Own.Self = core::NodeId("n0");
-    Own.Start = core::Incarnation(1);
+    Own.Incarnation = core::Incarnation(1);
     Own.DataCentre = core::DataCentreId("dc1");
     Own.Region = core::RegionId("r1");
     Own.Seed = Seed;
@@ -142,7 +142,7 @@
   const Effects &end(std::uint64_t Id, AttemptEnd How, int Status = 200) {
     AttemptEnded What;
     What.Id = core::CallId(Id);
-    What.Attempt = Now->Calls.at(What.Id).Current;
+    What.Attempt = Now->Calls.at(What.Id).CurrentAttempt;
     What.End = How;
     What.Status = Status;
     return handle(What);
--- a/tests/request/CallModel.h
+++ b/tests/request/CallModel.h
@@ -50,8 +50,8 @@
       std::visit([this](const auto &E) { note(E); }, One);
     if (LocalOpen > Slots)
       violated("more requests run than the target has slots");
-    for (const auto &[At, Own] : Node.Now->OwnTargets)
-      if (Own.inUse() > Slots)
+    for (const auto &[At, Own] : Node.Now->LocalTargets)
+      if (Own.slotsInUse() > Slots)
         violated("slots in use exceed the limit");
     checkPools();
   }
@@ -97,12 +97,13 @@
     What.Status = Status;
     What.TargetCrashed = Crashed;
     if (How == AttemptEnd::Answered)
-      What.Kept = std::make_shared<const KeptAnswer>(KeptAnswer{200, "whole"});
+      What.FullAnswer =
+          std::make_shared<const KeptAnswer>(KeptAnswer{200, "whole"});
     closeAttempt(Which);
     if (How == AttemptEnd::NotRun)
       --Which.MayHaveRun;
     const bool PassedOn = How == AttemptEnd::Answered ||
-                          How == AttemptEnd::BrokenOff || Which.Started;
+                          How == AttemptEnd::Truncated || Which.Started;
     if (PassedOn && !Detached.count(Id))
       ended(Which);
     apply(What, 4);
--- a/tests/request/ClaimKeeperTest.cpp
+++ b/tests/request/ClaimKeeperTest.cpp
@@ -169,7 +169,7 @@
   ClaimTable Table(100);
   const ClaimBatch Batch{core::WriterId("w2"), 5, {claimOf(keyAt(1), "n2")}};
   Table.apply(Batch);
-  Table.forgetBefore(core::WallTime(core::Milliseconds(2)));
+  Table.eraseBefore(core::WallTime(core::Milliseconds(2)));
   Table.apply(Batch);
   cr_assert(Table.size() == 0, "a repeat was applied");
   Table.apply({core::WriterId("w2"), 6, {claimOf(keyAt(3), "n2")}});
@@ -238,7 +238,7 @@
         Keeper.readFrom(Log, Pick(1, 4));
       }
       for (const auto &[Request, Reply] : Keeper.Replies) {
-        if (Reply.Undecided)
+        if (Reply.Failure)
           continue;
         const auto [Place, New] =
             Owners.try_emplace(KeyOf[At].at(Request), Reply.Owner);
--- a/tests/request/EjectionTest.cpp
+++ b/tests/request/EjectionTest.cpp
@@ -23,7 +23,7 @@
   }
   void answer(TargetIndex At, int Times, bool Fault, int LatencyMs) {
     for (int Time = 0; Time < Times; ++Time)
-      noteAttempt(Table[At].Seen, Fault, core::Milliseconds(LatencyMs));
+      recordAttempt(Table[At].Health, Fault, core::Milliseconds(LatencyMs));
   }
 };
 
@@ -36,7 +36,7 @@
     Targets.answer(At, 30, false, 10);
   Targets.answer(4, 30, false, 100);
   Targets.answer(5, 30, true, 10);
-  const auto Found = outliers(Targets.Members, Targets.Table.all());
+  const auto Found = findOutliers(Targets.Members, Targets.Table.all());
   cr_assert(Found == std::vector<TargetIndex>({4, 5}), "wrong outliers");
 }
 
@@ -46,7 +46,8 @@
   for (TargetIndex At = 0; At < 3; ++At)
     Targets.answer(At, 30, false, 10);
   Targets.answer(3, 4, true, 500);
-  cr_assert(outliers(Targets.Members, Targets.Table.all()).empty(), "hasty");
+  cr_assert(findOutliers(Targets.Members, Targets.Table.all()).empty(),
+            "hasty");
 }
 
 // Guards against an ejected target that never comes back, or comes back at
@@ -54,14 +55,14 @@
 Test(ejection, a_target_is_readmitted_at_its_deadline) {
   Group Targets(2);
   cr_assert(eject(Targets.Table, Targets.Members, 0, Targets.Now), "not out");
-  const core::TimePoint End = Targets.Now + FirstEjection;
+  const core::TimePoint End = Targets.Now + BaseEjectionTime;
   cr_assert(readmit(Targets.Table, Targets.Members, End - core::Microseconds(1))
                 .empty(),
             "too early");
   cr_assert(readmit(Targets.Table, Targets.Members, End).size() == 1, "out");
-  cr_assert(Targets.Table[0].WarmSince == End, "at full load at once");
+  cr_assert(Targets.Table[0].WarmUpStart == End, "at full load at once");
   eject(Targets.Table, Targets.Members, 0, End);
-  cr_assert(Targets.Table[0].Seen.EjectedUntil == End + FirstEjection * 2,
+  cr_assert(Targets.Table[0].Health.EjectedUntil == End + BaseEjectionTime * 2,
             "the second ejection is not longer");
 }
 
@@ -89,9 +90,9 @@
   eject(Targets.Table, Targets.Members, 0, Targets.Now);
   eject(Targets.Table, Targets.Members, 1, Targets.Now + core::Microseconds(1));
   const std::vector<TargetIndex> Left{0, 1};
-  keepHalf(Targets.Table, Left, Targets.Now);
-  cr_assert(!Targets.Table[0].Seen.EjectedUntil, "the earliest stays out");
-  cr_assert(Targets.Table[1].Seen.EjectedUntil, "both came back");
+  limitEjections(Targets.Table, Left, Targets.Now);
+  cr_assert(!Targets.Table[0].Health.EjectedUntil, "the earliest stays out");
+  cr_assert(Targets.Table[1].Health.EjectedUntil, "both came back");
 }
 
 // Guards against an ejection that selection does not notice.
--- a/tests/request/KeeperBench.h
+++ b/tests/request/KeeperBench.h
@@ -40,15 +40,15 @@
   }
   RecordsRead read(const ReadStream &From, std::size_t Most = 100) const {
     RecordsRead Found;
-    Found.Number = From.Number;
-    Found.First = core::LogOffset(Head);
-    Found.End = core::LogOffset(Head + Records.size());
-    Found.Next = std::max(From.From, Found.First);
+    Found.ReadNumber = From.ReadNumber;
+    Found.FirstOffset = core::LogOffset(Head);
+    Found.EndOffset = core::LogOffset(Head + Records.size());
+    Found.NextOffset = std::max(From.FromOffset, Found.FirstOffset);
     for (const StoredBatch &Stored : Records) {
-      if (Stored.Offset < Found.Next || Found.Batches.size() >= Most)
+      if (Stored.Offset < Found.NextOffset || Found.Batches.size() >= Most)
         continue;
       Found.Batches.push_back(Stored);
-      Found.Next = core::LogOffset(Stored.Offset.value() + 1);
+      Found.NextOffset = core::LogOffset(Stored.Offset.value() + 1);
     }
     return Found;
   }
@@ -70,7 +70,7 @@
     KeeperSettings Own;
     Own.Writer = core::WriterId(Writer);
     Own.Retention = core::Seconds(3600);
-    Own.Keys = Keys;
+    Own.MaxKeys = Keys;
     return Own;
   }
 
@@ -81,7 +81,7 @@
       std::visit(core::Overloaded{
                      [&](const ReadStream &E) { Read = E; },
                      [&](const AppendBatch &E) { Appends.push_back(E.Batch); },
-                     [&](const ClaimReply &E) { Replies[E.Request] = E; },
+                     [&](const ClaimReply &E) { Replies[E.RequestId] = E; },
                      [](const observe::LogEvent &) {}},
                  One);
   }
@@ -108,16 +108,16 @@
 
   std::optional<core::NodeId> ownerIn(std::uint64_t Request) const {
     const auto Found = Replies.find(Request);
-    if (Found == Replies.end() || Found->second.Undecided)
+    if (Found == Replies.end() || Found->second.Failure)
       return std::nullopt;
     return Found->second.Owner.Node;
   }
 
   std::optional<core::ErrorCode> errorIn(std::uint64_t Request) const {
     const auto Found = Replies.find(Request);
-    if (Found == Replies.end() || !Found->second.Undecided)
+    if (Found == Replies.end() || !Found->second.Failure)
       return std::nullopt;
-    return Found->second.Undecided->Code;
+    return Found->second.Failure->Code;
   }
 };
 
--- a/tests/request/KeptResultsTest.cpp
+++ b/tests/request/KeptResultsTest.cpp
@@ -31,10 +31,11 @@
   void answer(std::uint64_t Id) {
     AttemptEnded What;
     What.Id = core::CallId(Id);
-    What.Attempt = Now->Calls.at(What.Id).Current;
+    What.Attempt = Now->Calls.at(What.Id).CurrentAttempt;
     What.End = AttemptEnd::Answered;
     What.Status = 200;
-    What.Kept = std::make_shared<const KeptAnswer>(KeptAnswer{200, "booked"});
+    What.FullAnswer =
+        std::make_shared<const KeptAnswer>(KeptAnswer{200, "booked"});
     handle(What);
   }
 };
@@ -81,11 +82,11 @@
   Owner Node;
   Node.book(1);
   ClaimOwner Before = Node.self(1);
-  Before.Start = core::Incarnation(0);
+  Before.Incarnation = core::Incarnation(0);
   Node.decide(1, Before);
   cr_assert(!Node.first<StartAttempt>(), "ran for an earlier process");
   cr_assert(Node.first<AnswerFromOwner>()->Owner == Before, "not asked");
-  Node.handle(OwnerReplied{core::CallId(1), KeptState::Unknown});
+  Node.handle(OwnerReplied{core::CallId(1), KeptResultState::Unknown});
   cr_assert(Node.first<Refuse>()->Result == Outcome::Unknown, "owner lost");
   Node.question(50, Node.self(77));
   cr_assert(Node.first<Refuse>()->Result == Outcome::Unknown, "evicted");
@@ -118,10 +119,10 @@
   Owner Node;
   Node.book(1);
   Node.book(2);
-  Node.handle(CallerGone{core::CallId(1)});
+  Node.handle(CallerDisconnected{core::CallId(1)});
   cr_assert(Node.first<RequestClaim>()->Id == core::CallId(2), "abandoned");
   Node.decide(2, Node.self(1));
-  Node.handle(CallerGone{core::CallId(2)});
+  Node.handle(CallerDisconnected{core::CallId(2)});
   cr_assert(!Node.first<CancelAttempt>(), "cancelled");
   Node.question(50, Node.self(1));
   Node.answer(2);
@@ -134,22 +135,22 @@
   KeptResults Results(2, 100);
   const auto Settle = [&](std::int64_t Key, std::size_t Size) {
     Results.insert(keyAt(Key), {}, {});
-    Results.settle(keyAt(Key), ResultState::Answered,
-                   std::make_shared<const KeptAnswer>(
-                       KeptAnswer{200, std::string(Size, 'x')}));
+    Results.recordResult(keyAt(Key), ResultState::Answered,
+                         std::make_shared<const KeptAnswer>(
+                             KeptAnswer{200, std::string(Size, 'x')}));
   };
   Settle(1, 60);
   Settle(2, 60);
   cr_assert(!Results.find(keyAt(1)) && Results.bytes() == 60, "bytes");
-  cr_assert(Results.tookLimit(), "not reported");
+  cr_assert(Results.takeLimitReached(), "not reported");
   Settle(3, 10);
   Settle(4, 10);
   cr_assert(Results.size() == 2, "entries");
   KeptResults Large;
   Large.insert(keyAt(1), {}, {});
-  Large.settle(keyAt(1), ResultState::Answered,
-               std::make_shared<const KeptAnswer>(
-                   KeptAnswer{200, std::string(KeptAnswerLimit + 1, 'x')}));
+  Large.recordResult(keyAt(1), ResultState::Answered,
+                     std::make_shared<const KeptAnswer>(KeptAnswer{
+                         200, std::string(MaxKeptAnswerBytes + 1, 'x')}));
   cr_assert(!Large.find(keyAt(1))->Answer, "one answer above its limit");
 }
 
@@ -158,7 +159,7 @@
   Owner Node;
   Node.book(1);
   Node.decide(1, Node.self(1));
-  Node.handle(CallerGone{core::CallId(1)});
+  Node.handle(CallerDisconnected{core::CallId(1)});
   Node.end(1, AttemptEnd::NotRun);
   cr_assert(Node.Last.empty(), "sent again, or refused to nobody");
   Node.book(2);
--- a/tests/request/KeyTest.cpp
+++ b/tests/request/KeyTest.cpp
@@ -14,7 +14,7 @@
   return core::IdempotencyKey(Text);
 }
 
-bool rejected(const char *Text) { return !core::ok(keyTime(key(Text))); }
+bool rejected(const char *Text) { return !core::ok(parseKeyTime(key(Text))); }
 
 core::ErrorCode checkedAt(core::WallTime Now) {
   const auto Result =
@@ -26,7 +26,7 @@
 
 // Guards against keys whose age cannot be known.
 Test(claim_key, only_the_lower_case_text_of_a_uuid_v7_is_a_key) {
-  const auto Time = keyTime(key("018c0000-0000-7abc-8abc-0123456789ab"));
+  const auto Time = parseKeyTime(key("018c0000-0000-7abc-8abc-0123456789ab"));
   cr_assert(core::ok(Time) && core::value(Time) == Made, "wrong time");
   cr_assert(rejected("018c0000-0000-4abc-8abc-0123456789ab"), "version 4");
   cr_assert(rejected("018c0000-0000-7abc-0abc-0123456789ab"), "variant");
@@ -39,10 +39,10 @@
 Test(claim_key, a_key_is_valid_only_while_its_record_is_in_the_log) {
   const core::ErrorCode Valid{};
   cr_assert(checkedAt(Made) == Valid, "a new key");
-  cr_assert(checkedAt(Made + Retention - ClockMargin) == Valid, "the last");
+  cr_assert(checkedAt(Made + Retention - MaxClockSkew) == Valid, "the last");
   cr_assert(checkedAt(Made + Retention) == core::ErrorCode::ClaimKeyExpired,
             "an old key");
-  cr_assert(checkedAt(Made - ClockMargin - core::Seconds(1)) ==
+  cr_assert(checkedAt(Made - MaxClockSkew - core::Seconds(1)) ==
                 core::ErrorCode::ClaimKeyInvalid,
             "a key from the future outlives its record");
 }
--- a/tests/request/LocalityTest.cpp
+++ b/tests/request/LocalityTest.cpp
@@ -42,7 +42,7 @@
 
 // Guards against a gauge that refusals do not move, or that never recovers.
 Test(locality, refusals_raise_the_spilled_share) {
-  SpillGauge Gauge;
+  SpilloverEstimator Gauge;
   cr_assert(!Gauge.spillNext(), "spilled without a refusal");
   // Near targets take two of three requests that the gauge keeps near.
   int Spilled = 0;
@@ -51,14 +51,14 @@
     if (Gauge.spillNext())
       ++Spilled;
     else if (++Kept * 1.5 > Request)
-      Gauge.refused();
+      Gauge.recordRefused();
     else
-      Gauge.taken();
+      Gauge.recordAccepted();
   }
   const double Share = Spilled / 20000.0;
   cr_assert(Share > 0.25 && Share < 0.40, "%.3f spilled", Share);
   for (int Request = 0; Request < 20000; ++Request)
-    Gauge.taken();
+    Gauge.recordAccepted();
   cr_assert(Gauge.share() == 0, "does not recover");
 }
 
--- a/tests/request/ReducerPropertyTest.cpp
+++ b/tests/request/ReducerPropertyTest.cpp
@@ -54,7 +54,7 @@
     Model.apply(Tick{}, Slots);
     for (auto &[Id, Seen] : Model.Calls)
       if (Seen.Open)
-        Model.end(Id, AttemptEnd::BrokenOff, false, 0);
+        Model.end(Id, AttemptEnd::Truncated, false, 0);
     for (const auto &[Id, Seen] : Model.Calls)
       if (!Seen.Ended)
         Model.violated("a call did not end");
@@ -127,7 +127,7 @@
       return;
     Model.ended(Seen);
     Model.Detached.insert(Id);
-    Model.apply(CallerGone{core::CallId(Id)}, Slots);
+    Model.apply(CallerDisconnected{core::CallId(Id)}, Slots);
   }
 
   void decideClaim() {
@@ -143,7 +143,7 @@
         core::CallId(Id), Entry ? Entry->Owner : ClaimOwner{}, {}};
     const int Kind = Pick(0, 4);
     if (Kind == 0)
-      What.Undecided = core::Error{core::ErrorCode::ClaimUndecided, ""};
+      What.Failure = core::Error{core::ErrorCode::ClaimUndecided, ""};
     if (Kind == 1)
       What.Owner.Node = core::NodeId("n9");
     Model.apply(What, Slots);
@@ -175,8 +175,8 @@
     if (Found == Model.Node.Now->Calls.end() ||
         Found->second.Phase != CallPhase::AwaitingOwner)
       return;
-    const auto State = static_cast<KeptState>(Pick(1, 4));
-    if (State == KeptState::Answered)
+    const auto State = static_cast<KeptResultState>(Pick(1, 4));
+    if (State == KeptResultState::Answered)
       Model.ended(Model.Calls[Id]);
     Model.apply(OwnerReplied{core::CallId(Id), State}, Slots);
   }
@@ -209,7 +209,7 @@
     std::vector<int> Chosen;
     Chosen.reserve(static_cast<std::size_t>(Window) * 8);
     for (int Request = 0; Request < Window * 8; ++Request)
-      Chosen.push_back(Selector.next(Share) ? 1 : 0);
+      Chosen.push_back(Selector.selectCandidate(Share) ? 1 : 0);
     for (int From = 0; From + Window <= Window * 8; ++From) {
       const auto First = Chosen.begin() + From;
       RC_ASSERT(std::accumulate(First, First + Window, 0) == 1);
@@ -258,6 +258,6 @@
   for (std::uint64_t Request = 0; Request < Requests; ++Request)
     sendThrough(Hops, 0, LastId, Sent, Retried);
   cr_assert(Sent > Requests, "nothing was retried");
-  cr_assert(Sent <= Requests + RetryBudget::MostSaved, "%lu sent",
+  cr_assert(Sent <= Requests + RetryBudget::MaxRetries, "%lu sent",
             static_cast<unsigned long>(Sent));
 }
--- a/tests/request/ReducerTest.cpp
+++ b/tests/request/ReducerTest.cpp
@@ -13,7 +13,7 @@
   cr_assert(Start && Start->To.Node == core::NodeId("n1"), "not sent");
   cr_assert(Start->Route == core::RouteName("list"), "wrong route");
   Node.end(1, AttemptEnd::Answered);
-  const auto *Seen = Node.first<Observed>();
+  const auto *Seen = Node.first<ObservedAnswer>();
   cr_assert(Seen && !Seen->Fault, "no evidence of the answer");
   cr_assert(Node.Now->Calls.empty(), "call not ended");
 }
@@ -55,7 +55,7 @@
 Test(request_reducer, a_non_idempotent_request_without_answer_is_unknown) {
   Bench Node(shopFleet(), {endpoint("n1"), endpoint("n2")});
   Node.arrive(1, "/book");
-  cr_assert(Node.first<StartAttempt>()->NeedsProvenConnection, "any conn");
+  cr_assert(Node.first<StartAttempt>()->NeedsVerifiedConnection, "any conn");
   Node.end(1, AttemptEnd::NoAnswer);
   cr_assert(!Node.first<StartAttempt>(), "sent twice");
   cr_assert(Node.first<Refuse>()->Result == Outcome::Unknown, "not unknown");
@@ -100,7 +100,7 @@
 Test(request_reducer, a_call_ends_with_its_caller_or_its_deadline) {
   Bench Node(shopFleet(), {endpoint("n1")});
   Node.arrive(1);
-  Node.handle(CallerGone{core::CallId(1)});
+  Node.handle(CallerDisconnected{core::CallId(1)});
   cr_assert(Node.first<CancelAttempt>(), "attempt goes on");
   cr_assert(Node.Now->Targets[0].Outstanding == 0, "count not freed");
   Node.arrive(2, "/list", 100);
@@ -108,7 +108,7 @@
   Node.handle(Tick{});
   cr_assert(Node.first<CancelAttempt>(), "attempt goes on");
   cr_assert(Node.first<Refuse>()->Result == Outcome::Unknown, "false not-run");
-  cr_assert(Node.first<Observed>()->Fault, "no evidence of the time-out");
+  cr_assert(Node.first<ObservedAnswer>()->Fault, "no evidence of the time-out");
 }
 
 // Guards against a late end of an earlier attempt that ends the call (I5).
--- a/tests/request/RetryBudgetTest.cpp
+++ b/tests/request/RetryBudgetTest.cpp
@@ -6,17 +6,18 @@
 // Guards against retries that outgrow a tenth of the successes.
 Test(retry_budget, ten_successes_earn_one_retry) {
   RetryBudget Budget;
-  for (std::uint32_t Retry = 0; Retry < RetryBudget::MostSaved; ++Retry)
-    cr_assert(Budget.take(), "saved retries");
-  cr_assert(!Budget.take(), "more than saved");
+  for (std::uint32_t Retry = 0; Retry < RetryBudget::MaxRetries; ++Retry)
+    cr_assert(Budget.tryConsume(), "saved retries");
+  cr_assert(!Budget.tryConsume(), "more than saved");
   for (int Success = 0; Success < 9; ++Success)
-    Budget.succeeded();
-  cr_assert(!Budget.take(), "earned too early");
-  Budget.succeeded();
-  cr_assert(Budget.take(), "not earned");
+    Budget.recordSuccess();
+  cr_assert(!Budget.tryConsume(), "earned too early");
+  Budget.recordSuccess();
+  cr_assert(Budget.tryConsume(), "not earned");
   for (int Success = 0; Success < 1000; ++Success)
-    Budget.succeeded();
-  cr_assert(Budget.saved() == RetryBudget::MostSaved, "saved without bound");
+    Budget.recordSuccess();
+  cr_assert(Budget.available() == RetryBudget::MaxRetries,
+            "saved without bound");
 }
 
 // Guards against a reducer that does not ask the budget, and against another
@@ -32,5 +33,5 @@
     }
     cr_assert(Node.first<Refuse>()->Retried, "not marked");
   }
-  cr_assert(Sent == 30 + RetryBudget::MostSaved, "%zu sent", Sent);
+  cr_assert(Sent == 30 + RetryBudget::MaxRetries, "%zu sent", Sent);
 }
--- a/tests/request/TargetPickerTest.cpp
+++ b/tests/request/TargetPickerTest.cpp
@@ -28,7 +28,7 @@
 Test(target_picker, power_of_two_avoids_load_and_latency) {
   Group Even;
   Even.Targets[1].Outstanding = 20;
-  Even.Targets[2].Seen.LatencyUs = 90000;
+  Even.Targets[2].Health.LatencyUs = 90000;
   const auto Count = Even.picks(PowerOfTwoChoices{});
   // The worst target wins against no other, the second worst only against it.
   cr_assert(Count[2] == 0, "slow target picked");
@@ -38,11 +38,11 @@
 // Guards against full load on a target that was just announced.
 Test(target_picker, a_new_target_warms_up) {
   const core::TimePoint Start{core::Seconds(100)};
-  cr_assert(warmth(Start, Start) == ColdShare, "start");
-  cr_assert(warmth(Start, Start + WarmUpTime / 2) == 0.5, "half");
-  cr_assert(warmth(Start, Start + WarmUpTime * 9) == 1, "end");
+  cr_assert(warmUpShare(Start, Start) == InitialShare, "start");
+  cr_assert(warmUpShare(Start, Start + WarmUpTime / 2) == 0.5, "half");
+  cr_assert(warmUpShare(Start, Start + WarmUpTime * 9) == 1, "end");
   Group Cold;
-  Cold.Targets[3].WarmSince = Cold.Now;
+  Cold.Targets[3].WarmUpStart = Cold.Now;
   const auto Count = Cold.picks(PowerOfTwoChoices{});
   cr_assert(Count[3] < Count[0] / 2, "cold target picked");
 }
@@ -50,7 +50,7 @@
 // Guards against a target that refuses at once and thereby attracts requests.
 Test(target_picker, a_target_that_refuses_is_avoided) {
   Group Refusing;
-  Refusing.Targets[2].Seen.RefusalRate = 0.9;
+  Refusing.Targets[2].Health.RefusalRate = 0.9;
   const auto Count = Refusing.picks(PowerOfTwoChoices{});
   cr_assert(Count[2] == 0, "refusing target picked");
 }
@@ -62,8 +62,10 @@
   Large.BytesInFlight = 8 << 20;
   const core::TimePoint Now{core::Seconds(100)};
   using enum config::TrafficKind;
-  cr_assert(costOf(Small, Bulk, Now) < costOf(Large, Bulk, Now), "bulk");
-  cr_assert(costOf(Small, Interactive, Now) == costOf(Large, Interactive, Now),
+  cr_assert(expectedCost(Small, Bulk, Now) < expectedCost(Large, Bulk, Now),
+            "bulk");
+  cr_assert(expectedCost(Small, Interactive, Now) ==
+                expectedCost(Large, Interactive, Now),
             "interactive");
 }
 
--- a/tests/request/VersionSelectorTest.cpp
+++ b/tests/request/VersionSelectorTest.cpp
@@ -13,7 +13,7 @@
 int candidates(Bench &Node, const char *Path) {
   int Count = 0;
   for (std::uint64_t Id = 1; Id <= 100; ++Id) {
-    Node.arrive(Node.Now->LastAttempt + 1, Path);
+    Node.arrive(Node.Now->LastAttemptId + 1, Path);
     const auto *Start = Node.first<StartAttempt>();
     Count += Start->To.Version == core::TargetVersion("2") ? 1 : 0;
     Node.end(Start->Id.value(), AttemptEnd::Answered);
--- a/tests/rollout/EvidenceTest.cpp
+++ b/tests/rollout/EvidenceTest.cpp
@@ -24,8 +24,8 @@
 
 const config::MoveId Move{core::ServiceName("booking"), core::ConfigVersion(1)};
 
-request::Observed observed(const char *Version) {
-  request::Observed Answer;
+request::ObservedAnswer observed(const char *Version) {
+  request::ObservedAnswer Answer;
   Answer.Service = core::ServiceName("booking");
   Answer.Route = Read;
   Answer.Version = core::TargetVersion(Version);
--- a/tests/rollout/LocalGuardTest.cpp
+++ b/tests/rollout/LocalGuardTest.cpp
@@ -36,7 +36,7 @@
     feed(FleetChanged{std::make_shared<const config::FleetState>(Fleet)});
   }
   void answer(const char *Version, bool Fault, int Times) {
-    request::Observed Answer;
+    request::ObservedAnswer Answer;
     Answer.Service = core::ServiceName("booking");
     Answer.Route = core::RouteName("read");
     Answer.Version = core::TargetVersion(Version);
--- a/tools/fv-moves/Baselines.cpp
+++ b/tools/fv-moves/Baselines.cpp
@@ -13,7 +13,7 @@
 constexpr core::Milliseconds Distribution{50};
 } // namespace
 
-void Timetable::answered(int, const decision::request::Observed &Answer) {
+void Timetable::answered(int, const decision::request::ObservedAnswer &Answer) {
   if (HasThreshold && Answer.Version.value() == "2")
     Recent.emplace_back(Now, Answer.Fault);
 }
--- a/tools/fv-moves/Baselines.h
+++ b/tools/fv-moves/Baselines.h
@@ -15,7 +15,8 @@
       : Move(Move), HasThreshold(HasThreshold) {}
 
   config::Permille share(int) const override { return Share; }
-  void answered(int Node, const decision::request::Observed &Answer) override;
+  void answered(int Node,
+                const decision::request::ObservedAnswer &Answer) override;
   void advance(core::Milliseconds Now) override;
   std::optional<FinalWord> finalWord() const override { return Final; }
   std::optional<core::Milliseconds> decidedAt() const override {
--- a/tools/fv-moves/Fleet.cpp
+++ b/tools/fv-moves/Fleet.cpp
@@ -61,7 +61,7 @@
   return Status.Stage == config::MoveStage::InProgress ? Status.Share : 0;
 }
 
-void Fleet::answered(int Node, const request::Observed &Answer) {
+void Fleet::answered(int Node, const request::ObservedAnswer &Answer) {
   feedGuard(Node, Answer);
 }
 
--- a/tools/fv-moves/Fleet.h
+++ b/tools/fv-moves/Fleet.h
@@ -20,7 +20,7 @@
   Fleet(const Scenario &Move, bool IsLocal);
 
   config::Permille share(int Node) const override;
-  void answered(int Node, const request::Observed &Answer) override;
+  void answered(int Node, const request::ObservedAnswer &Answer) override;
   void advance(core::Milliseconds Until) override;
   std::optional<FinalWord> finalWord() const override;
   std::optional<core::Milliseconds> decidedAt() const override {
--- a/tools/fv-moves/Policy.h
+++ b/tools/fv-moves/Policy.h
@@ -21,7 +21,7 @@
   /// Share of the new version on a node.
   virtual config::Permille share(int Node) const = 0;
   virtual void answered(int Node,
-                        const decision::request::Observed &Answer) = 0;
+                        const decision::request::ObservedAnswer &Answer) = 0;
   virtual void advance(core::Milliseconds Now) = 0;
   virtual std::optional<FinalWord> finalWord() const = 0;
   /// Time of the decision that led to the rollback.
--- a/tools/fv-moves/Run.cpp
+++ b/tools/fv-moves/Run.cpp
@@ -26,7 +26,7 @@
 struct Answered {
   core::Milliseconds At;
   int Node = 0;
-  request::Observed Answer;
+  request::ObservedAnswer Answer;
   bool IsBad = false;
   bool operator>(const Answered &Other) const { return At > Other.At; }
 };
@@ -34,7 +34,7 @@
 /// Judges the answers of all nodes at once, as if messages took no time.
 class Oracle {
 public:
-  bool add(const request::Observed &Answer, config::Permille Share,
+  bool add(const request::ObservedAnswer &Answer, config::Permille Share,
            core::Milliseconds Now) {
     setShare(Share);
     if (Share > 0 && !FirstShare)
@@ -54,7 +54,7 @@
       Windows.startStage();
     Stage = Share;
   }
-  void count(bool IsNew, const request::Observed &Answer,
+  void count(bool IsNew, const request::ObservedAnswer &Answer,
              core::Milliseconds Now) {
     rollout::RouteCounts Added;
     auto &Side = IsNew ? Added.New : Added.Old;
@@ -129,7 +129,7 @@
 Answered Engine::answerOf(int Node, const Route &On, bool IsNew) {
   Answered Done;
   Done.Node = Node;
-  request::Observed &Answer = Done.Answer;
+  request::ObservedAnswer &Answer = Done.Answer;
   Answer.Service = core::ServiceName("booking");
   Answer.Route = On.Name;
   Answer.Version = core::TargetVersion(IsNew ? "2" : "1");
--- a/tools/fv-policy/Cost.cpp
+++ b/tools/fv-policy/Cost.cpp
@@ -90,7 +90,7 @@
 /// Nanoseconds of an event about a call that ended: moves and dispatch only.
 double measureIdle(State &Node) {
   const core::Instant Now{core::TimePoint(core::Seconds(100)), {}};
-  const Event What = CallerGone{core::CallId(0)};
+  const Event What = CallerDisconnected{core::CallId(0)};
   const auto Before = std::chrono::steady_clock::now();
   for (std::size_t Call = 0; Call < Calls; ++Call) {
     auto Next = reduce(std::move(Node), What, Now);
--- a/tools/fv-policy/Simulation.cpp
+++ b/tools/fv-policy/Simulation.cpp
@@ -138,7 +138,7 @@
 void Simulation::handle(State &Node, const Event &Event, std::size_t Place) {
   auto Next = reduce(std::move(Node), Event, now());
   Node = std::move(Next.Next);
-  const bool IsHost = Node->OwnTargets.size() == 1;
+  const bool IsHost = Node->LocalTargets.size() == 1;
   for (const Effect &One : Next.Out) {
     if (const auto *To = std::get_if<StartAttempt>(&One))
       IsHost ? serve(Place, *To) : send(*To);
