--- a/include/filbertvane/decision/mesh/Events.h
+++ b/include/filbertvane/decision/mesh/Events.h
@@ -68,7 +68,7 @@
 };
 
 using Event = std::variant<request::CallArrived, request::AnswerStarted,
-                           request::AttemptEnded, request::CallerGone,
+                           request::AttemptEnded, request::CallerDisconnected,
                            TargetAnnounced, TargetDeregistered, ReportReceived,
                            StoredReportsRead, RoutingLoaded, PositionReached,
                            MoveOrdered, MoveStateRead, StoreReachabilityChanged,
--- a/include/filbertvane/decision/rollout/Evidence.h
+++ b/include/filbertvane/decision/rollout/Evidence.h
@@ -108,7 +108,7 @@
   /// Answers from another data centre are ignored, and so are further crashes
   /// by the same request, which would crash any target.
   /// @return the contribution; none when the answer is not counted for any move
-  std::optional<CountedAnswer> record(const request::Observed &Answer,
+  std::optional<CountedAnswer> record(const request::ObservedAnswer &Answer,
                                       const config::FleetState &Fleet,
                                       core::Instant Now);
 
--- a/lib/decision/Dispatch.cpp
+++ b/lib/decision/Dispatch.cpp
@@ -341,7 +341,7 @@
 
 // --- request routing ---
 
-void Dispatch::handleEffect(request::Observed &Effect) {
+void Dispatch::handleEffect(request::ObservedAnswer &Effect) {
   enqueue(rollout::MonitorEvent(std::move(Effect)));
 }
 
--- a/lib/decision/Dispatch.h
+++ b/lib/decision/Dispatch.h
@@ -72,7 +72,7 @@
 
   /// @name Effects of request routing
   /// @{
-  void handleEffect(request::Observed &Effect);
+  void handleEffect(request::ObservedAnswer &Effect);
   void handleEffect(request::SuspectReported &Effect);
   /// @}
 
--- a/lib/decision/Node.cpp
+++ b/lib/decision/Node.cpp
@@ -32,7 +32,7 @@
 request::Settings requestSettings(const NodeSettings &Settings) {
   request::Settings Requests;
   Requests.Self = Settings.Node;
-  Requests.Start = Settings.Incarnation;
+  Requests.Incarnation = Settings.Incarnation;
   Requests.DataCentre = Settings.DataCentre;
   Requests.Region = Settings.Region;
   Requests.Seed = Settings.RandomSeed;
--- a/lib/decision/mesh/ReduceAttempts.cpp
+++ b/lib/decision/mesh/ReduceAttempts.cpp
@@ -80,7 +80,7 @@
 void Reduction::finishTargetAttempt(MeshCall &Call,
                                     const request::AttemptEnded &Ended) {
   const bool Broken = Ended.End == AttemptEnd::NoAnswer ||
-                      Ended.End == AttemptEnd::BrokenOff ||
+                      Ended.End == AttemptEnd::Truncated ||
                       Ended.End == AttemptEnd::NotRun;
   const bool OutOfTime =
       (Ended.Status == StatusGatewayTimeout ||
@@ -110,10 +110,10 @@
     Produced.emplace_back(request::DeliverAnswer{Call.Id, loadFor(Call)});
     return erase(Call.Id);
   case AttemptEnd::Answered:
-  case AttemptEnd::BrokenOff:
+  case AttemptEnd::Truncated:
     return erase(Call.Id);
   case AttemptEnd::NotRun:
-    return refuse(Call, ErrorCode::RequestRefusedByTarget, Ended.Reached);
+    return refuse(Call, ErrorCode::RequestRefusedByTarget, Ended.ReachedTarget);
   case AttemptEnd::NoAnswer:
     return endWithUnknownOutcome(Call, ErrorCode::RequestNoAnswer);
   }
@@ -172,14 +172,14 @@
   case AttemptEnd::Held:
     return concludeAnswer(Call, Ended);
   case AttemptEnd::Answered:
-  case AttemptEnd::BrokenOff:
+  case AttemptEnd::Truncated:
     log(Ended.End == AttemptEnd::Answered
             ? observe::EventId::MeshRequestAnswered
             : observe::EventId::MeshOutcomeUnknown,
         fmt::format("{} status={} streamed=1", describe(Call), Ended.Status));
     return erase(Call.Id);
   case AttemptEnd::NotRun:
-    if (!Ended.Reached) {
+    if (!Ended.ReachedTarget) {
       (Ended.Unreachable ? Call.TriedHosts : Call.LateHosts)
           .push_back(Call.CurrentHost);
       if (!Ended.Unreachable && Ended.Load)
@@ -246,7 +246,7 @@
                   Now > Call.Objective));
 }
 
-void Reduction::operator()(const request::CallerGone &Gone) {
+void Reduction::operator()(const request::CallerDisconnected &Gone) {
   MeshCall *Call = find(Gone.Id);
   if (Call == nullptr)
     return;
@@ -311,7 +311,7 @@
   Refusal.Id = Call.Id;
   Refusal.Result = request::Outcome::NotRun;
   Refusal.Reason = {Reason, Call.Terms.Route.value()};
-  Refusal.Reached = Reached;
+  Refusal.ReachedTarget = Reached;
   if (Call.FromPeer)
     Refusal.Load = loadFor(Call);
   else
--- a/lib/decision/mesh/ReducePlacement.cpp
+++ b/lib/decision/mesh/ReducePlacement.cpp
@@ -160,7 +160,7 @@
   Start.Route = Call.Terms.Route;
   Start.Caller = Call.Caller;
   Start.HoldAnswer = true;
-  Start.NeedsProvenConnection = !Call.Terms.Idempotent;
+  Start.NeedsVerifiedConnection = !Call.Terms.Idempotent;
   Start.Terms = Call.Terms;
   // The host observes neither the transfer of the request nor that of the
   // answer.
--- a/lib/decision/mesh/Reduction.h
+++ b/lib/decision/mesh/Reduction.h
@@ -16,7 +16,7 @@
   void operator()(const request::CallArrived &Arrival);
   void operator()(const request::AnswerStarted &Started);
   void operator()(const request::AttemptEnded &Ended);
-  void operator()(const request::CallerGone &Gone);
+  void operator()(const request::CallerDisconnected &Gone);
   /// @}
 
   /// @name Target, hosts and store
--- a/lib/decision/rollout/Evidence.cpp
+++ b/lib/decision/rollout/Evidence.cpp
@@ -14,9 +14,9 @@
 
 /// Latest move of the service, if it is monitored and the answer comes from one
 /// of its versions.
-const config::MoveStatus *findMonitoredMove(const request::Observed &Answer,
-                                            const config::FleetState &Fleet,
-                                            core::WallTime Now) {
+const config::MoveStatus *
+findMonitoredMove(const request::ObservedAnswer &Answer,
+                  const config::FleetState &Fleet, core::WallTime Now) {
   const auto Found =
       std::find_if(Fleet.Moves.rbegin(), Fleet.Moves.rend(),
                    [&](const config::MoveStatus &Move) {
@@ -61,7 +61,7 @@
 }
 
 std::optional<NodeCounter::CountedAnswer>
-NodeCounter::record(const request::Observed &Answer,
+NodeCounter::record(const request::ObservedAnswer &Answer,
                     const config::FleetState &Fleet, core::Instant Now) {
   const config::MoveStatus *Move = findMonitoredMove(Answer, Fleet, Now.Wall);
   if (Move == nullptr || Answer.Remote)
--- a/lib/decision/rollout/NodeMonitor.cpp
+++ b/lib/decision/rollout/NodeMonitor.cpp
@@ -15,7 +15,7 @@
       : State(std::move(Initial)), Now(Now) {}
 
   void on(const FleetChanged &Event);
-  void on(const request::Observed &Answer);
+  void on(const request::ObservedAnswer &Answer);
   void on(const EvidenceReceived &Event);
   void on(const LocalRollbackReceived &Event);
   void on(const LeadershipChanged &Event);
@@ -129,7 +129,7 @@
     Effects.push_back(SendLocalRollback{Recipient::Coordinator, Rollback});
 }
 
-void MonitorHandler::on(const request::Observed &Answer) {
+void MonitorHandler::on(const request::ObservedAnswer &Answer) {
   if (!State.Fleet)
     return;
   const auto Counted = State.Counter.record(Answer, *State.Fleet, Now);
--- a/tests/mesh/MeshBench.h
+++ b/tests/mesh/MeshBench.h
@@ -123,7 +123,7 @@
     Ended.Attempt = Started.Attempt;
     Ended.End = Result;
     Ended.Status = Status;
-    Ended.Reached = Reached;
+    Ended.ReachedTarget = Reached;
     Ended.Unreachable = Unreachable;
     send(Ended);
   }
