--- a/include/filbertvane/decision/request/Admission.h
+++ b/include/filbertvane/decision/request/Admission.h
@@ -9,33 +9,34 @@
 
 namespace filbertvane::decision::request {
 
-/// @brief A request that asks for a slot of the own target.
+/// @brief Request for a slot of a local target.
 struct SlotRequest {
   core::CallId Id;
   config::TrafficKind Kind = config::TrafficKind::Interactive;
   core::TimePoint Deadline;
   std::uint64_t Bytes = 0;
-  /// A suspect: it runs while no other request runs.
+  /// Set for a suspect request: it must run while no other request runs.
   bool Exclusive = false;
 };
 
-/// @brief Whether a request starts, waits or is refused; the last with reason.
+/// @brief Whether a request starts, waits or is refused; `Reason` applies to a
+///        refusal only.
 struct AdmissionDecision {
   enum class Kind { Start, Wait, Refuse } Action = Kind::Refuse;
   core::ErrorCode Reason = core::ErrorCode::RequestQueueFull;
 };
 
-/// @brief Slots and queue of one own target.
+/// @brief Slots and request queue of one local target.
 ///
-/// Slots are counted exactly: a request holds one from its start to its end.
-/// Waiting requests are ordered by kind and deadline. A refusal always
-/// concerns a request that was not handed to the target.
+/// A request holds exactly one slot from its start to its end. Waiting requests
+/// are ordered by kind and deadline. A refused request was never sent to the
+/// target.
 class Admission {
 public:
   struct Bounds {
     std::size_t MaxQueueEntries = 512;
     std::uint64_t MaxBulkBytes = 64ULL << 20;
-    /// Refuse interactive requests that cannot finish in time.
+    /// Refuse interactive requests that cannot finish before their deadline.
     bool ShedByDeadline = true;
   };
 
@@ -44,30 +45,32 @@
 
   /// @name Requests
   /// @{
-  /// @brief Decides about a new request.
-  AdmissionDecision admit(const SlotRequest &Who, core::TimePoint Now);
-  /// @brief A request that was started ended.
-  /// @param Took time at the target when it answered
-  void finish(const SlotRequest &Who, std::optional<core::Microseconds> Took);
-  /// @brief Withdraws a waiting request.
-  void withdraw(const SlotRequest &Who);
-  /// @brief Adds the announced bytes of an answer to a started bulk request.
-  void addBytes(SlotRequest &Who, std::uint64_t More);
+  /// @brief Starts, queues or refuses a new request.
+  AdmissionDecision admit(const SlotRequest &Request, core::TimePoint Now);
+  /// @brief Releases the slot of a started request.
+  /// @param Duration time at the target; none unless the target answered
+  void finish(const SlotRequest &Request,
+              std::optional<core::Microseconds> Duration);
+  /// @brief Removes a waiting request from the queue.
+  void withdraw(const SlotRequest &Request);
+  /// @brief Adds the announced length of the answer to a started bulk request.
+  void addBytes(SlotRequest &Request, std::uint64_t AddedBytes);
 
-  /// @brief Next waiting request to start or to refuse, if any now.
+  /// @brief Waiting request taken from the queue, to be started or refused.
   struct Dequeued {
     core::CallId Id;
     AdmissionDecision Decision;
   };
+  /// @brief Takes the next request that can be started or must be refused.
   std::optional<Dequeued> dequeue(core::TimePoint Now);
   /// @}
 
   /// @name Target
   /// @{
-  /// @brief Accepts no further request; returns the waiting ones, which must
-  ///        be refused.
+  /// @brief Stops accepting requests and empties the queue.
+  /// @return the waiting requests, which the caller must refuse
   std::vector<core::CallId> close();
-  /// @brief Accepts requests again, or changes the number of slots.
+  /// @brief Accepts requests, with a new number of slots.
   void open(std::uint32_t NewSlots) {
     Slots = NewSlots;
     Closed = false;
@@ -94,14 +97,15 @@
   struct ServiceTimeStats {
     double MeanUs = 0;
     double DeviationUs = 0;
-    void add(core::Microseconds Took);
+    void add(core::Microseconds Duration);
   };
 
   bool fits(config::TrafficKind Kind, std::uint64_t Bytes) const;
-  bool missesDeadlineInQueue(const SlotRequest &Who, core::TimePoint Now) const;
+  bool missesDeadlineInQueue(const SlotRequest &Request,
+                             core::TimePoint Now) const;
   bool missesDeadline(config::TrafficKind Kind, core::TimePoint Deadline,
                       core::TimePoint Now) const;
-  void start(config::TrafficKind Kind, std::uint64_t Bytes, bool Alone);
+  void start(config::TrafficKind Kind, std::uint64_t Bytes, bool Exclusive);
   std::optional<Dequeued> dequeueSuspect(core::TimePoint Now);
   std::optional<Dequeued> dequeueKind(config::TrafficKind Kind,
                                       core::TimePoint Now);
@@ -115,7 +119,7 @@
   std::uint32_t BulkInUse = 0;
   bool Closed = false;
   bool ExclusiveRunning = false;
-  /// Starts since a patient or bulk request last had its turn.
+  /// Interactive requests dequeued since the last patient or bulk request.
   std::uint32_t InteractiveStarts = 0;
   std::array<std::set<QueueEntry>, 3> Queues;
   std::set<QueueEntry> SuspectQueue;
--- a/include/filbertvane/decision/request/Call.h
+++ b/include/filbertvane/decision/request/Call.h
@@ -9,13 +9,13 @@
 
 /// @brief What a call waits for.
 enum class CallPhase : std::uint8_t {
-  /// The log's decision about its key.
+  /// The decision of the log about the claim of its key.
   Claiming,
-  /// The result of the call on this node that holds its key.
+  /// The result of the call on this node that claimed its key.
   AwaitingResult,
-  /// The result of the call on another node that holds its key.
+  /// The result of the call on another node that owns its key.
   AwaitingOwner,
-  /// A slot of the own target.
+  /// A slot of the local target.
   Queued,
   /// An answer.
   Sent,
@@ -32,9 +32,9 @@
   core::TimePoint Deadline;
   std::uint64_t ContentLength = 0;
   bool FromNode = false;
-  /// Target set by the sending node: this node is the target's host node.
+  /// The sending node selected the target, which stands on this host.
   bool Hosted = false;
-  /// Version set by the sending node.
+  /// Version set by the sending node, or selected on the first attempt.
   std::optional<core::TargetVersion> FixedVersion;
   std::uint32_t Crashes = 0;
   /// @}
@@ -47,15 +47,15 @@
   core::TimePoint SentAt;
   std::optional<core::Microseconds> TimeToFirstByte;
   int Status = 0;
-  /// Slot or queue entry of an own target.
+  /// Slot or queue entry of a local target.
   SlotRequest Slot;
   std::uint64_t BytesInFlight = 0;
   std::vector<TargetIndex> Tried;
-  /// An earlier attempt had no answer.
+  /// An earlier attempt ended without an answer.
   bool MayHaveRun = false;
-  /// It runs under its key, so its result is kept.
+  /// The call claims its key and keeps the result for repeats.
   bool ClaimsKey = false;
-  /// The caller went away; the request goes on for its repeats.
+  /// The caller disconnected; the request continues for repeats of its key.
   bool Detached = false;
   /// @}
 
--- a/include/filbertvane/decision/request/Events.h
+++ b/include/filbertvane/decision/request/Events.h
@@ -9,24 +9,24 @@
 
 namespace filbertvane::decision::request {
 
-/// Largest answer that is kept for repeats, in bytes (docs/design.md, 9).
+/// Largest answer that is kept for repeats (docs/design.md, 9).
 inline constexpr std::size_t MaxKeptAnswerBytes = std::size_t{64} * 1024;
 
 /// @name Values
 /// @{
 
-/// @brief How a request ends for its caller when no answer is passed on.
+/// @brief Outcome reported to the caller when no answer is forwarded.
 enum class Outcome {
-  /// The request truly did not run; 503 to the caller.
+  /// The request did not run; status 503.
   NotRun,
-  /// The request may have run; 504 to the caller.
+  /// The request may have run; status 504.
   Unknown,
 };
 
 /// @brief Identity under which a node claims a key.
 ///
-/// It names one call of one process, so that a node that restarted, or that
-/// evicted its memory of a key, never takes an earlier claim for its own.
+/// It identifies one call of one process, so that a node that restarted or
+/// evicted a key never mistakes an earlier claim for its own.
 struct ClaimOwner {
   core::NodeId Node;
   core::Incarnation Incarnation;
@@ -44,7 +44,7 @@
   friend auto operator<=>(const KeptAnswer &, const KeptAnswer &) = default;
 };
 
-/// @brief What the owner of a key says about its request.
+/// @brief State of a request as reported by the owner of its key.
 enum class KeptResultState { Running, Answered, NotRun, Unknown };
 
 /// @brief Where a request is sent for one attempt.
@@ -54,16 +54,16 @@
   bool Local = false;
   /// `ip:port` of the node's peer port, or of the target when local.
   std::string Address;
-  /// Empty when the node stands for a service in another data centre: it then
-  /// selects a target of its own data centre.
+  /// Empty for an entry node of another data centre, which selects a target
+  /// there.
   core::TargetId Target;
   core::TargetVersion Version;
 
   friend auto operator<=>(const Destination &, const Destination &) = default;
 };
 
-/// @brief A target known to this node, its own or one of its data centre, or
-///        an entry node that stands for a service in another data centre.
+/// @brief A target on this host or in this data centre, or an entry node that
+///        represents a service in another data centre.
 struct Endpoint {
   core::TargetId Target;
   core::ServiceName Service;
@@ -72,7 +72,7 @@
   core::DataCentreId DataCentre;
   core::RegionId Region;
   std::string Address;
-  /// Concurrent requests that the target can run.
+  /// Maximum number of concurrent requests.
   std::uint32_t Slots = 0;
   /// Time at which the target was first announced, for warm-up.
   core::TimePoint AnnouncedAt;
@@ -80,32 +80,32 @@
   friend auto operator<=>(const Endpoint &, const Endpoint &) = default;
 };
 
-/// @brief What the entry node tells the host node of a request, where the
-///        host node does not read the routes itself.
+/// @brief Routing attributes that the entry node sends along with a request to
+///        a host node that does not read the routes itself.
 struct HopTerms {
   core::RouteName Route;
-  /// Time left until the latency objective; negative when it has passed.
+  /// Time left until the latency objective; negative after it has passed.
   core::Milliseconds ObjectiveLeft{0};
   /// Rank of the request; 0 is the most urgent.
   std::uint32_t Rank = 0;
   bool Idempotent = false;
-  /// Take the request also when its answer will be late.
+  /// Accept the request even when its answer would be late.
   bool AcceptLate = false;
 
   friend auto operator<=>(const HopTerms &, const HopTerms &) = default;
 };
 
-/// @brief How one attempt ended, as the side that sent it saw it.
+/// @brief How one attempt ended, as seen by the sender.
 enum class AttemptEnd {
-  /// The whole answer was passed on.
+  /// The complete answer was forwarded.
   Answered,
-  /// The whole answer arrived and is held until `DeliverAnswer`.
+  /// The complete answer was received and is held until `DeliverAnswer`.
   Held,
-  /// Refused with a truthful "not run" marker, or never handed over.
+  /// Refused with a "not run" marker, or never sent.
   NotRun,
-  /// No answer after hand-over; it may have run.
+  /// No answer after the request was sent; it may have run.
   NoAnswer,
-  /// The answer broke off after its first byte was passed on.
+  /// The answer was cut off after its first byte was forwarded.
   Truncated,
 };
 /// @}
@@ -113,10 +113,10 @@
 /// @name Events
 /// @{
 
-/// @brief A request came in from a caller or from another node.
+/// @brief A request arrived from a caller or from another node.
 struct CallArrived {
   core::CallId Id;
-  /// True when it came from a node: this node is the host node of the target.
+  /// The request came from another node.
   bool FromNode = false;
   std::string Path;
   std::string Method;
@@ -125,28 +125,29 @@
   /// prefix, independent of the order of headers.
   core::Digest RequestDigest;
   std::optional<core::WallTime> Deadline;
-  /// Service and version chosen by the entry node, when it came from a node.
+  /// Service and version selected by the sending node.
   std::optional<core::ServiceName> Service;
   std::optional<core::TargetVersion> Version;
-  /// Target chosen by the sending node; none when this node must choose one
+  /// Target selected by the sending node; none when this node must select one
   /// in its data centre.
   std::optional<core::TargetId> Target;
   std::uint64_t ContentLength = 0;
-  /// Crashes already ascribed to the request by the sending node.
+  /// Crashes attributed to the request by the sending node.
   std::uint32_t Crashes = 0;
-  /// Id under which the caller knows the request; for logs.
+  /// Request id of the caller, for logs.
   std::string CallerId = {};
   /// Value of the `Host` header.
   std::string VirtualHost = {};
-  /// Time left as the sender stated it, counted from the arrival.
+  /// Time left until the deadline, counted from the arrival.
   std::optional<core::Milliseconds> TimeLeft = std::nullopt;
-  /// Service on whose host the request began, when it came from a node.
+  /// Service of the host on which the request originated, if another node sent
+  /// it.
   std::optional<core::ServiceName> Caller = std::nullopt;
   std::optional<HopTerms> Terms = std::nullopt;
-  /// Time that the large answers now queued take on the host's link.
+  /// Transmission time of the large answers queued on the host's link.
   core::Microseconds LinkWait{0};
 };
-/// @brief The first byte of an answer arrived.
+/// @brief The first byte of an answer was received.
 struct AnswerStarted {
   core::CallId Id;
   core::AttemptId Attempt;
@@ -154,51 +155,51 @@
   /// Announced length of the answer, 0 when unknown.
   std::uint64_t ContentLength = 0;
 };
-/// @brief An attempt is over.
+/// @brief An attempt ended.
 struct AttemptEnded {
   core::CallId Id;
   core::AttemptId Attempt;
   AttemptEnd End = AttemptEnd::NoAnswer;
   int Status = 0;
-  /// The refusal was already retried by the node next to the failure.
+  /// The refused request was already retried by a node further downstream.
   bool RetriedDownstream = false;
-  /// The target's process went away while the request ran.
+  /// The target's process exited while the request ran.
   bool TargetCrashed = false;
-  /// No connection could be made; meaningful with `NotRun`.
+  /// No connection could be established; used with `NotRun`.
   bool Unreachable = false;
-  /// The whole answer, when `StartAttempt::KeepAnswer` was set and it fits
-  /// `MaxKeptAnswerBytes`.
+  /// The complete answer, when `StartAttempt::KeepAnswer` was set and the size
+  /// is at most `MaxKeptAnswerBytes`.
   std::shared_ptr<const KeptAnswer> FullAnswer;
-  /// The target itself saw the request, also when it refused it.
+  /// The target received the request, even if it refused it.
   bool ReachedTarget = false;
-  /// Another target than the expected one stands at the address.
+  /// A different target than the expected one listens at the address.
   bool Misdirected = false;
   std::optional<TargetLoad> Load = std::nullopt;
-  /// Bytes of the answer's body.
+  /// Size of the answer body.
   std::uint64_t AnswerBytes = 0;
 };
 /// @brief The caller closed its connection.
 struct CallerDisconnected {
   core::CallId Id;
 };
-/// @brief A claim was decided by the log.
+/// @brief The log decided a claim, or the claim failed.
 struct ClaimDecided {
   core::CallId Id;
-  /// Claim that is first in log order; this node may run the request iff it is
-  /// its own.
+  /// Owner of the first claim in log order; this node may run the request only
+  /// if that is its own claim.
   ClaimOwner Owner;
   std::optional<core::Error> Failure;
 };
-/// @brief The owner of a key replied to `AnswerFromOwner`, or is gone.
+/// @brief The owner of a key replied to `AnswerFromOwner`, or is unreachable.
 struct OwnerReplied {
   core::CallId Id;
-  /// `Answered`: the answer was passed on. `Unknown` also when the owner
-  /// cannot be reached.
+  /// `Answered`: the answer was forwarded. `Unknown` also when the owner cannot
+  /// be reached.
   KeptResultState State = KeptResultState::Unknown;
 };
-/// @brief Another node asks this one, the owner of a key, for its result.
+/// @brief Another node requests the result of a key that this node owns.
 struct KeptResultRequested {
-  /// Identifies the exchange; replies use it as the call's id.
+  /// Identifies the exchange; replies use it as the call id.
   core::CallId Id;
   ClaimOwner Owner;
   core::IdempotencyKey Key;
@@ -210,23 +211,23 @@
   core::Digest RequestDigest;
   std::uint32_t Crashes = 0;
 };
-/// @brief A configuration or an overlay of local rollbacks took effect.
+/// @brief A configuration or a set of local rollbacks took effect.
 struct ConfigurationChanged {
   std::shared_ptr<const config::FleetState> State;
-  /// Moves whose new version this node or its data centre rolled back.
+  /// Moves that were rolled back on this node or in its data centre.
   std::vector<config::MoveId> LocalRollbacks;
 };
-/// @brief Membership or target announcements changed.
+/// @brief The membership or the announced targets changed.
 struct EndpointsChanged {
   std::vector<Endpoint> Endpoints;
 };
-/// @brief The own target announced that it leaves, or its process went away.
+/// @brief A local target announced that it leaves, or its process exited.
 struct TargetLeaving {
   core::TargetId Target;
 };
-/// @brief The node began its graceful shutdown.
+/// @brief The node started its graceful shutdown.
 struct DrainStarted {};
-/// @brief Periodic event for deadlines, ejection and budgets.
+/// @brief Periodic event for deadlines, ejection and queues.
 struct Tick {};
 
 using Event =
@@ -247,27 +248,27 @@
   core::TimePoint Deadline;
   core::ServiceName Service;
   core::RouteName Route;
-  /// Use only a connection that was just proved live, or a new one.
+  /// Use only a connection that was just verified to be alive, or a new one.
   bool NeedsVerifiedConnection = false;
-  /// Hand the whole answer back with `AttemptEnded::Kept`.
+  /// Return the complete answer in `AttemptEnded::FullAnswer`.
   bool KeepAnswer = false;
-  /// Crashes ascribed to the request so far; sent along to a node.
+  /// Crashes attributed to the request so far; sent along to another node.
   std::uint32_t Crashes = 0;
-  /// Hold the answer until `DeliverAnswer`; a large one is passed on at once.
+  /// Hold the answer until `DeliverAnswer`; a large one is forwarded at once.
   bool HoldAnswer = false;
   /// Open a new connection.
   bool FreshConnection = false;
-  /// Service on whose host the request began.
+  /// Service of the host on which the request originated.
   core::ServiceName Caller = {};
   std::optional<HopTerms> Terms = std::nullopt;
 };
-/// @brief Pass on the answer that is held.
+/// @brief Forward the held answer.
 struct DeliverAnswer {
   core::CallId Id;
   /// Load of the target, for the node that sent the request.
   std::optional<TargetLoad> Load = std::nullopt;
 };
-/// @brief Stop an attempt: close or cancel it at the destination.
+/// @brief Cancel an attempt.
 struct CancelAttempt {
   core::CallId Id;
   core::AttemptId Attempt;
@@ -277,30 +278,30 @@
   core::CallId Id;
   Outcome Result = Outcome::NotRun;
   core::Error Reason;
-  /// The node retried, or the request was retried downstream.
+  /// The request was already retried, on this node or downstream.
   bool Retried = false;
   /// The target crashed while it ran the request.
   bool TargetCrashed = false;
-  /// Status for the caller; 0 for the usual one of the outcome.
+  /// HTTP status for the caller; 0 for the default status of the outcome.
   int Status = 0;
-  /// Time after which the caller should ask again.
+  /// Time after which the caller should retry.
   std::optional<core::Milliseconds> RetryAfter = std::nullopt;
-  /// The target itself saw the request.
+  /// The target received the request.
   bool ReachedTarget = false;
   /// Load of the target, for the node that sent the request.
   std::optional<TargetLoad> Load = std::nullopt;
 };
-/// @brief Ask the claim keeper for the ownership of a key.
+/// @brief Request the ownership of a key from the claim keeper.
 struct RequestClaim {
   core::CallId Id;
   core::IdempotencyKey Key;
   core::Digest RequestDigest;
-  /// Identity to claim under; a repeated request of the same claim keeps it.
+  /// Identity of the claim; a repeated request of the same claim reuses it.
   ClaimOwner Owner;
   core::TimePoint Deadline;
 };
-/// @brief Answer a repeat from the kept result of the owner on another node;
-///        the end comes back as `OwnerReplied`.
+/// @brief Answer a repeat with the result kept by the owner on another node;
+///        completed by `OwnerReplied`.
 struct AnswerFromOwner {
   core::CallId Id;
   ClaimOwner Owner;
@@ -308,27 +309,27 @@
   core::Digest RequestDigest;
   core::TimePoint Deadline;
 };
-/// @brief Answer a repeat from the result that this node kept.
+/// @brief Answer a repeat with the result kept on this node.
 struct SendKeptAnswer {
   core::CallId Id;
   std::shared_ptr<const KeptAnswer> Answer;
 };
-/// @brief One answer as evidence for a move.
+/// @brief Observation of one attempt, used as evidence for a move.
 struct ObservedAnswer {
   core::ServiceName Service;
   core::RouteName Route;
   core::TargetVersion Version;
   bool Fault = false;
   core::Microseconds Latency{0};
-  /// The target stands in another data centre, so that the latency and some
-  /// faults are those of a link; a node over there observes the answer too.
+  /// The target is in another data centre: latency and some faults are caused
+  /// by the link, and a node in that data centre observes the answer too.
   bool Remote = false;
-  /// The target's process went away while the request ran.
+  /// The target's process exited while the request ran.
   bool TargetCrashed = false;
   /// Identifies the request for the crash rule; 0 when unknown.
   core::Digest RequestDigest;
 };
-/// @brief A request is suspected of crashing targets; told to the data centre.
+/// @brief Report a request that may crash targets to the data centre.
 struct SuspectReported {
   core::Digest RequestDigest;
   std::uint32_t Crashes = 0;
--- a/include/filbertvane/decision/request/Reducer.h
+++ b/include/filbertvane/decision/request/Reducer.h
@@ -6,17 +6,18 @@
 
 namespace filbertvane::decision::request {
 
-/// @brief Decides about one event.
+/// @brief Applies one event to the state.
 ///
-/// Total: each event is accepted in each state; events about calls that ended
-/// are ignored.
-/// @param Before state, moved in
+/// Every event is accepted in every state; events of calls that ended are
+/// ignored.
+/// @param Current state before the event, moved in
 /// @param What the event
-/// @param Now both clocks at the event
+/// @param Now monotonic and wall clock time of the event
 /// @return the next state and the effects, in the order to execute them
-/// Complexity: constant in calls and targets on the usual path; linear in
-/// targets and services for `ConfigurationChanged` and `EndpointsChanged`.
-Step<State, Effects> reduce(State Before, const Event &What, core::Instant Now);
+/// Complexity: usually independent of the number of calls and targets; linear
+/// in targets and services for `ConfigurationChanged` and `EndpointsChanged`.
+Step<State, Effects> reduce(State Current, const Event &Input,
+                            core::Instant Now);
 
 } // namespace filbertvane::decision::request
 
--- a/include/filbertvane/decision/request/RetryBudget.h
+++ b/include/filbertvane/decision/request/RetryBudget.h
@@ -5,19 +5,20 @@
 
 namespace filbertvane::decision::request {
 
-/// @brief Retries that a service may cost, refilled by its successes.
+/// @brief Budget for retries of one service, refilled by successful requests.
 ///
-/// A fixed number of retries per call multiplies load exactly when a service
-/// is overloaded; a budget bounds it to a tenth of the successes.
+/// A fixed number of retries per call multiplies the load of a service that is
+/// already overloaded; the budget limits retries to a tenth of the successes.
 class RetryBudget {
 public:
-  /// Thousandths of a retry that one success earns.
+  /// Thousandths of a retry that are added per success.
   static constexpr std::uint32_t ThousandthsPerSuccess = 100;
-  /// Most retries that can be saved.
+  /// Maximum number of available retries.
   static constexpr std::uint32_t MaxRetries = 10;
 
   void recordSuccess();
-  /// @brief Takes one retry; false when the budget is used up.
+  /// @brief Consumes one retry.
+  /// @return false when the budget is exhausted
   bool tryConsume();
   std::uint32_t available() const { return Thousandths / 1000; }
 
--- a/include/filbertvane/decision/request/RouteTable.h
+++ b/include/filbertvane/decision/request/RouteTable.h
@@ -13,15 +13,15 @@
 
 /// @brief Finds the route of a path by its longest prefix.
 ///
-/// A prefix matches at segment borders only: `/a` matches `/a` and `/a/b`, not
-/// `/ab`. The query is not part of the path.
+/// A prefix matches whole path segments only: `/a` matches `/a` and `/a/b` but
+/// not `/ab`. The query string is ignored.
 class RouteTable {
 public:
   RouteTable() = default;
-  /// @brief Builds the table; of two equal prefixes the first one counts.
+  /// @brief Builds the table; the first of several equal prefixes is used.
   explicit RouteTable(const std::vector<config::RouteSpec> &Routes);
 
-  /// @brief Route of a path, or null.
+  /// @brief Returns the route of a path, or null.
   /// Complexity: one hash lookup per segment of the path.
   RoutePtr match(std::string_view Path) const;
 
--- a/include/filbertvane/decision/request/Settings.h
+++ b/include/filbertvane/decision/request/Settings.h
@@ -7,26 +7,26 @@
 
 namespace filbertvane::decision::request {
 
-/// @brief Limits and periods of the request decisions of one node.
+/// @brief Limits of the request handling of one node.
 struct Limits {
   /// Calls in progress.
   std::size_t MaxCalls = 65536;
-  /// Entries that wait for the own target.
+  /// Requests that wait for the local target.
   std::size_t MaxQueueEntries = 512;
-  /// Bytes of bulk requests and answers in flight at the own target.
+  /// Bytes of bulk requests and answers in flight at the local target.
   std::uint64_t MaxBulkBytes = 64ULL << 20;
-  /// Refuse interactive requests that cannot finish in time.
+  /// Refuse interactive requests that cannot finish before their deadline.
   bool ShedByDeadline = true;
-  /// Attempts of one call, the first one included.
+  /// Attempts of one call, including the first one.
   std::uint32_t MaxAttempts = 3;
   /// Latest deadline of a call after its arrival.
   core::Seconds MaxCallDuration{600};
-  /// Keys older than this are refused; at most the retention of the log
-  /// (docs/claims.md gives the memory that an hour takes).
+  /// Keys older than this are refused; must not exceed the retention of the log
+  /// (docs/claims.md gives the memory used per hour of retention).
   core::Seconds ClaimRetention{3600};
 };
 
-/// @brief What a node knows about itself when it starts.
+/// @brief Identity, location and configuration of a node at its start.
 struct Settings {
   core::NodeId Self;
   core::Incarnation Incarnation;
--- a/include/filbertvane/decision/request/SpilloverEstimator.h
+++ b/include/filbertvane/decision/request/SpilloverEstimator.h
@@ -3,21 +3,22 @@
 
 namespace filbertvane::decision::request {
 
-/// @brief Estimates which part of a service's requests the near targets cannot
-///        take, so that only this part goes to farther ones.
+/// @brief Estimates the share of a service's requests that exceeds the capacity
+///        of the targets in the local data centre; only this share is sent to
+///        other data centres.
 ///
-/// Load refusals of near targets raise the spilled share and answers lower it.
-/// It settles where one in 20 requests sent to near targets is refused: that
-/// keeps the near targets full, and the refused part fits the retry budget.
+/// Refusals by these targets raise the share and answers lower it. It converges
+/// to the point where one in 20 requests sent to them is refused: this keeps
+/// them fully used, and the retry budget covers the refusals.
 class SpilloverEstimator {
 public:
-  /// @brief A near target refused for load.
+  /// @brief Records that a target of the local data centre refused a request.
   void recordRefused();
-  /// @brief A near target took a request.
+  /// @brief Records that a target of the local data centre ran a request.
   void recordAccepted();
-  /// @brief Whether the next request skips the near targets.
+  /// @brief Returns true when the next request skips the local data centre.
   bool spillNext();
-  /// @brief Spilled share, 0 to 1.
+  /// @brief Share of requests that skip the local data centre, 0 to 1.
   double share() const { return Share; }
 
 private:
--- a/include/filbertvane/decision/request/State.h
+++ b/include/filbertvane/decision/request/State.h
@@ -21,7 +21,7 @@
   std::array<std::vector<TargetIndex>, LocalityCount> Active;
 };
 
-/// @brief What this node keeps about one service.
+/// @brief State of one service.
 struct ServiceState {
   core::ServiceName Name;
   config::Traffic Versions;
@@ -34,16 +34,16 @@
   VersionPool *poolOf(const core::TargetVersion &Version);
 };
 
-/// @brief Deadline of a call, for the queue of deadlines.
+/// @brief Deadline of a call, ordered by time.
 struct Expiry {
   core::TimePoint Deadline;
   core::CallId Id;
   friend auto operator<=>(const Expiry &, const Expiry &) = default;
 };
 
-/// @brief Fields of the state of one node's request decisions.
+/// @brief Fields of `State`.
 struct StateFields {
-  explicit StateFields(Settings Own);
+  explicit StateFields(Settings InitialConfig);
 
   Settings Config;
   core::Random Rng;
@@ -55,17 +55,17 @@
   RouteTable Routes;
   std::unordered_map<core::ServiceName, ServiceState> Services;
   TargetTable Targets;
-  /// Slots and queues of the own targets.
+  /// Slots and queues of the local targets.
   std::map<TargetIndex, Admission> LocalTargets;
   /// @}
 
   /// @name Calls
   /// @{
   std::unordered_map<core::CallId, Call> Calls;
-  /// Min-heap; entries of ended calls are skipped, and removed when they
-  /// outnumber the others.
+  /// Min-heap; entries of ended calls are skipped, and removed once they are
+  /// the majority.
   std::vector<Expiry> Expiries;
-  /// Next search for targets to eject or to re-admit.
+  /// Time of the next search for targets to eject or to re-admit.
   core::TimePoint NextReview;
   std::uint64_t LastAttemptId = 0;
   claims::KeptResults Results;
@@ -73,14 +73,14 @@
   /// @}
 };
 
-/// @brief State of the request decisions of one node, moved through `reduce`.
+/// @brief State of the request handling of one node, moved through `reduce`.
 ///
-/// The fields are on the heap, because moving them with each event cost more
-/// than the decision itself (docs/routing.md).
+/// The fields are on the heap because moving them for each event cost more than
+/// the event itself (docs/routing.md).
 class State {
 public:
-  explicit State(Settings Own)
-      : Fields(std::make_unique<StateFields>(std::move(Own))) {}
+  explicit State(Settings InitialConfig)
+      : Fields(std::make_unique<StateFields>(std::move(InitialConfig))) {}
 
   StateFields &operator*() { return *Fields; }
   StateFields *operator->() { return Fields.get(); }
--- a/include/filbertvane/decision/request/Suspects.h
+++ b/include/filbertvane/decision/request/Suspects.h
@@ -8,25 +8,26 @@
 
 namespace filbertvane::decision::request {
 
-/// Crashes from which on a request is refused: one among other requests and
-/// one alone.
+/// Number of crashes after which a request is refused: one while running with
+/// other requests and one while running alone.
 inline constexpr std::uint32_t CrashesToRefuse = 2;
-/// Time after which a suspect is forgotten.
+/// Time after which a suspect is removed.
 inline constexpr core::Seconds SuspectRetention{600};
 
-/// @brief Requests that ran when their target crashed.
+/// @brief Requests that were running when their target crashed.
 class Suspects {
 public:
-  explicit Suspects(std::size_t Most = 1024) : MaxEntries(Most) {}
+  explicit Suspects(std::size_t MaxEntries = 1024) : MaxEntries(MaxEntries) {}
 
-  /// @brief Crashes ascribed to a request.
+  /// @brief Number of crashes attributed to a request.
   std::uint32_t crashes(core::Digest Request, core::TimePoint Now) const;
-  /// @brief Records a number of crashes; a lower one changes nothing.
-  /// @return true when another suspect had to be dropped
+  /// @brief Records the number of crashes of a request; the count never
+  ///        decreases.
+  /// @return true when another suspect was evicted to stay within the limit
   bool record(core::Digest Request, std::uint32_t Crashes, core::TimePoint Now);
-  /// @brief The request ran alone and its target survived.
+  /// @brief Removes a request that ran alone without crashing its target.
   void clear(core::Digest Request) { Records.erase(Request); }
-  /// @brief Forgets suspects whose time is over.
+  /// @brief Removes suspects older than `SuspectRetention`.
   void expire(core::TimePoint Now);
   std::size_t size() const { return Records.size(); }
 
--- a/include/filbertvane/decision/request/TargetPicker.h
+++ b/include/filbertvane/decision/request/TargetPicker.h
@@ -8,9 +8,9 @@
 
 namespace filbertvane::decision::request {
 
-/// @brief What a picker selects from.
+/// @brief Input of a target picker.
 struct PickContext {
-  /// Positions of the targets that may be selected.
+  /// Indexes of the targets that may be selected.
   std::span<const TargetIndex> Members;
   std::span<const Target> Targets;
   /// Targets that this call already tried.
@@ -18,46 +18,45 @@
   config::TrafficKind Kind = config::TrafficKind::Interactive;
   core::TimePoint Now;
 
-  bool wasTried(TargetIndex At) const;
+  bool wasTried(TargetIndex Index) const;
 };
 
 /// @brief Selects a target among those of one version and locality.
 template <typename P>
 concept TargetPicker = requires(P &Picker, const PickContext &Context,
-                                core::Random &Source) {
-  { Picker.pick(Context, Source) } -> std::same_as<std::optional<TargetIndex>>;
+                                core::Random &Rng) {
+  { Picker.pick(Context, Rng) } -> std::same_as<std::optional<TargetIndex>>;
 };
 
-/// @brief Better of two random targets by own outstanding requests and
-///        observed latency.
+/// @brief Picks the target with the lower expected cost out of two random ones.
 struct PowerOfTwoChoices {
   std::optional<TargetIndex> pick(const PickContext &Context,
-                                  core::Random &Source);
+                                  core::Random &Rng);
 };
 
-/// @brief Each target in turn.
+/// @brief Picks the targets in turn.
 struct RoundRobin {
   std::uint64_t Position = 0;
   std::optional<TargetIndex> pick(const PickContext &Context,
-                                  core::Random &Source);
+                                  core::Random &Rng);
 };
 
-/// @brief Random among the targets with fewer outstanding requests than the
-///        credits of each.
+/// @brief Picks a random target that has fewer outstanding requests than
+///        credits, or any target when there is none.
 struct CreditScheme {
   std::uint32_t Credits = 4;
   std::optional<TargetIndex> pick(const PickContext &Context,
-                                  core::Random &Source);
+                                  core::Random &Rng);
 };
 
 static_assert(TargetPicker<PowerOfTwoChoices>);
 static_assert(TargetPicker<RoundRobin>);
 static_assert(TargetPicker<CreditScheme>);
 
-/// The picker of a node, set once at its start.
+/// Picker of a node, set at its start.
 using AnyPicker = std::variant<PowerOfTwoChoices, RoundRobin, CreditScheme>;
 
-/// @brief Expected cost of one more request at a target; lower is better.
+/// @brief Expected cost of one more request at a target.
 double expectedCost(const Target &Candidate, config::TrafficKind Kind,
                     core::TimePoint Now);
 
--- a/include/filbertvane/decision/request/TargetTable.h
+++ b/include/filbertvane/decision/request/TargetTable.h
@@ -12,7 +12,7 @@
 enum class Locality : std::uint8_t { DataCentre, Region, OtherRegion };
 inline constexpr std::size_t LocalityCount = 3;
 
-/// @brief What this node observed of a target's answers.
+/// @brief Observed health of a target.
 struct TargetHealth {
   std::uint32_t ConsecutiveFaults = 0;
   std::uint32_t Samples = 0;
@@ -27,19 +27,20 @@
   std::uint32_t Ejections = 0;
 };
 
-/// @brief A target as this node sees it.
+/// @brief Announcement and observed state of a target.
 struct Target {
   Endpoint Announcement;
   Locality Distance = Locality::OtherRegion;
-  /// On this host.
+  /// The target stands on this host.
   bool Local = false;
-  /// Not announced any more, or leaving; kept until its requests ended.
+  /// No longer announced, or leaving; kept until its requests have ended.
   bool Removed = false;
-  /// Announced in the newest list.
+  /// Contained in the newest list of endpoints.
   bool Announced = false;
-  /// It said that it leaves; it stays gone while old lists still name it.
+  /// The target announced that it leaves; it stays removed even if an outdated
+  /// list still contains it.
   bool Leaving = false;
-  /// Requests that this node sent and that did not end.
+  /// Requests of this node that have not ended.
   std::uint32_t Outstanding = 0;
   /// Bytes of those requests and answers.
   std::uint64_t BytesInFlight = 0;
@@ -48,27 +49,27 @@
   TargetHealth Health;
 };
 
-/// Position of a target in the table; stable while the target has requests.
+/// Index of a target in the table; stable while the target has requests.
 using TargetIndex = std::uint32_t;
 inline constexpr TargetIndex NoTarget = ~TargetIndex{0};
 
-/// @brief All targets that this node knows, with stable positions.
+/// @brief All targets known to this node, with stable indexes.
 class TargetTable {
 public:
-  /// @brief Takes over a new list of endpoints; keeps what was observed of
-  ///        those that remain.
+  /// @brief Applies a new list of endpoints; the observed state of remaining
+  ///        targets is kept.
   /// Complexity: linear in old and new endpoints.
   void update(const std::vector<Endpoint> &Endpoints, const core::NodeId &Self,
               const core::DataCentreId &DataCentre,
               const core::RegionId &Region);
 
-  /// @brief Marks a target as leaving; it is not selected any more.
-  /// @return its position, or `NoTarget`
+  /// @brief Marks a target as leaving, so that it is no longer selected.
+  /// @return its index, or `NoTarget`
   TargetIndex markLeaving(const core::TargetId &Id);
 
   TargetIndex find(const core::TargetId &Id) const;
-  Target &operator[](TargetIndex At) { return Entries[At]; }
-  const Target &operator[](TargetIndex At) const { return Entries[At]; }
+  Target &operator[](TargetIndex Index) { return Entries[Index]; }
+  const Target &operator[](TargetIndex Index) const { return Entries[Index]; }
   std::span<const Target> all() const { return Entries; }
 
 private:
--- a/include/filbertvane/decision/request/VersionSelector.h
+++ b/include/filbertvane/decision/request/VersionSelector.h
@@ -5,28 +5,31 @@
 
 namespace filbertvane::decision::request {
 
-/// Share up to which a candidate counts as unproven (docs/design.md, 7).
+/// Largest share at which a candidate is considered unproven (docs/design.md,
+/// 7).
 inline constexpr config::Permille CanaryShare = 50;
 
-/// @brief Smooth weighted selection between two versions.
+/// @brief Smooth weighted selection between the stable and the candidate
+/// version.
 ///
 /// Each request adds the share to an accumulator; the candidate is selected
-/// when it passes 1000. The candidate's requests are spread evenly: in each
+/// when the accumulator reaches 1000. This spreads its requests evenly: in each
 /// window of n requests their number differs from n * share by less than one.
 class VersionSelector {
 public:
-  /// @param Phase start value, below 1000; different on each node, so that the
-  ///        nodes do not send to the candidate at the same time
-  explicit VersionSelector(config::Permille Phase = 0) : Accumulated(Phase) {}
+  /// @param Phase initial value of the accumulator, below 1000; different on
+  ///        each node so that nodes do not select the candidate simultaneously
+  explicit VersionSelector(config::Permille Phase = 0) : Accumulator(Phase) {}
 
-  /// @brief Whether the next request goes to the candidate.
+  /// @brief Returns true when the next request goes to the candidate.
   bool selectCandidate(config::Permille CandidateShare);
 
 private:
-  std::uint32_t Accumulated;
+  std::uint32_t Accumulator;
 };
 
-/// @brief Share of the candidate that a request may take part in.
+/// @brief Candidate share that applies to a request; 0 when the request must
+///        not be sent to an unproven candidate.
 /// @param Share share in force, 0 after a rollback
 /// @param Idempotent whether the request is idempotent
 /// @param HasIdempotentRoute whether the service has an idempotent route
--- a/include/filbertvane/decision/request/WarmUp.h
+++ b/include/filbertvane/decision/request/WarmUp.h
@@ -5,12 +5,13 @@
 
 namespace filbertvane::decision::request {
 
-/// Time in which a new target reaches its full share.
+/// Time after which a new target receives its full share of requests.
 inline constexpr core::Seconds WarmUpTime{10};
-/// Share of a target that was just announced.
+/// Initial share of a target that was just announced.
 inline constexpr double InitialShare = 0.1;
 
-/// @brief Part of its full share that a target takes, from `InitialShare` to 1.
+/// @brief Fraction of its full share that a target receives, from
+///        `InitialShare` to 1.
 double warmUpShare(core::TimePoint Since, core::TimePoint Now);
 
 } // namespace filbertvane::decision::request
--- a/include/filbertvane/decision/request/claims/ClaimKeeper.h
+++ b/include/filbertvane/decision/request/claims/ClaimKeeper.h
@@ -6,35 +6,35 @@
 
 namespace filbertvane::decision::request::claims {
 
-/// @brief Figures of a keeper.
+/// @brief Settings of a claim keeper.
 struct KeeperSettings {
-  /// Different for each process and partition.
+  /// Unique for each process and partition.
   core::WriterId Writer;
-  /// Age up to which keys are claimed; at most the retention of the log, and
-  /// the same on each node.
+  /// Maximum age of a key; must not exceed the retention of the log and must be
+  /// equal on all nodes.
   core::Seconds Retention{3600};
-  /// Claimed keys that are remembered.
+  /// Claimed keys held in memory.
   std::size_t MaxKeys = 150000;
-  /// Claims that wait for a decision.
+  /// Claims waiting for a decision.
   std::size_t MaxPendingClaims = 10000;
-  /// Claims in one batch; a log record holds 256 KiB.
+  /// Claims per batch; a log record is limited to 256 KiB.
   std::size_t MaxBatchClaims = 2000;
 };
 
-/// @brief State of the keeper of one partition.
+/// @brief State of the claim keeper of one partition.
 struct KeeperState {
-  explicit KeeperState(KeeperSettings Own)
-      : Config(std::move(Own)), Table(this->Config.MaxKeys) {}
+  explicit KeeperState(KeeperSettings InitialConfig)
+      : Config(std::move(InitialConfig)), Table(this->Config.MaxKeys) {}
 
   /// @brief A claim without a decision.
   struct PendingClaim {
     std::uint64_t RequestId = 0;
     Claim KeyClaim;
     core::TimePoint Deadline;
-    /// Part of the open batch.
+    /// Part of the current batch.
     bool InBatch = false;
   };
-  /// @brief The batch whose record was not read back yet.
+  /// @brief Batch whose record has not been read back yet.
   struct OpenBatch {
     ClaimBatch Batch;
     enum class Stage {
@@ -42,7 +42,7 @@
       Acknowledged,
       Unconfirmed
     } CurrentStage = Stage::Sent;
-    /// First read that was started after the append's end.
+    /// Number of the first read started after the append ended.
     std::uint64_t ConfirmingRead = 0;
   };
 
@@ -53,7 +53,7 @@
   /// @{
   ClaimTable Table;
   core::LogOffset NextOffset;
-  /// The newest read reached the end of the stream.
+  /// The latest read reached the end of the stream.
   bool CaughtUp = false;
   bool ReadInProgress = false;
   std::uint64_t LastReadNumber = 0;
@@ -67,13 +67,13 @@
   /// @}
 };
 
-/// @brief Decides about one event of a partition's keeper.
+/// @brief Applies one event to the claim keeper of a partition.
 ///
-/// The first record of a key in log order owns the key. A claim is answered
-/// only from records that were read, never from an acknowledgement.
+/// The first claim of a key in log order owns the key. A claim is decided only
+/// from records that were read, never from an acknowledgement.
 /// Complexity: linear in the claims of a batch; logarithmic in known keys.
 Step<KeeperState, KeeperEffects>
-reduce(KeeperState Before, const KeeperEvent &What, core::Instant Now);
+reduce(KeeperState Current, const KeeperEvent &Input, core::Instant Now);
 
 } // namespace filbertvane::decision::request::claims
 
--- a/include/filbertvane/decision/request/claims/ClaimTable.h
+++ b/include/filbertvane/decision/request/claims/ClaimTable.h
@@ -6,29 +6,31 @@
 
 namespace filbertvane::decision::request::claims {
 
-/// @brief First claim of each key, folded from the records of a partition.
+/// @brief First claim of each key, built from the records of a partition.
 ///
-/// Two tables that read the same records agree on each owner that both know.
+/// Two tables built from the same records agree on every owner known to both.
 /// A key whose earlier records may be missing has no known owner.
 class ClaimTable {
 public:
-  explicit ClaimTable(std::size_t MostKeys) : MaxKeys(MostKeys) {}
+  explicit ClaimTable(std::size_t MaxKeys) : MaxKeys(MaxKeys) {}
 
-  /// @brief Applies one batch; a repeated (writer, sequence) has no effect.
-  /// @return true when keys were dropped for the bound
+  /// @brief Applies one batch; a sequence that is not above the last one of its
+  ///        writer has no effect.
+  /// @return true when keys were evicted to stay within the limit
   bool apply(const ClaimBatch &Batch);
-  /// @brief Records before a time are missing: keys made before it are not
-  ///        decided.
+  /// @brief Marks records before a time as missing: no owner is returned for
+  ///        keys created before it.
   void markIncompleteBefore(core::WallTime Time);
-  /// @brief Forgets keys made before a time.
+  /// @brief Removes keys created before a time.
   void eraseBefore(core::WallTime Time);
 
-  /// @brief Whether all records of a key made at this time were read.
-  bool covers(core::WallTime Made) const;
-  /// @brief Owner of a covered key, or the error that stands in its place:
-  ///        `ClaimHistoryIncomplete` or `ClaimKeyReused`.
-  /// @return none when the key was never claimed
-  std::optional<core::Result<ClaimOwner>> findOwner(const Claim &What) const;
+  /// @brief Returns true when all records of keys created at a time were read.
+  bool covers(core::WallTime CreatedAt) const;
+  /// @brief Finds the owner of a key.
+  /// @return none when the key was never claimed; `ClaimHistoryIncomplete`,
+  ///         `ClaimKeyReused` or `ClaimKeyInvalid` on failure
+  std::optional<core::Result<ClaimOwner>>
+  findOwner(const Claim &KeyClaim) const;
 
   std::size_t size() const { return FirstClaims.size(); }
 
@@ -41,7 +43,7 @@
   bool evictOldest();
 
   std::size_t MaxKeys;
-  /// Ordered by key, and thereby by the time that the key carries.
+  /// Ordered by key and therefore by the embedded time.
   std::map<core::IdempotencyKey, FirstClaim> FirstClaims;
   std::map<core::WriterId, std::uint64_t> LastSequence;
   std::optional<core::WallTime> CompleteFrom;
--- a/include/filbertvane/decision/request/claims/Events.h
+++ b/include/filbertvane/decision/request/claims/Events.h
@@ -8,7 +8,7 @@
 /// @name Records of a `claims.<p>` stream
 /// @{
 
-/// @brief A node asks to own a key.
+/// @brief Claim of a key by a node.
 struct Claim {
   core::IdempotencyKey Key;
   ClaimOwner Owner;
@@ -17,19 +17,19 @@
   friend auto operator<=>(const Claim &, const Claim &) = default;
 };
 
-/// @brief Claims that one keeper appended together.
+/// @brief Claims that a keeper appends in one record.
 struct ClaimBatch {
   core::WriterId Writer;
-  /// Rises with each batch of a writer. It is the writer's calendar time in
-  /// milliseconds, raised by one where needed, so that a reader knows how old
-  /// the first record of a trimmed stream is.
+  /// Increases with each batch of a writer: wall clock time in milliseconds, or
+  /// the previous sequence plus one if that is larger. Readers use it as the
+  /// age of the first record of a trimmed stream.
   std::uint64_t Sequence = 0;
   std::vector<Claim> Claims;
 
   friend auto operator<=>(const ClaimBatch &, const ClaimBatch &) = default;
 };
 
-/// @brief A batch with its place in the stream.
+/// @brief A batch and its offset in the stream.
 struct StoredBatch {
   core::LogOffset Offset;
   ClaimBatch Batch;
@@ -39,43 +39,43 @@
 /// @name Events
 /// @{
 
-/// @brief This node became the keeper of the partition.
+/// @brief This node became the claim keeper of the partition.
 struct BecameKeeper {};
-/// @brief Another node is the keeper now.
+/// @brief Another node became the claim keeper of the partition.
 struct CeasedToBeKeeper {};
-/// @brief An entry node of the data centre asks for a key.
+/// @brief An entry node of the data centre claims a key.
 struct ClaimRequested {
   /// Identifies the reply.
   std::uint64_t RequestId = 0;
   Claim KeyClaim;
   core::TimePoint Deadline;
 };
-/// @brief The period of a batch is over.
+/// @brief The batch interval elapsed.
 struct BatchDue {};
 /// @brief The log acknowledged the append of a batch.
 struct AppendAcknowledged {
   std::uint64_t Sequence = 0;
 };
-/// @brief The log refused the append: it had no effect.
+/// @brief The log rejected the append, which had no effect.
 struct AppendFailed {
   std::uint64_t Sequence = 0;
 };
-/// @brief No acknowledgement came: the append may have had an effect.
+/// @brief The append was not acknowledged and may have taken effect.
 struct AppendUnknown {
   std::uint64_t Sequence = 0;
 };
 /// @brief Result of a `ReadStream`.
 struct RecordsRead {
   std::uint64_t ReadNumber = 0;
-  /// First offset that the log still holds.
+  /// First offset that is still in the log.
   core::LogOffset FirstOffset;
   /// Offset after the last record read.
   core::LogOffset NextOffset;
-  /// Offset after the last record of the stream, at the time of the read.
+  /// Offset after the last record of the stream at the time of the read.
   core::LogOffset EndOffset;
   std::vector<StoredBatch> Batches;
 };
-/// @brief A `ReadStream` failed; it is repeated at the next `BatchDue`.
+/// @brief A `ReadStream` failed; it is retried at the next `BatchDue`.
 struct ReadFailed {
   std::uint64_t ReadNumber = 0;
 };
@@ -95,13 +95,13 @@
 struct ReadStream {
   std::uint64_t ReadNumber = 0;
   core::LogOffset FromOffset;
-  /// Wait at the log for new records; otherwise reply at once.
+  /// Long poll: wait at the log for new records. Otherwise reply at once.
   bool WaitForRecords = true;
 };
-/// @brief The decision about a key, or why there is none.
+/// @brief Decision about a claim, or the error.
 struct ClaimReply {
   std::uint64_t RequestId = 0;
-  /// Claim that is first in log order.
+  /// Owner of the first claim in log order.
   ClaimOwner Owner;
   std::optional<core::Error> Failure;
 };
--- a/include/filbertvane/decision/request/claims/KeptResults.h
+++ b/include/filbertvane/decision/request/claims/KeptResults.h
@@ -7,25 +7,26 @@
 
 namespace filbertvane::decision::request::claims {
 
-/// @brief State of a key at the node that claimed it.
+/// @brief State of a key on the node that claimed it.
 enum class ResultState {
-  /// The claim is not decided.
+  /// The claim is not decided yet.
   Claiming,
-  /// The request was or may be sent.
+  /// The claim was granted and the request is running.
   Running,
-  /// It was answered; the answer is kept unless it did not fit.
+  /// The request was answered; the answer is kept unless it is too large.
   Answered,
-  /// It did not run; this node may run it again.
+  /// The request did not run; this node may run it again.
   NotRun,
-  /// It may have run.
+  /// The request may have run.
   Unknown,
 };
 
-/// @brief Results of the keys that this node claimed, for repeats.
+/// @brief Results of the keys that this node claimed, kept for repeats.
 ///
-/// Bounded in entries and bytes. Only settled entries are dropped. A dropped
-/// key is safe: a repeat claims under a new identity, which is not the first
-/// one in the log, and is answered as unknown.
+/// Limited in entries and bytes; only entries with a result are evicted.
+/// Eviction cannot cause a second execution: a repeat claims the key under a
+/// new identity, which is not the first one in the log, and its outcome is
+/// reported as unknown.
 class KeptResults {
 public:
   struct Entry {
@@ -35,33 +36,35 @@
     std::shared_ptr<const KeptAnswer> Answer;
     /// Calls that wait for the result.
     std::vector<core::CallId> WaitingCalls;
-    /// Insertion number, to recognise entries of the drop order.
+    /// Matches the number of the current entry in the eviction order.
     std::uint64_t ResultNumber = 0;
   };
 
-  explicit KeptResults(std::size_t MostEntries = 65536,
-                       std::size_t MostBytes = 16ULL << 20)
-      : MaxEntries(MostEntries), MaxBytes(MostBytes) {}
+  explicit KeptResults(std::size_t MaxEntries = 65536,
+                       std::size_t MaxBytes = 16ULL << 20)
+      : MaxEntries(MaxEntries), MaxBytes(MaxBytes) {}
 
   Entry *find(const core::IdempotencyKey &Key);
   Entry &insert(const core::IdempotencyKey &Key, const ClaimOwner &Owner,
                 core::Digest RequestDigest);
   void erase(const core::IdempotencyKey &Key);
 
-  /// @brief Records the result of a key and takes its waiting calls out.
+  /// @brief Records the result of a key.
   /// @param Answer kept when it is not larger than `MaxKeptAnswerBytes`
+  /// @return the calls that waited for the result
   std::vector<core::CallId>
   recordResult(const core::IdempotencyKey &Key, ResultState Result,
                std::shared_ptr<const KeptAnswer> Answer);
 
-  /// @brief Whether results were dropped since the last call.
+  /// @brief Returns whether results were evicted since the last call of this
+  ///        function.
   bool takeLimitReached();
 
   std::size_t size() const { return Entries.size(); }
   std::size_t bytes() const { return Bytes; }
 
 private:
-  void eraseAnswer(Entry &Which);
+  void eraseAnswer(Entry &Settled);
   void evictOldest();
 
   std::size_t MaxEntries;
@@ -70,7 +73,7 @@
   std::uint64_t LastResultNumber = 0;
   bool LimitReached = false;
   std::unordered_map<core::IdempotencyKey, Entry> Entries;
-  /// Settled keys in the order of their settlement.
+  /// Keys with a result, oldest result first.
   std::deque<std::pair<core::IdempotencyKey, std::uint64_t>> EvictionOrder;
 };
 
--- a/include/filbertvane/decision/request/claims/Key.h
+++ b/include/filbertvane/decision/request/claims/Key.h
@@ -7,20 +7,20 @@
 
 namespace filbertvane::decision::request::claims {
 
-/// Difference between host clocks that key checks allow for.
+/// Largest difference between host clocks that key checks tolerate.
 inline constexpr core::Seconds MaxClockSkew{60};
 
-/// @brief Time embedded in a UUIDv7 key (lower-case text, 36 characters).
+/// @brief Parses the time embedded in a UUIDv7 key (36 lower-case characters).
 /// @return the time, or `ClaimKeyInvalid`
 core::Result<core::WallTime> parseKeyTime(const core::IdempotencyKey &Key);
 
-/// @brief Checks that a record of the key, if there is one, is still in the
-///        log.
+/// @brief Checks that a claim of the key, if any, cannot have been trimmed from
+///        the log.
 ///
-/// A key from the future is refused too: its record would be trimmed before
-/// the key counts as old.
+/// A key from the future is rejected because its record would be trimmed before
+/// the key expires.
 /// @param Retention retention of the log
-/// @return the key's time, `ClaimKeyInvalid` or `ClaimKeyExpired`
+/// @return the time of the key, `ClaimKeyInvalid` or `ClaimKeyExpired`
 core::Result<core::WallTime> checkKey(const core::IdempotencyKey &Key,
                                       core::WallTime Now,
                                       core::Seconds Retention);
--- a/lib/decision/request/Admission.cpp
+++ b/lib/decision/request/Admission.cpp
@@ -10,51 +10,51 @@
 using config::TrafficKind;
 using core::ErrorCode;
 
-/// Weight of one request in the observed service time.
-constexpr double Weight = 1.0 / 16;
-/// Mean deviations that a request's time is expected to stay below.
-/// With the mean alone, goodput at 3x load was 0.912 of capacity, because
-/// requests that started last ended late (docs/admission.md).
-constexpr double Deviations = 3;
-/// Interactive starts after which a patient or bulk request has its turn, so
-/// that those kinds are not starved.
-constexpr std::uint32_t StartsPerOther = 8;
-/// Suspects that may wait; each one holds all other starts back.
-constexpr std::size_t MostSuspects = 4;
-
-std::size_t at(TrafficKind Kind) { return static_cast<std::size_t>(Kind); }
-
-AdmissionDecision refusal(ErrorCode Why) {
-  return {AdmissionDecision::Kind::Refuse, Why};
+/// Weight of one request in the moving averages of the service time.
+constexpr double AverageWeight = 1.0 / 16;
+/// Mean deviations added to the mean to get the expected service time. With the
+/// mean alone, goodput at 3x load was 0.912 of capacity, because requests that
+/// started last missed their deadline (docs/admission.md).
+constexpr double DeviationsAboveMean = 3;
+/// Interactive starts after which patient and bulk requests take precedence
+/// once, so that they are not starved.
+constexpr std::uint32_t MaxInteractiveStarts = 8;
+/// Waiting suspects; each one blocks all other requests until it has run.
+constexpr std::size_t MaxWaitingSuspects = 4;
+
+std::size_t indexOf(TrafficKind Kind) { return static_cast<std::size_t>(Kind); }
+
+AdmissionDecision refusal(ErrorCode Reason) {
+  return {AdmissionDecision::Kind::Refuse, Reason};
 }
 AdmissionDecision started() { return {AdmissionDecision::Kind::Start, {}}; }
 AdmissionDecision queued() { return {AdmissionDecision::Kind::Wait, {}}; }
 
 } // namespace
 
-void Admission::ServiceTimeStats::add(core::Microseconds Took) {
-  const auto TookUs = static_cast<double>(Took.count());
+void Admission::ServiceTimeStats::add(core::Microseconds Duration) {
+  const auto DurationUs = static_cast<double>(Duration.count());
   if (MeanUs == 0) {
-    MeanUs = TookUs;
+    MeanUs = DurationUs;
     return;
   }
-  DeviationUs += (std::abs(TookUs - MeanUs) - DeviationUs) * Weight;
-  MeanUs += (TookUs - MeanUs) * Weight;
+  DeviationUs += (std::abs(DurationUs - MeanUs) - DeviationUs) * AverageWeight;
+  MeanUs += (DurationUs - MeanUs) * AverageWeight;
 }
 
 core::Microseconds Admission::expectedServiceTime(TrafficKind Kind) const {
-  const ServiceTimeStats &Seen = ServiceTimes[at(Kind)];
+  const ServiceTimeStats &Times = ServiceTimes[indexOf(Kind)];
   return core::Microseconds(
-      std::llround(Seen.MeanUs + Deviations * Seen.DeviationUs));
+      std::llround(Times.MeanUs + DeviationsAboveMean * Times.DeviationUs));
 }
 
 std::set<Admission::QueueEntry> &Admission::queue(TrafficKind Kind) {
-  return Queues[at(Kind)];
+  return Queues[indexOf(Kind)];
 }
 
 const std::set<Admission::QueueEntry> &
 Admission::queue(TrafficKind Kind) const {
-  return Queues[at(Kind)];
+  return Queues[indexOf(Kind)];
 }
 
 std::size_t Admission::queueLength() const {
@@ -68,7 +68,8 @@
   if (Closed || ExclusiveRunning || !SuspectQueue.empty() ||
       SlotsInUse >= Slots)
     return false;
-  // The first bulk request always fits, or one above the limit never would.
+  // The first bulk request is always accepted; otherwise one larger than the
+  // limit could never run.
   if (Kind != TrafficKind::Bulk || BulkInUse == 0)
     return true;
   return BulkBytes + Bytes <= Limits.MaxBulkBytes;
@@ -78,83 +79,85 @@
                                core::TimePoint Now) const {
   if (Now >= Deadline)
     return true;
-  const bool Sheds = Limits.ShedByDeadline && Kind == TrafficKind::Interactive;
-  return Sheds && Now + expectedServiceTime(Kind) > Deadline;
+  const bool ShedsRequest =
+      Limits.ShedByDeadline && Kind == TrafficKind::Interactive;
+  return ShedsRequest && Now + expectedServiceTime(Kind) > Deadline;
 }
 
-bool Admission::missesDeadlineInQueue(const SlotRequest &Who,
+bool Admission::missesDeadlineInQueue(const SlotRequest &Request,
                                       core::TimePoint Now) const {
-  if (!Limits.ShedByDeadline || Who.Kind != TrafficKind::Interactive)
+  if (!Limits.ShedByDeadline || Request.Kind != TrafficKind::Interactive)
     return false;
-  const auto &Ahead = queue(Who.Kind);
-  const QueueEntry Self{{Who.Deadline, Who.Id}, 0};
-  const auto Before = static_cast<double>(
-      std::distance(Ahead.begin(), Ahead.lower_bound(Self)));
-  const double PerStartUs =
-      ServiceTimes[at(Who.Kind)].MeanUs / std::max(1U, Slots);
-  const core::Microseconds Wait(std::llround((Before + 1) * PerStartUs));
-  return missesDeadline(Who.Kind, Who.Deadline - Wait, Now);
-}
-
-void Admission::start(TrafficKind Kind, std::uint64_t Bytes, bool Alone) {
+  const auto &Queue = queue(Request.Kind);
+  const QueueEntry Self{{Request.Deadline, Request.Id}, 0};
+  const auto PositionInQueue = static_cast<double>(
+      std::distance(Queue.begin(), Queue.lower_bound(Self)));
+  const double StartIntervalUs =
+      ServiceTimes[indexOf(Request.Kind)].MeanUs / std::max(1U, Slots);
+  const core::Microseconds Wait(
+      std::llround((PositionInQueue + 1) * StartIntervalUs));
+  return missesDeadline(Request.Kind, Request.Deadline - Wait, Now);
+}
+
+void Admission::start(TrafficKind Kind, std::uint64_t Bytes, bool Exclusive) {
   ++SlotsInUse;
-  ExclusiveRunning = Alone;
+  ExclusiveRunning = Exclusive;
   if (Kind != TrafficKind::Bulk)
     return;
   ++BulkInUse;
   BulkBytes += Bytes;
 }
 
-AdmissionDecision Admission::admit(const SlotRequest &Who,
+AdmissionDecision Admission::admit(const SlotRequest &Request,
                                    core::TimePoint Now) {
   if (Closed)
     return refusal(ErrorCode::RequestDraining);
-  if (Now >= Who.Deadline)
+  if (Now >= Request.Deadline)
     return refusal(ErrorCode::RequestDeadlinePassed);
-  const QueueEntry Entry{{Who.Deadline, Who.Id}, Who.Bytes};
-  if (Who.Exclusive) {
-    if (SuspectQueue.size() >= MostSuspects)
+  const QueueEntry Entry{{Request.Deadline, Request.Id}, Request.Bytes};
+  if (Request.Exclusive) {
+    if (SuspectQueue.size() >= MaxWaitingSuspects)
       return refusal(ErrorCode::RequestSuspect);
     SuspectQueue.insert(Entry);
     return queued();
   }
-  if (missesDeadline(Who.Kind, Who.Deadline, Now))
+  if (missesDeadline(Request.Kind, Request.Deadline, Now))
     return refusal(ErrorCode::RequestDeadlineTooShort);
-  if (queue(Who.Kind).empty() && fits(Who.Kind, Who.Bytes)) {
-    start(Who.Kind, Who.Bytes, false);
+  if (queue(Request.Kind).empty() && fits(Request.Kind, Request.Bytes)) {
+    start(Request.Kind, Request.Bytes, false);
     return started();
   }
   if (queueLength() >= Limits.MaxQueueEntries)
     return refusal(ErrorCode::RequestQueueFull);
-  if (missesDeadlineInQueue(Who, Now))
+  if (missesDeadlineInQueue(Request, Now))
     return refusal(ErrorCode::RequestDeadlineTooShort);
-  queue(Who.Kind).insert(Entry);
+  queue(Request.Kind).insert(Entry);
   return queued();
 }
 
-void Admission::finish(const SlotRequest &Who,
-                       std::optional<core::Microseconds> Took) {
+void Admission::finish(const SlotRequest &Request,
+                       std::optional<core::Microseconds> Duration) {
   --SlotsInUse;
-  if (Who.Exclusive) {
+  if (Request.Exclusive) {
     ExclusiveRunning = false;
-  } else if (Who.Kind == TrafficKind::Bulk) {
+  } else if (Request.Kind == TrafficKind::Bulk) {
     --BulkInUse;
-    BulkBytes -= Who.Bytes;
+    BulkBytes -= Request.Bytes;
   }
-  if (Took)
-    ServiceTimes[at(Who.Kind)].add(*Took);
+  if (Duration)
+    ServiceTimes[indexOf(Request.Kind)].add(*Duration);
 }
 
-void Admission::withdraw(const SlotRequest &Who) {
-  const QueueEntry Entry{{Who.Deadline, Who.Id}, Who.Bytes};
-  (Who.Exclusive ? SuspectQueue : queue(Who.Kind)).erase(Entry);
+void Admission::withdraw(const SlotRequest &Request) {
+  const QueueEntry Entry{{Request.Deadline, Request.Id}, Request.Bytes};
+  (Request.Exclusive ? SuspectQueue : queue(Request.Kind)).erase(Entry);
 }
 
-void Admission::addBytes(SlotRequest &Who, std::uint64_t More) {
-  if (Who.Kind != TrafficKind::Bulk || Who.Exclusive)
+void Admission::addBytes(SlotRequest &Request, std::uint64_t AddedBytes) {
+  if (Request.Kind != TrafficKind::Bulk || Request.Exclusive)
     return;
-  Who.Bytes += More;
-  BulkBytes += More;
+  Request.Bytes += AddedBytes;
+  BulkBytes += AddedBytes;
 }
 
 std::optional<Admission::Dequeued>
@@ -198,10 +201,10 @@
   if (!SuspectQueue.empty())
     return dequeueSuspect(Now);
   using enum TrafficKind;
-  const bool OthersFirst = InteractiveStarts >= StartsPerOther;
+  const bool InteractiveLast = InteractiveStarts >= MaxInteractiveStarts;
   const std::array<TrafficKind, 3> Order =
-      OthersFirst ? std::array{Patient, Bulk, Interactive}
-                  : std::array{Interactive, Patient, Bulk};
+      InteractiveLast ? std::array{Patient, Bulk, Interactive}
+                      : std::array{Interactive, Patient, Bulk};
   for (TrafficKind Kind : Order)
     if (auto Found = dequeueKind(Kind, Now))
       return Found;
--- a/lib/decision/request/Ejection.cpp
+++ b/lib/decision/request/Ejection.cpp
@@ -6,82 +6,86 @@
 namespace {
 
 /// Weight of one attempt in the moving averages.
-constexpr double Weight = 1.0 / 16;
-/// Attempts before the averages of a target are judged.
-constexpr std::uint32_t EnoughSamples = 20;
-constexpr double FaultRateLimit = 0.5;
-/// A target is slow above this multiple of its group's median latency.
-constexpr double SlowFactor = 3;
-/// Differences below this are not worth an ejection, in microseconds.
-constexpr double SlowMarginUs = 10000;
-/// Fewer targets give no usable median.
-constexpr std::size_t MembersForMedian = 3;
-
-bool judged(const Target &Member) {
-  return !Member.Health.EjectedUntil && Member.Health.Samples >= EnoughSamples;
+constexpr double AverageWeight = 1.0 / 16;
+/// Attempts before the averages of a target are evaluated.
+constexpr std::uint32_t MinSamples = 20;
+constexpr double MaxFaultRate = 0.5;
+/// A target is slow if its latency exceeds this multiple of the median latency
+/// of its group.
+constexpr double SlowLatencyFactor = 3;
+/// Latency differences below this are ignored, in microseconds.
+constexpr double MinSlowDifferenceUs = 10000;
+/// Minimum number of targets for a meaningful median.
+constexpr std::size_t MinMembersForMedian = 3;
+
+bool isEvaluated(const Target &Member) {
+  return !Member.Health.EjectedUntil && Member.Health.Samples >= MinSamples;
 }
 
 std::optional<double> medianLatency(std::span<const TargetIndex> Members,
                                     std::span<const Target> Targets) {
   std::vector<double> Latencies;
-  for (TargetIndex At : Members)
-    if (judged(Targets[At]))
-      Latencies.push_back(Targets[At].Health.LatencyUs);
-  if (Latencies.size() < MembersForMedian)
+  for (TargetIndex Index : Members)
+    if (isEvaluated(Targets[Index]))
+      Latencies.push_back(Targets[Index].Health.LatencyUs);
+  if (Latencies.size() < MinMembersForMedian)
     return std::nullopt;
-  const auto Middle =
+  const auto MiddleLatency =
       Latencies.begin() + static_cast<std::ptrdiff_t>(Latencies.size() / 2);
-  std::nth_element(Latencies.begin(), Middle, Latencies.end());
-  return *Middle;
+  std::nth_element(Latencies.begin(), MiddleLatency, Latencies.end());
+  return *MiddleLatency;
 }
 
 bool isSlow(const Target &Member, std::optional<double> Median) {
   if (!Median)
     return false;
-  const double Limit = std::max(*Median * SlowFactor, *Median + SlowMarginUs);
+  const double Limit =
+      std::max(*Median * SlowLatencyFactor, *Median + MinSlowDifferenceUs);
   return Member.Health.LatencyUs > Limit;
 }
 
 } // namespace
 
-bool recordAttempt(TargetHealth &Seen, bool Fault, core::Microseconds Latency) {
+bool recordAttempt(TargetHealth &Health, bool Fault,
+                   core::Microseconds Latency) {
   const auto LatencyUs = static_cast<double>(Latency.count());
-  const bool First = Seen.Samples == 0;
-  Seen.Samples = std::min(Seen.Samples + 1, EnoughSamples);
-  Seen.LatencyUs += (LatencyUs - Seen.LatencyUs) * (First ? 1.0 : Weight);
-  Seen.RefusalRate -= Seen.RefusalRate * Weight;
-  Seen.FaultRate += ((Fault ? 1.0 : 0.0) - Seen.FaultRate) * Weight;
-  Seen.ConsecutiveFaults = Fault ? Seen.ConsecutiveFaults + 1 : 0;
-  return Seen.ConsecutiveFaults >= ConsecutiveFaultLimit;
+  const bool First = Health.Samples == 0;
+  Health.Samples = std::min(Health.Samples + 1, MinSamples);
+  Health.LatencyUs +=
+      (LatencyUs - Health.LatencyUs) * (First ? 1.0 : AverageWeight);
+  Health.RefusalRate -= Health.RefusalRate * AverageWeight;
+  Health.FaultRate += ((Fault ? 1.0 : 0.0) - Health.FaultRate) * AverageWeight;
+  Health.ConsecutiveFaults = Fault ? Health.ConsecutiveFaults + 1 : 0;
+  return Health.ConsecutiveFaults >= ConsecutiveFaultLimit;
 }
 
-void recordRefusal(TargetHealth &Seen) {
-  Seen.RefusalRate += (1 - Seen.RefusalRate) * Weight;
+void recordRefusal(TargetHealth &Health) {
+  Health.RefusalRate += (1 - Health.RefusalRate) * AverageWeight;
 }
 
 std::vector<TargetIndex> findOutliers(std::span<const TargetIndex> Members,
                                       std::span<const Target> Targets) {
   const std::optional<double> Median = medianLatency(Members, Targets);
   std::vector<TargetIndex> Found;
-  for (TargetIndex At : Members) {
-    const Target &Member = Targets[At];
+  for (TargetIndex Index : Members) {
+    const Target &Member = Targets[Index];
     const bool Faulty =
-        Member.Health.FaultRate > FaultRateLimit ||
+        Member.Health.FaultRate > MaxFaultRate ||
         Member.Health.ConsecutiveFaults >= ConsecutiveFaultLimit;
-    if (judged(Member) && (Faulty || isSlow(Member, Median)))
-      Found.push_back(At);
+    if (isEvaluated(Member) && (Faulty || isSlow(Member, Median)))
+      Found.push_back(Index);
   }
   return Found;
 }
 
 namespace {
 
-std::vector<TargetIndex> ejectedOf(const TargetTable &Targets,
-                                   std::span<const TargetIndex> Members) {
+std::vector<TargetIndex> ejectedMembers(const TargetTable &Targets,
+                                        std::span<const TargetIndex> Members) {
   std::vector<TargetIndex> Found;
-  for (TargetIndex At : Members)
-    if (Targets[At].Health.EjectedUntil)
-      Found.push_back(At);
+  for (TargetIndex Index : Members)
+    if (Targets[Index].Health.EjectedUntil)
+      Found.push_back(Index);
   return Found;
 }
 
@@ -89,7 +93,7 @@
 
 void limitEjections(TargetTable &Targets, std::span<const TargetIndex> Members,
                     core::TimePoint Now) {
-  std::vector<TargetIndex> Ejected = ejectedOf(Targets, Members);
+  std::vector<TargetIndex> Ejected = ejectedMembers(Targets, Members);
   std::sort(
       Ejected.begin(), Ejected.end(), [&Targets](TargetIndex A, TargetIndex B) {
         return Targets[A].Health.EjectedUntil > Targets[B].Health.EjectedUntil;
@@ -102,16 +106,16 @@
 }
 
 bool eject(TargetTable &Targets, std::span<const TargetIndex> Members,
-           TargetIndex At, core::TimePoint Now) {
-  const std::size_t Ejected = ejectedOf(Targets, Members).size();
-  TargetHealth &Seen = Targets[At].Health;
-  if (Seen.EjectedUntil || (Ejected + 1) * 2 > Members.size())
+           TargetIndex Index, core::TimePoint Now) {
+  const std::size_t Ejected = ejectedMembers(Targets, Members).size();
+  TargetHealth &Health = Targets[Index].Health;
+  if (Health.EjectedUntil || (Ejected + 1) * 2 > Members.size())
     return false;
-  const std::uint32_t Doublings = std::min(Seen.Ejections, 4U);
+  const std::uint32_t Doublings = std::min(Health.Ejections, 4U);
   const core::Seconds Time =
       std::min(BaseEjectionTime * (1U << Doublings), MaxEjectionTime);
-  Seen.EjectedUntil = Now + Time;
-  ++Seen.Ejections;
+  Health.EjectedUntil = Now + Time;
+  ++Health.Ejections;
   return true;
 }
 
@@ -119,15 +123,15 @@
                                  std::span<const TargetIndex> Members,
                                  core::TimePoint Now) {
   std::vector<TargetIndex> Readmitted;
-  for (TargetIndex At : Members) {
-    Target &Member = Targets[At];
+  for (TargetIndex Index : Members) {
+    Target &Member = Targets[Index];
     if (!Member.Health.EjectedUntil || *Member.Health.EjectedUntil > Now)
       continue;
     const std::uint32_t Ejections = Member.Health.Ejections;
     Member.Health = TargetHealth{};
     Member.Health.Ejections = Ejections;
     Member.WarmUpStart = Now;
-    Readmitted.push_back(At);
+    Readmitted.push_back(Index);
   }
   return Readmitted;
 }
--- a/lib/decision/request/ReduceArrival.cpp
+++ b/lib/decision/request/ReduceArrival.cpp
@@ -17,92 +17,95 @@
   return std::nullopt;
 }
 
-/// A host node whose configuration differs from the entry node's may have no
-/// route for the path; it then treats the request as non-idempotent.
-RoutePtr Reduction::findRoute(const CallArrived &What) const {
-  RoutePtr Matched = Fields.Routes.match(What.Path);
-  if (!What.FromNode || !What.Service)
+/// A host node whose configuration differs from that of the entry node may have
+/// no route for the path. It then treats the request as non-idempotent.
+RoutePtr Reduction::findRoute(const CallArrived &Arrival) const {
+  RoutePtr Matched = Fields.Routes.match(Arrival.Path);
+  if (!Arrival.FromNode || !Arrival.Service)
     return Matched;
-  if (Matched && Matched->Service == *What.Service)
+  if (Matched && Matched->Service == *Arrival.Service)
     return Matched;
   config::RouteSpec Unknown;
-  Unknown.Service = *What.Service;
+  Unknown.Service = *Arrival.Service;
   Unknown.Idempotent = false;
   return std::make_shared<const config::RouteSpec>(std::move(Unknown));
 }
 
-Call Reduction::makeCall(const CallArrived &What, RoutePtr Route) const {
-  Call Made;
-  Made.Id = What.Id;
-  Made.RequestDigest = What.RequestDigest;
-  if (!Route->Idempotent && !What.FromNode)
-    Made.Key = What.Key;
+Call Reduction::makeCall(const CallArrived &Arrival, RoutePtr Route) const {
+  Call NewCall;
+  NewCall.Id = Arrival.Id;
+  NewCall.RequestDigest = Arrival.RequestDigest;
+  if (!Route->Idempotent && !Arrival.FromNode)
+    NewCall.Key = Arrival.Key;
   const core::TimePoint Latest =
       Now.Mono + Fields.Config.Bounds.MaxCallDuration;
-  const core::TimePoint Own = Now.Mono + Route->Timeout;
-  Made.Deadline = std::min(
-      Latest, What.Deadline ? core::toMonotonic(*What.Deadline, Now) : Own);
-  Made.ContentLength = What.ContentLength;
-  Made.FromNode = What.FromNode;
-  Made.FixedVersion = What.Version;
-  Made.Hosted = What.FromNode && What.Target.has_value();
-  Made.Crashes = std::max(
-      What.Crashes, Fields.KnownSuspects.crashes(What.RequestDigest, Now.Mono));
-  Made.Route = std::move(Route);
-  return Made;
+  const core::TimePoint RouteDeadline = Now.Mono + Route->Timeout;
+  NewCall.Deadline = std::min(
+      Latest, Arrival.Deadline ? core::toMonotonic(*Arrival.Deadline, Now)
+                               : RouteDeadline);
+  NewCall.ContentLength = Arrival.ContentLength;
+  NewCall.FromNode = Arrival.FromNode;
+  NewCall.FixedVersion = Arrival.Version;
+  NewCall.Hosted = Arrival.FromNode && Arrival.Target.has_value();
+  NewCall.Crashes =
+      std::max(Arrival.Crashes,
+               Fields.KnownSuspects.crashes(Arrival.RequestDigest, Now.Mono));
+  NewCall.Route = std::move(Route);
+  return NewCall;
 }
 
-void Reduction::operator()(const CallArrived &What) {
-  if (auto Why = newCallError()) {
-    if (Why->Code == ErrorCode::RequestTooManyCalls)
+void Reduction::operator()(const CallArrived &Arrival) {
+  if (auto Reason = newCallError()) {
+    if (Reason->Code == ErrorCode::RequestTooManyCalls)
       log(observe::EventId::RequestCallLimit, "");
-    Out.emplace_back(Refuse{What.Id, Outcome::NotRun, std::move(*Why)});
+    Out.emplace_back(Refuse{Arrival.Id, Outcome::NotRun, std::move(*Reason)});
     return;
   }
-  RoutePtr Route = findRoute(What);
+  RoutePtr Route = findRoute(Arrival);
   if (!Route)
-    return refuse(What.Id, Outcome::NotRun,
-                  {ErrorCode::RequestNoRoute, What.Path});
-  const auto [Place, Added] =
-      Fields.Calls.try_emplace(What.Id, makeCall(What, std::move(Route)));
+    return refuse(Arrival.Id, Outcome::NotRun,
+                  {ErrorCode::RequestNoRoute, Arrival.Path});
+  const auto [Position, Added] =
+      Fields.Calls.try_emplace(Arrival.Id, makeCall(Arrival, std::move(Route)));
   if (!Added)
     return;
-  Call &Made = Place->second;
-  if (Now.Mono >= Made.Deadline)
-    return refuse(Made, ErrorCode::RequestDeadlinePassed, false);
-  addExpiry(Made);
-  if (Made.Crashes >= CrashesToRefuse) {
-    log(observe::EventId::RequestSuspectRefused, What.Path);
-    return refuse(Made, ErrorCode::RequestSuspect, true);
+  Call &NewCall = Position->second;
+  if (Now.Mono >= NewCall.Deadline)
+    return refuse(NewCall, ErrorCode::RequestDeadlinePassed, false);
+  addExpiry(NewCall);
+  if (NewCall.Crashes >= CrashesToRefuse) {
+    log(observe::EventId::RequestSuspectRefused, Arrival.Path);
+    return refuse(NewCall, ErrorCode::RequestSuspect, true);
   }
-  if (Made.Key)
-    return claimOrRepeat(Made);
-  if (Made.Hosted)
-    return startHostedCall(Made, *What.Target);
-  routeCall(Made);
+  if (NewCall.Key)
+    return claimOrRepeat(NewCall);
+  if (NewCall.Hosted)
+    return startHostedCall(NewCall, *Arrival.Target);
+  routeCall(NewCall);
 }
 
-void Reduction::routeCall(Call &Which) {
-  if (const std::optional<TargetIndex> At = selectTarget(Which))
-    return startAttempt(Which, *At);
-  refuse(Which, ErrorCode::RequestNoTarget, false);
+void Reduction::routeCall(Call &ActiveCall) {
+  if (const std::optional<TargetIndex> Index = selectTarget(ActiveCall))
+    return startAttempt(ActiveCall, *Index);
+  refuse(ActiveCall, ErrorCode::RequestNoTarget, false);
 }
 
-/// Only the own target named by the sending node may run the request: the
-/// sender counts it there, and a replaced target may run another version.
-void Reduction::startHostedCall(Call &Which, const core::TargetId &Target) {
-  const TargetIndex At = Fields.Targets.find(Target);
-  if (At == NoTarget || !Fields.Targets[At].Local)
-    return refuse(Which, ErrorCode::RequestNoTarget, false);
-  const request::Target &Host = Fields.Targets[At];
-  const bool Matches =
-      Host.Announcement.Service == Which.Route->Service &&
-      (!Which.FixedVersion || Host.Announcement.Version == *Which.FixedVersion);
+/// Only the local target selected by the sending node may run the request: the
+/// sender counts the request for that target, and a replacement may run another
+/// version.
+void Reduction::startHostedCall(Call &ActiveCall, const core::TargetId &Id) {
+  const TargetIndex Index = Fields.Targets.find(Id);
+  if (Index == NoTarget || !Fields.Targets[Index].Local)
+    return refuse(ActiveCall, ErrorCode::RequestNoTarget, false);
+  const request::Target &Host = Fields.Targets[Index];
+  const bool Matches = Host.Announcement.Service == ActiveCall.Route->Service &&
+                       (!ActiveCall.FixedVersion ||
+                        Host.Announcement.Version == *ActiveCall.FixedVersion);
   if (Host.Removed)
-    return refuse(Which, ErrorCode::RequestDraining, false);
+    return refuse(ActiveCall, ErrorCode::RequestDraining, false);
   if (!Matches)
-    return refuse(Which, ErrorCode::RequestNoTarget, false);
-  startAttempt(Which, At);
+    return refuse(ActiveCall, ErrorCode::RequestNoTarget, false);
+  startAttempt(ActiveCall, Index);
 }
 
 } // namespace filbertvane::decision::request
--- a/lib/decision/request/ReduceAttempts.cpp
+++ b/lib/decision/request/ReduceAttempts.cpp
@@ -4,132 +4,137 @@
 
 using core::ErrorCode;
 
-void Reduction::startAttempt(Call &Which, TargetIndex At) {
-  Target &To = Fields.Targets[At];
-  Which.CurrentTarget = At;
-  Which.Tried.push_back(At);
-  Which.BytesInFlight = Which.ContentLength;
-  To.BytesInFlight += Which.BytesInFlight;
+void Reduction::startAttempt(Call &ActiveCall, TargetIndex Index) {
+  Target &To = Fields.Targets[Index];
+  ActiveCall.CurrentTarget = Index;
+  ActiveCall.Tried.push_back(Index);
+  ActiveCall.BytesInFlight = ActiveCall.ContentLength;
+  To.BytesInFlight += ActiveCall.BytesInFlight;
   ++To.Outstanding;
-  const auto Own = Fields.LocalTargets.find(At);
-  if (Own == Fields.LocalTargets.end())
-    return sendAttempt(Which);
-  Which.Slot = {Which.Id, Which.Route->Kind, Which.Deadline,
-                Which.ContentLength, Which.Crashes > 0};
-  const AdmissionDecision Verdict = Own->second.admit(Which.Slot, Now.Mono);
-  switch (Verdict.Action) {
+  const auto Local = Fields.LocalTargets.find(Index);
+  if (Local == Fields.LocalTargets.end())
+    return sendAttempt(ActiveCall);
+  ActiveCall.Slot = {ActiveCall.Id, ActiveCall.Route->Kind, ActiveCall.Deadline,
+                     ActiveCall.ContentLength, ActiveCall.Crashes > 0};
+  const AdmissionDecision Decision =
+      Local->second.admit(ActiveCall.Slot, Now.Mono);
+  switch (Decision.Action) {
   case AdmissionDecision::Kind::Start:
-    return sendAttempt(Which);
+    return sendAttempt(ActiveCall);
   case AdmissionDecision::Kind::Wait:
-    Which.Phase = CallPhase::Queued;
-    if (Which.Slot.Exclusive)
-      serveQueue(At);
+    ActiveCall.Phase = CallPhase::Queued;
+    if (ActiveCall.Slot.Exclusive)
+      serveQueue(Index);
     return;
   case AdmissionDecision::Kind::Refuse:
-    if (Verdict.Reason == ErrorCode::RequestQueueFull)
+    if (Decision.Reason == ErrorCode::RequestQueueFull)
       log(observe::EventId::RequestQueueLimit, To.Announcement.Target.value());
-    Which.Phase = CallPhase::Queued;
-    releaseTarget(Which, std::nullopt);
-    return handleNotRun(Which, {}, Verdict.Reason, false);
+    ActiveCall.Phase = CallPhase::Queued;
+    releaseTarget(ActiveCall, std::nullopt);
+    return handleNotRun(ActiveCall, {}, Decision.Reason, false);
   }
 }
 
-void Reduction::sendAttempt(Call &Which) {
-  const Target &To = Fields.Targets[Which.CurrentTarget];
-  Which.Phase = CallPhase::Sent;
-  Which.CurrentAttempt = core::AttemptId(++Fields.LastAttemptId);
-  Which.SentAt = Now.Mono;
-  Which.TimeToFirstByte.reset();
+void Reduction::sendAttempt(Call &ActiveCall) {
+  const Target &To = Fields.Targets[ActiveCall.CurrentTarget];
+  ActiveCall.Phase = CallPhase::Sent;
+  ActiveCall.CurrentAttempt = core::AttemptId(++Fields.LastAttemptId);
+  ActiveCall.SentAt = Now.Mono;
+  ActiveCall.TimeToFirstByte.reset();
   StartAttempt Start;
-  Start.Id = Which.Id;
-  Start.Attempt = Which.CurrentAttempt;
+  Start.Id = ActiveCall.Id;
+  Start.Attempt = ActiveCall.CurrentAttempt;
   Start.To = {To.Announcement.Node, To.Local, To.Announcement.Address,
               To.Announcement.Target, To.Announcement.Version};
   // An entry node of another data centre selects the target itself.
   if (To.Distance != Locality::DataCentre)
     Start.To.Target = core::TargetId();
-  Start.Deadline = Which.Deadline;
-  Start.Service = Which.Route->Service;
-  Start.Route = Which.Route->Name;
-  Start.NeedsVerifiedConnection = !Which.idempotent();
-  Start.KeepAnswer = Which.ClaimsKey;
-  Start.Crashes = Which.Crashes;
+  Start.Deadline = ActiveCall.Deadline;
+  Start.Service = ActiveCall.Route->Service;
+  Start.Route = ActiveCall.Route->Name;
+  Start.NeedsVerifiedConnection = !ActiveCall.idempotent();
+  Start.KeepAnswer = ActiveCall.ClaimsKey;
+  Start.Crashes = ActiveCall.Crashes;
   Out.emplace_back(std::move(Start));
 }
 
-void Reduction::releaseTarget(Call &Which,
-                              std::optional<core::Microseconds> Took) {
-  Target &At = Fields.Targets[Which.CurrentTarget];
-  --At.Outstanding;
-  At.BytesInFlight -= Which.BytesInFlight;
-  Which.BytesInFlight = 0;
-  const auto Own = Fields.LocalTargets.find(Which.CurrentTarget);
-  if (Own == Fields.LocalTargets.end())
+void Reduction::releaseTarget(Call &ActiveCall,
+                              std::optional<core::Microseconds> Duration) {
+  Target &Used = Fields.Targets[ActiveCall.CurrentTarget];
+  --Used.Outstanding;
+  Used.BytesInFlight -= ActiveCall.BytesInFlight;
+  ActiveCall.BytesInFlight = 0;
+  const auto Local = Fields.LocalTargets.find(ActiveCall.CurrentTarget);
+  if (Local == Fields.LocalTargets.end())
     return;
-  if (Which.Phase == CallPhase::Sent)
-    Own->second.finish(Which.Slot, Took);
+  if (ActiveCall.Phase == CallPhase::Sent)
+    Local->second.finish(ActiveCall.Slot, Duration);
   else
-    Own->second.withdraw(Which.Slot);
+    Local->second.withdraw(ActiveCall.Slot);
 }
 
-void Reduction::serveQueue(TargetIndex At) {
-  const auto Own = Fields.LocalTargets.find(At);
-  if (Own == Fields.LocalTargets.end())
+void Reduction::serveQueue(TargetIndex Index) {
+  const auto Local = Fields.LocalTargets.find(Index);
+  if (Local == Fields.LocalTargets.end())
     return;
-  while (const auto Turn = Own->second.dequeue(Now.Mono)) {
-    Call *Which = find(Turn->Id);
-    if (!Which)
+  while (const auto Next = Local->second.dequeue(Now.Mono)) {
+    Call *ActiveCall = find(Next->Id);
+    if (!ActiveCall)
       continue;
-    if (Turn->Decision.Action == AdmissionDecision::Kind::Start)
-      sendAttempt(*Which);
+    if (Next->Decision.Action == AdmissionDecision::Kind::Start)
+      sendAttempt(*ActiveCall);
     else
-      refuseQueued(*Which, Turn->Decision.Reason);
+      refuseQueued(*ActiveCall, Next->Decision.Reason);
   }
 }
 
-void Reduction::operator()(const AnswerStarted &What) {
-  Call *Which = find(What.Id);
-  if (!Which || Which->Phase != CallPhase::Sent ||
-      Which->CurrentAttempt != What.Attempt || Which->TimeToFirstByte)
+void Reduction::operator()(const AnswerStarted &Started) {
+  Call *ActiveCall = find(Started.Id);
+  if (!ActiveCall || ActiveCall->Phase != CallPhase::Sent ||
+      ActiveCall->CurrentAttempt != Started.Attempt ||
+      ActiveCall->TimeToFirstByte)
     return;
-  Which->TimeToFirstByte = Now.Mono - Which->SentAt;
-  Which->Status = What.Status;
-  Which->BytesInFlight += What.ContentLength;
-  Fields.Targets[Which->CurrentTarget].BytesInFlight += What.ContentLength;
-  const auto Own = Fields.LocalTargets.find(Which->CurrentTarget);
-  if (Own != Fields.LocalTargets.end())
-    Own->second.addBytes(Which->Slot, What.ContentLength);
+  ActiveCall->TimeToFirstByte = Now.Mono - ActiveCall->SentAt;
+  ActiveCall->Status = Started.Status;
+  ActiveCall->BytesInFlight += Started.ContentLength;
+  Fields.Targets[ActiveCall->CurrentTarget].BytesInFlight +=
+      Started.ContentLength;
+  const auto Local = Fields.LocalTargets.find(ActiveCall->CurrentTarget);
+  if (Local != Fields.LocalTargets.end())
+    Local->second.addBytes(ActiveCall->Slot, Started.ContentLength);
 }
 
-void Reduction::operator()(const AttemptEnded &What) {
-  Call *Which = find(What.Id);
-  if (!Which || Which->Phase != CallPhase::Sent ||
-      Which->CurrentAttempt != What.Attempt)
+void Reduction::operator()(const AttemptEnded &Ended) {
+  Call *ActiveCall = find(Ended.Id);
+  if (!ActiveCall || ActiveCall->Phase != CallPhase::Sent ||
+      ActiveCall->CurrentAttempt != Ended.Attempt)
     return;
-  const TargetIndex At = Which->CurrentTarget;
-  const core::Microseconds Took = Now.Mono - Which->SentAt;
-  const bool Answered = What.End == AttemptEnd::Answered;
-  if (What.End == AttemptEnd::NotRun && !Which->TimeToFirstByte) {
-    if (What.Unreachable)
-      recordHealth(At, true, Took);
-    releaseTarget(*Which, std::nullopt);
-    handleNotRun(*Which, What, ErrorCode::RequestRefusedByTarget, true);
-    return serveQueue(At);
+  const TargetIndex Index = ActiveCall->CurrentTarget;
+  const core::Microseconds Duration = Now.Mono - ActiveCall->SentAt;
+  const bool Answered = Ended.End == AttemptEnd::Answered;
+  if (Ended.End == AttemptEnd::NotRun && !ActiveCall->TimeToFirstByte) {
+    if (Ended.Unreachable)
+      recordHealth(Index, true, Duration);
+    releaseTarget(*ActiveCall, std::nullopt);
+    handleNotRun(*ActiveCall, Ended, ErrorCode::RequestRefusedByTarget, true);
+    return serveQueue(Index);
   }
-  const int Status = Answered ? What.Status : Which->Status;
+  const int Status = Answered ? Ended.Status : ActiveCall->Status;
   const bool Fault = !Answered || Status >= 500;
-  if (What.TargetCrashed)
-    recordCrash(*Which);
-  // A version that crashes on any request must be found, so crashes are
-  // evidence too; the counter leaves out repeats of the same request.
-  reportObservation(*Which, Fault, What.TargetCrashed);
-  recordHealth(At, Fault, Which->TimeToFirstByte.value_or(Took));
-  releaseTarget(*Which, Answered ? std::optional(Took) : std::nullopt);
-  if (Answered || Which->TimeToFirstByte || What.End == AttemptEnd::Truncated)
-    handleForwarded(*Which, What, Fault);
+  if (Ended.TargetCrashed)
+    recordCrash(*ActiveCall);
+  // Crashes count as evidence, so that a version that crashes on any request is
+  // detected. Repeats of the same request are counted once when the evidence is
+  // evaluated.
+  reportObservation(*ActiveCall, Fault, Ended.TargetCrashed);
+  recordHealth(Index, Fault, ActiveCall->TimeToFirstByte.value_or(Duration));
+  releaseTarget(*ActiveCall, Answered ? std::optional(Duration) : std::nullopt);
+  if (Answered || ActiveCall->TimeToFirstByte ||
+      Ended.End == AttemptEnd::Truncated)
+    handleForwarded(*ActiveCall, Ended, Fault);
   else
-    handleNoAnswer(*Which, What);
-  serveQueue(At);
+    handleNoAnswer(*ActiveCall, Ended);
+  serveQueue(Index);
 }
 
 } // namespace filbertvane::decision::request
--- a/lib/decision/request/ReduceClaims.cpp
+++ b/lib/decision/request/ReduceClaims.cpp
@@ -10,50 +10,51 @@
 
 namespace {
 
-core::Error reused(const core::IdempotencyKey &Key) {
+core::Error keyReused(const core::IdempotencyKey &Key) {
   return {ErrorCode::ClaimKeyReused, Key.value()};
 }
 
 } // namespace
 
-void Reduction::claimOrRepeat(Call &Which) {
-  const auto Checked = claims::checkKey(*Which.Key, Now.Wall,
+void Reduction::claimOrRepeat(Call &ActiveCall) {
+  const auto Checked = claims::checkKey(*ActiveCall.Key, Now.Wall,
                                         Fields.Config.Bounds.ClaimRetention);
   if (!core::ok(Checked))
-    return refuse(Which.Id, Outcome::NotRun, core::failure(Checked));
-  KeptResults::Entry *Entry = Fields.Results.find(*Which.Key);
+    return refuse(ActiveCall.Id, Outcome::NotRun, core::failure(Checked));
+  KeptResults::Entry *Entry = Fields.Results.find(*ActiveCall.Key);
   if (!Entry) {
     const ClaimOwner Owner{Fields.Config.Self, Fields.Config.Incarnation,
-                           Which.Id};
-    return claim(Which,
-                 Fields.Results.insert(*Which.Key, Owner, Which.RequestDigest));
+                           ActiveCall.Id};
+    return claim(ActiveCall, Fields.Results.insert(*ActiveCall.Key, Owner,
+                                                   ActiveCall.RequestDigest));
   }
-  if (Entry->RequestDigest != Which.RequestDigest)
-    return refuse(Which.Id, Outcome::NotRun, reused(*Which.Key));
+  if (Entry->RequestDigest != ActiveCall.RequestDigest)
+    return refuse(ActiveCall.Id, Outcome::NotRun, keyReused(*ActiveCall.Key));
   if (Entry->State == ResultState::NotRun)
-    return claim(Which, *Entry);
-  answerRepeat(Which.Id, *Entry);
+    return claim(ActiveCall, *Entry);
+  answerRepeat(ActiveCall.Id, *Entry);
 }
 
-/// A request that did not run is claimed again under the first identity: the
-/// log may hold that claim already.
-void Reduction::claim(Call &Which, KeptResults::Entry &Entry) {
+/// A request that did not run is claimed again under its first identity,
+/// because the log may already contain that claim.
+void Reduction::claim(Call &ActiveCall, KeptResults::Entry &Entry) {
   Entry.State = ResultState::Claiming;
-  Which.Phase = CallPhase::Claiming;
-  Which.ClaimsKey = true;
-  Out.emplace_back(RequestClaim{Which.Id, *Which.Key, Which.RequestDigest,
-                                Entry.Owner, Which.Deadline});
+  ActiveCall.Phase = CallPhase::Claiming;
+  ActiveCall.ClaimsKey = true;
+  Out.emplace_back(RequestClaim{ActiveCall.Id, *ActiveCall.Key,
+                                ActiveCall.RequestDigest, Entry.Owner,
+                                ActiveCall.Deadline});
 }
 
 void Reduction::answerRepeat(core::CallId Id, const KeptResults::Entry &Entry) {
-  Call *Which = find(Id);
-  if (!Which)
+  Call *ActiveCall = find(Id);
+  if (!ActiveCall)
     return;
   switch (Entry.State) {
   case ResultState::Claiming:
   case ResultState::Running:
-    Which->Phase = CallPhase::AwaitingResult;
-    Fields.Results.find(*Which->Key)->WaitingCalls.push_back(Id);
+    ActiveCall->Phase = CallPhase::AwaitingResult;
+    Fields.Results.find(*ActiveCall->Key)->WaitingCalls.push_back(Id);
     return;
   case ResultState::Answered:
     if (!Entry.Answer)
@@ -67,95 +68,98 @@
   }
 }
 
-void Reduction::askOwner(Call &Which, const ClaimOwner &Owner) {
+void Reduction::askOwner(Call &ActiveCall, const ClaimOwner &Owner) {
   const bool OwnProcess = Owner.Node == Fields.Config.Self &&
                           Owner.Incarnation == Fields.Config.Incarnation;
-  // The own claim was dropped from memory: its result is not known.
+  // The claim of this process was evicted, so its result is unknown.
   if (OwnProcess)
-    return refuse(Which.Id, Outcome::Unknown,
+    return refuse(ActiveCall.Id, Outcome::Unknown,
                   {ErrorCode::ClaimResultNotKept, ""});
-  Which.Phase = CallPhase::AwaitingOwner;
-  Which.ClaimsKey = false;
-  Out.emplace_back(AnswerFromOwner{Which.Id, Owner, *Which.Key,
-                                   Which.RequestDigest, Which.Deadline});
+  ActiveCall.Phase = CallPhase::AwaitingOwner;
+  ActiveCall.ClaimsKey = false;
+  Out.emplace_back(AnswerFromOwner{ActiveCall.Id, Owner, *ActiveCall.Key,
+                                   ActiveCall.RequestDigest,
+                                   ActiveCall.Deadline});
 }
 
-void Reduction::operator()(const ClaimDecided &What) {
-  Call *Which = find(What.Id);
-  if (!Which || Which->Phase != CallPhase::Claiming)
+void Reduction::operator()(const ClaimDecided &Decision) {
+  Call *ActiveCall = find(Decision.Id);
+  if (!ActiveCall || ActiveCall->Phase != CallPhase::Claiming)
     return;
-  KeptResults::Entry *Entry = Fields.Results.find(*Which->Key);
-  if (What.Failure) {
-    const core::Error Why = *What.Failure;
-    recordResult(*Which, ResultState::NotRun, nullptr);
-    return refuse(What.Id, Outcome::NotRun, Why);
+  KeptResults::Entry *Entry = Fields.Results.find(*ActiveCall->Key);
+  if (Decision.Failure) {
+    const core::Error Reason = *Decision.Failure;
+    recordResult(*ActiveCall, ResultState::NotRun, nullptr);
+    return refuse(Decision.Id, Outcome::NotRun, Reason);
   }
-  if (What.Owner != Entry->Owner) {
+  if (Decision.Owner != Entry->Owner) {
     const std::vector<core::CallId> Waiting = std::move(Entry->WaitingCalls);
-    Fields.Results.erase(*Which->Key);
-    askOwner(*Which, What.Owner);
+    Fields.Results.erase(*ActiveCall->Key);
+    askOwner(*ActiveCall, Decision.Owner);
     for (core::CallId Id : Waiting)
       if (Call *Repeat = find(Id))
-        askOwner(*Repeat, What.Owner);
+        askOwner(*Repeat, Decision.Owner);
     return;
   }
-  // A node that was paused, or that leaves, has not sent the request yet.
-  if (Now.Mono >= Which->Deadline)
-    return refuse(*Which, ErrorCode::RequestDeadlinePassed, false);
+  // The request has not been sent yet, so it is safe to refuse it as not run
+  // after a long pause or while draining.
+  if (Now.Mono >= ActiveCall->Deadline)
+    return refuse(*ActiveCall, ErrorCode::RequestDeadlinePassed, false);
   if (Fields.Draining)
-    return refuse(*Which, ErrorCode::RequestDraining, false);
+    return refuse(*ActiveCall, ErrorCode::RequestDraining, false);
   Entry->State = ResultState::Running;
-  routeCall(*Which);
+  routeCall(*ActiveCall);
 }
 
-void Reduction::abandonClaim(Call &Which) {
-  KeptResults::Entry *Entry = Fields.Results.find(*Which.Key);
+void Reduction::abandonClaim(Call &ActiveCall) {
+  KeptResults::Entry *Entry = Fields.Results.find(*ActiveCall.Key);
   Entry->State = ResultState::NotRun;
   while (!Entry->WaitingCalls.empty()) {
     const core::CallId Id = Entry->WaitingCalls.front();
     Entry->WaitingCalls.erase(Entry->WaitingCalls.begin());
     Call *Repeat = find(Id);
-    // A question of another node cannot run the request.
+    // A result query of another node cannot run the request.
     if (Repeat && !Repeat->FromNode)
       return claim(*Repeat, *Entry);
     if (Repeat)
       answerRepeat(Id, *Entry);
   }
-  Fields.Results.recordResult(*Which.Key, ResultState::NotRun, nullptr);
+  Fields.Results.recordResult(*ActiveCall.Key, ResultState::NotRun, nullptr);
 }
 
-void Reduction::operator()(const OwnerReplied &What) {
-  Call *Which = find(What.Id);
-  if (!Which || Which->Phase != CallPhase::AwaitingOwner)
+void Reduction::operator()(const OwnerReplied &Reply) {
+  Call *ActiveCall = find(Reply.Id);
+  if (!ActiveCall || ActiveCall->Phase != CallPhase::AwaitingOwner)
     return;
-  switch (What.State) {
+  switch (Reply.State) {
   case KeptResultState::Answered:
-    return erase(What.Id);
+    return erase(Reply.Id);
   case KeptResultState::NotRun:
-    return refuse(What.Id, Outcome::NotRun, {ErrorCode::ClaimUndecided, ""});
+    return refuse(Reply.Id, Outcome::NotRun, {ErrorCode::ClaimUndecided, ""});
   case KeptResultState::Running:
   case KeptResultState::Unknown:
-    return refuse(What.Id, Outcome::Unknown, {ErrorCode::ClaimOwnerLost, ""});
+    return refuse(Reply.Id, Outcome::Unknown, {ErrorCode::ClaimOwnerLost, ""});
   }
 }
 
-void Reduction::operator()(const KeptResultRequested &What) {
-  const KeptResults::Entry *Entry = Fields.Results.find(What.Key);
-  if (!Entry || Entry->Owner != What.Owner)
-    return refuse(What.Id, Outcome::Unknown, {ErrorCode::ClaimOwnerLost, ""});
-  if (Entry->RequestDigest != What.RequestDigest)
-    return refuse(What.Id, Outcome::NotRun, reused(What.Key));
-  const auto [Place, Added] = Fields.Calls.try_emplace(What.Id);
+void Reduction::operator()(const KeptResultRequested &Request) {
+  const KeptResults::Entry *Entry = Fields.Results.find(Request.Key);
+  if (!Entry || Entry->Owner != Request.Owner)
+    return refuse(Request.Id, Outcome::Unknown,
+                  {ErrorCode::ClaimOwnerLost, ""});
+  if (Entry->RequestDigest != Request.RequestDigest)
+    return refuse(Request.Id, Outcome::NotRun, keyReused(Request.Key));
+  const auto [Position, Added] = Fields.Calls.try_emplace(Request.Id);
   if (!Added)
     return;
-  Call &Question = Place->second;
-  Question.Id = What.Id;
-  Question.FromNode = true;
-  Question.Key = What.Key;
-  Question.Deadline = core::toMonotonic(What.Deadline, Now);
-  Question.Route = std::make_shared<const config::RouteSpec>();
-  addExpiry(Question);
-  answerRepeat(What.Id, *Entry);
+  Call &Query = Position->second;
+  Query.Id = Request.Id;
+  Query.FromNode = true;
+  Query.Key = Request.Key;
+  Query.Deadline = core::toMonotonic(Request.Deadline, Now);
+  Query.Route = std::make_shared<const config::RouteSpec>();
+  addExpiry(Query);
+  answerRepeat(Request.Id, *Entry);
 }
 
 } // namespace filbertvane::decision::request
--- a/lib/decision/request/ReduceEjection.cpp
+++ b/lib/decision/request/ReduceEjection.cpp
@@ -5,47 +5,50 @@
 
 namespace {
 
-/// Ticks come more often, for deadlines; medians need not be that fresh.
-constexpr core::Milliseconds ReviewPeriod{250};
+/// Longer than the tick interval, because outlier detection does not need the
+/// precision of deadlines.
+constexpr core::Milliseconds ReviewInterval{250};
 
 } // namespace
 
 void Reduction::refreshActive(VersionPool &Pool) {
-  for (std::size_t Near = 0; Near < LocalityCount; ++Near) {
-    Pool.Active[Near].clear();
-    for (TargetIndex At : Pool.Members[Near])
-      if (!Fields.Targets[At].Removed &&
-          !Fields.Targets[At].Health.EjectedUntil)
-        Pool.Active[Near].push_back(At);
+  for (std::size_t Distance = 0; Distance < LocalityCount; ++Distance) {
+    Pool.Active[Distance].clear();
+    for (TargetIndex Index : Pool.Members[Distance])
+      if (!Fields.Targets[Index].Removed &&
+          !Fields.Targets[Index].Health.EjectedUntil)
+        Pool.Active[Distance].push_back(Index);
   }
 }
 
-void Reduction::recordHealth(TargetIndex At, bool Fault,
+void Reduction::recordHealth(TargetIndex Index, bool Fault,
                              core::Microseconds Latency) {
-  Target &Which = Fields.Targets[At];
-  if (!recordAttempt(Which.Health, Fault, Latency))
+  Target &Candidate = Fields.Targets[Index];
+  if (!recordAttempt(Candidate.Health, Fault, Latency))
     return;
-  const auto Service = Fields.Services.find(Which.Announcement.Service);
+  const auto Service = Fields.Services.find(Candidate.Announcement.Service);
   if (Service == Fields.Services.end())
     return;
-  if (VersionPool *Pool = Service->second.poolOf(Which.Announcement.Version))
-    ejectFrom(*Pool, At);
+  if (VersionPool *Pool =
+          Service->second.poolOf(Candidate.Announcement.Version))
+    ejectFrom(*Pool, Index);
 }
 
-void Reduction::ejectFrom(VersionPool &Pool, TargetIndex At) {
-  const Target &Which = Fields.Targets[At];
-  const auto &Members = Pool.Members[static_cast<std::size_t>(Which.Distance)];
-  if (!eject(Fields.Targets, Members, At, Now.Mono))
+void Reduction::ejectFrom(VersionPool &Pool, TargetIndex Index) {
+  const Target &Candidate = Fields.Targets[Index];
+  const auto &Members =
+      Pool.Members[static_cast<std::size_t>(Candidate.Distance)];
+  if (!eject(Fields.Targets, Members, Index, Now.Mono))
     return;
   log(observe::EventId::RequestTargetEjected,
-      Which.Announcement.Target.value());
+      Candidate.Announcement.Target.value());
   refreshActive(Pool);
 }
 
 void Reduction::reviewTargets() {
   if (Now.Mono < Fields.NextReview)
     return;
-  Fields.NextReview = Now.Mono + ReviewPeriod;
+  Fields.NextReview = Now.Mono + ReviewInterval;
   for (auto &[Name, Service] : Fields.Services)
     for (VersionPool &Pool : Service.Pools)
       reviewPool(Pool);
@@ -54,13 +57,13 @@
 void Reduction::reviewPool(VersionPool &Pool) {
   for (const auto &Members : Pool.Members) {
     const auto Readmitted = readmit(Fields.Targets, Members, Now.Mono);
-    for (TargetIndex At : Readmitted)
+    for (TargetIndex Index : Readmitted)
       log(observe::EventId::RequestTargetReadmitted,
-          Fields.Targets[At].Announcement.Target.value());
+          Fields.Targets[Index].Announcement.Target.value());
     if (!Readmitted.empty())
       refreshActive(Pool);
-    for (TargetIndex At : findOutliers(Members, Fields.Targets.all()))
-      ejectFrom(Pool, At);
+    for (TargetIndex Index : findOutliers(Members, Fields.Targets.all()))
+      ejectFrom(Pool, Index);
   }
 }
 
--- a/lib/decision/request/ReduceEnds.cpp
+++ b/lib/decision/request/ReduceEnds.cpp
@@ -8,34 +8,40 @@
 
 namespace {
 
-/// Deadlines of ended calls that are kept before they are removed.
-constexpr std::size_t SpareExpiries = 1024;
+/// Heap entries allowed beyond twice the number of calls before entries of
+/// ended calls are removed.
+constexpr std::size_t MaxStaleExpiries = 1024;
 
 } // namespace
 
-void Reduction::refuse(core::CallId Id, Outcome Result, core::Error Why) {
-  Out.emplace_back(Refuse{Id, Result, std::move(Why)});
+void Reduction::refuse(core::CallId Id, Outcome Result, core::Error Reason) {
+  Out.emplace_back(Refuse{Id, Result, std::move(Reason)});
   erase(Id);
 }
 
-void Reduction::refuse(Call &Which, ErrorCode Why, bool Retried,
+void Reduction::refuse(Call &ActiveCall, ErrorCode Reason, bool Retried,
                        bool TargetCrashed) {
-  const core::CallId Id = Which.Id;
-  const Outcome Result = Which.MayHaveRun ? Outcome::Unknown : Outcome::NotRun;
-  recordResult(Which,
-               Which.MayHaveRun ? ResultState::Unknown : ResultState::NotRun,
+  const core::CallId Id = ActiveCall.Id;
+  const Outcome Result =
+      ActiveCall.MayHaveRun ? Outcome::Unknown : Outcome::NotRun;
+  recordResult(ActiveCall,
+               ActiveCall.MayHaveRun ? ResultState::Unknown
+                                     : ResultState::NotRun,
                nullptr);
-  if (!Which.Detached)
-    Out.emplace_back(Refuse{
-        Id, Result, {Why, Which.Route->Name.value()}, Retried, TargetCrashed});
+  if (!ActiveCall.Detached)
+    Out.emplace_back(Refuse{Id,
+                            Result,
+                            {Reason, ActiveCall.Route->Name.value()},
+                            Retried,
+                            TargetCrashed});
   erase(Id);
 }
 
-void Reduction::recordResult(Call &Which, ResultState Result,
+void Reduction::recordResult(Call &ActiveCall, ResultState Result,
                              std::shared_ptr<const KeptAnswer> Answer) {
-  if (!Which.ClaimsKey)
+  if (!ActiveCall.ClaimsKey)
     return;
-  const core::IdempotencyKey Key = *Which.Key;
+  const core::IdempotencyKey Key = *ActiveCall.Key;
   const auto Waiting =
       Fields.Results.recordResult(Key, Result, std::move(Answer));
   if (Fields.Results.takeLimitReached())
@@ -48,76 +54,77 @@
       refuse(Id, Outcome::Unknown, {ErrorCode::ClaimResultNotKept, ""});
 }
 
-void Reduction::operator()(const CallerDisconnected &What) {
-  Call *Which = find(What.Id);
-  if (!Which)
+void Reduction::operator()(const CallerDisconnected &Disconnect) {
+  Call *ActiveCall = find(Disconnect.Id);
+  if (!ActiveCall)
     return;
-  if (Which->Phase == CallPhase::Sent) {
-    // The answer of a claimed request is kept for a repeat.
-    if (Which->ClaimsKey) {
-      Which->Detached = true;
+  if (ActiveCall->Phase == CallPhase::Sent) {
+    // The request of a claimed key continues, so that its answer can be kept
+    // for repeats.
+    if (ActiveCall->ClaimsKey) {
+      ActiveCall->Detached = true;
       return;
     }
-    Out.emplace_back(CancelAttempt{What.Id, Which->CurrentAttempt});
+    Out.emplace_back(CancelAttempt{Disconnect.Id, ActiveCall->CurrentAttempt});
   }
-  const TargetIndex At = Which->CurrentTarget;
-  const bool HasTarget =
-      Which->Phase == CallPhase::Sent || Which->Phase == CallPhase::Queued;
+  const TargetIndex Index = ActiveCall->CurrentTarget;
+  const bool HasTarget = ActiveCall->Phase == CallPhase::Sent ||
+                         ActiveCall->Phase == CallPhase::Queued;
   if (HasTarget)
-    releaseTarget(*Which, std::nullopt);
-  if (Which->Phase == CallPhase::Claiming)
-    abandonClaim(*Which);
+    releaseTarget(*ActiveCall, std::nullopt);
+  if (ActiveCall->Phase == CallPhase::Claiming)
+    abandonClaim(*ActiveCall);
   else
-    recordResult(*Which, ResultState::NotRun, nullptr);
-  erase(What.Id);
+    recordResult(*ActiveCall, ResultState::NotRun, nullptr);
+  erase(Disconnect.Id);
   if (HasTarget)
-    serveQueue(At);
+    serveQueue(Index);
 }
 
-void Reduction::addExpiry(const Call &Which) {
+void Reduction::addExpiry(const Call &ActiveCall) {
   auto &Heap = Fields.Expiries;
-  if (Heap.size() > 2 * Fields.Calls.size() + SpareExpiries) {
+  if (Heap.size() > 2 * Fields.Calls.size() + MaxStaleExpiries) {
     std::erase_if(Heap, [this](const Expiry &Entry) {
       return !Fields.Calls.contains(Entry.Id);
     });
     std::make_heap(Heap.begin(), Heap.end(), std::greater<>());
   }
-  Heap.push_back({Which.Deadline, Which.Id});
+  Heap.push_back({ActiveCall.Deadline, ActiveCall.Id});
   std::push_heap(Heap.begin(), Heap.end(), std::greater<>());
 }
 
-/// An answer that started goes on: its length is unknown, and its connection
-/// is watched by the sender.
-void Reduction::expire(Call &Which) {
-  switch (Which.Phase) {
+/// An answer that has started is not cancelled: its length is unknown, and the
+/// sender monitors the connection.
+void Reduction::expire(Call &ActiveCall) {
+  switch (ActiveCall.Phase) {
   case CallPhase::Claiming: {
-    const core::CallId Id = Which.Id;
-    abandonClaim(Which);
+    const core::CallId Id = ActiveCall.Id;
+    abandonClaim(ActiveCall);
     return refuse(Id, Outcome::NotRun, {ErrorCode::ClaimUndecided, ""});
   }
   case CallPhase::AwaitingResult:
   case CallPhase::AwaitingOwner:
-    return refuse(Which.Id, Outcome::Unknown,
+    return refuse(ActiveCall.Id, Outcome::Unknown,
                   {ErrorCode::RequestDeadlinePassed, "waiting for the owner"});
   case CallPhase::Queued: {
-    const TargetIndex At = Which.CurrentTarget;
-    releaseTarget(Which, std::nullopt);
-    refuse(Which, ErrorCode::RequestDeadlinePassed, !Which.Hosted);
-    return serveQueue(At);
+    const TargetIndex Index = ActiveCall.CurrentTarget;
+    releaseTarget(ActiveCall, std::nullopt);
+    refuse(ActiveCall, ErrorCode::RequestDeadlinePassed, !ActiveCall.Hosted);
+    return serveQueue(Index);
   }
   case CallPhase::Sent:
     break;
   }
-  if (Which.TimeToFirstByte)
+  if (ActiveCall.TimeToFirstByte)
     return;
-  const TargetIndex At = Which.CurrentTarget;
-  Out.emplace_back(CancelAttempt{Which.Id, Which.CurrentAttempt});
-  reportObservation(Which, true);
-  recordHealth(At, true, Now.Mono - Which.SentAt);
-  releaseTarget(Which, std::nullopt);
-  Which.MayHaveRun = true;
-  refuse(Which, ErrorCode::RequestDeadlinePassed, !Which.Hosted);
-  serveQueue(At);
+  const TargetIndex Index = ActiveCall.CurrentTarget;
+  Out.emplace_back(CancelAttempt{ActiveCall.Id, ActiveCall.CurrentAttempt});
+  reportObservation(ActiveCall, true);
+  recordHealth(Index, true, Now.Mono - ActiveCall.SentAt);
+  releaseTarget(ActiveCall, std::nullopt);
+  ActiveCall.MayHaveRun = true;
+  refuse(ActiveCall, ErrorCode::RequestDeadlinePassed, !ActiveCall.Hosted);
+  serveQueue(Index);
 }
 
 void Reduction::operator()(const Tick &) {
@@ -127,12 +134,12 @@
     std::pop_heap(Fields.Expiries.begin(), Fields.Expiries.end(),
                   std::greater<>());
     Fields.Expiries.pop_back();
-    if (Call *Which = find(Id))
-      expire(*Which);
+    if (Call *ActiveCall = find(Id))
+      expire(*ActiveCall);
   }
   reviewTargets();
-  for (auto &[At, Own] : Fields.LocalTargets)
-    serveQueue(At);
+  for (auto &[Index, Local] : Fields.LocalTargets)
+    serveQueue(Index);
   Fields.KnownSuspects.expire(Now.Mono);
 }
 
--- a/lib/decision/request/ReduceFailures.cpp
+++ b/lib/decision/request/ReduceFailures.cpp
@@ -5,103 +5,114 @@
 
 using core::ErrorCode;
 
-void Reduction::handleForwarded(Call &Which, const AttemptEnded &What,
+void Reduction::handleForwarded(Call &ActiveCall, const AttemptEnded &Ended,
                                 bool Fault) {
-  const bool Answered = What.End == AttemptEnd::Answered;
-  if (Answered && Which.Slot.Exclusive)
-    Fields.KnownSuspects.clear(Which.RequestDigest);
-  if (ServiceState *Service = serviceOf(Which); Service && !Which.Hosted) {
+  const bool Answered = Ended.End == AttemptEnd::Answered;
+  if (Answered && ActiveCall.Slot.Exclusive)
+    Fields.KnownSuspects.clear(ActiveCall.RequestDigest);
+  if (ServiceState *Service = serviceOf(ActiveCall);
+      Service && !ActiveCall.Hosted) {
     if (!Fault)
       Service->Retries.recordSuccess();
-    if (Fields.Targets[Which.CurrentTarget].Distance == Locality::DataCentre)
+    if (Fields.Targets[ActiveCall.CurrentTarget].Distance ==
+        Locality::DataCentre)
       Service->Spillover.recordAccepted();
   }
-  recordResult(Which,
+  recordResult(ActiveCall,
                Answered ? claims::ResultState::Answered
                         : claims::ResultState::Unknown,
-               What.FullAnswer);
-  erase(What.Id);
+               Ended.FullAnswer);
+  erase(Ended.Id);
 }
 
-void Reduction::handleNotRun(Call &Which, const AttemptEnded &What,
-                             ErrorCode Why, bool WasSent) {
-  if (Which.Hosted)
-    return refuse(Which, Why, What.RetriedDownstream);
+void Reduction::handleNotRun(Call &ActiveCall, const AttemptEnded &Ended,
+                             ErrorCode Reason, bool WasSent) {
+  if (ActiveCall.Hosted)
+    return refuse(ActiveCall, Reason, Ended.RetriedDownstream);
   if (WasSent)
-    recordRefusal(Fields.Targets[Which.CurrentTarget].Health);
-  const bool Near =
-      Fields.Targets[Which.CurrentTarget].Distance == Locality::DataCentre;
-  if (ServiceState *Service = serviceOf(Which);
-      Service && Near && !What.Unreachable)
+    recordRefusal(Fields.Targets[ActiveCall.CurrentTarget].Health);
+  const bool InDataCentre =
+      Fields.Targets[ActiveCall.CurrentTarget].Distance == Locality::DataCentre;
+  if (ServiceState *Service = serviceOf(ActiveCall);
+      Service && InDataCentre && !Ended.Unreachable)
     Service->Spillover.recordRefused();
-  if (!retry(Which, What, WasSent))
-    refuse(Which, Why, true);
+  if (!retry(ActiveCall, Ended, WasSent))
+    refuse(ActiveCall, Reason, true);
 }
 
-void Reduction::refuseQueued(Call &Which, ErrorCode Why) {
-  releaseTarget(Which, std::nullopt);
-  handleNotRun(Which, {}, Why, false);
+void Reduction::refuseQueued(Call &ActiveCall, ErrorCode Reason) {
+  releaseTarget(ActiveCall, std::nullopt);
+  handleNotRun(ActiveCall, {}, Reason, false);
 }
 
-void Reduction::handleNoAnswer(Call &Which, const AttemptEnded &What) {
-  Which.MayHaveRun = true;
-  if (Which.Hosted || !retry(Which, What, true))
-    refuse(Which, ErrorCode::RequestNoAnswer, !Which.Hosted,
-           What.TargetCrashed);
+void Reduction::handleNoAnswer(Call &ActiveCall, const AttemptEnded &Ended) {
+  ActiveCall.MayHaveRun = true;
+  if (ActiveCall.Hosted || !retry(ActiveCall, Ended, true))
+    refuse(ActiveCall, ErrorCode::RequestNoAnswer, !ActiveCall.Hosted,
+           Ended.TargetCrashed);
 }
 
-/// A request whose caller left and that did not run is left to its repeats.
-bool Reduction::mayRetry(const Call &Which, const AttemptEnded &What) const {
-  const bool Safe = Which.idempotent() || !Which.MayHaveRun;
-  return Safe && !Which.Detached && !What.RetriedDownstream &&
-         Which.Crashes < CrashesToRefuse && Now.Mono < Which.Deadline &&
-         Which.Tried.size() < Fields.Config.Bounds.MaxAttempts;
+/// A detached request is not retried: its caller is gone, and a repeat of the
+/// key may run it again.
+bool Reduction::mayRetry(const Call &ActiveCall,
+                         const AttemptEnded &Ended) const {
+  const bool Safe = ActiveCall.idempotent() || !ActiveCall.MayHaveRun;
+  return Safe && !ActiveCall.Detached && !Ended.RetriedDownstream &&
+         ActiveCall.Crashes < CrashesToRefuse &&
+         Now.Mono < ActiveCall.Deadline &&
+         ActiveCall.Tried.size() < Fields.Config.Bounds.MaxAttempts;
 }
 
-/// A refusal by the own target's admission sent nothing, so trying another
-/// target costs no budget.
-bool Reduction::retry(Call &Which, const AttemptEnded &What, bool WasSent) {
-  if (!mayRetry(Which, What))
+/// A refusal by the admission of a local target sent nothing, so that trying
+/// another target consumes no retry budget.
+bool Reduction::retry(Call &ActiveCall, const AttemptEnded &Ended,
+                      bool WasSent) {
+  if (!mayRetry(ActiveCall, Ended))
     return false;
-  ServiceState *Service = serviceOf(Which);
-  const std::optional<TargetIndex> At = selectTarget(Which);
-  if (!Service || !At)
+  ServiceState *Service = serviceOf(ActiveCall);
+  const std::optional<TargetIndex> Index = selectTarget(ActiveCall);
+  if (!Service || !Index)
     return false;
   if (WasSent && !Service->Retries.tryConsume()) {
     log(observe::EventId::RequestRetryBudgetEmpty, Service->Name.value());
     return false;
   }
-  startAttempt(Which, *At);
+  startAttempt(ActiveCall, *Index);
   return true;
 }
 
-/// Only the entry node observes: the host node sees the same answers.
-void Reduction::reportObservation(const Call &Which, bool Fault,
+/// Only the entry node reports observations; the host node sees the same
+/// answers.
+void Reduction::reportObservation(const Call &ActiveCall, bool Fault,
                                   bool TargetCrashed) {
-  if (Which.FromNode)
+  if (ActiveCall.FromNode)
     return;
-  const Endpoint &Place = Fields.Targets[Which.CurrentTarget].Announcement;
-  ObservedAnswer Seen;
-  Seen.Service = Which.Route->Service;
-  Seen.Route = Which.Route->Name;
-  Seen.Version = Place.Version;
-  Seen.Fault = Fault;
-  Seen.Latency = Which.TimeToFirstByte.value_or(Now.Mono - Which.SentAt);
-  Seen.Remote = Place.DataCentre != Fields.Config.DataCentre;
-  Seen.TargetCrashed = TargetCrashed;
-  Seen.RequestDigest = Which.RequestDigest;
-  Out.emplace_back(std::move(Seen));
+  const Endpoint &Announcement =
+      Fields.Targets[ActiveCall.CurrentTarget].Announcement;
+  ObservedAnswer Observation;
+  Observation.Service = ActiveCall.Route->Service;
+  Observation.Route = ActiveCall.Route->Name;
+  Observation.Version = Announcement.Version;
+  Observation.Fault = Fault;
+  Observation.Latency =
+      ActiveCall.TimeToFirstByte.value_or(Now.Mono - ActiveCall.SentAt);
+  Observation.Remote = Announcement.DataCentre != Fields.Config.DataCentre;
+  Observation.TargetCrashed = TargetCrashed;
+  Observation.RequestDigest = ActiveCall.RequestDigest;
+  Out.emplace_back(std::move(Observation));
 }
 
-/// Requests that ran together get one crash each, and one with the same digest
-/// as another gets no second one.
-void Reduction::recordCrash(Call &Which) {
-  ++Which.Crashes;
-  if (Fields.KnownSuspects.record(Which.RequestDigest, Which.Crashes, Now.Mono))
+/// Each request that was running at the crash is charged with one crash;
+/// several requests with the same digest are charged only once.
+void Reduction::recordCrash(Call &ActiveCall) {
+  ++ActiveCall.Crashes;
+  if (Fields.KnownSuspects.record(ActiveCall.RequestDigest, ActiveCall.Crashes,
+                                  Now.Mono))
     log(observe::EventId::RequestSuspectLimit, "");
   log(observe::EventId::RequestSuspectAdded,
-      std::to_string(Which.RequestDigest.value()));
-  Out.emplace_back(SuspectReported{Which.RequestDigest, Which.Crashes});
+      std::to_string(ActiveCall.RequestDigest.value()));
+  Out.emplace_back(
+      SuspectReported{ActiveCall.RequestDigest, ActiveCall.Crashes});
 }
 
 } // namespace filbertvane::decision::request
--- a/lib/decision/request/ReduceFleet.cpp
+++ b/lib/decision/request/ReduceFleet.cpp
@@ -6,42 +6,43 @@
 
 namespace {
 
-/// Shares in force on this node: a local rollback sets the candidate's to 0.
-config::Traffic withoutRolledBack(config::Traffic Versions,
-                                  const core::ServiceName &Service,
-                                  const ConfigurationChanged &What) {
-  const auto Rolled = [&](const config::MoveId &Move) {
+/// Traffic shares that apply on this node: a local rollback sets the share of
+/// the candidate to 0.
+config::Traffic applyLocalRollbacks(config::Traffic Versions,
+                                    const core::ServiceName &Service,
+                                    const ConfigurationChanged &Change) {
+  const auto IsRolledBack = [&](const config::MoveId &Move) {
     if (Move.Service != Service)
       return false;
-    // A later order for the same service is another move.
-    return std::any_of(What.State->Moves.begin(), What.State->Moves.end(),
+    // A later order for the same service is a different move.
+    return std::any_of(Change.State->Moves.begin(), Change.State->Moves.end(),
                        [&](const config::MoveStatus &Status) {
                          return Status.Id == Move &&
                                 Status.Order.To == Versions.Candidate;
                        });
   };
-  if (std::any_of(What.LocalRollbacks.begin(), What.LocalRollbacks.end(),
-                  Rolled))
+  if (std::any_of(Change.LocalRollbacks.begin(), Change.LocalRollbacks.end(),
+                  IsRolledBack))
     Versions.CandidateShare = 0;
   return Versions;
 }
 
-void addMember(ServiceState &Service, const Target &Member, TargetIndex At) {
+void addMember(ServiceState &Service, const Target &Member, TargetIndex Index) {
   VersionPool *Pool = Service.poolOf(Member.Announcement.Version);
   if (!Pool) {
     Service.Pools.emplace_back().Version = Member.Announcement.Version;
     Pool = &Service.Pools.back();
   }
-  Pool->Members[static_cast<std::size_t>(Member.Distance)].push_back(At);
+  Pool->Members[static_cast<std::size_t>(Member.Distance)].push_back(Index);
 }
 
 } // namespace
 
-void Reduction::operator()(const ConfigurationChanged &What) {
-  Fields.Fleet = What.State;
-  Fields.Routes = RouteTable(What.State->Current.Routes);
+void Reduction::operator()(const ConfigurationChanged &Change) {
+  Fields.Fleet = Change.State;
+  Fields.Routes = RouteTable(Change.State->Current.Routes);
   std::unordered_map<core::ServiceName, ServiceState> Services;
-  for (const auto &[Name, Versions] : What.State->TrafficOf) {
+  for (const auto &[Name, Versions] : Change.State->TrafficOf) {
     const auto Known = Fields.Services.find(Name);
     ServiceState Service;
     if (Known != Fields.Services.end())
@@ -50,11 +51,11 @@
       Service.Selector = VersionSelector(
           static_cast<config::Permille>(Fields.Rng.below(config::FullShare)));
     Service.Name = Name;
-    Service.Versions = withoutRolledBack(Versions, Name, What);
+    Service.Versions = applyLocalRollbacks(Versions, Name, Change);
     Service.HasIdempotentRoute = false;
     Services.emplace(Name, std::move(Service));
   }
-  for (const config::RouteSpec &Route : What.State->Current.Routes)
+  for (const config::RouteSpec &Route : Change.State->Current.Routes)
     if (const auto Found = Services.find(Route.Service);
         Found != Services.end() && Route.Idempotent)
       Found->second.HasIdempotentRoute = true;
@@ -66,10 +67,10 @@
   for (auto &[Name, Service] : Fields.Services)
     Service.Pools.clear();
   const std::span<const Target> All = Fields.Targets.all();
-  for (TargetIndex At = 0; At < All.size(); ++At) {
-    const auto Service = Fields.Services.find(All[At].Announcement.Service);
-    if (!All[At].Removed && Service != Fields.Services.end())
-      addMember(Service->second, All[At], At);
+  for (TargetIndex Index = 0; Index < All.size(); ++Index) {
+    const auto Service = Fields.Services.find(All[Index].Announcement.Service);
+    if (!All[Index].Removed && Service != Fields.Services.end())
+      addMember(Service->second, All[Index], Index);
   }
   for (auto &[Name, Service] : Fields.Services)
     for (VersionPool &Pool : Service.Pools) {
@@ -79,70 +80,72 @@
     }
 }
 
-void Reduction::operator()(const EndpointsChanged &What) {
-  Fields.Targets.update(What.Endpoints, Fields.Config.Self,
+void Reduction::operator()(const EndpointsChanged &Change) {
+  Fields.Targets.update(Change.Endpoints, Fields.Config.Self,
                         Fields.Config.DataCentre, Fields.Config.Region);
   const std::span<const Target> All = Fields.Targets.all();
-  for (TargetIndex At = 0; At < All.size(); ++At) {
-    const Target &Which = All[At];
-    const auto Known = Fields.LocalTargets.find(At);
-    if (!Which.Local) {
-      // The place was taken over by another target.
+  for (TargetIndex Index = 0; Index < All.size(); ++Index) {
+    const Target &Entry = All[Index];
+    const auto Known = Fields.LocalTargets.find(Index);
+    if (!Entry.Local) {
+      // The table index was reused for another target.
       if (Known != Fields.LocalTargets.end())
         Fields.LocalTargets.erase(Known);
       continue;
     }
-    if (!Which.Removed && !Fields.Draining)
-      openTarget(At);
+    if (!Entry.Removed && !Fields.Draining)
+      openTarget(Index);
   }
   rebuildPools();
-  for (auto &[At, Own] : Fields.LocalTargets)
-    if (Fields.Targets[At].Removed)
-      closeTarget(At);
+  for (auto &[Index, Local] : Fields.LocalTargets)
+    if (Fields.Targets[Index].Removed)
+      closeTarget(Index);
     else
-      serveQueue(At);
+      serveQueue(Index);
 }
 
-void Reduction::openTarget(TargetIndex At) {
+void Reduction::openTarget(TargetIndex Index) {
   const Limits &Bounds = Fields.Config.Bounds;
-  const std::uint32_t Slots = Fields.Targets[At].Announcement.Slots;
-  const Admission::Bounds Own{Bounds.MaxQueueEntries, Bounds.MaxBulkBytes,
-                              Bounds.ShedByDeadline};
-  Fields.LocalTargets.try_emplace(At, Slots, Own).first->second.open(Slots);
+  const std::uint32_t Slots = Fields.Targets[Index].Announcement.Slots;
+  const Admission::Bounds QueueLimits{
+      Bounds.MaxQueueEntries, Bounds.MaxBulkBytes, Bounds.ShedByDeadline};
+  Fields.LocalTargets.try_emplace(Index, Slots, QueueLimits)
+      .first->second.open(Slots);
 }
 
 /// Waiting requests are refused as not run, so that the entry node can send
-/// them to another target; those in progress go on.
-void Reduction::closeTarget(TargetIndex At) {
-  const auto Own = Fields.LocalTargets.find(At);
-  if (Own == Fields.LocalTargets.end() || Own->second.closed())
+/// them to another target; requests in progress continue.
+void Reduction::closeTarget(TargetIndex Index) {
+  const auto Local = Fields.LocalTargets.find(Index);
+  if (Local == Fields.LocalTargets.end() || Local->second.closed())
     return;
   log(observe::EventId::RequestTargetLeaving,
-      Fields.Targets[At].Announcement.Target.value());
-  for (core::CallId Id : Own->second.close())
-    if (Call *Which = find(Id))
-      refuseQueued(*Which, core::ErrorCode::RequestDraining);
+      Fields.Targets[Index].Announcement.Target.value());
+  for (core::CallId Id : Local->second.close())
+    if (Call *ActiveCall = find(Id))
+      refuseQueued(*ActiveCall, core::ErrorCode::RequestDraining);
 }
 
-void Reduction::operator()(const TargetLeaving &What) {
-  const TargetIndex At = Fields.Targets.markLeaving(What.Target);
-  if (At == NoTarget)
+void Reduction::operator()(const TargetLeaving &Leaving) {
+  const TargetIndex Index = Fields.Targets.markLeaving(Leaving.Target);
+  if (Index == NoTarget)
     return;
   rebuildPools();
-  closeTarget(At);
+  closeTarget(Index);
 }
 
 void Reduction::operator()(const DrainStarted &) {
   Fields.Draining = true;
-  for (const auto &[At, Own] : Fields.LocalTargets)
-    Fields.Targets[At].Removed = Fields.Targets[At].Leaving = true;
+  for (const auto &[Index, Local] : Fields.LocalTargets)
+    Fields.Targets[Index].Removed = Fields.Targets[Index].Leaving = true;
   rebuildPools();
-  for (const auto &[At, Own] : Fields.LocalTargets)
-    closeTarget(At);
+  for (const auto &[Index, Local] : Fields.LocalTargets)
+    closeTarget(Index);
 }
 
-void Reduction::operator()(const SuspectLearned &What) {
-  if (Fields.KnownSuspects.record(What.RequestDigest, What.Crashes, Now.Mono))
+void Reduction::operator()(const SuspectLearned &Report) {
+  if (Fields.KnownSuspects.record(Report.RequestDigest, Report.Crashes,
+                                  Now.Mono))
     log(observe::EventId::RequestSuspectLimit, "");
 }
 
--- a/lib/decision/request/ReduceSelection.cpp
+++ b/lib/decision/request/ReduceSelection.cpp
@@ -2,14 +2,14 @@
 
 namespace filbertvane::decision::request {
 
-std::optional<TargetIndex> Reduction::selectTarget(Call &Which) {
-  ServiceState *Service = serviceOf(Which);
+std::optional<TargetIndex> Reduction::selectTarget(Call &ActiveCall) {
+  ServiceState *Service = serviceOf(ActiveCall);
   if (!Service)
     return std::nullopt;
-  VersionPool *Pool = selectPool(Which, *Service);
+  VersionPool *Pool = selectPool(ActiveCall, *Service);
   if (!Pool)
     return std::nullopt;
-  return selectFromPool(Which, *Service, *Pool);
+  return selectFromPool(ActiveCall, *Service, *Pool);
 }
 
 namespace {
@@ -26,45 +26,46 @@
 } // namespace
 
 /// The version is selected once per call, so that retries do not change the
-/// shares.
-VersionPool *Reduction::selectPool(Call &Which, ServiceState &Service) {
-  if (Which.FixedVersion)
-    return Service.poolOf(*Which.FixedVersion);
+/// traffic shares.
+VersionPool *Reduction::selectPool(Call &ActiveCall, ServiceState &Service) {
+  if (ActiveCall.FixedVersion)
+    return Service.poolOf(*ActiveCall.FixedVersion);
   VersionPool *Stable = Service.poolOf(Service.Versions.Stable);
   VersionPool *Candidate = nullptr;
   const config::Permille Share =
-      eligibleShare(Service.Versions.CandidateShare, Which.idempotent(),
+      eligibleShare(Service.Versions.CandidateShare, ActiveCall.idempotent(),
                     Service.HasIdempotentRoute);
   if (Service.Versions.Candidate && Share > 0)
     Candidate = Service.poolOf(*Service.Versions.Candidate);
   const bool Selected = Share > 0 && Service.Selector.selectCandidate(Share);
-  // An unproven candidate never stands in for the stable version.
+  // An unproven candidate never replaces the stable version.
   const bool Proven = Share > CanaryShare;
   VersionPool *Pool =
       Selected || (Proven && !hasActive(Stable)) ? Candidate : Stable;
   if (!hasActive(Pool))
     Pool = Stable;
   if (Pool)
-    Which.FixedVersion = Pool->Version;
+    ActiveCall.FixedVersion = Pool->Version;
   return Pool;
 }
 
-std::optional<TargetIndex> Reduction::selectFromPool(const Call &Which,
+std::optional<TargetIndex> Reduction::selectFromPool(const Call &ActiveCall,
                                                      ServiceState &Service,
                                                      const VersionPool &Pool) {
-  // A request of another data centre's entry node stays in this one.
-  const std::size_t Reach = Which.FromNode ? 1 : LocalityCount;
+  // A request forwarded from another data centre must stay in this one.
+  const std::size_t LocalityEnd = ActiveCall.FromNode ? 1 : LocalityCount;
   std::size_t Nearest = 0;
-  while (Nearest + 1 < Reach && Pool.Active[Nearest].empty())
+  while (Nearest + 1 < LocalityEnd && Pool.Active[Nearest].empty())
     ++Nearest;
-  std::size_t First = Nearest;
-  // After two refusals the near targets count as full for this call.
-  if (Which.Tried.size() > 1 ||
-      (Which.Tried.empty() && Reach > 1 && Service.Spillover.spillNext()))
-    ++First;
+  std::size_t Start = Nearest;
+  // After two attempts the nearest targets are considered full for this call.
+  if (ActiveCall.Tried.size() > 1 ||
+      (ActiveCall.Tried.empty() && LocalityEnd > 1 &&
+       Service.Spillover.spillNext()))
+    ++Start;
   std::optional<TargetIndex> Fallback;
-  for (std::size_t Near = First; Near < Reach; ++Near) {
-    const auto Found = pick(Which, Pool.Active[Near]);
+  for (std::size_t Distance = Start; Distance < LocalityEnd; ++Distance) {
+    const auto Found = pick(ActiveCall, Pool.Active[Distance]);
     if (!Found)
       continue;
     const Target &Chosen = Fields.Targets[*Found];
@@ -73,15 +74,16 @@
     if (!Fallback)
       Fallback = Found;
   }
-  for (std::size_t Near = Nearest; Near < First && !Fallback; ++Near)
-    Fallback = pick(Which, Pool.Active[Near]);
+  for (std::size_t Distance = Nearest; Distance < Start && !Fallback;
+       ++Distance)
+    Fallback = pick(ActiveCall, Pool.Active[Distance]);
   return Fallback;
 }
 
 std::optional<TargetIndex>
-Reduction::pick(const Call &Which, std::span<const TargetIndex> Members) {
-  const PickContext Context{Members, Fields.Targets.all(), Which.Tried,
-                            Which.Route->Kind, Now.Mono};
+Reduction::pick(const Call &ActiveCall, std::span<const TargetIndex> Members) {
+  const PickContext Context{Members, Fields.Targets.all(), ActiveCall.Tried,
+                            ActiveCall.Route->Kind, Now.Mono};
   return std::visit(
       [&](auto &Picker) { return Picker.pick(Context, Fields.Rng); },
       Fields.Config.Picker);
--- a/lib/decision/request/Reducer.cpp
+++ b/lib/decision/request/Reducer.cpp
@@ -3,8 +3,8 @@
 
 namespace filbertvane::decision::request {
 
-StateFields::StateFields(Settings Own)
-    : Config(std::move(Own)), Rng(this->Config.Seed) {}
+StateFields::StateFields(Settings InitialConfig)
+    : Config(std::move(InitialConfig)), Rng(this->Config.Seed) {}
 
 VersionPool *ServiceState::poolOf(const core::TargetVersion &Version) {
   for (VersionPool &Pool : Pools)
@@ -18,8 +18,8 @@
   return Found == Fields.Calls.end() ? nullptr : &Found->second;
 }
 
-ServiceState *Reduction::serviceOf(const Call &Which) {
-  const auto Found = Fields.Services.find(Which.Route->Service);
+ServiceState *Reduction::serviceOf(const Call &ActiveCall) {
+  const auto Found = Fields.Services.find(ActiveCall.Route->Service);
   return Found == Fields.Services.end() ? nullptr : &Found->second;
 }
 
@@ -27,12 +27,12 @@
   Out.emplace_back(observe::LogEvent{Id, std::move(Detail)});
 }
 
-Step<State, Effects> reduce(State Before, const Event &What,
+Step<State, Effects> reduce(State Current, const Event &Input,
                             core::Instant Now) {
   Effects Out;
-  Reduction Run(*Before, Out, Now);
-  std::visit(Run, What);
-  return {std::move(Before), std::move(Out)};
+  Reduction Run(*Current, Out, Now);
+  std::visit(Run, Input);
+  return {std::move(Current), std::move(Out)};
 }
 
 } // namespace filbertvane::decision::request
--- a/lib/decision/request/RouteTable.cpp
+++ b/lib/decision/request/RouteTable.cpp
@@ -4,7 +4,7 @@
 
 namespace {
 
-std::string_view withoutEnd(std::string_view Prefix) {
+std::string_view trimTrailingSlashes(std::string_view Prefix) {
   while (!Prefix.empty() && Prefix.back() == '/')
     Prefix.remove_suffix(1);
   return Prefix;
@@ -14,14 +14,14 @@
 
 RouteTable::RouteTable(const std::vector<config::RouteSpec> &Routes) {
   for (const config::RouteSpec &Spec : Routes) {
-    std::string Prefix(withoutEnd(Spec.Prefix));
+    std::string Prefix(trimTrailingSlashes(Spec.Prefix));
     ByPrefix.try_emplace(std::move(Prefix),
                          std::make_shared<const config::RouteSpec>(Spec));
   }
 }
 
 RoutePtr RouteTable::match(std::string_view Path) const {
-  Path = withoutEnd(Path.substr(0, Path.find('?')));
+  Path = trimTrailingSlashes(Path.substr(0, Path.find('?')));
   for (;;) {
     const auto Found = ByPrefix.find(Path);
     if (Found != ByPrefix.end())
--- a/lib/decision/request/SpilloverEstimator.cpp
+++ b/lib/decision/request/SpilloverEstimator.cpp
@@ -6,20 +6,21 @@
 namespace {
 
 /// Weight of one observation.
-constexpr double Gain = 1.0 / 64;
-/// Refusals of near targets at which the share stays as it is.
-constexpr double RefusalsToHold = 0.05;
-/// Keeps some requests near, so that freed capacity is noticed.
-constexpr double LargestShare = 0.95;
+constexpr double ObservationWeight = 1.0 / 64;
+/// Share of refused requests at which the estimate is stable.
+constexpr double StableRefusalRatio = 0.05;
+/// Leaves some requests in the local data centre, to detect freed capacity.
+constexpr double MaxShare = 0.95;
 
 } // namespace
 
 void SpilloverEstimator::recordRefused() {
-  Share = std::min(LargestShare, Share + (1 - Share) * Gain);
+  Share = std::min(MaxShare, Share + (1 - Share) * ObservationWeight);
 }
 
 void SpilloverEstimator::recordAccepted() {
-  Share = std::max(0.0, Share - (1 - Share) * Gain * RefusalsToHold);
+  Share = std::max(0.0, Share - (1 - Share) * ObservationWeight *
+                                    StableRefusalRatio);
 }
 
 bool SpilloverEstimator::spillNext() {
--- a/lib/decision/request/TargetTable.cpp
+++ b/lib/decision/request/TargetTable.cpp
@@ -5,19 +5,21 @@
 
 namespace {
 
-Locality localityOf(const Endpoint &Place, const core::DataCentreId &DataCentre,
+Locality localityOf(const Endpoint &NewEndpoint,
+                    const core::DataCentreId &DataCentre,
                     const core::RegionId &Region) {
-  if (Place.DataCentre == DataCentre)
+  if (NewEndpoint.DataCentre == DataCentre)
     return Locality::DataCentre;
-  return Place.Region == Region ? Locality::Region : Locality::OtherRegion;
+  return NewEndpoint.Region == Region ? Locality::Region
+                                      : Locality::OtherRegion;
 }
 
 } // namespace
 
 TargetIndex TargetTable::allocateEntry() {
   const auto Free =
-      std::find_if(Entries.begin(), Entries.end(), [](const Target &Slot) {
-        return Slot.Removed && !Slot.Announced && Slot.Outstanding == 0;
+      std::find_if(Entries.begin(), Entries.end(), [](const Target &Entry) {
+        return Entry.Removed && !Entry.Announced && Entry.Outstanding == 0;
       });
   if (Free == Entries.end()) {
     Entries.emplace_back();
@@ -32,38 +34,38 @@
                          const core::NodeId &Self,
                          const core::DataCentreId &DataCentre,
                          const core::RegionId &Region) {
-  for (Target &Slot : Entries) {
-    Slot.Removed = true;
-    Slot.Announced = false;
+  for (Target &Entry : Entries) {
+    Entry.Removed = true;
+    Entry.Announced = false;
   }
   std::vector<const Endpoint *> Added;
-  for (const Endpoint &Place : Endpoints) {
-    const TargetIndex At = find(Place.Target);
-    if (At == NoTarget) {
-      Added.push_back(&Place);
+  for (const Endpoint &NewEndpoint : Endpoints) {
+    const TargetIndex Index = find(NewEndpoint.Target);
+    if (Index == NoTarget) {
+      Added.push_back(&NewEndpoint);
       continue;
     }
-    Entries[At].Announcement = Place;
-    Entries[At].Removed = Entries[At].Leaving;
-    Entries[At].Announced = true;
+    Entries[Index].Announcement = NewEndpoint;
+    Entries[Index].Removed = Entries[Index].Leaving;
+    Entries[Index].Announced = true;
   }
-  for (const Endpoint *Place : Added) {
-    const TargetIndex At = allocateEntry();
-    Target &Slot = Entries[At];
-    Slot.Announcement = *Place;
-    Slot.Announced = true;
-    Slot.Distance = localityOf(*Place, DataCentre, Region);
-    Slot.Local = Place->Node == Self;
-    Slot.WarmUpStart = Place->AnnouncedAt;
-    IndexOf[Place->Target] = At;
+  for (const Endpoint *NewEndpoint : Added) {
+    const TargetIndex Index = allocateEntry();
+    Target &Entry = Entries[Index];
+    Entry.Announcement = *NewEndpoint;
+    Entry.Announced = true;
+    Entry.Distance = localityOf(*NewEndpoint, DataCentre, Region);
+    Entry.Local = NewEndpoint->Node == Self;
+    Entry.WarmUpStart = NewEndpoint->AnnouncedAt;
+    IndexOf[NewEndpoint->Target] = Index;
   }
 }
 
 TargetIndex TargetTable::markLeaving(const core::TargetId &Id) {
-  const TargetIndex At = find(Id);
-  if (At != NoTarget)
-    Entries[At].Removed = Entries[At].Leaving = true;
-  return At;
+  const TargetIndex Index = find(Id);
+  if (Index != NoTarget)
+    Entries[Index].Removed = Entries[Index].Leaving = true;
+  return Index;
 }
 
 TargetIndex TargetTable::find(const core::TargetId &Id) const {
--- a/lib/decision/request/VersionSelector.cpp
+++ b/lib/decision/request/VersionSelector.cpp
@@ -3,10 +3,10 @@
 namespace filbertvane::decision::request {
 
 bool VersionSelector::selectCandidate(config::Permille CandidateShare) {
-  Accumulated += CandidateShare;
-  if (Accumulated < config::FullShare)
+  Accumulator += CandidateShare;
+  if (Accumulator < config::FullShare)
     return false;
-  Accumulated -= config::FullShare;
+  Accumulator -= config::FullShare;
   return true;
 }
 
--- a/lib/decision/request/claims/ClaimKeeper.cpp
+++ b/lib/decision/request/claims/ClaimKeeper.cpp
@@ -10,276 +10,284 @@
 using observe::EventId;
 using Stage = KeeperState::OpenBatch::Stage;
 
-/// Age up to which a batch is appended again; half of the clock margin, which
-/// also covers the difference between clocks.
-constexpr core::Seconds OldestAppend = MaxClockSkew / 2;
+/// Maximum age of a batch that is appended again: half of `MaxClockSkew`, which
+/// must also cover the difference between clocks.
+constexpr core::Seconds MaxAppendAge = MaxClockSkew / 2;
 
-/// One run of the reducer over one event.
-class Keeping {
+/// Applies one event to the state of a claim keeper.
+class KeeperReduction {
 public:
-  Keeping(KeeperState &Next, KeeperEffects &Out, core::Instant Now)
-      : Next(Next), Out(Out), Now(Now) {}
+  KeeperReduction(KeeperState &Keeper, KeeperEffects &Out, core::Instant Now)
+      : Keeper(Keeper), Out(Out), Now(Now) {}
 
   void operator()(const BecameKeeper &);
   void operator()(const CeasedToBeKeeper &);
-  void operator()(const ClaimRequested &What);
+  void operator()(const ClaimRequested &Request);
   void operator()(const BatchDue &);
-  void operator()(const AppendAcknowledged &What);
-  void operator()(const AppendFailed &What);
-  void operator()(const AppendUnknown &What);
-  void operator()(const RecordsRead &What);
-  void operator()(const ReadFailed &What);
+  void operator()(const AppendAcknowledged &Append);
+  void operator()(const AppendFailed &Append);
+  void operator()(const AppendUnknown &Append);
+  void operator()(const RecordsRead &Read);
+  void operator()(const ReadFailed &Read);
 
 private:
-  using Pending = KeeperState::PendingClaim;
+  using PendingClaim = KeeperState::PendingClaim;
 
   void read();
-  void noteTrimmed(const RecordsRead &What);
+  void recordTrim(const RecordsRead &Read);
   void applyBatch(const ClaimBatch &Batch);
-  void settleOpen(const RecordsRead &What);
+  void resolveUnconfirmed(const RecordsRead &Read);
   void append();
-  bool isOpen(std::uint64_t Sequence) const;
-  bool answer(const Pending &Who);
-  void answerKnown();
+  bool awaitsAppendResult(std::uint64_t Sequence) const;
+  bool replyIfDecided(const PendingClaim &Pending);
+  void replyDecided();
   void expire();
-  void refuse(const Pending &Who, core::Error Why);
-  void refuseAll(ErrorCode Why);
-  void unbatch();
+  void refuse(const PendingClaim &Pending, core::Error Reason);
+  void refuseAll(ErrorCode Reason);
+  void releaseBatch();
   void log(EventId Id, std::string Detail = {});
 
-  KeeperState &Next;
+  KeeperState &Keeper;
   KeeperEffects &Out;
   core::Instant Now;
 };
 
-void Keeping::log(EventId Id, std::string Detail) {
+void KeeperReduction::log(EventId Id, std::string Detail) {
   Out.emplace_back(observe::LogEvent{Id, std::move(Detail)});
 }
 
-void Keeping::refuse(const Pending &Who, core::Error Why) {
-  Out.emplace_back(ClaimReply{Who.RequestId, {}, std::move(Why)});
+void KeeperReduction::refuse(const PendingClaim &Pending, core::Error Reason) {
+  Out.emplace_back(ClaimReply{Pending.RequestId, {}, std::move(Reason)});
 }
 
-void Keeping::refuseAll(ErrorCode Why) {
-  for (const Pending &Who : Next.PendingClaims)
-    refuse(Who, {Why, Who.KeyClaim.Key.value()});
-  Next.PendingClaims.clear();
+void KeeperReduction::refuseAll(ErrorCode Reason) {
+  for (const PendingClaim &Pending : Keeper.PendingClaims)
+    refuse(Pending, {Reason, Pending.KeyClaim.Key.value()});
+  Keeper.PendingClaims.clear();
 }
 
-void Keeping::read() {
-  if (!Next.Active || Next.ReadInProgress)
+void KeeperReduction::read() {
+  if (!Keeper.Active || Keeper.ReadInProgress)
     return;
-  Next.ReadInProgress = true;
-  const bool Wait = Next.CaughtUp && !Next.CurrentBatch;
-  Out.emplace_back(ReadStream{++Next.LastReadNumber, Next.NextOffset, Wait});
+  Keeper.ReadInProgress = true;
+  const bool Wait = Keeper.CaughtUp && !Keeper.CurrentBatch;
+  Out.emplace_back(
+      ReadStream{++Keeper.LastReadNumber, Keeper.NextOffset, Wait});
 }
 
-/// A node that is keeper again starts anew: it did not follow the stream.
-void Keeping::operator()(const BecameKeeper &) {
-  if (Next.Active)
+/// A node that becomes keeper again starts from scratch, because it did not
+/// read the stream in the meantime.
+void KeeperReduction::operator()(const BecameKeeper &) {
+  if (Keeper.Active)
     return;
-  log(EventId::ClaimKeeperStarted, Next.Config.Writer.value());
-  Next.Active = true;
-  Next.CaughtUp = false;
-  Next.ReadInProgress = false;
-  Next.NextOffset = core::LogOffset(0);
-  Next.Table = ClaimTable(Next.Config.MaxKeys);
+  log(EventId::ClaimKeeperStarted, Keeper.Config.Writer.value());
+  Keeper.Active = true;
+  Keeper.CaughtUp = false;
+  Keeper.ReadInProgress = false;
+  Keeper.NextOffset = core::LogOffset(0);
+  Keeper.Table = ClaimTable(Keeper.Config.MaxKeys);
   read();
 }
 
-void Keeping::operator()(const CeasedToBeKeeper &) {
-  if (!Next.Active)
+void KeeperReduction::operator()(const CeasedToBeKeeper &) {
+  if (!Keeper.Active)
     return;
-  log(EventId::ClaimKeeperStopped, Next.Config.Writer.value());
+  log(EventId::ClaimKeeperStopped, Keeper.Config.Writer.value());
   refuseAll(ErrorCode::ClaimKeeperChanged);
-  Next.Active = false;
-  Next.CurrentBatch.reset();
+  Keeper.Active = false;
+  Keeper.CurrentBatch.reset();
 }
 
-/// @return whether the claim was replied to
-bool Keeping::answer(const Pending &Who) {
-  const auto Decided = Next.Table.findOwner(Who.KeyClaim);
+/// @return true when the claim was decided and the reply was sent
+bool KeeperReduction::replyIfDecided(const PendingClaim &Pending) {
+  const auto Decided = Keeper.Table.findOwner(Pending.KeyClaim);
   if (!Decided)
     return false;
   if (core::ok(*Decided))
-    Out.emplace_back(ClaimReply{Who.RequestId, core::value(*Decided), {}});
+    Out.emplace_back(ClaimReply{Pending.RequestId, core::value(*Decided), {}});
   else
-    refuse(Who, core::failure(*Decided));
+    refuse(Pending, core::failure(*Decided));
   return true;
 }
 
-void Keeping::operator()(const ClaimRequested &What) {
-  const Pending Who{What.RequestId, What.KeyClaim, What.Deadline};
-  if (!Next.Active)
-    return refuse(Who, {ErrorCode::ClaimKeeperChanged, ""});
+void KeeperReduction::operator()(const ClaimRequested &Request) {
+  const PendingClaim Pending{Request.RequestId, Request.KeyClaim,
+                             Request.Deadline};
+  if (!Keeper.Active)
+    return refuse(Pending, {ErrorCode::ClaimKeeperChanged, ""});
   const auto Checked =
-      checkKey(Who.KeyClaim.Key, Now.Wall, Next.Config.Retention);
+      checkKey(Pending.KeyClaim.Key, Now.Wall, Keeper.Config.Retention);
   if (!core::ok(Checked))
-    return refuse(Who, core::failure(Checked));
-  if (Now.Mono >= Who.Deadline)
-    return refuse(Who, {ErrorCode::ClaimUndecided, "deadline has passed"});
-  if (Next.CaughtUp && answer(Who))
+    return refuse(Pending, core::failure(Checked));
+  if (Now.Mono >= Pending.Deadline)
+    return refuse(Pending, {ErrorCode::ClaimUndecided,
+                            "deadline passed before the claim arrived"});
+  if (Keeper.CaughtUp && replyIfDecided(Pending))
     return;
-  if (Next.PendingClaims.size() >= Next.Config.MaxPendingClaims) {
+  if (Keeper.PendingClaims.size() >= Keeper.Config.MaxPendingClaims) {
     log(EventId::ClaimWaitingLimit);
-    return refuse(Who, {ErrorCode::ClaimLimitReached, ""});
+    return refuse(Pending, {ErrorCode::ClaimLimitReached, ""});
   }
-  Next.PendingClaims.push_back(Who);
+  Keeper.PendingClaims.push_back(Pending);
 }
 
-void Keeping::expire() {
-  std::erase_if(Next.PendingClaims, [this](const Pending &Who) {
-    if (Now.Mono < Who.Deadline)
+void KeeperReduction::expire() {
+  std::erase_if(Keeper.PendingClaims, [this](const PendingClaim &Pending) {
+    if (Now.Mono < Pending.Deadline)
       return false;
-    refuse(Who, {ErrorCode::ClaimUndecided, Who.KeyClaim.Key.value()});
+    refuse(Pending, {ErrorCode::ClaimUndecided, Pending.KeyClaim.Key.value()});
     return true;
   });
 }
 
-void Keeping::operator()(const BatchDue &) {
-  if (!Next.Active)
+void KeeperReduction::operator()(const BatchDue &) {
+  if (!Keeper.Active)
     return;
   expire();
-  Next.Table.eraseBefore(Now.Wall - Next.Config.Retention - MaxClockSkew);
+  Keeper.Table.eraseBefore(Now.Wall - Keeper.Config.Retention - MaxClockSkew);
   append();
   read();
 }
 
-void Keeping::append() {
-  if (Next.CurrentBatch || !Next.CaughtUp)
+void KeeperReduction::append() {
+  if (Keeper.CurrentBatch || !Keeper.CaughtUp)
     return;
   ClaimBatch Batch;
-  for (Pending &Who : Next.PendingClaims) {
-    if (Batch.Claims.size() >= Next.Config.MaxBatchClaims)
+  for (PendingClaim &Pending : Keeper.PendingClaims) {
+    if (Batch.Claims.size() >= Keeper.Config.MaxBatchClaims)
       break;
-    Batch.Claims.push_back(Who.KeyClaim);
-    Who.InBatch = true;
+    Batch.Claims.push_back(Pending.KeyClaim);
+    Pending.InBatch = true;
   }
   if (Batch.Claims.empty())
     return;
   const auto Millis =
       static_cast<std::uint64_t>(Now.Wall.time_since_epoch().count());
-  Next.LastSequence = std::max(Next.LastSequence + 1, Millis);
-  Batch.Writer = Next.Config.Writer;
-  Batch.Sequence = Next.LastSequence;
+  Keeper.LastSequence = std::max(Keeper.LastSequence + 1, Millis);
+  Batch.Writer = Keeper.Config.Writer;
+  Batch.Sequence = Keeper.LastSequence;
   Out.emplace_back(AppendBatch{Batch});
-  Next.CurrentBatch = KeeperState::OpenBatch{std::move(Batch)};
+  Keeper.CurrentBatch = KeeperState::OpenBatch{std::move(Batch)};
 }
 
-bool Keeping::isOpen(std::uint64_t Sequence) const {
-  return Next.CurrentBatch && Next.CurrentBatch->Batch.Sequence == Sequence &&
-         Next.CurrentBatch->CurrentStage == Stage::Sent;
+bool KeeperReduction::awaitsAppendResult(std::uint64_t Sequence) const {
+  return Keeper.CurrentBatch &&
+         Keeper.CurrentBatch->Batch.Sequence == Sequence &&
+         Keeper.CurrentBatch->CurrentStage == Stage::Sent;
 }
 
-void Keeping::operator()(const AppendAcknowledged &What) {
-  if (!isOpen(What.Sequence))
+void KeeperReduction::operator()(const AppendAcknowledged &Append) {
+  if (!awaitsAppendResult(Append.Sequence))
     return;
-  Next.CurrentBatch->CurrentStage = Stage::Acknowledged;
+  Keeper.CurrentBatch->CurrentStage = Stage::Acknowledged;
   read();
 }
 
-void Keeping::unbatch() {
-  for (Pending &Who : Next.PendingClaims)
-    Who.InBatch = false;
-  Next.CurrentBatch.reset();
+void KeeperReduction::releaseBatch() {
+  for (PendingClaim &Pending : Keeper.PendingClaims)
+    Pending.InBatch = false;
+  Keeper.CurrentBatch.reset();
 }
 
-/// The append surely had no effect: its claims go into the next batch.
-void Keeping::operator()(const AppendFailed &What) {
-  if (isOpen(What.Sequence))
-    unbatch();
+/// The append had no effect, so its claims go into the next batch.
+void KeeperReduction::operator()(const AppendFailed &Append) {
+  if (awaitsAppendResult(Append.Sequence))
+    releaseBatch();
 }
 
-/// A read that was in progress may have seen the stream before the append, so
-/// only one that starts now can settle it.
-void Keeping::operator()(const AppendUnknown &What) {
-  if (!isOpen(What.Sequence))
+/// A read that is already in progress may return the stream as it was before
+/// the append. Only a read that starts now shows whether the append took
+/// effect.
+void KeeperReduction::operator()(const AppendUnknown &Append) {
+  if (!awaitsAppendResult(Append.Sequence))
     return;
-  log(EventId::ClaimAppendUnsettled, Next.Config.Writer.value());
-  Next.CurrentBatch->CurrentStage = Stage::Unconfirmed;
-  Next.CurrentBatch->ConfirmingRead = Next.LastReadNumber + 1;
+  log(EventId::ClaimAppendUnsettled, Keeper.Config.Writer.value());
+  Keeper.CurrentBatch->CurrentStage = Stage::Unconfirmed;
+  Keeper.CurrentBatch->ConfirmingRead = Keeper.LastReadNumber + 1;
   read();
 }
 
-void Keeping::operator()(const ReadFailed &What) {
-  if (What.ReadNumber == Next.LastReadNumber)
-    Next.ReadInProgress = false;
+void KeeperReduction::operator()(const ReadFailed &Read) {
+  if (Read.ReadNumber == Keeper.LastReadNumber)
+    Keeper.ReadInProgress = false;
 }
 
-/// Trimmed records were appended before the first one that is left, whose
-/// sequence tells its time. When none is left, they may be as recent as now.
-void Keeping::noteTrimmed(const RecordsRead &What) {
-  if (What.FirstOffset <= Next.NextOffset)
+/// Trimmed records are older than the first remaining record, whose sequence is
+/// its time. If no record remains, the trimmed ones may be as recent as now.
+void KeeperReduction::recordTrim(const RecordsRead &Read) {
+  if (Read.FirstOffset <= Keeper.NextOffset)
     return;
-  log(EventId::ClaimHistoryTrimmed, Next.Config.Writer.value());
+  log(EventId::ClaimHistoryTrimmed, Keeper.Config.Writer.value());
   core::WallTime Oldest = Now.Wall;
-  if (!What.Batches.empty())
+  if (!Read.Batches.empty())
     Oldest = core::WallTime(core::Milliseconds(
-        static_cast<std::int64_t>(What.Batches.front().Batch.Sequence)));
-  Next.Table.markIncompleteBefore(Oldest + MaxClockSkew);
+        static_cast<std::int64_t>(Read.Batches.front().Batch.Sequence)));
+  Keeper.Table.markIncompleteBefore(Oldest + MaxClockSkew);
 }
 
-void Keeping::applyBatch(const ClaimBatch &Batch) {
-  if (Next.Table.apply(Batch))
-    log(EventId::ClaimKeyLimit, Next.Config.Writer.value());
-  const bool Own = Next.CurrentBatch &&
-                   Next.CurrentBatch->Batch.Writer == Batch.Writer &&
-                   Next.CurrentBatch->Batch.Sequence == Batch.Sequence;
-  if (Own)
-    unbatch();
+void KeeperReduction::applyBatch(const ClaimBatch &Batch) {
+  if (Keeper.Table.apply(Batch))
+    log(EventId::ClaimKeyLimit, Keeper.Config.Writer.value());
+  const bool IsCurrentBatch =
+      Keeper.CurrentBatch &&
+      Keeper.CurrentBatch->Batch.Writer == Batch.Writer &&
+      Keeper.CurrentBatch->Batch.Sequence == Batch.Sequence;
+  if (IsCurrentBatch)
+    releaseBatch();
 }
 
-void Keeping::operator()(const RecordsRead &What) {
-  if (!Next.Active || What.ReadNumber != Next.LastReadNumber)
+void KeeperReduction::operator()(const RecordsRead &Read) {
+  if (!Keeper.Active || Read.ReadNumber != Keeper.LastReadNumber)
     return;
-  Next.ReadInProgress = false;
-  noteTrimmed(What);
-  for (const StoredBatch &Stored : What.Batches)
-    if (Stored.Offset >= Next.NextOffset)
+  Keeper.ReadInProgress = false;
+  recordTrim(Read);
+  for (const StoredBatch &Stored : Read.Batches)
+    if (Stored.Offset >= Keeper.NextOffset)
       applyBatch(Stored.Batch);
-  Next.NextOffset = std::max(Next.NextOffset, What.NextOffset);
-  Next.CaughtUp = What.NextOffset >= What.EndOffset;
-  if (Next.CaughtUp)
-    answerKnown();
-  settleOpen(What);
+  Keeper.NextOffset = std::max(Keeper.NextOffset, Read.NextOffset);
+  Keeper.CaughtUp = Read.NextOffset >= Read.EndOffset;
+  if (Keeper.CaughtUp)
+    replyDecided();
+  resolveUnconfirmed(Read);
   read();
 }
 
-/// Claims whose key has a first record are decided; the others wait on.
-void Keeping::answerKnown() {
-  std::erase_if(Next.PendingClaims, [this](const Pending &Who) {
-    // The open batch holds its claim: only its own record, or an earlier one
-    // of the key, decides it, and both are read by now or later.
-    return answer(Who);
+/// Replies to the pending claims whose key has an owner; the others keep
+/// waiting.
+void KeeperReduction::replyDecided() {
+  std::erase_if(Keeper.PendingClaims, [this](const PendingClaim &Pending) {
+    // A claim in the current batch is decided only by its own record or an
+    // earlier one of the key; either has been read already or will be.
+    return replyIfDecided(Pending);
   });
 }
 
-/// The same batch is appended again under its sequence, so that readers drop
-/// it in case the first append takes effect later.
-void Keeping::settleOpen(const RecordsRead &What) {
-  if (!Next.CurrentBatch ||
-      Next.CurrentBatch->CurrentStage != Stage::Unconfirmed)
+/// The same batch is appended again with the same sequence, so that readers
+/// skip the duplicate if the first append takes effect later.
+void KeeperReduction::resolveUnconfirmed(const RecordsRead &Read) {
+  if (!Keeper.CurrentBatch ||
+      Keeper.CurrentBatch->CurrentStage != Stage::Unconfirmed)
     return;
-  if (!Next.CaughtUp || What.ReadNumber < Next.CurrentBatch->ConfirmingRead)
+  if (!Keeper.CaughtUp || Read.ReadNumber < Keeper.CurrentBatch->ConfirmingRead)
     return;
-  // An old sequence must not be appended: readers date the head of a trimmed
-  // stream by it. The claims get a new batch.
+  // Readers use the sequence as the time of the head of a trimmed stream, so an
+  // old one must not be appended. The claims go into a new batch.
   const auto Age = Now.Wall.time_since_epoch() -
-                   core::Milliseconds(Next.CurrentBatch->Batch.Sequence);
-  if (Age > OldestAppend)
-    return unbatch();
-  Next.CurrentBatch->CurrentStage = Stage::Sent;
-  Out.emplace_back(AppendBatch{Next.CurrentBatch->Batch});
+                   core::Milliseconds(Keeper.CurrentBatch->Batch.Sequence);
+  if (Age > MaxAppendAge)
+    return releaseBatch();
+  Keeper.CurrentBatch->CurrentStage = Stage::Sent;
+  Out.emplace_back(AppendBatch{Keeper.CurrentBatch->Batch});
 }
 
 } // namespace
 
 Step<KeeperState, KeeperEffects>
-reduce(KeeperState Before, const KeeperEvent &What, core::Instant Now) {
+reduce(KeeperState Current, const KeeperEvent &Input, core::Instant Now) {
   KeeperEffects Out;
-  Keeping Run(Before, Out, Now);
-  std::visit(Run, What);
-  return {std::move(Before), std::move(Out)};
+  KeeperReduction Run(Current, Out, Now);
+  std::visit(Run, Input);
+  return {std::move(Current), std::move(Out)};
 }
 
 } // namespace filbertvane::decision::request::claims
--- a/lib/decision/request/claims/ClaimTable.cpp
+++ b/lib/decision/request/claims/ClaimTable.cpp
@@ -6,18 +6,19 @@
 
 namespace {
 
-/// Writers whose last sequence is remembered: each restart makes a new one.
-constexpr std::size_t MostWriters = 4096;
+/// Writers whose last sequence is stored; each restart of a keeper creates a
+/// new writer.
+constexpr std::size_t MaxWriters = 4096;
 
 } // namespace
 
 bool ClaimTable::checkDuplicate(const ClaimBatch &Batch) {
-  const auto [Place, Added] =
+  const auto [Position, Added] =
       LastSequence.try_emplace(Batch.Writer, Batch.Sequence);
-  if (!Added && Place->second >= Batch.Sequence)
+  if (!Added && Position->second >= Batch.Sequence)
     return true;
-  Place->second = Batch.Sequence;
-  if (LastSequence.size() > MostWriters)
+  Position->second = Batch.Sequence;
+  if (LastSequence.size() > MaxWriters)
     LastSequence.erase(std::min_element(
         LastSequence.begin(), LastSequence.end(),
         [](const auto &A, const auto &B) { return A.second < B.second; }));
@@ -27,23 +28,23 @@
 bool ClaimTable::apply(const ClaimBatch &Batch) {
   if (checkDuplicate(Batch))
     return false;
-  for (const Claim &One : Batch.Claims)
-    if (core::ok(parseKeyTime(One.Key)))
-      FirstClaims.try_emplace(One.Key,
-                              FirstClaim{One.Owner, One.RequestDigest});
+  for (const Claim &Entry : Batch.Claims)
+    if (core::ok(parseKeyTime(Entry.Key)))
+      FirstClaims.try_emplace(Entry.Key,
+                              FirstClaim{Entry.Owner, Entry.RequestDigest});
   return evictOldest();
 }
 
-/// A key made at the same millisecond as a dropped one is not covered either.
+/// Keys created in the same millisecond as an evicted one are incomplete too.
 bool ClaimTable::evictOldest() {
-  bool Dropped = false;
+  bool Evicted = false;
   while (FirstClaims.size() > MaxKeys) {
-    const auto Made = parseKeyTime(FirstClaims.begin()->first);
-    markIncompleteBefore(core::value(Made) + core::Milliseconds(1));
+    const auto CreatedAt = parseKeyTime(FirstClaims.begin()->first);
+    markIncompleteBefore(core::value(CreatedAt) + core::Milliseconds(1));
     FirstClaims.erase(FirstClaims.begin());
-    Dropped = true;
+    Evicted = true;
   }
-  return Dropped;
+  return Evicted;
 }
 
 void ClaimTable::markIncompleteBefore(core::WallTime Time) {
@@ -56,23 +57,23 @@
     FirstClaims.erase(FirstClaims.begin());
 }
 
-bool ClaimTable::covers(core::WallTime Made) const {
-  return !CompleteFrom || Made >= *CompleteFrom;
+bool ClaimTable::covers(core::WallTime CreatedAt) const {
+  return !CompleteFrom || CreatedAt >= *CompleteFrom;
 }
 
 std::optional<core::Result<ClaimOwner>>
-ClaimTable::findOwner(const Claim &What) const {
-  const auto Made = parseKeyTime(What.Key);
-  if (!core::ok(Made))
-    return core::failure(Made);
-  if (!covers(core::value(Made)))
+ClaimTable::findOwner(const Claim &KeyClaim) const {
+  const auto CreatedAt = parseKeyTime(KeyClaim.Key);
+  if (!core::ok(CreatedAt))
+    return core::failure(CreatedAt);
+  if (!covers(core::value(CreatedAt)))
     return core::Error{core::ErrorCode::ClaimHistoryIncomplete,
-                       What.Key.value()};
-  const auto Found = FirstClaims.find(What.Key);
+                       KeyClaim.Key.value()};
+  const auto Found = FirstClaims.find(KeyClaim.Key);
   if (Found == FirstClaims.end())
     return std::nullopt;
-  if (Found->second.RequestDigest != What.RequestDigest)
-    return core::Error{core::ErrorCode::ClaimKeyReused, What.Key.value()};
+  if (Found->second.RequestDigest != KeyClaim.RequestDigest)
+    return core::Error{core::ErrorCode::ClaimKeyReused, KeyClaim.Key.value()};
   return Found->second.Owner;
 }
 
--- a/lib/decision/request/claims/KeptResults.cpp
+++ b/lib/decision/request/claims/KeptResults.cpp
@@ -24,10 +24,10 @@
   }
 }
 
-void KeptResults::eraseAnswer(Entry &Which) {
-  if (Which.Answer)
-    Bytes -= Which.Answer->Bytes.size();
-  Which.Answer = nullptr;
+void KeptResults::eraseAnswer(Entry &Settled) {
+  if (Settled.Answer)
+    Bytes -= Settled.Answer->Bytes.size();
+  Settled.Answer = nullptr;
 }
 
 std::vector<core::CallId>
@@ -55,8 +55,8 @@
   const auto [Key, Number] = std::move(EvictionOrder.front());
   EvictionOrder.pop_front();
   Entry *Found = find(Key);
-  // A key that was settled again has a newer place in the order; one that
-  // runs again must not be dropped.
+  // A key with a newer result has a later entry in the order, and a key that
+  // runs again must not be evicted.
   if (!Found || Found->ResultNumber != Number ||
       Found->State == ResultState::Claiming ||
       Found->State == ResultState::Running)
--- a/lib/decision/request/claims/Key.cpp
+++ b/lib/decision/request/claims/Key.cpp
@@ -5,14 +5,14 @@
 
 namespace {
 
-constexpr std::size_t TextLength = 36;
-/// Hexadecimal digits of the embedded time.
+constexpr std::size_t KeyLength = 36;
+/// Hexadecimal digits of the embedded time in milliseconds.
 constexpr std::size_t TimeDigits = 12;
-constexpr std::size_t VersionAt = 14;
-constexpr std::size_t VariantAt = 19;
+constexpr std::size_t VersionIndex = 14;
+constexpr std::size_t VariantIndex = 19;
 
-/// Upper case is refused: two texts of one key would be two keys.
-int digitOf(char C) {
+/// Rejects upper case, because two spellings of one key would be two keys.
+int hexDigitValue(char C) {
   if (C >= '0' && C <= '9')
     return C - '0';
   if (C >= 'a' && C <= 'f')
@@ -21,36 +21,36 @@
   return -1;
 }
 
-bool isDash(std::size_t At) {
-  return At == 8 || At == 13 || At == 18 || At == 23;
+bool isDash(std::size_t Index) {
+  return Index == 8 || Index == 13 || Index == 18 || Index == 23;
 }
 
-bool wellFormed(const std::string &Text) {
-  if (Text.size() != TextLength)
+bool isUuidV7(const std::string &Text) {
+  if (Text.size() != KeyLength)
     return false;
-  for (std::size_t At = 0; At < TextLength; ++At)
-    if (isDash(At) ? Text[At] != '-' : digitOf(Text[At]) < 0)
+  for (std::size_t Index = 0; Index < KeyLength; ++Index)
+    if (isDash(Index) ? Text[Index] != '-' : hexDigitValue(Text[Index]) < 0)
       return false;
-  const bool Variant = (digitOf(Text[VariantAt]) & 0xc) == 0x8;
-  return Text[VersionAt] == '7' && Variant;
+  const bool Variant = (hexDigitValue(Text[VariantIndex]) & 0xc) == 0x8;
+  return Text[VersionIndex] == '7' && Variant;
 }
 
-core::Error invalid(const core::IdempotencyKey &Key, const char *Why) {
-  return {core::ErrorCode::ClaimKeyInvalid, Key.value() + ": " + Why};
+core::Error invalid(const core::IdempotencyKey &Key, const char *Reason) {
+  return {core::ErrorCode::ClaimKeyInvalid, Key.value() + ": " + Reason};
 }
 
 } // namespace
 
 core::Result<core::WallTime> parseKeyTime(const core::IdempotencyKey &Key) {
   const std::string &Text = Key.value();
-  if (!wellFormed(Text))
-    return invalid(Key, "not the lower-case text of a UUIDv7");
+  if (!isUuidV7(Text))
+    return invalid(Key, "not a UUIDv7 in lower case");
   std::int64_t Millis = 0;
   std::size_t Digits = 0;
-  for (std::size_t At = 0; Digits < TimeDigits; ++At) {
-    if (isDash(At))
+  for (std::size_t Index = 0; Digits < TimeDigits; ++Index) {
+    if (isDash(Index))
       continue;
-    Millis = Millis * 16 + digitOf(Text[At]);
+    Millis = Millis * 16 + hexDigitValue(Text[Index]);
     ++Digits;
   }
   return core::WallTime(core::Milliseconds(Millis));
@@ -62,10 +62,10 @@
   core::Result<core::WallTime> Parsed = parseKeyTime(Key);
   if (!core::ok(Parsed))
     return Parsed;
-  const core::WallTime Made = core::value(Parsed);
-  if (Made > Now + MaxClockSkew)
-    return invalid(Key, "its time lies in the future");
-  if (Made < Now - (Retention - MaxClockSkew))
+  const core::WallTime CreatedAt = core::value(Parsed);
+  if (CreatedAt > Now + MaxClockSkew)
+    return invalid(Key, "embedded time is in the future");
+  if (CreatedAt < Now - (Retention - MaxClockSkew))
     return core::Error{core::ErrorCode::ClaimKeyExpired, Key.value()};
   return Parsed;
 }
--- a/tests/request/DrainTest.cpp
+++ b/tests/request/DrainTest.cpp
@@ -1,13 +1,14 @@
-#include "Bench.h"
+#include "NodeFixture.h"
 #include <criterion/criterion.h>
 
-using namespace bench;
+using namespace request_fixture;
 
 namespace {
 
-/// Host node with one slot: call 1 runs, call 2 waits.
-Bench busyHost() {
-  Bench Node(shopFleet(), {endpoint("n0", "1", "dc1", 1), endpoint("n1")});
+/// Host node with one slot: call 1 is running, call 2 is waiting.
+NodeFixture busyHost() {
+  NodeFixture Node(shopFleet(),
+                   {endpoint("n0", "1", "dc1", 1), endpoint("n1")});
   Node.arriveHosted(1);
   Node.arriveHosted(2);
   return Node;
@@ -15,51 +16,57 @@
 
 } // namespace
 
-// Guards against new work for a leaving target, and against requests in
-// progress that are cut (I8, I9).
+// Guards against new requests for a leaving target, and against cancelling
+// requests in progress (I8, I9).
 Test(drain, a_leaving_target_finishes_and_gets_nothing_new) {
-  Bench Node = busyHost();
+  NodeFixture Node = busyHost();
   Node.handle(TargetLeaving{core::TargetId("t-n0")});
-  const auto *Waiting = Node.first<Refuse>();
-  cr_assert(Waiting && Waiting->Id == core::CallId(2), "keeps waiting");
-  cr_assert(Waiting->Result == Outcome::NotRun && !Waiting->Retried,
-            "the entry node cannot send it elsewhere");
-  cr_assert(!Node.first<CancelAttempt>(), "cut");
+  const auto *Refused = Node.first<Refuse>();
+  cr_assert(Refused && Refused->Id == core::CallId(2),
+            "the waiting request was not refused");
+  cr_assert(Refused->Result == Outcome::NotRun && !Refused->Retried,
+            "the entry node cannot retry it on another target");
+  cr_assert(!Node.first<CancelAttempt>(),
+            "a request in progress was cancelled");
   Node.arriveHosted(3);
-  cr_assert(Node.first<Refuse>(), "new work");
-  // An old list that still names the target must not bring it back.
+  cr_assert(Node.first<Refuse>(), "a new request was accepted");
+  // An outdated list that still contains the target must not restore it.
   Node.handle(
       EndpointsChanged{{endpoint("n0", "1", "dc1", 1), endpoint("n1")}});
   Node.arriveHosted(4);
-  cr_assert(Node.first<Refuse>(), "new work after an old list");
+  cr_assert(Node.first<Refuse>(),
+            "a new request was accepted after an outdated list");
   Node.arrive(5);
   cr_assert(Node.first<StartAttempt>()->To.Node == core::NodeId("n1"),
             "routed to the leaving target");
   Node.end(1, AttemptEnd::Answered);
-  cr_assert(Node.Now->Calls.size() == 1, "not finished");
+  cr_assert(Node.Now->Calls.size() == 1, "the call in progress did not end");
 }
 
-// Guards against a node that takes work while it shuts down.
+// Guards against a node that accepts requests while it shuts down.
 Test(drain, a_draining_node_finishes_and_refuses_as_not_run) {
-  Bench Node = busyHost();
+  NodeFixture Node = busyHost();
   Node.handle(DrainStarted{});
-  cr_assert(Node.first<Refuse>()->Id == core::CallId(2), "keeps waiting");
+  cr_assert(Node.first<Refuse>()->Id == core::CallId(2),
+            "the waiting request was not refused");
   Node.arrive(3);
   cr_assert(Node.first<Refuse>()->Reason.Code ==
                 core::ErrorCode::RequestDraining,
-            "takes work");
+            "a new request was accepted");
   Node.end(1, AttemptEnd::Answered);
-  cr_assert(Node.Now->Calls.empty(), "not finished");
+  cr_assert(Node.Now->Calls.empty(), "the call in progress did not end");
 }
 
-// Guards against slots that are lost when a target is briefly not listed.
+// Guards against lost slots when a target is missing from the endpoints for a
+// short time.
 Test(drain, slots_survive_a_short_absence_of_the_target) {
-  Bench Node(shopFleet(), {endpoint("n0", "1", "dc1", 1)});
+  NodeFixture Node(shopFleet(), {endpoint("n0", "1", "dc1", 1)});
   Node.arriveHosted(1);
   Node.handle(EndpointsChanged{{}});
   Node.handle(EndpointsChanged{{endpoint("n0", "1", "dc1", 1)}});
   Node.arriveHosted(2);
-  cr_assert(!Node.first<StartAttempt>(), "more requests than slots");
+  cr_assert(!Node.first<StartAttempt>(),
+            "more requests run than there are slots");
   Node.end(1, AttemptEnd::Answered);
-  cr_assert(Node.first<StartAttempt>(), "slot lost");
+  cr_assert(Node.first<StartAttempt>(), "the slot was lost");
 }
--- a/tests/request/KeeperBench.h
+++ b/tests/request/KeeperFixture.h
@@ -1,15 +1,15 @@
-#ifndef FILBERTVANE_TESTS_REQUEST_KEEPERBENCH_H // NOLINT(llvm-header-guard)
-#define FILBERTVANE_TESTS_REQUEST_KEEPERBENCH_H
+#ifndef FILBERTVANE_TESTS_REQUEST_KEEPERFIXTURE_H // NOLINT(llvm-header-guard)
+#define FILBERTVANE_TESTS_REQUEST_KEEPERFIXTURE_H
 
-#include "Bench.h"
+#include "NodeFixture.h"
 #include "filbertvane/decision/request/claims/ClaimKeeper.h"
 #include <cstdio>
 
-namespace bench {
+namespace request_fixture {
 
 using namespace filbertvane::decision::request::claims;
 
-/// Key made at a time in milliseconds.
+/// Key created at a time in milliseconds.
 inline core::IdempotencyKey keyAt(std::int64_t Millis, unsigned Tail = 0) {
   char Text[64];
   std::snprintf(Text, sizeof Text, "%08llx-%04llx-7000-8000-%012x",
@@ -25,7 +25,7 @@
           core::Digest(7)};
 }
 
-/// Stream of one partition, shared by keepers.
+/// Claim stream of one partition, shared by keepers.
 struct Stream {
   std::uint64_t Head = 0;
   std::vector<StoredBatch> Records;
@@ -38,14 +38,14 @@
                   Records.begin() + static_cast<std::ptrdiff_t>(Count));
     Head += Count;
   }
-  RecordsRead read(const ReadStream &From, std::size_t Most = 100) const {
+  RecordsRead read(const ReadStream &From, std::size_t MaxCount = 100) const {
     RecordsRead Found;
     Found.ReadNumber = From.ReadNumber;
     Found.FirstOffset = core::LogOffset(Head);
     Found.EndOffset = core::LogOffset(Head + Records.size());
     Found.NextOffset = std::max(From.FromOffset, Found.FirstOffset);
     for (const StoredBatch &Stored : Records) {
-      if (Stored.Offset < Found.NextOffset || Found.Batches.size() >= Most)
+      if (Stored.Offset < Found.NextOffset || Found.Batches.size() >= MaxCount)
         continue;
       Found.Batches.push_back(Stored);
       Found.NextOffset = core::LogOffset(Stored.Offset.value() + 1);
@@ -54,8 +54,8 @@
   }
 };
 
-/// One keeper with the reads, appends and replies that it asked for.
-struct KeeperBench {
+/// Claim keeper with the reads, appends and replies that it emitted.
+struct KeeperFixture {
   KeeperState Now;
   std::int64_t Millis = 0x018c00000000;
   std::optional<ReadStream> Read;
@@ -63,41 +63,42 @@
   std::map<std::uint64_t, ClaimReply> Replies;
   std::uint64_t LastRequest = 0;
 
-  explicit KeeperBench(const char *Writer, std::size_t Keys = 1000)
+  explicit KeeperFixture(const char *Writer, std::size_t Keys = 1000)
       : Now(settings(Writer, Keys)) {}
 
   static KeeperSettings settings(const char *Writer, std::size_t Keys) {
-    KeeperSettings Own;
-    Own.Writer = core::WriterId(Writer);
-    Own.Retention = core::Seconds(3600);
-    Own.MaxKeys = Keys;
-    return Own;
+    KeeperSettings Config;
+    Config.Writer = core::WriterId(Writer);
+    Config.Retention = core::Seconds(3600);
+    Config.MaxKeys = Keys;
+    return Config;
   }
 
-  void handle(const KeeperEvent &What) {
-    auto Step = reduce(std::move(Now), What, instant(Millis));
+  void handle(const KeeperEvent &Input) {
+    auto Step = reduce(std::move(Now), Input, instant(Millis));
     Now = std::move(Step.Next);
-    for (const KeeperEffect &One : Step.Out)
+    for (const KeeperEffect &Emitted : Step.Out)
       std::visit(core::Overloaded{
                      [&](const ReadStream &E) { Read = E; },
                      [&](const AppendBatch &E) { Appends.push_back(E.Batch); },
                      [&](const ClaimReply &E) { Replies[E.RequestId] = E; },
                      [](const observe::LogEvent &) {}},
-                 One);
+                 Emitted);
   }
 
-  std::uint64_t request(const Claim &What, std::int64_t Within = 5000) {
-    handle(ClaimRequested{++LastRequest, What, instant(Millis + Within).Mono});
+  std::uint64_t request(const Claim &KeyClaim, std::int64_t WithinMs = 5000) {
+    handle(ClaimRequested{++LastRequest, KeyClaim,
+                          instant(Millis + WithinMs).Mono});
     return LastRequest;
   }
 
-  /// Serves the read in progress, if any.
-  void readFrom(const Stream &Log, std::size_t Most = 100) {
+  /// Completes the read in progress, if any.
+  void readFrom(const Stream &Log, std::size_t MaxCount = 100) {
     if (!Read)
       return;
     const ReadStream From = *Read;
     Read.reset();
-    handle(Log.read(From, Most));
+    handle(Log.read(From, MaxCount));
   }
 
   ClaimBatch takeAppend() {
@@ -121,6 +122,6 @@
   }
 };
 
-} // namespace bench
+} // namespace request_fixture
 
-#endif // FILBERTVANE_TESTS_REQUEST_KEEPERBENCH_H
+#endif // FILBERTVANE_TESTS_REQUEST_KEEPERFIXTURE_H
--- a/tests/request/KeyTest.cpp
+++ b/tests/request/KeyTest.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 // Time of the key: 0x018c00000000 ms.
-const core::WallTime Made{core::Milliseconds(0x018c00000000)};
+const core::WallTime CreatedAt{core::Milliseconds(0x018c00000000)};
 const core::Seconds Retention{3600};
 
 core::IdempotencyKey key(const char *Text) {
@@ -24,25 +24,33 @@
 
 } // namespace
 
-// Guards against keys whose age cannot be known.
+// Guards against accepting keys without an embedded time.
 Test(claim_key, only_the_lower_case_text_of_a_uuid_v7_is_a_key) {
   const auto Time = parseKeyTime(key("018c0000-0000-7abc-8abc-0123456789ab"));
-  cr_assert(core::ok(Time) && core::value(Time) == Made, "wrong time");
-  cr_assert(rejected("018c0000-0000-4abc-8abc-0123456789ab"), "version 4");
-  cr_assert(rejected("018c0000-0000-7abc-0abc-0123456789ab"), "variant");
-  cr_assert(rejected("018C0000-0000-7ABC-8ABC-0123456789AB"), "upper case");
-  cr_assert(rejected("018c0000x0000-7abc-8abc-0123456789ab"), "no dash");
-  cr_assert(rejected("018c0000-0000-7abc-8abc"), "short");
+  cr_assert(core::ok(Time) && core::value(Time) == CreatedAt,
+            "wrong embedded time");
+  cr_assert(rejected("018c0000-0000-4abc-8abc-0123456789ab"),
+            "version 4 accepted");
+  cr_assert(rejected("018c0000-0000-7abc-0abc-0123456789ab"),
+            "wrong variant accepted");
+  cr_assert(rejected("018C0000-0000-7ABC-8ABC-0123456789AB"),
+            "upper case accepted");
+  cr_assert(rejected("018c0000x0000-7abc-8abc-0123456789ab"),
+            "missing dash accepted");
+  cr_assert(rejected("018c0000-0000-7abc-8abc"), "truncated key accepted");
 }
 
-// Guards against a second execution after the log forgot the first claim.
+// Guards against a second execution after the first claim was trimmed from the
+// log.
 Test(claim_key, a_key_is_valid_only_while_its_record_is_in_the_log) {
   const core::ErrorCode Valid{};
-  cr_assert(checkedAt(Made) == Valid, "a new key");
-  cr_assert(checkedAt(Made + Retention - MaxClockSkew) == Valid, "the last");
-  cr_assert(checkedAt(Made + Retention) == core::ErrorCode::ClaimKeyExpired,
-            "an old key");
-  cr_assert(checkedAt(Made - MaxClockSkew - core::Seconds(1)) ==
+  cr_assert(checkedAt(CreatedAt) == Valid, "a new key was refused");
+  cr_assert(checkedAt(CreatedAt + Retention - MaxClockSkew) == Valid,
+            "a key just within the retention was refused");
+  cr_assert(checkedAt(CreatedAt + Retention) ==
+                core::ErrorCode::ClaimKeyExpired,
+            "an expired key was accepted");
+  cr_assert(checkedAt(CreatedAt - MaxClockSkew - core::Seconds(1)) ==
                 core::ErrorCode::ClaimKeyInvalid,
-            "a key from the future outlives its record");
+            "a key from the future was accepted; it would outlive its record");
 }
--- a/tests/request/LocalityTest.cpp
+++ b/tests/request/LocalityTest.cpp
@@ -1,11 +1,11 @@
-#include "Bench.h"
+#include "NodeFixture.h"
 #include <criterion/criterion.h>
 
-using namespace bench;
+using namespace request_fixture;
 
 namespace {
 
-std::string centreOf(const Bench &Node) {
+std::string selectedNode(const NodeFixture &Node) {
   const auto *Start = Node.first<StartAttempt>();
   if (!Start)
     return "";
@@ -14,63 +14,66 @@
 
 } // namespace
 
-// Guards against traffic across data centres while the own one has room.
+// Guards against traffic between data centres while the local one has capacity.
 Test(locality, the_nearest_targets_are_preferred) {
-  Bench Node(shopFleet(), {endpoint("near"), endpoint("region", "1", "dc2"),
-                           endpoint("far", "1", "dc3")});
+  NodeFixture Node(shopFleet(),
+                   {endpoint("near"), endpoint("region", "1", "dc2"),
+                    endpoint("far", "1", "dc3")});
   Node.arrive(1);
-  cr_assert(centreOf(Node) == "near", "own data centre");
+  cr_assert(selectedNode(Node) == "near", "not sent to the local data centre");
   Node.handle(EndpointsChanged{
       {endpoint("region", "1", "dc2"), endpoint("far", "1", "dc3")}});
   Node.arrive(2);
-  cr_assert(centreOf(Node) == "region", "own region");
+  cr_assert(selectedNode(Node) == "region", "not sent within the region");
   cr_assert(Node.first<StartAttempt>()->To.Target == core::TargetId(),
-            "the other data centre must select its target");
+            "the target must be selected by the other data centre");
 }
 
-// Guards against a queue at near targets, and against a spill of everything.
+// Guards against overloading the nearest targets, and against sending all
+// requests to other data centres.
 Test(locality, only_what_does_not_fit_spills) {
-  Bench Node(shopFleet(), {endpoint("near", "1", "dc1", 4),
-                           endpoint("region", "1", "dc2", 50)});
-  int Near = 0;
+  NodeFixture Node(shopFleet(), {endpoint("near", "1", "dc1", 4),
+                                 endpoint("region", "1", "dc2", 50)});
+  int Local = 0;
   for (std::uint64_t Id = 1; Id <= 10; ++Id) {
     Node.arrive(Id);
-    Near += centreOf(Node) == "near" ? 1 : 0;
+    Local += selectedNode(Node) == "near" ? 1 : 0;
   }
-  cr_assert(Near == 4, "%d of 10 stayed near", Near);
+  cr_assert(Local == 4, "%d of 10 stayed near", Local);
 }
 
-// Guards against a gauge that refusals do not move, or that never recovers.
+// Guards against an estimate that does not rise with refusals or never
+// recovers.
 Test(locality, refusals_raise_the_spilled_share) {
-  SpilloverEstimator Gauge;
-  cr_assert(!Gauge.spillNext(), "spilled without a refusal");
-  // Near targets take two of three requests that the gauge keeps near.
+  SpilloverEstimator Estimator;
+  cr_assert(!Estimator.spillNext(), "spillover without a refusal");
+  // The local data centre accepts two of three requests.
   int Spilled = 0;
-  int Kept = 0;
+  int KeptLocal = 0;
   for (int Request = 0; Request < 20000; ++Request) {
-    if (Gauge.spillNext())
+    if (Estimator.spillNext())
       ++Spilled;
-    else if (++Kept * 1.5 > Request)
-      Gauge.recordRefused();
+    else if (++KeptLocal * 1.5 > Request)
+      Estimator.recordRefused();
     else
-      Gauge.recordAccepted();
+      Estimator.recordAccepted();
   }
   const double Share = Spilled / 20000.0;
   cr_assert(Share > 0.25 && Share < 0.40, "%.3f spilled", Share);
   for (int Request = 0; Request < 20000; ++Request)
-    Gauge.recordAccepted();
-  cr_assert(Gauge.share() == 0, "does not recover");
+    Estimator.recordAccepted();
+  cr_assert(Estimator.share() == 0, "the estimate does not recover");
 }
 
-// Guards against requests that travel between data centres for ever.
+// Guards against requests forwarded between data centres in a loop.
 Test(locality, a_request_of_another_data_centre_stays_here) {
-  Bench Node(shopFleet(), {endpoint("region", "1", "dc2")});
-  CallArrived What;
-  What.Id = core::CallId(1);
-  What.FromNode = true;
-  What.Path = "/list";
-  What.Service = core::ServiceName("shop");
-  Node.handle(What);
-  cr_assert(!Node.first<StartAttempt>(), "sent on to a third place");
+  NodeFixture Node(shopFleet(), {endpoint("region", "1", "dc2")});
+  CallArrived Arrival;
+  Arrival.Id = core::CallId(1);
+  Arrival.FromNode = true;
+  Arrival.Path = "/list";
+  Arrival.Service = core::ServiceName("shop");
+  Node.handle(Arrival);
+  cr_assert(!Node.first<StartAttempt>(), "forwarded to another data centre");
   cr_assert(Node.first<Refuse>()->Result == Outcome::NotRun, "not refused");
 }
--- a/tests/request/ReducerPropertyTest.cpp
+++ b/tests/request/ReducerPropertyTest.cpp
@@ -3,7 +3,7 @@
 #include <numeric>
 #include <rapidcheck.h>
 
-using namespace bench;
+using namespace request_fixture;
 
 namespace {
 
@@ -12,14 +12,14 @@
 const char *const Keys[] = {"00000000-0000-7000-8000-000000000001",
                             "00000000-0000-7000-8000-000000000002"};
 
-std::vector<Endpoint> places() {
+std::vector<Endpoint> endpoints() {
   return {endpoint("n0", "1", "dc1", Slots), endpoint("n1"), endpoint("n2"),
           endpoint("n3", "2"), endpoint("n4", "1", "dc2")};
 }
 
 class Driver {
 public:
-  Driver() : Model(shopFleet(100), places()) {}
+  Driver() : Model(shopFleet(100), endpoints()) {}
 
   void step() {
     Model.Node.Millis += Pick(0, 40);
@@ -43,78 +43,78 @@
     case 9:
       return configure();
     default:
-      return endOne();
+      return endAttempt();
     }
   }
 
-  /// Ends what is open; then each call must have ended.
+  /// Ends all open attempts and checks that each call has ended.
   void finish() {
     Model.apply(DrainStarted{}, Slots);
     Model.Node.Millis += 3600000;
     Model.apply(Tick{}, Slots);
-    for (auto &[Id, Seen] : Model.Calls)
-      if (Seen.Open)
+    for (auto &[Id, Record] : Model.Calls)
+      if (Record.OpenAttempt)
         Model.end(Id, AttemptEnd::Truncated, false, 0);
-    for (const auto &[Id, Seen] : Model.Calls)
-      if (!Seen.Ended)
-        Model.violated("a call did not end");
+    for (const auto &[Id, Record] : Model.Calls)
+      if (!Record.Ended)
+        Model.reportViolation("a call did not end");
     if (!Model.Node.Now->Calls.empty())
-      Model.violated("an ended call is kept");
+      Model.reportViolation("an ended call was not removed");
   }
 
   CallModel Model;
 
 private:
-  Choices Pick;
+  RandomChoices Pick;
   std::uint64_t LastId = 0;
 
   void arrive() {
-    CallArrived What;
-    What.Id = core::CallId(++LastId);
-    What.FromNode = Pick(0, 4) == 0;
-    What.Path = (Pick(0, 2) == 1) ? "/list" : "/book";
-    What.RequestDigest = core::Digest(Pick(0, 9));
-    What.Deadline = instant(Model.Node.Millis + Pick(0, 900)).Wall;
-    if (What.FromNode) {
-      What.Service = core::ServiceName("shop");
-      What.Target = core::TargetId("t-n0");
+    CallArrived Arrival;
+    Arrival.Id = core::CallId(++LastId);
+    Arrival.FromNode = Pick(0, 4) == 0;
+    Arrival.Path = (Pick(0, 2) == 1) ? "/list" : "/book";
+    Arrival.RequestDigest = core::Digest(Pick(0, 9));
+    Arrival.Deadline = instant(Model.Node.Millis + Pick(0, 900)).Wall;
+    if (Arrival.FromNode) {
+      Arrival.Service = core::ServiceName("shop");
+      Arrival.Target = core::TargetId("t-n0");
     }
     const int Key = Pick(0, 4);
     if (Key < 2) {
-      What.Key = core::IdempotencyKey(Keys[Key]);
-      What.RequestDigest = core::Digest(static_cast<std::uint64_t>(Key));
+      Arrival.Key = core::IdempotencyKey(Keys[Key]);
+      Arrival.RequestDigest = core::Digest(static_cast<std::uint64_t>(Key));
     }
-    Model.Calls[LastId].Idempotent = What.Path == "/list";
-    Model.apply(What, Slots);
+    Model.Calls[LastId].Idempotent = Arrival.Path == "/list";
+    Model.apply(Arrival, Slots);
   }
 
-  std::optional<std::uint64_t> anyOpen() {
+  std::optional<std::uint64_t> anyOpenAttempt() {
     std::vector<std::uint64_t> Open;
-    for (const auto &[Id, Seen] : Model.Calls)
-      if (Seen.Open)
+    for (const auto &[Id, Record] : Model.Calls)
+      if (Record.OpenAttempt)
         Open.push_back(Id);
     if (Open.empty())
       return std::nullopt;
     return Open[Pick(0, Open.size())];
   }
 
-  void endOne() {
-    const auto Id = anyOpen();
+  void endAttempt() {
+    const auto Id = anyOpenAttempt();
     if (!Id)
       return;
-    auto How = static_cast<AttemptEnd>(Pick(0, 4));
-    if (Model.Calls[*Id].Started && How == AttemptEnd::NotRun)
-      How = AttemptEnd::NoAnswer;
-    const bool Crashed = How == AttemptEnd::NoAnswer && (Pick(0, 2) == 1);
-    Model.end(*Id, How, Crashed, Pick(0, 2) == 0 ? 200 : 500);
+    auto End = static_cast<AttemptEnd>(Pick(0, 4));
+    if (Model.Calls[*Id].Started && End == AttemptEnd::NotRun)
+      End = AttemptEnd::NoAnswer;
+    const bool Crashed = End == AttemptEnd::NoAnswer && (Pick(0, 2) == 1);
+    Model.end(*Id, End, Crashed, Pick(0, 2) == 0 ? 200 : 500);
   }
 
   void started() {
-    if (const auto Id = anyOpen()) {
+    if (const auto Id = anyOpenAttempt()) {
       Model.Calls[*Id].Started = true;
-      Model.apply(
-          AnswerStarted{core::CallId(*Id), *Model.Calls[*Id].Open, 200, 10},
-          Slots);
+      Model.apply(AnswerStarted{core::CallId(*Id),
+                                *Model.Calls[*Id].OpenAttempt, 200, 10},
+                  Slots);
     }
   }
 
@@ -122,10 +122,10 @@
     if (LastId == 0)
       return;
     const auto Id = Pick(1, LastId + 1);
-    CallModel::Seen &Seen = Model.Calls[Id];
-    if (Seen.Ended)
+    CallModel::CallRecord &Record = Model.Calls[Id];
+    if (Record.Ended)
       return;
-    Model.ended(Seen);
+    Model.ended(Record);
     Model.Detached.insert(Id);
     Model.apply(CallerDisconnected{core::CallId(Id)}, Slots);
   }
@@ -139,22 +139,22 @@
     if (Found == Model.Node.Now->Calls.end() || !Found->second.Key)
       return;
     const auto *Entry = Model.Node.Now->Results.find(*Found->second.Key);
-    ClaimDecided What{
+    ClaimDecided Decision{
         core::CallId(Id), Entry ? Entry->Owner : ClaimOwner{}, {}};
     const int Kind = Pick(0, 4);
     if (Kind == 0)
-      What.Failure = core::Error{core::ErrorCode::ClaimUndecided, ""};
+      Decision.Failure = core::Error{core::ErrorCode::ClaimUndecided, ""};
     if (Kind == 1)
-      What.Owner.Node = core::NodeId("n9");
-    Model.apply(What, Slots);
+      Decision.Owner.Node = core::NodeId("n9");
+    Model.apply(Decision, Slots);
   }
 
-  /// Any part of the targets, the own one included, goes or comes back.
+  /// Announces a random subset of the targets, which may include the local one.
   void announce() {
     std::vector<Endpoint> Listed;
-    for (const Endpoint &Place : places())
+    for (const Endpoint &Announced : endpoints())
       if (Pick(0, 4) > 0)
-        Listed.push_back(Place);
+        Listed.push_back(Announced);
     Model.apply(EndpointsChanged{Listed}, Slots);
   }
 
@@ -184,11 +184,11 @@
 
 } // namespace
 
-// Guards against duplicate execution, false outcomes, calls without or with
-// two ends, slots above the limit and groups without a target, in any order
-// of events.
+// Guards against duplicate execution, wrong outcomes, calls that end twice or
+// never, more running requests than slots and groups without an active target,
+// for random orders of events.
 Test(request_properties, outcomes_hold_in_any_order_of_events) {
-  const bool Held = rc::check([] {
+  const bool Passed = rc::check([] {
     Driver Run;
     for (int Step = 0; Step < 150; ++Step)
       Run.step();
@@ -196,12 +196,12 @@
     if (!Run.Model.Violation.empty())
       RC_FAIL(Run.Model.Violation);
   });
-  cr_assert(Held, "a property does not hold");
+  cr_assert(Passed, "a property was violated");
 }
 
-// Guards against a candidate that gets more than its share in some window.
+// Guards against a candidate that exceeds its share in some window of requests.
 Test(request_properties, each_window_holds_the_share_exactly) {
-  const bool Held = rc::check([] {
+  const bool Passed = rc::check([] {
     const auto Share = *rc::gen::element<config::Permille>(10, 50, 100, 250);
     const int Window = config::FullShare / Share;
     VersionSelector Selector(
@@ -215,28 +215,28 @@
       RC_ASSERT(std::accumulate(First, First + Window, 0) == 1);
     }
   });
-  cr_assert(Held, "a window differs from the share");
+  cr_assert(Passed, "a window differs from the share");
 }
 
 namespace {
 
-/// Sends through a chain of hops whose last target refuses everything.
-std::uint64_t sendThrough(std::vector<Bench> &Hops, std::size_t Hop,
+/// Sends a request through a chain of hops whose last target refuses it.
+std::uint64_t sendThrough(std::vector<NodeFixture> &Hops, std::size_t Hop,
                           std::uint64_t &LastId, std::uint64_t &Sent,
                           bool &Retried) {
-  Bench &Node = Hops[Hop];
+  NodeFixture &Node = Hops[Hop];
   const std::uint64_t Id = ++LastId;
   Node.arrive(Id);
   while (Node.first<StartAttempt>()) {
-    AttemptEnded What;
-    What.Id = core::CallId(Id);
-    What.Attempt = Node.first<StartAttempt>()->Attempt;
-    What.End = AttemptEnd::NotRun;
+    AttemptEnded Ended;
+    Ended.Id = core::CallId(Id);
+    Ended.Attempt = Node.first<StartAttempt>()->Attempt;
+    Ended.End = AttemptEnd::NotRun;
     if (Hop + 1 < Hops.size())
-      sendThrough(Hops, Hop + 1, LastId, Sent, What.RetriedDownstream);
+      sendThrough(Hops, Hop + 1, LastId, Sent, Ended.RetriedDownstream);
     else
       ++Sent;
-    Node.handle(What);
+    Node.handle(Ended);
   }
   Retried = Node.first<Refuse>()->Retried;
   return Sent;
@@ -246,7 +246,7 @@
 
 // Guards against retries at each of 20 hops, which multiply to 3^20 requests.
 Test(request_properties, a_chain_of_20_hops_stays_within_the_budget) {
-  std::vector<Bench> Hops;
+  std::vector<NodeFixture> Hops;
   Hops.reserve(20);
   for (std::uint64_t Hop = 0; Hop < 20; ++Hop)
     Hops.emplace_back(shopFleet(), std::vector{endpoint("n1"), endpoint("n2")},
--- a/tests/request/RetryBudgetTest.cpp
+++ b/tests/request/RetryBudgetTest.cpp
@@ -1,14 +1,14 @@
-#include "Bench.h"
+#include "NodeFixture.h"
 #include <criterion/criterion.h>
 
-using namespace bench;
+using namespace request_fixture;
 
-// Guards against retries that outgrow a tenth of the successes.
+// Guards against more retries than a tenth of the successes.
 Test(retry_budget, ten_successes_earn_one_retry) {
   RetryBudget Budget;
   for (std::uint32_t Retry = 0; Retry < RetryBudget::MaxRetries; ++Retry)
-    cr_assert(Budget.tryConsume(), "saved retries");
-  cr_assert(!Budget.tryConsume(), "more than saved");
+    cr_assert(Budget.tryConsume(), "initial retries not available");
+  cr_assert(!Budget.tryConsume(), "more retries than the budget");
   for (int Success = 0; Success < 9; ++Success)
     Budget.recordSuccess();
   cr_assert(!Budget.tryConsume(), "earned too early");
@@ -17,13 +17,13 @@
   for (int Success = 0; Success < 1000; ++Success)
     Budget.recordSuccess();
   cr_assert(Budget.available() == RetryBudget::MaxRetries,
-            "saved without bound");
+            "the budget is not limited");
 }
 
-// Guards against a reducer that does not ask the budget, and against another
-// hop's retry of what this one gave up.
+// Guards against retries without budget, and against an upstream hop that
+// retries a request which this hop gave up.
 Test(retry_budget, without_budget_a_refusal_is_passed_on_as_retried) {
-  Bench Node(shopFleet(), {endpoint("n1"), endpoint("n2")});
+  NodeFixture Node(shopFleet(), {endpoint("n1"), endpoint("n2")});
   std::size_t Sent = 0;
   for (std::uint64_t Id = 1; Id <= 30; ++Id) {
     Node.arrive(Id);
@@ -31,7 +31,7 @@
       ++Sent;
       Node.end(Id, AttemptEnd::NotRun);
     }
-    cr_assert(Node.first<Refuse>()->Retried, "not marked");
+    cr_assert(Node.first<Refuse>()->Retried, "not marked as retried");
   }
   cr_assert(Sent == 30 + RetryBudget::MaxRetries, "%zu sent", Sent);
 }
--- a/tests/request/RouteTableTest.cpp
+++ b/tests/request/RouteTableTest.cpp
@@ -1,7 +1,7 @@
-#include "Bench.h"
+#include "NodeFixture.h"
 #include <criterion/criterion.h>
 
-using namespace bench;
+using namespace request_fixture;
 
 namespace {
 
@@ -14,17 +14,17 @@
 
 } // namespace
 
-// Guards against requests that reach the service of a shorter prefix.
+// Guards against routing a request by a shorter prefix.
 Test(route_table, the_longest_prefix_wins) {
-  cr_assert(routeOf("/a/b/c") == "ab", "longest");
-  cr_assert(routeOf("/a/c") == "a", "shorter");
-  cr_assert(routeOf("/a?x=/a/b") == "a", "the query is no path");
-  cr_assert(routeOf("/z") == "all", "root");
+  cr_assert(routeOf("/a/b/c") == "ab", "not the longest prefix");
+  cr_assert(routeOf("/a/c") == "a", "wrong route for the shorter prefix");
+  cr_assert(routeOf("/a?x=/a/b") == "a", "the query string was matched");
+  cr_assert(routeOf("/z") == "all", "the root route was not matched");
 }
 
-// Guards against `/a` taking the requests of `/ab`.
+// Guards against `/a` matching requests for `/ab`.
 Test(route_table, a_prefix_ends_at_a_segment) {
   cr_assert(routeOf("/ab") == "all", "matched inside a segment");
   const RouteTable NoRoot({route("a", "/a", true)});
-  cr_assert(!NoRoot.match("/b"), "matched nothing");
+  cr_assert(!NoRoot.match("/b"), "matched a path without a route");
 }
