--- a/tests/request/VersionSelectorTest.cpp
+++ b/tests/request/VersionSelectorTest.cpp
@@ -1,16 +1,16 @@
-#include "Bench.h"
+#include "NodeFixture.h"
 #include <criterion/criterion.h>
 
-using namespace bench;
+using namespace request_fixture;
 
 namespace {
 
-Bench nodeWith(config::Permille Share) {
-  return Bench(shopFleet(Share), {endpoint("n1"), endpoint("n2", "2")});
+NodeFixture nodeWith(config::Permille Share) {
+  return NodeFixture(shopFleet(Share), {endpoint("n1"), endpoint("n2", "2")});
 }
 
-/// Requests of 100 that the candidate got.
-int candidates(Bench &Node, const char *Path) {
+/// Sends 100 requests and counts those sent to the candidate.
+int countCandidateRequests(NodeFixture &Node, const char *Path) {
   int Count = 0;
   for (std::uint64_t Id = 1; Id <= 100; ++Id) {
     Node.arrive(Node.Now->LastAttemptId + 1, Path);
@@ -23,42 +23,49 @@
 
 } // namespace
 
-// Guards against a candidate with more than its canary share (I4).
+// Guards against a candidate that receives more than its canary share (I4).
 Test(version_selector, a_candidate_gets_its_share) {
-  Bench Node = nodeWith(50);
-  cr_assert(candidates(Node, "/list") == 5, "not 5 of 100");
+  NodeFixture Node = nodeWith(50);
+  cr_assert(countCandidateRequests(Node, "/list") == 5, "not 5 of 100");
 }
 
-// Guards against bookings at a version that is not proven (design 7).
+// Guards against non-idempotent requests to an unproven version (design 7).
 Test(version_selector, non_idempotent_requests_wait_for_the_canary) {
-  Bench Canary = nodeWith(50);
-  cr_assert(candidates(Canary, "/book") == 0, "sent to an unproven version");
-  Bench Proven = nodeWith(100);
-  cr_assert(candidates(Proven, "/book") == 10, "not sent to a proven one");
+  NodeFixture Canary = nodeWith(50);
+  cr_assert(countCandidateRequests(Canary, "/book") == 0,
+            "sent to an unproven version");
+  NodeFixture Proven = nodeWith(100);
+  cr_assert(countCandidateRequests(Proven, "/book") == 10,
+            "not sent to a proven one");
 }
 
-// Guards against a service without idempotent routes that can never move.
+// Guards against a service without idempotent routes whose candidate receives
+// no traffic, so that the move cannot progress.
 Test(version_selector, a_service_without_idempotent_route_still_moves) {
   config::FleetState Fleet = shopFleet(50);
   Fleet.Current.Routes.pop_back();
-  Bench Node(Fleet, {endpoint("n1"), endpoint("n2", "2")});
-  cr_assert(candidates(Node, "/book") == 5, "never moves");
+  NodeFixture Node(Fleet, {endpoint("n1"), endpoint("n2", "2")});
+  cr_assert(countCandidateRequests(Node, "/book") == 5,
+            "the candidate receives no traffic");
 }
 
-// Guards against traffic to a bad version after the local rollback.
+// Guards against traffic to the candidate after a local rollback.
 Test(version_selector, a_local_rollback_stops_the_candidate) {
-  Bench Node = nodeWith(500);
+  NodeFixture Node = nodeWith(500);
   Node.configure(shopFleet(500),
                  {{core::ServiceName("shop"), core::ConfigVersion(1)}});
-  cr_assert(candidates(Node, "/list") == 0, "still gets traffic");
+  cr_assert(countCandidateRequests(Node, "/list") == 0,
+            "the candidate still receives traffic");
   Node.configure(shopFleet(500),
                  {{core::ServiceName("other"), core::ConfigVersion(1)}});
-  cr_assert(candidates(Node, "/list") == 50, "stopped for another service");
+  cr_assert(countCandidateRequests(Node, "/list") == 50,
+            "stopped by the rollback of another service");
 }
 
-// Guards against all traffic on an unproven version when the old one is gone.
+// Guards against sending all traffic to an unproven version when no target of
+// the stable version is left.
 Test(version_selector, an_unproven_candidate_never_stands_in) {
-  Bench Node(shopFleet(50), {endpoint("n2", "2")});
+  NodeFixture Node(shopFleet(50), {endpoint("n2", "2")});
   int Sent = 0;
   for (std::uint64_t Id = 1; Id <= 100; ++Id) {
     Node.arrive(Id);
