--- a/include/filbertvane/config/LogRecord.h
+++ b/include/filbertvane/config/LogRecord.h
@@ -8,14 +8,14 @@
 
 namespace filbertvane::config {
 
-/// Share of a service's requests, in thousandths.
+/// Share of a service's requests, in thousandths (0 to 1000).
 using Permille = std::uint16_t;
 inline constexpr Permille FullShare = 1000;
 
 /// @brief An operator published a sheet.
 struct SheetPublished {
-  /// Sheet version that the delta applies to; the record is refused when
-  /// another sheet was accepted since.
+  /// Sheet version that the delta applies to. The record is refused if another
+  /// sheet has been accepted since.
   core::ConfigVersion Base;
   SheetDelta Delta;
   std::string Operator;
@@ -25,25 +25,26 @@
                           const SheetPublished &) = default;
 };
 
-/// @brief A data centre lead claims the coordinator lease.
+/// @brief The lead node of a data centre claimed the coordinator lease.
 struct LeaseClaimed {
   core::NodeId Holder;
-  /// Valid iff it is the current epoch plus 1.
+  /// The claim succeeds only if this is the current epoch plus 1.
   core::Epoch NewEpoch;
 
   friend auto operator<=>(const LeaseClaimed &, const LeaseClaimed &) = default;
 };
 
-/// @brief Identifies one move: the service and the version in which its sheet
-///        was accepted.
+/// @brief Identifies a move.
+
 struct MoveId {
   core::ServiceName Service;
+  /// Configuration version in which the sheet with the move was accepted.
   core::ConfigVersion OrderedIn;
 
   friend auto operator<=>(const MoveId &, const MoveId &) = default;
 };
 
-/// @brief The coordinator raised the share of a move's new version.
+/// @brief The coordinator raised the traffic share of the new version.
 struct MoveStepped {
   core::Epoch LeaseEpoch;
   MoveId Move;
@@ -52,11 +53,11 @@
   friend auto operator<=>(const MoveStepped &, const MoveStepped &) = default;
 };
 
-/// @brief Figures that decided a move, for its report.
+/// @brief Reason and request counts on which the end of a move was decided.
 struct MoveDecision {
-  /// Route on which the difference showed; empty for the whole service.
+  /// Route on which the versions differed; empty for the whole service.
   core::RouteName Route;
-  /// Sentence for a planner, for example "9 of 41 answers failed, 0 of 780
+  /// Reason for the operator, for example "9 of 41 answers failed, 0 of 780
   /// on the old version".
   std::string Reason;
   std::uint64_t NewAnswers = 0;
@@ -67,7 +68,7 @@
   friend auto operator<=>(const MoveDecision &, const MoveDecision &) = default;
 };
 
-/// @brief The coordinator rolled a move back to the old version.
+/// @brief The coordinator returned all traffic to the old version.
 struct MoveRolledBack {
   core::Epoch LeaseEpoch;
   MoveId Move;
@@ -78,7 +79,7 @@
                           const MoveRolledBack &) = default;
 };
 
-/// @brief The new version takes all traffic of the service.
+/// @brief The coordinator gave all traffic of the service to the new version.
 struct MoveCompleted {
   core::Epoch LeaseEpoch;
   MoveId Move;
@@ -89,22 +90,22 @@
                           const MoveCompleted &) = default;
 };
 
-/// @brief Which data centres hold a configuration version.
+/// @brief The coordinator reported where a configuration version is in force.
 struct InForceReported {
   core::Epoch LeaseEpoch;
   core::ConfigVersion Version;
   core::WallTime At;
-  /// Data centres that cannot be reached, each with the time since when.
+  /// Unreachable data centres, each with the time since which it is so.
   std::vector<std::pair<core::DataCentreId, core::WallTime>> Missing;
 
   friend auto operator<=>(const InForceReported &,
                           const InForceReported &) = default;
 };
 
-/// @brief Whole fleet state, so that older records may expire.
+/// @brief Snapshot of the fleet state; earlier records may then expire.
 struct SnapshotTaken {
   core::Epoch LeaseEpoch;
-  /// The snapshot holds the effect of all records up to this offset.
+  /// Last offset whose record the snapshot includes.
   core::LogOffset UpTo;
   core::Digest StateDigest;
   /// Encoded fleet state (wire/RecordCodec.h).
@@ -121,7 +122,8 @@
 /// @brief One record of the `config` stream.
 struct LogRecord {
   core::WriterId Writer;
-  /// Rises with each record of a writer; readers drop a repeated pair.
+  /// Increases with each record of a writer, so that readers can drop
+  /// duplicates.
   std::uint64_t Sequence = 0;
   RecordBody Body;
 
--- a/include/filbertvane/config/Publication.h
+++ b/include/filbertvane/config/Publication.h
@@ -8,24 +8,24 @@
 
 namespace filbertvane::config {
 
-/// @brief The `config` stream as a publisher needs it.
+/// @brief Log client that a publisher uses.
 template <typename L>
 concept ConfigLog = requires(L &Log, const std::string &Bytes,
                              core::LogOffset From, core::Milliseconds Wait) {
   { Log.append(Bytes) } -> std::same_as<core::Result<core::LogOffset>>;
   { Log.read(From, Wait) } -> std::same_as<core::Result<io::LogRead>>;
-  /// Waits before the next attempt after a failure.
+  // Waits before the next attempt after a failure.
   Log.pause();
 };
 
-/// Failed attempts, of appends and of reads, before a publisher gives up.
+/// Failed appends and reads, together, after which a publisher gives up.
 inline constexpr int MaxFailures = 10;
-/// Wait of a read that looks for an append whose acknowledgement was lost.
+/// Long-poll time of a read that looks for the appended record.
 inline constexpr core::Milliseconds ReadBackWait{1000};
 
-/// @brief Reads all records that the log holds and folds them.
-/// @return the state, `LogUnavailable`, or `LogTrimmed` when no usable
-///         snapshot is there
+/// @brief Reads the whole log and computes the current state.
+/// @return the state, `LogUnavailable` after repeated failures, or `LogTrimmed`
+///         when records have expired and no snapshot replaces them
 template <ConfigLog L> core::Result<FleetState> loadState(L &Log) {
   std::vector<StoredRecord> Records;
   core::LogOffset Next(0);
@@ -51,24 +51,27 @@
   }
 }
 
-/// @brief Appends one record and follows the log until it is decided.
+/// @brief Appends one record and reads the log back to learn its outcome.
 ///
-/// The state is carried along, so that the outcome is the one that every
-/// reader finds.
+/// Applies the records that it reads to the caller's state, and so obtains the
+/// same outcome as every other reader.
 template <ConfigLog L> class Publication {
 public:
   Publication(L &Log, FleetState &State, const LogRecord &Record)
       : Log(Log), State(State), Bytes(wire::encode(Record)) {}
 
-  /// @return outcome of the record. `LogUnavailable` when it is not known:
-  ///         the record may still be decided later.
+  /// @return outcome of the record; `LogRejected` when the log refuses it;
+  ///         `LogTrimmed` when the log expired records before they were read;
+  ///         `LogUnavailable` when the outcome is unknown and the record may
+  ///         still take effect
   core::Result<RecordOutcome> run() {
     while (Failures < MaxFailures) {
       const core::Result<core::LogOffset> Offset = Log.append(Bytes);
       if (!core::ok(Offset) &&
           core::failure(Offset).Code == core::ErrorCode::LogRejected)
         return core::failure(Offset);
-      // A lost acknowledgement: what counts is whether the record is there.
+      // The append may have succeeded although its acknowledgement was lost, so
+      // only the log tells whether the record exists.
       if (auto Ended = readBack(core::ok(Offset)))
         return std::move(*Ended);
       ++Failures;
@@ -78,11 +81,12 @@
   }
 
 private:
-  using Ending = std::optional<core::Result<RecordOutcome>>;
+  using ReadBackResult = std::optional<core::Result<RecordOutcome>>;
 
   /// Reads to the end of the log.
-  /// @return the outcome, an error, or none when the record is not there
-  Ending readBack(bool IsAppended) {
+  /// @return the outcome, an error, or none when the log does not hold the
+  ///         record
+  ReadBackResult readBack(bool IsAppended) {
     while (Failures < MaxFailures) {
       const core::Result<io::LogRead> Read =
           Log.read(State.NextOffset, ReadBackWait);
--- a/include/filbertvane/config/Replay.h
+++ b/include/filbertvane/config/Replay.h
@@ -8,7 +8,7 @@
 
 namespace filbertvane::config {
 
-/// @brief A record as the platform log holds it.
+/// @brief An encoded record with its offset in the platform log.
 struct StoredRecord {
   core::LogOffset Offset;
   std::string Bytes;
@@ -18,15 +18,15 @@
 
 /// @brief Decodes and applies one record.
 ///
-/// Bytes that cannot be decoded are refused and passed over, by every reader
-/// alike, so that one malformed record does not stop the fleet.
+/// Every reader refuses and skips bytes that cannot be decoded, so that one
+/// malformed record does not stop the fleet.
 ApplyResult applyEncoded(FleetState State, core::LogOffset Offset,
                          std::string_view Bytes);
 
-/// @brief State after a run of records that reaches to the end of the log.
+/// @brief Computes the state at the end of the log.
 /// @param Records all records that the log still holds, in order
-/// @return the fold from the newest intact snapshot whose following records
-///         are all there, or from the start of the log; `LogTrimmed` when
+/// @return the state, replayed from the newest intact snapshot whose following
+///         records are complete, or else from offset 0; `LogTrimmed` when
 ///         neither is possible
 core::Result<FleetState> replay(const std::vector<StoredRecord> &Records);
 
--- a/include/filbertvane/config/Report.h
+++ b/include/filbertvane/config/Report.h
@@ -6,15 +6,15 @@
 
 namespace filbertvane::config {
 
-/// @brief Report for planners: each move as accepted, in progress, done or
-///        reversed, refused sheets, and where the configuration is in force.
-/// @param Now for the time left until a completion deadline
+/// @brief Text report for operators: moves with their stage, refused sheets,
+///        and the data centres in which the configuration is in force.
+/// @param Now time from which remaining times are counted
 std::string reportText(const FleetState &State, core::WallTime Now);
 
 /// @brief The same report as a JSON object (docs/command-line.md).
 std::string reportJson(const FleetState &State, core::WallTime Now);
 
-/// @brief Sentence on one move.
+/// @brief One sentence on the progress or outcome of a move.
 std::string describeMove(const MoveStatus &Move, core::WallTime Now);
 
 /// @brief Name of a move's stage in reports: `accepted`, `in_progress`,
--- a/include/filbertvane/config/Routing.h
+++ b/include/filbertvane/config/Routing.h
@@ -11,7 +11,7 @@
 
 namespace filbertvane::config {
 
-/// @brief A service of a traffic split and its part of the requests.
+/// @brief A service with its weight in a traffic split.
 struct WeightedService {
   core::ServiceName Service;
   std::uint32_t Weight = 1;
@@ -26,25 +26,25 @@
   std::string VirtualHost;
   /// Begins and ends with a slash.
   std::string Prefix;
-  /// One service, or the parts of a traffic split.
+  /// One service, or all services of a traffic split.
   std::vector<WeightedService> Services;
   /// A request of a non-idempotent route runs at most once.
   bool Idempotent = false;
-  /// Answers are large.
+  /// Large answers are expected.
   bool Bulk = false;
-  /// Longest time for which a caller is kept waiting.
+  /// Time after which a request fails if it has no answer.
   core::Milliseconds Timeout{0};
-  /// Time within which an answer has its full value.
+  /// Target latency; a later answer is of less value to the caller.
   core::Milliseconds LatencyObjective{0};
-  /// Rank of the route's requests; 0 is the most urgent.
+  /// Priority of the route's requests; 0 is the most urgent.
   std::uint32_t Rank = 0;
-  /// Most targets that one request may reach.
+  /// Maximum number of targets to which one request may be sent.
   std::uint32_t MaxTargets = 1;
 
   friend auto operator<=>(const HostRoute &, const HostRoute &) = default;
 };
 
-/// @brief What callers may send, and how long they may take.
+/// @brief Size and time limits for requests of callers.
 struct CallerLimits {
   std::uint64_t MaxHeaderBytes = 0;
   std::uint64_t MaxBodyBytes = 0;
@@ -64,32 +64,32 @@
   friend auto operator<=>(const Routing &, const Routing &) = default;
 };
 
-/// @brief Checks a configuration as a whole.
-/// @return success, or `RoutingInvalid` with the first fault found
+/// @brief Validates a configuration as a whole.
+/// @return success, or `RoutingInvalid` with the first error found
 core::Status validateRouting(const Routing &Candidate);
 
-/// @brief Finds the route of a request in one configuration.
+/// @brief Matches requests to the routes of one configuration.
 class RoutingTable {
 public:
-  explicit RoutingTable(Routing From);
+  explicit RoutingTable(Routing Source);
 
-  /// @brief Route with the longest prefix of the path on a virtual host, or
-  ///        null.
+  /// @brief Route of the virtual host whose prefix is the longest match for
+  ///        the path, or null.
   /// @param Host value of the `Host` header; a port is ignored
-  /// @param Path path, with or without a query
+  /// @param Path request path; a query is ignored
   /// Complexity: linear in the routes of the virtual host.
   std::shared_ptr<const HostRoute> match(std::string_view Host,
                                          std::string_view Path) const;
   /// @brief Whether the configuration names a service.
   bool hasService(const core::ServiceName &Service) const;
-  const Routing &routing() const { return From; }
+  const Routing &routing() const { return Config; }
 
 private:
-  Routing From;
+  Routing Config;
   /// Routes of each virtual host, longest prefix first.
   std::map<std::string, std::vector<std::shared_ptr<const HostRoute>>,
            std::less<>>
-      ByHost;
+      RoutesByHost;
 };
 
 } // namespace filbertvane::config
--- a/include/filbertvane/config/Settings.h
+++ b/include/filbertvane/config/Settings.h
@@ -11,7 +11,7 @@
 
 namespace filbertvane::config {
 
-/// @brief Place of a node.
+/// @brief Id and location of a node.
 struct NodeIdentity {
   core::NodeId Id;
   core::DataCentreId DataCentre;
@@ -20,7 +20,7 @@
   friend auto operator<=>(const NodeIdentity &, const NodeIdentity &) = default;
 };
 
-/// @brief Addresses of a node, each `ip:port`.
+/// @brief Addresses on which a node listens, each `ip:port`.
 struct ListenAddresses {
   std::string Callers;
   std::string Peers;
@@ -31,7 +31,7 @@
                           const ListenAddresses &) = default;
 };
 
-/// @brief Addresses that other nodes use, each `ip:port`.
+/// @brief Addresses at which other nodes reach this node, each `ip:port`.
 struct AdvertisedAddresses {
   std::string Peers;
   std::string Control;
@@ -42,7 +42,8 @@
                           const AdvertisedAddresses &) = default;
 };
 
-/// @brief A node that may be asked for the members of its data centre.
+/// @brief A known node from which a starting node learns the members of a
+///        data centre.
 struct Seed {
   core::DataCentreId DataCentre;
   core::RegionId Region;
@@ -52,46 +53,47 @@
   friend auto operator<=>(const Seed &, const Seed &) = default;
 };
 
-/// Time that requests in progress have to end before a planned stop.
+/// Time for which a graceful shutdown waits for requests in progress.
 inline constexpr core::Milliseconds DefaultDrainDeadline{30000};
 
-/// @brief Settings of a node or of the command line (docs/settings.md).
+/// @brief Settings of a node or of the command-line tool (docs/settings.md).
 struct Settings {
   NodeIdentity Node;
   ListenAddresses Listen;
-  /// Equal to the listening addresses when the file does not state others.
+  /// Default to the listening addresses.
   AdvertisedAddresses Advertise;
   /// `http://ip:port` of the platform log.
   std::string LogUrl;
-  /// Time for which the log keeps a record.
+  /// Time for which the platform log keeps a record.
   core::Seconds LogRetention{};
   std::vector<Seed> Seeds;
   std::string SharedKey;
-  /// OTLP endpoint for trace spans; none sends no spans.
+  /// OTLP endpoint for trace spans; without it none are exported.
   std::optional<std::string> TracesUrl;
   core::Milliseconds DrainDeadline = DefaultDrainDeadline;
 
   friend auto operator<=>(const Settings &, const Settings &) = default;
 };
 
-/// @brief Who reads the settings. The command line needs only `log` and, for
-///        `status`, `listen.admin`; other keys are checked when present.
+/// @brief Program that reads the settings. The command-line tool needs only
+///        `log` and, for `status`, `listen.admin`; other keys are validated
+///        when present.
 enum class SettingsConsumer { Node, CommandLine };
 
-/// @brief Reads settings and checks them as a whole.
+/// @brief Parses and validates settings.
 /// @param Text content of the file
-/// @param File name for the faults
-/// @return the settings, or all faults
+/// @param File file name for error details
+/// @return the settings, or all errors
 ValidationResult<Settings> parseSettings(const std::string &Text,
                                          const std::string &File,
-                                         SettingsConsumer Reader);
+                                         SettingsConsumer Consumer);
 
-/// @brief Reads a settings file.
+/// @brief Reads, parses and validates a settings file.
 /// @return as `parseSettings`, or `SettingsUnreadable`
 ValidationResult<Settings> loadSettings(const std::string &File,
-                                        SettingsConsumer Reader);
+                                        SettingsConsumer Consumer);
 
-/// @brief Region of each data centre that the settings name.
+/// @brief Region of each data centre named in the settings.
 std::map<core::DataCentreId, core::RegionId>
 regionsOf(const Settings &Configured);
 
--- a/include/filbertvane/config/Sheet.h
+++ b/include/filbertvane/config/Sheet.h
@@ -10,7 +10,7 @@
 
 namespace filbertvane::config {
 
-/// @brief Order to move a service's traffic to another target version.
+/// @brief Instruction to move a service's traffic to another target version.
 struct MoveOrder {
   core::TargetVersion To;
   /// Time by which all traffic must have moved.
@@ -19,27 +19,27 @@
   friend auto operator<=>(const MoveOrder &, const MoveOrder &) = default;
 };
 
-/// @brief A service of the sheet.
+/// @brief Configuration of a service.
 struct ServiceSpec {
   core::ServiceName Name;
-  /// Version that takes all traffic when no move is in progress.
+  /// Version that receives all traffic when no move is in progress.
   core::TargetVersion Version;
   std::optional<MoveOrder> Move;
 
   friend auto operator<=>(const ServiceSpec &, const ServiceSpec &) = default;
 };
 
-/// @brief How the requests of a route are treated under load.
+/// @brief How requests of a route are handled under load.
 enum class TrafficKind {
-  /// Worthless when late: refused rather than queued for long.
+  /// Of no use when late: refused instead of waiting in a long queue.
   Interactive,
-  /// Large bodies: limited by bytes in flight.
+  /// Large bodies: limited by the number of bytes in flight.
   Bulk,
   /// May wait until its deadline.
   Patient,
 };
 
-/// @brief A route: a path prefix that leads to a service.
+/// @brief Route from a path prefix to a service.
 struct RouteSpec {
   core::RouteName Name;
   std::string Prefix;
@@ -47,15 +47,16 @@
   /// A request of a non-idempotent route runs at most once.
   bool Idempotent = true;
   TrafficKind Kind = TrafficKind::Interactive;
-  /// Deadline of a request that brings none, counted from its arrival.
+  /// Default deadline of a request, counted from its arrival.
   core::Milliseconds Timeout{2000};
 
   friend auto operator<=>(const RouteSpec &, const RouteSpec &) = default;
 };
 
-/// @brief What planners publish; a value without any state of the fleet.
+/// @brief Configuration sheet that an operator publishes: all services and
+///        routes.
 struct Sheet {
-  /// Sheet version on which this sheet was built; 0 for the first one.
+  /// Version of the sheet that this one was derived from; 0 for the first.
   core::ConfigVersion Base;
   /// Sorted by name.
   std::vector<ServiceSpec> Services;
--- a/include/filbertvane/config/SheetDelta.h
+++ b/include/filbertvane/config/SheetDelta.h
@@ -5,10 +5,10 @@
 
 namespace filbertvane::config {
 
-/// @brief Difference between two sheets: what a sheet record carries.
+/// @brief Difference between two sheets.
 ///
-/// The log and all links carry deltas, because sending the whole sheet to each
-/// node would cost more than 20 times the bytes.
+/// Sheet records carry deltas, because sending the whole sheet to each node
+/// would take more than 20 times as many bytes.
 struct SheetDelta {
   std::vector<ServiceSpec> ChangedServices;
   std::vector<core::ServiceName> RemovedServices;
--- a/include/filbertvane/config/SheetParser.h
+++ b/include/filbertvane/config/SheetParser.h
@@ -7,14 +7,15 @@
 
 namespace filbertvane::config {
 
-/// @brief Reads a sheet (docs/sheet.md) and checks all that it shows by itself.
+/// @brief Parses a sheet (docs/sheet.md) and validates it on its own, without
+///        the fleet state.
 /// @param Text content of the file
-/// @param File name for the faults
-/// @return the sheet sorted by name, or all faults
+/// @param File file name for error details
+/// @return the sheet sorted by name, or all errors
 ValidationResult<Sheet> parseSheet(const std::string &Text,
                                    const std::string &File);
 
-/// @brief Reads a sheet and checks it against the state that it would change.
+/// @brief Parses a sheet and validates it also against the current state.
 /// @param Now time of publication
 ValidationResult<Sheet> parseSheet(const std::string &Text,
                                    const std::string &File,
--- a/include/filbertvane/config/SheetValidation.h
+++ b/include/filbertvane/config/SheetValidation.h
@@ -10,8 +10,9 @@
 
 /// @name Limits of a sheet
 ///
-/// They keep the encoded fleet state, which repeats parts of the sheet, below
-/// the size of one log record, so that a snapshot can always be appended.
+/// The encoded fleet state repeats parts of the sheet. These limits keep it
+/// below the maximum size of a log record, so that a snapshot can always be
+/// appended.
 /// @{
 inline constexpr std::size_t MaxNameBytes = 64;
 inline constexpr std::size_t MaxPrefixBytes = 256;
@@ -20,14 +21,14 @@
 inline constexpr core::Milliseconds MaxTimeout{3600000};
 /// @}
 
-/// @brief Part of a sheet that a fault concerns.
+/// @brief Part of a sheet that an error refers to.
 enum class SheetPart { Whole, Service, Route };
 
-/// @brief One fault of a sheet.
+/// @brief Validation error of a sheet.
 struct SheetError {
   core::ErrorCode Code;
   SheetPart Part = SheetPart::Whole;
-  /// Position in `Services` or `Routes`.
+  /// Index in `Services` or `Routes`.
   std::size_t Index = 0;
   /// Key of the sheet file, for example `move.to`.
   std::string Key;
@@ -36,24 +37,24 @@
   friend auto operator<=>(const SheetError &, const SheetError &) = default;
 };
 
-/// @brief Faults that the sheet shows by itself: names, prefixes, time-outs,
-///        routes to unknown services, moves to the same version, size.
-/// @param Content sheet in any order
+/// @brief Validates a sheet on its own: names, prefixes, time-outs, routes to
+///        unknown services, size.
+/// @param Content sheet, sorted in any order
 /// Complexity: n log n in services and routes.
 std::vector<SheetError> validateSheet(const Sheet &Content);
 
-/// @brief Faults of a sheet against the state that it would change.
+/// @brief Validates a sheet against the state that it would change.
 ///
-/// Only a service whose spec differs from the current sheet is examined. The
-/// order of an unchanged spec was accepted earlier; its deadline may have
-/// passed and its target may be the stable version by now.
+/// Skips services whose spec is unchanged: the deadline of a move that was
+/// accepted earlier may have passed, and its target version may be the stable
+/// one by now.
 /// @param Now time of publication
 std::vector<SheetError> validateAgainst(const FleetState &State,
                                         const Sheet &Content,
                                         core::WallTime Now);
 
-/// @brief Error of a fault that names the service or route.
-core::Error toError(const SheetError &Fault, const Sheet &Content);
+/// @brief Converts to an error whose detail names the service or route.
+core::Error toError(const SheetError &Error, const Sheet &Content);
 
 } // namespace filbertvane::config
 
--- a/include/filbertvane/config/TextFile.h
+++ b/include/filbertvane/config/TextFile.h
@@ -6,11 +6,12 @@
 
 namespace filbertvane::config {
 
-/// Largest settings or sheet file that is read.
+/// Maximum size of a settings or sheet file.
 inline constexpr std::size_t MaxFileBytes = std::size_t{1024} * 1024;
 
 /// @brief Reads a whole file.
-/// @param OnFailure code of the error when it is absent or too large
+/// @param OnFailure code of the error when the file cannot be read or is larger
+///        than `MaxFileBytes`
 core::Result<std::string> readTextFile(const std::string &File,
                                        core::ErrorCode OnFailure);
 
--- a/include/filbertvane/config/ValidationResult.h
+++ b/include/filbertvane/config/ValidationResult.h
@@ -7,11 +7,11 @@
 
 namespace filbertvane::config {
 
-/// All faults of a file, in the order of its lines. The detail of each reads
-/// `file:line: field: what is wrong`.
+/// Errors found in a file, ordered by line. Each detail has the form
+/// `file:line: field: message`.
 using ErrorList = std::vector<core::Error>;
 
-/// @brief Value read from a file, or all faults of the file.
+/// @brief Value parsed from a file, or every error found in the file.
 template <typename T> using ValidationResult = std::variant<T, ErrorList>;
 
 } // namespace filbertvane::config
--- a/include/filbertvane/core/Error.h
+++ b/include/filbertvane/core/Error.h
@@ -7,17 +7,17 @@
 
 namespace filbertvane::core {
 
-/// @brief Numbered error; docs/errors.md is the catalogue.
+/// @brief Error numbers, which docs/errors.md lists.
 enum class ErrorCode {
 #define ERROR(Name, Number, Text) Name = Number,
 #include "filbertvane/core/errors/All.inc"
 #undef ERROR
 };
 
-/// @brief Catalogue text of an error code.
+/// @brief Description of an error code, from the catalogue.
 std::string_view describe(ErrorCode Code);
 
-/// @brief An outcome that is not a success: a number and what it concerns.
+/// @brief Error code and the detail of one occurrence.
 struct Error {
   ErrorCode Code;
   std::string Detail;
@@ -25,7 +25,7 @@
   friend auto operator<=>(const Error &, const Error &) = default;
 };
 
-/// @brief One line for people: `[FV201] text: detail`.
+/// @brief Formats an error as one line: `[FV201] description: detail`.
 std::string toString(const Error &Failure);
 
 } // namespace filbertvane::core
--- a/include/filbertvane/core/Ids.h
+++ b/include/filbertvane/core/Ids.h
@@ -6,12 +6,12 @@
 
 namespace filbertvane::core {
 
-/// @name Places and processes
+/// @name Locations and processes
 /// @{
 using NodeId = StrongId<struct NodeIdTag, std::string>;
 using DataCentreId = StrongId<struct DataCentreIdTag, std::string>;
 using RegionId = StrongId<struct RegionIdTag, std::string>;
-/// Start number of a node process; a replaced host has a higher one.
+/// Number that increases with each start of a node, also on a replaced host.
 using Incarnation = StrongId<struct IncarnationTag, std::uint64_t>;
 /// @}
 
@@ -19,16 +19,16 @@
 /// @{
 using ServiceName = StrongId<struct ServiceNameTag, std::string>;
 using RouteName = StrongId<struct RouteNameTag, std::string>;
-/// Label of a target's software version, for example "1.4.0".
+/// Software version of a target, for example "1.4.0".
 using TargetVersion = StrongId<struct TargetVersionTag, std::string>;
-/// Count of accepted changes of configuration; only rises.
+/// Number of accepted configuration changes; never decreases.
 using ConfigVersion = StrongId<struct ConfigVersionTag, std::uint64_t>;
 /// @}
 
 /// @name Log
 /// @{
 using LogOffset = StrongId<struct LogOffsetTag, std::uint64_t>;
-/// Number of a coordinator lease; only rises.
+/// Number of a coordinator lease; increases with each claim.
 using Epoch = StrongId<struct EpochTag, std::uint64_t>;
 using WriterId = StrongId<struct WriterIdTag, std::string>;
 /// @}
@@ -38,7 +38,7 @@
 using CallId = StrongId<struct CallIdTag, std::uint64_t>;
 using AttemptId = StrongId<struct AttemptIdTag, std::uint64_t>;
 using IdempotencyKey = StrongId<struct IdempotencyKeyTag, std::string>;
-/// Id of one announced target process: node, port and start of announcement.
+/// Id of an announced target process: node, port and start of announcement.
 using TargetId = StrongId<struct TargetIdTag, std::string>;
 /// @}
 
--- a/include/filbertvane/core/Invariant.h
+++ b/include/filbertvane/core/Invariant.h
@@ -3,10 +3,9 @@
 
 namespace filbertvane::core {
 
-/// @brief Stops the process when a condition that the code guarantees is false.
-/// @param Holds the condition
-/// @param What the invariant, for the last log line
-void invariant(bool Holds, const char *What);
+/// @brief Logs an error and aborts the process if an invariant does not hold.
+/// @param Description the invariant, for the log line
+void invariant(bool Condition, const char *Description);
 
 } // namespace filbertvane::core
 
--- a/include/filbertvane/core/Random.h
+++ b/include/filbertvane/core/Random.h
@@ -6,8 +6,8 @@
 
 namespace filbertvane::core {
 
-/// @brief Seeded generator that is part of a state, so that a reducer is a
-///        pure function (SplitMix64).
+/// @brief Pseudo-random generator (SplitMix64) that can be stored in a state,
+///        so that a reducer stays a pure function.
 class Random {
 public:
   explicit Random(std::uint64_t Seed = 0) : State(Seed) {}
--- a/include/filbertvane/core/Result.h
+++ b/include/filbertvane/core/Result.h
@@ -7,7 +7,7 @@
 
 namespace filbertvane::core {
 
-/// @brief A value, or the error that stands in its place.
+/// @brief A value, or an error.
 ///
 /// @code
 /// Result<Sheet> Parsed = parseSheet(Text);
@@ -17,7 +17,7 @@
 /// @endcode
 template <typename T> using Result = std::variant<T, Error>;
 
-/// Result of an operation that yields nothing but success.
+/// Result of an operation that returns no value.
 using Status = Result<std::monostate>;
 
 /// @brief Whether a result holds a value.
--- a/include/filbertvane/core/StrongId.h
+++ b/include/filbertvane/core/StrongId.h
@@ -9,9 +9,10 @@
 
 namespace filbertvane::core {
 
-/// @brief Value of a distinct type, so that ids of two kinds cannot be mixed.
-/// @tparam Tag empty type that names the kind
-/// @tparam Rep representation, a string or an integer
+/// @brief Id of a distinct type, so that different kinds of ids cannot be
+///        mixed up.
+/// @tparam Tag type that identifies the kind of id
+/// @tparam Rep underlying type, a string or an integer
 template <typename Tag, typename Rep> class StrongId {
 public:
   StrongId() = default;
--- a/include/filbertvane/core/Time.h
+++ b/include/filbertvane/core/Time.h
@@ -5,10 +5,10 @@
 
 namespace filbertvane::core {
 
-/// @brief Clock of decisions: monotonic, local to one process.
+/// @brief Monotonic clock, local to one process.
 ///
-/// It has no `now()`: the event loop, or a test's fake clock, supplies the
-/// time with each event.
+/// Has no `now()`: the event loop or a test's fake clock passes the time with
+/// each event.
 struct MonotonicClock {
   using rep = std::int64_t;
   using period = std::micro;
@@ -19,17 +19,17 @@
   static constexpr bool is_steady = true;
 };
 
-/// Instant on the local monotonic clock; never crosses a host.
+/// Time on the local monotonic clock; has no meaning on other hosts.
 using TimePoint = MonotonicClock::time_point;
 
-/// Instant of calendar time; crosses hosts and is subject to clock skew.
+/// Calendar time; may be sent to other hosts and is subject to clock skew.
 using WallTime = std::chrono::sys_time<std::chrono::milliseconds>;
 
 using Microseconds = std::chrono::microseconds;
 using Milliseconds = std::chrono::milliseconds;
 using Seconds = std::chrono::seconds;
 
-/// @brief Both clocks, read together at the arrival of an event.
+/// @brief Readings of both clocks, taken together when an event arrives.
 struct Instant {
   TimePoint Mono;
   WallTime Wall;
@@ -38,10 +38,9 @@
 };
 
 /// @brief Converts a calendar time into a local deadline.
-/// @param Wall instant from another host
-/// @param Now both local clocks
-/// @return the same instant on the local monotonic clock, wrong by the skew
-///         between the hosts
+/// @param Wall time from another host
+/// @return the same time on the local monotonic clock, with an error equal to
+///         the clock skew between the hosts
 inline TimePoint toMonotonic(WallTime Wall, Instant Now) {
   return Now.Mono + (Wall - Now.Wall);
 }
--- a/lib/config/Address.cpp
+++ b/lib/config/Address.cpp
@@ -22,7 +22,7 @@
   return inet_pton(Family, Text.c_str(), &Binary) == 1;
 }
 
-/// IP part of an address, without brackets; none when it is malformed.
+/// IP address without port and brackets; none for a malformed text.
 std::optional<std::string> hostOf(const std::string &Text) {
   const std::size_t Colon = Text.rfind(':');
   if (Colon == std::string::npos ||
@@ -39,26 +39,28 @@
 
 } // namespace
 
-bool isAddress(const std::string &Text) { return hostOf(Text).has_value(); }
+bool isSocketAddress(const std::string &Text) {
+  return hostOf(Text).has_value();
+}
 
-bool isReachable(const std::string &Text) {
+bool isConnectableAddress(const std::string &Text) {
   const auto Host = hostOf(Text);
   return Host && *Host != "0.0.0.0" && *Host != "::";
 }
 
-bool isLoopback(const std::string &Text) {
+bool isLoopbackAddress(const std::string &Text) {
   const auto Host = hostOf(Text);
   return Host && (Host->starts_with("127.") || *Host == "::1");
 }
 
-bool isHttpUrl(const std::string &Text, bool MayHavePath) {
+bool isHttpUrl(const std::string &Text, bool AllowPath) {
   if (!Text.starts_with(Scheme))
     return false;
   const std::string Rest = Text.substr(Scheme.size());
   const std::size_t Slash = Rest.find('/');
-  if (Slash != std::string::npos && !MayHavePath)
+  if (Slash != std::string::npos && !AllowPath)
     return false;
-  return isReachable(Rest.substr(0, Slash));
+  return isConnectableAddress(Rest.substr(0, Slash));
 }
 
 } // namespace filbertvane::config
--- a/lib/config/Address.h
+++ b/lib/config/Address.h
@@ -5,16 +5,16 @@
 
 namespace filbertvane::config {
 
-/// @name Forms of addresses; names of hosts are not resolved
+/// @name Address syntax; host names are not accepted
 /// @{
 /// @brief `ipv4:port` or `[ipv6]:port` with a port from 1 to 65535.
-bool isAddress(const std::string &Text);
-/// @brief An address that names one host, not `0.0.0.0` or `[::]`.
-bool isReachable(const std::string &Text);
-/// @brief An address of 127.0.0.0/8 or `::1`.
-bool isLoopback(const std::string &Text);
-/// @brief `http://` followed by an address, and a path when allowed.
-bool isHttpUrl(const std::string &Text, bool MayHavePath);
+bool isSocketAddress(const std::string &Text);
+/// @brief A socket address other than the wildcards `0.0.0.0` and `[::]`.
+bool isConnectableAddress(const std::string &Text);
+/// @brief A socket address in 127.0.0.0/8, or `::1`.
+bool isLoopbackAddress(const std::string &Text);
+/// @brief `http://` and a connectable address, followed by a path if allowed.
+bool isHttpUrl(const std::string &Text, bool AllowPath);
 /// @}
 
 } // namespace filbertvane::config
--- a/lib/config/FleetState.cpp
+++ b/lib/config/FleetState.cpp
@@ -11,7 +11,8 @@
 
 using core::ErrorCode;
 
-/// Data centres named in a report; the design's largest fleet has 19.
+/// Data centres kept of a report, which bounds the state. The largest fleet
+/// that the design covers has 19.
 constexpr std::size_t MaxMissing = 64;
 
 const core::LogOffset LastOffset(std::numeric_limits<std::uint64_t>::max());
@@ -74,11 +75,11 @@
 
 ApplyResult apply(FleetState State, core::LogOffset Offset,
                   const LogRecord &Record) {
-  // `Next` could not rise above the last offset that can be represented.
+  // The next offset after the largest one cannot be represented.
   if (Offset < State.NextOffset || Offset == LastOffset)
     return {std::move(State), Duplicate{}};
   State.NextOffset = core::LogOffset(Offset.value() + 1);
-  if (!noteSequence(State.LastSequence, Record.Writer, Record.Sequence))
+  if (!recordSequence(State.LastSequence, Record.Writer, Record.Sequence))
     return {std::move(State), Duplicate{}};
   const auto LeaseEpoch = epochOf(Record.Body);
   if (LeaseEpoch && *LeaseEpoch != State.CurrentEpoch) {
--- a/lib/config/MoveRecords.cpp
+++ b/lib/config/MoveRecords.cpp
@@ -33,22 +33,22 @@
     Moves.erase(std::find_if(Moves.begin(), Moves.end(), isFinal));
 }
 
-MoveDecision shortened(MoveDecision Decided) {
-  if (Decided.Reason.size() > MaxReasonBytes)
-    Decided.Reason.resize(MaxReasonBytes);
-  if (Decided.Route.value().size() > MaxNameBytes)
-    Decided.Route =
-        core::RouteName(Decided.Route.value().substr(0, MaxNameBytes));
-  return Decided;
+MoveDecision truncated(MoveDecision Decision) {
+  if (Decision.Reason.size() > MaxReasonBytes)
+    Decision.Reason.resize(MaxReasonBytes);
+  if (Decision.Route.value().size() > MaxNameBytes)
+    Decision.Route =
+        core::RouteName(Decision.Route.value().substr(0, MaxNameBytes));
+  return Decision;
 }
 
 void endMove(FleetState &State, MoveStatus &Move, MoveStage Stage,
-             core::WallTime At, std::optional<MoveDecision> Decided) {
+             core::WallTime At, std::optional<MoveDecision> Decision) {
   Move.Stage = Stage;
   Move.EndedAt = At;
-  Move.Decision = std::move(Decided);
+  Move.Decision = std::move(Decision);
   if (Move.Decision)
-    Move.Decision = shortened(std::move(*Move.Decision));
+    Move.Decision = truncated(std::move(*Move.Decision));
   dropOldestEnded(State.Moves);
 }
 
--- a/lib/config/MoveRecords.h
+++ b/lib/config/MoveRecords.h
@@ -5,12 +5,12 @@
 
 namespace filbertvane::config {
 
-/// Final moves kept for reports; the oldest is dropped first.
+/// Ended moves kept for reports; the oldest is dropped first.
 inline constexpr std::size_t MaxEndedMoves = 100;
-/// Bytes of a verdict's sentence that are kept.
+/// Bytes kept of the reason of a decision.
 inline constexpr std::size_t MaxReasonBytes = 160;
 
-/// @name Effect of the coordinator's records, whose epoch is the current one
+/// @name Application of coordinator records, whose epoch has been checked
 /// @{
 RecordOutcome applyStep(FleetState &State, const MoveStepped &Step);
 RecordOutcome applyRollback(FleetState &State, const MoveRolledBack &Rollback);
@@ -25,7 +25,7 @@
 /// @brief Raises the configuration version by one.
 Accepted nextVersion(FleetState &State);
 
-/// @brief `epoch 3, current epoch 4`.
+/// @brief Error detail such as `epoch 3, current epoch 4`.
 std::string epochDetail(core::Epoch Carried, core::Epoch Current);
 
 } // namespace filbertvane::config
--- a/lib/config/Replay.cpp
+++ b/lib/config/Replay.cpp
@@ -5,10 +5,10 @@
 
 namespace {
 
-/// State of a snapshot record, when it is one and the records after its
-/// position are present from `First` on.
-std::optional<FleetState> snapshotIn(const StoredRecord &Stored,
-                                     core::LogOffset First) {
+/// State of a snapshot record; none for another record, for a snapshot that
+/// cannot be decoded, and when records between it and `First` have expired.
+std::optional<FleetState> decodeUsableSnapshot(const StoredRecord &Stored,
+                                               core::LogOffset First) {
   const auto Record = wire::decodeRecord(Stored.Bytes);
   if (!core::ok(Record))
     return std::nullopt;
@@ -24,7 +24,7 @@
 std::optional<FleetState>
 newestSnapshot(const std::vector<StoredRecord> &Records) {
   for (auto Each = Records.rbegin(); Each != Records.rend(); ++Each)
-    if (auto State = snapshotIn(*Each, Records.front().Offset))
+    if (auto State = decodeUsableSnapshot(*Each, Records.front().Offset))
       return State;
   return std::nullopt;
 }
--- a/lib/config/ReportJson.cpp
+++ b/lib/config/ReportJson.cpp
@@ -8,10 +8,11 @@
 
 using nlohmann::json;
 
-json verdictJson(const MoveDecision &Why) {
-  return {{"route", Why.Route.value()},    {"reason", Why.Reason},
-          {"new_answers", Why.NewAnswers}, {"new_faults", Why.NewFaults},
-          {"old_answers", Why.OldAnswers}, {"old_faults", Why.OldFaults}};
+json decisionJson(const MoveDecision &Decision) {
+  return {
+      {"route", Decision.Route.value()},    {"reason", Decision.Reason},
+      {"new_answers", Decision.NewAnswers}, {"new_faults", Decision.NewFaults},
+      {"old_answers", Decision.OldAnswers}, {"old_faults", Decision.OldFaults}};
 }
 
 json moveJson(const MoveStatus &Move, core::WallTime Now) {
@@ -29,7 +30,7 @@
   if (Move.EndedAt)
     Out["ended_at"] = formatRfc3339(*Move.EndedAt);
   if (Move.Decision)
-    Out["decided"] = verdictJson(*Move.Decision);
+    Out["decided"] = decisionJson(*Move.Decision);
   return Out;
 }
 
@@ -77,7 +78,7 @@
     Out["refused_sheets"].push_back(refusedJson(Sheet));
   if (State.InForce)
     Out["in_force"] = inForceJson(*State.InForce);
-  // Names from the log may hold bytes that are not UTF-8.
+  // Names in log records may contain bytes that are not valid UTF-8.
   return Out.dump(2, ' ', false, json::error_handler_t::replace) + "\n";
 }
 
--- a/lib/config/ReportText.cpp
+++ b/lib/config/ReportText.cpp
@@ -27,19 +27,20 @@
 }
 
 std::string figuresText(const MoveStatus &Move) {
-  const MoveDecision &Why = *Move.Decision;
+  const MoveDecision &Decision = *Move.Decision;
   const std::string Route =
-      Why.Route.value().empty()
+      Decision.Route.value().empty()
           ? ""
-          : fmt::format(" on route {}", Why.Route.value());
+          : fmt::format(" on route {}", Decision.Route.value());
   return fmt::format("Answers{}: {} of {} failed on {}, {} of {} on {}.", Route,
-                     Why.NewFaults, Why.NewAnswers, Move.Order.To.value(),
-                     Why.OldFaults, Why.OldAnswers, Move.From.value());
+                     Decision.NewFaults, Decision.NewAnswers,
+                     Move.Order.To.value(), Decision.OldFaults,
+                     Decision.OldAnswers, Move.From.value());
 }
 
-std::string endText(const MoveStatus &Move, const char *What) {
+std::string endText(const MoveStatus &Move, const char *StageText) {
   const std::string At = Move.EndedAt ? formatRfc3339(*Move.EndedAt) : "?";
-  std::string Text = fmt::format("{} at {}", What, At);
+  std::string Text = fmt::format("{} at {}", StageText, At);
   if (!Move.Decision)
     return Text + ".";
   if (!Move.Decision->Reason.empty())
--- a/lib/config/Rfc3339.cpp
+++ b/lib/config/Rfc3339.cpp
@@ -19,15 +19,15 @@
   return true;
 }
 
-int numberAt(std::string_view Text, std::size_t From, std::size_t Length) {
+int parseDigits(std::string_view Text, std::size_t From, std::size_t Length) {
   int Value = 0;
   const char *Begin = Text.data() + From;
   std::from_chars(Begin, Begin + Length, Value);
   return Value;
 }
 
-/// Milliseconds of a fraction such as `.25`; none when it is malformed.
-std::optional<core::Milliseconds> fractionOf(std::string_view Text) {
+/// Milliseconds of a fraction such as `.25`; none for a malformed text.
+std::optional<core::Milliseconds> parseFraction(std::string_view Text) {
   if (Text.empty())
     return core::Milliseconds(0);
   if (Text.front() != '.' || Text.size() < 2)
@@ -43,11 +43,11 @@
   return core::Milliseconds(Millis);
 }
 
-std::optional<core::WallTime> dayOf(std::string_view Text) {
+std::optional<core::WallTime> parseDate(std::string_view Text) {
   const std::chrono::year_month_day Date{
-      std::chrono::year(numberAt(Text, 0, 4)),
-      std::chrono::month(static_cast<unsigned>(numberAt(Text, 5, 2))),
-      std::chrono::day(static_cast<unsigned>(numberAt(Text, 8, 2)))};
+      std::chrono::year(parseDigits(Text, 0, 4)),
+      std::chrono::month(static_cast<unsigned>(parseDigits(Text, 5, 2))),
+      std::chrono::day(static_cast<unsigned>(parseDigits(Text, 8, 2)))};
   if (!Date.ok() || Date.year() < std::chrono::year(1970))
     return std::nullopt;
   return std::chrono::sys_days(Date);
@@ -58,12 +58,12 @@
 std::optional<core::WallTime> parseRfc3339(std::string_view Text) {
   if (!hasLayout(Text))
     return std::nullopt;
-  const auto Day = dayOf(Text);
-  const auto Fraction =
-      fractionOf(Text.substr(Layout.size(), Text.size() - Layout.size() - 1));
-  const int Hour = numberAt(Text, 11, 2);
-  const int Minute = numberAt(Text, 14, 2);
-  const int Second = numberAt(Text, 17, 2);
+  const auto Day = parseDate(Text);
+  const auto Fraction = parseFraction(
+      Text.substr(Layout.size(), Text.size() - Layout.size() - 1));
+  const int Hour = parseDigits(Text, 11, 2);
+  const int Minute = parseDigits(Text, 14, 2);
+  const int Second = parseDigits(Text, 17, 2);
   if (!Day || !Fraction || Hour > 23 || Minute > 59 || Second > 59)
     return std::nullopt;
   return *Day + std::chrono::hours(Hour) + std::chrono::minutes(Minute) +
--- a/lib/config/Settings.cpp
+++ b/lib/config/Settings.cpp
@@ -9,27 +9,30 @@
 namespace {
 
 using core::ErrorCode;
-using Need = YamlReader::Need;
+using FieldPresence = YamlReader::FieldPresence;
 
-constexpr YamlReader::Codes SettingsCodes{ErrorCode::SettingsSyntax,
-                                          ErrorCode::SettingsFieldInvalid,
-                                          ErrorCode::SettingsUnknownKey};
-/// A shorter retention leaves no time for a snapshot before half of it.
+constexpr YamlReader::ErrorCodes SettingsCodes{ErrorCode::SettingsSyntax,
+                                               ErrorCode::SettingsFieldInvalid,
+                                               ErrorCode::SettingsUnknownKey};
+/// With a retention below 10 s, a snapshot could not be taken before half of
+/// the retention has passed.
 constexpr YamlReader::Range RetentionSeconds{10, 31536000};
 constexpr YamlReader::Range DrainMillis{1000, 3600000};
-/// A shorter key could be guessed by trying.
+/// A shorter key could be found by brute force.
 constexpr std::size_t MinSharedKeyBytes = 16;
-constexpr const char *ReachableRule =
+constexpr const char *ConnectableRule =
     "must be ip:port that other nodes can reach";
-/// Records carry names of at most 64 bytes, in which a node's id is followed by
-/// the number of its start.
+/// Log records limit names to 64 bytes, and append the incarnation number to
+/// the id of a node.
 constexpr std::size_t MaxIdBytes = 40;
 
-/// Reads the settings' sections; `Node` tells which fields a node needs.
-class SettingsSections {
+/// Reads the sections of a settings file. `NodeFields` is the presence of the
+/// fields that only a node needs.
+class SettingsParser {
 public:
-  SettingsSections(YamlReader &Reader, const YamlMap &Root, Need Node)
-      : Reader(Reader), Root(Root), Node(Node) {}
+  SettingsParser(YamlReader &Reader, const YamlMap &Root,
+                 FieldPresence NodeFields)
+      : Reader(Reader), Root(Root), NodeFields(NodeFields) {}
 
   Settings read() {
     readNode();
@@ -39,8 +42,8 @@
     readSeeds();
     readSharedKey();
     readTraces();
-    const auto Drain =
-        Reader.number(Root, "drain_deadline_ms", DrainMillis, Need::Optional);
+    const auto Drain = Reader.number(Root, "drain_deadline_ms", DrainMillis,
+                                     FieldPresence::Optional);
     if (Drain)
       Out.DrainDeadline = core::Milliseconds(*Drain);
     checkRegions();
@@ -48,11 +51,11 @@
   }
 
 private:
-  using Form = bool (*)(const std::string &);
+  using AddressPredicate = bool (*)(const std::string &);
 
   void readNode() {
     const auto Map =
-        Reader.map(Root, "node", {"id", "data_centre", "region"}, Node);
+        Reader.map(Root, "node", {"id", "data_centre", "region"}, NodeFields);
     if (!Map)
       return;
     Out.Node.Id = core::NodeId(name(*Map, "id"));
@@ -61,91 +64,95 @@
   }
 
   void readListen() {
-    const auto Map = Reader.map(Root, "listen",
-                                {"callers", "peers", "control", "admin"}, Node);
+    const auto Map = Reader.map(
+        Root, "listen", {"callers", "peers", "control", "admin"}, NodeFields);
     if (!Map)
       return;
-    Out.Listen.Callers =
-        address(*Map, "callers", Node, isAddress, "must be ip:port");
+    Out.Listen.Callers = address(*Map, "callers", NodeFields, isSocketAddress,
+                                 "must be ip:port");
     Out.Listen.Peers =
-        address(*Map, "peers", Node, isAddress, "must be ip:port");
-    Out.Listen.Control =
-        address(*Map, "control", Node, isAddress, "must be ip:port");
-    Out.Listen.Admin = address(*Map, "admin", Node, isLoopback,
+        address(*Map, "peers", NodeFields, isSocketAddress, "must be ip:port");
+    Out.Listen.Control = address(*Map, "control", NodeFields, isSocketAddress,
+                                 "must be ip:port");
+    Out.Listen.Admin = address(*Map, "admin", NodeFields, isLoopbackAddress,
                                "must be ip:port on the loopback interface");
   }
 
   void readAdvertise() {
     const auto Map =
         Reader.map(Root, "advertise", {"peers", "control", "other_regions"},
-                   Need::Optional);
+                   FieldPresence::Optional);
     const YamlMap Absent{YAML::Node(YAML::NodeType::Map), "advertise"};
     Out.Advertise.Peers =
         advertised(Map.value_or(Absent), "peers", Out.Listen.Peers);
     Out.Advertise.Control =
         advertised(Map.value_or(Absent), "control", Out.Listen.Control);
     const std::string Stated =
-        address(Map.value_or(Absent), "other_regions", Need::Optional,
-                isReachable, ReachableRule);
+        address(Map.value_or(Absent), "other_regions", FieldPresence::Optional,
+                isConnectableAddress, ConnectableRule);
     Out.Advertise.OtherRegions =
         Stated.empty() ? Out.Advertise.Control : Stated;
   }
 
-  /// Address for other nodes, by default the one that is listened on.
+  /// Advertised address; defaults to the listening address.
   std::string advertised(const YamlMap &Map, const std::string &Key,
                          const std::string &Listen) {
-    const std::string Stated =
-        address(Map, Key, Need::Optional, isReachable, ReachableRule);
-    if (Stated.empty() && isAddress(Listen) && !isReachable(Listen))
-      Reader.fieldFault(
+    const std::string Stated = address(Map, Key, FieldPresence::Optional,
+                                       isConnectableAddress, ConnectableRule);
+    if (Stated.empty() && isSocketAddress(Listen) &&
+        !isConnectableAddress(Listen))
+      Reader.addFieldError(
           "listen." + Key,
-          fmt::format("{}, or state advertise.{}", ReachableRule, Key));
+          fmt::format("{}, or state advertise.{}", ConnectableRule, Key));
     return Stated.empty() ? Listen : Stated;
   }
 
   void readLog() {
-    const auto Map =
-        Reader.map(Root, "log", {"url", "retention_s"}, Need::Required);
+    const auto Map = Reader.map(Root, "log", {"url", "retention_s"},
+                                FieldPresence::Required);
     if (!Map)
       return;
-    Out.LogUrl = Reader.text(*Map, "url", Need::Required).value_or("");
+    Out.LogUrl = Reader.text(*Map, "url", FieldPresence::Required).value_or("");
     if (!Out.LogUrl.empty() && !isHttpUrl(Out.LogUrl, false))
-      Reader.fieldFault("log.url", "must be http://ip:port");
-    const auto Retention =
-        Reader.number(*Map, "retention_s", RetentionSeconds, Need::Required);
+      Reader.addFieldError("log.url", "must be http://ip:port");
+    const auto Retention = Reader.number(*Map, "retention_s", RetentionSeconds,
+                                         FieldPresence::Required);
     Out.LogRetention = core::Seconds(Retention.value_or(0));
   }
 
   void readSeeds() {
-    const auto List =
-        Reader.list(Root, "seeds", {"data_centre", "region", "control"}, Node);
+    const auto List = Reader.list(
+        Root, "seeds", {"data_centre", "region", "control"}, NodeFields);
     for (const YamlMap &Map : List) {
       Seed Each;
       Each.DataCentre = core::DataCentreId(name(Map, "data_centre"));
       Each.Region = core::RegionId(name(Map, "region"));
-      Each.Control = address(Map, "control", Need::Required, isReachable,
-                             "must be ip:port of a node's control address");
+      Each.Control =
+          address(Map, "control", FieldPresence::Required, isConnectableAddress,
+                  "must be ip:port of a node's control address");
       Out.Seeds.push_back(std::move(Each));
     }
   }
 
   void readSharedKey() {
-    Out.SharedKey = Reader.text(Root, "shared_key", Node).value_or("");
+    Out.SharedKey = Reader.text(Root, "shared_key", NodeFields).value_or("");
     if (!Out.SharedKey.empty() && Out.SharedKey.size() < MinSharedKeyBytes)
-      Reader.fieldFault("shared_key", fmt::format("must have at least {} bytes",
-                                                  MinSharedKeyBytes));
+      Reader.addFieldError(
+          "shared_key",
+          fmt::format("must have at least {} bytes", MinSharedKeyBytes));
   }
 
   void readTraces() {
-    const auto Map = Reader.map(Root, "traces", {"url"}, Need::Optional);
+    const auto Map =
+        Reader.map(Root, "traces", {"url"}, FieldPresence::Optional);
     if (!Map)
       return;
-    Out.TracesUrl = Reader.text(*Map, "url", Need::Required);
+    Out.TracesUrl = Reader.text(*Map, "url", FieldPresence::Required);
     if (Out.TracesUrl && !isHttpUrl(*Out.TracesUrl, true))
-      Reader.fieldFault("traces.url", "must be http://ip:port/path");
+      Reader.addFieldError("traces.url", "must be http://ip:port/path");
   }
 
-  /// A data centre belongs to one region.
+  /// Checks that each data centre belongs to one region only.
   void checkRegions() {
     std::map<core::DataCentreId, core::RegionId> Known;
     if (!Out.Node.DataCentre.value().empty())
@@ -154,33 +161,35 @@
       const Seed &Each = Out.Seeds[I];
       const auto [Entry, IsNew] = Known.emplace(Each.DataCentre, Each.Region);
       const std::string Path = fmt::format("seeds[{}].region", I);
-      if (!IsNew && Entry->second != Each.Region && !Reader.isFaulty(Path))
-        Reader.fieldFault(Path, fmt::format("data centre {} is also in "
-                                            "region {}",
-                                            Each.DataCentre.value(),
-                                            Entry->second.value()));
+      if (!IsNew && Entry->second != Each.Region && !Reader.hasError(Path))
+        Reader.addFieldError(Path, fmt::format("data centre {} is also in "
+                                               "region {}",
+                                               Each.DataCentre.value(),
+                                               Entry->second.value()));
     }
   }
 
   std::string name(const YamlMap &Map, std::string_view Key) {
-    std::string Name = Reader.text(Map, Key, Need::Required).value_or("");
+    std::string Name =
+        Reader.text(Map, Key, FieldPresence::Required).value_or("");
     if (Name.size() > MaxIdBytes)
-      Reader.fieldFault(Map.pathOf(Key),
-                        fmt::format("longer than {} bytes", MaxIdBytes));
+      Reader.addFieldError(Map.pathOf(Key),
+                           fmt::format("longer than {} bytes", MaxIdBytes));
     return Name;
   }
 
-  std::string address(const YamlMap &Map, std::string_view Key, Need Presence,
-                      Form HasForm, const char *Rule) {
+  std::string address(const YamlMap &Map, std::string_view Key,
+                      FieldPresence Presence, AddressPredicate IsValid,
+                      const char *Rule) {
     const auto Text = Reader.text(Map, Key, Presence);
-    if (Text && !HasForm(*Text))
-      Reader.fieldFault(Map.pathOf(Key), Rule);
+    if (Text && !IsValid(*Text))
+      Reader.addFieldError(Map.pathOf(Key), Rule);
     return Text.value_or("");
   }
 
   YamlReader &Reader;
   const YamlMap &Root;
-  Need Node;
+  FieldPresence NodeFields;
   Settings Out;
 };
 
@@ -188,27 +197,28 @@
 
 ValidationResult<Settings> parseSettings(const std::string &Text,
                                          const std::string &File,
-                                         SettingsConsumer Reader) {
+                                         SettingsConsumer Consumer) {
   YamlReader Yaml(File, SettingsCodes);
   const auto Root =
       Yaml.document(Text, {"node", "listen", "advertise", "log", "seeds",
                            "shared_key", "traces", "drain_deadline_ms"});
   if (!Root)
-    return Yaml.faults();
-  const Need Node =
-      Reader == SettingsConsumer::Node ? Need::Required : Need::Optional;
-  Settings Configured = SettingsSections(Yaml, *Root, Node).read();
-  if (Yaml.hasFaults())
-    return Yaml.faults();
+    return Yaml.errors();
+  const FieldPresence NodeFields = Consumer == SettingsConsumer::Node
+                                       ? FieldPresence::Required
+                                       : FieldPresence::Optional;
+  Settings Configured = SettingsParser(Yaml, *Root, NodeFields).read();
+  if (Yaml.hasErrors())
+    return Yaml.errors();
   return Configured;
 }
 
 ValidationResult<Settings> loadSettings(const std::string &File,
-                                        SettingsConsumer Reader) {
+                                        SettingsConsumer Consumer) {
   const auto Text = readTextFile(File, ErrorCode::SettingsUnreadable);
   if (!core::ok(Text))
     return ErrorList{core::failure(Text)};
-  return parseSettings(core::value(Text), File, Reader);
+  return parseSettings(core::value(Text), File, Consumer);
 }
 
 std::map<core::DataCentreId, core::RegionId>
--- a/lib/config/SheetAcceptance.cpp
+++ b/lib/config/SheetAcceptance.cpp
@@ -10,7 +10,8 @@
 
 using core::ErrorCode;
 
-/// First name that a list pair holds twice; a delta must be unambiguous.
+/// First name that occurs twice in a delta. Such a delta is ambiguous, because
+/// its result depends on the order of application.
 template <typename Spec, typename Name>
 std::optional<Name> repeatedName(const std::vector<Spec> &Changed,
                                  const std::vector<Name> &Removed) {
@@ -24,7 +25,7 @@
   return std::nullopt;
 }
 
-std::optional<core::Error> faultOfDelta(const SheetDelta &Delta) {
+std::optional<core::Error> findDuplicateName(const SheetDelta &Delta) {
   if (const auto Name =
           repeatedName(Delta.ChangedServices, Delta.RemovedServices))
     return core::Error{ErrorCode::SheetDuplicateName,
@@ -35,22 +36,22 @@
   return std::nullopt;
 }
 
-std::optional<core::Error> firstFault(const FleetState &State,
-                                      const SheetPublished &Published,
-                                      const Sheet &Next) {
+std::optional<core::Error> findError(const FleetState &State,
+                                     const SheetPublished &Published,
+                                     const Sheet &Next) {
   if (Published.Base != State.SheetVersion)
     return core::Error{ErrorCode::SheetStaleBase,
                        fmt::format("base {}, version in force {}",
                                    Published.Base.value(),
                                    State.SheetVersion.value())};
-  if (auto Fault = faultOfDelta(Published.Delta))
-    return Fault;
-  const auto Own = validateSheet(Next);
-  if (!Own.empty())
-    return toError(Own.front(), Next);
-  const auto Against = validateAgainst(State, Next, Published.PublishedAt);
-  if (!Against.empty())
-    return toError(Against.front(), Next);
+  if (auto Error = findDuplicateName(Published.Delta))
+    return Error;
+  const auto SheetErrors = validateSheet(Next);
+  if (!SheetErrors.empty())
+    return toError(SheetErrors.front(), Next);
+  const auto StateErrors = validateAgainst(State, Next, Published.PublishedAt);
+  if (!StateErrors.empty())
+    return toError(StateErrors.front(), Next);
   return std::nullopt;
 }
 
@@ -99,11 +100,11 @@
                           const SheetPublished &Published) {
   Sheet Next = applyDelta(State.CurrentSheet, Published.Delta);
   Next.Base = Published.Base;
-  if (auto Reason = firstFault(State, Published, Next))
+  if (auto Reason = findError(State, Published, Next))
     return refuse(State, Offset, Published, std::move(*Reason));
   const Accepted Outcome = nextVersion(State);
   State.SheetVersion = State.Version;
-  // A delta may repeat an unchanged spec; only the effective difference counts.
+  // A delta may contain unchanged specs, whose moves must not be superseded.
   const SheetDelta Effective = computeDelta(State.CurrentSheet, Next);
   for (const core::ServiceName &Name : Effective.RemovedServices)
     removeService(State, Name, Published.PublishedAt);
--- a/lib/config/SheetDelta.cpp
+++ b/lib/config/SheetDelta.cpp
@@ -6,8 +6,9 @@
 namespace {
 
 template <typename Spec, typename Name>
-void compare(const std::vector<Spec> &From, const std::vector<Spec> &To,
-             std::vector<Spec> &Changed, std::vector<Name> &Removed) {
+void appendDifferences(const std::vector<Spec> &From,
+                       const std::vector<Spec> &To, std::vector<Spec> &Changed,
+                       std::vector<Name> &Removed) {
   auto Old = From.begin();
   for (const Spec &New : To) {
     for (; Old != From.end() && Old->Name < New.Name; ++Old)
@@ -22,7 +23,7 @@
     Removed.push_back(Old->Name);
 }
 
-// A delta read from the log need not be sorted, hence the map.
+// Uses a map, because a delta that was read from the log may be unsorted.
 template <typename Spec, typename Name>
 std::vector<Spec> merged(const std::vector<Spec> &From,
                          const std::vector<Spec> &Changed,
@@ -45,9 +46,10 @@
 
 SheetDelta computeDelta(const Sheet &From, const Sheet &To) {
   SheetDelta Delta;
-  compare(From.Services, To.Services, Delta.ChangedServices,
-          Delta.RemovedServices);
-  compare(From.Routes, To.Routes, Delta.ChangedRoutes, Delta.RemovedRoutes);
+  appendDifferences(From.Services, To.Services, Delta.ChangedServices,
+                    Delta.RemovedServices);
+  appendDifferences(From.Routes, To.Routes, Delta.ChangedRoutes,
+                    Delta.RemovedRoutes);
   return Delta;
 }
 
--- a/lib/config/SheetValidation.cpp
+++ b/lib/config/SheetValidation.cpp
@@ -12,14 +12,15 @@
 
 using core::ErrorCode;
 
-/// Collects the faults of one service or route.
-class Item {
+/// Checks one service or route and collects its errors.
+class SpecChecker {
 public:
-  Item(std::vector<SheetError> &Faults, SheetPart Part, std::size_t Index)
-      : Faults(Faults), Part(Part), Index(Index) {}
+  SpecChecker(std::vector<SheetError> &Errors, SheetPart Part,
+              std::size_t Index)
+      : Errors(Errors), Part(Part), Index(Index) {}
 
   void add(ErrorCode Code, const char *Key, std::string Text) {
-    Faults.push_back({Code, Part, Index, Key, std::move(Text)});
+    Errors.push_back({Code, Part, Index, Key, std::move(Text)});
   }
 
   void checkName(const char *Key, const std::string &Name) {
@@ -34,46 +35,46 @@
   }
 
 private:
-  // Names appear in log lines, metrics and headers without quotes.
+  // Names are written to log lines, metrics and headers without escaping.
   static bool isForbidden(char Character) {
     return Character <= ' ' || Character > '~' || Character == '"';
   }
 
-  std::vector<SheetError> &Faults;
+  std::vector<SheetError> &Errors;
   SheetPart Part;
   std::size_t Index;
 };
 
-void checkPrefix(Item &Out, const std::string &Prefix) {
+void checkPrefix(SpecChecker &Checker, const std::string &Prefix) {
   if (Prefix.empty() || Prefix.front() != '/')
-    Out.add(ErrorCode::SheetFieldInvalid, "prefix", "must begin with /");
+    Checker.add(ErrorCode::SheetFieldInvalid, "prefix", "must begin with /");
   else if (Prefix.size() > MaxPrefixBytes)
-    Out.add(ErrorCode::SheetFieldInvalid, "prefix",
-            fmt::format("longer than {} bytes", MaxPrefixBytes));
+    Checker.add(ErrorCode::SheetFieldInvalid, "prefix",
+                fmt::format("longer than {} bytes", MaxPrefixBytes));
 }
 
-void checkTimeout(Item &Out, core::Milliseconds Timeout) {
+void checkTimeout(SpecChecker &Checker, core::Milliseconds Timeout) {
   if (Timeout < MinTimeout || Timeout > MaxTimeout)
-    Out.add(ErrorCode::SheetFieldInvalid, "timeout_ms",
-            fmt::format("must be between {} and {}", MinTimeout.count(),
-                        MaxTimeout.count()));
+    Checker.add(ErrorCode::SheetFieldInvalid, "timeout_ms",
+                fmt::format("must be between {} and {}", MinTimeout.count(),
+                            MaxTimeout.count()));
 }
 
-void checkServices(const Sheet &Content, std::vector<SheetError> &Faults) {
+void checkServices(const Sheet &Content, std::vector<SheetError> &Errors) {
   std::set<core::ServiceName> Names;
   for (std::size_t I = 0; I < Content.Services.size(); ++I) {
     const ServiceSpec &Spec = Content.Services[I];
-    Item Out(Faults, SheetPart::Service, I);
-    Out.checkName("name", Spec.Name.value());
-    Out.checkName("version", Spec.Version.value());
+    SpecChecker Checker(Errors, SheetPart::Service, I);
+    Checker.checkName("name", Spec.Name.value());
+    Checker.checkName("version", Spec.Version.value());
     if (Spec.Move)
-      Out.checkName("move.to", Spec.Move->To.value());
+      Checker.checkName("move.to", Spec.Move->To.value());
     if (!Names.insert(Spec.Name).second)
-      Out.add(ErrorCode::SheetDuplicateName, "name", Spec.Name.value());
+      Checker.add(ErrorCode::SheetDuplicateName, "name", Spec.Name.value());
   }
 }
 
-void checkRoutes(const Sheet &Content, std::vector<SheetError> &Faults) {
+void checkRoutes(const Sheet &Content, std::vector<SheetError> &Errors) {
   std::set<core::ServiceName> Services;
   for (const ServiceSpec &Spec : Content.Services)
     Services.insert(Spec.Name);
@@ -81,32 +82,34 @@
   std::map<std::string, core::RouteName> Prefixes;
   for (std::size_t I = 0; I < Content.Routes.size(); ++I) {
     const RouteSpec &Spec = Content.Routes[I];
-    Item Out(Faults, SheetPart::Route, I);
-    Out.checkName("name", Spec.Name.value());
-    checkPrefix(Out, Spec.Prefix);
-    checkTimeout(Out, Spec.Timeout);
+    SpecChecker Checker(Errors, SheetPart::Route, I);
+    Checker.checkName("name", Spec.Name.value());
+    checkPrefix(Checker, Spec.Prefix);
+    checkTimeout(Checker, Spec.Timeout);
     if (!Names.insert(Spec.Name).second)
-      Out.add(ErrorCode::SheetDuplicateName, "name", Spec.Name.value());
+      Checker.add(ErrorCode::SheetDuplicateName, "name", Spec.Name.value());
     const auto [Other, IsNew] = Prefixes.emplace(Spec.Prefix, Spec.Name);
     if (!IsNew)
-      Out.add(ErrorCode::SheetFieldInvalid, "prefix",
-              fmt::format("{} is also the prefix of route {}", Spec.Prefix,
-                          Other->second.value()));
+      Checker.add(ErrorCode::SheetFieldInvalid, "prefix",
+                  fmt::format("{} is also the prefix of route {}", Spec.Prefix,
+                              Other->second.value()));
     if (!Services.contains(Spec.Service))
-      Out.add(ErrorCode::SheetUnknownService, "service", Spec.Service.value());
+      Checker.add(ErrorCode::SheetUnknownService, "service",
+                  Spec.Service.value());
   }
 }
 
-void checkMove(Item &Out, const ServiceSpec &Spec,
+void checkMove(SpecChecker &Checker, const ServiceSpec &Spec,
                const core::TargetVersion &Stable, core::WallTime Now) {
   if (Spec.Move->To == Stable)
-    Out.add(ErrorCode::SheetFieldInvalid, "move.to",
-            fmt::format("{} is already the stable version", Stable.value()));
+    Checker.add(
+        ErrorCode::SheetFieldInvalid, "move.to",
+        fmt::format("{} is already the stable version", Stable.value()));
   if (Spec.Move->Deadline <= Now)
-    Out.add(ErrorCode::SheetTimePassed, "move.by",
-            fmt::format("{} is not later than {}",
-                        formatRfc3339(Spec.Move->Deadline),
-                        formatRfc3339(Now)));
+    Checker.add(ErrorCode::SheetTimePassed, "move.by",
+                fmt::format("{} is not later than {}",
+                            formatRfc3339(Spec.Move->Deadline),
+                            formatRfc3339(Now)));
 }
 
 const ServiceSpec *findService(const Sheet &Content,
@@ -124,56 +127,56 @@
 } // namespace
 
 std::vector<SheetError> validateSheet(const Sheet &Content) {
-  std::vector<SheetError> Faults;
-  checkServices(Content, Faults);
-  checkRoutes(Content, Faults);
+  std::vector<SheetError> Errors;
+  checkServices(Content, Errors);
+  checkRoutes(Content, Errors);
   const std::size_t Size = wire::encode(Content).size();
   if (Size > MaxSheetBytes)
-    Faults.push_back(
+    Errors.push_back(
         {ErrorCode::SheetTooLarge, SheetPart::Whole, 0, "",
          fmt::format("{} bytes encoded, at most {}", Size, MaxSheetBytes)});
-  return Faults;
+  return Errors;
 }
 
 std::vector<SheetError> validateAgainst(const FleetState &State,
                                         const Sheet &Content,
                                         core::WallTime Now) {
-  std::vector<SheetError> Faults;
+  std::vector<SheetError> Errors;
   for (std::size_t I = 0; I < Content.Services.size(); ++I) {
     const ServiceSpec &Spec = Content.Services[I];
     const ServiceSpec *Old = findService(State.CurrentSheet, Spec.Name);
     if (Old && *Old == Spec)
       continue;
-    Item Out(Faults, SheetPart::Service, I);
+    SpecChecker Checker(Errors, SheetPart::Service, I);
     const auto Known = State.TrafficByService.find(Spec.Name);
     const core::TargetVersion &Stable = Known == State.TrafficByService.end()
                                             ? Spec.Version
                                             : Known->second.Stable;
     if (Spec.Move)
-      checkMove(Out, Spec, Stable, Now);
+      checkMove(Checker, Spec, Stable, Now);
     else if (Spec.Version != Stable)
-      Out.add(ErrorCode::SheetFieldInvalid, "version",
-              fmt::format("{} differs from the stable version {}: order a "
-                          "move",
-                          Spec.Version.value(), Stable.value()));
+      Checker.add(ErrorCode::SheetFieldInvalid, "version",
+                  fmt::format("{} differs from the stable version {}: order a "
+                              "move",
+                              Spec.Version.value(), Stable.value()));
   }
-  return Faults;
+  return Errors;
 }
 
-core::Error toError(const SheetError &Fault, const Sheet &Content) {
-  switch (Fault.Part) {
+core::Error toError(const SheetError &Error, const Sheet &Content) {
+  switch (Error.Part) {
   case SheetPart::Whole:
     break;
   case SheetPart::Service:
-    return {Fault.Code, fmt::format("service {}: {}: {}",
-                                    Content.Services[Fault.Index].Name.value(),
-                                    Fault.Key, Fault.Text)};
+    return {Error.Code, fmt::format("service {}: {}: {}",
+                                    Content.Services[Error.Index].Name.value(),
+                                    Error.Key, Error.Text)};
   case SheetPart::Route:
-    return {Fault.Code, fmt::format("route {}: {}: {}",
-                                    Content.Routes[Fault.Index].Name.value(),
-                                    Fault.Key, Fault.Text)};
+    return {Error.Code, fmt::format("route {}: {}: {}",
+                                    Content.Routes[Error.Index].Name.value(),
+                                    Error.Key, Error.Text)};
   }
-  return {Fault.Code, Fault.Text};
+  return {Error.Code, Error.Text};
 }
 
 } // namespace filbertvane::config
--- a/lib/config/WriterSequences.cpp
+++ b/lib/config/WriterSequences.cpp
@@ -5,27 +5,28 @@
 
 namespace {
 
-void forgetLowest(std::map<core::WriterId, std::uint64_t> &Last) {
+void evictLowestSequence(
+    std::map<core::WriterId, std::uint64_t> &LastSequences) {
   const auto Lowest = std::min_element(
-      Last.begin(), Last.end(),
+      LastSequences.begin(), LastSequences.end(),
       [](const auto &A, const auto &B) { return A.second < B.second; });
-  Last.erase(Lowest);
+  LastSequences.erase(Lowest);
 }
 
 } // namespace
 
-bool noteSequence(std::map<core::WriterId, std::uint64_t> &Last,
-                  const core::WriterId &Writer, std::uint64_t Sequence) {
-  const auto Found = Last.find(Writer);
-  if (Found != Last.end()) {
+bool recordSequence(std::map<core::WriterId, std::uint64_t> &LastSequences,
+                    const core::WriterId &Writer, std::uint64_t Sequence) {
+  const auto Found = LastSequences.find(Writer);
+  if (Found != LastSequences.end()) {
     if (Sequence <= Found->second)
       return false;
     Found->second = Sequence;
     return true;
   }
-  if (Last.size() >= MaxWriters)
-    forgetLowest(Last);
-  Last.emplace(Writer, Sequence);
+  if (LastSequences.size() >= MaxWriters)
+    evictLowestSequence(LastSequences);
+  LastSequences.emplace(Writer, Sequence);
   return true;
 }
 
--- a/lib/config/WriterSequences.h
+++ b/lib/config/WriterSequences.h
@@ -6,15 +6,15 @@
 
 namespace filbertvane::config {
 
-/// Writers whose last sequence is kept. Beyond it the writer with the lowest
-/// sequence is forgotten. A repeat of a forgotten record still has no effect:
-/// its base, its epoch or its share is an old one by then.
+/// Maximum number of writers whose last sequence is kept; beyond it, the one
+/// with the lowest sequence is evicted. A duplicate from an evicted writer has
+/// no effect either: its base, epoch or share is outdated by then.
 inline constexpr std::size_t MaxWriters = 256;
 
-/// @brief Notes the sequence of a record.
-/// @return false when this writer's record was seen before
-bool noteSequence(std::map<core::WriterId, std::uint64_t> &Last,
-                  const core::WriterId &Writer, std::uint64_t Sequence);
+/// @brief Stores the sequence of a record as the last one of its writer.
+/// @return false for a duplicate: the sequence is not above the last one
+bool recordSequence(std::map<core::WriterId, std::uint64_t> &LastSequences,
+                    const core::WriterId &Writer, std::uint64_t Sequence);
 
 } // namespace filbertvane::config
 
--- a/lib/config/YamlDocuments.cpp
+++ b/lib/config/YamlDocuments.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-/// Ignores the content of a document.
-class Skip : public YAML::EventHandler {
+/// Event handler that discards the content of a document.
+class DiscardingHandler : public YAML::EventHandler {
 public:
   void OnDocumentStart(const YAML::Mark &) override {}
   void OnDocumentEnd() override {}
@@ -29,8 +29,9 @@
 bool hasSecondDocument(const std::string &Text) {
   std::istringstream Input(Text);
   YAML::Parser Parser(Input);
-  Skip Ignore;
-  return Parser.HandleNextDocument(Ignore) && Parser.HandleNextDocument(Ignore);
+  DiscardingHandler Handler;
+  return Parser.HandleNextDocument(Handler) &&
+         Parser.HandleNextDocument(Handler);
 }
 
 } // namespace filbertvane::config
--- a/lib/config/YamlDocuments.h
+++ b/lib/config/YamlDocuments.h
@@ -5,11 +5,11 @@
 
 namespace filbertvane::config {
 
-/// @brief Whether a text holds something after its first YAML document.
+/// @brief Whether a text contains a second YAML document.
 ///
-/// `YAML::Load` ignores it, and `YAML::LoadAll` of yaml-cpp 0.7 does not return
-/// for some texts, for example a single comma. Throws `YAML::Exception` for a
-/// text that is not valid YAML.
+/// `YAML::Load` ignores further documents, and `YAML::LoadAll` of yaml-cpp 0.7
+/// does not terminate for some texts, for example a single comma.
+/// @throws YAML::Exception for a text that is not valid YAML
 bool hasSecondDocument(const std::string &Text);
 
 } // namespace filbertvane::config
--- a/lib/config/YamlReader.h
+++ b/lib/config/YamlReader.h
@@ -13,95 +13,95 @@
 
 namespace filbertvane::config {
 
-/// @brief A mapping of a YAML file with its path, for example `services[0]`.
+/// @brief A YAML mapping and its path in the file, for example `services[0]`.
 struct YamlMap {
   YAML::Node Node;
   std::string Path;
 
-  /// @brief Path of one of its fields.
+  /// @brief Path of a field of the mapping.
   std::string pathOf(std::string_view Key) const;
 };
 
-/// @brief Reads fields of a YAML file and collects all faults.
+/// @brief Reads fields of a YAML file and collects all errors.
 ///
-/// A reader that fails notes the fault and yields a neutral value, so that the
-/// fields after it are checked as well.
+/// A method that fails records the error and returns an empty value, so that
+/// the remaining fields are checked as well.
 class YamlReader {
 public:
-  struct Codes {
+  struct ErrorCodes {
     core::ErrorCode Syntax;
     core::ErrorCode Field;
     core::ErrorCode UnknownKey;
   };
-  enum class Need { Required, Optional };
+  enum class FieldPresence { Required, Optional };
   struct Range {
     std::int64_t Min;
     std::int64_t Max;
   };
   using Keys = std::initializer_list<std::string_view>;
 
-  YamlReader(std::string File, Codes Numbers)
-      : File(std::move(File)), Numbers(Numbers) {}
+  YamlReader(std::string File, ErrorCodes Codes)
+      : File(std::move(File)), Codes(Codes) {}
 
   /// @name Structure
   /// @{
-  /// @brief Parses the file; its one document must be a mapping.
+  /// @brief Parses the file, which must contain one document, a mapping.
   std::optional<YamlMap> document(const std::string &Text, Keys Known);
-  /// @brief A mapping below a key.
+  /// @brief Mapping that is the value of a key.
   std::optional<YamlMap> map(const YamlMap &Parent, std::string_view Key,
-                             Keys Known, Need Presence);
-  /// @brief The mappings of a list below a key.
+                             Keys Known, FieldPresence Presence);
+  /// @brief Mappings in the list that is the value of a key.
   std::vector<YamlMap> list(const YamlMap &Parent, std::string_view Key,
-                            Keys Known, Need Presence);
+                            Keys Known, FieldPresence Presence);
   /// @}
 
   /// @name Values
   /// @{
   std::optional<std::string> text(const YamlMap &Parent, std::string_view Key,
-                                  Need Presence);
+                                  FieldPresence Presence);
   std::optional<std::int64_t> number(const YamlMap &Parent,
                                      std::string_view Key, Range Allowed,
-                                     Need Presence);
-  std::optional<bool> flag(const YamlMap &Parent, std::string_view Key,
-                           Need Presence);
-  std::optional<core::WallTime> time(const YamlMap &Parent,
-                                     std::string_view Key, Need Presence);
+                                     FieldPresence Presence);
+  std::optional<bool> boolean(const YamlMap &Parent, std::string_view Key,
+                              FieldPresence Presence);
+  std::optional<core::WallTime>
+  time(const YamlMap &Parent, std::string_view Key, FieldPresence Presence);
   /// @}
 
-  /// @name Faults
+  /// @name Errors
   /// @{
-  /// @brief Notes a fault of a field that was read before.
-  void fault(core::ErrorCode Code, const std::string &Path,
-             const std::string &Text);
-  void fieldFault(const std::string &Path, const std::string &Text) {
-    fault(Numbers.Field, Path, Text);
+  /// @brief Records an error of a field that was read before, with its line.
+  void addError(core::ErrorCode Code, const std::string &Path,
+                const std::string &Text);
+  void addFieldError(const std::string &Path, const std::string &Text) {
+    addError(Codes.Field, Path, Text);
   }
-  /// @brief Whether a field has a fault already.
-  bool isFaulty(const std::string &Path) const;
-  bool hasFaults() const { return !Noted.empty(); }
-  /// @brief All faults in the order of their lines.
-  ErrorList faults() const;
+  /// @brief Whether an error was recorded for a field.
+  bool hasError(const std::string &Path) const;
+  bool hasErrors() const { return !Errors.empty(); }
+  /// @brief All errors, ordered by line.
+  ErrorList errors() const;
   /// @}
 
 private:
   std::optional<YAML::Node> find(const YamlMap &Parent, std::string_view Key,
-                                 Need Presence);
+                                 FieldPresence Presence);
   std::optional<std::string> scalar(const YamlMap &Parent, std::string_view Key,
-                                    Need Presence);
+                                    FieldPresence Presence);
   bool checkMap(const YamlMap &Candidate, Keys Known);
   void checkKey(const YamlMap &Parent, const YAML::Node &Key, Keys Known);
-  void noteLine(const std::string &Path, const YAML::Node &Node);
+  void recordLine(const std::string &Path, const YAML::Node &Node);
 
-  struct Entry {
+  struct LocatedError {
     int Line;
     std::string Path;
     core::Error Reason;
   };
 
   std::string File;
-  Codes Numbers;
-  std::map<std::string, int> LineOf;
-  std::vector<Entry> Noted;
+  ErrorCodes Codes;
+  std::map<std::string, int> LineByPath;
+  std::vector<LocatedError> Errors;
 };
 
 } // namespace filbertvane::config
--- a/lib/core/Invariant.cpp
+++ b/lib/core/Invariant.cpp
@@ -4,10 +4,11 @@
 
 namespace filbertvane::core {
 
-void invariant(bool Holds, const char *What) {
-  if (Holds)
+void invariant(bool Condition, const char *Description) {
+  if (Condition)
     return;
-  fmt::print(stderr, "level=error event=1000 broken invariant: {}\n", What);
+  fmt::print(stderr, "level=error event=1000 invariant violated: {}\n",
+             Description);
   std::abort();
 }
 
--- a/tests/Main.cpp
+++ b/tests/Main.cpp
@@ -9,8 +9,8 @@
   if (criterion_handle_args(Count, Arguments, true))
     Result = criterion_run_all_tests(Tests) ? 0 : 1;
   criterion_finalize(Tests);
-  // Criterion 2.4.1 leaks 48 bytes in this process, which the leak check at
-  // its end would report. No test runs here: each has a process of its own.
+  // Skips the leak check at exit, because Criterion 2.4.1 leaks 48 bytes in
+  // this process. Tests run in processes of their own and are still checked.
   std::fflush(nullptr);
   std::_Exit(Result);
 }
--- a/tests/config/ExamplesTest.cpp
+++ b/tests/config/ExamplesTest.cpp
@@ -17,21 +17,21 @@
 
 } // namespace
 
-// Guards against examples that a reader copies and the program refuses.
+// Guards against published examples that the program refuses.
 Test(examples, the_example_sheet_is_valid) {
   const std::string File = Folder + "sheet.yaml";
   const auto Text = readTextFile(File, core::ErrorCode::SheetUnreadable);
   cr_assert(core::ok(Text));
   const auto Parsed = parseSheet(core::value(Text), File);
   const auto *Found = std::get_if<ErrorList>(&Parsed);
-  const std::string Problem = Found ? firstOf(*Found) : "";
-  cr_assert(!Found, "%s", Problem.c_str());
+  const std::string Error = Found ? firstOf(*Found) : "";
+  cr_assert(!Found, "%s", Error.c_str());
 }
 
 Test(examples, the_example_settings_are_valid) {
   const auto Read =
       loadSettings(Folder + "settings.yaml", SettingsConsumer::Node);
   const auto *Found = std::get_if<ErrorList>(&Read);
-  const std::string Problem = Found ? firstOf(*Found) : "";
-  cr_assert(!Found, "%s", Problem.c_str());
+  const std::string Error = Found ? firstOf(*Found) : "";
+  cr_assert(!Found, "%s", Error.c_str());
 }
--- a/tests/config/FakeLog.h
+++ b/tests/config/FakeLog.h
@@ -6,13 +6,14 @@
 
 namespace filbertvane::tests {
 
-/// @brief Log in memory whose next requests fail as the test states.
+/// @brief In-memory log that injects the configured failures into the next
+///        requests.
 class FakeLog {
 public:
-  enum class Fate { Works, LosesAcknowledgement, IsDown };
+  enum class Behaviour { Succeed, LoseAcknowledgement, Fail };
 
-  std::deque<Fate> AppendFates;
-  std::deque<Fate> ReadFates;
+  std::deque<Behaviour> AppendBehaviours;
+  std::deque<Behaviour> ReadBehaviours;
   std::vector<std::string> Records;
   std::uint64_t First = 0;
   int Pauses = 0;
@@ -21,22 +22,22 @@
   core::Result<core::LogOffset> append(const std::string &Bytes) {
     if (Rejects)
       return core::Error{core::ErrorCode::LogRejected, "status 413"};
-    const Fate Next = take(AppendFates);
-    if (Next != Fate::IsDown)
+    const Behaviour Next = take(AppendBehaviours);
+    if (Next != Behaviour::Fail)
       Records.push_back(Bytes);
-    if (Next != Fate::Works)
+    if (Next != Behaviour::Succeed)
       return core::Error{core::ErrorCode::LogUnavailable, "no answer"};
     return core::LogOffset(Records.size() - 1);
   }
 
   core::Result<io::LogRead> read(core::LogOffset From, core::Milliseconds) {
-    if (take(ReadFates) != Fate::Works)
+    if (take(ReadBehaviours) != Behaviour::Succeed)
       return core::Error{core::ErrorCode::LogUnavailable, "no answer"};
     if (From.value() < First)
       return io::LogRead{
           core::LogOffset(First), core::LogOffset(First), {}, true};
     io::LogRead Out{From, From, {}, false};
-    // Two records at a time, so that a reader has to go on.
+    // Returns at most two records, so that a reader has to read repeatedly.
     while (Out.Records.size() < 2 && Out.Next.value() < Records.size()) {
       Out.Records.push_back(Records[Out.Next.value()]);
       Out.Next = core::LogOffset(Out.Next.value() + 1);
@@ -47,11 +48,11 @@
   void pause() { ++Pauses; }
 
 private:
-  static Fate take(std::deque<Fate> &Fates) {
-    if (Fates.empty())
-      return Fate::Works;
-    const Fate Next = Fates.front();
-    Fates.pop_front();
+  static Behaviour take(std::deque<Behaviour> &Queue) {
+    if (Queue.empty())
+      return Behaviour::Succeed;
+    const Behaviour Next = Queue.front();
+    Queue.pop_front();
     return Next;
   }
 };
--- a/tests/config/FleetStatePropertyTest.cpp
+++ b/tests/config/FleetStatePropertyTest.cpp
@@ -12,7 +12,7 @@
 
 constexpr std::size_t Length = 60;
 
-/// A log in which records are also sent twice.
+/// A log that also contains duplicate and malformed records.
 std::vector<StoredRecord> randomLog(std::uint64_t Seed) {
   RandomLog Source(Seed);
   FleetState State;
@@ -36,7 +36,7 @@
   return State;
 }
 
-/// The parts of a state that only an accepted record may change.
+/// Fields that only an accepted record may change.
 auto configurationOf(const FleetState &State) {
   return std::tie(State.Version, State.SheetVersion, State.CurrentSheet,
                   State.TrafficByService, State.Moves);
@@ -44,8 +44,8 @@
 
 } // namespace
 
-// Guards against two nodes that act on different configurations although they
-// have read the same log, one of them from a snapshot.
+// Guards against nodes that derive different configurations from the same log
+// because one of them starts from a snapshot.
 Test(fleet_state_properties, readers_of_one_log_agree) {
   cr_assert(rc::check("readers agree", [](std::uint64_t Seed) {
     const auto Log = randomLog(Seed);
@@ -57,8 +57,8 @@
   }));
 }
 
-// Guards against a reader that joins after trimming and starts from a snapshot
-// whose following records are gone.
+// Guards against a reader of a trimmed log that starts from a snapshot although
+// records after the snapshot have expired.
 Test(fleet_state_properties, a_reader_after_trimming_agrees_or_refuses) {
   std::size_t Agreed = 0;
   cr_assert(rc::check("trimmed", [&](std::uint64_t Seed) {
@@ -76,8 +76,8 @@
   cr_assert(Agreed > 50, "too few logs held a usable snapshot");
 }
 
-// Guards against a configuration that goes back to a lower version (I1), and
-// against a refused or repeated record that changes it.
+// Guards against a configuration version that decreases (I1), and against a
+// refused or duplicate record that changes the configuration.
 Test(fleet_state_properties, only_accepted_records_change_configuration) {
   std::size_t Accepts = 0;
   std::size_t Refusals = 0;
@@ -103,7 +103,7 @@
   cr_assert(Duplicates > 100, "duplicates %zu", Duplicates);
 }
 
-// Guards against records that arrive again, from another peer or late.
+// Guards against records that are received again and applied twice.
 Test(fleet_state_properties, late_offsets_do_nothing) {
   cr_assert(rc::check("late offsets", [](std::uint64_t Seed) {
     const auto Log = randomLog(Seed);
@@ -116,7 +116,8 @@
   }));
 }
 
-// Guards against a repeated append (lost acknowledgement) that counts twice.
+// Guards against a record that is applied twice because its append was repeated
+// after a lost acknowledgement.
 Test(fleet_state_properties, a_repeated_record_only_moves_the_position) {
   cr_assert(rc::check("repeats", [](std::uint64_t Seed) {
     const auto Log = randomLog(Seed);
@@ -135,8 +136,7 @@
   }));
 }
 
-// Guards against a share of a move that falls while the move goes on, and
-// against traffic that does not match the moves in progress.
+// Guards against traffic splits that do not match the moves in progress.
 Test(fleet_state_properties, traffic_follows_the_moves_in_progress) {
   cr_assert(rc::check("traffic", [](std::uint64_t Seed) {
     const FleetState State = foldOf(randomLog(Seed));
@@ -157,7 +157,7 @@
   }));
 }
 
-// Guards against a delta that loses or adds a part of the sheet.
+// Guards against a delta that loses or adds parts of a sheet.
 Test(fleet_state_properties, a_delta_leads_from_one_sheet_to_the_other) {
   cr_assert(rc::check("delta", [](std::uint64_t Seed) {
     RandomLog Source(Seed);
--- a/tests/config/FleetStateTest.cpp
+++ b/tests/config/FleetStateTest.cpp
@@ -11,8 +11,8 @@
 
 namespace {
 
-/// A reader of a log to which the test appends records.
-class Reader {
+/// Fleet state that is built from the records that a test appends.
+class TestFleet {
 public:
   RecordOutcome append(RecordBody Body) {
     ApplyResult After =
@@ -60,7 +60,7 @@
   return {core::ConfigVersion(0), std::move(Services), std::move(Routes)};
 }
 
-/// The error of a refused record; a code that no test expects otherwise.
+/// Error of a refused record; otherwise an error that no test expects.
 core::Error errorOf(const RecordOutcome &Outcome) {
   const auto *Refusal = std::get_if<Refused>(&Outcome);
   return Refusal ? Refusal->Reason
@@ -79,9 +79,9 @@
   return Outcome == RecordOutcome(Accepted{core::ConfigVersion(Version)});
 }
 
-/// A fleet with the service `a` on 1.0 and its move to 2.0, under epoch 1.
-Reader movingFleet() {
-  Reader Fleet;
+/// Fleet in epoch 1 that moves service `a` from version 1.0 to 2.0.
+TestFleet movingFleet() {
+  TestFleet Fleet;
   Fleet.append(LeaseClaimed{core::NodeId("n1"), core::Epoch(1)});
   Fleet.publish(sheet({moving("a", "1.0", "2.0")}));
   return Fleet;
@@ -95,16 +95,16 @@
 } // namespace
 
 Test(fleet_state, a_sheet_on_the_current_base_is_accepted) {
-  Reader Fleet;
+  TestFleet Fleet;
   cr_assert(accepted(Fleet.publish(sheet({service("a", "1.0")})), 1));
   cr_assert(Fleet.State.SheetVersion == core::ConfigVersion(1));
   cr_assert(Fleet.State.TrafficByService.at(core::ServiceName("a")) ==
             (TrafficSplit{core::TargetVersion("1.0"), std::nullopt, 0}));
 }
 
-// Guards against two operators who overwrite each other's sheets.
+// Guards against operators who overwrite each other's sheets.
 Test(fleet_state, the_second_sheet_on_one_base_is_refused) {
-  Reader Fleet;
+  TestFleet Fleet;
   Fleet.publish(sheet({service("a", "1.0")}));
   const FleetState Before = Fleet.State;
   assertRefused(
@@ -117,24 +117,24 @@
             ErrorCode::SheetStaleBase);
 }
 
-// Guards against requests to a service that the proxy does not know (I2).
+// Guards against routes to a service that the sheet does not define (I2).
 Test(fleet_state, a_route_to_an_unknown_service_is_refused) {
-  Reader Fleet;
+  TestFleet Fleet;
   assertRefused(
       Fleet.publish(sheet({service("a", "1.0")}, {route("r", "/", "b")})),
       ErrorCode::SheetUnknownService, "route r: service: b");
 }
 
-// Guards against a service that is removed below a route that remains.
+// Guards against the removal of a service that a route still refers to.
 Test(fleet_state, removing_a_service_under_a_route_is_refused) {
-  Reader Fleet;
+  TestFleet Fleet;
   Fleet.publish(sheet({service("a", "1.0")}, {route("r", "/", "a")}));
   assertRefused(Fleet.publish(sheet({}, {route("r", "/", "a")})),
                 ErrorCode::SheetUnknownService, "route r: service: a");
 }
 
 Test(fleet_state, a_delta_that_names_a_service_twice_is_refused) {
-  Reader Fleet;
+  TestFleet Fleet;
   SheetDelta Delta;
   Delta.ChangedServices = {service("a", "1.0"), service("a", "2.0")};
   assertRefused(Fleet.append(SheetPublished{{}, Delta, "ann", PublishTime}),
@@ -142,7 +142,7 @@
 }
 
 Test(fleet_state, a_move_to_the_stable_version_is_refused) {
-  Reader Fleet;
+  TestFleet Fleet;
   Fleet.publish(sheet({service("a", "1.0")}));
   assertRefused(Fleet.publish(sheet({moving("a", "1.0", "1.0")})),
                 ErrorCode::SheetFieldInvalid,
@@ -150,16 +150,16 @@
 }
 
 Test(fleet_state, a_move_with_a_passed_deadline_is_refused) {
-  Reader Fleet;
+  TestFleet Fleet;
   assertRefused(Fleet.publish(sheet({moving("a", "1.0", "2.0", PublishTime)})),
                 ErrorCode::SheetTimePassed,
                 "service a: move.by: 2026-12-04T10:00:00Z is not later than "
                 "2026-12-04T10:00:00Z");
 }
 
-// Guards against a change of all traffic at once, without evidence.
+// Guards against moving all traffic at once, without a gradual move.
 Test(fleet_state, another_version_without_a_move_is_refused) {
-  Reader Fleet;
+  TestFleet Fleet;
   Fleet.publish(sheet({service("a", "1.0")}));
   assertRefused(Fleet.publish(sheet({service("a", "2.0")})),
                 ErrorCode::SheetFieldInvalid,
@@ -168,7 +168,7 @@
 }
 
 Test(fleet_state, two_routes_with_one_prefix_are_refused) {
-  Reader Fleet;
+  TestFleet Fleet;
   assertRefused(
       Fleet.publish(sheet({service("a", "1.0")},
                           {route("r", "/x", "a"), route("s", "/x", "a")})),
@@ -177,7 +177,7 @@
 }
 
 Test(fleet_state, a_move_is_stepped_and_completed) {
-  Reader Fleet = movingFleet();
+  TestFleet Fleet = movingFleet();
   cr_assert(accepted(Fleet.append(MoveStepped{First, MoveOfA, 50}), 2));
   const core::ServiceName Service("a");
   cr_assert(Fleet.State.TrafficByService.at(Service).CandidateShare == 50);
@@ -189,10 +189,10 @@
   cr_assert(Fleet.State.Moves[0].Decision == Figures);
 }
 
-// Guards against a bad version that gets traffic again by a step or by a sheet
-// that changes something else.
+// Guards against a rolled-back version that receives traffic again through a
+// late step or an unrelated sheet change.
 Test(fleet_state, a_rolled_back_move_stays_rolled_back) {
-  Reader Fleet = movingFleet();
+  TestFleet Fleet = movingFleet();
   Fleet.append(MoveStepped{First, MoveOfA, 50});
   cr_assert(accepted(
       Fleet.append(MoveRolledBack{First, MoveOfA, LaterTime, Figures}), 3));
@@ -206,9 +206,9 @@
   cr_assert(Fleet.State.Moves.size() == 1);
 }
 
-// Guards against a completed move that blocks every later sheet.
+// Guards against a completed move that makes every later sheet invalid.
 Test(fleet_state, an_unchanged_order_is_not_checked_again) {
-  Reader Fleet = movingFleet();
+  TestFleet Fleet = movingFleet();
   Fleet.append(MoveCompleted{First, MoveOfA, LaterTime, Figures});
   cr_assert(accepted(
       Fleet.publish(sheet({moving("a", "1.0", "2.0"), service("b", "1.0")})),
@@ -216,7 +216,7 @@
 }
 
 Test(fleet_state, a_changed_order_supersedes_the_move_in_progress) {
-  Reader Fleet = movingFleet();
+  TestFleet Fleet = movingFleet();
   Fleet.append(MoveStepped{First, MoveOfA, 50});
   cr_assert(accepted(Fleet.publish(sheet({moving("a", "1.0", "3.0")})), 3));
   cr_assert(Fleet.State.Moves[0].Stage == MoveStage::Superseded);
@@ -227,16 +227,17 @@
 }
 
 Test(fleet_state, a_share_may_only_rise) {
-  Reader Fleet = movingFleet();
+  TestFleet Fleet = movingFleet();
   Fleet.append(MoveStepped{First, MoveOfA, 50});
   assertRefused(Fleet.append(MoveStepped{First, MoveOfA, 50}),
                 ErrorCode::MoveShareNotRaised,
                 "service a, share 50, current share 50");
 }
 
-// Guards against a coordinator that was paused while another one took over.
+// Guards against a paused coordinator that continues to write after another one
+// has taken over the lease.
 Test(fleet_state, records_of_an_old_epoch_are_refused) {
-  Reader Fleet = movingFleet();
+  TestFleet Fleet = movingFleet();
   Fleet.append(LeaseClaimed{core::NodeId("n2"), core::Epoch(2)});
   const char *Detail = "epoch 1, current epoch 2";
   const std::vector<RecordBody> Stale = {
@@ -251,7 +252,7 @@
 }
 
 Test(fleet_state, the_first_claim_of_an_epoch_holds_the_lease) {
-  Reader Fleet;
+  TestFleet Fleet;
   const LeaseClaimed Claim{core::NodeId("n1"), core::Epoch(1)};
   cr_assert(Fleet.append(Claim) == RecordOutcome(Recorded{}));
   assertRefused(Fleet.append(LeaseClaimed{core::NodeId("n2"), core::Epoch(1)}),
@@ -259,10 +260,10 @@
   cr_assert(Fleet.State.LeaseHolder == core::NodeId("n1"));
 }
 
-// Guards against a state that outgrows one log record, so that no snapshot can
-// be appended.
+// Guards against a state that grows without limit until its snapshot exceeds
+// the size of a log record.
 Test(fleet_state, lists_of_the_state_are_bounded) {
-  Reader Fleet = movingFleet();
+  TestFleet Fleet = movingFleet();
   for (int I = 0; I < 700; ++I) {
     const std::string To = "v" + std::to_string(I);
     Fleet.publish(sheet({moving("a", "1.0", To.c_str())}));
@@ -279,10 +280,10 @@
   cr_assert(Fleet.State.LastSequence.contains(core::WriterId("w")));
 }
 
-// Guards against a snapshot that the log refuses: the largest sheet of moves
-// with short names, beside full lists of long names.
+// Guards against a snapshot that exceeds the size of a log record. The state
+// combines the largest number of moves with full lists of long names.
 Test(fleet_state, the_largest_state_fits_into_one_record) {
-  Reader Fleet = movingFleet();
+  TestFleet Fleet = movingFleet();
   const std::string Long(64, 'x');
   for (int I = 0; I < 200; ++I) {
     const std::string To = std::to_string(I) + Long.substr(0, 60);
--- a/tests/config/PublicationTest.cpp
+++ b/tests/config/PublicationTest.cpp
@@ -5,7 +5,7 @@
 using namespace filbertvane;
 using namespace filbertvane::config;
 using tests::FakeLog;
-using Fate = FakeLog::Fate;
+using Behaviour = FakeLog::Behaviour;
 
 namespace {
 
@@ -39,26 +39,26 @@
   cr_assert(Log.Records.size() == 1);
 }
 
-// Guards against a second append after a lost acknowledgement.
+// Guards against a repeated append after a lost acknowledgement.
 Test(publication, a_lost_acknowledgement_is_read_back_not_repeated) {
   FakeLog Log;
-  Log.AppendFates = {Fate::LosesAcknowledgement};
+  Log.AppendBehaviours = {Behaviour::LoseAcknowledgement};
   cr_assert(accepted(publishTo(Log, sheetRecord("w", 0)), 1));
   cr_assert(Log.Records.size() == 1);
 }
 
-// Guards against a publisher that takes an outage for an acceptance.
+// Guards against a publisher that reports success although the log was down.
 Test(publication, an_append_without_effect_is_repeated) {
   FakeLog Log;
-  Log.AppendFates = {Fate::IsDown, Fate::IsDown};
-  Log.ReadFates = {Fate::IsDown};
+  Log.AppendBehaviours = {Behaviour::Fail, Behaviour::Fail};
+  Log.ReadBehaviours = {Behaviour::Fail};
   cr_assert(accepted(publishTo(Log, sheetRecord("w", 0)), 1));
   cr_assert(Log.Records.size() == 1);
   cr_assert(Log.Pauses == 1);
 }
 
-// Guards against an operator who is told "accepted" although another sheet on
-// the same base came first.
+// Guards against a sheet that is reported as accepted although another sheet on
+// the same base was appended first.
 Test(publication, the_later_of_two_sheets_is_refused) {
   FakeLog Log;
   for (int I = 0; I < 3; ++I)
@@ -72,8 +72,8 @@
 
 Test(publication, a_long_outage_ends_with_an_unknown_outcome) {
   FakeLog Log;
-  Log.AppendFates.assign(100, Fate::IsDown);
-  Log.ReadFates.assign(100, Fate::IsDown);
+  Log.AppendBehaviours.assign(100, Behaviour::Fail);
+  Log.ReadBehaviours.assign(100, Behaviour::Fail);
   const auto Outcome = publishTo(Log, sheetRecord("w", 0));
   cr_assert(!core::ok(Outcome));
   cr_assert(core::failure(Outcome).Code == core::ErrorCode::LogUnavailable);
@@ -88,7 +88,8 @@
   cr_assert(Log.Pauses == 0);
 }
 
-// Guards against a report that misses what was trimmed before its snapshot.
+// Guards against a state without the records that expired before the snapshot,
+// and against a gap between the snapshot and the remaining records.
 Test(publication, a_trimmed_log_is_loaded_from_its_snapshot) {
   FakeLog Log;
   Log.Records = {wire::encode(sheetRecord("w", 0))};
--- a/tests/config/RandomLog.cpp
+++ b/tests/config/RandomLog.cpp
@@ -7,29 +7,29 @@
 using namespace config;
 
 std::string RandomLog::bytes(std::size_t MaxLength) {
-  std::string Out(Dice.below(MaxLength + 1), '\0');
+  std::string Out(Generator.below(MaxLength + 1), '\0');
   for (char &Each : Out)
-    Each = static_cast<char>(Dice.next());
+    Each = static_cast<char>(Generator.next());
   return Out;
 }
 
 core::Epoch RandomLog::epoch(const FleetState &State) {
-  return oneIn(5) ? core::Epoch(Dice.below(4)) : State.CurrentEpoch;
+  return oneIn(5) ? core::Epoch(Generator.below(4)) : State.CurrentEpoch;
 }
 
-MoveDecision RandomLog::verdict() {
+MoveDecision RandomLog::moveDecision() {
   return {core::RouteName(oneIn(2) ? "r1" : ""),
           "reason",
-          Dice.next(),
-          Dice.next(),
-          Dice.next(),
-          Dice.next()};
+          Generator.next(),
+          Generator.next(),
+          Generator.next(),
+          Generator.next()};
 }
 
 MoveId RandomLog::move(const FleetState &State) {
   if (State.Moves.empty() || oneIn(8))
-    return {core::ServiceName("s1"), core::ConfigVersion(Dice.below(9))};
-  return State.Moves[Dice.below(State.Moves.size())].Id;
+    return {core::ServiceName("s1"), core::ConfigVersion(Generator.below(9))};
+  return State.Moves[Generator.below(State.Moves.size())].Id;
 }
 
 ServiceSpec RandomLog::service(const FleetState &State,
@@ -42,41 +42,43 @@
                      : Known->second.Stable;
   if (oneIn(2))
     Spec.Move =
-        MoveOrder{core::TargetVersion(fmt::format("v{}", Dice.below(4))),
+        MoveOrder{core::TargetVersion(fmt::format("v{}", Generator.below(4))),
                   oneIn(10) ? PublishTime : LaterTime};
   return Spec;
 }
 
 Sheet RandomLog::sheet(const FleetState &State) {
   Sheet Out;
-  Out.Base = oneIn(5) ? core::ConfigVersion(Dice.below(9)) : State.SheetVersion;
-  const std::uint64_t Count = 1 + Dice.below(4);
+  Out.Base =
+      oneIn(5) ? core::ConfigVersion(Generator.below(9)) : State.SheetVersion;
+  const std::uint64_t Count = 1 + Generator.below(4);
   for (std::uint64_t I = 0; I < Count; ++I)
     Out.Services.push_back(service(State, fmt::format("s{}", I)));
-  for (std::uint64_t I = 0; I < Dice.below(4); ++I)
+  for (std::uint64_t I = 0; I < Generator.below(4); ++I)
     Out.Routes.push_back(
         {core::RouteName(fmt::format("r{}", I)), fmt::format("/r{}", I),
-         core::ServiceName(fmt::format("s{}", Dice.below(Count + oneIn(9)))),
-         oneIn(2), static_cast<TrafficKind>(Dice.below(3)),
-         core::Milliseconds(1 + Dice.below(5000))});
+         core::ServiceName(
+             fmt::format("s{}", Generator.below(Count + oneIn(9)))),
+         oneIn(2), static_cast<TrafficKind>(Generator.below(3)),
+         core::Milliseconds(1 + Generator.below(5000))});
   return Out;
 }
 
 RecordBody RandomLog::body(const FleetState &State) {
-  switch (Dice.below(9)) {
+  switch (Generator.below(9)) {
   case 0:
     return LeaseClaimed{
         core::NodeId("n1"),
-        core::Epoch(State.CurrentEpoch.value() + Dice.below(3))};
+        core::Epoch(State.CurrentEpoch.value() + Generator.below(3))};
   case 1:
   case 2:
   case 3:
     return MoveStepped{epoch(State), move(State),
-                       static_cast<Permille>(Dice.below(1001))};
+                       static_cast<Permille>(Generator.below(1001))};
   case 4:
-    return MoveRolledBack{epoch(State), move(State), LaterTime, verdict()};
+    return MoveRolledBack{epoch(State), move(State), LaterTime, moveDecision()};
   case 5:
-    return MoveCompleted{epoch(State), move(State), LaterTime, verdict()};
+    return MoveCompleted{epoch(State), move(State), LaterTime, moveDecision()};
   case 6:
     return InForceReported{epoch(State),
                            State.Version,
@@ -94,8 +96,8 @@
 }
 
 LogRecord RandomLog::record(const FleetState &State) {
-  return {core::WriterId(fmt::format("w{}", Dice.below(3))),
-          oneIn(10) ? Dice.below(20) : State.NextOffset.value() + 1,
+  return {core::WriterId(fmt::format("w{}", Generator.below(3))),
+          oneIn(10) ? Generator.below(20) : State.NextOffset.value() + 1,
           body(State)};
 }
 
--- a/tests/config/ReportTest.cpp
+++ b/tests/config/ReportTest.cpp
@@ -39,7 +39,7 @@
 
 } // namespace
 
-// Guards against planners who cannot tell what became of a move, when and why.
+// Guards against reports without the outcome, time or reason of a move.
 Test(report, each_stage_reads_as_a_plain_sentence) {
   assertSentence(move(MoveStage::InProgress, 0),
                  "Move of reading from 1.0 to 2.0: accepted at "
@@ -76,7 +76,7 @@
   cr_assert(Read["moves"][0]["ended_at"] == "2026-12-04T10:05:00Z");
 }
 
-// Guards against names in the log that make the report throw.
+// Guards against exceptions on names that are not valid UTF-8.
 Test(report, any_state_can_be_reported) {
   cr_assert(rc::check("report", [](std::uint64_t Seed) {
     tests::RandomLog Source(Seed);
--- a/tests/config/SettingsTest.cpp
+++ b/tests/config/SettingsTest.cpp
@@ -19,8 +19,8 @@
 shared_key: 0123456789abcdef
 )";
 
-std::string faultsIn(const std::string &Text, SettingsConsumer Reader) {
-  const auto Parsed = parseSettings(Text, "n.yaml", Reader);
+std::string errorsIn(const std::string &Text, SettingsConsumer Consumer) {
+  const auto Parsed = parseSettings(Text, "n.yaml", Consumer);
   std::string Out;
   if (const auto *Found = std::get_if<ErrorList>(&Parsed))
     for (const core::Error &Each : *Found)
@@ -34,8 +34,8 @@
 Test(settings, valid_settings_are_read_with_defaults) {
   const auto Parsed = parseSettings(Valid, "n.yaml", SettingsConsumer::Node);
   const auto *Read = std::get_if<Settings>(&Parsed);
-  const std::string Problems = faultsIn(Valid, SettingsConsumer::Node);
-  cr_assert(Read, "%s", Problems.c_str());
+  const std::string Errors = errorsIn(Valid, SettingsConsumer::Node);
+  cr_assert(Read, "%s", Errors.c_str());
   cr_assert(Read->Node ==
             (NodeIdentity{core::NodeId("n1"), core::DataCentreId("d1"),
                           core::RegionId("west")}));
@@ -48,10 +48,10 @@
   cr_assert(Regions.at(core::DataCentreId("d2")) == core::RegionId("west"));
 }
 
-// Guards against a node that starts with half of its settings, or with a
-// misspelt key that has no effect.
+// Guards against a node that starts with missing settings, or that ignores a
+// misspelt key.
 Test(settings, all_faults_are_reported_with_line_and_field) {
-  const std::string Found = faultsIn(R"(node: {id: n1, data_centre: d1}
+  const std::string Found = errorsIn(R"(node: {id: n1, data_centre: d1}
 listen:
   callers: localhost:8080
   peers: 0.0.0.0:8081
@@ -81,8 +81,8 @@
   cr_assert_str_eq(Found.c_str(), Expected.c_str());
 }
 
-// Guards against nodes that tell others an address which only a delay link or
-// an address translation makes reachable.
+// Guards against nodes that announce their listening address although others
+// can reach them only through a proxy or address translation.
 Test(settings, advertised_addresses_replace_the_listening_ones) {
   const auto Parsed =
       parseSettings(Valid + "advertise: {control: 10.9.9.9:1}\n", "n.yaml",
@@ -93,12 +93,12 @@
             (AdvertisedAddresses{"10.0.0.1:8081", "10.9.9.9:1", "10.9.9.9:1"}));
 }
 
-// Guards against one wrong address that is reported as two faults.
+// Guards against one wrong address that is reported as two errors.
 Test(settings, a_listening_wildcard_needs_an_advertised_address) {
   std::string Text = Valid;
   const std::string Address = "[fd00::1]:8082";
   Text.replace(Text.find(Address), Address.size(), "0.0.0.0:8082");
-  const std::string Found = faultsIn(Text, SettingsConsumer::Node);
+  const std::string Found = errorsIn(Text, SettingsConsumer::Node);
   cr_assert_str_eq(Found.c_str(),
                    "103 n.yaml:5: listen.control: must be ip:port that other "
                    "nodes can reach, or state advertise.control\n");
@@ -107,9 +107,9 @@
 Test(settings, the_command_line_needs_only_the_log) {
   const std::string LogOnly =
       "log: {url: \"http://127.0.0.1:9000\", retention_s: 60}\n";
-  const std::string None = faultsIn(LogOnly, SettingsConsumer::CommandLine);
+  const std::string None = errorsIn(LogOnly, SettingsConsumer::CommandLine);
   cr_assert(None.empty(), "%s", None.c_str());
-  const std::string Node = faultsIn(LogOnly, SettingsConsumer::Node);
+  const std::string Node = errorsIn(LogOnly, SettingsConsumer::Node);
   cr_assert_str_eq(Node.c_str(), "103 n.yaml:1: node: is missing\n"
                                  "103 n.yaml:1: listen: is missing\n"
                                  "103 n.yaml:1: seeds: is missing\n"
--- a/tests/config/SheetParserTest.cpp
+++ b/tests/config/SheetParserTest.cpp
@@ -24,8 +24,8 @@
   - {name: lists, prefix: /, service: reading, idempotent: true}
 )";
 
-/// All faults of a sheet as one text, a line each.
-std::string faultsIn(const std::string &Text) {
+/// All errors of a sheet, one per line.
+std::string errorsIn(const std::string &Text) {
   const auto Parsed = parseSheet(Text, "s.yaml");
   std::string Out;
   if (const auto *Found = std::get_if<ErrorList>(&Parsed))
@@ -39,8 +39,8 @@
 Test(sheet_parser, a_valid_sheet_is_read_and_sorted) {
   const auto Parsed = parseSheet(Valid, "s.yaml");
   const auto *Read = std::get_if<Sheet>(&Parsed);
-  const std::string Problems = faultsIn(Valid);
-  cr_assert(Read, "%s", Problems.c_str());
+  const std::string Errors = errorsIn(Valid);
+  cr_assert(Read, "%s", Errors.c_str());
   cr_assert(Read->Base == core::ConfigVersion(3));
   cr_assert(Read->Services[0].Name == core::ServiceName("booking"));
   cr_assert(Read->Services[1].Version == core::TargetVersion("1.40"));
@@ -54,9 +54,9 @@
   cr_assert(Read->Routes[0].Timeout == core::Milliseconds(2000));
 }
 
-// Guards against an operator who has to publish once for each fault.
+// Guards against operators who learn of only one error per attempt.
 Test(sheet_parser, all_faults_are_reported_with_line_and_field) {
-  const std::string Found = faultsIn(R"(base: -1
+  const std::string Found = errorsIn(R"(base: -1
 owner: ann
 services:
   - name: a
@@ -100,24 +100,24 @@
 }
 
 Test(sheet_parser, a_syntax_fault_names_its_line) {
-  const std::string Found = faultsIn("base: 1\nservices: [\n");
+  const std::string Found = errorsIn("base: 1\nservices: [\n");
   cr_assert(Found.starts_with("[FV202] sheet is not valid YAML: s.yaml:3: "),
             "%s", Found.c_str());
-  const std::string Empty = faultsIn("");
+  const std::string Empty = errorsIn("");
   cr_assert_str_eq(Empty.c_str(), "[FV202] sheet is not valid YAML: s.yaml:1: "
                                   "must hold one YAML document\n");
 }
 
-// Guards against a key that is given twice, of which one would be ignored.
+// Guards against a duplicate key, one value of which would be ignored.
 Test(sheet_parser, a_repeated_key_is_refused) {
-  const std::string Found = faultsIn("base: 0\nservices: []\nroutes: []\n"
+  const std::string Found = errorsIn("base: 0\nservices: []\nroutes: []\n"
                                      "base: 1\n");
   cr_assert_str_eq(Found.c_str(),
                    "[FV203] sheet field is missing or has a wrong value: "
                    "s.yaml:4: base: is given twice\n");
 }
 
-// Guards against an order that only the log readers would refuse.
+// Guards against invalid moves that are found only after publication.
 Test(sheet_parser, a_sheet_is_checked_against_the_current_state) {
   FleetState State;
   State.TrafficByService[core::ServiceName("booking")] =
@@ -133,8 +133,8 @@
                    "version a0: order a move");
 }
 
-// Guards against a file that crashes the parser: random text, and damage to a
-// valid sheet, which reaches deeper.
+// Guards against files that crash the parser. Besides random text, tries
+// corrupted valid sheets, which reach more of the parser.
 Test(sheet_parser, random_text_never_crashes_the_parser) {
   cr_assert(rc::check("random text", [](std::uint64_t Seed) {
     tests::RandomLog Source(Seed);
@@ -149,8 +149,8 @@
   }));
 }
 
-// Guards against a sheet of any content that crashes the validator, and
-// against a state that accepts what the validator refuses.
+// Guards against sheets that crash the validator, and against log readers that
+// accept a sheet which the validator refuses.
 Test(sheet_parser, random_sheets_never_crash_the_validator) {
   cr_assert(rc::check("random sheets", [](std::uint64_t Seed) {
     tests::RandomLog Source(Seed);
--- a/tests/core/CatalogueTest.cpp
+++ b/tests/core/CatalogueTest.cpp
@@ -5,7 +5,8 @@
 
 using namespace filbertvane;
 
-// Guards against log lines and errors that cannot be looked up by number.
+// Guards against errors and log lines without the number by which operators
+// look them up.
 Test(catalogue, an_error_names_its_number_and_subject) {
   const core::Error Failure{core::ErrorCode::SheetUnknownService, "route r1"};
   const std::string Line = core::toString(Failure);
