Restore the texts of errors that go to callers

Cause: four details of errors had been reworded that stand in answers to callers and in replies between nodes.

Change: "target is not here", "deadline has passed", "not the lower-case text of a UUIDv7" and "its time lies in the future" are as before, letter for letter.

--- a/lib/decision/mesh/ReduceArrival.cpp
+++ b/lib/decision/mesh/ReduceArrival.cpp
@@ -61,8 +61,8 @@
   const bool HasLeft =
       State.Draining && Now >= State.ReportLeavingAt + LeavingReportDelay;
   if (!IsServed || HasLeft || !Arrival.Terms) {
-    request::Refuse NoTarget = refusal(Arrival.Id, ErrorCode::RequestDraining,
-                                       "target is not on this host");
+    request::Refuse NoTarget =
+        refusal(Arrival.Id, ErrorCode::RequestDraining, "target is not here");
     log(observe::EventId::MeshRequestRefused,
         fmt::format("request={} reason=target_gone expected={}",
                     Arrival.CallerId,
--- a/lib/decision/request/claims/ClaimKeeper.cpp
+++ b/lib/decision/request/claims/ClaimKeeper.cpp
@@ -120,8 +120,7 @@
   if (!core::ok(Checked))
     return refuse(Pending, core::failure(Checked));
   if (Now.Mono >= Pending.Deadline)
-    return refuse(Pending, {ErrorCode::ClaimUndecided,
-                            "deadline passed before the claim arrived"});
+    return refuse(Pending, {ErrorCode::ClaimUndecided, "deadline has passed"});
   if (Keeper.CaughtUp && replyIfDecided(Pending))
     return;
   if (Keeper.PendingClaims.size() >= Keeper.Config.MaxPendingClaims) {
--- a/lib/decision/request/claims/Key.cpp
+++ b/lib/decision/request/claims/Key.cpp
@@ -44,7 +44,7 @@
 core::Result<core::WallTime> parseKeyTime(const core::IdempotencyKey &Key) {
   const std::string &Text = Key.value();
   if (!isUuidV7(Text))
-    return invalid(Key, "not a UUIDv7 in lower case");
+    return invalid(Key, "not the lower-case text of a UUIDv7");
   std::int64_t Millis = 0;
   std::size_t Digits = 0;
   for (std::size_t Index = 0; Digits < TimeDigits; ++Index) {
@@ -64,7 +64,7 @@
     return Parsed;
   const core::WallTime CreatedAt = core::value(Parsed);
   if (CreatedAt > Now + MaxClockSkew)
-    return invalid(Key, "embedded time is in the future");
+    return invalid(Key, "its time lies in the future");
   if (CreatedAt < Now - (Retention - MaxClockSkew))
     return core::Error{core::ErrorCode::ClaimKeyExpired, Key.value()};
   return Parsed;
