Mend two comments found in the read-through

Cause: a comment of SequentialTest.h was wrapped in the middle of a line, and the one of RouteTally no longer told from when the answers are counted.

Change: comments only.

Measured: clang-format finds nothing to change; no code token differs.

--- a/include/filbertvane/decision/mesh/HostReport.h
+++ b/include/filbertvane/decision/mesh/HostReport.h
@@ -17,7 +17,8 @@
   Down,
 };
 
-/// @brief Counters of a target's answers on one route.
+/// @brief Counters of a target's answers on one route since its start, or since
+///        the last order of a move of its service.
 struct RouteTally {
   core::RouteName Route;
   std::uint64_t Answers = 0;
--- a/include/filbertvane/decision/rollout/SequentialTest.h
+++ b/include/filbertvane/decision/rollout/SequentialTest.h
@@ -51,8 +51,7 @@
   /// The bad answers are explained by chance or by the control rate.
   None,
   /// Too many bad answers for chance, but the old version has too few answers
-  /// in
-  /// the window to rule out a fault shared by both versions.
+  /// in the window to rule out a fault shared by both versions.
   Suspected,
   /// Too many bad answers, and a shared fault is ruled out.
   Proven,
