--- a/include/filbertvane/config/SheetDelta.h
+++ b/include/filbertvane/config/SheetDelta.h
@@ -5,10 +5,10 @@
 
 namespace filbertvane::config {
 
-/// @brief Difference between two sheets: what a sheet record carries.
+/// @brief Difference between two sheets.
 ///
-/// The log and all links carry deltas, because sending the whole sheet to each
-/// node would cost more than 20 times the bytes.
+/// Sheet records carry deltas, because sending the whole sheet to each node
+/// would take more than 20 times as many bytes.
 struct SheetDelta {
   std::vector<ServiceSpec> ChangedServices;
   std::vector<core::ServiceName> RemovedServices;
@@ -20,11 +20,11 @@
 
 /// @brief Computes the delta that turns one sheet into another.
 /// Complexity: linear in services and routes; both sheets are sorted by name.
-SheetDelta difference(const Sheet &From, const Sheet &To);
+SheetDelta computeDelta(const Sheet &From, const Sheet &To);
 
 /// @brief Applies a delta.
 /// @return the new sheet, sorted by name, with the base of `From`
-Sheet applied(const Sheet &From, const SheetDelta &Delta);
+Sheet applyDelta(const Sheet &From, const SheetDelta &Delta);
 
 } // namespace filbertvane::config
 
--- a/include/filbertvane/config/SheetParser.h
+++ b/include/filbertvane/config/SheetParser.h
@@ -1,22 +1,25 @@
 #ifndef FILBERTVANE_CONFIG_SHEETPARSER_H
 #define FILBERTVANE_CONFIG_SHEETPARSER_H
 
-#include "filbertvane/config/Checked.h"
 #include "filbertvane/config/SheetValidation.h"
+#include "filbertvane/config/ValidationResult.h"
 #include <string>
 
 namespace filbertvane::config {
 
-/// @brief Reads a sheet (docs/sheet.md) and checks all that it shows by itself.
+/// @brief Parses a sheet (docs/sheet.md) and validates it on its own, without
+///        the fleet state.
 /// @param Text content of the file
-/// @param File name for the faults
-/// @return the sheet sorted by name, or all faults
-Checked<Sheet> parseSheet(const std::string &Text, const std::string &File);
+/// @param File file name for error details
+/// @return the sheet sorted by name, or all errors
+ValidationResult<Sheet> parseSheet(const std::string &Text,
+                                   const std::string &File);
 
-/// @brief Reads a sheet and checks it against the state that it would change.
+/// @brief Parses a sheet and validates it also against the current state.
 /// @param Now time of publication
-Checked<Sheet> parseSheet(const std::string &Text, const std::string &File,
-                          const FleetState &State, core::WallTime Now);
+ValidationResult<Sheet> parseSheet(const std::string &Text,
+                                   const std::string &File,
+                                   const FleetState &State, core::WallTime Now);
 
 } // namespace filbertvane::config
 
--- a/include/filbertvane/decision/Step.h
+++ b/include/filbertvane/decision/Step.h
@@ -3,10 +3,10 @@
 
 namespace filbertvane::decision {
 
-/// @brief What a reducer returns: the next state, and effects as data.
+/// @brief Result of a reducer: the next state and the effects to carry out.
 template <typename State, typename Effects> struct Step {
-  State Next;
-  Effects Out;
+  State NextState;
+  Effects EmittedEffects;
 };
 
 } // namespace filbertvane::decision
--- a/include/filbertvane/decision/distribution/Distribution.h
+++ b/include/filbertvane/decision/distribution/Distribution.h
@@ -12,80 +12,80 @@
 
 namespace filbertvane::decision::distribution {
 
-/// @name Figures
+/// @name Timeouts and limits
 /// @{
-/// Silence of the region reader, or of the lead, after which a lead, or the
-/// standby, reads the log itself.
-inline constexpr core::Milliseconds ReaderSilence{1000};
-/// Period of empty batches; three fit into `ReaderSilence`.
+/// Time without a message of the region reader after which a lead reads the log
+/// itself; the same for a standby and its lead.
+inline constexpr core::Milliseconds ReaderTimeout{1000};
+/// Three heartbeats fit into `ReaderTimeout`.
 inline constexpr core::Milliseconds HeartbeatPeriod{300};
-/// Wait before records that a peer reports are requested, since they usually
-/// are on their way down the tree.
-inline constexpr core::Milliseconds RepairGrace{100};
+/// Delay before requesting records that a peer reports, since they usually
+/// arrive through the tree meanwhile.
+inline constexpr core::Milliseconds RepairDelay{100};
 inline constexpr core::Milliseconds RequestTimeout{500};
 inline constexpr core::Milliseconds BackoffBase{200};
-inline constexpr core::Milliseconds RequestBackoffMax{5000};
-inline constexpr core::Milliseconds LogBackoffMax{2000};
-/// Period in which a starting node asks for the end of the log; ten requests,
-/// of which each may be lost, fit into `EndWait`.
-inline constexpr core::Milliseconds EndRequestPeriod{200};
-/// Time after its start in which a node trusts only the end of the log. After
-/// it, the word of a ready peer that cannot read the log either suffices.
-inline constexpr core::Milliseconds EndWait{2000};
-/// Starting nodes that wait at one peer for the end of the log; the size of a
-/// data centre that restarts at once.
-inline constexpr std::size_t MaxEndWaiters = 128;
-/// Time in which a starting node collects the positions of its peers.
-inline constexpr core::Milliseconds SettleTime{500};
-/// A report that was not repeated for this long is of a peer out of reach.
-inline constexpr core::Milliseconds ReportLifetime{5000};
-/// Snapshot transfers at a time, and the time that one occupies its place.
-inline constexpr std::size_t MaxTransfers = 4;
-inline constexpr core::Milliseconds TransferTime{100};
+inline constexpr core::Milliseconds MaxRequestBackoff{5000};
+inline constexpr core::Milliseconds MaxLogBackoff{2000};
+/// Period at which a starting node requests a check of the end of the log. Ten
+/// requests fit into `LogEndTimeout`, since each may be lost.
+inline constexpr core::Milliseconds LogEndRequestPeriod{200};
+/// Time after the start of a node in which only the end of the log proves that
+/// its state is current. Later, a ready peer that cannot read the log suffices.
+inline constexpr core::Milliseconds LogEndTimeout{2000};
+/// Nodes that wait at one peer for a check of the end of the log; covers a data
+/// centre that restarts at once.
+inline constexpr std::size_t MaxLogEndWaiters = 128;
+/// Time for which a peer must have reported that it is ready before its report
+/// proves a position; other peers report theirs meanwhile.
+inline constexpr core::Milliseconds PeerReportWindow{500};
+/// A peer whose report is older counts as unreachable.
+inline constexpr core::Milliseconds PeerReportLifetime{5000};
+/// Concurrent snapshot transfers, and the time for which each is counted.
+inline constexpr std::size_t MaxSnapshotTransfers = 4;
+inline constexpr core::Milliseconds SnapshotTransferTime{100};
 inline constexpr std::size_t MaxBatchBytes = std::size_t{512} * 1024;
-/// Records kept to serve requests.
-inline constexpr std::size_t MaxRecent = 1024;
+/// Records cached to serve requests.
+inline constexpr std::size_t MaxRecentRecords = 1024;
 inline constexpr std::size_t MaxRecentBytes = std::size_t{2} * 1024 * 1024;
-/// Batches that wait for earlier records.
-inline constexpr std::size_t MaxBuffered = 64;
+/// Batches buffered until earlier records arrive.
+inline constexpr std::size_t MaxBufferedBatches = 64;
 inline constexpr std::size_t MaxBufferedBytes = std::size_t{1024} * 1024;
-inline constexpr std::size_t MaxReports = 256;
-/// A record above this is replaced by its reduced form, if that has the same
-/// effect.
-inline constexpr std::size_t ReduceAbove = 1024;
+inline constexpr std::size_t MaxPeerReports = 256;
+/// A larger record is replaced by its reduced form if the effect is the same.
+inline constexpr std::size_t ReductionThresholdBytes = 1024;
 /// @}
 
 /// @name Values
 /// @{
 struct Settings {
-  Peer Own;
+  Peer Self;
   core::DataCentreId DataCentre;
   core::RegionId Region;
-  /// Control addresses of nodes of other data centres, for a start without
-  /// any holder in the own one.
-  std::vector<std::string> Outside;
+  /// Control addresses of nodes of other data centres, used when no node of the
+  /// local one holds the configuration.
+  std::vector<std::string> RemoteSeeds;
   Fold Folding;
 };
 
-/// @brief A live member of the data centre.
+/// @brief Live member of the data centre, a node of the distribution tree.
 struct TreeMember {
-  Peer At;
-  /// Its children are fed past it as well.
+  Peer Contact;
+  /// Its parent also sends records to its children directly.
   bool Suspect = false;
 
   friend auto operator<=>(const TreeMember &, const TreeMember &) = default;
 };
 
-/// @brief The lead of another data centre.
-struct OtherLead {
-  Peer At;
+/// @brief Lead of another data centre.
+struct RemoteLead {
+  Peer Contact;
   core::DataCentreId DataCentre;
   core::RegionId Region;
 
-  friend auto operator<=>(const OtherLead &, const OtherLead &) = default;
+  friend auto operator<=>(const RemoteLead &, const RemoteLead &) = default;
 };
 
-/// @brief A record of the log with what it did.
+/// @brief Record of the log and the outcome of applying it.
 struct AppliedRecord {
   core::LogOffset Offset;
   std::optional<config::LogRecord> Record;
@@ -96,127 +96,131 @@
 /// @name Parts of the state
 /// @{
 
-/// @brief A record kept to serve requests.
-struct KeptRecord {
+/// @brief Record cached to serve requests.
+struct RecentRecord {
   StoredRecord Record;
-  Position After;
+  Position PositionAfter;
 };
 
-/// @brief Reading of the log.
-struct LogReading {
-  bool Wanted = false;
-  bool Pending = false;
-  bool Available = true;
-  /// Looking for a snapshot behind the trimmed head.
-  bool Searching = false;
-  core::LogOffset From;
-  /// The end of the log was reached once.
+/// @brief State of reading the log.
+struct LogReaderState {
+  /// The role of this node requires it to read the log.
+  bool Active = false;
+  bool ReadPending = false;
+  bool LogAvailable = true;
+  /// Searching for a snapshot after the head of a trimmed log.
+  bool SearchingSnapshot = false;
+  core::LogOffset ReadOffset;
+  /// The end of the log was reached at least once.
   bool ReachedEnd = false;
   std::uint32_t Failures = 0;
   core::TimePoint RetryAt;
 };
 
-/// @brief The one request for records under way, and its backoff.
-struct Repair {
-  std::optional<Peer> Asked;
-  core::TimePoint Timeout;
-  /// The peer known to be ahead.
+/// @brief Outstanding request for records and its backoff; there is at most
+///        one.
+struct RepairState {
+  std::optional<Peer> PendingPeer;
+  core::TimePoint Deadline;
+  /// Peer with the highest reported position.
   std::optional<Peer> AheadPeer;
-  core::LogOffset AheadNext;
-  /// The own state differs from this peer's at the same offset.
-  std::optional<Peer> Diverged;
-  core::TimePoint NotBefore;
+  core::LogOffset AheadOffset;
+  /// Peer whose state differs from the local one at the same offset.
+  std::optional<Peer> DivergedFrom;
+  core::TimePoint NextRequest;
   /// Requests since the last progress.
-  std::uint32_t Failures = 0;
-  /// The same for a node that is not ready and asks any peer.
-  core::TimePoint NextSeek;
-  std::uint32_t Seeks = 0;
+  std::uint32_t RequestsWithoutProgress = 0;
+  /// Next request to any peer, and requests sent so far, while this node is not
+  /// ready.
+  core::TimePoint NextCatchUp;
+  std::uint32_t CatchUpRequests = 0;
 };
 
-/// @brief Starting peers that asked for the end of the log.
-struct EndChecks {
-  /// Addresses to which the end is confirmed.
+/// @brief Requests of starting peers to check the end of the log.
+struct LogEndChecks {
+  /// Addresses that the next check answers.
   std::vector<std::string> Waiting;
-  /// A read is under way; those who ask during it wait for the next one.
-  bool Pending = false;
-  std::vector<std::string> Served;
+  /// A check is under way; it does not answer requests that arrive during it.
+  bool ReadPending = false;
+  /// Addresses that the check under way answers.
+  std::vector<std::string> InProgress;
 };
 
-/// @brief Position that a peer reported, for the restart rule.
-struct Report {
-  core::LogOffset Next;
+/// @brief Position that a peer reported to this starting node.
+struct PeerReport {
+  core::LogOffset NextOffset;
   core::TimePoint HeardAt;
-  /// First time the peer said that it is ready.
+  /// Time of the first report since which the peer has been ready.
   std::optional<core::TimePoint> ReadySince;
-  /// The peer tried to read the log for this node, and could not.
-  bool WithoutLog = false;
+  /// The peer could not read the log when it checked its end.
+  bool LogUnreadable = false;
 };
 
 struct State {
-  Settings Own;
-  core::Random Chance;
+  Settings Local;
+  core::Random Rng;
 
   /// @name Configuration
   /// @{
-  std::shared_ptr<const config::FleetState> Held;
-  Position At;
-  std::deque<KeptRecord> Recent;
+  std::shared_ptr<const config::FleetState> Fleet;
+  Position ConfigPosition;
+  std::deque<RecentRecord> RecentRecords;
   std::size_t RecentBytes = 0;
-  std::map<core::LogOffset, std::pair<Peer, RecordBatch>> Buffered;
+  std::map<core::LogOffset, std::pair<Peer, RecordBatch>> BufferedBatches;
   std::size_t BufferedBytes = 0;
   /// @}
 
   /// @name Roles
   /// @{
   /// Live members in rendezvous order of the data centre.
-  std::vector<TreeMember> Order;
-  std::vector<OtherLead> Leads;
+  std::vector<TreeMember> RankedMembers;
+  std::vector<RemoteLead> RemoteLeads;
   core::TimePoint LeadHeardAt;
   core::TimePoint ReaderHeardAt;
   core::TimePoint NextHeartbeat;
   /// @}
 
-  LogReading Log;
-  Repair Fix;
-  /// Ends of the snapshot transfers under way.
-  std::vector<core::TimePoint> Transfers;
+  LogReaderState LogReader;
+  RepairState Repair;
+  /// Times at which the current snapshot transfers end.
+  std::vector<core::TimePoint> TransferEnds;
 
-  /// @name Restart rule
+  /// @name Readiness after a restart
   /// @{
-  std::map<core::NodeId, Report> Reports;
+  std::map<core::NodeId, PeerReport> PeerReports;
   core::TimePoint StartedAt;
-  core::TimePoint NextEndRequest;
-  /// End of the log that a peer read after this process had started.
-  std::optional<core::LogOffset> ConfirmedEnd;
-  EndChecks Ends;
+  core::TimePoint NextLogEndRequest;
+  /// End of the log as confirmed by a peer after this process started.
+  std::optional<core::LogOffset> ConfirmedLogEnd;
+  LogEndChecks EndChecks;
   bool Ready = false;
   /// @}
 };
 /// @}
 
-/// @brief State of a process that starts; it holds the empty configuration.
-State initial(Settings Own, std::uint64_t Seed);
+/// @brief Creates the state of a starting process, with an empty configuration.
+State initial(Settings Local, std::uint64_t Seed);
 
 /// @name Events
 /// @{
 struct Started {};
 struct Tick {};
-/// @brief A read of the log ended.
+/// @brief A read of the log succeeded.
 struct LogRead {
-  /// Consecutive records; empty when there was nothing new.
+  /// Consecutive records; empty without new ones.
   std::vector<StoredRecord> Records;
   /// Offset after the newest record of the log.
-  core::LogOffset End;
+  core::LogOffset EndOffset;
 };
-/// @brief The requested offset is before the head of the log.
+/// @brief The requested offset precedes the head of the log.
 struct LogTrimmed {
-  core::LogOffset Head;
+  core::LogOffset HeadOffset;
 };
 struct LogUnavailable {};
-/// @brief A check of the log's end is over.
-struct EndChecked {
-  LogEnd Found = LogEnd::Unread;
-  core::LogOffset From;
+/// @brief Completes a `CheckLogEnd`.
+struct LogEndChecked {
+  LogEndStatus Status = LogEndStatus::Unavailable;
+  core::LogOffset Offset;
 };
 struct RecordsReceived {
   Peer From;
@@ -224,43 +228,43 @@
 };
 struct RecordsRequested {
   Peer From;
-  RecordsRequest What;
+  RecordsRequest Request;
 };
 struct SnapshotReceived {
   Peer From;
-  Snapshot What;
+  Snapshot Payload;
 };
-struct PositionHeard {
+struct PeerPositionReported {
   Peer From;
-  Position At;
+  Position ConfigPosition;
 };
-/// @brief Live members of the data centre, with this node.
+/// @brief The live members of the data centre, including this node, changed.
 struct MembersChanged {
-  std::vector<TreeMember> Live;
+  std::vector<TreeMember> LiveMembers;
 };
-struct OtherLeadsChanged {
-  std::vector<OtherLead> Leads;
+struct RemoteLeadsChanged {
+  std::vector<RemoteLead> RemoteLeads;
 };
 
-using Event =
-    std::variant<Started, Tick, LogRead, LogTrimmed, LogUnavailable, EndChecked,
-                 RecordsReceived, RecordsRequested, SnapshotReceived,
-                 PositionHeard, MembersChanged, OtherLeadsChanged>;
+using Event = std::variant<Started, Tick, LogRead, LogTrimmed, LogUnavailable,
+                           LogEndChecked, RecordsReceived, RecordsRequested,
+                           SnapshotReceived, PeerPositionReported,
+                           MembersChanged, RemoteLeadsChanged>;
 /// @}
 
 /// @name Effects
 /// @{
-/// @brief Read the log; exactly one read is under way until `LogRead`,
-///        `LogTrimmed` or `LogUnavailable` answers it.
+/// @brief Reads the log; completed by `LogRead`, `LogTrimmed` or
+///        `LogUnavailable`. At most one is under way.
 struct ReadLog {
-  core::LogOffset From;
-  /// Wait for new records when there are none.
+  core::LogOffset Offset;
+  /// Waits for new records if there are none.
   bool LongPoll = false;
 };
-/// @brief Read the log once, beside `ReadLog`, to learn whether it ends at an
-///        offset; `EndChecked` answers it.
-struct CheckEnd {
-  core::LogOffset From;
+/// @brief Checks whether the log ends at an offset, by a read independent of
+///        `ReadLog`; completed by `LogEndChecked`.
+struct CheckLogEnd {
+  core::LogOffset Offset;
 };
 struct SendRecords {
   std::string To;
@@ -268,45 +272,47 @@
 };
 struct RequestRecords {
   std::string To;
-  RecordsRequest What;
+  RecordsRequest Request;
 };
-/// @brief Ask a peer for the end of the log.
-struct RequestEnd {
+/// @brief Requests a check of the end of the log from a peer.
+struct RequestLogEnd {
   std::string To;
-  RecordsRequest What;
+  RecordsRequest Request;
 };
 struct SendSnapshot {
   std::string To;
-  Snapshot What;
+  Snapshot Payload;
 };
-/// @brief A newer state holds.
+/// @brief A newer state was adopted.
 struct StateAdopted {
   std::shared_ptr<const config::FleetState> State;
-  Position At;
-  /// Records that led to it; empty when a snapshot did.
+  Position ConfigPosition;
+  /// Records that were applied; empty for a snapshot.
   std::vector<AppliedRecord> Records;
 };
 struct ReadyChanged {
   bool Ready = false;
 };
 
-using Effect =
-    std::variant<ReadLog, CheckEnd, SendRecords, RequestRecords, RequestEnd,
-                 SendSnapshot, StateAdopted, ReadyChanged, observe::LogEvent>;
+using Effect = std::variant<ReadLog, CheckLogEnd, SendRecords, RequestRecords,
+                            RequestLogEnd, SendSnapshot, StateAdopted,
+                            ReadyChanged, observe::LogEvent>;
 using Effects = std::vector<Effect>;
 /// @}
 
-/// @brief Applies one event; `Tick` is expected every 50 ms.
-Step<State, Effects> reduce(State Before, const Event &What, core::Instant Now);
+/// @brief Applies one event; the caller sends `Tick` every 50 ms.
+Step<State, Effects> reduce(State Before, const Event &E, core::Instant Now);
 
 /// @name Roles
 /// @{
-/// @brief Whether the node is the lead of its data centre (rank 0).
-bool isLead(const State &Of);
-/// @brief Whether it is the lead, or the standby of a silent lead.
-bool actsAsLead(const State &Of, core::TimePoint Now);
-/// @brief Whether it reads the log and feeds the leads of its region.
-bool isRegionReader(const State &Of);
+/// @brief Whether this node is the lead of its data centre (rank 0).
+bool isLead(const State &S);
+/// @brief Whether this node is the lead, or the standby (rank 1) of a lead that
+///        exceeded `ReaderTimeout`.
+bool actsAsLead(const State &S, core::TimePoint Now);
+/// @brief Whether this node reads the log and sends the records to the leads of
+///        its region.
+bool isRegionReader(const State &S);
 /// @}
 
 } // namespace filbertvane::decision::distribution
--- a/include/filbertvane/decision/distribution/Position.h
+++ b/include/filbertvane/decision/distribution/Position.h
@@ -9,17 +9,18 @@
 /// @brief Position of a node in the `config` stream.
 struct Position {
   /// Offset of the next record to apply.
-  core::LogOffset Next;
-  /// Digest of the state before that record; shows a divergence.
+  core::LogOffset NextOffset;
+  /// Digest of the state before that record; used to detect divergence.
   core::Digest StateDigest;
   core::ConfigVersion Version;
-  /// The node is ready: its version is in force and proves itself current.
+  /// The node is ready, which means that its version is in force and is known
+  /// to be current.
   bool Ready = false;
 
   friend auto operator<=>(const Position &, const Position &) = default;
 };
 
-/// @brief Another node and the control address at which it listens.
+/// @brief Id and control address of a node.
 struct Peer {
   core::NodeId Node;
   std::string Address;
--- a/include/filbertvane/decision/request/Admission.h
+++ b/include/filbertvane/decision/request/Admission.h
@@ -9,33 +9,34 @@
 
 namespace filbertvane::decision::request {
 
-/// @brief A request that asks for a slot of the own target.
-struct Applicant {
+/// @brief Request for a slot of a local target.
+struct SlotRequest {
   core::CallId Id;
   config::TrafficKind Kind = config::TrafficKind::Interactive;
   core::TimePoint Deadline;
   std::uint64_t Bytes = 0;
-  /// A suspect: it runs while no other request runs.
-  bool Alone = false;
+  /// Set for a suspect request: it must run while no other request runs.
+  bool Exclusive = false;
 };
 
-/// @brief Whether a request starts, waits or is refused; the last with reason.
-struct Admitted {
-  enum class Kind { Start, Wait, Refuse } What = Kind::Refuse;
-  core::ErrorCode Why = core::ErrorCode::RequestQueueFull;
+/// @brief Whether a request starts, waits or is refused; `Reason` applies to a
+///        refusal only.
+struct AdmissionDecision {
+  enum class Kind { Start, Wait, Refuse } Action = Kind::Refuse;
+  core::ErrorCode Reason = core::ErrorCode::RequestQueueFull;
 };
 
-/// @brief Slots and queue of one own target.
+/// @brief Slots and request queue of one local target.
 ///
-/// Slots are counted exactly: a request holds one from its start to its end.
-/// Waiting requests are ordered by kind and deadline. A refusal always
-/// concerns a request that was not handed to the target.
+/// A request holds exactly one slot from its start to its end. Waiting requests
+/// are ordered by kind and deadline. A refused request was never sent to the
+/// target.
 class Admission {
 public:
   struct Bounds {
-    std::size_t Entries = 512;
-    std::uint64_t BulkBytes = 64ULL << 20;
-    /// Refuse interactive requests that cannot finish in time.
+    std::size_t MaxQueueEntries = 512;
+    std::uint64_t MaxBulkBytes = 64ULL << 20;
+    /// Refuse interactive requests that cannot finish before their deadline.
     bool ShedByDeadline = true;
   };
 
@@ -44,30 +45,32 @@
 
   /// @name Requests
   /// @{
-  /// @brief Decides about a new request.
-  Admitted arrive(const Applicant &Who, core::TimePoint Now);
-  /// @brief A request that was started ended.
-  /// @param Took time at the target when it answered
-  void finished(const Applicant &Who, std::optional<core::Microseconds> Took);
-  /// @brief Withdraws a waiting request.
-  void withdraw(const Applicant &Who);
-  /// @brief Adds the announced bytes of an answer to a started bulk request.
-  void addBytes(Applicant &Who, std::uint64_t More);
+  /// @brief Starts, queues or refuses a new request.
+  AdmissionDecision admit(const SlotRequest &Request, core::TimePoint Now);
+  /// @brief Releases the slot of a started request.
+  /// @param Duration time at the target; none unless the target answered
+  void finish(const SlotRequest &Request,
+              std::optional<core::Microseconds> Duration);
+  /// @brief Removes a waiting request from the queue.
+  void withdraw(const SlotRequest &Request);
+  /// @brief Adds the announced length of the answer to a started bulk request.
+  void addBytes(SlotRequest &Request, std::uint64_t AddedBytes);
 
-  /// @brief Next waiting request to start or to refuse, if any now.
-  struct Turn {
+  /// @brief Waiting request taken from the queue, to be started or refused.
+  struct Dequeued {
     core::CallId Id;
-    Admitted Verdict;
+    AdmissionDecision Decision;
   };
-  std::optional<Turn> next(core::TimePoint Now);
+  /// @brief Takes the next request that can be started or must be refused.
+  std::optional<Dequeued> dequeue(core::TimePoint Now);
   /// @}
 
   /// @name Target
   /// @{
-  /// @brief Accepts no further request; returns the waiting ones, which must
-  ///        be refused.
+  /// @brief Stops accepting requests and empties the queue.
+  /// @return the waiting requests, which the caller must refuse
   std::vector<core::CallId> close();
-  /// @brief Accepts requests again, or changes the number of slots.
+  /// @brief Accepts requests, with a new number of slots.
   void open(std::uint32_t NewSlots) {
     Slots = NewSlots;
     Closed = false;
@@ -77,48 +80,50 @@
   /// @name Observation
   /// @{
   std::uint32_t slots() const { return Slots; }
-  std::uint32_t inUse() const { return InUse; }
-  std::size_t waiting() const;
+  std::uint32_t slotsInUse() const { return SlotsInUse; }
+  std::size_t queueLength() const;
   bool closed() const { return Closed; }
   std::uint64_t bulkBytes() const { return BulkBytes; }
-  core::Microseconds expectedTime(config::TrafficKind Kind) const;
+  core::Microseconds expectedServiceTime(config::TrafficKind Kind) const;
   /// @}
 
 private:
   using Key = std::pair<core::TimePoint, core::CallId>;
-  struct Waiting {
-    Key Order;
+  struct QueueEntry {
+    Key SortKey;
     std::uint64_t Bytes = 0;
-    friend auto operator<=>(const Waiting &, const Waiting &) = default;
+    friend auto operator<=>(const QueueEntry &, const QueueEntry &) = default;
   };
-  struct ServiceTime {
+  struct ServiceTimeStats {
     double MeanUs = 0;
     double DeviationUs = 0;
-    void note(core::Microseconds Took);
+    void add(core::Microseconds Duration);
   };
 
   bool fits(config::TrafficKind Kind, std::uint64_t Bytes) const;
-  bool tooLate(const Applicant &Who, core::TimePoint Now) const;
-  bool overdue(config::TrafficKind Kind, core::TimePoint Deadline,
-               core::TimePoint Now) const;
-  void start(config::TrafficKind Kind, std::uint64_t Bytes, bool Alone);
-  std::optional<Turn> nextSuspect(core::TimePoint Now);
-  std::optional<Turn> nextOf(config::TrafficKind Kind, core::TimePoint Now);
-  std::set<Waiting> &queue(config::TrafficKind Kind);
-  const std::set<Waiting> &queue(config::TrafficKind Kind) const;
+  bool missesDeadlineInQueue(const SlotRequest &Request,
+                             core::TimePoint Now) const;
+  bool missesDeadline(config::TrafficKind Kind, core::TimePoint Deadline,
+                      core::TimePoint Now) const;
+  void start(config::TrafficKind Kind, std::uint64_t Bytes, bool Exclusive);
+  std::optional<Dequeued> dequeueSuspect(core::TimePoint Now);
+  std::optional<Dequeued> dequeueKind(config::TrafficKind Kind,
+                                      core::TimePoint Now);
+  std::set<QueueEntry> &queue(config::TrafficKind Kind);
+  const std::set<QueueEntry> &queue(config::TrafficKind Kind) const;
 
   std::uint32_t Slots;
   Bounds Limits;
-  std::uint32_t InUse = 0;
+  std::uint32_t SlotsInUse = 0;
   std::uint64_t BulkBytes = 0;
   std::uint32_t BulkInUse = 0;
   bool Closed = false;
-  bool AloneRuns = false;
-  /// Starts since a patient or bulk request last had its turn.
-  std::uint32_t SinceOthers = 0;
-  std::array<std::set<Waiting>, 3> Queues;
-  std::set<Waiting> Suspects;
-  std::array<ServiceTime, 3> Observed;
+  bool ExclusiveRunning = false;
+  /// Interactive requests dequeued since the last patient or bulk request.
+  std::uint32_t InteractiveStarts = 0;
+  std::array<std::set<QueueEntry>, 3> Queues;
+  std::set<QueueEntry> SuspectQueue;
+  std::array<ServiceTimeStats, 3> ServiceTimes;
 };
 
 } // namespace filbertvane::decision::request
--- a/include/filbertvane/decision/request/State.h
+++ b/include/filbertvane/decision/request/State.h
@@ -5,7 +5,7 @@
 #include "filbertvane/decision/request/Call.h"
 #include "filbertvane/decision/request/RetryBudget.h"
 #include "filbertvane/decision/request/Settings.h"
-#include "filbertvane/decision/request/SpillGauge.h"
+#include "filbertvane/decision/request/SpilloverEstimator.h"
 #include "filbertvane/decision/request/Suspects.h"
 #include "filbertvane/decision/request/VersionSelector.h"
 #include "filbertvane/decision/request/claims/KeptResults.h"
@@ -21,32 +21,32 @@
   std::array<std::vector<TargetIndex>, LocalityCount> Active;
 };
 
-/// @brief What this node keeps about one service.
+/// @brief State of one service.
 struct ServiceState {
   core::ServiceName Name;
-  config::Traffic Versions;
+  config::TrafficSplit Versions;
   bool HasIdempotentRoute = false;
   VersionSelector Selector;
   RetryBudget Retries;
-  SpillGauge Spill;
+  SpilloverEstimator Spillover;
   std::vector<VersionPool> Pools;
 
   VersionPool *poolOf(const core::TargetVersion &Version);
 };
 
-/// @brief Deadline of a call, for the queue of deadlines.
+/// @brief Deadline of a call, ordered by time.
 struct Expiry {
-  core::TimePoint At;
+  core::TimePoint Deadline;
   core::CallId Id;
   friend auto operator<=>(const Expiry &, const Expiry &) = default;
 };
 
-/// @brief Fields of the state of one node's request decisions.
+/// @brief Fields of `State`.
 struct StateFields {
-  explicit StateFields(Settings Own);
+  explicit StateFields(Settings InitialConfig);
 
-  Settings Own;
-  core::Random Source;
+  Settings Config;
+  core::Random Rng;
   bool Draining = false;
 
   /// @name Configuration and targets
@@ -55,32 +55,32 @@
   RouteTable Routes;
   std::unordered_map<core::ServiceName, ServiceState> Services;
   TargetTable Targets;
-  /// Slots and queues of the own targets.
-  std::map<TargetIndex, Admission> OwnTargets;
+  /// Slots and queues of the local targets.
+  std::map<TargetIndex, Admission> LocalTargets;
   /// @}
 
   /// @name Calls
   /// @{
   std::unordered_map<core::CallId, Call> Calls;
-  /// Min-heap; entries of ended calls are skipped, and removed when they
-  /// outnumber the others.
+  /// Min-heap; entries of ended calls are skipped, and removed once they are
+  /// the majority.
   std::vector<Expiry> Expiries;
-  /// Next search for targets to eject or to re-admit.
+  /// Time of the next search for targets to eject or to re-admit.
   core::TimePoint NextReview;
-  std::uint64_t LastAttempt = 0;
+  std::uint64_t LastAttemptId = 0;
   claims::KeptResults Results;
-  Suspects Crashed;
+  Suspects KnownSuspects;
   /// @}
 };
 
-/// @brief State of the request decisions of one node, moved through `reduce`.
+/// @brief State of the request handling of one node, moved through `reduce`.
 ///
-/// The fields are on the heap, because moving them with each event cost more
-/// than the decision itself (docs/routing.md).
+/// The fields are on the heap because moving them for each event cost more than
+/// the event itself (docs/routing.md).
 class State {
 public:
-  explicit State(Settings Own)
-      : Fields(std::make_unique<StateFields>(std::move(Own))) {}
+  explicit State(Settings InitialConfig)
+      : Fields(std::make_unique<StateFields>(std::move(InitialConfig))) {}
 
   StateFields &operator*() { return *Fields; }
   StateFields *operator->() { return Fields.get(); }
--- a/include/filbertvane/decision/request/WarmUp.h
+++ b/include/filbertvane/decision/request/WarmUp.h
@@ -5,13 +5,14 @@
 
 namespace filbertvane::decision::request {
 
-/// Time in which a new target reaches its full share.
+/// Time after which a new target receives its full share of requests.
 inline constexpr core::Seconds WarmUpTime{10};
-/// Share of a target that was just announced.
-inline constexpr double ColdShare = 0.1;
+/// Initial share of a target that was just announced.
+inline constexpr double InitialShare = 0.1;
 
-/// @brief Part of its full share that a target takes, from `ColdShare` to 1.
-double warmth(core::TimePoint Since, core::TimePoint Now);
+/// @brief Fraction of its full share that a target receives, from
+///        `InitialShare` to 1.
+double warmUpShare(core::TimePoint Since, core::TimePoint Now);
 
 } // namespace filbertvane::decision::request
 
--- a/include/filbertvane/decision/rollout/Controller.h
+++ b/include/filbertvane/decision/rollout/Controller.h
@@ -1,48 +1,52 @@
 #ifndef FILBERTVANE_DECISION_ROLLOUT_CONTROLLER_H
 #define FILBERTVANE_DECISION_ROLLOUT_CONTROLLER_H
 
-#include "filbertvane/decision/rollout/LocalGuard.h"
+#include "filbertvane/decision/rollout/NodeMonitor.h"
 #include "filbertvane/decision/rollout/Schedule.h"
 
 namespace filbertvane::decision::rollout {
 
-/// Time after which a record that was appended and not read back is appended
-/// again; the fold makes the repetition harmless.
-inline constexpr core::Seconds ReadBackTime{2};
+/// Time after which an appended record that has not been read back from the log
+/// is appended again. Applying a record twice has no effect.
+inline constexpr core::Seconds ReadBackTimeout{2};
 
-/// Time after a takeover in which the first reports of the leads arrive.
-inline constexpr core::Seconds TakeoverReports{2};
+/// Time after a takeover of the lease in which the first evidence reports of
+/// the data centre leads arrive.
+inline constexpr core::Seconds TakeoverReportWindow{2};
 
-/// Time for which a suspected version gets no requests before it is tried
+/// Time for which a suspected version gets no requests before it gets a share
 /// again.
-inline constexpr core::Seconds RetrialTime{5};
+inline constexpr core::Seconds SuspicionRetryDelay{5};
 
-/// Time after which the old version is looked at again when it failed too.
-inline constexpr core::Seconds RecheckTime{2};
+/// Delay before the old version is checked again after it was found to fail
+/// too.
+inline constexpr core::Seconds SuspicionRecheckDelay{2};
 
-/// Suspicions after which a move is rolled back: a fault that came with the new
-/// version, went with it and came again with it is not a coincidence.
+/// Suspicions after which a move is rolled back. A fault that stops when the
+/// new version is withdrawn and returns with it is attributed to the new
+/// version.
 inline constexpr int MaxSuspicions = 2;
 
 /// @name Events
 /// @{
 
-/// @brief Ready slots of all targets of one version of a service changed.
+/// @brief The ready slots of all targets of one version of a service changed.
 struct SlotsChanged {
   core::ServiceName Service;
   core::TargetVersion Version;
   std::uint32_t Slots = 0;
   std::uint32_t InUse = 0;
 };
-/// @brief A data centre reported the lowest version that its nodes hold.
+/// @brief A data centre reported the lowest configuration version that its
+///        nodes hold.
 struct DataCentreReported {
   core::DataCentreId DataCentre;
-  core::ConfigVersion Lowest;
+  core::ConfigVersion LowestVersion;
 };
 /// @brief A data centre cannot be reached.
 struct DataCentreLost {
   core::DataCentreId DataCentre;
-  core::WallTime Since;
+  core::WallTime UnreachableSince;
 };
 /// @brief This node holds the coordinator lease.
 struct LeaseGained {
@@ -50,98 +54,98 @@
 };
 /// @brief This node no longer holds the coordinator lease.
 struct LeaseLost {};
-/// @brief The platform log can or cannot be reached.
-struct LogAvailability {
-  bool Up = true;
+/// @brief The platform log became reachable or unreachable.
+struct LogAvailabilityChanged {
+  bool Available = true;
 };
 
 using ControllerEvent =
-    std::variant<FleetChanged, EvidenceReceived, OverlayReceived, SlotsChanged,
-                 DataCentreReported, DataCentreLost, LeaseGained, LeaseLost,
-                 LogAvailability, Tick>;
+    std::variant<FleetChanged, EvidenceReceived, LocalRollbackReceived,
+                 SlotsChanged, DataCentreReported, DataCentreLost, LeaseGained,
+                 LeaseLost, LogAvailabilityChanged, Tick>;
 /// @}
 
 /// @name Effects
 /// @{
 
 /// @brief Append a record to the `config` stream.
-struct Append {
+struct AppendRecord {
   config::RecordBody Body;
 };
-/// @brief Send an overlay for the whole fleet to all data centre leads.
-struct PublishOverlay {
-  Overlay Value;
+/// @brief Send a rollback for the whole fleet to the leads of all data centres.
+struct PublishLocalRollback {
+  LocalRollback Rollback;
 };
 
 using ControllerEffect =
-    std::variant<Append, PublishOverlay, observe::LogEvent>;
+    std::variant<AppendRecord, PublishLocalRollback, observe::LogEvent>;
 using ControllerEffects = std::vector<ControllerEffect>;
 /// @}
 
-/// @brief What the coordinator remembers of a move beside the fleet state.
+/// @brief Volatile data of the coordinator about one move.
 ///
-/// It may be lost at any time: a new coordinator starts without it.
-struct MoveWatch {
-  /// @name Record that was appended and not read back
+/// It is not part of the fleet state: a new coordinator starts without it.
+struct MoveContext {
+  /// @name Appended record that has not been read back
   /// @{
-  std::optional<config::RecordBody> Pending;
-  core::TimePoint RetryAt;
+  std::optional<config::RecordBody> PendingRecord;
+  core::TimePoint AppendRetryAt;
   /// @}
 
   /// @name Progress
   /// @{
   std::optional<config::Permille> Share;
-  MoveCounts AtStep;
-  core::WallTime EarliestStep;
-  /// Figures that roll the move back, once decided.
-  std::optional<config::Verdict> Guilty;
+  MoveCounts CountsAtStep;
+  core::WallTime EarliestStepAt;
+  /// Set once a rollback is decided.
+  std::optional<config::MoveDecision> RollbackVerdict;
   /// @}
 
   /// @name Suspicion
   /// @{
-  int Suspicions = 0;
-  std::optional<core::TimePoint> RetrialAt;
-  MoveCounts AtSuspicion;
+  int SuspicionCount = 0;
+  std::optional<core::TimePoint> SuspicionRetryAt;
+  MoveCounts CountsAtSuspicion;
   /// @}
 
-  /// Events that were logged for the move, so that each is logged once.
-  std::set<observe::EventId> Logged;
+  /// Events already logged for the move; each is logged once.
+  std::set<observe::EventId> LoggedEvents;
 };
 
-/// @brief State of the coordinator's part of all moves.
+/// @brief State of the coordinator for all moves.
 struct ControllerState {
   std::shared_ptr<const config::FleetState> Fleet;
   /// Epoch of the held lease; none without a lease.
-  std::optional<core::Epoch> Lease;
-  bool LogUp = true;
+  std::optional<core::Epoch> LeaseEpoch;
+  bool LogAvailable = true;
 
-  EvidenceTable Table;
+  EvidenceTable EvidenceBySender;
   MoveWindows Windows;
-  OverlaySet Overlays;
-  std::map<config::MoveId, MoveWatch> Watches;
+  LocalRollbackSet LocalRollbacks;
+  std::map<config::MoveId, MoveContext> MoveContexts;
 
   struct VersionSlots {
     std::uint32_t Slots = 0;
     std::uint32_t InUse = 0;
   };
   std::map<std::pair<core::ServiceName, core::TargetVersion>, VersionSlots>
-      Slots;
+      SlotsByVersion;
 
-  struct DataCentreView {
-    core::ConfigVersion Lowest;
-    std::optional<core::WallTime> MissingSince;
+  struct DataCentreStatus {
+    core::ConfigVersion LowestVersion;
+    std::optional<core::WallTime> UnreachableSince;
   };
-  std::map<core::DataCentreId, DataCentreView> DataCentres;
+  std::map<core::DataCentreId, DataCentreStatus> DataCentres;
   core::TimePoint InForceRetryAt;
   core::TimePoint TakeoverUntil;
-  core::TimePoint NextPeriod;
-  core::TimePoint NextOverlays;
+  core::TimePoint NextPeriodAt;
+  core::TimePoint NextRollbackPublishAt;
 };
 
 /// @brief Handles one event at the coordinator, or at a candidate for it.
 ///
 /// Appends only while the lease is held and the log can be reached. Evidence
-/// and overlays are kept also without the lease.
+/// and local rollbacks are recorded without the lease too.
 Step<ControllerState, ControllerEffects>
 reduce(ControllerState State, const ControllerEvent &Event, core::Instant Now);
 
--- a/include/filbertvane/decision/rollout/Counts.h
+++ b/include/filbertvane/decision/rollout/Counts.h
@@ -9,11 +9,11 @@
 
 namespace filbertvane::decision::rollout {
 
-/// @brief Counts of latencies in buckets whose upper bounds are 1, 2, 4, ...
-///        1024 ms; the last bucket has no bound.
+/// @brief Latency histogram whose buckets have the upper bounds 1, 2, 4, ...
+///        1024 ms; the last bucket is unbounded.
 struct LatencyHistogram {
-  static constexpr std::size_t Buckets = 12;
-  std::array<std::uint64_t, Buckets> Count{};
+  static constexpr std::size_t BucketCount = 12;
+  std::array<std::uint64_t, BucketCount> Counts{};
 
   /// @brief Bucket that a latency falls into.
   static std::size_t bucketOf(core::Microseconds Latency);
@@ -22,7 +22,7 @@
   std::uint64_t total() const;
 
   /// @brief Number of latencies in the buckets above one.
-  std::uint64_t above(std::size_t Bucket) const;
+  std::uint64_t countAbove(std::size_t Bucket) const;
 
   friend bool operator==(const LatencyHistogram &,
                          const LatencyHistogram &) = default;
@@ -38,7 +38,8 @@
                          const VersionCounts &) = default;
 };
 
-/// @brief Answers of both versions of a move on one route, same window.
+/// @brief Answers of both versions of a move on one route in the same time
+///        window.
 struct RouteCounts {
   VersionCounts New;
   VersionCounts Old;
@@ -51,9 +52,9 @@
 VersionCounts &operator+=(VersionCounts &Left, const VersionCounts &Right);
 RouteCounts &operator+=(RouteCounts &Left, const RouteCounts &Right);
 
-/// @brief Counts added since an earlier report; 0 where a count fell, because a
-///        count of one incarnation never falls.
-RouteCounts since(const RouteCounts &Earlier, const RouteCounts &Later);
+/// @brief Increase of the counts since an earlier report of the same
+///        incarnation; 0 where a count fell, since counts are monotonic.
+RouteCounts increaseSince(const RouteCounts &Earlier, const RouteCounts &Later);
 /// @}
 
 } // namespace filbertvane::decision::rollout
--- a/include/filbertvane/io/ProxyEngine.h
+++ b/include/filbertvane/io/ProxyEngine.h
@@ -63,14 +63,14 @@
     std::function<void(const decision::request::RequestClaim &)> OnClaim;
     std::function<void(const decision::request::AnswerFromOwner &)>
         OnAnswerFromOwner;
-    std::function<void(const decision::request::Observed &)> OnObserved;
+    std::function<void(const decision::request::ObservedAnswer &)> OnObserved;
     std::function<void(const decision::request::SuspectReported &)> OnSuspect;
     std::function<void(const observe::LogEvent &)> OnLog;
     std::function<void(const HopRecord &)> OnHop;
   };
 
   /// @brief Opens both ports.
-  /// @return the engine, or `ProcessListen` with the address
+  /// @return the engine, or `ProcessListenFailed` with the address
   static core::Result<std::unique_ptr<ProxyEngine>>
   create(EventLoop &Loop, HttpClient &Client, Options Settings, Decide OnEvent,
          Callbacks Others);
--- a/lib/config/Replay.cpp
+++ b/lib/config/Replay.cpp
@@ -5,10 +5,10 @@
 
 namespace {
 
-/// State of a snapshot record, when it is one and the records after its
-/// position are present from `First` on.
-std::optional<FleetState> snapshotIn(const StoredRecord &Stored,
-                                     core::LogOffset First) {
+/// State of a snapshot record; none for another record, for a snapshot that
+/// cannot be decoded, and when records between it and `First` have expired.
+std::optional<FleetState> decodeUsableSnapshot(const StoredRecord &Stored,
+                                               core::LogOffset First) {
   const auto Record = wire::decodeRecord(Stored.Bytes);
   if (!core::ok(Record))
     return std::nullopt;
@@ -16,7 +16,7 @@
   if (!Snapshot || Snapshot->UpTo >= Stored.Offset)
     return std::nullopt;
   auto State = wire::decodeSnapshot(*Snapshot);
-  if (!core::ok(State) || core::value(State).Next < First)
+  if (!core::ok(State) || core::value(State).NextOffset < First)
     return std::nullopt;
   return core::take(std::move(State));
 }
@@ -24,21 +24,21 @@
 std::optional<FleetState>
 newestSnapshot(const std::vector<StoredRecord> &Records) {
   for (auto Each = Records.rbegin(); Each != Records.rend(); ++Each)
-    if (auto State = snapshotIn(*Each, Records.front().Offset))
+    if (auto State = decodeUsableSnapshot(*Each, Records.front().Offset))
       return State;
   return std::nullopt;
 }
 
 } // namespace
 
-Applied applyEncoded(FleetState State, core::LogOffset Offset,
-                     std::string_view Bytes) {
+ApplyResult applyEncoded(FleetState State, core::LogOffset Offset,
+                         std::string_view Bytes) {
   const auto Record = wire::decodeRecord(Bytes);
   if (core::ok(Record))
     return apply(std::move(State), Offset, core::value(Record));
-  if (Offset < State.Next)
+  if (Offset < State.NextOffset)
     return {std::move(State), Duplicate{}};
-  State.Next = core::LogOffset(Offset.value() + 1);
+  State.NextOffset = core::LogOffset(Offset.value() + 1);
   return {std::move(State), Refused{core::failure(Record)}};
 }
 
--- a/lib/config/SheetAcceptance.cpp
+++ b/lib/config/SheetAcceptance.cpp
@@ -10,7 +10,8 @@
 
 using core::ErrorCode;
 
-/// First name that a list pair holds twice; a delta must be unambiguous.
+/// First name that occurs twice in a delta. Such a delta is ambiguous, because
+/// its result depends on the order of application.
 template <typename Spec, typename Name>
 std::optional<Name> repeatedName(const std::vector<Spec> &Changed,
                                  const std::vector<Name> &Removed) {
@@ -24,7 +25,7 @@
   return std::nullopt;
 }
 
-std::optional<core::Error> faultOfDelta(const SheetDelta &Delta) {
+std::optional<core::Error> findDuplicateName(const SheetDelta &Delta) {
   if (const auto Name =
           repeatedName(Delta.ChangedServices, Delta.RemovedServices))
     return core::Error{ErrorCode::SheetDuplicateName,
@@ -35,22 +36,22 @@
   return std::nullopt;
 }
 
-std::optional<core::Error> firstFault(const FleetState &State,
-                                      const SheetPublished &Published,
-                                      const Sheet &Next) {
+std::optional<core::Error> findError(const FleetState &State,
+                                     const SheetPublished &Published,
+                                     const Sheet &Next) {
   if (Published.Base != State.SheetVersion)
     return core::Error{ErrorCode::SheetStaleBase,
                        fmt::format("base {}, version in force {}",
                                    Published.Base.value(),
                                    State.SheetVersion.value())};
-  if (auto Fault = faultOfDelta(Published.Delta))
-    return Fault;
-  const auto Own = faultsOf(Next);
-  if (!Own.empty())
-    return toError(Own.front(), Next);
-  const auto Against = faultsAgainst(State, Next, Published.PublishedAt);
-  if (!Against.empty())
-    return toError(Against.front(), Next);
+  if (auto Error = findDuplicateName(Published.Delta))
+    return Error;
+  const auto SheetErrors = validateSheet(Next);
+  if (!SheetErrors.empty())
+    return toError(SheetErrors.front(), Next);
+  const auto StateErrors = validateAgainst(State, Next, Published.PublishedAt);
+  if (!StateErrors.empty())
+    return toError(StateErrors.front(), Next);
   return std::nullopt;
 }
 
@@ -61,13 +62,13 @@
     Entry.Operator.resize(MaxOperatorBytes);
   if (Entry.Reason.Detail.size() > MaxDetailBytes)
     Entry.Reason.Detail.resize(MaxDetailBytes);
-  if (State.Refused.size() >= MaxRefusedSheets)
-    State.Refused.erase(State.Refused.begin());
-  State.Refused.push_back(std::move(Entry));
+  if (State.RefusedSheets.size() >= MaxRefusedSheets)
+    State.RefusedSheets.erase(State.RefusedSheets.begin());
+  State.RefusedSheets.push_back(std::move(Entry));
   return Refused{std::move(Reason)};
 }
 
-void startMove(FleetState &State, const ServiceSpec &Spec, Traffic &Split,
+void startMove(FleetState &State, const ServiceSpec &Spec, TrafficSplit &Split,
                core::WallTime At) {
   Split.Candidate = Spec.Move->To;
   const MoveId Id{Spec.Name, State.Version};
@@ -78,9 +79,9 @@
 void changeService(FleetState &State, const ServiceSpec &Spec,
                    core::WallTime At) {
   supersedeMove(State, Spec.Name, At);
-  const auto [Entry, IsNew] =
-      State.TrafficOf.try_emplace(Spec.Name, Traffic{Spec.Version, {}, 0});
-  Traffic &Split = Entry->second;
+  const auto [Entry, IsNew] = State.TrafficByService.try_emplace(
+      Spec.Name, TrafficSplit{Spec.Version, {}, 0});
+  TrafficSplit &Split = Entry->second;
   Split.Candidate.reset();
   Split.CandidateShare = 0;
   if (Spec.Move)
@@ -90,26 +91,26 @@
 void removeService(FleetState &State, const core::ServiceName &Name,
                    core::WallTime At) {
   supersedeMove(State, Name, At);
-  State.TrafficOf.erase(Name);
+  State.TrafficByService.erase(Name);
 }
 
 } // namespace
 
 RecordOutcome acceptSheet(FleetState &State, core::LogOffset Offset,
                           const SheetPublished &Published) {
-  Sheet Next = applied(State.Current, Published.Delta);
+  Sheet Next = applyDelta(State.CurrentSheet, Published.Delta);
   Next.Base = Published.Base;
-  if (auto Reason = firstFault(State, Published, Next))
+  if (auto Reason = findError(State, Published, Next))
     return refuse(State, Offset, Published, std::move(*Reason));
   const Accepted Outcome = nextVersion(State);
   State.SheetVersion = State.Version;
-  // A delta may repeat an unchanged spec; only the effective difference counts.
-  const SheetDelta Effective = difference(State.Current, Next);
+  // A delta may contain unchanged specs, whose moves must not be superseded.
+  const SheetDelta Effective = computeDelta(State.CurrentSheet, Next);
   for (const core::ServiceName &Name : Effective.RemovedServices)
     removeService(State, Name, Published.PublishedAt);
   for (const ServiceSpec &Spec : Effective.ChangedServices)
     changeService(State, Spec, Published.PublishedAt);
-  State.Current = std::move(Next);
+  State.CurrentSheet = std::move(Next);
   return Outcome;
 }
 
--- a/lib/decision/Dispatch.cpp
+++ b/lib/decision/Dispatch.cpp
@@ -8,22 +8,22 @@
 
 namespace {
 
-/// Passes an event to one part and keeps its next state.
+/// Applies an event to one component and returns the effects.
 template <typename State, typename Event>
-auto applyTo(State &Part, const Event &What, core::Instant Now) {
-  auto Next = reduce(std::move(Part), What, Now);
-  Part = std::move(Next.Next);
-  return std::move(Next.Out);
+auto applyTo(State &Part, const Event &NewEvent, core::Instant Now) {
+  auto Next = reduce(std::move(Part), NewEvent, Now);
+  Part = std::move(Next.NextState);
+  return std::move(Next.EmittedEffects);
 }
 
-bool isMembershipMessage(const wire::ControlMessage &What) {
-  return std::holds_alternative<membership::Probe>(What) ||
-         std::holds_alternative<membership::ProbeAck>(What) ||
-         std::holds_alternative<membership::IndirectProbe>(What) ||
-         std::holds_alternative<membership::IndirectProbeAck>(What) ||
-         std::holds_alternative<membership::JoinRequest>(What) ||
-         std::holds_alternative<membership::JoinReply>(What) ||
-         std::holds_alternative<membership::Leave>(What);
+bool isMembershipMessage(const wire::ControlMessage &Message) {
+  return std::holds_alternative<membership::Probe>(Message) ||
+         std::holds_alternative<membership::ProbeAck>(Message) ||
+         std::holds_alternative<membership::IndirectProbe>(Message) ||
+         std::holds_alternative<membership::IndirectProbeAck>(Message) ||
+         std::holds_alternative<membership::JoinRequest>(Message) ||
+         std::holds_alternative<membership::JoinReply>(Message) ||
+         std::holds_alternative<membership::Leave>(Message);
 }
 
 } // namespace
@@ -31,353 +31,364 @@
 void Dispatch::run(NodeEvent First) {
   Pending.push_back(std::move(First));
   while (!Pending.empty()) {
-    const NodeEvent What = std::move(Pending.front());
+    const NodeEvent Event = std::move(Pending.front());
     Pending.pop_front();
-    std::visit(*this, What);
+    std::visit(*this, Event);
   }
 }
 
 void Dispatch::operator()(const Started &) {
-  // Peers compare positions from the first message on.
-  follow(membership::Event(membership::OwnPositionChanged{S.Records.At}));
-  follow(membership::Event(membership::Started{}));
-  follow(distribution::Event(distribution::Started{}));
+  // Peers compare positions starting with the first message.
+  enqueue(membership::Event(
+      membership::OwnPositionChanged{S.Distribution.ConfigPosition}));
+  enqueue(membership::Event(membership::Started{}));
+  enqueue(distribution::Event(distribution::Started{}));
 }
 
 void Dispatch::operator()(const Tick &) {
-  follow(membership::Event(membership::Tick{}));
-  follow(distribution::Event(distribution::Tick{}));
-  follow(directory::Event(directory::Tick{}));
-  follow(lease::Event(lease::Tick{}));
-  follow(request::Event(request::Tick{}));
-  follow(rollout::GuardEvent(rollout::Tick{}));
-  follow(rollout::ControllerEvent(rollout::Tick{}));
+  enqueue(membership::Event(membership::Tick{}));
+  enqueue(distribution::Event(distribution::Tick{}));
+  enqueue(directory::Event(directory::Tick{}));
+  enqueue(lease::Event(lease::Tick{}));
+  enqueue(request::Event(request::Tick{}));
+  enqueue(rollout::MonitorEvent(rollout::Tick{}));
+  enqueue(rollout::ControllerEvent(rollout::Tick{}));
   takeSnapshotWhenDue();
 }
 
 void Dispatch::operator()(const DrainStarted &) {
-  follow(membership::Event(membership::DrainStarted{}));
-  follow(request::Event(request::DrainStarted{}));
+  enqueue(membership::Event(membership::DrainStarted{}));
+  enqueue(request::Event(request::DrainStarted{}));
 }
 
-void Dispatch::operator()(const TargetAnnounced &What) {
-  S.TargetAddress = What.Address;
-  follow(membership::Event(membership::OwnTargetChanged{What.What}));
+void Dispatch::operator()(const TargetAnnounced &Event) {
+  S.TargetAddress = Event.Address;
+  enqueue(membership::Event(membership::OwnTargetChanged{Event.Announcement}));
 }
 
-void Dispatch::operator()(const TargetGone &What) {
-  follow(request::Event(request::TargetLeaving{What.Id}));
-  if (What.Expired)
-    follow(membership::Event(membership::OwnTargetChanged{std::nullopt}));
+void Dispatch::operator()(const TargetGone &Event) {
+  enqueue(request::Event(request::TargetLeaving{Event.Id}));
+  if (Event.Expired)
+    enqueue(membership::Event(membership::OwnTargetChanged{std::nullopt}));
   else
-    follow(membership::Event(membership::OwnTargetLeaving{}));
+    enqueue(membership::Event(membership::OwnTargetLeaving{}));
 }
 
-void Dispatch::operator()(const membership::Event &What) {
-  auto Effects = applyTo(S.Members, What, Now);
-  routeAll(Effects);
+void Dispatch::operator()(const membership::Event &Event) {
+  auto Effects = applyTo(S.Membership, Event, Now);
+  handleEffects(Effects);
 }
 
-void Dispatch::operator()(const distribution::Event &What) {
-  auto Effects = applyTo(S.Records, What, Now);
-  routeAll(Effects);
+void Dispatch::operator()(const distribution::Event &Event) {
+  auto Effects = applyTo(S.Distribution, Event, Now);
+  handleEffects(Effects);
 }
 
-void Dispatch::operator()(const lease::Event &What) {
-  auto Effects = applyTo(S.Lease, What, Now);
-  routeAll(Effects);
+void Dispatch::operator()(const lease::Event &Event) {
+  auto Effects = applyTo(S.Lease, Event, Now);
+  handleEffects(Effects);
 }
 
-void Dispatch::operator()(const directory::Event &What) {
-  auto Effects = applyTo(S.Directory, What, Now);
-  routeAll(Effects);
+void Dispatch::operator()(const directory::Event &Event) {
+  auto Effects = applyTo(S.Directory, Event, Now);
+  handleEffects(Effects);
 }
 
-void Dispatch::operator()(const request::Event &What) {
-  auto Effects = applyTo(S.Requests, What, Now);
-  routeAll(Effects);
+void Dispatch::operator()(const request::Event &Event) {
+  auto Effects = applyTo(S.Requests, Event, Now);
+  handleEffects(Effects);
 }
 
-void Dispatch::operator()(const rollout::GuardEvent &What) {
-  auto Effects = applyTo(S.Guard, What, Now);
-  routeAll(Effects);
+void Dispatch::operator()(const rollout::MonitorEvent &Event) {
+  auto Effects = applyTo(S.Guard, Event, Now);
+  handleEffects(Effects);
 }
 
-void Dispatch::operator()(const rollout::ControllerEvent &What) {
-  auto Effects = applyTo(S.Moves, What, Now);
-  routeAll(Effects);
+void Dispatch::operator()(const rollout::ControllerEvent &Event) {
+  auto Effects = applyTo(S.Controller, Event, Now);
+  handleEffects(Effects);
 }
 
-void Dispatch::operator()(const ControlReceived &What) {
-  if (isMembershipMessage(What.What)) {
+void Dispatch::operator()(const ControlReceived &Event) {
+  if (isMembershipMessage(Event.Payload)) {
     std::visit(
         [&](const auto &Message) {
           using T = std::decay_t<decltype(Message)>;
           if constexpr (std::is_constructible_v<membership::Message, T>)
-            follow(membership::Event(membership::MessageReceived{
-                What.From, membership::Message(Message)}));
+            enqueue(membership::Event(membership::MessageReceived{
+                Event.From, membership::Message(Message)}));
         },
-        What.What);
+        Event.Payload);
     return;
   }
   std::visit(
       Overloaded{
           [&](const distribution::RecordBatch &Batch) {
-            follow(distribution::Event(
-                distribution::RecordsReceived{What.From, Batch}));
+            enqueue(distribution::Event(
+                distribution::RecordsReceived{Event.From, Batch}));
           },
           [&](const distribution::RecordsRequest &Request) {
-            follow(distribution::Event(
-                distribution::RecordsRequested{What.From, Request}));
+            enqueue(distribution::Event(
+                distribution::RecordsRequested{Event.From, Request}));
           },
           [&](const distribution::Snapshot &Snapshot) {
-            follow(distribution::Event(
-                distribution::SnapshotReceived{What.From, Snapshot}));
+            enqueue(distribution::Event(
+                distribution::SnapshotReceived{Event.From, Snapshot}));
           },
           [&](const wire::Summaries &Summaries) {
-            follow(directory::Event(directory::SummariesReceived{
-                What.From, Summaries.DataCentres}));
+            enqueue(directory::Event(directory::SummariesReceived{
+                Event.From, Summaries.DataCentres}));
           },
           [&](const wire::Evidence &Evidence) {
-            receive(What.DataCentre, Evidence);
+            receive(Event.DataCentre, Evidence);
           },
           [&](const wire::LocalRollback &Rollback) { receive(Rollback); },
           [&](const wire::Suspect &Suspect) {
-            follow(request::Event(request::SuspectLearned{Suspect.RequestDigest,
-                                                          Suspect.Crashes}));
+            enqueue(request::Event(request::SuspectLearned{
+                Suspect.RequestDigest, Suspect.Crashes}));
           },
           [&](const wire::ClaimRequest &Request) {
-            Out.emplace_back(ClaimReceived{What.From, Request});
+            Out.emplace_back(ClaimReceived{Event.From, Request});
           },
           [&](const wire::ClaimReply &Reply) {
             Out.emplace_back(ClaimReplied{Reply});
           },
           [](const auto &) {}},
-      What.What);
+      Event.Payload);
 }
 
 // --- membership ---
 
-void Dispatch::route(membership::SendMessage &What) {
-  std::visit([&](auto &Message) { send(What.To, std::move(Message)); },
-             What.What);
+void Dispatch::handleEffect(membership::SendMessage &Effect) {
+  std::visit([&](auto &Message) { send(Effect.To, std::move(Message)); },
+             Effect.Payload);
 }
 
-void Dispatch::route(membership::EndpointsChanged &What) {
+void Dispatch::handleEffect(membership::EndpointsChanged &Effect) {
   distribution::MembersChanged Tree;
-  for (const membership::Member &Each : What.Live)
-    Tree.Live.push_back({{Each.Node, Each.ControlAddress},
-                         Each.Status == membership::MemberStatus::Suspect});
-  follow(distribution::Event(std::move(Tree)));
-  follow(directory::Event(directory::MembersChanged{std::move(What.Live)}));
+  for (const membership::Member &Each : Effect.LiveMembers)
+    Tree.LiveMembers.push_back(
+        {{Each.Node, Each.ControlAddress},
+         Each.Status == membership::MemberStatus::Suspect});
+  enqueue(distribution::Event(std::move(Tree)));
+  enqueue(directory::Event(
+      directory::MembersChanged{std::move(Effect.LiveMembers)}));
 }
 
-void Dispatch::route(membership::MemberFailed &) {}
+void Dispatch::handleEffect(membership::MemberFailed &) {}
 
-void Dispatch::route(membership::PositionReported &What) {
-  follow(directory::Event(directory::PositionKnown{What.From.Node, What.At}));
-  follow(distribution::Event(distribution::PositionHeard{What.From, What.At}));
+void Dispatch::handleEffect(membership::PositionReported &Effect) {
+  enqueue(directory::Event(
+      directory::PositionReported{Effect.From.Node, Effect.ConfigPosition}));
+  enqueue(distribution::Event(
+      distribution::PeerPositionReported{Effect.From, Effect.ConfigPosition}));
 }
 
 // --- distribution ---
 
-void Dispatch::route(distribution::SendRecords &What) {
-  send(What.To, std::move(What.Batch));
+void Dispatch::handleEffect(distribution::SendRecords &Effect) {
+  send(Effect.To, std::move(Effect.Batch));
 }
 
-void Dispatch::route(distribution::RequestRecords &What) {
-  send(What.To, What.What);
+void Dispatch::handleEffect(distribution::RequestRecords &Effect) {
+  send(Effect.To, Effect.Request);
 }
 
-void Dispatch::route(distribution::RequestEnd &What) {
-  send(What.To, What.What);
+void Dispatch::handleEffect(distribution::RequestLogEnd &Effect) {
+  send(Effect.To, Effect.Request);
 }
 
-void Dispatch::route(distribution::SendSnapshot &What) {
-  send(What.To, std::move(What.What));
+void Dispatch::handleEffect(distribution::SendSnapshot &Effect) {
+  send(Effect.To, std::move(Effect.Payload));
 }
 
-void Dispatch::route(distribution::StateAdopted &What) {
-  S.Fleet = What.State;
-  follow(membership::Event(membership::OwnPositionChanged{What.At}));
-  follow(directory::Event(directory::PositionKnown{S.Own.Node, What.At}));
-  follow(rollout::GuardEvent(rollout::FleetChanged{What.State}));
-  follow(rollout::ControllerEvent(rollout::FleetChanged{What.State}));
-  tellRequestsConfiguration();
-  tellLeaseOfRecords(What);
-  Out.emplace_back(std::move(What));
+void Dispatch::handleEffect(distribution::StateAdopted &Effect) {
+  S.Fleet = Effect.State;
+  enqueue(
+      membership::Event(membership::OwnPositionChanged{Effect.ConfigPosition}));
+  enqueue(directory::Event(
+      directory::PositionReported{S.Local.Node, Effect.ConfigPosition}));
+  enqueue(rollout::MonitorEvent(rollout::FleetChanged{Effect.State}));
+  enqueue(rollout::ControllerEvent(rollout::FleetChanged{Effect.State}));
+  updateRequestConfiguration();
+  forwardRecordsToLease(Effect);
+  Out.emplace_back(std::move(Effect));
 }
 
-void Dispatch::route(distribution::ReadyChanged &What) {
-  follow(membership::Event(membership::OwnReadinessChanged{What.Ready}));
-  // Peers that restart take the position of a ready node as a proof.
-  follow(membership::Event(membership::OwnPositionChanged{S.Records.At}));
-  tellCandidacy();
-  Out.emplace_back(What);
+void Dispatch::handleEffect(distribution::ReadyChanged &Effect) {
+  enqueue(membership::Event(membership::OwnReadinessChanged{Effect.Ready}));
+  // For restarting peers, the position of a ready node is a proof.
+  enqueue(membership::Event(
+      membership::OwnPositionChanged{S.Distribution.ConfigPosition}));
+  updateLeaseCandidacy();
+  Out.emplace_back(Effect);
 }
 
-void Dispatch::tellRequestsConfiguration() {
+void Dispatch::updateRequestConfiguration() {
   if (S.Fleet)
-    follow(request::Event(
+    enqueue(request::Event(
         request::ConfigurationChanged{S.Fleet, S.LocalRollbacks}));
 }
 
-void Dispatch::tellLeaseOfRecords(const distribution::StateAdopted &What) {
-  if (What.Records.empty())
-    follow(lease::Event(lease::EpochAdopted{What.State->LeaseHolder,
-                                            What.State->CurrentEpoch}));
-  for (const distribution::AppliedRecord &Each : What.Records) {
+void Dispatch::forwardRecordsToLease(
+    const distribution::StateAdopted &Adopted) {
+  if (Adopted.Records.empty())
+    enqueue(lease::Event(lease::EpochAdopted{Adopted.State->LeaseHolder,
+                                             Adopted.State->CurrentEpoch}));
+  for (const distribution::AppliedRecord &Each : Adopted.Records) {
     if (!Each.Record || std::holds_alternative<config::Refused>(Each.Outcome) ||
         std::holds_alternative<config::Duplicate>(Each.Outcome))
       continue;
     if (const auto *Claim =
             std::get_if<config::LeaseClaimed>(&Each.Record->Body))
-      follow(lease::Event(lease::ClaimFolded{Each.Record->Writer, Claim->Holder,
-                                             Claim->NewEpoch}));
+      enqueue(lease::Event(lease::ClaimFolded{Each.Record->Writer,
+                                              Claim->Holder, Claim->NewEpoch}));
     if (std::holds_alternative<config::SnapshotTaken>(Each.Record->Body)) {
-      S.LastSnapshot = Each.Offset;
-      S.NextSnapshot = Now.Mono + S.Own.LogRetention / 3;
+      S.LastSnapshotOffset = Each.Offset;
+      S.NextSnapshot = Now.Mono + S.Local.LogRetention / 3;
     }
   }
 }
 
 // --- directory ---
 
-void Dispatch::route(directory::SendSummaries &What) {
-  send(What.To, wire::Summaries{std::move(What.DataCentres)});
+void Dispatch::handleEffect(directory::SendSummaries &Effect) {
+  send(Effect.To, wire::Summaries{std::move(Effect.Summaries)});
 }
 
-void Dispatch::route(directory::DataCentreHeard &What) {
-  follow(rollout::ControllerEvent(
-      rollout::DataCentreReported{What.DataCentre, What.Lowest}));
+void Dispatch::handleEffect(directory::DataCentreHeard &Effect) {
+  enqueue(rollout::ControllerEvent(
+      rollout::DataCentreReported{Effect.DataCentre, Effect.LowestVersion}));
 }
 
-void Dispatch::route(directory::DataCentreCutOff &What) {
-  follow(rollout::ControllerEvent(
-      rollout::DataCentreLost{What.DataCentre, What.Since}));
+void Dispatch::handleEffect(directory::DataCentreSilent &Effect) {
+  enqueue(rollout::ControllerEvent(
+      rollout::DataCentreLost{Effect.DataCentre, Effect.SilentSince}));
 }
 
-void Dispatch::route(directory::EndpointsKnown &What) {
+void Dispatch::handleEffect(directory::EndpointsUpdated &Effect) {
   std::map<std::pair<core::ServiceName, core::TargetVersion>, std::uint32_t>
       Slots;
-  for (const auto &[Key, Count] : S.Slots)
+  for (const auto &[Key, Count] : S.ReportedSlots)
     Slots[Key] = 0;
-  for (const request::Endpoint &Each : What.Endpoints)
+  for (const request::Endpoint &Each : Effect.Endpoints)
     Slots[{Each.Service, Each.Version}] += Each.Slots;
   for (const auto &[Key, Count] : Slots) {
-    const auto Known = S.Slots.find(Key);
-    if (Known != S.Slots.end() && Known->second == Count)
+    const auto Known = S.ReportedSlots.find(Key);
+    if (Known != S.ReportedSlots.end() && Known->second == Count)
       continue;
-    follow(rollout::ControllerEvent(
+    enqueue(rollout::ControllerEvent(
         rollout::SlotsChanged{Key.first, Key.second, Count, 0}));
   }
-  S.Slots = std::move(Slots);
-  // The own target is reached without the hop over the peers port.
-  for (request::Endpoint &Each : What.Endpoints)
-    if (Each.Node == S.Own.Node)
+  S.ReportedSlots = std::move(Slots);
+  // Requests to the target of this host do not pass through the peer port.
+  for (request::Endpoint &Each : Effect.Endpoints)
+    if (Each.Node == S.Local.Node)
       Each.Address = S.TargetAddress;
-  follow(request::Event(request::EndpointsChanged{std::move(What.Endpoints)}));
+  enqueue(
+      request::Event(request::EndpointsChanged{std::move(Effect.Endpoints)}));
 }
 
-void Dispatch::route(directory::LeadsKnown &What) {
-  follow(distribution::Event(
-      distribution::OtherLeadsChanged{std::move(What.Leads)}));
+void Dispatch::handleEffect(directory::RemoteLeadsUpdated &Effect) {
+  enqueue(distribution::Event(
+      distribution::RemoteLeadsChanged{std::move(Effect.RemoteLeads)}));
 }
 
-void Dispatch::route(directory::LeadershipChanged &What) {
-  follow(rollout::GuardEvent(rollout::LeadershipChanged{What.IsLead}));
-  tellCandidacy();
+void Dispatch::handleEffect(directory::LeadershipChanged &Effect) {
+  enqueue(rollout::MonitorEvent(rollout::LeadershipChanged{Effect.IsLead}));
+  updateLeaseCandidacy();
 }
 
-void Dispatch::tellCandidacy() {
-  follow(
-      lease::Event(lease::LeadChanged{S.Directory.IsLead && S.Records.Ready}));
+void Dispatch::updateLeaseCandidacy() {
+  enqueue(lease::Event(
+      lease::LeadChanged{S.Directory.IsLead && S.Distribution.Ready}));
 }
 
 // --- lease ---
 
-void Dispatch::route(lease::AppendClaim &What) {
-  append(config::LeaseClaimed{S.Own.Node, What.NewEpoch});
+void Dispatch::handleEffect(lease::AppendClaim &Effect) {
+  append(config::LeaseClaimed{S.Local.Node, Effect.NewEpoch});
 }
 
-void Dispatch::route(lease::BecameHolder &What) {
-  S.NextSnapshot = Now.Mono + S.Own.LogRetention / 3;
-  follow(rollout::ControllerEvent(rollout::LeaseGained{What.Held}));
+void Dispatch::handleEffect(lease::BecameHolder &Effect) {
+  S.NextSnapshot = Now.Mono + S.Local.LogRetention / 3;
+  enqueue(rollout::ControllerEvent(rollout::LeaseGained{Effect.HeldEpoch}));
 }
 
-void Dispatch::route(lease::LostLease &) {
-  follow(rollout::ControllerEvent(rollout::LeaseLost{}));
+void Dispatch::handleEffect(lease::LostLease &) {
+  enqueue(rollout::ControllerEvent(rollout::LeaseLost{}));
 }
 
 void Dispatch::append(config::RecordBody Body) {
   S.LastSequence += 1;
   Out.emplace_back(
-      AppendConfig{{writerOf(S.Own), S.LastSequence, std::move(Body)}});
+      AppendConfig{{writerOf(S.Local), S.LastSequence, std::move(Body)}});
 }
 
-/// A snapshot each third of the retention leaves two more tries before the
+/// A snapshot per third of the retention leaves two more attempts before the
 /// records that it replaces expire.
 void Dispatch::takeSnapshotWhenDue() {
   if (!S.Fleet || Now.Mono < S.NextSnapshot ||
-      !lease::mayAct(S.Lease, Now.Mono))
+      !lease::holdsLease(S.Lease, Now.Mono))
     return;
-  if (S.Fleet->Next <= core::LogOffset(S.LastSnapshot.value() + 1))
+  if (S.Fleet->NextOffset <= core::LogOffset(S.LastSnapshotOffset.value() + 1))
     return;
-  S.NextSnapshot = Now.Mono + S.Own.LogRetention / 12;
-  append(config::SnapshotTaken{S.Fleet->CurrentEpoch, S.Fleet->Next,
-                               S.Own.Folding.DigestOf(*S.Fleet),
-                               S.Own.Folding.Encode(*S.Fleet)});
+  S.NextSnapshot = Now.Mono + S.Local.LogRetention / 12;
+  append(config::SnapshotTaken{S.Fleet->CurrentEpoch, S.Fleet->NextOffset,
+                               S.Local.Folding.DigestOf(*S.Fleet),
+                               S.Local.Folding.Encode(*S.Fleet)});
 }
 
-// --- requests ---
+// --- request routing ---
 
-void Dispatch::route(request::Observed &What) {
-  follow(rollout::GuardEvent(std::move(What)));
+void Dispatch::handleEffect(request::ObservedAnswer &Effect) {
+  enqueue(rollout::MonitorEvent(std::move(Effect)));
 }
 
-void Dispatch::route(request::SuspectReported &What) {
+void Dispatch::handleEffect(request::SuspectReported &Effect) {
   for (const std::string &To : memberAddresses())
-    send(To, wire::Suspect{What.RequestDigest, What.Crashes});
+    send(To, wire::Suspect{Effect.RequestDigest, Effect.Crashes});
 }
 
 // --- addresses ---
 
-void Dispatch::send(const std::string &To, wire::ControlMessage What) {
-  Out.emplace_back(SendControl{To, std::move(What)});
+void Dispatch::send(const std::string &To, wire::ControlMessage Payload) {
+  Out.emplace_back(SendControl{To, std::move(Payload)});
 }
 
 std::vector<std::string> Dispatch::memberAddresses() const {
   std::vector<std::string> Addresses;
-  for (const membership::Member &Each : S.Directory.Live)
-    if (Each.Node != S.Own.Node)
+  for (const membership::Member &Each : S.Directory.LiveMembers)
+    if (Each.Node != S.Local.Node)
       Addresses.push_back(Each.ControlAddress);
   return Addresses;
 }
 
 std::optional<std::string> Dispatch::leadAddress() const {
   std::vector<core::NodeId> Nodes;
-  for (const membership::Member &Each : S.Directory.Live)
+  for (const membership::Member &Each : S.Directory.LiveMembers)
     Nodes.push_back(Each.Node);
-  const auto Lead = membership::winner(S.Own.DataCentre.value(), Nodes);
-  for (const membership::Member &Each : S.Directory.Live)
+  const auto Lead =
+      membership::rendezvousWinner(S.Local.DataCentre.value(), Nodes);
+  for (const membership::Member &Each : S.Directory.LiveMembers)
     if (Lead && Each.Node == *Lead)
       return Each.ControlAddress;
   return std::nullopt;
 }
 
 bool Dispatch::isCoordinator() const {
-  return S.Fleet && S.Fleet->LeaseHolder == S.Own.Node;
+  return S.Fleet && S.Fleet->LeaseHolder == S.Local.Node;
 }
 
 std::optional<std::string> Dispatch::coordinatorAddress() const {
   if (!S.Fleet)
     return std::nullopt;
-  for (const membership::Member &Each : S.Directory.Live)
+  for (const membership::Member &Each : S.Directory.LiveMembers)
     if (Each.Node == S.Fleet->LeaseHolder)
       return Each.ControlAddress;
-  for (const distribution::OtherLead &Each : S.Records.Leads)
-    if (Each.At.Node == S.Fleet->LeaseHolder)
-      return Each.At.Address;
+  for (const distribution::RemoteLead &Each : S.Distribution.RemoteLeads)
+    if (Each.Contact.Node == S.Fleet->LeaseHolder)
+      return Each.Contact.Address;
   return std::nullopt;
 }
 
--- a/lib/decision/Dispatch.h
+++ b/lib/decision/Dispatch.h
@@ -6,7 +6,7 @@
 
 namespace filbertvane::decision {
 
-/// @brief Handles one event and the events that follow from it.
+/// @brief Handles one event and the internal events that it causes.
 class Dispatch {
 public:
   Dispatch(NodeState Before, core::Instant Now)
@@ -22,93 +22,93 @@
   void operator()(const Started &);
   void operator()(const Tick &);
   void operator()(const DrainStarted &);
-  void operator()(const ControlReceived &What);
-  void operator()(const TargetAnnounced &What);
-  void operator()(const TargetGone &What);
-  void operator()(const membership::Event &What);
-  void operator()(const distribution::Event &What);
-  void operator()(const lease::Event &What);
-  void operator()(const directory::Event &What);
-  void operator()(const request::Event &What);
-  void operator()(const rollout::GuardEvent &What);
-  void operator()(const rollout::ControllerEvent &What);
+  void operator()(const ControlReceived &Event);
+  void operator()(const TargetAnnounced &Event);
+  void operator()(const TargetGone &Event);
+  void operator()(const membership::Event &Event);
+  void operator()(const distribution::Event &Event);
+  void operator()(const lease::Event &Event);
+  void operator()(const directory::Event &Event);
+  void operator()(const request::Event &Event);
+  void operator()(const rollout::MonitorEvent &Event);
+  void operator()(const rollout::ControllerEvent &Event);
   /// @}
 
 private:
   /// @name Effects of membership
   /// @{
-  void route(membership::SendMessage &What);
-  void route(membership::EndpointsChanged &What);
-  void route(membership::MemberFailed &What);
-  void route(membership::PositionReported &What);
+  void handleEffect(membership::SendMessage &Effect);
+  void handleEffect(membership::EndpointsChanged &Effect);
+  void handleEffect(membership::MemberFailed &Effect);
+  void handleEffect(membership::PositionReported &Effect);
   /// @}
 
   /// @name Effects of distribution
   /// @{
-  void route(distribution::SendRecords &What);
-  void route(distribution::RequestRecords &What);
-  void route(distribution::RequestEnd &What);
-  void route(distribution::SendSnapshot &What);
-  void route(distribution::StateAdopted &What);
-  void route(distribution::ReadyChanged &What);
+  void handleEffect(distribution::SendRecords &Effect);
+  void handleEffect(distribution::RequestRecords &Effect);
+  void handleEffect(distribution::RequestLogEnd &Effect);
+  void handleEffect(distribution::SendSnapshot &Effect);
+  void handleEffect(distribution::StateAdopted &Effect);
+  void handleEffect(distribution::ReadyChanged &Effect);
   /// @}
 
   /// @name Effects of the directory
   /// @{
-  void route(directory::SendSummaries &What);
-  void route(directory::DataCentreHeard &What);
-  void route(directory::DataCentreCutOff &What);
-  void route(directory::EndpointsKnown &What);
-  void route(directory::LeadsKnown &What);
-  void route(directory::LeadershipChanged &What);
+  void handleEffect(directory::SendSummaries &Effect);
+  void handleEffect(directory::DataCentreHeard &Effect);
+  void handleEffect(directory::DataCentreSilent &Effect);
+  void handleEffect(directory::EndpointsUpdated &Effect);
+  void handleEffect(directory::RemoteLeadsUpdated &Effect);
+  void handleEffect(directory::LeadershipChanged &Effect);
   /// @}
 
   /// @name Effects of the lease
   /// @{
-  void route(lease::AppendClaim &What);
-  void route(lease::BecameHolder &What);
-  void route(lease::LostLease &What);
+  void handleEffect(lease::AppendClaim &Effect);
+  void handleEffect(lease::BecameHolder &Effect);
+  void handleEffect(lease::LostLease &Effect);
   /// @}
 
-  /// @name Effects of requests
+  /// @name Effects of request routing
   /// @{
-  void route(request::Observed &What);
-  void route(request::SuspectReported &What);
+  void handleEffect(request::ObservedAnswer &Effect);
+  void handleEffect(request::SuspectReported &Effect);
   /// @}
 
-  /// @name Effects of moves
+  /// @name Effects of rollouts
   /// @{
-  void route(rollout::SendEvidence &What);
-  void route(rollout::SendOverlay &What);
-  void route(rollout::LocalRollbacksChanged &What);
-  void route(rollout::Append &What);
-  void route(rollout::PublishOverlay &What);
+  void handleEffect(rollout::SendEvidence &Effect);
+  void handleEffect(rollout::SendLocalRollback &Effect);
+  void handleEffect(rollout::LocalRollbacksChanged &Effect);
+  void handleEffect(rollout::AppendRecord &Effect);
+  void handleEffect(rollout::PublishLocalRollback &Effect);
   /// @}
 
-  /// Effects that go outside as they are.
-  template <typename T> void route(T &What) {
-    Out.emplace_back(std::move(What));
+  /// Passes effects for the caller on unchanged.
+  template <typename T> void handleEffect(T &Effect) {
+    Out.emplace_back(std::move(Effect));
   }
-  template <typename Effects> void routeAll(Effects &All) {
+  template <typename Effects> void handleEffects(Effects &All) {
     for (auto &Each : All)
-      std::visit([this](auto &What) { route(What); }, Each);
+      std::visit([this](auto &Effect) { handleEffect(Effect); }, Each);
   }
 
   /// @name Messages of other nodes
   /// @{
   void receive(const core::DataCentreId &DataCentre,
-               const wire::Evidence &What);
-  void receive(const wire::LocalRollback &What);
+               const wire::Evidence &Message);
+  void receive(const wire::LocalRollback &Message);
   /// @}
 
-  template <typename Event> void follow(Event What) {
-    Pending.emplace_back(std::move(What));
+  template <typename Event> void enqueue(Event NewEvent) {
+    Pending.emplace_back(std::move(NewEvent));
   }
-  void send(const std::string &To, wire::ControlMessage What);
+  void send(const std::string &To, wire::ControlMessage Payload);
   void append(config::RecordBody Body);
-  void tellRequestsConfiguration();
-  void tellLeaseOfRecords(const distribution::StateAdopted &What);
-  void tellCandidacy();
+  void updateRequestConfiguration();
+  void forwardRecordsToLease(const distribution::StateAdopted &Adopted);
+  void updateLeaseCandidacy();
   void takeSnapshotWhenDue();
   /// Control addresses of the members, without this node.
   std::vector<std::string> memberAddresses() const;
--- a/lib/decision/DispatchMoves.cpp
+++ b/lib/decision/DispatchMoves.cpp
@@ -4,76 +4,79 @@
 namespace filbertvane::decision {
 
 void Dispatch::receive(const core::DataCentreId &DataCentre,
-                       const wire::Evidence &What) {
-  // Members report to their lead; leads of other data centres report to the
+                       const wire::Evidence &Message) {
+  // Members report to their lead, leads of other data centres to the
   // coordinator.
-  const bool FromMember = DataCentre == S.Own.DataCentre;
+  const bool FromMember = DataCentre == S.Local.DataCentre;
   const bool CoordinatorOnly = isCoordinator() && !S.Directory.IsLead;
   if (FromMember && !CoordinatorOnly)
-    follow(rollout::GuardEvent(rollout::EvidenceReceived{fromMessage(What)}));
+    enqueue(
+        rollout::MonitorEvent(rollout::EvidenceReceived{fromMessage(Message)}));
   else
-    follow(
-        rollout::ControllerEvent(rollout::EvidenceReceived{fromMessage(What)}));
+    enqueue(rollout::ControllerEvent(
+        rollout::EvidenceReceived{fromMessage(Message)}));
 }
 
-void Dispatch::receive(const wire::LocalRollback &What) {
-  const rollout::Overlay Value = fromMessage(What);
-  follow(rollout::GuardEvent(rollout::OverlayReceived{Value}));
+void Dispatch::receive(const wire::LocalRollback &Message) {
+  const rollout::LocalRollback Value = fromMessage(Message);
+  enqueue(rollout::MonitorEvent(rollout::LocalRollbackReceived{Value}));
   if (isCoordinator())
-    follow(rollout::ControllerEvent(rollout::OverlayReceived{Value}));
+    enqueue(rollout::ControllerEvent(rollout::LocalRollbackReceived{Value}));
 }
 
-void Dispatch::route(rollout::SendEvidence &What) {
-  const bool ToLead = What.To == rollout::Receiver::Lead;
+void Dispatch::handleEffect(rollout::SendEvidence &Effect) {
+  const bool ToLead = Effect.To == rollout::Recipient::Lead;
   if (ToLead && S.Directory.IsLead) {
-    follow(
-        rollout::GuardEvent(rollout::EvidenceReceived{std::move(What.Report)}));
+    enqueue(rollout::MonitorEvent(
+        rollout::EvidenceReceived{std::move(Effect.Report)}));
     return;
   }
   if (!ToLead && isCoordinator()) {
-    follow(rollout::ControllerEvent(
-        rollout::EvidenceReceived{std::move(What.Report)}));
+    enqueue(rollout::ControllerEvent(
+        rollout::EvidenceReceived{std::move(Effect.Report)}));
     return;
   }
   const auto To = ToLead ? leadAddress() : coordinatorAddress();
   if (To)
-    send(*To, toMessage(What.Report));
+    send(*To, toMessage(Effect.Report));
 }
 
-void Dispatch::route(rollout::SendOverlay &What) {
-  switch (What.To) {
-  case rollout::Receiver::Lead:
+void Dispatch::handleEffect(rollout::SendLocalRollback &Effect) {
+  switch (Effect.To) {
+  case rollout::Recipient::Lead:
     if (const auto To = leadAddress(); To && !S.Directory.IsLead)
-      send(*To, toMessage(What.Value));
+      send(*To, toMessage(Effect.Rollback));
     return;
-  case rollout::Receiver::Members:
+  case rollout::Recipient::Members:
     for (const std::string &To : memberAddresses())
-      send(To, toMessage(What.Value));
+      send(To, toMessage(Effect.Rollback));
     return;
-  case rollout::Receiver::Coordinator:
+  case rollout::Recipient::Coordinator:
     if (isCoordinator())
-      follow(rollout::ControllerEvent(rollout::OverlayReceived{What.Value}));
+      enqueue(rollout::ControllerEvent(
+          rollout::LocalRollbackReceived{Effect.Rollback}));
     else if (const auto To = coordinatorAddress())
-      send(*To, toMessage(What.Value));
+      send(*To, toMessage(Effect.Rollback));
     return;
   }
 }
 
-void Dispatch::route(rollout::LocalRollbacksChanged &What) {
-  S.LocalRollbacks = std::move(What.Moves);
-  tellRequestsConfiguration();
+void Dispatch::handleEffect(rollout::LocalRollbacksChanged &Effect) {
+  S.LocalRollbacks = std::move(Effect.Moves);
+  updateRequestConfiguration();
 }
 
-void Dispatch::route(rollout::Append &What) {
-  // The process may have been paused since the lease was last checked.
-  if (lease::mayAct(S.Lease, Now.Mono))
-    append(std::move(What.Body));
+void Dispatch::handleEffect(rollout::AppendRecord &Effect) {
+  // The process may have been paused since the lease was checked.
+  if (lease::holdsLease(S.Lease, Now.Mono))
+    append(std::move(Effect.Body));
 }
 
-void Dispatch::route(rollout::PublishOverlay &What) {
-  follow(rollout::GuardEvent(rollout::OverlayReceived{What.Value}));
-  for (const distribution::OtherLead &Each : S.Records.Leads)
-    send(Each.At.Address, toMessage(What.Value));
+void Dispatch::handleEffect(rollout::PublishLocalRollback &Effect) {
+  enqueue(
+      rollout::MonitorEvent(rollout::LocalRollbackReceived{Effect.Rollback}));
+  for (const distribution::RemoteLead &Each : S.Distribution.RemoteLeads)
+    send(Each.Contact.Address, toMessage(Effect.Rollback));
 }
 
 } // namespace filbertvane::decision
--- a/lib/decision/Node.cpp
+++ b/lib/decision/Node.cpp
@@ -7,68 +7,76 @@
 
 namespace {
 
-membership::Settings membershipSettings(const NodeSettings &Own) {
-  return {Own.Node, Own.DataCentre, Own.ControlAddress, Own.PeerAddress,
-          Own.InsideSeeds};
+membership::Settings membershipSettings(const NodeSettings &Settings) {
+  return {Settings.Node, Settings.DataCentre, Settings.ControlAddress,
+          Settings.PeerAddress, Settings.LocalSeeds};
 }
 
-distribution::Settings distributionSettings(const NodeSettings &Own) {
-  return {{Own.Node, Own.ControlAddress},
-          Own.DataCentre,
-          Own.Region,
-          Own.OutsideSeeds,
-          Own.Folding};
+distribution::Settings distributionSettings(const NodeSettings &Settings) {
+  return {{Settings.Node, Settings.ControlAddress},
+          Settings.DataCentre,
+          Settings.Region,
+          Settings.RemoteSeeds,
+          Settings.Folding};
 }
 
-directory::Settings directorySettings(const NodeSettings &Own) {
-  return {Own.Node,           Own.DataCentre,      Own.Region,
-          Own.ControlAddress, Own.ExternalControl, Own.OutsideSeeds};
+directory::Settings directorySettings(const NodeSettings &Settings) {
+  return {Settings.Node,
+          Settings.DataCentre,
+          Settings.Region,
+          Settings.ControlAddress,
+          Settings.ExternalControlAddress,
+          Settings.RemoteSeeds};
 }
 
-request::Settings requestSettings(const NodeSettings &Own) {
+request::Settings requestSettings(const NodeSettings &Settings) {
   request::Settings Requests;
-  Requests.Self = Own.Node;
-  Requests.Start = Own.Number;
-  Requests.DataCentre = Own.DataCentre;
-  Requests.Region = Own.Region;
-  Requests.Seed = Own.RandomSeed;
-  Requests.Bounds.ClaimRetention = Own.LogRetention;
+  Requests.Self = Settings.Node;
+  Requests.Incarnation = Settings.Incarnation;
+  Requests.DataCentre = Settings.DataCentre;
+  Requests.Region = Settings.Region;
+  Requests.Seed = Settings.RandomSeed;
+  Requests.Bounds.ClaimRetention = Settings.LogRetention;
   return Requests;
 }
 
 } // namespace
 
-core::WriterId writerOf(const NodeSettings &Own) {
-  return core::WriterId(
-      fmt::format("{}/{}", Own.Node.value(), Own.Number.value()));
+core::WriterId writerOf(const NodeSettings &Settings) {
+  return core::WriterId(fmt::format("{}/{}", Settings.Node.value(),
+                                    Settings.Incarnation.value()));
 }
 
 NodeState::NodeState(NodeSettings Settings)
-    : Own(std::move(Settings)),
-      Members(membership::initial(membershipSettings(Own), Own.Number,
-                                  Own.RandomSeed)),
-      Records(
-          distribution::initial(distributionSettings(Own), Own.RandomSeed + 1)),
-      Directory(directory::initial(directorySettings(Own))),
-      Lease(lease::initial({Own.Node, writerOf(Own)}, Own.RandomSeed + 2)),
-      Requests(requestSettings(Own)),
-      Guard(rollout::guardOf(Own.Node, Own.Number, Own.DataCentre)) {}
+    : Local(std::move(Settings)),
+      Membership(membership::initial(membershipSettings(Local),
+                                     Local.Incarnation, Local.RandomSeed)),
+      Distribution(distribution::initial(distributionSettings(Local),
+                                         Local.RandomSeed + 1)),
+      Directory(directory::initial(directorySettings(Local))),
+      Lease(
+          lease::initial({Local.Node, writerOf(Local)}, Local.RandomSeed + 2)),
+      Requests(requestSettings(Local)),
+      Guard(rollout::makeMonitorState(Local.Node, Local.Incarnation,
+                                      Local.DataCentre)) {}
 
-Step<NodeState, NodeEffects> reduce(NodeState Before, NodeEvent What,
+Step<NodeState, NodeEffects> reduce(NodeState Before, NodeEvent Event,
                                     core::Instant Now) {
-  Dispatch All(std::move(Before), Now);
-  All.run(std::move(What));
-  return All.finish();
+  Dispatch Dispatcher(std::move(Before), Now);
+  Dispatcher.run(std::move(Event));
+  return Dispatcher.finish();
 }
 
-std::optional<Peer> claimKeeper(const NodeState &Of, std::uint32_t Partition) {
+std::optional<Peer> claimKeeper(const NodeState &State,
+                                std::uint32_t Partition) {
   std::vector<core::NodeId> Nodes;
-  std::vector<membership::Member> Live = membership::liveMembers(Of.Members);
+  std::vector<membership::Member> Live =
+      membership::liveMembers(State.Membership);
   Nodes.reserve(Live.size());
   for (const membership::Member &Each : Live)
     Nodes.push_back(Each.Node);
-  const auto Keeper =
-      membership::winner(membership::claimPartitionKey(Partition), Nodes);
+  const auto Keeper = membership::rendezvousWinner(
+      membership::claimPartitionKey(Partition), Nodes);
   if (!Keeper)
     return std::nullopt;
   for (const membership::Member &Each : Live)
--- a/lib/decision/distribution/LogReading.cpp
+++ b/lib/decision/distribution/LogReading.cpp
@@ -3,52 +3,55 @@
 
 namespace filbertvane::decision::distribution {
 
-bool Reducer::wantsLog() const {
+bool Reducer::shouldReadLog() const {
   if (isRegionReader(S))
     return true;
   if (isLead(S))
-    return Now.Mono - S.ReaderHeardAt > ReaderSilence;
+    return Now.Mono - S.ReaderHeardAt > ReaderTimeout;
   return actsAsLead(S, Now.Mono);
 }
 
 void Reducer::tickLog() {
-  const bool Wanted = wantsLog();
-  if (Wanted != S.Log.Wanted) {
-    S.Log.Wanted = Wanted;
-    log(Wanted ? observe::EventId::DistributionReadsLog
-               : observe::EventId::DistributionStopsLog,
-        fmt::format("offset {}", S.At.Next.value()));
+  const bool Wanted = shouldReadLog();
+  if (Wanted != S.LogReader.Active) {
+    S.LogReader.Active = Wanted;
+    log(Wanted ? observe::EventId::DistributionLogReadingStarted
+               : observe::EventId::DistributionLogReadingStopped,
+        fmt::format("offset {}", S.ConfigPosition.NextOffset.value()));
   }
   readLog();
 }
 
 void Reducer::readLog() {
-  if (!S.Log.Wanted || S.Log.Pending || Now.Mono < S.Log.RetryAt)
+  if (!S.LogReader.Active || S.LogReader.ReadPending ||
+      Now.Mono < S.LogReader.RetryAt)
     return;
-  // Records or a snapshot may have come from a peer since the last read.
-  if (S.At.Next >= S.Log.From)
-    S.Log.Searching = false;
-  if (!S.Log.Searching)
-    S.Log.From = S.At.Next;
-  S.Log.Pending = true;
-  const bool LongPoll = S.Log.ReachedEnd && !S.Log.Searching;
-  Out.push_back(ReadLog{S.Log.From, LongPoll});
+  // A peer may have sent records or a snapshot since the last read.
+  if (S.ConfigPosition.NextOffset >= S.LogReader.ReadOffset)
+    S.LogReader.SearchingSnapshot = false;
+  if (!S.LogReader.SearchingSnapshot)
+    S.LogReader.ReadOffset = S.ConfigPosition.NextOffset;
+  S.LogReader.ReadPending = true;
+  const bool LongPoll =
+      S.LogReader.ReachedEnd && !S.LogReader.SearchingSnapshot;
+  Out.push_back(ReadLog{S.LogReader.ReadOffset, LongPoll});
 }
 
-void Reducer::on(const LogRead &What) {
-  S.Log.Pending = false;
-  S.Log.Failures = 0;
-  if (!S.Log.Available)
+void Reducer::on(const LogRead &E) {
+  S.LogReader.ReadPending = false;
+  S.LogReader.Failures = 0;
+  if (!S.LogReader.LogAvailable)
     log(observe::EventId::DistributionLogAvailable, "");
-  S.Log.Available = true;
-  if (S.Log.Searching)
-    searchSnapshot(What.Records);
+  S.LogReader.LogAvailable = true;
+  if (S.LogReader.SearchingSnapshot)
+    searchSnapshot(E.Records);
   else
-    applyRead(What.Records);
-  if (!S.Log.Searching && S.At.Next >= What.End)
-    S.Log.ReachedEnd = true;
-  else if (What.Records.empty())
-    logFailed();
+    applyRead(E.Records);
+  if (!S.LogReader.SearchingSnapshot &&
+      S.ConfigPosition.NextOffset >= E.EndOffset)
+    S.LogReader.ReachedEnd = true;
+  else if (E.Records.empty())
+    scheduleLogRetry();
   readLog();
 }
 
@@ -60,34 +63,36 @@
     return;
   }
   log(observe::EventId::DistributionLogTrimmed,
-      fmt::format("own offset {} read offset {}", S.At.Next.value(),
+      fmt::format("local offset {} read offset {}",
+                  S.ConfigPosition.NextOffset.value(),
                   Records.front().Offset.value()));
-  S.Log.Searching = true;
-  S.Log.From = Records.front().Offset;
+  S.LogReader.SearchingSnapshot = true;
+  S.LogReader.ReadOffset = Records.front().Offset;
 }
 
-void Reducer::on(const LogTrimmed &What) {
-  S.Log.Pending = false;
+void Reducer::on(const LogTrimmed &E) {
+  S.LogReader.ReadPending = false;
   log(observe::EventId::DistributionLogTrimmed,
-      fmt::format("own offset {} head {}", S.At.Next.value(),
-                  What.Head.value()));
-  S.Log.Searching = What.Head > S.At.Next;
-  S.Log.From = What.Head;
-  logFailed();
-  askOtherLead();
+      fmt::format("local offset {} head offset {}",
+                  S.ConfigPosition.NextOffset.value(), E.HeadOffset.value()));
+  S.LogReader.SearchingSnapshot = E.HeadOffset > S.ConfigPosition.NextOffset;
+  S.LogReader.ReadOffset = E.HeadOffset;
+  scheduleLogRetry();
+  requestFromRemoteLead();
 }
 
-/// Looks through the records behind the head for a snapshot, then reads on
-/// from the offset at which that snapshot was taken.
+/// Searches the records after the head for a snapshot; reading continues at the
+/// offset at which the snapshot was taken.
 void Reducer::searchSnapshot(const std::vector<StoredRecord> &Records) {
   if (Records.empty()) {
-    // No snapshot yet: the coordinator appends one before the head moves on.
-    S.Log.From = S.At.Next;
+    // The coordinator appends a snapshot before the log is trimmed further.
+    S.LogReader.ReadOffset = S.ConfigPosition.NextOffset;
     return;
   }
-  for (const StoredRecord &One : Records) {
-    S.Log.From = core::LogOffset(One.Offset.value() + 1);
-    const FoldedRecord Folded = S.Own.Folding.Apply({}, One.Offset, One.Bytes);
+  for (const StoredRecord &Record : Records) {
+    S.LogReader.ReadOffset = core::LogOffset(Record.Offset.value() + 1);
+    const FoldedRecord Folded =
+        S.Local.Folding.Apply({}, Record.Offset, Record.Bytes);
     if (!Folded.Record)
       continue;
     const auto *Taken =
@@ -95,32 +100,32 @@
     if (!Taken)
       continue;
     const core::Result<config::FleetState> Decoded =
-        S.Own.Folding.Decode(Taken->State);
+        S.Local.Folding.Decode(Taken->State);
     if (!core::ok(Decoded))
       continue;
-    const Position At{core::value(Decoded).Next, Taken->StateDigest,
+    const Position At{core::value(Decoded).NextOffset, Taken->StateDigest,
                       core::value(Decoded).Version, false};
     if (!adoptSnapshot({core::NodeId("log"), ""}, {At, Taken->State}))
       continue;
-    S.Log.Searching = false;
+    S.LogReader.SearchingSnapshot = false;
     return;
   }
 }
 
 void Reducer::on(const LogUnavailable &) {
-  S.Log.Pending = false;
-  if (S.Log.Available)
+  S.LogReader.ReadPending = false;
+  if (S.LogReader.LogAvailable)
     log(observe::EventId::DistributionLogUnavailable,
-        fmt::format("offset {}", S.At.Next.value()));
-  S.Log.Available = false;
-  logFailed();
-  if (S.Log.Wanted)
-    askOtherLead();
+        fmt::format("offset {}", S.ConfigPosition.NextOffset.value()));
+  S.LogReader.LogAvailable = false;
+  scheduleLogRetry();
+  if (S.LogReader.Active)
+    requestFromRemoteLead();
 }
 
-void Reducer::logFailed() {
-  S.Log.RetryAt = Now.Mono + backoff(S.Log.Failures, LogBackoffMax);
-  ++S.Log.Failures;
+void Reducer::scheduleLogRetry() {
+  S.LogReader.RetryAt = Now.Mono + backoff(S.LogReader.Failures, MaxLogBackoff);
+  ++S.LogReader.Failures;
 }
 
 } // namespace filbertvane::decision::distribution
--- a/lib/decision/distribution/Reducer.h
+++ b/lib/decision/distribution/Reducer.h
@@ -5,78 +5,79 @@
 
 namespace filbertvane::decision::distribution {
 
-/// @brief One application of an event: the state being changed and the effects
-///        collected so far.
+/// @brief Applies one event to a state and collects the effects.
 class Reducer {
 public:
   Reducer(State &S, core::Instant Now) : S(S), Now(Now) {}
 
   /// @name Events
   /// @{
-  void on(const Started &What);
-  void on(const Tick &What);
-  void on(const LogRead &What);
-  void on(const LogTrimmed &What);
-  void on(const LogUnavailable &What);
-  void on(const EndChecked &What);
-  void on(const RecordsReceived &What);
-  void on(const RecordsRequested &What);
-  void on(const SnapshotReceived &What);
-  void on(const PositionHeard &What);
-  void on(const MembersChanged &What);
-  void on(const OtherLeadsChanged &What);
+  void on(const Started &E);
+  void on(const Tick &E);
+  void on(const LogRead &E);
+  void on(const LogTrimmed &E);
+  void on(const LogUnavailable &E);
+  void on(const LogEndChecked &E);
+  void on(const RecordsReceived &E);
+  void on(const RecordsRequested &E);
+  void on(const SnapshotReceived &E);
+  void on(const PeerPositionReported &E);
+  void on(const MembersChanged &E);
+  void on(const RemoteLeadsChanged &E);
   /// @}
 
-  /// @brief Checks the restart rule and returns the effects.
+  /// @brief Updates the readiness and returns the effects.
   Effects finish();
 
 private:
-  /// What folding a batch yields before it is adopted.
+  /// Result of folding a batch that is not yet adopted.
   struct Candidate {
     config::FleetState State;
-    Position At;
-    std::vector<KeptRecord> Kept;
+    Position ConfigPosition;
+    std::vector<RecentRecord> RecentRecords;
     std::vector<AppliedRecord> Applied;
   };
 
   /// @name Adoption (Adoption.cpp)
   /// @{
   std::optional<Candidate> fold(const std::vector<StoredRecord> &Records);
-  KeptRecord keepable(std::optional<config::FleetState> Before,
-                      const StoredRecord &Record, const Position &After);
+  RecentRecord toRecentRecord(std::optional<config::FleetState> Before,
+                              const StoredRecord &Record,
+                              const Position &After);
   bool mayAdopt(const Position &To, bool Repairs);
   void adopt(Candidate New);
-  bool adoptSnapshot(const Peer &From, const Snapshot &What);
-  void keep(KeptRecord One);
+  bool adoptSnapshot(const Peer &From, const Snapshot &Received);
+  void addRecent(RecentRecord Recent);
   void receiveBatch(const Peer &From, const RecordBatch &Batch);
-  void buffer(const Peer &From, const RecordBatch &Batch);
+  void bufferBatch(const Peer &From, const RecordBatch &Batch);
   void drainBuffer();
-  void diverged(const Peer &From);
+  void markDiverged(const Peer &From);
   /// @}
 
   /// @name Sending (Serving.cpp)
   /// @{
   RecordBatch batchFrom(core::LogOffset First) const;
-  bool holdsFrom(core::LogOffset First) const;
+  bool hasRecordsFrom(core::LogOffset First) const;
   void forward(core::LogOffset First);
-  void feed(const std::string &To, core::LogOffset First);
-  std::vector<std::string> fedAddresses() const;
-  void addChildren(std::size_t Rank, std::vector<std::string> &To) const;
+  void sendRecordsFrom(const std::string &To, core::LogOffset First);
+  std::vector<std::string> downstreamAddresses() const;
+  void addChildren(std::size_t Rank, std::vector<std::string> &Addresses) const;
   void serveSnapshot(const Peer &To);
   void tickHeartbeat();
   /// @}
 
   /// @name Repair (Repair.cpp)
   /// @{
-  void noteAhead(const Peer &From, core::LogOffset Next, bool AtOnce);
-  void answered(const Peer &From);
-  void progressed();
-  void seek();
-  void request(const Peer &To);
+  void updateAheadPeer(const Peer &From, core::LogOffset Next,
+                       bool Immediately);
+  void completeRequest(const Peer &From);
+  void resetRetries();
+  void requestFromAnyPeer();
+  void sendRequest(const Peer &To);
   void tickRepair();
-  std::vector<Peer> possiblePeers() const;
-  void askOtherLead();
-  bool behind() const;
+  std::vector<Peer> candidatePeers() const;
+  void requestFromRemoteLead();
+  bool isBehind() const;
   /// @}
 
   /// @name Reading the log (LogReading.cpp)
@@ -85,23 +86,23 @@
   void readLog();
   void applyRead(const std::vector<StoredRecord> &Records);
   void searchSnapshot(const std::vector<StoredRecord> &Records);
-  void logFailed();
-  bool wantsLog() const;
+  void scheduleLogRetry();
+  bool shouldReadLog() const;
   /// @}
 
-  /// @name Restart rule (Readiness.cpp)
+  /// @name Readiness after a restart (Readiness.cpp)
   /// @{
-  void noteReport(const Peer &From, const Position &At);
-  void noteEnd(const Peer &From, const RecordBatch &Batch);
-  void tickEnds();
-  void requestEnd();
-  void addEndWaiter(const std::string &Address);
-  bool proven() const;
+  void updateReport(const Peer &From, const Position &At);
+  void updateLogEnd(const Peer &From, const RecordBatch &Batch);
+  void tickLogEndChecks();
+  void requestLogEnd();
+  void addLogEndWaiter(const std::string &Address);
+  bool isProvenCurrent() const;
   void checkReady();
   /// @}
 
   core::Microseconds backoff(std::uint32_t Failures, core::Milliseconds Max);
-  void noteHeard(const Peer &From);
+  void updateLastHeard(const Peer &From);
   void log(observe::EventId Id, std::string Detail);
 
   State &S;
--- a/lib/decision/lease/Lease.cpp
+++ b/lib/decision/lease/Lease.cpp
@@ -10,23 +10,23 @@
 public:
   Reducer(State &S, core::Instant Now) : S(S), Now(Now.Mono) {}
 
-  void on(const Tick &What);
-  void on(const LeadChanged &What);
-  void on(const LeaseRead &What);
-  void on(const ClaimFolded &What);
-  void on(const ClaimNotAppended &What);
-  void on(const EpochAdopted &What);
+  void on(const Tick &E);
+  void on(const LeadChanged &E);
+  void on(const LeaseRead &E);
+  void on(const ClaimFolded &E);
+  void on(const ClaimNotAppended &E);
+  void on(const EpochAdopted &E);
 
   void checkExpiry();
 
   Effects Out;
 
 private:
-  void heard();
+  void updateHolderActivity();
   void appendRenewal();
-  void maybeClaim();
-  void lose(observe::EventId Why);
-  void newEpoch(core::NodeId Holder, core::Epoch Current);
+  void claimIfExpired();
+  void endLease(observe::EventId Reason);
+  void enterEpoch(core::NodeId Holder, core::Epoch Current);
   void log(observe::EventId Id);
 
   State &S;
@@ -39,95 +39,96 @@
                                                      S.Holder.value())});
 }
 
-/// Each candidate waits a different time, so that usually one claim is
+/// Each candidate chooses a random delay, so that usually only one claim is
 /// appended.
-void Reducer::heard() {
+void Reducer::updateHolderActivity() {
   S.HeardAt = Now;
-  const core::Microseconds Range = ClaimWaitMax - ClaimWaitMin;
-  S.Wait = core::Microseconds(ClaimWaitMin) +
-           core::Microseconds(S.Chance.below(Range.count()));
+  const core::Microseconds Range = MaxClaimDelay - MinClaimDelay;
+  S.ClaimDelay = core::Microseconds(MinClaimDelay) +
+                 core::Microseconds(S.Rng.below(Range.count()));
 }
 
-void Reducer::lose(observe::EventId Why) {
-  if (!S.ActsUntil)
+void Reducer::endLease(observe::EventId Reason) {
+  if (!S.HeldUntil)
     return;
-  S.ActsUntil.reset();
-  S.Renewals.clear();
-  log(Why);
+  S.HeldUntil.reset();
+  S.PendingRenewals.clear();
+  log(Reason);
   Out.emplace_back(LostLease{S.CurrentEpoch});
 }
 
-/// An expired lease is never taken up again, even if a renewal is read back
-/// later: a successor may have counted the same silence.
+/// An expired lease is not resumed even if a renewal is read back later,
+/// because a successor may already have waited for the same expiry.
 void Reducer::checkExpiry() {
-  if (S.ActsUntil && Now >= *S.ActsUntil)
-    lose(observe::EventId::LeaseExpired);
+  if (S.HeldUntil && Now >= *S.HeldUntil)
+    endLease(observe::EventId::LeaseExpired);
 }
 
 void Reducer::on(const Tick &) {
-  if (!S.Lead)
+  if (!S.IsLead)
     return;
-  if (S.ActsUntil) {
+  if (S.HeldUntil) {
     if (Now >= S.NextRenewal)
       appendRenewal();
     return;
   }
-  maybeClaim();
+  claimIfExpired();
 }
 
-void Reducer::on(const LeadChanged &What) {
-  if (What.Lead == S.Lead)
+void Reducer::on(const LeadChanged &E) {
+  if (E.IsLead == S.IsLead)
     return;
-  S.Lead = What.Lead;
-  S.KnownUpTo.reset();
+  S.IsLead = E.IsLead;
+  S.ReadUpTo.reset();
   S.Claim.reset();
-  heard();
-  if (!S.Lead)
-    lose(observe::EventId::LeaseReleased);
+  updateHolderActivity();
+  if (!S.IsLead)
+    endLease(observe::EventId::LeaseReleased);
 }
 
-void Reducer::on(const LeaseRead &What) {
-  S.KnownUpTo = What.SentAt;
-  for (const Renewal &One : What.Records) {
-    if (One.LeaseEpoch < S.CurrentEpoch)
+void Reducer::on(const LeaseRead &E) {
+  S.ReadUpTo = E.SentAt;
+  for (const Renewal &Record : E.Records) {
+    if (Record.LeaseEpoch < S.CurrentEpoch)
       continue;
-    heard();
-    if (!S.ActsUntil || One.LeaseEpoch != S.CurrentEpoch ||
-        One.Holder != S.Own.Node)
+    updateHolderActivity();
+    if (!S.HeldUntil || Record.LeaseEpoch != S.CurrentEpoch ||
+        Record.Holder != S.Local.Node)
       continue;
-    const auto Own = std::find_if(S.Renewals.begin(), S.Renewals.end(),
-                                  [&One](const auto &Pending) {
-                                    return Pending.Sequence == One.Sequence;
-                                  });
-    if (Own == S.Renewals.end())
+    const auto Appended =
+        std::find_if(S.PendingRenewals.begin(), S.PendingRenewals.end(),
+                     [&Record](const auto &Pending) {
+                       return Pending.Sequence == Record.Sequence;
+                     });
+    if (Appended == S.PendingRenewals.end())
       continue;
-    S.ActsUntil = std::max(*S.ActsUntil, Own->AppendedAt + LeaseTime);
-    S.Renewals.erase(S.Renewals.begin(), Own + 1);
+    S.HeldUntil = std::max(*S.HeldUntil, Appended->AppendedAt + LeaseDuration);
+    S.PendingRenewals.erase(S.PendingRenewals.begin(), Appended + 1);
   }
 }
 
-void Reducer::newEpoch(core::NodeId Holder, core::Epoch Current) {
-  lose(observe::EventId::LeaseTaken);
+void Reducer::enterEpoch(core::NodeId Holder, core::Epoch Current) {
+  endLease(observe::EventId::LeaseSuperseded);
   S.CurrentEpoch = Current;
   S.Holder = std::move(Holder);
-  heard();
+  updateHolderActivity();
 }
 
-void Reducer::on(const ClaimFolded &What) {
-  if (What.NewEpoch <= S.CurrentEpoch)
+void Reducer::on(const ClaimFolded &E) {
+  if (E.NewEpoch <= S.CurrentEpoch)
     return;
-  newEpoch(What.Holder, What.NewEpoch);
+  enterEpoch(E.Holder, E.NewEpoch);
   const std::optional<PendingClaim> Claim = std::exchange(S.Claim, {});
   if (!Claim)
     return;
-  const core::TimePoint Until = Claim->AppendedAt + LeaseTime;
-  const bool Own =
-      What.Writer == S.Own.Writer && Claim->NewEpoch == What.NewEpoch;
-  if (!Own || !S.Lead || Now >= Until) {
+  const core::TimePoint Until = Claim->AppendedAt + LeaseDuration;
+  const bool IsLocal =
+      E.Writer == S.Local.Writer && Claim->NewEpoch == E.NewEpoch;
+  if (!IsLocal || !S.IsLead || Now >= Until) {
     log(observe::EventId::LeaseClaimLost);
     return;
   }
-  S.ActsUntil = Until;
+  S.HeldUntil = Until;
   S.NextRenewal = Now;
   log(observe::EventId::LeaseAcquired);
   Out.emplace_back(BecameHolder{S.CurrentEpoch});
@@ -136,38 +137,39 @@
 
 void Reducer::on(const ClaimNotAppended &) { S.Claim.reset(); }
 
-void Reducer::on(const EpochAdopted &What) {
-  if (What.Current <= S.CurrentEpoch)
+void Reducer::on(const EpochAdopted &E) {
+  if (E.CurrentEpoch <= S.CurrentEpoch)
     return;
-  newEpoch(What.Holder, What.Current);
+  enterEpoch(E.Holder, E.CurrentEpoch);
   S.Claim.reset();
 }
 
 void Reducer::appendRenewal() {
   const std::uint64_t Sequence = S.NextSequence++;
-  if (S.Renewals.size() >= MaxPendingRenewals)
-    S.Renewals.erase(S.Renewals.begin());
-  // The lease counts from here, not from the read-back: a candidate may read
-  // the record long before its writer does.
-  S.Renewals.push_back({Sequence, Now});
-  S.NextRenewal = Now + RenewPeriod;
-  Out.emplace_back(AppendRenewal{{S.Own.Node, S.CurrentEpoch, Sequence}});
+  if (S.PendingRenewals.size() >= MaxPendingRenewals)
+    S.PendingRenewals.erase(S.PendingRenewals.begin());
+  // The lease counts from the append, not from the read-back: a candidate may
+  // read the record long before its writer does.
+  S.PendingRenewals.push_back({Sequence, Now});
+  S.NextRenewal = Now + RenewalPeriod;
+  Out.emplace_back(AppendRenewal{{S.Local.Node, S.CurrentEpoch, Sequence}});
 }
 
-/// Silence is counted up to the time at which the last complete read was sent:
-/// a candidate whose reads are slow knows nothing of the time since.
-void Reducer::maybeClaim() {
+/// Only the time until the last complete read was sent counts towards expiry: a
+/// candidate with slow reads cannot rule out later renewals.
+void Reducer::claimIfExpired() {
   if (S.Claim && Now < S.Claim->RetryAt)
     return;
-  if (!S.KnownUpTo || Now - *S.KnownUpTo > KnowledgeAge)
+  if (!S.ReadUpTo || Now - *S.ReadUpTo > MaxReadAge)
     return;
   const bool NeverHeld = S.CurrentEpoch == core::Epoch();
-  const core::Microseconds Silence =
-      NeverHeld ? core::Microseconds(0) : LeaseTime;
-  if (*S.KnownUpTo < S.HeardAt + Silence || Now < S.HeardAt + Silence + S.Wait)
+  const core::Microseconds Expiry =
+      NeverHeld ? core::Microseconds(0) : LeaseDuration;
+  if (*S.ReadUpTo < S.HeardAt + Expiry ||
+      Now < S.HeardAt + Expiry + S.ClaimDelay)
     return;
-  // The lease of a repeated claim counts from the first append, because that
-  // one may be the record that is valid.
+  // The lease of a repeated claim counts from the first append, whose record
+  // may be the valid one.
   if (!S.Claim)
     S.Claim = {core::Epoch(S.CurrentEpoch.value() + 1), Now, Now};
   S.Claim->RetryAt = Now + ClaimTimeout;
@@ -177,24 +179,24 @@
 
 } // namespace
 
-State initial(Settings Own, std::uint64_t Seed) {
+State initial(Settings Local, std::uint64_t Seed) {
   State S;
-  S.Own = std::move(Own);
-  S.Chance = core::Random(Seed);
+  S.Local = std::move(Local);
+  S.Rng = core::Random(Seed);
   return S;
 }
 
-Step<State, Effects> reduce(State Before, const Event &What,
-                            core::Instant Now) {
+Step<State, Effects> reduce(State Before, const Event &E, core::Instant Now) {
   Reducer R(Before, Now);
-  // Time passes before the event counts: a paused holder stops first.
+  // Expiry comes before the event, so that a holder that was paused stops
+  // first.
   R.checkExpiry();
-  std::visit([&R](const auto &One) { R.on(One); }, What);
+  std::visit([&R](const auto &Alternative) { R.on(Alternative); }, E);
   return {std::move(Before), std::move(R.Out)};
 }
 
-bool mayAct(const State &Of, core::TimePoint Now) {
-  return Of.ActsUntil && Now < *Of.ActsUntil;
+bool holdsLease(const State &S, core::TimePoint Now) {
+  return S.HeldUntil && Now < *S.HeldUntil;
 }
 
 } // namespace filbertvane::decision::lease
--- a/lib/decision/membership/Ranking.cpp
+++ b/lib/decision/membership/Ranking.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-/// Score first; the id decides between equal scores, so that all nodes agree.
+/// Score and id; the id breaks ties, so that all nodes agree on the order.
 using Scored = std::pair<std::uint64_t, core::NodeId>;
 
 Scored scored(std::string_view Key, const core::NodeId &Node) {
@@ -16,25 +16,25 @@
 
 } // namespace
 
-std::vector<core::NodeId> ranked(std::string_view Key,
-                                 std::vector<core::NodeId> Nodes) {
+std::vector<core::NodeId> rendezvousOrder(std::string_view Key,
+                                          std::vector<core::NodeId> Nodes) {
   std::vector<Scored> All;
   All.reserve(Nodes.size());
   for (const core::NodeId &Node : Nodes)
     All.push_back(scored(Key, Node));
   std::sort(All.begin(), All.end(), std::greater<>());
   std::transform(All.begin(), All.end(), Nodes.begin(),
-                 [](const Scored &One) { return One.second; });
+                 [](const Scored &Each) { return Each.second; });
   return Nodes;
 }
 
-std::optional<core::NodeId> winner(std::string_view Key,
-                                   const std::vector<core::NodeId> &Nodes) {
+std::optional<core::NodeId>
+rendezvousWinner(std::string_view Key, const std::vector<core::NodeId> &Nodes) {
   std::optional<Scored> Best;
   for (const core::NodeId &Node : Nodes) {
-    Scored One = scored(Key, Node);
-    if (!Best || One > *Best)
-      Best = std::move(One);
+    Scored Candidate = scored(Key, Node);
+    if (!Best || Candidate > *Best)
+      Best = std::move(Candidate);
   }
   if (!Best)
     return std::nullopt;
@@ -55,8 +55,8 @@
 
 std::vector<std::size_t> childRanks(std::size_t Rank, std::size_t Count) {
   std::vector<std::size_t> Children;
-  const std::size_t First = Rank * FanOut + 1;
-  for (std::size_t Child = First; Child < First + FanOut && Child < Count;
+  const std::size_t First = Rank * TreeFanOut + 1;
+  for (std::size_t Child = First; Child < First + TreeFanOut && Child < Count;
        ++Child)
     Children.push_back(Child);
   return Children;
--- a/lib/decision/membership/Updates.cpp
+++ b/lib/decision/membership/Updates.cpp
@@ -7,9 +7,9 @@
 
 namespace {
 
-std::string describeMember(const Member &Which) {
-  return fmt::format("{} at {} incarnation {}", Which.Node.value(),
-                     Which.ControlAddress, Which.Number.value());
+std::string describeMember(const Member &M) {
+  return fmt::format("{} at {} incarnation {}", M.Node.value(),
+                     M.ControlAddress, M.Incarnation.value());
 }
 
 observe::EventId eventOf(MemberStatus Status) {
@@ -26,161 +26,167 @@
   return observe::EventId::MemberFailed;
 }
 
-/// Whether a difference matters to those who use the member.
-bool sameForOthers(const Member &A, const Member &B) {
+/// Whether two states of a member are the same for receivers of
+/// `EndpointsChanged`.
+bool sameEndpoint(const Member &A, const Member &B) {
   return A.Status == B.Status && A.ControlAddress == B.ControlAddress &&
          A.PeerAddress == B.PeerAddress && A.Target == B.Target &&
-         A.Ready == B.Ready && sameProcess(A.Number, B.Number);
+         A.Ready == B.Ready && sameProcess(A.Incarnation, B.Incarnation);
 }
 
 } // namespace
 
-void Reducer::learn(const Member &News) {
-  if (News.Node == S.Self.Node) {
-    learnSelf(News);
+void Reducer::applyUpdate(const Member &Update) {
+  if (Update.Node == S.Self.Node) {
+    applySelfUpdate(Update);
     return;
   }
-  const auto Found = S.Others.find(News.Node);
-  if (Found != S.Others.end()) {
-    if (supersedes(News, Found->second.Known))
-      adopt(Found->second, News);
+  const auto Found = S.OtherMembers.find(Update.Node);
+  if (Found != S.OtherMembers.end()) {
+    if (supersedes(Update, Found->second.LastKnown))
+      replaceMember(Found->second, Update);
     return;
   }
-  // A member that is already gone needs no place.
-  if (!isLive(News) || !makeRoom())
+  // An unknown member is not added if it has already failed or left.
+  if (!isLive(Update) || !ensureCapacity())
     return;
-  Entry &Place = S.Others[News.Node];
-  Place.Known = News;
-  Place.SendsLeft = repeats();
-  setDeadline(Place);
-  failOthersAt(News);
-  log(observe::EventId::MemberJoined, describeMember(News));
+  MemberEntry &Entry = S.OtherMembers[Update.Node];
+  Entry.LastKnown = Update;
+  Entry.TransmissionsLeft = transmissionLimit();
+  setDeadline(Entry);
+  failOthersAtAddress(Update);
+  log(observe::EventId::MemberJoined, describeMember(Update));
   Changed = true;
 }
 
-void Reducer::learnSelf(const Member &News) {
-  const bool FormerProcess = !sameProcess(News.Number, S.Self.Number);
-  if (News.Number < S.Self.Number)
+void Reducer::applySelfUpdate(const Member &Update) {
+  const bool FormerProcess =
+      !sameProcess(Update.Incarnation, S.Self.Incarnation);
+  if (Update.Incarnation < S.Self.Incarnation)
     return;
   if (FormerProcess)
-    S.Self.Number = incarnationAfter(News.Number);
-  else if (News.Status != MemberStatus::Alive &&
+    S.Self.Incarnation = incarnationAfter(Update.Incarnation);
+  else if (Update.Status != MemberStatus::Alive &&
            S.Self.Status != MemberStatus::Left)
-    S.Self.Number = core::Incarnation(News.Number.value() + 1);
+    S.Self.Incarnation = core::Incarnation(Update.Incarnation.value() + 1);
   else
     return;
   log(observe::EventId::MemberRefuted, describeMember(S.Self));
   announceSelf();
 }
 
-bool Reducer::makeRoom() {
-  if (S.Others.size() + 1 < MaxMembers)
+bool Reducer::ensureCapacity() {
+  if (S.OtherMembers.size() + 1 < MaxMembers)
     return true;
-  // The place of the member that has been gone for longest is reused.
-  auto Oldest = S.Others.end();
-  for (auto One = S.Others.begin(); One != S.Others.end(); ++One)
-    if (!isLive(One->second.Known) &&
-        (Oldest == S.Others.end() ||
-         One->second.Deadline < Oldest->second.Deadline))
-      Oldest = One;
-  if (Oldest != S.Others.end()) {
-    S.Others.erase(Oldest);
+  // Evict the member that failed or left the longest time ago.
+  auto Oldest = S.OtherMembers.end();
+  for (auto It = S.OtherMembers.begin(); It != S.OtherMembers.end(); ++It)
+    if (!isLive(It->second.LastKnown) &&
+        (Oldest == S.OtherMembers.end() ||
+         It->second.Deadline < Oldest->second.Deadline))
+      Oldest = It;
+  if (Oldest != S.OtherMembers.end()) {
+    S.OtherMembers.erase(Oldest);
     return true;
   }
-  if (!S.FullReported)
-    log(observe::EventId::MembersFull, fmt::format("{}", MaxMembers));
-  S.FullReported = true;
+  if (!S.LimitReported)
+    log(observe::EventId::MemberLimitReached, fmt::format("{}", MaxMembers));
+  S.LimitReported = true;
   return false;
 }
 
-void Reducer::adopt(Entry &Place, const Member &News) {
-  const Member Known = Place.Known;
-  Place.Known = News;
-  Place.SendsLeft = repeats();
-  if (Known.Status != News.Status || Known.Number != News.Number)
-    setDeadline(Place);
-  if (!sameForOthers(Known, News))
+void Reducer::replaceMember(MemberEntry &Entry, const Member &Update) {
+  const Member Previous = Entry.LastKnown;
+  Entry.LastKnown = Update;
+  Entry.TransmissionsLeft = transmissionLimit();
+  if (Previous.Status != Update.Status ||
+      Previous.Incarnation != Update.Incarnation)
+    setDeadline(Entry);
+  if (!sameEndpoint(Previous, Update))
     Changed = true;
-  const bool NewProcess = !sameProcess(Known.Number, News.Number);
-  if (isLive(Known) && (NewProcess || !isLive(News)))
-    Out.push_back(MemberFailed{Known});
+  const bool NewProcess =
+      !sameProcess(Previous.Incarnation, Update.Incarnation);
+  if (isLive(Previous) && (NewProcess || !isLive(Update)))
+    Out.push_back(MemberFailed{Previous});
   if (NewProcess)
-    log(observe::EventId::MemberReplaced, describeMember(News));
-  else if (Known.Status != News.Status)
-    log(eventOf(News.Status), describeMember(News));
-  if (NewProcess && isLive(News))
-    failOthersAt(News);
+    log(observe::EventId::MemberReplaced, describeMember(Update));
+  else if (Previous.Status != Update.Status)
+    log(eventOf(Update.Status), describeMember(Update));
+  if (NewProcess && isLive(Update))
+    failOthersAtAddress(Update);
 }
 
-/// A new process at the address of another node proves that node gone.
-void Reducer::failOthersAt(const Member &News) {
-  std::vector<Member> Gone;
-  for (const auto &[Node, One] : S.Others)
-    if (Node != News.Node && isLive(One.Known) &&
-        One.Known.ControlAddress == News.ControlAddress &&
-        One.Known.Number < News.Number)
-      Gone.push_back(One.Known);
-  for (Member &One : Gone) {
-    One.Status = MemberStatus::Failed;
-    learn(One);
+/// A newer process at the address of another node proves that the other one has
+/// ended.
+void Reducer::failOthersAtAddress(const Member &Update) {
+  std::vector<Member> Replaced;
+  for (const auto &[Node, Entry] : S.OtherMembers)
+    if (Node != Update.Node && isLive(Entry.LastKnown) &&
+        Entry.LastKnown.ControlAddress == Update.ControlAddress &&
+        Entry.LastKnown.Incarnation < Update.Incarnation)
+      Replaced.push_back(Entry.LastKnown);
+  for (Member &M : Replaced) {
+    M.Status = MemberStatus::Failed;
+    applyUpdate(M);
   }
 }
 
-void Reducer::setDeadline(Entry &Place) {
-  if (Place.Known.Status == MemberStatus::Alive)
-    Place.Deadline.reset();
-  else if (Place.Known.Status == MemberStatus::Suspect)
-    Place.Deadline = Now.Mono + SuspicionTime;
+void Reducer::setDeadline(MemberEntry &Entry) {
+  if (Entry.LastKnown.Status == MemberStatus::Alive)
+    Entry.Deadline.reset();
+  else if (Entry.LastKnown.Status == MemberStatus::Suspect)
+    Entry.Deadline = Now.Mono + SuspicionTimeout;
   else
-    Place.Deadline = Now.Mono + TombstoneTime;
+    Entry.Deadline = Now.Mono + TombstoneLifetime;
 }
 
 void Reducer::tickDeadlines() {
   std::vector<Member> Failed;
-  std::vector<core::NodeId> Forgotten;
-  for (const auto &[Node, One] : S.Others) {
-    if (!One.Deadline || Now.Mono < *One.Deadline)
+  std::vector<core::NodeId> Expired;
+  for (const auto &[Node, Entry] : S.OtherMembers) {
+    if (!Entry.Deadline || Now.Mono < *Entry.Deadline)
       continue;
-    if (One.Known.Status == MemberStatus::Suspect)
-      Failed.push_back(One.Known);
+    if (Entry.LastKnown.Status == MemberStatus::Suspect)
+      Failed.push_back(Entry.LastKnown);
     else
-      Forgotten.push_back(Node);
+      Expired.push_back(Node);
   }
-  for (Member &One : Failed) {
-    One.Status = MemberStatus::Failed;
-    learn(One);
+  for (Member &M : Failed) {
+    M.Status = MemberStatus::Failed;
+    applyUpdate(M);
   }
-  for (const core::NodeId &Node : Forgotten)
-    S.Others.erase(Node);
+  for (const core::NodeId &Node : Expired)
+    S.OtherMembers.erase(Node);
 }
 
-std::size_t Reducer::repeats() const {
-  return UpdateRepeats * std::bit_width(S.Others.size() + 1);
+std::size_t Reducer::transmissionLimit() const {
+  return RetransmitMultiplier * std::bit_width(S.OtherMembers.size() + 1);
 }
 
-/// The own announcement first, then the updates that were sent least.
-std::vector<Member> Reducer::takeUpdates() {
-  std::vector<Member> Taken;
-  if (S.SelfSendsLeft > 0) {
-    --S.SelfSendsLeft;
-    Taken.push_back(S.Self);
+/// Selects the state of this node first, then the updates that were sent least
+/// often.
+std::vector<Member> Reducer::selectUpdates() {
+  std::vector<Member> Selected;
+  if (S.SelfTransmissionsLeft > 0) {
+    --S.SelfTransmissionsLeft;
+    Selected.push_back(S.Self);
   }
-  std::vector<Entry *> Pending;
-  for (auto &[Node, One] : S.Others)
-    if (One.SendsLeft > 0)
-      Pending.push_back(&One);
-  const std::size_t Room = UpdatesPerMessage - Taken.size();
+  std::vector<MemberEntry *> Pending;
+  for (auto &[Node, Entry] : S.OtherMembers)
+    if (Entry.TransmissionsLeft > 0)
+      Pending.push_back(&Entry);
+  const std::size_t Room = MaxUpdatesPerMessage - Selected.size();
   const std::size_t Count = std::min(Room, Pending.size());
-  std::partial_sort(Pending.begin(),
-                    Pending.begin() + static_cast<std::ptrdiff_t>(Count),
-                    Pending.end(), [](const Entry *A, const Entry *B) {
-                      return A->SendsLeft > B->SendsLeft;
-                    });
+  std::partial_sort(
+      Pending.begin(), Pending.begin() + static_cast<std::ptrdiff_t>(Count),
+      Pending.end(), [](const MemberEntry *A, const MemberEntry *B) {
+        return A->TransmissionsLeft > B->TransmissionsLeft;
+      });
   for (std::size_t I = 0; I < Count; ++I) {
-    --Pending[I]->SendsLeft;
-    Taken.push_back(Pending[I]->Known);
+    --Pending[I]->TransmissionsLeft;
+    Selected.push_back(Pending[I]->LastKnown);
   }
-  return Taken;
+  return Selected;
 }
 
 } // namespace filbertvane::decision::membership
--- a/lib/decision/mesh/HostDirectory.cpp
+++ b/lib/decision/mesh/HostDirectory.cpp
@@ -5,27 +5,28 @@
 
 namespace {
 
-/// Datagrams of a former process can arrive for about this time after its
-/// successor was heard.
-constexpr core::Milliseconds ReorderTime{2000};
+/// Datagrams of a previous process may arrive for about this time after the
+/// first one of its successor.
+constexpr core::Milliseconds DatagramReorderTime{2000};
 
-/// Routes that a host's times are kept of; the routes of one service that are
-/// in use are few, and removed ones must not pile up.
-constexpr std::size_t MostRouteTimes = 64;
+/// Maximum number of routes per host whose answer times are kept. Few routes of
+/// one service are in use at a time, and removed ones must not accumulate.
+constexpr std::size_t MaximumRouteTimes = 64;
 
-/// Another target took the place of the one that the times were noted of.
-bool otherTarget(const HostReport &Before, const HostReport &After) {
+/// Whether another target replaced the one whose answer times were recorded.
+bool targetReplaced(const HostReport &Before, const HostReport &After) {
   return Before.Target && After.Target && Before.Target->Id != After.Target->Id;
 }
 
-/// Two processes of a host are ordered by their start; the time of day may have
-/// jumped back between them, so that an older start counts once the newer one
-/// is silent.
-bool outdated(const KnownHost &Known, const HostReport &What,
-              core::TimePoint Now) {
-  if (What.Start == Known.Report.Start)
-    return What.Sequence <= Known.Report.Sequence && !Known.Hearsay;
-  return What.Start < Known.Report.Start && Now - Known.HeardAt < ReorderTime;
+/// Processes of a host are ordered by their start. The system clock may have
+/// been set back between them, so that an older start is accepted once the
+/// newer process has been silent for `DatagramReorderTime`.
+bool isOutdated(const KnownHost &Known, const HostReport &Report,
+                core::TimePoint Now) {
+  if (Report.Incarnation == Known.Report.Incarnation)
+    return Report.Sequence <= Known.Report.Sequence && !Known.FromStoreOnly;
+  return Report.Incarnation < Known.Report.Incarnation &&
+         Now - Known.LastReportAt < DatagramReorderTime;
 }
 
 } // namespace
@@ -35,91 +36,95 @@
     : Self(std::move(Self)), DataCentre(std::move(DataCentre)),
       Region(std::move(Region)) {}
 
-Distance HostDirectory::distanceOf(const HostReport &Of) const {
-  if (Of.Node == Self)
-    return Distance::Own;
-  if (Of.DataCentre == DataCentre)
-    return Distance::DataCentre;
-  return Of.Region == Region ? Distance::Region : Distance::Far;
+Distance HostDirectory::distanceTo(const HostReport &Host) const {
+  if (Host.Node == Self)
+    return Distance::Local;
+  if (Host.DataCentre == DataCentre)
+    return Distance::SameDataCentre;
+  return Host.Region == Region ? Distance::SameRegion : Distance::OtherRegion;
 }
 
-std::optional<Heard> HostDirectory::hear(const HostReport &What,
-                                         core::TimePoint Now) {
-  if (What.Node == Self)
+std::optional<HostChange> HostDirectory::applyReport(const HostReport &Report,
+                                                     core::TimePoint Now) {
+  if (Report.Node == Self)
     return std::nullopt;
-  const auto Found = Hosts.find(What.Node);
+  const auto Found = Hosts.find(Report.Node);
   if (Found == Hosts.end()) {
-    if (Hosts.size() >= MostHosts)
+    if (Hosts.size() >= MaximumHosts)
       return std::nullopt;
     KnownHost Host;
-    Host.Report = What;
-    Host.Away = distanceOf(What);
-    Host.HeardAt = Now;
-    Hosts.emplace(What.Node, std::move(Host));
-    return Heard{true, false};
+    Host.Report = Report;
+    Host.HostDistance = distanceTo(Report);
+    Host.LastReportAt = Now;
+    Hosts.emplace(Report.Node, std::move(Host));
+    return HostChange{true, false};
   }
   KnownHost &Known = Found->second;
-  if (outdated(Known, What, Now))
+  if (isOutdated(Known, Report, Now))
     return std::nullopt;
-  const Heard Change{Known.Hearsay, What.Start != Known.Report.Start};
-  if (otherTarget(Known.Report, What)) {
+  const HostChange Change{Known.FromStoreOnly,
+                          Report.Incarnation != Known.Report.Incarnation};
+  if (targetReplaced(Known.Report, Report)) {
     Known.RouteTimes.clear();
-    Known.FullUntil.clear();
+    Known.AtCapacityUntil.clear();
   }
-  Known.Report = What;
-  Known.HeardAt = Now;
-  Known.SentSince = 0;
+  Known.Report = Report;
+  Known.LastReportAt = Now;
+  Known.SentSinceLoadUpdate = 0;
   Known.Unreachable = false;
-  Known.Hearsay = false;
+  Known.FromStoreOnly = false;
   return Change;
 }
 
-bool HostDirectory::learn(const HostReport &What, core::TimePoint Now) {
-  if (What.Node == Self || Hosts.contains(What.Node) ||
-      Hosts.size() >= MostHosts)
+bool HostDirectory::addFromStore(const HostReport &Report,
+                                 core::TimePoint Now) {
+  if (Report.Node == Self || Hosts.contains(Report.Node) ||
+      Hosts.size() >= MaximumHosts)
     return false;
   KnownHost Host;
-  Host.Report = What;
-  Host.Away = distanceOf(What);
-  Host.HeardAt = Now;
-  Host.Hearsay = true;
-  Hosts.emplace(What.Node, std::move(Host));
+  Host.Report = Report;
+  Host.HostDistance = distanceTo(Report);
+  Host.LastReportAt = Now;
+  Host.FromStoreOnly = true;
+  Hosts.emplace(Report.Node, std::move(Host));
   return true;
 }
 
-void HostDirectory::noteLoad(const core::NodeId &Node, const TargetLoad &Load,
-                             const core::RouteName &Route) {
+void HostDirectory::updateLoad(const core::NodeId &Node, const TargetLoad &Load,
+                               const core::RouteName &Route) {
   KnownHost *Known = find(Node);
   if (Known == nullptr || !Known->Report.Target)
     return;
   Known->Report.Target->Load = Load;
-  Known->SentSince = 0;
-  if (Load.RouteTime.count() <= 0)
+  Known->SentSinceLoadUpdate = 0;
+  if (Load.RouteResponseTime.count() <= 0)
     return;
-  if (Known->RouteTimes.size() >= MostRouteTimes)
+  if (Known->RouteTimes.size() >= MaximumRouteTimes)
     Known->RouteTimes.clear();
-  Known->RouteTimes[Route] = Load.RouteTime;
+  Known->RouteTimes[Route] = Load.RouteResponseTime;
 }
 
-void HostDirectory::noteFull(const core::NodeId &Node, const RoomFor &What,
-                             core::TimePoint Until) {
+void HostDirectory::markAtCapacity(const core::NodeId &Node,
+                                   const RequestClass &Class,
+                                   core::TimePoint Until) {
   KnownHost *Known = find(Node);
   if (Known == nullptr)
     return;
-  if (Known->FullUntil.size() >= MostRouteTimes)
-    Known->FullUntil.clear();
-  Known->FullUntil[What] = Until;
+  if (Known->AtCapacityUntil.size() >= MaximumRouteTimes)
+    Known->AtCapacityUntil.clear();
+  Known->AtCapacityUntil[Class] = Until;
 }
 
-bool HostDirectory::full(const KnownHost &Host, const RoomFor &What,
-                         core::TimePoint Now) {
-  const auto Found = Host.FullUntil.find(What);
-  return Found != Host.FullUntil.end() && Now < Found->second;
+bool HostDirectory::isAtCapacity(const KnownHost &Host,
+                                 const RequestClass &Class,
+                                 core::TimePoint Now) {
+  const auto Found = Host.AtCapacityUntil.find(Class);
+  return Found != Host.AtCapacityUntil.end() && Now < Found->second;
 }
 
-void HostDirectory::forgetSilent(core::TimePoint Now) {
+void HostDirectory::evictSilent(core::TimePoint Now) {
   std::erase_if(Hosts, [Now](const auto &Entry) {
-    return Now - Entry.second.HeardAt > ForgetAfter;
+    return Now - Entry.second.LastReportAt > HostEvictionTimeout;
   });
 }
 
@@ -128,16 +133,18 @@
   return Found == Hosts.end() ? nullptr : &Found->second;
 }
 
-core::Milliseconds HostDirectory::farPeriod() const {
-  const std::size_t Rounds = Hosts.size() / FarReportsPerPeriod + 1;
-  return FarReportPeriod * static_cast<int>(Rounds);
+core::Milliseconds HostDirectory::remoteReportPeriod() const {
+  const std::size_t Rounds = Hosts.size() / RemoteReportsPerPeriod + 1;
+  return RemoteReportPeriod * static_cast<int>(Rounds);
 }
 
-bool HostDirectory::doubtful(const KnownHost &Host, core::TimePoint Now) const {
+bool HostDirectory::isSuspect(const KnownHost &Host,
+                              core::TimePoint Now) const {
   const core::Milliseconds Period =
-      Host.Away == Distance::DataCentre ? ReportPeriod : farPeriod();
-  return Host.Unreachable || Host.Hearsay ||
-         Now - Host.HeardAt > Period * MissedReports;
+      Host.HostDistance == Distance::SameDataCentre ? ReportPeriod
+                                                    : remoteReportPeriod();
+  return Host.Unreachable || Host.FromStoreOnly ||
+         Now - Host.LastReportAt > Period * SuspectAfterMissedReports;
 }
 
 } // namespace filbertvane::decision::mesh
--- a/lib/decision/mesh/ReduceArrival.cpp
+++ b/lib/decision/mesh/ReduceArrival.cpp
@@ -9,187 +9,195 @@
 
 namespace {
 
-/// Return time of a caller when no configuration is known yet: a new node
+/// Retry delay stated to callers while no configuration is loaded: a new node
 /// reads it within about this time.
-constexpr core::Milliseconds StartupReturn{300};
+constexpr core::Milliseconds StartupRetryAfter{300};
 constexpr int StatusNotFound = 404;
 constexpr int StatusTooLarge = 413;
-/// Part of the latency objective that is not planned with: the way between the
-/// caller and this node, which it does not see (2 to 16 ms there and back), and
-/// the turns of its own loop.
-constexpr core::Milliseconds UnseenWay{20};
-/// The same for objectives that are shorter than ten times that.
-constexpr int ShortObjectiveParts = 10;
-/// Time after which other nodes know that this one stops.
-constexpr core::Milliseconds StopReportTime{500};
-/// Deadline of a request that states none on either side.
-constexpr core::Milliseconds UsualTimeLeft{5000};
+/// Part of the latency objective reserved for what this node does not observe:
+/// the round trip between the caller and this node (2 to 16 ms) and the delays
+/// of its own event loop.
+constexpr core::Milliseconds ObjectiveReserve{20};
+/// For short objectives the reserve is the objective divided by this.
+constexpr int ShortObjectiveDivisor = 10;
+/// Time within which other nodes learn that this one is leaving.
+constexpr core::Milliseconds LeavingReportDelay{500};
+/// Time left for a request when its sender states no deadline.
+constexpr core::Milliseconds DefaultTimeLeft{5000};
 
-request::Refuse refusal(core::CallId Id, ErrorCode Why, std::string Detail) {
-  request::Refuse Out;
-  Out.Id = Id;
-  Out.Result = request::Outcome::NotRun;
-  Out.Reason = {Why, std::move(Detail)};
-  return Out;
+request::Refuse refusal(core::CallId Id, ErrorCode Reason, std::string Detail) {
+  request::Refuse Refusal;
+  Refusal.Id = Id;
+  Refusal.Result = request::Outcome::NotRun;
+  Refusal.Reason = {Reason, std::move(Detail)};
+  return Refusal;
 }
 
 } // namespace
 
-void Reduction::operator()(const request::CallArrived &What) {
-  State.LinkFreeAt = Now + What.LinkWait;
-  if (State.Calls.size() >= MostCalls) {
-    log(observe::EventId::MeshRefused,
-        fmt::format("request={} reason=calls calls={}", What.CallerId,
+void Reduction::operator()(const request::CallArrived &Arrival) {
+  State.LinkFreeAt = Now + Arrival.LinkWait;
+  if (State.Calls.size() >= MaximumCalls) {
+    log(observe::EventId::MeshRequestRefused,
+        fmt::format("request={} reason=calls calls={}", Arrival.CallerId,
                     State.Calls.size()));
-    request::Refuse Full = refusal(What.Id, ErrorCode::RequestTooManyCalls, "");
-    Full.RetryAfter = LongestReturn;
-    Out.emplace_back(std::move(Full));
+    request::Refuse TooManyCalls =
+        refusal(Arrival.Id, ErrorCode::RequestTooManyCalls, "");
+    TooManyCalls.RetryAfter = MaximumRetryAfter;
+    Produced.emplace_back(std::move(TooManyCalls));
     return;
   }
-  if (What.FromNode)
-    arriveHosted(What);
+  if (Arrival.FromNode)
+    acceptFromPeer(Arrival);
   else
-    arriveFromCaller(What);
+    acceptFromCaller(Arrival);
 }
 
-void Reduction::arriveHosted(const request::CallArrived &What) {
-  const bool Here = State.Target && State.Target->State == TargetState::Ready &&
-                    What.Target == State.Target->Last.Id;
-  // Reports of the stop may still be under way.
-  const bool Stopped = State.Draining && Now >= State.LeavesAt + StopReportTime;
-  if (!Here || Stopped || !What.Terms) {
-    request::Refuse Gone =
-        refusal(What.Id, ErrorCode::RequestDraining, "target is not here");
-    log(observe::EventId::MeshRefused,
-        fmt::format("request={} reason=target_gone expected={}", What.CallerId,
-                    What.Target.value_or(core::TargetId()).value()));
-    Out.emplace_back(std::move(Gone));
+void Reduction::acceptFromPeer(const request::CallArrived &Arrival) {
+  const bool IsServed = State.Target &&
+                        State.Target->State == TargetState::Ready &&
+                        Arrival.Target == State.Target->Announcement.Id;
+  // Reports that this node is leaving may still be in transit.
+  const bool HasLeft =
+      State.Draining && Now >= State.ReportLeavingAt + LeavingReportDelay;
+  if (!IsServed || HasLeft || !Arrival.Terms) {
+    request::Refuse NoTarget =
+        refusal(Arrival.Id, ErrorCode::RequestDraining, "target is not here");
+    log(observe::EventId::MeshRequestRefused,
+        fmt::format("request={} reason=target_gone expected={}",
+                    Arrival.CallerId,
+                    Arrival.Target.value_or(core::TargetId()).value()));
+    Produced.emplace_back(std::move(NoTarget));
     return;
   }
   MeshCall Call;
-  Call.Id = What.Id;
-  Call.Hosted = true;
-  Call.CallerId = What.CallerId;
-  Call.Caller = What.Caller.value_or(core::ServiceName());
-  Call.Service = State.Target->Last.Service;
-  Call.Terms = *What.Terms;
-  Call.Arrived = Now;
-  Call.Objective = Now + What.Terms->ObjectiveLeft;
-  Call.Deadline = Now + What.TimeLeft.value_or(UsualTimeLeft);
-  if (memoryOf(Call.Terms.Route).AnswerBytes > LinkPacer::BulkBytes)
-    Call.LinkWait = What.LinkWait;
-  const bool LinkBusy = Call.LinkWait > LongestLinkWait;
-  MeshCall &Taken = State.Calls.emplace(What.Id, std::move(Call)).first->second;
+  Call.Id = Arrival.Id;
+  Call.FromPeer = true;
+  Call.CallerId = Arrival.CallerId;
+  Call.Caller = Arrival.Caller.value_or(core::ServiceName());
+  Call.Service = State.Target->Announcement.Service;
+  Call.Terms = *Arrival.Terms;
+  Call.ArrivedAt = Now;
+  Call.Objective = Now + Arrival.Terms->ObjectiveLeft;
+  Call.Deadline = Now + Arrival.TimeLeft.value_or(DefaultTimeLeft);
+  if (stateOf(Call.Terms.Route).MeanAnswerBytes > LinkPacer::LargeAnswerBytes)
+    Call.LinkWait = Arrival.LinkWait;
+  const bool LinkBusy = Call.LinkWait > MaximumLinkWait;
+  MeshCall &Accepted =
+      State.Calls.emplace(Arrival.Id, std::move(Call)).first->second;
   if (LinkBusy)
-    return refuse(Taken, ErrorCode::RequestWouldBeLate);
-  enterQueue(Taken);
+    return refuse(Accepted, ErrorCode::RequestWouldMissObjective);
+  enqueue(Accepted);
 }
 
-void Reduction::arriveFromCaller(const request::CallArrived &What) {
+void Reduction::acceptFromCaller(const request::CallArrived &Arrival) {
   if (!State.Routing) {
-    request::Refuse NotReady = refusal(What.Id, ErrorCode::RequestNotReady, "");
-    NotReady.RetryAfter = StartupReturn;
-    log(observe::EventId::MeshRefused,
-        fmt::format("request={} reason=no_configuration", What.CallerId));
-    Out.emplace_back(std::move(NotReady));
+    request::Refuse NotReady =
+        refusal(Arrival.Id, ErrorCode::RequestNotReady, "");
+    NotReady.RetryAfter = StartupRetryAfter;
+    log(observe::EventId::MeshRequestRefused,
+        fmt::format("request={} reason=no_configuration", Arrival.CallerId));
+    Produced.emplace_back(std::move(NotReady));
     return;
   }
-  auto Route = State.Routing->match(What.VirtualHost, What.Path);
+  auto Route = State.Routing->match(Arrival.VirtualHost, Arrival.Path);
   const config::Routing &Routing = State.Routing->routing();
   if (!Route) {
-    request::Refuse Unknown = refusal(What.Id, ErrorCode::RequestNoRoute, "");
-    Unknown.Status = StatusNotFound;
-    log(observe::EventId::MeshRefused,
-        fmt::format("request={} reason=no_route config={}", What.CallerId,
+    request::Refuse NoRoute =
+        refusal(Arrival.Id, ErrorCode::RequestNoRoute, "");
+    NoRoute.Status = StatusNotFound;
+    log(observe::EventId::MeshRequestRefused,
+        fmt::format("request={} reason=no_route config={}", Arrival.CallerId,
                     Routing.Version.value()));
-    Out.emplace_back(std::move(Unknown));
+    Produced.emplace_back(std::move(NoRoute));
     return;
   }
-  if (Routing.Limits.BodyBytes > 0 &&
-      What.ContentLength > Routing.Limits.BodyBytes) {
+  if (Routing.Limits.MaxBodyBytes > 0 &&
+      Arrival.ContentLength > Routing.Limits.MaxBodyBytes) {
     request::Refuse TooLarge =
-        refusal(What.Id, ErrorCode::RequestTooLarge, "body");
+        refusal(Arrival.Id, ErrorCode::RequestTooLarge, "body");
     TooLarge.Status = StatusTooLarge;
-    log(observe::EventId::MeshRefused,
-        fmt::format("request={} reason=body bytes={}", What.CallerId,
-                    What.ContentLength));
-    Out.emplace_back(std::move(TooLarge));
+    log(observe::EventId::MeshRequestRefused,
+        fmt::format("request={} reason=body bytes={}", Arrival.CallerId,
+                    Arrival.ContentLength));
+    Produced.emplace_back(std::move(TooLarge));
     return;
   }
   MeshCall Call;
-  Call.Id = What.Id;
-  Call.CallerId = What.CallerId;
-  Call.Caller = State.Own.Service;
+  Call.Id = Arrival.Id;
+  Call.CallerId = Arrival.CallerId;
+  Call.Caller = State.Settings.Service;
   Call.Route = Route;
-  Call.Service = memoryOf(Route->Name).Split.next(Route->Services);
-  Call.Arrived = Now;
-  const core::Milliseconds Unseen =
-      std::min(UnseenWay, Route->Objective / ShortObjectiveParts);
-  Call.Objective = Now + Route->Objective - Unseen;
+  Call.Service = stateOf(Route->Name).ServiceSplit.next(Route->Services);
+  Call.ArrivedAt = Now;
+  const core::Milliseconds Reserve = std::min(
+      ObjectiveReserve, Route->LatencyObjective / ShortObjectiveDivisor);
+  Call.Objective = Now + Route->LatencyObjective - Reserve;
   Call.Deadline =
-      Now + std::min(What.TimeLeft.value_or(Route->Timeout), Route->Timeout);
-  if (State.StopsAt && Now > State.TakesAllUntil &&
-      Call.Deadline > *State.StopsAt) {
-    request::Refuse Stopping = refusal(What.Id, ErrorCode::RequestDraining, "");
-    Stopping.RetryAfter = ShortestReturn;
-    log(observe::EventId::MeshRefused,
-        fmt::format("request={} reason=stopping", What.CallerId));
-    Out.emplace_back(std::move(Stopping));
+      Now + std::min(Arrival.TimeLeft.value_or(Route->Timeout), Route->Timeout);
+  if (State.ShutdownDeadline && Now > State.AcceptsAllUntil &&
+      Call.Deadline > *State.ShutdownDeadline) {
+    request::Refuse Stopping =
+        refusal(Arrival.Id, ErrorCode::RequestDraining, "");
+    Stopping.RetryAfter = MinimumRetryAfter;
+    log(observe::EventId::MeshRequestRefused,
+        fmt::format("request={} reason=stopping", Arrival.CallerId));
+    Produced.emplace_back(std::move(Stopping));
     return;
   }
   Call.Terms.Route = Route->Name;
   Call.Terms.Rank = Route->Rank;
   Call.Terms.Idempotent = Route->Idempotent;
-  memoryOf(Call.Service).Budget.noteRequest(Now);
-  place(State.Calls.emplace(What.Id, std::move(Call)).first->second);
+  stateOf(Call.Service).Budget.recordRequest(Now);
+  place(State.Calls.emplace(Arrival.Id, std::move(Call)).first->second);
 }
 
-void Reduction::enterQueue(MeshCall &Call) {
+void Reduction::enqueue(MeshCall &Call) {
   Call.Phase = CallPhase::Queued;
-  Call.At = State.Own.Node;
-  SlotRequest Who;
-  Who.Id = Call.Id;
-  Who.Route = Call.Terms.Route;
-  Who.Rank = Call.Terms.Rank;
-  Who.Objective = Call.Objective;
-  // The answer has to cross the link before the deadline as well. Most wait for
-  // less than all queued bytes, since smaller answers go first, so that the
-  // objective is not shortened by them.
-  Who.Deadline = Call.Deadline - Call.LinkWait;
-  Who.AcceptLate = Call.Terms.AcceptLate;
-  const SlotVerdict Verdict = State.Slots.arrive(Who, Now);
-  switch (Verdict.What) {
-  case SlotVerdict::Kind::Start:
+  Call.CurrentHost = State.Settings.Node;
+  SlotRequest Request;
+  Request.Id = Call.Id;
+  Request.Route = Call.Terms.Route;
+  Request.Rank = Call.Terms.Rank;
+  Request.Objective = Call.Objective;
+  // The answer must cross the link before the deadline as well. The objective
+  // is not shortened: most answers wait for less than all queued bytes, since
+  // smaller answers go first.
+  Request.Deadline = Call.Deadline - Call.LinkWait;
+  Request.AcceptLate = Call.Terms.AcceptLate;
+  const SlotVerdict Verdict = State.Slots.submit(Request, Now);
+  switch (Verdict.Action) {
+  case SlotVerdict::ActionKind::Start:
     return sendToTarget(Call);
-  case SlotVerdict::Kind::Wait:
-    // It may have displaced another one, which is told at once.
-    return serveQueue();
-  case SlotVerdict::Kind::Refuse:
-    if (Call.Hosted)
-      return refuse(Call, Verdict.Why);
-    Call.Late.push_back(State.Own.Node);
+  case SlotVerdict::ActionKind::Wait:
+    // The request may have evicted another one, which is refused at once.
+    return dispatchQueue();
+  case SlotVerdict::ActionKind::Refuse:
+    if (Call.FromPeer)
+      return refuse(Call, Verdict.Reason);
+    Call.LateHosts.push_back(State.Settings.Node);
     return place(Call);
   }
 }
 
-void Reduction::serveQueue() {
+void Reduction::dispatchQueue() {
   if (!State.Target || State.Target->State == TargetState::Down)
     return;
-  while (const auto Turn = State.Slots.next(Now)) {
-    MeshCall *Call = find(Turn->Id);
+  while (const auto Next = State.Slots.next(Now)) {
+    MeshCall *Call = find(Next->Id);
     if (Call == nullptr) {
-      if (Turn->Verdict.What == SlotVerdict::Kind::Start)
-        State.Slots.finished({}, std::nullopt);
+      if (Next->Verdict.Action == SlotVerdict::ActionKind::Start)
+        State.Slots.release({}, std::nullopt);
       continue;
     }
-    const bool Displaced = Turn->Verdict.Why == ErrorCode::RequestQueueFull;
-    if (Turn->Verdict.What == SlotVerdict::Kind::Start) {
+    const bool WasEvicted = Next->Verdict.Reason == ErrorCode::RequestQueueFull;
+    if (Next->Verdict.Action == SlotVerdict::ActionKind::Start) {
       sendToTarget(*Call);
-    } else if (Displaced && !Call->Hosted) {
-      Call->Late.push_back(State.Own.Node);
+    } else if (WasEvicted && !Call->FromPeer) {
+      Call->LateHosts.push_back(State.Settings.Node);
       place(*Call);
     } else {
-      refuse(*Call, Turn->Verdict.Why);
+      refuse(*Call, Next->Verdict.Reason);
     }
   }
 }
@@ -198,22 +206,23 @@
   Call.Phase = CallPhase::AtTarget;
   Call.Attempt = core::AttemptId(++State.LastAttempt);
   Call.SentAt = Now;
-  Call.TargetLife = State.Target->Life;
+  Call.TargetGeneration = State.Target->Generation;
   request::StartAttempt Start;
   Start.Id = Call.Id;
   Start.Attempt = Call.Attempt;
-  Start.To.Node = State.Own.Node;
+  Start.To.Node = State.Settings.Node;
   Start.To.Local = true;
-  Start.To.Address = State.Own.TargetAddress;
-  Start.To.Target = State.Target->Last.Id;
+  Start.To.Address = State.Settings.TargetAddress;
+  Start.To.Target = State.Target->Announcement.Id;
   Start.Deadline = Call.Deadline;
   Start.Service = Call.Service;
   Start.Caller = Call.Caller;
   Start.HoldAnswer = true;
-  // A kept connection can carry a late answer to an earlier request, or close
-  // as the request arrives; neither can be repaired by a repeat here.
+  // A kept-alive connection may carry a late answer to an earlier request, or
+  // close as the request arrives; a request that is not idempotent cannot be
+  // retried after either.
   Start.FreshConnection = !Call.Terms.Idempotent;
-  Out.emplace_back(std::move(Start));
+  Produced.emplace_back(std::move(Start));
 }
 
 } // namespace filbertvane::decision::mesh
--- a/lib/decision/mesh/ReduceMoves.cpp
+++ b/lib/decision/mesh/ReduceMoves.cpp
@@ -6,104 +6,110 @@
 
 namespace {
 
-/// Lead of each node over the next one for a write: longer than a write and a
-/// report of its outcome take.
-constexpr core::Milliseconds WriteLead{700};
-/// Nodes further down wait no longer than this together.
-constexpr std::size_t MostLeads = 4;
-/// Time after which a write that had no effect is tried again.
-constexpr core::Milliseconds RewriteAfter{1500};
+/// Delay between the writes of nodes that are next to each other in rank:
+/// longer than a write and the report of its outcome take.
+constexpr core::Milliseconds WriteStagger{700};
+/// Rank above which the delay no longer grows.
+constexpr std::size_t MaximumStaggerRank = 4;
+/// Time after which a write without effect is retried.
+constexpr core::Milliseconds WriteRetryInterval{1500};
 
 } // namespace
 
 std::vector<const TargetReport *>
 Reduction::targetsOf(const core::ServiceName &Service) const {
   std::vector<const TargetReport *> Found;
-  OwnReported = ownTargetReport(State);
-  if (OwnReported && OwnReported->Service == Service)
-    Found.push_back(&*OwnReported);
+  LocalReport = localTargetReport(State);
+  if (LocalReport && LocalReport->Service == Service)
+    Found.push_back(&*LocalReport);
   for (const auto &[Node, Host] : State.Hosts.hosts())
     if (Host.Report.Target && Host.Report.Target->Service == Service)
       Found.push_back(&*Host.Report.Target);
   return Found;
 }
 
-void Reduction::operator()(const MoveOrdered &What) {
-  if (!State.Moves.order(What, Now))
+void Reduction::operator()(const MoveOrdered &Order) {
+  if (!State.Moves.applyOrder(Order, Now))
     return;
-  State.Duties.erase(What.Service);
-  // The versions are compared over the same time: what the old one did before
-  // says nothing about a fault that both meet now.
-  if (State.Target && State.Target->Last.Service == What.Service)
+  State.PendingMoveWrites.erase(Order.Service);
+  // The versions are compared over the same period: earlier answers of the old
+  // version would hide a fault that now affects both.
+  if (State.Target && State.Target->Announcement.Service == Order.Service)
     State.Target->Tallies.clear();
   log(observe::EventId::MeshMoveOrdered,
       fmt::format("service={} to={} duration_ms={} order={} old={}",
-                  What.Service.value(), What.To.value(), What.Duration.count(),
-                  What.Order.value(), What.Old));
-  // The first state says no more than the order, so one writer is enough.
-  if (!What.Old && rankFor(What.Service.value()) == 0)
-    wantWrite(What.Service, MovePhase::Running);
+                  Order.Service.value(), Order.NewVersion.value(),
+                  Order.Duration.count(), Order.OrderOffset.value(),
+                  Order.FromHistory));
+  // The first state adds nothing to the order, so that one writer suffices.
+  if (!Order.FromHistory && rankFor(Order.Service.value()) == 0)
+    scheduleMoveWrite(Order.Service, MovePhase::Running);
 }
 
-void Reduction::operator()(const MoveEndKnown &What) {
-  const auto Found = State.Moves.moves().find(What.Service);
-  if (Found == State.Moves.moves().end() || Found->second.What.To != What.To)
+void Reduction::operator()(const MoveStateRead &Stored) {
+  const auto Found = State.Moves.moves().find(Stored.Service);
+  if (Found == State.Moves.moves().end() ||
+      Found->second.Order.NewVersion != Stored.NewVersion)
     return;
-  const auto Duty = State.Duties.find(What.Service);
-  if (Duty != State.Duties.end() && Duty->second.Wanted &&
-      *Duty->second.Wanted <= What.Phase)
-    Duty->second.Wanted.reset();
-  if (!State.Moves.advance(What.Service, What.Phase, ""))
+  const auto Pending = State.PendingMoveWrites.find(Stored.Service);
+  if (Pending != State.PendingMoveWrites.end() && Pending->second.Phase &&
+      *Pending->second.Phase <= Stored.Phase)
+    Pending->second.Phase.reset();
+  if (!State.Moves.advance(Stored.Service, Stored.Phase, ""))
     return;
   log(observe::EventId::MeshMoveEnded,
-      fmt::format(
-          "service={} to={} phase={}", What.Service.value(), What.To.value(),
-          What.Phase == MovePhase::Completed ? "completed" : "rolled_back"));
+      fmt::format("service={} to={} phase={}", Stored.Service.value(),
+                  Stored.NewVersion.value(),
+                  Stored.Phase == MovePhase::Completed ? "completed"
+                                                       : "rolled_back"));
   reportToAll();
 }
 
-void Reduction::wantWrite(const core::ServiceName &Service, MovePhase Phase) {
-  MoveDuty &Duty = State.Duties[Service];
-  if (Duty.Wanted && *Duty.Wanted >= Phase)
+void Reduction::scheduleMoveWrite(const core::ServiceName &Service,
+                                  MovePhase Phase) {
+  PendingMoveWrite &Pending = State.PendingMoveWrites[Service];
+  if (Pending.Phase && *Pending.Phase >= Phase)
     return;
-  Duty.Wanted = Phase;
-  const std::size_t Rank = std::min(rankFor(Service.value()), MostLeads);
-  Duty.WriteAt = Now + WriteLead * static_cast<int>(Rank);
+  Pending.Phase = Phase;
+  const std::size_t Rank =
+      std::min(rankFor(Service.value()), MaximumStaggerRank);
+  Pending.WriteAt = Now + WriteStagger * static_cast<int>(Rank);
 }
 
-void Reduction::writeDue(const TrackedMove &Move) {
-  const auto Found = State.Duties.find(Move.What.Service);
-  if (Found == State.Duties.end() || !Found->second.Wanted ||
+void Reduction::writeMoveIfDue(const TrackedMove &Move) {
+  const auto Found = State.PendingMoveWrites.find(Move.Order.Service);
+  if (Found == State.PendingMoveWrites.end() || !Found->second.Phase ||
       Now < Found->second.WriteAt)
     return;
-  MoveDuty &Duty = Found->second;
-  Duty.WriteAt = Now + RewriteAfter;
-  const MovePhase Phase = *Duty.Wanted;
+  PendingMoveWrite &Pending = Found->second;
+  Pending.WriteAt = Now + WriteRetryInterval;
+  const MovePhase Phase = *Pending.Phase;
   if (Phase == MovePhase::Running)
-    Duty.Wanted.reset();
-  Out.emplace_back(WriteMove{Move.What.Service, Move.What.To, Phase});
+    Pending.Phase.reset();
+  Produced.emplace_back(
+      WriteMove{Move.Order.Service, Move.Order.NewVersion, Phase});
 }
 
 void Reduction::reviewMove(const TrackedMove &Move) {
-  const core::ServiceName Service = Move.What.Service;
+  const core::ServiceName Service = Move.Order.Service;
   if (Move.Phase == MovePhase::Running) {
     const auto Targets = targetsOf(Service);
-    const MoveVerdict Verdict = judgeMove(Move, Targets);
-    if (Verdict.Bad) {
-      log(observe::EventId::MeshMoveCondemned,
+    const MoveVerdict Verdict = evaluateMove(Move, Targets);
+    if (Verdict.Rejected) {
+      log(observe::EventId::MeshVersionRejected,
           fmt::format("service={} to={} evidence=\"{}\"", Service.value(),
-                      Move.What.To.value(), Verdict.Reason));
-      State.Moves.advance(Service, MovePhase::Condemned, Verdict.Reason);
+                      Move.Order.NewVersion.value(), Verdict.Reason));
+      State.Moves.advance(Service, MovePhase::Rejected, Verdict.Reason);
       reportToAll();
-    } else if (State.Moves.settled(Move, Now) &&
-               hasReady(Service, Move.What.To)) {
-      wantWrite(Service, MovePhase::Completed);
+    } else if (State.Moves.readyToComplete(Move, Now) &&
+               hasReadyTarget(Service, Move.Order.NewVersion)) {
+      scheduleMoveWrite(Service, MovePhase::Completed);
     }
   }
-  if (Move.Phase == MovePhase::Condemned)
-    wantWrite(Service, MovePhase::RolledBack);
-  if (!Move.over())
-    writeDue(Move);
+  if (Move.Phase == MovePhase::Rejected)
+    scheduleMoveWrite(Service, MovePhase::RolledBack);
+  if (!Move.ended())
+    writeMoveIfDue(Move);
 }
 
 void Reduction::reviewMoves() {
--- a/lib/decision/mesh/ReduceTarget.cpp
+++ b/lib/decision/mesh/ReduceTarget.cpp
@@ -5,108 +5,116 @@
 
 using core::ErrorCode;
 
-bool Reduction::outdated(const TargetAnnounced &What) const {
+bool Reduction::isOutdated(const TargetAnnounced &Announcement) const {
   if (!State.Target)
     return false;
-  const TargetAnnounced &Last = State.Target->Last;
-  if (What.Born != Last.Born)
-    return What.Born < Last.Born;
-  return What.Id == Last.Id && What.Sequence <= Last.Sequence;
+  const TargetAnnounced &Last = State.Target->Announcement;
+  if (Announcement.ProcessStart != Last.ProcessStart)
+    return Announcement.ProcessStart < Last.ProcessStart;
+  return Announcement.Id == Last.Id && Announcement.Sequence <= Last.Sequence;
 }
 
-void Reduction::targetReplaced(const TargetAnnounced &What) {
-  OwnTarget Fresh;
-  Fresh.Life = ++State.Lives;
-  State.Target = Fresh;
-  State.Slots.restarted();
+void Reduction::replaceTarget(const TargetAnnounced &Announcement) {
+  LocalTarget NewTarget;
+  NewTarget.Generation = ++State.LastTargetGeneration;
+  State.Target = NewTarget;
+  State.Slots.targetRestarted();
   log(observe::EventId::MeshTargetAnnounced,
       fmt::format("target={} service={} version={} slots={} born={} "
                   "cold_ms={}",
-                  What.Id.value(), What.Service.value(), What.Version.value(),
-                  What.Slots, What.Born, What.ColdLeft.count()));
+                  Announcement.Id.value(), Announcement.Service.value(),
+                  Announcement.Version.value(), Announcement.Slots,
+                  Announcement.ProcessStart,
+                  Announcement.RemainingWarmup.count()));
 }
 
-void Reduction::operator()(const TargetAnnounced &What) {
-  if (outdated(What)) {
-    log(observe::EventId::MeshAnnouncementRefused,
+void Reduction::operator()(const TargetAnnounced &Announcement) {
+  if (isOutdated(Announcement)) {
+    log(observe::EventId::MeshAnnouncementRejected,
         fmt::format("target={} born={} sequence={} reason=outdated",
-                    What.Id.value(), What.Born, What.Sequence));
+                    Announcement.Id.value(), Announcement.ProcessStart,
+                    Announcement.Sequence));
     return;
   }
-  const bool Known =
-      State.Target && State.Target->Last.Id == What.Id &&
-      (State.Target->Inherited || State.Target->Last.Born == What.Born);
-  const bool Other = !Known;
-  if (Other)
-    targetReplaced(What);
-  OwnTarget &Target = *State.Target;
+  const bool SameProcess =
+      State.Target && State.Target->Announcement.Id == Announcement.Id &&
+      (State.Target->Inherited ||
+       State.Target->Announcement.ProcessStart == Announcement.ProcessStart);
+  const bool Replaced = !SameProcess;
+  if (Replaced)
+    replaceTarget(Announcement);
+  LocalTarget &Target = *State.Target;
   Target.Inherited = false;
-  Target.Last = What;
-  Target.HeardAt = Now;
-  Target.WarmAt = Now + What.ColdLeft;
-  State.Slots.resize(What.Slots);
-  if (What.Draining || leaves(What)) {
+  Target.Announcement = Announcement;
+  Target.LastAnnouncedAt = Now;
+  Target.WarmAt = Now + Announcement.RemainingWarmup;
+  State.Slots.resize(Announcement.Slots);
+  if (Announcement.Draining || hasDeparted(Announcement)) {
     setTargetState(TargetState::Draining,
-                   What.Draining ? "announced" : "known_to_leave");
+                   Announcement.Draining ? "announced" : "known_to_leave");
     return;
   }
-  if (Other) {
+  if (Replaced) {
     if (State.StoreReachable)
-      Out.emplace_back(PublishReport{ownReport(State, Now)});
+      Produced.emplace_back(PublishReport{makeHostReport(State, Now)});
     return reportToAll();
   }
-  // A target that reported that it leaves stays so for its life.
+  // A target that announced its departure stays draining until its process
+  // ends.
   if (Target.State == TargetState::Down) {
     setTargetState(TargetState::Ready, "announced");
-    serveQueue();
+    dispatchQueue();
   }
 }
 
-void Reduction::operator()(const TargetDeregistered &What) {
-  if (State.Target && State.Target->Last.Id == What.Id)
+void Reduction::operator()(const TargetDeregistered &Deregistered) {
+  if (State.Target && State.Target->Announcement.Id == Deregistered.Id)
     return setTargetState(TargetState::Draining, "deregistered");
-  // The process started after the last announcement of this target.
+  // This node's process started after the last announcement of the target.
   if (!State.Target)
-    noteLeaving({What.Id, 0});
+    recordDeparture({Deregistered.Id, 0});
 }
 
-/// Also true when the target was acknowledged by a former process of the node,
-/// which the acknowledgement binds as well.
-bool Reduction::leaves(const TargetAnnounced &What) const {
-  if (!State.Left || State.Left->Id != What.Id)
+/// Also true when a previous process of the node acknowledged the departure:
+/// the acknowledgement binds this process as well.
+bool Reduction::hasDeparted(const TargetAnnounced &Announcement) const {
+  if (!State.Departed || State.Departed->Id != Announcement.Id)
     return false;
-  if (State.Left->Born == 0)
-    return Now - State.LeftAt < LateAnnouncements;
-  return State.Left->Born == What.Born;
+  if (State.Departed->ProcessStart == 0)
+    return Now - State.DepartedAt < MaximumAnnouncementDelay;
+  return State.Departed->ProcessStart == Announcement.ProcessStart;
 }
 
-void Reduction::noteLeaving(LeftTarget Which) {
-  if (State.Left == Which)
+void Reduction::recordDeparture(DepartedTarget Target) {
+  if (State.Departed == Target)
     return;
-  State.Left = std::move(Which);
-  State.LeftAt = Now;
+  State.Departed = std::move(Target);
+  State.DepartedAt = Now;
   if (State.StoreReachable)
-    Out.emplace_back(PublishReport{ownReport(State, Now)});
+    Produced.emplace_back(PublishReport{makeHostReport(State, Now)});
 }
 
-void Reduction::setTargetState(TargetState To, std::string_view Why) {
-  OwnTarget &Target = *State.Target;
-  if (Target.State == To || (To == TargetState::Ready && leaves(Target.Last)))
+void Reduction::setTargetState(TargetState NewState, std::string_view Reason) {
+  LocalTarget &Target = *State.Target;
+  if (Target.State == NewState ||
+      (NewState == TargetState::Ready && hasDeparted(Target.Announcement)))
     return;
-  Target.State = To;
-  if (To == TargetState::Draining)
-    noteLeaving({Target.Last.Id, Target.Last.Born});
+  Target.State = NewState;
+  if (NewState == TargetState::Draining)
+    recordDeparture({Target.Announcement.Id, Target.Announcement.ProcessStart});
   using observe::EventId;
-  const EventId Id = To == TargetState::Ready      ? EventId::MeshTargetUp
-                     : To == TargetState::Draining ? EventId::MeshTargetDraining
-                                                   : EventId::MeshTargetDown;
-  log(Id, fmt::format("target={} reason={}", Target.Last.Id.value(), Why));
-  if (To == TargetState::Down)
-    refuseQueue(ErrorCode::RequestNoTarget);
+  const EventId Id = NewState == TargetState::Ready ? EventId::MeshTargetUp
+                     : NewState == TargetState::Draining
+                         ? EventId::MeshTargetDraining
+                         : EventId::MeshTargetDown;
+  log(Id, fmt::format("target={} reason={}", Target.Announcement.Id.value(),
+                      Reason));
+  if (NewState == TargetState::Down)
+    refuseQueued(ErrorCode::RequestNoTarget);
   reportToAll();
 }
 
-void Reduction::refuseQueue(ErrorCode Why) {
+void Reduction::refuseQueued(ErrorCode Reason) {
   std::vector<core::CallId> Queued;
   for (const auto &[Id, Call] : State.Calls)
     if (Call.Phase == CallPhase::Queued)
@@ -116,26 +124,26 @@
     if (Call == nullptr)
       continue;
     State.Slots.withdraw(Id);
-    if (Call->Hosted) {
-      refuse(*Call, Why);
+    if (Call->FromPeer) {
+      refuse(*Call, Reason);
       continue;
     }
-    Call->Tried.push_back(State.Own.Node);
+    Call->TriedHosts.push_back(State.Settings.Node);
     place(*Call);
   }
 }
 
-/// A target that ended without a word announces nothing and answers nothing.
-void Reduction::checkTarget() {
+/// A target that crashed sends neither announcements nor answers.
+void Reduction::checkTargetSilence() {
   if (!State.Target || State.Target->State != TargetState::Ready)
     return;
-  const OwnTarget &Target = *State.Target;
-  // It may have told the former process that it leaves while the store was
-  // away.
-  if (Target.Inherited && Now - Target.HeardAt > UnconfirmedTargetFor)
+  const LocalTarget &Target = *State.Target;
+  // It may have announced its departure to the previous process while the store
+  // was unreachable.
+  if (Target.Inherited && Now - Target.LastAnnouncedAt > InheritedTargetTimeout)
     return setTargetState(TargetState::Down, "not_announced");
-  if (Now - Target.HeardAt > SilentTargetAfter &&
-      Now - Target.AnsweredAt > SilentTargetAfter)
+  if (Now - Target.LastAnnouncedAt > TargetSilenceTimeout &&
+      Now - Target.LastAnswerAt > TargetSilenceTimeout)
     setTargetState(TargetState::Down, "silent");
 }
 
--- a/lib/decision/mesh/SlotQueue.cpp
+++ b/lib/decision/mesh/SlotQueue.cpp
@@ -9,89 +9,93 @@
 
 using core::ErrorCode;
 
-/// Weight of one answer in the times of a route: they follow a target that
-/// turns slow within some 20 answers.
+/// Weight of one answer in the moving averages of a route: they follow a target
+/// that becomes slow within about 20 answers.
 constexpr double AnswerWeight = 0.05;
-/// Mean distances from the mean that are planned for beside the mean: about one
-/// in twelve answers takes longer. With one distance, one in six queued
-/// requests of an overloaded target ends late.
-constexpr double PlannedSpreads = 2.0;
-/// Part of the mean time that has to be left before the deadline of a request
+/// Mean deviations that are added to the mean for planning: about one in twelve
+/// answers takes longer. With one deviation, one in six queued requests of an
+/// overloaded target ends late.
+constexpr double PlannedDeviations = 2.0;
+/// Fraction of the mean time that must be left before the deadline of a request
 /// that starts; about half of the answers take less than 0.8 of the mean.
-constexpr double LeastTimePart = 0.5;
-/// Late requests that may wait, as a part of the slots.
-constexpr double LatePartOfSlots = 0.5;
+constexpr double MinimumTimeFraction = 0.5;
+/// Late requests that may wait, as a fraction of the slots.
+constexpr double LateSlotFraction = 0.5;
 
-/// Time over which arrivals are averaged: long enough for some ten requests at
+/// Time over which arrivals are averaged: long enough for about ten requests at
 /// one target, short enough to follow a burst.
-constexpr double ArrivalMemorySeconds = 1.0;
-/// Part of the slots that a rank is assumed to get at least; below it the wait
-/// is longer than any objective.
-constexpr double LeastPartLeft = 0.02;
+constexpr double ArrivalAveragingSeconds = 1.0;
+/// Share of the slots that a rank is assumed to get at least; below it the wait
+/// exceeds any objective.
+constexpr double MinimumSlotShare = 0.02;
 
-double seconds(core::Microseconds Time) {
+double toSeconds(core::Microseconds Time) {
   return static_cast<double>(Time.count()) * 1e-6;
 }
 
-core::Microseconds micros(double Count) {
-  return core::Microseconds(static_cast<std::int64_t>(Count));
+core::Microseconds toMicroseconds(double Value) {
+  return core::Microseconds(static_cast<std::int64_t>(Value));
 }
 
 } // namespace
 
-void SlotQueue::AnswerTime::note(double SampleUs) {
+void SlotQueue::AnswerTimeEstimate::addSample(double SampleUs) {
   if (MeanUs == 0) {
     MeanUs = SampleUs;
-    SpreadUs = SampleUs / 2;
+    DeviationUs = SampleUs / 2;
     return;
   }
-  SpreadUs += AnswerWeight * (std::abs(SampleUs - MeanUs) - SpreadUs);
+  DeviationUs += AnswerWeight * (std::abs(SampleUs - MeanUs) - DeviationUs);
   MeanUs += AnswerWeight * (SampleUs - MeanUs);
 }
 
 double SlotQueue::ArrivalRate::at(core::TimePoint Now) const {
-  return PerSecond * std::exp(-seconds(Now - At) / ArrivalMemorySeconds);
+  return PerSecond *
+         std::exp(-toSeconds(Now - UpdatedAt) / ArrivalAveragingSeconds);
 }
 
-void SlotQueue::ArrivalRate::note(core::TimePoint Now) {
-  PerSecond = at(Now) + 1 / ArrivalMemorySeconds;
-  At = Now;
+void SlotQueue::ArrivalRate::addArrival(core::TimePoint Now) {
+  PerSecond = at(Now) + 1 / ArrivalAveragingSeconds;
+  UpdatedAt = Now;
 }
 
-const SlotQueue::AnswerTime &
-SlotQueue::timeOf(const core::RouteName &Route) const {
-  const auto Found = Times.find(Route);
-  return Found == Times.end() ? Overall : Found->second;
+const SlotQueue::AnswerTimeEstimate &
+SlotQueue::estimateFor(const core::RouteName &Route) const {
+  const auto Found = RouteEstimates.find(Route);
+  return Found == RouteEstimates.end() ? OverallEstimate : Found->second;
 }
 
-core::Microseconds SlotQueue::neededTime(const core::RouteName &Route) const {
-  const AnswerTime &Time = timeOf(Route);
-  return micros(Time.MeanUs + Time.SpreadUs);
+core::Microseconds SlotQueue::typicalTime(const core::RouteName &Route) const {
+  const AnswerTimeEstimate &Time = estimateFor(Route);
+  return toMicroseconds(Time.MeanUs + Time.DeviationUs);
 }
 
-core::Microseconds SlotQueue::plannedTime(const core::RouteName &Route) const {
-  const AnswerTime &Time = timeOf(Route);
-  return micros(Time.MeanUs + PlannedSpreads * Time.SpreadUs);
+core::Microseconds
+SlotQueue::conservativeTime(const core::RouteName &Route) const {
+  const AnswerTimeEstimate &Time = estimateFor(Route);
+  return toMicroseconds(Time.MeanUs + PlannedDeviations * Time.DeviationUs);
 }
 
 core::Microseconds SlotQueue::meanTime(const core::RouteName &Route) const {
-  return micros(timeOf(Route).MeanUs);
+  return toMicroseconds(estimateFor(Route).MeanUs);
 }
 
-core::Microseconds SlotQueue::leastTime(const core::RouteName &Route) const {
-  return micros(timeOf(Route).MeanUs * LeastTimePart);
+core::Microseconds SlotQueue::minimumTime(const core::RouteName &Route) const {
+  return toMicroseconds(estimateFor(Route).MeanUs * MinimumTimeFraction);
 }
 
-/// Slots fall free one after the other, spread over the time of an answer.
-core::Microseconds SlotQueue::turnTime(std::size_t Ahead) const {
-  const double Parts = std::max<std::uint32_t>(Slots, 1);
-  return micros(Overall.MeanUs * static_cast<double>(Ahead + 1) / Parts);
+/// Slots become free one after the other, evenly spread over the time of an
+/// answer.
+core::Microseconds SlotQueue::slotWait(std::size_t Ahead) const {
+  const double SlotCount = std::max<std::uint32_t>(Slots, 1);
+  return toMicroseconds(OverallEstimate.MeanUs *
+                        static_cast<double>(Ahead + 1) / SlotCount);
 }
 
 TargetLoad SlotQueue::load() const {
-  return {
-      Running, static_cast<std::uint32_t>(Entries.size()), Slots,
-      std::chrono::duration_cast<core::Milliseconds>(micros(Overall.MeanUs))};
+  return {Running, static_cast<std::uint32_t>(Entries.size()), Slots,
+          std::chrono::duration_cast<core::Milliseconds>(
+              toMicroseconds(OverallEstimate.MeanUs))};
 }
 
 core::Microseconds SlotQueue::expectedWait(std::uint32_t Rank,
@@ -99,163 +103,169 @@
   if (Running < Slots && Entries.empty())
     return core::Microseconds(0);
   std::size_t Ahead = 0;
-  for (const Order &Each : InTime) {
-    if (std::get<0>(Each) > Rank)
+  for (const QueueKey &Key : OnTime) {
+    if (std::get<0>(Key) > Rank)
       break;
     ++Ahead;
   }
-  double MoreUrgent = 0;
-  for (const auto &[Other, Rate] : Arrivals)
-    MoreUrgent += Other < Rank ? Rate.at(Now) : 0;
-  return micros(static_cast<double>(turnTime(Ahead).count()) /
-                partLeftBy(MoreUrgent));
+  double MoreUrgentRate = 0;
+  for (const auto &[OtherRank, Rate] : ArrivalRates)
+    MoreUrgentRate += OtherRank < Rank ? Rate.at(Now) : 0;
+  return toMicroseconds(static_cast<double>(slotWait(Ahead).count()) /
+                        remainingSlotShare(MoreUrgentRate));
 }
 
-double SlotQueue::partLeftBy(double PerSecond) const {
-  const double Taken =
-      PerSecond * Overall.MeanUs * 1e-6 / std::max<std::uint32_t>(Slots, 1);
-  return std::max(LeastPartLeft, 1 - Taken);
+double SlotQueue::remainingSlotShare(double PerSecond) const {
+  const double UsedShare = PerSecond * OverallEstimate.MeanUs * 1e-6 /
+                           std::max<std::uint32_t>(Slots, 1);
+  return std::max(MinimumSlotShare, 1 - UsedShare);
 }
 
-/// Late requests get the turns that those in time leave over, now and for as
-/// long as requests keep coming at the present rate.
+/// Late requests get the slots that on-time requests leave over, assuming that
+/// requests keep arriving at the current rate.
 core::Microseconds SlotQueue::lateWait(std::size_t Ahead,
                                        core::TimePoint Now) const {
-  double InTimeRate = 0;
-  for (const auto &[Rank, Rate] : Arrivals)
-    InTimeRate += Rate.at(Now);
-  return micros(static_cast<double>(turnTime(InTime.size() + Ahead).count()) /
-                partLeftBy(InTimeRate));
+  double OnTimeRate = 0;
+  for (const auto &[Rank, Rate] : ArrivalRates)
+    OnTimeRate += Rate.at(Now);
+  return toMicroseconds(
+      static_cast<double>(slotWait(OnTime.size() + Ahead).count()) /
+      remainingSlotShare(OnTimeRate));
 }
 
-SlotVerdict SlotQueue::arrive(const SlotRequest &Who, core::TimePoint Now) {
+SlotVerdict SlotQueue::submit(const SlotRequest &Request, core::TimePoint Now) {
   if (Slots == 0)
-    return {SlotVerdict::Kind::Refuse, ErrorCode::RequestQueueFull};
-  const core::Microseconds Wait = expectedWait(Who.Rank, Now);
-  if (Now + Wait + leastTime(Who.Route) >= Who.Deadline)
-    return {SlotVerdict::Kind::Refuse, ErrorCode::RequestDeadlinePassed};
+    return {SlotVerdict::ActionKind::Refuse, ErrorCode::RequestQueueFull};
+  const core::Microseconds Wait = expectedWait(Request.Rank, Now);
+  if (Now + Wait + minimumTime(Request.Route) >= Request.Deadline)
+    return {SlotVerdict::ActionKind::Refuse, ErrorCode::RequestDeadlinePassed};
   if (Running < Slots && Entries.empty()) {
     ++Running;
-    Arrivals[Who.Rank].note(Now);
-    return {SlotVerdict::Kind::Start, {}};
+    ArrivalRates[Request.Rank].addArrival(Now);
+    return {SlotVerdict::ActionKind::Start, {}};
   }
-  if (Now + Wait + plannedTime(Who.Route) <= Who.Objective)
-    return enqueue(Who, Now, InTime);
-  const bool Chance =
-      static_cast<double>(Late.size()) < LatePartOfSlots * Slots &&
-      Now + lateWait(Late.size(), Now) + neededTime(Who.Route) < Who.Deadline;
-  if (Who.AcceptLate && Chance)
-    return enqueue(Who, Now, Late);
-  return {SlotVerdict::Kind::Refuse, ErrorCode::RequestWouldBeLate};
+  if (Now + Wait + conservativeTime(Request.Route) <= Request.Objective)
+    return enqueue(Request, Now, OnTime);
+  const bool FitsLate =
+      static_cast<double>(Late.size()) < LateSlotFraction * Slots &&
+      Now + lateWait(Late.size(), Now) + typicalTime(Request.Route) <
+          Request.Deadline;
+  if (Request.AcceptLate && FitsLate)
+    return enqueue(Request, Now, Late);
+  return {SlotVerdict::ActionKind::Refuse,
+          ErrorCode::RequestWouldMissObjective};
 }
 
-SlotVerdict SlotQueue::enqueue(const SlotRequest &Who, core::TimePoint Now,
-                               std::set<Order> &To) {
-  const bool Full = Entries.size() >= std::size_t{Slots} * WaitingPerSlot;
-  if (Full && (&To == &Late || !makeRoom(Who.Rank)))
-    return {SlotVerdict::Kind::Refuse, ErrorCode::RequestQueueFull};
-  if (&To == &InTime)
-    Arrivals[Who.Rank].note(Now);
-  Entries.emplace(Who.Id, Waiting{Who, Now});
-  To.emplace(Who.Rank, Now, Who.Id);
-  return {SlotVerdict::Kind::Wait, {}};
+SlotVerdict SlotQueue::enqueue(const SlotRequest &Request, core::TimePoint Now,
+                               std::set<QueueKey> &Queue) {
+  const bool Full =
+      Entries.size() >= std::size_t{Slots} * MaximumWaitingPerSlot;
+  if (Full && (&Queue == &Late || !makeRoom(Request.Rank)))
+    return {SlotVerdict::ActionKind::Refuse, ErrorCode::RequestQueueFull};
+  if (&Queue == &OnTime)
+    ArrivalRates[Request.Rank].addArrival(Now);
+  Entries.emplace(Request.Id, WaitingRequest{Request, Now});
+  Queue.emplace(Request.Rank, Now, Request.Id);
+  return {SlotVerdict::ActionKind::Wait, {}};
 }
 
-/// Gives up a late request, or else the last one of the least urgent rank.
+/// Evicts a late request, or else the last one of the least urgent rank.
 bool SlotQueue::makeRoom(std::uint32_t Rank) {
   if (!Late.empty()) {
-    displace(*Late.rbegin(), Late);
+    evict(*Late.rbegin(), Late);
     return true;
   }
-  if (InTime.empty() || std::get<0>(*InTime.rbegin()) <= Rank)
+  if (OnTime.empty() || std::get<0>(*OnTime.rbegin()) <= Rank)
     return false;
-  displace(*InTime.rbegin(), InTime);
+  evict(*OnTime.rbegin(), OnTime);
   return true;
 }
 
-void SlotQueue::displace(const Order &Least, std::set<Order> &From) {
-  const core::CallId Id = std::get<2>(Least);
-  From.erase(Least);
+void SlotQueue::evict(const QueueKey &Key, std::set<QueueKey> &Queue) {
+  const core::CallId Id = std::get<2>(Key);
+  Queue.erase(Key);
   Entries.erase(Id);
-  Displaced.push_back(Id);
+  Evicted.push_back(Id);
 }
 
-void SlotQueue::finished(const core::RouteName &Route,
-                         std::optional<core::Microseconds> Took) {
+void SlotQueue::release(const core::RouteName &Route,
+                        std::optional<core::Microseconds> AnswerTime) {
   if (Running > 0)
     --Running;
-  if (!Took)
+  if (!AnswerTime)
     return;
-  const auto Sample = static_cast<double>(Took->count());
-  Times[Route].note(Sample);
-  Overall.note(Sample);
+  const auto Sample = static_cast<double>(AnswerTime->count());
+  RouteEstimates[Route].addSample(Sample);
+  OverallEstimate.addSample(Sample);
 }
 
 void SlotQueue::withdraw(core::CallId Id) {
   const auto Found = Entries.find(Id);
   if (Found == Entries.end())
     return;
-  const Waiting &Left = Found->second;
-  const Order Key{Left.Who.Rank, Left.Since, Id};
-  InTime.erase(Key);
+  const WaitingRequest &Entry = Found->second;
+  const QueueKey Key{Entry.Request.Rank, Entry.QueuedAt, Id};
+  OnTime.erase(Key);
   Late.erase(Key);
   Entries.erase(Found);
 }
 
-/// A request that can no longer be in time must not hold back one that can.
-/// Late ones without a chance of a turn before their deadline are given up.
+/// Moves requests that can no longer be answered on time behind those that can,
+/// and evicts late requests that will get no slot before their deadline.
 void SlotQueue::demoteLate(core::TimePoint Now) {
-  for (auto It = InTime.begin(); It != InTime.end();) {
-    const SlotRequest &Who = Entries.at(std::get<2>(*It)).Who;
-    if (Now + meanTime(Who.Route) <= Who.Objective) {
+  for (auto It = OnTime.begin(); It != OnTime.end();) {
+    const SlotRequest &Request = Entries.at(std::get<2>(*It)).Request;
+    if (Now + meanTime(Request.Route) <= Request.Objective) {
       ++It;
       continue;
     }
     Late.insert(*It);
-    It = InTime.erase(It);
+    It = OnTime.erase(It);
   }
-  while (static_cast<double>(Late.size()) > 2 * LatePartOfSlots * Slots)
-    displace(*Late.rbegin(), Late);
-  std::vector<Order> Lost;
+  while (static_cast<double>(Late.size()) > 2 * LateSlotFraction * Slots)
+    evict(*Late.rbegin(), Late);
+  std::vector<QueueKey> Unservable;
   std::size_t Ahead = 0;
-  for (const Order &Each : Late) {
-    const SlotRequest &Who = Entries.at(std::get<2>(Each)).Who;
-    if (Now + lateWait(Ahead, Now) + meanTime(Who.Route) < Who.Deadline)
+  for (const QueueKey &Key : Late) {
+    const SlotRequest &Request = Entries.at(std::get<2>(Key)).Request;
+    if (Now + lateWait(Ahead, Now) + meanTime(Request.Route) < Request.Deadline)
       ++Ahead;
     else
-      Lost.push_back(Each);
+      Unservable.push_back(Key);
   }
-  for (const Order &Each : Lost)
-    displace(Each, Late);
+  for (const QueueKey &Key : Unservable)
+    evict(Key, Late);
 }
 
-std::optional<SlotQueue::Turn> SlotQueue::take(std::set<Order> &From,
-                                               core::TimePoint Now) {
-  if (From.empty())
+std::optional<SlotQueue::Dequeued> SlotQueue::dequeue(std::set<QueueKey> &Queue,
+                                                      core::TimePoint Now) {
+  if (Queue.empty())
     return std::nullopt;
-  const core::CallId Id = std::get<2>(*From.begin());
-  const SlotRequest &Who = Entries.at(Id).Who;
-  const bool Lost = Now + leastTime(Who.Route) >= Who.Deadline;
-  if (!Lost && Running >= Slots)
+  const core::CallId Id = std::get<2>(*Queue.begin());
+  const SlotRequest &Request = Entries.at(Id).Request;
+  const bool Expired = Now + minimumTime(Request.Route) >= Request.Deadline;
+  if (!Expired && Running >= Slots)
     return std::nullopt;
   withdraw(Id);
-  if (Lost)
-    return Turn{Id,
-                {SlotVerdict::Kind::Refuse, ErrorCode::RequestDeadlinePassed}};
+  if (Expired)
+    return Dequeued{
+        Id,
+        {SlotVerdict::ActionKind::Refuse, ErrorCode::RequestDeadlinePassed}};
   ++Running;
-  return Turn{Id, {SlotVerdict::Kind::Start, {}}};
+  return Dequeued{Id, {SlotVerdict::ActionKind::Start, {}}};
 }
 
-std::optional<SlotQueue::Turn> SlotQueue::next(core::TimePoint Now) {
+std::optional<SlotQueue::Dequeued> SlotQueue::next(core::TimePoint Now) {
   demoteLate(Now);
-  if (!Displaced.empty()) {
-    const core::CallId Id = Displaced.back();
-    Displaced.pop_back();
-    return Turn{Id, {SlotVerdict::Kind::Refuse, ErrorCode::RequestQueueFull}};
+  if (!Evicted.empty()) {
+    const core::CallId Id = Evicted.back();
+    Evicted.pop_back();
+    return Dequeued{
+        Id, {SlotVerdict::ActionKind::Refuse, ErrorCode::RequestQueueFull}};
   }
-  if (auto Found = take(InTime, Now))
+  if (auto Found = dequeue(OnTime, Now))
     return Found;
-  return take(Late, Now);
+  return dequeue(Late, Now);
 }
 
 } // namespace filbertvane::decision::mesh
--- a/lib/decision/request/Admission.cpp
+++ b/lib/decision/request/Admission.cpp
@@ -10,190 +10,203 @@
 using config::TrafficKind;
 using core::ErrorCode;
 
-/// Weight of one request in the observed service time.
-constexpr double Weight = 1.0 / 16;
-/// Mean deviations that a request's time is expected to stay below.
-/// With the mean alone, goodput at 3x load was 0.912 of capacity, because
-/// requests that started last ended late (docs/admission.md).
-constexpr double Deviations = 3;
-/// Interactive starts after which a patient or bulk request has its turn, so
-/// that those kinds are not starved.
-constexpr std::uint32_t StartsPerOther = 8;
-/// Suspects that may wait; each one holds all other starts back.
-constexpr std::size_t MostSuspects = 4;
-
-std::size_t at(TrafficKind Kind) { return static_cast<std::size_t>(Kind); }
-
-Admitted refusal(ErrorCode Why) { return {Admitted::Kind::Refuse, Why}; }
-Admitted started() { return {Admitted::Kind::Start, {}}; }
-Admitted queued() { return {Admitted::Kind::Wait, {}}; }
+/// Weight of one request in the moving averages of the service time.
+constexpr double AverageWeight = 1.0 / 16;
+/// Mean deviations added to the mean to get the expected service time. With the
+/// mean alone, goodput at 3x load was 0.912 of capacity, because requests that
+/// started last missed their deadline (docs/admission.md).
+constexpr double DeviationsAboveMean = 3;
+/// Interactive starts after which patient and bulk requests take precedence
+/// once, so that they are not starved.
+constexpr std::uint32_t MaxInteractiveStarts = 8;
+/// Waiting suspects; each one blocks all other requests until it has run.
+constexpr std::size_t MaxWaitingSuspects = 4;
+
+std::size_t indexOf(TrafficKind Kind) { return static_cast<std::size_t>(Kind); }
+
+AdmissionDecision refusal(ErrorCode Reason) {
+  return {AdmissionDecision::Kind::Refuse, Reason};
+}
+AdmissionDecision started() { return {AdmissionDecision::Kind::Start, {}}; }
+AdmissionDecision queued() { return {AdmissionDecision::Kind::Wait, {}}; }
 
 } // namespace
 
-void Admission::ServiceTime::note(core::Microseconds Took) {
-  const auto TookUs = static_cast<double>(Took.count());
+void Admission::ServiceTimeStats::add(core::Microseconds Duration) {
+  const auto DurationUs = static_cast<double>(Duration.count());
   if (MeanUs == 0) {
-    MeanUs = TookUs;
+    MeanUs = DurationUs;
     return;
   }
-  DeviationUs += (std::abs(TookUs - MeanUs) - DeviationUs) * Weight;
-  MeanUs += (TookUs - MeanUs) * Weight;
+  DeviationUs += (std::abs(DurationUs - MeanUs) - DeviationUs) * AverageWeight;
+  MeanUs += (DurationUs - MeanUs) * AverageWeight;
 }
 
-core::Microseconds Admission::expectedTime(TrafficKind Kind) const {
-  const ServiceTime &Seen = Observed[at(Kind)];
+core::Microseconds Admission::expectedServiceTime(TrafficKind Kind) const {
+  const ServiceTimeStats &Times = ServiceTimes[indexOf(Kind)];
   return core::Microseconds(
-      std::llround(Seen.MeanUs + Deviations * Seen.DeviationUs));
+      std::llround(Times.MeanUs + DeviationsAboveMean * Times.DeviationUs));
 }
 
-std::set<Admission::Waiting> &Admission::queue(TrafficKind Kind) {
-  return Queues[at(Kind)];
+std::set<Admission::QueueEntry> &Admission::queue(TrafficKind Kind) {
+  return Queues[indexOf(Kind)];
 }
 
-const std::set<Admission::Waiting> &Admission::queue(TrafficKind Kind) const {
-  return Queues[at(Kind)];
+const std::set<Admission::QueueEntry> &
+Admission::queue(TrafficKind Kind) const {
+  return Queues[indexOf(Kind)];
 }
 
-std::size_t Admission::waiting() const {
-  std::size_t Count = Suspects.size();
+std::size_t Admission::queueLength() const {
+  std::size_t Count = SuspectQueue.size();
   for (const auto &Queue : Queues)
     Count += Queue.size();
   return Count;
 }
 
 bool Admission::fits(TrafficKind Kind, std::uint64_t Bytes) const {
-  if (Closed || AloneRuns || !Suspects.empty() || InUse >= Slots)
+  if (Closed || ExclusiveRunning || !SuspectQueue.empty() ||
+      SlotsInUse >= Slots)
     return false;
-  // The first bulk request always fits, or one above the limit never would.
+  // The first bulk request is always accepted; otherwise one larger than the
+  // limit could never run.
   if (Kind != TrafficKind::Bulk || BulkInUse == 0)
     return true;
-  return BulkBytes + Bytes <= Limits.BulkBytes;
+  return BulkBytes + Bytes <= Limits.MaxBulkBytes;
 }
 
-bool Admission::overdue(TrafficKind Kind, core::TimePoint Deadline,
-                        core::TimePoint Now) const {
+bool Admission::missesDeadline(TrafficKind Kind, core::TimePoint Deadline,
+                               core::TimePoint Now) const {
   if (Now >= Deadline)
     return true;
-  const bool Sheds = Limits.ShedByDeadline && Kind == TrafficKind::Interactive;
-  return Sheds && Now + expectedTime(Kind) > Deadline;
+  const bool ShedsRequest =
+      Limits.ShedByDeadline && Kind == TrafficKind::Interactive;
+  return ShedsRequest && Now + expectedServiceTime(Kind) > Deadline;
 }
 
-bool Admission::tooLate(const Applicant &Who, core::TimePoint Now) const {
-  if (!Limits.ShedByDeadline || Who.Kind != TrafficKind::Interactive)
+bool Admission::missesDeadlineInQueue(const SlotRequest &Request,
+                                      core::TimePoint Now) const {
+  if (!Limits.ShedByDeadline || Request.Kind != TrafficKind::Interactive)
     return false;
-  const auto &Ahead = queue(Who.Kind);
-  const Waiting Self{{Who.Deadline, Who.Id}, 0};
-  const auto Before = static_cast<double>(
-      std::distance(Ahead.begin(), Ahead.lower_bound(Self)));
-  const double PerStartUs = Observed[at(Who.Kind)].MeanUs / std::max(1U, Slots);
-  const core::Microseconds Wait(std::llround((Before + 1) * PerStartUs));
-  return overdue(Who.Kind, Who.Deadline - Wait, Now);
-}
-
-void Admission::start(TrafficKind Kind, std::uint64_t Bytes, bool Alone) {
-  ++InUse;
-  AloneRuns = Alone;
+  const auto &Queue = queue(Request.Kind);
+  const QueueEntry Self{{Request.Deadline, Request.Id}, 0};
+  const auto PositionInQueue = static_cast<double>(
+      std::distance(Queue.begin(), Queue.lower_bound(Self)));
+  const double StartIntervalUs =
+      ServiceTimes[indexOf(Request.Kind)].MeanUs / std::max(1U, Slots);
+  const core::Microseconds Wait(
+      std::llround((PositionInQueue + 1) * StartIntervalUs));
+  return missesDeadline(Request.Kind, Request.Deadline - Wait, Now);
+}
+
+void Admission::start(TrafficKind Kind, std::uint64_t Bytes, bool Exclusive) {
+  ++SlotsInUse;
+  ExclusiveRunning = Exclusive;
   if (Kind != TrafficKind::Bulk)
     return;
   ++BulkInUse;
   BulkBytes += Bytes;
 }
 
-Admitted Admission::arrive(const Applicant &Who, core::TimePoint Now) {
+AdmissionDecision Admission::admit(const SlotRequest &Request,
+                                   core::TimePoint Now) {
   if (Closed)
     return refusal(ErrorCode::RequestDraining);
-  if (Now >= Who.Deadline)
+  if (Now >= Request.Deadline)
     return refusal(ErrorCode::RequestDeadlinePassed);
-  const Waiting Entry{{Who.Deadline, Who.Id}, Who.Bytes};
-  if (Who.Alone) {
-    if (Suspects.size() >= MostSuspects)
+  const QueueEntry Entry{{Request.Deadline, Request.Id}, Request.Bytes};
+  if (Request.Exclusive) {
+    if (SuspectQueue.size() >= MaxWaitingSuspects)
       return refusal(ErrorCode::RequestSuspect);
-    Suspects.insert(Entry);
+    SuspectQueue.insert(Entry);
     return queued();
   }
-  if (overdue(Who.Kind, Who.Deadline, Now))
+  if (missesDeadline(Request.Kind, Request.Deadline, Now))
     return refusal(ErrorCode::RequestDeadlineTooShort);
-  if (queue(Who.Kind).empty() && fits(Who.Kind, Who.Bytes)) {
-    start(Who.Kind, Who.Bytes, false);
+  if (queue(Request.Kind).empty() && fits(Request.Kind, Request.Bytes)) {
+    start(Request.Kind, Request.Bytes, false);
     return started();
   }
-  if (waiting() >= Limits.Entries)
+  if (queueLength() >= Limits.MaxQueueEntries)
     return refusal(ErrorCode::RequestQueueFull);
-  if (tooLate(Who, Now))
+  if (missesDeadlineInQueue(Request, Now))
     return refusal(ErrorCode::RequestDeadlineTooShort);
-  queue(Who.Kind).insert(Entry);
+  queue(Request.Kind).insert(Entry);
   return queued();
 }
 
-void Admission::finished(const Applicant &Who,
-                         std::optional<core::Microseconds> Took) {
-  --InUse;
-  if (Who.Alone) {
-    AloneRuns = false;
-  } else if (Who.Kind == TrafficKind::Bulk) {
+void Admission::finish(const SlotRequest &Request,
+                       std::optional<core::Microseconds> Duration) {
+  --SlotsInUse;
+  if (Request.Exclusive) {
+    ExclusiveRunning = false;
+  } else if (Request.Kind == TrafficKind::Bulk) {
     --BulkInUse;
-    BulkBytes -= Who.Bytes;
+    BulkBytes -= Request.Bytes;
   }
-  if (Took)
-    Observed[at(Who.Kind)].note(*Took);
+  if (Duration)
+    ServiceTimes[indexOf(Request.Kind)].add(*Duration);
 }
 
-void Admission::withdraw(const Applicant &Who) {
-  const Waiting Entry{{Who.Deadline, Who.Id}, Who.Bytes};
-  (Who.Alone ? Suspects : queue(Who.Kind)).erase(Entry);
+void Admission::withdraw(const SlotRequest &Request) {
+  const QueueEntry Entry{{Request.Deadline, Request.Id}, Request.Bytes};
+  (Request.Exclusive ? SuspectQueue : queue(Request.Kind)).erase(Entry);
 }
 
-void Admission::addBytes(Applicant &Who, std::uint64_t More) {
-  if (Who.Kind != TrafficKind::Bulk || Who.Alone)
+void Admission::addBytes(SlotRequest &Request, std::uint64_t AddedBytes) {
+  if (Request.Kind != TrafficKind::Bulk || Request.Exclusive)
     return;
-  Who.Bytes += More;
-  BulkBytes += More;
+  Request.Bytes += AddedBytes;
+  BulkBytes += AddedBytes;
 }
 
-std::optional<Admission::Turn> Admission::nextSuspect(core::TimePoint Now) {
-  const Waiting First = *Suspects.begin();
-  if (Now >= First.Order.first) {
-    Suspects.erase(Suspects.begin());
-    return Turn{First.Order.second, refusal(ErrorCode::RequestDeadlinePassed)};
+std::optional<Admission::Dequeued>
+Admission::dequeueSuspect(core::TimePoint Now) {
+  const QueueEntry First = *SuspectQueue.begin();
+  if (Now >= First.SortKey.first) {
+    SuspectQueue.erase(SuspectQueue.begin());
+    return Dequeued{First.SortKey.second,
+                    refusal(ErrorCode::RequestDeadlinePassed)};
   }
-  if (InUse > 0)
+  if (SlotsInUse > 0)
     return std::nullopt;
-  Suspects.erase(Suspects.begin());
+  SuspectQueue.erase(SuspectQueue.begin());
   start(TrafficKind::Interactive, 0, true);
-  return Turn{First.Order.second, started()};
+  return Dequeued{First.SortKey.second, started()};
 }
 
-std::optional<Admission::Turn> Admission::nextOf(TrafficKind Kind,
-                                                 core::TimePoint Now) {
+std::optional<Admission::Dequeued> Admission::dequeueKind(TrafficKind Kind,
+                                                          core::TimePoint Now) {
   auto &Queue = queue(Kind);
   if (Queue.empty())
     return std::nullopt;
-  const Waiting First = *Queue.begin();
-  if (overdue(Kind, First.Order.first, Now)) {
+  const QueueEntry First = *Queue.begin();
+  if (missesDeadline(Kind, First.SortKey.first, Now)) {
     Queue.erase(Queue.begin());
-    return Turn{First.Order.second,
-                refusal(ErrorCode::RequestDeadlineTooShort)};
+    return Dequeued{First.SortKey.second,
+                    refusal(ErrorCode::RequestDeadlineTooShort)};
   }
   if (!fits(Kind, First.Bytes))
     return std::nullopt;
   Queue.erase(Queue.begin());
   start(Kind, First.Bytes, false);
-  SinceOthers = Kind == TrafficKind::Interactive ? SinceOthers + 1 : 0;
-  return Turn{First.Order.second, started()};
+  InteractiveStarts =
+      Kind == TrafficKind::Interactive ? InteractiveStarts + 1 : 0;
+  return Dequeued{First.SortKey.second, started()};
 }
 
-std::optional<Admission::Turn> Admission::next(core::TimePoint Now) {
-  if (Closed || AloneRuns)
+std::optional<Admission::Dequeued> Admission::dequeue(core::TimePoint Now) {
+  if (Closed || ExclusiveRunning)
     return std::nullopt;
-  if (!Suspects.empty())
-    return nextSuspect(Now);
+  if (!SuspectQueue.empty())
+    return dequeueSuspect(Now);
   using enum TrafficKind;
-  const bool OthersFirst = SinceOthers >= StartsPerOther;
+  const bool InteractiveLast = InteractiveStarts >= MaxInteractiveStarts;
   const std::array<TrafficKind, 3> Order =
-      OthersFirst ? std::array{Patient, Bulk, Interactive}
-                  : std::array{Interactive, Patient, Bulk};
+      InteractiveLast ? std::array{Patient, Bulk, Interactive}
+                      : std::array{Interactive, Patient, Bulk};
   for (TrafficKind Kind : Order)
-    if (auto Found = nextOf(Kind, Now))
+    if (auto Found = dequeueKind(Kind, Now))
       return Found;
   return std::nullopt;
 }
@@ -201,14 +214,14 @@
 std::vector<core::CallId> Admission::close() {
   Closed = true;
   std::vector<core::CallId> Refused;
-  for (const Waiting &Entry : Suspects)
-    Refused.push_back(Entry.Order.second);
+  for (const QueueEntry &Entry : SuspectQueue)
+    Refused.push_back(Entry.SortKey.second);
   for (auto &Queue : Queues) {
-    for (const Waiting &Entry : Queue)
-      Refused.push_back(Entry.Order.second);
+    for (const QueueEntry &Entry : Queue)
+      Refused.push_back(Entry.SortKey.second);
     Queue.clear();
   }
-  Suspects.clear();
+  SuspectQueue.clear();
   return Refused;
 }
 
