--- a/lib/decision/request/ReduceEjection.cpp
+++ b/lib/decision/request/ReduceEjection.cpp
@@ -5,60 +5,65 @@
 
 namespace {
 
-/// Ticks come more often, for deadlines; medians need not be that fresh.
-constexpr core::Milliseconds ReviewPeriod{250};
+/// Longer than the tick interval, because outlier detection does not need the
+/// precision of deadlines.
+constexpr core::Milliseconds ReviewInterval{250};
 
 } // namespace
 
 void Reduction::refreshActive(VersionPool &Pool) {
-  for (std::size_t Near = 0; Near < LocalityCount; ++Near) {
-    Pool.Active[Near].clear();
-    for (TargetIndex At : Pool.Members[Near])
-      if (!Next.Targets[At].Gone && !Next.Targets[At].Seen.EjectedUntil)
-        Pool.Active[Near].push_back(At);
+  for (std::size_t Distance = 0; Distance < LocalityCount; ++Distance) {
+    Pool.Active[Distance].clear();
+    for (TargetIndex Index : Pool.Members[Distance])
+      if (!Fields.Targets[Index].Removed &&
+          !Fields.Targets[Index].Health.EjectedUntil)
+        Pool.Active[Distance].push_back(Index);
   }
 }
 
-void Reduction::noteHealth(TargetIndex At, bool Fault,
-                           core::Microseconds Latency) {
-  Target &Which = Next.Targets[At];
-  if (!noteAttempt(Which.Seen, Fault, Latency))
+void Reduction::recordHealth(TargetIndex Index, bool Fault,
+                             core::Microseconds Latency) {
+  Target &Candidate = Fields.Targets[Index];
+  if (!recordAttempt(Candidate.Health, Fault, Latency))
     return;
-  const auto Service = Next.Services.find(Which.Place.Service);
-  if (Service == Next.Services.end())
+  const auto Service = Fields.Services.find(Candidate.Announcement.Service);
+  if (Service == Fields.Services.end())
     return;
-  if (VersionPool *Pool = Service->second.poolOf(Which.Place.Version))
-    ejectFrom(*Pool, At);
+  if (VersionPool *Pool =
+          Service->second.poolOf(Candidate.Announcement.Version))
+    ejectFrom(*Pool, Index);
 }
 
-void Reduction::ejectFrom(VersionPool &Pool, TargetIndex At) {
-  const Target &Which = Next.Targets[At];
-  const auto &Members = Pool.Members[static_cast<std::size_t>(Which.Near)];
-  if (!eject(Next.Targets, Members, At, Now.Mono))
+void Reduction::ejectFrom(VersionPool &Pool, TargetIndex Index) {
+  const Target &Candidate = Fields.Targets[Index];
+  const auto &Members =
+      Pool.Members[static_cast<std::size_t>(Candidate.Distance)];
+  if (!eject(Fields.Targets, Members, Index, Now.Mono))
     return;
-  log(observe::EventId::RequestTargetEjected, Which.Place.Target.value());
+  log(observe::EventId::RequestTargetEjected,
+      Candidate.Announcement.Target.value());
   refreshActive(Pool);
 }
 
 void Reduction::reviewTargets() {
-  if (Now.Mono < Next.NextReview)
+  if (Now.Mono < Fields.NextReview)
     return;
-  Next.NextReview = Now.Mono + ReviewPeriod;
-  for (auto &[Name, Service] : Next.Services)
+  Fields.NextReview = Now.Mono + ReviewInterval;
+  for (auto &[Name, Service] : Fields.Services)
     for (VersionPool &Pool : Service.Pools)
       reviewPool(Pool);
 }
 
 void Reduction::reviewPool(VersionPool &Pool) {
   for (const auto &Members : Pool.Members) {
-    const auto Readmitted = readmit(Next.Targets, Members, Now.Mono);
-    for (TargetIndex At : Readmitted)
+    const auto Readmitted = readmit(Fields.Targets, Members, Now.Mono);
+    for (TargetIndex Index : Readmitted)
       log(observe::EventId::RequestTargetReadmitted,
-          Next.Targets[At].Place.Target.value());
+          Fields.Targets[Index].Announcement.Target.value());
     if (!Readmitted.empty())
       refreshActive(Pool);
-    for (TargetIndex At : outliers(Members, Next.Targets.all()))
-      ejectFrom(Pool, At);
+    for (TargetIndex Index : findOutliers(Members, Fields.Targets.all()))
+      ejectFrom(Pool, Index);
   }
 }
 
--- a/lib/decision/request/TargetTable.cpp
+++ b/lib/decision/request/TargetTable.cpp
@@ -5,65 +5,67 @@
 
 namespace {
 
-Locality localityOf(const Endpoint &Place, const core::DataCentreId &DataCentre,
+Locality localityOf(const Endpoint &NewEndpoint,
+                    const core::DataCentreId &DataCentre,
                     const core::RegionId &Region) {
-  if (Place.DataCentre == DataCentre)
+  if (NewEndpoint.DataCentre == DataCentre)
     return Locality::DataCentre;
-  return Place.Region == Region ? Locality::Region : Locality::Elsewhere;
+  return NewEndpoint.Region == Region ? Locality::Region
+                                      : Locality::OtherRegion;
 }
 
 } // namespace
 
-TargetIndex TargetTable::freeSlot() {
+TargetIndex TargetTable::allocateEntry() {
   const auto Free =
-      std::find_if(Slots.begin(), Slots.end(), [](const Target &Slot) {
-        return Slot.Gone && !Slot.Listed && Slot.Outstanding == 0;
+      std::find_if(Entries.begin(), Entries.end(), [](const Target &Entry) {
+        return Entry.Removed && !Entry.Announced && Entry.Outstanding == 0;
       });
-  if (Free == Slots.end()) {
-    Slots.emplace_back();
-    return static_cast<TargetIndex>(Slots.size() - 1);
+  if (Free == Entries.end()) {
+    Entries.emplace_back();
+    return static_cast<TargetIndex>(Entries.size() - 1);
   }
-  IndexOf.erase(Free->Place.Target);
+  IndexOf.erase(Free->Announcement.Target);
   *Free = Target{};
-  return static_cast<TargetIndex>(Free - Slots.begin());
+  return static_cast<TargetIndex>(Free - Entries.begin());
 }
 
 void TargetTable::update(const std::vector<Endpoint> &Endpoints,
                          const core::NodeId &Self,
                          const core::DataCentreId &DataCentre,
                          const core::RegionId &Region) {
-  for (Target &Slot : Slots) {
-    Slot.Gone = true;
-    Slot.Listed = false;
+  for (Target &Entry : Entries) {
+    Entry.Removed = true;
+    Entry.Announced = false;
   }
   std::vector<const Endpoint *> Added;
-  for (const Endpoint &Place : Endpoints) {
-    const TargetIndex At = find(Place.Target);
-    if (At == NoTarget) {
-      Added.push_back(&Place);
+  for (const Endpoint &NewEndpoint : Endpoints) {
+    const TargetIndex Index = find(NewEndpoint.Target);
+    if (Index == NoTarget) {
+      Added.push_back(&NewEndpoint);
       continue;
     }
-    Slots[At].Place = Place;
-    Slots[At].Gone = Slots[At].Leaving;
-    Slots[At].Listed = true;
+    Entries[Index].Announcement = NewEndpoint;
+    Entries[Index].Removed = Entries[Index].Leaving;
+    Entries[Index].Announced = true;
   }
-  for (const Endpoint *Place : Added) {
-    const TargetIndex At = freeSlot();
-    Target &Slot = Slots[At];
-    Slot.Place = *Place;
-    Slot.Listed = true;
-    Slot.Near = localityOf(*Place, DataCentre, Region);
-    Slot.Own = Place->Node == Self;
-    Slot.WarmSince = Place->Since;
-    IndexOf[Place->Target] = At;
+  for (const Endpoint *NewEndpoint : Added) {
+    const TargetIndex Index = allocateEntry();
+    Target &Entry = Entries[Index];
+    Entry.Announcement = *NewEndpoint;
+    Entry.Announced = true;
+    Entry.Distance = localityOf(*NewEndpoint, DataCentre, Region);
+    Entry.Local = NewEndpoint->Node == Self;
+    Entry.WarmUpStart = NewEndpoint->AnnouncedAt;
+    IndexOf[NewEndpoint->Target] = Index;
   }
 }
 
-TargetIndex TargetTable::markGone(const core::TargetId &Id) {
-  const TargetIndex At = find(Id);
-  if (At != NoTarget)
-    Slots[At].Gone = Slots[At].Leaving = true;
-  return At;
+TargetIndex TargetTable::markLeaving(const core::TargetId &Id) {
+  const TargetIndex Index = find(Id);
+  if (Index != NoTarget)
+    Entries[Index].Removed = Entries[Index].Leaving = true;
+  return Index;
 }
 
 TargetIndex TargetTable::find(const core::TargetId &Id) const {
--- a/lib/decision/request/VersionSelector.cpp
+++ b/lib/decision/request/VersionSelector.cpp
@@ -2,11 +2,11 @@
 
 namespace filbertvane::decision::request {
 
-bool VersionSelector::next(config::Permille CandidateShare) {
-  Accumulated += CandidateShare;
-  if (Accumulated < config::FullShare)
+bool VersionSelector::selectCandidate(config::Permille CandidateShare) {
+  Accumulator += CandidateShare;
+  if (Accumulator < config::FullShare)
     return false;
-  Accumulated -= config::FullShare;
+  Accumulator -= config::FullShare;
   return true;
 }
 
--- a/lib/decision/rollout/MoveDriver.cpp
+++ b/lib/decision/rollout/MoveDriver.cpp
@@ -1,5 +1,5 @@
 #include "MoveDriver.h"
-#include "filbertvane/decision/rollout/Judgement.h"
+#include "filbertvane/decision/rollout/RolloutPolicy.h"
 #include <fmt/format.h>
 
 namespace filbertvane::decision::rollout {
@@ -9,10 +9,10 @@
 using config::MoveStage;
 using observe::EventId;
 
-/// Highest fault rate at which the old version counts as healthy, as a divisor;
-/// one fault more is chance. A divisor of 20 ended a suspicion in the middle of
-/// a shared fault that failed 5% of the requests.
-constexpr std::uint64_t HealthyDivisor = 100;
+/// The old version is healthy up to one fault per this number of answers, plus
+/// one fault by chance. A divisor of 20 ended a suspicion during a shared fault
+/// that failed 5% of the requests.
+constexpr std::uint64_t AnswersPerToleratedFault = 100;
 
 bool isReadBack(const config::RecordBody &Pending,
                 const config::MoveStatus &Move) {
@@ -21,113 +21,116 @@
 }
 
 VersionCounts sumOf(const MoveCounts &Counts,
-                    VersionCounts RouteCounts::*Side) {
+                    VersionCounts RouteCounts::*Version) {
   VersionCounts Sum;
-  for (const auto &[Route, Seen] : Counts)
-    Sum += Seen.*Side;
+  for (const auto &[Route, Added] : Counts)
+    Sum += Added.*Version;
   return Sum;
 }
 
-config::Verdict summary(const MoveCounts &Counts) {
+config::MoveDecision makeSummary(const MoveCounts &Counts) {
   const VersionCounts New = sumOf(Counts, &RouteCounts::New);
   const VersionCounts Old = sumOf(Counts, &RouteCounts::Old);
-  return verdictOf({}, {Finding::None,
-                        false,
-                        {New.Answers, New.Faults},
-                        {Old.Answers, Old.Faults}});
+  return makeVerdict({}, {Finding::None,
+                          false,
+                          {New.Answers, New.Faults},
+                          {Old.Answers, Old.Faults}});
 }
 
 } // namespace
 
 void MoveDriver::drive() {
   if (Move.Stage == MoveStage::Completed)
-    return watchCompleted();
-  readBack();
-  judge();
-  act();
+    return monitorCompleted();
+  syncWithFleet();
+  evaluate();
+  advance();
 }
 
-void MoveDriver::readBack() {
-  if (Watch.Pending && isReadBack(*Watch.Pending, Move))
-    Watch.Pending.reset();
-  if (Watch.Share == Move.Share)
+void MoveDriver::syncWithFleet() {
+  if (Context.PendingRecord && isReadBack(*Context.PendingRecord, Move))
+    Context.PendingRecord.reset();
+  if (Context.Share == Move.Share)
     return;
-  // The first sight of a move after a takeover counts as a step: evidence for
-  // the next early step is collected afresh.
-  if (Watch.Share)
-    S.Windows.startStage(Move.Id);
-  Watch.Share = Move.Share;
-  Watch.AtStep = S.Table.total(Move.Id);
-  Watch.EarliestStep =
-      Now.Wall + (Move.Share == WarmUpShare ? WarmUp : MinStepTime);
-  if (!Watch.RetrialAt)
+  // After a takeover, a move that was not known yet is handled as if it had
+  // just been stepped: the next early step needs new evidence.
+  if (Context.Share)
+    State.Windows.startStep(Move.Id);
+  Context.Share = Move.Share;
+  Context.CountsAtStep = State.EvidenceBySender.total(Move.Id);
+  Context.EarliestStepAt =
+      Now.Wall + (Move.Share == WarmUpShare ? WarmUpDuration : MinStepDuration);
+  if (!Context.SuspicionRetryAt)
     return;
-  Watch.RetrialAt.reset();
-  S.Windows.reset(Move.Id);
+  Context.SuspicionRetryAt.reset();
+  State.Windows.reset(Move.Id);
 }
 
-void MoveDriver::judge() {
-  const auto Overlays = S.Overlays.of(Move.Id);
-  const Overlay *Proven = provenOne(Overlays);
-  if (!Watch.Guilty && Proven != nullptr)
-    Watch.Guilty = Proven->Decided;
-  if (Watch.Guilty)
+void MoveDriver::evaluate() {
+  const auto Rollbacks = State.LocalRollbacks.forMove(Move.Id);
+  const LocalRollback *Proven = findProven(Rollbacks);
+  if (!Context.RollbackVerdict && Proven != nullptr)
+    Context.RollbackVerdict = Proven->Verdict;
+  if (Context.RollbackVerdict)
     return;
-  if (!Overlays.empty()) {
-    // All data centres withdraw it, so that the next trial begins everywhere
-    // at the same time.
-    suspect(Overlays.front().Decided);
-    return withdraw(Overlays.front().Decided, false);
+  if (!Rollbacks.empty()) {
+    // The version is withdrawn in all data centres, so that the next attempt
+    // starts everywhere at the same time.
+    raiseSuspicion(Rollbacks.front().Verdict);
+    return withdraw(Rollbacks.front().Verdict, false);
   }
   core::RouteName Route;
-  std::tie(Route, Found) = S.Windows.evaluate(Move.Id);
-  if (!withdraws(Move, Found)) {
-    // At share 0 no answer comes that could clear the suspicion.
-    if (Move.Share == 0 && Found.Level != Finding::None)
-      suspect(verdictOf(Route, Found));
+  std::tie(Route, LatestFinding) = State.Windows.evaluate(Move.Id);
+  if (!shouldWithdraw(Move, LatestFinding)) {
+    // At share 0 there are no answers that could refute the suspicion.
+    if (Move.Share == 0 && LatestFinding.Level != Finding::None)
+      raiseSuspicion(makeVerdict(Route, LatestFinding));
     return;
   }
-  const config::Verdict Why = verdictOf(Route, Found);
-  if (Found.Level == Finding::Proven)
-    Watch.Guilty = Why;
+  const config::MoveDecision Verdict = makeVerdict(Route, LatestFinding);
+  if (LatestFinding.Level == Finding::Proven)
+    Context.RollbackVerdict = Verdict;
   else
-    suspect(Why);
-  withdraw(Why, Found.Level == Finding::Proven);
+    raiseSuspicion(Verdict);
+  withdraw(Verdict, LatestFinding.Level == Finding::Proven);
 }
 
-void MoveDriver::withdraw(const config::Verdict &Why, bool Proven) {
-  // Takes effect before the record is read back, and while the log is down.
-  const Overlay Made{Move.Id, {}, Move.Share, Now.Wall, Proven, Why};
-  if (S.Overlays.add(Made))
-    Out.push_back(PublishOverlay{Made});
+void MoveDriver::withdraw(const config::MoveDecision &Verdict, bool Proven) {
+  // Takes effect before the record is read back, even while the log is down.
+  const LocalRollback Rollback{Move.Id,  {},     Move.Share,
+                               Now.Wall, Proven, Verdict};
+  if (State.LocalRollbacks.add(Rollback))
+    Effects.push_back(PublishLocalRollback{Rollback});
 }
 
-void MoveDriver::suspect(const config::Verdict &Why) {
-  if (Watch.RetrialAt)
+void MoveDriver::raiseSuspicion(const config::MoveDecision &Verdict) {
+  if (Context.SuspicionRetryAt)
     return;
-  Watch.RetrialAt = Now.Mono + RetrialTime;
-  Watch.AtSuspicion = S.Table.total(Move.Id);
-  ++Watch.Suspicions;
-  Out.push_back(observe::LogEvent{EventId::MoveSuspended,
-                                  toString(Move.Id) + ": " + Why.Reason});
-  if (Watch.Suspicions >= MaxSuspicions || Move.Share >= config::FullShare)
-    Watch.Guilty = Why;
+  Context.SuspicionRetryAt = Now.Mono + SuspicionRetryDelay;
+  Context.CountsAtSuspicion = State.EvidenceBySender.total(Move.Id);
+  ++Context.SuspicionCount;
+  Effects.push_back(observe::LogEvent{
+      EventId::MoveSuspended, toString(Move.Id) + ": " + Verdict.Reason});
+  if (Context.SuspicionCount >= MaxSuspicions ||
+      Move.Share >= config::FullShare)
+    Context.RollbackVerdict = Verdict;
 }
 
 bool MoveDriver::mayAppend() const {
-  return S.LogUp && (!Watch.Pending || Now.Mono >= Watch.RetryAt);
+  return State.LogAvailable &&
+         (!Context.PendingRecord || Now.Mono >= Context.AppendRetryAt);
 }
 
-void MoveDriver::act() {
-  if (Watch.Guilty)
+void MoveDriver::advance() {
+  if (Context.RollbackVerdict)
     return rollBack();
-  if (Now.Wall > Move.Order.By)
+  if (Now.Wall > Move.Order.Deadline)
     logOnce(EventId::MoveDeadlineMissed, toString(Move.Id));
   if (!mayAppend())
     return;
-  if (Watch.RetrialAt)
-    return settleSuspicion();
-  if (Found.Level != Finding::None)
+  if (Context.SuspicionRetryAt)
+    return resolveSuspicion();
+  if (LatestFinding.Level != Finding::None)
     return;
   if (Move.Share >= config::FullShare)
     return complete();
@@ -135,63 +138,65 @@
 }
 
 void MoveDriver::rollBack() {
-  if (!S.LogUp)
-    return logOnce(EventId::MoveRollbackWaits, toString(Move.Id));
-  // A pending step does not delay a rollback, only a pending rollback does.
+  if (!State.LogAvailable)
+    return logOnce(EventId::MoveRollbackDelayed, toString(Move.Id));
+  // A pending step does not delay a rollback; a pending rollback does.
   const bool IsPending =
-      Watch.Pending &&
-      std::holds_alternative<config::MoveRolledBack>(*Watch.Pending);
-  if (IsPending && Now.Mono < Watch.RetryAt)
+      Context.PendingRecord &&
+      std::holds_alternative<config::MoveRolledBack>(*Context.PendingRecord);
+  if (IsPending && Now.Mono < Context.AppendRetryAt)
     return;
-  append(config::MoveRolledBack{*S.Lease, Move.Id, Now.Wall, *Watch.Guilty},
-         EventId::MoveRollbackAppended, Watch.Guilty->Reason);
+  append(config::MoveRolledBack{*State.LeaseEpoch, Move.Id, Now.Wall,
+                                *Context.RollbackVerdict},
+         EventId::MoveRollbackAppended, Context.RollbackVerdict->Reason);
 }
 
-bool MoveDriver::oldIsHealthy(const MoveCounts &Total) const {
+bool MoveDriver::isOldVersionHealthy(const MoveCounts &Total) const {
   std::uint64_t Answers = 0;
   std::uint64_t Faults = 0;
   for (const auto &[Route, Counts] : Total) {
-    const auto Before = Watch.AtSuspicion.find(Route);
-    const RouteCounts Added = Before == Watch.AtSuspicion.end()
+    const auto Before = Context.CountsAtSuspicion.find(Route);
+    const RouteCounts Added = Before == Context.CountsAtSuspicion.end()
                                   ? Counts
-                                  : since(Before->second, Counts);
+                                  : increaseSince(Before->second, Counts);
     Answers += Added.Old.Answers;
     Faults += Added.Old.Faults;
   }
-  return Faults <= 1 + Answers / HealthyDivisor;
+  return Faults <= 1 + Answers / AnswersPerToleratedFault;
 }
 
-void MoveDriver::settleSuspicion() {
-  if (Now.Mono < *Watch.RetrialAt)
+void MoveDriver::resolveSuspicion() {
+  if (Now.Mono < *Context.SuspicionRetryAt)
     return;
-  const MoveCounts Total = S.Table.total(Move.Id);
-  if (!oldIsHealthy(Total)) {
-    // The fault is shared; wait until the old version has recovered.
-    Watch.RetrialAt = Now.Mono + RecheckTime;
-    Watch.AtSuspicion = Total;
+  const MoveCounts Total = State.EvidenceBySender.total(Move.Id);
+  if (!isOldVersionHealthy(Total)) {
+    // The fault is shared: wait until the old version has recovered.
+    Context.SuspicionRetryAt = Now.Mono + SuspicionRecheckDelay;
+    Context.CountsAtSuspicion = Total;
     return;
   }
-  // A step is the newer configuration that ends the overlays; the least rise
-  // that the fold accepts.
+  // The local rollbacks end with a configuration that raises the share. One
+  // permille is the smallest step that is accepted.
   const auto Share = static_cast<config::Permille>(Move.Share + 1);
-  append(config::MoveStepped{*S.Lease, Move.Id, Share}, EventId::MoveRetried,
-         fmt::format("share {}", Share));
+  append(config::MoveStepped{*State.LeaseEpoch, Move.Id, Share},
+         EventId::MoveResumed, fmt::format("share {}", Share));
 }
 
 void MoveDriver::complete() {
-  append(config::MoveCompleted{*S.Lease, Move.Id, Now.Wall,
-                               summary(S.Table.total(Move.Id))},
-         EventId::MoveCompletionAppended, "");
+  append(
+      config::MoveCompleted{*State.LeaseEpoch, Move.Id, Now.Wall,
+                            makeSummary(State.EvidenceBySender.total(Move.Id))},
+      EventId::MoveCompletionAppended, "");
 }
 
-ReadySlots MoveDriver::slots() const {
+ReadySlots MoveDriver::readySlots() const {
   ReadySlots Result;
   const auto Count = [&](const core::TargetVersion &Version) -> std::uint32_t {
-    const auto Seen = S.Slots.find({Move.Id.Service, Version});
-    if (Seen == S.Slots.end())
+    const auto Slots = State.SlotsByVersion.find({Move.Id.Service, Version});
+    if (Slots == State.SlotsByVersion.end())
       return 0;
-    Result.InUse += Seen->second.InUse;
-    return Seen->second.Slots;
+    Result.InUse += Slots->second.InUse;
+    return Slots->second.Slots;
   };
   Result.New = Count(Move.Order.To);
   Result.Old = Count(Move.From);
@@ -200,42 +205,43 @@
 
 void MoveDriver::step() {
   if (Move.Share == 0)
-    if (const auto Checked = checkDeadline(Move.Order, Move.AcceptedAt);
-        !ok(Checked))
+    if (const auto DeadlineStatus = checkDeadline(Move.Order, Move.AcceptedAt);
+        !ok(DeadlineStatus))
       logOnce(EventId::MoveDeadlineInfeasible,
-              core::toString(failure(Checked)));
-  const Progress Seen{S.Table.total(Move.Id), Watch.AtStep, Watch.EarliestStep};
-  const ReadySlots Ready = slots();
-  const config::Permille Share = nextShare(Move, Seen, Ready, Now.Wall);
+              core::toString(failure(DeadlineStatus)));
+  const MoveProgress Progress{State.EvidenceBySender.total(Move.Id),
+                              Context.CountsAtStep, Context.EarliestStepAt};
+  const ReadySlots Ready = readySlots();
+  const config::Permille Share = nextShare(Move, Progress, Ready, Now.Wall);
   if (Share > Move.Share)
-    return append(config::MoveStepped{*S.Lease, Move.Id, Share},
+    return append(config::MoveStepped{*State.LeaseEpoch, Move.Id, Share},
                   EventId::MoveStepAppended, fmt::format("share {}", Share));
   if (Ready.New == 0)
-    logOnce(EventId::MoveHeld, toString(Move.Id));
+    logOnce(EventId::MoveAwaitsSlots, toString(Move.Id));
 }
 
-void MoveDriver::watchCompleted() {
-  const auto [Route, Seen] = S.Windows.evaluate(Move.Id);
-  if (Seen.Level == Finding::None || slots().Old == 0)
+void MoveDriver::monitorCompleted() {
+  const auto [Route, Latest] = State.Windows.evaluate(Move.Id);
+  if (Latest.Level == Finding::None || readySlots().Old == 0)
     return;
   logOnce(EventId::MoveFaultAfterCompletion,
           fmt::format("{} route {}: {}", toString(Move.Id), Route.value(),
-                      verdictOf(Route, Seen).Reason));
+                      makeVerdict(Route, Latest).Reason));
 }
 
-void MoveDriver::append(const config::RecordBody &Body, EventId Event,
+void MoveDriver::append(const config::RecordBody &Record, EventId Event,
                         const std::string &Detail) {
-  Watch.Pending = Body;
-  Watch.RetryAt = Now.Mono + ReadBackTime;
-  Out.push_back(Append{Body});
-  Out.push_back(observe::LogEvent{Event, Detail.empty() ? toString(Move.Id)
-                                                        : toString(Move.Id) +
-                                                              ": " + Detail});
+  Context.PendingRecord = Record;
+  Context.AppendRetryAt = Now.Mono + ReadBackTimeout;
+  Effects.push_back(AppendRecord{Record});
+  Effects.push_back(observe::LogEvent{
+      Event,
+      Detail.empty() ? toString(Move.Id) : toString(Move.Id) + ": " + Detail});
 }
 
 void MoveDriver::logOnce(EventId Event, const std::string &Detail) {
-  if (Watch.Logged.insert(Event).second)
-    Out.push_back(observe::LogEvent{Event, Detail});
+  if (Context.LoggedEvents.insert(Event).second)
+    Effects.push_back(observe::LogEvent{Event, Detail});
 }
 
 } // namespace filbertvane::decision::rollout
--- a/lib/decision/rollout/Windows.cpp
+++ b/lib/decision/rollout/Windows.cpp
@@ -6,122 +6,124 @@
 
 namespace {
 
-/// Periods of one length that are kept before two of them are merged.
+/// Number of periods of one length above which the oldest two are merged.
 constexpr std::size_t PeriodsPerLength = 3;
 
-Sample faultsOf(const VersionCounts &Counts) {
+Sample faultSample(const VersionCounts &Counts) {
   return {Counts.Answers, Counts.Faults};
 }
 
-Sample slowOf(const VersionCounts &Counts, std::size_t Boundary) {
-  return {Counts.Latency.total(), Counts.Latency.above(Boundary)};
+Sample slowSample(const VersionCounts &Counts, std::size_t Boundary) {
+  return {Counts.Latency.total(), Counts.Latency.countAbove(Boundary)};
 }
 
-/// Judges windows from the longest to the shortest.
-class Scan {
+/// Tests windows in order, from the longest to the shortest.
+class WindowEvaluator {
 public:
-  /// @param AllOld answers of the old version since acceptance
-  Scan(double Floor, bool Slow, Sample AllOld, double SharedChance)
-      : Control(controlRate(AllOld, Floor)), Floor(Floor), Slow(Slow),
-        SharedChance(SharedChance) {}
-
-  void window(Sample New, Sample Old) {
-    // Chance makes some short window inside a long shared fault look like a
-    // fault of the new version alone; the rate of the longer windows around it
-    // tells them apart.
+  /// @param OldTotal all answers of the old version since acceptance
+  WindowEvaluator(double Floor, bool Slow, Sample OldTotal, double Significance)
+      : Control(controlRate(OldTotal, Floor)), Floor(Floor), Slow(Slow),
+        Significance(Significance) {}
+
+  void evaluate(Sample New, Sample Old) {
+    // Inside a long shared fault, some short window looks by chance like a
+    // fault of the new version alone. The control rate of the longer windows
+    // that contain it prevents a false positive.
     Control = std::max(Control, controlRate(Old, Floor));
-    const Finding Level = judge(New, Old, Control, SharedChance);
-    if (Level > Gravest.Level)
-      Gravest = {Level, Slow, New, Old};
+    const Finding Level = compareVersions(New, Old, Control, Significance);
+    if (Level > MostSevere.Level)
+      MostSevere = {Level, Slow, New, Old};
   }
 
-  const RouteFinding &gravest() const { return Gravest; }
+  const RouteFinding &mostSevere() const { return MostSevere; }
 
 private:
   double Control;
   double Floor;
   bool Slow;
-  double SharedChance;
-  RouteFinding Gravest;
+  double Significance;
+  RouteFinding MostSevere;
 };
 
 } // namespace
 
 void RouteWindows::add(const RouteCounts &Added) {
-  Open += Added;
-  Stage += Added;
+  OpenPeriod += Added;
+  StepTotal += Added;
   Total += Added;
   const auto Boundary = slowBoundary(Total.Old.Latency);
-  HasNewBad = HasNewBad || Added.New.Faults > 0 ||
-              (Boundary && Added.New.Latency.above(*Boundary) > 0);
+  HasNewBadAnswers = HasNewBadAnswers || Added.New.Faults > 0 ||
+                     (Boundary && Added.New.Latency.countAbove(*Boundary) > 0);
 }
 
-void RouteWindows::startStage() {
-  if (Last.Level == Finding::Proven)
+void RouteWindows::startStep() {
+  if (LastFinding.Level == Finding::Proven)
     return;
-  Closed.clear();
-  Open = {};
-  Stage = {};
-  Last = {};
-  HasNewBad = false;
+  ClosedPeriods.clear();
+  OpenPeriod = {};
+  StepTotal = {};
+  LastFinding = {};
+  HasNewBadAnswers = false;
 }
 
 RouteFinding RouteWindows::evaluate() {
-  if (HasNewBad || Last.Level != Finding::None)
-    Last = judgeWindows();
-  HasNewBad = false;
-  return Last;
+  if (HasNewBadAnswers || LastFinding.Level != Finding::None)
+    LastFinding = evaluateWindows();
+  HasNewBadAnswers = false;
+  return LastFinding;
 }
 
 void RouteWindows::closePeriod() {
-  if (Open == RouteCounts())
+  if (OpenPeriod == RouteCounts())
     return;
-  Closed.push_back({Open, 1});
-  Open = {};
-  mergeOldest();
+  ClosedPeriods.push_back({OpenPeriod, 1});
+  OpenPeriod = {};
+  mergePeriods();
 }
 
-void RouteWindows::mergeOldest() {
-  // Walks from the newest period; two of the same length are merged when more
-  // than PeriodsPerLength have it, which may cascade to the next length.
-  std::size_t End = Closed.size();
+void RouteWindows::mergePeriods() {
+  // Starts with the newest periods. Merging two periods may put more than
+  // PeriodsPerLength periods into the next length.
+  std::size_t End = ClosedPeriods.size();
   while (End > 0) {
-    const std::uint32_t Length = Closed[End - 1].Length;
+    const std::uint32_t Length = ClosedPeriods[End - 1].Length;
     std::size_t First = End;
-    while (First > 0 && Closed[First - 1].Length == Length)
+    while (First > 0 && ClosedPeriods[First - 1].Length == Length)
       --First;
     if (End - First <= PeriodsPerLength)
       break;
-    Closed[First].Counts += Closed[First + 1].Counts;
-    Closed[First].Length += Closed[First + 1].Length;
-    Closed.erase(Closed.begin() + static_cast<std::ptrdiff_t>(First) + 1);
+    ClosedPeriods[First].Counts += ClosedPeriods[First + 1].Counts;
+    ClosedPeriods[First].Length += ClosedPeriods[First + 1].Length;
+    ClosedPeriods.erase(ClosedPeriods.begin() +
+                        static_cast<std::ptrdiff_t>(First) + 1);
     End = First + 1;
   }
-  if (Closed.size() <= MaxPeriods)
+  if (ClosedPeriods.size() <= MaxPeriods)
     return;
-  Closed[1].Counts += Closed[0].Counts;
-  Closed.erase(Closed.begin());
+  ClosedPeriods[1].Counts += ClosedPeriods[0].Counts;
+  ClosedPeriods.erase(ClosedPeriods.begin());
 }
 
-RouteFinding RouteWindows::judgeWindows() const {
+RouteFinding RouteWindows::evaluateWindows() const {
   const auto Boundary = slowBoundary(Total.Old.Latency);
-  Scan Faults(ControlErrorRate, false, faultsOf(Total.Old), SharedChance);
-  Scan Latency(ControlSlowRate, true,
-               Boundary ? slowOf(Total.Old, *Boundary) : Sample(),
-               SharedChance);
-  RouteCounts Window = Stage;
-  const auto Judge = [&] {
-    Faults.window(faultsOf(Window.New), faultsOf(Window.Old));
+  WindowEvaluator Faults(ControlErrorRate, false, faultSample(Total.Old),
+                         Significance);
+  WindowEvaluator Latency(
+      ControlSlowRate, true,
+      Boundary ? slowSample(Total.Old, *Boundary) : Sample(), Significance);
+  RouteCounts Window = StepTotal;
+  const auto Evaluate = [&] {
+    Faults.evaluate(faultSample(Window.New), faultSample(Window.Old));
     if (Boundary)
-      Latency.window(slowOf(Window.New, *Boundary),
-                     slowOf(Window.Old, *Boundary));
+      Latency.evaluate(slowSample(Window.New, *Boundary),
+                       slowSample(Window.Old, *Boundary));
   };
-  Judge();
-  for (const Period &Oldest : Closed) {
-    Window = since(Oldest.Counts, Window);
-    Judge();
+  Evaluate();
+  for (const Period &Oldest : ClosedPeriods) {
+    Window = increaseSince(Oldest.Counts, Window);
+    Evaluate();
   }
-  return std::max(Faults.gravest(), Latency.gravest(),
+  return std::max(Faults.mostSevere(), Latency.mostSevere(),
                   [](const RouteFinding &Left, const RouteFinding &Right) {
                     return Left.Level < Right.Level;
                   });
@@ -129,58 +131,60 @@
 
 bool MoveWindows::add(const config::MoveId &Move, const core::RouteName &Route,
                       const RouteCounts &Added) {
-  auto &Routes = Of[Move];
+  auto &Routes = RoutesByMove[Move];
   if (!Routes.contains(Route)) {
-    std::size_t Kept = 0;
-    for (const auto &[Id, Others] : Of)
-      Kept += Others.size();
-    if (Kept >= MaxRoutes)
+    std::size_t RouteCount = 0;
+    for (const auto &[Id, OtherRoutes] : RoutesByMove)
+      RouteCount += OtherRoutes.size();
+    if (RouteCount >= MaxRoutes)
       return false;
   }
-  Routes.try_emplace(Route, SharedChance).first->second.add(Added);
+  Routes.try_emplace(Route, Significance).first->second.add(Added);
   const core::RouteName WholeService;
-  Routes.try_emplace(WholeService, SharedChance).first->second.add(Added);
+  Routes.try_emplace(WholeService, Significance).first->second.add(Added);
   return true;
 }
 
 void MoveWindows::closePeriod() {
-  for (auto &[Move, Routes] : Of)
+  for (auto &[Move, Routes] : RoutesByMove)
     for (auto &[Route, Windows] : Routes)
       Windows.closePeriod();
 }
 
 std::pair<core::RouteName, RouteFinding>
 MoveWindows::evaluate(const config::MoveId &Move) {
-  std::pair<core::RouteName, RouteFinding> Gravest;
-  const auto Found = Of.find(Move);
-  if (Found == Of.end())
-    return Gravest;
+  std::pair<core::RouteName, RouteFinding> MostSevere;
+  const auto Found = RoutesByMove.find(Move);
+  if (Found == RoutesByMove.end())
+    return MostSevere;
   for (auto &[Route, Windows] : Found->second) {
-    const RouteFinding Here = Windows.evaluate();
-    if (Here.Level > Gravest.second.Level)
-      Gravest = {Route, Here};
+    const RouteFinding Result = Windows.evaluate();
+    if (Result.Level > MostSevere.second.Level)
+      MostSevere = {Route, Result};
   }
-  return Gravest;
+  return MostSevere;
 }
 
-void MoveWindows::startStage(const config::MoveId &Move) {
-  if (const auto Found = Of.find(Move); Found != Of.end())
+void MoveWindows::startStep(const config::MoveId &Move) {
+  if (const auto Found = RoutesByMove.find(Move); Found != RoutesByMove.end())
     for (auto &[Route, Windows] : Found->second)
-      Windows.startStage();
+      Windows.startStep();
 }
 
-void MoveWindows::reset(const config::MoveId &Move) { Of.erase(Move); }
+void MoveWindows::reset(const config::MoveId &Move) {
+  RoutesByMove.erase(Move);
+}
 
 std::vector<config::MoveId> MoveWindows::moves() const {
   std::vector<config::MoveId> Ids;
-  for (const auto &[Move, Routes] : Of)
+  for (const auto &[Move, Routes] : RoutesByMove)
     Ids.push_back(Move);
   return Ids;
 }
 
-config::Verdict verdictOf(const core::RouteName &Route,
-                          const RouteFinding &Found) {
-  config::Verdict Result;
+config::MoveDecision makeVerdict(const core::RouteName &Route,
+                                 const RouteFinding &Found) {
+  config::MoveDecision Result;
   Result.Route = Route;
   Result.Reason = fmt::format(
       "{} of {} answers {}, {} of {} on the old version", Found.New.Bad,
--- a/tests/config/FleetStatePropertyTest.cpp
+++ b/tests/config/FleetStatePropertyTest.cpp
@@ -12,7 +12,7 @@
 
 constexpr std::size_t Length = 60;
 
-/// A log in which records are also sent twice.
+/// A log that also contains duplicate and malformed records.
 std::vector<StoredRecord> randomLog(std::uint64_t Seed) {
   RandomLog Source(Seed);
   FleetState State;
@@ -36,16 +36,16 @@
   return State;
 }
 
-/// The parts of a state that only an accepted record may change.
+/// Fields that only an accepted record may change.
 auto configurationOf(const FleetState &State) {
-  return std::tie(State.Version, State.SheetVersion, State.Current,
-                  State.TrafficOf, State.Moves);
+  return std::tie(State.Version, State.SheetVersion, State.CurrentSheet,
+                  State.TrafficByService, State.Moves);
 }
 
 } // namespace
 
-// Guards against two nodes that act on different configurations although they
-// have read the same log, one of them from a snapshot.
+// Guards against nodes that derive different configurations from the same log
+// because one of them starts from a snapshot.
 Test(fleet_state_properties, readers_of_one_log_agree) {
   cr_assert(rc::check("readers agree", [](std::uint64_t Seed) {
     const auto Log = randomLog(Seed);
@@ -57,8 +57,8 @@
   }));
 }
 
-// Guards against a reader that joins after trimming and starts from a snapshot
-// whose following records are gone.
+// Guards against a reader of a trimmed log that starts from a snapshot although
+// records after the snapshot have expired.
 Test(fleet_state_properties, a_reader_after_trimming_agrees_or_refuses) {
   std::size_t Agreed = 0;
   cr_assert(rc::check("trimmed", [&](std::uint64_t Seed) {
@@ -76,8 +76,8 @@
   cr_assert(Agreed > 50, "too few logs held a usable snapshot");
 }
 
-// Guards against a configuration that goes back to a lower version (I1), and
-// against a refused or repeated record that changes it.
+// Guards against a configuration version that decreases (I1), and against a
+// refused or duplicate record that changes the configuration.
 Test(fleet_state_properties, only_accepted_records_change_configuration) {
   std::size_t Accepts = 0;
   std::size_t Refusals = 0;
@@ -85,7 +85,7 @@
   cr_assert(rc::check("versions", [&](std::uint64_t Seed) {
     FleetState State;
     for (const StoredRecord &Each : randomLog(Seed)) {
-      const Applied After = applyEncoded(State, Each.Offset, Each.Bytes);
+      const ApplyResult After = applyEncoded(State, Each.Offset, Each.Bytes);
       const auto *Accept = std::get_if<Accepted>(&After.Outcome);
       Accepts += Accept ? 1 : 0;
       Refusals += std::holds_alternative<Refused>(After.Outcome);
@@ -94,7 +94,7 @@
         RC_ASSERT(After.State.Version.value() == State.Version.value() + 1);
       else
         RC_ASSERT(configurationOf(After.State) == configurationOf(State));
-      RC_ASSERT(After.State.Next > State.Next);
+      RC_ASSERT(After.State.NextOffset > State.NextOffset);
       State = After.State;
     }
   }));
@@ -103,20 +103,21 @@
   cr_assert(Duplicates > 100, "duplicates %zu", Duplicates);
 }
 
-// Guards against records that arrive again, from another peer or late.
+// Guards against records that are received again and applied twice.
 Test(fleet_state_properties, late_offsets_do_nothing) {
   cr_assert(rc::check("late offsets", [](std::uint64_t Seed) {
     const auto Log = randomLog(Seed);
     const FleetState State = foldOf(Log);
     for (const StoredRecord &Each : Log) {
-      const Applied After = applyEncoded(State, Each.Offset, Each.Bytes);
+      const ApplyResult After = applyEncoded(State, Each.Offset, Each.Bytes);
       RC_ASSERT(std::holds_alternative<Duplicate>(After.Outcome));
       RC_ASSERT(After.State == State);
     }
   }));
 }
 
-// Guards against a repeated append (lost acknowledgement) that counts twice.
+// Guards against a record that is applied twice because its append was repeated
+// after a lost acknowledgement.
 Test(fleet_state_properties, a_repeated_record_only_moves_the_position) {
   cr_assert(rc::check("repeats", [](std::uint64_t Seed) {
     const auto Log = randomLog(Seed);
@@ -125,22 +126,22 @@
       State = applyEncoded(State, Each.Offset, Each.Bytes).State;
       if (!core::ok(wire::decodeRecord(Each.Bytes)))
         continue;
-      const Applied Again = applyEncoded(State, State.Next, Each.Bytes);
+      const ApplyResult Again =
+          applyEncoded(State, State.NextOffset, Each.Bytes);
       RC_ASSERT(std::holds_alternative<Duplicate>(Again.Outcome));
       FleetState Expected = State;
-      Expected.Next = core::LogOffset(State.Next.value() + 1);
+      Expected.NextOffset = core::LogOffset(State.NextOffset.value() + 1);
       RC_ASSERT(Again.State == Expected);
     }
   }));
 }
 
-// Guards against a share of a move that falls while the move goes on, and
-// against traffic that does not match the moves in progress.
+// Guards against traffic splits that do not match the moves in progress.
 Test(fleet_state_properties, traffic_follows_the_moves_in_progress) {
   cr_assert(rc::check("traffic", [](std::uint64_t Seed) {
     const FleetState State = foldOf(randomLog(Seed));
     std::size_t Candidates = 0;
-    for (const auto &[Service, Split] : State.TrafficOf)
+    for (const auto &[Service, Split] : State.TrafficByService)
       Candidates += Split.Candidate ? 1 : 0;
     std::size_t InProgress = 0;
     for (const MoveStatus &Move : State.Moves) {
@@ -149,21 +150,21 @@
       if (Move.Stage != MoveStage::InProgress)
         continue;
       ++InProgress;
-      const Traffic &Split = State.TrafficOf.at(Move.Id.Service);
-      RC_ASSERT(Split == (Traffic{Move.From, Move.Order.To, Move.Share}));
+      const TrafficSplit &Split = State.TrafficByService.at(Move.Id.Service);
+      RC_ASSERT(Split == (TrafficSplit{Move.From, Move.Order.To, Move.Share}));
     }
     RC_ASSERT(InProgress == Candidates);
   }));
 }
 
-// Guards against a delta that loses or adds a part of the sheet.
+// Guards against a delta that loses or adds parts of a sheet.
 Test(fleet_state_properties, a_delta_leads_from_one_sheet_to_the_other) {
   cr_assert(rc::check("delta", [](std::uint64_t Seed) {
     RandomLog Source(Seed);
     const Sheet From = Source.sheet({});
     Sheet To = Source.sheet({});
     To.Base = From.Base;
-    RC_ASSERT(applied(From, difference(From, To)) == To);
-    RC_ASSERT(difference(From, From) == SheetDelta{});
+    RC_ASSERT(applyDelta(From, computeDelta(From, To)) == To);
+    RC_ASSERT(computeDelta(From, From) == SheetDelta{});
   }));
 }
--- a/tests/config/ReportTest.cpp
+++ b/tests/config/ReportTest.cpp
@@ -23,23 +23,23 @@
     return Move;
   Move.EndedAt = PublishTime + std::chrono::minutes(5);
   if (Stage != MoveStage::Superseded)
-    Move.Decided = Verdict{core::RouteName("lists"),
-                           "the new version fails more often",
-                           41,
-                           9,
-                           780,
-                           0};
+    Move.Decision = MoveDecision{core::RouteName("lists"),
+                                 "the new version fails more often",
+                                 41,
+                                 9,
+                                 780,
+                                 0};
   return Move;
 }
 
 void assertSentence(const MoveStatus &Move, const std::string &Expected) {
-  const std::string Sentence = sentenceOf(Move, PublishTime);
+  const std::string Sentence = describeMove(Move, PublishTime);
   cr_assert_str_eq(Sentence.c_str(), Expected.c_str());
 }
 
 } // namespace
 
-// Guards against planners who cannot tell what became of a move, when and why.
+// Guards against reports without the outcome, time or reason of a move.
 Test(report, each_stage_reads_as_a_plain_sentence) {
   assertSentence(move(MoveStage::InProgress, 0),
                  "Move of reading from 1.0 to 2.0: accepted at "
@@ -60,8 +60,8 @@
 }
 
 Test(report, a_missed_deadline_is_stated) {
-  const std::string Sentence = sentenceOf(move(MoveStage::InProgress, 125),
-                                          LaterTime + std::chrono::seconds(90));
+  const std::string Sentence = describeMove(
+      move(MoveStage::InProgress, 125), LaterTime + std::chrono::seconds(90));
   cr_assert(Sentence.ends_with("was to be complete by 2026-12-04T11:00:00Z, 1 "
                                "min 30 s ago."),
             "%s", Sentence.c_str());
@@ -76,14 +76,14 @@
   cr_assert(Read["moves"][0]["ended_at"] == "2026-12-04T10:05:00Z");
 }
 
-// Guards against names in the log that make the report throw.
+// Guards against exceptions on names that are not valid UTF-8.
 Test(report, any_state_can_be_reported) {
   cr_assert(rc::check("report", [](std::uint64_t Seed) {
     tests::RandomLog Source(Seed);
     FleetState State;
     for (int I = 0; I < 30; ++I)
-      State = apply(State, State.Next, Source.record(State)).State;
-    State.Refused.push_back({{}, Source.bytes(50), {}});
+      State = apply(State, State.NextOffset, Source.record(State)).State;
+    State.RefusedSheets.push_back({{}, Source.bytes(50), {}});
     State.LeaseHolder = core::NodeId(Source.bytes(50));
     const auto Read = nlohmann::json::parse(reportJson(State, PublishTime));
     RC_ASSERT(Read["moves"].size() == State.Moves.size());
--- a/tests/rollout/FakeFold.h
+++ b/tests/rollout/RecordApplier.h
@@ -1,16 +1,16 @@
-#ifndef FILBERTVANE_TESTS_ROLLOUT_FAKEFOLD_H
-#define FILBERTVANE_TESTS_ROLLOUT_FAKEFOLD_H
+#ifndef FILBERTVANE_TESTS_ROLLOUT_RECORDAPPLIER_H
+#define FILBERTVANE_TESTS_ROLLOUT_RECORDAPPLIER_H
 
 #include "filbertvane/config/FleetState.h"
 #include <algorithm>
 
 namespace filbertvane::fake {
 
-/// Stands for config::apply until that is merged: the rules for lease and move
-/// records that docs/design.md section 4 states.
-class Fold {
+/// Test double of config::apply with the rules for lease, move and sheet
+/// records.
+class RecordApplier {
 public:
-  explicit Fold(config::FleetState &State) : State(State) {}
+  explicit RecordApplier(config::FleetState &State) : State(State) {}
 
   bool operator()(const config::LeaseClaimed &Record) {
     if (Record.NewEpoch.value() != State.CurrentEpoch.value() + 1)
@@ -25,15 +25,15 @@
         Record.Share > config::FullShare)
       return false;
     Move->Share = Record.Share;
-    State.TrafficOf[Move->Id.Service] = {Move->From, Move->Order.To,
-                                         Record.Share};
-    return rise();
+    State.TrafficByService[Move->Id.Service] = {Move->From, Move->Order.To,
+                                                Record.Share};
+    return advanceVersion();
   }
   bool operator()(const config::MoveRolledBack &Record) {
-    return end(Record, config::MoveStage::RolledBack);
+    return endMove(Record, config::MoveStage::RolledBack);
   }
   bool operator()(const config::MoveCompleted &Record) {
-    return end(Record, config::MoveStage::Completed);
+    return endMove(Record, config::MoveStage::Completed);
   }
   bool operator()(const config::InForceReported &Record) {
     if (Record.LeaseEpoch != State.CurrentEpoch)
@@ -43,14 +43,14 @@
   }
   bool operator()(const config::SheetPublished &Record) {
     for (const config::ServiceSpec &Service : Record.Delta.ChangedServices)
-      order(Service, Record.PublishedAt);
+      startMove(Service, Record.PublishedAt);
     State.SheetVersion = State.Version;
     return true;
   }
   bool operator()(const config::SnapshotTaken &) { return false; }
 
 private:
-  bool rise() {
+  bool advanceVersion() {
     State.Version = core::ConfigVersion(State.Version.value() + 1);
     return true;
   }
@@ -64,25 +64,25 @@
     return Valid ? &*Found : nullptr;
   }
   template <typename Record>
-  bool end(const Record &Ended, config::MoveStage Stage) {
+  bool endMove(const Record &Ended, config::MoveStage Stage) {
     config::MoveStatus *Move = inProgress(Ended.LeaseEpoch, Ended.Move);
     if (Move == nullptr)
       return false;
     Move->Stage = Stage;
     Move->EndedAt = Ended.At;
-    Move->Decided = Ended.Decided;
-    const bool Done = Stage == config::MoveStage::Completed;
-    State.TrafficOf[Move->Id.Service] = {Done ? Move->Order.To : Move->From,
-                                         std::nullopt, 0};
-    return rise();
+    Move->Decision = Ended.Decision;
+    const bool IsCompleted = Stage == config::MoveStage::Completed;
+    State.TrafficByService[Move->Id.Service] = {
+        IsCompleted ? Move->Order.To : Move->From, std::nullopt, 0};
+    return advanceVersion();
   }
-  void order(const config::ServiceSpec &Service, core::WallTime At) {
-    rise();
+  void startMove(const config::ServiceSpec &Service, core::WallTime At) {
+    advanceVersion();
     for (config::MoveStatus &Move : State.Moves)
       if (Move.Id.Service == Service.Name &&
           Move.Stage == config::MoveStage::InProgress)
         Move.Stage = config::MoveStage::Superseded;
-    State.TrafficOf[Service.Name] = {Service.Version, std::nullopt, 0};
+    State.TrafficByService[Service.Name] = {Service.Version, std::nullopt, 0};
     if (!Service.Move)
       return;
     config::MoveStatus Move;
@@ -98,12 +98,13 @@
 
 /// Applies one record.
 /// @return whether it had an effect
-inline bool fold(config::FleetState &State, const config::RecordBody &Body) {
-  State.Next = core::LogOffset(State.Next.value() + 1);
-  return std::visit(Fold(State), Body);
+inline bool applyRecord(config::FleetState &State,
+                        const config::RecordBody &Body) {
+  State.NextOffset = core::LogOffset(State.NextOffset.value() + 1);
+  return std::visit(RecordApplier(State), Body);
 }
 
-/// Sheet that orders one service to move.
+/// Sheet that orders a move of one service.
 inline config::SheetPublished moveSheet(core::WallTime Now, core::Seconds Time,
                                         const char *To = "2") {
   config::ServiceSpec Service;
@@ -118,4 +119,4 @@
 
 } // namespace filbertvane::fake
 
-#endif // FILBERTVANE_TESTS_ROLLOUT_FAKEFOLD_H
+#endif // FILBERTVANE_TESTS_ROLLOUT_RECORDAPPLIER_H
--- a/tools/fv-moves/Run.cpp
+++ b/tools/fv-moves/Run.cpp
@@ -1,5 +1,5 @@
 #include "Run.h"
-#include "filbertvane/decision/rollout/Judgement.h"
+#include "filbertvane/decision/rollout/RolloutPolicy.h"
 #include <algorithm>
 #include <array>
 #include <cmath>
@@ -26,7 +26,7 @@
 struct Answered {
   core::Milliseconds At;
   int Node = 0;
-  request::Observed Answer;
+  request::ObservedAnswer Answer;
   bool IsBad = false;
   bool operator>(const Answered &Other) const { return At > Other.At; }
 };
@@ -34,7 +34,7 @@
 /// Judges the answers of all nodes at once, as if messages took no time.
 class Oracle {
 public:
-  bool add(const request::Observed &Answer, config::Permille Share,
+  bool add(const request::ObservedAnswer &Answer, config::Permille Share,
            core::Milliseconds Now) {
     setShare(Share);
     if (Share > 0 && !FirstShare)
@@ -43,7 +43,7 @@
     const auto Found = Windows.evaluate();
     config::MoveStatus Status;
     Status.Share = Share;
-    return rollout::withdraws(Status, Found);
+    return rollout::shouldWithdraw(Status, Found);
   }
   void closePeriod() { Windows.closePeriod(); }
   void restart() { Windows = {}; }
@@ -51,19 +51,19 @@
 private:
   void setShare(config::Permille Share) {
     if (Share != Stage)
-      Windows.startStage();
+      Windows.startStep();
     Stage = Share;
   }
-  void count(bool IsNew, const request::Observed &Answer,
+  void count(bool IsNew, const request::ObservedAnswer &Answer,
              core::Milliseconds Now) {
     rollout::RouteCounts Added;
     auto &Side = IsNew ? Added.New : Added.Old;
     Side.Answers = 1;
     Side.Faults = Answer.Fault ? 1 : 0;
     const bool IsWarm =
-        !IsNew || (FirstShare && Now >= *FirstShare + rollout::WarmUp);
+        !IsNew || (FirstShare && Now >= *FirstShare + rollout::WarmUpDuration);
     if (!Answer.Fault && IsWarm)
-      Side.Latency.Count[rollout::LatencyHistogram::bucketOf(Answer.Latency)] =
+      Side.Latency.Counts[rollout::LatencyHistogram::bucketOf(Answer.Latency)] =
           1;
     Windows.add(Added);
   }
@@ -129,7 +129,7 @@
 Answered Engine::answerOf(int Node, const Route &On, bool IsNew) {
   Answered Done;
   Done.Node = Node;
-  request::Observed &Answer = Done.Answer;
+  request::ObservedAnswer &Answer = Done.Answer;
   Answer.Service = core::ServiceName("booking");
   Answer.Route = On.Name;
   Answer.Version = core::TargetVersion(IsNew ? "2" : "1");
--- a/tools/fv-policy/Simulation.cpp
+++ b/tools/fv-policy/Simulation.cpp
@@ -29,8 +29,8 @@
   Route.Name = core::RouteName("list");
   Route.Prefix = "/list";
   Route.Service = core::ServiceName("shop");
-  Made.Current.Routes.push_back(Route);
-  Made.TrafficOf[Route.Service] = {core::TargetVersion("1"), {}, 0};
+  Made.CurrentSheet.Routes.push_back(Route);
+  Made.TrafficByService[Route.Service] = {core::TargetVersion("1"), {}, 0};
   return std::make_shared<const config::FleetState>(std::move(Made));
 }
 
@@ -137,9 +137,9 @@
 
 void Simulation::handle(State &Node, const Event &Event, std::size_t Place) {
   auto Next = reduce(std::move(Node), Event, now());
-  Node = std::move(Next.Next);
-  const bool IsHost = Node->OwnTargets.size() == 1;
-  for (const Effect &One : Next.Out) {
+  Node = std::move(Next.NextState);
+  const bool IsHost = Node->LocalTargets.size() == 1;
+  for (const Effect &One : Next.EmittedEffects) {
     if (const auto *To = std::get_if<StartAttempt>(&One))
       IsHost ? serve(Place, *To) : send(*To);
     const auto *No = std::get_if<Refuse>(&One);
