--- a/include/filbertvane/config/Routing.h
+++ b/include/filbertvane/config/Routing.h
@@ -30,8 +30,11 @@
   std::vector<WeightedService> Services;
   /// A request of a non-idempotent route runs at most once.
   bool Idempotent = false;
-  /// Large answers are expected.
+  /// Large requests or answers are expected.
   bool Bulk = false;
+  /// Kind that the operator named, if this version of the node does not know
+  /// it.
+  std::optional<std::string> UnknownKind;
   /// Time after which a request fails if it has no answer.
   core::Milliseconds Timeout{0};
   /// Target latency; a later answer is of less value to the caller.
--- a/lib/decision/mesh/ReduceHosts.cpp
+++ b/lib/decision/mesh/ReduceHosts.cpp
@@ -116,6 +116,11 @@
   log(observe::EventId::MeshRoutingApplied,
       fmt::format("config={} routes={}", Version.value(),
                   Loaded.Table->routing().Routes.size()));
+  for (const config::HostRoute &Route : Loaded.Table->routing().Routes)
+    if (Route.UnknownKind)
+      log(observe::EventId::MeshRouteKindUnknown,
+          fmt::format("route={} kind={}", Route.Name.value(),
+                      *Route.UnknownKind));
   updateReadiness();
 }
 
--- a/tests/mesh/RequestFlowTest.cpp
+++ b/tests/mesh/RequestFlowTest.cpp
@@ -6,6 +6,21 @@
 using request::Refuse;
 using request::StartAttempt;
 
+// Guards against a route that is handled with more care than the operator asked
+// for, without a word to the operator.
+Test(mesh_requests, a_route_of_an_unknown_kind_is_logged) {
+  Bench Node;
+  config::Routing Routing = shopRouting();
+  Routing.Routes[1].UnknownKind = "sometimes";
+  Node.configure(Routing);
+  std::vector<std::string> Details;
+  for (const Effect &Produced : Node.Last)
+    if (const auto *Line = std::get_if<observe::LogEvent>(&Produced);
+        Line != nullptr && Line->Id == observe::EventId::MeshRouteKindUnknown)
+      Details.push_back(Line->Detail);
+  cr_assert(Details == std::vector<std::string>{"route=book kind=sometimes"});
+}
+
 // Guards against a 404 answer from a node that has no configuration yet.
 Test(mesh_requests, a_node_without_configuration_is_not_ready) {
   Bench Node;
