--- a/gen/filbertvane_types.cpp
+++ b/gen/filbertvane_types.cpp
@@ -8336,8 +8336,12 @@
   this->faults = val;
 }
 
-void RouteTally::__set_timeMs(const int64_t val) {
-  this->timeMs = val;
+void RouteTally::__set_times(const std::vector<int32_t> & val) {
+  this->times = val;
+}
+
+void RouteTally::__set_cutOffTimes(const std::vector<int32_t> & val) {
+  this->cutOffTimes = val;
 }
 std::ostream& operator<<(std::ostream& out, const RouteTally& obj)
 {
@@ -8391,10 +8395,42 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->timeMs);
-          this->__isset.timeMs = true;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->times.clear();
+            uint32_t _size260;
+            ::apache::thrift::protocol::TType _etype263;
+            xfer += iprot->readListBegin(_etype263, _size260);
+            this->times.resize(_size260);
+            uint32_t _i264;
+            for (_i264 = 0; _i264 < _size260; ++_i264)
+            {
+              xfer += iprot->readI32(this->times[_i264]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.times = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->cutOffTimes.clear();
+            uint32_t _size265;
+            ::apache::thrift::protocol::TType _etype268;
+            xfer += iprot->readListBegin(_etype268, _size265);
+            this->cutOffTimes.resize(_size265);
+            uint32_t _i269;
+            for (_i269 = 0; _i269 < _size265; ++_i269)
+            {
+              xfer += iprot->readI32(this->cutOffTimes[_i269]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.cutOffTimes = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -8428,8 +8464,28 @@
   xfer += oprot->writeI64(this->faults);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("timeMs", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->timeMs);
+  xfer += oprot->writeFieldBegin("times", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->times.size()));
+    std::vector<int32_t> ::const_iterator _iter270;
+    for (_iter270 = this->times.begin(); _iter270 != this->times.end(); ++_iter270)
+    {
+      xfer += oprot->writeI32((*_iter270));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("cutOffTimes", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->cutOffTimes.size()));
+    std::vector<int32_t> ::const_iterator _iter271;
+    for (_iter271 = this->cutOffTimes.begin(); _iter271 != this->cutOffTimes.end(); ++_iter271)
+    {
+      xfer += oprot->writeI32((*_iter271));
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -8442,23 +8498,26 @@
   swap(a.route, b.route);
   swap(a.answers, b.answers);
   swap(a.faults, b.faults);
-  swap(a.timeMs, b.timeMs);
+  swap(a.times, b.times);
+  swap(a.cutOffTimes, b.cutOffTimes);
   swap(a.__isset, b.__isset);
 }
 
-RouteTally::RouteTally(const RouteTally& other260) {
-  route = other260.route;
-  answers = other260.answers;
-  faults = other260.faults;
-  timeMs = other260.timeMs;
-  __isset = other260.__isset;
+RouteTally::RouteTally(const RouteTally& other272) {
+  route = other272.route;
+  answers = other272.answers;
+  faults = other272.faults;
+  times = other272.times;
+  cutOffTimes = other272.cutOffTimes;
+  __isset = other272.__isset;
 }
-RouteTally& RouteTally::operator=(const RouteTally& other261) {
-  route = other261.route;
-  answers = other261.answers;
-  faults = other261.faults;
-  timeMs = other261.timeMs;
-  __isset = other261.__isset;
+RouteTally& RouteTally::operator=(const RouteTally& other273) {
+  route = other273.route;
+  answers = other273.answers;
+  faults = other273.faults;
+  times = other273.times;
+  cutOffTimes = other273.cutOffTimes;
+  __isset = other273.__isset;
   return *this;
 }
 void RouteTally::printTo(std::ostream& out) const {
@@ -8467,7 +8526,8 @@
   out << "route=" << to_string(route);
   out << ", " << "answers=" << to_string(answers);
   out << ", " << "faults=" << to_string(faults);
-  out << ", " << "timeMs=" << to_string(timeMs);
+  out << ", " << "times=" << to_string(times);
+  out << ", " << "cutOffTimes=" << to_string(cutOffTimes);
   out << ")";
 }
 
@@ -8629,14 +8689,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tallies.clear();
-            uint32_t _size262;
-            ::apache::thrift::protocol::TType _etype265;
-            xfer += iprot->readListBegin(_etype265, _size262);
-            this->tallies.resize(_size262);
-            uint32_t _i266;
-            for (_i266 = 0; _i266 < _size262; ++_i266)
+            uint32_t _size274;
+            ::apache::thrift::protocol::TType _etype277;
+            xfer += iprot->readListBegin(_etype277, _size274);
+            this->tallies.resize(_size274);
+            uint32_t _i278;
+            for (_i278 = 0; _i278 < _size274; ++_i278)
             {
-              xfer += this->tallies[_i266].read(iprot);
+              xfer += this->tallies[_i278].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8717,10 +8777,10 @@
   xfer += oprot->writeFieldBegin("tallies", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->tallies.size()));
-    std::vector<RouteTally> ::const_iterator _iter267;
-    for (_iter267 = this->tallies.begin(); _iter267 != this->tallies.end(); ++_iter267)
+    std::vector<RouteTally> ::const_iterator _iter279;
+    for (_iter279 = this->tallies.begin(); _iter279 != this->tallies.end(); ++_iter279)
     {
-      xfer += (*_iter267).write(oprot);
+      xfer += (*_iter279).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8758,35 +8818,35 @@
   swap(a.__isset, b.__isset);
 }
 
-TargetReport::TargetReport(const TargetReport& other268) {
-  target = other268.target;
-  serviceName = other268.serviceName;
-  version = other268.version;
-  state = other268.state;
-  running = other268.running;
-  waiting = other268.waiting;
-  slots = other268.slots;
-  meanMs = other268.meanMs;
-  faultPermille = other268.faultPermille;
-  tallies = other268.tallies;
-  linkMs = other268.linkMs;
-  limitPerSecond = other268.limitPerSecond;
-  __isset = other268.__isset;
-}
-TargetReport& TargetReport::operator=(const TargetReport& other269) {
-  target = other269.target;
-  serviceName = other269.serviceName;
-  version = other269.version;
-  state = other269.state;
-  running = other269.running;
-  waiting = other269.waiting;
-  slots = other269.slots;
-  meanMs = other269.meanMs;
-  faultPermille = other269.faultPermille;
-  tallies = other269.tallies;
-  linkMs = other269.linkMs;
-  limitPerSecond = other269.limitPerSecond;
-  __isset = other269.__isset;
+TargetReport::TargetReport(const TargetReport& other280) {
+  target = other280.target;
+  serviceName = other280.serviceName;
+  version = other280.version;
+  state = other280.state;
+  running = other280.running;
+  waiting = other280.waiting;
+  slots = other280.slots;
+  meanMs = other280.meanMs;
+  faultPermille = other280.faultPermille;
+  tallies = other280.tallies;
+  linkMs = other280.linkMs;
+  limitPerSecond = other280.limitPerSecond;
+  __isset = other280.__isset;
+}
+TargetReport& TargetReport::operator=(const TargetReport& other281) {
+  target = other281.target;
+  serviceName = other281.serviceName;
+  version = other281.version;
+  state = other281.state;
+  running = other281.running;
+  waiting = other281.waiting;
+  slots = other281.slots;
+  meanMs = other281.meanMs;
+  faultPermille = other281.faultPermille;
+  tallies = other281.tallies;
+  linkMs = other281.linkMs;
+  limitPerSecond = other281.limitPerSecond;
+  __isset = other281.__isset;
   return *this;
 }
 void TargetReport::printTo(std::ostream& out) const {
@@ -8951,21 +9011,21 @@
   swap(a.__isset, b.__isset);
 }
 
-MoveReport::MoveReport(const MoveReport& other270) {
-  serviceName = other270.serviceName;
-  toVersion = other270.toVersion;
-  order = other270.order;
-  phase = other270.phase;
-  elapsedMs = other270.elapsedMs;
-  __isset = other270.__isset;
-}
-MoveReport& MoveReport::operator=(const MoveReport& other271) {
-  serviceName = other271.serviceName;
-  toVersion = other271.toVersion;
-  order = other271.order;
-  phase = other271.phase;
-  elapsedMs = other271.elapsedMs;
-  __isset = other271.__isset;
+MoveReport::MoveReport(const MoveReport& other282) {
+  serviceName = other282.serviceName;
+  toVersion = other282.toVersion;
+  order = other282.order;
+  phase = other282.phase;
+  elapsedMs = other282.elapsedMs;
+  __isset = other282.__isset;
+}
+MoveReport& MoveReport::operator=(const MoveReport& other283) {
+  serviceName = other283.serviceName;
+  toVersion = other283.toVersion;
+  order = other283.order;
+  phase = other283.phase;
+  elapsedMs = other283.elapsedMs;
+  __isset = other283.__isset;
   return *this;
 }
 void MoveReport::printTo(std::ostream& out) const {
@@ -9072,15 +9132,15 @@
   swap(a.__isset, b.__isset);
 }
 
-LeftTarget::LeftTarget(const LeftTarget& other272) {
-  target = other272.target;
-  born = other272.born;
-  __isset = other272.__isset;
+LeftTarget::LeftTarget(const LeftTarget& other284) {
+  target = other284.target;
+  born = other284.born;
+  __isset = other284.__isset;
 }
-LeftTarget& LeftTarget::operator=(const LeftTarget& other273) {
-  target = other273.target;
-  born = other273.born;
-  __isset = other273.__isset;
+LeftTarget& LeftTarget::operator=(const LeftTarget& other285) {
+  target = other285.target;
+  born = other285.born;
+  __isset = other285.__isset;
   return *this;
 }
 void LeftTarget::printTo(std::ostream& out) const {
@@ -9249,14 +9309,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->moves.clear();
-            uint32_t _size274;
-            ::apache::thrift::protocol::TType _etype277;
-            xfer += iprot->readListBegin(_etype277, _size274);
-            this->moves.resize(_size274);
-            uint32_t _i278;
-            for (_i278 = 0; _i278 < _size274; ++_i278)
+            uint32_t _size286;
+            ::apache::thrift::protocol::TType _etype289;
+            xfer += iprot->readListBegin(_etype289, _size286);
+            this->moves.resize(_size286);
+            uint32_t _i290;
+            for (_i290 = 0; _i290 < _size286; ++_i290)
             {
-              xfer += this->moves[_i278].read(iprot);
+              xfer += this->moves[_i290].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9338,10 +9398,10 @@
   xfer += oprot->writeFieldBegin("moves", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->moves.size()));
-    std::vector<MoveReport> ::const_iterator _iter279;
-    for (_iter279 = this->moves.begin(); _iter279 != this->moves.end(); ++_iter279)
+    std::vector<MoveReport> ::const_iterator _iter291;
+    for (_iter291 = this->moves.begin(); _iter291 != this->moves.end(); ++_iter291)
     {
-      xfer += (*_iter279).write(oprot);
+      xfer += (*_iter291).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9378,35 +9438,35 @@
   swap(a.__isset, b.__isset);
 }
 
-HostReport::HostReport(const HostReport& other280) {
-  node = other280.node;
-  start = other280.start;
-  sequence = other280.sequence;
-  address = other280.address;
-  dataCentre = other280.dataCentre;
-  region = other280.region;
-  leaving = other280.leaving;
-  target = other280.target;
-  position = other280.position;
-  moves = other280.moves;
-  storeReachable = other280.storeReachable;
-  left = other280.left;
-  __isset = other280.__isset;
-}
-HostReport& HostReport::operator=(const HostReport& other281) {
-  node = other281.node;
-  start = other281.start;
-  sequence = other281.sequence;
-  address = other281.address;
-  dataCentre = other281.dataCentre;
-  region = other281.region;
-  leaving = other281.leaving;
-  target = other281.target;
-  position = other281.position;
-  moves = other281.moves;
-  storeReachable = other281.storeReachable;
-  left = other281.left;
-  __isset = other281.__isset;
+HostReport::HostReport(const HostReport& other292) {
+  node = other292.node;
+  start = other292.start;
+  sequence = other292.sequence;
+  address = other292.address;
+  dataCentre = other292.dataCentre;
+  region = other292.region;
+  leaving = other292.leaving;
+  target = other292.target;
+  position = other292.position;
+  moves = other292.moves;
+  storeReachable = other292.storeReachable;
+  left = other292.left;
+  __isset = other292.__isset;
+}
+HostReport& HostReport::operator=(const HostReport& other293) {
+  node = other293.node;
+  start = other293.start;
+  sequence = other293.sequence;
+  address = other293.address;
+  dataCentre = other293.dataCentre;
+  region = other293.region;
+  leaving = other293.leaving;
+  target = other293.target;
+  position = other293.position;
+  moves = other293.moves;
+  storeReachable = other293.storeReachable;
+  left = other293.left;
+  __isset = other293.__isset;
   return *this;
 }
 void HostReport::printTo(std::ostream& out) const {
@@ -9537,17 +9597,17 @@
   swap(a.__isset, b.__isset);
 }
 
-OperatorRecord::OperatorRecord(const OperatorRecord& other282) {
-  key = other282.key;
-  offset = other282.offset;
-  value = other282.value;
-  __isset = other282.__isset;
+OperatorRecord::OperatorRecord(const OperatorRecord& other294) {
+  key = other294.key;
+  offset = other294.offset;
+  value = other294.value;
+  __isset = other294.__isset;
 }
-OperatorRecord& OperatorRecord::operator=(const OperatorRecord& other283) {
-  key = other283.key;
-  offset = other283.offset;
-  value = other283.value;
-  __isset = other283.__isset;
+OperatorRecord& OperatorRecord::operator=(const OperatorRecord& other295) {
+  key = other295.key;
+  offset = other295.offset;
+  value = other295.value;
+  __isset = other295.__isset;
   return *this;
 }
 void OperatorRecord::printTo(std::ostream& out) const {
@@ -9611,14 +9671,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size284;
-            ::apache::thrift::protocol::TType _etype287;
-            xfer += iprot->readListBegin(_etype287, _size284);
-            this->records.resize(_size284);
-            uint32_t _i288;
-            for (_i288 = 0; _i288 < _size284; ++_i288)
+            uint32_t _size296;
+            ::apache::thrift::protocol::TType _etype299;
+            xfer += iprot->readListBegin(_etype299, _size296);
+            this->records.resize(_size296);
+            uint32_t _i300;
+            for (_i300 = 0; _i300 < _size296; ++_i300)
             {
-              xfer += this->records[_i288].read(iprot);
+              xfer += this->records[_i300].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9651,10 +9711,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<OperatorRecord> ::const_iterator _iter289;
-    for (_iter289 = this->records.begin(); _iter289 != this->records.end(); ++_iter289)
+    std::vector<OperatorRecord> ::const_iterator _iter301;
+    for (_iter301 = this->records.begin(); _iter301 != this->records.end(); ++_iter301)
     {
-      xfer += (*_iter289).write(oprot);
+      xfer += (*_iter301).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9672,15 +9732,15 @@
   swap(a.__isset, b.__isset);
 }
 
-OperatorRecords::OperatorRecords(const OperatorRecords& other290) {
-  position = other290.position;
-  records = other290.records;
-  __isset = other290.__isset;
+OperatorRecords::OperatorRecords(const OperatorRecords& other302) {
+  position = other302.position;
+  records = other302.records;
+  __isset = other302.__isset;
 }
-OperatorRecords& OperatorRecords::operator=(const OperatorRecords& other291) {
-  position = other291.position;
-  records = other291.records;
-  __isset = other291.__isset;
+OperatorRecords& OperatorRecords::operator=(const OperatorRecords& other303) {
+  position = other303.position;
+  records = other303.records;
+  __isset = other303.__isset;
   return *this;
 }
 void OperatorRecords::printTo(std::ostream& out) const {
--- a/gen/filbertvane_types.h
+++ b/gen/filbertvane_types.h
@@ -3365,11 +3365,12 @@
 std::ostream& operator<<(std::ostream& out, const ControlMessage& obj);
 
 typedef struct _RouteTally__isset {
-  _RouteTally__isset() : route(false), answers(false), faults(false), timeMs(false) {}
+  _RouteTally__isset() : route(false), answers(false), faults(false), times(false), cutOffTimes(false) {}
   bool route :1;
   bool answers :1;
   bool faults :1;
-  bool timeMs :1;
+  bool times :1;
+  bool cutOffTimes :1;
 } _RouteTally__isset;
 
 class RouteTally : public virtual ::apache::thrift::TBase {
@@ -3380,15 +3381,15 @@
   RouteTally() noexcept
              : route(),
                answers(0),
-               faults(0),
-               timeMs(0) {
+               faults(0) {
   }
 
   virtual ~RouteTally() noexcept;
   std::string route;
   int64_t answers;
   int64_t faults;
-  int64_t timeMs;
+  std::vector<int32_t>  times;
+  std::vector<int32_t>  cutOffTimes;
 
   _RouteTally__isset __isset;
 
@@ -3398,7 +3399,9 @@
 
   void __set_faults(const int64_t val);
 
-  void __set_timeMs(const int64_t val);
+  void __set_times(const std::vector<int32_t> & val);
+
+  void __set_cutOffTimes(const std::vector<int32_t> & val);
 
   bool operator == (const RouteTally & rhs) const
   {
@@ -3408,7 +3411,9 @@
       return false;
     if (!(faults == rhs.faults))
       return false;
-    if (!(timeMs == rhs.timeMs))
+    if (!(times == rhs.times))
+      return false;
+    if (!(cutOffTimes == rhs.cutOffTimes))
       return false;
     return true;
   }
--- a/include/filbertvane/decision/mesh/HostReport.h
+++ b/include/filbertvane/decision/mesh/HostReport.h
@@ -3,6 +3,7 @@
 
 #include "filbertvane/core/Ids.h"
 #include "filbertvane/decision/TargetLoad.h"
+#include "filbertvane/decision/mesh/AnswerTimes.h"
 #include <optional>
 #include <vector>
 
@@ -24,8 +25,11 @@
   std::uint64_t Answers = 0;
   /// Answers with a server error, and answers that were lost.
   std::uint64_t Faults = 0;
-  /// Sum of the times of the answers without fault.
-  core::Milliseconds TotalTime{0};
+  /// Times of the answers without fault.
+  AnswerTimes Times;
+  /// Times after which requests were given up without an answer: each is a
+  /// lower bound of an answer time.
+  AnswerTimes CutOffTimes;
 
   friend auto operator<=>(const RouteTally &, const RouteTally &) = default;
 };
--- a/include/filbertvane/decision/mesh/MoveTracker.h
+++ b/include/filbertvane/decision/mesh/MoveTracker.h
@@ -28,6 +28,8 @@
   MovePhase Phase = MovePhase::Running;
   /// Why the new version was rejected.
   std::string Reason;
+  /// Time from which the new version had answered often enough.
+  std::optional<core::TimePoint> SufficientSince;
 
   bool ended() const {
     return Phase == MovePhase::Completed || Phase == MovePhase::RolledBack;
@@ -46,17 +48,14 @@
   std::optional<core::TargetVersion> Exclusive;
 };
 
-/// @brief Answers of one version on one route, summed over hosts.
-struct VersionSample {
-  std::uint64_t Answers = 0;
-  std::uint64_t Faults = 0;
-  double TotalTimeMs = 0;
-};
-
 /// @brief Result of comparing a new version with the others.
 struct MoveVerdict {
   bool Rejected = false;
   std::string Reason;
+  /// Answers of the new version on all routes.
+  std::uint64_t Answers = 0;
+  /// A version with faults would have been found among these answers.
+  bool Sufficient = false;
 };
 
 /// @brief Compares the new version of a move with the others of its service.
@@ -69,8 +68,9 @@
 /// @brief Tracks the moves of all services from order to completion or
 ///        rollback.
 ///
-/// The share of the new version depends only on the time since the order, so
-/// that all nodes agree on it without messages.
+/// The share of the new version follows from the time since the order, so that
+/// all nodes agree on it without messages. It does not exceed a tenth of all
+/// requests before the new version has answered often enough.
 class MoveTracker {
 public:
   /// @brief Starts tracking an order unless the same or a newer one is known.
@@ -83,9 +83,15 @@
   bool advance(const core::ServiceName &Service, MovePhase Phase,
                std::string Reason);
 
+  /// @brief Notes that the new version of a service has answered often enough
+  ///        for its faults to show.
+  void recordSufficientEvidence(const core::ServiceName &Service,
+                                core::TimePoint Now);
+
   VersionShares shares(const core::ServiceName &Service,
                        core::TimePoint Now) const;
-  /// @brief Whether the move has run long enough to be completed.
+  /// @brief Whether the move has run long enough, with sufficient evidence, to
+  ///        be completed.
   bool readyToComplete(const TrackedMove &Move, core::TimePoint Now) const;
   std::vector<MoveReport> reports(core::TimePoint Now) const;
   const std::map<core::ServiceName, TrackedMove> &moves() const {
--- a/lib/decision/mesh/MoveTracker.cpp
+++ b/lib/decision/mesh/MoveTracker.cpp
@@ -17,60 +17,78 @@
 
 /// The canary takes half of the time, since some faults appear only seconds
 /// after the start. The steps after it leave a quarter of the time for the
-/// completion.
+/// completion. Until the last step the new version has got less than a tenth of
+/// the requests of the whole time, whatever the evidence shows.
 constexpr std::array<ScheduleStep, 4> Schedule = {
-    ScheduleStep{0.0, 50}, ScheduleStep{0.5, 200}, ScheduleStep{0.6, 500},
+    ScheduleStep{0.0, 80}, ScheduleStep{0.5, 150}, ScheduleStep{0.6, 500},
     ScheduleStep{0.68, 1000}};
+/// Fraction of the time at which a move stops until the evidence is sufficient.
+constexpr double GatedFraction = 0.6;
+/// Share of the new version meanwhile, in thousandths: with it, the new version
+/// gets less than a tenth of the requests also if the move stops for good.
+constexpr std::uint32_t GatedPermille = 100;
 /// Fraction of the time after which a move without faults is completed:
 /// requests in progress at the old version have ended by then.
 constexpr double CompletionFraction = 0.8;
 
-/// Answers without fault that both versions need before mean times are
-/// compared.
-constexpr std::uint64_t MinimumTimedAnswers = 10;
-/// Ratio of mean times above which the new version is rejected. Hosts of one
-/// service differ in speed by a factor of up to 2.3.
-constexpr double MaximumTimeRatio = 2.5;
-/// Ratio of fault rates below which the new version is not rejected: load and
-/// lost answers vary between hosts of one version.
+/// Answers of the new version among which a fault or a delay of one in three is
+/// found with a probability above 0.95.
+constexpr std::uint64_t SufficientAnswers = 100;
+/// An answer is slow when it takes longer than this multiple of the median of
+/// the other versions. Hosts of one service differ in speed by a factor of up
+/// to 3. The median holds when some hosts are slow.
+constexpr int SlowMedianFactor = 4;
+/// Share of slow answers that is tolerated in any version: that of a slow host
+/// with widely spread answer times.
+constexpr double ToleratedSlowRate = 0.1;
+/// Answers of the other versions below which there is no median to compare
+/// with.
+constexpr std::uint64_t MinimumOldTimes = 10;
+/// Ratios of the rates of the versions below which the new one is not rejected.
+/// Load and lost answers vary between hosts of one version; a slow host of the
+/// old version must not hide a new version that is slow everywhere.
 constexpr double MinimumFaultRateRatio = 3;
-/// Faults after which a host counts as showing a fault.
+constexpr double MinimumSlowRateRatio = 2;
+/// Bad answers after which a host counts as showing them.
 constexpr std::uint64_t MinimumFaultsPerHost = 2;
 /// Answers after which a host counts in a verdict.
 constexpr std::uint64_t MinimumAnswersPerHost = 4;
 
-double elapsedFraction(const TrackedMove &Move, core::TimePoint Now) {
-  const auto TotalTime =
-      static_cast<double>((Move.Deadline - Move.StartedAt).count());
-  const auto ElapsedTime = static_cast<double>((Now - Move.StartedAt).count());
-  return TotalTime <= 0 ? 1.0 : ElapsedTime / TotalTime;
+double fractionOf(const TrackedMove &Move, core::Microseconds Time) {
+  const core::Microseconds TotalTime = Move.Deadline - Move.StartedAt;
+  if (TotalTime.count() <= 0)
+    return 1;
+  return static_cast<double>(Time.count()) /
+         static_cast<double>(TotalTime.count());
 }
 
-VersionSample toSample(const RouteTally &Tally) {
-  return {Tally.Answers, Tally.Faults,
-          static_cast<double>(Tally.TotalTime.count())};
+bool isGated(const TrackedMove &Move, core::TimePoint Now) {
+  return !Move.SufficientSince &&
+         fractionOf(Move, Now - Move.StartedAt) >= GatedFraction;
 }
 
-void add(VersionSample &Total, const VersionSample &Sample) {
-  Total.Answers += Sample.Answers;
-  Total.Faults += Sample.Faults;
-  Total.TotalTimeMs += Sample.TotalTimeMs;
+/// Position in the schedule: late evidence delays the steps after the gate.
+double schedulePosition(const TrackedMove &Move, core::TimePoint Now) {
+  const double Elapsed = fractionOf(Move, Now - Move.StartedAt);
+  if (Elapsed < GatedFraction || !Move.SufficientSince)
+    return std::min(Elapsed, GatedFraction);
+  return std::min(Elapsed, GatedFraction +
+                               fractionOf(Move, Now - *Move.SufficientSince));
 }
 
-std::optional<double> meanTimeMs(const VersionSample &Sample) {
-  const std::uint64_t Successful =
-      Sample.Answers - std::min(Sample.Answers, Sample.Faults);
-  if (Successful < MinimumTimedAnswers)
-    return std::nullopt;
-  return Sample.TotalTimeMs / static_cast<double>(Successful);
-}
+/// @brief Answers of one version on one route, summed over hosts.
+struct VersionSample {
+  rollout::Sample Faults;
+  AnswerTimes Times;
+  AnswerTimes CutOffTimes;
+};
 
 /// @brief Evidence on one route.
 struct RouteEvidence {
   VersionSample New;
   VersionSample Old;
-  std::size_t HostsWithAnswers = 0;
-  std::size_t HostsWithFaults = 0;
+  /// Tallies of the new version, one for each host.
+  std::vector<const RouteTally *> NewHosts;
 };
 
 using Evidence = std::map<core::RouteName, RouteEvidence>;
@@ -82,55 +100,107 @@
     for (const RouteTally &Tally : Target->Tallies) {
       RouteEvidence &Route = All[Tally.Route];
       const bool IsNew = Target->Version == NewVersion;
-      add(IsNew ? Route.New : Route.Old, toSample(Tally));
-      if (IsNew && Tally.Answers >= MinimumAnswersPerHost)
-        ++Route.HostsWithAnswers;
-      if (IsNew && Tally.Faults >= MinimumFaultsPerHost)
-        ++Route.HostsWithFaults;
+      VersionSample &Version = IsNew ? Route.New : Route.Old;
+      Version.Faults.Answers += Tally.Answers;
+      Version.Faults.Bad += Tally.Faults;
+      Version.Times = Version.Times + Tally.Times;
+      Version.CutOffTimes = Version.CutOffTimes + Tally.CutOffTimes;
+      if (IsNew)
+        Route.NewHosts.push_back(&Tally);
     }
   return All;
 }
 
-double faultRate(const rollout::Sample &Sample) {
+double badRate(const rollout::Sample &Sample) {
   return Sample.Answers == 0 ? 0.0
                              : static_cast<double>(Sample.Bad) /
                                    static_cast<double>(Sample.Answers);
 }
 
-bool hasProvenFaults(const RouteEvidence &Route) {
-  const std::size_t Needed = Route.HostsWithAnswers >= 2 ? 2 : 1;
-  if (Route.HostsWithFaults < Needed)
-    return false;
-  const rollout::Sample New{Route.New.Answers, Route.New.Faults};
-  const rollout::Sample Old{Route.Old.Answers, Route.Old.Faults};
-  if (faultRate(New) < MinimumFaultRateRatio * faultRate(Old))
+/// Whether bad answers come from two hosts, or from the only one that answered.
+template <typename SampleOfHost>
+bool isSharedByHosts(const RouteEvidence &Route, SampleOfHost Of) {
+  std::size_t WithAnswers = 0;
+  std::size_t WithBad = 0;
+  for (const RouteTally *Host : Route.NewHosts) {
+    const rollout::Sample Sample = Of(*Host);
+    WithAnswers += Sample.Answers >= MinimumAnswersPerHost ? 1 : 0;
+    WithBad += Sample.Bad >= MinimumFaultsPerHost ? 1 : 0;
+  }
+  return WithBad >= (WithAnswers >= 2 ? 2U : 1U);
+}
+
+bool isWorse(const rollout::Sample &New, const rollout::Sample &Old,
+             double ToleratedRate, double MinimumRatio) {
+  if (badRate(New) < MinimumRatio * badRate(Old))
     return false;
-  const double Control = rollout::controlRate(Old, rollout::ControlErrorRate);
+  const double Control = rollout::controlRate(Old, ToleratedRate);
   return rollout::compareVersions(New, Old, Control) ==
          rollout::Finding::Proven;
 }
 
-bool isTooSlow(const RouteEvidence &Route) {
-  const auto New = meanTimeMs(Route.New);
-  const auto Old = meanTimeMs(Route.Old);
-  return New && Old && *New > MaximumTimeRatio * *Old;
+bool hasProvenFaults(const RouteEvidence &Route) {
+  return isSharedByHosts(Route,
+                         [](const RouteTally &Host) {
+                           return rollout::Sample{Host.Answers, Host.Faults};
+                         }) &&
+         isWorse(Route.New.Faults, Route.Old.Faults, rollout::ControlErrorRate,
+                 MinimumFaultRateRatio);
+}
+
+/// A request that was cut off before the bound tells nothing.
+rollout::Sample slowSample(const AnswerTimes &Times, const AnswerTimes &CutOff,
+                           core::Microseconds Bound) {
+  const std::uint64_t CutOffSlow = CutOff.countAbove(Bound);
+  return {Times.total() + CutOffSlow, Times.countAbove(Bound) + CutOffSlow};
+}
+
+/// Samples of slow answers of both versions.
+struct SlowEvidence {
+  core::Microseconds Bound;
+  rollout::Sample New;
+  rollout::Sample Old;
+};
+
+std::optional<SlowEvidence> findSlowness(const RouteEvidence &Route) {
+  if (Route.Old.Times.total() < MinimumOldTimes)
+    return std::nullopt;
+  SlowEvidence Found;
+  Found.Bound = Route.Old.Times.median() * SlowMedianFactor;
+  Found.New = slowSample(Route.New.Times, Route.New.CutOffTimes, Found.Bound);
+  Found.Old = slowSample(Route.Old.Times, Route.Old.CutOffTimes, Found.Bound);
+  const auto OfHost = [&Found](const RouteTally &Host) {
+    return slowSample(Host.Times, Host.CutOffTimes, Found.Bound);
+  };
+  if (!isSharedByHosts(Route, OfHost) ||
+      !isWorse(Found.New, Found.Old, ToleratedSlowRate, MinimumSlowRateRatio))
+    return std::nullopt;
+  return Found;
 }
 
 } // namespace
 
 MoveVerdict evaluateMove(const TrackedMove &Move,
                          const std::vector<const TargetReport *> &Targets) {
+  MoveVerdict Verdict;
   for (const auto &[Name, Route] : gather(Move.Order.NewVersion, Targets)) {
+    Verdict.Answers += Route.New.Faults.Answers;
     if (hasProvenFaults(Route))
       return {true,
               fmt::format("route {}: {} of {} answers failed", Name.value(),
-                          Route.New.Faults, Route.New.Answers)};
-    if (isTooSlow(Route))
+                          Route.New.Faults.Bad, Route.New.Faults.Answers)};
+    if (const auto Slow = findSlowness(Route))
       return {true,
-              fmt::format("route {}: {:.0f} ms against {:.0f} ms", Name.value(),
-                          *meanTimeMs(Route.New), *meanTimeMs(Route.Old))};
+              fmt::format(
+                  "route {}: {} of {} answers took longer than {} ms, "
+                  "of other versions {} of {}",
+                  Name.value(), Slow->New.Bad, Slow->New.Answers,
+                  std::chrono::duration_cast<core::Milliseconds>(Slow->Bound)
+                      .count(),
+                  Slow->Old.Bad, Slow->Old.Answers)};
   }
-  return {};
+  Verdict.Sufficient = Verdict.Answers >= SufficientAnswers;
+  return Verdict;
 }
 
 bool MoveTracker::applyOrder(const MoveOrdered &Order, core::TimePoint Now) {
@@ -199,17 +269,28 @@
     break;
   }
   Result.Candidate = Move.Order.NewVersion;
-  const double Fraction = elapsedFraction(Move, Now);
+  if (isGated(Move, Now)) {
+    Result.CandidatePermille = GatedPermille;
+    return Result;
+  }
+  const double Position = schedulePosition(Move, Now);
   for (const ScheduleStep &Step : Schedule)
-    if (Fraction >= Step.AfterFraction)
+    if (Position >= Step.AfterFraction)
       Result.CandidatePermille = Step.Permille;
   return Result;
 }
 
 bool MoveTracker::readyToComplete(const TrackedMove &Move,
                                   core::TimePoint Now) const {
-  return Move.Phase == MovePhase::Running &&
-         elapsedFraction(Move, Now) >= CompletionFraction;
+  return Move.Phase == MovePhase::Running && Move.SufficientSince &&
+         schedulePosition(Move, Now) >= CompletionFraction;
+}
+
+void MoveTracker::recordSufficientEvidence(const core::ServiceName &Service,
+                                           core::TimePoint Now) {
+  const auto Found = Moves.find(Service);
+  if (Found != Moves.end() && !Found->second.SufficientSince)
+    Found->second.SufficientSince = Now;
 }
 
 std::vector<MoveReport> MoveTracker::reports(core::TimePoint Now) const {
--- a/lib/decision/mesh/ReduceAttempts.cpp
+++ b/lib/decision/mesh/ReduceAttempts.cpp
@@ -65,19 +65,36 @@
   Target.FaultRatio += FaultWeight * ((Fault ? 1.0 : 0.0) - Target.FaultRatio);
   if (Answered)
     Target.LastAnswerAt = Now;
-  // A refused request is no evidence about the version, and a target that is
-  // still warming up is slow in any version.
-  if (Ended.End == AttemptEnd::NotRun || Now < Target.WarmAt ||
-      (!Answered && !Fault))
+  // A refused request is no evidence about the version.
+  if (Ended.End == AttemptEnd::NotRun || (!Answered && !Fault))
     return;
-  RouteTally &Tally = Target.Tallies[Call.Terms.Route];
-  Tally.Route = Call.Terms.Route;
-  ++Tally.Answers;
+  RouteTally *Tally = tallyFor(Call);
+  if (Tally == nullptr)
+    return;
+  ++Tally->Answers;
   if (Fault)
-    ++Tally.Faults;
+    ++Tally->Faults;
   else
-    Tally.TotalTime +=
-        std::chrono::duration_cast<core::Milliseconds>(AnswerTime);
+    Tally->Times = Tally->Times.with(AnswerTime);
+}
+
+/// Tally of the call's route at the local target; null while the target warms
+/// up, since it is slow in any version then.
+RouteTally *Reduction::tallyFor(const MeshCall &Call) {
+  if (!State.Target || State.Target->Generation != Call.TargetGeneration ||
+      Now < State.Target->WarmAt)
+    return nullptr;
+  RouteTally &Tally = State.Target->Tallies[Call.Terms.Route];
+  Tally.Route = Call.Terms.Route;
+  return &Tally;
+}
+
+/// A request that ends before its answer still tells that the answer took
+/// longer. Without these, the slower a version is, the fewer of its slow
+/// answers are counted.
+void Reduction::recordCutOff(const MeshCall &Call) {
+  if (RouteTally *Tally = tallyFor(Call))
+    Tally->CutOffTimes = Tally->CutOffTimes.with(Now - Call.SentAt);
 }
 
 void Reduction::finishTargetAttempt(MeshCall &Call,
@@ -86,12 +103,14 @@
   const bool Broken = Ended.End == AttemptEnd::NoAnswer ||
                       Ended.End == AttemptEnd::Truncated ||
                       Ended.End == AttemptEnd::NotRun;
-  const bool OutOfTime =
-      (Ended.Status == StatusGatewayTimeout ||
-       (Ended.End == AttemptEnd::NoAnswer && Now >= Call.Deadline)) &&
-      !hadAmpleTime(Call);
+  const bool CutOff =
+      Ended.Status == StatusGatewayTimeout ||
+      (Ended.End == AttemptEnd::NoAnswer && Now >= Call.Deadline);
+  const bool OutOfTime = CutOff && !hadAmpleTime(Call);
   const bool Failed =
       Ended.Status >= FirstServerError && !downstreamCallFailed(Call);
+  if (CutOff)
+    recordCutOff(Call);
   recordTargetAttempt(Call, Ended, (Broken || Failed) && !OutOfTime);
   const bool SameProcess =
       State.Target && State.Target->Generation == Call.TargetGeneration;
@@ -282,6 +301,7 @@
     State.Slots.withdraw(Call.Id);
     return;
   case CallPhase::AtTarget:
+    recordCutOff(Call);
     State.Runs.end(Call.CallerId);
     if (State.Target && State.Target->Generation == Call.TargetGeneration)
       State.Slots.release(Call.Terms.Route, std::nullopt);
--- a/lib/decision/mesh/ReduceMoves.cpp
+++ b/lib/decision/mesh/ReduceMoves.cpp
@@ -101,10 +101,12 @@
                       Move.Order.NewVersion.value(), Verdict.Reason));
       State.Moves.advance(Service, MovePhase::Rejected, Verdict.Reason);
       reportToAll();
-    } else if (State.Moves.readyToComplete(Move, Now) &&
-               hasReadyTarget(Service, Move.Order.NewVersion)) {
-      scheduleMoveWrite(Service, MovePhase::Completed);
+    } else if (Verdict.Sufficient) {
+      State.Moves.recordSufficientEvidence(Service, Now);
     }
+    if (State.Moves.readyToComplete(Move, Now) &&
+        hasReadyTarget(Service, Move.Order.NewVersion))
+      scheduleMoveWrite(Service, MovePhase::Completed);
   }
   if (Move.Phase == MovePhase::Rejected)
     scheduleMoveWrite(Service, MovePhase::RolledBack);
--- a/lib/decision/mesh/Reduction.h
+++ b/lib/decision/mesh/Reduction.h
@@ -65,6 +65,8 @@
   void concludeAnswer(MeshCall &Call, const request::AttemptEnded &Ended);
   void recordTargetAttempt(const MeshCall &Call,
                            const request::AttemptEnded &Ended, bool Fault);
+  RouteTally *tallyFor(const MeshCall &Call);
+  void recordCutOff(const MeshCall &Call);
   /// @brief Load of the local target, for the entry node of a request.
   TargetLoad loadFor(const MeshCall &Call) const;
   void recordAnswerSize(const MeshCall &Call, std::uint64_t Bytes);
--- a/lib/wire/HostReportCodec.cpp
+++ b/lib/wire/HostReportCodec.cpp
@@ -11,12 +11,21 @@
 
 namespace {
 
+std::vector<std::int32_t> toThrift(const mesh::AnswerTimes &Times) {
+  const auto &Buckets = Times.buckets();
+  std::vector<std::int32_t> Out(Buckets.begin(), Buckets.end());
+  while (!Out.empty() && Out.back() == 0)
+    Out.pop_back();
+  return Out;
+}
+
 gen::RouteTally toThrift(const mesh::RouteTally &Tally) {
   gen::RouteTally Out;
   Out.route = Tally.Route.value();
   Out.answers = static_cast<std::int64_t>(Tally.Answers);
   Out.faults = static_cast<std::int64_t>(Tally.Faults);
-  Out.timeMs = Tally.TotalTime.count();
+  Out.times = toThrift(Tally.Times);
+  Out.cutOffTimes = toThrift(Tally.CutOffTimes);
   return Out;
 }
 
@@ -97,8 +106,15 @@
   return static_cast<std::uint32_t>(std::max(Number, 0));
 }
 
-/// No move or sum of answer times of a report lasts longer; the time of another
-/// writer must not overflow when it is added to a clock.
+mesh::AnswerTimes fromThrift(const std::vector<std::int32_t> &Counts) {
+  mesh::AnswerTimes::Buckets Buckets{};
+  for (std::size_t I = 0; I < std::min(Counts.size(), Buckets.size()); ++I)
+    Buckets[I] = count(Counts[I]);
+  return mesh::AnswerTimes(Buckets);
+}
+
+/// No move lasts longer; the time of another writer must not overflow when it
+/// is added to a clock.
 constexpr std::int64_t MaximumMillis = std::int64_t{1} << 40;
 
 core::Milliseconds millis(std::int64_t Number) {
@@ -121,7 +137,8 @@
   for (const gen::RouteTally &Tally : In.tallies)
     Target.Tallies.push_back({core::RouteName(Tally.route),
                               count(Tally.answers), count(Tally.faults),
-                              millis(Tally.timeMs)});
+                              fromThrift(Tally.times),
+                              fromThrift(Tally.cutOffTimes)});
   return Target;
 }
 
--- a/tests/mesh/FleetModel.cpp
+++ b/tests/mesh/FleetModel.cpp
@@ -1,5 +1,6 @@
 #include "FleetModel.h"
 #include <algorithm>
+#include <cmath>
 
 namespace meshbench {
 
@@ -23,10 +24,12 @@
 
 } // namespace
 
-std::size_t FleetModel::addNode(const std::string &Service) {
+std::size_t FleetModel::addNode(const std::string &Service,
+                                const std::string &Version) {
   Node New;
   New.Name = fmt::format("n{}", Nodes.size());
   New.Service = Service;
+  New.Version = Version;
   Nodes.push_back(std::move(New));
   start(Nodes.size() - 1);
   return Nodes.size() - 1;
@@ -56,7 +59,7 @@
   deliver(Index, Stored);
   deliver(Index, TargetAnnounced{core::TargetId("t-" + Starting.Name),
                                  core::ServiceName(Starting.Service),
-                                 core::TargetVersion("v1"),
+                                 core::TargetVersion(Starting.Version),
                                  Targets.at(Starting.Service).Slots, false,
                                  milliseconds(0), 1, Starting.Starts});
   // Ticks of different nodes are spread over the period.
@@ -174,8 +177,8 @@
   const bool Repeat = !Seen.insert(Id).second || OfRepeat;
   if (Repeat)
     RepeatedRuns.insert(Id);
-  Arrivals.push_back(
-      {Now, Host.Service, Id, Host.Origins.at(Start.Id).Entry, Index, Repeat});
+  Arrivals.push_back({Now, Host.Service, Id, Host.Origins.at(Start.Id).Entry,
+                      Index, Host.Version, Repeat});
   const TargetModel &Model = Targets.at(Host.Service);
   if (Source.unit() < Model.LossProbability) {
     AttemptEnded Lost;
@@ -187,6 +190,17 @@
   makeCalls(Index, Start, Id, 0, false);
 }
 
+milliseconds FleetModel::drawRunTime(const Node &Host,
+                                     const TargetModel &Model) {
+  double Factor = Host.TimeFactor;
+  if (Model.Spread > 1)
+    Factor *= std::pow(Model.Spread, 2 * Source.unit() - 1);
+  if (Host.Version == Model.SlowVersion && Source.unit() < Model.SlowShare)
+    Factor *= 8;
+  return milliseconds(static_cast<std::int64_t>(
+      Factor * static_cast<double>(Model.RunTime.count())));
+}
+
 void FleetModel::makeCalls(std::size_t Index,
                            const request::StartAttempt &Start,
                            const std::string &Id, std::size_t Next,
@@ -200,7 +214,8 @@
     Ended.Status = Failed ? 500 : 200;
     Ended.ReachedTarget = true;
     Ended.Statement = request::TargetStatement{Nodes[Index].Limit};
-    afterAt(Index, Model.RunTime, [this, Index, Ended] { end(Index, Ended); });
+    afterAt(Index, drawRunTime(Nodes[Index], Model),
+            [this, Index, Ended] { end(Index, Ended); });
     return;
   }
   request(Index, Model.Calls[Next], fmt::format("{}.{}", Id, Next),
@@ -256,6 +271,14 @@
 void FleetModel::handle(std::size_t Index,
                         const request::CancelAttempt &Cancel) {
   Nodes[Index].Active.erase(Cancel.Id);
+  // The connection to the other node closes.
+  for (std::size_t Peer = 0; Peer < Nodes.size(); ++Peer)
+    for (const auto &[Id, From] : Nodes[Peer].Origins)
+      if (From.Peer == Index && From.PeerCall == Cancel.Id &&
+          From.PeerAttempt == Cancel.Attempt)
+        afterAt(Peer, Latency, [this, Peer, Id = Id] {
+          deliver(Peer, request::CallerDisconnected{Id});
+        });
 }
 
 void FleetModel::handle(std::size_t Index, const SendReport &Report) {
--- a/tests/mesh/FleetModel.h
+++ b/tests/mesh/FleetModel.h
@@ -17,6 +17,11 @@
   double LossProbability = 0;
   /// Services that each run calls, one after the other.
   std::vector<std::string> Calls;
+  /// Version of which a share of the runs takes eight times as long.
+  std::string SlowVersion;
+  double SlowShare = 0;
+  /// Factor of the run time below and above which no run time is drawn.
+  double Spread = 1;
 };
 
 /// Nodes, their targets and their callers on one simulated clock.
@@ -36,6 +41,8 @@
     std::size_t Entry = 0;
     /// Node of the target.
     std::size_t Host = 0;
+    /// Version of the target.
+    std::string Version;
     /// Not the first arrival of its request, or made by such a run.
     bool Repeat = false;
   };
@@ -45,12 +52,21 @@
       : Source(Seed), Budget(Budget) {}
 
   /// Adds a node beside a target of the service, and starts it.
-  std::size_t addNode(const std::string &Service);
+  std::size_t addNode(const std::string &Service,
+                      const std::string &Version = "v1");
+  /// Tells a running node of an order to move a service.
+  void order(std::size_t Node, const MoveOrdered &Order) {
+    deliver(Node, Order);
+  }
   void start(std::size_t Node);
   void kill(std::size_t Node) { Nodes[Node].State.reset(); }
   /// Sends requests of a client to a node at a constant rate.
   void addClients(std::size_t Node, const std::string &Service,
                   double PerSecond);
+  /// Makes all runs of a target take a multiple of their time.
+  void slowTarget(std::size_t Node, double Factor) {
+    Nodes[Node].TimeFactor = Factor;
+  }
   /// Sets the rate that a target names in its answers; none for no limit.
   void limitTarget(std::size_t Node, std::optional<double> PerSecond) {
     Nodes[Node].Limit = PerSecond;
@@ -82,12 +98,14 @@
   struct Node {
     std::string Name;
     std::string Service;
+    std::string Version;
     std::uint64_t Starts = 0;
     std::uint64_t LastCall = 0;
     std::optional<MeshState> State;
     std::map<core::CallId, Origin> Origins;
     std::map<core::CallId, core::AttemptId> Active;
     std::optional<double> Limit;
+    double TimeFactor = 1;
     /// Report in the store.
     std::optional<HostReport> Published;
   };
@@ -124,6 +142,7 @@
   }
   void sendToPeer(std::size_t Index, const request::StartAttempt &Start);
   void runAtTarget(std::size_t Index, const request::StartAttempt &Start);
+  milliseconds drawRunTime(const Node &Host, const TargetModel &Model);
   void makeCalls(std::size_t Index, const request::StartAttempt &Start,
                  const std::string &Id, std::size_t Next, bool Failed);
   void end(std::size_t Index, const request::AttemptEnded &Ended);
--- a/tests/mesh/MoveTrackerTest.cpp
+++ b/tests/mesh/MoveTrackerTest.cpp
@@ -11,13 +11,32 @@
           core::LogOffset(Offset), false};
 }
 
+/// Answer times spread evenly around a middle.
+AnswerTimes timesAround(std::int64_t MiddleMs, std::uint64_t Count) {
+  AnswerTimes Times;
+  for (std::uint64_t I = 0; I < Count; ++I)
+    Times = Times.with(milliseconds(MiddleMs * (60 + 20 * (I % 5)) / 100));
+  return Times;
+}
+
 TargetReport target(const std::string &Version, std::uint64_t Answers,
-                    std::uint64_t Faults, std::int64_t MeanMs) {
+                    std::uint64_t Faults, std::int64_t MiddleMs) {
   TargetReport Report = *report("n1").Target;
   Report.Version = core::TargetVersion(Version);
-  Report.Tallies = {
-      {core::RouteName("list"), Answers, Faults,
-       milliseconds(MeanMs * static_cast<std::int64_t>(Answers - Faults))}};
+  Report.Tallies = {{core::RouteName("list"),
+                     Answers,
+                     Faults,
+                     timesAround(MiddleMs, Answers - Faults),
+                     {}}};
+  return Report;
+}
+
+/// A target of which one answer in two takes several times as long.
+TargetReport slowTarget(std::uint64_t Answers, std::int64_t SlowMs) {
+  TargetReport Report = target("v2", Answers, 0, 100);
+  RouteTally &Tally = Report.Tallies.front();
+  Tally.Times =
+      timesAround(100, Answers / 2) + timesAround(SlowMs, Answers / 2);
   return Report;
 }
 
@@ -38,14 +57,33 @@
 Test(move_tracker, the_share_follows_the_time_since_the_order) {
   MoveTracker Moves;
   Moves.applyOrder(order(), at(0));
-  cr_assert(Moves.shares(Shop, at(100)).CandidatePermille == 50);
-  cr_assert(Moves.shares(Shop, at(7900)).CandidatePermille == 50);
-  cr_assert(Moves.shares(Shop, at(8100)).CandidatePermille == 200);
+  cr_assert(Moves.shares(Shop, at(100)).CandidatePermille == 80);
+  cr_assert(Moves.shares(Shop, at(7900)).CandidatePermille == 80);
+  cr_assert(Moves.shares(Shop, at(8100)).CandidatePermille == 150);
+  Moves.recordSufficientEvidence(Shop, at(9000));
   cr_assert(Moves.shares(Shop, at(11000)).CandidatePermille == 1000);
   cr_assert(!Moves.readyToComplete(Moves.moves().at(Shop), at(12000)));
   cr_assert(Moves.readyToComplete(Moves.moves().at(Shop), at(12900)));
 }
 
+// Guards against a bad version that gets all requests only because time passed
+// while hardly any of its answers were seen.
+Test(move_tracker, the_share_stays_low_without_sufficient_evidence) {
+  MoveTracker Moves;
+  Moves.applyOrder(order(), at(0));
+  double Exposure = 0;
+  for (std::int64_t Ms = 0; Ms < 16000; Ms += 10)
+    Exposure += Moves.shares(Shop, at(Ms)).CandidatePermille / 1000.0 / 1600;
+  cr_assert(Exposure < 0.1, "%f", Exposure);
+  cr_assert(!Moves.readyToComplete(Moves.moves().at(Shop), at(16000)));
+  // Evidence that comes late delays the remaining steps.
+  Moves.recordSufficientEvidence(Shop, at(12000));
+  cr_assert(Moves.shares(Shop, at(12100)).CandidatePermille == 500);
+  cr_assert(Moves.shares(Shop, at(13400)).CandidatePermille == 1000);
+  cr_assert(!Moves.readyToComplete(Moves.moves().at(Shop), at(15100)));
+  cr_assert(Moves.readyToComplete(Moves.moves().at(Shop), at(15300)));
+}
+
 // Guards against requests for a version that was rolled back or superseded.
 Test(move_tracker, a_rejected_version_gets_no_requests) {
   MoveTracker Moves;
@@ -79,7 +117,7 @@
   Moves.applyReport({Shop, core::TargetVersion("v2"), core::LogOffset(5),
                      MovePhase::Running, milliseconds(9000)},
                     at(10100));
-  cr_assert(Moves.shares(Shop, at(10200)).CandidatePermille == 200);
+  cr_assert(Moves.shares(Shop, at(10200)).CandidatePermille == 150);
 }
 
 // Guards against faulty versions that are not detected, and good ones that are
@@ -91,13 +129,25 @@
                 .Rejected);
   // Answers take several times as long.
   cr_assert(
-      evaluate({target("v1", 500, 2, 100), target("v2", 20, 0, 450)}).Rejected);
+      evaluate({target("v1", 500, 2, 100), target("v2", 20, 0, 900)}).Rejected);
+  // Half of the answers do.
+  cr_assert(evaluate({target("v1", 500, 2, 100), slowTarget(20, 800),
+                      slowTarget(20, 800)})
+                .Rejected);
   // A difference as between slower and faster hosts is no evidence.
   cr_assert(!evaluate({target("v1", 500, 2, 100), target("v2", 20, 0, 200)})
                  .Rejected);
   // Both versions fail at the same rate: the cause is elsewhere.
   cr_assert(!evaluate({target("v1", 500, 150, 100), target("v2", 24, 8, 100)})
                  .Rejected);
+  // One of the other hosts is slow, which does not hide a slow version.
+  cr_assert(evaluate({target("v1", 500, 2, 100), target("v1", 100, 0, 700),
+                      slowTarget(30, 800), slowTarget(30, 800)})
+                .Rejected);
+  // Only one of several hosts is slow.
+  cr_assert(!evaluate({target("v1", 500, 2, 100), slowTarget(60, 800),
+                       target("v2", 30, 0, 100)})
+                 .Rejected);
   // Only one of several hosts fails: the host is at fault, not the version.
   cr_assert(!evaluate({target("v1", 500, 2, 100), target("v2", 30, 15, 100),
                        target("v2", 30, 0, 100)})
@@ -106,3 +156,27 @@
   cr_assert(
       !evaluate({target("v1", 500, 2, 100), target("v2", 3, 1, 100)}).Rejected);
 }
+
+// Guards against a slow version whose slow answers are not counted, since their
+// requests are given up at the time-out.
+Test(move_tracker, requests_that_are_cut_off_count_as_slow) {
+  const auto CutOff = [](std::int64_t AfterMs) {
+    TargetReport Report = target("v2", 30, 0, 100);
+    Report.Tallies.front().CutOffTimes = timesAround(AfterMs, 20);
+    return Report;
+  };
+  cr_assert(evaluate({target("v1", 500, 2, 100), CutOff(1200), CutOff(1200)})
+                .Rejected);
+  // One that had little time left tells nothing.
+  cr_assert(!evaluate({target("v1", 500, 2, 100), CutOff(150), CutOff(150)})
+                 .Rejected);
+}
+
+// Guards against a move that goes on before its faults could have shown.
+Test(move_tracker, a_hundred_answers_are_sufficient) {
+  cr_assert(!evaluate({target("v1", 500, 0, 100), target("v2", 60, 0, 100)})
+                 .Sufficient);
+  cr_assert(evaluate({target("v1", 500, 0, 100), target("v2", 60, 0, 100),
+                      target("v2", 40, 0, 100)})
+                .Sufficient);
+}
--- a/tests/wire/HostReportCodecTest.cpp
+++ b/tests/wire/HostReportCodecTest.cpp
@@ -12,7 +12,9 @@
   Report.Position = core::LogOffset(77);
   Report.Target->FaultPermille = 12;
   Report.Target->Tallies = {
-      {core::RouteName("list"), 10, 2, milliseconds(900)}};
+      {core::RouteName("list"), 10, 2,
+       AnswerTimes().with(milliseconds(90)).with(milliseconds(900)),
+       AnswerTimes().with(milliseconds(1200))}};
   Report.Target->RequestsPerSecond = 12.5;
   Report.Moves = {{core::ServiceName("shop"), core::TargetVersion("v2"),
                    core::LogOffset(5), MovePhase::Rejected,
--- a/thrift/filbertvane.thrift
+++ b/thrift/filbertvane.thrift
@@ -123,7 +123,10 @@
 
 // --- reports between the nodes of a mesh ---
 
-struct RouteTally { 1: string route, 2: i64 answers, 3: i64 faults, 4: i64 timeMs }
+// Field 4 was the sum of the answer times. The histograms have no trailing zeros.
+struct RouteTally {
+  1: string route, 2: i64 answers, 3: i64 faults, 5: list<i32> times, 6: list<i32> cutOffTimes
+}
 struct TargetReport {
   1: string target, 2: string serviceName, 3: string version, 4: i8 state,
   5: i32 running, 6: i32 waiting, 7: i32 slots, 8: i32 meanMs, 9: i32 faultPermille,
