Tell restarted nodes of versions that earlier orders left rolled back

A node that starts after a second order for a service reads only the newest order from the store. It took the targets of the first order's version, which run on for some seconds after the rollback, for the old version and sent them requests.

Nodes now report ended moves of earlier orders as rolled back, and a node that knows a newer order keeps their versions out. A later order of the same version ends this. move_tracker/an_earlier_rollback_is_known_after_a_restart fails before the change, since reports held only the newest order.

--- a/include/filbertvane/decision/mesh/MoveTracker.h
+++ b/include/filbertvane/decision/mesh/MoveTracker.h
@@ -99,9 +99,12 @@
   }
 
 private:
+  void applyEarlierMove(const MoveReport &Report);
+
   std::map<core::ServiceName, TrackedMove> Moves;
-  /// New versions of earlier orders that did not complete.
-  std::map<core::ServiceName, std::set<core::TargetVersion>>
+  /// New versions of earlier orders that did not complete, with the offsets of
+  /// the orders.
+  std::map<core::ServiceName, std::map<core::TargetVersion, core::LogOffset>>
       UncompletedVersions;
 };
 
--- a/lib/decision/mesh/MoveTracker.cpp
+++ b/lib/decision/mesh/MoveTracker.cpp
@@ -210,7 +210,8 @@
     return false;
   auto &Uncompleted = UncompletedVersions[Order.Service];
   if (Found != Moves.end() && Found->second.Phase != MovePhase::Completed)
-    Uncompleted.insert(Found->second.Order.NewVersion);
+    Uncompleted[Found->second.Order.NewVersion] =
+        Found->second.Order.OrderOffset;
   Uncompleted.erase(Order.NewVersion);
   TrackedMove Move;
   Move.Order = Order;
@@ -223,8 +224,10 @@
 void MoveTracker::applyReport(const MoveReport &Report, core::TimePoint Now) {
   const auto Found = Moves.find(Report.Service);
   if (Found == Moves.end() ||
-      Found->second.Order.OrderOffset != Report.OrderOffset)
+      Found->second.Order.OrderOffset != Report.OrderOffset) {
+    applyEarlierMove(Report);
     return;
+  }
   TrackedMove &Move = Found->second;
   const core::TimePoint StartedAt = Now - Report.Elapsed;
   if (StartedAt < Move.StartedAt) {
@@ -235,6 +238,20 @@
     Move.Phase = Report.Phase;
 }
 
+/// A process that starts during a move reads only the newest order of the
+/// service from the store. Targets of an earlier order may still run.
+void MoveTracker::applyEarlierMove(const MoveReport &Report) {
+  const auto Found = Moves.find(Report.Service);
+  const bool IsEarlier = Found != Moves.end() &&
+                         Report.OrderOffset < Found->second.Order.OrderOffset;
+  if (!IsEarlier || Report.NewVersion == Found->second.Order.NewVersion)
+    return;
+  if (Report.Phase == MovePhase::Rejected ||
+      Report.Phase == MovePhase::RolledBack)
+    UncompletedVersions[Report.Service].emplace(Report.NewVersion,
+                                                Report.OrderOffset);
+}
+
 bool MoveTracker::advance(const core::ServiceName &Service, MovePhase Phase,
                           std::string Reason) {
   const auto Found = Moves.find(Service);
@@ -252,7 +269,8 @@
   VersionShares Result;
   if (const auto Uncompleted = UncompletedVersions.find(Service);
       Uncompleted != UncompletedVersions.end())
-    Result.Excluded = Uncompleted->second;
+    for (const auto &[Version, Offset] : Uncompleted->second)
+      Result.Excluded.insert(Version);
   const auto Found = Moves.find(Service);
   if (Found == Moves.end())
     return Result;
@@ -299,6 +317,10 @@
     All.push_back(
         {Service, Move.Order.NewVersion, Move.Order.OrderOffset, Move.Phase,
          std::chrono::duration_cast<core::Milliseconds>(Now - Move.StartedAt)});
+  for (const auto &[Service, Versions] : UncompletedVersions)
+    for (const auto &[Version, Offset] : Versions)
+      All.push_back({Service, Version, Offset, MovePhase::RolledBack,
+                     core::Milliseconds(0)});
   return All;
 }
 
--- a/tests/mesh/MoveTrackerTest.cpp
+++ b/tests/mesh/MoveTrackerTest.cpp
@@ -84,6 +84,28 @@
   cr_assert(Moves.readyToComplete(Moves.moves().at(Shop), at(15300)));
 }
 
+// Guards against a restarted node that sends requests to the targets of a
+// version that was rolled back before the order that it reads.
+Test(move_tracker, an_earlier_rollback_is_known_after_a_restart) {
+  MoveTracker Running;
+  Running.applyOrder(order(5, "v2"), at(0));
+  Running.advance(Shop, MovePhase::RolledBack, "");
+  Running.applyOrder(order(6, "v3"), at(10));
+  MoveTracker Restarted;
+  Restarted.applyOrder(order(6, "v3"), at(20));
+  for (const MoveReport &Report : Running.reports(at(30)))
+    Restarted.applyReport(Report, at(30));
+  cr_assert(Restarted.shares(Shop, at(40))
+                .Excluded.contains(core::TargetVersion("v2")));
+  // A later order of the same version is a new attempt.
+  Restarted.applyOrder(order(7, "v2"), at(50));
+  for (const MoveReport &Report : Running.reports(at(60)))
+    Restarted.applyReport(Report, at(60));
+  const VersionShares Shares = Restarted.shares(Shop, at(70));
+  cr_assert(Shares.Candidate == core::TargetVersion("v2"));
+  cr_assert(!Shares.Excluded.contains(core::TargetVersion("v2")));
+}
+
 // Guards against requests for a version that was rolled back or superseded.
 Test(move_tracker, a_rejected_version_gets_no_requests) {
   MoveTracker Moves;
