Run requests that a caller sends ahead together; let a refused upload see its refusal

The server is now the project's own over Boost.Beast's request parser. Requests of a connection are handed over as their heads arrive, at most 16 at a time, and answered in order. An answer may begin before the body is whole; what remains of the body is read and dropped, so that no reset destroys the answer. Only the answer to the last request read closes a connection, since callers send again what they sent behind a closing answer (ConnectionReuse, tested without a network).

--- a/include/filbertvane/io/HttpServer.h
+++ b/include/filbertvane/io/HttpServer.h
@@ -85,7 +85,8 @@
   virtual void onClosed(bool Whole) = 0;
 };
 
-/// @brief HTTP server on the process's loop (libmicrohttpd, external epoll).
+/// @brief HTTP/1.1 server on the process's loop. Requests that a caller sends
+///        ahead on one connection run together; answers keep their order.
 class HttpServer {
 public:
   /// Called when the head of a request is complete. The returned handler
@@ -111,10 +112,11 @@
 
   virtual ~HttpServer() = default;
 
-  /// @brief Changes the idle time-out of connections opened from now on.
+  /// @brief Changes the idle time-out of connections from their next activity
+  ///        on.
   virtual void setIdleTimeout(core::Seconds Timeout) = 0;
-  /// @brief Closes each connection after its next answer; new connections are
-  ///        still accepted.
+  /// @brief Closes each connection after the answers to the requests read from
+  ///        it; new connections are still accepted.
   virtual void closeAfterAnswers() = 0;
   /// @brief Stops accepting connections; requests in progress go on.
   virtual void quiesce() = 0;
--- a/lib/io/HttpServer.cpp
+++ b/lib/io/HttpServer.cpp
@@ -1,29 +1,26 @@
 #include "filbertvane/io/HttpServer.h"
-#include "MhdExchange.h"
+#include "HttpConnection.h"
 #include <arpa/inet.h>
-#include <fmt/format.h>
+#include <array>
 #include <netdb.h>
+#include <netinet/tcp.h>
 #include <sys/epoll.h>
 #include <unistd.h>
 #include <unordered_map>
+#include <unordered_set>
 
 namespace filbertvane::io {
 
 namespace {
 
-/// Memory of libmicrohttpd per connection; heads up to `MaxHeadBytes` and its
-/// own buffers have to fit.
-constexpr std::size_t ConnectionMemoryBytes = std::size_t{64} * 1024;
 constexpr int ListenBacklog = 1024;
-/// Runs of libmicrohttpd in one loop iteration before other watchers get their
+/// Connections accepted in one loop iteration before other watchers get their
 /// turn.
-constexpr int MaxRunsPerIteration = 8;
-
-/// @brief A caller's connection and its request in progress.
-struct CallerSocket {
-  MhdExchange *Current = nullptr;
-  bool Closing = false;
-};
+constexpr int MaxAcceptsPerIteration = 64;
+/// Time without accepting after the process ran out of descriptors.
+constexpr core::Milliseconds AcceptPause{100};
+/// Interval at which idle connections are looked for.
+constexpr core::Milliseconds SweepPeriod{1000};
 
 /// @brief Opens a listening socket; -1 on failure.
 int openListener(const std::string &Address) {
@@ -65,240 +62,197 @@
   return ntohs(reinterpret_cast<sockaddr_in6 *>(&Address)->sin6_port);
 }
 
-class MhdServer final : public HttpServer {
+std::string addressText(const sockaddr_storage &Address) {
+  std::array<char, INET6_ADDRSTRLEN> Text{};
+  if (Address.ss_family == AF_INET) {
+    const auto &V4 = reinterpret_cast<const sockaddr_in &>(Address);
+    inet_ntop(AF_INET, &V4.sin_addr, Text.data(), Text.size());
+    return std::string(Text.data()) + ":" + std::to_string(ntohs(V4.sin_port));
+  }
+  const auto &V6 = reinterpret_cast<const sockaddr_in6 &>(Address);
+  inet_ntop(AF_INET6, &V6.sin6_addr, Text.data(), Text.size());
+  return "[" + std::string(Text.data()) +
+         "]:" + std::to_string(ntohs(V6.sin6_port));
+}
+
+class LoopServer final : public HttpServer, public ConnectionOwner {
 public:
-  MhdServer(EventLoop &Loop, const Options &Settings, Acceptor OnRequest)
-      : Loop(Loop), MaxHeadBytes(Settings.MaxHeadBytes),
-        IdleTimeout(Settings.IdleTimeout), OnRequest(std::move(OnRequest)),
-        Timeout(Loop, [this] { pump(); }) {}
-  ~MhdServer() override;
+  LoopServer(EventLoop &Loop, const Options &Settings, Acceptor OnRequest)
+      : Loop(Loop), MaxConnections(Settings.MaxConnections),
+        MaxHeadBytes(Settings.MaxHeadBytes), IdleTimeout(Settings.IdleTimeout),
+        OnRequest(std::move(OnRequest)), Soon(Loop, [this] { runWoken(); }),
+        Sweep(Loop, [this] { sweep(); }),
+        AcceptAgain(Loop, [this] { Listening->watch(Descriptor::Readable); }) {}
+  ~LoopServer() override;
 
-  bool open(const Options &Settings);
+  bool open(const std::string &Address);
   void setIdleTimeout(core::Seconds Timeout) override { IdleTimeout = Timeout; }
   void closeAfterAnswers() override;
   void quiesce() override;
-  std::size_t active() const override { return Exchanges.size(); }
+  std::size_t active() const override;
   std::uint16_t port() const override { return Port; }
 
 private:
-  /// @name Calls of libmicrohttpd
+  /// @name ConnectionOwner
   /// @{
-  static MHD_Result onAccess(void *Server, MHD_Connection *Connection,
-                             const char *Url, const char *Method,
-                             const char *Version, const char *Data,
-                             std::size_t *Size, void **Context);
-  static void *onRequestLine(void *Server, const char *Uri,
-                             MHD_Connection *Connection);
-  static void onCompleted(void *Server, MHD_Connection *Connection,
-                          void **Context, MHD_RequestTerminationCode How);
-  static void onConnection(void *Server, MHD_Connection *Connection,
-                           void **Context, MHD_ConnectionNotificationCode What);
+  std::unique_ptr<ExchangeHandler> accept(ServerExchange &Exchange) override {
+    return OnRequest(Exchange);
+  }
+  void wake(HttpConnection &Connection) override;
+  void takeHangups() override;
+  core::TimePoint idleDeadline() const override { return now() + IdleTimeout; }
+  core::TimePoint now() const override { return Loop.now().Mono; }
   /// @}
 
-  MHD_Result access(MHD_Connection *Connection, MhdExchange &Exchange,
-                    const char *Method, const char *Version, const char *Data,
-                    std::size_t *Size);
-  void pump();
-  void pumpSoon();
-  void takeHangups();
+  void acceptConnections();
+  void add(int Fd, const sockaddr_storage &Address);
+  void closeListener();
+  void runWoken();
+  void sweep();
 
   EventLoop &Loop;
+  std::uint32_t MaxConnections;
   std::size_t MaxHeadBytes;
   core::Seconds IdleTimeout;
   Acceptor OnRequest;
-  Timer Timeout;
-  MHD_Daemon *Daemon = nullptr;
-  std::unique_ptr<Descriptor> Ready;
-  /// libmicrohttpd does not watch a suspended connection, so that a caller that
-  /// goes away is noticed by this second epoll descriptor.
+  int ListenFd = -1;
+  std::unique_ptr<Descriptor> Listening;
+  /// A connection that is not read still has to notice that its caller leaves.
   int HangupFd = -1;
   std::unique_ptr<Descriptor> Hangups;
   std::uint16_t Port = 0;
-  bool Quiescing = false;
   bool LastAnswers = false;
-  bool Pumping = false;
-  bool RunAgain = false;
   bool Stopping = false;
-  std::unordered_map<MhdExchange *, std::unique_ptr<MhdExchange>> Exchanges;
+  Timer Soon;
+  Timer Sweep;
+  Timer AcceptAgain;
+  std::unordered_set<HttpConnection *> Woken;
+  std::unordered_map<HttpConnection *, std::unique_ptr<HttpConnection>>
+      Connections;
 };
 
-MhdServer::~MhdServer() {
+LoopServer::~LoopServer() {
   Stopping = true;
-  if (Daemon != nullptr) {
-    // libmicrohttpd stops the process when a connection is still suspended.
-    for (auto &[Key, Exchange] : Exchanges) {
-      Exchange->abort();
-      Exchange->resume();
-    }
-    Ready.reset();
-    MHD_stop_daemon(Daemon);
-  }
+  closeListener();
+  Connections.clear();
   Hangups.reset();
   if (HangupFd >= 0)
     ::close(HangupFd);
 }
 
-bool MhdServer::open(const Options &Settings) {
-  const int Listener = openListener(Settings.Address);
-  if (Listener < 0)
+bool LoopServer::open(const std::string &Address) {
+  ListenFd = openListener(Address);
+  if (ListenFd < 0)
     return false;
-  Port = portOf(Listener);
+  Port = portOf(ListenFd);
   HangupFd = epoll_create1(EPOLL_CLOEXEC);
-  Daemon = MHD_start_daemon(
-      MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, nullptr, nullptr, onAccess,
-      this, MHD_OPTION_LISTEN_SOCKET, Listener, MHD_OPTION_CONNECTION_LIMIT,
-      Settings.MaxConnections, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-      ConnectionMemoryBytes, MHD_OPTION_CONNECTION_TIMEOUT,
-      static_cast<unsigned>(Settings.IdleTimeout.count()),
-      MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_URI_LOG_CALLBACK,
-      onRequestLine, this, MHD_OPTION_NOTIFY_COMPLETED, onCompleted, this,
-      MHD_OPTION_NOTIFY_CONNECTION, onConnection, this, MHD_OPTION_END);
-  if (Daemon == nullptr) {
-    ::close(Listener);
-    return false;
-  }
-  const MHD_DaemonInfo *Info =
-      MHD_get_daemon_info(Daemon, MHD_DAEMON_INFO_EPOLL_FD);
-  Ready = std::make_unique<Descriptor>(Loop, Info->epoll_fd,
-                                       [this](int) { pump(); });
-  Ready->watch(Descriptor::Readable);
+  Listening = std::make_unique<Descriptor>(
+      Loop, ListenFd, [this](int) { acceptConnections(); });
+  Listening->watch(Descriptor::Readable);
   Hangups = std::make_unique<Descriptor>(Loop, HangupFd,
                                          [this](int) { takeHangups(); });
   Hangups->watch(Descriptor::Readable);
-  pump();
+  Sweep.arm(now() + SweepPeriod);
   return true;
 }
 
-void MhdServer::closeAfterAnswers() {
-  LastAnswers = true;
-  for (auto &[Key, Exchange] : Exchanges)
-    Exchange->closeAfterAnswer();
+void LoopServer::acceptConnections() {
+  for (int I = 0; I < MaxAcceptsPerIteration; ++I) {
+    sockaddr_storage Address{};
+    socklen_t Size = sizeof Address;
+    const int Fd = accept4(ListenFd, reinterpret_cast<sockaddr *>(&Address),
+                           &Size, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (Fd >= 0) {
+      add(Fd, Address);
+      continue;
+    }
+    if (errno == EMFILE || errno == ENFILE) {
+      Listening->watch(Descriptor::None);
+      AcceptAgain.arm(now() + AcceptPause);
+    }
+    if (errno != EINTR && errno != ECONNABORTED)
+      return;
+  }
 }
 
-void MhdServer::quiesce() {
-  if (Quiescing)
+void LoopServer::add(int Fd, const sockaddr_storage &Address) {
+  if (Connections.size() >= MaxConnections) {
+    ::close(Fd);
     return;
-  Quiescing = true;
-  closeAfterAnswers();
-  const int Listener = MHD_quiesce_daemon(Daemon);
-  if (Listener >= 0)
-    ::close(Listener);
+  }
+  const int On = 1;
+  setsockopt(Fd, IPPROTO_TCP, TCP_NODELAY, &On, sizeof On);
+  auto New = std::make_unique<HttpConnection>(
+      Loop, *this, Fd, addressText(Address), MaxHeadBytes);
+  if (LastAnswers)
+    New->closeAfterAnswers();
+  epoll_event Event{};
+  Event.events = EPOLLRDHUP | EPOLLET;
+  Event.data.ptr = New.get();
+  epoll_ctl(HangupFd, EPOLL_CTL_ADD, Fd, &Event);
+  Connections.emplace(New.get(), std::move(New));
 }
 
-void MhdServer::pump() {
-  for (int Run = 0; Run < MaxRunsPerIteration; ++Run) {
-    Pumping = true;
-    RunAgain = false;
-    MHD_run(Daemon);
-    Pumping = false;
-    if (RunAgain)
-      continue;
-    MHD_UNSIGNED_LONG_LONG Left = 0;
-    if (MHD_get_timeout(Daemon, &Left) != MHD_YES) {
-      Timeout.cancel();
-      return;
-    }
-    if (Left == 0)
-      continue;
-    Timeout.arm(Loop.now().Mono + core::Milliseconds(Left));
-    return;
-  }
-  Timeout.arm(Loop.now().Mono);
+void LoopServer::closeAfterAnswers() {
+  LastAnswers = true;
+  for (const auto &[Key, Connection] : Connections)
+    Connection->closeAfterAnswers();
 }
 
-void MhdServer::pumpSoon() {
-  // With external polling, a resumed connection does not make the epoll
-  // descriptor ready.
-  RunAgain = true;
-  if (!Pumping && !Stopping)
-    Timeout.arm(Loop.now().Mono);
+void LoopServer::quiesce() {
+  closeAfterAnswers();
+  closeListener();
 }
 
-void MhdServer::takeHangups() {
-  epoll_event Events[64];
-  const int Count = epoll_wait(HangupFd, Events, 64, 0);
-  for (int I = 0; I < Count; ++I) {
-    auto *Socket = static_cast<CallerSocket *>(Events[I].data.ptr);
-    Socket->Closing = true;
-    if (Socket->Current != nullptr)
-      Socket->Current->drop();
-  }
+void LoopServer::closeListener() {
+  if (ListenFd < 0)
+    return;
+  AcceptAgain.cancel();
+  Listening->watch(Descriptor::None);
+  ::close(ListenFd);
+  ListenFd = -1;
 }
 
-MHD_Result MhdServer::onAccess(void *Server, MHD_Connection *Connection,
-                               const char *, const char *Method,
-                               const char *Version, const char *Data,
-                               std::size_t *Size, void **Context) {
-  auto &Exchange = *static_cast<MhdExchange *>(*Context);
-  return static_cast<MhdServer *>(Server)->access(Connection, Exchange, Method,
-                                                  Version, Data, Size);
+std::size_t LoopServer::active() const {
+  std::size_t Sum = 0;
+  for (const auto &[Key, Connection] : Connections)
+    Sum += Connection->active();
+  return Sum;
 }
 
-MHD_Result MhdServer::access(MHD_Connection *Connection, MhdExchange &Exchange,
-                             const char *Method, const char *Version,
-                             const char *Data, std::size_t *Size) {
+void LoopServer::wake(HttpConnection &Connection) {
   if (Stopping)
-    return MHD_NO;
-  if (Exchange.headSeen())
-    return Exchange.takeBody(Data, Size);
-  const MHD_ConnectionInfo *Info =
-      MHD_get_connection_info(Connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
-  auto *Socket = static_cast<CallerSocket *>(Info->socket_context);
-  // After a pause of the process, a request and the close that followed it can
-  // be waiting together.
-  takeHangups();
-  if (Socket->Closing)
-    return MHD_NO;
-  Socket->Current = &Exchange;
-  if (LastAnswers)
-    Exchange.closeAfterAnswer();
-  return Exchange.takeHead(Connection, Method, Version, MaxHeadBytes,
-                           OnRequest);
+    return;
+  if (Woken.empty())
+    Soon.arm(now());
+  Woken.insert(&Connection);
 }
 
-void *MhdServer::onRequestLine(void *Server, const char *Uri,
-                               MHD_Connection *) {
-  auto &Self = *static_cast<MhdServer *>(Server);
-  auto Exchange =
-      std::make_unique<MhdExchange>(Uri, [&Self] { Self.pumpSoon(); });
-  MhdExchange *Key = Exchange.get();
-  Self.Exchanges.emplace(Key, std::move(Exchange));
-  return Key;
+void LoopServer::runWoken() {
+  const auto Waking = std::exchange(Woken, {});
+  for (HttpConnection *Connection : Waking) {
+    if (!Connection->isClosed())
+      Connection->pump();
+    if (!Connection->isClosed())
+      continue;
+    Woken.erase(Connection);
+    Connections.erase(Connection);
+  }
 }
 
-void MhdServer::onCompleted(void *Server, MHD_Connection *Connection,
-                            void **Context, MHD_RequestTerminationCode How) {
-  auto *Exchange = static_cast<MhdExchange *>(*Context);
-  if (Exchange == nullptr)
-    return;
-  const MHD_ConnectionInfo *Info =
-      MHD_get_connection_info(Connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
-  if (Info != nullptr && Info->socket_context != nullptr)
-    static_cast<CallerSocket *>(Info->socket_context)->Current = nullptr;
-  Exchange->close(How == MHD_REQUEST_TERMINATED_COMPLETED_OK);
-  static_cast<MhdServer *>(Server)->Exchanges.erase(Exchange);
-  *Context = nullptr;
+void LoopServer::takeHangups() {
+  std::array<epoll_event, 64> Events;
+  const int Count =
+      epoll_wait(HangupFd, Events.data(), static_cast<int>(Events.size()), 0);
+  for (int I = 0; I < Count; ++I)
+    static_cast<HttpConnection *>(Events[static_cast<std::size_t>(I)].data.ptr)
+        ->drop();
 }
 
-void MhdServer::onConnection(void *Server, MHD_Connection *Connection,
-                             void **Context,
-                             MHD_ConnectionNotificationCode What) {
-  if (What == MHD_CONNECTION_NOTIFY_CLOSED) {
-    delete static_cast<CallerSocket *>(*Context);
-    *Context = nullptr;
-    return;
-  }
-  auto *Socket = new CallerSocket;
-  *Context = Socket;
-  const MHD_ConnectionInfo *Info =
-      MHD_get_connection_info(Connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-  epoll_event Event{};
-  Event.events = EPOLLRDHUP | EPOLLET;
-  Event.data.ptr = Socket;
-  const auto &Self = *static_cast<MhdServer *>(Server);
-  MHD_set_connection_option(Connection, MHD_CONNECTION_OPTION_TIMEOUT,
-                            static_cast<unsigned>(Self.IdleTimeout.count()));
-  epoll_ctl(Self.HangupFd, EPOLL_CTL_ADD, Info->connect_fd, &Event);
+void LoopServer::sweep() {
+  for (const auto &[Key, Connection] : Connections)
+    Connection->closeIfExpired(now());
+  Sweep.arm(now() + SweepPeriod);
 }
 
 } // namespace
@@ -307,8 +261,8 @@
 HttpServer::listen(EventLoop &Loop, const Options &Settings,
                    Acceptor OnRequest) {
   auto Server =
-      std::make_unique<MhdServer>(Loop, Settings, std::move(OnRequest));
-  if (!Server->open(Settings))
+      std::make_unique<LoopServer>(Loop, Settings, std::move(OnRequest));
+  if (!Server->open(Settings.Address))
     return core::Error{core::ErrorCode::ProcessListenFailed, Settings.Address};
   return std::unique_ptr<HttpServer>(std::move(Server));
 }
--- /dev/null
+++ b/tests/io/HttpPipelineTest.cpp
@@ -0,0 +1,221 @@
+#include "../../lib/io/ConnectionReuse.h"
+#include "HttpFixture.h"
+#include "RawPeer.h"
+#include <map>
+
+using namespace filbertvane;
+using namespace filbertvane::test;
+
+namespace {
+
+std::string get(const std::string &Path, const std::string &Fields = "") {
+  return "GET " + Path + " HTTP/1.1\r\nHost: a\r\n" + Fields + "\r\n";
+}
+
+/// Server whose answers the test gives, by path.
+struct OpenRequests {
+  explicit OpenRequests(BoundedLoop &Bounded)
+      : Server(listenOn(Bounded.Loop, [this](io::ServerExchange &Exchange) {
+          const std::string Path = Exchange.request().Path;
+          Exchanges[Path] = &Exchange;
+          auto Handler = std::make_unique<ServerHandler>();
+          Handler->Closed = [this, Path](bool Whole) {
+            Exchanges.erase(Path);
+            Ends[Path] = Whole;
+          };
+          return Handler;
+        })) {}
+
+  std::map<std::string, io::ServerExchange *> Exchanges;
+  std::map<std::string, bool> Ends;
+  std::unique_ptr<io::HttpServer> Server;
+};
+
+std::size_t count(const std::string &In, const std::string &Text) {
+  std::size_t Sum = 0;
+  for (std::size_t At = In.find(Text); At != std::string::npos;
+       At = In.find(Text, At + 1))
+    ++Sum;
+  return Sum;
+}
+
+constexpr core::Milliseconds Settled{50};
+
+} // namespace
+
+// Guards against a request that waits for the one before it although it could
+// run, and against answers in another order than the requests.
+Test(http_pipeline, requests_run_together_and_are_answered_in_order) {
+  BoundedLoop Bounded;
+  OpenRequests Open(Bounded);
+  const auto Caller =
+      RawConnection::connect(Bounded.Loop, Open.Server->port(), [](auto &) {});
+  Caller->send(get("/1") + get("/2") + get("/3"));
+  Bounded.runFor(Settled);
+  cr_assert(Open.Exchanges.size() == 3);
+  Open.Exchanges.at("/3")->respond(200, "three");
+  Open.Exchanges.at("/2")->respond(200, "two");
+  Bounded.runFor(Settled);
+  cr_assert(Caller->Received.empty(), "%s", Caller->Received.c_str());
+  Open.Exchanges.at("/1")->respond(200, "one");
+  Bounded.runFor(Settled);
+  const std::string &Got = Caller->Received;
+  cr_assert(count(Got, "HTTP/1.1 200") == 3);
+  cr_assert(Got.find("one") < Got.find("two"));
+  cr_assert(Got.find("two") < Got.find("three"));
+  cr_assert(Open.Ends == (std::map<std::string, bool>{
+                             {"/1", true}, {"/2", true}, {"/3", true}}));
+}
+
+// Guards against work for a caller that left with several requests open.
+Test(http_pipeline, a_caller_that_leaves_ends_all_its_requests) {
+  BoundedLoop Bounded;
+  OpenRequests Open(Bounded);
+  const auto Caller =
+      RawConnection::connect(Bounded.Loop, Open.Server->port(), [](auto &) {});
+  Caller->send(get("/1") + get("/2"));
+  Bounded.runFor(Settled);
+  Caller->close();
+  Bounded.runFor(Settled);
+  cr_assert(Open.Ends ==
+            (std::map<std::string, bool>{{"/1", false}, {"/2", false}}));
+}
+
+// Guards against memory that one caller can take without bound.
+Test(http_pipeline, requests_beyond_the_bound_are_not_read) {
+  BoundedLoop Bounded;
+  OpenRequests Open(Bounded);
+  const auto Caller =
+      RawConnection::connect(Bounded.Loop, Open.Server->port(), [](auto &) {});
+  std::string All;
+  for (int I = 0; I < 40; ++I)
+    All += get("/" + std::to_string(I));
+  Caller->send(All);
+  Bounded.runFor(Settled);
+  cr_assert(Open.Exchanges.size() == io::ConnectionReuse::MaximumUnanswered);
+  Open.Exchanges.at("/0")->respond(200, "");
+  Bounded.runFor(Settled);
+  cr_assert(Open.Exchanges.contains("/16"));
+}
+
+// Guards against a planned stop that closes the connection before the answer to
+// a request that was read: the caller sends it again, and it runs twice.
+Test(http_pipeline, only_the_last_answer_of_a_planned_stop_closes) {
+  BoundedLoop Bounded;
+  OpenRequests Open(Bounded);
+  const auto Caller =
+      RawConnection::connect(Bounded.Loop, Open.Server->port(), [](auto &) {});
+  Caller->send(get("/1") + get("/2"));
+  Bounded.runFor(Settled);
+  Open.Server->closeAfterAnswers();
+  // Sent behind a closing answer, so that the caller sends it elsewhere.
+  Caller->send(get("/3"));
+  Bounded.runFor(Settled);
+  cr_assert(!Open.Exchanges.contains("/3"));
+  Open.Exchanges.at("/1")->respond(200, "one");
+  Bounded.runFor(Settled);
+  cr_assert(count(Caller->Received, "Connection: close") == 0);
+  cr_assert(!Caller->Ended);
+  Open.Exchanges.at("/2")->respond(200, "two");
+  Bounded.runFor(Settled);
+  cr_assert(count(Caller->Received, "HTTP/1.1 200") == 2);
+  cr_assert(count(Caller->Received, "Connection: close") == 1);
+  cr_assert(Caller->Ended);
+  cr_assert(!Open.Ends.contains("/3"));
+}
+
+// Guards against a malformed head that takes the answers before it along.
+Test(http_pipeline, a_malformed_head_is_refused_behind_the_answers_before_it) {
+  for (const std::string &Bad :
+       {std::string("GET / HTTP/1.1\r\n\r\n"), std::string("\x01\r\n\r\n"),
+        "GET / HTTP/1.1\r\nHost: a\r\nX: " + std::string(40000, 'x')}) {
+    BoundedLoop Bounded;
+    OpenRequests Open(Bounded);
+    const auto Caller = RawConnection::connect(
+        Bounded.Loop, Open.Server->port(), [](auto &) {});
+    Caller->send(get("/1") + Bad);
+    Bounded.runFor(Settled);
+    cr_assert(Caller->Received.empty() && !Caller->Ended);
+    Open.Exchanges.at("/1")->respond(200, "one");
+    Bounded.runFor(Settled);
+    cr_assert(count(Caller->Received, "HTTP/1.1 200") == 1);
+    cr_assert(count(Caller->Received, "HTTP/1.1 4") == 1, "%s",
+              Caller->Received.c_str());
+    cr_assert(Caller->Ended);
+  }
+}
+
+// Guards against a refusal of an upload that its caller never sees, since the
+// connection is reset while the body still arrives.
+Test(http_pipeline, a_refusal_of_a_large_upload_arrives) {
+  constexpr std::size_t Total = std::size_t{8} * 1024 * 1024;
+  for (const bool Chunked : {false, true}) {
+    BoundedLoop Bounded;
+    const auto Server =
+        listenOn(Bounded.Loop, [&](io::ServerExchange &Exchange) {
+          auto Handler = std::make_unique<ServerHandler>();
+          Handler->Body = [&Exchange](std::string_view) {
+            Exchange.respond(503, "no room");
+          };
+          return Handler;
+        });
+    const auto Client = io::HttpClient::create(Bounded.Loop, {});
+    ClientRecorder Recorder;
+    Recorder.OnOver = [&] { Bounded.stop(); };
+    auto What = requestTo(Bounded.Loop, urlOf(Server->port()));
+    What.Method = "POST";
+    What.ContentLength = Total;
+    if (Chunked)
+      What.ContentLength.reset();
+    const auto Request = Client->send(std::move(What), Recorder);
+    Request->writeBody(patternOf(Total));
+    Request->finishBody();
+    Bounded.run();
+    cr_assert(Recorder.Head.Status == 503);
+    cr_assert(Recorder.Body == "no room", "%s", Recorder.Body.c_str());
+  }
+}
+
+// Guards against an answer with less than its stated length that ends as whole.
+Test(http_pipeline, an_answer_that_is_too_short_closes_the_connection) {
+  BoundedLoop Bounded;
+  OpenRequests Open(Bounded);
+  const auto Caller =
+      RawConnection::connect(Bounded.Loop, Open.Server->port(), [](auto &) {});
+  Caller->send(get("/1"));
+  Bounded.runFor(Settled);
+  Open.Exchanges.at("/1")->start({200, {}}, 10);
+  Open.Exchanges.at("/1")->write("short");
+  Open.Exchanges.at("/1")->finish();
+  Bounded.runFor(Settled);
+  cr_assert(Caller->Ended);
+  cr_assert(Open.Ends.at("/1") == false);
+}
+
+// Guards against a caller that waits for a sign before it sends its body.
+Test(http_pipeline, a_caller_that_waits_is_told_to_continue) {
+  BoundedLoop Bounded;
+  OpenRequests Open(Bounded);
+  const auto Caller =
+      RawConnection::connect(Bounded.Loop, Open.Server->port(), [](auto &) {});
+  Caller->send("POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n"
+               "Expect: 100-continue\r\n\r\n");
+  Bounded.runFor(Settled);
+  cr_assert(Caller->Received == "HTTP/1.1 100 Continue\r\n\r\n");
+}
+
+// Guards against an answer to HEAD whose body is read as the next answer.
+Test(http_pipeline, an_answer_to_head_has_no_body) {
+  BoundedLoop Bounded;
+  OpenRequests Open(Bounded);
+  const auto Caller =
+      RawConnection::connect(Bounded.Loop, Open.Server->port(), [](auto &) {});
+  Caller->send("HEAD /1 HTTP/1.1\r\nHost: a\r\n\r\n" + get("/2"));
+  Bounded.runFor(Settled);
+  Open.Exchanges.at("/1")->respond(200, "body");
+  Open.Exchanges.at("/2")->respond(200, "next");
+  Bounded.runFor(Settled);
+  cr_assert(count(Caller->Received, "body") == 0);
+  cr_assert(count(Caller->Received, "next") == 1);
+  cr_assert(Open.Ends.at("/1") && Open.Ends.at("/2"));
+}
