Hold a new version that is suspected, and complete a move with sixty clear answers

move_tracker/a_suspected_version_is_held_and_at_last_rejected fails before (the verdict knew no suspicion). 52 tests of moves, exposure and the mesh pass.

--- a/include/filbertvane/decision/mesh/MoveTracker.h
+++ b/include/filbertvane/decision/mesh/MoveTracker.h
@@ -2,6 +2,7 @@
 #define FILBERTVANE_DECISION_MESH_MOVETRACKER_H
 
 #include "filbertvane/decision/mesh/HostReport.h"
+#include "filbertvane/decision/rollout/SequentialTest.h"
 #include <map>
 #include <set>
 
@@ -50,11 +51,10 @@
 
 /// @brief Result of comparing a new version with the others.
 struct MoveVerdict {
-  bool Rejected = false;
+  /// `Proven` rejects the version; `Suspected` holds its share where it is.
+  rollout::Finding Result = rollout::Finding::None;
   std::string Reason;
-  /// Answers of the new version on all routes.
-  std::uint64_t Answers = 0;
-  /// A version with faults would have been found among these answers.
+  /// A version with faults would have been suspected by now.
   bool Sufficient = false;
 };
 
@@ -90,6 +90,8 @@
 
   VersionShares shares(const core::ServiceName &Service,
                        core::TimePoint Now) const;
+  /// @brief Whether a version that is still suspected has to be rejected.
+  bool mustDecide(const TrackedMove &Move, core::TimePoint Now) const;
   /// @brief Whether the move has run long enough, with sufficient evidence, to
   ///        be completed.
   bool readyToComplete(const TrackedMove &Move, core::TimePoint Now) const;
--- a/lib/decision/mesh/MoveTracker.cpp
+++ b/lib/decision/mesh/MoveTracker.cpp
@@ -6,6 +6,8 @@
 
 namespace filbertvane::decision::mesh {
 
+using rollout::Finding;
+
 namespace {
 
 /// @brief Step in the schedule of a move.
@@ -31,16 +33,30 @@
 /// requests in progress at the old version have ended by then.
 constexpr double CompletionFraction = 0.8;
 
-/// Answers of the new version among which a fault or a delay of one in three is
-/// found with a probability above 0.95.
-constexpr std::uint64_t SufficientAnswers = 100;
-/// An answer is slow when it takes longer than this multiple of the median of
-/// the other versions. Hosts of one service differ in speed by a factor of up
-/// to 3. The median holds when some hosts are slow.
-constexpr int SlowMedianFactor = 4;
-/// Share of slow answers that is tolerated in any version: that of a slow host
-/// with widely spread answer times.
-constexpr double ToleratedSlowRate = 0.1;
+/// Fraction of the time after which a new version that is still suspected is
+/// rejected: no time is left to complete the move.
+constexpr double SuspicionFraction = 0.85;
+
+/// Answers of the new version among which a fault or a delay of one in five
+/// raises a suspicion with a probability above 0.95.
+constexpr std::uint64_t SufficientAnswers = 60;
+/// Logarithm of the likelihood ratio above which a version is suspected: a good
+/// one is with a probability of 5%, which only delays its move.
+constexpr double SuspicionLogRatio = 3.0;
+
+/// @brief What counts as slow, and how much of it is tolerated.
+struct SlowLimit {
+  /// An answer is slow when it takes longer than this multiple of the median of
+  /// the other versions, which holds when some of their hosts are slow.
+  int MedianFactor;
+  /// Share of slow answers that is tolerated in any version.
+  double ToleratedRate;
+};
+
+/// Hosts of one service differ in speed by a factor of up to 3: the rate is
+/// that of a slow host with widely spread answer times.
+constexpr SlowLimit RejectionLimit{4, 0.1};
+constexpr SlowLimit SuspicionLimit{3, 0.05};
 /// Answers of the other versions below which there is no median to compare
 /// with.
 constexpr std::uint64_t MinimumOldTimes = 10;
@@ -130,21 +146,25 @@
   return WithBad >= (WithAnswers >= 2 ? 2U : 1U);
 }
 
-bool isWorse(const rollout::Sample &New, const rollout::Sample &Old,
-             double ToleratedRate, double MinimumRatio) {
-  if (badRate(New) < MinimumRatio * badRate(Old))
-    return false;
+Finding compare(const rollout::Sample &New, const rollout::Sample &Old,
+                double ToleratedRate, double MinimumRatio) {
+  if (New.Bad < 2 || badRate(New) < MinimumRatio * badRate(Old))
+    return Finding::None;
   const double Control = rollout::controlRate(Old, ToleratedRate);
-  return rollout::compareVersions(New, Old, Control) ==
-         rollout::Finding::Proven;
+  if (rollout::compareVersions(New, Old, Control) == Finding::Proven)
+    return Finding::Proven;
+  return rollout::logLikelihoodRatio(New, Control) >= SuspicionLogRatio
+             ? Finding::Suspected
+             : Finding::None;
 }
 
-bool hasProvenFaults(const RouteEvidence &Route) {
-  return isSharedByHosts(Route,
-                         [](const RouteTally &Host) {
-                           return rollout::Sample{Host.Answers, Host.Faults};
-                         }) &&
-         isWorse(Route.New.Faults, Route.Old.Faults, rollout::ControlErrorRate,
+Finding findFaults(const RouteEvidence &Route) {
+  const auto OfHost = [](const RouteTally &Host) {
+    return rollout::Sample{Host.Answers, Host.Faults};
+  };
+  if (!isSharedByHosts(Route, OfHost))
+    return Finding::None;
+  return compare(Route.New.Faults, Route.Old.Faults, rollout::ControlErrorRate,
                  MinimumFaultRateRatio);
 }
 
@@ -157,49 +177,76 @@
 
 /// Samples of slow answers of both versions.
 struct SlowEvidence {
-  core::Microseconds Bound;
+  Finding Result = Finding::None;
+  core::Microseconds Bound{0};
   rollout::Sample New;
   rollout::Sample Old;
 };
 
-std::optional<SlowEvidence> findSlowness(const RouteEvidence &Route) {
-  if (Route.Old.Times.total() < MinimumOldTimes)
-    return std::nullopt;
+SlowEvidence findSlowness(const RouteEvidence &Route, const SlowLimit &Limit) {
   SlowEvidence Found;
-  Found.Bound = Route.Old.Times.median() * SlowMedianFactor;
+  if (Route.Old.Times.total() < MinimumOldTimes)
+    return Found;
+  Found.Bound = Route.Old.Times.median() * Limit.MedianFactor;
   Found.New = slowSample(Route.New.Times, Route.New.CutOffTimes, Found.Bound);
   Found.Old = slowSample(Route.Old.Times, Route.Old.CutOffTimes, Found.Bound);
   const auto OfHost = [&Found](const RouteTally &Host) {
     return slowSample(Host.Times, Host.CutOffTimes, Found.Bound);
   };
-  if (!isSharedByHosts(Route, OfHost) ||
-      !isWorse(Found.New, Found.Old, ToleratedSlowRate, MinimumSlowRateRatio))
-    return std::nullopt;
+  if (isSharedByHosts(Route, OfHost))
+    Found.Result = compare(Found.New, Found.Old, Limit.ToleratedRate,
+                           MinimumSlowRateRatio);
   return Found;
 }
 
+std::string describe(const core::RouteName &Name,
+                     const rollout::Sample &Faults) {
+  return fmt::format("route {}: {} of {} answers failed", Name.value(),
+                     Faults.Bad, Faults.Answers);
+}
+
+std::string describe(const core::RouteName &Name, const SlowEvidence &Slow) {
+  return fmt::format(
+      "route {}: {} of {} answers took longer than {} ms, of "
+      "other versions {} of {}",
+      Name.value(), Slow.New.Bad, Slow.New.Answers,
+      std::chrono::duration_cast<core::Milliseconds>(Slow.Bound).count(),
+      Slow.Old.Bad, Slow.Old.Answers);
+}
+
+/// Finding on one route, with the evidence for it.
+std::pair<Finding, std::string> judge(const core::RouteName &Name,
+                                      const RouteEvidence &Route) {
+  const Finding Faults = findFaults(Route);
+  if (Faults == Finding::Proven)
+    return {Faults, describe(Name, Route.New.Faults)};
+  const SlowEvidence Slow = findSlowness(Route, RejectionLimit);
+  if (Slow.Result == Finding::Proven)
+    return {Slow.Result, describe(Name, Slow)};
+  if (Faults == Finding::Suspected)
+    return {Faults, describe(Name, Route.New.Faults)};
+  const SlowEvidence Suspicion = findSlowness(Route, SuspicionLimit);
+  if (Suspicion.Result != Finding::None)
+    return {Finding::Suspected, describe(Name, Suspicion)};
+  return {Finding::None, ""};
+}
+
 } // namespace
 
 MoveVerdict evaluateMove(const TrackedMove &Move,
                          const std::vector<const TargetReport *> &Targets) {
   MoveVerdict Verdict;
+  std::uint64_t Answers = 0;
   for (const auto &[Name, Route] : gather(Move.Order.NewVersion, Targets)) {
-    Verdict.Answers += Route.New.Faults.Answers;
-    if (hasProvenFaults(Route))
-      return {true,
-              fmt::format("route {}: {} of {} answers failed", Name.value(),
-                          Route.New.Faults.Bad, Route.New.Faults.Answers)};
-    if (const auto Slow = findSlowness(Route))
-      return {true,
-              fmt::format(
-                  "route {}: {} of {} answers took longer than {} ms, "
-                  "of other versions {} of {}",
-                  Name.value(), Slow->New.Bad, Slow->New.Answers,
-                  std::chrono::duration_cast<core::Milliseconds>(Slow->Bound)
-                      .count(),
-                  Slow->Old.Bad, Slow->Old.Answers)};
+    Answers += Route.New.Faults.Answers;
+    auto [Result, Reason] = judge(Name, Route);
+    if (Result <= Verdict.Result)
+      continue;
+    Verdict.Result = Result;
+    Verdict.Reason = std::move(Reason);
   }
-  Verdict.Sufficient = Verdict.Answers >= SufficientAnswers;
+  Verdict.Sufficient =
+      Verdict.Result == Finding::None && Answers >= SufficientAnswers;
   return Verdict;
 }
 
@@ -298,6 +345,12 @@
   return Result;
 }
 
+bool MoveTracker::mustDecide(const TrackedMove &Move,
+                             core::TimePoint Now) const {
+  return !Move.SufficientSince &&
+         fractionOf(Move, Now - Move.StartedAt) >= SuspicionFraction;
+}
+
 bool MoveTracker::readyToComplete(const TrackedMove &Move,
                                   core::TimePoint Now) const {
   return Move.Phase == MovePhase::Running && Move.SufficientSince &&
--- a/lib/decision/mesh/ReduceMoves.cpp
+++ b/lib/decision/mesh/ReduceMoves.cpp
@@ -95,7 +95,10 @@
   if (Move.Phase == MovePhase::Running) {
     const auto Targets = targetsOf(Service);
     const MoveVerdict Verdict = evaluateMove(Move, Targets);
-    if (Verdict.Rejected) {
+    const bool Rejected = Verdict.Result == rollout::Finding::Proven ||
+                          (Verdict.Result == rollout::Finding::Suspected &&
+                           State.Moves.mustDecide(Move, Now));
+    if (Rejected) {
       log(observe::EventId::MeshVersionRejected,
           fmt::format("service={} to={} evidence=\"{}\"", Service.value(),
                       Move.Order.NewVersion.value(), Verdict.Reason));
