--- a/tests/io/HttpFailureTest.cpp
+++ b/tests/io/HttpFailureTest.cpp
@@ -51,8 +51,52 @@
   return Caller->Received.substr(0, 12);
 }
 
+/// How a request ends whose answer is cut off after some bytes.
+io::ClientEnd endOfCutAnswer(const std::string &Answer, std::size_t Bytes) {
+  BoundedLoop Bounded;
+  RawServer Server(Bounded.Loop, [&](RawConnection &Connection) {
+    if (Connection.Received.find("\r\n\r\n") == std::string::npos)
+      return;
+    if (Bytes > 0)
+      Connection.send(Answer.substr(0, Bytes));
+    Connection.close();
+  });
+  const auto Client = io::HttpClient::create(Bounded.Loop, {});
+  ClientRecorder Recorder;
+  Recorder.OnOver = [&] { Bounded.stop(); };
+  auto What = requestTo(Bounded.Loop, urlOf(Server.Port));
+  // Answers of targets may end with their connection.
+  What.AcceptUnframed = true;
+  const auto Request = Client->send(std::move(What), Recorder);
+  Bounded.run();
+  return *Recorder.End;
+}
+
 } // namespace
 
+// Guards against a target that stops in the middle of its answer's head, and
+// whose caller gets a success with an empty body.
+Test(http_failure, an_answer_cut_at_any_byte_is_not_whole) {
+  const std::string Head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: 9c41\r\n";
+  const std::string Framed = Head + "Content-Length: 5\r\n\r\nhello";
+  const std::string Chunked =
+      Head + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n";
+  for (const std::string &Answer : {Framed, Chunked}) {
+    // libcurl takes a chunked body as whole without the last line feed, after
+    // which nothing can follow.
+    const std::size_t Whole = Answer.size() - (Answer == Chunked ? 1 : 0);
+    for (std::size_t Bytes = 0; Bytes < Whole; ++Bytes)
+      cr_assert(endOfCutAnswer(Answer, Bytes) != io::ClientEnd::Complete,
+                "%zu bytes of %s", Bytes, Answer.c_str());
+    cr_assert(endOfCutAnswer(Answer, Answer.size()) == io::ClientEnd::Complete);
+  }
+  // Without a length, the end of the connection ends the body, not the head.
+  const std::string Unframed = Head + "\r\nhello";
+  for (std::size_t Bytes = 0; Bytes < Head.size() + 2; ++Bytes)
+    cr_assert(endOfCutAnswer(Unframed, Bytes) != io::ClientEnd::Complete,
+              "%zu bytes", Bytes);
+}
+
 // Guards against a part of an answer that its receiver takes for the whole.
 Test(http_failure, a_broken_answer_is_seen_as_broken) {
   cr_assert(endOfBrokenAnswer(std::nullopt, {}) == io::ClientEnd::Failed);
