Serve the calls of running requests first

The call of a running request now goes first at its host and may use the time until its deadline: its caller holds a slot of another target, and a refusal wastes that run. mesh_requests/calls_of_running_requests_go_first and a_nested_call_may_use_its_time fail before.

--- a/lib/decision/mesh/MoveTracker.cpp
+++ b/lib/decision/mesh/MoveTracker.cpp
@@ -37,11 +37,11 @@
 /// rejected: no time is left to complete the move.
 constexpr double SuspicionFraction = 0.85;
 
-/// Answers of the new version among which a fault or a delay of one in five
+/// Answers of the new version among which a fault or a delay of one in four
 /// raises a suspicion with a probability above 0.95.
 constexpr std::uint64_t SufficientAnswers = 60;
-/// Logarithm of the likelihood ratio above which a version is suspected: a good
-/// one is with a probability of 5%, which only delays its move.
+/// Logarithm of the likelihood ratio above which a version is suspected. A good
+/// one exceeds it with a probability of at most 5%, which only delays its move.
 constexpr double SuspicionLogRatio = 3.0;
 
 /// @brief What counts as slow, and how much of it is tolerated.
--- a/lib/decision/mesh/ReduceArrival.cpp
+++ b/lib/decision/mesh/ReduceArrival.cpp
@@ -22,6 +22,9 @@
 constexpr int ShortObjectiveDivisor = 10;
 /// Time within which other nodes learn that this one is leaving.
 constexpr core::Milliseconds LeavingReportDelay{500};
+/// Rank of the calls that running requests make. Their callers hold a slot of
+/// another target until the call is answered.
+constexpr std::uint32_t NestedCallRank = 0;
 /// Time left for a request when its sender states no deadline.
 constexpr core::Milliseconds DefaultTimeLeft{5000};
 
@@ -147,6 +150,12 @@
   }
   Call.Terms.Route = Route->Name;
   Call.Terms.Rank = Route->Rank;
+  // A late answer to a nested call is still of use to the request that waits
+  // for it, while a refusal fails that request and wastes its run.
+  if (!Arrival.ParentId.empty()) {
+    Call.Terms.Rank = NestedCallRank;
+    Call.Objective = Call.Deadline - Reserve;
+  }
   Call.Terms.Idempotent = Route->Idempotent;
   Call.Terms.Repeat = State.Runs.recordCall(Arrival.ParentId, Call.Service);
   SharedRetryBudget &Budget = stateOf(Call.Service).Budget;
--- a/tests/mesh/RequestFlowTest.cpp
+++ b/tests/mesh/RequestFlowTest.cpp
@@ -255,3 +255,46 @@
   Arrive(4, 100, false);
   cr_assert(Node.first<StartAttempt>().has_value());
 }
+
+// Guards against a called service whose queue lets running requests of other
+// services wait for requests that hold nothing yet.
+Test(mesh_requests, calls_of_running_requests_go_first) {
+  Bench Node;
+  Node.configure();
+  Node.announce();
+  Node.arrive(1);
+  const auto First = Node.first<StartAttempt>();
+  Node.arrive(2);
+  // Both slots are in use; the next ones wait.
+  Node.arrive(3);
+  cr_assert(!Node.first<StartAttempt>());
+  request::CallArrived Nested;
+  Nested.Id = core::CallId(4);
+  Nested.Path = "/list/1";
+  Nested.VirtualHost = "shop.example";
+  Nested.CallerId = "p.4";
+  Nested.ParentId = "p";
+  Node.send(Nested);
+  cr_assert(!Node.first<StartAttempt>());
+  Node.Now += milliseconds(100);
+  Node.end(*First, AttemptEnd::Held);
+  cr_assert(Node.first<StartAttempt>()->Id == core::CallId(4));
+}
+
+// Guards against a call that is refused as late, although the request that made
+// it has time to wait and fails without it.
+Test(mesh_requests, a_nested_call_may_use_its_time) {
+  Bench Node;
+  Node.configure();
+  Node.send(ReportReceived{report("n1")});
+  request::CallArrived Nested;
+  Nested.Id = core::CallId(1);
+  Nested.Path = "/list/1";
+  Nested.VirtualHost = "shop.example";
+  Nested.ParentId = "p";
+  Nested.TimeLeft = milliseconds(900);
+  Node.send(Nested);
+  const auto Sent = Node.first<StartAttempt>();
+  // The latency objective of the route is 400 ms.
+  cr_assert(Sent->Terms->ObjectiveLeft > milliseconds(800));
+}
