Deliver the answers before a malformed request, whatever follows it

What follows is now dropped, the answers before it are delivered, and the malformed request gets a 400 unless its answer has begun.

--- a/lib/io/HttpConnection.cpp
+++ b/lib/io/HttpConnection.cpp
@@ -46,7 +46,7 @@
   if (Count == 0)
     return false;
   touch();
-  if (!Lingering)
+  if (!DropsInput)
     Input.append(Block.data(), static_cast<std::size_t>(Count));
   return true;
 }
@@ -69,7 +69,7 @@
 
 bool HttpConnection::parse() {
   bool Progress = false;
-  while (!isClosed() && !Lingering && (HeadParsed ? parseBody() : parseHead()))
+  while (!isClosed() && !DropsInput && (HeadParsed ? parseBody() : parseHead()))
     Progress = true;
   return Progress;
 }
@@ -84,7 +84,7 @@
   const RequestParser::HeadResult Result = Parser.parseHead(Input);
   Input.erase(0, Result.Consumed);
   if (Result.Fault != 0) {
-    refuse(Result.Fault);
+    refuseHead(Result.Fault);
     return true;
   }
   if (!Result.Parsed)
@@ -111,14 +111,23 @@
 }
 
 /// What follows a malformed head cannot be told from its body.
-void HttpConnection::refuse(int Status) {
+void HttpConnection::refuseHead(int Status) {
+  DropsInput = true;
   Input.clear();
-  HeadParsed = true;
   Reuse.closeAfterLast();
   Reuse.requestRead();
   Exchanges.push_back(std::make_unique<HttpExchange>(ParsedHead{}, [] {}));
   Exchanges.back()->takeBodyEnd();
   Exchanges.back()->respond(Status, "");
+}
+
+/// The answers to the requests before this one are still delivered.
+void HttpConnection::refuseBody() {
+  DropsInput = true;
+  Input.clear();
+  Reuse.closeAfterLast();
+  if (Reading != nullptr)
+    Reading->refuseBody();
   Reading = nullptr;
 }
 
@@ -134,8 +143,8 @@
         Parser.parseBody(Input, Part.data(), Part.size());
     Input.erase(0, Result.Consumed);
     if (Result.Malformed) {
-      close();
-      return false;
+      refuseBody();
+      return true;
     }
     if (Reading != nullptr && Result.Produced > 0)
       Reading->takeBody({Part.data(), Result.Produced});
@@ -231,7 +240,7 @@
 }
 
 void HttpConnection::linger() {
-  Lingering = true;
+  Lingering = DropsInput = true;
   Input.clear();
   shutdown(Fd, SHUT_WR);
   LingerUntil = Owner.now() + LingerTime;
@@ -274,7 +283,7 @@
   const bool TakesBody =
       HeadParsed && (Reading == nullptr || Reading->acceptsBody());
   const bool Reads =
-      Lingering || TakesBody ||
+      DropsInput || TakesBody ||
       (!HeadParsed && Reuse.acceptsRequest() && Input.size() < InputBoundBytes);
   const int Wanted = (Reads ? Descriptor::Readable : 0) |
                      (Output.empty() ? 0 : Descriptor::Writable);
--- a/lib/io/HttpConnection.h
+++ b/lib/io/HttpConnection.h
@@ -55,7 +55,8 @@
   bool parseHead();
   bool parseBody();
   void open(ParsedHead Parsed);
-  void refuse(int Status);
+  void refuseHead(int Status);
+  void refuseBody();
   bool send();
   bool nextBytes();
   bool flush();
@@ -88,6 +89,8 @@
 
   bool Pumping = false;
   bool PumpAgain = false;
+  /// What the caller sends from now on is read and dropped.
+  bool DropsInput = false;
   bool Lingering = false;
   core::TimePoint IdleAt;
   core::TimePoint LingerUntil;
--- a/lib/io/HttpExchange.cpp
+++ b/lib/io/HttpExchange.cpp
@@ -92,6 +92,19 @@
     Handler->onBodyEnd();
 }
 
+void HttpExchange::refuseBody() {
+  constexpr int StatusBadRequest = 400;
+  BodyWhole = true;
+  if (Finished)
+    return;
+  if (const std::unique_ptr<ExchangeHandler> Ending = std::move(Handler))
+    Ending->onClosed(false);
+  if (Started)
+    abort();
+  else
+    respond(StatusBadRequest, "");
+}
+
 bool HttpExchange::isBodyDrainable() const {
   return BodyWhole ||
          (Parsed.BodyBytes && *Parsed.BodyBytes - BodyTaken <= DrainLimitBytes);
--- a/lib/io/HttpExchange.h
+++ b/lib/io/HttpExchange.h
@@ -33,6 +33,9 @@
   }
   void takeBody(std::string_view Part);
   void takeBodyEnd();
+  /// @brief Ends the request for its handler, since its body is malformed, and
+  ///        refuses it unless an answer has begun.
+  void refuseBody();
   /// @brief Whether body parts may be handed over; those after the end of the
   ///        answer are dropped.
   bool acceptsBody() const { return !BodyPaused || Finished; }
--- a/tests/io/HttpPipelineTest.cpp
+++ b/tests/io/HttpPipelineTest.cpp
@@ -145,6 +145,31 @@
   }
 }
 
+// Guards against a malformed request that cuts the answers before it when more
+// bytes follow.
+Test(http_pipeline, bytes_behind_a_malformed_request_change_nothing) {
+  const std::string Chunks =
+      "POST /2 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (const std::string &Bad :
+       {std::string("\x01\r\n\r\n"), Chunks + "5\r\nhello\r\nzz\r\n"}) {
+    BoundedLoop Bounded;
+    OpenRequests Open(Bounded);
+    const auto Caller = RawConnection::connect(
+        Bounded.Loop, Open.Server->port(), [](auto &) {});
+    Caller->send(get("/1") + Bad);
+    Bounded.runFor(Settled);
+    Caller->send("\x01\x02\r\n\r\n" + get("/3"));
+    Bounded.runFor(Settled);
+    cr_assert(!Caller->Ended && !Open.Exchanges.contains("/3"));
+    cr_assert(!Open.Exchanges.contains("/2"));
+    Open.Exchanges.at("/1")->respond(200, "one");
+    Bounded.runFor(Settled);
+    cr_assert(count(Caller->Received, "HTTP/1.1 200") == 1);
+    cr_assert(count(Caller->Received, "HTTP/1.1 400") == 1);
+    cr_assert(Caller->Ended);
+  }
+}
+
 // Guards against a refusal of an upload that its caller never sees, since the
 // connection is reset while the body still arrives.
 Test(http_pipeline, a_refusal_of_a_large_upload_arrives) {
