Find versions that fail under their full load, and count all cut-off answers

The version is good until it gets all requests at 72% of the time and then fails half of them under that load. It was found 1.7 s later: its faults were diluted by 200 good answers before, and the other data centres learned of them with the next periodic report, 2 s apart.

- Hosts also count the answers since the last step of the share, which are judged alone as well; the host of a new version reports bad answers to all at once, four times a second at most.
- The share rises in more and smaller steps: 6%, 10%, 25%, 50%, all.
- A suspicion at any step takes the share back to the gate.
The threshold of a suspicion is lower, so that a version slow in one of four answers raises it among sixty with a probability of 0.99.
- A request given up by the host's own deadline was not counted as cut off, since its target was taken off the record before.

exposure/a_version_that_is_seldom_slow_is_held fails before each of the last two (up to 81 requests too many); mesh_target/a_request_that_is_given_up_counts_as_slow fails without the last; move_tracker/the_answers_since_the_last_step_decide_as_well is new. 64 tests of moves, exposure, codecs and the mesh pass.

--- a/gen/filbertvane_types.cpp
+++ b/gen/filbertvane_types.cpp
@@ -8585,6 +8585,10 @@
   this->limitPerSecond = val;
 __isset.limitPerSecond = true;
 }
+
+void TargetReport::__set_stepTallies(const std::vector<RouteTally> & val) {
+  this->stepTallies = val;
+}
 std::ostream& operator<<(std::ostream& out, const TargetReport& obj)
 {
   obj.printTo(out);
@@ -8721,6 +8725,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->stepTallies.clear();
+            uint32_t _size279;
+            ::apache::thrift::protocol::TType _etype282;
+            xfer += iprot->readListBegin(_etype282, _size279);
+            this->stepTallies.resize(_size279);
+            uint32_t _i283;
+            for (_i283 = 0; _i283 < _size279; ++_i283)
+            {
+              xfer += this->stepTallies[_i283].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.stepTallies = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -8777,10 +8801,10 @@
   xfer += oprot->writeFieldBegin("tallies", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->tallies.size()));
-    std::vector<RouteTally> ::const_iterator _iter279;
-    for (_iter279 = this->tallies.begin(); _iter279 != this->tallies.end(); ++_iter279)
+    std::vector<RouteTally> ::const_iterator _iter284;
+    for (_iter284 = this->tallies.begin(); _iter284 != this->tallies.end(); ++_iter284)
     {
-      xfer += (*_iter279).write(oprot);
+      xfer += (*_iter284).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8796,6 +8820,18 @@
     xfer += oprot->writeDouble(this->limitPerSecond);
     xfer += oprot->writeFieldEnd();
   }
+  xfer += oprot->writeFieldBegin("stepTallies", ::apache::thrift::protocol::T_LIST, 13);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->stepTallies.size()));
+    std::vector<RouteTally> ::const_iterator _iter285;
+    for (_iter285 = this->stepTallies.begin(); _iter285 != this->stepTallies.end(); ++_iter285)
+    {
+      xfer += (*_iter285).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -8815,38 +8851,41 @@
   swap(a.tallies, b.tallies);
   swap(a.linkMs, b.linkMs);
   swap(a.limitPerSecond, b.limitPerSecond);
+  swap(a.stepTallies, b.stepTallies);
   swap(a.__isset, b.__isset);
 }
 
-TargetReport::TargetReport(const TargetReport& other280) {
-  target = other280.target;
-  serviceName = other280.serviceName;
-  version = other280.version;
-  state = other280.state;
-  running = other280.running;
-  waiting = other280.waiting;
-  slots = other280.slots;
-  meanMs = other280.meanMs;
-  faultPermille = other280.faultPermille;
-  tallies = other280.tallies;
-  linkMs = other280.linkMs;
-  limitPerSecond = other280.limitPerSecond;
-  __isset = other280.__isset;
-}
-TargetReport& TargetReport::operator=(const TargetReport& other281) {
-  target = other281.target;
-  serviceName = other281.serviceName;
-  version = other281.version;
-  state = other281.state;
-  running = other281.running;
-  waiting = other281.waiting;
-  slots = other281.slots;
-  meanMs = other281.meanMs;
-  faultPermille = other281.faultPermille;
-  tallies = other281.tallies;
-  linkMs = other281.linkMs;
-  limitPerSecond = other281.limitPerSecond;
-  __isset = other281.__isset;
+TargetReport::TargetReport(const TargetReport& other286) {
+  target = other286.target;
+  serviceName = other286.serviceName;
+  version = other286.version;
+  state = other286.state;
+  running = other286.running;
+  waiting = other286.waiting;
+  slots = other286.slots;
+  meanMs = other286.meanMs;
+  faultPermille = other286.faultPermille;
+  tallies = other286.tallies;
+  linkMs = other286.linkMs;
+  limitPerSecond = other286.limitPerSecond;
+  stepTallies = other286.stepTallies;
+  __isset = other286.__isset;
+}
+TargetReport& TargetReport::operator=(const TargetReport& other287) {
+  target = other287.target;
+  serviceName = other287.serviceName;
+  version = other287.version;
+  state = other287.state;
+  running = other287.running;
+  waiting = other287.waiting;
+  slots = other287.slots;
+  meanMs = other287.meanMs;
+  faultPermille = other287.faultPermille;
+  tallies = other287.tallies;
+  linkMs = other287.linkMs;
+  limitPerSecond = other287.limitPerSecond;
+  stepTallies = other287.stepTallies;
+  __isset = other287.__isset;
   return *this;
 }
 void TargetReport::printTo(std::ostream& out) const {
@@ -8864,6 +8903,7 @@
   out << ", " << "tallies=" << to_string(tallies);
   out << ", " << "linkMs="; (__isset.linkMs ? (out << to_string(linkMs)) : (out << "<null>"));
   out << ", " << "limitPerSecond="; (__isset.limitPerSecond ? (out << to_string(limitPerSecond)) : (out << "<null>"));
+  out << ", " << "stepTallies=" << to_string(stepTallies);
   out << ")";
 }
 
@@ -9011,21 +9051,21 @@
   swap(a.__isset, b.__isset);
 }
 
-MoveReport::MoveReport(const MoveReport& other282) {
-  serviceName = other282.serviceName;
-  toVersion = other282.toVersion;
-  order = other282.order;
-  phase = other282.phase;
-  elapsedMs = other282.elapsedMs;
-  __isset = other282.__isset;
-}
-MoveReport& MoveReport::operator=(const MoveReport& other283) {
-  serviceName = other283.serviceName;
-  toVersion = other283.toVersion;
-  order = other283.order;
-  phase = other283.phase;
-  elapsedMs = other283.elapsedMs;
-  __isset = other283.__isset;
+MoveReport::MoveReport(const MoveReport& other288) {
+  serviceName = other288.serviceName;
+  toVersion = other288.toVersion;
+  order = other288.order;
+  phase = other288.phase;
+  elapsedMs = other288.elapsedMs;
+  __isset = other288.__isset;
+}
+MoveReport& MoveReport::operator=(const MoveReport& other289) {
+  serviceName = other289.serviceName;
+  toVersion = other289.toVersion;
+  order = other289.order;
+  phase = other289.phase;
+  elapsedMs = other289.elapsedMs;
+  __isset = other289.__isset;
   return *this;
 }
 void MoveReport::printTo(std::ostream& out) const {
@@ -9132,15 +9172,15 @@
   swap(a.__isset, b.__isset);
 }
 
-LeftTarget::LeftTarget(const LeftTarget& other284) {
-  target = other284.target;
-  born = other284.born;
-  __isset = other284.__isset;
+LeftTarget::LeftTarget(const LeftTarget& other290) {
+  target = other290.target;
+  born = other290.born;
+  __isset = other290.__isset;
 }
-LeftTarget& LeftTarget::operator=(const LeftTarget& other285) {
-  target = other285.target;
-  born = other285.born;
-  __isset = other285.__isset;
+LeftTarget& LeftTarget::operator=(const LeftTarget& other291) {
+  target = other291.target;
+  born = other291.born;
+  __isset = other291.__isset;
   return *this;
 }
 void LeftTarget::printTo(std::ostream& out) const {
@@ -9309,14 +9349,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->moves.clear();
-            uint32_t _size286;
-            ::apache::thrift::protocol::TType _etype289;
-            xfer += iprot->readListBegin(_etype289, _size286);
-            this->moves.resize(_size286);
-            uint32_t _i290;
-            for (_i290 = 0; _i290 < _size286; ++_i290)
+            uint32_t _size292;
+            ::apache::thrift::protocol::TType _etype295;
+            xfer += iprot->readListBegin(_etype295, _size292);
+            this->moves.resize(_size292);
+            uint32_t _i296;
+            for (_i296 = 0; _i296 < _size292; ++_i296)
             {
-              xfer += this->moves[_i290].read(iprot);
+              xfer += this->moves[_i296].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9398,10 +9438,10 @@
   xfer += oprot->writeFieldBegin("moves", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->moves.size()));
-    std::vector<MoveReport> ::const_iterator _iter291;
-    for (_iter291 = this->moves.begin(); _iter291 != this->moves.end(); ++_iter291)
+    std::vector<MoveReport> ::const_iterator _iter297;
+    for (_iter297 = this->moves.begin(); _iter297 != this->moves.end(); ++_iter297)
     {
-      xfer += (*_iter291).write(oprot);
+      xfer += (*_iter297).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9438,35 +9478,35 @@
   swap(a.__isset, b.__isset);
 }
 
-HostReport::HostReport(const HostReport& other292) {
-  node = other292.node;
-  start = other292.start;
-  sequence = other292.sequence;
-  address = other292.address;
-  dataCentre = other292.dataCentre;
-  region = other292.region;
-  leaving = other292.leaving;
-  target = other292.target;
-  position = other292.position;
-  moves = other292.moves;
-  storeReachable = other292.storeReachable;
-  left = other292.left;
-  __isset = other292.__isset;
-}
-HostReport& HostReport::operator=(const HostReport& other293) {
-  node = other293.node;
-  start = other293.start;
-  sequence = other293.sequence;
-  address = other293.address;
-  dataCentre = other293.dataCentre;
-  region = other293.region;
-  leaving = other293.leaving;
-  target = other293.target;
-  position = other293.position;
-  moves = other293.moves;
-  storeReachable = other293.storeReachable;
-  left = other293.left;
-  __isset = other293.__isset;
+HostReport::HostReport(const HostReport& other298) {
+  node = other298.node;
+  start = other298.start;
+  sequence = other298.sequence;
+  address = other298.address;
+  dataCentre = other298.dataCentre;
+  region = other298.region;
+  leaving = other298.leaving;
+  target = other298.target;
+  position = other298.position;
+  moves = other298.moves;
+  storeReachable = other298.storeReachable;
+  left = other298.left;
+  __isset = other298.__isset;
+}
+HostReport& HostReport::operator=(const HostReport& other299) {
+  node = other299.node;
+  start = other299.start;
+  sequence = other299.sequence;
+  address = other299.address;
+  dataCentre = other299.dataCentre;
+  region = other299.region;
+  leaving = other299.leaving;
+  target = other299.target;
+  position = other299.position;
+  moves = other299.moves;
+  storeReachable = other299.storeReachable;
+  left = other299.left;
+  __isset = other299.__isset;
   return *this;
 }
 void HostReport::printTo(std::ostream& out) const {
@@ -9597,17 +9637,17 @@
   swap(a.__isset, b.__isset);
 }
 
-OperatorRecord::OperatorRecord(const OperatorRecord& other294) {
-  key = other294.key;
-  offset = other294.offset;
-  value = other294.value;
-  __isset = other294.__isset;
+OperatorRecord::OperatorRecord(const OperatorRecord& other300) {
+  key = other300.key;
+  offset = other300.offset;
+  value = other300.value;
+  __isset = other300.__isset;
 }
-OperatorRecord& OperatorRecord::operator=(const OperatorRecord& other295) {
-  key = other295.key;
-  offset = other295.offset;
-  value = other295.value;
-  __isset = other295.__isset;
+OperatorRecord& OperatorRecord::operator=(const OperatorRecord& other301) {
+  key = other301.key;
+  offset = other301.offset;
+  value = other301.value;
+  __isset = other301.__isset;
   return *this;
 }
 void OperatorRecord::printTo(std::ostream& out) const {
@@ -9671,14 +9711,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size296;
-            ::apache::thrift::protocol::TType _etype299;
-            xfer += iprot->readListBegin(_etype299, _size296);
-            this->records.resize(_size296);
-            uint32_t _i300;
-            for (_i300 = 0; _i300 < _size296; ++_i300)
+            uint32_t _size302;
+            ::apache::thrift::protocol::TType _etype305;
+            xfer += iprot->readListBegin(_etype305, _size302);
+            this->records.resize(_size302);
+            uint32_t _i306;
+            for (_i306 = 0; _i306 < _size302; ++_i306)
             {
-              xfer += this->records[_i300].read(iprot);
+              xfer += this->records[_i306].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9711,10 +9751,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<OperatorRecord> ::const_iterator _iter301;
-    for (_iter301 = this->records.begin(); _iter301 != this->records.end(); ++_iter301)
+    std::vector<OperatorRecord> ::const_iterator _iter307;
+    for (_iter307 = this->records.begin(); _iter307 != this->records.end(); ++_iter307)
     {
-      xfer += (*_iter301).write(oprot);
+      xfer += (*_iter307).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9732,15 +9772,15 @@
   swap(a.__isset, b.__isset);
 }
 
-OperatorRecords::OperatorRecords(const OperatorRecords& other302) {
-  position = other302.position;
-  records = other302.records;
-  __isset = other302.__isset;
+OperatorRecords::OperatorRecords(const OperatorRecords& other308) {
+  position = other308.position;
+  records = other308.records;
+  __isset = other308.__isset;
 }
-OperatorRecords& OperatorRecords::operator=(const OperatorRecords& other303) {
-  position = other303.position;
-  records = other303.records;
-  __isset = other303.__isset;
+OperatorRecords& OperatorRecords::operator=(const OperatorRecords& other309) {
+  position = other309.position;
+  records = other309.records;
+  __isset = other309.__isset;
   return *this;
 }
 void OperatorRecords::printTo(std::ostream& out) const {
--- a/gen/filbertvane_types.h
+++ b/gen/filbertvane_types.h
@@ -3434,7 +3434,7 @@
 std::ostream& operator<<(std::ostream& out, const RouteTally& obj);
 
 typedef struct _TargetReport__isset {
-  _TargetReport__isset() : target(false), serviceName(false), version(false), state(false), running(false), waiting(false), slots(false), meanMs(false), faultPermille(false), tallies(false), linkMs(false), limitPerSecond(false) {}
+  _TargetReport__isset() : target(false), serviceName(false), version(false), state(false), running(false), waiting(false), slots(false), meanMs(false), faultPermille(false), tallies(false), linkMs(false), limitPerSecond(false), stepTallies(false) {}
   bool target :1;
   bool serviceName :1;
   bool version :1;
@@ -3447,6 +3447,7 @@
   bool tallies :1;
   bool linkMs :1;
   bool limitPerSecond :1;
+  bool stepTallies :1;
 } _TargetReport__isset;
 
 class TargetReport : public virtual ::apache::thrift::TBase {
@@ -3481,6 +3482,7 @@
   std::vector<RouteTally>  tallies;
   int32_t linkMs;
   double limitPerSecond;
+  std::vector<RouteTally>  stepTallies;
 
   _TargetReport__isset __isset;
 
@@ -3508,6 +3510,8 @@
 
   void __set_limitPerSecond(const double val);
 
+  void __set_stepTallies(const std::vector<RouteTally> & val);
+
   bool operator == (const TargetReport & rhs) const
   {
     if (!(target == rhs.target))
@@ -3538,6 +3542,8 @@
       return false;
     else if (__isset.limitPerSecond && !(limitPerSecond == rhs.limitPerSecond))
       return false;
+    if (!(stepTallies == rhs.stepTallies))
+      return false;
     return true;
   }
   bool operator != (const TargetReport &rhs) const {
--- a/include/filbertvane/decision/mesh/HostReport.h
+++ b/include/filbertvane/decision/mesh/HostReport.h
@@ -44,6 +44,8 @@
   /// Share of recent answers with a fault, in thousandths.
   std::uint32_t FaultPermille = 0;
   std::vector<RouteTally> Tallies;
+  /// The same since the last step of the new version's share.
+  std::vector<RouteTally> StepTallies;
   /// Requests per second that the target accepts; none without a limit. The
   /// next process of the node reads it from the store.
   std::optional<double> RequestsPerSecond;
--- a/include/filbertvane/decision/mesh/MoveTracker.h
+++ b/include/filbertvane/decision/mesh/MoveTracker.h
@@ -87,6 +87,8 @@
   ///        for its faults to show.
   void recordSufficientEvidence(const core::ServiceName &Service,
                                 core::TimePoint Now);
+  /// @brief Takes that back, since the new version is suspected.
+  void withdrawSufficientEvidence(const core::ServiceName &Service);
 
   VersionShares shares(const core::ServiceName &Service,
                        core::TimePoint Now) const;
--- a/include/filbertvane/decision/mesh/State.h
+++ b/include/filbertvane/decision/mesh/State.h
@@ -52,6 +52,10 @@
   /// Moving average of the share of faults, 0 to 1.
   double FaultRatio = 0;
   std::map<core::RouteName, RouteTally> Tallies;
+  /// The same since the last step of the share of a move's new version.
+  std::map<core::RouteName, RouteTally> StepTallies;
+  /// Share at that step, in thousandths.
+  std::uint32_t StepPermille = 0;
 };
 
 enum class CallPhase : std::uint8_t { Queued, AtTarget, AtPeer };
@@ -151,6 +155,9 @@
   HostDirectory Hosts;
   MoveTracker Moves;
   std::map<core::ServiceName, PendingMoveWrite> PendingMoveWrites;
+  /// The local target gave a bad answer that others do not know yet.
+  bool HasBadAnswerToReport = false;
+  core::TimePoint NextBadAnswerReportAt;
   std::optional<LocalTarget> Target;
   SlotQueue Slots;
   LocalRuns Runs;
--- a/lib/decision/mesh/MoveTracker.cpp
+++ b/lib/decision/mesh/MoveTracker.cpp
@@ -18,12 +18,12 @@
 };
 
 /// The canary takes half of the time, since some faults appear only seconds
-/// after the start. The steps after it leave a quarter of the time for the
-/// completion. Until the last step the new version has got less than a tenth of
-/// the requests of the whole time, whatever the evidence shows.
-constexpr std::array<ScheduleStep, 4> Schedule = {
-    ScheduleStep{0.0, 80}, ScheduleStep{0.5, 150}, ScheduleStep{0.6, 500},
-    ScheduleStep{0.68, 1000}};
+/// after the start. The steps after it are short, so that a fault that appears
+/// under more load is found while the new version has got less than a tenth of
+/// the requests of the whole time.
+constexpr std::array<ScheduleStep, 5> Schedule = {
+    ScheduleStep{0.0, 60}, ScheduleStep{0.5, 100}, ScheduleStep{0.6, 250},
+    ScheduleStep{0.66, 500}, ScheduleStep{0.72, 1000}};
 /// Fraction of the time at which a move stops until the evidence is sufficient.
 constexpr double GatedFraction = 0.6;
 /// Share of the new version meanwhile, in thousandths: with it, the new version
@@ -31,18 +31,19 @@
 constexpr std::uint32_t GatedPermille = 100;
 /// Fraction of the time after which a move without faults is completed:
 /// requests in progress at the old version have ended by then.
-constexpr double CompletionFraction = 0.8;
+constexpr double CompletionFraction = 0.82;
 
 /// Fraction of the time after which a new version that is still suspected is
 /// rejected: no time is left to complete the move.
 constexpr double SuspicionFraction = 0.85;
 
 /// Answers of the new version among which a fault or a delay of one in four
-/// raises a suspicion with a probability above 0.95.
+/// raises a suspicion with a probability of 0.99.
 constexpr std::uint64_t SufficientAnswers = 60;
-/// Logarithm of the likelihood ratio above which a version is suspected. A good
-/// one exceeds it with a probability of at most 5%, which only delays its move.
-constexpr double SuspicionLogRatio = 3.0;
+/// Logarithm of the likelihood ratio above which a version is suspected. Of
+/// good versions, whose share of slow answers is the tolerated one, one in a
+/// hundred exceeds it after sixty answers; this only delays its move.
+constexpr double SuspicionLogRatio = 1.5;
 
 /// @brief What counts as slow, and how much of it is tolerated.
 struct SlowLimit {
@@ -110,10 +111,11 @@
 using Evidence = std::map<core::RouteName, RouteEvidence>;
 
 Evidence gather(const core::TargetVersion &NewVersion,
-                const std::vector<const TargetReport *> &Targets) {
+                const std::vector<const TargetReport *> &Targets,
+                std::vector<RouteTally> TargetReport::*Tallies) {
   Evidence All;
   for (const TargetReport *Target : Targets)
-    for (const RouteTally &Tally : Target->Tallies) {
+    for (const RouteTally &Tally : Target->*Tallies) {
       RouteEvidence &Route = All[Tally.Route];
       const bool IsNew = Target->Version == NewVersion;
       VersionSample &Version = IsNew ? Route.New : Route.Old;
@@ -235,16 +237,25 @@
 
 MoveVerdict evaluateMove(const TrackedMove &Move,
                          const std::vector<const TargetReport *> &Targets) {
+  const core::TargetVersion &NewVersion = Move.Order.NewVersion;
   MoveVerdict Verdict;
   std::uint64_t Answers = 0;
-  for (const auto &[Name, Route] : gather(Move.Order.NewVersion, Targets)) {
-    Answers += Route.New.Faults.Answers;
+  const auto Judge = [&](const core::RouteName &Name,
+                         const RouteEvidence &Route) {
     auto [Result, Reason] = judge(Name, Route);
     if (Result <= Verdict.Result)
-      continue;
+      return;
     Verdict.Result = Result;
     Verdict.Reason = std::move(Reason);
+  };
+  for (const auto &[Name, Route] :
+       gather(NewVersion, Targets, &TargetReport::Tallies)) {
+    Answers += Route.New.Faults.Answers;
+    Judge(Name, Route);
   }
+  for (const auto &[Name, Route] :
+       gather(NewVersion, Targets, &TargetReport::StepTallies))
+    Judge(Name, Route);
   Verdict.Sufficient =
       Verdict.Result == Finding::None && Answers >= SufficientAnswers;
   return Verdict;
@@ -364,6 +375,12 @@
     Found->second.SufficientSince = Now;
 }
 
+void MoveTracker::withdrawSufficientEvidence(const core::ServiceName &Service) {
+  const auto Found = Moves.find(Service);
+  if (Found != Moves.end())
+    Found->second.SufficientSince.reset();
+}
+
 std::vector<MoveReport> MoveTracker::reports(core::TimePoint Now) const {
   std::vector<MoveReport> All;
   for (const auto &[Service, Move] : Moves)
--- a/lib/decision/mesh/ReduceAttempts.cpp
+++ b/lib/decision/mesh/ReduceAttempts.cpp
@@ -68,32 +68,37 @@
   // A refused request is no evidence about the version.
   if (Ended.End == AttemptEnd::NotRun || (!Answered && !Fault))
     return;
-  RouteTally *Tally = tallyFor(Call);
-  if (Tally == nullptr)
-    return;
-  ++Tally->Answers;
-  if (Fault)
-    ++Tally->Faults;
-  else
-    Tally->Times = Tally->Times.with(AnswerTime);
+  for (RouteTally *Tally : talliesFor(Call)) {
+    ++Tally->Answers;
+    if (Fault)
+      ++Tally->Faults;
+    else
+      Tally->Times = Tally->Times.with(AnswerTime);
+  }
+  State.HasBadAnswerToReport = State.HasBadAnswerToReport || Fault;
 }
 
-/// Tally of the call's route at the local target; null while the target warms
+/// Tallies of the call's route at the local target; none while the target warms
 /// up, since it is slow in any version then.
-RouteTally *Reduction::tallyFor(const MeshCall &Call) {
+std::vector<RouteTally *> Reduction::talliesFor(const MeshCall &Call) {
   if (!State.Target || State.Target->Generation != Call.TargetGeneration ||
       Now < State.Target->WarmAt)
-    return nullptr;
-  RouteTally &Tally = State.Target->Tallies[Call.Terms.Route];
-  Tally.Route = Call.Terms.Route;
-  return &Tally;
+    return {};
+  const core::RouteName &Route = Call.Terms.Route;
+  std::vector<RouteTally *> Found;
+  for (auto *Tallies : {&State.Target->Tallies, &State.Target->StepTallies}) {
+    RouteTally &Tally = (*Tallies)[Route];
+    Tally.Route = Route;
+    Found.push_back(&Tally);
+  }
+  return Found;
 }
 
 /// A request that ends before its answer still tells that the answer took
 /// longer. Without these, the slower a version is, the fewer of its slow
 /// answers are counted.
 void Reduction::recordCutOff(const MeshCall &Call) {
-  if (RouteTally *Tally = tallyFor(Call))
+  for (RouteTally *Tally : talliesFor(Call))
     Tally->CutOffTimes = Tally->CutOffTimes.with(Now - Call.SentAt);
 }
 
@@ -320,6 +325,7 @@
   if (Call.AnswerStarted)
     return;
   if (Call.Phase == CallPhase::AtTarget) {
+    recordCutOff(Call);
     request::AttemptEnded Ended;
     Ended.End = AttemptEnd::NoAnswer;
     recordTargetAttempt(Call, Ended, hadAmpleTime(Call));
--- a/lib/decision/mesh/ReduceMoves.cpp
+++ b/lib/decision/mesh/ReduceMoves.cpp
@@ -13,6 +13,10 @@
 constexpr std::size_t MaximumStaggerRank = 4;
 /// Time after which a write without effect is retried.
 constexpr core::Milliseconds WriteRetryInterval{1500};
+/// Minimum time between reports of bad answers of a new version. Periodic
+/// reports to other data centres are seconds apart, in which a version that
+/// fails under its full load gets too many requests.
+constexpr core::Milliseconds BadAnswerReportInterval{250};
 
 } // namespace
 
@@ -104,6 +108,8 @@
                       Move.Order.NewVersion.value(), Verdict.Reason));
       State.Moves.advance(Service, MovePhase::Rejected, Verdict.Reason);
       reportToAll();
+    } else if (Verdict.Result == rollout::Finding::Suspected) {
+      State.Moves.withdrawSufficientEvidence(Service);
     } else if (Verdict.Sufficient) {
       State.Moves.recordSufficientEvidence(Service, Now);
     }
@@ -117,6 +123,35 @@
     writeMoveIfDue(Move);
 }
 
+/// Faults that a larger share brings out are not diluted by the answers before.
+void Reduction::startTallyStep() {
+  if (!State.Target)
+    return;
+  const std::uint32_t Permille =
+      State.Moves.shares(State.Target->Announcement.Service, Now)
+          .CandidatePermille;
+  if (Permille == State.Target->StepPermille)
+    return;
+  State.Target->StepPermille = Permille;
+  State.Target->StepTallies.clear();
+}
+
+void Reduction::reportBadAnswers() {
+  if (!State.HasBadAnswerToReport || Now < State.NextBadAnswerReportAt)
+    return;
+  State.HasBadAnswerToReport = false;
+  if (!State.Target)
+    return;
+  const TargetAnnounced &Target = State.Target->Announcement;
+  const auto Move = State.Moves.moves().find(Target.Service);
+  if (Move == State.Moves.moves().end() ||
+      Move->second.Phase != MovePhase::Running ||
+      Move->second.Order.NewVersion != Target.Version)
+    return;
+  State.NextBadAnswerReportAt = Now + BadAnswerReportInterval;
+  reportToAll();
+}
+
 void Reduction::reviewMoves() {
   for (const auto &[Service, Move] : State.Moves.moves())
     reviewMove(Move);
--- a/lib/decision/mesh/Reducer.cpp
+++ b/lib/decision/mesh/Reducer.cpp
@@ -6,11 +6,12 @@
 
 namespace {
 
-std::vector<RouteTally> talliesOf(const LocalTarget &Target) {
-  std::vector<RouteTally> Tallies;
-  for (const auto &[Name, Tally] : Target.Tallies)
-    Tallies.push_back(Tally);
-  return Tallies;
+std::vector<RouteTally>
+toList(const std::map<core::RouteName, RouteTally> &Tallies) {
+  std::vector<RouteTally> List;
+  for (const auto &[Name, Tally] : Tallies)
+    List.push_back(Tally);
+  return List;
 }
 
 } // namespace
@@ -38,8 +39,10 @@
   // Tallies are needed as evidence during a move only, and cost bytes in each
   // report.
   const auto Move = State.Moves.moves().find(Report.Service);
-  if (Move != State.Moves.moves().end() && !Move->second.ended())
-    Report.Tallies = talliesOf(Target);
+  if (Move != State.Moves.moves().end() && !Move->second.ended()) {
+    Report.Tallies = toList(Target.Tallies);
+    Report.StepTallies = toList(Target.StepTallies);
+  }
   return Report;
 }
 
@@ -86,7 +89,9 @@
   publishRateLimitIfChanged();
   dispatchQueue();
   State.Hosts.evictSilent(Now);
+  startTallyStep();
   reviewMoves();
+  reportBadAnswers();
   fetchMissingRecords();
   updateStoreFollowing();
   sendPeriodicReports();
--- a/lib/decision/mesh/Reduction.h
+++ b/lib/decision/mesh/Reduction.h
@@ -65,7 +65,7 @@
   void concludeAnswer(MeshCall &Call, const request::AttemptEnded &Ended);
   void recordTargetAttempt(const MeshCall &Call,
                            const request::AttemptEnded &Ended, bool Fault);
-  RouteTally *tallyFor(const MeshCall &Call);
+  std::vector<RouteTally *> talliesFor(const MeshCall &Call);
   void recordCutOff(const MeshCall &Call);
   /// @brief Load of the local target, for the entry node of a request.
   TargetLoad loadFor(const MeshCall &Call) const;
@@ -116,6 +116,8 @@
   void reportPosition();
   void updateReadiness();
   void reviewMoves();
+  void startTallyStep();
+  void reportBadAnswers();
   void reviewMove(const TrackedMove &Move);
   void scheduleMoveWrite(const core::ServiceName &Service, MovePhase Phase);
   void writeMoveIfDue(const TrackedMove &Move);
--- a/lib/wire/HostReportCodec.cpp
+++ b/lib/wire/HostReportCodec.cpp
@@ -48,6 +48,8 @@
   Out.faultPermille = static_cast<std::int32_t>(Target.FaultPermille);
   for (const mesh::RouteTally &Tally : Target.Tallies)
     Out.tallies.push_back(toThrift(Tally));
+  for (const mesh::RouteTally &Tally : Target.StepTallies)
+    Out.stepTallies.push_back(toThrift(Tally));
   return Out;
 }
 
@@ -121,6 +123,11 @@
   return core::Milliseconds(std::clamp<std::int64_t>(Number, 0, MaximumMillis));
 }
 
+mesh::RouteTally fromThrift(const gen::RouteTally &In) {
+  return {core::RouteName(In.route), count(In.answers), count(In.faults),
+          fromThrift(In.times), fromThrift(In.cutOffTimes)};
+}
+
 mesh::TargetReport fromThrift(const gen::TargetReport &In) {
   mesh::TargetReport Target;
   Target.Id = core::TargetId(In.target);
@@ -135,10 +142,9 @@
     Target.RequestsPerSecond = std::max(In.limitPerSecond, 0.0);
   Target.FaultPermille = count(In.faultPermille);
   for (const gen::RouteTally &Tally : In.tallies)
-    Target.Tallies.push_back({core::RouteName(Tally.route),
-                              count(Tally.answers), count(Tally.faults),
-                              fromThrift(Tally.times),
-                              fromThrift(Tally.cutOffTimes)});
+    Target.Tallies.push_back(fromThrift(Tally));
+  for (const gen::RouteTally &Tally : In.stepTallies)
+    Target.StepTallies.push_back(fromThrift(Tally));
   return Target;
 }
 
--- a/tests/mesh/ExposureTest.cpp
+++ b/tests/mesh/ExposureTest.cpp
@@ -17,6 +17,8 @@
   milliseconds RunTime{160};
   /// Factor by which the first target of the old version is slow meanwhile.
   double OldTargetFactor = 1;
+  std::string OverloadedVersion;
+  std::size_t DataCentres = 1;
   /// Nodes that end one second before and start again.
   std::size_t Restarted = 0;
 };
@@ -30,6 +32,9 @@
   Shop.RunTime = Terms.RunTime;
   Shop.SlowVersion = "v2";
   Shop.SlowShare = Terms.SlowShare;
+  Shop.OverloadedVersion = Terms.OverloadedVersion;
+  Shop.FailsAbovePerSecond = 12;
+  Model.DataCentres = Terms.DataCentres;
   Shop.Spread = 2;
   Shop.LossProbability = 0.02;
   const auto Nodes = static_cast<double>(Terms.HostsPerVersion);
@@ -104,3 +109,31 @@
   Terms.RequestsPerSecond = 600;
   cr_assert(exposureExcess(1, Terms) <= 0);
 }
+
+// Guards against a version that fails only under the full load, and whose
+// faults are known in its own data centre only for seconds.
+Test(exposure, a_version_that_fails_under_load_is_found_in_time) {
+  Fleet Terms;
+  Terms.HostsPerVersion = 9;
+  Terms.RequestsPerSecond = 160;
+  Terms.SlowShare = 0;
+  Terms.OverloadedVersion = "v2";
+  Terms.DataCentres = 6;
+  for (std::uint64_t Seed = 1; Seed <= 5; ++Seed) {
+    const double Excess = exposureExcess(Seed, Terms);
+    cr_assert(Excess <= 0, "seed %zu: %f", static_cast<std::size_t>(Seed),
+              Excess);
+  }
+}
+
+// Guards against a version that is slow by less than what proves it.
+Test(exposure, a_version_that_is_seldom_slow_is_held) {
+  Fleet Terms;
+  Terms.SlowShare = 0.25;
+  Terms.RequestsPerSecond = 105;
+  for (std::uint64_t Seed = 1; Seed <= 5; ++Seed) {
+    const double Excess = exposureExcess(Seed, Terms);
+    cr_assert(Excess <= 0, "seed %zu: %f", static_cast<std::size_t>(Seed),
+              Excess);
+  }
+}
--- a/tests/mesh/FleetModel.cpp
+++ b/tests/mesh/FleetModel.cpp
@@ -40,6 +40,8 @@
   MeshSettings Settings = Bench::settings(Starting.Name);
   Settings.Incarnation = core::Incarnation(++Starting.Starts);
   Settings.Address = Starting.Name;
+  Settings.DataCentre =
+      core::DataCentreId(fmt::format("dc{}", Index % DataCentres));
   Settings.Service = core::ServiceName(Starting.Service);
   Settings.Budget = Budget;
   // The first processes have no predecessors.
@@ -190,6 +192,16 @@
   makeCalls(Index, Start, Id, 0, false);
 }
 
+bool FleetModel::drawOverloadFault(Node &Host, const TargetModel &Model) {
+  if (Host.Version != Model.OverloadedVersion)
+    return false;
+  std::deque<core::TimePoint> &Arrivals = Host.ArrivalsOfSecond;
+  Arrivals.push_back(Now);
+  while (Arrivals.front() < Now - core::Seconds(1))
+    Arrivals.pop_front();
+  return Arrivals.size() > Model.FailsAbovePerSecond && Source.unit() < 0.5;
+}
+
 milliseconds FleetModel::drawRunTime(const Node &Host,
                                      const TargetModel &Model) {
   double Factor = Host.TimeFactor;
@@ -211,7 +223,8 @@
     Ended.Id = Start.Id;
     Ended.Attempt = Start.Attempt;
     Ended.End = AttemptEnd::Held;
-    Ended.Status = Failed ? 500 : 200;
+    const bool Overloaded = drawOverloadFault(Nodes[Index], Model);
+    Ended.Status = Failed || Overloaded ? 500 : 200;
     Ended.ReachedTarget = true;
     Ended.Statement = request::TargetStatement{Nodes[Index].Limit};
     afterAt(Index, drawRunTime(Nodes[Index], Model),
--- a/tests/mesh/FleetModel.h
+++ b/tests/mesh/FleetModel.h
@@ -2,6 +2,7 @@
 #define FILBERTVANE_TESTS_MESH_FLEETMODEL_H
 
 #include "MeshBench.h"
+#include <deque>
 #include <fmt/format.h>
 #include <functional>
 #include <queue>
@@ -20,6 +21,10 @@
   /// Version of which a share of the runs takes eight times as long.
   std::string SlowVersion;
   double SlowShare = 0;
+  /// Version of which half of the runs fail at a target with more arrivals a
+  /// second than this.
+  std::string OverloadedVersion;
+  std::size_t FailsAbovePerSecond = 0;
   /// Factor of the run time below and above which no run time is drawn.
   double Spread = 1;
 };
@@ -77,6 +82,8 @@
   core::TimePoint now() const { return Now; }
   std::size_t size() const { return Nodes.size(); }
 
+  /// Nodes are spread over so many data centres; set before they are added.
+  std::size_t DataCentres = 1;
   std::map<std::string, TargetModel> Targets;
   std::vector<Arrival> Arrivals;
   /// Time and service of each request and call.
@@ -106,6 +113,7 @@
     std::map<core::CallId, core::AttemptId> Active;
     std::optional<double> Limit;
     double TimeFactor = 1;
+    std::deque<core::TimePoint> ArrivalsOfSecond;
     /// Report in the store.
     std::optional<HostReport> Published;
   };
@@ -142,6 +150,7 @@
   }
   void sendToPeer(std::size_t Index, const request::StartAttempt &Start);
   void runAtTarget(std::size_t Index, const request::StartAttempt &Start);
+  bool drawOverloadFault(Node &Host, const TargetModel &Model);
   milliseconds drawRunTime(const Node &Host, const TargetModel &Model);
   void makeCalls(std::size_t Index, const request::StartAttempt &Start,
                  const std::string &Id, std::size_t Next, bool Failed);
--- a/tests/mesh/LocalTargetTest.cpp
+++ b/tests/mesh/LocalTargetTest.cpp
@@ -287,3 +287,24 @@
     cr_assert(After.first<Refuse>()->Result == Outcome::NotRun);
   }
 }
+
+// Guards against a slow version whose slowest answers are not counted, whoever
+// gives up on them.
+Test(mesh_target, a_request_that_is_given_up_counts_as_slow) {
+  for (const bool CallerLeaves : {false, true}) {
+    Bench Node;
+    Node.configure();
+    Node.announce();
+    Node.send(MoveOrdered{core::ServiceName("shop"), core::TargetVersion("v1"),
+                          milliseconds(16000), core::LogOffset(5), false});
+    Node.arriveFromPeer(1);
+    Node.Now += milliseconds(1000);
+    if (CallerLeaves)
+      Node.send(request::CallerDisconnected{core::CallId(1)});
+    else
+      Node.send(request::Tick{});
+    const auto Report = makeHostReport(Node.State, Node.Now).Target;
+    cr_assert(Report->Tallies.size() == 1);
+    cr_assert(Report->Tallies.front().CutOffTimes.total() == 1);
+  }
+}
--- a/tests/mesh/MoveTrackerTest.cpp
+++ b/tests/mesh/MoveTrackerTest.cpp
@@ -63,13 +63,14 @@
 Test(move_tracker, the_share_follows_the_time_since_the_order) {
   MoveTracker Moves;
   Moves.applyOrder(order(), at(0));
-  cr_assert(Moves.shares(Shop, at(100)).CandidatePermille == 80);
-  cr_assert(Moves.shares(Shop, at(7900)).CandidatePermille == 80);
-  cr_assert(Moves.shares(Shop, at(8100)).CandidatePermille == 150);
+  cr_assert(Moves.shares(Shop, at(100)).CandidatePermille == 60);
+  cr_assert(Moves.shares(Shop, at(7900)).CandidatePermille == 60);
+  cr_assert(Moves.shares(Shop, at(8100)).CandidatePermille == 100);
   Moves.recordSufficientEvidence(Shop, at(9000));
-  cr_assert(Moves.shares(Shop, at(11000)).CandidatePermille == 1000);
-  cr_assert(!Moves.readyToComplete(Moves.moves().at(Shop), at(12000)));
-  cr_assert(Moves.readyToComplete(Moves.moves().at(Shop), at(12900)));
+  cr_assert(Moves.shares(Shop, at(9700)).CandidatePermille == 250);
+  cr_assert(Moves.shares(Shop, at(11600)).CandidatePermille == 1000);
+  cr_assert(!Moves.readyToComplete(Moves.moves().at(Shop), at(13000)));
+  cr_assert(Moves.readyToComplete(Moves.moves().at(Shop), at(13200)));
 }
 
 // Guards against a bad version that gets all requests only because time passed
@@ -84,10 +85,10 @@
   cr_assert(!Moves.readyToComplete(Moves.moves().at(Shop), at(16000)));
   // Evidence that comes late delays the remaining steps.
   Moves.recordSufficientEvidence(Shop, at(12000));
-  cr_assert(Moves.shares(Shop, at(12100)).CandidatePermille == 500);
-  cr_assert(Moves.shares(Shop, at(13400)).CandidatePermille == 1000);
-  cr_assert(!Moves.readyToComplete(Moves.moves().at(Shop), at(15100)));
-  cr_assert(Moves.readyToComplete(Moves.moves().at(Shop), at(15300)));
+  cr_assert(Moves.shares(Shop, at(12100)).CandidatePermille == 250);
+  cr_assert(Moves.shares(Shop, at(14000)).CandidatePermille == 1000);
+  cr_assert(!Moves.readyToComplete(Moves.moves().at(Shop), at(15400)));
+  cr_assert(Moves.readyToComplete(Moves.moves().at(Shop), at(15600)));
 }
 
 // Guards against a restarted node that sends requests to the targets of a
@@ -145,7 +146,7 @@
   Moves.applyReport({Shop, core::TargetVersion("v2"), core::LogOffset(5),
                      MovePhase::Running, milliseconds(9000)},
                     at(10100));
-  cr_assert(Moves.shares(Shop, at(10200)).CandidatePermille == 150);
+  cr_assert(Moves.shares(Shop, at(10200)).CandidatePermille == 100);
 }
 
 // Guards against faulty versions that are not detected, and good ones that are
@@ -190,6 +191,16 @@
   cr_assert(!isRejected({Old, CutOff(150), CutOff(150)}));
 }
 
+// Guards against faults under a larger share that the answers before dilute.
+Test(move_tracker, the_answers_since_the_last_step_decide_as_well) {
+  TargetReport New = target("v2", 150, 4, 100);
+  TargetReport Old = target("v1", 500, 2, 100);
+  cr_assert(!isRejected({Old, New, New}));
+  New.StepTallies = target("v2", 6, 4, 100).Tallies;
+  Old.StepTallies = target("v1", 20, 0, 100).Tallies;
+  cr_assert(isRejected({Old, New, New}));
+}
+
 // Guards against a move that goes on before its faults could have shown.
 Test(move_tracker, sixty_answers_without_a_suspicion_are_sufficient) {
   cr_assert(!verdictOn({target("v1", 500, 0, 100), target("v2", 40, 0, 100)})
@@ -212,7 +223,10 @@
   const TrackedMove &Move = Moves.moves().at(Shop);
   cr_assert(!Moves.mustDecide(Move, at(13000)));
   cr_assert(Moves.mustDecide(Move, at(13700)));
-  // One that has passed is not taken back on a suspicion.
+  // A suspicion under a larger share takes it back.
   Moves.recordSufficientEvidence(Shop, at(9000));
-  cr_assert(!Moves.mustDecide(Move, at(13700)));
+  cr_assert(Moves.shares(Shop, at(11000)).CandidatePermille == 500);
+  Moves.withdrawSufficientEvidence(Shop);
+  cr_assert(Moves.shares(Shop, at(11000)).CandidatePermille == 100);
+  cr_assert(Moves.mustDecide(Move, at(13700)));
 }
--- a/tests/wire/HostReportCodecTest.cpp
+++ b/tests/wire/HostReportCodecTest.cpp
@@ -15,6 +15,7 @@
       {core::RouteName("list"), 10, 2,
        AnswerTimes().with(milliseconds(90)).with(milliseconds(900)),
        AnswerTimes().with(milliseconds(1200))}};
+  Report.Target->StepTallies = {{core::RouteName("list"), 3, 1, {}, {}}};
   Report.Target->RequestsPerSecond = 12.5;
   Report.Moves = {{core::ServiceName("shop"), core::TargetVersion("v2"),
                    core::LogOffset(5), MovePhase::Rejected,
--- a/thrift/filbertvane.thrift
+++ b/thrift/filbertvane.thrift
@@ -130,7 +130,8 @@
 struct TargetReport {
   1: string target, 2: string serviceName, 3: string version, 4: i8 state,
   5: i32 running, 6: i32 waiting, 7: i32 slots, 8: i32 meanMs, 9: i32 faultPermille,
-  10: list<RouteTally> tallies, 11: optional i32 linkMs, 12: optional double limitPerSecond
+  10: list<RouteTally> tallies, 11: optional i32 linkMs, 12: optional double limitPerSecond,
+  13: list<RouteTally> stepTallies
 }
 struct MoveReport {
   1: string serviceName, 2: string toVersion, 3: i64 order, 4: i8 phase, 5: i64 elapsedMs
