--- a/lib/decision/mesh/Reducer.cpp
+++ b/lib/decision/mesh/Reducer.cpp
@@ -9,6 +9,7 @@
 std::vector<RouteTally>
 toList(const std::map<core::RouteName, RouteTally> &Tallies) {
   std::vector<RouteTally> List;
+  List.reserve(Tallies.size());
   for (const auto &[Name, Tally] : Tallies)
     List.push_back(Tally);
   return List;
