--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -30,6 +30,7 @@
 STABLE_WINDOW_S = 3.0
 DRAIN_S = 2.5
 GRACE_S = 6.0
+LONGEST_S = 110  # of one case
 
 
 class CannotRun(Exception):
@@ -558,11 +559,15 @@
     record = Record(folder)
 
     async def whole():
-        return await asyncio.wait_for(case(record), 110)
+        # The processes are ended also when the script is stopped.
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+        for name in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(name, task.cancel)
+        return await asyncio.wait_for(case(record), LONGEST_S)
 
     try:
         broken = asyncio.run(whole())
-    except (CannotRun, OSError, asyncio.TimeoutError) as fault:
+    except (Exception, asyncio.CancelledError) as fault:  # only a verdict may exit with 1
         record(f"could not run: {fault!r}")
         print(f"could not run: {fault!r}")
         sys.exit(2)
