Keep the line break that ends a head arriving in pieces

Cause: HttpConnection::parseHead drops CRLF between two requests. It also did so when the parser had consumed the head up to its last CR, so that the arriving LF completed a CRLF that was dropped instead of ending the head.

Evidence: all other split positions of the case are served. The new test fails before the change ("split at 27 of 28") and passes after it.

Change: line breaks are dropped only before the first byte of a head. The CR of a split line break between two requests waits for its LF; it was refused with 400.

--- a/lib/io/HttpConnection.cpp
+++ b/lib/io/HttpConnection.cpp
@@ -74,12 +74,19 @@
   return Progress;
 }
 
-/// @return whether a head was taken
-bool HttpConnection::parseHead() {
-  // Some callers end a body with a line break that belongs to no request.
+/// Some callers end a body with a line break that belongs to no request. The
+/// first half of one is kept until the second half arrives.
+void HttpConnection::skipLineBreaks() {
   while (Input.starts_with("\r\n"))
     Input.erase(0, 2);
-  if (Input.empty() || !Reuse.acceptsRequest())
+}
+
+/// @return whether a head was taken
+bool HttpConnection::parseHead() {
+  if (!Parser.isHeadBegun())
+    skipLineBreaks();
+  const bool IsHalfBreak = !Parser.isHeadBegun() && Input == "\r";
+  if (Input.empty() || IsHalfBreak || !Reuse.acceptsRequest())
     return false;
   const RequestParser::HeadResult Result = Parser.parseHead(Input);
   Input.erase(0, Result.Consumed);
--- a/lib/io/HttpConnection.h
+++ b/lib/io/HttpConnection.h
@@ -52,6 +52,7 @@
   void handleEvents(int Ready);
   bool receive();
   bool parse();
+  void skipLineBreaks();
   bool parseHead();
   bool parseBody();
   void open(ParsedHead Parsed);
--- a/lib/io/RequestParser.cpp
+++ b/lib/io/RequestParser.cpp
@@ -70,6 +70,8 @@
   Current->Parser.body_limit(std::numeric_limits<std::uint64_t>::max());
 }
 
+bool RequestParser::isHeadBegun() const { return Current->Parser.got_some(); }
+
 bool RequestParser::isRequestWhole() const { return Current->Parser.is_done(); }
 
 RequestParser::HeadResult RequestParser::parseHead(std::string_view Input) {
--- a/lib/io/RequestParser.h
+++ b/lib/io/RequestParser.h
@@ -46,6 +46,8 @@
   /// @brief Removes the framing from the input.
   BodyResult parseBody(std::string_view Input, char *Out, std::size_t Room);
 
+  /// @brief Bytes of the current head were used up.
+  bool isHeadBegun() const;
   /// @brief The request that is being parsed has come to its end.
   bool isRequestWhole() const;
   /// @brief Prepares for the head of the next request.
--- a/tests/io/HttpPipelineTest.cpp
+++ b/tests/io/HttpPipelineTest.cpp
@@ -81,6 +81,52 @@
             (std::map<std::string, bool>{{"/1", false}, {"/2", false}}));
 }
 
+// Guards against a request that is refused or never answered because of where
+// the network splits it.
+Test(http_pipeline, a_request_may_arrive_in_any_two_pieces) {
+  BoundedLoop Bounded;
+  const auto Server = listenOn(Bounded.Loop, [](io::ServerExchange &Exchange) {
+    auto Handler = std::make_unique<ServerHandler>();
+    auto Body = std::make_shared<std::string>();
+    Handler->Body = [Body](std::string_view Part) { Body->append(Part); };
+    Handler->BodyEnd = [Body, &Exchange] { Exchange.respond(200, *Body); };
+    return Handler;
+  });
+  const std::string Post = "POST /1 HTTP/1.1\r\nHost: a\r\n";
+  const std::string Chunked =
+      Post + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n";
+  const std::string Sized = Post + "Content-Length: 4\r\n\r\nbody";
+  // The last one has the line break that some callers send after a body.
+  for (const std::string &Whole :
+       {get("/1"), Sized, Chunked, Sized + "\r\n" + Sized}) {
+    const std::size_t Requests = count(Whole, " HTTP/1.1");
+    std::vector<std::unique_ptr<RawConnection>> Callers;
+    for (std::size_t Split = 1; Split < Whole.size(); ++Split) {
+      Callers.push_back(
+          RawConnection::connect(Bounded.Loop, Server->port(), [](auto &) {}));
+      Callers.back()->send(Whole.substr(0, Split));
+    }
+    Bounded.runFor(Settled);
+    for (std::size_t Split = 1; Split < Whole.size(); ++Split)
+      Callers[Split - 1]->send(Whole.substr(Split));
+    Bounded.runFor(Settled);
+    for (std::size_t Split = 1; Split < Whole.size(); ++Split)
+      cr_assert(count(Callers[Split - 1]->Received, "HTTP/1.1 200") == Requests,
+                "split at %zu of %zu: %s", Split, Whole.size(),
+                Callers[Split - 1]->Received.c_str());
+  }
+  // Each byte by itself.
+  const auto Slow =
+      RawConnection::connect(Bounded.Loop, Server->port(), [](auto &) {});
+  for (const char Byte : "\r\n" + Sized + "\r\n\r\n" + Chunked) {
+    Slow->send(std::string(1, Byte));
+    Bounded.runFor(core::Milliseconds(1));
+  }
+  Bounded.runFor(Settled);
+  cr_assert(count(Slow->Received, "HTTP/1.1 200") == 2, "%s",
+            Slow->Received.c_str());
+}
+
 // Guards against memory that one caller can take without bound.
 Test(http_pipeline, requests_beyond_the_bound_are_not_read) {
   BoundedLoop Bounded;
