Notice reads of the store whose answers were lost

Cause: each follower's read is held back by the store for up to 10 s and given up after 11.5 s. When its answer is lost while the connection stays open, nothing shows it before that, and all followers lose theirs at once.

Evidence: no call had failed and no node had read the new record, so neither the waits between retries nor the spread between nodes is the cause. A lost read left no log line; event 2054 tells of it now.

Change: the first follower of three data centres has its reads held back for 1 s only, which costs three calls a second in the whole fleet; other nodes fetch what it finds. Every follower repeats a read 0.5 s after its hold on a new connection. The first read after a failure is not held back.

The new test fails on ("outage of 50 ms: 4 stale requests") and passes, as do platform_path/* (three times) and mesh_*/*.

--- a/include/filbertvane/decision/mesh/Events.h
+++ b/include/filbertvane/decision/mesh/Events.h
@@ -104,6 +104,11 @@
 struct FollowStore {
   bool Follow = true;
 };
+/// @brief Longest time for which the store may hold a read of the operator
+///        records back.
+struct SetReadHold {
+  core::Milliseconds Hold{0};
+};
 /// @brief The node became ready, or is no longer ready, for caller requests.
 struct ReadinessChanged {
   bool Ready = false;
@@ -112,7 +117,7 @@
 using Effect = std::variant<request::StartAttempt, request::DeliverAnswer,
                             request::CancelAttempt, request::Refuse, SendReport,
                             PublishReport, WriteMove, FetchRecords, FollowStore,
-                            ReadinessChanged, observe::LogEvent>;
+                            SetReadHold, ReadinessChanged, observe::LogEvent>;
 using Effects = std::vector<Effect>;
 /// @}
 
--- a/include/filbertvane/decision/mesh/Limits.h
+++ b/include/filbertvane/decision/mesh/Limits.h
@@ -31,6 +31,16 @@
 /// region, a data centre missed a change for 2.5 s during a rolling restart of
 /// the nodes.
 inline constexpr std::size_t StoreFollowersPerDataCentre = 2;
+/// Data centres of which one follower reads the store at short intervals, so
+/// that a read whose answer was lost without a sign is noticed by some node.
+inline constexpr std::size_t WatchingDataCentres = 3;
+/// Longest time for which the store holds a read of such a follower back. With
+/// the time until a read is repeated, it is below the three seconds after which
+/// a node is expected to be current again.
+inline constexpr core::Milliseconds WatchReadHold{1000};
+/// The same for the other followers. Each read is paid for, so that a calm day
+/// should need few.
+inline constexpr core::Milliseconds LongReadHold{10000};
 /// Hosts in each other data centre that are notified of new records at once, so
 /// that a data centre whose followers cannot reach the store learns of them.
 inline constexpr std::size_t NotifiedHostsPerDataCentre = 2;
--- a/include/filbertvane/decision/mesh/State.h
+++ b/include/filbertvane/decision/mesh/State.h
@@ -149,6 +149,8 @@
   bool StoreReachable = false;
   /// This node follows the store itself.
   bool FollowsStore = true;
+  /// This node reads the store at short intervals.
+  bool WatchesStore = false;
 
   std::shared_ptr<const config::RoutingTable> Routing;
   core::LogOffset Position;
--- a/include/filbertvane/io/mesh/Environment.h
+++ b/include/filbertvane/io/mesh/Environment.h
@@ -32,7 +32,8 @@
   ///        is before the first retained record.
   virtual void readFrom(core::LogOffset From, core::Milliseconds Wait,
                         RecordsRead OnDone) = 0;
-  /// @brief Gives up a read that is under way; its callback is not called.
+  /// @brief Gives up a read that is under way; its callback is not called, and
+  ///        the next read does not use its connection.
   virtual void abandonRead() = 0;
   /// @}
 
--- a/lib/decision/mesh/Gauges.cpp
+++ b/lib/decision/mesh/Gauges.cpp
@@ -45,6 +45,7 @@
   Set("filbertvane_ready", State.Ready ? 1 : 0);
   Set("filbertvane_store_reachable", State.StoreReachable ? 1 : 0);
   Set("filbertvane_follows_store", State.FollowsStore ? 1 : 0);
+  Set("filbertvane_watches_store", State.WatchesStore ? 1 : 0);
   Set("filbertvane_position", static_cast<double>(State.Position.value()));
   if (State.Routing)
     Set("filbertvane_config_version",
--- a/lib/decision/mesh/ReduceHosts.cpp
+++ b/lib/decision/mesh/ReduceHosts.cpp
@@ -2,6 +2,7 @@
 #include "filbertvane/core/Digest.h"
 #include <algorithm>
 #include <fmt/format.h>
+#include <set>
 
 namespace filbertvane::decision::mesh {
 
@@ -15,6 +16,7 @@
 /// not follow the store; combines changes in quick succession.
 constexpr core::Milliseconds LocalFetchDelay{20};
 constexpr const char *FollowTask = "follow-store";
+constexpr const char *WatchTask = "watch-store";
 /// Time for which a node that shuts down keeps serving other nodes. Its target
 /// goes on running, so that only the rest of the shutdown and the start of the
 /// next process leave the target without requests.
@@ -263,6 +265,32 @@
   reportTo(std::move(Recipients));
 }
 
+bool Reduction::canFollow(const KnownHost &Host) const {
+  return Host.Report.StoreReachable && !Host.Report.Leaving &&
+         !State.Hosts.isSuspect(Host, Now);
+}
+
+/// An answer can be lost while its connection seems to be open, which only the
+/// end of the read shows. The first follower of some data centres therefore has
+/// its reads answered soon; the nodes whose long reads were lost fetch the
+/// records that it finds.
+void Reduction::updateStoreWatching(bool FirstFollower) {
+  const std::uint64_t LocalScore =
+      core::rendezvousScore(WatchTask, State.Settings.DataCentre.value());
+  std::set<core::DataCentreId> RankedHigher;
+  for (const auto &[Node, Host] : State.Hosts.hosts())
+    if (Host.HostDistance != Distance::SameDataCentre && canFollow(Host) &&
+        core::rendezvousScore(WatchTask, Host.Report.DataCentre.value()) >
+            LocalScore)
+      RankedHigher.insert(Host.Report.DataCentre);
+  const bool Watches =
+      FirstFollower && RankedHigher.size() < WatchingDataCentres;
+  if (Watches == State.WatchesStore)
+    return;
+  State.WatchesStore = Watches;
+  Produced.emplace_back(SetReadHold{Watches ? WatchReadHold : LongReadHold});
+}
+
 /// The nodes of the data centre with the highest rendezvous scores follow the
 /// store. A node that cannot reach the store keeps trying, but does not count
 /// as a follower.
@@ -271,11 +299,10 @@
       core::rendezvousScore(FollowTask, State.Settings.Node.value());
   std::size_t RankedHigher = 0;
   for (const auto &[Node, Host] : State.Hosts.hosts())
-    if (Host.HostDistance == Distance::SameDataCentre &&
-        Host.Report.StoreReachable && !Host.Report.Leaving &&
-        !State.Hosts.isSuspect(Host, Now) &&
+    if (Host.HostDistance == Distance::SameDataCentre && canFollow(Host) &&
         core::rendezvousScore(FollowTask, Node.value()) > LocalScore)
       ++RankedHigher;
+  updateStoreWatching(RankedHigher == 0);
   const bool Follow = RankedHigher < StoreFollowersPerDataCentre ||
                       !State.Routing || !State.StoreReachable;
   if (Follow == State.FollowsStore)
--- a/lib/decision/mesh/Reduction.h
+++ b/lib/decision/mesh/Reduction.h
@@ -113,6 +113,8 @@
   void reportLeavingIfDue();
   void fetchMissingRecords();
   void updateStoreFollowing();
+  void updateStoreWatching(bool FirstFollower);
+  bool canFollow(const KnownHost &Host) const;
   void reportPosition();
   void updateReadiness();
   void reviewMoves();
--- a/lib/io/mesh/MeshProcess.cpp
+++ b/lib/io/mesh/MeshProcess.cpp
@@ -173,6 +173,12 @@
       readMoves();
   };
   Calls.OnFault = [this](const core::Error &Why) { storeFault(Why); };
+  Calls.OnOverdue = [this](core::Milliseconds Hold) {
+    carryOut(
+        observe::LogEvent{observe::EventId::MeshStoreReadOverdue,
+                          fmt::format("hold_ms={} position={}", Hold.count(),
+                                      State.Position.value())});
+  };
   Follower = std::make_unique<StoreFollower>(
       Loop, Store, State.Settings.RandomSeed, std::move(Calls));
   Follower->start();
@@ -288,6 +294,10 @@
   Follower->follow(What.Follow);
 }
 
+void Process::carryOut(const decide::SetReadHold &What) {
+  Follower->setHold(What.Hold);
+}
+
 void Process::carryOut(const decide::ReadinessChanged &What) {
   Ready = What.Ready;
 }
--- a/lib/io/mesh/StoreFollower.cpp
+++ b/lib/io/mesh/StoreFollower.cpp
@@ -1,13 +1,15 @@
 #include "StoreFollower.h"
+#include "filbertvane/decision/mesh/Limits.h"
 #include <algorithm>
 
 namespace filbertvane::io::mesh {
 
 namespace {
 
-/// Time for which the store holds a read back. Each read is paid for, so that
-/// a calm day should need few.
-constexpr core::Milliseconds ReadWait{10000};
+/// Time beyond its hold after which a read is repeated on another connection:
+/// the answer can be lost while the connection seems to be open. A slow store
+/// takes some 300 ms.
+constexpr core::Milliseconds OverdueTime{500};
 /// Least time between two reads: changes in quick succession are read
 /// together. It leaves two thirds of the shortest time within which a
 /// configuration has to be in force (2.5 s).
@@ -24,7 +26,8 @@
 StoreFollower::StoreFollower(EventLoop &Loop, SharedStore &Store,
                              std::uint64_t Seed, Callbacks Calls)
     : Loop(Loop), Store(Store), Calls(std::move(Calls)), Source(Seed),
-      Next(Loop, [this] { HasBase ? readNext() : readNewest(); }) {}
+      Next(Loop, [this] { read(); }), Overdue(Loop, [this] { repeatRead(); }),
+      Hold(decision::mesh::LongReadHold) {}
 
 void StoreFollower::start() {
   later(core::Milliseconds(Source.below(StartSpreadMs)));
@@ -39,6 +42,20 @@
     return;
   }
   Next.cancel();
+  abandonRead();
+}
+
+void StoreFollower::setHold(core::Milliseconds Longest) {
+  Hold = Longest;
+  // The answer to the read under way may be lost already.
+  if (Reading && CurrentHold > Hold) {
+    abandonRead();
+    later(core::Microseconds(0));
+  }
+}
+
+void StoreFollower::abandonRead() {
+  Overdue.cancel();
   if (Reading)
     Store.abandonRead();
   Reading = false;
@@ -50,22 +67,44 @@
   Next.arm(Loop.now().Mono + After);
 }
 
+void StoreFollower::read() {
+  if (!HasBase)
+    return readNewest();
+  // The answer to the first read after a failure shows at once whether the
+  // store is back.
+  readNext(Failures > 0 ? core::Milliseconds(0) : Hold);
+}
+
 void StoreFollower::readNewest() {
   Reading = true;
+  ReadSentAt = Loop.now().Mono;
   Store.readNewest(
       [this](const core::Result<OperatorRecords> &Read) { take(Read, true); });
 }
 
-void StoreFollower::readNext() {
+void StoreFollower::readNext(core::Milliseconds Wait) {
   Reading = true;
+  ReadSentAt = Loop.now().Mono;
+  CurrentHold = Wait;
+  if (Wait.count() > 0)
+    Overdue.arm(ReadSentAt + Wait + OverdueTime);
   Store.readFrom(
-      Position, ReadWait,
+      Position, Wait,
       [this](const core::Result<OperatorRecords> &Read) { take(Read, false); });
 }
 
+void StoreFollower::repeatRead() {
+  if (!Reading)
+    return;
+  Calls.OnOverdue(CurrentHold);
+  abandonRead();
+  readNext(core::Milliseconds(0));
+}
+
 void StoreFollower::take(const core::Result<OperatorRecords> &Read,
                          bool Newest) {
   Reading = false;
+  Overdue.cancel();
   if (!core::ok(Read))
     return takeFault(core::failure(Read));
   setReachable(true);
@@ -86,9 +125,13 @@
   const int Doublings = std::min(Failures++, 10);
   const core::Milliseconds Wait =
       std::min<core::Milliseconds>(FirstRetry * (1 << Doublings), LastRetry);
+  // A read that ended without an answer has taken a part of the wait already.
+  const auto Elapsed = std::chrono::duration_cast<core::Milliseconds>(
+      Loop.now().Mono - ReadSentAt);
+  const core::Milliseconds Left = std::max(FirstRetry, Wait - Elapsed);
   const double Spread = 0.5 + Source.unit();
   later(core::Microseconds(static_cast<std::int64_t>(
-      Spread * static_cast<double>(core::Microseconds(Wait).count()))));
+      Spread * static_cast<double>(core::Microseconds(Left).count()))));
 }
 
 void StoreFollower::setReachable(bool Now) {
@@ -120,8 +163,7 @@
   HasBase = true;
   // The read under way may hang on a connection that has gone silent.
   if (Reading && Reachable.value_or(false)) {
-    Store.abandonRead();
-    Reading = false;
+    abandonRead();
     later(ReadGap);
   }
 }
--- a/lib/io/mesh/StoreFollower.h
+++ b/lib/io/mesh/StoreFollower.h
@@ -21,6 +21,8 @@
     std::function<void(core::LogOffset)> OnPosition;
     std::function<void(bool Reachable)> OnReachable;
     std::function<void(const core::Error &)> OnFault;
+    /// A read had no answer in time and is repeated.
+    std::function<void(core::Milliseconds Hold)> OnOverdue;
   };
 
   StoreFollower(EventLoop &Loop, SharedStore &Store, std::uint64_t Seed,
@@ -29,14 +31,19 @@
   void start();
   /// @brief Follows the store, or leaves that to other nodes.
   void follow(bool Now);
+  /// @brief Sets the longest time for which the store may hold a read back.
+  void setHold(core::Milliseconds Longest);
   /// @brief Takes records that another node read.
   void adopt(const OperatorRecords &What);
   /// @brief All records known, for another node.
   OperatorRecords known() const;
 
 private:
+  void read();
   void readNewest();
-  void readNext();
+  void readNext(core::Milliseconds Wait);
+  void repeatRead();
+  void abandonRead();
   void take(const core::Result<OperatorRecords> &Read, bool Newest);
   void takeFault(const core::Error &Why);
   void apply(const OperatorRecords &What, bool History);
@@ -48,6 +55,11 @@
   Callbacks Calls;
   core::Random Source;
   Timer Next;
+  Timer Overdue;
+  core::Milliseconds Hold;
+  /// Hold of the read under way.
+  core::Milliseconds CurrentHold{0};
+  core::TimePoint ReadSentAt;
   bool HasBase = false;
   bool Reading = false;
   bool Following = true;
--- a/tests/mesh/RecordsTest.cpp
+++ b/tests/mesh/RecordsTest.cpp
@@ -1,5 +1,6 @@
 #include "MeshBench.h"
 #include "filbertvane/core/Digest.h"
+#include "filbertvane/decision/mesh/Limits.h"
 #include <algorithm>
 
 using namespace meshbench;
@@ -59,6 +60,51 @@
   }
 }
 
+// Guards against a fleet in which no node notices lost reads, and against one
+// in which all followers read at short intervals.
+Test(mesh_records, the_first_follower_of_some_data_centres_watches_the_store) {
+  Bench Node;
+  Node.configure();
+  Node.send(StoreReachabilityChanged{true});
+  Node.send(request::Tick{});
+  cr_assert(Node.first<SetReadHold>()->Hold == WatchReadHold);
+  // Another node of the data centre ranks higher, until it leaves.
+  {
+    const std::string Other = rankedBefore(1)[0];
+    Node.send(ReportReceived{follower(Other)});
+    Node.send(request::Tick{});
+    cr_assert(Node.first<SetReadHold>()->Hold == LongReadHold);
+    HostReport Leaving = follower(Other, 2);
+    Leaving.Leaving = true;
+    Node.send(ReportReceived{Leaving});
+    Node.send(request::Tick{});
+    cr_assert(Node.first<SetReadHold>()->Hold == WatchReadHold);
+  }
+  // Enough other data centres rank higher, until one of them loses the store.
+  {
+    const auto LocalScore = core::rendezvousScore("watch-store", "dc1");
+    std::vector<HostReport> Remote;
+    for (int I = 2; Remote.size() < WatchingDataCentres; ++I) {
+      const std::string Centre = "dc" + std::to_string(I);
+      if (core::rendezvousScore("watch-store", Centre) > LocalScore)
+        Remote.push_back(report("r" + std::to_string(I), 1, Centre));
+    }
+    for (HostReport &Host : Remote) {
+      Node.send(request::Tick{});
+      cr_assert(Node.count<SetReadHold>() == 0);
+      Host.StoreReachable = true;
+      Node.send(ReportReceived{Host});
+    }
+    Node.send(request::Tick{});
+    cr_assert(Node.first<SetReadHold>()->Hold == LongReadHold);
+    Remote[0].Sequence = 2;
+    Remote[0].StoreReachable = false;
+    Node.send(ReportReceived{Remote[0]});
+    Node.send(request::Tick{});
+    cr_assert(Node.first<SetReadHold>()->Hold == WatchReadHold);
+  }
+}
+
 // Guards against a node that misses a configuration because it does not follow
 // the store itself, or because its store connection delivers nothing.
 Test(mesh_records, a_node_behind_asks_the_nearest_host_that_is_ahead) {
--- a/tests/platform/EndToEndTest.cpp
+++ b/tests/platform/EndToEndTest.cpp
@@ -75,6 +75,39 @@
   cr_assert(All.instance(2).runsInAll() == Before);
 }
 
+// Guards against an old configuration that stays in force since the answer to a
+// read was lost while its connection seems to be open.
+Test(platform_path, a_configuration_is_in_force_after_a_silent_outage) {
+  constexpr milliseconds ConfigApply{2500};
+  Fleet All({"home", "shop", "home", "shop"});
+  All.publish(1);
+  std::uint64_t Version = 1;
+  for (std::size_t Host = 1; Host <= 4; ++Host)
+    All.untilServed(Host, "/list/a");
+  // From the shortest one to one that many reads are lost in.
+  for (const milliseconds Outage :
+       {milliseconds(50), milliseconds(700), milliseconds(3000)}) {
+    All.runFor(milliseconds(400));
+    All.Store.setMode(tools::StoreMode::Silent);
+    All.runFor(Outage);
+    All.Store.setMode(tools::StoreMode::Sound);
+    All.runFor(milliseconds(500));
+    ++Version;
+    All.publish(Version, Version % 2 == 0 ? "home" : "shop");
+    All.runFor(ConfigApply);
+    const std::size_t Old = Version % 2 == 0 ? 2 : 1;
+    const auto RunsOfOld = [&] {
+      return All.instance(Old).runsInAll() + All.instance(Old + 2).runsInAll();
+    };
+    const std::size_t Before = RunsOfOld();
+    for (std::size_t Host = 1; Host <= 4; ++Host)
+      cr_assert(All.ask(Host, "/list/a", fmt::format("q{}-{}", Version, Host))
+                    .Status == 200);
+    cr_assert(RunsOfOld() == Before, "outage of %d ms: %zu stale requests",
+              int(Outage.count()), RunsOfOld() - Before);
+  }
+}
+
 // Guards against a target that goes on getting requests after it said in an
 // answer that it leaves.
 Test(platform_path, leaving_is_read_from_an_answer) {
--- a/tests/platform/PlatformFleet.h
+++ b/tests/platform/PlatformFleet.h
@@ -73,6 +73,12 @@
     cr_assert(Holds(), "%s", What);
   }
 
+  void runFor(milliseconds Span) {
+    io::Timer End(Loop, [this] { Loop.stop(); });
+    End.arm(Loop.now().Mono + Span);
+    Loop.run();
+  }
+
   void send(std::size_t Host, const std::string &Path, const std::string &Id,
             std::function<void(Got)> OnDone) {
     io::HttpClient::Request What;
--- a/tools/fv-platform/StoreStandIn.cpp
+++ b/tools/fv-platform/StoreStandIn.cpp
@@ -102,7 +102,12 @@
 // Ending exchanges still use the other members.
 StoreStandIn::~StoreStandIn() { Server.reset(); }
 
-void StoreStandIn::setMode(StoreMode Next) { Mode = Next; }
+void StoreStandIn::setMode(StoreMode Next) {
+  Mode = Next;
+  // Reads under way never get their answer, although their connections stay.
+  if (Mode == StoreMode::Silent)
+    Waiting.clear();
+}
 
 void StoreStandIn::forgetHistory() {
   for (auto &[Name, Each] : Topics) {
