End queued requests before the exit of a process

Cause: the exit of a process bounded only requests that arrived 2.5 s after the signal. What was queued earlier, at the node or at another host on its behalf, waited beyond it, and the loop stopped with these calls open.

Evidence: the process exits at its deadline and not early; lost requests were queued both before and after the signal, at the node itself and at other hosts. On platform_path/an_exit_tells_the_outcome_of_each_open_request fails (the process ends with six requests open and none answered).

Change: a waiting request carries the exit of the processes that its answer passes; one that would still run then is refused as not run at once. A node reports its exit to the others at the signal, so that they do the same with the requests it sent. At the exit each open request is told what is known of it.

--- a/gen/filbertvane_types.cpp
+++ b/gen/filbertvane_types.cpp
@@ -9245,6 +9245,11 @@
   this->left = val;
 __isset.left = true;
 }
+
+void HostReport::__set_exitsInMs(const int64_t val) {
+  this->exitsInMs = val;
+__isset.exitsInMs = true;
+}
 std::ostream& operator<<(std::ostream& out, const HostReport& obj)
 {
   obj.printTo(out);
@@ -9381,6 +9386,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->exitsInMs);
+          this->__isset.exitsInMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -9456,6 +9469,11 @@
     xfer += this->left.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.exitsInMs) {
+    xfer += oprot->writeFieldBegin("exitsInMs", ::apache::thrift::protocol::T_I64, 13);
+    xfer += oprot->writeI64(this->exitsInMs);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -9475,6 +9493,7 @@
   swap(a.moves, b.moves);
   swap(a.storeReachable, b.storeReachable);
   swap(a.left, b.left);
+  swap(a.exitsInMs, b.exitsInMs);
   swap(a.__isset, b.__isset);
 }
 
@@ -9491,6 +9510,7 @@
   moves = other298.moves;
   storeReachable = other298.storeReachable;
   left = other298.left;
+  exitsInMs = other298.exitsInMs;
   __isset = other298.__isset;
 }
 HostReport& HostReport::operator=(const HostReport& other299) {
@@ -9506,6 +9526,7 @@
   moves = other299.moves;
   storeReachable = other299.storeReachable;
   left = other299.left;
+  exitsInMs = other299.exitsInMs;
   __isset = other299.__isset;
   return *this;
 }
@@ -9524,6 +9545,7 @@
   out << ", " << "moves=" << to_string(moves);
   out << ", " << "storeReachable=" << to_string(storeReachable);
   out << ", " << "left="; (__isset.left ? (out << to_string(left)) : (out << "<null>"));
+  out << ", " << "exitsInMs="; (__isset.exitsInMs ? (out << to_string(exitsInMs)) : (out << "<null>"));
   out << ")";
 }
 
--- a/gen/filbertvane_types.h
+++ b/gen/filbertvane_types.h
@@ -3684,7 +3684,7 @@
 std::ostream& operator<<(std::ostream& out, const LeftTarget& obj);
 
 typedef struct _HostReport__isset {
-  _HostReport__isset() : node(false), start(false), sequence(false), address(false), dataCentre(false), region(false), leaving(false), target(false), position(false), moves(false), storeReachable(false), left(false) {}
+  _HostReport__isset() : node(false), start(false), sequence(false), address(false), dataCentre(false), region(false), leaving(false), target(false), position(false), moves(false), storeReachable(false), left(false), exitsInMs(false) {}
   bool node :1;
   bool start :1;
   bool sequence :1;
@@ -3697,6 +3697,7 @@
   bool moves :1;
   bool storeReachable :1;
   bool left :1;
+  bool exitsInMs :1;
 } _HostReport__isset;
 
 class HostReport : public virtual ::apache::thrift::TBase {
@@ -3713,7 +3714,8 @@
                region(),
                leaving(0),
                position(0),
-               storeReachable(0) {
+               storeReachable(0),
+               exitsInMs(0) {
   }
 
   virtual ~HostReport() noexcept;
@@ -3729,6 +3731,7 @@
   std::vector<MoveReport>  moves;
   bool storeReachable;
   LeftTarget left;
+  int64_t exitsInMs;
 
   _HostReport__isset __isset;
 
@@ -3756,6 +3759,8 @@
 
   void __set_left(const LeftTarget& val);
 
+  void __set_exitsInMs(const int64_t val);
+
   bool operator == (const HostReport & rhs) const
   {
     if (!(node == rhs.node))
@@ -3786,6 +3791,10 @@
       return false;
     else if (__isset.left && !(left == rhs.left))
       return false;
+    if (__isset.exitsInMs != rhs.__isset.exitsInMs)
+      return false;
+    else if (__isset.exitsInMs && !(exitsInMs == rhs.exitsInMs))
+      return false;
     return true;
   }
   bool operator != (const HostReport &rhs) const {
--- a/include/filbertvane/decision/mesh/Events.h
+++ b/include/filbertvane/decision/mesh/Events.h
@@ -62,17 +62,20 @@
   /// Time at which the process exits even if requests are in progress.
   core::TimePoint Deadline;
 };
+/// @brief The process exits at once; requests in progress end now.
+struct ExitDue {};
 /// @brief The settings assign a service to this host.
 struct ServiceAssigned {
   core::ServiceName Service;
 };
 
-using Event = std::variant<request::CallArrived, request::AnswerStarted,
-                           request::AttemptEnded, request::CallerDisconnected,
-                           TargetAnnounced, TargetDeregistered, ReportReceived,
-                           StoredReportsRead, RoutingLoaded, PositionReached,
-                           MoveOrdered, MoveStateRead, StoreReachabilityChanged,
-                           ServiceAssigned, ShutdownRequested, request::Tick>;
+using Event =
+    std::variant<request::CallArrived, request::AnswerStarted,
+                 request::AttemptEnded, request::CallerDisconnected,
+                 TargetAnnounced, TargetDeregistered, ReportReceived,
+                 StoredReportsRead, RoutingLoaded, PositionReached, MoveOrdered,
+                 MoveStateRead, StoreReachabilityChanged, ServiceAssigned,
+                 ShutdownRequested, ExitDue, request::Tick>;
 /// @}
 
 /// @name Effects
--- a/include/filbertvane/decision/mesh/HostReport.h
+++ b/include/filbertvane/decision/mesh/HostReport.h
@@ -98,6 +98,9 @@
   core::RegionId Region;
   /// The process is shutting down and takes no further requests.
   bool Leaving = false;
+  /// Time until the process exits; set while it shuts down. Answers that arrive
+  /// later cannot be forwarded.
+  std::optional<core::Milliseconds> ExitsIn;
   std::optional<TargetReport> Target;
   /// Target of the host that last announced its departure; the next process of
   /// the node reads it from the store.
--- a/include/filbertvane/decision/mesh/SlotQueue.h
+++ b/include/filbertvane/decision/mesh/SlotQueue.h
@@ -24,6 +24,8 @@
   core::TimePoint Deadline;
   /// Accept the request even if its answer will be late.
   bool AcceptLate = false;
+  /// A process that the answer passes exits at this time.
+  core::TimePoint ExitAt = core::TimePoint::max();
 };
 
 /// @brief Whether a request starts, waits or is refused.
@@ -49,6 +51,8 @@
   /// @param AnswerTime time at the target; none when it did not answer
   void release(const core::RouteName &Route,
                std::optional<core::Microseconds> AnswerTime);
+  /// @brief A process that the answer of a waiting request passes exits.
+  void limit(core::CallId Id, core::TimePoint ExitAt);
   /// @brief Removes a waiting request.
   void withdraw(core::CallId Id);
 
@@ -116,6 +120,10 @@
   /// @brief Mean time between two requests that start at full load.
   core::Microseconds startInterval() const;
   core::Microseconds slotWait(std::size_t Ahead) const;
+  /// @brief Whether a request that starts at a time is answered before the
+  ///        processes that its answer passes exit.
+  bool endsBeforeExit(const SlotRequest &Request, core::TimePoint Start) const;
+  void evictBeforeExit(core::TimePoint Now);
   bool canStart(core::TimePoint Now) const {
     return Running < Slots && Limit.admits(Now);
   }
--- a/include/filbertvane/decision/mesh/State.h
+++ b/include/filbertvane/decision/mesh/State.h
@@ -65,6 +65,8 @@
   core::CallId Id;
   /// The request came from another node: this node is its host node.
   bool FromPeer = false;
+  /// IP address of the sender.
+  std::string Sender;
   std::string CallerId;
   core::ServiceName Caller;
   /// Route in the configuration at arrival; null when the request came from
@@ -155,6 +157,8 @@
   std::shared_ptr<const config::RoutingTable> Routing;
   core::LogOffset Position;
   HostDirectory Hosts;
+  /// Exits of the processes that other hosts are shutting down, by IP address.
+  std::map<std::string, core::TimePoint> PeerExits;
   MoveTracker Moves;
   std::map<core::ServiceName, PendingMoveWrite> PendingMoveWrites;
   /// The local target gave a bad answer that others do not know yet.
--- a/lib/decision/mesh/ReduceArrival.cpp
+++ b/lib/decision/mesh/ReduceArrival.cpp
@@ -76,6 +76,7 @@
   MeshCall Call;
   Call.Id = Arrival.Id;
   Call.FromPeer = true;
+  Call.Sender = Arrival.Sender;
   Call.CallerId = Arrival.CallerId;
   Call.Caller = Arrival.Caller.value_or(core::ServiceName());
   Call.Service = State.Target->Announcement.Service;
@@ -166,6 +167,26 @@
   place(State.Calls.emplace(Arrival.Id, std::move(Call)).first->second);
 }
 
+/// Time after which an answer cannot reach the caller, since the process of
+/// this node or of the entry node exits.
+core::TimePoint Reduction::exitBeforeAnswer(const MeshCall &Call) const {
+  const core::TimePoint Exit =
+      State.ShutdownDeadline.value_or(core::TimePoint::max());
+  const auto Peer = State.PeerExits.find(Call.Sender);
+  return Call.FromPeer && Peer != State.PeerExits.end()
+             ? std::min(Exit, Peer->second)
+             : Exit;
+}
+
+/// Requests that wait for a slot and would be cut off by the exit of a process
+/// end as not run while this can still be told.
+void Reduction::limitQueuedCalls() {
+  for (const auto &[Id, Call] : State.Calls)
+    if (Call.Phase == CallPhase::Queued)
+      State.Slots.limit(Id, exitBeforeAnswer(Call));
+  dispatchQueue();
+}
+
 /// A repeated run makes its calls again, which count as repeats for the
 /// services that it calls. It is refused while the share of this host has no
 /// room for them, since its calls could not be held back afterwards.
@@ -198,6 +219,7 @@
   // smaller answers go first.
   Request.Deadline = Call.Deadline - Call.LinkWait;
   Request.AcceptLate = Call.Terms.AcceptLate;
+  Request.ExitAt = exitBeforeAnswer(Call);
   const SlotVerdict Verdict = State.Slots.submit(Request, Now);
   switch (Verdict.Action) {
   case SlotVerdict::ActionKind::Start:
--- a/lib/decision/mesh/ReduceHosts.cpp
+++ b/lib/decision/mesh/ReduceHosts.cpp
@@ -6,6 +6,8 @@
 
 namespace filbertvane::decision::mesh {
 
+using core::ErrorCode;
+
 namespace {
 
 /// Time that this node waits for its own store connection to deliver records
@@ -35,6 +37,7 @@
     return;
   for (const MoveReport &Move : Report.Moves)
     State.Moves.applyReport(Move, Now);
+  recordPeerExit(Report);
   if (Change->New || Change->Restarted) {
     log(observe::EventId::MeshHostJoined,
         fmt::format("host={} start={} address={} restarted={}",
@@ -45,6 +48,18 @@
   }
 }
 
+void Reduction::recordPeerExit(const HostReport &Report) {
+  if (!Report.ExitsIn) {
+    State.PeerExits.erase(Report.Address);
+    return;
+  }
+  // Reports of one shutdown differ by the time that they travelled.
+  const bool First =
+      State.PeerExits.emplace(Report.Address, Now + *Report.ExitsIn).second;
+  if (First)
+    limitQueuedCalls();
+}
+
 void Reduction::operator()(const StoredReportsRead &Stored) {
   std::vector<std::string> NewAddresses;
   for (const HostReport &Report : Stored.Reports) {
@@ -162,6 +177,29 @@
   State.AcceptsAllUntil = Now + FullServiceAfterShutdown;
   State.ReportLeavingAt = Now + PeerServiceAfterShutdown;
   updateReadiness();
+  // Requests of this node wait at other hosts as well.
+  reportToAll();
+  limitQueuedCalls();
+}
+
+/// A request without a whole answer is told its outcome; the end of the
+/// connection alone would not tell whether it ran.
+void Reduction::operator()(const ExitDue &) {
+  std::vector<core::CallId> Open;
+  for (const auto &[Id, Call] : State.Calls)
+    if (!Call.AnswerStarted)
+      Open.push_back(Id);
+  for (const core::CallId Id : Open) {
+    MeshCall *Call = find(Id);
+    if (Call == nullptr)
+      continue;
+    const bool Queued = Call->Phase == CallPhase::Queued;
+    abandon(*Call);
+    if (Queued)
+      refuse(*Call, ErrorCode::RequestDraining);
+    else
+      endWithUnknownOutcome(*Call, ErrorCode::RequestDraining);
+  }
 }
 
 void Reduction::reportLeavingIfDue() {
--- a/lib/decision/mesh/Reducer.cpp
+++ b/lib/decision/mesh/Reducer.cpp
@@ -61,6 +61,9 @@
   Report.DataCentre = State.Settings.DataCentre;
   Report.Region = State.Settings.Region;
   Report.Leaving = State.Draining && Now >= State.ReportLeavingAt;
+  if (State.ShutdownDeadline)
+    Report.ExitsIn = std::chrono::duration_cast<core::Milliseconds>(
+        std::max(*State.ShutdownDeadline, Now) - Now);
   Report.Target = localTargetReport(State);
   if (Report.Target)
     Report.Target->Load.LinkQueueTime = linkWait(State, Now);
@@ -90,6 +93,9 @@
   publishRateLimitIfChanged();
   dispatchQueue();
   State.Hosts.evictSilent(Now);
+  std::erase_if(State.PeerExits, [this](const auto &Entry) {
+    return Entry.second + HostEvictionTimeout < Now;
+  });
   startTallyStep();
   reviewMoves();
   reportBadAnswers();
--- a/lib/decision/mesh/Reduction.h
+++ b/lib/decision/mesh/Reduction.h
@@ -32,6 +32,7 @@
   void operator()(const StoreReachabilityChanged &Change);
   void operator()(const ServiceAssigned &Assigned);
   void operator()(const ShutdownRequested &Shutdown);
+  void operator()(const ExitDue &Exit);
   void operator()(const request::Tick &Tick);
   /// @}
 
@@ -54,6 +55,9 @@
   bool hasBudgetForCalls(const MeshCall &Call);
   void sendToTarget(MeshCall &Call);
   void dispatchQueue();
+  core::TimePoint exitBeforeAnswer(const MeshCall &Call) const;
+  void limitQueuedCalls();
+  void recordPeerExit(const HostReport &Report);
   /// @}
 
   /// @name Completion
--- a/lib/decision/mesh/SlotQueue.cpp
+++ b/lib/decision/mesh/SlotQueue.cpp
@@ -96,6 +96,12 @@
   return startInterval() * static_cast<std::int64_t>(Ahead + 1);
 }
 
+bool SlotQueue::endsBeforeExit(const SlotRequest &Request,
+                               core::TimePoint Start) const {
+  return Request.ExitAt == core::TimePoint::max() ||
+         Start + conservativeTime(Request.Route) <= Request.ExitAt;
+}
+
 void SlotQueue::start(core::TimePoint Now) {
   ++Running;
   Limit.take(Now);
@@ -162,6 +168,8 @@
   const core::Microseconds Wait = expectedWait(Request.Rank, Now);
   if (Now + Wait + minimumTime(Request.Route) >= Request.Deadline)
     return {SlotVerdict::ActionKind::Refuse, ErrorCode::RequestDeadlinePassed};
+  if (!endsBeforeExit(Request, Now + Wait))
+    return {SlotVerdict::ActionKind::Refuse, ErrorCode::RequestDraining};
   if (canStart(Now) && Entries.empty()) {
     start(Now);
     ArrivalRates[Request.Rank].addArrival(Now);
@@ -222,6 +230,34 @@
   OverallEstimate.addSample(Sample);
 }
 
+void SlotQueue::limit(core::CallId Id, core::TimePoint ExitAt) {
+  const auto Found = Entries.find(Id);
+  if (Found == Entries.end())
+    return;
+  core::TimePoint &Earliest = Found->second.Request.ExitAt;
+  Earliest = std::min(Earliest, ExitAt);
+}
+
+/// Requests that would still run at the exit are evicted as soon as this shows,
+/// so that they can be placed on another host.
+void SlotQueue::evictBeforeExit(core::TimePoint Now) {
+  std::size_t Ahead = 0;
+  for (auto *Queue : {&OnTime, &Late}) {
+    std::vector<QueueKey> Unservable;
+    for (const QueueKey &Key : *Queue) {
+      const SlotRequest &Request = Entries.at(std::get<2>(Key)).Request;
+      const core::TimePoint Start =
+          Ahead == 0 && canStart(Now) ? Now : Now + slotWait(Ahead);
+      if (endsBeforeExit(Request, Start))
+        ++Ahead;
+      else
+        Unservable.push_back(Key);
+    }
+    for (const QueueKey &Key : Unservable)
+      evict(Key, *Queue);
+  }
+}
+
 void SlotQueue::withdraw(core::CallId Id) {
   const auto Found = Entries.find(Id);
   if (Found == Entries.end())
@@ -280,6 +316,7 @@
 
 std::optional<SlotQueue::Dequeued> SlotQueue::next(core::TimePoint Now) {
   demoteLate(Now);
+  evictBeforeExit(Now);
   if (!Evicted.empty()) {
     const core::CallId Id = Evicted.back();
     Evicted.pop_back();
--- a/lib/io/mesh/MeshProcess.cpp
+++ b/lib/io/mesh/MeshProcess.cpp
@@ -476,8 +476,13 @@
   Engine->quiesce();
   if (Step == decide::ShutdownStep::Drain)
     return;
-  carryOut(observe::LogEvent{observe::EventId::ProcessStopped,
-                             fmt::format("active={}", Engine->active())});
+  if (!std::exchange(ExitBegun, true)) {
+    carryOut(observe::LogEvent{observe::EventId::ProcessStopped,
+                               fmt::format("active={}", Engine->active())});
+    handle(decide::ExitDue{});
+    // The next tick comes after the loop has written the last answers.
+    return;
+  }
   Log.flush(Loop.now());
   Loop.stop();
 }
--- a/lib/io/mesh/MeshProcessImpl.h
+++ b/lib/io/mesh/MeshProcessImpl.h
@@ -99,6 +99,7 @@
   bool MovesWanted = false;
   core::TimePoint MovesReadAt;
   std::optional<decide::ShutdownSchedule> Stop;
+  bool ExitBegun = false;
 };
 
 } // namespace filbertvane::io::mesh
--- a/lib/io/proxy/ProxyEngine.cpp
+++ b/lib/io/proxy/ProxyEngine.cpp
@@ -258,6 +258,7 @@
   Event.TimeLeft = New.TimeLeft;
   Event.Terms = New.Terms;
   Event.LinkWait = Bulk.wait();
+  Event.Sender = New.Head.Remote.substr(0, New.Head.Remote.rfind(':'));
   if (New.FromNode) {
     if (headerOf(Fields, DeadlineField))
       Event.Deadline = wallTimeOf(numberOf(Fields, DeadlineField));
--- a/lib/wire/HostReportCodec.cpp
+++ b/lib/wire/HostReportCodec.cpp
@@ -115,8 +115,8 @@
   return mesh::AnswerTimes(Buckets);
 }
 
-/// No move lasts longer; the time of another writer must not overflow when it
-/// is added to a clock.
+/// No move or shutdown lasts longer; the time of another writer must not
+/// overflow when it is added to a clock.
 constexpr std::int64_t MaximumMillis = std::int64_t{1} << 40;
 
 core::Milliseconds millis(std::int64_t Number) {
@@ -172,6 +172,8 @@
   Out.dataCentre = Report.DataCentre.value();
   Out.region = Report.Region.value();
   Out.leaving = Report.Leaving;
+  if (Report.ExitsIn)
+    Out.__set_exitsInMs(Report.ExitsIn->count());
   if (Report.Target)
     Out.__set_target(toThrift(*Report.Target));
   if (Report.Departed) {
@@ -202,6 +204,8 @@
   Report.DataCentre = core::DataCentreId(In.dataCentre);
   Report.Region = core::RegionId(In.region);
   Report.Leaving = In.leaving;
+  if (In.__isset.exitsInMs)
+    Report.ExitsIn = millis(In.exitsInMs);
   if (In.__isset.target)
     Report.Target = fromThrift(In.target);
   if (In.__isset.left)
--- a/tests/mesh/LocalTargetTest.cpp
+++ b/tests/mesh/LocalTargetTest.cpp
@@ -171,6 +171,78 @@
   cr_assert(Node.first<Refuse>()->RetryAfter.has_value());
 }
 
+// Guards against accepted bookings that wait in a queue until their node exits
+// (review, case 3), or that of the caller.
+Test(mesh_target, a_queue_keeps_only_what_ends_before_an_exit) {
+  // Two slots, each taken for 400 ms a request.
+  const auto FillQueue = [](Bench &Node) {
+    Node.configure();
+    Node.announce();
+    Node.send(ReportReceived{report("n1")});
+    for (std::uint64_t I = 1; I <= 40; ++I) {
+      Node.arriveFromPeer(I, 9000, 9000);
+      const auto Started = Node.first<StartAttempt>();
+      Node.Now += milliseconds(400);
+      Node.end(*Started, AttemptEnd::Held);
+    }
+    for (std::uint64_t I = 101; I <= 108; ++I)
+      Node.arriveFromPeer(I, 9000, 9000);
+  };
+  const auto RefusedCalls = [](const Bench &Node) {
+    std::vector<std::uint64_t> Ids;
+    for (const Effect &Produced : Node.Last)
+      if (const auto *Refusal = std::get_if<Refuse>(&Produced)) {
+        cr_assert(Refusal->Result == Outcome::NotRun);
+        Ids.push_back(Refusal->Id.value());
+      }
+    std::ranges::sort(Ids);
+    return Ids;
+  };
+  // This node exits: what would still run is refused at once.
+  {
+    Bench Node;
+    FillQueue(Node);
+    Node.send(ShutdownRequested{Node.Now + milliseconds(1200)});
+    cr_assert(RefusedCalls(Node) == (std::vector<std::uint64_t>{106, 107, 108}),
+              "%zu refused", RefusedCalls(Node).size());
+    // Other nodes hear of it, to do the same with what this node sent them.
+    cr_assert(Node.first<SendReport>()->Report.ExitsIn == milliseconds(1200));
+    // A request that arrives later has no place before the exit.
+    Node.arriveFromPeer(109, 9000, 9000);
+    cr_assert(Node.first<Refuse>()->Result == Outcome::NotRun);
+  }
+  // The node that sent the requests exits.
+  {
+    Bench Node;
+    FillQueue(Node);
+    HostReport Stopping = report("n1", 2);
+    Stopping.ExitsIn = milliseconds(1200);
+    Node.send(ReportReceived{Stopping});
+    cr_assert(RefusedCalls(Node).size() == 3);
+    // Requests of other nodes wait.
+    Node.arriveFromPeer(109, 9000, 9000, 1, false, "10.0.0.99");
+    cr_assert(!Node.first<Refuse>());
+    // Its next process is not bound by it.
+    HostReport Next = report("n1", 1);
+    Next.Incarnation = core::Incarnation(2);
+    Node.send(ReportReceived{Next});
+    Node.arriveFromPeer(110, 9000, 9000);
+    cr_assert(!Node.first<Refuse>());
+  }
+  // At the exit, each request that is left is told what is known of it.
+  {
+    Bench Node;
+    FillQueue(Node);
+    Node.send(ExitDue{});
+    std::size_t NotRun = 0;
+    std::size_t Unknown = 0;
+    for (const Effect &Produced : Node.Last)
+      if (const auto *Refusal = std::get_if<Refuse>(&Produced))
+        ++(Refusal->Result == Outcome::NotRun ? NotRun : Unknown);
+    cr_assert(Unknown == 2 && NotRun == 6);
+  }
+}
+
 // Guards against a target that deregistered, refused a connection, and gets
 // requests again because of a delayed announcement.
 Test(mesh_target, a_leaving_target_stays_so_after_it_was_down) {
--- a/tests/platform/EndToEndTest.cpp
+++ b/tests/platform/EndToEndTest.cpp
@@ -75,6 +75,30 @@
   cr_assert(All.instance(2).runsInAll() == Before);
 }
 
+// Guards against a booking whose connection closes without a word when its node
+// exits (review, case 3).
+Test(platform_path, an_exit_tells_the_outcome_of_each_open_request) {
+  // The process exits 0.6 s after it was told to stop, before any deadline.
+  Fleet All({"shop"}, milliseconds(1000));
+  All.publish(1);
+  All.untilServed(1, "/list/a");
+  All.instance(1).setWork(milliseconds(3000));
+  constexpr std::size_t Slots = 4;
+  constexpr std::size_t Sent = Slots + 2;
+  std::map<int, std::size_t> Answers;
+  std::size_t Ended = 0;
+  for (std::size_t I = 0; I < Sent; ++I)
+    All.send(1, "/book/b", fmt::format("q{}", I), [&](const Got &Answer) {
+      ++Answers[Answer.Status];
+      ++Ended;
+    });
+  All.until("runs", [&] { return All.instance(1).runs("q3") > 0; });
+  All.node(1).drain();
+  All.until("the answers", [&] { return Ended == Sent; });
+  cr_assert(Answers[502] == Slots, "%zu running", Answers[502]);
+  cr_assert(Answers[503] == Sent - Slots, "%zu queued", Answers[503]);
+}
+
 // Guards against an old configuration that stays in force since the answer to a
 // read was lost while its connection seems to be open.
 Test(platform_path, a_configuration_is_in_force_after_a_silent_outage) {
--- a/tests/platform/PlatformFleet.h
+++ b/tests/platform/PlatformFleet.h
@@ -25,9 +25,10 @@
 /// process has addresses of its own.
 class Fleet {
 public:
-  explicit Fleet(const std::vector<std::string> &Services)
+  explicit Fleet(const std::vector<std::string> &Services,
+                 milliseconds StopTime = milliseconds(6000))
       : Http(io::HttpClient::create(Loop, {})),
-        Store(Loop, address(0) + ":8309") {
+        Store(Loop, address(0) + ":8309"), StopTime(StopTime) {
     cr_assert(Store.open());
     for (std::size_t I = 0; I < Services.size(); ++I)
       addHost(I + 1, Services[I]);
@@ -135,7 +136,7 @@
     Place.TargetAddress = address(Host) + ":8301";
     Place.Service = core::ServiceName(Service);
     Place.Budget = {0.2, 64, milliseconds(10000)};
-    Place.StopTime = milliseconds(6000);
+    Place.StopTime = StopTime;
     Place.MaxConnections = 100;
     Place.FirstStart = true;
     Stores.push_back(std::make_unique<platform::Store>(
@@ -155,6 +156,7 @@
         std::make_unique<tools::InstanceStandIn>(Loop, *Http, Terms));
   }
 
+  milliseconds StopTime;
   std::vector<std::unique_ptr<platform::Store>> Stores;
   std::vector<std::unique_ptr<io::mesh::MeshProcess>> Nodes;
   std::vector<std::unique_ptr<tools::InstanceStandIn>> Instances;
--- a/thrift/filbertvane.thrift
+++ b/thrift/filbertvane.thrift
@@ -141,7 +141,7 @@
   1: string node, 2: i64 start, 3: i64 sequence, 4: string address, 5: string dataCentre,
   6: string region, 7: bool leaving, 8: optional TargetReport target, 9: i64 position,
   10: list<MoveReport> moves, 11: bool storeReachable,
-  12: optional LeftTarget left
+  12: optional LeftTarget left, 13: optional i64 exitsInMs
 }
 // Operators' records as one node hands them to another.
 struct OperatorRecord { 1: string key, 2: i64 offset, 3: binary value }
