Refuse requests that crash the targets that run them

Cause: the mesh nodes take a crashed target out of use, but keep no memory of what it ran. Each repeat looks new, at each node, and the entry node's retry crashes a second target.

Evidence: the crashes are noticed (event 2012), so that detection is not the cause.

Change: CrashSuspects counts crashes by the digest of a request, over all hosts. After two, all nodes refuse it for ten minutes; an answer to the same request clears it, since one that is answered crashes nothing. Hosts report their suspects to all at once, and write what is refused to the store for new processes. The entry node learns of a crash and does not retry after two.

--- a/gen/filbertvane_types.cpp
+++ b/gen/filbertvane_types.cpp
@@ -9192,6 +9192,138 @@
 }
 
 
+SuspectRequest::~SuspectRequest() noexcept {
+}
+
+
+void SuspectRequest::__set_requestDigest(const int64_t val) {
+  this->requestDigest = val;
+}
+
+void SuspectRequest::__set_crashes(const std::vector<int64_t> & val) {
+  this->crashes = val;
+}
+std::ostream& operator<<(std::ostream& out, const SuspectRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t SuspectRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->requestDigest);
+          this->__isset.requestDigest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->crashes.clear();
+            uint32_t _size292;
+            ::apache::thrift::protocol::TType _etype295;
+            xfer += iprot->readListBegin(_etype295, _size292);
+            this->crashes.resize(_size292);
+            uint32_t _i296;
+            for (_i296 = 0; _i296 < _size292; ++_i296)
+            {
+              xfer += iprot->readI64(this->crashes[_i296]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.crashes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t SuspectRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("SuspectRequest");
+
+  xfer += oprot->writeFieldBegin("requestDigest", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->requestDigest);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->crashes.size()));
+    std::vector<int64_t> ::const_iterator _iter297;
+    for (_iter297 = this->crashes.begin(); _iter297 != this->crashes.end(); ++_iter297)
+    {
+      xfer += oprot->writeI64((*_iter297));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(SuspectRequest &a, SuspectRequest &b) {
+  using ::std::swap;
+  swap(a.requestDigest, b.requestDigest);
+  swap(a.crashes, b.crashes);
+  swap(a.__isset, b.__isset);
+}
+
+SuspectRequest::SuspectRequest(const SuspectRequest& other298) {
+  requestDigest = other298.requestDigest;
+  crashes = other298.crashes;
+  __isset = other298.__isset;
+}
+SuspectRequest& SuspectRequest::operator=(const SuspectRequest& other299) {
+  requestDigest = other299.requestDigest;
+  crashes = other299.crashes;
+  __isset = other299.__isset;
+  return *this;
+}
+void SuspectRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "SuspectRequest(";
+  out << "requestDigest=" << to_string(requestDigest);
+  out << ", " << "crashes=" << to_string(crashes);
+  out << ")";
+}
+
+
 HostReport::~HostReport() noexcept {
 }
 
@@ -9250,6 +9382,11 @@
   this->exitsInMs = val;
 __isset.exitsInMs = true;
 }
+
+void HostReport::__set_suspects(const std::vector<SuspectRequest> & val) {
+  this->suspects = val;
+__isset.suspects = true;
+}
 std::ostream& operator<<(std::ostream& out, const HostReport& obj)
 {
   obj.printTo(out);
@@ -9354,14 +9491,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->moves.clear();
-            uint32_t _size292;
-            ::apache::thrift::protocol::TType _etype295;
-            xfer += iprot->readListBegin(_etype295, _size292);
-            this->moves.resize(_size292);
-            uint32_t _i296;
-            for (_i296 = 0; _i296 < _size292; ++_i296)
+            uint32_t _size300;
+            ::apache::thrift::protocol::TType _etype303;
+            xfer += iprot->readListBegin(_etype303, _size300);
+            this->moves.resize(_size300);
+            uint32_t _i304;
+            for (_i304 = 0; _i304 < _size300; ++_i304)
             {
-              xfer += this->moves[_i296].read(iprot);
+              xfer += this->moves[_i304].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9394,6 +9531,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->suspects.clear();
+            uint32_t _size305;
+            ::apache::thrift::protocol::TType _etype308;
+            xfer += iprot->readListBegin(_etype308, _size305);
+            this->suspects.resize(_size305);
+            uint32_t _i309;
+            for (_i309 = 0; _i309 < _size305; ++_i309)
+            {
+              xfer += this->suspects[_i309].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.suspects = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -9451,10 +9608,10 @@
   xfer += oprot->writeFieldBegin("moves", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->moves.size()));
-    std::vector<MoveReport> ::const_iterator _iter297;
-    for (_iter297 = this->moves.begin(); _iter297 != this->moves.end(); ++_iter297)
+    std::vector<MoveReport> ::const_iterator _iter310;
+    for (_iter310 = this->moves.begin(); _iter310 != this->moves.end(); ++_iter310)
     {
-      xfer += (*_iter297).write(oprot);
+      xfer += (*_iter310).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9474,6 +9631,19 @@
     xfer += oprot->writeI64(this->exitsInMs);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.suspects) {
+    xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 14);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspects.size()));
+      std::vector<SuspectRequest> ::const_iterator _iter311;
+      for (_iter311 = this->suspects.begin(); _iter311 != this->suspects.end(); ++_iter311)
+      {
+        xfer += (*_iter311).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -9494,40 +9664,43 @@
   swap(a.storeReachable, b.storeReachable);
   swap(a.left, b.left);
   swap(a.exitsInMs, b.exitsInMs);
+  swap(a.suspects, b.suspects);
   swap(a.__isset, b.__isset);
 }
 
-HostReport::HostReport(const HostReport& other298) {
-  node = other298.node;
-  start = other298.start;
-  sequence = other298.sequence;
-  address = other298.address;
-  dataCentre = other298.dataCentre;
-  region = other298.region;
-  leaving = other298.leaving;
-  target = other298.target;
-  position = other298.position;
-  moves = other298.moves;
-  storeReachable = other298.storeReachable;
-  left = other298.left;
-  exitsInMs = other298.exitsInMs;
-  __isset = other298.__isset;
-}
-HostReport& HostReport::operator=(const HostReport& other299) {
-  node = other299.node;
-  start = other299.start;
-  sequence = other299.sequence;
-  address = other299.address;
-  dataCentre = other299.dataCentre;
-  region = other299.region;
-  leaving = other299.leaving;
-  target = other299.target;
-  position = other299.position;
-  moves = other299.moves;
-  storeReachable = other299.storeReachable;
-  left = other299.left;
-  exitsInMs = other299.exitsInMs;
-  __isset = other299.__isset;
+HostReport::HostReport(const HostReport& other312) {
+  node = other312.node;
+  start = other312.start;
+  sequence = other312.sequence;
+  address = other312.address;
+  dataCentre = other312.dataCentre;
+  region = other312.region;
+  leaving = other312.leaving;
+  target = other312.target;
+  position = other312.position;
+  moves = other312.moves;
+  storeReachable = other312.storeReachable;
+  left = other312.left;
+  exitsInMs = other312.exitsInMs;
+  suspects = other312.suspects;
+  __isset = other312.__isset;
+}
+HostReport& HostReport::operator=(const HostReport& other313) {
+  node = other313.node;
+  start = other313.start;
+  sequence = other313.sequence;
+  address = other313.address;
+  dataCentre = other313.dataCentre;
+  region = other313.region;
+  leaving = other313.leaving;
+  target = other313.target;
+  position = other313.position;
+  moves = other313.moves;
+  storeReachable = other313.storeReachable;
+  left = other313.left;
+  exitsInMs = other313.exitsInMs;
+  suspects = other313.suspects;
+  __isset = other313.__isset;
   return *this;
 }
 void HostReport::printTo(std::ostream& out) const {
@@ -9546,6 +9719,7 @@
   out << ", " << "storeReachable=" << to_string(storeReachable);
   out << ", " << "left="; (__isset.left ? (out << to_string(left)) : (out << "<null>"));
   out << ", " << "exitsInMs="; (__isset.exitsInMs ? (out << to_string(exitsInMs)) : (out << "<null>"));
+  out << ", " << "suspects="; (__isset.suspects ? (out << to_string(suspects)) : (out << "<null>"));
   out << ")";
 }
 
@@ -9659,17 +9833,17 @@
   swap(a.__isset, b.__isset);
 }
 
-OperatorRecord::OperatorRecord(const OperatorRecord& other300) {
-  key = other300.key;
-  offset = other300.offset;
-  value = other300.value;
-  __isset = other300.__isset;
+OperatorRecord::OperatorRecord(const OperatorRecord& other314) {
+  key = other314.key;
+  offset = other314.offset;
+  value = other314.value;
+  __isset = other314.__isset;
 }
-OperatorRecord& OperatorRecord::operator=(const OperatorRecord& other301) {
-  key = other301.key;
-  offset = other301.offset;
-  value = other301.value;
-  __isset = other301.__isset;
+OperatorRecord& OperatorRecord::operator=(const OperatorRecord& other315) {
+  key = other315.key;
+  offset = other315.offset;
+  value = other315.value;
+  __isset = other315.__isset;
   return *this;
 }
 void OperatorRecord::printTo(std::ostream& out) const {
@@ -9733,14 +9907,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size302;
-            ::apache::thrift::protocol::TType _etype305;
-            xfer += iprot->readListBegin(_etype305, _size302);
-            this->records.resize(_size302);
-            uint32_t _i306;
-            for (_i306 = 0; _i306 < _size302; ++_i306)
+            uint32_t _size316;
+            ::apache::thrift::protocol::TType _etype319;
+            xfer += iprot->readListBegin(_etype319, _size316);
+            this->records.resize(_size316);
+            uint32_t _i320;
+            for (_i320 = 0; _i320 < _size316; ++_i320)
             {
-              xfer += this->records[_i306].read(iprot);
+              xfer += this->records[_i320].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9773,10 +9947,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<OperatorRecord> ::const_iterator _iter307;
-    for (_iter307 = this->records.begin(); _iter307 != this->records.end(); ++_iter307)
+    std::vector<OperatorRecord> ::const_iterator _iter321;
+    for (_iter321 = this->records.begin(); _iter321 != this->records.end(); ++_iter321)
     {
-      xfer += (*_iter307).write(oprot);
+      xfer += (*_iter321).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9794,15 +9968,15 @@
   swap(a.__isset, b.__isset);
 }
 
-OperatorRecords::OperatorRecords(const OperatorRecords& other308) {
-  position = other308.position;
-  records = other308.records;
-  __isset = other308.__isset;
+OperatorRecords::OperatorRecords(const OperatorRecords& other322) {
+  position = other322.position;
+  records = other322.records;
+  __isset = other322.__isset;
 }
-OperatorRecords& OperatorRecords::operator=(const OperatorRecords& other309) {
-  position = other309.position;
-  records = other309.records;
-  __isset = other309.__isset;
+OperatorRecords& OperatorRecords::operator=(const OperatorRecords& other323) {
+  position = other323.position;
+  records = other323.records;
+  __isset = other323.__isset;
   return *this;
 }
 void OperatorRecords::printTo(std::ostream& out) const {
--- a/gen/filbertvane_types.h
+++ b/gen/filbertvane_types.h
@@ -157,6 +157,8 @@
 
 class LeftTarget;
 
+class SuspectRequest;
+
 class HostReport;
 
 class OperatorRecord;
@@ -3683,8 +3685,57 @@
 
 std::ostream& operator<<(std::ostream& out, const LeftTarget& obj);
 
+typedef struct _SuspectRequest__isset {
+  _SuspectRequest__isset() : requestDigest(false), crashes(false) {}
+  bool requestDigest :1;
+  bool crashes :1;
+} _SuspectRequest__isset;
+
+class SuspectRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  SuspectRequest(const SuspectRequest&);
+  SuspectRequest& operator=(const SuspectRequest&);
+  SuspectRequest() noexcept
+                 : requestDigest(0) {
+  }
+
+  virtual ~SuspectRequest() noexcept;
+  int64_t requestDigest;
+  std::vector<int64_t>  crashes;
+
+  _SuspectRequest__isset __isset;
+
+  void __set_requestDigest(const int64_t val);
+
+  void __set_crashes(const std::vector<int64_t> & val);
+
+  bool operator == (const SuspectRequest & rhs) const
+  {
+    if (!(requestDigest == rhs.requestDigest))
+      return false;
+    if (!(crashes == rhs.crashes))
+      return false;
+    return true;
+  }
+  bool operator != (const SuspectRequest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const SuspectRequest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(SuspectRequest &a, SuspectRequest &b);
+
+std::ostream& operator<<(std::ostream& out, const SuspectRequest& obj);
+
 typedef struct _HostReport__isset {
-  _HostReport__isset() : node(false), start(false), sequence(false), address(false), dataCentre(false), region(false), leaving(false), target(false), position(false), moves(false), storeReachable(false), left(false), exitsInMs(false) {}
+  _HostReport__isset() : node(false), start(false), sequence(false), address(false), dataCentre(false), region(false), leaving(false), target(false), position(false), moves(false), storeReachable(false), left(false), exitsInMs(false), suspects(false) {}
   bool node :1;
   bool start :1;
   bool sequence :1;
@@ -3698,6 +3749,7 @@
   bool storeReachable :1;
   bool left :1;
   bool exitsInMs :1;
+  bool suspects :1;
 } _HostReport__isset;
 
 class HostReport : public virtual ::apache::thrift::TBase {
@@ -3732,6 +3784,7 @@
   bool storeReachable;
   LeftTarget left;
   int64_t exitsInMs;
+  std::vector<SuspectRequest>  suspects;
 
   _HostReport__isset __isset;
 
@@ -3761,6 +3814,8 @@
 
   void __set_exitsInMs(const int64_t val);
 
+  void __set_suspects(const std::vector<SuspectRequest> & val);
+
   bool operator == (const HostReport & rhs) const
   {
     if (!(node == rhs.node))
@@ -3795,6 +3850,10 @@
       return false;
     else if (__isset.exitsInMs && !(exitsInMs == rhs.exitsInMs))
       return false;
+    if (__isset.suspects != rhs.__isset.suspects)
+      return false;
+    else if (__isset.suspects && !(suspects == rhs.suspects))
+      return false;
     return true;
   }
   bool operator != (const HostReport &rhs) const {
--- a/include/filbertvane/decision/mesh/HostReport.h
+++ b/include/filbertvane/decision/mesh/HostReport.h
@@ -1,6 +1,7 @@
 #ifndef FILBERTVANE_DECISION_MESH_HOSTREPORT_H
 #define FILBERTVANE_DECISION_MESH_HOSTREPORT_H
 
+#include "filbertvane/core/Digest.h"
 #include "filbertvane/core/Ids.h"
 #include "filbertvane/decision/TargetLoad.h"
 #include "filbertvane/decision/mesh/AnswerTimes.h"
@@ -85,6 +86,16 @@
   friend auto operator<=>(const MoveReport &, const MoveReport &) = default;
 };
 
+/// @brief A request that was running when targets crashed.
+struct SuspectRequest {
+  core::Digest Request;
+  /// Identities of the crashes.
+  std::vector<core::Digest> Crashes;
+
+  friend auto operator<=>(const SuspectRequest &,
+                          const SuspectRequest &) = default;
+};
+
 /// @brief Report of a node about itself.
 struct HostReport {
   core::NodeId Node;
@@ -110,6 +121,9 @@
   /// The node can reach the store.
   bool StoreReachable = false;
   std::vector<MoveReport> Moves;
+  /// Suspects of recent crashes of the host's target, and refused requests; new
+  /// processes read the latter from the store.
+  std::vector<SuspectRequest> Suspects;
 
   friend auto operator<=>(const HostReport &, const HostReport &) = default;
 };
--- a/include/filbertvane/decision/mesh/Limits.h
+++ b/include/filbertvane/decision/mesh/Limits.h
@@ -64,6 +64,11 @@
 /// Minimum time between two reports to the store about a rate limit; a target
 /// that names one in some answers only must not use up the writes of the store.
 inline constexpr core::Milliseconds RateLimitPublishPeriod{1000};
+/// Time for which a host reports the requests that ran when its target crashed:
+/// several reports within the data centre, and some to each other one.
+inline constexpr core::Milliseconds CrashReportTime{5000};
+/// Minimum time between two reports to the store about refused requests.
+inline constexpr core::Milliseconds SuspectPublishPeriod{1000};
 /// Link backlog above which a host refuses requests with large answers. The
 /// answers would be late, and the entry node may exit before they arrive: with
 /// 5 s, answers that waited for 3.5 s were cut off by the exit of their entry
--- a/include/filbertvane/decision/mesh/State.h
+++ b/include/filbertvane/decision/mesh/State.h
@@ -1,6 +1,7 @@
 #ifndef FILBERTVANE_DECISION_MESH_STATE_H
 #define FILBERTVANE_DECISION_MESH_STATE_H
 
+#include "filbertvane/decision/mesh/CrashSuspects.h"
 #include "filbertvane/decision/mesh/Events.h"
 #include "filbertvane/decision/mesh/HostDirectory.h"
 #include "filbertvane/decision/mesh/LocalRuns.h"
@@ -69,6 +70,8 @@
   std::string Sender;
   std::string CallerId;
   core::ServiceName Caller;
+  /// Method, host, path and body.
+  core::Digest RequestDigest;
   /// Route in the configuration at arrival; null when the request came from
   /// another node.
   std::shared_ptr<const config::HostRoute> Route;
@@ -88,6 +91,8 @@
   /// A host was skipped since it recently refused requests of the route as
   /// late.
   bool SkippedAtCapacity = false;
+  /// Number of targets that crashed while they ran the request.
+  std::uint32_t Crashes = 0;
   /// Number of targets that the request reached.
   std::uint32_t ReachedTargets = 0;
   /// Set at the first placement during a move.
@@ -167,6 +172,12 @@
   std::optional<LocalTarget> Target;
   SlotQueue Slots;
   LocalRuns Runs;
+  CrashSuspects Suspects;
+  /// The local target crashed under requests that others do not know yet.
+  bool HasSuspectsToReport = false;
+  /// Number of refused requests of this host in the store.
+  std::size_t SuspectsPublished = 0;
+  core::TimePoint NextSuspectPublishAt;
   /// The report in the store has a rate limit of the target.
   bool RateLimitPublished = false;
   core::TimePoint NextRateLimitPublishAt;
--- a/lib/decision/mesh/Gauges.cpp
+++ b/lib/decision/mesh/Gauges.cpp
@@ -42,6 +42,8 @@
   Set("filbertvane_target_fault_ratio",
       State.Target ? State.Target->FaultRatio : 0);
   Set("filbertvane_target_limit", State.Slots.rateLimit().value_or(0));
+  Set("filbertvane_refused_suspects",
+      static_cast<double>(State.Suspects.refusedCount()));
   Set("filbertvane_ready", State.Ready ? 1 : 0);
   Set("filbertvane_store_reachable", State.StoreReachable ? 1 : 0);
   Set("filbertvane_follows_store", State.FollowsStore ? 1 : 0);
--- a/lib/decision/mesh/ReduceArrival.cpp
+++ b/lib/decision/mesh/ReduceArrival.cpp
@@ -1,4 +1,5 @@
 #include "Reduction.h"
+#include "filbertvane/core/Digest.h"
 #include "filbertvane/decision/mesh/LinkPacer.h"
 #include <algorithm>
 #include <fmt/format.h>
@@ -36,6 +37,11 @@
   return Refusal;
 }
 
+/// The same for each repeat of a request, at the entry node and at the host.
+core::Digest digestOf(const request::CallArrived &Arrival) {
+  return core::digestOf(Arrival.VirtualHost, Arrival.RequestDigest.value());
+}
+
 } // namespace
 
 void Reduction::operator()(const request::CallArrived &Arrival) {
@@ -79,6 +85,7 @@
   Call.Sender = Arrival.Sender;
   Call.CallerId = Arrival.CallerId;
   Call.Caller = Arrival.Caller.value_or(core::ServiceName());
+  Call.RequestDigest = digestOf(Arrival);
   Call.Service = State.Target->Announcement.Service;
   Call.Terms = *Arrival.Terms;
   Call.ArrivedAt = Now;
@@ -89,6 +96,8 @@
   const bool LinkBusy = Call.LinkWait > MaximumLinkWait;
   MeshCall &Accepted =
       State.Calls.emplace(Arrival.Id, std::move(Call)).first->second;
+  if (State.Suspects.isRefused({Accepted.RequestDigest, Accepted.Caller}))
+    return refuse(Accepted, ErrorCode::RequestSuspect);
   if (LinkBusy)
     return refuse(Accepted, ErrorCode::RequestWouldMissObjective);
   enqueue(Accepted);
@@ -131,6 +140,7 @@
   Call.Id = Arrival.Id;
   Call.CallerId = Arrival.CallerId;
   Call.Caller = State.Settings.Service;
+  Call.RequestDigest = digestOf(Arrival);
   Call.Route = Route;
   Call.Service = stateOf(Route->Name).ServiceSplit.next(Route->Services);
   Call.ArrivedAt = Now;
@@ -164,7 +174,11 @@
     Budget.recordRepeatedCall(Now);
   else
     Budget.recordRequest(Now);
-  place(State.Calls.emplace(Arrival.Id, std::move(Call)).first->second);
+  MeshCall &Accepted =
+      State.Calls.emplace(Arrival.Id, std::move(Call)).first->second;
+  if (State.Suspects.isRefused({Accepted.RequestDigest, Accepted.Caller}))
+    return refuse(Accepted, ErrorCode::RequestSuspect);
+  place(Accepted);
 }
 
 /// Time after which an answer cannot reach the caller, since the process of
--- a/lib/decision/mesh/ReduceAttempts.cpp
+++ b/lib/decision/mesh/ReduceAttempts.cpp
@@ -1,4 +1,5 @@
 #include "Reduction.h"
+#include "filbertvane/decision/request/Suspects.h"
 #include <algorithm>
 #include <fmt/format.h>
 
@@ -119,6 +120,14 @@
   recordTargetAttempt(Call, Ended, (Broken || Failed) && !OutOfTime);
   const bool SameProcess =
       State.Target && State.Target->Generation == Call.TargetGeneration;
+  // A target that leaves exits in order, whatever it still runs.
+  const bool Crashed =
+      Ended.TargetCrashed && Ended.End == AttemptEnd::NoAnswer &&
+      !(SameProcess && State.Target->State == TargetState::Draining);
+  if (Crashed)
+    recordCrash(Call);
+  else if (Ended.End == AttemptEnd::Held || Ended.End == AttemptEnd::Answered)
+    State.Suspects.recordAnswer({Call.RequestDigest, Call.Caller});
   if (Ended.Statement)
     applyStatement(Call, *Ended.Statement);
   if (SameProcess &&
@@ -159,6 +168,10 @@
     if (Ended.Load)
       State.Hosts.updateLoad(Call.CurrentHost, *Ended.Load, Call.Terms.Route);
   }
+  if (Ended.TargetCrashed && Ended.End == AttemptEnd::NoAnswer)
+    ++Call.Crashes;
+  else if (Ended.End == AttemptEnd::Held || Ended.End == AttemptEnd::Answered)
+    State.Suspects.recordAnswer({Call.RequestDigest, Call.Caller});
   if (Ended.Statement)
     applyStatement(Call, *Ended.Statement);
   conclude(Call, Ended);
@@ -195,6 +208,9 @@
   if (Call.ReachedTargets >= Call.Route->MaxTargets ||
       Now + MinimumRetryAfter >= Call.Deadline)
     return false;
+  if (Call.Crashes >= request::CrashesToRefuse ||
+      State.Suspects.isRefused({Call.RequestDigest, Call.Caller}))
+    return false;
   if (!stateOf(Call.Service).Budget.tryTake(nodesSharingBudget(State), Now))
     return false;
   Call.Terms.Repeat = true;
@@ -221,6 +237,9 @@
         fmt::format("{} status={} streamed=1", describe(Call), Ended.Status));
     return erase(Call.Id);
   case AttemptEnd::NotRun:
+    // The host knows that the request crashes targets; others may not yet.
+    if (Ended.TargetCrashed)
+      return refuse(Call, ErrorCode::RequestSuspect);
     if (!Ended.ReachedTarget) {
       // A host that refuses for lack of room states its load; asking one again
       // that refused for another reason is in vain.
@@ -357,8 +376,10 @@
   Refusal.Result = request::Outcome::NotRun;
   Refusal.Reason = {Reason, Call.Terms.Route.value()};
   Refusal.ReachedTarget = Reached;
+  Refusal.TargetCrashed = Reason == ErrorCode::RequestSuspect;
   if (!Call.FromPeer)
-    Refusal.RetryAfter = retryAfter(Call);
+    Refusal.RetryAfter =
+        Refusal.TargetCrashed ? MaximumRetryAfter : retryAfter(Call);
   else if (Reason != ErrorCode::RequestCallBudgetSpent)
     Refusal.Load = loadFor(Call);
   log(observe::EventId::MeshRequestRefused,
@@ -376,6 +397,7 @@
   Refusal.Id = Call.Id;
   Refusal.Result = request::Outcome::Unknown;
   Refusal.Reason = {Reason, Call.Terms.Route.value()};
+  Refusal.TargetCrashed = Call.Crashes > 0;
   if (!Call.FromPeer && Reason != ErrorCode::RequestDeadlinePassed)
     Refusal.Status = StatusBadGateway;
   log(observe::EventId::MeshOutcomeUnknown,
--- a/lib/decision/mesh/ReduceHosts.cpp
+++ b/lib/decision/mesh/ReduceHosts.cpp
@@ -38,6 +38,7 @@
   for (const MoveReport &Move : Report.Moves)
     State.Moves.applyReport(Move, Now);
   recordPeerExit(Report);
+  recordSuspects(Report);
   if (Change->New || Change->Restarted) {
     log(observe::EventId::MeshHostJoined,
         fmt::format("host={} start={} address={} restarted={}",
@@ -63,6 +64,7 @@
 void Reduction::operator()(const StoredReportsRead &Stored) {
   std::vector<std::string> NewAddresses;
   for (const HostReport &Report : Stored.Reports) {
+    recordSuspects(Report);
     if (Report.Node == State.Settings.Node)
       applyFormerReport(Report);
     else if (State.Hosts.addFromStore(Report, Now))
--- a/lib/decision/mesh/Reducer.cpp
+++ b/lib/decision/mesh/Reducer.cpp
@@ -71,6 +71,7 @@
   Report.Position = State.Position;
   Report.StoreReachable = State.StoreReachable;
   Report.Moves = State.Moves.reports(Now);
+  Report.Suspects = State.Suspects.reports(Now);
   return Report;
 }
 
@@ -91,6 +92,9 @@
   checkTargetSilence();
   reportLeavingIfDue();
   publishRateLimitIfChanged();
+  State.Suspects.expire(Now);
+  reportSuspects();
+  publishSuspectsIfChanged();
   dispatchQueue();
   State.Hosts.evictSilent(Now);
   std::erase_if(State.PeerExits, [this](const auto &Entry) {
--- a/lib/decision/mesh/Reduction.h
+++ b/lib/decision/mesh/Reduction.h
@@ -85,6 +85,11 @@
   void refuse(MeshCall &Call, core::ErrorCode Reason, bool Reached = false);
   void deliverHeldFailure(MeshCall &Call, core::ErrorCode Reason);
   void endWithUnknownOutcome(MeshCall &Call, core::ErrorCode Reason);
+  void recordCrash(MeshCall &Call);
+  void recordSuspects(const HostReport &Report);
+  void refuseQueuedSuspects();
+  void reportSuspects();
+  void publishSuspectsIfChanged();
   void erase(core::CallId Id) { State.Calls.erase(Id); }
   MeshCall *find(core::CallId Id);
   core::Milliseconds retryAfter(const MeshCall &Call);
--- a/lib/wire/HostReportCodec.cpp
+++ b/lib/wire/HostReportCodec.cpp
@@ -63,6 +63,14 @@
   return Out;
 }
 
+gen::SuspectRequest toThrift(const mesh::SuspectRequest &Suspect) {
+  gen::SuspectRequest Out;
+  Out.requestDigest = static_cast<std::int64_t>(Suspect.Request.value());
+  for (const core::Digest Crash : Suspect.Crashes)
+    Out.crashes.push_back(static_cast<std::int64_t>(Crash.value()));
+  return Out;
+}
+
 /// Bytes of the length before compressed bytes.
 constexpr std::size_t SizeBytes = 4;
 
@@ -148,6 +156,14 @@
   return Target;
 }
 
+mesh::SuspectRequest fromThrift(const gen::SuspectRequest &In) {
+  mesh::SuspectRequest Suspect;
+  Suspect.Request = core::Digest(static_cast<std::uint64_t>(In.requestDigest));
+  for (const std::int64_t Crash : In.crashes)
+    Suspect.Crashes.emplace_back(static_cast<std::uint64_t>(Crash));
+  return Suspect;
+}
+
 /// Values of enumerations that this program does not know.
 std::optional<core::Error> unknownValue(const gen::HostReport &In) {
   const auto Known = [](std::int8_t Value, auto Last) {
@@ -186,6 +202,10 @@
   Out.storeReachable = Report.StoreReachable;
   for (const mesh::MoveReport &Move : Report.Moves)
     Out.moves.push_back(toThrift(Move));
+  if (!Report.Suspects.empty())
+    Out.__isset.suspects = true;
+  for (const mesh::SuspectRequest &Suspect : Report.Suspects)
+    Out.suspects.push_back(toThrift(Suspect));
   return toCompact(Out);
 }
 
@@ -219,6 +239,8 @@
                             core::LogOffset(count(Move.order)),
                             static_cast<mesh::MovePhase>(Move.phase),
                             millis(Move.elapsedMs)});
+  for (const gen::SuspectRequest &Suspect : In.suspects)
+    Report.Suspects.push_back(fromThrift(Suspect));
   return Report;
 }
 
--- /dev/null
+++ b/tests/mesh/CrashSuspectsTest.cpp
@@ -0,0 +1,135 @@
+#include "FleetModel.h"
+#include "filbertvane/decision/request/Suspects.h"
+
+using namespace meshbench;
+using request::AttemptEnd;
+using request::Refuse;
+using request::StartAttempt;
+
+namespace {
+
+const core::ServiceName Home("home");
+const core::Digest Request(7);
+
+} // namespace
+
+// Guards against the refusal of a request that ran beside the cause of crashes.
+Test(crash_suspects, an_answer_clears_a_request) {
+  CrashSuspects Suspects;
+  Suspects.recordAnswer({Request, Home});
+  Suspects.recordCrash({Request, Home}, core::Digest(1), at(0));
+  Suspects.recordCrash({Request, Home}, core::Digest(2), at(0));
+  cr_assert(!Suspects.isRefused({Request, Home}));
+  cr_assert(Suspects.reports(at(0)).empty());
+  // Also when other hosts saw it run at crashes.
+  Suspects.recordReport({Request, {core::Digest(1), core::Digest(2)}}, at(0));
+  cr_assert(!Suspects.isRefused({Request, Home}));
+  // Another caller's request of the same path and body is another one.
+  cr_assert(Suspects.isRefused({Request, core::ServiceName("shop")}));
+}
+
+// Guards against crashes of several hosts that nobody counts together, and
+// against one crash that counts more than once.
+Test(crash_suspects, crashes_of_all_hosts_count_once_each) {
+  CrashSuspects Suspects;
+  const core::Digest First(1);
+  cr_assert(!Suspects.recordCrash({Request, Home}, First, at(0)));
+  cr_assert(!Suspects.recordCrash({Request, Home}, First, at(1)));
+  cr_assert(!Suspects.recordReport({Request, {First}}, at(2)));
+  cr_assert(!Suspects.isRefused({Request, Home}));
+  cr_assert(Suspects.recordReport({Request, {core::Digest(2)}}, at(3)));
+  cr_assert(Suspects.isRefused({Request, Home}));
+  cr_assert(Suspects.refusedHereCount() == 1);
+  // Refused requests are reported until they expire, other suspects for a
+  // while.
+  const std::int64_t Later = 60000;
+  cr_assert(Suspects.reports(at(Later)).size() == 1);
+  Suspects.expire(at(3) + request::SuspectRetention);
+  cr_assert(!Suspects.isRefused({Request, Home}));
+}
+
+// Guards against a target that exits in order and makes what it still runs
+// suspect.
+Test(crash_suspects, a_leaving_target_does_not_crash) {
+  Bench Node;
+  Node.configure();
+  Node.announce();
+  Node.arriveFromPeer(1);
+  const auto Running = Node.first<StartAttempt>();
+  Node.announce(2, true);
+  request::AttemptEnded Ended;
+  Ended.Id = Running->Id;
+  Ended.Attempt = Running->Attempt;
+  Ended.End = AttemptEnd::NoAnswer;
+  Ended.TargetCrashed = true;
+  Node.send(Ended);
+  cr_assert(!Node.first<Refuse>()->TargetCrashed);
+  cr_assert(Node.State.Suspects.reports(Node.Now).empty());
+}
+
+namespace {
+
+constexpr std::size_t Nodes = 12;
+constexpr std::int64_t EndMs = 45000;
+
+/// Nodes of three data centres, whose clients keep all targets in use.
+FleetModel fleet(std::uint64_t Seed) {
+  FleetModel Fleet(Seed, {0.2, 60, milliseconds(10000)});
+  Fleet.DataCentres = 3;
+  Fleet.Targets["page"].RunTime = milliseconds(100);
+  for (std::size_t I = 0; I < Nodes; ++I)
+    Fleet.addNode("page");
+  for (std::size_t I = 0; I < Nodes; ++I)
+    Fleet.addClients(I, "page", 20);
+  Fleet.runUntil(5000);
+  Fleet.Answers.clear();
+  return Fleet;
+}
+
+/// Requests that reached targets although three had crashed 3 s before.
+std::size_t lateRetries(const FleetModel &Fleet) {
+  std::set<std::string> Late;
+  if (Fleet.Crashes.size() < 3)
+    return 0;
+  const core::TimePoint Bound = Fleet.Crashes[2].first + milliseconds(3000);
+  for (const FleetModel::Arrival &Arrival : Fleet.Arrivals)
+    if (Arrival.RequestId.starts_with("crash") && Arrival.At > Bound)
+      Late.insert(Arrival.RequestId);
+  return Late.size();
+}
+
+} // namespace
+
+// Guards against a request that crashes targets for as long as it is sent
+// (review, case 1), also while nodes restart, one by one or all at once.
+Test(crash_suspects, a_request_that_crashes_targets_is_stopped) {
+  constexpr std::size_t AllowedRetries = 3;
+  enum class Trouble { None, RollingRestart, AllKilled };
+  for (const Trouble Kind :
+       {Trouble::None, Trouble::RollingRestart, Trouble::AllKilled})
+    for (const std::uint64_t Seed : {1, 2, 3}) {
+      FleetModel Fleet = fleet(Seed);
+      std::size_t Count = 0;
+      for (std::int64_t Now = 5000; Now < EndMs; Now += 700, ++Count) {
+        Fleet.runUntil(Now);
+        Fleet.sendCrashing(Count % Nodes, "page");
+        const bool KillsAll = Kind == Trouble::AllKilled && Count == 20;
+        if (Kind == Trouble::RollingRestart) {
+          Fleet.kill((Count * 5 + 1) % Nodes);
+          Fleet.start((Count * 5 + 1) % Nodes);
+        }
+        for (std::size_t I = 0; KillsAll && I < Nodes; ++I)
+          Fleet.kill(I);
+        for (std::size_t I = 0; KillsAll && I < Nodes; ++I)
+          Fleet.start(I);
+      }
+      cr_assert(lateRetries(Fleet) <= AllowedRetries, "trouble %d seed %d: %zu",
+                int(Kind), int(Seed), lateRetries(Fleet));
+      // Other requests, many of which ran at the crashes, are not refused.
+      if (Kind == Trouble::None) {
+        Fleet.Answers.clear();
+        Fleet.runUntil(EndMs + 5000);
+        cr_assert(Fleet.Answers.size() == 1 && Fleet.Answers.contains(200));
+      }
+    }
+}
--- a/tests/mesh/FleetModel.cpp
+++ b/tests/mesh/FleetModel.cpp
@@ -9,6 +9,12 @@
 
 namespace {
 
+const core::Digest CrashingRequest(~std::uint64_t{0});
+/// Time for which a target runs the request that crashes it.
+constexpr milliseconds CrashTime{20};
+constexpr milliseconds TargetRestartTime{3000};
+constexpr std::uint64_t PopularRequests = 40;
+
 config::Routing routingOf(const std::map<std::string, TargetModel> &Targets) {
   config::Routing Routing;
   Routing.Version = core::ConfigVersion(1);
@@ -59,16 +65,54 @@
       Stored.Reports.push_back(*Other.Published);
   deliver(Index, StoreReachabilityChanged{true});
   deliver(Index, Stored);
-  deliver(Index, TargetAnnounced{core::TargetId("t-" + Starting.Name),
-                                 core::ServiceName(Starting.Service),
-                                 core::TargetVersion(Starting.Version),
-                                 Targets.at(Starting.Service).Slots, false,
-                                 milliseconds(0), 1, Starting.Starts});
+  if (!Starting.TargetDown)
+    announceTarget(Index);
   // Ticks of different nodes are spread over the period.
   afterAt(Index, milliseconds(Source.below(TickPeriod.count())),
           [this, Index] { tick(Index); });
 }
 
+void FleetModel::announceTarget(std::size_t Index) {
+  const Node &Host = Nodes[Index];
+  deliver(Index,
+          TargetAnnounced{
+              core::TargetId("t-" + Host.Name), core::ServiceName(Host.Service),
+              core::TargetVersion(Host.Version), Targets.at(Host.Service).Slots,
+              false, milliseconds(0), Host.TargetStarts, Host.Starts});
+}
+
+void FleetModel::crashTarget(std::size_t Index, const std::string &Id) {
+  Node &Host = Nodes[Index];
+  if (std::exchange(Host.TargetDown, true))
+    return;
+  Crashes.emplace_back(Now, Id);
+  after(TargetRestartTime, [this, Index] {
+    ++Nodes[Index].TargetStarts;
+    Nodes[Index].TargetDown = false;
+    if (Nodes[Index].State)
+      announceTarget(Index);
+  });
+  if (!Host.State)
+    return;
+  std::vector<AttemptEnded> Lost;
+  for (const auto &[Call, Attempt] : Host.Active)
+    if (Host.State->Calls.at(Call).Phase == CallPhase::AtTarget) {
+      AttemptEnded Ended;
+      Ended.Id = Call;
+      Ended.Attempt = Attempt;
+      Ended.End = AttemptEnd::NoAnswer;
+      Ended.TargetCrashed = true;
+      Lost.push_back(Ended);
+    }
+  for (const AttemptEnded &Ended : Lost)
+    end(Index, Ended);
+}
+
+void FleetModel::sendCrashing(std::size_t Index, const std::string &Service) {
+  request(Index, Service, fmt::format("crash{}", ++LastClient), CrashingRequest,
+          [](int) {});
+}
+
 void FleetModel::afterAt(std::size_t Index, core::Microseconds Delay,
                          std::function<void()> Run) {
   after(Delay,
@@ -93,8 +137,11 @@
 
 void FleetModel::sendClients(std::size_t Index, const std::string &Service,
                              core::Microseconds Gap) {
+  // Some requests are sent often, others once.
+  const std::uint64_t Digest =
+      Source.unit() < 0.5 ? Source.below(PopularRequests) : Source.next();
   request(Index, Service, fmt::format("c{}", ++LastClient),
-          [this](int Status) { ++Answers[Status]; });
+          core::Digest(Digest), [this](int Status) { ++Answers[Status]; });
   after(Gap, [this, Index, Service, Gap] { sendClients(Index, Service, Gap); });
 }
 
@@ -110,7 +157,8 @@
 }
 
 void FleetModel::request(std::size_t Index, const std::string &Service,
-                         const std::string &Id, Done OnDone) {
+                         const std::string &Id, core::Digest Digest,
+                         Done OnDone) {
   if (!Nodes[Index].State)
     return OnDone(0);
   Requests.emplace_back(Now, Service);
@@ -119,10 +167,12 @@
   Call.Path = fmt::format("/{}/1", Service);
   Call.VirtualHost = "shop.example";
   Call.CallerId = Id;
+  Call.RequestDigest = Digest;
   const std::size_t Dot = Id.rfind('.');
   if (Dot != std::string::npos)
     Call.ParentId = Id.substr(0, Dot);
-  Nodes[Index].Origins[Call.Id] = {{}, {}, {}, Index, std::move(OnDone), 0};
+  Nodes[Index].Origins[Call.Id] = {{}, {},    {}, Index, std::move(OnDone),
+                                   0,  Digest};
   deliver(Index, Call);
 }
 
@@ -149,9 +199,13 @@
   Call.Terms = Start.Terms;
   Call.TimeLeft =
       std::chrono::duration_cast<core::Milliseconds>(Start.Deadline - Now);
-  const Origin From{
-      Index, Start.Id, Start.Attempt, Nodes[Index].Origins.at(Start.Id).Entry,
-      {},    0};
+  const Origin &Here = Nodes[Index].Origins.at(Start.Id);
+  Call.RequestDigest = Here.Digest;
+  Call.VirtualHost = "shop.example";
+  Call.Caller = Start.Caller;
+  Call.Sender = Nodes[Index].Name;
+  const Origin From{Index, Start.Id, Start.Attempt, Here.Entry,
+                    {},    0,        Here.Digest};
   after(Latency, [this, Peer, Call, From]() mutable {
     if (!Nodes[Peer].State || !reaches(*From.Peer, Peer)) {
       AttemptEnded Ended;
@@ -181,6 +235,8 @@
     RepeatedRuns.insert(Id);
   Arrivals.push_back({Now, Host.Service, Id, Host.Origins.at(Start.Id).Entry,
                       Index, Host.Version, Repeat});
+  if (Host.Origins.at(Start.Id).Digest == CrashingRequest)
+    return after(CrashTime, [this, Index, Id] { crashTarget(Index, Id); });
   const TargetModel &Model = Targets.at(Host.Service);
   if (Source.unit() < Model.LossProbability) {
     AttemptEnded Lost;
@@ -232,6 +288,7 @@
     return;
   }
   request(Index, Model.Calls[Next], fmt::format("{}.{}", Id, Next),
+          core::Digest(Source.next()),
           [this, Index, Start, Id, Next](int Status) {
             makeCalls(Index, Start, Id, Next + 1, Status != 200);
           });
@@ -278,6 +335,7 @@
   Ended.Status = NotRun ? 503 : 502;
   Ended.Load = Refusal.Load;
   Ended.ReachedTarget = Refusal.ReachedTarget;
+  Ended.TargetCrashed = Refusal.TargetCrashed;
   conclude(Index, Refusal.Id, Ended);
 }
 
--- a/tests/mesh/FleetModel.h
+++ b/tests/mesh/FleetModel.h
@@ -68,6 +68,9 @@
   /// Sends requests of a client to a node at a constant rate.
   void addClients(std::size_t Node, const std::string &Service,
                   double PerSecond);
+  /// Sends one request that crashes each target that runs it; it is the same
+  /// request each time.
+  void sendCrashing(std::size_t Node, const std::string &Service);
   /// Makes all runs of a target take a multiple of their time.
   void slowTarget(std::size_t Node, double Factor) {
     Nodes[Node].TimeFactor = Factor;
@@ -88,6 +91,8 @@
   std::vector<Arrival> Arrivals;
   /// Time and service of each request and call.
   std::vector<std::pair<core::TimePoint, std::string>> Requests;
+  /// Targets that crashed, with the request that was the cause.
+  std::vector<std::pair<core::TimePoint, std::string>> Crashes;
   /// Answers that clients got, by status.
   std::map<int, std::size_t> Answers;
 
@@ -101,12 +106,16 @@
     std::size_t Entry = 0;
     Done OnDone;
     int Status = 0;
+    /// Method, path and body.
+    core::Digest Digest;
   };
   struct Node {
     std::string Name;
     std::string Service;
     std::string Version;
     std::uint64_t Starts = 0;
+    std::uint64_t TargetStarts = 1;
+    bool TargetDown = false;
     std::uint64_t LastCall = 0;
     std::optional<MeshState> State;
     std::map<core::CallId, Origin> Origins;
@@ -134,7 +143,9 @@
                std::function<void()> Run);
   void tick(std::size_t Index);
   void request(std::size_t Index, const std::string &Service,
-               const std::string &Id, Done OnDone);
+               const std::string &Id, core::Digest Digest, Done OnDone);
+  void announceTarget(std::size_t Index);
+  void crashTarget(std::size_t Index, const std::string &Id);
   void deliver(std::size_t Index, const Event &What);
   template <typename T> void handle(std::size_t, const T &) {}
   void handle(std::size_t Index, const request::StartAttempt &Start);
--- a/thrift/filbertvane.thrift
+++ b/thrift/filbertvane.thrift
@@ -137,11 +137,13 @@
   1: string serviceName, 2: string toVersion, 3: i64 order, 4: i8 phase, 5: i64 elapsedMs
 }
 struct LeftTarget { 1: string target, 2: i64 born }
+struct SuspectRequest { 1: i64 requestDigest, 2: list<i64> crashes }
 struct HostReport {
   1: string node, 2: i64 start, 3: i64 sequence, 4: string address, 5: string dataCentre,
   6: string region, 7: bool leaving, 8: optional TargetReport target, 9: i64 position,
   10: list<MoveReport> moves, 11: bool storeReachable,
-  12: optional LeftTarget left, 13: optional i64 exitsInMs
+  12: optional LeftTarget left, 13: optional i64 exitsInMs,
+  14: optional list<SuspectRequest> suspects
 }
 // Operators' records as one node hands them to another.
 struct OperatorRecord { 1: string key, 2: i64 offset, 3: binary value }
