Test that an added route is served after a silent outage

Callers saw: on real processes, an earlier landing refused a route that had been added with 404, at all machines within 24 ms of each other and later than allowed (CONFIG, 1977 cases).

Cause: the lost reads of the store (docs/incidents/silent-store.md) give the same symptom.

Change: the test of the whole path asks all nodes for a route that was added after the outage.

Measured: platform_path/* (9) pass.

--- a/tests/platform/EndToEndTest.cpp
+++ b/tests/platform/EndToEndTest.cpp
@@ -117,7 +117,8 @@
     All.Store.setMode(tools::StoreMode::Sound);
     All.runFor(milliseconds(500));
     ++Version;
-    All.publish(Version, Version % 2 == 0 ? "home" : "shop");
+    const std::string Added = fmt::format("added{}", Version);
+    All.publish(Version, Version % 2 == 0 ? "home" : "shop", Added);
     All.runFor(ConfigApply);
     const std::size_t Old = Version % 2 == 0 ? 2 : 1;
     const auto RunsOfOld = [&] {
@@ -127,6 +128,13 @@
     for (std::size_t Host = 1; Host <= 4; ++Host)
       cr_assert(All.ask(Host, "/list/a", fmt::format("q{}-{}", Version, Host))
                     .Status == 200);
+    // A route that was added is found.
+    for (std::size_t Host = 1; Host <= 4; ++Host) {
+      const Got Answer = All.ask(Host, fmt::format("/{}/a", Added),
+                                 fmt::format("a{}-{}", Version, Host));
+      cr_assert(Answer.Status == 200, "outage of %d ms: status %d",
+                int(Outage.count()), Answer.Status);
+    }
     cr_assert(RunsOfOld() == Before, "outage of %d ms: %zu stale requests",
               int(Outage.count()), RunsOfOld() - Before);
   }
--- a/tests/platform/PlatformFleet.h
+++ b/tests/platform/PlatformFleet.h
@@ -40,8 +40,10 @@
                        10 + Host);
   }
 
-  void publish(std::uint64_t Version, const std::string &Service = "shop") {
-    const auto Route = [](const char *Name, const char *Kind,
+  /// @param Added name of a further route; none when empty
+  void publish(std::uint64_t Version, const std::string &Service = "shop",
+               const std::string &Added = "") {
+    const auto Route = [](const std::string &Name, const char *Kind,
                           const std::string &To) {
       return fmt::format(
           R"("{0}":{{"host":"shop.example","path_prefix":"/{0}/",)"
@@ -50,14 +52,17 @@
           Name, Kind, To);
     };
     Store.put("keyed.op", "config",
-              fmt::format(R"({{"version":{},"routes":{{{},{},{}}},)"
+              fmt::format(R"({{"version":{},"routes":{{{},{},{}{}}},)"
                           R"("services":{{"shop":{{}},"home":{{}}}},)"
                           R"("limits":{{"max_header_bytes":16384,)"
                           R"("max_body_bytes":1000000,)"
                           R"("header_timeout":"3s","idle_timeout":"15s"}}}})",
                           Version, Route("list", "idempotent", Service),
                           Route("book", "non_idempotent", Service),
-                          Route("profile", "idempotent", "home")));
+                          Route("profile", "idempotent", "home"),
+                          Added.empty()
+                              ? ""
+                              : "," + Route(Added, "idempotent", Service)));
   }
 
   /// Runs the loop until a condition holds; the test fails after five seconds.
