Name the sending node in requests between nodes

A host compared the source address of a connection with the addresses in reports. A host with several addresses, as on loopback, uses another one, so that the exit of the sender was not applied to what it had sent.

Cause: the address of a connection is not the identity of a node.

With the new header left out, platform_path/a_queue_elsewhere_hears_of_the_exit_of_the_sender fails.

Change: requests between nodes carry the node that sends them, and exits are kept by node. The newest report of an exit counts.

--- a/include/filbertvane/decision/mesh/SlotQueue.h
+++ b/include/filbertvane/decision/mesh/SlotQueue.h
@@ -52,7 +52,7 @@
   void release(const core::RouteName &Route,
                std::optional<core::Microseconds> AnswerTime);
   /// @brief A process that the answer of a waiting request passes exits.
-  void limit(core::CallId Id, core::TimePoint ExitAt);
+  void boundByExit(core::CallId Id, core::TimePoint ExitAt);
   /// @brief Removes a waiting request.
   void withdraw(core::CallId Id);
 
--- a/include/filbertvane/decision/mesh/State.h
+++ b/include/filbertvane/decision/mesh/State.h
@@ -66,8 +66,8 @@
   core::CallId Id;
   /// The request came from another node: this node is its host node.
   bool FromPeer = false;
-  /// IP address of the sender.
-  std::string Sender;
+  /// Node that sent the request; empty when a caller sent it.
+  core::NodeId Sender;
   std::string CallerId;
   core::ServiceName Caller;
   /// Method, host, path and body.
@@ -162,8 +162,8 @@
   std::shared_ptr<const config::RoutingTable> Routing;
   core::LogOffset Position;
   HostDirectory Hosts;
-  /// Exits of the processes that other hosts are shutting down, by IP address.
-  std::map<std::string, core::TimePoint> PeerExits;
+  /// Exits of the processes that other nodes are shutting down.
+  std::map<core::NodeId, core::TimePoint> PeerExits;
   MoveTracker Moves;
   std::map<core::ServiceName, PendingMoveWrite> PendingMoveWrites;
   /// The local target gave a bad answer that others do not know yet.
--- a/include/filbertvane/decision/request/Events.h
+++ b/include/filbertvane/decision/request/Events.h
@@ -161,8 +161,8 @@
   /// it.
   std::optional<core::ServiceName> Caller = std::nullopt;
   std::optional<HopTerms> Terms = std::nullopt;
-  /// IP address of the sender.
-  std::string Sender = {};
+  /// Node that sent the request; empty when a caller sent it.
+  core::NodeId Sender = {};
   /// Transmission time of the large answers queued on the host's link.
   core::Microseconds LinkWait{0};
 };
--- a/lib/decision/mesh/ReduceArrival.cpp
+++ b/lib/decision/mesh/ReduceArrival.cpp
@@ -194,10 +194,10 @@
 
 /// Requests that wait for a slot and would be cut off by the exit of a process
 /// end as not run while this can still be told.
-void Reduction::limitQueuedCalls() {
+void Reduction::boundQueuedCallsByExit() {
   for (const auto &[Id, Call] : State.Calls)
     if (Call.Phase == CallPhase::Queued)
-      State.Slots.limit(Id, exitBeforeAnswer(Call));
+      State.Slots.boundByExit(Id, exitBeforeAnswer(Call));
   dispatchQueue();
 }
 
--- a/lib/decision/mesh/ReduceHosts.cpp
+++ b/lib/decision/mesh/ReduceHosts.cpp
@@ -51,14 +51,14 @@
 
 void Reduction::recordPeerExit(const HostReport &Report) {
   if (!Report.ExitsIn) {
-    State.PeerExits.erase(Report.Address);
+    State.PeerExits.erase(Report.Node);
     return;
   }
-  // Reports of one shutdown differ by the time that they travelled.
-  const bool First =
-      State.PeerExits.emplace(Report.Address, Now + *Report.ExitsIn).second;
+  const auto [Entry, First] =
+      State.PeerExits.insert_or_assign(Report.Node, Now + *Report.ExitsIn);
+  // Later reports of one shutdown differ by the time that they travelled.
   if (First)
-    limitQueuedCalls();
+    boundQueuedCallsByExit();
 }
 
 void Reduction::operator()(const StoredReportsRead &Stored) {
@@ -181,7 +181,7 @@
   updateReadiness();
   // Requests of this node wait at other hosts as well.
   reportToAll();
-  limitQueuedCalls();
+  boundQueuedCallsByExit();
 }
 
 /// A request without a whole answer is told its outcome; the end of the
--- a/lib/decision/mesh/Reduction.h
+++ b/lib/decision/mesh/Reduction.h
@@ -56,7 +56,7 @@
   void sendToTarget(MeshCall &Call);
   void dispatchQueue();
   core::TimePoint exitBeforeAnswer(const MeshCall &Call) const;
-  void limitQueuedCalls();
+  void boundQueuedCallsByExit();
   void recordPeerExit(const HostReport &Report);
   /// @}
 
--- a/lib/decision/mesh/SlotQueue.cpp
+++ b/lib/decision/mesh/SlotQueue.cpp
@@ -230,7 +230,7 @@
   OverallEstimate.addSample(Sample);
 }
 
-void SlotQueue::limit(core::CallId Id, core::TimePoint ExitAt) {
+void SlotQueue::boundByExit(core::CallId Id, core::TimePoint ExitAt) {
   const auto Found = Entries.find(Id);
   if (Found == Entries.end())
     return;
--- a/lib/io/mesh/MeshProcess.cpp
+++ b/lib/io/mesh/MeshProcess.cpp
@@ -294,8 +294,8 @@
   Follower->follow(What.Follow);
 }
 
-void Process::carryOut(const decide::SetReadHold &What) {
-  Follower->setHold(What.Hold);
+void Process::carryOut(const decide::SetReadHold &Change) {
+  Follower->setHold(Change.Hold);
 }
 
 void Process::carryOut(const decide::ReadinessChanged &What) {
--- a/lib/io/mesh/MeshProcessImpl.h
+++ b/lib/io/mesh/MeshProcessImpl.h
@@ -47,7 +47,7 @@
   void carryOut(const decide::WriteMove &What);
   void carryOut(const decide::FetchRecords &What);
   void carryOut(const decide::FollowStore &What);
-  void carryOut(const decide::SetReadHold &What);
+  void carryOut(const decide::SetReadHold &Change);
   void carryOut(const decide::ReadinessChanged &What);
   void carryOut(const observe::LogEvent &What);
   /// @}
--- a/lib/io/proxy/ProxyEngine.cpp
+++ b/lib/io/proxy/ProxyEngine.cpp
@@ -258,10 +258,11 @@
   Event.TimeLeft = New.TimeLeft;
   Event.Terms = New.Terms;
   Event.LinkWait = Bulk.wait();
-  Event.Sender = New.Head.Remote.substr(0, New.Head.Remote.rfind(':'));
   if (New.FromNode) {
     if (headerOf(Fields, DeadlineField))
       Event.Deadline = wallTimeOf(numberOf(Fields, DeadlineField));
+    if (const auto Sender = headerOf(Fields, SenderField))
+      Event.Sender = core::NodeId(*Sender);
     if (const auto Target = headerOf(Fields, TargetField))
       Event.Target = core::TargetId(*Target);
     Event.Crashes = static_cast<std::uint32_t>(numberOf(Fields, CrashesField));
@@ -381,6 +382,8 @@
   Sent.Url = "http://" + What.To.Address + Of->Head.Path;
   Sent.Fields = attemptFields(*Of, What, Settings.PeerKey, Loop.now(),
                               Settings.Dialect.get());
+  if (!What.To.Local)
+    Sent.Fields.emplace(SenderField, Settings.Self.value());
   Sent.Deadline = What.Deadline;
   Sent.FreshConnection = What.FreshConnection;
   Sent.AcceptUnframed = What.HoldAnswer && What.To.Local;
--- a/lib/io/proxy/ProxyHeaders.h
+++ b/lib/io/proxy/ProxyHeaders.h
@@ -28,6 +28,8 @@
 /// The run of the request counts as a repeat. Not a part of the terms, which
 /// earlier versions read to the last word.
 inline constexpr const char *RepeatField = "Filbertvane-Repeat";
+/// Node that sends a request to another one.
+inline constexpr const char *SenderField = "Filbertvane-Sender";
 /// Service on whose host the request began.
 inline constexpr const char *CallerField = "Filbertvane-Caller";
 /// Load of the target that answered.
--- a/tests/io/HttpPipelineTest.cpp
+++ b/tests/io/HttpPipelineTest.cpp
@@ -89,7 +89,7 @@
   const auto Server = listenOn(Bounded.Loop, [](io::ServerExchange &Exchange) {
     auto Handler = std::make_unique<ServerHandler>();
     auto Body = std::make_shared<std::string>();
-    Handler->Body = [Body](std::string_view Part) { Body->append(Part); };
+    Handler->Body = [Body](std::string_view Bytes) { Body->append(Bytes); };
     Handler->BodyEnd = [Body, &Exchange] { Exchange.respond(200, *Body); };
     return Handler;
   });
@@ -99,21 +99,21 @@
   const std::string Sized = Post + "Content-Length: 4\r\n\r\nbody";
   // Some callers send a line break after a body.
   const std::string Two = fmt::format("{0}\r\n{0}", Sized);
-  for (const std::string &Whole : {get("/1"), Sized, Chunked, Two}) {
-    const std::size_t Requests = count(Whole, " HTTP/1.1");
+  for (const std::string &Message : {get("/1"), Sized, Chunked, Two}) {
+    const std::size_t Requests = count(Message, " HTTP/1.1");
     std::vector<std::unique_ptr<RawConnection>> Callers;
-    for (std::size_t Split = 1; Split < Whole.size(); ++Split) {
+    for (std::size_t Split = 1; Split < Message.size(); ++Split) {
       Callers.push_back(
           RawConnection::connect(Bounded.Loop, Server->port(), [](auto &) {}));
-      Callers.back()->send(Whole.substr(0, Split));
+      Callers.back()->send(Message.substr(0, Split));
     }
     Bounded.runFor(Settled);
-    for (std::size_t Split = 1; Split < Whole.size(); ++Split)
-      Callers[Split - 1]->send(Whole.substr(Split));
+    for (std::size_t Split = 1; Split < Message.size(); ++Split)
+      Callers[Split - 1]->send(Message.substr(Split));
     Bounded.runFor(Settled);
-    for (std::size_t Split = 1; Split < Whole.size(); ++Split)
+    for (std::size_t Split = 1; Split < Message.size(); ++Split)
       cr_assert(count(Callers[Split - 1]->Received, "HTTP/1.1 200") == Requests,
-                "split at %zu of %zu: %s", Split, Whole.size(),
+                "split at %zu of %zu: %s", Split, Message.size(),
                 Callers[Split - 1]->Received.c_str());
   }
   // Each byte by itself.
--- a/tests/mesh/CrashSuspectsTest.cpp
+++ b/tests/mesh/CrashSuspectsTest.cpp
@@ -104,17 +104,17 @@
 // (review, case 1), also while nodes restart, one by one or all at once.
 Test(crash_suspects, a_request_that_crashes_targets_is_stopped) {
   constexpr std::size_t AllowedRetries = 3;
-  enum class Trouble { None, RollingRestart, AllKilled };
-  for (const Trouble Kind :
-       {Trouble::None, Trouble::RollingRestart, Trouble::AllKilled})
+  enum class Disturbance { None, RollingRestart, AllKilled };
+  for (const Disturbance Kind :
+       {Disturbance::None, Disturbance::RollingRestart, Disturbance::AllKilled})
     for (const std::uint64_t Seed : {1, 2, 3}) {
       FleetModel Fleet = fleet(Seed);
       std::size_t Count = 0;
       for (std::int64_t Now = 5000; Now < EndMs; Now += 700, ++Count) {
         Fleet.runUntil(Now);
         Fleet.sendCrashing(Count % Nodes, "page");
-        const bool KillsAll = Kind == Trouble::AllKilled && Count == 20;
-        if (Kind == Trouble::RollingRestart) {
+        const bool KillsAll = Kind == Disturbance::AllKilled && Count == 20;
+        if (Kind == Disturbance::RollingRestart) {
           Fleet.kill((Count * 5 + 1) % Nodes);
           Fleet.start((Count * 5 + 1) % Nodes);
         }
@@ -123,10 +123,11 @@
         for (std::size_t I = 0; KillsAll && I < Nodes; ++I)
           Fleet.start(I);
       }
-      cr_assert(lateRetries(Fleet) <= AllowedRetries, "trouble %d seed %d: %zu",
-                int(Kind), int(Seed), lateRetries(Fleet));
+      cr_assert(lateRetries(Fleet) <= AllowedRetries,
+                "disturbance %d seed %d: %zu", int(Kind), int(Seed),
+                lateRetries(Fleet));
       // Other requests, many of which ran at the crashes, are not refused.
-      if (Kind == Trouble::None) {
+      if (Kind == Disturbance::None) {
         Fleet.Answers.clear();
         Fleet.runUntil(EndMs + 5000);
         cr_assert(Fleet.Answers.size() == 1 && Fleet.Answers.contains(200));
--- a/tests/mesh/FleetModel.cpp
+++ b/tests/mesh/FleetModel.cpp
@@ -203,7 +203,7 @@
   Call.RequestDigest = Here.Digest;
   Call.VirtualHost = "shop.example";
   Call.Caller = Start.Caller;
-  Call.Sender = Nodes[Index].Name;
+  Call.Sender = core::NodeId(Nodes[Index].Name);
   const Origin From{Index, Start.Id, Start.Attempt, Here.Entry,
                     {},    0,        Here.Digest};
   after(Latency, [this, Peer, Call, From]() mutable {
--- a/tests/mesh/LocalTargetTest.cpp
+++ b/tests/mesh/LocalTargetTest.cpp
@@ -220,7 +220,7 @@
     Node.send(ReportReceived{Stopping});
     cr_assert(RefusedCalls(Node).size() == 3);
     // Requests of other nodes wait.
-    Node.arriveFromPeer(109, 9000, 9000, 1, false, "10.0.0.99");
+    Node.arriveFromPeer(109, 9000, 9000, 1, false, "n9");
     cr_assert(!Node.first<Refuse>());
     // Its next process is not bound by it.
     HostReport Next = report("n1", 1);
--- a/tests/mesh/MeshBench.h
+++ b/tests/mesh/MeshBench.h
@@ -104,9 +104,9 @@
   void arriveFromPeer(std::uint64_t Id, std::int64_t LeftMs = 1000,
                       std::int64_t ObjectiveMs = 400, std::uint32_t Rank = 1,
                       bool AcceptLate = false,
-                      const std::string &Sender = report("n1").Address) {
+                      const std::string &Sender = "n1") {
     request::CallArrived Call;
-    Call.Sender = Sender;
+    Call.Sender = core::NodeId(Sender);
     Call.Id = core::CallId(Id);
     Call.FromNode = true;
     Call.Target = core::TargetId("own");
--- a/tests/platform/EndToEndTest.cpp
+++ b/tests/platform/EndToEndTest.cpp
@@ -99,6 +99,29 @@
   cr_assert(Answers[503] == Sent - Slots, "%zu queued", Answers[503]);
 }
 
+// Guards against bookings that wait at another host until the node of their
+// caller exits.
+Test(platform_path, a_queue_elsewhere_hears_of_the_exit_of_the_sender) {
+  Fleet All({"home", "shop"}, milliseconds(1000));
+  All.instance(2).setWork(milliseconds(300));
+  All.publish(1);
+  All.untilServed(1, "/list/a");
+  constexpr std::size_t Slots = 4;
+  constexpr std::size_t Sent = 2 * Slots;
+  std::map<int, std::size_t> Answers;
+  std::size_t Ended = 0;
+  for (std::size_t I = 0; I < Sent; ++I)
+    All.send(1, "/book/b", fmt::format("q{}", I), [&](const Got &Answer) {
+      ++Answers[Answer.Status];
+      ++Ended;
+    });
+  All.until("runs", [&] { return All.instance(2).runsInAll() > Slots; });
+  All.node(1).drain();
+  All.until("the answers", [&] { return Ended == Sent; });
+  cr_assert(Answers[200] == Slots, "%zu answered", Answers[200]);
+  cr_assert(Answers[503] == Slots, "%zu refused", Answers[503]);
+}
+
 // Guards against an old configuration that stays in force since the answer to a
 // read was lost while its connection seems to be open.
 Test(platform_path, a_configuration_is_in_force_after_a_silent_outage) {
