Use a target only after it announced itself to this process

Cause: a restarted node took the target over from the report of its previous process in the store. A departure that this process acknowledged while the store was away is not in that report, and nothing else outlasts the process: peers may restart as well.

Evidence: the record of the case shows the late requests from the first read of the store after its return on, for the three seconds after which an inherited target was given up.

Change: a new process uses a target from its first announcement on, which a target that deregistered does not send, and one that drains sends as such. Only the target's rate limit is still taken from the former report. The guard that is taken out, InheritedTargetTimeout, bounded the damage of the inheritance.

--- a/include/filbertvane/decision/mesh/Limits.h
+++ b/include/filbertvane/decision/mesh/Limits.h
@@ -51,9 +51,6 @@
 /// Time without an announcement or an answer after which the target is down.
 /// Announcements arrive about every 1.5 s and may be seconds late.
 inline constexpr core::Milliseconds TargetSilenceTimeout{6000};
-/// Time without an announcement after which a target that is known only from
-/// the previous process of the node is down: two announcements are missing.
-inline constexpr core::Milliseconds InheritedTargetTimeout{3000};
 /// Maximum delay of an announcement. After a target with an unknown process
 /// start left, announcements within this time belong to the departed process.
 inline constexpr core::Milliseconds MaximumAnnouncementDelay{6000};
--- a/include/filbertvane/decision/mesh/State.h
+++ b/include/filbertvane/decision/mesh/State.h
@@ -39,9 +39,6 @@
 struct LocalTarget {
   TargetAnnounced Announcement;
   TargetState State = TargetState::Ready;
-  /// Known from the previous process of this node; has not announced itself to
-  /// this process yet.
-  bool Inherited = false;
   /// It answered a request of this process.
   bool Answered = false;
   /// Number of the target process, to attribute the end of a request to the
@@ -59,6 +56,15 @@
   std::uint32_t StepPermille = 0;
 };
 
+/// @brief Rate limit of a target as the previous process of the node knew it.
+struct FormerRateLimit {
+  core::TargetId Target;
+  std::optional<double> PerSecond;
+
+  friend auto operator<=>(const FormerRateLimit &,
+                          const FormerRateLimit &) = default;
+};
+
 enum class CallPhase : std::uint8_t { Queued, AtTarget, AtPeer };
 
 /// @brief A request in progress.
@@ -180,6 +186,8 @@
   core::TimePoint NextSuspectPublishAt;
   /// The report in the store has a rate limit of the target.
   bool RateLimitPublished = false;
+  /// Set until its target announces itself.
+  std::optional<FormerRateLimit> FormerLimit;
   core::TimePoint NextRateLimitPublishAt;
   std::uint64_t LastTargetGeneration = 0;
   std::optional<DepartedTarget> Departed;
--- a/lib/decision/mesh/ReduceHosts.cpp
+++ b/lib/decision/mesh/ReduceHosts.cpp
@@ -75,7 +75,9 @@
 }
 
 /// A previous process of this node may have acknowledged the departure of the
-/// target.
+/// target. It may also have done so while it could not reach the store; that
+/// the report says nothing of a departure is therefore no reason to use the
+/// target before it announces itself.
 void Reduction::applyFormerReport(const HostReport &Former) {
   if (Former.Departed && !State.Departed) {
     State.Departed = Former.Departed;
@@ -85,41 +87,19 @@
   }
   if (!Former.Target || Former.Address != State.Settings.Address)
     return;
-  if (!State.Target)
-    inheritTarget(*Former.Target);
-  if (State.Target && State.Target->Announcement.Id == Former.Target->Id)
-    inheritRateLimit(*Former.Target);
+  State.FormerLimit = {Former.Target->Id, Former.Target->RequestsPerSecond};
+  applyFormerLimit();
 }
 
 /// An answer of the target itself counts more than what the previous process
-/// knew. The target may have announced itself before the store was read.
-void Reduction::inheritRateLimit(const TargetReport &Former) {
-  if (State.Target->Answered)
+/// knew. The target may announce itself before or after the store is read.
+void Reduction::applyFormerLimit() {
+  if (!State.FormerLimit || !State.Target || State.Target->Answered ||
+      State.Target->Announcement.Id != State.FormerLimit->Target)
     return;
-  State.Slots.setRateLimit(Former.RequestsPerSecond, Now);
-  State.RateLimitPublished = Former.RequestsPerSecond.has_value();
-}
-
-/// The target keeps running while its node restarts, and announces itself
-/// seconds later. Every request names its target, so that another target at the
-/// same address does not run it.
-void Reduction::inheritTarget(const TargetReport &Former) {
-  const bool HasLeft = State.Departed && State.Departed->Id == Former.Id;
-  if (HasLeft || Former.State != TargetState::Ready || Former.Load.Slots == 0 ||
-      Former.Service != State.Settings.Service)
-    return;
-  TargetAnnounced Inherited;
-  Inherited.Id = Former.Id;
-  Inherited.Service = Former.Service;
-  Inherited.Version = Former.Version;
-  Inherited.Slots = Former.Load.Slots;
-  replaceTarget(Inherited);
-  State.Target->Inherited = true;
-  State.Target->Announcement = Inherited;
-  State.Target->LastAnnouncedAt = Now;
-  State.Target->WarmAt = Now;
-  State.Slots.resize(Inherited.Slots);
-  reportToAll();
+  State.Slots.setRateLimit(State.FormerLimit->PerSecond, Now);
+  State.RateLimitPublished = State.FormerLimit->PerSecond.has_value();
+  State.FormerLimit.reset();
 }
 
 void Reduction::operator()(const RoutingLoaded &Loaded) {
--- a/lib/decision/mesh/ReduceTarget.cpp
+++ b/lib/decision/mesh/ReduceTarget.cpp
@@ -39,17 +39,16 @@
   }
   const bool SameProcess =
       State.Target && State.Target->Announcement.Id == Announcement.Id &&
-      (State.Target->Inherited ||
-       State.Target->Announcement.ProcessStart == Announcement.ProcessStart);
+      State.Target->Announcement.ProcessStart == Announcement.ProcessStart;
   const bool Replaced = !SameProcess;
   if (Replaced)
     replaceTarget(Announcement);
   LocalTarget &Target = *State.Target;
-  Target.Inherited = false;
   Target.Announcement = Announcement;
   Target.LastAnnouncedAt = Now;
   Target.WarmAt = Now + Announcement.RemainingWarmup;
   State.Slots.resize(Announcement.Slots);
+  applyFormerLimit();
   if (Announcement.Draining || hasDeparted(Announcement)) {
     setTargetState(TargetState::Draining,
                    Announcement.Draining ? "announced" : "known_to_leave");
@@ -180,10 +179,6 @@
   if (!State.Target || State.Target->State != TargetState::Ready)
     return;
   const LocalTarget &Target = *State.Target;
-  // It may have announced its departure to the previous process while the store
-  // was unreachable.
-  if (Target.Inherited && Now - Target.LastAnnouncedAt > InheritedTargetTimeout)
-    return setTargetState(TargetState::Down, "not_announced");
   if (Now - Target.LastAnnouncedAt > TargetSilenceTimeout &&
       Now - Target.LastAnswerAt > TargetSilenceTimeout)
     setTargetState(TargetState::Down, "silent");
--- a/lib/decision/mesh/Reduction.h
+++ b/lib/decision/mesh/Reduction.h
@@ -114,8 +114,7 @@
   /// @name Reports and moves
   /// @{
   void applyFormerReport(const HostReport &Former);
-  void inheritTarget(const TargetReport &Former);
-  void inheritRateLimit(const TargetReport &Former);
+  void applyFormerLimit();
   void reportTo(std::vector<std::string> Addresses);
   void reportToAll();
   void sendPeriodicReports();
--- a/tools/fv-platform/InstanceStandIn.h
+++ b/tools/fv-platform/InstanceStandIn.h
@@ -43,6 +43,8 @@
   /// @{
   void drain();
   void deregister();
+  /// @brief Announces itself no more; goes on serving.
+  void stopAnnouncing() { Beat.cancel(); }
   /// @brief Runs requests and closes their connections without an answer.
   void loseAnswers(bool Lost) { LosesAnswers = Lost; }
   void setWork(core::Milliseconds Work) { Terms.Work = Work; }
