Apply a departure to the process of the target that leaves

Callers saw: with a target that deregisters before its first announcement arrives, or while the node still knows its predecessor, requests until that target exits, although the departure was acknowledged (DRAIN); and with a late call of an earlier process under the same id, a sound target that gets no requests.

Cause: the call was matched by id alone, without the start of the process that it states, and ignored when another target was known.

Evidence: on the former code a_departure_concerns_one_process_of_a_target fails at all three places.

Change: the departure carries the start of the process. One that is older than the known target concerns nobody any more; any other is remembered, so that an announcement that was sent before it does not bring the target back.

Measured: the tests of the mesh's targets and of the platform's records pass.

--- a/include/filbertvane/decision/mesh/Events.h
+++ b/include/filbertvane/decision/mesh/Events.h
@@ -30,6 +30,8 @@
 /// @brief The target on this host is leaving permanently.
 struct TargetDeregistered {
   core::TargetId Id;
+  /// Start of the target's process; 0 when the target does not state it.
+  std::uint64_t ProcessStart = 0;
 };
 /// @brief A report from another node arrived.
 struct ReportReceived {
--- a/lib/decision/mesh/ReduceTarget.cpp
+++ b/lib/decision/mesh/ReduceTarget.cpp
@@ -68,11 +68,22 @@
 }
 
 void Reduction::operator()(const TargetDeregistered &Deregistered) {
-  if (State.Target && State.Target->Announcement.Id == Deregistered.Id)
-    return setTargetState(TargetState::Draining, "deregistered");
-  // This node's process started after the last announcement of the target.
-  if (!State.Target)
-    recordDeparture({Deregistered.Id, 0});
+  DepartedTarget Departing{Deregistered.Id, Deregistered.ProcessStart};
+  if (State.Target) {
+    const TargetAnnounced &Last = State.Target->Announcement;
+    // A late call of a process before the one that runs now.
+    if (Departing.ProcessStart != 0 &&
+        Departing.ProcessStart < Last.ProcessStart)
+      return;
+    if (Departing.Id == Last.Id) {
+      setTargetState(TargetState::Draining, "deregistered");
+      // A newer process under the same id took the place of the known one.
+      if (Departing.ProcessStart == 0)
+        return;
+    }
+  }
+  // The target may have left before its first announcement arrived.
+  recordDeparture(std::move(Departing));
 }
 
 /// Also true when a previous process of the node acknowledged the departure:
--- a/tests/mesh/LocalTargetTest.cpp
+++ b/tests/mesh/LocalTargetTest.cpp
@@ -258,6 +258,49 @@
   cr_assert(Node.first<Refuse>()->Result == Outcome::NotRun);
 }
 
+// Guards against a departure that takes out another process than the one that
+// leaves, or that is forgotten since another one is known.
+Test(mesh_target, a_departure_concerns_one_process_of_a_target) {
+  const auto IsUsed = [](Bench &Node, std::uint64_t Id) {
+    Node.arriveFromPeer(Id);
+    return Node.first<StartAttempt>().has_value();
+  };
+  const core::TargetId Own("own");
+  // The late call of an earlier process under the same id, or another one.
+  for (const char *Id : {"own", "earlier"}) {
+    Bench Node;
+    Node.configure();
+    Node.announce(1, false, 2000);
+    Node.send(TargetDeregistered{core::TargetId(Id), 1000});
+    cr_expect(IsUsed(Node, 1), "%s", Id);
+  }
+  // The process itself; its later announcements were sent before.
+  {
+    Bench Node;
+    Node.configure();
+    Node.announce(1, false, 2000);
+    Node.send(TargetDeregistered{Own, 2000});
+    cr_expect(!IsUsed(Node, 1));
+    Node.announce(2, false, 2000);
+    cr_expect(!IsUsed(Node, 2));
+  }
+  // A later process whose announcements arrive after its departure, beside a
+  // target of another id or the same one.
+  for (const char *Former : {"earlier", "own"}) {
+    Bench Node;
+    Node.configure();
+    Node.announce(1, false, 1000, Former);
+    Node.send(TargetDeregistered{Own, 2000});
+    if (Own.value() == Former)
+      cr_expect(!IsUsed(Node, 1), "%s", Former);
+    Node.announce(1, false, 2000);
+    cr_expect(!IsUsed(Node, 2), "%s", Former);
+    // The process after that is another one.
+    Node.announce(1, false, 3000);
+    cr_expect(IsUsed(Node, 3), "%s", Former);
+  }
+}
+
 // Guards against a node process that does not know that its previous process
 // acknowledged the departure of the target (drain check on
 // aclu-lecturas-grown).
--- a/tests/platform/RecordsTest.cpp
+++ b/tests/platform/RecordsTest.cpp
@@ -136,6 +136,15 @@
   const auto Left = Platform.decodeAnnouncement(Head, "", "10.0.0.1:80");
   cr_assert(std::get<mesh::TargetDeregistered>(core::value(Left)).Id ==
             core::TargetId("i-7"));
+  for (const auto &[Body, Start] : {std::pair("", 0),
+                                    {"[1]", 0},
+                                    {R"({"born":"soon"})", 0},
+                                    {R"({"born":1700})", 1700}}) {
+    const auto Stated = Platform.decodeAnnouncement(Head, Body, "10.0.0.1:80");
+    cr_assert(
+        std::get<mesh::TargetDeregistered>(core::value(Stated)).ProcessStart ==
+        static_cast<std::uint64_t>(Start));
+  }
   Head.Path = "/v1/instances//heartbeat";
   cr_assert(!core::ok(Platform.decodeAnnouncement(Head, Beat, "10.0.0.1:80")));
   Head.Path = "/v1/other";
