--- a/tools/fv-platform/InstanceStandIn.cpp
+++ b/tools/fv-platform/InstanceStandIn.cpp
@@ -110,7 +110,9 @@
   beat();
 }
 
-void InstanceStandIn::deregister() { say("deregister", ""); }
+void InstanceStandIn::deregister() {
+  say("deregister", nlohmann::json{{"born", Terms.Born}}.dump());
+}
 
 void InstanceStandIn::say(const std::string &Call, const std::string &Body) {
   io::HttpClient::Request What;
@@ -120,10 +122,11 @@
   What.Fields = {{"Content-Type", "application/json"}};
   What.Deadline = Loop.now().Mono + BeatTime;
   Http.fetch(std::move(What), Body,
-             [this, Life = std::weak_ptr<bool>(Alive)](
-                 io::ClientEnd, int Status, const std::string &) {
-               if (!Life.expired())
-                 Acknowledged = Status == 200;
+             [this, Leaving = Draining || Call == "deregister",
+              Life = std::weak_ptr<bool>(Alive)](io::ClientEnd, int Status,
+                                                 const std::string &) {
+               if (!Life.expired() && Leaving)
+                 Acknowledged = Acknowledged || Status == 200;
              });
 }
 
--- a/tools/fv-platform/InstanceStandIn.h
+++ b/tools/fv-platform/InstanceStandIn.h
@@ -60,6 +60,7 @@
   /// @brief Time of the last request that reached it.
   core::TimePoint lastArrival() const { return LastArrival; }
   const std::string &lastCaller() const { return LastCaller; }
+  /// @brief Whether its departure was acknowledged.
   bool acknowledged() const { return Acknowledged; }
   /// @}
 
