Let other nodes tell a restarted node of an acknowledged departure

Callers saw: an announcement that a target sent before its departure, and that arrives at the next process of its node while the store is away, brings the target back: requests reach it until it exits (DRAIN).

Cause: the departure outlasts the process of the node in the store only. The other nodes had it in the node's reports, and dropped it with the first report of the next process.

Evidence: a_late_announcement_does_not_undo_a_departure and other_nodes_tell_a_restarted_node_of_a_departure fail without the change.

Change: a node keeps the departure that a former process of a host reported while the present one does not report it, and answers each report of that host with it; a lost answer is thus repeated. The host adopts the later of the departures that it is told of, and writes it to the store once that is reachable. Field 15 of the report is optional; older nodes skip it.

--- a/gen/filbertvane_types.cpp
+++ b/gen/filbertvane_types.cpp
@@ -9387,6 +9387,11 @@
   this->suspects = val;
 __isset.suspects = true;
 }
+
+void HostReport::__set_recipientLeft(const LeftTarget& val) {
+  this->recipientLeft = val;
+__isset.recipientLeft = true;
+}
 std::ostream& operator<<(std::ostream& out, const HostReport& obj)
 {
   obj.printTo(out);
@@ -9551,6 +9556,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->recipientLeft.read(iprot);
+          this->__isset.recipientLeft = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -9644,6 +9657,11 @@
     }
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.recipientLeft) {
+    xfer += oprot->writeFieldBegin("recipientLeft", ::apache::thrift::protocol::T_STRUCT, 15);
+    xfer += this->recipientLeft.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -9665,6 +9683,7 @@
   swap(a.left, b.left);
   swap(a.exitsInMs, b.exitsInMs);
   swap(a.suspects, b.suspects);
+  swap(a.recipientLeft, b.recipientLeft);
   swap(a.__isset, b.__isset);
 }
 
@@ -9683,6 +9702,7 @@
   left = other312.left;
   exitsInMs = other312.exitsInMs;
   suspects = other312.suspects;
+  recipientLeft = other312.recipientLeft;
   __isset = other312.__isset;
 }
 HostReport& HostReport::operator=(const HostReport& other313) {
@@ -9700,6 +9720,7 @@
   left = other313.left;
   exitsInMs = other313.exitsInMs;
   suspects = other313.suspects;
+  recipientLeft = other313.recipientLeft;
   __isset = other313.__isset;
   return *this;
 }
@@ -9720,6 +9741,7 @@
   out << ", " << "left="; (__isset.left ? (out << to_string(left)) : (out << "<null>"));
   out << ", " << "exitsInMs="; (__isset.exitsInMs ? (out << to_string(exitsInMs)) : (out << "<null>"));
   out << ", " << "suspects="; (__isset.suspects ? (out << to_string(suspects)) : (out << "<null>"));
+  out << ", " << "recipientLeft="; (__isset.recipientLeft ? (out << to_string(recipientLeft)) : (out << "<null>"));
   out << ")";
 }
 
--- a/gen/filbertvane_types.h
+++ b/gen/filbertvane_types.h
@@ -3735,7 +3735,7 @@
 std::ostream& operator<<(std::ostream& out, const SuspectRequest& obj);
 
 typedef struct _HostReport__isset {
-  _HostReport__isset() : node(false), start(false), sequence(false), address(false), dataCentre(false), region(false), leaving(false), target(false), position(false), moves(false), storeReachable(false), left(false), exitsInMs(false), suspects(false) {}
+  _HostReport__isset() : node(false), start(false), sequence(false), address(false), dataCentre(false), region(false), leaving(false), target(false), position(false), moves(false), storeReachable(false), left(false), exitsInMs(false), suspects(false), recipientLeft(false) {}
   bool node :1;
   bool start :1;
   bool sequence :1;
@@ -3750,6 +3750,7 @@
   bool left :1;
   bool exitsInMs :1;
   bool suspects :1;
+  bool recipientLeft :1;
 } _HostReport__isset;
 
 class HostReport : public virtual ::apache::thrift::TBase {
@@ -3785,6 +3786,7 @@
   LeftTarget left;
   int64_t exitsInMs;
   std::vector<SuspectRequest>  suspects;
+  LeftTarget recipientLeft;
 
   _HostReport__isset __isset;
 
@@ -3816,6 +3818,8 @@
 
   void __set_suspects(const std::vector<SuspectRequest> & val);
 
+  void __set_recipientLeft(const LeftTarget& val);
+
   bool operator == (const HostReport & rhs) const
   {
     if (!(node == rhs.node))
@@ -3854,6 +3858,10 @@
       return false;
     else if (__isset.suspects && !(suspects == rhs.suspects))
       return false;
+    if (__isset.recipientLeft != rhs.__isset.recipientLeft)
+      return false;
+    else if (__isset.recipientLeft && !(recipientLeft == rhs.recipientLeft))
+      return false;
     return true;
   }
   bool operator != (const HostReport &rhs) const {
--- a/include/filbertvane/decision/mesh/HostDirectory.h
+++ b/include/filbertvane/decision/mesh/HostDirectory.h
@@ -48,6 +48,9 @@
   /// the host is not asked for them again.
   std::map<RequestClass, core::TimePoint> AtCapacityUntil;
   std::optional<LeavingTarget> Leaving;
+  /// Departure that a former process of the host reported and the present one
+  /// does not know of.
+  std::optional<DepartedTarget> FormerDeparted;
   /// A connection failed after the last report.
   bool Unreachable = false;
   /// Read from the store; no report has arrived from the host itself.
--- a/include/filbertvane/decision/mesh/HostReport.h
+++ b/include/filbertvane/decision/mesh/HostReport.h
@@ -64,6 +64,12 @@
                           const DepartedTarget &) = default;
 };
 
+/// @brief Whether a departure is later than the known one.
+inline bool isLater(const DepartedTarget &Departure,
+                    const std::optional<DepartedTarget> &Known) {
+  return !Known || Departure.ProcessStart > Known->ProcessStart;
+}
+
 /// @brief Phase of a move; a higher phase replaces a lower one.
 enum class MovePhase : std::uint8_t {
   Running,
@@ -116,6 +122,9 @@
   /// Target of the host that last announced its departure; the next process of
   /// the node reads it from the store.
   std::optional<DepartedTarget> Departed;
+  /// Departure that a former process of the recipient reported and the present
+  /// one does not know of.
+  std::optional<DepartedTarget> RecipientDeparted;
   /// Offset up to which the node has read the operator records.
   core::LogOffset Position;
   /// The node can reach the store.
--- a/lib/decision/mesh/HostDirectory.cpp
+++ b/lib/decision/mesh/HostDirectory.cpp
@@ -69,6 +69,10 @@
     Known.RouteTimes.clear();
     Known.AtCapacityUntil.clear();
   }
+  if (Change.Restarted && Known.Report.Departed)
+    Known.FormerDeparted = Known.Report.Departed;
+  if (Known.FormerDeparted && !isLater(*Known.FormerDeparted, Report.Departed))
+    Known.FormerDeparted.reset();
   Known.Report = Report;
   Known.LastReportAt = Now;
   Known.SentSinceLoadUpdate = 0;
--- a/lib/decision/mesh/ReduceHosts.cpp
+++ b/lib/decision/mesh/ReduceHosts.cpp
@@ -39,13 +39,22 @@
     State.Moves.applyReport(Move, Now);
   recordPeerExit(Report);
   recordSuspects(Report);
-  if (Change->New || Change->Restarted) {
+  if (Report.RecipientDeparted && adoptDeparture(*Report.RecipientDeparted) &&
+      State.StoreReachable)
+    Produced.emplace_back(PublishReport{makeHostReport(State, Now)});
+  const bool Joined = Change->New || Change->Restarted;
+  if (Joined)
     log(observe::EventId::MeshHostJoined,
         fmt::format("host={} start={} address={} restarted={}",
                     Report.Node.value(), Report.Incarnation.value(),
                     Report.Address, Change->Restarted));
-    // The sender may not know this node yet.
-    reportTo({Report.Address});
+  const KnownHost &Sender = *State.Hosts.find(Report.Node);
+  // The sender may not know this node yet. It is told of a departure until its
+  // own reports have it, since a datagram can be lost.
+  if (Joined || Sender.FormerDeparted) {
+    HostReport Reply = makeHostReport(State, Now);
+    Reply.RecipientDeparted = Sender.FormerDeparted;
+    Produced.emplace_back(SendReport{std::move(Reply), {Report.Address}});
   }
 }
 
@@ -79,12 +88,8 @@
 /// the report says nothing of a departure is therefore no reason to use the
 /// target before it announces itself.
 void Reduction::applyFormerReport(const HostReport &Former) {
-  if (Former.Departed && !State.Departed) {
-    State.Departed = Former.Departed;
-    State.DepartedAt = Now;
-    if (State.Target && hasDeparted(State.Target->Announcement))
-      setTargetState(TargetState::Draining, "known_to_leave");
-  }
+  if (Former.Departed)
+    adoptDeparture(*Former.Departed);
   if (!Former.Target || Former.Address != State.Settings.Address)
     return;
   State.FormerLimit = {Former.Target->Id, Former.Target->RequestsPerSecond};
--- a/lib/decision/mesh/ReduceTarget.cpp
+++ b/lib/decision/mesh/ReduceTarget.cpp
@@ -96,6 +96,21 @@
   return State.Departed->ProcessStart == Announcement.ProcessStart;
 }
 
+/// A previous process of this node acknowledged the departure, as the store or
+/// another node knows. An announcement that the target sent before may arrive
+/// later.
+bool Reduction::adoptDeparture(const DepartedTarget &Target) {
+  if (!isLater(Target, State.Departed))
+    return false;
+  State.Departed = Target;
+  State.DepartedAt = Now;
+  log(observe::EventId::MeshDepartureLearned,
+      fmt::format("target={} born={}", Target.Id.value(), Target.ProcessStart));
+  if (State.Target && hasDeparted(State.Target->Announcement))
+    setTargetState(TargetState::Draining, "known_to_leave");
+  return true;
+}
+
 void Reduction::recordDeparture(DepartedTarget Target) {
   if (State.Departed == Target)
     return;
--- a/lib/decision/mesh/Reduction.h
+++ b/lib/decision/mesh/Reduction.h
@@ -101,6 +101,7 @@
   bool isOutdated(const TargetAnnounced &Announcement) const;
   bool hasDeparted(const TargetAnnounced &Announcement) const;
   void recordDeparture(DepartedTarget Target);
+  bool adoptDeparture(const DepartedTarget &Target);
   void replaceTarget(const TargetAnnounced &Announcement);
   void setTargetState(TargetState NewState, std::string_view Reason);
   void refuseQueued(core::ErrorCode Reason);
--- a/lib/wire/HostReportCodec.cpp
+++ b/lib/wire/HostReportCodec.cpp
@@ -156,6 +156,17 @@
   return Target;
 }
 
+gen::LeftTarget toThrift(const mesh::DepartedTarget &Target) {
+  gen::LeftTarget Out;
+  Out.target = Target.Id.value();
+  Out.born = static_cast<std::int64_t>(Target.ProcessStart);
+  return Out;
+}
+
+mesh::DepartedTarget fromThrift(const gen::LeftTarget &In) {
+  return {core::TargetId(In.target), count(In.born)};
+}
+
 mesh::SuspectRequest fromThrift(const gen::SuspectRequest &In) {
   mesh::SuspectRequest Suspect;
   Suspect.Request = core::Digest(static_cast<std::uint64_t>(In.requestDigest));
@@ -192,12 +203,10 @@
     Out.__set_exitsInMs(Report.ExitsIn->count());
   if (Report.Target)
     Out.__set_target(toThrift(*Report.Target));
-  if (Report.Departed) {
-    gen::LeftTarget Left;
-    Left.target = Report.Departed->Id.value();
-    Left.born = static_cast<std::int64_t>(Report.Departed->ProcessStart);
-    Out.__set_left(Left);
-  }
+  if (Report.Departed)
+    Out.__set_left(toThrift(*Report.Departed));
+  if (Report.RecipientDeparted)
+    Out.__set_recipientLeft(toThrift(*Report.RecipientDeparted));
   Out.position = static_cast<std::int64_t>(Report.Position.value());
   Out.storeReachable = Report.StoreReachable;
   for (const mesh::MoveReport &Move : Report.Moves)
@@ -229,8 +238,9 @@
   if (In.__isset.target)
     Report.Target = fromThrift(In.target);
   if (In.__isset.left)
-    Report.Departed = mesh::DepartedTarget{core::TargetId(In.left.target),
-                                           count(In.left.born)};
+    Report.Departed = fromThrift(In.left);
+  if (In.__isset.recipientLeft)
+    Report.RecipientDeparted = fromThrift(In.recipientLeft);
   Report.Position = core::LogOffset(count(In.position));
   Report.StoreReachable = In.storeReachable;
   for (const gen::MoveReport &Move : In.moves)
--- a/tests/mesh/LocalTargetTest.cpp
+++ b/tests/mesh/LocalTargetTest.cpp
@@ -397,6 +397,46 @@
   }
 }
 
+// Guards against an announcement that a target sent before its departure, and
+// that arrives at the next process of its node while the store is away.
+Test(mesh_target, other_nodes_tell_a_restarted_node_of_a_departure) {
+  Bench Peer("n1");
+  HostReport Leaving = report("n0");
+  Leaving.Departed = DepartedTarget{core::TargetId("own"), 1000};
+  Peer.send(ReportReceived{Leaving});
+
+  Bench After;
+  After.State.Settings.Incarnation = core::Incarnation(2);
+  After.configure();
+  After.announce(7);
+  const auto HearsOf = [&Peer](const HostReport &Report) {
+    Peer.send(ReportReceived{Report});
+    const auto Reply = Peer.first<SendReport>();
+    return Reply && Reply->Report.RecipientDeparted ? Reply : std::nullopt;
+  };
+  // The first answer may be lost.
+  cr_assert(HearsOf(makeHostReport(After.State, After.Now)));
+  const auto Reply = HearsOf(makeHostReport(After.State, After.Now));
+  cr_assert(Reply.has_value(), "told once only");
+  cr_assert(Reply->Addresses == std::vector<std::string>{"10.0.0.1"});
+  After.send(ReportReceived{Reply->Report});
+  After.announce(8);
+  After.arriveFromPeer(1);
+  cr_assert(After.first<Refuse>()->Result == Outcome::NotRun);
+  // The node itself tells it now.
+  cr_assert(!HearsOf(makeHostReport(After.State, After.Now)));
+  // The next process of the target is used.
+  After.announce(1, false, 2000);
+  After.arriveFromPeer(2);
+  cr_assert(After.first<StartAttempt>().has_value());
+  // What another node remembers of earlier processes changes nothing.
+  HostReport Stale = Reply->Report;
+  Stale.Sequence += 1000;
+  After.send(ReportReceived{Stale});
+  After.arriveFromPeer(3);
+  cr_assert(After.first<StartAttempt>().has_value());
+}
+
 // Guards against a slow version whose slowest answers are not counted, whoever
 // gives up on them.
 Test(mesh_target, a_request_that_is_given_up_counts_as_slow) {
--- a/tests/wire/HostReportCodecTest.cpp
+++ b/tests/wire/HostReportCodecTest.cpp
@@ -20,6 +20,8 @@
   Report.Moves = {{core::ServiceName("shop"), core::TargetVersion("v2"),
                    core::LogOffset(5), MovePhase::Rejected,
                    milliseconds(1200)}};
+  Report.Departed = DepartedTarget{core::TargetId("t-1"), 1700};
+  Report.RecipientDeparted = DepartedTarget{core::TargetId("t-2"), 1800};
   const auto Read = wire::decodeHostReport(wire::encode(Report));
   cr_assert(core::ok(Read));
   cr_assert(core::value(Read) == Report);
--- a/thrift/filbertvane.thrift
+++ b/thrift/filbertvane.thrift
@@ -143,7 +143,7 @@
   6: string region, 7: bool leaving, 8: optional TargetReport target, 9: i64 position,
   10: list<MoveReport> moves, 11: bool storeReachable,
   12: optional LeftTarget left, 13: optional i64 exitsInMs,
-  14: optional list<SuspectRequest> suspects
+  14: optional list<SuspectRequest> suspects, 15: optional LeftTarget recipientLeft
 }
 // Operators' records as one node hands them to another.
 struct OperatorRecord { 1: string key, 2: i64 offset, 3: binary value }
