Bound the trailers of an answer

Callers saw: a faulty instance that sends trailers without end takes the memory of each node that called it, and with it the requests of all other callers there (reported by other operators; LOST, processes that end by themselves).

Cause: libcurl keeps all header lines of an answer, trailers too, until its end. It bounds those of the head; the lines after the body were taken without a bound until the deadline of the request.

Change: interim answers, head and trailers of one answer have 64 KB together; more ends the answer as broken.

--- a/lib/io/CurlTransfer.cpp
+++ b/lib/io/CurlTransfer.cpp
@@ -20,6 +20,9 @@
 constexpr int ProbePeriodSeconds = 1;
 constexpr int MostProbes = 2;
 constexpr std::size_t MaxHeaderLines = 256;
+/// Bytes of the interim answers, the head and the trailers of one answer.
+/// libcurl keeps all of them until the end of the transfer.
+constexpr std::size_t MaxHeaderBytes = std::size_t{64} * 1024;
 
 /// Whether a text can stand in a request line or header without changing the
 /// framing.
@@ -187,6 +190,9 @@
 }
 
 bool CurlTransfer::takeHeaderLine(std::string_view Line) {
+  HeaderBytes += Line.size();
+  if (HeaderBytes > MaxHeaderBytes)
+    return false;
   if (HeadDone)
     return true; // trailer of a chunked answer
   if (Line.substr(0, 5) == "HTTP/") {
--- a/lib/io/CurlTransfer.h
+++ b/lib/io/CurlTransfer.h
@@ -69,6 +69,7 @@
   bool SendIdle = false;
   bool ReceiveIdle = false;
   unsigned HandOvers = 0;
+  std::size_t HeaderBytes = 0;
 };
 
 } // namespace filbertvane::io
--- a/tests/io/EndlessAnswerTest.cpp
+++ b/tests/io/EndlessAnswerTest.cpp
@@ -1,5 +1,6 @@
 #include "HttpFixture.h"
 #include "RawPeer.h"
+#include "ResidentMemory.h"
 
 using namespace filbertvane;
 using namespace filbertvane::test;
@@ -8,6 +9,10 @@
 
 /// Bytes that a client may take of a head that does not end.
 constexpr std::size_t HeadBound = std::size_t{1024} * 1024;
+/// Memory that one answer may take; the smallest hosts have 260 MB for all.
+constexpr std::size_t MemoryBound = std::size_t{64} * 1024 * 1024;
+constexpr std::size_t SmallBlock = std::size_t{16} * 1024;
+constexpr std::size_t LargeBlock = std::size_t{1024} * 1024;
 
 struct Poured {
   io::ClientEnd End = io::ClientEnd::Complete;
@@ -18,11 +23,12 @@
 /// Answers a request with a text, and then with another one again and again
 /// until the client closes.
 Poured pour(const std::string &Begin, const std::string &Repeated,
-            core::Milliseconds Time = core::Seconds(5)) {
+            core::Milliseconds Time = core::Seconds(5),
+            std::size_t BlockBytes = SmallBlock) {
   BoundedLoop Bounded;
   Poured Result;
   std::string Block;
-  while (Block.size() < 16384)
+  while (Block.size() < BlockBytes)
     Block += Repeated;
   RawConnection *Open = nullptr;
   RawServer Server(Bounded.Loop, [&](RawConnection &Connection) {
@@ -89,3 +95,17 @@
   for (const auto &[Name, Body] : Bodies)
     cr_expect(Body.End != io::ClientEnd::Complete, "%s: complete", Name);
 }
+
+// Guards against trailers without end, which filled the memory of the node: all
+// of them are kept until the deadline.
+Test(endless_answer, trailers_without_end_are_broken_off) {
+  const std::string Begin =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n";
+  const std::size_t Before = peakResidentBytes();
+  const Poured Trailers =
+      pour(Begin, "X-Filler: some bytes\r\n", core::Seconds(3), LargeBlock);
+  cr_expect(Trailers.End != io::ClientEnd::Complete);
+  cr_expect(Trailers.BeforeDeadline, "until the deadline");
+  const std::size_t Taken = peakResidentBytes() - Before;
+  cr_expect(Taken <= MemoryBound, "%zu bytes of memory", Taken);
+}
