Break off chunks whose framing does not end

Callers saw: while a faulty instance sends a chunk extension without end, ordinary requests at the node that called it get no answer, not even at their time-out, in spans of a second and more.

Cause: libcurl reads on as long as bytes arrive, and bytes that are neither header nor body reach no callback that could stop it. Some calls to such an instance take all turns of the loop.

Change: the bytes received are counted before the chunks are taken apart, and an answer with over 64 KB beside its body, and over eight times its body, is ended as broken. Chunks of one byte remain valid.

--- a/lib/io/CurlTransfer.cpp
+++ b/lib/io/CurlTransfer.cpp
@@ -23,6 +23,10 @@
 /// Bytes of the interim answers, the head and the trailers of one answer.
 /// libcurl keeps all of them until the end of the transfer.
 constexpr std::size_t MaxHeaderBytes = std::size_t{64} * 1024;
+/// Bytes beside the body that the chunks of an answer may have: a fixed part,
+/// and a multiple of the body that covers chunks of one byte.
+constexpr std::uint64_t MaxFramingBytes = std::uint64_t{64} * 1024;
+constexpr std::uint64_t MaxFramingPerBodyByte = 8;
 
 /// Whether a text can stand in a request line or header without changing the
 /// framing.
@@ -176,6 +180,12 @@
   curl_easy_setopt(Easy, CURLOPT_READDATA, this);
   curl_easy_setopt(Easy, CURLOPT_PREREQFUNCTION, onHandOver);
   curl_easy_setopt(Easy, CURLOPT_PREREQDATA, this);
+  curl_easy_setopt(Easy, CURLOPT_VERBOSE, 1L);
+  curl_easy_setopt(Easy, CURLOPT_DEBUGFUNCTION, onDebug);
+  curl_easy_setopt(Easy, CURLOPT_DEBUGDATA, this);
+  curl_easy_setopt(Easy, CURLOPT_NOPROGRESS, 0L);
+  curl_easy_setopt(Easy, CURLOPT_XFERINFOFUNCTION, onProgress);
+  curl_easy_setopt(Easy, CURLOPT_XFERINFODATA, this);
   curl_easy_setopt(Easy, CURLOPT_PRIVATE, this);
   return true;
 }
@@ -239,10 +249,32 @@
     Transfer.ReceiveIdle = true;
     return CURL_WRITEFUNC_PAUSE;
   }
+  Transfer.BodyBytes += Bytes;
   Transfer.Handler->onBody({Data, Bytes});
   return Transfer.Handler == nullptr ? 0 : Bytes;
 }
 
+/// Chunk sizes and extensions reach no other callback.
+int CurlTransfer::onDebug(CURL *, curl_infotype Type, char *, std::size_t Size,
+                          void *Self) {
+  if (Type == CURLINFO_DATA_IN)
+    static_cast<CurlTransfer *>(Self)->ReceivedBytes += Size;
+  return 0;
+}
+
+int CurlTransfer::onProgress(void *Self, curl_off_t, curl_off_t, curl_off_t,
+                             curl_off_t) {
+  return static_cast<CurlTransfer *>(Self)->hasEndlessFraming() ? 1 : 0;
+}
+
+/// Bytes of the body that libcurl holds while the transfer is paused count as
+/// framing; they are fewer than its buffer has.
+bool CurlTransfer::hasEndlessFraming() const {
+  return !ReceiveIdle &&
+         ReceivedBytes > ReceiveBufferBytes + MaxFramingBytes +
+                             BodyBytes * (1 + MaxFramingPerBodyByte);
+}
+
 std::size_t CurlTransfer::onRead(char *Data, std::size_t Size,
                                  std::size_t Count, void *Self) {
   auto &Transfer = *static_cast<CurlTransfer *>(Self);
--- a/lib/io/CurlTransfer.h
+++ b/lib/io/CurlTransfer.h
@@ -56,12 +56,17 @@
   static std::size_t onRead(char *Data, std::size_t Size, std::size_t Count,
                             void *Self);
   static int onHandOver(void *Self, char *, char *, int, int);
+  static int onDebug(CURL *, curl_infotype Type, char *, std::size_t Size,
+                     void *Self);
+  static int onProgress(void *Self, curl_off_t, curl_off_t, curl_off_t,
+                        curl_off_t);
   /// @}
 
   bool takeHeaderLine(std::string_view Line);
   bool buildHeaders();
   void setMethod();
   bool wholeLengthKnown() const;
+  bool hasEndlessFraming() const;
 
   curl_slist *Lines = nullptr;
   ResponseHead Head;
@@ -70,6 +75,9 @@
   bool ReceiveIdle = false;
   unsigned HandOvers = 0;
   std::size_t HeaderBytes = 0;
+  /// Body with the framing of its chunks.
+  std::uint64_t ReceivedBytes = 0;
+  std::uint64_t BodyBytes = 0;
 };
 
 } // namespace filbertvane::io
--- a/tests/io/EndlessAnswerTest.cpp
+++ b/tests/io/EndlessAnswerTest.cpp
@@ -109,3 +109,41 @@
   const std::size_t Taken = peakResidentBytes() - Before;
   cr_expect(Taken <= MemoryBound, "%zu bytes of memory", Taken);
 }
+
+// Guards against chunks that have ever more bytes beside the body: no callback
+// sees them, and their reader leaves other requests no time.
+Test(endless_answer, framing_without_end_is_broken_off) {
+  const std::string Begin =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const Poured Extension =
+      pour(Begin + "a;", "some bytes", core::Seconds(3), LargeBlock);
+  cr_expect(Extension.End != io::ClientEnd::Complete);
+  cr_expect(Extension.BeforeDeadline, "until the deadline");
+  // Small chunks are whole, whatever their share of the bytes.
+  BoundedLoop Bounded;
+  constexpr std::size_t Chunks = 200'000;
+  std::string Answer = Begin;
+  for (std::size_t I = 0; I < Chunks; ++I)
+    Answer += "1\r\nx\r\n";
+  Answer += "0\r\n\r\n";
+  std::size_t Sent = 0;
+  RawConnection *Open = nullptr;
+  RawServer Server(Bounded.Loop,
+                   [&](RawConnection &Connection) { Open = &Connection; });
+  io::Timer Writer(Bounded.Loop, [&] {
+    if (Open != nullptr && Sent < Answer.size()) {
+      Open->send(Answer.substr(Sent, SmallBlock));
+      Sent += Open->Sent > 0 ? static_cast<std::size_t>(Open->Sent) : 0;
+    }
+    Writer.arm(Bounded.Loop.now().Mono + core::Milliseconds(1));
+  });
+  Writer.arm(Bounded.Loop.now().Mono);
+  const auto Client = io::HttpClient::create(Bounded.Loop, {});
+  ClientRecorder Recorder;
+  Recorder.OnOver = [&] { Bounded.stop(); };
+  auto What = requestTo(Bounded.Loop, urlOf(Server.Port));
+  const auto Request = Client->send(std::move(What), Recorder);
+  Bounded.run();
+  cr_expect(*Recorder.End == io::ClientEnd::Complete);
+  cr_expect(Recorder.Body == std::string(Chunks, 'x'));
+}
