Give other requests their turn beside a body in many small parts

Callers saw: beside an instance that sends chunks of one byte without end, some ordinary requests at the node that called it have no answer (2 of 158), and the median answer takes 25 ms longer.

Cause: libcurl takes up to 100 buffers of an answer before it returns to the loop, and calls the handler for each chunk in them.

Evidence: the test counts 349,526 parts between two turns of the loop.

Change: after 64 parts or 256 KB the body is paused and continues after the other events of the loop. libcurl joins what it has read by then into large parts, so that the rest costs little.

--- a/lib/io/CurlTransfer.cpp
+++ b/lib/io/CurlTransfer.cpp
@@ -27,6 +27,10 @@
 /// and a multiple of the body that covers chunks of one byte.
 constexpr std::uint64_t MaxFramingBytes = std::uint64_t{64} * 1024;
 constexpr std::uint64_t MaxFramingPerBodyByte = 8;
+/// Parts and bytes of a body that are taken before other transfers have their
+/// turn.
+constexpr std::size_t MaxPartsPerTurn = 64;
+constexpr std::size_t MaxBytesPerTurn = std::size_t{256} * 1024;
 
 /// Whether a text can stand in a request line or header without changing the
 /// framing.
@@ -81,8 +85,9 @@
 } // namespace
 
 CurlTransfer::CurlTransfer(CURL *Easy, HttpClient::Request What,
-                           ClientHandler &Receiver)
-    : Easy(Easy), What(std::move(What)), Handler(&Receiver) {}
+                           ClientHandler &Receiver, TurnOverCall OnTurnOver)
+    : Easy(Easy), What(std::move(What)), Handler(&Receiver),
+      OnTurnOver(std::move(OnTurnOver)) {}
 
 CurlTransfer::~CurlTransfer() { curl_slist_free_all(Lines); }
 
@@ -245,10 +250,17 @@
   const std::size_t Bytes = Size * Count;
   if (Transfer.Handler == nullptr)
     return 0;
-  if (Transfer.AnswerHeld) {
+  if (!Transfer.TurnOver && (Transfer.TurnParts >= MaxPartsPerTurn ||
+                             Transfer.TurnBytes >= MaxBytesPerTurn)) {
+    Transfer.TurnOver = true;
+    Transfer.OnTurnOver(Transfer);
+  }
+  if (Transfer.AnswerHeld || Transfer.TurnOver) {
     Transfer.ReceiveIdle = true;
     return CURL_WRITEFUNC_PAUSE;
   }
+  ++Transfer.TurnParts;
+  Transfer.TurnBytes += Bytes;
   Transfer.BodyBytes += Bytes;
   Transfer.Handler->onBody({Data, Bytes});
   return Transfer.Handler == nullptr ? 0 : Bytes;
@@ -292,9 +304,15 @@
   return CURL_READFUNC_PAUSE;
 }
 
+void CurlTransfer::startTurn() {
+  TurnParts = 0;
+  TurnBytes = 0;
+  TurnOver = false;
+}
+
 void CurlTransfer::applyPauses() {
   const bool SendReady = SendIdle && (!Out.empty() || BodyFinished);
-  const bool ReceiveReady = ReceiveIdle && !AnswerHeld;
+  const bool ReceiveReady = ReceiveIdle && !AnswerHeld && !TurnOver;
   if (!SendReady && !ReceiveReady)
     return;
   if (SendReady)
--- a/lib/io/CurlTransfer.h
+++ b/lib/io/CurlTransfer.h
@@ -4,13 +4,18 @@
 #include "ByteQueue.h"
 #include "filbertvane/io/HttpClient.h"
 #include <curl/curl.h>
+#include <functional>
 
 namespace filbertvane::io {
 
 /// @brief One client request and its libcurl handle.
 class CurlTransfer {
 public:
-  CurlTransfer(CURL *Easy, HttpClient::Request What, ClientHandler &Receiver);
+  using TurnOverCall = std::function<void(CurlTransfer &)>;
+  /// @param OnTurnOver is called when the body is held back so that other
+  ///        transfers have their turn
+  CurlTransfer(CURL *Easy, HttpClient::Request What, ClientHandler &Receiver,
+               TurnOverCall OnTurnOver);
   ~CurlTransfer();
   CurlTransfer(const CurlTransfer &) = delete;
   CurlTransfer &operator=(const CurlTransfer &) = delete;
@@ -24,6 +29,8 @@
   /// @brief Translates libcurl's result.
   ClientEnd endOf(CURLcode Code) const;
 
+  /// @brief Lets the body be read on after other transfers had their turn.
+  void startTurn();
   /// @brief Continues what is neither held back nor out of data.
   void applyPauses();
 
@@ -68,6 +75,7 @@
   bool wholeLengthKnown() const;
   bool hasEndlessFraming() const;
 
+  TurnOverCall OnTurnOver;
   curl_slist *Lines = nullptr;
   ResponseHead Head;
   bool HeadDone = false;
@@ -78,6 +86,9 @@
   /// Body with the framing of its chunks.
   std::uint64_t ReceivedBytes = 0;
   std::uint64_t BodyBytes = 0;
+  std::size_t TurnParts = 0;
+  std::size_t TurnBytes = 0;
+  bool TurnOver = false;
 };
 
 } // namespace filbertvane::io
--- a/lib/io/HttpClient.cpp
+++ b/lib/io/HttpClient.cpp
@@ -3,6 +3,7 @@
 #include "SilentPeers.h"
 #include <ev.h>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace filbertvane::io {
@@ -48,6 +49,7 @@
   void settle();
   void startQueued();
   void wakeQueued();
+  void startNextTurn();
   void removeCancelled();
   bool endOne();
   void begin(CurlTransfer &Transfer);
@@ -60,6 +62,8 @@
   CURLM *Multi;
   Timer CurlTimer;
   Timer Soon;
+  /// Fires after the other events of the loop had their turn.
+  Timer NextTurn;
   bool SoonArmed = false;
   /// libcurl forbids most calls while it runs one of its callbacks.
   bool InCurl = false;
@@ -69,6 +73,7 @@
   std::unordered_map<CurlTransfer *, std::shared_ptr<CurlTransfer>> Transfers;
   std::vector<std::shared_ptr<CurlTransfer>> Queued;
   std::vector<std::shared_ptr<CurlTransfer>> Woken;
+  std::vector<std::shared_ptr<CurlTransfer>> HeldBackTransfers;
   std::vector<std::shared_ptr<CurlTransfer>> Cancelled;
 
   class Fetch;
@@ -159,7 +164,8 @@
       CurlTimer(Loop, [this] { expire(); }), Soon(Loop, [this] {
         SoonArmed = false;
         settle();
-      }) {
+      }),
+      NextTurn(Loop, [this] { startNextTurn(); }) {
   curl_multi_setopt(Multi, CURLMOPT_SOCKETFUNCTION, onSocket);
   curl_multi_setopt(Multi, CURLMOPT_SOCKETDATA, this);
   curl_multi_setopt(Multi, CURLMOPT_TIMERFUNCTION, onTimer);
@@ -193,8 +199,11 @@
 
 std::unique_ptr<ClientRequest> CurlClient::send(Request What,
                                                 ClientHandler &Handler) {
-  auto Transfer =
-      std::make_shared<CurlTransfer>(takeHandle(), std::move(What), Handler);
+  auto Transfer = std::make_shared<CurlTransfer>(
+      takeHandle(), std::move(What), Handler, [this](CurlTransfer &HeldBack) {
+        HeldBackTransfers.push_back(Transfers.at(&HeldBack));
+        NextTurn.arm(Loop.now().Mono);
+      });
   Transfers.emplace(Transfer.get(), Transfer);
   Queued.push_back(Transfer);
   soon();
@@ -280,6 +289,14 @@
   }
 }
 
+void CurlClient::startNextTurn() {
+  for (const auto &Transfer : std::exchange(HeldBackTransfers, {})) {
+    Transfer->startTurn();
+    Woken.push_back(Transfer);
+  }
+  settle();
+}
+
 void CurlClient::removeCancelled() {
   const auto Removing = std::exchange(Cancelled, {});
   for (const auto &Transfer : Removing)
--- a/tests/io/EndlessAnswerTest.cpp
+++ b/tests/io/EndlessAnswerTest.cpp
@@ -147,3 +147,41 @@
   cr_expect(*Recorder.End == io::ClientEnd::Complete);
   cr_expect(Recorder.Body == std::string(Chunks, 'x'));
 }
+
+// Guards against an answer in many small parts that holds up the requests of
+// other callers.
+Test(endless_answer, a_body_in_small_parts_leaves_others_their_turn) {
+  constexpr std::size_t MaxPartsInTurn = 100;
+  BoundedLoop Bounded;
+  std::string Block;
+  while (Block.size() < LargeBlock)
+    Block += "1\r\nx\r\n";
+  RawConnection *Open = nullptr;
+  RawServer Server(Bounded.Loop, [&](RawConnection &Connection) {
+    if (Open == nullptr && !Connection.Ended) {
+      Open = &Connection;
+      Connection.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    }
+  });
+  // Stands for the other events of the loop.
+  std::size_t Parts = 0;
+  std::size_t MostParts = 0;
+  io::Timer Others(Bounded.Loop, [&] {
+    MostParts = std::max(MostParts, std::exchange(Parts, 0));
+    if (Open != nullptr)
+      Open->send(Block);
+    Others.arm(Bounded.Loop.now().Mono);
+  });
+  Others.arm(Bounded.Loop.now().Mono);
+  const auto Client = io::HttpClient::create(Bounded.Loop, {});
+  ClientRecorder Recorder;
+  Recorder.OnPart = [&](std::string_view) { ++Parts; };
+  Recorder.OnOver = [&] { Bounded.stop(); };
+  auto What = requestTo(Bounded.Loop, urlOf(Server.Port));
+  What.Deadline = Bounded.Loop.now().Mono + core::Milliseconds(500);
+  const auto Request = Client->send(std::move(What), Recorder);
+  Bounded.run();
+  cr_expect(Recorder.Body.size() > LargeBlock / 6, "%zu bytes",
+            Recorder.Body.size());
+  cr_expect(MostParts <= MaxPartsInTurn, "%zu parts", MostParts);
+}
