Bound the memory of all answers that a node holds

Callers saw: many calls to instances that send bodies without end take more memory than a small host has, though each of them is bounded.

Cause: each call holds up to 1 MB of its answer for a retry, and queues that much to its caller afterwards; the number of calls was the only bound on the sum.

Evidence: one entry node, 16 faulty instances with 18 slots, 300 calls a second whose callers read nothing: 275 MB of resident memory (limit 260).

Change: above 64 MB in all, an answer is passed on from 64 KB on instead of 1 MB, and its source is held back at 32 KB queued instead of 256 KB.

--- a/lib/io/proxy/ProxyAttempt.cpp
+++ b/lib/io/proxy/ProxyAttempt.cpp
@@ -88,7 +88,8 @@
 /// An answer that outgrows the bound is passed on from its first byte.
 void Attempt::hold(std::string_view Part) {
   HeldBody.append(Part);
-  if (HeldBody.size() <= HeldAnswerBytes)
+  Of.AnswerBytes.raiseTo(HeldBody.size());
+  if (HeldBody.size() <= Of.AnswerBytes.maxHeld())
     return;
   const ResponseHead Head = std::move(*HeldHead);
   HeldHead.reset();
@@ -121,7 +122,7 @@
 void Attempt::onBody(std::string_view Part) {
   BodyBytes += Part.size();
   // A refusal counts only when it is whole; one without end never is.
-  if (Marked && BodyBytes > HeldAnswerBytes)
+  if (Marked && BodyBytes > HeldBytes::MaxHeld)
     return end(request::AttemptEnd::NoAnswer);
   if (Marked)
     return;
@@ -132,7 +133,8 @@
   if (Of.Exchange == nullptr)
     return;
   const std::size_t Queued = Of.Exchange->write(Part);
-  if (Queued > QueueBoundBytes)
+  Of.AnswerBytes.raiseTo(Queued);
+  if (Queued > Of.AnswerBytes.maxQueued())
     Request->pauseAnswer(true);
 }
 
--- a/lib/io/proxy/ProxyCall.h
+++ b/lib/io/proxy/ProxyCall.h
@@ -1,6 +1,7 @@
 #ifndef FILBERTVANE_LIB_IO_PROXY_PROXYCALL_H
 #define FILBERTVANE_LIB_IO_PROXY_PROXYCALL_H
 
+#include "HeldBytes.h"
 #include "ProxyHeaders.h"
 #include "filbertvane/io/ProxyEngine.h"
 
@@ -15,10 +16,7 @@
 inline constexpr std::size_t KeptBodyBytes = std::size_t{64} * 1024;
 /// Largest answer handed on as stored result.
 inline constexpr std::size_t StoredAnswerBytes = std::size_t{64} * 1024;
-/// Largest answer that is held for `DeliverAnswer`; larger ones are passed on
-/// as they arrive. A larger refusal counts as no answer.
-inline constexpr std::size_t HeldAnswerBytes = std::size_t{1024} * 1024;
-/// Queued bytes above which the source of a body is held back.
+/// Queued bytes above which the source of a request's body is held back.
 inline constexpr std::size_t QueueBoundBytes = std::size_t{256} * 1024;
 
 class Engine;
@@ -26,7 +24,8 @@
 
 /// @brief One request in progress, from its head to the end of its answer.
 struct Call {
-  Call(core::CallId Id, ServerExchange &Exchange, bool FromNode);
+  Call(core::CallId Id, ServerExchange &Exchange, bool FromNode,
+       HeldBytes &AllAnswers);
   ~Call();
 
   core::CallId Id;
@@ -48,6 +47,7 @@
   std::optional<request::HopTerms> Terms;
   /// Whole answer that waits for `DeliverAnswer`.
   std::optional<StoredAnswer> Held;
+  HeldBytes::Share AnswerBytes;
 
   std::string Kept;
   bool BodyWhole = false;
--- a/lib/io/proxy/ProxyEngine.cpp
+++ b/lib/io/proxy/ProxyEngine.cpp
@@ -59,9 +59,10 @@
 
 } // namespace
 
-Call::Call(core::CallId Id, ServerExchange &Exchange, bool FromNode)
-    : Id(Id), Exchange(&Exchange), FromNode(FromNode),
-      Head(Exchange.request()) {}
+Call::Call(core::CallId Id, ServerExchange &Exchange, bool FromNode,
+           HeldBytes &AllAnswers)
+    : Id(Id), Exchange(&Exchange), FromNode(FromNode), Head(Exchange.request()),
+      AnswerBytes(AllAnswers) {}
 
 Call::~Call() = default;
 
@@ -111,7 +112,7 @@
     return refuseHead(Exchange, 403, Reason);
   }
   const core::CallId Id(++NextCall);
-  auto New = std::make_unique<Call>(Id, Exchange, FromNode);
+  auto New = std::make_unique<Call>(Id, Exchange, FromNode, AllAnswers);
   New->RequestId = Settings.Dialect
                        ? fmt::format("{:x}-{}", Ids.next() >> 32, Id.value())
                        : fmt::format("{}-{:x}-{}", Settings.Self.value(),
--- a/lib/io/proxy/ProxyEngineImpl.h
+++ b/lib/io/proxy/ProxyEngineImpl.h
@@ -72,6 +72,8 @@
   Callbacks Others;
   core::Random Ids;
   std::uint64_t NextCall = 0;
+  /// Outlives the calls, which give their shares back.
+  HeldBytes AllAnswers;
   std::unordered_map<core::CallId, std::unique_ptr<Call>> Calls;
   BulkSender Bulk;
   std::unique_ptr<HttpServer> Callers;
