--- a/include/filbertvane/io/HttpClient.h
+++ b/include/filbertvane/io/HttpClient.h
@@ -69,6 +69,8 @@
     bool DetectSilence = false;
     /// An answer without a length is whole when its connection ends in order.
     bool AcceptUnframed = false;
+    /// Largest answer that `fetch` collects; a larger one counts as failed.
+    std::size_t MaxAnswerBytes = std::size_t{16} * 1024 * 1024;
   };
 
   struct Options {
--- a/lib/io/HttpClient.cpp
+++ b/lib/io/HttpClient.cpp
@@ -130,6 +130,7 @@
 
   void begin(Request What, std::string_view Body) {
     What.ContentLength = Body.size();
+    MaxBytes = What.MaxAnswerBytes;
     Sent = Client.send(std::move(What), *this);
     if (!Body.empty())
       Sent->writeBody(Body);
@@ -138,7 +139,7 @@
   void onHead(const ResponseHead &Head) override { Status = Head.Status; }
   void onBody(std::string_view Part) override {
     Answer.append(Part);
-    if (Answer.size() > MaxAnswerBytes)
+    if (Answer.size() > MaxBytes)
       onEnd(ClientEnd::Failed);
   }
   void onSendable() override {}
@@ -149,12 +150,10 @@
   }
 
 private:
-  /// Answers of the platform log are the largest: records of one read.
-  static constexpr std::size_t MaxAnswerBytes = std::size_t{16} * 1024 * 1024;
-
   CurlClient &Client;
   Done OnDone;
   std::unique_ptr<ClientRequest> Sent;
+  std::size_t MaxBytes = 0;
   int Status = 0;
   std::string Answer;
 };
--- a/lib/io/mesh/MeshProcess.cpp
+++ b/lib/io/mesh/MeshProcess.cpp
@@ -27,6 +27,7 @@
 constexpr core::Seconds IdleReserve{2};
 /// Time for the records of another node; they are at most some 100 KB.
 constexpr core::Milliseconds FetchTime{1000};
+constexpr std::size_t MaxFetchBytes = std::size_t{4} * 1024 * 1024;
 
 /// Differs between two processes of a host, also when the time of day jumps.
 core::Incarnation startNumber(const core::Instant &Now) {
@@ -272,6 +273,7 @@
   Ask.Url =
       fmt::format("http://{}:{}/records", What.PeerAddress, Place.InternalPort);
   Ask.Deadline = Loop.now().Mono + FetchTime;
+  Ask.MaxAnswerBytes = MaxFetchBytes;
   Http.fetch(std::move(Ask), "",
              [this, From = What.PeerAddress](ClientEnd End, int Status,
                                              const std::string &Body) {
--- a/tests/platform/StoreFormatTest.cpp
+++ b/tests/platform/StoreFormatTest.cpp
@@ -1,5 +1,10 @@
 #include "platform/StoreFormat.h"
+#include "../io/HttpFixture.h"
+#include "../io/RawPeer.h"
+#include "../io/ResidentMemory.h"
+#include "platform/Store.h"
 #include <criterion/criterion.h>
+#include <fmt/format.h>
 #include <rapidcheck.h>
 
 using namespace filbertvane;
@@ -74,3 +79,47 @@
     platform::parseRead(offsets(1) + Bytes, core::LogOffset(0));
   }));
 }
+
+// Guards against an answer of the store that takes many times its size in
+// memory.
+Test(platform_store, a_deeply_nested_page_is_refused) {
+  constexpr std::size_t Depth = std::size_t{4} * 1024 * 1024;
+  constexpr std::size_t MemoryBound = std::size_t{128} * 1024 * 1024;
+  const std::string Page = R"({"end":1,"items":)" + std::string(Depth, '[');
+  const std::size_t Before = test::peakResidentBytes();
+  cr_expect(!core::ok(platform::parseNewest(Page)));
+  const std::size_t Taken = test::peakResidentBytes() - Before;
+  cr_expect(Taken <= MemoryBound, "%zu bytes of memory", Taken);
+}
+
+// Guards against a store that always tells of a further page: the pages are
+// kept until the last one.
+Test(platform_store, pages_without_end_are_given_up) {
+  constexpr std::size_t MostPages = 64;
+  test::BoundedLoop Bounded;
+  std::size_t Pages = 0;
+  test::RawServer Server(Bounded.Loop, [&](test::RawConnection &Connection) {
+    if (Connection.Ended || !Connection.Received.ends_with("\r\n\r\n"))
+      return;
+    Connection.Received.clear();
+    const std::string Page = fmt::format(
+        R"({{"items":[{{"key":"k{}","value":"","offset":1}}],"end":9,"more":true}})",
+        ++Pages);
+    Connection.send(fmt::format(
+        "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{}", Page.size(), Page));
+    if (Pages > MostPages)
+      Bounded.stop();
+  });
+  const auto Client = io::HttpClient::create(Bounded.Loop, {});
+  platform::Store Store(
+      Bounded.Loop, *Client,
+      platform::StoreTerms{fmt::format("127.0.0.1:{}", Server.Port)});
+  std::optional<ErrorCode> Fault;
+  Store.readHosts([&](const auto &Read) {
+    if (!core::ok(Read))
+      Fault = core::failure(Read).Code;
+    Bounded.stop();
+  });
+  Bounded.run();
+  cr_expect(Fault == ErrorCode::StoreMalformed, "%zu pages", Pages);
+}
