Count the crash of a target that falls silent

Callers saw: where a request makes its targets fall silent instead of closing their connections, it goes on reaching targets for as long as it is sent (BUDGET), and each of them is lost for seconds.

Cause: a crash was seen by a refused connection only. A target whose connections stay open ends its requests by their deadlines, which says nothing, and its next process made the former one forgotten.

Change: a node keeps the requests that its target lost since its last sign of life. When another process takes the target's place without a departure, or after 3 s without an announcement or an answer, they are suspects of one crash, as those of a refused connection are. Requests that were sent after the usual time of the first lost one are not: a target that lived would have answered by then. A pause of the node itself, a slow target that announces itself, and one that leaves are no crashes.

--- a/include/filbertvane/decision/mesh/Limits.h
+++ b/include/filbertvane/decision/mesh/Limits.h
@@ -51,6 +51,11 @@
 /// Time without an announcement or an answer after which the target is down.
 /// Announcements arrive about every 1.5 s and may be seconds late.
 inline constexpr core::Milliseconds TargetSilenceTimeout{6000};
+/// Time without an announcement or an answer after which the requests that were
+/// lost at the target are suspects of its crash: two announcements are missing.
+inline constexpr core::Milliseconds CrashSilenceTimeout{3000};
+/// Pause between two ticks after which the silence of a target says nothing.
+inline constexpr core::Milliseconds MaximumTickGap{1000};
 /// Maximum delay of an announcement. After a target with an unknown process
 /// start left, announcements within this time belong to the departed process.
 inline constexpr core::Milliseconds MaximumAnnouncementDelay{6000};
--- a/include/filbertvane/decision/mesh/State.h
+++ b/include/filbertvane/decision/mesh/State.h
@@ -35,12 +35,24 @@
   std::uint64_t RandomSeed = 0;
 };
 
+/// @brief A request that a target may have been running when it crashed.
+struct UnansweredRequest {
+  CrashSuspects::Identity Request;
+  core::RouteName Route;
+  core::TimePoint SentAt;
+};
+
 /// @brief The target on this host.
 struct LocalTarget {
   TargetAnnounced Announcement;
   TargetState State = TargetState::Ready;
   /// It answered a request of this process.
   bool Answered = false;
+  /// Requests that ended without an answer since its last sign of life; at most
+  /// as many as it has slots.
+  std::vector<UnansweredRequest> Unanswered;
+  /// Its silence was recorded as a crash.
+  bool CrashRecorded = false;
   /// Number of the target process, to attribute the end of a request to the
   /// right one.
   std::uint64_t Generation = 0;
@@ -203,6 +215,9 @@
   /// Last failure of a request from this host to another service.
   core::TimePoint LastCallFailureAt;
 
+  /// Last tick, and time since which the ticks have come without a pause.
+  core::TimePoint LastTickAt;
+  core::TimePoint RunsSince;
   std::uint64_t ReportSequence = 0;
   core::TimePoint NextReportAt;
   core::TimePoint NextRemoteReportAt;
--- a/lib/decision/mesh/ReduceAttempts.cpp
+++ b/lib/decision/mesh/ReduceAttempts.cpp
@@ -124,10 +124,19 @@
   const bool Crashed =
       Ended.TargetCrashed && Ended.End == AttemptEnd::NoAnswer &&
       !(SameProcess && State.Target->State == TargetState::Draining);
-  if (Crashed)
-    recordCrash(Call);
-  else if (Ended.End == AttemptEnd::Held || Ended.End == AttemptEnd::Answered)
+  const bool Answered =
+      Ended.End == AttemptEnd::Held || Ended.End == AttemptEnd::Answered;
+  if (Crashed) {
+    ++Call.Crashes;
+    recordCrash({Call.RequestDigest, Call.Caller}, Call.TargetGeneration,
+                describe(Call));
+  } else if (Answered) {
     State.Suspects.recordAnswer({Call.RequestDigest, Call.Caller});
+  } else if (Ended.End == AttemptEnd::NoAnswer) {
+    recordUnanswered(Call);
+  }
+  if (Answered && SameProcess)
+    recordSignOfLife();
   if (Ended.Statement)
     applyStatement(Call, *Ended.Statement);
   if (SameProcess &&
@@ -326,6 +335,7 @@
     return;
   case CallPhase::AtTarget:
     recordCutOff(Call);
+    recordUnanswered(Call);
     State.Runs.end(Call.CallerId);
     if (State.Target && State.Target->Generation == Call.TargetGeneration)
       State.Slots.release(Call.Terms.Route, std::nullopt);
@@ -348,6 +358,7 @@
     request::AttemptEnded Ended;
     Ended.End = AttemptEnd::NoAnswer;
     recordTargetAttempt(Call, Ended, hadAmpleTime(Call));
+    recordUnanswered(Call);
     Call.TargetGeneration = 0;
   }
   abandon(Call);
--- a/lib/decision/mesh/ReduceSuspects.cpp
+++ b/lib/decision/mesh/ReduceSuspects.cpp
@@ -1,6 +1,8 @@
 #include "Reduction.h"
 #include "filbertvane/core/Digest.h"
+#include <algorithm>
 #include <fmt/format.h>
+#include <utility>
 
 namespace filbertvane::decision::mesh {
 
@@ -8,21 +10,60 @@
 
 /// Every request that ran at the crash is a suspect. The crashes of one target
 /// process count once.
-void Reduction::recordCrash(MeshCall &Call) {
-  ++Call.Crashes;
+void Reduction::recordCrash(const CrashSuspects::Identity &Request,
+                            std::uint64_t Generation, std::string_view Detail) {
   const core::Digest Crash = core::digestOf(
       fmt::format("{}/{}/{}", State.Settings.Node.value(),
-                  State.Settings.Incarnation.value(), Call.TargetGeneration));
-  const bool Refused =
-      State.Suspects.recordCrash({Call.RequestDigest, Call.Caller}, Crash, Now);
+                  State.Settings.Incarnation.value(), Generation));
+  const bool Refused = State.Suspects.recordCrash(Request, Crash, Now);
   State.HasSuspectsToReport = true;
   log(observe::EventId::MeshTargetCrashed,
-      fmt::format("{} digest={:016x} refused={}", describe(Call),
-                  Call.RequestDigest.value(), Refused));
+      fmt::format("{} digest={:016x} refused={}", Detail,
+                  Request.Request.value(), Refused));
   if (Refused)
     refuseQueuedSuspects();
 }
 
+/// The connections of a target that falls silent stay open. Whether it crashed
+/// shows later; until then the requests that it lost are kept.
+void Reduction::recordUnanswered(const MeshCall &Call) {
+  if (!State.Target || State.Target->Generation != Call.TargetGeneration ||
+      State.Target->Unanswered.size() >= State.Target->Announcement.Slots)
+    return;
+  State.Target->Unanswered.push_back(
+      {{Call.RequestDigest, Call.Caller}, Call.Terms.Route, Call.SentAt});
+}
+
+/// The target process ended without notice: it is silent, or another process
+/// has taken its place. One that leaves ends in order.
+void Reduction::recordSilentCrash(std::string_view Sign) {
+  LocalTarget &Target = *State.Target;
+  if (Target.CrashRecorded || Target.State == TargetState::Draining)
+    return;
+  Target.CrashRecorded = true;
+  for (const auto &[Id, Call] : State.Calls)
+    if (Call.Phase == CallPhase::AtTarget)
+      recordUnanswered(Call);
+  const std::vector<UnansweredRequest> Lost =
+      std::exchange(Target.Unanswered, {});
+  if (Lost.empty())
+    return;
+  // A target that lived on would have answered the first of them within the
+  // usual time; what was sent later did not cause the crash.
+  const core::TimePoint First =
+      std::ranges::min_element(Lost, {}, &UnansweredRequest::SentAt)->SentAt;
+  for (const UnansweredRequest &Each : Lost)
+    if (Each.SentAt <= First + State.Slots.typicalTime(Each.Route))
+      recordCrash(Each.Request, Target.Generation,
+                  fmt::format("target={} sign={}",
+                              Target.Announcement.Id.value(), Sign));
+}
+
+void Reduction::recordSignOfLife() {
+  State.Target->Unanswered.clear();
+  State.Target->CrashRecorded = false;
+}
+
 void Reduction::recordSuspects(const HostReport &Report) {
   bool AnyRefused = false;
   for (const SuspectRequest &Suspect : Report.Suspects) {
--- a/lib/decision/mesh/ReduceTarget.cpp
+++ b/lib/decision/mesh/ReduceTarget.cpp
@@ -41,8 +41,12 @@
       State.Target && State.Target->Announcement.Id == Announcement.Id &&
       State.Target->Announcement.ProcessStart == Announcement.ProcessStart;
   const bool Replaced = !SameProcess;
+  if (Replaced && State.Target)
+    recordSilentCrash("replaced");
   if (Replaced)
     replaceTarget(Announcement);
+  else
+    recordSignOfLife();
   LocalTarget &Target = *State.Target;
   Target.Announcement = Announcement;
   Target.LastAnnouncedAt = Now;
@@ -202,9 +206,16 @@
 
 /// A target that crashed sends neither announcements nor answers.
 void Reduction::checkTargetSilence() {
+  if (Now - State.LastTickAt > MaximumTickGap)
+    State.RunsSince = Now;
+  State.LastTickAt = Now;
   if (!State.Target || State.Target->State != TargetState::Ready)
     return;
   const LocalTarget &Target = *State.Target;
+  const core::TimePoint LastSign =
+      std::max({Target.LastAnnouncedAt, Target.LastAnswerAt, State.RunsSince});
+  if (Now - LastSign > CrashSilenceTimeout)
+    recordSilentCrash("silent");
   if (Now - Target.LastAnnouncedAt > TargetSilenceTimeout &&
       Now - Target.LastAnswerAt > TargetSilenceTimeout)
     setTargetState(TargetState::Down, "silent");
--- a/lib/decision/mesh/Reduction.h
+++ b/lib/decision/mesh/Reduction.h
@@ -85,7 +85,11 @@
   void refuse(MeshCall &Call, core::ErrorCode Reason, bool Reached = false);
   void deliverHeldFailure(MeshCall &Call, core::ErrorCode Reason);
   void endWithUnknownOutcome(MeshCall &Call, core::ErrorCode Reason);
-  void recordCrash(MeshCall &Call);
+  void recordCrash(const CrashSuspects::Identity &Request,
+                   std::uint64_t Generation, std::string_view Detail);
+  void recordUnanswered(const MeshCall &Call);
+  void recordSilentCrash(std::string_view Sign);
+  void recordSignOfLife();
   void recordSuspects(const HostReport &Report);
   void refuseQueuedSuspects();
   void reportSuspects();
--- a/tests/mesh/CrashSuspectsTest.cpp
+++ b/tests/mesh/CrashSuspectsTest.cpp
@@ -134,3 +134,55 @@
       }
     }
 }
+
+// Guards against the same request where its targets fall silent: their
+// connections stay open, and the requests that they ran end at their deadlines.
+Test(crash_suspects, a_request_that_silences_targets_is_stopped) {
+  constexpr std::size_t AllowedRetries = 3;
+  for (const std::int64_t PeriodMs : {200, 700})
+    for (const std::uint64_t Seed : {1, 2, 3}) {
+      FleetModel Fleet = fleet(Seed);
+      Fleet.SilentCrashes = true;
+      std::size_t Count = 0;
+      for (std::int64_t Now = 5000; Now < EndMs; Now += PeriodMs, ++Count) {
+        Fleet.runUntil(Now);
+        Fleet.sendCrashing(Count % Nodes, "page");
+      }
+      cr_assert(Fleet.Crashes.size() >= 3, "%zu", Fleet.Crashes.size());
+      cr_assert(lateRetries(Fleet) <= AllowedRetries,
+                "every %d ms, seed %d: %zu", int(PeriodMs), int(Seed),
+                lateRetries(Fleet));
+      // Requests that were lost beside it are served.
+      Fleet.runUntil(EndMs + 3000);
+      Fleet.Answers.clear();
+      Fleet.runUntil(EndMs + 8000);
+      cr_expect(Fleet.Answers.size() == 1 && Fleet.Answers.contains(200));
+    }
+}
+
+// Guards against suspects of a target that is only slow, that leaves, or whose
+// node did not run.
+Test(crash_suspects, silence_for_another_reason_is_no_crash) {
+  enum class Reason { Slow, Leaves, NodePaused };
+  for (const Reason Why : {Reason::Slow, Reason::Leaves, Reason::NodePaused}) {
+    Bench Node;
+    Node.configure();
+    Node.announce();
+    Node.send(request::Tick{});
+    Node.arriveFromPeer(1);
+    cr_assert(Node.first<StartAttempt>().has_value());
+    if (Why == Reason::Leaves)
+      Node.announce(2, true);
+    if (Why == Reason::NodePaused)
+      Node.Now += milliseconds(8000);
+    for (std::uint64_t Beat = 3; Beat < 8 && Why != Reason::NodePaused;
+         ++Beat) {
+      Node.Now += milliseconds(900);
+      Node.send(request::Tick{});
+      if (Why == Reason::Slow)
+        Node.announce(Beat);
+    }
+    Node.send(request::Tick{});
+    cr_assert(Node.State.Suspects.reports(Node.Now).empty(), "%d", int(Why));
+  }
+}
--- a/tests/mesh/FleetModel.cpp
+++ b/tests/mesh/FleetModel.cpp
@@ -94,6 +94,12 @@
   });
   if (!Host.State)
     return;
+  if (SilentCrashes) {
+    std::erase_if(Host.Active, [&Host](const auto &Entry) {
+      return Host.State->Calls.at(Entry.first).Phase == CallPhase::AtTarget;
+    });
+    return;
+  }
   std::vector<AttemptEnded> Lost;
   for (const auto &[Call, Attempt] : Host.Active)
     if (Host.State->Calls.at(Call).Phase == CallPhase::AtTarget) {
@@ -235,6 +241,9 @@
     RepeatedRuns.insert(Id);
   Arrivals.push_back({Now, Host.Service, Id, Host.Origins.at(Start.Id).Entry,
                       Index, Host.Version, Repeat});
+  // A target that crashed in silence still takes connections, as it seems.
+  if (Host.TargetDown)
+    return;
   if (Host.Origins.at(Start.Id).Digest == CrashingRequest)
     return after(CrashTime, [this, Index, Id] { crashTarget(Index, Id); });
   const TargetModel &Model = Targets.at(Host.Service);
--- a/tests/mesh/FleetModel.h
+++ b/tests/mesh/FleetModel.h
@@ -85,6 +85,8 @@
   core::TimePoint now() const { return Now; }
   std::size_t size() const { return Nodes.size(); }
 
+  /// Targets that crash fall silent instead of closing their connections.
+  bool SilentCrashes = false;
   /// Nodes are spread over so many data centres; set before they are added.
   std::size_t DataCentres = 1;
   std::map<std::string, TargetModel> Targets;
