Count a crash although announcements were missing before it

Callers saw: nothing; found when the change was read again. A target whose announcements came late for 3 s while it ran nothing was marked as crashed, and the request that crashed it afterwards was no suspect.

Cause: the mark that keeps one crash from counting twice was set also where no request was lost.

Evidence: silence_before_a_request_hides_no_crash fails without the change.

Change: the mark is set with the first suspect.

Measured: the tests of crash_suspects pass.

--- a/lib/decision/mesh/ReduceSuspects.cpp
+++ b/lib/decision/mesh/ReduceSuspects.cpp
@@ -40,7 +40,6 @@
   LocalTarget &Target = *State.Target;
   if (Target.CrashRecorded || Target.State == TargetState::Draining)
     return;
-  Target.CrashRecorded = true;
   for (const auto &[Id, Call] : State.Calls)
     if (Call.Phase == CallPhase::AtTarget)
       recordUnanswered(Call);
@@ -48,6 +47,7 @@
       std::exchange(Target.Unanswered, {});
   if (Lost.empty())
     return;
+  Target.CrashRecorded = true;
   // A target that lived on would have answered the first of them within the
   // usual time; what was sent later did not cause the crash.
   const core::TimePoint First =
--- a/tests/mesh/CrashSuspectsTest.cpp
+++ b/tests/mesh/CrashSuspectsTest.cpp
@@ -160,6 +160,22 @@
     }
 }
 
+// Guards against a crash that is not counted since announcements were missing
+// before the request that caused it.
+Test(crash_suspects, silence_before_a_request_hides_no_crash) {
+  Bench Node;
+  Node.configure();
+  Node.announce();
+  for (int Tick = 0; Tick < 5; ++Tick) {
+    Node.Now += milliseconds(900);
+    Node.send(request::Tick{});
+  }
+  Node.arriveFromPeer(1);
+  cr_assert(Node.first<StartAttempt>().has_value());
+  Node.announce(1, false, 2000);
+  cr_assert(Node.State.Suspects.reports(Node.Now).size() == 1);
+}
+
 // Guards against suspects of a target that is only slow, that leaves, or whose
 // node did not run.
 Test(crash_suspects, silence_for_another_reason_is_no_crash) {
