--- a/lib/decision/mesh/ReduceTarget.cpp
+++ b/lib/decision/mesh/ReduceTarget.cpp
@@ -108,7 +108,7 @@
     return false;
   State.Departed = Target;
   State.DepartedAt = Now;
-  log(observe::EventId::MeshDepartureLearned,
+  log(observe::EventId::MeshDepartureAdopted,
       fmt::format("target={} born={}", Target.Id.value(), Target.ProcessStart));
   if (State.Target && hasDeparted(State.Target->Announcement))
     setTargetState(TargetState::Draining, "known_to_leave");
--- a/lib/io/CurlTransfer.cpp
+++ b/lib/io/CurlTransfer.cpp
@@ -27,9 +27,9 @@
 /// and a multiple of the body that covers chunks of one byte.
 constexpr std::uint64_t MaxFramingBytes = std::uint64_t{64} * 1024;
 constexpr std::uint64_t MaxFramingPerBodyByte = 8;
-/// Parts and bytes of a body that are taken before other transfers have their
+/// Writes and bytes of a body that are taken before other transfers have their
 /// turn.
-constexpr std::size_t MaxPartsPerTurn = 64;
+constexpr std::size_t MaxWritesPerTurn = 64;
 constexpr std::size_t MaxBytesPerTurn = std::size_t{256} * 1024;
 
 /// Whether a text can stand in a request line or header without changing the
@@ -250,7 +250,7 @@
   const std::size_t Bytes = Size * Count;
   if (Transfer.Handler == nullptr)
     return 0;
-  if (!Transfer.TurnOver && (Transfer.TurnParts >= MaxPartsPerTurn ||
+  if (!Transfer.TurnOver && (Transfer.TurnWrites >= MaxWritesPerTurn ||
                              Transfer.TurnBytes >= MaxBytesPerTurn)) {
     Transfer.TurnOver = true;
     Transfer.OnTurnOver(Transfer);
@@ -259,7 +259,7 @@
     Transfer.ReceiveIdle = true;
     return CURL_WRITEFUNC_PAUSE;
   }
-  ++Transfer.TurnParts;
+  ++Transfer.TurnWrites;
   Transfer.TurnBytes += Bytes;
   Transfer.BodyBytes += Bytes;
   Transfer.Handler->onBody({Data, Bytes});
@@ -305,7 +305,7 @@
 }
 
 void CurlTransfer::startTurn() {
-  TurnParts = 0;
+  TurnWrites = 0;
   TurnBytes = 0;
   TurnOver = false;
 }
--- a/lib/io/CurlTransfer.h
+++ b/lib/io/CurlTransfer.h
@@ -86,7 +86,7 @@
   /// Body with the framing of its chunks.
   std::uint64_t ReceivedBytes = 0;
   std::uint64_t BodyBytes = 0;
-  std::size_t TurnParts = 0;
+  std::size_t TurnWrites = 0;
   std::size_t TurnBytes = 0;
   bool TurnOver = false;
 };
--- a/lib/io/HttpClient.cpp
+++ b/lib/io/HttpClient.cpp
@@ -122,10 +122,10 @@
   Fetch(CurlClient &Client, Done OnDone)
       : Client(Client), OnDone(std::move(OnDone)) {}
 
-  void begin(Request What, std::string_view Body) {
-    What.ContentLength = Body.size();
-    MaxBytes = What.MaxAnswerBytes;
-    Sent = Client.send(std::move(What), *this);
+  void begin(Request Outgoing, std::string_view Body) {
+    Outgoing.ContentLength = Body.size();
+    MaxBytes = Outgoing.MaxAnswerBytes;
+    Sent = Client.send(std::move(Outgoing), *this);
     if (!Body.empty())
       Sent->writeBody(Body);
     Sent->finishBody();
