--- a/tests/platform/StoreFormatTest.cpp
+++ b/tests/platform/StoreFormatTest.cpp
@@ -90,6 +90,11 @@
   cr_expect(!core::ok(platform::parseNewest(Page)));
   const std::size_t Taken = test::peakResidentBytes() - Before;
   cr_expect(Taken <= MemoryBound, "%zu bytes of memory", Taken);
+  // Brackets in a text are no levels.
+  const std::string Text =
+      R"({"end":1,"items":[{"key":"\"[[[[[[[[[[[[[[[[[[[[",)"
+      R"("value":"","offset":0}],"more":false})";
+  cr_expect(core::ok(platform::parseNewest(Text)));
 }
 
 // Guards against a store that always tells of a further page: the pages are
