Give the hosts of the platform's stand-in a net of their own on request

Two fleets on one machine used the same loopback addresses. A fourth argument of platform_hosts.py sets the first half of the addresses; without it they stay as they were.

--- a/scripts/platform_hosts.py
+++ b/scripts/platform_hosts.py
@@ -2,8 +2,9 @@
 """Writes settings files of nodes on the platform's stand-in, one host an
 address of 127.0.0.0/8, and a configuration for them.
 
-usage: platform_hosts.py FOLDER HOSTS STORE[,STORE...]
-Hosts take the addresses of the store in turn.
+usage: platform_hosts.py FOLDER HOSTS STORE[,STORE...] [NET]
+Hosts take the addresses of the store in turn; NET is the first half of their own
+addresses (127.0 unless given).
 """
 import json
 import pathlib
@@ -13,8 +14,8 @@
 ZONES = {"a1": "r1", "a2": "r1", "b1": "r2", "b2": "r2", "c1": "r3", "c2": "r3"}
 
 
-def settings(number, store):
-    ip = f"127.0.{1 + number // 200}.{1 + number % 200}"
+def settings(number, store, net):
+    ip = f"{net}.{1 + number // 200}.{1 + number % 200}"
     zone = list(ZONES)[number // len(SERVICES) % len(ZONES)]
     return "\n".join([
         f"node_id=side-{zone}-{number}", f"zone={zone}", f"region={ZONES[zone]}", f"ip={ip}",
@@ -44,9 +45,11 @@
 
 def main():
     folder, hosts, stores = pathlib.Path(sys.argv[1]), int(sys.argv[2]), sys.argv[3].split(",")
+    net = sys.argv[4] if len(sys.argv) > 4 else "127.0"
     folder.mkdir(parents=True, exist_ok=True)
     for number in range(hosts):
-        (folder / f"host-{number}.conf").write_text(settings(number, stores[number % len(stores)]))
+        store = stores[number % len(stores)]
+        (folder / f"host-{number}.conf").write_text(settings(number, store, net))
     (folder / "config.json").write_text(json.dumps(configuration()))
 
 
