--- a/scripts/faulty_targets.py
+++ b/scripts/faulty_targets.py
@@ -119,9 +119,9 @@
                              f"Content-Length: {len(text)}\r\n\r\n{text}".encode())
                 await asyncio.wait_for(read_message(reader), 1)
                 writer.close()
+                await asyncio.sleep(1)
             except (OSError, EOFError, asyncio.TimeoutError):
-                pass
-            await asyncio.sleep(1)
+                await asyncio.sleep(0.1)
 
     async def serve(self, name, reader, writer):
         lock, earlier = asyncio.Lock(), []
