Excuse a failure by calls of the same request only

Callers saw: a version that fails half of its requests could get all requests of its service and be completed, while its hosts refused requests for another service.

Cause: a failed answer of a target was not counted when any request from its host to another service had failed since it was sent, also a client's request that was refused. At load, some request is refused at each host all the time: hardly a fault of the new version was counted, and its successes sufficed for the next step.

Change: a run remembers whether one of its own calls failed, also one that is refused on arrival or that is answered in part.

Why it works: an instance fails a run for a failed call only if that call is the run's own; the id of a call names the run.

--- a/include/filbertvane/decision/mesh/LocalRuns.h
+++ b/include/filbertvane/decision/mesh/LocalRuns.h
@@ -27,6 +27,11 @@
   /// @return whether a repeated run of the target makes the call
   bool recordCall(const std::string &ParentId, const core::ServiceName &Callee);
 
+  /// @brief Notes that a call of a run failed: an answer with a failure of that
+  ///        run is no fault of the target.
+  void recordCallFailure(const std::string &ParentId);
+  bool hasFailedCall(const std::string &RequestId) const;
+
   /// @brief Mean number of calls that a run of the route makes, by service.
   CallsByService callsPerRun(const core::RouteName &Route) const;
   /// @brief Repeated requests that run now.
@@ -36,6 +41,7 @@
   struct Run {
     core::RouteName Route;
     bool Repeated = false;
+    bool CallFailed = false;
   };
   /// Decaying counts.
   struct RouteCounts {
--- a/include/filbertvane/decision/mesh/State.h
+++ b/include/filbertvane/decision/mesh/State.h
@@ -87,6 +87,8 @@
   /// Node that sent the request; empty when a caller sent it.
   core::NodeId Sender;
   std::string CallerId;
+  /// Request whose run makes this call; empty when a client sent it.
+  std::string ParentId;
   core::ServiceName Caller;
   /// Method, host, path and body.
   core::Digest RequestDigest;
@@ -212,8 +214,6 @@
   /// Time at which the link has sent the large answers that were queued at the
   /// last arrival of a request.
   core::TimePoint LinkFreeAt;
-  /// Last failure of a request from this host to another service.
-  core::TimePoint LastCallFailureAt;
 
   /// Last tick, and time since which the ticks have come without a pause.
   core::TimePoint LastTickAt;
--- a/lib/decision/mesh/LocalRuns.cpp
+++ b/lib/decision/mesh/LocalRuns.cpp
@@ -18,7 +18,7 @@
                       const core::RouteName &Route, bool Repeated) {
   if (RequestId.empty())
     return;
-  Running.insert_or_assign(RequestId, Run{Route, Repeated});
+  Running.insert_or_assign(RequestId, Run{Route, Repeated, false});
   if (Counts.size() >= MaximumRoutes && !Counts.contains(Route))
     Counts.clear();
   RouteCounts &Count = Counts[Route];
@@ -41,6 +41,17 @@
   return Parent->second.Repeated;
 }
 
+void LocalRuns::recordCallFailure(const std::string &ParentId) {
+  const auto Parent = Running.find(ParentId);
+  if (Parent != Running.end())
+    Parent->second.CallFailed = true;
+}
+
+bool LocalRuns::hasFailedCall(const std::string &RequestId) const {
+  const auto Found = Running.find(RequestId);
+  return Found != Running.end() && Found->second.CallFailed;
+}
+
 LocalRuns::CallsByService
 LocalRuns::callsPerRun(const core::RouteName &Route) const {
   const auto Found = Counts.find(Route);
--- a/lib/decision/mesh/ReduceArrival.cpp
+++ b/lib/decision/mesh/ReduceArrival.cpp
@@ -54,12 +54,14 @@
         refusal(Arrival.Id, ErrorCode::RequestTooManyCalls, "");
     TooManyCalls.RetryAfter = MaximumRetryAfter;
     Produced.emplace_back(std::move(TooManyCalls));
+    State.Runs.recordCallFailure(Arrival.ParentId);
     return;
   }
   if (Arrival.FromNode)
-    acceptFromPeer(Arrival);
-  else
-    acceptFromCaller(Arrival);
+    return acceptFromPeer(Arrival);
+  acceptFromCaller(Arrival);
+  if (find(Arrival.Id) == nullptr)
+    State.Runs.recordCallFailure(Arrival.ParentId);
 }
 
 void Reduction::acceptFromPeer(const request::CallArrived &Arrival) {
@@ -141,6 +143,7 @@
   Call.CallerId = Arrival.CallerId;
   Call.Caller = State.Settings.Service;
   Call.RequestDigest = digestOf(Arrival);
+  Call.ParentId = Arrival.ParentId;
   Call.Route = Route;
   Call.Service = stateOf(Route->Name).ServiceSplit.next(Route->Services);
   Call.ArrivedAt = Now;
--- a/lib/decision/mesh/ReduceAttempts.cpp
+++ b/lib/decision/mesh/ReduceAttempts.cpp
@@ -105,6 +105,9 @@
 
 void Reduction::finishTargetAttempt(MeshCall &Call,
                                     const request::AttemptEnded &Ended) {
+  // A target whose own call failed answers with a failure as well; the fault is
+  // that of the service it called.
+  const bool CallFailed = State.Runs.hasFailedCall(Call.CallerId);
   State.Runs.end(Call.CallerId);
   const bool Broken = Ended.End == AttemptEnd::NoAnswer ||
                       Ended.End == AttemptEnd::Truncated ||
@@ -113,8 +116,7 @@
       Ended.Status == StatusGatewayTimeout ||
       (Ended.End == AttemptEnd::NoAnswer && Now >= Call.Deadline);
   const bool OutOfTime = CutOff && !hadAmpleTime(Call);
-  const bool Failed =
-      Ended.Status >= FirstServerError && !downstreamCallFailed(Call);
+  const bool Failed = Ended.Status >= FirstServerError && !CallFailed;
   if (CutOff)
     recordCutOff(Call);
   recordTargetAttempt(Call, Ended, (Broken || Failed) && !OutOfTime);
@@ -194,18 +196,6 @@
   return Load;
 }
 
-/// A target whose own call failed answers with a failure as well; the fault is
-/// that of the service it called.
-bool Reduction::downstreamCallFailed(const MeshCall &Call) const {
-  return State.LastCallFailureAt >= Call.SentAt;
-}
-
-void Reduction::recordCallFailure(const MeshCall &Call) {
-  if (!Call.FromPeer && State.Target &&
-      State.Target->Announcement.Service != Call.Service)
-    State.LastCallFailureAt = Now;
-}
-
 /// A passed deadline is no fault of the target if the request arrived with
 /// little time left.
 bool Reduction::hadAmpleTime(const MeshCall &Call) const {
@@ -244,6 +234,8 @@
             ? observe::EventId::MeshRequestAnswered
             : observe::EventId::MeshOutcomeUnknown,
         fmt::format("{} status={} streamed=1", describe(Call), Ended.Status));
+    if (Ended.End == AttemptEnd::Truncated || Ended.Status >= FirstServerError)
+      State.Runs.recordCallFailure(Call.ParentId);
     return erase(Call.Id);
   case AttemptEnd::NotRun:
     // The host knows that the request crashes targets; others may not yet.
@@ -298,7 +290,7 @@
   }
   recordAnswerSize(Call, Ended.AnswerBytes);
   if (Failed)
-    recordCallFailure(Call);
+    State.Runs.recordCallFailure(Call.ParentId);
   logServed(Call, Ended.Status);
   Produced.emplace_back(request::DeliverAnswer{Call.Id, std::nullopt});
   erase(Call.Id);
@@ -370,7 +362,7 @@
 /// The failed answer of the target is more informative than an error of this
 /// node.
 void Reduction::deliverHeldFailure(MeshCall &Call, ErrorCode Reason) {
-  recordCallFailure(Call);
+  State.Runs.recordCallFailure(Call.ParentId);
   log(observe::EventId::MeshRequestAnswered,
       fmt::format("{} failed=1 repeat=FV{}", describe(Call),
                   static_cast<int>(Reason)));
@@ -381,7 +373,7 @@
 void Reduction::refuse(MeshCall &Call, ErrorCode Reason, bool Reached) {
   if (Call.MayHaveRun)
     return endWithUnknownOutcome(Call, Reason);
-  recordCallFailure(Call);
+  State.Runs.recordCallFailure(Call.ParentId);
   request::Refuse Refusal;
   Refusal.Id = Call.Id;
   Refusal.Result = request::Outcome::NotRun;
@@ -403,7 +395,7 @@
 void Reduction::endWithUnknownOutcome(MeshCall &Call, ErrorCode Reason) {
   if (Call.HoldsFailedAnswer)
     return deliverHeldFailure(Call, Reason);
-  recordCallFailure(Call);
+  State.Runs.recordCallFailure(Call.ParentId);
   request::Refuse Refusal;
   Refusal.Id = Call.Id;
   Refusal.Result = request::Outcome::Unknown;
--- a/lib/decision/mesh/Reduction.h
+++ b/lib/decision/mesh/Reduction.h
@@ -75,8 +75,6 @@
   TargetLoad loadFor(const MeshCall &Call) const;
   void recordAnswerSize(const MeshCall &Call, std::uint64_t Bytes);
   bool hadAmpleTime(const MeshCall &Call) const;
-  bool downstreamCallFailed(const MeshCall &Call) const;
-  void recordCallFailure(const MeshCall &Call);
   void logServed(const MeshCall &Call, int Status);
   bool tryTakeRetry(MeshCall &Call);
   void logRetry(const MeshCall &Call, std::string_view Cause);
--- a/tests/mesh/ExposureTest.cpp
+++ b/tests/mesh/ExposureTest.cpp
@@ -18,14 +18,69 @@
   /// Factor by which the first target of the old version is slow meanwhile.
   double OldTargetFactor = 1;
   std::string OverloadedVersion;
+  /// Arrivals a second above which a target of that version fails.
+  std::size_t FailsAbovePerSecond = 12;
+  /// Requests a second that each node refuses, since they are for another
+  /// service, which has no targets.
+  double RefusedPerSecond = 0;
   std::size_t DataCentres = 1;
   /// Nodes that end one second before and start again.
   std::size_t Restarted = 0;
+  /// Share of the answers of all versions that are lost.
+  double LossProbability = 0.02;
 };
 
-/// Requests that the version got in the time of its move, beyond what is
-/// allowed; 0 or less when it stays within it.
-double exposureExcess(std::uint64_t Seed, const Fleet &Terms) {
+/// Bad answers after which the time of a roll-back begins, and that time.
+constexpr std::size_t BadAnswersBeforeRollback = 50;
+constexpr milliseconds RollbackTime{5000};
+/// Time for which a request that was sent earlier may wait.
+constexpr milliseconds LongestWait{1000};
+
+struct Exposure {
+  /// Requests that the version got in the time of its move, beyond what is
+  /// allowed; 0 or less when it stays within it.
+  double Excess = 0;
+  /// Requests that it got when it should have been rolled back.
+  std::size_t AfterRollback = 0;
+  /// Arrivals at it of requests that it had got before.
+  std::size_t Repeats = 0;
+  /// The version was completed in time.
+  bool Completed = false;
+};
+
+Exposure measure(const FleetModel &Model) {
+  const core::TimePoint Begin = at(103000);
+  const core::TimePoint End = Begin + MoveTime;
+  std::vector<core::TimePoint> BadAnswers = Model.BadAnswers;
+  std::ranges::sort(BadAnswers);
+  const core::TimePoint RolledBackBy =
+      BadAnswers.size() < BadAnswersBeforeRollback
+          ? core::TimePoint::max()
+          : BadAnswers[BadAnswersBeforeRollback - 1] + RollbackTime +
+                LongestWait;
+  double All = 0;
+  double New = 0;
+  Exposure Result;
+  std::set<std::string> SeenByNew;
+  for (const FleetModel::Arrival &Arrival : Model.Arrivals) {
+    if (Arrival.Service != "shop" || Arrival.At < Begin || Arrival.At > End)
+      continue;
+    const bool IsNew = Arrival.Version == "v2";
+    All += 1;
+    New += IsNew ? 1 : 0;
+    Result.Repeats +=
+        IsNew && !SeenByNew.insert(Arrival.RequestId).second ? 1 : 0;
+    Result.AfterRollback += IsNew && Arrival.At > RolledBackBy ? 1 : 0;
+  }
+  Result.Excess = New - AllowedShare * All - AllowedSlack;
+  const auto Ended = Model.MoveEnds.find("shop");
+  Result.Completed = Ended != Model.MoveEnds.end() &&
+                     Ended->second.first == MovePhase::Completed &&
+                     Ended->second.second <= End;
+  return Result;
+}
+
+Exposure playMove(std::uint64_t Seed, const Fleet &Terms) {
   FleetModel Model(Seed, {0.2, 60, milliseconds(10000)});
   TargetModel &Shop = Model.Targets["shop"];
   Shop.Slots = 16;
@@ -33,10 +88,12 @@
   Shop.SlowVersion = "v2";
   Shop.SlowShare = Terms.SlowShare;
   Shop.OverloadedVersion = Terms.OverloadedVersion;
-  Shop.FailsAbovePerSecond = 12;
+  Shop.FailsAbovePerSecond = Terms.FailsAbovePerSecond;
+  if (Terms.RefusedPerSecond > 0)
+    Model.Targets["search"] = {};
   Model.DataCentres = Terms.DataCentres;
   Shop.Spread = 2;
-  Shop.LossProbability = 0.02;
+  Shop.LossProbability = Terms.LossProbability;
   const auto Nodes = static_cast<double>(Terms.HostsPerVersion);
   for (std::size_t I = 0; I < Terms.HostsPerVersion; ++I)
     Model.addClients(Model.addNode("shop"), "shop",
@@ -49,6 +106,9 @@
     Model.order(I, Order);
   for (std::size_t I = 0; I < Terms.HostsPerVersion; ++I)
     Model.order(Model.addNode("shop", "v2"), Order);
+  if (Terms.RefusedPerSecond > 0)
+    for (std::size_t I = 0; I < Model.size(); ++I)
+      Model.addClients(I, "search", Terms.RefusedPerSecond);
   Model.runUntil(6000);
   for (std::size_t I = 0; I < Terms.Restarted; ++I)
     Model.kill(I);
@@ -60,14 +120,11 @@
     Model.order(I, Read);
   }
   Model.runUntil(3000 + MoveTime.count());
-  double All = 0;
-  double Bad = 0;
-  for (const FleetModel::Arrival &Arrival : Model.Arrivals)
-    if (Arrival.At >= at(103000)) {
-      All += 1;
-      Bad += Arrival.Version == "v2" ? 1 : 0;
-    }
-  return Bad - AllowedShare * All - AllowedSlack;
+  return measure(Model);
+}
+
+double exposureExcess(std::uint64_t Seed, const Fleet &Terms) {
+  return playMove(Seed, Terms).Excess;
 }
 
 } // namespace
@@ -137,3 +194,19 @@
               Excess);
   }
 }
+
+// Guards against faults of a version that are taken for those of a service that
+// it calls, since other requests are refused on its host meanwhile.
+Test(exposure, refused_requests_for_another_service_hide_no_faults) {
+  Fleet Terms;
+  Terms.SlowShare = 0;
+  Terms.OverloadedVersion = "v2";
+  Terms.FailsAbovePerSecond = 0;
+  Terms.RefusedPerSecond = 20;
+  for (std::uint64_t Seed = 1; Seed <= 5; ++Seed) {
+    const Exposure Seen = playMove(Seed, Terms);
+    cr_assert(Seen.Excess <= 0, "seed %d: %g too many", int(Seed), Seen.Excess);
+    cr_assert(Seen.AfterRollback == 0, "seed %d: %zu late", int(Seed),
+              Seen.AfterRollback);
+  }
+}
--- a/tests/mesh/FleetModel.cpp
+++ b/tests/mesh/FleetModel.cpp
@@ -264,7 +264,11 @@
   Arrivals.push_back(Now);
   while (Arrivals.front() < Now - core::Seconds(1))
     Arrivals.pop_front();
-  return Arrivals.size() > Model.FailsAbovePerSecond && Source.unit() < 0.5;
+  const bool Fails =
+      Arrivals.size() > Model.FailsAbovePerSecond && Source.unit() < 0.5;
+  if (Fails)
+    BadAnswers.push_back(Now);
+  return Fails;
 }
 
 milliseconds FleetModel::drawRunTime(const Node &Host,
@@ -272,10 +276,15 @@
   double Factor = Host.TimeFactor;
   if (Model.Spread > 1)
     Factor *= std::pow(Model.Spread, 2 * Source.unit() - 1);
-  if (Host.Version == Model.SlowVersion && Source.unit() < Model.SlowShare)
+  const bool Slow =
+      Host.Version == Model.SlowVersion && Source.unit() < Model.SlowShare;
+  if (Slow)
     Factor *= 8;
-  return milliseconds(static_cast<std::int64_t>(
+  const milliseconds RunTime(static_cast<std::int64_t>(
       Factor * static_cast<double>(Model.RunTime.count())));
+  if (Slow)
+    BadAnswers.push_back(Now + RunTime);
+  return RunTime;
 }
 
 void FleetModel::makeCalls(std::size_t Index,
@@ -373,6 +382,20 @@
   }
 }
 
+void FleetModel::handle(std::size_t, const WriteMove &Write) {
+  if (Write.Phase < MovePhase::Completed)
+    return;
+  const std::string &Service = Write.Service.value();
+  if (!MoveEnds.try_emplace(Service, Write.Phase, Now).second)
+    return;
+  after(Latency, [this, Write] {
+    for (std::size_t Index = 0; Index < Nodes.size(); ++Index)
+      if (Nodes[Index].State)
+        deliver(Index,
+                MoveStateRead{Write.Service, Write.NewVersion, Write.Phase});
+  });
+}
+
 std::size_t FleetModel::indexOf(const core::NodeId &Name) const {
   return std::stoul(Name.value().substr(1));
 }
--- a/tests/mesh/FleetModel.h
+++ b/tests/mesh/FleetModel.h
@@ -91,6 +91,10 @@
   std::size_t DataCentres = 1;
   std::map<std::string, TargetModel> Targets;
   std::vector<Arrival> Arrivals;
+  /// How moves ended in the store, by service, and when.
+  std::map<std::string, std::pair<MovePhase, core::TimePoint>> MoveEnds;
+  /// Times of the answers that a bad version gave late or failed.
+  std::vector<core::TimePoint> BadAnswers;
   /// Time and service of each request and call.
   std::vector<std::pair<core::TimePoint, std::string>> Requests;
   /// Targets that crashed, with the request that was the cause.
@@ -158,6 +162,7 @@
   void handle(std::size_t Index, const PublishReport &Report) {
     Nodes[Index].Published = Report.Report;
   }
+  void handle(std::size_t Index, const WriteMove &Write);
   bool reaches(std::size_t From, std::size_t To) const {
     return CutOff.contains(From) == CutOff.contains(To);
   }
--- a/tests/mesh/LocalTargetTest.cpp
+++ b/tests/mesh/LocalTargetTest.cpp
@@ -457,3 +457,40 @@
     cr_assert(Report->Tallies.front().CutOffTimes.total() == 1);
   }
 }
+
+// Guards against a fault of the target that is not counted, since another
+// request from its host fails, and against one that is counted although a call
+// of the same request failed.
+Test(mesh_target, a_failure_is_excused_by_calls_of_the_same_request_only) {
+  config::Routing Routing = shopRouting();
+  Routing.Services.emplace_back("search");
+  Routing.Routes.push_back(shopRoute("search", true));
+  Routing.Routes.back().Services = {{core::ServiceName("search"), 1}};
+  const auto FaultsAfter = [&Routing](const std::string &Path,
+                                      const std::string &CallId,
+                                      const std::string &ParentId) {
+    Bench Node;
+    Node.configure(Routing);
+    Node.announce();
+    Node.send(MoveOrdered{core::ServiceName("shop"), core::TargetVersion("v1"),
+                          milliseconds(16000), core::LogOffset(5), false});
+    Node.arriveFromPeer(1);
+    const auto Started = Node.first<StartAttempt>();
+    request::CallArrived Other;
+    Other.Id = core::CallId(2);
+    Other.Path = Path;
+    Other.VirtualHost = "shop.example";
+    Other.CallerId = CallId;
+    Other.ParentId = ParentId;
+    Node.send(Other);
+    cr_assert(Node.first<request::Refuse>().has_value());
+    Node.end(*Started, request::AttemptEnd::Held, 500);
+    const auto Report = makeHostReport(Node.State, Node.Now).Target;
+    cr_assert(Report->Tallies.size() <= 1);
+    return Report->Tallies.empty() ? 0 : Report->Tallies.front().Faults;
+  };
+  // The service has no targets.
+  cr_assert(FaultsAfter("/search/1", "c2", "") == 1);
+  cr_assert(FaultsAfter("/search/1", "c1.1", "c1") == 0);
+  cr_assert(FaultsAfter("/nowhere/", "c1.1", "c1") == 0);
+}
