Find a bad version while the others fail often as well

Cause: a version was suspected only if its rate of faults was three times that of the others (twice for slow answers). Where the others fail in 30% of their requests, no rate is three times theirs: nothing was found, which was taken as nothing wrong.

Change: a rate that is higher by 0.25 suffices. The sequential test and the test of shared faults decide as before.

--- a/lib/decision/mesh/MoveTracker.cpp
+++ b/lib/decision/mesh/MoveTracker.cpp
@@ -67,6 +67,9 @@
 constexpr double MinimumFaultRateRatio = 3;
 constexpr double MinimumSlowRateRatio = 2;
 /// Bad answers after which a host counts as showing them.
+/// Difference of the rates that suffices whatever their ratio: where the other
+/// versions fail often as well, no rate is a multiple of theirs.
+constexpr double SufficientRateDifference = 0.25;
 constexpr std::uint64_t MinimumFaultsPerHost = 2;
 /// Answers after which a host counts in a verdict.
 constexpr std::uint64_t MinimumAnswersPerHost = 4;
@@ -150,7 +153,10 @@
 
 Finding compare(const rollout::Sample &New, const rollout::Sample &Old,
                 double ToleratedRate, double MinimumRatio) {
-  if (New.Bad < 2 || badRate(New) < MinimumRatio * badRate(Old))
+  const double OldRate = badRate(Old);
+  const double MinimumRate =
+      std::min(MinimumRatio * OldRate, OldRate + SufficientRateDifference);
+  if (New.Bad < 2 || badRate(New) < MinimumRate)
     return Finding::None;
   const double Control = rollout::controlRate(Old, ToleratedRate);
   if (rollout::compareVersions(New, Old, Control) == Finding::Proven)
--- a/tests/mesh/ExposureTest.cpp
+++ b/tests/mesh/ExposureTest.cpp
@@ -210,3 +210,19 @@
               Seen.AfterRollback);
   }
 }
+
+// Guards against a bad version that is not told from the others while these
+// fail often as well.
+Test(exposure, faults_of_all_versions_hide_no_bad_version) {
+  Fleet Terms;
+  Terms.SlowShare = 0;
+  Terms.LossProbability = 0.3;
+  Terms.OverloadedVersion = "v2";
+  Terms.FailsAbovePerSecond = 0;
+  for (std::uint64_t Seed = 1; Seed <= 5; ++Seed) {
+    const Exposure Seen = playMove(Seed, Terms);
+    cr_assert(Seen.Excess <= 0, "seed %d: %g too many", int(Seed), Seen.Excess);
+    cr_assert(Seen.AfterRollback == 0, "seed %d: %zu late", int(Seed),
+              Seen.AfterRollback);
+  }
+}
