Compare the last step of a move with all answers of the other versions

Callers saw: nothing; the operator sees a good version that is not completed by its deadline, or rolled back.

Cause: the answers since the last step of the share were compared with those of the other versions since then. At the last step these get no requests, so that any two lost answers of the new version were a suspicion: the share went back.

--- a/lib/decision/mesh/MoveTracker.cpp
+++ b/lib/decision/mesh/MoveTracker.cpp
@@ -254,15 +254,20 @@
     Verdict.Result = Result;
     Verdict.Reason = std::move(Reason);
   };
-  for (const auto &[Name, Route] :
-       gather(NewVersion, Targets, &TargetReport::Tallies)) {
+  const Evidence All = gather(NewVersion, Targets, &TargetReport::Tallies);
+  for (const auto &[Name, Route] : All) {
     Answers += Route.New.Faults.Answers;
     Judge(Name, Route);
   }
-  for (const auto &[Name, Route] :
-       gather(NewVersion, Targets, &TargetReport::StepTallies))
+  for (auto &[Name, Route] :
+       gather(NewVersion, Targets, &TargetReport::StepTallies)) {
+    // At the last step the other versions answer nothing any more.
+    const auto Whole = All.find(Name);
+    if (Route.Old.Faults.Answers < SufficientAnswers && Whole != All.end())
+      Route.Old = Whole->second.Old;
     Judge(Name, Route);
   Verdict.Sufficient =
+  }
       Verdict.Result == Finding::None && Answers >= SufficientAnswers;
   return Verdict;
 }
--- a/tests/mesh/ExposureTest.cpp
+++ b/tests/mesh/ExposureTest.cpp
@@ -226,3 +226,16 @@
               Seen.AfterRollback);
   }
 }
+
+// Guards against a good version that is taken for bad, since the other versions
+// get no requests at the last step and seem to fail none.
+Test(exposure, a_good_version_is_completed_although_answers_are_lost) {
+  Fleet Terms;
+  Terms.SlowShare = 0;
+  for (const double Loss : {0.02, 0.05})
+    for (std::uint64_t Seed = 1; Seed <= 5; ++Seed) {
+      Terms.LossProbability = Loss;
+      cr_assert(playMove(Seed, Terms).Completed, "loss %g, seed %d", Loss,
+                int(Seed));
+    }
+}
