Send a retry of a request to the other versions

Callers saw: a request that the new version failed was retried on the new version, and failed again.

Cause: the version of a request was chosen at its first placement and kept. The share bounds first placements; with retries, each counted as an arrival, the new version got up to 1.75 times its share while half of its answers failed.

Change: once a target was reached, the request goes to another version that has a ready target; without one, it stays.

Why it works: each request reaches the new version once at most, so that the sum over all nodes is that of the first placements.

--- a/lib/decision/mesh/ReducePlacement.cpp
+++ b/lib/decision/mesh/ReducePlacement.cpp
@@ -37,9 +37,36 @@
   });
 }
 
+bool Reduction::hasReadyTargetOfOtherVersion(
+    const MeshCall &Call, const VersionShares &Shares) const {
+  const auto IsOther = [&](const TargetReport &Target) {
+    return Target.State == TargetState::Ready &&
+           Target.Version != *Shares.Candidate &&
+           !Shares.Excluded.contains(Target.Version);
+  };
+  const auto Local = localTargetReport(State);
+  if (Local && Local->Service == Call.Service && IsOther(*Local) &&
+      !contains(Call.TriedHosts, State.Settings.Node))
+    return true;
+  return std::ranges::any_of(State.Hosts.hosts(), [&](const auto &Entry) {
+    return isReadyFor(Entry.second.Report, Call.Service) &&
+           IsOther(*Entry.second.Report.Target) &&
+           !contains(Call.TriedHosts, Entry.first) &&
+           !HostDirectory::hasLeavingTarget(Entry.second, Now);
+  });
+}
+
 void Reduction::chooseVersion(MeshCall &Call, const VersionShares &Shares) {
-  if (Call.ToCandidate || !Shares.Candidate)
+  if (!Shares.Candidate)
     return;
+  if (Call.ToCandidate) {
+    // A request reaches the candidate once at most: with its retries the
+    // candidate would get more than its share.
+    if (*Call.ToCandidate && Call.ReachedTargets > 0 &&
+        hasReadyTargetOfOtherVersion(Call, Shares))
+      Call.ToCandidate = false;
+    return;
+  }
   const std::uint32_t Permille = Shares.CandidatePermille;
   if (!hasReadyTarget(Call.Service, *Shares.Candidate)) {
     Call.ToCandidate = false;
--- a/lib/decision/mesh/Reduction.h
+++ b/lib/decision/mesh/Reduction.h
@@ -50,6 +50,8 @@
                       const core::TargetVersion &Version) const;
   bool hasReadyTarget(const core::ServiceName &Service,
                       const core::TargetVersion &Version) const;
+  bool hasReadyTargetOfOtherVersion(const MeshCall &Call,
+                                    const VersionShares &Shares) const;
   void sendToPeer(MeshCall &Call, const core::NodeId &Peer);
   void enqueue(MeshCall &Call);
   bool hasBudgetForCalls(const MeshCall &Call);
--- a/tests/mesh/ExposureTest.cpp
+++ b/tests/mesh/ExposureTest.cpp
@@ -239,3 +239,16 @@
                 int(Seed));
     }
 }
+
+// Guards against a version that gets more than its share, since the requests
+// that it fails come to it again.
+Test(exposure, a_request_reaches_the_new_version_once) {
+  Fleet Terms;
+  Terms.SlowShare = 0;
+  Terms.OverloadedVersion = "v2";
+  Terms.FailsAbovePerSecond = 0;
+  for (std::uint64_t Seed = 1; Seed <= 5; ++Seed) {
+    const Exposure Seen = playMove(Seed, Terms);
+    cr_assert(Seen.Repeats == 0, "seed %d: %zu", int(Seed), Seen.Repeats);
+  }
+}
