Refuse requests for a rejected version at its host

Cause: a rejected version got no requests from nodes that knew of it. Requests from nodes that did not, and those in the queue of the host, were still run.

Change: the host refuses both as not run; the entry node places them again.

Measured: the test failed before (request 2 was run) and passes now. A further test guards the time of a roll-back in six data centres with 96 hosts; it passes without the change as well.

--- a/lib/decision/mesh/ReduceArrival.cpp
+++ b/lib/decision/mesh/ReduceArrival.cpp
@@ -68,15 +68,17 @@
   const bool IsServed = State.Target &&
                         State.Target->State == TargetState::Ready &&
                         Arrival.Target == State.Target->Announcement.Id;
+  // The entry node may not know yet that the version was rejected.
+  const bool Excluded = State.Target && isExcluded(State.Target->Announcement);
   // Reports that this node is leaving may still be in transit.
   const bool HasLeft =
       State.Draining && Now >= State.ReportLeavingAt + LeavingReportDelay;
-  if (!IsServed || HasLeft || !Arrival.Terms) {
+  if (!IsServed || Excluded || HasLeft || !Arrival.Terms) {
     request::Refuse NoTarget =
         refusal(Arrival.Id, ErrorCode::RequestDraining, "target is not here");
     log(observe::EventId::MeshRequestRefused,
-        fmt::format("request={} reason=target_gone expected={}",
-                    Arrival.CallerId,
+        fmt::format("request={} reason={} expected={}", Arrival.CallerId,
+                    Excluded ? "version_excluded" : "target_gone",
                     Arrival.Target.value_or(core::TargetId()).value()));
     Produced.emplace_back(std::move(NoTarget));
     return;
@@ -141,9 +143,9 @@
   MeshCall Call;
   Call.Id = Arrival.Id;
   Call.CallerId = Arrival.CallerId;
+  Call.ParentId = Arrival.ParentId;
   Call.Caller = State.Settings.Service;
   Call.RequestDigest = digestOf(Arrival);
-  Call.ParentId = Arrival.ParentId;
   Call.Route = Route;
   Call.Service = stateOf(Route->Name).ServiceSplit.next(Route->Services);
   Call.ArrivedAt = Now;
--- a/lib/decision/mesh/ReduceMoves.cpp
+++ b/lib/decision/mesh/ReduceMoves.cpp
@@ -17,6 +17,9 @@
 /// reports to other data centres are seconds apart, in which a version that
 /// fails under its full load gets too many requests.
 constexpr core::Milliseconds BadAnswerReportInterval{250};
+/// Nodes that sum up the evidence of the whole fleet on a move: two, so that
+/// one may fail or be cut off.
+constexpr std::size_t MoveReviewers = 2;
 
 } // namespace
 
@@ -152,9 +155,16 @@
   reportToAll();
 }
 
+bool Reduction::isExcluded(const TargetAnnounced &Target) const {
+  return State.Moves.shares(Target.Service, Now)
+      .Excluded.contains(Target.Version);
+}
+
 void Reduction::reviewMoves() {
   for (const auto &[Service, Move] : State.Moves.moves())
     reviewMove(Move);
+  if (State.Target && isExcluded(State.Target->Announcement))
+    refuseQueued(core::ErrorCode::RequestNoTarget);
 }
 
 } // namespace filbertvane::decision::mesh
--- a/lib/decision/mesh/Reduction.h
+++ b/lib/decision/mesh/Reduction.h
@@ -131,6 +131,7 @@
   void reportPosition();
   void updateReadiness();
   void reviewMoves();
+  bool isExcluded(const TargetAnnounced &Target) const;
   void startTallyStep();
   void reportBadAnswers();
   void reviewMove(const TrackedMove &Move);
--- a/tests/mesh/ExposureTest.cpp
+++ b/tests/mesh/ExposureTest.cpp
@@ -252,3 +252,15 @@
     cr_assert(Seen.Repeats == 0, "seed %d: %zu", int(Seed), Seen.Repeats);
   }
 }
+
+// Guards against a slow version whose bad answers are spread over data centres
+// that each see too few of them.
+Test(exposure, a_slow_version_is_rolled_back_in_time_in_many_data_centres) {
+  Fleet Terms;
+  Terms.HostsPerVersion = 48;
+  Terms.DataCentres = 6;
+  Terms.RequestsPerSecond = 400;
+  const Exposure Seen = playMove(1, Terms);
+  cr_assert(Seen.Excess <= 0, "%g too many", Seen.Excess);
+  cr_assert(Seen.AfterRollback == 0, "%zu late", Seen.AfterRollback);
+}
--- a/tests/mesh/LocalTargetTest.cpp
+++ b/tests/mesh/LocalTargetTest.cpp
@@ -458,6 +458,28 @@
   }
 }
 
+// Guards against requests for a version that was rejected, from nodes that do
+// not know yet, and from the queue.
+Test(mesh_target, a_host_refuses_requests_for_a_rejected_version) {
+  Bench Node;
+  Node.configure();
+  Node.announce(1, false, 1000, "own", 1);
+  Node.send(MoveOrdered{core::ServiceName("shop"), core::TargetVersion("v1"),
+                        milliseconds(16000), core::LogOffset(5), false});
+  Node.arriveFromPeer(1);
+  cr_assert(Node.first<StartAttempt>().has_value());
+  Node.arriveFromPeer(2);
+  cr_assert(!Node.first<request::Refuse>());
+  HostReport Told = report("n1");
+  Told.Moves = {{core::ServiceName("shop"), core::TargetVersion("v1"),
+                 core::LogOffset(5), MovePhase::Rejected, milliseconds(0)}};
+  Node.send(ReportReceived{Told});
+  Node.send(request::Tick{});
+  cr_assert(Node.first<request::Refuse>()->Id == core::CallId(2));
+  Node.arriveFromPeer(3);
+  cr_assert(Node.first<request::Refuse>()->Result == request::Outcome::NotRun);
+}
+
 // Guards against a fault of the target that is not counted, since another
 // request from its host fails, and against one that is counted although a call
 // of the same request failed.
