Send nothing to the version of an order that was not read

Cause: a node that knew hosts of a new version from their reports, but had not read the order yet, placed requests on them as on all others.

Change: a report of another node names the order; until it is read, its version is excluded, unless it is completed.

--- a/include/filbertvane/decision/mesh/MoveTracker.h
+++ b/include/filbertvane/decision/mesh/MoveTracker.h
@@ -104,8 +104,12 @@
 
 private:
   void applyEarlierMove(const MoveReport &Report);
+  void applyUnreadOrder(const MoveReport &Report);
 
   std::map<core::ServiceName, TrackedMove> Moves;
+  /// Newest orders that other nodes reported and this one has not read. Their
+  /// versions get no requests, since the shares are not known.
+  std::map<core::ServiceName, MoveReport> UnreadOrders;
   /// New versions of earlier orders that did not complete, with the offsets of
   /// the orders.
   std::map<core::ServiceName, std::map<core::TargetVersion, core::LogOffset>>
--- a/lib/decision/mesh/MoveTracker.cpp
+++ b/lib/decision/mesh/MoveTracker.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <fmt/format.h>
+#include <tuple>
 
 namespace filbertvane::decision::mesh {
 
@@ -66,10 +67,10 @@
 /// old version must not hide a new version that is slow everywhere.
 constexpr double MinimumFaultRateRatio = 3;
 constexpr double MinimumSlowRateRatio = 2;
-/// Bad answers after which a host counts as showing them.
 /// Difference of the rates that suffices whatever their ratio: where the other
 /// versions fail often as well, no rate is a multiple of theirs.
 constexpr double SufficientRateDifference = 0.25;
+/// Bad answers after which a host counts as showing them.
 constexpr std::uint64_t MinimumFaultsPerHost = 2;
 /// Answers after which a host counts in a verdict.
 constexpr std::uint64_t MinimumAnswersPerHost = 4;
@@ -266,8 +267,8 @@
     if (Route.Old.Faults.Answers < SufficientAnswers && Whole != All.end())
       Route.Old = Whole->second.Old;
     Judge(Name, Route);
-  Verdict.Sufficient =
   }
+  Verdict.Sufficient =
       Verdict.Result == Finding::None && Answers >= SufficientAnswers;
   return Verdict;
 }
@@ -286,6 +287,10 @@
   Move.Order = Order;
   Move.StartedAt = Now;
   Move.Deadline = Now + Order.Duration;
+  const auto Unread = UnreadOrders.find(Order.Service);
+  if (Unread != UnreadOrders.end() &&
+      Unread->second.OrderOffset <= Order.OrderOffset)
+    UnreadOrders.erase(Unread);
   Moves.insert_or_assign(Order.Service, std::move(Move));
   return true;
 }
@@ -295,6 +300,7 @@
   if (Found == Moves.end() ||
       Found->second.Order.OrderOffset != Report.OrderOffset) {
     applyEarlierMove(Report);
+    applyUnreadOrder(Report);
     return;
   }
   TrackedMove &Move = Found->second;
@@ -321,6 +327,17 @@
                                                 Report.OrderOffset);
 }
 
+void MoveTracker::applyUnreadOrder(const MoveReport &Report) {
+  const auto Found = Moves.find(Report.Service);
+  if (Found != Moves.end() &&
+      Found->second.Order.OrderOffset >= Report.OrderOffset)
+    return;
+  const auto [Known, First] = UnreadOrders.try_emplace(Report.Service, Report);
+  if (First || std::tie(Known->second.OrderOffset, Known->second.Phase) <
+                   std::tie(Report.OrderOffset, Report.Phase))
+    Known->second = Report;
+}
+
 bool MoveTracker::advance(const core::ServiceName &Service, MovePhase Phase,
                           std::string Reason) {
   const auto Found = Moves.find(Service);
@@ -340,6 +357,10 @@
       Uncompleted != UncompletedVersions.end())
     for (const auto &[Version, Offset] : Uncompleted->second)
       Result.Excluded.insert(Version);
+  if (const auto Unread = UnreadOrders.find(Service);
+      Unread != UnreadOrders.end() &&
+      Unread->second.Phase != MovePhase::Completed)
+    Result.Excluded.insert(Unread->second.NewVersion);
   const auto Found = Moves.find(Service);
   if (Found == Moves.end())
     return Result;
--- a/tests/mesh/MoveTrackerTest.cpp
+++ b/tests/mesh/MoveTrackerTest.cpp
@@ -129,6 +129,25 @@
   cr_assert(!Moves.applyOrder(order(5, "v2"), at(20)));
 }
 
+// Guards against a node that knows targets of a new version, but not yet the
+// order, and sends them the same share as all others.
+Test(move_tracker, the_version_of_an_unread_order_gets_no_requests) {
+  MoveTracker Moves;
+  const core::TargetVersion New("v2");
+  MoveReport Told{Shop, New, core::LogOffset(5), MovePhase::Running,
+                  milliseconds(300)};
+  Moves.applyReport(Told, at(300));
+  cr_assert(Moves.shares(Shop, at(300)).Excluded.contains(New));
+  // Completed: no other version has targets.
+  Told.Phase = MovePhase::Completed;
+  Moves.applyReport(Told, at(400));
+  cr_assert(!Moves.shares(Shop, at(400)).Excluded.contains(New));
+  Moves.applyOrder(order(5, "v2"), at(500));
+  const VersionShares Shares = Moves.shares(Shop, at(500));
+  cr_assert(Shares.Candidate == New);
+  cr_assert(Shares.Excluded.empty());
+}
+
 // Guards against a move that is both completed and rolled back.
 Test(move_tracker, the_first_end_stays) {
   MoveTracker Moves;
