--- a/lib/decision/mesh/ReduceArrival.cpp
+++ b/lib/decision/mesh/ReduceArrival.cpp
@@ -54,27 +54,31 @@
         refusal(Arrival.Id, ErrorCode::RequestTooManyCalls, "");
     TooManyCalls.RetryAfter = MaximumRetryAfter;
     Produced.emplace_back(std::move(TooManyCalls));
+    State.Runs.recordCallFailure(Arrival.ParentId);
     return;
   }
   if (Arrival.FromNode)
-    acceptFromPeer(Arrival);
-  else
-    acceptFromCaller(Arrival);
+    return acceptFromPeer(Arrival);
+  acceptFromCaller(Arrival);
+  if (find(Arrival.Id) == nullptr)
+    State.Runs.recordCallFailure(Arrival.ParentId);
 }
 
 void Reduction::acceptFromPeer(const request::CallArrived &Arrival) {
   const bool IsServed = State.Target &&
                         State.Target->State == TargetState::Ready &&
                         Arrival.Target == State.Target->Announcement.Id;
+  // The entry node may not know yet that the version was rejected.
+  const bool Excluded = State.Target && isExcluded(State.Target->Announcement);
   // Reports that this node is leaving may still be in transit.
   const bool HasLeft =
       State.Draining && Now >= State.ReportLeavingAt + LeavingReportDelay;
-  if (!IsServed || HasLeft || !Arrival.Terms) {
+  if (!IsServed || Excluded || HasLeft || !Arrival.Terms) {
     request::Refuse NoTarget =
         refusal(Arrival.Id, ErrorCode::RequestDraining, "target is not here");
     log(observe::EventId::MeshRequestRefused,
-        fmt::format("request={} reason=target_gone expected={}",
-                    Arrival.CallerId,
+        fmt::format("request={} reason={} expected={}", Arrival.CallerId,
+                    Excluded ? "version_excluded" : "target_gone",
                     Arrival.Target.value_or(core::TargetId()).value()));
     Produced.emplace_back(std::move(NoTarget));
     return;
@@ -139,6 +143,7 @@
   MeshCall Call;
   Call.Id = Arrival.Id;
   Call.CallerId = Arrival.CallerId;
+  Call.ParentId = Arrival.ParentId;
   Call.Caller = State.Settings.Service;
   Call.RequestDigest = digestOf(Arrival);
   Call.Route = Route;
--- a/lib/decision/mesh/Reduction.h
+++ b/lib/decision/mesh/Reduction.h
@@ -50,6 +50,8 @@
                       const core::TargetVersion &Version) const;
   bool hasReadyTarget(const core::ServiceName &Service,
                       const core::TargetVersion &Version) const;
+  bool hasReadyTargetOfOtherVersion(const MeshCall &Call,
+                                    const VersionShares &Shares) const;
   void sendToPeer(MeshCall &Call, const core::NodeId &Peer);
   void enqueue(MeshCall &Call);
   bool hasBudgetForCalls(const MeshCall &Call);
@@ -75,8 +77,6 @@
   TargetLoad loadFor(const MeshCall &Call) const;
   void recordAnswerSize(const MeshCall &Call, std::uint64_t Bytes);
   bool hadAmpleTime(const MeshCall &Call) const;
-  bool downstreamCallFailed(const MeshCall &Call) const;
-  void recordCallFailure(const MeshCall &Call);
   void logServed(const MeshCall &Call, int Status);
   bool tryTakeRetry(MeshCall &Call);
   void logRetry(const MeshCall &Call, std::string_view Cause);
@@ -131,6 +131,7 @@
   void reportPosition();
   void updateReadiness();
   void reviewMoves();
+  bool isExcluded(const TargetAnnounced &Target) const;
   void startTallyStep();
   void reportBadAnswers();
   void reviewMove(const TrackedMove &Move);
