Spend half of the ratio, so that moved traffic stays within the retry budget

Each node spent 0.6 of the ratio for the requests of its own last window. These windows do not coincide: a node spends what it earned before its traffic moved, and the node that takes the traffic over earns and spends it again. Within one window, all nodes together could spend 1.2 times the ratio. The requests of a called service begin at the hosts of its callers, so that each change in the placement of the callers moves them.

Half of the ratio is spent now. What a node spends in a window was earned in that window or in the one before it, so that the sum is at most half of the ratio for the requests of two windows. The fixed part is not earned by requests and keeps its share.

--- a/lib/decision/mesh/SharedRetryBudget.cpp
+++ b/lib/decision/mesh/SharedRetryBudget.cpp
@@ -5,13 +5,17 @@
 
 namespace {
 
-/// Share of the budget that is spent. The rest covers calls that a retried run
-/// makes again, which other nodes count as first requests, and nodes that do
-/// not know each other yet.
-constexpr double SpendableShare = 0.6;
-/// The same in the first window of a process, whose predecessor may have spent
-/// its share shortly before.
-constexpr double StartingShare = SpendableShare / 2;
+/// Share of the ratio that is spent. Requests can move from node to node: in
+/// one window, some nodes spend what they earned in the window before it and
+/// others what they earn in it, so that all together may spend twice the share.
+constexpr double RatioShare = 0.5;
+/// Share of the fixed part that is spent. The rest covers calls of repeated
+/// runs beyond the share of their host, and nodes that do not know each other
+/// yet.
+constexpr double SlackShare = 0.6;
+/// Factor of both in the first window of a process, whose predecessor may have
+/// spent its share shortly before.
+constexpr double StartingFactor = 0.5;
 
 } // namespace
 
@@ -57,7 +61,7 @@
 
 double SharedRetryBudget::remaining(std::size_t Nodes,
                                     core::TimePoint Now) const {
-  const double SlackShare =
+  const double NodeSlack =
       Settings.Slack / static_cast<double>(std::max<std::size_t>(Nodes, 1));
   const double Age = std::min(
       1.0,
@@ -65,9 +69,9 @@
           static_cast<double>(core::Microseconds(Settings.Window).count()));
   // The fixed part builds up with the age of the process: otherwise a process
   // that ends again and again would spend it each time.
-  const double Allowed =
-      (Age < 1 ? StartingShare : SpendableShare) *
-      (Settings.Ratio * requestsInWindow(Now) + SlackShare * Age);
+  const double Allowed = (Age < 1 ? StartingFactor : 1.0) *
+                         (RatioShare * Settings.Ratio * requestsInWindow(Now) +
+                          SlackShare * NodeSlack * Age);
   return Allowed - static_cast<double>(repeatsInWindow(Now));
 }
 
--- a/tests/mesh/FleetModel.cpp
+++ b/tests/mesh/FleetModel.cpp
@@ -247,6 +247,16 @@
   if (Host.Origins.at(Start.Id).Digest == CrashingRequest)
     return after(CrashTime, [this, Index, Id] { crashTarget(Index, Id); });
   const TargetModel &Model = Targets.at(Host.Service);
+  if (Model.ShedProbability > 0 && Source.unit() < Model.ShedProbability) {
+    AttemptEnded Shed;
+    Shed.Id = Start.Id;
+    Shed.Attempt = Start.Attempt;
+    Shed.End = AttemptEnd::NotRun;
+    Shed.Status = 503;
+    Shed.ReachedTarget = true;
+    afterAt(Index, Latency, [this, Index, Shed] { end(Index, Shed); });
+    return;
+  }
   if (Source.unit() < Model.LossProbability) {
     AttemptEnded Lost;
     Lost.Id = Start.Id;
--- a/tests/mesh/FleetModel.h
+++ b/tests/mesh/FleetModel.h
@@ -16,6 +16,8 @@
   milliseconds RunTime{50};
   /// Probability that the target closes the connection instead of answering.
   double LossProbability = 0;
+  /// Probability that the target refuses a request without running it.
+  double ShedProbability = 0;
   /// Services that each run calls, one after the other.
   std::vector<std::string> Calls;
   /// Version of which a share of the runs takes eight times as long.
--- a/tests/mesh/GaugesTest.cpp
+++ b/tests/mesh/GaugesTest.cpp
@@ -1,5 +1,6 @@
 #include "filbertvane/decision/mesh/Gauges.h"
 #include "MeshBench.h"
+#include <cmath>
 
 using namespace meshbench;
 
@@ -11,6 +12,15 @@
   return Metrics.render().find(Line) != std::string::npos;
 }
 
+double valueOf(const Bench &Node, const std::string &Name) {
+  observe::Metrics Metrics;
+  writeGauges(Node.State, Node.Now, Metrics);
+  const std::string Text = Metrics.render();
+  const std::size_t At = Text.find(Name);
+  return At == std::string::npos ? -1
+                                 : std::stod(Text.substr(At + Name.size()));
+}
+
 } // namespace
 
 // Guards against metrics that do not explain why a node refuses requests: its
@@ -35,12 +45,13 @@
     cr_assert(hasLine(Node, "filbertvane_hosts{state=\"ready\"} 1\n"));
     cr_assert(hasLine(Node, "filbertvane_hosts{state=\"doubtful\"} 1\n"));
   }
-  // Each request adds to the retry budget: 0.6 of a fifth of a request and of
-  // 1000 / 3.
+  // Each request adds to the retry budget: half of a fifth of a request; 0.6 of
+  // 1000 / 3 is fixed.
   {
     Node.arrive(9);
-    cr_assert(
-        hasLine(Node, "filbertvane_repeats_left{service=\"shop\"} 200.1"));
+    const double Left =
+        valueOf(Node, "filbertvane_repeats_left{service=\"shop\"} ");
+    cr_assert(std::abs(Left - 200.1) < 1e-9, "%.12g", Left);
   }
 }
 
--- a/tests/mesh/RetryChainTest.cpp
+++ b/tests/mesh/RetryChainTest.cpp
@@ -51,6 +51,31 @@
   }
 }
 
+// Guards against a budget that hosts spend before they are replaced by others,
+// which then spend it a second time within the window.
+Test(retry_chain, shed_calls_stay_within_the_budget_when_hosts_are_replaced) {
+  constexpr std::size_t PageHosts = 8;
+  for (const std::uint64_t Seed : {1, 2, 3}) {
+    FleetModel Fleet(Seed, Budget);
+    Fleet.Targets["page"].Calls = {"price"};
+    Fleet.Targets["price"].RunTime = milliseconds(20);
+    for (std::size_t I = 0; I < PageHosts; ++I)
+      Fleet.addClients(Fleet.addNode("page"), "page", 75);
+    for (int I = 0; I < 8; ++I)
+      Fleet.addNode("price");
+    Fleet.runUntil(FaultBeginMs);
+    Fleet.Targets["price"].ShedProbability = 0.9;
+    Fleet.runUntil(FaultBeginMs + 1000);
+    for (std::size_t Host = 0; Host < PageHosts; ++Host) {
+      Fleet.kill(Host);
+      Fleet.addClients(Fleet.addNode("page"), "page", 75);
+    }
+    Fleet.runUntil(EndMs);
+    const double Excess = retryBudgetExcess(Fleet, "price", Budget);
+    cr_assert(Excess <= 0, "seed %d: %g too many", int(Seed), Excess);
+  }
+}
+
 // Guards against a budget that is kept by not retrying at all.
 Test(retry_chain, retries_still_hide_lost_answers) {
   FleetModel Fleet = chain(4);
--- a/tests/mesh/SharesTest.cpp
+++ b/tests/mesh/SharesTest.cpp
@@ -69,6 +69,32 @@
   }
 }
 
+// Guards against nodes that spend what they earned before their traffic moved
+// to other nodes, which earn and spend it again within the window.
+Test(shared_retry_budget, traffic_that_moves_to_other_nodes_earns_no_more) {
+  const SharedRetryBudgetSettings Terms{0.2, 64, milliseconds(10000)};
+  constexpr std::size_t Nodes = 16;
+  constexpr int WindowMs = 10000;
+  constexpr int PerMs = 2;
+  std::vector<SharedRetryBudget> Budgets(Nodes, longRunning(Terms));
+  // All of the traffic is at the first node, which spends its share at the end
+  // of the window.
+  for (int Ms = 0; Ms < WindowMs; ++Ms)
+    for (int I = 0; I < PerMs; ++I)
+      Budgets[0].recordRequest(at(Ms));
+  std::size_t Retries = takeAll(Budgets[0], Nodes, at(WindowMs - 1));
+  // Then it is spread over the others, which spend theirs within a window.
+  for (int Ms = WindowMs; Ms < 2 * WindowMs - 1; ++Ms)
+    for (int I = 0; I < PerMs; ++I) {
+      SharedRetryBudget &Budget = Budgets[1 + (Ms + I) % (Nodes - 1)];
+      Budget.recordRequest(at(Ms));
+      Retries += takeAll(Budget, Nodes, at(Ms));
+    }
+  const double Allowed = 0.2 * PerMs * WindowMs + 64;
+  cr_assert(static_cast<double>(Retries) <= Allowed, "%zu of %g", Retries,
+            Allowed);
+}
+
 // Guards against a share that a restarted node spends a second time within the
 // window.
 Test(shared_retry_budget, a_restart_does_not_renew_the_share_of_a_node) {
