Keep the calls of repeated runs within the retry share of their host

A host admitted a repeated run while its share of the called service's budget had room for the calls that the run would make. Retries of other requests took that room before the run called, and its calls were charged to a share that was already used up. Requests that waited for a slot were not counted at all. Each host could exceed its share by the calls of all repeated runs that it held.

The calls that admitted repeated requests have yet to make are now reserved, from the time at which the request begins to wait. Retries leave the reserved part, and a call beyond the share is refused at once, as not run. No node spends more than its share.

shared_retry_budget/calls_of_repeated_runs_stay_within_the_share failed before: retries took the whole share while a repeated run was under way (0 left instead of 1). It passes now. Its part in the excess that operators saw is not measured.

--- a/include/filbertvane/decision/mesh/LocalRuns.h
+++ b/include/filbertvane/decision/mesh/LocalRuns.h
@@ -16,6 +16,12 @@
 public:
   using CallsByService = std::map<core::ServiceName, double>;
 
+  /// @brief A repeated request waits for a slot of the target.
+  void addWaiting(const std::string &RequestId, const core::RouteName &Route) {
+    Waiting.insert_or_assign(RequestId, Route);
+  }
+  /// @brief It is refused, or placed elsewhere.
+  void removeWaiting(const std::string &RequestId) { Waiting.erase(RequestId); }
   void start(const std::string &RequestId, const core::RouteName &Route,
              bool Repeated);
   void end(const std::string &RequestId);
@@ -29,13 +35,16 @@
 
   /// @brief Mean number of calls that a run of the route makes, by service.
   CallsByService callsPerRun(const core::RouteName &Route) const;
-  /// @brief Repeated requests that run now.
-  std::size_t repeatedCount() const;
+  /// @brief Calls to the service that repeated requests which wait or run have
+  ///        yet to make, by the mean of their routes.
+  double expectedRepeatedCalls(const core::ServiceName &Callee) const;
 
 private:
   struct Run {
     core::RouteName Route;
     bool Repeated = false;
+    /// Calls made so far.
+    std::map<core::ServiceName, std::uint32_t> Calls;
   };
   /// Decaying counts.
   struct RouteCounts {
@@ -43,6 +52,10 @@
     CallsByService Calls;
   };
 
+  double meanCalls(const core::RouteName &Route,
+                   const core::ServiceName &Callee) const;
+
+  std::unordered_map<std::string, core::RouteName> Waiting;
   std::unordered_map<std::string, Run> Running;
   std::map<core::RouteName, RouteCounts> Counts;
 };
--- a/include/filbertvane/decision/mesh/SharedRetryBudget.h
+++ b/include/filbertvane/decision/mesh/SharedRetryBudget.h
@@ -35,15 +35,17 @@
 
   /// @brief Counts a request of the service.
   void recordRequest(core::TimePoint Now);
-  /// @brief Counts a call that a repeated run makes: a repeat for this service.
-  void recordRepeatedCall(core::TimePoint Now);
+  /// @brief Takes a call that a repeated run makes, a repeat for this service,
+  ///        from the share of this node.
+  /// @return false when the share is used up
+  bool tryTakeCall(std::size_t Nodes, core::TimePoint Now);
   /// @brief Takes one retry from the share of this node.
   /// @param Nodes number of nodes that share the budget
+  /// @param Reserved part of the share that is left to repeated runs
   /// @return false when the share is used up
-  bool tryTake(std::size_t Nodes, core::TimePoint Now);
+  bool tryTake(std::size_t Nodes, core::TimePoint Now, double Reserved = 0);
 
-  /// @brief Retries left in the share of this node; negative when repeated
-  ///        runs made more calls than the share allows.
+  /// @brief Retries left in the share of this node.
   double remaining(std::size_t Nodes, core::TimePoint Now) const;
   /// @brief Retries taken since the start of the process.
   std::uint64_t taken() const { return TakenCount; }
--- a/lib/decision/mesh/LocalRuns.cpp
+++ b/lib/decision/mesh/LocalRuns.cpp
@@ -16,9 +16,10 @@
 
 void LocalRuns::start(const std::string &RequestId,
                       const core::RouteName &Route, bool Repeated) {
+  Waiting.erase(RequestId);
   if (RequestId.empty())
     return;
-  Running.insert_or_assign(RequestId, Run{Route, Repeated});
+  Running.insert_or_assign(RequestId, Run{Route, Repeated, {}});
   if (Counts.size() >= MaximumRoutes && !Counts.contains(Route))
     Counts.clear();
   RouteCounts &Count = Counts[Route];
@@ -37,6 +38,7 @@
   const auto Parent = Running.find(ParentId);
   if (Parent == Running.end())
     return false;
+  ++Parent->second.Calls[Callee];
   Counts[Parent->second.Route].Calls[Callee] += 1;
   return Parent->second.Repeated;
 }
@@ -52,9 +54,26 @@
   return Means;
 }
 
-std::size_t LocalRuns::repeatedCount() const {
-  return static_cast<std::size_t>(std::ranges::count_if(
-      Running, [](const auto &Entry) { return Entry.second.Repeated; }));
+double LocalRuns::meanCalls(const core::RouteName &Route,
+                            const core::ServiceName &Callee) const {
+  const auto Found = Counts.find(Route);
+  if (Found == Counts.end() || !Found->second.Calls.contains(Callee))
+    return 0;
+  return Found->second.Calls.at(Callee) / Found->second.Runs;
+}
+
+double LocalRuns::expectedRepeatedCalls(const core::ServiceName &Callee) const {
+  double Expected = 0;
+  for (const auto &[Id, Route] : Waiting)
+    Expected += meanCalls(Route, Callee);
+  for (const auto &[Id, Current] : Running) {
+    if (!Current.Repeated)
+      continue;
+    const auto Made = Current.Calls.find(Callee);
+    const std::uint32_t Count = Made == Current.Calls.end() ? 0 : Made->second;
+    Expected += std::max(0.0, meanCalls(Current.Route, Callee) - Count);
+  }
+  return Expected;
 }
 
 } // namespace filbertvane::decision::mesh
--- a/lib/decision/mesh/ReduceArrival.cpp
+++ b/lib/decision/mesh/ReduceArrival.cpp
@@ -170,14 +170,17 @@
   Call.Terms.Idempotent = Route->Idempotent;
   Call.Terms.Repeat = State.Runs.recordCall(Arrival.ParentId, Call.Service);
   SharedRetryBudget &Budget = stateOf(Call.Service).Budget;
+  bool HasBudget = true;
   if (Call.Terms.Repeat)
-    Budget.recordRepeatedCall(Now);
+    HasBudget = Budget.tryTakeCall(nodesSharingBudget(State), Now);
   else
     Budget.recordRequest(Now);
   MeshCall &Accepted =
       State.Calls.emplace(Arrival.Id, std::move(Call)).first->second;
   if (State.Suspects.isRefused({Accepted.RequestDigest, Accepted.Caller}))
     return refuse(Accepted, ErrorCode::RequestSuspect);
+  if (!HasBudget)
+    return refuse(Accepted, ErrorCode::RequestCallBudgetSpent);
   place(Accepted);
 }
 
@@ -203,14 +206,15 @@
 
 /// A repeated run makes its calls again, which count as repeats for the
 /// services that it calls. It is refused while the share of this host has no
-/// room for them, since its calls could not be held back afterwards.
+/// room for them, since calls that are refused afterwards waste the run.
 bool Reduction::hasBudgetForCalls(const MeshCall &Call) {
-  const double Runs = 1 + static_cast<double>(State.Runs.repeatedCount());
   const std::size_t Nodes = nodesSharingBudget(State);
   return std::ranges::all_of(
       State.Runs.callsPerRun(Call.Terms.Route), [&](const auto &Calls) {
         const auto &[Callee, PerRun] = Calls;
-        return stateOf(Callee).Budget.remaining(Nodes, Now) >= PerRun * Runs;
+        return stateOf(Callee).Budget.remaining(Nodes, Now) -
+                   State.Runs.expectedRepeatedCalls(Callee) >=
+               PerRun;
       });
 }
 
@@ -223,6 +227,8 @@
     Call.TriedHosts.push_back(State.Settings.Node);
     return place(Call);
   }
+  if (Call.Terms.Repeat)
+    State.Runs.addWaiting(Call.CallerId, Call.Terms.Route);
   SlotRequest Request;
   Request.Id = Call.Id;
   Request.Route = Call.Terms.Route;
--- a/lib/decision/mesh/ReduceAttempts.cpp
+++ b/lib/decision/mesh/ReduceAttempts.cpp
@@ -220,7 +220,9 @@
   if (Call.Crashes >= request::CrashesToRefuse ||
       State.Suspects.isRefused({Call.RequestDigest, Call.Caller}))
     return false;
-  if (!stateOf(Call.Service).Budget.tryTake(nodesSharingBudget(State), Now))
+  if (!stateOf(Call.Service)
+           .Budget.tryTake(nodesSharingBudget(State), Now,
+                           State.Runs.expectedRepeatedCalls(Call.Service)))
     return false;
   Call.Terms.Repeat = true;
   return true;
--- a/lib/decision/mesh/ReducePlacement.cpp
+++ b/lib/decision/mesh/ReducePlacement.cpp
@@ -113,6 +113,7 @@
 }
 
 void Reduction::place(MeshCall &Call) {
+  State.Runs.removeWaiting(Call.CallerId);
   if (++Call.Placements > MaximumPlacements)
     return refuse(Call, ErrorCode::RequestRefusedByTarget);
   std::vector<Candidate> Candidates = candidates(Call);
--- a/lib/decision/mesh/Reducer.cpp
+++ b/lib/decision/mesh/Reducer.cpp
@@ -113,6 +113,12 @@
   return Found == State.Calls.end() ? nullptr : &Found->second;
 }
 
+void Reduction::erase(core::CallId Id) {
+  if (const MeshCall *Call = find(Id))
+    State.Runs.removeWaiting(Call->CallerId);
+  State.Calls.erase(Id);
+}
+
 MeshServiceState &Reduction::stateOf(const core::ServiceName &Service) {
   const auto Found = State.Services.find(Service);
   if (Found != State.Services.end())
--- a/lib/decision/mesh/Reduction.h
+++ b/lib/decision/mesh/Reduction.h
@@ -94,7 +94,7 @@
   void refuseQueuedSuspects();
   void reportSuspects();
   void publishSuspectsIfChanged();
-  void erase(core::CallId Id) { State.Calls.erase(Id); }
+  void erase(core::CallId Id);
   MeshCall *find(core::CallId Id);
   core::Milliseconds retryAfter(const MeshCall &Call);
   std::string describe(const MeshCall &Call) const;
--- a/lib/decision/mesh/SharedRetryBudget.cpp
+++ b/lib/decision/mesh/SharedRetryBudget.cpp
@@ -10,7 +10,7 @@
 /// others what they earn in it, so that all together may spend twice the share.
 constexpr double RatioShare = 0.5;
 /// Share of the fixed part that is spent. The rest covers calls of repeated
-/// runs beyond the share of their host, and nodes that do not know each other
+/// runs that their host does not know, and nodes that do not know each other
 /// yet.
 constexpr double SlackShare = 0.6;
 /// Factor of both in the first window of a process, whose predecessor may have
@@ -54,9 +54,14 @@
   Repeats.push_back(Now);
 }
 
-void SharedRetryBudget::recordRepeatedCall(core::TimePoint Now) {
+bool SharedRetryBudget::tryTakeCall(std::size_t Nodes, core::TimePoint Now) {
+  if (remaining(Nodes, Now) < 1) {
+    ++DeniedCount;
+    return false;
+  }
   addRepeat(Now);
   ++RepeatedCallCount;
+  return true;
 }
 
 double SharedRetryBudget::remaining(std::size_t Nodes,
@@ -75,8 +80,9 @@
   return Allowed - static_cast<double>(repeatsInWindow(Now));
 }
 
-bool SharedRetryBudget::tryTake(std::size_t Nodes, core::TimePoint Now) {
-  if (remaining(Nodes, Now) < 1) {
+bool SharedRetryBudget::tryTake(std::size_t Nodes, core::TimePoint Now,
+                                double Reserved) {
+  if (remaining(Nodes, Now) - Reserved < 1) {
     ++DeniedCount;
     return false;
   }
--- a/tests/mesh/SharesTest.cpp
+++ b/tests/mesh/SharesTest.cpp
@@ -151,6 +151,69 @@
   cr_assert(Retries > 0 && Retries <= 100 / 10, "%zu", Retries);
 }
 
+// Guards against retries that take the part of the share that calls of admitted
+// repeated runs need, and against calls beyond the share.
+Test(shared_retry_budget, calls_of_repeated_runs_stay_within_the_share) {
+  Bench Node;
+  Node.State.Settings.Budget = {0, 20, milliseconds(10000)};
+  config::Routing Routing = shopRouting();
+  Routing.Services.emplace_back("price");
+  Routing.Routes.push_back(shopRoute("price", true));
+  Routing.Routes.back().Services = {{core::ServiceName("price"), 1}};
+  Node.configure(Routing);
+  Node.announce();
+  for (const char *Host : {"n1", "n2"}) {
+    HostReport Report = report(Host);
+    Report.Target->Service = core::ServiceName("price");
+    Node.send(ReportReceived{Report});
+  }
+  const auto Run = [&](std::uint64_t Id, bool Repeat) {
+    request::CallArrived Call;
+    Call.Id = core::CallId(Id);
+    Call.FromNode = true;
+    Call.Sender = core::NodeId("n1");
+    Call.Target = core::TargetId("own");
+    Call.CallerId = "c" + std::to_string(Id);
+    Call.TimeLeft = milliseconds(1000);
+    Call.Terms = request::HopTerms{core::RouteName("list"), milliseconds(400),
+                                   1, true, false};
+    Call.Terms->Repeat = Repeat;
+    Node.send(Call);
+    return Node.first<request::StartAttempt>();
+  };
+  const auto CallPrice = [&](std::uint64_t Id, const std::string &Parent) {
+    request::CallArrived Call;
+    Call.Id = core::CallId(Id);
+    Call.Path = "/price/1";
+    Call.VirtualHost = "shop.example";
+    Call.CallerId = Parent + "." + std::to_string(Id);
+    Call.ParentId = Parent;
+    Node.send(Call);
+    return Node.first<request::StartAttempt>();
+  };
+  const auto Left = [&] {
+    return Node.State.Services.at(core::ServiceName("price"))
+        .Budget.remaining(3, Node.Now);
+  };
+  // Runs of the route make one call each.
+  const auto First = Run(1, false);
+  Node.end(*CallPrice(2, "c1"), request::AttemptEnd::Held, 200, true);
+  Node.end(*First, request::AttemptEnd::Held, 200, true);
+  cr_assert(Left() == 4);
+  // While a repeated one runs, ordinary calls are refused by their targets.
+  cr_assert(Run(3, true).has_value());
+  for (std::uint64_t Id = 10; Id < 20; ++Id)
+    Node.end(*CallPrice(Id, ""), request::AttemptEnd::NotRun, 503, true);
+  cr_assert(Left() == 1, "%g", Left());
+  cr_assert(CallPrice(4, "c3").has_value());
+  cr_assert(Left() == 0, "%g", Left());
+  // It makes more calls than the mean.
+  cr_assert(!CallPrice(5, "c3").has_value());
+  const auto Refused = Node.first<request::Refuse>();
+  cr_assert(Refused && Refused->Result == request::Outcome::NotRun);
+  cr_assert(Left() == 0, "%g", Left());
+}
+
 // Guards against a service of a split that gets more or less than its weight.
 Test(split, each_service_gets_its_weight_in_each_window) {
   const std::vector<config::WeightedService> Services = {
