Report a recent crash although many requests are refused

Callers would see a request go on crashing targets after two crashes.

Cause: a report holds 64 suspects, those with most crashes first. A suspect with one crash is left out as soon as 64 requests are refused anywhere, so that each host counts only its own crashes of it; and the same 64 refused requests are reported each time, so that a node that joins never learns the others.

The recent crashes of the own target now go first, since no other node knows them, and the refused requests fill the rest, drawn at random. A report names at most as many crashes of a request as refuse it, so that it stays small.

The two tests fail without the change: with 300 refused requests the new crash is not in the report, and 64 of 301 requests are ever reported; 50 crashes of one request are reported in full.

--- a/lib/decision/mesh/CrashSuspects.cpp
+++ b/lib/decision/mesh/CrashSuspects.cpp
@@ -1,4 +1,5 @@
 #include "filbertvane/decision/mesh/CrashSuspects.h"
+#include "filbertvane/core/Random.h"
 #include "filbertvane/decision/mesh/Limits.h"
 #include "filbertvane/decision/request/Suspects.h"
 #include <algorithm>
@@ -15,6 +16,18 @@
 /// node. What is popular is answered within this time by each node.
 constexpr std::size_t MaximumAnswered = 1024;
 
+/// Draws at random what does not fit as a whole, so that each has its turn.
+void appendSome(std::vector<SuspectRequest> &Reports,
+                std::vector<SuspectRequest> Candidates, core::Random &Source) {
+  std::ranges::sort(Candidates);
+  for (std::size_t I = 0;
+       I < Candidates.size() && Reports.size() < MaximumReportedSuspects; ++I) {
+    std::swap(Candidates[I],
+              Candidates[I + Source.below(Candidates.size() - I)]);
+    Reports.push_back(std::move(Candidates[I]));
+  }
+}
+
 } // namespace
 
 core::Digest CrashSuspects::keyOf(const Identity &Request) {
@@ -79,15 +92,24 @@
 }
 
 std::vector<SuspectRequest> CrashSuspects::reports(core::TimePoint Now) const {
+  std::vector<SuspectRequest> Recent;
+  std::vector<SuspectRequest> Refused;
+  for (const auto &[Request, Each] : Known) {
+    const bool IsRecent = Now < Each.ReportUntil;
+    if (!IsRecent && !isRefused(Each))
+      continue;
+    SuspectRequest Report{Request, {Each.Crashes.begin(), Each.Crashes.end()}};
+    // Further crashes change nothing for those who receive the report.
+    if (Report.Crashes.size() > request::CrashesToRefuse)
+      Report.Crashes.resize(request::CrashesToRefuse);
+    (IsRecent ? Recent : Refused).push_back(std::move(Report));
+  }
+  // Only this node knows its own recent crashes; all know what is refused.
+  core::Random Source(
+      static_cast<std::uint64_t>(Now.time_since_epoch().count()));
   std::vector<SuspectRequest> Reports;
-  for (const auto &[Request, Each] : Known)
-    if (isRefused(Each) || Now < Each.ReportUntil)
-      Reports.push_back({Request, {Each.Crashes.begin(), Each.Crashes.end()}});
-  std::ranges::sort(Reports, std::greater<>(), [](const auto &Each) {
-    return std::pair(Each.Crashes.size(), Each.Request);
-  });
-  if (Reports.size() > MaximumReportedSuspects)
-    Reports.resize(MaximumReportedSuspects);
+  appendSome(Reports, std::move(Recent), Source);
+  appendSome(Reports, std::move(Refused), Source);
   return Reports;
 }
 
--- a/tests/mesh/CrashSuspectsTest.cpp
+++ b/tests/mesh/CrashSuspectsTest.cpp
@@ -176,6 +176,35 @@
   cr_assert(Node.State.Suspects.reports(Node.Now).size() == 1);
 }
 
+// Guards against a crash that other hosts never learn of since many requests
+// are refused already, and against refused requests that new nodes never learn.
+Test(crash_suspects, many_refused_requests_hide_no_crash) {
+  constexpr std::uint64_t Refused = 300;
+  CrashSuspects Suspects;
+  for (std::uint64_t I = 1; I <= Refused; ++I)
+    Suspects.recordReport(
+        {core::Digest(~I), {core::Digest(2 * I), core::Digest(2 * I + 1)}},
+        at(0));
+  Suspects.recordCrash({Request, Home}, core::Digest(1), at(1000));
+  std::set<core::Digest> Reported;
+  for (std::int64_t Now = 1000; Now < 15000; Now += 250)
+    for (const SuspectRequest &Each : Suspects.reports(at(Now)))
+      Reported.insert(Each.Request);
+  const auto First = Suspects.reports(at(1000));
+  cr_expect(std::ranges::any_of(
+      First, [](const auto &Each) { return Each.Request == Request; }));
+  cr_expect(Reported.size() == Refused + 1, "%zu", Reported.size());
+}
+
+// Guards against reports that grow with each crash of a popular request.
+Test(crash_suspects, a_report_names_as_many_crashes_as_refuse_a_request) {
+  CrashSuspects Suspects;
+  for (std::uint64_t Crash = 1; Crash <= 50; ++Crash)
+    Suspects.recordReport({Request, {core::Digest(Crash)}}, at(0));
+  cr_assert(Suspects.reports(at(0)).front().Crashes.size() ==
+            request::CrashesToRefuse);
+}
+
 // Guards against suspects of a target that is only slow, that leaves, or whose
 // node did not run.
 Test(crash_suspects, silence_for_another_reason_is_no_crash) {
