End the refusal of a suspect on all nodes

Callers whose request ran beside two crashes were refused for good instead of for ten minutes.

Cause: nodes learn of a suspect one after the other, and each removes it ten minutes later. A node that still has it reports it to one that has just removed it, which keeps it for another ten minutes and reports it in turn.

An expired suspect is no longer refused or reported, but kept for another retention, so that reports of the same crashes change nothing. A new crash within that time refuses it again.

`a_refusal_ends_on_all_nodes` fails without the change: all three nodes still refuse the request 5 s after the retention.

--- a/include/filbertvane/decision/mesh/CrashSuspects.h
+++ b/include/filbertvane/decision/mesh/CrashSuspects.h
@@ -44,7 +44,8 @@
   std::size_t refusedCount() const;
   /// @brief Number of those that crashed a target of this host.
   std::size_t refusedHereCount() const;
-  /// @brief Removes suspects after `request::SuspectRetention`.
+  /// @brief Ends refusals after `request::SuspectRetention`, and removes
+  ///        suspects after another one.
   void expire(core::TimePoint Now);
 
 private:
@@ -53,6 +54,7 @@
     core::TimePoint Until;
     /// Time until which this node reports a crash of its own target.
     core::TimePoint ReportUntil;
+    bool Expired = false;
   };
 
   static bool isRefused(const Suspect &Known);
--- a/lib/decision/mesh/CrashSuspects.cpp
+++ b/lib/decision/mesh/CrashSuspects.cpp
@@ -35,7 +35,7 @@
 }
 
 bool CrashSuspects::isRefused(const Suspect &Known) {
-  return Known.Crashes.size() >= request::CrashesToRefuse;
+  return !Known.Expired && Known.Crashes.size() >= request::CrashesToRefuse;
 }
 
 CrashSuspects::Suspect &CrashSuspects::suspect(core::Digest Request,
@@ -46,6 +46,7 @@
     }));
   Suspect &Found = Known[Request];
   Found.Until = Now + request::SuspectRetention;
+  Found.Expired = false;
   return Found;
 }
 
@@ -126,9 +127,14 @@
       }));
 }
 
+/// Nodes learn of a suspect one after the other. An expired one is kept, so
+/// that the report of a node that learned of it later does not renew it.
 void CrashSuspects::expire(core::TimePoint Now) {
-  std::erase_if(Known,
-                [Now](const auto &Entry) { return Entry.second.Until <= Now; });
+  for (auto &[Request, Each] : Known)
+    Each.Expired = Each.Until <= Now;
+  std::erase_if(Known, [Now](const auto &Entry) {
+    return Entry.second.Until + request::SuspectRetention <= Now;
+  });
 }
 
 } // namespace filbertvane::decision::mesh
--- a/tests/mesh/CrashSuspectsTest.cpp
+++ b/tests/mesh/CrashSuspectsTest.cpp
@@ -205,6 +205,28 @@
             request::CrashesToRefuse);
 }
 
+// Guards against a refusal that never ends since nodes report it to each other.
+Test(crash_suspects, a_refusal_ends_on_all_nodes) {
+  constexpr std::size_t Hosts = 3;
+  CrashSuspects Fleet[Hosts];
+  Fleet[0].recordCrash({Request, Home}, core::Digest(1), at(0));
+  Fleet[1].recordCrash({Request, Home}, core::Digest(2), at(100));
+  const std::int64_t RetentionMs =
+      milliseconds(request::SuspectRetention).count();
+  for (std::int64_t Now = 100; Now <= RetentionMs + 5000; Now += 50) {
+    for (CrashSuspects &Each : Fleet)
+      Each.expire(at(Now));
+    for (const SuspectRequest &Each : Fleet[Now / 50 % Hosts].reports(at(Now)))
+      for (CrashSuspects &Receiver : Fleet)
+        Receiver.recordReport(Each, at(Now));
+    if (Now == RetentionMs / 2)
+      for (const CrashSuspects &Each : Fleet)
+        cr_assert(Each.isRefused({Request, Home}));
+  }
+  for (const CrashSuspects &Each : Fleet)
+    cr_expect(!Each.isRefused({Request, Home}));
+}
+
 // Guards against suspects of a target that is only slow, that leaves, or whose
 // node did not run.
 Test(crash_suspects, silence_for_another_reason_is_no_crash) {
