--- a/tests/mesh/CrashSuspectsTest.cpp
+++ b/tests/mesh/CrashSuspectsTest.cpp
@@ -73,7 +73,7 @@
 constexpr std::int64_t EndMs = 45000;
 
 /// Nodes of three data centres, whose clients keep all targets in use.
-FleetModel fleet(std::uint64_t Seed) {
+FleetModel fleet(std::uint64_t Seed, std::size_t Nodes = ::Nodes) {
   FleetModel Fleet(Seed, {0.2, 60, milliseconds(10000)});
   Fleet.DataCentres = 3;
   Fleet.Targets["page"].RunTime = milliseconds(100);
@@ -86,16 +86,26 @@
   return Fleet;
 }
 
-/// Requests that reached targets although three had crashed 3 s before.
+/// Requests that reached targets although the same one had crashed three 3 s
+/// before; the most for any crashing request.
 std::size_t lateRetries(const FleetModel &Fleet) {
-  std::set<std::string> Late;
-  if (Fleet.Crashes.size() < 3)
-    return 0;
-  const core::TimePoint Bound = Fleet.Crashes[2].first + milliseconds(3000);
-  for (const FleetModel::Arrival &Arrival : Fleet.Arrivals)
-    if (Arrival.RequestId.starts_with("crash") && Arrival.At > Bound)
-      Late.insert(Arrival.RequestId);
-  return Late.size();
+  const auto RequestOf = [](const std::string &Id) {
+    return Id.substr(0, Id.find('-'));
+  };
+  std::map<std::string, std::vector<core::TimePoint>> Crashes;
+  for (const auto &[At, Id] : Fleet.Crashes)
+    Crashes[RequestOf(Id)].push_back(At);
+  std::map<std::string, std::set<std::string>> Late;
+  for (const FleetModel::Arrival &Arrival : Fleet.Arrivals) {
+    const auto Found = Crashes.find(RequestOf(Arrival.RequestId));
+    if (Found != Crashes.end() && Found->second.size() >= 3 &&
+        Arrival.At > Found->second[2] + milliseconds(3000))
+      Late[Found->first].insert(Arrival.RequestId);
+  }
+  std::size_t Most = 0;
+  for (const auto &[Request, Ids] : Late)
+    Most = std::max(Most, Ids.size());
+  return Most;
 }
 
 } // namespace
@@ -135,6 +145,23 @@
     }
 }
 
+// Guards against crashes that go uncounted while many requests are refused.
+Test(crash_suspects, many_requests_that_crash_targets_are_stopped) {
+  constexpr std::size_t AllowedRetries = 3;
+  constexpr std::size_t ManyNodes = 40;
+  constexpr std::size_t Different = 100;
+  FleetModel Fleet = fleet(1, ManyNodes);
+  core::Random Source(1);
+  for (std::int64_t Now = 5000; Now < EndMs; Now += 100) {
+    Fleet.runUntil(Now);
+    const std::size_t Entry = Source.below(ManyNodes);
+    Fleet.sendCrashing(Entry, "page",
+                       static_cast<std::uint16_t>(Source.below(Different)));
+  }
+  cr_assert(Fleet.Crashes.size() >= 2 * Different, "%zu", Fleet.Crashes.size());
+  cr_assert(lateRetries(Fleet) <= AllowedRetries, "%zu", lateRetries(Fleet));
+}
+
 // Guards against the same request where its targets fall silent: their
 // connections stay open, and the requests that they ran end at their deadlines.
 Test(crash_suspects, a_request_that_silences_targets_is_stopped) {
@@ -176,8 +203,7 @@
   cr_assert(Node.State.Suspects.reports(Node.Now).size() == 1);
 }
 
-// Guards against a crash that other hosts never learn of since many requests
-// are refused already, and against refused requests that new nodes never learn.
+// Guards against news that is left out of reports while much is refused.
 Test(crash_suspects, many_refused_requests_hide_no_crash) {
   constexpr std::uint64_t Refused = 300;
   CrashSuspects Suspects;
--- a/tests/mesh/FleetModel.cpp
+++ b/tests/mesh/FleetModel.cpp
@@ -9,7 +9,8 @@
 
 namespace {
 
-const core::Digest CrashingRequest(~std::uint64_t{0});
+/// Requests that crash targets have this digest and higher ones.
+const core::Digest CrashingRequests(~std::uint64_t{0xffff});
 /// Time for which a target runs the request that crashes it.
 constexpr milliseconds CrashTime{20};
 constexpr milliseconds TargetRestartTime{3000};
@@ -114,9 +115,10 @@
     end(Index, Ended);
 }
 
-void FleetModel::sendCrashing(std::size_t Index, const std::string &Service) {
-  request(Index, Service, fmt::format("crash{}", ++LastClient), CrashingRequest,
-          [](int) {});
+void FleetModel::sendCrashing(std::size_t Index, const std::string &Service,
+                              std::uint16_t Which) {
+  request(Index, Service, fmt::format("crash{}-{}", Which, ++LastClient),
+          core::Digest(CrashingRequests.value() + Which), [](int) {});
 }
 
 void FleetModel::afterAt(std::size_t Index, core::Microseconds Delay,
@@ -244,7 +246,7 @@
   // A target that crashed in silence still takes connections, as it seems.
   if (Host.TargetDown)
     return;
-  if (Host.Origins.at(Start.Id).Digest == CrashingRequest)
+  if (Host.Origins.at(Start.Id).Digest >= CrashingRequests)
     return after(CrashTime, [this, Index, Id] { crashTarget(Index, Id); });
   const TargetModel &Model = Targets.at(Host.Service);
   if (Source.unit() < Model.LossProbability) {
--- a/tests/mesh/FleetModel.h
+++ b/tests/mesh/FleetModel.h
@@ -68,9 +68,10 @@
   /// Sends requests of a client to a node at a constant rate.
   void addClients(std::size_t Node, const std::string &Service,
                   double PerSecond);
-  /// Sends one request that crashes each target that runs it; it is the same
-  /// request each time.
-  void sendCrashing(std::size_t Node, const std::string &Service);
+  /// Sends a request that crashes each target that runs it; it is the same
+  /// request for the same number.
+  void sendCrashing(std::size_t Node, const std::string &Service,
+                    std::uint16_t Which = 0);
   /// Makes all runs of a target take a multiple of their time.
   void slowTarget(std::size_t Node, double Factor) {
     Nodes[Node].TimeFactor = Factor;
