Count a crash of a quick request beside a slow one

Callers would see a request that silences targets, or whose targets listen again at once, crash more of them than two before it is refused.

Cause: when a target ended without a refused connection, the requests sent later than the usual time of the first lost one are left out, as the target would have answered that one if it had lived on. The usual time was that of the later request's own route. A quick request that crashed the target beside a slow one of another route was thus left out.

The usual time is now that of the first lost request.

`a_slow_request_beside_it_hides_no_cause` fails without the change: one suspect instead of two.

--- a/lib/decision/mesh/ReduceSuspects.cpp
+++ b/lib/decision/mesh/ReduceSuspects.cpp
@@ -50,10 +50,12 @@
   Target.CrashRecorded = true;
   // A target that lived on would have answered the first of them within the
   // usual time; what was sent later did not cause the crash.
-  const core::TimePoint First =
-      std::ranges::min_element(Lost, {}, &UnansweredRequest::SentAt)->SentAt;
+  const auto First =
+      std::ranges::min_element(Lost, {}, &UnansweredRequest::SentAt);
+  const core::TimePoint CrashedBefore =
+      First->SentAt + State.Slots.typicalTime(First->Route);
   for (const UnansweredRequest &Each : Lost)
-    if (Each.SentAt <= First + State.Slots.typicalTime(Each.Route))
+    if (Each.SentAt <= CrashedBefore)
       recordCrash(Each.Request, Target.Generation,
                   fmt::format("target={} sign={}",
                               Target.Announcement.Id.value(), Sign));
--- a/tests/mesh/CrashSuspectsTest.cpp
+++ b/tests/mesh/CrashSuspectsTest.cpp
@@ -253,6 +253,46 @@
     cr_expect(!Each.isRefused({Request, Home}));
 }
 
+// Guards against a quick request that goes free beside a slow one.
+Test(crash_suspects, a_slow_request_beside_it_hides_no_cause) {
+  Bench Node;
+  Node.configure();
+  Node.announce();
+  std::uint64_t Calls = 0;
+  const auto Send = [&](const std::string &Route, std::uint64_t Digest) {
+    request::CallArrived Call;
+    Call.Sender = core::NodeId("n1");
+    Call.Id = core::CallId(++Calls);
+    Call.FromNode = true;
+    Call.Target = core::TargetId("own");
+    Call.CallerId = fmt::format("c{}", Calls);
+    Call.RequestDigest = core::Digest(Digest);
+    Call.TimeLeft = milliseconds(2000);
+    Call.Terms = request::HopTerms{core::RouteName(Route), milliseconds(2000),
+                                   1, true, false};
+    Node.send(Call);
+    const auto Started = Node.first<StartAttempt>();
+    cr_assert(Started.has_value());
+    return *Started;
+  };
+  for (int I = 0; I < 20; ++I) {
+    const StartAttempt Quick = Send("list", 1);
+    Node.Now += milliseconds(20);
+    Node.end(Quick, AttemptEnd::Held, 200, true);
+    const StartAttempt Slow = Send("book", 2);
+    Node.Now += milliseconds(400);
+    Node.end(Slow, AttemptEnd::Held, 200, true);
+  }
+  Node.announce(2);
+  Send("book", 3);
+  Node.Now += milliseconds(200);
+  Send("list", 4);
+  Node.Now += milliseconds(10);
+  Node.announce(1, false, 2000);
+  cr_assert(Node.State.Suspects.reports(Node.Now).size() == 2, "%zu",
+            Node.State.Suspects.reports(Node.Now).size());
+}
+
 // Guards against suspects of a target that is only slow, that leaves, or whose
 // node did not run.
 Test(crash_suspects, silence_for_another_reason_is_no_crash) {
