Recognise copies in parts, in heads and behind broken copies

A review of the client for targets found, by reading:

- A copy whose head is split over two reads was taken for the rest of a broken-off body.
Bytes that may begin a head wait now until they are told from text; at most 8 KiB wait.
- An answer that broke off inside a header value went on with the head of a copy.
Such a value is refused.
- A copy that was broken off swallowed the answer behind it.
The answer is looked for there.
- An answer with a garbled id made the request wait for its deadline.
Only ids that the connection carried are those of copies; others end the request at once.
- The number of idle connections and the time to connect were not those of the process.
- Copies without a body were not bounded; requests without an id, and HEAD, reused connections; the search for heads could take long; timers outlived the client.

The check of an_earlier_refusal_speaks_for_no_later_request counts the connections again.

--- a/include/filbertvane/io/HttpClient.h
+++ b/include/filbertvane/io/HttpClient.h
@@ -82,6 +82,7 @@
   static std::unique_ptr<HttpClient> create(EventLoop &Loop,
                                             const Options &Settings);
   virtual ~HttpClient() = default;
+  virtual const Options &options() const = 0;
 
   /// @brief Starts a request; the handler is called from the loop only, never
   ///        from inside `send`.
--- a/lib/io/HttpClient.cpp
+++ b/lib/io/HttpClient.cpp
@@ -22,6 +22,7 @@
 public:
   CurlClient(EventLoop &Loop, const Options &Settings);
   ~CurlClient() override;
+  const Options &options() const override { return Settings; }
 
   std::unique_ptr<ClientRequest> send(Request What,
                                       ClientHandler &Handler) override;
--- a/lib/io/proxy/ProxyEngine.cpp
+++ b/lib/io/proxy/ProxyEngine.cpp
@@ -78,6 +78,8 @@
 
 targets::TargetClient::Options Engine::targetOptions() {
   targets::TargetClient::Options Made;
+  Made.IdleConnections = Client.options().IdleConnections;
+  Made.ConnectTimeout = Client.options().ConnectTimeout;
   Made.AnsweredRequest = [this](const ResponseHead &Head) {
     return Settings.Dialect ? Settings.Dialect->answeredRequest(Head)
                             : headerOf(Head.Fields, RequestField);
--- a/lib/io/targets/AnswerParser.cpp
+++ b/lib/io/targets/AnswerParser.cpp
@@ -57,9 +57,15 @@
   const auto &Message = Current->Parser.get();
   ResponseHead Head;
   Head.Status = static_cast<int>(Message.result_int());
-  for (const auto &Field : Message)
-    Head.Fields.emplace(std::string(Field.name_string()),
-                        std::string(Field.value()));
+  for (const auto &Field : Message) {
+    // A head that broke off in a value goes on with the head of a copy.
+    std::string Value(Field.value());
+    if (Value.find(VersionText) != std::string::npos) {
+      Result.Malformed = true;
+      return Result;
+    }
+    Head.Fields.emplace(std::string(Field.name_string()), std::move(Value));
+  }
   Result.Parsed = std::move(Head);
   return Result;
 }
--- a/lib/io/targets/AnswerParser.h
+++ b/lib/io/targets/AnswerParser.h
@@ -5,6 +5,9 @@
 
 namespace filbertvane::io::targets {
 
+/// @brief Text with which each answer begins.
+inline constexpr std::string_view VersionText = "HTTP/1.1 ";
+
 /// @brief Parses the answers of one connection one after the other
 ///        (Boost.Beast).
 class AnswerParser {
--- a/lib/io/targets/TargetClient.cpp
+++ b/lib/io/targets/TargetClient.cpp
@@ -58,7 +58,11 @@
     : Loop(Loop), Settings(std::move(Settings)),
       Soon(Loop, [this] { settle(); }) {}
 
-TargetClient::~TargetClient() { Alive.reset(); }
+TargetClient::~TargetClient() {
+  Alive.reset();
+  while (!Connections.empty())
+    Connections.back()->abandon();
+}
 
 std::unique_ptr<ClientRequest> TargetClient::send(TargetRequest What,
                                                   ClientHandler &Handler) {
@@ -149,7 +153,10 @@
   const std::string Address = addressOf(What.Url);
   closeOverdue(Address, What.MaxIdle);
   const auto MaxAge = Silent.maxAge(Address, now());
-  if (What.FreshConnection || (MaxAge && MaxAge->count() <= 0))
+  // A copy without an id, or with a body where a HEAD waits, cannot be told
+  // from the answer.
+  if (What.FreshConnection || For.Request.Id.empty() || What.Method == "HEAD" ||
+      (MaxAge && MaxAge->count() <= 0))
     return nullptr;
   std::vector<TargetConnection *> Candidates;
   for (const auto &Each : Connections)
--- a/lib/io/targets/TargetConnection.cpp
+++ b/lib/io/targets/TargetConnection.cpp
@@ -22,6 +22,10 @@
 constexpr std::uint64_t MaxFramingPerBodyByte = 8;
 /// Bytes of answers to other requests that are read while one request waits.
 constexpr std::uint64_t MaxDroppedBytes = std::uint64_t{4} * 1024 * 1024;
+/// Size up to which the head of an answer is looked for inside a body, and
+/// number of texts in one block that are taken for one.
+constexpr std::size_t MaxInnerHeadBytes = std::size_t{8} * 1024;
+constexpr std::size_t MaxInnerHeads = 16;
 /// Requests on one connection, so that their ids stay few.
 constexpr std::size_t MaxRequests = 256;
 
@@ -75,6 +79,7 @@
     return;
   if (Open)
     return pump();
+  StreamEnded = true;
   parse();
   if (isClosed())
     return;
@@ -173,14 +178,15 @@
 }
 
 void TargetConnection::takeHead(const ResponseHead &Head) {
+  const auto Id = Owner.answeredRequest(Head);
   Dropping = Dropping || Current == nullptr || Current->Handler == nullptr ||
-             Owner.answeredRequest(Head).value_or(Current->Request.Id) !=
-                 Current->Request.Id;
+             (Id && *Id != Current->Request.Id && CarriedIds.contains(*Id));
   if (Dropping) {
     DroppedBytes += AnswerBytes;
     Owner.dropped(*this, Head);
-    // It takes the connection with it.
-    if (Parser.endsWithConnection() || !Parser.keepsConnection())
+    // One that ends with the connection leaves no answer to wait for.
+    if (Parser.endsWithConnection() || !Parser.keepsConnection() ||
+        DroppedBytes > MaxDroppedBytes)
       fail(ClientEnd::Failed);
     return;
   }
@@ -196,12 +202,16 @@
   }
   if (Input.empty() || (!Dropping && Current->AnswerHeld))
     return false;
-  if (!Dropping && containsCopy()) {
+  const auto Usable = bodyBytesToParse();
+  if (!Usable) {
     fail(ClientEnd::Failed);
     return false;
   }
+  if (*Usable == 0)
+    return !HeadParsed;
   std::array<char, BodyPartBytes> Part;
-  const BodyResult Result = Parser.parseBody(Input, Part.data(), Part.size());
+  const BodyResult Result = Parser.parseBody(
+      std::string_view(Input).substr(0, *Usable), Part.data(), Part.size());
   Input.erase(0, Result.Consumed);
   AnswerBytes += Result.Consumed;
   BodyBytes += Result.Produced;
@@ -220,26 +230,63 @@
   return Result.Consumed > 0 || Parser.isWhole();
 }
 
-/// Where a target broke its answer off without closing the connection, a copy
-/// of this answer or of an earlier one would be taken for the rest of the body.
-bool TargetConnection::containsCopy() const {
-  constexpr std::string_view Version = "HTTP/1.1 ";
+/// Where a target broke its answer off without closing the connection, another
+/// answer would be taken for the rest of the body.
+std::optional<TargetConnection::InnerHead>
+TargetConnection::findInnerHead() const {
   constexpr std::string_view HeadEnd = "\r\n\r\n";
+  const std::string_view Bytes = Input;
   const std::size_t BodyEnd = Parser.bodyBytesLeft();
-  for (std::size_t At = Input.find(Version); At < BodyEnd;
-       At = Input.find(Version, At + 1)) {
-    const std::size_t End = Input.find(HeadEnd, At);
-    if (End == std::string::npos)
-      return false;
-    const auto Head = AnswerParser()
-                          .parseHead(std::string_view(Input).substr(
-                              At, End + HeadEnd.size() - At))
-                          .Parsed;
+  std::size_t Found = Bytes.find(VersionText);
+  for (std::size_t I = 0; I < MaxInnerHeads && Found < BodyEnd; ++I) {
+    const std::size_t End =
+        Bytes.substr(Found, MaxInnerHeadBytes).find(HeadEnd);
+    if (End == std::string_view::npos &&
+        Bytes.size() - Found < MaxInnerHeadBytes)
+      return InnerHead{Found, std::nullopt};
+    const auto Head =
+        End == std::string_view::npos
+            ? std::nullopt
+            : AnswerParser()
+                  .parseHead(Bytes.substr(Found, End + HeadEnd.size()))
+                  .Parsed;
     const auto Id = Head ? Owner.answeredRequest(*Head) : std::nullopt;
     if (Id && CarriedIds.contains(*Id))
-      return true;
+      return InnerHead{Found, Id};
+    Found = Bytes.find(VersionText, Found + 1);
   }
-  return false;
+  for (std::size_t Size = std::min(VersionText.size() - 1, Bytes.size());
+       Size > 0; --Size)
+    if (Bytes.size() < BodyEnd && Bytes.ends_with(VersionText.substr(0, Size)))
+      return InnerHead{Bytes.size() - Size, std::nullopt};
+  return std::nullopt;
+}
+
+/// @return bytes of the input that certainly belong to the body; none when the
+///         answer is broken off
+std::optional<std::size_t> TargetConnection::bodyBytesToParse() {
+  const auto Inner = findInnerHead();
+  if (!Inner)
+    return Input.size();
+  const std::size_t BodyEnd = Parser.bodyBytesLeft();
+  if (!Inner->Request) {
+    const bool IsVersion = Input.size() - Inner->At >= VersionText.size();
+    // The head cannot be told from text that is the end of the body.
+    if (Input.size() == BodyEnd || (StreamEnded && !IsVersion))
+      return Input.size();
+    if (Input.size() > BodyEnd || StreamEnded)
+      return std::nullopt;
+    return Inner->At;
+  }
+  if (!Dropping)
+    return std::nullopt;
+  // The copy broke off, and the answer to the request follows.
+  if (Current != nullptr && *Inner->Request == Current->Request.Id) {
+    Input.erase(0, Inner->At);
+    startNextAnswer();
+    return 0;
+  }
+  return Input.size();
 }
 
 bool TargetConnection::hasEndlessFraming() const {
@@ -257,7 +304,7 @@
   // A copy of the answer to a HEAD states a body that does not follow.
   const bool Reusable = Parser.keepsConnection() && Done->isBodySent() &&
                         !SendFailed && !What.FreshConnection &&
-                        What.Method != "HEAD" &&
+                        What.Method != "HEAD" && !Done->Request.Id.empty() &&
                         CarriedIds.size() < MaxRequests;
   if (!Reusable)
     close();
@@ -302,8 +349,10 @@
 
 void TargetConnection::abandon() {
   close();
-  if (Current != nullptr)
-    Current->Connection = nullptr;
+  if (Current == nullptr)
+    return;
+  Current->Connection = nullptr;
+  Current->Deadline->cancel();
   Current.reset();
 }
 
--- a/lib/io/targets/TargetConnection.h
+++ b/lib/io/targets/TargetConnection.h
@@ -74,7 +74,14 @@
   bool parseHead();
   bool parseBody();
   void takeHead(const ResponseHead &Head);
-  bool containsCopy() const;
+  /// @brief Head of another answer inside the body that is being parsed.
+  struct InnerHead {
+    std::size_t At = 0;
+    /// Request of this connection that it names; none while it is not whole.
+    std::optional<std::string> Request;
+  };
+  std::optional<InnerHead> findInnerHead() const;
+  std::optional<std::size_t> bodyBytesToParse();
   void finishAnswer();
   void endOfStream();
   /// @brief Closes the connection and ends the request.
@@ -92,6 +99,7 @@
   bool Connected = false;
   /// The target takes no more bytes; it may have answered before.
   bool SendFailed = false;
+  bool StreamEnded = false;
   /// Parsing calls the handler of the request, which may come back here.
   bool Parsing = false;
   core::TimePoint OpenedAt;
--- a/lib/io/targets/TargetTransfer.h
+++ b/lib/io/targets/TargetTransfer.h
@@ -18,7 +18,8 @@
 /// @brief State of one request that its client and its connection share.
 struct Transfer {
   Transfer(TargetRequest Request, ClientHandler &Receiver)
-      : Request(std::move(Request)), Handler(&Receiver) {}
+      : Request(std::move(Request)), Handler(&Receiver),
+        BodyFinished(this->Request.What.ContentLength == 0) {}
 
   TargetRequest Request;
   /// Null once the request is cancelled or over.
@@ -27,7 +28,7 @@
   TargetConnection *Connection = nullptr;
   /// Bytes to be sent, framed.
   ByteQueue Out;
-  bool BodyFinished = false;
+  bool BodyFinished;
   bool AnswerHeld = false;
   /// Any byte was sent.
   bool Sent = false;
--- a/tests/io/HttpFailureTest.cpp
+++ b/tests/io/HttpFailureTest.cpp
@@ -6,7 +6,8 @@
 
 namespace {
 
-io::ClientEnd endOfBrokenAnswer(std::optional<std::uint64_t> Length,
+io::ClientEnd endOfBrokenAnswer(ClientKind Kind,
+                                std::optional<std::uint64_t> Length,
                                 io::Headers Fields) {
   BoundedLoop Bounded;
   const auto Server = listenOn(Bounded.Loop, [&](io::ServerExchange &Exchange) {
@@ -18,12 +19,12 @@
     Handler->Writable = [&Exchange] { Exchange.abort(); };
     return Handler;
   });
-  const auto Client = io::HttpClient::create(Bounded.Loop, {});
+  AnyClient Client(Bounded.Loop, Kind);
   ClientRecorder Recorder;
   Recorder.OnOver = [&] { Bounded.stop(); };
   auto What = requestTo(Bounded.Loop, urlOf(Server->port()));
   What.Fields = std::move(Fields);
-  const auto Request = Client->send(std::move(What), Recorder);
+  const auto Request = Client.send(std::move(What), Recorder);
   Bounded.run();
   cr_assert(Recorder.Head.Status == 200, "the answer did not begin");
   return *Recorder.End;
@@ -87,7 +88,9 @@
     for (const std::string &Answer : {Framed, Chunked}) {
       // libcurl takes a chunked body as whole without the last line feed, after
       // which nothing can follow.
-      const std::size_t Whole = Answer.size() - (Answer == Chunked ? 1 : 0);
+      const bool MayLackByte =
+          Answer == Chunked && Kind == ClientKind::ForNodes;
+      const std::size_t Whole = Answer.size() - (MayLackByte ? 1 : 0);
       for (std::size_t Bytes = 0; Bytes < Whole; ++Bytes)
         cr_assert(endOfCutAnswer(Kind, Answer, Bytes) !=
                       io::ClientEnd::Complete,
@@ -105,10 +108,14 @@
 
 // Guards against a part of an answer that its receiver takes for the whole.
 Test(http_failure, a_broken_answer_is_seen_as_broken) {
-  cr_assert(endOfBrokenAnswer(std::nullopt, {}) == io::ClientEnd::Failed);
-  cr_assert(endOfBrokenAnswer(200000, {}) == io::ClientEnd::Failed);
-  cr_assert(endOfBrokenAnswer(std::nullopt, {{"Connection", "close"}}) ==
-            io::ClientEnd::Failed);
+  for (const ClientKind Kind : BothClients) {
+    cr_assert(endOfBrokenAnswer(Kind, std::nullopt, {}) ==
+              io::ClientEnd::Failed);
+    cr_assert(endOfBrokenAnswer(Kind, 200000, {}) == io::ClientEnd::Failed);
+    cr_assert(
+        endOfBrokenAnswer(Kind, std::nullopt, {{"Connection", "close"}}) ==
+        io::ClientEnd::Failed);
+  }
 }
 
 // Guards against an answer without a length, whose end cannot be verified.
@@ -131,25 +138,27 @@
 
 // Guards against work that goes on for a caller that is gone.
 Test(http_failure, a_cancelled_request_closes_the_exchange) {
-  BoundedLoop Bounded;
-  std::unique_ptr<io::ClientRequest> Request;
-  std::optional<bool> Whole;
-  const auto Server = listenOn(Bounded.Loop, [&](io::ServerExchange &) {
-    auto Handler = std::make_unique<ServerHandler>();
-    Handler->BodyEnd = [&] { Request.reset(); };
-    Handler->Closed = [&](bool How) {
-      Whole = How;
-      Bounded.stop();
-    };
-    return Handler;
-  });
-  const auto Client = io::HttpClient::create(Bounded.Loop, {});
-  ClientRecorder Recorder;
-  Request =
-      Client->send(requestTo(Bounded.Loop, urlOf(Server->port())), Recorder);
-  Bounded.run();
-  cr_assert(Whole == false);
-  cr_assert(!Recorder.End, "a cancelled request got an end");
+  for (const ClientKind Kind : BothClients) {
+    BoundedLoop Bounded;
+    std::unique_ptr<io::ClientRequest> Request;
+    std::optional<bool> Whole;
+    const auto Server = listenOn(Bounded.Loop, [&](io::ServerExchange &) {
+      auto Handler = std::make_unique<ServerHandler>();
+      Handler->BodyEnd = [&] { Request.reset(); };
+      Handler->Closed = [&](bool How) {
+        Whole = How;
+        Bounded.stop();
+      };
+      return Handler;
+    });
+    AnyClient Client(Bounded.Loop, Kind);
+    ClientRecorder Recorder;
+    Request =
+        Client.send(requestTo(Bounded.Loop, urlOf(Server->port())), Recorder);
+    Bounded.run();
+    cr_assert(Whole == false);
+    cr_assert(!Recorder.End, "a cancelled request got an end");
+  }
 }
 
 // Guards against malformed heads that reach the decision code.
@@ -182,65 +191,71 @@
 // Guards against a request that libcurl repeats by itself after a reused
 // connection closed without an answer: the first one may have run.
 Test(http_failure, a_request_is_never_sent_twice) {
-  BoundedLoop Bounded;
-  int Requests = 0;
-  bool Reused = false;
-  RawServer Server(Bounded.Loop, [&](RawConnection &Connection) {
-    if (Connection.Received.find("\r\n\r\n") == std::string::npos)
-      return;
-    Connection.Received.clear();
-    Reused = Requests == 1 && &Connection == &Server.Connections.front();
-    if (++Requests == 1)
-      Connection.send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
-    else
-      Connection.close();
-  });
-  const auto Client = io::HttpClient::create(Bounded.Loop, {});
-  ClientRecorder First;
-  First.OnOver = [&] { Bounded.stop(); };
-  auto What = requestTo(Bounded.Loop, urlOf(Server.Port));
-  What.Method = "POST";
-  const auto Opening = Client->send(What, First);
-  Bounded.run();
-  cr_assert(First.End == io::ClientEnd::Complete);
-  ClientRecorder Second;
-  Second.OnOver = [&] { Bounded.stop(); };
-  const auto Repeated = Client->send(What, Second);
-  Bounded.run();
-  cr_assert(Second.End == io::ClientEnd::Failed);
-  cr_assert(Requests == 2, "%d requests arrived", Requests);
-  cr_assert(Reused, "the second request used a new connection");
+  for (const ClientKind Kind : BothClients) {
+    BoundedLoop Bounded;
+    int Requests = 0;
+    bool Reused = false;
+    RawServer Server(Bounded.Loop, [&](RawConnection &Connection) {
+      if (Connection.Received.find("\r\n\r\n") == std::string::npos)
+        return;
+      Connection.Received.clear();
+      Reused = Requests == 1 && &Connection == &Server.Connections.front();
+      if (++Requests == 1)
+        Connection.send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+      else
+        Connection.close();
+    });
+    AnyClient Client(Bounded.Loop, Kind);
+    ClientRecorder First;
+    First.OnOver = [&] { Bounded.stop(); };
+    auto What = requestTo(Bounded.Loop, urlOf(Server.Port));
+    What.Method = "POST";
+    const auto Opening = Client.send(What, First);
+    Bounded.run();
+    cr_assert(First.End == io::ClientEnd::Complete);
+    ClientRecorder Second;
+    Second.OnOver = [&] { Bounded.stop(); };
+    const auto Repeated = Client.send(What, Second);
+    Bounded.run();
+    cr_assert(Second.End == io::ClientEnd::Failed);
+    cr_assert(Requests == 2, "%d requests arrived", Requests);
+    cr_assert(Reused, "the second request used a new connection");
+  }
 }
 
 // Guards against "not run" for a request that may have run, and against
 // "unknown" for one that was never sent.
 Test(http_failure, a_refused_connection_is_reported_as_not_sent) {
-  BoundedLoop Bounded;
-  std::uint16_t Port = 0;
-  {
-    const RawServer Gone(Bounded.Loop, [](RawConnection &) {});
-    Port = Gone.Port;
+  for (const ClientKind Kind : BothClients) {
+    BoundedLoop Bounded;
+    std::uint16_t Port = 0;
+    {
+      const RawServer Gone(Bounded.Loop, [](RawConnection &) {});
+      Port = Gone.Port;
+    }
+    AnyClient Client(Bounded.Loop, Kind);
+    ClientRecorder Recorder;
+    Recorder.OnOver = [&] { Bounded.stop(); };
+    const auto Request =
+        Client.send(requestTo(Bounded.Loop, urlOf(Port)), Recorder);
+    Bounded.run();
+    cr_assert(Recorder.End == io::ClientEnd::NotSent);
   }
-  const auto Client = io::HttpClient::create(Bounded.Loop, {});
-  ClientRecorder Recorder;
-  Recorder.OnOver = [&] { Bounded.stop(); };
-  const auto Request =
-      Client->send(requestTo(Bounded.Loop, urlOf(Port)), Recorder);
-  Bounded.run();
-  cr_assert(Recorder.End == io::ClientEnd::NotSent);
 }
 
 Test(http_failure, a_passed_deadline_after_hand_over_is_a_time_out) {
-  BoundedLoop Bounded;
-  RawServer Server(Bounded.Loop, [](RawConnection &) {});
-  const auto Client = io::HttpClient::create(Bounded.Loop, {});
-  ClientRecorder Recorder;
-  Recorder.OnOver = [&] { Bounded.stop(); };
-  auto What = requestTo(Bounded.Loop, urlOf(Server.Port));
-  What.Deadline = Bounded.Loop.now().Mono + core::Milliseconds(100);
-  const auto Request = Client->send(What, Recorder);
-  Bounded.run();
-  cr_assert(Recorder.End == io::ClientEnd::TimedOut);
+  for (const ClientKind Kind : BothClients) {
+    BoundedLoop Bounded;
+    RawServer Server(Bounded.Loop, [](RawConnection &) {});
+    AnyClient Client(Bounded.Loop, Kind);
+    ClientRecorder Recorder;
+    Recorder.OnOver = [&] { Bounded.stop(); };
+    auto What = requestTo(Bounded.Loop, urlOf(Server.Port));
+    What.Deadline = Bounded.Loop.now().Mono + core::Milliseconds(100);
+    const auto Request = Client.send(What, Recorder);
+    Bounded.run();
+    cr_assert(Recorder.End == io::ClientEnd::TimedOut);
+  }
 }
 
 // Guards against an answer whose first header line begins with a blank, which
--- a/tests/io/LogClientTest.cpp
+++ b/tests/io/LogClientTest.cpp
@@ -22,6 +22,9 @@
     Done(End, Status, Answer);
   }
 
+  const Options &options() const override { return Settings; }
+
+  Options Settings;
   ClientEnd End = ClientEnd::Complete;
   int Status = 200;
   std::string Answer;
--- a/tests/platform/FaultyAnswerTest.cpp
+++ b/tests/platform/FaultyAnswerTest.cpp
@@ -69,9 +69,12 @@
     cr_assert(All.ask("a1") == 503);
     cr_assert(All.Target.Connections.size() == 1);
     cr_assert(All.ask("a2") == 504, "id %s", Repeated);
-    // A probe of the target follows a deadline.
+    cr_assert(All.Requests == 2);
     cr_assert(All.Last == &All.Target.Connections.front(),
               "not the kept connection");
+    // A probe of the target follows a deadline.
+    const std::size_t Probes = *Repeated == 0 ? 0 : 1;
+    cr_assert(All.Target.Connections.size() == 1 + Probes);
     cr_assert(All.Entry.Ends.at(1).End == AttemptEnd::NoAnswer);
   }
   // The refusal of the request itself counts.
@@ -203,6 +206,56 @@
   cr_expect(All.ask("a3") == 200);
 }
 
+// Guards against a copy that is not recognised since its head arrives in parts,
+// and against an answer that breaks off inside its head.
+Test(faulty_answer, a_copy_in_parts_does_not_complete_a_broken_answer) {
+  const auto Whole = [](const std::string &Id) {
+    return fmt::format("HTTP/1.1 200 Text\r\nX-Attempt-Id: {}\r\n{}"
+                       "Content-Length: 400\r\n\r\n{}",
+                       Id, Signed, std::string(400, 'x'));
+  };
+  const std::string Copy = Whole("a1");
+  const std::size_t HeadBytes = Copy.size() - 400;
+  for (std::size_t Part = 1; Part < HeadBytes; Part += 3) {
+    Path All;
+    All.Answers = {Copy, Whole("a2").substr(0, 300) + Copy.substr(0, Part)};
+    cr_assert(All.ask("a1") == 200);
+    io::Timer Rest(All.Bounded.Loop,
+                   [&] { All.Last->send(Copy.substr(Part)); });
+    Rest.arm(All.Bounded.Loop.now().Mono + core::Milliseconds(20));
+    cr_expect(All.ask("a2") == 504, "copy cut after %zu bytes", Part);
+  }
+  for (std::size_t Bytes = 0; Bytes < HeadBytes; ++Bytes) {
+    Path All;
+    All.Answers = {Copy, Whole("a2").substr(0, Bytes) + Copy +
+                             (Bytes == 0 ? Whole("a2") : "")};
+    cr_assert(All.ask("a1") == 200);
+    const int Expected = Bytes == 0 ? 200 : 504;
+    cr_expect(All.ask("a2") == Expected, "head cut after %zu bytes", Bytes);
+  }
+}
+
+// Guards against a broken-off copy that swallows the answer behind it.
+Test(faulty_answer, a_broken_copy_hides_no_answer) {
+  const std::string Copy =
+      "HTTP/1.1 200 Text\r\nX-Attempt-Id: a1\r\nContent-Length: 400\r\n\r\n" +
+      std::string(300, 'x');
+  Path All;
+  All.Answers = {head(200, "a1", Signed), Copy + head(201, "a2", Signed)};
+  cr_assert(All.ask("a1") == 200);
+  cr_assert(All.ask("a2") == 201);
+}
+
+// Guards against a request that waits for its deadline although its only answer
+// names a request that its connection never carried.
+Test(faulty_answer, an_answer_with_an_unknown_id_ends_the_request) {
+  Path All;
+  All.Answers = {head(200, "zz", Signed)};
+  const core::TimePoint Begin = All.Bounded.Loop.now().Mono;
+  cr_assert(All.ask("a1") == 504);
+  cr_assert(All.Bounded.Loop.now().Mono - Begin < core::Seconds(2));
+}
+
 // Guards against a request that waits behind answers to others without end.
 Test(faulty_answer, copies_without_end_hold_no_request) {
   Path All;
