--- a/lib/io/BodyParser.h
+++ b/lib/io/BodyParser.h
@@ -12,11 +12,11 @@
 BodyResult
 parseBody(boost::beast::http::parser<IsRequest, boost::beast::http::buffer_body>
               &Parser,
-          std::string_view Input, char *Out, std::size_t Room) {
+          std::string_view Input, char *Out, std::size_t Capacity) {
   namespace http = boost::beast::http;
   auto &Body = Parser.get().body();
   Body.data = Out;
-  Body.size = Room;
+  Body.size = Capacity;
   Body.more = true;
   BodyResult Result;
   boost::beast::error_code Fault;
@@ -30,7 +30,7 @@
     if (Used == 0)
       break;
   }
-  Result.Produced = Room - Body.size;
+  Result.Produced = Capacity - Body.size;
   Result.Malformed = Fault && Fault != http::error::need_more &&
                      Fault != http::error::need_buffer;
   return Result;
--- a/lib/io/targets/AnswerParser.cpp
+++ b/lib/io/targets/AnswerParser.cpp
@@ -29,7 +29,7 @@
   Current->Parser.skip(HasNoBody);
 }
 
-bool AnswerParser::isWhole() const { return Current->Parser.is_done(); }
+bool AnswerParser::isComplete() const { return Current->Parser.is_done(); }
 
 bool AnswerParser::endsWithConnection() const {
   return Current->Parser.is_header_done() && Current->Parser.need_eof();
@@ -71,8 +71,8 @@
 }
 
 BodyResult AnswerParser::parseBody(std::string_view Input, char *Out,
-                                   std::size_t Room) {
-  return io::parseBody(Current->Parser, Input, Out, Room);
+                                   std::size_t Capacity) {
+  return io::parseBody(Current->Parser, Input, Out, Capacity);
 }
 
 bool AnswerParser::finishWithConnection() {
--- a/lib/io/targets/AnswerParser.h
+++ b/lib/io/targets/AnswerParser.h
@@ -29,13 +29,13 @@
   HeadResult parseHead(std::string_view Input);
 
   /// @brief Removes the framing from the input.
-  BodyResult parseBody(std::string_view Input, char *Out, std::size_t Room);
+  BodyResult parseBody(std::string_view Input, char *Out, std::size_t Capacity);
 
   /// @brief The connection has ended.
   /// @return whether the answer is whole by that
   bool finishWithConnection();
 
-  bool isWhole() const;
+  bool isComplete() const;
   /// @brief Bytes of a body of stated length that are still to come; no bound
   ///        without a length, 0 in chunks.
   std::size_t bodyBytesLeft() const;
--- a/lib/io/targets/TargetClient.cpp
+++ b/lib/io/targets/TargetClient.cpp
@@ -23,11 +23,11 @@
       Client.cancel(State);
   }
 
-  std::size_t writeBody(std::string_view Part) override {
+  std::size_t writeBody(std::string_view Block) override {
     if (!isInProgress())
       return 0;
-    State->writeBody(Part);
-    if (!Part.empty())
+    State->writeBody(Block);
+    if (!Block.empty())
       Client.wake(State);
     return State->Out.size();
   }
@@ -64,9 +64,9 @@
     Connections.back()->abandon();
 }
 
-std::unique_ptr<ClientRequest> TargetClient::send(TargetRequest What,
+std::unique_ptr<ClientRequest> TargetClient::send(TargetRequest Message,
                                                   ClientHandler &Handler) {
-  auto Starting = std::make_shared<Transfer>(std::move(What), Handler);
+  auto Starting = std::make_shared<Transfer>(std::move(Message), Handler);
   Queued.push_back(Starting);
   Soon.arm(now());
   return std::make_unique<Request>(*this, std::move(Starting), Alive);
@@ -98,17 +98,17 @@
 
 void TargetClient::begin(const std::shared_ptr<Transfer> &Starting) {
   const core::TimePoint Now = now();
-  if (Now >= Starting->Request.What.Deadline || !Starting->writeHead())
+  if (Now >= Starting->Request.Message.Deadline || !Starting->writeHead())
     return end(Starting, ClientEnd::NotSent);
   TargetConnection *Connection = findReusable(*Starting);
   if (Connection == nullptr)
-    Connection = open(addressOf(Starting->Request.What.Url));
+    Connection = open(addressOf(Starting->Request.Message.Url));
   if (Connection == nullptr)
     return end(Starting, ClientEnd::NotSent);
   Starting->HandedOverAt = Now;
   Starting->Deadline = std::make_unique<Timer>(
       Loop, [this, Late = Starting.get()] { expire(*Late); });
-  const core::TimePoint Deadline = Starting->Request.What.Deadline;
+  const core::TimePoint Deadline = Starting->Request.Message.Deadline;
   Starting->Deadline->arm(
       Connection->isConnected()
           ? Deadline
@@ -120,7 +120,7 @@
 void TargetClient::expire(Transfer &Late) {
   if (Late.Connection == nullptr)
     return;
-  const core::TimePoint Deadline = Late.Request.What.Deadline;
+  const core::TimePoint Deadline = Late.Request.Message.Deadline;
   if (Late.Connection->isConnected() && now() < Deadline)
     return Late.Deadline->arm(Deadline);
   Late.Connection->expire();
@@ -131,7 +131,7 @@
                             std::optional<core::Seconds> MaxAge) const {
   const core::TimePoint Now = now();
   const core::Microseconds Idle = Now - Connection.idleSince();
-  return !(For.Request.What.ProvenConnection && Idle >= ProvenIdleTime) &&
+  return !(For.Request.Message.ProvenConnection && Idle >= ProvenIdleTime) &&
          !(MaxAge && Now - Connection.openedAt() > *MaxAge) &&
          !Connection.hasCarried(For.Request.Id);
 }
@@ -149,14 +149,14 @@
 
 /// @return the idle connection that was in use last
 TargetConnection *TargetClient::findReusable(const Transfer &For) {
-  const HttpClient::Request &What = For.Request.What;
-  const std::string Address = addressOf(What.Url);
-  closeOverdue(Address, What.MaxIdle);
+  const HttpClient::Request &Message = For.Request.Message;
+  const std::string Address = addressOf(Message.Url);
+  closeOverdue(Address, Message.MaxIdle);
   const auto MaxAge = Silent.maxAge(Address, now());
   // A copy without an id, or with a body where a HEAD waits, cannot be told
   // from the answer.
-  if (What.FreshConnection || For.Request.Id.empty() || What.Method == "HEAD" ||
-      (MaxAge && MaxAge->count() <= 0))
+  if (Message.FreshConnection || For.Request.Id.empty() ||
+      Message.Method == "HEAD" || (MaxAge && MaxAge->count() <= 0))
     return nullptr;
   std::vector<TargetConnection *> Candidates;
   for (const auto &Each : Connections)
@@ -184,7 +184,7 @@
 
 void TargetClient::end(const std::shared_ptr<Transfer> &Ended, ClientEnd How) {
   const core::TimePoint Now = now();
-  const std::string Address = addressOf(Ended->Request.What.Url);
+  const std::string Address = addressOf(Ended->Request.Message.Url);
   if (Ended->AnswerSeen)
     Silent.answered(Address, Now);
   else if (How == ClientEnd::TimedOut)
--- a/lib/io/targets/TargetConnection.cpp
+++ b/lib/io/targets/TargetConnection.cpp
@@ -12,7 +12,7 @@
 /// answer is broken off if the parser needs still more.
 constexpr std::size_t InputBoundBytes = std::size_t{64} * 1024;
 /// Body bytes that are handed on at once.
-constexpr std::size_t BodyPartBytes = std::size_t{64} * 1024;
+constexpr std::size_t BodyBlockBytes = std::size_t{64} * 1024;
 /// Unsent bytes below which the handler is asked for more.
 constexpr std::size_t SendLowMark = std::size_t{64} * 1024;
 /// Bytes beside the body that an answer may have: a fixed part for interim
@@ -55,7 +55,7 @@
   HeadParsed = AnswerBegun = Dropping = false;
   AnswerBytes = BodyBytes = 0;
   Parser.startNext(Current != nullptr &&
-                   Current->Request.What.Method == "HEAD");
+                   Current->Request.Message.Method == "HEAD");
 }
 
 void TargetConnection::pump() {
@@ -83,7 +83,7 @@
   parse();
   if (isClosed())
     return;
-  // What is held back comes before the end.
+  // Message is held back comes before the end.
   if (Current != nullptr && Current->AnswerHeld && !Input.empty())
     return updateWatch();
   endOfStream();
@@ -96,7 +96,7 @@
   if (Count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR))
     return true;
   if (Count < 0) {
-    // What came before a reset is not parsed: an answer that ends with its
+    // Message came before a reset is not parsed: an answer that ends with its
     // connection would look whole.
     fail(ClientEnd::Failed);
     return true;
@@ -196,7 +196,7 @@
 
 /// @return whether to go on
 bool TargetConnection::parseBody() {
-  if (Parser.isWhole()) {
+  if (Parser.isComplete()) {
     finishAnswer();
     return true;
   }
@@ -209,9 +209,9 @@
   }
   if (*Usable == 0)
     return !HeadParsed;
-  std::array<char, BodyPartBytes> Part;
+  std::array<char, BodyBlockBytes> Block;
   const BodyResult Result = Parser.parseBody(
-      std::string_view(Input).substr(0, *Usable), Part.data(), Part.size());
+      std::string_view(Input).substr(0, *Usable), Block.data(), Block.size());
   Input.erase(0, Result.Consumed);
   AnswerBytes += Result.Consumed;
   BodyBytes += Result.Produced;
@@ -225,9 +225,9 @@
   }
   if (!Dropping && Result.Produced > 0) {
     const std::shared_ptr<Transfer> Kept = Current;
-    Kept->Handler->onBody({Part.data(), Result.Produced});
+    Kept->Handler->onBody({Block.data(), Result.Produced});
   }
-  return Result.Consumed > 0 || Parser.isWhole();
+  return Result.Consumed > 0 || Parser.isComplete();
 }
 
 /// Where a target broke its answer off without closing the connection, another
@@ -300,11 +300,11 @@
   const std::shared_ptr<Transfer> Done = Current;
   // The rest of a body that the target has not waited for would be taken for
   // the next request.
-  const HttpClient::Request &What = Done->Request.What;
+  const HttpClient::Request &Message = Done->Request.Message;
   // A copy of the answer to a HEAD states a body that does not follow.
   const bool Reusable = Parser.keepsConnection() && Done->isBodySent() &&
-                        !SendFailed && !What.FreshConnection &&
-                        What.Method != "HEAD" && !Done->Request.Id.empty() &&
+                        !SendFailed && !Message.FreshConnection &&
+                        Message.Method != "HEAD" && !Done->Request.Id.empty() &&
                         CarriedIds.size() < MaxRequests;
   if (!Reusable)
     close();
@@ -318,7 +318,8 @@
 void TargetConnection::endOfStream() {
   const bool Unframed =
       HeadParsed && !Dropping && Input.empty() && Parser.endsWithConnection();
-  if (Unframed && Current != nullptr && Current->Request.What.AcceptUnframed &&
+  if (Unframed && Current != nullptr &&
+      Current->Request.Message.AcceptUnframed &&
       Parser.finishWithConnection()) {
     close();
     return endCurrent(ClientEnd::Complete);
--- a/lib/io/targets/TargetTransfer.cpp
+++ b/lib/io/targets/TargetTransfer.cpp
@@ -5,29 +5,30 @@
 namespace filbertvane::io::targets {
 
 bool Transfer::writeHead() {
-  const HttpClient::Request &What = Request.What;
-  const std::size_t Origin = originLength(What.Url);
+  const HttpClient::Request &Message = Request.Message;
+  const std::size_t Origin = originLength(Message.Url);
   const std::string Path =
-      Origin < What.Url.size() ? What.Url.substr(Origin) : "/";
-  if (What.Method.empty() || !isPlain(What.Method, false) ||
+      Origin < Message.Url.size() ? Message.Url.substr(Origin) : "/";
+  if (Message.Method.empty() || !isPlain(Message.Method, false) ||
       !isPlain(Path, false))
     return false;
-  std::string Head = fmt::format("{} {} HTTP/1.1\r\n", What.Method, Path);
-  if (What.Fields.count("Host") == 0)
-    Head += fmt::format("Host: {}\r\n", addressOf(What.Url));
-  for (const auto &[Name, Value] : What.Fields) {
+  std::string Head = fmt::format("{} {} HTTP/1.1\r\n", Message.Method, Path);
+  if (Message.Fields.count("Host") == 0)
+    Head += fmt::format("Host: {}\r\n", addressOf(Message.Url));
+  for (const auto &[Name, Value] : Message.Fields) {
     if (isFraming(Name))
       continue;
     if (Name.empty() || !isPlain(Name, false) || !isPlain(Value, true))
       return false;
     Head += fmt::format("{}: {}\r\n", Name, Value);
   }
-  const bool StatesEmptyBody =
-      What.Method == "POST" || What.Method == "PUT" || What.Method == "PATCH";
-  if (!What.ContentLength)
+  const bool StatesEmptyBody = Message.Method == "POST" ||
+                               Message.Method == "PUT" ||
+                               Message.Method == "PATCH";
+  if (!Message.ContentLength)
     Head += "Transfer-Encoding: chunked\r\n";
-  else if (*What.ContentLength > 0 || StatesEmptyBody)
-    Head += fmt::format("Content-Length: {}\r\n", *What.ContentLength);
+  else if (*Message.ContentLength > 0 || StatesEmptyBody)
+    Head += fmt::format("Content-Length: {}\r\n", *Message.ContentLength);
   Head += "\r\n";
   const std::string Body(Out.front());
   Out.clear();
@@ -36,15 +37,15 @@
   return true;
 }
 
-void Transfer::writeBody(std::string_view Part) {
-  if (Part.empty())
+void Transfer::writeBody(std::string_view Block) {
+  if (Block.empty())
     return;
-  if (Request.What.ContentLength) {
-    Out.append(Part);
+  if (Request.Message.ContentLength) {
+    Out.append(Block);
     return;
   }
-  Out.append(fmt::format("{:x}\r\n", Part.size()));
-  Out.append(Part);
+  Out.append(fmt::format("{:x}\r\n", Block.size()));
+  Out.append(Block);
   Out.append("\r\n");
 }
 
@@ -52,7 +53,7 @@
   if (BodyFinished)
     return;
   BodyFinished = true;
-  if (!Request.What.ContentLength)
+  if (!Request.Message.ContentLength)
     Out.append("0\r\n\r\n");
 }
 
--- a/lib/io/targets/TargetTransfer.h
+++ b/lib/io/targets/TargetTransfer.h
@@ -10,7 +10,7 @@
 
 /// @brief One request to a target.
 struct TargetRequest {
-  HttpClient::Request What;
+  HttpClient::Request Message;
   /// Id that the target repeats in its answer.
   std::string Id;
 };
@@ -19,7 +19,7 @@
 struct Transfer {
   Transfer(TargetRequest Request, ClientHandler &Receiver)
       : Request(std::move(Request)), Handler(&Receiver),
-        BodyFinished(this->Request.What.ContentLength == 0) {}
+        BodyFinished(this->Request.Message.ContentLength == 0) {}
 
   TargetRequest Request;
   /// Null once the request is cancelled or over.
@@ -40,7 +40,7 @@
   /// @brief Puts the head in front of the body.
   /// @return false when the request cannot be expressed in HTTP
   bool writeHead();
-  void writeBody(std::string_view Part);
+  void writeBody(std::string_view Block);
   void finishBody();
   bool isBodySent() const { return BodyFinished && Out.empty(); }
 };
