Recognise copies inside chunks of a broken answer

Cause: inside chunks no head of another answer was looked for, as the parser did not tell where a chunk ends. A target that broke off inside a chunk and then wrote a copy gave the caller the copy's bytes as body, and, where the copy filled the chunk, as a whole answer. Evidence: faulty_answer/a_copy_does_not_complete_a_broken_answer, with a copy that ends with its chunk; it fails without the change. Change: the parser stops at the head and at the end of each chunk; the search for heads covers the bytes of the current chunk. The soak of answers breaks chunks off before a copy. Why it works: a head inside a chunk is found as in a body of stated length; one that goes on behind its chunk breaks the framing, since a chunk is followed by the end of a line and a size. Measured: the tests faulty_answer/* pass; text that quotes a head inside and at the end of chunks is delivered.

--- a/lib/io/BodyParser.h
+++ b/lib/io/BodyParser.h
@@ -7,12 +7,20 @@
 
 namespace filbertvane::io {
 
+/// @brief Extent of one call of `parseBody`.
+enum class ParseUnit {
+  All,
+  /// Up to the end of the head of a chunk, or of its bytes.
+  Part,
+};
+
 /// @brief Removes the framing of a body, for requests and answers.
 template <bool IsRequest>
 BodyResult
 parseBody(boost::beast::http::parser<IsRequest, boost::beast::http::buffer_body>
               &Parser,
-          std::string_view Input, char *Out, std::size_t Capacity) {
+          std::string_view Input, char *Out, std::size_t Capacity,
+          ParseUnit Unit = ParseUnit::All) {
   namespace http = boost::beast::http;
   auto &Body = Parser.get().body();
   Body.data = Out;
@@ -27,7 +35,7 @@
                                              Input.size() - Result.Consumed),
                    Fault);
     Result.Consumed += Used;
-    if (Used == 0)
+    if (Used == 0 || Unit == ParseUnit::Part)
       break;
   }
   Result.Produced = Capacity - Body.size;
--- a/lib/io/targets/AnswerParser.cpp
+++ b/lib/io/targets/AnswerParser.cpp
@@ -2,6 +2,7 @@
 #include "../BodyParser.h"
 #include <algorithm>
 #include <charconv>
+#include <functional>
 #include <limits>
 
 namespace filbertvane::io::targets {
@@ -15,9 +16,15 @@
 } // namespace
 
 struct AnswerParser::State {
+  State() { Parser.on_chunk_header(OnChunk); }
+
   http::response_parser<http::buffer_body> Parser;
-  /// No bound without a stated length.
-  std::size_t BodyBytesLeft = std::string_view::npos;
+  /// Of the body, or of the current chunk.
+  std::size_t BytesLeft = std::string_view::npos;
+  std::function<void(std::uint64_t, boost::beast::string_view,
+                     boost::beast::error_code &)>
+      OnChunk =
+          [this](std::uint64_t Bytes, auto, auto &) { BytesLeft = Bytes; };
 };
 
 AnswerParser::AnswerParser() { startNext(false); }
@@ -39,9 +46,9 @@
   return Current->Parser.is_header_done() && Current->Parser.need_eof();
 }
 
-std::size_t AnswerParser::bodyBytesLeft() const {
-  return Current->Parser.chunked() ? 0 : Current->BodyBytesLeft;
-}
+bool AnswerParser::isChunked() const { return Current->Parser.chunked(); }
+
+std::size_t AnswerParser::bodyBytesLeft() const { return Current->BytesLeft; }
 
 bool AnswerParser::keepsConnection() const {
   return Current->Parser.keep_alive();
@@ -58,9 +65,12 @@
   const auto &Message = Current->Parser.get();
   // The parser has checked the field. Its own count is an optional value whose
   // copy GCC 12 reports as uninitialised at -O1.
-  if (const auto Length = Message[http::field::content_length]; !Length.empty())
+  const auto Length = Message[http::field::content_length];
+  if (isChunked())
+    Current->BytesLeft = 0;
+  else if (!Length.empty())
     std::from_chars(Length.data(), Length.data() + Length.size(),
-                    Current->BodyBytesLeft);
+                    Current->BytesLeft);
   ResponseHead Head;
   Head.Status = static_cast<int>(Message.result_int());
   for (const auto &Field : Message) {
@@ -78,10 +88,14 @@
 
 BodyResult AnswerParser::parseBody(std::string_view Input, char *Out,
                                    std::size_t Capacity) {
+  const bool InChunk = isChunked() && Current->BytesLeft > 0;
+  if (InChunk)
+    Input = Input.substr(0, Current->BytesLeft);
   const BodyResult Result =
-      io::parseBody(Current->Parser, Input, Out, Capacity);
-  if (Current->BodyBytesLeft != std::string_view::npos)
-    Current->BodyBytesLeft -= std::min(Current->BodyBytesLeft, Result.Consumed);
+      io::parseBody(Current->Parser, Input, Out, Capacity,
+                    isChunked() ? ParseUnit::Part : ParseUnit::All);
+  if (InChunk || (!isChunked() && Current->BytesLeft != std::string_view::npos))
+    Current->BytesLeft -= std::min(Current->BytesLeft, Result.Consumed);
   return Result;
 }
 
--- a/lib/io/targets/AnswerParser.h
+++ b/lib/io/targets/AnswerParser.h
@@ -28,7 +28,8 @@
   ///        up have to be presented again together with further ones.
   HeadResult parseHead(std::string_view Input);
 
-  /// @brief Removes the framing from the input.
+  /// @brief Removes the framing from the input; ends with the size of a chunk
+  ///        and with the chunk, so that `bodyBytesLeft` tells what follows.
   BodyResult parseBody(std::string_view Input, char *Out, std::size_t Capacity);
 
   /// @brief The connection has ended.
@@ -36,8 +37,9 @@
   bool finishWithConnection();
 
   bool isComplete() const;
-  /// @brief Bytes of a body of stated length that are still to come; no bound
-  ///        without a length, 0 in chunks.
+  bool isChunked() const;
+  /// @brief Bytes that are still to come of a body of stated length, or of the
+  ///        current chunk; no bound without either.
   std::size_t bodyBytesLeft() const;
   /// @brief The answer has neither a length nor chunks.
   bool endsWithConnection() const;
--- a/lib/io/targets/TargetConnection.cpp
+++ b/lib/io/targets/TargetConnection.cpp
@@ -235,8 +235,10 @@
 std::optional<TargetConnection::InnerHead>
 TargetConnection::findInnerHead() const {
   constexpr std::string_view HeadEnd = "\r\n\r\n";
-  const std::string_view Bytes = Input;
   const std::size_t BodyEnd = Parser.bodyBytesLeft();
+  // The framing behind a chunk shows a head that does not end with it.
+  const std::string_view Bytes = std::string_view(Input).substr(
+      0, Parser.isChunked() ? BodyEnd : Input.size());
   std::size_t Found = Bytes.find(VersionText);
   for (std::size_t I = 0; I < MaxInnerHeads && Found < BodyEnd; ++I) {
     const std::size_t End =
@@ -270,6 +272,8 @@
     return Input.size();
   const std::size_t BodyEnd = Parser.bodyBytesLeft();
   if (!Inner->Request) {
+    if (Parser.isChunked())
+      return Input.size() < BodyEnd ? Inner->At : Input.size();
     const bool IsVersion = Input.size() - Inner->At >= VersionText.size();
     // The head cannot be told from text that is the end of the body.
     if (Input.size() == BodyEnd || (StreamEnded && !IsVersion))
--- a/scripts/faulty_targets.py
+++ b/scripts/faulty_targets.py
@@ -23,7 +23,7 @@
 KINDS = {"full": 24, "failure": 6, "failure-copy": 6, "shed": 5, "shed-copy": 5, "copy": 10,
          "copy-pieces": 5, "copies": 3, "earlier": 5, "cut-close": 4, "cut-open-copy": 3,
          "unframed": 4, "unframed-copy": 3, "chunked": 6, "chunked-copy": 3, "chunked-cut": 2,
-         "silent-close": 2, "idle-close": 4, "last": 4}
+         "chunked-cut-copy": 3, "silent-close": 2, "idle-close": 4, "last": 4}
 COPIES = ["copy", "copy-pieces"]  # of the mode with copies only
 
 
--- a/tests/platform/FaultyAnswerTest.cpp
+++ b/tests/platform/FaultyAnswerTest.cpp
@@ -181,7 +181,21 @@
   };
   const std::string Unframed = fmt::format(
       "HTTP/1.1 200 Text\r\nX-Attempt-Id: a2\r\n{}\r\npart", Signed);
+  const std::string Chunks =
+      fmt::format("HTTP/1.1 200 Text\r\nX-Attempt-Id: a2\r\n{}"
+                  "Transfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n",
+                  Signed);
+  const std::size_t CopyBytes = Whole("a1").size();
   const std::pair<const char *, std::string> Broken[] = {
+      {"inside a chunk", fmt::format("{}{:x}\r\npart{}\r\n0\r\n\r\n", Chunks,
+                                     CopyBytes + 4, Whole("a1"))},
+      {"inside a longer chunk",
+       fmt::format("{}{:x}\r\npart{}", Chunks, CopyBytes * 2, Whole("a1"))},
+      {"inside a chunk that ends with the copy's head",
+       fmt::format("{}{:x}\r\npart{}", Chunks, CopyBytes - 400 + 4,
+                   Whole("a1"))},
+      {"between chunks", Chunks + Whole("a1")},
+      {"before the last end of a line", Chunks + "0\r\n" + Whole("a1")},
       {"its own", Whole("a2").substr(0, 300) + Whole("a2")},
       {"that of an earlier request", Whole("a2").substr(0, 300) + Whole("a1")},
       {"a shorter one", Whole("a2").substr(0, 300) + head(200, "a1", Signed)},
@@ -200,10 +214,17 @@
   std::string Quoting = Whole("a2");
   Quoting.replace(Quoting.size() - 400, head(200, "b7", "").size(),
                   head(200, "b7", ""));
-  All.Answers = {Whole("a1"), Quoting + Whole("a1"), Whole("a3")};
-  cr_expect(All.ask("a1") == 200);
-  cr_expect(All.ask("a2") == 200);
-  cr_expect(All.ask("a3") == 200);
+  All.Answers = {Whole("a1"), Quoting + Whole("a1"), Whole("a3"),
+                 head(200, "a4",
+                      std::string(Signed) + "Transfer-Encoding: chunked\r\n",
+                      false) +
+                     "9\r\nHTTP/1.1 \r\n13\r\nHTTP/1.1 200 OK\r\n\r\n\r\n"
+                     "3\r\nHTT\r\n0\r\n\r\n" +
+                     Whole("a1"),
+                 Whole("a5")};
+  for (const char *Id : {"a1", "a2", "a3", "a4", "a5"})
+    cr_expect(All.ask(Id) == 200, "%s", Id);
+  cr_expect(All.Target.Connections.size() == 1, "closed");
 }
 
 // Guards against a copy that is not recognised since its head arrives in parts,
