Close a connection after a large answer

Cause: a connection reads at most 4 MiB of copies for one request; a late copy of a larger answer ended the connection under the next request, which lost its own answer. Evidence: faulty_answer/a_large_answer_is_the_last_on_its_connection fails without the change. Change: an answer of more than 1 MiB is the last one on its connection. Why it works: copies of it find no later request; four copies of any other answer stay within the bound. Measured: the tests faulty_answer/* pass.

--- a/lib/io/targets/TargetConnection.cpp
+++ b/lib/io/targets/TargetConnection.cpp
@@ -22,6 +22,9 @@
 constexpr std::uint64_t MaxFramingPerBodyByte = 8;
 /// Bytes of answers to other requests that are read while one request waits.
 constexpr std::uint64_t MaxDroppedBytes = std::uint64_t{4} * 1024 * 1024;
+/// Size of an answer above which its connection is closed: copies of it would
+/// reach the bound on what is dropped.
+constexpr std::uint64_t MaxReusedAnswerBytes = MaxDroppedBytes / 4;
 /// Size up to which the head of an answer is looked for inside a body, and
 /// number of texts in one block that are taken for one.
 constexpr std::size_t MaxInnerHeadBytes = std::size_t{8} * 1024;
@@ -309,7 +312,8 @@
   const bool Reusable = Parser.keepsConnection() && Done->isBodySent() &&
                         !SendFailed && !Message.FreshConnection &&
                         Message.Method != "HEAD" && !Done->Request.Id.empty() &&
-                        CarriedIds.size() < MaxRequests;
+                        CarriedIds.size() < MaxRequests &&
+                        AnswerBytes <= MaxReusedAnswerBytes;
   if (!Reusable)
     close();
   IdleSince = Owner.now();
--- a/tests/platform/FaultyAnswerTest.cpp
+++ b/tests/platform/FaultyAnswerTest.cpp
@@ -160,6 +160,22 @@
   }
 }
 
+// Guards against a copy that is too large to be read before the answer behind
+// it.
+Test(faulty_answer, a_large_answer_is_the_last_on_its_connection) {
+  for (const auto &[Bytes, Connections] :
+       {std::pair{1 << 19, 1}, std::pair{1 << 21, 2}}) {
+    Path All;
+    All.Answers = {fmt::format("HTTP/1.1 200 Text\r\nX-Attempt-Id: a1\r\n{}"
+                               "Content-Length: {}\r\n\r\n{}",
+                               Signed, Bytes, std::string(Bytes, 'x')),
+                   head(201, "a2", Signed)};
+    cr_assert(All.ask("a1") == 200);
+    cr_assert(All.ask("a2") == 201);
+    cr_assert(All.Target.Connections.size() == std::size_t(Connections));
+  }
+}
+
 // Guards against the answer to one attempt that is taken as that to another
 // one of the same request.
 Test(faulty_answer, a_copy_does_not_answer_a_later_attempt) {
