Test the exposure of a bad version without reads of the store

Cause: the model of the fleet delivers the end of a move to all nodes, so that the exposure tests did not show what nodes do that miss it. Change: a share of the nodes, half or all, does not read how the move ended.

--- a/tests/mesh/ExposureTest.cpp
+++ b/tests/mesh/ExposureTest.cpp
@@ -28,6 +28,8 @@
   std::size_t Restarted = 0;
   /// Share of the answers of all versions that are lost.
   double LossProbability = 0.02;
+  /// Share of the nodes that do not read how the move ended.
+  double MoveEndLoss = 0;
 };
 
 /// Bad answers after which the time of a roll-back begins, and that time.
@@ -92,6 +94,7 @@
   if (Terms.RefusedPerSecond > 0)
     Model.Targets["search"] = {};
   Model.DataCentres = Terms.DataCentres;
+  Model.MoveEndLoss = Terms.MoveEndLoss;
   Shop.Spread = 2;
   Shop.LossProbability = Terms.LossProbability;
   const auto Nodes = static_cast<double>(Terms.HostsPerVersion);
@@ -264,3 +267,23 @@
   cr_assert(Seen.Excess <= 0, "%g too many", Seen.Excess);
   cr_assert(Seen.AfterRollback == 0, "%zu late", Seen.AfterRollback);
 }
+
+// Guards against nodes that keep sending to a rejected version, since they have
+// not read from the store that it is rolled back.
+Test(exposure, a_rejection_reaches_nodes_that_do_not_read_the_store) {
+  Fleet Slow;
+  Fleet Failing;
+  Failing.SlowShare = 0;
+  Failing.OverloadedVersion = "v2";
+  Failing.FailsAbovePerSecond = 0;
+  for (Fleet Terms : {Slow, Failing})
+    for (const double Loss : {0.5, 1.0})
+      for (std::uint64_t Seed = 1; Seed <= 5; ++Seed) {
+        Terms.MoveEndLoss = Loss;
+        const Exposure Seen = playMove(Seed, Terms);
+        cr_expect(Seen.Excess <= 0, "loss %g, seed %d: %g too many", Loss,
+                  int(Seed), Seen.Excess);
+        cr_expect(Seen.AfterRollback == 0, "loss %g, seed %d: %zu late", Loss,
+                  int(Seed), Seen.AfterRollback);
+      }
+}
--- a/tests/mesh/FleetModel.cpp
+++ b/tests/mesh/FleetModel.cpp
@@ -402,7 +402,8 @@
     return;
   after(Latency, [this, Write] {
     for (std::size_t Index = 0; Index < Nodes.size(); ++Index)
-      if (Nodes[Index].State)
+      if (Nodes[Index].State &&
+          (MoveEndLoss <= 0 || Source.unit() >= MoveEndLoss))
         deliver(Index,
                 MoveStateRead{Write.Service, Write.NewVersion, Write.Phase});
   });
