Hand small chunks of an answer on together

Cause: since the parser stops at each chunk, a body of chunks of one byte was handed on byte by byte, and each time the input was moved. Change: the chunks of one input are collected in one block; the search for a head tells the extent of the body instead of changing the input. Why it works: a turn reads at most one block of input and hands on one block. Measured: endless_answer/*, faulty_answer/* and http_failure/* pass.

--- a/lib/io/targets/TargetConnection.cpp
+++ b/lib/io/targets/TargetConnection.cpp
@@ -205,43 +205,55 @@
   }
   if (Input.empty() || (!Dropping && Current->AnswerHeld))
     return false;
-  const auto Usable = bodyBytesToParse();
-  if (!Usable) {
-    fail(ClientEnd::Failed);
-    return false;
-  }
-  if (*Usable == 0)
-    return !HeadParsed;
   std::array<char, BodyBlockBytes> Block;
-  const BodyResult Result = Parser.parseBody(
-      std::string_view(Input).substr(0, *Usable), Block.data(), Block.size());
-  Input.erase(0, Result.Consumed);
-  AnswerBytes += Result.Consumed;
-  BodyBytes += Result.Produced;
+  // Small chunks are handed on together.
+  std::size_t Used = 0;
+  std::size_t Produced = 0;
+  bool Broken = false;
+  while (Used < Input.size() && Produced < Block.size() &&
+         !Parser.isComplete()) {
+    const std::string_view Left = std::string_view(Input).substr(Used);
+    const BodyExtent Extent = findBodyExtent(Left);
+    if (Extent.AnswerFollows) {
+      Input.erase(0, Used + Extent.Bytes);
+      startNextAnswer();
+      return true;
+    }
+    const BodyResult Result =
+        Parser.parseBody(Left.substr(0, Extent.Bytes), Block.data() + Produced,
+                         Block.size() - Produced);
+    Used += Result.Consumed;
+    Produced += Result.Produced;
+    Broken = Extent.Broken || Result.Malformed ||
+             (Result.Consumed == 0 && Extent.Bytes >= InputBoundBytes);
+    if (Broken || Result.Consumed == 0)
+      break;
+  }
+  Input.erase(0, Used);
+  AnswerBytes += Used;
+  BodyBytes += Produced;
   if (Dropping)
-    DroppedBytes += Result.Consumed;
-  const bool TooLong = Result.Consumed == 0 && Input.size() >= InputBoundBytes;
-  if (Result.Malformed || TooLong || hasEndlessFraming() ||
-      DroppedBytes > MaxDroppedBytes) {
+    DroppedBytes += Used;
+  if (Broken || hasEndlessFraming() || DroppedBytes > MaxDroppedBytes) {
     fail(ClientEnd::Failed);
     return false;
   }
-  if (!Dropping && Result.Produced > 0) {
+  if (!Dropping && Produced > 0) {
     const std::shared_ptr<Transfer> Kept = Current;
-    Kept->Handler->onBody({Block.data(), Result.Produced});
+    Kept->Handler->onBody({Block.data(), Produced});
   }
-  return Result.Consumed > 0 || Parser.isComplete();
+  return Used > 0 || Parser.isComplete();
 }
 
 /// Where a target broke its answer off without closing the connection, another
 /// answer would be taken for the rest of the body.
 std::optional<TargetConnection::InnerHead>
-TargetConnection::findInnerHead() const {
+TargetConnection::findInnerHead(std::string_view Bytes) const {
   constexpr std::string_view HeadEnd = "\r\n\r\n";
   const std::size_t BodyEnd = Parser.bodyBytesLeft();
   // The framing behind a chunk shows a head that does not end with it.
-  const std::string_view Bytes = std::string_view(Input).substr(
-      0, Parser.isChunked() ? BodyEnd : Input.size());
+  if (Parser.isChunked())
+    Bytes = Bytes.substr(0, BodyEnd);
   std::size_t Found = Bytes.find(VersionText);
   for (std::size_t I = 0; I < MaxInnerHeads && Found < BodyEnd; ++I) {
     const std::size_t End =
@@ -267,33 +279,27 @@
   return std::nullopt;
 }
 
-/// @return bytes of the input that certainly belong to the body; none when the
-///         answer is broken off
-std::optional<std::size_t> TargetConnection::bodyBytesToParse() {
-  const auto Inner = findInnerHead();
+TargetConnection::BodyExtent
+TargetConnection::findBodyExtent(std::string_view Bytes) const {
+  const auto Inner = findInnerHead(Bytes);
   if (!Inner)
-    return Input.size();
+    return {Bytes.size()};
   const std::size_t BodyEnd = Parser.bodyBytesLeft();
   if (!Inner->Request) {
     if (Parser.isChunked())
-      return Input.size() < BodyEnd ? Inner->At : Input.size();
-    const bool IsVersion = Input.size() - Inner->At >= VersionText.size();
+      return {Bytes.size() < BodyEnd ? Inner->At : Bytes.size()};
+    const bool IsVersion = Bytes.size() - Inner->At >= VersionText.size();
     // The head cannot be told from text that is the end of the body.
-    if (Input.size() == BodyEnd || (StreamEnded && !IsVersion))
-      return Input.size();
-    if (Input.size() > BodyEnd || StreamEnded)
-      return std::nullopt;
-    return Inner->At;
+    if (Bytes.size() == BodyEnd || (StreamEnded && !IsVersion))
+      return {Bytes.size()};
+    return {Inner->At, Bytes.size() > BodyEnd || StreamEnded};
   }
   if (!Dropping)
-    return std::nullopt;
+    return {Inner->At, true};
   // The copy broke off, and the answer to the request follows.
-  if (Current != nullptr && *Inner->Request == Current->Request.Id) {
-    Input.erase(0, Inner->At);
-    startNextAnswer();
-    return 0;
-  }
-  return Input.size();
+  if (Current != nullptr && *Inner->Request == Current->Request.Id)
+    return {Inner->At, false, true};
+  return {Bytes.size()};
 }
 
 bool TargetConnection::hasEndlessFraming() const {
--- a/lib/io/targets/TargetConnection.h
+++ b/lib/io/targets/TargetConnection.h
@@ -80,8 +80,16 @@
     /// Request of this connection that it names; none while it is not whole.
     std::optional<std::string> Request;
   };
-  std::optional<InnerHead> findInnerHead() const;
-  std::optional<std::size_t> bodyBytesToParse();
+  std::optional<InnerHead> findInnerHead(std::string_view Bytes) const;
+  /// @brief Part of the input that certainly belongs to the body.
+  struct BodyExtent {
+    std::size_t Bytes = 0;
+    /// The answer is broken off behind it.
+    bool Broken = false;
+    /// The answer to the request begins behind it.
+    bool AnswerFollows = false;
+  };
+  BodyExtent findBodyExtent(std::string_view Bytes) const;
   void finishAnswer();
   void endOfStream();
   /// @brief Closes the connection and ends the request.
