Refuse queued requests that a leaving target cannot serve in time

Cause: the queue of a draining target had no bound in time. Its requests went on to the target later than the drain time and ended with its process. Change: the host knows bounds.drain and bounds its queue by it from the acknowledgement on, as it does by the exits of processes. Why it works: the queue evicts what would not end before its bound as soon as this shows, as not run, so that it can be placed on another host.

--- a/include/filbertvane/decision/mesh/State.h
+++ b/include/filbertvane/decision/mesh/State.h
@@ -33,6 +33,8 @@
   /// Earlier retries of this node were taken by another process.
   core::TimePoint RetriesKnownSince;
   std::uint64_t RandomSeed = 0;
+  /// Time for which a target serves on after its departure was acknowledged.
+  std::optional<core::Microseconds> TargetDrainTime;
 };
 
 /// @brief A request that a target may have been running when it crashed.
@@ -46,6 +48,8 @@
 struct LocalTarget {
   TargetAnnounced Announcement;
   TargetState State = TargetState::Ready;
+  /// Time from which a leaving target may be gone.
+  core::TimePoint LeavesAt = core::TimePoint::max();
   /// It answered a request of this process.
   bool Answered = false;
   /// Requests that ended without an answer since its last sign of life; at most
--- a/include/filbertvane/io/mesh/Environment.h
+++ b/include/filbertvane/io/mesh/Environment.h
@@ -110,6 +110,9 @@
   decision::mesh::SharedRetryBudgetSettings Budget;
   /// Time that a stopped process has for its requests in progress.
   core::Milliseconds StopTime{0};
+  /// Time for which a target serves on after its departure was acknowledged;
+  /// not known in older settings.
+  std::optional<core::Milliseconds> TargetDrainTime;
   std::uint32_t MaxConnections = 0;
   /// Rate of the host's link; 0 when it is not known.
   double LinkBytesPerSecond = 0;
--- a/lib/decision/mesh/ReduceArrival.cpp
+++ b/lib/decision/mesh/ReduceArrival.cpp
@@ -189,11 +189,12 @@
   place(Accepted);
 }
 
-/// Time after which an answer cannot reach the caller, since the process of
-/// this node or of the entry node exits.
+/// Time after which an answer cannot reach the caller, since the target or the
+/// process of this node or of the entry node exits.
 core::TimePoint Reduction::exitBeforeAnswer(const MeshCall &Call) const {
   const core::TimePoint Exit =
-      State.ShutdownDeadline.value_or(core::TimePoint::max());
+      std::min(State.ShutdownDeadline.value_or(core::TimePoint::max()),
+               State.Target ? State.Target->LeavesAt : core::TimePoint::max());
   const auto Peer = State.PeerExits.find(Call.Sender);
   return Call.FromPeer && Peer != State.PeerExits.end()
              ? std::min(Exit, Peer->second)
--- a/lib/decision/mesh/ReduceTarget.cpp
+++ b/lib/decision/mesh/ReduceTarget.cpp
@@ -110,8 +110,12 @@
   State.DepartedAt = Now;
   log(observe::EventId::MeshDepartureAdopted,
       fmt::format("target={} born={}", Target.Id.value(), Target.ProcessStart));
-  if (State.Target && hasDeparted(State.Target->Announcement))
+  if (State.Target && hasDeparted(State.Target->Announcement)) {
+    // The time of the acknowledgement is not known.
+    if (State.Settings.TargetDrainTime)
+      State.Target->LeavesAt = Now;
     setTargetState(TargetState::Draining, "known_to_leave");
+  }
   return true;
 }
 
@@ -130,8 +134,12 @@
       (NewState == TargetState::Ready && hasDeparted(Target.Announcement)))
     return;
   Target.State = NewState;
-  if (NewState == TargetState::Draining)
+  if (NewState == TargetState::Draining) {
     recordDeparture({Target.Announcement.Id, Target.Announcement.ProcessStart});
+    if (State.Settings.TargetDrainTime)
+      Target.LeavesAt =
+          std::min(Target.LeavesAt, Now + *State.Settings.TargetDrainTime);
+  }
   using observe::EventId;
   const EventId Id = NewState == TargetState::Ready ? EventId::MeshTargetUp
                      : NewState == TargetState::Draining
@@ -142,6 +150,8 @@
   if (NewState == TargetState::Down)
     refuseQueued(ErrorCode::RequestNoTarget);
   reportToAll();
+  if (NewState == TargetState::Draining)
+    boundQueuedCallsByExit();
 }
 
 /// Applies what the target of a call stated in its answer. The answer binds
--- a/tests/platform/SettingsFileTest.cpp
+++ b/tests/platform/SettingsFileTest.cpp
@@ -41,14 +41,18 @@
   cr_assert(Place.Budget.Window == milliseconds(10000));
   cr_assert(Place.Budget.Slack == 64);
   cr_assert(Place.StopTime == milliseconds(6000));
+  cr_assert(!Place.TargetDrainTime);
+  const auto Newer = platform::parseSettings(with("bounds.drain=2500ms"));
+  cr_assert(core::value(Newer).Place.TargetDrainTime == milliseconds(2500));
   cr_assert(core::value(Read).Store.Address == "10.200.1.7:8309");
 }
 
 // Guards against a node that starts with half of its settings.
 Test(platform_settings, a_missing_or_wrong_field_is_named) {
   for (const char *Wrong :
-       {"listen.inbound=10.1.0.8", "bounds.grace=6", "bounds.budget_slack=many",
-        "platform.address=", "internal_ports=none", "limits.max_fds=-1"}) {
+       {"listen.inbound=10.1.0.8", "bounds.grace=6", "bounds.drain=soon",
+        "bounds.budget_slack=many", "platform.address=", "internal_ports=none",
+        "limits.max_fds=-1"}) {
     const auto Read = platform::parseSettings(with(Wrong));
     cr_assert(!core::ok(Read), "%s", Wrong);
     const std::string Name(Wrong, std::string(Wrong).find('='));
