Forget the drain time of a target that is back

Cause: a target whose announcements do not name the start of its process counts as gone for six seconds only; the bound on its queue was kept after that, so that all its requests were refused. Evidence: leaving_target/a_departure_that_is_over_bounds_no_queue fails without the change ("node or target is draining"). Change: a target that is ready again has no bound. Why it works: the bound is set whenever the target drains. Measured: leaving_target/* passes.

--- a/lib/decision/mesh/ReduceTarget.cpp
+++ b/lib/decision/mesh/ReduceTarget.cpp
@@ -134,6 +134,8 @@
       (NewState == TargetState::Ready && hasDeparted(Target.Announcement)))
     return;
   Target.State = NewState;
+  if (NewState == TargetState::Ready)
+    Target.LeavesAt = core::TimePoint::max();
   if (NewState == TargetState::Draining) {
     recordDeparture({Target.Announcement.Id, Target.Announcement.ProcessStart});
     if (State.Settings.TargetDrainTime)
--- a/tests/mesh/LeavingTargetTest.cpp
+++ b/tests/mesh/LeavingTargetTest.cpp
@@ -99,3 +99,24 @@
             "%zu started, %zu refused", Host.Starts.size(),
             Host.Refusals.size());
 }
+
+// Guards against a target that came back and whose queue is refused for good.
+Test(leaving_target, a_departure_that_is_over_bounds_no_queue) {
+  Bench Node;
+  Node.State.Settings.TargetDrainTime = DrainTime;
+  Node.configure();
+  // Its announcements do not name the start of its process.
+  Node.announce(1, false, 0);
+  Node.arriveFromPeer(1);
+  const auto Running = Node.first<request::StartAttempt>();
+  Node.send(TargetDeregistered{core::TargetId("own")});
+  Node.end(*Running, request::AttemptEnd::NotRun, 0, false, true);
+  Node.Now += std::chrono::minutes(10);
+  Node.announce(2, false, 0);
+  for (std::uint64_t Id = 2; Id <= 4; ++Id) {
+    Node.arriveFromPeer(Id, 8000, 5000);
+    const auto Refused = Node.first<request::Refuse>();
+    cr_assert(!Refused, "request %d: %s", int(Id),
+              Refused ? toString(Refused->Reason).c_str() : "");
+  }
+}
