Recognise a copy whose head ends behind a broken-off chunk

Cause: the search for a copy's head ended with the chunk. Where the chunk breaks off so that the copy's head fills it up to its last end of a line, that line end stands for the end of the chunk, and the copy's chunk goes on. Change: a head that begins in a chunk is searched for to its end; text that may be one waits for the rest of it. Why it works: a whole head shows what it is, wherever the chunk ends.

--- a/lib/io/targets/TargetConnection.cpp
+++ b/lib/io/targets/TargetConnection.cpp
@@ -251,10 +251,13 @@
 TargetConnection::findInnerHead(std::string_view Bytes) const {
   constexpr std::string_view HeadEnd = "\r\n\r\n";
   const std::size_t BodyEnd = Parser.bodyBytesLeft();
-  // The framing behind a chunk shows a head that does not end with it.
-  if (Parser.isChunked())
-    Bytes = Bytes.substr(0, BodyEnd);
-  std::size_t Found = Bytes.find(VersionText);
+  // A head that begins in a chunk may end behind it: the end of a line in the
+  // head then stands for the end of the chunk.
+  const std::string_view Begins =
+      Bytes.size() <= BodyEnd
+          ? Bytes
+          : Bytes.substr(0, BodyEnd + VersionText.size() - 1);
+  std::size_t Found = Begins.find(VersionText);
   for (std::size_t I = 0; I < MaxInnerHeads && Found < BodyEnd; ++I) {
     const std::size_t End =
         Bytes.substr(Found, MaxInnerHeadBytes).find(HeadEnd);
@@ -270,7 +273,7 @@
     const auto Id = Head ? Owner.answeredRequest(*Head) : std::nullopt;
     if (Id && CarriedIds.contains(*Id))
       return InnerHead{Found, Id};
-    Found = Bytes.find(VersionText, Found + 1);
+    Found = Begins.find(VersionText, Found + 1);
   }
   for (std::size_t Size = std::min(VersionText.size() - 1, Bytes.size());
        Size > 0; --Size)
@@ -287,7 +290,7 @@
   const std::size_t BodyEnd = Parser.bodyBytesLeft();
   if (!Inner->Request) {
     if (Parser.isChunked())
-      return {Bytes.size() < BodyEnd ? Inner->At : Bytes.size()};
+      return {Inner->At, StreamEnded};
     const bool IsVersion = Bytes.size() - Inner->At >= VersionText.size();
     // The head cannot be told from text that is the end of the body.
     if (Bytes.size() == BodyEnd || (StreamEnded && !IsVersion))
--- a/tests/platform/FaultyAnswerTest.cpp
+++ b/tests/platform/FaultyAnswerTest.cpp
@@ -202,6 +202,10 @@
                   "Transfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n",
                   Signed);
   const std::size_t CopyBytes = Whole("a1").size();
+  const std::string ChunkedCopy =
+      fmt::format("HTTP/1.1 200 Text\r\nX-Attempt-Id: a1\r\n{}"
+                  "Transfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n0\r\n\r\n",
+                  Signed);
   const std::pair<const char *, std::string> Broken[] = {
       {"inside a chunk", fmt::format("{}{:x}\r\npart{}\r\n0\r\n\r\n", Chunks,
                                      CopyBytes + 4, Whole("a1"))},
@@ -210,6 +214,9 @@
       {"inside a chunk that ends with the copy's head",
        fmt::format("{}{:x}\r\npart{}", Chunks, CopyBytes - 400 + 4,
                    Whole("a1"))},
+      {"with an end of line that ends a chunk",
+       fmt::format("{}{:x}\r\npart{}", Chunks,
+                   ChunkedCopy.find("5\r\n") - 2 + 4, ChunkedCopy)},
       {"between chunks", Chunks + Whole("a1")},
       {"before the last end of a line", Chunks + "0\r\n" + Whole("a1")},
       {"its own", Whole("a2").substr(0, 300) + Whole("a2")},
