--- a/tests/mesh/LeavingTargetTest.cpp
+++ b/tests/mesh/LeavingTargetTest.cpp
@@ -7,7 +7,7 @@
 
 constexpr milliseconds RunTime{900};
 constexpr milliseconds DrainTime{2500};
-constexpr std::uint32_t Slots = 4;
+constexpr std::size_t Slots = 4;
 
 /// A node with a target that runs each request for the same time.
 struct LoadedNode {
