--- a/tests/platform/FaultyAnswerTest.cpp
+++ b/tests/platform/FaultyAnswerTest.cpp
@@ -21,6 +21,13 @@
 constexpr const char *Refused = "X-Not-Executed: 1\r\n";
 constexpr const char *Signed = "X-Response-Signature: s\r\n";
 
+/// Answer to a request, with a body of 400 bytes.
+std::string answerWithBody(const std::string &RequestId) {
+  return fmt::format("HTTP/1.1 200 Text\r\nX-Attempt-Id: {}\r\n{}"
+                     "Content-Length: 400\r\n\r\n{}",
+                     RequestId, Signed, std::string(400, 'x'));
+}
+
 /// A node in the language of the platform, and a target made of raw bytes.
 struct Path {
   BoundedLoop Bounded;
@@ -190,43 +197,42 @@
 // Guards against a copy that is taken for the rest of an answer which the
 // target broke off.
 Test(faulty_answer, a_copy_does_not_complete_a_broken_answer) {
-  const auto Whole = [](const std::string &Id) {
-    return fmt::format("HTTP/1.1 200 Text\r\nX-Attempt-Id: {}\r\n{}"
-                       "Content-Length: 400\r\n\r\n{}",
-                       Id, Signed, std::string(400, 'x'));
-  };
   const std::string Unframed = fmt::format(
       "HTTP/1.1 200 Text\r\nX-Attempt-Id: a2\r\n{}\r\npart", Signed);
   const std::string Chunks =
       fmt::format("HTTP/1.1 200 Text\r\nX-Attempt-Id: a2\r\n{}"
                   "Transfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n",
                   Signed);
-  const std::size_t CopyBytes = Whole("a1").size();
+  const std::size_t CopyBytes = answerWithBody("a1").size();
   const std::string ChunkedCopy =
       fmt::format("HTTP/1.1 200 Text\r\nX-Attempt-Id: a1\r\n{}"
                   "Transfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n0\r\n\r\n",
                   Signed);
   const std::pair<const char *, std::string> Broken[] = {
       {"inside a chunk", fmt::format("{}{:x}\r\npart{}\r\n0\r\n\r\n", Chunks,
-                                     CopyBytes + 4, Whole("a1"))},
+                                     CopyBytes + 4, answerWithBody("a1"))},
       {"inside a longer chunk",
-       fmt::format("{}{:x}\r\npart{}", Chunks, CopyBytes * 2, Whole("a1"))},
+       fmt::format("{}{:x}\r\npart{}", Chunks, CopyBytes * 2,
+                   answerWithBody("a1"))},
       {"inside a chunk that ends with the copy's head",
        fmt::format("{}{:x}\r\npart{}", Chunks, CopyBytes - 400 + 4,
-                   Whole("a1"))},
+                   answerWithBody("a1"))},
       {"with an end of line that ends a chunk",
        fmt::format("{}{:x}\r\npart{}", Chunks,
                    ChunkedCopy.find("5\r\n") - 2 + 4, ChunkedCopy)},
-      {"between chunks", Chunks + Whole("a1")},
-      {"before the last end of a line", Chunks + "0\r\n" + Whole("a1")},
-      {"its own", Whole("a2").substr(0, 300) + Whole("a2")},
-      {"that of an earlier request", Whole("a2").substr(0, 300) + Whole("a1")},
-      {"a shorter one", Whole("a2").substr(0, 300) + head(200, "a1", Signed)},
-      {"behind a body without length", Unframed + Whole("a1")},
+      {"between chunks", Chunks + answerWithBody("a1")},
+      {"before the last end of a line",
+       Chunks + "0\r\n" + answerWithBody("a1")},
+      {"its own", answerWithBody("a2").substr(0, 300) + answerWithBody("a2")},
+      {"that of an earlier request",
+       answerWithBody("a2").substr(0, 300) + answerWithBody("a1")},
+      {"a shorter one",
+       answerWithBody("a2").substr(0, 300) + head(200, "a1", Signed)},
+      {"behind a body without length", Unframed + answerWithBody("a1")},
   };
   for (const auto &[Name, Answer] : Broken) {
     Path All;
-    All.Answers = {Whole("a1"), Answer};
+    All.Answers = {answerWithBody("a1"), Answer};
     cr_expect(All.ask("a1") == 200, "%s", Name);
     cr_expect(All.ask("a2") == 504, "%s", Name);
     cr_expect(All.Entry.Ends.at(1).End == AttemptEnd::NoAnswer, "%s", Name);
@@ -234,17 +240,18 @@
   // Behind a whole answer, and as a text that names no request of the
   // connection, it harms nothing.
   Path All;
-  std::string Quoting = Whole("a2");
+  std::string Quoting = answerWithBody("a2");
   Quoting.replace(Quoting.size() - 400, head(200, "b7", "").size(),
                   head(200, "b7", ""));
-  All.Answers = {Whole("a1"), Quoting + Whole("a1"), Whole("a3"),
+  All.Answers = {answerWithBody("a1"), Quoting + answerWithBody("a1"),
+                 answerWithBody("a3"),
                  head(200, "a4",
                       std::string(Signed) + "Transfer-Encoding: chunked\r\n",
                       false) +
                      "9\r\nHTTP/1.1 \r\n13\r\nHTTP/1.1 200 OK\r\n\r\n\r\n"
                      "3\r\nHTT\r\n0\r\n\r\n" +
-                     Whole("a1"),
-                 Whole("a5")};
+                     answerWithBody("a1"),
+                 answerWithBody("a5")};
   for (const char *Id : {"a1", "a2", "a3", "a4", "a5"})
     cr_expect(All.ask(Id) == 200, "%s", Id);
   cr_expect(All.Target.Connections.size() == 1, "closed");
@@ -253,16 +260,12 @@
 // Guards against a copy that is not recognised since its head arrives in parts,
 // and against an answer that breaks off inside its head.
 Test(faulty_answer, a_copy_in_parts_does_not_complete_a_broken_answer) {
-  const auto Whole = [](const std::string &Id) {
-    return fmt::format("HTTP/1.1 200 Text\r\nX-Attempt-Id: {}\r\n{}"
-                       "Content-Length: 400\r\n\r\n{}",
-                       Id, Signed, std::string(400, 'x'));
-  };
-  const std::string Copy = Whole("a1");
+  const std::string Copy = answerWithBody("a1");
   const std::size_t HeadBytes = Copy.size() - 400;
   for (std::size_t Part = 1; Part < HeadBytes; Part += 3) {
     Path All;
-    All.Answers = {Copy, Whole("a2").substr(0, 300) + Copy.substr(0, Part)};
+    All.Answers = {Copy,
+                   answerWithBody("a2").substr(0, 300) + Copy.substr(0, Part)};
     cr_assert(All.ask("a1") == 200);
     io::Timer Rest(All.Bounded.Loop,
                    [&] { All.Last->send(Copy.substr(Part)); });
@@ -271,8 +274,8 @@
   }
   for (std::size_t Bytes = 0; Bytes < HeadBytes; ++Bytes) {
     Path All;
-    All.Answers = {Copy, Whole("a2").substr(0, Bytes) + Copy +
-                             (Bytes == 0 ? Whole("a2") : "")};
+    All.Answers = {Copy, answerWithBody("a2").substr(0, Bytes) + Copy +
+                             (Bytes == 0 ? answerWithBody("a2") : "")};
     cr_assert(All.ask("a1") == 200);
     const int Expected = Bytes == 0 ? 200 : 504;
     cr_expect(All.ask("a2") == Expected, "head cut after %zu bytes", Bytes);
