Configuration: read tenants, keys, homes and cold rates

Cause: the configuration of the new deployments holds tenants with keys, priorities and quotas, regions in which a route or tenant may be served, and the rate that a cold target accepts. The node ignored these fields.

A key that two tenants hold makes a configuration invalid. Nothing acts on the fields yet.

--- a/include/filbertvane/config/Routing.h
+++ b/include/filbertvane/config/Routing.h
@@ -1,6 +1,7 @@
 #ifndef FILBERTVANE_CONFIG_ROUTING_H
 #define FILBERTVANE_CONFIG_ROUTING_H
 
+#include "filbertvane/config/KeyDigest.h"
 #include "filbertvane/core/Ids.h"
 #include "filbertvane/core/Result.h"
 #include "filbertvane/core/Time.h"
@@ -43,10 +44,47 @@
   std::uint32_t Rank = 0;
   /// Maximum number of targets to which one request may be sent.
   std::uint32_t MaxTargets = 1;
+  /// Regions in which requests may run and be held; empty for all.
+  std::vector<core::RegionId> AllowedRegions;
+  /// Requests need no key, also where the configuration names tenants.
+  bool AllowsAnonymous = false;
 
   friend auto operator<=>(const HostRoute &, const HostRoute &) = default;
 };
 
+/// @brief A service to which routes may lead.
+struct Service {
+  core::ServiceName Name;
+  /// Requests per second that a target accepts while it is cold; 0 for no
+  /// limit.
+  double ColdRequestsPerSecond = 0;
+
+  friend auto operator<=>(const Service &, const Service &) = default;
+};
+
+/// @brief Requests that a tenant may make, over all nodes together.
+struct Quota {
+  /// 0 for no limit.
+  double RequestsPerSecond = 0;
+  /// Requests beyond the rate that may come at once.
+  double Burst = 0;
+
+  friend auto operator<=>(const Quota &, const Quota &) = default;
+};
+
+/// @brief A tenant: callers that share keys, a priority and a quota.
+struct Tenant {
+  core::TenantName Name;
+  std::vector<KeyDigest> Keys;
+  /// Replaces the rank of the route; 0 is the most urgent.
+  std::optional<std::uint32_t> Rank;
+  config::Quota Quota;
+  /// Regions in which requests may run and be held; empty for all.
+  std::vector<core::RegionId> AllowedRegions;
+
+  friend auto operator<=>(const Tenant &, const Tenant &) = default;
+};
+
 /// @brief Size and time limits for requests of callers.
 struct CallerLimits {
   std::uint64_t MaxHeaderBytes = 0;
@@ -61,8 +99,10 @@
 struct Routing {
   core::ConfigVersion Version;
   std::vector<HostRoute> Routes;
-  std::vector<core::ServiceName> Services;
+  std::vector<Service> Services;
   CallerLimits Limits;
+  /// None when callers need no key.
+  std::optional<std::vector<Tenant>> Tenants;
 
   friend auto operator<=>(const Routing &, const Routing &) = default;
 };
@@ -84,7 +124,15 @@
   std::shared_ptr<const HostRoute> match(std::string_view Host,
                                          std::string_view Path) const;
   /// @brief Whether the configuration names a service.
-  bool hasService(const core::ServiceName &Service) const;
+  bool hasService(const core::ServiceName &Name) const;
+  /// @brief The service of a name, or null.
+  const Service *findService(const core::ServiceName &Name) const;
+  /// @brief Whether requests need a key, unless their route is anonymous.
+  bool requiresKeys() const { return Config.Tenants.has_value(); }
+  /// @brief Tenant that holds a key, or null.
+  std::shared_ptr<const Tenant> tenantOf(const KeyDigest &Key) const;
+  /// @brief Tenant of a name, or null.
+  std::shared_ptr<const Tenant> findTenant(const core::TenantName &Name) const;
   const Routing &routing() const { return Config; }
 
 private:
@@ -93,6 +141,8 @@
   std::map<std::string, std::vector<std::shared_ptr<const HostRoute>>,
            std::less<>>
       RoutesByHost;
+  std::map<KeyDigest, std::shared_ptr<const Tenant>> TenantsByKey;
+  std::map<core::TenantName, std::shared_ptr<const Tenant>> TenantsByName;
 };
 
 } // namespace filbertvane::config
--- a/include/filbertvane/core/Ids.h
+++ b/include/filbertvane/core/Ids.h
@@ -19,6 +19,8 @@
 /// @{
 using ServiceName = StrongId<struct ServiceNameTag, std::string>;
 using RouteName = StrongId<struct RouteNameTag, std::string>;
+/// A team whose requests share keys, a priority and a quota.
+using TenantName = StrongId<struct TenantNameTag, std::string>;
 /// Software version of a target, for example "1.4.0".
 using TargetVersion = StrongId<struct TargetVersionTag, std::string>;
 /// Number of accepted configuration changes; never decreases.
--- a/include/filbertvane/decision/mesh/Events.h
+++ b/include/filbertvane/decision/mesh/Events.h
@@ -49,6 +49,14 @@
 struct PositionReached {
   core::LogOffset Position;
 };
+/// @brief An operator evacuates a data centre, or takes it back: while it is
+///        evacuated, its targets get no requests.
+struct EvacuationOrdered {
+  core::DataCentreId DataCentre;
+  bool Active = false;
+  /// Offset of the order in the operator records.
+  core::LogOffset OrderOffset;
+};
 /// @brief The state of a move was read from the store.
 struct MoveStateRead {
   core::ServiceName Service;
@@ -76,8 +84,8 @@
                  request::AttemptEnded, request::CallerDisconnected,
                  TargetAnnounced, TargetDeregistered, ReportReceived,
                  StoredReportsRead, RoutingLoaded, PositionReached, MoveOrdered,
-                 MoveStateRead, StoreReachabilityChanged, ServiceAssigned,
-                 ShutdownRequested, ExitDue, request::Tick>;
+                 EvacuationOrdered, MoveStateRead, StoreReachabilityChanged,
+                 ServiceAssigned, ShutdownRequested, ExitDue, request::Tick>;
 /// @}
 
 /// @name Effects
--- a/include/filbertvane/decision/mesh/State.h
+++ b/include/filbertvane/decision/mesh/State.h
@@ -185,6 +185,8 @@
 
   std::shared_ptr<const config::RoutingTable> Routing;
   core::LogOffset Position;
+  /// Newest order of each data centre that was ever evacuated.
+  std::map<core::DataCentreId, EvacuationOrdered> Evacuations;
   HostDirectory Hosts;
   /// Exits of the processes that other nodes are shutting down.
   std::map<core::NodeId, core::TimePoint> PeerExits;
--- a/include/filbertvane/decision/request/Events.h
+++ b/include/filbertvane/decision/request/Events.h
@@ -2,6 +2,7 @@
 #define FILBERTVANE_DECISION_REQUEST_EVENTS_H
 
 #include "filbertvane/config/FleetState.h"
+#include "filbertvane/config/KeyDigest.h"
 #include "filbertvane/core/Digest.h"
 #include "filbertvane/decision/TargetLoad.h"
 #include "filbertvane/observe/LogEvent.h"
@@ -94,6 +95,9 @@
   /// A retry, or a call that a repeated run makes: its run counts as a repeat,
   /// and so do the calls of this run.
   bool Repeat = false;
+  /// Tenant that sent the request; empty when it has none. A host node takes it
+  /// from other nodes only.
+  core::TenantName Tenant = {};
 
   friend auto operator<=>(const HopTerms &, const HopTerms &) = default;
 };
@@ -165,6 +169,8 @@
   core::NodeId Sender = {};
   /// Transmission time of the large answers queued on the host's link.
   core::Microseconds LinkWait{0};
+  /// Digest of the key that the caller presented.
+  std::optional<config::KeyDigest> Credential = std::nullopt;
 };
 /// @brief The first byte of an answer was received.
 struct AnswerStarted {
@@ -284,6 +290,8 @@
   /// Service of the host on which the request originated.
   core::ServiceName Caller = {};
   std::optional<HopTerms> Terms = std::nullopt;
+  /// Tenant that sent the request; empty when it has none.
+  core::TenantName Tenant = {};
 };
 /// @brief Forward the held answer.
 struct DeliverAnswer {
--- a/include/filbertvane/io/RequestDialect.h
+++ b/include/filbertvane/io/RequestDialect.h
@@ -15,6 +15,8 @@
   std::string ParentId;
   /// Time that the caller waits for the answer.
   std::optional<core::Milliseconds> TimeLeft;
+  /// Digest of the key that the caller presented.
+  std::optional<config::KeyDigest> Credential = std::nullopt;
 };
 
 /// @brief What a target is told about a request.
@@ -23,6 +25,8 @@
   core::Milliseconds TimeLeft{0};
   /// Service on whose host the request began.
   core::ServiceName Caller;
+  /// Tenant that sent the request; empty when it has none.
+  core::TenantName Tenant = {};
 };
 
 /// @brief What the head of a target's answer means.
--- a/lib/config/Routing.cpp
+++ b/lib/config/Routing.cpp
@@ -1,6 +1,7 @@
 #include "filbertvane/config/Routing.h"
 #include <algorithm>
 #include <fmt/format.h>
+#include <set>
 
 namespace filbertvane::config {
 
@@ -11,8 +12,14 @@
           fmt::format("route {}: {}", Route.Name.value(), Reason)};
 }
 
-bool definesService(const Routing &Config, const core::ServiceName &Service) {
-  return std::ranges::find(Config.Services, Service) != Config.Services.end();
+core::Error invalid(const Tenant &Holder, std::string_view Reason) {
+  return {core::ErrorCode::RoutingInvalid,
+          fmt::format("tenant {}: {}", Holder.Name.value(), Reason)};
+}
+
+bool definesService(const Routing &Config, const core::ServiceName &Name) {
+  return std::ranges::find(Config.Services, Name, &Service::Name) !=
+         Config.Services.end();
 }
 
 core::Status checkRoute(const Routing &Config, const HostRoute &Route) {
@@ -40,6 +47,20 @@
   return std::monostate();
 }
 
+/// A key that two tenants hold would attribute requests to either of them.
+core::Status checkTenants(const std::vector<Tenant> &Tenants) {
+  std::set<KeyDigest> Keys;
+  for (const Tenant &Holder : Tenants) {
+    if (Holder.Name.value().empty())
+      return invalid(Holder, "no name");
+    for (const KeyDigest &Key :
+         std::set(Holder.Keys.begin(), Holder.Keys.end()))
+      if (!Keys.insert(Key).second)
+        return invalid(Holder, "a key belongs to another tenant as well");
+  }
+  return std::monostate();
+}
+
 } // namespace
 
 core::Status validateRouting(const Routing &Candidate) {
@@ -48,7 +69,8 @@
     if (!core::ok(Checked))
       return Checked;
   }
-  return std::monostate();
+  return Candidate.Tenants ? checkTenants(*Candidate.Tenants)
+                           : core::Status(std::monostate());
 }
 
 RoutingTable::RoutingTable(Routing Source) : Config(std::move(Source)) {
@@ -59,6 +81,14 @@
     std::ranges::stable_sort(Routes, [](const auto &A, const auto &B) {
       return A->Prefix.size() > B->Prefix.size();
     });
+  if (!Config.Tenants)
+    return;
+  for (const Tenant &Holder : *Config.Tenants) {
+    const auto Shared = std::make_shared<const Tenant>(Holder);
+    TenantsByName.emplace(Holder.Name, Shared);
+    for (const KeyDigest &Key : Holder.Keys)
+      TenantsByKey.emplace(Key, Shared);
+  }
 }
 
 std::shared_ptr<const HostRoute>
@@ -73,8 +103,25 @@
   return nullptr;
 }
 
-bool RoutingTable::hasService(const core::ServiceName &Service) const {
-  return definesService(Config, Service);
+bool RoutingTable::hasService(const core::ServiceName &Name) const {
+  return definesService(Config, Name);
+}
+
+const Service *RoutingTable::findService(const core::ServiceName &Name) const {
+  const auto Found = std::ranges::find(Config.Services, Name, &Service::Name);
+  return Found == Config.Services.end() ? nullptr : &*Found;
+}
+
+std::shared_ptr<const Tenant>
+RoutingTable::tenantOf(const KeyDigest &Key) const {
+  const auto Found = TenantsByKey.find(Key);
+  return Found == TenantsByKey.end() ? nullptr : Found->second;
+}
+
+std::shared_ptr<const Tenant>
+RoutingTable::findTenant(const core::TenantName &Name) const {
+  const auto Found = TenantsByName.find(Name);
+  return Found == TenantsByName.end() ? nullptr : Found->second;
 }
 
 } // namespace filbertvane::config
--- a/lib/decision/mesh/ReduceHosts.cpp
+++ b/lib/decision/mesh/ReduceHosts.cpp
@@ -107,6 +107,14 @@
   State.FormerLimit.reset();
 }
 
+void Reduction::operator()(const EvacuationOrdered &Order) {
+  const auto Known = State.Evacuations.find(Order.DataCentre);
+  if (Known != State.Evacuations.end() &&
+      Known->second.OrderOffset >= Order.OrderOffset)
+    return;
+  State.Evacuations.insert_or_assign(Order.DataCentre, Order);
+}
+
 void Reduction::operator()(const RoutingLoaded &Loaded) {
   const core::ConfigVersion Version = Loaded.Table->routing().Version;
   if (State.Routing && State.Routing->routing().Version >= Version)
--- a/lib/decision/mesh/Reduction.h
+++ b/lib/decision/mesh/Reduction.h
@@ -28,6 +28,7 @@
   void operator()(const RoutingLoaded &Loaded);
   void operator()(const PositionReached &Reached);
   void operator()(const MoveOrdered &Order);
+  void operator()(const EvacuationOrdered &Order);
   void operator()(const MoveStateRead &Stored);
   void operator()(const StoreReachabilityChanged &Change);
   void operator()(const ServiceAssigned &Assigned);
--- a/tests/mesh/SharesTest.cpp
+++ b/tests/mesh/SharesTest.cpp
@@ -157,7 +157,7 @@
   Bench Node;
   Node.State.Settings.Budget = {0, 20, milliseconds(10000)};
   config::Routing Routing = shopRouting();
-  Routing.Services.emplace_back("price");
+  Routing.Services.push_back({core::ServiceName("price")});
   Routing.Routes.push_back(shopRoute("price", true));
   Routing.Routes.back().Services = {{core::ServiceName("price"), 1}};
   Node.configure(Routing);
