Name services by the type of the configuration in the tests

Cause: config::Routing lists services with their terms; three places of the tests still listed names and did not compile.

Change: these places build the services.

Measured: nothing; the build shows it.

--- a/tests/mesh/FleetModel.cpp
+++ b/tests/mesh/FleetModel.cpp
@@ -20,7 +20,7 @@
   config::Routing Routing;
   Routing.Version = core::ConfigVersion(1);
   for (const auto &[Service, Model] : Targets) {
-    Routing.Services.emplace_back(Service);
+    Routing.Services.push_back({core::ServiceName(Service)});
     config::HostRoute Route = shopRoute(Service, true);
     Route.Services = {{core::ServiceName(Service), 1}};
     Route.MaxTargets = 3;
--- a/tests/mesh/LocalTargetTest.cpp
+++ b/tests/mesh/LocalTargetTest.cpp
@@ -485,7 +485,7 @@
 // of the same request failed.
 Test(mesh_target, a_failure_is_excused_by_calls_of_the_same_request_only) {
   config::Routing Routing = shopRouting();
-  Routing.Services.emplace_back("search");
+  Routing.Services.push_back({core::ServiceName("search")});
   Routing.Routes.push_back(shopRoute("search", true));
   Routing.Routes.back().Services = {{core::ServiceName("search"), 1}};
   const auto FaultsAfter = [&Routing](const std::string &Path,
--- a/tests/mesh/MeshBench.h
+++ b/tests/mesh/MeshBench.h
@@ -35,7 +35,7 @@
 inline config::Routing shopRouting(std::uint64_t Version = 1) {
   config::Routing Routing;
   Routing.Version = core::ConfigVersion(Version);
-  Routing.Services = {core::ServiceName("shop")};
+  Routing.Services = {{core::ServiceName("shop")}};
   Routing.Routes = {shopRoute("list", true), shopRoute("book", false, 0)};
   return Routing;
 }
