--- a/scripts/faulty_targets.py
+++ b/scripts/faulty_targets.py
@@ -46,9 +46,11 @@
               (line.partition(":") for line in head[1:] if line)}
     body = b""
     if fields.get("transfer-encoding", "").lower() == "chunked":
+        parts = []
         while size := int((await reader.readline()).split(b";")[0], 16):
-            body += (await reader.readexactly(size + 2))[:-2]
+            parts.append((await reader.readexactly(size + 2))[:-2])
         await reader.readline()
+        body = b"".join(parts)
     elif "content-length" in fields:
         body = await reader.readexactly(int(fields["content-length"]))
     return head[0], fields, body
