Bound the framing of a request's body

The parser of bodies takes the line of a chunk, and all trailers, when they are whole; until then they waited in the input of the connection without a bound. Small ports kept all of a body that they were going to refuse.

A line of a chunk, or all trailers, may have 16 KB, as a head may; the framing of one request 64 KB and eight times its body, with the line breaks before its head. Beyond that the request is refused as malformed (400, which promises nothing and is not retried) and its connection closed. Small ports answer 413 when a body exceeds 64 KB.

--- a/lib/io/HttpConnection.cpp
+++ b/lib/io/HttpConnection.cpp
@@ -13,6 +13,14 @@
 constexpr std::size_t InputBoundBytes = std::size_t{32} * 1024;
 /// Framed answer bytes above which no more are framed.
 constexpr std::size_t OutputBoundBytes = std::size_t{64} * 1024;
+/// Bytes of a request's framing (line breaks before it, lines of chunks,
+/// trailers) that are read in all, beside `FramingRatio` for each byte of its
+/// body. A chunk of one byte takes five.
+constexpr std::size_t FramingBytes = std::size_t{64} * 1024;
+constexpr std::size_t FramingRatio = 8;
+/// Bytes of one line of a chunk, or of all trailers; as many as a head may
+/// have.
+constexpr std::size_t MaxTrailerBytes = std::size_t{16} * 1024;
 /// Time for which the rest of a request is read and dropped after the closing
 /// answer. A reset would destroy an answer that the caller has not read yet.
 constexpr core::Milliseconds LingerTime{5000};
@@ -76,15 +84,22 @@
 
 /// Some callers end a body with a line break that belongs to no request. The
 /// first half of one is kept until the second half arrives.
-void HttpConnection::skipLineBreaks() {
-  while (Input.starts_with("\r\n"))
-    Input.erase(0, 2);
+/// @return false when there are too many
+bool HttpConnection::skipLineBreaks() {
+  std::size_t Count = 0;
+  while (std::string_view(Input).substr(Count).starts_with("\r\n"))
+    Count += 2;
+  Input.erase(0, Count);
+  Framing += Count;
+  return Framing <= FramingBytes;
 }
 
 /// @return whether a head was taken
 bool HttpConnection::parseHead() {
-  if (!Parser.isHeadBegun())
-    skipLineBreaks();
+  if (!Parser.isHeadBegun() && !skipLineBreaks()) {
+    refuseHead(400);
+    return true;
+  }
   const bool IsHalfBreak = !Parser.isHeadBegun() && Input == "\r";
   if (Input.empty() || IsHalfBreak || !Reuse.acceptsRequest())
     return false;
@@ -113,6 +128,7 @@
   Reuse.requestRead();
   Exchanges.push_back(std::make_unique<HttpExchange>(
       std::move(Parsed), [this] { Owner.wake(*this); }));
+  Framing = 0;
   Reading = Exchanges.back().get();
   Reading->setHandler(Owner.accept(*Reading));
 }
@@ -138,6 +154,14 @@
   Reading = nullptr;
 }
 
+/// Lines of chunks and trailers are parsed when they are whole and wait in the
+/// input until then.
+bool HttpConnection::isFramingBounded(const BodyResult &Parsed) const {
+  const bool Waits = Parsed.Consumed == 0 && Parsed.Produced == 0;
+  return (!Waits || Input.size() <= MaxTrailerBytes) &&
+         Framing <= FramingBytes + FramingRatio * BodyBytes;
+}
+
 /// @return whether bytes were taken or the request is whole
 bool HttpConnection::parseBody() {
   if (Reading != nullptr && !Reading->acceptsBody())
@@ -148,7 +172,9 @@
     std::array<char, ReadBlockBytes> Part;
     const BodyResult Result = Parser.parseBody(Input, Part.data(), Part.size());
     Input.erase(0, Result.Consumed);
-    if (Result.Malformed) {
+    Framing += Result.Consumed - Result.Produced;
+    BodyBytes += Result.Produced;
+    if (Result.Malformed || !isFramingBounded(Result)) {
       refuseBody();
       return true;
     }
@@ -160,6 +186,7 @@
     Reading->takeBodyEnd();
   Reading = nullptr;
   HeadParsed = false;
+  Framing = BodyBytes = 0;
   Parser.startNext();
   return true;
 }
--- a/lib/io/HttpConnection.h
+++ b/lib/io/HttpConnection.h
@@ -52,9 +52,10 @@
   void handleEvents(int Ready);
   bool receive();
   bool parse();
-  void skipLineBreaks();
+  bool skipLineBreaks();
   bool parseHead();
   bool parseBody();
+  bool isFramingBounded(const BodyResult &Parsed) const;
   void open(ParsedHead Parsed);
   void refuseHead(int Status);
   void refuseBody();
@@ -79,6 +80,9 @@
   /// Bytes received and not parsed.
   std::string Input;
   bool HeadParsed = false;
+  /// Of the current request: bytes of its framing and of its body.
+  std::size_t Framing = 0;
+  std::size_t BodyBytes = 0;
   /// Exchange whose body is being read; null when its answer has been sent.
   HttpExchange *Reading = nullptr;
   /// Oldest first.
--- a/lib/io/mesh/SmallRequests.cpp
+++ b/lib/io/mesh/SmallRequests.cpp
@@ -15,12 +15,15 @@
       : Exchange(Exchange), Handle(Handle) {}
 
   void onBody(std::string_view Part) override {
-    Body.append(Part.substr(0, MaxBodyBytes + 1));
+    Body.append(Part);
+    if (Body.size() <= MaxBodyBytes)
+      return;
+    Body = std::string();
+    Exchange.respond(StatusTooLarge, "", {{"Content-Type", "text/plain"}});
   }
+  /// Not called after the refusal of a large body.
   void onBodyEnd() override {
-    SmallAnswer Answer{StatusTooLarge, "", "text/plain"};
-    if (Body.size() <= MaxBodyBytes)
-      Answer = Handle(Exchange.request(), Body);
+    const SmallAnswer Answer = Handle(Exchange.request(), Body);
     Exchange.respond(Answer.Status, Answer.Body,
                      {{"Content-Type", Answer.ContentType}});
   }
--- a/tests/io/HttpPipelineTest.cpp
+++ b/tests/io/HttpPipelineTest.cpp
@@ -291,3 +291,52 @@
   cr_assert(count(Caller->Received, "next") == 1);
   cr_assert(Open.Ends.at("/1") && Open.Ends.at("/2"));
 }
+
+namespace {
+
+/// What a caller gets for a chunked body that begins with the given bytes.
+std::string answerToBody(const std::string &Body) {
+  BoundedLoop Bounded;
+  OpenRequests Open(Bounded);
+  const auto Caller =
+      RawConnection::connect(Bounded.Loop, Open.Server->port(), [](auto &) {});
+  Caller->send("POST /1 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n"
+               "\r\n" +
+               Body);
+  Bounded.runFor(Settled);
+  if (Open.Exchanges.contains("/1"))
+    Open.Exchanges.at("/1")->respond(200, "");
+  Bounded.runFor(Settled);
+  return Caller->Received.substr(0, 12);
+}
+
+std::string repeated(const std::string &Text, std::size_t Count) {
+  std::string All;
+  for (std::size_t I = 0; I < Count; ++I)
+    All += Text;
+  return All;
+}
+
+} // namespace
+
+// Guards against a request whose framing has no end and fills the memory.
+Test(http_pipeline, framing_without_end_is_refused) {
+  const std::string Large(20000, 'a');
+  for (const std::string &Body :
+       {"0\r\nA: " + Large, "0\r\n" + repeated("A: b\r\n", 4000), "1;" + Large,
+        std::string(20000, '0'),
+        repeated("1;a=" + std::string(4000, 'a') + "\r\nx\r\n", 20)})
+    cr_assert(answerToBody(Body) == "HTTP/1.1 400", "%s",
+              Body.substr(0, 10).c_str());
+}
+
+// Guards against a refusal of trailers, extensions and small chunks as callers
+// inside the limits send them.
+Test(http_pipeline, framing_inside_the_limits_is_taken) {
+  for (const std::string &Body :
+       {"0\r\nA: " + std::string(15000, 'a') + "\r\n\r\n",
+        "1;a=" + std::string(4000, 'a') + "\r\nx\r\n0\r\n\r\n",
+        repeated("1\r\nx\r\n", 30000) + "0\r\n\r\n"})
+    cr_assert(answerToBody(Body) == "HTTP/1.1 200", "%s",
+              Body.substr(0, 10).c_str());
+}
