Place requests in the regions of their route and tenant only

Cause: routes and tenants may name the regions in which their requests run. The node took every target of the service as a candidate.

Change: entry nodes choose hosts in the allowed regions only, for each attempt, by the newest configuration; where route and tenant both name regions, both bind. The host node refuses as not run what may not run there. A configuration that withdraws a region releases the requests that wait there. Routes without regions are placed as before.

--- a/include/filbertvane/config/Routing.h
+++ b/include/filbertvane/config/Routing.h
@@ -123,6 +123,8 @@
   /// Complexity: linear in the routes of the virtual host.
   std::shared_ptr<const HostRoute> match(std::string_view Host,
                                          std::string_view Path) const;
+  /// @brief Route of a name, or null.
+  std::shared_ptr<const HostRoute> findRoute(const core::RouteName &Name) const;
   /// @brief Whether the configuration names a service.
   bool hasService(const core::ServiceName &Name) const;
   /// @brief The service of a name, or null.
@@ -141,6 +143,7 @@
   std::map<std::string, std::vector<std::shared_ptr<const HostRoute>>,
            std::less<>>
       RoutesByHost;
+  std::map<core::RouteName, std::shared_ptr<const HostRoute>> RoutesByName;
   std::map<KeyDigest, std::shared_ptr<const Tenant>> TenantsByKey;
   std::map<core::TenantName, std::shared_ptr<const Tenant>> TenantsByName;
 };
--- a/lib/config/Routing.cpp
+++ b/lib/config/Routing.cpp
@@ -74,9 +74,11 @@
 }
 
 RoutingTable::RoutingTable(Routing Source) : Config(std::move(Source)) {
-  for (const HostRoute &Route : Config.Routes)
-    RoutesByHost[Route.VirtualHost].push_back(
-        std::make_shared<const HostRoute>(Route));
+  for (const HostRoute &Route : Config.Routes) {
+    const auto Shared = std::make_shared<const HostRoute>(Route);
+    RoutesByHost[Route.VirtualHost].push_back(Shared);
+    RoutesByName.emplace(Route.Name, Shared);
+  }
   for (auto &[Host, Routes] : RoutesByHost)
     std::ranges::stable_sort(Routes, [](const auto &A, const auto &B) {
       return A->Prefix.size() > B->Prefix.size();
@@ -103,6 +105,12 @@
   return nullptr;
 }
 
+std::shared_ptr<const HostRoute>
+RoutingTable::findRoute(const core::RouteName &Name) const {
+  const auto Found = RoutesByName.find(Name);
+  return Found == RoutesByName.end() ? nullptr : Found->second;
+}
+
 bool RoutingTable::hasService(const core::ServiceName &Name) const {
   return definesService(Config, Name);
 }
--- a/lib/decision/mesh/ReduceArrival.cpp
+++ b/lib/decision/mesh/ReduceArrival.cpp
@@ -102,6 +102,9 @@
       State.Calls.emplace(Arrival.Id, std::move(Call)).first->second;
   if (State.Suspects.isRefused({Accepted.RequestDigest, Accepted.Caller}))
     return refuse(Accepted, ErrorCode::RequestSuspect);
+  // The entry node may not have the configuration that withdrew this region.
+  if (!mayRunHere(Accepted))
+    return refuse(Accepted, ErrorCode::RequestOutsideRegions);
   if (LinkBusy)
     return refuse(Accepted, ErrorCode::RequestWouldMissObjective);
   enqueue(Accepted);
--- a/lib/decision/mesh/ReduceAttempts.cpp
+++ b/lib/decision/mesh/ReduceAttempts.cpp
@@ -385,7 +385,8 @@
   if (!Call.FromPeer)
     Refusal.RetryAfter =
         Refusal.TargetCrashed ? MaximumRetryAfter : retryAfter(Call);
-  else if (Reason != ErrorCode::RequestCallBudgetSpent)
+  else if (Reason != ErrorCode::RequestCallBudgetSpent &&
+           Reason != ErrorCode::RequestOutsideRegions)
     Refusal.Load = loadFor(Call);
   log(observe::EventId::MeshRequestRefused,
       fmt::format("{} reason=FV{} reached={}", describe(Call),
--- a/lib/decision/mesh/ReduceHosts.cpp
+++ b/lib/decision/mesh/ReduceHosts.cpp
@@ -133,6 +133,7 @@
       log(observe::EventId::MeshRouteKindUnknown,
           fmt::format("route={} kind={}", Route.Name.value(),
                       *Route.UnknownKind));
+  refuseQueuedOutsideRegions();
   updateReadiness();
 }
 
--- a/lib/decision/mesh/ReduceMoves.cpp
+++ b/lib/decision/mesh/ReduceMoves.cpp
@@ -117,7 +117,7 @@
       State.Moves.recordSufficientEvidence(Service, Now);
     }
     if (State.Moves.readyToComplete(Move, Now) &&
-        hasReadyTarget(Service, Move.Order.NewVersion))
+        hasReadyTarget(Service, Move.Order.NewVersion, {{}, {}}))
       scheduleMoveWrite(Service, MovePhase::Completed);
   }
   if (Move.Phase == MovePhase::Rejected)
@@ -164,7 +164,7 @@
   for (const auto &[Service, Move] : State.Moves.moves())
     reviewMove(Move);
   if (State.Target && isExcluded(State.Target->Announcement))
-    refuseQueued(core::ErrorCode::RequestNoTarget);
+    refuseQueued(core::ErrorCode::RequestNoTarget, {});
 }
 
 } // namespace filbertvane::decision::mesh
--- a/lib/decision/mesh/ReducePlacement.cpp
+++ b/lib/decision/mesh/ReducePlacement.cpp
@@ -24,15 +24,42 @@
 
 } // namespace
 
+/// A configuration that adds or withdraws a region also binds requests that
+/// were accepted before. A route that it removed binds as when the request
+/// arrived.
+AllowedRegions Reduction::regionsOf(const MeshCall &Call) const {
+  if (!State.Routing)
+    return {{}, {}};
+  auto Route = State.Routing->findRoute(Call.Terms.Route);
+  if (!Route)
+    Route = Call.Route;
+  const auto Tenant = State.Routing->findTenant(Call.Terms.Tenant);
+  return {Route ? Route->AllowedRegions : std::vector<core::RegionId>(),
+          Tenant ? Tenant->AllowedRegions : std::vector<core::RegionId>()};
+}
+
+bool Reduction::mayRunHere(const MeshCall &Call) const {
+  return regionsOf(Call).includes(State.Settings.Region);
+}
+
+/// Requests wait here since before the configuration withdrew this region.
+void Reduction::refuseQueuedOutsideRegions() {
+  refuseQueued(ErrorCode::RequestOutsideRegions,
+               [this](const MeshCall &Call) { return !mayRunHere(Call); });
+}
+
 bool Reduction::hasReadyTarget(const core::ServiceName &Service,
-                               const core::TargetVersion &Version) const {
+                               const core::TargetVersion &Version,
+                               const AllowedRegions &Regions) const {
   if (State.Target && State.Target->State == TargetState::Ready &&
+      Regions.includes(State.Settings.Region) &&
       State.Target->Announcement.Service == Service &&
       State.Target->Announcement.Version == Version)
     return true;
   return std::ranges::any_of(State.Hosts.hosts(), [&](const auto &Entry) {
     const HostReport &Host = Entry.second.Report;
     return isReadyFor(Host, Service) && Host.Target->Version == Version &&
+           Regions.includes(Host.Region) &&
            !HostDirectory::hasLeavingTarget(Entry.second, Now);
   });
 }
@@ -44,13 +71,16 @@
            Target.Version != *Shares.Candidate &&
            !Shares.Excluded.contains(Target.Version);
   };
+  const AllowedRegions Regions = regionsOf(Call);
   const auto Local = localTargetReport(State);
   if (Local && Local->Service == Call.Service && IsOther(*Local) &&
+      Regions.includes(State.Settings.Region) &&
       !contains(Call.TriedHosts, State.Settings.Node))
     return true;
   return std::ranges::any_of(State.Hosts.hosts(), [&](const auto &Entry) {
     return isReadyFor(Entry.second.Report, Call.Service) &&
            IsOther(*Entry.second.Report.Target) &&
+           Regions.includes(Entry.second.Report.Region) &&
            !contains(Call.TriedHosts, Entry.first) &&
            !HostDirectory::hasLeavingTarget(Entry.second, Now);
   });
@@ -68,7 +98,7 @@
     return;
   }
   const std::uint32_t Permille = Shares.CandidatePermille;
-  if (!hasReadyTarget(Call.Service, *Shares.Candidate)) {
+  if (!hasReadyTarget(Call.Service, *Shares.Candidate, regionsOf(Call))) {
     Call.ToCandidate = false;
     return;
   }
@@ -86,7 +116,8 @@
     return false;
   if (Shares.Candidate)
     return (Version == *Shares.Candidate) == Call.ToCandidate.value_or(false);
-  if (Shares.Exclusive && hasReadyTarget(Call.Service, *Shares.Exclusive))
+  if (Shares.Exclusive &&
+      hasReadyTarget(Call.Service, *Shares.Exclusive, regionsOf(Call)))
     return Version == *Shares.Exclusive;
   return true;
 }
@@ -96,6 +127,7 @@
   chooseVersion(Call, Shares);
   const bool IsLarge =
       stateOf(Call.Terms.Route).MeanAnswerBytes > LinkPacer::LargeAnswerBytes;
+  const AllowedRegions Regions = regionsOf(Call);
   std::vector<Candidate> Found;
   const auto IsSkipped = [&](const core::NodeId &Node) {
     return contains(Call.TriedHosts, Node) || contains(Call.LateHosts, Node);
@@ -103,6 +135,7 @@
   const auto Local = localTargetReport(State);
   if (Local && Local->Service == Call.Service &&
       Local->State == TargetState::Ready && !IsSkipped(State.Settings.Node) &&
+      Regions.includes(State.Settings.Region) &&
       acceptsVersion(Call, Shares, Local->Version)) {
     const TargetLoad &Load = Local->Load;
     Found.push_back({State.Settings.Node, Distance::Local,
@@ -112,6 +145,7 @@
   }
   for (const auto &[Node, Host] : State.Hosts.hosts()) {
     if (!isReadyFor(Host.Report, Call.Service) || IsSkipped(Node) ||
+        !Regions.includes(Host.Report.Region) ||
         HostDirectory::hasLeavingTarget(Host, Now) ||
         !acceptsVersion(Call, Shares, Host.Report.Target->Version))
       continue;
@@ -159,10 +193,12 @@
     Candidates = candidates(Call);
     Best = chooseTarget(Candidates, Query, State.RandomSource);
   }
+  if (!Best && Call.SkippedAtCapacity)
+    return refuse(Call, ErrorCode::RequestWouldMissObjective);
   if (!Best)
-    return refuse(Call, Call.SkippedAtCapacity
-                            ? ErrorCode::RequestWouldMissObjective
-                            : ErrorCode::RequestNoTarget);
+    return refuse(Call, regionsOf(Call).includesAll()
+                            ? ErrorCode::RequestNoTarget
+                            : ErrorCode::RequestOutsideRegions);
   const Candidate &Chosen = Candidates[*Best];
   if (Chosen.HostDistance == Distance::Local)
     return enqueue(Call);
@@ -213,9 +249,17 @@
         MinimumMs,
         Excess / Slots * static_cast<double>(Load.MeanResponseTime.count()));
   };
-  for (const TargetReport *Target : targetsOf(Call.Service))
-    if (Target->State == TargetState::Ready)
-      Consider(Target->Load);
+  const AllowedRegions Regions = regionsOf(Call);
+  const auto Local = localTargetReport(State);
+  if (Local && Local->Service == Call.Service &&
+      Local->State == TargetState::Ready &&
+      Regions.includes(State.Settings.Region))
+    Consider(Local->Load);
+  for (const auto &[Node, Host] : State.Hosts.hosts())
+    if (Host.Report.Target && Host.Report.Target->Service == Call.Service &&
+        Host.Report.Target->State == TargetState::Ready &&
+        Regions.includes(Host.Report.Region))
+      Consider(Host.Report.Target->Load);
   const double Jitter = 0.75 + 0.5 * State.RandomSource.unit();
   const core::Milliseconds Delay(static_cast<std::int64_t>(MinimumMs * Jitter));
   return std::clamp(Delay, MinimumRetryAfter, MaximumRetryAfter);
--- a/lib/decision/mesh/ReduceTarget.cpp
+++ b/lib/decision/mesh/ReduceTarget.cpp
@@ -150,7 +150,7 @@
   log(Id, fmt::format("target={} reason={}", Target.Announcement.Id.value(),
                       Reason));
   if (NewState == TargetState::Down)
-    refuseQueued(ErrorCode::RequestNoTarget);
+    refuseQueued(ErrorCode::RequestNoTarget, {});
   reportToAll();
   if (NewState == TargetState::Draining)
     boundQueuedCallsByExit();
@@ -197,10 +197,14 @@
   Produced.emplace_back(PublishReport{makeHostReport(State, Now)});
 }
 
-void Reduction::refuseQueued(ErrorCode Reason) {
+/// Requests that wait here are refused, or placed elsewhere if a caller sent
+/// them to this node.
+/// @param Concerns which of them; all when empty
+void Reduction::refuseQueued(
+    ErrorCode Reason, const std::function<bool(const MeshCall &)> &Concerns) {
   std::vector<core::CallId> Queued;
   for (const auto &[Id, Call] : State.Calls)
-    if (Call.Phase == CallPhase::Queued)
+    if (Call.Phase == CallPhase::Queued && (!Concerns || Concerns(Call)))
       Queued.push_back(Id);
   for (const core::CallId Id : Queued) {
     MeshCall *Call = find(Id);
--- a/lib/decision/mesh/Reduction.h
+++ b/lib/decision/mesh/Reduction.h
@@ -1,8 +1,10 @@
 #ifndef FILBERTVANE_LIB_DECISION_MESH_REDUCTION_H
 #define FILBERTVANE_LIB_DECISION_MESH_REDUCTION_H
 
+#include "filbertvane/decision/mesh/AllowedRegions.h"
 #include "filbertvane/decision/mesh/Limits.h"
 #include "filbertvane/decision/mesh/Reducer.h"
+#include <functional>
 
 namespace filbertvane::decision::mesh {
 
@@ -46,11 +48,16 @@
   void acceptFromCaller(const request::CallArrived &Arrival);
   void place(MeshCall &Call);
   std::vector<Candidate> candidates(MeshCall &Call);
+  /// @brief Regions in which a request may run, by the newest configuration.
+  AllowedRegions regionsOf(const MeshCall &Call) const;
+  bool mayRunHere(const MeshCall &Call) const;
+  void refuseQueuedOutsideRegions();
   void chooseVersion(MeshCall &Call, const VersionShares &Shares);
   bool acceptsVersion(const MeshCall &Call, const VersionShares &Shares,
                       const core::TargetVersion &Version) const;
   bool hasReadyTarget(const core::ServiceName &Service,
-                      const core::TargetVersion &Version) const;
+                      const core::TargetVersion &Version,
+                      const AllowedRegions &Regions) const;
   bool hasReadyTargetOfOtherVersion(const MeshCall &Call,
                                     const VersionShares &Shares) const;
   void sendToPeer(MeshCall &Call, const core::NodeId &Peer);
@@ -109,7 +116,8 @@
   bool adoptDeparture(const DepartedTarget &Target);
   void replaceTarget(const TargetAnnounced &Announcement);
   void setTargetState(TargetState NewState, std::string_view Reason);
-  void refuseQueued(core::ErrorCode Reason);
+  void refuseQueued(core::ErrorCode Reason,
+                    const std::function<bool(const MeshCall &)> &Concerns);
   void checkTargetSilence();
   void applyStatement(const MeshCall &Call,
                       const request::TargetStatement &Statement);
