Keys of callers: tenant of a request, 401, tenant header at targets

Cause: a deployment with tenants expects that a key names the tenant of a request. The node forwarded the key to targets, let callers name their tenant and served callers without a key.

Change: the dialect hashes the key as it reads a request. The entry node decides by the digest (decision/mesh/CallerAccess) and sends the tenant's name to the host in a header of its own; the host names it to the target. Key and tenant headers of the caller are removed wherever the configuration has tenants; other deployments forward all headers as before. A tenant's rank replaces that of the route. Calls of the local target need no key. A withdrawn key ends queued requests of the entry node and all retries. Metrics count refusals and requests per tenant (32 names at most), and a log line a second tells refused keys.

The other tests of the binary were not run yet on this change.

--- a/include/filbertvane/decision/mesh/LocalRuns.h
+++ b/include/filbertvane/decision/mesh/LocalRuns.h
@@ -37,6 +37,9 @@
   ///        run is no fault of the target.
   void recordCallFailure(const std::string &ParentId);
   bool hasFailedCall(const std::string &RequestId) const;
+  bool isRunning(const std::string &RequestId) const {
+    return Running.contains(RequestId);
+  }
 
   /// @brief Mean number of calls that a run of the route makes, by service.
   CallsByService callsPerRun(const core::RouteName &Route) const;
--- a/include/filbertvane/decision/mesh/State.h
+++ b/include/filbertvane/decision/mesh/State.h
@@ -1,6 +1,7 @@
 #ifndef FILBERTVANE_DECISION_MESH_STATE_H
 #define FILBERTVANE_DECISION_MESH_STATE_H
 
+#include "filbertvane/decision/mesh/CallerAccess.h"
 #include "filbertvane/decision/mesh/CrashSuspects.h"
 #include "filbertvane/decision/mesh/Events.h"
 #include "filbertvane/decision/mesh/HostDirectory.h"
@@ -101,6 +102,8 @@
   std::shared_ptr<const config::HostRoute> Route;
   core::ServiceName Service;
   request::HopTerms Terms;
+  /// Key by which the caller was accepted; none without one, and at the host.
+  std::optional<config::KeyDigest> Credential;
   core::TimePoint ArrivedAt;
   core::TimePoint Objective;
   core::TimePoint Deadline;
@@ -198,6 +201,10 @@
   std::optional<LocalTarget> Target;
   SlotQueue Slots;
   LocalRuns Runs;
+  /// Recognises calls of the local target, which carry no key.
+  TargetCallers TargetCalls;
+  KeyRefusalLog KeyRefusals;
+  TenantCounts TenantRequests;
   CrashSuspects Suspects;
   /// The local target crashed under requests that others do not know yet.
   bool HasSuspectsToReport = false;
--- a/include/filbertvane/io/RequestDialect.h
+++ b/include/filbertvane/io/RequestDialect.h
@@ -25,8 +25,9 @@
   core::Milliseconds TimeLeft{0};
   /// Service on whose host the request began.
   core::ServiceName Caller;
-  /// Tenant that sent the request; empty when it has none.
-  core::TenantName Tenant = {};
+  /// Tenant that sent the request; empty when it has none. Not set where
+  /// callers need no keys: all their headers pass.
+  std::optional<core::TenantName> Tenant = std::nullopt;
 };
 
 /// @brief What the head of a target's answer means.
@@ -59,6 +60,9 @@
   virtual core::Result<CallerTerms>
   readCaller(const RequestHead &Head) const = 0;
 
+  /// @brief Removes the caller's key and the tenant that it claims to be.
+  virtual void removeIdentity(Headers &Fields) const = 0;
+
   /// @brief Replaces the headers that a target expects.
   virtual void setTargetFields(Headers &Fields,
                                const TargetTerms &Terms) const = 0;
--- a/lib/config/Routing.cpp
+++ b/lib/config/Routing.cpp
@@ -53,6 +53,11 @@
   for (const Tenant &Holder : Tenants) {
     if (Holder.Name.value().empty())
       return invalid(Holder, "no name");
+    // The name is the value of a header.
+    if (std::ranges::any_of(Holder.Name.value(), [](unsigned char Byte) {
+          return Byte < ' ' || Byte == 0x7f;
+        }))
+      return invalid(Holder, "the name has control characters");
     for (const KeyDigest &Key :
          std::set(Holder.Keys.begin(), Holder.Keys.end()))
       if (!Keys.insert(Key).second)
--- a/lib/decision/mesh/Gauges.cpp
+++ b/lib/decision/mesh/Gauges.cpp
@@ -64,6 +64,16 @@
   for (const auto &[Name, Count] : Hosts)
     Output.set("filbertvane_hosts", {{"state", Name}},
                static_cast<double>(Count));
+  if (State.Routing && State.Routing->requiresKeys()) {
+    Set("filbertvane_key_refusals",
+        static_cast<double>(State.KeyRefusals.total()));
+    for (const auto &[Tenant, Count] : State.TenantRequests.named())
+      Output.set("filbertvane_tenant_requests", {{"tenant", Tenant.value()}},
+                 static_cast<double>(Count));
+    // The label of the other tenants is no name that a tenant can have.
+    Output.set("filbertvane_tenant_requests", {{"tenant", ""}},
+               static_cast<double>(State.TenantRequests.others()));
+  }
   for (const auto &Entry : State.Services) {
     const std::string &Service = Entry.first.value();
     const SharedRetryBudget &Budget = Entry.second.Budget;
--- /dev/null
+++ b/lib/decision/mesh/ReduceAccess.cpp
@@ -0,0 +1,94 @@
+#include "Reduction.h"
+#include <fmt/format.h>
+
+namespace filbertvane::decision::mesh {
+
+using core::ErrorCode;
+
+namespace {
+
+constexpr int StatusUnauthorised = 401;
+
+const char *reasonOf(AccessFault Fault) {
+  return Fault == AccessFault::KeyMissing ? "key_missing" : "key_unknown";
+}
+
+} // namespace
+
+bool Reduction::callersNeedKeys() const {
+  return State.Routing && State.Routing->requiresKeys();
+}
+
+bool Reduction::checkAccess(const request::CallArrived &Arrival,
+                            MeshCall &Call) {
+  const bool IsTargetCall = State.Runs.isRunning(Arrival.ParentId) ||
+                            State.TargetCalls.mayRun(Arrival.ParentId, Now);
+  const AccessVerdict Verdict =
+      checkKey(*State.Routing, *Call.Route, Arrival.Credential, IsTargetCall);
+  if (Verdict.Fault) {
+    request::Refuse Refusal;
+    Refusal.Id = Arrival.Id;
+    Refusal.Result = request::Outcome::NotRun;
+    Refusal.Reason = {ErrorCode::RequestPeerUnauthorised,
+                      reasonOf(*Verdict.Fault)};
+    Refusal.Status = StatusUnauthorised;
+    if (const auto Refused = State.KeyRefusals.record(Now))
+      log(observe::EventId::MeshRequestRefused,
+          fmt::format("request={} route={} reason={} config={} refused={}",
+                      Arrival.CallerId, Call.Route->Name.value(),
+                      reasonOf(*Verdict.Fault),
+                      State.Routing->routing().Version.value(), *Refused));
+    Produced.emplace_back(std::move(Refusal));
+    return false;
+  }
+  if (!Verdict.Tenant)
+    return true;
+  State.TenantRequests.record(Verdict.Tenant->Name);
+  Call.Credential = Arrival.Credential;
+  Call.Terms.Tenant = Verdict.Tenant->Name;
+  if (Verdict.Tenant->Rank)
+    Call.Terms.Rank = *Verdict.Tenant->Rank;
+  return true;
+}
+
+/// A key may pass from one tenant to another while its request waits for a
+/// retry.
+bool Reduction::renewTenant(MeshCall &Call) const {
+  if (!Call.Credential || !callersNeedKeys())
+    return true;
+  const auto Tenant = State.Routing->tenantOf(*Call.Credential);
+  if (Tenant)
+    Call.Terms.Tenant = Tenant->Name;
+  return Tenant != nullptr;
+}
+
+/// Requests that wait for the local target are refused as soon as their key is
+/// withdrawn; those at other hosts end by their deadlines.
+void Reduction::refuseWithdrawnKeys() {
+  if (!callersNeedKeys())
+    return;
+  std::vector<core::CallId> Withdrawn;
+  for (auto &[Id, Call] : State.Calls)
+    if (Call.Phase == CallPhase::Queued && !renewTenant(Call))
+      Withdrawn.push_back(Id);
+  if (Withdrawn.empty())
+    return;
+  log(observe::EventId::MeshRequestRefused,
+      fmt::format("reason=key_withdrawn requests={} config={}",
+                  Withdrawn.size(), State.Routing->routing().Version.value()));
+  for (const core::CallId Id : Withdrawn) {
+    MeshCall *Call = find(Id);
+    State.Slots.withdraw(Id);
+    refuse(*Call, ErrorCode::RequestPeerUnauthorised);
+  }
+  dispatchQueue();
+}
+
+/// The target may work on a request, and make calls, after the request ended at
+/// this node.
+void Reduction::recordRunEnd(const MeshCall &Call) {
+  State.Runs.end(Call.CallerId);
+  State.TargetCalls.recordEnd(Call.CallerId, Call.Deadline);
+}
+
+} // namespace filbertvane::decision::mesh
--- a/lib/decision/mesh/ReduceArrival.cpp
+++ b/lib/decision/mesh/ReduceArrival.cpp
@@ -166,6 +166,8 @@
   }
   Call.Terms.Route = Route->Name;
   Call.Terms.Rank = Route->Rank;
+  if (!checkAccess(Arrival, Call))
+    return;
   // A late answer to a nested call is still of use to the request that waits
   // for it, while a refusal fails that request and wastes its run.
   if (!Arrival.ParentId.empty()) {
@@ -299,6 +301,10 @@
   Start.Deadline = Call.Deadline;
   Start.Service = Call.Service;
   Start.Caller = Call.Caller;
+  // The target learns the tenant where callers need keys; elsewhere all headers
+  // pass.
+  if (callersNeedKeys() || !Call.Terms.Tenant.value().empty())
+    Start.Terms = Call.Terms;
   Start.HoldAnswer = true;
   // A kept-alive connection may carry a late answer to an earlier request, or
   // close as the request arrives; a request that is not idempotent cannot be
--- a/lib/decision/mesh/ReduceAttempts.cpp
+++ b/lib/decision/mesh/ReduceAttempts.cpp
@@ -19,6 +19,7 @@
 constexpr int StatusBadGateway = 502;
 /// One of this many routine answers is logged.
 constexpr std::uint64_t ServedLogInterval = 32;
+constexpr int StatusUnauthorised = 401;
 constexpr int StatusGatewayTimeout = 504;
 /// Multiple of the typical answer time after which a passed deadline is a fault
 /// of the target.
@@ -108,7 +109,7 @@
   // A target whose own call failed answers with a failure as well; the fault is
   // that of the service it called.
   const bool CallFailed = State.Runs.hasFailedCall(Call.CallerId);
-  State.Runs.end(Call.CallerId);
+  recordRunEnd(Call);
   const bool Broken = Ended.End == AttemptEnd::NoAnswer ||
                       Ended.End == AttemptEnd::Truncated ||
                       Ended.End == AttemptEnd::NotRun;
@@ -330,7 +331,7 @@
   case CallPhase::AtTarget:
     recordCutOff(Call);
     recordUnanswered(Call);
-    State.Runs.end(Call.CallerId);
+    recordRunEnd(Call);
     if (State.Target && State.Target->Generation == Call.TargetGeneration)
       State.Slots.release(Call.Terms.Route, std::nullopt);
     break;
@@ -382,7 +383,9 @@
   Refusal.Reason = {Reason, Call.Terms.Route.value()};
   Refusal.ReachedTarget = Reached;
   Refusal.TargetCrashed = Reason == ErrorCode::RequestSuspect;
-  if (!Call.FromPeer)
+  if (Reason == ErrorCode::RequestPeerUnauthorised)
+    Refusal.Status = StatusUnauthorised;
+  else if (!Call.FromPeer)
     Refusal.RetryAfter =
         Refusal.TargetCrashed ? MaximumRetryAfter : retryAfter(Call);
   else if (Reason != ErrorCode::RequestCallBudgetSpent)
@@ -420,6 +423,8 @@
       millis(Now - Call.ArrivedAt),
       Call.Phase == CallPhase::Queued ? -1 : millis(Now - Call.SentAt),
       Call.Placements, Call.ReachedTargets, Call.Terms.AcceptLate);
+  if (!Call.Terms.Tenant.value().empty())
+    Description += " tenant=" + Call.Terms.Tenant.value();
   if (State.Routing)
     Description +=
         fmt::format(" config={}", State.Routing->routing().Version.value());
--- a/lib/decision/mesh/ReduceHosts.cpp
+++ b/lib/decision/mesh/ReduceHosts.cpp
@@ -120,6 +120,7 @@
   if (State.Routing && State.Routing->routing().Version >= Version)
     return;
   State.Routing = Loaded.Table;
+  State.TargetCalls.configured(Loaded.Table->routing(), Now);
   std::erase_if(State.Routes, [&](const auto &Entry) {
     return std::ranges::none_of(
         Loaded.Table->routing().Routes,
@@ -133,6 +134,7 @@
       log(observe::EventId::MeshRouteKindUnknown,
           fmt::format("route={} kind={}", Route.Name.value(),
                       *Route.UnknownKind));
+  refuseWithdrawnKeys();
   updateReadiness();
 }
 
--- a/lib/decision/mesh/ReducePlacement.cpp
+++ b/lib/decision/mesh/ReducePlacement.cpp
@@ -141,6 +141,8 @@
 
 void Reduction::place(MeshCall &Call) {
   State.Runs.removeWaiting(Call.CallerId);
+  if (!renewTenant(Call))
+    return refuse(Call, ErrorCode::RequestPeerUnauthorised);
   if (++Call.Placements > MaximumPlacements)
     return refuse(Call, ErrorCode::RequestRefusedByTarget);
   std::vector<Candidate> Candidates = candidates(Call);
--- a/lib/decision/mesh/Reducer.cpp
+++ b/lib/decision/mesh/Reducer.cpp
@@ -93,6 +93,7 @@
   reportLeavingIfDue();
   publishRateLimitIfChanged();
   State.Suspects.expire(Now);
+  State.TargetCalls.expire(Now);
   reportSuspects();
   publishSuspectsIfChanged();
   dispatchQueue();
--- a/lib/decision/mesh/Reduction.h
+++ b/lib/decision/mesh/Reduction.h
@@ -44,6 +44,13 @@
   /// @{
   void acceptFromPeer(const request::CallArrived &Arrival);
   void acceptFromCaller(const request::CallArrived &Arrival);
+  /// @return whether the caller may send the request
+  bool checkAccess(const request::CallArrived &Arrival, MeshCall &Call);
+  bool callersNeedKeys() const;
+  /// @return whether the key of an accepted request is still in force
+  bool renewTenant(MeshCall &Call) const;
+  void refuseWithdrawnKeys();
+  void recordRunEnd(const MeshCall &Call);
   void place(MeshCall &Call);
   std::vector<Candidate> candidates(MeshCall &Call);
   void chooseVersion(MeshCall &Call, const VersionShares &Shares);
--- a/lib/io/proxy/ProxyAttempt.cpp
+++ b/lib/io/proxy/ProxyAttempt.cpp
@@ -197,9 +197,16 @@
       std::chrono::duration_cast<core::Milliseconds>(What.Deadline - Now.Mono),
       core::Milliseconds(1));
   if (What.To.Local) {
-    Dialect.setTargetFields(Fields, {What.To.Target, TimeLeft, What.Caller});
+    TargetTerms Told{What.To.Target, TimeLeft, What.Caller};
+    if (What.Terms)
+      Told.Tenant = What.Terms->Tenant;
+    Dialect.setTargetFields(Fields, Told);
     return Fields;
   }
+  if (What.Terms && !What.Terms->Tenant.value().empty()) {
+    Dialect.removeIdentity(Fields);
+    Fields.emplace(TenantField, What.Terms->Tenant.value());
+  }
   Fields.emplace(RequestField, attemptIdentity(Of, What.Attempt));
   if (!PeerKey.empty())
     Fields.emplace(PeerKeyField, PeerKey);
--- a/lib/io/proxy/ProxyCall.h
+++ b/lib/io/proxy/ProxyCall.h
@@ -45,6 +45,8 @@
   /// Time left as stated by a caller or a node with a dialect.
   std::optional<core::Milliseconds> TimeLeft;
   std::optional<request::HopTerms> Terms;
+  /// Digest of the key that a caller presented.
+  std::optional<config::KeyDigest> Credential;
   /// Whole answer that waits for `DeliverAnswer`.
   std::optional<StoredAnswer> Held;
   HeldBytes::Share AnswerBytes;
--- a/lib/io/proxy/ProxyEngine.cpp
+++ b/lib/io/proxy/ProxyEngine.cpp
@@ -192,8 +192,10 @@
   New.CallerId = core::value(Read).RequestId;
   New.ParentId = core::value(Read).ParentId;
   New.TimeLeft = core::value(Read).TimeLeft;
-  if (!New.FromNode)
+  if (!New.FromNode) {
+    New.Credential = core::value(Read).Credential;
     return std::nullopt;
+  }
   const auto Terms =
       parseTerms(headerOf(New.Head.Fields, TermsField).value_or(""));
   if (!Terms)
@@ -201,6 +203,8 @@
   New.TimeLeft = Terms->TimeLeft;
   New.Terms = Terms->Terms;
   New.Terms->Repeat = New.Head.Fields.count(RepeatField) > 0;
+  New.Terms->Tenant =
+      core::TenantName(headerOf(New.Head.Fields, TenantField).value_or(""));
   return std::nullopt;
 }
 
@@ -275,6 +279,7 @@
   Event.VirtualHost = headerOf(Fields, "Host").value_or("");
   Event.TimeLeft = New.TimeLeft;
   Event.Terms = New.Terms;
+  Event.Credential = New.Credential;
   Event.LinkWait = Bulk.wait();
   if (New.FromNode) {
     if (headerOf(Fields, DeadlineField))
--- a/tests/platform/PlatformFleet.h
+++ b/tests/platform/PlatformFleet.h
@@ -41,8 +41,9 @@
   }
 
   /// @param Added name of a further route; none when empty
+  /// @param Tenants JSON object of the tenants; none when empty
   void publish(std::uint64_t Version, const std::string &Service = "shop",
-               const std::string &Added = "") {
+               const std::string &Added = "", const std::string &Tenants = "") {
     const auto Route = [](const std::string &Name, const char *Kind,
                           const std::string &To) {
       return fmt::format(
@@ -51,18 +52,19 @@
           R"("priority":1,"service":"{2}","max_attempts":2}})",
           Name, Kind, To);
     };
-    Store.put("keyed.op", "config",
-              fmt::format(R"({{"version":{},"routes":{{{},{},{}{}}},)"
-                          R"("services":{{"shop":{{}},"home":{{}}}},)"
-                          R"("limits":{{"max_header_bytes":16384,)"
-                          R"("max_body_bytes":1000000,)"
-                          R"("header_timeout":"3s","idle_timeout":"15s"}}}})",
-                          Version, Route("list", "idempotent", Service),
-                          Route("book", "non_idempotent", Service),
-                          Route("profile", "idempotent", "home"),
-                          Added.empty()
-                              ? ""
-                              : "," + Route(Added, "idempotent", Service)));
+    Store.put(
+        "keyed.op", "config",
+        fmt::format(
+            R"({{"version":{},{}"routes":{{{},{},{}{}}},)"
+            R"("services":{{"shop":{{}},"home":{{}}}},)"
+            R"("limits":{{"max_header_bytes":16384,)"
+            R"("max_body_bytes":1000000,)"
+            R"("header_timeout":"3s","idle_timeout":"15s"}}}})",
+            Version, Tenants.empty() ? "" : "\"tenants\":" + Tenants + ",",
+            Route("list", "idempotent", Service),
+            Route("book", "non_idempotent", Service),
+            Route("profile", "idempotent", "home"),
+            Added.empty() ? "" : "," + Route(Added, "idempotent", Service)));
   }
 
   /// Runs the loop until a condition holds; the test fails after five seconds.
@@ -86,13 +88,14 @@
   }
 
   void send(std::size_t Host, const std::string &Path, const std::string &Id,
-            std::function<void(Got)> OnDone) {
+            std::function<void(Got)> OnDone, const io::Headers &More = {}) {
     io::HttpClient::Request What;
     What.Url = fmt::format("http://{}:8304{}", address(Host), Path);
     What.Fields = {{"Host", "shop.example"},
                    {"X-Attempt-Id", Id},
                    {"X-Deadline-Ms", "800"},
                    {"X-Caller-Service", "forged"}};
+    What.Fields.insert(More.begin(), More.end());
     What.Deadline = Loop.now().Mono + core::Seconds(3);
     Http->fetch(What, "",
                 [Done = std::move(OnDone)](io::ClientEnd, int Status,
@@ -101,18 +104,22 @@
                 });
   }
 
-  Got ask(std::size_t Host, const std::string &Path, const std::string &Id) {
+  Got ask(std::size_t Host, const std::string &Path, const std::string &Id,
+          const io::Headers &More = {}) {
     std::optional<Got> Answer;
-    send(Host, Path, Id, [&](Got Taken) { Answer = std::move(Taken); });
+    send(
+        Host, Path, Id, [&](Got Taken) { Answer = std::move(Taken); }, More);
     until("an answer", [&] { return Answer.has_value(); });
     return *Answer;
   }
 
   /// Waits until a node serves a path.
-  void untilServed(std::size_t Host, const std::string &Path) {
+  void untilServed(std::size_t Host, const std::string &Path,
+                   const io::Headers &More = {}) {
     int Try = 0;
     until("service", [&] { return true; });
-    while (ask(Host, Path, fmt::format("w{}-{}", Host, Try)).Status != 200)
+    while (ask(Host, Path, fmt::format("w{}-{}", Host, Try), More).Status !=
+           200)
       cr_assert(++Try < 200, "node %zu does not serve", Host);
   }
 
--- a/tests/platform/RequestsTest.cpp
+++ b/tests/platform/RequestsTest.cpp
@@ -96,6 +96,44 @@
   cr_assert(*io::headerOf(Fields, "X-Attempt-Id") == "a1");
 }
 
+// Guards against a key that reaches a target, and against a caller that names
+// its own tenant.
+Test(platform_requests, the_tenant_replaces_the_callers_identity) {
+  const platform::Requests Speak;
+  const auto FieldsFor = [&Speak](std::optional<core::TenantName> Tenant) {
+    io::Headers Fields = {{"x-credential", "k1"},
+                          {"X-Tenant-Id", "forged"},
+                          {"x-tenant-id", "twice"}};
+    Speak.setTargetFields(Fields,
+                          {core::TargetId("i-1"), core::Milliseconds(700),
+                           core::ServiceName("home"), std::move(Tenant)});
+    return Fields;
+  };
+  const io::Headers Named = FieldsFor(core::TenantName("depot"));
+  cr_assert(Named.count("X-Credential") == 0 &&
+            Named.count("X-Tenant-Id") == 1);
+  cr_assert(*io::headerOf(Named, "X-Tenant-Id") == "depot");
+  const io::Headers Without = FieldsFor(core::TenantName());
+  cr_assert(Without.count("X-Credential") + Without.count("X-Tenant-Id") == 0);
+  // Where callers need no keys, the headers are not the platform's.
+  cr_assert(FieldsFor(std::nullopt).count("X-Tenant-Id") == 2);
+}
+
+// Guards against two keys of which the node and another reader choose
+// different ones.
+Test(platform_requests, a_key_is_one_header) {
+  const platform::Requests Speak;
+  const auto KeyOf = [&Speak](io::Headers Fields) {
+    io::RequestHead Head;
+    Head.Fields = std::move(Fields);
+    return core::value(Speak.readCaller(Head)).Credential;
+  };
+  cr_assert(!KeyOf({{"X-Attempt-Id", "a1"}}));
+  cr_assert(KeyOf({{"x-credential", "k1"}}) == config::KeyDigest::of("k1"));
+  cr_assert(KeyOf({{"X-Credential", "k1"}, {"X-Credential", "k2"}}) ==
+            config::KeyDigest::of("k1, k2"));
+}
+
 // Guards against a malformed deadline that counts as none.
 Test(platform_requests, the_callers_terms_are_read) {
   const platform::Requests Speak;
--- a/tools/fv-platform/InstanceStandIn.cpp
+++ b/tools/fv-platform/InstanceStandIn.cpp
@@ -64,6 +64,7 @@
 void InstanceStandIn::take(Exchange &Who) {
   LastArrival = Loop.now().Mono;
   LastCaller = Who.field("X-Caller-Service");
+  LastFields = Who.Inner.request().Fields;
   if (Who.field("X-Expected-Instance") != Terms.Id)
     return Who.Inner.respond(421, "", {{"X-Instance-Id", Terms.Id}});
   if (Running >= Terms.Slots)
--- a/tools/fv-platform/InstanceStandIn.h
+++ b/tools/fv-platform/InstanceStandIn.h
@@ -60,6 +60,8 @@
   /// @brief Time of the last request that reached it.
   core::TimePoint lastArrival() const { return LastArrival; }
   const std::string &lastCaller() const { return LastCaller; }
+  /// @brief Headers of the last request that reached it.
+  const io::Headers &lastFields() const { return LastFields; }
   /// @brief Whether its departure was acknowledged.
   bool acknowledged() const { return Acknowledged; }
   /// @}
@@ -86,6 +88,7 @@
   std::size_t InAll = 0;
   core::TimePoint LastArrival;
   std::string LastCaller;
+  io::Headers LastFields;
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
 };
 
