Keys of callers: strip claimed tenants on every hop, withdraw by name

Change: a hop says that a request has no tenant, too. A request with a key never counts as a target's call. Ended runs are kept only where callers need keys and the target may work on. Access is checked before the split. The time after a restart in which parents are not known is counted from the start and for routes to the target's service.

--- a/include/filbertvane/decision/mesh/CallerAccess.h
+++ b/include/filbertvane/decision/mesh/CallerAccess.h
@@ -39,9 +39,13 @@
 /// requests that a former process of the node sent to it.
 class TargetCallers {
 public:
-  /// @brief A configuration was loaded; the first one starts the time in which
-  ///        the requests of a former process may still run.
-  void configured(const config::Routing &Loaded, core::TimePoint Now);
+  /// @brief The first configuration tells for how long the requests of a
+  ///        former process may still run.
+  /// @param Local service of the target on this host
+  /// @param FormerUntil time until which a former process may have sent
+  ///        requests to the target
+  void configured(const config::Routing &Loaded, const core::ServiceName &Local,
+                  core::TimePoint FormerUntil);
   /// @brief A run ended at this node; the target may work on it until its
   ///        deadline.
   void recordEnd(const std::string &RequestId, core::TimePoint Deadline);
--- a/include/filbertvane/decision/request/Events.h
+++ b/include/filbertvane/decision/request/Events.h
@@ -95,9 +95,9 @@
   /// A retry, or a call that a repeated run makes: its run counts as a repeat,
   /// and so do the calls of this run.
   bool Repeat = false;
-  /// Tenant that sent the request; empty when it has none. A host node takes it
-  /// from other nodes only.
-  core::TenantName Tenant = {};
+  /// Tenant that sent the request, empty for a request without one; not set
+  /// where callers need no keys. A host node takes it from other nodes only.
+  std::optional<core::TenantName> Tenant = std::nullopt;
 
   friend auto operator<=>(const HopTerms &, const HopTerms &) = default;
 };
@@ -290,8 +290,6 @@
   /// Service of the host on which the request originated.
   core::ServiceName Caller = {};
   std::optional<HopTerms> Terms = std::nullopt;
-  /// Tenant that sent the request; empty when it has none.
-  core::TenantName Tenant = {};
 };
 /// @brief Forward the held answer.
 struct DeliverAnswer {
--- a/lib/config/Routing.cpp
+++ b/lib/config/Routing.cpp
@@ -58,6 +58,8 @@
           return Byte < ' ' || Byte == 0x7f;
         }))
       return invalid(Holder, "the name has control characters");
+    if (Holder.Name.value().front() == ' ' || Holder.Name.value().back() == ' ')
+      return invalid(Holder, "the name begins or ends with a blank");
     for (const KeyDigest &Key :
          std::set(Holder.Keys.begin(), Holder.Keys.end()))
       if (!Keys.insert(Key).second)
--- a/lib/decision/mesh/CallerAccess.cpp
+++ b/lib/decision/mesh/CallerAccess.cpp
@@ -33,13 +33,17 @@
 }
 
 void TargetCallers::configured(const config::Routing &Loaded,
-                               core::TimePoint Now) {
+                               const core::ServiceName &Local,
+                               core::TimePoint FormerUntil) {
   if (FormerRunsUntil)
     return;
   core::Milliseconds Longest{0};
   for (const config::HostRoute &Route : Loaded.Routes)
-    Longest = std::max(Longest, Route.Timeout);
-  FormerRunsUntil = Now + Longest;
+    if (std::ranges::find(Route.Services, Local,
+                          &config::WeightedService::Service) !=
+        Route.Services.end())
+      Longest = std::max(Longest, Route.Timeout);
+  FormerRunsUntil = FormerUntil + Longest;
 }
 
 void TargetCallers::recordEnd(const std::string &RequestId,
--- a/lib/decision/mesh/ReduceAccess.cpp
+++ b/lib/decision/mesh/ReduceAccess.cpp
@@ -21,16 +21,21 @@
 
 bool Reduction::checkAccess(const request::CallArrived &Arrival,
                             MeshCall &Call) {
-  const bool IsTargetCall = State.Runs.isRunning(Arrival.ParentId) ||
-                            State.TargetCalls.mayRun(Arrival.ParentId, Now);
+  if (!callersNeedKeys())
+    return true;
+  const bool IsTargetCall =
+      !Arrival.Credential && (State.Runs.isRunning(Arrival.ParentId) ||
+                              State.TargetCalls.mayRun(Arrival.ParentId, Now));
   const AccessVerdict Verdict =
       checkKey(*State.Routing, *Call.Route, Arrival.Credential, IsTargetCall);
   if (Verdict.Fault) {
     request::Refuse Refusal;
     Refusal.Id = Arrival.Id;
     Refusal.Result = request::Outcome::NotRun;
-    Refusal.Reason = {ErrorCode::RequestPeerUnauthorised,
-                      reasonOf(*Verdict.Fault)};
+    Refusal.Reason = {*Verdict.Fault == AccessFault::KeyMissing
+                          ? ErrorCode::RequestKeyMissing
+                          : ErrorCode::RequestKeyUnknown,
+                      Call.Route->Name.value()};
     Refusal.Status = StatusUnauthorised;
     if (const auto Refused = State.KeyRefusals.record(Now))
       log(observe::EventId::MeshRequestRefused,
@@ -41,6 +46,7 @@
     Produced.emplace_back(std::move(Refusal));
     return false;
   }
+  Call.Terms.Tenant = core::TenantName();
   if (!Verdict.Tenant)
     return true;
   State.TenantRequests.record(Verdict.Tenant->Name);
@@ -57,9 +63,11 @@
   if (!Call.Credential || !callersNeedKeys())
     return true;
   const auto Tenant = State.Routing->tenantOf(*Call.Credential);
-  if (Tenant)
-    Call.Terms.Tenant = Tenant->Name;
-  return Tenant != nullptr;
+  if (!Tenant)
+    return false;
+  Call.Terms.Tenant = Tenant->Name;
+  Call.Terms.Rank = Tenant->Rank.value_or(Call.Route->Rank);
+  return true;
 }
 
 /// Requests that wait for the local target are refused as soon as their key is
@@ -79,16 +87,17 @@
   for (const core::CallId Id : Withdrawn) {
     MeshCall *Call = find(Id);
     State.Slots.withdraw(Id);
-    refuse(*Call, ErrorCode::RequestPeerUnauthorised);
+    refuse(*Call, ErrorCode::RequestKeyWithdrawn);
   }
   dispatchQueue();
 }
 
 /// The target may work on a request, and make calls, after the request ended at
 /// this node.
-void Reduction::recordRunEnd(const MeshCall &Call) {
+void Reduction::recordRunEnd(const MeshCall &Call, bool MayWorkOn) {
   State.Runs.end(Call.CallerId);
-  State.TargetCalls.recordEnd(Call.CallerId, Call.Deadline);
+  if (MayWorkOn && callersNeedKeys())
+    State.TargetCalls.recordEnd(Call.CallerId, Call.Deadline);
 }
 
 } // namespace filbertvane::decision::mesh
--- a/lib/decision/mesh/ReduceArrival.cpp
+++ b/lib/decision/mesh/ReduceArrival.cpp
@@ -150,7 +150,6 @@
   Call.Caller = State.Settings.Service;
   Call.RequestDigest = digestOf(Arrival);
   Call.Route = Route;
-  Call.Service = stateOf(Route->Name).ServiceSplit.next(Route->Services);
   Call.ArrivedAt = Now;
   const core::Milliseconds Reserve = std::min(
       ObjectiveReserve, Route->LatencyObjective / ShortObjectiveDivisor);
@@ -171,9 +170,12 @@
   Call.Terms.Rank = Route->Rank;
   if (!checkAccess(Arrival, Call))
     return;
+  // Refused requests take no turn of the split.
+  Call.Service = stateOf(Route->Name).ServiceSplit.next(Route->Services);
   // A late answer to a nested call is still of use to the request that waits
   // for it, while a refusal fails that request and wastes its run.
-  if (!Arrival.ParentId.empty()) {
+  // Targets present no key, so that a caller with one cannot claim to be one.
+  if (!Arrival.ParentId.empty() && !Call.Credential) {
     Call.Terms.Rank = NestedCallRank;
     Call.Objective = Call.Deadline - Reserve;
   }
@@ -306,7 +308,9 @@
   Start.Caller = Call.Caller;
   // The target learns the tenant where callers need keys; elsewhere all headers
   // pass.
-  if (callersNeedKeys() || !Call.Terms.Tenant.value().empty())
+  if (callersNeedKeys() && !Call.Terms.Tenant)
+    Call.Terms.Tenant = core::TenantName();
+  if (Call.Terms.Tenant)
     Start.Terms = Call.Terms;
   Start.HoldAnswer = true;
   // A kept-alive connection may carry a late answer to an earlier request, or
--- a/lib/decision/mesh/ReduceAttempts.cpp
+++ b/lib/decision/mesh/ReduceAttempts.cpp
@@ -109,7 +109,8 @@
   // A target whose own call failed answers with a failure as well; the fault is
   // that of the service it called.
   const bool CallFailed = State.Runs.hasFailedCall(Call.CallerId);
-  recordRunEnd(Call);
+  recordRunEnd(Call, Ended.End == AttemptEnd::NoAnswer ||
+                         Ended.End == AttemptEnd::Truncated);
   const bool Broken = Ended.End == AttemptEnd::NoAnswer ||
                       Ended.End == AttemptEnd::Truncated ||
                       Ended.End == AttemptEnd::NotRun;
@@ -331,7 +332,7 @@
   case CallPhase::AtTarget:
     recordCutOff(Call);
     recordUnanswered(Call);
-    recordRunEnd(Call);
+    recordRunEnd(Call, true);
     if (State.Target && State.Target->Generation == Call.TargetGeneration)
       State.Slots.release(Call.Terms.Route, std::nullopt);
     break;
@@ -383,7 +384,7 @@
   Refusal.Reason = {Reason, Call.Terms.Route.value()};
   Refusal.ReachedTarget = Reached;
   Refusal.TargetCrashed = Reason == ErrorCode::RequestSuspect;
-  if (Reason == ErrorCode::RequestPeerUnauthorised)
+  if (Reason == ErrorCode::RequestKeyWithdrawn)
     Refusal.Status = StatusUnauthorised;
   else if (!Call.FromPeer)
     Refusal.RetryAfter =
@@ -424,8 +425,8 @@
       millis(Now - Call.ArrivedAt),
       Call.Phase == CallPhase::Queued ? -1 : millis(Now - Call.SentAt),
       Call.Placements, Call.ReachedTargets, Call.Terms.AcceptLate);
-  if (!Call.Terms.Tenant.value().empty())
-    Description += " tenant=" + Call.Terms.Tenant.value();
+  if (Call.Terms.Tenant && !Call.Terms.Tenant->value().empty())
+    Description += " tenant=" + Call.Terms.Tenant->value();
   if (State.Routing)
     Description +=
         fmt::format(" config={}", State.Routing->routing().Version.value());
--- a/lib/decision/mesh/ReduceHosts.cpp
+++ b/lib/decision/mesh/ReduceHosts.cpp
@@ -120,7 +120,8 @@
   if (State.Routing && State.Routing->routing().Version >= Version)
     return;
   State.Routing = Loaded.Table;
-  State.TargetCalls.configured(Loaded.Table->routing(), Now);
+  State.TargetCalls.configured(Loaded.Table->routing(), State.Settings.Service,
+                               State.Settings.RetriesKnownSince);
   std::erase_if(State.Routes, [&](const auto &Entry) {
     return std::ranges::none_of(
         Loaded.Table->routing().Routes,
--- a/lib/decision/mesh/ReducePlacement.cpp
+++ b/lib/decision/mesh/ReducePlacement.cpp
@@ -33,7 +33,9 @@
   auto Route = State.Routing->findRoute(Call.Terms.Route);
   if (!Route)
     Route = Call.Route;
-  const auto Tenant = State.Routing->findTenant(Call.Terms.Tenant);
+  const auto Tenant = Call.Terms.Tenant
+                          ? State.Routing->findTenant(*Call.Terms.Tenant)
+                          : nullptr;
   return {Route ? Route->AllowedRegions : std::vector<core::RegionId>(),
           Tenant ? Tenant->AllowedRegions : std::vector<core::RegionId>()};
 }
@@ -175,8 +177,8 @@
 
 void Reduction::place(MeshCall &Call) {
   State.Runs.removeWaiting(Call.CallerId);
-  if (!renewTenant(Call))
-    return refuse(Call, ErrorCode::RequestPeerUnauthorised);
+  if (Call.Placements > 0 && !renewTenant(Call))
+    return refuse(Call, ErrorCode::RequestKeyWithdrawn);
   if (++Call.Placements > MaximumPlacements)
     return refuse(Call, ErrorCode::RequestRefusedByTarget);
   std::vector<Candidate> Candidates = candidates(Call);
--- a/lib/decision/mesh/Reduction.h
+++ b/lib/decision/mesh/Reduction.h
@@ -52,7 +52,8 @@
   /// @return whether the key of an accepted request is still in force
   bool renewTenant(MeshCall &Call) const;
   void refuseWithdrawnKeys();
-  void recordRunEnd(const MeshCall &Call);
+  /// @param MayWorkOn the target may not have noticed the end
+  void recordRunEnd(const MeshCall &Call, bool MayWorkOn);
   void place(MeshCall &Call);
   std::vector<Candidate> candidates(MeshCall &Call);
   /// @brief Regions in which a request may run, by the newest configuration.
--- a/lib/io/proxy/ProxyAttempt.cpp
+++ b/lib/io/proxy/ProxyAttempt.cpp
@@ -203,9 +203,9 @@
     Dialect.setTargetFields(Fields, Told);
     return Fields;
   }
-  if (What.Terms && !What.Terms->Tenant.value().empty()) {
+  if (What.Terms && What.Terms->Tenant) {
     Dialect.removeIdentity(Fields);
-    Fields.emplace(TenantField, What.Terms->Tenant.value());
+    Fields.emplace(TenantField, TenantMark + What.Terms->Tenant->value());
   }
   Fields.emplace(RequestField, attemptIdentity(Of, What.Attempt));
   if (!PeerKey.empty())
--- a/lib/io/proxy/ProxyEngine.cpp
+++ b/lib/io/proxy/ProxyEngine.cpp
@@ -203,8 +203,10 @@
   New.TimeLeft = Terms->TimeLeft;
   New.Terms = Terms->Terms;
   New.Terms->Repeat = New.Head.Fields.count(RepeatField) > 0;
-  New.Terms->Tenant =
-      core::TenantName(headerOf(New.Head.Fields, TenantField).value_or(""));
+  const auto Tenant = headerOf(New.Head.Fields, TenantField);
+  if (Tenant && Tenant->starts_with(TenantMark))
+    New.Terms->Tenant =
+        core::TenantName(Tenant->substr(std::string_view(TenantMark).size()));
   return std::nullopt;
 }
 
--- a/lib/io/proxy/ProxyHeaders.h
+++ b/lib/io/proxy/ProxyHeaders.h
@@ -28,8 +28,11 @@
 /// The run of the request counts as a repeat. Not a part of the terms, which
 /// earlier versions read to the last word.
 inline constexpr const char *RepeatField = "Filbertvane-Repeat";
-/// Tenant that sent the request. Not a part of the terms, for the same reason.
+/// Tenant that sent the request, behind `TenantMark`. Not a part of the terms,
+/// for the same reason.
 inline constexpr const char *TenantField = "Filbertvane-Tenant";
+/// A header without a value would not be sent for a request without a tenant.
+inline constexpr const char *TenantMark = "=";
 /// Node that sends a request to another one.
 inline constexpr const char *SenderField = "Filbertvane-Sender";
 /// Service on whose host the request began.
--- a/tests/mesh/CallerAccessTest.cpp
+++ b/tests/mesh/CallerAccessTest.cpp
@@ -87,7 +87,11 @@
   KeyedBench Node;
   Node.State.Routing.reset();
   Node.ask(1, "k1");
-  cr_assert(Node.first<Refuse>()->Status == 0);
+  for (const char *Key : {"k1", "stranger", ""}) {
+    Node.ask(1, Key);
+    cr_assert(Node.first<Refuse>()->Reason.Code ==
+              core::ErrorCode::RequestNotReady);
+  }
 }
 
 // Guards against an urgent tenant that waits behind the requests of others, at
@@ -98,7 +102,8 @@
   Node.send(ReportReceived{report("n1")});
   Node.ask(1, "k1");
   cr_assert(Node.first<StartAttempt>()->Terms->Rank == 0);
-  cr_assert(Node.first<StartAttempt>()->Terms->Tenant.value() == "north");
+  cr_assert(Node.first<StartAttempt>()->Terms->Tenant ==
+            core::TenantName("north"));
   Node.ask(2, "k2");
   cr_assert(Node.first<StartAttempt>()->Terms->Rank == 1);
 }
@@ -116,7 +121,8 @@
   Call.Terms = request::HopTerms{core::RouteName("list"), milliseconds(400)};
   Call.Terms->Tenant = core::TenantName("north");
   Host.send(Call);
-  cr_assert(Host.first<StartAttempt>()->Terms->Tenant.value() == "north");
+  cr_assert(Host.first<StartAttempt>()->Terms->Tenant ==
+            core::TenantName("north"));
 }
 
 // Guards against a 401 for the calls of a running target, also after the
@@ -139,14 +145,47 @@
   cr_assert(Node.refusedFor("key_missing"));
 
   Bench Restarted;
+  Restarted.State.Settings.RetriesKnownSince = Restarted.Now;
+  Restarted.State.Settings.Service = core::ServiceName("shop");
   Restarted.configure(keyedRouting());
+  Restarted.announce();
   request::CallArrived Call;
   Call.Id = core::CallId(1);
   Call.Path = "/list/1";
   Call.VirtualHost = "shop.example";
   Call.ParentId = "c1";
   Restarted.send(Call);
-  cr_assert(Restarted.first<Refuse>()->Status != 401);
+  cr_assert(Restarted.first<StartAttempt>() != nullptr);
+  // A key that is presented decides, whatever the request claims to belong to.
+  Call.Id = core::CallId(2);
+  Call.Credential = config::KeyDigest::of("stranger");
+  Restarted.send(Call);
+  cr_assert(Restarted.first<Refuse>()->Status == 401);
+  Restarted.Now += milliseconds(1000);
+  Call.Id = core::CallId(3);
+  Call.Credential.reset();
+  Restarted.send(Call);
+  cr_assert(Restarted.first<Refuse>()->Status == 401);
+}
+
+// Guards against a caller that becomes the most urgent by the form of its
+// request's id.
+Test(mesh_access, a_caller_with_a_key_has_the_rank_of_its_tenant) {
+  KeyedBench Node;
+  Node.State.Target.reset();
+  Node.send(ReportReceived{report("n1")});
+  Node.ask(1, "k2", "/list/1", "c1");
+  cr_assert(Node.first<StartAttempt>()->Terms->Rank == 1);
+}
+
+// Guards against a tenant that a caller claims and a host without a
+// configuration passes on.
+Test(mesh_access, a_request_without_a_tenant_is_sent_on_as_such) {
+  KeyedBench Node;
+  Node.State.Target.reset();
+  Node.send(ReportReceived{report("n1")});
+  Node.ask(1, "", "/open/1");
+  cr_assert(Node.first<StartAttempt>()->Terms->Tenant == core::TenantName());
 }
 
 // Guards against a withdrawn key under which queued requests still run, or
