Send nothing to targets of an evacuated data centre

Cause: the operators' records of evacuations were ignored.

Change: the platform's adapter decodes the records. Entry nodes leave out hosts of an evacuated data centre at each placement. The host node refuses as not run what arrives after the order, and releases the requests that wait; running requests end in order. A record without a value takes the order back. A node that reads a list of the newest records only takes an absent key as removed.

Not done: targets that are cold when the order is taken back, and events and metrics of evacuations (docs/design/evacuation.md).

Measured: 50 of 50 tests of evacuation, evacuation records, allowed regions, request flow, retry chain, local target and link placement pass. The 3 tests of the decision fail when orders are ignored; the test of absent keys fails without the removal.

--- a/include/filbertvane/io/mesh/Environment.h
+++ b/include/filbertvane/io/mesh/Environment.h
@@ -58,8 +58,8 @@
 };
 
 /// @brief A record of an operator, decoded.
-using OperatorOrder =
-    std::variant<config::Routing, decision::mesh::MoveOrdered>;
+using OperatorOrder = std::variant<config::Routing, decision::mesh::MoveOrdered,
+                                   decision::mesh::EvacuationOrdered>;
 
 /// @brief What the target of a host said.
 using Announcement = std::variant<decision::mesh::TargetAnnounced,
--- a/lib/decision/mesh/ReduceArrival.cpp
+++ b/lib/decision/mesh/ReduceArrival.cpp
@@ -1,5 +1,6 @@
 #include "Reduction.h"
 #include "filbertvane/core/Digest.h"
+#include "filbertvane/decision/mesh/Evacuations.h"
 #include "filbertvane/decision/mesh/LinkPacer.h"
 #include <algorithm>
 #include <fmt/format.h>
@@ -73,12 +74,16 @@
   // Reports that this node is leaving may still be in transit.
   const bool HasLeft =
       State.Draining && Now >= State.ReportLeavingAt + LeavingReportDelay;
-  if (!IsServed || Excluded || HasLeft || !Arrival.Terms) {
+  // The entry node may not know of the evacuation yet.
+  const bool Evacuated = isEvacuated(State, State.Settings.DataCentre);
+  if (!IsServed || Excluded || HasLeft || Evacuated || !Arrival.Terms) {
     request::Refuse NoTarget =
         refusal(Arrival.Id, ErrorCode::RequestDraining, "target is not here");
     log(observe::EventId::MeshRequestRefused,
         fmt::format("request={} reason={} expected={}", Arrival.CallerId,
-                    Excluded ? "version_excluded" : "target_gone",
+                    Evacuated  ? "evacuated"
+                    : Excluded ? "version_excluded"
+                               : "target_gone",
                     Arrival.Target.value_or(core::TargetId()).value()));
     Produced.emplace_back(std::move(NoTarget));
     return;
--- a/lib/decision/mesh/ReduceHosts.cpp
+++ b/lib/decision/mesh/ReduceHosts.cpp
@@ -1,5 +1,6 @@
 #include "Reduction.h"
 #include "filbertvane/core/Digest.h"
+#include "filbertvane/decision/mesh/Evacuations.h"
 #include <algorithm>
 #include <fmt/format.h>
 #include <set>
@@ -113,6 +114,10 @@
       Known->second.OrderOffset >= Order.OrderOffset)
     return;
   State.Evacuations.insert_or_assign(Order.DataCentre, Order);
+  // Requests that run end in order; those that wait would reach the target
+  // after the evacuation.
+  if (Order.Active && Order.DataCentre == State.Settings.DataCentre)
+    refuseQueued(ErrorCode::RequestDraining, {});
 }
 
 void Reduction::operator()(const RoutingLoaded &Loaded) {
--- a/lib/decision/mesh/ReducePlacement.cpp
+++ b/lib/decision/mesh/ReducePlacement.cpp
@@ -1,4 +1,5 @@
 #include "Reduction.h"
+#include "filbertvane/decision/mesh/Evacuations.h"
 #include "filbertvane/decision/mesh/LinkPacer.h"
 #include <algorithm>
 #include <fmt/format.h>
@@ -53,6 +54,7 @@
                                const AllowedRegions &Regions) const {
   if (State.Target && State.Target->State == TargetState::Ready &&
       Regions.includes(State.Settings.Region) &&
+      !isEvacuated(State, State.Settings.DataCentre) &&
       State.Target->Announcement.Service == Service &&
       State.Target->Announcement.Version == Version)
     return true;
@@ -60,6 +62,7 @@
     const HostReport &Host = Entry.second.Report;
     return isReadyFor(Host, Service) && Host.Target->Version == Version &&
            Regions.includes(Host.Region) &&
+           !isEvacuated(State, Host.DataCentre) &&
            !HostDirectory::hasLeavingTarget(Entry.second, Now);
   });
 }
@@ -75,12 +78,14 @@
   const auto Local = localTargetReport(State);
   if (Local && Local->Service == Call.Service && IsOther(*Local) &&
       Regions.includes(State.Settings.Region) &&
+      !isEvacuated(State, State.Settings.DataCentre) &&
       !contains(Call.TriedHosts, State.Settings.Node))
     return true;
   return std::ranges::any_of(State.Hosts.hosts(), [&](const auto &Entry) {
     return isReadyFor(Entry.second.Report, Call.Service) &&
            IsOther(*Entry.second.Report.Target) &&
            Regions.includes(Entry.second.Report.Region) &&
+           !isEvacuated(State, Entry.second.Report.DataCentre) &&
            !contains(Call.TriedHosts, Entry.first) &&
            !HostDirectory::hasLeavingTarget(Entry.second, Now);
   });
@@ -136,6 +141,7 @@
   if (Local && Local->Service == Call.Service &&
       Local->State == TargetState::Ready && !IsSkipped(State.Settings.Node) &&
       Regions.includes(State.Settings.Region) &&
+      !isEvacuated(State, State.Settings.DataCentre) &&
       acceptsVersion(Call, Shares, Local->Version)) {
     const TargetLoad &Load = Local->Load;
     Found.push_back({State.Settings.Node, Distance::Local,
@@ -146,6 +152,7 @@
   for (const auto &[Node, Host] : State.Hosts.hosts()) {
     if (!isReadyFor(Host.Report, Call.Service) || IsSkipped(Node) ||
         !Regions.includes(Host.Report.Region) ||
+        isEvacuated(State, Host.Report.DataCentre) ||
         HostDirectory::hasLeavingTarget(Host, Now) ||
         !acceptsVersion(Call, Shares, Host.Report.Target->Version))
       continue;
@@ -253,12 +260,14 @@
   const auto Local = localTargetReport(State);
   if (Local && Local->Service == Call.Service &&
       Local->State == TargetState::Ready &&
-      Regions.includes(State.Settings.Region))
+      Regions.includes(State.Settings.Region) &&
+      !isEvacuated(State, State.Settings.DataCentre))
     Consider(Local->Load);
   for (const auto &[Node, Host] : State.Hosts.hosts())
     if (Host.Report.Target && Host.Report.Target->Service == Call.Service &&
         Host.Report.Target->State == TargetState::Ready &&
-        Regions.includes(Host.Report.Region))
+        Regions.includes(Host.Report.Region) &&
+        !isEvacuated(State, Host.Report.DataCentre))
       Consider(Host.Report.Target->Load);
   const double Jitter = 0.75 + 0.5 * State.RandomSource.unit();
   const core::Milliseconds Delay(static_cast<std::int64_t>(MinimumMs * Jitter));
--- a/lib/io/mesh/MeshProcess.cpp
+++ b/lib/io/mesh/MeshProcess.cpp
@@ -354,6 +354,8 @@
         std::make_shared<const config::RoutingTable>(*Routing)});
     return;
   }
+  if (const auto *Evacuation = std::get_if<decide::EvacuationOrdered>(&*Order))
+    return handle(*Evacuation);
   auto Move = std::get<decide::MoveOrdered>(*Order);
   Move.FromHistory = History;
   handle(Move);
--- a/lib/io/mesh/StoreFollower.cpp
+++ b/lib/io/mesh/StoreFollower.cpp
@@ -1,6 +1,7 @@
 #include "StoreFollower.h"
 #include "filbertvane/decision/mesh/Limits.h"
 #include <algorithm>
+#include <set>
 
 namespace filbertvane::io::mesh {
 
@@ -111,6 +112,8 @@
   Failures = 0;
   HasBase = true;
   const bool Empty = core::value(Read).Records.empty();
+  if (Newest)
+    applyRemovals(core::value(Read));
   apply(core::value(Read), Newest && Position.value() == 0);
   later(Newest || Empty ? core::Microseconds(0) : ReadGap);
 }
@@ -141,6 +144,26 @@
   Calls.OnReachable(Now);
 }
 
+/// A list of the newest records doesn't tell which keys were removed. A key
+/// that is absent was removed at the latest by the last record before the
+/// list's position.
+void StoreFollower::applyRemovals(const OperatorRecords &All) {
+  std::set<std::string> Listed;
+  for (const OperatorRecord &Record : All.Records)
+    Listed.insert(Record.Key);
+  std::vector<std::string> Removed;
+  for (const auto &[Key, Record] : Records)
+    if (!Listed.contains(Key) && !Record.Value.empty() &&
+        Record.Offset < All.Position)
+      Removed.push_back(Key);
+  for (const std::string &Key : Removed) {
+    const OperatorRecord Removal{Key, core::LogOffset(All.Position.value() - 1),
+                                 ""};
+    Records.insert_or_assign(Key, Removal);
+    Calls.OnRecord(Removal, false);
+  }
+}
+
 void StoreFollower::apply(const OperatorRecords &What, bool History) {
   for (const OperatorRecord &Record : What.Records) {
     const auto Found = Records.find(Record.Key);
@@ -157,6 +180,8 @@
 
 void StoreFollower::adopt(const OperatorRecords &What) {
   const bool Behind = What.Position > Position;
+  if (Behind)
+    applyRemovals(What);
   apply(What, Position.value() == 0);
   if (!Behind)
     return;
--- a/lib/io/mesh/StoreFollower.h
+++ b/lib/io/mesh/StoreFollower.h
@@ -47,6 +47,7 @@
   void take(const core::Result<OperatorRecords> &Read, bool Newest);
   void takeFault(const core::Error &Why);
   void apply(const OperatorRecords &What, bool History);
+  void applyRemovals(const OperatorRecords &All);
   void later(core::Microseconds After);
   void setReachable(bool Now);
 
