Bound what all connections hold and close those without a request

Each connection had bounds of its own, their sum had none: heads of 3,900 small fields sent ahead take many times their bytes. A full server closed each new connection, whatever the others had done.

InputBudget counts the bytes of unanswered requests of all servers of a process; beyond its bound, and when a server is full, ClosingOrder names the connection to close: those without a whole request, oldest first, then the one that holds most.

--- a/include/filbertvane/io/HttpServer.h
+++ b/include/filbertvane/io/HttpServer.h
@@ -3,8 +3,10 @@
 
 #include "filbertvane/core/Result.h"
 #include "filbertvane/io/EventLoop.h"
+#include "filbertvane/io/InputBudget.h"
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -103,6 +105,10 @@
     /// Time after which an idle connection is closed; longer than clients keep
     /// one, so that it is not closed while a request is under way to it.
     core::Seconds IdleTimeout{75};
+    /// Shared by the servers of a process.
+    std::shared_ptr<InputBudget> Inputs = std::make_shared<InputBudget>();
+    /// The other ends are nodes of the fleet.
+    bool FromNodes = false;
   };
 
   /// @brief Binds and starts to accept.
--- a/include/filbertvane/io/ProxyEngine.h
+++ b/include/filbertvane/io/ProxyEngine.h
@@ -47,6 +47,8 @@
     std::uint64_t Seed = 0;
     /// Time after which idle connections of other nodes are closed.
     core::Seconds PeerIdleTimeout{75};
+    /// Bytes of requests that both servers hold.
+    std::shared_ptr<InputBudget> Inputs = std::make_shared<InputBudget>();
     /// Rate of the host's link, on which large answers to other nodes leave
     /// room for short ones; 0: no limit.
     double LinkBytesPerSecond = 0;
--- a/include/filbertvane/io/mesh/Environment.h
+++ b/include/filbertvane/io/mesh/Environment.h
@@ -3,6 +3,7 @@
 
 #include "filbertvane/decision/mesh/Events.h"
 #include "filbertvane/decision/mesh/SharedRetryBudget.h"
+#include "filbertvane/io/InputBudget.h"
 #include "filbertvane/io/RequestDialect.h"
 #include "filbertvane/io/mesh/OperatorRecords.h"
 #include <functional>
@@ -114,6 +115,8 @@
   /// not known in older settings.
   std::optional<core::Milliseconds> TargetDrainTime;
   std::uint32_t MaxConnections = 0;
+  /// Bytes of unanswered requests that all connections hold together.
+  std::size_t MaxInputBytes = InputBudget::DefaultBytes;
   /// Rate of the host's link; 0 when it is not known.
   double LinkBytesPerSecond = 0;
   /// The whole fleet starts for the first time: no process was there before.
--- a/lib/io/HttpConnection.cpp
+++ b/lib/io/HttpConnection.cpp
@@ -21,6 +21,8 @@
 /// Bytes of one line of a chunk, or of all trailers; as many as a head may
 /// have.
 constexpr std::size_t MaxTrailerBytes = std::size_t{16} * 1024;
+/// Buffers of an idle connection above which they are given back.
+constexpr std::size_t IdleBufferBytes = std::size_t{4} * 1024;
 /// Time for which the rest of a request is read and dropped after the closing
 /// answer. A reset would destroy an answer that the caller has not read yet.
 constexpr core::Milliseconds LingerTime{5000};
@@ -32,12 +34,16 @@
     : Owner(Owner), Fd(Fd), Remote(std::move(Remote)),
       Watch(std::make_unique<Descriptor>(
           Loop, Fd, [this](int Ready) { handleEvents(Ready); })),
-      Parser(MaxHeadBytes) {
+      Parser(MaxHeadBytes), OpenedAt(Owner.now()) {
+  Owner.inputs().add(*this);
   touch();
   updateWatch();
 }
 
-HttpConnection::~HttpConnection() { close(); }
+HttpConnection::~HttpConnection() {
+  close();
+  Owner.inputs().remove(*this);
+}
 
 void HttpConnection::handleEvents(int Ready) {
   if ((Ready & Descriptor::Readable) != 0 && !receive())
@@ -73,6 +79,36 @@
   } while (PumpAgain && !isClosed());
   Pumping = false;
   updateWatch();
+  account();
+  Owner.inputs().relieve();
+}
+
+decision::connections::ConnectionUse HttpConnection::use() const {
+  using decision::connections::Progress;
+  Progress Reached = Served ? Progress::Served : Progress::NoRequest;
+  if (Lingering || isClosed())
+    Reached = Progress::Closing;
+  else if (!Served && !HeadParsed && Exchanges.empty())
+    Reached = Progress::NoHead;
+  return {Reached, Owner.isForNodes(), OpenedAt, Counted};
+}
+
+std::size_t HttpConnection::heldBytes() const {
+  std::size_t Sum = Input.capacity();
+  for (const auto &Each : Exchanges)
+    Sum += Each->heldBytes();
+  return Sum;
+}
+
+/// Buffers that have grown are given back while the connection is idle.
+void HttpConnection::account() {
+  const bool Idle = Exchanges.empty() && Input.empty() && Output.empty();
+  if (Idle && Input.capacity() > IdleBufferBytes)
+    Input = std::string();
+  if (Idle && Output.capacity() > IdleBufferBytes)
+    Output = std::string();
+  const std::size_t Held = isClosed() ? 0 : heldBytes();
+  Owner.inputs().change(std::exchange(Counted, Held), Held);
 }
 
 bool HttpConnection::parse() {
@@ -97,6 +133,7 @@
 /// @return whether a head was taken
 bool HttpConnection::parseHead() {
   if (!Parser.isHeadBegun() && !skipLineBreaks()) {
+    ++Owner.inputs().Refused.Framing;
     refuseHead(400);
     return true;
   }
@@ -174,7 +211,9 @@
     Input.erase(0, Result.Consumed);
     Framing += Result.Consumed - Result.Produced;
     BodyBytes += Result.Produced;
-    if (Result.Malformed || !isFramingBounded(Result)) {
+    const bool Bounded = isFramingBounded(Result);
+    Owner.inputs().Refused.Framing += Bounded ? 0 : 1;
+    if (Result.Malformed || !Bounded) {
       refuseBody();
       return true;
     }
@@ -186,6 +225,7 @@
     Reading->takeBodyEnd();
   Reading = nullptr;
   HeadParsed = false;
+  Served = true;
   Framing = BodyBytes = 0;
   Parser.startNext();
   return true;
@@ -291,6 +331,8 @@
   const auto Ending = std::exchange(Exchanges, {});
   for (const auto &Exchange : Ending)
     Exchange->close(false);
+  Input = Output = std::string();
+  account();
   // The owner removes closed connections after its own calls.
   Owner.wake(*this);
 }
--- a/lib/io/HttpConnection.h
+++ b/lib/io/HttpConnection.h
@@ -4,6 +4,7 @@
 #include "ConnectionReuse.h"
 #include "HttpExchange.h"
 #include "filbertvane/io/EventLoop.h"
+#include "filbertvane/io/InputBudget.h"
 #include <deque>
 
 namespace filbertvane::io {
@@ -22,24 +23,27 @@
   /// @brief Time until which a connection may be idle from now on.
   virtual core::TimePoint idleDeadline() const = 0;
   virtual core::TimePoint now() const = 0;
+  virtual InputBudget &inputs() = 0;
+  /// @brief The other ends of the connections are nodes of the fleet.
+  virtual bool isForNodes() const = 0;
 };
 
 /// @brief One caller's connection.
 ///
 /// Requests that the caller sends ahead are handed over as they arrive; their
 /// answers go out in the order of the requests.
-class HttpConnection {
+class HttpConnection final : public InputBudget::Holder {
 public:
   HttpConnection(EventLoop &Loop, ConnectionOwner &Owner, int Fd,
                  std::string Remote, std::size_t MaxHeadBytes);
-  ~HttpConnection();
+  ~HttpConnection() override;
   HttpConnection(const HttpConnection &) = delete;
   HttpConnection &operator=(const HttpConnection &) = delete;
 
   /// @brief Moves all bytes that can move.
   void pump();
   /// @brief The caller closed the connection.
-  void drop();
+  void drop() override;
   /// @brief Closes the connection after the answers to the requests read.
   void closeAfterAnswers();
   /// @brief Closes the connection if its idle or linger deadline has passed.
@@ -47,6 +51,7 @@
 
   bool isClosed() const { return Fd < 0; }
   std::size_t active() const { return Exchanges.size(); }
+  decision::connections::ConnectionUse use() const override;
 
 private:
   void handleEvents(int Ready);
@@ -67,6 +72,8 @@
   void close();
   bool waitsForCaller() const;
   void updateWatch();
+  std::size_t heldBytes() const;
+  void account();
   void touch() { IdleAt = Owner.idleDeadline(); }
 
   ConnectionOwner &Owner;
@@ -97,6 +104,11 @@
   /// What the caller sends from now on is read and dropped.
   bool DropsInput = false;
   bool Lingering = false;
+  /// A request was read to its end.
+  bool Served = false;
+  /// Bytes that the budget counts for this connection.
+  std::size_t Counted = 0;
+  core::TimePoint OpenedAt;
   core::TimePoint IdleAt;
   core::TimePoint LingerUntil;
 };
--- a/lib/io/HttpExchange.cpp
+++ b/lib/io/HttpExchange.cpp
@@ -1,4 +1,5 @@
 #include "HttpExchange.h"
+#include <algorithm>
 #include <array>
 #include <fmt/format.h>
 #include <strings.h>
@@ -15,6 +16,21 @@
 /// connection can be kept.
 constexpr std::uint64_t DrainLimitBytes = std::uint64_t{1024} * 1024;
 
+/// Memory of a header beside its bytes: a node of the map with two strings.
+constexpr std::size_t FieldBytes = 112;
+/// A request in progress has its head here and in the call, and what is sent of
+/// it to the target.
+constexpr std::size_t HeadCopies = 3;
+/// Bytes of a body that are kept for a repeat; more are streamed.
+constexpr std::uint64_t KeptBodyBytes = std::uint64_t{64} * 1024;
+
+std::size_t bytesOf(const RequestHead &Head) {
+  std::size_t Sum = Head.Path.size();
+  for (const auto &[Name, Value] : Head.Fields)
+    Sum += FieldBytes + Name.size() + Value.size();
+  return Sum * HeadCopies;
+}
+
 bool isFraming(const std::string &Name) {
   return strcasecmp(Name.c_str(), "Content-Length") == 0 ||
          strcasecmp(Name.c_str(), "Transfer-Encoding") == 0 ||
@@ -29,7 +45,13 @@
 
 HttpExchange::HttpExchange(ParsedHead Parsed, std::function<void()> OnChange)
     : Parsed(std::move(Parsed)), OnChange(std::move(OnChange)),
-      ContinueOwed(this->Parsed.ExpectsContinue) {}
+      ContinueOwed(this->Parsed.ExpectsContinue),
+      HeadBytes(bytesOf(this->Parsed.Head)) {}
+
+std::size_t HttpExchange::heldBytes() const {
+  return HeadBytes +
+         static_cast<std::size_t>(std::min(BodyTaken, KeptBodyBytes));
+}
 
 void HttpExchange::pauseBody(bool Paused) {
   if (BodyPaused == Paused)
--- a/lib/io/HttpExchange.h
+++ b/lib/io/HttpExchange.h
@@ -40,6 +40,8 @@
   ///        answer are dropped.
   bool acceptsBody() const { return !BodyPaused || Finished; }
   bool isBodyWhole() const { return BodyWhole; }
+  /// @brief Estimate of the bytes that the request takes until its answer.
+  std::size_t heldBytes() const;
   /// @brief Whether the rest of the body is short enough to be read and
   /// dropped.
   bool isBodyDrainable() const;
@@ -70,6 +72,7 @@
   bool BodyPaused = false;
   bool BodyWhole = false;
   bool ContinueOwed = false;
+  std::size_t HeadBytes = 0;
 
   ResponseHead Answer;
   std::optional<std::uint64_t> AnswerLength;
--- a/lib/io/HttpServer.cpp
+++ b/lib/io/HttpServer.cpp
@@ -8,6 +8,7 @@
 #include <unistd.h>
 #include <unordered_map>
 #include <unordered_set>
+#include <vector>
 
 namespace filbertvane::io {
 
@@ -80,6 +81,7 @@
   LoopServer(EventLoop &Loop, const Options &Settings, Acceptor OnRequest)
       : Loop(Loop), MaxConnections(Settings.MaxConnections),
         MaxHeadBytes(Settings.MaxHeadBytes), IdleTimeout(Settings.IdleTimeout),
+        Inputs(Settings.Inputs), ForNodes(Settings.FromNodes),
         OnRequest(std::move(OnRequest)), Soon(Loop, [this] { runWoken(); }),
         Sweep(Loop, [this] { sweep(); }),
         AcceptAgain(Loop, [this] { Listening->watch(Descriptor::Readable); }) {}
@@ -102,10 +104,13 @@
   void takeHangups() override;
   core::TimePoint idleDeadline() const override { return now() + IdleTimeout; }
   core::TimePoint now() const override { return Loop.now().Mono; }
+  InputBudget &inputs() override { return *Inputs; }
+  bool isForNodes() const override { return ForNodes; }
   /// @}
 
   void acceptConnections();
   void add(int Fd, const sockaddr_storage &Address);
+  bool makeRoom();
   void closeListener();
   void runWoken();
   void sweep();
@@ -114,6 +119,8 @@
   std::uint32_t MaxConnections;
   std::size_t MaxHeadBytes;
   core::Seconds IdleTimeout;
+  std::shared_ptr<InputBudget> Inputs;
+  bool ForNodes;
   Acceptor OnRequest;
   int ListenFd = -1;
   std::unique_ptr<Descriptor> Listening;
@@ -176,7 +183,8 @@
 }
 
 void LoopServer::add(int Fd, const sockaddr_storage &Address) {
-  if (Connections.size() >= MaxConnections) {
+  if (Connections.size() >= MaxConnections && !makeRoom()) {
+    ++Inputs->Refused.Full;
     ::close(Fd);
     return;
   }
@@ -193,6 +201,25 @@
   Connections.emplace(New.get(), std::move(New));
 }
 
+/// @return whether a connection was closed for a new one
+bool LoopServer::makeRoom() {
+  std::vector<HttpConnection *> All;
+  std::vector<decision::connections::ConnectionUse> Uses;
+  for (const auto &[Key, Connection] : Connections) {
+    All.push_back(Key);
+    Uses.push_back(Connection->use());
+  }
+  const auto Chosen = decision::connections::closeForRoom(Uses);
+  if (!Chosen)
+    return false;
+  HttpConnection *Closing = All[*Chosen];
+  Inputs->Refused.Room += Closing->isClosed() ? 0 : 1;
+  Closing->drop();
+  Woken.erase(Closing);
+  Connections.erase(Closing);
+  return true;
+}
+
 void LoopServer::closeAfterAnswers() {
   LastAnswers = true;
   for (const auto &[Key, Connection] : Connections)
--- a/lib/io/mesh/MeshProcess.cpp
+++ b/lib/io/mesh/MeshProcess.cpp
@@ -99,6 +99,7 @@
   Options.Peers = Place.Peers;
   Options.Self = Place.Node;
   Options.MaxConnections = Place.MaxConnections;
+  Options.Inputs = Inputs;
   Options.Seed = State.Settings.RandomSeed;
   Options.PeerIdleTimeout = PeerIdleTimeout;
   Options.LinkBytesPerSecond = Place.LinkBytesPerSecond;
@@ -153,7 +154,7 @@
   for (const Port &Each : Ports) {
     if (Each.Address.empty())
       continue;
-    auto Opened = listenSmall(Loop, Each.Address, Each.Handle);
+    auto Opened = listenSmall(Loop, Each.Address, Each.Handle, Inputs);
     if (!core::ok(Opened))
       return core::failure(Opened);
     Each.Server = core::take(std::move(Opened));
@@ -438,6 +439,7 @@
   handle(decision::request::Tick{});
   readStoreInTurn(Now.Mono);
   advanceStop();
+  tellRefusals(Now.Mono);
   Log.flush(Now);
   Ticker.arm(Now.Mono + TickPeriod);
 }
@@ -503,6 +505,8 @@
 
 std::string Process::metrics() {
   decide::writeGauges(State, Loop.now().Mono, Figures);
+  Figures.set("filbertvane_input_bytes", {},
+              static_cast<double>(Inputs->total()));
   return Figures.render();
 }
 
--- a/lib/io/mesh/MeshProcessImpl.h
+++ b/lib/io/mesh/MeshProcessImpl.h
@@ -67,6 +67,7 @@
   void noteHop(const HopRecord &Hop);
   void tick();
   void advanceStop();
+  void tellRefusals(core::TimePoint Now);
   /// @}
 
   EventLoop &Loop;
@@ -77,6 +78,11 @@
   decide::MeshState State;
   observe::LogWriter Log;
   observe::Metrics Figures;
+  /// Of all servers below.
+  std::shared_ptr<InputBudget> Inputs =
+      std::make_shared<InputBudget>(Place.MaxInputBytes);
+  InputRefusals RefusalsTold;
+  core::TimePoint RefusalsToldAt;
   std::unique_ptr<ProxyEngine> Engine;
   std::unique_ptr<ReportSocket> Reports;
   std::unique_ptr<HttpServer> Readiness;
--- a/lib/io/mesh/SmallRequests.cpp
+++ b/lib/io/mesh/SmallRequests.cpp
@@ -39,10 +39,12 @@
 } // namespace
 
 core::Result<std::unique_ptr<HttpServer>>
-listenSmall(EventLoop &Loop, const std::string &Address, SmallHandler Handle) {
+listenSmall(EventLoop &Loop, const std::string &Address, SmallHandler Handle,
+            std::shared_ptr<InputBudget> Inputs) {
   HttpServer::Options Options;
   Options.Address = Address;
   Options.MaxConnections = MaxConnections;
+  Options.Inputs = std::move(Inputs);
   return HttpServer::listen(
       Loop, Options,
       [Handle = std::move(Handle)](
--- a/lib/io/mesh/SmallRequests.h
+++ b/lib/io/mesh/SmallRequests.h
@@ -19,7 +19,8 @@
 ///        function.
 /// @return the server, or `ProcessListenFailed` with the address
 core::Result<std::unique_ptr<HttpServer>>
-listenSmall(EventLoop &Loop, const std::string &Address, SmallHandler Handle);
+listenSmall(EventLoop &Loop, const std::string &Address, SmallHandler Handle,
+            std::shared_ptr<InputBudget> Inputs);
 
 } // namespace filbertvane::io::mesh
 
--- a/lib/io/proxy/ProxyEngine.cpp
+++ b/lib/io/proxy/ProxyEngine.cpp
@@ -104,12 +104,14 @@
   HttpServer::Options Listen;
   Listen.MaxConnections = Settings.MaxConnections;
   Listen.Address = Settings.Callers;
+  Listen.Inputs = Settings.Inputs;
   auto Opened = HttpServer::listen(
       Loop, Listen, [this](ServerExchange &E) { return accept(E, false); });
   if (!core::ok(Opened))
     return core::failure(Opened);
   Callers = core::take(std::move(Opened));
   Listen.Address = Settings.Peers;
+  Listen.FromNodes = true;
   Listen.IdleTimeout = Settings.PeerIdleTimeout;
   Opened = HttpServer::listen(
       Loop, Listen, [this](ServerExchange &E) { return accept(E, true); });
