Weigh free slots when many nodes choose targets by old reports

Hosts in other data centres report every 1 s to 5 s on meshes of 16 hosts and more. All targets within 0.01 of the lowest expected loss were equally likely, whether one slot or all of them were free, so that requests waited at one target while another one of the region was idle.

A target is now drawn by its known free slots and its expected loss on meshes of 16 hosts and more; smaller ones choose as before.

--- a/lib/decision/mesh/ReducePlacement.cpp
+++ b/lib/decision/mesh/ReducePlacement.cpp
@@ -1,4 +1,5 @@
 #include "Reduction.h"
+#include "filbertvane/decision/mesh/EvenPlacement.h"
 #include "filbertvane/decision/mesh/LinkPacer.h"
 #include <algorithm>
 #include <fmt/format.h>
@@ -147,7 +148,10 @@
   const PlacementQuery Query{Call.Route->LatencyObjective,
                              HeaderBytes +
                                  stateOf(Call.Terms.Route).MeanAnswerBytes};
-  auto Best = chooseTarget(Candidates, Query, State.RandomSource);
+  const auto Choose = hasOldReports(State.Hosts.largestSize())
+                          ? chooseByFreeSlots
+                          : chooseTarget;
+  auto Best = Choose(Candidates, Query, State.RandomSource);
   // A large answer from another region costs more than a late one from a nearby
   // host.
   const bool MustAcceptLate =
@@ -157,7 +161,7 @@
     Call.Terms.AcceptLate = true;
     Call.LateHosts.clear();
     Candidates = candidates(Call);
-    Best = chooseTarget(Candidates, Query, State.RandomSource);
+    Best = Choose(Candidates, Query, State.RandomSource);
   }
   if (!Best)
     return refuse(Call, Call.SkippedAtCapacity
