--- a/lib/decision/mesh/ReducePlacement.cpp
+++ b/lib/decision/mesh/ReducePlacement.cpp
@@ -1,5 +1,6 @@
 #include "Reduction.h"
 #include "filbertvane/decision/mesh/Evacuations.h"
+#include "filbertvane/decision/mesh/EvenPlacement.h"
 #include "filbertvane/decision/mesh/LinkPacer.h"
 #include <algorithm>
 #include <fmt/format.h>
@@ -18,6 +19,15 @@
   return std::ranges::find(Nodes, Node) != Nodes.end();
 }
 
+/// @param Candidates at least one
+double lowestLoss(const std::vector<Candidate> &Candidates,
+                  const PlacementQuery &Request) {
+  double Lowest = expectedLoss(Candidates.front(), Request);
+  for (const Candidate &Target : Candidates)
+    Lowest = std::min(Lowest, expectedLoss(Target, Request));
+  return Lowest;
+}
+
 bool isReadyFor(const HostReport &Host, const core::ServiceName &Service) {
   return !Host.Leaving && Host.Target && Host.Target->Service == Service &&
          Host.Target->State == TargetState::Ready;
@@ -192,17 +202,20 @@
   const PlacementQuery Query{Call.Route->LatencyObjective,
                              HeaderBytes +
                                  stateOf(Call.Terms.Route).MeanAnswerBytes};
-  auto Best = chooseTarget(Candidates, Query, State.RandomSource);
+  const auto Choose = hasOldReports(State.Hosts.largestSize())
+                          ? chooseByFreeSlots
+                          : chooseTarget;
+  auto Best = Choose(Candidates, Query, State.RandomSource);
   // A large answer from another region costs more than a late one from a nearby
   // host.
-  const bool MustAcceptLate =
-      !Best || Call.LateHosts.size() >= OnTimePlacements ||
-      expectedLoss(Candidates[*Best], Query) > LateAnswerLoss;
+  const bool MustAcceptLate = !Best ||
+                              Call.LateHosts.size() >= OnTimePlacements ||
+                              lowestLoss(Candidates, Query) > LateAnswerLoss;
   if (MustAcceptLate && !Call.Terms.AcceptLate) {
     Call.Terms.AcceptLate = true;
     Call.LateHosts.clear();
     Candidates = candidates(Call);
-    Best = chooseTarget(Candidates, Query, State.RandomSource);
+    Best = Choose(Candidates, Query, State.RandomSource);
   }
   if (!Best && Call.SkippedAtCapacity)
     return refuse(Call, ErrorCode::RequestWouldMissObjective);
