Quotas of tenants: shares lent to owners, tokens handed out

Cause: a tenant's limit holds over all nodes together, while its requests come at a few of many nodes and messages, links and processes may be lost. Fixed shares keep the sum but refuse most of what an uneven tenant may send.

Nodes lend their shares of a quota to an owner, the owner mints tokens for the sum of the shares and hands them out on demand. Both ends of a loan and of a token count its term by their own clocks, so that no share is used twice. The module is not called by the reducer yet.

--- /dev/null
+++ b/lib/decision/mesh/quota/QuotaOwner.cpp
@@ -0,0 +1,138 @@
+#include "filbertvane/decision/mesh/quota/QuotaOwner.h"
+#include "filbertvane/core/Digest.h"
+#include <algorithm>
+#include <cmath>
+
+namespace filbertvane::decision::mesh::quota {
+
+namespace {
+
+/// Interval at which the shares of all lenders are summed. 2,000 lenders and 10
+/// groups are 4 million additions a second.
+constexpr core::Milliseconds SettlingPeriod{5};
+/// Sums of shares fall short of a whole token by rounding.
+constexpr double Rounding = 1e-6;
+constexpr double MicrosPerSecond = 1e6;
+
+double seconds(core::Microseconds Time) {
+  return static_cast<double>(Time.count()) / MicrosPerSecond;
+}
+
+/// Tokens may be minted one settling period after their time; the stock is
+/// smaller by as many. A quota without a burst still holds one token, since no
+/// request passes otherwise.
+double depthOf(const config::Quota &Quota) {
+  return std::max(1.0, Quota.Burst -
+                           Quota.RequestsPerSecond * seconds(SettlingPeriod));
+}
+
+} // namespace
+
+std::size_t groupOf(const core::TenantName &Tenant) {
+  return static_cast<std::size_t>(core::digestOf(Tenant.value()).value() %
+                                  GroupCount);
+}
+
+void QuotaOwner::mint(Lender &From, core::TimePoint Now) {
+  const core::TimePoint Until = std::min(Now, From.Until - TokenTerm);
+  if (Until <= From.MintedUntil)
+    return;
+  const double Added = From.Share * seconds(Until - From.MintedUntil);
+  for (std::size_t Group = 0; Group < GroupCount; ++Group)
+    if ((From.Groups >> Group & 1) != 0)
+      ShareSeconds[Group] += Added;
+  From.MintedUntil = Until;
+}
+
+/// The lender sent the loan after it had received the message that the loan
+/// echoes, hence the term by this clock ends first. Loans that echo another
+/// process refer to another clock.
+void QuotaOwner::recordLoan(const QuotaRequest &Request, core::TimePoint Now) {
+  const Loan &Lent = Request.Lent;
+  if (Lent.Groups == 0 || Lent.OwnerIncarnation != Self.Incarnation ||
+      Lent.OwnerSentAt > Now || Lent.Nodes == 0)
+    return;
+  Lender &From = Lenders[Request.From.Node];
+  const core::TimePoint Until = Lent.OwnerSentAt + LoanTerm;
+  // A late message says less than a newer one.
+  if (Until <= From.Until)
+    return;
+  mint(From, Now);
+  From.Groups = Lent.Groups;
+  From.Share = 1.0 / Lent.Nodes;
+  From.Until = Until;
+  From.MintedUntil = Now;
+}
+
+void QuotaOwner::settle(core::TimePoint Now) {
+  if (SettledAt > Now - SettlingPeriod)
+    return;
+  SettledAt = Now;
+  Pool.fill(0);
+  for (auto Each = Lenders.begin(); Each != Lenders.end();) {
+    Lender &From = Each->second;
+    mint(From, Now);
+    if (From.Until <= Now) {
+      Each = Lenders.erase(Each);
+      continue;
+    }
+    // The sum is used until the next settling.
+    if (From.Until >= Now + SettlingPeriod + TokenTerm)
+      for (std::size_t Group = 0; Group < GroupCount; ++Group)
+        if ((From.Groups >> Group & 1) != 0)
+          Pool[Group] = std::min(1.0, Pool[Group] + From.Share);
+    ++Each;
+  }
+}
+
+TokenGrant QuotaOwner::grant(const TokenDemand &Demand,
+                             const config::Quota &Quota, core::TimePoint Now) {
+  const std::size_t Group = groupOf(Demand.Tenant);
+  Bucket &Stock = Buckets[Demand.Tenant];
+  while (!Stock.HandedOut.empty() && Stock.HandedOut.front().Until <= Now) {
+    Stock.HandedOutTokens -= Stock.HandedOut.front().Tokens;
+    Stock.HandedOut.pop_front();
+  }
+  // Tokens that a borrower may still use count towards the stock, so that what
+  // exists at one time never exceeds the burst.
+  const double Room =
+      Pool[Group] * depthOf(Quota) + Rounding - Stock.HandedOutTokens;
+  const double Minted =
+      (ShareSeconds[Group] - Stock.MintedOf) * Quota.RequestsPerSecond;
+  Stock.MintedOf = ShareSeconds[Group];
+  Stock.Level = std::max(0.0, std::min(Stock.Level + Minted, Room));
+  TokenGrant Grant{Demand.Tenant, 0, core::Milliseconds(0)};
+  Grant.Tokens = static_cast<std::uint32_t>(std::min(
+      static_cast<double>(Demand.Tokens), std::floor(Stock.Level + Rounding)));
+  if (Grant.Tokens > 0) {
+    Stock.Level = std::max(0.0, Stock.Level - Grant.Tokens);
+    Stock.HandedOut.push_back({Now + TokenTerm, Grant.Tokens});
+    Stock.HandedOutTokens += Grant.Tokens;
+  }
+  if (Grant.Tokens == Demand.Tokens)
+    return Grant;
+  const double PerSecond = Pool[Group] * Quota.RequestsPerSecond;
+  const double Missing = std::max(0.0, 1 - Stock.Level);
+  const double Longest = seconds(LoanTerm);
+  Grant.NextIn = core::Milliseconds(static_cast<std::int64_t>(std::ceil(
+      1000 * (PerSecond * Longest > Missing ? Missing / PerSecond : Longest))));
+  return Grant;
+}
+
+QuotaReply QuotaOwner::answer(const QuotaRequest &Request,
+                              const config::RoutingTable &Table,
+                              core::TimePoint Now) {
+  recordLoan(Request, Now);
+  settle(Now);
+  QuotaReply Reply;
+  Reply.From = Self;
+  Reply.SentAt = Now;
+  Reply.ToIncarnation = Request.From.Incarnation;
+  Reply.RequestSentAt = Request.SentAt;
+  for (const TokenDemand &Demand : Request.Demands)
+    if (const auto Tenant = Table.findTenant(Demand.Tenant))
+      Reply.Grants.push_back(grant(Demand, Tenant->Quota, Now));
+  return Reply;
+}
+
+} // namespace filbertvane::decision::mesh::quota
