--- a/tests/mesh/QuotaTest.cpp
+++ b/tests/mesh/QuotaTest.cpp
@@ -125,6 +125,22 @@
   cr_assert(Fleet.mostInWindow("a") <= 600, "%zu", Fleet.mostInWindow("a"));
 }
 
+// Guards against a node that was cut off and spends the tokens of its own share
+// after it has lent the share again.
+Test(quota, own_tokens_end_when_the_share_is_lent) {
+  QuotaFleet Fleet(2, 1, 21);
+  Fleet.setQuota("a", 100, 100);
+  run(Fleet, SettledMs);
+  Fleet.Nodes[1].Side = 1;
+  run(Fleet, SettledMs);
+  Fleet.request(1, "a");
+  Fleet.Nodes[1].Side = 0;
+  run(Fleet, SettledMs);
+  Fleet.Admitted.clear();
+  requestAt(Fleet, {0, 1});
+  cr_assert(Fleet.mostInWindow("a") <= 600, "%zu", Fleet.mostInWindow("a"));
+}
+
 // Guards against an owner that fills its bucket again while borrowers still
 // hold tokens, so that both are spent at once.
 Test(quota, tokens_held_by_borrowers_count_towards_the_burst) {
