Quotas: pass the process by reference, include what the model uses

Cause: the linter named a parameter that was copied without need.

Change: the constructor takes a reference; QuotaFleet.h includes <functional>.

--- a/include/filbertvane/decision/mesh/quota/TenantQuotas.h
+++ b/include/filbertvane/decision/mesh/quota/TenantQuotas.h
@@ -46,7 +46,7 @@
 /// docs/design/quota.md.
 class TenantQuotas {
 public:
-  TenantQuotas(Process Self, core::TimePoint StartedAt);
+  TenantQuotas(const Process &Self, core::TimePoint StartedAt);
 
   /// @brief Sets the candidates for ownership and the number of nodes, which
   ///        is never smaller than the number that exist.
--- a/lib/decision/mesh/quota/TenantQuotas.cpp
+++ b/lib/decision/mesh/quota/TenantQuotas.cpp
@@ -37,7 +37,7 @@
 
 } // namespace
 
-TenantQuotas::TenantQuotas(Process Self, core::TimePoint StartedAt)
+TenantQuotas::TenantQuotas(const Process &Self, core::TimePoint StartedAt)
     : Self(Self), ShareUsableFrom(StartedAt + LoanTerm), Owner(Self) {
   for (Group &Each : Groups)
     Each.LentUntil = ShareUsableFrom;
--- a/tests/mesh/QuotaFleet.h
+++ b/tests/mesh/QuotaFleet.h
@@ -3,6 +3,7 @@
 
 #include "MeshBench.h"
 #include "filbertvane/decision/mesh/quota/TenantQuotas.h"
+#include <functional>
 #include <random>
 
 namespace meshbench {
