Quotas: bring buckets up to date when a lent pool changes

Cause: an owner clipped a bucket only when the tenant asked again. A level survived a time in which the lenders used their shares themselves, and tokens minted under a small pool were paid out later under the larger one.

Change: before the pool of a group changes, the buckets of the group accrue and are clipped to the smaller of the two pools. Loans that ended are dropped before the loan of a message is recorded. A new bucket fills from the last change of its pool.

--- a/include/filbertvane/decision/mesh/quota/QuotaOwner.h
+++ b/include/filbertvane/decision/mesh/quota/QuotaOwner.h
@@ -39,16 +39,22 @@
     std::uint32_t Tokens = 0;
   };
   struct Bucket {
+    std::size_t Group = 0;
     double Level = 0;
     /// Share-seconds of the group that have been turned into tokens.
     double MintedOf = 0;
-    std::deque<Outstanding> HandedOut;
+    std::deque<Outstanding> HandedOut{};
     std::uint32_t HandedOutTokens = 0;
   };
 
   void recordLoan(const QuotaRequest &Request, core::TimePoint Now);
   void mint(Lender &From, core::TimePoint Now);
-  void settle(core::TimePoint Now);
+  void settle(const config::RoutingTable &Table, core::TimePoint Now);
+  void changePool(const std::array<double, GroupCount> &NewPool,
+                  const config::RoutingTable &Table, core::TimePoint Now);
+  /// Fills a bucket up to a part of the burst.
+  void accrue(Bucket &Stock, double Part, const config::Quota &Quota,
+              core::TimePoint Now);
   TokenGrant grant(const TokenDemand &Demand, const config::Quota &Quota,
                    core::TimePoint Now);
 
@@ -57,6 +63,8 @@
   std::map<core::TenantName, Bucket> Buckets;
   /// Seconds of the whole quota that the lent shares have added up to.
   std::array<double, GroupCount> ShareSeconds{};
+  /// `ShareSeconds` at the last change of the pool.
+  std::array<double, GroupCount> SharesAtChange{};
   /// Shares that stay lent for longer than a token may be used.
   std::array<double, GroupCount> Pool{};
   core::TimePoint SettledAt = core::TimePoint::min();
--- a/lib/decision/mesh/quota/QuotaOwner.cpp
+++ b/lib/decision/mesh/quota/QuotaOwner.cpp
@@ -64,11 +64,51 @@
   From.MintedUntil = Now;
 }
 
-void QuotaOwner::settle(core::TimePoint Now) {
+/// Tokens that a borrower may still use count towards the stock, so that what
+/// exists at one time never exceeds the part of the burst that is lent.
+void QuotaOwner::accrue(Bucket &Stock, double Part, const config::Quota &Quota,
+                        core::TimePoint Now) {
+  while (!Stock.HandedOut.empty() && Stock.HandedOut.front().Until <= Now) {
+    Stock.HandedOutTokens -= Stock.HandedOut.front().Tokens;
+    Stock.HandedOut.pop_front();
+  }
+  const double Room = Part * depthOf(Quota) + Rounding - Stock.HandedOutTokens;
+  const double Minted =
+      (ShareSeconds[Stock.Group] - Stock.MintedOf) * Quota.RequestsPerSecond;
+  Stock.MintedOf = ShareSeconds[Stock.Group];
+  Stock.Level = std::max(0.0, std::min(Stock.Level + Minted, Room));
+}
+
+/// Tokens of a share that is not lent any more must not be left for the time
+/// when it is lent again, and a bucket that was small must not fill at once
+/// when its pool grows.
+void QuotaOwner::changePool(const std::array<double, GroupCount> &NewPool,
+                            const config::RoutingTable &Table,
+                            core::TimePoint Now) {
+  if (NewPool == Pool)
+    return;
+  for (auto &[Name, Stock] : Buckets) {
+    const double Old = Pool[Stock.Group];
+    const double New = NewPool[Stock.Group];
+    if (Old == New)
+      continue;
+    const auto Tenant = Table.findTenant(Name);
+    accrue(Stock, std::min(Old, New), Tenant ? Tenant->Quota : config::Quota(),
+           Now);
+  }
+  for (std::size_t Group = 0; Group < GroupCount; ++Group)
+    if (NewPool[Group] != Pool[Group])
+      SharesAtChange[Group] = ShareSeconds[Group];
+  Pool = NewPool;
+}
+
+/// Within a settling period no loan that the pool counts comes to its end.
+void QuotaOwner::settle(const config::RoutingTable &Table,
+                        core::TimePoint Now) {
   if (SettledAt > Now - SettlingPeriod)
     return;
   SettledAt = Now;
-  Pool.fill(0);
+  std::array<double, GroupCount> NewPool{};
   for (auto Each = Lenders.begin(); Each != Lenders.end();) {
     Lender &From = Each->second;
     mint(From, Now);
@@ -80,27 +120,22 @@
     if (From.Until >= Now + SettlingPeriod + TokenTerm)
       for (std::size_t Group = 0; Group < GroupCount; ++Group)
         if ((From.Groups >> Group & 1) != 0)
-          Pool[Group] = std::min(1.0, Pool[Group] + From.Share);
+          NewPool[Group] = std::min(1.0, NewPool[Group] + From.Share);
     ++Each;
   }
+  changePool(NewPool, Table, Now);
 }
 
 TokenGrant QuotaOwner::grant(const TokenDemand &Demand,
                              const config::Quota &Quota, core::TimePoint Now) {
   const std::size_t Group = groupOf(Demand.Tenant);
-  Bucket &Stock = Buckets[Demand.Tenant];
-  while (!Stock.HandedOut.empty() && Stock.HandedOut.front().Until <= Now) {
-    Stock.HandedOutTokens -= Stock.HandedOut.front().Tokens;
-    Stock.HandedOut.pop_front();
-  }
-  // Tokens that a borrower may still use count towards the stock, so that what
-  // exists at one time never exceeds the burst.
-  const double Room =
-      Pool[Group] * depthOf(Quota) + Rounding - Stock.HandedOutTokens;
-  const double Minted =
-      (ShareSeconds[Group] - Stock.MintedOf) * Quota.RequestsPerSecond;
-  Stock.MintedOf = ShareSeconds[Group];
-  Stock.Level = std::max(0.0, std::min(Stock.Level + Minted, Room));
+  // A new bucket fills from the last change of the pool, since before that its
+  // level was limited by another pool.
+  Bucket &Stock =
+      Buckets
+          .try_emplace(Demand.Tenant, Bucket{Group, 0, SharesAtChange[Group]})
+          .first->second;
+  accrue(Stock, Pool[Group], Quota, Now);
   TokenGrant Grant{Demand.Tenant, 0, core::Milliseconds(0)};
   Grant.Tokens = static_cast<std::uint32_t>(std::min(
       static_cast<double>(Demand.Tokens), std::floor(Stock.Level + Rounding)));
@@ -122,8 +157,10 @@
 QuotaReply QuotaOwner::answer(const QuotaRequest &Request,
                               const config::RoutingTable &Table,
                               core::TimePoint Now) {
+  // Ends loans before they are renewed, so that no gap between two loans of a
+  // share goes unnoticed.
+  settle(Table, Now);
   recordLoan(Request, Now);
-  settle(Now);
   QuotaReply Reply;
   Reply.From = Self;
   Reply.SentAt = Now;
--- a/tests/mesh/QuotaTest.cpp
+++ b/tests/mesh/QuotaTest.cpp
@@ -141,6 +141,34 @@
   cr_assert(Fleet.mostInWindow("a") <= 600, "%zu", Fleet.mostInWindow("a"));
 }
 
+// Guards against an owner that keeps its tokens of shares that their nodes had
+// back for a while, and spends them once the shares are lent again; and against
+// one that had a small part for long and fills its bucket at once when it gets
+// the rest.
+Test(quota, shares_that_come_back_bring_no_tokens) {
+  for (const bool ApartFromStart : {false, true}) {
+    QuotaFleet Fleet(4, 1, 23);
+    Fleet.SlowestMs = 1;
+    Fleet.setQuota("a", 100, 1000);
+    run(Fleet, ApartFromStart ? 0 : 4 * SettledMs);
+    // The owner knows the tenant, with a full bucket or an empty one.
+    Fleet.request(0, "a");
+    for (std::size_t I = 1; I < 4; ++I)
+      Fleet.Nodes[I].Side = 1;
+    run(Fleet, 10 * SettledMs);
+    for (int Request = 0; Request < 250; ++Request)
+      for (std::size_t I = 1; I < 4; ++I)
+        Fleet.request(I, "a");
+    // Until the nodes ask for nothing in advance.
+    run(Fleet, 2700);
+    for (auto &Each : Fleet.Nodes)
+      Each.Side = 0;
+    run(Fleet, 600);
+    requestAt(Fleet, {0, 1, 2, 3});
+    cr_assert(Fleet.mostInWindow("a") <= 1500, "%zu", Fleet.mostInWindow("a"));
+  }
+}
+
 // Guards against an owner that fills its bucket again while borrowers still
 // hold tokens, so that both are spent at once.
 Test(quota, tokens_held_by_borrowers_count_towards_the_burst) {
