--- a/include/filbertvane/decision/mesh/quota/QuotaOwner.h
+++ b/include/filbertvane/decision/mesh/quota/QuotaOwner.h
@@ -58,7 +58,7 @@
   void changePool(const std::array<double, GroupCount> &NewPool,
                   const config::RoutingTable &Table, core::TimePoint Now);
   /// Fills a bucket up to a part of the burst.
-  void accrue(Bucket &Stock, double Part, const config::Quota &Quota,
+  void accrue(Bucket &Stock, double PoolShare, const config::Quota &Quota,
               core::TimePoint Now);
   TokenGrant grant(const TokenDemand &Demand, const config::Quota &Quota,
                    core::TimePoint Now);
--- a/include/filbertvane/decision/mesh/quota/TenantQuotas.h
+++ b/include/filbertvane/decision/mesh/quota/TenantQuotas.h
@@ -88,7 +88,7 @@
     std::uint32_t ArrivedInPeriod = 0;
     double ArrivalsPerSecond = 0;
     /// Last demand in advance.
-    core::TimePoint AskedAt;
+    core::TimePoint LastDemandAt;
     /// The owner has no token before this time.
     core::TimePoint DryUntil;
   };
--- a/lib/decision/mesh/quota/QuotaOwner.cpp
+++ b/lib/decision/mesh/quota/QuotaOwner.cpp
@@ -81,13 +81,14 @@
 
 /// Tokens that a borrower may still use count towards the stock, so that what
 /// exists at one time never exceeds the part of the burst that is lent.
-void QuotaOwner::accrue(Bucket &Stock, double Part, const config::Quota &Quota,
-                        core::TimePoint Now) {
+void QuotaOwner::accrue(Bucket &Stock, double PoolShare,
+                        const config::Quota &Quota, core::TimePoint Now) {
   while (!Stock.HandedOut.empty() && Stock.HandedOut.front().Until <= Now) {
     Stock.HandedOutTokens -= Stock.HandedOut.front().Tokens;
     Stock.HandedOut.pop_front();
   }
-  const double Room = Part * depthOf(Quota) + Rounding - Stock.HandedOutTokens;
+  const double Room =
+      PoolShare * depthOf(Quota) + Rounding - Stock.HandedOutTokens;
   const double Minted =
       (ShareSeconds[Stock.Group] - Stock.MintedOf) * Quota.RequestsPerSecond;
   Stock.MintedOf = ShareSeconds[Stock.Group];
--- a/lib/decision/mesh/quota/TenantQuotas.cpp
+++ b/lib/decision/mesh/quota/TenantQuotas.cpp
@@ -199,7 +199,7 @@
 
 double TenantQuotas::missingAhead(const Tenant &State, core::TimePoint Now) {
   const double Ahead = State.ArrivalsPerSecond * SecondsAhead;
-  if (Ahead < FewestAhead || Now < State.AskedAt + AnswerTime)
+  if (Ahead < FewestAhead || Now < State.LastDemandAt + AnswerTime)
     return 0;
   double Held = 0;
   for (const Token &Each : State.Lent)
@@ -220,7 +220,7 @@
     const auto Tokens =
         static_cast<std::uint32_t>(static_cast<double>(State.Waiting) + Ahead);
     if (Ahead > 0)
-      State.AskedAt = Now;
+      State.LastDemandAt = Now;
     State.Waiting = 0;
     if (Tokens > 0)
       List.push_back({Name, Tokens});
