Keep the linter's rules in the new tests

Cause: the linter found two moves beside a use in one call, whose order is not stated, two parameters that are copied without need and an unused declaration in the new tests. The first was a fault: the delay could be computed of a request that was moved from.

Change: the delay is computed first; parameters are references.

--- a/tests/mesh/AllowedRegionsTest.cpp
+++ b/tests/mesh/AllowedRegionsTest.cpp
@@ -15,7 +15,7 @@
 const core::RegionId R1("r1");
 const core::RegionId R2("r2");
 
-config::Routing routingFor(Regions Route, Regions Tenant = {},
+config::Routing routingFor(const Regions &Route, Regions Tenant = {},
                            std::uint64_t Version = 1) {
   config::Routing Routing = shopRouting(Version);
   for (config::HostRoute &Each : Routing.Routes) {
--- a/tests/mesh/ColdTargetTest.cpp
+++ b/tests/mesh/ColdTargetTest.cpp
@@ -2,7 +2,6 @@
 
 using namespace meshbench;
 using request::AttemptEnd;
-using request::Refuse;
 using request::StartAttempt;
 
 namespace {
--- a/tests/mesh/EvenLoadModel.cpp
+++ b/tests/mesh/EvenLoadModel.cpp
@@ -99,10 +99,10 @@
     ++Targets[Placed.Entry].Known[Host].Sent;
     ++Targets[Placed.Entry].Known[Host].InFlight;
   }
-  after(delay(Placed.Entry, Host),
-        [this, Host, Placed = std::move(Placed)]() mutable {
-          reachHost(Host, std::move(Placed));
-        });
+  const double Delay = delay(Placed.Entry, Host);
+  after(Delay, [this, Host, Placed = std::move(Placed)]() mutable {
+    reachHost(Host, std::move(Placed));
+  });
 }
 
 void EvenLoadModel::reachHost(std::size_t Host, Call Placed) {
@@ -124,14 +124,14 @@
     ++Result.HostRefusals;
   Placed.Tried.push_back(Host);
   const std::uint32_t Known = loadOf(Host);
-  after(delay(Host, Placed.Entry),
-        [this, Host, Known, Placed = std::move(Placed)]() mutable {
-          if (Host != Placed.Entry) {
-            learn(Placed.Entry, Host, Known, Targets[Host].MeanMs);
-            --Targets[Placed.Entry].Known[Host].InFlight;
-          }
-          place(std::move(Placed));
-        });
+  const double Delay = delay(Host, Placed.Entry);
+  after(Delay, [this, Host, Known, Placed = std::move(Placed)]() mutable {
+    if (Host != Placed.Entry) {
+      learn(Placed.Entry, Host, Known, Targets[Host].MeanMs);
+      --Targets[Placed.Entry].Known[Host].InFlight;
+    }
+    place(std::move(Placed));
+  });
 }
 
 void EvenLoadModel::start(std::size_t Host, Call Placed) {
--- a/tests/mesh/QuotaFleet.h
+++ b/tests/mesh/QuotaFleet.h
@@ -140,7 +140,8 @@
         ++Refused[Name];
     }
   }
-  void send(std::size_t From, std::size_t To, std::function<void()> Deliver) {
+  void send(std::size_t From, std::size_t To,
+            const std::function<void()> &Deliver) {
     ++Messages;
     if (Nodes[From].Side != Nodes[To].Side || below(1000) < LostPermille)
       return;
