--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,7 +4,7 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-for source in review/*/case.cpp; do
+for source in review/*/case.cc; do
   case=$(basename "$(dirname "$source")")
   g++ -std=c++17 -O2 -Wall -Wextra -pthread -o "target/review-2/case-$case" "$source"
 done
--- a/review/common-2/standins.h
+++ b/review/common-2/standins.hh
@@ -151,9 +151,7 @@
     return Found == Fields.end() ? "" : Found->second;
   }
   /// Status of an answer.
-  int status() const {
-    return First.size() > 12 ? atoi(First.c_str() + 9) : 0;
-  }
+  int status() const { return First.size() > 12 ? atoi(First.c_str() + 9) : 0; }
   /// Path of a request.
   std::string path() const {
     const size_t A = First.find(' ');
@@ -242,9 +240,8 @@
   }
   bool readBody(const Head &Of, std::string &Into) {
     Into.clear();
-    return readBody(Of, [&](const char *Bytes, size_t Size) {
-      Into.append(Bytes, Size);
-    });
+    return readBody(
+        Of, [&](const char *Bytes, size_t Size) { Into.append(Bytes, Size); });
   }
 };
 
@@ -394,7 +391,8 @@
       }
     } else if (Path.rfind("/v1/log-read?", 0) == 0) {
       const size_t From = std::stoull(Words["from"]);
-      const long Wait = Words.count("wait_ms") ? std::stol(Words["wait_ms"]) : 0;
+      const long Wait =
+          Words.count("wait_ms") ? std::stol(Words["wait_ms"]) : 0;
       Changed.wait_for(Hold, std::chrono::milliseconds(Wait),
                        [&] { return Of.Items.size() > From; });
       Out = bigEndian(Of.Items.size(), 8) + bigEndian(0, 8);
@@ -494,19 +492,20 @@
           "internal_ports=7620,7635\nseeds=\nbootstrap=%s\n"
           "fault_counted=false\n",
           Ip, Ip, Ip, Ip, FirstStart ? "true" : "false");
-  fprintf(File,
-          "limits.cpu_share=0.2\nlimits.cpu_cores=1\nlimits.memory_mb=260\n"
-          "limits.max_fds=4100\nlimits.link_mbps=1000.0\nlimits.disk_mb=0\n"
-          "discovery=static\ningress=static\nheartbeat=1500ms\n"
-          "contracts=base,drain,config,cost,retry,recover,rollout,platform\n"
-          "bounds.stable_window=3000ms\nbounds.ack=4000ms\nbounds.drain=2500ms\n"
-          "bounds.grace=6s\nbounds.loss_slack=200ms\n"
-          "bounds.config_apply=2500ms\nbounds.retry_budget_ratio=0.2\n"
-          "bounds.budget_window=10s\nbounds.budget_slack=64\n"
-          "bounds.rollback=5000ms\nbounds.recover=15s\n"
-          "app_addr=%s:8301\nservice=%s\nplatform.address=%s\n"
-          "platform.form=log\n",
-          Ip, Of.Service.c_str(), Store.c_str());
+  fprintf(
+      File,
+      "limits.cpu_share=0.2\nlimits.cpu_cores=1\nlimits.memory_mb=260\n"
+      "limits.max_fds=4100\nlimits.link_mbps=1000.0\nlimits.disk_mb=0\n"
+      "discovery=static\ningress=static\nheartbeat=1500ms\n"
+      "contracts=base,drain,config,cost,retry,recover,rollout,platform\n"
+      "bounds.stable_window=3000ms\nbounds.ack=4000ms\nbounds.drain=2500ms\n"
+      "bounds.grace=6s\nbounds.loss_slack=200ms\n"
+      "bounds.config_apply=2500ms\nbounds.retry_budget_ratio=0.2\n"
+      "bounds.budget_window=10s\nbounds.budget_slack=64\n"
+      "bounds.rollback=5000ms\nbounds.recover=15s\n"
+      "app_addr=%s:8301\nservice=%s\nplatform.address=%s\n"
+      "platform.form=log\n",
+      Ip, Of.Service.c_str(), Store.c_str());
   fclose(File);
 }
 
