Refuse callers at a node that lacks a newer configuration

Cause: the positions that other nodes report were used to choose a host to fetch from, and for a metric, and by no decision on a request.

Change: RecordLag keeps when a missing record was first heard of. Once that is longer ago than bounds.config_apply less 1 s, and more than half of the nodes that reported since have the record, the node is not ready and refuses requests of its callers as not run (FV528, events 2055 and 2056). One node with the only copy of a change stops nobody.

--- a/include/filbertvane/decision/mesh/State.h
+++ b/include/filbertvane/decision/mesh/State.h
@@ -8,6 +8,7 @@
 #include "filbertvane/decision/mesh/LocalRuns.h"
 #include "filbertvane/decision/mesh/MoveTracker.h"
 #include "filbertvane/decision/mesh/Placement.h"
+#include "filbertvane/decision/mesh/RecordLag.h"
 #include "filbertvane/decision/mesh/SharedRetryBudget.h"
 #include "filbertvane/decision/mesh/SlotQueue.h"
 #include "filbertvane/decision/mesh/SplitSelector.h"
@@ -41,6 +42,9 @@
   core::TimePoint StartedAt;
   /// Time for which a target serves on after its departure was acknowledged.
   std::optional<core::Microseconds> TargetDrainTime;
+  /// Time within which a configuration has to be in force; without it, a node
+  /// that lacks one decides by the former one for as long as that takes.
+  std::optional<core::Microseconds> ConfigurationTime;
 };
 
 /// @brief A request that a target may have been running when it crashed.
@@ -272,6 +276,10 @@
   /// Set while another node has read more records than this one.
   std::optional<core::TimePoint> BehindSince;
   core::TimePoint LastFetchAt;
+  RecordLag Lag;
+  /// This node has lacked a configuration for too long to decide by its own.
+  bool Outdated = false;
+  RefusalLog OutdatedRefusals;
 };
 
 /// @brief Number of nodes among which the fixed part of the retry budgets is
--- a/include/filbertvane/io/mesh/Environment.h
+++ b/include/filbertvane/io/mesh/Environment.h
@@ -114,6 +114,9 @@
   /// Time for which a target serves on after its departure was acknowledged;
   /// not known in older settings.
   std::optional<core::Milliseconds> TargetDrainTime;
+  /// Time within which a configuration has to be in force; not known in older
+  /// settings.
+  std::optional<core::Milliseconds> ConfigurationTime;
   std::uint32_t MaxConnections = 0;
   /// Bytes of unanswered requests that all connections hold together.
   std::size_t MaxInputBytes = InputBudget::DefaultBytes;
--- a/lib/decision/mesh/Gauges.cpp
+++ b/lib/decision/mesh/Gauges.cpp
@@ -60,6 +60,9 @@
       State.BehindSince
           ? std::chrono::duration<double>(Now - *State.BehindSince).count()
           : 0);
+  Set("filbertvane_outdated", State.Outdated ? 1 : 0);
+  Set("filbertvane_outdated_refusals",
+      static_cast<double>(State.OutdatedRefusals.total()));
   if (State.Routing)
     Set("filbertvane_config_version",
         static_cast<double>(State.Routing->routing().Version.value()));
--- a/lib/decision/mesh/ReduceArrival.cpp
+++ b/lib/decision/mesh/ReduceArrival.cpp
@@ -11,8 +11,9 @@
 
 namespace {
 
-/// Retry delay stated to callers while no configuration is loaded: a new node
-/// reads it within about this time.
+/// Retry delay stated to callers while no current configuration is loaded: a
+/// new node reads it within about this time, and one that lacks a newer one
+/// asks for it as often.
 constexpr core::Milliseconds StartupRetryAfter{300};
 constexpr int StatusNotFound = 404;
 constexpr int StatusTooLarge = 413;
@@ -126,6 +127,8 @@
     Produced.emplace_back(std::move(NotReady));
     return;
   }
+  if (State.Outdated)
+    return refuseAsOutdated(Arrival);
   auto Route = State.Routing->match(Arrival.VirtualHost, Arrival.Path);
   const config::Routing &Routing = State.Routing->routing();
   if (!Route) {
@@ -191,6 +194,20 @@
     route(Accepted);
 }
 
+/// Which requests the missing configuration concerns is not known here.
+void Reduction::refuseAsOutdated(const request::CallArrived &Arrival) {
+  request::Refuse Outdated =
+      refusal(Arrival.Id, ErrorCode::RequestConfigurationOutdated, "");
+  Outdated.RetryAfter = StartupRetryAfter;
+  if (const auto Refused = State.OutdatedRefusals.record(Now))
+    log(observe::EventId::MeshRequestRefused,
+        fmt::format("request={} reason=configuration_outdated config={} "
+                    "refused={}",
+                    Arrival.CallerId, State.Routing->routing().Version.value(),
+                    *Refused));
+  Produced.emplace_back(std::move(Outdated));
+}
+
 void Reduction::route(MeshCall &Call) {
   // Refused requests take no turn of the split.
   Call.Service =
--- a/lib/decision/mesh/ReduceHosts.cpp
+++ b/lib/decision/mesh/ReduceHosts.cpp
@@ -18,6 +18,9 @@
 /// The same when a node of the data centre holds the records and this node does
 /// not follow the store; combines changes in quick succession.
 constexpr core::Milliseconds LocalFetchDelay{20};
+/// Time in which a follower reads a change and reports it: it waits 700 ms
+/// between two reads.
+constexpr core::Milliseconds NoticeTime{1000};
 constexpr const char *FollowTask = "follow-store";
 constexpr const char *WatchTask = "watch-store";
 /// Time for which a node that shuts down keeps serving other nodes. Its target
@@ -36,6 +39,7 @@
   const auto Change = State.Hosts.applyReport(Report, Now);
   if (!Change)
     return;
+  State.Lag.hear(Report.Position, State.Position, Now);
   for (const MoveReport &Move : Report.Moves)
     State.Moves.applyReport(Move, Now);
   recordPeerExit(Report);
@@ -166,7 +170,9 @@
   if (Reached.Position <= State.Position)
     return;
   State.Position = Reached.Position;
+  State.Lag.reach(State.Position);
   fetchMissingRecords();
+  updateOutdated();
   reportPosition();
 }
 
@@ -235,7 +241,7 @@
 }
 
 void Reduction::updateReadiness() {
-  const bool Ready = State.Routing && !State.Draining;
+  const bool Ready = State.Routing && !State.Draining && !State.Outdated;
   if (Ready == State.Ready)
     return;
   State.Ready = Ready;
@@ -305,6 +311,39 @@
   Produced.emplace_back(FetchRecords{Ahead->Report.Address});
 }
 
+/// One host that alone has a change and can't hand it out must not stop the
+/// others; hosts that were not heard since may be gone.
+bool Reduction::lacksRecords() const {
+  const auto Missing = State.Lag.oldest();
+  if (!Missing || !State.Settings.ConfigurationTime)
+    return false;
+  const core::Microseconds Allowed = std::max<core::Microseconds>(
+      core::Microseconds(0), *State.Settings.ConfigurationTime - NoticeTime);
+  if (Now < Missing->HeardAt + Allowed)
+    return false;
+  std::size_t Heard = 0;
+  std::size_t Having = 0;
+  for (const auto &[Node, Host] : State.Hosts.hosts()) {
+    if (Host.FromStoreOnly || Host.LastReportAt < Missing->HeardAt)
+      continue;
+    ++Heard;
+    Having += Host.Report.Position >= Missing->Position ? 1 : 0;
+  }
+  return 2 * Having > Heard;
+}
+
+void Reduction::updateOutdated() {
+  const bool Outdated = lacksRecords();
+  if (Outdated == State.Outdated)
+    return;
+  State.Outdated = Outdated;
+  log(Outdated ? observe::EventId::MeshConfigurationOutdated
+               : observe::EventId::MeshConfigurationCurrent,
+      fmt::format("position={} missing={}", State.Position.value(),
+                  Outdated ? State.Lag.oldest()->Position.value() : 0));
+  updateReadiness();
+}
+
 /// Notifies the own data centre and some hosts of each other data centre of new
 /// records at once.
 void Reduction::reportPosition() {
--- a/lib/decision/mesh/Reducer.cpp
+++ b/lib/decision/mesh/Reducer.cpp
@@ -110,6 +110,7 @@
   reviewMoves();
   reportBadAnswers();
   fetchMissingRecords();
+  updateOutdated();
   updateStoreFollowing();
   sendPeriodicReports();
 }
--- a/lib/decision/mesh/Reduction.h
+++ b/lib/decision/mesh/Reduction.h
@@ -48,6 +48,7 @@
   /// @{
   void acceptFromPeer(const request::CallArrived &Arrival);
   void acceptFromCaller(const request::CallArrived &Arrival);
+  void refuseAsOutdated(const request::CallArrived &Arrival);
   /// @return whether the caller may send the request
   bool checkAccess(const request::CallArrived &Arrival, MeshCall &Call);
   bool callersNeedKeys() const;
@@ -153,6 +154,10 @@
   void sendPeriodicReports();
   void reportLeavingIfDue();
   void fetchMissingRecords();
+  /// @brief Whether this node has lacked records for too long that most others
+  ///        have.
+  bool lacksRecords() const;
+  void updateOutdated();
   void updateStoreFollowing();
   void updateStoreWatching(bool FirstFollower);
   bool canFollow(const KnownHost &Host) const;
--- a/lib/io/mesh/MeshProcess.cpp
+++ b/lib/io/mesh/MeshProcess.cpp
@@ -59,6 +59,7 @@
   Own.Service = Place.Service;
   Own.Budget = Place.Budget;
   Own.TargetDrainTime = Place.TargetDrainTime;
+  Own.ConfigurationTime = Place.ConfigurationTime;
   // At the first start of a fleet, no process before this one spent retries.
   Own.RetriesKnownSince =
       Place.FirstStart ? Now.Mono - Place.Budget.Window : Now.Mono;
--- a/tests/platform/SettingsFileTest.cpp
+++ b/tests/platform/SettingsFileTest.cpp
@@ -44,6 +44,9 @@
   cr_assert(!Place.TargetDrainTime);
   const auto Newer = platform::parseSettings(with("bounds.drain=2500ms"));
   cr_assert(core::value(Newer).Place.TargetDrainTime == milliseconds(2500));
+  cr_assert(!Place.ConfigurationTime);
+  const auto Timed = platform::parseSettings(with("bounds.config_apply=3s"));
+  cr_assert(core::value(Timed).Place.ConfigurationTime == milliseconds(3000));
   cr_assert(core::value(Read).Store.Address == "10.200.1.7:8309");
 }
 
@@ -51,8 +54,8 @@
 Test(platform_settings, a_missing_or_wrong_field_is_named) {
   for (const char *Wrong :
        {"listen.inbound=10.1.0.8", "bounds.grace=6", "bounds.drain=soon",
-        "bounds.budget_slack=many", "platform.address=", "internal_ports=none",
-        "limits.max_fds=-1"}) {
+        "bounds.config_apply=3", "bounds.budget_slack=many",
+        "platform.address=", "internal_ports=none", "limits.max_fds=-1"}) {
     const auto Read = platform::parseSettings(with(Wrong));
     cr_assert(!core::ok(Read), "%s", Wrong);
     const std::string Name(Wrong, std::string(Wrong).find('='));
