Retry budgets: no part of the fixed number without the list of hosts

What callers and operators could see: after a restart of most nodes while the store is away, targets that refuse requests get more repeats than the budget of the service allows (BUDGET).

Cause: the fixed number is divided by the hosts that a node knows, and a process that has not read the list in the store hears only from those that know its address.

Change: such a process takes its part of the most nodes that there may be; it retries from the ratio of its own requests. In the fixture of one node, the list counts as read, as before.

--- a/lib/decision/mesh/Reducer.cpp
+++ b/lib/decision/mesh/Reducer.cpp
@@ -22,8 +22,10 @@
       Hosts(Settings.Node, Settings.DataCentre, Settings.Region),
       Quotas({Settings.Node, Settings.Incarnation}, Settings.StartedAt) {}
 
+/// Without the list of hosts, a node may know a small part of those with which
+/// it shares.
 std::size_t nodesSharingBudget(const MeshState &State) {
-  return State.Hosts.largestSize() + 1;
+  return State.HostListRead ? State.Hosts.largestSize() + 1 : MaximumHosts;
 }
 
 std::optional<TargetReport> localTargetReport(const MeshState &State) {
--- a/tests/mesh/FleetModel.cpp
+++ b/tests/mesh/FleetModel.cpp
@@ -84,12 +84,14 @@
   Starting.FrozenUntil = Now;
   deliver(Index, RoutingLoaded{routing()});
   // A process reads the reports in the store before it replaces its own.
-  StoredReportsRead Stored;
-  for (const Node &Other : Nodes)
-    if (Other.Published)
-      Stored.Reports.push_back(*Other.Published);
-  deliver(Index, StoreReachabilityChanged{true});
-  deliver(Index, Stored);
+  if (!StoreAway) {
+    StoredReportsRead Stored;
+    for (const Node &Other : Nodes)
+      if (Other.Published)
+        Stored.Reports.push_back(*Other.Published);
+    deliver(Index, StoreReachabilityChanged{true});
+    deliver(Index, Stored);
+  }
   if (!Starting.TargetDown)
     announceTarget(Index);
   // Ticks of different nodes are spread over the period.
--- a/tests/mesh/FleetModel.h
+++ b/tests/mesh/FleetModel.h
@@ -107,6 +107,8 @@
   bool SilentCrashes = false;
   /// Nodes are spread over so many data centres; set before they are added.
   std::size_t DataCentres = 1;
+  /// Processes that start read nothing from the store.
+  bool StoreAway = false;
   /// Probability that a node does not read from the store how a move ended.
   double MoveEndLoss = 0;
   std::map<std::string, TargetModel> Targets;
--- a/tests/mesh/MeshBench.h
+++ b/tests/mesh/MeshBench.h
@@ -59,10 +59,12 @@
   return Report;
 }
 
-/// One node with a clock that the test advances.
+/// One node with a clock that the test advances. It has read the list of hosts.
 class Bench {
 public:
-  explicit Bench(const std::string &Node = "n0") : State(settings(Node)) {}
+  explicit Bench(const std::string &Node = "n0") : State(settings(Node)) {
+    State.HostListRead = true;
+  }
 
   static MeshSettings settings(const std::string &Node) {
     MeshSettings Settings;
--- a/tests/mesh/RetryChainTest.cpp
+++ b/tests/mesh/RetryChainTest.cpp
@@ -76,6 +76,30 @@
   }
 }
 
+// Guards against processes that know few others and each take a large part of
+// the fixed number for their own.
+Test(retry_chain, processes_that_know_no_list_stay_within_the_budget) {
+  const SharedRetryBudgetSettings MostlyFixed{0.02, 200, milliseconds(10000)};
+  constexpr std::size_t Size = 12;
+  constexpr std::size_t Survivors = 3;
+  FleetModel Fleet(1, MostlyFixed);
+  Fleet.Targets["price"].RunTime = milliseconds(20);
+  for (std::size_t Node = 0; Node < Size; ++Node)
+    Fleet.addClients(Fleet.addNode("price"), "price", 10);
+  Fleet.runUntil(FaultBeginMs);
+  // A host that restarts hears from those that went on, and from no other.
+  Fleet.StoreAway = true;
+  for (std::size_t Node = Survivors; Node < Size; ++Node)
+    Fleet.kill(Node);
+  Fleet.runUntil(FaultBeginMs + 500);
+  for (std::size_t Node = Survivors; Node < Size; ++Node)
+    Fleet.start(Node);
+  Fleet.Targets["price"].ShedProbability = 0.7;
+  Fleet.runUntil(FaultBeginMs + 30000);
+  const double Excess = retryBudgetExcess(Fleet, "price", MostlyFixed);
+  cr_assert(Excess <= 0, "%g too many", Excess);
+}
+
 // Guards against a budget that is kept by not retrying at all.
 Test(retry_chain, retries_still_hide_lost_answers) {
   FleetModel Fleet = chain(4);
