Quotas: no tokens from an owner that lacks a configuration

What callers could see: a tenant whose limit was lowered gets requests by the former limit for as long as the owner of its tokens lacks the configuration (QUOTA).

Cause: entry nodes admit by tokens alone, and an owner mints by the configuration that it has, also when it knows that it is replaced.

Change: a node that is outdated (RecordLag) answers no message about quotas and does not count itself among the owners.

Evidence: record_lag/an_outdated_node_hands_out_no_tokens fails without the change (the node answers).

--- a/lib/decision/mesh/ReduceQuota.cpp
+++ b/lib/decision/mesh/ReduceQuota.cpp
@@ -113,7 +113,11 @@
   serveAwaitingQuota();
 }
 
+/// A node that lacks a configuration would mint by limits that were lowered
+/// since; the others take its silence for a failure and choose another owner.
 void Reduction::operator()(const QuotaRequestReceived &Received) {
+  if (State.Outdated)
+    return;
   const KnownHost *Sender = State.Hosts.find(Received.Request.From.Node);
   if (Sender == nullptr)
     return;
@@ -145,7 +149,7 @@
     if (!IsNew && Rank(Candidate) < Rank(Known->second))
       Known->second = Candidate;
   };
-  if (!State.Draining)
+  if (!State.Draining && !State.Outdated)
     Consider(State.Settings.Region,
              {State.Settings.Node, State.Settings.Incarnation});
   for (const auto &[Node, Host] : State.Hosts.hosts())
--- a/tests/mesh/RecordLagTest.cpp
+++ b/tests/mesh/RecordLagTest.cpp
@@ -103,6 +103,33 @@
   }
 }
 
+// Guards against an owner of quotas that mints by limits that were lowered.
+Test(record_lag, an_outdated_node_hands_out_no_tokens) {
+  LaggingNode Node;
+  config::Routing Routing = shopRouting(2);
+  config::Tenant Limited;
+  Limited.Name = core::TenantName("limited");
+  Limited.Quota = {100, 100};
+  Routing.Tenants.emplace().push_back(Limited);
+  Node.configure(Routing);
+  std::int64_t Sent = 0;
+  const auto Answers = [&] {
+    quota::QuotaRequest Ask;
+    Ask.From = {core::NodeId("n1"), core::Incarnation(1)};
+    Ask.SentAt = at(++Sent);
+    Ask.Demands = {{Limited.Name, 1}};
+    Node.send(QuotaRequestReceived{Ask});
+    return Node.first<SendQuota>().has_value();
+  };
+  cr_assert(Answers());
+  for (std::size_t Host = 0; Host < 3; ++Host)
+    Node.hear(Host, 6);
+  Node.pass(1100);
+  cr_assert(!Answers());
+  Node.send(PositionReached{core::LogOffset(6)});
+  cr_assert(Answers());
+}
+
 // Guards against settings of earlier versions that begin to refuse requests.
 Test(record_lag, without_a_configured_time_no_node_is_outdated) {
   LaggingNode Node;
