Quotas: no share for a new host until all others count it

What operators could see: while a part of the fleet is cut off and hosts join the rest, a tenant gets more than its quota over all nodes (QUOTA).

Cause: a share is a part of the hosts that its host knows. Those behind the cut do not learn of the new ones; their shares and those of the new hosts sum to more than one.

Change: a host that is new in the list of the store uses and lends no share until it has heard each listed host that has not left. Hosts send reports only to those that they know, so that all count it then.

--- a/include/filbertvane/decision/mesh/State.h
+++ b/include/filbertvane/decision/mesh/State.h
@@ -242,6 +242,8 @@
   std::vector<core::NodeId> QuotaOwners;
   /// The reports in the store were read, so that all hosts are known.
   bool HostListRead = false;
+  /// All other hosts count this one among those that share the quotas.
+  bool KnownToAll = false;
   CrashSuspects Suspects;
   /// The local target crashed under requests that others do not know yet.
   bool HasSuspectsToReport = false;
--- a/lib/decision/mesh/HostDirectory.cpp
+++ b/lib/decision/mesh/HostDirectory.cpp
@@ -116,6 +116,12 @@
       LeftAt, [Now](const auto &Entry) { return Entry.second <= Now; }));
 }
 
+bool HostDirectory::allHeard() const {
+  return std::ranges::all_of(Hosts, [this](const auto &Entry) {
+    return !Entry.second.FromStoreOnly || LeftAt.contains(Entry.first);
+  });
+}
+
 void HostDirectory::add(KnownHost Host) {
   const core::NodeId Node = Host.Report.Node;
   Hosts.emplace(Node, std::move(Host));
--- a/lib/decision/mesh/ReduceHosts.cpp
+++ b/lib/decision/mesh/ReduceHosts.cpp
@@ -82,9 +82,10 @@
   std::vector<std::string> NewAddresses;
   for (const HostReport &Report : Stored.Reports) {
     recordSuspects(Report);
-    if (Report.Node == State.Settings.Node)
+    if (Report.Node == State.Settings.Node) {
+      State.KnownToAll = true;
       applyFormerReport(Report);
-    else if (State.Hosts.addFromStore(Report, Now))
+    } else if (State.Hosts.addFromStore(Report, Now))
       NewAddresses.push_back(Report.Address);
   }
   if (!NewAddresses.empty())
--- a/lib/decision/mesh/ReduceQuota.cpp
+++ b/lib/decision/mesh/ReduceQuota.cpp
@@ -163,9 +163,13 @@
     Owners.push_back(Chosen.Node);
     Names += (Names.empty() ? "" : ",") + Chosen.Node.value();
   }
-  State.Quotas.setFleet(Owners,
-                        State.HostListRead ? State.Hosts.everKnown() + 1 : 0,
-                        State.HostListRead ? State.Hosts.leftInOrder(Now) : 0);
+  // Hosts behind a cut divide the quotas among those that they know: a share
+  // that they do not count would come on top.
+  State.KnownToAll =
+      State.KnownToAll || (State.HostListRead && State.Hosts.allHeard());
+  const bool HasShare = State.HostListRead && State.KnownToAll;
+  State.Quotas.setFleet(Owners, HasShare ? State.Hosts.everKnown() + 1 : 0,
+                        HasShare ? State.Hosts.leftInOrder(Now) : 0);
   if (Owners == State.QuotaOwners)
     return;
   log(observe::EventId::MeshQuotaOwnersChanged,
--- a/tests/mesh/TenantQuotaTest.cpp
+++ b/tests/mesh/TenantQuotaTest.cpp
@@ -112,6 +112,19 @@
   Fleet.expectBound("healed");
 }
 
+// Guards against nodes that join one side of a cut and take shares of which the
+// other side does not know.
+Test(tenant_quota, the_bound_holds_when_nodes_join_during_a_cut) {
+  QuotaPlay Fleet;
+  Fleet.sendHot();
+  Fleet.runUntil(8000);
+  Fleet.cut({0, 1, 2, 3, 4, 5});
+  for (std::size_t I = 0; I < Size / 2; ++I)
+    Fleet.addTenant(Fleet.addNode("shop"), "shop", "hot", HotPerSecond / Size);
+  Fleet.runUntil(20000);
+  Fleet.expectBound("joined during a cut");
+}
+
 // Guards against promises that a process keeps after it stood still.
 Test(tenant_quota, the_bound_holds_over_freezes) {
   QuotaPlay Fleet;
