Rename what the nodes report of missing records

Cause: the names came from how a position is heard, not from what it is.

Change: Missing::ReportedAt, RecordLag::note, HostDirectory::allReported. The behaviour is the same.

--- a/include/filbertvane/decision/mesh/HostDirectory.h
+++ b/include/filbertvane/decision/mesh/HostDirectory.h
@@ -101,9 +101,9 @@
   /// @brief Number of those whose processes have left in order and have not
   ///        come back.
   std::size_t leftInOrder(core::TimePoint Now) const;
-  /// @brief Whether each host that has not left in order was heard itself. It
+  /// @brief Whether each host that has not left in order has sent a report. It
   ///        sends reports to those that it knows, so that it knows this one.
-  bool allHeard() const;
+  bool allReported() const;
   Distance distanceTo(const HostReport &Host) const;
   /// @brief Interval of reports between hosts in different data centres; grows
   ///        with the number of hosts.
--- a/include/filbertvane/decision/mesh/RecordLag.h
+++ b/include/filbertvane/decision/mesh/RecordLag.h
@@ -14,14 +14,14 @@
   struct Missing {
     /// Position of a node that has the records.
     core::LogOffset Position;
-    core::TimePoint HeardAt;
+    core::TimePoint ReportedAt;
 
     friend auto operator<=>(const Missing &, const Missing &) = default;
   };
 
   /// @brief Notes the position of another node.
   /// @param Own position of this node
-  void hear(core::LogOffset Position, core::LogOffset Own, core::TimePoint Now);
+  void note(core::LogOffset Position, core::LogOffset Own, core::TimePoint Now);
   /// @brief This node has read all records up to a position.
   void reach(core::LogOffset Own);
   /// @brief The records that have been missing longest; none when this node
--- a/lib/decision/mesh/RecordLag.cpp
+++ b/lib/decision/mesh/RecordLag.cpp
@@ -10,7 +10,7 @@
 
 } // namespace
 
-void RecordLag::hear(core::LogOffset Position, core::LogOffset Own,
+void RecordLag::note(core::LogOffset Position, core::LogOffset Own,
                      core::TimePoint Now) {
   if (Position <= Own || Known.size() >= MaximumKnown ||
       (!Known.empty() && Position <= Known.back().Position))
--- a/lib/decision/mesh/ReduceHosts.cpp
+++ b/lib/decision/mesh/ReduceHosts.cpp
@@ -39,7 +39,7 @@
   const auto Change = State.Hosts.applyReport(Report, Now);
   if (!Change)
     return;
-  State.Lag.hear(Report.Position, State.Position, Now);
+  State.Lag.note(Report.Position, State.Position, Now);
   for (const MoveReport &Move : Report.Moves)
     State.Moves.applyReport(Move, Now);
   recordPeerExit(Report);
@@ -85,8 +85,9 @@
     if (Report.Node == State.Settings.Node) {
       State.KnownToAll = true;
       applyFormerReport(Report);
-    } else if (State.Hosts.addFromStore(Report, Now))
+    } else if (State.Hosts.addFromStore(Report, Now)) {
       NewAddresses.push_back(Report.Address);
+    }
   }
   if (!NewAddresses.empty())
     reportTo(std::move(NewAddresses));
@@ -313,24 +314,24 @@
 }
 
 /// One host that alone has a change and can't hand it out must not stop the
-/// others; hosts that were not heard since may be gone.
+/// others; hosts that have not reported since may be gone.
 bool Reduction::lacksRecords() const {
   const auto Missing = State.Lag.oldest();
   if (!Missing || !State.Settings.ConfigurationTime)
     return false;
   const core::Microseconds Allowed = std::max<core::Microseconds>(
       core::Microseconds(0), *State.Settings.ConfigurationTime - NoticeTime);
-  if (Now < Missing->HeardAt + Allowed)
+  if (Now < Missing->ReportedAt + Allowed)
     return false;
-  std::size_t Heard = 0;
+  std::size_t Reporting = 0;
   std::size_t Having = 0;
   for (const auto &[Node, Host] : State.Hosts.hosts()) {
-    if (Host.FromStoreOnly || Host.LastReportAt < Missing->HeardAt)
+    if (Host.FromStoreOnly || Host.LastReportAt < Missing->ReportedAt)
       continue;
-    ++Heard;
+    ++Reporting;
     Having += Host.Report.Position >= Missing->Position ? 1 : 0;
   }
-  return 2 * Having > Heard;
+  return 2 * Having > Reporting;
 }
 
 void Reduction::updateOutdated() {
--- a/tests/mesh/RecordLagTest.cpp
+++ b/tests/mesh/RecordLagTest.cpp
@@ -14,11 +14,11 @@
     announce();
     send(StoreReachabilityChanged{true});
     send(PositionReached{core::LogOffset(5)});
-    hear(0, 5);
-    hear(1, 5);
-    hear(2, 5);
+    reportFrom(0, 5);
+    reportFrom(1, 5);
+    reportFrom(2, 5);
   }
-  void hear(std::size_t Host, std::uint64_t Position) {
+  void reportFrom(std::size_t Host, std::uint64_t Position) {
     HostReport Report = report("n" + std::to_string(Host + 1), ++Sequence);
     Report.Position = core::LogOffset(Position);
     send(ReportReceived{Report});
@@ -51,8 +51,8 @@
 // deciding by the one that was replaced.
 Test(record_lag, a_node_that_lacks_a_change_for_too_long_refuses_its_callers) {
   LaggingNode Node;
-  Node.hear(0, 6);
-  Node.hear(1, 6);
+  Node.reportFrom(0, 6);
+  Node.reportFrom(1, 6);
   Node.pass(900);
   cr_assert(Node.serves(), "its time has not passed");
   Node.pass(200);
@@ -79,12 +79,12 @@
 // Guards against a fleet that one node with the only copy of a change stops.
 Test(record_lag, a_change_that_most_nodes_lack_stops_nobody) {
   LaggingNode Node;
-  Node.hear(0, 6);
+  Node.reportFrom(0, 6);
   Node.pass(500);
-  Node.hear(1, 5);
+  Node.reportFrom(1, 5);
   Node.pass(2000);
   cr_assert(Node.serves(), "one of two that reported since has it");
-  Node.hear(2, 6);
+  Node.reportFrom(2, 6);
   Node.pass(50);
   cr_assert(!Node.serves(), "two of three have it");
 }
@@ -95,7 +95,7 @@
   LaggingNode Node;
   for (std::uint64_t Change = 6; Change < 30; ++Change) {
     for (std::size_t Host = 0; Host < 3; ++Host)
-      Node.hear(Host, Change);
+      Node.reportFrom(Host, Change);
     Node.pass(300);
     if (Change >= 8)
       Node.send(PositionReached{core::LogOffset(Change - 2)});
@@ -123,7 +123,7 @@
   };
   cr_assert(Answers());
   for (std::size_t Host = 0; Host < 3; ++Host)
-    Node.hear(Host, 6);
+    Node.reportFrom(Host, 6);
   Node.pass(1100);
   cr_assert(!Answers());
   Node.send(PositionReached{core::LogOffset(6)});
@@ -135,7 +135,7 @@
   LaggingNode Node;
   Node.State.Settings.ConfigurationTime.reset();
   for (std::size_t Host = 0; Host < 3; ++Host)
-    Node.hear(Host, 9);
+    Node.reportFrom(Host, 9);
   Node.pass(3000);
   cr_assert(Node.serves());
 }
