--- a/tests/mesh/RecordLagTest.cpp
+++ b/tests/mesh/RecordLagTest.cpp
@@ -114,11 +114,11 @@
   Node.configure(Routing);
   std::int64_t Sent = 0;
   const auto Answers = [&] {
-    quota::QuotaRequest Ask;
-    Ask.From = {core::NodeId("n1"), core::Incarnation(1)};
-    Ask.SentAt = at(++Sent);
-    Ask.Demands = {{Limited.Name, 1}};
-    Node.send(QuotaRequestReceived{Ask});
+    quota::QuotaRequest Demand;
+    Demand.From = {core::NodeId("n1"), core::Incarnation(1)};
+    Demand.SentAt = at(++Sent);
+    Demand.Demands = {{Limited.Name, 1}};
+    Node.send(QuotaRequestReceived{Demand});
     return Node.first<SendQuota>().has_value();
   };
   cr_assert(Answers());
