Name the test for reports of all hosts by what it asks

Cause: allReported did not tell who reports.

Change: HostDirectory::hasReportsOfAllHosts. The behaviour is the same.

Measured: record_lag, tenant_quota, retry_chain, host_directory and mesh_records, 27 of 27 tests passed.

--- a/include/filbertvane/decision/mesh/HostDirectory.h
+++ b/include/filbertvane/decision/mesh/HostDirectory.h
@@ -103,7 +103,7 @@
   std::size_t leftInOrder(core::TimePoint Now) const;
   /// @brief Whether each host that has not left in order has sent a report. It
   ///        sends reports to those that it knows, so that it knows this one.
-  bool allReported() const;
+  bool hasReportsOfAllHosts() const;
   Distance distanceTo(const HostReport &Host) const;
   /// @brief Interval of reports between hosts in different data centres; grows
   ///        with the number of hosts.
--- a/lib/decision/mesh/HostDirectory.cpp
+++ b/lib/decision/mesh/HostDirectory.cpp
@@ -116,7 +116,7 @@
       LeftAt, [Now](const auto &Entry) { return Entry.second <= Now; }));
 }
 
-bool HostDirectory::allReported() const {
+bool HostDirectory::hasReportsOfAllHosts() const {
   return std::ranges::all_of(Hosts, [this](const auto &Entry) {
     return !Entry.second.FromStoreOnly || LeftAt.contains(Entry.first);
   });
--- a/lib/decision/mesh/ReduceQuota.cpp
+++ b/lib/decision/mesh/ReduceQuota.cpp
@@ -165,8 +165,8 @@
   }
   // Hosts behind a cut divide the quotas among those that they know: a share
   // that they do not count would come on top.
-  State.KnownToAll =
-      State.KnownToAll || (State.HostListRead && State.Hosts.allReported());
+  State.KnownToAll = State.KnownToAll ||
+                     (State.HostListRead && State.Hosts.hasReportsOfAllHosts());
   const bool HasShare = State.HostListRead && State.KnownToAll;
   State.Quotas.setFleet(Owners, HasShare ? State.Hosts.everKnown() + 1 : 0,
                         HasShare ? State.Hosts.leftInOrder(Now) : 0);
