--- a/include/filbertvane/core/Ids.h
+++ b/include/filbertvane/core/Ids.h
@@ -30,6 +30,9 @@
 /// @name Log
 /// @{
 using LogOffset = StrongId<struct LogOffsetTag, std::uint64_t>;
+/// Number of times that a store was restored from a copy. Offsets of different
+/// eras name different records.
+using StoreEra = StrongId<struct StoreEraTag, std::uint64_t>;
 /// Number of a coordinator lease; increases with each claim.
 using Epoch = StrongId<struct EpochTag, std::uint64_t>;
 using WriterId = StrongId<struct WriterIdTag, std::string>;
--- a/include/filbertvane/io/HttpClient.h
+++ b/include/filbertvane/io/HttpClient.h
@@ -78,6 +78,8 @@
     bool AcceptUnframed = false;
     /// Largest answer that `fetch` collects; a larger one counts as failed.
     std::size_t MaxAnswerBytes = std::size_t{16} * 1024 * 1024;
+    /// Receives the head of the answer that `fetch` collects, before its end.
+    std::function<void(const ResponseHead &)> OnHead = nullptr;
   };
 
   struct Options {
--- a/include/filbertvane/io/mesh/Environment.h
+++ b/include/filbertvane/io/mesh/Environment.h
@@ -24,6 +24,10 @@
 
   virtual ~SharedStore() = default;
 
+  /// @brief Calls back when an answer names a later era than all before: the
+  ///        store was restored from an older copy.
+  virtual void onRestored(std::function<void(core::StoreEra)> Callback) = 0;
+
   /// @name Operators' records
   /// @{
   /// @brief Reads the newest record of each key.
--- a/lib/io/HttpClient.cpp
+++ b/lib/io/HttpClient.cpp
@@ -126,12 +126,17 @@
   void begin(Request Outgoing, std::string_view Body) {
     Outgoing.ContentLength = Body.size();
     MaxBytes = Outgoing.MaxAnswerBytes;
+    HeadArrived = Outgoing.OnHead;
     Sent = Client.send(std::move(Outgoing), *this);
     if (!Body.empty())
       Sent->writeBody(Body);
     Sent->finishBody();
   }
-  void onHead(const ResponseHead &Head) override { Status = Head.Status; }
+  void onHead(const ResponseHead &Head) override {
+    Status = Head.Status;
+    if (HeadArrived)
+      HeadArrived(Head);
+  }
   void onBody(std::string_view Part) override {
     Answer.append(Part);
     if (Answer.size() > MaxBytes)
@@ -148,6 +153,7 @@
   CurlClient &Client;
   Done OnDone;
   std::unique_ptr<ClientRequest> Sent;
+  std::function<void(const ResponseHead &)> HeadArrived;
   std::size_t MaxBytes = 0;
   int Status = 0;
   std::string Answer;
--- a/lib/io/mesh/MeshProcess.cpp
+++ b/lib/io/mesh/MeshProcess.cpp
@@ -188,6 +188,20 @@
       readMoves();
   };
   Calls.OnFault = [this](const core::Error &Why) { storeFault(Why); };
+  Calls.OnListRead = [this](const OperatorRecords &List) {
+    Figures.count("filbertvane_store_lists_read_total");
+    carryOut(observe::LogEvent{
+        observe::EventId::MeshRecordListRead,
+        fmt::format("position={} records={} before={}", List.Position.value(),
+                    List.Records.size(), State.Position.value())});
+  };
+  Store.onRestored([this](core::StoreEra Era) {
+    Figures.count("filbertvane_store_restores_total");
+    Figures.set("filbertvane_store_era", {}, static_cast<double>(Era.value()));
+    carryOut(observe::LogEvent{observe::EventId::MeshStoreRestored,
+                               fmt::format("era={} position={}", Era.value(),
+                                           State.Position.value())});
+  });
   Calls.OnOverdue = [this](core::Milliseconds Hold) {
     carryOut(
         observe::LogEvent{observe::EventId::MeshStoreReadOverdue,
--- a/lib/io/mesh/StoreFollower.cpp
+++ b/lib/io/mesh/StoreFollower.cpp
@@ -112,6 +112,8 @@
   Failures = 0;
   HasBase = true;
   const bool Empty = core::value(Read).Records.empty();
+  if (Newest && Calls.OnListRead)
+    Calls.OnListRead(core::value(Read));
   if (Newest)
     applyRemovals(core::value(Read));
   apply(core::value(Read), Newest && Position.value() == 0);
--- a/lib/io/mesh/StoreFollower.h
+++ b/lib/io/mesh/StoreFollower.h
@@ -21,6 +21,8 @@
     std::function<void(core::LogOffset)> OnPosition;
     std::function<void(bool Reachable)> OnReachable;
     std::function<void(const core::Error &)> OnFault;
+    /// The list of newest records was read, before it is applied.
+    std::function<void(const OperatorRecords &)> OnListRead = nullptr;
     /// A read had no answer in time and is repeated.
     std::function<void(core::Milliseconds Hold)> OnOverdue;
   };
--- a/tests/platform/EvacuationRecordsTest.cpp
+++ b/tests/platform/EvacuationRecordsTest.cpp
@@ -13,6 +13,7 @@
 /// A store that never answers.
 class SilentStore : public io::mesh::SharedStore {
 public:
+  void onRestored(std::function<void(core::StoreEra)>) override {}
   void readNewest(RecordsRead) override {}
   void readFrom(core::LogOffset, core::Milliseconds, RecordsRead) override {}
   void abandonRead() override {}
