Tests: a store that is restored from an older copy, failing

Cause: no test played a store that forgets what it acknowledged.

Change: the stand-in of the store takes copies and goes back to them: records since are gone, offsets are given out again, reads from an offset that it does not have get 410, and answers name the era.

--- /dev/null
+++ b/tests/platform/RestoredStoreTest.cpp
@@ -0,0 +1,135 @@
+#include "PlatformFleet.h"
+
+using namespace platformfleet;
+
+namespace {
+
+constexpr milliseconds ConfigApply{2500};
+
+/// Three nodes that serve by version 1, of which a copy was taken, and then by
+/// later versions.
+class RestoredFleet : public Fleet {
+public:
+  RestoredFleet() : Fleet({"home", "shop", "home"}) {
+    publish(1);
+    untilAllServe("/list/a");
+    Copy = Store.copy();
+  }
+
+  /// Publishes a version that adds a route, and waits until it is in force.
+  void change(std::uint64_t Version) {
+    publish(Version, "shop", fmt::format("v{}", Version));
+    untilAllServe(fmt::format("/v{}/a", Version));
+  }
+
+  void untilAllServe(const std::string &Path) {
+    for (std::size_t Host = 1; Host <= 3; ++Host)
+      untilServed(Host, Path);
+  }
+
+  void restore() { Store.restore(Copy); }
+
+  /// @return whether a node serves the route that a version added
+  bool serves(std::size_t Host, std::uint64_t Version) {
+    return ask(Host, fmt::format("/v{}/a", Version),
+               fmt::format("r{}", ++LastRequest))
+               .Status == 200;
+  }
+
+  tools::StoreStandIn::Copy Copy;
+
+private:
+  std::size_t LastRequest = 0;
+};
+
+} // namespace
+
+// Guards against a change that is acknowledged after a restore and never in
+// force, since its offset was given out before.
+Test(restored_store, a_change_after_a_restore_is_in_force) {
+  RestoredFleet All;
+  for (std::uint64_t Version = 2; Version <= 4; ++Version)
+    All.change(Version);
+  // One restore, and two in a row.
+  std::uint64_t Next = 5;
+  for (const int Restores : {1, 2}) {
+    for (int I = 0; I < Restores; ++I)
+      All.restore();
+    All.runFor(milliseconds(300));
+    const core::TimePoint Sent = All.Loop.now().Mono;
+    All.change(Next);
+    cr_assert(All.Loop.now().Mono - Sent < ConfigApply, "%lu",
+              static_cast<unsigned long>(Next));
+    Next += 3;
+  }
+}
+
+// Guards against reads of the whole list that don't end.
+Test(restored_store, the_list_is_read_a_few_times_for_a_restore) {
+  RestoredFleet All;
+  All.change(2);
+  All.change(3);
+  const std::uint64_t Before = All.Store.listReads();
+  All.restore();
+  All.runFor(milliseconds(3000));
+  // Each node may read the list of records, of hosts and of moves.
+  cr_assert(All.Store.listReads() - Before <= 9, "%lu",
+            static_cast<unsigned long>(All.Store.listReads() - Before));
+}
+
+// Guards against an acknowledged change that goes out of force since the copy
+// lacks it, also at a process that starts before it is written again.
+Test(restored_store, a_change_that_the_copy_lacks_stays_in_force) {
+  RestoredFleet All;
+  All.change(2);
+  All.restore();
+  All.runFor(milliseconds(1500));
+  for (std::size_t Host = 1; Host <= 3; ++Host)
+    cr_assert(All.serves(Host, 2), "n%zu", Host);
+  All.restart(1);
+  All.runFor(milliseconds(1500));
+  cr_assert(All.serves(1, 2), "a process that started after the restore");
+  All.publish(2, "shop", "v2");
+  All.change(3);
+}
+
+// Guards against hosts that a process which starts after a restore doesn't
+// find.
+Test(restored_store, each_host_is_in_the_list_again) {
+  Fleet All({"home", "shop", "home"});
+  const tools::StoreStandIn::Copy Empty = All.Store.copy();
+  All.publish(1);
+  for (std::size_t Host = 1; Host <= 3; ++Host)
+    All.untilServed(Host, "/list/a");
+  All.Store.restore(Empty);
+  All.until("the entries", [&] {
+    for (const char *Node : {"n1", "n2", "n3"})
+      if (All.Store.newest("keyed.hosts", Node).empty())
+        return false;
+    return true;
+  });
+}
+
+// Guards against an end of a move that the operator doesn't see any more.
+Test(restored_store, the_end_of_a_move_is_written_again) {
+  Fleet All({"home", "shop"});
+  All.publish(1);
+  All.Store.put("keyed.op", "rollout/shop",
+                R"({"service":"shop","target_version":"v1",)"
+                R"("duration":"600ms"})");
+  const auto Before = All.Store.copy();
+  All.Store.put("keyed.status", "rollout/shop",
+                R"({"service":"shop","target_version":"v1",)"
+                R"("state":"completed"})");
+  // The nodes learn the end from the store.
+  for (const std::size_t Host : {1, 2}) {
+    All.restart(Host);
+    All.untilServed(Host, "/list/a");
+  }
+  All.runFor(milliseconds(500));
+  All.Store.restore(Before);
+  All.until("the state", [&] {
+    return All.Store.newest("keyed.status", "rollout/shop").find("completed") !=
+           std::string::npos;
+  });
+}
--- a/tools/fv-platform/StoreStandIn.cpp
+++ b/tools/fv-platform/StoreStandIn.cpp
@@ -116,6 +116,19 @@
   }
 }
 
+StoreStandIn::Copy StoreStandIn::copy() const {
+  Copy Taken;
+  Taken.Topics = Topics;
+  return Taken;
+}
+
+void StoreStandIn::restore(const Copy &Older) {
+  Topics = Older.Topics;
+  ++Era;
+  // Reads that were held back find the store that was restored.
+  wakeReaders();
+}
+
 std::uint64_t StoreStandIn::put(const std::string &Name, const std::string &Key,
                                 const std::string &Value) {
   Topic &To = Topics[Name];
@@ -140,7 +153,9 @@
   if (Mode == StoreMode::LosesAnswers)
     Who.Inner.abort();
   else
-    Who.Inner.respond(Status, Body, {{"Content-Type", "application/json"}});
+    Who.Inner.respond(Status, Body,
+                      {{"Content-Type", "application/json"},
+                       {"Store-Era", std::to_string(Era)}});
 }
 
 void StoreStandIn::take(Exchange &Who) {
@@ -182,7 +197,7 @@
   Who.Topic = Words.at("topic");
   Who.From = std::stoull(Words.at("from"));
   const Topic &From = Topics[Who.Topic];
-  if (Who.From < From.First)
+  if (!holds(From, Who.From))
     return respond(Who, 410, nlohmann::json{{"first", From.First}}.dump());
   const core::Milliseconds Wait(
       Words.contains("wait_ms") ? std::stoll(Words.at("wait_ms")) : 0);
@@ -192,6 +207,10 @@
   Waiting.insert(&Who);
 }
 
+bool StoreStandIn::holds(const Topic &From, std::uint64_t Offset) {
+  return Offset >= From.First && Offset <= From.End;
+}
+
 void StoreStandIn::answerRead(Exchange &Who, const Topic &From,
                               std::uint64_t Offset) {
   std::string Body = bigEndian(From.End, 8) + bigEndian(From.First, 8);
@@ -209,15 +228,21 @@
   const std::set<Exchange *> All = Waiting;
   for (Exchange *Who : All) {
     const Topic &From = Topics[Who->Topic];
-    if (Who->From >= From.End && Now < Who->Until)
+    const bool Held = holds(From, Who->From);
+    if (Held && Who->From >= From.End && Now < Who->Until)
       continue;
     Waiting.erase(Who);
+    if (!Held) {
+      respond(*Who, 410, nlohmann::json{{"first", From.First}}.dump());
+      continue;
+    }
     answerRead(*Who, From, Who->From);
   }
   Tick.arm(Now + TickPeriod);
 }
 
 void StoreStandIn::newestOf(Exchange &Who, const Query &Words) {
+  ++ListReads;
   const Topic &From = Topics[Words.at("topic")];
   const auto After = Words.find("after");
   nlohmann::json Items = nlohmann::json::array();
