--- a/gen/filbertvane_types.cpp
+++ b/gen/filbertvane_types.cpp
@@ -8931,6 +8931,11 @@
 void MoveReport::__set_elapsedMs(const int64_t val) {
   this->elapsedMs = val;
 }
+
+void MoveReport::__set_orderEra(const int64_t val) {
+  this->orderEra = val;
+__isset.orderEra = true;
+}
 std::ostream& operator<<(std::ostream& out, const MoveReport& obj)
 {
   obj.printTo(out);
@@ -8999,6 +9004,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->orderEra);
+          this->__isset.orderEra = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -9036,6 +9049,11 @@
   xfer += oprot->writeI64(this->elapsedMs);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.orderEra) {
+    xfer += oprot->writeFieldBegin("orderEra", ::apache::thrift::protocol::T_I64, 6);
+    xfer += oprot->writeI64(this->orderEra);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -9048,6 +9066,7 @@
   swap(a.order, b.order);
   swap(a.phase, b.phase);
   swap(a.elapsedMs, b.elapsedMs);
+  swap(a.orderEra, b.orderEra);
   swap(a.__isset, b.__isset);
 }
 
@@ -9057,6 +9076,7 @@
   order = other288.order;
   phase = other288.phase;
   elapsedMs = other288.elapsedMs;
+  orderEra = other288.orderEra;
   __isset = other288.__isset;
 }
 MoveReport& MoveReport::operator=(const MoveReport& other289) {
@@ -9065,6 +9085,7 @@
   order = other289.order;
   phase = other289.phase;
   elapsedMs = other289.elapsedMs;
+  orderEra = other289.orderEra;
   __isset = other289.__isset;
   return *this;
 }
@@ -9076,6 +9097,7 @@
   out << ", " << "order=" << to_string(order);
   out << ", " << "phase=" << to_string(phase);
   out << ", " << "elapsedMs=" << to_string(elapsedMs);
+  out << ", " << "orderEra="; (__isset.orderEra ? (out << to_string(orderEra)) : (out << "<null>"));
   out << ")";
 }
 
@@ -9392,6 +9414,16 @@
   this->recipientLeft = val;
 __isset.recipientLeft = true;
 }
+
+void HostReport::__set_era(const int64_t val) {
+  this->era = val;
+__isset.era = true;
+}
+
+void HostReport::__set_lostRecords(const int64_t val) {
+  this->lostRecords = val;
+__isset.lostRecords = true;
+}
 std::ostream& operator<<(std::ostream& out, const HostReport& obj)
 {
   obj.printTo(out);
@@ -9564,6 +9596,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->era);
+          this->__isset.era = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->lostRecords);
+          this->__isset.lostRecords = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -9662,6 +9710,16 @@
     xfer += this->recipientLeft.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.era) {
+    xfer += oprot->writeFieldBegin("era", ::apache::thrift::protocol::T_I64, 16);
+    xfer += oprot->writeI64(this->era);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.lostRecords) {
+    xfer += oprot->writeFieldBegin("lostRecords", ::apache::thrift::protocol::T_I64, 17);
+    xfer += oprot->writeI64(this->lostRecords);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -9684,6 +9742,8 @@
   swap(a.exitsInMs, b.exitsInMs);
   swap(a.suspects, b.suspects);
   swap(a.recipientLeft, b.recipientLeft);
+  swap(a.era, b.era);
+  swap(a.lostRecords, b.lostRecords);
   swap(a.__isset, b.__isset);
 }
 
@@ -9703,6 +9763,8 @@
   exitsInMs = other312.exitsInMs;
   suspects = other312.suspects;
   recipientLeft = other312.recipientLeft;
+  era = other312.era;
+  lostRecords = other312.lostRecords;
   __isset = other312.__isset;
 }
 HostReport& HostReport::operator=(const HostReport& other313) {
@@ -9721,6 +9783,8 @@
   exitsInMs = other313.exitsInMs;
   suspects = other313.suspects;
   recipientLeft = other313.recipientLeft;
+  era = other313.era;
+  lostRecords = other313.lostRecords;
   __isset = other313.__isset;
   return *this;
 }
@@ -9742,6 +9806,8 @@
   out << ", " << "exitsInMs="; (__isset.exitsInMs ? (out << to_string(exitsInMs)) : (out << "<null>"));
   out << ", " << "suspects="; (__isset.suspects ? (out << to_string(suspects)) : (out << "<null>"));
   out << ", " << "recipientLeft="; (__isset.recipientLeft ? (out << to_string(recipientLeft)) : (out << "<null>"));
+  out << ", " << "era="; (__isset.era ? (out << to_string(era)) : (out << "<null>"));
+  out << ", " << "lostRecords="; (__isset.lostRecords ? (out << to_string(lostRecords)) : (out << "<null>"));
   out << ")";
 }
 
@@ -9761,6 +9827,26 @@
 void OperatorRecord::__set_value(const std::string& val) {
   this->value = val;
 }
+
+void OperatorRecord::__set_era(const int64_t val) {
+  this->era = val;
+__isset.era = true;
+}
+
+void OperatorRecord::__set_seenOffset(const int64_t val) {
+  this->seenOffset = val;
+__isset.seenOffset = true;
+}
+
+void OperatorRecord::__set_seenEra(const int64_t val) {
+  this->seenEra = val;
+__isset.seenEra = true;
+}
+
+void OperatorRecord::__set_superseded(const bool val) {
+  this->superseded = val;
+__isset.superseded = true;
+}
 std::ostream& operator<<(std::ostream& out, const OperatorRecord& obj)
 {
   obj.printTo(out);
@@ -9813,6 +9899,38 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->era);
+          this->__isset.era = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->seenOffset);
+          this->__isset.seenOffset = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->seenEra);
+          this->__isset.seenEra = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->superseded);
+          this->__isset.superseded = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -9842,6 +9960,26 @@
   xfer += oprot->writeBinary(this->value);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.era) {
+    xfer += oprot->writeFieldBegin("era", ::apache::thrift::protocol::T_I64, 4);
+    xfer += oprot->writeI64(this->era);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.seenOffset) {
+    xfer += oprot->writeFieldBegin("seenOffset", ::apache::thrift::protocol::T_I64, 5);
+    xfer += oprot->writeI64(this->seenOffset);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.seenEra) {
+    xfer += oprot->writeFieldBegin("seenEra", ::apache::thrift::protocol::T_I64, 6);
+    xfer += oprot->writeI64(this->seenEra);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.superseded) {
+    xfer += oprot->writeFieldBegin("superseded", ::apache::thrift::protocol::T_BOOL, 7);
+    xfer += oprot->writeBool(this->superseded);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -9852,6 +9990,10 @@
   swap(a.key, b.key);
   swap(a.offset, b.offset);
   swap(a.value, b.value);
+  swap(a.era, b.era);
+  swap(a.seenOffset, b.seenOffset);
+  swap(a.seenEra, b.seenEra);
+  swap(a.superseded, b.superseded);
   swap(a.__isset, b.__isset);
 }
 
@@ -9859,12 +10001,20 @@
   key = other314.key;
   offset = other314.offset;
   value = other314.value;
+  era = other314.era;
+  seenOffset = other314.seenOffset;
+  seenEra = other314.seenEra;
+  superseded = other314.superseded;
   __isset = other314.__isset;
 }
 OperatorRecord& OperatorRecord::operator=(const OperatorRecord& other315) {
   key = other315.key;
   offset = other315.offset;
   value = other315.value;
+  era = other315.era;
+  seenOffset = other315.seenOffset;
+  seenEra = other315.seenEra;
+  superseded = other315.superseded;
   __isset = other315.__isset;
   return *this;
 }
@@ -9874,6 +10024,10 @@
   out << "key=" << to_string(key);
   out << ", " << "offset=" << to_string(offset);
   out << ", " << "value=" << to_string(value);
+  out << ", " << "era="; (__isset.era ? (out << to_string(era)) : (out << "<null>"));
+  out << ", " << "seenOffset="; (__isset.seenOffset ? (out << to_string(seenOffset)) : (out << "<null>"));
+  out << ", " << "seenEra="; (__isset.seenEra ? (out << to_string(seenEra)) : (out << "<null>"));
+  out << ", " << "superseded="; (__isset.superseded ? (out << to_string(superseded)) : (out << "<null>"));
   out << ")";
 }
 
@@ -9889,6 +10043,11 @@
 void OperatorRecords::__set_records(const std::vector<OperatorRecord> & val) {
   this->records = val;
 }
+
+void OperatorRecords::__set_era(const int64_t val) {
+  this->era = val;
+__isset.era = true;
+}
 std::ostream& operator<<(std::ostream& out, const OperatorRecords& obj)
 {
   obj.printTo(out);
@@ -9945,6 +10104,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->era);
+          this->__isset.era = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -9978,6 +10145,11 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.era) {
+    xfer += oprot->writeFieldBegin("era", ::apache::thrift::protocol::T_I64, 3);
+    xfer += oprot->writeI64(this->era);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -9987,17 +10159,20 @@
   using ::std::swap;
   swap(a.position, b.position);
   swap(a.records, b.records);
+  swap(a.era, b.era);
   swap(a.__isset, b.__isset);
 }
 
 OperatorRecords::OperatorRecords(const OperatorRecords& other322) {
   position = other322.position;
   records = other322.records;
+  era = other322.era;
   __isset = other322.__isset;
 }
 OperatorRecords& OperatorRecords::operator=(const OperatorRecords& other323) {
   position = other323.position;
   records = other323.records;
+  era = other323.era;
   __isset = other323.__isset;
   return *this;
 }
@@ -10006,6 +10181,7 @@
   out << "OperatorRecords(";
   out << "position=" << to_string(position);
   out << ", " << "records=" << to_string(records);
+  out << ", " << "era="; (__isset.era ? (out << to_string(era)) : (out << "<null>"));
   out << ")";
 }
 
--- a/gen/filbertvane_types.h
+++ b/gen/filbertvane_types.h
@@ -3565,12 +3565,13 @@
 std::ostream& operator<<(std::ostream& out, const TargetReport& obj);
 
 typedef struct _MoveReport__isset {
-  _MoveReport__isset() : serviceName(false), toVersion(false), order(false), phase(false), elapsedMs(false) {}
+  _MoveReport__isset() : serviceName(false), toVersion(false), order(false), phase(false), elapsedMs(false), orderEra(false) {}
   bool serviceName :1;
   bool toVersion :1;
   bool order :1;
   bool phase :1;
   bool elapsedMs :1;
+  bool orderEra :1;
 } _MoveReport__isset;
 
 class MoveReport : public virtual ::apache::thrift::TBase {
@@ -3583,7 +3584,8 @@
                toVersion(),
                order(0),
                phase(0),
-               elapsedMs(0) {
+               elapsedMs(0),
+               orderEra(0) {
   }
 
   virtual ~MoveReport() noexcept;
@@ -3592,6 +3594,7 @@
   int64_t order;
   int8_t phase;
   int64_t elapsedMs;
+  int64_t orderEra;
 
   _MoveReport__isset __isset;
 
@@ -3605,6 +3608,8 @@
 
   void __set_elapsedMs(const int64_t val);
 
+  void __set_orderEra(const int64_t val);
+
   bool operator == (const MoveReport & rhs) const
   {
     if (!(serviceName == rhs.serviceName))
@@ -3617,6 +3622,10 @@
       return false;
     if (!(elapsedMs == rhs.elapsedMs))
       return false;
+    if (__isset.orderEra != rhs.__isset.orderEra)
+      return false;
+    else if (__isset.orderEra && !(orderEra == rhs.orderEra))
+      return false;
     return true;
   }
   bool operator != (const MoveReport &rhs) const {
@@ -3735,7 +3744,7 @@
 std::ostream& operator<<(std::ostream& out, const SuspectRequest& obj);
 
 typedef struct _HostReport__isset {
-  _HostReport__isset() : node(false), start(false), sequence(false), address(false), dataCentre(false), region(false), leaving(false), target(false), position(false), moves(false), storeReachable(false), left(false), exitsInMs(false), suspects(false), recipientLeft(false) {}
+  _HostReport__isset() : node(false), start(false), sequence(false), address(false), dataCentre(false), region(false), leaving(false), target(false), position(false), moves(false), storeReachable(false), left(false), exitsInMs(false), suspects(false), recipientLeft(false), era(false), lostRecords(false) {}
   bool node :1;
   bool start :1;
   bool sequence :1;
@@ -3751,6 +3760,8 @@
   bool exitsInMs :1;
   bool suspects :1;
   bool recipientLeft :1;
+  bool era :1;
+  bool lostRecords :1;
 } _HostReport__isset;
 
 class HostReport : public virtual ::apache::thrift::TBase {
@@ -3768,7 +3779,9 @@
                leaving(0),
                position(0),
                storeReachable(0),
-               exitsInMs(0) {
+               exitsInMs(0),
+               era(0),
+               lostRecords(0) {
   }
 
   virtual ~HostReport() noexcept;
@@ -3787,6 +3800,8 @@
   int64_t exitsInMs;
   std::vector<SuspectRequest>  suspects;
   LeftTarget recipientLeft;
+  int64_t era;
+  int64_t lostRecords;
 
   _HostReport__isset __isset;
 
@@ -3820,6 +3835,10 @@
 
   void __set_recipientLeft(const LeftTarget& val);
 
+  void __set_era(const int64_t val);
+
+  void __set_lostRecords(const int64_t val);
+
   bool operator == (const HostReport & rhs) const
   {
     if (!(node == rhs.node))
@@ -3862,6 +3881,14 @@
       return false;
     else if (__isset.recipientLeft && !(recipientLeft == rhs.recipientLeft))
       return false;
+    if (__isset.era != rhs.__isset.era)
+      return false;
+    else if (__isset.era && !(era == rhs.era))
+      return false;
+    if (__isset.lostRecords != rhs.__isset.lostRecords)
+      return false;
+    else if (__isset.lostRecords && !(lostRecords == rhs.lostRecords))
+      return false;
     return true;
   }
   bool operator != (const HostReport &rhs) const {
@@ -3881,10 +3908,14 @@
 std::ostream& operator<<(std::ostream& out, const HostReport& obj);
 
 typedef struct _OperatorRecord__isset {
-  _OperatorRecord__isset() : key(false), offset(false), value(false) {}
+  _OperatorRecord__isset() : key(false), offset(false), value(false), era(false), seenOffset(false), seenEra(false), superseded(false) {}
   bool key :1;
   bool offset :1;
   bool value :1;
+  bool era :1;
+  bool seenOffset :1;
+  bool seenEra :1;
+  bool superseded :1;
 } _OperatorRecord__isset;
 
 class OperatorRecord : public virtual ::apache::thrift::TBase {
@@ -3895,13 +3926,21 @@
   OperatorRecord() noexcept
                  : key(),
                    offset(0),
-                   value() {
+                   value(),
+                   era(0),
+                   seenOffset(0),
+                   seenEra(0),
+                   superseded(0) {
   }
 
   virtual ~OperatorRecord() noexcept;
   std::string key;
   int64_t offset;
   std::string value;
+  int64_t era;
+  int64_t seenOffset;
+  int64_t seenEra;
+  bool superseded;
 
   _OperatorRecord__isset __isset;
 
@@ -3911,6 +3950,14 @@
 
   void __set_value(const std::string& val);
 
+  void __set_era(const int64_t val);
+
+  void __set_seenOffset(const int64_t val);
+
+  void __set_seenEra(const int64_t val);
+
+  void __set_superseded(const bool val);
+
   bool operator == (const OperatorRecord & rhs) const
   {
     if (!(key == rhs.key))
@@ -3919,6 +3966,22 @@
       return false;
     if (!(value == rhs.value))
       return false;
+    if (__isset.era != rhs.__isset.era)
+      return false;
+    else if (__isset.era && !(era == rhs.era))
+      return false;
+    if (__isset.seenOffset != rhs.__isset.seenOffset)
+      return false;
+    else if (__isset.seenOffset && !(seenOffset == rhs.seenOffset))
+      return false;
+    if (__isset.seenEra != rhs.__isset.seenEra)
+      return false;
+    else if (__isset.seenEra && !(seenEra == rhs.seenEra))
+      return false;
+    if (__isset.superseded != rhs.__isset.superseded)
+      return false;
+    else if (__isset.superseded && !(superseded == rhs.superseded))
+      return false;
     return true;
   }
   bool operator != (const OperatorRecord &rhs) const {
@@ -3938,9 +4001,10 @@
 std::ostream& operator<<(std::ostream& out, const OperatorRecord& obj);
 
 typedef struct _OperatorRecords__isset {
-  _OperatorRecords__isset() : position(false), records(false) {}
+  _OperatorRecords__isset() : position(false), records(false), era(false) {}
   bool position :1;
   bool records :1;
+  bool era :1;
 } _OperatorRecords__isset;
 
 class OperatorRecords : public virtual ::apache::thrift::TBase {
@@ -3949,12 +4013,14 @@
   OperatorRecords(const OperatorRecords&);
   OperatorRecords& operator=(const OperatorRecords&);
   OperatorRecords() noexcept
-                  : position(0) {
+                  : position(0),
+                    era(0) {
   }
 
   virtual ~OperatorRecords() noexcept;
   int64_t position;
   std::vector<OperatorRecord>  records;
+  int64_t era;
 
   _OperatorRecords__isset __isset;
 
@@ -3962,12 +4028,18 @@
 
   void __set_records(const std::vector<OperatorRecord> & val);
 
+  void __set_era(const int64_t val);
+
   bool operator == (const OperatorRecords & rhs) const
   {
     if (!(position == rhs.position))
       return false;
     if (!(records == rhs.records))
       return false;
+    if (__isset.era != rhs.__isset.era)
+      return false;
+    else if (__isset.era && !(era == rhs.era))
+      return false;
     return true;
   }
   bool operator != (const OperatorRecords &rhs) const {
--- a/include/filbertvane/decision/mesh/Events.h
+++ b/include/filbertvane/decision/mesh/Events.h
@@ -46,17 +46,26 @@
 struct RoutingLoaded {
   std::shared_ptr<const config::RoutingTable> Table;
 };
-/// @brief All operator records up to an offset have been read.
+/// @brief All operator records up to a position have been read.
 struct PositionReached {
-  core::LogOffset Position;
+  StorePosition Position;
+  /// Records in force that the store has lost, and a digest of them.
+  std::size_t LostRecords = 0;
+  core::Digest LostDigest = {};
+};
+/// @brief The store was restored from an older copy.
+struct StoreRestored {
+  core::StoreEra Era;
 };
 /// @brief An operator evacuates a data centre, or takes it back: while it is
 ///        evacuated, its targets get no requests.
 struct EvacuationOrdered {
   core::DataCentreId DataCentre;
   bool Active = false;
-  /// Offset of the order in the operator records.
-  core::LogOffset OrderOffset;
+  /// Position of the order in the operator records.
+  StorePosition OrderPosition;
+  /// The order is known; the store has it at another position.
+  bool Renumbered = false;
 };
 /// @brief The state of a move was read from the store.
 struct MoveStateRead {
@@ -89,14 +98,13 @@
   quota::QuotaReply Reply;
 };
 
-using Event =
-    std::variant<request::CallArrived, request::AnswerStarted,
-                 request::AttemptEnded, request::CallerDisconnected,
-                 TargetAnnounced, TargetDeregistered, ReportReceived,
-                 StoredReportsRead, RoutingLoaded, PositionReached, MoveOrdered,
-                 EvacuationOrdered, MoveStateRead, StoreReachabilityChanged,
-                 ServiceAssigned, ShutdownRequested, ExitDue, request::Tick,
-                 QuotaRequestReceived, QuotaReplyReceived>;
+using Event = std::variant<
+    request::CallArrived, request::AnswerStarted, request::AttemptEnded,
+    request::CallerDisconnected, TargetAnnounced, TargetDeregistered,
+    ReportReceived, StoredReportsRead, RoutingLoaded, PositionReached,
+    StoreRestored, MoveOrdered, EvacuationOrdered, MoveStateRead,
+    StoreReachabilityChanged, ServiceAssigned, ShutdownRequested, ExitDue,
+    request::Tick, QuotaRequestReceived, QuotaReplyReceived>;
 /// @}
 
 /// @name Effects
@@ -139,16 +147,24 @@
 struct SetReadHold {
   core::Milliseconds Hold{0};
 };
+/// @brief Read the store after a restore, and write what it may have lost.
+struct RecoverFromRestore {
+  /// Time at which the list of records is read unless another node has brought
+  /// them before.
+  core::TimePoint ReadListAt;
+  /// Time at which the report of this node is written again.
+  core::TimePoint PublishAt;
+};
 /// @brief The node became ready, or is no longer ready, for caller requests.
 struct ReadinessChanged {
   bool Ready = false;
 };
 
-using Effect =
-    std::variant<request::StartAttempt, request::DeliverAnswer,
-                 request::CancelAttempt, request::Refuse, SendReport,
-                 PublishReport, WriteMove, FetchRecords, FollowStore,
-                 SetReadHold, ReadinessChanged, SendQuota, observe::LogEvent>;
+using Effect = std::variant<request::StartAttempt, request::DeliverAnswer,
+                            request::CancelAttempt, request::Refuse, SendReport,
+                            PublishReport, WriteMove, FetchRecords, FollowStore,
+                            SetReadHold, RecoverFromRestore, ReadinessChanged,
+                            SendQuota, observe::LogEvent>;
 using Effects = std::vector<Effect>;
 /// @}
 
--- a/include/filbertvane/decision/mesh/HostReport.h
+++ b/include/filbertvane/decision/mesh/HostReport.h
@@ -5,6 +5,7 @@
 #include "filbertvane/core/Ids.h"
 #include "filbertvane/decision/TargetLoad.h"
 #include "filbertvane/decision/mesh/AnswerTimes.h"
+#include "filbertvane/decision/mesh/StorePosition.h"
 #include <optional>
 #include <vector>
 
@@ -83,8 +84,8 @@
 struct MoveReport {
   core::ServiceName Service;
   core::TargetVersion NewVersion;
-  /// Offset of the order in the operator records.
-  core::LogOffset OrderOffset;
+  /// Position of the order in the operator records.
+  StorePosition OrderPosition;
   MovePhase Phase = MovePhase::Running;
   /// Time since the order, as known to the node.
   core::Milliseconds Elapsed{0};
@@ -125,8 +126,10 @@
   /// Departure that a former process of the recipient reported and the present
   /// one does not know of.
   std::optional<DepartedTarget> RecipientDeparted;
-  /// Offset up to which the node has read the operator records.
-  core::LogOffset Position;
+  /// Position up to which the node has read the operator records.
+  StorePosition Position;
+  /// Digest of the records in force that the store has lost; 0 for none.
+  core::Digest LostRecords;
   /// The node can reach the store.
   bool StoreReachable = false;
   std::vector<MoveReport> Moves;
--- a/include/filbertvane/decision/mesh/MoveTracker.h
+++ b/include/filbertvane/decision/mesh/MoveTracker.h
@@ -13,10 +13,16 @@
   core::ServiceName Service;
   core::TargetVersion NewVersion;
   core::Milliseconds Duration{0};
-  /// Offset of the order in the operator records.
-  core::LogOffset OrderOffset;
+  /// Position of the order in the operator records.
+  StorePosition OrderPosition;
   /// The order was read from history, so that its age is unknown.
   bool FromHistory = false;
+  /// Latest position at which the store had an order for the service; later
+  /// than that of the order when the store has lost it and has an older one.
+  StorePosition SeenAt = {};
+  /// The order is known; the store has it, or an older one, at another
+  /// position.
+  bool Renumbered = false;
 
   friend auto operator<=>(const MoveOrdered &, const MoveOrdered &) = default;
 };
@@ -29,6 +35,8 @@
   MovePhase Phase = MovePhase::Running;
   /// Why the new version was rejected.
   std::string Reason;
+  /// Positions of the order in earlier eras of the store.
+  std::vector<StorePosition> FormerPositions;
   /// Time from which the new version had answered often enough.
   std::optional<core::TimePoint> SufficientSince;
 
@@ -73,11 +81,15 @@
 /// requests before the new version has answered often enough.
 class MoveTracker {
 public:
-  /// @brief Starts tracking an order unless the same or a newer one is known.
+  /// @brief Starts tracking an order unless the same or a newer one of the era
+  ///        is known. Of orders of different eras, the one that is applied last
+  ///        counts.
   /// @return whether the order is new
   bool applyOrder(const MoveOrdered &Order, core::TimePoint Now);
   /// @brief Merges the state of a move reported by another node.
-  void applyReport(const MoveReport &Report, core::TimePoint Now);
+  /// @param Era era of the operators' records that this node has read
+  void applyReport(const MoveReport &Report, core::TimePoint Now,
+                   core::StoreEra Era);
   /// @brief Advances a move to a higher phase.
   /// @return whether the phase changed
   bool advance(const core::ServiceName &Service, MovePhase Phase,
@@ -104,15 +116,18 @@
 
 private:
   void applyEarlierMove(const MoveReport &Report);
-  void applyUnreadOrder(const MoveReport &Report);
+  void applyUnreadOrder(const MoveReport &Report, core::StoreEra Era);
+  void applyLaterRejection(const MoveReport &Report);
+  void renumber(TrackedMove &Move, const MoveOrdered &Order);
+  void eraseUnreadUpTo(const MoveOrdered &Order);
 
   std::map<core::ServiceName, TrackedMove> Moves;
   /// Newest orders that other nodes reported and this one has not read. Their
   /// versions get no requests, since the shares are not known.
   std::map<core::ServiceName, MoveReport> UnreadOrders;
-  /// New versions of earlier orders that did not complete, with the offsets of
-  /// the orders.
-  std::map<core::ServiceName, std::map<core::TargetVersion, core::LogOffset>>
+  /// New versions of earlier orders that did not complete, with the positions
+  /// of the orders.
+  std::map<core::ServiceName, std::map<core::TargetVersion, StorePosition>>
       UncompletedVersions;
 };
 
--- a/include/filbertvane/decision/mesh/RecordLag.h
+++ b/include/filbertvane/decision/mesh/RecordLag.h
@@ -1,8 +1,8 @@
 #ifndef FILBERTVANE_DECISION_MESH_RECORDLAG_H
 #define FILBERTVANE_DECISION_MESH_RECORDLAG_H
 
-#include "filbertvane/core/Ids.h"
 #include "filbertvane/core/Time.h"
+#include "filbertvane/decision/mesh/StorePosition.h"
 #include <deque>
 #include <optional>
 
@@ -13,7 +13,7 @@
 public:
   struct Missing {
     /// Position of a node that has the records.
-    core::LogOffset Position;
+    StorePosition Position;
     core::TimePoint ReportedAt;
 
     friend auto operator<=>(const Missing &, const Missing &) = default;
@@ -21,9 +21,10 @@
 
   /// @brief Notes the position of another node.
   /// @param Own position of this node
-  void note(core::LogOffset Position, core::LogOffset Own, core::TimePoint Now);
+  void note(const StorePosition &Position, const StorePosition &Own,
+            core::TimePoint Now);
   /// @brief This node has read all records up to a position.
-  void reach(core::LogOffset Own);
+  void reach(const StorePosition &Own);
   /// @brief The records that have been missing longest; none when this node
   ///        has all that others are known to have.
   std::optional<Missing> oldest() const;
--- a/include/filbertvane/decision/mesh/State.h
+++ b/include/filbertvane/decision/mesh/State.h
@@ -215,7 +215,17 @@
   bool WatchesStore = false;
 
   std::shared_ptr<const config::RoutingTable> Routing;
-  core::LogOffset Position;
+  StorePosition Position;
+  /// Records in force that the store has lost.
+  std::size_t LostRecords = 0;
+  core::Digest LostDigest;
+  /// Time since which there are such records.
+  std::optional<core::TimePoint> LostSince;
+  /// Digest of another node that was fetched last.
+  std::optional<core::Digest> FetchedDigest;
+  core::StoreEra Era;
+  /// The report of this node is not written before this time.
+  core::TimePoint PublishNotBefore;
   /// Newest order of each data centre that was ever evacuated.
   std::map<core::DataCentreId, EvacuationOrdered> Evacuations;
   HostDirectory Hosts;
--- a/include/filbertvane/io/mesh/Environment.h
+++ b/include/filbertvane/io/mesh/Environment.h
@@ -32,10 +32,11 @@
   /// @{
   /// @brief Reads the newest record of each key.
   virtual void readNewest(RecordsRead OnDone) = 0;
-  /// @brief Reads records from an offset on; the store holds the answer back
-  ///        for up to `Wait` when there is none. `StoreTrimmed` when the offset
-  ///        is before the first retained record.
-  virtual void readFrom(core::LogOffset From, core::Milliseconds Wait,
+  /// @brief Reads records from a position on; the store holds the answer back
+  ///        for up to `Wait` when there is none. `StoreTrimmed` when the store
+  ///        does not have the offset, `StoreRestored` when it is of another
+  ///        era.
+  virtual void readFrom(StorePosition From, core::Milliseconds Wait,
                         RecordsRead OnDone) = 0;
   /// @brief Gives up a read that is under way; its callback is not called, and
   ///        the next read does not use its connection.
@@ -44,6 +45,8 @@
 
   /// @name Hosts
   /// @{
+  /// @brief Writes the report of a host. `StoreRestored` when the store may
+  ///        have lost it since.
   virtual void publishHost(const core::NodeId &Node, std::string Report,
                            Done OnDone) = 0;
   virtual void readHosts(HostsRead OnDone) = 0;
@@ -81,6 +84,11 @@
   virtual core::Result<std::optional<OperatorOrder>>
   decode(const OperatorRecord &Record) const = 0;
 
+  /// @brief Version of an operator's record; none for records without versions
+  ///        and for those that can't be decoded.
+  virtual std::optional<core::ConfigVersion>
+  versionOf(const OperatorRecord &Record) const = 0;
+
   /// @brief Decodes what a target said at the control address.
   /// @return the announcement, or `AnnouncementMalformed` or
   ///         `AnnouncementWrongHost`
--- a/include/filbertvane/wire/HostReportCodec.h
+++ b/include/filbertvane/wire/HostReportCodec.h
@@ -22,10 +22,10 @@
 
 /// @name Operators' records between nodes (Thrift compact protocol, zlib)
 /// @{
-std::string encode(const io::mesh::OperatorRecords &Records);
-/// @return the records, `WireMalformed` or `WireTooLarge`
-core::Result<io::mesh::OperatorRecords>
-decodeOperatorRecords(std::string_view Bytes);
+std::string encode(const decision::mesh::RecordEntries &Entries);
+/// @return the entries, `WireMalformed` or `WireTooLarge`
+core::Result<decision::mesh::RecordEntries>
+decodeRecordEntries(std::string_view Bytes);
 /// @}
 
 } // namespace filbertvane::wire
--- a/lib/decision/mesh/Gauges.cpp
+++ b/lib/decision/mesh/Gauges.cpp
@@ -55,7 +55,15 @@
   Set("filbertvane_store_reachable", State.StoreReachable ? 1 : 0);
   Set("filbertvane_follows_store", State.FollowsStore ? 1 : 0);
   Set("filbertvane_watches_store", State.WatchesStore ? 1 : 0);
-  Set("filbertvane_position", static_cast<double>(State.Position.value()));
+  Set("filbertvane_position",
+      static_cast<double>(State.Position.offset().value()));
+  Set("filbertvane_store_era",
+      static_cast<double>(std::max(State.Era, State.Position.era()).value()));
+  Set("filbertvane_records_lost", static_cast<double>(State.LostRecords));
+  Set("filbertvane_records_lost_seconds",
+      State.LostSince
+          ? std::chrono::duration<double>(Now - *State.LostSince).count()
+          : 0);
   Set("filbertvane_behind_seconds",
       State.BehindSince
           ? std::chrono::duration<double>(Now - *State.BehindSince).count()
--- a/lib/decision/mesh/MoveTracker.cpp
+++ b/lib/decision/mesh/MoveTracker.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <array>
 #include <fmt/format.h>
-#include <tuple>
 
 namespace filbertvane::decision::mesh {
 
@@ -75,6 +74,9 @@
 /// Answers after which a host counts in a verdict.
 constexpr std::uint64_t MinimumAnswersPerHost = 4;
 
+/// Restores during one move whose positions are remembered.
+constexpr std::size_t MaximumFormerPositions = 8;
+
 double fractionOf(const TrackedMove &Move, core::Microseconds Time) {
   const core::Microseconds TotalTime = Move.Deadline - Move.StartedAt;
   if (TotalTime.count() <= 0)
@@ -275,32 +277,64 @@
 
 bool MoveTracker::applyOrder(const MoveOrdered &Order, core::TimePoint Now) {
   const auto Found = Moves.find(Order.Service);
-  if (Found != Moves.end() &&
-      Found->second.Order.OrderOffset >= Order.OrderOffset)
+  const bool Known = Found != Moves.end();
+  if (Known && Order.Renumbered &&
+      Found->second.Order.NewVersion == Order.NewVersion) {
+    renumber(Found->second, Order);
     return false;
+  }
+  if (Known && Found->second.Order.OrderPosition >= Order.OrderPosition)
+    return false;
+  // An order that takes the place of a later one corrects it: the later one was
+  // the copy of an order that had ended, and its version may serve.
+  const bool Corrects =
+      Known && isLater(Found->second.Order.OrderPosition, Order.OrderPosition);
   auto &Uncompleted = UncompletedVersions[Order.Service];
-  if (Found != Moves.end() && Found->second.Phase != MovePhase::Completed)
+  if (Known && Found->second.Phase != MovePhase::Completed &&
+      (!Corrects || Found->second.Phase != MovePhase::Running))
     Uncompleted[Found->second.Order.NewVersion] =
-        Found->second.Order.OrderOffset;
+        Found->second.Order.OrderPosition;
   Uncompleted.erase(Order.NewVersion);
   TrackedMove Move;
   Move.Order = Order;
   Move.StartedAt = Now;
   Move.Deadline = Now + Order.Duration;
+  eraseUnreadUpTo(Order);
+  Moves.insert_or_assign(Order.Service, std::move(Move));
+  return true;
+}
+
+void MoveTracker::renumber(TrackedMove &Move, const MoveOrdered &Order) {
+  if (Move.Order.OrderPosition != Order.OrderPosition) {
+    if (Move.FormerPositions.size() >= MaximumFormerPositions)
+      Move.FormerPositions.erase(Move.FormerPositions.begin());
+    Move.FormerPositions.push_back(Move.Order.OrderPosition);
+  }
+  Move.Order.OrderPosition = Order.OrderPosition;
+  Move.Order.SeenAt = Order.SeenAt;
+  eraseUnreadUpTo(Order);
+}
+
+void MoveTracker::eraseUnreadUpTo(const MoveOrdered &Order) {
   const auto Unread = UnreadOrders.find(Order.Service);
   if (Unread != UnreadOrders.end() &&
-      Unread->second.OrderOffset <= Order.OrderOffset)
+      !isLater(Unread->second.OrderPosition,
+               later(Order.OrderPosition, Order.SeenAt)))
     UnreadOrders.erase(Unread);
-  Moves.insert_or_assign(Order.Service, std::move(Move));
-  return true;
 }
 
-void MoveTracker::applyReport(const MoveReport &Report, core::TimePoint Now) {
+void MoveTracker::applyReport(const MoveReport &Report, core::TimePoint Now,
+                              core::StoreEra Era) {
   const auto Found = Moves.find(Report.Service);
-  if (Found == Moves.end() ||
-      Found->second.Order.OrderOffset != Report.OrderOffset) {
+  const bool IsSame =
+      Found != Moves.end() &&
+      (Found->second.Order.OrderPosition == Report.OrderPosition ||
+       std::ranges::find(Found->second.FormerPositions, Report.OrderPosition) !=
+           Found->second.FormerPositions.end());
+  if (!IsSame) {
     applyEarlierMove(Report);
-    applyUnreadOrder(Report);
+    applyUnreadOrder(Report, Era);
+    applyLaterRejection(Report);
     return;
   }
   TrackedMove &Move = Found->second;
@@ -317,27 +351,49 @@
 /// service from the store. Targets of an earlier order may still run.
 void MoveTracker::applyEarlierMove(const MoveReport &Report) {
   const auto Found = Moves.find(Report.Service);
-  const bool IsEarlier = Found != Moves.end() &&
-                         Report.OrderOffset < Found->second.Order.OrderOffset;
+  const bool IsEarlier =
+      Found != Moves.end() &&
+      isLater(Found->second.Order.OrderPosition, Report.OrderPosition);
   if (!IsEarlier || Report.NewVersion == Found->second.Order.NewVersion)
     return;
   if (Report.Phase == MovePhase::Rejected ||
       Report.Phase == MovePhase::RolledBack)
     UncompletedVersions[Report.Service].emplace(Report.NewVersion,
-                                                Report.OrderOffset);
+                                                Report.OrderPosition);
 }
 
-void MoveTracker::applyUnreadOrder(const MoveReport &Report) {
+/// An order of another era may be the copy of one that this node knows: its
+/// version may be the one that serves.
+void MoveTracker::applyUnreadOrder(const MoveReport &Report,
+                                   core::StoreEra Era) {
+  if (Report.OrderPosition.era() != Era)
+    return;
   const auto Found = Moves.find(Report.Service);
   if (Found != Moves.end() &&
-      Found->second.Order.OrderOffset >= Report.OrderOffset)
+      !isLater(Report.OrderPosition, later(Found->second.Order.OrderPosition,
+                                           Found->second.Order.SeenAt)))
     return;
   const auto [Known, First] = UnreadOrders.try_emplace(Report.Service, Report);
-  if (First || std::tie(Known->second.OrderOffset, Known->second.Phase) <
-                   std::tie(Report.OrderOffset, Report.Phase))
+  if (First || isLater(Report.OrderPosition, Known->second.OrderPosition) ||
+      (Report.OrderPosition == Known->second.OrderPosition &&
+       Report.Phase > Known->second.Phase))
     Known->second = Report;
 }
 
+/// The same version was rejected after a restore of which this node has not
+/// read.
+void MoveTracker::applyLaterRejection(const MoveReport &Report) {
+  const auto Found = Moves.find(Report.Service);
+  if (Found == Moves.end() ||
+      Found->second.Order.NewVersion != Report.NewVersion ||
+      Report.OrderPosition.era() <= Found->second.Order.OrderPosition.era())
+    return;
+  const bool Rejected = Report.Phase == MovePhase::Rejected ||
+                        Report.Phase == MovePhase::RolledBack;
+  if (Rejected && Found->second.Phase == MovePhase::Running)
+    Found->second.Phase = MovePhase::Rejected;
+}
+
 bool MoveTracker::advance(const core::ServiceName &Service, MovePhase Phase,
                           std::string Reason) {
   const auto Found = Moves.find(Service);
@@ -355,7 +411,7 @@
   VersionShares Result;
   if (const auto Uncompleted = UncompletedVersions.find(Service);
       Uncompleted != UncompletedVersions.end())
-    for (const auto &[Version, Offset] : Uncompleted->second)
+    for (const auto &[Version, Position] : Uncompleted->second)
       Result.Excluded.insert(Version);
   if (const auto Unread = UnreadOrders.find(Service);
       Unread != UnreadOrders.end() &&
@@ -417,11 +473,11 @@
   std::vector<MoveReport> All;
   for (const auto &[Service, Move] : Moves)
     All.push_back(
-        {Service, Move.Order.NewVersion, Move.Order.OrderOffset, Move.Phase,
+        {Service, Move.Order.NewVersion, Move.Order.OrderPosition, Move.Phase,
          std::chrono::duration_cast<core::Milliseconds>(Now - Move.StartedAt)});
   for (const auto &[Service, Versions] : UncompletedVersions)
-    for (const auto &[Version, Offset] : Versions)
-      All.push_back({Service, Version, Offset, MovePhase::RolledBack,
+    for (const auto &[Version, Position] : Versions)
+      All.push_back({Service, Version, Position, MovePhase::RolledBack,
                      core::Milliseconds(0)});
   return All;
 }
--- a/lib/decision/mesh/RecordLag.cpp
+++ b/lib/decision/mesh/RecordLag.cpp
@@ -10,16 +10,16 @@
 
 } // namespace
 
-void RecordLag::note(core::LogOffset Position, core::LogOffset Own,
+void RecordLag::note(const StorePosition &Position, const StorePosition &Own,
                      core::TimePoint Now) {
-  if (Position <= Own || Known.size() >= MaximumKnown ||
-      (!Known.empty() && Position <= Known.back().Position))
+  if (!isLater(Position, Own) || Known.size() >= MaximumKnown ||
+      (!Known.empty() && !isLater(Position, Known.back().Position)))
     return;
   Known.push_back({Position, Now});
 }
 
-void RecordLag::reach(core::LogOffset Own) {
-  while (!Known.empty() && Known.front().Position <= Own)
+void RecordLag::reach(const StorePosition &Own) {
+  while (!Known.empty() && !isLater(Known.front().Position, Own))
     Known.pop_front();
 }
 
--- a/lib/decision/mesh/ReduceHosts.cpp
+++ b/lib/decision/mesh/ReduceHosts.cpp
@@ -21,6 +21,16 @@
 /// Time in which a follower reads a change and reports it: it waits 700 ms
 /// between two reads.
 constexpr core::Milliseconds NoticeTime{1000};
+/// Interval at which records that differ are fetched from one node again.
+constexpr core::Milliseconds LostFetchInterval{2000};
+/// After a restore, difference between the times at which two nodes of a data
+/// centre read the list, and the latest of them. A change has to be in force
+/// 2.5 s after its acknowledgement.
+constexpr core::Milliseconds ListReadStagger{250};
+constexpr core::Milliseconds MaximumListReadDelay{2000};
+/// Time between the reports that two nodes write again: 200 a second, half of
+/// what the smallest store takes.
+constexpr core::Milliseconds RepublishInterval{5};
 constexpr const char *FollowTask = "follow-store";
 constexpr const char *WatchTask = "watch-store";
 /// Time for which a node that shuts down keeps serving other nodes. Its target
@@ -41,7 +51,7 @@
     return;
   State.Lag.note(Report.Position, State.Position, Now);
   for (const MoveReport &Move : Report.Moves)
-    State.Moves.applyReport(Move, Now);
+    State.Moves.applyReport(Move, Now, State.Position.era());
   recordPeerExit(Report);
   recordSuspects(Report);
   if (Report.RecipientDeparted && adoptDeparture(*Report.RecipientDeparted) &&
@@ -119,14 +129,18 @@
 
 void Reduction::operator()(const EvacuationOrdered &Order) {
   const auto Known = State.Evacuations.find(Order.DataCentre);
+  if (Known != State.Evacuations.end() && Order.Renumbered) {
+    Known->second.OrderPosition = Order.OrderPosition;
+    return;
+  }
   if (Known != State.Evacuations.end() &&
-      Known->second.OrderOffset >= Order.OrderOffset)
+      Known->second.OrderPosition >= Order.OrderPosition)
     return;
   State.Evacuations.insert_or_assign(Order.DataCentre, Order);
   log(observe::EventId::MeshEvacuationOrdered,
       fmt::format("data_centre={} active={} offset={}",
                   Order.DataCentre.value(), Order.Active,
-                  Order.OrderOffset.value()));
+                  Order.OrderPosition.offset().value()));
   // Requests that run end in order; those that wait would reach the target
   // after the evacuation.
   if (Order.Active && Order.DataCentre == State.Settings.DataCentre)
@@ -169,7 +183,8 @@
 }
 
 void Reduction::operator()(const PositionReached &Reached) {
-  if (Reached.Position <= State.Position)
+  recordLost(Reached);
+  if (!isLater(Reached.Position, State.Position))
     return;
   State.Position = Reached.Position;
   State.Lag.reach(State.Position);
@@ -178,16 +193,73 @@
   reportPosition();
 }
 
+void Reduction::recordLost(const PositionReached &Reached) {
+  if (Reached.LostDigest == State.LostDigest)
+    return;
+  State.LostRecords = Reached.LostRecords;
+  State.LostDigest = Reached.LostDigest;
+  const bool Any = State.LostRecords > 0;
+  if (!Any)
+    State.LostSince.reset();
+  else if (!State.LostSince)
+    State.LostSince = Now;
+  log(Any ? observe::EventId::MeshRecordsLost
+          : observe::EventId::MeshRecordsBack,
+      fmt::format("records={} era={} position={}", State.LostRecords,
+                  Reached.Position.era().value(),
+                  Reached.Position.offset().value()));
+}
+
+/// The first nodes of the data centre read the list at once; the others wait
+/// for what they find, so that a restore doesn't make the whole fleet read it.
+void Reduction::operator()(const StoreRestored &Restored) {
+  if (Restored.Era <= State.Era)
+    return;
+  State.Era = Restored.Era;
+  log(observe::EventId::MeshStoreRestored,
+      fmt::format("era={} read_era={} position={}", Restored.Era.value(),
+                  State.Position.era().value(),
+                  State.Position.offset().value()));
+  const std::size_t Rank = localFollowRank();
+  const core::Milliseconds ListDelay =
+      Rank < StoreFollowersPerDataCentre
+          ? core::Milliseconds(0)
+          : std::min(ListReadStagger * static_cast<int>(Rank),
+                     MaximumListReadDelay);
+  const core::Milliseconds Spread =
+      RepublishInterval * static_cast<int>(State.Hosts.hosts().size() + 1);
+  State.PublishNotBefore =
+      Now + core::Milliseconds(State.RandomSource.below(
+                static_cast<std::uint64_t>(Spread.count())));
+  Produced.emplace_back(
+      RecoverFromRestore{Now + ListDelay, State.PublishNotBefore});
+  rewriteMoveStates();
+}
+
+/// Rank of this node among those of its data centre that may follow the store,
+/// whether or not they reach it now.
+std::size_t Reduction::localFollowRank() const {
+  const std::uint64_t LocalScore =
+      core::rendezvousScore(FollowTask, State.Settings.Node.value());
+  return static_cast<std::size_t>(
+      std::ranges::count_if(State.Hosts.hosts(), [&](const auto &Entry) {
+        const auto &[Node, Host] = Entry;
+        return Host.HostDistance == Distance::SameDataCentre &&
+               !Host.Report.Leaving && !State.Hosts.isSuspect(Host, Now) &&
+               core::rendezvousScore(FollowTask, Node.value()) > LocalScore;
+      }));
+}
+
 void Reduction::operator()(const StoreReachabilityChanged &Change) {
   if (State.StoreReachable == Change.Reachable)
     return;
   State.StoreReachable = Change.Reachable;
   log(Change.Reachable ? observe::EventId::MeshStoreReachable
                        : observe::EventId::MeshStoreUnreachable,
-      fmt::format("position={}", State.Position.value()));
+      fmt::format("position={}", State.Position.offset().value()));
   // A new node publishes once its target is known, so that one write covers
   // both; `MeshProcess` publishes later if no target announces itself.
-  if (Change.Reachable)
+  if (Change.Reachable && Now >= State.PublishNotBefore)
     Produced.emplace_back(PublishReport{makeHostReport(State, Now)});
   // When this node loses the store, another one has to follow it.
   if (!Change.Reachable)
@@ -282,13 +354,26 @@
   reportTo(std::move(Addresses));
 }
 
+/// At the same position, another node may have records that the store has lost,
+/// know that a record of the store is an older one, or have read the removal of
+/// a record that this node takes for lost. What was fetched is not fetched
+/// again soon: entries may have changed on the way.
+bool Reduction::hasMissingRecords(const KnownHost &Host) const {
+  const HostReport &Report = Host.Report;
+  if (isLater(Report.Position, State.Position))
+    return true;
+  return Report.Position == State.Position &&
+         Report.LostRecords != State.LostDigest &&
+         (Report.LostRecords != State.FetchedDigest ||
+          Now - State.LastFetchAt >= LostFetchInterval);
+}
+
 /// Records usually arrive over the node's own store connection first. When it
 /// is cut or silent, they are fetched from another node.
 void Reduction::fetchMissingRecords() {
   std::vector<const KnownHost *> Nearest;
   for (const auto &[Node, Host] : State.Hosts.hosts()) {
-    if (Host.Report.Position <= State.Position ||
-        State.Hosts.isSuspect(Host, Now))
+    if (!hasMissingRecords(Host) || State.Hosts.isSuspect(Host, Now))
       continue;
     if (!Nearest.empty() && Host.HostDistance < Nearest.front()->HostDistance)
       Nearest.clear();
@@ -310,6 +395,7 @@
       (WithinDataCentre ? LocalFetchDelay : RemoteFetchDelay))
     return;
   State.LastFetchAt = Now;
+  State.FetchedDigest = Ahead->Report.LostRecords;
   Produced.emplace_back(FetchRecords{Ahead->Report.Address});
 }
 
@@ -329,7 +415,7 @@
     if (Host.FromStoreOnly || Host.LastReportAt < Missing->ReportedAt)
       continue;
     ++Reporting;
-    Having += Host.Report.Position >= Missing->Position ? 1 : 0;
+    Having += isLater(Missing->Position, Host.Report.Position) ? 0 : 1;
   }
   return 2 * Having > Reporting;
 }
@@ -341,8 +427,9 @@
   State.Outdated = Outdated;
   log(Outdated ? observe::EventId::MeshConfigurationOutdated
                : observe::EventId::MeshConfigurationCurrent,
-      fmt::format("position={} missing={}", State.Position.value(),
-                  Outdated ? State.Lag.oldest()->Position.value() : 0));
+      fmt::format("position={} missing={}", State.Position.offset().value(),
+                  Outdated ? State.Lag.oldest()->Position.offset().value()
+                           : 0));
   updateReadiness();
 }
 
@@ -352,7 +439,7 @@
   std::vector<std::string> Recipients;
   std::map<core::DataCentreId, std::vector<std::string>> RemoteAddresses;
   for (const auto &[Node, Host] : State.Hosts.hosts()) {
-    if (Host.Report.Position >= State.Position)
+    if (!isLater(State.Position, Host.Report.Position))
       continue;
     if (Host.HostDistance == Distance::SameDataCentre)
       Recipients.push_back(Host.Report.Address);
--- a/lib/decision/mesh/ReduceMoves.cpp
+++ b/lib/decision/mesh/ReduceMoves.cpp
@@ -20,6 +20,23 @@
 /// Nodes that sum up the evidence of the whole fleet on a move: two, so that
 /// one may fail or be cut off.
 constexpr std::size_t MoveReviewers = 2;
+/// Nodes that write the end of a move again after a restore: any two of them
+/// may end before their turn.
+constexpr std::size_t MoveStateWriters = 3;
+
+std::string_view nameOf(MovePhase Phase) {
+  switch (Phase) {
+  case MovePhase::Running:
+    return "in_progress";
+  case MovePhase::Rejected:
+    return "rejected";
+  case MovePhase::Completed:
+    return "completed";
+  case MovePhase::RolledBack:
+    return "rolled_back";
+  }
+  return "unknown";
+}
 
 } // namespace
 
@@ -46,7 +63,7 @@
   log(observe::EventId::MeshMoveOrdered,
       fmt::format("service={} to={} duration_ms={} order={} old={}",
                   Order.Service.value(), Order.NewVersion.value(),
-                  Order.Duration.count(), Order.OrderOffset.value(),
+                  Order.Duration.count(), Order.OrderPosition.offset().value(),
                   Order.FromHistory));
   // The first state adds nothing to the order, so that one writer suffices.
   if (!Order.FromHistory && rankFor(Order.Service.value()) == 0)
@@ -62,16 +79,39 @@
   if (Pending != State.PendingMoveWrites.end() && Pending->second.Phase &&
       *Pending->second.Phase <= Stored.Phase)
     Pending->second.Phase.reset();
+  recordOtherEnd(Stored, Found->second);
   if (!State.Moves.advance(Stored.Service, Stored.Phase, ""))
     return;
   log(observe::EventId::MeshMoveEnded,
       fmt::format("service={} to={} phase={}", Stored.Service.value(),
-                  Stored.NewVersion.value(),
-                  Stored.Phase == MovePhase::Completed ? "completed"
-                                                       : "rolled_back"));
+                  Stored.NewVersion.value(), nameOf(Stored.Phase)));
   reportToAll();
 }
 
+/// Two ends can be written when a restore loses the first one; the operator may
+/// have acted on either, so that none is overwritten.
+void Reduction::recordOtherEnd(const MoveStateRead &Stored,
+                               const TrackedMove &Move) {
+  if (!Move.ended() || Stored.Phase < MovePhase::Completed ||
+      Stored.Phase == Move.Phase)
+    return;
+  State.PendingMoveWrites.erase(Stored.Service);
+  log(observe::EventId::MeshMoveEndsDiffer,
+      fmt::format("service={} to={} stored={} in_force={}",
+                  Stored.Service.value(), Stored.NewVersion.value(),
+                  nameOf(Stored.Phase), nameOf(Move.Phase)));
+}
+
+/// The first nodes by rank write what the store may have lost; each looks first
+/// whether it stands there.
+void Reduction::rewriteMoveStates() {
+  for (const auto &[Service, Move] : State.Moves.moves()) {
+    const std::size_t Writers = Move.ended() ? MoveStateWriters : 1;
+    if (Move.Phase != MovePhase::Rejected && rankFor(Service.value()) < Writers)
+      scheduleMoveWrite(Service, Move.Phase);
+  }
+}
+
 void Reduction::scheduleMoveWrite(const core::ServiceName &Service,
                                   MovePhase Phase) {
   PendingMoveWrite &Pending = State.PendingMoveWrites[Service];
@@ -122,8 +162,7 @@
   }
   if (Move.Phase == MovePhase::Rejected)
     scheduleMoveWrite(Service, MovePhase::RolledBack);
-  if (!Move.ended())
-    writeMoveIfDue(Move);
+  writeMoveIfDue(Move);
 }
 
 /// Faults that a larger share brings out are not diluted by the answers before.
--- a/lib/decision/mesh/Reducer.cpp
+++ b/lib/decision/mesh/Reducer.cpp
@@ -72,6 +72,7 @@
     Report.Target->Load.LinkQueueTime = linkWait(State, Now);
   Report.Departed = State.Departed;
   Report.Position = State.Position;
+  Report.LostRecords = State.LostDigest;
   Report.StoreReachable = State.StoreReachable;
   Report.Moves = State.Moves.reports(Now);
   Report.Suspects = State.Suspects.reports(Now);
--- a/lib/decision/mesh/Reduction.h
+++ b/lib/decision/mesh/Reduction.h
@@ -29,6 +29,7 @@
   void operator()(const StoredReportsRead &Stored);
   void operator()(const RoutingLoaded &Loaded);
   void operator()(const PositionReached &Reached);
+  void operator()(const StoreRestored &Restored);
   void operator()(const MoveOrdered &Order);
   void operator()(const EvacuationOrdered &Order);
   void operator()(const MoveStateRead &Stored);
@@ -154,6 +155,9 @@
   void sendPeriodicReports();
   void reportLeavingIfDue();
   void fetchMissingRecords();
+  bool hasMissingRecords(const KnownHost &Host) const;
+  void recordLost(const PositionReached &Reached);
+  std::size_t localFollowRank() const;
   /// @brief Whether this node has lacked records for too long that most others
   ///        have.
   bool lacksRecords() const;
@@ -169,6 +173,8 @@
   void reportBadAnswers();
   void reviewMove(const TrackedMove &Move);
   void scheduleMoveWrite(const core::ServiceName &Service, MovePhase Phase);
+  void rewriteMoveStates();
+  void recordOtherEnd(const MoveStateRead &Stored, const TrackedMove &Move);
   void writeMoveIfDue(const TrackedMove &Move);
   std::vector<const TargetReport *>
   targetsOf(const core::ServiceName &Service) const;
--- a/lib/io/mesh/MeshProcess.cpp
+++ b/lib/io/mesh/MeshProcess.cpp
@@ -176,11 +176,11 @@
 
 void Process::startStore() {
   StoreFollower::Callbacks Calls;
-  Calls.OnRecord = [this](const OperatorRecord &Record, bool History) {
-    takeRecord(Record, History);
-  };
-  Calls.OnPosition = [this](core::LogOffset Position) {
-    handle(decide::PositionReached{Position});
+  Calls.OnRecord = [this](const decide::RecordSet::Change &Change,
+                          bool History) { takeRecord(Change, History); };
+  Calls.OnPosition = [this](const decide::RecordSet &Records) {
+    handle(decide::PositionReached{Records.position(), Records.lostCount(),
+                                   Records.lostDigest()});
   };
   Calls.OnReachable = [this](bool Reachable) {
     handle(decide::StoreReachabilityChanged{Reachable});
@@ -192,24 +192,27 @@
     Figures.count("filbertvane_store_lists_read_total");
     carryOut(observe::LogEvent{
         observe::EventId::MeshRecordListRead,
-        fmt::format("position={} records={} before={}", List.Position.value(),
-                    List.Records.size(), State.Position.value())});
+        fmt::format("era={} position={} records={} before_era={} before={}",
+                    List.Position.era().value(), List.Position.offset().value(),
+                    List.Records.size(), State.Position.era().value(),
+                    State.Position.offset().value())});
   };
   Store.onRestored([this](core::StoreEra Era) {
     Figures.count("filbertvane_store_restores_total");
-    Figures.set("filbertvane_store_era", {}, static_cast<double>(Era.value()));
-    carryOut(observe::LogEvent{observe::EventId::MeshStoreRestored,
-                               fmt::format("era={} position={}", Era.value(),
-                                           State.Position.value())});
+    handle(decide::StoreRestored{Era});
   });
   Calls.OnOverdue = [this](core::Milliseconds Hold) {
     carryOut(
         observe::LogEvent{observe::EventId::MeshStoreReadOverdue,
                           fmt::format("hold_ms={} position={}", Hold.count(),
-                                      State.Position.value())});
+                                      State.Position.offset().value())});
   };
   Follower = std::make_unique<StoreFollower>(
-      Loop, Store, State.Settings.RandomSeed, std::move(Calls));
+      Loop, Store, State.Settings.RandomSeed,
+      [this](const OperatorRecord &Record) {
+        return Surroundings->versionOf(Record);
+      },
+      std::move(Calls));
   Follower->start();
 }
 
@@ -317,7 +320,7 @@
                                  std::chrono::duration_cast<core::Milliseconds>(
                                      Loop.now().Mono - Begin)
                                      .count())});
-               const auto Read = wire::decodeOperatorRecords(Body);
+               const auto Read = wire::decodeRecordEntries(Body);
                if (core::ok(Read))
                  Follower->adopt(core::value(Read));
                else
@@ -331,6 +334,14 @@
   Follower->follow(What.Follow);
 }
 
+void Process::carryOut(const decide::RecoverFromRestore &Plan) {
+  Follower->readListAt(Plan.ReadListAt);
+  // What was published may be lost; `readStoreInTurn` publishes it again, and
+  // then reads the hosts that did so as well.
+  HostPublished = false;
+  HostsReadAt = Plan.PublishAt - LonelyReadPeriod;
+}
+
 void Process::carryOut(const decide::SetReadHold &Change) {
   Follower->setHold(Change.Hold);
 }
@@ -396,13 +407,16 @@
   handle(decide::ReportReceived{core::value(Read)});
 }
 
-void Process::takeRecord(const OperatorRecord &Record, bool History) {
+void Process::takeRecord(const decide::RecordSet::Change &Change,
+                         bool History) {
+  const OperatorRecord &Record = Change.Record;
   const auto Read = Surroundings->decode(Record);
   if (!core::ok(Read)) {
-    carryOut(observe::LogEvent{
-        observe::EventId::MeshRoutingRejected,
-        fmt::format("key={} offset={} {}", Record.Key, Record.Offset.value(),
-                    core::toString(core::failure(Read)))});
+    carryOut(
+        observe::LogEvent{observe::EventId::MeshRoutingRejected,
+                          fmt::format("key={} offset={} {}", Record.Key,
+                                      Record.Position.offset().value(),
+                                      core::toString(core::failure(Read)))});
     return;
   }
   const std::optional<OperatorOrder> &Order = core::value(Read);
@@ -416,23 +430,29 @@
         std::make_shared<const config::RoutingTable>(*Routing)});
     return;
   }
-  if (const auto *Evacuation = std::get_if<decide::EvacuationOrdered>(&*Order))
-    return handle(*Evacuation);
+  if (const auto *Evacuation =
+          std::get_if<decide::EvacuationOrdered>(&*Order)) {
+    auto Ordered = *Evacuation;
+    Ordered.Renumbered = Change.Renumbered;
+    return handle(Ordered);
+  }
   auto Move = std::get<decide::MoveOrdered>(*Order);
   Move.FromHistory = History;
+  Move.SeenAt = Change.SeenAt;
+  Move.Renumbered = Change.Renumbered;
   handle(Move);
   // An order of unknown age may have ended long ago.
-  if (History && !MovesWanted) {
+  if (History && !Change.Renumbered && !MovesWanted) {
     MovesWanted = true;
     readMoves();
   }
 }
 
 const std::string &Process::encodedRecords() {
-  const OperatorRecords Known = Follower->known();
-  if (EncodedRecords.empty() || EncodedPosition != Known.Position) {
-    EncodedRecords = wire::encode(Known);
-    EncodedPosition = Known.Position;
+  const decide::RecordSet &Known = Follower->known();
+  if (EncodedRecords.empty() || EncodedRevision != Known.revision()) {
+    EncodedRecords = wire::encode(Known.entries());
+    EncodedRevision = Known.revision();
   }
   return EncodedRecords;
 }
--- a/lib/io/mesh/MeshProcessImpl.h
+++ b/lib/io/mesh/MeshProcessImpl.h
@@ -48,6 +48,7 @@
   void carryOut(const decide::FetchRecords &What);
   void carryOut(const decide::FollowStore &What);
   void carryOut(const decide::SetReadHold &Change);
+  void carryOut(const decide::RecoverFromRestore &Plan);
   void carryOut(const decide::ReadinessChanged &What);
   void carryOut(const decide::SendQuota &Outgoing);
   void carryOut(const observe::LogEvent &What);
@@ -58,7 +59,7 @@
   SmallAnswer announced(const RequestHead &Head, const std::string &Body);
   void takeReport(std::string_view Datagram);
   void takeQuotaMessage(std::string_view Datagram);
-  void takeRecord(const OperatorRecord &Record, bool History);
+  void takeRecord(const decide::RecordSet::Change &Change, bool History);
   const std::string &encodedRecords();
   void readHosts();
   void hostsRead(const core::Result<std::vector<std::string>> &Read);
@@ -102,9 +103,9 @@
   /// Fetches of other nodes' records under way.
   std::size_t Fetches = 0;
   core::TimePoint NextFetchAt;
-  /// Records as other nodes get them, encoded once for each position.
+  /// Records as other nodes get them, encoded once for each change.
   std::string EncodedRecords;
-  core::LogOffset EncodedPosition;
+  std::uint64_t EncodedRevision = 0;
   /// A move of unknown age is known; the store may hold its end.
   bool MovesWanted = false;
   core::TimePoint MovesReadAt;
--- a/lib/io/mesh/StoreFollower.cpp
+++ b/lib/io/mesh/StoreFollower.cpp
@@ -1,7 +1,6 @@
 #include "StoreFollower.h"
 #include "filbertvane/decision/mesh/Limits.h"
 #include <algorithm>
-#include <set>
 
 namespace filbertvane::io::mesh {
 
@@ -25,10 +24,11 @@
 } // namespace
 
 StoreFollower::StoreFollower(EventLoop &Loop, SharedStore &Store,
-                             std::uint64_t Seed, Callbacks Calls)
+                             std::uint64_t Seed, RecordSet::VersionOf Version,
+                             Callbacks Calls)
     : Loop(Loop), Store(Store), Calls(std::move(Calls)), Source(Seed),
       Next(Loop, [this] { read(); }), Overdue(Loop, [this] { repeatRead(); }),
-      Hold(decision::mesh::LongReadHold) {}
+      Hold(decision::mesh::LongReadHold), Records(std::move(Version)) {}
 
 void StoreFollower::start() {
   later(core::Milliseconds(Source.below(StartSpreadMs)));
@@ -78,6 +78,7 @@
 
 void StoreFollower::readNewest() {
   Reading = true;
+  ReadsList = true;
   ReadSentAt = Loop.now().Mono;
   Store.readNewest(
       [this](const core::Result<OperatorRecords> &Read) { take(Read, true); });
@@ -85,12 +86,13 @@
 
 void StoreFollower::readNext(core::Milliseconds Wait) {
   Reading = true;
+  ReadsList = false;
   ReadSentAt = Loop.now().Mono;
   CurrentHold = Wait;
   if (Wait.count() > 0)
     Overdue.arm(ReadSentAt + Wait + OverdueTime);
   Store.readFrom(
-      Position, Wait,
+      Records.position(), Wait,
       [this](const core::Result<OperatorRecords> &Read) { take(Read, false); });
 }
 
@@ -111,13 +113,12 @@
   setReachable(true);
   Failures = 0;
   HasBase = true;
-  const bool Empty = core::value(Read).Records.empty();
+  const OperatorRecords &Got = core::value(Read);
   if (Newest && Calls.OnListRead)
-    Calls.OnListRead(core::value(Read));
-  if (Newest)
-    applyRemovals(core::value(Read));
-  apply(core::value(Read), Newest && Position.value() == 0);
-  later(Newest || Empty ? core::Microseconds(0) : ReadGap);
+    Calls.OnListRead(Got);
+  update(
+      [&] { return Newest ? Records.applyList(Got) : Records.applyLog(Got); });
+  later(Newest || Got.Records.empty() ? core::Microseconds(0) : ReadGap);
 }
 
 void StoreFollower::takeFault(const core::Error &Why) {
@@ -125,6 +126,8 @@
     HasBase = false;
     return later(core::Microseconds(0));
   }
+  if (Why.Code == core::ErrorCode::StoreRestored)
+    return takeNewEra();
   Calls.OnFault(Why);
   setReachable(false);
   const int Doublings = std::min(Failures++, 10);
@@ -146,45 +149,38 @@
   Calls.OnReachable(Now);
 }
 
-/// A list of the newest records doesn't tell which keys were removed. A key
-/// that is absent was removed at the latest by the last record before the
-/// list's position.
-void StoreFollower::applyRemovals(const OperatorRecords &All) {
-  std::set<std::string> Listed;
-  for (const OperatorRecord &Record : All.Records)
-    Listed.insert(Record.Key);
-  std::vector<std::string> Removed;
-  for (const auto &[Key, Record] : Records)
-    if (!Listed.contains(Key) && !Record.Value.empty() &&
-        Record.Offset < All.Position)
-      Removed.push_back(Key);
-  for (const std::string &Key : Removed) {
-    const OperatorRecord Removal{Key, core::LogOffset(All.Position.value() - 1),
-                                 ""};
-    Records.insert_or_assign(Key, Removal);
-    Calls.OnRecord(Removal, false);
-  }
+/// The store answered, and its offsets are not those that were read before.
+void StoreFollower::takeNewEra() {
+  HasBase = false;
+  Failures = 0;
+  setReachable(true);
+  later(std::max(core::Microseconds(0), ListNotBefore - Loop.now().Mono));
 }
 
-void StoreFollower::apply(const OperatorRecords &What, bool History) {
-  for (const OperatorRecord &Record : What.Records) {
-    const auto Found = Records.find(Record.Key);
-    if (Found != Records.end() && Found->second.Offset >= Record.Offset)
-      continue;
-    Records.insert_or_assign(Record.Key, Record);
-    Calls.OnRecord(Record, History);
-  }
-  if (What.Position <= Position)
+void StoreFollower::readListAt(core::TimePoint Time) {
+  ListNotBefore = Time;
+  if (Reading && ReadsList)
     return;
-  Position = What.Position;
-  Calls.OnPosition(Position);
+  abandonRead();
+  HasBase = false;
+  later(std::max(core::Microseconds(0), Time - Loop.now().Mono));
 }
 
-void StoreFollower::adopt(const OperatorRecords &What) {
-  const bool Behind = What.Position > Position;
-  if (Behind)
-    applyRemovals(What);
-  apply(What, Position.value() == 0);
+/// Applies a change to the records and tells what it changed.
+template <typename Apply> void StoreFollower::update(Apply Change) {
+  const bool First = Records.position() == StorePosition();
+  const std::uint64_t Before = Records.revision();
+  const RecordSet::Changes Changed = Change();
+  for (const RecordSet::Change &Each : Changed)
+    Calls.OnRecord(Each, First || Each.Record.Position.era() !=
+                                      Records.position().era());
+  if (Records.revision() != Before)
+    Calls.OnPosition(Records);
+}
+
+void StoreFollower::adopt(const RecordEntries &Other) {
+  const bool Behind = isLater(Other.Position, Records.position());
+  update([&] { return Records.merge(Other); });
   if (!Behind)
     return;
   HasBase = true;
@@ -195,12 +191,4 @@
   }
 }
 
-OperatorRecords StoreFollower::known() const {
-  OperatorRecords All;
-  All.Position = Position;
-  for (const auto &[Key, Record] : Records)
-    All.Records.push_back(Record);
-  return All;
-}
-
 } // namespace filbertvane::io::mesh
--- a/lib/io/mesh/StoreFollower.h
+++ b/lib/io/mesh/StoreFollower.h
@@ -4,21 +4,24 @@
 #include "filbertvane/core/Random.h"
 #include "filbertvane/io/EventLoop.h"
 #include "filbertvane/io/mesh/Environment.h"
-#include <map>
 
 namespace filbertvane::io::mesh {
 
 /// @brief Keeps the operators' records of the store current.
 ///
-/// The newest record of each key counts; records may come from the store and
-/// from other nodes in any order.
+/// Records may come from the store and from other nodes in any order;
+/// `RecordSet` decides which of them are in force.
 class StoreFollower {
 public:
+  using RecordSet = decision::mesh::RecordSet;
+
   struct Callbacks {
-    /// A record that is newer than the known one of its key. `History` is set
-    /// for records that were in the store before this process began to read.
-    std::function<void(const OperatorRecord &, bool History)> OnRecord;
-    std::function<void(core::LogOffset)> OnPosition;
+    /// The record of a key that is in force has changed. `History` is set for
+    /// records of unknown age: they were written before this process began to
+    /// read, or before the store was restored.
+    std::function<void(const RecordSet::Change &, bool History)> OnRecord;
+    /// The position, or the records that the store has lost, have changed.
+    std::function<void(const RecordSet &)> OnPosition;
     std::function<void(bool Reachable)> OnReachable;
     std::function<void(const core::Error &)> OnFault;
     /// The list of newest records was read, before it is applied.
@@ -28,17 +31,19 @@
   };
 
   StoreFollower(EventLoop &Loop, SharedStore &Store, std::uint64_t Seed,
-                Callbacks Calls);
+                RecordSet::VersionOf Version, Callbacks Calls);
 
   void start();
   /// @brief Follows the store, or leaves that to other nodes.
   void follow(bool Now);
   /// @brief Sets the longest time for which the store may hold a read back.
   void setHold(core::Milliseconds Longest);
-  /// @brief Takes records that another node read.
-  void adopt(const OperatorRecords &What);
-  /// @brief All records known, for another node.
-  OperatorRecords known() const;
+  /// @brief Reads the list of newest records of a restored store at a time,
+  ///        unless another node has brought them before.
+  void readListAt(core::TimePoint Time);
+  /// @brief Takes the records of another node.
+  void adopt(const RecordEntries &Other);
+  const RecordSet &known() const { return Records; }
 
 private:
   void read();
@@ -48,8 +53,8 @@
   void abandonRead();
   void take(const core::Result<OperatorRecords> &Read, bool Newest);
   void takeFault(const core::Error &Why);
-  void apply(const OperatorRecords &What, bool History);
-  void applyRemovals(const OperatorRecords &All);
+  void takeNewEra();
+  template <typename Apply> void update(Apply Change);
   void later(core::Microseconds After);
   void setReachable(bool Now);
 
@@ -65,11 +70,14 @@
   core::TimePoint ReadSentAt;
   bool HasBase = false;
   bool Reading = false;
+  /// The read under way is one of the list.
+  bool ReadsList = false;
   bool Following = true;
   std::optional<bool> Reachable;
   int Failures = 0;
-  core::LogOffset Position;
-  std::map<std::string, OperatorRecord> Records;
+  /// Time before which the list of a restored store is not read.
+  core::TimePoint ListNotBefore;
+  RecordSet Records;
 };
 
 } // namespace filbertvane::io::mesh
--- a/lib/wire/HostReportCodec.cpp
+++ b/lib/wire/HostReportCodec.cpp
@@ -11,6 +11,14 @@
 
 namespace {
 
+std::int64_t offsetOf(const mesh::StorePosition &Position) {
+  return static_cast<std::int64_t>(Position.offset().value());
+}
+
+std::int64_t eraOf(const mesh::StorePosition &Position) {
+  return static_cast<std::int64_t>(Position.era().value());
+}
+
 std::vector<std::int32_t> toThrift(const mesh::AnswerTimes &Times) {
   const auto &Buckets = Times.buckets();
   std::vector<std::int32_t> Out(Buckets.begin(), Buckets.end());
@@ -57,7 +65,9 @@
   gen::MoveReport Out;
   Out.serviceName = Move.Service.value();
   Out.toVersion = Move.NewVersion.value();
-  Out.order = static_cast<std::int64_t>(Move.OrderOffset.value());
+  Out.order = offsetOf(Move.OrderPosition);
+  if (Move.OrderPosition.era().value() > 0)
+    Out.__set_orderEra(eraOf(Move.OrderPosition));
   Out.phase = static_cast<std::int8_t>(Move.Phase);
   Out.elapsedMs = Move.Elapsed.count();
   return Out;
@@ -116,6 +126,11 @@
   return static_cast<std::uint32_t>(std::max(Number, 0));
 }
 
+/// Fields that were not sent are 0.
+mesh::StorePosition positionOf(std::int64_t Era, std::int64_t Offset) {
+  return {core::StoreEra(count(Era)), core::LogOffset(count(Offset))};
+}
+
 mesh::AnswerTimes fromThrift(const std::vector<std::int32_t> &Counts) {
   mesh::AnswerTimes::Buckets Buckets{};
   for (std::size_t I = 0; I < std::min(Counts.size(), Buckets.size()); ++I)
@@ -207,7 +222,12 @@
     Out.__set_left(toThrift(*Report.Departed));
   if (Report.RecipientDeparted)
     Out.__set_recipientLeft(toThrift(*Report.RecipientDeparted));
-  Out.position = static_cast<std::int64_t>(Report.Position.value());
+  Out.position = offsetOf(Report.Position);
+  if (Report.Position.era().value() > 0)
+    Out.__set_era(eraOf(Report.Position));
+  if (Report.LostRecords != core::Digest())
+    Out.__set_lostRecords(
+        static_cast<std::int64_t>(Report.LostRecords.value()));
   Out.storeReachable = Report.StoreReachable;
   for (const mesh::MoveReport &Move : Report.Moves)
     Out.moves.push_back(toThrift(Move));
@@ -241,12 +261,13 @@
     Report.Departed = fromThrift(In.left);
   if (In.__isset.recipientLeft)
     Report.RecipientDeparted = fromThrift(In.recipientLeft);
-  Report.Position = core::LogOffset(count(In.position));
+  Report.Position = positionOf(In.era, In.position);
+  Report.LostRecords = core::Digest(static_cast<std::uint64_t>(In.lostRecords));
   Report.StoreReachable = In.storeReachable;
   for (const gen::MoveReport &Move : In.moves)
     Report.Moves.push_back({core::ServiceName(Move.serviceName),
                             core::TargetVersion(Move.toVersion),
-                            core::LogOffset(count(Move.order)),
+                            positionOf(Move.orderEra, Move.order),
                             static_cast<mesh::MovePhase>(Move.phase),
                             millis(Move.elapsedMs)});
   for (const gen::SuspectRequest &Suspect : In.suspects)
@@ -254,21 +275,28 @@
   return Report;
 }
 
-std::string encode(const io::mesh::OperatorRecords &Records) {
+std::string encode(const mesh::RecordEntries &Entries) {
   gen::OperatorRecords Out;
-  Out.position = static_cast<std::int64_t>(Records.Position.value());
-  for (const io::mesh::OperatorRecord &Each : Records.Records) {
+  Out.position = offsetOf(Entries.Position);
+  Out.__set_era(eraOf(Entries.Position));
+  for (const mesh::RecordEntry &Each : Entries.Entries) {
     gen::OperatorRecord Record;
-    Record.key = Each.Key;
-    Record.offset = static_cast<std::int64_t>(Each.Offset.value());
-    Record.value = Each.Value;
+    Record.key = Each.Record.Key;
+    Record.offset = offsetOf(Each.Record.Position);
+    Record.value = Each.Record.Value;
+    Record.__set_era(eraOf(Each.Record.Position));
+    if (Each.SeenAt != Each.Record.Position) {
+      Record.__set_seenOffset(offsetOf(Each.SeenAt));
+      Record.__set_seenEra(eraOf(Each.SeenAt));
+    }
+    if (Each.Superseded)
+      Record.__set_superseded(true);
     Out.records.push_back(std::move(Record));
   }
   return compressed(toCompact(Out));
 }
 
-core::Result<io::mesh::OperatorRecords>
-decodeOperatorRecords(std::string_view Bytes) {
+core::Result<mesh::RecordEntries> decodeRecordEntries(std::string_view Bytes) {
   const auto Plain = uncompressed(Bytes);
   if (!core::ok(Plain))
     return core::failure(Plain);
@@ -276,11 +304,17 @@
       fromCompact<gen::OperatorRecords>(core::value(Plain), MaxRecordsBytes);
   if (!core::ok(Decoded))
     return core::failure(Decoded);
-  io::mesh::OperatorRecords Out;
-  Out.Position = core::LogOffset(count(core::value(Decoded).position));
-  for (const gen::OperatorRecord &Each : core::value(Decoded).records)
-    Out.Records.push_back(
-        {Each.key, core::LogOffset(count(Each.offset)), Each.value});
+  const gen::OperatorRecords &In = core::value(Decoded);
+  mesh::RecordEntries Out;
+  Out.Position = positionOf(In.era, In.position);
+  for (const gen::OperatorRecord &Each : In.records) {
+    const mesh::StorePosition Written = positionOf(Each.era, Each.offset);
+    Out.Entries.push_back({{Each.key, Written, Each.value},
+                           Each.__isset.seenOffset
+                               ? positionOf(Each.seenEra, Each.seenOffset)
+                               : Written,
+                           Each.superseded});
+  }
   return Out;
 }
 
--- a/tests/mesh/ColdTargetTest.cpp
+++ b/tests/mesh/ColdTargetTest.cpp
@@ -87,9 +87,9 @@
   Node.configure(coldRouting());
   Node.announceCold(1, milliseconds(0));
   const core::DataCentreId Own("dc1");
-  Node.send(EvacuationOrdered{Own, true, core::LogOffset(5)});
+  Node.send(EvacuationOrdered{Own, true, position(5)});
   cr_assert(Node.sendFor(milliseconds(1000)) == 0);
-  Node.send(EvacuationOrdered{Own, false, core::LogOffset(6)});
+  Node.send(EvacuationOrdered{Own, false, position(6)});
   cr_assert(Node.sendFor(milliseconds(1000)) <= ColdPerSecond + 1);
   Node.announceCold(2, milliseconds(0));
   cr_assert(Node.sendFor(milliseconds(1000)) == 100);
--- a/tests/mesh/EvacuationTest.cpp
+++ b/tests/mesh/EvacuationTest.cpp
@@ -10,7 +10,7 @@
 
 EvacuationOrdered order(const std::string &DataCentre, bool Active,
                         std::uint64_t Offset) {
-  return {core::DataCentreId(DataCentre), Active, core::LogOffset(Offset)};
+  return {core::DataCentreId(DataCentre), Active, position(Offset)};
 }
 
 } // namespace
--- a/tests/mesh/ExposureTest.cpp
+++ b/tests/mesh/ExposureTest.cpp
@@ -104,7 +104,7 @@
   Model.slowTarget(0, Terms.OldTargetFactor);
   Model.runUntil(3000);
   const MoveOrdered Order{core::ServiceName("shop"), core::TargetVersion("v2"),
-                          MoveTime, core::LogOffset(5), false};
+                          MoveTime, position(5), false};
   for (std::size_t I = 0; I < Terms.HostsPerVersion; ++I)
     Model.order(I, Order);
   for (std::size_t I = 0; I < Terms.HostsPerVersion; ++I)
--- a/tests/mesh/LocalTargetTest.cpp
+++ b/tests/mesh/LocalTargetTest.cpp
@@ -445,7 +445,7 @@
     Node.configure();
     Node.announce();
     Node.send(MoveOrdered{core::ServiceName("shop"), core::TargetVersion("v1"),
-                          milliseconds(16000), core::LogOffset(5), false});
+                          milliseconds(16000), position(5), false});
     Node.arriveFromPeer(1);
     Node.Now += milliseconds(1000);
     if (CallerLeaves)
@@ -465,14 +465,14 @@
   Node.configure();
   Node.announce(1, false, 1000, "own", 1);
   Node.send(MoveOrdered{core::ServiceName("shop"), core::TargetVersion("v1"),
-                        milliseconds(16000), core::LogOffset(5), false});
+                        milliseconds(16000), position(5), false});
   Node.arriveFromPeer(1);
   cr_assert(Node.first<StartAttempt>().has_value());
   Node.arriveFromPeer(2);
   cr_assert(!Node.first<request::Refuse>());
   HostReport Told = report("n1");
   Told.Moves = {{core::ServiceName("shop"), core::TargetVersion("v1"),
-                 core::LogOffset(5), MovePhase::Rejected, milliseconds(0)}};
+                 position(5), MovePhase::Rejected, milliseconds(0)}};
   Node.send(ReportReceived{Told});
   Node.send(request::Tick{});
   cr_assert(Node.first<request::Refuse>()->Id == core::CallId(2));
@@ -495,7 +495,7 @@
     Node.configure(Routing);
     Node.announce();
     Node.send(MoveOrdered{core::ServiceName("shop"), core::TargetVersion("v1"),
-                          milliseconds(16000), core::LogOffset(5), false});
+                          milliseconds(16000), position(5), false});
     Node.arriveFromPeer(1);
     const auto Started = Node.first<StartAttempt>();
     request::CallArrived Other;
--- a/tests/mesh/MeshBench.h
+++ b/tests/mesh/MeshBench.h
@@ -16,6 +16,11 @@
   return core::TimePoint(milliseconds(Millis));
 }
 
+/// Position in the operators' records; the store was never restored in era 0.
+inline StorePosition position(std::uint64_t Offset, std::uint64_t Era = 0) {
+  return {core::StoreEra(Era), core::LogOffset(Offset)};
+}
+
 /// Creates a route of the service `shop`.
 inline config::HostRoute shopRoute(const std::string &Name, bool Idempotent,
                                    std::uint32_t Rank = 1) {
--- a/tests/mesh/MoveTrackerTest.cpp
+++ b/tests/mesh/MoveTrackerTest.cpp
@@ -9,8 +9,8 @@
 const core::ServiceName Shop("shop");
 
 MoveOrdered order(std::uint64_t Offset = 5, const std::string &To = "v2") {
-  return {Shop, core::TargetVersion(To), milliseconds(16000),
-          core::LogOffset(Offset), false};
+  return {Shop, core::TargetVersion(To), milliseconds(16000), position(Offset),
+          false};
 }
 
 /// Answer times spread evenly around a middle.
@@ -101,13 +101,13 @@
   MoveTracker Restarted;
   Restarted.applyOrder(order(6, "v3"), at(20));
   for (const MoveReport &Report : Running.reports(at(30)))
-    Restarted.applyReport(Report, at(30));
+    Restarted.applyReport(Report, at(30), core::StoreEra());
   cr_assert(Restarted.shares(Shop, at(40))
                 .Excluded.contains(core::TargetVersion("v2")));
   // A later order of the same version is a new attempt.
   Restarted.applyOrder(order(7, "v2"), at(50));
   for (const MoveReport &Report : Running.reports(at(60)))
-    Restarted.applyReport(Report, at(60));
+    Restarted.applyReport(Report, at(60), core::StoreEra());
   const VersionShares Shares = Restarted.shares(Shop, at(70));
   cr_assert(Shares.Candidate == core::TargetVersion("v2"));
   cr_assert(!Shares.Excluded.contains(core::TargetVersion("v2")));
@@ -134,13 +134,13 @@
 Test(move_tracker, the_version_of_an_unread_order_gets_no_requests) {
   MoveTracker Moves;
   const core::TargetVersion New("v2");
-  MoveReport Told{Shop, New, core::LogOffset(5), MovePhase::Running,
+  MoveReport Told{Shop, New, position(5), MovePhase::Running,
                   milliseconds(300)};
-  Moves.applyReport(Told, at(300));
+  Moves.applyReport(Told, at(300), core::StoreEra());
   cr_assert(Moves.shares(Shop, at(300)).Excluded.contains(New));
   // Completed: no other version has targets.
   Told.Phase = MovePhase::Completed;
-  Moves.applyReport(Told, at(400));
+  Moves.applyReport(Told, at(400), core::StoreEra());
   cr_assert(!Moves.shares(Shop, at(400)).Excluded.contains(New));
   Moves.applyOrder(order(5, "v2"), at(500));
   const VersionShares Shares = Moves.shares(Shop, at(500));
@@ -162,9 +162,9 @@
 Test(move_tracker, the_earliest_known_start_counts) {
   MoveTracker Moves;
   Moves.applyOrder(order(), at(10000));
-  Moves.applyReport({Shop, core::TargetVersion("v2"), core::LogOffset(5),
+  Moves.applyReport({Shop, core::TargetVersion("v2"), position(5),
                      MovePhase::Running, milliseconds(9000)},
-                    at(10100));
+                    at(10100), core::StoreEra());
   cr_assert(Moves.shares(Shop, at(10200)).CandidatePermille == 100);
 }
 
--- a/tests/mesh/RecordLagTest.cpp
+++ b/tests/mesh/RecordLagTest.cpp
@@ -13,14 +13,14 @@
     configure();
     announce();
     send(StoreReachabilityChanged{true});
-    send(PositionReached{core::LogOffset(5)});
+    send(PositionReached{position(5)});
     reportFrom(0, 5);
     reportFrom(1, 5);
     reportFrom(2, 5);
   }
   void reportFrom(std::size_t Host, std::uint64_t Position) {
     HostReport Report = report("n" + std::to_string(Host + 1), ++Sequence);
-    Report.Position = core::LogOffset(Position);
+    Report.Position = position(Position);
     send(ReportReceived{Report});
   }
   void pass(std::int64_t Millis) {
@@ -69,7 +69,7 @@
   }
   // It is back with the records.
   {
-    Node.send(PositionReached{core::LogOffset(6)});
+    Node.send(PositionReached{position(6)});
     const auto Change = Node.first<ReadinessChanged>();
     cr_assert(Change && Change->Ready);
     cr_assert(Node.serves());
@@ -98,7 +98,7 @@
       Node.reportFrom(Host, Change);
     Node.pass(300);
     if (Change >= 8)
-      Node.send(PositionReached{core::LogOffset(Change - 2)});
+      Node.send(PositionReached{position(Change - 2)});
     cr_assert(Node.serves(), "%lu", static_cast<unsigned long>(Change));
   }
 }
@@ -126,7 +126,7 @@
     Node.reportFrom(Host, 6);
   Node.pass(1100);
   cr_assert(!Answers());
-  Node.send(PositionReached{core::LogOffset(6)});
+  Node.send(PositionReached{position(6)});
   cr_assert(Answers());
 }
 
--- a/tests/mesh/RecordsTest.cpp
+++ b/tests/mesh/RecordsTest.cpp
@@ -115,7 +115,7 @@
     Node.send(ReportReceived{follower(Name)});
   Node.send(request::Tick{});
   HostReport Ahead = follower(rankedBefore(1)[0], 2);
-  Ahead.Position = core::LogOffset(9);
+  Ahead.Position = position(9);
   Ahead.Address = "10.0.0.77";
   Node.send(ReportReceived{Ahead});
   Node.send(request::Tick{});
@@ -123,8 +123,8 @@
   Node.send(request::Tick{});
   cr_assert(Node.first<FetchRecords>()->PeerAddress == "10.0.0.77");
   // Once it has the records, it notifies hosts that do not.
-  Node.send(PositionReached{core::LogOffset(9)});
-  cr_assert(Node.first<SendReport>()->Report.Position == core::LogOffset(9));
+  Node.send(PositionReached{position(9)});
+  cr_assert(Node.first<SendReport>()->Report.Position == position(9));
   Node.Now += milliseconds(1000);
   Node.send(request::Tick{});
   cr_assert(!Node.first<FetchRecords>());
@@ -138,6 +138,6 @@
   Node.send(StoreReachabilityChanged{true});
   for (int I = 1; I <= 4; ++I)
     Node.send(ReportReceived{report("f" + std::to_string(I), 1, "dc2", "r2")});
-  Node.send(PositionReached{core::LogOffset(3)});
+  Node.send(PositionReached{position(3)});
   cr_assert(Node.first<SendReport>()->Addresses.size() == 2);
 }
--- a/tests/platform/OddEntryTest.cpp
+++ b/tests/platform/OddEntryTest.cpp
@@ -81,12 +81,13 @@
   cr_assert(!core::ok(wire::decodeHostReport(nestedReport())));
   mesh::HostReport Large = meshbench::report("n1");
   Large.Address = "10.0.0.1:99999";
-  Large.Position = core::LogOffset(std::numeric_limits<std::int64_t>::max());
+  Large.Position =
+      meshbench::position(std::numeric_limits<std::int64_t>::max());
   Large.Sequence = std::numeric_limits<std::int64_t>::max();
   Large.Target->Load = {1u << 30, 1u << 30, 1u << 30, milliseconds(1 << 30)};
   Large.Target->RequestsPerSecond = 1e300;
   Large.Moves = {{core::ServiceName("shop"), core::TargetVersion("v2"),
-                  core::LogOffset(1), mesh::MovePhase::Running,
+                  meshbench::position(1), mesh::MovePhase::Running,
                   milliseconds(std::numeric_limits<std::int64_t>::max())}};
   const auto Read = wire::decodeHostReport(wire::encode(Large));
   cr_assert(core::ok(Read));
@@ -94,7 +95,7 @@
   Node.configure();
   Node.send(mesh::MoveOrdered{core::ServiceName("shop"),
                               core::TargetVersion("v2"), core::Seconds(20),
-                              core::LogOffset(1)});
+                              meshbench::position(1)});
   Node.send(mesh::StoredReportsRead{{core::value(Read)}});
   Node.send(mesh::ReportReceived{core::value(Read)});
   Node.send(mesh::ReportReceived{meshbench::report("n2")});
--- a/tests/platform/RecordsTest.cpp
+++ b/tests/platform/RecordsTest.cpp
@@ -173,7 +173,7 @@
     platform::decodeRouting(Bytes);
     platform::decodeAnnouncement("i", Bytes, "10.0.0.1:80");
     platform::decodeMoveState("rollout/s", Bytes);
-    platform::decodeMoveOrder({"rollout/s", core::LogOffset(1), Bytes});
+    platform::decodeMoveOrder({"rollout/s", io::mesh::StorePosition(), Bytes});
   }));
   // The same for configurations with one byte changed.
   cr_assert(rc::check([] {
--- a/tests/platform/StoreFormatTest.cpp
+++ b/tests/platform/StoreFormatTest.cpp
@@ -12,6 +12,16 @@
 
 namespace {
 
+constexpr std::uint64_t Era = 2;
+
+io::mesh::StorePosition position(std::uint64_t Offset) {
+  return {core::StoreEra(Era), core::LogOffset(Offset)};
+}
+
+core::Result<platform::NewestPage> parseNewest(std::string_view Body) {
+  return platform::parseNewest(Body, core::StoreEra(Era));
+}
+
 std::string offsets(std::uint64_t End) {
   std::string Bytes(16, '\0');
   Bytes[7] = static_cast<char>(End);
@@ -24,14 +34,14 @@
 Test(platform_store, a_read_yields_keys_values_and_offsets) {
   const std::string Body = offsets(9) + platform::formatKeyed("config", "abc") +
                            platform::formatKeyed("rollout/s", "");
-  const auto Read = platform::parseRead(Body, core::LogOffset(7));
+  const auto Read = platform::parseRead(Body, position(7));
   cr_assert(core::ok(Read));
   const auto &Records = core::value(Read).Records;
   cr_assert(Records.size() == 2);
   cr_assert(Records[0].Key == "config" && Records[0].Value == "abc");
-  cr_assert(Records[0].Offset == core::LogOffset(7));
-  cr_assert(Records[1].Offset == core::LogOffset(8));
-  cr_assert(core::value(Read).Position == core::LogOffset(9));
+  cr_assert(Records[0].Position == position(7));
+  cr_assert(Records[1].Position == position(8));
+  cr_assert(core::value(Read).Position == position(9));
 }
 
 // Guards against a position that moves past records which were not read.
@@ -39,15 +49,15 @@
   const std::string Body = offsets(9) + platform::formatKeyed("config", "abc");
   for (std::size_t Size = 0; Size < Body.size(); ++Size)
     if (Size != 16)
-      cr_assert(!core::ok(platform::parseRead(Body.substr(0, Size),
-                                              core::LogOffset(7))),
-                "%zu bytes", Size);
+      cr_assert(
+          !core::ok(platform::parseRead(Body.substr(0, Size), position(7))),
+          "%zu bytes", Size);
 }
 
 // Guards against pages that are cut off, and against values in base64 that are
 // off by a byte.
 Test(platform_store, pages_of_newest_records_are_read) {
-  const auto Read = platform::parseNewest(
+  const auto Read = parseNewest(
       R"({"items":[{"key":"a","value":"YQ==","offset":4},
                    {"key":"b","value":"YWJj","offset":6}],
           "more":true,"end":9})");
@@ -55,9 +65,9 @@
   cr_assert(core::value(Read).Items[0].Value == "a");
   cr_assert(core::value(Read).Items[1].Value == "abc");
   cr_assert(core::value(Read).Next == "b");
-  cr_assert(core::value(Read).End == core::LogOffset(9));
-  cr_assert(!core::ok(platform::parseNewest(R"({"items":[]})")));
-  cr_assert(!core::ok(platform::parseNewest(
+  cr_assert(core::value(Read).End == position(9));
+  cr_assert(!core::ok(parseNewest(R"({"items":[]})")));
+  cr_assert(!core::ok(parseNewest(
       R"({"items":[{"key":"a","value":"!","offset":1}],"end":2})")));
 }
 
@@ -74,9 +84,9 @@
 // Guards against a process that ends on bytes of another writer.
 Test(platform_store, any_bytes_are_decoded_or_refused) {
   cr_assert(rc::check([](const std::string &Bytes) {
-    platform::parseNewest(Bytes);
-    platform::parseRead(Bytes, core::LogOffset(0));
-    platform::parseRead(offsets(1) + Bytes, core::LogOffset(0));
+    parseNewest(Bytes);
+    platform::parseRead(Bytes, position(0));
+    platform::parseRead(offsets(1) + Bytes, position(0));
   }));
 }
 
@@ -87,14 +97,14 @@
   constexpr std::size_t MemoryBound = std::size_t{128} * 1024 * 1024;
   const std::string Page = R"({"end":1,"items":)" + std::string(Depth, '[');
   const std::size_t Before = test::peakResidentBytes();
-  cr_expect(!core::ok(platform::parseNewest(Page)));
+  cr_expect(!core::ok(parseNewest(Page)));
   const std::size_t Taken = test::peakResidentBytes() - Before;
   cr_expect(Taken <= MemoryBound, "%zu bytes of memory", Taken);
   // Brackets in a text are no levels.
   const std::string Text =
       R"({"end":1,"items":[{"key":"\"[[[[[[[[[[[[[[[[[[[[",)"
       R"("value":"","offset":0}],"more":false})";
-  cr_expect(core::ok(platform::parseNewest(Text)));
+  cr_expect(core::ok(parseNewest(Text)));
 }
 
 // Guards against a store that always tells of a further page: the pages are
--- a/tests/wire/HostReportCodecTest.cpp
+++ b/tests/wire/HostReportCodecTest.cpp
@@ -9,7 +9,8 @@
   HostReport Report = report("n1", 9);
   Report.Leaving = true;
   Report.StoreReachable = true;
-  Report.Position = core::LogOffset(77);
+  Report.Position = position(77, 3);
+  Report.LostRecords = core::Digest(0xfedcba9876543210);
   Report.Target->FaultPermille = 12;
   Report.Target->Tallies = {
       {core::RouteName("list"), 10, 2,
@@ -18,8 +19,7 @@
   Report.Target->StepTallies = {{core::RouteName("list"), 3, 1, {}, {}}};
   Report.Target->RequestsPerSecond = 12.5;
   Report.Moves = {{core::ServiceName("shop"), core::TargetVersion("v2"),
-                   core::LogOffset(5), MovePhase::Rejected,
-                   milliseconds(1200)}};
+                   position(5, 2), MovePhase::Rejected, milliseconds(1200)}};
   Report.Departed = DepartedTarget{core::TargetId("t-1"), 1700};
   Report.RecipientDeparted = DepartedTarget{core::TargetId("t-2"), 1800};
   const auto Read = wire::decodeHostReport(wire::encode(Report));
@@ -32,18 +32,21 @@
 
 // Guards against operators' records that differ between nodes.
 Test(host_report_codec, records_survive_the_way) {
-  const io::mesh::OperatorRecords Records{
-      core::LogOffset(9),
-      {{"config", core::LogOffset(4), std::string("\0x", 2)}}};
-  cr_assert(core::value(wire::decodeOperatorRecords(wire::encode(Records))) ==
-            Records);
+  const RecordEntries Entries{
+      position(9, 2),
+      {{{"config", position(4, 1), std::string("\0x", 2)},
+        position(7, 2),
+        true},
+       {{"evacuate/z1", position(3, 2), ""}, position(3, 2), false}}};
+  cr_assert(core::value(wire::decodeRecordEntries(wire::encode(Entries))) ==
+            Entries);
 }
 
 // Guards against a process that ends on a datagram of another writer.
 Test(host_report_codec, any_bytes_are_decoded_or_refused) {
   cr_assert(rc::check([](const std::string &Bytes) {
     wire::decodeHostReport(Bytes);
-    wire::decodeOperatorRecords(Bytes);
+    wire::decodeRecordEntries(Bytes);
   }));
   cr_assert(rc::check([] {
     std::string Bytes = wire::encode(report("n1"));
--- a/thrift/filbertvane.thrift
+++ b/thrift/filbertvane.thrift
@@ -134,7 +134,8 @@
   13: list<RouteTally> stepTallies
 }
 struct MoveReport {
-  1: string serviceName, 2: string toVersion, 3: i64 order, 4: i8 phase, 5: i64 elapsedMs
+  1: string serviceName, 2: string toVersion, 3: i64 order, 4: i8 phase, 5: i64 elapsedMs,
+  6: optional i64 orderEra
 }
 struct LeftTarget { 1: string target, 2: i64 born }
 struct SuspectRequest { 1: i64 requestDigest, 2: list<i64> crashes }
@@ -143,8 +144,16 @@
   6: string region, 7: bool leaving, 8: optional TargetReport target, 9: i64 position,
   10: list<MoveReport> moves, 11: bool storeReachable,
   12: optional LeftTarget left, 13: optional i64 exitsInMs,
-  14: optional list<SuspectRequest> suspects, 15: optional LeftTarget recipientLeft
+  14: optional list<SuspectRequest> suspects, 15: optional LeftTarget recipientLeft,
+  16: optional i64 era, 17: optional i64 lostRecords
 }
 // Operators' records as one node hands them to another.
-struct OperatorRecord { 1: string key, 2: i64 offset, 3: binary value }
-struct OperatorRecords { 1: i64 position, 2: list<OperatorRecord> records }
+// Positions without an era are of era 0; a record without another position was
+// seen where it was written.
+struct OperatorRecord {
+  1: string key, 2: i64 offset, 3: binary value, 4: optional i64 era,
+  5: optional i64 seenOffset, 6: optional i64 seenEra, 7: optional bool superseded
+}
+struct OperatorRecords {
+  1: i64 position, 2: list<OperatorRecord> records, 3: optional i64 era
+}
