Store: removals after a restore, eras known from other nodes; model of the fleet

Cause: found by a model of the fleet that restores copies beside cuts, freezes, restarts and ends: a node that reads the list only did not learn that a lost record was removed; one that does not call the store did not write its report again; a record was taken for the copy's older one though it lay beyond the copy's end, when a second restore gave it the same offset.

Change: after a list of a new era with records lost, the log is read from the last record known to be copied on; positions of a new era count as news of a restore; the offsets that were seen are compared as the beginning of one log, and nodes exchange the lowest end that they know of an era.

--- a/gen/filbertvane_types.cpp
+++ b/gen/filbertvane_types.cpp
@@ -10048,6 +10048,11 @@
   this->era = val;
 __isset.era = true;
 }
+
+void OperatorRecords::__set_lowestEnd(const int64_t val) {
+  this->lowestEnd = val;
+__isset.lowestEnd = true;
+}
 std::ostream& operator<<(std::ostream& out, const OperatorRecords& obj)
 {
   obj.printTo(out);
@@ -10112,6 +10117,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->lowestEnd);
+          this->__isset.lowestEnd = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -10150,6 +10163,11 @@
     xfer += oprot->writeI64(this->era);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.lowestEnd) {
+    xfer += oprot->writeFieldBegin("lowestEnd", ::apache::thrift::protocol::T_I64, 4);
+    xfer += oprot->writeI64(this->lowestEnd);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -10160,6 +10178,7 @@
   swap(a.position, b.position);
   swap(a.records, b.records);
   swap(a.era, b.era);
+  swap(a.lowestEnd, b.lowestEnd);
   swap(a.__isset, b.__isset);
 }
 
@@ -10167,12 +10186,14 @@
   position = other322.position;
   records = other322.records;
   era = other322.era;
+  lowestEnd = other322.lowestEnd;
   __isset = other322.__isset;
 }
 OperatorRecords& OperatorRecords::operator=(const OperatorRecords& other323) {
   position = other323.position;
   records = other323.records;
   era = other323.era;
+  lowestEnd = other323.lowestEnd;
   __isset = other323.__isset;
   return *this;
 }
@@ -10182,6 +10203,7 @@
   out << "position=" << to_string(position);
   out << ", " << "records=" << to_string(records);
   out << ", " << "era="; (__isset.era ? (out << to_string(era)) : (out << "<null>"));
+  out << ", " << "lowestEnd="; (__isset.lowestEnd ? (out << to_string(lowestEnd)) : (out << "<null>"));
   out << ")";
 }
 
--- a/gen/filbertvane_types.h
+++ b/gen/filbertvane_types.h
@@ -4001,10 +4001,11 @@
 std::ostream& operator<<(std::ostream& out, const OperatorRecord& obj);
 
 typedef struct _OperatorRecords__isset {
-  _OperatorRecords__isset() : position(false), records(false), era(false) {}
+  _OperatorRecords__isset() : position(false), records(false), era(false), lowestEnd(false) {}
   bool position :1;
   bool records :1;
   bool era :1;
+  bool lowestEnd :1;
 } _OperatorRecords__isset;
 
 class OperatorRecords : public virtual ::apache::thrift::TBase {
@@ -4014,13 +4015,15 @@
   OperatorRecords& operator=(const OperatorRecords&);
   OperatorRecords() noexcept
                   : position(0),
-                    era(0) {
+                    era(0),
+                    lowestEnd(0) {
   }
 
   virtual ~OperatorRecords() noexcept;
   int64_t position;
   std::vector<OperatorRecord>  records;
   int64_t era;
+  int64_t lowestEnd;
 
   _OperatorRecords__isset __isset;
 
@@ -4030,6 +4033,8 @@
 
   void __set_era(const int64_t val);
 
+  void __set_lowestEnd(const int64_t val);
+
   bool operator == (const OperatorRecords & rhs) const
   {
     if (!(position == rhs.position))
@@ -4040,6 +4045,10 @@
       return false;
     else if (__isset.era && !(era == rhs.era))
       return false;
+    if (__isset.lowestEnd != rhs.__isset.lowestEnd)
+      return false;
+    else if (__isset.lowestEnd && !(lowestEnd == rhs.lowestEnd))
+      return false;
     return true;
   }
   bool operator != (const OperatorRecords &rhs) const {
--- a/include/filbertvane/decision/mesh/Events.h
+++ b/include/filbertvane/decision/mesh/Events.h
@@ -149,6 +149,7 @@
 };
 /// @brief Read the store after a restore, and write what it may have lost.
 struct RecoverFromRestore {
+  core::StoreEra Era;
   /// Time at which the list of records is read unless another node has brought
   /// them before.
   core::TimePoint ReadListAt;
--- a/include/filbertvane/decision/mesh/RecordSet.h
+++ b/include/filbertvane/decision/mesh/RecordSet.h
@@ -3,7 +3,6 @@
 
 #include "filbertvane/core/Digest.h"
 #include "filbertvane/decision/mesh/StorePosition.h"
-#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -47,6 +46,9 @@
 /// @brief All entries of a node, for another one.
 struct RecordEntries {
   StorePosition Position;
+  /// Lowest end that the store is known to have had in the era: what lies
+  /// beyond was written in it.
+  StorePosition LowestEnd;
   std::vector<RecordEntry> Entries;
 
   friend auto operator<=>(const RecordEntries &,
@@ -90,6 +92,9 @@
 
   /// @brief Position up to which the store is known.
   const StorePosition &position() const { return Current; }
+  /// @brief Position from which the store is read next. Before the position of
+  ///        the set when records are lost: a list does not show removals.
+  const StorePosition &nextRead() const { return NextRead; }
   RecordEntries entries() const;
   /// @brief Changes with each change of the entries or of the position.
   std::uint64_t revision() const { return Revision; }
@@ -108,9 +113,10 @@
   void markSuperseded(RecordEntry &Known, const StorePosition &SeenAt,
                       Changes &Out);
   void advance(const StorePosition &Position);
+  void enterEra(const OperatorRecords &Shown);
   void noteEnd(const StorePosition &End);
   bool isLost(const RecordEntry &Entry) const;
-  bool isCopied(const OperatorRecord &Stored) const;
+  bool isKnownAt(const OperatorRecord &Stored) const;
   bool hasLowerVersion(const OperatorRecord &Record,
                        const OperatorRecord &Than) const;
   bool prevails(const RecordEntry &Other, const RecordEntry &Known) const;
@@ -118,11 +124,13 @@
 
   VersionOf Version;
   StorePosition Current;
-  /// Lowest end of the store that is known of the era.
+  StorePosition NextRead;
+  /// Of the era that the position is of.
   StorePosition LowestEnd;
   std::map<std::string, RecordEntry> Entries;
-  /// Records that were seen, by offset, key and value.
-  std::deque<core::Digest> History;
+  /// Keys and values of the latest records that were seen, by their offsets. A
+  /// copy is the beginning of the store before.
+  std::map<core::LogOffset, core::Digest> History;
   std::uint64_t Revision = 0;
 };
 
--- a/include/filbertvane/decision/mesh/State.h
+++ b/include/filbertvane/decision/mesh/State.h
@@ -223,7 +223,8 @@
   std::optional<core::TimePoint> LostSince;
   /// Digest of another node that was fetched last.
   std::optional<core::Digest> FetchedDigest;
-  core::StoreEra Era;
+  /// Latest era of the store that is known; none before the first one.
+  std::optional<core::StoreEra> Era;
   /// The report of this node is not written before this time.
   core::TimePoint PublishNotBefore;
   /// Newest order of each data centre that was ever evacuated.
--- a/lib/decision/mesh/Gauges.cpp
+++ b/lib/decision/mesh/Gauges.cpp
@@ -58,7 +58,7 @@
   Set("filbertvane_position",
       static_cast<double>(State.Position.offset().value()));
   Set("filbertvane_store_era",
-      static_cast<double>(std::max(State.Era, State.Position.era()).value()));
+      static_cast<double>(State.Era.value_or(core::StoreEra()).value()));
   Set("filbertvane_records_lost", static_cast<double>(State.LostRecords));
   Set("filbertvane_records_lost_seconds",
       State.LostSince
--- a/lib/decision/mesh/RecordSet.cpp
+++ b/lib/decision/mesh/RecordSet.cpp
@@ -11,9 +11,7 @@
 constexpr std::size_t HistorySize = 1024;
 
 core::Digest identify(const OperatorRecord &Record) {
-  return core::digestOf(
-      Record.Value,
-      core::digestOf(Record.Key, Record.Position.offset().value()).value());
+  return core::digestOf(Record.Value, core::digestOf(Record.Key).value());
 }
 
 /// Whether the store has the record itself at its latest known position.
@@ -21,20 +19,32 @@
   return !Entry.Superseded && Entry.Record.Position == Entry.SeenAt;
 }
 
+StorePosition after(const StorePosition &Position) {
+  return {Position.era(), core::LogOffset(Position.offset().value() + 1)};
+}
+
 } // namespace
 
 RecordSet::Changes RecordSet::applyList(const OperatorRecords &List) {
   Changes Out;
   if (List.Position.era() < Current.era())
     return Out;
+  const bool IsNewEra = List.Position.era() > Current.era();
   noteEnd(List.Position);
+  enterEra(List);
   std::vector<std::string> Listed;
   for (const OperatorRecord &Record : List.Records)
     Listed.push_back(Record.Key);
   applyRemovals(List.Position, Listed, Out);
-  for (const OperatorRecord &Record : List.Records)
+  // The records after the last one that is known to be from the copy.
+  StorePosition Written(List.Position.era(), core::LogOffset());
+  for (const OperatorRecord &Record : List.Records) {
+    if (isKnownAt(Record))
+      Written = later(Written, after(Record.Position));
     applyStored(Record, Out);
+  }
   advance(List.Position);
+  NextRead = IsNewEra && lostCount() > 0 ? Written : Current;
   return Out;
 }
 
@@ -45,27 +55,35 @@
   for (const OperatorRecord &Record : Read.Records)
     applyStored(Record, Out);
   advance(Read.Position);
+  NextRead = Read.Position;
   return Out;
 }
 
 RecordSet::Changes RecordSet::merge(const RecordEntries &Other) {
   Changes Out;
-  noteEnd(Other.Position);
   const bool IsAhead = isLater(Other.Position, Current);
+  noteEnd(Other.LowestEnd);
   if (IsAhead) {
+    OperatorRecords Shown{Other.Position, {}};
     std::vector<std::string> Listed;
-    for (const RecordEntry &Entry : Other.Entries)
+    for (const RecordEntry &Entry : Other.Entries) {
       Listed.push_back(Entry.Record.Key);
+      if (isPlain(Entry) && Entry.SeenAt.era() == Other.Position.era())
+        Shown.Records.push_back(Entry.Record);
+    }
+    enterEra(Shown);
     applyRemovals(Other.Position, Listed, Out);
   }
   for (const RecordEntry &Entry : Other.Entries)
     mergeEntry(Entry, IsAhead, Out);
   advance(Other.Position);
+  if (IsAhead)
+    NextRead = Current;
   return Out;
 }
 
 RecordEntries RecordSet::entries() const {
-  RecordEntries All{Current, {}};
+  RecordEntries All{Current, LowestEnd, {}};
   for (const auto &[Key, Entry] : Entries)
     All.Entries.push_back(Entry);
   return All;
@@ -73,8 +91,8 @@
 
 /// The store has no record of a removed key, unless an older one came back.
 bool RecordSet::isLost(const RecordEntry &Entry) const {
-  return Entry.Superseded ||
-         (!Entry.Record.Value.empty() && Entry.SeenAt.era() != Current.era());
+  return Entry.SeenAt.era() == Current.era() ? Entry.Superseded
+                                             : !Entry.Record.Value.empty();
 }
 
 std::size_t RecordSet::lostCount() const {
@@ -92,7 +110,7 @@
 }
 
 void RecordSet::applyStored(const OperatorRecord &Stored, Changes &Out) {
-  const bool Copied = isCopied(Stored);
+  const bool Copied = isKnownAt(Stored);
   remember(Stored);
   const auto Found = Entries.find(Stored.Key);
   if (Found == Entries.end()) {
@@ -175,7 +193,8 @@
 }
 
 /// Of two entries that know of the same record in the store, the one that knows
-/// it to be an older one is right; the other one took it for a new one.
+/// it to be an older one is right; the other one took it for a new one. Beyond
+/// the lowest end it is a new one, and only looks like an older one.
 bool RecordSet::prevails(const RecordEntry &Other,
                          const RecordEntry &Known) const {
   const auto OtherVersion = Version(Other.Record);
@@ -183,7 +202,7 @@
   if (OtherVersion && KnownVersion && *OtherVersion != *KnownVersion)
     return *OtherVersion > *KnownVersion;
   if (Other.SeenAt == Known.SeenAt && Other.Superseded != Known.Superseded)
-    return Other.Superseded;
+    return Other.Superseded != (Known.SeenAt >= LowestEnd);
   return isLater(Other.Record.Position, Known.Record.Position);
 }
 
@@ -209,15 +228,26 @@
   Current = Position;
 }
 
+/// The copy ends at the latest with the store, and before the first record that
+/// is another one than in the era before.
+void RecordSet::enterEra(const OperatorRecords &Shown) {
+  if (Shown.Position.era() <= Current.era())
+    return;
+  core::LogOffset End = LowestEnd.offset();
+  for (const OperatorRecord &Record : Shown.Records)
+    if (History.contains(Record.Position.offset()) && !isKnownAt(Record))
+      End = std::min(End, Record.Position.offset());
+  History.erase(History.lower_bound(End), History.end());
+}
+
 void RecordSet::noteEnd(const StorePosition &End) {
   if (End.era() > LowestEnd.era() || End < LowestEnd)
     LowestEnd = End;
 }
 
-/// What lies beyond an end that the store had in this era was written in it.
-bool RecordSet::isCopied(const OperatorRecord &Stored) const {
-  return Stored.Position < LowestEnd &&
-         std::ranges::find(History, identify(Stored)) != History.end();
+bool RecordSet::isKnownAt(const OperatorRecord &Stored) const {
+  const auto Found = History.find(Stored.Position.offset());
+  return Found != History.end() && Found->second == identify(Stored);
 }
 
 bool RecordSet::hasLowerVersion(const OperatorRecord &Record,
@@ -228,12 +258,14 @@
 }
 
 void RecordSet::remember(const OperatorRecord &Stored) {
-  const core::Digest Identity = identify(Stored);
-  if (std::ranges::find(History, Identity) != History.end())
+  if (isKnownAt(Stored))
     return;
-  if (History.size() >= HistorySize)
-    History.pop_front();
-  History.push_back(Identity);
+  // What followed another record at this offset is gone as well.
+  if (History.contains(Stored.Position.offset()))
+    History.erase(History.lower_bound(Stored.Position.offset()), History.end());
+  History.emplace(Stored.Position.offset(), identify(Stored));
+  if (History.size() > HistorySize)
+    History.erase(History.begin());
 }
 
 } // namespace filbertvane::decision::mesh
--- a/lib/decision/mesh/ReduceHosts.cpp
+++ b/lib/decision/mesh/ReduceHosts.cpp
@@ -187,6 +187,7 @@
   if (!isLater(Reached.Position, State.Position))
     return;
   State.Position = Reached.Position;
+  enterEra(Reached.Position.era());
   State.Lag.reach(State.Position);
   fetchMissingRecords();
   updateOutdated();
@@ -210,14 +211,22 @@
                   Reached.Position.offset().value()));
 }
 
+void Reduction::operator()(const StoreRestored &Restored) {
+  enterEra(Restored.Era);
+}
+
 /// The first nodes of the data centre read the list at once; the others wait
 /// for what they find, so that a restore doesn't make the whole fleet read it.
-void Reduction::operator()(const StoreRestored &Restored) {
-  if (Restored.Era <= State.Era)
+/// A node that calls the store seldom learns of the era from other nodes.
+void Reduction::enterEra(core::StoreEra Era) {
+  if (State.Era && Era <= *State.Era)
+    return;
+  const bool IsFirst = !State.Era;
+  State.Era = Era;
+  if (IsFirst && State.Position.era() == Era)
     return;
-  State.Era = Restored.Era;
   log(observe::EventId::MeshStoreRestored,
-      fmt::format("era={} read_era={} position={}", Restored.Era.value(),
+      fmt::format("era={} read_era={} position={}", Era.value(),
                   State.Position.era().value(),
                   State.Position.offset().value()));
   const std::size_t Rank = localFollowRank();
@@ -232,7 +241,7 @@
       Now + core::Milliseconds(State.RandomSource.below(
                 static_cast<std::uint64_t>(Spread.count())));
   Produced.emplace_back(
-      RecoverFromRestore{Now + ListDelay, State.PublishNotBefore});
+      RecoverFromRestore{Era, Now + ListDelay, State.PublishNotBefore});
   rewriteMoveStates();
 }
 
--- a/lib/decision/mesh/Reduction.h
+++ b/lib/decision/mesh/Reduction.h
@@ -156,6 +156,7 @@
   void reportLeavingIfDue();
   void fetchMissingRecords();
   bool hasMissingRecords(const KnownHost &Host) const;
+  void enterEra(core::StoreEra Era);
   void recordLost(const PositionReached &Reached);
   std::size_t localFollowRank() const;
   /// @brief Whether this node has lacked records for too long that most others
--- a/lib/io/mesh/MeshProcess.cpp
+++ b/lib/io/mesh/MeshProcess.cpp
@@ -335,7 +335,7 @@
 }
 
 void Process::carryOut(const decide::RecoverFromRestore &Plan) {
-  Follower->readListAt(Plan.ReadListAt);
+  Follower->readListAt(Plan.Era, Plan.ReadListAt);
   // What was published may be lost; `readStoreInTurn` publishes it again, and
   // then reads the hosts that did so as well.
   HostPublished = false;
--- a/lib/io/mesh/StoreFollower.cpp
+++ b/lib/io/mesh/StoreFollower.cpp
@@ -92,7 +92,7 @@
   if (Wait.count() > 0)
     Overdue.arm(ReadSentAt + Wait + OverdueTime);
   Store.readFrom(
-      Records.position(), Wait,
+      Records.nextRead(), Wait,
       [this](const core::Result<OperatorRecords> &Read) { take(Read, false); });
 }
 
@@ -157,7 +157,9 @@
   later(std::max(core::Microseconds(0), ListNotBefore - Loop.now().Mono));
 }
 
-void StoreFollower::readListAt(core::TimePoint Time) {
+void StoreFollower::readListAt(core::StoreEra Era, core::TimePoint Time) {
+  if (Records.position().era() >= Era)
+    return;
   ListNotBefore = Time;
   if (Reading && ReadsList)
     return;
--- a/lib/io/mesh/StoreFollower.h
+++ b/lib/io/mesh/StoreFollower.h
@@ -39,8 +39,8 @@
   /// @brief Sets the longest time for which the store may hold a read back.
   void setHold(core::Milliseconds Longest);
   /// @brief Reads the list of newest records of a restored store at a time,
-  ///        unless another node has brought them before.
-  void readListAt(core::TimePoint Time);
+  ///        unless another node has brought records of that era before.
+  void readListAt(core::StoreEra Era, core::TimePoint Time);
   /// @brief Takes the records of another node.
   void adopt(const RecordEntries &Other);
   const RecordSet &known() const { return Records; }
--- a/lib/wire/HostReportCodec.cpp
+++ b/lib/wire/HostReportCodec.cpp
@@ -279,6 +279,8 @@
   gen::OperatorRecords Out;
   Out.position = offsetOf(Entries.Position);
   Out.__set_era(eraOf(Entries.Position));
+  if (Entries.LowestEnd.era() == Entries.Position.era())
+    Out.__set_lowestEnd(offsetOf(Entries.LowestEnd));
   for (const mesh::RecordEntry &Each : Entries.Entries) {
     gen::OperatorRecord Record;
     Record.key = Each.Record.Key;
@@ -307,6 +309,8 @@
   const gen::OperatorRecords &In = core::value(Decoded);
   mesh::RecordEntries Out;
   Out.Position = positionOf(In.era, In.position);
+  Out.LowestEnd =
+      In.__isset.lowestEnd ? positionOf(In.era, In.lowestEnd) : Out.Position;
   for (const gen::OperatorRecord &Each : In.records) {
     const mesh::StorePosition Written = positionOf(Each.era, Each.offset);
     Out.Entries.push_back({{Each.key, Written, Each.value},
--- a/tests/platform/EvacuationRecordsTest.cpp
+++ b/tests/platform/EvacuationRecordsTest.cpp
@@ -56,11 +56,12 @@
       },
       Calls);
   const OperatorRecord Ordered{"evacuate/z1", position(4), "{}"};
-  const RecordEntries Read{position(5), {{Ordered, position(4), false}}};
+  const RecordEntries Read{
+      position(5), position(5), {{Ordered, position(4), false}}};
   Follower.adopt(Read);
   cr_assert(Orders.size() == 1 && Orders[0].Active);
   cr_assert(Orders[0].DataCentre == core::DataCentreId("z1"));
-  Follower.adopt({position(9), {}});
+  Follower.adopt({position(9), position(9), {}});
   cr_assert(Orders.size() == 2 && !Orders[1].Active);
   cr_assert(Orders[1].OrderPosition > Orders[0].OrderPosition);
   // A node that is behind doesn't bring the order back, and the removal is
--- a/tests/wire/HostReportCodecTest.cpp
+++ b/tests/wire/HostReportCodecTest.cpp
@@ -34,6 +34,7 @@
 Test(host_report_codec, records_survive_the_way) {
   const RecordEntries Entries{
       position(9, 2),
+      position(6, 2),
       {{{"config", position(4, 1), std::string("\0x", 2)},
         position(7, 2),
         true},
--- a/thrift/filbertvane.thrift
+++ b/thrift/filbertvane.thrift
@@ -155,5 +155,6 @@
   5: optional i64 seenOffset, 6: optional i64 seenEra, 7: optional bool superseded
 }
 struct OperatorRecords {
-  1: i64 position, 2: list<OperatorRecord> records, 3: optional i64 era
+  1: i64 position, 2: list<OperatorRecord> records, 3: optional i64 era,
+  4: optional i64 lowestEnd
 }
