Tests: orders, positions and answers of different eras

Change: a rejected order that is written again, an order that a copy brings back, a rejection of a later era, a higher offset of an older era, records that the store has lost, who reads the list, an append that is answered in another era, a departure that the copy lacks.

--- a/tests/mesh/MoveTrackerTest.cpp
+++ b/tests/mesh/MoveTrackerTest.cpp
@@ -249,3 +249,88 @@
   cr_assert(Moves.shares(Shop, at(11000)).CandidatePermille == 100);
   cr_assert(Moves.mustDecide(Move, at(13700)));
 }
+
+// Guards against a version that was rejected and is tried again since the store
+// was restored and its order is written a second time.
+Test(move_tracker, an_order_that_is_written_again_goes_on) {
+  MoveTracker Moves;
+  MoveOrdered Order = order(5);
+  Order.OrderPosition = position(5, 1);
+  Moves.applyOrder(Order, at(0));
+  Moves.advance(Shop, MovePhase::Rejected, "test");
+  Order.OrderPosition = position(3, 2);
+  Order.SeenAt = Order.OrderPosition;
+  Order.Renumbered = true;
+  cr_assert(!Moves.applyOrder(Order, at(9000)));
+  const TrackedMove &Move = Moves.moves().at(Shop);
+  cr_assert(Move.Phase == MovePhase::Rejected && Move.StartedAt == at(0));
+  cr_assert(Move.Order.OrderPosition == position(3, 2));
+  // A node that has not read of the restore speaks of the same order.
+  {
+    MoveTracker Started;
+    Order.Renumbered = false;
+    Started.applyOrder(Order, at(9000));
+    Order.OrderPosition = position(2, 3);
+    Order.Renumbered = true;
+    Started.applyOrder(Order, at(9100));
+    Started.applyReport({Shop, core::TargetVersion("v2"), position(3, 2),
+                         MovePhase::Rejected, milliseconds(9000)},
+                        at(9200), core::StoreEra(3));
+    cr_assert(Started.moves().at(Shop).Phase == MovePhase::Rejected);
+  }
+}
+
+// Guards against a version that serves and gets no requests since another node
+// takes its order, which a copy brought back, for a new one.
+Test(move_tracker, the_order_of_a_copy_excludes_nothing) {
+  MoveTracker Moves;
+  MoveOrdered Served = order(3, "v2");
+  Served.OrderPosition = position(3, 1);
+  Moves.applyOrder(Served, at(0));
+  Moves.advance(Shop, MovePhase::Completed, "");
+  MoveOrdered Next = order(9, "v3");
+  Next.OrderPosition = position(9, 1);
+  Moves.applyOrder(Next, at(1000));
+  const MoveReport Mistaken{Shop, core::TargetVersion("v2"), position(3, 2),
+                            MovePhase::Running, milliseconds(0)};
+  const auto Excludes = [&] {
+    return Moves.shares(Shop, at(2000))
+        .Excluded.contains(core::TargetVersion("v2"));
+  };
+  // Before this node has read of the restore, and afterwards.
+  {
+    Moves.applyReport(Mistaken, at(1500), core::StoreEra(1));
+    cr_assert(!Excludes());
+    Next.SeenAt = position(3, 2);
+    Next.Renumbered = true;
+    Moves.applyOrder(Next, at(1600));
+    Moves.applyReport(Mistaken, at(1700), core::StoreEra(2));
+    cr_assert(!Excludes());
+  }
+  // A node that took it for a new one learns better.
+  {
+    MoveTracker Started;
+    Served.OrderPosition = position(3, 2);
+    Started.applyOrder(Served, at(1500));
+    Next.Renumbered = false;
+    Started.applyOrder(Next, at(1800));
+    cr_assert(Started.moves().at(Shop).Order.NewVersion ==
+              core::TargetVersion("v3"));
+    cr_assert(!Started.shares(Shop, at(1900))
+                   .Excluded.contains(core::TargetVersion("v2")));
+  }
+}
+
+// Guards against a rejected version that gets requests from a node that has not
+// read of a restore.
+Test(move_tracker, a_rejection_of_a_later_era_counts) {
+  MoveTracker Moves;
+  MoveOrdered Order = order(5);
+  Order.OrderPosition = position(5, 1);
+  Moves.applyOrder(Order, at(0));
+  Moves.applyReport({Shop, core::TargetVersion("v2"), position(2, 2),
+                     MovePhase::Rejected, milliseconds(500)},
+                    at(500), core::StoreEra(1));
+  cr_assert(
+      Moves.shares(Shop, at(600)).Excluded.contains(core::TargetVersion("v2")));
+}
--- a/tests/mesh/RecordsTest.cpp
+++ b/tests/mesh/RecordsTest.cpp
@@ -141,3 +141,75 @@
   Node.send(PositionReached{position(3)});
   cr_assert(Node.first<SendReport>()->Addresses.size() == 2);
 }
+
+// Guards against offsets of two eras that are compared: a node that slept
+// through a restore seems to be ahead.
+Test(mesh_records, a_higher_offset_of_an_older_era_is_behind) {
+  Bench Node;
+  Node.configure();
+  Node.send(StoreReachabilityChanged{true});
+  Node.send(PositionReached{position(3, 2)});
+  HostReport Other = report("n5", 1);
+  Other.Position = position(9, 1);
+  Node.send(ReportReceived{Other});
+  Node.Now += milliseconds(1000);
+  Node.send(request::Tick{});
+  cr_assert(!Node.first<FetchRecords>());
+  // The other way round, this node fetches.
+  {
+    Bench Slept;
+    Slept.configure();
+    Slept.send(PositionReached{position(9, 1)});
+    Other.Sequence = 2;
+    Other.Position = position(3, 2);
+    Slept.send(ReportReceived{Other});
+    Slept.Now += milliseconds(400);
+    Slept.send(request::Tick{});
+    Slept.Now += milliseconds(400);
+    Slept.send(request::Tick{});
+    cr_assert(Slept.first<FetchRecords>().has_value());
+  }
+}
+
+// Guards against a node that keeps to a copy while others have what it lacks.
+Test(mesh_records, records_that_the_store_has_lost_are_fetched) {
+  Bench Node;
+  Node.configure();
+  Node.send(StoreReachabilityChanged{true});
+  Node.send(PositionReached{position(3, 2)});
+  HostReport Other = report("n5", 1);
+  Other.Position = position(3, 2);
+  Other.LostRecords = core::Digest(7);
+  Node.send(ReportReceived{Other});
+  Node.send(request::Tick{});
+  Node.Now += milliseconds(400);
+  Node.send(request::Tick{});
+  cr_assert(Node.first<FetchRecords>().has_value());
+  // Once it has them, it asks no more.
+  Node.send(PositionReached{position(3, 2), 1, core::Digest(7)});
+  Node.Now += milliseconds(1000);
+  Node.send(request::Tick{});
+  cr_assert(!Node.first<FetchRecords>());
+}
+
+// Guards against a whole data centre that reads the list when the store is
+// back.
+Test(mesh_records, only_two_nodes_of_a_data_centre_read_the_list_at_once) {
+  for (const std::size_t Before : {0U, 1U, 2U, 5U}) {
+    Bench Node;
+    Node.configure();
+    Node.send(PositionReached{position(3, 1)});
+    for (const std::string &Name : rankedBefore(Before))
+      Node.send(ReportReceived{follower(Name)});
+    Node.send(StoreRestored{core::StoreEra(2)});
+    const auto Plan = Node.first<RecoverFromRestore>();
+    cr_assert(Plan.has_value());
+    cr_assert((Plan->ReadListAt == Node.Now) == (Before < 2));
+    cr_assert(Plan->ReadListAt - Node.Now <= milliseconds(2000));
+    // The same restore is not handled twice, whoever tells of it.
+    Node.send(StoreRestored{core::StoreEra(2)});
+    cr_assert(!Node.first<RecoverFromRestore>());
+    Node.send(PositionReached{position(2, 2)});
+    cr_assert(!Node.first<RecoverFromRestore>());
+  }
+}
--- a/tests/platform/RestoredStoreTest.cpp
+++ b/tests/platform/RestoredStoreTest.cpp
@@ -133,3 +133,22 @@
            std::string::npos;
   });
 }
+
+// Guards against work for a target whose departure was acknowledged and is
+// missing in the copy, at a process that starts after the restore.
+Test(restored_store, a_departure_that_the_copy_lacks_holds) {
+  Fleet All({"home", "shop", "shop"});
+  All.publish(1);
+  All.untilServed(1, "/list/a");
+  const auto Before = All.Store.copy();
+  All.instance(2).deregister();
+  All.until("the acknowledgement",
+            [&] { return All.instance(2).acknowledged(); });
+  All.Store.restore(Before);
+  All.restart(2);
+  All.runFor(milliseconds(1500));
+  const std::size_t Runs = All.instance(2).runsInAll();
+  for (int I = 0; I < 10; ++I)
+    cr_assert(All.ask(1, "/list/a", fmt::format("q{}", I)).Status == 200);
+  cr_assert(All.instance(2).runsInAll() == Runs);
+}
--- a/tests/platform/StoreConnectionTest.cpp
+++ b/tests/platform/StoreConnectionTest.cpp
@@ -82,3 +82,70 @@
   // The connection did have to wait.
   cr_assert(Bounded.Loop.now().Mono - Begin > core::Milliseconds(600));
 }
+
+// Guards against answers to calls of one era that are taken for those of
+// another: an append that was done before the restore, and records that follow
+// an offset which was given out again.
+Test(store_connection, an_answer_of_another_era_answers_nothing) {
+  BoundedLoop Bounded;
+  int Era = 1;
+  RawServer Server(Bounded.Loop, [&](RawConnection &Connection) {
+    if (Connection.Ended || Connection.Received.empty())
+      return;
+    const bool Lists =
+        Connection.Received.find("log-newest") != std::string::npos;
+    Connection.Received.clear();
+    const std::string Body =
+        Lists ? std::string(EmptyList) : std::string(16, '\0');
+    Connection.send(fmt::format("HTTP/1.1 200 OK\r\nStore-Era: {}\r\n"
+                                "Content-Length: {}\r\n\r\n{}",
+                                Era, Body.size(), Body));
+  });
+  const auto Client = io::HttpClient::create(Bounded.Loop, {});
+  platform::Store Store(Bounded.Loop, *Client,
+                        {fmt::format("127.0.0.1:{}", Server.Port)});
+  std::vector<core::StoreEra> Restores;
+  Store.onRestored([&](core::StoreEra Named) { Restores.push_back(Named); });
+  std::optional<core::Error> Fault;
+  const auto Ended = [&](const auto &Done) {
+    Fault.reset();
+    if (!core::ok(Done))
+      Fault = core::failure(Done);
+    Bounded.stop();
+  };
+  const auto Publish = [&] {
+    Store.publishHost(core::NodeId("n1"), "report", Ended);
+    Bounded.run();
+  };
+  const auto Read = [&](std::uint64_t Of) {
+    Store.readFrom({core::StoreEra(Of), core::LogOffset(4)},
+                   core::Milliseconds(0), Ended);
+    Bounded.run();
+  };
+  Store.readHosts(Ended);
+  Bounded.run();
+  cr_assert(!Fault && Restores.empty(), "the first era is no restore");
+  Publish();
+  cr_assert(!Fault);
+  Read(1);
+  cr_assert(!Fault);
+  // The store is restored while a call is under way.
+  {
+    Era = 2;
+    Publish();
+    cr_assert(Fault && Fault->Code == core::ErrorCode::StoreRestored);
+    cr_assert(Restores == std::vector<core::StoreEra>{core::StoreEra(2)});
+    Publish();
+    cr_assert(!Fault);
+    Read(1);
+    cr_assert(Fault && Fault->Code == core::ErrorCode::StoreRestored);
+  }
+  // An answer that was on its way since before is late.
+  {
+    Era = 1;
+    Store.readHosts(Ended);
+    Bounded.run();
+    cr_assert(Fault && Fault->Code == core::ErrorCode::StoreRestored);
+    cr_assert(Restores.size() == 1);
+  }
+}
