Store: only hosts that joined lately read the list of hosts after a restore

Cause: at 2,000 hosts, all of them would read 0.8 MB each within 10 s, twice what the store serves.

The figure of 2,000 hosts is worked out.

--- a/lib/io/mesh/MeshProcess.cpp
+++ b/lib/io/mesh/MeshProcess.cpp
@@ -272,9 +272,12 @@
                       if (!core::ok(Done))
                         storeFault(core::failure(Done));
                       // Of two nodes that publish at the same time, one at
-                      // least reads the other's report then.
-                      if (!Before)
+                      // least reads the other's report then. A copy of the
+                      // store has the reports of nodes that joined earlier.
+                      if (!Before && hasJoinedLately())
                         readHosts();
+                      if (HostPublished && !JoinedAt)
+                        JoinedAt = Loop.now().Mono;
                     });
 }
 
@@ -481,11 +484,17 @@
   }
   handle(Learned);
   HostPublished = HostPublished || Listed;
+  if (Listed && !JoinedAt)
+    JoinedAt = Loop.now().Mono;
   if (First && !Listed)
     carryOut(
         decide::PublishReport{decide::makeHostReport(State, Loop.now().Mono)});
 }
 
+bool Process::hasJoinedLately() const {
+  return !JoinedAt || Loop.now().Mono - *JoinedAt < HostsReadPeriod;
+}
+
 /// Others find this node by what its former process published.
 bool Process::tellsOfThis(const decide::HostReport &Published) const {
   return Published.Node == Place.Node && Published.Address == Place.Address &&
--- a/lib/io/mesh/MeshProcessImpl.h
+++ b/lib/io/mesh/MeshProcessImpl.h
@@ -64,6 +64,7 @@
   void readHosts();
   void hostsRead(const core::Result<std::vector<std::string>> &Read);
   bool tellsOfThis(const decide::HostReport &Published) const;
+  bool hasJoinedLately() const;
   void readMoves();
   void readStoreInTurn(core::TimePoint Now);
   void storeFault(const core::Error &Why);
@@ -98,6 +99,8 @@
   core::TimePoint HostsReadAt;
   bool Ready = false;
   bool HostPublished = false;
+  /// Time at which the list of hosts first had this process.
+  std::optional<core::TimePoint> JoinedAt;
   /// The hosts in the store were read at least once.
   bool HostsRead = false;
   /// Fetches of other nodes' records under way.
