Store: a store that names an older era is not called without end

Cause: after a read of another era the list was read at once, and again when the list itself was of an era that had passed; an offset that was refused was read again at once when the list had gone back without naming an era.

Change: such a list is a fault with its backoff; a list that is no later than what was read is followed by the usual gap.

Measured: restored_store/a_store_that_names_an_older_era_is_not_called_without_end: 64,022 calls in 3 s without the change, below 60 with it.

--- a/lib/io/mesh/StoreFollower.cpp
+++ b/lib/io/mesh/StoreFollower.cpp
@@ -116,9 +116,13 @@
   const OperatorRecords &Got = core::value(Read);
   if (Newest && Calls.OnListRead)
     Calls.OnListRead(Got);
+  // A list that is no later than what was read, after its offset was refused,
+  // would be followed by the same refusal.
+  const bool ListIsOld = Newest && !isLater(Got.Position, Records.position());
   update(
       [&] { return Newest ? Records.applyList(Got) : Records.applyLog(Got); });
-  later(Newest || Got.Records.empty() ? core::Microseconds(0) : ReadGap);
+  const bool MayBeMore = Newest ? !ListIsOld : Got.Records.empty();
+  later(MayBeMore ? core::Microseconds(0) : ReadGap);
 }
 
 void StoreFollower::takeFault(const core::Error &Why) {
@@ -126,7 +130,8 @@
     HasBase = false;
     return later(core::Microseconds(0));
   }
-  if (Why.Code == core::ErrorCode::StoreRestored)
+  // A list of an era that has passed is a fault: its era is not known to rise.
+  if (Why.Code == core::ErrorCode::StoreRestored && !ReadsList)
     return takeNewEra();
   Calls.OnFault(Why);
   setReachable(false);
--- a/tests/platform/RestoredStoreTest.cpp
+++ b/tests/platform/RestoredStoreTest.cpp
@@ -152,3 +152,22 @@
     cr_assert(All.ask(1, "/list/a", fmt::format("q{}", I)).Status == 200);
   cr_assert(All.instance(2).runsInAll() == Runs);
 }
+
+// Guards against calls without end to a store that goes back and names no later
+// era.
+Test(restored_store, a_store_that_names_an_older_era_is_not_called_without_end) {
+  RestoredFleet All;
+  All.change(2);
+  for (const std::uint64_t Era : {0, 1}) {
+    All.Store.restore(All.Copy);
+    All.Store.nameEra(Era);
+    All.runFor(milliseconds(300));
+    const std::uint64_t Before = All.Store.calls();
+    All.runFor(milliseconds(3000));
+    cr_assert(All.Store.calls() - Before < 60, "era %lu: %lu calls",
+              static_cast<unsigned long>(Era),
+              static_cast<unsigned long>(All.Store.calls() - Before));
+    for (std::size_t Host = 1; Host <= 3; ++Host)
+      cr_assert(All.serves(Host, 2), "n%zu", Host);
+  }
+}
--- a/tools/fv-platform/StoreStandIn.h
+++ b/tools/fv-platform/StoreStandIn.h
@@ -60,6 +60,8 @@
   /// @brief Goes back to a copy: later records are gone, their offsets are
   ///        given out again, and answers name the next era.
   void restore(const Copy &Older);
+  /// @brief Sets the era that answers name.
+  void nameEra(std::uint64_t Named) { Era = Named; }
   /// @}
 
   /// @name Contents
