--- a/tests/platform/RestoredStoreTest.cpp
+++ b/tests/platform/RestoredStoreTest.cpp
@@ -155,7 +155,8 @@
 
 // Guards against calls without end to a store that goes back and names no later
 // era.
-Test(restored_store, a_store_that_names_an_older_era_is_not_called_without_end) {
+Test(restored_store,
+     a_store_that_names_an_older_era_is_not_called_without_end) {
   RestoredFleet All;
   All.change(2);
   for (const std::uint64_t Era : {0, 1}) {
