Store: older records of the log put nothing out of force

Cause: the log that is read for removals after a restore may begin in the copy. An older order and its removal there put an order out of force that was given again afterwards and that the copy lacks.

Change: before the position of the list, a record that was known at its offset in an earlier era is passed over.

Measured: record_set/older_records_of_the_log_undo_nothing failed without it.

--- a/include/filbertvane/decision/mesh/RecordSet.h
+++ b/include/filbertvane/decision/mesh/RecordSet.h
@@ -114,7 +114,7 @@
                       Changes &Out);
   void advance(const StorePosition &Position);
   void enterEra(const OperatorRecords &Shown);
-  void noteEnd(const StorePosition &End);
+  void recordEnd(const StorePosition &End);
   bool isLost(const RecordEntry &Entry) const;
   bool isKnownAt(const OperatorRecord &Stored) const;
   bool hasLowerVersion(const OperatorRecord &Record,
--- a/lib/decision/mesh/RecordSet.cpp
+++ b/lib/decision/mesh/RecordSet.cpp
@@ -30,7 +30,7 @@
   if (List.Position.era() < Current.era())
     return Out;
   const bool IsNewEra = List.Position.era() > Current.era();
-  noteEnd(List.Position);
+  recordEnd(List.Position);
   enterEra(List);
   std::vector<std::string> Listed;
   for (const OperatorRecord &Record : List.Records)
@@ -52,8 +52,11 @@
   Changes Out;
   if (Read.Position.era() != Current.era())
     return Out;
+  // Before the position of the list, a record that was known in an earlier era
+  // is from the copy and older than what is in force.
   for (const OperatorRecord &Record : Read.Records)
-    applyStored(Record, Out);
+    if (Record.Position >= Current || !isKnownAt(Record))
+      applyStored(Record, Out);
   advance(Read.Position);
   NextRead = Read.Position;
   return Out;
@@ -62,7 +65,7 @@
 RecordSet::Changes RecordSet::merge(const RecordEntries &Other) {
   Changes Out;
   const bool IsAhead = isLater(Other.Position, Current);
-  noteEnd(Other.LowestEnd);
+  recordEnd(Other.LowestEnd);
   if (IsAhead) {
     OperatorRecords Shown{Other.Position, {}};
     std::vector<std::string> Listed;
@@ -240,7 +243,7 @@
   History.erase(History.lower_bound(End), History.end());
 }
 
-void RecordSet::noteEnd(const StorePosition &End) {
+void RecordSet::recordEnd(const StorePosition &End) {
   if (End.era() > LowestEnd.era() || End < LowestEnd)
     LowestEnd = End;
 }
--- a/tests/mesh/RecordSetTest.cpp
+++ b/tests/mesh/RecordSetTest.cpp
@@ -81,6 +81,22 @@
   }
 }
 
+// Guards against an order that goes out of force since the log of the copy,
+// which is read for removals, has an older one and its removal.
+Test(record_set, older_records_of_the_log_undo_nothing) {
+  KeyedStore Store;
+  RecordSet Node(versionOf);
+  for (const char *Order : {"{}", "", "{}"}) {
+    Store.write("evacuate/z1", Order);
+    Store.readInto(Node);
+  }
+  Store.restore(2);
+  Store.readInto(Node);
+  Store.readInto(Node);
+  cr_assert(inForce(Node, "evacuate/z1") == "{}");
+  cr_assert(Node.lostCount() == 1);
+}
+
 // Guards against an order of the new era that is taken for the copy of an older
 // one, which was the same and at the same offset.
 Test(record_set, an_order_beyond_the_copy_is_a_new_one) {
