Tests: wait for a change by time, not by a number of requests

Cause: on an idle machine 200 requests may take less than the 0.7 s between two reads of the store; a test of the restore would then fail though the change is in time.

Change: the wait ends after five seconds; the bound of 2.5 s for a change is as before.

--- a/tests/platform/RestoredStoreTest.cpp
+++ b/tests/platform/RestoredStoreTest.cpp
@@ -23,8 +23,13 @@
   }
 
   void untilAllServe(const std::string &Path) {
+    const core::TimePoint Deadline = Loop.now().Mono + core::Seconds(5);
     for (std::size_t Host = 1; Host <= 3; ++Host)
-      untilServed(Host, Path);
+      while (ask(Host, Path, fmt::format("u{}", ++LastRequest)).Status != 200) {
+        cr_assert(Loop.now().Mono < Deadline, "n%zu does not serve %s", Host,
+                  Path.c_str());
+        runFor(milliseconds(20));
+      }
   }
 
   void restore() { Store.restore(Copy); }
