--- a/lib/decision/mesh/RecordSet.cpp
+++ b/lib/decision/mesh/RecordSet.cpp
@@ -1,6 +1,5 @@
 #include "filbertvane/decision/mesh/RecordSet.h"
 #include <algorithm>
-#include <fmt/format.h>
 
 namespace filbertvane::decision::mesh {
 
@@ -36,15 +35,15 @@
   for (const OperatorRecord &Record : List.Records)
     Listed.push_back(Record.Key);
   applyRemovals(List.Position, Listed, Out);
-  // The records after the last one that is known to be from the copy.
-  StorePosition Written(List.Position.era(), core::LogOffset());
+  // Behind the last record that is known to be from the copy.
+  StorePosition AfterCopy(List.Position.era(), core::LogOffset());
   for (const OperatorRecord &Record : List.Records) {
     if (isKnownAt(Record))
-      Written = later(Written, after(Record.Position));
+      AfterCopy = later(AfterCopy, after(Record.Position));
     applyStored(Record, Out);
   }
   advance(List.Position);
-  NextRead = IsNewEra && lostCount() > 0 ? Written : Current;
+  NextRead = IsNewEra && lostCount() > 0 ? AfterCopy : Current;
   return Out;
 }
 
